--- /dev/null
+++ b/process/raft/types.go
@@ -0,0 +1,146 @@
+// Package raft is the agreement protocol of the control group as a pure state
+// machine: ticks, proposals and messages go in; entries to persist, messages to
+// send and committed entries come out. It opens no file, no socket and reads no
+// clock, so the daemon and the emulator run the same code.
+package raft
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// MemberID is the identity of one member's disk. A member that lost its disk
+// comes back under a new MemberID, because under the old one it could vote
+// twice in a term.
+type MemberID uint64
+
+// None is the zero MemberID; no member has it.
+const None MemberID = 0
+
+// EntryKind tells what an entry's data means.
+type EntryKind uint8
+
+// Kinds of entries.
+const (
+	EntryCommand EntryKind = iota // data belongs to the replicated state machine
+	EntryConfig                   // data is an encoded Configuration
+	EntryEmpty                    // a new leader's first entry of its term
+)
+
+// Entry is one record of the replicated log. (Term, Index) is unique for all time.
+type Entry struct {
+	Term  uint64
+	Index uint64
+	Kind  EntryKind
+	Data  []byte
+}
+
+// HardState is what must be synced before any message of the same Ready is sent.
+type HardState struct {
+	Term   uint64
+	Vote   MemberID
+	Commit uint64
+}
+
+// Configuration is the membership of the group. It changes by one member at a time.
+type Configuration struct {
+	Voters   []MemberID
+	Learners []MemberID
+}
+
+// Snapshot is the state machine's state up to and including Index.
+type Snapshot struct {
+	Term          uint64
+	Index         uint64
+	Configuration Configuration
+	Data          []byte
+}
+
+// ChangeKind is one step of a membership change.
+type ChangeKind uint8
+
+// Kinds of membership changes.
+const (
+	ChangeAddLearner ChangeKind = iota
+	ChangePromote               // learner to voter; refused until the learner has caught up
+	ChangeRemove
+)
+
+// ConfigurationChange asks for one step of a membership change.
+type ConfigurationChange struct {
+	Kind   ChangeKind
+	Member MemberID
+}
+
+// Role is a member's part in the current term.
+type Role uint8
+
+// Roles of a member.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+	Learner
+)
+
+// Config holds what a Node is created with. Durations are on the monotonic
+// clock whose readings are handed to Tick.
+type Config struct {
+	ID                  MemberID
+	ElectionTimeout     time.Duration // base; each election waits between one and two of these
+	HeartbeatInterval   time.Duration
+	LeaseDuration       time.Duration // leader lease; shorter than ElectionTimeout by the clock-drift margin
+	MaxEntriesBytes     int           // bytes of entries in one append message
+	MaxInflight         int           // append messages in flight to one follower
+	MaxUncommittedBytes int           // proposals beyond this are refused with ErrOverloaded
+	Seed                uint64        // randomness of election timeouts
+}
+
+// Ready is what the caller must carry out, in this order: persist Snapshot,
+// Entries and HardState and sync; send Messages; apply Committed; call Advance.
+type Ready struct {
+	HardState  *HardState // nil when unchanged
+	Snapshot   *Snapshot  // nil unless one was received
+	Entries    []Entry
+	Messages   []Message
+	Committed  []Entry
+	ReadStates []ReadState
+	MustSync   bool
+}
+
+// ReadState says that a read asked for under RequestID may be answered once the
+// state machine has applied Index.
+type ReadState struct {
+	RequestID uint64
+	Index     uint64
+}
+
+// Status is a copy of a node's public state.
+type Status struct {
+	ID            MemberID
+	Role          Role
+	Term          uint64
+	Leader        MemberID
+	Commit        uint64
+	Applied       uint64
+	LastIndex     uint64
+	Configuration Configuration
+	// Match is the highest index known to be persisted by each member; leader only.
+	Match map[MemberID]uint64
+	// RecentlyActive tells which members answered within an election timeout; leader only.
+	RecentlyActive map[MemberID]bool
+}
+
+// Errors returned by a Node. All leave the node unchanged.
+var (
+	ErrNotLeader       = errors.New("raft: not the leader")
+	ErrOverloaded      = errors.New("raft: too many uncommitted bytes")
+	ErrChangePending   = errors.New("raft: another membership change is in progress")
+	ErrNotCaughtUp     = errors.New("raft: learner has not caught up")
+	ErrUnknownMember   = errors.New("raft: unknown member")
+	ErrCompacted       = errors.New("raft: entries were compacted into a snapshot")
+	ErrTransferPending = errors.New("raft: leadership is being transferred")
+	ErrLastVoter       = errors.New("raft: the last voter cannot be removed")
+)
