--- /dev/null
+++ b/version/api/metadata.go
@@ -0,0 +1,69 @@
+// Package api holds the objects that operators write and the system keeps:
+// intents, engines, services, classes and tenants. Each has metadata, a spec
+// (what is wanted) and a status (what is observed); writes are compare-and-set
+// on the metadata's revision.
+package api
+
+// Kind names a type of object.
+type Kind string
+
+// Kinds of objects.
+const (
+	KindIntent  Kind = "Intent"
+	KindEngine  Kind = "Engine"
+	KindService Kind = "Service"
+	KindClass   Kind = "Class"
+	KindTenant  Kind = "Tenant"
+)
+
+// Kinds lists every kind in the order in which tables print them.
+var Kinds = []Kind{KindIntent, KindEngine, KindService, KindClass, KindTenant}
+
+// Labels are key-value pairs that selectors match.
+type Labels map[string]string
+
+// Metadata is common to all objects.
+type Metadata struct {
+	Name   string `json:"name" yaml:"name"`
+	Labels Labels `json:"labels,omitempty" yaml:"labels,omitempty"`
+	// Revision is the log index of the object's last accepted write; 0 in a
+	// write means that the object must not exist yet.
+	Revision uint64 `json:"revision,omitempty" yaml:"revision,omitempty"`
+}
+
+// Key identifies an object.
+type Key struct {
+	Kind Kind   `json:"kind" yaml:"kind"`
+	Name string `json:"name" yaml:"name"`
+}
+
+// String returns "kind/name".
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+// Selector matches labels: all of MatchLabels and all of MatchExpressions. An
+// empty selector matches nothing, so that a forgotten selector cannot take the
+// whole fleet; use the operator Exists or All to match widely.
+type Selector struct {
+	MatchLabels      Labels        `json:"matchLabels,omitempty" yaml:"matchLabels,omitempty"`
+	MatchExpressions []Requirement `json:"matchExpressions,omitempty" yaml:"matchExpressions,omitempty"`
+	// All matches every object; the other fields must then be empty.
+	All bool `json:"all,omitempty" yaml:"all,omitempty"`
+}
+
+// Operator relates a label to values.
+type Operator string
+
+// Operators of a Requirement.
+const (
+	OperatorIn           Operator = "In"
+	OperatorNotIn        Operator = "NotIn"
+	OperatorExists       Operator = "Exists"
+	OperatorDoesNotExist Operator = "DoesNotExist"
+)
+
+// Requirement is one condition on one label.
+type Requirement struct {
+	Key      string   `json:"key" yaml:"key"`
+	Operator Operator `json:"operator" yaml:"operator"`
+	Values   []string `json:"values,omitempty" yaml:"values,omitempty"`
+}
