--- a/version/api/transaction.go
+++ b/version/api/transaction.go
@@ -16,6 +16,8 @@
 	OperationID string  `json:"operationId"`
 	Writes      []Write `json:"writes"`
 	DryRun      bool    `json:"dryRun,omitempty"`
+	// AllowBroad lifts the bound on how many engines one transaction may move.
+	AllowBroad bool `json:"allowBroad,omitempty"`
 }
 
 // OutcomeCode says what became of a transaction.
--- /dev/null
+++ b/version/view/types.go
@@ -0,0 +1,37 @@
+// Package view distributes versions of the replicated state to daemons: an
+// immutable View that is swapped whole, deltas that only move it forward, and
+// a lease that bounds how long a view may be used without confirmation.
+package view
+
+import (
+	"github.com/landingtrail/landingtrail/version/api"
+)
+
+// Version orders views: a view with a higher revision replaces one with a
+// lower; the term is the highest term applied and never goes down with the
+// revision going up.
+type Version struct {
+	Term     uint64
+	Revision uint64 // log index of the last entry that changed an object
+}
+
+// View is one version of all objects. It is immutable once built: a holder
+// swaps the pointer, and readers keep the view they started with.
+type View struct {
+	Version  Version
+	Intents  map[string]*api.Intent
+	Engines  map[string]*api.Engine
+	Services map[string]*api.Service
+	Classes  map[string]*api.Class
+	Tenants  map[string]*api.Tenant
+}
+
+// Delta leads from one version to a later one. From zero with Full set it is a
+// whole view.
+type Delta struct {
+	From    Version
+	To      Version
+	Full    bool
+	Objects []api.Object
+	Removed []api.Key
+}
