--- /dev/null
+++ b/request/router/estimate.go
@@ -0,0 +1,93 @@
+package router
+
+import "time"
+
+// Speed is the service-rate model of one engine that costs and estimates are
+// computed from. The zero value of a field takes its default.
+type Speed struct {
+	// PrefillTokensPerSecond is how fast an engine reads a prompt.
+	PrefillTokensPerSecond float64
+	// StepBase is the time of one decode step without any sequence.
+	StepBase time.Duration
+	// StepPerSequence is what each running sequence adds to a decode step.
+	StepPerSequence time.Duration
+	// BlockTokens is the number of tokens in one prefix block.
+	BlockTokens int
+	// HandoverBase and HandoverTokensPerSecond give the time in which KV cache
+	// moves from a prefill to a decode engine.
+	HandoverBase            time.Duration
+	HandoverTokensPerSecond float64
+}
+
+// Defaults of Speed.
+const (
+	DefaultPrefillTokensPerSecond  = 8000
+	DefaultStepBase                = 12 * time.Millisecond
+	DefaultStepPerSequence         = 400 * time.Microsecond
+	DefaultBlockTokens             = 64
+	DefaultHandoverBase            = 5 * time.Millisecond
+	DefaultHandoverTokensPerSecond = 200000
+)
+
+func (s Speed) withDefaults() Speed {
+	if s.PrefillTokensPerSecond <= 0 {
+		s.PrefillTokensPerSecond = DefaultPrefillTokensPerSecond
+	}
+	if s.StepBase <= 0 {
+		s.StepBase = DefaultStepBase
+	}
+	if s.StepPerSequence <= 0 {
+		s.StepPerSequence = DefaultStepPerSequence
+	}
+	if s.BlockTokens <= 0 {
+		s.BlockTokens = DefaultBlockTokens
+	}
+	if s.HandoverBase <= 0 {
+		s.HandoverBase = DefaultHandoverBase
+	}
+	if s.HandoverTokensPerSecond <= 0 {
+		s.HandoverTokensPerSecond = DefaultHandoverTokensPerSecond
+	}
+	return s
+}
+
+// prefillSeconds is the time to read tokens of a prompt.
+func (s Speed) prefillSeconds(tokens int) float64 {
+	return float64(max(tokens, 0)) / s.PrefillTokensPerSecond
+}
+
+// decodeSeconds is the time to generate tokens beside others running sequences.
+func (s Speed) decodeSeconds(tokens, others int) float64 {
+	step := s.StepBase.Seconds() + s.StepPerSequence.Seconds()*float64(others+1)
+	return float64(max(tokens, 0)) * step
+}
+
+// handoverSeconds is the time to move the KV cache of tokens between engines.
+func (s Speed) handoverSeconds(tokens int) float64 {
+	return s.HandoverBase.Seconds() + float64(tokens)/s.HandoverTokensPerSecond
+}
+
+// uncachedTokens is how much of the prompt the endpoint must read: the prompt
+// less the leading blocks in its cache. An unsure belief counts half, since a
+// gap in the cache events may hide removals.
+func (s Speed) uncachedTokens(request *Request, endpoint *Endpoint) int {
+	if endpoint.CachedBlocks == nil || len(request.Blocks) == 0 {
+		return request.PromptTokens
+	}
+	count, sure := endpoint.CachedBlocks(request.Blocks)
+	if !sure {
+		count /= 2
+	}
+	return max(request.PromptTokens-count*s.BlockTokens, 0)
+}
+
+// minimumSeconds is a lower bound of the time to the last token on an
+// endpoint, whatever the picker does: the queue before it is not counted, since
+// the request may have a higher priority than all of it.
+func (s Speed) minimumSeconds(request *Request, endpoint *Endpoint) float64 {
+	return s.prefillSeconds(s.uncachedTokens(request, endpoint)) + s.decodeSeconds(request.OutputTokens, 0)
+}
+
+func seconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Second))
+}
--- /dev/null
+++ b/request/router/router.go
@@ -0,0 +1,160 @@
+package router
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/landingtrail/landingtrail/version/api"
+)
+
+// Config chooses the plugins. Empty fields take the defaults of DefaultConfig.
+type Config struct {
+	Speed   Speed
+	Filters []Filter
+	Scorers []Scorer
+	Picker  Picker
+}
+
+// Defaults of the plugins.
+const (
+	DefaultKVScale      = 0.2
+	DefaultZoneCost     = 0.002
+	DefaultSlack        = 0.1
+	DefaultSlackSeconds = 0.01
+)
+
+// DefaultConfig returns the plugins in use unless others are chosen.
+func DefaultConfig(speed Speed) Config {
+	speed = speed.withDefaults()
+	return Config{
+		Speed: speed,
+		Filters: []Filter{
+			ModelFilter{},
+			ClassFilter{},
+			AdmitFilter{},
+			ExcludedFilter{},
+			DeadlineFilter{Speed: speed},
+			SuspectFilter{},
+		},
+		Scorers: []Scorer{
+			PrefixScorer{Speed: speed},
+			LoadScorer{Speed: speed},
+			KVScorer{Scale: DefaultKVScale},
+			ZoneScorer{Cost: DefaultZoneCost},
+		},
+		Picker: TwoChoicePicker{Slack: DefaultSlack, SlackSeconds: DefaultSlackSeconds},
+	}
+}
+
+// Router decides where requests go. It is immutable and safe for concurrent use.
+type Router struct {
+	config Config
+}
+
+// New returns a router with the given plugins.
+func New(config Config) *Router {
+	defaults := DefaultConfig(config.Speed)
+	config.Speed = defaults.Speed
+	if config.Filters == nil {
+		config.Filters = defaults.Filters
+	}
+	if config.Scorers == nil {
+		config.Scorers = defaults.Scorers
+	}
+	if config.Picker == nil {
+		config.Picker = defaults.Picker
+	}
+	return &Router{config: config}
+}
+
+// Route decides where a request goes, or says why nowhere. The decision
+// depends on the arguments only; random may be used by one call at a time.
+// A reason other than ReasonNone is a sure "not run".
+func (r *Router) Route(snapshot Snapshot, request Request, random *rand.Rand) (Decision, Reason) {
+	candidates := slices.Clone(snapshot.Endpoints)
+	for _, filter := range r.config.Filters {
+		candidates = filter.Filter(&request, candidates)
+		if len(candidates) == 0 {
+			return Decision{}, filter.Reason()
+		}
+	}
+	groups := groupByRole(candidates)
+	decision, found := r.cheapest(&request, groups, random)
+	if !found {
+		return Decision{}, ReasonNoEngine
+	}
+	return decision, ReasonNone
+}
+
+// roleGroups are the candidates by role.
+type roleGroups struct {
+	prefill []*Endpoint
+	decode  []*Endpoint
+	mixed   []*Endpoint
+}
+
+func groupByRole(endpoints []*Endpoint) roleGroups {
+	var groups roleGroups
+	for _, endpoint := range endpoints {
+		switch endpoint.Role {
+		case api.RolePrefill:
+			groups.prefill = append(groups.prefill, endpoint)
+		case api.RoleDecode:
+			groups.decode = append(groups.decode, endpoint)
+		case api.RoleMixed:
+			groups.mixed = append(groups.mixed, endpoint)
+		}
+	}
+	return groups
+}
+
+// cheapest compares serving the request whole on one mixed engine with
+// splitting it between a prefill and a decode engine. A decode engine reads
+// the prompt itself only when there is neither a mixed nor a prefill engine.
+func (r *Router) cheapest(request *Request, groups roleGroups, random *rand.Rand) (Decision, bool) {
+	whole, haveWhole := r.pick(request, groups.mixed, PartWhole, random)
+	prefill, havePrefill := r.pick(request, groups.prefill, PartPrefill, random)
+	decode, haveDecode := r.pick(request, groups.decode, PartDecode, random)
+
+	haveSplit := havePrefill && haveDecode
+	splitCost := prefill.Cost + decode.Cost + r.config.Speed.handoverSeconds(request.PromptTokens)
+	if haveSplit && (!haveWhole || splitCost < whole.Cost) {
+		return Decision{Target: decode.Endpoint, Prefill: prefill.Endpoint, Estimate: seconds(splitCost)}, true
+	}
+	if !haveWhole {
+		whole, haveWhole = r.pick(request, groups.decode, PartWhole, random)
+	}
+	if !haveWhole {
+		return Decision{}, false
+	}
+	return Decision{Target: whole.Endpoint, Estimate: seconds(whole.Cost)}, true
+}
+
+// pick scores the endpoints for a part of the request and picks one; false if there are none.
+func (r *Router) pick(request *Request, endpoints []*Endpoint, part Part, random *rand.Rand) (Scored, bool) {
+	if len(endpoints) == 0 {
+		return Scored{}, false
+	}
+	scored := make([]Scored, len(endpoints))
+	for i, endpoint := range endpoints {
+		scored[i] = Scored{Endpoint: endpoint, Cost: r.cost(request, endpoint, part)}
+	}
+	slices.SortFunc(scored, compareScored)
+	return r.config.Picker.Pick(scored, random), true
+}
+
+func (r *Router) cost(request *Request, endpoint *Endpoint, part Part) float64 {
+	total := 0.0
+	for _, scorer := range r.config.Scorers {
+		total += scorer.Score(request, endpoint, part)
+	}
+	return total
+}
+
+func compareScored(a, b Scored) int {
+	if order := cmp.Compare(a.Cost, b.Cost); order != 0 {
+		return order
+	}
+	return cmp.Compare(a.Endpoint.Name, b.Endpoint.Name)
+}
