Add the choice of endpoints a daemon follows

Cause: load reports of 10,000 replicas to each daemon do not fit 9 KB/s. Weighed: a fixed partition (moves many daemons when a replica comes or goes), consistent hashing on a ring (uneven with few points), rendezvous hashing. Change: rendezvous hashing by group, own zone first, with an overlap of others. Not wired into the proxy yet.

--- /dev/null
+++ b/version/subset/bench_test.go
@@ -0,0 +1,15 @@
+package subset_test
+
+import (
+	"testing"
+
+	"github.com/landingtrail/landingtrail/version/subset"
+)
+
+func BenchmarkChoose(b *testing.B) {
+	endpoints := fleet()
+	b.ReportAllocs()
+	for b.Loop() {
+		subset.Choose("proxy-1", "zone-0", endpoints, subset.DefaultSizes)
+	}
+}
--- /dev/null
+++ b/version/subset/subset_test.go
@@ -0,0 +1,111 @@
+package subset_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/landingtrail/landingtrail/version/subset"
+)
+
+const (
+	zoneCount = 17
+	perZone   = 120
+)
+
+func fleet() []subset.Endpoint {
+	var endpoints []subset.Endpoint
+	for zone := range zoneCount {
+		for replica := range perZone {
+			endpoints = append(endpoints, subset.Endpoint{
+				Name:  fmt.Sprintf("engine-%d-%d", zone, replica),
+				Zone:  fmt.Sprintf("zone-%d", zone),
+				Group: "model",
+			})
+		}
+	}
+	return endpoints
+}
+
+func TestChooseFillsBothShares(t *testing.T) {
+	cases := []struct {
+		name      string
+		endpoints []subset.Endpoint
+		sizes     subset.Sizes
+		local     int
+		remote    int
+	}{
+		{"large group", fleet(), subset.Sizes{Local: 16, Remote: 8}, 16, 8},
+		{"no endpoint in the own zone", fleet()[perZone:], subset.Sizes{Local: 16, Remote: 8}, 0, 24},
+		{"only the own zone", fleet()[:perZone], subset.Sizes{Local: 16, Remote: 8}, 24, 0},
+		{"small group is followed whole", fleet()[perZone-2 : perZone+3], subset.Sizes{Local: 16, Remote: 8}, 2, 3},
+		{"nothing to follow", nil, subset.DefaultSizes, 0, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			zones := map[string]string{}
+			for _, endpoint := range test.endpoints {
+				zones[endpoint.Name] = endpoint.Zone
+			}
+			local, remote := 0, 0
+			for _, name := range subset.Choose("proxy-1", "zone-0", test.endpoints, test.sizes) {
+				if zones[name] == "zone-0" {
+					local++
+				} else {
+					remote++
+				}
+			}
+			must.Eq(t, test.local, local)
+			must.Eq(t, test.remote, remote)
+		})
+	}
+}
+
+func TestChooseKeepsGroupsApart(t *testing.T) {
+	endpoints := fleet()
+	for i := range endpoints {
+		endpoints[i].Group = fmt.Sprintf("model-%d", i%4)
+	}
+	chosen := subset.Choose("proxy-1", "zone-0", endpoints, subset.Sizes{Local: 3, Remote: 2})
+	must.Eq(t, 4*5, len(chosen))
+}
+
+func TestLosingOneEndpointMovesAtMostOne(t *testing.T) {
+	endpoints := fleet()
+	before := subset.Choose("proxy-1", "zone-0", endpoints, subset.DefaultSizes)
+	lost := before[0]
+	var left []subset.Endpoint
+	for _, endpoint := range endpoints {
+		if endpoint.Name != lost {
+			left = append(left, endpoint)
+		}
+	}
+	after := map[string]bool{}
+	for _, name := range subset.Choose("proxy-1", "zone-0", left, subset.DefaultSizes) {
+		after[name] = true
+	}
+	for _, name := range before[1:] {
+		must.True(t, after[name], must.Sprintf("%s was dropped though only %s left", name, lost))
+	}
+}
+
+func TestFollowersAreSpread(t *testing.T) {
+	endpoints := fleet()
+	followers := map[string]int{}
+	const daemonsPerZone = 124
+	for zone := range zoneCount {
+		for daemon := range daemonsPerZone {
+			name := fmt.Sprintf("proxy-%d-%d", zone, daemon)
+			for _, chosen := range subset.Choose(name, fmt.Sprintf("zone-%d", zone), endpoints, subset.DefaultSizes) {
+				followers[chosen]++
+			}
+		}
+	}
+	mean := float64(daemonsPerZone*24) / perZone
+	for _, endpoint := range endpoints {
+		count := float64(followers[endpoint.Name])
+		must.Greater(t, mean/3, count, must.Sprintf("%s has %v followers of a mean of %v", endpoint.Name, count, mean))
+		must.Less(t, mean*3, count, must.Sprintf("%s has %v followers of a mean of %v", endpoint.Name, count, mean))
+	}
+}
