--- /dev/null
+++ b/connection/operatorapi/operatorapi.go
@@ -0,0 +1,198 @@
+// Package operatorapi is the HTTP protocol between operators and the control
+// group: paths, bodies and error codes. Any member takes any request; a member
+// that does not lead hands requests that need the leader on to it, once.
+package operatorapi
+
+import (
+	"github.com/landingtrail/landingtrail/version/api"
+)
+
+// Paths of a control member's operator server.
+const (
+	PathTransactions = "/apis/v1/transactions"   // POST api.Transaction -> api.TransactionResult
+	PathObjects      = "/apis/v1/objects"        // GET /{kind}[/{name}] -> ObjectList
+	PathInForce      = "/apis/v1/inforce"        // GET ?revision=N -> InForce
+	PathStatus       = "/apis/v1/status"         // GET -> Status
+	PathOrders       = "/apis/v1/orders"         // GET -> OrderList
+	PathLedger       = "/apis/v1/ledger"         // GET ?after=TOKEN&limit=N -> Ledger
+	PathMembers      = "/apis/v1/members"        // POST MemberRequest -> MemberReply
+	PathMachines     = "/platform/v1/machines"   // GET of the platform -> MachineList
+	PathMemberStatus = "/apis/v1/members/status" // GET of one member itself -> MemberSelf
+	PathHealth       = "/healthz"
+	PathMetrics      = "/metrics"
+)
+
+// HeaderForwarded marks a request that another member handed on; it is not
+// handed on a second time.
+const HeaderForwarded = "Landingtrail-Forwarded"
+
+// ErrorCode names why a request was not served.
+type ErrorCode string
+
+// Codes of errors.
+const (
+	ErrorInvalidBody    ErrorCode = "invalid_body"    // 400: not JSON, unknown field or wrong type
+	ErrorBodyTooLarge   ErrorCode = "body_too_large"  // 413
+	ErrorNotFound       ErrorCode = "not_found"       // 404
+	ErrorNoQuorum       ErrorCode = "no_quorum"       // 503: surely not accepted; ask again after Retry-After
+	ErrorOutcomeUnknown ErrorCode = "outcome_unknown" // 504: resend with the same operation ID
+	ErrorRefused        ErrorCode = "refused"         // 409: the change cannot be made now
+	ErrorInternal       ErrorCode = "internal"        // 500
+)
+
+// Error is the body of every answer that is neither a result nor a table.
+type Error struct {
+	Code    ErrorCode        `json:"code"`
+	Message string           `json:"message"`
+	Faults  []api.FieldFault `json:"faults,omitempty"`
+	// Leader is the operator address of the leader, if it is known.
+	Leader string `json:"leader,omitempty"`
+}
+
+// ObjectList answers a read of objects.
+type ObjectList struct {
+	Term     uint64       `json:"term"`
+	Revision uint64       `json:"revision"`
+	Objects  []api.Object `json:"objects"`
+}
+
+// InForce says how far a revision has reached the daemons.
+type InForce struct {
+	Revision uint64 `json:"revision"`
+	// Done is true when every daemon has acknowledged the revision or its view
+	// lease has lapsed.
+	Done         bool     `json:"done"`
+	Acknowledged int      `json:"acknowledged"`
+	Lapsed       []string `json:"lapsed,omitempty"`
+	Waiting      []string `json:"waiting,omitempty"`
+	// Settling is true while a new leader cannot know yet which daemons hold a
+	// lease that an earlier leader granted.
+	Settling bool `json:"settling,omitempty"`
+}
+
+// MemberRole is a member's part in the group.
+type MemberRole string
+
+// Roles of members.
+const (
+	MemberLeader   MemberRole = "leader"
+	MemberFollower MemberRole = "follower"
+	MemberLearner  MemberRole = "learner"
+)
+
+// Member is one control member as the leader sees it.
+type Member struct {
+	ID              uint64     `json:"id,string"`
+	Name            string     `json:"name"`
+	Role            MemberRole `json:"role"`
+	PeerAddress     string     `json:"peerAddress"`
+	FeedAddress     string     `json:"feedAddress"`
+	OperatorAddress string     `json:"operatorAddress"`
+	// Match is the highest log index known to be synced there, Lag how many
+	// entries it is behind the leader's commit index.
+	Match  uint64 `json:"match"`
+	Lag    uint64 `json:"lag"`
+	Active bool   `json:"active"` // it answered within an election timeout
+}
+
+// EngineSummary is one engine's line in the status.
+type EngineSummary struct {
+	Name       string          `json:"name"`
+	Intent     string          `json:"intent,omitempty"`
+	Phase      api.EnginePhase `json:"phase"`
+	Assignment api.Assignment  `json:"assignment"`
+	// Target and Reason are those of the open order.
+	Target *api.Assignment `json:"target,omitempty"`
+	Reason string          `json:"reason,omitempty"`
+	// Silent is true when the leader has not heard from the engine lately.
+	Silent bool `json:"silent,omitempty"`
+	Drain  bool `json:"drain,omitempty"`
+}
+
+// Status answers a read of the group's status.
+type Status struct {
+	Leader   string   `json:"leader"`
+	Term     uint64   `json:"term"`
+	Revision uint64   `json:"revision"`
+	Commit   uint64   `json:"commit"`
+	Members  []Member `json:"members"`
+	// FurtherLosses is how many voters can be lost for good from now on without
+	// losing the quorum. Only voters that are active and have the whole
+	// committed log count as held.
+	FurtherLosses int `json:"furtherLosses"`
+	// Repairing lists the members that are not yet voters with the whole log.
+	Repairing []string        `json:"repairing,omitempty"`
+	Engines   []EngineSummary `json:"engines"`
+	// DaemonsBehind lists the daemons that hold a lease on an older revision.
+	DaemonsBehind []string `json:"daemonsBehind,omitempty"`
+	Daemons       int      `json:"daemons"`
+}
+
+// MemberSelf is what a member says of itself, leader or not.
+type MemberSelf struct {
+	ID      uint64     `json:"id,string"`
+	Name    string     `json:"name"`
+	Role    MemberRole `json:"role"`
+	Term    uint64     `json:"term"`
+	Leader  uint64     `json:"leader,string"`
+	Applied uint64     `json:"applied"`
+	Commit  uint64     `json:"commit"`
+}
+
+// OrderList answers a read of the open orders.
+type OrderList struct {
+	Revision uint64      `json:"revision"`
+	Orders   []OpenOrder `json:"orders"`
+}
+
+// OpenOrder is one open order and what its engine last said.
+type OpenOrder struct {
+	Order api.Order       `json:"order"`
+	Phase api.EnginePhase `json:"phase"`
+	// Confirmed is the highest fence that the engine has committed.
+	Confirmed api.Fence `json:"confirmed"`
+	Silent    bool      `json:"silent,omitempty"`
+}
+
+// Ledger is a page of claims, ordered by tenant and key.
+type Ledger struct {
+	Revision uint64      `json:"revision"`
+	Claims   []api.Claim `json:"claims"`
+	// Next is the token of the next page; empty on the last.
+	Next string `json:"next,omitempty"`
+}
+
+// MemberAction is one step of a membership change.
+type MemberAction string
+
+// Steps of a membership change.
+const (
+	// MemberAdd adds a learner under its ID and addresses. It is promoted by
+	// the leader once it has caught up, and then replaces an older member of
+	// the same name.
+	MemberAdd     MemberAction = "add"
+	MemberPromote MemberAction = "promote"
+	MemberRemove  MemberAction = "remove"
+)
+
+// MemberRequest asks for one step of a membership change.
+type MemberRequest struct {
+	Action          MemberAction `json:"action"`
+	ID              uint64       `json:"id,string"`
+	Name            string       `json:"name,omitempty"`
+	PeerAddress     string       `json:"peerAddress,omitempty"`
+	FeedAddress     string       `json:"feedAddress,omitempty"`
+	OperatorAddress string       `json:"operatorAddress,omitempty"`
+}
+
+// MemberReply lists the members after the change.
+type MemberReply struct {
+	Members []Member `json:"members"`
+}
+
+// MachineList is the platform's lagging list of machines that are leaving or
+// gone, by the names of engines and back ends.
+type MachineList struct {
+	Leaving []string `json:"leaving"`
+	Gone    []string `json:"gone"`
+}
