--- /dev/null
+++ b/process/control/config.go
@@ -0,0 +1,230 @@
+// Package control is the daemon of one member of the control group: it keeps a
+// replica, serves the feed and the operator API, and carries out the leader's
+// duties while it holds a valid lease.
+package control
+
+import (
+	"net"
+	"time"
+
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/pkg/errors"
+)
+
+// ErrConfig says that the configuration is of no use; the message names all faults.
+var ErrConfig = errors.New("control: invalid configuration")
+
+// Member is one member of the group at its first start.
+type Member struct {
+	Name            string
+	PeerAddress     string
+	FeedAddress     string
+	OperatorAddress string
+}
+
+// Config is what a member runs with. Zero durations and limits take the defaults.
+type Config struct {
+	// Name is one of Members; the same name comes back after a lost disk.
+	Name string
+	// DataFolder holds all of the member's files.
+	DataFolder string
+	// GroupID tells groups apart; connections of another group are refused.
+	GroupID uint64
+	// Addresses to listen on, IP and port.
+	PeerAddress     string
+	FeedAddress     string
+	OperatorAddress string
+	// Members lists the group as it is first started, this member among them.
+	Members []Member
+	// Join makes a member with an empty data folder ask the listed members to
+	// take it in as a new learner instead of starting the group.
+	Join bool
+	// PlatformAddress is the IP and port of the platform's list of machines;
+	// without it no machine is taken for leaving or gone.
+	PlatformAddress string
+
+	Durations Durations
+	Limits    Limits
+	Planner   Planner
+}
+
+// Durations are the member's intervals and timeouts.
+type Durations struct {
+	// Election is the base of the election timeout, Heartbeat the leader's
+	// interval, Lease the leader lease; Lease is shorter than Election by the
+	// clock-drift margin.
+	Election  time.Duration
+	Heartbeat time.Duration
+	Lease     time.Duration
+	// ViewLease is how long a daemon may use its view after a granted beat.
+	ViewLease time.Duration
+	// Reconcile is the pause between two rounds of the leader's duties, Poll
+	// that between two questions to one engine, EngineTimeout bounds each.
+	Reconcile     time.Duration
+	Poll          time.Duration
+	EngineTimeout time.Duration
+	// EngineSilence is the age from which an observation counts for nothing.
+	EngineSilence time.Duration
+	// PlatformPoll is the pause between two reads of the machine list.
+	PlatformPoll time.Duration
+	// Proposal bounds the wait for a commit.
+	Proposal time.Duration
+	// Shutdown bounds a planned stop.
+	Shutdown time.Duration
+}
+
+// Limits bound what the member takes on.
+type Limits struct {
+	// MaxAffectedEngines bounds the engines that one transaction may move
+	// without allowBroad; negative means no bound.
+	MaxAffectedEngines int
+	OperationRetention time.Duration
+	ClaimRetention     time.Duration
+	// MaxBodyBytes bounds the body of an operator request.
+	MaxBodyBytes int64
+	// SnapshotEntries is how many entries are applied between two snapshots.
+	SnapshotEntries uint64
+	// MaxDaemons bounds the feed's subscriptions.
+	MaxDaemons int
+	// MaxOperatorConnections bounds the operator server's connections.
+	MaxOperatorConnections int
+}
+
+// Planner weighs the planner's decisions.
+type Planner struct {
+	// Name chooses the policy: landingtrail, static or threshold.
+	Name string
+	// ChangeCost weighs a role change against goodput where an intent names no
+	// cost of its own, in seconds of one engine's work.
+	ChangeCost float64
+}
+
+// Defaults of a Config.
+const (
+	DefaultElection      = 1000 * time.Millisecond
+	DefaultHeartbeat     = 100 * time.Millisecond
+	DefaultLease         = 800 * time.Millisecond
+	DefaultViewLease     = 3 * time.Second
+	DefaultReconcile     = 200 * time.Millisecond
+	DefaultPoll          = 500 * time.Millisecond
+	DefaultEngineTimeout = 2 * time.Second
+	DefaultEngineSilence = 5 * time.Second
+	DefaultPlatformPoll  = time.Second
+	DefaultProposal      = 5 * time.Second
+	DefaultShutdown      = 10 * time.Second
+
+	DefaultMaxAffectedEngines     = 8
+	DefaultOperationRetention     = 24 * time.Hour
+	DefaultClaimRetention         = 24 * time.Hour
+	DefaultMaxBodyBytes           = 8 << 20
+	DefaultSnapshotEntries        = 10_000
+	DefaultMaxDaemons             = 4096
+	DefaultMaxOperatorConnections = 256
+	DefaultPlanner                = "landingtrail"
+)
+
+// WithDefaults returns the configuration with every zero duration and limit filled in.
+func (c Config) WithDefaults() Config {
+	c.Durations = c.Durations.withDefaults()
+	c.Limits = c.Limits.withDefaults()
+	if c.Planner.Name == "" {
+		c.Planner.Name = DefaultPlanner
+	}
+	return c
+}
+
+func (d Durations) withDefaults() Durations {
+	setDefault(&d.Election, DefaultElection)
+	setDefault(&d.Heartbeat, DefaultHeartbeat)
+	setDefault(&d.Lease, DefaultLease)
+	setDefault(&d.ViewLease, DefaultViewLease)
+	setDefault(&d.Reconcile, DefaultReconcile)
+	setDefault(&d.Poll, DefaultPoll)
+	setDefault(&d.EngineTimeout, DefaultEngineTimeout)
+	setDefault(&d.EngineSilence, DefaultEngineSilence)
+	setDefault(&d.PlatformPoll, DefaultPlatformPoll)
+	setDefault(&d.Proposal, DefaultProposal)
+	setDefault(&d.Shutdown, DefaultShutdown)
+	return d
+}
+
+func (l Limits) withDefaults() Limits {
+	setDefault(&l.MaxAffectedEngines, DefaultMaxAffectedEngines)
+	setDefault(&l.OperationRetention, DefaultOperationRetention)
+	setDefault(&l.ClaimRetention, DefaultClaimRetention)
+	setDefault(&l.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&l.SnapshotEntries, DefaultSnapshotEntries)
+	setDefault(&l.MaxDaemons, DefaultMaxDaemons)
+	setDefault(&l.MaxOperatorConnections, DefaultMaxOperatorConnections)
+	return l
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Check returns every fault of the configuration, by field; none hides another.
+func (c Config) Check() []api.FieldFault {
+	var faults []api.FieldFault
+	add := func(field, message string) {
+		faults = append(faults, api.FieldFault{Field: field, Message: message})
+	}
+	for field, value := range map[string]string{"name": c.Name, "dataFolder": c.DataFolder} {
+		if value == "" {
+			add(field, "is required")
+		}
+	}
+	faults = append(faults, c.checkAddresses()...)
+	faults = append(faults, c.checkMembers()...)
+	return append(faults, c.WithDefaults().Durations.check()...)
+}
+
+func (c Config) checkAddresses() []api.FieldFault {
+	fields := []struct{ name, address string }{
+		{"peerAddress", c.PeerAddress}, {"feedAddress", c.FeedAddress}, {"operatorAddress", c.OperatorAddress},
+	}
+	if c.PlatformAddress != "" {
+		fields = append(fields, struct{ name, address string }{"platformAddress", c.PlatformAddress})
+	}
+	var faults []api.FieldFault
+	for _, field := range fields {
+		if !isIPAndPort(field.address) {
+			faults = append(faults, api.FieldFault{Field: field.name, Message: "must be an IP and a port"})
+		}
+	}
+	return faults
+}
+
+func (c Config) checkMembers() []api.FieldFault {
+	var faults []api.FieldFault
+	seen := map[string]bool{}
+	for _, member := range c.Members {
+		if seen[member.Name] {
+			faults = append(faults, api.FieldFault{Field: "members", Message: "names " + member.Name + " twice"})
+		}
+		seen[member.Name] = true
+	}
+	if !seen[c.Name] {
+		faults = append(faults, api.FieldFault{Field: "members", Message: "must name this member"})
+	}
+	return faults
+}
+
+func (d Durations) check() []api.FieldFault {
+	var faults []api.FieldFault
+	if d.Lease >= d.Election {
+		faults = append(faults, api.FieldFault{Field: "durations.lease", Message: "must be shorter than the election timeout"})
+	}
+	if d.Heartbeat*2 > d.Lease {
+		faults = append(faults, api.FieldFault{Field: "durations.heartbeat", Message: "must be at most half of the lease"})
+	}
+	return faults
+}
+
+func isIPAndPort(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	return err == nil && port != "" && net.ParseIP(host) != nil
+}
