--- /dev/null
+++ b/process/raft/configuration.go
@@ -0,0 +1,150 @@
+package raft
+
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// isVoter tells whether member votes.
+func (c Configuration) isVoter(member MemberID) bool {
+	return slices.Contains(c.Voters, member)
+}
+
+// contains tells whether member votes or learns.
+func (c Configuration) contains(member MemberID) bool {
+	return c.isVoter(member) || slices.Contains(c.Learners, member)
+}
+
+// blank tells whether c names no voter: nobody has told the member of a group yet.
+func (c Configuration) blank() bool {
+	return len(c.Voters) == 0
+}
+
+// clone returns a copy that shares no memory with c.
+func (c Configuration) clone() Configuration {
+	return Configuration{Voters: slices.Clone(c.Voters), Learners: slices.Clone(c.Learners)}
+}
+
+// members returns voters and learners in rising order.
+func (c Configuration) members() []MemberID {
+	members := slices.Concat(c.Voters, c.Learners)
+	slices.Sort(members)
+	return members
+}
+
+// consistent tells whether each member is named once and none is None.
+func (c Configuration) consistent() bool {
+	members := c.members()
+	if slices.Contains(members, None) {
+		return false
+	}
+	return len(slices.Compact(members)) == len(c.Voters)+len(c.Learners)
+}
+
+// with returns c after change. It checks that the change fits c, not that the
+// moment is right for it.
+func (c Configuration) with(change ConfigurationChange) (Configuration, error) {
+	next := c.clone()
+	switch change.Kind {
+	case ChangeAddLearner:
+		if change.Member == None || c.contains(change.Member) {
+			return c, errors.Wrapf(ErrInvalidChange, "cannot add member %d", change.Member)
+		}
+		next.Learners = append(next.Learners, change.Member)
+	case ChangePromote:
+		if !c.contains(change.Member) {
+			return c, errors.Wrapf(ErrUnknownMember, "%d", change.Member)
+		}
+		if c.isVoter(change.Member) {
+			return c, errors.Wrapf(ErrInvalidChange, "member %d votes already", change.Member)
+		}
+		next.Learners = without(next.Learners, change.Member)
+		next.Voters = append(next.Voters, change.Member)
+	case ChangeRemove:
+		if !c.contains(change.Member) {
+			return c, errors.Wrapf(ErrUnknownMember, "%d", change.Member)
+		}
+		next.Learners = without(next.Learners, change.Member)
+		next.Voters = without(next.Voters, change.Member)
+		if next.blank() {
+			return c, ErrLastVoter
+		}
+	default:
+		return c, errors.Wrapf(ErrInvalidChange, "kind %d", change.Kind)
+	}
+	slices.Sort(next.Voters)
+	slices.Sort(next.Learners)
+	return next, nil
+}
+
+func without(members []MemberID, member MemberID) []MemberID {
+	return slices.DeleteFunc(members, func(other MemberID) bool { return other == member })
+}
+
+// configurationRecord is a configuration and the index of its log entry.
+type configurationRecord struct {
+	index         uint64
+	configuration Configuration
+}
+
+// configurationHistory holds the configurations along the log in rising order of
+// index; the first is the one in force at the log's oldest snapshot. A
+// configuration is in force from the moment it is appended, committed or not,
+// and no longer when its entry is replaced.
+type configurationHistory struct {
+	records []configurationRecord
+}
+
+func newConfigurationHistory(index uint64, configuration Configuration) configurationHistory {
+	return configurationHistory{records: []configurationRecord{{index, configuration}}}
+}
+
+// latest returns the configuration in force.
+func (h *configurationHistory) latest() configurationRecord {
+	return h.records[len(h.records)-1]
+}
+
+// at returns the configuration that the log through index has set.
+func (h *configurationHistory) at(index uint64) Configuration {
+	found := h.records[0]
+	for _, record := range h.records {
+		if record.index <= index {
+			found = record
+		}
+	}
+	return found.configuration
+}
+
+func (h *configurationHistory) add(index uint64, configuration Configuration) {
+	h.records = append(h.records, configurationRecord{index, configuration})
+}
+
+// truncateFrom drops the configurations of replaced entries.
+func (h *configurationHistory) truncateFrom(index uint64) {
+	for len(h.records) > 1 && h.latest().index >= index {
+		h.records = h.records[:len(h.records)-1]
+	}
+}
+
+// compact drops those that were followed by another one at or below index.
+func (h *configurationHistory) compact(index uint64) {
+	for len(h.records) > 1 && h.records[1].index <= index {
+		h.records = h.records[1:]
+	}
+}
+
+// addEntries adds the configurations among entries, which were checked before.
+func (h *configurationHistory) addEntries(entries []Entry) error {
+	for _, entry := range entries {
+		if entry.Kind != EntryConfig {
+			continue
+		}
+		configuration, err := DecodeConfiguration(entry.Data)
+		if err != nil {
+			return err
+		}
+		h.add(entry.Index, configuration)
+	}
+	return nil
+}
--- /dev/null
+++ b/process/raft/election.go
@@ -0,0 +1,209 @@
+package raft
+
+import "time"
+
+// promotable tells whether the member may campaign: it votes in the latest
+// configuration or in the committed one. The second matters for a member whose
+// removal is not committed: it may hold the only copy of that entry, and then
+// nobody else can win.
+func (n *Node) promotable() bool {
+	if n.configurations.latest().configuration.isVoter(n.config.ID) {
+		return true
+	}
+	return n.configurations.at(n.log.committed).isVoter(n.config.ID)
+}
+
+// refreshRole adapts the role to a configuration that was appended, replaced or
+// committed.
+func (n *Node) refreshRole() {
+	promotable := n.promotable()
+	switch {
+	case n.role == Leader:
+		return
+	case !promotable:
+		n.role = Learner
+		n.ballots = nil
+	case n.role == Learner:
+		n.role = Follower
+		n.resetElectionDeadline()
+	}
+}
+
+// leaseGuarded tells whether a vote could break a lease: the member leads, or
+// has within an election timeout heard from a leader or started.
+func (n *Node) leaseGuarded() bool {
+	return n.role == Leader || n.now < n.leaderContact+n.config.ElectionTimeout
+}
+
+// resetElectionDeadline waits for between one and two election timeouts from now.
+func (n *Node) resetElectionDeadline() {
+	timeout := n.config.ElectionTimeout
+	n.electionDeadline = n.now + timeout + time.Duration(n.random.Int64N(int64(timeout)))
+}
+
+// becomeFollower enters term, where it is newer, and follows leader, None when
+// it is not known.
+func (n *Node) becomeFollower(term uint64, leader MemberID) {
+	if term > n.term {
+		n.term = term
+		n.vote = None
+	}
+	wasActive := n.role == Leader || n.role == PreCandidate || n.role == Candidate
+	n.dropLeadership()
+	n.ballots = nil
+	n.leaderID = leader
+	n.role = Follower
+	if wasActive {
+		n.resetElectionDeadline()
+	}
+	n.refreshRole()
+}
+
+// followLeader records that the term's leader was heard.
+func (n *Node) followLeader(leader MemberID) {
+	if n.role == PreCandidate || n.role == Candidate || n.leaderID != leader {
+		n.becomeFollower(n.term, leader)
+	}
+	n.leaderContact = n.now
+	n.resetElectionDeadline()
+}
+
+// startPreElection asks whether an election could be won, before the term is
+// raised for it, so that a member that was cut off disturbs nobody.
+func (n *Node) startPreElection() {
+	n.role = PreCandidate
+	n.leaderID = None
+	n.resetElectionDeadline()
+	n.ballots = map[MemberID]bool{n.config.ID: true}
+	if n.electionWon() {
+		n.startElection(false)
+		return
+	}
+	n.requestVotes(MessagePreVote, n.term+1, false)
+}
+
+// startElection raises the term and asks for votes in it. The member's own vote
+// is synced with the Ready that lets the requests go.
+func (n *Node) startElection(transfer bool) {
+	n.role = Candidate
+	n.term++
+	n.vote = n.config.ID
+	n.leaderID = None
+	n.resetElectionDeadline()
+	n.ballots = map[MemberID]bool{n.config.ID: true}
+	if n.electionWon() {
+		n.becomeLeader()
+		return
+	}
+	n.requestVotes(MessageVote, n.term, transfer)
+}
+
+func (n *Node) requestVotes(kind MessageKind, term uint64, transfer bool) {
+	for _, voter := range n.configurations.latest().configuration.Voters {
+		if voter == n.config.ID {
+			continue
+		}
+		n.send(Message{
+			Kind:     kind,
+			To:       voter,
+			Term:     term,
+			Index:    n.log.lastIndex(),
+			LogTerm:  n.log.lastTerm(),
+			Transfer: transfer,
+		})
+	}
+}
+
+// countBallots counts the answers of the latest configuration's voters.
+func (n *Node) countBallots() (granted, refused int) {
+	for _, voter := range n.configurations.latest().configuration.Voters {
+		answer, answered := n.ballots[voter]
+		switch {
+		case answered && answer:
+			granted++
+		case answered:
+			refused++
+		}
+	}
+	return granted, refused
+}
+
+func (n *Node) quorum() int {
+	return len(n.configurations.latest().configuration.Voters)/2 + 1
+}
+
+func (n *Node) electionWon() bool {
+	granted, _ := n.countBallots()
+	return granted >= n.quorum()
+}
+
+// electionLost tells whether the voters that are left can't make a quorum.
+func (n *Node) electionLost() bool {
+	_, refused := n.countBallots()
+	return len(n.configurations.latest().configuration.Voters)-refused < n.quorum()
+}
+
+// mayVote tells whether the member takes part in votes at all. One that was
+// never sent a configuration doesn't: its disk may be a lost one. A learner does
+// when asked, because a candidate counts it only where its promotion is already
+// in the candidate's log, and then its vote may be the one that is needed.
+func (n *Node) mayVote() bool {
+	return !n.configurations.latest().configuration.blank()
+}
+
+func (n *Node) handlePreVote(m Message) {
+	if !n.mayVote() {
+		return
+	}
+	granted := m.Term > n.term && !n.leaseGuarded() && n.log.upToDate(m.LogTerm, m.Index)
+	if granted {
+		n.send(Message{Kind: MessagePreVoteReply, To: m.From, Term: m.Term})
+		return
+	}
+	n.send(Message{Kind: MessagePreVoteReply, To: m.From, Reject: true})
+}
+
+func (n *Node) handlePreVoteReply(m Message) {
+	if n.role != PreCandidate {
+		return
+	}
+	if !m.Reject && m.Term != n.term+1 {
+		return
+	}
+	n.ballots[m.From] = !m.Reject
+	switch {
+	case n.electionWon():
+		n.startElection(false)
+	case n.electionLost():
+		n.becomeFollower(n.term, None)
+	}
+}
+
+// handleVote grants at most one vote a term. The vote is part of the HardState
+// that is synced before the reply is sent.
+func (n *Node) handleVote(m Message) {
+	if !n.mayVote() {
+		return
+	}
+	free := n.vote == m.From || (n.vote == None && n.leaderID == None)
+	guarded := !m.Transfer && n.leaseGuarded()
+	granted := free && !guarded && n.log.upToDate(m.LogTerm, m.Index)
+	if granted {
+		n.vote = m.From
+		n.resetElectionDeadline()
+	}
+	n.send(Message{Kind: MessageVoteReply, To: m.From, Reject: !granted})
+}
+
+func (n *Node) handleVoteReply(m Message) {
+	if n.role != Candidate {
+		return
+	}
+	n.ballots[m.From] = !m.Reject
+	switch {
+	case n.electionWon():
+		n.becomeLeader()
+	case n.electionLost():
+		n.becomeFollower(n.term, None)
+	}
+}
--- /dev/null
+++ b/process/raft/leadership.go
@@ -0,0 +1,131 @@
+package raft
+
+import (
+	"slices"
+	"time"
+)
+
+// leadership is what a member knows only while it leads a term.
+type leadership struct {
+	progress map[MemberID]*progress // every other member
+	members  []MemberID             // the keys of progress in rising order
+
+	firstIndex       uint64 // the empty entry that opened the term
+	uncommittedBytes int
+	appendsDue       bool // some member may be due an append message
+
+	heartbeatDue  bool
+	nextHeartbeat time.Duration
+	rounds        []heartbeatRound // young enough for the lease, rising
+	sequence      uint64           // of the last round sent
+
+	reads    []readRequest
+	transfer *transfer // nil unless leadership is being handed over
+	// leaseForfeited is set for the rest of the term once another member was told
+	// to campaign: voters then don't wait for the lease to end.
+	leaseForfeited bool
+}
+
+func (n *Node) becomeLeader() {
+	n.role = Leader
+	n.leaderID = n.config.ID
+	n.ballots = nil
+	n.leadership = &leadership{
+		progress:     make(map[MemberID]*progress),
+		heartbeatDue: true,
+	}
+	n.leadership.nextHeartbeat = n.now + n.config.HeartbeatInterval
+	for _, entry := range n.log.slice(n.log.committed, n.log.lastIndex()) {
+		n.leadership.uncommittedBytes += entry.size()
+	}
+	n.refreshMembers()
+	n.leadership.firstIndex = n.appendOwn(EntryEmpty, nil)
+}
+
+// dropLeadership ends the member's own leadership, if there is one.
+func (n *Node) dropLeadership() {
+	if n.leadership == nil {
+		return
+	}
+	for _, read := range n.leadership.reads {
+		n.abortedReads = append(n.abortedReads, read.requestID)
+	}
+	n.leadership = nil
+}
+
+// refreshMembers makes progress track the members of the latest configuration
+// and, until that is committed, of the one before: a removed member is still
+// sent its removal.
+func (n *Node) refreshMembers() {
+	lead := n.leadership
+	wanted := n.configurations.latest().configuration.members()
+	for _, member := range n.configurations.at(n.log.committed).members() {
+		if !slices.Contains(wanted, member) {
+			wanted = append(wanted, member)
+		}
+	}
+	wanted = without(wanted, n.config.ID)
+	slices.Sort(wanted)
+	for _, member := range lead.members {
+		if !slices.Contains(wanted, member) {
+			delete(lead.progress, member)
+		}
+	}
+	for _, member := range wanted {
+		if lead.progress[member] == nil {
+			lead.progress[member] = &progress{next: n.log.lastIndex() + 1, lastActive: n.now}
+		}
+	}
+	lead.members = wanted
+	lead.appendsDue = true
+}
+
+// tickLeader does what is due by the clock.
+func (n *Node) tickLeader() {
+	if !n.quorumActive() {
+		n.becomeFollower(n.term, None)
+		return
+	}
+	n.tickTransfer()
+	if n.role != Leader {
+		return
+	}
+	n.retrySnapshots()
+	if n.now >= n.leadership.nextHeartbeat {
+		n.leadership.heartbeatDue = true
+	}
+}
+
+// recentlyActive tells whether the member answered within an election timeout;
+// all count as having answered when the term began.
+func (n *Node) recentlyActive(p *progress) bool {
+	return n.now < p.lastActive+n.config.ElectionTimeout
+}
+
+// quorumActive is the check-quorum rule: a leader that doesn't hear from a
+// quorum steps down, so that its clients turn elsewhere.
+func (n *Node) quorumActive() bool {
+	active := 0
+	for _, voter := range n.configurations.latest().configuration.Voters {
+		if voter == n.config.ID || n.recentlyActive(n.leadership.progress[voter]) {
+			active++
+		}
+	}
+	return active >= n.quorum()
+}
+
+// reachedByQuorum returns the highest value that a quorum of voters has reached;
+// own is the leader's, which counts only while it votes.
+func reachedByQuorum[T uint64 | time.Duration](n *Node, own T, of func(*progress) T) T {
+	voters := n.configurations.latest().configuration.Voters
+	values := make([]T, 0, len(voters))
+	for _, voter := range voters {
+		if voter == n.config.ID {
+			values = append(values, own)
+		} else {
+			values = append(values, of(n.leadership.progress[voter]))
+		}
+	}
+	slices.Sort(values)
+	return values[len(values)-n.quorum()]
+}
--- /dev/null
+++ b/process/raft/lease.go
@@ -0,0 +1,127 @@
+package raft
+
+import "time"
+
+// heartbeatRound is one heartbeat to all members.
+type heartbeatRound struct {
+	sequence uint64
+	sentAt   time.Duration
+	commit   uint64
+}
+
+// readRequest waits for a quorum's answer to the round sequence or a later one.
+type readRequest struct {
+	requestID uint64
+	sequence  uint64
+}
+
+// startHeartbeatRound sends a heartbeat to all members. Its time is the caller's
+// last reading of the clock, which is before the messages leave.
+func (n *Node) startHeartbeatRound() {
+	lead := n.leadership
+	lead.heartbeatDue = false
+	lead.nextHeartbeat = n.now + n.config.HeartbeatInterval
+	lead.sequence++
+	n.forgetOldRounds()
+	lead.rounds = append(lead.rounds, heartbeatRound{lead.sequence, n.now, n.log.committed})
+	for _, member := range lead.members {
+		n.send(Message{
+			Kind:     MessageHeartbeat,
+			To:       member,
+			Commit:   min(lead.progress[member].match, n.log.committed),
+			Sequence: lead.sequence,
+		})
+	}
+	n.releaseReads()
+}
+
+// forgetOldRounds drops rounds whose answers can't extend the lease any more.
+func (n *Node) forgetOldRounds() {
+	rounds := n.leadership.rounds
+	for len(rounds) > 0 && rounds[0].sentAt+n.config.ElectionTimeout <= n.now {
+		rounds = rounds[1:]
+	}
+	n.leadership.rounds = rounds
+}
+
+func (n *Node) handleHeartbeat(m Message) {
+	n.followLeader(m.From)
+	n.commitTo(m.Commit)
+	n.send(Message{Kind: MessageHeartbeatReply, To: m.From, Sequence: m.Sequence})
+}
+
+func (n *Node) handleHeartbeatReply(m Message) {
+	p := n.activeProgress(m.From)
+	if p == nil || m.Sequence > n.leadership.sequence {
+		return
+	}
+	p.heartbeatAnswered(n.log.lastIndex(), n.config.MaxInflight)
+	n.leadership.appendsDue = true
+	if m.Sequence > p.ackedSequence {
+		p.ackedSequence = m.Sequence
+		n.dateAnswer(p)
+		n.releaseReads()
+	}
+	n.continueTransfer(m.From)
+}
+
+// dateAnswer looks up when the round was sent that p answered last.
+func (n *Node) dateAnswer(p *progress) {
+	for _, round := range n.leadership.rounds {
+		if round.sequence == p.ackedSequence {
+			p.ackedSentAt = round.sentAt
+			p.ackedCommit = round.commit
+		}
+	}
+}
+
+// LeaseValid tells whether the member is at now the only one that can act as
+// leader. It counts from when a heartbeat was sent that a quorum has answered:
+// each of these voters refuses other candidates for an election timeout from
+// when it got that heartbeat, which is later, and the lease is shorter. Callers
+// read the clock again after the work that the lease is to cover, and ask then.
+func (n *Node) LeaseValid(now time.Duration) bool {
+	if n.role != Leader || n.leadership.leaseForfeited || !n.committedInTerm() {
+		return false
+	}
+	now = max(now, n.now)
+	sentAt := reachedByQuorum(n, now, func(p *progress) time.Duration {
+		if p.ackedSequence == 0 {
+			return -n.config.LeaseDuration
+		}
+		return p.ackedSentAt
+	})
+	return now < sentAt+n.config.LeaseDuration
+}
+
+// ReadIndex asks for a ReadState under requestID. Under a valid lease it comes
+// with the next Ready; otherwise when a quorum has answered a heartbeat sent after
+// this call. When leadership is lost before, the requestID comes back in
+// Ready.AbortedReads. The error is ErrNotLeader.
+func (n *Node) ReadIndex(now time.Duration, requestID uint64) error {
+	n.observe(now)
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	if n.LeaseValid(n.now) {
+		n.readStates = append(n.readStates, ReadState{RequestID: requestID, Index: n.log.committed})
+		return nil
+	}
+	n.leadership.reads = append(n.leadership.reads, readRequest{requestID, n.leadership.sequence + 1})
+	n.leadership.heartbeatDue = true
+	return nil
+}
+
+// releaseReads answers the reads whose round a quorum has answered, once the
+// leader knows what earlier terms have committed.
+func (n *Node) releaseReads() {
+	lead := n.leadership
+	if len(lead.reads) == 0 || !n.committedInTerm() {
+		return
+	}
+	answered := reachedByQuorum(n, lead.sequence, func(p *progress) uint64 { return p.ackedSequence })
+	for len(lead.reads) > 0 && lead.reads[0].sequence <= answered {
+		n.readStates = append(n.readStates, ReadState{RequestID: lead.reads[0].requestID, Index: n.log.committed})
+		lead.reads = lead.reads[1:]
+	}
+}
--- /dev/null
+++ b/process/raft/log.go
@@ -0,0 +1,209 @@
+package raft
+
+// entryOverhead is counted for each entry beside its data, so that entries
+// without data are bounded as well.
+const entryOverhead = entryHeaderSize
+
+// size is what e counts against byte limits.
+func (e Entry) size() int {
+	return len(e.Data) + entryOverhead
+}
+
+// entryLog is the log in memory: the entries after a base position, and how far
+// they are persisted, committed and applied.
+//
+// Invariants: baseIndex <= applied <= committed <= last index, except that after
+// restore applied trails until the caller has installed the snapshot. Entries at
+// or below committed are never replaced.
+type entryLog struct {
+	baseIndex uint64 // entries[0].Index - 1
+	baseTerm  uint64
+	entries   []Entry
+
+	snapshot        Snapshot  // the latest; its Index may be above baseIndex
+	pendingSnapshot *Snapshot // received and not handed to the caller yet
+
+	committed uint64
+	applied   uint64 // applied by the caller, as told by Advance
+	persisted uint64 // synced by the caller, as told by Advance
+	handed    uint64 // handed to the caller for persisting
+}
+
+// newEntryLog returns a log as read from disk, all of it persisted.
+func newEntryLog(snapshot Snapshot, entries []Entry, committed uint64) *entryLog {
+	log := &entryLog{
+		baseIndex: snapshot.Index,
+		baseTerm:  snapshot.Term,
+		entries:   entries,
+		snapshot:  snapshot,
+		committed: max(committed, snapshot.Index),
+		applied:   snapshot.Index,
+	}
+	log.persisted = log.lastIndex()
+	log.handed = log.lastIndex()
+	return log
+}
+
+func (l *entryLog) lastIndex() uint64 {
+	return l.baseIndex + uint64(len(l.entries))
+}
+
+func (l *entryLog) lastTerm() uint64 {
+	if len(l.entries) == 0 {
+		return l.baseTerm
+	}
+	return l.entries[len(l.entries)-1].Term
+}
+
+// term returns the term of the entry at index, false when it is compacted or
+// beyond the end.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	if index == l.baseIndex {
+		return l.baseTerm, true
+	}
+	if index < l.baseIndex || index > l.lastIndex() {
+		return 0, false
+	}
+	return l.entries[index-l.baseIndex-1].Term, true
+}
+
+// matches tells whether the log has the entry (term, index).
+func (l *entryLog) matches(term, index uint64) bool {
+	own, ok := l.term(index)
+	return ok && own == term
+}
+
+// upToDate tells whether a log that ends in (term, index) holds at least every
+// entry that this log may have helped to commit.
+func (l *entryLog) upToDate(term, index uint64) bool {
+	if term != l.lastTerm() {
+		return term > l.lastTerm()
+	}
+	return index >= l.lastIndex()
+}
+
+// slice returns the entries in (after, through]. Its capacity ends there, so
+// that nobody appends into the log.
+func (l *entryLog) slice(after, through uint64) []Entry {
+	if after >= through {
+		return nil
+	}
+	return l.entries[after-l.baseIndex : through-l.baseIndex : through-l.baseIndex]
+}
+
+// batch returns the entries from index on, as many as fit into maxBytes and at
+// least one.
+func (l *entryLog) batch(index uint64, maxBytes int) []Entry {
+	rest := l.slice(index-1, l.lastIndex())
+	total := 0
+	for i, entry := range rest {
+		total += entry.size()
+		if total > maxBytes && i > 0 {
+			return rest[:i:i]
+		}
+	}
+	return rest
+}
+
+// append adds entries at the end.
+func (l *entryLog) append(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// replaceFrom drops the entries from entries[0].Index on and adds entries. It
+// copies instead of overwriting, since messages and Readys share the old array.
+func (l *entryLog) replaceFrom(entries []Entry) {
+	kept := entries[0].Index - 1
+	if kept < l.lastIndex() {
+		keptEntries := l.entries[:kept-l.baseIndex]
+		l.entries = append(make([]Entry, 0, len(keptEntries)+len(entries)), keptEntries...)
+	}
+	l.entries = append(l.entries, entries...)
+	l.persisted = min(l.persisted, kept)
+	l.handed = min(l.handed, kept)
+}
+
+// firstConflict returns the position in entries of the first one that the log
+// doesn't have; len(entries) when it has them all.
+func (l *entryLog) firstConflict(entries []Entry) int {
+	for i, entry := range entries {
+		if !l.matches(entry.Term, entry.Index) {
+			return i
+		}
+	}
+	return len(entries)
+}
+
+// lastAtOrBelow returns the highest position not above index whose term is not
+// above maxTerm, or the base position.
+func (l *entryLog) lastAtOrBelow(index, maxTerm uint64) (foundIndex, foundTerm uint64) {
+	for index = min(index, l.lastIndex()); index > l.baseIndex; index-- {
+		term, _ := l.term(index)
+		if term <= maxTerm {
+			return index, term
+		}
+	}
+	return l.baseIndex, l.baseTerm
+}
+
+// commitTo raises committed; it reports whether that changed anything.
+func (l *entryLog) commitTo(index uint64) bool {
+	index = min(index, l.lastIndex())
+	if index <= l.committed {
+		return false
+	}
+	l.committed = index
+	return true
+}
+
+// unhanded returns the entries that the caller was not asked to persist yet.
+func (l *entryLog) unhanded() []Entry {
+	return l.slice(l.handed, l.lastIndex())
+}
+
+// unapplied returns the committed entries that the caller has not applied;
+// none while a snapshot is being installed.
+func (l *entryLog) unapplied() []Entry {
+	if l.applied < l.baseIndex || l.applied >= l.committed {
+		return nil
+	}
+	return l.slice(l.applied, l.committed)
+}
+
+// markPersisted records that the caller synced entries. Those that were replaced
+// in the meantime don't count.
+func (l *entryLog) markPersisted(entries []Entry) {
+	for i := len(entries) - 1; i >= 0; i-- {
+		if l.matches(entries[i].Term, entries[i].Index) {
+			l.persisted = max(l.persisted, entries[i].Index)
+			return
+		}
+	}
+}
+
+// restore replaces the whole log by a received snapshot.
+func (l *entryLog) restore(snapshot Snapshot) {
+	l.baseIndex = snapshot.Index
+	l.baseTerm = snapshot.Term
+	l.entries = nil
+	l.snapshot = snapshot
+	l.pendingSnapshot = &snapshot
+	l.committed = snapshot.Index
+	l.persisted = 0
+	l.handed = snapshot.Index
+}
+
+// compact adopts the snapshot and drops the entries that are more than retained
+// behind it.
+func (l *entryLog) compact(snapshot Snapshot, retained uint64) {
+	l.snapshot = snapshot
+	if snapshot.Index < retained || snapshot.Index-retained <= l.baseIndex {
+		return
+	}
+	newBase := snapshot.Index - retained
+	newTerm, _ := l.term(newBase)
+	kept := l.entries[newBase-l.baseIndex:]
+	l.entries = append(make([]Entry, 0, len(kept)), kept...)
+	l.baseIndex = newBase
+	l.baseTerm = newTerm
+}
--- /dev/null
+++ b/process/raft/node.go
@@ -0,0 +1,317 @@
+package raft
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Defaults of limits that a Config leaves at zero.
+const (
+	defaultMaxEntriesBytes     = 1 << 20
+	defaultMaxInflight         = 64
+	defaultMaxUncommittedBytes = 64 << 20
+	// snapshotRetryTimeouts is the default SnapshotRetry in election timeouts.
+	snapshotRetryTimeouts = 4
+)
+
+// Node is one member's protocol state. It is not safe for concurrent use: the
+// caller owns it, and calls its methods from one goroutine at a time.
+//
+// Every method that takes now wants a reading of the same monotonic clock, taken
+// after the caller received what it passes in. An earlier reading would date a
+// heartbeat back, and the member would break the lease it promised by answering.
+type Node struct {
+	config  Config
+	random  *rand.Rand
+	now     time.Duration
+	started bool // now has been set by a call
+
+	term     uint64
+	vote     MemberID
+	role     Role
+	leaderID MemberID
+
+	log            *entryLog
+	configurations configurationHistory
+
+	// leaderContact is when the member last heard from a leader; a start counts
+	// as well, since the member may have answered a heartbeat just before it.
+	leaderContact    time.Duration
+	electionDeadline time.Duration
+	ballots          map[MemberID]bool // answers in the running election or pre-election
+	leadership       *leadership       // nil unless role is Leader
+
+	messages        []Message
+	readStates      []ReadState
+	abortedReads    []uint64
+	handedHardState HardState
+	outstanding     bool // a Ready waits for its Advance
+}
+
+// New returns a Node that goes on where initial was left. It fails with
+// ErrInvalidConfig, or with ErrInvalidState where initial contradicts itself.
+func New(config Config, initial InitialState) (*Node, error) {
+	config = config.withDefaults()
+	if err := config.validate(); err != nil {
+		return nil, err
+	}
+	entries := entriesAfter(initial.Entries, initial.Snapshot.Index)
+	if err := initial.validate(entries); err != nil {
+		return nil, err
+	}
+	node := &Node{
+		config:          config,
+		random:          rand.New(rand.NewPCG(config.Seed, uint64(config.ID))),
+		term:            initial.HardState.Term,
+		vote:            initial.HardState.Vote,
+		log:             newEntryLog(initial.Snapshot, entries, initial.HardState.Commit),
+		handedHardState: initial.HardState,
+	}
+	node.configurations = newConfigurationHistory(0, initial.Configuration.clone())
+	if initial.Snapshot.Index > 0 {
+		node.configurations = newConfigurationHistory(initial.Snapshot.Index, initial.Snapshot.Configuration)
+	}
+	if err := node.configurations.addEntries(entries); err != nil {
+		return nil, errors.Wrap(ErrInvalidState, err.Error())
+	}
+	node.refreshRole()
+	return node, nil
+}
+
+func (c Config) withDefaults() Config {
+	if c.MaxEntriesBytes == 0 {
+		c.MaxEntriesBytes = defaultMaxEntriesBytes
+	}
+	if c.MaxInflight == 0 {
+		c.MaxInflight = defaultMaxInflight
+	}
+	if c.MaxUncommittedBytes == 0 {
+		c.MaxUncommittedBytes = defaultMaxUncommittedBytes
+	}
+	if c.SnapshotRetry == 0 {
+		c.SnapshotRetry = snapshotRetryTimeouts * c.ElectionTimeout
+	}
+	return c
+}
+
+// validate checks what safety and liveness rest on: the lease must run out
+// before a follower that promised it votes again, and must outlast a heartbeat.
+func (c Config) validate() error {
+	switch {
+	case c.ID == None:
+		return errors.Wrap(ErrInvalidConfig, "no ID")
+	case c.HeartbeatInterval <= 0:
+		return errors.Wrap(ErrInvalidConfig, "heartbeat interval must be positive")
+	case c.LeaseDuration <= c.HeartbeatInterval:
+		return errors.Wrap(ErrInvalidConfig, "lease must be longer than the heartbeat interval")
+	case c.ElectionTimeout <= c.LeaseDuration:
+		return errors.Wrap(ErrInvalidConfig, "election timeout must be longer than the lease")
+	case c.MaxEntriesBytes < 0 || c.MaxInflight < 0 || c.MaxUncommittedBytes < 0 || c.SnapshotRetry < 0:
+		return errors.Wrap(ErrInvalidConfig, "negative limit")
+	default:
+		return nil
+	}
+}
+
+func entriesAfter(entries []Entry, index uint64) []Entry {
+	for len(entries) > 0 && entries[0].Index <= index {
+		entries = entries[1:]
+	}
+	return entries
+}
+
+// validate checks initial with the entries after its snapshot.
+func (s InitialState) validate(entries []Entry) error {
+	if !consecutive(entries, s.Snapshot.Index, s.Snapshot.Term, s.HardState.Term) {
+		return errors.Wrap(ErrInvalidState, "entries are not consecutive")
+	}
+	last := s.Snapshot.Index + uint64(len(entries))
+	if s.HardState.Commit > last {
+		return errors.Wrapf(ErrInvalidState, "commit index %d is beyond the last entry %d", s.HardState.Commit, last)
+	}
+	if s.Snapshot.Term > s.HardState.Term {
+		return errors.Wrap(ErrInvalidState, "snapshot is of a later term than the member")
+	}
+	if !s.Configuration.consistent() || !s.Snapshot.Configuration.consistent() {
+		return errors.Wrap(ErrInvalidState, "configuration names a member twice or None")
+	}
+	return nil
+}
+
+// consecutive tells whether entries follow the position (term, index) one by
+// one with terms that rise from its term to at most maxTerm.
+func consecutive(entries []Entry, index, term, maxTerm uint64) bool {
+	for _, entry := range entries {
+		index++
+		if entry.Index != index || entry.Term < term || entry.Term > maxTerm {
+			return false
+		}
+		term = entry.Term
+	}
+	return true
+}
+
+// observe moves the node's clock forward. The first reading starts it.
+func (n *Node) observe(now time.Duration) {
+	if !n.started {
+		n.started = true
+		n.now = now
+		n.leaderContact = now
+		n.resetElectionDeadline()
+		return
+	}
+	n.now = max(n.now, now)
+}
+
+// Tick lets time pass: elections, heartbeats, check-quorum and retries are due
+// by durations, so it may be called as often or as seldom as the caller likes.
+func (n *Node) Tick(now time.Duration) {
+	n.observe(now)
+	if n.role == Leader {
+		n.tickLeader()
+		return
+	}
+	if n.promotable() && n.now >= n.electionDeadline {
+		n.startPreElection()
+	}
+}
+
+// Step takes in one message. Errors: ErrWrongMember, ErrInvalidMessage and
+// ErrDiverged; each leaves the node unchanged but for its clock.
+func (n *Node) Step(now time.Duration, m Message) error {
+	n.observe(now)
+	if err := n.check(m); err != nil {
+		return err
+	}
+	if m.Term < n.term {
+		n.answerOldTerm(m)
+		return nil
+	}
+	if m.Term > n.term && !n.enterTerm(m) {
+		return nil
+	}
+	return n.dispatch(m)
+}
+
+// check refuses what no member sends, before anything is changed by it.
+func (n *Node) check(m Message) error {
+	if m.To != n.config.ID {
+		return errors.Wrapf(ErrWrongMember, "%d", m.To)
+	}
+	if m.From == None || m.From == n.config.ID || !m.Kind.valid() || m.Term == 0 {
+		return errors.Wrapf(ErrInvalidMessage, "kind %d from %d in term %d", m.Kind, m.From, m.Term)
+	}
+	if m.Kind.fromLeader() && m.Term == n.term && n.role == Leader {
+		return errors.Wrapf(ErrDiverged, "member %d leads term %d as well", m.From, m.Term)
+	}
+	switch m.Kind {
+	case MessageAppend:
+		return n.checkAppend(m)
+	case MessageSnapshot:
+		return n.checkSnapshot(m)
+	default:
+		return nil
+	}
+}
+
+// answerOldTerm tells the sender of the newer term where that helps: an outdated
+// leader then steps down, an outdated candidate catches up.
+func (n *Node) answerOldTerm(m Message) {
+	switch m.Kind {
+	case MessagePreVote:
+		n.send(Message{Kind: MessagePreVoteReply, To: m.From, Reject: true})
+	case MessageVote:
+		n.send(Message{Kind: MessageVoteReply, To: m.From, Reject: true})
+	case MessageAppend, MessageSnapshot:
+		n.send(Message{Kind: MessageAppendReply, To: m.From, Index: m.Index, Reject: true})
+	case MessageHeartbeat:
+		n.send(Message{Kind: MessageHeartbeatReply, To: m.From, Reject: true})
+	}
+}
+
+// enterTerm follows m into its higher term, unless its kind or the lease forbids
+// that. It reports whether m is to be looked at further.
+func (n *Node) enterTerm(m Message) bool {
+	switch m.Kind {
+	case MessagePreVote:
+		return true // asks about a term that nobody has entered
+	case MessagePreVoteReply:
+		if !m.Reject {
+			return true // its term is the one asked for
+		}
+	case MessageVote:
+		if n.configurations.latest().configuration.blank() {
+			return false
+		}
+		if !m.Transfer && n.leaseGuarded() {
+			return false
+		}
+	}
+	leader := None
+	if m.Kind.fromLeader() {
+		leader = m.From
+	}
+	n.becomeFollower(m.Term, leader)
+	return true
+}
+
+func (n *Node) dispatch(m Message) error {
+	switch m.Kind {
+	case MessagePreVote:
+		n.handlePreVote(m)
+	case MessagePreVoteReply:
+		n.handlePreVoteReply(m)
+	case MessageVote:
+		n.handleVote(m)
+	case MessageVoteReply:
+		n.handleVoteReply(m)
+	case MessageAppend:
+		return n.handleAppend(m)
+	case MessageAppendReply:
+		n.handleAppendReply(m)
+	case MessageHeartbeat:
+		n.handleHeartbeat(m)
+	case MessageHeartbeatReply:
+		n.handleHeartbeatReply(m)
+	case MessageSnapshot:
+		n.handleSnapshot(m)
+	case MessageTimeoutNow:
+		n.handleTimeoutNow(m)
+	}
+	return nil
+}
+
+// send queues m for the next Ready. Term zero stands for the current term.
+func (n *Node) send(m Message) {
+	m.From = n.config.ID
+	if m.Term == 0 {
+		m.Term = n.term
+	}
+	n.messages = append(n.messages, m)
+}
+
+// Status returns a copy of the public state.
+func (n *Node) Status() Status {
+	status := Status{
+		ID:            n.config.ID,
+		Role:          n.role,
+		Term:          n.term,
+		Leader:        n.leaderID,
+		Commit:        n.log.committed,
+		Applied:       n.log.applied,
+		LastIndex:     n.log.lastIndex(),
+		Configuration: n.configurations.latest().configuration.clone(),
+	}
+	if n.leadership == nil {
+		return status
+	}
+	status.Match = map[MemberID]uint64{n.config.ID: n.log.persisted}
+	status.RecentlyActive = map[MemberID]bool{n.config.ID: true}
+	for member, progress := range n.leadership.progress {
+		status.Match[member] = progress.match
+		status.RecentlyActive[member] = n.recentlyActive(progress)
+	}
+	return status
+}
--- /dev/null
+++ b/process/raft/ready.go
@@ -0,0 +1,66 @@
+package raft
+
+// HasReady tells whether Ready would return anything; never while a Ready waits
+// for its Advance.
+func (n *Node) HasReady() bool {
+	if n.outstanding {
+		return false
+	}
+	n.flush()
+	return len(n.messages) > 0 || len(n.readStates) > 0 || len(n.abortedReads) > 0 ||
+		n.log.pendingSnapshot != nil || len(n.log.unhanded()) > 0 || len(n.log.unapplied()) > 0 ||
+		n.hardState() != n.handedHardState
+}
+
+// Ready returns the work that came up since the last one. Nothing else may be
+// asked for until Advance has told that it is done; Step, Tick and proposals may
+// come in between, and go into the next Ready.
+func (n *Node) Ready() Ready {
+	if !n.HasReady() {
+		return Ready{}
+	}
+	ready := Ready{
+		Snapshot:     n.log.pendingSnapshot,
+		Entries:      n.log.unhanded(),
+		Messages:     n.messages,
+		ReadStates:   n.readStates,
+		AbortedReads: n.abortedReads,
+		Committed:    n.log.unapplied(),
+	}
+	ready.MustSync = ready.Snapshot != nil || len(ready.Entries) > 0
+	if state := n.hardState(); state != n.handedHardState {
+		ready.HardState = &state
+		if state.Term != n.handedHardState.Term || state.Vote != n.handedHardState.Vote {
+			ready.MustSync = true
+		}
+		n.handedHardState = state
+	}
+	n.log.pendingSnapshot = nil
+	n.log.handed = n.log.lastIndex()
+	n.messages = nil
+	n.readStates = nil
+	n.abortedReads = nil
+	n.outstanding = true
+	return ready
+}
+
+// Advance tells that everything in ready is done: persisted, sent and applied.
+func (n *Node) Advance(ready Ready) {
+	if !n.outstanding {
+		return
+	}
+	n.outstanding = false
+	if snapshot := ready.Snapshot; snapshot != nil {
+		n.log.persisted = max(n.log.persisted, snapshot.Index)
+		n.log.applied = max(n.log.applied, snapshot.Index)
+	}
+	if count := len(ready.Committed); count > 0 {
+		n.log.applied = max(n.log.applied, ready.Committed[count-1].Index)
+	}
+	n.log.markPersisted(ready.Entries)
+	n.maybeCommit()
+}
+
+func (n *Node) hardState() HardState {
+	return HardState{Term: n.term, Vote: n.vote, Commit: n.log.committed}
+}
--- /dev/null
+++ b/process/raft/replication.go
@@ -0,0 +1,249 @@
+package raft
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Propose appends a command of the leader. The entry (term, index) is the
+// proposal's as soon as it is committed under just this term and index; it may
+// also be lost. Errors: ErrNotLeader, ErrTransferPending and ErrOverloaded.
+// data must not be written to afterwards.
+func (n *Node) Propose(now time.Duration, data []byte) (term, index uint64, err error) {
+	n.observe(now)
+	if n.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	if n.leadership.transfer != nil {
+		return 0, 0, ErrTransferPending
+	}
+	size := Entry{Data: data}.size()
+	pending := n.leadership.uncommittedBytes
+	if pending > 0 && pending+size > n.config.MaxUncommittedBytes {
+		return 0, 0, ErrOverloaded
+	}
+	return n.term, n.appendOwn(EntryCommand, data), nil
+}
+
+// appendOwn appends one entry of the leader's term. It counts towards the quorum
+// only when Advance has told that it is synced.
+func (n *Node) appendOwn(kind EntryKind, data []byte) uint64 {
+	entry := Entry{Term: n.term, Index: n.log.lastIndex() + 1, Kind: kind, Data: data}
+	n.log.append(entry)
+	n.leadership.uncommittedBytes += entry.size()
+	n.leadership.appendsDue = true
+	return entry.Index
+}
+
+// flush sends what the leader owes its followers. It runs when the caller asks
+// for a Ready, so that proposals made since the last one travel together.
+func (n *Node) flush() {
+	if n.leadership == nil {
+		return
+	}
+	if n.leadership.heartbeatDue {
+		n.startHeartbeatRound()
+	}
+	if !n.leadership.appendsDue {
+		return
+	}
+	n.leadership.appendsDue = false
+	for _, member := range n.leadership.members {
+		n.sendAppends(member, n.leadership.progress[member])
+	}
+}
+
+// sendAppends sends messages until the member has all entries or flow control
+// says stop.
+func (n *Node) sendAppends(member MemberID, p *progress) {
+	for !p.blocked(n.config.MaxInflight) && p.wants(n.log.lastIndex(), n.log.committed) {
+		previousTerm, kept := n.log.term(p.next - 1)
+		if !kept {
+			n.sendSnapshot(member, p)
+			return
+		}
+		lastSent := n.sendEntries(member, p.next-1, previousTerm)
+		p.sent(lastSent, n.log.committed)
+	}
+}
+
+// sendEntries sends the entries that follow the position (term, index), as far
+// as one message holds them. It returns the index of the last one.
+func (n *Node) sendEntries(member MemberID, index, term uint64) uint64 {
+	entries := n.log.batch(index+1, n.config.MaxEntriesBytes)
+	n.send(Message{
+		Kind:    MessageAppend,
+		To:      member,
+		Index:   index,
+		LogTerm: term,
+		Commit:  n.log.committed,
+		Entries: entries,
+	})
+	return index + uint64(len(entries))
+}
+
+// checkAppend refuses entries that don't follow each other, can't be decoded or
+// contradict committed ones.
+func (n *Node) checkAppend(m Message) error {
+	if m.LogTerm > m.Term || !consecutive(m.Entries, m.Index, m.LogTerm, m.Term) {
+		return errors.Wrap(ErrInvalidMessage, "entries are not consecutive")
+	}
+	for _, entry := range m.Entries {
+		if entry.Kind != EntryConfig {
+			continue
+		}
+		configuration, err := DecodeConfiguration(entry.Data)
+		if err != nil || configuration.blank() || !configuration.consistent() {
+			return errors.Wrapf(ErrInvalidMessage, "configuration at index %d", entry.Index)
+		}
+	}
+	if m.Term < n.term {
+		return nil
+	}
+	return n.checkCommitted(m)
+}
+
+// checkCommitted compares m with the committed entries that are kept.
+func (n *Node) checkCommitted(m Message) error {
+	if n.contradictsCommitted(m.LogTerm, m.Index) {
+		return errors.Wrapf(ErrDiverged, "index %d from member %d", m.Index, m.From)
+	}
+	for _, entry := range m.Entries {
+		if n.contradictsCommitted(entry.Term, entry.Index) {
+			return errors.Wrapf(ErrDiverged, "index %d from member %d", entry.Index, m.From)
+		}
+	}
+	return nil
+}
+
+func (n *Node) contradictsCommitted(term, index uint64) bool {
+	if index > n.log.committed {
+		return false
+	}
+	own, kept := n.log.term(index)
+	return kept && own != term
+}
+
+func (n *Node) handleAppend(m Message) error {
+	n.followLeader(m.From)
+	reply := Message{Kind: MessageAppendReply, To: m.From}
+	lastSent := m.Index + uint64(len(m.Entries))
+	switch {
+	case lastSent <= n.log.committed:
+		// An old message. All through the commit index matches anyway.
+		reply.Index = n.log.committed
+	case m.Index >= n.log.committed && !n.log.matches(m.LogTerm, m.Index):
+		reply.Reject = true
+		reply.Index = m.Index
+		reply.RejectHint, reply.LogTerm = n.log.lastAtOrBelow(m.Index, m.LogTerm)
+	default:
+		n.acceptEntries(entriesAfter(m.Entries, n.log.committed))
+		n.commitTo(min(m.Commit, lastSent))
+		reply.Index = lastSent
+	}
+	n.send(reply)
+	return nil
+}
+
+// acceptEntries takes over the entries from the first one on that the log
+// doesn't have. Later ones of the log stay when there is no conflict: the
+// message may be older than they are.
+func (n *Node) acceptEntries(entries []Entry) {
+	fresh := entries[n.log.firstConflict(entries):]
+	if len(fresh) == 0 {
+		return
+	}
+	n.configurations.truncateFrom(fresh[0].Index)
+	n.log.replaceFrom(fresh)
+	if err := n.configurations.addEntries(fresh); err != nil {
+		panic(errors.Wrap(err, "raft: a checked configuration doesn't decode"))
+	}
+	n.refreshRole()
+}
+
+func (n *Node) handleAppendReply(m Message) {
+	p := n.activeProgress(m.From)
+	if p == nil {
+		return
+	}
+	if m.Reject {
+		n.backtrack(p, m)
+		return
+	}
+	if m.Index > n.log.lastIndex() {
+		return // no message of this term can have led to that
+	}
+	raised := p.acknowledge(m.Index)
+	p.settle()
+	n.leadership.appendsDue = true
+	if raised {
+		n.maybeCommit()
+	}
+	n.continueTransfer(m.From)
+}
+
+// activeProgress records that member answered. It returns nil when the node
+// doesn't lead or doesn't know the member.
+func (n *Node) activeProgress(member MemberID) *progress {
+	if n.leadership == nil {
+		return nil
+	}
+	p := n.leadership.progress[member]
+	if p != nil {
+		p.reply(n.now)
+	}
+	return p
+}
+
+// backtrack looks for the matching index further down. Both sides skip whole
+// terms: the hint is the highest index at which the follower's term is not above
+// the one that was offered, and the leader does the same with the hint.
+func (n *Node) backtrack(p *progress, m Message) {
+	if p.state == progressSnapshot || m.Index <= p.match {
+		return
+	}
+	if p.state == progressProbe && m.Index != p.next-1 {
+		return // an answer to an earlier probe
+	}
+	candidate, _ := n.log.lastAtOrBelow(m.RejectHint, m.LogTerm)
+	if m.RejectHint < n.log.baseIndex {
+		candidate = m.RejectHint
+	}
+	p.probeFrom(min(m.Index, candidate+1))
+	n.leadership.appendsDue = true
+}
+
+// maybeCommit commits what a quorum has persisted. Only entries of the leader's
+// own term are committed by counting: an older one may still be replaced by a
+// later leader though a quorum holds it. Those before commit with them.
+func (n *Node) maybeCommit() {
+	if n.leadership == nil {
+		return
+	}
+	reached := reachedByQuorum(n, n.log.persisted, func(p *progress) uint64 { return p.match })
+	if term, ok := n.log.term(reached); !ok || term != n.term {
+		return
+	}
+	n.commitTo(reached)
+}
+
+// commitTo raises the commit index and draws the consequences.
+func (n *Node) commitTo(index uint64) {
+	before := n.log.committed
+	if !n.log.commitTo(index) {
+		return
+	}
+	if n.leadership == nil {
+		n.refreshRole()
+		return
+	}
+	for _, entry := range n.log.slice(before, n.log.committed) {
+		n.leadership.uncommittedBytes -= entry.size()
+	}
+	n.leadership.appendsDue = true
+	n.releaseReads()
+	if latest := n.configurations.latest(); latest.index > before && latest.index <= n.log.committed {
+		n.configurationCommitted()
+	}
+}
--- a/process/raft/types.go
+++ b/process/raft/types.go
@@ -96,18 +96,45 @@
 	MaxInflight         int           // append messages in flight to one follower
 	MaxUncommittedBytes int           // proposals beyond this are refused with ErrOverloaded
 	Seed                uint64        // randomness of election timeouts
+	// SnapshotRetry is how long a sent snapshot may stay unanswered before it is
+	// sent again; zero means four election timeouts.
+	SnapshotRetry time.Duration
+	// RetainedEntries is how many entries Compact keeps in memory behind the
+	// snapshot, so that a slightly lagging follower needs no snapshot.
+	RetainedEntries uint64
+}
+
+// InitialState is what a Node starts from: what its disk holds, or the
+// bootstrap configuration of a new group. All of it empty is a new member, that
+// neither votes nor campaigns until a leader has sent it a configuration.
+type InitialState struct {
+	HardState HardState
+	Snapshot  Snapshot // zero when there is none
+	Entries   []Entry  // consecutive; those at or below Snapshot.Index are skipped
+	// Configuration is the bootstrap configuration at index zero. It has to be
+	// given again on each start until there is a snapshot; a snapshot's overrides it.
+	Configuration Configuration
 }
 
 // Ready is what the caller must carry out, in this order: persist Snapshot,
-// Entries and HardState and sync; send Messages; apply Committed; call Advance.
+// Entries and HardState and sync; restore the state machine from Snapshot; send
+// Messages; apply Committed; call Advance. The slices share memory with the node
+// and must not be written to.
 type Ready struct {
-	HardState  *HardState // nil when unchanged
-	Snapshot   *Snapshot  // nil unless one was received
+	HardState *HardState // nil when unchanged
+	// Snapshot is nil unless one was received. It replaces the whole stored log:
+	// every stored entry, also those above Snapshot.Index, must be discarded with it.
+	Snapshot *Snapshot
+	// Entries are to be stored; a stored entry at or above Entries[0].Index is
+	// replaced together with all that follow it.
 	Entries    []Entry
 	Messages   []Message
-	Committed  []Entry
+	Committed  []Entry // empty in a Ready with a Snapshot
 	ReadStates []ReadState
-	MustSync   bool
+	// AbortedReads are the request IDs whose reads will never get a ReadState,
+	// because leadership was lost.
+	AbortedReads []uint64
+	MustSync     bool // false when only HardState.Commit changed or nothing is to be stored
 }
 
 // ReadState says that a read asked for under RequestID may be answered once the
@@ -143,4 +170,25 @@
 	ErrCompacted       = errors.New("raft: entries were compacted into a snapshot")
 	ErrTransferPending = errors.New("raft: leadership is being transferred")
 	ErrLastVoter       = errors.New("raft: the last voter cannot be removed")
+
+	// ErrTermNotCommitted refuses a membership change to a leader that has not
+	// committed an entry of its own term yet; asking again soon helps.
+	ErrTermNotCommitted = errors.New("raft: no entry of the leader's term is committed yet")
+	// ErrInvalidChange refuses a change that does not fit the member's present state.
+	ErrInvalidChange = errors.New("raft: membership change does not fit the configuration")
+	// ErrInvalidConfig refuses a Config whose durations or limits contradict each other.
+	ErrInvalidConfig = errors.New("raft: invalid config")
+	// ErrInvalidState refuses an InitialState that no run of the protocol leaves behind.
+	ErrInvalidState = errors.New("raft: invalid initial state")
+	// ErrInvalidMessage refuses a message that no member sends.
+	ErrInvalidMessage = errors.New("raft: invalid message")
+	// ErrWrongMember refuses a message addressed to another MemberID.
+	ErrWrongMember = errors.New("raft: message for another member")
+	// ErrDiverged reports a message that contradicts committed entries: some
+	// member's storage broke its promise. The caller should stop the member.
+	ErrDiverged = errors.New("raft: message contradicts committed entries")
+	// ErrNotApplied refuses a snapshot of entries that were not applied yet.
+	ErrNotApplied = errors.New("raft: entries were not applied yet")
+	// ErrMalformed reports bytes that are not an encoding of the wanted type.
+	ErrMalformed = errors.New("raft: malformed encoding")
 )
