Hash prompt blocks as the engine model does

The engine model seeds the chain with the model's name, since KV cache of one adapter is of no use to another; the first version here left the name out.

--- a/request/prefix/prefix.go
+++ b/request/prefix/prefix.go
@@ -15,44 +15,45 @@
 // shorter has no hash: caches hold whole blocks only.
 const BlockWords = 16
 
-// Words returns the prompt's words in the order in which an engine reads them:
-// the prompt first, then the messages one after the other. One word is one
-// token. Roles of messages are no part of the prompt.
-func Words(request *engineapi.CompletionRequest) []string {
-	words := strings.Fields(request.Prompt)
+// Text returns the prompt of a request as an engine reads it: Prompt, or the
+// contents of the messages, one a line. Roles are no part of the prompt.
+func Text(request *engineapi.CompletionRequest) string {
+	if len(request.Messages) == 0 {
+		return request.Prompt
+	}
+	contents := make([]string, len(request.Messages))
 	for i := range request.Messages {
-		words = append(words, strings.Fields(request.Messages[i].Content)...)
+		contents[i] = request.Messages[i].Content
 	}
-	return words
+	return strings.Join(contents, "\n")
 }
 
+// Words returns the words of a prompt. One word is one token.
+func Words(prompt string) []string { return strings.Fields(prompt) }
+
 // Blocks returns the hash of every whole block of the words, first block
-// first. Each hash covers the hash before it and the block's words joined by
-// spaces, so that equal hashes mean equal prompts up to the block's end (but
-// for collisions of 64 bits, which can only make a cache hint wrong).
-func Blocks(words []string) []uint64 {
+// first. Block k is the 64-bit xxhash of block k-1's hash, as 8 little-endian
+// bytes, followed by the block's words, each followed by one space. The hash
+// before block 0 is the xxhash of the model's name as the caller gave it,
+// since KV cache of one adapter is of no use to another. Equal hashes mean
+// equal prompts up to the block's end, but for collisions, which can only make
+// a cache hint wrong.
+func Blocks(model string, words []string) []uint64 {
 	count := len(words) / BlockWords
 	if count == 0 {
 		return nil
 	}
 	blocks := make([]uint64, count)
-	previous := uint64(0)
+	previous := xxhash.Sum64String(model)
 	buffer := make([]byte, 0, 8+BlockWords*8)
 	for i := range blocks {
 		buffer = binary.LittleEndian.AppendUint64(buffer[:0], previous)
-		buffer = appendWords(buffer, words[i*BlockWords:(i+1)*BlockWords])
+		for _, word := range words[i*BlockWords : (i+1)*BlockWords] {
+			buffer = append(buffer, word...)
+			buffer = append(buffer, ' ')
+		}
 		previous = xxhash.Sum64(buffer)
 		blocks[i] = previous
 	}
 	return blocks
 }
-
-func appendWords(buffer []byte, words []string) []byte {
-	for i, word := range words {
-		if i > 0 {
-			buffer = append(buffer, ' ')
-		}
-		buffer = append(buffer, word...)
-	}
-	return buffer
-}
--- a/request/prefix/prefix_test.go
+++ b/request/prefix/prefix_test.go
@@ -27,25 +27,26 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			must.Len(t, test.want, Blocks(words(test.words)))
+			must.Len(t, test.want, Blocks("llm", words(test.words)))
 		})
 	}
 }
 
 func TestBlocksChain(t *testing.T) {
 	long := words(3 * BlockWords)
-	must.Eq(t, Blocks(long)[:2], Blocks(long[:2*BlockWords]))
+	must.Eq(t, Blocks("llm", long)[:2], Blocks("llm", long[:2*BlockWords]))
 	// The same words at another place are another block.
-	must.NotEq(t, Blocks(long)[0], Blocks(long)[1])
+	must.NotEq(t, Blocks("llm", long)[0], Blocks("llm", long)[1])
+	must.NotEq(t, Blocks("llm", long)[0], Blocks("llm:adapter", long)[0])
 	changed := words(3 * BlockWords)
 	changed[0] = "calm"
-	must.NotEq(t, Blocks(long)[2], Blocks(changed)[2])
+	must.NotEq(t, Blocks("llm", long)[2], Blocks("llm", changed)[2])
 }
 
-func TestWords(t *testing.T) {
-	request := &engineapi.CompletionRequest{
-		Prompt:   "one  two",
+func TestText(t *testing.T) {
+	must.Eq(t, "one  two", Text(&engineapi.CompletionRequest{Prompt: "one  two"}))
+	chat := &engineapi.CompletionRequest{
 		Messages: []engineapi.Message{{Role: "system", Content: "three\nfour"}, {Role: "user", Content: "five"}},
 	}
-	must.Eq(t, []string{"one", "two", "three", "four", "five"}, Words(request))
+	must.Eq(t, []string{"three", "four", "five"}, Words(Text(chat)))
 }
