--- /dev/null
+++ b/process/controller/engine.go
@@ -0,0 +1,179 @@
+package controller
+
+import (
+	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/planner"
+	"github.com/landingtrail/landingtrail/version/state"
+)
+
+// engineRound decides about one engine in one round.
+type engineRound struct {
+	input    *Input
+	engine   *api.Engine
+	decision *planner.Decision
+}
+
+func (r engineRound) actions() []Action {
+	seen := r.observed()
+	if seen == nil {
+		return r.query()
+	}
+	if order := r.engine.Status.OpenOrder; order != nil {
+		return r.carryOut(*order, *seen)
+	}
+	if report, differs := r.report(seen.State); differs {
+		return []Action{Propose{state.Command{Kind: state.CommandReportEngine, EngineReport: &report}}}
+	}
+	return r.open(seen.State)
+}
+
+// observed returns the engine's own recent word, or nil. An answer under
+// another name comes from another engine at the same address and counts for
+// nothing.
+func (r engineRound) observed() *Observation {
+	seen, found := r.input.Observations[r.engine.Name]
+	if !found || seen.State.Engine != r.engine.Name || seen.State.Incarnation == 0 {
+		return nil
+	}
+	if r.input.Now-seen.AskedAt > r.input.Silence {
+		return nil
+	}
+	return &seen
+}
+
+func (r engineRound) query() []Action {
+	return []Action{Query{Engine: r.engine.Name, Address: r.engine.Spec.Address}}
+}
+
+// carryOut continues the open order from what the engine said.
+func (r engineRound) carryOut(order api.Order, seen Observation) []Action {
+	current := seen.State
+	switch {
+	case current.Incarnation != order.Incarnation:
+		// The incarnation that the order is bound to has ended, and with it
+		// everything that it was told; the new one refuses the order.
+		return r.close(order, state.CloseOtherIncarnation, current)
+	case current.Order != nil:
+		return r.query()
+	case current.Fence.Less(order.Fence):
+		return r.give(order, seen)
+	case order.Fence.Less(current.Fence):
+		return r.close(order, state.CloseVoid, current)
+	case isDone(order, current):
+		return r.close(order, state.CloseDone, current)
+	case isSettled(current):
+		// The engine ended the order without becoming what it asks for.
+		return r.void(order, current)
+	default:
+		return r.query()
+	}
+}
+
+// give sends the order, unless the engine has called it invalid.
+func (r engineRound) give(order api.Order, seen Observation) []Action {
+	if seen.Refused == order.Fence {
+		return r.void(order, seen.State)
+	}
+	return []Action{Send{Engine: r.engine.Name, Address: r.engine.Spec.Address, Order: order}}
+}
+
+// void asks for a fence above the order. The position last applied is above
+// it, or the round waits for a later one; every order opened later lies above
+// the position.
+func (r engineRound) void(order api.Order, current engineapi.State) []Action {
+	if !order.Fence.Less(r.input.Position) {
+		return r.query()
+	}
+	return []Action{Void{
+		Engine:     r.engine.Name,
+		Address:    r.engine.Spec.Address,
+		Request:    engineapi.VoidRequest{Fence: r.input.Position, Incarnation: current.Incarnation},
+		Assignment: order.Assignment,
+	}}
+}
+
+func (r engineRound) close(order api.Order, reason state.CloseReason, current engineapi.State) []Action {
+	closing := state.CloseOrder{
+		Engine: r.engine.Name,
+		Fence:  order.Fence,
+		Reason: reason,
+		Report: reportOf(current),
+	}
+	return []Action{Propose{state.Command{Kind: state.CommandCloseOrder, CloseOrder: &closing}}}
+}
+
+// isDone reports whether the engine is what the order asks for.
+func isDone(order api.Order, current engineapi.State) bool {
+	return isSettled(current) && current.Fence == order.Fence && current.Assignment.Equal(order.Assignment)
+}
+
+// isSettled reports whether the engine is neither draining nor changing.
+func isSettled(current engineapi.State) bool {
+	switch current.Phase {
+	case api.PhaseDraining, api.PhaseChanging:
+		return false
+	default:
+		return current.Order == nil
+	}
+}
+
+func reportOf(current engineapi.State) state.EngineReport {
+	return state.EngineReport{
+		Engine:      current.Engine,
+		Incarnation: current.Incarnation,
+		Phase:       current.Phase,
+		Assignment:  current.Assignment,
+		Fence:       current.Fence,
+	}
+}
+
+// report returns what the engine says, and whether it differs from what is committed.
+func (r engineRound) report(current engineapi.State) (state.EngineReport, bool) {
+	committed := r.engine.Status
+	reported := reportOf(current)
+	same := reported.Incarnation == committed.Incarnation &&
+		reported.Fence == committed.Fence &&
+		reported.Phase == committed.Phase &&
+		reported.Assignment.Equal(committed.Assignment)
+	return reported, !same
+}
+
+// open proposes the engine's next order, if there is one to give.
+func (r engineRound) open(current engineapi.State) []Action {
+	if !isSettled(current) || current.Phase == api.PhaseLeaving {
+		return nil
+	}
+	assignment, reason, wanted := r.wanted()
+	if !wanted || assignment.Equal(current.Assignment) || r.failedLately(assignment) {
+		return nil
+	}
+	opening := state.OpenOrder{
+		Engine:      r.engine.Name,
+		Incarnation: current.Incarnation,
+		Assignment:  assignment,
+		Reason:      reason,
+	}
+	return []Action{Propose{state.Command{Kind: state.CommandOpenOrder, OpenOrder: &opening}}}
+}
+
+// ReasonDrain is the reason of the order that empties a drained engine.
+const ReasonDrain = "drain"
+
+// wanted returns what the engine should become. A drained engine becomes
+// nothing. An engine that no intent selects keeps what it has: labels move in
+// several steps, and the planner names no change for it.
+func (r engineRound) wanted() (assignment api.Assignment, reason string, wanted bool) {
+	if r.engine.Spec.Drain {
+		return api.Assignment{}, ReasonDrain, true
+	}
+	if r.decision == nil || r.engine.Status.UnmatchedSince != 0 {
+		return api.Assignment{}, "", false
+	}
+	return r.decision.Assignment, r.decision.Reason, true
+}
+
+func (r engineRound) failedLately(assignment api.Assignment) bool {
+	failure, found := r.input.Failures[r.engine.Name]
+	return found && failure.Assignment.Equal(assignment) && r.input.Now-failure.At < r.input.FailurePause
+}
