--- /dev/null
+++ b/connection/orders/poller.go
@@ -0,0 +1,267 @@
+package orders
+
+import (
+	"context"
+	"hash/maphash"
+	"sync"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/engineapi"
+)
+
+// Seen is the latest word of one engine.
+type Seen struct {
+	State engineapi.State
+	// AskedAt is when the question was sent, by the poller's clock.
+	AskedAt time.Duration
+	// Load is the last load report; LoadAt is when it was asked for, 0 if never.
+	Load   engineapi.Load
+	LoadAt time.Duration
+}
+
+// Asker asks engines; *Client is one.
+type Asker interface {
+	State(ctx context.Context, address string) (engineapi.State, error)
+	Load(ctx context.Context, address string) (engineapi.Load, error)
+}
+
+// PollerConfig holds what a Poller is created with.
+type PollerConfig struct {
+	Asker Asker
+	// Interval is the time between two questions to one engine; it is
+	// stretched when there are more engines than MaxPerSecond allows.
+	Interval     time.Duration
+	MaxPerSecond int
+	// Clock reads the monotonic time.
+	Clock func() time.Duration
+	// Changed is called after an engine's state was seen to differ, without
+	// any lock held; it may be nil.
+	Changed func()
+}
+
+const (
+	pollerShards = 8
+	// shardWorkers bounds the questions of one shard that are under way, so
+	// that silent engines hold up at most their own shard's turn.
+	shardWorkers = 32
+	// pollTick is how often a shard looks for engines that are due.
+	pollTick = 20 * time.Millisecond
+	// defaultMaxPerSecond bounds all questions of one poller.
+	defaultMaxPerSecond = 2000
+)
+
+// target is one observed engine.
+type target struct {
+	address string
+	dueAt   time.Duration
+	asking  bool
+	seen    Seen
+	heard   bool
+}
+
+type pollerShard struct {
+	sync.Mutex
+	targets map[string]*target
+	workers chan struct{}
+}
+
+// Poller observes engines until it is closed.
+type Poller struct {
+	config  PollerConfig
+	shards  [pollerShards]pollerShard
+	seed    maphash.Seed
+	context context.Context
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// NewPoller starts a Poller without engines.
+func NewPoller(config PollerConfig) *Poller {
+	if config.MaxPerSecond <= 0 {
+		config.MaxPerSecond = defaultMaxPerSecond
+	}
+	p := &Poller{config: config, seed: maphash.MakeSeed()}
+	p.context, p.cancel = context.WithCancel(context.Background())
+	for i := range p.shards {
+		shard := &p.shards[i]
+		shard.targets = map[string]*target{}
+		shard.workers = make(chan struct{}, shardWorkers)
+		p.done.Go(func() { p.run(shard) })
+	}
+	return p
+}
+
+// Close ends all questions and waits for them.
+func (p *Poller) Close() {
+	p.cancel()
+	p.done.Wait()
+}
+
+func (p *Poller) shard(name string) *pollerShard {
+	return &p.shards[maphash.String(p.seed, name)%pollerShards]
+}
+
+// SetTargets replaces the observed engines, names to addresses. An engine with
+// a new address has not been heard from.
+func (p *Poller) SetTargets(addresses map[string]string) {
+	for i := range p.shards {
+		p.shards[i].removeOthers(addresses)
+	}
+	for name, address := range addresses {
+		p.shard(name).add(name, address)
+	}
+}
+
+func (s *pollerShard) removeOthers(addresses map[string]string) {
+	s.Lock()
+	defer s.Unlock()
+	for name, known := range s.targets {
+		if addresses[name] != known.address {
+			delete(s.targets, name)
+		}
+	}
+}
+
+func (s *pollerShard) add(name, address string) {
+	s.Lock()
+	defer s.Unlock()
+	if s.targets[name] == nil {
+		s.targets[name] = &target{address: address}
+	}
+}
+
+// Poke makes the engine due now.
+func (p *Poller) Poke(name string) {
+	shard := p.shard(name)
+	shard.Lock()
+	defer shard.Unlock()
+	if known := shard.targets[name]; known != nil {
+		known.dueAt = 0
+	}
+}
+
+// Record keeps a state that came with an answer to an order, as if it had been
+// asked for at askedAt.
+func (p *Poller) Record(name, address string, state engineapi.State, askedAt time.Duration) {
+	shard := p.shard(name)
+	shard.Lock()
+	known := shard.targets[name]
+	changed := known != nil && known.address == address && known.record(state, askedAt)
+	shard.Unlock()
+	p.notify(changed)
+}
+
+// record keeps the state unless a later question was answered already, and
+// reports whether it differs from the one before.
+func (t *target) record(state engineapi.State, askedAt time.Duration) bool {
+	if t.heard && askedAt < t.seen.AskedAt {
+		return false
+	}
+	changed := !t.heard || !sameState(t.seen.State, state)
+	t.seen.State, t.seen.AskedAt, t.heard = state, askedAt, true
+	return changed
+}
+
+func sameState(left, right engineapi.State) bool {
+	return left.Incarnation == right.Incarnation && left.Fence == right.Fence && left.Phase == right.Phase &&
+		left.Assignment.Equal(right.Assignment) && (left.Order == nil) == (right.Order == nil)
+}
+
+func (p *Poller) notify(changed bool) {
+	if changed && p.config.Changed != nil {
+		p.config.Changed()
+	}
+}
+
+// Seen returns the latest word of every engine that was heard from.
+func (p *Poller) Seen() map[string]Seen {
+	all := map[string]Seen{}
+	for i := range p.shards {
+		p.shards[i].collect(all)
+	}
+	return all
+}
+
+func (s *pollerShard) collect(all map[string]Seen) {
+	s.Lock()
+	defer s.Unlock()
+	for name, known := range s.targets {
+		if known.heard {
+			all[name] = known.seen
+		}
+	}
+}
+
+func (p *Poller) run(shard *pollerShard) {
+	ticker := time.NewTicker(pollTick)
+	defer ticker.Stop()
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	for {
+		select {
+		case <-p.context.Done():
+			return
+		case <-ticker.C:
+			p.startDue(shard, &asking)
+		}
+	}
+}
+
+// startDue starts a question to each engine that is due, as long as workers are free.
+func (p *Poller) startDue(shard *pollerShard, asking *sync.WaitGroup) {
+	now := p.config.Clock()
+	shard.Lock()
+	defer shard.Unlock()
+	interval := p.interval(len(shard.targets))
+	for name, known := range shard.targets {
+		if known.asking || known.dueAt > now {
+			continue
+		}
+		select {
+		case shard.workers <- struct{}{}:
+		default:
+			return
+		}
+		known.asking = true
+		known.dueAt = now + interval
+		address := known.address
+		asking.Go(func() {
+			defer func() { <-shard.workers }()
+			p.ask(shard, name, address)
+		})
+	}
+}
+
+// interval is the configured one, or as long as the shard's part of the
+// allowed rate makes it.
+func (p *Poller) interval(targets int) time.Duration {
+	perShard := max(1, p.config.MaxPerSecond/pollerShards)
+	return max(p.config.Interval, time.Duration(targets)*time.Second/time.Duration(perShard))
+}
+
+func (p *Poller) ask(shard *pollerShard, name, address string) {
+	askedAt := p.config.Clock()
+	state, err := p.config.Asker.State(p.context, address)
+	if err == nil {
+		p.Record(name, address, state, askedAt)
+		p.askLoad(shard, name, address)
+	}
+	shard.Lock()
+	defer shard.Unlock()
+	if known := shard.targets[name]; known != nil && known.address == address {
+		known.asking = false
+	}
+}
+
+func (p *Poller) askLoad(shard *pollerShard, name, address string) {
+	askedAt := p.config.Clock()
+	load, err := p.config.Asker.Load(p.context, address)
+	if err != nil || load.Engine != name {
+		return
+	}
+	shard.Lock()
+	defer shard.Unlock()
+	if known := shard.targets[name]; known != nil && known.address == address {
+		known.seen.Load, known.seen.LoadAt = load, askedAt
+	}
+}
