Add the life of a request as a state machine

Attempts, what is known of each, what may follow and what the caller may be told. Checked by rapid against an oracle that follows what engines may have run. The oracle first failed on a frame that came after a give-up and was not counted as written; every frame now counts as the engine's word of admission.

--- /dev/null
+++ b/request/attempt/attempt_test.go
@@ -0,0 +1,233 @@
+package attempt
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func begun(t *testing.T, policy Policy) (*Life, uint32) {
+	t.Helper()
+	life := New(policy)
+	must.True(t, life.Dispatch())
+	number, err := life.Begin("engine-1", 7)
+	must.NoError(t, err)
+	return life, number
+}
+
+func TestDispatchOrExpire(t *testing.T) {
+	for range 1000 {
+		life := New(Policy{})
+		var dispatched, expired bool
+		var both sync.WaitGroup
+		both.Go(func() { dispatched = life.Dispatch() })
+		both.Go(func() { expired = life.Expire() })
+		both.Wait()
+		must.True(t, dispatched != expired)
+	}
+}
+
+func TestRan(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(life *Life, number uint32)
+		want Ran
+	}{
+		{"open", func(*Life, uint32) {}, RanUnknown},
+		{"nothing written", func(l *Life, n uint32) { l.Fail(n, FaultNotWritten) }, RanNo},
+		{"written, then reset", func(l *Life, n uint32) { l.Wrote(n); l.Fail(n, FaultBroken) }, RanUnknown},
+		{"written, claimed as not written", func(l *Life, n uint32) { l.Wrote(n); l.Fail(n, FaultNotWritten) }, RanUnknown},
+		{"refused", func(l *Life, n uint32) { l.Wrote(n); l.Fail(n, FaultRefused) }, RanNo},
+		{"refused after admission", func(l *Life, n uint32) { l.Admit(n, 7); l.Fail(n, FaultRefused) }, RanYes},
+		{"admitted", func(l *Life, n uint32) { l.Admit(n, 7) }, RanYes},
+		{"token seen", func(l *Life, n uint32) { l.Accept(n, 0, 1) }, RanYes},
+		{"refused, but an earlier one broke", func(l *Life, n uint32) {
+			l.Fail(n, FaultBroken)
+			next, _ := l.Begin("engine-2", 8)
+			l.Fail(next, FaultRefused)
+		}, RanUnknown},
+		{"both refused", func(l *Life, n uint32) {
+			l.Fail(n, FaultRefused)
+			next, _ := l.Begin("engine-2", 8)
+			l.Fail(next, FaultRefused)
+		}, RanNo},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			life, number := begun(t, Policy{Attempts: 3})
+			test.do(life, number)
+			must.Eq(t, test.want, life.Ran())
+			must.Eq(t, test.want, life.GiveUp())
+		})
+	}
+}
+
+func TestNext(t *testing.T) {
+	cases := []struct {
+		name   string
+		policy Policy
+		do     func(life *Life, number uint32)
+		want   StepKind
+	}{
+		{"open", Policy{Attempts: 3}, func(*Life, uint32) {}, StepWait},
+		{"refused, once", Policy{Once: true, Attempts: 3}, func(l *Life, n uint32) { l.Fail(n, FaultRefused) }, StepRun},
+		{"broken, once", Policy{Once: true, Attempts: 3}, func(l *Life, n uint32) { l.Fail(n, FaultBroken) }, StepStop},
+		{"broken, repeatable", Policy{Attempts: 3}, func(l *Life, n uint32) { l.Fail(n, FaultBroken) }, StepRun},
+		{"attempts used up", Policy{Attempts: 1}, func(l *Life, n uint32) { l.Fail(n, FaultRefused) }, StepStop},
+		{"cut, resumable", Policy{Attempts: 3, Resumes: 1}, func(l *Life, n uint32) {
+			l.Accept(n, 0, 1)
+			l.Fail(n, FaultBroken)
+		}, StepResume},
+		{"cut, once, resumable", Policy{Once: true, Attempts: 3, Resumes: 1}, func(l *Life, n uint32) {
+			l.Accept(n, 0, 1)
+			l.Fail(n, FaultBroken)
+		}, StepResume},
+		{"cut, token passed on, no resume", Policy{Attempts: 3}, func(l *Life, n uint32) {
+			l.Accept(n, 0, 1)
+			l.Fail(n, FaultBroken)
+		}, StepStop},
+		{"cut, buffered, no resume", Policy{Attempts: 3, Buffered: true}, func(l *Life, n uint32) {
+			l.Accept(n, 0, 1)
+			l.Fail(n, FaultBroken)
+		}, StepRun},
+		{"resume abandoned", Policy{Attempts: 3, Resumes: 1}, func(l *Life, n uint32) {
+			l.Accept(n, 0, 1)
+			l.Fail(n, FaultBroken)
+			l.AbandonResume(n)
+		}, StepStop},
+		{"finished", Policy{Attempts: 3}, func(l *Life, n uint32) { l.Finish(n) }, StepStop},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			life, number := begun(t, test.policy)
+			test.do(life, number)
+			must.Eq(t, test.want, life.Next().Kind)
+		})
+	}
+}
+
+func TestAccept(t *testing.T) {
+	life, first := begun(t, Policy{Attempts: 2, Resumes: 1, Buffered: true})
+	must.Eq(t, VerdictPass, life.Accept(first, 0, 2))
+	must.Eq(t, VerdictDuplicate, life.Accept(first, 0, 2))
+	must.Eq(t, VerdictDuplicate, life.Accept(first, 1, 0))
+	must.Eq(t, VerdictGap, life.Accept(first, 3, 1))
+	must.Eq(t, VerdictGap, life.Accept(first, 1, 2))
+	must.Eq(t, VerdictPass, life.Accept(first, 2, 0))
+	life.Fail(first, FaultBroken)
+	must.Eq(t, VerdictLate, life.Accept(first, 2, 1))
+	must.NoError(t, life.Resume(first))
+	must.Eq(t, VerdictPass, life.Accept(first, 2, 1))
+	life.Fail(first, FaultBroken)
+	second, err := life.Begin("engine-2", 9)
+	must.NoError(t, err)
+	must.Eq(t, VerdictLate, life.Accept(first, 3, 1))
+	must.False(t, life.Finish(first))
+	must.Eq(t, VerdictPass, life.Accept(second, 0, 1))
+	must.True(t, life.Finish(second))
+	must.Eq(t, VerdictLate, life.Accept(second, 1, 1))
+}
+
+// oracle follows what engines really did: how many runs were started, and
+// which frames the caller got.
+type oracle struct {
+	policy Policy
+	life   *Life
+	number uint32
+	open   bool
+	// mayRun is true for each attempt that an engine may have run.
+	mayRun []bool
+	got    []int // token numbers passed on, tagged by attempt*1000
+}
+
+func (o *oracle) check(t *rapid.T) {
+	possible := 0
+	for i, may := range o.mayRun {
+		if may || (o.open && i == len(o.mayRun)-1) {
+			possible++
+		}
+	}
+	if o.policy.Once && possible > 1 {
+		t.Fatalf("a request marked once may have run %d times", possible)
+	}
+	if o.life.Ran() == RanNo && possible > 0 {
+		t.Fatalf("told not run, but %d attempts may have run", possible)
+	}
+	if !o.policy.Buffered {
+		for i, token := range o.got {
+			if token != o.got[0]+i {
+				t.Fatalf("caller got %v", o.got)
+			}
+		}
+	}
+}
+
+func TestLifeAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := Policy{
+			Once:     rapid.Bool().Draw(t, "once"),
+			Buffered: rapid.Bool().Draw(t, "buffered"),
+			Attempts: rapid.IntRange(1, 4).Draw(t, "attempts"),
+			Resumes:  rapid.IntRange(0, 2).Draw(t, "resumes"),
+		}
+		o := &oracle{policy: policy, life: New(policy)}
+		t.Repeat(map[string]func(*rapid.T){
+			"dispatch": func(*rapid.T) { o.life.Dispatch() },
+			"expire":   func(*rapid.T) { o.life.Expire() },
+			"begin": func(t *rapid.T) {
+				number, err := o.life.Begin("engine", uint64(rapid.IntRange(0, 2).Draw(t, "incarnation")))
+				if err == nil {
+					o.number, o.open, o.mayRun = number, true, append(o.mayRun, false)
+				}
+			},
+			"write": func(*rapid.T) {
+				if o.open {
+					o.mayRun[o.number-1] = true
+					o.life.Wrote(o.number)
+				}
+			},
+			"refuse": func(*rapid.T) {
+				// An engine refuses only what it has not admitted.
+				if o.open && !o.life.Attempts()[o.number-1].Admitted {
+					o.mayRun[o.number-1] = false
+					o.life.Fail(o.number, FaultRefused)
+					o.open = false
+				}
+			},
+			"break": func(t *rapid.T) {
+				fault := rapid.SampledFrom([]Fault{FaultNotWritten, FaultBroken}).Draw(t, "fault")
+				if o.open {
+					o.mayRun[o.number-1] = o.mayRun[o.number-1] || fault == FaultBroken
+					o.life.Fail(o.number, fault)
+					o.open = false
+				}
+			},
+			"resume": func(*rapid.T) {
+				if o.number > 0 && o.life.Resume(o.number) == nil {
+					o.open = true
+				}
+			},
+			"frame": func(t *rapid.T) {
+				number := uint32(rapid.IntRange(0, 5).Draw(t, "number"))
+				offset := rapid.IntRange(0, 6).Draw(t, "offset")
+				tokens := rapid.IntRange(0, 2).Draw(t, "tokens")
+				if o.open && number == o.number {
+					o.mayRun[number-1] = true
+				}
+				if o.life.Accept(number, offset, tokens) != VerdictPass {
+					return
+				}
+				if number != o.number || !o.open {
+					t.Fatalf("frame of attempt %d passed on during %d", number, o.number)
+				}
+				for i := range tokens {
+					o.got = append(o.got, int(number)*1000+offset+i)
+				}
+			},
+			"give up": func(*rapid.T) { o.life.GiveUp() },
+			"":        o.check,
+		})
+	})
+}
