--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -79,9 +79,10 @@
 }
 
 // surelyNotRun reports whether the attempt cannot have run. An open attempt
-// may still write.
+// may still write, and an engine that first refuses and then sends frames is
+// believed to have run the request.
 func (r *Record) surelyNotRun() bool {
-	return !r.Open && (!r.Wrote || r.Refused)
+	return !r.Open && !r.Admitted && (!r.Wrote || r.Refused)
 }
 
 // Policy says what may be tried for one request.
--- a/request/attempt/attempt_test.go
+++ b/request/attempt/attempt_test.go
@@ -97,6 +97,10 @@
 			l.Fail(n, FaultBroken)
 			l.AbandonResume(n)
 		}, StepStop},
+		{"refused, then a frame, once", Policy{Once: true, Attempts: 3}, func(l *Life, n uint32) {
+			l.Fail(n, FaultRefused)
+			l.Accept(n, 0, 1)
+		}, StepStop},
 		{"finished", Policy{Attempts: 3}, func(l *Life, n uint32) { l.Finish(n) }, StepStop},
 	}
 	for _, test := range cases {
