--- /dev/null
+++ b/connection/operator/calls.go
@@ -0,0 +1,173 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/landingtrail/landingtrail/connection/operatorapi"
+	"github.com/landingtrail/landingtrail/version/api"
+)
+
+// inForcePause is the time between two questions for what is in force.
+const inForcePause = 20 * time.Millisecond
+
+// outcomes lists the codes of a transaction's own answers, whatever their HTTP status.
+var outcomes = map[api.OutcomeCode]bool{
+	api.OutcomeAccepted:          true,
+	api.OutcomeRevisionConflict:  true,
+	api.OutcomeOperationConflict: true,
+	api.OutcomeIntentConflict:    true,
+	api.OutcomeInvalid:           true,
+	api.OutcomeTooBroad:          true,
+}
+
+// Transact sends a transaction until its answer is known. A transaction with
+// an operation ID is resent after a lost answer and then brings the first one.
+func (c *Client) Transact(ctx context.Context, transaction api.Transaction) (api.TransactionResult, error) {
+	body, err := json.Marshal(transaction)
+	if err != nil {
+		return api.TransactionResult{}, errors.Wrap(err, "operator: encode transaction")
+	}
+	repeatable := transaction.OperationID != "" || transaction.DryRun
+	received, err := c.do(ctx, request{
+		method: http.MethodPost,
+		path:   operatorapi.PathTransactions,
+		body:   body,
+		resend: repeatable,
+	})
+	if err != nil {
+		return api.TransactionResult{}, err
+	}
+	var result api.TransactionResult
+	if err := json.Unmarshal(received.body, &result); err == nil && outcomes[result.Code] {
+		return result, nil
+	}
+	return api.TransactionResult{}, refusal(received)
+}
+
+// Objects reads the objects of a kind, or the one with the name.
+func (c *Client) Objects(ctx context.Context, kind api.Kind, name string) (operatorapi.ObjectList, error) {
+	path := operatorapi.PathObjects + "/" + url.PathEscape(string(kind))
+	if name != "" {
+		path += "/" + url.PathEscape(name)
+	}
+	var list operatorapi.ObjectList
+	return list, c.read(ctx, path, &list)
+}
+
+// Object reads one object; the pointer is nil when it does not exist.
+func (c *Client) Object(ctx context.Context, key api.Key) (*api.Object, error) {
+	list, err := c.Objects(ctx, key.Kind, key.Name)
+	var refused *RefusedError
+	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	if len(list.Objects) == 0 {
+		return nil, nil
+	}
+	return &list.Objects[0], nil
+}
+
+// InForce reads how far a revision has reached the daemons.
+func (c *Client) InForce(ctx context.Context, revision uint64) (operatorapi.InForce, error) {
+	var state operatorapi.InForce
+	return state, c.read(ctx, fmt.Sprintf("%s?revision=%d", operatorapi.PathInForce, revision), &state)
+}
+
+// WaitInForce asks until the revision is in force everywhere or ctx ends; the
+// last state that was read comes with the error.
+func (c *Client) WaitInForce(ctx context.Context, revision uint64) (operatorapi.InForce, error) {
+	ticker := time.NewTicker(inForcePause)
+	defer ticker.Stop()
+	var last operatorapi.InForce
+	for {
+		state, err := c.InForce(ctx, revision)
+		if err != nil {
+			return last, err
+		}
+		last = state
+		if state.Done {
+			return state, nil
+		}
+		select {
+		case <-ctx.Done():
+			return last, errors.Wrap(ctx.Err(), "operator: not in force yet")
+		case <-ticker.C:
+		}
+	}
+}
+
+// Status reads the group's status.
+func (c *Client) Status(ctx context.Context) (operatorapi.Status, error) {
+	var status operatorapi.Status
+	return status, c.read(ctx, operatorapi.PathStatus, &status)
+}
+
+// Orders reads the open orders.
+func (c *Client) Orders(ctx context.Context) (operatorapi.OrderList, error) {
+	var orders operatorapi.OrderList
+	return orders, c.read(ctx, operatorapi.PathOrders, &orders)
+}
+
+// Ledger reads one page of claims after the token.
+func (c *Client) Ledger(ctx context.Context, after string, limit int) (operatorapi.Ledger, error) {
+	query := url.Values{}
+	if after != "" {
+		query.Set("after", after)
+	}
+	if limit > 0 {
+		query.Set("limit", fmt.Sprint(limit))
+	}
+	var ledger operatorapi.Ledger
+	return ledger, c.read(ctx, operatorapi.PathLedger+"?"+query.Encode(), &ledger)
+}
+
+// ChangeMembers asks for one step of a membership change. It is not resent
+// after a lost answer: read the status first.
+func (c *Client) ChangeMembers(ctx context.Context, change operatorapi.MemberRequest) (operatorapi.MemberReply, error) {
+	body, err := json.Marshal(change)
+	if err != nil {
+		return operatorapi.MemberReply{}, errors.Wrap(err, "operator: encode membership change")
+	}
+	received, err := c.do(ctx, request{method: http.MethodPost, path: operatorapi.PathMembers, body: body})
+	if err != nil {
+		return operatorapi.MemberReply{}, err
+	}
+	var reply operatorapi.MemberReply
+	return reply, decodeAnswer(received, &reply)
+}
+
+func (c *Client) read(ctx context.Context, path string, target any) error {
+	received, err := c.do(ctx, request{method: http.MethodGet, path: path, resend: true})
+	if errors.Is(err, ErrOutcomeUnknown) {
+		// A read that brought no answer changed nothing.
+		return errors.Wrap(ErrNotAccepted, err.Error())
+	}
+	if err != nil {
+		return err
+	}
+	return decodeAnswer(received, target)
+}
+
+func decodeAnswer(received answer, target any) error {
+	if received.status != http.StatusOK {
+		return refusal(received)
+	}
+	if err := json.Unmarshal(received.body, target); err != nil {
+		return errors.Wrap(err, "operator: decode answer")
+	}
+	return nil
+}
+
+func refusal(received answer) error {
+	return &RefusedError{Status: received.status, Body: decodeError(received)}
+}
--- /dev/null
+++ b/connection/operator/order.go
@@ -0,0 +1,84 @@
+package operator
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// memberOrder is the order in which members are tried: the one that answered
+// last, or that a member named as the leader, goes first.
+type memberOrder struct {
+	mutex     sync.Mutex
+	addresses []string
+	first     string
+}
+
+func newMemberOrder(addresses []string) *memberOrder {
+	return &memberOrder{addresses: append([]string(nil), addresses...)}
+}
+
+// prefer puts address first from now on; an empty one changes nothing.
+func (o *memberOrder) prefer(address string) {
+	if address == "" {
+		return
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.first = address
+}
+
+// list returns every address once, the preferred one first.
+func (o *memberOrder) list() []string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	var ordered []string
+	if o.first != "" {
+		ordered = append(ordered, o.first)
+	}
+	for _, address := range o.addresses {
+		if address != o.first {
+			ordered = append(ordered, address)
+		}
+	}
+	return ordered
+}
+
+// backoff is the growing pause between two rounds over the members.
+type backoff struct {
+	next  time.Duration
+	asked time.Duration
+}
+
+func newBackoff() *backoff { return &backoff{next: firstBackoff} }
+
+// ask keeps a member's Retry-After, at most maxBackoff of it.
+func (b *backoff) ask(pause time.Duration) {
+	b.asked = min(max(b.asked, pause), maxBackoff)
+}
+
+// sleep pauses and reports false when the context ended first.
+func (b *backoff) sleep(ctx context.Context) bool {
+	jittered := b.next/2 + rand.N(b.next/2+1)
+	timer := time.NewTimer(max(jittered, b.asked))
+	defer timer.Stop()
+	b.next = min(2*b.next, maxBackoff)
+	b.asked = 0
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func retryAfter(response *http.Response) time.Duration {
+	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
