--- /dev/null
+++ b/connection/frame/reader.go
@@ -0,0 +1,153 @@
+package frame
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Reader reads a preface and then frames from a connection. A Reader is for one
+// goroutine at a time.
+type Reader struct {
+	conn       net.Conn
+	buffered   *bufio.Reader
+	protocol   Protocol
+	maxPayload uint32
+	timeout    time.Duration
+	opened     bool
+}
+
+// NewReader returns a Reader that refuses payloads above maxPayload bytes and
+// gives each frame the given time to arrive whole; zero sets no deadline.
+func NewReader(conn net.Conn, protocol Protocol, maxPayload uint32, timeout time.Duration) *Reader {
+	return &Reader{
+		conn:       conn,
+		buffered:   bufio.NewReaderSize(conn, 32<<10),
+		protocol:   protocol,
+		maxPayload: maxPayload,
+		timeout:    timeout,
+	}
+}
+
+// SetTimeout changes the time that each following frame is given to arrive.
+func (r *Reader) SetTimeout(timeout time.Duration) { r.timeout = timeout }
+
+// SetMaxPayload changes the largest payload that is accepted, in bytes.
+func (r *Reader) SetMaxPayload(maxPayload uint32) { r.maxPayload = maxPayload }
+
+// ReadFrame returns the next frame; its payload belongs to the caller. It
+// returns io.EOF when the stream ends between frames, ErrTruncated when it ends
+// inside one, and ErrForeignProtocol, ErrVersion, ErrTooLarge or ErrChecksum as
+// soon as the bytes at hand prove the fault.
+func (r *Reader) ReadFrame() (Frame, error) {
+	if err := r.setDeadline(); err != nil {
+		return Frame{}, err
+	}
+	if err := r.open(); err != nil {
+		return Frame{}, err
+	}
+	var fixed [HeaderSize]byte
+	if err := r.readHeader(fixed[:]); err != nil {
+		return Frame{}, err
+	}
+	h := parseHeader(fixed[:])
+	if h.length > r.maxPayload {
+		return Frame{}, errors.Wrapf(ErrTooLarge, "payload of %d bytes, at most %d", h.length, r.maxPayload)
+	}
+	payload, err := r.readPayload(int(h.length))
+	if err != nil {
+		return Frame{}, err
+	}
+	if checksum(h.length, h.kind, payload) != h.checksum {
+		return Frame{}, errors.Wrapf(ErrChecksum, "frame of kind %d", h.kind)
+	}
+	return Frame{Kind: h.kind, Payload: payload}, nil
+}
+
+func (r *Reader) setDeadline() error {
+	deadline := time.Time{}
+	if r.timeout > 0 {
+		deadline = time.Now().Add(r.timeout)
+	}
+	return errors.Wrap(r.conn.SetReadDeadline(deadline), "frame: set deadline")
+}
+
+// open checks the preface byte by byte, so that a foreign protocol is refused at
+// its first differing byte and not only when a whole preface has arrived.
+func (r *Reader) open() error {
+	if r.opened {
+		return nil
+	}
+	for position, want := range magic {
+		got, err := r.buffered.ReadByte()
+		if err != nil {
+			return prefaceError(err, position)
+		}
+		if got != want {
+			return errors.Wrapf(ErrForeignProtocol, "byte %d is %#02x", position, got)
+		}
+	}
+	var fixed [PrefaceSize - len(magic)]byte
+	if _, err := io.ReadFull(r.buffered, fixed[:]); err != nil {
+		return prefaceError(err, len(magic))
+	}
+	got := Protocol{ID: binary.BigEndian.Uint16(fixed[0:]), Version: binary.BigEndian.Uint16(fixed[2:])}
+	if got.ID != r.protocol.ID {
+		return errors.Wrapf(ErrForeignProtocol, "protocol %d, expected %d", got.ID, r.protocol.ID)
+	}
+	if got.Version != r.protocol.Version {
+		return errors.Wrapf(ErrVersion, "version %d, expected %d", got.Version, r.protocol.Version)
+	}
+	r.opened = true
+	return nil
+}
+
+// prefaceError turns an end of the stream inside the preface into ErrTruncated.
+func prefaceError(err error, position int) error {
+	if position == 0 && errors.Is(err, io.EOF) {
+		return io.EOF
+	}
+	return truncated(err, "preface")
+}
+
+func (r *Reader) readHeader(fixed []byte) error {
+	count, err := io.ReadFull(r.buffered, fixed)
+	if err == nil {
+		return nil
+	}
+	if count == 0 && errors.Is(err, io.EOF) {
+		return io.EOF
+	}
+	return truncated(err, "header")
+}
+
+// readPayload reserves memory as bytes arrive: at most twice what was received,
+// or one growStep.
+func (r *Reader) readPayload(length int) ([]byte, error) {
+	payload := make([]byte, 0, min(length, growStep))
+	for len(payload) < length {
+		if len(payload) == cap(payload) {
+			grown := make([]byte, len(payload), min(length, 2*cap(payload)))
+			copy(grown, payload)
+			payload = grown
+		}
+		start := len(payload)
+		count, err := io.ReadFull(r.buffered, payload[start:cap(payload)])
+		payload = payload[:start+count]
+		if err != nil {
+			return nil, truncated(err, "payload")
+		}
+	}
+	return payload, nil
+}
+
+func truncated(err error, part string) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return errors.Wrap(ErrTruncated, part)
+	}
+	return errors.Wrapf(err, "frame: read %s", part)
+}
--- /dev/null
+++ b/connection/frame/writer.go
@@ -0,0 +1,79 @@
+package frame
+
+import (
+	"bufio"
+	"math"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Writer writes a preface and then frames to a connection. Frames are buffered
+// until Flush. A Writer is for one goroutine at a time.
+type Writer struct {
+	conn     net.Conn
+	buffered *bufio.Writer
+	protocol Protocol
+	timeout  time.Duration
+	opened   bool
+}
+
+// NewWriter returns a Writer that allows each write to the connection the given
+// time; zero sets no deadline.
+func NewWriter(conn net.Conn, protocol Protocol, timeout time.Duration) *Writer {
+	w := &Writer{conn: conn, protocol: protocol, timeout: timeout}
+	w.buffered = bufio.NewWriterSize(deadlineWriter{w}, 32<<10)
+	return w
+}
+
+// WriteFrame adds a frame to the buffer. The
+// preface goes ahead of the first frame.
+func (w *Writer) WriteFrame(kind Kind, payload []byte) error {
+	if uint64(len(payload)) > math.MaxUint32 {
+		return errors.Wrapf(ErrTooLarge, "payload of %d bytes", len(payload))
+	}
+	if err := w.open(); err != nil {
+		return err
+	}
+	length := uint32(len(payload))
+	var fixed [HeaderSize]byte
+	putHeader(fixed[:], header{length: length, kind: kind, checksum: checksum(length, kind, payload)})
+	if _, err := w.buffered.Write(fixed[:]); err != nil {
+		return errors.Wrap(err, "frame: write header")
+	}
+	if _, err := w.buffered.Write(payload); err != nil {
+		return errors.Wrap(err, "frame: write payload")
+	}
+	return nil
+}
+
+// Flush sends what is buffered, and the preface if nothing was sent yet.
+func (w *Writer) Flush() error {
+	if err := w.open(); err != nil {
+		return err
+	}
+	return errors.Wrap(w.buffered.Flush(), "frame: flush")
+}
+
+func (w *Writer) open() error {
+	if w.opened {
+		return nil
+	}
+	w.opened = true
+	preface := appendPreface(make([]byte, 0, PrefaceSize), w.protocol)
+	_, err := w.buffered.Write(preface)
+	return errors.Wrap(err, "frame: write preface")
+}
+
+// deadlineWriter sets the write deadline anew for each write to the connection.
+type deadlineWriter struct{ w *Writer }
+
+func (d deadlineWriter) Write(data []byte) (int, error) {
+	if d.w.timeout > 0 {
+		if err := d.w.conn.SetWriteDeadline(time.Now().Add(d.w.timeout)); err != nil {
+			return 0, err
+		}
+	}
+	return d.w.conn.Write(data)
+}
--- /dev/null
+++ b/connection/peer/link.go
@@ -0,0 +1,266 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/pkg/errors"
+)
+
+// chunkBytes is the size of the pieces that a snapshot is sent in.
+const chunkBytes = 64 << 10
+
+// link is the sending side towards one peer.
+type link struct {
+	address   string
+	stop      context.CancelFunc
+	messages  *sender
+	snapshots *sender
+}
+
+func newLink(t *Transport, member raft.MemberID, address string) *link {
+	ctx, cancel := context.WithCancel(t.context)
+	l := &link{
+		address:   address,
+		stop:      cancel,
+		messages:  newSender(t, member, address, laneMessages),
+		snapshots: newSender(t, member, address, laneSnapshots),
+	}
+	t.group.Go(func() { l.messages.run(ctx) })
+	t.group.Go(func() { l.snapshots.run(ctx) })
+	return l
+}
+
+func (l *link) send(message raft.Message) {
+	if message.Kind == raft.MessageSnapshot {
+		l.snapshots.put(message)
+		return
+	}
+	l.messages.put(message)
+}
+
+// sender keeps one outgoing connection for one lane.
+type sender struct {
+	transport *Transport
+	member    raft.MemberID
+	address   string
+	lane      lane
+	queue     *queue
+}
+
+func newSender(t *Transport, member raft.MemberID, address string, l lane) *sender {
+	maxMessages, maxBytes := t.config.QueueMessages, t.config.QueueBytes
+	if l == laneSnapshots {
+		maxMessages, maxBytes = 1, 1 // only the newest snapshot waits
+	}
+	return &sender{transport: t, member: member, address: address, lane: l, queue: newQueue(maxMessages, maxBytes)}
+}
+
+func (s *sender) put(message raft.Message) {
+	if dropped := s.queue.put(message); dropped > 0 {
+		s.transport.count.dropped.Add(uint64(dropped))
+	}
+}
+
+// run connects when there is something to send, and again after each failure.
+func (s *sender) run(ctx context.Context) {
+	retry := backoff{min: s.transport.config.MinBackoff, max: s.transport.config.MaxBackoff}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.queue.wake:
+		}
+		connected, err := s.serve(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if connected > s.transport.config.MaxBackoff {
+			retry.reset()
+		}
+		s.report(err)
+		if !retry.wait(ctx) {
+			return
+		}
+		s.queue.signal()
+	}
+}
+
+func (s *sender) report(err error) {
+	kind := EventDisconnected
+	if errors.Is(err, ErrWrongGroup) || errors.Is(err, ErrWrongMember) || errors.Is(err, ErrHandshake) {
+		kind = EventRefused
+	}
+	s.transport.config.OnEvent(Event{Kind: kind, Member: s.member, Address: s.address, Err: err})
+}
+
+// serve connects and sends until the connection fails or ctx ends. It returns how
+// long the connection was up.
+func (s *sender) serve(ctx context.Context) (time.Duration, error) {
+	config := s.transport.config
+	conn, err := connect(ctx, config, s.address)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	unregister := context.AfterFunc(ctx, func() { conn.Close() })
+	defer unregister()
+	writer := frame.NewWriter(conn, Protocol, config.WriteTimeout)
+	reader := frame.NewReader(conn, Protocol, handshakeBytes, config.DialTimeout)
+	greeting := hello{group: config.Group, sender: config.ID, receiver: s.member, lane: s.lane}
+	if _, err := greet(writer, reader, greeting); err != nil {
+		return 0, err
+	}
+	config.OnEvent(Event{Kind: EventConnected, Member: s.member, Address: s.address})
+	connected := time.Now()
+	broken := make(chan error, 1)
+	reading := make(chan struct{})
+	go func() {
+		defer close(reading)
+		broken <- s.readPongs(reader)
+		conn.Close()
+	}()
+	err = s.sendLoop(ctx, writer, broken)
+	conn.Close()
+	<-reading
+	return time.Since(connected), err
+}
+
+func connect(ctx context.Context, config Config, address string) (net.Conn, error) {
+	dialContext, cancel := context.WithTimeout(ctx, config.DialTimeout)
+	defer cancel()
+	conn, err := config.Dial(dialContext, address)
+	return conn, errors.WithStack(err)
+}
+
+// greet sends the hello and returns the other side's welcome, or its refusal as
+// an error.
+func greet(writer *frame.Writer, reader *frame.Reader, greeting hello) (welcome, error) {
+	if err := writer.WriteFrame(frameHello, greeting.encode()); err != nil {
+		return welcome{}, err
+	}
+	if err := writer.Flush(); err != nil {
+		return welcome{}, err
+	}
+	answer, err := reader.ReadFrame()
+	if err != nil {
+		return welcome{}, err
+	}
+	if answer.Kind != frameWelcome {
+		return welcome{}, errors.Wrapf(ErrHandshake, "frame of kind %d", answer.Kind)
+	}
+	w, err := decodeWelcome(answer.Payload)
+	if err != nil {
+		return welcome{}, err
+	}
+	return w, w.err()
+}
+
+// readPongs returns when the other side stops answering: a connection whose other
+// end is gone in silence would else hold messages for many minutes.
+func (s *sender) readPongs(reader *frame.Reader) error {
+	patience := s.transport.config.AnswerTimeout
+	if s.lane == laneSnapshots {
+		patience *= snapshotPatience
+	}
+	reader.SetTimeout(patience + s.transport.config.PingInterval)
+	for {
+		answer, err := reader.ReadFrame()
+		if err != nil {
+			return errors.Wrap(err, "peer: no answer")
+		}
+		if answer.Kind != framePong {
+			return errors.Wrapf(ErrHandshake, "frame of kind %d", answer.Kind)
+		}
+	}
+}
+
+func (s *sender) sendLoop(ctx context.Context, writer *frame.Writer, broken <-chan error) error {
+	ticker := time.NewTicker(s.transport.config.PingInterval)
+	defer ticker.Stop()
+	for {
+		if err := s.sendQueued(writer); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-broken:
+			return err
+		case <-s.queue.wake:
+		case <-ticker.C:
+			if err := writer.WriteFrame(framePing, nil); err != nil {
+				return err
+			}
+			if err := writer.Flush(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (s *sender) sendQueued(writer *frame.Writer) error {
+	messages := s.queue.takeAll()
+	for i, message := range messages {
+		if err := s.write(writer, message); err != nil {
+			s.transport.count.dropped.Add(uint64(len(messages) - i))
+			return err
+		}
+	}
+	if len(messages) == 0 {
+		return nil
+	}
+	if err := writer.Flush(); err != nil {
+		return err
+	}
+	s.transport.count.sent.Add(uint64(len(messages)))
+	return nil
+}
+
+func (s *sender) write(writer *frame.Writer, message raft.Message) error {
+	encoded := message.AppendBinary(nil)
+	if s.lane == laneMessages {
+		return writer.WriteFrame(frameMessage, encoded)
+	}
+	lastPing := time.Now()
+	for len(encoded) > chunkBytes {
+		if err := writer.WriteFrame(frameChunk, encoded[:chunkBytes]); err != nil {
+			return err
+		}
+		encoded = encoded[chunkBytes:]
+		if time.Since(lastPing) < s.transport.config.PingInterval {
+			continue
+		}
+		lastPing = time.Now()
+		if err := writer.WriteFrame(framePing, nil); err != nil {
+			return err
+		}
+	}
+	return writer.WriteFrame(frameFinalChunk, encoded)
+}
+
+// backoff waits between attempts: each wait is drawn between half the current
+// step and the whole, and the step doubles up to max.
+type backoff struct {
+	min, max time.Duration
+	step     time.Duration
+}
+
+func (b *backoff) reset() { b.step = 0 }
+
+// wait returns false when ctx ended.
+func (b *backoff) wait(ctx context.Context) bool {
+	b.step = min(max(2*b.step, b.min), b.max)
+	timer := time.NewTimer(b.step/2 + rand.N(b.step/2+1))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/connection/peer/queue.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"sync"
+
+	"github.com/landingtrail/landingtrail/process/raft"
+)
+
+// messageOverhead is about what a message takes besides its entries, in bytes.
+const messageOverhead = 128
+
+// queue holds messages for one connection, bounded by number and bytes. When it
+// is full the oldest make room: the newest say most about the sender's state.
+type queue struct {
+	maxMessages int
+	maxBytes    int
+	wake        chan struct{} // has room for one signal
+
+	mutex    sync.Mutex
+	messages []raft.Message
+	bytes    int
+}
+
+func newQueue(maxMessages, maxBytes int) *queue {
+	return &queue{maxMessages: maxMessages, maxBytes: maxBytes, wake: make(chan struct{}, 1)}
+}
+
+// put adds the message and returns how many others were dropped for it.
+func (q *queue) put(message raft.Message) int {
+	q.mutex.Lock()
+	q.messages = append(q.messages, message)
+	q.bytes += messageSize(message)
+	dropped := 0
+	for len(q.messages) > 1 && (len(q.messages) > q.maxMessages || q.bytes > q.maxBytes) {
+		q.bytes -= messageSize(q.messages[0])
+		q.messages[0] = raft.Message{}
+		q.messages = q.messages[1:]
+		dropped++
+	}
+	q.mutex.Unlock()
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+	return dropped
+}
+
+// takeAll returns and removes all messages, oldest first.
+func (q *queue) takeAll() []raft.Message {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	messages := q.messages
+	q.messages, q.bytes = nil, 0
+	return messages
+}
+
+func messageSize(message raft.Message) int {
+	size := messageOverhead
+	for _, entry := range message.Entries {
+		size += len(entry.Data) + messageOverhead/4
+	}
+	if message.Snapshot != nil {
+		size += len(message.Snapshot.Data)
+	}
+	return size
+}
+
+// signal wakes the sender if messages are waiting.
+func (q *queue) signal() {
+	q.mutex.Lock()
+	waiting := len(q.messages) > 0
+	q.mutex.Unlock()
+	if !waiting {
+		return
+	}
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/process/replica/group_test.go
@@ -0,0 +1,258 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// history is a state machine that keeps the commands it applied.
+type history struct {
+	mutex    sync.Mutex
+	commands [][]byte
+}
+
+func (h *history) Apply(entry raft.Entry) any {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.commands = append(h.commands, entry.Data)
+	return len(h.commands)
+}
+
+func (h *history) Snapshot() ([]byte, error) { return h.Capture()() }
+
+func (h *history) Capture() func() ([]byte, error) {
+	commands := h.copy()
+	return func() ([]byte, error) {
+		var data []byte
+		for _, command := range commands {
+			data = binary.BigEndian.AppendUint32(data, uint32(len(command)))
+			data = append(data, command...)
+		}
+		return data, nil
+	}
+}
+
+func (h *history) Restore(data []byte) error {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.commands = nil
+	for len(data) > 0 {
+		length := int(binary.BigEndian.Uint32(data))
+		h.commands = append(h.commands, data[4:4+length])
+		data = data[4+length:]
+	}
+	return nil
+}
+
+func (h *history) copy() [][]byte {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return slices.Clone(h.commands)
+}
+
+func (h *history) contains(command string) bool {
+	return slices.ContainsFunc(h.copy(), func(c []byte) bool { return string(c) == command })
+}
+
+// network connects replicas in memory. A message can be cut off by a filter.
+type network struct {
+	mutex   sync.Mutex
+	members map[raft.MemberID]*Replica
+	cut     func(from, to raft.MemberID) bool
+}
+
+func (n *network) Send(messages []raft.Message) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, message := range messages {
+		receiver := n.members[message.To]
+		if receiver == nil || n.cut != nil && n.cut(message.From, message.To) {
+			continue
+		}
+		receiver.Receive(message)
+	}
+}
+
+func (n *network) setCut(cut func(from, to raft.MemberID) bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.cut = cut
+}
+
+// isolate cuts the member off in both directions.
+func (n *network) isolate(member raft.MemberID) {
+	n.setCut(func(from, to raft.MemberID) bool { return from == member || to == member })
+}
+
+// member is one replica of a group with what survives its stop.
+type member struct {
+	id      raft.MemberID
+	storage Storage
+	machine *history
+	replica *Replica
+}
+
+// group is a replicated group in memory.
+type group struct {
+	t       *testing.T
+	network *network
+	members []*member
+	adjust  func(*Config)
+}
+
+func newGroup(t *testing.T, size int, adjust func(*Config)) *group {
+	g := &group{t: t, network: &network{members: make(map[raft.MemberID]*Replica)}, adjust: adjust}
+	var bootstrap raft.Configuration
+	for id := raft.MemberID(1); id <= raft.MemberID(size); id++ {
+		bootstrap.Voters = append(bootstrap.Voters, id)
+	}
+	for _, id := range bootstrap.Voters {
+		m := &member{id: id, storage: NewMemory()}
+		g.members = append(g.members, m)
+		g.start(m, bootstrap)
+	}
+	return g
+}
+
+func (g *group) start(m *member, bootstrap raft.Configuration) {
+	m.machine = &history{}
+	config := Config{
+		Raft:         raft.Config{ID: m.id, Seed: 7},
+		Storage:      m.storage,
+		Transport:    g.network,
+		StateMachine: m.machine,
+		Bootstrap:    bootstrap,
+	}
+	if g.adjust != nil {
+		g.adjust(&config)
+	}
+	started, err := Start(config)
+	must.NoError(g.t, err)
+	m.replica = started
+	g.network.mutex.Lock()
+	g.network.members[m.id] = started
+	g.network.mutex.Unlock()
+}
+
+// crash stops the member without a handover.
+func (g *group) crash(m *member) {
+	g.network.mutex.Lock()
+	delete(g.network.members, m.id)
+	g.network.mutex.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	m.replica.Stop(ctx)
+}
+
+func (g *group) stopAll() {
+	for _, m := range g.members {
+		g.crash(m)
+	}
+}
+
+// leader waits until a member other than the ones excluded leads with a lease.
+func (g *group) leader(excluded ...*member) *member {
+	for range 1000 {
+		for _, m := range g.members {
+			if slices.Contains(excluded, m) || m.replica.Status().Role != raft.Leader {
+				continue
+			}
+			if m.replica.LeaseRead(context.Background()) == nil {
+				return m
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.t.Fatal("no leader")
+	return nil
+}
+
+// waitEqual waits until all members have applied the same commands.
+func (g *group) waitEqual(members ...*member) {
+	for range 1000 {
+		first := members[0].machine.copy()
+		same := !slices.ContainsFunc(members[1:], func(m *member) bool {
+			return !slices.EqualFunc(first, m.machine.copy(), bytes.Equal)
+		})
+		if same {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.t.Fatal("state machines differ")
+}
+
+func TestGroupAppliesProposalsEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3, nil)
+		defer g.stopAll()
+		leader := g.leader()
+		result, err := leader.replica.Propose(t.Context(), []byte("a"))
+		must.NoError(t, err)
+		must.Eq(t, any(1), result.Value)
+		g.waitEqual(g.members...)
+	})
+}
+
+func TestFollowerNamesTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3, nil)
+		defer g.stopAll()
+		leader := g.leader()
+		for _, m := range g.members {
+			if m == leader {
+				continue
+			}
+			_, err := m.replica.Propose(t.Context(), []byte("a"))
+			must.ErrorIs(t, err, ErrNotLeader)
+			var notLeader *NotLeaderError
+			must.True(t, errors.As(err, &notLeader))
+			must.Eq(t, leader.id, notLeader.Leader)
+		}
+	})
+}
+
+func TestIsolatedLeaderLosesItsLeaseAndItsProposals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3, nil)
+		defer g.stopAll()
+		old := g.leader()
+		g.network.isolate(old.id)
+		_, err := old.replica.Propose(t.Context(), []byte("lost"))
+		must.ErrorIs(t, err, ErrOutcomeUnknown)
+		must.Error(t, old.replica.LeaseRead(t.Context()))
+		g.leader(old)
+		g.network.setCut(nil)
+		_, err = g.leader().replica.Propose(t.Context(), []byte("kept"))
+		must.NoError(t, err)
+		g.waitEqual(g.members...)
+		must.False(t, old.machine.contains("lost"))
+	})
+}
+
+func TestPlannedStopHandsLeadershipOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3, nil)
+		defer g.stopAll()
+		old := g.leader()
+		started := time.Now()
+		must.NoError(t, old.replica.Stop(t.Context()))
+		next := g.leader(old)
+		must.Less(t, DefaultElectionTimeout, time.Since(started))
+		_, err := next.replica.Propose(t.Context(), []byte("a"))
+		must.NoError(t, err)
+	})
+}
--- /dev/null
+++ b/process/replica/handover.go
@@ -0,0 +1,91 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/pkg/errors"
+)
+
+// handoverTimeouts is how many election timeouts a handover may take.
+const handoverTimeouts = 3
+
+// handover is a leadership that is being handed over. While it lasts proposals
+// are refused, and those already in the log are finished first, so that a planned
+// handover leaves no proposal with an unknown outcome.
+type handover struct {
+	request  *request
+	to       raft.MemberID
+	deadline time.Duration
+	asked    bool
+}
+
+func (l *loop) beginHandover(now time.Duration, q *request) {
+	status := l.node.Status()
+	if status.Role != raft.Leader {
+		q.finish(Result{}, &NotLeaderError{Leader: status.Leader})
+		return
+	}
+	if l.handover != nil {
+		q.finish(Result{}, errors.Wrap(ErrTransferFailed, "another handover is in progress"))
+		return
+	}
+	to := q.to
+	if to == raft.None {
+		to = successor(status)
+	}
+	if to == raft.None || to == status.ID {
+		q.finish(Result{}, ErrNoSuccessor)
+		return
+	}
+	l.handover = &handover{request: q, to: to, deadline: now + handoverTimeouts*l.config.Raft.ElectionTimeout}
+}
+
+// successor returns the other voter with the most entries of those that answer.
+func successor(status raft.Status) raft.MemberID {
+	best := raft.None
+	for _, voter := range status.Configuration.Voters {
+		if voter == status.ID || !status.RecentlyActive[voter] {
+			continue
+		}
+		if best == raft.None || status.Match[voter] > status.Match[best] {
+			best = voter
+		}
+	}
+	return best
+}
+
+// continueHandover asks the node once no proposal waits any more, and gives up
+// at the deadline.
+func (l *loop) continueHandover() error {
+	if l.handover == nil {
+		return nil
+	}
+	now := l.config.Clock.Now()
+	if now >= l.handover.deadline {
+		l.endHandover(ErrTransferFailed)
+		return nil
+	}
+	if l.handover.asked || len(l.waiting) > 0 {
+		return nil
+	}
+	l.handover.asked = true
+	if err := l.node.TransferLeadership(now, l.handover.to); err != nil {
+		l.endHandover(errors.Wrap(ErrTransferFailed, err.Error()))
+		return nil
+	}
+	return l.carryOut()
+}
+
+// endHandover answers the handover's caller: losing leadership is its success.
+func (l *loop) endHandover(err error) {
+	if l.handover == nil {
+		return
+	}
+	q := l.handover.request
+	l.handover = nil
+	if errors.Is(err, ErrNotLeader) {
+		err = nil
+	}
+	q.finish(Result{}, err)
+}
--- /dev/null
+++ b/process/replica/loop.go
@@ -0,0 +1,299 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/pkg/errors"
+)
+
+// loop is the goroutine that owns the node. Its fields are used by no other.
+type loop struct {
+	replica   *Replica
+	config    Config
+	node      *raft.Node
+	waiting   map[uint64]waiter   // proposals in the log, by index
+	reads     map[uint64]*request // ReadIndex requests, by request ID
+	confirmed []confirmedRead     // reads that wait for an index to be applied
+	leases    []*request          // lease reads that wait for the end of this step
+	lastRead  uint64
+	applied   uint64
+	ledTerm   uint64 // the term this member leads, 0 when it doesn't
+	handover  *handover
+	snapshots snapshotter
+}
+
+// waiter is a proposal that the leader of term has appended.
+type waiter struct {
+	term    uint64
+	request *request
+}
+
+type confirmedRead struct {
+	index   uint64
+	request *request
+}
+
+func newLoop(r *Replica, node *raft.Node, applied uint64) *loop {
+	return &loop{
+		replica:   r,
+		config:    r.config,
+		node:      node,
+		waiting:   make(map[uint64]waiter),
+		reads:     make(map[uint64]*request),
+		applied:   applied,
+		snapshots: newSnapshotter(r.config, applied),
+	}
+}
+
+func (l *loop) run() {
+	ticker := time.NewTicker(l.config.Raft.HeartbeatInterval / ticksPerHeartbeat)
+	defer ticker.Stop()
+	err := error(nil)
+	for stopped := false; !stopped && err == nil; {
+		select {
+		case <-l.replica.stopping:
+			stopped = true
+		case <-ticker.C:
+			err = l.step()
+		case <-l.replica.mailbox.wake:
+			err = l.step()
+		case result := <-l.snapshots.done:
+			err = l.finishSnapshot(result)
+		}
+	}
+	l.end(err)
+}
+
+// end refuses what waits, closes the storage and then tells that it is over.
+func (l *loop) end(err error) {
+	for _, q := range l.replica.mailbox.close() {
+		q.finish(Result{}, ErrStopped)
+	}
+	l.abandon(ErrStopped)
+	l.snapshots.wait()
+	if closeErr := l.config.Storage.Close(); err == nil {
+		err = closeErr
+	}
+	l.replica.err = err
+	close(l.replica.done)
+}
+
+// step takes all that waits, lets the protocol work on it and carries out what
+// comes of it.
+func (l *loop) step() error {
+	messages, requests := l.replica.mailbox.take()
+	// Read after taking: a message must not be dated before its arrival.
+	now := l.config.Clock.Now()
+	l.node.Tick(now)
+	for _, message := range messages {
+		if err := l.node.Step(now, message); errors.Is(err, raft.ErrDiverged) {
+			return err
+		}
+	}
+	for _, q := range requests {
+		if q.take() {
+			l.begin(now, q)
+		}
+	}
+	if err := l.carryOut(); err != nil {
+		return err
+	}
+	l.observeLeadership()
+	if err := l.continueHandover(); err != nil {
+		return err
+	}
+	l.answerLeaseReads()
+	l.replica.publish(l.node.Status())
+	return l.startSnapshot()
+}
+
+// begin hands the request to the node.
+func (l *loop) begin(now time.Duration, q *request) {
+	switch q.kind {
+	case requestPropose:
+		l.propose(q, func() (uint64, uint64, error) { return l.node.Propose(now, q.data) })
+	case requestChange:
+		l.propose(q, func() (uint64, uint64, error) { return l.node.ProposeChange(now, q.change) })
+	case requestLeaseRead:
+		l.leases = append(l.leases, q)
+	case requestReadIndex:
+		l.lastRead++
+		if err := l.node.ReadIndex(now, l.lastRead); err != nil {
+			q.finish(Result{}, l.refusal(err))
+			return
+		}
+		l.reads[l.lastRead] = q
+	case requestTransfer:
+		l.beginHandover(now, q)
+	}
+}
+
+func (l *loop) propose(q *request, propose func() (term, index uint64, err error)) {
+	if l.handover != nil {
+		q.finish(Result{}, &NotLeaderError{Leader: raft.None})
+		return
+	}
+	term, index, err := propose()
+	if err != nil {
+		q.finish(Result{}, l.refusal(err))
+		return
+	}
+	l.waiting[index] = waiter{term: term, request: q}
+}
+
+// refusal turns the node's error into the one that callers are told.
+func (l *loop) refusal(err error) error {
+	switch {
+	case errors.Is(err, raft.ErrNotLeader):
+		return l.notLeader()
+	case errors.Is(err, raft.ErrTransferPending):
+		return &NotLeaderError{Leader: raft.None}
+	case errors.Is(err, raft.ErrOverloaded):
+		return ErrOverloaded
+	}
+	return err
+}
+
+func (l *loop) notLeader() error { return &NotLeaderError{Leader: l.node.Status().Leader} }
+
+// carryOut does the protocol's work in the order that its safety rests on.
+func (l *loop) carryOut() error {
+	for l.node.HasReady() {
+		ready := l.node.Ready()
+		if err := l.persist(ready); err != nil {
+			return err
+		}
+		if len(ready.Messages) > 0 {
+			l.config.Transport.Send(ready.Messages)
+		}
+		for _, entry := range ready.Committed {
+			l.apply(entry)
+		}
+		l.collectReads(ready)
+		l.node.Advance(ready)
+	}
+	return nil
+}
+
+func (l *loop) persist(ready raft.Ready) error {
+	update := Update{
+		HardState: ready.HardState,
+		Snapshot:  ready.Snapshot,
+		Entries:   ready.Entries,
+		MustSync:  ready.MustSync,
+	}
+	if err := l.config.Storage.Save(update); err != nil {
+		return errors.Wrap(err, "replica: persist")
+	}
+	if ready.Snapshot == nil {
+		return nil
+	}
+	if err := l.config.StateMachine.Restore(ready.Snapshot.Data); err != nil {
+		return errors.Wrap(err, "replica: restore")
+	}
+	l.applied = ready.Snapshot.Index
+	l.snapshots.installed(ready.Snapshot.Index)
+	return nil
+}
+
+// apply carries out one committed entry and answers its proposal.
+func (l *loop) apply(entry raft.Entry) {
+	var value any
+	if entry.Kind == raft.EntryCommand {
+		value = l.config.StateMachine.Apply(entry)
+	}
+	l.applied = entry.Index
+	l.snapshots.applied(entry)
+	waiting, found := l.waiting[entry.Index]
+	if !found {
+		return
+	}
+	delete(l.waiting, entry.Index)
+	if waiting.term != entry.Term {
+		waiting.request.finish(Result{}, ErrOutcomeUnknown)
+		return
+	}
+	waiting.request.finish(Result{Term: entry.Term, Index: entry.Index, Value: value}, nil)
+}
+
+// collectReads answers the reads whose index is applied.
+func (l *loop) collectReads(ready raft.Ready) {
+	for _, state := range ready.ReadStates {
+		if q, found := l.reads[state.RequestID]; found {
+			delete(l.reads, state.RequestID)
+			l.confirmed = append(l.confirmed, confirmedRead{index: state.Index, request: q})
+		}
+	}
+	for _, requestID := range ready.AbortedReads {
+		if q, found := l.reads[requestID]; found {
+			delete(l.reads, requestID)
+			q.finish(Result{}, l.notLeader())
+		}
+	}
+	pending := l.confirmed[:0]
+	for _, read := range l.confirmed {
+		if read.index > l.applied {
+			pending = append(pending, read)
+			continue
+		}
+		read.request.finish(Result{Index: read.index}, nil)
+	}
+	l.confirmed = pending
+}
+
+// answerLeaseReads runs after all disk work of the step and reads the clock
+// again, since the lease may have run out during that work.
+func (l *loop) answerLeaseReads() {
+	if len(l.leases) == 0 {
+		return
+	}
+	status := l.node.Status()
+	valid := l.node.LeaseValid(l.config.Clock.Now())
+	for _, q := range l.leases {
+		switch {
+		case status.Role != raft.Leader:
+			q.finish(Result{}, &NotLeaderError{Leader: status.Leader})
+		case !valid:
+			q.finish(Result{}, ErrLeaseExpired)
+		default:
+			q.finish(Result{Term: status.Term, Index: l.applied}, nil)
+		}
+	}
+	l.leases = nil
+}
+
+// observeLeadership answers the proposals of a term that this member led and no
+// longer leads: whether they get committed is another leader's affair.
+func (l *loop) observeLeadership() {
+	status := l.node.Status()
+	led := uint64(0)
+	if status.Role == raft.Leader {
+		led = status.Term
+	}
+	if l.ledTerm != 0 && l.ledTerm != led {
+		l.abandon(&NotLeaderError{Leader: status.Leader})
+	}
+	l.ledTerm = led
+}
+
+// abandon answers everything that waits for this leadership. Proposals may be in
+// other members' logs, so their outcome is unknown; the rest gets err.
+func (l *loop) abandon(err error) {
+	for index, waiting := range l.waiting {
+		delete(l.waiting, index)
+		waiting.request.finish(Result{}, ErrOutcomeUnknown)
+	}
+	for requestID, q := range l.reads {
+		delete(l.reads, requestID)
+		q.finish(Result{}, err)
+	}
+	for _, read := range l.confirmed {
+		read.request.finish(Result{}, err)
+	}
+	for _, q := range l.leases {
+		q.finish(Result{}, err)
+	}
+	l.confirmed, l.leases = nil, nil
+	l.endHandover(err)
+}
--- /dev/null
+++ b/process/replica/snapshotter.go
@@ -0,0 +1,102 @@
+package replica
+
+import (
+	"sync"
+
+	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/pkg/errors"
+)
+
+// snapshotter decides when a snapshot is due and runs its encoding and writing
+// beside the loop. All fields but group are used by the loop only.
+type snapshotter struct {
+	maxEntries uint64
+	maxBytes   int
+	lastIndex  uint64 // of the last snapshot
+	entries    uint64 // applied since
+	bytes      int    // applied since
+	running    bool
+	done       chan snapshotResult // has room for the one result
+	group      *sync.WaitGroup
+}
+
+type snapshotResult struct {
+	snapshot raft.Snapshot
+	err      error
+}
+
+func newSnapshotter(config Config, lastIndex uint64) snapshotter {
+	return snapshotter{
+		maxEntries: config.SnapshotEntries,
+		maxBytes:   config.SnapshotBytes,
+		lastIndex:  lastIndex,
+		done:       make(chan snapshotResult, 1),
+		group:      &sync.WaitGroup{},
+	}
+}
+
+func (s *snapshotter) applied(entry raft.Entry) {
+	s.entries++
+	s.bytes += len(entry.Data)
+}
+
+// installed notes a snapshot that was received.
+func (s *snapshotter) installed(index uint64) {
+	s.lastIndex, s.entries, s.bytes = index, 0, 0
+}
+
+func (s *snapshotter) due() bool {
+	return !s.running && (s.entries >= s.maxEntries || s.bytes >= s.maxBytes)
+}
+
+func (s *snapshotter) wait() { s.group.Wait() }
+
+// startSnapshot captures the state machine at the applied index if it is time.
+func (l *loop) startSnapshot() error {
+	if !l.snapshots.due() {
+		return nil
+	}
+	snapshot, err := l.node.SnapshotAt(l.applied, nil)
+	if err != nil {
+		return errors.Wrap(err, "replica: snapshot")
+	}
+	encode := l.capture()
+	l.snapshots.installed(l.applied)
+	l.snapshots.running = true
+	l.snapshots.group.Go(func() {
+		data, err := encode()
+		if err == nil {
+			snapshot.Data = data
+			err = l.config.Storage.SaveSnapshot(snapshot)
+		}
+		l.snapshots.done <- snapshotResult{snapshot: snapshot, err: err}
+	})
+	return nil
+}
+
+// capture returns a function that encodes the present state and may be called by
+// another goroutine.
+func (l *loop) capture() func() ([]byte, error) {
+	if capturer, ok := l.config.StateMachine.(Capturer); ok {
+		return capturer.Capture()
+	}
+	data, err := l.config.StateMachine.Snapshot()
+	return func() ([]byte, error) { return data, err }
+}
+
+// finishSnapshot lets the node and the storage drop what the snapshot covers. A
+// snapshot that was overtaken by a received one is no longer needed.
+func (l *loop) finishSnapshot(result snapshotResult) error {
+	l.snapshots.running = false
+	if result.err != nil {
+		return errors.Wrap(result.err, "replica: save snapshot")
+	}
+	err := l.node.Compact(result.snapshot)
+	if errors.Is(err, raft.ErrCompacted) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "replica: compact")
+	}
+	return errors.Wrap(l.config.Storage.Compact(), "replica: compact")
+}
--- /dev/null
+++ b/process/wal/identity.go
@@ -0,0 +1,88 @@
+package wal
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"hash/crc32"
+	"io/fs"
+	"path/filepath"
+
+	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/pkg/errors"
+)
+
+// Identity binds a data folder to one member of one group. The MemberID is drawn
+// at random when the folder is first used and never changes, so a folder that
+// was lost and made anew is another member.
+type Identity struct {
+	Group  uint64
+	Member raft.MemberID
+}
+
+const (
+	identityName  = "identity"
+	identityMagic = 0x4c54_4944_0000_0001 // "LTID", version 1
+)
+
+// identityFile is the content of the identity file. Used is set once the log has
+// held something: from then on an empty log is a lost log.
+type identityFile struct {
+	identity Identity
+	used     bool
+}
+
+func encodeIdentity(content identityFile) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.Uint64(identityMagic)
+	encoder.Uint64(content.identity.Group)
+	encoder.Uint64(uint64(content.identity.Member))
+	encoder.Bool(content.used)
+	encoder.Uint32(crc32.Checksum(encoder.Data(), castagnoli))
+	return encoder.Data()
+}
+
+func decodeIdentity(data []byte) (identityFile, error) {
+	decoder := frame.NewDecoder(data)
+	magic := decoder.Uint64()
+	content := identityFile{
+		identity: Identity{Group: decoder.Uint64(), Member: raft.MemberID(decoder.Uint64())},
+		used:     decoder.Bool(),
+	}
+	sum := decoder.Uint32()
+	if err := decoder.Finish(); err != nil {
+		return identityFile{}, errors.Wrapf(ErrCorrupt, "identity file: %v", err)
+	}
+	if magic != identityMagic || sum != crc32.Checksum(data[:len(data)-4], castagnoli) {
+		return identityFile{}, errors.Wrap(ErrCorrupt, "identity file: checksum mismatch")
+	}
+	return content, nil
+}
+
+// readIdentity returns false when the folder has no identity yet.
+func readIdentity(fileSystem FileSystem, dir string) (identityFile, bool, error) {
+	data, err := fileSystem.ReadFile(filepath.Join(dir, identityName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return identityFile{}, false, nil
+	}
+	if err != nil {
+		return identityFile{}, false, err
+	}
+	content, err := decodeIdentity(data)
+	return content, err == nil, err
+}
+
+func writeIdentity(fileSystem FileSystem, dir string, content identityFile) error {
+	return WriteFile(fileSystem, filepath.Join(dir, identityName), encodeIdentity(content))
+}
+
+// newMember draws a MemberID. Two draws collide with probability 2^-64.
+func newMember() raft.MemberID {
+	for {
+		var data [8]byte
+		rand.Read(data[:]) // never fails: crypto/rand ends the process instead
+		if member := raft.MemberID(binary.BigEndian.Uint64(data[:])); member != raft.None {
+			return member
+		}
+	}
+}
--- /dev/null
+++ b/process/wal/segment.go
@@ -0,0 +1,144 @@
+package wal
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+const segmentSuffix = ".wal"
+
+// segment is the segment that records are appended to.
+type segment struct {
+	file     File
+	sequence uint64
+	salt     uint64
+	size     int64
+}
+
+func segmentName(sequence uint64) string { return fmt.Sprintf("%016x%s", sequence, segmentSuffix) }
+
+// parseSegmentName returns false for files that are no segments.
+func parseSegmentName(name string) (uint64, bool) {
+	digits, found := strings.CutSuffix(name, segmentSuffix)
+	if !found || len(digits) != 16 {
+		return 0, false
+	}
+	sequence, err := strconv.ParseUint(digits, 16, 64)
+	return sequence, err == nil
+}
+
+// createSegment writes a segment with its start record under a temporary name,
+// syncs and renames it. A file that bears a segment's name therefore always has
+// a whole start record, and a shorter one is damage.
+func createSegment(fileSystem FileSystem, dir string, s start) (*segment, error) {
+	salt := newSalt()
+	buffer := binary.BigEndian.AppendUint64(nil, segmentMagic)
+	buffer = binary.BigEndian.AppendUint64(buffer, salt)
+	buffer = appendRecord(buffer, salt, preambleSize, record{kind: recordStart, payload: encodeStart(s)})
+	name := filepath.Join(dir, segmentName(s.sequence))
+	if err := WriteFile(fileSystem, name, buffer); err != nil {
+		return nil, err
+	}
+	file, err := fileSystem.Append(name)
+	if err != nil {
+		return nil, err
+	}
+	return &segment{file: file, sequence: s.sequence, salt: salt, size: int64(len(buffer))}, nil
+}
+
+func newSalt() uint64 {
+	var data [8]byte
+	rand.Read(data[:]) // never fails: crypto/rand ends the process instead
+	return binary.BigEndian.Uint64(data[:])
+}
+
+// append writes the record in one write and syncs it.
+func (s *segment) append(r record) error {
+	buffer := make([]byte, 0, recordHeaderSize+len(r.payload))
+	buffer = appendRecord(buffer, s.salt, s.size, r)
+	if err := writeAndSync(s.file, buffer); err != nil {
+		return err
+	}
+	s.size += int64(len(buffer))
+	return nil
+}
+
+// segmentContent is a segment as read back.
+type segmentContent struct {
+	name     string
+	sequence uint64
+	salt     uint64
+	start    start
+	records  []record // after the start record
+	valid    int64    // bytes up to the end of the last good record
+	data     []byte
+	size     int64
+	later    bool // a good record stands after the first bad one
+}
+
+// torn tells whether bytes that are no record follow the last good record.
+func (c segmentContent) torn() bool { return c.valid < c.size }
+
+// sealed tells whether the last record names a following segment.
+func (c segmentContent) sealed() bool {
+	return len(c.records) > 0 && c.records[len(c.records)-1].kind == recordSeal
+}
+
+// readSegment reads the segment's good records up to the first bad one.
+func readSegment(fileSystem FileSystem, dir, name string, sequence uint64) (segmentContent, error) {
+	data, err := fileSystem.ReadFile(filepath.Join(dir, name))
+	if err != nil {
+		return segmentContent{}, err
+	}
+	content := segmentContent{name: name, sequence: sequence, data: data, size: int64(len(data))}
+	if len(data) < preambleSize {
+		return segmentContent{}, errors.Wrapf(ErrLostLog, "segment %s has %d bytes", name, len(data))
+	}
+	if binary.BigEndian.Uint64(data) != segmentMagic {
+		return segmentContent{}, errors.Wrapf(ErrCorrupt, "segment %s: bad magic", name)
+	}
+	content.salt = binary.BigEndian.Uint64(data[8:])
+	first, ok := parseRecord(data, content.salt, preambleSize)
+	if !ok || first.kind != recordStart {
+		return segmentContent{}, errors.Wrapf(ErrCorrupt, "segment %s: bad start record", name)
+	}
+	if content.start, err = decodeStart(first.payload); err != nil {
+		return segmentContent{}, errors.Wrapf(ErrCorrupt, "segment %s: start record: %v", name, err)
+	}
+	if content.start.sequence != sequence {
+		return segmentContent{}, errors.Wrapf(ErrCorrupt, "segment %s holds segment %d", name, content.start.sequence)
+	}
+	content.readRecords(data, preambleSize+recordHeaderSize+int64(len(first.payload)))
+	return content, nil
+}
+
+func (c *segmentContent) readRecords(data []byte, offset int64) {
+	for offset < int64(len(data)) {
+		next, ok := parseRecord(data, c.salt, offset)
+		if !ok {
+			c.later = recordAfter(data, c.salt, offset+1)
+			break
+		}
+		c.records = append(c.records, next)
+		offset += recordHeaderSize + int64(len(next.payload))
+	}
+	c.valid = offset
+}
+
+// recordAfter tells whether a good record stands anywhere from offset on. Each
+// record is synced before the next is written, so a good record after a bad one
+// proves that the bad one was whole once: damage, not a torn write.
+func recordAfter(data []byte, salt uint64, offset int64) bool {
+	for ; offset+recordHeaderSize <= int64(len(data)); offset++ {
+		if _, ok := parseRecord(data, salt, offset); ok {
+			return true
+		}
+	}
+	return false
+}
