Speak HTTP to engines without ever sending twice

Transport resends by itself on a reused connection; the guard takes away what makes a request replayable. The control test with a plain transport is resent by the same server; the pool's requests are not, for five kinds of request. A connection wrapper, not httptrace, says whether a byte was written, since the transport buffers headers. Streams need their terminal event and each event must belong to the run.

--- /dev/null
+++ b/connection/upstream/event.go
@@ -0,0 +1,135 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of an EventReader.
+var (
+	// ErrCut means that the stream ended without its terminal event.
+	ErrCut = errors.New("stream ended without its terminal event")
+	// ErrEventTooLarge means that an event is longer than the bound.
+	ErrEventTooLarge = errors.New("stream event too large")
+	// ErrAfterTerminal means that bytes came after the terminal event.
+	ErrAfterTerminal = errors.New("bytes after the terminal event")
+)
+
+// terminal is the data of the event that ends a whole stream.
+var terminal = []byte("[DONE]")
+
+// DefaultMaxEvent is the default bound of one event in bytes.
+const DefaultMaxEvent = 256 << 10
+
+// Event is one server-sent event.
+type Event struct {
+	Name string // empty for a plain message
+	Data []byte // valid until the next call of Next
+}
+
+// EventReader reads server-sent events. It returns io.EOF only after the
+// terminal event and the end of the stream.
+type EventReader struct {
+	reader *bufio.Reader
+	limit  int
+	data   []byte
+	line   []byte
+}
+
+// NewEventReader reads events of at most limit bytes; 0 means DefaultMaxEvent.
+func NewEventReader(source io.Reader, limit int) *EventReader {
+	if limit <= 0 {
+		limit = DefaultMaxEvent
+	}
+	return &EventReader{reader: bufio.NewReaderSize(source, defaultBufferSize), limit: limit}
+}
+
+// Next returns the next event, io.EOF after the terminal event, ErrCut when
+// the stream ends before it, or the error of the source.
+func (r *EventReader) Next() (Event, error) {
+	var event Event
+	r.data = r.data[:0]
+	for {
+		line, err := r.readLine()
+		if err != nil {
+			return Event{}, err
+		}
+		if len(line) > 0 {
+			r.field(line, &event)
+			if len(r.data) > r.limit {
+				return Event{}, ErrEventTooLarge
+			}
+			continue
+		}
+		if len(r.data) == 0 {
+			event = Event{} // a comment, or a lone separator
+			continue
+		}
+		event.Data = r.data
+		if event.Name == "" && bytes.Equal(event.Data, terminal) {
+			return Event{}, r.finish()
+		}
+		return event, nil
+	}
+}
+
+// finish reads to the end of the stream, so that the connection can be used again.
+func (r *EventReader) finish() error {
+	for {
+		next, err := r.reader.ReadByte()
+		if err == io.EOF {
+			return io.EOF
+		}
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		if next != '\n' && next != '\r' {
+			return ErrAfterTerminal
+		}
+	}
+}
+
+func (r *EventReader) field(line []byte, event *Event) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "data":
+		if len(r.data) > 0 {
+			r.data = append(r.data, '\n')
+		}
+		r.data = append(r.data, value...)
+	case "event":
+		event.Name = string(value)
+	}
+}
+
+// readLine returns the next line without its end; it is valid until the next call.
+func (r *EventReader) readLine() ([]byte, error) {
+	r.line = r.line[:0]
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		if len(r.line)+len(part) > r.limit {
+			return nil, ErrEventTooLarge
+		}
+		if err == nil && len(r.line) == 0 {
+			return trimLine(part), nil
+		}
+		r.line = append(r.line, part...)
+		switch {
+		case err == nil:
+			return trimLine(r.line), nil
+		case errors.Is(err, bufio.ErrBufferFull):
+		case errors.Is(err, io.EOF):
+			return nil, ErrCut
+		default:
+			return nil, errors.WithStack(err)
+		}
+	}
+}
+
+func trimLine(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+}
--- /dev/null
+++ b/connection/upstream/stream.go
@@ -0,0 +1,119 @@
+package upstream
+
+import (
+	"encoding/json"
+	"io"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/landingtrail/landingtrail/connection/engineapi"
+)
+
+// Errors of a Stream.
+var (
+	// ErrForeign means that an event belongs to another request, attempt or
+	// incarnation than the one that was asked for.
+	ErrForeign = errors.New("stream event of another run")
+	// ErrMalformed means that an event is no StreamEvent.
+	ErrMalformed = errors.New("malformed stream event")
+	// ErrEngine means that the engine ended the stream with an error event.
+	ErrEngine = errors.New("engine ended the stream with an error")
+)
+
+// eventNameError is the name of an error event in a stream.
+const eventNameError = "error"
+
+// Identity names the run whose events are expected.
+type Identity struct {
+	RequestID   string
+	Attempt     uint32
+	Incarnation uint64 // 0 takes that of the first event
+}
+
+// Frame is one verified event of a run.
+type Frame struct {
+	Data   []byte // the event as the engine sent it; valid until the next call of Next
+	Event  engineapi.StreamEvent
+	Tokens int // tokens in the event: one word is one token
+}
+
+// Stream reads the events of one run and verifies that each belongs to it.
+type Stream struct {
+	events   *EventReader
+	identity Identity
+}
+
+// NewStream reads the run's events from source.
+func NewStream(source io.Reader, identity Identity, limit int) *Stream {
+	return &Stream{events: NewEventReader(source, limit), identity: identity}
+}
+
+// Next returns the next frame; io.EOF after a whole stream. Any other error
+// means that the stream is of no further use.
+func (s *Stream) Next() (Frame, error) {
+	event, err := s.events.Next()
+	if err != nil {
+		return Frame{}, err
+	}
+	if event.Name == eventNameError {
+		return Frame{}, errors.Wrap(ErrEngine, engineMessage(event.Data))
+	}
+	frame := Frame{Data: event.Data}
+	if err := json.Unmarshal(event.Data, &frame.Event); err != nil {
+		return Frame{}, errors.Wrap(ErrMalformed, err.Error())
+	}
+	if err := s.verify(&frame.Event); err != nil {
+		return Frame{}, err
+	}
+	frame.Tokens = countTokens(frame.Event.Choices)
+	return frame, nil
+}
+
+func (s *Stream) verify(event *engineapi.StreamEvent) error {
+	if s.identity.Incarnation == 0 {
+		s.identity.Incarnation = event.Incarnation
+	}
+	got := Identity{RequestID: event.ID, Attempt: event.Attempt, Incarnation: event.Incarnation}
+	if got != s.identity {
+		return errors.Wrapf(ErrForeign, "got %s/%d/%d, want %s/%d/%d", got.RequestID, got.Attempt, got.Incarnation,
+			s.identity.RequestID, s.identity.Attempt, s.identity.Incarnation)
+	}
+	if event.Offset < 0 {
+		return errors.Wrap(ErrMalformed, "negative offset")
+	}
+	return nil
+}
+
+func countTokens(choices []engineapi.Choice) int {
+	tokens := 0
+	for i := range choices {
+		tokens += countWords(choices[i].Text)
+		if choices[i].Delta != nil {
+			tokens += countWords(choices[i].Delta.Content)
+		}
+	}
+	return tokens
+}
+
+func countWords(text string) int {
+	count := 0
+	for range strings.FieldsSeq(text) {
+		count++
+	}
+	return count
+}
+
+// maxErrorMessage bounds what is kept of an engine's error.
+const maxErrorMessage = 512
+
+func engineMessage(data []byte) string {
+	var body engineapi.ErrorBody
+	if err := json.Unmarshal(data, &body); err == nil && body.Error.Message != "" {
+		data = []byte(body.Error.Message)
+	}
+	if len(data) > maxErrorMessage {
+		data = data[:maxErrorMessage]
+	}
+	return string(data)
+}
--- /dev/null
+++ b/connection/upstream/upstream.go
@@ -0,0 +1,228 @@
+// Package upstream speaks HTTP to engines and back ends. It stands on
+// net/http's Transport rather than on go-zero's httpc, because the data path
+// must own what httpc decides by itself: which connections are pooled
+// together, when an answer body is read, and above all that no request is ever
+// sent twice. Transport resends a request by itself on a reused connection
+// that died if it counts as replayable; nothing here does: see guard.
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/landingtrail/landingtrail/connection/engineapi"
+)
+
+// Config holds what a Pool is created with. Zero values take the defaults.
+type Config struct {
+	DialTimeout     time.Duration
+	IdleTimeout     time.Duration // of pooled connections
+	MaxIdlePerHost  int
+	MaxHeaderBytes  int64
+	ReadBufferSize  int
+	WriteBufferSize int
+}
+
+// Defaults of a Config.
+const (
+	DefaultDialTimeout    = time.Second
+	DefaultIdleTimeout    = 30 * time.Second
+	DefaultMaxIdlePerHost = 64
+	DefaultMaxHeaderBytes = 64 << 10
+	defaultBufferSize     = 4 << 10
+	keepAliveInterval     = 5 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	if c.DialTimeout <= 0 {
+		c.DialTimeout = DefaultDialTimeout
+	}
+	if c.IdleTimeout <= 0 {
+		c.IdleTimeout = DefaultIdleTimeout
+	}
+	if c.MaxIdlePerHost <= 0 {
+		c.MaxIdlePerHost = DefaultMaxIdlePerHost
+	}
+	if c.MaxHeaderBytes <= 0 {
+		c.MaxHeaderBytes = DefaultMaxHeaderBytes
+	}
+	if c.ReadBufferSize <= 0 {
+		c.ReadBufferSize = defaultBufferSize
+	}
+	if c.WriteBufferSize <= 0 {
+		c.WriteBufferSize = defaultBufferSize
+	}
+	return c
+}
+
+// Pool is the connections of one service's lane. Pools share nothing.
+type Pool struct {
+	transport *http.Transport
+}
+
+// NewPool returns an empty pool.
+func NewPool(config Config) *Pool {
+	config = config.withDefaults()
+	dialer := &net.Dialer{Timeout: config.DialTimeout, KeepAlive: keepAliveInterval}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &trackedConn{Conn: conn}, nil
+	}
+	return &Pool{transport: &http.Transport{
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    config.MaxIdlePerHost,
+		IdleConnTimeout:        config.IdleTimeout,
+		MaxResponseHeaderBytes: config.MaxHeaderBytes,
+		ReadBufferSize:         config.ReadBufferSize,
+		WriteBufferSize:        config.WriteBufferSize,
+		// The answer is passed on as the back end coded it.
+		DisableCompression: true,
+	}}
+}
+
+// Close closes the idle connections.
+func (p *Pool) Close() { p.transport.CloseIdleConnections() }
+
+// strippedHeaders are never passed on. The first two would make the transport
+// take a request for replayable; the others concern one connection only.
+var strippedHeaders = []string{
+	"Idempotency-Key", "X-Idempotency-Key",
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// StripHeaders removes the headers that must not be passed on.
+func StripHeaders(header http.Header) {
+	for _, name := range strippedHeaders {
+		header.Del(name)
+	}
+}
+
+// opaqueBody hides the type of a body from net/http, so that it sets no GetBody.
+type opaqueBody struct{ io.Reader }
+
+func (opaqueBody) Close() error { return nil }
+
+// guard makes the request one that Transport does not replay: its body is not
+// nil, it has no GetBody and no idempotency header. A bodyless request gets an
+// empty body of unknown length, which Transport probes and, for the methods
+// that usually have none, sends as no body.
+func guard(request *http.Request) {
+	StripHeaders(request.Header)
+	request.GetBody = nil
+	if request.Body == nil || request.Body == http.NoBody {
+		request.Body = opaqueBody{eofReader{}}
+		request.ContentLength = 0
+		return
+	}
+	request.Body = guardedBody{request.Body}
+}
+
+type eofReader struct{}
+
+func (eofReader) Read([]byte) (int, error) { return 0, io.EOF }
+
+// guardedBody hides the methods of the caller's body.
+type guardedBody struct{ io.ReadCloser }
+
+// Exchange is one request on its way and what is known of it.
+type Exchange struct {
+	lock  sync.Mutex
+	conns []*trackedConn
+}
+
+func (e *Exchange) gotConn(info httptrace.GotConnInfo) {
+	conn, tracked := info.Conn.(*trackedConn)
+	if !tracked {
+		return
+	}
+	conn.mark()
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.conns = append(e.conns, conn)
+}
+
+// abort seals every connection that the request was given and reports whether
+// a byte was written on any of them.
+func (e *Exchange) abort() bool {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	wrote := false
+	for _, conn := range e.conns {
+		if conn.seal() {
+			wrote = true
+		}
+	}
+	return wrote
+}
+
+// Failure is an exchange that brought no answer.
+type Failure struct {
+	// Wrote is false when surely no byte was written.
+	Wrote bool
+	Cause error
+}
+
+// Error returns the cause's text.
+func (f *Failure) Error() string { return f.Cause.Error() }
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Cause }
+
+// Do sends the request once and returns the head of the answer. Redirects are
+// answers like any other. A failure is always a *Failure. The caller closes
+// the answer's body; a body closed before its end closes the connection.
+func (p *Pool) Do(request *http.Request) (*http.Response, error) {
+	exchange := &Exchange{}
+	trace := &httptrace.ClientTrace{GotConn: exchange.gotConn}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	guard(request)
+	response, err := p.transport.RoundTrip(request)
+	if err != nil {
+		return nil, &Failure{Wrote: exchange.abort(), Cause: errors.WithStack(err)}
+	}
+	response.Body = &answerBody{ReadCloser: response.Body, exchange: exchange}
+	return response, nil
+}
+
+// answerBody closes the connection at once when it is closed before its end.
+// Transport might otherwise read on to save the connection, and a cancelled
+// engine would not notice.
+type answerBody struct {
+	io.ReadCloser
+	exchange *Exchange
+	ended    bool
+}
+
+// Read notes the end of the body.
+func (b *answerBody) Read(buffer []byte) (int, error) {
+	count, err := b.ReadCloser.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		b.ended = true
+	}
+	return count, err
+}
+
+// Close closes the body, and its connection unless the body was read to its end.
+func (b *answerBody) Close() error {
+	if !b.ended {
+		b.exchange.abort()
+	}
+	return b.ReadCloser.Close()
+}
+
+// SurelyRefused reports whether the answer is an engine's explicit refusal
+// before admission.
+func SurelyRefused(response *http.Response) bool {
+	return response.StatusCode >= http.StatusBadRequest && response.Header.Get(engineapi.HeaderAdmitted) == "no"
+}
--- /dev/null
+++ b/connection/upstream/upstream_test.go
@@ -0,0 +1,207 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// rudeServer answers the first request of each connection and closes the
+// connection on every later one after it has read it.
+type rudeServer struct {
+	listener net.Listener
+	later    atomic.Int32 // requests read and not answered
+	done     sync.WaitGroup
+}
+
+func newRudeServer(t *testing.T) *rudeServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := &rudeServer{listener: listener}
+	server.done.Go(server.accept)
+	t.Cleanup(func() {
+		_ = listener.Close()
+		server.done.Wait()
+	})
+	return server
+}
+
+func (s *rudeServer) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.done.Go(func() { s.serve(conn) })
+	}
+}
+
+func (s *rudeServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for served := 0; ; served++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if served > 0 {
+			s.later.Add(1)
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+func (s *rudeServer) request(t *testing.T, method, body string) *http.Request {
+	t.Helper()
+	var source io.Reader
+	if body != "" {
+		source = strings.NewReader(body)
+	}
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+s.listener.Addr().String()+"/", source)
+	must.NoError(t, err)
+	request.Header.Set("Idempotency-Key", "key")
+	request.Header.Set("X-Idempotency-Key", "key")
+	return request
+}
+
+func drain(t *testing.T, response *http.Response) {
+	t.Helper()
+	_, err := io.Copy(io.Discard, response.Body)
+	must.NoError(t, err)
+	must.NoError(t, response.Body.Close())
+}
+
+func TestNoResendOnReusedConnection(t *testing.T) {
+	cases := []struct{ name, method, body string }{
+		{"post with body and key", http.MethodPost, "body"},
+		{"post without body", http.MethodPost, ""},
+		{"get", http.MethodGet, ""},
+		{"delete", http.MethodDelete, ""},
+		{"put", http.MethodPut, "body"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			server := newRudeServer(t)
+			pool := NewPool(Config{})
+			defer pool.Close()
+			first, err := pool.Do(server.request(t, test.method, test.body))
+			must.NoError(t, err)
+			drain(t, first)
+			_, err = pool.Do(server.request(t, test.method, test.body))
+			var failure *Failure
+			must.True(t, errors.As(err, &failure))
+			must.True(t, failure.Wrote)
+			must.Eq(t, 1, server.later.Load())
+		})
+	}
+}
+
+// TestPlainTransportResends shows that the server above does provoke a resend:
+// with a plain transport the same exchange succeeds by being sent twice.
+func TestPlainTransportResends(t *testing.T) {
+	server := newRudeServer(t)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	for range 2 {
+		response, err := transport.RoundTrip(server.request(t, http.MethodPost, "body"))
+		must.NoError(t, err)
+		drain(t, response)
+	}
+	must.Eq(t, 1, server.later.Load())
+}
+
+func TestFailureSaysWhetherWritten(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	address := listener.Addr().String()
+	must.NoError(t, listener.Close())
+	pool := NewPool(Config{})
+	defer pool.Close()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/", strings.NewReader("x"))
+	must.NoError(t, err)
+	_, err = pool.Do(request)
+	var failure *Failure
+	must.True(t, errors.As(err, &failure))
+	must.False(t, failure.Wrote)
+}
+
+func TestSealDecidesAgainstWrite(t *testing.T) {
+	for range 200 {
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		conn := &trackedConn{Conn: near}
+		var wrote bool
+		var count int
+		var both sync.WaitGroup
+		both.Go(func() { count, _ = conn.Write([]byte("x")) })
+		both.Go(func() { wrote = conn.seal() })
+		both.Wait()
+		must.False(t, count > 0 && !wrote)
+		_ = far.Close()
+	}
+}
+
+func TestUnreadAnswerIsNeverReused(t *testing.T) {
+	var conns atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "an answer that is not read whole")
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	pool := NewPool(Config{})
+	defer pool.Close()
+	get := func() *http.Response {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, nil)
+		must.NoError(t, err)
+		response, err := pool.Do(request)
+		must.NoError(t, err)
+		return response
+	}
+	unread := get()
+	_, err := unread.Body.Read(make([]byte, 2))
+	must.NoError(t, err)
+	must.NoError(t, unread.Body.Close())
+	drain(t, get())
+	must.Eq(t, 2, conns.Load())
+	drain(t, get())
+	must.Eq(t, 2, conns.Load())
+}
+
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var requests atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+	}))
+	defer server.Close()
+	pool := NewPool(Config{})
+	defer pool.Close()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, server.URL, strings.NewReader("x"))
+	must.NoError(t, err)
+	response, err := pool.Do(request)
+	must.NoError(t, err)
+	drain(t, response)
+	must.Eq(t, http.StatusTemporaryRedirect, response.StatusCode)
+	must.Eq(t, 1, requests.Load())
+}
