--- /dev/null
+++ b/version/api/validate.go
@@ -0,0 +1,298 @@
+package api
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"slices"
+	"strings"
+)
+
+// Limits of object fields.
+const (
+	MaxNameBytes            = 128
+	MaxReferenceBytes       = 256              // models, versions and adapters
+	MaxDeadlineMilliseconds = 24 * 3600 * 1000 // one day
+)
+
+// Roles lists the roles that an intent may ask for.
+var Roles = []EngineRole{RolePrefill, RoleDecode, RoleMixed}
+
+// Operators lists the operators of a Requirement.
+var Operators = []Operator{OperatorIn, OperatorNotIn, OperatorExists, OperatorDoesNotExist}
+
+// Validate returns every fault of an object's metadata and spec, in the order
+// of the fields; none means that the object is valid. The status is not looked
+// at. Fields are named from the kind on, such as "intent.spec.roles[1]".
+func Validate(o Object) []FieldFault {
+	if _, ok := o.Key(); !ok {
+		return []FieldFault{{Field: "object", Message: "exactly one of intent, engine, service, class and tenant must be set"}}
+	}
+	var c checker
+	switch {
+	case o.Intent != nil:
+		c.intent(o.Intent)
+	case o.Engine != nil:
+		c.engine(o.Engine)
+	case o.Service != nil:
+		c.service(o.Service)
+	case o.Class != nil:
+		c.class(o.Class)
+	case o.Tenant != nil:
+		c.tenant(o.Tenant)
+	}
+	return c.faults
+}
+
+// ValidateSelector returns every fault of a selector; path names the selector.
+// An empty selector is valid: it matches nothing.
+func ValidateSelector(path string, s Selector) []FieldFault {
+	var c checker
+	c.selector(path, s)
+	return c.faults
+}
+
+// ValidateKey returns the faults of the name in a key, which is all that a
+// write that deletes an object needs.
+func ValidateKey(key Key) []FieldFault {
+	var c checker
+	c.name(strings.ToLower(string(key.Kind))+".metadata.name", key.Name)
+	return c.faults
+}
+
+// checker gathers faults.
+type checker struct{ faults []FieldFault }
+
+func (c *checker) add(field, format string, args ...any) {
+	c.faults = append(c.faults, FieldFault{Field: field, Message: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) metadata(path string, m Metadata) {
+	c.name(path+".metadata.name", m.Name)
+	c.labels(path+".metadata.labels", m.Labels)
+}
+
+func (c *checker) name(field, name string) {
+	switch {
+	case name == "":
+		c.add(field, "must not be empty")
+	case len(name) > MaxNameBytes:
+		c.add(field, "must not be longer than %d bytes", MaxNameBytes)
+	case !isName(name):
+		c.add(field, "%q must consist of lower-case letters, digits, '-' and '.', and start and end with a letter or digit", name)
+	}
+}
+
+func (c *checker) optionalName(field, name string) {
+	if name != "" {
+		c.name(field, name)
+	}
+}
+
+func (c *checker) labels(field string, labels Labels) {
+	for _, key := range sortedKeys(labels) {
+		entry := fmt.Sprintf("%s[%q]", field, key)
+		c.labelKey(entry, key)
+		c.labelValue(entry, labels[key])
+	}
+}
+
+func (c *checker) labelKey(field, key string) {
+	if key == "" || len(key) > MaxNameBytes || !isLabelText(key) {
+		c.add(field, "%q is not a label key: 1 to %d letters, digits, '-', '_', '.' and '/', starting and ending with a letter or digit", key, MaxNameBytes)
+	}
+}
+
+func (c *checker) labelValue(field, value string) {
+	if value != "" && (len(value) > MaxNameBytes || !isLabelText(value)) {
+		c.add(field, "%q is not a label value: at most %d letters, digits, '-', '_', '.' and '/', starting and ending with a letter or digit", value, MaxNameBytes)
+	}
+}
+
+func (c *checker) selector(field string, s Selector) {
+	if s.All && (len(s.MatchLabels) > 0 || len(s.MatchExpressions) > 0) {
+		c.add(field+".all", "must not be set together with matchLabels or matchExpressions")
+	}
+	c.labels(field+".matchLabels", s.MatchLabels)
+	for i, requirement := range s.MatchExpressions {
+		c.requirement(fmt.Sprintf("%s.matchExpressions[%d]", field, i), requirement)
+	}
+}
+
+func (c *checker) requirement(field string, r Requirement) {
+	c.labelKey(field+".key", r.Key)
+	switch r.Operator {
+	case OperatorIn, OperatorNotIn:
+		if len(r.Values) == 0 {
+			c.add(field+".values", "must not be empty with operator %s", r.Operator)
+		}
+	case OperatorExists, OperatorDoesNotExist:
+		if len(r.Values) > 0 {
+			c.add(field+".values", "must be empty with operator %s", r.Operator)
+		}
+	default:
+		c.add(field+".operator", "%q is not one of %v", r.Operator, Operators)
+	}
+	for i, value := range r.Values {
+		c.labelValue(fmt.Sprintf("%s.values[%d]", field, i), value)
+	}
+}
+
+func (c *checker) intent(o *Intent) {
+	c.metadata("intent", o.Metadata)
+	c.selector("intent.spec.engines", o.Spec.Engines)
+	c.selector("intent.spec.classes", o.Spec.Classes)
+	c.reference("intent.spec.model", o.Spec.Model)
+	c.reference("intent.spec.version", o.Spec.Version)
+	for i, adapter := range o.Spec.Adapters {
+		field := fmt.Sprintf("intent.spec.adapters[%d]", i)
+		c.reference(field, adapter)
+		if slices.Contains(o.Spec.Adapters[:i], adapter) {
+			c.add(field, "%q is listed twice", adapter)
+		}
+	}
+	c.roles("intent.spec.roles", o.Spec.Roles)
+	c.notNegative("intent.spec.maxUnavailable", float64(o.Spec.MaxUnavailable))
+	c.notNegative("intent.spec.changeCost", o.Spec.ChangeCost)
+}
+
+func (c *checker) roles(field string, roles []EngineRole) {
+	if len(roles) == 0 {
+		c.add(field, "must list at least one role")
+	}
+	for i, role := range roles {
+		entry := fmt.Sprintf("%s[%d]", field, i)
+		if !slices.Contains(Roles, role) {
+			c.add(entry, "%q is not one of %v", role, Roles)
+			continue
+		}
+		if slices.Contains(roles[:i], role) {
+			c.add(entry, "%q is listed twice", role)
+		}
+	}
+}
+
+func (c *checker) reference(field, text string) {
+	switch {
+	case text == "":
+		c.add(field, "must not be empty")
+	case len(text) > MaxReferenceBytes:
+		c.add(field, "must not be longer than %d bytes", MaxReferenceBytes)
+	case strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r > '~' }):
+		c.add(field, "%q must consist of printable ASCII without spaces", text)
+	}
+}
+
+func (c *checker) engine(o *Engine) {
+	c.metadata("engine", o.Metadata)
+	c.address("engine.spec.address", o.Spec.Address)
+	c.optionalName("engine.spec.zone", o.Spec.Zone)
+	c.name("engine.spec.service", o.Spec.Service)
+}
+
+func (c *checker) service(o *Service) {
+	c.metadata("service", o.Metadata)
+	if o.Spec.Type != ServiceModel && o.Spec.Type != ServiceBackend {
+		c.add("service.spec.type", "%q is not one of %v", o.Spec.Type, []ServiceType{ServiceModel, ServiceBackend})
+	}
+	if o.Spec.Type == ServiceModel && len(o.Spec.Backends) > 0 {
+		c.add("service.spec.backends", "must be empty for a model service: its back ends are engines")
+	}
+	names := make(map[string]bool, len(o.Spec.Backends))
+	for i, backend := range o.Spec.Backends {
+		c.backend(fmt.Sprintf("service.spec.backends[%d]", i), backend, names[backend.Name])
+		names[backend.Name] = true
+	}
+	c.notNegative("service.spec.maxInFlight", float64(o.Spec.MaxInFlight))
+}
+
+func (c *checker) backend(field string, b Backend, repeated bool) {
+	c.name(field+".name", b.Name)
+	if repeated && b.Name != "" {
+		c.add(field+".name", "%q is listed twice", b.Name)
+	}
+	c.address(field+".address", b.Address)
+	c.optionalName(field+".zone", b.Zone)
+}
+
+func (c *checker) class(o *Class) {
+	c.metadata("class", o.Metadata)
+	c.name("class.spec.service", o.Spec.Service)
+	deadline := o.Spec.DeadlineMilliseconds
+	if deadline < 1 || deadline > MaxDeadlineMilliseconds {
+		c.add("class.spec.deadlineMilliseconds", "%d is not between 1 and %d", deadline, MaxDeadlineMilliseconds)
+	}
+	c.notNegative("class.spec.queueLimit", float64(o.Spec.QueueLimit))
+	c.notNegative("class.spec.maxInFlight", float64(o.Spec.MaxInFlight))
+}
+
+func (c *checker) tenant(o *Tenant) {
+	c.metadata("tenant", o.Metadata)
+	c.notNegative("tenant.spec.weight", o.Spec.Weight)
+	c.notNegative("tenant.spec.tokensPerSecond", o.Spec.TokensPerSecond)
+	c.notNegative("tenant.spec.burst", o.Spec.Burst)
+	if o.Spec.TokensPerSecond == 0 && o.Spec.Burst > 0 {
+		c.add("tenant.spec.burst", "must be 0 when tokensPerSecond is 0")
+	}
+}
+
+func (c *checker) notNegative(field string, v float64) {
+	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		c.add(field, "%v is not a number of 0 or more", v)
+	}
+}
+
+// address accepts an IP number and a port; host names would make every daemon
+// depend on a name server.
+func (c *checker) address(field, address string) {
+	parsed, err := netip.ParseAddrPort(address)
+	switch {
+	case err != nil:
+		c.add(field, "%q is not an IP number and a port", address)
+	case parsed.Port() == 0:
+		c.add(field, "%q has port 0", address)
+	case parsed.Addr().IsUnspecified(), parsed.Addr().IsMulticast():
+		c.add(field, "%q is not the address of one host", address)
+	}
+}
+
+func isName(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if isLower(s[i]) || isDigit(s[i]) {
+			continue
+		}
+		inner := i > 0 && i < len(s)-1
+		if !inner || (s[i] != '-' && s[i] != '.') {
+			return false
+		}
+	}
+	return true
+}
+
+func isLabelText(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if isLower(s[i]) || isUpper(s[i]) || isDigit(s[i]) {
+			continue
+		}
+		inner := i > 0 && i < len(s)-1
+		if !inner || !strings.ContainsRune("-_./", rune(s[i])) {
+			return false
+		}
+	}
+	return true
+}
+
+func isLower(b byte) bool { return b >= 'a' && b <= 'z' }
+
+func isUpper(b byte) bool { return b >= 'A' && b <= 'Z' }
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+func sortedKeys(labels Labels) []string {
+	keys := make([]string, 0, len(labels))
+	for key := range labels {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/version/binenc/binenc.go
@@ -0,0 +1,216 @@
+// Package binenc encodes the fields of commands, snapshots and deltas. The
+// encoding is canonical: a value has exactly one encoding and the Reader
+// refuses every other, so equal states have equal bytes.
+package binenc
+
+import (
+	"encoding/binary"
+	"math"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of a Reader.
+var (
+	// ErrTruncated is returned when the input ends before the value does.
+	ErrTruncated = errors.New("binenc: truncated input")
+	// ErrMalformed is returned when bytes are not the canonical encoding of any value.
+	ErrMalformed = errors.New("binenc: malformed input")
+	// ErrTrailing is returned when bytes are left after the last value.
+	ErrTrailing = errors.New("binenc: trailing bytes")
+)
+
+// AppendUint appends v as a variable-length integer.
+func AppendUint(b []byte, v uint64) []byte { return binary.AppendUvarint(b, v) }
+
+// AppendInt appends v as a zigzag variable-length integer.
+func AppendInt(b []byte, v int64) []byte { return binary.AppendVarint(b, v) }
+
+// AppendFixed appends v in eight bytes; it suits hashes and drawn numbers.
+func AppendFixed(b []byte, v uint64) []byte { return binary.BigEndian.AppendUint64(b, v) }
+
+// AppendFloat appends the IEEE 754 bits of v.
+func AppendFloat(b []byte, v float64) []byte { return AppendFixed(b, math.Float64bits(v)) }
+
+// AppendBool appends one byte.
+func AppendBool(b []byte, v bool) []byte {
+	if v {
+		return append(b, 1)
+	}
+	return append(b, 0)
+}
+
+// AppendString appends the length and the bytes of v.
+func AppendString(b []byte, v string) []byte {
+	b = AppendUint(b, uint64(len(v)))
+	return append(b, v...)
+}
+
+// AppendBytes appends the length and the bytes of v.
+func AppendBytes(b []byte, v []byte) []byte {
+	b = AppendUint(b, uint64(len(v)))
+	return append(b, v...)
+}
+
+// AppendStrings appends the count and the elements of list.
+func AppendStrings(b []byte, list []string) []byte {
+	b = AppendUint(b, uint64(len(list)))
+	for _, v := range list {
+		b = AppendString(b, v)
+	}
+	return b
+}
+
+// Reader reads values from the front of a buffer. The first error is kept and
+// every later read returns zero values, so that callers check Err once.
+type Reader struct {
+	rest []byte
+	err  error
+}
+
+// NewReader returns a Reader of b. Strings and byte slices that it returns are copies.
+func NewReader(b []byte) *Reader { return &Reader{rest: b} }
+
+// Err returns the first error.
+func (r *Reader) Err() error { return r.err }
+
+// Close returns the first error, or ErrTrailing if input is left.
+func (r *Reader) Close() error {
+	if r.err == nil && len(r.rest) > 0 {
+		r.Fail(ErrTrailing)
+	}
+	return r.err
+}
+
+// Fail records err unless an error was recorded before.
+func (r *Reader) Fail(err error) {
+	if r.err == nil {
+		r.err = err
+	}
+	r.rest = nil
+}
+
+// Rest returns the bytes not yet read; they alias the input.
+func (r *Reader) Rest() []byte { return r.rest }
+
+// Byte reads one byte.
+func (r *Reader) Byte() byte {
+	raw := r.take(1)
+	if raw == nil {
+		return 0
+	}
+	return raw[0]
+}
+
+// Uint reads a variable-length integer.
+func (r *Reader) Uint() uint64 {
+	v, n := binary.Uvarint(r.rest)
+	if !r.advance(n) {
+		return 0
+	}
+	return v
+}
+
+// Uint32 reads a variable-length integer that fits 32 bits.
+func (r *Reader) Uint32() uint32 {
+	v := r.Uint()
+	if v > math.MaxUint32 {
+		r.Fail(ErrMalformed)
+		return 0
+	}
+	return uint32(v)
+}
+
+// Int reads a zigzag variable-length integer.
+func (r *Reader) Int() int64 {
+	v, n := binary.Varint(r.rest)
+	if !r.advance(n) {
+		return 0
+	}
+	return v
+}
+
+// Fixed reads eight bytes.
+func (r *Reader) Fixed() uint64 {
+	raw := r.take(8)
+	if raw == nil {
+		return 0
+	}
+	return binary.BigEndian.Uint64(raw)
+}
+
+// Float reads the IEEE 754 bits of a number.
+func (r *Reader) Float() float64 { return math.Float64frombits(r.Fixed()) }
+
+// Bool reads one byte that is 0 or 1.
+func (r *Reader) Bool() bool {
+	v := r.Byte()
+	if v > 1 {
+		r.Fail(ErrMalformed)
+	}
+	return v == 1
+}
+
+// String reads a string.
+func (r *Reader) String() string { return string(r.take(r.Count(1))) }
+
+// Bytes reads a byte slice; an empty one is nil.
+func (r *Reader) Bytes() []byte {
+	n := r.Count(1)
+	if n == 0 {
+		return nil
+	}
+	return append([]byte(nil), r.take(n)...)
+}
+
+// Strings reads a list of strings; an empty one is nil.
+func (r *Reader) Strings() []string {
+	n := r.Count(1)
+	var list []string
+	for i := 0; i < n && r.err == nil; i++ {
+		list = append(list, r.String())
+	}
+	return list
+}
+
+// Count reads the number of elements that follow. It fails when so many
+// elements of at least minimum bytes cannot be in the input, which bounds what
+// a malformed count can make a caller allocate.
+func (r *Reader) Count(minimum int) int {
+	n := r.Uint()
+	if n > uint64(len(r.rest)/max(minimum, 1)) {
+		r.Fail(ErrTruncated)
+		return 0
+	}
+	return int(n)
+}
+
+// advance skips the n bytes of an integer as the binary package returns them;
+// it refuses encodings that are longer than needed.
+func (r *Reader) advance(n int) bool {
+	switch {
+	case r.err != nil:
+		return false
+	case n == 0:
+		r.Fail(ErrTruncated)
+		return false
+	case n < 0, n > 1 && r.rest[n-1] == 0:
+		r.Fail(ErrMalformed)
+		return false
+	}
+	r.rest = r.rest[n:]
+	return true
+}
+
+func (r *Reader) take(n int) []byte {
+	if r.err != nil {
+		return nil
+	}
+	if n > len(r.rest) {
+		r.Fail(ErrTruncated)
+		return nil
+	}
+	raw := r.rest[:n:n]
+	r.rest = r.rest[n:]
+	return raw
+}
--- /dev/null
+++ b/version/state/codec.go
@@ -0,0 +1,189 @@
+package state
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/binenc"
+)
+
+// ErrUnknownKind is returned by Decode for a command of a kind that this
+// program does not know. A member that meets one must stop applying: it would
+// differ from the others if it passed over the command.
+var ErrUnknownKind = errors.New("state: unknown kind of command")
+
+// Encode encodes a command. It panics if the body of the command's kind is missing.
+func Encode(command Command) []byte {
+	b := append([]byte(nil), byte(command.Kind))
+	b = binenc.AppendInt(b, command.Time)
+	switch command.Kind {
+	case CommandTransaction:
+		b = appendLimits(b, command.Limits)
+		return appendTransaction(b, command.Transaction)
+	case CommandOpenOrder:
+		return appendOpenOrder(b, command.OpenOrder)
+	case CommandCloseOrder:
+		return appendCloseOrder(b, command.CloseOrder)
+	case CommandVoidOrder:
+		b = binenc.AppendString(b, command.VoidOrder.Engine)
+		return binenc.AppendFence(b, command.VoidOrder.Fence)
+	case CommandReportEngine:
+		return appendReport(b, command.EngineReport)
+	case CommandMachines:
+		b = binenc.AppendStrings(b, command.Machines.Leaving)
+		return binenc.AppendStrings(b, command.Machines.Gone)
+	case CommandClaim:
+		return appendClaimRequest(b, command.Claim)
+	case CommandRunOutcome:
+		return appendRunOutcome(b, command.RunOutcome)
+	case CommandMember:
+		return appendMember(b, command.Member)
+	}
+	panic("state: command of unknown kind")
+}
+
+// Decode decodes what Encode made of one command. The error is ErrUnknownKind or
+// one of the binenc errors, wrapped; the command shares no memory with b.
+func Decode(b []byte) (Command, error) {
+	r := binenc.NewReader(b)
+	command := Command{Kind: CommandKind(r.Byte()), Time: r.Int()}
+	if r.Err() == nil && !decodeBody(r, &command) {
+		return Command{}, errors.Wrapf(ErrUnknownKind, "kind %d", command.Kind)
+	}
+	if err := r.Close(); err != nil {
+		return Command{}, errors.Wrapf(err, "state: command of kind %d", command.Kind)
+	}
+	return command, nil
+}
+
+// decodeBody returns false for an unknown kind.
+func decodeBody(r *binenc.Reader, command *Command) bool {
+	switch command.Kind {
+	case CommandTransaction:
+		command.Limits = readLimits(r)
+		command.Transaction = readTransaction(r)
+	case CommandOpenOrder:
+		command.OpenOrder = readOpenOrder(r)
+	case CommandCloseOrder:
+		command.CloseOrder = readCloseOrder(r)
+	case CommandVoidOrder:
+		command.VoidOrder = &VoidOrder{Engine: r.String(), Fence: r.Fence()}
+	case CommandReportEngine:
+		command.EngineReport = readReport(r)
+	case CommandMachines:
+		command.Machines = &Machines{Leaving: r.Strings(), Gone: r.Strings()}
+	case CommandClaim:
+		command.Claim = readClaimRequest(r)
+	case CommandRunOutcome:
+		command.RunOutcome = readRunOutcome(r)
+	case CommandMember:
+		command.Member = readMember(r)
+	default:
+		return false
+	}
+	return true
+}
+
+func appendLimits(b []byte, limits TransactionLimits) []byte {
+	b = binenc.AppendInt(b, int64(limits.MaxAffectedEngines))
+	b = binenc.AppendInt(b, limits.OperationRetention)
+	return binenc.AppendInt(b, limits.ClaimRetention)
+}
+
+func readLimits(r *binenc.Reader) TransactionLimits {
+	return TransactionLimits{
+		MaxAffectedEngines: int(r.Int()),
+		OperationRetention: r.Int(),
+		ClaimRetention:     r.Int(),
+	}
+}
+
+func appendTransaction(b []byte, t *api.Transaction) []byte {
+	b = binenc.AppendString(b, t.OperationID)
+	b = binenc.AppendBool(b, t.DryRun)
+	b = binenc.AppendBool(b, t.AllowBroad)
+	b = binenc.AppendUint(b, uint64(len(t.Writes)))
+	for _, write := range t.Writes {
+		b = binenc.AppendBool(b, write.Delete)
+		b = appendWritten(b, write.Object)
+	}
+	return b
+}
+
+func readTransaction(r *binenc.Reader) *api.Transaction {
+	t := &api.Transaction{OperationID: r.String(), DryRun: r.Bool(), AllowBroad: r.Bool()}
+	const minimumWriteBytes = 2
+	n := r.Count(minimumWriteBytes)
+	for i := 0; i < n && r.Err() == nil; i++ {
+		t.Writes = append(t.Writes, api.Write{Delete: r.Bool(), Object: readWritten(r)})
+	}
+	return t
+}
+
+// appendWritten appends an object as a writer sent it, which may wrongly have
+// several kinds set or none: the machine faults it, not the codec.
+func appendWritten(b []byte, o api.Object) []byte {
+	parts := splitKinds(o)
+	b = binenc.AppendUint(b, uint64(len(parts)))
+	for _, part := range parts {
+		b = binenc.AppendObject(b, part)
+	}
+	return b
+}
+
+func splitKinds(o api.Object) []api.Object {
+	var parts []api.Object
+	if o.Intent != nil {
+		parts = append(parts, api.Object{Intent: o.Intent})
+	}
+	if o.Engine != nil {
+		parts = append(parts, api.Object{Engine: o.Engine})
+	}
+	if o.Service != nil {
+		parts = append(parts, api.Object{Service: o.Service})
+	}
+	if o.Class != nil {
+		parts = append(parts, api.Object{Class: o.Class})
+	}
+	if o.Tenant != nil {
+		parts = append(parts, api.Object{Tenant: o.Tenant})
+	}
+	return parts
+}
+
+func readWritten(r *binenc.Reader) api.Object {
+	var o api.Object
+	rank := 0
+	n := r.Count(1)
+	for i := 0; i < n && r.Err() == nil; i++ {
+		part := r.Object()
+		next := mergeKind(&o, part)
+		if next <= rank {
+			r.Fail(binenc.ErrMalformed)
+		}
+		rank = next
+	}
+	return o
+}
+
+// mergeKind sets the part in o and returns the part's place in the order of splitKinds.
+func mergeKind(o *api.Object, part api.Object) int {
+	switch {
+	case part.Intent != nil:
+		o.Intent = part.Intent
+		return 1
+	case part.Engine != nil:
+		o.Engine = part.Engine
+		return 2
+	case part.Service != nil:
+		o.Service = part.Service
+		return 3
+	case part.Class != nil:
+		o.Class = part.Class
+		return 4
+	case part.Tenant != nil:
+		o.Tenant = part.Tenant
+		return 5
+	}
+	return 0
+}
--- a/version/state/command.go
+++ b/version/state/command.go
@@ -21,6 +21,7 @@
 	CommandClaim                               // *ClaimRequest -> api.ClaimResult
 	CommandRunOutcome                          // *RunOutcome -> nothing
 	CommandMember                              // *Member -> nothing
+	CommandVoidOrder                           // *VoidOrder -> VoidOrderResult
 )
 
 // Command is one entry of the log. Exactly the body of its kind is set.
@@ -39,6 +40,7 @@
 	Claim        *ClaimRequest
 	RunOutcome   *RunOutcome
 	Member       *Member
+	VoidOrder    *VoidOrder
 }
 
 // TransactionLimits are the proposing leader's settings, carried in the
@@ -82,6 +84,22 @@
 	Order api.Order // the opened one, or the one that is open
 }
 
+// VoidOrder asks for a fence above the open order's. The engine is then asked
+// to confirm the new fence without any change; once it has, it refuses the old
+// order, which CloseVoid closes. The fence comes from the log as an order's
+// does, since no clock or leader may make one up.
+type VoidOrder struct {
+	Engine string
+	Fence  api.Fence // of the order that is to be void
+}
+
+// VoidOrderResult answers a VoidOrder. Open is false, and Fence zero, when the
+// order with the fence is not open.
+type VoidOrderResult struct {
+	Open  bool
+	Fence api.Fence // the entry's (term, index)
+}
+
 // CloseReason says why an order is closed.
 type CloseReason uint8
 
--- /dev/null
+++ b/version/state/machines.go
@@ -0,0 +1,83 @@
+package state
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/landingtrail/landingtrail/version/api"
+)
+
+// platformList is the platform's last list of machines that are not to be used.
+// Both lists are sorted and free of repetitions.
+type platformList struct {
+	leaving []string
+	gone    []string
+}
+
+// phase returns the phase of an engine that reports the given one.
+func (l *platformList) phase(engine string, reported api.EnginePhase) api.EnginePhase {
+	switch {
+	case contains(l.gone, engine):
+		return api.PhaseGone
+	case contains(l.leaving, engine):
+		return api.PhaseLeaving
+	}
+	return reported
+}
+
+// serviceStatus returns the status of a service with the back ends.
+func (l *platformList) serviceStatus(backends []api.Backend) api.ServiceStatus {
+	var status api.ServiceStatus
+	for _, backend := range backends {
+		switch {
+		case contains(l.gone, backend.Name):
+			status.Gone = append(status.Gone, backend.Name)
+		case contains(l.leaving, backend.Name):
+			status.Leaving = append(status.Leaving, backend.Name)
+		}
+	}
+	slices.Sort(status.Leaving)
+	slices.Sort(status.Gone)
+	return status
+}
+
+// listMachines replaces the platform's list. An engine that is back on the list
+// of live machines is unknown until it reports.
+func (m *Machine) listMachines(machines *Machines) {
+	m.platform = platformList{leaving: nameSet(machines.Leaving), gone: nameSet(machines.Gone)}
+	for _, name := range slices.Sorted(maps.Keys(m.engines.items)) {
+		m.relistEngine(m.engines.items[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(m.services.items)) {
+		m.relistService(m.services.items[name])
+	}
+}
+
+func (m *Machine) relistEngine(engine *api.Engine) {
+	status := engine.Status
+	kept := status.Phase
+	if kept == api.PhaseLeaving || kept == api.PhaseGone {
+		kept = api.PhaseUnknown
+	}
+	status.Phase = m.platform.phase(engine.Name, kept)
+	m.updateEngine(engine, status)
+}
+
+func (m *Machine) relistService(service *api.Service) {
+	status := m.platform.serviceStatus(service.Spec.Backends)
+	if slices.Equal(status.Leaving, service.Status.Leaving) && slices.Equal(status.Gone, service.Status.Gone) {
+		return
+	}
+	next := *service
+	next.Status = status
+	m.put(api.Object{Service: &next})
+}
+
+func nameSet(names []string) []string {
+	return slices.Compact(slices.Sorted(slices.Values(names)))
+}
+
+func contains(sorted []string, name string) bool {
+	_, found := slices.BinarySearch(sorted, name)
+	return found
+}
--- /dev/null
+++ b/version/state/plan.go
@@ -0,0 +1,273 @@
+package state
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/selector"
+)
+
+// maxListedConflicts bounds the conflicts in one answer.
+const maxListedConflicts = 100
+
+// plan is a transaction that was checked against the machine and not yet
+// carried out. Making a plan changes nothing.
+type plan struct {
+	machine     *Machine
+	transaction *api.Transaction
+	keys        []api.Key // of the writes, in order
+	intents     map[string]*api.Intent
+	engines     map[string]*api.Engine // nil for deleted ones, as in intents
+	selected    map[string][]string    // intents of the engines whose selection or wants change
+	result      api.TransactionResult
+}
+
+// newPlan checks a transaction completely; plan.result is the answer to it.
+func (m *Machine) newPlan(transaction *api.Transaction, limits TransactionLimits) *plan {
+	p := &plan{
+		machine:     m,
+		transaction: transaction,
+		intents:     map[string]*api.Intent{},
+		engines:     map[string]*api.Engine{},
+		selected:    map[string][]string{},
+	}
+	p.result = p.check(limits)
+	return p
+}
+
+func (p *plan) check(limits TransactionLimits) api.TransactionResult {
+	if faults := p.fieldFaults(); len(faults) > 0 {
+		return api.TransactionResult{Code: api.OutcomeInvalid, Faults: faults}
+	}
+	if conflicts := p.revisionConflicts(); len(conflicts) > 0 {
+		return api.TransactionResult{Code: api.OutcomeRevisionConflict, Conflicts: conflicts}
+	}
+	if faults := p.orderFaults(); len(faults) > 0 {
+		return api.TransactionResult{Code: api.OutcomeInvalid, Faults: faults}
+	}
+	p.stage()
+	if conflicts := p.intentConflicts(); len(conflicts) > 0 {
+		return api.TransactionResult{Code: api.OutcomeIntentConflict, Conflicts: conflicts}
+	}
+	affected, moved := p.affectedEngines()
+	if limits.MaxAffectedEngines > 0 && moved > limits.MaxAffectedEngines && !p.transaction.AllowBroad {
+		return api.TransactionResult{Code: api.OutcomeTooBroad, AffectedEngines: affected}
+	}
+	accepted := api.TransactionResult{Code: api.OutcomeAccepted, AffectedEngines: affected}
+	if !p.transaction.DryRun {
+		accepted.Revision = p.machine.index
+	}
+	return accepted
+}
+
+// fieldFaults returns all faults that can be seen in the transaction alone.
+func (p *plan) fieldFaults() []api.FieldFault {
+	if len(p.transaction.Writes) == 0 {
+		return []api.FieldFault{{Field: "writes", Message: "must not be empty"}}
+	}
+	var faults []api.FieldFault
+	first := map[api.Key]int{}
+	for i, write := range p.transaction.Writes {
+		prefix := fmt.Sprintf("writes[%d].", i)
+		for _, fault := range writeFaults(write) {
+			faults = append(faults, api.FieldFault{Field: prefix + fault.Field, Message: fault.Message})
+		}
+		key, ok := write.Object.Key()
+		if earlier, repeated := first[key]; ok && repeated {
+			message := fmt.Sprintf("%s is also written by writes[%d]", key, earlier)
+			faults = append(faults, api.FieldFault{Field: prefix + "object", Message: message})
+		} else if ok {
+			first[key] = i
+		}
+		p.keys = append(p.keys, key)
+	}
+	return faults
+}
+
+func writeFaults(write api.Write) []api.FieldFault {
+	key, ok := write.Object.Key()
+	if !write.Delete || !ok {
+		return api.Validate(write.Object)
+	}
+	faults := api.ValidateKey(key)
+	if write.Object.Metadata().Revision == 0 {
+		faults = append(faults, api.FieldFault{Field: "object", Message: "a delete needs the revision that the writer saw"})
+	}
+	return faults
+}
+
+// revisionConflicts compares the revisions that the writer saw with what stands now.
+func (p *plan) revisionConflicts() []api.Conflict {
+	var conflicts []api.Conflict
+	for i, key := range p.keys {
+		current, exists := p.machine.Object(key)
+		var revision uint64
+		if exists {
+			revision = current.Metadata().Revision
+		}
+		if p.transaction.Writes[i].Object.Metadata().Revision == revision {
+			continue
+		}
+		conflict := api.Conflict{Key: key}
+		if exists {
+			conflict.Current = &current
+		}
+		conflicts = append(conflicts, conflict)
+	}
+	return conflicts
+}
+
+// orderFaults refuses to delete engines with open orders: the order could still
+// be carried out while nothing would know of it.
+func (p *plan) orderFaults() []api.FieldFault {
+	var faults []api.FieldFault
+	for i, write := range p.transaction.Writes {
+		if !write.Delete || write.Object.Engine == nil {
+			continue
+		}
+		order := p.machine.engines.items[p.keys[i].Name].Status.OpenOrder
+		if order != nil {
+			message := fmt.Sprintf("engine %s has the open order (%d, %d)", order.Engine, order.Fence.Term, order.Fence.Index)
+			faults = append(faults, api.FieldFault{Field: fmt.Sprintf("writes[%d].delete", i), Message: message})
+		}
+	}
+	return faults
+}
+
+// stage works out which intents select which engines after the writes.
+func (p *plan) stage() {
+	for i, write := range p.transaction.Writes {
+		p.stageWrite(p.keys[i].Name, write)
+	}
+	for name, engine := range p.engines {
+		p.selected[name] = p.selectingIntents(engine)
+	}
+	for name, intent := range p.intents {
+		p.stageIntent(name, intent)
+	}
+}
+
+func (p *plan) stageWrite(name string, write api.Write) {
+	switch {
+	case write.Object.Intent != nil && write.Delete:
+		p.intents[name] = nil
+	case write.Object.Intent != nil:
+		p.intents[name] = write.Object.Intent
+	case write.Object.Engine != nil && write.Delete:
+		p.engines[name] = nil
+	case write.Object.Engine != nil:
+		p.engines[name] = write.Object.Engine
+	}
+}
+
+// selectingIntents evaluates all selectors for a written engine.
+func (p *plan) selectingIntents(engine *api.Engine) []string {
+	if engine == nil {
+		return nil
+	}
+	names := selectingIntents(p.machine.intents.items, engine)
+	for name, intent := range p.intents {
+		selects := intent != nil && selector.Matches(intent.Spec.Engines, engine.Labels)
+		names = withName(names, name, selects)
+	}
+	return names
+}
+
+// stageIntent evaluates the selector of one written intent for the engines that
+// are not written themselves.
+func (p *plan) stageIntent(intentName string, intent *api.Intent) {
+	before := p.machine.selection.engines[intentName]
+	if intent == nil {
+		for name := range before {
+			p.stageSelected(name, intentName, false)
+		}
+		return
+	}
+	for name, engine := range p.machine.engines.items {
+		selects := selector.Matches(intent.Spec.Engines, engine.Labels)
+		if _, selected := before[name]; selects || selected {
+			p.stageSelected(name, intentName, selects)
+		}
+	}
+}
+
+func (p *plan) stageSelected(engine, intent string, selects bool) {
+	if _, written := p.engines[engine]; written {
+		return
+	}
+	names, staged := p.selected[engine]
+	if !staged {
+		names = p.machine.selection.intents[engine]
+	}
+	p.selected[engine] = withName(names, intent, selects)
+}
+
+// intent returns the spec of an intent after the writes.
+func (p *plan) intent(name string) *api.IntentSpec {
+	if intent, written := p.intents[name]; written {
+		return &intent.Spec
+	}
+	return &p.machine.intents.items[name].Spec
+}
+
+// intentConflicts finds engines that are selected by intents which want different things.
+func (p *plan) intentConflicts() []api.Conflict {
+	var conflicts []api.Conflict
+	for _, engine := range slices.Sorted(maps.Keys(p.selected)) {
+		names := p.selected[engine]
+		for i := 1; i < len(names); i++ {
+			if wantSame(p.intent(names[0]), p.intent(names[i])) {
+				continue
+			}
+			conflicts = append(conflicts, api.Conflict{
+				Key:     api.Key{Kind: api.KindEngine, Name: engine},
+				Intents: []string{names[0], names[i]},
+				Engine:  engine,
+			})
+		}
+		if len(conflicts) >= maxListedConflicts {
+			return conflicts[:maxListedConflicts]
+		}
+	}
+	return conflicts
+}
+
+// affectedEngines returns the engines of which something else is wanted after
+// the writes, and how many of them have or were told to have something already.
+func (p *plan) affectedEngines() (names []string, moved int) {
+	for _, name := range slices.Sorted(maps.Keys(p.selected)) {
+		after := p.selected[name]
+		if len(after) == 0 {
+			continue // an engine that no intent selects keeps what it has
+		}
+		same, blank := p.compareWanted(name, p.intent(after[0]))
+		if same {
+			continue
+		}
+		names = append(names, name)
+		if !blank {
+			moved++
+		}
+	}
+	return names, moved
+}
+
+// compareWanted reports whether the engine was already wanted to be what the
+// spec says, and whether nothing was wanted of it so far. An engine that no
+// intent selected counts with what it was last ordered or reported to be.
+func (p *plan) compareWanted(name string, after *api.IntentSpec) (same, blank bool) {
+	if before := p.machine.WantedIntent(name); before != nil {
+		return wantSame(&before.Spec, after), false
+	}
+	engine := p.machine.engines.items[name]
+	if engine == nil {
+		return false, true
+	}
+	assignment := engine.Status.Assignment
+	if order := engine.Status.OpenOrder; order != nil {
+		assignment = order.Assignment
+	}
+	return Satisfies(*after, assignment), assignment.Equal(api.Assignment{})
+}
--- /dev/null
+++ b/version/state/read.go
@@ -0,0 +1,150 @@
+package state
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/selector"
+	"github.com/landingtrail/landingtrail/version/view"
+)
+
+// Version returns the version of the objects.
+func (m *Machine) Version() view.Version { return m.version }
+
+// Applied returns the term and index of the last applied command, zero if none was.
+func (m *Machine) Applied() (term, index uint64) { return m.term, m.index }
+
+// Clock returns the group's clock in milliseconds.
+func (m *Machine) Clock() int64 { return m.clock }
+
+// View returns the objects as an immutable view. It is cheap: the maps are
+// copied only when the next command changes an object of their kind.
+func (m *Machine) View() *view.View {
+	if m.current == nil {
+		m.current = &view.View{
+			Version:  m.version,
+			Intents:  m.intents.share(),
+			Engines:  m.engines.share(),
+			Services: m.services.share(),
+			Classes:  m.classes.share(),
+			Tenants:  m.tenants.share(),
+		}
+	}
+	return m.current
+}
+
+// History returns the view with the changes that are kept for deltas. Other
+// goroutines may make deltas from it while the machine goes on.
+func (m *Machine) History() view.History {
+	return view.History{
+		View:    m.View(),
+		Floor:   m.changesFloor,
+		Changes: m.changes[:len(m.changes):len(m.changes)],
+	}
+}
+
+// DeltaSince returns the delta from a version to the machine's, and false if
+// the version is the machine's or a later one. See view.History.
+func (m *Machine) DeltaSince(from view.Version) (view.Delta, bool) {
+	return m.History().DeltaSince(from)
+}
+
+// Object returns the stored object with the key; it must not be written to.
+func (m *Machine) Object(key api.Key) (api.Object, bool) { return m.peek().Object(key) }
+
+// List returns the objects of a kind, sorted by name.
+func (m *Machine) List(kind api.Kind) []api.Object { return m.peek().List(kind) }
+
+// peek returns a view for use during the call only: its maps are not marked as shared.
+func (m *Machine) peek() *view.View {
+	return &view.View{
+		Intents:  m.intents.items,
+		Engines:  m.engines.items,
+		Services: m.services.items,
+		Classes:  m.classes.items,
+		Tenants:  m.tenants.items,
+	}
+}
+
+// Operation returns the answer that is kept under an operation ID.
+func (m *Machine) Operation(id string) (api.TransactionResult, bool) {
+	e := m.operations.get(id, m.clock)
+	if e == nil {
+		return api.TransactionResult{}, false
+	}
+	return e.value.result, true
+}
+
+// Claim returns the claim that is kept under a tenant's key.
+func (m *Machine) Claim(tenant, key string) (api.Claim, bool) {
+	e := m.claims.get(claimKey{tenant: tenant, key: key}, m.clock)
+	if e == nil {
+		return api.Claim{}, false
+	}
+	return e.value.Claim, true
+}
+
+// OpenOrders returns the open orders, sorted by engine.
+func (m *Machine) OpenOrders() []api.Order {
+	var orders []api.Order
+	for _, name := range slices.Sorted(maps.Keys(m.engines.items)) {
+		if order := m.engines.items[name].Status.OpenOrder; order != nil {
+			orders = append(orders, *order)
+		}
+	}
+	return orders
+}
+
+// Members returns the members that were not removed, sorted by ID.
+func (m *Machine) Members() []Member {
+	var members []Member
+	for _, id := range slices.Sorted(maps.Keys(m.members)) {
+		if member := m.members[id]; !member.Removed {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
+// WantedIntent returns the intent that selects an engine, or nil if none does.
+// Of several, which want the same, it is the first by name.
+func (m *Machine) WantedIntent(engine string) *api.Intent {
+	names := m.selection.intents[engine]
+	if len(names) == 0 {
+		return nil
+	}
+	return m.intents.items[names[0]]
+}
+
+// WantedIntent returns the intent of a view that selects an engine, or nil; see
+// Machine.WantedIntent. It evaluates every selector.
+func WantedIntent(v *view.View, engine *api.Engine) *api.Intent {
+	names := selectingIntents(v.Intents, engine)
+	if len(names) == 0 {
+		return nil
+	}
+	return v.Intents[names[0]]
+}
+
+// IntentStatus counts what a view shows of an intent's engines. It is worked out
+// when read and not stored, since it would change with every engine's report.
+func IntentStatus(v *view.View, intent *api.Intent) api.IntentStatus {
+	var status api.IntentStatus
+	for _, engine := range v.Engines {
+		if !selector.Matches(intent.Spec.Engines, engine.Labels) {
+			continue
+		}
+		status.Engines++
+		phase := engine.Status.Phase
+		switch {
+		case engine.Status.OpenOrder != nil, phase == api.PhaseDraining, phase == api.PhaseChanging:
+			status.Changing++
+		case Satisfies(intent.Spec, engine.Status.Assignment):
+			status.Assigned++
+		default:
+			status.Unassigned++
+		}
+	}
+	return status
+}
--- /dev/null
+++ b/version/state/selection.go
@@ -0,0 +1,88 @@
+package state
+
+import (
+	"slices"
+
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/selector"
+)
+
+// selection is the index of which intents select which engines. It is derived
+// from the stored objects and kept up to date by transactions, so that a change
+// of one label or one intent evaluates no other selector.
+type selection struct {
+	intents map[string][]string            // by engine, sorted; never written to once stored
+	engines map[string]map[string]struct{} // by intent
+}
+
+func newSelection() selection {
+	return selection{intents: map[string][]string{}, engines: map[string]map[string]struct{}{}}
+}
+
+// set stores which intents select an engine.
+func (s *selection) set(engine string, intents []string) {
+	for _, intent := range s.intents[engine] {
+		delete(s.engines[intent], engine)
+	}
+	for _, intent := range intents {
+		if s.engines[intent] == nil {
+			s.engines[intent] = map[string]struct{}{}
+		}
+		s.engines[intent][engine] = struct{}{}
+	}
+	if len(intents) == 0 {
+		delete(s.intents, engine)
+		return
+	}
+	s.intents[engine] = intents
+}
+
+// rebuild derives the index from the stored objects.
+func (s *selection) rebuild(intents map[string]*api.Intent, engines map[string]*api.Engine) {
+	*s = newSelection()
+	for name, engine := range engines {
+		s.set(name, selectingIntents(intents, engine))
+	}
+}
+
+func selectingIntents(intents map[string]*api.Intent, engine *api.Engine) []string {
+	var names []string
+	for name, intent := range intents {
+		if selector.Matches(intent.Spec.Engines, engine.Labels) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// withName returns the sorted list with or without the name; the list itself is
+// not written to.
+func withName(sorted []string, name string, present bool) []string {
+	i, found := slices.BinarySearch(sorted, name)
+	switch {
+	case found == present:
+		return sorted
+	case present:
+		return slices.Insert(slices.Clone(sorted), i, name)
+	}
+	return slices.Delete(slices.Clone(sorted), i, i+1)
+}
+
+// wantSame reports whether two intents want the same of an engine that both select.
+func wantSame(a, b *api.IntentSpec) bool {
+	return a.Model == b.Model &&
+		a.Version == b.Version &&
+		equalSets(a.Adapters, b.Adapters) &&
+		equalSets(a.Roles, b.Roles)
+}
+
+func equalSets[T ~string](a, b []T) bool {
+	if slices.Equal(a, b) {
+		return true
+	}
+	if len(a) != len(b) {
+		return false
+	}
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
--- /dev/null
+++ b/version/state/snapshot_retained.go
@@ -0,0 +1,61 @@
+package state
+
+import (
+	"github.com/landingtrail/landingtrail/version/binenc"
+)
+
+// appendRetained appends the queue of r with the entry that each place in the
+// queue refers to. Outdated places are kept as empty ones, since expire counts
+// them: a restored machine has to free its entries at the same commands.
+func appendRetained[K comparable, V any](b []byte, r *retained[K, V], appendEntry func([]byte, K, *entry[V]) []byte) []byte {
+	b = binenc.AppendUint(b, uint64(len(r.queue)))
+	for _, place := range r.queue {
+		e := r.live(place)
+		b = binenc.AppendBool(b, e != nil)
+		if e == nil {
+			continue
+		}
+		b = binenc.AppendUint(b, e.revision)
+		b = binenc.AppendInt(b, e.expires)
+		b = appendEntry(b, place.key, e)
+	}
+	return b
+}
+
+func readRetained[K comparable, V any](r *binenc.Reader, into *retained[K, V], readEntry func(*binenc.Reader) (K, V)) {
+	n := r.Count(1)
+	for i := 0; i < n && r.Err() == nil; i++ {
+		if !r.Bool() {
+			into.queue = append(into.queue, queued[K]{})
+			continue
+		}
+		e := &entry[V]{revision: r.Uint(), expires: r.Int()}
+		key, value := readEntry(r)
+		if e.revision == 0 || into.shard(key).items[key] != nil {
+			r.Fail(binenc.ErrMalformed)
+			return
+		}
+		e.value = value
+		into.add(key, e)
+	}
+}
+
+func appendOperation(b []byte, id string, e *entry[*operation]) []byte {
+	b = binenc.AppendString(b, id)
+	b = binenc.AppendFixed(b, e.value.bodyHash)
+	return appendResult(b, &e.value.result)
+}
+
+func readOperation(r *binenc.Reader) (string, *operation) {
+	id := r.String()
+	return id, &operation{bodyHash: r.Fixed(), result: readResult(r)}
+}
+
+func appendClaim(b []byte, _ claimKey, e *entry[*claimRecord]) []byte {
+	return appendClaimRecord(b, e.value)
+}
+
+func readClaim(r *binenc.Reader) (claimKey, *claimRecord) {
+	record := readClaimRecord(r)
+	return claimKey{tenant: record.Tenant, key: record.Key}, record
+}
--- /dev/null
+++ b/version/state/transaction.go
@@ -0,0 +1,84 @@
+package state
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/landingtrail/landingtrail/version/api"
+)
+
+// MaxOperationIDBytes bounds the length of an operation ID.
+const MaxOperationIDBytes = 256
+
+// operation is what is kept under an operation ID. It is immutable.
+type operation struct {
+	bodyHash uint64
+	result   api.TransactionResult
+}
+
+// transact executes a transaction at most once for its operation ID.
+//
+// The first answer is kept whether the transaction was accepted or refused, so
+// that a resend cannot get another answer than the first: a refusal that the
+// sender acted on must not turn into a later acceptance. To try again, also
+// with AllowBroad set, a writer draws a new ID. Three answers are not kept: those
+// to dry runs, which change nothing, to an unusable ID, and to an ID that was
+// used with another body, where the first body's answer stays.
+func (m *Machine) transact(transaction *api.Transaction, limits TransactionLimits) api.TransactionResult {
+	if transaction.DryRun {
+		return m.newPlan(transaction, limits).result
+	}
+	if fault, ok := operationFault(transaction.OperationID); !ok {
+		return api.TransactionResult{Code: api.OutcomeInvalid, Faults: []api.FieldFault{fault}}
+	}
+	bodyHash := hashBody(transaction)
+	if e := m.operations.get(transaction.OperationID, m.clock); e != nil {
+		if e.value.bodyHash != bodyHash {
+			return api.TransactionResult{Code: api.OutcomeOperationConflict}
+		}
+		return e.value.result
+	}
+	plan := m.newPlan(transaction, limits)
+	if plan.result.Code == api.OutcomeAccepted {
+		plan.commit()
+	}
+	m.operations.add(transaction.OperationID, &entry[*operation]{
+		revision: m.index,
+		expires:  expiry(m.clock, limits.OperationRetention),
+		value:    &operation{bodyHash: bodyHash, result: plan.result},
+	})
+	return plan.result
+}
+
+func operationFault(id string) (api.FieldFault, bool) {
+	if id != "" && len(id) <= MaxOperationIDBytes {
+		return api.FieldFault{}, true
+	}
+	message := fmt.Sprintf("must have 1 to %d bytes", MaxOperationIDBytes)
+	return api.FieldFault{Field: "operationId", Message: message}, false
+}
+
+// hashBody hashes what a transaction asks for: its writes without the statuses,
+// which are ignored, and whether it may be broad.
+func hashBody(transaction *api.Transaction) uint64 {
+	body := api.Transaction{AllowBroad: transaction.AllowBroad}
+	for _, write := range transaction.Writes {
+		write.Object = withoutStatus(write.Object)
+		body.Writes = append(body.Writes, write)
+	}
+	return xxhash.Sum64(appendTransaction(nil, &body))
+}
+
+func withoutStatus(o api.Object) api.Object {
+	if o.Intent != nil {
+		o.Intent = &api.Intent{Metadata: o.Intent.Metadata, Spec: o.Intent.Spec}
+	}
+	if o.Engine != nil {
+		o.Engine = &api.Engine{Metadata: o.Engine.Metadata, Spec: o.Engine.Spec}
+	}
+	if o.Service != nil {
+		o.Service = &api.Service{Metadata: o.Service.Metadata, Spec: o.Service.Spec}
+	}
+	return o
+}
--- /dev/null
+++ b/version/view/codec.go
@@ -0,0 +1,67 @@
+package view
+
+import (
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/binenc"
+)
+
+// minimumObjectBytes and minimumKeyBytes bound the counts that a decoder believes.
+const (
+	minimumObjectBytes = 4
+	minimumKeyBytes    = 2
+)
+
+// AppendBinary appends the encoding of the delta to b. The objects must each
+// have a kind; the error is always nil and is there for encoding.BinaryAppender.
+func (d Delta) AppendBinary(b []byte) ([]byte, error) {
+	b = appendVersion(b, d.From)
+	b = appendVersion(b, d.To)
+	b = binenc.AppendBool(b, d.Full)
+	b = binenc.AppendUint(b, uint64(len(d.Objects)))
+	for _, o := range d.Objects {
+		b = binenc.AppendObject(b, o)
+	}
+	b = binenc.AppendUint(b, uint64(len(d.Removed)))
+	for _, key := range d.Removed {
+		b = binenc.AppendKey(b, key)
+	}
+	return b, nil
+}
+
+// DecodeDelta decodes what AppendBinary made of one delta. The error is one of
+// the binenc errors; the result shares no memory with b.
+func DecodeDelta(b []byte) (Delta, error) {
+	r := binenc.NewReader(b)
+	d := Delta{From: readVersion(r), To: readVersion(r), Full: r.Bool()}
+	objects := r.Count(minimumObjectBytes)
+	for i := 0; i < objects && r.Err() == nil; i++ {
+		d.Objects = append(d.Objects, r.Object())
+	}
+	removed := r.Count(minimumKeyBytes)
+	for i := 0; i < removed && r.Err() == nil; i++ {
+		d.Removed = append(d.Removed, r.Key())
+	}
+	if err := r.Close(); err != nil {
+		return Delta{}, err
+	}
+	return d, nil
+}
+
+func appendVersion(b []byte, v Version) []byte {
+	return binenc.AppendUint(binenc.AppendUint(b, v.Term), v.Revision)
+}
+
+func readVersion(r *binenc.Reader) Version {
+	return Version{Term: r.Uint(), Revision: r.Uint()}
+}
+
+// keyLess orders keys by kind and name.
+func keyLess(a, b api.Key) int {
+	switch {
+	case a.Kind < b.Kind, a.Kind == b.Kind && a.Name < b.Name:
+		return -1
+	case a == b:
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/version/view/holder.go
@@ -0,0 +1,70 @@
+package view
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Holder holds the current view of one daemon and the lease that bounds its
+// use. Any number of goroutines may use it.
+//
+// Guarantees: the version that Load returns never goes back, whatever deltas
+// arrive in whatever order. Valid is true only while less than the lease has
+// passed since the daemon sent a heartbeat that a leader answered; the time on
+// the way counts against the daemon, so the leader, which counts from the
+// receipt of the heartbeat, never believes a lease lapsed that the daemon still
+// uses. A leader of an older term than the newest seen cannot extend the lease.
+type Holder struct {
+	view       atomic.Pointer[View]
+	validUntil atomic.Int64 // nanoseconds of the monotonic clock
+
+	mu   sync.Mutex // held by writers
+	term uint64     // highest term seen
+}
+
+// NewHolder returns a Holder of the empty view without a lease.
+func NewHolder() *Holder {
+	h := &Holder{}
+	h.view.Store(New())
+	h.validUntil.Store(math.MinInt64)
+	return h
+}
+
+// Load returns the current view.
+func (h *Holder) Load() *View { return h.view.Load() }
+
+// Apply replaces the view by the one that the delta leads to. The error is
+// ErrGap, after which a full delta is needed, or ErrStale, which needs nothing.
+func (h *Holder) Apply(d Delta) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next, err := h.view.Load().Apply(d)
+	if err != nil {
+		return err
+	}
+	h.term = max(h.term, d.To.Term)
+	h.view.Store(next)
+	return nil
+}
+
+// Confirm extends the lease to the given duration after sentAt, when the
+// daemon sent the heartbeat that a leader of the term answered. It returns
+// false and changes nothing if a newer term is known. A lease never gets
+// shorter: the answers to two heartbeats may arrive in either order.
+func (h *Holder) Confirm(sentAt, lease time.Duration, term uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if term < h.term {
+		return false
+	}
+	h.term = term
+	h.validUntil.Store(max(h.validUntil.Load(), int64(sentAt+lease)))
+	return true
+}
+
+// Valid reports whether the lease covers now, a reading of the same monotonic
+// clock as Confirm's sentAt. Callers that act on the view must read the clock
+// after the work that led to the action, since a process may be paused between.
+func (h *Holder) Valid(now time.Duration) bool { return int64(now) < h.validUntil.Load() }
