Estimate with the engine model's constants; hand over to and from mixed engines

A decision whose estimate is past the deadline by the margin is refused as not run. Prompts and decode steps hold each other up in the estimate.

--- a/request/router/estimate.go
+++ b/request/router/estimate.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"github.com/landingtrail/landingtrail/request/prefix"
+)
 
 // Speed is the service-rate model of one engine that costs and estimates are
 // computed from. The zero value of a field takes its default.
@@ -11,6 +15,10 @@
 	StepBase time.Duration
 	// StepPerSequence is what each running sequence adds to a decode step.
 	StepPerSequence time.Duration
+	// StepFullKV is what KV memory in use adds to a step when it is full.
+	StepFullKV time.Duration
+	// ChunkTokens is how much of waiting prompts a mixed engine reads in one step.
+	ChunkTokens int
 	// BlockTokens is the number of tokens in one prefix block.
 	BlockTokens int
 	// HandoverBase and HandoverTokensPerSecond give the time in which KV cache
@@ -21,12 +29,14 @@
 
 // Defaults of Speed.
 const (
-	DefaultPrefillTokensPerSecond  = 8000
-	DefaultStepBase                = 12 * time.Millisecond
+	DefaultPrefillTokensPerSecond  = 11500
+	DefaultStepBase                = 8 * time.Millisecond
 	DefaultStepPerSequence         = 400 * time.Microsecond
-	DefaultBlockTokens             = 64
+	DefaultStepFullKV              = 6 * time.Millisecond
+	DefaultChunkTokens             = 512
+	DefaultBlockTokens             = prefix.BlockWords
 	DefaultHandoverBase            = 5 * time.Millisecond
-	DefaultHandoverTokensPerSecond = 200000
+	DefaultHandoverTokensPerSecond = 38000
 )
 
 func (s Speed) withDefaults() Speed {
@@ -39,6 +49,12 @@
 	if s.StepPerSequence <= 0 {
 		s.StepPerSequence = DefaultStepPerSequence
 	}
+	if s.StepFullKV <= 0 {
+		s.StepFullKV = DefaultStepFullKV
+	}
+	if s.ChunkTokens <= 0 {
+		s.ChunkTokens = DefaultChunkTokens
+	}
 	if s.BlockTokens <= 0 {
 		s.BlockTokens = DefaultBlockTokens
 	}
@@ -56,10 +72,9 @@
 	return float64(max(tokens, 0)) / s.PrefillTokensPerSecond
 }
 
-// decodeSeconds is the time to generate tokens beside others running sequences.
-func (s Speed) decodeSeconds(tokens, others int) float64 {
-	step := s.StepBase.Seconds() + s.StepPerSequence.Seconds()*float64(others+1)
-	return float64(max(tokens, 0)) * step
+// stepSeconds is the time of one decode step of a batch.
+func (s Speed) stepSeconds(sequences int, kvUsed float64) float64 {
+	return s.StepBase.Seconds() + s.StepPerSequence.Seconds()*float64(sequences) + s.StepFullKV.Seconds()*kvUsed
 }
 
 // handoverSeconds is the time to move the KV cache of tokens between engines.
@@ -85,7 +100,7 @@
 // endpoint, whatever the picker does: the queue before it is not counted, since
 // the request may have a higher priority than all of it.
 func (s Speed) minimumSeconds(request *Request, endpoint *Endpoint) float64 {
-	return s.prefillSeconds(s.uncachedTokens(request, endpoint)) + s.decodeSeconds(request.OutputTokens, 0)
+	return s.prefillSeconds(s.uncachedTokens(request, endpoint)) + float64(request.OutputTokens)*s.stepSeconds(1, 0)
 }
 
 func seconds(value float64) time.Duration {
--- a/request/router/router.go
+++ b/request/router/router.go
@@ -14,6 +14,10 @@
 	Filters []Filter
 	Scorers []Scorer
 	Picker  Picker
+	// DeadlineMargin is how many times its deadline a request's estimate may
+	// be before it is refused; above 1 because estimates are rough and a
+	// refusal is final.
+	DeadlineMargin float64
 }
 
 // Defaults of the plugins.
@@ -22,6 +26,8 @@
 	DefaultZoneCost     = 0.002
 	DefaultSlack        = 0.1
 	DefaultSlackSeconds = 0.01
+
+	DefaultDeadlineMargin = 1.25
 )
 
 // DefaultConfig returns the plugins in use unless others are chosen.
@@ -44,6 +50,8 @@
 			ZoneScorer{Cost: DefaultZoneCost},
 		},
 		Picker: TwoChoicePicker{Slack: DefaultSlack, SlackSeconds: DefaultSlackSeconds},
+
+		DeadlineMargin: DefaultDeadlineMargin,
 	}
 }
 
@@ -65,6 +73,9 @@
 	if config.Picker == nil {
 		config.Picker = defaults.Picker
 	}
+	if config.DeadlineMargin == 0 {
+		config.DeadlineMargin = defaults.DeadlineMargin
+	}
 	return &Router{config: config}
 }
 
@@ -84,6 +95,9 @@
 	if !found {
 		return Decision{}, ReasonNoEngine
 	}
+	if request.Deadline > 0 && decision.Estimate.Seconds() > r.config.DeadlineMargin*request.Deadline.Seconds() {
+		return Decision{}, ReasonDeadline
+	}
 	return decision, ReasonNone
 }
 
@@ -109,18 +123,33 @@
 	return groups
 }
 
+// splitCandidates returns the engines that may read and that may generate when
+// a request is split. Mixed engines take the part that no engine is dedicated
+// to; without any dedicated engine there is nothing to split.
+func (g roleGroups) splitCandidates() (readers, generators []*Endpoint) {
+	switch {
+	case len(g.prefill) > 0:
+		return g.prefill, slices.Concat(g.decode, g.mixed)
+	case len(g.decode) > 0:
+		return g.mixed, g.decode
+	default:
+		return nil, nil
+	}
+}
+
 // cheapest compares serving the request whole on one mixed engine with
-// splitting it between a prefill and a decode engine. A decode engine reads
-// the prompt itself only when there is neither a mixed nor a prefill engine.
+// splitting it between two engines. A decode engine reads the prompt itself
+// only when nothing else is possible.
 func (r *Router) cheapest(request *Request, groups roleGroups, random *rand.Rand) (Decision, bool) {
 	whole, haveWhole := r.pick(request, groups.mixed, PartWhole, random)
-	prefill, havePrefill := r.pick(request, groups.prefill, PartPrefill, random)
-	decode, haveDecode := r.pick(request, groups.decode, PartDecode, random)
+	readers, generators := groups.splitCandidates()
+	reader, haveReader := r.pick(request, readers, PartPrefill, random)
+	generator, haveGenerator := r.pick(request, generators, PartDecode, random)
 
-	haveSplit := havePrefill && haveDecode
-	splitCost := prefill.Cost + decode.Cost + r.config.Speed.handoverSeconds(request.PromptTokens)
+	haveSplit := haveReader && haveGenerator
+	splitCost := reader.Cost + generator.Cost + r.config.Speed.handoverSeconds(request.PromptTokens)
 	if haveSplit && (!haveWhole || splitCost < whole.Cost) {
-		return Decision{Target: decode.Endpoint, Prefill: prefill.Endpoint, Estimate: seconds(splitCost)}, true
+		return Decision{Target: generator.Endpoint, Prefill: reader.Endpoint, Estimate: seconds(splitCost)}, true
 	}
 	if !haveWhole {
 		whole, haveWhole = r.pick(request, groups.decode, PartWhole, random)
--- a/request/router/router_test.go
+++ b/request/router/router_test.go
@@ -51,6 +51,23 @@
 			Request{Model: "m", Deadline: -1},
 			[]*Endpoint{engine("a", api.RoleMixed, nil)}, "", "", ReasonDeadline,
 		},
+		{
+			"deadline past the queue",
+			Request{Model: "m", PromptTokens: 10, Deadline: time.Second},
+			[]*Endpoint{engine("a", api.RoleMixed, busy)}, "", "", ReasonDeadline,
+		},
+		{
+			"prefill hands over to mixed",
+			Request{Model: "m", PromptTokens: 1000},
+			[]*Endpoint{engine("p", api.RolePrefill, nil), engine("x", api.RoleMixed, func(e *Endpoint) { e.Load.WaitingTokens = 1000 })},
+			"x", "p", ReasonNone,
+		},
+		{
+			"mixed hands over to decode",
+			Request{Model: "m", PromptTokens: 1000, OutputTokens: 100},
+			[]*Endpoint{engine("d", api.RoleDecode, nil), engine("x", api.RoleMixed, func(e *Endpoint) { e.Load.Running = 30 })},
+			"d", "x", ReasonNone,
+		},
 		{
 			"least loaded",
 			Request{Model: "m"},
--- a/request/router/score.go
+++ b/request/router/score.go
@@ -20,9 +20,9 @@
 	return s.Speed.prefillSeconds(s.Speed.uncachedTokens(request, endpoint))
 }
 
-// LoadScorer is the time that the load on the endpoint adds: the prompts before
-// this one and the slower decode steps of a larger batch. Load is the last
-// report plus this proxy's own dispatches that the report can't contain yet.
+// LoadScorer is the time that generating takes beside the load on the endpoint,
+// and that the load adds to reading. Load is the last report plus this proxy's
+// own dispatches that the report can't contain yet.
 type LoadScorer struct {
 	Speed Speed
 }
@@ -33,12 +33,22 @@
 // Score implements Scorer.
 func (s LoadScorer) Score(request *Request, endpoint *Endpoint, part Part) float64 {
 	load := endpoint.Load
-	queue := s.Speed.prefillSeconds(load.WaitingTokens + load.OwnTokens)
+	tokensBefore := load.WaitingTokens + load.OwnTokens
+	queue := s.Speed.prefillSeconds(tokensBefore)
 	if part == PartPrefill {
 		return queue
 	}
-	others := load.Running + load.Waiting + load.OwnRunning
-	return queue + s.Speed.decodeSeconds(request.OutputTokens, others)
+	sequences := load.Running + load.Waiting + load.OwnRunning + 1
+	step := s.Speed.stepSeconds(sequences, load.KVUsed)
+	generate := float64(request.OutputTokens) * step
+	chunk := float64(s.Speed.ChunkTokens)
+	if part == PartDecode {
+		// The prompts before this request hold up a step by a chunk at most.
+		return generate + min(queue, float64(request.OutputTokens)*s.Speed.prefillSeconds(s.Speed.ChunkTokens))
+	}
+	// The engine decodes a step beside each chunk that it reads.
+	chunks := float64(tokensBefore+s.Speed.uncachedTokens(request, endpoint)) / chunk
+	return queue + chunks*step + generate
 }
 
 // KVScorer grows without bound as the endpoint's KV memory fills, so that an
