--- /dev/null
+++ b/connection/feed/client.go
@@ -0,0 +1,145 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/pkg/errors"
+)
+
+// ClientConfig holds what a Client is created with. Zero durations and bounds
+// take the defaults.
+type ClientConfig struct {
+	// Daemon identifies the subscriber; no two running daemons share it.
+	Daemon string
+	Zone   string
+	// Addresses are the feed addresses of the control members.
+	Addresses []string
+	// BeatInterval is the time between two beats; the view lease should be
+	// several times as long.
+	BeatInterval time.Duration
+	DialTimeout  time.Duration
+	// WriteTimeout bounds each write, SilenceTimeout the time without any frame
+	// from the leader after which another member is tried.
+	WriteTimeout   time.Duration
+	SilenceTimeout time.Duration
+	// BackoffMin and BackoffMax bound the pause between two tries; each pause
+	// is drawn from the upper half of its range.
+	BackoffMin time.Duration
+	BackoffMax time.Duration
+	// MaxInFlight bounds the claims and outcomes that wait for a reply.
+	MaxInFlight int
+	// Clock reads the monotonic clock by which the views' lease counts; nil
+	// counts from the start of the process.
+	Clock  func() time.Duration
+	Logger log.Logger
+}
+
+// Defaults of a ClientConfig.
+const (
+	DefaultBeatInterval   = 500 * time.Millisecond
+	DefaultDialTimeout    = 2 * time.Second
+	DefaultWriteTimeout   = 5 * time.Second
+	DefaultSilenceTimeout = 3 * time.Second
+	DefaultBackoffMin     = 50 * time.Millisecond
+	DefaultBackoffMax     = 2 * time.Second
+	DefaultMaxInFlight    = 1024
+)
+
+func (c ClientConfig) withDefaults() ClientConfig {
+	c.BeatInterval = orDefault(c.BeatInterval, DefaultBeatInterval)
+	c.DialTimeout = orDefault(c.DialTimeout, DefaultDialTimeout)
+	c.WriteTimeout = orDefault(c.WriteTimeout, DefaultWriteTimeout)
+	c.SilenceTimeout = orDefault(c.SilenceTimeout, DefaultSilenceTimeout)
+	c.BackoffMin = orDefault(c.BackoffMin, DefaultBackoffMin)
+	c.BackoffMax = orDefault(c.BackoffMax, DefaultBackoffMax)
+	c.MaxInFlight = orDefault(c.MaxInFlight, DefaultMaxInFlight)
+	if c.Clock == nil {
+		c.Clock = systemClock
+	}
+	if c.Logger == nil {
+		c.Logger = log.NewNopLogger()
+	}
+	return c
+}
+
+// orDefault returns value, or fallback when value is not positive.
+func orDefault[T int | time.Duration](value, fallback T) T {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
+
+// Client follows the leader of the control group. It is safe for concurrent use.
+type Client struct {
+	config    ClientConfig
+	views     Views
+	instance  uint64
+	session   atomic.Pointer[session] // nil while no leader serves the client
+	requestID atomic.Uint64
+	slots     chan struct{} // one for each claim or outcome in flight
+	context   context.Context
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
+}
+
+// Dial starts a client that connects in the background, finds the leader among
+// the addresses and keeps views up to date until Close. It returns ErrConfig
+// when the configuration lacks the daemon or the addresses.
+func Dial(config ClientConfig, views Views) (*Client, error) {
+	if config.Daemon == "" {
+		return nil, errors.Wrap(ErrConfig, "no daemon")
+	}
+	if len(config.Addresses) == 0 {
+		return nil, errors.Wrap(ErrConfig, "no addresses")
+	}
+	client := &Client{config: config.withDefaults(), views: views, instance: rand.Uint64()}
+	client.slots = make(chan struct{}, client.config.MaxInFlight)
+	client.context, client.cancel = context.WithCancel(context.Background())
+	client.done.Go(client.follow)
+	return client, nil
+}
+
+// Close ends the connection and waits for the client's goroutines. Requests
+// that wait for a reply get ErrOutcomeUnknown.
+func (c *Client) Close() {
+	c.cancel()
+	c.done.Wait()
+}
+
+// Connected reports whether a leader serves the client now.
+func (c *Client) Connected() bool { return c.session.Load() != nil }
+
+// Claim commits the claim and returns the group's answer. ErrNoQuorum is sure:
+// the claim was not and will not be committed. After ErrOutcomeUnknown it may
+// have been granted; the same request (same nonce) may be sent again and gets
+// the same answer. A claim with an unknown outcome must not be dispatched.
+func (c *Client) Claim(ctx context.Context, request state.ClaimRequest) (api.ClaimResult, error) {
+	reply, err := c.call(ctx, kindClaim, func(id uint64) []byte { return encodeClaim(id, request) })
+	return reply.result, err
+}
+
+// RecordOutcome commits what became of a claimed run. Errors are those of
+// Claim; recording the same outcome again changes nothing.
+func (c *Client) RecordOutcome(ctx context.Context, outcome state.RunOutcome) error {
+	_, err := c.call(ctx, kindOutcome, func(id uint64) []byte { return encodeOutcome(id, outcome) })
+	return err
+}
+
+// ReportDemand sends a report if the client is connected and its queue has
+// room. It returns false when the report was dropped; the caller may add it to
+// the next window.
+func (c *Client) ReportDemand(report DemandReport) bool {
+	current := c.session.Load()
+	if current == nil {
+		return false
+	}
+	return current.enqueue(&outgoing{kind: kindDemand, payload: encodeDemand(report)})
+}
--- /dev/null
+++ b/connection/feed/follow.go
@@ -0,0 +1,123 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/pkg/errors"
+)
+
+// follow connects to one member after the other, a named leader first, until
+// the client is closed.
+func (c *Client) follow() {
+	next, pause := rand.IntN(len(c.config.Addresses)), c.config.BackoffMin
+	hint := ""
+	for c.context.Err() == nil {
+		address := hint
+		if address == "" {
+			address = c.config.Addresses[next%len(c.config.Addresses)]
+			next++
+		}
+		served, named, err := c.connect(address)
+		if c.context.Err() != nil {
+			return
+		}
+		event.FeedDisconnected.Log(c.config.Logger, "address", address, "err", err)
+		if served {
+			pause = c.config.BackoffMin
+		}
+		followed := hint != ""
+		hint = named
+		// A first hint is followed at once; a hint that led to another hint or
+		// to a failure waits, so that two members naming each other cost little.
+		if named != "" && !followed {
+			continue
+		}
+		c.sleep(jitter(pause))
+		pause = min(2*pause, c.config.BackoffMax)
+	}
+}
+
+// connect serves one connection to its end. It reports whether a leader served
+// it, and the address that the member named.
+func (c *Client) connect(address string) (served bool, named string, err error) {
+	dialer := net.Dialer{Timeout: c.config.DialTimeout}
+	conn, err := dialer.DialContext(c.context, "tcp", address)
+	if err != nil {
+		return false, "", errors.Wrap(err, "feed: dial")
+	}
+	current := newSession(c, conn)
+	named, err = current.run(c.context)
+	return current.ready, named, err
+}
+
+func (c *Client) sleep(pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.context.Done():
+	}
+}
+
+// jitter draws a duration from the upper half of the range up to limit.
+func jitter(limit time.Duration) time.Duration {
+	return limit/2 + rand.N(limit/2+1)
+}
+
+// call sends one request and waits for its reply.
+func (c *Client) call(ctx context.Context, kind frame.Kind, encode func(id uint64) []byte) (reply, error) {
+	current := c.session.Load()
+	if current == nil {
+		return reply{}, errors.Wrap(ErrNoQuorum, "no leader is connected")
+	}
+	select {
+	case c.slots <- struct{}{}:
+		defer func() { <-c.slots }()
+	default:
+		return reply{}, errors.Wrap(ErrNoQuorum, "too many requests in flight")
+	}
+	requestID := c.requestID.Add(1)
+	waiting := current.register(requestID)
+	defer current.unregister(requestID)
+	sent := &outgoing{kind: kind, payload: encode(requestID)}
+	if !current.enqueue(sent) {
+		return reply{}, errors.Wrap(ErrNoQuorum, "the queue is full")
+	}
+	select {
+	case answer := <-waiting:
+		return checkReply(answer)
+	case <-ctx.Done():
+		return giveUp(sent, waiting, "gave up waiting")
+	case <-current.ended:
+		return giveUp(sent, waiting, "the connection ended")
+	}
+}
+
+func checkReply(answer reply) (reply, error) {
+	switch answer.code {
+	case replyDone:
+		return answer, nil
+	case replyRefused:
+		return reply{}, errors.Wrap(ErrNoQuorum, "refused")
+	default:
+		return reply{}, errors.Wrap(ErrOutcomeUnknown, "proposed")
+	}
+}
+
+// giveUp tells a request that surely was not sent from one that may have been.
+func giveUp(sent *outgoing, waiting chan reply, cause string) (reply, error) {
+	select {
+	case answer := <-waiting:
+		return checkReply(answer)
+	default:
+	}
+	if sent.withdraw() {
+		return reply{}, errors.Wrap(ErrNoQuorum, cause)
+	}
+	return reply{}, errors.Wrap(ErrOutcomeUnknown, cause)
+}
--- /dev/null
+++ b/connection/feed/messages.go
@@ -0,0 +1,332 @@
+package feed
+
+import (
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/landingtrail/landingtrail/version/view"
+)
+
+// Protocol is the preface of every feed connection.
+var Protocol = frame.Protocol{ID: 2, Version: 1}
+
+// Kinds of frames. A subscriber sends Subscribe first and once.
+const (
+	kindSubscribe    frame.Kind = iota + 1 // subscriber: subscribe
+	kindDelta                              // server: view.Delta
+	kindBeat                               // subscriber: beat
+	kindGrant                              // server: grant
+	kindNotLeader                          // server: notLeader; the connection ends
+	kindClaim                              // subscriber: request ID, state.ClaimRequest
+	kindClaimReply                         // server: request ID, replyCode, api.ClaimResult
+	kindOutcome                            // subscriber: request ID, state.RunOutcome
+	kindOutcomeReply                       // server: request ID, replyCode
+	kindDemand                             // subscriber: DemandReport
+)
+
+// Bounds of payloads in bytes. A server takes only small frames from
+// subscribers; a view of ten thousand engines takes some megabytes.
+const (
+	maxSubscriberPayload = 1 << 20
+	maxServerPayload     = 256 << 20
+	// maxDemands bounds the entries of one demand report.
+	maxDemands = 4096
+)
+
+// subscribe opens a subscription from a version on.
+type subscribe struct {
+	daemon string
+	// instance is drawn anew by each client, so that a restarted daemon is not
+	// taken for the process before it, whose lease may still run.
+	instance uint64
+	zone     string
+	version  view.Version
+}
+
+// beat asks for the view lease to be renewed and acknowledges a version.
+type beat struct {
+	sequence uint64
+	acked    view.Version
+}
+
+// grant renews the view lease: from the moment at which the beat with the
+// sequence was sent, for the duration.
+type grant struct {
+	sequence uint64
+	lease    time.Duration
+	term     uint64
+}
+
+// notLeader sends the subscriber to another member; the address may be empty.
+type notLeader struct{ address string }
+
+// replyCode says what became of a claim or an outcome at the server.
+type replyCode uint8
+
+const (
+	replyDone    replyCode = iota + 1 // committed; the result holds
+	replyRefused                      // surely not proposed
+	replyUnknown                      // proposed, outcome not known
+)
+
+type claimReply struct {
+	requestID uint64
+	code      replyCode
+	result    api.ClaimResult
+}
+
+type outcomeReply struct {
+	requestID uint64
+	code      replyCode
+}
+
+// Demand is the work that one proxy was offered for one intent and class.
+type Demand struct {
+	Intent             string
+	Class              string
+	Requests           float64
+	PromptTokens       float64
+	CachedPromptTokens float64 // of PromptTokens, found in caches
+	OutputTokens       float64
+	Refused            float64 // requests refused for lack of capacity
+	Late               float64 // requests that missed their deadline
+	QueuedRequests     int     // waiting now
+	QueuedPromptTokens float64
+}
+
+// DemandReport is what one proxy was offered over the window that ends now.
+// Reports of consecutive windows add up; none is sent again.
+type DemandReport struct {
+	Window  time.Duration
+	Demands []Demand
+}
+
+func encodeSubscribe(message subscribe) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.String(message.daemon)
+	encoder.Uint64(message.instance)
+	encoder.String(message.zone)
+	encodeVersion(encoder, message.version)
+	return encoder.Data()
+}
+
+func decodeSubscribe(data []byte) (subscribe, error) {
+	decoder := frame.NewDecoder(data)
+	message := subscribe{daemon: decoder.String(), instance: decoder.Uint64(), zone: decoder.String()}
+	message.version = decodeVersion(decoder)
+	return message, decoder.Finish()
+}
+
+func encodeVersion(encoder *frame.Encoder, version view.Version) {
+	encoder.Uint64(version.Term)
+	encoder.Uint64(version.Revision)
+}
+
+func decodeVersion(decoder *frame.Decoder) view.Version {
+	return view.Version{Term: decoder.Uint64(), Revision: decoder.Uint64()}
+}
+
+func encodeBeat(message beat) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.Uint64(message.sequence)
+	encodeVersion(encoder, message.acked)
+	return encoder.Data()
+}
+
+func decodeBeat(data []byte) (beat, error) {
+	decoder := frame.NewDecoder(data)
+	message := beat{sequence: decoder.Uint64(), acked: decodeVersion(decoder)}
+	return message, decoder.Finish()
+}
+
+func encodeGrant(message grant) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.Uint64(message.sequence)
+	encoder.Int64(message.lease.Milliseconds())
+	encoder.Uint64(message.term)
+	return encoder.Data()
+}
+
+func decodeGrant(data []byte) (grant, error) {
+	decoder := frame.NewDecoder(data)
+	message := grant{sequence: decoder.Uint64()}
+	message.lease = time.Duration(decoder.Int64()) * time.Millisecond
+	message.term = decoder.Uint64()
+	return message, decoder.Finish()
+}
+
+func encodeNotLeader(message notLeader) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.String(message.address)
+	return encoder.Data()
+}
+
+func decodeNotLeader(data []byte) (notLeader, error) {
+	decoder := frame.NewDecoder(data)
+	message := notLeader{address: decoder.String()}
+	return message, decoder.Finish()
+}
+
+func encodeClaim(requestID uint64, request state.ClaimRequest) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.Uint64(requestID)
+	encoder.String(request.Tenant)
+	encoder.String(request.Key)
+	encoder.Uint64(request.BodyHash)
+	encoder.Uint32(request.Attempt)
+	encoder.String(request.Proxy)
+	encoder.Uint64(request.Nonce)
+	encoder.Int64(request.Retention)
+	return encoder.Data()
+}
+
+func decodeClaim(data []byte) (uint64, state.ClaimRequest, error) {
+	decoder := frame.NewDecoder(data)
+	requestID := decoder.Uint64()
+	request := state.ClaimRequest{
+		Tenant:    decoder.String(),
+		Key:       decoder.String(),
+		BodyHash:  decoder.Uint64(),
+		Attempt:   decoder.Uint32(),
+		Proxy:     decoder.String(),
+		Nonce:     decoder.Uint64(),
+		Retention: decoder.Int64(),
+	}
+	return requestID, request, decoder.Finish()
+}
+
+func encodeClaimReply(message claimReply) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.Uint64(message.requestID)
+	encoder.Uint8(uint8(message.code))
+	encoder.String(string(message.result.Code))
+	claim := message.result.Claim
+	encoder.String(claim.Tenant)
+	encoder.String(claim.Key)
+	encoder.Uint64(claim.BodyHash)
+	encoder.Uint32(claim.Attempt)
+	encoder.String(claim.Proxy)
+	encoder.String(string(claim.Outcome))
+	encoder.Bytes(claim.Answer)
+	encoder.Int64(claim.GrantedAt)
+	encoder.Uint64(claim.Revision)
+	return encoder.Data()
+}
+
+func decodeClaimReply(data []byte) (claimReply, error) {
+	decoder := frame.NewDecoder(data)
+	message := claimReply{requestID: decoder.Uint64(), code: decodeReplyCode(decoder)}
+	message.result.Code = api.ClaimCode(decoder.String())
+	message.result.Claim = api.Claim{
+		Tenant:    decoder.String(),
+		Key:       decoder.String(),
+		BodyHash:  decoder.Uint64(),
+		Attempt:   decoder.Uint32(),
+		Proxy:     decoder.String(),
+		Outcome:   api.RunOutcome(decoder.String()),
+		Answer:    decoder.Bytes(),
+		GrantedAt: decoder.Int64(),
+		Revision:  decoder.Uint64(),
+	}
+	return message, decoder.Finish()
+}
+
+func decodeReplyCode(decoder *frame.Decoder) replyCode {
+	code := replyCode(decoder.Uint8())
+	if code < replyDone || code > replyUnknown {
+		decoder.Fail(frame.ErrValue)
+	}
+	return code
+}
+
+func encodeOutcome(requestID uint64, outcome state.RunOutcome) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.Uint64(requestID)
+	encoder.String(outcome.Tenant)
+	encoder.String(outcome.Key)
+	encoder.Uint64(outcome.Nonce)
+	encoder.String(string(outcome.Outcome))
+	encoder.Bytes(outcome.Answer)
+	return encoder.Data()
+}
+
+func decodeOutcome(data []byte) (uint64, state.RunOutcome, error) {
+	decoder := frame.NewDecoder(data)
+	requestID := decoder.Uint64()
+	outcome := state.RunOutcome{
+		Tenant:  decoder.String(),
+		Key:     decoder.String(),
+		Nonce:   decoder.Uint64(),
+		Outcome: api.RunOutcome(decoder.String()),
+		Answer:  decoder.Bytes(),
+	}
+	return requestID, outcome, decoder.Finish()
+}
+
+func encodeOutcomeReply(message outcomeReply) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.Uint64(message.requestID)
+	encoder.Uint8(uint8(message.code))
+	return encoder.Data()
+}
+
+func decodeOutcomeReply(data []byte) (outcomeReply, error) {
+	decoder := frame.NewDecoder(data)
+	message := outcomeReply{requestID: decoder.Uint64(), code: decodeReplyCode(decoder)}
+	return message, decoder.Finish()
+}
+
+func encodeDemand(report DemandReport) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.Int64(int64(report.Window))
+	encoder.Uint32(uint32(len(report.Demands)))
+	for _, demand := range report.Demands {
+		encoder.String(demand.Intent)
+		encoder.String(demand.Class)
+		encoder.Float64(demand.Requests)
+		encoder.Float64(demand.PromptTokens)
+		encoder.Float64(demand.CachedPromptTokens)
+		encoder.Float64(demand.OutputTokens)
+		encoder.Float64(demand.Refused)
+		encoder.Float64(demand.Late)
+		encoder.Int64(int64(demand.QueuedRequests))
+		encoder.Float64(demand.QueuedPromptTokens)
+	}
+	return encoder.Data()
+}
+
+// demandSize is the smallest encoding of one Demand: two lengths and eight numbers.
+const demandSize = 2*4 + 8*8
+
+func decodeDemand(data []byte) (DemandReport, error) {
+	decoder := frame.NewDecoder(data)
+	report := DemandReport{Window: time.Duration(decoder.Int64())}
+	count := decoder.Count(demandSize)
+	if count > maxDemands {
+		decoder.Fail(frame.ErrValue)
+	}
+	for range count {
+		if decoder.Err() != nil {
+			break
+		}
+		report.Demands = append(report.Demands, decodeOneDemand(decoder))
+	}
+	return report, decoder.Finish()
+}
+
+func decodeOneDemand(decoder *frame.Decoder) Demand {
+	return Demand{
+		Intent:             decoder.String(),
+		Class:              decoder.String(),
+		Requests:           decoder.Float64(),
+		PromptTokens:       decoder.Float64(),
+		CachedPromptTokens: decoder.Float64(),
+		OutputTokens:       decoder.Float64(),
+		Refused:            decoder.Float64(),
+		Late:               decoder.Float64(),
+		QueuedRequests:     int(decoder.Int64()),
+		QueuedPromptTokens: decoder.Float64(),
+	}
+}
--- /dev/null
+++ b/connection/feed/registry.go
@@ -0,0 +1,101 @@
+package feed
+
+import (
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/landingtrail/landingtrail/version/view"
+)
+
+// daemonKey names one process of a daemon.
+type daemonKey struct {
+	daemon   string
+	instance uint64
+}
+
+const instanceSeparator = "#"
+
+func (k daemonKey) String() string {
+	return k.daemon + instanceSeparator + strconv.FormatUint(k.instance, 16)
+}
+
+// daemonName returns the daemon of a key's string.
+func daemonName(key string) string {
+	if end := strings.LastIndex(key, instanceSeparator); end >= 0 {
+		return key[:end]
+	}
+	return key
+}
+
+// registry keeps the acknowledgements and view leases of one leader's term.
+type registry struct {
+	term    uint64
+	lease   time.Duration
+	tracker *view.Tracker
+}
+
+// newRegistry starts a term. version is the leader's own, which covers
+// everything that earlier leaders may have reported as in force.
+func newRegistry(term uint64, version view.Version, lease, now time.Duration) *registry {
+	r := &registry{term: term, lease: lease, tracker: view.NewTracker(lease)}
+	r.tracker.Reset(now)
+	r.tracker.Require(version)
+	return r
+}
+
+// InForce says how far a version has reached the daemons.
+type InForce struct {
+	// Done is true when each daemon has acknowledged the version or holds no lease.
+	Done         bool
+	Acknowledged int
+	Lapsed       []string
+	Waiting      []string
+	// Settling is true while leases of an earlier leader may still run.
+	Settling bool
+}
+
+func (r *registry) inForce(version view.Version, now time.Duration) InForce {
+	done, waiting := r.tracker.InForce(version, now)
+	result := InForce{Done: done}
+	for _, key := range waiting {
+		if key == view.UnseenDaemons {
+			result.Settling = true
+			continue
+		}
+		result.Waiting = append(result.Waiting, daemonName(key))
+	}
+	for _, daemon := range r.tracker.Daemons(now) {
+		switch {
+		case daemon.Acked.Compare(version) >= 0:
+			result.Acknowledged++
+		case daemon.Lapsed:
+			result.Lapsed = append(result.Lapsed, daemonName(daemon.Name))
+		}
+	}
+	sort.Strings(result.Lapsed)
+	sort.Strings(result.Waiting)
+	return result
+}
+
+// Daemons says how many daemons hold a lease, and which of them are behind a version.
+type Daemons struct {
+	Leased int
+	Behind []string
+}
+
+func (r *registry) daemons(version view.Version, now time.Duration) Daemons {
+	var result Daemons
+	for _, daemon := range r.tracker.Daemons(now) {
+		if daemon.Lapsed {
+			continue
+		}
+		result.Leased++
+		if daemon.Acked.Compare(version) < 0 {
+			result.Behind = append(result.Behind, daemonName(daemon.Name))
+		}
+	}
+	sort.Strings(result.Behind)
+	return result
+}
--- /dev/null
+++ b/connection/feed/server.go
@@ -0,0 +1,270 @@
+package feed
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/pkg/errors"
+)
+
+// Leadership is the serving member's part in the group now.
+type Leadership struct {
+	// Leads is true for the leader once it has applied everything that earlier
+	// leaders committed.
+	Leads bool
+	// Leased is true while the leader lease is valid, by a clock read for this call.
+	Leased bool
+	Term   uint64
+	// Address is the leader's feed address, if it is known.
+	Address string
+}
+
+// Group is the control group as a Server uses it. Its methods are called by
+// many goroutines.
+type Group interface {
+	Leadership() Leadership
+	// Version returns the version last applied, DeltaSince what leads to it;
+	// false when there is nothing to send.
+	Version() view.Version
+	DeltaSince(from view.Version) (view.Delta, bool)
+	// Claim and RecordOutcome commit. ErrNoQuorum says that nothing was
+	// proposed; after any other error the outcome is unknown.
+	Claim(ctx context.Context, request state.ClaimRequest) (api.ClaimResult, error)
+	RecordOutcome(ctx context.Context, outcome state.RunOutcome) error
+	ReportDemand(daemon string, report DemandReport)
+}
+
+// ServerConfig holds what a Server is created with. Zero durations and bounds
+// take the defaults.
+type ServerConfig struct {
+	Group Group
+	// ViewLease is how long a daemon may use its view after a granted beat.
+	ViewLease time.Duration
+	// WriteTimeout bounds each write; a subscriber that takes longer is cut off
+	// and starts again from the version it holds.
+	WriteTimeout time.Duration
+	// SilenceTimeout is the time without any frame after which a subscriber is cut off.
+	SilenceTimeout time.Duration
+	// MaxSubscribers bounds the connections, MaxClaims the claims and outcomes
+	// of one connection that are under way.
+	MaxSubscribers int
+	MaxClaims      int
+	// Clock reads the monotonic clock; nil counts from the start of the process.
+	Clock  func() time.Duration
+	Logger log.Logger
+}
+
+// Defaults of a ServerConfig.
+const (
+	DefaultViewLease      = 3 * time.Second
+	DefaultMaxSubscribers = 4096
+	DefaultMaxClaims      = 256
+)
+
+func (c ServerConfig) withDefaults() ServerConfig {
+	c.ViewLease = orDefault(c.ViewLease, DefaultViewLease)
+	c.WriteTimeout = orDefault(c.WriteTimeout, DefaultWriteTimeout)
+	c.SilenceTimeout = orDefault(c.SilenceTimeout, 2*DefaultSilenceTimeout)
+	c.MaxSubscribers = orDefault(c.MaxSubscribers, DefaultMaxSubscribers)
+	c.MaxClaims = orDefault(c.MaxClaims, DefaultMaxClaims)
+	if c.Clock == nil {
+		c.Clock = systemClock
+	}
+	if c.Logger == nil {
+		c.Logger = log.NewNopLogger()
+	}
+	return c
+}
+
+const subscriberShards = 16
+
+type subscriberShard struct {
+	sync.Mutex
+	subscribers map[*subscriber]struct{}
+}
+
+// Server serves subscriptions while its member leads.
+type Server struct {
+	config   ServerConfig
+	listener net.Listener
+	shards   [subscriberShards]subscriberShard
+	next     atomic.Uint64 // spreads subscribers over the shards
+	count    atomic.Int64
+	registry atomic.Pointer[registry]
+	cache    deltaCache
+	context  context.Context
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// NewServer starts a Server on the listener, which it owns from now on.
+func NewServer(config ServerConfig, listener net.Listener) *Server {
+	s := &Server{config: config.withDefaults(), listener: listener}
+	s.context, s.cancel = context.WithCancel(context.Background())
+	for i := range s.shards {
+		s.shards[i].subscribers = map[*subscriber]struct{}{}
+	}
+	s.done.Go(s.accept)
+	s.done.Go(s.tick)
+	return s
+}
+
+// Close ends all subscriptions and waits for the server's goroutines.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.listener.Close()
+	s.done.Wait()
+}
+
+// Wake makes every subscription look at the group again: for a new version or
+// another leader. It does not block.
+func (s *Server) Wake() {
+	for i := range s.shards {
+		s.shards[i].wake()
+	}
+}
+
+func (s *subscriberShard) wake() {
+	s.Lock()
+	defer s.Unlock()
+	for subscribed := range s.subscribers {
+		subscribed.signal()
+	}
+}
+
+// Subscribers returns the number of connections.
+func (s *Server) Subscribers() int { return int(s.count.Load()) }
+
+// InForce says how far a revision has reached the daemons, and false when this
+// member does not lead with a valid lease. A revision that is not applied yet
+// is not in force.
+func (s *Server) InForce(revision uint64) (InForce, bool) {
+	current := s.term(s.config.Group.Leadership())
+	if current == nil {
+		return InForce{}, false
+	}
+	version := view.Version{Term: current.term, Revision: revision}
+	if version.Compare(s.config.Group.Version()) > 0 {
+		return InForce{}, true
+	}
+	result := current.inForce(version, s.config.Clock())
+	// The lease is checked again: a leader that was paused may have counted
+	// the leases of a term that has ended.
+	return result, s.term(s.config.Group.Leadership()) == current
+}
+
+// Daemons says how many daemons follow this leader, and which are behind the revision.
+func (s *Server) Daemons(revision uint64) Daemons {
+	current := s.registry.Load()
+	if current == nil {
+		return Daemons{}
+	}
+	return current.daemons(view.Version{Revision: revision}, s.config.Clock())
+}
+
+// term returns the registry of the leader's term, or nil without a valid lease.
+func (s *Server) term(leadership Leadership) *registry {
+	if !leadership.Leads || !leadership.Leased {
+		return nil
+	}
+	for {
+		current := s.registry.Load()
+		if current != nil && current.term >= leadership.Term {
+			if current.term > leadership.Term {
+				return nil
+			}
+			return current
+		}
+		started := newRegistry(leadership.Term, s.config.Group.Version(), s.config.ViewLease, s.config.Clock())
+		if s.registry.CompareAndSwap(current, started) {
+			return started
+		}
+	}
+}
+
+// tick moves the floor along: a daemon that has not acknowledged what was
+// applied one view lease ago gets no lease, so that every accepted change is
+// in force within a bounded time.
+func (s *Server) tick() {
+	ticker := time.NewTicker(s.config.ViewLease)
+	defer ticker.Stop()
+	var previous view.Version
+	for {
+		select {
+		case <-s.context.Done():
+			return
+		case <-ticker.C:
+		}
+		if current := s.term(s.config.Group.Leadership()); current != nil {
+			current.tracker.Require(previous)
+		}
+		previous = s.config.Group.Version()
+	}
+}
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if s.context.Err() != nil {
+			if err == nil {
+				_ = conn.Close()
+			}
+			return
+		}
+		if err != nil {
+			s.pause()
+			continue
+		}
+		if s.count.Add(1) > int64(s.config.MaxSubscribers) {
+			s.count.Add(-1)
+			_ = conn.Close()
+			event.FeedRefused.Log(s.config.Logger, "address", conn.RemoteAddr(), "err", "too many subscribers")
+			continue
+		}
+		s.done.Go(func() { s.serve(conn) })
+	}
+}
+
+// acceptPause is the wait after a failed accept, as when descriptors run out.
+const acceptPause = 50 * time.Millisecond
+
+func (s *Server) pause() {
+	timer := time.NewTimer(acceptPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.context.Done():
+	}
+}
+
+func (s *Server) serve(conn net.Conn) {
+	defer s.count.Add(-1)
+	subscribed := newSubscriber(s, conn)
+	shard := &s.shards[s.next.Add(1)%subscriberShards]
+	shard.add(subscribed)
+	err := subscribed.run(s.context)
+	shard.remove(subscribed)
+	if s.context.Err() == nil && !errors.Is(err, errNotLeader) {
+		event.FeedEnded.Log(s.config.Logger, "address", conn.RemoteAddr(), "daemon", subscribed.key.daemon, "err", err)
+	}
+}
+
+func (s *subscriberShard) add(subscribed *subscriber) {
+	s.Lock()
+	defer s.Unlock()
+	s.subscribers[subscribed] = struct{}{}
+}
+
+func (s *subscriberShard) remove(subscribed *subscriber) {
+	s.Lock()
+	defer s.Unlock()
+	delete(s.subscribers, subscribed)
+}
--- /dev/null
+++ b/connection/feed/session.go
@@ -0,0 +1,303 @@
+package feed
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/pkg/errors"
+)
+
+// States of an outgoing frame. One compare-and-swap decides between the writer
+// and a caller that gives up, so that "not sent" is sure.
+const (
+	frameQueued int32 = iota
+	frameWritten
+	frameWithdrawn
+)
+
+// outgoing is one frame on its way to the connection.
+type outgoing struct {
+	kind    frame.Kind
+	payload []byte
+	state   atomic.Int32
+}
+
+// withdraw reports whether the frame was surely never written.
+func (o *outgoing) withdraw() bool {
+	return o.state.CompareAndSwap(frameQueued, frameWithdrawn) || o.state.Load() == frameWithdrawn
+}
+
+// reply is what a waiting call gets.
+type reply struct {
+	code   replyCode
+	result api.ClaimResult
+}
+
+// queueLength bounds the frames that wait for the connection.
+const queueLength = 256
+
+// pendingShards is the number of shards of the waiting calls.
+const pendingShards = 16
+
+type pendingShard struct {
+	sync.Mutex
+	calls map[uint64]chan reply
+}
+
+// session is one connection to a leader.
+type session struct {
+	client  *Client
+	conn    net.Conn
+	queue   chan *outgoing
+	ended   chan struct{}
+	pending [pendingShards]pendingShard
+	ready   bool // the leader has served a delta or a grant
+
+	beatLock sync.Mutex
+	sequence uint64
+	sentAt   map[uint64]time.Duration // beats without a grant
+}
+
+// maxOpenBeats bounds the beats without a grant that are remembered.
+const maxOpenBeats = 64
+
+func newSession(client *Client, conn net.Conn) *session {
+	s := &session{
+		client: client,
+		conn:   conn,
+		queue:  make(chan *outgoing, queueLength),
+		ended:  make(chan struct{}),
+		sentAt: map[uint64]time.Duration{},
+	}
+	for i := range s.pending {
+		s.pending[i].calls = map[uint64]chan reply{}
+	}
+	return s
+}
+
+// run serves the connection until it fails, the leader steps down or ctx ends.
+// It returns the address that the server named, if any.
+func (s *session) run(ctx context.Context) (string, error) {
+	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
+	defer stop()
+	var writer sync.WaitGroup
+	writer.Go(s.write)
+	hint, err := s.read()
+	s.client.session.CompareAndSwap(s, nil)
+	close(s.ended)
+	_ = s.conn.Close()
+	writer.Wait()
+	return hint, err
+}
+
+func (s *session) write() {
+	writer := frame.NewWriter(s.conn, Protocol, s.client.config.WriteTimeout)
+	// A failed write closes the connection, which ends the reader and with it
+	// the session.
+	defer func() { _ = s.conn.Close() }()
+	if s.open(writer) != nil {
+		return
+	}
+	ticker := time.NewTicker(s.client.config.BeatInterval)
+	defer ticker.Stop()
+	for {
+		var err error
+		select {
+		case <-s.ended:
+			return
+		case <-ticker.C:
+			err = s.writeBeat(writer)
+		case next := <-s.queue:
+			err = s.writeQueued(writer, next)
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (s *session) open(writer *frame.Writer) error {
+	config := s.client.config
+	opening := subscribe{
+		daemon:   config.Daemon,
+		instance: s.client.instance,
+		zone:     config.Zone,
+		version:  s.client.views.Load().Version,
+	}
+	if err := writer.WriteFrame(kindSubscribe, encodeSubscribe(opening)); err != nil {
+		return err
+	}
+	return s.writeBeat(writer)
+}
+
+func (s *session) writeBeat(writer *frame.Writer) error {
+	s.beatLock.Lock()
+	s.sequence++
+	next := beat{sequence: s.sequence}
+	if len(s.sentAt) >= maxOpenBeats {
+		clear(s.sentAt)
+	}
+	// The time is read before the beat is sent: the lease can only be shorter
+	// than the leader believes.
+	s.sentAt[next.sequence] = s.client.config.Clock()
+	s.beatLock.Unlock()
+	next.acked = s.client.views.Load().Version
+	if err := writer.WriteFrame(kindBeat, encodeBeat(next)); err != nil {
+		return err
+	}
+	return writer.Flush()
+}
+
+// writeQueued writes the frame and those that wait behind it, then flushes.
+func (s *session) writeQueued(writer *frame.Writer, next *outgoing) error {
+	for next != nil {
+		if next.state.CompareAndSwap(frameQueued, frameWritten) {
+			if err := writer.WriteFrame(next.kind, next.payload); err != nil {
+				return err
+			}
+		}
+		select {
+		case next = <-s.queue:
+		default:
+			next = nil
+		}
+	}
+	return writer.Flush()
+}
+
+func (s *session) read() (string, error) {
+	reader := frame.NewReader(s.conn, Protocol, maxServerPayload, s.client.config.SilenceTimeout)
+	for {
+		received, err := reader.ReadFrame()
+		if err != nil {
+			return "", err
+		}
+		if received.Kind == kindNotLeader {
+			message, err := decodeNotLeader(received.Payload)
+			if err != nil {
+				return "", err
+			}
+			return message.address, errNotLeader
+		}
+		if err := s.receive(received); err != nil {
+			return "", err
+		}
+	}
+}
+
+func (s *session) receive(received frame.Frame) error {
+	switch received.Kind {
+	case kindDelta:
+		return s.receiveDelta(received.Payload)
+	case kindGrant:
+		return s.receiveGrant(received.Payload)
+	case kindClaimReply:
+		message, err := decodeClaimReply(received.Payload)
+		if err != nil {
+			return err
+		}
+		s.resolve(message.requestID, reply{code: message.code, result: message.result})
+		return nil
+	case kindOutcomeReply:
+		message, err := decodeOutcomeReply(received.Payload)
+		if err != nil {
+			return err
+		}
+		s.resolve(message.requestID, reply{code: message.code})
+		return nil
+	default:
+		return errors.Wrapf(errProtocol, "kind %d", received.Kind)
+	}
+}
+
+func (s *session) receiveDelta(payload []byte) error {
+	delta, err := decodeDelta(payload)
+	if err != nil {
+		return err
+	}
+	if err := s.client.views.Apply(delta); err != nil {
+		return err
+	}
+	s.markReady()
+	// The new version is acknowledged at once rather than with the next tick.
+	acknowledgement := beat{acked: s.client.views.Load().Version}
+	s.enqueue(&outgoing{kind: kindBeat, payload: encodeBeat(acknowledgement)})
+	return nil
+}
+
+// receiveGrant renews the view lease by the time at which the granted beat was
+// sent. A grant for an unknown beat, such as a bare acknowledgement, renews nothing.
+func (s *session) receiveGrant(payload []byte) error {
+	message, err := decodeGrant(payload)
+	if err != nil {
+		return err
+	}
+	s.beatLock.Lock()
+	sentAt, known := s.sentAt[message.sequence]
+	for sequence := range s.sentAt {
+		if sequence <= message.sequence {
+			delete(s.sentAt, sequence)
+		}
+	}
+	s.beatLock.Unlock()
+	if known && s.client.views.Confirm(sentAt, message.lease, message.term) {
+		s.markReady()
+	}
+	return nil
+}
+
+// markReady lets calls use the session. Only the reading goroutine calls it.
+func (s *session) markReady() {
+	if !s.ready {
+		s.ready = true
+		s.client.session.Store(s)
+	}
+}
+
+// enqueue reports whether the queue had room.
+func (s *session) enqueue(next *outgoing) bool {
+	select {
+	case s.queue <- next:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *session) shard(requestID uint64) *pendingShard {
+	return &s.pending[requestID%pendingShards]
+}
+
+func (s *session) register(requestID uint64) chan reply {
+	waiting := make(chan reply, 1)
+	shard := s.shard(requestID)
+	shard.Lock()
+	defer shard.Unlock()
+	shard.calls[requestID] = waiting
+	return waiting
+}
+
+func (s *session) unregister(requestID uint64) {
+	shard := s.shard(requestID)
+	shard.Lock()
+	defer shard.Unlock()
+	delete(shard.calls, requestID)
+}
+
+// resolve hands the reply to the call that waits; a reply that nobody waits for
+// any more is dropped.
+func (s *session) resolve(requestID uint64, answer reply) {
+	shard := s.shard(requestID)
+	shard.Lock()
+	waiting, found := shard.calls[requestID]
+	delete(shard.calls, requestID)
+	shard.Unlock()
+	if found {
+		waiting <- answer
+	}
+}
--- /dev/null
+++ b/connection/feed/subscriber.go
@@ -0,0 +1,345 @@
+package feed
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/pkg/errors"
+)
+
+// answer is one frame that replies to a request of the subscriber.
+type answer struct {
+	kind    frame.Kind
+	payload []byte
+}
+
+// subscriber is one connection at the server. What waits for it is bounded: the
+// version sent last instead of deltas, the latest beat instead of all, and one
+// place for each claim under way.
+type subscriber struct {
+	server *Server
+	conn   net.Conn
+	key    daemonKey
+	wake   chan struct{}
+	// answers has room for every claim that may be under way, so that putting
+	// one there never blocks.
+	answers chan answer
+	slots   chan struct{}
+	calls   sync.WaitGroup
+
+	lock   sync.Mutex
+	opened bool
+	sent   view.Version // the version that the subscriber has or is being sent
+	acked  view.Version
+	heard  bool   // a beat arrived that writeNews has not seen
+	beat   uint64 // sequence of the latest beat without a grant, 0 if none
+}
+
+func newSubscriber(server *Server, conn net.Conn) *subscriber {
+	maxClaims := server.config.MaxClaims
+	return &subscriber{
+		server:  server,
+		conn:    conn,
+		wake:    make(chan struct{}, 1),
+		answers: make(chan answer, maxClaims),
+		slots:   make(chan struct{}, maxClaims),
+	}
+}
+
+// signal makes the writer look again; signals coalesce.
+func (s *subscriber) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run serves the connection to its end.
+func (s *subscriber) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
+	defer stop()
+	var writer sync.WaitGroup
+	var writeErr error
+	writer.Go(func() {
+		writeErr = s.write(ctx)
+		cancel()
+	})
+	readErr := s.read(ctx)
+	cancel()
+	writer.Wait()
+	s.calls.Wait()
+	if writeErr != nil {
+		return writeErr
+	}
+	return readErr
+}
+
+func (s *subscriber) read(ctx context.Context) error {
+	reader := frame.NewReader(s.conn, Protocol, maxSubscriberPayload, s.server.config.SilenceTimeout)
+	first, err := reader.ReadFrame()
+	if err != nil {
+		return err
+	}
+	if err := s.open(first); err != nil {
+		return err
+	}
+	for {
+		received, err := reader.ReadFrame()
+		if err != nil {
+			return err
+		}
+		if err := s.receive(ctx, received); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *subscriber) open(first frame.Frame) error {
+	if first.Kind != kindSubscribe {
+		return errors.Wrapf(errProtocol, "kind %d before subscribe", first.Kind)
+	}
+	opening, err := decodeSubscribe(first.Payload)
+	if err != nil {
+		return err
+	}
+	if opening.daemon == "" {
+		return errors.Wrap(errProtocol, "no daemon")
+	}
+	if err := s.checkVersion(opening.version); err != nil {
+		return err
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.key = daemonKey{daemon: opening.daemon, instance: opening.instance}
+	s.sent = opening.version
+	s.opened = true
+	s.signal()
+	return nil
+}
+
+func (s *subscriber) receive(ctx context.Context, received frame.Frame) error {
+	switch received.Kind {
+	case kindBeat:
+		return s.receiveBeat(received.Payload)
+	case kindClaim:
+		return s.receiveClaim(ctx, received.Payload)
+	case kindOutcome:
+		return s.receiveOutcome(ctx, received.Payload)
+	case kindDemand:
+		report, err := decodeDemand(received.Payload)
+		if err != nil {
+			return err
+		}
+		s.server.config.Group.ReportDemand(s.key.daemon, report)
+		return nil
+	default:
+		return errors.Wrapf(errProtocol, "kind %d", received.Kind)
+	}
+}
+
+func (s *subscriber) receiveBeat(payload []byte) error {
+	message, err := decodeBeat(payload)
+	if err != nil {
+		return err
+	}
+	if err := s.checkVersion(message.acked); err != nil {
+		return err
+	}
+	s.lock.Lock()
+	s.acked = message.acked
+	s.heard = true
+	s.beat = max(s.beat, message.sequence)
+	s.lock.Unlock()
+	s.signal()
+	return nil
+}
+
+// checkVersion refuses a version that the group has never had: such a daemon
+// followed another group, or one whose disks were all lost, and its view must
+// not be taken for an acknowledgement. A leader has applied every version that
+// any daemon can have been sent.
+func (s *subscriber) checkVersion(version view.Version) error {
+	leads := s.server.config.Group.Leadership().Leads
+	if leads && version.Compare(s.server.config.Group.Version()) > 0 {
+		return errors.Wrapf(errProtocol, "version %d is ahead of the group", version.Revision)
+	}
+	return nil
+}
+
+func (s *subscriber) receiveClaim(ctx context.Context, payload []byte) error {
+	requestID, request, err := decodeClaim(payload)
+	if err != nil {
+		return err
+	}
+	return s.start(ctx, func() {
+		result, err := s.server.config.Group.Claim(ctx, request)
+		reply := claimReply{requestID: requestID, code: replyCodeOf(err), result: result}
+		s.answer(kindClaimReply, encodeClaimReply(reply))
+	}, func() {
+		refused := claimReply{requestID: requestID, code: replyRefused}
+		s.answer(kindClaimReply, encodeClaimReply(refused))
+	})
+}
+
+func (s *subscriber) receiveOutcome(ctx context.Context, payload []byte) error {
+	requestID, outcome, err := decodeOutcome(payload)
+	if err != nil {
+		return err
+	}
+	return s.start(ctx, func() {
+		err := s.server.config.Group.RecordOutcome(ctx, outcome)
+		s.answer(kindOutcomeReply, encodeOutcomeReply(outcomeReply{requestID: requestID, code: replyCodeOf(err)}))
+	}, func() {
+		refused := outcomeReply{requestID: requestID, code: replyRefused}
+		s.answer(kindOutcomeReply, encodeOutcomeReply(refused))
+	})
+}
+
+// start runs serve beside the reader, or refuse here when a subscription that
+// is leaving must start nothing new. It waits for a free place, which holds up
+// only this subscriber.
+func (s *subscriber) start(ctx context.Context, serve, refuse func()) error {
+	select {
+	case s.slots <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if !s.server.config.Group.Leadership().Leads {
+		refuse()
+		return nil
+	}
+	s.calls.Go(serve)
+	return nil
+}
+
+// answer hands a frame to the writer. The place is freed once it was taken, so
+// answers never has more than it has room for.
+func (s *subscriber) answer(kind frame.Kind, payload []byte) {
+	s.answers <- answer{kind: kind, payload: payload}
+}
+
+func replyCodeOf(err error) replyCode {
+	switch {
+	case err == nil:
+		return replyDone
+	case errors.Is(err, ErrNoQuorum):
+		return replyRefused
+	default:
+		return replyUnknown
+	}
+}
+
+func (s *subscriber) write(ctx context.Context) error {
+	writer := frame.NewWriter(s.conn, Protocol, s.server.config.WriteTimeout)
+	for {
+		var err error
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.wake:
+			err = s.writeNews(ctx, writer)
+		case next := <-s.answers:
+			err = s.writeAnswer(writer, next)
+		}
+		if err != nil {
+			return err
+		}
+		if len(s.answers) > 0 {
+			continue
+		}
+		if err := writer.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *subscriber) writeAnswer(writer *frame.Writer, next answer) error {
+	<-s.slots
+	return writer.WriteFrame(next.kind, next.payload)
+}
+
+// writeNews writes the delta to the version applied now and the grant that is due.
+func (s *subscriber) writeNews(ctx context.Context, writer *frame.Writer) error {
+	s.lock.Lock()
+	opened, sent, acked, heard, sequence := s.opened, s.sent, s.acked, s.heard, s.beat
+	s.heard, s.beat = false, 0
+	s.lock.Unlock()
+	if !opened {
+		return nil
+	}
+	leadership := s.server.config.Group.Leadership()
+	if !leadership.Leads {
+		return s.moveOn(ctx, writer, leadership.Address)
+	}
+	if err := s.writeDelta(writer, sent); err != nil {
+		return err
+	}
+	if !heard {
+		return nil
+	}
+	return s.writeGrant(writer, acked, sequence)
+}
+
+// moveOn sends the subscriber to the leader, after the answers to its claims
+// that are under way, and ends the connection.
+func (s *subscriber) moveOn(ctx context.Context, writer *frame.Writer, address string) error {
+	timer := time.NewTimer(s.server.config.WriteTimeout)
+	defer timer.Stop()
+	for len(s.slots) > 0 {
+		select {
+		case next := <-s.answers:
+			if err := s.writeAnswer(writer, next); err != nil {
+				return err
+			}
+		case <-timer.C:
+			return errNotLeader
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	if err := writer.WriteFrame(kindNotLeader, encodeNotLeader(notLeader{address: address})); err != nil {
+		return err
+	}
+	if err := writer.Flush(); err != nil {
+		return err
+	}
+	return errNotLeader
+}
+
+func (s *subscriber) writeDelta(writer *frame.Writer, sent view.Version) error {
+	payload, to, err := s.server.cache.since(s.server.config.Group, sent)
+	if err != nil || payload == nil {
+		return err
+	}
+	if err := writer.WriteFrame(kindDelta, payload); err != nil {
+		return err
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.sent = to
+	return nil
+}
+
+// writeGrant records the acknowledgement and renews the view lease, if a beat
+// asks for it. The leader lease is checked here, after everything that may have
+// taken time; a pause after the check does no harm, since the lease runs from
+// when the daemon asked.
+func (s *subscriber) writeGrant(writer *frame.Writer, acked view.Version, sequence uint64) error {
+	now := s.server.config.Clock()
+	current := s.server.term(s.server.config.Group.Leadership())
+	if current == nil {
+		return nil
+	}
+	granted := current.tracker.Observe(s.key.String(), acked, now)
+	if !granted || sequence == 0 {
+		return nil
+	}
+	message := grant{sequence: sequence, lease: current.lease, term: current.term}
+	return writer.WriteFrame(kindGrant, encodeGrant(message))
+}
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -10,7 +10,8 @@
 package controller
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/engineapi"
@@ -40,9 +41,6 @@
 // Input is everything that one round depends on.
 type Input struct {
 	Now time.Duration // monotonic
-	// Position is the term and index last applied; it is at least the fence of
-	// every open order.
-	Position api.Fence
 	// Engines holds the committed engines.
 	Engines map[string]*api.Engine
 	// Observations holds what was heard, by engine name.
@@ -50,9 +48,9 @@
 	// Failures holds the last failed assignment of engines, by name.
 	Failures map[string]Failure
 	// Platform is the platform's list, nil while it was never read; Machines
-	// is the committed list.
+	// is the list that this leader committed last, nil if none.
 	Platform *state.Machines
-	Machines state.Machines
+	Machines *state.Machines
 	// Decisions are the planner's.
 	Decisions []planner.Decision
 	// Silence is the age from which an observation counts for nothing.
@@ -74,13 +72,24 @@
 	Order   api.Order
 }
 
-// Void asks the engine to raise its fence above an order that it cannot carry out.
+// Void makes an order void that the engine cannot carry out: a state.VoidOrder
+// is committed, and the fence that it gives out is sent to the engine.
 type Void struct {
-	Engine  string
-	Address string
-	Request engineapi.VoidRequest
-	// Assignment is that of the order that is made void.
-	Assignment api.Assignment
+	Engine      string
+	Address     string
+	Order       api.Order
+	Incarnation uint64
+}
+
+// Command returns the command to commit.
+func (v Void) Command() state.Command {
+	body := state.VoidOrder{Engine: v.Engine, Fence: v.Order.Fence}
+	return state.Command{Kind: state.CommandVoidOrder, VoidOrder: &body}
+}
+
+// Request returns what to send to the engine, with the fence of the committed command.
+func (v Void) Request(fence api.Fence) engineapi.VoidRequest {
+	return engineapi.VoidRequest{Fence: fence, Incarnation: v.Incarnation}
 }
 
 // Query asks the engine for its state.
@@ -98,7 +107,7 @@
 func Reconcile(input Input) []Action {
 	actions := reconcileMachines(input)
 	decisions := decisionsByEngine(input.Decisions)
-	for _, name := range sortedNames(input.Engines) {
+	for _, name := range slices.Sorted(maps.Keys(input.Engines)) {
 		round := engineRound{input: &input, engine: input.Engines[name], decision: decisions[name]}
 		actions = append(actions, round.actions()...)
 	}
@@ -113,47 +122,26 @@
 	return byEngine
 }
 
-func sortedNames(engines map[string]*api.Engine) []string {
-	names := make([]string, 0, len(engines))
-	for name := range engines {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
 func reconcileMachines(input Input) []Action {
 	if input.Platform == nil {
 		return nil
 	}
-	wanted := state.Machines{Leaving: normalized(input.Platform.Leaving), Gone: normalized(input.Platform.Gone)}
-	if equalNames(wanted.Leaving, normalized(input.Machines.Leaving)) && equalNames(wanted.Gone, normalized(input.Machines.Gone)) {
+	wanted := normalizedMachines(*input.Platform)
+	if input.Machines != nil && equalMachines(wanted, normalizedMachines(*input.Machines)) {
 		return nil
 	}
 	return []Action{Propose{state.Command{Kind: state.CommandMachines, Machines: &wanted}}}
 }
 
-// normalized returns the names sorted and without duplicates.
-func normalized(names []string) []string {
-	sorted := append([]string(nil), names...)
-	sort.Strings(sorted)
-	unique := sorted[:0]
-	for i, name := range sorted {
-		if i == 0 || name != sorted[i-1] {
-			unique = append(unique, name)
-		}
-	}
-	return unique
+func normalizedMachines(machines state.Machines) state.Machines {
+	return state.Machines{Leaving: normalized(machines.Leaving), Gone: normalized(machines.Gone)}
 }
 
-func equalNames(left, right []string) bool {
-	if len(left) != len(right) {
-		return false
-	}
-	for i := range left {
-		if left[i] != right[i] {
-			return false
-		}
-	}
-	return true
+func equalMachines(left, right state.Machines) bool {
+	return slices.Equal(left.Leaving, right.Leaving) && slices.Equal(left.Gone, right.Gone)
+}
+
+// normalized returns the names sorted and without duplicates.
+func normalized(names []string) []string {
+	return slices.Compact(slices.Sorted(slices.Values(names)))
 }
--- a/process/controller/engine.go
+++ b/process/controller/engine.go
@@ -22,7 +22,7 @@
 	if order := r.engine.Status.OpenOrder; order != nil {
 		return r.carryOut(*order, *seen)
 	}
-	if report, differs := r.report(seen.State); differs {
+	if report := reportOf(seen.State); state.ReportChanges(r.engine, report) {
 		return []Action{Propose{state.Command{Kind: state.CommandReportEngine, EngineReport: &report}}}
 	}
 	return r.open(seen.State)
@@ -78,18 +78,12 @@
 	return []Action{Send{Engine: r.engine.Name, Address: r.engine.Spec.Address, Order: order}}
 }
 
-// void asks for a fence above the order. The position last applied is above
-// it, or the round waits for a later one; every order opened later lies above
-// the position.
 func (r engineRound) void(order api.Order, current engineapi.State) []Action {
-	if !order.Fence.Less(r.input.Position) {
-		return r.query()
-	}
 	return []Action{Void{
-		Engine:     r.engine.Name,
-		Address:    r.engine.Spec.Address,
-		Request:    engineapi.VoidRequest{Fence: r.input.Position, Incarnation: current.Incarnation},
-		Assignment: order.Assignment,
+		Engine:      r.engine.Name,
+		Address:     r.engine.Spec.Address,
+		Order:       order,
+		Incarnation: current.Incarnation,
 	}}
 }
 
@@ -118,6 +112,11 @@
 	}
 }
 
+// isLeaving reports whether an engine in the phase is about to end.
+func isLeaving(phase api.EnginePhase) bool {
+	return phase == api.PhaseLeaving || phase == api.PhaseGone
+}
+
 func reportOf(current engineapi.State) state.EngineReport {
 	return state.EngineReport{
 		Engine:      current.Engine,
@@ -128,20 +127,9 @@
 	}
 }
 
-// report returns what the engine says, and whether it differs from what is committed.
-func (r engineRound) report(current engineapi.State) (state.EngineReport, bool) {
-	committed := r.engine.Status
-	reported := reportOf(current)
-	same := reported.Incarnation == committed.Incarnation &&
-		reported.Fence == committed.Fence &&
-		reported.Phase == committed.Phase &&
-		reported.Assignment.Equal(committed.Assignment)
-	return reported, !same
-}
-
 // open proposes the engine's next order, if there is one to give.
 func (r engineRound) open(current engineapi.State) []Action {
-	if !isSettled(current) || current.Phase == api.PhaseLeaving {
+	if !isSettled(current) || isLeaving(r.engine.Status.Phase) || isLeaving(current.Phase) {
 		return nil
 	}
 	assignment, reason, wanted := r.wanted()
