Keep a leaving engine's own word and hold orders back from unheard engines

An engine that is back on the platform's list has an unknown phase and may well serve: taking it for away would have let every such engine be ordered at once, past the disruption budget.

--- a/version/state/machines.go
+++ b/version/state/machines.go
@@ -25,6 +25,10 @@
 	return reported
 }
 
+func (l *platformList) lists(name string) bool {
+	return contains(l.gone, name) || contains(l.leaving, name)
+}
+
 // serviceStatus returns the status of a service with the back ends.
 func (l *platformList) serviceStatus(backends []api.Backend) api.ServiceStatus {
 	var status api.ServiceStatus
@@ -44,19 +48,20 @@
 // listMachines replaces the platform's list. An engine that is back on the list
 // of live machines is unknown until it reports.
 func (m *Machine) listMachines(machines *Machines) {
+	previous := m.platform
 	m.platform = platformList{leaving: nameSet(machines.Leaving), gone: nameSet(machines.Gone)}
 	for _, name := range slices.Sorted(maps.Keys(m.engines.items)) {
-		m.relistEngine(m.engines.items[name])
+		m.relistEngine(m.engines.items[name], &previous)
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.services.items)) {
 		m.relistService(m.services.items[name])
 	}
 }
 
-func (m *Machine) relistEngine(engine *api.Engine) {
+func (m *Machine) relistEngine(engine *api.Engine, previous *platformList) {
 	status := engine.Status
 	kept := status.Phase
-	if kept == api.PhaseLeaving || kept == api.PhaseGone {
+	if previous.lists(engine.Name) {
 		kept = api.PhaseUnknown
 	}
 	status.Phase = m.platform.phase(engine.Name, kept)
--- a/version/state/orders.go
+++ b/version/state/orders.go
@@ -67,9 +67,17 @@
 
 // withinBudget reports whether one more planned change keeps the disruption
 // budget of the engine's intent. An engine that serves nothing takes nothing
-// away, so it needs no budget.
+// away, so it needs no budget. One that has not been heard from may well serve:
+// it is away for the others' budget and gets no order until it has reported.
 func (m *Machine) withinBudget(engine *api.Engine) bool {
-	if unavailable(engine) || engine.Status.Phase == api.PhaseIdle {
+	if engine.Spec.Drain {
+		return true
+	}
+	switch engine.Status.Phase {
+	case api.PhaseUnknown:
+		return false
+	case api.PhaseServing:
+	default:
 		return true
 	}
 	intent := m.WantedIntent(engine.Name)
@@ -190,10 +198,23 @@
 	status.Incarnation = report.Incarnation
 	status.Assignment = report.Assignment
 	status.Fence = report.Fence
-	status.Phase = m.platform.phase(engine.Name, report.Phase)
+	status.Phase = m.platform.phase(engine.Name, ownPhase(engine, report))
 	return status
 }
 
+// ownPhase returns the phase that an engine gives itself. An engine that said
+// it is leaving stays so until its process has started anew.
+func ownPhase(engine *api.Engine, report *EngineReport) api.EnginePhase {
+	if engine.Status.Phase == api.PhaseLeaving && engine.Status.Incarnation == report.Incarnation {
+		return api.PhaseLeaving
+	}
+	switch report.Phase {
+	case api.PhaseIdle, api.PhaseServing, api.PhaseDraining, api.PhaseChanging, api.PhaseLeaving:
+		return report.Phase
+	}
+	return api.PhaseUnknown
+}
+
 func (m *Machine) retireIncarnation(engine string, old, current uint64) {
 	earlier := slices.DeleteFunc(m.earlierIncarnations(engine), func(v uint64) bool { return v == current })
 	if old != 0 {
@@ -218,18 +239,14 @@
 	return slices.Clone(*earlier)
 }
 
-// ReportChanges reports whether committing the report would change the engine,
-// so that reports which say nothing new need not be proposed.
+// ReportChanges reports whether committing the report could change the engine,
+// so that reports which say nothing new need not be proposed. The platform's
+// word that an engine is gone stands over the engine's own.
 func ReportChanges(engine *api.Engine, report EngineReport) bool {
 	status := engine.Status
-	phase := status.Phase
-	if phase != api.PhaseLeaving && phase != api.PhaseGone {
-		phase = report.Phase // the platform's word stands over the engine's
-		if phase != status.Phase {
-			return true
-		}
-	}
-	return status.Incarnation != report.Incarnation ||
+	phaseChanges := status.Phase != api.PhaseGone && status.Phase != ownPhase(engine, &report)
+	return phaseChanges ||
+		status.Incarnation != report.Incarnation ||
 		status.Fence != report.Fence ||
 		!status.Assignment.Equal(report.Assignment)
 }
