--- /dev/null
+++ b/cmd/landingtrail/daemon.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/zeromicro/go-zero/core/proc"
+
+	"github.com/landingtrail/landingtrail/process/control"
+	"github.com/landingtrail/landingtrail/process/settings"
+)
+
+// never is longer than any process lives. go-zero's own answer to SIGTERM would
+// close its servers after a second and end the process after a few more; a long
+// stream must outlast that, so the daemons stop by their context alone.
+const never = 100 * 365 * 24 * time.Hour
+
+func controlCommand(to streams) *ffcli.Command {
+	return daemonCommand(to, settings.SectionControl, "Run one member of the control group", runControl,
+		"landingtrail control --settings deployments/radarvlak/control.yaml --name control-1 --data-directory data/control-1")
+}
+
+// runDaemon serves until its context ends and then stops as planned.
+type runDaemon func(ctx context.Context, file settings.File, logger log.Logger) error
+
+func daemonCommand(to streams, section settings.Section, help string, serve runDaemon, example string) *ffcli.Command {
+	flagSet := newFlagSet(string(section))
+	path := flagSet.String("settings", "", "YAML file with the settings; flags and LANDINGTRAIL_ variables go over it")
+	flags := settings.RegisterFlags(flagSet, section)
+	return &ffcli.Command{
+		Name:       string(section),
+		ShortUsage: "landingtrail " + string(section) + " --settings F [flags]",
+		ShortHelp:  help,
+		LongHelp: "SIGTERM and SIGINT stop the daemon as planned: nothing in flight is cut within stopTimeout.\n\n" +
+			exampleHelp(example),
+		FlagSet: flagSet,
+		Options: environment(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := exactly(args); err != nil {
+				return err
+			}
+			file, err := settings.Load(*path, section, flags.Overrides())
+			if err != nil {
+				return fileError("settings", err)
+			}
+			proc.Setup(proc.ShutdownConf{WrapUpTime: never, WaitTime: never})
+			return serve(ctx, file, newLogger(to, file.Log.Level))
+		},
+	}
+}
+
+// newLogger writes logfmt lines with a timestamp.
+func newLogger(to streams, least string) log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(to.err))
+	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(least, level.InfoValue())))
+	return log.With(logger, "time", log.DefaultTimestampUTC)
+}
+
+func runControl(ctx context.Context, file settings.File, logger log.Logger) error {
+	return control.Run(ctx, controlConfig(file.Control), log.With(logger, "member", file.Control.Name))
+}
+
+// controlConfig turns settings into what the daemon runs with.
+func controlConfig(given *settings.Control) control.Config {
+	self := given.Self()
+	config := control.Config{
+		Name:            given.Name,
+		DataFolder:      given.DataDirectory,
+		GroupID:         xxhash.Sum64String(given.Group),
+		PeerAddress:     firstOf(given.PeerAddress, self.PeerAddress),
+		FeedAddress:     firstOf(given.FeedAddress, self.FeedAddress),
+		OperatorAddress: firstOf(given.OperatorAddress, self.OperatorAddress),
+		Join:            given.Join,
+		PlatformAddress: given.PlatformAddress,
+		Durations: control.Durations{
+			Election:      given.ElectionTimeout,
+			Heartbeat:     given.HeartbeatInterval,
+			Lease:         given.LeaseDuration,
+			ViewLease:     given.ViewLease,
+			Reconcile:     given.ReconcileInterval,
+			Poll:          given.EngineInterval,
+			EngineTimeout: given.EngineTimeout,
+			EngineSilence: given.EngineSilence,
+			PlatformPoll:  given.PlatformInterval,
+			Proposal:      given.ProposalTimeout,
+			Shutdown:      given.StopTimeout,
+		},
+		Limits: control.Limits{
+			MaxAffectedEngines:     noBound(given.MaxAffectedEngines),
+			OperationRetention:     given.OperationRetention,
+			ClaimRetention:         given.ClaimRetention,
+			MaxBodyBytes:           given.MaxBodyBytes,
+			SnapshotEntries:        given.SnapshotEntries,
+			MaxDaemons:             given.MaxDaemons,
+			MaxOperatorConnections: given.MaxOperatorConnections,
+		},
+		Planner: control.Planner{Name: given.Planner, ChangeCost: given.ChangeCost},
+	}
+	for _, member := range given.Members {
+		config.Members = append(config.Members, control.Member{
+			Name:            member.Name,
+			PeerAddress:     member.PeerAddress,
+			FeedAddress:     member.FeedAddress,
+			OperatorAddress: member.OperatorAddress,
+		})
+	}
+	return config
+}
+
+// noBound turns the settings' 0 into the daemon's word for no bound.
+func noBound(engines int) int {
+	if engines == 0 {
+		return -1
+	}
+	return engines
+}
+
+func firstOf(given, fallback string) string {
+	if given != "" {
+		return given
+	}
+	return fallback
+}
--- /dev/null
+++ b/cmd/landingtrail/ledger.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/landingtrail/landingtrail/connection/operatorapi"
+)
+
+// maxLedgerPage bounds one page of the ledger.
+const maxLedgerPage = 10_000
+
+// ledgerFlags are the flags of ledger.
+type ledgerFlags struct {
+	operator *operatorFlags
+	after    string
+	limit    uint64
+	all      bool
+}
+
+func ledgerCommand(to streams) *ffcli.Command {
+	flagSet := newFlagSet("ledger")
+	flags := &ledgerFlags{operator: newOperatorFlags(flagSet)}
+	flagSet.StringVar(&flags.after, "after", "", "token of the page to start with, as the page before printed it")
+	uintFlag(flagSet, &flags.limit, "limit", 100, maxLedgerPage, "claims a page")
+	boolFlag(flagSet, &flags.all, "all", "read every page")
+	return &ffcli.Command{
+		Name:       "ledger",
+		ShortUsage: "landingtrail ledger --endpoints A [flags]",
+		ShortHelp:  "List the claims of requests that run at most once, and what became of them",
+		LongHelp:   exampleHelp("landingtrail ledger --endpoints 127.0.0.1:7103 --all"),
+		FlagSet:    flagSet,
+		Options:    environment(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := exactly(args); err != nil {
+				return err
+			}
+			return ledger(ctx, to, flags)
+		},
+	}
+}
+
+func ledger(ctx context.Context, to streams, flags *ledgerFlags) error {
+	if flags.limit == 0 {
+		return usageError{"limit", "must be at least 1"}
+	}
+	client, err := flags.operator.client()
+	if err != nil {
+		return err
+	}
+	var page operatorapi.Ledger
+	after := flags.after
+	for {
+		next, err := client.Ledger(ctx, after, int(flags.limit))
+		if err != nil {
+			return err
+		}
+		page.Revision, page.Next = next.Revision, next.Next
+		page.Claims = append(page.Claims, next.Claims...)
+		if !flags.all || next.Next == "" {
+			break
+		}
+		after = next.Next
+	}
+	if flags.operator.output == outputJSON {
+		return printJSON(to.out, page)
+	}
+	return printLedger(to, page)
+}
+
+func printLedger(to streams, page operatorapi.Ledger) error {
+	printed := newTable(to.out, "TENANT", "KEY", "OUTCOME", "ATTEMPT", "PROXY", "REVISION")
+	for _, claim := range page.Claims {
+		printed.row(claim.Tenant, claim.Key, claim.Outcome, claim.Attempt, claim.Proxy, claim.Revision)
+	}
+	if err := printed.flush(); err != nil {
+		return err
+	}
+	if page.Next != "" {
+		printf(to.out, "more: --after %s\n", page.Next)
+	}
+	return nil
+}
--- a/connection/operator/client.go
+++ b/connection/operator/client.go
@@ -24,10 +24,10 @@
 // Errors of a Client.
 var (
 	// ErrNotAccepted says that no member accepted the request: nothing has changed.
-	ErrNotAccepted = errors.New("operator: surely not accepted")
+	ErrNotAccepted = errors.New("no member took the request; nothing was changed")
 	// ErrOutcomeUnknown says that the request may have been accepted: resend it
 	// with the same operation ID.
-	ErrOutcomeUnknown = errors.New("operator: outcome unknown; resend with the same operation ID")
+	ErrOutcomeUnknown = errors.New("outcome unknown; resend with the same operation ID")
 	// ErrNoMembers says that the client was given no address.
 	ErrNoMembers = errors.New("operator: no member addresses")
 )
--- a/process/settings/decode.go
+++ b/process/settings/decode.go
@@ -130,7 +130,8 @@
 }
 
 func (d *decoder) completeField(path string, value reflect.Value, limits constraint) {
-	if d.seen[path] || value.Kind() == reflect.Struct {
+	section := value.Kind() == reflect.Pointer && !value.IsNil()
+	if d.seen[path] || section || value.Kind() == reflect.Struct {
 		d.complete(path, value)
 		return
 	}
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -53,7 +53,7 @@
 	ProposalTimeout   time.Duration `yaml:"proposalTimeout" default:"5s" min:"50ms" max:"5m" usage:"Longest wait for a commit before its outcome is called unknown."`
 	StopTimeout       time.Duration `yaml:"stopTimeout" default:"10s" min:"100ms" max:"1h" usage:"Longest planned stop: handing over leadership and ending answers."`
 
-	MaxAffectedEngines     int           `yaml:"maxAffectedEngines" default:"8" min:"-1" max:"100000" unit:"engines" usage:"Engines whose model or version one transaction may change unless it allows broad changes; -1: no bound."`
+	MaxAffectedEngines     int           `yaml:"maxAffectedEngines" default:"8" min:"0" max:"100000" unit:"engines" usage:"Engines whose model or version one transaction may change unless it allows broad changes; 0: no bound."`
 	OperationRetention     time.Duration `yaml:"operationRetention" default:"24h" min:"1m" max:"8760h" usage:"How long the answer to an operation ID is kept."`
 	ClaimRetention         time.Duration `yaml:"claimRetention" default:"24h" min:"1m" max:"8760h" usage:"How long an at-most-once claim is kept."`
 	MaxBodyBytes           int64         `yaml:"maxBodyBytes" default:"8388608" min:"1024" max:"1073741824" unit:"bytes" usage:"Longest body of an operator's request."`
