--- a/process/raft/node.go
+++ b/process/raft/node.go
@@ -200,7 +200,9 @@
 	if m.To != n.config.ID {
 		return errors.Wrapf(ErrWrongMember, "%d", m.To)
 	}
-	if m.From == None || m.From == n.config.ID || !m.Kind.valid() || m.Term == 0 {
+	// Only a refused pre-vote may come from a member that never saw an election.
+	noTerm := m.Term == 0 && m.Kind != MessagePreVoteReply
+	if m.From == None || m.From == n.config.ID || !m.Kind.valid() || noTerm {
 		return errors.Wrapf(ErrInvalidMessage, "kind %d from %d in term %d", m.Kind, m.From, m.Term)
 	}
 	if m.Kind.fromLeader() && m.Term == n.term && n.role == Leader {
--- /dev/null
+++ b/process/raft/oracle_test.go
@@ -0,0 +1,217 @@
+package raft
+
+import (
+	"fmt"
+	"time"
+)
+
+type position struct{ term, index uint64 }
+
+// oracle knows everything that happened in a cluster and checks the protocol's
+// promises against it after every event.
+type oracle struct {
+	cluster *cluster
+	failure *violation
+
+	leaders   map[uint64]MemberID              // leader of each term
+	positions map[position]uint64              // hash of the entry and of the term before it
+	ballots   map[uint64]map[MemberID]MemberID // granted votes by term and voter
+	committed []position                       // by index-1, as leaders commit
+	committer []uint64                         // term of the leader that committed it
+	states    []uint64                         // state hash after each index, by index-1
+	reads     map[MemberID]map[uint64]uint64   // by member and request: what was committed when it was asked
+	nextRead  uint64
+	answered  int
+}
+
+type violation struct{ rule, detail string }
+
+func newOracle(c *cluster) *oracle {
+	return &oracle{
+		cluster:   c,
+		leaders:   make(map[uint64]MemberID),
+		positions: make(map[position]uint64),
+		ballots:   make(map[uint64]map[MemberID]MemberID),
+		reads:     make(map[MemberID]map[uint64]uint64),
+	}
+}
+
+func (o *oracle) violation(rule, format string, args ...any) {
+	if o.failure == nil {
+		o.failure = &violation{rule, fmt.Sprintf(format, args...)}
+	}
+}
+
+// observe checks what concerns all members at one moment.
+func (o *oracle) observe() {
+	var holder MemberID
+	for _, m := range o.cluster.members {
+		if !m.up {
+			continue
+		}
+		if m.node.role == Leader {
+			o.observeLeader(m)
+		}
+		if m.node.role == Leader || m.role == Leader {
+			o.observeCommit(m.node)
+		}
+		m.role = m.node.role
+		if !m.node.LeaseValid(o.cluster.clock(m)) {
+			continue
+		}
+		if holder != None {
+			o.violation("one lease", "members %d and %d at %v", holder, m.id, o.cluster.now)
+		}
+		holder = m.id
+	}
+}
+
+func (o *oracle) observeLeader(m *simMember) {
+	n := m.node
+	if leader, known := o.leaders[n.term]; known && leader != m.id {
+		o.violation("election safety", "members %d and %d lead term %d", leader, m.id, n.term)
+	}
+	o.leaders[n.term] = m.id
+	if m.role != Leader {
+		o.cluster.count("new leader", m.id)
+		o.leaderComplete(m)
+	}
+}
+
+// observeCommit records what a leader has committed, also where that commit has
+// ended its leadership.
+func (o *oracle) observeCommit(n *Node) {
+	for index := uint64(len(o.committed)) + 1; index <= n.log.committed; index++ {
+		term, kept := n.log.term(index)
+		if !kept {
+			o.violation("commit", "index %d was committed by no leader", index)
+		}
+		o.committed = append(o.committed, position{term, index})
+		o.committer = append(o.committer, n.term)
+	}
+}
+
+// leaderComplete checks that a new leader has all that earlier terms committed.
+func (o *oracle) leaderComplete(m *simMember) {
+	for i, entry := range o.committed {
+		if o.committer[i] >= m.node.term || entry.index < m.node.log.baseIndex {
+			continue
+		}
+		if !m.node.log.matches(entry.term, entry.index) {
+			o.violation("leader completeness", "member %d leads term %d without %+v", m.id, m.node.term, entry)
+			return
+		}
+	}
+}
+
+// stored checks log matching: an entry's term and index determine its content
+// and, by the term before it, the whole log up to it.
+func (o *oracle) stored(m *simMember, ready Ready) {
+	for _, entry := range ready.Entries {
+		previous := m.written.snapshot.Term
+		if at := entry.Index - m.written.snapshot.Index - 1; at > 0 {
+			previous = m.written.entries[at-1].Term
+		}
+		hash := hashOf(previous, entry)
+		key := position{entry.Term, entry.Index}
+		if known, seen := o.positions[key]; seen && known != hash {
+			o.violation("log matching", "member %d stores another entry at %+v", m.id, key)
+		}
+		o.positions[key] = hash
+	}
+}
+
+// sent checks that no identity votes twice in a term.
+func (o *oracle) sent(m *simMember, message Message) {
+	if message.Kind != MessageVoteReply || message.Reject {
+		return
+	}
+	votes := o.ballots[message.Term]
+	if votes == nil {
+		votes = make(map[MemberID]MemberID)
+		o.ballots[message.Term] = votes
+	}
+	if earlier, voted := votes[m.id]; voted && earlier != message.To {
+		o.violation("one vote", "member %d in term %d for %d and %d", m.id, message.Term, earlier, message.To)
+	}
+	votes[m.id] = message.To
+}
+
+// applied checks state machine safety and the reads.
+func (o *oracle) applied(m *simMember, ready Ready) {
+	if ready.Snapshot != nil {
+		o.cluster.count("snapshot installed", m.id)
+		o.installed(m, *ready.Snapshot)
+	}
+	for _, entry := range ready.Committed {
+		if entry.Index != m.applied+1 {
+			o.violation("state machine", "member %d applies %d after %d", m.id, entry.Index, m.applied)
+		}
+		m.applied = entry.Index
+		m.stateHash = hashOf(m.stateHash, entry)
+		o.checkState(m)
+	}
+	for _, read := range ready.ReadStates {
+		o.answered++
+		if asked := o.reads[m.id][read.RequestID]; read.Index < asked {
+			o.violation("read index", "member %d answers at %d what was asked at %d", m.id, read.Index, asked)
+		}
+	}
+}
+
+func (o *oracle) installed(m *simMember, snapshot Snapshot) {
+	m.applied = snapshot.Index
+	if _, err := fmt.Sscan(string(snapshot.Data), &m.stateHash); err != nil {
+		o.violation("state machine", "member %d: snapshot data %q", m.id, snapshot.Data)
+	}
+	o.checkState(m)
+}
+
+func (o *oracle) checkState(m *simMember) {
+	switch known := uint64(len(o.states)); {
+	case m.applied == known+1:
+		o.states = append(o.states, m.stateHash)
+	case m.applied > known+1:
+		o.violation("state machine", "member %d is at %d, nobody was at %d", m.id, m.applied, known+1)
+	case o.states[m.applied-1] != m.stateHash:
+		o.violation("state machine", "member %d has another state at %d", m.id, m.applied)
+	}
+}
+
+// read asks every member that believes to lead for a read.
+func (o *oracle) read() {
+	c := o.cluster
+	for _, m := range c.members {
+		if !m.up || m.pausedUntil > c.now {
+			continue
+		}
+		o.nextRead++
+		if m.node.ReadIndex(c.clock(m), o.nextRead) != nil {
+			continue
+		}
+		if o.reads[m.id] == nil {
+			o.reads[m.id] = make(map[uint64]uint64)
+		}
+		o.reads[m.id][o.nextRead] = uint64(len(o.committed))
+		c.pump(m)
+	}
+}
+
+// agreed tells whether every member of the leader's configuration has applied
+// all that was committed, and an entry of the leader's term is among it.
+func (o *oracle) agreed(after time.Duration) error {
+	c := o.cluster
+	leader := c.leader()
+	if leader == nil {
+		return fmt.Errorf("no leader %v after healing", after)
+	}
+	if !leader.node.committedInTerm() {
+		return fmt.Errorf("leader %d of term %d has committed nothing", leader.id, leader.node.term)
+	}
+	for _, id := range leader.node.configurations.latest().configuration.members() {
+		if m := c.members[id-1]; !m.lost && m.applied < uint64(len(o.committed)) {
+			return fmt.Errorf("member %d (%+v) applied %d of %d", id, m.node.Status(), m.applied, len(o.committed))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/process/raft/simulation_test.go
@@ -0,0 +1,292 @@
+package raft
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	simSeeds     = 240
+	simDuration  = 6 * time.Second
+	simHealing   = 3 * time.Second
+	simMinVoters = 3
+	simMaxGroup  = 6
+)
+
+// fault is one kind of mischief; it reports whether it could strike.
+type fault struct {
+	name   string
+	strike func(*cluster, *simMember) bool
+}
+
+var faults = []fault{
+	{"cut one way", func(c *cluster, m *simMember) bool {
+		c.cut(m, c.anyMember(), false)
+		return true
+	}},
+	{"cut both ways", func(c *cluster, m *simMember) bool {
+		for _, other := range c.members {
+			c.cut(m, other, true)
+		}
+		return true
+	}},
+	{"deaf member", func(c *cluster, m *simMember) bool {
+		for _, other := range c.members {
+			c.cut(other, m, false)
+		}
+		return true
+	}},
+	{"crash", func(c *cluster, m *simMember) bool {
+		c.crash(m)
+		c.scheduleRestart(m)
+		return true
+	}},
+	{"pause", func(c *cluster, m *simMember) bool {
+		m.pausedUntil = c.now + time.Duration(c.random.IntN(600))*time.Millisecond
+		return true
+	}},
+	{"pause the leader", func(c *cluster, _ *simMember) bool {
+		leader := c.leader()
+		if leader == nil {
+			return false
+		}
+		leader.pausedUntil = c.now + simLeaseDuration + time.Duration(c.random.IntN(300))*time.Millisecond
+		return true
+	}},
+	{"crash all", func(c *cluster, _ *simMember) bool {
+		for _, m := range c.members {
+			if m.up {
+				c.crash(m)
+				c.scheduleRestart(m)
+			}
+		}
+		return true
+	}},
+	{"transfer", func(c *cluster, m *simMember) bool {
+		leader := c.leader()
+		return leader != nil && leader.node.TransferLeadership(c.clock(leader), m.id) == nil
+	}},
+	{"lost disk", (*cluster).loseDisk},
+	{"add learner", func(c *cluster, _ *simMember) bool {
+		leader := c.leader()
+		if leader == nil || len(leader.node.Status().Configuration.members()) >= simMaxGroup {
+			return false
+		}
+		return c.change(ChangeAddLearner, c.addMember(Configuration{}).id)
+	}},
+	{"promote", func(c *cluster, _ *simMember) bool { return c.promoteAny() }},
+	{"remove voter", func(c *cluster, m *simMember) bool {
+		leader := c.leader()
+		if leader == nil {
+			return false
+		}
+		configuration := leader.node.Status().Configuration
+		if len(configuration.Voters) <= simMinVoters || c.anyLost(configuration) {
+			return false
+		}
+		return c.change(ChangeRemove, m.id)
+	}},
+	{"remove leader", func(c *cluster, _ *simMember) bool {
+		leader := c.leader()
+		if leader == nil || len(leader.node.Status().Configuration.Voters) <= simMinVoters {
+			return false
+		}
+		return !c.anyLost(leader.node.Status().Configuration) && c.change(ChangeRemove, leader.id)
+	}},
+}
+
+func (c *cluster) anyMember() *simMember { return c.members[c.random.IntN(len(c.members))] }
+
+// cut stops messages for a while.
+func (c *cluster) cut(from, to *simMember, both bool) {
+	length := time.Duration(50+c.random.IntN(700)) * time.Millisecond
+	links := [][2]MemberID{{from.id, to.id}}
+	if both {
+		links = append(links, [2]MemberID{to.id, from.id})
+	}
+	for _, link := range links {
+		c.cuts[link] = true
+		c.push(event{at: c.now + length, run: func() { delete(c.cuts, link) }})
+	}
+}
+
+func (c *cluster) scheduleRestart(m *simMember) {
+	life := m.life
+	delay := time.Duration(c.random.IntN(400)) * time.Millisecond
+	if c.random.IntN(2) == 0 {
+		delay = time.Duration(c.random.IntN(5)) * time.Millisecond // before any lease has ended
+	}
+	c.push(event{at: c.now + delay, run: func() {
+		if !m.up && m.life == life && !m.lost {
+			c.start(m)
+		}
+	}})
+}
+
+func (c *cluster) change(kind ChangeKind, member MemberID) bool {
+	leader := c.leader()
+	_, _, err := leader.node.ProposeChange(c.clock(leader), ConfigurationChange{kind, member})
+	c.pump(leader)
+	return err == nil
+}
+
+func (c *cluster) promoteAny() bool {
+	leader := c.leader()
+	if leader == nil {
+		return false
+	}
+	for _, learner := range leader.node.Status().Configuration.Learners {
+		if c.change(ChangePromote, learner) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *cluster) anyLost(configuration Configuration) bool {
+	return slices.ContainsFunc(configuration.members(), func(id MemberID) bool { return c.members[id-1].lost })
+}
+
+// loseDisk ends an identity for good. It strikes only where the group can bear
+// it: no other loss unrepaired, no membership change on its way.
+func (c *cluster) loseDisk(m *simMember) bool {
+	leader := c.leader()
+	if leader == nil || m.lost || !leader.node.Status().Configuration.isVoter(m.id) {
+		return false
+	}
+	configuration := leader.node.configurations.latest().configuration
+	for _, other := range c.members {
+		if other.lost || !configuration.contains(other.id) {
+			continue
+		}
+		history := newConfigurationHistory(0, other.synced.bootstrap)
+		if other.synced.snapshot.Index > 0 {
+			history = newConfigurationHistory(0, other.synced.snapshot.Configuration)
+		}
+		if history.addEntries(other.synced.entries) != nil || len(history.latest().configuration.Voters) < simMinVoters {
+			return false
+		}
+		if !slices.Equal(history.latest().configuration.Voters, configuration.Voters) || !other.up ||
+			!slices.Equal(other.node.configurations.latest().configuration.Voters, configuration.Voters) {
+			return false
+		}
+	}
+	inFlight := slices.ContainsFunc(c.queue, func(e event) bool { return e.config })
+	if inFlight || c.anyLost(configuration) {
+		return false
+	}
+	c.crash(m)
+	m.lost = true
+	return true
+}
+
+// repair replaces a lost voter by a new member step by step, as an operator would.
+func (c *cluster) repair() {
+	leader := c.leader()
+	if leader == nil {
+		return
+	}
+	configuration := leader.node.Status().Configuration
+	lost := slices.IndexFunc(configuration.Voters, func(id MemberID) bool { return c.members[id-1].lost })
+	switch {
+	case lost < 0:
+	case len(configuration.Voters) > simMinVoters:
+		c.change(ChangeRemove, configuration.Voters[lost])
+	case len(configuration.Learners) == 0:
+		if c.change(ChangeAddLearner, c.addMember(Configuration{}).id) {
+			c.count("replacement", MemberID(len(c.members)))
+		}
+	default:
+		c.promoteAny()
+	}
+}
+
+// every runs an action at random intervals around mean until the given time.
+func (c *cluster) every(mean, until time.Duration, action func()) {
+	delay := time.Duration(c.random.Int64N(int64(2 * mean)))
+	if c.now+delay > until {
+		return
+	}
+	c.push(event{at: c.now + delay, run: func() {
+		action()
+		c.every(mean, until, action)
+	}})
+}
+
+// misbehave runs the cluster under all faults, then heals everything and gives
+// it time to agree.
+func (c *cluster) misbehave(duration time.Duration) {
+	c.faulty = true
+	c.every(8*time.Millisecond, duration+simHealing-simElectionTimeout, c.propose)
+	c.every(15*time.Millisecond, duration, c.oracle.read)
+	c.every(50*time.Millisecond, duration+simHealing/2, c.repair)
+	c.every(60*time.Millisecond, duration, func() {
+		f := faults[c.random.IntN(len(faults))]
+		m := c.anyMember()
+		if m.up && f.strike(c, m) {
+			c.count(f.name, m.id)
+		}
+	})
+	c.run(duration)
+	c.heal()
+	c.run(duration + simHealing)
+}
+
+func (c *cluster) heal() {
+	c.faulty = false
+	clear(c.cuts)
+	for _, m := range c.members {
+		m.pausedUntil = 0
+		if !m.up && !m.lost {
+			c.start(m)
+		}
+	}
+}
+
+// TestSimulation runs groups of three and five under faults, one seed each.
+func TestSimulation(t *testing.T) {
+	var mutex sync.Mutex
+	totals := make(map[string]int)
+	t.Run("seeds", func(t *testing.T) {
+		for seed := range uint64(simSeeds) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				c := newCluster(seed, simMinVoters+2*int(seed%2))
+				c.misbehave(simDuration)
+				if failure := c.oracle.failure; failure != nil {
+					t.Fatalf("seed %d: %s: %s\n%s", seed, failure.rule, failure.detail, c.traceText())
+				}
+				if err := c.oracle.agreed(simHealing); err != nil {
+					t.Fatalf("seed %d: liveness: %v\n%s", seed, err, c.traceText())
+				}
+				mutex.Lock()
+				defer mutex.Unlock()
+				for kind, count := range c.counts {
+					totals[kind] += count
+				}
+				totals["committed entry"] += len(c.oracle.committed)
+				totals["answered read"] += c.oracle.answered
+			})
+		}
+	})
+	t.Log(totals)
+	for _, f := range faults {
+		must.Positive(t, totals[f.name], must.Sprintf("%s never struck", f.name))
+	}
+}
+
+// TestSimulationIsDeterministic runs one seed twice and compares all that
+// happened.
+func TestSimulationIsDeterministic(t *testing.T) {
+	first, second := newCluster(3, 3), newCluster(3, 3)
+	first.misbehave(simDuration)
+	second.misbehave(simDuration)
+	must.Eq(t, first.counts, second.counts)
+	must.Eq(t, first.traceText(), second.traceText())
+	must.Eq(t, first.oracle.states, second.oracle.states)
+}
