--- a/cmd/landingtrail/apply.go
+++ b/cmd/landingtrail/apply.go
@@ -9,6 +9,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
+	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/connection/operator"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/process/settings"
@@ -27,16 +28,16 @@
 	remove     bool
 }
 
-func applyCommand(to streams) *ffcli.Command {
-	flagSet := newFlagSet("apply")
+func applyCommand(to cli.Streams) *ffcli.Command {
+	flagSet := cli.NewFlagSet("apply")
 	flags := &applyFlags{operator: newOperatorFlags(flagSet)}
 	flagSet.StringVar(&flags.file, "file", "", "file with objects, written as one transaction; - reads standard input")
 	flagSet.StringVar(&flags.operation, "operation-id", "", "name of this change; a resend under the same name gets the first answer (default: drawn)")
 	flagSet.StringVar(&flags.revisions, "revisions", "", "revisions to compare with, as KIND/NAME=REVISION,… (0: must not exist); others are read")
-	boolFlag(flagSet, &flags.dryRun, "dry-run", "show which engines would change, and change nothing")
-	boolFlag(flagSet, &flags.wait, "wait", "return when the change is in force on every daemon")
-	boolFlag(flagSet, &flags.allowBroad, "allow-broad", "lift the bound on how many engines one change may move")
-	boolFlag(flagSet, &flags.remove, "delete", "delete the objects instead")
+	cli.BoolFlag(flagSet, &flags.dryRun, "dry-run", "show which engines would change, and change nothing")
+	cli.BoolFlag(flagSet, &flags.wait, "wait", "return when the change is in force on every daemon")
+	cli.BoolFlag(flagSet, &flags.allowBroad, "allow-broad", "lift the bound on how many engines one change may move")
+	cli.BoolFlag(flagSet, &flags.remove, "delete", "delete the objects instead")
 	return &ffcli.Command{
 		Name:       "apply",
 		ShortUsage: "landingtrail apply --endpoints A --file F [flags]",
@@ -44,11 +45,11 @@
 		LongHelp: "An object with metadata.revision, or named by --revisions, is written only if it still has that\n" +
 			"revision. For the others the revision that stands now is read, and read again if another writer\n" +
 			"comes first.\n\n" +
-			exampleHelp("landingtrail apply --endpoints 127.0.0.1:7103 --file deployments/radarvlak/objects.yaml --wait"),
+			cli.ExampleHelp("landingtrail apply --endpoints 127.0.0.1:7103 --file deployments/radarvlak/objects.yaml --wait"),
 		FlagSet: flagSet,
-		Options: environment(),
+		Options: cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
-			if err := exactly(args); err != nil {
+			if err := cli.Exactly(args); err != nil {
 				return err
 			}
 			return apply(ctx, to, flags)
@@ -65,7 +66,7 @@
 	InForceMilliseconds float64 `json:"inForceMs,omitempty"`
 }
 
-func apply(ctx context.Context, to streams, flags *applyFlags) error {
+func apply(ctx context.Context, to cli.Streams, flags *applyFlags) error {
 	change, err := flags.write()
 	if err != nil {
 		return err
@@ -76,10 +77,10 @@
 // write reads and checks everything that the user gave, before anything is sent.
 func (f *applyFlags) write() (write, error) {
 	if f.file == "" {
-		return write{}, usageError{"file", "must name a file with objects"}
+		return write{}, cli.UsageError{Field: "file", Message: "must name a file with objects"}
 	}
 	if f.dryRun && f.wait {
-		return write{}, usageError{"wait", "must not stand with --dry-run, which changes nothing"}
+		return write{}, cli.UsageError{Field: "wait", Message: "must not stand with --dry-run, which changes nothing"}
 	}
 	objects, err := settings.LoadObjects(f.file)
 	if err != nil {
@@ -114,7 +115,7 @@
 	}
 	for key := range given {
 		if !known[key] {
-			return usageError{"revisions", "names " + key.String() + ", which the file does not hold"}
+			return cli.UsageError{Field: "revisions", Message: "names " + key.String() + ", which the file does not hold"}
 		}
 	}
 	return nil
@@ -129,7 +130,7 @@
 }
 
 // report makes the write and prints what became of it.
-func (w write) report(ctx context.Context, to streams, flags *operatorFlags, wait bool) error {
+func (w write) report(ctx context.Context, to cli.Streams, flags *operatorFlags, wait bool) error {
 	client, err := flags.client()
 	if err != nil {
 		return err
@@ -139,8 +140,8 @@
 	if failure == nil && wait {
 		failure = report.waitInForce(ctx, client, flags.timeout)
 	}
-	if flags.output == outputJSON && done.Result.Code != "" {
-		if err := printJSON(to.out, report); err != nil {
+	if flags.output == cli.OutputJSON && done.Result.Code != "" {
+		if err := cli.PrintJSON(to.Out, report); err != nil {
 			return err
 		}
 		return failure
@@ -165,15 +166,15 @@
 	return nil
 }
 
-func printReport(to streams, report applyReport) {
+func printReport(to cli.Streams, report applyReport) {
 	verb := "accepted"
 	if report.DryRun {
 		verb = "would be accepted"
 	}
-	printf(to.out, "%s at revision %d (operation %s)\n", verb, report.Result.Revision, report.OperationID)
-	printf(to.out, "engines that change: %s\n", listOrNone(report.Result.AffectedEngines))
+	cli.Printf(to.Out, "%s at revision %d (operation %s)\n", verb, report.Result.Revision, report.OperationID)
+	cli.Printf(to.Out, "engines that change: %s\n", listOrNone(report.Result.AffectedEngines))
 	if report.InForce != nil {
-		printf(to.out, "in force after %.0f ms: %d daemons acknowledged, lapsed: %s\n",
+		cli.Printf(to.Out, "in force after %.0f ms: %d daemons acknowledged, lapsed: %s\n",
 			report.InForceMilliseconds, report.InForce.Acknowledged, listOrNone(report.InForce.Lapsed))
 	}
 }
--- a/cmd/landingtrail/check.go
+++ b/cmd/landingtrail/check.go
@@ -6,47 +6,55 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
+	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/process/settings"
+	"github.com/landingtrail/landingtrail/version/api"
 )
 
-func checkCommand(to streams) *ffcli.Command {
-	flagSet := newFlagSet("check")
+// checkReport is the JSON of "check".
+type checkReport struct {
+	File   string           `json:"file"`
+	Faults []api.FieldFault `json:"faults"`
+}
+
+func checkCommand(to cli.Streams) *ffcli.Command {
+	flagSet := cli.NewFlagSet("check")
 	path := flagSet.String("settings", "", "file with settings or objects; - reads standard input")
-	output := outputFlag(flagSet)
+	output := cli.OutputFlag(flagSet)
 	return &ffcli.Command{
 		Name:       "check",
 		ShortUsage: "landingtrail check --settings F [--output table|json]",
 		ShortHelp:  "Check a file of settings or objects; exit 2 with every fault by field",
-		LongHelp:   exampleHelp("landingtrail check --settings deployments/radarvlak/objects.yaml"),
+		LongHelp:   cli.ExampleHelp("landingtrail check --settings deployments/radarvlak/objects.yaml"),
 		FlagSet:    flagSet,
-		Options:    environment(),
+		Options:    cli.Environment(environmentPrefix),
 		Exec: func(_ context.Context, args []string) error {
-			if err := exactly(args); err != nil {
+			if err := cli.Exactly(args); err != nil {
 				return err
 			}
 			if *path == "" {
-				return usageError{"settings", "must name a file"}
+				return cli.UsageError{Field: "settings", Message: "must name a file"}
 			}
 			return check(to, *path, *output)
 		},
 	}
 }
 
-func check(to streams, path, output string) error {
+func check(to cli.Streams, path, output string) error {
 	faults, err := settings.Check(path)
 	if err != nil {
 		return fileError("settings", err)
 	}
-	if output == outputJSON {
-		if err := printJSON(to.out, checkReport{File: path, Faults: faults}); err != nil {
+	if output == cli.OutputJSON {
+		if err := cli.PrintJSON(to.Out, checkReport{File: path, Faults: faults}); err != nil {
 			return err
 		}
 	}
 	if len(faults) > 0 {
 		return settings.Faults(faults)
 	}
-	if output == outputTable {
-		printf(to.out, "%s: no fault\n", path)
+	if output == cli.OutputTable {
+		cli.Printf(to.Out, "%s: no fault\n", path)
 	}
 	return nil
 }
@@ -57,5 +65,5 @@
 	if errors.As(err, &faults) {
 		return err
 	}
-	return usageError{flagName, err.Error()}
+	return cli.UsageError{Field: flagName, Message: err.Error()}
 }
--- a/cmd/landingtrail/daemon.go
+++ b/cmd/landingtrail/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/zeromicro/go-zero/core/proc"
 
+	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/process/control"
 	"github.com/landingtrail/landingtrail/process/settings"
 )
@@ -19,7 +20,7 @@
 // stream must outlast that, so the daemons stop by their context alone.
 const never = 100 * 365 * 24 * time.Hour
 
-func controlCommand(to streams) *ffcli.Command {
+func controlCommand(to cli.Streams) *ffcli.Command {
 	return daemonCommand(to, settings.SectionControl, "Run one member of the control group", runControl,
 		"landingtrail control --settings deployments/radarvlak/control.yaml --name control-1 --data-directory data/control-1")
 }
@@ -27,8 +28,8 @@
 // runDaemon serves until its context ends and then stops as planned.
 type runDaemon func(ctx context.Context, file settings.File, logger log.Logger) error
 
-func daemonCommand(to streams, section settings.Section, help string, serve runDaemon, example string) *ffcli.Command {
-	flagSet := newFlagSet(string(section))
+func daemonCommand(to cli.Streams, section settings.Section, help string, serve runDaemon, example string) *ffcli.Command {
+	flagSet := cli.NewFlagSet(string(section))
 	path := flagSet.String("settings", "", "YAML file with the settings; flags and LANDINGTRAIL_ variables go over it")
 	flags := settings.RegisterFlags(flagSet, section)
 	return &ffcli.Command{
@@ -36,11 +37,11 @@
 		ShortUsage: "landingtrail " + string(section) + " --settings F [flags]",
 		ShortHelp:  help,
 		LongHelp: "SIGTERM and SIGINT stop the daemon as planned: nothing in flight is cut within stopTimeout.\n\n" +
-			exampleHelp(example),
+			cli.ExampleHelp(example),
 		FlagSet: flagSet,
-		Options: environment(),
+		Options: cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
-			if err := exactly(args); err != nil {
+			if err := cli.Exactly(args); err != nil {
 				return err
 			}
 			file, err := settings.Load(*path, section, flags.Overrides())
@@ -54,8 +55,8 @@
 }
 
 // newLogger writes logfmt lines with a timestamp.
-func newLogger(to streams, least string) log.Logger {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(to.err))
+func newLogger(to cli.Streams, least string) log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(to.Err))
 	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(least, level.InfoValue())))
 	return log.With(logger, "time", log.DefaultTimestampUTC)
 }
--- a/cmd/landingtrail/diff.go
+++ b/cmd/landingtrail/diff.go
@@ -9,6 +9,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
+	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/process/settings"
 	"github.com/landingtrail/landingtrail/version/api"
 )
@@ -22,23 +23,23 @@
 	Wanted string `json:"wanted,omitempty"`
 }
 
-func diffCommand(to streams) *ffcli.Command {
-	flagSet := newFlagSet("diff")
+func diffCommand(to cli.Streams) *ffcli.Command {
+	flagSet := cli.NewFlagSet("diff")
 	flags := newOperatorFlags(flagSet)
 	file := flagSet.String("file", "", "file with objects; - reads standard input")
 	return &ffcli.Command{
 		Name:       "diff",
 		ShortUsage: "landingtrail diff --endpoints A --file F [flags]",
 		ShortHelp:  "Show the fields that applying a file would change",
-		LongHelp:   exampleHelp("landingtrail diff --endpoints 127.0.0.1:7103 --file deployments/radarvlak/objects.yaml"),
+		LongHelp:   cli.ExampleHelp("landingtrail diff --endpoints 127.0.0.1:7103 --file deployments/radarvlak/objects.yaml"),
 		FlagSet:    flagSet,
-		Options:    environment(),
+		Options:    cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
-			if err := exactly(args); err != nil {
+			if err := cli.Exactly(args); err != nil {
 				return err
 			}
 			if *file == "" {
-				return usageError{"file", "must name a file with objects"}
+				return cli.UsageError{Field: "file", Message: "must name a file with objects"}
 			}
 			objects, err := settings.LoadObjects(*file)
 			if err != nil {
@@ -49,7 +50,7 @@
 	}
 }
 
-func diff(ctx context.Context, to streams, flags *operatorFlags, objects []api.Object) error {
+func diff(ctx context.Context, to cli.Streams, flags *operatorFlags, objects []api.Object) error {
 	client, err := flags.client()
 	if err != nil {
 		return err
@@ -67,14 +68,14 @@
 		}
 		changes = append(changes, found...)
 	}
-	if flags.output == outputJSON {
-		return printJSON(to.out, changes)
+	if flags.output == cli.OutputJSON {
+		return cli.PrintJSON(to.Out, changes)
 	}
 	if len(changes) == 0 {
-		printf(to.out, "no difference\n")
+		cli.Printf(to.Out, "no difference\n")
 	}
 	for _, change := range changes {
-		printf(to.out, "%s %s: %s -> %s\n", change.Object, change.Field, orNone(change.Now), orNone(change.Wanted))
+		cli.Printf(to.Out, "%s %s: %s -> %s\n", change.Object, change.Field, orNone(change.Now), orNone(change.Wanted))
 	}
 	return nil
 }
--- a/cmd/landingtrail/drain.go
+++ b/cmd/landingtrail/drain.go
@@ -5,24 +5,25 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/version/api"
 )
 
-func drainCommand(to streams) *ffcli.Command {
-	flagSet := newFlagSet("drain")
+func drainCommand(to cli.Streams) *ffcli.Command {
+	flagSet := cli.NewFlagSet("drain")
 	flags := &editFlags{operator: newOperatorFlags(flagSet)}
 	flags.register(flagSet)
 	var undo bool
-	boolFlag(flagSet, &undo, "undo", "let the engine take work again")
+	cli.BoolFlag(flagSet, &undo, "undo", "let the engine take work again")
 	return &ffcli.Command{
 		Name:       "drain",
 		ShortUsage: "landingtrail drain ENGINE [--undo] [flags]",
 		ShortHelp:  "Ask that an engine take no new work; what it runs is finished",
-		LongHelp:   exampleHelp("landingtrail drain narrator-3 --endpoints 127.0.0.1:7103 --wait"),
+		LongHelp:   cli.ExampleHelp("landingtrail drain narrator-3 --endpoints 127.0.0.1:7103 --wait"),
 		FlagSet:    flagSet,
-		Options:    environment(),
+		Options:    cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
-			if err := exactly(args, "engine"); err != nil {
+			if err := cli.Exactly(args, "engine"); err != nil {
 				return err
 			}
 			key, err := checkedKey(api.KindEngine, args[0])
--- a/cmd/landingtrail/edit.go
+++ b/cmd/landingtrail/edit.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/version/api"
 )
 
@@ -22,17 +23,17 @@
 
 func (f *editFlags) register(flagSet *flag.FlagSet) {
 	flagSet.StringVar(&f.operation, "operation-id", "", "name of this change; a resend under the same name gets the first answer (default: drawn)")
-	uintFlag(flagSet, &f.revision, "revision", 0, math.MaxUint64, "change the object only if it still has this revision; 0: whichever it has")
-	boolFlag(flagSet, &f.dryRun, "dry-run", "show which engines would change, and change nothing")
-	boolFlag(flagSet, &f.wait, "wait", "return when the change is in force on every daemon")
-	boolFlag(flagSet, &f.allowBroad, "allow-broad", "lift the bound on how many engines one change may move")
+	cli.UintFlag(flagSet, &f.revision, "revision", 0, math.MaxUint64, "change the object only if it still has this revision; 0: whichever it has")
+	cli.BoolFlag(flagSet, &f.dryRun, "dry-run", "show which engines would change, and change nothing")
+	cli.BoolFlag(flagSet, &f.wait, "wait", "return when the change is in force on every daemon")
+	cli.BoolFlag(flagSet, &f.allowBroad, "allow-broad", "lift the bound on how many engines one change may move")
 }
 
 // edit changes the object by compare-and-set; change reports false when the
 // object already is as wanted, and then nothing is sent.
-func (f *editFlags) edit(ctx context.Context, to streams, key api.Key, change func(*api.Object) bool) error {
+func (f *editFlags) edit(ctx context.Context, to cli.Streams, key api.Key, change func(*api.Object) bool) error {
 	if f.dryRun && f.wait {
-		return usageError{"wait", "must not stand with --dry-run, which changes nothing"}
+		return cli.UsageError{Field: "wait", Message: "must not stand with --dry-run, which changes nothing"}
 	}
 	edited := write{
 		operationID: f.operation,
--- a/cmd/landingtrail/endpoint.go
+++ b/cmd/landingtrail/endpoint.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/connection/operator"
 	"github.com/landingtrail/landingtrail/process/settings"
 )
@@ -20,9 +21,9 @@
 func newOperatorFlags(flagSet *flag.FlagSet, outputs ...string) *operatorFlags {
 	flags := &operatorFlags{}
 	flagSet.StringVar(&flags.endpoints, "endpoints", "", "operator addresses of the control members, separated by commas")
-	durationFlag(flagSet, &flags.timeout, "timeout", operator.DefaultTimeout, "longest time for the whole command, with its resends")
-	choices := append([]string{outputTable, outputJSON}, outputs...)
-	choiceFlag(flagSet, &flags.output, "output", "form of the result: "+strings.Join(choices, ", "), choices...)
+	cli.DurationFlag(flagSet, &flags.timeout, "timeout", operator.DefaultTimeout, "longest time for the whole command, with its resends")
+	choices := append([]string{cli.OutputTable, cli.OutputJSON}, outputs...)
+	cli.ChoiceFlag(flagSet, &flags.output, "output", "form of the result: "+strings.Join(choices, ", "), choices...)
 	return flags
 }
 
@@ -32,7 +33,7 @@
 	for _, address := range strings.Split(f.endpoints, ",") {
 		address = strings.TrimSpace(address)
 		if !settings.ValidAddress(address) {
-			return nil, usageError{"endpoints", "must be IP numbers with ports separated by commas, such as 127.0.0.1:7103, got " + strconv.Quote(f.endpoints)}
+			return nil, cli.UsageError{Field: "endpoints", Message: "must be IP numbers with ports separated by commas, such as 127.0.0.1:7103, got " + strconv.Quote(f.endpoints)}
 		}
 		members = append(members, address)
 	}
--- a/cmd/landingtrail/exit.go
+++ b/cmd/landingtrail/exit.go
@@ -3,23 +3,18 @@
 import (
 	"github.com/pkg/errors"
 
+	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/connection/operator"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/process/settings"
 	"github.com/landingtrail/landingtrail/version/api"
 )
 
-// exitCode is the exit status of a command.
-type exitCode int
-
-// Exit codes, as --help and docs list them.
+// Exit codes of the operator's commands, beside those of every program.
 const (
-	exitOK          exitCode = 0
-	exitFailed      exitCode = 1
-	exitUsage       exitCode = 2
-	exitConflict    exitCode = 3
-	exitNotAccepted exitCode = 4
-	exitUnknown     exitCode = 5
+	exitConflict    cli.ExitCode = 3
+	exitNotAccepted cli.ExitCode = 4
+	exitUnknown     cli.ExitCode = 5
 )
 
 const exitCodesHelp = `EXIT STATUS
@@ -30,66 +25,44 @@
   4  surely not accepted (no quorum, or no member reached); nothing was changed
   5  outcome unknown: resend with the same operation ID`
 
-// usageError is a fault of the command line: the field at fault and what is allowed.
-type usageError struct {
-	field   string
-	message string
-}
-
-// Error words the fault.
-func (e usageError) Error() string { return e.field + ": " + e.message }
-
 // conflictError is a transaction that was refused because of what stands now.
 type conflictError struct{ lines []string }
 
 // Error words the conflict.
 func (e conflictError) Error() string { return e.lines[0] }
 
-// codeOf returns the exit code for a command's error.
-func codeOf(err error) exitCode {
-	var usage usageError
+// judge turns a command's error into its lines and exit code.
+func judge(err error) ([]string, cli.ExitCode) {
 	var faults settings.Faults
 	var conflict conflictError
 	var refused *operator.RefusedError
 	switch {
-	case errors.As(err, &usage), errors.As(err, &faults), isFlagError(err):
-		return exitUsage
+	case errors.As(err, &faults):
+		return faultLines(faults), cli.ExitUsage
 	case errors.As(err, &conflict):
-		return exitConflict
+		return conflict.lines, exitConflict
 	case errors.As(err, &refused):
-		return codeOfRefusal(refused)
+		return judgeRefusal(refused)
 	case errors.Is(err, operator.ErrNotAccepted):
-		return exitNotAccepted
+		return []string{err.Error()}, exitNotAccepted
 	case errors.Is(err, operator.ErrOutcomeUnknown):
-		return exitUnknown
+		return []string{err.Error()}, exitUnknown
 	}
-	return exitFailed
+	return cli.JudgeUsage(err)
 }
 
-func codeOfRefusal(refused *operator.RefusedError) exitCode {
+func judgeRefusal(refused *operator.RefusedError) ([]string, cli.ExitCode) {
+	lines := faultLines(refused.Body.Faults)
+	if len(lines) == 0 {
+		lines = []string{refused.Error()}
+	}
 	switch refused.Body.Code {
 	case operatorapi.ErrorInvalidBody, operatorapi.ErrorBodyTooLarge:
-		return exitUsage
+		return lines, cli.ExitUsage
 	case operatorapi.ErrorRefused:
-		return exitConflict
-	}
-	return exitFailed
-}
-
-// messageLines words an error, one fault a line.
-func messageLines(err error) []string {
-	var faults settings.Faults
-	var conflict conflictError
-	var refused *operator.RefusedError
-	switch {
-	case errors.As(err, &faults):
-		return faultLines(faults)
-	case errors.As(err, &conflict):
-		return conflict.lines
-	case errors.As(err, &refused) && len(refused.Body.Faults) > 0:
-		return faultLines(refused.Body.Faults)
+		return lines, exitConflict
 	}
-	return []string{trimFlagError(err)}
+	return lines, cli.ExitFailed
 }
 
 func faultLines(faults []api.FieldFault) []string {
--- a/cmd/landingtrail/get.go
+++ b/cmd/landingtrail/get.go
@@ -10,29 +10,30 @@
 	"github.com/pkg/errors"
 	"gopkg.in/yaml.v3"
 
+	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/connection/operator"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/version/api"
 )
 
-func getCommand(to streams) *ffcli.Command {
-	flagSet := newFlagSet("get")
+func getCommand(to cli.Streams) *ffcli.Command {
+	flagSet := cli.NewFlagSet("get")
 	flags := newOperatorFlags(flagSet, outputYAML)
 	return &ffcli.Command{
 		Name:       "get",
 		ShortUsage: "landingtrail get [KIND [NAME]] [flags]",
 		ShortHelp:  "Read objects; yaml output can be applied again",
-		LongHelp: exampleHelp("landingtrail get engines --endpoints 127.0.0.1:7103",
+		LongHelp: cli.ExampleHelp("landingtrail get engines --endpoints 127.0.0.1:7103",
 			"landingtrail get intent captions --endpoints 127.0.0.1:7103 --output yaml"),
 		FlagSet: flagSet,
-		Options: environment(),
+		Options: cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
 			return get(ctx, to, flags, args)
 		},
 	}
 }
 
-func get(ctx context.Context, to streams, flags *operatorFlags, args []string) error {
+func get(ctx context.Context, to cli.Streams, flags *operatorFlags, args []string) error {
 	kinds, name, err := parseGet(args)
 	if err != nil {
 		return err
@@ -46,8 +47,8 @@
 		return err
 	}
 	switch flags.output {
-	case outputJSON:
-		return printJSON(to.out, list)
+	case cli.OutputJSON:
+		return cli.PrintJSON(to.Out, list)
 	case outputYAML:
 		return printYAML(to, list.Objects)
 	}
@@ -65,7 +66,7 @@
 		key, err := parseKindAndName(args[0], args[1])
 		return []api.Kind{key.Kind}, key.Name, err
 	}
-	return nil, "", exactly(args, "kind", "name")
+	return nil, "", cli.Exactly(args, "kind", "name")
 }
 
 func readObjects(ctx context.Context, client *operator.Client, kinds []api.Kind, name string) (operatorapi.ObjectList, error) {
@@ -81,21 +82,24 @@
 	return all, nil
 }
 
+// outputYAML is the form that apply reads.
+const outputYAML = "yaml"
+
 // objectFile is the form that files of objects have.
 type objectFile struct {
 	Objects []api.Object `yaml:"objects"`
 }
 
-func printYAML(to streams, objects []api.Object) error {
+func printYAML(to cli.Streams, objects []api.Object) error {
 	text, err := yaml.Marshal(objectFile{Objects: objects})
 	if err != nil {
 		return errors.Wrap(err, "write result")
 	}
-	printf(to.out, "%s", text)
+	cli.Printf(to.Out, "%s", text)
 	return nil
 }
 
-func printObjects(to streams, kinds []api.Kind, objects []api.Object) error {
+func printObjects(to cli.Streams, kinds []api.Kind, objects []api.Object) error {
 	for _, kind := range kinds {
 		var ofKind []api.Object
 		for _, object := range objects {
@@ -122,15 +126,15 @@
 	api.KindTenant:  {"WEIGHT", "TOKENS/S", "BURST"},
 }
 
-func printKind(to streams, kind api.Kind, objects []api.Object) error {
+func printKind(to cli.Streams, kind api.Kind, objects []api.Object) error {
 	titles := append([]string{strings.ToUpper(string(kind)), "REVISION"}, columns[kind]...)
-	printed := newTable(to.out, append(titles, "LABELS")...)
+	printed := cli.NewTable(to.Out, append(titles, "LABELS")...)
 	for _, object := range objects {
 		metadata := object.Metadata()
 		cells := append([]any{metadata.Name, metadata.Revision}, objectCells(object)...)
-		printed.row(append(cells, labelText(metadata.Labels))...)
+		printed.Row(append(cells, labelText(metadata.Labels))...)
 	}
-	return printed.flush()
+	return printed.Flush()
 }
 
 func objectCells(object api.Object) []any {
--- a/cmd/landingtrail/label.go
+++ b/cmd/landingtrail/label.go
@@ -8,6 +8,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/version/api"
 )
 
@@ -18,20 +19,20 @@
 	remove bool
 }
 
-func labelCommand(to streams) *ffcli.Command {
-	flagSet := newFlagSet("label")
+func labelCommand(to cli.Streams) *ffcli.Command {
+	flagSet := cli.NewFlagSet("label")
 	flags := &editFlags{operator: newOperatorFlags(flagSet)}
 	flags.register(flagSet)
 	return &ffcli.Command{
 		Name:       "label",
 		ShortUsage: "landingtrail label KIND NAME key=value… key-… [flags]",
 		ShortHelp:  "Set and remove labels of one object",
-		LongHelp:   exampleHelp("landingtrail label engine narrator-3 tier=storm old-tier- --endpoints 127.0.0.1:7103 --wait"),
+		LongHelp:   cli.ExampleHelp("landingtrail label engine narrator-3 tier=storm old-tier- --endpoints 127.0.0.1:7103 --wait"),
 		FlagSet:    flagSet,
-		Options:    environment(),
+		Options:    cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) < 3 {
-				return exactly(args, "kind", "name", "label")
+				return cli.Exactly(args, "kind", "name", "label")
 			}
 			key, err := parseKindAndName(args[0], args[1])
 			if err != nil {
@@ -63,7 +64,7 @@
 			return nil, err
 		}
 		if seen[change.key] {
-			return nil, usageError{"label", strconv.Quote(change.key) + " must stand once"}
+			return nil, cli.UsageError{Field: "label", Message: strconv.Quote(change.key) + " must stand once"}
 		}
 		seen[change.key] = true
 		changes = append(changes, change)
@@ -78,11 +79,11 @@
 		change = labelChange{key: strings.TrimSuffix(arg, "-"), remove: true}
 	}
 	if !sets && !strings.HasSuffix(arg, "-") {
-		return labelChange{}, usageError{"label", "must be key=value, or key- to remove one, got " + strconv.Quote(arg)}
+		return labelChange{}, cli.UsageError{Field: "label", Message: "must be key=value, or key- to remove one, got " + strconv.Quote(arg)}
 	}
 	selector := api.Selector{MatchLabels: api.Labels{change.key: change.value}}
 	if faults := api.ValidateSelector("label", selector); len(faults) > 0 {
-		return labelChange{}, usageError{"label", faults[0].Message}
+		return labelChange{}, cli.UsageError{Field: "label", Message: faults[0].Message}
 	}
 	return change, nil
 }
--- a/cmd/landingtrail/ledger.go
+++ b/cmd/landingtrail/ledger.go
@@ -5,6 +5,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 )
 
@@ -19,21 +20,21 @@
 	all      bool
 }
 
-func ledgerCommand(to streams) *ffcli.Command {
-	flagSet := newFlagSet("ledger")
+func ledgerCommand(to cli.Streams) *ffcli.Command {
+	flagSet := cli.NewFlagSet("ledger")
 	flags := &ledgerFlags{operator: newOperatorFlags(flagSet)}
 	flagSet.StringVar(&flags.after, "after", "", "token of the page to start with, as the page before printed it")
-	uintFlag(flagSet, &flags.limit, "limit", 100, maxLedgerPage, "claims a page")
-	boolFlag(flagSet, &flags.all, "all", "read every page")
+	cli.UintFlag(flagSet, &flags.limit, "limit", 100, maxLedgerPage, "claims a page")
+	cli.BoolFlag(flagSet, &flags.all, "all", "read every page")
 	return &ffcli.Command{
 		Name:       "ledger",
 		ShortUsage: "landingtrail ledger --endpoints A [flags]",
 		ShortHelp:  "List the claims of requests that run at most once, and what became of them",
-		LongHelp:   exampleHelp("landingtrail ledger --endpoints 127.0.0.1:7103 --all"),
+		LongHelp:   cli.ExampleHelp("landingtrail ledger --endpoints 127.0.0.1:7103 --all"),
 		FlagSet:    flagSet,
-		Options:    environment(),
+		Options:    cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
-			if err := exactly(args); err != nil {
+			if err := cli.Exactly(args); err != nil {
 				return err
 			}
 			return ledger(ctx, to, flags)
@@ -41,9 +42,9 @@
 	}
 }
 
-func ledger(ctx context.Context, to streams, flags *ledgerFlags) error {
+func ledger(ctx context.Context, to cli.Streams, flags *ledgerFlags) error {
 	if flags.limit == 0 {
-		return usageError{"limit", "must be at least 1"}
+		return cli.UsageError{Field: "limit", Message: "must be at least 1"}
 	}
 	client, err := flags.operator.client()
 	if err != nil {
@@ -63,22 +64,22 @@
 		}
 		after = next.Next
 	}
-	if flags.operator.output == outputJSON {
-		return printJSON(to.out, page)
+	if flags.operator.output == cli.OutputJSON {
+		return cli.PrintJSON(to.Out, page)
 	}
 	return printLedger(to, page)
 }
 
-func printLedger(to streams, page operatorapi.Ledger) error {
-	printed := newTable(to.out, "TENANT", "KEY", "OUTCOME", "ATTEMPT", "PROXY", "REVISION")
+func printLedger(to cli.Streams, page operatorapi.Ledger) error {
+	printed := cli.NewTable(to.Out, "TENANT", "KEY", "OUTCOME", "ATTEMPT", "PROXY", "REVISION")
 	for _, claim := range page.Claims {
-		printed.row(claim.Tenant, claim.Key, claim.Outcome, claim.Attempt, claim.Proxy, claim.Revision)
+		printed.Row(claim.Tenant, claim.Key, claim.Outcome, claim.Attempt, claim.Proxy, claim.Revision)
 	}
-	if err := printed.flush(); err != nil {
+	if err := printed.Flush(); err != nil {
 		return err
 	}
 	if page.Next != "" {
-		printf(to.out, "more: --after %s\n", page.Next)
+		cli.Printf(to.Out, "more: --after %s\n", page.Next)
 	}
 	return nil
 }
--- a/cmd/landingtrail/members.go
+++ b/cmd/landingtrail/members.go
@@ -8,6 +8,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
+	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/connection/operator"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/process/settings"
@@ -27,10 +28,10 @@
 	address  string
 }
 
-func membersCommand(to streams) *ffcli.Command {
-	flagSet := newFlagSet("members")
+func membersCommand(to cli.Streams) *ffcli.Command {
+	flagSet := cli.NewFlagSet("members")
 	flags := &memberFlags{operator: newOperatorFlags(flagSet)}
-	uintFlag(flagSet, &flags.id, "id", 0, math.MaxUint64, "the member's ID, as list prints it")
+	cli.UintFlag(flagSet, &flags.id, "id", 0, math.MaxUint64, "the member's ID, as list prints it")
 	flagSet.StringVar(&flags.name, "name", "", "name of a member to add")
 	flagSet.StringVar(&flags.peer, "peer-address", "", "peer address of a member to add")
 	flagSet.StringVar(&flags.feed, "feed-address", "", "feed address of a member to add")
@@ -40,15 +41,15 @@
 		ShortUsage: "landingtrail members [list|add|promote|remove] [flags]",
 		ShortHelp:  "List the control members, or change them one step at a time",
 		LongHelp: "A change is not resent after a lost answer (exit 5): list the members, then decide.\n\n" +
-			exampleHelp("landingtrail members --endpoints 127.0.0.1:7103",
+			cli.ExampleHelp("landingtrail members --endpoints 127.0.0.1:7103",
 				"landingtrail members remove --id 7301 --endpoints 127.0.0.1:7103"),
 		FlagSet: flagSet,
-		Options: environment(),
+		Options: cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) == 0 {
 				args = []string{actionList}
 			}
-			if err := exactly(args, "action"); err != nil {
+			if err := cli.Exactly(args, "action"); err != nil {
 				return err
 			}
 			return members(ctx, to, flags, args[0])
@@ -56,7 +57,7 @@
 	}
 }
 
-func members(ctx context.Context, to streams, flags *memberFlags, action string) error {
+func members(ctx context.Context, to cli.Streams, flags *memberFlags, action string) error {
 	request, err := flags.request(action)
 	if err != nil {
 		return err
@@ -69,8 +70,8 @@
 	if err != nil {
 		return err
 	}
-	if flags.operator.output == outputJSON {
-		return printJSON(to.out, reply)
+	if flags.operator.output == cli.OutputJSON {
+		return cli.PrintJSON(to.Out, reply)
 	}
 	return printMembers(to, reply.Members)
 }
@@ -86,14 +87,14 @@
 		return operatorapi.MemberRequest{}, nil
 	case operatorapi.MemberPromote, operatorapi.MemberRemove:
 		if f.id == 0 {
-			return request, usageError{"id", "must be the ID of a member, as list prints it"}
+			return request, cli.UsageError{Field: "id", Message: "must be the ID of a member, as list prints it"}
 		}
 		return request, nil
 	case operatorapi.MemberAdd:
 		request.Name, request.PeerAddress, request.FeedAddress, request.OperatorAddress = f.name, f.peer, f.feed, f.address
 		return request, f.checkAdd()
 	}
-	return request, usageError{"action", "must be one of list, add, promote, remove, got " + action}
+	return request, cli.UsageError{Field: "action", Message: "must be one of list, add, promote, remove, got " + action}
 }
 
 func (f *memberFlags) checkAdd() error {
--- a/cmd/landingtrail/orders.go
+++ b/cmd/landingtrail/orders.go
@@ -6,22 +6,23 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/version/api"
 )
 
-func ordersCommand(to streams) *ffcli.Command {
-	flagSet := newFlagSet("orders")
+func ordersCommand(to cli.Streams) *ffcli.Command {
+	flagSet := cli.NewFlagSet("orders")
 	flags := newOperatorFlags(flagSet)
 	return &ffcli.Command{
 		Name:       "orders",
 		ShortUsage: "landingtrail orders --endpoints A [flags]",
 		ShortHelp:  "List the open orders and what their engines last said",
-		LongHelp:   exampleHelp("landingtrail orders --endpoints 127.0.0.1:7103"),
+		LongHelp:   cli.ExampleHelp("landingtrail orders --endpoints 127.0.0.1:7103"),
 		FlagSet:    flagSet,
-		Options:    environment(),
+		Options:    cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
-			if err := exactly(args); err != nil {
+			if err := cli.Exactly(args); err != nil {
 				return err
 			}
 			client, err := flags.client()
@@ -32,21 +33,21 @@
 			if err != nil {
 				return err
 			}
-			if flags.output == outputJSON {
-				return printJSON(to.out, orders)
+			if flags.output == cli.OutputJSON {
+				return cli.PrintJSON(to.Out, orders)
 			}
 			return printOrders(to, orders)
 		},
 	}
 }
 
-func printOrders(to streams, orders operatorapi.OrderList) error {
-	printed := newTable(to.out, "ENGINE", "FENCE", "TO", "WHY", "PHASE", "CONFIRMED", "SILENT")
+func printOrders(to cli.Streams, orders operatorapi.OrderList) error {
+	printed := cli.NewTable(to.Out, "ENGINE", "FENCE", "TO", "WHY", "PHASE", "CONFIRMED", "SILENT")
 	for _, open := range orders.Orders {
-		printed.row(open.Order.Engine, fenceText(open.Order.Fence), assignmentText(open.Order.Assignment),
+		printed.Row(open.Order.Engine, fenceText(open.Order.Fence), assignmentText(open.Order.Assignment),
 			open.Order.Reason, phaseText(open.Phase), fenceText(open.Confirmed), open.Silent)
 	}
-	return printed.flush()
+	return printed.Flush()
 }
 
 // fenceText is "term.index".
--- a/cmd/landingtrail/transact.go
+++ b/cmd/landingtrail/transact.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/connection/operator"
 	"github.com/landingtrail/landingtrail/process/settings"
 	"github.com/landingtrail/landingtrail/version/api"
@@ -39,7 +40,7 @@
 		}
 		number, err := strconv.ParseUint(numberText, 10, 64)
 		if err != nil {
-			return nil, usageError{"revisions", "must be KIND/NAME=REVISION with a whole number, got " + strconv.Quote(part)}
+			return nil, cli.UsageError{Field: "revisions", Message: "must be KIND/NAME=REVISION with a whole number, got " + strconv.Quote(part)}
 		}
 		given[key] = number
 	}
@@ -85,7 +86,7 @@
 		return rand.Text(), nil
 	}
 	if !operationPattern.MatchString(given) {
-		return "", usageError{"operation-id", "must be 1 to 128 letters, digits, '-', '.', '_' and ':', got " + strconv.Quote(given)}
+		return "", cli.UsageError{Field: "operation-id", Message: "must be 1 to 128 letters, digits, '-', '.', '_' and ':', got " + strconv.Quote(given)}
 	}
 	return given, nil
 }
@@ -218,7 +219,7 @@
 	case api.OutcomeInvalid:
 		return settings.Faults(result.Faults)
 	case api.OutcomeTooBroad:
-		return usageError{"allow-broad", fmt.Sprintf("the change would move %d engines, more than the group's maxAffectedEngines; give --allow-broad to allow it: %s",
+		return cli.UsageError{Field: "allow-broad", Message: fmt.Sprintf("the change would move %d engines, more than the group's maxAffectedEngines; give --allow-broad to allow it: %s",
 			len(result.AffectedEngines), strings.Join(result.AffectedEngines, ", "))}
 	}
 	return conflictError{conflictLines(result)}
--- a/cmd/landingtrail/version.go
+++ b/cmd/landingtrail/version.go
@@ -6,6 +6,8 @@
 	"runtime/debug"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 )
 
 // versionReport is the JSON of "version".
@@ -16,25 +18,25 @@
 	Platform string `json:"platform"`
 }
 
-func versionCommand(to streams) *ffcli.Command {
-	flagSet := newFlagSet("version")
-	output := outputFlag(flagSet)
+func versionCommand(to cli.Streams) *ffcli.Command {
+	flagSet := cli.NewFlagSet("version")
+	output := cli.OutputFlag(flagSet)
 	return &ffcli.Command{
 		Name:       "version",
 		ShortUsage: "landingtrail version [--output table|json]",
 		ShortHelp:  "Print the program's version",
-		LongHelp:   exampleHelp("landingtrail version"),
+		LongHelp:   cli.ExampleHelp("landingtrail version"),
 		FlagSet:    flagSet,
-		Options:    environment(),
+		Options:    cli.Environment(environmentPrefix),
 		Exec: func(_ context.Context, args []string) error {
-			if err := exactly(args); err != nil {
+			if err := cli.Exactly(args); err != nil {
 				return err
 			}
 			report := readVersion()
-			if *output == outputJSON {
-				return printJSON(to.out, report)
+			if *output == cli.OutputJSON {
+				return cli.PrintJSON(to.Out, report)
 			}
-			printf(to.out, "landingtrail %s %s (%s, %s)\n", report.Version, report.Commit, report.Go, report.Platform)
+			cli.Printf(to.Out, "landingtrail %s %s (%s, %s)\n", report.Version, report.Commit, report.Go, report.Platform)
 			return nil
 		},
 	}
