Add the caller that plays a trace and checks every answer

Each answer is compared token by token with what its own prompt gives; every sent item has one outcome, with an observation for the oracle.

--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -362,10 +362,11 @@
 func entry(r *http.Request, event ledger.Event, reason string) ledger.Entry {
 	attempt, _ := strconv.ParseUint(r.Header.Get(engineapi.HeaderAttempt), 10, 32)
 	return ledger.Entry{
-		Event:     event,
-		RequestID: r.Header.Get(engineapi.HeaderRequestID),
-		Attempt:   uint32(attempt),
-		Key:       r.Header.Get(ledger.HeaderIdempotency),
-		Reason:    reason,
+		Event:      event,
+		RequestID:  r.Header.Get(engineapi.HeaderRequestID),
+		Attempt:    uint32(attempt),
+		Key:        r.Header.Get(ledger.HeaderIdempotency),
+		PromptHash: xxhash.Sum64String(r.URL.RequestURI()),
+		Reason:     reason,
 	}
 }
--- /dev/null
+++ b/lab/caller/judge.go
@@ -0,0 +1,175 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/lab/backend"
+	"github.com/landingtrail/landingtrail/lab/enginemodel"
+)
+
+const (
+	answerLimit = 16 << 20 // bytes of one answer
+	lineLimit   = 1 << 20  // bytes of one line of a stream
+)
+
+// Outcome says how a request ended for its caller.
+type Outcome string
+
+// Outcomes of a request.
+const (
+	OutcomeNotSent     Outcome = "not_sent"    // the player had no free place
+	OutcomeCompleted   Outcome = "completed"   // the whole answer to its own request
+	OutcomeRefused     Outcome = "refused"     // told "not run"
+	OutcomeRejected    Outcome = "rejected"    // told "not run", and that the request is at fault
+	OutcomeUnknown     Outcome = "unknown"     // no answer, or told that it may have run
+	OutcomeCutShort    Outcome = "cut_short"   // the answer stopped before its end
+	OutcomeWrong       Outcome = "wrong"       // another answer, or a part that claims to be whole
+	OutcomeGaveUp      Outcome = "gave_up"     // no end within the deadline and the caller's patience
+	OutcomeInterrupted Outcome = "interrupted" // the player was stopped
+)
+
+// outcome is how one request ended and what was measured on the way.
+type outcome struct {
+	kind       Outcome
+	latency    time.Duration // from the first send
+	retryAfter time.Duration // 0 if the answer has none
+	firstToken time.Duration // 0 if none came
+	gaps       []time.Duration
+}
+
+// final reports whether the outcome came from an answer, not from its absence.
+func (o *outcome) final() bool {
+	return o.kind != OutcomeUnknown && o.kind != OutcomeCutShort
+}
+
+// judgeError reads an answer that is not 200.
+func judgeError(response *http.Response) outcome {
+	ended := outcome{kind: OutcomeUnknown, retryAfter: retryAfter(response.Header)}
+	var body engineapi.ErrorBody
+	if json.NewDecoder(io.LimitReader(response.Body, lineLimit)).Decode(&body) != nil {
+		return ended
+	}
+	if body.Error.Ran != "no" {
+		return ended
+	}
+	ended.kind = OutcomeRefused
+	isCallersFault := response.StatusCode >= 400 && response.StatusCode < 500
+	if isCallersFault && response.StatusCode != http.StatusTooManyRequests {
+		ended.kind = OutcomeRejected
+	}
+	return ended
+}
+
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	if err != nil || seconds <= 0 {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// judgeBody checks the answer of a plain back end, which names the path that it
+// was asked for with or without the proxy's prefix.
+func judgeBody(body io.Reader, call *call) outcome {
+	content, err := io.ReadAll(io.LimitReader(body, answerLimit))
+	if err != nil {
+		return outcome{kind: OutcomeCutShort}
+	}
+	whole := backend.IsWholeAndOwn(call.path, nil, string(content)) ||
+		backend.IsWholeAndOwn("/services/"+call.item.Service+call.path, nil, string(content))
+	if !whole {
+		return outcome{kind: OutcomeWrong}
+	}
+	return outcome{kind: OutcomeCompleted}
+}
+
+// streamEvent is the part of an event that the caller looks at.
+type streamEvent struct {
+	Choices []engineapi.Choice     `json:"choices"`
+	Error   *engineapi.ErrorDetail `json:"error"`
+}
+
+// streamJudge reads one stream and compares it with what is expected.
+type streamJudge struct {
+	promptHash uint64
+	expected   int // tokens
+	received   int
+	last       time.Time
+	result     outcome
+}
+
+// judgeStream checks a streamed answer token by token.
+func judgeStream(body io.Reader, call *call, sent time.Time) outcome {
+	judge := &streamJudge{
+		promptHash: enginemodel.PromptHash(call.prompt),
+		expected:   call.item.OutputTokens,
+		last:       sent,
+	}
+	lines := bufio.NewScanner(io.LimitReader(body, answerLimit))
+	lines.Buffer(make([]byte, 0, 4<<10), lineLimit)
+	for lines.Scan() {
+		data, isData := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
+		if isData && judge.event(data) {
+			return judge.result
+		}
+	}
+	judge.result.kind = OutcomeCutShort
+	return judge.result
+}
+
+// event takes one event's data and reports whether the outcome is known.
+func (j *streamJudge) event(data []byte) (done bool) {
+	if string(data) == "[DONE]" {
+		j.result.kind = OutcomeCompleted
+		if j.received != j.expected {
+			j.result.kind = OutcomeWrong
+		}
+		return true
+	}
+	var event streamEvent
+	if json.Unmarshal(data, &event) != nil {
+		j.result.kind = OutcomeWrong
+		return true
+	}
+	if event.Error != nil {
+		j.result.kind = OutcomeCutShort
+		return true
+	}
+	for _, choice := range event.Choices {
+		if choice.Delta != nil && !j.tokens(choice.Delta.Content) {
+			j.result.kind = OutcomeWrong
+			return true
+		}
+	}
+	return false
+}
+
+// tokens compares the words of a delta with the next expected tokens.
+func (j *streamJudge) tokens(content string) bool {
+	for word := range bytes.FieldsSeq([]byte(content)) {
+		if string(word) != enginemodel.TokenText(j.promptHash, j.received) {
+			return false
+		}
+		j.received++
+		j.measure()
+	}
+	return true
+}
+
+func (j *streamJudge) measure() {
+	now := time.Now()
+	gap := now.Sub(j.last)
+	j.last = now
+	if j.received == 1 {
+		j.result.firstToken = gap
+		return
+	}
+	j.result.gaps = append(j.result.gaps, gap)
+}
