--- a/version/state/plan.go
+++ b/version/state/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 
 	"github.com/landingtrail/landingtrail/version/api"
@@ -120,15 +121,17 @@
 }
 
 // orderFaults refuses to delete engines with open orders: the order could still
-// be carried out while nothing would know of it.
+// be carried out while nothing would know of it. An engine that is gone from the
+// platform's list may be deleted, since the process that the order is bound to
+// has ended with its machine and nobody is left to give its word.
 func (p *plan) orderFaults() []api.FieldFault {
 	var faults []api.FieldFault
 	for i, write := range p.transaction.Writes {
 		if !write.Delete || write.Object.Engine == nil {
 			continue
 		}
-		order := p.machine.engines.items[p.keys[i].Name].Status.OpenOrder
-		if order != nil {
+		status := p.machine.engines.items[p.keys[i].Name].Status
+		if order := status.OpenOrder; order != nil && status.Phase != api.PhaseGone {
 			message := fmt.Sprintf("engine %s has the open order (%d, %d)", order.Engine, order.Fence.Term, order.Fence.Index)
 			faults = append(faults, api.FieldFault{Field: fmt.Sprintf("writes[%d].delete", i), Message: message})
 		}
@@ -185,6 +188,13 @@
 		}
 		return
 	}
+	stored := p.machine.intents.items[intentName]
+	if stored != nil && reflect.DeepEqual(stored.Spec.Engines, intent.Spec.Engines) {
+		for name := range before {
+			p.stageSelected(name, intentName, true)
+		}
+		return
+	}
 	for name, engine := range p.machine.engines.items {
 		selects := selector.Matches(intent.Spec.Engines, engine.Labels)
 		if _, selected := before[name]; selects || selected {
