--- a/process/settings/field.go
+++ b/process/settings/field.go
@@ -60,8 +60,8 @@
 }
 
 const (
-	allowedName     = "must be 1 to 63 lower-case letters, digits, '-' and '.', with a letter or digit at each end"
-	allowedAddress  = "must be an IP number and a port from 1 to 65535, such as 10.0.0.1:7101"
+	allowedName    = "must be 1 to 63 lower-case letters, digits, '-' and '.', with a letter or digit at each end"
+	allowedAddress = "must be an IP number and a port from 1 to 65535, such as 10.0.0.1:7101"
 )
 
 type format struct {
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -9,10 +9,10 @@
 // File is everything a file can hold. A deployment may keep one file for each
 // section or one for all; a daemon reads its own section.
 type File struct {
-	Log     *Log         `yaml:"log" usage:"What the daemons log."`
-	Control *Control     `yaml:"control" usage:"A member of the control group."`
-	Proxy   *Proxy       `yaml:"proxy" usage:"A proxy beside a caller."`
-	Objects []api.Object `yaml:"objects" usage:"Objects for landingtrail apply."`
+	Log     *Log         `yaml:"log,omitempty" usage:"What the daemons log."`
+	Control *Control     `yaml:"control,omitempty" usage:"A member of the control group."`
+	Proxy   *Proxy       `yaml:"proxy,omitempty" usage:"A proxy beside a caller."`
+	Objects []api.Object `yaml:"objects,omitempty" usage:"Objects for landingtrail apply."`
 }
 
 // Log is what a daemon logs.
@@ -77,17 +77,44 @@
 
 // Proxy is the settings of one proxy.
 type Proxy struct {
-	Name         string   `yaml:"name" required:"true" format:"name" usage:"Name of the proxy."`
+	Name         string   `yaml:"name" required:"true" format:"name" usage:"Name of the proxy; no other daemon has it."`
 	Zone         string   `yaml:"zone" required:"true" format:"name" usage:"Zone of the proxy; near engines are preferred."`
 	Address      string   `yaml:"address" required:"true" format:"address" usage:"Where callers reach it over HTTP."`
-	AdminAddress string   `yaml:"adminAddress" format:"address" usage:"Where metrics and health are served; empty: nowhere."`
+	AdminAddress string   `yaml:"adminAddress" required:"true" format:"address" usage:"Where metrics and health are served."`
 	Control      []string `yaml:"control" required:"true" format:"address" usage:"Feed addresses of the control members."`
 
-	LeaseLost     string        `yaml:"leaseLost" default:"refuse" allowed:"refuse|serve" usage:"What becomes of model work while the view is past its lease: refuse it as not run, or serve engines that confirmed since."`
-	MaxBodyBytes  int64         `yaml:"maxBodyBytes" default:"4194304" min:"1024" max:"1073741824" unit:"bytes" usage:"Longest request body."`
-	QueueTimeout  time.Duration `yaml:"queueTimeout" default:"10s" min:"0s" max:"1h" usage:"Longest wait for an engine, within the request's deadline."`
-	RetryBudget   float64       `yaml:"retryBudget" default:"0.2" min:"0" max:"1" unit:"share of requests" usage:"Retries allowed as a share of the traffic."`
-	LoadInterval  time.Duration `yaml:"loadInterval" default:"200ms" min:"10ms" max:"1m" usage:"Time between two reads of an engine's load."`
-	StopTimeout   time.Duration `yaml:"stopTimeout" default:"10m" min:"0s" max:"24h" usage:"Longest planned stop; requests in flight are finished within it."`
-	FollowEngines int           `yaml:"followEngines" default:"0" min:"0" max:"100000" unit:"engines" usage:"Engines of each model whose load and cache this proxy follows; 0: all."`
+	ModelOnControlLoss   string `yaml:"modelOnControlLoss" default:"serve" allowed:"serve|refuse" usage:"Model work once the view lease has lapsed: go on with engines that confirmed since, or refuse it as not run."`
+	BackendOnControlLoss string `yaml:"backendOnControlLoss" default:"serve" allowed:"serve|refuse" usage:"Requests to plain back ends once the view lease has lapsed."`
+
+	DialTimeout       time.Duration `yaml:"dialTimeout" default:"1s" min:"1ms" max:"1m" usage:"Longest wait for a connection to an engine or a back end."`
+	HeadTimeout       time.Duration `yaml:"headTimeout" default:"3s" min:"1ms" max:"10m" usage:"Longest wait for an engine's admission or refusal."`
+	FirstTokenTimeout time.Duration `yaml:"firstTokenTimeout" default:"20s" min:"1ms" max:"1h" usage:"Longest wait for the first token after admission."`
+	StallTimeout      time.Duration `yaml:"stallTimeout" default:"10s" min:"1ms" max:"1h" usage:"Longest wait between two events of a stream."`
+	WriteTimeout      time.Duration `yaml:"writeTimeout" default:"10s" min:"1ms" max:"1h" usage:"Longest wait for a caller that stopped reading."`
+	ReadBodyTimeout   time.Duration `yaml:"readBodyTimeout" default:"30s" min:"1ms" max:"1h" usage:"Longest time that a caller may take to send a body."`
+	IdleTimeout       time.Duration `yaml:"idleTimeout" default:"2m" min:"1s" max:"1h" usage:"How long a caller's connection may stay without a request."`
+	ClaimTimeout      time.Duration `yaml:"claimTimeout" default:"2s" min:"10ms" max:"1m" usage:"Longest wait for the control group's answer to an at-most-once claim."`
+	DefaultDeadline   time.Duration `yaml:"defaultDeadline" default:"1m" min:"1ms" max:"24h" usage:"Deadline of requests that bring none and whose class has none."`
+	ClaimRetention    time.Duration `yaml:"claimRetention" default:"24h" min:"1m" max:"8760h" usage:"How long the group is asked to remember a claim."`
+
+	MaxBodyBytes   int64   `yaml:"maxBodyBytes" default:"1048576" min:"1024" max:"1073741824" unit:"bytes" usage:"Longest request body."`
+	MaxAnswerBytes int64   `yaml:"maxAnswerBytes" default:"4194304" min:"1024" max:"1073741824" unit:"bytes" usage:"Longest answer that is held until it is whole."`
+	MaxEventBytes  int     `yaml:"maxEventBytes" default:"262144" min:"1024" max:"1073741824" unit:"bytes" usage:"Longest event of a stream."`
+	MaxInFlight    int     `yaml:"maxInFlight" default:"256" min:"1" max:"1000000" unit:"requests" usage:"Running requests of a service that sets no bound."`
+	QueueLimit     int     `yaml:"queueLimit" default:"128" min:"1" max:"1000000" unit:"requests" usage:"Waiting requests of a class that sets no bound."`
+	Attempts       int     `yaml:"attempts" default:"4" min:"1" max:"100" unit:"runs" usage:"Runs of one request that may be repeated."`
+	Resumes        int     `yaml:"resumes" default:"3" min:"1" max:"100" unit:"resumes" usage:"Resumes of one run's stream."`
+	RetryShare     float64 `yaml:"retryShare" default:"0.2" min:"0.001" max:"1" unit:"share of the requests" usage:"Retries that the traffic pays for."`
+	RetryReserve   int     `yaml:"retryReserve" default:"20" min:"1" max:"100000" unit:"retries" usage:"Retries that may be saved up."`
+
+	LoadInterval   time.Duration `yaml:"loadInterval" default:"250ms" min:"10ms" max:"1m" usage:"Pause between two reads of a back end's load."`
+	CacheInterval  time.Duration `yaml:"cacheInterval" default:"500ms" min:"10ms" max:"1m" usage:"Pause between two reads of an engine's cache events."`
+	DemandInterval time.Duration `yaml:"demandInterval" default:"1s" min:"100ms" max:"1m" usage:"Pause between two reports of demand to the control group."`
+	BeatInterval   time.Duration `yaml:"beatInterval" default:"500ms" min:"10ms" max:"1m" usage:"Pause between two confirmations of the view; well below the group's viewLease."`
+
+	FollowLocal  int `yaml:"followLocal" default:"16" min:"1" max:"100000" unit:"engines" usage:"Engines of the proxy's own zone, for each service, whose load and cache it follows."`
+	FollowRemote int `yaml:"followRemote" default:"8" min:"0" max:"100000" unit:"engines" usage:"Engines of other zones that it follows, so that the loss of a zone leaves some."`
+
+	DrainNotice time.Duration `yaml:"drainNotice" default:"1s" min:"1ms" max:"5m" usage:"How long a stopping proxy still accepts, telling callers to close their connections."`
+	DrainLimit  time.Duration `yaml:"drainLimit" default:"0s" min:"0s" max:"24h" usage:"Longest wait for requests in flight at a stop; 0s: no bound, so that none is cut."`
 }
