--- /dev/null
+++ b/connection/peer/peer_test.go
@@ -0,0 +1,307 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+)
+
+const testGroup = 42
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// end is one member's transport with what it received and what happened to it.
+type end struct {
+	*Transport
+	received chan raft.Message
+	events   chan Event
+}
+
+func newEnd(t *testing.T, id raft.MemberID, adjust func(*Config)) *end {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	e := &end{received: make(chan raft.Message, 10_000), events: make(chan Event, 10_000)}
+	config := Config{
+		Group:         testGroup,
+		ID:            id,
+		Listener:      listener,
+		PingInterval:  20 * time.Millisecond,
+		AnswerTimeout: 200 * time.Millisecond,
+		MaxBackoff:    50 * time.Millisecond,
+		OnEvent:       func(event Event) { e.events <- event },
+	}
+	if adjust != nil {
+		adjust(&config)
+	}
+	e.Transport, err = New(config, func(message raft.Message) { e.received <- message })
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, e.Close()) })
+	return e
+}
+
+// next waits for an event of the kind.
+func (e *end) next(t *testing.T, kind EventKind) Event {
+	t.Helper()
+	deadline := time.After(10 * time.Second)
+	for {
+		select {
+		case event := <-e.events:
+			if event.Kind == kind {
+				return event
+			}
+		case <-deadline:
+			t.Fatalf("no event of kind %d", kind)
+		}
+	}
+}
+
+func (e *end) receive(t *testing.T) raft.Message {
+	t.Helper()
+	select {
+	case message := <-e.received:
+		return message
+	case <-time.After(10 * time.Second):
+		t.Fatal("no message")
+		return raft.Message{}
+	}
+}
+
+func heartbeat(from, to raft.MemberID, sequence uint64) raft.Message {
+	return raft.Message{Kind: raft.MessageHeartbeat, From: from, To: to, Term: 1, Sequence: sequence}
+}
+
+// newProxy puts a fault-injecting proxy in front of an address.
+func newProxy(t *testing.T, upstream string) *toxiproxy.Proxy {
+	t.Helper()
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
+	proxy := toxiproxy.NewProxy(server, "peer", "127.0.0.1:0", upstream)
+	must.NoError(t, proxy.Start())
+	t.Cleanup(proxy.Stop)
+	return proxy
+}
+
+func addToxic(t *testing.T, proxy *toxiproxy.Proxy, toxic string) {
+	t.Helper()
+	_, err := proxy.Toxics.AddToxicJson(strings.NewReader(toxic))
+	must.NoError(t, err)
+}
+
+func TestMessagesArriveInOrder(t *testing.T) {
+	a, b := newEnd(t, 1, nil), newEnd(t, 2, nil)
+	a.SetPeers(map[raft.MemberID]string{1: "ignored", 2: b.Address().String()})
+	b.SetPeers(map[raft.MemberID]string{1: a.Address().String()})
+	for sequence := range uint64(500) {
+		a.Send([]raft.Message{heartbeat(1, 2, sequence)})
+	}
+	for sequence := range uint64(500) {
+		must.Eq(t, sequence, b.receive(t).Sequence)
+	}
+	b.Send([]raft.Message{heartbeat(2, 1, 7), heartbeat(2, 9, 8)})
+	must.Eq(t, heartbeat(2, 1, 7), a.receive(t))
+	must.Eq(t, 1, b.Stats().Dropped)
+}
+
+func TestHeartbeatsPassASnapshot(t *testing.T) {
+	a, b := newEnd(t, 1, nil), newEnd(t, 2, nil)
+	proxy := newProxy(t, b.Address().String())
+	addToxic(t, proxy, `{"name":"slow","type":"bandwidth","stream":"upstream","attributes":{"rate":4000}}`)
+	a.SetPeers(map[raft.MemberID]string{2: proxy.Listen})
+	snapshot := &raft.Snapshot{Term: 1, Index: 9, Data: make([]byte, 4<<20)}
+	a.Send([]raft.Message{{Kind: raft.MessageSnapshot, From: 1, To: 2, Term: 1, Snapshot: snapshot}})
+	a.Send([]raft.Message{heartbeat(1, 2, 1)})
+	must.Eq(t, raft.MessageHeartbeat, b.receive(t).Kind)
+	arrived := b.receive(t)
+	must.Eq(t, raft.MessageSnapshot, arrived.Kind)
+	must.Eq(t, len(snapshot.Data), len(arrived.Snapshot.Data))
+}
+
+func TestTooLargeSnapshotIsRefused(t *testing.T) {
+	a := newEnd(t, 1, nil)
+	b := newEnd(t, 2, func(c *Config) { c.MaxSnapshotBytes = 1 << 20 })
+	a.SetPeers(map[raft.MemberID]string{2: b.Address().String()})
+	snapshot := &raft.Snapshot{Term: 1, Index: 9, Data: make([]byte, 4<<20)}
+	a.Send([]raft.Message{{Kind: raft.MessageSnapshot, From: 1, To: 2, Term: 1, Snapshot: snapshot}})
+	a.next(t, EventDisconnected)
+	must.Eq(t, 0, b.Stats().Received)
+}
+
+// A connection whose other end fell silent is given up, although the kernel would
+// go on taking bytes for it, and a new one carries on after the cut.
+func TestSilentCutIsNoticed(t *testing.T) {
+	a, b := newEnd(t, 1, nil), newEnd(t, 2, nil)
+	proxy := newProxy(t, b.Address().String())
+	a.SetPeers(map[raft.MemberID]string{2: proxy.Listen})
+	a.Send([]raft.Message{heartbeat(1, 2, 1)})
+	must.Eq(t, 1, b.receive(t).Sequence)
+	addToxic(t, proxy, `{"name":"cut","type":"timeout","stream":"upstream","attributes":{"timeout":0}}`)
+	a.Send([]raft.Message{heartbeat(1, 2, 2)})
+	a.next(t, EventDisconnected)
+	must.NoError(t, proxy.Toxics.RemoveToxic(context.Background(), "cut"))
+	waitForSequence(t, a, b, 3)
+}
+
+// waitForSequence sends the heartbeat until it arrives.
+func waitForSequence(t *testing.T, a, b *end, sequence uint64) {
+	t.Helper()
+	for range 500 {
+		a.Send([]raft.Message{heartbeat(1, 2, sequence)})
+		select {
+		case message := <-b.received:
+			if message.Sequence == sequence {
+				return
+			}
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	t.Fatal("the connection did not come back")
+}
+
+func TestResetConnectionsComeBack(t *testing.T) {
+	a, b := newEnd(t, 1, nil), newEnd(t, 2, nil)
+	proxy := newProxy(t, b.Address().String())
+	a.SetPeers(map[raft.MemberID]string{2: proxy.Listen})
+	for round := range uint64(3) {
+		waitForSequence(t, a, b, 10+round)
+		addToxic(t, proxy, `{"name":"reset","type":"reset_peer","stream":"upstream","attributes":{"timeout":0}}`)
+		a.Send([]raft.Message{heartbeat(1, 2, 1)})
+		a.next(t, EventDisconnected)
+		must.NoError(t, proxy.Toxics.RemoveToxic(context.Background(), "reset"))
+	}
+	waitForSequence(t, a, b, 20)
+}
+
+func TestForeignBytesAreRefused(t *testing.T) {
+	a := newEnd(t, 1, nil)
+	conn, err := net.Dial("tcp", a.Address().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	must.NoError(t, err)
+	must.ErrorIs(t, a.next(t, EventRejected).Err, frame.ErrForeignProtocol)
+	_, err = io.ReadAll(conn) // ends, by a reset or cleanly
+	if err != nil {
+		must.StrContains(t, err.Error(), "reset")
+	}
+}
+
+func TestHandshakeRefusesStrangers(t *testing.T) {
+	b := newEnd(t, 2, nil)
+	for name, test := range map[string]struct {
+		group    uint64
+		id       raft.MemberID
+		receiver raft.MemberID
+		want     error
+	}{
+		"other group":          {testGroup + 1, 1, 2, ErrWrongGroup},
+		"former member":        {testGroup, 1, 3, ErrWrongMember},
+		"member of our own ID": {testGroup, 2, 3, ErrWrongMember},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newEnd(t, test.id, func(c *Config) { c.Group = test.group })
+			a.SetPeers(map[raft.MemberID]string{test.receiver: b.Address().String()})
+			a.Send([]raft.Message{heartbeat(test.id, test.receiver, 1)})
+			must.ErrorIs(t, a.next(t, EventRefused).Err, test.want)
+			must.ErrorIs(t, b.next(t, EventRejected).Err, test.want)
+		})
+	}
+	must.Eq(t, 0, b.Stats().Received)
+}
+
+// connectAs opens a connection by hand and shakes hands.
+func connectAs(t *testing.T, to *end, h hello) (net.Conn, *frame.Writer, *frame.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", to.Address().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	writer := frame.NewWriter(conn, Protocol, time.Second)
+	reader := frame.NewReader(conn, Protocol, 1<<10, 10*time.Second)
+	_, err = greet(writer, reader, h)
+	must.NoError(t, err)
+	return conn, writer, reader
+}
+
+func TestMessageInAnothersNameEndsTheConnection(t *testing.T) {
+	b := newEnd(t, 2, nil)
+	_, writer, reader := connectAs(t, b, hello{group: testGroup, sender: 1, receiver: 2, lane: laneMessages})
+	forged := heartbeat(3, 2, 1)
+	must.NoError(t, writer.WriteFrame(frameMessage, forged.AppendBinary(nil)))
+	must.NoError(t, writer.Flush())
+	_, err := reader.ReadFrame()
+	must.Error(t, err)
+	must.Eq(t, 0, b.Stats().Received)
+}
+
+func TestNewConnectionReplacesTheOld(t *testing.T) {
+	b := newEnd(t, 2, func(c *Config) { c.AnswerTimeout = time.Hour })
+	greeting := hello{group: testGroup, sender: 1, receiver: 2, lane: laneMessages}
+	_, _, old := connectAs(t, b, greeting)
+	_, writer, _ := connectAs(t, b, greeting)
+	_, err := old.ReadFrame()
+	must.Error(t, err)
+	message := heartbeat(1, 2, 5)
+	must.NoError(t, writer.WriteFrame(frameMessage, message.AppendBinary(nil)))
+	must.NoError(t, writer.Flush())
+	must.Eq(t, 5, b.receive(t).Sequence)
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	b := newEnd(t, 2, func(c *Config) { c.MaxConnections = 1; c.AnswerTimeout = time.Hour })
+	connectAs(t, b, hello{group: testGroup, sender: 1, receiver: 2, lane: laneMessages})
+	conn, err := net.Dial("tcp", b.Address().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	_, err = conn.Read(make([]byte, 1))
+	must.Error(t, err)
+}
+
+func TestProbeTellsWhoIsThere(t *testing.T) {
+	b := newEnd(t, 2, func(c *Config) { c.Initialized = func() bool { return true } })
+	found, err := Probe(t.Context(), b.Address().String(), testGroup)
+	must.NoError(t, err)
+	must.Eq(t, Identity{Group: testGroup, Member: 2, Initialized: true}, found)
+	found, err = Probe(t.Context(), b.Address().String(), testGroup+1)
+	must.ErrorIs(t, err, ErrWrongGroup)
+	must.Eq(t, testGroup, found.Group)
+}
+
+func TestPeerMovesToAnotherAddress(t *testing.T) {
+	a, b, moved := newEnd(t, 1, nil), newEnd(t, 2, nil), newEnd(t, 2, nil)
+	a.SetPeers(map[raft.MemberID]string{2: b.Address().String()})
+	waitForSequence(t, a, b, 1)
+	a.SetPeers(map[raft.MemberID]string{2: moved.Address().String()})
+	waitForSequence(t, a, moved, 2)
+	a.SetPeers(nil)
+	a.Send([]raft.Message{heartbeat(1, 2, 3)})
+	must.Positive(t, a.Stats().Dropped)
+}
+
+func TestQueueDropsTheOldest(t *testing.T) {
+	q := newQueue(3, 1<<20)
+	for sequence := range uint64(5) {
+		q.put(heartbeat(1, 2, sequence))
+	}
+	left := q.takeAll()
+	must.Eq(t, 3, len(left))
+	must.Eq(t, 2, left[0].Sequence)
+
+	q = newQueue(100, 10_000)
+	dropped := 0
+	for range 10 {
+		dropped += q.put(raft.Message{Entries: []raft.Entry{{Data: make([]byte, 4000)}}})
+	}
+	must.Eq(t, 8, dropped)
+	must.Eq(t, 2, len(q.takeAll()))
+	must.Eq(t, 0, q.put(raft.Message{Entries: []raft.Entry{{Data: make([]byte, 40_000)}}}))
+}
