--- a/lab/engine/completions.go
+++ b/lab/engine/completions.go
@@ -9,6 +9,7 @@
 	"github.com/landingtrail/landingtrail/lab/engine/ledger"
 	"github.com/landingtrail/landingtrail/lab/enginemodel"
 	"github.com/landingtrail/landingtrail/lab/platform/labhttp"
+	"github.com/landingtrail/landingtrail/request/prefix"
 )
 
 // ownIDs numbers requests that come without an ID.
@@ -73,7 +74,7 @@
 		return labhttp.FieldError("model", "must not be empty")
 	case chat && len(body.Messages) == 0:
 		return labhttp.FieldError("messages", "must not be empty")
-	case enginemodel.CountTokens(enginemodel.PromptText(body)) == 0:
+	case len(prefix.Words(prefix.Text(body))) == 0:
 		return labhttp.FieldError("prompt", "must hold a word")
 	case body.MaxTokens < 0:
 		return labhttp.FieldError("max_tokens", "must not be negative")
@@ -83,7 +84,8 @@
 
 // newRun ties a request's headers and body together.
 func (s *Server) newRun(envelope envelope, body *engineapi.CompletionRequest, chat bool) (*run, enginemodel.Request) {
-	prompt := enginemodel.PromptText(body)
+	prompt := prefix.Text(body)
+	words := prefix.Words(prompt)
 	tokens := body.MaxTokens
 	if tokens == 0 {
 		tokens = DefaultMaxTokens
@@ -94,7 +96,7 @@
 		model:        body.Model,
 		chat:         chat,
 		promptHash:   enginemodel.PromptHash(prompt),
-		promptTokens: enginemodel.CountTokens(prompt),
+		promptTokens: len(words),
 		outputTokens: tokens,
 	}
 	request := enginemodel.Request{
@@ -103,7 +105,7 @@
 		Priority:     envelope.priority,
 		PromptTokens: created.promptTokens,
 		OutputTokens: tokens,
-		Blocks:       enginemodel.PromptBlocks(body.Model, prompt, s.config.Model.BlockTokens),
+		Blocks:       prefix.Blocks(body.Model, words),
 		PromptHash:   created.promptHash,
 		Handle:       envelope.handle,
 	}
--- a/lab/engine/server.go
+++ b/lab/engine/server.go
@@ -22,6 +22,7 @@
 	"github.com/landingtrail/landingtrail/lab/enginemodel"
 	"github.com/landingtrail/landingtrail/lab/platform"
 	"github.com/landingtrail/landingtrail/lab/platform/labhttp"
+	"github.com/landingtrail/landingtrail/request/prefix"
 )
 
 const (
@@ -85,6 +86,7 @@
 	if config.Logger == nil {
 		config.Logger = log.NewNopLogger()
 	}
+	config.Model.BlockTokens = prefix.BlockWords
 	config.Model.ExternalLoad = config.Platform != ""
 	runs, err := ledger.Open(config.Model.Engine, ledger.DefaultLimit, config.LedgerPath)
 	if err != nil {
--- a/lab/enginemodel/config.go
+++ b/lab/enginemodel/config.go
@@ -11,6 +11,7 @@
 import (
 	"time"
 
+	"github.com/landingtrail/landingtrail/request/prefix"
 	"github.com/landingtrail/landingtrail/version/api"
 )
 
@@ -28,7 +29,7 @@
 	DefaultMaxWaiting             = 256
 	DefaultKVTokens               = 60_000
 	DefaultStagingTokens          = 120_000
-	DefaultBlockTokens            = 16
+	DefaultBlockTokens            = prefix.BlockWords
 	DefaultKVBytesPerToken        = 128 << 10
 	DefaultKVBytesPerSecond       = 5e9
 	DefaultRoleChange             = 3 * time.Second
