--- /dev/null
+++ b/process/raft/election_test.go
@@ -0,0 +1,164 @@
+package raft
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestVotes asks one member, whose log ends in (term 2, index 2), for its vote.
+func TestVotes(t *testing.T) {
+	late := 3 * simElectionTimeout
+	cases := []struct {
+		name     string
+		message  Message
+		vote     MemberID
+		now      time.Duration
+		contact  time.Duration // a heartbeat of member 3 in term 2 at this time, if not zero
+		blank    bool
+		learner  bool
+		granted  bool
+		answered bool
+	}{
+		{name: "longer log", message: Message{Term: 3, LogTerm: 2, Index: 3}, now: late, granted: true, answered: true},
+		{name: "same log", message: Message{Term: 3, LogTerm: 2, Index: 2}, now: late, granted: true, answered: true},
+		{name: "shorter log", message: Message{Term: 3, LogTerm: 2, Index: 1}, now: late, answered: true},
+		{name: "older last term", message: Message{Term: 3, LogTerm: 1, Index: 9}, now: late, answered: true},
+		{name: "older term", message: Message{Term: 1, LogTerm: 2, Index: 9}, now: late, answered: true},
+		{name: "voted for another", message: Message{Term: 2, LogTerm: 2, Index: 9}, vote: 3, now: late, answered: true},
+		{name: "voted for the same", message: Message{Term: 2, LogTerm: 2, Index: 9}, vote: 2, now: late, granted: true, answered: true},
+		{name: "just started", message: Message{Term: 3, LogTerm: 2, Index: 9}, now: simElectionTimeout - 1},
+		{name: "started a timeout ago", message: Message{Term: 3, LogTerm: 2, Index: 9}, now: simElectionTimeout, granted: true, answered: true},
+		{name: "just started, transfer", message: Message{Term: 3, LogTerm: 2, Index: 9, Transfer: true}, granted: true, answered: true},
+		{name: "heard a leader", message: Message{Term: 3, LogTerm: 2, Index: 9}, now: late, contact: late - simElectionTimeout + 1},
+		{name: "heard a leader a timeout ago", message: Message{Term: 3, LogTerm: 2, Index: 9}, now: late, contact: late - simElectionTimeout, granted: true, answered: true},
+		{name: "heard a leader, transfer", message: Message{Term: 3, LogTerm: 2, Index: 9, Transfer: true}, now: late, contact: late - 1, granted: true, answered: true},
+		{name: "no configuration yet", message: Message{Term: 3, LogTerm: 2, Index: 9}, now: late, blank: true},
+		{name: "learner by its own log", message: Message{Term: 3, LogTerm: 2, Index: 9}, now: late, learner: true, granted: true, answered: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			initial := InitialState{
+				HardState:     HardState{Term: 2, Vote: c.vote},
+				Entries:       []Entry{{Term: 1, Index: 1}, {Term: 2, Index: 2}},
+				Configuration: voters(1, 2, 3),
+			}
+			if c.learner {
+				initial.Configuration = Configuration{Voters: []MemberID{2}, Learners: []MemberID{1}}
+			}
+			if c.blank {
+				initial.Configuration = Configuration{}
+			}
+			node, err := New(testConfig(1), initial)
+			must.NoError(t, err)
+			must.NoError(t, node.Step(0, Message{Kind: MessageHeartbeatReply, From: 3, To: 1, Term: 2}))
+			if c.contact > 0 {
+				must.NoError(t, node.Step(c.contact, Message{Kind: MessageHeartbeat, From: 3, To: 1, Term: 2}))
+				drain(node)
+			}
+			c.message.Kind, c.message.From, c.message.To = MessageVote, 2, 1
+			must.NoError(t, node.Step(c.now, c.message))
+			if c.granted {
+				must.Eq(t, &HardState{Term: c.message.Term, Vote: 2}, &HardState{Term: node.term, Vote: node.vote})
+			}
+			replies, _ := drain(node)
+			must.Eq(t, c.answered, len(replies) == 1)
+			if c.answered {
+				must.Eq(t, c.granted, !replies[0].Reject)
+			}
+		})
+	}
+}
+
+func TestPreVoteChangesNothing(t *testing.T) {
+	node, err := New(testConfig(1), InitialState{Configuration: voters(1, 2, 3)})
+	must.NoError(t, err)
+	node.Tick(0)
+	request := Message{Kind: MessagePreVote, From: 2, To: 1, Term: 1}
+	for _, now := range []time.Duration{simElectionTimeout - 1, simElectionTimeout} {
+		must.NoError(t, node.Step(now, request))
+		replies, _ := drain(node)
+		must.Eq(t, now < simElectionTimeout, replies[0].Reject)
+		must.Eq(t, HardState{}, node.hardState())
+	}
+}
+
+func TestRefusedPreVoteOfTermZeroIsTaken(t *testing.T) {
+	node, err := New(testConfig(1), InitialState{Configuration: voters(1, 2, 3)})
+	must.NoError(t, err)
+	must.NoError(t, node.Step(0, Message{Kind: MessagePreVoteReply, From: 2, To: 1, Reject: true}))
+}
+
+func TestMemberThatWasCutOffDisturbsNobody(t *testing.T) {
+	g := newGroup(t, 3)
+	g.isolate(3)
+	g.pass(10 * simElectionTimeout)
+	must.Eq(t, PreCandidate, g.nodes[3].role)
+	must.Eq(t, 1, g.nodes[3].term)
+	g.keep = nil
+	g.pass(3 * simElectionTimeout)
+	must.Eq(t, Status{ID: 3, Term: 1, Leader: 1, Commit: 1, Applied: 1, LastIndex: 1, Configuration: voters(1, 2, 3)}, g.nodes[3].Status())
+}
+
+func TestLeaderWithoutQuorumStepsDown(t *testing.T) {
+	g := newGroup(t, 3)
+	g.isolate(1)
+	g.nodes[1].Tick(g.now + simElectionTimeout - 1)
+	must.Eq(t, Leader, g.nodes[1].role)
+	g.nodes[1].Tick(g.now + simElectionTimeout)
+	must.Eq(t, Follower, g.nodes[1].role)
+}
+
+func TestOutdatedLeaderIsTold(t *testing.T) {
+	g := newGroup(t, 3)
+	node := g.nodes[1]
+	must.NoError(t, node.Step(g.now, Message{Kind: MessageHeartbeatReply, From: 2, To: 1, Term: 5, Reject: true}))
+	must.Eq(t, Follower, node.role)
+	must.NoError(t, node.Step(g.now, Message{Kind: MessageAppend, From: 2, To: 1, Term: 2}))
+	messages, _ := drain(node)
+	must.Eq(t, Message{Kind: MessageAppendReply, From: 1, To: 2, Term: 5, Reject: true}, messages[0])
+}
+
+func TestTransfer(t *testing.T) {
+	g := newGroup(t, 3)
+	must.ErrorIs(t, g.nodes[2].TransferLeadership(g.now, 1), ErrNotLeader)
+	must.ErrorIs(t, g.nodes[1].TransferLeadership(g.now, 9), ErrUnknownMember)
+	g.pass(simHeartbeatInterval)
+	must.True(t, g.nodes[1].LeaseValid(g.now))
+	must.NoError(t, g.nodes[1].TransferLeadership(g.now, 2))
+	must.False(t, g.nodes[1].LeaseValid(g.now))
+	must.ErrorIs(t, g.nodes[1].TransferLeadership(g.now, 3), ErrTransferPending)
+	_, _, err := g.nodes[1].Propose(g.now, nil)
+	must.ErrorIs(t, err, ErrTransferPending)
+	g.settle()
+	must.Eq(t, Leader, g.nodes[2].role)
+	must.Eq(t, 2, g.nodes[1].leaderID)
+}
+
+// TestTransferThatFails ends in a new election where the target may still be
+// about to campaign, and otherwise leaves the leader in place.
+func TestTransferThatFails(t *testing.T) {
+	cases := []struct {
+		name   string
+		behind bool
+		role   Role
+	}{{"target was told", false, Follower}, {"target lacked entries", true, Leader}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGroup(t, 3)
+			g.isolate(2)
+			if c.behind {
+				g.propose("missing")
+			}
+			must.NoError(t, g.nodes[1].TransferLeadership(g.now, 2))
+			for range 5 {
+				g.now += simHeartbeatInterval
+				g.nodes[1].Tick(g.now)
+				g.settle()
+			}
+			must.Eq(t, c.role, g.nodes[1].role)
+			must.Eq(t, c.role == Leader, g.nodes[1].LeaseValid(g.now))
+		})
+	}
+}
--- /dev/null
+++ b/process/raft/harness_test.go
@@ -0,0 +1,129 @@
+package raft
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func testConfig(id MemberID) Config {
+	return Config{
+		ID:                id,
+		ElectionTimeout:   simElectionTimeout,
+		HeartbeatInterval: simHeartbeatInterval,
+		LeaseDuration:     simLeaseDuration,
+	}
+}
+
+func voters(ids ...MemberID) Configuration { return Configuration{Voters: ids} }
+
+// group is members whose messages are delivered at once, in order, unless keep
+// says otherwise; its clock moves only by hand.
+type group struct {
+	t     testing.TB
+	now   time.Duration
+	nodes map[MemberID]*Node
+	ids   []MemberID
+	keep  func(Message) bool // nil delivers everything
+	seen  []Message
+	reads []ReadState
+}
+
+// newGroup starts count voters, of which member 1 leads, and one blank member.
+func newGroup(t testing.TB, count int, adjust ...func(*Config)) *group {
+	g := &group{t: t, nodes: make(map[MemberID]*Node)}
+	configuration := Configuration{}
+	for id := MemberID(1); id <= MemberID(count); id++ {
+		configuration.Voters = append(configuration.Voters, id)
+	}
+	for id := MemberID(1); id <= MemberID(count)+1; id++ {
+		config := testConfig(id)
+		for _, change := range adjust {
+			change(&config)
+		}
+		initial := InitialState{Configuration: configuration}
+		if id > MemberID(count) {
+			initial = InitialState{}
+		}
+		node, err := New(config, initial)
+		must.NoError(t, err)
+		g.nodes[id] = node
+		g.ids = append(g.ids, id)
+		node.Tick(0)
+	}
+	g.now = 2 * simElectionTimeout
+	g.nodes[1].Tick(g.now)
+	g.settle()
+	must.Eq(t, Leader, g.nodes[1].role)
+	must.True(t, g.nodes[1].committedInTerm())
+	return g
+}
+
+// drain carries out all Readys of a node and returns their messages.
+func drain(n *Node) (messages []Message, reads []ReadState) {
+	for n.HasReady() {
+		ready := n.Ready()
+		messages = append(messages, ready.Messages...)
+		reads = append(reads, ready.ReadStates...)
+		n.Advance(ready)
+	}
+	return messages, reads
+}
+
+// settle delivers messages until nobody has anything to say.
+func (g *group) settle() {
+	for busy := true; busy; {
+		busy = false
+		for _, id := range g.ids {
+			messages, reads := drain(g.nodes[id])
+			g.reads = append(g.reads, reads...)
+			for _, message := range messages {
+				busy = true
+				g.seen = append(g.seen, message)
+				if g.keep == nil || g.keep(message) {
+					must.NoError(g.t, g.nodes[message.To].Step(g.now, message))
+				}
+			}
+		}
+	}
+}
+
+// pass lets time go by in heartbeats that all members notice.
+func (g *group) pass(length time.Duration) {
+	for end := g.now + length; g.now < end; {
+		g.now += simHeartbeatInterval
+		for _, id := range g.ids {
+			g.nodes[id].Tick(g.now)
+		}
+		g.settle()
+	}
+}
+
+func (g *group) propose(data string) {
+	_, _, err := g.nodes[1].Propose(g.now, []byte(data))
+	must.NoError(g.t, err)
+}
+
+func (g *group) change(kind ChangeKind, member MemberID) {
+	_, _, err := g.nodes[1].ProposeChange(g.now, ConfigurationChange{kind, member})
+	must.NoError(g.t, err)
+}
+
+// isolate loses all messages from and to the members.
+func (g *group) isolate(ids ...MemberID) {
+	g.keep = func(m Message) bool { return !slices.Contains(ids, m.From) && !slices.Contains(ids, m.To) }
+}
+
+// sent counts the messages of a kind since the last call.
+func (g *group) sent(kind MessageKind) int {
+	count := 0
+	for _, message := range g.seen {
+		if message.Kind == kind {
+			count++
+		}
+	}
+	g.seen = nil
+	return count
+}
--- /dev/null
+++ b/process/raft/lease_test.go
@@ -0,0 +1,94 @@
+package raft
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestLeaseCountsFromSending(t *testing.T) {
+	g := newGroup(t, 3)
+	leader := g.nodes[1]
+	sentAt := g.now + simHeartbeatInterval
+	leader.Tick(sentAt)
+	messages, _ := drain(leader)
+	must.Eq(t, MessageHeartbeat, messages[0].Kind)
+	answer := Message{Kind: MessageHeartbeatReply, From: 2, To: 1, Term: 1, Sequence: messages[0].Sequence}
+	must.NoError(t, leader.Step(sentAt+simLeaseDuration/2, answer))
+	must.True(t, leader.LeaseValid(sentAt+simLeaseDuration-1))
+	must.False(t, leader.LeaseValid(sentAt+simLeaseDuration), must.Sprint("one answer makes a quorum of three, until the lease ends"))
+	must.False(t, g.nodes[2].LeaseValid(sentAt))
+}
+
+func TestLeaseNeedsQuorumAndOwnTerm(t *testing.T) {
+	g := newGroup(t, 5)
+	leader := g.nodes[1]
+	g.isolate(3, 4, 5)
+	start := g.now
+	for g.now < start+simLeaseDuration {
+		must.True(t, leader.LeaseValid(g.now))
+		g.now += simHeartbeatInterval
+		leader.Tick(g.now)
+		g.settle()
+	}
+	must.False(t, leader.LeaseValid(g.now), must.Sprint("two of five"))
+
+	alone, err := New(testConfig(1), InitialState{Configuration: voters(1)})
+	must.NoError(t, err)
+	alone.Tick(0)
+	alone.Tick(2 * simElectionTimeout)
+	must.Eq(t, Leader, alone.role)
+	must.False(t, alone.LeaseValid(2*simElectionTimeout), must.Sprint("nothing of the term is committed"))
+	drain(alone)
+	must.True(t, alone.LeaseValid(9*simElectionTimeout))
+}
+
+func TestReadIndex(t *testing.T) {
+	g := newGroup(t, 3)
+	leader := g.nodes[1]
+	must.ErrorIs(t, g.nodes[2].ReadIndex(g.now, 1), ErrNotLeader)
+	must.NoError(t, leader.ReadIndex(g.now, 1))
+	_, reads := drain(leader)
+	must.Eq(t, []ReadState{{1, 1}}, reads, must.Sprint("under the lease at once"))
+
+	g.now += simLeaseDuration
+	must.NoError(t, leader.ReadIndex(g.now, 2))
+	messages, reads := drain(leader)
+	must.SliceEmpty(t, reads)
+	answer := Message{Kind: MessageHeartbeatReply, From: 2, To: 1, Term: 1, Sequence: messages[0].Sequence - 1}
+	must.NoError(t, leader.Step(g.now, answer))
+	_, reads = drain(leader)
+	must.SliceEmpty(t, reads, must.Sprint("the answer is to a round from before the read"))
+	answer.Sequence++
+	must.NoError(t, leader.Step(g.now, answer))
+	_, reads = drain(leader)
+	must.Eq(t, []ReadState{{2, 1}}, reads)
+
+	g.now += simLeaseDuration
+	must.NoError(t, leader.ReadIndex(g.now, 3))
+	leader.Tick(g.now + simElectionTimeout)
+	must.Eq(t, []uint64{3}, leader.Ready().AbortedReads)
+}
+
+// TestLeaseOutlivesRestartOfFollower restarts the follower that made the lease's
+// quorum; the other one, which never heard of the lease, must not win with it.
+func TestLeaseOutlivesRestartOfFollower(t *testing.T) {
+	g := newGroup(t, 3)
+	g.isolate(3)
+	g.pass(2 * simElectionTimeout)
+	must.True(t, g.nodes[1].LeaseValid(g.now))
+	restarted, err := New(testConfig(2), InitialState{
+		HardState: g.nodes[2].hardState(), Entries: g.nodes[2].log.entries, Configuration: voters(1, 2, 3),
+	})
+	must.NoError(t, err)
+	g.nodes[2] = restarted
+	g.isolate(1)
+	g.now += time.Millisecond
+	g.nodes[2].Tick(g.now)
+	g.nodes[3].electionDeadline = g.now
+	g.nodes[3].Tick(g.now)
+	g.settle()
+	must.True(t, g.nodes[1].LeaseValid(g.now))
+	must.NotEq(t, Leader, g.nodes[3].role)
+}
