--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -140,7 +140,9 @@
 // A connection whose other end fell silent is given up, although the kernel would
 // go on taking bytes for it, and a new one carries on after the cut.
 func TestSilentCutIsNoticed(t *testing.T) {
-	a, b := newEnd(t, 1, nil), newEnd(t, 2, nil)
+	a := newEnd(t, 1, nil)
+	// The receiver must not be the one that notices: nothing of it would get through.
+	b := newEnd(t, 2, func(c *Config) { c.AnswerTimeout = time.Hour })
 	proxy := newProxy(t, b.Address().String())
 	a.SetPeers(map[raft.MemberID]string{2: proxy.Listen})
 	a.Send([]raft.Message{heartbeat(1, 2, 1)})
@@ -305,3 +307,10 @@
 	must.Eq(t, 2, len(q.takeAll()))
 	must.Eq(t, 0, q.put(raft.Message{Entries: []raft.Entry{{Data: make([]byte, 40_000)}}}))
 }
+
+func TestSilentSenderIsDropped(t *testing.T) {
+	b := newEnd(t, 2, nil)
+	_, _, reader := connectAs(t, b, hello{group: testGroup, sender: 1, receiver: 2, lane: laneMessages})
+	_, err := reader.ReadFrame()
+	must.ErrorIs(t, err, io.EOF)
+}
