--- a/connection/upstream/stream.go
+++ b/connection/upstream/stream.go
@@ -70,6 +70,9 @@
 	return frame, nil
 }
 
+// Buffered reports whether more of the stream has arrived and is not read yet.
+func (s *Stream) Buffered() bool { return s.events.reader.Buffered() > 0 }
+
 func (s *Stream) verify(event *engineapi.StreamEvent) error {
 	if s.identity.Incarnation == 0 {
 		s.identity.Incarnation = event.Incarnation
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -247,6 +247,9 @@
 	return ran
 }
 
+// Done reports whether the whole answer was passed on.
+func (l *Life) Done() bool { return l.State() == Done }
+
 // Attempts returns a copy of the records.
 func (l *Life) Attempts() []Record {
 	l.lock.Lock()
--- a/request/limit/queue.go
+++ b/request/limit/queue.go
@@ -119,6 +119,18 @@
 	}
 }
 
+// Resize changes the number of requests that may run. Requests that run
+// already go on.
+func (q *Queue) Resize(maxInFlight int) {
+	if maxInFlight <= 0 {
+		maxInFlight = DefaultMaxInFlight
+	}
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	q.config.MaxInFlight = maxInFlight
+	q.grant()
+}
+
 // Acquire waits until the request may run. It returns a release function to be
 // called once when the request has ended, or why the request was refused.
 func (q *Queue) Acquire(ctx context.Context, ticket Ticket) (release func(), refusal *Refusal) {
