Refuse commands without a valid lease before proposing them; test a group of three members

A leader cut off from the others used to append claims and transactions whose outcome nobody could tell; now they are surely refused. The tests run three members over loopback: a leader crash in mid transaction with a resend, racing writers, claims through two feeds, a lost disk followed by another loss, a planned stop, a restart of the whole group after compaction.

--- a/process/control/control_test.go
+++ b/process/control/control_test.go
@@ -1,11 +1,17 @@
 package control
 
 import (
+	"context"
+	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 
+	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 )
 
@@ -22,9 +28,227 @@
 	}
 	_, holder := c.follow("proxy-a")
 	eventually(t, "the view", func() bool { return holder.Load().Intents["narrate"] != nil })
-	var inForce operatorapi.InForce
-	eventually(t, "in force", func() bool {
-		c.call(0, http.MethodGet, operatorapi.PathInForce+"?revision=1", nil, &inForce)
-		return inForce.Done
+	c.awaitInForce(result.Revision)
+	must.Eq(t, result.Revision, holder.Load().Version.Revision)
+}
+
+func (c *cluster) awaitInForce(revision uint64) {
+	c.t.Helper()
+	path := fmt.Sprintf("%s?revision=%d", operatorapi.PathInForce, revision)
+	eventually(c.t, "in force", func() bool {
+		for i := range c.running {
+			var inForce operatorapi.InForce
+			if c.call(i, http.MethodGet, path, nil, &inForce) == http.StatusOK {
+				return inForce.Done
+			}
+		}
+		return false
+	})
+}
+
+func TestResendAfterLeaderCrashGetsFirstAnswer(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.start(0, 1, 2)
+	transaction := api.Transaction{OperationID: "first", Writes: narratorObjects()}
+	sent := make(chan struct{})
+	leader := c.leader()
+	go func() {
+		defer close(sent)
+		c.call(leader, http.MethodPost, operatorapi.PathTransactions, transaction, nil)
+	}()
+	c.crash(leader)
+	<-sent
+	first := c.transact(transaction)
+	must.Eq(t, api.OutcomeAccepted, first.Code)
+	c.start(leader)
+	c.crash(c.leader())
+	again := c.transact(transaction)
+	must.Eq(t, first, again)
+	other := transaction
+	other.AllowBroad = true
+	must.Eq(t, api.OutcomeOperationConflict, c.transact(other).Code)
+}
+
+func TestRacingOperatorsWithOneRevision(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.start(0, 1, 2)
+	c.leader()
+	const rounds = 5
+	for round := range rounds {
+		tenant := fmt.Sprintf("tenant-%d", round)
+		codes := make([]api.OutcomeCode, len(c.configs))
+		var racing sync.WaitGroup
+		for i := range codes {
+			racing.Go(func() {
+				object := &api.Tenant{Metadata: api.Metadata{Name: tenant}, Spec: api.TenantSpec{Weight: float64(i + 1)}}
+				transaction := api.Transaction{
+					OperationID: fmt.Sprintf("%s-%d", tenant, i),
+					Writes:      []api.Write{{Object: api.Object{Tenant: object}}},
+				}
+				var result api.TransactionResult
+				c.call(i, http.MethodPost, operatorapi.PathTransactions, transaction, &result)
+				codes[i] = result.Code
+			})
+		}
+		racing.Wait()
+		counts := map[api.OutcomeCode]int{}
+		for _, code := range codes {
+			counts[code]++
+		}
+		must.Eq(t, map[api.OutcomeCode]int{api.OutcomeAccepted: 1, api.OutcomeRevisionConflict: 2}, counts)
+	}
+}
+
+func TestInvalidBodiesNameTheField(t *testing.T) {
+	c := newCluster(t, 1, func(config *Config) { config.Limits.MaxBodyBytes = 1 << 10 })
+	c.start(0)
+	c.leader()
+	cases := map[string]struct {
+		body   any
+		status int
+		code   operatorapi.ErrorCode
+		field  string
+	}{
+		"unknown field": {map[string]any{"operationID": "a", "wrties": 1}, http.StatusBadRequest, operatorapi.ErrorInvalidBody, "wrties"},
+		"wrong type":    {map[string]any{"operationId": 1}, http.StatusBadRequest, operatorapi.ErrorInvalidBody, "operationId"},
+		"wrong nested type": {
+			map[string]any{"writes": []any{map[string]any{"object": map[string]any{"tenant": map[string]any{"spec": map[string]any{"weight": "x"}}}}}},
+			http.StatusBadRequest, operatorapi.ErrorInvalidBody, "writes.object.tenant.spec.weight",
+		},
+		"too large": {map[string]any{"operationId": string(make([]byte, 2<<10))}, http.StatusRequestEntityTooLarge, operatorapi.ErrorBodyTooLarge, ""},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			var answer operatorapi.Error
+			must.Eq(t, test.status, c.call(0, http.MethodPost, operatorapi.PathTransactions, test.body, &answer))
+			must.Eq(t, test.code, answer.Code)
+			if test.field != "" {
+				must.Eq(t, test.field, answer.Faults[0].Field)
+			}
+		})
+	}
+}
+
+func TestClaimIsGrantedOnceThroughTwoFeeds(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.start(0, 1, 2)
+	c.leader()
+	first, _ := c.follow("proxy-a")
+	second, _ := c.follow("proxy-b")
+	eventually(t, "connections", func() bool { return first.Connected() && second.Connected() })
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	request := state.ClaimRequest{Tenant: "water", Key: "crew-7", BodyHash: 9, Attempt: 1, Proxy: "proxy-a", Nonce: 1}
+	other := request
+	other.Proxy, other.Nonce = "proxy-b", 2
+	var results [2]api.ClaimResult
+	var errs [2]error
+	var racing sync.WaitGroup
+	racing.Go(func() { results[0], errs[0] = first.Claim(ctx, request) })
+	racing.Go(func() { results[1], errs[1] = second.Claim(ctx, other) })
+	racing.Wait()
+	must.NoError(t, errors.Wrap(errs[0], "first"))
+	must.NoError(t, errors.Wrap(errs[1], "second"))
+	granted := map[api.ClaimCode]int{results[0].Code: 1}
+	granted[results[1].Code]++
+	must.Eq(t, map[api.ClaimCode]int{api.ClaimGranted: 1, api.ClaimRunning: 1}, granted)
+
+	c.crash(c.leader())
+	eventually(t, "a connection to the new leader", func() bool { return second.Connected() })
+	conflicting := other
+	conflicting.BodyHash, conflicting.Nonce = 10, 3
+	eventually(t, "an answer of the new leader", func() bool {
+		result, err := second.Claim(ctx, conflicting)
+		return err == nil && result.Code == api.ClaimConflict
+	})
+}
+
+func TestLostDiskComesBackAsNewMember(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.start(0, 1, 2)
+	c.transact(api.Transaction{OperationID: "first", Writes: narratorObjects()})
+	c.awaitFurtherLosses(1)
+	lost := (c.leader() + 1) % 3
+	old := c.running[lost].member.id
+	c.crash(lost)
+	c.awaitFurtherLosses(0)
+	c.loseDisk(lost)
+	c.start(lost)
+	c.awaitFurtherLosses(1)
+	must.NotEq(t, old, c.running[lost].member.id)
+	status, _ := c.status()
+	must.Len(t, 3, status.Members)
+	for _, member := range status.Members {
+		must.NotEq(t, uint64(old), member.ID)
+	}
+	// A second machine is lost right after the repair.
+	c.crash((lost + 1) % 3)
+	must.Eq(t, api.OutcomeAccepted, c.transact(api.Transaction{
+		OperationID: "second",
+		Writes:      []api.Write{{Object: api.Object{Tenant: &api.Tenant{Metadata: api.Metadata{Name: "water"}}}}},
+	}).Code)
+}
+
+// awaitFurtherLosses waits until the status says how many losses can be borne.
+func (c *cluster) awaitFurtherLosses(count int) {
+	c.t.Helper()
+	eventually(c.t, fmt.Sprintf("%d further losses can be borne", count), func() bool {
+		status, ok := c.status()
+		return ok && status.FurtherLosses == count && (count == 0 || len(status.Repairing) == 0)
+	})
+}
+
+func TestPlannedStopMovesSubscribers(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.start(0, 1, 2)
+	leader := c.leader()
+	client, holder := c.follow("proxy-a")
+	eventually(t, "a connection", client.Connected)
+	must.NoError(t, c.stop(leader))
+	result := c.transact(api.Transaction{OperationID: "after", Writes: narratorObjects()})
+	eventually(t, "the change in the view", func() bool { return holder.Load().Version.Revision >= result.Revision })
+	eventually(t, "a valid lease", func() bool { return client.Connected() })
+}
+
+func TestWholeGroupRestarts(t *testing.T) {
+	c := newCluster(t, 3, func(config *Config) { config.Limits.SnapshotEntries = 20 })
+	c.start(0, 1, 2)
+	first := api.Transaction{OperationID: "first", Writes: narratorObjects()}
+	answer := c.transact(first)
+	for i := range 60 {
+		tenant := &api.Tenant{Metadata: api.Metadata{Name: fmt.Sprintf("tenant-%d", i)}}
+		writes := []api.Write{{Object: api.Object{Tenant: tenant}}}
+		must.Eq(t, api.OutcomeAccepted, c.transact(api.Transaction{OperationID: tenant.Name, Writes: writes}).Code)
+	}
+	for i := range c.configs {
+		c.crash(i)
+	}
+	c.start(0, 1, 2)
+	must.Eq(t, answer, c.transact(first))
+	var list operatorapi.ObjectList
+	must.Eq(t, http.StatusOK, c.call(c.leader(), http.MethodGet, operatorapi.PathObjects+"/Tenant", nil, &list))
+	must.Len(t, 60, list.Objects)
+}
+
+func TestNoQuorumIsToldAtOnce(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.start(0, 1, 2)
+	client, _ := c.follow("proxy-a")
+	eventually(t, "a connection", client.Connected)
+	leader := c.leader()
+	c.crash((leader + 1) % 3)
+	c.crash((leader + 2) % 3)
+	var answer operatorapi.Error
+	eventually(t, "a refusal", func() bool {
+		return c.call(leader, http.MethodGet, operatorapi.PathStatus, nil, &answer) == http.StatusServiceUnavailable
+	})
+	begun := c.running[leader].member.group.Load()
+	_, err := begun.Claim(context.Background(), state.ClaimRequest{Tenant: "water", Key: "crew-8", Nonce: 5, Proxy: "proxy-a"})
+	must.ErrorIs(t, err, feed.ErrNoQuorum)
+	status := c.call(leader, http.MethodPost, operatorapi.PathTransactions, api.Transaction{OperationID: "late"}, &answer)
+	must.Eq(t, http.StatusServiceUnavailable, status)
+	eventually(t, "a sure refusal of a claim", func() bool {
+		_, err := client.Claim(context.Background(), state.ClaimRequest{Tenant: "water", Key: "crew-9", Nonce: 6, Proxy: "proxy-a"})
+		return errors.Is(err, feed.ErrNoQuorum)
 	})
 }
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -81,10 +81,15 @@
 }
 
 // propose commits the command and returns the state's answer. The errors are
-// those of replica.Propose.
+// those of replica.Propose. Without a valid lease the command is refused with
+// errNoLease at once, since what it appended might not be committed
+// before a caller gives up, and then nobody could say what became of it.
 func (g *group) propose(ctx context.Context, command state.Command) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, g.config.Durations.Proposal)
 	defer cancel()
+	if _, err := g.leases.read(ctx, g.leaseRead); err != nil {
+		return nil, errors.Wrap(errNoLease, err.Error())
+	}
 	command.Time = time.Now().UnixMilli()
 	command.Limits = g.limits()
 	result, err := g.replica.Propose(ctx, state.Encode(command))
@@ -99,10 +104,13 @@
 	}
 }
 
+// errNoLease refuses a command that was not proposed for want of a valid lease.
+var errNoLease = errors.New("control: no valid leader lease")
+
 // surelyNotProposed reports whether the error says that the command was not and
 // will not be committed.
 func surelyNotProposed(err error) bool {
-	for _, sure := range []error{replica.ErrNotLeader, replica.ErrOverloaded, replica.ErrStopped, replica.ErrWithdrawn} {
+	for _, sure := range []error{errNoLease, replica.ErrNotLeader, replica.ErrOverloaded, replica.ErrStopped, replica.ErrWithdrawn} {
 		if errors.Is(err, sure) {
 			return true
 		}
--- a/process/control/group_test.go
+++ b/process/control/group_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -56,6 +57,7 @@
 }
 
 type runningMember struct {
+	member *member
 	cancel context.CancelFunc
 	done   chan error
 }
@@ -101,10 +103,14 @@
 
 func (c *cluster) start(indexes ...int) {
 	for _, i := range indexes {
+		config := c.configs[i].WithDefaults()
+		must.SliceEmpty(c.t, config.Check())
+		logger := log.With(log.NewLogfmtLogger(&testWriter{t: c.t}), "member", config.Name)
+		opened, err := open(config, logger)
+		must.NoError(c.t, err)
 		ctx, cancel := context.WithCancel(context.Background())
-		started := &runningMember{cancel: cancel, done: make(chan error, 1)}
-		logger := log.With(log.NewLogfmtLogger(&testWriter{t: c.t}), "member", c.configs[i].Name)
-		go func() { started.done <- Run(ctx, c.configs[i], logger) }()
+		started := &runningMember{member: opened, cancel: cancel, done: make(chan error, 1)}
+		go func() { started.done <- opened.run(ctx) }()
 		c.running[i] = started
 	}
 }
@@ -129,6 +135,18 @@
 	return <-stopping.done
 }
 
+// crash cuts the member off before it can hand anything over, and ends it.
+func (c *cluster) crash(i int) {
+	crashed := c.running[i]
+	must.NoError(c.t, crashed.member.transport.Close())
+	crashed.member.operator.close()
+	crashed.member.feed.Close()
+	must.NoError(c.t, c.stop(i))
+}
+
+// loseDisk empties the data folder of a member that is not running.
+func (c *cluster) loseDisk(i int) { must.NoError(c.t, os.RemoveAll(c.configs[i].DataFolder)) }
+
 func (c *cluster) stopAll() {
 	for i := range c.running {
 		c.running[i].cancel()
