--- a/connection/peer/inbound.go
+++ b/connection/peer/inbound.go
@@ -143,7 +143,7 @@
 			err = t.deliver(greeting, next.Payload)
 		case frameChunk:
 			pieces = append(pieces, next.Payload...)
-			err = t.checkSnapshotSize(len(pieces))
+			err = t.acknowledgeChunk(writer, len(pieces))
 		case frameFinalChunk:
 			pieces = append(pieces, next.Payload...)
 			err = t.deliver(greeting, pieces)
@@ -157,11 +157,13 @@
 	}
 }
 
-func (t *Transport) checkSnapshotSize(size int) error {
+// acknowledgeChunk answers each piece of a snapshot, so that the sender sees it
+// move on a slow network, where a ping would have to wait behind all of it.
+func (t *Transport) acknowledgeChunk(writer *frame.Writer, size int) error {
 	if size > t.config.MaxSnapshotBytes {
 		return errors.Wrapf(frame.ErrTooLarge, "snapshot of more than %d bytes", t.config.MaxSnapshotBytes)
 	}
-	return nil
+	return answerPing(writer)
 }
 
 func answerPing(writer *frame.Writer) error {
--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -163,11 +163,7 @@
 // readPongs returns when the other side stops answering: a connection whose other
 // end is gone in silence would else hold messages for many minutes.
 func (s *sender) readPongs(reader *frame.Reader) error {
-	patience := s.transport.config.AnswerTimeout
-	if s.lane == laneSnapshots {
-		patience *= snapshotPatience
-	}
-	reader.SetTimeout(patience + s.transport.config.PingInterval)
+	reader.SetTimeout(s.transport.config.AnswerTimeout + s.transport.config.PingInterval)
 	for {
 		answer, err := reader.ReadFrame()
 		if err != nil {
@@ -226,19 +222,11 @@
 	if s.lane == laneMessages {
 		return writer.WriteFrame(frameMessage, encoded)
 	}
-	lastPing := time.Now()
 	for len(encoded) > chunkBytes {
 		if err := writer.WriteFrame(frameChunk, encoded[:chunkBytes]); err != nil {
 			return err
 		}
 		encoded = encoded[chunkBytes:]
-		if time.Since(lastPing) < s.transport.config.PingInterval {
-			continue
-		}
-		lastPing = time.Now()
-		if err := writer.WriteFrame(framePing, nil); err != nil {
-			return err
-		}
 	}
 	return writer.WriteFrame(frameFinalChunk, encoded)
 }
--- a/connection/peer/transport.go
+++ b/connection/peer/transport.go
@@ -26,10 +26,6 @@
 	DefaultMaxBackoff       = time.Second
 )
 
-// snapshotPatience is how much longer a ping may wait for its answer behind a
-// snapshot than behind messages.
-const snapshotPatience = 5
-
 // EventKind tells what happened to a connection.
 type EventKind uint8
 
@@ -65,7 +61,7 @@
 	DialTimeout   time.Duration // also for the handshake
 	WriteTimeout  time.Duration
 	PingInterval  time.Duration
-	AnswerTimeout time.Duration // without an answer to a ping the connection is closed
+	AnswerTimeout time.Duration // without an answer for so long the connection is closed
 	MinBackoff    time.Duration
 	MaxBackoff    time.Duration
 
--- /dev/null
+++ b/process/replica/bench_test.go
@@ -0,0 +1,256 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/landingtrail/landingtrail/connection/peer"
+	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/shoenig/test/must"
+)
+
+// process is a member as a daemon would run it: with a disk, over TCP.
+type process struct {
+	id        raft.MemberID
+	dir       string
+	address   string
+	transport *peer.Transport
+	machine   *history
+	replica   *Replica
+	running   atomic.Pointer[Replica]
+}
+
+// processGroup is a group of members on one machine with real disks and sockets.
+type processGroup struct {
+	t         testing.TB
+	processes []*process
+	bootstrap raft.Configuration
+	adjust    func(*Config)
+}
+
+func newProcessGroup(t testing.TB, size int, adjust func(*Config)) *processGroup {
+	g := &processGroup{t: t, adjust: adjust}
+	for range size {
+		p := &process{dir: t.TempDir()}
+		disk, err := OpenDisk(DiskOptions{Dir: p.dir, Group: testGroup})
+		must.NoError(t, err)
+		p.id = disk.Identity().Member
+		must.NoError(t, disk.Close())
+		g.listen(p)
+		g.processes = append(g.processes, p)
+		g.bootstrap.Voters = append(g.bootstrap.Voters, p.id)
+	}
+	for _, p := range g.processes {
+		g.start(p)
+	}
+	t.Cleanup(g.stop)
+	return g
+}
+
+// listen opens the member's transport on the address that it had before, if any.
+func (g *processGroup) listen(p *process) {
+	address := p.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
+	must.NoError(g.t, err)
+	p.transport, err = peer.New(peer.Config{Group: testGroup, ID: p.id, Listener: listener}, p.receive)
+	must.NoError(g.t, err)
+	p.address = p.transport.Address().String()
+}
+
+func (p *process) receive(message raft.Message) {
+	if running := p.running.Load(); running != nil {
+		running.Receive(message)
+	}
+}
+
+func (g *processGroup) addresses() map[raft.MemberID]string {
+	addresses := make(map[raft.MemberID]string)
+	for _, p := range g.processes {
+		addresses[p.id] = p.address
+	}
+	return addresses
+}
+
+func (g *processGroup) start(p *process) {
+	disk, err := OpenDisk(DiskOptions{Dir: p.dir, Group: testGroup})
+	must.NoError(g.t, err)
+	p.machine = &history{}
+	config := Config{
+		Raft:         raft.Config{ID: p.id, Seed: uint64(p.id)},
+		Storage:      disk,
+		Transport:    p.transport,
+		StateMachine: p.machine,
+		Bootstrap:    g.bootstrap,
+	}
+	if g.adjust != nil {
+		g.adjust(&config)
+	}
+	p.transport.SetPeers(g.addresses())
+	p.replica, err = Start(config)
+	must.NoError(g.t, err)
+	p.running.Store(p.replica)
+}
+
+// kill ends the member without a handover and closes its sockets.
+func (g *processGroup) kill(p *process) {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	p.replica.Stop(ended)
+	must.NoError(g.t, p.transport.Close())
+}
+
+func (g *processGroup) restart(p *process) {
+	g.listen(p)
+	g.start(p)
+}
+
+func (g *processGroup) stop() {
+	for _, p := range g.processes {
+		select {
+		case <-p.replica.Done():
+		default:
+			g.kill(p)
+		}
+	}
+}
+
+func (g *processGroup) leader(excluded *process) *process {
+	deadline := time.Now().Add(30 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, p := range g.processes {
+			if p != excluded && p.replica.Status().Role == raft.Leader && p.replica.LeaseRead(context.Background()) == nil {
+				return p
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	g.t.Fatal("no leader")
+	return nil
+}
+
+// counter is a state machine that keeps only how many commands it applied.
+type counter struct{ count uint64 }
+
+func (c *counter) Apply(raft.Entry) any      { c.count++; return c.count }
+func (c *counter) Snapshot() ([]byte, error) { return make([]byte, 64<<10), nil }
+func (c *counter) Restore([]byte) error      { return nil }
+
+// BenchmarkCommit measures commits of 256 bytes in a group of three with synced
+// disks over loopback.
+func BenchmarkCommit(b *testing.B) {
+	for _, proposers := range []int{1, 64} {
+		b.Run(fmt.Sprintf("proposers=%d", proposers), func(b *testing.B) {
+			g := newProcessGroup(b, 3, func(c *Config) { c.StateMachine = &counter{} })
+			leader := g.leader(nil)
+			b.ResetTimer()
+			latencies := proposeAll(b, leader.replica, proposers, b.N)
+			b.StopTimer()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+			b.ReportMetric(float64(latencies.ValueAtQuantile(50))/1000, "p50-ms")
+			b.ReportMetric(float64(latencies.ValueAtQuantile(99))/1000, "p99-ms")
+			g.stop()
+		})
+	}
+}
+
+// proposeAll makes count proposals by so many proposers and returns their
+// latencies in microseconds.
+func proposeAll(b *testing.B, r *Replica, proposers, count int) *hdrhistogram.Histogram {
+	var mutex sync.Mutex
+	var group sync.WaitGroup
+	var next atomic.Int64
+	latencies := hdrhistogram.New(1, 60_000_000, 3)
+	for range proposers {
+		group.Go(func() {
+			own := hdrhistogram.New(1, 60_000_000, 3)
+			for next.Add(1) <= int64(count) {
+				started := time.Now()
+				if _, err := r.Propose(context.Background(), make([]byte, 256)); err != nil {
+					b.Error(err)
+					return
+				}
+				own.RecordValue(time.Since(started).Microseconds())
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			latencies.Merge(own)
+		})
+	}
+	group.Wait()
+	return latencies
+}
+
+// BenchmarkRecovery measures opening a disk with a log of that many entries of
+// 256 bytes and no snapshot.
+func BenchmarkRecovery(b *testing.B) {
+	for _, count := range []uint64{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("entries=%d", count), func(b *testing.B) {
+			dir := b.TempDir()
+			writeLog(b, dir, count)
+			for b.Loop() {
+				disk, err := OpenDisk(DiskOptions{Dir: dir, Group: testGroup})
+				must.NoError(b, err)
+				initial, err := disk.Load()
+				must.NoError(b, err)
+				must.Eq(b, int(count), len(initial.Entries))
+				must.NoError(b, disk.Close())
+			}
+		})
+	}
+}
+
+func writeLog(b *testing.B, dir string, count uint64) {
+	disk, err := OpenDisk(DiskOptions{Dir: dir, Group: testGroup})
+	must.NoError(b, err)
+	const batch = 50
+	for first := uint64(1); first <= count; first += batch {
+		var entries []raft.Entry
+		for index := first; index < first+batch; index++ {
+			entries = append(entries, raft.Entry{Term: 1, Index: index, Data: make([]byte, 256)})
+		}
+		must.NoError(b, disk.Save(Update{HardState: &raft.HardState{Term: 1}, Entries: entries, MustSync: true}))
+	}
+	must.NoError(b, disk.Close())
+}
+
+// BenchmarkFailover measures from the kill of the leader to the first commit of
+// the next one.
+func BenchmarkFailover(b *testing.B) {
+	for _, timeout := range []time.Duration{500 * time.Millisecond, time.Second} {
+		b.Run(fmt.Sprintf("election=%v", timeout), func(b *testing.B) {
+			g := newProcessGroup(b, 3, func(c *Config) {
+				c.Raft.ElectionTimeout = timeout
+				c.Raft.LeaseDuration = timeout * 4 / 5
+			})
+			times := hdrhistogram.New(1, 60_000, 3)
+			for b.Loop() {
+				old := g.leader(nil)
+				started := time.Now()
+				g.kill(old)
+				proposeUntilCommitted(b, g, old)
+				times.RecordValue(time.Since(started).Milliseconds())
+				g.restart(old)
+			}
+			b.ReportMetric(float64(times.ValueAtQuantile(50)), "p50-ms")
+			b.ReportMetric(float64(times.Max()), "max-ms")
+			g.stop()
+		})
+	}
+}
+
+func proposeUntilCommitted(b *testing.B, g *processGroup, excluded *process) {
+	for {
+		if _, err := g.leader(excluded).replica.Propose(context.Background(), []byte("next")); err == nil {
+			return
+		}
+	}
+}
