--- /dev/null
+++ b/connection/feed/feed_test.go
@@ -0,0 +1,339 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+)
+
+func TestClientFollowsThroughCuts(t *testing.T) {
+	group := newFakeGroup()
+	server, address := startServer(t, group)
+	between := newRelay(t, address)
+	holder := view.NewHolder()
+	client := startClient(t, holder, between.address())
+	for round := range 10 {
+		revision := putMany(group, fmt.Sprintf("round-%d", round), 5)
+		server.Wake()
+		if round%2 == 0 {
+			between.cut()
+		}
+		eventually(t, "the version", func() bool { return holder.Load().Version.Revision == revision })
+	}
+	must.Eq(t, 50, len(holder.Load().Tenants))
+	eventually(t, "a lease", func() bool { return holder.Valid(systemClock()) && client.Connected() })
+}
+
+func TestClientFollowsHintToLeader(t *testing.T) {
+	leading := newFakeGroup()
+	server, leaderAddress := startServer(t, leading)
+	following := newFakeGroup()
+	following.set(false, false, 1, leaderAddress)
+	_, address := startServer(t, following)
+	revision := leading.put("water")
+	server.Wake()
+	holder := view.NewHolder()
+	startClient(t, holder, address)
+	eventually(t, "the leader's version", func() bool { return holder.Load().Version.Revision == revision })
+}
+
+func TestSubscribersMoveWhenLeadershipDoes(t *testing.T) {
+	first, second := newFakeGroup(), newFakeGroup()
+	second.set(false, false, 1, "")
+	firstServer, firstAddress := startServer(t, first)
+	secondServer, secondAddress := startServer(t, second)
+	first.put("water")
+	second.put("water")
+	holder := view.NewHolder()
+	client := startClient(t, holder, firstAddress, secondAddress)
+	eventually(t, "a subscription", func() bool { return client.Connected() && firstServer.Subscribers() == 1 })
+	second.set(true, true, 2, "")
+	first.set(false, false, 2, secondAddress)
+	firstServer.Wake()
+	eventually(t, "the subscription has moved", func() bool {
+		return firstServer.Subscribers() == 0 && secondServer.Subscribers() == 1 && client.Connected()
+	})
+}
+
+func TestForeignBytesEndOnlyTheirConnection(t *testing.T) {
+	group := newFakeGroup()
+	server, address := startServer(t, group)
+	holder := view.NewHolder()
+	startClient(t, holder, address)
+	for name, data := range map[string][]byte{
+		"http":        []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"),
+		"zeros":       make([]byte, 64),
+		"empty":       {},
+		"huge length": append(prefaceBytes(t), 0xff, 0xff, 0xff, 0xff, 0, 1, 0, 0, 0, 0),
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", address)
+			must.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = conn.Write(data)
+			must.NoError(t, err)
+			if len(data) == 0 {
+				return
+			}
+			must.NoError(t, conn.SetReadDeadline(time.Now().Add(patience)))
+			_, err = conn.Read(make([]byte, 1))
+			must.Error(t, err)
+		})
+	}
+	revision := group.put("water")
+	server.Wake()
+	eventually(t, "the version", func() bool { return holder.Load().Version.Revision == revision })
+}
+
+// prefaceBytes returns what opens a connection of this protocol.
+func prefaceBytes(t *testing.T) []byte {
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }()
+	defer func() { _ = far.Close() }()
+	go func() { _ = frame.NewWriter(near, Protocol, 0).Flush() }()
+	data := make([]byte, frame.PrefaceSize)
+	count, err := far.Read(data)
+	must.NoError(t, err)
+	return data[:count]
+}
+
+// rawSubscriber speaks the protocol by hand.
+type rawSubscriber struct {
+	t      *testing.T
+	conn   net.Conn
+	writer *frame.Writer
+	reader *frame.Reader
+}
+
+func newRawSubscriber(t *testing.T, address string) *rawSubscriber {
+	conn, err := net.Dial("tcp", address)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	raw := &rawSubscriber{t: t, conn: conn}
+	raw.writer = frame.NewWriter(conn, Protocol, time.Second)
+	raw.reader = frame.NewReader(conn, Protocol, maxServerPayload, patience)
+	return raw
+}
+
+func (r *rawSubscriber) send(kind frame.Kind, payload []byte) {
+	must.NoError(r.t, r.writer.WriteFrame(kind, payload))
+	must.NoError(r.t, r.writer.Flush())
+}
+
+func TestSlowSubscriberGetsOneLaterDelta(t *testing.T) {
+	group := newFakeGroup()
+	server, address := startServer(t, group)
+	raw := newRawSubscriber(t, address)
+	raw.send(kindSubscribe, encodeSubscribe(subscribe{daemon: "slow"}))
+	eventually(t, "the subscription", func() bool { return server.Subscribers() == 1 })
+	const changes = 3000
+	var revision uint64
+	for i := range changes {
+		revision = group.put(fmt.Sprintf("tenant-%d", i))
+		server.Wake()
+	}
+	holder := view.NewHolder()
+	frames := 0
+	for holder.Load().Version.Revision < revision {
+		received, err := raw.reader.ReadFrame()
+		must.NoError(t, err)
+		must.Eq(t, kindDelta, received.Kind)
+		delta, err := decodeDelta(received.Payload)
+		must.NoError(t, err)
+		must.NoError(t, holder.Apply(delta))
+		frames++
+	}
+	must.Eq(t, changes, len(holder.Load().Tenants))
+	t.Logf("%d changes came in %d deltas", changes, frames)
+}
+
+func TestStuckSubscriberIsCutOff(t *testing.T) {
+	group := newFakeGroup()
+	server, address := startServer(t, group)
+	raw := newRawSubscriber(t, address)
+	must.NoError(t, raw.conn.(*net.TCPConn).SetReadBuffer(1<<10))
+	raw.send(kindSubscribe, encodeSubscribe(subscribe{daemon: "stuck"}))
+	eventually(t, "the subscription", func() bool { return server.Subscribers() == 1 })
+	started := time.Now()
+	for i := 0; server.Subscribers() > 0; i++ {
+		must.Less(t, patience, time.Since(started))
+		group.putTogether(fmt.Sprintf("batch-%d", i%50), 200)
+		server.Wake()
+		// It goes on sending, so that it is its reading alone that is at fault.
+		_ = raw.writer.WriteFrame(kindBeat, encodeBeat(beat{sequence: uint64(i + 1)}))
+		_ = raw.writer.Flush()
+	}
+}
+
+func TestClaimErrorsSayWhatIsSure(t *testing.T) {
+	request := state.ClaimRequest{Tenant: "water", Key: "crew", Nonce: 7}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+
+	t.Run("no leader", func(t *testing.T) {
+		client := startClient(t, view.NewHolder(), "127.0.0.1:1")
+		_, err := client.Claim(ctx, request)
+		must.ErrorIs(t, err, ErrNoQuorum)
+		must.False(t, client.ReportDemand(DemandReport{}))
+	})
+	cases := map[string]struct{ answer, want error }{
+		"refused before proposing": {errors.Wrap(ErrNoQuorum, "a"), ErrNoQuorum},
+		"outcome unknown":          {errors.Wrap(ErrOutcomeUnknown, "a"), ErrOutcomeUnknown},
+		"any other error":          {errors.New("a"), ErrOutcomeUnknown},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			group := newFakeGroup()
+			group.claim = func(state.ClaimRequest) (api.ClaimResult, error) { return api.ClaimResult{}, test.answer }
+			_, address := startServer(t, group)
+			client := startClient(t, view.NewHolder(), address)
+			eventually(t, "a connection", client.Connected)
+			_, err := client.Claim(ctx, request)
+			must.ErrorIs(t, err, test.want)
+		})
+	}
+	t.Run("cut while proposed", func(t *testing.T) {
+		group := newFakeGroup()
+		proposed, finish := make(chan struct{}), make(chan struct{})
+		group.claim = func(state.ClaimRequest) (api.ClaimResult, error) {
+			close(proposed)
+			<-finish
+			return api.ClaimResult{}, nil
+		}
+		_, address := startServer(t, group)
+		between := newRelay(t, address)
+		client := startClient(t, view.NewHolder(), between.address())
+		eventually(t, "a connection", client.Connected)
+		go func() {
+			<-proposed
+			between.cut()
+		}()
+		_, err := client.Claim(ctx, request)
+		must.ErrorIs(t, err, ErrOutcomeUnknown)
+		close(finish)
+	})
+	t.Run("given up while proposed", func(t *testing.T) {
+		group := newFakeGroup()
+		giveUp, cancel := context.WithCancel(ctx)
+		defer cancel()
+		group.claim = func(state.ClaimRequest) (api.ClaimResult, error) {
+			cancel()
+			time.Sleep(10 * time.Millisecond)
+			return api.ClaimResult{}, errors.New("late")
+		}
+		_, address := startServer(t, group)
+		client := startClient(t, view.NewHolder(), address)
+		eventually(t, "a connection", client.Connected)
+		_, err := client.Claim(giveUp, request)
+		must.ErrorIs(t, err, ErrOutcomeUnknown)
+	})
+}
+
+func TestClaimAndOutcomeAndDemandArrive(t *testing.T) {
+	group := newFakeGroup()
+	_, address := startServer(t, group)
+	client := startClient(t, view.NewHolder(), address)
+	eventually(t, "a connection", client.Connected)
+	ctx := context.Background()
+	request := state.ClaimRequest{Tenant: "water", Key: "crew", BodyHash: 3, Attempt: 1, Proxy: "proxy-a", Nonce: 7}
+	result, err := client.Claim(ctx, request)
+	must.NoError(t, err)
+	must.Eq(t, api.ClaimGranted, result.Code)
+	outcome := state.RunOutcome{Tenant: "water", Key: "crew", Nonce: 7, Outcome: api.RunCompleted, Answer: []byte("done")}
+	must.NoError(t, client.RecordOutcome(ctx, outcome))
+	request.Nonce = 8
+	result, err = client.Claim(ctx, request)
+	must.NoError(t, err)
+	must.Eq(t, api.ClaimDone, result.Code)
+	must.Eq(t, "done", string(result.Claim.Answer))
+	report := DemandReport{Window: time.Second, Demands: []Demand{{Intent: "narrate", Class: "caption", Requests: 2, QueuedRequests: 1}}}
+	must.True(t, client.ReportDemand(report))
+	eventually(t, "the report", func() bool {
+		group.lock.Lock()
+		defer group.lock.Unlock()
+		return len(group.demand) == 1
+	})
+	must.Eq(t, report, group.demand[0])
+}
+
+// stuckViews stops taking deltas when told to, as a paused process would.
+type stuckViews struct {
+	*view.Holder
+	stuck atomic.Bool
+}
+
+func (s *stuckViews) Apply(delta view.Delta) error {
+	if s.stuck.Load() {
+		return errors.New("stuck")
+	}
+	return s.Holder.Apply(delta)
+}
+
+func TestInForceOnlyWhenNoOldViewHoldsALease(t *testing.T) {
+	group := newFakeGroup()
+	server, address := startServer(t, group)
+	group.put("water")
+	views := &stuckViews{Holder: view.NewHolder()}
+	startClient(t, views, address)
+	eventually(t, "a lease", func() bool { return views.Valid(systemClock()) })
+	ctx := context.Background()
+	eventually(t, "in force at first", func() bool {
+		result, valid := server.InForce(ctx, group.Version().Revision)
+		return valid && result.Done && result.Acknowledged == 1
+	})
+	views.stuck.Store(true)
+	revision := group.put("gritting")
+	server.Wake()
+	eventually(t, "in force by a lapsed lease", func() bool {
+		result, valid := server.InForce(ctx, revision)
+		must.True(t, valid)
+		if result.Done {
+			must.False(t, views.Valid(systemClock()))
+			must.Eq(t, []string{"proxy-a"}, result.Lapsed)
+		}
+		return result.Done
+	})
+	// The old view gets no lease any more, however often it asks.
+	for range 20 {
+		time.Sleep(5 * time.Millisecond)
+		must.False(t, views.Valid(systemClock()))
+	}
+	views.stuck.Store(false)
+	eventually(t, "a lease on the new view", func() bool { return views.Valid(systemClock()) })
+	must.Eq(t, revision, views.Load().Version.Revision)
+}
+
+func TestNoGrantWithoutLeaderLease(t *testing.T) {
+	group := newFakeGroup()
+	group.put("water")
+	group.set(true, false, 1, "")
+	_, address := startServer(t, group)
+	holder := view.NewHolder()
+	startClient(t, holder, address)
+	eventually(t, "the view", func() bool { return len(holder.Load().Tenants) == 1 })
+	for range 20 {
+		time.Sleep(5 * time.Millisecond)
+		must.False(t, holder.Valid(systemClock()))
+	}
+	group.set(true, true, 1, "")
+	eventually(t, "a lease", func() bool { return holder.Valid(systemClock()) })
+}
+
+func TestVersionAheadOfGroupIsRefused(t *testing.T) {
+	group := newFakeGroup()
+	_, address := startServer(t, group)
+	raw := newRawSubscriber(t, address)
+	raw.send(kindSubscribe, encodeSubscribe(subscribe{daemon: "other", version: view.Version{Term: 9, Revision: 99}}))
+	_, err := raw.reader.ReadFrame()
+	must.Error(t, err)
+}
--- /dev/null
+++ b/connection/feed/group_test.go
@@ -0,0 +1,227 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds every wait; it measures nothing.
+const patience = 20 * time.Second
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// fakeGroup is a control group of one state machine.
+type fakeGroup struct {
+	lock       sync.Mutex
+	machine    *state.Machine
+	index      uint64
+	leadership Leadership
+	leased     bool
+	claim      func(state.ClaimRequest) (api.ClaimResult, error)
+	demand     []DemandReport
+}
+
+func newFakeGroup() *fakeGroup {
+	g := &fakeGroup{machine: state.New(), leadership: Leadership{Leads: true, Term: 1}, leased: true}
+	g.claim = func(request state.ClaimRequest) (api.ClaimResult, error) {
+		return g.apply(state.Command{Kind: state.CommandClaim, Claim: &request}).(api.ClaimResult), nil
+	}
+	return g
+}
+
+func (g *fakeGroup) apply(command state.Command) any {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.index++
+	return g.machine.Apply(g.leadership.Term, g.index, command)
+}
+
+// put writes a tenant and returns the revision.
+func (g *fakeGroup) put(name string) uint64 {
+	tenant := &api.Tenant{Metadata: api.Metadata{Name: name}}
+	transaction := &api.Transaction{OperationID: "put-" + name, Writes: []api.Write{{Object: api.Object{Tenant: tenant}}}}
+	return g.apply(state.Command{Kind: state.CommandTransaction, Transaction: transaction}).(api.TransactionResult).Revision
+}
+
+// putTogether writes tenants in one transaction, over those of an earlier call.
+func (g *fakeGroup) putTogether(prefix string, count int) {
+	transaction := &api.Transaction{OperationID: fmt.Sprint(prefix, "-", time.Now().UnixNano())}
+	for i := range count {
+		tenant := &api.Tenant{Metadata: api.Metadata{Name: fmt.Sprintf("%s-%d", prefix, i)}}
+		g.lock.Lock()
+		if old, found := g.machine.Object(api.Key{Kind: api.KindTenant, Name: tenant.Name}); found {
+			tenant.Revision = old.Tenant.Revision
+		}
+		g.lock.Unlock()
+		transaction.Writes = append(transaction.Writes, api.Write{Object: api.Object{Tenant: tenant}})
+	}
+	g.apply(state.Command{Kind: state.CommandTransaction, Transaction: transaction})
+}
+
+func (g *fakeGroup) set(leads, leased bool, term uint64, address string) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.leadership = Leadership{Leads: leads, Term: term, Address: address}
+	g.leased = leased
+}
+
+func (g *fakeGroup) Leadership() Leadership {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.leadership
+}
+
+func (g *fakeGroup) Lease(context.Context) (uint64, bool) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.leadership.Term, g.leadership.Leads && g.leased
+}
+
+func (g *fakeGroup) Version() view.Version {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.machine.Version()
+}
+
+func (g *fakeGroup) DeltaSince(from view.Version) (view.Delta, bool) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.machine.DeltaSince(from)
+}
+
+func (g *fakeGroup) Claim(_ context.Context, request state.ClaimRequest) (api.ClaimResult, error) {
+	return g.claim(request)
+}
+
+func (g *fakeGroup) RecordOutcome(_ context.Context, outcome state.RunOutcome) error {
+	g.apply(state.Command{Kind: state.CommandRunOutcome, RunOutcome: &outcome})
+	return nil
+}
+
+func (g *fakeGroup) ReportDemand(_ string, report DemandReport) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.demand = append(g.demand, report)
+}
+
+// testLease is the view lease of the tests.
+const testLease = 200 * time.Millisecond
+
+func startServer(t *testing.T, group Group) (*Server, string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := NewServer(ServerConfig{Group: group, ViewLease: testLease, WriteTimeout: time.Second}, listener)
+	t.Cleanup(server.Close)
+	return server, listener.Addr().String()
+}
+
+func startClient(t *testing.T, views Views, addresses ...string) *Client {
+	client, err := Dial(ClientConfig{
+		Daemon:         "proxy-a",
+		Addresses:      addresses,
+		BeatInterval:   20 * time.Millisecond,
+		SilenceTimeout: time.Second,
+		BackoffMin:     time.Millisecond,
+		BackoffMax:     20 * time.Millisecond,
+	}, views)
+	must.NoError(t, err)
+	t.Cleanup(client.Close)
+	return client
+}
+
+// relay passes bytes on to a server until it is cut.
+type relay struct {
+	t        *testing.T
+	listener net.Listener
+	target   string
+	lock     sync.Mutex
+	conns    []net.Conn
+	done     sync.WaitGroup
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	r := &relay{t: t, listener: listener, target: target}
+	r.done.Go(r.accept)
+	t.Cleanup(func() {
+		_ = listener.Close()
+		r.cut()
+		r.done.Wait()
+	})
+	return r
+}
+
+func (r *relay) address() string { return r.listener.Addr().String() }
+
+func (r *relay) accept() {
+	for {
+		conn, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		onward, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		r.lock.Lock()
+		r.conns = append(r.conns, conn, onward)
+		r.lock.Unlock()
+		r.done.Go(func() { pass(onward, conn) })
+		r.done.Go(func() { pass(conn, onward) })
+	}
+}
+
+func pass(to, from net.Conn) {
+	buffer := make([]byte, 1<<10)
+	for {
+		count, err := from.Read(buffer)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		if _, err := to.Write(buffer[:count]); err != nil {
+			_ = from.Close()
+			return
+		}
+	}
+}
+
+// cut ends every connection.
+func (r *relay) cut() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	for _, conn := range r.conns {
+		_ = conn.Close()
+	}
+	r.conns = nil
+}
+
+func putMany(g *fakeGroup, prefix string, count int) (revision uint64) {
+	for i := range count {
+		revision = g.put(fmt.Sprintf("%s-%d", prefix, i))
+	}
+	return revision
+}
