--- /dev/null
+++ b/process/controller/controller_test.go
@@ -0,0 +1,233 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/planner"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/shoenig/test/must"
+)
+
+var (
+	first  = api.Assignment{Model: "storm", Version: "1", Role: api.RoleMixed}
+	second = api.Assignment{Model: "storm", Version: "2", Role: api.RoleMixed}
+	fence  = api.Fence{Term: 2, Index: 10}
+	higher = api.Fence{Term: 2, Index: 11}
+	lower  = api.Fence{Term: 1, Index: 99}
+)
+
+// engineWith returns the committed engine "e" of incarnation 7 that serves first.
+func engineWith(change func(*api.Engine)) *api.Engine {
+	engine := &api.Engine{
+		Metadata: api.Metadata{Name: "e"},
+		Spec:     api.EngineSpec{Address: "10.0.0.1:1"},
+		Status:   api.EngineStatus{Phase: api.PhaseServing, Incarnation: 7, Assignment: first, Fence: lower},
+	}
+	change(engine)
+	return engine
+}
+
+func openOrder(engine *api.Engine) {
+	engine.Status.OpenOrder = &api.Order{Fence: fence, Engine: "e", Incarnation: 7, Assignment: second}
+}
+
+func asCommitted(*api.Engine) {}
+
+// stateWith returns what the engine "e" says, which is what is committed.
+func stateWith(change func(*engineapi.State)) Observation {
+	seen := engineapi.State{Engine: "e", Incarnation: 7, Phase: api.PhaseServing, Assignment: first, Fence: lower}
+	change(&seen)
+	return Observation{State: seen, AskedAt: time.Minute}
+}
+
+func same(*engineapi.State) {}
+
+func TestOneEngine(t *testing.T) {
+	decision := []planner.Decision{{Engine: "e", Assignment: second, Reason: "load"}}
+	cases := map[string]struct {
+		engine    *api.Engine
+		seen      Observation
+		decisions []planner.Decision
+		adjust    func(*Input)
+		want      string
+	}{
+		"silent": {engine: engineWith(openOrder), want: "query"},
+		"stale observation": {
+			engine: engineWith(openOrder), seen: stateWith(same),
+			adjust: func(input *Input) { input.Now += time.Hour }, want: "query",
+		},
+		"another engine at the address": {
+			engine: engineWith(openOrder),
+			seen:   stateWith(func(s *engineapi.State) { s.Engine = "other"; s.Fence = higher }), want: "query",
+		},
+		"order not received":     {engine: engineWith(openOrder), seen: stateWith(same), want: "send"},
+		"order resent unchanged": {engine: engineWith(openOrder), seen: stateWith(same), decisions: decision, want: "send"},
+		"order being carried out": {
+			engine: engineWith(openOrder),
+			seen: stateWith(func(s *engineapi.State) {
+				s.Fence, s.Phase, s.Order = fence, api.PhaseDraining, &api.Order{Fence: fence}
+			}),
+			want: "query",
+		},
+		"still changing": {
+			engine: engineWith(openOrder),
+			seen:   stateWith(func(s *engineapi.State) { s.Fence, s.Phase = fence, api.PhaseChanging }), want: "query",
+		},
+		"done": {
+			engine: engineWith(openOrder),
+			seen:   stateWith(func(s *engineapi.State) { s.Fence, s.Assignment = fence, second }), want: "close done",
+		},
+		"ended without becoming it": {
+			engine: engineWith(openOrder),
+			seen:   stateWith(func(s *engineapi.State) { s.Fence = fence }), want: "void",
+		},
+		"called invalid": {
+			engine: engineWith(openOrder),
+			seen: func() Observation {
+				seen := stateWith(same)
+				seen.Refused = fence
+				return seen
+			}(),
+			want: "void",
+		},
+		"an earlier order was called invalid": {
+			engine: engineWith(openOrder),
+			seen: func() Observation {
+				seen := stateWith(same)
+				seen.Refused = lower
+				return seen
+			}(),
+			want: "send",
+		},
+		"confirmed at a higher fence": {
+			engine: engineWith(openOrder),
+			seen:   stateWith(func(s *engineapi.State) { s.Fence = higher }), want: "close void",
+		},
+		"new incarnation without its fence": {
+			engine: engineWith(openOrder),
+			seen: stateWith(func(s *engineapi.State) {
+				*s = engineapi.State{Engine: "e", Incarnation: 8, Phase: api.PhaseIdle}
+			}),
+			decisions: decision, want: "close other incarnation",
+		},
+		"incarnation unknown": {
+			engine: engineWith(openOrder),
+			seen:   stateWith(func(s *engineapi.State) { s.Incarnation = 0 }), want: "query",
+		},
+		"nothing to do":         {engine: engineWith(asCommitted), seen: stateWith(same), want: ""},
+		"decision":              {engine: engineWith(asCommitted), seen: stateWith(same), decisions: decision, want: "open 2"},
+		"decision already held": {engine: engineWith(asCommitted), seen: stateWith(same), decisions: []planner.Decision{{Engine: "e", Assignment: first}}, want: ""},
+		"report before order": {
+			engine: engineWith(asCommitted), decisions: decision,
+			seen: stateWith(func(s *engineapi.State) { s.Incarnation = 8 }), want: "report",
+		},
+		"no intent matches": {
+			engine: engineWith(func(e *api.Engine) { e.Status.UnmatchedSince = 5 }),
+			seen:   stateWith(same), decisions: decision, want: "",
+		},
+		"drain": {
+			engine: engineWith(func(e *api.Engine) { e.Spec.Drain = true }),
+			seen:   stateWith(same), decisions: decision, want: "open ",
+		},
+		"drained": {
+			engine: engineWith(func(e *api.Engine) {
+				e.Spec.Drain = true
+				e.Status.Assignment, e.Status.Phase = api.Assignment{}, api.PhaseIdle
+			}),
+			seen:      stateWith(func(s *engineapi.State) { s.Assignment, s.Phase = api.Assignment{}, api.PhaseIdle }),
+			decisions: decision, want: "",
+		},
+		"machine leaves": {
+			engine: engineWith(func(e *api.Engine) { e.Status.Phase = api.PhaseLeaving }),
+			seen:   stateWith(same), decisions: decision, want: "",
+		},
+		"failed lately": {
+			engine: engineWith(asCommitted), seen: stateWith(same), decisions: decision,
+			adjust: func(input *Input) { input.Failures = map[string]Failure{"e": {Assignment: second, At: input.Now}} },
+			want:   "",
+		},
+		"failed long ago": {
+			engine: engineWith(asCommitted), seen: stateWith(same), decisions: decision,
+			adjust: func(input *Input) { input.Failures = map[string]Failure{"e": {Assignment: second}} },
+			want:   "open 2",
+		},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			input := Input{
+				Now:          time.Minute,
+				Engines:      map[string]*api.Engine{"e": test.engine},
+				Observations: map[string]Observation{},
+				Decisions:    test.decisions,
+				Silence:      time.Second,
+				FailurePause: 30 * time.Second,
+			}
+			if test.seen.State.Engine != "" {
+				input.Observations["e"] = test.seen
+			}
+			if test.adjust != nil {
+				test.adjust(&input)
+			}
+			must.Eq(t, test.want, describe(t, Reconcile(input)))
+		})
+	}
+}
+
+// describe names the only action, or returns "" for none.
+func describe(t *testing.T, actions []Action) string {
+	if len(actions) == 0 {
+		return ""
+	}
+	must.Len(t, 1, actions)
+	switch action := actions[0].(type) {
+	case Send:
+		must.Eq(t, fence, action.Order.Fence)
+		return "send"
+	case Void:
+		must.Eq(t, fence, action.Command().VoidOrder.Fence)
+		return "void"
+	case Query:
+		return "query"
+	case Propose:
+		return describeCommand(action.Command)
+	default:
+		return "unknown"
+	}
+}
+
+func describeCommand(command state.Command) string {
+	switch command.Kind {
+	case state.CommandReportEngine:
+		return "report"
+	case state.CommandOpenOrder:
+		return "open " + command.OpenOrder.Assignment.Version
+	case state.CommandCloseOrder:
+		return "close " + map[state.CloseReason]string{
+			state.CloseDone: "done", state.CloseVoid: "void", state.CloseOtherIncarnation: "other incarnation",
+		}[command.CloseOrder.Reason]
+	default:
+		return "unknown"
+	}
+}
+
+func TestMachinesAreProposedWhenTheyDiffer(t *testing.T) {
+	listed := state.Machines{Leaving: []string{"b", "a", "b"}, Gone: []string{"c"}}
+	cases := map[string]struct {
+		platform, committed *state.Machines
+		proposed            bool
+	}{
+		"never read":        {nil, nil, false},
+		"first list":        {&listed, nil, true},
+		"same in any order": {&listed, &state.Machines{Leaving: []string{"a", "b"}, Gone: []string{"c"}}, false},
+		"one is back":       {&state.Machines{Gone: []string{"c"}}, &listed, true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			actions := Reconcile(Input{Platform: test.platform, Machines: test.committed})
+			must.Eq(t, test.proposed, len(actions) == 1)
+		})
+	}
+}
--- /dev/null
+++ b/process/controller/oracle_test.go
@@ -0,0 +1,90 @@
+package controller
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261202", "rapid.checks": "1500", "rapid.steps": "80"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// TestControllerAgainstEngineOracle runs leaders, old leaders and engines with
+// lost, late and repeated messages, crashes and changing intents against the
+// engine model and the real state machine.
+func TestControllerAgainstEngineOracle(t *testing.T) {
+	total := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		engineNames := rapid.SampledFrom([]string{"engine-0", "engine-1", "engine-2"})
+		steps := map[string]func(*rapid.T){
+			"round": func(t *rapid.T) { w.round(w.current(), w.plan()) },
+			"old leader": func(t *rapid.T) {
+				l := rapid.SampledFrom(w.leaders).Draw(t, "leader")
+				w.round(l, w.plan())
+			},
+			"query":   func(t *rapid.T) { w.post(message{leader: w.current(), engine: engineNames.Draw(t, "engine")}) },
+			"advance": func(t *rapid.T) { w.advance(time.Duration(rapid.IntRange(1, 6000).Draw(t, "ms")) * time.Millisecond) },
+			"elect":   func(t *rapid.T) { w.elect() },
+			"crash":   func(t *rapid.T) { w.crash(engineNames.Draw(t, "engine")) },
+			"intent": func(t *rapid.T) {
+				w.rewriteIntent(rapid.SampledFrom([]string{"1", "2", badVersion}).Draw(t, "version"))
+			},
+			"drain": func(t *rapid.T) {
+				w.rewriteEngine(engineNames.Draw(t, "engine"), func(engine *api.Engine) { engine.Spec.Drain = !engine.Spec.Drain })
+			},
+			"label": func(t *rapid.T) {
+				w.rewriteEngine(engineNames.Draw(t, "engine"), func(engine *api.Engine) {
+					engine.Labels = api.Labels{"pool": rapid.SampledFrom([]string{"a", "b"}).Draw(t, "pool")}
+				})
+			},
+			"machine leaves": func(t *rapid.T) { w.platform = state.Machines{Leaving: []string{engineNames.Draw(t, "engine")}} },
+			"machines back":  func(t *rapid.T) { w.platform = state.Machines{} },
+			"":               func(t *rapid.T) { w.checkOrders(t) },
+		}
+		deliver := func(t *rapid.T) { w.deliverDrawn(t) }
+		steps["deliver"], steps["deliver more"], steps["deliver most"] = deliver, deliver, deliver
+		steps["round more"] = steps["round"]
+		t.Repeat(steps)
+		w.settle(t)
+		for kind, count := range w.counts {
+			total[kind] += count
+		}
+	})
+	t.Log(total)
+	for _, kind := range []string{
+		"opened", "crashed", "answer-lost", "repeated", "from-old-leader",
+		fmt.Sprint("closed-", state.CloseDone), fmt.Sprint("closed-", state.CloseVoid), fmt.Sprint("closed-", state.CloseOtherIncarnation),
+	} {
+		must.Positive(t, total[kind], must.Sprint(kind))
+	}
+}
+
+// deliverDrawn delivers any message on its way, in any order; it may arrive again.
+func (w *world) deliverDrawn(t *rapid.T) {
+	if len(w.messages) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.messages)-1).Draw(t, "message")
+	m := w.messages[i]
+	if rapid.IntRange(0, 3).Draw(t, "repeat") == 0 {
+		w.counts["repeated"]++
+	} else {
+		w.messages = append(w.messages[:i:i], w.messages[i+1:]...)
+	}
+	w.deliver(t, m, rapid.IntRange(0, 2).Draw(t, "lose") == 0)
+}
--- /dev/null
+++ b/process/controller/world_test.go
@@ -0,0 +1,326 @@
+package controller
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/lab/enginemodel"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/planner"
+	"github.com/landingtrail/landingtrail/version/state"
+	"pgregory.net/rapid"
+)
+
+const (
+	engineCount   = 3
+	badVersion    = "bad" // a version that no engine can take
+	roundInterval = 200 * time.Millisecond
+	testSilence   = 5 * time.Second
+)
+
+// message is a request on its way to an engine, for a leader that may have lost
+// its authority since.
+type message struct {
+	leader  *leader
+	askedAt time.Duration
+	engine  string
+	order   *api.Order
+	void    *engineapi.VoidRequest
+}
+
+// leader is one leadership: what it sees and what it keeps.
+type leader struct {
+	term         uint64
+	view         map[string]*api.Engine // what an old leader goes on believing
+	observations map[string]Observation
+	failures     map[string]Failure
+	machines     *state.Machines
+}
+
+// world is a group, its engines and a network that loses, delays and repeats.
+type world struct {
+	machine     *state.Machine
+	term, index uint64
+	now         time.Duration
+	engines     map[string]*enginemodel.Engine
+	incarnation uint64
+	leaders     []*leader
+	messages    []message
+	platform    state.Machines
+	// done holds the fences that an engine has accepted, by incarnation.
+	accepted map[uint64]api.Fence
+	counts   map[string]int
+}
+
+func newWorld() *world {
+	w := &world{
+		machine:  state.New(),
+		engines:  map[string]*enginemodel.Engine{},
+		accepted: map[uint64]api.Fence{},
+		counts:   map[string]int{},
+	}
+	transaction := &api.Transaction{OperationID: "fleet", AllowBroad: true}
+	for i := range engineCount {
+		name := fmt.Sprintf("engine-%d", i)
+		w.incarnation++
+		w.engines[name] = enginemodel.New(enginemodel.DefaultConfig(name, w.incarnation))
+		transaction.Writes = append(transaction.Writes, api.Write{Object: api.Object{Engine: &api.Engine{
+			Metadata: api.Metadata{Name: name, Labels: api.Labels{"pool": "a"}},
+			Spec:     api.EngineSpec{Address: "10.0.0.1:1", Zone: "a", Service: "narrator"},
+		}}})
+	}
+	service := &api.Service{Metadata: api.Metadata{Name: "narrator"}, Spec: api.ServiceSpec{Type: api.ServiceModel}}
+	intent := &api.Intent{
+		Metadata: api.Metadata{Name: "narrate"},
+		Spec: api.IntentSpec{
+			Engines: api.Selector{MatchLabels: api.Labels{"pool": "a"}}, Classes: api.Selector{All: true},
+			Model: "storm", Version: "1", Roles: []api.EngineRole{api.RolePrefill, api.RoleDecode},
+		},
+	}
+	transaction.Writes = append(transaction.Writes,
+		api.Write{Object: api.Object{Service: service}}, api.Write{Object: api.Object{Intent: intent}})
+	w.elect()
+	w.commit(state.Command{Kind: state.CommandTransaction, Transaction: transaction})
+	return w
+}
+
+// elect starts a new leadership; the old leaders go on with what they knew.
+func (w *world) elect() {
+	w.term++
+	if len(w.leaders) > 0 {
+		w.current().view = w.machine.View().Engines
+	}
+	w.leaders = append(w.leaders, &leader{
+		term:         w.term,
+		observations: map[string]Observation{},
+		failures:     map[string]Failure{},
+	})
+}
+
+func (w *world) current() *leader { return w.leaders[len(w.leaders)-1] }
+
+func (w *world) commit(command state.Command) any {
+	w.index++
+	return w.machine.Apply(w.term, w.index, command)
+}
+
+// round runs one round of the leader, which may be an old one.
+func (w *world) round(l *leader, decisions []planner.Decision) {
+	engines := l.view
+	if l == w.current() {
+		engines = w.machine.View().Engines
+	}
+	actions := Reconcile(Input{
+		Now: w.now, Engines: engines, Observations: l.observations, Failures: l.failures,
+		Platform: &w.platform, Machines: l.machines, Decisions: decisions,
+		Silence: testSilence, FailurePause: time.Minute,
+	})
+	for _, action := range actions {
+		w.carryOut(l, action)
+	}
+}
+
+func (w *world) carryOut(l *leader, action Action) {
+	switch action := action.(type) {
+	case Propose:
+		if l == w.current() {
+			w.propose(l, action.Command)
+		}
+	case Send:
+		w.post(message{leader: l, engine: action.Engine, order: &action.Order})
+	case Void:
+		l.failures[action.Engine] = Failure{Assignment: action.Order.Assignment, At: w.now}
+		if l != w.current() {
+			return
+		}
+		if result := w.commit(action.Command()).(state.VoidOrderResult); result.Open {
+			request := action.Request(result.Fence)
+			w.post(message{leader: l, engine: action.Engine, void: &request})
+		}
+	case Query:
+		w.post(message{leader: l, engine: action.Engine})
+	}
+}
+
+func (w *world) propose(l *leader, command state.Command) {
+	result := w.commit(command)
+	switch command.Kind {
+	case state.CommandMachines:
+		l.machines = command.Machines
+	case state.CommandOpenOrder:
+		if result.(state.OpenOrderResult).Code == state.OpenOrderOpened {
+			w.counts["opened"]++
+		}
+	case state.CommandCloseOrder:
+		if result.(state.CloseOrderResult).Closed {
+			w.counts[fmt.Sprint("closed-", command.CloseOrder.Reason)]++
+		}
+	}
+}
+
+// maxMessages bounds the messages on their way; older ones are lost.
+const maxMessages = 64
+
+func (w *world) post(m message) {
+	m.askedAt = w.now
+	w.messages = append(w.messages, m)
+	if len(w.messages) > maxMessages {
+		w.messages = w.messages[1:]
+	}
+}
+
+// deliver hands a message to its engine; the answer reaches the leader unless
+// it is lost. Rule: an engine never accepts an order but the one that is open
+// for it, whoever sent it and however late it arrives.
+func (w *world) deliver(t failer, m message, loseAnswer bool) {
+	engine := w.engines[m.engine]
+	engine.Step(w.now)
+	if m.leader != w.current() && m.order != nil {
+		w.counts["from-old-leader"]++
+	}
+	current := engine.State()
+	refused := api.Fence{}
+	switch {
+	case m.order != nil && m.order.Assignment.Version == badVersion:
+		refused = m.order.Fence
+	case m.order != nil:
+		w.checkAccepted(t, *m.order, engine.Order(w.now, *m.order), current.Fence)
+	case m.void != nil:
+		engine.Void(w.now, *m.void)
+	}
+	if loseAnswer {
+		w.counts["answer-lost"]++
+		return
+	}
+	seen := m.leader.observations[m.engine]
+	if seen.State.Engine != "" && m.askedAt < seen.AskedAt {
+		return
+	}
+	if refused.IsZero() {
+		refused = seen.Refused
+	}
+	m.leader.observations[m.engine] = Observation{State: engine.State(), AskedAt: m.askedAt, Refused: refused}
+}
+
+// failer is the part of a test that reports a broken rule.
+type failer interface {
+	Fatalf(format string, arguments ...any)
+}
+
+func (w *world) checkAccepted(t failer, order api.Order, reply engineapi.OrderReply, before api.Fence) {
+	if reply.Code != engineapi.OrderAccepted || !before.Less(reply.State.Fence) {
+		return
+	}
+	if !w.accepted[reply.State.Incarnation].Less(order.Fence) {
+		t.Fatalf("%s accepted %v after %v in one incarnation", order.Engine, order.Fence, w.accepted[reply.State.Incarnation])
+	}
+	w.accepted[reply.State.Incarnation] = order.Fence
+	committed := w.machine.View().Engines[order.Engine].Status.OpenOrder
+	if committed == nil || committed.Fence != order.Fence {
+		t.Fatalf("%s accepted %v while %v is open", order.Engine, order, committed)
+	}
+}
+
+// checkOrders holds the committed orders against the engines: an engine that
+// carries an order out carries out the one that is open for it.
+func (w *world) checkOrders(t failer) {
+	for name, engine := range w.engines {
+		carried := engine.State().Order
+		committed := w.machine.View().Engines[name].Status.OpenOrder
+		if carried != nil && (committed == nil || committed.Fence != carried.Fence) {
+			t.Fatalf("%s carries out %v while %v is open", name, carried.Fence, committed)
+		}
+	}
+}
+
+func (w *world) crash(name string) {
+	w.incarnation++
+	w.engines[name].Crash(w.now, w.incarnation)
+	w.counts["crashed"]++
+}
+
+func (w *world) advance(by time.Duration) {
+	w.now += by
+	for _, engine := range w.engines {
+		engine.Step(w.now)
+	}
+}
+
+// rewriteIntent changes the wanted version.
+func (w *world) rewriteIntent(version string) {
+	intent := *w.machine.View().Intents["narrate"]
+	intent.Spec.Version = version
+	w.write(api.Object{Intent: &intent})
+}
+
+func (w *world) rewriteEngine(name string, change func(*api.Engine)) {
+	engine := *w.machine.View().Engines[name]
+	change(&engine)
+	w.write(api.Object{Engine: &engine})
+}
+
+func (w *world) write(object api.Object) {
+	transaction := &api.Transaction{
+		OperationID: fmt.Sprintf("write-%d", w.index),
+		Writes:      []api.Write{{Object: object}},
+		AllowBroad:  true,
+	}
+	w.commit(state.Command{Kind: state.CommandTransaction, Transaction: transaction})
+}
+
+// plan asks for the wanted version in the engine's fixed role.
+func (w *world) plan() []planner.Decision {
+	var decisions []planner.Decision
+	intent := w.machine.View().Intents["narrate"]
+	roles := []api.EngineRole{api.RolePrefill, api.RoleDecode}
+	for i := range engineCount {
+		decisions = append(decisions, planner.Decision{
+			Engine:     fmt.Sprintf("engine-%d", i),
+			Assignment: api.Assignment{Model: intent.Spec.Model, Version: intent.Spec.Version, Role: roles[i%2]},
+			Reason:     "test",
+		})
+	}
+	return decisions
+}
+
+// settle runs without faults until every engine is what the plan asks for.
+func (w *world) settle(t *rapid.T) {
+	w.messages = nil
+	w.rewriteIntent("final")
+	for i := range engineCount {
+		w.rewriteEngine(fmt.Sprintf("engine-%d", i), func(engine *api.Engine) {
+			engine.Spec.Drain = false
+			engine.Labels = api.Labels{"pool": "a"}
+		})
+	}
+	w.platform = state.Machines{}
+	const rounds = 1000
+	for range rounds {
+		w.advance(roundInterval)
+		for name := range w.engines {
+			w.post(message{leader: w.current(), engine: name})
+		}
+		w.round(w.current(), w.plan())
+		for _, m := range w.messages {
+			w.deliver(t, m, false)
+		}
+		w.messages = nil
+		w.checkOrders(t)
+		if w.settled() {
+			return
+		}
+	}
+	t.Fatalf("not settled: %+v", w.machine.View().Engines)
+}
+
+func (w *world) settled() bool {
+	for _, decision := range w.plan() {
+		status := w.machine.View().Engines[decision.Engine].Status
+		actual := w.engines[decision.Engine].State()
+		if status.OpenOrder != nil || !status.Assignment.Equal(decision.Assignment) || !actual.Assignment.Equal(decision.Assignment) {
+			return false
+		}
+	}
+	return true
+}
