--- a/process/control/server.go
+++ b/process/control/server.go
@@ -13,7 +13,9 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/zeromicro/go-zero/core/logx"
-	"github.com/zeromicro/go-zero/rest/router"
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/core/service"
+	"github.com/zeromicro/go-zero/rest"
 )
 
 // Bounds of the operator server's connections.
@@ -24,14 +26,16 @@
 	maxHeaderBytes    = 64 << 10
 )
 
+// never is longer than any process lives. go-zero ends the process a few
+// seconds after SIGTERM; a member ends when its planned stop is done, so that
+// timer is put out of reach.
+const never = 10 * 365 * 24 * time.Hour
+
 // operatorServer serves the operator API, health and metrics.
 //
-// The router is the one of go-zero's rest; the http.Server around it is ours.
-// rest's own server ends by its own signal handling and knows no other planned
-// stop, and its default middlewares would answer for this protocol: the timeout
-// without telling "unknown" from "not accepted", the breaker and the shedding
-// with refusals of their own, the body cap without naming the field, and gunzip
-// would let a small body grow past the cap.
+// Routes and middlewares are go-zero's; the http.Server around them is ours,
+// because rest's own server ends by its own signal handling and knows no other
+// planned stop.
 type operatorServer struct {
 	member *member
 	http   *http.Server
@@ -40,22 +44,41 @@
 	forwarding *http.Client
 }
 
+// restConf keeps go-zero's recovery from panics and switches off the rest: the
+// timeout, since each handler bounds its own wait and tells "unknown" from "not
+// accepted"; the breaker, the shedding and the bound on connections, whose
+// refusals are not this protocol's answers; the body cap, which the handlers
+// set to answer in their own words; gunzip, which would let a small body grow
+// past the cap; and logs, traces and metrics, which are the daemon's own.
+func restConf() rest.RestConf {
+	return rest.RestConf{
+		ServiceConf: service.ServiceConf{
+			Name:     "landingtrail-control",
+			Mode:     service.ProMode,
+			Shutdown: proc.ShutdownConf{WrapUpTime: never, WaitTime: 2 * never},
+		},
+		Middlewares: rest.MiddlewaresConf{Recover: true},
+	}
+}
+
 func newOperatorServer(m *member) (*operatorServer, error) {
 	logx.Disable() // go-zero's logger would write lines of its own form
+	routes, err := rest.NewServer(restConf(), rest.WithNotFoundHandler(http.HandlerFunc(notFound)))
+	if err != nil {
+		return nil, errors.Wrap(err, "control: operator server")
+	}
 	s := &operatorServer{
 		member:     m,
 		places:     make(chan struct{}, m.config.Limits.MaxOperatorConnections),
 		forwarding: newForwardingClient(),
 	}
-	routes := router.NewRouter()
-	routes.SetNotFoundHandler(http.HandlerFunc(notFound))
-	for _, served := range s.routes() {
-		if err := routes.Handle(served.method, served.path, served.handler); err != nil {
-			return nil, errors.Wrap(err, "control: operator server")
-		}
+	routes.AddRoutes(s.routes())
+	built, err := rest.NewServerless(routes)
+	if err != nil {
+		return nil, errors.Wrap(err, "control: operator server")
 	}
 	s.http = &http.Server{
-		Handler:           s.bounded(routes),
+		Handler:           s.bounded(http.HandlerFunc(built.Serve)),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       requestTimeout,
 		WriteTimeout:      requestTimeout,
@@ -79,26 +102,19 @@
 	})
 }
 
-// route is one path of the operator server.
-type route struct {
-	method  string
-	path    string
-	handler http.HandlerFunc
-}
-
-func (s *operatorServer) routes() []route {
-	return []route{
-		{http.MethodPost, operatorapi.PathTransactions, s.onLeader(s.transact)},
-		{http.MethodGet, operatorapi.PathObjects + "/:kind", s.onLeader(s.listObjects)},
-		{http.MethodGet, operatorapi.PathObjects + "/:kind/:name", s.onLeader(s.getObject)},
-		{http.MethodGet, operatorapi.PathInForce, s.onLeader(s.inForce)},
-		{http.MethodGet, operatorapi.PathStatus, s.onLeader(s.status)},
-		{http.MethodGet, operatorapi.PathOrders, s.onLeader(s.orders)},
-		{http.MethodGet, operatorapi.PathLedger, s.onLeader(s.ledger)},
-		{http.MethodPost, operatorapi.PathMembers, s.onLeader(s.changeMembers)},
-		{http.MethodGet, operatorapi.PathMemberStatus, s.memberStatus},
-		{http.MethodGet, operatorapi.PathHealth, s.health},
-		{http.MethodGet, operatorapi.PathMetrics, promhttp.Handler().ServeHTTP},
+func (s *operatorServer) routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: operatorapi.PathTransactions, Handler: s.onLeader(s.transact)},
+		{Method: http.MethodGet, Path: operatorapi.PathObjects + "/:kind", Handler: s.onLeader(s.listObjects)},
+		{Method: http.MethodGet, Path: operatorapi.PathObjects + "/:kind/:name", Handler: s.onLeader(s.getObject)},
+		{Method: http.MethodGet, Path: operatorapi.PathInForce, Handler: s.onLeader(s.inForce)},
+		{Method: http.MethodGet, Path: operatorapi.PathStatus, Handler: s.onLeader(s.status)},
+		{Method: http.MethodGet, Path: operatorapi.PathOrders, Handler: s.onLeader(s.orders)},
+		{Method: http.MethodGet, Path: operatorapi.PathLedger, Handler: s.onLeader(s.ledger)},
+		{Method: http.MethodPost, Path: operatorapi.PathMembers, Handler: s.onLeader(s.changeMembers)},
+		{Method: http.MethodGet, Path: operatorapi.PathMemberStatus, Handler: s.memberStatus},
+		{Method: http.MethodGet, Path: operatorapi.PathHealth, Handler: s.health},
+		{Method: http.MethodGet, Path: operatorapi.PathMetrics, Handler: promhttp.Handler().ServeHTTP},
 	}
 }
 
