--- /dev/null
+++ b/lab/emulator/flow.go
@@ -0,0 +1,219 @@
+package emulator
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/landingtrail/landingtrail/lab/enginemodel"
+	"github.com/landingtrail/landingtrail/lab/trace"
+	"github.com/landingtrail/landingtrail/request/attempt"
+	"github.com/landingtrail/landingtrail/request/retry"
+	"github.com/landingtrail/landingtrail/request/router"
+)
+
+// flow is one request on its way through a proxy.
+type flow struct {
+	run      *run
+	proxy    *proxy
+	item     *trace.Item
+	id       string
+	number   int // position in the trace
+	blocks   []uint64
+	life     *attempt.Life
+	deadline time.Duration
+	excluded map[string]bool
+	retries  int
+	stage    *stage // the open one
+	stages   uint32
+	runs     int // admitted by an engine that generates
+	received int // tokens of the current run
+	closed   bool
+}
+
+const maxAttempts = 4
+
+var backoff = retry.Backoff{Base: 20 * time.Millisecond, Cap: 500 * time.Millisecond}
+
+func newFlow(r *run, number int) *flow {
+	item := &r.config.Items[number]
+	f := &flow{
+		run:      r,
+		proxy:    r.proxyOf(item.Zone),
+		item:     item,
+		id:       strconv.Itoa(number),
+		number:   number,
+		life:     attempt.New(attempt.Policy{Once: item.RepeatNever, Buffered: true, Attempts: maxAttempts}),
+		deadline: r.now + item.Deadline,
+	}
+	f.blocks = enginemodel.SyntheticBlocks(item.Model, item.Prefix, item.PrefixTokens, uint64(number)+1,
+		item.PromptTokens, r.config.Engine.BlockTokens)
+	return f
+}
+
+// arrive starts a request. A marked one waits for its claim to be committed.
+func (f *flow) arrive() {
+	f.proxy.budget.Deposit()
+	f.run.at(f.deadline, f.expire)
+	if f.item.RepeatNever {
+		f.run.after(f.run.config.CommitLatency, f.start)
+		return
+	}
+	f.start()
+}
+
+func (f *flow) start() {
+	if f.life.Dispatch() {
+		f.route()
+	}
+}
+
+// route decides on the next attempt.
+func (f *flow) route() {
+	if f.closed {
+		return
+	}
+	if f.life.Next().Kind != attempt.StepRun {
+		f.giveUp("no attempt left")
+		return
+	}
+	request := router.Request{
+		ID:           f.id,
+		Service:      f.item.Service,
+		Class:        f.item.Class,
+		Tenant:       f.item.Tenant,
+		Model:        f.item.Model,
+		PromptTokens: f.item.PromptTokens,
+		OutputTokens: f.proxy.expectedOutput(f.item.Class),
+		Blocks:       f.blocks,
+		Deadline:     f.deadline - f.run.now,
+		Excluded:     f.excluded,
+		Zone:         f.proxy.zone,
+	}
+	decision, reason := f.run.router.Route(f.proxy.snapshot(), request, f.proxy.random)
+	switch reason {
+	case router.ReasonNone:
+		f.dispatch(decision)
+	case router.ReasonAllExcluded, router.ReasonNoEngine:
+		f.excluded = nil
+		f.retry(string(reason))
+	default:
+		f.giveUp(string(reason))
+	}
+}
+
+func (f *flow) dispatch(decision router.Decision) {
+	generator := f.proxy.target(decision.Target)
+	if decision.Prefill != nil {
+		f.open(&stage{flow: f, target: f.proxy.target(decision.Prefill), next: generator})
+		return
+	}
+	f.open(&stage{flow: f, target: generator})
+}
+
+// open sends a stage to its engine.
+func (f *flow) open(s *stage) {
+	f.stages++
+	s.number = f.stages
+	f.stage = s
+	s.send()
+}
+
+// exclude leaves an engine out of the next attempts.
+func (f *flow) exclude(name string) {
+	if f.excluded == nil {
+		f.excluded = map[string]bool{}
+	}
+	f.excluded[name] = true
+}
+
+// retry routes again after a pause, if the budget and the deadline allow it.
+func (f *flow) retry(reason string) {
+	f.stage = nil
+	if f.life.Next().Kind != attempt.StepRun || !f.proxy.budget.Withdraw() {
+		f.giveUp(reason)
+		return
+	}
+	delay, fits := backoff.Delay(f.retries, f.deadline-f.run.now, f.proxy.random)
+	if !fits {
+		f.giveUp(reason)
+		return
+	}
+	f.retries++
+	f.run.after(delay, f.route)
+}
+
+// expire ends a request at its deadline.
+func (f *flow) expire() {
+	if f.closed {
+		return
+	}
+	if f.life.Expire() {
+		f.close("deadline in queue")
+		return
+	}
+	f.giveUp("deadline passed")
+}
+
+// giveUp answers the request without a whole answer, at once.
+func (f *flow) giveUp(reason string) {
+	if f.closed {
+		return
+	}
+	f.life.GiveUp()
+	if f.stage != nil {
+		f.stage.cancel()
+		f.stage = nil
+	}
+	f.close(reason)
+}
+
+// close counts the request's end.
+func (f *flow) close(reason string) {
+	f.closed = true
+	f.run.inFlight--
+	result := f.run.result
+	switch {
+	case f.life.State() == attempt.Done:
+		f.complete()
+	case f.life.State() == attempt.Refused:
+		result.Refused++
+		result.Reasons[reason]++
+		if f.runs > 0 {
+			result.RefusedButRan++
+		}
+	case f.run.now >= f.deadline:
+		result.Late++
+	default:
+		result.Unknown++
+	}
+	if f.item.RepeatNever && f.runs > 1 {
+		result.RanTwice++
+	}
+}
+
+func (f *flow) complete() {
+	result := f.run.result
+	f.proxy.learnOutput(f.item.Class, f.item.OutputTokens)
+	if f.received != f.item.OutputTokens {
+		result.WrongAnswer++
+	}
+	if f.run.now > f.deadline {
+		result.Late++
+		return
+	}
+	tokens := int64(f.item.PromptTokens + f.item.OutputTokens)
+	result.Completed++
+	result.UsefulTokens += tokens
+	f.run.sampleAt(f.item.At).UsefulTokens += tokens
+	class := result.class(f.item.Class)
+	class.Completed++
+	class.Latency += f.run.now - f.item.At
+}
+
+func sortStages(stages []*stage) {
+	slices.SortFunc(stages, func(a, b *stage) int {
+		return cmp.Or(cmp.Compare(a.flow.number, b.flow.number), cmp.Compare(a.number, b.number))
+	})
+}
