Play changes along the fleet's run, and test the operator client

The demo made no role change: with every role allowed the planner keeps nine mixed engines. A second change now asks for a fixed split. A data folder of another run is refused, since members keep their addresses in it: the group found no leader.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 FOLDERS := cmd connection lab process request version
 DEMO_DEPLOYMENT ?= radarvlak
 DEMO_TIME ?= 25s
+DEMO_RATE ?= 3
 
 .PHONY: build demo test check pages race clean
 
@@ -13,7 +14,7 @@
 
 # A whole deployment on this machine for a bounded time, with a summary.
 demo: build
-	bin/landingtrail-lab fleet --deployment $(DEMO_DEPLOYMENT) --for $(DEMO_TIME)
+	bin/landingtrail-lab fleet --deployment $(DEMO_DEPLOYMENT) --for $(DEMO_TIME) --rate $(DEMO_RATE)
 
 # What CI runs.
 test: check
--- a/cmd/landingtrail-lab/fleet.go
+++ b/cmd/landingtrail-lab/fleet.go
@@ -119,5 +119,8 @@
 		}
 		return lines, cli.ExitUsage
 	}
+	if errors.Is(err, fleet.ErrDataFolder) {
+		return []string{"data: must be a new or empty folder"}, cli.ExitUsage
+	}
 	return cli.JudgeUsage(err)
 }
--- a/lab/fleet/driver.go
+++ b/lab/fleet/driver.go
@@ -110,17 +110,19 @@
 	lapsed  int
 }
 
-// changeAlong makes the deployment's own change in the middle of the run, and
-// moves a label every few seconds, as automation does.
+// changeAlong makes the deployment's own changes spread over the run, and moves
+// a label every second, as automation does.
 func (d *driver) changeAlong(ctx context.Context, duration time.Duration) changeLog {
 	var log changeLog
-	middle := time.Now().Add(duration / 2)
-	end := time.Now().Add(duration)
-	changed := false
-	for count := 1; time.Now().Before(end) && ctx.Err() == nil; count++ {
-		if !changed && time.Now().After(middle) {
-			changed = true
-			d.change(ctx, &log, "apply", "--file", d.layout.changePath)
+	started := time.Now()
+	pending := d.layout.changePaths
+	spacing := duration / time.Duration(len(pending)+2)
+	next := started.Add(spacing)
+	for count := 1; time.Since(started) < duration && ctx.Err() == nil; count++ {
+		if len(pending) > 0 && time.Now().After(next) {
+			d.change(ctx, &log, "apply", "--file", pending[0])
+			pending = pending[1:]
+			next = next.Add(spacing)
 		}
 		d.change(ctx, &log, "label", "engine", d.layout.engines[0].name, fmt.Sprintf("turn=%d", count))
 		select {
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -159,10 +159,28 @@
 	return total
 }
 
+// ErrDataFolder says that the data folder of another run was given. Members
+// keep their addresses in their data, and each run draws its ports anew.
+var ErrDataFolder = errors.New("fleet: the data folder must be new or empty")
+
+func makeEmpty(folder string) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return errors.Wrap(err, "fleet: make data folder")
+	}
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return errors.Wrap(err, "fleet: read data folder")
+	}
+	if len(entries) > 0 {
+		return ErrDataFolder
+	}
+	return nil
+}
+
 // dataFolder returns a folder for the run and what removes it.
 func dataFolder(given string) (string, func(), error) {
 	if given != "" {
-		return given, func() {}, errors.Wrap(os.MkdirAll(given, 0o755), "fleet: make data folder")
+		return given, func() {}, makeEmpty(given)
 	}
 	made, err := os.MkdirTemp("", "landingtrail-fleet-")
 	if err != nil {
--- a/lab/fleet/layout.go
+++ b/lab/fleet/layout.go
@@ -17,7 +17,7 @@
 	controlFile = "control.yaml"
 	proxyFile   = "proxy.yaml"
 	objectsFile = "objects.yaml"
-	changeFile  = "change.yaml"
+	changeFiles = "changes/*.yaml"
 )
 
 const maxFilePorts = 512
@@ -32,7 +32,7 @@
 	backends []place
 
 	objectsPath string
-	changePath  string
+	changePaths []string // in the order in which they are applied
 	objects     []api.Object
 }
 
@@ -108,7 +108,9 @@
 	}
 	l.objects = objects
 	l.objectsPath = filepath.Join(l.folder, objectsFile)
-	l.changePath = filepath.Join(source, changeFile)
+	if l.changePaths, err = filepath.Glob(filepath.Join(source, changeFiles)); err != nil {
+		return errors.Wrap(err, "fleet: list changes")
+	}
 	return writeYAML(l.objectsPath, settings.File{Objects: objects})
 }
 
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -178,7 +178,10 @@
 func TestDeploymentsHaveNoFault(t *testing.T) {
 	paths, err := filepath.Glob("../../deployments/*/*.yaml")
 	must.NoError(t, err)
-	must.SliceLen(t, 8, paths)
+	changes, err := filepath.Glob("../../deployments/*/changes/*.yaml")
+	must.NoError(t, err)
+	paths = append(paths, changes...)
+	must.SliceLen(t, 9, paths)
 	for _, path := range paths {
 		faults, err := settings.Check(path)
 		must.NoError(t, err)
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -45,10 +45,12 @@
 	HeartbeatInterval time.Duration `yaml:"heartbeatInterval" default:"100ms" min:"5ms" max:"10s" usage:"Time between the leader's heartbeats; at most half of leaseDuration."`
 	LeaseDuration     time.Duration `yaml:"leaseDuration" default:"800ms" min:"20ms" max:"1m" usage:"How long a leader may decide alone after a majority answered; at most nine tenths of electionTimeout, for the clocks' drift."`
 	ViewLease         time.Duration `yaml:"viewLease" default:"3s" min:"100ms" max:"1m" usage:"How long a daemon may use its view without confirmation; also the longest wait for a change to be in force."`
-	ReconcileInterval time.Duration `yaml:"reconcileInterval" default:"200ms" min:"10ms" max:"1m" usage:"Pause between two rounds of the leader's duties: plans and orders."`
+	ReconcileInterval time.Duration `yaml:"reconcileInterval" default:"200ms" min:"10ms" max:"1m" usage:"Pause between two rounds of the leader's duties toward the engines."`
+	PlanInterval      time.Duration `yaml:"planInterval" default:"500ms" min:"10ms" max:"10m" usage:"Pause between two plans of the engines' roles."`
 	EngineInterval    time.Duration `yaml:"engineInterval" default:"500ms" min:"10ms" max:"1m" usage:"Pause between two questions to one engine."`
 	EngineTimeout     time.Duration `yaml:"engineTimeout" default:"2s" min:"10ms" max:"1m" usage:"Longest wait for one answer of an engine."`
 	EngineSilence     time.Duration `yaml:"engineSilence" default:"5s" min:"50ms" max:"1h" usage:"Age from which what an engine said of itself counts for nothing."`
+	FailurePause      time.Duration `yaml:"failurePause" default:"30s" min:"1ms" max:"24h" usage:"How long an assignment that an engine could not take on is not tried again."`
 	PlatformInterval  time.Duration `yaml:"platformInterval" default:"1s" min:"10ms" max:"1m" usage:"Pause between two reads of the platform's list."`
 	ProposalTimeout   time.Duration `yaml:"proposalTimeout" default:"5s" min:"50ms" max:"5m" usage:"Longest wait for a commit before its outcome is called unknown."`
 	StopTimeout       time.Duration `yaml:"stopTimeout" default:"10s" min:"100ms" max:"1h" usage:"Longest planned stop: handing over leadership and ending answers."`
