--- a/lab/fleet/audit.go
+++ b/lab/fleet/audit.go
@@ -37,12 +37,20 @@
 			runs[prompt] += count
 		}
 	}
+	ran := 0
 	for prompt, key := range once {
+		if runs[prompt] > 0 {
+			ran++
+		}
 		if runs[prompt] > 1 {
 			summary.RanTwice++
 			summary.violate("ran twice: request %s ran %d times", key, runs[prompt])
 		}
 	}
+	summary.RanOnce = ran - summary.RanTwice
+	if len(once) > 0 && ran == 0 {
+		summary.violate("none of %d requests to run at most once was found in a ledger, so that nothing is proved", len(once))
+	}
 	return nil
 }
 
--- a/lab/fleet/summary.go
+++ b/lab/fleet/summary.go
@@ -18,8 +18,8 @@
 // maxViolations bounds the violations that are kept word for word.
 const maxViolations = 50
 
-// Summary is what a run measured. Goodput is useful tokens, of answers
-// completed within their deadline, a second.
+// Summary is what a run measured. Goodput is prompt and output tokens of
+// answers completed within their deadline, a second.
 type Summary struct {
 	Deployment          string   `json:"deployment"`
 	Seed                uint64   `json:"seed"`
@@ -30,6 +30,7 @@
 	RoleChanges         int      `json:"role_changes"`
 	VersionChanges      int      `json:"version_changes"`
 	CutShort            int64    `json:"cut_short"`
+	RanOnce             int      `json:"ran_once"` // of the requests to run at most once
 	RanTwice            int      `json:"ran_twice"`
 	WrongAnswer         int64    `json:"wrong_answer"`
 	RefusedNotRun       int64    `json:"refused_not_run"`
@@ -74,7 +75,7 @@
 	s.Unknown = total.Unknown
 	s.WrongAnswer = total.WrongAnswer
 	if report.Seconds > 0 {
-		s.Goodput = float64(total.UsefulTokens) / report.Seconds
+		s.Goodput = float64(total.UsefulTokens+total.UsefulPromptTokens) / report.Seconds
 	}
 	plain := caller.NewHistogram()
 	for name, class := range report.Classes {
@@ -147,11 +148,11 @@
 	print("goodput", fmt.Sprintf("%.0f useful tokens/s over %.1f s", s.Goodput, s.Seconds))
 	print("role changes", s.RoleChanges)
 	print("version changes", s.VersionChanges)
-	print("frame p99", fmt.Sprintf("%.1f ms", s.FrameP99))
+	print("back ends p99", fmt.Sprintf("%.1f ms", s.FrameP99))
 	print("operator changes", s.Changes)
 	print("in force", fmt.Sprintf("p50 %.0f ms, last %.0f ms, lapsed %d", s.InForce.P50, s.InForce.Last, s.InForce.Lapsed))
 	print("cut short", s.CutShort)
-	print("ran twice", s.RanTwice)
+	print("ran twice", fmt.Sprintf("%d (%d ran once)", s.RanTwice, s.RanOnce))
 	print("wrong answers", s.WrongAnswer)
 	print("violations", s.ViolationCount)
 	for _, violation := range s.Violations {
