--- a/cmd/landingtrail/apply.go
+++ b/cmd/landingtrail/apply.go
@@ -167,11 +167,11 @@
 }
 
 func printReport(to cli.Streams, report applyReport) {
-	verb := "accepted"
 	if report.DryRun {
-		verb = "would be accepted"
+		cli.Printf(to.Out, "would be accepted; nothing was changed\n")
+	} else {
+		cli.Printf(to.Out, "accepted at revision %d (operation %s)\n", report.Result.Revision, report.OperationID)
 	}
-	cli.Printf(to.Out, "%s at revision %d (operation %s)\n", verb, report.Result.Revision, report.OperationID)
 	cli.Printf(to.Out, "engines that change: %s\n", listOrNone(report.Result.AffectedEngines))
 	if report.InForce != nil {
 		cli.Printf(to.Out, "in force after %.0f ms: %d daemons acknowledged, lapsed: %s\n",
--- a/cmd/landingtrail/ledger.go
+++ b/cmd/landingtrail/ledger.go
@@ -6,6 +6,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/landingtrail/landingtrail/cmd/internal/cli"
+	"github.com/landingtrail/landingtrail/connection/operator"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 )
 
@@ -15,6 +16,8 @@
 // ledgerFlags are the flags of ledger.
 type ledgerFlags struct {
 	operator *operatorFlags
+	tenant   string
+	key      string
 	after    string
 	limit    uint64
 	all      bool
@@ -23,6 +26,8 @@
 func ledgerCommand(to cli.Streams) *ffcli.Command {
 	flagSet := cli.NewFlagSet("ledger")
 	flags := &ledgerFlags{operator: newOperatorFlags(flagSet)}
+	flagSet.StringVar(&flags.key, "key", "", "idempotency key of one request; empty: pages of all")
+	flagSet.StringVar(&flags.tenant, "tenant", "", "tenant that the key belongs to")
 	flagSet.StringVar(&flags.after, "after", "", "token of the page to start with, as the page before printed it")
 	cli.UintFlag(flagSet, &flags.limit, "limit", 100, maxLedgerPage, "claims a page")
 	cli.BoolFlag(flagSet, &flags.all, "all", "read every page")
@@ -30,7 +35,7 @@
 		Name:       "ledger",
 		ShortUsage: "landingtrail ledger --endpoints A [flags]",
 		ShortHelp:  "List the claims of requests that run at most once, and what became of them",
-		LongHelp:   cli.ExampleHelp("landingtrail ledger --endpoints 127.0.0.1:7103 --all"),
+		LongHelp:   cli.ExampleHelp("landingtrail ledger --tenant gritting-north --key briefing-1-3 --endpoints 127.0.0.1:7103"),
 		FlagSet:    flagSet,
 		Options:    cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
@@ -53,7 +58,12 @@
 	var page operatorapi.Ledger
 	after := flags.after
 	for {
-		next, err := client.Ledger(ctx, after, int(flags.limit))
+		next, err := client.Ledger(ctx, operator.LedgerQuery{
+			Tenant: flags.tenant,
+			Key:    flags.key,
+			After:  after,
+			Limit:  int(flags.limit),
+		})
 		if err != nil {
 			return err
 		}
--- a/cmd/landingtrail/status.go
+++ b/cmd/landingtrail/status.go
@@ -65,7 +65,7 @@
 	for _, engine := range engines {
 		target := ""
 		if engine.Target != nil {
-			target = assignmentText(*engine.Target)
+			target = orNone(assignmentText(*engine.Target))
 		}
 		printed.Row(engine.Name, engine.Intent, phaseText(engine.Phase), assignmentText(engine.Assignment),
 			target, engine.Reason, engineNotes(engine))
--- a/connection/operator/calls.go
+++ b/connection/operator/calls.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -118,17 +119,32 @@
 	return orders, c.read(ctx, operatorapi.PathOrders, &orders)
 }
 
-// Ledger reads one page of claims after the token.
-func (c *Client) Ledger(ctx context.Context, after string, limit int) (operatorapi.Ledger, error) {
+// LedgerQuery asks for the claim of a tenant's key, or for a page of claims
+// after a token when Key is empty.
+type LedgerQuery struct {
+	Tenant string
+	Key    string
+	After  string
+	Limit  int
+}
+
+func (q LedgerQuery) encode() string {
 	query := url.Values{}
-	if after != "" {
-		query.Set("after", after)
+	for name, value := range map[string]string{"tenant": q.Tenant, "key": q.Key, "after": q.After} {
+		if value != "" {
+			query.Set(name, value)
+		}
 	}
-	if limit > 0 {
-		query.Set("limit", fmt.Sprint(limit))
+	if q.Limit > 0 {
+		query.Set("limit", strconv.Itoa(q.Limit))
 	}
+	return query.Encode()
+}
+
+// Ledger reads claims.
+func (c *Client) Ledger(ctx context.Context, query LedgerQuery) (operatorapi.Ledger, error) {
 	var ledger operatorapi.Ledger
-	return ledger, c.read(ctx, operatorapi.PathLedger+"?"+query.Encode(), &ledger)
+	return ledger, c.read(ctx, operatorapi.PathLedger+"?"+query.encode(), &ledger)
 }
 
 // ChangeMembers asks for one step of a membership change. It is not resent
