Take an engine's phase from the machine list afresh each time

Ruled out: the controller's budget arithmetic and lost reports; the phase in the committed state was wrong on every member alike. Change: MachinePhase holds what the machine list says, Phase what the engine reports; what counts is worked out from both.

--- a/version/api/objects.go
+++ b/version/api/objects.go
@@ -103,6 +103,9 @@
 // EngineStatus is what was last committed about an engine.
 type EngineStatus struct {
 	Phase EnginePhase `json:"phase"`
+	// MachinePhase is PhaseLeaving or PhaseGone while the platform lists the
+	// engine's machine as such; it then stands over the engine's own word.
+	MachinePhase EnginePhase `json:"machinePhase,omitempty"`
 	// Incarnation is drawn anew at each start of the engine's process.
 	Incarnation uint64     `json:"incarnation,string"`
 	Assignment  Assignment `json:"assignment"`
--- a/version/state/commit.go
+++ b/version/state/commit.go
@@ -52,7 +52,8 @@
 	if engine := m.engines.items[name]; engine != nil {
 		return engine.Status
 	}
-	return api.EngineStatus{Phase: m.platform.phase(name, api.PhaseUnknown)}
+	listed := m.platform.phase(name, api.PhaseUnknown)
+	return api.EngineStatus{Phase: listed, MachinePhase: listed}
 }
 
 func (m *Machine) delete(key api.Key) {
--- a/version/state/machine.go
+++ b/version/state/machine.go
@@ -165,6 +165,7 @@
 
 func equalStatus(a, b api.EngineStatus) bool {
 	return a.Phase == b.Phase &&
+		a.MachinePhase == b.MachinePhase &&
 		a.Incarnation == b.Incarnation &&
 		a.Fence == b.Fence &&
 		a.OpenOrder == b.OpenOrder &&
--- a/version/state/machines.go
+++ b/version/state/machines.go
@@ -64,6 +64,7 @@
 	if previous.lists(engine.Name) {
 		kept = api.PhaseUnknown
 	}
+	status.MachinePhase = m.platform.phase(engine.Name, api.PhaseUnknown)
 	status.Phase = m.platform.phase(engine.Name, kept)
 	m.updateEngine(engine, status)
 }
--- a/version/state/orders.go
+++ b/version/state/orders.go
@@ -198,16 +198,14 @@
 	status.Incarnation = report.Incarnation
 	status.Assignment = report.Assignment
 	status.Fence = report.Fence
-	status.Phase = m.platform.phase(engine.Name, ownPhase(engine, report))
+	status.Phase = m.platform.phase(engine.Name, ownPhase(report))
 	return status
 }
 
-// ownPhase returns the phase that an engine gives itself. An engine that said
-// it is leaving stays so until its process has started anew.
-func ownPhase(engine *api.Engine, report *EngineReport) api.EnginePhase {
-	if engine.Status.Phase == api.PhaseLeaving && engine.Status.Incarnation == report.Incarnation {
-		return api.PhaseLeaving
-	}
+// ownPhase returns the phase that an engine gives itself. Its latest word
+// counts: a machine may be kept after all, and an engine that was held for
+// leaving for ever would use up the disruption budget.
+func ownPhase(report *EngineReport) api.EnginePhase {
 	switch report.Phase {
 	case api.PhaseIdle, api.PhaseServing, api.PhaseDraining, api.PhaseChanging, api.PhaseLeaving:
 		return report.Phase
@@ -240,11 +238,11 @@
 }
 
 // ReportChanges reports whether committing the report could change the engine,
-// so that reports which say nothing new need not be proposed. The platform's
-// word that an engine is gone stands over the engine's own.
+// so that reports which say nothing new need not be proposed. What the platform
+// says of a machine stands over the engine's own word.
 func ReportChanges(engine *api.Engine, report EngineReport) bool {
 	status := engine.Status
-	phaseChanges := status.Phase != api.PhaseGone && status.Phase != ownPhase(engine, &report)
+	phaseChanges := status.MachinePhase == api.PhaseUnknown && status.Phase != ownPhase(&report)
 	return phaseChanges ||
 		status.Incarnation != report.Incarnation ||
 		status.Fence != report.Fence ||
