--- a/cmd/landingtrail-lab/fleet.go
+++ b/cmd/landingtrail-lab/fleet.go
@@ -33,6 +33,7 @@
 	deployment string
 	folder     string
 	data       string
+	drill      string
 	rate       float64
 	json       bool
 	duration   time.Duration
@@ -46,6 +47,8 @@
 	cli.ChoiceFlag(flagSet, &flags.deployment, "deployment", "which deployment", trace.DeploymentRadarvlak, trace.DeploymentCaroni)
 	flagSet.StringVar(&flags.folder, "folder", fleet.DefaultFolder, "folder with a folder of settings and objects for each deployment")
 	flagSet.StringVar(&flags.data, "data", "", "folder that keeps data, settings and logs; empty: a temporary one")
+	cli.ChoiceFlag(flagSet, &flags.drill, "drill", "what happens to processes during the load: planned stops or crashes, each with a restart",
+		string(fleet.DrillNone), string(fleet.DrillPlanned), string(fleet.DrillCrash))
 	cli.DurationFlag(flagSet, &flags.duration, "for", fleet.DefaultDuration, "how long callers send")
 	cli.UintFlag(flagSet, &flags.seed, "seed", 1, maxSeed, "seed of the traffic")
 	cli.UintFlag(flagSet, &flags.speed, "speed", 1, maxSpeed, "how many times faster than real engines the stand-ins work")
@@ -89,6 +92,7 @@
 		Rate:        flags.rate,
 		Speed:       flags.speed,
 		Data:        flags.data,
+		Drill:       fleet.Drill(flags.drill),
 		WeightBytes: fleet.DefaultWeightBytes,
 		WeightRate:  fleet.DefaultWeightRate,
 		Progress:    to.Err,
--- a/cmd/landingtrail/daemon.go
+++ b/cmd/landingtrail/daemon.go
@@ -12,6 +12,7 @@
 
 	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/process/control"
+	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/settings"
 )
 
@@ -49,11 +50,22 @@
 				return fileError("settings", err)
 			}
 			proc.Setup(proc.ShutdownConf{WrapUpTime: never, WaitTime: never})
-			return serve(ctx, file, newLogger(to, file.Log.Level))
+			return runLogged(ctx, file, newLogger(to, file.Log.Level), serve)
 		},
 	}
 }
 
+// runLogged runs the daemon and logs why it stops.
+func runLogged(ctx context.Context, file settings.File, logger log.Logger, serve runDaemon) error {
+	withdraw := context.AfterFunc(ctx, func() { event.DaemonAsked.Log(logger) })
+	defer withdraw()
+	err := serve(ctx, file, logger)
+	if err != nil {
+		event.DaemonFailed.Log(logger, "err", err)
+	}
+	return err
+}
+
 // newLogger writes logfmt lines with a timestamp.
 func newLogger(to cli.Streams, least string) log.Logger {
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(to.Err))
@@ -83,9 +95,11 @@
 			Lease:         given.LeaseDuration,
 			ViewLease:     given.ViewLease,
 			Reconcile:     given.ReconcileInterval,
+			Plan:          given.PlanInterval,
 			Poll:          given.EngineInterval,
 			EngineTimeout: given.EngineTimeout,
 			EngineSilence: given.EngineSilence,
+			FailurePause:  given.FailurePause,
 			PlatformPoll:  given.PlatformInterval,
 			Proposal:      given.ProposalTimeout,
 			Shutdown:      given.StopTimeout,
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -51,6 +51,8 @@
 	// WeightBytes and WeightRate are the platform's weight store.
 	WeightBytes uint64
 	WeightRate  uint64
+	// Drill says what happens to the processes during the load; empty: nothing.
+	Drill Drill
 	// Progress gets one line for each step.
 	Progress io.Writer
 }
@@ -114,9 +116,14 @@
 	f.progress("playing %d requests for %s", len(items), f.config.Duration)
 	changes := make(chan changeLog, 1)
 	go func() { changes <- f.driver.changeAlong(f.run.context, f.config.Duration) }()
+	drilled := make(chan []error, 1)
+	go func() { drilled <- f.drill(f.run.context, f.config.Duration) }()
 	report := f.play(items)
 	summary.count(report)
 	summary.countChanges(<-changes)
+	for _, failure := range <-drilled {
+		summary.violate("drill: %v", failure)
+	}
 	return summary, f.audit(&summary, items)
 }
 
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -20,6 +21,8 @@
 // process is one child. It is ended by its own process ID only.
 type process struct {
 	name    string
+	program string
+	args    []string
 	command *exec.Cmd
 	logPath string
 	done    chan struct{} // closed once err is set
@@ -50,7 +53,7 @@
 		return errors.Wrap(err, "fleet: make log folder")
 	}
 	logPath := filepath.Join(s.logs, name+".log")
-	output, err := os.Create(logPath)
+	output, err := os.OpenFile(logPath, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
 		return errors.Wrap(err, "fleet: make log file")
 	}
@@ -64,7 +67,14 @@
 	if err := command.Start(); err != nil {
 		return errors.Wrap(err, "fleet: start "+name)
 	}
-	child := &process{name: name, command: command, logPath: logPath, done: make(chan struct{})}
+	child := &process{
+		name:    name,
+		program: program,
+		args:    args,
+		command: command,
+		logPath: logPath,
+		done:    make(chan struct{}),
+	}
 	s.mutex.Lock()
 	s.processes = append(s.processes, child)
 	s.mutex.Unlock()
@@ -72,6 +82,26 @@
 	return nil
 }
 
+// restart starts an ended process again, as it was.
+func (s *supervisor) restart(ended *process) error {
+	s.mutex.Lock()
+	s.processes = slices.DeleteFunc(s.processes, func(other *process) bool { return other == ended })
+	s.mutex.Unlock()
+	return s.start(ended.name, ended.program, ended.args...)
+}
+
+// find returns the process with the name, or nil.
+func (s *supervisor) find(name string) *process {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, child := range s.processes {
+		if child.name == name {
+			return child
+		}
+	}
+	return nil
+}
+
 // watch waits for the child's end.
 func (s *supervisor) watch(child *process) {
 	child.err = child.command.Wait()
@@ -132,6 +162,15 @@
 	return p.stopping
 }
 
+// kill ends the process at once.
+func (p *process) kill() {
+	p.mutex.Lock()
+	p.stopping = true
+	p.mutex.Unlock()
+	_ = p.command.Process.Kill() // it may have ended by itself
+	<-p.done
+}
+
 // stop returns an error unless the process ends with status 0 in time.
 func (p *process) stop() error {
 	p.mutex.Lock()
--- a/process/control/actions.go
+++ b/process/control/actions.go
@@ -159,6 +159,7 @@
 	if result.Code != state.OpenOrderOpened {
 		return
 	}
+	r.duties.group.metrics.ordersOpened.Inc()
 	event.OrderOpened.Log(r.duties.logger, "engine", opening.Engine, "fence_term", result.Order.Fence.Term,
 		"fence_index", result.Order.Fence.Index, "model", opening.Assignment.Model, "version", opening.Assignment.Version,
 		"role", opening.Assignment.Role, "reason", opening.Reason)
@@ -172,6 +173,7 @@
 	if closing.Reason == state.CloseDone {
 		r.term.noteChange(closing.Engine)
 	}
+	r.duties.group.metrics.ordersClosed.WithLabelValues(closeReason(closing.Reason)).Inc()
 	event.OrderClosed.Log(r.duties.logger, "engine", closing.Engine, "fence_term", closing.Fence.Term,
 		"fence_index", closing.Fence.Index, "reason", closeReason(closing.Reason))
 }
@@ -207,6 +209,7 @@
 		return
 	}
 	askedAt := monotonic()
+	r.duties.group.metrics.ordersSent.Inc()
 	reply, err := r.duties.client.Send(r.context, action.Address, action.Order)
 	if err != nil {
 		r.unanswered(action.Engine, err)
@@ -232,6 +235,7 @@
 		return
 	}
 	askedAt := monotonic()
+	r.duties.group.metrics.ordersSent.Inc()
 	reply, err := r.duties.client.Void(r.context, action.Address, action.Request(given.Fence))
 	if err != nil {
 		r.unanswered(action.Engine, err)
@@ -243,6 +247,7 @@
 // unanswered leaves the engine to the poller: nothing is assumed of an order
 // whose answer was lost.
 func (r *actionRunner) unanswered(engine string, err error) {
+	r.duties.group.metrics.ordersFailed.Inc()
 	event.OrderSendFailed.Log(r.duties.logger, "engine", engine, "err", err)
 	r.term.poller.Poke(engine)
 	r.pause()
--- a/process/control/duties.go
+++ b/process/control/duties.go
@@ -70,6 +70,9 @@
 	}
 }
 
+// roundPause is the least time between two rounds.
+const roundPause = 5 * time.Millisecond
+
 // wake makes the next round start now; calls coalesce.
 func (d *duties) wake() {
 	select {
@@ -92,6 +95,8 @@
 	defer ticker.Stop()
 	for {
 		d.round(ctx)
+		// A pause bounds the rounds that a busy fleet can wake.
+		_ = sleep(ctx, roundPause)
 		select {
 		case <-ticker.C:
 		case <-d.wakeup:
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -22,6 +22,8 @@
 	machine *machine
 	config  Config
 	demand  *demandTable
+	metrics *metrics
+	clock   groupClock
 	// ledTerm is the last term for which this member has held a valid lease,
 	// and therefore has applied everything that earlier leaders committed.
 	ledTerm atomic.Uint64
@@ -87,15 +89,28 @@
 func (g *group) propose(ctx context.Context, command state.Command) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, g.config.Durations.Proposal)
 	defer cancel()
-	if _, err := g.leases.read(ctx, g.leaseRead); err != nil {
+	term, err := g.leases.read(ctx, g.leaseRead)
+	if err != nil {
+		g.countFailure(errNoLease)
 		return nil, errors.Wrap(errNoLease, err.Error())
 	}
-	command.Time = time.Now().UnixMilli()
+	command.Time = g.clock.now(term, g.machine, time.Now())
 	command.Limits = g.limits()
 	result, err := g.replica.Propose(ctx, state.Encode(command))
+	if err != nil {
+		g.countFailure(err)
+	}
 	return result.Value, err
 }
 
+func (g *group) countFailure(err error) {
+	outcome := "unknown"
+	if surelyNotProposed(err) {
+		outcome = "not_proposed"
+	}
+	g.metrics.proposalError.WithLabelValues(outcome).Inc()
+}
+
 func (g *group) limits() state.TransactionLimits {
 	return state.TransactionLimits{
 		MaxAffectedEngines: max(0, g.config.Limits.MaxAffectedEngines),
@@ -127,7 +142,9 @@
 	if err != nil {
 		return api.ClaimResult{}, feedError(err)
 	}
-	return result.(api.ClaimResult), nil
+	answer := result.(api.ClaimResult)
+	g.metrics.claims.WithLabelValues(string(answer.Code)).Inc()
+	return answer, nil
 }
 
 // RecordOutcome commits what became of a claimed run.
--- a/process/control/handlers.go
+++ b/process/control/handlers.go
@@ -26,6 +26,7 @@
 		return
 	}
 	answer := result.(api.TransactionResult)
+	s.member.metrics.transactions.WithLabelValues(string(answer.Code)).Inc()
 	writeJSON(w, transactionStatus(answer.Code), answer)
 }
 
--- /dev/null
+++ b/process/control/metrics.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"net/http"
+
+	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const metricsNamespace = "landingtrail_control"
+
+// metrics are one member's own; a process may run several members in tests.
+type metrics struct {
+	registry      *prometheus.Registry
+	ordersOpened  prometheus.Counter
+	ordersClosed  *prometheus.CounterVec
+	ordersSent    prometheus.Counter
+	ordersFailed  prometheus.Counter
+	transactions  *prometheus.CounterVec
+	claims        *prometheus.CounterVec
+	proposalError *prometheus.CounterVec
+}
+
+func newMetrics() *metrics {
+	m := &metrics{registry: prometheus.NewRegistry()}
+	m.ordersOpened = m.counter("orders_opened_total", "Orders committed by this member as leader.")
+	m.ordersSent = m.counter("orders_sent_total", "Orders and voids sent to engines, resends included.")
+	m.ordersFailed = m.counter("orders_unanswered_total", "Orders and voids that brought no answer.")
+	m.ordersClosed = m.vector("orders_closed_total", "Orders closed by this member as leader.", "reason")
+	m.transactions = m.vector("transactions_total", "Transactions answered by this member as leader.", "code")
+	m.claims = m.vector("claims_total", "At-most-once claims answered by this member as leader.", "code")
+	m.proposalError = m.vector("proposals_failed_total", "Commands that brought no result.", "outcome")
+	return m
+}
+
+func (m *metrics) counter(name, help string) prometheus.Counter {
+	created := prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help})
+	m.registry.MustRegister(created)
+	return created
+}
+
+func (m *metrics) vector(name, help, label string) *prometheus.CounterVec {
+	created := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help}, []string{label})
+	m.registry.MustRegister(created)
+	return created
+}
+
+func (m *metrics) gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help}, read))
+}
+
+// watch adds the gauges of a started member.
+func (m *metrics) watch(started *member) {
+	status := func() raft.Status { return started.replica.Status() }
+	m.gauge("leader", "1 while this member leads with everything applied, else 0.", func() float64 {
+		if started.group.Load().Leadership().Leads {
+			return 1
+		}
+		return 0
+	})
+	m.gauge("term", "The member's term.", func() float64 { return float64(status().Term) })
+	m.gauge("commit_index", "The highest log index known to be committed.", func() float64 { return float64(status().Commit) })
+	m.gauge("applied_index", "The highest log index applied.", func() float64 { return float64(status().Applied) })
+	m.gauge("subscribers", "Connections to the member's feed.", func() float64 { return float64(started.feed.Subscribers()) })
+	m.gauge("dropped_messages", "Messages of other members that found no room.", func() float64 {
+		return float64(started.replica.DroppedMessages())
+	})
+}
+
+// handler serves the metrics.
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- a/process/control/server.go
+++ b/process/control/server.go
@@ -11,7 +11,6 @@
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/core/service"
@@ -114,7 +113,7 @@
 		{Method: http.MethodPost, Path: operatorapi.PathMembers, Handler: s.onLeader(s.changeMembers)},
 		{Method: http.MethodGet, Path: operatorapi.PathMemberStatus, Handler: s.memberStatus},
 		{Method: http.MethodGet, Path: operatorapi.PathHealth, Handler: s.health},
-		{Method: http.MethodGet, Path: operatorapi.PathMetrics, Handler: promhttp.Handler().ServeHTTP},
+		{Method: http.MethodGet, Path: operatorapi.PathMetrics, Handler: s.member.metrics.handler().ServeHTTP},
 	}
 }
 
--- a/process/control/status.go
+++ b/process/control/status.go
@@ -11,6 +11,7 @@
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/pkg/errors"
 )
@@ -136,10 +137,20 @@
 	})
 }
 
-// ledger answers with the claim of a tenant's key.
+// ledger answers with the claim of a tenant's key, or no claim if none is kept.
 func (s *operatorServer) ledger(w http.ResponseWriter, r *http.Request, _ []byte) {
+	tenant, key := r.URL.Query().Get("tenant"), r.URL.Query().Get("key")
+	if key == "" {
+		writeInvalidBody(w, api.FieldFault{Field: "key", Message: "is required"})
+		return
+	}
 	s.leased(w, r, func(current *group, _ uint64) {
 		list := operatorapi.Ledger{Revision: current.Version().Revision, Claims: []api.Claim{}}
+		current.machine.read(func(machine *state.Machine) {
+			if claim, found := machine.Claim(tenant, key); found {
+				list.Claims = append(list.Claims, claim)
+			}
+		})
 		writeJSON(w, http.StatusOK, list)
 	})
 }
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -18,6 +18,12 @@
 		"Correct the members or the group in the settings.")
 	ControlHandoverFailed = define(1007, "control_handover_failed", Warn,
 		"Leadership could not be handed over before the stop; the other members elect a leader after the election timeout.", "")
+	ControlDiskDiscarded = define(1008, "control_disk_discarded", Error,
+		"The data folder was damaged or had lost its state; it was emptied, and the member joins the group as a new one.",
+		"Check the disk.")
+	ControlRemoved = define(1009, "control_removed", Error,
+		"The group has removed this member's identity, for example because another disk joined under its name; the member stops.",
+		"Start it again with an empty data folder if it is still wanted.")
 	MemberAdded    = define(1010, "member_added", Info, "A learner was added to the group.", "")
 	MemberPromoted = define(1011, "member_promoted", Info,
 		"A learner that has caught up became a voter.", "")
--- /dev/null
+++ b/process/proxy/admin.go
@@ -0,0 +1,117 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/landingtrail/landingtrail/version/view"
+)
+
+// Paths of the admin server.
+const (
+	PathHealth   = "/healthz" // 200 while the process serves at all
+	PathReady    = "/readyz"  // 200 while callers should send here
+	PathMetrics  = "/metrics"
+	PathInFlight = "/debug/inflight"
+)
+
+// listenAdmin starts the admin server.
+func (p *Proxy) listenAdmin() (*server, error) {
+	routes := &prefixRouter{Router: newRouter()}
+	return p.listen("landingtrail-proxy-admin", p.config.AdminAddress, routes, func(made *rest.Server) {
+		made.AddRoutes([]rest.Route{
+			{Method: http.MethodGet, Path: PathHealth, Handler: p.serveHealth},
+			{Method: http.MethodGet, Path: PathReady, Handler: p.serveReady},
+			{Method: http.MethodGet, Path: PathMetrics, Handler: p.metrics.handler().ServeHTTP},
+			{Method: http.MethodGet, Path: PathInFlight, Handler: p.serveInFlight},
+		})
+	})
+}
+
+// Readiness is the body of PathHealth and PathReady.
+type Readiness struct {
+	Ready    bool         `json:"ready"`
+	Reason   string       `json:"reason,omitempty"`
+	Version  view.Version `json:"version"`
+	InFlight int          `json:"inFlight"`
+}
+
+func (p *Proxy) readiness() Readiness {
+	s := p.standing()
+	state := Readiness{Version: s.catalog.view.Version, InFlight: p.running.count()}
+	switch {
+	case p.stopping.Load():
+		state.Reason = "stopping"
+	case s.catalog.view.Version.IsZero():
+		state.Reason = "no view yet"
+	case !s.valid && p.config.OnControlLoss.Model == LossRefuse && p.config.OnControlLoss.Backend == LossRefuse:
+		state.Reason = "view lease has lapsed"
+	default:
+		state.Ready = true
+	}
+	return state
+}
+
+func (p *Proxy) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, p.readiness())
+}
+
+func (p *Proxy) serveReady(w http.ResponseWriter, _ *http.Request) {
+	state := p.readiness()
+	status := http.StatusOK
+	if !state.Ready {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, state)
+}
+
+// InFlightRequest is one row of PathInFlight.
+type InFlightRequest struct {
+	ID       string           `json:"id"`
+	Service  string           `json:"service"`
+	Class    string           `json:"class"`
+	Tenant   string           `json:"tenant"`
+	State    string           `json:"state"`
+	Seconds  float64          `json:"seconds"`
+	Passed   int              `json:"tokensPassed"`
+	Attempts []InFlightRecord `json:"attempts"`
+}
+
+// InFlightRecord is one attempt of an InFlightRequest.
+type InFlightRecord struct {
+	Number   uint32 `json:"number"`
+	Endpoint string `json:"endpoint"`
+	Open     bool   `json:"open"`
+	Admitted bool   `json:"admitted"`
+	Refused  bool   `json:"refused"`
+	Resumes  int    `json:"resumes"`
+}
+
+func (p *Proxy) serveInFlight(w http.ResponseWriter, _ *http.Request) {
+	list := p.running.list()
+	rows := make([]InFlightRequest, len(list))
+	for i, one := range list {
+		rows[i] = InFlightRequest{
+			ID:      one.id,
+			Service: one.service,
+			Class:   one.class,
+			Tenant:  one.tenant,
+			State:   one.life.State().String(),
+			Seconds: time.Since(one.started).Seconds(),
+			Passed:  one.life.Passed(),
+		}
+		for _, record := range one.life.Attempts() {
+			rows[i].Attempts = append(rows[i].Attempts, InFlightRecord{
+				Number:   record.Number,
+				Endpoint: record.Endpoint,
+				Open:     record.Open,
+				Admitted: record.Admitted,
+				Refused:  record.Refused,
+				Resumes:  record.Resumes,
+			})
+		}
+	}
+	writeJSON(w, http.StatusOK, rows)
+}
--- /dev/null
+++ b/process/proxy/call.go
@@ -0,0 +1,187 @@
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/landingtrail/landingtrail/request/attempt"
+	"github.com/landingtrail/landingtrail/request/router"
+)
+
+// errHungUp is the cause of a context whose caller has gone.
+var errHungUp = errors.New("caller hung up")
+
+// call is one model request on its way through the proxy.
+type call struct {
+	proxy    *Proxy
+	lane     *lane
+	id       string
+	parsed   *completion
+	envelope envelope
+	priority int
+	deadline time.Time
+	life     *attempt.Life
+	sink     sink
+	claim    *claim // nil unless marked
+	random   *rand.Rand
+	excluded map[string]bool
+	retries  int
+	cached   int // prompt tokens believed to be cached where it ran
+}
+
+// run sees the request through to its end. It returns nil after a whole
+// answer, else what the caller is told.
+func (c *call) run(ctx context.Context) *failure {
+	defer c.cancelLeftovers()
+	var last *failure
+	for {
+		if failed := c.interrupted(ctx); failed != nil {
+			return failed
+		}
+		step := c.life.Next()
+		switch step.Kind {
+		case attempt.StepRun:
+			if last != nil && !c.retryAllowed(ctx, last) {
+				return c.giveUp(last)
+			}
+			last = c.runOnce(ctx)
+		case attempt.StepResume:
+			last = c.resumeOnce(ctx, step)
+		default:
+			return c.giveUp(last)
+		}
+		if last == nil {
+			return nil
+		}
+		if last.final {
+			return c.giveUp(last)
+		}
+	}
+}
+
+// giveUp is the end without a whole answer; what the caller is told of the run
+// is decided here.
+func (c *call) giveUp(last *failure) *failure {
+	given := failure{
+		status:  http.StatusBadGateway,
+		kind:    typeServer,
+		code:    codeUpstream,
+		message: "no engine gave a whole answer",
+	}
+	if last != nil {
+		given = *last
+	}
+	given.ran = c.life.GiveUp()
+	if given.ran == attempt.RanNo && given.status >= http.StatusInternalServerError {
+		given.status = http.StatusServiceUnavailable
+		if given.code == codeDeadlineShort || given.code == codeDeadlineExceeded {
+			given.status = http.StatusGatewayTimeout
+		}
+		given.retryAfter = max(given.retryAfter, time.Second)
+	}
+	return &given
+}
+
+// interrupted returns the failure of a request whose deadline has passed or
+// whose caller has gone.
+func (c *call) interrupted(ctx context.Context) *failure {
+	if ctx.Err() == nil {
+		return nil
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return c.giveUp(&failure{
+			status:  http.StatusGatewayTimeout,
+			kind:    typeServer,
+			code:    codeDeadlineExceeded,
+			message: "the deadline has passed",
+		})
+	}
+	return c.giveUp(&failure{
+		status:  statusClientClosed,
+		kind:    typeInvalid,
+		code:    codeCancelled,
+		message: "the caller has gone",
+	})
+}
+
+// retryAllowed pays for another run out of the budget and waits for the
+// backoff. A refusal because the engine drains or changes costs nothing: each
+// engine gives it once, and a planned change must not use up the budget.
+func (c *call) retryAllowed(ctx context.Context, last *failure) bool {
+	if c.retries >= c.proxy.config.Limits.Attempts {
+		return false
+	}
+	if !last.free && !c.proxy.budget.Withdraw() {
+		return false
+	}
+	c.proxy.metrics.retries.Inc()
+	delay, fits := c.proxy.config.Backoff.Delay(c.retries, time.Until(c.deadline), c.random)
+	c.retries++
+	if !fits {
+		return false
+	}
+	if last.free {
+		return true
+	}
+	return sleep(ctx, delay)
+}
+
+// decide asks the router where the request goes now.
+func (c *call) decide() (router.Decision, *failure) {
+	s := c.proxy.standing()
+	if failed := c.proxy.refuseLost(&s, c.lane.kind); failed != nil {
+		failed.final = true
+		return router.Decision{}, failed
+	}
+	request := router.Request{
+		ID:           c.id,
+		Service:      c.lane.service,
+		Class:        c.envelope.class,
+		Tenant:       c.envelope.tenant,
+		Model:        c.parsed.request.Model,
+		Priority:     c.priority,
+		PromptTokens: c.parsed.promptTokens,
+		OutputTokens: c.parsed.outputTokens(),
+		Blocks:       c.parsed.blocks,
+		Deadline:     time.Until(c.deadline),
+		Excluded:     c.excluded,
+		Zone:         c.proxy.config.Zone,
+	}
+	_, request.Adapter, _ = strings.Cut(request.Model, ":")
+	decision, reason := c.proxy.router.Route(c.lane.snapshot(&s), request, c.random)
+	if reason != router.ReasonNone {
+		return decision, refuseRoute(reason)
+	}
+	return decision, nil
+}
+
+// refuseRoute is the answer when the router finds no engine. Only where time
+// can help is it worth another try.
+func refuseRoute(reason router.Reason) *failure {
+	switch reason {
+	case router.ReasonUnknownModel:
+		// The model is known, or the request would not have come so far: no
+		// engine holds it now.
+		return unavailable(codeNoEngine, "no engine serves the model now", time.Second)
+	case router.ReasonClassRefused:
+		return &failure{
+			status:  http.StatusForbidden,
+			kind:    typeInvalid,
+			code:    codeClassRefused,
+			message: "no engine serves the class",
+			ran:     attempt.RanNo,
+			final:   true,
+		}
+	case router.ReasonDeadline:
+		failed := deadlineShort("no engine can finish within the deadline", time.Second)
+		failed.final = true
+		return failed
+	default:
+		return unavailable(codeNoEngine, "no engine admits requests now", time.Second)
+	}
+}
--- /dev/null
+++ b/process/proxy/claim.go
@@ -0,0 +1,172 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/request/attempt"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+)
+
+// headerIdempotency tells a back end which claim a run belongs to, as a hash.
+// The caller's key itself is not passed on: net/http takes a request with an
+// Idempotency-Key for one that it may send again.
+const headerIdempotency = "Engine-Idempotency"
+
+// claim is the right to run a marked request, given by the control group.
+type claim struct {
+	tenant string
+	key    string
+	nonce  uint64
+}
+
+// hash names the claim without its key.
+func (c *claim) hash() string {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(c.tenant) // a digest's writes never fail
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(c.key)
+	return strconv.FormatUint(digest.Sum64(), 16)
+}
+
+// hashBody identifies what a key stands for.
+func hashBody(method, path string, body []byte) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(method) // a digest's writes never fail
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(path)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.Write(body)
+	return digest.Sum64()
+}
+
+// recorded is an answer as it is kept with its claim.
+type recorded struct {
+	Status      int    `json:"status"`
+	ContentType string `json:"contentType"`
+	Body        []byte `json:"body"`
+}
+
+// claimed is the result of asking for a claim: exactly one field is set.
+type claimed struct {
+	granted *claim
+	answer  *recorded
+	failed  *failure
+}
+
+// claimRun asks the control group for the right to run a marked request.
+func (p *Proxy) claimRun(ctx context.Context, read *envelope, bodyHash uint64) claimed {
+	ctx, cancel := context.WithTimeout(ctx, p.config.Timeouts.Claim)
+	defer cancel()
+	request := state.ClaimRequest{
+		Tenant:    read.tenant,
+		Key:       read.key,
+		BodyHash:  bodyHash,
+		Attempt:   1,
+		Proxy:     p.config.ID,
+		Nonce:     rand.Uint64(),
+		Retention: p.config.Timeouts.ClaimRetention.Milliseconds(),
+	}
+	result, err := p.control.Claim(ctx, request)
+	if errors.Is(err, feed.ErrOutcomeUnknown) && ctx.Err() == nil {
+		// The same nonce gets the same answer, so asking again is safe.
+		result, err = p.control.Claim(ctx, request)
+	}
+	if err != nil {
+		event.ProxyClaimFailed.Log(p.logger, "tenant", read.tenant, "error", err)
+		if errors.Is(err, feed.ErrOutcomeUnknown) {
+			// It may have been granted; nothing will be dispatched under it.
+			held := &claim{tenant: read.tenant, key: read.key, nonce: request.Nonce}
+			p.tasks.Go(func() { p.settleClaim(held, api.RunNotRun, nil) })
+		}
+		return claimed{failed: unavailable(codeNoQuorum, "the request could not be claimed, so it was not run", time.Second)}
+	}
+	switch result.Code {
+	case api.ClaimGranted:
+		return claimed{granted: &claim{tenant: read.tenant, key: read.key, nonce: request.Nonce}}
+	case api.ClaimDone:
+		return replay(&result.Claim)
+	case api.ClaimConflict:
+		return claimed{failed: conflict(codeKeyConflict, "the key was used with another body", attempt.RanNo)}
+	default:
+		return claimed{failed: conflict(codeKeyRunning, "the key's run is under way or its outcome is not known", attempt.RanUnknown)}
+	}
+}
+
+func conflict(code, message string, ran attempt.Ran) *failure {
+	return &failure{status: http.StatusConflict, kind: typeInvalid, code: code, message: message, ran: ran}
+}
+
+// replay turns a claim that is done into its recorded answer.
+func replay(done *api.Claim) claimed {
+	if done.Outcome != api.RunCompleted {
+		return claimed{failed: conflict(codeKeyRunning, "the outcome of the key's run is not known", attempt.RanUnknown)}
+	}
+	var answer recorded
+	if len(done.Answer) == 0 || json.Unmarshal(done.Answer, &answer) != nil || answer.Status == 0 {
+		return claimed{failed: conflict(codeKeyDone, "the request was run before; its answer was not kept", attempt.RanYes)}
+	}
+	return claimed{answer: &answer}
+}
+
+// settleClaim records what became of a claimed run. It is bounded in time and
+// outlives the request: a caller who has gone must not leave the key open.
+func (p *Proxy) settleClaim(held *claim, outcome api.RunOutcome, answer *recorded) {
+	if held == nil {
+		return
+	}
+	record := state.RunOutcome{Tenant: held.tenant, Key: held.key, Nonce: held.nonce, Outcome: outcome}
+	if answer != nil {
+		record.Answer = encodeRecorded(answer)
+	}
+	if err := p.recordOutcome(record); err != nil {
+		event.ProxyOutcomeLost.Log(p.logger, "tenant", held.tenant, "outcome", string(outcome), "error", err)
+	}
+}
+
+func encodeRecorded(answer *recorded) []byte {
+	encoded, err := json.Marshal(answer)
+	if err != nil {
+		panic(err) // a type of ours that cannot be encoded
+	}
+	if len(encoded) > state.MaxAnswerBytes {
+		return nil
+	}
+	return encoded
+}
+
+// outcomeTries is how often recording an outcome is tried. Recording the same
+// outcome again changes nothing.
+const outcomeTries = 3
+
+func (p *Proxy) recordOutcome(record state.RunOutcome) error {
+	random := newRandom()
+	for try := 0; ; try++ {
+		ctx, cancel := context.WithTimeout(context.Background(), p.config.Timeouts.Claim)
+		err := p.control.RecordOutcome(ctx, record)
+		cancel()
+		if err == nil || try+1 == outcomeTries {
+			return err
+		}
+		delay, _ := p.config.Backoff.Delay(try, time.Hour, random)
+		time.Sleep(delay)
+	}
+}
+
+// outcomeOf translates what the caller is told into what is recorded.
+func outcomeOf(ran attempt.Ran) api.RunOutcome {
+	if ran == attempt.RanNo {
+		return api.RunNotRun
+	}
+	return api.RunUnknown
+}
--- /dev/null
+++ b/process/proxy/endpoint.go
@@ -0,0 +1,182 @@
+package proxy
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/request/router"
+	"github.com/landingtrail/landingtrail/version/api"
+)
+
+// suspicion is how long an endpoint is avoided after a failure; it doubles
+// with each further one up to maxSuspicion.
+const (
+	suspicion    = 500 * time.Millisecond
+	maxSuspicion = 15 * time.Second
+)
+
+// dispatch is one request in flight to an endpoint.
+type dispatch struct {
+	at     time.Duration
+	tokens int
+}
+
+// endpoint is one engine or back end as this proxy knows it: a shard of the
+// proxy's state under its own lock. Times are readings of the proxy's clock.
+type endpoint struct {
+	name    string
+	address string
+	zone    string
+	model   bool // an engine, not a plain back end
+
+	lock sync.Mutex
+	// phase and incarnation are the endpoint's own last word, heardAt when it came.
+	phase       api.EnginePhase
+	incarnation uint64
+	heardAt     time.Duration
+	heard       bool
+	load        engineapi.Load
+	loadAt      time.Duration // when the load was measured
+	failures    int
+	suspectTill time.Duration
+	dispatches  map[uint64]dispatch
+	nextID      uint64
+	cache       cacheIndex
+}
+
+func newEndpoint(name, address, zone string, model bool) *endpoint {
+	return &endpoint{name: name, address: address, zone: zone, model: model, dispatches: map[uint64]dispatch{}}
+}
+
+// begin counts a request in flight and returns the function that ends it.
+func (e *endpoint) begin(now time.Duration, tokens int) func() {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	id := e.nextID
+	e.nextID++
+	e.dispatches[id] = dispatch{at: now, tokens: tokens}
+	return func() {
+		e.lock.Lock()
+		defer e.lock.Unlock()
+		delete(e.dispatches, id)
+	}
+}
+
+// hear notes the endpoint's own word on its phase and incarnation; an empty
+// phase says nothing.
+func (e *endpoint) hear(now time.Duration, phase api.EnginePhase, incarnation uint64) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.hearLocked(now, phase, incarnation)
+}
+
+func (e *endpoint) hearLocked(now time.Duration, phase api.EnginePhase, incarnation uint64) {
+	e.heard = true
+	e.heardAt = max(e.heardAt, now)
+	if phase != api.PhaseUnknown {
+		e.phase = phase
+	}
+	if incarnation != 0 && incarnation != e.incarnation {
+		e.incarnation = incarnation
+		e.cache.reset()
+	}
+}
+
+// backendLeaving is the value of engineapi.HeaderBackendState of a back end
+// whose machine leaves.
+const backendLeaving = "leaving"
+
+// hearHeader notes what the header of an answer says of the endpoint. A plain
+// back end that does not say that it leaves serves.
+func (e *endpoint) hearHeader(now time.Duration, header http.Header) {
+	phase := api.EnginePhase(header.Get(engineapi.HeaderPhase))
+	if !e.model {
+		phase = api.PhaseServing
+		if header.Get(engineapi.HeaderBackendState) == backendLeaving {
+			phase = api.PhaseLeaving
+		}
+	}
+	e.hear(now, phase, incarnationOf(header))
+}
+
+// report takes in a load report.
+func (e *endpoint) report(now time.Duration, load engineapi.Load) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.hearLocked(now, load.Phase, load.Incarnation)
+	e.load = load
+	e.loadAt = now - time.Duration(load.AgeMilliseconds)*time.Millisecond
+}
+
+// succeed ends the suspicion.
+func (e *endpoint) succeed() {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.failures = 0
+	e.suspectTill = 0
+}
+
+// fail makes the endpoint suspect.
+func (e *endpoint) fail(now time.Duration) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	wait := suspicion << min(e.failures, 5)
+	e.failures++
+	e.suspectTill = now + min(wait, maxSuspicion)
+}
+
+// ownWord is what an endpoint says of itself.
+type ownWord struct {
+	phase       api.EnginePhase
+	incarnation uint64
+	heard       bool
+	heardAt     time.Duration
+}
+
+func (e *endpoint) word() ownWord {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return ownWord{phase: e.phase, incarnation: e.incarnation, heard: e.heard, heardAt: e.heardAt}
+}
+
+// describe fills in what the endpoint itself and this proxy's dispatches say.
+func (e *endpoint) describe(now time.Duration, into *router.Endpoint) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	into.Name = e.name
+	into.Address = e.address
+	into.Zone = e.zone
+	into.Suspect = now < e.suspectTill
+	into.Load = router.Load{
+		Running:       e.load.Running,
+		Waiting:       e.load.Waiting,
+		WaitingTokens: e.load.WaitingTokens,
+		KVUsed:        e.load.KVUsed,
+		Age:           now - e.loadAt,
+	}
+	for _, sent := range e.dispatches {
+		if sent.at > e.loadAt {
+			into.Load.OwnRunning++
+			into.Load.OwnTokens += sent.tokens
+		}
+	}
+}
+
+// inFlight returns this proxy's requests to the endpoint.
+func (e *endpoint) inFlight() int {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return len(e.dispatches)
+}
+
+// closedPhase reports whether an endpoint in the phase takes no new work. An
+// endpoint that has not spoken is not closed by that.
+func closedPhase(phase api.EnginePhase) bool {
+	switch phase {
+	case api.PhaseServing, api.PhaseUnknown:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/process/proxy/inflight.go
@@ -0,0 +1,87 @@
+package proxy
+
+import (
+	"hash/maphash"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/landingtrail/landingtrail/request/attempt"
+)
+
+// inFlightShards is the number of shards of the requests in flight.
+const inFlightShards = 32
+
+// entry is one request in flight.
+type entry struct {
+	id      string
+	service string
+	class   string
+	tenant  string
+	started time.Time
+	life    *attempt.Life
+	model   string // "" for a plain back end
+	tokens  int    // of the prompt
+}
+
+// inFlight holds the requests in flight, in shards under their own locks.
+type inFlight struct {
+	seed   maphash.Seed
+	shards [inFlightShards]inFlightShard
+}
+
+type inFlightShard struct {
+	lock    sync.Mutex
+	entries map[string]*entry
+}
+
+func newInFlight() *inFlight {
+	made := &inFlight{seed: maphash.MakeSeed()}
+	for i := range made.shards {
+		made.shards[i].entries = map[string]*entry{}
+	}
+	return made
+}
+
+func (f *inFlight) shard(id string) *inFlightShard {
+	return &f.shards[maphash.String(f.seed, id)%inFlightShards]
+}
+
+// add counts the request in and returns the function that counts it out.
+func (f *inFlight) add(added *entry) func() {
+	shard := f.shard(added.id)
+	shard.lock.Lock()
+	defer shard.lock.Unlock()
+	shard.entries[added.id] = added
+	return func() {
+		shard.lock.Lock()
+		defer shard.lock.Unlock()
+		delete(shard.entries, added.id)
+	}
+}
+
+func (f *inFlight) count() int {
+	total := 0
+	for i := range f.shards {
+		shard := &f.shards[i]
+		shard.lock.Lock()
+		total += len(shard.entries)
+		shard.lock.Unlock()
+	}
+	return total
+}
+
+// list returns the requests in flight, oldest first.
+func (f *inFlight) list() []*entry {
+	var all []*entry
+	for i := range f.shards {
+		shard := &f.shards[i]
+		shard.lock.Lock()
+		for _, one := range shard.entries {
+			all = append(all, one)
+		}
+		shard.lock.Unlock()
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].started.Before(all[j].started) })
+	return all
+}
--- /dev/null
+++ b/process/proxy/metrics.go
@@ -0,0 +1,68 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const metricsNamespace = "landingtrail_proxy"
+
+// metrics are the proxy's own; a registry for each proxy keeps several in one
+// process apart.
+type metrics struct {
+	registry      *prometheus.Registry
+	requests      *prometheus.CounterVec
+	seconds       *prometheus.HistogramVec
+	retries       prometheus.Counter
+	resumes       prometheus.Counter
+	refusals      prometheus.Counter
+	broken        prometheus.Counter
+	splitFailures prometheus.Counter
+}
+
+func newMetrics() *metrics {
+	made := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace,
+			Name:      "requests_total",
+			Help:      "Requests by service, class, status and what the caller was told of the run.",
+		}, []string{"service", "class", "status", "ran"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: metricsNamespace,
+			Name:      "request_seconds",
+			Help:      "Time from a request's arrival to its end.",
+			Buckets:   prometheus.ExponentialBuckets(0.001, 2, 16),
+		}, []string{"service", "class"}),
+		retries:       counter("retries_total", "Further tries of requests after a failure."),
+		resumes:       counter("resumes_total", "Streams that were taken up again."),
+		refusals:      counter("engine_refusals_total", "Explicit refusals before admission by back ends."),
+		broken:        counter("broken_streams_total", "Streams that ended without their terminal event."),
+		splitFailures: counter("split_failures_total", "Hand-overs of KV cache that failed."),
+	}
+	made.registry.MustRegister(made.requests, made.seconds, made.retries, made.resumes,
+		made.refusals, made.broken, made.splitFailures)
+	return made
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help})
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// ended counts a request that was let in.
+func (m *metrics) ended(service, class string, failed *failure, took time.Duration) {
+	status, ran := http.StatusOK, "yes"
+	if failed != nil {
+		status, ran = failed.status, string(failed.ran)
+	}
+	m.requests.WithLabelValues(service, class, strconv.Itoa(status), ran).Inc()
+	m.seconds.WithLabelValues(service, class).Observe(took.Seconds())
+}
--- /dev/null
+++ b/process/proxy/replay.go
@@ -0,0 +1,49 @@
+package proxy
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/landingtrail/landingtrail/connection/engineapi"
+)
+
+// replayStream sends a recorded whole answer as a stream of one event for each
+// choice.
+func replayStream(out *streamSink, body []byte) {
+	var answer wholeAnswer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		out.fail(conflict(codeKeyDone, "the recorded answer cannot be read", "yes"))
+		return
+	}
+	object := answer.Object
+	if object == "chat.completion" {
+		object = "chat.completion.chunk"
+	}
+	for _, choice := range answer.Choices {
+		if choice.Message != nil {
+			choice.Delta, choice.Message = choice.Message, nil
+		}
+		encoded, err := json.Marshal(engineapi.StreamEvent{
+			ID:      answer.ID,
+			Object:  object,
+			Model:   answer.Model,
+			Choices: []engineapi.Choice{choice},
+			Usage:   answer.Usage,
+		})
+		if err != nil {
+			panic(err) // a type of ours that cannot be encoded
+		}
+		out.event("", encoded)
+	}
+	_ = out.finish() // the caller may be gone
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // a type of ours that cannot be encoded
+	}
+	w.Header().Set("Content-Type", contentTypeJSON)
+	w.WriteHeader(status)
+	_, _ = w.Write(append(encoded, '\n')) // the caller may be gone
+}
--- /dev/null
+++ b/process/proxy/run_backend.go
@@ -0,0 +1,260 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/connection/upstream"
+	"github.com/landingtrail/landingtrail/request/attempt"
+)
+
+// run sees the request through to its end; nil after a whole answer.
+func (c *backendCall) run(ctx context.Context) *failure {
+	random := newRandom()
+	var last *failure
+	for retries := 0; ; retries++ {
+		if ctx.Err() != nil {
+			return c.interrupted(ctx)
+		}
+		if c.sent || c.life.Next().Kind != attempt.StepRun {
+			return c.giveUp(last)
+		}
+		if last != nil && !c.retryAllowed(ctx, last, retries, random) {
+			return c.giveUp(last)
+		}
+		last = c.runOnce(ctx, random)
+		if last == nil {
+			return nil
+		}
+		if last.final {
+			return c.giveUp(last)
+		}
+	}
+}
+
+func (c *backendCall) retryAllowed(ctx context.Context, last *failure, retries int, random *rand.Rand) bool {
+	if retries > c.proxy.config.Limits.Attempts {
+		return false
+	}
+	if last.free {
+		return true
+	}
+	delay, fits := c.proxy.config.Backoff.Delay(retries-1, time.Until(c.deadline), random)
+	if !fits || !c.proxy.budget.Withdraw() {
+		return false
+	}
+	c.proxy.metrics.retries.Inc()
+	return sleep(ctx, delay)
+}
+
+func (c *backendCall) giveUp(last *failure) *failure {
+	given := *last
+	given.ran = c.life.GiveUp()
+	if given.ran == attempt.RanNo && given.status == http.StatusBadGateway {
+		given.status = http.StatusServiceUnavailable
+		given.retryAfter = time.Second
+	}
+	return &given
+}
+
+func (c *backendCall) interrupted(ctx context.Context) *failure {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return c.giveUp(&failure{
+			status:  http.StatusGatewayTimeout,
+			kind:    typeServer,
+			code:    codeDeadlineExceeded,
+			message: "the deadline has passed",
+		})
+	}
+	return c.giveUp(&failure{status: statusClientClosed, kind: typeInvalid, code: codeCancelled, message: "the caller has gone"})
+}
+
+// zonePenalty is how many requests in flight the own zone is worth.
+const zonePenalty = 1
+
+// pick returns the back end with the least work of two drawn at random among
+// those that admit; suspects only when there is nothing else.
+func (c *backendCall) pick(random *rand.Rand) (*endpoint, *failure) {
+	s := c.proxy.standing()
+	if failed := c.proxy.refuseLost(&s, c.lane.kind); failed != nil {
+		failed.final = true
+		return nil, failed
+	}
+	var sound, suspect []*endpoint
+	for name, candidate := range *c.lane.endpoints.Load() {
+		word := candidate.word()
+		if c.excluded[name] || s.catalog.leaving[name] || closedPhase(word.phase) || !s.confirmed(word) {
+			continue
+		}
+		if candidate.suspected(s.now) {
+			suspect = append(suspect, candidate)
+		} else {
+			sound = append(sound, candidate)
+		}
+	}
+	if len(sound) == 0 {
+		sound = suspect
+	}
+	if len(sound) == 0 {
+		return nil, unavailable(codeNoEngine, "no back end takes requests now", time.Second)
+	}
+	first, second := sound[random.IntN(len(sound))], sound[random.IntN(len(sound))]
+	if second.work(c.proxy.config.Zone) < first.work(c.proxy.config.Zone) {
+		return second, nil
+	}
+	return first, nil
+}
+
+func (e *endpoint) suspected(now time.Duration) bool {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return now < e.suspectTill
+}
+
+// work is the load of a plain back end: the report and what was sent since.
+func (e *endpoint) work(zone string) int {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	work := e.load.Running + e.load.Waiting
+	for _, sent := range e.dispatches {
+		if sent.at > e.loadAt {
+			work++
+		}
+	}
+	if e.zone != zone {
+		work += zonePenalty
+	}
+	return work
+}
+
+// runOnce lets one back end run the request; nil after a whole answer.
+func (c *backendCall) runOnce(ctx context.Context, random *rand.Rand) *failure {
+	target, failed := c.pick(random)
+	if failed != nil {
+		return failed
+	}
+	number, err := c.life.Begin(target.name, 0)
+	if err != nil {
+		return &failure{status: http.StatusBadGateway, kind: typeServer, code: codeUpstream, message: err.Error(), final: true}
+	}
+	end := target.begin(c.proxy.clock(), 1)
+	defer end()
+	request, err := c.build(ctx, target, number)
+	if err != nil {
+		c.life.Fail(number, attempt.FaultNotWritten)
+		failed := invalid(codeBadRequest, "the request cannot be passed on")
+		failed.final = true
+		return failed
+	}
+	response, err := c.lane.pool.Do(request)
+	if err != nil {
+		return c.unanswered(ctx, target, number, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	target.hearHeader(c.proxy.clock(), response.Header)
+	if upstream.SurelyRefused(response) {
+		return c.refused(target, number, response)
+	}
+	return c.answer(ctx, target, number, response)
+}
+
+func (c *backendCall) build(ctx context.Context, target *endpoint, number uint32) (*http.Request, error) {
+	left, some := c.proxy.config.Margin.Shrink(time.Until(c.deadline))
+	if !some {
+		return nil, errors.WithStack(context.DeadlineExceeded)
+	}
+	request, err := http.NewRequestWithContext(ctx, c.request.Method, "http://"+target.address+c.target, bytes.NewReader(c.body))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	request.Header = c.request.Header.Clone()
+	request.Host = c.request.Host
+	if len(c.body) == 0 {
+		request.Body = http.NoBody
+	}
+	header := request.Header
+	header.Set(engineapi.HeaderRequestID, c.id)
+	header.Set(engineapi.HeaderAttempt, strconv.FormatUint(uint64(number), 10))
+	header.Set(engineapi.HeaderPriority, strconv.Itoa(c.priority))
+	header.Set(engineapi.HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	header.Del(headerIdempotency)
+	if c.claim != nil {
+		header.Set(headerIdempotency, c.claim.hash())
+	}
+	return request, nil
+}
+
+func (c *backendCall) unanswered(ctx context.Context, target *endpoint, number uint32, err error) *failure {
+	fault := attempt.FaultBroken
+	var failed *upstream.Failure
+	if errors.As(err, &failed) && !failed.Wrote {
+		fault = attempt.FaultNotWritten
+	}
+	c.life.Fail(number, fault)
+	c.excluded[target.name] = true
+	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		target.fail(c.proxy.clock())
+	}
+	return upstreamFailed("the back end could not be reached or gave no answer")
+}
+
+// refused closes an attempt that the back end surely did not run. When the
+// request itself is at fault the refusal is passed on.
+func (c *backendCall) refused(target *endpoint, number uint32, response *http.Response) *failure {
+	c.life.Fail(number, attempt.FaultRefused)
+	c.proxy.metrics.refusals.Inc()
+	c.excluded[target.name] = true
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes)) // what came is enough
+	if final := callerFault(response.StatusCode, body); final != nil {
+		return final
+	}
+	failed := unavailable(codeNoEngine, "the back ends refused the request", time.Second)
+	failed.free = closedPhase(target.word().phase)
+	return failed
+}
+
+// answerHeaders are not passed on to the caller.
+var answerHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	engineapi.HeaderAdmitted, engineapi.HeaderRequestID, engineapi.HeaderAttempt,
+	engineapi.HeaderIncarnation, engineapi.HeaderPhase, engineapi.HeaderBackendState,
+}
+
+func (c *backendCall) answer(ctx context.Context, target *endpoint, number uint32, response *http.Response) *failure {
+	if id := response.Header.Get(engineapi.HeaderRequestID); id != "" && id != c.id {
+		c.life.Fail(number, attempt.FaultBroken)
+		return upstreamFailed("the back end answered another request")
+	}
+	c.life.Admit(number, 0)
+	for _, name := range answerHeaders {
+		response.Header.Del(name)
+	}
+	header := c.writer.Header()
+	for name, values := range response.Header {
+		header[name] = values
+	}
+	if c.kept != nil {
+		c.kept.Status = response.StatusCode
+		c.kept.ContentType = response.Header.Get("Content-Type")
+	}
+	c.sent = true
+	c.writer.WriteHeader(response.StatusCode)
+	if err := c.relay(response.Body); err != nil {
+		c.life.Fail(number, attempt.FaultBroken)
+		if ctx.Err() == nil && !errors.Is(err, errCaller) {
+			target.fail(c.proxy.clock())
+		}
+		return upstreamFailed("the answer broke off")
+	}
+	c.life.Finish(number)
+	target.succeed()
+	return nil
+}
--- /dev/null
+++ b/process/proxy/server.go
@@ -0,0 +1,159 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/core/service"
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/httpx"
+	"github.com/zeromicro/go-zero/rest/router"
+
+	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/process/event"
+)
+
+// never is longer than any process lives. go-zero ends the process a few
+// seconds after SIGTERM; a proxy ends when its last request has, so that
+// timer is put out of reach.
+const never = 10 * 365 * 24 * time.Hour
+
+// server is one HTTP listener on go-zero's rest. What rest brings by default
+// is taken over: its timeout, body cap, breaker, shedding, access log and
+// metrics are off, since a stream outlasts any timeout, the body cap has its
+// own answer, and shedding is the queue's decision. Its signal handling is
+// disarmed.
+type server struct {
+	http  *http.Server
+	bound net.Addr
+}
+
+// restConf returns the settings with every middleware off.
+func restConf(name, address string) (rest.RestConf, error) {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return rest.RestConf{}, errors.Wrap(ErrConfig, err.Error())
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		return rest.RestConf{}, errors.Wrap(ErrConfig, err.Error())
+	}
+	return rest.RestConf{
+		ServiceConf: service.ServiceConf{
+			Name:     name,
+			Mode:     service.ProMode,
+			Shutdown: proc.ShutdownConf{WrapUpTime: never, WaitTime: 2 * never},
+		},
+		Host: host,
+		Port: number,
+	}, nil
+}
+
+// prefixRouter serves the paths under a prefix by one handler for all methods,
+// which rest's own router cannot express, and leaves the others to it.
+type prefixRouter struct {
+	httpx.Router
+	prefix  string
+	handler http.HandlerFunc
+}
+
+// ServeHTTP implements http.Handler.
+func (r *prefixRouter) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if r.prefix != "" && strings.HasPrefix(request.URL.Path, r.prefix) {
+		r.handler(w, request)
+		return
+	}
+	r.Router.ServeHTTP(w, request)
+}
+
+// listen starts a server on the address and returns once it is bound.
+func (p *Proxy) listen(name, address string, routes *prefixRouter, add func(*rest.Server)) (*server, error) {
+	conf, err := restConf(name, address)
+	if err != nil {
+		return nil, err
+	}
+	made, err := rest.NewServer(conf, rest.WithRouter(routes))
+	if err != nil {
+		return nil, errors.Wrap(err, "rest server")
+	}
+	logx.SetWriter(&logWriter{logger: p.logger})
+	routes.SetNotFoundHandler(http.HandlerFunc(serveNotFound))
+	routes.SetNotAllowedHandler(http.HandlerFunc(serveNotAllowed))
+	add(made)
+	started := &server{}
+	bound := make(chan net.Addr, 1)
+	failed := make(chan error, 1)
+	go started.start(made, p.config.Timeouts, bound, failed)
+	select {
+	case started.bound = <-bound:
+		return started, nil
+	case err := <-failed:
+		return nil, err
+	}
+}
+
+// start serves until the HTTP server is shut down. rest waits for its own stop
+// signal after that, which never comes, so this goroutine lasts as long as the
+// process. rest panics when it cannot listen.
+func (s *server) start(made *rest.Server, timeouts Timeouts, bound chan<- net.Addr, failed chan<- error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			failed <- errors.Errorf("listen: %v", cause)
+		}
+	}()
+	made.StartWithOpts(func(configured *http.Server) {
+		s.http = configured
+		configured.ReadHeaderTimeout = timeouts.ReadHeader
+		configured.ReadTimeout = 0
+		configured.WriteTimeout = 0
+		configured.IdleTimeout = timeouts.Idle
+		configured.BaseContext = baseContext(bound)
+	})
+}
+
+func serveNotFound(w http.ResponseWriter, _ *http.Request) {
+	notFound(codeNotFound, "no such path").write(w)
+}
+
+func serveNotAllowed(w http.ResponseWriter, _ *http.Request) {
+	refused := notFound(codeMethod, "the path does not take this method")
+	refused.status = http.StatusMethodNotAllowed
+	refused.write(w)
+}
+
+func newRouter() httpx.Router { return router.NewRouter() }
+
+// listenCallers starts the server for callers.
+func (p *Proxy) listenCallers() (*server, error) {
+	routes := &prefixRouter{Router: newRouter(), prefix: servicesPrefix, handler: p.serveService}
+	return p.listen("landingtrail-proxy", p.config.ListenAddress, routes, func(made *rest.Server) {
+		made.AddRoutes([]rest.Route{
+			{Method: http.MethodPost, Path: engineapi.PathChatCompletions, Handler: p.serveCompletion},
+			{Method: http.MethodPost, Path: engineapi.PathCompletions, Handler: p.serveCompletion},
+		}, rest.WithSSE(), rest.WithTimeout(0))
+		made.AddRoute(rest.Route{Method: http.MethodGet, Path: engineapi.PathModels, Handler: p.serveModels})
+	})
+}
+
+// logWriter passes rest's own log lines on as numbered events.
+type logWriter struct{ logger log.Logger }
+
+func (w *logWriter) Alert(v any)                 { event.ProxyServerLog.Log(w.logger, "message", fmt.Sprint(v)) }
+func (w *logWriter) Close() error                { return nil }
+func (w *logWriter) Debug(any, ...logx.LogField) {}
+func (w *logWriter) Error(v any, _ ...logx.LogField) {
+	event.ProxyServerLog.Log(w.logger, "message", fmt.Sprint(v))
+}
+func (w *logWriter) Info(any, ...logx.LogField) {}
+func (w *logWriter) Severe(v any)               { event.ProxyServerLog.Log(w.logger, "message", fmt.Sprint(v)) }
+func (w *logWriter) Slow(any, ...logx.LogField) {}
+func (w *logWriter) Stack(v any)                { event.ProxyServerLog.Log(w.logger, "message", fmt.Sprint(v)) }
+func (w *logWriter) Stat(any, ...logx.LogField) {}
--- /dev/null
+++ b/process/proxy/split.go
@@ -0,0 +1,107 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/request/router"
+)
+
+// errSplit is returned when KV cache could not be handed over.
+var errSplit = errors.New("hand-over of KV cache failed")
+
+// prefillAttempt numbers the prompt's run on the prefill engine apart from the
+// attempts of the request. The prompt's run makes no answer, so it is not the
+// run that a caller is told of: when the hand-over fails, the request surely
+// has not run.
+const prefillAttempt = 1
+
+// prefill has the prompt read by the prefill engine and its KV cache handed
+// over to the target. The cache goes from engine to engine, never through the
+// proxy. When that fails the request goes whole to one engine.
+func (c *call) prefill(ctx context.Context, decision router.Decision) (router.Decision, string, *failure) {
+	handle, err := c.handOver(ctx, decision)
+	if err == nil {
+		return decision, handle, nil
+	}
+	c.proxy.metrics.splitFailures.Inc()
+	if failed := c.interrupted(ctx); failed != nil {
+		failed.final = true
+		return decision, "", failed
+	}
+	c.excluded[decision.Prefill.Name] = true
+	again, failed := c.decide()
+	if failed != nil {
+		return again, "", failed
+	}
+	if again.Prefill != nil {
+		// A decode engine can read the prompt itself, if slowly.
+		again.Prefill = nil
+	}
+	return again, "", nil
+}
+
+func (c *call) handOver(ctx context.Context, decision router.Decision) (string, error) {
+	endpoints := *c.lane.endpoints.Load()
+	source, target := endpoints[decision.Prefill.Name], endpoints[decision.Target.Name]
+	if source == nil || target == nil {
+		return "", errors.Wrap(errSplit, "engine is gone")
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.proxy.config.Timeouts.FirstToken)
+	defer cancel()
+	end := source.begin(c.proxy.clock(), c.parsed.promptTokens)
+	export := engineapi.KVExportRequest{RequestID: c.id, Attempt: prefillAttempt, Request: c.parsed.request}
+	exported, err := c.callKV(ctx, source, engineapi.PathKVExport, decision.Prefill.Incarnation, export)
+	end()
+	if err != nil {
+		return "", err
+	}
+	end = target.begin(c.proxy.clock(), 0)
+	defer end()
+	imported, err := c.callKV(ctx, target, engineapi.PathKVImport, decision.Target.Incarnation, engineapi.KVImportRequest{Handle: exported})
+	if err != nil {
+		return "", err
+	}
+	return imported.Handle, nil
+}
+
+// maxHandleBytes bounds the answer that names a handle.
+const maxHandleBytes = 64 << 10
+
+func (c *call) callKV(ctx context.Context, target *endpoint, path string, incarnation uint64, body any) (engineapi.KVHandle, error) {
+	var handle engineapi.KVHandle
+	request, err := postJSON(ctx, target.address, path, body)
+	if err != nil {
+		return handle, err
+	}
+	request.Header.Set(engineapi.HeaderPriority, strconv.Itoa(c.priority))
+	request.Header.Set(engineapi.HeaderDeadline, strconv.FormatInt(time.Until(c.deadline).Milliseconds(), 10))
+	if incarnation != 0 {
+		request.Header.Set(engineapi.HeaderIncarnation, strconv.FormatUint(incarnation, 10))
+	}
+	response, err := c.lane.pool.Do(request)
+	if err != nil {
+		c.suspect(ctx, target)
+		return handle, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	target.hearHeader(c.proxy.clock(), response.Header)
+	encoded, err := io.ReadAll(io.LimitReader(response.Body, maxHandleBytes))
+	if err != nil {
+		return handle, errors.Wrap(errSplit, err.Error())
+	}
+	if response.StatusCode != http.StatusOK {
+		return handle, errors.Wrapf(errSplit, "%s answered with status %d", target.name, response.StatusCode)
+	}
+	if err := json.Unmarshal(encoded, &handle); err != nil {
+		return handle, errors.Wrap(errSplit, err.Error())
+	}
+	return handle, nil
+}
