Count no further loss as bearable while a membership change is open

A lost member had been replaced; the removal of its old identity stood only in the leader's log when the leader's disk was lost too. The configuration before came back: four voters, two of them gone. The leader had counted the repair as done, and so would the status page: it looked at the configuration as appended. Ruled out: agreement itself (nothing committed was lost) and the order of promotion and removal (removing first bears no loss in that moment either).

--- /dev/null
+++ b/lab/campaign/proxy.go
@@ -0,0 +1,533 @@
+package campaign
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/landingtrail/landingtrail/lab/enginemodel"
+	"github.com/landingtrail/landingtrail/request/attempt"
+	"github.com/landingtrail/landingtrail/request/router"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/landingtrail/landingtrail/version/view"
+)
+
+const (
+	beatInterval    = 250 * time.Millisecond
+	beatSilence     = 600 * time.Millisecond
+	enginePoll      = 500 * time.Millisecond
+	admitTimeout    = time.Second
+	stallTimeout    = 2 * time.Second
+	claimTimeout    = time.Second
+	retryDelay      = 100 * time.Millisecond
+	maxAttempts     = 4
+	maxResumes      = 3
+	refusalMemory   = 500 * time.Millisecond
+	outcomeInterval = time.Second
+)
+
+// word is what an engine last said of itself to one proxy.
+type word struct {
+	phase       api.EnginePhase
+	incarnation uint64
+	at          time.Duration
+	refusedTill time.Duration
+}
+
+// proxyHost is one proxy process.
+type proxyHost struct {
+	process
+	zone   string
+	random *rand.Rand
+	router *router.Router
+
+	// The fields below live for one start of the process.
+	daemon   string
+	holder   *view.Holder
+	target   int // the member that beats go to
+	heardAt  time.Duration
+	words    map[string]*word
+	requests []*pendingRequest
+	lapsedAt time.Duration
+	arriving []*call // requests in the socket
+}
+
+// pendingRequest is one request in one proxy.
+type pendingRequest struct {
+	call     *call
+	life     *attempt.Life
+	nonce    uint64
+	claimed  bool
+	settled  bool
+	endpoint *engineHost
+	activity time.Duration // of the open attempt
+	answered bool
+	tokens   []string
+}
+
+func (p *proxyHost) boot() {
+	p.start()
+	p.daemon = p.world.freshName(p.name)
+	p.holder = view.NewHolder()
+	p.words = map[string]*word{}
+	p.requests = nil
+	p.arriving = nil
+	p.heardAt = p.clock()
+	p.lapsedAt = p.clock()
+	p.every(beatInterval, p.beat)
+	p.every(enginePoll, p.pollEngines)
+	p.every(retryDelay, p.sweep)
+}
+
+// beat tells the leader which version is held and asks for more.
+func (p *proxyHost) beat() {
+	now := p.clock()
+	if now-p.heardAt > beatSilence {
+		p.target = (p.target + 1) % len(p.world.members)
+		p.heardAt = now
+	}
+	target := p.world.members[p.target]
+	held := p.holder.Load().Version
+	daemon := p.daemon
+	p.world.network.send(&p.process, &target.process, func() { target.answerBeat(p, daemon, held, now) })
+}
+
+// answerBeat grants a lease to a proxy and sends it what it lacks.
+func (m *member) answerBeat(p *proxyHost, daemon string, held view.Version, sentAt time.Duration) {
+	if !m.leads() || m.duties == nil || !m.duties.tracking {
+		hint := m.world.indexOf(m.node.Status().Leader)
+		m.world.network.send(&m.process, &p.process, func() { p.redirected(hint) })
+		return
+	}
+	granted := m.duties.tracker.Observe(daemon, held, m.clock())
+	delta, behind := m.machine.DeltaSince(held)
+	encoded, err := delta.AppendBinary(nil)
+	if err != nil {
+		panic(err)
+	}
+	term := m.duties.term
+	m.world.network.datagram(&m.process, &p.process, func() {
+		if p.daemon != daemon {
+			return
+		}
+		p.heardAt = p.clock()
+		if behind {
+			p.applyDelta(encoded)
+		}
+		if granted && !p.holder.Confirm(sentAt, viewLease, term) {
+			p.world.strike(strikeOldGrant)
+		}
+	})
+}
+
+func (p *proxyHost) redirected(hint int) {
+	if hint >= 0 {
+		p.target = hint
+	} else {
+		p.target = (p.target + 1) % len(p.world.members)
+	}
+}
+
+func (p *proxyHost) applyDelta(encoded []byte) {
+	delta, err := view.DecodeDelta(encoded)
+	if err != nil {
+		panic(err)
+	}
+	before := p.holder.Load().Version
+	if err := p.holder.Apply(delta); err != nil {
+		p.world.strike(strikeLateDelta)
+	}
+	p.world.oracle.viewMoved(p, before, p.holder.Load().Version)
+}
+
+// pollEngines hears each engine's own word.
+func (p *proxyHost) pollEngines() {
+	if p.holder.Valid(p.clock()) {
+		p.lapsedAt = p.clock()
+	}
+	for _, host := range p.world.engines {
+		askedAt := p.clock()
+		p.world.network.send(&p.process, &host.process, func() {
+			said := host.model.State()
+			p.world.network.send(&host.process, &p.process, func() { p.hear(host.name, said.Phase, said.Incarnation, askedAt) })
+		})
+	}
+}
+
+func (p *proxyHost) word(engine string) *word {
+	known := p.words[engine]
+	if known == nil {
+		known = &word{at: -1}
+		p.words[engine] = known
+	}
+	return known
+}
+
+func (p *proxyHost) hear(engine string, phase api.EnginePhase, incarnation uint64, askedAt time.Duration) {
+	known := p.word(engine)
+	if askedAt < known.at {
+		return
+	}
+	known.phase, known.incarnation, known.at = phase, incarnation, askedAt
+}
+
+// snapshot is what the router looks at: the view, and the engines' own word.
+func (p *proxyHost) snapshot(current *view.View) router.Snapshot {
+	now := p.clock()
+	valid := p.holder.Valid(now)
+	var snapshot router.Snapshot
+	for _, host := range p.world.engines {
+		engine := current.Engines[host.name]
+		if engine == nil {
+			continue
+		}
+		known := p.word(host.name)
+		confirmed := known.at > p.lapsedAt
+		snapshot.Endpoints = append(snapshot.Endpoints, &router.Endpoint{
+			Name:        host.name,
+			Address:     engine.Spec.Address,
+			Zone:        engine.Spec.Zone,
+			Incarnation: known.incarnation,
+			Role:        engine.Status.Assignment.Role,
+			Model:       engine.Status.Assignment.Model,
+			Version:     engine.Status.Assignment.Version,
+			Admits:      admits(engine, known, now) && (valid || confirmed),
+		})
+	}
+	return snapshot
+}
+
+func admits(engine *api.Engine, known *word, now time.Duration) bool {
+	if engine.Spec.Drain || engine.Status.Phase != api.PhaseServing || engine.Status.OpenOrder != nil {
+		return false
+	}
+	ownWord := known.phase == api.PhaseServing || known.phase == api.PhaseUnknown
+	return ownWord && now >= known.refusedTill
+}
+
+// acceptNext takes the next request out of the socket.
+func (p *proxyHost) acceptNext() {
+	next := p.arriving[0]
+	p.arriving = p.arriving[1:]
+	p.accept(next)
+}
+
+// accept takes a caller's request.
+func (p *proxyHost) accept(c *call) {
+	request := &pendingRequest{
+		call: c,
+		life: attempt.New(attempt.Policy{Once: c.once, Attempts: maxAttempts, Resumes: maxResumes}),
+	}
+	p.requests = append(p.requests, request)
+	p.after(c.deadline, func() { p.expire(request) })
+	if !c.once {
+		p.dispatch(request)
+		return
+	}
+	request.nonce = p.random.Uint64()
+	p.claim(request)
+	p.after(claimTimeout, func() {
+		if request.life.Expire() {
+			p.settle(request, api.RunNotRun)
+			p.answer(request, attempt.RanNo)
+		}
+	})
+}
+
+// expire gives a request up at its deadline.
+func (p *proxyHost) expire(request *pendingRequest) {
+	if request.answered {
+		return
+	}
+	if request.life.Expire() {
+		p.settle(request, api.RunNotRun)
+		p.answer(request, attempt.RanNo)
+		return
+	}
+	p.giveUp(request)
+}
+
+func (p *proxyHost) giveUp(request *pendingRequest) {
+	ran := request.life.GiveUp()
+	if ran == attempt.RanNo {
+		p.settle(request, api.RunNotRun)
+	} else {
+		p.settle(request, api.RunUnknown)
+	}
+	p.answer(request, ran)
+}
+
+// claim asks the leader for the right to run a marked request.
+func (p *proxyHost) claim(request *pendingRequest) {
+	target := p.world.members[p.target]
+	c := request.call
+	command := state.Command{Kind: state.CommandClaim, Claim: &state.ClaimRequest{
+		Tenant: c.tenant, Key: c.key, BodyHash: c.body, Attempt: 1, Proxy: p.daemon, Nonce: request.nonce,
+		Retention: retention.Milliseconds(),
+	}}
+	p.world.network.send(&p.process, &target.process, func() {
+		taken := target.propose(command, func(result any, known bool) {
+			claimed, ok := result.(api.ClaimResult)
+			if known && ok {
+				p.world.network.send(&target.process, &p.process, func() { p.claimedResult(request, claimed) })
+			}
+		})
+		if !taken {
+			p.world.network.send(&target.process, &p.process, func() { p.refuseClaim(request) })
+		}
+	})
+}
+
+// refuseClaim answers a request that no leader could claim, at once.
+func (p *proxyHost) refuseClaim(request *pendingRequest) {
+	if request.life.Expire() {
+		p.answer(request, attempt.RanNo)
+	}
+}
+
+func (p *proxyHost) claimedResult(request *pendingRequest, result api.ClaimResult) {
+	if request.answered {
+		return
+	}
+	if result.Code == api.ClaimGranted {
+		request.claimed = true
+		p.dispatch(request)
+		return
+	}
+	if !request.life.Expire() {
+		return
+	}
+	request.settled = true // the claim is another request's
+	if result.Code == api.ClaimDone && result.Claim.Outcome == api.RunCompleted {
+		p.reply(request, response{ran: attempt.RanYes, replayed: string(result.Claim.Answer), whole: true})
+		return
+	}
+	p.reply(request, response{ran: attempt.RanUnknown})
+}
+
+// dispatch takes the request out of the queue and runs its first attempt.
+func (p *proxyHost) dispatch(request *pendingRequest) {
+	if request.life.Dispatch() {
+		p.advance(request)
+	}
+}
+
+// advance does what may be done next for the request.
+func (p *proxyHost) advance(request *pendingRequest) {
+	if request.answered {
+		return
+	}
+	next := request.life.Next()
+	switch next.Kind {
+	case attempt.StepRun:
+		p.run(request)
+	case attempt.StepResume:
+		p.resume(request, next)
+	case attempt.StepStop:
+		if !request.life.Done() {
+			p.giveUp(request)
+		}
+	}
+}
+
+// run chooses an engine and sends the request to it.
+func (p *proxyHost) run(request *pendingRequest) {
+	current := p.holder.Load()
+	c := request.call
+	if c.once && !p.holder.Valid(p.clock()) {
+		p.later(request)
+		return
+	}
+	decision, reason := p.router.Route(p.snapshot(current), router.Request{
+		ID: c.id, Model: c.model, PromptTokens: c.promptTokens, OutputTokens: c.outputTokens,
+		Deadline: c.deadline, Zone: p.zone,
+	}, p.random)
+	if reason != router.ReasonNone {
+		p.later(request)
+		return
+	}
+	host := p.world.engineByName(decision.Target.Name)
+	number, err := request.life.Begin(host.name, decision.Target.Incarnation)
+	if err != nil {
+		p.giveUp(request)
+		return
+	}
+	p.world.oracle.dispatched(p, current.Version)
+	p.sendRun(request, host, number, decision.Target.Incarnation)
+}
+
+// later tries again soon, as the proxy's queue does, until the deadline.
+func (p *proxyHost) later(request *pendingRequest) {
+	p.after(retryDelay, func() { p.advance(request) })
+}
+
+func (p *proxyHost) sendRun(request *pendingRequest, host *engineHost, number uint32, incarnation uint64) {
+	c := request.call
+	request.endpoint = host
+	request.activity = p.clock()
+	request.tokens = nil
+	request.life.Wrote(number)
+	run := enginemodel.Request{
+		Key:          enginemodel.RunKey{ID: c.id, Attempt: number},
+		Model:        c.model,
+		Incarnation:  incarnation,
+		PromptTokens: c.promptTokens,
+		OutputTokens: c.outputTokens,
+		PromptHash:   c.body,
+		Context:      &stream{proxy: p, request: request, number: number},
+	}
+	p.world.network.send(&p.process, &host.process, func() {
+		admission := host.admit(run, p, request)
+		incarnation := host.incarnation()
+		phase := host.model.State().Phase
+		p.world.network.send(&host.process, &p.process, func() {
+			p.hear(host.name, phase, incarnation, p.clock())
+			p.admitted(request, number, host, incarnation, admission)
+		})
+	})
+	p.after(admitTimeout, func() { p.checkStall(request, number, admitTimeout) })
+}
+
+func (p *proxyHost) admitted(request *pendingRequest, number uint32, host *engineHost, incarnation uint64, admission enginemodel.Admission) {
+	request.activity = p.clock()
+	if admission.Admitted {
+		request.life.Admit(number, incarnation)
+		return
+	}
+	fault := attempt.FaultRefused
+	if admission.Refusal == enginemodel.RefusalDuplicate {
+		fault = attempt.FaultBroken
+	}
+	p.word(host.name).refusedTill = p.clock() + refusalMemory
+	request.life.Fail(number, fault)
+	p.later(request)
+}
+
+// frame takes one event of a stream.
+func (p *proxyHost) frame(request *pendingRequest, number uint32, f frame) {
+	request.activity = p.clock()
+	if request.answered {
+		return
+	}
+	if f.last {
+		if f.offset == len(request.tokens) && request.life.Finish(number) {
+			p.complete(request)
+		}
+		return
+	}
+	switch request.life.Accept(number, f.offset, 1) {
+	case attempt.VerdictPass:
+		request.tokens = append(request.tokens, f.text)
+	case attempt.VerdictLate, attempt.VerdictDuplicate:
+		p.world.strike(strikeLateFrame)
+	case attempt.VerdictGap:
+		request.life.Fail(number, attempt.FaultBroken)
+		p.later(request)
+	}
+}
+
+// complete records the outcome of a marked request before its answer ends.
+func (p *proxyHost) complete(request *pendingRequest) {
+	p.settle(request, api.RunCompleted)
+	p.reply(request, response{ran: attempt.RanYes, tokens: request.tokens, whole: true})
+}
+
+func (p *proxyHost) checkStall(request *pendingRequest, number uint32, silence time.Duration) {
+	if request.answered || request.life.Next().Kind != attempt.StepWait {
+		return
+	}
+	records := request.life.Attempts()
+	if records[len(records)-1].Number != number {
+		return
+	}
+	if p.clock()-request.activity >= silence {
+		p.world.strike(strikeStall)
+		request.life.Fail(number, attempt.FaultBroken)
+		p.advance(request)
+		return
+	}
+	p.after(stallTimeout/4, func() { p.checkStall(request, number, stallTimeout) })
+}
+
+// resume takes the stream of the last attempt up again.
+func (p *proxyHost) resume(request *pendingRequest, step attempt.Step) {
+	host := p.world.engineByName(step.Endpoint)
+	if request.life.Resume(step.Number) != nil {
+		p.later(request)
+		return
+	}
+	request.activity = p.clock()
+	key := enginemodel.RunKey{ID: request.call.id, Attempt: step.Number}
+	to := &stream{proxy: p, request: request, number: step.Number}
+	p.world.network.send(&p.process, &host.process, func() {
+		allowed := host.resume(key, step.Incarnation, step.Offset, to)
+		p.world.network.send(&host.process, &p.process, func() {
+			if allowed {
+				p.world.strike(strikeResume)
+				return
+			}
+			request.life.Fail(step.Number, attempt.FaultBroken)
+			request.life.AbandonResume(step.Number)
+			p.advance(request)
+		})
+	})
+	p.after(stallTimeout, func() { p.checkStall(request, step.Number, stallTimeout) })
+}
+
+// settle records what became of a marked request, until a leader has taken it.
+func (p *proxyHost) settle(request *pendingRequest, outcome api.RunOutcome) {
+	if !request.call.once || request.settled || request.nonce == 0 {
+		return
+	}
+	record := state.RunOutcome{Tenant: request.call.tenant, Key: request.call.key, Nonce: request.nonce, Outcome: outcome}
+	if outcome == api.RunCompleted {
+		record.Answer = []byte(joinTokens(request.tokens))
+	}
+	target := p.world.members[p.target]
+	p.world.network.send(&p.process, &target.process, func() {
+		target.propose(state.Command{Kind: state.CommandRunOutcome, RunOutcome: &record}, func(_ any, known bool) {
+			if known {
+				p.world.network.send(&target.process, &p.process, func() { request.settled = true })
+			}
+		})
+	})
+	p.after(outcomeInterval, func() { p.settle(request, outcome) })
+}
+
+func (p *proxyHost) answer(request *pendingRequest, ran attempt.Ran) {
+	p.reply(request, response{ran: ran})
+}
+
+func (p *proxyHost) reply(request *pendingRequest, answer response) {
+	if request.answered {
+		return
+	}
+	request.answered = true
+	request.call.end(answer)
+}
+
+// sweep forgets requests that are over.
+func (p *proxyHost) sweep() {
+	open := p.requests[:0]
+	for _, request := range p.requests {
+		if !request.answered {
+			open = append(open, request)
+		}
+	}
+	p.requests = open
+}
+
+// crash kills the proxy; callers see their connections break.
+func (p *proxyHost) crash() {
+	open, arriving := p.requests, p.arriving
+	p.kill()
+	for _, c := range arriving {
+		c.end(response{ran: attempt.RanUnknown, broken: true})
+	}
+	for _, request := range open {
+		if !request.answered {
+			request.answered = true
+			request.call.end(response{ran: attempt.RanUnknown, broken: true})
+		}
+	}
+}
--- a/process/control/membership.go
+++ b/process/control/membership.go
@@ -180,6 +180,9 @@
 
 // health counts as held only voters that are active and have all that was
 // committed by the round before: a repair is done when its data is replicated.
+// While a membership change is not committed no further loss can be borne for
+// sure: the loss of the leader would bring back the configuration before, in
+// which the member that is being replaced still counts.
 func (g *group) health(status raft.Status, commit uint64) health {
 	var result health
 	held := 0
@@ -194,7 +197,9 @@
 		result.repairing = append(result.repairing, g.nameOf(learner))
 	}
 	quorum := len(status.Configuration.Voters)/2 + 1
-	result.furtherLosses = max(0, held-quorum)
+	if !status.ConfigurationPending {
+		result.furtherLosses = max(0, held-quorum)
+	}
 	return result
 }
 
--- a/process/raft/membership_test.go
+++ b/process/raft/membership_test.go
@@ -141,3 +141,13 @@
 	must.Eq(t, voters(1, 2, 3), g.nodes[1].Status().Configuration)
 	must.Eq(t, g.nodes[2].log.committed, g.nodes[1].log.committed)
 }
+
+func TestStatusTellsWhetherTheConfigurationIsCommitted(t *testing.T) {
+	g := newGroup(t, 3)
+	must.False(t, g.nodes[1].Status().ConfigurationPending)
+	_, _, err := g.nodes[1].ProposeChange(g.now, ConfigurationChange{ChangeRemove, 3})
+	must.NoError(t, err)
+	must.True(t, g.nodes[1].Status().ConfigurationPending)
+	g.settle()
+	must.False(t, g.nodes[1].Status().ConfigurationPending)
+}
--- a/process/raft/node.go
+++ b/process/raft/node.go
@@ -302,6 +302,8 @@
 		Applied:       n.log.applied,
 		LastIndex:     n.log.lastIndex(),
 		Configuration: n.configurations.latest().configuration.clone(),
+
+		ConfigurationPending: n.configurations.latest().index > n.log.committed,
 	}
 	if n.leadership == nil {
 		return status
--- a/process/raft/types.go
+++ b/process/raft/types.go
@@ -154,6 +154,9 @@
 	Applied       uint64
 	LastIndex     uint64
 	Configuration Configuration
+	// ConfigurationPending tells that Configuration is appended and not known to
+	// be committed: if this member is lost now, the one before may come back.
+	ConfigurationPending bool
 	// Match is the highest index known to be persisted by each member; leader only.
 	Match map[MemberID]uint64
 	// RecentlyActive tells which members answered within an election timeout; leader only.
