Let the feed client's caller open its connections

Change: ClientConfig.Dial; without it the client dials as before. Conclusion: no change of behaviour; the package's tests pass.

--- a/connection/feed/client.go
+++ b/connection/feed/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,8 @@
 	BackoffMax time.Duration
 	// MaxInFlight bounds the claims and outcomes that wait for a reply.
 	MaxInFlight int
+	// Dial opens the connections; nil uses a net.Dialer with DialTimeout.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Clock reads the monotonic clock by which the views' lease counts; nil
 	// counts from the start of the process.
 	Clock  func() time.Duration
@@ -60,6 +63,9 @@
 	c.BackoffMin = orDefault(c.BackoffMin, DefaultBackoffMin)
 	c.BackoffMax = orDefault(c.BackoffMax, DefaultBackoffMax)
 	c.MaxInFlight = orDefault(c.MaxInFlight, DefaultMaxInFlight)
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{Timeout: c.DialTimeout}).DialContext
+	}
 	if c.Clock == nil {
 		c.Clock = systemClock
 	}
--- a/connection/feed/follow.go
+++ b/connection/feed/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/frame"
@@ -45,8 +44,7 @@
 // connect serves one connection to its end. It reports whether a leader served
 // it, and the address that the member named.
 func (c *Client) connect(address string) (served bool, named string, err error) {
-	dialer := net.Dialer{Timeout: c.config.DialTimeout}
-	conn, err := dialer.DialContext(c.context, "tcp", address)
+	conn, err := c.config.Dial(c.context, "tcp", address)
 	if err != nil {
 		return false, "", errors.Wrap(err, "feed: dial")
 	}
