Let the fleet print its addresses and serve without load until Ctrl-C

Cause: a newcomer could not reach a running fleet: its ports are drawn at each start and were printed nowhere, and it always ended after its load. Ruled out: the deployment's own ports (only one proxy of three has one in the files, and a second fleet on the machine would not start). Change: the fleet prints its addresses and writes them as variables to the file environment in its data folder; "--for 0" plays no load and serves until its context ends. cli.DurationOrZeroFlag takes a duration of zero or more.

--- a/cmd/internal/cli/flag.go
+++ b/cmd/internal/cli/flag.go
@@ -42,11 +42,22 @@
 
 // DurationFlag defines a flag that takes a duration above zero.
 func DurationFlag(flagSet *flag.FlagSet, target *time.Duration, name string, fallback time.Duration, usage string) {
+	durationFlag(flagSet, target, name, fallback, usage, time.Nanosecond, "above zero")
+}
+
+// DurationOrZeroFlag defines a flag that takes a duration of zero or more.
+func DurationOrZeroFlag(flagSet *flag.FlagSet, target *time.Duration, name string, fallback time.Duration, usage string) {
+	durationFlag(flagSet, target, name, fallback, usage, 0, "of zero or more")
+}
+
+func durationFlag(flagSet *flag.FlagSet, target *time.Duration, name string, fallback time.Duration, usage string,
+	least time.Duration, allowed string,
+) {
 	*target = fallback
 	flagSet.Var(&parsedFlag{text: fallback.String(), parse: func(text string) error {
 		parsed, err := time.ParseDuration(text)
-		if err != nil || parsed <= 0 {
-			return allowedError("must be a duration above zero such as 500ms or 10s")
+		if err != nil || parsed < least {
+			return allowedError("must be a duration " + allowed + " such as 500ms or 10s")
 		}
 		*target = parsed
 		return nil
--- a/cmd/landingtrail-lab/fleet.go
+++ b/cmd/landingtrail-lab/fleet.go
@@ -49,7 +49,7 @@
 	flagSet.StringVar(&flags.data, "data", "", "folder that keeps data, settings and logs; empty: a temporary one")
 	cli.ChoiceFlag(flagSet, &flags.drill, "drill", "what happens to processes during the load: planned stops or crashes, each with a restart",
 		string(fleet.DrillNone), string(fleet.DrillPlanned), string(fleet.DrillCrash))
-	cli.DurationFlag(flagSet, &flags.duration, "for", fleet.DefaultDuration, "how long callers send")
+	cli.DurationOrZeroFlag(flagSet, &flags.duration, "for", fleet.DefaultDuration, "how long callers send; 0: none sends, and the fleet serves until Ctrl-C")
 	cli.UintFlag(flagSet, &flags.seed, "seed", 1, maxSeed, "seed of the traffic")
 	cli.UintFlag(flagSet, &flags.speed, "speed", 1, maxSpeed, "how many times faster than real engines the stand-ins work")
 	flagSet.Float64Var(&flags.rate, "rate", 1, "factor of the model requests a second")
@@ -58,8 +58,10 @@
 		Name:       "fleet",
 		ShortUsage: "landingtrail-lab fleet [flags]",
 		ShortHelp:  "Run a whole deployment on this machine, with real processes and load",
-		LongHelp: "Ctrl-C stops the callers and drains the fleet.\n\n" +
-			cli.ExampleHelp("landingtrail-lab fleet --deployment caroni --for 20s"),
+		LongHelp: "Ctrl-C stops the callers and drains the fleet. Its addresses are printed, and written as\n" +
+			"variables to the file environment in the data folder.\n\n" +
+			cli.ExampleHelp("landingtrail-lab fleet --deployment caroni --for 20s",
+				"landingtrail-lab fleet --deployment radarvlak --for 0 --data fleet-data"),
 		FlagSet: flagSet,
 		Options: cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
@@ -104,7 +106,7 @@
 		if err := cli.PrintJSON(to.Out, summary); err != nil {
 			return err
 		}
-	} else {
+	} else if flags.duration > 0 || summary.ViolationCount > 0 {
 		summary.Print(to.Out)
 	}
 	if summary.ViolationCount > 0 {
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -15,6 +15,7 @@
 
 	"github.com/landingtrail/landingtrail/lab/caller"
 	"github.com/landingtrail/landingtrail/lab/trace"
+	"github.com/landingtrail/landingtrail/process/settings"
 )
 
 // Defaults of a Config.
@@ -40,7 +41,8 @@
 	// Product and Lab are the programs' paths.
 	Product string
 	Lab     string
-	// Duration is how long callers send.
+	// Duration is how long callers send; 0: none sends, and the fleet serves
+	// until its context ends.
 	Duration time.Duration
 	Seed     uint64
 	// Rate multiplies the model requests, Speed the engines' work.
@@ -53,6 +55,12 @@
 	WeightRate  uint64
 	// Drill says what happens to the processes during the load; empty: nothing.
 	Drill Drill
+	// Via, if set, is given the name and address of every listener of the product,
+	// the engines, the back ends and the platform, and returns the address by
+	// which others are to reach it.
+	Via func(name, address string) (string, error)
+	// Adjust, if set, changes the deployment's settings of each daemon.
+	Adjust func(file *settings.File)
 	// Progress gets one line for each step.
 	Progress io.Writer
 }
@@ -102,6 +110,14 @@
 	if err := f.bringUp(); err != nil {
 		return summary, err
 	}
+	if err := f.announce(); err != nil {
+		return summary, err
+	}
+	if f.config.Duration == 0 {
+		f.progress("serving until Ctrl-C")
+		<-f.run.context.Done()
+		return summary, nil
+	}
 	items, err := trace.Make(trace.Config{
 		Deployment: f.config.Deployment,
 		Seed:       f.config.Seed,
