Tell the caller of an attempt that may have run so, at once; land the proxy's tests

Cause: TestStreamFaults hung and failed for two separate reasons. - The hang was the harness's: its engine never read the request's body, and net/http's server looks for a hang-up only after the body, so the stand-in waited for ever and httptest.Server.Close with it. The proxy had answered after its head timeout; the dump shows no goroutine of the proxy waiting. - The proxy's own fault, hidden behind the hang: after attempts with an unknown outcome the next routing decision (503, Retry-After) replaced the failure of the attempt, so the caller of a request that may have run was asked to come again, after up to four backoffs that could find no engine.

Change: a refusal after an attempt that may have run becomes 502 without Retry-After; once every engine or back end was tried, the answer is final at once. Unused names are removed.

Before: 8 of 11 cases of TestStreamFaults failed (503 for 502).

--- a/process/proxy/call.go
+++ b/process/proxy/call.go
@@ -13,9 +13,6 @@
 	"github.com/landingtrail/landingtrail/request/router"
 )
 
-// errHungUp is the cause of a context whose caller has gone.
-var errHungUp = errors.New("caller hung up")
-
 // call is one model request on its way through the proxy.
 type call struct {
 	proxy    *Proxy
@@ -67,16 +64,7 @@
 // giveUp is the end without a whole answer; what the caller is told of the run
 // is decided here.
 func (c *call) giveUp(last *failure) *failure {
-	given := failure{
-		status:  http.StatusBadGateway,
-		kind:    typeServer,
-		code:    codeUpstream,
-		message: "no engine gave a whole answer",
-	}
-	if last != nil {
-		given = *last
-	}
-	given.ran = c.life.GiveUp()
+	given := finalFailure(last, c.life.GiveUp())
 	if given.ran == attempt.RanNo && given.status >= http.StatusInternalServerError {
 		given.status = http.StatusServiceUnavailable
 		if given.code == codeDeadlineShort || given.code == codeDeadlineExceeded {
@@ -84,6 +72,18 @@
 		}
 		given.retryAfter = max(given.retryAfter, time.Second)
 	}
+	return given
+}
+
+// finalFailure is the last failure with what the caller may be told of the
+// run. A refusal after an attempt that may have run says nothing of that
+// attempt: the caller must not be asked to try again as if nothing had run.
+func finalFailure(last *failure, ran attempt.Ran) *failure {
+	if last == nil || (last.ran == attempt.RanNo && ran != attempt.RanNo) {
+		last = upstreamFailed("the request was sent, but no whole answer came")
+	}
+	given := *last
+	given.ran = ran
 	return &given
 }
 
@@ -181,6 +181,10 @@
 		failed := deadlineShort("no engine can finish within the deadline", time.Second)
 		failed.final = true
 		return failed
+	case router.ReasonAllExcluded:
+		failed := unavailable(codeNoEngine, "every engine was tried", time.Second)
+		failed.final = true
+		return failed
 	default:
 		return unavailable(codeNoEngine, "no engine admits requests now", time.Second)
 	}
--- a/process/proxy/endpoint.go
+++ b/process/proxy/endpoint.go
@@ -164,13 +164,6 @@
 	}
 }
 
-// inFlight returns this proxy's requests to the endpoint.
-func (e *endpoint) inFlight() int {
-	e.lock.Lock()
-	defer e.lock.Unlock()
-	return len(e.dispatches)
-}
-
 // closedPhase reports whether an endpoint in the phase takes no new work. An
 // endpoint that has not spoken is not closed by that.
 func closedPhase(phase api.EnginePhase) bool {
--- /dev/null
+++ b/process/proxy/fault_test.go
@@ -0,0 +1,289 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/version/api"
+)
+
+// script is what an engine does with its n-th run.
+type script = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, n int)
+
+func drop(http.ResponseWriter) { panic(http.ErrAbortHandler) }
+
+// hang holds a request until its sender has gone, which net/http's server sees
+// only after it has read the body.
+func hang(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // whoever has gone is gone
+	<-r.Context().Done()
+}
+
+// TestStreamFaults brings about each fault on both engines' first runs and
+// checks what the caller of an unmarked and of a marked request gets.
+func TestStreamFaults(t *testing.T) {
+	refuse := func(status int, code string) script {
+		return func(e *fakeEngine, w http.ResponseWriter, _ *http.Request, _ int) { e.refuse(w, status, code) }
+	}
+	cases := []struct {
+		name   string
+		script script
+		// what an unmarked streaming caller gets when every engine does this
+		status int
+		ran    string
+		whole  bool
+		runs   int32 // by the first engine and the second together
+		// what the marked one gets: how many engines were asked
+		markedRan  string
+		markedRuns int32
+	}{
+		{"refused while draining", refuse(503, "draining"), 503, "no", false, 2, "no", 2},
+		{"refused with a full queue", refuse(503, "queue_full"), 503, "no", false, 2, "no", 2},
+		{"refused as a bad request", refuse(400, "bad_request"), 400, "no", false, 1, "no", 1},
+		{"connection dropped before the head", func(_ *fakeEngine, w http.ResponseWriter, _ *http.Request, _ int) {
+			drop(w)
+		}, 502, "unknown", false, 2, "unknown", 1},
+		{"never answers", func(_ *fakeEngine, _ http.ResponseWriter, r *http.Request, _ int) {
+			hang(r)
+		}, 502, "unknown", false, 2, "unknown", 1},
+		{"admits and sends no token", func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) {
+			id, number := runOf(r)
+			e.tokens(w, id, number, 0, 0)
+			hang(r)
+		}, 502, "yes", false, 2, "yes", 1},
+		{"status 500 without a word on admission", func(_ *fakeEngine, w http.ResponseWriter, _ *http.Request, _ int) {
+			w.WriteHeader(500)
+		}, 502, "unknown", false, 2, "unknown", 1},
+		{"answers another request", func(e *fakeEngine, w http.ResponseWriter, _ *http.Request, _ int) {
+			w.Header().Set(engineapi.HeaderRequestID, "another")
+			e.tokens(w, "another", 1, 0, 3)
+		}, 502, "unknown", false, 2, "unknown", 1},
+		{"streams another request's events", func(e *fakeEngine, w http.ResponseWriter, _ *http.Request, _ int) {
+			e.tokens(w, "another", 1, 0, 3)
+		}, 502, "yes", false, 2, "yes", 1},
+		{"streams events of another attempt", func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) {
+			id, _ := runOf(r)
+			e.tokens(w, id, 99, 0, 3)
+		}, 502, "yes", false, 2, "yes", 1},
+		{"leaves out the first token", func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) {
+			id, number := runOf(r)
+			e.tokens(w, id, number, 1, 3)
+		}, 502, "yes", false, 2, "yes", 1},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			for _, marked := range []bool{false, true} {
+				first, second := newFakeEngine(t, "e1", 11), newFakeEngine(t, "e2", 12)
+				first.script, second.script = test.script, test.script
+				config := quick()
+				config.Limits.Resumes = 1
+				f := start(t, config, []*fakeEngine{first, second})
+				headers := []string{HeaderClass, "cap"}
+				wantRan, wantRuns := test.ran, test.runs
+				if marked {
+					headers = []string{HeaderClass, "briefing", HeaderKey, "k1"}
+					wantRan, wantRuns = test.markedRan, test.markedRuns
+				}
+				answer := f.stream(headers...)
+				must.Eq(t, wantRan, answer.ran())
+				must.Eq(t, wantRuns, first.runs.Load()+second.runs.Load())
+				if !marked {
+					must.Eq(t, test.status, answer.status)
+				}
+				_, whole := answer.words()
+				must.False(t, whole)
+				must.Eq(t, wantRan == "no" && answer.status == 503, answer.header.Get("Retry-After") != "")
+			}
+		})
+	}
+}
+
+func TestRefusalIsRetriedElsewhere(t *testing.T) {
+	first, second := newFakeEngine(t, "e1", 11), newFakeEngine(t, "e2", 12)
+	first.script = func(e *fakeEngine, w http.ResponseWriter, _ *http.Request, _ int) {
+		e.setPhase(api.PhaseDraining)
+		w.Header().Set(engineapi.HeaderPhase, string(api.PhaseDraining))
+		e.refuse(w, 503, "draining")
+	}
+	f := start(t, quick(), []*fakeEngine{first, second})
+	for range 10 {
+		answer := f.stream(HeaderClass, "briefing", HeaderKey, time.Now().String())
+		words, whole := answer.words()
+		must.True(t, whole)
+		must.Eq(t, []string{"e2-0", "e2-1", "e2-2"}, words)
+	}
+	// The refusal tells the phase: the engine is asked at most once.
+	must.True(t, first.runs.Load() <= 1)
+}
+
+// cutAfter streams count tokens and breaks the connection.
+func cutAfter(count int) script {
+	return func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) {
+		id, number := runOf(r)
+		e.tokens(w, id, number, 0, count)
+		drop(w)
+	}
+}
+
+func TestCutStreamIsResumed(t *testing.T) {
+	for _, headers := range [][]string{{HeaderClass, "cap"}, {HeaderClass, "briefing", HeaderKey, "k1"}} {
+		engine := newFakeEngine(t, "e1", 11)
+		engine.script = cutAfter(2)
+		engine.resume = func(e *fakeEngine, w http.ResponseWriter, _ *http.Request, request engineapi.ResumeRequest) {
+			must.Eq(t, 2, request.Offset)
+			must.Eq(t, 11, request.Incarnation)
+			e.tokens(w, request.RequestID, request.Attempt, request.Offset, 3)
+			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+		}
+		f := start(t, quick(), []*fakeEngine{engine})
+		words, whole := f.stream(headers...).words()
+		must.True(t, whole)
+		must.Eq(t, []string{"e1-0", "e1-1", "e1-2"}, words)
+		must.Eq(t, 1, engine.runs.Load())
+	}
+}
+
+// TestCutStreamIsNeverSpliced cuts a stream that cannot be resumed: a caller
+// who has seen a token gets an error event and no other engine's tokens.
+func TestCutStreamIsNeverSpliced(t *testing.T) {
+	first, second := newFakeEngine(t, "e1", 11), newFakeEngine(t, "e2", 12)
+	first.script, second.script = cutAfter(1), cutAfter(1)
+	f := start(t, quick(), []*fakeEngine{first, second})
+	answer := f.stream(HeaderClass, "cap")
+	must.Eq(t, http.StatusOK, answer.status)
+	words, whole := answer.words()
+	must.False(t, whole)
+	must.Len(t, 1, words)
+	must.StrContains(t, answer.body, "event: error\n")
+	must.StrContains(t, answer.body, `"ran":"yes"`)
+	must.Eq(t, 1, first.runs.Load()+second.runs.Load())
+}
+
+func TestWholeAnswerIsRunAgainAfterACut(t *testing.T) {
+	first, second := newFakeEngine(t, "e1", 11), newFakeEngine(t, "e2", 12)
+	first.script = cutAfter(2)
+	second.script = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) {
+		e.answer(w, r, 0, 3)
+	}
+	f := start(t, quick(), []*fakeEngine{first, second})
+	for first.runs.Load() == 0 {
+		answer := f.do(http.MethodPost, engineapi.PathCompletions, wholeBody, HeaderClass, "cap")
+		must.Eq(t, http.StatusOK, answer.status)
+		must.StrContains(t, answer.body, `"text":"e2-0 e2-1 e2-2 "`)
+	}
+}
+
+func TestStalledStreamMakesTheEngineSuspect(t *testing.T) {
+	engine := newFakeEngine(t, "e1", 11)
+	engine.script = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) {
+		id, number := runOf(r)
+		e.tokens(w, id, number, 0, 1)
+		hang(r)
+	}
+	f := start(t, quick(), []*fakeEngine{engine})
+	_, whole := f.stream(HeaderClass, "cap").words()
+	must.False(t, whole)
+	followed := (*f.proxy.lanes.find("narrator").endpoints.Load())["e1"]
+	must.True(t, followed.suspected(f.proxy.clock()))
+	eventually(t, func() bool { return engine.cancels.Load() > 0 })
+}
+
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(holds), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+}
+
+func TestCallerWhoHangsUpCancelsTheRun(t *testing.T) {
+	engine := newFakeEngine(t, "e1", 11)
+	engine.script = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) {
+		id, number := runOf(r)
+		e.tokens(w, id, number, 0, 1)
+		hang(r)
+	}
+	config := quick()
+	config.Timeouts.Stall = time.Minute
+	f := start(t, config, []*fakeEngine{engine})
+	ctx, hangUp := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url+engineapi.PathCompletions, strings.NewReader(streamBody))
+	must.NoError(t, err)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	response, err := transport.RoundTrip(request)
+	must.NoError(t, err)
+	_, err = response.Body.Read(make([]byte, 1))
+	must.NoError(t, err)
+	hangUp()
+	_ = response.Body.Close()
+	eventually(t, func() bool { return engine.cancels.Load() == 1 && f.proxy.running.count() == 0 })
+	must.Eq(t, 0, f.proxy.lanes.find("narrator").queue.Depth().InFlight)
+}
+
+// TestCallerWhoStopsReading fills the connection's buffers: the write deadline
+// ends the request and the engine is told.
+func TestCallerWhoStopsReading(t *testing.T) {
+	engine := newFakeEngine(t, "e1", 11)
+	engine.script = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) {
+		id, number := runOf(r)
+		for i := 0; r.Context().Err() == nil; i += 100 {
+			e.tokens(w, id, number, i, i+100)
+		}
+	}
+	config := quick()
+	config.Timeouts.Write = 100 * time.Millisecond
+	f := start(t, config, []*fakeEngine{engine})
+	request, err := http.NewRequest(http.MethodPost, f.url+engineapi.PathCompletions, strings.NewReader(streamBody))
+	must.NoError(t, err)
+	request.Header.Set(HeaderDeadline, "60000")
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	response, err := transport.RoundTrip(request)
+	must.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	eventually(t, func() bool { return engine.cancels.Load() == 1 && f.proxy.running.count() == 0 })
+}
+
+func TestDeadlineEndsTheRequestAtOnce(t *testing.T) {
+	engine := newFakeEngine(t, "e1", 11)
+	engine.script = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) {
+		id, number := runOf(r)
+		e.tokens(w, id, number, 0, 0)
+		hang(r)
+	}
+	config := quick()
+	config.Timeouts.FirstToken = time.Minute
+	f := start(t, config, []*fakeEngine{engine})
+	answer := f.stream(HeaderClass, "cap", HeaderDeadline, "300")
+	must.Eq(t, http.StatusGatewayTimeout, answer.status)
+	must.Eq(t, codeDeadlineExceeded, answer.code())
+	must.Eq(t, "yes", answer.ran())
+	eventually(t, func() bool { return engine.cancels.Load() == 1 })
+}
+
+func TestSplitServing(t *testing.T) {
+	for _, fails := range []bool{false, true} {
+		prefill, decode := newFakeEngine(t, "e1", 11), newFakeEngine(t, "e2", 12)
+		prefill.failKV = fails
+		engines := []*fakeEngine{prefill, decode}
+		f := start(t, quick(), engines)
+		view := newView(engines, nil)
+		view.Engines["e1"].Status.Assignment.Role = api.RolePrefill
+		view.Engines["e2"].Status.Assignment.Role = api.RoleDecode
+		view.Version.Revision = 2
+		f.views.view.Store(view)
+		words, whole := f.stream(HeaderClass, "briefing", HeaderKey, "k1").words()
+		must.True(t, whole)
+		must.Eq(t, []string{"e2-0", "e2-1", "e2-2"}, words)
+		must.Eq(t, 1, prefill.exports.Load())
+		handle := decode.lastHeader.Load().Get(engineapi.HeaderKVHandle)
+		must.Eq(t, !fails, handle == "h1")
+		must.Eq(t, 0, prefill.runs.Load())
+	}
+}
--- a/process/proxy/run_backend.go
+++ b/process/proxy/run_backend.go
@@ -56,13 +56,12 @@
 }
 
 func (c *backendCall) giveUp(last *failure) *failure {
-	given := *last
-	given.ran = c.life.GiveUp()
+	given := finalFailure(last, c.life.GiveUp())
 	if given.ran == attempt.RanNo && given.status == http.StatusBadGateway {
 		given.status = http.StatusServiceUnavailable
 		given.retryAfter = time.Second
 	}
-	return &given
+	return given
 }
 
 func (c *backendCall) interrupted(ctx context.Context) *failure {
@@ -89,9 +88,14 @@
 		return nil, failed
 	}
 	var sound, suspect []*endpoint
+	tried := false
 	for name, candidate := range *c.lane.endpoints.Load() {
 		word := candidate.word()
-		if c.excluded[name] || s.catalog.leaving[name] || closedPhase(word.phase) || !s.confirmed(word) {
+		if s.catalog.leaving[name] || closedPhase(word.phase) || !s.confirmed(word) {
+			continue
+		}
+		if c.excluded[name] {
+			tried = true
 			continue
 		}
 		if candidate.suspected(s.now) {
@@ -104,7 +108,9 @@
 		sound = suspect
 	}
 	if len(sound) == 0 {
-		return nil, unavailable(codeNoEngine, "no back end takes requests now", time.Second)
+		failed := unavailable(codeNoEngine, "no back end takes requests now", time.Second)
+		failed.final = tried // whoever takes requests was asked
+		return nil, failed
 	}
 	first, second := sound[random.IntN(len(sound))], sound[random.IntN(len(sound))]
 	if second.work(c.proxy.config.Zone) < first.work(c.proxy.config.Zone) {
