Let a member that holds its own removal notice that it is out

Cause: TestRemovedMemberStopsAndJoinsAnew waited for ever. The restarted member had received the entry of its own removal. Its role was learner and it went on knowing its last leader, so watchRemoval, which asked only members without a leader that count themselves, never asked. Ruled out: the address book and the question itself (wasRemoved answered true). Change: a member looks removed when it knows no leader or when its own log does not count it. A member asks to join until a committed configuration counts it, since one that is not committed can be lost with its leader. Additions and removals take turns on the leader, so that a removed identity cannot be taken in between its removal and the mark.

--- a/process/control/control_test.go
+++ b/process/control/control_test.go
@@ -4,11 +4,17 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
+	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/landingtrail/landingtrail/process/wal"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/pkg/errors"
@@ -194,10 +200,24 @@
 	c.t.Helper()
 	eventually(c.t, fmt.Sprintf("%d further losses can be borne", count), func() bool {
 		status, ok := c.status()
-		return ok && status.FurtherLosses == count && (count == 0 || len(status.Repairing) == 0)
+		return ok && status.FurtherLosses == count && (count == 0 || len(status.Repairing) == 0 && c.listed(status))
 	})
 }
 
+// listed reports whether the members of the status are the running ones.
+func (c *cluster) listed(status operatorapi.Status) bool {
+	ids := map[uint64]bool{}
+	for _, member := range status.Members {
+		ids[member.ID] = true
+	}
+	for _, running := range c.running {
+		if !ids[uint64(running.member.id)] {
+			return false
+		}
+	}
+	return len(ids) == len(c.running)
+}
+
 func TestPlannedStopMovesSubscribers(t *testing.T) {
 	c := newCluster(t, 3, nil)
 	c.start(0, 1, 2)
@@ -252,3 +272,70 @@
 		return errors.Is(err, feed.ErrNoQuorum)
 	})
 }
+
+func TestRemovedMemberStopsAndJoinsAnew(t *testing.T) {
+	c := newCluster(t, 3, func(config *Config) { config.Join = config.Name == "control-2" })
+	founding := c.configs[2]
+	c.configs[2].Join = false
+	c.start(0, 1, 2)
+	c.awaitFurtherLosses(1)
+	if c.leader() == 2 {
+		must.NoError(t, c.running[2].member.replica.TransferLeadership(context.Background(), c.running[0].member.id))
+	}
+	old := c.running[2].member.id
+	c.crash(2)
+	eventually(t, "the removal", func() bool {
+		request := operatorapi.MemberRequest{Action: operatorapi.MemberRemove, ID: uint64(old)}
+		return c.call(0, http.MethodPost, operatorapi.PathMembers, request, nil) == http.StatusOK
+	})
+	c.configs[2] = founding
+	c.start(2)
+	removed := c.running[2]
+	delete(c.running, 2)
+	must.ErrorIs(t, <-removed.done, ErrRemoved)
+	c.start(2)
+	c.awaitFurtherLosses(1)
+	must.NotEq(t, old, c.running[2].member.id)
+}
+
+func TestDamagedFolderIsDiscardedOnlyBesideALeader(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.start(0, 1, 2)
+	c.awaitFurtherLosses(1)
+	lost := (c.leader() + 1) % 3
+	old := c.running[lost].member.id
+	c.crash(lost)
+	segments, err := filepath.Glob(filepath.Join(c.configs[lost].DataFolder, "*.wal"))
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, segments)
+	for _, segment := range segments {
+		must.NoError(t, os.Remove(segment))
+	}
+	logger := log.NewNopLogger()
+	config := c.configs[lost].WithDefaults()
+	_, err = open(context.Background(), config, logger)
+	must.ErrorIs(t, err, wal.ErrLostLog)
+	config.Join = true
+	alone := config
+	alone.Members = []Member{alone.Members[lost]}
+	_, err = open(context.Background(), alone, logger)
+	must.ErrorIs(t, err, wal.ErrLostLog)
+	c.configs[lost].Join = true
+	c.start(lost)
+	c.awaitFurtherLosses(1)
+	must.NotEq(t, old, c.running[lost].member.id)
+}
+
+func TestGroupClockIgnoresWallClock(t *testing.T) {
+	m := newMachine()
+	clock := &groupClock{}
+	start := time.Now()
+	first := clock.now(1, m, start)
+	must.Eq(t, start.UnixMilli(), first)
+	must.Eq(t, first+1000, clock.now(1, m, start.Add(time.Second)))
+	tenant := &api.Transaction{OperationID: "a"}
+	m.apply(raft.Entry{Term: 1, Index: 1}, state.Command{Kind: state.CommandTransaction, Transaction: tenant, Time: first + 1000})
+	jumped := start.Add(1000 * time.Hour)
+	must.Eq(t, first+1000, clock.now(2, m, jumped))
+	must.Eq(t, first+2000, clock.now(2, m, jumped.Add(time.Second)))
+}
--- a/process/control/founding.go
+++ b/process/control/founding.go
@@ -130,10 +130,11 @@
 	}
 }
 
-// isMember reports whether the member has received a configuration with itself in it.
+// isMember reports whether the member has received a committed configuration
+// with itself in it. One that is not committed may be lost with its leader.
 func (m *member) isMember() bool {
-	configuration := m.replica.Status().Configuration
-	return slices.Contains(configuration.Voters, m.id) || slices.Contains(configuration.Learners, m.id)
+	status := m.replica.Status()
+	return !status.ConfigurationPending && slices.Contains(allMembers(status.Configuration), m.id)
 }
 
 func (m *member) askToJoin(ctx context.Context) error {
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -28,6 +28,8 @@
 	// and therefore has applied everything that earlier leaders committed.
 	ledTerm atomic.Uint64
 	leases  leaseReads
+	// membership makes additions and removals of members one at a time.
+	membership sync.Mutex
 }
 
 var _ feed.Group = (*group)(nil)
--- a/process/control/membership.go
+++ b/process/control/membership.go
@@ -125,6 +125,8 @@
 	if member.ID == 0 || member.Name == "" || member.PeerAddress == "" || member.FeedAddress == "" || member.OperatorAddress == "" {
 		return errInvalidMember
 	}
+	g.membership.Lock()
+	defer g.membership.Unlock()
 	status := g.replica.Status()
 	if g.nameInUse(member, status) {
 		return errors.Wrap(errNameInUse, member.Name)
@@ -159,8 +161,11 @@
 }
 
 // removeMember takes the member out of the configuration and then marks its
-// identity as removed.
+// identity as removed. Both are one step to addMember, since the removed member
+// itself may ask to be taken in between them.
 func (g *group) removeMember(ctx context.Context, member state.Member, status raft.Status) error {
+	g.membership.Lock()
+	defer g.membership.Unlock()
 	id := raft.MemberID(member.ID)
 	if slices.Contains(allMembers(status.Configuration), id) {
 		if err := g.changeMembership(ctx, raft.ConfigurationChange{Kind: raft.ChangeRemove, Member: id}); err != nil {
--- a/process/control/recovery.go
+++ b/process/control/recovery.go
@@ -65,28 +65,40 @@
 	return answers
 }
 
-// silentElections is how many election timeouts without a leader make a member
-// ask whether it was removed.
-const silentElections = 5
+// suspectElections is for how many election timeouts a member must look removed
+// before it asks whether it was.
+const suspectElections = 5
 
 // watchRemoval sends on removed when the leader of the others does not count
-// this member any more. A member that was away when it was removed hears from
-// no leader and would otherwise wait for ever.
+// this member any more. A removed member hears from no leader from then on and
+// would otherwise wait for ever.
 func (m *member) watchRemoval(ctx context.Context, removed chan<- struct{}) {
-	silent := 0
+	suspect := 0
 	for sleep(ctx, m.config.Durations.Election) == nil {
-		if m.replica.Status().Leader != raft.None || !m.isMember() {
-			silent = 0
+		if !looksRemoved(m.replica.Status()) {
+			suspect = 0
 			continue
 		}
-		silent++
-		if silent%silentElections == 0 && m.wasRemoved(ctx) {
+		suspect++
+		if suspect%suspectElections == 0 && m.wasRemoved(ctx) {
 			removed <- struct{}{}
 			return
 		}
 	}
 }
 
+// looksRemoved reports whether the member's own log says that it may have been
+// removed. The log of a member that was away when it was removed still counts
+// it, and the member knows no leader. The log of one that was there ends with
+// the removal, and the leader that it last heard of stays known, since a member
+// outside of the configuration stands for no election.
+func looksRemoved(status raft.Status) bool {
+	if len(status.Configuration.Voters) == 0 {
+		return false // has yet to join
+	}
+	return status.Leader == raft.None || !slices.Contains(allMembers(status.Configuration), status.ID)
+}
+
 func (m *member) wasRemoved(ctx context.Context) bool {
 	return slices.ContainsFunc(askOthers(ctx, m.config), func(self operatorapi.MemberSelf) bool {
 		id := operatorapi.MemberID(m.id)
