Answer before recording an unknown outcome; test the claims of marked requests

Cause: the outcome of a claimed run was recorded, with up to three tries of the claim timeout each, before its caller was told that the outcome is unknown: a request given up was held for up to 6 s while the control group was away. Change: an unknown outcome is told first, with its length so that the answer is whole for the caller while the handler still runs; every record waits for one try and goes on in the background. Not run is still recorded first, so that the key is free when the caller asks again.

--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -102,12 +102,15 @@
 // write answers with the failure. It must be called before the status is sent.
 func (f *failure) write(w http.ResponseWriter) {
 	header := w.Header()
+	body := append(f.encode(), '\n')
 	header.Set("Content-Type", contentTypeJSON)
-	header.Del("Content-Length")
+	// With its length the answer is whole for the caller before the handler ends.
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	if f.retryAfter > 0 {
 		seconds := int(math.Ceil(f.retryAfter.Seconds()))
 		header.Set("Retry-After", strconv.Itoa(seconds))
 	}
 	w.WriteHeader(f.status)
-	_, _ = w.Write(append(f.encode(), '\n')) // the caller may be gone
+	_, _ = w.Write(body)                      // the caller may be gone
+	_ = http.NewResponseController(w).Flush() // a test's writer may have none
 }
--- a/process/proxy/claim.go
+++ b/process/proxy/claim.go
@@ -119,8 +119,9 @@
 	return claimed{answer: &answer}
 }
 
-// settleClaim records what became of a claimed run. It is bounded in time and
-// outlives the request: a caller who has gone must not leave the key open.
+// settleClaim records what became of a claimed run. It waits for one try only,
+// so that the caller's answer is not held while the control group is away;
+// further tries go on without the request, whose caller may have gone.
 func (p *Proxy) settleClaim(held *claim, outcome api.RunOutcome, answer *recorded) {
 	if held == nil {
 		return
@@ -129,8 +130,8 @@
 	if answer != nil {
 		record.Answer = encodeRecorded(answer)
 	}
-	if err := p.recordOutcome(record); err != nil {
-		event.ProxyOutcomeLost.Log(p.logger, "tenant", held.tenant, "outcome", string(outcome), "error", err)
+	if p.tryOutcome(record) != nil {
+		p.tasks.Go(func() { p.retryOutcome(record) })
 	}
 }
 
@@ -145,22 +146,27 @@
 	return encoded
 }
 
-// outcomeTries is how often recording an outcome is tried. Recording the same
-// outcome again changes nothing.
-const outcomeTries = 3
+// outcomeRetries is how often recording an outcome is tried again. Recording
+// the same outcome again changes nothing.
+const outcomeRetries = 2
 
-func (p *Proxy) recordOutcome(record state.RunOutcome) error {
+func (p *Proxy) tryOutcome(record state.RunOutcome) error {
+	ctx, cancel := context.WithTimeout(context.Background(), p.config.Timeouts.Claim)
+	defer cancel()
+	return p.control.RecordOutcome(ctx, record)
+}
+
+func (p *Proxy) retryOutcome(record state.RunOutcome) {
 	random := newRandom()
-	for try := 0; ; try++ {
-		ctx, cancel := context.WithTimeout(context.Background(), p.config.Timeouts.Claim)
-		err := p.control.RecordOutcome(ctx, record)
-		cancel()
-		if err == nil || try+1 == outcomeTries {
-			return err
-		}
+	var err error
+	for try := range outcomeRetries {
 		delay, _ := p.config.Backoff.Delay(try, time.Hour, random)
 		time.Sleep(delay)
+		if err = p.tryOutcome(record); err == nil {
+			return
+		}
 	}
+	event.ProxyOutcomeLost.Log(p.logger, "tenant", record.Tenant, "outcome", string(record.Outcome), "error", err)
 }
 
 // outcomeOf translates what the caller is told into what is recorded.
--- a/process/proxy/handle_model.go
+++ b/process/proxy/handle_model.go
@@ -167,16 +167,23 @@
 	}
 }
 
-// conclude tells the caller how the run ended and records it. A marked
-// request's outcome is recorded before its caller is told that it was not run,
-// so that the key is free when the caller asks again.
+// conclude tells the caller how the run ended and records it. That a marked
+// request was not run is recorded before its caller is told so, so that the key
+// is free when the caller asks again; an unknown outcome is told first, since a
+// request that is given up gets its answer at once.
 func (c *call) conclude(failed *failure) *failure {
 	if c.life.Done() {
 		c.proxy.settleClaim(c.claim, api.RunCompleted, recordWhole(c.sink.held()))
 		return failed
 	}
-	c.proxy.settleClaim(c.claim, outcomeOf(failed.ran), nil)
+	outcome := outcomeOf(failed.ran)
+	if outcome == api.RunNotRun {
+		c.proxy.settleClaim(c.claim, outcome, nil)
+		c.sink.fail(failed)
+		return failed
+	}
 	c.sink.fail(failed)
+	c.proxy.settleClaim(c.claim, outcome, nil)
 	return failed
 }
 
--- a/process/proxy/harness_test.go
+++ b/process/proxy/harness_test.go
@@ -214,7 +214,6 @@
 	t       *testing.T
 	proxy   *Proxy
 	views   *fixedViews
-	control *fakeControl
 	engines []*fakeEngine
 	url     string
 	admin   string
@@ -269,10 +268,15 @@
 
 func start(t *testing.T, config Config, engines []*fakeEngine, backends ...*httptest.Server) *fleet {
 	t.Helper()
-	f := &fleet{t: t, views: &fixedViews{}, control: newFakeControl(), engines: engines, done: make(chan error, 1)}
+	return startWith(t, config, newFakeControl(), engines, backends...)
+}
+
+func startWith(t *testing.T, config Config, control Control, engines []*fakeEngine, backends ...*httptest.Server) *fleet {
+	t.Helper()
+	f := &fleet{t: t, views: &fixedViews{}, engines: engines, done: make(chan error, 1)}
 	f.views.view.Store(newView(engines, backends))
 	begin := time.Now()
-	f.proxy = New(config, f.views, f.control, func() time.Duration { return time.Since(begin) }, log.NewNopLogger())
+	f.proxy = New(config, f.views, control, func() time.Duration { return time.Since(begin) }, log.NewNopLogger())
 	admin, err := f.proxy.listenAdmin()
 	must.NoError(t, err)
 	callers, err := f.proxy.listenCallers()
@@ -328,6 +332,52 @@
 	return &reply{status: response.StatusCode, header: response.Header, body: string(read), err: err}
 }
 
+// open sends a streaming request and waits for its first byte. The returned
+// function hangs up.
+func (f *fleet) open(headers ...string) (hangUp func()) {
+	f.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, f.url+engineapi.PathCompletions, strings.NewReader(streamBody))
+	must.NoError(f.t, err)
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
+	must.NoError(f.t, err)
+	_, err = response.Body.Read(make([]byte, 1))
+	must.NoError(f.t, err)
+	return func() { _ = response.Body.Close() }
+}
+
+// fakeBackend is a plain back end; without a script it echoes.
+type fakeBackend struct {
+	server     *httptest.Server
+	script     http.HandlerFunc
+	runs       atomic.Int32
+	lastHeader atomic.Pointer[http.Header]
+}
+
+func newFakeBackend(t *testing.T) *fakeBackend {
+	t.Helper()
+	made := &fakeBackend{}
+	made.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == engineapi.PathLoad {
+			writeJSON(w, http.StatusOK, engineapi.Load{})
+			return
+		}
+		header := r.Header.Clone()
+		made.lastHeader.Store(&header)
+		made.runs.Add(1)
+		if made.script != nil {
+			made.script(w, r)
+			return
+		}
+		_, _ = io.Copy(w, r.Body)
+	}))
+	t.Cleanup(made.server.Close)
+	return made
+}
+
 const (
 	streamBody = `{"model":"llm","prompt":"tell of the storm","max_tokens":3,"stream":true}`
 	wholeBody  = `{"model":"llm","prompt":"tell of the storm","max_tokens":3}`
