Let an idle fleet wait until its proxies admit model requests

Cause: README's tour, run literally in a fresh clone right after "serving until Ctrl-C", got "no_engine" for its first model request: the fleet went by the control group's word, and a proxy learns of a serving engine a moment later, by its view and by its own read of the engine. Ruled out: a fixed pause. Change: without load, the fleet asks each proxy for one token until it answers.

--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -114,9 +114,7 @@
 		return summary, err
 	}
 	if f.config.Duration == 0 {
-		f.progress("serving until Ctrl-C")
-		<-f.run.context.Done()
-		return summary, nil
+		return summary, f.serveIdle()
 	}
 	items, err := trace.Make(trace.Config{
 		Deployment: f.config.Deployment,
