Run the product's admission queue in the emulator and count demand as proxies do

Cause: the emulator left out the queue, let planned refusals eat the retry budget, counted demand when a request came (the proxy counts it when it ends) and had class priorities of its own. Change: limit.Queue takes a clock and can be entered without waiting; the emulator's proxies admit through it. Whole caches are copied without sorting.

--- a/lab/emulator/cacheview.go
+++ b/lab/emulator/cacheview.go
@@ -1,10 +1,6 @@
 package emulator
 
-import (
-	"time"
-
-	"github.com/landingtrail/landingtrail/connection/engineapi"
-)
+import "time"
 
 // resyncInterval bounds how often a whole cache is fetched after gaps.
 const resyncInterval = 5 * time.Second
@@ -26,15 +22,12 @@
 func (c *cacheView) poll(h *host) {
 	now := h.run.now
 	c.askedFor = nil
-	if c.blocks == nil || c.unsure && now-c.synced >= resyncInterval {
-		c.resync(h.model.CacheEvents(now, 0), now)
+	stale := c.unsure && now-c.synced >= resyncInterval
+	if c.next == 0 || stale { // 0: nothing is known, or the engine had no event yet
+		c.resync(h)
 		return
 	}
 	page := h.model.CacheEvents(now, c.next)
-	if page.Snapshot { // the engine had no event yet when it was asked last
-		c.resync(page, now)
-		return
-	}
 	for _, event := range page.Events {
 		if event.Sequence != c.next+1 {
 			c.unsure = true
@@ -48,12 +41,11 @@
 	}
 }
 
-func (c *cacheView) resync(page engineapi.CacheEvents, now time.Duration) {
-	c.blocks = make(map[uint64]bool, len(page.Blocks))
-	for _, block := range page.Blocks {
-		c.blocks[block] = true
+func (c *cacheView) resync(h *host) {
+	if c.blocks == nil {
+		c.blocks = map[uint64]bool{}
 	}
-	c.next, c.unsure, c.synced = page.Next, false, now
+	c.next, c.unsure, c.synced = h.model.CopyCache(c.blocks), false, h.run.now
 }
 
 // leading returns how many of the first blocks are believed to be cached.
--- a/lab/emulator/demand.go
+++ b/lab/emulator/demand.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/landingtrail/landingtrail/lab/trace"
 	"github.com/landingtrail/landingtrail/version/planner"
 )
 
@@ -30,17 +29,14 @@
 	return &m.buckets[second%count]
 }
 
-// offer counts a request. Its answer's length is not known yet, so the class's
-// mean stands in for it.
-func (m *demandMeter) offer(item *trace.Item, expectedOutput int) {
+// count adds a request that has ended, as the proxy does: the planner learns of
+// it only now, and of the answer only what was passed on.
+func (m *demandMeter) count(f *flow) {
 	bucket := m.bucket()
 	bucket.Requests++
-	bucket.PromptTokens += float64(item.PromptTokens)
-	bucket.OutputTokens += float64(expectedOutput)
-}
-
-func (m *demandMeter) cached(tokens int) {
-	m.bucket().CachedPromptTokens += float64(tokens)
+	bucket.PromptTokens += float64(f.item.PromptTokens)
+	bucket.CachedPromptTokens += float64(f.cached)
+	bucket.OutputTokens += float64(f.received)
 }
 
 func (m *demandMeter) measured(intent string) planner.Demand {
@@ -52,13 +48,11 @@
 		sum.CachedPromptTokens += bucket.CachedPromptTokens
 		sum.OutputTokens += bucket.OutputTokens
 	}
-	for _, h := range m.run.hosts {
-		if h.down {
-			continue
+	for _, p := range m.run.proxies {
+		sum.QueuedRequests += len(p.waiting)
+		for _, waiting := range p.waiting {
+			sum.QueuedPromptTokens += float64(waiting.item.PromptTokens)
 		}
-		load := h.model.Load(m.run.now)
-		sum.QueuedRequests += load.Waiting
-		sum.QueuedPromptTokens += float64(load.WaitingTokens)
 	}
 	return sum
 }
--- a/lab/emulator/flow.go
+++ b/lab/emulator/flow.go
@@ -9,6 +9,7 @@
 	"github.com/landingtrail/landingtrail/lab/enginemodel"
 	"github.com/landingtrail/landingtrail/lab/trace"
 	"github.com/landingtrail/landingtrail/request/attempt"
+	"github.com/landingtrail/landingtrail/request/limit"
 	"github.com/landingtrail/landingtrail/request/retry"
 	"github.com/landingtrail/landingtrail/request/router"
 )
@@ -29,6 +30,9 @@
 	stages   uint32
 	runs     int // admitted by an engine that generates
 	received int // tokens of the current run
+	cached   int // prompt tokens found in caches
+	waiting  *limit.Waiting
+	release  func() // gives back the place in the lane; nil without one
 	closed   bool
 }
 
@@ -52,21 +56,43 @@
 	return f
 }
 
-// arrive starts a request. A marked one waits for its claim to be committed.
+// arrive asks for a place in the proxy's lane.
 func (f *flow) arrive() {
-	f.proxy.budget.Deposit()
 	f.run.at(f.deadline, f.expire)
-	if f.item.RepeatNever {
-		f.run.after(f.run.config.CommitLatency, f.start)
+	waiting, refusal := f.proxy.queue.Enter(f.ticket())
+	if refusal != nil {
+		f.close(string(refusal.Reason))
 		return
 	}
-	f.start()
+	f.waiting = waiting
+	f.proxy.waiting = append(f.proxy.waiting, f)
+	f.proxy.startGranted()
+}
+
+// ticket is the request as the queue sees it.
+func (f *flow) ticket() limit.Ticket {
+	return limit.Ticket{
+		Class:    f.item.Class,
+		Priority: classPriorities[f.item.Class],
+		Tenant:   f.item.Tenant,
+		Weight:   tenantWeights[f.item.Tenant],
+		Cost:     float64(f.item.PromptTokens + f.proxy.expectedOutput(f.item.Class)),
+		Deadline: wallClock(f.deadline),
+		Gate:     f.life,
+	}
 }
 
+// start runs a request that was let through. A marked one waits for its claim
+// to be committed.
 func (f *flow) start() {
-	if f.life.Dispatch() {
-		f.route()
+	f.release = f.waiting.Start()
+	f.waiting = nil
+	f.proxy.budget.Deposit()
+	if f.item.RepeatNever {
+		f.run.after(f.run.config.CommitLatency, f.route)
+		return
 	}
+	f.route()
 }
 
 // route decides on the next attempt.
@@ -97,7 +123,7 @@
 		f.dispatch(decision)
 	case router.ReasonAllExcluded, router.ReasonNoEngine:
 		f.excluded = nil
-		f.retry(string(reason))
+		f.retry(string(reason), false)
 	default:
 		f.giveUp(string(reason))
 	}
@@ -129,9 +155,14 @@
 }
 
 // retry routes again after a pause, if the budget and the deadline allow it.
-func (f *flow) retry(reason string) {
+// After a refusal because of a planned change it is free and comes at once.
+func (f *flow) retry(reason string, free bool) {
 	f.stage = nil
-	if f.life.Next().Kind != attempt.StepRun || !f.proxy.budget.Withdraw() {
+	if f.life.Next().Kind != attempt.StepRun || f.retries >= maxAttempts {
+		f.giveUp(reason)
+		return
+	}
+	if !free && !f.proxy.budget.Withdraw() {
 		f.giveUp(reason)
 		return
 	}
@@ -141,6 +172,9 @@
 		return
 	}
 	f.retries++
+	if free {
+		delay = 0
+	}
 	f.run.after(delay, f.route)
 }
 
@@ -149,8 +183,10 @@
 	if f.closed {
 		return
 	}
-	if f.life.Expire() {
-		f.close("deadline in queue")
+	if f.waiting != nil {
+		f.proxy.forget(f)
+		f.waiting.Leave(limit.ReasonExpired)
+		f.close(string(limit.ReasonExpired))
 		return
 	}
 	f.giveUp("deadline passed")
@@ -173,6 +209,8 @@
 func (f *flow) close(reason string) {
 	f.closed = true
 	f.run.inFlight--
+	f.run.demand.count(f)
+	f.leave()
 	result := f.run.result
 	switch {
 	case f.life.State() == attempt.Done:
@@ -193,6 +231,15 @@
 	}
 }
 
+// leave gives the place in the lane to the next request.
+func (f *flow) leave() {
+	if f.release == nil {
+		return
+	}
+	f.release()
+	f.proxy.startGranted()
+}
+
 func (f *flow) complete() {
 	result := f.run.result
 	f.proxy.learnOutput(f.item.Class, f.item.OutputTokens)
--- a/lab/emulator/proxy.go
+++ b/lab/emulator/proxy.go
@@ -2,9 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/request/limit"
 	"github.com/landingtrail/landingtrail/request/retry"
 	"github.com/landingtrail/landingtrail/request/router"
 	"github.com/landingtrail/landingtrail/version/api"
@@ -16,6 +18,8 @@
 	zone    string
 	random  *rand.Rand
 	budget  *retry.Budget
+	queue   *limit.Queue
+	waiting []*flow // in the queue, by arrival
 	targets []*target
 	outputs map[string]float64 // mean answer length by class
 }
@@ -55,6 +59,7 @@
 		zone:    zone,
 		random:  rand.New(rand.NewPCG(r.config.Seed, uint64(index))),
 		budget:  retry.NewBudget(retryShare, retryReserve),
+		queue:   limit.NewQueue(limit.Config{Now: func() time.Time { return wallClock(r.now) }}),
 		outputs: map[string]float64{},
 	}
 	for _, h := range r.hosts {
@@ -63,6 +68,31 @@
 	return p
 }
 
+// wallClock is a time of the run for packages that count in wall-clock time.
+func wallClock(at time.Duration) time.Time { return time.Unix(0, 0).Add(at) }
+
+// startGranted starts the requests that the queue has let through.
+func (p *proxy) startGranted() {
+	var granted []*flow
+	p.waiting = slices.DeleteFunc(p.waiting, func(f *flow) bool {
+		select {
+		case <-f.waiting.Granted():
+			granted = append(granted, f)
+			return true
+		default:
+			return false
+		}
+	})
+	for _, f := range granted {
+		f.start()
+	}
+}
+
+// forget takes a request out of the list of waiting ones.
+func (p *proxy) forget(f *flow) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(other *flow) bool { return other == f })
+}
+
 // poll fetches the load of every engine.
 func (p *proxy) poll() {
 	for _, t := range p.targets {
--- a/lab/emulator/run.go
+++ b/lab/emulator/run.go
@@ -111,7 +111,6 @@
 	r.inFlight++
 	r.result.Offered++
 	r.result.class(f.item.Class).Offered++
-	r.demand.offer(f.item, f.proxy.expectedOutput(f.item.Class))
 	sample := r.sampleAt(f.item.At)
 	sample.PromptTokens += f.item.PromptTokens
 	sample.OutputTokens += f.item.OutputTokens
@@ -178,14 +177,24 @@
 	return r.config.ZoneLatency
 }
 
-// classPriorities order the classes in the engines' queues.
-var classPriorities = map[string]int{
-	trace.ClassBriefing:  2,
-	trace.ClassCaption:   1,
-	trace.ClassQuery:     1,
-	trace.ClassGap:       1,
-	trace.ClassStatement: 0,
-	trace.ClassSummary:   0,
-}
-
-func (r *run) priority(class string) int { return classPriorities[class] }
+// classPriorities and tenantWeights are those of the deployments' objects.
+var (
+	classPriorities = map[string]int{
+		trace.ClassBriefing:  30,
+		trace.ClassSummary:   20,
+		trace.ClassCaption:   10,
+		trace.ClassGap:       30,
+		trace.ClassStatement: 20,
+		trace.ClassQuery:     10,
+	}
+	tenantWeights = map[string]float64{
+		"public-app":          1,
+		"gritting-north":      4,
+		"gritting-south":      4,
+		"water-board-schelde": 2,
+		"water-board-dijle":   2,
+		"trustees":            2,
+		"members":             2,
+		"employers":           1,
+	}
+)
--- a/lab/emulator/stage.go
+++ b/lab/emulator/stage.go
@@ -67,7 +67,7 @@
 		Key:          s.key(),
 		Model:        item.Model,
 		Incarnation:  s.target.host.model.Incarnation(),
-		Priority:     s.flow.run.priority(item.Class),
+		Priority:     classPriorities[item.Class],
 		PromptTokens: item.PromptTokens,
 		OutputTokens: item.OutputTokens,
 		Blocks:       s.flow.blocks,
@@ -101,7 +101,7 @@
 			s.flow.life.Fail(s.attempt, attempt.FaultRefused)
 		}
 		s.flow.exclude(s.target.host.name)
-		s.flow.retry("refused by engine")
+		s.flow.retry("refused by engine", byPhase)
 	})
 }
 
@@ -114,7 +114,7 @@
 // token counts one token of the answer.
 func (s *stage) token(event *enginemodel.Event) {
 	if event.Offset == 0 && s.handle == "" {
-		s.flow.run.demand.cached(event.Cached)
+		s.flow.cached = event.Cached
 	}
 	if s.closed || s.flow.closed {
 		return
@@ -138,7 +138,7 @@
 			run.after(s.latency(), s.broken)
 		}
 	case enginemodel.EventExported:
-		run.demand.cached(event.Cached)
+		s.flow.cached = event.Cached
 		handle := event.Handle
 		run.after(s.latency(), func() { s.handOver(handle) })
 	case enginemodel.EventFinished:
@@ -169,14 +169,14 @@
 	run := s.flow.run
 	export, kept := source.model.Export(run.now, handle)
 	if source.down || destination.down || !kept {
-		s.flow.retry("handover failed")
+		s.flow.retry("handover failed", false)
 		return
 	}
 	ready, refusal := destination.model.Import(run.now, export)
 	if refusal != enginemodel.RefusalNone {
 		source.model.ReleaseExport(handle)
 		s.flow.exclude(destination.name)
-		s.flow.retry("handover refused")
+		s.flow.retry("handover refused", false)
 		return
 	}
 	run.at(ready, func() {
@@ -199,7 +199,7 @@
 		s.flow.life.Fail(s.attempt, attempt.FaultBroken)
 	}
 	s.flow.exclude(s.target.host.name)
-	s.flow.retry("engine lost")
+	s.flow.retry("engine lost", false)
 }
 
 // cancel gives the stage up and tells the engine.
--- a/lab/enginemodel/report.go
+++ b/lab/enginemodel/report.go
@@ -154,6 +154,17 @@
 	return page
 }
 
+// CopyCache fills a set with the blocks of the whole cache as of now and
+// returns the number of the last event. It is CacheEvents with after 0 for a
+// reader in the same process, who needs no order.
+func (e *Engine) CopyCache(into map[uint64]bool) (next uint64) {
+	clear(into)
+	for hash := range e.cache.blocks {
+		into[hash] = true
+	}
+	return e.cache.events.sequence
+}
+
 // lost decides by the seed alone whether a cache event is never published.
 func (e *Engine) lost(sequence uint64) bool {
 	var input [24]byte
--- a/request/limit/queue.go
+++ b/request/limit/queue.go
@@ -58,6 +58,8 @@
 	QueueLimit  int // waiting requests of a class without its own limit
 	// ExpectedService is the first guess of how long a request runs.
 	ExpectedService time.Duration
+	// Now is the clock; nil is time.Now.
+	Now func() time.Time
 }
 
 // Defaults of a Config.
@@ -81,7 +83,7 @@
 	lock     sync.Mutex
 	inFlight int
 	classes  map[string]*classCount
-	waiting  []*waiter
+	waiting  []*Waiting
 	arrivals uint64
 	// virtual is the fair-queueing clock: the start tag of the last request
 	// that was let through; finish holds the last finish tag of each tenant.
@@ -93,13 +95,18 @@
 
 type classCount struct{ running, waiting int }
 
-type waiter struct {
+// Waiting is a request that has entered a queue.
+type Waiting struct {
+	queue   *Queue
 	ticket  Ticket
 	start   float64
 	arrival uint64
 	granted chan struct{}
 }
 
+// Granted is closed when the request may run; Start is then to be called.
+func (w *Waiting) Granted() <-chan struct{} { return w.granted }
+
 // NewQueue returns an empty queue.
 func NewQueue(config Config) *Queue {
 	if config.MaxInFlight <= 0 {
@@ -111,6 +118,9 @@
 	if config.ExpectedService <= 0 {
 		config.ExpectedService = DefaultExpectedService
 	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
 	return &Queue{
 		config:  config,
 		classes: map[string]*classCount{},
@@ -134,30 +144,32 @@
 // Acquire waits until the request may run. It returns a release function to be
 // called once when the request has ended, or why the request was refused.
 func (q *Queue) Acquire(ctx context.Context, ticket Ticket) (release func(), refusal *Refusal) {
-	waiting, refusal := q.enter(ticket)
+	waiting, refusal := q.Enter(ticket)
 	if refusal != nil {
 		return nil, refusal
 	}
-	timer := time.NewTimer(time.Until(ticket.Deadline))
+	timer := time.NewTimer(ticket.Deadline.Sub(q.config.Now()))
 	defer timer.Stop()
 	select {
 	case <-waiting.granted:
-		return q.releaser(ticket), nil
+		return waiting.Start(), nil
 	case <-timer.C:
-		return q.leave(waiting, ReasonExpired)
+		return waiting.Leave(ReasonExpired)
 	case <-ctx.Done():
-		return q.leave(waiting, ReasonCancelled)
+		return waiting.Leave(ReasonCancelled)
 	}
 }
 
-// enter puts the request into the queue and grants what can run.
-func (q *Queue) enter(ticket Ticket) (*waiter, *Refusal) {
+// Enter puts the request into the queue, grants what can run and does not
+// wait; Acquire is the form that does. The caller watches Granted and calls
+// Leave when it waits no longer.
+func (q *Queue) Enter(ticket Ticket) (*Waiting, *Refusal) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	if refusal := q.refuseEarly(&ticket); refusal != nil && ticket.Gate.Expire() {
 		return nil, refusal
 	}
-	entered := &waiter{ticket: ticket, arrival: q.arrivals, granted: make(chan struct{})}
+	entered := &Waiting{queue: q, ticket: ticket, arrival: q.arrivals, granted: make(chan struct{})}
 	q.arrivals++
 	entered.start = q.tag(&ticket)
 	q.class(ticket.Class).waiting++
@@ -169,7 +181,7 @@
 func (q *Queue) refuseEarly(ticket *Ticket) *Refusal {
 	count := q.class(ticket.Class)
 	wait := q.expectedWait(ticket, count)
-	left := time.Until(ticket.Deadline)
+	left := ticket.Deadline.Sub(q.config.Now())
 	if left <= 0 || wait > left {
 		return &Refusal{Reason: ReasonDeadline, RetryAfter: wait}
 	}
@@ -261,7 +273,7 @@
 	return best
 }
 
-func (w *waiter) before(other *waiter) bool {
+func (w *Waiting) before(other *Waiting) bool {
 	if w.ticket.Priority != other.ticket.Priority {
 		return w.ticket.Priority > other.ticket.Priority
 	}
@@ -271,7 +283,7 @@
 	return w.arrival < other.arrival
 }
 
-func (q *Queue) remove(index int) *waiter {
+func (q *Queue) remove(index int) *Waiting {
 	removed := q.waiting[index]
 	last := len(q.waiting) - 1
 	q.waiting[index] = q.waiting[last]
@@ -281,29 +293,33 @@
 	return removed
 }
 
-// leave takes an expired request out of the queue, unless it was let through
-// at the same moment: the gate decides.
-func (q *Queue) leave(leaving *waiter, reason Reason) (func(), *Refusal) {
-	if !leaving.ticket.Gate.Expire() {
-		<-leaving.granted
-		return q.releaser(leaving.ticket), nil
+// Leave takes a request that waits no longer out of the queue, unless it was
+// let through at the same moment: the gate decides.
+func (w *Waiting) Leave(reason Reason) (release func(), refusal *Refusal) {
+	if !w.ticket.Gate.Expire() {
+		<-w.granted
+		return w.Start(), nil
 	}
+	q := w.queue
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	for i, candidate := range q.waiting {
-		if candidate == leaving {
+		if candidate == w {
 			q.remove(i)
 			break
 		}
 	}
-	wait := q.expectedWait(&leaving.ticket, q.class(leaving.ticket.Class))
+	wait := q.expectedWait(&w.ticket, q.class(w.ticket.Class))
 	return nil, &Refusal{Reason: reason, RetryAfter: wait}
 }
 
-func (q *Queue) releaser(ticket Ticket) func() {
-	started := time.Now()
+// Start begins the run of a request that was granted a place and returns the
+// release function, to be called once when the request has ended.
+func (w *Waiting) Start() (release func()) {
+	q := w.queue
+	started := q.config.Now()
 	var once sync.Once
-	return func() { once.Do(func() { q.release(ticket.Class, time.Since(started)) }) }
+	return func() { once.Do(func() { q.release(w.ticket.Class, q.config.Now().Sub(started)) }) }
 }
 
 func (q *Queue) release(class string, ran time.Duration) {
