--- a/cmd/internal/cli/cli.go
+++ b/cmd/internal/cli/cli.go
@@ -54,16 +54,23 @@
 
 // Run carries out one command line and returns its exit code.
 func Run(ctx context.Context, root *ffcli.Command, args []string, to Streams, judge Judge) ExitCode {
+	command, err := Parse(root, args)
+	if err == nil {
+		err = root.Run(ctx)
+	}
+	return finish(err, command, to, judge)
+}
+
+// Parse reads one command line without carrying it out, and returns the command
+// that it selects: root itself if it names no command. The error is that of the
+// flags.
+func Parse(root *ffcli.Command, args []string) (*ffcli.Command, error) {
 	command, rest := find(root, args)
 	if command != root && len(rest) > 0 {
 		depth := len(args) - len(rest)
 		args = append(append([]string(nil), args[:depth]...), flagsFirst(command.FlagSet, rest)...)
 	}
-	err := root.Parse(args)
-	if err == nil {
-		err = root.Run(ctx)
-	}
-	return finish(err, command, to, judge)
+	return command, root.Parse(args)
 }
 
 // finish prints what the command left to say and returns the exit code.
--- a/cmd/landingtrail/apply.go
+++ b/cmd/landingtrail/apply.go
@@ -45,7 +45,7 @@
 		LongHelp: "An object with metadata.revision, or named by --revisions, is written only if it still has that\n" +
 			"revision. For the others the revision that stands now is read, and read again if another writer\n" +
 			"comes first.\n\n" +
-			cli.ExampleHelp("landingtrail apply --endpoints 127.0.0.1:7103 --file deployments/radarvlak/objects.yaml --wait"),
+			cli.ExampleHelp("landingtrail apply --endpoints 127.0.0.1:7121 --file deployments/radarvlak/objects.yaml --wait"),
 		FlagSet: flagSet,
 		Options: cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
--- a/cmd/landingtrail/diff.go
+++ b/cmd/landingtrail/diff.go
@@ -31,7 +31,7 @@
 		Name:       "diff",
 		ShortUsage: "landingtrail diff --endpoints A --file F [flags]",
 		ShortHelp:  "Show the fields that applying a file would change",
-		LongHelp:   cli.ExampleHelp("landingtrail diff --endpoints 127.0.0.1:7103 --file deployments/radarvlak/objects.yaml"),
+		LongHelp:   cli.ExampleHelp("landingtrail diff --endpoints 127.0.0.1:7121 --file deployments/radarvlak/objects.yaml"),
 		FlagSet:    flagSet,
 		Options:    cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
--- a/cmd/landingtrail/drain.go
+++ b/cmd/landingtrail/drain.go
@@ -19,7 +19,7 @@
 		Name:       "drain",
 		ShortUsage: "landingtrail drain ENGINE [--undo] [flags]",
 		ShortHelp:  "Ask that an engine take no new work; what it runs is finished",
-		LongHelp:   cli.ExampleHelp("landingtrail drain narrator-3 --endpoints 127.0.0.1:7103 --wait"),
+		LongHelp:   cli.ExampleHelp("landingtrail drain narrator-3 --endpoints 127.0.0.1:7121 --wait"),
 		FlagSet:    flagSet,
 		Options:    cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
--- a/cmd/landingtrail/endpoint.go
+++ b/cmd/landingtrail/endpoint.go
@@ -33,7 +33,7 @@
 	for _, address := range strings.Split(f.endpoints, ",") {
 		address = strings.TrimSpace(address)
 		if !settings.ValidAddress(address) {
-			return nil, cli.UsageError{Field: "endpoints", Message: "must be IP numbers with ports separated by commas, such as 127.0.0.1:7103, got " + strconv.Quote(f.endpoints)}
+			return nil, cli.UsageError{Field: "endpoints", Message: "must be IP numbers with ports separated by commas, such as 127.0.0.1:7121, got " + strconv.Quote(f.endpoints)}
 		}
 		members = append(members, address)
 	}
--- a/cmd/landingtrail/get.go
+++ b/cmd/landingtrail/get.go
@@ -23,8 +23,8 @@
 		Name:       "get",
 		ShortUsage: "landingtrail get [KIND [NAME]] [flags]",
 		ShortHelp:  "Read objects; yaml output can be applied again",
-		LongHelp: cli.ExampleHelp("landingtrail get engines --endpoints 127.0.0.1:7103",
-			"landingtrail get intent captions --endpoints 127.0.0.1:7103 --output yaml"),
+		LongHelp: cli.ExampleHelp("landingtrail get engines --endpoints 127.0.0.1:7121",
+			"landingtrail get intent narrator --endpoints 127.0.0.1:7103 --output yaml"),
 		FlagSet: flagSet,
 		Options: cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
--- a/cmd/landingtrail/label.go
+++ b/cmd/landingtrail/label.go
@@ -27,7 +27,7 @@
 		Name:       "label",
 		ShortUsage: "landingtrail label KIND NAME key=value… key-… [flags]",
 		ShortHelp:  "Set and remove labels of one object",
-		LongHelp:   cli.ExampleHelp("landingtrail label engine narrator-3 tier=storm old-tier- --endpoints 127.0.0.1:7103 --wait"),
+		LongHelp:   cli.ExampleHelp("landingtrail label engine narrator-3 tier=storm old-tier- --endpoints 127.0.0.1:7121 --wait"),
 		FlagSet:    flagSet,
 		Options:    cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
--- a/cmd/landingtrail/ledger.go
+++ b/cmd/landingtrail/ledger.go
@@ -35,7 +35,7 @@
 		Name:       "ledger",
 		ShortUsage: "landingtrail ledger --endpoints A [flags]",
 		ShortHelp:  "List the claims of requests that run at most once, and what became of them",
-		LongHelp:   cli.ExampleHelp("landingtrail ledger --tenant gritting-north --key briefing-1-3 --endpoints 127.0.0.1:7103"),
+		LongHelp:   cli.ExampleHelp("landingtrail ledger --tenant gritting-north --key briefing-1-3 --endpoints 127.0.0.1:7121"),
 		FlagSet:    flagSet,
 		Options:    cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
--- a/cmd/landingtrail/members.go
+++ b/cmd/landingtrail/members.go
@@ -41,8 +41,8 @@
 		ShortUsage: "landingtrail members [list|add|promote|remove] [flags]",
 		ShortHelp:  "List the control members, or change them one step at a time",
 		LongHelp: "A change is not resent after a lost answer (exit 5): list the members, then decide.\n\n" +
-			cli.ExampleHelp("landingtrail members --endpoints 127.0.0.1:7103",
-				"landingtrail members remove --id 7301 --endpoints 127.0.0.1:7103"),
+			cli.ExampleHelp("landingtrail members --endpoints 127.0.0.1:7121",
+				"landingtrail members remove --id 7301 --endpoints 127.0.0.1:7121"),
 		FlagSet: flagSet,
 		Options: cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
--- a/cmd/landingtrail/orders.go
+++ b/cmd/landingtrail/orders.go
@@ -18,7 +18,7 @@
 		Name:       "orders",
 		ShortUsage: "landingtrail orders --endpoints A [flags]",
 		ShortHelp:  "List the open orders and what their engines last said",
-		LongHelp:   cli.ExampleHelp("landingtrail orders --endpoints 127.0.0.1:7103"),
+		LongHelp:   cli.ExampleHelp("landingtrail orders --endpoints 127.0.0.1:7121"),
 		FlagSet:    flagSet,
 		Options:    cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
--- a/cmd/landingtrail/status.go
+++ b/cmd/landingtrail/status.go
@@ -17,7 +17,7 @@
 		Name:       "status",
 		ShortUsage: "landingtrail status --endpoints A [flags]",
 		ShortHelp:  "Show who serves what, what changes and why, and how many losses can be borne",
-		LongHelp:   cli.ExampleHelp("landingtrail status --endpoints 127.0.0.1:7103"),
+		LongHelp:   cli.ExampleHelp("landingtrail status --endpoints 127.0.0.1:7121"),
 		FlagSet:    flagSet,
 		Options:    cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
