--- a/process/settings/page.go
+++ b/process/settings/page.go
@@ -9,9 +9,8 @@
 const settingsPageHead = `# Settings
 
 A daemon reads one YAML file (` + "`--settings F`" + `), then variables, then flags, each over
-the one before. The flag of ` + "`control.electionTimeout`" + ` is ` + "`--election-timeout`" + `, its
-variable ` + "`LANDINGTRAIL_ELECTION_TIMEOUT`" + `. Everything is checked before anything
-starts; every fault is named by its field, none hidden behind the first, and an
+the one before; the fields of ` + "`control.members[]`" + ` stand in the file alone. Everything is
+checked before anything starts; every fault is named by its field, none hidden behind the first, and an
 unknown field is a fault. ` + "`landingtrail check --settings F`" + ` does the same and no more.
 
 Durations are text such as 250ms or 1m30s, addresses an IP number and a port. This
@@ -24,6 +23,7 @@
 type section struct {
 	path       string
 	structType reflect.Type
+	flags      bool // its fields have flags
 }
 
 // Page returns docs/SETTINGS.md.
@@ -31,10 +31,10 @@
 	var page strings.Builder
 	page.WriteString(settingsPageHead)
 	for _, one := range []section{
-		{"log", reflect.TypeFor[Log]()},
-		{"control", reflect.TypeFor[Control]()},
-		{"control.members[]", reflect.TypeFor[Member]()},
-		{"proxy", reflect.TypeFor[Proxy]()},
+		{"log", reflect.TypeFor[Log](), true},
+		{"control", reflect.TypeFor[Control](), true},
+		{"control.members[]", reflect.TypeFor[Member](), false},
+		{"proxy", reflect.TypeFor[Proxy](), true},
 	} {
 		writeSection(&page, one)
 	}
@@ -42,21 +42,43 @@
 }
 
 func writeSection(page *strings.Builder, one section) {
-	fmt.Fprintf(page, "\n## %s\n\n| field | type | default | unit | allowed | meaning |\n|---|---|---|---|---|---|\n", one.path)
+	fmt.Fprintf(page, "\n## %s\n\n", one.path)
+	page.WriteString("| field | type | default | unit | allowed | flag | variable | meaning |\n|---|---|---|---|---|---|---|---|\n")
 	for _, field := range fieldsOf(one.structType) {
 		limits := constraintOf(field)
+		option := pageOption(one, field)
 		cells := []string{
 			"`" + join(one.path, nameOf(field)) + "`",
 			pageType(field.Type),
 			pageDefault(limits),
 			orDash(field.Tag.Get(tagUnit)),
 			orDash(pageAllowed(limits)),
+			option.flag,
+			option.variable,
 			field.Tag.Get(tagUsage),
 		}
 		fmt.Fprintf(page, "| %s |\n", strings.Join(cells, " | "))
 	}
 }
 
+// option is how a field is given on the command line and in the environment.
+type option struct {
+	flag     string
+	variable string
+}
+
+// variablePrefix starts the variables that stand in for flags.
+const variablePrefix = "LANDINGTRAIL_"
+
+func pageOption(one section, field reflect.StructField) option {
+	if !one.flags || !isFlag(field.Type) {
+		return option{flag: orDash(""), variable: orDash("")}
+	}
+	name := flagName(one.path+".", nameOf(field))
+	variable := variablePrefix + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+	return option{flag: "`--" + name + "`", variable: "`" + variable + "`"}
+}
+
 func pageType(fieldType reflect.Type) string {
 	if fieldType == durationType {
 		return "duration"
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -35,7 +35,7 @@
 	Group           string   `yaml:"group" required:"true" format:"name" usage:"Name of the group; connections of another group are refused."`
 	DataDirectory   string   `yaml:"dataDirectory" required:"true" usage:"Folder of the log and snapshots; one for each member."`
 	Members         []Member `yaml:"members" required:"true" usage:"The founding members, this one among them; the same list on each."`
-	Join            bool     `yaml:"join" default:"false" usage:"Let a member with an empty data folder ask the members to take it in as a learner, instead of founding the group."`
+	Join            bool     `yaml:"join" default:"false" usage:"Let a member with an empty data folder ask the members to take it in as a learner, instead of founding the group; a damaged folder is emptied for that while the others have a leader."`
 	PeerAddress     string   `yaml:"peerAddress" format:"address" usage:"Where this member listens for the others; empty: as in members."`
 	FeedAddress     string   `yaml:"feedAddress" format:"address" usage:"Where this member listens for proxies; empty: as in members."`
 	OperatorAddress string   `yaml:"operatorAddress" format:"address" usage:"Where this member listens for operators; empty: as in members."`
@@ -57,7 +57,7 @@
 
 	MaxAffectedEngines     int           `yaml:"maxAffectedEngines" default:"8" min:"0" max:"100000" unit:"engines" usage:"Engines whose model or version one transaction may change unless it allows broad changes; 0: no bound."`
 	OperationRetention     time.Duration `yaml:"operationRetention" default:"24h" min:"1m" max:"8760h" usage:"How long the answer to an operation ID is kept."`
-	ClaimRetention         time.Duration `yaml:"claimRetention" default:"24h" min:"1m" max:"8760h" usage:"How long an at-most-once claim is kept."`
+	ClaimRetention         time.Duration `yaml:"claimRetention" default:"24h" min:"1m" max:"8760h" usage:"How long an at-most-once claim is kept that asks for no time of its own; the proxies ask for proxy.claimRetention."`
 	MaxBodyBytes           int64         `yaml:"maxBodyBytes" default:"8388608" min:"1024" max:"1073741824" unit:"bytes" usage:"Longest body of an operator's request."`
 	SnapshotEntries        uint64        `yaml:"snapshotEntries" default:"10000" min:"16" max:"10000000" unit:"log entries" usage:"Entries applied between two snapshots; bounds the time of a restart."`
 	MaxDaemons             int           `yaml:"maxDaemons" default:"4096" min:"1" max:"100000" unit:"daemons" usage:"Daemons that may follow this member's feed."`
