Run the replicated group against an oracle with crashes, cuts and failing disks

A group of three on fault-injecting file systems goes through proposals, machine crashes, failing syncs, one-way and whole cuts, and handovers. What proposers were told is compared with the final history: an acknowledged command stands once, at the place that was named; a refused one never; an unknown one at most once.

Faults found while making it pass, all in the test: - "concurrent map writes": the proposal to the leader recorded its outcome without the mutex. - "state machines differ" under -race: settle revived the stopped members before the pending faults of their disks were taken back, so one could stop just afterwards and stay so. Faults go first now, and synctest.Wait comes before the revival.

--- a/process/replica/group_test.go
+++ b/process/replica/group_test.go
@@ -4,19 +4,31 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"flag"
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/landingtrail/landingtrail/process/wal/faultfs"
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261202", "rapid.nofailfile": "true", "rapid.checks": "150"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	goleak.VerifyTestMain(m)
+}
 
 // history is a state machine that keeps the commands it applied.
 type history struct {
@@ -97,41 +109,53 @@
 	n.setCut(func(from, to raft.MemberID) bool { return from == member || to == member })
 }
 
-// member is one replica of a group with what survives its stop.
+// member is one replica of a group with what survives its stop: a file system.
 type member struct {
-	id      raft.MemberID
-	storage Storage
-	machine *history
-	replica *Replica
+	id         raft.MemberID
+	fileSystem *faultfs.FileSystem
+	machine    *history
+	replica    *Replica
 }
 
-// group is a replicated group in memory.
+// group is a replicated group on disks and a network in memory.
 type group struct {
-	t       *testing.T
-	network *network
-	members []*member
-	adjust  func(*Config)
+	t         must.T
+	network   *network
+	members   []*member
+	bootstrap raft.Configuration
+	adjust    func(*Config)
 }
 
-func newGroup(t *testing.T, size int, adjust func(*Config)) *group {
+func newGroup(t must.T, size int, adjust func(*Config)) *group {
 	g := &group{t: t, network: &network{members: make(map[raft.MemberID]*Replica)}, adjust: adjust}
-	var bootstrap raft.Configuration
-	for id := raft.MemberID(1); id <= raft.MemberID(size); id++ {
-		bootstrap.Voters = append(bootstrap.Voters, id)
-	}
-	for _, id := range bootstrap.Voters {
-		m := &member{id: id, storage: NewMemory()}
+	for seed := range uint64(size) {
+		m := g.newMember(seed)
 		g.members = append(g.members, m)
-		g.start(m, bootstrap)
+		g.bootstrap.Voters = append(g.bootstrap.Voters, m.id)
+	}
+	for _, m := range g.members {
+		g.start(m, g.bootstrap)
 	}
 	return g
 }
 
+// newMember makes a member with an empty disk. It is not started.
+func (g *group) newMember(seed uint64) *member {
+	m := &member{fileSystem: faultfs.New(seed)}
+	disk, err := openDisk(m.fileSystem)
+	must.NoError(g.t, err)
+	m.id = disk.Identity().Member
+	must.NoError(g.t, disk.Close())
+	return m
+}
+
 func (g *group) start(m *member, bootstrap raft.Configuration) {
+	disk, err := openDisk(m.fileSystem)
+	must.NoError(g.t, err)
 	m.machine = &history{}
 	config := Config{
 		Raft:         raft.Config{ID: m.id, Seed: 7},
-		Storage:      m.storage,
+		Storage:      disk,
 		Transport:    g.network,
 		StateMachine: m.machine,
 		Bootstrap:    bootstrap,
@@ -147,6 +171,10 @@
 	g.network.mutex.Unlock()
 }
 
+// restart starts a member that was stopped. A bootstrap configuration changes
+// nothing on a disk that holds state already.
+func (g *group) restart(m *member) { g.start(m, g.bootstrap) }
+
 // crash stops the member without a handover.
 func (g *group) crash(m *member) {
 	g.network.mutex.Lock()
@@ -176,7 +204,7 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	g.t.Fatal("no leader")
+	must.Unreachable(g.t, must.Sprint("no leader"))
 	return nil
 }
 
@@ -192,7 +220,15 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	g.t.Fatal("state machines differ")
+	must.Unreachable(g.t, must.Sprint("state machines differ: ", g.describe(members)))
+}
+
+func (g *group) describe(members []*member) string {
+	var text strings.Builder
+	for _, m := range members {
+		fmt.Fprintf(&text, "\n%+v error %v", m.replica.Status(), m.replica.Err())
+	}
+	return text.String()
 }
 
 func TestGroupAppliesProposalsEverywhere(t *testing.T) {
--- /dev/null
+++ b/process/replica/oracle_test.go
@@ -0,0 +1,207 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// world runs a group through proposals and faults. It keeps what each proposer
+// was told, which the group's final state must agree with.
+type world struct {
+	*group
+	proposals sync.WaitGroup
+	mutex     sync.Mutex
+	told      map[string]answer
+	count     int
+}
+
+// answer is what a proposer was told: the place in the history, or an error.
+type answer struct {
+	place int
+	err   error
+}
+
+func (w *world) pick(t *rapid.T) *member {
+	return w.members[rapid.IntRange(0, len(w.members)-1).Draw(t, "member")]
+}
+
+func (w *world) propose(t *rapid.T) {
+	m := w.pick(t)
+	patience := time.Duration(rapid.IntRange(0, 3000).Draw(t, "patience")) * time.Millisecond
+	for range rapid.IntRange(1, 10).Draw(t, "commands") {
+		command := w.nextCommand()
+		replica := m.replica
+		w.proposals.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			result, err := replica.Propose(ctx, []byte(command))
+			w.record(command, result, err)
+		})
+	}
+}
+
+func (w *world) nextCommand() string {
+	w.count++
+	return fmt.Sprint("command ", w.count)
+}
+
+func (w *world) record(command string, result Result, err error) {
+	place, _ := result.Value.(int)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.told[command] = answer{place: place, err: err}
+}
+
+// proposeToLeader has no deadline: a leader that is cut off must answer as well.
+func (w *world) proposeToLeader(t *rapid.T) {
+	for _, m := range w.members {
+		if m.replica.Status().Role != raft.Leader {
+			continue
+		}
+		for range rapid.IntRange(1, 15).Draw(t, "commands") {
+			command := w.nextCommand()
+			result, err := m.replica.Propose(context.Background(), []byte(command))
+			w.record(command, result, err)
+		}
+		return
+	}
+}
+
+// crashMachine loses what the member had not synced; it restarts at once or
+// after a while, in which other actions may come.
+func (w *world) crashMachine(t *rapid.T) {
+	m := w.pick(t)
+	m.fileSystem.StopAfter(rapid.IntRange(0, 8).Draw(t, "operations"))
+	time.Sleep(time.Duration(rapid.IntRange(0, 500).Draw(t, "until crash")) * time.Millisecond)
+	w.crash(m)
+	m.fileSystem.FailSyncs(0)
+	m.fileSystem.Crash()
+	w.restart(m)
+}
+
+func (w *world) failSync(t *rapid.T) { w.pick(t).fileSystem.FailSyncs(1) }
+
+// revive restarts members that their disks have stopped.
+func (w *world) revive(*rapid.T) {
+	for _, m := range w.members {
+		select {
+		case <-m.replica.Done():
+			m.fileSystem.StopAfter(-1)
+			m.fileSystem.FailSyncs(0)
+			m.fileSystem.Restart()
+			w.restart(m)
+		default:
+		}
+	}
+}
+
+func (w *world) cutOff(t *rapid.T) { w.network.isolate(w.pick(t).id) }
+
+func (w *world) cutOneWay(t *rapid.T) {
+	from, to := w.pick(t).id, w.pick(t).id
+	w.network.setCut(func(f, o raft.MemberID) bool { return f == from && o == to })
+}
+
+func (w *world) heal(*rapid.T) { w.network.setCut(nil) }
+
+func (w *world) pass(t *rapid.T) {
+	time.Sleep(time.Duration(rapid.IntRange(1, 5000).Draw(t, "milliseconds")) * time.Millisecond)
+}
+
+func (w *world) transfer(t *rapid.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = w.pick(t).replica.TransferLeadership(ctx, raft.None)
+}
+
+// settle ends all faults and lets the group come to one state.
+func (w *world) settle(t *rapid.T) {
+	w.network.setCut(nil)
+	for _, m := range w.members {
+		m.fileSystem.FailSyncs(0)
+	}
+	w.proposals.Wait()
+	synctest.Wait() // a member that a disk is about to stop has stopped then
+	w.revive(t)
+	w.group.propose("last")
+	w.waitEqual(w.members...)
+}
+
+// verify compares the final state with what proposers were told: what was
+// acknowledged is there at the place that was named, what was refused is not, and
+// nothing is there twice.
+func (w *world) verify(t *rapid.T) {
+	places := make(map[string][]int)
+	for i, command := range w.members[0].machine.copy() {
+		places[string(command)] = append(places[string(command)], i+1)
+	}
+	for command, answer := range w.told {
+		switch {
+		case answer.err == nil:
+			must.Eq(t, []int{answer.place}, places[command], must.Sprint(command, " was acknowledged"))
+		case errors.Is(answer.err, ErrOutcomeUnknown):
+			must.LessEq(t, 1, len(places[command]), must.Sprint(command, " had an unknown outcome"))
+		default:
+			must.Eq(t, 0, len(places[command]), must.Sprint(command, " was refused: ", answer.err))
+		}
+	}
+}
+
+func TestGroupAgainstOracle(t *testing.T) {
+	outcomes := make(map[string]int)
+	synctest.Test(t, func(t *testing.T) {
+		// Without its deadline, which a test in virtual time does not have.
+		rapid.Check(struct{ testing.TB }{t}, func(t *rapid.T) {
+			w := &world{group: newGroup(t, 3, smallSnapshots), told: make(map[string]answer)}
+			defer w.stopAll()
+			w.leader()
+			t.Repeat(map[string]func(*rapid.T){
+				"propose":           w.propose,
+				"propose to leader": w.proposeToLeader,
+				"crash":             w.crashMachine,
+				"fail sync":         w.failSync,
+				"revive":            w.revive,
+				"cut off":           w.cutOff,
+				"cut one way":       w.cutOneWay,
+				"heal":              w.heal,
+				"transfer":          w.transfer,
+				"pass":              w.pass,
+			})
+			w.settle(t)
+			w.verify(t)
+			w.tally(outcomes)
+		})
+	})
+	t.Log(outcomes)
+	for _, outcome := range []string{"acknowledged", ErrOutcomeUnknown.Error(), ErrNotLeader.Error(), ErrStopped.Error(), "snapshots"} {
+		must.Positive(t, outcomes[outcome], must.Sprint("never: ", outcome))
+	}
+}
+
+// tally counts the outcomes, so that a run that never met one is found out.
+func (w *world) tally(outcomes map[string]int) {
+	for _, answer := range w.told {
+		switch {
+		case answer.err == nil:
+			outcomes["acknowledged"]++
+		case errors.Is(answer.err, ErrNotLeader):
+			outcomes[ErrNotLeader.Error()]++
+		default:
+			outcomes[errors.Cause(answer.err).Error()]++
+		}
+	}
+	for _, m := range w.members {
+		if len(w.fileNames(m, ".snap")) > 1 { // the first is the bootstrap's
+			outcomes["snapshots"]++
+		}
+	}
+}
