--- a/process/proxy/call.go
+++ b/process/proxy/call.go
@@ -29,6 +29,7 @@
 	excluded map[string]bool
 	retries  int
 	cached   int // prompt tokens believed to be cached where it ran
+	expected int // length of the answer, in tokens
 }
 
 // run sees the request through to its end. It returns nil after a whole
@@ -146,7 +147,7 @@
 		Model:        c.parsed.request.Model,
 		Priority:     c.priority,
 		PromptTokens: c.parsed.promptTokens,
-		OutputTokens: c.parsed.outputTokens(),
+		OutputTokens: c.expected,
 		Blocks:       c.parsed.blocks,
 		Deadline:     time.Until(c.deadline),
 		Excluded:     c.excluded,
--- a/process/proxy/claim_test.go
+++ b/process/proxy/claim_test.go
@@ -71,6 +71,8 @@
 func TestSameKeyAtOnce(t *testing.T) {
 	engine := newFakeEngine(t, "e1", 11)
 	hold := make(chan struct{})
+	release := sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(release)
 	engine.script = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) {
 		<-hold
 		e.answer(w, r, 0, 3)
@@ -84,7 +86,7 @@
 	}
 	eventually(t, func() bool { return engine.runs.Load() == 1 })
 	time.Sleep(20 * time.Millisecond) // room for a second run, if there is one
-	close(hold)
+	release()
 	group.Wait()
 	must.Eq(t, 1, engine.runs.Load())
 	wholes := 0
@@ -188,6 +190,8 @@
 func TestCallerOfAMarkedRunHangsUp(t *testing.T) {
 	engine := newFakeEngine(t, "e1", 11)
 	hold := make(chan struct{})
+	release := sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(release)
 	engine.script = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) {
 		id, number := runOf(r)
 		e.tokens(w, id, number, 0, 1)
@@ -197,7 +201,7 @@
 	f := start(t, quick(), []*fakeEngine{engine})
 	hangUp := f.open(marked("k1")...)
 	hangUp()
-	close(hold)
+	release()
 	var words []string
 	eventually(t, func() bool {
 		again, whole := f.stream(marked("k1")...).words()
--- a/process/proxy/handle_model.go
+++ b/process/proxy/handle_model.go
@@ -32,6 +32,7 @@
 		return
 	}
 	started := time.Now()
+	made.offer()
 	failed = made.serve(r.Context(), w, hashBody(r.Method, r.URL.Path, body))
 	made.account(failed, time.Since(started))
 }
@@ -74,6 +75,7 @@
 		parsed:   parsed,
 		envelope: read,
 		priority: class.Spec.Priority,
+		expected: p.answers.Expect(read.class, parsed.outputTokens()),
 		deadline: time.Now().Add(read.left),
 		random:   newRandom(),
 		excluded: map[string]bool{},
@@ -211,17 +213,30 @@
 	return nil
 }
 
-// account counts the request for the planner and the metrics.
-func (c *call) account(failed *failure, took time.Duration) {
-	c.proxy.metrics.ended(c.lane.service, c.envelope.class, failed, took)
+// demandKey is what the request's demand is counted under.
+func (c *call) demandKey() demandKey {
 	known := c.proxy.lanes.catalog.Load()
-	key := demandKey{intent: known.intentFor(c.parsed.request.Model, c.envelope.class), class: c.envelope.class}
-	output := c.life.Passed()
-	c.proxy.demand.add(key, func(demand *feed.Demand) {
+	return demandKey{intent: known.intentFor(c.parsed.request.Model, c.envelope.class), class: c.envelope.class}
+}
+
+// offer counts the request for the planner when it comes: what is counted at
+// the end is late by the time of a run, and short of all that was never served.
+func (c *call) offer() {
+	c.proxy.demand.add(c.demandKey(), func(demand *feed.Demand) {
 		demand.Requests++
 		demand.PromptTokens += float64(c.parsed.promptTokens)
+		demand.OutputTokens += float64(c.expected)
+	})
+}
+
+// account counts the request's end for the planner and the metrics.
+func (c *call) account(failed *failure, took time.Duration) {
+	c.proxy.metrics.ended(c.lane.service, c.envelope.class, failed, took)
+	if failed == nil {
+		c.proxy.answers.Learn(c.envelope.class, c.life.Passed())
+	}
+	c.proxy.demand.add(c.demandKey(), func(demand *feed.Demand) {
 		demand.CachedPromptTokens += float64(c.cached)
-		demand.OutputTokens += float64(output)
 		if failed == nil {
 			return
 		}
--- a/process/proxy/handle_service.go
+++ b/process/proxy/handle_service.go
@@ -225,19 +225,24 @@
 const relayBufferBytes = 32 << 10
 
 // relay copies an answer's body to the caller. With a claim it goes on when
-// the caller has gone, so that the answer can be kept.
-func (c *backendCall) relay(body io.Reader) error {
+// the caller has gone, so that the answer can be kept. An answer of unknown
+// length may be a stream: each part goes on as it comes.
+func (c *backendCall) relay(response *http.Response) error {
+	streamed := response.ContentLength < 0
 	controller := http.NewResponseController(c.writer)
 	buffer := make([]byte, relayBufferBytes)
 	gone := false
 	for {
-		count, err := body.Read(buffer)
+		count, err := response.Body.Read(buffer)
 		if count > 0 && !gone {
 			c.keep(buffer[:count])
 			_ = controller.SetWriteDeadline(time.Now().Add(c.proxy.config.Timeouts.Write)) // a test's writer may have none
 			if _, failed := c.writer.Write(buffer[:count]); failed != nil {
 				gone = true
 			}
+			if streamed {
+				_ = controller.Flush() // the next write tells whether the caller has gone
+			}
 		}
 		if gone && c.claim == nil {
 			return errCaller
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -48,6 +48,7 @@
 	lanes   *lanes
 	buckets *limit.Buckets
 	budget  *retry.Budget
+	answers *router.AnswerLengths
 	router  *router.Router
 	running *inFlight
 	demand  *demandWindow
@@ -78,6 +79,7 @@
 		clock:    clock,
 		lanes:    newLanes(),
 		buckets:  limit.NewBuckets(),
+		answers:  router.NewAnswerLengths(),
 		budget:   retry.NewBudget(config.Limits.RetryShare, config.Limits.RetryReserve),
 		router:   router.New(router.Config{Speed: config.Speed}),
 		running:  newInFlight(),
--- a/process/proxy/run_backend.go
+++ b/process/proxy/run_backend.go
@@ -253,7 +253,7 @@
 	}
 	c.sent = true
 	c.writer.WriteHeader(response.StatusCode)
-	if err := c.relay(response.Body); err != nil {
+	if err := c.relay(response); err != nil {
 		c.life.Fail(number, attempt.FaultBroken)
 		if ctx.Err() == nil && !errors.Is(err, errCaller) {
 			target.fail(c.proxy.clock())
