--- a/process/proxy/claim_test.go
+++ b/process/proxy/claim_test.go
@@ -72,12 +72,12 @@
 	engine := newFakeEngine(t, "e1", 11)
 	hold := make(chan struct{})
 	release := sync.OnceFunc(func() { close(hold) })
-	t.Cleanup(release)
 	engine.script = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) {
 		<-hold
 		e.answer(w, r, 0, 3)
 	}
 	f := start(t, quick(), []*fakeEngine{engine})
+	t.Cleanup(release) // before the proxy is waited for
 	asked := []*fleet{f, f.second()}
 	answers := make([]*reply, len(asked))
 	var group sync.WaitGroup
@@ -191,7 +191,6 @@
 	engine := newFakeEngine(t, "e1", 11)
 	hold := make(chan struct{})
 	release := sync.OnceFunc(func() { close(hold) })
-	t.Cleanup(release)
 	engine.script = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) {
 		id, number := runOf(r)
 		e.tokens(w, id, number, 0, 1)
@@ -199,6 +198,7 @@
 		e.answer(w, r, 1, 3)
 	}
 	f := start(t, quick(), []*fakeEngine{engine})
+	t.Cleanup(release) // before the proxy is waited for
 	hangUp := f.open(marked("k1")...)
 	hangUp()
 	release()
--- a/process/proxy/rules_test.go
+++ b/process/proxy/rules_test.go
@@ -220,7 +220,6 @@
 	engine := newFakeEngine(t, "e1", 11)
 	hold := make(chan struct{})
 	release := sync.OnceFunc(func() { close(hold) })
-	t.Cleanup(release)
 	engine.script = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, n int) {
 		id, number := runOf(r)
 		if n == 1 {
@@ -235,6 +234,7 @@
 	config.Timeouts.Stall = time.Minute
 	config.DrainNotice = 200 * time.Millisecond
 	f := start(t, config, []*fakeEngine{engine})
+	t.Cleanup(release) // before the proxy is waited for
 	streamed := make(chan *reply, 1)
 	go func() { streamed <- f.stream(HeaderClass, "cap", HeaderDeadline, "60000") }()
 	eventually(t, func() bool { return engine.runs.Load() == 1 })
