Count demand when requests come, with learned answer lengths

Cause: the proxy counted a request's demand at its end, output as passed on. The planner so heard of a front late by the time of a run, and never of work that was not served: with roles prefill and decode alone, too few decode engines made the measured output fall, so the planner moved still more engines away. Also, a request's expected answer was its max_tokens: a caption with a high limit and a short deadline was refused, since no engine could write that much. Change: demand is counted at arrival with the class's mean answer length, which the proxy learns from whole answers (router.AnswerLengths); estimates use it too. The emulator runs the same.

--- a/lab/emulator/demand.go
+++ b/lab/emulator/demand.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/landingtrail/landingtrail/lab/trace"
 	"github.com/landingtrail/landingtrail/version/planner"
 )
 
@@ -29,14 +30,18 @@
 	return &m.buckets[second%count]
 }
 
-// count adds a request that has ended, as the proxy does: the planner learns of
-// it only now, and of the answer only what was passed on.
-func (m *demandMeter) count(f *flow) {
+// offer counts a request that comes. Its answer's length is not known yet, so
+// the expected one stands in for it.
+func (m *demandMeter) offer(item *trace.Item, expectedOutput int) {
 	bucket := m.bucket()
 	bucket.Requests++
-	bucket.PromptTokens += float64(f.item.PromptTokens)
-	bucket.CachedPromptTokens += float64(f.cached)
-	bucket.OutputTokens += float64(f.received)
+	bucket.PromptTokens += float64(item.PromptTokens)
+	bucket.OutputTokens += float64(expectedOutput)
+}
+
+// cached counts the prompt tokens that a request which has ended found in caches.
+func (m *demandMeter) cached(tokens int) {
+	m.bucket().CachedPromptTokens += float64(tokens)
 }
 
 func (m *demandMeter) measured(intent string) planner.Demand {
--- a/lab/emulator/flow.go
+++ b/lab/emulator/flow.go
@@ -59,6 +59,7 @@
 // arrive asks for a place in the proxy's lane.
 func (f *flow) arrive() {
 	f.run.at(f.deadline, f.expire)
+	f.run.demand.offer(f.item, f.proxy.expectedOutput(f.item.Class))
 	waiting, refusal := f.proxy.queue.Enter(f.ticket())
 	if refusal != nil {
 		f.close(string(refusal.Reason))
@@ -209,7 +210,7 @@
 func (f *flow) close(reason string) {
 	f.closed = true
 	f.run.inFlight--
-	f.run.demand.count(f)
+	f.run.demand.cached(f.cached)
 	f.leave()
 	result := f.run.result
 	switch {
@@ -242,7 +243,7 @@
 
 func (f *flow) complete() {
 	result := f.run.result
-	f.proxy.learnOutput(f.item.Class, f.item.OutputTokens)
+	f.proxy.answers.Learn(f.item.Class, f.item.OutputTokens)
 	if f.received != f.item.OutputTokens {
 		result.WrongAnswer++
 	}
--- a/lab/emulator/proxy.go
+++ b/lab/emulator/proxy.go
@@ -21,7 +21,7 @@
 	queue   *limit.Queue
 	waiting []*flow // in the queue, by arrival
 	targets []*target
-	outputs map[string]float64 // mean answer length by class
+	answers *router.AnswerLengths
 }
 
 // target is one engine as a proxy sees it.
@@ -44,10 +44,8 @@
 const (
 	retryShare   = 0.2
 	retryReserve = 50
-	// firstOutput is the expected answer length of a class before any answer.
-	firstOutput = 150
-	// outputGain is the weight of one answer in the mean length.
-	outputGain = 0.05
+	// maxAnswer is the answer length that callers allow.
+	maxAnswer = 4096
 	// refusalHold is how long an engine that refused for its phase is left out,
 	// unless a report says otherwise.
 	refusalHold = time.Second
@@ -60,7 +58,7 @@
 		random:  rand.New(rand.NewPCG(r.config.Seed, uint64(index))),
 		budget:  retry.NewBudget(retryShare, retryReserve),
 		queue:   limit.NewQueue(limit.Config{Now: func() time.Time { return wallClock(r.now) }}),
-		outputs: map[string]float64{},
+		answers: router.NewAnswerLengths(),
 	}
 	for _, h := range r.hosts {
 		p.targets = append(p.targets, &target{host: h})
@@ -173,20 +171,7 @@
 	panic("endpoint of another snapshot")
 }
 
-func (p *proxy) expectedOutput(class string) int {
-	if mean, known := p.outputs[class]; known {
-		return int(mean)
-	}
-	return firstOutput
-}
-
-func (p *proxy) learnOutput(class string, tokens int) {
-	mean, known := p.outputs[class]
-	if !known {
-		mean = firstOutput
-	}
-	p.outputs[class] = mean + outputGain*(float64(tokens)-mean)
-}
+func (p *proxy) expectedOutput(class string) int { return p.answers.Expect(class, maxAnswer) }
 
 // phaseRefusal reports whether a refusal means that the engine leaves its role.
 func phaseRefusal(phase api.EnginePhase) bool { return phase != api.PhaseServing }
