--- a/lab/caller/caller.go
+++ b/lab/caller/caller.go
@@ -63,6 +63,7 @@
 	PromptHash uint64
 	Latency    time.Duration
 	RetryAfter time.Duration
+	Detail     string // what was said of a failure
 }
 
 // player is one run of Play.
@@ -171,6 +172,7 @@
 		PromptHash: call.hash(),
 		Latency:    ended.latency,
 		RetryAfter: ended.retryAfter,
+		Detail:     ended.detail,
 	})
 }
 
@@ -208,7 +210,7 @@
 func (p *player) exchange(request *http.Request, call *call, sent time.Time) outcome {
 	response, err := p.client.Do(request)
 	if err != nil {
-		return outcome{kind: OutcomeUnknown}
+		return outcome{kind: OutcomeUnknown, detail: err.Error()}
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
--- a/lab/caller/judge.go
+++ b/lab/caller/judge.go
@@ -42,6 +42,7 @@
 	retryAfter time.Duration // 0 if the answer has none
 	firstToken time.Duration // 0 if none came
 	gaps       []time.Duration
+	detail     string // what the answer, or its absence, said of a failure
 }
 
 // final reports whether the outcome came from an answer, not from its absence.
@@ -51,11 +52,12 @@
 
 // judgeError reads an answer that is not 200.
 func judgeError(response *http.Response) outcome {
-	ended := outcome{kind: OutcomeUnknown, retryAfter: retryAfter(response.Header)}
+	ended := outcome{kind: OutcomeUnknown, retryAfter: retryAfter(response.Header), detail: response.Status}
 	var body engineapi.ErrorBody
 	if json.NewDecoder(io.LimitReader(response.Body, lineLimit)).Decode(&body) != nil {
 		return ended
 	}
+	ended.detail += ": " + body.Error.Code + ": " + body.Error.Message
 	if body.Error.Ran != "no" {
 		return ended
 	}
@@ -140,6 +142,7 @@
 	}
 	if event.Error != nil {
 		j.result.kind = OutcomeCutShort
+		j.result.detail = event.Error.Code + ": " + event.Error.Message
 		return true
 	}
 	for _, choice := range event.Choices {
--- a/lab/fleet/layout.go
+++ b/lab/fleet/layout.go
@@ -20,7 +20,15 @@
 	changeFiles = "changes/*.yaml"
 )
 
-const maxFilePorts = 512
+const maxFilePorts = 64
+
+// Prefixes of the names under which a member's listeners are announced to
+// Config.Via; a stand-in's is its process name.
+const (
+	linkPeer     = "peer-"
+	linkFeed     = "feed-"
+	linkOperator = "operator-"
+)
 
 // layout is where everything of the fleet runs, with the files that tell it so.
 type layout struct {
@@ -36,13 +44,13 @@
 	objects     []api.Object
 }
 
-// place is a stand-in's name and address.
+// place is a stand-in's name and the address on which it listens.
 type place struct {
 	name    string
 	address string
 }
 
-// memberPlace is one control member.
+// memberPlace is one control member; operators reach it at the address operator.
 type memberPlace struct {
 	name     string
 	settings string
@@ -67,6 +75,15 @@
 	return address
 }
 
+// layoutMaker makes a layout.
+type layoutMaker struct {
+	*layout
+	source string // folder of the deployment's files
+	ports  *portSource
+	via    func(name, address string) (string, error)
+	adjust func(file *settings.File)
+}
+
 // newLayout reads the deployment's files and writes them to the data folder
 // with free ports of this machine in place of the deployment's addresses.
 func newLayout(config Config, data string) (*layout, error) {
@@ -75,90 +92,159 @@
 		return nil, err
 	}
 	ports := &portSource{free: free}
-	source := filepath.Join(config.Folder, config.Deployment)
-	planned := &layout{folder: data, platform: ports.next()}
-	if err := planned.placeObjects(source, ports); err != nil {
+	maker := &layoutMaker{
+		layout: &layout{folder: data, platform: ports.next()},
+		source: filepath.Join(config.Folder, config.Deployment),
+		ports:  ports,
+		via:    config.Via,
+		adjust: config.Adjust,
+	}
+	if maker.via == nil {
+		maker.via = func(_, address string) (string, error) { return address, nil }
+	}
+	if maker.adjust == nil {
+		maker.adjust = func(*settings.File) {}
+	}
+	if err := maker.placeObjects(); err != nil {
 		return nil, err
 	}
-	feeds, err := planned.placeMembers(source, ports)
+	feeds, err := maker.placeMembers()
 	if err != nil {
 		return nil, err
 	}
-	return planned, planned.placeProxies(source, ports, feeds)
+	return maker.layout, maker.placeProxies(feeds)
+}
+
+// listen returns an address to listen on and the one where others reach it.
+func (m *layoutMaker) listen(name string) (own, reached string, err error) {
+	own = m.ports.next()
+	reached, err = m.via(name, own)
+	return own, reached, err
 }
 
 // placeObjects gives every engine and back end an address.
-func (l *layout) placeObjects(source string, ports *portSource) error {
-	objects, err := settings.LoadObjects(filepath.Join(source, objectsFile))
+func (m *layoutMaker) placeObjects() error {
+	objects, err := settings.LoadObjects(filepath.Join(m.source, objectsFile))
 	if err != nil {
 		return errors.Wrap(err, objectsFile)
 	}
 	for _, object := range objects {
 		if object.Engine != nil {
-			object.Engine.Spec.Address = ports.next()
-			l.engines = append(l.engines, place{object.Engine.Name, object.Engine.Spec.Address})
+			if err := m.placeEngine(object.Engine); err != nil {
+				return err
+			}
 		}
 		if object.Service != nil {
-			for i := range object.Service.Spec.Backends {
-				backend := &object.Service.Spec.Backends[i]
-				backend.Address = ports.next()
-				l.backends = append(l.backends, place{backend.Name, backend.Address})
+			if err := m.placeBackends(object.Service); err != nil {
+				return err
 			}
 		}
 	}
-	l.objects = objects
-	l.objectsPath = filepath.Join(l.folder, objectsFile)
-	if l.changePaths, err = filepath.Glob(filepath.Join(source, changeFiles)); err != nil {
+	m.objects = objects
+	m.objectsPath = filepath.Join(m.folder, objectsFile)
+	if m.changePaths, err = filepath.Glob(filepath.Join(m.source, changeFiles)); err != nil {
 		return errors.Wrap(err, "fleet: list changes")
 	}
-	return writeYAML(l.objectsPath, settings.File{Objects: objects})
+	return writeYAML(m.objectsPath, settings.File{Objects: objects})
+}
+
+func (m *layoutMaker) placeEngine(engine *api.Engine) error {
+	own, reached, err := m.listen(prefixEngine + engine.Name)
+	m.engines = append(m.engines, place{engine.Name, own})
+	engine.Spec.Address = reached
+	return err
+}
+
+func (m *layoutMaker) placeBackends(service *api.Service) error {
+	for i := range service.Spec.Backends {
+		backend := &service.Spec.Backends[i]
+		own, reached, err := m.listen(prefixBackend + backend.Name)
+		if err != nil {
+			return err
+		}
+		m.backends = append(m.backends, place{backend.Name, own})
+		backend.Address = reached
+	}
+	return nil
 }
 
+// memberListeners are the addresses on which a member listens itself.
+type memberListeners struct{ peer, feed, operator string }
+
 // placeMembers gives every control member its addresses and settings file. It
 // returns the feed addresses.
-func (l *layout) placeMembers(source string, ports *portSource) ([]string, error) {
-	file, err := settings.Load(filepath.Join(source, controlFile), settings.SectionControl, nil)
+func (m *layoutMaker) placeMembers() ([]string, error) {
+	file, err := settings.Load(filepath.Join(m.source, controlFile), settings.SectionControl, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, controlFile)
 	}
 	var feeds []string
+	var listeners []memberListeners
 	for i := range file.Control.Members {
 		member := &file.Control.Members[i]
-		member.PeerAddress = ports.next()
-		member.FeedAddress = ports.next()
-		member.OperatorAddress = ports.next()
+		own, err := m.placeMember(member)
+		if err != nil {
+			return nil, err
+		}
+		listeners = append(listeners, own)
 		feeds = append(feeds, member.FeedAddress)
 	}
-	file.Control.PlatformAddress = l.platform
-	for _, member := range file.Control.Members {
+	if file.Control.PlatformAddress, err = m.via(prefixPlatform, m.platform); err != nil {
+		return nil, err
+	}
+	m.adjust(&file)
+	for i, member := range file.Control.Members {
 		file.Control.Name = member.Name
-		file.Control.DataDirectory = filepath.Join(l.folder, member.Name)
-		path := filepath.Join(l.folder, member.Name+".yaml")
+		file.Control.DataDirectory = filepath.Join(m.folder, member.Name)
+		file.Control.PeerAddress = listeners[i].peer
+		file.Control.FeedAddress = listeners[i].feed
+		file.Control.OperatorAddress = listeners[i].operator
+		path := filepath.Join(m.folder, member.Name+".yaml")
 		if err := writeYAML(path, file); err != nil {
 			return nil, err
 		}
-		l.members = append(l.members, memberPlace{member.Name, path, member.OperatorAddress})
+		m.members = append(m.members, memberPlace{member.Name, path, member.OperatorAddress})
 	}
 	return feeds, nil
 }
 
+func (m *layoutMaker) placeMember(member *settings.Member) (memberListeners, error) {
+	var own memberListeners
+	for _, target := range []struct {
+		kind    string
+		own     *string
+		reached *string
+	}{
+		{linkPeer, &own.peer, &member.PeerAddress},
+		{linkFeed, &own.feed, &member.FeedAddress},
+		{linkOperator, &own.operator, &member.OperatorAddress},
+	} {
+		var err error
+		if *target.own, *target.reached, err = m.listen(target.kind + member.Name); err != nil {
+			return own, err
+		}
+	}
+	return own, nil
+}
+
 // placeProxies gives every zone a proxy.
-func (l *layout) placeProxies(source string, ports *portSource, feeds []string) error {
-	file, err := settings.Load(filepath.Join(source, proxyFile), settings.SectionProxy, nil)
+func (m *layoutMaker) placeProxies(feeds []string) error {
+	file, err := settings.Load(filepath.Join(m.source, proxyFile), settings.SectionProxy, nil)
 	if err != nil {
 		return errors.Wrap(err, proxyFile)
 	}
-	for _, zone := range l.zones() {
+	for _, zone := range m.zones() {
 		file.Proxy.Name = "proxy-" + zone
 		file.Proxy.Zone = zone
-		file.Proxy.Address = ports.next()
-		file.Proxy.AdminAddress = ports.next()
+		file.Proxy.Address = m.ports.next()
+		file.Proxy.AdminAddress = m.ports.next()
 		file.Proxy.Control = feeds
-		path := filepath.Join(l.folder, file.Proxy.Name+".yaml")
+		m.adjust(&file)
+		path := filepath.Join(m.folder, file.Proxy.Name+".yaml")
 		if err := writeYAML(path, file); err != nil {
 			return err
 		}
-		l.proxies = append(l.proxies, proxyPlace{file.Proxy.Name, zone, path, file.Proxy.Address, file.Proxy.AdminAddress})
+		m.proxies = append(m.proxies, proxyPlace{file.Proxy.Name, zone, path, file.Proxy.Address, file.Proxy.AdminAddress})
 	}
 	return nil
 }
--- a/lab/fleet/port.go
+++ b/lab/fleet/port.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -16,18 +17,23 @@
 	portAttempts = 1000
 )
 
+// handedOut holds the addresses of every fleet of this process, so that two
+// that start at the same time never share one.
+var handedOut sync.Map
+
 // freeAddresses returns count loopback addresses with different free ports.
 func freeAddresses(count int) ([]string, error) {
 	var addresses []string
-	taken := map[string]bool{}
 	for range portAttempts {
 		if len(addresses) == count {
 			return addresses, nil
 		}
 		port := firstPort + rand.IntN(lastPort-firstPort)
 		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
-		if !taken[address] && isFree(address) {
-			taken[address] = true
+		if !isFree(address) {
+			continue
+		}
+		if _, taken := handedOut.LoadOrStore(address, true); !taken {
 			addresses = append(addresses, address)
 		}
 	}
