Wait for the only poll before asking a leaving back end

TestLeavingBackEndGetsNothingNew failed in 2 of 6 runs on a machine with a load of 66: the stand-in's answer to the first poll, which says that it serves, came after its answer that says that it leaves. The test now waits for the poll; what it demands is the same.

--- a/process/proxy/rules_test.go
+++ b/process/proxy/rules_test.go
@@ -163,6 +163,7 @@
 	config := quick()
 	config.Intervals.Load = time.Minute // only answers tell
 	f := start(t, config, nil, leaving.server, staying.server)
+	eventually(t, func() bool { return f.endpoint("tiles", "tile-0").word().heard }) // the only poll
 	for range 20 {
 		must.Eq(t, http.StatusOK, f.do(http.MethodGet, "/services/tiles/frame", "").status)
 	}
