Keep a claim that was given up from being granted when it arrives late

Cause: a proxy whose claim gets no answer tells its caller that the request was not run and records that. If the record reached the log before the claim, the record was dropped (no such claim), the claim was then granted, and the key answered "running" until its retention ended, 24 hours: safe, but blocked. Ruled out: sending the record later, since no delay is sure to be long enough. Change: an outcome "not run" without a claim, or beside another one that was not run, is kept for an hour under its nonce; the late claim is then answered "done, not run" and other claimants are granted the key. Before: two new cases of TestClaims fail (the late claim is granted). After: they pass, and the stateful comparison with the oracle, which got the same rule.

--- a/version/state/claims.go
+++ b/version/state/claims.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"time"
+
 	"github.com/landingtrail/landingtrail/version/api"
 )
 
@@ -38,6 +40,8 @@
 	switch {
 	case held.Outcome == api.RunNotRun && held.nonce != request.Nonce:
 		return m.grant(key, request)
+	case held.Outcome == api.RunNotRun:
+		return api.ClaimResult{Code: api.ClaimDone, Claim: held.Claim}
 	case held.BodyHash != request.BodyHash:
 		return refuseClaim(held)
 	case held.Outcome != api.RunUnknown:
@@ -70,6 +74,19 @@
 	return api.ClaimResult{Code: api.ClaimGranted, Claim: record.Claim}
 }
 
+// giveUpClaim remembers that the claim with the nonce must not be granted.
+func (m *Machine) giveUpClaim(key claimKey, nonce uint64) {
+	record := &claimRecord{
+		Claim: api.Claim{Tenant: key.tenant, Key: key.key, Outcome: api.RunNotRun, GrantedAt: m.clock, Revision: m.index},
+		nonce: nonce,
+	}
+	m.claims.add(key, &entry[*claimRecord]{
+		revision: m.index,
+		expires:  expiry(m.clock, lateClaimRetention),
+		value:    record,
+	})
+}
+
 // refuseClaim answers a claim with another body. The recorded answer belongs to
 // the other request and is left out.
 func refuseClaim(held *claimRecord) api.ClaimResult {
@@ -78,11 +95,22 @@
 	return api.ClaimResult{Code: api.ClaimConflict, Claim: claim}
 }
 
+// lateClaimRetention is how long, in milliseconds, a claim that was given up
+// before it arrived is remembered.
+const lateClaimRetention = int64(time.Hour / time.Millisecond)
+
 // recordOutcome records what became of a granted run. Only the claimant may,
-// and only once: a recorded outcome is final.
+// and only once: a recorded outcome is final. A claimant that never learned
+// whether it was granted may record that it will not run; if its claim is not
+// there yet, the record keeps the claim from being granted when it arrives late,
+// which would block the key until its retention ends.
 func (m *Machine) recordOutcome(outcome *RunOutcome) {
 	key := claimKey{tenant: outcome.Tenant, key: outcome.Key}
 	e := m.claims.get(key, m.clock)
+	if outcome.Outcome == api.RunNotRun && (e == nil || e.value.Outcome == api.RunNotRun) {
+		m.giveUpClaim(key, outcome.Nonce)
+		return
+	}
 	if e == nil || e.value.nonce != outcome.Nonce || e.value.Outcome != api.RunUnknown {
 		return
 	}
--- a/version/state/example_test.go
+++ b/version/state/example_test.go
@@ -32,3 +32,57 @@
 	// running
 	// granted
 }
+
+// An order's fence is the place of its log entry. It is bound to the engine's
+// incarnation, and only the engine's own word closes it.
+func Example_orders() {
+	machine := state.New()
+	index := uint64(0)
+	commit := func(command state.Command) any {
+		index++
+		return machine.Apply(5, index, command)
+	}
+	commit(state.Command{Kind: state.CommandTransaction, Transaction: &api.Transaction{
+		OperationID: "fleet",
+		Writes: []api.Write{
+			{Object: api.Object{Engine: &api.Engine{
+				Metadata: api.Metadata{Name: "engine-1", Labels: api.Labels{"pool": "a"}},
+				Spec:     api.EngineSpec{Address: "10.0.0.1:8000", Zone: "west", Service: "narrator"},
+			}}},
+			{Object: api.Object{Intent: &api.Intent{
+				Metadata: api.Metadata{Name: "narrate"},
+				Spec: api.IntentSpec{
+					Engines: api.Selector{All: true}, Classes: api.Selector{All: true},
+					Model: "narrator-7b", Version: "v2", Roles: []api.EngineRole{api.RoleMixed},
+				},
+			}}},
+		},
+	}})
+	report := func(incarnation uint64, fence api.Fence, assignment api.Assignment) state.EngineReport {
+		return state.EngineReport{
+			Engine: "engine-1", Incarnation: incarnation, Phase: api.PhaseIdle, Fence: fence, Assignment: assignment,
+		}
+	}
+	first := report(7, api.Fence{}, api.Assignment{})
+	commit(state.Command{Kind: state.CommandReportEngine, EngineReport: &first})
+
+	wanted := api.Assignment{Model: "narrator-7b", Version: "v2", Role: api.RoleMixed}
+	open := state.OpenOrder{Engine: "engine-1", Incarnation: 7, Assignment: wanted}
+	opened := commit(state.Command{Kind: state.CommandOpenOrder, OpenOrder: &open}).(state.OpenOrderResult)
+	fmt.Println(opened.Code == state.OpenOrderOpened, opened.Order.Fence)
+	again := commit(state.Command{Kind: state.CommandOpenOrder, OpenOrder: &open}).(state.OpenOrderResult)
+	fmt.Println(again.Code == state.OpenOrderAlreadyOpen)
+
+	closing := func(reason state.CloseReason, report state.EngineReport) bool {
+		body := state.CloseOrder{Engine: "engine-1", Fence: opened.Order.Fence, Reason: reason, Report: report}
+		return commit(state.Command{Kind: state.CommandCloseOrder, CloseOrder: &body}).(state.CloseOrderResult).Closed
+	}
+	// Another incarnation never had the order, so it cannot have carried it out.
+	fmt.Println(closing(state.CloseDone, report(8, opened.Order.Fence, wanted)))
+	fmt.Println(closing(state.CloseDone, report(7, opened.Order.Fence, wanted)))
+	// Output:
+	// true {5 3}
+	// true
+	// false
+	// true
+}
--- a/version/state/oracle_test.go
+++ b/version/state/oracle_test.go
@@ -427,6 +427,9 @@
 		return api.ClaimResult{Code: api.ClaimGranted, Claim: claim}
 	}
 	claim := kept.claim
+	if claim.Outcome == api.RunNotRun {
+		return api.ClaimResult{Code: api.ClaimDone, Claim: claim}
+	}
 	if claim.BodyHash != r.BodyHash {
 		claim.Answer = nil
 		return api.ClaimResult{Code: api.ClaimConflict, Claim: claim}
@@ -443,7 +446,13 @@
 func (o *oracle) outcome(r RunOutcome) {
 	key := r.Tenant + "/" + r.Key
 	kept, ok := o.claims[key]
-	if ok && o.clock < kept.expires && kept.nonce == r.Nonce && kept.claim.Outcome == api.RunUnknown {
+	ok = ok && o.clock < kept.expires
+	if r.Outcome == api.RunNotRun && (!ok || kept.claim.Outcome == api.RunNotRun) {
+		claim := api.Claim{Tenant: r.Tenant, Key: r.Key, Outcome: api.RunNotRun, GrantedAt: o.clock, Revision: o.index}
+		o.claims[key] = oracleClaim{claim, r.Nonce, o.clock + lateClaimRetention}
+		return
+	}
+	if ok && kept.nonce == r.Nonce && kept.claim.Outcome == api.RunUnknown {
 		kept.claim.Outcome, kept.claim.Answer = r.Outcome, r.Answer
 		o.claims[key] = kept
 	}
--- a/version/state/rules_test.go
+++ b/version/state/rules_test.go
@@ -301,6 +301,11 @@
 			{nonce: 1, record: api.RunNotRun}, {3, 2, 1, "", 0, api.ClaimRunning}}},
 		{"late duplicate claim", []step{{1, 1, 1, "", 0, api.ClaimGranted}, {nonce: 1, record: api.RunNotRun},
 			{1, 1, 1, "", 0, api.ClaimDone}, {1, 1, 2, "", 0, api.ClaimDone}, {2, 1, 1, "", 0, api.ClaimGranted}}},
+		{"claim that arrives after it was given up", []step{{nonce: 1, record: api.RunNotRun}, {1, 1, 1, "", 0, api.ClaimDone},
+			{1, 2, 1, "", 0, api.ClaimDone}, {2, 1, 1, "", 0, api.ClaimGranted}, {1, 1, 1, "", 0, api.ClaimRunning}}},
+		{"two claims that arrive after they were given up", []step{{nonce: 1, record: api.RunNotRun}, {nonce: 2, record: api.RunNotRun},
+			{2, 1, 1, "", 0, api.ClaimDone}, {3, 1, 1, "", 0, api.ClaimGranted}}},
+		{"completed without a claim", []step{{nonce: 1, record: api.RunCompleted}, {2, 1, 1, "", 0, api.ClaimGranted}}},
 		{"retention", []step{{1, 1, 1, "", 0, api.ClaimGranted}, {2, 1, 1, "", 99, api.ClaimRunning}, {3, 2, 1, "", 100, api.ClaimGranted},
 			{nonce: 1, clock: 100, record: api.RunNotRun}, {4, 2, 1, "", 0, api.ClaimRunning}}},
 	}
