--- a/process/raft/example_test.go
+++ b/process/raft/example_test.go
@@ -52,3 +52,67 @@
 	// apply 2: first
 	// entries on disk: 2 lease: true
 }
+
+// A leader that is cut off loses its lease before any other member can win an
+// election: whoever checks LeaseValid after its work acts as the only leader.
+func ExampleNode_LeaseValid() {
+	const tick = 10 * time.Millisecond
+	nodes := make(map[raft.MemberID]*raft.Node)
+	configuration := raft.Configuration{Voters: []raft.MemberID{1, 2, 3}}
+	for _, id := range configuration.Voters {
+		nodes[id], _ = raft.New(raft.Config{
+			ID:                id,
+			ElectionTimeout:   300 * time.Millisecond,
+			HeartbeatInterval: 50 * time.Millisecond,
+			LeaseDuration:     250 * time.Millisecond,
+		}, raft.InitialState{Configuration: configuration})
+	}
+	now := time.Duration(0)
+	cutOff := raft.None
+	// step lets one tick pass and carries all messages of members not cut off.
+	step := func() {
+		now += tick
+		for _, id := range configuration.Voters {
+			nodes[id].Tick(now)
+		}
+		for moved := true; moved; {
+			moved = false
+			for _, id := range configuration.Voters {
+				for nodes[id].HasReady() {
+					ready := nodes[id].Ready() // persist, then send
+					for _, message := range ready.Messages {
+						if message.From != cutOff && message.To != cutOff {
+							_ = nodes[message.To].Step(now, message)
+						}
+					}
+					nodes[id].Advance(ready)
+					moved = true
+				}
+			}
+		}
+	}
+	holders := func() (ids []raft.MemberID) {
+		for _, id := range configuration.Voters {
+			if nodes[id].LeaseValid(now) {
+				ids = append(ids, id)
+			}
+		}
+		return ids
+	}
+
+	for len(holders()) == 0 {
+		step()
+	}
+	cutOff = holders()[0]
+	for len(holders()) > 0 && holders()[0] == cutOff {
+		step()
+	}
+	fmt.Println("holders after the old lease:", len(holders()))
+	for len(holders()) == 0 {
+		step()
+	}
+	fmt.Println("holders after the election:", len(holders()), "the old one:", holders()[0] == cutOff)
+	// Output:
+	// holders after the old lease: 0
+	// holders after the election: 1 the old one: false
+}
--- a/process/raft/types.go
+++ b/process/raft/types.go
@@ -2,6 +2,13 @@
 // machine: ticks, proposals and messages go in; entries to persist, messages to
 // send and committed entries come out. It opens no file, no socket and reads no
 // clock, so the daemon and the emulator run the same code.
+//
+// Guarantees, while fewer than half of the voters lose what they synced and each
+// caller carries out its Readys in order: a term has at most one leader; an entry
+// that one member was told is committed is never replaced or lost, and every
+// member is handed the same entries in the same order; at any moment LeaseValid
+// is true on at most one member, if no clock gains more on another during an
+// election timeout than the lease is shorter than that.
 package raft
 
 import (
--- a/process/replica/replica.go
+++ b/process/replica/replica.go
@@ -4,6 +4,12 @@
 //
 // Proposals and messages that arrive while the disk syncs are taken together
 // afterwards, so any number of them costs one append and one sync.
+//
+// Guarantees: a proposal that is answered without an error is synced by a quorum
+// and applied here, once; one that is refused (ErrNotLeader, ErrOverloaded,
+// ErrStopped, ErrWithdrawn) is never applied; any other is answered with
+// ErrOutcomeUnknown and is applied at most once. A leader that is cut off answers
+// all that waits within about an election timeout, also without a deadline.
 package replica
 
 import (
--- a/request/router/types.go
+++ b/request/router/types.go
@@ -1,6 +1,10 @@
 // Package router decides where one request goes: filter, score, pick over an
 // immutable snapshot. Each step is a small named plugin. The router holds no
 // connection and reads no clock.
+//
+// Guarantees: a decision depends on the snapshot, the request and the random
+// numbers only; its target has passed every filter, and where none passes the
+// reason names the filter that dropped the last ones.
 package router
 
 import (
--- /dev/null
+++ b/version/api/embedding_test.go
@@ -0,0 +1,93 @@
+package api_test
+
+import (
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	module = "github.com/landingtrail/landingtrail/"
+	root   = "../../"
+)
+
+// embeddable lists the packages that other programs can use on their own.
+var embeddable = []string{
+	"process/controller", "process/raft", "process/replica", "process/snap", "process/wal",
+	"request/attempt", "request/limit", "request/prefix", "request/retry", "request/router",
+	"version/api", "version/binenc", "version/planner", "version/selector", "version/state",
+	"version/subset", "version/view",
+}
+
+// forbidden lists what they must not bring along, also not by way of another
+// package of the project: the service framework, settings, the command line, the
+// event log and the lab.
+var forbidden = []string{
+	"github.com/zeromicro/go-zero",
+	"github.com/peterbourgon/ff",
+	"github.com/go-kit/log",
+	module + "process/settings",
+	module + "process/event",
+	module + "process/control/",
+	module + "process/proxy/",
+	module + "cmd/",
+	module + "lab/",
+}
+
+func TestEmbeddablePackagesBringNoFrameworkAlong(t *testing.T) {
+	for _, folder := range embeddable {
+		t.Run(folder, func(t *testing.T) {
+			path := make(map[string]string)
+			visit(t, folder, path)
+			must.MapNotEmpty(t, path)
+			for imported, from := range path {
+				for _, prefix := range forbidden {
+					must.False(t, strings.HasPrefix(imported+"/", strings.TrimSuffix(prefix, "/")+"/"),
+						must.Sprintf("%s imports %s by %s", folder, imported, from))
+				}
+			}
+		})
+	}
+}
+
+// visit records what the package and the project's packages below it import, and
+// which package imports it.
+func visit(t *testing.T, folder string, path map[string]string) {
+	t.Helper()
+	for _, name := range goFiles(t, folder) {
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.ImportsOnly)
+		must.NoError(t, err)
+		for _, spec := range file.Imports {
+			imported, err := strconv.Unquote(spec.Path.Value)
+			must.NoError(t, err)
+			if _, visited := path[imported]; visited {
+				continue
+			}
+			path[imported] = folder
+			if below, own := strings.CutPrefix(imported, module); own {
+				visit(t, below, path)
+			}
+		}
+	}
+}
+
+// goFiles returns the package's files without its tests.
+func goFiles(t *testing.T, folder string) []string {
+	t.Helper()
+	entries, err := os.ReadDir(filepath.Join(root, folder))
+	must.NoError(t, err)
+	var names []string
+	for _, entry := range entries {
+		if strings.HasSuffix(entry.Name(), ".go") && !strings.HasSuffix(entry.Name(), "_test.go") {
+			names = append(names, filepath.Join(root, folder, entry.Name()))
+		}
+	}
+	must.SliceNotEmpty(t, names)
+	return names
+}
--- a/version/planner/types.go
+++ b/version/planner/types.go
@@ -1,6 +1,10 @@
 // Package planner decides which engine should change to which role, model and
 // version. A plan is a pure function of its input: the same input gives the
 // same plan, and a plan becomes true only when its orders are committed.
+//
+// Guarantees, whatever the policy: only engines that an intent selects, that are
+// well and that have no open order are touched, and never more serving engines of
+// an intent are away at once than its disruption budget allows.
 package planner
 
 import (
--- a/version/selector/selector.go
+++ b/version/selector/selector.go
@@ -1,4 +1,7 @@
 // Package selector matches labels against selectors.
+//
+// Guarantee: an empty selector matches nothing, so a forgotten one never takes the
+// whole fleet.
 package selector
 
 import (
--- a/version/state/command.go
+++ b/version/state/command.go
@@ -2,6 +2,12 @@
 // operations, engine orders, at-most-once claims and the members' addresses.
 // Apply is deterministic: it reads no clock and no random source; whatever the
 // outcome needs stands in the command.
+//
+// Guarantees, within the retention that the commands give, also across snapshots:
+// an operation ID is carried out once and always gets its first answer; a claimed
+// key is granted to another claimant only after the first recorded that its
+// request was surely not run; an engine has at most one open order, its fence is
+// above all earlier ones, and only the engine's own word closes it.
 package state
 
 import (
--- a/version/view/types.go
+++ b/version/view/types.go
@@ -1,6 +1,10 @@
 // Package view distributes versions of the replicated state to daemons: an
 // immutable View that is swapped whole, deltas that only move it forward, and
 // a lease that bounds how long a view may be used without confirmation.
+//
+// Guarantees: the version that a Holder returns never goes back, and no change
+// between two of its versions is missed; once a Tracker says that a version is in
+// force, no daemon uses an older one under a lease.
 package view
 
 import (
