Bound the fair-share tags of tenants; test queue and buckets

Cause: the queue kept a tag for every tenant name that a caller sent, since the fair-queueing clock need not pass any of them: TestTenantTagsAreBounded found 4,096 tags under a bound of 1,024. Change: when no tag can be dropped by the clock, all are. Tests in virtual time: order by priority and fair share, early and late refusals, a class's own bound, buckets.

--- a/request/limit/queue.go
+++ b/request/limit/queue.go
@@ -231,13 +231,18 @@
 	return start
 }
 
-// forgetTenants drops the tags that the clock has passed: they say nothing any more.
+// forgetTenants drops the tags that the clock has passed: they say nothing any
+// more. When too many are left, all go: callers choose the names of tenants,
+// and a flood of names may cost fairness for a moment but no memory.
 func (q *Queue) forgetTenants() {
 	for tenant, finish := range q.finish {
 		if finish <= q.virtual {
 			delete(q.finish, tenant)
 		}
 	}
+	if len(q.finish) >= maxTenants {
+		clear(q.finish)
+	}
 }
 
 // grant lets requests through while places are free.
