Write the programs' main and the commands that show a report once

Change: cli.Main, and showing[Report] for commands without arguments that read one report. What remains of the pairs is shape alone.

--- a/cmd/landingtrail-lab/main.go
+++ b/cmd/landingtrail-lab/main.go
@@ -4,12 +4,8 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
-	"github.com/zeromicro/go-zero/core/logx"
 
 	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 )
@@ -19,13 +15,7 @@
 	environmentPrefix = "LANDINGTRAIL_LAB"
 )
 
-func main() {
-	logx.Disable()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	code := run(ctx, os.Args[1:], cli.Streams{Out: os.Stdout, Err: os.Stderr})
-	stop()
-	os.Exit(int(code))
-}
+func main() { cli.Main(run) }
 
 // run carries out one command line and returns its exit code.
 func run(ctx context.Context, args []string, to cli.Streams) cli.ExitCode {
--- a/cmd/landingtrail/status.go
+++ b/cmd/landingtrail/status.go
@@ -1,43 +1,22 @@
 package main
 
 import (
-	"context"
 	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/landingtrail/landingtrail/cmd/internal/cli"
+	"github.com/landingtrail/landingtrail/connection/operator"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 )
 
 func statusCommand(to cli.Streams) *ffcli.Command {
-	flagSet := cli.NewFlagSet("status")
-	flags := newOperatorFlags(flagSet)
-	return &ffcli.Command{
-		Name:       "status",
-		ShortUsage: "landingtrail status --endpoints A [flags]",
-		ShortHelp:  "Show who serves what, what changes and why, and how many losses can be borne",
-		LongHelp:   cli.ExampleHelp("landingtrail status --endpoints 127.0.0.1:7121"),
-		FlagSet:    flagSet,
-		Options:    cli.Environment(environmentPrefix),
-		Exec: func(ctx context.Context, args []string) error {
-			if err := cli.Exactly(args); err != nil {
-				return err
-			}
-			client, err := flags.client()
-			if err != nil {
-				return err
-			}
-			status, err := client.Status(ctx)
-			if err != nil {
-				return err
-			}
-			if flags.output == cli.OutputJSON {
-				return cli.PrintJSON(to.Out, status)
-			}
-			return printStatus(to, status)
-		},
-	}
+	return showing[operatorapi.Status]{
+		name:  "status",
+		help:  "Show who serves what, what changes and why, and how many losses can be borne",
+		read:  (*operator.Client).Status,
+		print: printStatus,
+	}.command(to)
 }
 
 func printStatus(to cli.Streams, status operatorapi.Status) error {
