--- a/cmd/landingtrail/get.go
+++ b/cmd/landingtrail/get.go
@@ -24,7 +24,7 @@
 		ShortUsage: "landingtrail get [KIND [NAME]] [flags]",
 		ShortHelp:  "Read objects; yaml output can be applied again",
 		LongHelp: cli.ExampleHelp("landingtrail get engines --endpoints 127.0.0.1:7121",
-			"landingtrail get intent narrator --endpoints 127.0.0.1:7103 --output yaml"),
+			"landingtrail get intent narrator --endpoints 127.0.0.1:7121 --output yaml"),
 		FlagSet: flagSet,
 		Options: cli.Environment(environmentPrefix),
 		Exec: func(ctx context.Context, args []string) error {
--- a/connection/operator/calls.go
+++ b/connection/operator/calls.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -119,32 +118,12 @@
 	return orders, c.read(ctx, operatorapi.PathOrders, &orders)
 }
 
-// LedgerQuery asks for the claim of a tenant's key, or for a page of claims
-// after a token when Key is empty.
-type LedgerQuery struct {
-	Tenant string
-	Key    string
-	After  string
-	Limit  int
-}
-
-func (q LedgerQuery) encode() string {
-	query := url.Values{}
-	for name, value := range map[string]string{"tenant": q.Tenant, "key": q.Key, "after": q.After} {
-		if value != "" {
-			query.Set(name, value)
-		}
-	}
-	if q.Limit > 0 {
-		query.Set("limit", strconv.Itoa(q.Limit))
-	}
-	return query.Encode()
-}
-
-// Ledger reads claims.
-func (c *Client) Ledger(ctx context.Context, query LedgerQuery) (operatorapi.Ledger, error) {
+// Ledger reads the claim that a tenant's key has, as everything acknowledged
+// before the call left it.
+func (c *Client) Ledger(ctx context.Context, tenant, key string) (operatorapi.Ledger, error) {
+	query := url.Values{"tenant": {tenant}, "key": {key}}
 	var ledger operatorapi.Ledger
-	return ledger, c.read(ctx, operatorapi.PathLedger+"?"+query.encode(), &ledger)
+	return ledger, c.read(ctx, operatorapi.PathLedger+"?"+query.Encode(), &ledger)
 }
 
 // ChangeMembers asks for one step of a membership change. It is not resent
--- a/connection/operatorapi/operatorapi.go
+++ b/connection/operatorapi/operatorapi.go
@@ -177,12 +177,10 @@
 	Silent    bool      `json:"silent,omitempty"`
 }
 
-// Ledger is a page of claims, ordered by tenant and key.
+// Ledger answers with the claim of one key, or with no claim if none is kept.
 type Ledger struct {
 	Revision uint64      `json:"revision"`
 	Claims   []api.Claim `json:"claims"`
-	// Next is the token of the next page; empty on the last.
-	Next string `json:"next,omitempty"`
 }
 
 // MemberAction is one step of a membership change.
