Leave decode engines alone when prefill engines are full; hand over by another pair

Cause: when a prefill or decode engine refused a part of a split request, the proxy had a decode engine read the whole prompt, 128 tokens a step. In an overload that takes decode engines from their answers, more is refused, and so on. A second fault found by reading: a request for model:adapter passed the model filter never, since the names were compared whole. Change: the proxy leaves out the engine that failed, whichever of the two, and asks for another pair; the router lets a decode engine read prompts only when no engine meant for it is left that is well. With mixed engines nothing is handed over and nothing changes.

--- a/process/proxy/split.go
+++ b/process/proxy/split.go
@@ -25,34 +25,39 @@
 
 // prefill has the prompt read by the prefill engine and its KV cache handed
 // over to the target. The cache goes from engine to engine, never through the
-// proxy. When that fails the request goes whole to one engine.
+// proxy. An engine that fails or refuses is left out and the rest is asked; the
+// router says when no pair is left and one engine has to do it all.
 func (c *call) prefill(ctx context.Context, decision router.Decision) (router.Decision, string, *failure) {
-	handle, err := c.handOver(ctx, decision)
-	if err == nil {
-		return decision, handle, nil
+	for decision.Prefill != nil {
+		handle, failedEngine := c.handOver(ctx, decision)
+		if failedEngine == "" {
+			return decision, handle, nil
+		}
+		c.proxy.metrics.splitFailures.Inc()
+		if failed := c.interrupted(ctx); failed != nil {
+			failed.final = true
+			return decision, "", failed
+		}
+		c.excluded[failedEngine] = true
+		again, failed := c.decide()
+		if failed != nil {
+			return again, "", failed
+		}
+		decision = again
 	}
-	c.proxy.metrics.splitFailures.Inc()
-	if failed := c.interrupted(ctx); failed != nil {
-		failed.final = true
-		return decision, "", failed
-	}
-	c.excluded[decision.Prefill.Name] = true
-	again, failed := c.decide()
-	if failed != nil {
-		return again, "", failed
-	}
-	if again.Prefill != nil {
-		// A decode engine can read the prompt itself, if slowly.
-		again.Prefill = nil
-	}
-	return again, "", nil
+	return decision, "", nil
 }
 
-func (c *call) handOver(ctx context.Context, decision router.Decision) (string, error) {
+// handOver returns the handle of the KV cache on the target, or the name of the
+// engine that it failed on.
+func (c *call) handOver(ctx context.Context, decision router.Decision) (handle, failedEngine string) {
 	endpoints := *c.lane.endpoints.Load()
 	source, target := endpoints[decision.Prefill.Name], endpoints[decision.Target.Name]
-	if source == nil || target == nil {
-		return "", errors.Wrap(errSplit, "engine is gone")
+	if source == nil {
+		return "", decision.Prefill.Name
+	}
+	if target == nil {
+		return "", decision.Target.Name
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.proxy.config.Timeouts.FirstToken)
 	defer cancel()
@@ -61,15 +66,15 @@
 	exported, err := c.callKV(ctx, source, engineapi.PathKVExport, decision.Prefill.Incarnation, export)
 	end()
 	if err != nil {
-		return "", err
+		return "", source.name
 	}
 	end = target.begin(c.proxy.clock(), 0)
 	defer end()
 	imported, err := c.callKV(ctx, target, engineapi.PathKVImport, decision.Target.Incarnation, engineapi.KVImportRequest{Handle: exported})
 	if err != nil {
-		return "", err
+		return "", target.name
 	}
-	return imported.Handle, nil
+	return imported.Handle, ""
 }
 
 // maxHandleBytes bounds the answer that names a handle.
--- a/request/router/filter.go
+++ b/request/router/filter.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/landingtrail/landingtrail/version/api"
 )
@@ -29,13 +30,19 @@
 // Filter implements Filter.
 func (ModelFilter) Filter(request *Request, endpoints []*Endpoint) []*Endpoint {
 	return keep(endpoints, func(endpoint *Endpoint) bool {
-		if endpoint.Model != request.Model {
+		if endpoint.Model != baseModel(request.Model) {
 			return false
 		}
 		return request.Adapter == "" || slices.Contains(endpoint.Adapters, request.Adapter)
 	})
 }
 
+// baseModel is a model as engines hold it, without an adapter that the caller named.
+func baseModel(name string) string {
+	base, _, _ := strings.Cut(name, ":")
+	return base
+}
+
 // ClassFilter keeps engines whose intent serves the request's class.
 type ClassFilter struct{}
 
--- a/request/router/router.go
+++ b/request/router/router.go
@@ -91,6 +91,9 @@
 		}
 	}
 	groups := groupByRole(candidates)
+	if groups.readers() == 0 && readerExcluded(&request, snapshot) {
+		return Decision{}, ReasonAllExcluded
+	}
 	decision, found := r.cheapest(&request, groups, random)
 	if !found {
 		return Decision{}, ReasonNoEngine
@@ -123,6 +126,23 @@
 	return groups
 }
 
+// readers is how many candidates are meant to read prompts.
+func (g roleGroups) readers() int { return len(g.prefill) + len(g.mixed) }
+
+// readerExcluded reports whether an engine that is meant to read prompts is well,
+// admits, and was left out only because it refused this request. Then engines
+// are full, and to have a decode engine read the prompt would take it from the answers
+// that it generates, just when there are most of them.
+func readerExcluded(request *Request, snapshot Snapshot) bool {
+	for _, endpoint := range snapshot.Endpoints {
+		reads := endpoint.Role == api.RolePrefill || endpoint.Role == api.RoleMixed
+		if reads && endpoint.Admits && !endpoint.Suspect && endpoint.Model == baseModel(request.Model) && request.Excluded[endpoint.Name] {
+			return true
+		}
+	}
+	return false
+}
+
 // splitCandidates returns the engines that may read and that may generate when
 // a request is split. Mixed engines take the part that no engine is dedicated
 // to; without any dedicated engine there is nothing to split.
--- a/request/router/router_test.go
+++ b/request/router/router_test.go
@@ -10,6 +10,8 @@
 	"github.com/landingtrail/landingtrail/version/api"
 )
 
+func adapted(endpoint *Endpoint) { endpoint.Adapters = []string{"x"} }
+
 func testRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
 
 func engine(name string, role api.EngineRole, change func(*Endpoint)) *Endpoint {
@@ -89,6 +91,14 @@
 			[]*Endpoint{engine("p", api.RolePrefill, nil), engine("d", api.RoleDecode, nil), engine("x", api.RoleMixed, busy)}, "d", "p", ReasonNone,
 		},
 		{"decode alone", Request{Model: "m"}, []*Endpoint{engine("d", api.RoleDecode, nil)}, "d", "", ReasonNone},
+		{
+			"full prefill engines leave decode engines alone", Request{Model: "m:x", Adapter: "x", Excluded: map[string]bool{"p": true}},
+			[]*Endpoint{engine("d", api.RoleDecode, adapted), engine("p", api.RolePrefill, adapted)}, "", "", ReasonAllExcluded,
+		},
+		{
+			"decode reads for a lost prefill engine", Request{Model: "m", Excluded: map[string]bool{"p": true}},
+			[]*Endpoint{engine("d", api.RoleDecode, nil), engine("p", api.RolePrefill, func(e *Endpoint) { e.Suspect = true })}, "d", "", ReasonNone,
+		},
 		{"prefill alone", Request{Model: "m"}, []*Endpoint{engine("p", api.RolePrefill, nil)}, "", "", ReasonNoEngine},
 	}
 	for _, c := range cases {
