Let a stopping engine refuse what is still on its way before it goes

Cause: an idle stand-in closed its connections 20 ms after SIGTERM, so that a request just written to a kept-alive one was lost and its outcome unknown; the proxies learn of a leaving engine only by its next load report. Change: the engine goes once nothing has come for 500 ms, twice the proxies' default interval of load reports.

--- a/lab/engine/fault.go
+++ b/lab/engine/fault.go
@@ -86,6 +86,9 @@
 // faulty shows the present fault in place of, or before, a handler's answer.
 func (s *Server) faulty(kind pathKind, next http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if kind == faultWork {
+			s.noteWork()
+		}
 		for {
 			fault := s.currentFault()
 			switch {
--- a/lab/engine/protocol_test.go
+++ b/lab/engine/protocol_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -274,6 +275,15 @@
 	body, err := io.ReadAll(response.Body)
 	must.NoError(t, err)
 	must.NoError(t, response.Body.Close())
+	// Work that keeps coming is refused in so many words, and keeps the engine up.
+	const lateRequests = 50
+	for range lateRequests {
+		late, err := client.Post("http://"+address+engineapi.PathChatCompletions, "application/json", strings.NewReader(chat("late", 1)))
+		must.NoError(t, err)
+		must.NoError(t, late.Body.Close())
+		must.Eq(t, "no", late.Header.Get(engineapi.HeaderAdmitted))
+		time.Sleep(drainInterval / 10)
+	}
 	must.NoError(t, <-ended)
 	whole := parseStream(t, body)
 	must.True(t, whole.done)
@@ -287,6 +297,7 @@
 			runs = append(runs, entry.Event)
 		}
 	}
-	must.Eq(t, []ledger.Event{ledger.EventStarted, ledger.EventFinished}, runs)
+	must.Eq(t, []ledger.Event{ledger.EventStarted, ledger.EventFinished}, runs[:2])
+	must.Len(t, 2+lateRequests, runs)
 	must.NoError(t, kept.Close())
 }
--- a/lab/engine/server.go
+++ b/lab/engine/server.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -33,7 +34,11 @@
 
 	peerTimeout   = 30 * time.Second
 	drainInterval = 20 * time.Millisecond
-	idleStep      = time.Second // an idle engine still expires what it keeps
+	// quietPeriod is how long no work may have come before a stopping engine
+	// goes: until then it refuses each request in so many words. Work that is on
+	// its way when a connection closes has an unknown outcome for its sender.
+	quietPeriod = 500 * time.Millisecond
+	idleStep    = time.Second // an idle engine still expires what it keeps
 )
 
 // Config is what a stand-in engine is made of.
@@ -62,6 +67,8 @@
 	tasks   sync.WaitGroup
 	context context.Context
 	cancel  context.CancelFunc
+	// lastWork is the time at which work last came, in the model's time.
+	lastWork atomic.Int64
 
 	// mu guards the model and everything that must agree with it: a batch is
 	// one sequential process.
@@ -161,10 +168,11 @@
 	return served
 }
 
-// drain admits nothing more and returns when no run is left.
+// drain admits nothing more and returns when no run is left and no more work comes.
 func (s *Server) drain(ctx context.Context) {
 	s.setLeaving(leaveStop, true)
-	for ctx.Err() == nil && !s.idle() {
+	s.noteWork()
+	for ctx.Err() == nil && !(s.idle() && s.quiet()) {
 		select {
 		case <-ctx.Done():
 		case <-time.After(drainInterval):
@@ -172,6 +180,12 @@
 	}
 }
 
+// noteWork keeps the time at which work came.
+func (s *Server) noteWork() { s.lastWork.Store(int64(s.now())) }
+
+// quiet reports whether no work has come for a while.
+func (s *Server) quiet() bool { return s.now()-time.Duration(s.lastWork.Load()) > quietPeriod }
+
 func (s *Server) idle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
