Bound the memory of request bodies; document and test every refusal

Cause: bodies are read before a request is admitted, so callers could make a proxy hold any number of them: the queue's bound comes too late. Change: each type of service may hold 64 MiB of bodies; what does not fit is refused as overloaded, not run, with Retry-After. Frames and model work have their own memory. docs/CALLERS.md lists every answer besides the one asked for. Tests: 23 requests that cannot be served, a full queue, deadlines refused early and late, a tenant over its limit, a caller that hangs up in the queue, one that sends no body, and an answer past its bound.

--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -33,6 +33,7 @@
 	codeBodyTooLarge     = "body_too_large"      // 413
 	codeRateLimited      = "rate_limited"        // 429: the tenant's bucket is empty
 	codeQueueFull        = "queue_full"          // 503
+	codeOverloaded       = "overloaded"          // 503: request bodies fill their memory
 	codeNoEngine         = "no_engine"           // 503: none admits now
 	codeControlLost      = "control_lost"        // 503: the view lease has lapsed
 	codeNoQuorum         = "no_quorum"           // 503: a marked request could not be claimed
--- a/process/proxy/config.go
+++ b/process/proxy/config.go
@@ -57,6 +57,7 @@
 // Limits bound what a proxy holds. A zero field takes its default.
 type Limits struct {
 	BodyBytes   int64 // of a request
+	HeldBytes   int64 // of all requests of a type of service together
 	AnswerBytes int64 // of an answer that is held until it is whole
 	EventBytes  int   // of one stream event
 	MaxInFlight int   // of a lane whose service sets none
@@ -116,6 +117,7 @@
 	DefaultClaimRetention    = 24 * time.Hour
 
 	DefaultBodyBytes    = 1 << 20
+	DefaultHeldBytes    = 64 << 20
 	DefaultAnswerBytes  = 4 << 20
 	DefaultEventBytes   = 256 << 10
 	DefaultMaxInFlight  = 256
@@ -178,6 +180,7 @@
 
 func (l *Limits) setDefaults() {
 	setDefault(&l.BodyBytes, DefaultBodyBytes)
+	setDefault(&l.HeldBytes, max(DefaultHeldBytes, l.BodyBytes))
 	setDefault(&l.AnswerBytes, DefaultAnswerBytes)
 	setDefault(&l.EventBytes, DefaultEventBytes)
 	setDefault(&l.MaxInFlight, DefaultMaxInFlight)
--- a/process/proxy/fault_test.go
+++ b/process/proxy/fault_test.go
@@ -268,7 +268,13 @@
 }
 
 func TestSplitServing(t *testing.T) {
-	for _, fails := range []bool{false, true} {
+	drain := func(e *fakeEngine, w http.ResponseWriter) {
+		e.setPhase(api.PhaseDraining)
+		w.Header().Set(engineapi.HeaderPhase, string(api.PhaseDraining))
+		e.refuse(w, http.StatusServiceUnavailable, "draining")
+	}
+	crash := func(_ *fakeEngine, w http.ResponseWriter) { drop(w) }
+	for _, fails := range []func(*fakeEngine, http.ResponseWriter){nil, drain, crash} {
 		prefill, decode := newFakeEngine(t, "e1", 11), newFakeEngine(t, "e2", 12)
 		prefill.failKV = fails
 		engines := []*fakeEngine{prefill, decode}
@@ -278,12 +284,13 @@
 		view.Engines["e2"].Status.Assignment.Role = api.RoleDecode
 		view.Version.Revision = 2
 		f.views.view.Store(view)
-		words, whole := f.stream(HeaderClass, "briefing", HeaderKey, "k1").words()
-		must.True(t, whole)
+		answer := f.stream(HeaderClass, "briefing", HeaderKey, "k1")
+		words, whole := answer.words()
+		must.True(t, whole, must.Sprint(answer.status, answer.body))
 		must.Eq(t, []string{"e2-0", "e2-1", "e2-2"}, words)
 		must.Eq(t, 1, prefill.exports.Load())
 		handle := decode.lastHeader.Load().Get(engineapi.HeaderKVHandle)
-		must.Eq(t, !fails, handle == "h1")
+		must.Eq(t, fails == nil, handle == "h1")
 		must.Eq(t, 0, prefill.runs.Load())
 	}
 }
--- a/process/proxy/handle_model.go
+++ b/process/proxy/handle_model.go
@@ -16,12 +16,13 @@
 // serveCompletion answers POST /v1/chat/completions and /v1/completions.
 func (p *Proxy) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	p.prepare(w)
-	body, failed := p.readBody(w, r)
+	held, failed := p.readBody(w, r, &p.modelBodies)
 	if failed != nil {
 		failed.write(w)
 		return
 	}
-	parsed, failed := parseCompletion(r.URL.Path, body)
+	defer held.release()
+	parsed, failed := parseCompletion(r.URL.Path, held.data)
 	if failed != nil {
 		failed.write(w)
 		return
@@ -33,7 +34,7 @@
 	}
 	started := time.Now()
 	made.offer()
-	failed = made.serve(r.Context(), w, hashBody(r.Method, r.URL.Path, body))
+	failed = made.serve(r.Context(), w, hashBody(r.Method, r.URL.Path, held.data))
 	made.account(failed, time.Since(started))
 }
 
--- a/process/proxy/handle_service.go
+++ b/process/proxy/handle_service.go
@@ -24,7 +24,7 @@
 	id       string
 	request  *http.Request
 	target   string // path and query as the back end sees them
-	body     []byte
+	body     *heldBody
 	envelope envelope
 	priority int
 	deadline time.Time
@@ -54,6 +54,7 @@
 		failed.write(w)
 		return
 	}
+	defer made.body.release()
 	started := time.Now()
 	failed = made.serve(r.Context())
 	p.metrics.ended(made.lane.service, made.envelope.class, failed, time.Since(started))
@@ -92,7 +93,7 @@
 	if failed := p.settle(&read, class); failed != nil {
 		return nil, failed
 	}
-	body, failed := p.readBody(w, r)
+	body, failed := p.readBody(w, r, &p.backendBodies)
 	if failed != nil {
 		return nil, failed
 	}
@@ -168,7 +169,7 @@
 	c.proxy.budget.Deposit()
 	if c.envelope.never {
 		ctx = context.WithoutCancel(ctx)
-		answer := c.proxy.claimRun(ctx, &c.envelope, hashBody(c.request.Method, c.request.URL.RequestURI(), c.body))
+		answer := c.proxy.claimRun(ctx, &c.envelope, hashBody(c.request.Method, c.request.URL.RequestURI(), c.body.data))
 		if answer.granted == nil {
 			return c.answerClaimed(answer)
 		}
--- a/process/proxy/harness_test.go
+++ b/process/proxy/harness_test.go
@@ -118,7 +118,7 @@
 	cancels     atomic.Int32
 	exports     atomic.Int32
 	imports     atomic.Int32
-	failKV      bool
+	failKV      func(e *fakeEngine, w http.ResponseWriter)
 	lastHeader  atomic.Pointer[http.Header]
 }
 
@@ -136,8 +136,8 @@
 	})
 	mux.HandleFunc("POST "+engineapi.PathKVExport, func(w http.ResponseWriter, _ *http.Request) {
 		engine.exports.Add(1)
-		if engine.failKV {
-			engine.refuse(w, http.StatusServiceUnavailable, "draining")
+		if engine.failKV != nil {
+			engine.failKV(engine, w)
 			return
 		}
 		writeJSON(w, http.StatusOK, engineapi.KVHandle{Handle: "h1", Engine: name})
--- /dev/null
+++ b/process/proxy/overload_test.go
@@ -0,0 +1,192 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/version/api"
+)
+
+// TestRefusals sends what cannot be served: each gets its documented answer at
+// once and no engine is asked. docs/CALLERS.md has the same table.
+func TestRefusals(t *testing.T) {
+	const completions = engineapi.PathCompletions
+	long := strings.Repeat("x", maxHeaderValue+1)
+	model := func(name string) string { return `{"model":"` + name + `","prompt":"a","max_tokens":3}` }
+	cases := []struct {
+		name, method, path, body string
+		headers                  []string
+		status                   int
+		code                     string
+		retry                    bool
+	}{
+		{"empty body", "POST", completions, "", nil, 400, codeBadRequest, false},
+		{"no JSON", "POST", completions, "{", nil, 400, codeBadRequest, false},
+		{"no model", "POST", completions, model(""), nil, 400, codeBadRequest, false},
+		{"no prompt", "POST", completions, `{"model":"llm"}`, nil, 400, codeBadRequest, false},
+		{"no messages", "POST", engineapi.PathChatCompletions, model("llm"), nil, 400, codeBadRequest, false},
+		{"negative length", "POST", completions, `{"model":"llm","prompt":"a","max_tokens":-1}`, nil, 400, codeBadRequest, false},
+		{"unknown model", "POST", completions, model("other"), nil, 404, codeUnknownModel, false},
+		{"unknown adapter", "POST", completions, model("llm:other"), nil, 404, codeUnknownModel, false},
+		{"unknown class", "POST", completions, wholeBody, []string{HeaderClass, "x"}, 400, codeUnknownClass, false},
+		{"class of a back end", "POST", completions, wholeBody, []string{HeaderClass, "frame"}, 400, codeUnknownClass, false},
+		{"class that no intent serves", "POST", completions, wholeBody, []string{HeaderClass, "unserved"}, 403, codeClassRefused, false},
+		{"long tenant", "POST", completions, wholeBody, []string{HeaderTenant, long}, 400, codeBadRequest, false},
+		{"deadline is no number", "POST", completions, wholeBody, []string{HeaderDeadline, "soon"}, 400, codeBadRequest, false},
+		{"negative deadline", "POST", completions, wholeBody, []string{HeaderDeadline, "-1"}, 400, codeBadRequest, false},
+		{"no time left", "POST", completions, wholeBody, []string{HeaderDeadline, "0"}, 504, codeDeadlineShort, false},
+		{"deadline that no engine can meet", "POST", completions, wholeBody, []string{HeaderDeadline, "9"}, 504, codeDeadlineShort, true},
+		{"body past the cap", "POST", completions, strings.Repeat(" ", 3000), nil, 413, codeBodyTooLarge, false},
+		{"frame past the cap", "PUT", "/services/tiles/a", strings.Repeat(" ", 3000), nil, 413, codeBodyTooLarge, false},
+		{"unknown service", "GET", "/services/none/a", "", nil, 404, codeUnknownService, false},
+		{"model service as a back end", "GET", "/services/narrator/a", "", nil, 404, codeUnknownService, false},
+		{"class of another service", "GET", "/services/tiles/a", "", []string{HeaderClass, "cap"}, 400, codeUnknownClass, false},
+		{"no path", "GET", "/nowhere", "", nil, 404, codeNotFound, false},
+		{"wrong method", "GET", completions, "", nil, 405, codeMethod, false},
+	}
+	engine, backend := newFakeEngine(t, "e1", 11), newFakeBackend(t)
+	config := quick()
+	config.Limits.BodyBytes = 2048
+	f := start(t, config, []*fakeEngine{engine}, backend.server)
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			answer := f.do(test.method, test.path, test.body, test.headers...)
+			must.Eq(t, test.status, answer.status)
+			must.Eq(t, test.code, answer.code())
+			must.Eq(t, "no", answer.ran())
+			must.Eq(t, test.retry, answer.header.Get("Retry-After") != "")
+		})
+	}
+	must.Eq(t, 0, engine.runs.Load()+backend.runs.Load())
+	must.Eq(t, 0, f.proxy.modelBodies.held.Load()+f.proxy.backendBodies.held.Load())
+}
+
+// overloaded is a proxy whose only place is taken by a stream that runs until
+// free is called; class "cap" may have one request waiting.
+func overloaded(t *testing.T, change func(*Config)) (f *fleet, free func()) {
+	t.Helper()
+	hold := make(chan struct{})
+	engine, backend := newFakeEngine(t, "e1", 11), newFakeBackend(t)
+	engine.script = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) {
+		id, number := runOf(r)
+		e.tokens(w, id, number, 0, 1)
+		<-hold
+		e.answer(w, r, 1, 3)
+	}
+	config := quick()
+	config.Limits.MaxInFlight = 1
+	config.Timeouts.Stall = time.Minute
+	change(&config)
+	f = start(t, config, []*fakeEngine{engine}, backend.server)
+	limited := newView(f.engines, nil)
+	limited.Services["tiles"] = f.views.Load().Services["tiles"]
+	limited.Classes["cap"].Spec.QueueLimit = 1
+	limited.Version.Revision = 2
+	f.views.view.Store(limited)
+	hangUp := f.open(HeaderClass, "cap")
+	free = func() { close(hold); hangUp() }
+	return f, free
+}
+
+func TestOverload(t *testing.T) {
+	f, free := overloaded(t, func(*Config) {})
+	defer free()
+	early := f.stream(HeaderClass, "cap", HeaderDeadline, "90")
+	must.Eq(t, http.StatusGatewayTimeout, early.status)
+	must.Eq(t, codeDeadlineShort, early.code())
+	must.Eq(t, "no", early.ran())
+	must.NotEq(t, "", early.header.Get("Retry-After"))
+
+	waiting := make(chan *reply, 1)
+	go func() { waiting <- f.stream(HeaderClass, "cap", HeaderDeadline, "700") }()
+	queue := f.proxy.lanes.find("narrator").queue
+	eventually(t, func() bool { return queue.Depth().Waiting == 1 })
+	full := f.stream(HeaderClass, "cap")
+	must.Eq(t, http.StatusServiceUnavailable, full.status)
+	must.Eq(t, codeQueueFull, full.code())
+	must.Eq(t, "no", full.ran())
+	must.NotEq(t, "", full.header.Get("Retry-After"))
+	must.Eq(t, http.StatusOK, f.do(http.MethodGet, "/services/tiles/frame", "").status) // its own lane
+
+	expired := <-waiting
+	must.Eq(t, http.StatusGatewayTimeout, expired.status)
+	must.Eq(t, codeDeadlineExceeded, expired.code())
+	must.Eq(t, "no", expired.ran())
+	must.Eq(t, 0, queue.Depth().Waiting)
+	must.Eq(t, 1, f.engines[0].runs.Load())
+}
+
+func TestTenantOverItsLimit(t *testing.T) {
+	f := start(t, quick(), []*fakeEngine{newFakeEngine(t, "e1", 11)})
+	limited := newView(f.engines, nil)
+	limited.Tenants["small"] = &api.Tenant{Metadata: api.Metadata{Name: "small"}, Spec: api.TenantSpec{TokensPerSecond: 0.01, Burst: 10}}
+	limited.Version.Revision = 2
+	f.views.view.Store(limited)
+	must.Eq(t, http.StatusOK, f.stream(HeaderClass, "cap", HeaderTenant, "small").status)
+	answer := f.stream(HeaderClass, "cap", HeaderTenant, "small")
+	must.Eq(t, http.StatusTooManyRequests, answer.status)
+	must.Eq(t, codeRateLimited, answer.code())
+	must.Eq(t, "no", answer.ran())
+	must.NotEq(t, "", answer.header.Get("Retry-After"))
+	must.Eq(t, http.StatusOK, f.stream(HeaderClass, "cap").status)
+}
+
+// TestCallerHangsUpInTheQueue leaves the queue, and no engine hears of it.
+func TestCallerHangsUpInTheQueue(t *testing.T) {
+	f, free := overloaded(t, func(*Config) {})
+	defer free()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	must.NoError(t, err)
+	_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: a\r\nLandingtrail-Class: cap\r\nContent-Length: 49\r\n\r\n"+
+		`{"model":"llm","prompt":"a b c","max_tokens":  3}`)
+	must.NoError(t, err)
+	queue := f.proxy.lanes.find("narrator").queue
+	eventually(t, func() bool { return queue.Depth().Waiting == 1 })
+	must.NoError(t, conn.Close())
+	eventually(t, func() bool { return queue.Depth().Waiting == 0 })
+	must.Eq(t, 1, f.engines[0].runs.Load())
+}
+
+// TestCallerWhoSendsNoBody holds a part of the memory for bodies until its time
+// is over; what does not fit besides is refused, except on the other type's.
+func TestCallerWhoSendsNoBody(t *testing.T) {
+	backend := newFakeBackend(t)
+	config := quick()
+	config.Limits.BodyBytes, config.Limits.HeldBytes = 1024, 1024
+	config.Timeouts.ReadBody = time.Second
+	f := start(t, config, []*fakeEngine{newFakeEngine(t, "e1", 11)}, backend.server)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n{")
+	must.NoError(t, err)
+	eventually(t, func() bool { return f.proxy.modelBodies.held.Load() == 1000 })
+	answer := f.stream(HeaderClass, "cap")
+	must.Eq(t, http.StatusServiceUnavailable, answer.status)
+	must.Eq(t, codeOverloaded, answer.code())
+	must.Eq(t, "no", answer.ran())
+	must.Eq(t, http.StatusOK, f.do(http.MethodPost, "/services/tiles/frame", "abc").status)
+	eventually(t, func() bool { return f.stream(HeaderClass, "cap").status == http.StatusOK })
+	must.Eq(t, 0, f.proxy.modelBodies.held.Load())
+}
+
+// TestAnswerPastItsBound is not held: its caller is told to ask for a stream.
+func TestAnswerPastItsBound(t *testing.T) {
+	engine := newFakeEngine(t, "e1", 11)
+	engine.script = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) { e.answer(w, r, 0, 1000) }
+	config := quick()
+	config.Limits.AnswerBytes = 1000
+	f := start(t, config, []*fakeEngine{engine})
+	answer := f.do(http.MethodPost, engineapi.PathCompletions, wholeBody, HeaderClass, "cap")
+	must.Eq(t, http.StatusBadGateway, answer.status)
+	must.Eq(t, codeAnswerTooLarge, answer.code())
+	must.Eq(t, "yes", answer.ran())
+	must.Eq(t, 1, engine.runs.Load())
+}
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -53,6 +53,9 @@
 	running *inFlight
 	demand  *demandWindow
 	metrics *metrics
+	// modelBodies and backendBodies bound the memory of request bodies.
+	modelBodies   bodyBudget
+	backendBodies bodyBudget
 
 	// lapsed is when the view lease was first seen lapsed; 0 while it holds.
 	lapsed atomic.Int64
@@ -87,6 +90,8 @@
 		metrics:  newMetrics(),
 		instance: rand.Uint64(),
 	}
+	made.modelBodies.limit = config.Limits.HeldBytes
+	made.backendBodies.limit = config.Limits.HeldBytes
 	made.background, made.stop = context.WithCancel(context.Background())
 	made.tasks.Go(made.followViews)
 	made.tasks.Go(made.reportDemand)
--- a/process/proxy/request.go
+++ b/process/proxy/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -112,33 +111,6 @@
 	return nil
 }
 
-// readBody reads a body up to the bound.
-func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *failure) {
-	limit := p.config.Limits.BodyBytes
-	if r.ContentLength > limit {
-		return nil, tooLarge(limit)
-	}
-	deadline := time.Now().Add(p.config.Timeouts.ReadBody)
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(deadline) // without it the server's own limits hold
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var past *http.MaxBytesError
-	switch {
-	case errors.As(err, &past):
-		return nil, tooLarge(limit)
-	case err != nil:
-		return nil, invalid(codeBadRequest, "the body was cut short")
-	}
-	_ = controller.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
-func tooLarge(limit int64) *failure {
-	refused := invalid(codeBodyTooLarge, "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
-	refused.status = http.StatusRequestEntityTooLarge
-	return refused
-}
-
 // completion is a parsed model request.
 type completion struct {
 	path         string
--- a/process/proxy/run_backend.go
+++ b/process/proxy/run_backend.go
@@ -177,13 +177,13 @@
 	if !some {
 		return nil, errors.WithStack(context.DeadlineExceeded)
 	}
-	request, err := http.NewRequestWithContext(ctx, c.request.Method, "http://"+target.address+c.target, bytes.NewReader(c.body))
+	request, err := http.NewRequestWithContext(ctx, c.request.Method, "http://"+target.address+c.target, bytes.NewReader(c.body.data))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
 	request.Header = c.request.Header.Clone()
 	request.Host = c.request.Host
-	if len(c.body) == 0 {
+	if len(c.body.data) == 0 {
 		request.Body = http.NoBody
 	}
 	header := request.Header
