Show the group's health in metrics; name a missing object; bound what persons are shown

Metrics: further losses, daemons with a lease, daemons behind and open orders, NaN where only the leader knows. An object that does not exist is named, instead of 'no such path'. Members are listed by name. Conflicts and lists of names are cut after 20 on the terminal, since an intent that selects all engines of a large fleet gave a line for each; the JSON output holds all.

--- a/cmd/landingtrail/apply.go
+++ b/cmd/landingtrail/apply.go
@@ -179,9 +179,16 @@
 	}
 }
 
+// maxPrinted bounds the names and conflicts that a person is shown; the JSON
+// output holds all of them.
+const maxPrinted = 20
+
 func listOrNone(names []string) string {
-	if len(names) == 0 {
+	switch {
+	case len(names) == 0:
 		return "none"
+	case len(names) > maxPrinted:
+		return fmt.Sprintf("%s and %d more (%d)", strings.Join(names[:maxPrinted], ", "), len(names)-maxPrinted, len(names))
 	}
 	return fmt.Sprintf("%s (%d)", strings.Join(names, ", "), len(names))
 }
--- a/cmd/landingtrail/transact.go
+++ b/cmd/landingtrail/transact.go
@@ -220,7 +220,7 @@
 		return settings.Faults(result.Faults)
 	case api.OutcomeTooBroad:
 		return cli.UsageError{Field: "allow-broad", Message: fmt.Sprintf("the change would move %d engines, more than the group's maxAffectedEngines; give --allow-broad to allow it: %s",
-			len(result.AffectedEngines), strings.Join(result.AffectedEngines, ", "))}
+			len(result.AffectedEngines), listOrNone(result.AffectedEngines))}
 	}
 	return conflictError{conflictLines(result)}
 }
@@ -230,9 +230,12 @@
 		return []string{"operation-id: was used with another body; nothing was changed"}
 	}
 	var lines []string
-	for _, conflict := range result.Conflicts {
+	for _, conflict := range result.Conflicts[:min(len(result.Conflicts), maxPrinted)] {
 		lines = append(lines, conflictLine(result.Code, conflict))
 	}
+	if more := len(result.Conflicts) - maxPrinted; more > 0 {
+		lines = append(lines, fmt.Sprintf("conflict: %d more, which --output json lists", more))
+	}
 	if len(lines) == 0 {
 		lines = []string{string(result.Code)}
 	}
--- a/process/control/handlers.go
+++ b/process/control/handlers.go
@@ -82,7 +82,11 @@
 		shown := current.machine.view()
 		object, found := shown.Object(key)
 		if !found {
-			notFound(w, r)
+			writeError(w, http.StatusNotFound, operatorapi.Error{
+				Code:    operatorapi.ErrorNotFound,
+				Message: key.String() + " does not exist",
+				Faults:  []api.FieldFault{{Field: "name", Message: key.String() + " does not exist"}},
+			})
 			return
 		}
 		writeObjects(w, shown, term, []api.Object{withStatus(shown, object)})
--- a/process/control/input_test.go
+++ b/process/control/input_test.go
@@ -64,6 +64,7 @@
 		"too large":            {"POST", transactions, strings.Repeat(" ", 2<<10), 413, operatorapi.ErrorBodyTooLarge, "", "too large"},
 		"kind of a list":       {"GET", operatorapi.PathObjects + "/Gadget", "", 404, operatorapi.ErrorNotFound, "kind", "Tenant"},
 		"kind of an object":    {"GET", operatorapi.PathObjects + "/Gadget/a", "", 404, operatorapi.ErrorNotFound, "kind", "Tenant"},
+		"name of an object":    {"GET", operatorapi.PathObjects + "/Tenant/a", "", 404, operatorapi.ErrorNotFound, "name", "Tenant/a does not exist"},
 		"unknown path":         {"GET", "/apis/v2/status", "", 404, operatorapi.ErrorNotFound, "", "/apis/v2/status"},
 		"wrong method":         {"DELETE", operatorapi.PathStatus, "", 405, operatorapi.ErrorWrongMethod, "", "DELETE"},
 		"revision":             {"GET", operatorapi.PathInForce + "?revision=x", "", 400, operatorapi.ErrorInvalidBody, "revision", "number"},
--- a/process/control/metrics.go
+++ b/process/control/metrics.go
@@ -1,9 +1,12 @@
 package control
 
 import (
+	"math"
 	"net/http"
 
+	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
@@ -63,11 +66,38 @@
 	m.gauge("commit_index", "The highest log index known to be committed.", func() float64 { return float64(status().Commit) })
 	m.gauge("applied_index", "The highest log index applied.", func() float64 { return float64(status().Applied) })
 	m.gauge("subscribers", "Connections to the member's feed.", func() float64 { return float64(started.feed.Subscribers()) })
+	leading := func(read func() int) func() float64 {
+		return func() float64 {
+			if !started.group.Load().Leadership().Leads {
+				return math.NaN()
+			}
+			return float64(read())
+		}
+	}
+	daemons := func() feed.Daemons { return started.feed.Daemons(started.machine.view().Version.Revision) }
+	m.gauge("further_losses", "Voters that can be lost without losing the quorum; only the leader knows.", leading(func() int {
+		return started.health(status()).furtherLosses
+	}))
+	m.gauge("daemons_leased", "Daemons that hold a view lease; only the leader knows.", leading(func() int { return daemons().Leased }))
+	m.gauge("daemons_behind", "Daemons that hold a lease on an older revision; only the leader knows.", leading(func() int {
+		return len(daemons().Behind)
+	}))
+	m.gauge("open_orders", "Engines with an open order.", func() float64 { return float64(openOrders(started.machine.view())) })
 	m.gauge("dropped_messages", "Messages of other members that found no room.", func() float64 {
 		return float64(started.replica.DroppedMessages())
 	})
 }
 
+func openOrders(shown *view.View) int {
+	open := 0
+	for _, engine := range shown.Engines {
+		if engine.Status.OpenOrder != nil {
+			open++
+		}
+	}
+	return open
+}
+
 // handler serves the metrics.
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/process/control/status.go
+++ b/process/control/status.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -20,11 +21,7 @@
 	s.leased(w, r, func(current *group, term uint64) {
 		raftStatus := current.replica.Status()
 		shown := current.machine.view()
-		commit := raftStatus.Commit
-		if duties := s.member.duties.current(); duties != nil {
-			commit = duties.lastCommit()
-		}
-		condition := current.health(raftStatus, commit)
+		condition := s.member.health(raftStatus)
 		daemons := s.member.feed.Daemons(shown.Version.Revision)
 		writeJSON(w, http.StatusOK, operatorapi.Status{
 			Leader:        s.member.config.Name,
@@ -41,9 +38,18 @@
 	})
 }
 
+// health is what this member knows as the leader.
+func (m *member) health(status raft.Status) health {
+	commit := status.Commit
+	if duties := m.duties.current(); duties != nil {
+		commit = duties.lastCommit()
+	}
+	return m.group.Load().health(status, commit)
+}
+
 // memberList returns the members of the configuration as the leader sees them.
 func memberList(current *group, status raft.Status) []operatorapi.Member {
-	var members []operatorapi.Member
+	members := make([]operatorapi.Member, 0, len(status.Configuration.Voters)+len(status.Configuration.Learners))
 	for _, id := range allMembers(status.Configuration) {
 		recorded := current.address(id)
 		match := status.Match[id]
@@ -62,6 +68,9 @@
 			Active:          id == status.ID || status.RecentlyActive[id],
 		})
 	}
+	slices.SortFunc(members, func(a, b operatorapi.Member) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.ID, b.ID))
+	})
 	return members
 }
 
