Bound the polls of a proxy's lane, whatever it follows

Change: at most 100 rounds a second in a lane; with more than 25 endpoints each is asked less often (192: every 1.9 s). Today's sizes poll as before. Ruled out: a smaller subset, which spreads load less evenly.

--- a/process/proxy/poller.go
+++ b/process/proxy/poller.go
@@ -23,6 +23,11 @@
 // pollFailures is how many polls in a row must fail before the endpoint is suspect.
 const pollFailures = 3
 
+// maxRoundsPerSecond bounds the polls of a lane: with more endpoints each is
+// asked less often. A proxy that follows 192 engines every 250 ms spends a
+// fifth of a core on it (docs/CAPACITY.md).
+const maxRoundsPerSecond = 100
+
 // poller asks one endpoint for its load and cache events. It goes by net/http
 // and not by httpc: the breaker in httpc would stop the polls of an endpoint
 // that fails, and with them the news that it is back.
@@ -50,16 +55,23 @@
 		} else if failures++; failures == pollFailures && ctx.Err() == nil {
 			p.endpoint.fail(p.proxy.clock())
 		}
-		if sinceCache += intervals.Load; p.endpoint.model && sinceCache >= intervals.Cache {
+		interval := p.interval()
+		if sinceCache += interval; p.endpoint.model && sinceCache >= intervals.Cache {
 			sinceCache = 0
 			p.pollCache(ctx)
 		}
-		if !sleep(ctx, jitter(intervals.Load)) {
+		if !sleep(ctx, jitter(interval)) {
 			return
 		}
 	}
 }
 
+// interval is the configured one, or as long as the lane's bound makes it.
+func (p *poller) interval() time.Duration {
+	followed := len(*p.lane.endpoints.Load())
+	return max(p.proxy.config.Intervals.Load, time.Duration(followed)*time.Second/maxRoundsPerSecond)
+}
+
 // jitter spreads polls over time, so that daemons do not ask in step.
 func jitter(interval time.Duration) time.Duration {
 	return interval*9/10 + time.Duration(rand.Int64N(int64(interval/5)+1))
