Let large deltas of the feed wait their turn

Cause: in the scale run of 2,100 daemons and 10,000 replicas all daemons asked the leader for a whole view at once; shared evenly, few had theirs within the client's silence timeout, and the rest came back for it from the start: 6,914 feed sessions ended, and 44 s passed until all followed (load of the machine about 48, other work beside it). Change: deltas of 256 KiB and more hold one of MaxBulkDeltas (32) places until the subscriber acknowledges; one that beats on without it is cut off. Ruled out: a longer silence timeout, which also makes a dead leader be found later.

--- /dev/null
+++ b/connection/feed/bulk_test.go
@@ -0,0 +1,77 @@
+package feed
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/landingtrail/landingtrail/version/view"
+)
+
+// bulkTenants make a view larger than bulkPayload.
+const bulkTenants = 20_000
+
+func startBulkServer(t *testing.T, config ServerConfig) (*Server, string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	config.ViewLease, config.WriteTimeout = testLease, time.Second
+	server := NewServer(config, listener)
+	t.Cleanup(server.Close)
+	return server, listener.Addr().String()
+}
+
+// subscribeAnew asks for a whole view.
+func subscribeAnew(t *testing.T, address, daemon string) *rawSubscriber {
+	raw := newRawSubscriber(t, address)
+	raw.send(kindSubscribe, encodeSubscribe(subscribe{daemon: daemon}))
+	return raw
+}
+
+// readDelta returns the version that the next frame, a delta, leads to.
+func (r *rawSubscriber) readDelta() view.Version {
+	received, err := r.reader.ReadFrame()
+	must.NoError(r.t, err)
+	must.Eq(r.t, kindDelta, received.Kind)
+	must.GreaterEq(r.t, bulkPayload, len(received.Payload))
+	delta, err := decodeDelta(received.Payload)
+	must.NoError(r.t, err)
+	return delta.To
+}
+
+func TestLargeDeltasWaitTheirTurn(t *testing.T) {
+	group := newFakeGroup()
+	group.putTogether("water", bulkTenants)
+	server, address := startBulkServer(t, ServerConfig{Group: group, MaxBulkDeltas: 2, SilenceTimeout: patience})
+	first := subscribeAnew(t, address, "first")
+	version := first.readDelta()
+	second := subscribeAnew(t, address, "second")
+	second.readDelta()
+	third := subscribeAnew(t, address, "third")
+	eventually(t, "three subscriptions", func() bool { return server.Subscribers() == 3 })
+	must.NoError(t, third.conn.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err := third.conn.Read(make([]byte, 1))
+	must.Error(t, err, must.Sprint("two large deltas are on their way already"))
+
+	first.send(kindBeat, encodeBeat(beat{acked: version}))
+	must.Eq(t, version, third.readDelta())
+	must.NoError(t, second.conn.Close())
+	subscribeAnew(t, address, "fourth").readDelta()
+}
+
+func TestSubscriberThatNeverAcknowledgesLosesItsPlace(t *testing.T) {
+	group := newFakeGroup()
+	group.putTogether("water", bulkTenants)
+	server, address := startBulkServer(t, ServerConfig{Group: group, MaxBulkDeltas: 1, SilenceTimeout: time.Second})
+	stuck := subscribeAnew(t, address, "stuck")
+	stuck.readDelta()
+	sequence := uint64(0)
+	eventually(t, "the stuck subscriber is cut off", func() bool {
+		sequence++
+		_ = stuck.writer.WriteFrame(kindBeat, encodeBeat(beat{sequence: sequence}))
+		_ = stuck.writer.Flush()
+		return server.Subscribers() == 0
+	})
+	subscribeAnew(t, address, "next").readDelta()
+}
--- a/connection/feed/server.go
+++ b/connection/feed/server.go
@@ -58,6 +58,11 @@
 	// of one connection that are under way.
 	MaxSubscribers int
 	MaxClaims      int
+	// MaxBulkDeltas bounds the subscribers that large deltas are on the way to
+	// at once; the others wait their turn. When all daemons start again
+	// together and share the network evenly, none would get a whole view before
+	// it gives up and starts anew.
+	MaxBulkDeltas int
 	// Clock reads the monotonic clock; nil counts from the start of the process.
 	Clock  func() time.Duration
 	Logger log.Logger
@@ -68,6 +73,7 @@
 	DefaultViewLease      = 3 * time.Second
 	DefaultMaxSubscribers = 4096
 	DefaultMaxClaims      = 256
+	DefaultMaxBulkDeltas  = 32
 )
 
 func (c ServerConfig) withDefaults() ServerConfig {
@@ -76,6 +82,7 @@
 	c.SilenceTimeout = orDefault(c.SilenceTimeout, 2*DefaultSilenceTimeout)
 	c.MaxSubscribers = orDefault(c.MaxSubscribers, DefaultMaxSubscribers)
 	c.MaxClaims = orDefault(c.MaxClaims, DefaultMaxClaims)
+	c.MaxBulkDeltas = orDefault(c.MaxBulkDeltas, DefaultMaxBulkDeltas)
 	if c.Clock == nil {
 		c.Clock = systemClock
 	}
@@ -101,6 +108,7 @@
 	count    atomic.Int64
 	registry atomic.Pointer[registry]
 	cache    deltaCache
+	bulk     chan struct{} // one for each large delta on its way
 	context  context.Context
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
@@ -109,6 +117,7 @@
 // NewServer starts a Server on the listener, which it owns from now on.
 func NewServer(config ServerConfig, listener net.Listener) *Server {
 	s := &Server{config: config.withDefaults(), listener: listener}
+	s.bulk = make(chan struct{}, s.config.MaxBulkDeltas)
 	s.context, s.cancel = context.WithCancel(context.Background())
 	for i := range s.shards {
 		s.shards[i].subscribers = map[*subscriber]struct{}{}
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -37,6 +37,7 @@
 	acked  view.Version
 	heard  bool   // a beat arrived that writeNews has not seen
 	beat   uint64 // sequence of the latest beat without a grant, 0 if none
+	bulk   bulkDelta
 }
 
 func newSubscriber(server *Server, conn net.Conn) *subscriber {
@@ -74,6 +75,7 @@
 	cancel()
 	writer.Wait()
 	s.calls.Wait()
+	s.endBulk()
 	if writeErr != nil {
 		return writeErr
 	}
@@ -156,6 +158,9 @@
 	s.heard = true
 	s.beat = max(s.beat, message.sequence)
 	s.lock.Unlock()
+	if err := s.checkBulk(message.acked); err != nil {
+		return err
+	}
 	s.signal()
 	return nil
 }
@@ -277,7 +282,7 @@
 	if !leadership.Leads {
 		return s.moveOn(ctx, writer, leadership.Address)
 	}
-	if err := s.writeDelta(writer, sent); err != nil {
+	if err := s.writeDelta(ctx, writer, sent); err != nil {
 		return err
 	}
 	if !heard {
@@ -312,11 +317,21 @@
 	return errNotLeader
 }
 
-func (s *subscriber) writeDelta(writer *frame.Writer, sent view.Version) error {
+func (s *subscriber) writeDelta(ctx context.Context, writer *frame.Writer, sent view.Version) error {
 	payload, to, err := s.server.cache.since(s.server.config.Group, sent)
 	if err != nil || payload == nil {
 		return err
 	}
+	if len(payload) >= bulkPayload {
+		if err := s.beginBulk(ctx); err != nil {
+			return err
+		}
+		// The group may have moved on while the subscriber waited.
+		if payload, to, err = s.server.cache.since(s.server.config.Group, sent); err != nil {
+			return err
+		}
+		s.sendBulk(to)
+	}
 	if err := writer.WriteFrame(kindDelta, payload); err != nil {
 		return err
 	}
