--- a/cmd/internal/cli/flag.go
+++ b/cmd/internal/cli/flag.go
@@ -66,7 +66,7 @@
 
 // BoolFlag defines a flag that is false unless it stands on the command line.
 func BoolFlag(flagSet *flag.FlagSet, target *bool, name, usage string) {
-	flagSet.Var(&parsedFlag{boolean: true, parse: func(text string) error {
+	flagSet.Var(&parsedFlag{text: "false", boolean: true, parse: func(text string) error {
 		parsed, err := strconv.ParseBool(text)
 		if err != nil {
 			return allowedError("must be true or false")
