Choose a daemon's subset without sorting every endpoint

Cause: each new view makes a proxy choose among all engines; at 10,000 the sort and a hash state for each endpoint cost most of it. Change: keep the best few of each share while scoring; one buffer for hashing. Ruled out: another hash, which would move every daemon's choice at an upgrade.

--- a/version/subset/subset.go
+++ b/version/subset/subset.go
@@ -16,6 +16,7 @@
 package subset
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,55 +63,77 @@
 }
 
 func chooseGroup(daemon, zone string, members []Endpoint, sizes Sizes) []string {
-	local, remote := splitByZone(rank(daemon, members), zone)
 	wanted := min(sizes.Local+sizes.Remote, len(members))
-	localCount := min(sizes.Local, len(local))
-	remoteCount := min(wanted-localCount, len(remote))
-	localCount = wanted - remoteCount
-	return append(local[:localCount:localCount], remote[:remoteCount]...)
+	local, remote := best{limit: wanted}, best{limit: wanted}
+	hash := newHasher(daemon)
+	for _, member := range members {
+		candidate := scored{name: member.Name, score: hash.score(member.Name)}
+		if member.Zone == zone {
+			local.offer(candidate)
+		} else {
+			remote.offer(candidate)
+		}
+	}
+	localCount := min(sizes.Local, len(local.kept))
+	remoteCount := min(wanted-localCount, len(remote.kept))
+	return append(local.names(wanted-remoteCount), remote.names(remoteCount)...)
 }
 
+// scored is an endpoint with its score for one daemon.
 type scored struct {
-	endpoint Endpoint
-	score    uint64
+	name  string
+	score uint64
 }
 
-// rank orders the members by the daemon's score, highest first; equal scores
-// are ordered by name, so that the order is total.
-func rank(daemon string, members []Endpoint) []Endpoint {
-	scores := make([]scored, len(members))
-	for i, member := range members {
-		scores[i] = scored{endpoint: member, score: score(daemon, member.Name)}
-	}
-	sort.Slice(scores, func(i, j int) bool {
-		if scores[i].score != scores[j].score {
-			return scores[i].score > scores[j].score
-		}
-		return scores[i].endpoint.Name < scores[j].endpoint.Name
-	})
-	ranked := make([]Endpoint, len(scores))
-	for i := range scores {
-		ranked[i] = scores[i].endpoint
+// before orders by score, highest first; equal scores are ordered by name, so
+// that the order is total.
+func (s scored) before(other scored) bool {
+	if s.score != other.score {
+		return s.score > other.score
 	}
-	return ranked
+	return s.name < other.name
 }
 
-func score(daemon, endpoint string) uint64 {
-	digest := xxhash.New()
-	// Writes to the digest cannot fail.
-	_, _ = digest.WriteString(daemon)
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(endpoint)
-	return digest.Sum64()
+// best keeps the first of what it is offered, in order, up to its limit. Few
+// are chosen of many, so this costs less than to sort them all.
+type best struct {
+	limit int
+	kept  []scored
 }
 
-func splitByZone(ranked []Endpoint, zone string) (local, remote []string) {
-	for _, endpoint := range ranked {
-		if endpoint.Zone == zone {
-			local = append(local, endpoint.Name)
-		} else {
-			remote = append(remote, endpoint.Name)
-		}
+func (b *best) offer(candidate scored) {
+	full := len(b.kept) == b.limit
+	if full && (b.limit == 0 || !candidate.before(b.kept[b.limit-1])) {
+		return
 	}
-	return local, remote
+	at := sort.Search(len(b.kept), func(i int) bool { return candidate.before(b.kept[i]) })
+	if full {
+		b.kept = b.kept[:b.limit-1]
+	}
+	b.kept = slices.Insert(b.kept, at, candidate)
+}
+
+// names returns the names of the first count.
+func (b *best) names(count int) []string {
+	names := make([]string, 0, count)
+	for _, one := range b.kept[:count] {
+		names = append(names, one.name)
+	}
+	return names
+}
+
+// hasher scores endpoints for one daemon.
+type hasher struct {
+	buffer []byte
+	prefix int
+}
+
+func newHasher(daemon string) *hasher {
+	buffer := append([]byte(daemon), 0)
+	return &hasher{buffer: buffer, prefix: len(buffer)}
+}
+
+func (h *hasher) score(endpoint string) uint64 {
+	h.buffer = append(h.buffer[:h.prefix], endpoint...)
+	return xxhash.Sum64(h.buffer)
 }
