--- a/process/replica/disk_test.go
+++ b/process/replica/disk_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"github.com/landingtrail/landingtrail/process/raft"
@@ -155,6 +156,45 @@
 	must.True(t, disk.Empty())
 }
 
+// Entries between the snapshot and what is left of the log are lost.
+func TestLogThatDoesNotReachBackToItsSnapshotIsLost(t *testing.T) {
+	fileSystem := faultfs.New(1)
+	disk, _ := mustOpen(t, fileSystem)
+	save(t, disk, 1, 60)
+	snapshotAndCompact(t, disk, 20)
+	must.NoError(t, disk.Close())
+	names, err := fileSystem.List(testDir)
+	must.NoError(t, err)
+	segments := slices.DeleteFunc(names, func(name string) bool { return filepath.Ext(name) != ".wal" })
+	for _, name := range segments[:len(segments)-1] {
+		fileSystem.Destroy(filepath.Join(testDir, name))
+	}
+	_, err = openDisk(fileSystem)
+	must.ErrorIs(t, err, wal.ErrLostLog)
+}
+
+func TestLogThatEndsBeforeItsCommitIndexIsLost(t *testing.T) {
+	fileSystem := faultfs.New(1)
+	disk, _ := mustOpen(t, fileSystem)
+	save(t, disk, 1, 5)
+	must.NoError(t, disk.log.Save(&raft.HardState{Term: 2, Vote: 1, Commit: 6}, nil))
+	must.NoError(t, disk.Close())
+	_, err := openDisk(fileSystem)
+	must.ErrorIs(t, err, wal.ErrLostLog)
+}
+
+// A vote comes without entries, and must not be forgotten.
+func TestVoteIsDurableWhenSaveReturns(t *testing.T) {
+	fileSystem := faultfs.New(1)
+	disk, _ := mustOpen(t, fileSystem)
+	save(t, disk, 1, 5)
+	vote := raft.HardState{Term: 7, Vote: 3, Commit: 5}
+	must.NoError(t, disk.Save(Update{HardState: &vote, MustSync: true}))
+	fileSystem.Crash()
+	_, initial := mustOpen(t, fileSystem)
+	must.Eq(t, vote, initial.HardState)
+}
+
 // A crash at any point of installing a received snapshot leaves either the old
 // log whole or the new snapshot with an empty log, and the term is not lost.
 func TestInstallationSurvivesCrashes(t *testing.T) {
--- a/process/replica/group_test.go
+++ b/process/replica/group_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,10 +114,22 @@
 type member struct {
 	id         raft.MemberID
 	fileSystem *faultfs.FileSystem
+	stall      atomic.Int64 // how long the next Save hangs
 	machine    *history
 	replica    *Replica
 }
 
+// stallingStorage hangs in Save when its member is told to, as a disk may.
+type stallingStorage struct {
+	Storage
+	member *member
+}
+
+func (s stallingStorage) Save(update Update) error {
+	time.Sleep(time.Duration(s.member.stall.Swap(0)))
+	return s.Storage.Save(update)
+}
+
 // group is a replicated group on disks and a network in memory.
 type group struct {
 	t         must.T
@@ -155,7 +168,7 @@
 	m.machine = &history{}
 	config := Config{
 		Raft:         raft.Config{ID: m.id, Seed: 7},
-		Storage:      disk,
+		Storage:      stallingStorage{Storage: disk, member: m},
 		Transport:    g.network,
 		StateMachine: m.machine,
 		Bootstrap:    bootstrap,
--- /dev/null
+++ b/process/replica/handover_test.go
@@ -0,0 +1,163 @@
+package replica
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/shoenig/test/must"
+)
+
+// A handover waits for the proposals that are in the log and takes no further
+// ones, so that it leaves nothing with an unknown outcome.
+func TestHandoverFinishesWhatIsInTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 5, nil)
+		defer g.stopAll()
+		old := g.leader()
+		target := g.others(old)[0]
+		// The target gets the proposal and could win, but no quorum has it yet.
+		g.network.setCut(func(from, to raft.MemberID) bool { return from == old.id && to != target.id })
+		proposed := make(chan error, 1)
+		go func() {
+			_, err := old.replica.Propose(t.Context(), []byte("in the log"))
+			proposed <- err
+		}()
+		time.Sleep(50 * time.Millisecond)
+		handedOver := make(chan error, 1)
+		go func() { handedOver <- old.replica.TransferLeadership(context.Background(), target.id) }()
+		time.Sleep(50 * time.Millisecond)
+		_, err := old.replica.Propose(t.Context(), []byte("too late"))
+		must.ErrorIs(t, err, ErrNotLeader)
+		time.Sleep(200 * time.Millisecond)
+		g.network.setCut(nil)
+		must.NoError(t, <-proposed)
+		must.NoError(t, <-handedOver)
+		must.Eq(t, target, g.leader(old))
+		g.waitEqual(g.members...)
+		must.False(t, old.machine.contains("too late"))
+	})
+}
+
+func TestHandoverToAMemberThatDoesNotAnswerEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3, nil)
+		defer g.stopAll()
+		leader := g.leader()
+		target := g.others(leader)[0]
+		g.network.isolate(target.id)
+		// The target lacks this entry, so it is never told to campaign.
+		_, err := leader.replica.Propose(t.Context(), []byte("missed"))
+		must.NoError(t, err)
+		err = leader.replica.TransferLeadership(context.Background(), target.id)
+		must.ErrorIs(t, err, ErrTransferFailed)
+		_, err = leader.replica.Propose(t.Context(), []byte("after"))
+		must.NoError(t, err)
+	})
+}
+
+// A message that contradicts committed entries proves that some disk lied.
+func TestMemberStopsWhenItsGroupHasDiverged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3, nil)
+		defer g.stopAll()
+		leader := g.leader()
+		g.proposeMany("committed", 3)
+		g.waitEqual(g.members...)
+		follower := g.others(leader)[0]
+		term := leader.replica.Status().Term
+		follower.replica.Receive(raft.Message{
+			Kind: raft.MessageAppend, From: leader.id, To: follower.id, Term: term, Index: 1, LogTerm: term - 1,
+		})
+		<-follower.replica.Done()
+		must.ErrorIs(t, follower.replica.Err(), raft.ErrDiverged)
+	})
+}
+
+// A member that answered a heartbeat has promised not to vote for an election
+// timeout from its arrival. Dated by an earlier reading the promise would end early.
+func TestClockIsReadAfterTheMessagesAreTaken(t *testing.T) {
+	config := Config{Raft: raft.Config{ID: 1}, Storage: NewMemory(), StateMachine: &history{}}
+	config.setDefaults()
+	node, err := raft.New(config.Raft, raft.InitialState{Configuration: raft.Configuration{Voters: []raft.MemberID{1, 2, 3}}})
+	must.NoError(t, err)
+	r := &Replica{changed: make(chan struct{})}
+	status := node.Status()
+	r.status.Store(&status)
+	waiting := []int{}
+	config.Clock = clockFunc(func() time.Duration {
+		waiting = append(waiting, len(r.mailbox.messages))
+		return 0
+	})
+	config.Transport = &network{}
+	r.config, r.mailbox = config, newMailbox(config)
+	r.Receive(raft.Message{Kind: raft.MessageHeartbeat, From: 2, To: 1, Term: 1})
+	must.NoError(t, newLoop(r, node, 0).step())
+	must.Eq(t, 0, waiting[0])
+	must.Eq(t, raft.MemberID(2), r.Status().Leader)
+}
+
+type clockFunc func() time.Duration
+
+func (f clockFunc) Now() time.Duration { return f() }
+
+func TestMailboxIsBounded(t *testing.T) {
+	m := newMailbox(Config{QueuedProposals: 2, QueuedMessages: 2, QueuedBytes: 1000})
+	large := raft.Message{Entries: []raft.Entry{{Data: make([]byte, 2000)}}}
+	must.True(t, m.putMessage(large), must.Sprint("alone"))
+	must.False(t, m.putMessage(raft.Message{}), must.Sprint("too many bytes"))
+	m.take()
+	must.True(t, m.putMessage(raft.Message{}))
+	must.False(t, m.putMessage(large))
+	must.True(t, m.putMessage(raft.Message{}))
+	must.False(t, m.putMessage(raft.Message{}), must.Sprint("too many messages"))
+	must.NoError(t, m.putRequest(&request{}))
+	must.NoError(t, m.putRequest(&request{}))
+	must.ErrorIs(t, m.putRequest(&request{}), ErrOverloaded)
+	must.Eq(t, 2, len(m.close()))
+	must.ErrorIs(t, m.putRequest(&request{}), ErrStopped)
+	must.False(t, m.putMessage(raft.Message{}))
+}
+
+// A leader whose disk hangs for longer than its lease must not answer by the lease
+// that it had when it was asked.
+func TestLeaseReadCountsTheTimeOfTheDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3, nil)
+		defer g.stopAll()
+		leader := g.leader()
+		propose := func() { leader.replica.Propose(context.Background(), []byte("slow")) }
+		leader.stall.Store(int64(100 * time.Millisecond))
+		go propose()
+		time.Sleep(50 * time.Millisecond)
+		// Both wait for the first write to end, and are taken together.
+		go propose()
+		read := make(chan error, 1)
+		go func() { read <- leader.replica.LeaseRead(context.Background()) }()
+		synctest.Wait()
+		leader.stall.Store(int64(10 * time.Second))
+		must.ErrorIs(t, <-read, ErrLeaseExpired)
+		g.leader(leader)
+	})
+}
+
+func TestProposalWhosePlaceAnotherTermTookIsUnknown(t *testing.T) {
+	q := &request{outcome: make(chan outcome, 1)}
+	l := newLoop(&Replica{config: Config{StateMachine: &history{}}}, nil, 4)
+	l.waiting[5] = waiter{term: 1, request: q}
+	l.apply(raft.Entry{Term: 2, Index: 5})
+	must.ErrorIs(t, (<-q.outcome).err, ErrOutcomeUnknown)
+}
+
+func TestReadWaitsUntilItsIndexIsApplied(t *testing.T) {
+	q := &request{outcome: make(chan outcome, 1)}
+	l := newLoop(&Replica{}, nil, 4)
+	l.reads[1] = q
+	l.collectReads(raft.Ready{ReadStates: []raft.ReadState{{RequestID: 1, Index: 5}}})
+	must.Eq(t, 0, len(q.outcome))
+	l.applied = 5
+	l.collectReads(raft.Ready{})
+	must.NoError(t, (<-q.outcome).err)
+}
--- a/process/replica/oracle_test.go
+++ b/process/replica/oracle_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,6 +22,8 @@
 	proposals sync.WaitGroup
 	mutex     sync.Mutex
 	told      map[string]answer
+	stale     []string // reads that missed what was acknowledged before them
+	reads     int
 	count     int
 }
 
@@ -76,6 +79,55 @@
 	}
 }
 
+// read asks all members that believe to lead, by their lease and by a quorum.
+// What was acknowledged before must be in the state that they answer from.
+func (w *world) read(t *rapid.T) {
+	byLease := rapid.Bool().Draw(t, "by lease")
+	for _, m := range w.members {
+		if m.replica.Status().Role != raft.Leader {
+			continue
+		}
+		replica, machine := m.replica, m.machine
+		w.proposals.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			before := w.acknowledged()
+			ask := replica.ReadIndex
+			if byLease {
+				ask = replica.LeaseRead
+			}
+			if ask(ctx) == nil {
+				w.checkRead(before, machine)
+			}
+		})
+	}
+}
+
+func (w *world) acknowledged() []string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var commands []string
+	for command, answer := range w.told {
+		if answer.err == nil {
+			commands = append(commands, command)
+		}
+	}
+	return commands
+}
+
+func (w *world) checkRead(acknowledged []string, machine *history) {
+	missing := slices.DeleteFunc(acknowledged, machine.contains)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.reads++
+	w.stale = append(w.stale, missing...)
+}
+
+// stall lets a member's disk hang at its next write.
+func (w *world) stall(t *rapid.T) {
+	w.pick(t).stall.Store(int64(rapid.IntRange(1, 5000).Draw(t, "stall")) * int64(time.Millisecond))
+}
+
 // crashMachine loses what the member had not synced; it restarts at once or
 // after a while, in which other actions may come.
 func (w *world) crashMachine(t *rapid.T) {
@@ -140,6 +192,7 @@
 // acknowledged is there at the place that was named, what was refused is not, and
 // nothing is there twice.
 func (w *world) verify(t *rapid.T) {
+	must.SliceEmpty(t, w.stale, must.Sprint("a read missed what was acknowledged before"))
 	places := make(map[string][]int)
 	for i, command := range w.members[0].machine.copy() {
 		places[string(command)] = append(places[string(command)], i+1)
@@ -169,6 +222,8 @@
 				"propose to leader": w.proposeToLeader,
 				"crash":             w.crashMachine,
 				"fail sync":         w.failSync,
+				"stall":             w.stall,
+				"read":              w.read,
 				"revive":            w.revive,
 				"cut off":           w.cutOff,
 				"cut one way":       w.cutOneWay,
@@ -182,7 +237,7 @@
 		})
 	})
 	t.Log(outcomes)
-	for _, outcome := range []string{"acknowledged", ErrOutcomeUnknown.Error(), ErrNotLeader.Error(), ErrStopped.Error(), "snapshots"} {
+	for _, outcome := range []string{"acknowledged", ErrOutcomeUnknown.Error(), ErrNotLeader.Error(), ErrStopped.Error(), "snapshots", "reads"} {
 		must.Positive(t, outcomes[outcome], must.Sprint("never: ", outcome))
 	}
 }
@@ -199,6 +254,7 @@
 			outcomes[errors.Cause(answer.err).Error()]++
 		}
 	}
+	outcomes["reads"] += w.reads
 	for _, m := range w.members {
 		if len(w.fileNames(m, ".snap")) > 1 { // the first is the bootstrap's
 			outcomes["snapshots"]++
--- /dev/null
+++ b/process/wal/fuzz_test.go
@@ -0,0 +1,100 @@
+package wal_test
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/landingtrail/landingtrail/process/wal"
+	"github.com/landingtrail/landingtrail/process/wal/faultfs"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+)
+
+// Sizes of what stands in front of the first record's payload.
+const (
+	preamble     = 16
+	recordHeader = 9
+)
+
+// payloads returns the payloads of a segment's records.
+func payloads(content []byte) [][]byte {
+	var all [][]byte
+	for rest := content[preamble:]; len(rest) > 0; {
+		length := int(rest[2])<<8 | int(rest[3])
+		all = append(all, rest[recordHeader:recordHeader+length])
+		rest = rest[recordHeader+length:]
+	}
+	return all
+}
+
+// FuzzOpen opens a log that ends in a record of arbitrary content under a right
+// checksum and arbitrary bytes after it. It is refused, or what was read is read
+// again after a restart, and the log can be written to.
+func FuzzOpen(f *testing.F) {
+	fileSystem := faultfs.New(1)
+	log, _ := open(f, fileSystem)
+	fill(f, log, 2)
+	must.NoError(f, log.BeginInstall(1, 9))
+	must.NoError(f, log.Reset(1, 9))
+	must.NoError(f, log.Close())
+	whole, err := fileSystem.ReadFile(segmentPath(1))
+	must.NoError(f, err)
+	for _, payload := range payloads(whole) {
+		for kind := range uint8(7) {
+			f.Add(kind, payload, []byte{})
+		}
+	}
+	f.Add(uint8(2), []byte{1, 2, 3}, []byte{0, 0, 0, 1, 2})
+	f.Fuzz(func(t *testing.T, kind uint8, payload, tail []byte) {
+		fileSystem := faultfs.New(1)
+		log, _ := open(t, fileSystem)
+		fill(t, log, 3)
+		must.NoError(t, log.Close())
+		fileSystem.Edit(segmentPath(1), func(content []byte) []byte {
+			return append(wal.AppendRecord(content, kind, payload), tail...)
+		})
+		log, recovered, err := tryOpen(fileSystem)
+		if err != nil {
+			must.True(t, errors.Is(err, wal.ErrCorrupt) || errors.Is(err, wal.ErrLostLog), must.Sprint(err))
+			return
+		}
+		must.NoError(t, log.Close())
+		log, again := open(t, fileSystem)
+		recovered.TornBytes = 0
+		must.Eq(t, recovered, again)
+		if recovered.LastIndex+1 == 0 {
+			return // no entry can follow
+		}
+		next := raft.Entry{Term: again.LastTerm, Index: again.LastIndex + 1}
+		must.NoError(t, log.Save(nil, []raft.Entry{next}))
+	})
+}
+
+// FuzzIdentity opens a folder with an arbitrary identity file, and a segment file
+// of arbitrary content.
+func FuzzIdentity(f *testing.F) {
+	fileSystem := faultfs.New(1)
+	log, _ := open(f, fileSystem)
+	fill(f, log, 1)
+	must.NoError(f, log.Close())
+	identity, err := fileSystem.ReadFile(filepath.Join(testDir, "identity"))
+	must.NoError(f, err)
+	segment, err := fileSystem.ReadFile(segmentPath(1))
+	must.NoError(f, err)
+	f.Add(identity, segment)
+	f.Add(identity, segment[:preamble])
+	f.Add([]byte{}, []byte{})
+	f.Fuzz(func(t *testing.T, identity, segment []byte) {
+		fileSystem := faultfs.New(1)
+		log, _ := open(t, fileSystem)
+		fill(t, log, 1)
+		must.NoError(t, log.Close())
+		fileSystem.Edit(filepath.Join(testDir, "identity"), func([]byte) []byte { return identity })
+		fileSystem.Edit(segmentPath(1), func([]byte) []byte { return segment })
+		if _, _, err := tryOpen(fileSystem); err != nil {
+			must.True(t, errors.Is(err, wal.ErrCorrupt) || errors.Is(err, wal.ErrLostLog) ||
+				errors.Is(err, wal.ErrWrongGroup), must.Sprint(err))
+		}
+	})
+}
--- a/process/wal/wal_test.go
+++ b/process/wal/wal_test.go
@@ -187,6 +187,71 @@
 	}
 }
 
+// A segment that stands in the folder of another member is no part of its log.
+func TestSegmentOfAnotherMemberIsAnError(t *testing.T) {
+	own, other := faultfs.New(1), faultfs.New(2)
+	for _, fileSystem := range []*faultfs.FileSystem{own, other} {
+		log, _ := open(t, fileSystem)
+		fill(t, log, 5)
+		must.NoError(t, log.Close())
+	}
+	foreign, err := other.ReadFile(segmentPath(1))
+	must.NoError(t, err)
+	own.Edit(segmentPath(1), func([]byte) []byte { return foreign })
+	_, _, err = tryOpen(own)
+	must.ErrorIs(t, err, wal.ErrCorrupt)
+}
+
+func TestDamagedIdentityIsAnError(t *testing.T) {
+	fileSystem := faultfs.New(1)
+	log, _ := open(t, fileSystem)
+	fill(t, log, 1)
+	must.NoError(t, log.Close())
+	name := filepath.Join(testDir, "identity")
+	content, err := fileSystem.ReadFile(name)
+	must.NoError(t, err)
+	for offset := range content {
+		fileSystem.Edit(name, func(c []byte) []byte { c[offset] ^= 1; return c })
+		_, _, err := tryOpen(fileSystem)
+		must.ErrorIs(t, err, wal.ErrCorrupt)
+		fileSystem.Edit(name, func(c []byte) []byte { c[offset] ^= 1; return c })
+	}
+	open(t, fileSystem)
+}
+
+// A Save of many bytes is several records. After a crash between two of them the
+// commit index must not name an entry that is not there.
+func TestSplitSaveKeepsTheCommitIndexBehindTheEntries(t *testing.T) {
+	partial := 0
+	for operations := range 6 {
+		fileSystem := faultfs.New(1)
+		log, _ := open(t, fileSystem)
+		fileSystem.StopAfter(operations)
+		entries := []raft.Entry{entry(1, 1, 3<<20), entry(1, 2, 3<<20)}
+		err := log.Save(&raft.HardState{Term: 1, Vote: 1, Commit: 2}, entries)
+		fileSystem.Crash()
+		_, recovered := open(t, fileSystem)
+		must.LessEq(t, recovered.LastIndex, recovered.HardState.Commit)
+		if err != nil && recovered.LastIndex == 1 {
+			partial++
+		}
+	}
+	must.Positive(t, partial)
+}
+
+// The note of an installation outlives the segment that it was written into.
+func TestBegunInstallationSurvivesCompaction(t *testing.T) {
+	fileSystem := faultfs.New(1)
+	log, _ := open(t, fileSystem)
+	must.NoError(t, log.BeginInstall(1, 500))
+	fill(t, log, 60)
+	must.NoError(t, log.Compact(50))
+	must.NoError(t, log.Close())
+	_, recovered := open(t, fileSystem)
+	must.Greater(t, 1, recovered.Entries[0].Index)
+	must.Eq(t, 500, recovered.InstallIndex)
+}
+
 func TestLogCutBackToItsStartIsLost(t *testing.T) {
 	fileSystem := faultfs.New(1)
 	log, _ := open(t, fileSystem)
