Tell when a proxy's view lapses and is confirmed again

Change: events 2020 and 2021, once each, and the gauges view_confirmed and view_revision. A proxy that has had no view yet has lost none.

--- a/process/event/proxy.go
+++ b/process/event/proxy.go
@@ -2,11 +2,13 @@
 
 // Events of the proxy daemon: numbers 2000 to 2999.
 var (
-	ProxyStarted     = define(2000, "proxy_started", Info, "The proxy accepts callers.", "")
-	ProxyStopped     = define(2001, "proxy_stopped", Info, "The proxy has finished every request in flight and stopped.", "")
-	ProxyDraining    = define(2002, "proxy_draining", Info, "The proxy was asked to stop and finishes what is in flight.", "")
-	ProxyDrainCut    = define(2003, "proxy_drain_cut", Warn, "The drain limit passed with requests in flight; they were cut.", "Raise the drain limit or leave it unset.")
-	ProxyServerLog   = define(2004, "proxy_server_log", Warn, "The HTTP server library logged a fault.", "Read the message.")
-	ProxyClaimFailed = define(2010, "proxy_claim_failed", Warn, "A marked request could not be claimed and was refused.", "Check that the control group has a quorum.")
-	ProxyOutcomeLost = define(2011, "proxy_outcome_lost", Error, "The outcome of a claimed run could not be recorded; its key stays unknown until its retention ends.", "Check that the control group has a quorum.")
+	ProxyStarted       = define(2000, "proxy_started", Info, "The proxy accepts callers.", "")
+	ProxyStopped       = define(2001, "proxy_stopped", Info, "The proxy has finished every request in flight and stopped.", "")
+	ProxyDraining      = define(2002, "proxy_draining", Info, "The proxy was asked to stop and finishes what is in flight.", "")
+	ProxyDrainCut      = define(2003, "proxy_drain_cut", Warn, "The drain limit passed with requests in flight; they were cut.", "Raise the drain limit or leave it unset.")
+	ProxyServerLog     = define(2004, "proxy_server_log", Warn, "The HTTP server library logged a fault.", "Read the message.")
+	ProxyClaimFailed   = define(2010, "proxy_claim_failed", Warn, "A marked request could not be claimed and was refused.", "Check that the control group has a quorum.")
+	ProxyOutcomeLost   = define(2011, "proxy_outcome_lost", Error, "The outcome of a claimed run could not be recorded; its key stays unknown until its retention ends.", "Check that the control group has a quorum.")
+	ProxyViewLapsed    = define(2020, "proxy_view_lapsed", Warn, "The control group has not confirmed the view for its lease; work goes on or is refused by the settings for control loss.", "Check the path to the control members and whether they have a leader.")
+	ProxyViewConfirmed = define(2021, "proxy_view_confirmed", Info, "The control group confirms the view, for the first time or again.", "")
 )
--- /dev/null
+++ b/process/proxy/lapse_test.go
@@ -0,0 +1,79 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/version/view"
+)
+
+// lockedBuffer takes lines of several goroutines.
+type lockedBuffer struct {
+	lock sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) Write(part []byte) (int, error) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.text.Write(part)
+}
+
+func (b *lockedBuffer) String() string {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.text.String()
+}
+
+// TestLapseIsToldOnce: a lapse and its end are one event each, however often the
+// view is asked for, and the gauge follows. A proxy without a view has lost none.
+func TestLapseIsToldOnce(t *testing.T) {
+	views := &fixedViews{}
+	views.view.Store(view.New())
+	views.invalid.Store(true)
+	config := quick()
+	config.Intervals.View = time.Hour // the test asks
+	written := &lockedBuffer{}
+	proxy := New(config, views, newFakeControl(), func() time.Duration { return time.Second }, log.NewLogfmtLogger(written))
+	defer proxy.Close()
+	told := func(defined event.Event) int {
+		return strings.Count(written.String(), fmt.Sprintf("event=%d ", defined.Number))
+	}
+	// The proxy's own first look at the view may still be under way.
+	eventuallyTold := func(defined event.Event, times int) {
+		eventually(t, func() bool { return told(defined) == times })
+	}
+	gauge := func() string {
+		answer := httptest.NewRecorder()
+		proxy.metrics.handler().ServeHTTP(answer, httptest.NewRequest("GET", PathMetrics, nil))
+		_, after, _ := strings.Cut(answer.Body.String(), "\nlandingtrail_proxy_view_confirmed ")
+		return after[:1]
+	}
+	must.Eq(t, "0", gauge())
+	must.Eq(t, 0, told(event.ProxyViewLapsed))
+
+	views.view.Store(newView(nil, nil))
+	views.invalid.Store(false)
+	must.Eq(t, "1", gauge())
+	eventuallyTold(event.ProxyViewConfirmed, 1)
+
+	views.invalid.Store(true)
+	for range 3 {
+		proxy.standing()
+	}
+	must.Eq(t, "0", gauge())
+	eventuallyTold(event.ProxyViewLapsed, 1)
+
+	views.invalid.Store(false)
+	must.Eq(t, "1", gauge())
+	eventuallyTold(event.ProxyViewConfirmed, 2)
+	must.Eq(t, 1, told(event.ProxyViewLapsed))
+}
--- a/process/proxy/metrics.go
+++ b/process/proxy/metrics.go
@@ -53,6 +53,27 @@
 	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help})
 }
 
+// watch adds the gauges of a proxy's view.
+func (m *metrics) watch(p *Proxy) {
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: metricsNamespace,
+			Name:      "view_confirmed",
+			Help:      "1 while the view's lease holds, else 0.",
+		}, func() float64 {
+			if p.standing().valid {
+				return 1
+			}
+			return 0
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: metricsNamespace,
+			Name:      "view_revision",
+			Help:      "Revision of the view in force.",
+		}, func() float64 { return float64(p.views.Load().Version.Revision) }),
+	)
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/request/limit"
 	"github.com/landingtrail/landingtrail/request/retry"
 	"github.com/landingtrail/landingtrail/request/router"
@@ -92,6 +93,7 @@
 	}
 	made.modelBodies.limit = config.Limits.HeldBytes
 	made.backendBodies.limit = config.Limits.HeldBytes
+	made.metrics.watch(made)
 	made.background, made.stop = context.WithCancel(context.Background())
 	made.tasks.Go(made.followViews)
 	made.tasks.Go(made.reportDemand)
@@ -122,13 +124,28 @@
 	known := p.lanes.update(p, p.views.Load())
 	now := p.clock()
 	if p.views.Valid(now) {
-		p.lapsed.Store(0)
+		p.noteConfirmed(known.view)
 		return standing{catalog: known, valid: true, now: now}
 	}
-	p.lapsed.CompareAndSwap(0, int64(max(now, 1)))
+	p.noteLapsed(known.view, now)
 	return standing{catalog: known, lapsedAt: time.Duration(p.lapsed.Load()), now: now}
 }
 
+// noteConfirmed ends a lapse.
+func (p *Proxy) noteConfirmed(current *view.View) {
+	if p.lapsed.Load() != 0 && p.lapsed.Swap(0) != 0 {
+		event.ProxyViewConfirmed.Log(p.logger, "revision", current.Version.Revision)
+	}
+}
+
+// noteLapsed keeps when the lapse was first seen. A proxy that has had no view
+// yet has lost none.
+func (p *Proxy) noteLapsed(current *view.View, now time.Duration) {
+	if p.lapsed.CompareAndSwap(0, int64(max(now, 1))) && !current.Version.IsZero() {
+		event.ProxyViewLapsed.Log(p.logger, "revision", current.Version.Revision)
+	}
+}
+
 // refuseLost returns the refusal of a request whose service may not be served
 // without the control group, or nil.
 func (p *Proxy) refuseLost(s *standing, kind api.ServiceType) *failure {
