Stop and change engines while they give long answers

Cause: a trial without the engine's drain at SIGTERM passed, since at the test's pace no answer was under way when an engine stopped. Now long answers are sent until the engine runs one; the same before three version changes, for which the ledger must show an order accepted during a run.

--- a/lab/fleet/data_fault_test.go
+++ b/lab/fleet/data_fault_test.go
@@ -4,11 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -305,12 +308,19 @@
 	must.Eq(s, result.Revision, after.Tenant.Revision, must.Sprint("the change was made once"))
 }
 
-func TestPlannedStopOfEachMachine(t *testing.T) {
+func TestPlannedStopOfEachEngine(t *testing.T) {
 	s := startScenario(t, DrillPlanned, nil)
-	var names []string
 	for _, one := range s.fleet.layout.engines {
-		names = append(names, prefixEngine+one.name)
+		s.keepBusy(one.name)
+		s.stopAsPlanned(prefixEngine + one.name)
+		must.NoError(s, s.fleet.driver.waitServing(context.Background(), s.fleet.layout.engineNames()))
 	}
+	s.finish()
+}
+
+func TestPlannedStopOfEachBackendAndMember(t *testing.T) {
+	s := startScenario(t, DrillPlanned, nil)
+	var names []string
 	for _, one := range s.fleet.layout.backends {
 		names = append(names, prefixBackend+one.name)
 	}
@@ -319,12 +329,72 @@
 	}
 	for _, name := range names {
 		s.stopAsPlanned(name)
-		must.NoError(s, s.fleet.driver.waitServing(context.Background(), s.fleet.layout.engineNames()))
 		s.waitWhole()
 	}
 	s.finish()
 }
 
+func TestChangeOfBusyEngineCutsNoAnswer(t *testing.T) {
+	s := startScenario(t, DrillPlanned, nil)
+	for _, version := range []string{"4", "5", "6"} {
+		s.keepBusy(canary)
+		s.setVersion(version)
+		s.waitVersion(version)
+	}
+	must.Positive(s, ordersInRun(s.entries(canary)), must.Sprint("an answer has to be under way when the order comes"))
+	s.finish()
+}
+
+// keepBusy sends long requests until the engine runs one of them.
+func (s *scenario) keepBusy(engine string) {
+	s.Helper()
+	items, err := trace.Make(trace.Config{Deployment: s.fleet.config.Deployment, Seed: 1, Duration: loadRound, Compress: true})
+	must.NoError(s, err)
+	item := items[slices.IndexFunc(items, func(item trace.Item) bool { return item.Class == trace.ClassCaption })]
+	item.At = 0
+	item.Deadline *= patience
+	item.OutputTokens = longAnswer
+	s.eventually("a long answer of "+engine, func() bool {
+		s.load.alone(s.fleet.layout.proxies[0], item)
+		return runsLong(s.entries(engine))
+	})
+}
+
+// longAnswer is the tokens of an answer that outlasts the start of a change.
+const longAnswer = 500
+
+// runsLong reports whether a run that began lately is under way.
+func runsLong(entries []ledger.Entry) bool {
+	running := map[string]bool{}
+	for _, entry := range entries {
+		switch entry.Event {
+		case ledger.EventStarted:
+			running[entry.RequestID] = time.Since(entry.At) < time.Second
+		case ledger.EventFinished, ledger.EventExported, ledger.EventCancelled, ledger.EventCrashed, ledger.EventCutShort:
+			delete(running, entry.RequestID)
+		}
+	}
+	return slices.Contains(slices.Collect(maps.Values(running)), true)
+}
+
+// ordersInRun counts the orders that were accepted while a run was under way.
+func ordersInRun(entries []ledger.Entry) int {
+	running, count := map[string]bool{}, 0
+	for _, entry := range entries {
+		switch entry.Event {
+		case ledger.EventStarted:
+			running[entry.RequestID] = true
+		case ledger.EventFinished, ledger.EventExported, ledger.EventCancelled, ledger.EventCrashed, ledger.EventCutShort:
+			delete(running, entry.RequestID)
+		case ledger.EventOrder:
+			if entry.Reason == acceptedOrder && len(running) > 0 {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 func (s *scenario) stopAsPlanned(name string) {
 	s.Helper()
 	child := s.process(name)
--- a/lab/fleet/load_test.go
+++ b/lab/fleet/load_test.go
@@ -32,6 +32,7 @@
 	items  []trace.Item
 	report caller.Report
 	twins  caller.Report
+	extra  int // requests sent alone
 	// failures say what became of the requests that did not complete.
 	failures []string
 }
@@ -124,6 +125,26 @@
 	l.failures = append(l.failures, fmt.Sprintf("%s %s %s: %s", seen.Item.Class, seen.Item.Key, seen.Outcome, seen.Detail))
 }
 
+// alone sends one request more, under a name of its own.
+func (l *load) alone(proxy proxyPlace, item trace.Item) {
+	l.mutex.Lock()
+	l.extra++
+	name := "alone-" + strconv.Itoa(l.extra)
+	l.mutex.Unlock()
+	l.done.Go(func() {
+		report := caller.Play(context.Background(), caller.Config{
+			Proxy:        proxy.address,
+			Items:        []trace.Item{item},
+			Name:         name,
+			RetryRefused: true,
+			Observe:      l.observe,
+		})
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		l.report.Merge(report)
+	})
+}
+
 // finish returns once every request has its outcome.
 func (l *load) finish() (caller.Report, []trace.Item) {
 	l.pause()
