--- a/cmd/internal/clitest/clitest.go
+++ b/cmd/internal/clitest/clitest.go
@@ -24,33 +24,32 @@
 // pagePatterns name the pages with command lines, seen from a program's folder.
 var pagePatterns = []string{"../../README.md", "../../docs/*.md"}
 
-// CheckPages parses every command line of the program in the fenced blocks of
-// README.md and docs. It returns how many lines README.md has.
-func CheckPages(t *testing.T, program string, newRoot func() *ffcli.Command) int {
-	t.Helper()
-	inReadme := 0
+// Check parses every command line of the program in the fenced blocks of
+// README.md and docs, and in the help of its commands.
+func Check(t *testing.T, program string, newRoot func() *ffcli.Command) {
+	t.Run("pages", func(t *testing.T) { checkPages(t, program, newRoot) })
+	t.Run("help", func(t *testing.T) { checkHelp(t, program, newRoot) })
+}
+
+func checkPages(t *testing.T, program string, newRoot func() *ffcli.Command) {
 	for _, pattern := range pagePatterns {
 		paths, err := filepath.Glob(pattern)
 		must.NoError(t, err)
-		must.SliceNotEmpty(t, paths, must.Sprint(pattern))
+		shown := 0
 		for _, path := range paths {
 			text, err := os.ReadFile(path)
 			must.NoError(t, err)
-			lines := CommandLines(program, fencedBlocks(string(text)))
+			lines := commandLines(program, fencedBlocks(string(text)))
 			check(t, path, newRoot, lines)
-			if pattern == pagePatterns[0] {
-				inReadme = len(lines)
-			}
+			shown += len(lines)
 		}
+		must.Positive(t, shown, must.Sprintf("%s shows no command line", pattern))
 	}
-	return inReadme
 }
 
-// CheckHelp parses the command lines that the commands' own help shows.
-func CheckHelp(t *testing.T, program string, newRoot func() *ffcli.Command) {
-	t.Helper()
+func checkHelp(t *testing.T, program string, newRoot func() *ffcli.Command) {
 	for _, command := range newRoot().Subcommands {
-		lines := CommandLines(program, command.LongHelp)
+		lines := commandLines(program, command.LongHelp)
 		must.SliceNotEmpty(t, lines, must.Sprintf("help of %s shows no command line", command.Name))
 		check(t, command.Name+" --help", newRoot, lines)
 	}
@@ -82,8 +81,8 @@
 	return strings.Join(kept, "\n")
 }
 
-// CommandLines returns the arguments of the program in each line that calls it.
-func CommandLines(program, text string) [][]string {
+// commandLines returns the arguments of the program in each line that calls it.
+func commandLines(program, text string) [][]string {
 	var lines [][]string
 	for _, line := range strings.Split(strings.ReplaceAll(text, "\\\n", " "), "\n") {
 		words := splitWords(strings.TrimPrefix(line, helpIndent))
--- a/cmd/internal/clitest/clitest_test.go
+++ b/cmd/internal/clitest/clitest_test.go
@@ -15,5 +15,5 @@
 		"program four; echo\n" +
 		"```\n" +
 		"program outside again\n"
-	must.Eq(t, [][]string{{"one", "--flag", "value", "--other"}, {"two"}, {"four"}}, CommandLines("program", fencedBlocks(page)))
+	must.Eq(t, [][]string{{"one", "--flag", "value", "--other"}, {"two"}, {"four"}}, commandLines("program", fencedBlocks(page)))
 }
--- a/cmd/landingtrail-lab/standin.go
+++ b/cmd/landingtrail-lab/standin.go
@@ -67,7 +67,7 @@
 	var speed uint64
 	cli.UintFlag(flagSet, &speed, "speed", 1, maxSpeed, "how many times faster than a real engine it works")
 	return standInCommand("engine", "Run a stand-in of a model engine", flagSet,
-		"landingtrail-lab engine --name narrator-1 --listen 127.0.0.1:7201 --platform 127.0.0.1:7300",
+		"landingtrail-lab engine --name narrator-1 --listen 127.0.0.1:7301 --platform 127.0.0.1:7900",
 		func(ctx context.Context) error {
 			if err := flags.check(); err != nil {
 				return err
@@ -91,7 +91,7 @@
 	flagSet := cli.NewFlagSet("backend")
 	flags := newStandInFlags(flagSet, "tilegate-1")
 	return standInCommand("backend", "Run a stand-in of a plain back end", flagSet,
-		"landingtrail-lab backend --name tilegate-1 --listen 127.0.0.1:7251",
+		"landingtrail-lab backend --name tilegate-1 --listen 127.0.0.1:7401",
 		func(ctx context.Context) error {
 			if err := flags.check(); err != nil {
 				return err
@@ -115,7 +115,7 @@
 	cli.UintFlag(flagSet, &weightBytes, "weight-bytes", platform.DefaultWeightBytes, maxWeightBytes, "bytes of one model's weights")
 	cli.UintFlag(flagSet, &weightRate, "weight-rate", platform.DefaultWeightBytesPerSecond, maxWeightBytes, "bytes a second of the weight store, over all readers")
 	return standInCommand("platform", "Run a stand-in of the platform: list of machines and weight store", flagSet,
-		"landingtrail-lab platform --listen 127.0.0.1:7300 --machines narrator-1=127.0.0.1:7201",
+		"landingtrail-lab platform --listen 127.0.0.1:7900 --machines narrator-1=127.0.0.1:7301",
 		func(ctx context.Context) error {
 			if err := checkAddress("listen", *listen); err != nil {
 				return err
