Keep subscribers connected while they wait for a large delta

Change: one that waits is sent a grant for no beat twice a second, which renews nothing; it also learns there of another leader. Ruled out: last come, first served, which starves the others.

--- a/connection/feed/bulk.go
+++ b/connection/feed/bulk.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/landingtrail/landingtrail/connection/frame"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/pkg/errors"
 )
@@ -20,26 +21,50 @@
 	at   time.Duration // when it was sent
 }
 
-// beginBulk waits for a place for a large delta. A subscriber that gives up
-// meanwhile has been sent nothing, so it has cost the others nothing. The place
-// is held until the subscriber has acknowledged the version: what is written
-// may still wait in buffers on the way.
-func (s *subscriber) beginBulk(ctx context.Context) error {
+// bulkKeepAlive is the time between two frames to a subscriber that waits for
+// a place, shorter than its silence timeout: one that gave up would come back
+// at the end of the queue, and the places would go to those about to give up.
+const bulkKeepAlive = 500 * time.Millisecond
+
+// beginBulk waits for a place for a large delta. The place is held until the
+// subscriber has acknowledged the version: what is written may still wait in
+// buffers on the way.
+func (s *subscriber) beginBulk(ctx context.Context, writer *frame.Writer) error {
 	s.lock.Lock()
 	held := s.bulk.held
 	s.lock.Unlock()
 	if held {
 		return nil
 	}
-	select {
-	case s.server.bulk <- struct{}{}:
-	case <-ctx.Done():
-		return ctx.Err()
+	ticker := time.NewTicker(bulkKeepAlive)
+	defer ticker.Stop()
+	for {
+		select {
+		case s.server.bulk <- struct{}{}:
+			s.lock.Lock()
+			defer s.lock.Unlock()
+			s.bulk.held = true
+			return nil
+		case <-ticker.C:
+			if err := s.keepAlive(ctx, writer); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.bulk.held = true
-	return nil
+}
+
+// keepAlive writes a grant for no beat, which renews nothing.
+func (s *subscriber) keepAlive(ctx context.Context, writer *frame.Writer) error {
+	leadership := s.server.config.Group.Leadership()
+	if !leadership.Leads {
+		return s.moveOn(ctx, writer, leadership.Address)
+	}
+	if err := writer.WriteFrame(kindGrant, encodeGrant(grant{term: leadership.Term})); err != nil {
+		return err
+	}
+	return writer.Flush()
 }
 
 // sendBulk notes what the subscriber has to acknowledge to free its place.
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -323,7 +323,7 @@
 		return err
 	}
 	if len(payload) >= bulkPayload {
-		if err := s.beginBulk(ctx); err != nil {
+		if err := s.beginBulk(ctx, writer); err != nil {
 			return err
 		}
 		// The group may have moved on while the subscriber waited.
