--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -68,6 +68,8 @@
 	Deployment string      `json:"deployment"`
 	Seed       uint64      `json:"seed"`
 	Runs       []PolicyRun `json:"runs"`
+	// OfferedTokens is the model work offered, in tokens a second.
+	OfferedTokens float64 `json:"-"`
 }
 
 // PolicyRun is what one policy came to. Goodput is prompt and output tokens of
@@ -97,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	report := &Report{Deployment: config.Deployment, Seed: config.Seed}
+	report := &Report{Deployment: config.Deployment, Seed: config.Seed, OfferedTokens: b.offeredTokens()}
 	online := without(config.Policies, PolicyHindsight)
 	runs := make([]PolicyRun, len(online))
 	err = b.each(len(online), func(i int) error {
--- a/lab/experiment/summary.go
+++ b/lab/experiment/summary.go
@@ -10,6 +10,11 @@
 	OfHindsight float64 `json:"of_hindsight"`
 	Worst       float64 `json:"worst_of_hindsight"`
 	WorstSeed   uint64  `json:"worst_seed"`
+	// OfOffered is the mean over seeds of goodput over all that was offered.
+	OfOffered float64 `json:"of_offered"`
+	// SetBound counts the seeds on which the bound by hindsight is what this
+	// policy did, since no plan that was searched did better.
+	SetBound int `json:"set_bound"`
 	// Violations is the sum of answers cut short, run twice or wrong.
 	Violations int `json:"violations"`
 }
@@ -37,10 +42,16 @@
 		summary.Goodput += run.Goodput / count
 		summary.RoleChanges += float64(run.RoleChanges) / count
 		summary.Violations += run.CutShort + run.RanTwice + run.WrongAnswer
+		if report.OfferedTokens > 0 {
+			summary.OfOffered += run.Goodput / report.OfferedTokens / count
+		}
 		bound, bounded := report.run(PolicyHindsight)
 		if !bounded || bound.Goodput == 0 {
 			continue
 		}
+		if bound.Plan == planAs+policy {
+			summary.SetBound++
+		}
 		share := run.Goodput / bound.Goodput
 		summary.OfHindsight += share / count
 		if i == 0 || share < summary.Worst {
