Bound the bytes of polls by a budget of the proxy

Cause: a bound of 100 rounds a second in each lane still let a proxy spend five times the 9 KB/s that it may; today's 9 engines and 3 back ends cost more than that as well. Change: the polls of all lanes share pollBytes (7,000 bytes a second by default): the same share for each lane, a third of a model lane's for cache events, so that neither model engines delay the reports of back ends nor large cache pages those of load. Pollers wait in turn, so each is asked less often as there are more. What a poll took is charged after it. Polls send no User-Agent. Ruled out: a smaller subset by default, for its spread; it is a setting. The price is older reports. The settings pollBytes and maxHeldBytes are new.

--- a/cmd/landingtrail/proxy.go
+++ b/cmd/landingtrail/proxy.go
@@ -47,6 +47,8 @@
 		},
 		Limits: proxy.Limits{
 			BodyBytes:    given.MaxBodyBytes,
+			HeldBytes:    given.MaxHeldBytes,
+			PollBytes:    float64(given.PollBytes),
 			AnswerBytes:  given.MaxAnswerBytes,
 			EventBytes:   given.MaxEventBytes,
 			MaxInFlight:  given.MaxInFlight,
--- a/process/proxy/config.go
+++ b/process/proxy/config.go
@@ -56,14 +56,15 @@
 
 // Limits bound what a proxy holds. A zero field takes its default.
 type Limits struct {
-	BodyBytes   int64 // of a request
-	HeldBytes   int64 // of all requests of a type of service together
-	AnswerBytes int64 // of an answer that is held until it is whole
-	EventBytes  int   // of one stream event
-	MaxInFlight int   // of a lane whose service sets none
-	QueueLimit  int   // of a class that sets none
-	Attempts    int   // runs of one request
-	Resumes     int   // of one run's stream
+	BodyBytes   int64   // of a request
+	HeldBytes   int64   // of all requests of a type of service together
+	AnswerBytes int64   // of an answer that is held until it is whole
+	EventBytes  int     // of one stream event
+	PollBytes   float64 // a second of all load reports and cache events
+	MaxInFlight int     // of a lane whose service sets none
+	QueueLimit  int     // of a class that sets none
+	Attempts    int     // runs of one request
+	Resumes     int     // of one run's stream
 	// RetryShare is the share of the traffic that may be retries, RetryReserve
 	// how many may be saved up.
 	RetryShare   float64
@@ -120,6 +121,7 @@
 	DefaultHeldBytes    = 64 << 20
 	DefaultAnswerBytes  = 4 << 20
 	DefaultEventBytes   = 256 << 10
+	DefaultPollBytes    = 7000
 	DefaultMaxInFlight  = 256
 	DefaultQueueLimit   = 128
 	DefaultAttempts     = 4
@@ -183,6 +185,7 @@
 	setDefault(&l.HeldBytes, max(DefaultHeldBytes, l.BodyBytes))
 	setDefault(&l.AnswerBytes, DefaultAnswerBytes)
 	setDefault(&l.EventBytes, DefaultEventBytes)
+	setDefault(&l.PollBytes, DefaultPollBytes)
 	setDefault(&l.MaxInFlight, DefaultMaxInFlight)
 	setDefault(&l.QueueLimit, DefaultQueueLimit)
 	setDefault(&l.Attempts, DefaultAttempts)
--- a/process/proxy/harness_test.go
+++ b/process/proxy/harness_test.go
@@ -231,6 +231,7 @@
 		FeedAddresses: []string{"127.0.0.1:1"},
 		DrainNotice:   time.Millisecond,
 		Timeouts:      Timeouts{Head: 300 * time.Millisecond, FirstToken: 400 * time.Millisecond, Stall: 300 * time.Millisecond, Write: 500 * time.Millisecond},
+		Limits:        Limits{PollBytes: 1 << 20},
 		Intervals:     Intervals{Load: 20 * time.Millisecond, Cache: 40 * time.Millisecond, View: 2 * time.Millisecond, Demand: 50 * time.Millisecond},
 	}
 }
--- a/process/proxy/lane.go
+++ b/process/proxy/lane.go
@@ -23,6 +23,9 @@
 	pool    *upstream.Pool
 	polls   *upstream.Pool // load reports must not wait behind requests
 	queue   *limit.Queue
+	// loadBudget and cacheBudget bound the bytes of polls.
+	loadBudget  *pollBudget
+	cacheBudget *pollBudget
 	// endpoints is replaced whole when the followed set changes.
 	endpoints atomic.Pointer[map[string]*endpoint]
 
@@ -40,7 +43,9 @@
 			MaxInFlight: laneWidth(config, service),
 			QueueLimit:  config.Limits.QueueLimit,
 		}),
-		pollers: map[string]*poller{},
+		loadBudget:  newPollBudget(),
+		cacheBudget: newPollBudget(),
+		pollers:     map[string]*poller{},
 	}
 	opened.endpoints.Store(&map[string]*endpoint{})
 	return opened
--- a/process/proxy/lanes.go
+++ b/process/proxy/lanes.go
@@ -66,9 +66,12 @@
 			kept = newLane(&p.config, service)
 		}
 		kept.queue.Resize(laneWidth(&p.config, service))
-		kept.follow(p, made.members(service))
 		next[name] = kept
 	}
+	p.sharePolls(next)
+	for name, service := range made.view.Services {
+		next[name].follow(p, made.members(service))
+	}
 	l.current.Store(&next)
 	for name, dropped := range old {
 		if next[name] != dropped {
--- a/process/proxy/poller.go
+++ b/process/proxy/poller.go
@@ -23,11 +23,6 @@
 // pollFailures is how many polls in a row must fail before the endpoint is suspect.
 const pollFailures = 3
 
-// maxRoundsPerSecond bounds the polls of a lane: with more endpoints each is
-// asked less often. A proxy that follows 192 engines every 250 ms spends a
-// fifth of a core on it (docs/CAPACITY.md).
-const maxRoundsPerSecond = 100
-
 // poller asks one endpoint for its load and cache events. It goes by net/http
 // and not by httpc: the breaker in httpc would stop the polls of an endpoint
 // that fails, and with them the news that it is back.
@@ -47,31 +42,24 @@
 
 func (p *poller) run(ctx context.Context) {
 	intervals := p.proxy.config.Intervals
-	var sinceCache time.Duration
+	var asked time.Time // the last page of cache events
 	failures := 0
-	for {
+	for p.lane.loadBudget.wait(ctx) {
 		if p.pollLoad(ctx) == nil {
 			failures = 0
 		} else if failures++; failures == pollFailures && ctx.Err() == nil {
 			p.endpoint.fail(p.proxy.clock())
 		}
-		interval := p.interval()
-		if sinceCache += interval; p.endpoint.model && sinceCache >= intervals.Cache {
-			sinceCache = 0
+		if p.endpoint.model && time.Since(asked) >= intervals.Cache && p.lane.cacheBudget.limiter.AllowN(time.Now(), typicalPollBytes) {
+			asked = time.Now()
 			p.pollCache(ctx)
 		}
-		if !sleep(ctx, jitter(interval)) {
+		if !sleep(ctx, jitter(intervals.Load)) {
 			return
 		}
 	}
 }
 
-// interval is the configured one, or as long as the lane's bound makes it.
-func (p *poller) interval() time.Duration {
-	followed := len(*p.lane.endpoints.Load())
-	return max(p.proxy.config.Intervals.Load, time.Duration(followed)*time.Second/maxRoundsPerSecond)
-}
-
 // jitter spreads polls over time, so that daemons do not ask in step.
 func jitter(interval time.Duration) time.Duration {
 	return interval*9/10 + time.Duration(rand.Int64N(int64(interval/5)+1))
@@ -91,7 +79,7 @@
 
 func (p *poller) pollLoad(ctx context.Context) error {
 	var load engineapi.Load
-	header, err := p.get(ctx, engineapi.PathLoad, &load)
+	header, err := p.get(ctx, p.lane.loadBudget, engineapi.PathLoad, &load)
 	now := p.proxy.clock()
 	if header != nil {
 		p.endpoint.hearHeader(now, header)
@@ -109,7 +97,7 @@
 	p.endpoint.lock.Unlock()
 	var page engineapi.CacheEvents
 	path := engineapi.PathCacheEvents + "?after=" + strconv.FormatUint(after, 10)
-	if _, err := p.get(ctx, path, &page); err != nil {
+	if _, err := p.get(ctx, p.lane.cacheBudget, path, &page); err != nil {
 		return // cache events are hints; the next page will do
 	}
 	p.endpoint.lock.Lock()
@@ -123,19 +111,21 @@
 
 // get reads one JSON answer. The header is not nil when the endpoint has
 // answered at all.
-func (p *poller) get(ctx context.Context, path string, into any) (http.Header, error) {
+func (p *poller) get(ctx context.Context, budget *pollBudget, path string, into any) (http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.proxy.config.Timeouts.Head)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.endpoint.address+path, nil)
 	if err != nil {
 		return nil, errors.Wrap(errPoll, err.Error())
 	}
+	request.Header.Set("User-Agent", "") // bytes that no endpoint needs
 	response, err := p.lane.polls.Do(request)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	budget.charge(wireBytes(request, response.Header, len(body)))
 	if err != nil {
 		return response.Header, errors.Wrap(errPoll, err.Error())
 	}
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -100,6 +100,7 @@
 	ClaimRetention    time.Duration `yaml:"claimRetention" default:"24h" min:"1m" max:"8760h" usage:"How long the group is asked to remember a claim."`
 
 	MaxBodyBytes   int64   `yaml:"maxBodyBytes" default:"1048576" min:"1024" max:"1073741824" unit:"bytes" usage:"Longest request body."`
+	MaxHeldBytes   int64   `yaml:"maxHeldBytes" default:"67108864" min:"1024" max:"1099511627776" unit:"bytes" usage:"Request bodies held at once for model services, and as much for plain back ends; what does not fit is refused."`
 	MaxAnswerBytes int64   `yaml:"maxAnswerBytes" default:"4194304" min:"1024" max:"1073741824" unit:"bytes" usage:"Longest answer that is held until it is whole."`
 	MaxEventBytes  int     `yaml:"maxEventBytes" default:"262144" min:"1024" max:"1073741824" unit:"bytes" usage:"Longest event of a stream."`
 	MaxInFlight    int     `yaml:"maxInFlight" default:"256" min:"1" max:"1000000" unit:"requests" usage:"Running requests of a service that sets no bound."`
@@ -114,6 +115,7 @@
 	DemandInterval time.Duration `yaml:"demandInterval" default:"1s" min:"100ms" max:"1m" usage:"Pause between two reports of demand to the control group."`
 	BeatInterval   time.Duration `yaml:"beatInterval" default:"500ms" min:"10ms" max:"1m" usage:"Pause between two confirmations of the view; well below the group's viewLease."`
 
+	PollBytes    int `yaml:"pollBytes" default:"7000" min:"400" max:"1000000000" unit:"bytes a second" usage:"What reading load and cache events may cost, shared by the services; with more engines each is asked less often."`
 	FollowLocal  int `yaml:"followLocal" default:"16" min:"1" max:"100000" unit:"engines" usage:"Engines of the proxy's own zone, for each service, whose load and cache it follows."`
 	FollowRemote int `yaml:"followRemote" default:"8" min:"0" max:"100000" unit:"engines" usage:"Engines of other zones that it follows, so that the loss of a zone leaves some."`
 
