Name every member's failure when an operator's command gave up

Cause: with the quorum lost and one member alive, "status" said only that another member refuses connections; the live member's "no_quorum" was hidden behind the last failure of the loop. Ruled out: the last failure that is not a connection's (a path that is cut to one member is worth knowing as well). Change: the client keeps each member's last failure; one cut by the end of the call or refused by the breaker does not replace an earlier one.

--- a/connection/operator/client.go
+++ b/connection/operator/client.go
@@ -208,7 +208,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
 	defer cancel()
 	worst := notAccepted
-	var last error
+	var failed failures
 	wait := newBackoff()
 	for {
 		for _, address := range c.order.list() {
@@ -217,29 +217,29 @@
 				c.order.prefer(address)
 				return received, nil
 			}
-			last = err
+			failed.add(address, err, ctx.Err() != nil)
 			if known == unknown {
 				worst = unknown
 			}
 			if worst == unknown && !call.resend {
-				return answer{}, giveUp(worst, last)
+				return answer{}, giveUp(worst, &failed)
 			}
 			wait.ask(received.retryAfter)
 			if ctx.Err() != nil {
-				return answer{}, giveUp(worst, last)
+				return answer{}, giveUp(worst, &failed)
 			}
 		}
 		if !wait.sleep(ctx) {
-			return answer{}, giveUp(worst, last)
+			return answer{}, giveUp(worst, &failed)
 		}
 	}
 }
 
-func giveUp(worst fate, last error) error {
+func giveUp(worst fate, failed *failures) error {
 	if worst == unknown {
-		return errors.Wrap(ErrOutcomeUnknown, last.Error())
+		return errors.Wrap(ErrOutcomeUnknown, failed.String())
 	}
-	return errors.Wrap(ErrNotAccepted, last.Error())
+	return errors.Wrap(ErrNotAccepted, failed.String())
 }
 
 // decodeError reads the error body of an answer, as far as there is one.
--- a/connection/operator/client_test.go
+++ b/connection/operator/client_test.go
@@ -147,6 +147,13 @@
 	must.ErrorIs(t, err, operator.ErrNotAccepted)
 }
 
+func TestEveryMembersFailureIsNamed(t *testing.T) {
+	member := newMember(t, refuse(operatorapi.ErrorNoQuorum, http.StatusServiceUnavailable, ""))
+	_, err := newClient(t, time.Second, member.address(), deadAddress).Status(context.Background())
+	must.StrContains(t, err.Error(), member.address()+": no_quorum")
+	must.StrContains(t, err.Error(), deadAddress+": dial tcp")
+}
+
 func TestEveryMemberIsTried(t *testing.T) {
 	up := newMember(t, accepted(3))
 	client := newClient(t, patient, deadAddress, deadAddress, up.address())
