Encode a whole view once for all who ask within a second

Cause: the feed kept one encoded delta, so each change of the state, and each small delta, threw the encoding of the whole view away; when all daemons start together nearly each had its own made (benchmark TakeFullView in lab/scale: a view of 10,000 engines is 1.5 MB encoded). Change: whole views have a cache of their own, made under one lock and used again for a second; what came since follows as a small delta. Ruled out: a cache for each version, which keeps megabytes for each. Test: the second asker gets the same bytes, and later ones a fresh view.

--- a/connection/feed/bulk_test.go
+++ b/connection/feed/bulk_test.go
@@ -59,7 +59,7 @@
 	must.Eq(t, kindGrant, received.Kind, must.Sprint("two large deltas are on their way already"))
 	must.Eq(t, 3, server.Subscribers())
 
-	first.send(kindBeat, encodeBeat(beat{acked: version}))
+	first.send(kindBeat, encodeBeat(beat{acked: version, held: version}))
 	must.Eq(t, version, third.readDelta())
 	must.NoError(t, second.conn.Close())
 	subscribeAnew(t, address, "fourth").readDelta()
@@ -85,7 +85,7 @@
 	t.Cleanup(client.Close)
 	eventually(t, "two subscriptions", func() bool { return server.Subscribers() == 2 })
 	time.Sleep(silence + bulkKeepAlive) // longer than the client bears silence
-	first.send(kindBeat, encodeBeat(beat{acked: version}))
+	first.send(kindBeat, encodeBeat(beat{acked: version, held: version}))
 	eventually(t, "the view", func() bool { return holder.Load().Version == version })
 	must.Eq(t, 1, dials.Load())
 }
@@ -105,3 +105,23 @@
 	})
 	subscribeAnew(t, address, "next").readDelta()
 }
+
+func TestWholeViewIsEncodedOnceForManySubscribers(t *testing.T) {
+	group := newFakeGroup()
+	group.put("water")
+	cache := &deltaCache{}
+	first, version, err := cache.since(group, view.Version{}, 0)
+	must.NoError(t, err)
+	later := group.put("gritting")
+	partial, reached, err := cache.since(group, version, 0)
+	must.NoError(t, err)
+	must.Eq(t, later, reached.Revision)
+	must.NotEq(t, first, partial)
+	again, same, err := cache.since(group, view.Version{}, fullReuse-1)
+	must.NoError(t, err)
+	must.True(t, &first[0] == &again[0], must.Sprint("the encoding is used again"))
+	must.Eq(t, version, same)
+	_, fresh, err := cache.since(group, view.Version{}, fullReuse)
+	must.NoError(t, err)
+	must.Eq(t, later, fresh.Revision)
+}
--- a/connection/feed/client.go
+++ b/connection/feed/client.go
@@ -139,6 +139,14 @@
 	return err
 }
 
+// Acknowledge tells the leader at once which version is acknowledged now, if
+// the client is connected; the next beat tells it in any case.
+func (c *Client) Acknowledge() {
+	if current := c.session.Load(); current != nil {
+		current.acknowledge()
+	}
+}
+
 // ReportDemand sends a report if the client is connected and its queue has
 // room. It returns false when the report was dropped; the caller may add it to
 // the next window.
--- a/connection/feed/delta.go
+++ b/connection/feed/delta.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/pkg/errors"
@@ -17,18 +18,33 @@
 	return delta, errors.Wrap(err, "feed: decode delta")
 }
 
-// deltaCache keeps the encoding of the latest delta, since most subscribers
-// stand at the same version.
+// fullReuse is how long the encoding of a whole view is used again: what
+// changed since then follows as a small delta.
+const fullReuse = time.Second
+
+// deltaCache keeps the encodings of the latest delta, since most subscribers
+// stand at the same version, and of a whole view, which takes much longer to
+// encode than it stays the latest when all daemons start at once.
 type deltaCache struct {
 	lock    sync.Mutex
-	from    view.Version
-	to      view.Version
-	payload []byte
+	partial encodedDelta
+	// fullLock is held while a whole view is encoded, so that it is done once.
+	fullLock sync.Mutex
+	full     encodedDelta
+	fullAt   time.Duration
+}
+
+type encodedDelta struct {
+	from, to view.Version
+	payload  []byte
 }
 
-// since returns the encoded delta from a version to the one applied now, or nil
+// since returns the encoded delta from a version to one applied lately, or nil
 // when there is nothing to send.
-func (c *deltaCache) since(group Group, from view.Version) ([]byte, view.Version, error) {
+func (c *deltaCache) since(group Group, from view.Version, now time.Duration) ([]byte, view.Version, error) {
+	if from.IsZero() {
+		return c.whole(group, from, now)
+	}
 	if payload, to, found := c.find(from, group.Version()); found {
 		return payload, to, nil
 	}
@@ -36,21 +52,43 @@
 	if !found {
 		return nil, from, nil
 	}
+	if delta.Full {
+		return c.whole(group, from, now)
+	}
 	payload, err := encodeDelta(delta)
 	if err != nil {
 		return nil, from, err
 	}
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.from, c.to, c.payload = from, delta.To, payload
+	c.partial = encodedDelta{from: from, to: delta.To, payload: payload}
 	return payload, delta.To, nil
 }
 
 func (c *deltaCache) find(from, to view.Version) ([]byte, view.Version, bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if c.payload == nil || c.from != from || c.to != to {
+	if c.partial.payload == nil || c.partial.from != from || c.partial.to != to {
 		return nil, view.Version{}, false
 	}
-	return c.payload, c.to, true
+	return c.partial.payload, c.partial.to, true
+}
+
+// whole returns the encoding of a whole view that is later than from.
+func (c *deltaCache) whole(group Group, from view.Version, now time.Duration) ([]byte, view.Version, error) {
+	c.fullLock.Lock()
+	defer c.fullLock.Unlock()
+	if c.full.payload != nil && now-c.fullAt < fullReuse && c.full.to.Compare(from) > 0 {
+		return c.full.payload, c.full.to, nil
+	}
+	delta, found := group.DeltaSince(view.Version{})
+	if !found || delta.To.Compare(from) <= 0 {
+		return nil, from, nil
+	}
+	payload, err := encodeDelta(delta)
+	if err != nil {
+		return nil, from, err
+	}
+	c.full, c.fullAt = encodedDelta{to: delta.To, payload: payload}, now
+	return payload, delta.To, nil
 }
--- a/connection/feed/feed.go
+++ b/connection/feed/feed.go
@@ -44,6 +44,12 @@
 
 var _ Views = (*view.Holder)(nil)
 
+// Acknowledger is implemented by Views that acknowledge another version than
+// the one they hold, because others use it through them.
+type Acknowledger interface {
+	Acknowledge(now time.Duration) view.Version
+}
+
 // processStart is the origin of systemClock.
 var processStart = time.Now()
 
--- a/connection/feed/messages.go
+++ b/connection/feed/messages.go
@@ -7,10 +7,11 @@
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/pkg/errors"
 )
 
 // Protocol is the preface of every feed connection.
-var Protocol = frame.Protocol{ID: 2, Version: 1}
+var Protocol = frame.Protocol{ID: 2, Version: 2}
 
 // Kinds of frames. A subscriber sends Subscribe first and once.
 const (
@@ -45,10 +46,12 @@
 	version  view.Version
 }
 
-// beat asks for the view lease to be renewed and acknowledges a version.
+// beat asks for the view lease to be renewed and acknowledges a version. A
+// relay holds versions that it does not acknowledge yet.
 type beat struct {
 	sequence uint64
 	acked    view.Version
+	held     view.Version
 }
 
 // grant renews the view lease: from the moment at which the beat with the
@@ -132,13 +135,20 @@
 	encoder := frame.NewEncoder(nil)
 	encoder.Uint64(message.sequence)
 	encodeVersion(encoder, message.acked)
+	encodeVersion(encoder, message.held)
 	return encoder.Data()
 }
 
 func decodeBeat(data []byte) (beat, error) {
 	decoder := frame.NewDecoder(data)
-	message := beat{sequence: decoder.Uint64(), acked: decodeVersion(decoder)}
-	return message, decoder.Finish()
+	message := beat{sequence: decoder.Uint64(), acked: decodeVersion(decoder), held: decodeVersion(decoder)}
+	if err := decoder.Finish(); err != nil {
+		return beat{}, err
+	}
+	if message.acked.Compare(message.held) > 0 {
+		return beat{}, errors.Wrapf(errProtocol, "version %d is acknowledged and not held", message.acked.Revision)
+	}
+	return message, nil
 }
 
 func encodeGrant(message grant) []byte {
--- a/connection/feed/server.go
+++ b/connection/feed/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -63,6 +64,17 @@
 	// together and share the network evenly, none would get a whole view before
 	// it gives up and starts anew.
 	MaxBulkDeltas int
+	// FloorInterval is how often the floor moves along: a daemon that has not
+	// acknowledged what was applied that long ago gets no lease. 0: ViewLease.
+	FloorInterval time.Duration
+	// Tracker keeps the daemons' leases over all terms; nil starts one for each
+	// term, as the leader must.
+	Tracker *view.Tracker
+	// Limit bounds the leases that are granted now; nil: nothing does.
+	Limit func() time.Duration
+	// Observed is called after each beat that was taken into account, by many
+	// goroutines; it must not block. nil: nothing is called.
+	Observed func()
 	// Clock reads the monotonic clock; nil counts from the start of the process.
 	Clock  func() time.Duration
 	Logger log.Logger
@@ -83,6 +95,13 @@
 	c.MaxSubscribers = orDefault(c.MaxSubscribers, DefaultMaxSubscribers)
 	c.MaxClaims = orDefault(c.MaxClaims, DefaultMaxClaims)
 	c.MaxBulkDeltas = orDefault(c.MaxBulkDeltas, DefaultMaxBulkDeltas)
+	c.FloorInterval = orDefault(c.FloorInterval, c.ViewLease)
+	if c.Limit == nil {
+		c.Limit = unlimited
+	}
+	if c.Observed == nil {
+		c.Observed = func() {}
+	}
 	if c.Clock == nil {
 		c.Clock = systemClock
 	}
@@ -92,6 +111,8 @@
 	return c
 }
 
+func unlimited() time.Duration { return math.MaxInt64 }
+
 const subscriberShards = 16
 
 type subscriberShard struct {
@@ -195,18 +216,25 @@
 			}
 			return current
 		}
-		started := newRegistry(term, s.config.Group.Version(), s.config.ViewLease, s.config.Clock())
+		started := s.startTerm(term)
 		if s.registry.CompareAndSwap(current, started) {
 			return started
 		}
 	}
 }
 
+func (s *Server) startTerm(term uint64) *registry {
+	if s.config.Tracker != nil {
+		return &registry{term: term, lease: s.config.ViewLease, tracker: s.config.Tracker}
+	}
+	return newRegistry(term, s.config.Group.Version(), s.config.ViewLease, s.config.Clock())
+}
+
 // tick moves the floor along: a daemon that has not acknowledged what was
-// applied one view lease ago gets no lease, so that every accepted change is
+// applied one floor interval ago gets no lease, so that every accepted change is
 // in force within a bounded time.
 func (s *Server) tick() {
-	ticker := time.NewTicker(s.config.ViewLease)
+	ticker := time.NewTicker(s.config.FloorInterval)
 	defer ticker.Stop()
 	var previous view.Version
 	for {
--- a/connection/feed/session.go
+++ b/connection/feed/session.go
@@ -146,7 +146,7 @@
 	// than the leader believes.
 	s.sentAt[next.sequence] = s.client.config.Clock()
 	s.beatLock.Unlock()
-	next.acked = s.client.views.Load().Version
+	s.report(&next)
 	if err := writer.WriteFrame(kindBeat, encodeBeat(next)); err != nil {
 		return err
 	}
@@ -225,11 +225,30 @@
 	}
 	s.markReady()
 	// The new version is acknowledged at once rather than with the next tick.
-	acknowledgement := beat{acked: s.client.views.Load().Version}
-	s.enqueue(&outgoing{kind: kindBeat, payload: encodeBeat(acknowledgement)})
+	s.acknowledge()
 	return nil
 }
 
+// acknowledge sends a bare acknowledgement, which renews no lease.
+func (s *session) acknowledge() {
+	var next beat
+	s.report(&next)
+	s.enqueue(&outgoing{kind: kindBeat, payload: encodeBeat(next)})
+}
+
+// report fills in the versions that are held and acknowledged. The acknowledged
+// one is never above the held one, which is read after it.
+func (s *session) report(next *beat) {
+	acknowledger, separate := s.client.views.(Acknowledger)
+	if separate {
+		next.acked = acknowledger.Acknowledge(s.client.config.Clock())
+	}
+	next.held = s.client.views.Load().Version
+	if !separate {
+		next.acked = next.held
+	}
+}
+
 // receiveGrant renews the view lease by the time at which the granted beat was
 // sent. A grant for an unknown beat, such as a bare acknowledgement, renews nothing.
 func (s *session) receiveGrant(payload []byte) error {
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -150,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.checkVersion(message.acked); err != nil {
+	if err := s.checkVersion(message.held); err != nil {
 		return err
 	}
 	s.lock.Lock()
@@ -158,7 +158,7 @@
 	s.heard = true
 	s.beat = max(s.beat, message.sequence)
 	s.lock.Unlock()
-	if err := s.checkBulk(message.acked); err != nil {
+	if err := s.checkBulk(message.held); err != nil {
 		return err
 	}
 	s.signal()
@@ -318,7 +318,7 @@
 }
 
 func (s *subscriber) writeDelta(ctx context.Context, writer *frame.Writer, sent view.Version) error {
-	payload, to, err := s.server.cache.since(s.server.config.Group, sent)
+	payload, to, err := s.deltaSince(sent)
 	if err != nil || payload == nil {
 		return err
 	}
@@ -327,7 +327,7 @@
 			return err
 		}
 		// The group may have moved on while the subscriber waited.
-		if payload, to, err = s.server.cache.since(s.server.config.Group, sent); err != nil {
+		if payload, to, err = s.deltaSince(sent); err != nil {
 			return err
 		}
 		s.sendBulk(to)
@@ -338,9 +338,16 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.sent = to
+	if to != s.server.config.Group.Version() {
+		s.signal() // what came after a whole view that was encoded before
+	}
 	return nil
 }
 
+func (s *subscriber) deltaSince(sent view.Version) ([]byte, view.Version, error) {
+	return s.server.cache.since(s.server.config.Group, sent, s.server.config.Clock())
+}
+
 // writeGrant records the acknowledgement and renews the view lease, if a beat
 // asks for it. The leader lease is checked here, after everything that may have
 // taken time; a pause after the check does no harm, since the lease runs from
@@ -352,9 +359,11 @@
 		return nil
 	}
 	granted := current.tracker.Observe(s.key.String(), acked, now)
-	if !granted || sequence == 0 {
+	s.server.config.Observed()
+	lease := min(current.lease, s.server.config.Limit())
+	if !granted || sequence == 0 || lease <= 0 {
 		return nil
 	}
-	message := grant{sequence: sequence, lease: current.lease, term: current.term}
+	message := grant{sequence: sequence, lease: lease, term: current.term}
 	return writer.WriteFrame(kindGrant, encodeGrant(message))
 }
