Measure plain requests beside saturated model work, and the proxy beside a relay

landingtrail-lab lanes plays blocks of plain requests alone and beside model work in turn, within one run, and gives the ratio of their 99th percentiles with a bootstrap over blocks; then it sends requests to one back end directly, through a plain relay (the standard library's reverse proxy) and through the proxy in turn, and reads the processor time of both processes.

--- a/lab/fleet/start.go
+++ b/lab/fleet/start.go
@@ -110,7 +110,7 @@
 func (f *Fleet) stop(summary *Summary) error {
 	f.progress("stopping")
 	var failures []error
-	for _, prefixes := range [][]string{{prefixProxy}, {prefixEngine, prefixBackend}, {prefixControl}, {prefixPlatform}} {
+	for _, prefixes := range [][]string{{prefixProxy, prefixRelay}, {prefixEngine, prefixBackend}, {prefixControl}, {prefixPlatform}} {
 		failures = append(failures, f.run.stop(prefixes...)...)
 	}
 	for _, failure := range failures {
