--- a/cmd/landingtrail-lab/experiment.go
+++ b/cmd/landingtrail-lab/experiment.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,6 +16,7 @@
 
 	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/lab/experiment"
+	"github.com/landingtrail/landingtrail/lab/experiment/chart"
 	"github.com/landingtrail/landingtrail/lab/trace"
 	"github.com/landingtrail/landingtrail/version/api"
 )
@@ -73,6 +77,9 @@
 		if err != nil {
 			return err
 		}
+		if err := flags.writeFiles([]*experiment.Report{report}); err != nil {
+			return err
+		}
 		return printExperiment(to, flags.json, report)
 	}
 	first, last, err := parseSeeds(flags.seeds)
@@ -87,9 +94,34 @@
 		}
 		reports = append(reports, report)
 	}
+	if err := flags.writeFiles(reports); err != nil {
+		return err
+	}
 	return printSummaries(to, flags, experiment.Summarize(reports))
 }
 
+// writeFiles writes the plot and the report that were asked for.
+func (f *experimentFlags) writeFiles(reports []*experiment.Report) error {
+	if f.plot != "" {
+		err := writeFile(f.plot, func(to io.Writer) error { return chart.WriteSVG(to, reports[0]) })
+		if err != nil {
+			return err
+		}
+	}
+	if f.report == "" {
+		return nil
+	}
+	return writeFile(f.report, func(to io.Writer) error { return experiment.WriteMarkdown(to, reports) })
+}
+
+func writeFile(path string, write func(io.Writer) error) error {
+	var content bytes.Buffer
+	if err := write(&content); err != nil {
+		return err
+	}
+	return errors.WithStack(os.WriteFile(path, content.Bytes(), 0o644))
+}
+
 func (f *experimentFlags) run(seed uint64) (*experiment.Report, error) {
 	roles, err := parseRoles(f.roles)
 	if err != nil {
--- a/lab/experiment/experiment_test.go
+++ b/lab/experiment/experiment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -87,6 +88,18 @@
 	must.Eq(t, []planner.ScheduleStep{{Split: a}, {From: 110 * time.Second, Split: b}}, earlier(steps, 10*time.Second))
 }
 
+func TestWriteMarkdown(t *testing.T) {
+	var page strings.Builder
+	reports := []*Report{
+		{Deployment: "d", Seed: 4, Runs: []PolicyRun{{Policy: "p", Goodput: 50}, {Policy: PolicyHindsight, Goodput: 100}}},
+		{Deployment: "d", Seed: 5, Runs: []PolicyRun{{Policy: "p", Goodput: 90}, {Policy: PolicyHindsight, Goodput: 100, Plan: "all mixed"}}},
+	}
+	must.NoError(t, WriteMarkdown(&page, reports))
+	for _, wanted := range []string{"## d, seeds 4 to 5", "| p | 70 | 0.7000 | 0.5000 | 4 |", "### d, seed 5", "| all mixed |"} {
+		must.StrContains(t, page.String(), wanted)
+	}
+}
+
 func TestSummarize(t *testing.T) {
 	reports := []*Report{
 		{Seed: 1, OfferedTokens: 200, Runs: []PolicyRun{{Policy: "p", Goodput: 90, RoleChanges: 2}, {Policy: PolicyHindsight, Goodput: 100}}},
--- a/lab/experiment/hindsight.go
+++ b/lab/experiment/hindsight.go
@@ -13,8 +13,9 @@
 
 // Hindsight is the best plan found with the trace known. Searched are:
 //
-//   - constant splits: those without mixed engines, and those with mixed
-//     engines beside at most two prefill and two decode engines;
+//   - constant splits: all mixed; mixed beside at most two prefill or decode
+//     engines, or one of each; and without mixed engines those of two to five
+//     prefill engines (all of them if no engine may be mixed);
 //   - piecewise-constant splits over segments of a minute, composed by dynamic
 //     programming from what each constant split completed of the requests that
 //     arrived in each segment, at several prices of a role change, and the same
@@ -27,6 +28,8 @@
 // no plan can serve more than that.
 const (
 	saturatedShare = 0.001
+	leastPrefill   = 2 // without mixed engines, where mixed ones are permitted
+	mostPrefill    = 5
 
 	segmentLength  = time.Minute
 	maxDedicated   = 2 // prefill or decode engines beside mixed ones
@@ -126,14 +129,15 @@
 }
 
 func (b *bench) searched(split planner.Split) bool {
-	if split.Mixed == 0 {
+	mixedAllowed := slices.Contains(b.config.Roles, api.RoleMixed)
+	switch {
+	case split.Mixed == 0 && mixedAllowed:
+		return split.Prefill >= leastPrefill && split.Prefill <= mostPrefill
+	case split.Mixed == 0:
 		return split.Prefill > 0 && split.Decode > 0
+	default:
+		return mixedAllowed && split.Prefill+split.Decode <= maxDedicated
 	}
-	dedicated := split.Prefill > 0 || split.Decode > 0
-	if !slices.Contains(b.config.Roles, api.RoleMixed) {
-		return false
-	}
-	return !dedicated || split.Prefill <= maxDedicated && split.Decode <= maxDedicated
 }
 
 // composedPlans composes plans from the constant ones, one for each price.
@@ -150,7 +154,11 @@
 			moves := constants[from].steps[0].Split.Moves(constants[to].steps[0].Split)
 			return price * engineSecond * float64(moves)
 		})
-		plans = append(plans, plan{steps: stepsOf(path, constants)})
+		steps := stepsOf(path, constants)
+		known := slices.ContainsFunc(plans, func(other plan) bool { return slices.Equal(other.steps, steps) })
+		if len(steps) > 1 && !known { // one step is a constant split
+			plans = append(plans, plan{steps: steps})
+		}
 	}
 	return plans
 }
@@ -238,9 +246,7 @@
 	var plans []plan
 	for _, lead := range changeLeads {
 		for _, original := range composed[:min(hindsightLeads, len(composed))] {
-			if len(original.steps) > 1 {
-				plans = append(plans, plan{steps: earlier(original.steps, lead)})
-			}
+			plans = append(plans, plan{steps: earlier(original.steps, lead)})
 		}
 	}
 	return plans
