Pass view leases on through relays, as a rule of its own

Cause: the leader serves every subscription itself; at 2,100 daemons each change and each beat meets all of them, and DESIGN said that passing the stream on was not built. Weighed: (a) learners that apply the log and serve views, with the leader told of each daemon: the leader still tracks 2,100 leases; (b) acknowledgements in the log: facts that die with a connection; (c) a tree of leases. A relay looks to the leader like one daemon. It passes on only leases that end before its own (Limit, less the clocks' drift) and acknowledges only what is in force behind it (its own Tracker, whose floor then keeps older views out). Ruled out: acknowledging what the relay holds, and leases beyond its own.

--- a/version/view/holder.go
+++ b/version/view/holder.go
@@ -68,3 +68,18 @@
 // clock as Confirm's sentAt. Callers that act on the view must read the clock
 // after the work that led to the action, since a process may be paused between.
 func (h *Holder) Valid(now time.Duration) bool { return int64(now) < h.validUntil.Load() }
+
+// Remaining returns how long the lease still covers, zero if it has lapsed.
+func (h *Holder) Remaining(now time.Duration) time.Duration {
+	if until := h.validUntil.Load(); int64(now) < until {
+		return time.Duration(until) - now
+	}
+	return 0
+}
+
+// Term returns the highest term known from deltas and confirmations.
+func (h *Holder) Term() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.term
+}
--- a/version/view/tracker.go
+++ b/version/view/tracker.go
@@ -166,6 +166,19 @@
 	return names
 }
 
+// lowest returns the lowest version held under a lease, and false if no lease runs.
+func (t *Tracker) lowest(now time.Duration) (lowest Version, some bool) {
+	t.scan(now, func(_ string, state daemonState) {
+		if now >= state.lapsesAt {
+			return
+		}
+		if !some || state.acked.Compare(lowest) < 0 {
+			lowest, some = state.acked, true
+		}
+	})
+	return lowest, some
+}
+
 // scan calls visit for each daemon and drops those that lapsed long ago.
 func (t *Tracker) scan(now time.Duration, visit func(name string, state daemonState)) {
 	for i := range t.shards {
