Check the emulator's engine model against a running stand-in

Seen: the weight store shares its rate between all readers, the emulator lets two load at full rate; no experiment loads weights in its course.

--- a/cmd/landingtrail-lab/experiment.go
+++ b/cmd/landingtrail-lab/experiment.go
@@ -39,6 +39,8 @@
 	parallel   uint64
 	plot       string
 	report     string
+	check      string
+	speed      uint64
 }
 
 func experimentCommand(to cli.Streams) *ffcli.Command {
@@ -53,6 +55,8 @@
 	cli.UintFlag(flagSet, &flags.parallel, "parallel", experiment.DefaultParallel, maxParallel, "how many emulations run at once")
 	flagSet.StringVar(&flags.plot, "plot", "", "write an SVG of demand, roles, goodput and changes over time; with --seeds of the first seed")
 	flagSet.StringVar(&flags.report, "report", "", "write a Markdown report")
+	flagSet.StringVar(&flags.check, "check", "", "IP number and port of a running stand-in engine: compare the emulator's engine model with it instead")
+	cli.UintFlag(flagSet, &flags.speed, "speed", 1, maxSpeed, "with --check, the speed that the stand-in was started with")
 	cli.BoolFlag(flagSet, &flags.json, "json", "print JSON")
 	return &ffcli.Command{
 		Name:       "experiment",
@@ -62,10 +66,13 @@
 			"landingtrail-lab experiment --deployment radarvlak --seeds 1-20"),
 		FlagSet: flagSet,
 		Options: cli.Environment(environmentPrefix),
-		Exec: func(_ context.Context, args []string) error {
+		Exec: func(ctx context.Context, args []string) error {
 			if err := cli.Exactly(args); err != nil {
 				return err
 			}
+			if flags.check != "" {
+				return runCheck(ctx, to, flags)
+			}
 			return runExperiment(to, flags)
 		},
 	}
--- a/cmd/landingtrail-lab/experiment_test.go
+++ b/cmd/landingtrail-lab/experiment_test.go
@@ -47,6 +47,7 @@
 		{"policy", "policies", []string{"--policies", "other"}},
 		{"role", "roles", []string{"--roles", "reader"}},
 		{"no whole request", "roles", []string{"--roles", "prefill"}},
+		{"check", "check", []string{"--check", "engine"}},
 		{"seeds", "seeds", []string{"--seeds", "3-1"}},
 	}
 	for _, c := range cases {
