--- a/process/control/group_test.go
+++ b/process/control/group_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
 )
@@ -51,7 +53,7 @@
 
 // cluster is a control group whose members run in this process.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	configs []Config
 	running map[int]*runningMember
 }
@@ -63,7 +65,7 @@
 }
 
 // newCluster prepares members on free ports of the loopback interface.
-func newCluster(t *testing.T, size int, adjust func(*Config)) *cluster {
+func newCluster(t testing.TB, size int, adjust func(*Config)) *cluster {
 	c := &cluster{t: t, running: map[int]*runningMember{}}
 	var members []Member
 	for i := range size {
@@ -94,7 +96,7 @@
 	return c
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	defer func() { _ = listener.Close() }()
@@ -106,7 +108,13 @@
 		config := c.configs[i].WithDefaults()
 		must.SliceEmpty(c.t, config.Check())
 		logger := log.With(log.NewLogfmtLogger(&testWriter{t: c.t}), "member", config.Name)
-		opened, err := open(context.Background(), config, logger)
+		var opened *member
+		var err error
+		eventually(c.t, "the member's ports", func() bool {
+			opened, err = open(context.Background(), config, logger)
+			// Another process may hold the port for a connection of its own.
+			return !errors.Is(err, syscall.EADDRINUSE)
+		})
 		must.NoError(c.t, err)
 		ctx, cancel := context.WithCancel(context.Background())
 		started := &runningMember{member: opened, cancel: cancel, done: make(chan error, 1)}
@@ -117,7 +125,7 @@
 
 // testWriter logs to the test as long as it runs.
 type testWriter struct {
-	t    *testing.T
+	t    testing.TB
 	lock sync.Mutex
 }
 
@@ -128,20 +136,30 @@
 	return len(line), nil
 }
 
-func (c *cluster) stop(i int) error {
-	stopping := c.running[i]
+func (c *cluster) stop(i int) error { return c.take(i).stop() }
+
+// take takes the member out of the running ones, so that no request goes to it.
+func (c *cluster) take(i int) *runningMember {
+	taken := c.running[i]
 	delete(c.running, i)
-	stopping.cancel()
-	return <-stopping.done
+	return taken
+}
+
+func (c *cluster) crash(i int) { must.NoError(c.t, c.take(i).crash()) }
+
+func (r *runningMember) stop() error {
+	r.cancel()
+	return <-r.done
 }
 
 // crash cuts the member off before it can hand anything over, and ends it.
-func (c *cluster) crash(i int) {
-	crashed := c.running[i]
-	must.NoError(c.t, crashed.member.transport.Close())
-	crashed.member.operator.close()
-	crashed.member.feed.Close()
-	must.NoError(c.t, c.stop(i))
+func (r *runningMember) crash() error {
+	if err := r.member.transport.Close(); err != nil {
+		return err
+	}
+	r.member.operator.close()
+	r.member.feed.Close()
+	return r.stop()
 }
 
 // loseDisk empties the data folder of a member that is not running.
@@ -158,7 +176,7 @@
 }
 
 // eventually polls until condition holds.
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(patience)
 	for !condition() {
@@ -240,22 +258,25 @@
 	return result
 }
 
-// follow starts a feed client of the running group.
+// follow starts a feed client of the running group with short intervals.
 func (c *cluster) follow(daemon string) (*feed.Client, *view.Holder) {
 	c.t.Helper()
-	var addresses []string
-	for _, config := range c.configs {
-		addresses = append(addresses, config.FeedAddress)
-	}
-	holder := view.NewHolder()
-	client, err := feed.Dial(feed.ClientConfig{
+	return c.followBy(feed.ClientConfig{
 		Daemon:         daemon,
-		Zone:           "zone-a",
-		Addresses:      addresses,
 		BeatInterval:   30 * time.Millisecond,
 		SilenceTimeout: time.Second,
 		BackoffMax:     50 * time.Millisecond,
-	}, holder)
+	})
+}
+
+func (c *cluster) followBy(config feed.ClientConfig) (*feed.Client, *view.Holder) {
+	c.t.Helper()
+	config.Zone = "zone-a"
+	for _, member := range c.configs {
+		config.Addresses = append(config.Addresses, member.FeedAddress)
+	}
+	holder := view.NewHolder()
+	client, err := feed.Dial(config, holder)
 	must.NoError(c.t, err)
 	c.t.Cleanup(client.Close)
 	return client, holder
