Test the fleet that serves without load

Cause: README's tour stands on "--for 0", and no test took that way. Change: a deployment of one member, one proxy and one engine in testdata; the run must say that it serves, write its addresses and stop as planned when its context ends, without a violation.

--- a/lab/fleet/announce_test.go
+++ b/lab/fleet/announce_test.go
@@ -1,8 +1,11 @@
 package fleet
 
 import (
+	"bytes"
+	"context"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -35,3 +38,38 @@
 	}}
 	must.Eq(t, "m-1", planned.firstModel())
 }
+
+// cancelOn ends a context when a text was written to it.
+type cancelOn struct {
+	text    string
+	cancel  context.CancelFunc
+	written bytes.Buffer
+}
+
+// Write implements io.Writer for the run's one goroutine.
+func (c *cancelOn) Write(part []byte) (int, error) {
+	if strings.Contains(string(part), c.text) {
+		c.cancel()
+	}
+	return c.written.Write(part)
+}
+
+// TestIdleFleetServesUntilItsContextEnds: without a duration, the fleet says
+// that it serves only once its proxy has answered a model request, and then
+// stops as planned.
+func TestIdleFleetServesUntilItsContextEnds(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	progress := &cancelOn{text: "serving until", cancel: cancel}
+	config := testConfig()
+	config.Folder, config.Deployment = "testdata", "small"
+	config.Data = filepath.Join(t.TempDir(), "data")
+	config.Progress = progress
+	summary, err := Run(ctx, config)
+	must.NoError(t, err, must.Sprint(progress.written.String()))
+	must.SliceEmpty(t, summary.Violations)
+	must.StrContains(t, progress.written.String(), "serving until")
+	environment, err := os.ReadFile(filepath.Join(config.Data, environmentFile))
+	must.NoError(t, err)
+	must.StrContains(t, string(environment), "export FLEET_PROXY=http://127.0.0.1:")
+}
