Add the relay daemon

Change: landingtrail relay follows the group's feed as one daemon and serves it to the daemons behind it (view.Relay). Claims are passed on, demand is summed, a planned stop answers claims that are under way and sends the daemons on. Its gain at size is still to be measured.

--- a/cmd/landingtrail/main.go
+++ b/cmd/landingtrail/main.go
@@ -30,7 +30,7 @@
 		LongHelp:   exitCodesHelp + "\n\nEvery flag also has a variable: LANDINGTRAIL_ENDPOINTS stands in for --endpoints.",
 		FlagSet:    cli.NewFlagSet(programName),
 		Subcommands: []*ffcli.Command{
-			controlCommand(to), proxyCommand(to), checkCommand(to),
+			controlCommand(to), proxyCommand(to), relayCommand(to), checkCommand(to),
 			applyCommand(to), getCommand(to), diffCommand(to), labelCommand(to), drainCommand(to),
 			statusCommand(to), ordersCommand(to), ledgerCommand(to), membersCommand(to), versionCommand(to),
 		},
--- /dev/null
+++ b/process/relay/demand.go
@@ -0,0 +1,127 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+)
+
+// maxDemandWindow bounds how long demand is kept that could not be reported:
+// older demand would only mislead the planner.
+const maxDemandWindow = 10 * time.Second
+
+// queueMemory is how long a daemon's last word on its queues counts.
+const queueMemory = 3 * time.Second
+
+type demandKey struct{ intent, class string }
+
+// demandSum adds up what the daemons behind the relay were offered, so that
+// the group gets one report in place of many.
+type demandSum struct {
+	lock   sync.Mutex
+	since  time.Duration
+	counts map[demandKey]*feed.Demand
+	queues map[string]queueReport // by daemon
+}
+
+// queueReport is what waited at a daemon when it last reported.
+type queueReport struct {
+	at      time.Duration
+	demands []feed.Demand
+}
+
+func newDemandSum(now time.Duration) *demandSum {
+	return &demandSum{since: now, counts: map[demandKey]*feed.Demand{}, queues: map[string]queueReport{}}
+}
+
+// add takes a daemon's report in that arrived now.
+func (s *demandSum) add(daemon string, report feed.DemandReport, now time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for i := range report.Demands {
+		s.count(&report.Demands[i])
+	}
+	s.queues[daemon] = queueReport{at: now, demands: report.Demands}
+}
+
+func (s *demandSum) count(offered *feed.Demand) {
+	sum := s.sum(s.counts, offered)
+	sum.Requests += offered.Requests
+	sum.PromptTokens += offered.PromptTokens
+	sum.CachedPromptTokens += offered.CachedPromptTokens
+	sum.OutputTokens += offered.OutputTokens
+	sum.Refused += offered.Refused
+	sum.Late += offered.Late
+}
+
+func (s *demandSum) sum(counts map[demandKey]*feed.Demand, offered *feed.Demand) *feed.Demand {
+	key := demandKey{intent: offered.Intent, class: offered.Class}
+	sum := counts[key]
+	if sum == nil {
+		sum = &feed.Demand{Intent: offered.Intent, Class: offered.Class}
+		counts[key] = sum
+	}
+	return sum
+}
+
+// report returns the sums since the last report that was sent. Queues are
+// gauges: each daemon's latest counts, for as long as it is fresh.
+func (s *demandSum) report(now time.Duration) feed.DemandReport {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	sums := make(map[demandKey]*feed.Demand, len(s.counts))
+	for key, counted := range s.counts {
+		copied := *counted
+		sums[key] = &copied
+	}
+	for daemon, queue := range s.queues {
+		if now-queue.at > queueMemory {
+			delete(s.queues, daemon)
+			continue
+		}
+		for i := range queue.demands {
+			sum := s.sum(sums, &queue.demands[i])
+			sum.QueuedRequests += queue.demands[i].QueuedRequests
+			sum.QueuedPromptTokens += queue.demands[i].QueuedPromptTokens
+		}
+	}
+	report := feed.DemandReport{Window: now - s.since}
+	for _, sum := range sums {
+		report.Demands = append(report.Demands, *sum)
+	}
+	return report
+}
+
+// sent starts a new window at the time of the report, if it was sent or is too
+// old to be sent again.
+func (s *demandSum) sent(report feed.DemandReport, accepted bool, now time.Duration) {
+	if !accepted && report.Window < maxDemandWindow {
+		return
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for i := range report.Demands {
+		s.subtract(&report.Demands[i])
+	}
+	s.since = now
+}
+
+// subtract takes out what was reported; what came meanwhile stays.
+func (s *demandSum) subtract(reported *feed.Demand) {
+	key := demandKey{intent: reported.Intent, class: reported.Class}
+	sum := s.counts[key]
+	if sum == nil {
+		return
+	}
+	if sum.Requests <= reported.Requests && sum.Refused <= reported.Refused && sum.Late <= reported.Late {
+		delete(s.counts, key)
+		return
+	}
+	sum.Requests -= reported.Requests
+	sum.PromptTokens -= reported.PromptTokens
+	sum.CachedPromptTokens -= reported.CachedPromptTokens
+	sum.OutputTokens -= reported.OutputTokens
+	sum.Refused -= reported.Refused
+	sum.Late -= reported.Late
+}
--- /dev/null
+++ b/process/relay/group.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/landingtrail/landingtrail/version/view"
+)
+
+// upstream is the control group as the relay uses it; *feed.Client is one.
+type upstream interface {
+	Claim(ctx context.Context, request state.ClaimRequest) (api.ClaimResult, error)
+	RecordOutcome(ctx context.Context, outcome state.RunOutcome) error
+}
+
+// group is what stands for the control group toward the daemons behind the
+// relay. It serves them while the relay's own view lease holds.
+type group struct {
+	relay        *view.Relay
+	upstream     upstream
+	demand       *demandSum
+	clock        func() time.Duration
+	claimTimeout time.Duration
+	stopping     atomic.Bool
+}
+
+var _ feed.Group = (*group)(nil)
+
+// Leadership tells daemons to go on to another address when the relay has no
+// lease to pass on or stops.
+func (g *group) Leadership() feed.Leadership {
+	return feed.Leadership{Leads: g.serves(), Term: g.relay.Term()}
+}
+
+func (g *group) serves() bool { return !g.stopping.Load() && g.relay.Limit(g.clock()) > 0 }
+
+// Lease returns the term of the leader that granted the relay's lease.
+func (g *group) Lease(context.Context) (uint64, bool) { return g.relay.Term(), g.serves() }
+
+// Version returns the version held.
+func (g *group) Version() view.Version { return g.relay.History().View.Version }
+
+// DeltaSince returns what leads from a version to the one held.
+func (g *group) DeltaSince(from view.Version) (view.Delta, bool) {
+	return g.relay.History().DeltaSince(from)
+}
+
+// Claim passes the claim on; its nonce makes a repeat harmless.
+func (g *group) Claim(ctx context.Context, request state.ClaimRequest) (api.ClaimResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, g.claimTimeout)
+	defer cancel()
+	return g.upstream.Claim(ctx, request)
+}
+
+// RecordOutcome passes the outcome on.
+func (g *group) RecordOutcome(ctx context.Context, outcome state.RunOutcome) error {
+	ctx, cancel := context.WithTimeout(ctx, g.claimTimeout)
+	defer cancel()
+	return g.upstream.RecordOutcome(ctx, outcome)
+}
+
+// ReportDemand adds the report to the relay's own next one.
+func (g *group) ReportDemand(daemon string, report feed.DemandReport) {
+	g.demand.add(daemon, report, g.clock())
+}
--- /dev/null
+++ b/process/relay/group_test.go
@@ -0,0 +1,202 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/landingtrail/landingtrail/version/view"
+)
+
+const (
+	groupLease = 2 * time.Second
+	relayLease = 800 * time.Millisecond
+	testBeat   = 100 * time.Millisecond
+	// patience bounds every wait; it measures nothing.
+	patience = 20 * time.Second
+)
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// leaderGroup is a control group of one state machine that always leads.
+type leaderGroup struct {
+	lock    sync.Mutex
+	machine *state.Machine
+	index   uint64
+	demand  []feed.DemandReport
+}
+
+func (g *leaderGroup) apply(command state.Command) any {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.index++
+	return g.machine.Apply(1, g.index, command)
+}
+
+func (g *leaderGroup) Leadership() feed.Leadership { return feed.Leadership{Leads: true, Term: 1} }
+
+func (g *leaderGroup) Lease(context.Context) (uint64, bool) { return 1, true }
+
+func (g *leaderGroup) Version() view.Version {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.machine.Version()
+}
+
+func (g *leaderGroup) DeltaSince(from view.Version) (view.Delta, bool) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.machine.DeltaSince(from)
+}
+
+func (g *leaderGroup) Claim(_ context.Context, request state.ClaimRequest) (api.ClaimResult, error) {
+	return g.apply(state.Command{Kind: state.CommandClaim, Claim: &request}).(api.ClaimResult), nil
+}
+
+func (g *leaderGroup) RecordOutcome(_ context.Context, outcome state.RunOutcome) error {
+	g.apply(state.Command{Kind: state.CommandRunOutcome, RunOutcome: &outcome})
+	return nil
+}
+
+func (g *leaderGroup) ReportDemand(_ string, report feed.DemandReport) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.demand = append(g.demand, report)
+}
+
+func (g *leaderGroup) demanded() float64 {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	sum := 0.0
+	for _, report := range g.demand {
+		for _, demand := range report.Demands {
+			sum += demand.Requests
+		}
+	}
+	return sum
+}
+
+// tree is a leader, a relay and daemons behind it.
+type tree struct {
+	t       *testing.T
+	group   *leaderGroup
+	leader  *feed.Server
+	address string
+	config  Config
+	stop    context.CancelFunc
+	stopped chan error
+}
+
+func newTree(t *testing.T) *tree {
+	made := &tree{t: t, group: &leaderGroup{machine: state.New()}}
+	made.put()
+	made.serveLeader("127.0.0.1:0")
+	t.Cleanup(func() { made.leader.Close() })
+	made.config = Config{
+		Name:         "relay-1",
+		FeedAddress:  freeAddress(t),
+		AdminAddress: freeAddress(t),
+		Control:      []string{made.address},
+		Lease:        relayLease,
+		Beat:         testBeat,
+		Demand:       testBeat,
+	}
+	made.start()
+	t.Cleanup(made.end)
+	return made
+}
+
+func (f *tree) serveLeader(address string) {
+	listener, err := net.Listen("tcp", address)
+	must.NoError(f.t, err)
+	f.address = listener.Addr().String()
+	f.leader = feed.NewServer(feed.ServerConfig{Group: f.group, ViewLease: groupLease}, listener)
+}
+
+func (f *tree) start() {
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop, f.stopped = stop, make(chan error, 1)
+	go func() { f.stopped <- Run(ctx, f.config, log.NewNopLogger()) }()
+}
+
+// end stops the relay as planned, once.
+func (f *tree) end() {
+	if f.stop != nil {
+		f.stop()
+		f.stop = nil
+		must.NoError(f.t, <-f.stopped)
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// put changes the state and returns the version after it.
+func (f *tree) put() view.Version {
+	f.group.lock.Lock()
+	name := fmt.Sprint("tenant-", f.group.index)
+	f.group.lock.Unlock()
+	tenant := &api.Tenant{Metadata: api.Metadata{Name: name}}
+	transaction := &api.Transaction{OperationID: name, Writes: []api.Write{{Object: api.Object{Tenant: tenant}}}}
+	f.group.apply(state.Command{Kind: state.CommandTransaction, Transaction: transaction})
+	if f.leader != nil {
+		f.leader.Wake()
+	}
+	return f.group.Version()
+}
+
+// follow starts a daemon; a stuck one takes deltas only while it is not held.
+func (f *tree) follow(name string, views feed.Views, addresses ...string) *feed.Client {
+	if len(addresses) == 0 {
+		addresses = []string{f.config.FeedAddress}
+	}
+	client, err := feed.Dial(feed.ClientConfig{
+		Daemon: name, Addresses: addresses, BeatInterval: testBeat, BackoffMax: testBeat, Clock: testClock,
+	}, views)
+	must.NoError(f.t, err)
+	f.t.Cleanup(client.Close)
+	return client
+}
+
+var testStart = time.Now()
+
+func testClock() time.Duration { return time.Since(testStart) }
+
+func (f *tree) inForce(version view.Version) bool {
+	result, leads := f.leader.InForce(f.t.Context(), version.Revision)
+	return leads && result.Done
+}
+
+// slowViews holds deltas up while it is locked.
+type slowViews struct {
+	*view.Holder
+	lock sync.Mutex
+}
+
+func (s *slowViews) Apply(delta view.Delta) error {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.Holder.Apply(delta)
+}
--- /dev/null
+++ b/process/relay/relay.go
@@ -0,0 +1,218 @@
+// Package relay runs the daemon that passes the control group's feed on, so
+// that the leader serves one relay in place of the daemons behind it.
+//
+// Toward the group it is one daemon that follows the feed; toward the daemons it
+// serves the feed as a leader does. Its guarantee is view.Relay's: what the
+// group calls in force is in force at each daemon behind it, and no daemon uses
+// its view for longer than the relay's own lease. Claims are passed on one by
+// one, demand is summed. A relay keeps nothing on disk.
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/process/admin"
+	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/version/view"
+)
+
+// followed is the relay's view as the feed's client keeps it.
+type followed struct {
+	*view.Relay
+	server atomic.Pointer[feed.Server]
+}
+
+// Apply moves the view forward and wakes the daemons' subscriptions.
+func (f *followed) Apply(delta view.Delta) error {
+	err := f.Relay.Apply(delta)
+	if server := f.server.Load(); err == nil && server != nil {
+		server.Wake()
+	}
+	return err
+}
+
+// Relay is one running relay.
+type Relay struct {
+	config   Config
+	logger   log.Logger
+	clock    func() time.Duration
+	views    *followed
+	group    *group
+	client   *feed.Client
+	server   *feed.Server
+	observed chan struct{} // a daemon's beat arrived
+	admin    *admin.Server
+	work     sync.WaitGroup
+}
+
+// Run runs a relay until ctx ends.
+func Run(ctx context.Context, config Config, logger log.Logger) error {
+	r, err := open(config, logger)
+	if err != nil {
+		return err
+	}
+	work, end := context.WithCancel(context.Background())
+	r.work.Go(func() { r.acknowledge(work) })
+	r.work.Go(func() { r.reportDemand(work) })
+	event.RelayStarted.Log(logger, "feed", config.FeedAddress, "admin", r.admin.Addr(), "zone", config.Zone)
+	<-ctx.Done()
+	r.drain()
+	end()
+	r.close()
+	event.RelayStopped.Log(logger)
+	return nil
+}
+
+// open takes the ports and starts to follow the group.
+func open(config Config, logger log.Logger) (*Relay, error) {
+	config = config.withDefaults()
+	if err := config.check(); err != nil {
+		return nil, err
+	}
+	started := time.Now()
+	clock := func() time.Duration { return time.Since(started) }
+	r := &Relay{
+		config:   config,
+		logger:   logger,
+		clock:    clock,
+		views:    &followed{Relay: view.NewRelay(config.Lease, clock())},
+		observed: make(chan struct{}, 1),
+	}
+	listener, err := net.Listen("tcp", config.FeedAddress)
+	if err != nil {
+		return nil, errors.Wrap(err, "relay: listen for daemons")
+	}
+	if err := r.follow(); err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	r.serve(listener)
+	if r.admin, err = admin.Listen("landingtrail-relay", config.AdminAddress, r.metrics(), r.readiness); err != nil {
+		r.server.Close()
+		r.client.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+// follow starts the subscription to the group.
+func (r *Relay) follow() error {
+	client, err := feed.Dial(feed.ClientConfig{
+		Daemon:       r.config.Name,
+		Zone:         r.config.Zone,
+		Addresses:    r.config.Control,
+		BeatInterval: r.config.Beat,
+		MaxInFlight:  r.config.MaxDaemons * feed.DefaultMaxClaims,
+		Clock:        r.clock,
+		Logger:       r.logger,
+	}, r.views)
+	if err != nil {
+		return errors.Wrap(err, "relay: follow the control group")
+	}
+	r.client = client
+	r.group = &group{
+		relay:        r.views.Relay,
+		upstream:     client,
+		demand:       newDemandSum(r.clock()),
+		clock:        r.clock,
+		claimTimeout: r.config.ClaimTimeout,
+	}
+	return nil
+}
+
+// serve starts to serve the daemons.
+func (r *Relay) serve(listener net.Listener) {
+	r.server = feed.NewServer(feed.ServerConfig{
+		Group:          r.group,
+		ViewLease:      r.config.Lease,
+		FloorInterval:  r.config.Lease / floorShare,
+		Tracker:        r.views.Tracker(),
+		Limit:          func() time.Duration { return r.views.Limit(r.clock()) },
+		Observed:       r.noteBeat,
+		MaxSubscribers: r.config.MaxDaemons,
+		Clock:          r.clock,
+		Logger:         r.logger,
+	}, listener)
+	r.views.server.Store(r.server)
+}
+
+// noteBeat makes acknowledge look again; calls coalesce.
+func (r *Relay) noteBeat() {
+	select {
+	case r.observed <- struct{}{}:
+	default:
+	}
+}
+
+// acknowledge tells the group at once when a version has come into force behind
+// the relay, rather than with the next beat.
+func (r *Relay) acknowledge(ctx context.Context) {
+	ticker := time.NewTicker(r.config.Lease / floorShare)
+	defer ticker.Stop()
+	var told view.Version
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.observed:
+		case <-ticker.C:
+		}
+		if reached := r.views.Acknowledge(r.clock()); reached != told {
+			told = reached
+			r.client.Acknowledge()
+		}
+	}
+}
+
+// reportDemand sends the daemons' summed demand in each interval.
+func (r *Relay) reportDemand(ctx context.Context) {
+	ticker := time.NewTicker(r.config.Demand)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := r.clock()
+		report := r.group.demand.report(now)
+		r.group.demand.sent(report, r.client.ReportDemand(report), now)
+	}
+}
+
+// drainPoll is how often a stopping relay looks whether its daemons have left.
+const drainPoll = 10 * time.Millisecond
+
+// drain is the planned stop: each daemon is sent on once its claims that are
+// under way have their answers.
+func (r *Relay) drain() {
+	event.RelayDraining.Log(r.logger, "daemons", r.server.Subscribers())
+	r.group.stopping.Store(true)
+	r.server.Wake()
+	limit := time.NewTimer(r.config.StopTimeout)
+	defer limit.Stop()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for r.server.Subscribers() > 0 {
+		select {
+		case <-limit.C:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Relay) close() {
+	r.server.Close()
+	r.client.Close()
+	r.admin.Close()
+	r.work.Wait()
+}
--- /dev/null
+++ b/process/relay/relay_test.go
@@ -0,0 +1,149 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/process/admin"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/landingtrail/landingtrail/version/view"
+)
+
+func TestChangeIsInForceOnceEveryDaemonBehindTheRelayHasIt(t *testing.T) {
+	f := newTree(t)
+	quick, slow := view.NewHolder(), &slowViews{Holder: view.NewHolder()}
+	f.follow("quick", quick)
+	f.follow("slow", slow)
+	eventually(t, "both hold a lease", func() bool { return quick.Valid(testClock()) && slow.Valid(testClock()) })
+	must.Eq(t, 1, f.leader.Subscribers(), must.Sprint("the leader serves the relay alone"))
+	first := f.put()
+	eventually(t, "the change is in force", func() bool { return f.inForce(first) })
+	must.Eq(t, first, quick.Load().Version)
+	must.Eq(t, first, slow.Load().Version)
+
+	slow.lock.Lock()
+	second := f.put()
+	eventually(t, "the quick one has it", func() bool { return quick.Load().Version == second })
+	eventually(t, "the change is in force without the slow one", func() bool {
+		done := f.inForce(second)
+		must.False(t, done && slow.Valid(testClock()), must.Sprint("the slow daemon still uses its view"))
+		return done
+	})
+	must.True(t, quick.Valid(testClock()), must.Sprint("a slow daemon holds up itself alone"))
+	slow.lock.Unlock()
+	eventually(t, "the slow one comes back", func() bool { return slow.Load().Version == second && slow.Valid(testClock()) })
+}
+
+func TestClaimsAndDemandPassThroughTheRelay(t *testing.T) {
+	f := newTree(t)
+	client := f.follow("proxy", view.NewHolder())
+	eventually(t, "the proxy is served", client.Connected)
+	request := state.ClaimRequest{Tenant: "t", Key: "k", BodyHash: 1, Nonce: 1}
+	result, err := client.Claim(t.Context(), request)
+	must.NoError(t, err)
+	must.Eq(t, api.ClaimGranted, result.Code)
+	outcome := state.RunOutcome{Tenant: "t", Key: "k", Nonce: 1, Outcome: api.RunCompleted, Answer: []byte("done")}
+	must.NoError(t, client.RecordOutcome(t.Context(), outcome))
+	request.Nonce = 2
+	result, err = client.Claim(t.Context(), request)
+	must.NoError(t, err)
+	must.Eq(t, api.ClaimDone, result.Code)
+	must.Eq(t, "done", string(result.Claim.Answer))
+	for range 3 {
+		must.True(t, client.ReportDemand(feed.DemandReport{Window: time.Second, Demands: []feed.Demand{{Intent: "i", Class: "c", Requests: 5}}}))
+	}
+	eventually(t, "the demand has come up once", func() bool { return f.group.demanded() >= 15 })
+	must.Eq(t, 15.0, f.group.demanded())
+}
+
+func TestRelayWithoutTheGroupServesNobody(t *testing.T) {
+	f := newTree(t)
+	holder := view.NewHolder()
+	client := f.follow("proxy", holder)
+	eventually(t, "a lease", func() bool { return holder.Valid(testClock()) })
+	address := f.address
+	f.leader.Close()
+	eventually(t, "the lease lapses", func() bool { return !holder.Valid(testClock()) })
+	eventually(t, "the relay is not ready", func() bool { return !f.ready() })
+	eventually(t, "claims are refused", func() bool {
+		_, err := client.Claim(t.Context(), state.ClaimRequest{Tenant: "t", Key: "k"})
+		return errors.Is(err, feed.ErrNoQuorum)
+	})
+	f.serveLeader(address)
+	eventually(t, "the lease is renewed", func() bool { return holder.Valid(testClock()) })
+}
+
+func TestDaemonsMoveOnWhenTheRelayStops(t *testing.T) {
+	f := newTree(t)
+	holder := view.NewHolder()
+	f.follow("proxy", holder, f.config.FeedAddress, f.address)
+	eventually(t, "a lease", func() bool { return holder.Valid(testClock()) })
+	f.end()
+	eventually(t, "the leader serves the daemon itself", func() bool { return f.leader.Subscribers() == 1 })
+	version := f.put()
+	eventually(t, "a change reaches it", func() bool { return holder.Load().Version == version && holder.Valid(testClock()) })
+}
+
+// ready asks the relay's admin server.
+func (f *tree) ready() bool {
+	response, err := http.Get("http://" + f.config.AdminAddress + admin.PathReady)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	var state admin.Readiness
+	must.NoError(f.t, json.NewDecoder(response.Body).Decode(&state))
+	must.Eq(f.t, response.StatusCode == http.StatusOK, state.Ready)
+	return state.Ready
+}
+
+func TestConfig(t *testing.T) {
+	whole := Config{Name: "r", FeedAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0", Control: []string{"127.0.0.1:1"}}
+	cases := map[string]func(*Config){
+		"name":    func(c *Config) { c.Name = "" },
+		"feed":    func(c *Config) { c.FeedAddress = "" },
+		"admin":   func(c *Config) { c.AdminAddress = "" },
+		"control": func(c *Config) { c.Control = nil },
+	}
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			config := whole
+			spoil(&config)
+			must.ErrorIs(t, Run(context.Background(), config, log.NewNopLogger()), ErrConfig)
+		})
+	}
+	taken := whole
+	taken.AdminAddress = freeAddress(t)
+	taken.FeedAddress = taken.AdminAddress
+	must.ErrorIs(t, Run(context.Background(), taken, log.NewNopLogger()), admin.ErrListen)
+}
+
+func TestDemandIsSummedAndQueuesAreGauges(t *testing.T) {
+	sum := newDemandSum(0)
+	report := func(requests float64, queued int) feed.DemandReport {
+		return feed.DemandReport{Demands: []feed.Demand{{Intent: "i", Class: "c", Requests: requests, QueuedRequests: queued}}}
+	}
+	sum.add("a", report(3, 1), time.Second)
+	sum.add("a", report(4, 2), 2*time.Second)
+	sum.add("b", report(5, 3), 2*time.Second)
+	first := sum.report(2 * time.Second)
+	must.Eq(t, []feed.Demand{{Intent: "i", Class: "c", Requests: 12, QueuedRequests: 5}}, first.Demands)
+	sum.sent(first, false, 2*time.Second)
+	must.Eq(t, 12, sum.report(3*time.Second).Demands[0].Requests, must.Sprint("what was not sent stays"))
+	sum.add("b", report(6, 3), 3*time.Second)
+	sum.sent(first, true, 3*time.Second)
+	next := sum.report(3 * time.Second)
+	must.Eq(t, 6, next.Demands[0].Requests, must.Sprint("what came meanwhile stays"))
+	must.Eq(t, 5, next.Demands[0].QueuedRequests)
+	sum.sent(next, true, 3*time.Second)
+	must.SliceEmpty(t, sum.report(10*time.Second).Demands, must.Sprint("queues are forgotten"))
+}
--- a/process/settings/check.go
+++ b/process/settings/check.go
@@ -66,6 +66,19 @@
 	}
 }
 
+func (r *Relay) check(d *decoder) {
+	if r.FeedAddress != "" && r.FeedAddress == r.AdminAddress {
+		d.fault("relay.adminAddress", "must differ from relay.feedAddress, got %q", r.AdminAddress)
+	}
+	known := map[string]string{}
+	for i, address := range r.Control {
+		unique(d, known, fmt.Sprintf("relay.control[%d]", i), address)
+	}
+	if !d.faulty("relay.lease") && !d.faulty("relay.beatInterval") && r.BeatInterval > r.Lease {
+		d.fault("relay.beatInterval", "must be at most lease (%s), got %s", r.Lease, r.BeatInterval)
+	}
+}
+
 // unique names value's second place. Empty and faulty values count for nothing.
 func unique(d *decoder, known map[string]string, path, value string) {
 	if value == "" || d.faulty(path) {
--- a/process/settings/flag_test.go
+++ b/process/settings/flag_test.go
@@ -11,7 +11,7 @@
 // TestPageNamesEveryFlag keeps the page's flags equal to those that the daemons take.
 func TestPageNamesEveryFlag(t *testing.T) {
 	page := Page()
-	for _, section := range []Section{SectionControl, SectionProxy} {
+	for _, section := range []Section{SectionControl, SectionProxy, SectionRelay} {
 		flagSet := flag.NewFlagSet("", flag.ContinueOnError)
 		RegisterFlags(flagSet, section)
 		flagSet.VisitAll(func(known *flag.Flag) {
--- a/process/settings/override.go
+++ b/process/settings/override.go
@@ -56,6 +56,8 @@
 		flags.register(flagSet, string(section)+".", reflect.TypeFor[Control]())
 	case SectionProxy:
 		flags.register(flagSet, string(section)+".", reflect.TypeFor[Proxy]())
+	case SectionRelay:
+		flags.register(flagSet, string(section)+".", reflect.TypeFor[Relay]())
 	}
 	return flags
 }
--- a/process/settings/page.go
+++ b/process/settings/page.go
@@ -35,6 +35,7 @@
 		{"control", reflect.TypeFor[Control](), true},
 		{"control.members[]", reflect.TypeFor[Member](), false},
 		{"proxy", reflect.TypeFor[Proxy](), true},
+		{"relay", reflect.TypeFor[Relay](), true},
 	} {
 		writeSection(&page, one)
 	}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -48,6 +48,7 @@
 const (
 	SectionControl Section = "control"
 	SectionProxy   Section = "proxy"
+	SectionRelay   Section = "relay"
 )
 
 // Load reads the file at path (none when path is empty), lays the overrides
@@ -130,6 +131,9 @@
 	if section == SectionProxy && f.Proxy == nil {
 		f.Proxy = &Proxy{}
 	}
+	if section == SectionRelay && f.Relay == nil {
+		f.Relay = &Relay{}
+	}
 }
 
 func (f *File) check(d *decoder) {
@@ -139,6 +143,9 @@
 	if f.Proxy != nil {
 		f.Proxy.check(d)
 	}
+	if f.Relay != nil {
+		f.Relay.check(d)
+	}
 	checkObjects(d, "objects", f.Objects)
 }
 
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -12,6 +12,7 @@
 	Log     *Log         `yaml:"log,omitempty" usage:"What the daemons log."`
 	Control *Control     `yaml:"control,omitempty" usage:"A member of the control group."`
 	Proxy   *Proxy       `yaml:"proxy,omitempty" usage:"A proxy beside a caller."`
+	Relay   *Relay       `yaml:"relay,omitempty" usage:"A relay of the feed between the control group and its daemons."`
 	Objects []api.Object `yaml:"objects,omitempty" usage:"Objects for landingtrail apply."`
 }
 
@@ -122,3 +123,18 @@
 	DrainNotice time.Duration `yaml:"drainNotice" default:"1s" min:"1ms" max:"5m" usage:"How long a stopping proxy still accepts, telling callers to close their connections."`
 	DrainLimit  time.Duration `yaml:"drainLimit" default:"0s" min:"0s" max:"24h" usage:"Longest wait for requests in flight at a stop; 0s: no bound, so that none is cut."`
 }
+
+// Relay is the settings of one relay of the feed.
+type Relay struct {
+	Name           string        `yaml:"name" required:"true" format:"name" usage:"Name of the relay; no other daemon has it."`
+	Zone           string        `yaml:"zone" required:"true" format:"name" usage:"Zone of the relay."`
+	FeedAddress    string        `yaml:"feedAddress" required:"true" format:"address" usage:"Where daemons follow the relay; they name it in proxy.control, beside other relays."`
+	AdminAddress   string        `yaml:"adminAddress" required:"true" format:"address" usage:"Where metrics and health are served."`
+	Control        []string      `yaml:"control" required:"true" format:"address" usage:"Feed addresses of the control members."`
+	Lease          time.Duration `yaml:"lease" default:"1500ms" min:"50ms" max:"30s" usage:"Longest view lease that is passed on; at most half of control.viewLease, so that a daemon that hangs holds up only itself."`
+	BeatInterval   time.Duration `yaml:"beatInterval" default:"500ms" min:"10ms" max:"1m" usage:"Pause between two confirmations of the relay's own view; well below control.viewLease."`
+	DemandInterval time.Duration `yaml:"demandInterval" default:"1s" min:"100ms" max:"1m" usage:"Pause between two reports of the daemons' summed demand to the control group."`
+	ClaimTimeout   time.Duration `yaml:"claimTimeout" default:"5s" min:"10ms" max:"1m" usage:"Longest wait for the control group's answer to a claim that is passed on."`
+	StopTimeout    time.Duration `yaml:"stopTimeout" default:"10s" min:"100ms" max:"1h" usage:"Longest planned stop: answering claims and sending the daemons on."`
+	MaxDaemons     int           `yaml:"maxDaemons" default:"1024" min:"1" max:"100000" unit:"daemons" usage:"Daemons that may follow the relay."`
+}
