Give each lane a retry budget of its own

Engines that fail used it up, and a frame whose back end had just died was refused in place of being taken to another one. Ruled out: a larger reserve (the same, later). Change: the budget is the lane's; retryShare and retryReserve hold for each service. Before: TestRetriesOfModelWorkCostFramesNone fails (503 for a frame).

--- /dev/null
+++ b/process/proxy/budget_test.go
@@ -0,0 +1,34 @@
+package proxy
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestRetriesOfModelWorkCostFramesNone: engines that fail use up the retries of
+// their own lane alone, so that a frame whose back end has just died is still
+// taken to another one.
+func TestRetriesOfModelWorkCostFramesNone(t *testing.T) {
+	engine, alive := newFakeEngine(t, "e1", 11), newFakeBackend(t)
+	other := newFakeEngine(t, "e2", 12)
+	fail := func(_ *fakeEngine, w http.ResponseWriter, _ *http.Request, _ int) {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	engine.script, other.script = fail, fail
+	dead := httptest.NewServer(http.NotFoundHandler())
+	dead.Close()
+	config := quick()
+	config.Intervals.Load = time.Minute // polls do not tell that it is dead
+	config.Limits.RetryShare, config.Limits.RetryReserve = 0.001, 2
+	f := start(t, config, []*fakeEngine{engine, other}, dead, alive.server)
+	for range 4 {
+		must.NotEq(t, http.StatusOK, f.stream(HeaderClass, "cap").status)
+	}
+	for range 12 {
+		must.Eq(t, http.StatusOK, f.do(http.MethodGet, "/services/tiles/frame", "").status)
+	}
+}
--- a/process/proxy/call.go
+++ b/process/proxy/call.go
@@ -117,7 +117,7 @@
 	if c.retries >= c.proxy.config.Limits.Attempts {
 		return false
 	}
-	if !last.free && !c.proxy.budget.Withdraw() {
+	if !last.free && !c.lane.budget.Withdraw() {
 		return false
 	}
 	c.proxy.metrics.retries.Inc()
--- a/process/proxy/handle_model.go
+++ b/process/proxy/handle_model.go
@@ -142,7 +142,7 @@
 		return failed
 	}
 	defer release()
-	c.proxy.budget.Deposit()
+	c.lane.budget.Deposit()
 	if c.envelope.never {
 		// A marked run goes on without its caller, who may ask again for the
 		// recorded answer.
--- a/process/proxy/handle_service.go
+++ b/process/proxy/handle_service.go
@@ -166,7 +166,7 @@
 		return failed
 	}
 	defer release()
-	c.proxy.budget.Deposit()
+	c.lane.budget.Deposit()
 	if c.envelope.never {
 		ctx = context.WithoutCancel(ctx)
 		answer := c.proxy.claimRun(ctx, &c.envelope, hashBody(c.request.Method, c.request.URL.RequestURI(), c.body.data))
--- a/process/proxy/lane.go
+++ b/process/proxy/lane.go
@@ -9,6 +9,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/upstream"
 	"github.com/landingtrail/landingtrail/request/limit"
+	"github.com/landingtrail/landingtrail/request/retry"
 	"github.com/landingtrail/landingtrail/request/router"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/subset"
@@ -23,6 +24,8 @@
 	pool    *upstream.Pool
 	polls   *upstream.Pool // load reports must not wait behind requests
 	queue   *limit.Queue
+	// budget pays for retries; failures of one service cost another none.
+	budget *retry.Budget
 	// loadBudget and cacheBudget bound the bytes of polls.
 	loadBudget  *pollBudget
 	cacheBudget *pollBudget
@@ -43,6 +46,7 @@
 			MaxInFlight: laneWidth(config, service),
 			QueueLimit:  config.Limits.QueueLimit,
 		}),
+		budget:      retry.NewBudget(config.Limits.RetryShare, config.Limits.RetryReserve),
 		loadBudget:  newPollBudget(),
 		cacheBudget: newPollBudget(),
 		pollers:     map[string]*poller{},
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -15,7 +15,6 @@
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/request/limit"
-	"github.com/landingtrail/landingtrail/request/retry"
 	"github.com/landingtrail/landingtrail/request/router"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
@@ -48,7 +47,6 @@
 
 	lanes   *lanes
 	buckets *limit.Buckets
-	budget  *retry.Budget
 	answers *router.AnswerLengths
 	router  *router.Router
 	running *inFlight
@@ -84,7 +82,6 @@
 		lanes:    newLanes(),
 		buckets:  limit.NewBuckets(),
 		answers:  router.NewAnswerLengths(),
-		budget:   retry.NewBudget(config.Limits.RetryShare, config.Limits.RetryReserve),
 		router:   router.New(router.Config{Speed: config.Speed}),
 		running:  newInFlight(),
 		demand:   newDemandWindow(),
--- a/process/proxy/run_backend.go
+++ b/process/proxy/run_backend.go
@@ -48,7 +48,7 @@
 		return true
 	}
 	delay, fits := c.proxy.config.Backoff.Delay(retries-1, time.Until(c.deadline), random)
-	if !fits || !c.proxy.budget.Withdraw() {
+	if !fits || !c.lane.budget.Withdraw() {
 		return false
 	}
 	c.proxy.metrics.retries.Inc()
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -108,7 +108,7 @@
 	QueueLimit     int     `yaml:"queueLimit" default:"128" min:"1" max:"1000000" unit:"requests" usage:"Waiting requests of a class that sets no bound."`
 	Attempts       int     `yaml:"attempts" default:"4" min:"1" max:"100" unit:"runs" usage:"Runs of one request that may be repeated."`
 	Resumes        int     `yaml:"resumes" default:"3" min:"1" max:"100" unit:"resumes" usage:"Resumes of one run's stream."`
-	RetryShare     float64 `yaml:"retryShare" default:"0.2" min:"0.001" max:"1" unit:"share of the requests" usage:"Retries that the traffic pays for."`
+	RetryShare     float64 `yaml:"retryShare" default:"0.2" min:"0.001" max:"1" unit:"share of the requests" usage:"Retries that the traffic of a service pays for; services do not share them."`
 	RetryReserve   int     `yaml:"retryReserve" default:"20" min:"1" max:"100000" unit:"retries" usage:"Retries that may be saved up."`
 
 	LoadInterval   time.Duration `yaml:"loadInterval" default:"250ms" min:"10ms" max:"1m" usage:"Pause between two reads of a back end's load."`
