--- a/lab/emulator/emulator_test.go
+++ b/lab/emulator/emulator_test.go
@@ -123,6 +123,18 @@
 	must.Eq(t, planner.Split{Prefill: 4, Decode: 5}, result.Samples[len(result.Samples)-1].Split)
 }
 
+// What a policy does while the last requests end is no part of the trace.
+func TestChangesAfterTheTraceDoNotCount(t *testing.T) {
+	steps := []planner.ScheduleStep{
+		{Split: planner.Split{Prefill: 3, Decode: 6}},
+		{From: testDuration + time.Second, Split: planner.Split{Prefill: 4, Decode: 5}},
+	}
+	result := runTest(t, Config{Seed: 1, Planner: planner.NewSchedule(steps)})
+	checkInvariants(t, result)
+	must.Zero(t, result.RoleChanges)
+	must.SliceEmpty(t, result.Changes)
+}
+
 func TestRunErrors(t *testing.T) {
 	_, err := Run(Config{Deployment: "other"})
 	must.ErrorIs(t, err, trace.ErrUnknownDeployment)
--- a/lab/emulator/result.go
+++ b/lab/emulator/result.go
@@ -20,7 +20,8 @@
 	Unknown int
 	// UsefulTokens is the prompt and output tokens of Completed.
 	UsefulTokens int64
-	// RoleChanges counts orders that changed the role of a serving engine.
+	// RoleChanges counts orders in the course of the trace that changed the role
+	// of a serving engine.
 	RoleChanges int
 	// CutShort counts runs that a planned change ended, RanTwice marked
 	// requests with more than one run, WrongAnswer answers that were not whole
--- a/lab/experiment/chart/chart.go
+++ b/lab/experiment/chart/chart.go
@@ -112,6 +112,7 @@
 	}
 	made.Y.Label.Text = p.label
 	made.X.Label.Text = "minutes"
+	made.X.Min, made.X.Max = 0, minutes(run.Result.Duration)
 	made.Y.Min = 0
 	made.Legend.Top = true
 	for _, one := range p.lines {
