Watch a stream by one timer; measure the data path against a plain relay

Cause: the watchdog made a new timer for each token. Change: one timer is reset, and its cause replaced. BenchmarkDataPath takes turns with a direct call and a plain relay in the same run; figures are without what caller and engine take by themselves.

--- /dev/null
+++ b/process/proxy/bench_test.go
@@ -0,0 +1,162 @@
+package proxy
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/landingtrail/landingtrail/connection/engineapi"
+)
+
+// relayHandler passes a request on to the address and the answer back, each
+// part as it comes, and does nothing else.
+func relayHandler(address string) http.Handler {
+	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body) // an HTTP/1 server closes it when the answer begins
+		out := r.Clone(r.Context())
+		out.Body = io.NopCloser(bytes.NewReader(body))
+		out.URL.Scheme, out.URL.Host, out.RequestURI = "http", address, ""
+		response, err := transport.RoundTrip(out)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = response.Body.Close() }()
+		for name, values := range response.Header {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(response.StatusCode)
+		controller, buffer := http.NewResponseController(w), make([]byte, relayBufferBytes)
+		for {
+			count, err := response.Body.Read(buffer)
+			_, _ = w.Write(buffer[:count])
+			_ = controller.Flush()
+			if err != nil {
+				return
+			}
+		}
+	})
+}
+
+// path is one way from the caller to the engine, and what it took.
+type path struct {
+	url       string
+	transport *http.Transport
+	wall, cpu time.Duration
+}
+
+func (p *path) ask(b *testing.B, times int) {
+	cpu, begun := processorTime(b), time.Now()
+	var group sync.WaitGroup
+	for range times {
+		group.Go(func() { p.askOnce(b) })
+	}
+	group.Wait()
+	p.wall += time.Since(begun)
+	p.cpu += processorTime(b) - cpu
+}
+
+func (p *path) askOnce(b *testing.B) {
+	request, _ := http.NewRequest(http.MethodPost, p.url+engineapi.PathCompletions, strings.NewReader(streamBody))
+	request.Header.Set(HeaderClass, "cap")
+	response, err := p.transport.RoundTrip(request)
+	must.NoError(b, err)
+	read, err := io.ReadAll(response.Body)
+	must.NoError(b, err)
+	must.StrHasSuffix(b, "data: [DONE]\n\n", string(read))
+	_ = response.Body.Close()
+}
+
+// newBenchEngine streams tokens, each in its own write and after a pause.
+func newBenchEngine(b *testing.B, tokens int, pause time.Duration) *httptest.Server {
+	engine := &fakeEngine{name: "e1", incarnation: 11}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(engineapi.HeaderIncarnation, "11")
+		if r.URL.Path != engineapi.PathCompletions {
+			writeJSON(w, http.StatusOK, engineapi.Load{Incarnation: 11, Phase: "serving"})
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		id, number := runOf(r)
+		for i := range tokens {
+			time.Sleep(pause)
+			engine.tokens(w, id, number, i, i+1)
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	}))
+	b.Cleanup(server.Close)
+	return server
+}
+
+// BenchmarkDataPath compares the proxy with a plain relay in the same run. Both
+// figures are without what caller and engine take when they talk directly.
+func BenchmarkDataPath(b *testing.B) {
+	cases := []struct {
+		name   string
+		batch  int // requests at once
+		tokens int
+		pause  time.Duration
+	}{
+		{"request", 1, 1, 0},                     // the cost of a request
+		{"paced", 20, 200, 5 * time.Millisecond}, // of a token by itself, as engines send them
+		{"burst", 1, 400, 0},                     // of a token among many that came together
+	}
+	for _, test := range cases {
+		b.Run(test.name, func(b *testing.B) {
+			server := newBenchEngine(b, test.tokens, test.pause)
+			relay := httptest.NewServer(relayHandler(server.Listener.Addr().String()))
+			b.Cleanup(relay.Close)
+			paths := []*path{{url: server.URL}, {url: relay.URL}, {url: benchProxy(b, server)}}
+			for _, one := range paths {
+				one.transport = &http.Transport{}
+				b.Cleanup(one.transport.CloseIdleConnections)
+				one.ask(b, test.batch)
+				one.wall, one.cpu = 0, 0
+			}
+			rounds := 0
+			for b.Loop() {
+				for _, one := range paths {
+					one.ask(b, test.batch)
+				}
+				rounds++
+			}
+			count := float64(rounds * test.batch * test.tokens)
+			direct, plain, proxied := paths[0], paths[1], paths[2]
+			b.ReportMetric(float64((plain.cpu-direct.cpu).Microseconds())/count, "relay-cpu-us")
+			b.ReportMetric(float64((proxied.cpu-direct.cpu).Microseconds())/count, "proxy-cpu-us")
+			if test.name == "burst" {
+				return // the relay's share is too small for a ratio
+			}
+			b.ReportMetric(float64(proxied.cpu-direct.cpu)/float64(plain.cpu-direct.cpu), "cpu-ratio")
+			if test.pause == 0 {
+				b.ReportMetric(float64(proxied.wall-direct.wall)/float64(plain.wall-direct.wall), "time-ratio")
+			}
+		})
+	}
+}
+
+// benchProxy starts a proxy with default settings and returns its URL.
+func benchProxy(b *testing.B, server *httptest.Server) string {
+	b.Helper()
+	views := &fixedViews{}
+	views.view.Store(newView([]*fakeEngine{{name: "e1", incarnation: 11, server: server}}, nil))
+	config := Config{ID: "proxy-1", Zone: "zone-a", ListenAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0"}
+	begin := time.Now()
+	made := New(config, views, newFakeControl(), func() time.Duration { return time.Since(begin) }, log.NewNopLogger())
+	callers, err := made.listenCallers()
+	must.NoError(b, err)
+	b.Cleanup(func() {
+		_ = callers.http.Close()
+		made.Close()
+	})
+	return "http://" + callers.bound.String()
+}
--- a/process/proxy/run_engine.go
+++ b/process/proxy/run_engine.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -136,18 +137,22 @@
 
 // watchdog ends an exchange when nothing comes for too long.
 type watchdog struct {
-	cancel context.CancelCauseFunc
-	timer  *time.Timer
+	cause atomic.Pointer[error] // of the end, if it comes now
+	timer *time.Timer
 }
 
-func newWatchdog(cancel context.CancelCauseFunc, wait time.Duration, cause error) *watchdog {
-	return &watchdog{cancel: cancel, timer: time.AfterFunc(wait, func() { cancel(cause) })}
+func newWatchdog(cancel context.CancelCauseFunc, wait time.Duration, cause *error) *watchdog {
+	made := &watchdog{}
+	made.cause.Store(cause)
+	made.timer = time.AfterFunc(wait, func() { cancel(*made.cause.Load()) })
+	return made
 }
 
-// expect replaces what is waited for.
-func (w *watchdog) expect(wait time.Duration, cause error) {
-	w.timer.Stop()
-	w.timer = time.AfterFunc(wait, func() { w.cancel(cause) })
+// expect replaces what is waited for. It costs no memory, since it is called
+// for every token.
+func (w *watchdog) expect(wait time.Duration, cause *error) {
+	w.cause.Store(cause)
+	w.timer.Reset(wait)
 }
 
 func (w *watchdog) stop() { w.timer.Stop() }
@@ -161,7 +166,7 @@
 		c.life.Fail(number, attempt.FaultNotWritten)
 		return deadlineShort("no time is left for the engine", 0)
 	}
-	dog := newWatchdog(cancel, c.proxy.config.Timeouts.Head, errHeadTimeout)
+	dog := newWatchdog(cancel, c.proxy.config.Timeouts.Head, &errHeadTimeout)
 	defer func() { dog.stop() }()
 	response, err := c.lane.pool.Do(request)
 	if err != nil {
@@ -178,7 +183,7 @@
 		return upstreamFailed("the engine answered another request")
 	}
 	c.life.Admit(number, incarnationOf(response.Header))
-	dog.expect(c.proxy.config.Timeouts.FirstToken, errTokenTimeout)
+	dog.expect(c.proxy.config.Timeouts.FirstToken, &errTokenTimeout)
 	identity := upstream.Identity{RequestID: c.id, Attempt: number, Incarnation: incarnation}
 	stream := upstream.NewStream(response.Body, identity, c.proxy.config.Limits.EventBytes)
 	return c.relay(ctx, target, number, stream, dog)
@@ -275,7 +280,7 @@
 		}
 		switch c.life.Accept(number, frame.Event.Offset, frame.Tokens) {
 		case attempt.VerdictPass:
-			dog.expect(c.proxy.config.Timeouts.Stall, errStalled)
+			dog.expect(c.proxy.config.Timeouts.Stall, &errStalled)
 			if err := c.sink.pass(&frame, stream.Buffered()); err != nil {
 				return c.sinkFailed(number, err)
 			}
