--- a/process/control/input_test.go
+++ b/process/control/input_test.go
@@ -169,3 +169,32 @@
 	must.Len(t, 1, list.Objects)
 	eventually(t, "the subscriber is served", client.Connected)
 }
+
+func TestDryRunAndIntentConflictNameEnginesAndChangeNothing(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	c.start(0)
+	c.leader()
+	writes := append(narratorObjects(), api.Write{Object: engineObject("engine-1", "127.0.0.1:1")})
+	accepted := c.transact(api.Transaction{OperationID: "first", Writes: writes})
+	must.Eq(t, api.OutcomeAccepted, accepted.Code)
+	must.Eq(t, []string{"engine-1"}, accepted.AffectedEngines)
+	newer := *narratorObjects()[1].Object.Intent
+	newer.Revision, newer.Spec.Version = accepted.Revision, "2"
+	change := api.Transaction{OperationID: "second", DryRun: true, Writes: []api.Write{{Object: api.Object{Intent: &newer}}}}
+	shown := c.transact(change)
+	must.Eq(t, api.OutcomeAccepted, shown.Code)
+	must.Eq(t, []string{"engine-1"}, shown.AffectedEngines)
+	other := newer
+	other.Name, other.Revision = "other", 0
+	conflict := c.transact(api.Transaction{OperationID: "third", Writes: []api.Write{{Object: api.Object{Intent: &other}}}})
+	must.Eq(t, api.OutcomeIntentConflict, conflict.Code)
+	must.Len(t, 1, conflict.Conflicts)
+	must.Eq(t, "engine-1", conflict.Conflicts[0].Engine)
+	must.Eq(t, []string{"narrate", "other"}, conflict.Conflicts[0].Intents)
+	after, _ := c.status()
+	must.Eq(t, accepted.Revision, after.Revision)
+	change.DryRun = false
+	made := c.transact(change)
+	must.Eq(t, api.OutcomeAccepted, made.Code)
+	must.Eq(t, shown.AffectedEngines, made.AffectedEngines)
+}
