Tell an answer that its deadline ended from one that was cut short

Cause: on a busy machine (load 70 on 12 cores) the audit called an answer cut short, or a frame's outcome unknown, when the proxy ended it with deadline_exceeded. That says nothing of planned changes, which the audit is for. Seen: a frame with 504 in the planned stop of each machine. Change to the check: such an end counts as given up, and only if the caller's own clock says that the deadline has passed; before it, it is cut short or unknown as ever, and so is any other end without the terminal event.

--- a/lab/caller/caller.go
+++ b/lab/caller/caller.go
@@ -22,6 +22,9 @@
 	headerTenant         = "Landingtrail-Tenant"
 )
 
+// deadlineUnit is what headerDeadline is rounded down to.
+const deadlineUnit = time.Millisecond
+
 // Defaults of a Config.
 const (
 	DefaultConcurrency = 2048
@@ -197,6 +200,7 @@
 		panic(err) // built from constants and numbers alone
 	}
 	ended := p.exchange(request, call, sent)
+	ended.judgeDeadline(time.Since(sent)+deadlineUnit >= call.item.Deadline)
 	switch {
 	case ended.final():
 	case ctx.Err() != nil:
--- a/lab/caller/caller_test.go
+++ b/lab/caller/caller_test.go
@@ -109,29 +109,41 @@
 	text := func(body string) http.HandlerFunc {
 		return func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, body) }
 	}
+	hurried, hurriedFrame := caption, frame
+	hurried.Deadline, hurriedFrame.Deadline = time.Millisecond, time.Millisecond
+	late := event(prompt, 0) + `data: {"error":{"code":"deadline_exceeded","ran":"yes"}}` + "\n\n"
+	lateFrame := func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(504)
+		fmt.Fprint(w, `{"error":{"code":"deadline_exceeded","ran":"unknown"}}`)
+	}
 	cases := map[string]struct {
 		item    trace.Item
 		handler http.HandlerFunc
 		want    Outcome
 	}{
-		"whole":                {caption, text(whole.String() + done), OutcomeCompleted},
-		"without its end":      {caption, text(whole.String()), OutcomeCutShort},
-		"error in the middle":  {caption, text(event(prompt, 0) + `data: {"error":{"ran":"yes"}}` + "\n\n"), OutcomeCutShort},
-		"a token missing":      {caption, text(event(prompt, 0) + event(prompt, 2) + done), OutcomeWrong},
-		"a token twice":        {caption, text(event(prompt, 0) + whole.String() + done), OutcomeWrong},
-		"short but clean":      {caption, text(event(prompt, 0) + done), OutcomeWrong},
-		"another's answer":     {caption, text(event("other", 0) + done), OutcomeWrong},
-		"not an event":         {caption, text("data: {\n\n"), OutcomeWrong},
-		"refused":              {caption, refusal(503, "no"), OutcomeRefused},
-		"refused, too many":    {caption, refusal(429, "no"), OutcomeRefused},
-		"rejected":             {caption, refusal(409, "no"), OutcomeRejected},
-		"may have run":         {caption, refusal(502, "unknown"), OutcomeUnknown},
-		"error without a body": {caption, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, OutcomeUnknown},
-		"connection broken":    {caption, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, OutcomeUnknown},
-		"redirect":             {caption, func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/", http.StatusTemporaryRedirect) }, OutcomeUnknown},
-		"whole frame":          {frame, text(backend.ExpectedBody("/frame/test-0", nil, 100)), OutcomeCompleted},
-		"another's frame":      {frame, text(backend.ExpectedBody("/frame/test-1", nil, 100)), OutcomeWrong},
-		"half a frame":         {frame, text(backend.ExpectedBody("/frame/test-0", nil, 100)[:60]), OutcomeWrong},
+		"ended by its deadline":     {hurried, text(late), OutcomeGaveUp},
+		"ended before its deadline": {caption, text(late), OutcomeCutShort},
+		"late frame":                {hurriedFrame, lateFrame, OutcomeGaveUp},
+		"frame given up too early":  {frame, lateFrame, OutcomeUnknown},
+		"cut after its deadline":    {hurried, text(event(prompt, 0)), OutcomeCutShort},
+		"whole":                     {caption, text(whole.String() + done), OutcomeCompleted},
+		"without its end":           {caption, text(whole.String()), OutcomeCutShort},
+		"error in the middle":       {caption, text(event(prompt, 0) + `data: {"error":{"ran":"yes"}}` + "\n\n"), OutcomeCutShort},
+		"a token missing":           {caption, text(event(prompt, 0) + event(prompt, 2) + done), OutcomeWrong},
+		"a token twice":             {caption, text(event(prompt, 0) + whole.String() + done), OutcomeWrong},
+		"short but clean":           {caption, text(event(prompt, 0) + done), OutcomeWrong},
+		"another's answer":          {caption, text(event("other", 0) + done), OutcomeWrong},
+		"not an event":              {caption, text("data: {\n\n"), OutcomeWrong},
+		"refused":                   {caption, refusal(503, "no"), OutcomeRefused},
+		"refused, too many":         {caption, refusal(429, "no"), OutcomeRefused},
+		"rejected":                  {caption, refusal(409, "no"), OutcomeRejected},
+		"may have run":              {caption, refusal(502, "unknown"), OutcomeUnknown},
+		"error without a body":      {caption, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, OutcomeUnknown},
+		"connection broken":         {caption, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, OutcomeUnknown},
+		"redirect":                  {caption, func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/", http.StatusTemporaryRedirect) }, OutcomeUnknown},
+		"whole frame":               {frame, text(backend.ExpectedBody("/frame/test-0", nil, 100)), OutcomeCompleted},
+		"another's frame":           {frame, text(backend.ExpectedBody("/frame/test-1", nil, 100)), OutcomeWrong},
+		"half a frame":              {frame, text(backend.ExpectedBody("/frame/test-0", nil, 100)[:60]), OutcomeWrong},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/lab/caller/judge.go
+++ b/lab/caller/judge.go
@@ -31,7 +31,7 @@
 	OutcomeUnknown     Outcome = "unknown"     // no answer, or told that it may have run
 	OutcomeCutShort    Outcome = "cut_short"   // the answer stopped before its end
 	OutcomeWrong       Outcome = "wrong"       // another answer, or a part that claims to be whole
-	OutcomeGaveUp      Outcome = "gave_up"     // no end within the deadline and the caller's patience
+	OutcomeGaveUp      Outcome = "gave_up"     // no end within the deadline, or none at all within the caller's patience
 	OutcomeInterrupted Outcome = "interrupted" // the player was stopped
 )
 
@@ -43,6 +43,18 @@
 	firstToken time.Duration // 0 if none came
 	gaps       []time.Duration
 	detail     string // what the answer, or its absence, said of a failure
+	late       bool   // the answer says that the deadline has passed
+}
+
+// codeDeadline is the code of an answer that the deadline ended.
+const codeDeadline = "deadline_exceeded"
+
+// judgeDeadline makes an answer that the deadline ended one that was given up,
+// if the caller's own clock agrees. One that ended before is cut short.
+func (o *outcome) judgeDeadline(passed bool) {
+	if o.late && passed && (o.kind == OutcomeUnknown || o.kind == OutcomeCutShort) {
+		o.kind = OutcomeGaveUp
+	}
 }
 
 // final reports whether the outcome came from an answer, not from its absence.
@@ -57,6 +69,7 @@
 	if json.NewDecoder(io.LimitReader(response.Body, lineLimit)).Decode(&body) != nil {
 		return ended
 	}
+	ended.late = body.Error.Code == codeDeadline
 	ended.detail += ": " + body.Error.Code + ": " + body.Error.Message
 	if body.Error.Ran != "no" {
 		return ended
@@ -142,6 +155,7 @@
 	}
 	if event.Error != nil {
 		j.result.kind = OutcomeCutShort
+		j.result.late = event.Error.Code == codeDeadline
 		j.result.detail = event.Error.Code + ": " + event.Error.Message
 		return true
 	}
