Put relays into the campaign

Cause: relays stand between the leader and the proxies, so the rule that what is in force is in force everywhere rests on them too. Change: in odd seeds two relays (view.Relay, as the daemon uses it) stand between members and proxies, carry beats, deltas and claims, and are killed, paused beyond the lease and cut from control. Tests that named seeds now hold their schedules themselves, since a new kind of fault changes what a seed draws.

--- a/lab/campaign/campaign_test.go
+++ b/lab/campaign/campaign_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -33,34 +34,30 @@
 	must.Eq(t, first, second)
 }
 
-// TestMachineIsKeptAfterAll plays the schedules to which four seeds were
-// shortened: an engine whose leaving was called off stayed committed as leaving
-// and used up the disruption budget, so that no roll-out went on.
-func TestMachineIsKeptAfterAll(t *testing.T) {
-	for _, seed := range []uint64{19, 21, 46, 58} {
-		must.SliceEmpty(t, play(seed, onlyKinds(Schedule(seed), faultLeaveMachine, faultKillLeader, faultLoseDisk)).violations)
+// repeated returns the fault at intervals over the time of faults.
+func repeated(kind string, interval, length time.Duration) []Fault {
+	var faults []Fault
+	for at := warmUp; at < faultsEnd; at += interval {
+		faults = append(faults, Fault{At: at, Kind: kind, Length: length, Pick: len(faults)})
 	}
+	return faults
 }
 
-// TestPlannedStopBesideACompletedRun plays the schedules to which two seeds were
-// shortened: a caller that lost its whole answer asked again while the record of
-// its run was still on its way through a planned stop.
-func TestPlannedStopBesideACompletedRun(t *testing.T) {
-	for _, seed := range []uint64{328, 387} {
-		must.SliceEmpty(t, play(seed, onlyKinds(Schedule(seed), faultPlannedStop)).violations)
+// TestMachineIsKeptAfterAll calls the leaving of machines off. An engine that
+// stayed committed as leaving used up the disruption budget, so that no roll-out
+// went on; seeds 19, 21, 46 and 58 of the first campaign met it.
+func TestMachineIsKeptAfterAll(t *testing.T) {
+	for seed := uint64(1); seed <= 4; seed++ {
+		must.SliceEmpty(t, play(seed, repeated(faultLeaveMachine, 5*time.Second, 2*time.Second)).violations)
 	}
 }
 
-func onlyKinds(faults []Fault, kinds ...string) []Fault {
-	var kept []Fault
-	for _, fault := range faults {
-		for _, kind := range kinds {
-			if fault.Kind == kind {
-				kept = append(kept, fault)
-			}
-		}
+// TestPlannedStopsCutNothing stops the leader again and again as planned, with
+// callers that lose whole answers and ask again meanwhile.
+func TestPlannedStopsCutNothing(t *testing.T) {
+	for seed := uint64(1); seed <= 4; seed++ {
+		must.SliceEmpty(t, play(seed, repeated(faultPlannedStop, 8*time.Second, 3*time.Second)).violations)
 	}
-	return kept
 }
 
 func TestShrinkKeepsTheBrokenRule(t *testing.T) {
--- a/lab/campaign/fault.go
+++ b/lab/campaign/fault.go
@@ -30,6 +30,9 @@
 	faultPauseEngine      = "pause_engine"
 	faultKillProxy        = "kill_proxy"
 	faultPauseProxy       = "pause_proxy"
+	faultKillRelay        = "kill_relay"
+	faultPauseRelay       = "pause_relay_beyond_lease"
+	faultCutRelay         = "cut_relay_from_control"
 	faultLeaveMachine     = "machine_leaves"
 	faultPlannedStop      = "planned_stop_of_member"
 	faultLoseAnswers      = "lose_answers_to_operators"
@@ -56,7 +59,7 @@
 	faultKillLeader, faultKillMember, faultKillInSave, faultPauseLeader, faultPauseMember, faultLoseDisk, faultSecondLoss,
 	faultCutOneWay, faultIsolateLeader, faultIsolateMember, faultLoseQuorum, faultCutProxy, faultCutEngine,
 	faultStallOrders, faultReplayOrders, faultStallDeltas, faultCrashEngine, faultCrashChanging, faultPauseEngine, faultKillProxy,
-	faultPauseProxy, faultLeaveMachine, faultPlannedStop, faultLoseAnswers, faultDuplicates,
+	faultPauseProxy, faultKillRelay, faultPauseRelay, faultCutRelay, faultLeaveMachine, faultPlannedStop, faultLoseAnswers, faultDuplicates,
 }
 
 // strikeKinds are consequences that every campaign of some length must show.
@@ -169,6 +172,9 @@
 		for _, each := range w.members {
 			w.cutBoth(each.name, proxy.name, fault.Length+viewLease)
 		}
+		for _, each := range w.relays {
+			w.cutBoth(each.name, proxy.name, fault.Length+viewLease)
+		}
 		return true
 	case faultCutEngine:
 		w.network.cut(engine.name, proxy.name, fault.Length)
@@ -176,11 +182,27 @@
 			w.network.cut(proxy.name, engine.name, fault.Length)
 		}
 		return true
+	case faultKillRelay, faultPauseRelay, faultCutRelay:
+		return w.relayed() && w.applyToRelay(fault, w.relays[fault.Pick%len(w.relays)])
 	default:
 		return w.applyToOthers(fault, leader, proxy, engine)
 	}
 }
 
+func (w *world) applyToRelay(fault Fault, relay *relayHost) bool {
+	switch fault.Kind {
+	case faultKillRelay:
+		return w.killRelay(relay, fault.Length)
+	case faultPauseRelay:
+		relay.pause(viewLease + fault.Length)
+		return relay.up
+	}
+	for _, each := range w.members {
+		w.cutBoth(each.name, relay.name, fault.Length+viewLease)
+	}
+	return true
+}
+
 func (w *world) applyToOthers(fault Fault, leader *member, proxy *proxyHost, engine *engineHost) bool {
 	switch fault.Kind {
 	case faultStallOrders:
--- a/lab/campaign/inject.go
+++ b/lab/campaign/inject.go
@@ -141,6 +141,9 @@
 	for _, p := range w.proxies {
 		w.cutBoth(p.name, name, length)
 	}
+	for _, r := range w.relays {
+		w.cutBoth(r.name, name, length)
+	}
 	for _, h := range w.engines {
 		w.cutBoth(h.name, name, length)
 	}
@@ -208,6 +211,9 @@
 	for _, p := range w.proxies {
 		w.network.stall(leader.name, p.name, held)
 	}
+	for _, r := range w.relays {
+		w.network.stall(leader.name, r.name, held)
+	}
 	w.after(length/4, func() { leader.pause(electionTimeout + length) })
 	return true
 }
@@ -242,6 +248,19 @@
 	return true
 }
 
+func (w *world) killRelay(r *relayHost, down time.Duration) bool {
+	if !r.up {
+		return false
+	}
+	r.crash()
+	w.after(down, func() {
+		if !r.up {
+			r.boot()
+		}
+	})
+	return true
+}
+
 func (w *world) pauseProxy(p *proxyHost, length time.Duration) {
 	p.pause(length)
 	w.lastPaused[p] = max(w.lastPaused[p], w.now+length)
--- a/lab/campaign/proxy.go
+++ b/lab/campaign/proxy.go
@@ -45,7 +45,7 @@
 	// The fields below live for one start of the process.
 	daemon   string
 	holder   *view.Holder
-	target   int // the member that beats go to
+	target   int // the relay or member that beats go to
 	heardAt  time.Duration
 	words    map[string]*word
 	requests []*pendingRequest
@@ -86,49 +86,55 @@
 func (p *proxyHost) beat() {
 	now := p.clock()
 	if now-p.heardAt > beatSilence {
-		p.target = (p.target + 1) % len(p.world.members)
+		p.redirected(noHint)
 		p.heardAt = now
 	}
+	next := beat{from: p, daemon: p.daemon, sentAt: now, acked: p.holder.Load().Version, held: p.holder.Load().Version}
+	if p.world.relayed() {
+		target := p.world.relays[p.target]
+		p.world.network.send(&p.process, &target.process, func() { target.answerBeat(next) })
+		return
+	}
 	target := p.world.members[p.target]
-	held := p.holder.Load().Version
-	daemon := p.daemon
-	p.world.network.send(&p.process, &target.process, func() { target.answerBeat(p, daemon, held, now) })
+	p.world.network.send(&p.process, &target.process, func() { target.answerBeat(next) })
 }
 
-// answerBeat grants a lease to a proxy and sends it what it lacks.
-func (m *member) answerBeat(p *proxyHost, daemon string, held view.Version, sentAt time.Duration) {
-	if !m.leads() || m.duties == nil || !m.duties.tracking {
-		hint := m.world.indexOf(m.node.Status().Leader)
-		m.world.network.send(&m.process, &p.process, func() { p.redirected(hint) })
+func (p *proxyHost) host() *process { return &p.process }
+
+// updated takes the answer to a beat of the given start of the proxy.
+func (p *proxyHost) updated(answered beat, news update) {
+	if p.daemon != answered.daemon {
 		return
 	}
-	granted := m.duties.tracker.Observe(daemon, held, m.clock())
-	delta, behind := m.machine.DeltaSince(held)
-	encoded, err := delta.AppendBinary(nil)
-	if err != nil {
-		panic(err)
+	p.heardAt = p.clock()
+	if news.delta != nil {
+		p.applyDelta(news.delta)
+	}
+	if news.lease > 0 && !p.holder.Confirm(answered.sentAt, news.lease, news.term) {
+		p.world.strike(strikeOldGrant)
 	}
-	term := m.duties.term
-	m.world.network.datagram(&m.process, &p.process, func() {
-		if p.daemon != daemon {
-			return
-		}
-		p.heardAt = p.clock()
-		if behind {
-			p.applyDelta(encoded)
-		}
-		if granted && !p.holder.Confirm(sentAt, viewLease, term) {
-			p.world.strike(strikeOldGrant)
-		}
-	})
 }
 
 func (p *proxyHost) redirected(hint int) {
-	if hint >= 0 {
-		p.target = hint
-	} else {
-		p.target = (p.target + 1) % len(p.world.members)
+	upstreams := len(p.world.members)
+	if p.world.relayed() {
+		upstreams, hint = len(p.world.relays), noHint
+	}
+	if hint == noHint {
+		hint = (p.target + 1) % upstreams
 	}
+	p.target = hint
+}
+
+// propose sends a command to the leader, through a relay where there are any.
+// One of answer and refused is called at the proxy, unless a message is lost.
+func (p *proxyHost) propose(command state.Command, answer func(result any, known bool), refused func()) {
+	if p.world.relayed() {
+		relay := p.world.relays[p.target]
+		p.world.network.send(&p.process, &relay.process, func() { relay.passOn(p, command, answer, refused) })
+		return
+	}
+	proposeThrough(&p.process, p.world.members[p.target], command, answer, refused)
 }
 
 func (p *proxyHost) applyDelta(encoded []byte) {
@@ -262,25 +268,19 @@
 
 // claim asks the leader for the right to run a marked request.
 func (p *proxyHost) claim(request *pendingRequest) {
-	target := p.world.members[p.target]
 	c := request.call
 	command := state.Command{Kind: state.CommandClaim, Claim: &state.ClaimRequest{
 		Tenant: c.tenant, Key: c.key, BodyHash: c.body, Attempt: 1, Proxy: p.daemon, Nonce: request.nonce,
 		Retention: retention.Milliseconds(),
 	}}
-	p.world.network.send(&p.process, &target.process, func() {
-		taken := target.propose(command, func(result any, known bool) {
-			claimed, ok := result.(api.ClaimResult)
-			if known && ok {
-				p.world.network.send(&target.process, &p.process, func() { p.claimedResult(request, claimed) })
-				return
-			}
-			p.world.network.send(&target.process, &p.process, func() { p.claimAgain(request) })
-		})
-		if !taken {
-			p.world.network.send(&target.process, &p.process, func() { p.refuseClaim(request) })
+	p.propose(command, func(result any, known bool) {
+		claimed, ok := result.(api.ClaimResult)
+		if known && ok {
+			p.claimedResult(request, claimed)
+			return
 		}
-	})
+		p.claimAgain(request)
+	}, func() { p.refuseClaim(request) })
 }
 
 // claimAgain asks once more after a leader stepped down in the middle of a
@@ -502,14 +502,9 @@
 	if outcome == api.RunCompleted {
 		record.Answer = []byte(joinTokens(request.tokens))
 	}
-	target := p.world.members[p.target]
-	p.world.network.send(&p.process, &target.process, func() {
-		target.propose(state.Command{Kind: state.CommandRunOutcome, RunOutcome: &record}, func(_ any, known bool) {
-			if known {
-				p.world.network.send(&target.process, &p.process, func() { request.settled = true })
-			}
-		})
-	})
+	p.propose(state.Command{Kind: state.CommandRunOutcome, RunOutcome: &record}, func(_ any, known bool) {
+		request.settled = request.settled || known
+	}, func() {})
 	p.after(outcomeInterval, func() { p.settle(request, outcome) })
 }
 
--- a/lab/campaign/world.go
+++ b/lab/campaign/world.go
@@ -14,6 +14,7 @@
 const (
 	memberCount = 3
 	proxyCount  = 3
+	relayCount  = 2
 	engineCount = 9
 
 	// warmUp is when the first fault may strike, faultsEnd when the last may,
@@ -42,6 +43,7 @@
 	network      *network
 	oracle       *oracle
 	members      []*member
+	relays       []*relayHost // of every other seed
 	proxies      []*proxyHost
 	engines      []*engineHost
 	engineIndex  map[string]*engineHost
@@ -76,8 +78,9 @@
 		w.engineIndex[host.name] = host
 	}
 	w.foundMembers()
+	w.startRelays()
 	for i := range proxyCount {
-		p := &proxyHost{process: w.newProcess(fmt.Sprintf("proxy-%d", i)), zone: zones[i], router: router.New(router.Config{})}
+		p := &proxyHost{process: w.newProcess(fmt.Sprintf("proxy-%d", i)), zone: zones[i], router: router.New(router.Config{}), target: i % relayCount}
 		p.random = rand.New(rand.NewPCG(seed, uint64(100+i)))
 		p.boot()
 		w.proxies = append(w.proxies, p)
@@ -85,6 +88,21 @@
 	return w
 }
 
+// startRelays puts relays between the members and the proxies of odd seeds;
+// those of even seeds follow the members themselves.
+func (w *world) startRelays() {
+	if w.seed%2 == 0 {
+		return
+	}
+	for i := range relayCount {
+		relay := &relayHost{process: w.newProcess(fmt.Sprintf("relay-%d", i))}
+		relay.boot()
+		w.relays = append(w.relays, relay)
+	}
+}
+
+func (w *world) relayed() bool { return len(w.relays) > 0 }
+
 func (w *world) foundMembers() {
 	var founding raft.Configuration
 	for i := range memberCount {
@@ -154,6 +172,7 @@
 	return nil
 }
 
+// indexOf returns the member's index, or noHint.
 func (w *world) indexOf(id raft.MemberID) int {
 	return slices.IndexFunc(w.members, func(m *member) bool { return m.id == id })
 }
