Look at splits of every total: large intents without mixed engines never moved

Cause: a large total was looked at in steps of a sixteenth, and prefill and decode both in steps seldom add up to the total. Where mixed engines are not permitted no split was left, so an intent of 1,000 engines (or of 33) never changed a role; where they are, the nearest other split was 62 moves away. Change: the grid's ends are included, and splits one, two, four and so on moves from the present one are looked at too.

--- a/version/planner/adaptive.go
+++ b/version/planner/adaptive.go
@@ -178,7 +178,7 @@
 	now := a.config.Rates.served(current, expected)
 
 	best, bestNet, bestGain, bestCost := current, 0.0, 0.0, 0.0
-	for _, candidate := range enumerate(current.Total(), g.allows) {
+	for _, candidate := range candidates(current, g.allows) {
 		gain := (a.config.Rates.served(candidate, expected) - now) * stay.Seconds()
 		if gain <= bestNet {
 			continue
--- a/version/planner/split.go
+++ b/version/planner/split.go
@@ -60,25 +60,52 @@
 	return fmt.Sprintf("%d prefill, %d decode, %d mixed", s.Prefill, s.Decode, s.Mixed)
 }
 
-// enumerate returns the splits of total engines over the allowed roles. For
-// large totals it looks at every step-th number only, so that there are never
-// more than a few hundred.
-func enumerate(total int, allowed func(api.EngineRole) bool) []Split {
-	step := max(total/enumerateSteps, 1)
+// candidates returns the splits of the current total over the allowed roles
+// that are worth a look: all of a small total, a grid of a large one, and in any
+// case those that are one, two, four and so on moves from the current one. There
+// are never more than a few hundred.
+func candidates(current Split, allowed func(api.EngineRole) bool) []Split {
+	total := current.Total()
 	var splits []Split
-	for prefill := 0; prefill <= total; prefill += step {
-		for decode := 0; prefill+decode <= total; decode += step {
-			split := Split{Prefill: prefill, Decode: decode, Mixed: total - prefill - decode}
-			if permitted(split, allowed) {
-				splits = append(splits, split)
-			}
+	add := func(split Split) {
+		if permitted(split, allowed) {
+			splits = append(splits, split)
+		}
+	}
+	for _, prefill := range gridPoints(total) {
+		for _, decode := range gridPoints(total - prefill) {
+			add(Split{Prefill: prefill, Decode: decode, Mixed: total - prefill - decode})
 		}
 	}
+	if total > gridSteps {
+		addNear(current, add)
+	}
 	return splits
 }
 
-// enumerateSteps bounds the splits that are looked at along one axis.
-const enumerateSteps = 16
+// gridSteps bounds the points of a grid along one axis, but for its end.
+const gridSteps = 16
+
+// gridPoints returns numbers from 0 to a total, both included.
+func gridPoints(total int) []int {
+	step := max((total+gridSteps-1)/gridSteps, 1)
+	var points []int
+	for point := 0; point < total; point += step {
+		points = append(points, point)
+	}
+	return append(points, total)
+}
+
+// addNear adds the splits that moves between two roles lead to.
+func addNear(current Split, add func(Split)) {
+	for _, from := range splitRoles {
+		for _, to := range splitRoles {
+			for moves := 1; from != to && moves <= current.Of(from); moves *= 2 {
+				add(current.with(from, -moves).with(to, moves))
+			}
+		}
+	}
+}
 
 // permitted reports whether the split uses allowed roles only and can serve a
 // whole request.
