--- a/cmd/landingtrail-lab/scale.go
+++ b/cmd/landingtrail-lab/scale.go
@@ -21,6 +21,7 @@
 	maxDaemons    = 4_000
 	maxReplicas   = 20_000
 	maxVoters     = 7
+	maxRelays     = 50
 	maxProxies    = 50
 	maxPortNumber = 65_535
 )
@@ -30,6 +31,7 @@
 	daemons  uint64
 	replicas uint64
 	voters   uint64
+	relays   uint64
 	proxies  uint64
 	seed     uint64
 	duration time.Duration
@@ -48,6 +50,7 @@
 	cli.UintFlag(flagSet, &flags.daemons, "daemons", scale.DefaultDaemons, maxDaemons, "hollow daemons at the largest of the three sizes")
 	cli.UintFlag(flagSet, &flags.replicas, "replicas", scale.DefaultReplicas, maxReplicas, "hollow replicas at the largest of the three sizes")
 	cli.UintFlag(flagSet, &flags.voters, "voters", scale.DefaultVoters, maxVoters, "real control members")
+	cli.UintFlag(flagSet, &flags.relays, "relays", 0, maxRelays, "real relays that the daemons follow; 0: they follow the control members")
 	cli.UintFlag(flagSet, &flags.proxies, "proxies", scale.DefaultProxies, maxProxies, "real proxies")
 	cli.UintFlag(flagSet, &flags.seed, "seed", 1, maxSeed, "seed of the order in which replicas are polled")
 	cli.DurationFlag(flagSet, &flags.duration, "for", scale.DefaultDuration, "how long changes and restarts go on at each size")
@@ -104,6 +107,7 @@
 		Replicas:        int(flags.replicas),
 		Duration:        flags.duration,
 		Voters:          int(flags.voters),
+		Relays:          int(flags.relays),
 		Proxies:         int(flags.proxies),
 		Seed:            flags.seed,
 		PollInterval:    flags.poll,
--- a/lab/scale/cluster.go
+++ b/lab/scale/cluster.go
@@ -20,6 +20,7 @@
 const (
 	prefixControl  = "control-"
 	prefixProxy    = "proxy-"
+	prefixRelay    = "relay-"
 	prefixReplicas = "replicas-"
 )
 
@@ -36,11 +37,14 @@
 // cluster is what the hollow daemons run beside: real members and proxies, and
 // replicas in processes of their own.
 type cluster struct {
+	// feeds are those of the members, or of the relays where there are any.
 	feeds     []string
 	operators []string
 	port      int // of every replica
-	// members and proxies are process IDs; a cluster inside this process has none.
+	// members, relays and proxies are process IDs; a cluster inside this process
+	// has none.
 	members []int
+	relays  []int
 	proxies []int
 	stop    func() error
 	context context.Context
@@ -68,6 +72,16 @@
 	}
 }
 
+type relayFile struct {
+	Relay struct {
+		Name         string
+		Zone         string
+		FeedAddress  string `yaml:"feedAddress"`
+		AdminAddress string `yaml:"adminAddress"`
+		Control      []string
+	}
+}
+
 // launcher starts a cluster's processes.
 type launcher struct {
 	config  Config
@@ -102,7 +116,7 @@
 	if err := l.startReplicas(replicas); err != nil {
 		return err
 	}
-	free, err := fleet.FreeAddresses(3*l.config.Voters + 2*l.config.Proxies)
+	free, err := fleet.FreeAddresses(3*l.config.Voters + 2*l.config.Relays + 2*l.config.Proxies)
 	if err != nil {
 		return err
 	}
@@ -110,6 +124,9 @@
 	if err := l.startMembers(); err != nil {
 		return err
 	}
+	if err := l.startRelays(); err != nil {
+		return err
+	}
 	if err := l.startProxies(); err != nil {
 		return err
 	}
@@ -172,6 +189,29 @@
 	return nil
 }
 
+// startRelays makes the daemons follow relays, one in each zone in turn.
+func (l *launcher) startRelays() error {
+	var feeds []string
+	for i := range l.config.Relays {
+		var file relayFile
+		file.Relay.Name = prefixRelay + strconv.Itoa(i+1)
+		file.Relay.Zone = zoneName(i)
+		file.Relay.FeedAddress = l.next()
+		file.Relay.AdminAddress = l.next()
+		file.Relay.Control = l.cluster.feeds
+		pid, err := l.startDaemon(file.Relay.Name, "relay", file)
+		if err != nil {
+			return err
+		}
+		l.cluster.relays = append(l.cluster.relays, pid)
+		feeds = append(feeds, file.Relay.FeedAddress)
+	}
+	if len(feeds) > 0 {
+		l.cluster.feeds = feeds
+	}
+	return nil
+}
+
 func (l *launcher) startProxies() error {
 	for i := range l.config.Proxies {
 		var file proxyFile
@@ -204,7 +244,7 @@
 // stop ends everything and removes the data.
 func (l *launcher) stop() error {
 	var failures []error
-	for _, prefix := range []string{prefixProxy, prefixControl, prefixReplicas} {
+	for _, prefix := range []string{prefixProxy, prefixRelay, prefixControl, prefixReplicas} {
 		failures = append(failures, l.run.Stop(prefix)...)
 	}
 	if l.config.Data == "" {
--- a/lab/scale/daemon.go
+++ b/lab/scale/daemon.go
@@ -76,7 +76,7 @@
 	}
 	ctx, shared.cancel = context.WithCancel(ctx)
 	for i := range count {
-		if err := shared.start(ctx, i, config.Seed, feeds); err != nil {
+		if err := shared.start(ctx, i, config, feeds); err != nil {
 			shared.close()
 			return nil, err
 		}
@@ -84,18 +84,18 @@
 	return shared, nil
 }
 
-func (s *hollows) start(ctx context.Context, i int, seed uint64, feeds []string) error {
+func (s *hollows) start(ctx context.Context, i int, config Config, feeds []string) error {
 	daemon := &hollow{
 		shared: s,
 		name:   daemonName(i),
 		zone:   zoneName(i),
 		holder: newSharedHolder(s.store),
-		random: rand.New(rand.NewPCG(seed, uint64(i))),
+		random: rand.New(rand.NewPCG(config.Seed, uint64(i))),
 	}
 	client, err := feed.Dial(feed.ClientConfig{
 		Daemon:    daemon.name,
 		Zone:      daemon.zone,
-		Addresses: feeds,
+		Addresses: feedsOf(i, feeds, config.Relays > 0),
 		Dial:      s.feedMeter.dial,
 	}, daemon.holder)
 	if err != nil {
@@ -107,6 +107,22 @@
 	return nil
 }
 
+// relayChoices is how many of the relays a daemon knows.
+const relayChoices = 2
+
+// feedsOf spreads the daemons over the relays: each knows its own and the next.
+// Of the members, only the leader serves, so each daemon must know all of them.
+func feedsOf(i int, feeds []string, relayed bool) []string {
+	if !relayed {
+		return feeds
+	}
+	var known []string
+	for choice := range min(relayChoices, len(feeds)) {
+		known = append(known, feeds[(i+choice)%len(feeds)])
+	}
+	return known
+}
+
 // close ends all daemons.
 func (s *hollows) close() {
 	s.cancel()
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -47,6 +47,7 @@
 	// size; half of it passes in quiet before.
 	Duration time.Duration
 	Voters   int
+	Relays   int // the daemons follow these, or the members if there are none
 	Proxies  int // real ones
 	Seed     uint64
 	// PollInterval is the time between two load polls of a hollow daemon.
@@ -86,9 +87,10 @@
 	Hollow  HollowFigures  `json:"hollow"`
 	Bringup BringUpFigures `json:"bring_up"`
 	Changes ChangeFigures  `json:"changes"`
-	// Members are the control members, the leader first; Proxies the mean of
-	// the real ones.
+	// Members are the control members; Relays and Proxies are means of the
+	// real ones.
 	Members []ProcessFigures `json:"members,omitempty"`
+	Relays  *ProcessFigures  `json:"relays,omitempty"`
 	Proxies *ProcessFigures  `json:"proxies,omitempty"`
 }
 
--- a/lab/scale/window.go
+++ b/lab/scale/window.go
@@ -19,6 +19,7 @@
 	polled    int64
 	polls     int64
 	members   []usage
+	relays    []usage
 	proxies   []usage
 }
 
@@ -34,6 +35,9 @@
 	if taken.members, err = usagesOf(t.cluster.members); err != nil {
 		return sample{}, err
 	}
+	if taken.relays, err = usagesOf(t.cluster.relays); err != nil {
+		return sample{}, err
+	}
 	taken.proxies, err = usagesOf(t.cluster.proxies)
 	return taken, err
 }
@@ -152,6 +156,7 @@
 	for i := range after.members {
 		t.size.Members = append(t.size.Members, figures(before.members[i], between.members[i], after.members[i], quiet, busy))
 	}
+	t.size.Relays = meanFigures(before.relays, between.relays, after.relays, quiet, busy)
 	t.size.Proxies = meanFigures(before.proxies, between.proxies, after.proxies, quiet, busy)
 }
 
