Pause the leader's rounds as long as they took

Change: the pause after a round is at least as long as the round, at most the reconcile interval; with nine engines it stays 5 ms. Tests: the rule as a table.

--- a/process/control/duties.go
+++ b/process/control/duties.go
@@ -94,9 +94,9 @@
 	ticker := time.NewTicker(d.group.config.Durations.Reconcile)
 	defer ticker.Stop()
 	for {
+		started := monotonic()
 		d.round(ctx)
-		// A pause bounds the rounds that a busy fleet can wake.
-		_ = sleep(ctx, roundPause)
+		_ = sleep(ctx, d.pauseAfter(monotonic()-started))
 		select {
 		case <-ticker.C:
 		case <-d.wakeup:
@@ -108,6 +108,12 @@
 	}
 }
 
+// pauseAfter bounds the rounds that a busy fleet can wake: with many engines, to
+// half of one core. A round that waited for a commit pauses no longer than usual.
+func (d *duties) pauseAfter(took time.Duration) time.Duration {
+	return max(roundPause, min(took, d.group.config.Durations.Reconcile))
+}
+
 // round carries out one round if this member leads with a valid lease.
 func (d *duties) round(ctx context.Context) {
 	if !d.group.Leadership().Leads {
--- /dev/null
+++ b/process/control/duties_test.go
@@ -0,0 +1,20 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestRoundsPauseAsLongAsTheyTook(t *testing.T) {
+	reconcile := 200 * time.Millisecond
+	d := &duties{group: &group{config: Config{Durations: Durations{Reconcile: reconcile}}}}
+	for _, test := range []struct{ took, want time.Duration }{
+		{took: time.Millisecond, want: roundPause},
+		{took: 30 * time.Millisecond, want: 30 * time.Millisecond},
+		{took: 5 * time.Second, want: reconcile},
+	} {
+		must.Eq(t, test.want, d.pauseAfter(test.took))
+	}
+}
