Test that a vote needs a term without a leader, and a pre-vote a log up to date

Two mutations of the agreement protocol were noticed by no test (trial on a scratch copy): granting a vote in a term whose leader is known, and granting a pre-vote to a shorter log. The first is safe by quorums alone and the second costs no safety, only a raised term; both now have a case that fails without the guard.

--- a/process/raft/election_test.go
+++ b/process/raft/election_test.go
@@ -35,6 +35,7 @@
 		{name: "heard a leader", message: Message{Term: 3, LogTerm: 2, Index: 9}, now: late, contact: late - simElectionTimeout + 1},
 		{name: "heard a leader a timeout ago", message: Message{Term: 3, LogTerm: 2, Index: 9}, now: late, contact: late - simElectionTimeout, granted: true, answered: true},
 		{name: "heard a leader, transfer", message: Message{Term: 3, LogTerm: 2, Index: 9, Transfer: true}, now: late, contact: late - 1, granted: true, answered: true},
+		{name: "heard a leader of the same term a timeout ago", message: Message{Term: 2, LogTerm: 2, Index: 9}, now: late, contact: late - simElectionTimeout, answered: true},
 		{name: "no configuration yet", message: Message{Term: 3, LogTerm: 2, Index: 9}, now: late, blank: true},
 		{name: "no configuration yet, same term", message: Message{Term: 2, LogTerm: 2, Index: 9}, now: late, blank: true},
 		{name: "learner by its own log", message: Message{Term: 3, LogTerm: 2, Index: 9}, now: late, learner: true, granted: true, answered: true},
@@ -104,6 +105,23 @@
 	}
 }
 
+// A member that could not win must not raise the term.
+func TestPreVoteNeedsAnUpToDateLog(t *testing.T) {
+	node, err := New(testConfig(1), InitialState{
+		HardState:     HardState{Term: 2},
+		Entries:       []Entry{{Term: 1, Index: 1}, {Term: 2, Index: 2}},
+		Configuration: voters(1, 2, 3),
+	})
+	must.NoError(t, err)
+	node.Tick(0)
+	for index := uint64(1); index <= 3; index++ {
+		request := Message{Kind: MessagePreVote, From: 2, To: 1, Term: 3, LogTerm: 2, Index: index}
+		must.NoError(t, node.Step(simElectionTimeout, request))
+		replies, _ := drain(node)
+		must.Eq(t, index < 2, replies[0].Reject)
+	}
+}
+
 func TestRefusedPreVoteOfTermZeroIsTaken(t *testing.T) {
 	node, err := New(testConfig(1), InitialState{Configuration: voters(1, 2, 3)})
 	must.NoError(t, err)
