--- a/request/limit/queue_test.go
+++ b/request/limit/queue_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,7 +17,20 @@
 // asker asks one queue in virtual time and notes who was let through.
 type asker struct {
 	queue *Queue
-	order []string
+	lock  sync.Mutex
+	names []string
+}
+
+func (a *asker) note(name string) {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	a.names = append(a.names, name)
+}
+
+func (a *asker) order() []string {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	return slices.Clone(a.names)
 }
 
 // ask waits for a place in the background, holds it for a second and notes the
@@ -28,10 +43,10 @@
 	go func() {
 		release, refusal := a.queue.Acquire(ctx, ticket)
 		if refusal != nil {
-			a.order = append(a.order, name+" "+string(refusal.Reason))
+			a.note(name + " " + string(refusal.Reason))
 			return
 		}
-		a.order = append(a.order, name)
+		a.note(name)
 		time.Sleep(time.Second)
 		release()
 	}()
@@ -49,7 +64,7 @@
 		a.ask(ctx, "modest", Ticket{Class: "a", Tenant: "modest"})
 		a.ask(ctx, "urgent", Ticket{Class: "b", Priority: 1})
 		time.Sleep(time.Minute)
-		must.Eq(t, []string{"first", "urgent", "greedy0", "modest", "greedy1", "greedy2"}, a.order)
+		must.Eq(t, []string{"first", "urgent", "greedy0", "modest", "greedy1", "greedy2"}, a.order())
 		must.Eq(t, Depth{}, a.queue.Depth())
 		must.MapEmpty(t, a.queue.classes)
 	})
@@ -64,11 +79,11 @@
 		a.ask(ctx, "waits", Ticket{Deadline: time.Now().Add(500 * time.Millisecond)})
 		a.ask(ctx, "hangs up", Ticket{})
 		a.ask(ctx, "third", Ticket{})
-		must.Eq(t, []string{"runs", "short deadline_too_short", "third queue_full"}, a.order)
+		must.Eq(t, []string{"runs", "short deadline_too_short", "third queue_full"}, a.order())
 		time.Sleep(600 * time.Millisecond)
 		hangUp()
 		synctest.Wait()
-		must.Eq(t, []string{"waits deadline_exceeded", "hangs up cancelled"}, a.order[3:])
+		must.Eq(t, []string{"waits deadline_exceeded", "hangs up cancelled"}, a.order()[3:])
 		time.Sleep(time.Second)
 		must.Eq(t, Depth{}, a.queue.Depth())
 	})
@@ -82,10 +97,10 @@
 			a.ask(context.Background(), fmt.Sprint("bounded", i), Ticket{Class: "a", MaxInFlight: 1, Priority: 1})
 		}
 		a.ask(context.Background(), "other", Ticket{Class: "b"})
-		must.Eq(t, []string{"bounded0", "other"}, a.order)
+		must.Eq(t, []string{"bounded0", "other"}, a.order())
 		a.queue.Resize(1)
 		time.Sleep(time.Minute)
-		must.Eq(t, "bounded1", a.order[2])
+		must.Eq(t, "bounded1", a.order()[2])
 	})
 }
 
