Keep an endpoint suspect while its polls bring no answer

Change: from the third poll in a row without an answer the endpoint is suspect until it speaks, by a poll or an answer. An answer that is of no use, such as a missing load page, does not count as silence.

--- a/process/proxy/endpoint.go
+++ b/process/proxy/endpoint.go
@@ -41,9 +41,12 @@
 	loadAt      time.Duration // when the load was measured
 	failures    int
 	suspectTill time.Duration
-	dispatches  map[uint64]dispatch
-	nextID      uint64
-	cache       cacheIndex
+	// silent is set while polls bring no answer; it outlasts suspectTill, so
+	// that no request is spent on finding out that nothing has changed.
+	silent     bool
+	dispatches map[uint64]dispatch
+	nextID     uint64
+	cache      cacheIndex
 }
 
 func newEndpoint(name, address, zone string, model bool) *endpoint {
@@ -74,6 +77,7 @@
 
 func (e *endpoint) hearLocked(now time.Duration, phase api.EnginePhase, incarnation uint64) {
 	e.heard = true
+	e.silent = false
 	e.heardAt = max(e.heardAt, now)
 	if phase != api.PhaseUnknown {
 		e.phase = phase
@@ -127,6 +131,15 @@
 	e.suspectTill = now + min(wait, maxSuspicion)
 }
 
+// markSilent makes the endpoint suspect until it speaks again.
+func (e *endpoint) markSilent() {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.silent = true
+}
+
+func (e *endpoint) suspectedLocked(now time.Duration) bool { return e.silent || now < e.suspectTill }
+
 // ownWord is what an endpoint says of itself.
 type ownWord struct {
 	phase       api.EnginePhase
@@ -148,7 +161,7 @@
 	into.Name = e.name
 	into.Address = e.address
 	into.Zone = e.zone
-	into.Suspect = now < e.suspectTill
+	into.Suspect = e.suspectedLocked(now)
 	into.Load = router.Load{
 		Running:       e.load.Running,
 		Waiting:       e.load.Waiting,
--- a/process/proxy/poller.go
+++ b/process/proxy/poller.go
@@ -14,8 +14,11 @@
 	"github.com/landingtrail/landingtrail/connection/engineapi"
 )
 
-// errPoll is returned for an answer to a poll that is of no use.
-var errPoll = errors.New("poll failed")
+// Errors of polls.
+var (
+	errPoll     = errors.New("poll failed") // the answer is of no use
+	errNoAnswer = errors.New("no answer to the poll")
+)
 
 // maxReportBytes bounds a load report or a page of cache events.
 const maxReportBytes = 4 << 20
@@ -45,11 +48,7 @@
 	var asked time.Time // the last page of cache events
 	failures := 0
 	for p.lane.loadBudget.wait(ctx) {
-		if p.pollLoad(ctx) == nil {
-			failures = 0
-		} else if failures++; failures == pollFailures && ctx.Err() == nil {
-			p.endpoint.fail(p.proxy.clock())
-		}
+		failures = p.judge(ctx, failures, p.pollLoad(ctx))
 		if p.endpoint.model && time.Since(asked) >= intervals.Cache && p.lane.cacheBudget.limiter.AllowN(time.Now(), typicalPollBytes) {
 			asked = time.Now()
 			p.pollCache(ctx)
@@ -60,6 +59,24 @@
 	}
 }
 
+// judge returns how many polls in a row have failed after one more.
+func (p *poller) judge(ctx context.Context, failures int, err error) int {
+	if err == nil {
+		return 0
+	}
+	failures++
+	if failures < pollFailures || ctx.Err() != nil {
+		return failures
+	}
+	if failures == pollFailures {
+		p.endpoint.fail(p.proxy.clock())
+	}
+	if errors.Is(err, errNoAnswer) {
+		p.endpoint.markSilent()
+	}
+	return failures
+}
+
 // jitter spreads polls over time, so that daemons do not ask in step.
 func jitter(interval time.Duration) time.Duration {
 	return interval*9/10 + time.Duration(rand.Int64N(int64(interval/5)+1))
@@ -121,7 +138,7 @@
 	request.Header.Set("User-Agent", "") // bytes that no endpoint needs
 	response, err := p.lane.polls.Do(request)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(errNoAnswer, err.Error())
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
--- a/process/proxy/run_backend.go
+++ b/process/proxy/run_backend.go
@@ -122,7 +122,7 @@
 func (e *endpoint) suspected(now time.Duration) bool {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	return now < e.suspectTill
+	return e.suspectedLocked(now)
 }
 
 // work is the load of a plain back end: the report and what was sent since.
