--- a/process/event/page.go
+++ b/process/event/page.go
@@ -15,8 +15,9 @@
     level=info time=… member=control-1 event=1000 name=control_started …
 
 Numbers are never used again. 1000 to 1999 are the control daemon's, 2000 to
-2999 the proxy's, 3000 to 3999 those of commands and of the lab. This page is
-made from the code (` + "`landingtrail-lab page events`" + `), and a test keeps the two equal.
+2999 the proxy's, 3000 to 3999 those of commands and of the lab, 4000 to 4999
+the relay's. This page is made from the code (` + "`landingtrail-lab page events`" + `),
+and a test keeps the two equal.
 
 | number | name | level | what happened | what to do |
 |---|---|---|---|---|
