--- a/cmd/landingtrail-lab/fleet.go
+++ b/cmd/landingtrail-lab/fleet.go
@@ -28,6 +28,9 @@
 // Error words the count.
 func (e violationError) Error() string { return strconv.Itoa(e.count) + " violations" }
 
+// maxFleetRelays bounds the relays of one fleet.
+const maxFleetRelays = 9
+
 // fleetFlags are the flags of fleet.
 type fleetFlags struct {
 	deployment string
@@ -39,6 +42,7 @@
 	duration   time.Duration
 	seed       uint64
 	speed      uint64
+	relays     uint64
 }
 
 func fleetCommand(to cli.Streams) *ffcli.Command {
@@ -52,6 +56,7 @@
 	cli.DurationOrZeroFlag(flagSet, &flags.duration, "for", fleet.DefaultDuration, "how long callers send; 0: none sends, and the fleet serves until Ctrl-C")
 	cli.UintFlag(flagSet, &flags.seed, "seed", 1, maxSeed, "seed of the traffic")
 	cli.UintFlag(flagSet, &flags.speed, "speed", 1, maxSpeed, "how many times faster than real engines the stand-ins work")
+	cli.UintFlag(flagSet, &flags.relays, "relays", 0, maxFleetRelays, "relays that pass the feed on to the proxies; 0: proxies follow the members")
 	flagSet.Float64Var(&flags.rate, "rate", 1, "factor of the model requests a second")
 	cli.BoolFlag(flagSet, &flags.json, "json", "print the summary as JSON")
 	return &ffcli.Command{
@@ -95,6 +100,7 @@
 		Speed:       flags.speed,
 		Data:        flags.data,
 		Drill:       fleet.Drill(flags.drill),
+		Relays:      int(flags.relays),
 		WeightBytes: fleet.DefaultWeightBytes,
 		WeightRate:  fleet.DefaultWeightRate,
 		Progress:    to.Err,
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -53,6 +53,9 @@
 	// WeightBytes and WeightRate are the platform's weight store.
 	WeightBytes uint64
 	WeightRate  uint64
+	// Relays is how many relays pass the feed on to the proxies; 0: the proxies
+	// follow the members themselves.
+	Relays int
 	// Drill says what happens to the processes during the load; empty: nothing.
 	Drill Drill
 	// Via, if set, is given the name and address of every listener of the product,
--- a/lab/fleet/layout.go
+++ b/lab/fleet/layout.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,6 +17,7 @@
 const (
 	controlFile = "control.yaml"
 	proxyFile   = "proxy.yaml"
+	relayFile   = "relay.yaml"
 	objectsFile = "objects.yaml"
 	changeFiles = "changes/*.yaml"
 )
@@ -35,6 +37,7 @@
 	folder   string
 	platform string
 	members  []memberPlace
+	relays   []relayPlace
 	proxies  []proxyPlace
 	engines  []place
 	backends []place
@@ -66,6 +69,13 @@
 	admin    string
 }
 
+// relayPlace is one relay of the feed.
+type relayPlace struct {
+	name     string
+	settings string
+	admin    string
+}
+
 // portSource hands out addresses.
 type portSource struct{ free []string }
 
@@ -112,6 +122,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if config.Relays > 0 {
+		if feeds, err = maker.placeRelays(config.Relays, feeds); err != nil {
+			return nil, err
+		}
+	}
 	return maker.layout, maker.placeProxies(feeds)
 }
 
@@ -227,6 +242,35 @@
 	return own, nil
 }
 
+// placeRelays puts relays before the members and returns their feed addresses.
+func (m *layoutMaker) placeRelays(count int, members []string) ([]string, error) {
+	file, err := settings.Load(filepath.Join(m.source, relayFile), settings.SectionRelay, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, relayFile)
+	}
+	zones := m.zones()
+	var feeds []string
+	for i := range count {
+		file.Relay.Name = fmt.Sprintf("relay-%d", i+1)
+		file.Relay.Zone = zones[i%len(zones)]
+		file.Relay.Control = members
+		own, reached, err := m.listen(linkFeed + file.Relay.Name)
+		if err != nil {
+			return nil, err
+		}
+		file.Relay.FeedAddress = own
+		file.Relay.AdminAddress = m.ports.next()
+		m.adjust(&file)
+		path := filepath.Join(m.folder, file.Relay.Name+".yaml")
+		if err := writeYAML(path, file); err != nil {
+			return nil, err
+		}
+		feeds = append(feeds, reached)
+		m.relays = append(m.relays, relayPlace{file.Relay.Name, path, file.Relay.AdminAddress})
+	}
+	return feeds, nil
+}
+
 // placeProxies gives every zone a proxy.
 func (m *layoutMaker) placeProxies(feeds []string) error {
 	file, err := settings.Load(filepath.Join(m.source, proxyFile), settings.SectionProxy, nil)
--- a/lab/fleet/scenario_test.go
+++ b/lab/fleet/scenario_test.go
@@ -83,7 +83,7 @@
 
 // startScenario brings the fleet up and starts the load and an operator that
 // makes changes all the time.
-func startScenario(t *testing.T, drill Drill, adjust func(*settings.File)) *scenario {
+func startScenario(t *testing.T, drill Drill, adjust func(*settings.File), configure ...func(*Config)) *scenario {
 	takeSlot(t)
 	network := faults.NewNetwork()
 	t.Cleanup(network.Close)
@@ -91,6 +91,9 @@
 	config.Drill = drill
 	config.Via = network.Add
 	config.Adjust = adjust
+	for _, change := range configure {
+		change(&config)
+	}
 	data := t.TempDir()
 	planned, err := newLayout(config, data)
 	must.NoError(t, err)
--- a/lab/fleet/start.go
+++ b/lab/fleet/start.go
@@ -15,6 +15,7 @@
 const (
 	prefixControl  = "control-"
 	prefixProxy    = "proxy-"
+	prefixFeed     = "feed-" // relays of the feed
 	prefixEngine   = "engine-"
 	prefixBackend  = "backend-"
 	prefixPlatform = "platform"
@@ -24,7 +25,7 @@
 
 // start runs every process and waits until each takes connections.
 func (f *Fleet) start() error {
-	f.progress("starting %d processes", 1+len(f.layout.engines)+len(f.layout.backends)+len(f.layout.members)+len(f.layout.proxies))
+	f.progress("starting %d processes", 1+len(f.layout.engines)+len(f.layout.backends)+len(f.layout.members)+len(f.layout.relays)+len(f.layout.proxies))
 	if err := f.startStandIns(); err != nil {
 		return err
 	}
@@ -33,6 +34,11 @@
 			return err
 		}
 	}
+	for _, relay := range f.layout.relays {
+		if err := f.run.start(prefixFeed+relay.name, f.config.Product, "relay", "--settings", relay.settings); err != nil {
+			return err
+		}
+	}
 	for _, proxy := range f.layout.proxies {
 		if err := f.run.start(prefixProxy+proxy.zone, f.config.Product, "proxy", "--settings", proxy.settings); err != nil {
 			return err
@@ -80,6 +86,9 @@
 	for _, one := range append(append([]place(nil), f.layout.engines...), f.layout.backends...) {
 		addresses = append(addresses, one.address)
 	}
+	for _, relay := range f.layout.relays {
+		addresses = append(addresses, relay.admin)
+	}
 	for _, proxy := range f.layout.proxies {
 		addresses = append(addresses, proxy.address)
 	}
@@ -110,7 +119,7 @@
 func (f *Fleet) stop(summary *Summary) error {
 	f.progress("stopping")
 	var failures []error
-	for _, prefixes := range [][]string{{prefixProxy, prefixRelay}, {prefixEngine, prefixBackend}, {prefixControl}, {prefixPlatform}} {
+	for _, prefixes := range [][]string{{prefixProxy, prefixRelay}, {prefixFeed}, {prefixEngine, prefixBackend}, {prefixControl}, {prefixPlatform}} {
 		failures = append(failures, f.run.stop(prefixes...)...)
 	}
 	for _, failure := range failures {
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -181,7 +181,7 @@
 	changes, err := filepath.Glob("../../deployments/*/changes/*.yaml")
 	must.NoError(t, err)
 	paths = append(paths, changes...)
-	must.SliceLen(t, 10, paths)
+	must.SliceLen(t, 11, paths)
 	for _, path := range paths {
 		faults, err := settings.Check(path)
 		must.NoError(t, err)
