Let claims wait for the next leader when the last one says that it leads no more

The new leader was asked for its first lease only each heartbeat (100 ms), and a client that was sent on without an address paused first. Change: a new leader asks 20 times a heartbeat; a client that its leader sent on tries the next member at once; claims and outcomes that were surely not taken wait up to HandoverWait (500 ms) for the next leader, and a refused one a fifth of it for its leader's word. A leader that was lost without a word, or longer ago, is still answered with a refusal at once. The new test fails without the wait and when a lost connection alone makes claims wait.

--- a/connection/feed/client.go
+++ b/connection/feed/client.go
@@ -34,6 +34,10 @@
 	// is drawn from the upper half of its range.
 	BackoffMin time.Duration
 	BackoffMax time.Duration
+	// HandoverWait is how long claims and outcomes wait for the next leader
+	// after the last one said that it leads no more. Later, and when a leader
+	// was lost without a word, they are refused at once.
+	HandoverWait time.Duration
 	// MaxInFlight bounds the claims and outcomes that wait for a reply.
 	MaxInFlight int
 	// Dial opens the connections; nil uses a net.Dialer with DialTimeout.
@@ -52,6 +56,7 @@
 	DefaultSilenceTimeout = 3 * time.Second
 	DefaultBackoffMin     = 50 * time.Millisecond
 	DefaultBackoffMax     = 2 * time.Second
+	DefaultHandoverWait   = 500 * time.Millisecond
 	DefaultMaxInFlight    = 1024
 )
 
@@ -62,6 +67,7 @@
 	c.SilenceTimeout = orDefault(c.SilenceTimeout, DefaultSilenceTimeout)
 	c.BackoffMin = orDefault(c.BackoffMin, DefaultBackoffMin)
 	c.BackoffMax = orDefault(c.BackoffMax, DefaultBackoffMax)
+	c.HandoverWait = orDefault(c.HandoverWait, DefaultHandoverWait)
 	c.MaxInFlight = orDefault(c.MaxInFlight, DefaultMaxInFlight)
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{Timeout: c.DialTimeout}).DialContext
@@ -89,6 +95,7 @@
 	views     Views
 	instance  uint64
 	session   atomic.Pointer[session] // nil while no leader serves the client
+	handover  *handover
 	requestID atomic.Uint64
 	slots     chan struct{} // one for each claim or outcome in flight
 	context   context.Context
@@ -107,6 +114,7 @@
 		return nil, errors.Wrap(ErrConfig, "no addresses")
 	}
 	client := &Client{config: config.withDefaults(), views: views, instance: rand.Uint64()}
+	client.handover = newHandover(client.config.HandoverWait)
 	client.slots = make(chan struct{}, client.config.MaxInFlight)
 	client.context, client.cancel = context.WithCancel(context.Background())
 	client.done.Go(client.follow)
--- a/connection/feed/feed_test.go
+++ b/connection/feed/feed_test.go
@@ -65,6 +65,46 @@
 	})
 }
 
+func TestClaimsWaitForTheNextLeaderOnlyWhenTheLastOneSaysSo(t *testing.T) {
+	first, second := newFakeGroup(), newFakeGroup()
+	second.set(false, false, 1, "")
+	firstServer, firstAddress := startServer(t, first)
+	secondServer, secondAddress := startServer(t, second)
+	wire := newRelay(t, secondAddress)
+	client := startClient(t, view.NewHolder(), firstAddress, wire.address())
+	eventually(t, "a subscription", client.Connected)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	request := state.ClaimRequest{Tenant: "water", Key: "crew-7", BodyHash: 9, Attempt: 1, Proxy: "proxy-a", Nonce: 1}
+	refused := make(chan struct{})
+	first.claim = func(state.ClaimRequest) (api.ClaimResult, error) {
+		close(refused)
+		return api.ClaimResult{}, errors.Wrap(ErrNoQuorum, "leadership moves")
+	}
+	claimed := make(chan error, 2)
+	claim := func() {
+		_, err := client.Claim(ctx, request)
+		claimed <- err
+	}
+	go claim()
+	<-refused // by a leader on its way out
+	first.set(false, false, 1, "")
+	firstServer.Wake()
+	eventually(t, "the end of the subscription", func() bool { return !client.Connected() })
+	go claim() // while nobody leads
+	second.set(true, true, 2, "")
+	secondServer.Wake()
+	must.NoError(t, <-claimed)
+	must.NoError(t, <-claimed)
+
+	must.NoError(t, wire.listener.Close())
+	wire.cut() // the leader is lost without a word
+	eventually(t, "the end of the subscription", func() bool { return !client.Connected() })
+	_, err := client.Claim(ctx, request)
+	must.ErrorIs(t, err, ErrNoQuorum)
+	must.NoError(t, ctx.Err())
+}
+
 func TestForeignBytesEndOnlyTheirConnection(t *testing.T) {
 	group := newFakeGroup()
 	server, address := startServer(t, group)
--- a/connection/feed/follow.go
+++ b/connection/feed/follow.go
@@ -31,9 +31,10 @@
 		}
 		followed := hint != ""
 		hint = named
-		// A first hint is followed at once; a hint that led to another hint or
-		// to a failure waits, so that two members naming each other cost little.
-		if named != "" && !followed {
+		// A first hint, or the word of a leader that it leads no more, is
+		// followed at once; a hint that led to another hint or to a failure
+		// waits, so that two members naming each other cost little.
+		if named != "" && !followed || served && errors.Is(err, errNotLeader) {
 			continue
 		}
 		c.sleep(jitter(pause))
@@ -67,31 +68,44 @@
 	return limit/2 + rand.N(limit/2+1)
 }
 
-// call sends one request and waits for its reply.
+// call sends one request and waits for its reply. A request that was surely not
+// taken is sent to the next leader if the last one said that it leads no more.
 func (c *Client) call(ctx context.Context, kind frame.Kind, encode func(id uint64) []byte) (reply, error) {
-	current := c.session.Load()
-	if current == nil {
-		return reply{}, errors.Wrap(ErrNoQuorum, "no leader is connected")
-	}
 	select {
 	case c.slots <- struct{}{}:
 		defer func() { <-c.slots }()
 	default:
 		return reply{}, errors.Wrap(ErrNoQuorum, "too many requests in flight")
 	}
-	requestID := c.requestID.Add(1)
-	waiting := current.register(requestID)
-	defer current.unregister(requestID)
-	sent := &outgoing{kind: kind, payload: encode(requestID)}
-	if !current.enqueue(sent) {
-		return reply{}, errors.Wrap(ErrNoQuorum, "the queue is full")
+	for {
+		current := c.awaitSession(ctx)
+		if current == nil {
+			return reply{}, errors.Wrap(ErrNoQuorum, "no leader is connected")
+		}
+		requestID := c.requestID.Add(1)
+		answer, err := current.call(ctx, requestID, &outgoing{kind: kind, payload: encode(requestID)})
+		if !errors.Is(err, ErrNoQuorum) || errors.Is(err, errQueueFull) || !current.movedOn(ctx) {
+			return answer, err
+		}
+	}
+}
+
+// errQueueFull refuses a request for which the session's queue has no room.
+var errQueueFull = errors.Wrap(ErrNoQuorum, "the queue is full")
+
+// call sends one request to this session's leader and waits for its reply.
+func (s *session) call(ctx context.Context, requestID uint64, sent *outgoing) (reply, error) {
+	waiting := s.register(requestID)
+	defer s.unregister(requestID)
+	if !s.enqueue(sent) {
+		return reply{}, errQueueFull
 	}
 	select {
 	case answer := <-waiting:
 		return checkReply(answer)
 	case <-ctx.Done():
 		return giveUp(sent, waiting, "gave up waiting")
-	case <-current.ended:
+	case <-s.ended:
 		return giveUp(sent, waiting, "the connection ended")
 	}
 }
--- a/connection/feed/group_test.go
+++ b/connection/feed/group_test.go
@@ -139,6 +139,7 @@
 func startClient(t *testing.T, views Views, addresses ...string) *Client {
 	client, err := Dial(ClientConfig{
 		Daemon:         "proxy-a",
+		HandoverWait:   patience,
 		Addresses:      addresses,
 		BeatInterval:   20 * time.Millisecond,
 		SilenceTimeout: time.Second,
--- a/connection/feed/session.go
+++ b/connection/feed/session.go
@@ -57,6 +57,9 @@
 	ended   chan struct{}
 	pending [pendingShards]pendingShard
 	ready   bool // the leader has served a delta or a grant
+	// announced is true when a leader that served the session said that it
+	// leads no more. It is written before ended is closed.
+	announced bool
 
 	beatLock sync.Mutex
 	sequence uint64
@@ -88,6 +91,9 @@
 	var writer sync.WaitGroup
 	writer.Go(s.write)
 	hint, err := s.read()
+	if s.announced = s.ready && errors.Is(err, errNotLeader); s.announced {
+		s.client.handover.announce()
+	}
 	s.client.session.CompareAndSwap(s, nil)
 	close(s.ended)
 	_ = s.conn.Close()
@@ -275,6 +281,7 @@
 	if !s.ready {
 		s.ready = true
 		s.client.session.Store(s)
+		s.client.handover.end()
 	}
 }
 
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -239,6 +239,10 @@
 	return nil
 }
 
+// leaseAsksPerHeartbeat is how often a new leader asks for its first lease, which
+// needs one exchange with a quorum; requests wait for it.
+const leaseAsksPerHeartbeat = 20
+
 // watchLeadership takes up a leadership as soon as its lease is valid, and
 // tells the feed and the duties of every change.
 func (m *member) watchLeadership(ctx context.Context) {
@@ -248,7 +252,7 @@
 		status := m.replica.Status()
 		if status.Role == raft.Leader && !current.Leadership().Leads {
 			if _, valid := current.Lease(ctx); !valid {
-				if sleep(ctx, m.config.Durations.Heartbeat) != nil {
+				if sleep(ctx, m.config.Durations.Heartbeat/leaseAsksPerHeartbeat) != nil {
 					return
 				}
 				continue
