Start with a full budget for polls; ask a silent endpoint again at once

Cause: the budget began empty, so a proxy knew its nine engines only 1.5 s after its start; and three polls without an answer, which tell that an endpoint is silent, took three rounds of the budget, some 5 s with nine engines. Change: the budget begins full; an endpoint that has just failed to answer is asked again without waiting for bytes. TestSilenceIsFoundWithoutBytes failed before both.

--- a/process/proxy/lane.go
+++ b/process/proxy/lane.go
@@ -47,8 +47,8 @@
 			QueueLimit:  config.Limits.QueueLimit,
 		}),
 		budget:      retry.NewBudget(config.Limits.RetryShare, config.Limits.RetryReserve),
-		loadBudget:  newPollBudget(),
-		cacheBudget: newPollBudget(),
+		loadBudget:  &pollBudget{},
+		cacheBudget: &pollBudget{},
 		pollers:     map[string]*poller{},
 	}
 	opened.endpoints.Store(&map[string]*endpoint{})
--- a/process/proxy/pollbudget.go
+++ b/process/proxy/pollbudget.go
@@ -22,15 +22,20 @@
 
 // pollBudget bounds the bytes of one kind of poll of one lane. Pollers wait in
 // the order in which they ask, so that with more endpoints each is asked less
-// often.
+// often. It must be resized before its first use.
 type pollBudget struct{ limiter *rate.Limiter }
 
-func newPollBudget() *pollBudget { return &pollBudget{limiter: rate.NewLimiter(0, 0)} }
-
-// resize sets the bytes a second.
+// resize sets the bytes a second. The first time it also fills the budget, so
+// that a proxy knows its endpoints soon after its start.
 func (b *pollBudget) resize(bytesPerSecond float64) {
-	b.limiter.SetLimit(rate.Limit(bytesPerSecond))
-	b.limiter.SetBurst(max(2*typicalPollBytes, int(bytesPerSecond*pollBurst.Seconds())))
+	limit := rate.Limit(bytesPerSecond)
+	burst := max(2*typicalPollBytes, int(bytesPerSecond*pollBurst.Seconds()))
+	if b.limiter == nil {
+		b.limiter = rate.NewLimiter(limit, burst)
+		return
+	}
+	b.limiter.SetLimit(limit)
+	b.limiter.SetBurst(burst)
 }
 
 // wait sets the bytes of one poll aside; false when ctx ended first.
--- a/process/proxy/poller.go
+++ b/process/proxy/poller.go
@@ -47,7 +47,7 @@
 	intervals := p.proxy.config.Intervals
 	var asked time.Time // the last page of cache events
 	failures := 0
-	for p.lane.loadBudget.wait(ctx) {
+	for p.mayPoll(ctx, failures) {
 		failures = p.judge(ctx, failures, p.pollLoad(ctx))
 		if p.endpoint.model && time.Since(asked) >= intervals.Cache && p.lane.cacheBudget.limiter.AllowN(time.Now(), typicalPollBytes) {
 			asked = time.Now()
@@ -59,6 +59,16 @@
 	}
 }
 
+// mayPoll waits for the budget. An endpoint that has just failed to answer is
+// asked again without it, so that its silence is known as soon as with few
+// endpoints; polls without an answer carry few bytes.
+func (p *poller) mayPoll(ctx context.Context, failures int) bool {
+	if failures > 0 && failures < pollFailures {
+		return ctx.Err() == nil
+	}
+	return p.lane.loadBudget.wait(ctx)
+}
+
 // judge returns how many polls in a row have failed after one more.
 func (p *poller) judge(ctx context.Context, failures int, err error) int {
 	if err == nil {
--- a/process/proxy/poller_test.go
+++ b/process/proxy/poller_test.go
@@ -27,7 +27,7 @@
 func TestPollsStayWithinTheirBytes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const pollers, perSecond, pollBytes, window = 192, 7000, 1000, 10 * time.Minute
-		budget := newPollBudget()
+		budget := &pollBudget{}
 		budget.resize(perSecond)
 		ctx, cancel := context.WithTimeout(context.Background(), window)
 		defer cancel()
@@ -120,6 +120,17 @@
 	return made, views
 }
 
+// TestSilenceIsFoundWithoutBytes follows an engine that is gone with a budget
+// for two polls.
+func TestSilenceIsFoundWithoutBytes(t *testing.T) {
+	gone := newFakeEngine(t, "e1", 11)
+	gone.server.Close()
+	config := quick()
+	config.Limits.PollBytes = 1
+	f := start(t, config, []*fakeEngine{gone})
+	eventually(t, func() bool { return f.endpoint("narrator", "e1").suspected(f.proxy.clock()) })
+}
+
 // TestWireBytesAreThoseOfTheConnection compares what is charged with what one
 // kept connection has carried.
 func TestWireBytesAreThoseOfTheConnection(t *testing.T) {
@@ -129,7 +140,7 @@
 	made, _ := startPolling(t, config, current)
 	followed := made.lanes.find("narrator")
 	eventually(t, func() bool { return (*followed.endpoints.Load())["engine-00000"].word().heard })
-	budget := newPollBudget()
+	budget := &pollBudget{}
 	budget.resize(1 << 20)
 	one := &poller{proxy: made, lane: followed, endpoint: (*followed.endpoints.Load())["engine-00000"]}
 	before := counting.bytes.Load()
