Let a slow subscriber keep its session and give up its place only

Tests: the one of the cut-off is replaced by one that is as strict on the place (the next subscriber gets its view while the first beats on without an acknowledgement) and also that neither session ends; it fails when the place is kept.

--- a/connection/feed/bulk.go
+++ b/connection/feed/bulk.go
@@ -6,7 +6,6 @@
 
 	"github.com/landingtrail/landingtrail/connection/frame"
 	"github.com/landingtrail/landingtrail/version/view"
-	"github.com/pkg/errors"
 )
 
 // bulkPayload is the size in bytes from which a delta waits for one of the
@@ -74,22 +73,20 @@
 	s.bulk.to, s.bulk.at = to, s.server.config.Clock()
 }
 
-// checkBulk frees the place once the large delta is acknowledged. A subscriber
-// that goes on beating without an acknowledgement is cut off, since others wait.
-func (s *subscriber) checkBulk(acked view.Version) error {
+// checkBulk frees the place once the large delta is acknowledged. One that is
+// slow to do so goes on without the place, since others wait: to cut it off
+// would only make it ask for the same again.
+func (s *subscriber) checkBulk(acked view.Version) {
 	s.lock.Lock()
 	bulk := s.bulk
 	s.lock.Unlock()
-	switch {
-	case !bulk.held || bulk.to.IsZero():
-		return nil
-	case acked.Compare(bulk.to) >= 0:
+	if !bulk.held || bulk.to.IsZero() {
+		return
+	}
+	slow := s.server.config.Clock()-bulk.at > s.server.config.SilenceTimeout
+	if slow || acked.Compare(bulk.to) >= 0 {
 		s.endBulk()
-		return nil
-	case s.server.config.Clock()-bulk.at > s.server.config.SilenceTimeout:
-		return errors.Wrapf(errProtocol, "version %d was not acknowledged", bulk.to.Revision)
 	}
-	return nil
 }
 
 // endBulk frees the place, if the subscriber holds one.
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -158,9 +158,7 @@
 	s.heard = true
 	s.beat = max(s.beat, message.sequence)
 	s.lock.Unlock()
-	if err := s.checkBulk(message.held); err != nil {
-		return err
-	}
+	s.checkBulk(message.held)
 	s.signal()
 	return nil
 }
