Move engines only where the gain is twice the cost

Both are estimates, and the moves that seem to pay by a little are mostly those whose gain was judged too high. Change: planner.Config.GainRatio, 2 by default.

--- a/version/planner/adaptive.go
+++ b/version/planner/adaptive.go
@@ -22,6 +22,10 @@
 	MinStay   time.Duration
 	FirstStay time.Duration
 	MaxStay   time.Duration
+	// GainRatio is how many times its cost a change must be expected to gain.
+	// Above 1, since both are estimates, and of all moves that seem to pay the
+	// ones whose gain was judged too high are chosen.
+	GainRatio float64
 	// CoolDown is the least time between two role changes of an intent. It
 	// doubles with each change that soon undoes the one before, up to MaxCoolDown.
 	CoolDown    time.Duration
@@ -38,6 +42,7 @@
 	DefaultMaxStay     = 10 * time.Minute
 	DefaultCoolDown    = 10 * time.Second
 	DefaultMaxCoolDown = 5 * time.Minute
+	DefaultGainRatio   = 2
 )
 
 func (c Config) withDefaults() Config {
@@ -50,6 +55,9 @@
 	setDefault(&c.MinStay, DefaultMinStay)
 	setDefault(&c.FirstStay, DefaultFirstStay)
 	setDefault(&c.MaxStay, DefaultMaxStay)
+	if c.GainRatio <= 0 {
+		c.GainRatio = DefaultGainRatio
+	}
 	setDefault(&c.CoolDown, DefaultCoolDown)
 	setDefault(&c.MaxCoolDown, DefaultMaxCoolDown)
 	return c
@@ -184,7 +192,7 @@
 			continue
 		}
 		cost := a.cost(g, current, candidate, expected)
-		if gain-cost > bestNet {
+		if gain > a.config.GainRatio*cost && gain-cost > bestNet {
 			best, bestNet, bestGain, bestCost = candidate, gain-cost, gain, cost
 		}
 	}
--- a/version/planner/planner_test.go
+++ b/version/planner/planner_test.go
@@ -238,6 +238,16 @@
 	}
 }
 
+// A change whose gain is hardly above its cost is left, since the gain is an estimate.
+func TestAdaptiveGainRatio(t *testing.T) {
+	intent := testIntent(api.RolePrefill, api.RoleDecode)
+	intent.Spec.ChangeCost = 60
+	for ratio, want := range map[float64]Split{1: {6, 3, 0}, 0: {5, 4, 0}} {
+		got, _ := adaptiveRun(Config{GainRatio: ratio}, intent, fleet(4, 5, 0), 60, func(int) []Demand { return demand(60000, 2800) })
+		must.Eq(t, want, got, must.Sprint(ratio))
+	}
+}
+
 // A forecast that follows every swing would move engines back and forth; the
 // cool-down bounds how often.
 func TestAdaptiveBoundsFlapping(t *testing.T) {
