--- a/process/replica/bench_test.go
+++ b/process/replica/bench_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/landingtrail/landingtrail/connection/frame"
 	"github.com/landingtrail/landingtrail/connection/peer"
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/shoenig/test/must"
@@ -24,6 +25,24 @@
 	machine   *history
 	replica   *Replica
 	running   atomic.Pointer[Replica]
+	joins     bool // is added to a group that exists
+	sentBytes atomic.Int64
+}
+
+// Send counts what it sends, as it is encoded.
+func (p *process) Send(messages []raft.Message) {
+	for _, message := range messages {
+		p.sentBytes.Add(int64(encodedBytes(message)))
+	}
+	p.transport.Send(messages)
+}
+
+func encodedBytes(message raft.Message) int {
+	size := frame.HeaderSize + len(raft.Message{}.AppendBinary(nil))
+	for _, entry := range message.Entries {
+		size += len(raft.Entry{}.AppendBinary(nil)) + len(entry.Data)
+	}
+	return size
 }
 
 // processGroup is a group of members on one machine with real disks and sockets.
@@ -37,13 +56,7 @@
 func newProcessGroup(t testing.TB, size int, adjust func(*Config)) *processGroup {
 	g := &processGroup{t: t, adjust: adjust}
 	for range size {
-		p := &process{dir: t.TempDir()}
-		disk, err := OpenDisk(DiskOptions{Dir: p.dir, Group: testGroup})
-		must.NoError(t, err)
-		p.id = disk.Identity().Member
-		must.NoError(t, disk.Close())
-		g.listen(p)
-		g.processes = append(g.processes, p)
+		p := g.newProcess()
 		g.bootstrap.Voters = append(g.bootstrap.Voters, p.id)
 	}
 	for _, p := range g.processes {
@@ -53,6 +66,35 @@
 	return g
 }
 
+// newProcess makes a member with an empty folder that listens and is not started.
+func (g *processGroup) newProcess() *process {
+	p := &process{dir: g.t.TempDir()}
+	disk, err := OpenDisk(DiskOptions{Dir: p.dir, Group: testGroup})
+	must.NoError(g.t, err)
+	p.id = disk.Identity().Member
+	must.NoError(g.t, disk.Close())
+	g.listen(p)
+	g.processes = append(g.processes, p)
+	return p
+}
+
+// addLearner starts a further member and waits until the group has it.
+func (g *processGroup) addLearner() {
+	p := g.newProcess()
+	p.joins = true
+	for _, member := range g.processes {
+		member.transport.SetPeers(g.addresses())
+	}
+	g.start(p)
+	change := raft.ConfigurationChange{Kind: raft.ChangeAddLearner, Member: p.id}
+	for {
+		if _, err := g.leader(nil).replica.ChangeMembership(context.Background(), change); err == nil {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // listen opens the member's transport on the address that it had before, if any.
 func (g *processGroup) listen(p *process) {
 	address := p.address
@@ -87,9 +129,11 @@
 	config := Config{
 		Raft:         raft.Config{ID: p.id, Seed: uint64(p.id)},
 		Storage:      disk,
-		Transport:    p.transport,
+		Transport:    p,
 		StateMachine: p.machine,
-		Bootstrap:    g.bootstrap,
+	}
+	if !p.joins {
+		config.Bootstrap = g.bootstrap
 	}
 	if g.adjust != nil {
 		g.adjust(&config)
@@ -147,13 +191,15 @@
 // BenchmarkCommit measures commits of 256 bytes in a group of three with synced
 // disks over loopback.
 func BenchmarkCommit(b *testing.B) {
-	for _, proposers := range []int{1, 64} {
+	for _, proposers := range []int{1, 16, 64} {
 		b.Run(fmt.Sprintf("proposers=%d", proposers), func(b *testing.B) {
-			g := newProcessGroup(b, 3, func(c *Config) { c.StateMachine = &counter{} })
+			g := newProcessGroup(b, 3, noSnapshots)
 			leader := g.leader(nil)
+			before := g.usage(leader)
 			b.ResetTimer()
 			latencies := proposeAll(b, leader.replica, proposers, b.N)
 			b.StopTimer()
+			g.usage(leader).since(before).report(b)
 			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
 			b.ReportMetric(float64(latencies.ValueAtQuantile(50))/1000, "p50-ms")
 			b.ReportMetric(float64(latencies.ValueAtQuantile(99))/1000, "p99-ms")
--- /dev/null
+++ b/process/replica/stability_bench_test.go
@@ -0,0 +1,27 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkStability counts the elections of a group that nothing happens to but
+// load by 64 proposers, on the machine as it is.
+func BenchmarkStability(b *testing.B) {
+	for _, timeout := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, time.Second} {
+		b.Run(fmt.Sprintf("election=%v", timeout), func(b *testing.B) {
+			g := newProcessGroup(b, 3, func(c *Config) {
+				c.StateMachine = &counter{}
+				c.Raft.ElectionTimeout = timeout
+				c.Raft.LeaseDuration = timeout * 4 / 5
+			})
+			leader := g.leader(nil)
+			first := leader.replica.Status().Term
+			latencies := proposeAll(b, leader.replica, 64, b.N)
+			b.ReportMetric(float64(leader.replica.Status().Term-first), "elections")
+			b.ReportMetric(float64(latencies.Max())/1000, "max-ms")
+			g.stop()
+		})
+	}
+}
