--- a/cmd/landingtrail-lab/lanes.go
+++ b/cmd/landingtrail-lab/lanes.go
@@ -97,10 +97,18 @@
 }
 
 func printInterference(to cli.Streams, result *fleet.Interference) {
-	cli.Printf(to.Out, "plain requests alone:  p50 %.2f ms, p99 %.2f ms (%d, %d failed)\n",
-		result.Alone.P50, result.Alone.P99, result.Alone.Count, result.Alone.Failed)
-	cli.Printf(to.Out, "beside model work:     p50 %.2f ms, p99 %.2f ms (%d, %d failed)\n",
-		result.Beside.P50, result.Beside.P99, result.Beside.Count, result.Beside.Failed)
+	for _, line := range []struct {
+		name  string
+		times fleet.LaneTimes
+	}{
+		{"plain requests alone:  ", result.Alone},
+		{"beside model work:     ", result.Beside},
+		{"by the relay, alone:   ", result.RelayAlone},
+		{"by the relay, beside:  ", result.RelayBeside},
+	} {
+		cli.Printf(to.Out, "%sp50 %.2f ms, p99 %.2f ms (%d, %d failed)\n",
+			line.name, line.times.P50, line.times.P99, line.times.Count, line.times.Failed)
+	}
 	cli.Printf(to.Out, "ratio of the p99:      %.3f, 95 %% of bootstrap samples from %.3f to %.3f\n",
 		result.P99Ratio, result.P99RatioLow, result.P99RatioHigh)
 	cli.Printf(to.Out, "model requests beside: %d offered, %d whole\n", result.ModelOffered, result.ModelWhole)
--- a/lab/fleet/cost.go
+++ b/lab/fleet/cost.go
@@ -54,12 +54,8 @@
 	return &way{process: process, url: url, client: &http.Client{Transport: transport}}
 }
 
-// measureCost starts a relay to the first back end and compares.
-func (f *Fleet) measureCost() (PathCost, error) {
-	relay, err := f.startRelay()
-	if err != nil {
-		return PathCost{}, err
-	}
+// measureCost compares the relay to the first back end with the first proxy.
+func (f *Fleet) measureCost(relay string) (PathCost, error) {
 	sample, err := f.plainItem()
 	if err != nil {
 		return PathCost{}, err
--- a/lab/fleet/interference.go
+++ b/lab/fleet/interference.go
@@ -43,6 +43,11 @@
 	Deployment string    `json:"deployment"`
 	Alone      LaneTimes `json:"alone"`
 	Beside     LaneTimes `json:"beside"`
+	// RelayAlone and RelayBeside are the same requests of one zone through a plain
+	// relay, which carries no model work: what the machine and the callers'
+	// own process do to them.
+	RelayAlone  LaneTimes `json:"relay_alone"`
+	RelayBeside LaneTimes `json:"relay_beside"`
 	// P99Ratio is Beside over Alone; Low and High bound 95 % of the ratios that
 	// blocks drawn anew give.
 	P99Ratio     float64 `json:"p99_ratio"`
@@ -100,36 +105,56 @@
 	if err := f.bringUp(); err != nil {
 		return err
 	}
-	if err := f.measureLanes(config, result); err != nil {
+	relay, err := f.startRelay()
+	if err != nil {
+		return err
+	}
+	if err := f.measureLanes(config, relay, result); err != nil {
 		return err
 	}
 	f.progress("measuring the cost of the data path")
-	result.Cost, err = f.measureCost()
+	result.Cost, err = f.measureCost(relay)
 	return err
 }
 
 // laneBlock is the plain requests of one block.
 type laneBlock struct {
+	mutex  sync.Mutex
 	times  []time.Duration
 	failed int
 }
 
+// observe is called by many goroutines.
+func (b *laneBlock) observe(seen caller.Observation) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if seen.Outcome != caller.OutcomeCompleted {
+		b.failed++
+		return
+	}
+	b.times = append(b.times, seen.Latency)
+}
+
+// plainBlock is one block's requests through the proxies and the relay.
+type plainBlock struct{ proxied, relayed *laneBlock }
+
 // measureLanes plays the blocks in turn, so that what else the machine does
 // weighs on both sides.
-func (f *Fleet) measureLanes(config InterferenceConfig, result *Interference) error {
-	var alone, beside []laneBlock
+func (f *Fleet) measureLanes(config InterferenceConfig, relay string, result *Interference) error {
+	var alone, beside, relayAlone, relayBeside []*laneBlock
 	for block := range config.Blocks {
 		f.progress("block %d of %d", block+1, config.Blocks)
-		plain, err := f.playPlain(2*block, config.Block)
+		plain, err := f.playPlain(2*block, config.Block, relay)
 		if err != nil {
 			return err
 		}
-		alone = append(alone, plain)
-		if plain, err = f.playBeside(2*block+1, config.Block, result); err != nil {
+		alone, relayAlone = append(alone, plain.proxied), append(relayAlone, plain.relayed)
+		if plain, err = f.playBeside(2*block+1, config.Block, relay, result); err != nil {
 			return err
 		}
-		beside = append(beside, plain)
+		beside, relayBeside = append(beside, plain.proxied), append(relayBeside, plain.relayed)
 	}
+	result.RelayAlone, result.RelayBeside = timesOf(relayAlone), timesOf(relayBeside)
 	result.Alone, result.Beside = timesOf(alone), timesOf(beside)
 	result.P99Ratio = result.Beside.P99 / result.Alone.P99
 	result.P99RatioLow, result.P99RatioHigh = bootstrapRatio(alone, beside)
@@ -138,7 +163,7 @@
 
 // playBeside plays plain requests while model requests come faster than the
 // engines can answer them.
-func (f *Fleet) playBeside(block int, duration time.Duration, result *Interference) (laneBlock, error) {
+func (f *Fleet) playBeside(block int, duration time.Duration, relay string, result *Interference) (plainBlock, error) {
 	items, err := trace.Make(trace.Config{
 		Deployment: f.config.Deployment,
 		Seed:       f.config.Seed + uint64(block),
@@ -148,7 +173,7 @@
 		Rate:       f.config.Rate,
 	})
 	if err != nil {
-		return laneBlock{}, err
+		return plainBlock{}, err
 	}
 	items = slices.DeleteFunc(items, func(item trace.Item) bool { return item.Model == "" })
 	ctx, stop := context.WithCancel(f.run.context)
@@ -156,7 +181,7 @@
 	ended := make(chan caller.Report, 1)
 	go func() { ended <- f.playModel(ctx, block, items) }()
 	time.Sleep(settlePause)
-	plain, err := f.playPlain(block, duration)
+	plain, err := f.playPlain(block, duration, relay)
 	stop()
 	report := <-ended
 	total := report.Total()
@@ -185,11 +210,13 @@
 	return total
 }
 
-// playPlain sends plain requests at even times through each proxy in turn.
-func (f *Fleet) playPlain(block int, duration time.Duration) (laneBlock, error) {
+// playPlain sends plain requests at even times through each proxy in turn, and
+// those of one zone through the relay as well.
+func (f *Fleet) playPlain(block int, duration time.Duration, relay string) (plainBlock, error) {
+	played := plainBlock{proxied: &laneBlock{}, relayed: &laneBlock{}}
 	sample, err := f.plainItem()
 	if err != nil {
-		return laneBlock{}, err
+		return played, err
 	}
 	var items []trace.Item
 	for at := time.Duration(0); at < duration; at += framePause {
@@ -198,32 +225,27 @@
 		item.Zone = f.layout.proxies[len(items)%len(f.layout.proxies)].zone
 		items = append(items, item)
 	}
-	var mutex sync.Mutex
-	var played laneBlock
-	observe := func(seen caller.Observation) {
-		mutex.Lock()
-		defer mutex.Unlock()
-		if seen.Outcome != caller.OutcomeCompleted {
-			played.failed++
-			return
-		}
-		played.times = append(played.times, seen.Latency)
-	}
 	var waiting sync.WaitGroup
-	for _, proxy := range f.layout.proxies {
+	play := func(address, zone string, to *laneBlock) {
 		waiting.Go(func() {
 			caller.Play(f.run.context, caller.Config{
-				Proxy:   proxy.address,
+				Proxy:   address,
 				Items:   items,
-				Zone:    proxy.zone,
-				Name:    fmt.Sprintf("plain-%s-%d", proxy.name, block),
-				Observe: observe,
+				Zone:    zone,
+				Name:    fmt.Sprintf("plain-%s-%d", address, block),
+				Observe: to.observe,
 			})
 		})
 	}
+	for _, proxy := range f.layout.proxies {
+		play(proxy.address, proxy.zone, played.proxied)
+	}
+	play(relay, f.layout.proxies[0].zone, played.relayed)
 	waiting.Wait()
-	if len(played.times) < minimumBlockAnswers {
-		return played, errors.Errorf("fleet: only %d plain requests of a block were answered", len(played.times))
+	for _, part := range []*laneBlock{played.proxied, played.relayed} {
+		if len(part.times) < minimumBlockAnswers {
+			return played, errors.Errorf("fleet: only %d plain requests of a block were answered", len(part.times))
+		}
 	}
 	return played, nil
 }
@@ -244,7 +266,7 @@
 	return item, nil
 }
 
-func timesOf(blocks []laneBlock) LaneTimes {
+func timesOf(blocks []*laneBlock) LaneTimes {
 	all := joinBlocks(blocks)
 	failed := 0
 	for _, block := range blocks {
@@ -258,7 +280,7 @@
 	}
 }
 
-func joinBlocks(blocks []laneBlock) []time.Duration {
+func joinBlocks(blocks []*laneBlock) []time.Duration {
 	var all []time.Duration
 	for _, block := range blocks {
 		all = append(all, block.times...)
@@ -268,10 +290,10 @@
 
 // bootstrapRatio draws whole blocks anew, since requests of one block are not
 // independent, and returns the bounds of most of the ratios that come out.
-func bootstrapRatio(alone, beside []laneBlock) (low, high float64) {
+func bootstrapRatio(alone, beside []*laneBlock) (low, high float64) {
 	random := rand.New(rand.NewPCG(1, uint64(len(alone))))
-	draw := func(blocks []laneBlock) float64 {
-		drawn := make([]laneBlock, len(blocks))
+	draw := func(blocks []*laneBlock) float64 {
+		drawn := make([]*laneBlock, len(blocks))
 		for i := range drawn {
 			drawn[i] = blocks[random.IntN(len(blocks))]
 		}
