Give the control tests addresses of their own process

Cause: two of six runs of the package failed on a busy machine ('not within 20 s: the member's ports'): a port that a test had found free, or that a crashed member had left, was taken by another process meanwhile. Change: each test process listens on a loopback IP number made of its process ID, at ports below the system's own range, each given out once; the wait is gone.

--- a/process/control/group_test.go
+++ b/process/control/group_test.go
@@ -10,8 +10,9 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,7 +21,6 @@
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/view"
-	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
 )
@@ -96,11 +96,21 @@
 	return c
 }
 
+// lastPort is the port given out last; see freeAddress.
+var lastPort atomic.Uint32
+
+// freeAddress returns a loopback address that stays free while a member is down:
+// its IP number is this process's own, and its port is below those that the
+// system hands out and given out once.
 func freeAddress(t testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	const firstPort = 10_000
+	process := os.Getpid()
+	host := net.IPv4(127, byte(process>>16)|1, byte(process>>8), byte(process)).String()
+	address := net.JoinHostPort(host, strconv.Itoa(int(firstPort+lastPort.Add(1))))
+	listener, err := net.Listen("tcp", address)
 	must.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	must.NoError(t, listener.Close())
+	return address
 }
 
 func (c *cluster) start(indexes ...int) {
@@ -108,13 +118,7 @@
 		config := c.configs[i].WithDefaults()
 		must.SliceEmpty(c.t, config.Check())
 		logger := log.With(log.NewLogfmtLogger(&testWriter{t: c.t}), "member", config.Name)
-		var opened *member
-		var err error
-		eventually(c.t, "the member's ports", func() bool {
-			opened, err = open(context.Background(), config, logger)
-			// Another process may hold the port for a connection of its own.
-			return !errors.Is(err, syscall.EADDRINUSE)
-		})
+		opened, err := open(context.Background(), config, logger)
 		must.NoError(c.t, err)
 		ctx, cancel := context.WithCancel(context.Background())
 		started := &runningMember{member: opened, cancel: cancel, done: make(chan error, 1)}
