Let no late report reopen an engine that has said that it leaves

Cause: TestRefusalIsRetriedElsewhere failed once in six runs: the answer to a poll that was asked before a refusal came after it, said that the engine serves, and the next request went to the leaving engine. Load reports are older still, by their own age. Change: a phase that admits counts only if it was asked for, and measured, after the last one that did not. An endpoint that takes no new work is polled without waiting for the poll budget, so that its return is known soon. TestLateReportDoesNotReopen and TestReturningEngineIsFoundWithoutBytes fail without their part of the change.

--- a/process/proxy/endpoint.go
+++ b/process/proxy/endpoint.go
@@ -37,6 +37,7 @@
 	incarnation uint64
 	heardAt     time.Duration
 	heard       bool
+	closedAt    time.Duration // when a phase that takes no new work was last heard
 	load        engineapi.Load
 	loadAt      time.Duration // when the load was measured
 	failures    int
@@ -67,23 +68,35 @@
 	}
 }
 
-// hear notes the endpoint's own word on its phase and incarnation; an empty
-// phase says nothing.
-func (e *endpoint) hear(now time.Duration, phase api.EnginePhase, incarnation uint64) {
+// spokenWord is what an endpoint says of itself: not before said, and heard now.
+type spokenWord struct {
+	said, now   time.Duration
+	phase       api.EnginePhase // empty: says nothing
+	incarnation uint64
+}
+
+// hear notes the endpoint's own word on its phase and incarnation.
+func (e *endpoint) hear(news spokenWord) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	e.hearLocked(now, phase, incarnation)
+	e.hearLocked(news)
 }
 
-func (e *endpoint) hearLocked(now time.Duration, phase api.EnginePhase, incarnation uint64) {
+// hearLocked takes a phase that admits only if it cannot be older than the last
+// one that did not: the answer to an earlier question may come late.
+func (e *endpoint) hearLocked(news spokenWord) {
 	e.heard = true
 	e.silent = false
-	e.heardAt = max(e.heardAt, now)
-	if phase != api.PhaseUnknown {
-		e.phase = phase
+	e.heardAt = max(e.heardAt, news.now)
+	switch {
+	case news.phase == api.PhaseUnknown:
+	case closedPhase(news.phase):
+		e.phase, e.closedAt = news.phase, news.now
+	case news.said >= e.closedAt:
+		e.phase = news.phase
 	}
-	if incarnation != 0 && incarnation != e.incarnation {
-		e.incarnation = incarnation
+	if news.incarnation != 0 && news.incarnation != e.incarnation {
+		e.incarnation = news.incarnation
 		e.cache.reset()
 	}
 }
@@ -94,7 +107,7 @@
 
 // hearHeader notes what the header of an answer says of the endpoint. A plain
 // back end that does not say that it leaves serves.
-func (e *endpoint) hearHeader(now time.Duration, header http.Header) {
+func (e *endpoint) hearHeader(asked, now time.Duration, header http.Header) {
 	phase := api.EnginePhase(header.Get(engineapi.HeaderPhase))
 	if !e.model {
 		phase = api.PhaseServing
@@ -102,16 +115,17 @@
 			phase = api.PhaseLeaving
 		}
 	}
-	e.hear(now, phase, incarnationOf(header))
+	e.hear(spokenWord{said: asked, now: now, phase: phase, incarnation: incarnationOf(header)})
 }
 
-// report takes in a load report.
-func (e *endpoint) report(now time.Duration, load engineapi.Load) {
+// report takes in a load report, which tells of a time that is past.
+func (e *endpoint) report(asked, now time.Duration, load engineapi.Load) {
+	age := time.Duration(load.AgeMilliseconds) * time.Millisecond
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	e.hearLocked(now, load.Phase, load.Incarnation)
+	e.hearLocked(spokenWord{said: asked - age, now: now, phase: load.Phase, incarnation: load.Incarnation})
 	e.load = load
-	e.loadAt = now - time.Duration(load.AgeMilliseconds)*time.Millisecond
+	e.loadAt = now - age
 }
 
 // succeed ends the suspicion.
--- a/process/proxy/poller.go
+++ b/process/proxy/poller.go
@@ -59,11 +59,13 @@
 	}
 }
 
-// mayPoll waits for the budget. An endpoint that has just failed to answer is
-// asked again without it, so that its silence is known as soon as with few
-// endpoints; polls without an answer carry few bytes.
+// mayPoll waits for the budget. An endpoint that has just failed to answer, or
+// takes no new work by its own word, is asked again without waiting: that it is
+// silent or serves again is known as soon as with few endpoints.
 func (p *poller) mayPoll(ctx context.Context, failures int) bool {
-	if failures > 0 && failures < pollFailures {
+	justFailed := failures > 0 && failures < pollFailures
+	if justFailed || closedPhase(p.endpoint.word().phase) {
+		p.lane.loadBudget.limiter.AllowN(time.Now(), typicalPollBytes) // the others have what is left
 		return ctx.Err() == nil
 	}
 	return p.lane.loadBudget.wait(ctx)
@@ -106,15 +108,16 @@
 
 func (p *poller) pollLoad(ctx context.Context) error {
 	var load engineapi.Load
+	asked := p.proxy.clock()
 	header, err := p.get(ctx, p.lane.loadBudget, engineapi.PathLoad, &load)
 	now := p.proxy.clock()
 	if header != nil {
-		p.endpoint.hearHeader(now, header)
+		p.endpoint.hearHeader(asked, now, header)
 	}
 	if err != nil {
 		return err
 	}
-	p.endpoint.report(now, load)
+	p.endpoint.report(asked, now, load)
 	return nil
 }
 
--- a/process/proxy/poller_test.go
+++ b/process/proxy/poller_test.go
@@ -131,6 +131,36 @@
 	eventually(t, func() bool { return f.endpoint("narrator", "e1").suspected(f.proxy.clock()) })
 }
 
+// TestLateReportDoesNotReopen: a report that may be older than the word that
+// the engine leaves does not count, a newer one does.
+func TestLateReportDoesNotReopen(t *testing.T) {
+	one := newEndpoint("e1", "", "", true)
+	serving := engineapi.Load{Phase: api.PhaseServing, AgeMilliseconds: 300}
+	one.report(0, time.Second, serving)
+	one.hear(spokenWord{said: time.Second, now: 2 * time.Second, phase: api.PhaseDraining})
+	one.report(1900*time.Millisecond, 2100*time.Millisecond, serving) // asked before
+	must.Eq(t, api.PhaseDraining, one.word().phase)
+	one.report(2200*time.Millisecond, 2300*time.Millisecond, serving) // measured before
+	must.Eq(t, api.PhaseDraining, one.word().phase)
+	one.report(2300*time.Millisecond, 2400*time.Millisecond, serving)
+	must.Eq(t, api.PhaseServing, one.word().phase)
+}
+
+// TestReturningEngineIsFoundWithoutBytes drains an engine and lets it serve
+// again with a budget for two polls.
+func TestReturningEngineIsFoundWithoutBytes(t *testing.T) {
+	engine := newFakeEngine(t, "e1", 11)
+	engine.setPhase(api.PhaseDraining)
+	config := quick()
+	config.Limits.PollBytes = 1
+	f := start(t, config, []*fakeEngine{engine})
+	phase := func() api.EnginePhase { return f.endpoint("narrator", "e1").word().phase }
+	eventually(t, func() bool { return phase() == api.PhaseDraining })
+	time.Sleep(5 * config.Intervals.Load) // the budget is used up
+	engine.setPhase(api.PhaseServing)
+	eventually(t, func() bool { return phase() == api.PhaseServing })
+}
+
 // TestWireBytesAreThoseOfTheConnection compares what is charged with what one
 // kept connection has carried.
 func TestWireBytesAreThoseOfTheConnection(t *testing.T) {
--- a/process/proxy/run_backend.go
+++ b/process/proxy/run_backend.go
@@ -160,12 +160,13 @@
 		failed.final = true
 		return failed
 	}
+	asked := c.proxy.clock()
 	response, err := c.lane.pool.Do(request)
 	if err != nil {
 		return c.unanswered(ctx, target, number, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	target.hearHeader(c.proxy.clock(), response.Header)
+	target.hearHeader(asked, c.proxy.clock(), response.Header)
 	if upstream.SurelyRefused(response) {
 		return c.refused(target, number, response)
 	}
--- a/process/proxy/run_engine.go
+++ b/process/proxy/run_engine.go
@@ -168,12 +168,13 @@
 	}
 	dog := newWatchdog(cancel, c.proxy.config.Timeouts.Head, &errHeadTimeout)
 	defer func() { dog.stop() }()
+	asked := c.proxy.clock()
 	response, err := c.lane.pool.Do(request)
 	if err != nil {
 		return c.unanswered(ctx, target, number, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	target.hearHeader(c.proxy.clock(), response.Header)
+	target.hearHeader(asked, c.proxy.clock(), response.Header)
 	if response.StatusCode != http.StatusOK {
 		return c.refused(target, number, response)
 	}
--- a/process/proxy/split.go
+++ b/process/proxy/split.go
@@ -91,13 +91,14 @@
 	if incarnation != 0 {
 		request.Header.Set(engineapi.HeaderIncarnation, strconv.FormatUint(incarnation, 10))
 	}
+	asked := c.proxy.clock()
 	response, err := c.lane.pool.Do(request)
 	if err != nil {
 		c.suspect(ctx, target)
 		return handle, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	target.hearHeader(c.proxy.clock(), response.Header)
+	target.hearHeader(asked, c.proxy.clock(), response.Header)
 	encoded, err := io.ReadAll(io.LimitReader(response.Body, maxHandleBytes))
 	if err != nil {
 		return handle, errors.Wrap(errSplit, err.Error())
