Count an engine as silent by the rounds of questions before a large fleet

Ruled out: a higher rate of questions (they already take half a core of the leader), and another default (it would find silent engines late today). Change: an engine is silent after engineSilence or three rounds of questions, whichever is longer: 5 s up to 3,333 engines, 15 s at 10,000.

--- a/connection/orders/poller.go
+++ b/connection/orders/poller.go
@@ -236,7 +236,17 @@
 // allowed rate makes it.
 func (p *Poller) interval(targets int) time.Duration {
 	perShard := max(1, p.config.MaxPerSecond/pollerShards)
-	return max(p.config.Interval, time.Duration(targets)*time.Second/time.Duration(perShard))
+	return stretched(p.config.Interval, targets, perShard)
+}
+
+func stretched(interval time.Duration, targets, perSecond int) time.Duration {
+	return max(interval, time.Duration(targets)*time.Second/time.Duration(perSecond))
+}
+
+// RoundTime returns how long a Poller of the given interval and the default
+// rate takes to ask so many engines once each.
+func RoundTime(interval time.Duration, engines int) time.Duration {
+	return stretched(interval, engines, defaultMaxPerSecond)
 }
 
 func (p *Poller) ask(shard *pollerShard, name, address string) {
--- a/process/control/config.go
+++ b/process/control/config.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/landingtrail/landingtrail/connection/orders"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/pkg/errors"
 )
@@ -65,9 +66,9 @@
 	Plan          time.Duration
 	Poll          time.Duration
 	EngineTimeout time.Duration
-	// EngineSilence is the age from which an observation counts for nothing,
-	// FailurePause the time during which an assignment that an engine could
-	// not take on is not tried again.
+	// EngineSilence is the age from which an observation counts for nothing; it
+	// grows with the fleet, see silenceOf. FailurePause is the time during which
+	// an assignment that an engine could not take on is not tried again.
 	EngineSilence time.Duration
 	FailurePause  time.Duration
 	// PlatformPoll is the pause between two reads of the machine list.
@@ -157,6 +158,18 @@
 	return d
 }
 
+// silentRounds is how many rounds of questions an engine may leave unanswered
+// before it counts as silent.
+const silentRounds = 3
+
+// silenceOf returns the age from which an observation counts for nothing in a
+// fleet of so many engines: before a large one the rounds of questions take
+// longer than EngineSilence, and an engine that answers each must not count as
+// silent in between.
+func (d Durations) silenceOf(engines int) time.Duration {
+	return max(d.EngineSilence, silentRounds*orders.RoundTime(d.Poll, engines))
+}
+
 func (l Limits) withDefaults() Limits {
 	setDefault(&l.MaxAffectedEngines, DefaultMaxAffectedEngines)
 	setDefault(&l.OperationRetention, DefaultOperationRetention)
--- a/process/control/duties.go
+++ b/process/control/duties.go
@@ -191,7 +191,7 @@
 		Observations: term.observations(seen),
 		Platform:     d.platform.machines(current, seen, now),
 		Decisions:    d.plan(term, current, seen, now),
-		Silence:      d.group.config.Durations.EngineSilence,
+		Silence:      d.group.config.Durations.silenceOf(len(current.Engines)),
 		FailurePause: d.group.config.Durations.FailurePause,
 	}
 	term.fill(&input)
--- a/process/control/planning.go
+++ b/process/control/planning.go
@@ -67,7 +67,7 @@
 	intents := d.intentsByEngine(current)
 	engines := make([]planner.Engine, 0, len(current.Engines))
 	for _, name := range slices.Sorted(maps.Keys(current.Engines)) {
-		engine := planEngine(current.Engines[name], seen[name], now-d.group.config.Durations.EngineSilence)
+		engine := planEngine(current.Engines[name], seen[name], now-d.group.config.Durations.silenceOf(len(current.Engines)))
 		engine.Intent = intents[name]
 		engine.SinceChange = term.sinceChange(name, now)
 		engines = append(engines, engine)
--- a/process/control/platform.go
+++ b/process/control/platform.go
@@ -150,12 +150,13 @@
 		return nil
 	}
 	result := &state.Machines{}
+	silence := p.config.Durations.silenceOf(len(current.Engines))
 	for name, engine := range current.Engines {
 		before := engine.Status.Phase
 		p.judge(result, machineRecord{
 			name:        name,
 			wasReported: before == api.PhaseLeaving || before == api.PhaseGone,
-			answers:     now-seen[name].AskedAt < p.config.Durations.EngineSilence && seen[name].State.Engine == name,
+			answers:     now-seen[name].AskedAt < silence && seen[name].State.Engine == name,
 		})
 	}
 	for _, service := range current.Services {
--- a/process/control/status.go
+++ b/process/control/status.go
@@ -118,7 +118,7 @@
 	if duties == nil {
 		return silent
 	}
-	oldest := monotonic() - s.member.config.Durations.EngineSilence
+	oldest := monotonic() - s.member.config.Durations.silenceOf(len(shown.Engines))
 	for name, seen := range duties.poller.Seen() {
 		silent[name] = seen.AskedAt < oldest || seen.State.Engine != name
 	}
--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -138,7 +138,7 @@
 	first := sum.report(2 * time.Second)
 	must.Eq(t, []feed.Demand{{Intent: "i", Class: "c", Requests: 12, QueuedRequests: 5}}, first.Demands)
 	sum.sent(first, false, 2*time.Second)
-	must.Eq(t, 12, sum.report(3*time.Second).Demands[0].Requests, must.Sprint("what was not sent stays"))
+	must.Eq(t, 12, sum.report(3 * time.Second).Demands[0].Requests, must.Sprint("what was not sent stays"))
 	sum.add("b", report(6, 3), 3*time.Second)
 	sum.sent(first, true, 3*time.Second)
 	next := sum.report(3 * time.Second)
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -50,7 +50,7 @@
 	PlanInterval      time.Duration `yaml:"planInterval" default:"500ms" min:"10ms" max:"10m" usage:"Pause between two plans of the engines' roles."`
 	EngineInterval    time.Duration `yaml:"engineInterval" default:"500ms" min:"10ms" max:"1m" usage:"Pause between two questions to one engine."`
 	EngineTimeout     time.Duration `yaml:"engineTimeout" default:"2s" min:"10ms" max:"1m" usage:"Longest wait for one answer of an engine."`
-	EngineSilence     time.Duration `yaml:"engineSilence" default:"5s" min:"50ms" max:"1h" usage:"Age from which what an engine said of itself counts for nothing."`
+	EngineSilence     time.Duration `yaml:"engineSilence" default:"5s" min:"50ms" max:"1h" usage:"Age from which what an engine said of itself counts for nothing; three rounds of questions where these take longer, as before thousands of engines."`
 	FailurePause      time.Duration `yaml:"failurePause" default:"30s" min:"1ms" max:"24h" usage:"How long an assignment that an engine could not take on is not tried again."`
 	PlatformInterval  time.Duration `yaml:"platformInterval" default:"1s" min:"10ms" max:"1m" usage:"Pause between two reads of the platform's list."`
 	ProposalTimeout   time.Duration `yaml:"proposalTimeout" default:"5s" min:"50ms" max:"5m" usage:"Longest wait for a commit before its outcome is called unknown."`
