--- a/lab/fleet/supervise.go
+++ b/lab/fleet/supervise.go
@@ -39,5 +39,9 @@
 // what went wrong.
 func (s *Supervisor) Stop(prefixes ...string) []error { return s.run.stop(prefixes...) }
 
+// WaitDial returns once the address takes connections, or the error of the last
+// try when ctx ends.
+func WaitDial(ctx context.Context, address string) error { return waitDial(ctx, address) }
+
 // FreeAddresses returns loopback addresses with different free ports.
 func FreeAddresses(count int) ([]string, error) { return freeAddresses(count) }
--- a/lab/scale/cluster.go
+++ b/lab/scale/cluster.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -264,21 +263,9 @@
 	return nil
 }
 
-const dialPause = 50 * time.Millisecond
-
 // waitDial returns once the address takes connections.
 func waitDial(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for {
-		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-		if err == nil {
-			return errors.Wrap(conn.Close(), "scale: close")
-		}
-		select {
-		case <-ctx.Done():
-			return errors.Wrap(err, "scale: not ready in time")
-		case <-time.After(dialPause):
-		}
-	}
+	return errors.Wrap(fleet.WaitDial(ctx, address), "scale: not ready in time")
 }
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -225,7 +225,10 @@
 	return revision, nil
 }
 
-const statusPause = time.Second
+const (
+	statusPause = time.Second
+	followPause = 50 * time.Millisecond
+)
 
 // waitServing returns once nearly all engines serve. The planner may move some
 // from the start, so not all do at any one moment.
@@ -273,7 +276,7 @@
 			behind := t.hollows.behind(revision)
 			t.hollows.close()
 			return errors.Errorf("scale: %d daemons do not follow", behind)
-		case <-time.After(dialPause):
+		case <-time.After(followPause):
 		}
 	}
 	t.size.Bringup.DaemonsSeconds = time.Since(started).Seconds()
