Serve without a prefill engine that answers errors

Cause: since a decode engine reads prompts itself only when no engine meant for it is well, a prefill engine that says that it serves and answers every export with an error made each request fail: the engine was left out of the request, but counted as well, and so as full. Ruled out: leaving engines that refuse out of the rule; full ones refuse too. Change: an error that is no explicit refusal makes the engine suspect on a hand-over, as it does on a run. Before: TestSplitServing's new case gets 503 "every engine was tried". After: the decode engine gives the whole answer; the package's tests pass.

--- a/process/proxy/fault_test.go
+++ b/process/proxy/fault_test.go
@@ -274,7 +274,8 @@
 		e.refuse(w, http.StatusServiceUnavailable, "draining")
 	}
 	crash := func(_ *fakeEngine, w http.ResponseWriter) { drop(w) }
-	for _, fails := range []func(*fakeEngine, http.ResponseWriter){nil, drain, crash} {
+	breaks := func(_ *fakeEngine, w http.ResponseWriter) { http.Error(w, "broken", http.StatusInternalServerError) }
+	for _, fails := range []func(*fakeEngine, http.ResponseWriter){nil, drain, crash, breaks} {
 		prefill, decode := newFakeEngine(t, "e1", 11), newFakeEngine(t, "e2", 12)
 		prefill.failKV = fails
 		engines := []*fakeEngine{prefill, decode}
--- a/process/proxy/run_engine.go
+++ b/process/proxy/run_engine.go
@@ -238,9 +238,7 @@
 	if !upstream.SurelyRefused(response) {
 		c.life.Fail(number, attempt.FaultBroken)
 		c.life.AbandonResume(number)
-		if response.StatusCode >= http.StatusInternalServerError {
-			target.fail(c.proxy.clock())
-		}
+		c.noteStatus(target, response)
 		return upstreamFailed("the engine answered with status " + strconv.Itoa(response.StatusCode))
 	}
 	c.life.Fail(number, attempt.FaultRefused)
@@ -253,6 +251,13 @@
 	return failed
 }
 
+// noteStatus makes an engine suspect that fails rather than refuses.
+func (c *call) noteStatus(target *endpoint, response *http.Response) {
+	if response.StatusCode >= http.StatusInternalServerError && !upstream.SurelyRefused(response) {
+		target.fail(c.proxy.clock())
+	}
+}
+
 // callerFault passes on an engine's refusal that another engine would repeat:
 // the request itself is at fault.
 func callerFault(status int, body []byte) *failure {
--- a/process/proxy/split.go
+++ b/process/proxy/split.go
@@ -104,6 +104,7 @@
 		return handle, errors.Wrap(errSplit, err.Error())
 	}
 	if response.StatusCode != http.StatusOK {
+		c.noteStatus(target, response)
 		return handle, errors.Wrapf(errSplit, "%s answered with status %d", target.name, response.StatusCode)
 	}
 	if err := json.Unmarshal(encoded, &handle); err != nil {
