Test directly that no vote leaves a member before it is durable

TestVoteThatIsNotDurableIsNotSent shows it at once: with a disk that refuses the write, the granted vote must not be sent.

--- a/process/replica/handover_test.go
+++ b/process/replica/loop_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/landingtrail/landingtrail/process/wal/faultfs"
 	"github.com/shoenig/test/must"
 )
 
@@ -76,27 +77,63 @@
 	})
 }
 
-// A member that answered a heartbeat has promised not to vote for an election
-// timeout from its arrival. Dated by an earlier reading the promise would end early.
-func TestClockIsReadAfterTheMessagesAreTaken(t *testing.T) {
-	config := Config{Raft: raft.Config{ID: 1}, Storage: NewMemory(), StateMachine: &history{}}
+// newTestLoop returns the loop of member 1 of three, which nobody runs.
+func newTestLoop(t *testing.T, storage Storage, transport Transport) *loop {
+	t.Helper()
+	config := Config{Raft: raft.Config{ID: 1}, Storage: storage, Transport: transport, StateMachine: &history{}}
 	config.setDefaults()
 	node, err := raft.New(config.Raft, raft.InitialState{Configuration: raft.Configuration{Voters: []raft.MemberID{1, 2, 3}}})
 	must.NoError(t, err)
-	r := &Replica{changed: make(chan struct{})}
+	r := &Replica{config: config, mailbox: newMailbox(config), changed: make(chan struct{})}
 	status := node.Status()
 	r.status.Store(&status)
+	return newLoop(r, node, 0)
+}
+
+// A member that answered a heartbeat has promised not to vote for an election
+// timeout from its arrival. Dated by an earlier reading the promise would end early.
+func TestClockIsReadAfterTheMessagesAreTaken(t *testing.T) {
+	l := newTestLoop(t, NewMemory(), &network{})
 	waiting := []int{}
-	config.Clock = clockFunc(func() time.Duration {
-		waiting = append(waiting, len(r.mailbox.messages))
+	l.config.Clock = clockFunc(func() time.Duration {
+		waiting = append(waiting, len(l.replica.mailbox.messages))
 		return 0
 	})
-	config.Transport = &network{}
-	r.config, r.mailbox = config, newMailbox(config)
-	r.Receive(raft.Message{Kind: raft.MessageHeartbeat, From: 2, To: 1, Term: 1})
-	must.NoError(t, newLoop(r, node, 0).step())
+	l.replica.Receive(raft.Message{Kind: raft.MessageHeartbeat, From: 2, To: 1, Term: 1})
+	must.NoError(t, l.step())
 	must.Eq(t, 0, waiting[0])
-	must.Eq(t, raft.MemberID(2), r.Status().Leader)
+	must.Eq(t, raft.MemberID(2), l.replica.Status().Leader)
+}
+
+// fullDisk refuses every Save.
+type fullDisk struct{ *Memory }
+
+func (fullDisk) Save(Update) error { return faultfs.ErrFull }
+
+// outbox keeps what is sent.
+type outbox struct{ sent []raft.Message }
+
+func (o *outbox) Send(messages []raft.Message) { o.sent = append(o.sent, messages...) }
+
+func TestVoteThatIsNotDurableIsNotSent(t *testing.T) {
+	for name, storage := range map[string]Storage{"durable": NewMemory(), "not durable": fullDisk{NewMemory()}} {
+		t.Run(name, func(t *testing.T) {
+			sent := &outbox{}
+			l := newTestLoop(t, storage, sent)
+			now := time.Duration(0)
+			l.config.Clock = clockFunc(func() time.Duration { return now })
+			must.NoError(t, l.step())
+			now = DefaultElectionTimeout // the lease that the start stands for is over
+			l.replica.Receive(raft.Message{Kind: raft.MessageVote, From: 2, To: 1, Term: 1})
+			if name == "durable" {
+				must.NoError(t, l.step())
+				must.Eq(t, []raft.Message{{Kind: raft.MessageVoteReply, From: 1, To: 2, Term: 1}}, sent.sent)
+				return
+			}
+			must.ErrorIs(t, l.step(), faultfs.ErrFull)
+			must.SliceEmpty(t, sent.sent)
+		})
+	}
 }
 
 type clockFunc func() time.Duration
