--- a/lab/experiment/experiment_test.go
+++ b/lab/experiment/experiment_test.go
@@ -57,6 +57,27 @@
 	}
 }
 
+// The reported seeds hold every course in equal parts, and losses of an engine
+// in courses with and without a front.
+func TestReportedSeedsCoverTheCourses(t *testing.T) {
+	courses := map[trace.Scenario]int{}
+	losses := map[trace.Scenario]int{}
+	for _, seed := range ReportSeeds() {
+		must.Less(t, FirstTuningSeed, seed)
+		courses[trace.ScenarioOf(seed)]++
+		for _, loss := range lossesOf(seed, DefaultDuration) {
+			losses[trace.ScenarioOf(seed)]++
+			must.Less(t, DefaultDuration, loss.At+loss.Back)
+		}
+	}
+	must.Eq(t, map[trace.Scenario]int{
+		trace.ScenarioQuiet: 5, trace.ScenarioFront: 5, trace.ScenarioSwings: 5, trace.ScenarioDouble: 5,
+	}, courses)
+	must.Eq(t, map[trace.Scenario]int{
+		trace.ScenarioQuiet: 1, trace.ScenarioFront: 1, trace.ScenarioSwings: 1, trace.ScenarioDouble: 1,
+	}, losses)
+}
+
 func TestCheapestPath(t *testing.T) {
 	values := [][]float64{{5, 5, 1, 5}, {1, 1, 4, 1}}
 	cases := []struct {
