Keep a connection to each engine at the target's size

Cause: the leader asks up to 2,000 engines a second in turn and kept 1,024 connections, so above that nearly every question opened a new one. Change: 16,384 idle connections; the leader then holds a descriptor for each engine, as it does for each daemon. Ruled out: a bound between, which helps no engine beyond it, since they are asked in turn. Conclusion: taken; processor time is what the leader is short of.

--- a/connection/orders/client.go
+++ b/connection/orders/client.go
@@ -27,9 +27,12 @@
 
 // Bounds of a Client.
 const (
-	maxAnswerBytes      = 1 << 20
-	maxHeaderBytes      = 64 << 10
-	maxIdleConnections  = 1024
+	maxAnswerBytes = 1 << 20
+	maxHeaderBytes = 64 << 10
+	// maxIdleConnections keeps a connection to each engine at the largest size:
+	// engines are asked in turn, so with fewer hardly one is still open when its
+	// engine is asked again.
+	maxIdleConnections  = 16_384
 	idleTimeout         = 30 * time.Second
 	keepAlivePerAddress = 1
 )
