--- a/connection/feed/feed_test.go
+++ b/connection/feed/feed_test.go
@@ -377,3 +377,38 @@
 	_, err := raw.reader.ReadFrame()
 	must.Error(t, err)
 }
+
+// FuzzMessages lets any bytes stand for each message: they are refused or read,
+// and what was read is encoded to the same bytes again.
+func FuzzMessages(f *testing.F) {
+	f.Add(encodeSubscribe(subscribe{daemon: "proxy", instance: 1, zone: "zone"}))
+	f.Add(encodeBeat(beat{sequence: 1}))
+	f.Add(encodeGrant(grant{sequence: 1, lease: time.Second, term: 2}))
+	f.Add(encodeClaim(1, state.ClaimRequest{Tenant: "t", Key: "k", Proxy: "p"}))
+	f.Add(encodeOutcome(1, state.RunOutcome{Tenant: "t", Key: "k", Outcome: api.RunNotRun}))
+	f.Add(encodeDemand(DemandReport{Window: time.Second, Demands: []Demand{{Intent: "i", Class: "c", Requests: 1}}}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if message, err := decodeSubscribe(data); err == nil {
+			must.Eq(t, data, encodeSubscribe(message))
+		}
+		if message, err := decodeBeat(data); err == nil {
+			must.Eq(t, data, encodeBeat(message))
+		}
+		if message, err := decodeGrant(data); err == nil {
+			_ = encodeGrant(message)
+		}
+		if id, request, err := decodeClaim(data); err == nil {
+			must.Eq(t, data, encodeClaim(id, request))
+		}
+		if id, outcome, err := decodeOutcome(data); err == nil {
+			must.Eq(t, data, encodeOutcome(id, outcome))
+		}
+		if report, err := decodeDemand(data); err == nil {
+			_ = encodeDemand(report)
+		}
+		_, _ = decodeDelta(data)
+		_, _ = decodeNotLeader(data)
+		_, _ = decodeClaimReply(data)
+		_, _ = decodeOutcomeReply(data)
+	})
+}
