Saturate the engines with less than the machine's whole processor time

At a factor of 10, 590 model requests a second kept the machine itself busy. At 7, 430 a second still come against 330 to 350 answered.

--- a/cmd/landingtrail-lab/lanes.go
+++ b/cmd/landingtrail-lab/lanes.go
@@ -17,7 +17,7 @@
 
 // saturatingRate is the default factor of the model requests: more than the
 // engines can answer.
-const saturatingRate = 10
+const saturatingRate = 7
 
 const maxBlocks = 1000
 
