--- a/connection/peer/transport.go
+++ b/connection/peer/transport.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -75,17 +76,17 @@
 }
 
 func (c *Config) setDefaults() {
-	setDefault(&c.QueueMessages, DefaultQueueMessages)
-	setDefault(&c.QueueBytes, DefaultQueueBytes)
-	setDefault(&c.MaxMessageBytes, DefaultMaxMessageBytes)
-	setDefault(&c.MaxSnapshotBytes, DefaultMaxSnapshotBytes)
-	setDefault(&c.MaxConnections, DefaultMaxConnections)
-	setDefault(&c.DialTimeout, DefaultDialTimeout)
-	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&c.PingInterval, DefaultPingInterval)
-	setDefault(&c.AnswerTimeout, DefaultAnswerTimeout)
-	setDefault(&c.MinBackoff, DefaultMinBackoff)
-	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
+	c.QueueMessages = cmp.Or(c.QueueMessages, DefaultQueueMessages)
+	c.QueueBytes = cmp.Or(c.QueueBytes, DefaultQueueBytes)
+	c.MaxMessageBytes = cmp.Or(c.MaxMessageBytes, DefaultMaxMessageBytes)
+	c.MaxSnapshotBytes = cmp.Or(c.MaxSnapshotBytes, DefaultMaxSnapshotBytes)
+	c.MaxConnections = cmp.Or(c.MaxConnections, DefaultMaxConnections)
+	c.DialTimeout = cmp.Or(c.DialTimeout, DefaultDialTimeout)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
+	c.PingInterval = cmp.Or(c.PingInterval, DefaultPingInterval)
+	c.AnswerTimeout = cmp.Or(c.AnswerTimeout, DefaultAnswerTimeout)
+	c.MinBackoff = cmp.Or(c.MinBackoff, DefaultMinBackoff)
+	c.MaxBackoff = cmp.Or(c.MaxBackoff, DefaultMaxBackoff)
 	if c.Dial == nil {
 		c.Dial = dialTCP
 	}
@@ -97,13 +98,6 @@
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{}
 	return dialer.DialContext(ctx, "tcp", address)
--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -5,6 +5,7 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -63,23 +64,16 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Machine, c.Name)
-	setDefault(&c.ServiceTime, DefaultServiceTime)
-	setDefault(&c.Workers, DefaultWorkers)
-	setDefault(&c.Queue, DefaultQueue)
-	setDefault(&c.BodyBytes, DefaultBodyBytes)
-	setDefault(&c.LeaveGrace, DefaultLeaveGrace)
-	setDefault(&c.StopTimeout, DefaultStopTimeout)
+	c.Machine = cmp.Or(c.Machine, c.Name)
+	c.ServiceTime = cmp.Or(c.ServiceTime, DefaultServiceTime)
+	c.Workers = cmp.Or(c.Workers, DefaultWorkers)
+	c.Queue = cmp.Or(c.Queue, DefaultQueue)
+	c.BodyBytes = cmp.Or(c.BodyBytes, DefaultBodyBytes)
+	c.LeaveGrace = cmp.Or(c.LeaveGrace, DefaultLeaveGrace)
+	c.StopTimeout = cmp.Or(c.StopTimeout, DefaultStopTimeout)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Load is a back end's report of its load.
 type Load struct {
 	Backend string `json:"backend"`
--- a/lab/emulator/config.go
+++ b/lab/emulator/config.go
@@ -10,6 +10,7 @@
 package emulator
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/landingtrail/landingtrail/lab/enginemodel"
@@ -91,22 +92,16 @@
 	if c.Planner == nil {
 		c.Planner = planner.New(planner.Config{})
 	}
-	setDefault(&c.PlanInterval, DefaultPlanInterval)
-	setDefault(&c.DemandWindow, DefaultDemandWindow)
-	setDefault(&c.PollInterval, DefaultPollInterval)
-	setDefault(&c.LocalLatency, DefaultLocalLatency)
-	setDefault(&c.ZoneLatency, DefaultZoneLatency)
-	setDefault(&c.CommitLatency, DefaultCommitLatency)
-	setDefault(&c.SampleInterval, DefaultSampleInterval)
+	c.PlanInterval = cmp.Or(c.PlanInterval, DefaultPlanInterval)
+	c.DemandWindow = cmp.Or(c.DemandWindow, DefaultDemandWindow)
+	c.PollInterval = cmp.Or(c.PollInterval, DefaultPollInterval)
+	c.LocalLatency = cmp.Or(c.LocalLatency, DefaultLocalLatency)
+	c.ZoneLatency = cmp.Or(c.ZoneLatency, DefaultZoneLatency)
+	c.CommitLatency = cmp.Or(c.CommitLatency, DefaultCommitLatency)
+	c.SampleInterval = cmp.Or(c.SampleInterval, DefaultSampleInterval)
 	return c
 }
 
-func setDefault(value *time.Duration, fallback time.Duration) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
-
 // modelOf returns the model that the trace's requests name first.
 func modelOf(items []trace.Item) string {
 	for _, item := range items {
--- a/process/control/config.go
+++ b/process/control/config.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"cmp"
 	"net"
 	"time"
 
@@ -142,19 +143,19 @@
 }
 
 func (d Durations) withDefaults() Durations {
-	setDefault(&d.Election, DefaultElection)
-	setDefault(&d.Heartbeat, DefaultHeartbeat)
-	setDefault(&d.Lease, DefaultLease)
-	setDefault(&d.ViewLease, DefaultViewLease)
-	setDefault(&d.Reconcile, DefaultReconcile)
-	setDefault(&d.Plan, DefaultPlan)
-	setDefault(&d.Poll, DefaultPoll)
-	setDefault(&d.EngineTimeout, DefaultEngineTimeout)
-	setDefault(&d.EngineSilence, DefaultEngineSilence)
-	setDefault(&d.FailurePause, DefaultFailurePause)
-	setDefault(&d.PlatformPoll, DefaultPlatformPoll)
-	setDefault(&d.Proposal, DefaultProposal)
-	setDefault(&d.Shutdown, DefaultShutdown)
+	d.Election = cmp.Or(d.Election, DefaultElection)
+	d.Heartbeat = cmp.Or(d.Heartbeat, DefaultHeartbeat)
+	d.Lease = cmp.Or(d.Lease, DefaultLease)
+	d.ViewLease = cmp.Or(d.ViewLease, DefaultViewLease)
+	d.Reconcile = cmp.Or(d.Reconcile, DefaultReconcile)
+	d.Plan = cmp.Or(d.Plan, DefaultPlan)
+	d.Poll = cmp.Or(d.Poll, DefaultPoll)
+	d.EngineTimeout = cmp.Or(d.EngineTimeout, DefaultEngineTimeout)
+	d.EngineSilence = cmp.Or(d.EngineSilence, DefaultEngineSilence)
+	d.FailurePause = cmp.Or(d.FailurePause, DefaultFailurePause)
+	d.PlatformPoll = cmp.Or(d.PlatformPoll, DefaultPlatformPoll)
+	d.Proposal = cmp.Or(d.Proposal, DefaultProposal)
+	d.Shutdown = cmp.Or(d.Shutdown, DefaultShutdown)
 	return d
 }
 
@@ -171,23 +172,16 @@
 }
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.MaxAffectedEngines, DefaultMaxAffectedEngines)
-	setDefault(&l.OperationRetention, DefaultOperationRetention)
-	setDefault(&l.ClaimRetention, DefaultClaimRetention)
-	setDefault(&l.MaxBodyBytes, DefaultMaxBodyBytes)
-	setDefault(&l.SnapshotEntries, DefaultSnapshotEntries)
-	setDefault(&l.MaxDaemons, DefaultMaxDaemons)
-	setDefault(&l.MaxOperatorConnections, DefaultMaxOperatorConnections)
+	l.MaxAffectedEngines = cmp.Or(l.MaxAffectedEngines, DefaultMaxAffectedEngines)
+	l.OperationRetention = cmp.Or(l.OperationRetention, DefaultOperationRetention)
+	l.ClaimRetention = cmp.Or(l.ClaimRetention, DefaultClaimRetention)
+	l.MaxBodyBytes = cmp.Or(l.MaxBodyBytes, DefaultMaxBodyBytes)
+	l.SnapshotEntries = cmp.Or(l.SnapshotEntries, DefaultSnapshotEntries)
+	l.MaxDaemons = cmp.Or(l.MaxDaemons, DefaultMaxDaemons)
+	l.MaxOperatorConnections = cmp.Or(l.MaxOperatorConnections, DefaultMaxOperatorConnections)
 	return l
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Check returns every fault of the configuration, by field; none hides another.
 func (c Config) Check() []api.FieldFault {
 	var faults []api.FieldFault
--- a/process/proxy/config.go
+++ b/process/proxy/config.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"net"
 	"time"
 
@@ -145,61 +146,54 @@
 // ErrConfig is returned for a configuration that a proxy cannot run with.
 var ErrConfig = errors.New("invalid proxy configuration")
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (c Config) withDefaults() Config {
-	setDefault(&c.OnControlLoss.Model, LossServe)
-	setDefault(&c.OnControlLoss.Backend, LossServe)
+	c.OnControlLoss.Model = cmp.Or(c.OnControlLoss.Model, LossServe)
+	c.OnControlLoss.Backend = cmp.Or(c.OnControlLoss.Backend, LossServe)
 	c.Timeouts.setDefaults()
 	c.Limits.setDefaults()
 	c.Intervals.setDefaults()
-	setDefault(&c.Subset, subset.DefaultSizes)
-	setDefault(&c.Backoff, retry.Backoff{Base: DefaultBackoffBase, Cap: DefaultBackoffCap})
-	setDefault(&c.Margin, retry.Margin{Least: DefaultMarginLeast, Share: DefaultMarginShare})
-	setDefault(&c.DrainNotice, DefaultDrainNotice)
+	c.Subset = cmp.Or(c.Subset, subset.DefaultSizes)
+	c.Backoff = cmp.Or(c.Backoff, retry.Backoff{Base: DefaultBackoffBase, Cap: DefaultBackoffCap})
+	c.Margin = cmp.Or(c.Margin, retry.Margin{Least: DefaultMarginLeast, Share: DefaultMarginShare})
+	c.DrainNotice = cmp.Or(c.DrainNotice, DefaultDrainNotice)
 	return c
 }
 
 func (t *Timeouts) setDefaults() {
-	setDefault(&t.Dial, DefaultDialTimeout)
-	setDefault(&t.Head, DefaultHeadTimeout)
-	setDefault(&t.FirstToken, DefaultFirstTokenTimeout)
-	setDefault(&t.Stall, DefaultStallTimeout)
-	setDefault(&t.Write, DefaultWriteTimeout)
-	setDefault(&t.ReadHeader, DefaultReadHeaderTimeout)
-	setDefault(&t.ReadBody, DefaultReadBodyTimeout)
-	setDefault(&t.Idle, DefaultIdleTimeout)
-	setDefault(&t.Claim, DefaultClaimTimeout)
-	setDefault(&t.Cancel, DefaultCancelTimeout)
-	setDefault(&t.Deadline, DefaultDeadline)
-	setDefault(&t.ClaimRetention, DefaultClaimRetention)
+	t.Dial = cmp.Or(t.Dial, DefaultDialTimeout)
+	t.Head = cmp.Or(t.Head, DefaultHeadTimeout)
+	t.FirstToken = cmp.Or(t.FirstToken, DefaultFirstTokenTimeout)
+	t.Stall = cmp.Or(t.Stall, DefaultStallTimeout)
+	t.Write = cmp.Or(t.Write, DefaultWriteTimeout)
+	t.ReadHeader = cmp.Or(t.ReadHeader, DefaultReadHeaderTimeout)
+	t.ReadBody = cmp.Or(t.ReadBody, DefaultReadBodyTimeout)
+	t.Idle = cmp.Or(t.Idle, DefaultIdleTimeout)
+	t.Claim = cmp.Or(t.Claim, DefaultClaimTimeout)
+	t.Cancel = cmp.Or(t.Cancel, DefaultCancelTimeout)
+	t.Deadline = cmp.Or(t.Deadline, DefaultDeadline)
+	t.ClaimRetention = cmp.Or(t.ClaimRetention, DefaultClaimRetention)
 }
 
 func (l *Limits) setDefaults() {
-	setDefault(&l.BodyBytes, DefaultBodyBytes)
-	setDefault(&l.HeldBytes, max(DefaultHeldBytes, l.BodyBytes))
-	setDefault(&l.AnswerBytes, DefaultAnswerBytes)
-	setDefault(&l.EventBytes, DefaultEventBytes)
-	setDefault(&l.PollBytes, DefaultPollBytes)
-	setDefault(&l.MaxInFlight, DefaultMaxInFlight)
-	setDefault(&l.QueueLimit, DefaultQueueLimit)
-	setDefault(&l.Attempts, DefaultAttempts)
-	setDefault(&l.Resumes, DefaultResumes)
-	setDefault(&l.RetryShare, DefaultRetryShare)
-	setDefault(&l.RetryReserve, DefaultRetryReserve)
+	l.BodyBytes = cmp.Or(l.BodyBytes, DefaultBodyBytes)
+	l.HeldBytes = cmp.Or(l.HeldBytes, max(DefaultHeldBytes, l.BodyBytes))
+	l.AnswerBytes = cmp.Or(l.AnswerBytes, DefaultAnswerBytes)
+	l.EventBytes = cmp.Or(l.EventBytes, DefaultEventBytes)
+	l.PollBytes = cmp.Or(l.PollBytes, DefaultPollBytes)
+	l.MaxInFlight = cmp.Or(l.MaxInFlight, DefaultMaxInFlight)
+	l.QueueLimit = cmp.Or(l.QueueLimit, DefaultQueueLimit)
+	l.Attempts = cmp.Or(l.Attempts, DefaultAttempts)
+	l.Resumes = cmp.Or(l.Resumes, DefaultResumes)
+	l.RetryShare = cmp.Or(l.RetryShare, DefaultRetryShare)
+	l.RetryReserve = cmp.Or(l.RetryReserve, DefaultRetryReserve)
 }
 
 func (i *Intervals) setDefaults() {
-	setDefault(&i.Load, DefaultLoadInterval)
-	setDefault(&i.Cache, DefaultCacheInterval)
-	setDefault(&i.Demand, DefaultDemandInterval)
-	setDefault(&i.View, DefaultViewInterval)
-	setDefault(&i.Beat, DefaultBeatInterval)
+	i.Load = cmp.Or(i.Load, DefaultLoadInterval)
+	i.Cache = cmp.Or(i.Cache, DefaultCacheInterval)
+	i.Demand = cmp.Or(i.Demand, DefaultDemandInterval)
+	i.View = cmp.Or(i.View, DefaultViewInterval)
+	i.Beat = cmp.Or(i.Beat, DefaultBeatInterval)
 }
 
 func (c *Config) check() error {
--- a/process/proxy/request.go
+++ b/process/proxy/request.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -52,7 +53,7 @@
 		class:  header.Get(HeaderClass),
 		key:    header.Get(HeaderKey),
 	}
-	setDefault(&read.tenant, DefaultTenant)
+	read.tenant = cmp.Or(read.tenant, DefaultTenant)
 	for _, value := range []string{read.tenant, read.class, read.key} {
 		if len(value) > maxHeaderValue {
 			return read, invalid(codeBadRequest, "a header value is longer than "+strconv.Itoa(maxHeaderValue)+" bytes")
@@ -104,7 +105,7 @@
 			read.left = time.Duration(class.Spec.DeadlineMilliseconds) * time.Millisecond
 		}
 	}
-	setDefault(&read.left, p.config.Timeouts.Deadline)
+	read.left = cmp.Or(read.left, p.config.Timeouts.Deadline)
 	if read.never && read.key == "" {
 		return invalid(codeKeyRequired, "a request that must run at most once needs the header "+HeaderKey)
 	}
--- a/process/proxy/sink.go
+++ b/process/proxy/sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -267,7 +268,7 @@
 		answer.Choices[i] = engineapi.Choice{Index: i, FinishReason: choice.finish}
 		if a.chat {
 			role := choice.role
-			setDefault(&role, "assistant")
+			role = cmp.Or(role, "assistant")
 			answer.Choices[i].Message = &engineapi.Message{Role: role, Content: choice.text.String()}
 		} else {
 			answer.Choices[i].Text = choice.text.String()
--- a/process/relay/config.go
+++ b/process/relay/config.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,12 +54,12 @@
 const floorShare = 4
 
 func (c Config) withDefaults() Config {
-	c.Lease = orDefault(c.Lease, DefaultLease)
-	c.Beat = orDefault(c.Beat, DefaultBeat)
-	c.Demand = orDefault(c.Demand, DefaultDemand)
-	c.ClaimTimeout = orDefault(c.ClaimTimeout, DefaultClaimTimeout)
-	c.StopTimeout = orDefault(c.StopTimeout, DefaultStopTimeout)
-	c.MaxDaemons = orDefault(c.MaxDaemons, DefaultMaxDaemons)
+	c.Lease = cmp.Or(c.Lease, DefaultLease)
+	c.Beat = cmp.Or(c.Beat, DefaultBeat)
+	c.Demand = cmp.Or(c.Demand, DefaultDemand)
+	c.ClaimTimeout = cmp.Or(c.ClaimTimeout, DefaultClaimTimeout)
+	c.StopTimeout = cmp.Or(c.StopTimeout, DefaultStopTimeout)
+	c.MaxDaemons = cmp.Or(c.MaxDaemons, DefaultMaxDaemons)
 	return c
 }
 
@@ -75,11 +76,3 @@
 	}
 	return nil
 }
-
-// orDefault returns value, or fallback when value is not positive.
-func orDefault[T int | time.Duration](value, fallback T) T {
-	if value <= 0 {
-		return fallback
-	}
-	return value
-}
--- a/process/replica/replica.go
+++ b/process/replica/replica.go
@@ -13,6 +13,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -99,27 +100,20 @@
 }
 
 func (c *Config) setDefaults() {
-	setDefault(&c.Raft.HeartbeatInterval, DefaultHeartbeatInterval)
-	setDefault(&c.Raft.ElectionTimeout, DefaultElectionTimeout)
-	setDefault(&c.Raft.LeaseDuration, DefaultLeaseDuration)
-	setDefault(&c.Raft.RetainedEntries, DefaultRetainedEntries)
-	setDefault(&c.SnapshotEntries, DefaultSnapshotEntries)
-	setDefault(&c.SnapshotBytes, DefaultSnapshotBytes)
-	setDefault(&c.QueuedProposals, DefaultQueuedProposals)
-	setDefault(&c.QueuedMessages, DefaultQueuedMessages)
-	setDefault(&c.QueuedBytes, DefaultQueuedBytes)
+	c.Raft.HeartbeatInterval = cmp.Or(c.Raft.HeartbeatInterval, DefaultHeartbeatInterval)
+	c.Raft.ElectionTimeout = cmp.Or(c.Raft.ElectionTimeout, DefaultElectionTimeout)
+	c.Raft.LeaseDuration = cmp.Or(c.Raft.LeaseDuration, DefaultLeaseDuration)
+	c.Raft.RetainedEntries = cmp.Or(c.Raft.RetainedEntries, DefaultRetainedEntries)
+	c.SnapshotEntries = cmp.Or(c.SnapshotEntries, DefaultSnapshotEntries)
+	c.SnapshotBytes = cmp.Or(c.SnapshotBytes, DefaultSnapshotBytes)
+	c.QueuedProposals = cmp.Or(c.QueuedProposals, DefaultQueuedProposals)
+	c.QueuedMessages = cmp.Or(c.QueuedMessages, DefaultQueuedMessages)
+	c.QueuedBytes = cmp.Or(c.QueuedBytes, DefaultQueuedBytes)
 	if c.Clock == nil {
 		c.Clock = SystemClock()
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Replica is a running member.
 type Replica struct {
 	config  Config
