Build the planner's input and the action's engine in one place

lab/campaign had copies of both, so the campaign could drift from the product. controller.PlannedEngine and state.Command.EngineName are used by both now; tests of control, controller and campaign pass.

--- a/lab/campaign/duties.go
+++ b/lab/campaign/duties.go
@@ -199,22 +199,9 @@
 	}
 }
 
-// subject names what a proposal is about, so that one is under way at a time.
-func subject(command state.Command) string {
-	switch command.Kind {
-	case state.CommandOpenOrder:
-		return command.OpenOrder.Engine
-	case state.CommandCloseOrder:
-		return command.CloseOrder.Engine
-	case state.CommandReportEngine:
-		return command.EngineReport.Engine
-	default:
-		return ""
-	}
-}
-
 func (d *duties) propose(command state.Command) {
-	name := subject(command)
+	// One proposal about an engine, or about the machines, is under way at a time.
+	name := command.EngineName()
 	done, free := d.begin(name)
 	if !free {
 		return
@@ -324,30 +311,22 @@
 }
 
 func (d *duties) plannedEngine(engine *api.Engine, now time.Duration) planner.Engine {
-	planned := planner.Engine{
-		Name:        engine.Name,
-		Zone:        engine.Spec.Zone,
-		Drain:       engine.Spec.Drain,
-		Assignment:  engine.Status.Assignment,
-		SinceChange: -1,
+	var said *engineapi.State
+	seen, heard := d.observed[engine.Name]
+	if heard && now-seen.AskedAt <= engineSilence {
+		said = &seen.State
 	}
+	planned := controller.PlannedEngine(engine, said)
+	planned.SinceChange = -1
 	if intent := d.member.machine.WantedIntent(engine.Name); intent != nil {
 		planned.Intent = intent.Name
 	}
-	if order := engine.Status.OpenOrder; order != nil {
-		planned.Pending = &order.Assignment
-	}
 	if at, changed := d.changedAt[engine.Name]; changed {
 		planned.SinceChange = now - at
 	}
-	if seen, heard := d.observed[engine.Name]; heard && now-seen.AskedAt <= engineSilence {
-		planned.Phase = seen.State.Phase
-		planned.Assignment = seen.State.Assignment
-		planned.Running = seen.State.Running
-		planned.Waiting = seen.State.Waiting
-	}
-	if phase := engine.Status.Phase; phase == api.PhaseLeaving || phase == api.PhaseGone {
-		planned.Phase = phase
+	if said != nil {
+		planned.Running = said.Running
+		planned.Waiting = said.Waiting
 	}
 	return planned
 }
--- a/process/control/actions.go
+++ b/process/control/actions.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -111,7 +112,7 @@
 func (r *actionRunner) prepare(action controller.Action) (engine string, carryOut func()) {
 	switch action := action.(type) {
 	case controller.Propose:
-		return engineOf(action.Command), func() { r.propose(action.Command) }
+		return cmp.Or(action.Command.EngineName(), platformAction), func() { r.propose(action.Command) }
 	case controller.Send:
 		return action.Engine, func() { r.send(action) }
 	case controller.Void:
@@ -123,19 +124,6 @@
 	}
 }
 
-func engineOf(command state.Command) string {
-	switch command.Kind {
-	case state.CommandOpenOrder:
-		return command.OpenOrder.Engine
-	case state.CommandCloseOrder:
-		return command.CloseOrder.Engine
-	case state.CommandReportEngine:
-		return command.EngineReport.Engine
-	default:
-		return platformAction
-	}
-}
-
 // propose commits a command. A command whose outcome is unknown is yielded
 // again if it is still needed; the state refuses what no longer fits.
 func (r *actionRunner) propose(command state.Command) {
--- a/process/control/planning.go
+++ b/process/control/planning.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/orders"
+	"github.com/landingtrail/landingtrail/process/controller"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/planner"
 	"github.com/landingtrail/landingtrail/version/state"
@@ -88,30 +89,16 @@
 	return intents
 }
 
-// planEngine shows the planner what the engine says, or an unknown phase when
-// it was not heard from since silentAt. The platform's word on a machine stands
-// over the engine's.
+// planEngine shows the planner what the engine says and its load, if it was
+// heard from since silentAt.
 func planEngine(committed *api.Engine, seen orders.Seen, silentAt time.Duration) planner.Engine {
-	engine := planner.Engine{
-		Name:       committed.Name,
-		Zone:       committed.Spec.Zone,
-		Drain:      committed.Spec.Drain,
-		Phase:      api.PhaseUnknown,
-		Assignment: committed.Status.Assignment,
-	}
-	if order := committed.Status.OpenOrder; order != nil {
-		engine.Pending = &order.Assignment
-	}
-	if seen.State.Engine == committed.Name && seen.AskedAt >= silentAt {
-		engine.Phase = seen.State.Phase
-		engine.Assignment = seen.State.Assignment
-		engine.Running = seen.Load.Running
-		engine.Waiting = seen.Load.Waiting
-		engine.WaitingTokens = seen.Load.WaitingTokens
-		engine.KVUsed = seen.Load.KVUsed
-	}
-	if phase := committed.Status.Phase; phase == api.PhaseLeaving || phase == api.PhaseGone {
-		engine.Phase = phase
+	if seen.State.Engine != committed.Name || seen.AskedAt < silentAt {
+		return controller.PlannedEngine(committed, nil)
 	}
+	engine := controller.PlannedEngine(committed, &seen.State)
+	engine.Running = seen.Load.Running
+	engine.Waiting = seen.Load.Waiting
+	engine.WaitingTokens = seen.Load.WaitingTokens
+	engine.KVUsed = seen.Load.KVUsed
 	return engine
 }
--- a/version/state/command.go
+++ b/version/state/command.go
@@ -178,3 +178,18 @@
 	OperatorAddress string
 	Removed         bool
 }
+
+// EngineName returns the engine that the command is about, or nothing if it is
+// about no single one.
+func (c Command) EngineName() string {
+	switch c.Kind {
+	case CommandOpenOrder:
+		return c.OpenOrder.Engine
+	case CommandCloseOrder:
+		return c.CloseOrder.Engine
+	case CommandReportEngine:
+		return c.EngineReport.Engine
+	default:
+		return ""
+	}
+}
