Take go-zero's settings for a server from one place; close the relay's admin server

process/control and process/proxy had the same settings and the same constant of their own. The relay's admin server runs go-zero's routes in an http.Server of ours, as control does: it needs no goroutine that outlives it and no panic to learn of a taken port. Tests of admin, relay, proxy and control pass.

--- a/process/admin/admin.go
+++ b/process/admin/admin.go
@@ -1,16 +1,15 @@
 // Package admin serves a daemon's health and metrics over HTTP by go-zero's
-// rest, with everything that rest adds of its own taken off: its timeouts,
-// breaker, shedding, metrics and signal handling.
+// rest, with everything that rest adds of its own taken off.
 package admin
 
 import (
-	"context"
 	"encoding/json"
+	stdlog "log"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -30,17 +29,31 @@
 // ErrListen is returned when the address cannot be listened on.
 var ErrListen = errors.New("admin: listen")
 
-const (
-	// never is longer than any process lives: go-zero would end the process a
-	// few seconds after SIGTERM.
-	never = 10 * 365 * 24 * time.Hour
+// never is longer than any process lives. go-zero ends the process a few
+// seconds after SIGTERM; a daemon ends when its planned stop is done, so that
+// timer is put out of reach.
+const never = 10 * 365 * 24 * time.Hour
 
-	headerTimeout = 5 * time.Second
-	idleTimeout   = time.Minute
+const (
+	requestTimeout = 5 * time.Second
+	idleTimeout    = time.Minute
 	// maxHeaderBytes bounds what a request may make the daemon hold.
 	maxHeaderBytes = 16 << 10
 )
 
+// RestConf returns settings of go-zero's rest without its timeout, breaker,
+// shedding, body cap, logs, traces and metrics, and with its end of the process
+// after a signal out of reach. A server that wants one of them turns it on.
+func RestConf(name string) rest.RestConf {
+	return rest.RestConf{
+		ServiceConf: service.ServiceConf{
+			Name:     name,
+			Mode:     service.ProMode,
+			Shutdown: proc.ShutdownConf{WrapUpTime: never, WaitTime: 2 * never},
+		},
+	}
+}
+
 // Readiness is the body of PathHealth and PathReady.
 type Readiness struct {
 	Ready  bool   `json:"ready"`
@@ -49,40 +62,48 @@
 
 // Server is one listener.
 type Server struct {
-	http  *http.Server
-	bound net.Addr
+	http     *http.Server
+	listener net.Listener
+	done     chan struct{}
 }
 
 // Listen serves the registry's metrics and the readiness on the address, an IP
-// and a port, and returns once it is bound.
-func Listen(name, address string, registry *prometheus.Registry, ready func() Readiness) (*Server, error) {
-	host, port, err := net.SplitHostPort(address)
+// and a port, until Close.
+func Listen(name, address string, registry *prometheus.Registry, ready func() Readiness, logger log.Logger) (*Server, error) {
+	logx.Disable() // go-zero's logger would write lines of its own form
+	routes, err := rest.NewServer(RestConf(name))
 	if err != nil {
-		return nil, errors.Wrap(ErrListen, err.Error())
+		return nil, errors.Wrap(err, "admin: server")
 	}
-	number, err := strconv.Atoi(port)
+	routes.AddRoutes([]rest.Route{
+		{Method: http.MethodGet, Path: PathHealth, Handler: answer(ready, false)},
+		{Method: http.MethodGet, Path: PathReady, Handler: answer(ready, true)},
+		{Method: http.MethodGet, Path: PathMetrics, Handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}).ServeHTTP},
+	})
+	built, err := rest.NewServerless(routes)
 	if err != nil {
-		return nil, errors.Wrap(ErrListen, err.Error())
+		return nil, errors.Wrap(err, "admin: server")
 	}
-	logx.Disable()
-	made, err := rest.NewServer(rest.RestConf{
-		ServiceConf: service.ServiceConf{
-			Name:     name,
-			Mode:     service.ProMode,
-			Shutdown: proc.ShutdownConf{WrapUpTime: never, WaitTime: 2 * never},
-		},
-		Host: host,
-		Port: number,
-	})
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(ErrListen, err.Error())
 	}
-	made.AddRoutes([]rest.Route{
-		{Method: http.MethodGet, Path: PathHealth, Handler: answer(ready, false)},
-		{Method: http.MethodGet, Path: PathReady, Handler: answer(ready, true)},
-		{Method: http.MethodGet, Path: PathMetrics, Handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}).ServeHTTP},
-	})
-	return start(made)
+	s := &Server{listener: listener, done: make(chan struct{}), http: &http.Server{
+		Handler:           http.HandlerFunc(built.Serve),
+		ReadHeaderTimeout: requestTimeout,
+		ReadTimeout:       requestTimeout,
+		WriteTimeout:      requestTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          stdlog.New(log.NewStdlibAdapter(logger), "", 0),
+	}}
+	go s.serve()
+	return s, nil
+}
+
+func (s *Server) serve() {
+	defer close(s.done)
+	_ = s.http.Serve(s.listener) // until Close
 }
 
 // answer writes the readiness; judged, an unready daemon answers 503.
@@ -97,38 +118,11 @@
 	}
 }
 
-// start returns once the server listens. rest panics when it cannot.
-func start(made *rest.Server) (*Server, error) {
-	started := &Server{}
-	bound := make(chan net.Addr, 1)
-	failed := make(chan error, 1)
-	go func() {
-		defer func() {
-			if cause := recover(); cause != nil {
-				failed <- errors.Wrapf(ErrListen, "%v", cause)
-			}
-		}()
-		made.StartWithOpts(func(configured *http.Server) {
-			started.http = configured
-			configured.ReadHeaderTimeout = headerTimeout
-			configured.IdleTimeout = idleTimeout
-			configured.MaxHeaderBytes = maxHeaderBytes
-			configured.BaseContext = func(listener net.Listener) context.Context {
-				bound <- listener.Addr()
-				return context.Background()
-			}
-		})
-	}()
-	select {
-	case started.bound = <-bound:
-		return started, nil
-	case err := <-failed:
-		return nil, err
-	}
-}
-
 // Addr returns where the server listens.
-func (s *Server) Addr() net.Addr { return s.bound }
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
 
 // Close stops the server at once. Nothing of a caller's goes by it.
-func (s *Server) Close() { _ = s.http.Close() }
+func (s *Server) Close() {
+	_ = s.http.Close()
+	<-s.done
+}
--- a/process/control/server.go
+++ b/process/control/server.go
@@ -9,11 +9,10 @@
 
 	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
+	"github.com/landingtrail/landingtrail/process/admin"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/pkg/errors"
 	"github.com/zeromicro/go-zero/core/logx"
-	"github.com/zeromicro/go-zero/core/proc"
-	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
 )
 
@@ -25,11 +24,6 @@
 	maxHeaderBytes    = 64 << 10
 )
 
-// never is longer than any process lives. go-zero ends the process a few
-// seconds after SIGTERM; a member ends when its planned stop is done, so that
-// timer is put out of reach.
-const never = 10 * 365 * 24 * time.Hour
-
 // operatorServer serves the operator API, health and metrics.
 //
 // Routes and middlewares are go-zero's; the http.Server around them is ours,
@@ -50,14 +44,9 @@
 // set to answer in their own words; gunzip, which would let a small body grow
 // past the cap; and logs, traces and metrics, which are the daemon's own.
 func restConf() rest.RestConf {
-	return rest.RestConf{
-		ServiceConf: service.ServiceConf{
-			Name:     "landingtrail-control",
-			Mode:     service.ProMode,
-			Shutdown: proc.ShutdownConf{WrapUpTime: never, WaitTime: 2 * never},
-		},
-		Middlewares: rest.MiddlewaresConf{Recover: true},
-	}
+	conf := admin.RestConf("landingtrail-control")
+	conf.Middlewares = rest.MiddlewaresConf{Recover: true}
+	return conf
 }
 
 func newOperatorServer(m *member) (*operatorServer, error) {
--- a/process/proxy/server.go
+++ b/process/proxy/server.go
@@ -6,26 +6,19 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 	"github.com/zeromicro/go-zero/core/logx"
-	"github.com/zeromicro/go-zero/core/proc"
-	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/httpx"
 	"github.com/zeromicro/go-zero/rest/router"
 
 	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/process/admin"
 	"github.com/landingtrail/landingtrail/process/event"
 )
 
-// never is longer than any process lives. go-zero ends the process a few
-// seconds after SIGTERM; a proxy ends when its last request has, so that
-// timer is put out of reach.
-const never = 10 * 365 * 24 * time.Hour
-
 // server is one HTTP listener on go-zero's rest. What rest brings by default
 // is taken over: its timeout, body cap, breaker, shedding, access log and
 // metrics are off, since a stream outlasts any timeout, the body cap has its
@@ -46,15 +39,9 @@
 	if err != nil {
 		return rest.RestConf{}, errors.Wrap(ErrConfig, err.Error())
 	}
-	return rest.RestConf{
-		ServiceConf: service.ServiceConf{
-			Name:     name,
-			Mode:     service.ProMode,
-			Shutdown: proc.ShutdownConf{WrapUpTime: never, WaitTime: 2 * never},
-		},
-		Host: host,
-		Port: number,
-	}, nil
+	conf := admin.RestConf(name)
+	conf.Host, conf.Port = host, number
+	return conf, nil
 }
 
 // prefixRouter serves the paths under a prefix by one handler for all methods,
--- a/process/relay/relay.go
+++ b/process/relay/relay.go
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	r.serve(listener)
-	if r.admin, err = admin.Listen("landingtrail-relay", config.AdminAddress, r.metrics(), r.readiness); err != nil {
+	if r.admin, err = admin.Listen("landingtrail-relay", config.AdminAddress, r.metrics(), r.readiness, logger); err != nil {
 		r.server.Close()
 		r.client.Close()
 		return nil, err
