--- a/cmd/landingtrail-lab/lanes.go
+++ b/cmd/landingtrail-lab/lanes.go
@@ -11,7 +11,7 @@
 
 	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/lab/fleet"
-	"github.com/landingtrail/landingtrail/lab/relay"
+	"github.com/landingtrail/landingtrail/lab/forwarder"
 	"github.com/landingtrail/landingtrail/lab/trace"
 )
 
@@ -45,7 +45,7 @@
 	return &ffcli.Command{
 		Name:       "lanes",
 		ShortUsage: programName + " lanes [flags]",
-		ShortHelp:  "Measure plain requests beside saturated model work, and the data path beside a plain relay",
+		ShortHelp:  "Measure plain requests beside saturated model work, and the data path beside a plain forwarder",
 		LongHelp: "Real processes; blocks without and with model work take turns in one run.\n\n" +
 			cli.ExampleHelp("landingtrail-lab lanes --deployment radarvlak --blocks 6 --block 4s"),
 		FlagSet: flagSet,
@@ -103,8 +103,8 @@
 	}{
 		{"plain requests alone:  ", result.Alone},
 		{"beside model work:     ", result.Beside},
-		{"by the relay, alone:   ", result.RelayAlone},
-		{"by the relay, beside:  ", result.RelayBeside},
+		{"by the forwarder, alone:   ", result.ForwarderAlone},
+		{"by the forwarder, beside:  ", result.ForwarderBeside},
 	} {
 		cli.Printf(to.Out, "%sp50 %.2f ms, p99 %.2f ms (%d, %d failed)\n",
 			line.name, line.times.P50, line.times.P99, line.times.Count, line.times.Failed)
@@ -113,19 +113,19 @@
 		result.P99Ratio, result.P99RatioLow, result.P99RatioHigh)
 	cli.Printf(to.Out, "model requests beside: %d offered, %d whole\n", result.ModelOffered, result.ModelWhole)
 	cost := &result.Cost
-	cli.Printf(to.Out, "time of a request:     direct %.0f us, relay %.0f us, proxy %.0f us; added by the proxy over added by the relay %.2f\n",
-		cost.DirectMicroseconds, cost.RelayMicroseconds, cost.ProxyMicroseconds, cost.TimeRatio)
-	cli.Printf(to.Out, "processor of a request: relay %.0f us, proxy %.0f us, ratio %.2f\n",
-		cost.RelayProcessor, cost.ProxyProcessor, cost.ProcessorRatio)
+	cli.Printf(to.Out, "time of a request:     direct %.0f us, forwarder %.0f us, proxy %.0f us; added by the proxy over added by the forwarder %.2f\n",
+		cost.DirectMicroseconds, cost.ForwarderMicroseconds, cost.ProxyMicroseconds, cost.TimeRatio)
+	cli.Printf(to.Out, "processor of a request: forwarder %.0f us, proxy %.0f us, ratio %.2f\n",
+		cost.ForwarderProcessor, cost.ProxyProcessor, cost.ProcessorRatio)
 	cli.Printf(to.Out, "load average of the machine: %.1f before, %.1f after\n", result.LoadAverage[0], result.LoadAverage[1])
 }
 
-func relayCommand(_ cli.Streams) *ffcli.Command {
-	flagSet := cli.NewFlagSet("relay")
+func forwarderCommand(_ cli.Streams) *ffcli.Command {
+	flagSet := cli.NewFlagSet("forwarder")
 	listen := flagSet.String("listen", "", "IP number and port to listen on")
 	target := flagSet.String("target", "", "IP number and port to pass requests on to")
-	return standInCommand("relay", "Run a plain HTTP relay, the measure for the data path's cost", flagSet,
-		"landingtrail-lab relay --listen 127.0.0.1:7500 --target 127.0.0.1:7401",
+	return standInCommand("forwarder", "Run a plain HTTP forwarder, the measure for the data path's cost", flagSet,
+		"landingtrail-lab forwarder --listen 127.0.0.1:7500 --target 127.0.0.1:7401",
 		func(ctx context.Context) error {
 			if err := checkAddress("listen", *listen); err != nil {
 				return err
@@ -133,6 +133,6 @@
 			if err := checkAddress("target", *target); err != nil {
 				return err
 			}
-			return relay.Run(ctx, *listen, *target)
+			return forwarder.Run(ctx, *listen, *target)
 		})
 }
--- a/cmd/landingtrail-lab/main.go
+++ b/cmd/landingtrail-lab/main.go
@@ -30,7 +30,7 @@
 		FlagSet:    cli.NewFlagSet(programName),
 		Subcommands: []*ffcli.Command{
 			fleetCommand(to), experimentCommand(to), campaignCommand(to), engineCommand(to), backendCommand(to), platformCommand(to), pagesCommand(to),
-			scaleCommand(to), replicasCommand(to), lanesCommand(to), relayCommand(to),
+			scaleCommand(to), replicasCommand(to), lanesCommand(to), forwarderCommand(to),
 		},
 	}
 }
--- a/lab/fleet/cost.go
+++ b/lab/fleet/cost.go
@@ -22,23 +22,23 @@
 	costWorkers     = 8
 	costSpell       = 3 * time.Second
 	clockTick       = 10 * time.Millisecond // of the times in /proc
-	prefixRelay     = "relay"
+	prefixForwarder = "forwarder"
 	procFieldsAfter = 11 // fields of /proc/PID/stat from the state to the user time
 )
 
-// PathCost compares the proxy with a plain relay on the way to one back end.
+// PathCost compares the proxy with a plain forwarder on the way to one back end.
 // The times are medians of requests sent one at a time, in turn by each way.
 type PathCost struct {
-	DirectMicroseconds float64 `json:"direct_us"`
-	RelayMicroseconds  float64 `json:"relay_us"`
-	ProxyMicroseconds  float64 `json:"proxy_us"`
-	// TimeRatio is the time that the proxy adds over the time that the relay adds.
+	DirectMicroseconds    float64 `json:"direct_us"`
+	ForwarderMicroseconds float64 `json:"forwarder_us"`
+	ProxyMicroseconds     float64 `json:"proxy_us"`
+	// TimeRatio is the time that the proxy adds over the time that the forwarder adds.
 	TimeRatio float64 `json:"time_ratio"`
-	// RelayProcessor and ProxyProcessor are processor time of the process for a
+	// ForwarderProcessor and ProxyProcessor are processor time of the process for a
 	// request, with eight requests in flight.
-	RelayProcessor float64 `json:"relay_cpu_us"`
-	ProxyProcessor float64 `json:"proxy_cpu_us"`
-	ProcessorRatio float64 `json:"cpu_ratio"`
+	ForwarderProcessor float64 `json:"forwarder_cpu_us"`
+	ProxyProcessor     float64 `json:"proxy_cpu_us"`
+	ProcessorRatio     float64 `json:"cpu_ratio"`
 }
 
 // way is one way to a back end.
@@ -54,8 +54,8 @@
 	return &way{process: process, url: url, client: &http.Client{Transport: transport}}
 }
 
-// measureCost compares the relay to the first back end with the first proxy.
-func (f *Fleet) measureCost(relay string) (PathCost, error) {
+// measureCost compares the forwarder to the first back end with the first proxy.
+func (f *Fleet) measureCost(forwarder string) (PathCost, error) {
 	sample, err := f.plainItem()
 	if err != nil {
 		return PathCost{}, err
@@ -63,9 +63,9 @@
 	path := "/" + sample.Class + "/cost"
 	proxy := f.layout.proxies[0]
 	direct := newWay("", "http://"+f.layout.backends[0].address+path)
-	relayed := newWay(prefixRelay, "http://"+relay+path)
+	forwarded := newWay(prefixForwarder, "http://"+forwarder+path)
 	proxied := newWay(prefixProxy+proxy.zone, "http://"+proxy.address+"/services/"+sample.Service+path)
-	ways := []*way{direct, relayed, proxied}
+	ways := []*way{direct, forwarded, proxied}
 	for _, one := range ways {
 		defer one.client.CloseIdleConnections()
 	}
@@ -73,18 +73,18 @@
 		return PathCost{}, err
 	}
 	cost := PathCost{
-		DirectMicroseconds: microseconds(quantile(direct.times, 0.5)),
-		RelayMicroseconds:  microseconds(quantile(relayed.times, 0.5)),
-		ProxyMicroseconds:  microseconds(quantile(proxied.times, 0.5)),
+		DirectMicroseconds:    microseconds(quantile(direct.times, 0.5)),
+		ForwarderMicroseconds: microseconds(quantile(forwarded.times, 0.5)),
+		ProxyMicroseconds:     microseconds(quantile(proxied.times, 0.5)),
 	}
-	cost.TimeRatio = (cost.ProxyMicroseconds - cost.DirectMicroseconds) / (cost.RelayMicroseconds - cost.DirectMicroseconds)
-	if cost.RelayProcessor, err = f.processorOf(relayed, &sample); err != nil {
+	cost.TimeRatio = (cost.ProxyMicroseconds - cost.DirectMicroseconds) / (cost.ForwarderMicroseconds - cost.DirectMicroseconds)
+	if cost.ForwarderProcessor, err = f.processorOf(forwarded, &sample); err != nil {
 		return cost, err
 	}
 	if cost.ProxyProcessor, err = f.processorOf(proxied, &sample); err != nil {
 		return cost, err
 	}
-	cost.ProcessorRatio = cost.ProxyProcessor / cost.RelayProcessor
+	cost.ProcessorRatio = cost.ProxyProcessor / cost.ForwarderProcessor
 	return cost, nil
 }
 
@@ -92,12 +92,12 @@
 	return float64(duration) / float64(time.Microsecond)
 }
 
-func (f *Fleet) startRelay() (string, error) {
+func (f *Fleet) startForwarder() (string, error) {
 	free, err := freeAddresses(1)
 	if err != nil {
 		return "", err
 	}
-	err = f.run.start(prefixRelay, f.config.Lab, "relay", "--listen", free[0], "--target", f.layout.backends[0].address)
+	err = f.run.start(prefixForwarder, f.config.Lab, "forwarder", "--listen", free[0], "--target", f.layout.backends[0].address)
 	if err != nil {
 		return "", err
 	}
--- a/lab/fleet/interference.go
+++ b/lab/fleet/interference.go
@@ -38,16 +38,16 @@
 
 // Interference is what plain back ends' callers saw without and beside
 // saturated model work in the same run, and what the data path costs beside a
-// plain relay.
+// plain forwarder.
 type Interference struct {
 	Deployment string    `json:"deployment"`
 	Alone      LaneTimes `json:"alone"`
 	Beside     LaneTimes `json:"beside"`
-	// RelayAlone and RelayBeside are the same requests of one zone through a plain
-	// relay, which carries no model work: what the machine and the callers'
+	// ForwarderAlone and ForwarderBeside are the same requests of one zone through a plain
+	// forwarder, which carries no model work: what the machine and the callers'
 	// own process do to them.
-	RelayAlone  LaneTimes `json:"relay_alone"`
-	RelayBeside LaneTimes `json:"relay_beside"`
+	ForwarderAlone  LaneTimes `json:"forwarder_alone"`
+	ForwarderBeside LaneTimes `json:"forwarder_beside"`
 	// P99Ratio is Beside over Alone; Low and High bound 95 % of the ratios that
 	// blocks drawn anew give.
 	P99Ratio     float64 `json:"p99_ratio"`
@@ -105,15 +105,15 @@
 	if err := f.bringUp(); err != nil {
 		return err
 	}
-	relay, err := f.startRelay()
+	forwarder, err := f.startForwarder()
 	if err != nil {
 		return err
 	}
-	if err := f.measureLanes(config, relay, result); err != nil {
+	if err := f.measureLanes(config, forwarder, result); err != nil {
 		return err
 	}
 	f.progress("measuring the cost of the data path")
-	result.Cost, err = f.measureCost(relay)
+	result.Cost, err = f.measureCost(forwarder)
 	return err
 }
 
@@ -135,26 +135,26 @@
 	b.times = append(b.times, seen.Latency)
 }
 
-// plainBlock is one block's requests through the proxies and the relay.
-type plainBlock struct{ proxied, relayed *laneBlock }
+// plainBlock is one block's requests through the proxies and the forwarder.
+type plainBlock struct{ proxied, forwarded *laneBlock }
 
 // measureLanes plays the blocks in turn, so that what else the machine does
 // weighs on both sides.
-func (f *Fleet) measureLanes(config InterferenceConfig, relay string, result *Interference) error {
-	var alone, beside, relayAlone, relayBeside []*laneBlock
+func (f *Fleet) measureLanes(config InterferenceConfig, forwarder string, result *Interference) error {
+	var alone, beside, forwarderAlone, forwarderBeside []*laneBlock
 	for block := range config.Blocks {
 		f.progress("block %d of %d", block+1, config.Blocks)
-		plain, err := f.playPlain(2*block, config.Block, relay)
+		plain, err := f.playPlain(2*block, config.Block, forwarder)
 		if err != nil {
 			return err
 		}
-		alone, relayAlone = append(alone, plain.proxied), append(relayAlone, plain.relayed)
-		if plain, err = f.playBeside(2*block+1, config.Block, relay, result); err != nil {
+		alone, forwarderAlone = append(alone, plain.proxied), append(forwarderAlone, plain.forwarded)
+		if plain, err = f.playBeside(2*block+1, config.Block, forwarder, result); err != nil {
 			return err
 		}
-		beside, relayBeside = append(beside, plain.proxied), append(relayBeside, plain.relayed)
+		beside, forwarderBeside = append(beside, plain.proxied), append(forwarderBeside, plain.forwarded)
 	}
-	result.RelayAlone, result.RelayBeside = timesOf(relayAlone), timesOf(relayBeside)
+	result.ForwarderAlone, result.ForwarderBeside = timesOf(forwarderAlone), timesOf(forwarderBeside)
 	result.Alone, result.Beside = timesOf(alone), timesOf(beside)
 	result.P99Ratio = result.Beside.P99 / result.Alone.P99
 	result.P99RatioLow, result.P99RatioHigh = bootstrapRatio(alone, beside)
@@ -163,7 +163,7 @@
 
 // playBeside plays plain requests while model requests come faster than the
 // engines can answer them.
-func (f *Fleet) playBeside(block int, duration time.Duration, relay string, result *Interference) (plainBlock, error) {
+func (f *Fleet) playBeside(block int, duration time.Duration, forwarder string, result *Interference) (plainBlock, error) {
 	items, err := trace.Make(trace.Config{
 		Deployment: f.config.Deployment,
 		Seed:       f.config.Seed + uint64(block),
@@ -181,7 +181,7 @@
 	ended := make(chan caller.Report, 1)
 	go func() { ended <- f.playModel(ctx, block, items) }()
 	time.Sleep(settlePause)
-	plain, err := f.playPlain(block, duration, relay)
+	plain, err := f.playPlain(block, duration, forwarder)
 	stop()
 	report := <-ended
 	total := report.Total()
@@ -211,9 +211,9 @@
 }
 
 // playPlain sends plain requests at even times through each proxy in turn, and
-// those of one zone through the relay as well.
-func (f *Fleet) playPlain(block int, duration time.Duration, relay string) (plainBlock, error) {
-	played := plainBlock{proxied: &laneBlock{}, relayed: &laneBlock{}}
+// those of one zone through the forwarder as well.
+func (f *Fleet) playPlain(block int, duration time.Duration, forwarder string) (plainBlock, error) {
+	played := plainBlock{proxied: &laneBlock{}, forwarded: &laneBlock{}}
 	sample, err := f.plainItem()
 	if err != nil {
 		return played, err
@@ -240,9 +240,9 @@
 	for _, proxy := range f.layout.proxies {
 		play(proxy.address, proxy.zone, played.proxied)
 	}
-	play(relay, f.layout.proxies[0].zone, played.relayed)
+	play(forwarder, f.layout.proxies[0].zone, played.forwarded)
 	waiting.Wait()
-	for _, part := range []*laneBlock{played.proxied, played.relayed} {
+	for _, part := range []*laneBlock{played.proxied, played.forwarded} {
 		if len(part.times) < minimumBlockAnswers {
 			return played, errors.Errorf("fleet: only %d plain requests of a block were answered", len(part.times))
 		}
--- a/lab/fleet/start.go
+++ b/lab/fleet/start.go
@@ -119,7 +119,7 @@
 func (f *Fleet) stop(summary *Summary) error {
 	f.progress("stopping")
 	var failures []error
-	for _, prefixes := range [][]string{{prefixProxy, prefixRelay}, {prefixFeed}, {prefixEngine, prefixBackend}, {prefixControl}, {prefixPlatform}} {
+	for _, prefixes := range [][]string{{prefixProxy, prefixForwarder}, {prefixFeed}, {prefixEngine, prefixBackend}, {prefixControl}, {prefixPlatform}} {
 		failures = append(failures, f.run.stop(prefixes...)...)
 	}
 	for _, failure := range failures {
--- a/lab/relay/relay.go
+++ b/lab/forwarder/forwarder.go
@@ -1,6 +1,6 @@
-// Package relay is a plain HTTP relay, which knows nothing of engines, views or
+// Package forwarder is a plain HTTP forwarder, which knows nothing of engines, views or
 // claims: the measure for what the data path costs.
-package relay
+package forwarder
 
 import (
 	"context"
@@ -20,7 +20,7 @@
 	maxIdleConnections = 256
 )
 
-// Run relays every request to the target until ctx ends. It is the standard
+// Run forwards every request to the target until ctx ends. It is the standard
 // library's reverse proxy, which passes each piece of an answer on as it comes.
 func Run(ctx context.Context, listen, target string) error {
 	listener, err := net.Listen("tcp", listen)
@@ -30,10 +30,10 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	to := &url.URL{Scheme: "http", Host: target}
-	relay := &httputil.ReverseProxy{
+	forwarder := &httputil.ReverseProxy{
 		Rewrite:       func(request *httputil.ProxyRequest) { request.SetURL(to) },
 		Transport:     transport,
 		FlushInterval: -1,
 	}
-	return labhttp.Serve(ctx, listener, relay, stopTimeout, nil)
+	return labhttp.Serve(ctx, listener, forwarder, stopTimeout, nil)
 }
--- a/lab/relay/relay_test.go
+++ b/lab/forwarder/forwarder_test.go
@@ -1,4 +1,4 @@
-package relay
+package forwarder
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"github.com/shoenig/test/must"
 )
 
-func TestRelayPassesRequestsAndAnswersOn(t *testing.T) {
+func TestForwarderPassesRequestsAndAnswersOn(t *testing.T) {
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		_, _ = io.WriteString(w, r.Method+" "+r.URL.Path+" "+string(body))
