Keep one setting for the retention of claims

control.claimRetention never took effect, since each proxy asked for its own proxy.claimRetention, and two proxies could keep one key for different times. The group's setting stands alone now; a request that names a retention of its own (the library's claimants) still gets it. Tests of settings, proxy and commands pass.

--- a/process/proxy/claim.go
+++ b/process/proxy/claim.go
@@ -69,13 +69,12 @@
 	ctx, cancel := context.WithTimeout(ctx, p.config.Timeouts.Claim)
 	defer cancel()
 	request := state.ClaimRequest{
-		Tenant:    read.tenant,
-		Key:       read.key,
-		BodyHash:  bodyHash,
-		Attempt:   1,
-		Proxy:     p.config.ID,
-		Nonce:     rand.Uint64(),
-		Retention: p.config.Timeouts.ClaimRetention.Milliseconds(),
+		Tenant:   read.tenant,
+		Key:      read.key,
+		BodyHash: bodyHash,
+		Attempt:  1,
+		Proxy:    p.config.ID,
+		Nonce:    rand.Uint64(),
 	}
 	result, err := p.control.Claim(ctx, request)
 	if errors.Is(err, feed.ErrOutcomeUnknown) && ctx.Err() == nil {
--- a/process/proxy/config.go
+++ b/process/proxy/config.go
@@ -51,8 +51,6 @@
 	Cancel     time.Duration // telling an engine that nobody waits any more
 	// Deadline holds for requests whose class has none.
 	Deadline time.Duration
-	// ClaimRetention is how long the group remembers a claim.
-	ClaimRetention time.Duration
 }
 
 // Limits bound what a proxy holds. A zero field takes its default.
@@ -116,7 +114,6 @@
 	DefaultClaimTimeout      = 2 * time.Second
 	DefaultCancelTimeout     = time.Second
 	DefaultDeadline          = 60 * time.Second
-	DefaultClaimRetention    = 24 * time.Hour
 
 	DefaultBodyBytes    = 1 << 20
 	DefaultHeldBytes    = 64 << 20
@@ -171,7 +168,6 @@
 	t.Claim = cmp.Or(t.Claim, DefaultClaimTimeout)
 	t.Cancel = cmp.Or(t.Cancel, DefaultCancelTimeout)
 	t.Deadline = cmp.Or(t.Deadline, DefaultDeadline)
-	t.ClaimRetention = cmp.Or(t.ClaimRetention, DefaultClaimRetention)
 }
 
 func (l *Limits) setDefaults() {
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -58,7 +58,7 @@
 
 	MaxAffectedEngines     int           `yaml:"maxAffectedEngines" default:"8" min:"0" max:"100000" unit:"engines" usage:"Engines whose model or version one transaction may change unless it allows broad changes; 0: no bound."`
 	OperationRetention     time.Duration `yaml:"operationRetention" default:"24h" min:"1m" max:"8760h" usage:"How long the answer to an operation ID is kept."`
-	ClaimRetention         time.Duration `yaml:"claimRetention" default:"24h" min:"1m" max:"8760h" usage:"How long an at-most-once claim is kept that asks for no time of its own; the proxies ask for proxy.claimRetention."`
+	ClaimRetention         time.Duration `yaml:"claimRetention" default:"24h" min:"1m" max:"8760h" usage:"How long an at-most-once claim is kept; a key that comes again after it is a new request."`
 	MaxBodyBytes           int64         `yaml:"maxBodyBytes" default:"8388608" min:"1024" max:"1073741824" unit:"bytes" usage:"Longest body of an operator's request."`
 	SnapshotEntries        uint64        `yaml:"snapshotEntries" default:"10000" min:"16" max:"10000000" unit:"log entries" usage:"Entries applied between two snapshots; bounds the time of a restart."`
 	MaxDaemons             int           `yaml:"maxDaemons" default:"4096" min:"1" max:"100000" unit:"daemons" usage:"Daemons that may follow this member's feed."`
@@ -98,7 +98,6 @@
 	IdleTimeout       time.Duration `yaml:"idleTimeout" default:"2m" min:"1s" max:"1h" usage:"How long a caller's connection may stay without a request."`
 	ClaimTimeout      time.Duration `yaml:"claimTimeout" default:"2s" min:"10ms" max:"1m" usage:"Longest wait for the control group's answer to an at-most-once claim."`
 	DefaultDeadline   time.Duration `yaml:"defaultDeadline" default:"1m" min:"1ms" max:"24h" usage:"Deadline of requests that bring none and whose class has none."`
-	ClaimRetention    time.Duration `yaml:"claimRetention" default:"24h" min:"1m" max:"8760h" usage:"How long the group is asked to remember a claim."`
 
 	MaxBodyBytes   int64   `yaml:"maxBodyBytes" default:"1048576" min:"1024" max:"1073741824" unit:"bytes" usage:"Longest request body."`
 	MaxHeldBytes   int64   `yaml:"maxHeldBytes" default:"67108864" min:"1024" max:"1099511627776" unit:"bytes" usage:"Request bodies held at once for model services, and as much for plain back ends; what does not fit is refused."`
