--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -35,7 +35,7 @@
 	DefaultPollInterval    = 500 * time.Millisecond
 	DefaultChangeInterval  = 500 * time.Millisecond
 	DefaultRestartInterval = 2 * time.Second
-	DefaultEngineSilence   = 20 * time.Second
+	DefaultEngineSilence   = 5 * time.Second
 )
 
 // Config is what a scale run is made of.
@@ -54,8 +54,8 @@
 	PollInterval    time.Duration
 	ChangeInterval  time.Duration
 	RestartInterval time.Duration
-	// EngineSilence is the members' setting; at ten thousand engines one leader
-	// takes five seconds to ask all of them.
+	// EngineSilence is the members' setting; they wait three rounds of questions
+	// where these take longer.
 	EngineSilence time.Duration
 	Planner       string
 	// Product and Lab are the programs' paths, Data a folder for the members'
