--- a/process/proxy/bench_test.go
+++ b/process/proxy/bench_test.go
@@ -97,7 +97,7 @@
 	return server
 }
 
-// BenchmarkDataPath compares the proxy with a plain relay in the same run. Both
+// BenchmarkDataPath compares the proxy with a plain forwarder in the same run. Both
 // figures are without what caller and engine take when they talk directly.
 func BenchmarkDataPath(b *testing.B) {
 	cases := []struct {
