--- a/cmd/landingtrail-lab/main.go
+++ b/cmd/landingtrail-lab/main.go
@@ -1,5 +1,6 @@
 // Command landingtrail-lab is for development: stand-ins of the engines, back
-// ends and platform, a whole deployment on one machine, and the experiments.
+// ends and platform, a whole deployment on one machine, experiments, fault
+// campaigns and scale runs.
 package main
 
 import (
--- a/process/relay/demand.go
+++ b/process/relay/demand.go
@@ -46,7 +46,7 @@
 }
 
 func (s *demandSum) count(offered *feed.Demand) {
-	sum := s.sum(s.counts, offered)
+	sum := sumOf(s.counts, offered)
 	sum.Requests += offered.Requests
 	sum.PromptTokens += offered.PromptTokens
 	sum.CachedPromptTokens += offered.CachedPromptTokens
@@ -55,7 +55,8 @@
 	sum.Late += offered.Late
 }
 
-func (s *demandSum) sum(counts map[demandKey]*feed.Demand, offered *feed.Demand) *feed.Demand {
+// sumOf returns the sum that the offered demand belongs to.
+func sumOf(counts map[demandKey]*feed.Demand, offered *feed.Demand) *feed.Demand {
 	key := demandKey{intent: offered.Intent, class: offered.Class}
 	sum := counts[key]
 	if sum == nil {
@@ -81,7 +82,7 @@
 			continue
 		}
 		for i := range queue.demands {
-			sum := s.sum(sums, &queue.demands[i])
+			sum := sumOf(sums, &queue.demands[i])
 			sum.QueuedRequests += queue.demands[i].QueuedRequests
 			sum.QueuedPromptTokens += queue.demands[i].QueuedPromptTokens
 		}
