--- a/cmd/landingtrail/daemon.go
+++ b/cmd/landingtrail/daemon.go
@@ -101,6 +101,8 @@
 			EngineSilence: given.EngineSilence,
 			FailurePause:  given.FailurePause,
 			PlatformPoll:  given.PlatformInterval,
+			ProxySilence:  given.ProxySilence,
+			MemberSilence: given.MemberSilence,
 			Proposal:      given.ProposalTimeout,
 			Shutdown:      given.StopTimeout,
 		},
--- /dev/null
+++ b/connection/exchange/pool.go
@@ -0,0 +1,188 @@
+// Package exchange sends HTTP/1.1 requests whose bytes matter: method, target
+// and body reach the other side exactly as given, each request is written at
+// most once, and an answer counts as whole only if its framing says so.
+//
+// It stands on net/http's reader of answers but not on its Transport, which
+// sends a request again by itself, adds fields of its own, and may take bytes
+// that came after one answer for the beginning of the next.
+package exchange
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// Config holds what a Pool is created with. Zero values take the defaults.
+type Config struct {
+	DialTimeout time.Duration
+	// Unacknowledged is after which time without a word from the other machine
+	// a connection is given up, while anything is on its way.
+	Unacknowledged time.Duration
+	// IdleTimeout bounds how long a connection is kept where the other side
+	// names no time; IdleMargin is kept off a time that it names.
+	IdleTimeout time.Duration
+	IdleMargin  time.Duration
+	// MaxIdle bounds the idle connections to one address.
+	MaxIdle        int
+	MaxHeaderBytes int64
+}
+
+// Defaults of a Config.
+const (
+	DefaultDialTimeout    = 500 * time.Millisecond
+	DefaultUnacknowledged = 1500 * time.Millisecond
+	DefaultIdleTimeout    = 10 * time.Second
+	DefaultIdleMargin     = 700 * time.Millisecond
+	DefaultMaxIdle        = 16
+	DefaultMaxHeaderBytes = 64 << 10
+)
+
+func (c Config) withDefaults() Config {
+	defaults := Config{
+		DialTimeout:    DefaultDialTimeout,
+		Unacknowledged: DefaultUnacknowledged,
+		IdleTimeout:    DefaultIdleTimeout,
+		IdleMargin:     DefaultIdleMargin,
+		MaxIdle:        DefaultMaxIdle,
+		MaxHeaderBytes: DefaultMaxHeaderBytes,
+	}
+	if c.DialTimeout > 0 {
+		defaults.DialTimeout = c.DialTimeout
+	}
+	if c.Unacknowledged > 0 {
+		defaults.Unacknowledged = c.Unacknowledged
+	}
+	if c.IdleTimeout > 0 {
+		defaults.IdleTimeout = c.IdleTimeout
+	}
+	if c.IdleMargin > 0 {
+		defaults.IdleMargin = c.IdleMargin
+	}
+	if c.MaxIdle > 0 {
+		defaults.MaxIdle = c.MaxIdle
+	}
+	if c.MaxHeaderBytes > 0 {
+		defaults.MaxHeaderBytes = c.MaxHeaderBytes
+	}
+	return defaults
+}
+
+// Pool keeps idle connections by address. Pools share nothing.
+type Pool struct {
+	config Config
+	dialer net.Dialer
+
+	lock   sync.Mutex
+	closed bool
+	idle   map[string][]*conn // the one used last is the last
+}
+
+// NewPool returns an empty pool.
+func NewPool(config Config) *Pool {
+	config = config.withDefaults()
+	return &Pool{
+		config: config,
+		idle:   map[string][]*conn{},
+		dialer: net.Dialer{
+			Timeout: config.DialTimeout,
+			// A machine that has lost its power says nothing: keep-alive probes
+			// find that out while an answer is awaited.
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+			Control:         nil,
+		},
+	}
+}
+
+// Close closes the idle connections and keeps none from now on.
+func (p *Pool) Close() {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.closed = true
+	for address := range p.idle {
+		p.dropLocked(address)
+	}
+}
+
+// Drop closes the idle connections to an address, whose owner is gone.
+func (p *Pool) Drop(address string) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.dropLocked(address)
+}
+
+func (p *Pool) dropLocked(address string) {
+	for _, kept := range p.idle[address] {
+		_ = kept.Conn.Close() // nothing is under way on it
+	}
+	delete(p.idle, address)
+}
+
+// take returns an idle connection that is still good, or nil.
+func (p *Pool) take(address string) *conn {
+	for {
+		kept := p.pop(address)
+		if kept == nil {
+			return nil
+		}
+		if time.Now().Before(kept.usableUntil) && kept.quiet() {
+			return kept
+		}
+		_ = kept.Conn.Close() // it is of no use any more
+	}
+}
+
+func (p *Pool) pop(address string) *conn {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	last := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return last
+}
+
+// put keeps a connection whose last answer was read to its end.
+func (p *Pool) put(kept *conn) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	list := p.idle[kept.address]
+	if p.closed || len(list) >= p.config.MaxIdle {
+		_ = kept.Conn.Close() // there are enough
+		return
+	}
+	p.idle[kept.address] = append(list, kept)
+}
+
+// get returns a connection to the address, and whether it was used before.
+func (p *Pool) get(ctx context.Context, address string) (*conn, bool, error) {
+	if kept := p.take(address); kept != nil {
+		return kept, true, nil
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, false, errors.WithStack(err)
+	}
+	opened := newConn(raw, address)
+	opened.limitSilence(p.config.Unacknowledged)
+	return opened, false, nil
+}
+
+// limitSilence makes the kernel give up a connection on which written bytes
+// stay unacknowledged.
+func (c *conn) limitSilence(limit time.Duration) {
+	raw, err := c.raw()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(descriptor uintptr) {
+		// Without the option the connection merely hangs longer.
+		_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+	})
+}
--- a/connection/feed/client.go
+++ b/connection/feed/client.go
@@ -22,6 +22,12 @@
 	Zone   string
 	// Addresses are the feed addresses of the control members.
 	Addresses []string
+	// MoreAddresses returns further feed addresses, learned while running; nil
+	// returns none. It is asked before each round of tries.
+	MoreAddresses func() []string
+	// Presence returns what the daemon says of itself with each beat; nil says
+	// nothing.
+	Presence func() Presence
 	// BeatInterval is the time between two beats; the view lease should be
 	// several times as long.
 	BeatInterval time.Duration
@@ -155,6 +161,24 @@
 	}
 }
 
+// Announce tells the leader at once what Presence returns now, if the client is
+// connected; the next beat tells it in any case.
+func (c *Client) Announce() {
+	if c.config.Presence != nil {
+		c.ReportPresence(c.config.Presence())
+	}
+}
+
+// ReportPresence sends a proxy's word on itself if the client is connected and
+// its queue has room; it returns false when it was dropped.
+func (c *Client) ReportPresence(presence Presence) bool {
+	current := c.session.Load()
+	if current == nil {
+		return false
+	}
+	return current.enqueue(&outgoing{kind: kindPresence, payload: encodePresence(presence)})
+}
+
 // ReportDemand sends a report if the client is connected and its queue has
 // room. It returns false when the report was dropped; the caller may add it to
 // the next window.
--- a/connection/feed/follow.go
+++ b/connection/feed/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/frame"
@@ -18,7 +19,8 @@
 	for c.context.Err() == nil {
 		address := hint
 		if address == "" {
-			address = c.config.Addresses[next%len(c.config.Addresses)]
+			addresses := c.addresses()
+			address = addresses[next%len(addresses)]
 			next++
 		}
 		served, named, err := c.connect(address)
@@ -42,6 +44,20 @@
 	}
 }
 
+// addresses returns where members may be: those configured, then those learned.
+func (c *Client) addresses() []string {
+	if c.config.MoreAddresses == nil {
+		return c.config.Addresses
+	}
+	addresses := slices.Clone(c.config.Addresses)
+	for _, learned := range c.config.MoreAddresses() {
+		if !slices.Contains(addresses, learned) {
+			addresses = append(addresses, learned)
+		}
+	}
+	return addresses
+}
+
 // connect serves one connection to its end. It reports whether a leader served
 // it, and the address that the member named.
 func (c *Client) connect(address string) (served bool, named string, err error) {
--- a/connection/feed/group_test.go
+++ b/connection/feed/group_test.go
@@ -40,6 +40,7 @@
 	leased     bool
 	claim      func(state.ClaimRequest) (api.ClaimResult, error)
 	demand     []DemandReport
+	presences  []Presence
 }
 
 func newFakeGroup() *fakeGroup {
@@ -119,6 +120,12 @@
 	return nil
 }
 
+func (g *fakeGroup) ReportPresence(presence Presence) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.presences = append(g.presences, presence)
+}
+
 func (g *fakeGroup) ReportDemand(_ string, report DemandReport) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
--- a/connection/feed/messages.go
+++ b/connection/feed/messages.go
@@ -11,7 +11,7 @@
 )
 
 // Protocol is the preface of every feed connection.
-var Protocol = frame.Protocol{ID: 2, Version: 2}
+var Protocol = frame.Protocol{ID: 2, Version: 3}
 
 // Kinds of frames. A subscriber sends Subscribe first and once.
 const (
@@ -25,6 +25,7 @@
 	kindOutcome                            // subscriber: request ID, state.RunOutcome
 	kindOutcomeReply                       // server: request ID, replyCode
 	kindDemand                             // subscriber: DemandReport
+	kindPresence                           // subscriber: Presence
 )
 
 // Bounds of payloads in bytes. A server takes only small frames from
@@ -65,6 +66,32 @@
 // notLeader sends the subscriber to another member; the address may be empty.
 type notLeader struct{ address string }
 
+// Presence is a proxy's word on whether callers are to be sent to it.
+type Presence struct {
+	// Proxy is the proxy's name; it may reach the leader through a relay.
+	Proxy string
+	// Address is where callers reach the proxy, IP and port.
+	Address string
+	Zone    string
+	// Ready is false before the proxy can serve and from its planned stop on.
+	Ready bool
+}
+
+func encodePresence(message Presence) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.String(message.Proxy)
+	encoder.String(message.Address)
+	encoder.String(message.Zone)
+	encoder.Bool(message.Ready)
+	return encoder.Data()
+}
+
+func decodePresence(data []byte) (Presence, error) {
+	decoder := frame.NewDecoder(data)
+	message := Presence{Proxy: decoder.String(), Address: decoder.String(), Zone: decoder.String(), Ready: decoder.Bool()}
+	return message, decoder.Finish()
+}
+
 // replyCode says what became of a claim or an outcome at the server.
 type replyCode uint8
 
--- a/connection/feed/server.go
+++ b/connection/feed/server.go
@@ -42,6 +42,8 @@
 	Claim(ctx context.Context, request state.ClaimRequest) (api.ClaimResult, error)
 	RecordOutcome(ctx context.Context, outcome state.RunOutcome) error
 	ReportDemand(daemon string, report DemandReport)
+	// ReportPresence takes a proxy's word on itself; it comes again with each beat.
+	ReportPresence(presence Presence)
 }
 
 // ServerConfig holds what a Server is created with. Zero durations and bounds
--- a/connection/feed/session.go
+++ b/connection/feed/session.go
@@ -156,6 +156,11 @@
 	if err := writer.WriteFrame(kindBeat, encodeBeat(next)); err != nil {
 		return err
 	}
+	if presence := s.client.config.Presence; presence != nil {
+		if err := writer.WriteFrame(kindPresence, encodePresence(presence())); err != nil {
+			return err
+		}
+	}
 	return writer.Flush()
 }
 
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -140,6 +140,13 @@
 		}
 		s.server.config.Group.ReportDemand(s.key.daemon, report)
 		return nil
+	case kindPresence:
+		presence, err := decodePresence(received.Payload)
+		if err != nil {
+			return err
+		}
+		s.server.config.Group.ReportPresence(presence)
+		return nil
 	default:
 		return errors.Wrapf(errProtocol, "kind %d", received.Kind)
 	}
--- a/process/control/config.go
+++ b/process/control/config.go
@@ -44,6 +44,21 @@
 	// PlatformAddress is the IP and port of the platform's list of machines;
 	// without it no machine is taken for leaving or gone.
 	PlatformAddress string
+	// Found makes a member with an empty data folder start a new group of which
+	// it is the only voter; the others join it. At most one member is ever told
+	// so, and only at the first start of the whole system.
+	Found bool
+	// LossesToBear is how many members may be lost at once, disks included,
+	// without losing what was acknowledged. No Ingress is taken while the
+	// group's quorum is smaller than one more than that, and a member that stays
+	// away is dropped while enough others are left.
+	LossesToBear int
+	// Fleet is where the leader reads the replicas of routed services; nil
+	// where there are none.
+	Fleet FleetSource
+	// Extensions run beside the member from when it takes part in the group;
+	// their context ends after the planned stop.
+	Extensions []Extension
 
 	Durations Durations
 	Limits    Limits
@@ -74,6 +89,11 @@
 	FailurePause  time.Duration
 	// PlatformPoll is the pause between two reads of the machine list.
 	PlatformPoll time.Duration
+	// ProxySilence is how long a proxy that says nothing is still passed on to
+	// callers; MemberSilence how long a member may stay away before it is
+	// dropped from a group that has more than it needs.
+	ProxySilence  time.Duration
+	MemberSilence time.Duration
 	// Proposal bounds the wait for a commit.
 	Proposal time.Duration
 	// Shutdown bounds a planned stop.
@@ -119,6 +139,8 @@
 	DefaultEngineSilence = 5 * time.Second
 	DefaultFailurePause  = 30 * time.Second
 	DefaultPlatformPoll  = time.Second
+	DefaultProxySilence  = 3 * time.Second
+	DefaultMemberSilence = 8 * time.Second
 	DefaultProposal      = 5 * time.Second
 	DefaultShutdown      = 10 * time.Second
 
@@ -154,6 +176,8 @@
 	d.EngineSilence = cmp.Or(d.EngineSilence, DefaultEngineSilence)
 	d.FailurePause = cmp.Or(d.FailurePause, DefaultFailurePause)
 	d.PlatformPoll = cmp.Or(d.PlatformPoll, DefaultPlatformPoll)
+	d.ProxySilence = cmp.Or(d.ProxySilence, DefaultProxySilence)
+	d.MemberSilence = cmp.Or(d.MemberSilence, DefaultMemberSilence)
 	d.Proposal = cmp.Or(d.Proposal, DefaultProposal)
 	d.Shutdown = cmp.Or(d.Shutdown, DefaultShutdown)
 	return d
--- a/process/control/duties.go
+++ b/process/control/duties.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/connection/orders"
 	"github.com/landingtrail/landingtrail/process/controller"
+	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/planner"
 	"github.com/landingtrail/landingtrail/version/state"
@@ -27,6 +28,7 @@
 	logger    log.Logger
 	client    *orders.Client
 	platform  *platformReader
+	fleet     *fleetReader
 	wakeup    chan struct{}
 	stopping  chan struct{}
 	stopOnce  sync.Once
@@ -48,6 +50,10 @@
 	// nextPlan is when the next plan is due; commit is the commit index seen
 	// in the round before. Only the loop uses them.
 	nextPlan time.Duration
+	// startedAt is when the term began here, awaySince when each member that is
+	// not active now was first seen so. Only the loop uses them.
+	startedAt time.Duration
+	awaySince map[raft.MemberID]time.Duration
 
 	lock      sync.Mutex
 	machines  *state.Machines
@@ -64,6 +70,7 @@
 		logger:    logger,
 		client:    client,
 		platform:  newPlatformReader(g.config, logger),
+		fleet:     newFleetReader(g.config, logger),
 		wakeup:    make(chan struct{}, 1),
 		stopping:  make(chan struct{}),
 		stopped:   make(chan struct{}),
@@ -126,6 +133,7 @@
 	}
 	term := d.beginTerm(number)
 	d.tendMembers(ctx, term)
+	d.tendFleet(ctx, term)
 	d.reconcile(ctx, term)
 }
 
@@ -147,6 +155,7 @@
 		planner:   newPlanner(d.group.config.Planner),
 		failures:  map[string]controller.Failure{},
 		changedAt: map[string]time.Duration{},
+		awaySince: map[raft.MemberID]time.Duration{},
 	}
 	term.poller = orders.NewPoller(orders.PollerConfig{
 		Asker:    d.client,
@@ -156,6 +165,8 @@
 	})
 	term.actions = newActionRunner(d, term)
 	d.platform.start()
+	d.fleet.start(d.wake)
+	term.startedAt = monotonic()
 	d.termLock.Lock()
 	defer d.termLock.Unlock()
 	d.term = term
@@ -171,6 +182,7 @@
 		return
 	}
 	d.platform.stop()
+	d.fleet.stop()
 	term.actions.close()
 	term.poller.Close()
 }
--- /dev/null
+++ b/process/control/fleet.go
@@ -0,0 +1,231 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+
+	"github.com/go-kit/log"
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/pkg/errors"
+)
+
+// FleetSource is where the leader learns of the replicas of routed services.
+type FleetSource interface {
+	// Replicas returns all replicas that are listed now. The list may lag.
+	Replicas(ctx context.Context) ([]api.Replica, error)
+}
+
+// missesToRemove is how many lists in a row must lack a replica before it is
+// taken for gone: pages of one list are read at different moments, so a single
+// list may lack a replica that only moved between pages.
+const missesToRemove = 2
+
+// fleetReader reads the list while this member leads.
+type fleetReader struct {
+	config Config
+	logger log.Logger
+
+	lock sync.Mutex
+	// listed holds the replicas of the last list and those that were missed
+	// fewer times than missesToRemove; nil while no list was read.
+	listed map[string]listedReplica
+	failed bool
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+type listedReplica struct {
+	replica api.Replica
+	missed  int
+}
+
+func newFleetReader(config Config, logger log.Logger) *fleetReader {
+	return &fleetReader{config: config, logger: logger}
+}
+
+// start begins to read the list; nothing is known from an earlier leadership.
+// changed is called after each list that differs from the one before.
+func (f *fleetReader) start(changed func()) {
+	if f.config.Fleet == nil {
+		return
+	}
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.listed, f.failed = nil, false
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.done.Go(func() { f.run(ctx, changed) })
+}
+
+func (f *fleetReader) stop() {
+	if f.config.Fleet == nil {
+		return
+	}
+	f.cancel()
+	f.done.Wait()
+}
+
+func (f *fleetReader) run(ctx context.Context, changed func()) {
+	for {
+		asking, cancel := context.WithTimeout(ctx, f.config.Durations.EngineTimeout)
+		replicas, err := f.config.Fleet.Replicas(asking)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if f.keep(replicas, err) {
+			changed()
+		}
+		if sleep(ctx, f.config.Durations.PlatformPoll) != nil {
+			return
+		}
+	}
+}
+
+// keep takes a list in and reports whether it brought news. An empty list after
+// one with replicas is taken for a fault: to believe it would take the whole
+// fleet away at once.
+func (f *fleetReader) keep(replicas []api.Replica, err error) bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if err == nil && len(replicas) == 0 && len(f.listed) > 0 {
+		err = errors.New("control: the list of replicas is empty")
+	}
+	if err != nil {
+		if !f.failed {
+			event.FleetUnusable.Log(f.logger, "err", err)
+		}
+		f.failed = true
+		return false
+	}
+	if f.failed {
+		event.FleetReadable.Log(f.logger, "replicas", len(replicas))
+	}
+	f.failed = false
+	f.listed = mergeList(f.listed, replicas)
+	return true
+}
+
+// mergeList returns what is listed after another list was read.
+func mergeList(previous map[string]listedReplica, replicas []api.Replica) map[string]listedReplica {
+	next := make(map[string]listedReplica, len(replicas))
+	for _, replica := range replicas {
+		next[replica.Name] = listedReplica{replica: replica}
+	}
+	for name, known := range previous {
+		if _, found := next[name]; !found && known.missed+1 < missesToRemove {
+			known.missed++
+			next[name] = known
+		}
+	}
+	return next
+}
+
+// replicas returns what is listed, and false while no list was read.
+func (f *fleetReader) replicas() (map[string]listedReplica, bool) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.listed, f.listed != nil
+}
+
+// tendFleet commits what differs between the fleet as it is seen and as it is
+// recorded: the replicas on the list, and the proxies that take requests.
+func (d *duties) tendFleet(ctx context.Context, term *termDuties) {
+	if d.group.config.Fleet == nil {
+		return // no services are routed
+	}
+	current := d.group.machine.view()
+	var seen state.Observe
+	if listed, read := d.fleet.replicas(); read {
+		diffReplicas(&seen, current, listed)
+	}
+	now := monotonic()
+	silence := d.group.config.Durations.ProxySilence
+	heard := d.group.presence.heardSince(now - silence)
+	// Proxies of an earlier leadership get time to find this member.
+	diffProxies(&seen, current, heard, now-term.startedAt >= silence)
+	diffMembers(&seen, current, d.group.machine.members())
+	if len(seen.Put) == 0 && len(seen.Removed) == 0 {
+		return
+	}
+	_, err := d.group.propose(ctx, state.Command{Kind: state.CommandObserve, Observe: &seen})
+	event.FleetChanged.Log(d.logger, "put", fmt.Sprint(keysOf(seen.Put)), "removed", fmt.Sprint(seen.Removed), "err", err)
+}
+
+func keysOf(objects []api.Object) []api.Key {
+	keys := make([]api.Key, 0, len(objects))
+	for _, object := range objects {
+		key, _ := object.Key()
+		keys = append(keys, key)
+	}
+	return keys
+}
+
+func diffReplicas(seen *state.Observe, current *view.View, listed map[string]listedReplica) {
+	for _, name := range slices.Sorted(maps.Keys(listed)) {
+		replica := listed[name].replica
+		if recorded := current.Replicas[name]; recorded != nil && equalReplica(&recorded.Spec, &replica.Spec) {
+			continue
+		}
+		replica.Metadata = api.Metadata{Name: name}
+		seen.Put = append(seen.Put, api.Object{Replica: &replica})
+	}
+	for _, name := range slices.Sorted(maps.Keys(current.Replicas)) {
+		if _, found := listed[name]; !found {
+			seen.Removed = append(seen.Removed, api.Key{Kind: api.KindReplica, Name: name})
+		}
+	}
+}
+
+func equalReplica(a, b *api.ReplicaSpec) bool {
+	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots &&
+		a.Leaving == b.Leaving && a.Role == b.Role && slices.Equal(a.Models, b.Models)
+}
+
+// diffMembers keeps the members that daemons may follow equal to those recorded.
+func diffMembers(seen *state.Observe, current *view.View, members []state.Member) {
+	recorded := map[string]bool{}
+	for _, member := range members {
+		name := strconv.FormatUint(member.ID, 16)
+		recorded[name] = true
+		wanted := api.MemberSpec{FeedAddress: member.FeedAddress, OperatorAddress: member.OperatorAddress}
+		if known := current.Members[name]; known != nil && known.Spec == wanted {
+			continue
+		}
+		seen.Put = append(seen.Put, api.Object{Member: &api.Member{Metadata: api.Metadata{Name: name}, Spec: wanted}})
+	}
+	for _, name := range slices.Sorted(maps.Keys(current.Members)) {
+		if !recorded[name] {
+			seen.Removed = append(seen.Removed, api.Key{Kind: api.KindMember, Name: name})
+		}
+	}
+}
+
+// diffProxies adds the proxies that are ready and removes those that say that
+// they are not, and, when settled, those that say nothing.
+func diffProxies(seen *state.Observe, current *view.View, heard map[string]feed.Presence, settled bool) {
+	for _, name := range slices.Sorted(maps.Keys(heard)) {
+		presence := heard[name]
+		wanted := api.ProxySpec{Address: presence.Address, Zone: presence.Zone}
+		recorded := current.Proxies[name]
+		if !presence.Ready || recorded != nil && recorded.Spec == wanted {
+			continue
+		}
+		seen.Put = append(seen.Put, api.Object{Proxy: &api.Proxy{Metadata: api.Metadata{Name: name}, Spec: wanted}})
+	}
+	for _, name := range slices.Sorted(maps.Keys(current.Proxies)) {
+		presence, spoke := heard[name]
+		if spoke && !presence.Ready || !spoke && settled {
+			seen.Removed = append(seen.Removed, api.Key{Kind: api.KindProxy, Name: name})
+		}
+	}
+}
--- a/process/control/forward.go
+++ b/process/control/forward.go
@@ -113,12 +113,16 @@
 	_, _ = w.Write(body) // the caller is told of a cut answer by its length
 }
 
+// neverSent reports whether the connection for a request was never made.
+func neverSent(err error) bool {
+	var dialing *net.OpError
+	return errors.As(err, &dialing) && dialing.Op == "dial"
+}
+
 // writeForwardError answers for a leader that gave no whole answer. A read, or
 // a request whose connection was never made, surely changed nothing.
 func writeForwardError(w http.ResponseWriter, r *http.Request, address string, err error) {
-	var dialing *net.OpError
-	neverSent := errors.As(err, &dialing) && dialing.Op == "dial"
-	if r.Method == http.MethodGet || neverSent {
+	if r.Method == http.MethodGet || neverSent(err) {
 		writeNoQuorum(w, "the leader does not answer", address)
 		return
 	}
--- a/process/control/founding.go
+++ b/process/control/founding.go
@@ -35,6 +35,9 @@
 // configuration returns the configuration to start with; it is empty for a
 // member that has to join. The error is that of ctx.
 func (e *entry) configuration(ctx context.Context) (raft.Configuration, error) {
+	if e.config.Found {
+		return raft.Configuration{Voters: []raft.MemberID{e.self}}, nil
+	}
 	if e.config.Join {
 		return raft.Configuration{}, nil
 	}
@@ -116,7 +119,7 @@
 }
 
 // joinPause is the wait between two requests to be taken in.
-const joinPause = time.Second
+const joinPause = 250 * time.Millisecond
 
 // join asks the group to take this member in, until it is a member.
 func (m *member) join(ctx context.Context) {
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/process/replica"
@@ -22,8 +23,11 @@
 	machine *machine
 	config  Config
 	demand  *demandTable
-	metrics *metrics
-	clock   groupClock
+	// presence is what proxies say of themselves to this member.
+	presence *presenceTable
+	metrics  *metrics
+	logger   log.Logger
+	clock    groupClock
 	// ledTerm is the last term for which this member has held a valid lease,
 	// and therefore has applied everything that earlier leaders committed.
 	ledTerm atomic.Uint64
@@ -170,6 +174,9 @@
 	g.demand.add(daemon, report, time.Now())
 }
 
+// ReportPresence keeps a proxy's word on itself.
+func (g *group) ReportPresence(presence feed.Presence) { g.presence.note(presence, monotonic()) }
+
 // leaseReads lets any number of callers share lease reads. A caller gets the
 // answer of a read that was started after its call, so a shared answer is as
 // good as one of its own.
--- /dev/null
+++ b/process/control/ingress.go
@@ -0,0 +1,201 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/landingtrail/landingtrail/connection/operatorapi"
+	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/pkg/errors"
+)
+
+// Errors of Access.
+var (
+	// ErrUnavailable says that the group surely did not take the request: ask again.
+	ErrUnavailable = errors.New("control: the group does not take the request now")
+	// ErrOutcomeUnknown says that the request may have been carried out, or may be.
+	ErrOutcomeUnknown = errors.New("control: the outcome is unknown")
+)
+
+// Extension serves something beside a member, until its context ends.
+type Extension func(ctx context.Context, group *Access)
+
+// Access is the group as an Extension uses it. Any member takes any call; a
+// call that needs the leader is handed on to it once.
+type Access struct{ member *member }
+
+// ReplaceIngress commits the spec and returns what holds then. Errors:
+// ErrUnavailable, ErrOutcomeUnknown.
+func (a *Access) ReplaceIngress(ctx context.Context, spec api.IngressSpec) (api.ReplaceResult, error) {
+	current := a.member.group.Load()
+	if current.Leadership().Leads {
+		return current.replaceIngress(ctx, spec)
+	}
+	body, err := json.Marshal(spec)
+	if err != nil {
+		return api.ReplaceResult{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	var result api.ReplaceResult
+	err = a.askLeader(ctx, http.MethodPost, operatorapi.PathIngress, body, &result)
+	return result, err
+}
+
+// Ingress returns the newest accepted Ingress, nil if there is none. The error
+// is ErrUnavailable unless it is surely the newest.
+func (a *Access) Ingress(ctx context.Context) (*api.Ingress, error) {
+	current := a.member.group.Load()
+	if current.Leadership().Leads {
+		if _, valid := current.Lease(ctx); !valid {
+			return nil, errors.Wrap(ErrUnavailable, "the leader lease is not valid")
+		}
+		return current.machine.view().Ingresses[api.IngressName], nil
+	}
+	var list operatorapi.ObjectList
+	if err := a.askLeader(ctx, http.MethodGet, operatorapi.PathObjects+"/"+string(api.KindIngress), nil, &list); err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	for _, object := range list.Objects {
+		if object.Ingress != nil {
+			return object.Ingress, nil
+		}
+	}
+	return nil, nil
+}
+
+// Proxies returns the proxies that take requests as this member knows them; it
+// asks nobody, and the answer may lag.
+func (a *Access) Proxies() map[string]*api.Proxy { return a.member.machine.view().Proxies }
+
+// askLeader hands a call on to the leader.
+func (a *Access) askLeader(ctx context.Context, method, path string, body []byte, answer any) error {
+	address := a.leaderAddress()
+	if address == "" {
+		return errors.Wrap(ErrUnavailable, "no leader is known")
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(operatorapi.HeaderForwarded, a.member.config.Name)
+	response, err := a.member.operator.forwarding.Do(request)
+	if err != nil {
+		return forwardFailure(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxForwardedAnswer))
+	if err != nil {
+		return errors.Wrap(ErrOutcomeUnknown, err.Error())
+	}
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusUnprocessableEntity:
+		return errors.Wrap(json.Unmarshal(data, answer), "control: the leader's answer")
+	case http.StatusServiceUnavailable:
+		return errors.Wrapf(ErrUnavailable, "%s", data)
+	default:
+		return errors.Wrapf(ErrOutcomeUnknown, "status %d: %s", response.StatusCode, data)
+	}
+}
+
+func (a *Access) leaderAddress() string {
+	leader := a.member.replica.Status().Leader
+	if leader == raft.None || leader == a.member.id {
+		return ""
+	}
+	member, _ := a.member.addresses.find(leader)
+	return member.OperatorAddress
+}
+
+// forwardFailure tells a call that was never sent from one that may have been.
+func forwardFailure(err error) error {
+	if neverSent(err) {
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return errors.Wrap(ErrOutcomeUnknown, err.Error())
+}
+
+// replaceIngress commits the spec if it is valid and the group can bear the
+// losses it must: an acknowledgement by a smaller group would not survive them.
+func (g *group) replaceIngress(ctx context.Context, spec api.IngressSpec) (api.ReplaceResult, error) {
+	if faults := api.ValidateIngress(&spec); len(faults) > 0 {
+		event.IngressRefused.Log(g.logger, "generation", spec.Generation, "faults", len(faults), "first", faults[0].Field+" "+faults[0].Message)
+		return api.ReplaceResult{Code: api.ReplaceInvalid, Faults: faults}, nil
+	}
+	if status := g.replica.Status(); !g.bearsLosses(status) {
+		event.IngressNotTaken.Log(g.logger, "generation", spec.Generation, "voters", len(status.Configuration.Voters), "err", "too few voters")
+		return api.ReplaceResult{}, errors.Wrap(ErrUnavailable, "the group is not complete yet")
+	}
+	value, err := g.propose(ctx, state.Command{Kind: state.CommandReplaceIngress, ReplaceIngress: &spec})
+	if err != nil {
+		event.IngressNotTaken.Log(g.logger, "generation", spec.Generation, "err", err)
+		if surelyNotProposed(err) {
+			return api.ReplaceResult{}, errors.Wrap(ErrUnavailable, err.Error())
+		}
+		return api.ReplaceResult{}, errors.Wrap(ErrOutcomeUnknown, err.Error())
+	}
+	result := value.(api.ReplaceResult)
+	event.IngressReplaced.Log(g.logger, "generation", spec.Generation, "outcome", result.Code, "held", result.Generation)
+	return result, nil
+}
+
+// bearsLosses reports whether each quorum of the group outlives the losses that
+// must be borne.
+func (g *group) bearsLosses(status raft.Status) bool {
+	quorum := len(status.Configuration.Voters)/2 + 1
+	return quorum > g.config.LossesToBear
+}
+
+// votersWanted is how many voters it takes so that the group goes on after the
+// losses that must be borne.
+func (g *group) votersWanted() int { return 2*g.config.LossesToBear + 1 }
+
+// replaceIngress serves the operator API's call on the leader.
+func (s *operatorServer) replaceIngress(w http.ResponseWriter, r *http.Request, body []byte) {
+	var spec api.IngressSpec
+	if fault := decodeBody(body, &spec); fault != nil {
+		writeInvalidBody(w, *fault)
+		return
+	}
+	result, err := s.member.group.Load().replaceIngress(r.Context(), spec)
+	switch {
+	case err == nil && result.Code == api.ReplaceInvalid:
+		writeJSON(w, http.StatusUnprocessableEntity, result)
+	case err == nil:
+		writeJSON(w, http.StatusOK, result)
+	case errors.Is(err, ErrUnavailable):
+		writeNoQuorum(w, err.Error(), "")
+	default:
+		writeUnknown(w, "")
+	}
+}
+
+// minimumNear is how many proxies of a caller's zone there must be for the
+// caller to be sent to these alone.
+const minimumNear = 2
+
+// ProxyAddresses returns where a caller in the zone is to connect: to at most so
+// many proxies, those of its own zone where there are enough of them. Names
+// order the proxies, so that equal states give equal answers.
+func (a *Access) ProxyAddresses(zone string, most int) []string {
+	proxies := a.Proxies()
+	var near, all []string
+	for _, name := range slices.Sorted(maps.Keys(proxies)) {
+		spec := &proxies[name].Spec
+		all = append(all, spec.Address)
+		if spec.Zone == zone {
+			near = append(near, spec.Address)
+		}
+	}
+	if len(near) >= minimumNear {
+		all = near
+	}
+	return all[:min(most, len(all))]
+}
--- a/process/control/membership.go
+++ b/process/control/membership.go
@@ -37,7 +37,43 @@
 	if d.promoteLearner(ctx, status) {
 		return
 	}
-	d.removeReplaced(ctx, status)
+	if d.removeReplaced(ctx, status) {
+		return
+	}
+	d.removeLost(ctx, term, status)
+}
+
+// removeLost drops a voter that has been away for the member silence, as long
+// as more voters are left than it takes to bear the losses asked for: then a
+// successor has joined, and to go on counting the lost one would only make
+// quorums harder to reach. The quorums of the configurations before and after
+// share a member, as with every change of one voter.
+func (d *duties) removeLost(ctx context.Context, term *termDuties, status raft.Status) {
+	if d.group.config.LossesToBear == 0 {
+		return // an operator tends such a group
+	}
+	now := monotonic()
+	var lost raft.MemberID
+	for _, voter := range status.Configuration.Voters {
+		if voter == status.ID || status.RecentlyActive[voter] {
+			delete(term.awaySince, voter)
+			continue
+		}
+		if _, known := term.awaySince[voter]; !known {
+			term.awaySince[voter] = now
+		}
+		if now-term.awaySince[voter] >= d.group.config.Durations.MemberSilence {
+			lost = voter
+		}
+	}
+	if lost == raft.None || len(status.Configuration.Voters) <= d.group.votersWanted() {
+		return
+	}
+	member := d.group.address(lost)
+	member.ID = uint64(lost)
+	if d.group.removeMember(ctx, member, status) == nil {
+		event.MemberRemoved.Log(d.logger, "id", member.ID, "member", member.Name, "away", now-term.awaySince[lost])
+	}
 }
 
 // recordAddresses commits the addresses of a member that the state lacks.
@@ -85,8 +121,9 @@
 	return false
 }
 
-// removeReplaced removes one identity whose name an active voter bears by now.
-func (d *duties) removeReplaced(ctx context.Context, status raft.Status) {
+// removeReplaced removes one identity whose name an active voter bears by now;
+// false when there is none.
+func (d *duties) removeReplaced(ctx context.Context, status raft.Status) bool {
 	for _, member := range d.group.machine.members() {
 		id := raft.MemberID(member.ID)
 		if status.RecentlyActive[id] || id == status.ID || !d.isReplaced(member, status) {
@@ -95,8 +132,9 @@
 		if d.group.removeMember(ctx, member, status) == nil {
 			event.MemberRemoved.Log(d.logger, "id", member.ID, "member", member.Name)
 		}
-		return
+		return true
 	}
+	return false
 }
 
 // isReplaced reports whether an active voter has the member's name.
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -205,6 +205,9 @@
 	m.background.Go(func() { m.findAddresses(work) })
 	m.background.Go(func() { m.join(work) })
 	m.background.Go(func() { m.duties.run(work) })
+	for _, extension := range m.config.Extensions {
+		m.background.Go(func() { extension(work, &Access{member: m}) })
+	}
 	return nil
 }
 
@@ -230,11 +233,13 @@
 	m.replica = started
 	m.initialized.Store(true)
 	m.group.Store(&group{
-		replica: started,
-		machine: m.machine,
-		config:  m.config,
-		demand:  newDemandTable(time.Now()),
-		metrics: m.metrics,
+		replica:  started,
+		machine:  m.machine,
+		config:   m.config,
+		demand:   newDemandTable(time.Now()),
+		presence: newPresenceTable(),
+		metrics:  m.metrics,
+		logger:   m.logger,
 	})
 	return nil
 }
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -51,6 +51,19 @@
 	PlatformUnusable = define(1211, "platform_unusable", Warn,
 		"The platform's list of machines could not be read; the last list stands.",
 		"Check the platform's address.")
+	FleetChanged = define(1212, "fleet_changed", Info,
+		"The replicas on the platform's list or the proxies that take requests have changed; the change is committed.", "")
+	FleetUnusable = define(1213, "fleet_unusable", Warn,
+		"The platform's list of replicas could not be read; the last list stands.",
+		"Check the platform's address, and whether its rate of calls is used up.")
+	FleetReadable   = define(1214, "fleet_readable", Info, "The platform's list of replicas can be read again.", "")
+	IngressReplaced = define(1310, "ingress_replaced", Info,
+		"A whole configuration of routes was proposed; the outcome says whether it holds now.", "")
+	IngressRefused = define(1311, "ingress_refused", Info,
+		"A whole configuration of routes was invalid and changed nothing.", "Read the faults.")
+	IngressNotTaken = define(1312, "ingress_not_taken", Warn,
+		"A whole configuration of routes was not taken, or its outcome is not known.",
+		"Send it again; if it repeats, check that the group has a leader and enough members.")
 	OperatorRequestFailed = define(1300, "operator_request_failed", Warn,
 		"An operator request could not be served.", "")
 )
--- a/process/event/relay.go
+++ b/process/event/relay.go
@@ -1,6 +1,6 @@
 package event
 
-// Events of the relay daemon: numbers 4000 to 4999.
+// Events of the relay daemon: numbers 4000 to 4499.
 var (
 	RelayStarted  = define(4000, "relay_started", Info, "The relay takes daemons once it has a view lease of its own.", "")
 	RelayStopped  = define(4001, "relay_stopped", Info, "The relay has sent its daemons on and stopped.", "")
--- /dev/null
+++ b/process/ingress/config.go
@@ -0,0 +1,98 @@
+package ingress
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/pkg/errors"
+)
+
+// ErrConfig says that the configuration is of no use.
+var ErrConfig = errors.New("ingress: invalid configuration")
+
+// Config is what the data path runs with. Zero values take the defaults.
+type Config struct {
+	Name string
+	Zone string
+	// ListenAddress is where callers connect, ReadyAddress where health is
+	// asked for, MetricsAddress where metrics are read; IP and port.
+	ListenAddress  string
+	ReadyAddress   string
+	ReadyPath      string
+	MetricsAddress string
+	// FeedAddresses returns where members of the control group may be.
+	FeedAddresses []string
+
+	Retry    RetryBudget
+	Drain    Drain
+	Dialect  Dialect
+	Timeouts Timeouts
+}
+
+// RetryBudget bounds what all proxies together send beyond the first send of
+// each request: within any window, a share of the requests plus a reserve.
+type RetryBudget struct {
+	Share   float64
+	Reserve float64
+	Window  time.Duration
+}
+
+// Drain times a planned stop.
+type Drain struct {
+	// Notice is how long the proxy goes on taking requests after it has said
+	// that it is leaving, Limit when the process has ended at the latest.
+	Notice time.Duration
+	Limit  time.Duration
+}
+
+// Timeouts bound waits of the data path.
+type Timeouts struct {
+	Header time.Duration // of a caller's head
+	Idle   time.Duration // of a caller's connection
+	// Transit is what is kept off a deadline for the way back.
+	Transit time.Duration
+}
+
+// Defaults of a Config.
+const (
+	DefaultHeaderTimeout = 10 * time.Second
+	DefaultIdleTimeout   = 60 * time.Second
+	DefaultTransit       = 10 * time.Millisecond
+	DefaultNotice        = 4500 * time.Millisecond
+	DefaultDrainLimit    = 7500 * time.Millisecond
+	DefaultRetryShare    = 0.1
+	DefaultRetryReserve  = 50
+	DefaultRetryWindow   = 10 * time.Second
+	defaultReadyPath     = "/readyz"
+	defaultMaxBodyBytes  = 8 << 20
+)
+
+// WithDefaults returns the configuration with zero values filled in.
+func (c Config) WithDefaults() Config {
+	c.ReadyPath = cmp.Or(c.ReadyPath, defaultReadyPath)
+	c.Retry.Share = cmp.Or(c.Retry.Share, DefaultRetryShare)
+	c.Retry.Reserve = cmp.Or(c.Retry.Reserve, DefaultRetryReserve)
+	c.Retry.Window = cmp.Or(c.Retry.Window, DefaultRetryWindow)
+	c.Drain.Notice = cmp.Or(c.Drain.Notice, DefaultNotice)
+	c.Drain.Limit = cmp.Or(c.Drain.Limit, DefaultDrainLimit)
+	c.Timeouts.Header = cmp.Or(c.Timeouts.Header, DefaultHeaderTimeout)
+	c.Timeouts.Idle = cmp.Or(c.Timeouts.Idle, DefaultIdleTimeout)
+	c.Timeouts.Transit = cmp.Or(c.Timeouts.Transit, DefaultTransit)
+	return c
+}
+
+// Check returns every fault of the configuration.
+func (c Config) Check() []api.FieldFault {
+	var faults []api.FieldFault
+	need := func(field string, ok bool) {
+		if !ok {
+			faults = append(faults, api.FieldFault{Field: field, Message: "is required"})
+		}
+	}
+	need("name", c.Name != "")
+	need("listenAddress", c.ListenAddress != "")
+	need("feedAddresses", len(c.FeedAddresses) > 0)
+	need("dialect", c.Dialect != nil)
+	return faults
+}
--- /dev/null
+++ b/process/ingress/events.go
@@ -0,0 +1,74 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// errEventTooLarge says that an event is longer than the bound.
+var errEventTooLarge = errors.New("ingress: stream event too large")
+
+// errEventCut says that a stream ended inside an event.
+var errEventCut = errors.New("ingress: stream ended inside an event")
+
+// eventReader reads whole server-sent events and keeps their bytes.
+type eventReader struct {
+	reader *bufio.Reader
+	event  []byte
+	id     string
+}
+
+// eventBufferBytes holds several events.
+const eventBufferBytes = 4 << 10
+
+func newEventReader(source io.Reader) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(source, eventBufferBytes)}
+}
+
+// next reads one event with the blank line that ends it. The bytes are valid
+// until the next call. io.EOF comes only at the border of an event and only
+// where the source ended well.
+func (r *eventReader) next() (event []byte, id string, err error) {
+	r.event, r.id = r.event[:0], ""
+	for {
+		start := len(r.event)
+		ended, err := r.readLine()
+		if err != nil {
+			if err == io.EOF && len(r.event) > 0 {
+				err = errEventCut
+			}
+			return nil, "", err
+		}
+		line := bytes.TrimRight(r.event[start:], "\r\n")
+		if ended && len(line) == 0 {
+			return r.event, r.id, nil
+		}
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			r.id = string(bytes.TrimPrefix(value, []byte(" ")))
+		}
+	}
+}
+
+// readLine appends one line with its end to the event.
+func (r *eventReader) readLine() (ended bool, err error) {
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		r.event = append(r.event, part...)
+		if len(r.event) > maxEventBytes {
+			return false, errEventTooLarge
+		}
+		switch {
+		case err == nil:
+			return true, nil
+		case errors.Is(err, bufio.ErrBufferFull):
+		default:
+			return false, err
+		}
+	}
+}
--- /dev/null
+++ b/process/ingress/ingress.go
@@ -0,0 +1,239 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/request/attempt"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/pkg/errors"
+)
+
+// Views is the version of the replicated state that the ingress acts on.
+type Views interface {
+	Load() *view.View
+}
+
+// Ingress is the state of one ingress process.
+type Ingress struct {
+	config Config
+	logger log.Logger
+	views  Views
+	clock  func() time.Duration
+	lanes  *lanes
+	table  atomic.Pointer[tableAt]
+	// stopping is set once answers must ask callers to close connections.
+	stopping atomic.Bool
+	inFlight atomic.Int64
+	metrics  *metrics
+}
+
+// tableAt is the route table of one version of the view.
+type tableAt struct {
+	version view.Version
+	ingress *api.Ingress
+	routes  *routeTable
+}
+
+// New returns an ingress over the views. Close ends it.
+func New(config Config, views Views, clock func() time.Duration, logger log.Logger) *Ingress {
+	config = config.WithDefaults()
+	made := &Ingress{
+		config: config, logger: logger, views: views, clock: clock,
+		lanes: newLanes(config), metrics: newMetrics(),
+	}
+	made.table.Store(&tableAt{routes: newRouteTable(nil)})
+	return made
+}
+
+// Close closes the idle connections.
+func (i *Ingress) Close() { i.lanes.close() }
+
+func (i *Ingress) now() time.Duration { return i.clock() }
+
+// routes returns the route table of the view that is held now.
+func (i *Ingress) routes() *routeTable {
+	current := i.views.Load()
+	known := i.table.Load()
+	if known.version == current.Version {
+		return known.routes
+	}
+	i.lanes.update(current)
+	held := current.Ingresses[api.IngressName]
+	next := &tableAt{version: current.Version, ingress: held, routes: known.routes}
+	if held != known.ingress {
+		next.routes = newRouteTable(held)
+		event.IngressInForce.Log(i.logger, "generation", next.routes.generation, "routes", len(held.Spec.Routes),
+			"revision", current.Version.Revision, "term", current.Version.Term)
+	}
+	i.table.Store(next)
+	return next.routes
+}
+
+// Ready reports whether callers may be sent here.
+func (i *Ingress) Ready() bool { return !i.stopping.Load() && i.routes().generation > 0 }
+
+// presence is what the ingress says of itself to the control group.
+func (i *Ingress) presence() feed.Presence {
+	return feed.Presence{Proxy: i.config.Name, Address: i.config.ListenAddress, Zone: i.config.Zone, Ready: i.Ready()}
+}
+
+// ServeHTTP takes one caller's request.
+func (i *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	i.inFlight.Add(1)
+	defer i.inFlight.Add(-1)
+	arrived := i.now()
+	if i.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	routes := i.routes()
+	call, refusal := i.read(w, r, routes)
+	if refusal != nil {
+		i.config.Dialect.Refusal(w.Header(), &call, refusal.retryAfter)
+		writeOwn(w, refusal.status, refusal.cause)
+		i.logRefusal(&call, routes, refusal)
+		return
+	}
+	route := routes.find(call.Host, call.Path)
+	if route == nil {
+		refusal = noRoute(routes)
+		i.config.Dialect.Refusal(w.Header(), &call, refusal.retryAfter)
+		writeOwn(w, refusal.status, refusal.cause)
+		i.logRefusal(&call, routes, refusal)
+		return
+	}
+	i.serve(w, r, call, route, routes.generation, arrived)
+}
+
+// ownRefusal is an answer that is given before any replica was asked.
+type ownRefusal struct {
+	status     int
+	cause      string
+	retryAfter time.Duration
+}
+
+// noRoute tells a request that no route takes from one that came before this
+// process knew any route.
+func noRoute(routes *routeTable) *ownRefusal {
+	if routes.generation == 0 {
+		return &ownRefusal{status: http.StatusServiceUnavailable, cause: "no_configuration", retryAfter: defaultRetryAfter}
+	}
+	return &ownRefusal{status: http.StatusNotFound, cause: "no_route"}
+}
+
+// read takes the caller's request in whole.
+func (i *Ingress) read(w http.ResponseWriter, r *http.Request, routes *routeTable) (Call, *ownRefusal) {
+	call, err := i.config.Dialect.Call(r.Header)
+	if err != nil {
+		return call, &ownRefusal{status: http.StatusBadRequest, cause: "invalid_fields"}
+	}
+	call.Method = r.Method
+	call.Target = r.RequestURI
+	call.Path = rawPath(r.RequestURI)
+	call.Host = r.Host
+	call.Chunked = len(r.TransferEncoding) > 0
+	stripConnectionFields(call.Header)
+	limit := routes.maxBodyBytes()
+	if r.ContentLength > limit {
+		return call, &ownRefusal{status: http.StatusRequestEntityTooLarge, cause: "body_too_large"}
+	}
+	call.Body, err = readBody(w, r, limit)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return call, &ownRefusal{status: http.StatusRequestEntityTooLarge, cause: "body_too_large"}
+	case err != nil:
+		return call, &ownRefusal{status: http.StatusBadRequest, cause: "body_cut"}
+	}
+	return call, nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if r.ContentLength > 0 {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+}
+
+// rawPath is the path of a request target as it was sent.
+func rawPath(target string) string {
+	if rest, absolute := strings.CutPrefix(target, "http://"); absolute {
+		if slash := strings.IndexByte(rest, '/'); slash >= 0 {
+			target = rest[slash:]
+		}
+	}
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+// stripConnectionFields removes the fields that concern the caller's connection,
+// those that its Connection field names among them.
+func stripConnectionFields(header http.Header) {
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionFields {
+		header.Del(name)
+	}
+}
+
+// serve sees a routed request through.
+func (i *Ingress) serve(w http.ResponseWriter, r *http.Request, call Call, route *api.Route, generation uint64, arrived time.Duration) {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	service := chooseService(route, random)
+	s := &session{
+		ingress: i, writer: w, call: call, route: route, lane: i.lanes.lane(service), random: random,
+		generation: generation, arrived: arrived, excluded: map[string]bool{},
+		life: attempt.New(attempt.Policy{
+			Once:     !route.Idempotent(),
+			Attempts: max(route.Attempts, 1) + maxDials + 1,
+		}),
+	}
+	timeout := time.Duration(route.TimeoutMilliseconds) * time.Millisecond
+	s.deadline = arrived + timeout
+	s.callerEnds = s.deadline
+	if call.Within > 0 {
+		s.callerEnds = arrived + call.Within
+		s.deadline = min(s.deadline, s.callerEnds)
+	}
+	ctx, cancel := context.WithTimeoutCause(r.Context(), s.left(), errTimeout)
+	defer cancel()
+	s.life.Dispatch()
+	s.lane.budget.Request(arrived)
+	status := s.run(ctx)
+	i.finish(s, service, status)
+	if status == 0 || status == statusCallerGone {
+		panic(http.ErrAbortHandler) // cuts the connection: what was sent must not look whole
+	}
+}
+
+// finish counts and logs how a request ended.
+func (i *Ingress) finish(s *session, service string, status int) {
+	took := i.now() - s.arrived
+	i.metrics.observe(s.route.Name, outcomeOf(status), took)
+	event.RequestEnded.Log(i.logger, "request", s.call.ID, "route", s.route.Name, "service", service,
+		"generation", s.generation, "status", status, "took_ms", took.Milliseconds(), "sends", s.sends,
+		"events", s.events, "tokens", s.call.Work.PromptTokens, "tried", strings.TrimSpace(s.trace.String()))
+}
+
+func (i *Ingress) logRefusal(call *Call, routes *routeTable, refusal *ownRefusal) {
+	i.metrics.observe("", outcomeOf(refusal.status), 0)
+	event.RequestRefused.Log(i.logger, "request", call.ID, "host", call.Host, "path", call.Path,
+		"generation", routes.generation, "status", refusal.status, "cause", refusal.cause)
+}
--- /dev/null
+++ b/process/ingress/lane.go
@@ -0,0 +1,159 @@
+package ingress
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/exchange"
+	"github.com/landingtrail/landingtrail/request/retry"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/view"
+)
+
+// lane is everything that requests of one service use. Lanes share nothing, so
+// that plain services never wait behind model work.
+type lane struct {
+	service string
+	pool    *exchange.Pool
+	budget  *retry.Window
+	// replicas is replaced whole when the listed set changes; sorted by name.
+	replicas atomic.Pointer[[]*replica]
+	speed    speed
+}
+
+// lanes opens a lane for each service that has replicas, and keeps it.
+type lanes struct {
+	config Config
+
+	lock    sync.Mutex
+	version view.Version
+	open    map[string]*lane
+}
+
+func newLanes(config Config) *lanes { return &lanes{config: config, open: map[string]*lane{}} }
+
+// lane returns the lane of a service.
+func (l *lanes) lane(service string) *lane {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.laneLocked(service)
+}
+
+func (l *lanes) laneLocked(service string) *lane {
+	if opened := l.open[service]; opened != nil {
+		return opened
+	}
+	opened := &lane{
+		service: service,
+		pool:    exchange.NewPool(exchange.Config{}),
+		budget:  retry.NewWindow(l.config.Retry.Share, l.config.Retry.Reserve, l.config.Retry.Window),
+	}
+	opened.replicas.Store(&[]*replica{})
+	l.open[service] = opened
+	return opened
+}
+
+// update takes in a view. What is in flight to replicas that are gone goes on.
+func (l *lanes) update(current *view.View) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if current.Version == l.version {
+		return
+	}
+	l.version = current.Version
+	listed := map[string][]*api.Replica{}
+	for _, known := range current.Replicas {
+		listed[known.Spec.Service] = append(listed[known.Spec.Service], known)
+	}
+	for service := range listed {
+		l.laneLocked(service)
+	}
+	share := reserveShare(l.config.Retry.Reserve, len(current.Proxies))
+	for service, opened := range l.open {
+		opened.follow(listed[service])
+		opened.budget.SetReserve(share)
+	}
+}
+
+// reserveMargin is the part of the shared reserve that stays unused: proxies
+// that have just started know nothing of what they sent before.
+const reserveMargin = 0.8
+
+// reserveShare is one proxy's part of the reserve that all of them share.
+func reserveShare(reserve float64, proxies int) float64 {
+	return reserve * reserveMargin / float64(max(proxies, 1))
+}
+
+// follow replaces the replicas by those listed; one whose entry has changed
+// keeps what is known of it.
+func (l *lane) follow(listed []*api.Replica) {
+	known := map[string]*replica{}
+	for _, current := range *l.replicas.Load() {
+		known[current.name] = current
+	}
+	next := make([]*replica, 0, len(listed))
+	for _, entry := range listed {
+		followed := known[entry.Name]
+		if followed == nil || followed.listed().Address != entry.Spec.Address {
+			followed = newReplica(entry.Name, entry.Spec)
+		}
+		followed.entry.Store(&entry.Spec)
+		next = append(next, followed)
+		delete(known, entry.Name)
+	}
+	for _, gone := range known {
+		l.pool.Drop(gone.listed().Address)
+	}
+	sort.Slice(next, func(i, j int) bool { return next[i].name < next[j].name })
+	l.replicas.Store(&next)
+}
+
+func (l *lanes) close() {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	for _, opened := range l.open {
+		opened.pool.Close()
+	}
+}
+
+// speed is what a lane has learnt of its replicas' pace, with a guess to begin with.
+type speed struct {
+	lock sync.Mutex
+	// perToken is the time that reading one prompt token takes at a replica that
+	// is meant to read prompts.
+	perToken time.Duration
+}
+
+// firstPerToken is the guess before anything was measured.
+const firstPerToken = 20 * time.Microsecond
+
+// speedWeight is the weight of the last measure.
+const speedWeight = 0.05
+
+func (s *speed) tokenTime() time.Duration {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.perToken == 0 {
+		return firstPerToken
+	}
+	return s.perToken
+}
+
+// learn takes in that reading so many tokens took so long, waits included.
+func (s *speed) learn(tokens int, took time.Duration) {
+	if tokens < minimumMeasured {
+		return
+	}
+	measured := took / time.Duration(tokens)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.perToken == 0 {
+		s.perToken = firstPerToken
+	}
+	s.perToken += time.Duration(speedWeight * float64(measured-s.perToken))
+}
+
+// minimumMeasured is how many tokens a read must have for its time to tell the pace.
+const minimumMeasured = 1000
--- /dev/null
+++ b/process/ingress/prefill.go
@@ -0,0 +1,86 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/exchange"
+)
+
+// maxHandleBytes bounds the answer to a prefill.
+const maxHandleBytes = 64 << 10
+
+// prefill has the reader read the prompt and returns where it is kept; empty
+// when that failed, after which the target reads it itself. A prefill is no run
+// of the request: it may fail in any way and harms nothing.
+func (s *session) prefill(ctx context.Context, reader *replica, uncached int) Source {
+	began := s.ingress.now()
+	sent := reader.begin(began, uncached)
+	defer reader.end(sent)
+	request := s.request(reader, Source{})
+	s.ingress.config.Dialect.Attempt(request.Header, Attempt{
+		Replica:  reader.name,
+		Within:   s.replicaTime(),
+		Priority: s.route.Priority,
+		Prefill:  true,
+	})
+	answer, err := s.lane.pool.Do(ctx, reader.listed().Address, request)
+	if err != nil {
+		fmt.Fprintf(&s.trace, " prefill(%s: %v)", reader.name, err)
+		if ctx.Err() == nil {
+			reader.suspect(s.ingress.now())
+		}
+		return Source{}
+	}
+	defer answer.Close()
+	now := s.ingress.now()
+	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
+	reader.hear(reply.Load, now)
+	body, err := io.ReadAll(io.LimitReader(answer, maxHandleBytes))
+	if err != nil || answer.Status != http.StatusOK {
+		fmt.Fprintf(&s.trace, " prefill(%s: status %d)", reader.name, answer.Status)
+		s.lane.budget.Force(now)
+		if reply.Misdirected {
+			reader.suspect(now)
+		}
+		return Source{}
+	}
+	handle, err := s.ingress.config.Dialect.Handle(body)
+	if err != nil {
+		fmt.Fprintf(&s.trace, " prefill(%s: %v)", reader.name, err)
+		return Source{}
+	}
+	reader.noteParts(s.call.Work.Parts)
+	s.lane.speed.learn(uncached, now-began)
+	fmt.Fprintf(&s.trace, " prefill(%s: %d tokens in %s)", reader.name, uncached, (now - began).Round(time.Millisecond))
+	source := Source{Address: reader.listed().Address, Handle: handle}
+	if ctx.Err() != nil {
+		s.release(source)
+		return Source{}
+	}
+	return source
+}
+
+// releaseTimeout bounds the freeing of a handle.
+const releaseTimeout = time.Second
+
+// release frees a handle that nobody will take.
+func (s *session) release(source Source) {
+	method, target := s.ingress.config.Dialect.Release(source.Handle)
+	lane := s.lane
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		answer, err := lane.pool.Do(ctx, source.Address, &exchange.Request{
+			Method: method, Target: target, Host: source.Address, Header: http.Header{},
+		})
+		if err != nil {
+			return // it lapses by itself
+		}
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxHandleBytes))
+		answer.Close()
+	}()
+}
--- /dev/null
+++ b/process/ingress/replica.go
@@ -0,0 +1,165 @@
+package ingress
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/landingtrail/landingtrail/version/api"
+)
+
+// Learning of one replica from what it answers.
+const (
+	// failureWeight is the weight of the last answer in the failure rate.
+	failureWeight = 0.2
+	// firstSuspicion is how long a replica that gave no answer is passed over
+	// while others are left; each further one doubles it.
+	firstSuspicion = 500 * time.Millisecond
+	maxSuspicion   = 8 * time.Second
+	// loadMemory is how long a told load counts.
+	loadMemory = 2 * time.Second
+	// loadMargin is how much earlier than its arrival a told load may hold.
+	loadMargin = 5 * time.Millisecond
+)
+
+// replica is one replica as this proxy knows it: what the list says, what it
+// told of its load, and how it has answered. It lives as long as a view names it.
+type replica struct {
+	name  string
+	entry atomic.Pointer[api.ReplicaSpec] // replaced when the list changes
+
+	lock sync.Mutex
+	// load is what the replica told last, at loadAt.
+	load   Load
+	loadAt time.Duration
+	// sends are this proxy's requests in flight there.
+	sends map[*send]struct{}
+	// heardAt is when anything last came from the replica.
+	heardAt time.Duration
+	// failureRate is the recent share of answers that were failures.
+	failureRate float64
+	suspicion   time.Duration
+	suspectTill time.Duration
+	cache       cacheGuess
+}
+
+// send is one request in flight to a replica.
+type send struct {
+	at time.Duration
+	// tokens is how much of a prompt is still to be read there.
+	tokens int
+	// started is true once the first event has come.
+	started bool
+}
+
+func newReplica(name string, spec api.ReplicaSpec) *replica {
+	made := &replica{name: name, sends: map[*send]struct{}{}, cache: newCacheGuess()}
+	made.entry.Store(&spec)
+	return made
+}
+
+// listed is what the list says of the replica.
+func (r *replica) listed() *api.ReplicaSpec { return r.entry.Load() }
+
+// begin notes a request on its way.
+func (r *replica) begin(now time.Duration, tokens int) *send {
+	sent := &send{at: now, tokens: tokens}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.sends[sent] = struct{}{}
+	return sent
+}
+
+// end notes that a request is not in flight any more.
+func (r *replica) end(sent *send) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	delete(r.sends, sent)
+}
+
+// start notes that the prompt was read and the answer has begun.
+func (r *replica) start(sent *send, now time.Duration) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	sent.started = true
+	r.heardAt = now
+}
+
+// hear takes in a load that came with an answer.
+func (r *replica) hear(load *Load, now time.Duration) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.heardAt = now
+	if load != nil {
+		r.load, r.loadAt = *load, now
+	}
+}
+
+// succeed and fail note how a request ended.
+func (r *replica) succeed() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.failureRate *= 1 - failureWeight
+	r.suspicion = 0
+}
+
+func (r *replica) fail() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.failureRate += failureWeight * (1 - r.failureRate)
+}
+
+// suspect passes the replica over for a while: it gave no answer.
+func (r *replica) suspect(now time.Duration) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.suspicion = min(max(2*r.suspicion, firstSuspicion), maxSuspicion)
+	r.suspectTill = now + r.suspicion
+	r.failureRate += failureWeight * (1 - r.failureRate)
+}
+
+// silentSince reports whether nothing has come from the replica since then.
+func (r *replica) silentSince(then time.Duration) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.heardAt < then
+}
+
+// occupancy is what this proxy believes of a replica's work.
+type occupancy struct {
+	requests      int // running and waiting there, own and others'
+	waitingTokens int // own prompt tokens that are not read yet
+	slots         int
+	failureRate   float64
+	suspect       bool
+}
+
+// occupancy sums the told load and the own sends that it cannot contain.
+func (r *replica) occupancy(now time.Duration) occupancy {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	told := now-r.loadAt < loadMemory && r.loadAt > 0
+	result := occupancy{slots: r.listed().Slots, failureRate: r.failureRate, suspect: now < r.suspectTill}
+	if told {
+		result.requests = r.load.Running + r.load.Waiting
+		if r.load.Slots > 0 {
+			result.slots = r.load.Slots
+		}
+	}
+	for sent := range r.sends {
+		if !told || sent.at > r.loadAt-loadMargin {
+			result.requests++
+		}
+		if !sent.started {
+			result.waitingTokens += sent.tokens
+		}
+	}
+	return result
+}
+
+// isSuspect reports whether the replica is passed over now.
+func (r *replica) isSuspect(now time.Duration) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return now < r.suspectTill
+}
--- /dev/null
+++ b/process/ingress/routes.go
@@ -0,0 +1,87 @@
+package ingress
+
+import (
+	"math/rand/v2"
+	"net"
+	"sort"
+	"strings"
+
+	"github.com/landingtrail/landingtrail/version/api"
+)
+
+// routeTable finds the route of a request. It is immutable.
+type routeTable struct {
+	generation uint64
+	limits     api.IngressLimits
+	// byHost holds each host's routes, the longest prefix first.
+	byHost   map[string][]*api.Route
+	services map[string]*api.RouteService
+}
+
+// newRouteTable reads the Ingress, nil where none was accepted yet.
+func newRouteTable(held *api.Ingress) *routeTable {
+	table := &routeTable{byHost: map[string][]*api.Route{}, services: map[string]*api.RouteService{}}
+	if held == nil {
+		return table
+	}
+	table.generation = held.Spec.Generation
+	table.limits = held.Spec.Limits
+	for i := range held.Spec.Services {
+		service := &held.Spec.Services[i]
+		table.services[service.Name] = service
+	}
+	for i := range held.Spec.Routes {
+		route := &held.Spec.Routes[i]
+		host := strings.ToLower(route.Host)
+		table.byHost[host] = append(table.byHost[host], route)
+	}
+	for _, routes := range table.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
+	}
+	return table
+}
+
+// find returns the route with the longest prefix that begins the path, or nil.
+func (t *routeTable) find(host, path string) *api.Route {
+	for _, route := range t.byHost[hostName(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// hostName is a Host field without its port, in lower case.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// maxBodyBytes bounds a request's body.
+func (t *routeTable) maxBodyBytes() int64 {
+	if t.limits.MaxBodyBytes > 0 {
+		return t.limits.MaxBodyBytes
+	}
+	return defaultMaxBodyBytes
+}
+
+// chooseService draws one of the route's services by its weight.
+func chooseService(route *api.Route, random *rand.Rand) string {
+	total := 0
+	for _, backend := range route.Backends {
+		total += backend.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	drawn := random.IntN(total)
+	for _, backend := range route.Backends {
+		if drawn < backend.Weight {
+			return backend.Service
+		}
+		drawn -= backend.Weight
+	}
+	return ""
+}
--- /dev/null
+++ b/process/ingress/run.go
@@ -0,0 +1,172 @@
+package ingress
+
+import (
+	"context"
+	stdlog "log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/process/admin"
+	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/pkg/errors"
+)
+
+// Intervals of the subscription to the control group: a leader that falls
+// silent is left soon enough for a new configuration to be in force in time.
+const (
+	beatInterval   = 400 * time.Millisecond
+	silenceTimeout = 1200 * time.Millisecond
+	dialTimeout    = 500 * time.Millisecond
+	maxBackoff     = 500 * time.Millisecond
+)
+
+// maxHeaderBytes bounds a caller's head where the configuration says nothing.
+const maxHeaderBytes = 64 << 10
+
+// Run serves callers until ctx ends, and then stops as planned. It returns
+// ErrConfig before anything was opened.
+func Run(ctx context.Context, config Config, logger log.Logger) error {
+	config = config.WithDefaults()
+	if faults := config.Check(); len(faults) > 0 {
+		return errors.Wrapf(ErrConfig, "%v", faults)
+	}
+	start := time.Now()
+	clock := func() time.Duration { return time.Since(start) }
+	holder := view.NewHolder()
+	made := New(config, holder, clock, logger)
+	defer made.Close()
+	client, err := feed.Dial(feed.ClientConfig{
+		Daemon:         config.Name,
+		Zone:           config.Zone,
+		Addresses:      config.FeedAddresses,
+		MoreAddresses:  func() []string { return memberAddresses(holder.Load()) },
+		Presence:       made.presence,
+		BeatInterval:   beatInterval,
+		SilenceTimeout: silenceTimeout,
+		DialTimeout:    dialTimeout,
+		BackoffMax:     maxBackoff,
+		Clock:          clock,
+		Logger:         logger,
+	}, holder)
+	if err != nil {
+		return errors.Wrap(err, "ingress: follow the control group")
+	}
+	defer client.Close()
+	return made.serveUntil(ctx, client)
+}
+
+// memberAddresses returns where the members that the view names serve the feed.
+func memberAddresses(current *view.View) []string {
+	addresses := make([]string, 0, len(current.Members))
+	for _, member := range current.Members {
+		addresses = append(addresses, member.Spec.FeedAddress)
+	}
+	return addresses
+}
+
+// announcer tells the control group at once what the ingress says of itself.
+type announcer interface{ Announce() }
+
+func (i *Ingress) serveUntil(ctx context.Context, group announcer) error {
+	callers, err := i.listen(i.config.ListenAddress, i)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = callers.Close() }()
+	if i.config.ReadyAddress != "" {
+		health, err := i.listen(i.config.ReadyAddress, http.HandlerFunc(i.serveReady))
+		if err != nil {
+			return err
+		}
+		defer func() { _ = health.Close() }()
+	}
+	if i.config.MetricsAddress != "" {
+		served, err := admin.Listen("landingtrail-ingress", i.config.MetricsAddress, i.metrics.registry, i.readiness, i.logger)
+		if err != nil {
+			return err
+		}
+		defer served.Close()
+	}
+	event.IngressStarted.Log(i.logger, "address", i.config.ListenAddress, "zone", i.config.Zone)
+	stopAnnouncing := i.announceWhenReady(ctx, group)
+	<-ctx.Done()
+	stopAnnouncing()
+	return i.drain(callers, group)
+}
+
+func (i *Ingress) readiness() admin.Readiness { return admin.Readiness{Ready: i.Ready()} }
+
+func (i *Ingress) serveReady(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path != i.config.ReadyPath:
+		w.WriteHeader(http.StatusNotFound)
+	case !i.Ready():
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// readyPoll is how often the ingress looks whether it has become ready.
+const readyPoll = 50 * time.Millisecond
+
+// announceWhenReady tells the group as soon as the ingress can serve; the beats
+// would tell it later.
+func (i *Ingress) announceWhenReady(ctx context.Context, group announcer) (stop func()) {
+	ended := make(chan struct{})
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(readyPoll)
+		defer ticker.Stop()
+		for !i.Ready() {
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+		group.Announce()
+	}()
+	return func() { cancel(); <-ended }
+}
+
+// listen serves an address until the server is closed.
+func (i *Ingress) listen(address string, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "ingress: listen")
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: i.config.Timeouts.Header,
+		IdleTimeout:       i.config.Timeouts.Idle,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          stdlog.New(log.NewStdlibAdapter(log.NewNopLogger()), "", 0),
+	}
+	go func() { _ = server.Serve(listener) }() // until it is closed
+	return server, nil
+}
+
+// drain is the planned stop: the ingress says at once that it is not ready and
+// asks callers to close their connections, while it still serves all that
+// comes; then it accepts no more and waits for what is in flight.
+func (i *Ingress) drain(callers *http.Server, group announcer) error {
+	began := time.Now()
+	i.stopping.Store(true)
+	group.Announce()
+	event.IngressDraining.Log(i.logger, "in_flight", i.inFlight.Load())
+	time.Sleep(i.config.Drain.Notice)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(i.config.Drain.Limit))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		event.IngressDrainCut.Log(i.logger, "in_flight", i.inFlight.Load())
+		return nil
+	}
+	event.IngressStopped.Log(i.logger)
+	return nil
+}
--- /dev/null
+++ b/process/ingress/session.go
@@ -0,0 +1,198 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/landingtrail/landingtrail/request/attempt"
+	"github.com/landingtrail/landingtrail/version/api"
+)
+
+// session is one caller's request from its arrival to its final answer.
+type session struct {
+	ingress *Ingress
+	writer  http.ResponseWriter
+	call    Call
+	route   *api.Route
+	lane    *lane
+	life    *attempt.Life
+	random  *rand.Rand
+
+	generation uint64 // of the Ingress that the request is handled by
+	arrived    time.Duration
+	deadline   time.Duration // the earlier of the caller's and the route's
+	callerEnds time.Duration // when the caller gives up
+
+	sends    int // to replicas, the free first prefill not counted
+	dials    int // connections that were not had
+	excluded map[string]bool
+	// headSent is true once the caller has the head of an answer.
+	headSent  bool
+	lastEvent string
+	events    int
+	// failed is a failure that a replica answered and that is passed on if
+	// nothing better comes.
+	failed *answerCopy
+	trace  strings.Builder // what was tried, for the log
+}
+
+// answerCopy is a whole answer of a replica.
+type answerCopy struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// verdict says how one attempt ended.
+type verdict uint8
+
+const (
+	verdictDone      verdict = iota + 1 // the caller has its whole answer
+	verdictNotRun                       // the attempt surely did not run
+	verdictBroken                       // it may have run, and brought no whole answer
+	verdictCallerEnd                    // the caller is gone or its time is over
+)
+
+// maxDials bounds connections that were not had before a request is given up.
+const maxDials = 3
+
+// run sees the request through. It returns the status that the caller got, 0
+// where the connection is to be cut.
+func (s *session) run(ctx context.Context) int {
+	for {
+		if ctx.Err() != nil {
+			return s.interrupted(ctx)
+		}
+		if !s.mayTry() {
+			return s.giveUp("attempts")
+		}
+		result, target := s.try(ctx)
+		if target != nil {
+			fmt.Fprintf(&s.trace, " %s:%s", target.name, result)
+		}
+		switch result {
+		case verdictDone:
+			return http.StatusOK
+		case verdictCallerEnd:
+			return s.interrupted(ctx)
+		case verdictNotRun:
+			if target == nil {
+				return s.giveUp("no_replica")
+			}
+		case verdictBroken:
+			if !s.route.Idempotent() {
+				return s.giveUp("broken")
+			}
+		}
+		s.excluded[target.name] = true
+	}
+}
+
+// String returns the verdict's name.
+func (v verdict) String() string {
+	names := [...]string{"", "done", "not_run", "broken", "caller_end"}
+	return names[v]
+}
+
+// mayTry reports whether another send is allowed: by the route's attempts, and
+// by the budget that all proxies share.
+func (s *session) mayTry() bool {
+	if s.dials > maxDials || s.sends >= max(s.route.Attempts, 1) {
+		return false
+	}
+	if s.sends == 0 {
+		return true
+	}
+	if !s.lane.budget.Withdraw(s.ingress.now()) {
+		s.trace.WriteString(" budget")
+		return false
+	}
+	return true
+}
+
+// giveUp gives the final answer at once after the last attempt failed.
+func (s *session) giveUp(cause string) int {
+	ran := s.life.GiveUp()
+	if s.headSent {
+		fmt.Fprintf(&s.trace, " cut:%s", cause)
+		return 0
+	}
+	if s.failed != nil {
+		return s.passFailure()
+	}
+	if ran == attempt.RanNo {
+		return s.refuse(http.StatusServiceUnavailable, cause, s.retryAfter())
+	}
+	return s.refuse(http.StatusBadGateway, cause, 0)
+}
+
+// interrupted answers a request whose time is over, or ends one whose caller
+// has gone.
+func (s *session) interrupted(ctx context.Context) int {
+	ran := s.life.GiveUp()
+	if s.headSent {
+		s.trace.WriteString(" cut:time")
+		return 0
+	}
+	if context.Cause(ctx) != errTimeout {
+		s.trace.WriteString(" caller_gone")
+		return statusCallerGone
+	}
+	if ran == attempt.RanNo {
+		return s.refuse(http.StatusServiceUnavailable, "timeout", s.retryAfter())
+	}
+	return s.refuse(http.StatusGatewayTimeout, "timeout", 0)
+}
+
+// statusCallerGone stands in logs for a request whose caller has gone.
+const statusCallerGone = 499
+
+// retryAfter is when asking again makes sense.
+func (s *session) retryAfter() time.Duration {
+	left := s.callerEnds - s.ingress.now()
+	return max(min(defaultRetryAfter, left/retryShareOfLeft), minimumRetryAfter)
+}
+
+const (
+	defaultRetryAfter = 250 * time.Millisecond
+	minimumRetryAfter = 20 * time.Millisecond
+	// retryShareOfLeft keeps the pause small against what the caller has left.
+	retryShareOfLeft = 6
+)
+
+// refuse answers in the system's own words.
+func (s *session) refuse(status int, cause string, retryAfter time.Duration) int {
+	fmt.Fprintf(&s.trace, " own:%s", cause)
+	header := s.writer.Header()
+	s.ingress.config.Dialect.Refusal(header, &s.call, retryAfter)
+	writeOwn(s.writer, status, cause)
+	return status
+}
+
+func writeOwn(w http.ResponseWriter, status int, cause string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(cause + "\n")) // the caller may have gone
+}
+
+// left is the time that the request still has.
+func (s *session) left() time.Duration { return s.deadline - s.ingress.now() }
+
+// replicaTime is how long a replica may work: never longer than the caller
+// waits, and less by the way back.
+func (s *session) replicaTime() time.Duration {
+	return max(s.left()-s.ingress.config.Timeouts.Transit, time.Millisecond)
+}
+
+// passFailure hands on the failure that a replica answered, unchanged.
+func (s *session) passFailure() int {
+	copyHeader(s.writer.Header(), s.failed.header)
+	s.headSent = true
+	s.writer.WriteHeader(s.failed.status)
+	_, _ = s.writer.Write(s.failed.body) // the caller may have gone
+	return s.failed.status
+}
--- /dev/null
+++ b/process/ingress/stream.go
@@ -0,0 +1,75 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/landingtrail/landingtrail/connection/exchange"
+	"github.com/landingtrail/landingtrail/request/attempt"
+	"github.com/pkg/errors"
+)
+
+// stream passes on the events of a run as each of them is whole. The head goes
+// out with the first event: until then the request can be tried elsewhere
+// without the caller noticing. A run that continues another one's stream goes
+// on under the first one's head.
+func (s *session) stream(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Answer) verdict {
+	events := newEventReader(answer)
+	flusher := http.NewResponseController(s.writer)
+	for {
+		event, id, err := events.next()
+		if errors.Is(err, io.EOF) {
+			return s.endStream(target, number, answer)
+		}
+		if err != nil {
+			return s.breakStream(ctx, target, number, err)
+		}
+		if s.events == 0 || !sent.begun(target) {
+			target.start(sent, s.ingress.now())
+			target.noteParts(s.call.Work.Parts)
+		}
+		s.beginStream(answer)
+		if _, err := s.writer.Write(event); err != nil {
+			s.life.Fail(number, attempt.FaultBroken)
+			return verdictCallerEnd
+		}
+		if err := flusher.Flush(); err != nil {
+			s.life.Fail(number, attempt.FaultBroken)
+			return verdictCallerEnd
+		}
+		s.events++
+		if id != "" {
+			s.lastEvent = id
+		}
+	}
+}
+
+// beginStream sends the head of the first run.
+func (s *session) beginStream(answer *exchange.Answer) {
+	if s.headSent {
+		return
+	}
+	copyHeader(s.writer.Header(), answer.Header)
+	s.headSent = true
+	s.writer.WriteHeader(answer.Status)
+}
+
+func (s *session) endStream(target *replica, number uint32, answer *exchange.Answer) verdict {
+	s.beginStream(answer)
+	target.succeed()
+	s.life.Finish(number)
+	return verdictDone
+}
+
+// breakStream ends a run whose stream broke off.
+func (s *session) breakStream(ctx context.Context, target *replica, number uint32, err error) verdict {
+	s.life.Fail(number, attempt.FaultBroken)
+	fmt.Fprintf(&s.trace, " (%s after %d events: %v)", target.name, s.events, err)
+	if ctx.Err() != nil {
+		return verdictCallerEnd
+	}
+	target.suspect(s.ingress.now())
+	return verdictBroken
+}
--- /dev/null
+++ b/process/ingress/try.go
@@ -0,0 +1,322 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/exchange"
+	"github.com/landingtrail/landingtrail/request/attempt"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/pkg/errors"
+)
+
+// maxHeldAnswer bounds what is held of an answer before any of it is passed on.
+const maxHeldAnswer = 64 << 10
+
+// errTimeout is the cause of a context whose request has used up its time;
+// errSilent of an attempt whose replica said nothing.
+var (
+	errTimeout = errors.New("ingress: the request's time is over")
+	errSilent  = errors.New("ingress: the replica is silent")
+)
+
+// plan is where the next send goes.
+type plan struct {
+	target *replica
+	// reader reads the prompt first; nil when the target does it itself.
+	reader   *replica
+	uncached int
+}
+
+// choose decides where the next send goes; the target is nil if no replica
+// takes the request.
+func (s *session) choose() plan {
+	now := s.ingress.now()
+	zone := s.ingress.config.Zone
+	if s.call.Work.PromptTokens == 0 {
+		return plan{target: s.lane.pickPlain(zone, s.excluded, now, s.random)}
+	}
+	return s.chooseModel(zone, now)
+}
+
+// directPenalty is how much longer a prompt counts that is read between other
+// requests' tokens, which it delays: it is read at half the pace there.
+const directPenalty = 2.5
+
+// handoverCost is what moving a read prompt to another replica takes.
+const handoverCost = 15 * time.Millisecond
+
+// chooseModel compares reading the prompt where the tokens are made with reading
+// it at a replica that does nothing else and moving it.
+func (s *session) chooseModel(zone string, now time.Duration) plan {
+	pace := s.lane.speed.tokenTime()
+	slow := time.Duration(float64(pace) * directPenalty)
+	whole := &wanted{roles: []api.EngineRole{api.RoleDecode, api.RoleMixed}, excluded: s.excluded}
+	direct, found := s.lane.pickModel(whole, &s.call, zone, slow, now)
+	if !found {
+		return plan{}
+	}
+	readers := &wanted{roles: []api.EngineRole{api.RolePrefill}, excluded: s.excluded}
+	reader, haveReader := s.lane.pickModel(readers, &s.call, zone, pace, now)
+	if !haveReader || s.call.ResumeAfter != "" || s.lastEvent != "" {
+		return plan{target: direct.replica, uncached: direct.uncached}
+	}
+	generator, _ := s.lane.pickGenerator(whole, zone, now)
+	split := reader.cost + generator.cost + handoverCost
+	if split < direct.cost {
+		return plan{target: generator.replica, reader: reader.replica, uncached: reader.uncached}
+	}
+	return plan{target: direct.replica, uncached: direct.uncached}
+}
+
+// pickGenerator returns the replica that makes tokens fastest now.
+func (l *lane) pickGenerator(w *wanted, zone string, now time.Duration) (choice, bool) {
+	candidates := l.candidates(w, now)
+	if len(candidates) == 0 {
+		return choice{}, false
+	}
+	empty := &Call{}
+	var best choice
+	for i, candidate := range candidates {
+		considered := candidate.modelCost(empty, false, zone, 0, now)
+		if i == 0 || considered.cost < best.cost {
+			best = considered
+		}
+	}
+	return best, true
+}
+
+// try makes one attempt and returns how it ended, and with which replica; nil
+// when none takes the request.
+func (s *session) try(ctx context.Context) (verdict, *replica) {
+	chosen := s.choose()
+	if chosen.target == nil {
+		return verdictNotRun, nil
+	}
+	source := Source{}
+	if chosen.reader != nil {
+		source = s.prefill(ctx, chosen.reader, chosen.uncached)
+		if ctx.Err() != nil {
+			return verdictCallerEnd, chosen.target
+		}
+	}
+	return s.send(ctx, chosen, source), chosen.target
+}
+
+// send lets the target run the request.
+func (s *session) send(ctx context.Context, chosen plan, source Source) verdict {
+	target := chosen.target
+	number, err := s.life.Begin(target.name, 0)
+	if err != nil {
+		return verdictBroken
+	}
+	tokens := chosen.uncached
+	if source.Handle != "" {
+		tokens = 0
+	}
+	sent := target.begin(s.ingress.now(), tokens)
+	defer target.end(sent)
+	attempting, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stopWatch := s.watchSilence(attempting, target, sent, cancel)
+	defer stopWatch()
+	answer, err := s.lane.pool.Do(attempting, target.listed().Address, s.request(target, source))
+	if err != nil {
+		return s.unanswered(ctx, target, number, err)
+	}
+	defer answer.Close()
+	s.sends++
+	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
+	target.hear(reply.Load, s.ingress.now())
+	return s.judge(ctx, target, sent, number, answer, reply)
+}
+
+// request builds what the target gets.
+func (s *session) request(target *replica, source Source) *exchange.Request {
+	header := s.call.Header.Clone()
+	resumeAfter := s.call.ResumeAfter
+	if s.lastEvent != "" {
+		resumeAfter = s.lastEvent
+	}
+	s.ingress.config.Dialect.Attempt(header, Attempt{
+		Replica:     target.name,
+		Within:      s.replicaTime(),
+		Priority:    s.route.Priority,
+		ResumeAfter: resumeAfter,
+		Source:      source,
+	})
+	return &exchange.Request{
+		Method:  s.call.Method,
+		Target:  s.call.Target,
+		Host:    s.call.Host,
+		Header:  header,
+		Body:    s.call.Body,
+		Chunked: s.call.Chunked,
+	}
+}
+
+// unanswered closes an attempt that brought no answer.
+func (s *session) unanswered(ctx context.Context, target *replica, number uint32, err error) verdict {
+	now := s.ingress.now()
+	var failure *exchange.Failure
+	sent := !errors.As(err, &failure) || failure.Sent
+	fmt.Fprintf(&s.trace, " (%s: %v)", target.name, err)
+	if !sent {
+		s.life.Fail(number, attempt.FaultNotWritten)
+		s.dials++
+		if ctx.Err() == nil {
+			target.suspect(now)
+		}
+		return verdictNotRun
+	}
+	s.sends++
+	s.life.Fail(number, attempt.FaultBroken)
+	if ctx.Err() != nil {
+		return verdictCallerEnd
+	}
+	target.suspect(now)
+	return verdictBroken
+}
+
+// judge decides by the head of the answer what it means, and passes it on.
+func (s *session) judge(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Answer, reply Reply) verdict {
+	if reply.ID != "" && reply.ID != s.call.ID {
+		s.life.Fail(number, attempt.FaultBroken)
+		target.fail()
+		return s.brokenUnless(ctx)
+	}
+	if reply.NotRun || reply.Misdirected {
+		s.life.Fail(number, attempt.FaultRefused)
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxHeldAnswer)) // lets the connection be kept
+		if reply.Misdirected {
+			target.suspect(s.ingress.now())
+		}
+		return verdictNotRun
+	}
+	if reply.ID == "" || isSuccess(answer.Status) && !reply.Genuine {
+		s.life.Fail(number, attempt.FaultBroken)
+		target.fail()
+		return s.brokenUnless(ctx)
+	}
+	s.life.Admit(number, 0)
+	if isSuccess(answer.Status) && s.route.Kind == api.RouteStreaming {
+		return s.stream(ctx, target, sent, number, answer)
+	}
+	return s.whole(ctx, target, number, answer)
+}
+
+func (s *session) brokenUnless(ctx context.Context) verdict {
+	if ctx.Err() != nil {
+		return verdictCallerEnd
+	}
+	return verdictBroken
+}
+
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
+// whole passes on an answer that is no stream. Up to the bound it is held until
+// it is whole, so that one that breaks off can be tried elsewhere.
+func (s *session) whole(ctx context.Context, target *replica, number uint32, answer *exchange.Answer) verdict {
+	var held bytes.Buffer
+	_, err := io.CopyN(&held, answer, maxHeldAnswer)
+	switch {
+	case err == nil:
+		return s.passLong(ctx, target, number, answer, held.Bytes())
+	case !errors.Is(err, io.EOF):
+		s.life.Fail(number, attempt.FaultBroken)
+		target.fail()
+		fmt.Fprintf(&s.trace, " (%s: %v)", target.name, err)
+		return s.brokenUnless(ctx)
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		return s.keepFailure(target, number, answer, held.Bytes())
+	}
+	target.succeed()
+	s.life.Finish(number)
+	copyHeader(s.writer.Header(), answer.Header)
+	s.headSent = true
+	s.writer.WriteHeader(answer.Status)
+	_, _ = s.writer.Write(held.Bytes()) // the caller may have gone
+	return verdictDone
+}
+
+// keepFailure keeps a failure that a replica answered by running the request.
+func (s *session) keepFailure(target *replica, number uint32, answer *exchange.Answer, body []byte) verdict {
+	target.fail()
+	s.life.Fail(number, attempt.FaultBroken)
+	s.failed = &answerCopy{status: answer.Status, header: answer.Header, body: body}
+	fmt.Fprintf(&s.trace, " (%s: status %d)", target.name, answer.Status)
+	return verdictBroken
+}
+
+// passLong passes on an answer that is too long to hold.
+func (s *session) passLong(ctx context.Context, target *replica, number uint32, answer *exchange.Answer, begun []byte) verdict {
+	copyHeader(s.writer.Header(), answer.Header)
+	s.headSent = true
+	s.writer.WriteHeader(answer.Status)
+	_, err := s.writer.Write(begun)
+	if err == nil {
+		_, err = io.Copy(s.writer, answer)
+	}
+	if err != nil {
+		s.life.Fail(number, attempt.FaultBroken)
+		return s.brokenUnless(ctx)
+	}
+	target.succeed()
+	s.life.Finish(number)
+	return verdictDone
+}
+
+// watchSilence ends an attempt at a replica from which nothing at all has come
+// for a while, where the request may be tried elsewhere: the replica hangs, or
+// its machine is gone. It returns what ends the watch.
+func (s *session) watchSilence(ctx context.Context, target *replica, sent *send, cancel context.CancelCauseFunc) func() bool {
+	if !s.route.Idempotent() || s.sends+1 >= s.route.Attempts {
+		return func() bool { return true }
+	}
+	patience := s.patience()
+	timer := time.AfterFunc(patience, func() {
+		if ctx.Err() == nil && !sent.begun(target) && target.silentSince(sent.at) {
+			cancel(errSilent)
+		}
+	})
+	return timer.Stop
+}
+
+// Patience with a silent replica, as multiples of the route's objective.
+const (
+	patienceObjectives = 1.5
+	minimumPatience    = 300 * time.Millisecond
+)
+
+func (s *session) patience() time.Duration {
+	objective := time.Duration(s.route.ObjectiveMilliseconds) * time.Millisecond
+	return max(time.Duration(patienceObjectives*float64(objective)), minimumPatience)
+}
+
+// begun reports whether the answer has begun.
+func (s *send) begun(target *replica) bool {
+	target.lock.Lock()
+	defer target.lock.Unlock()
+	return s.started
+}
+
+// connectionFields concern one connection only and are not passed on.
+var connectionFields = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// copyHeader copies what is not of one connection only.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	for _, name := range connectionFields {
+		to.Del(name)
+	}
+}
--- a/process/relay/group.go
+++ b/process/relay/group.go
@@ -15,6 +15,7 @@
 type upstream interface {
 	Claim(ctx context.Context, request state.ClaimRequest) (api.ClaimResult, error)
 	RecordOutcome(ctx context.Context, outcome state.RunOutcome) error
+	ReportPresence(presence feed.Presence) bool
 }
 
 // group is what stands for the control group toward the daemons behind the
@@ -67,3 +68,6 @@
 func (g *group) ReportDemand(daemon string, report feed.DemandReport) {
 	g.demand.add(daemon, report, g.clock())
 }
+
+// ReportPresence passes the word on; one that is lost comes again with a beat.
+func (g *group) ReportPresence(presence feed.Presence) { g.upstream.ReportPresence(presence) }
--- a/process/relay/group_test.go
+++ b/process/relay/group_test.go
@@ -76,6 +76,8 @@
 	return nil
 }
 
+func (g *leaderGroup) ReportPresence(feed.Presence) {}
+
 func (g *leaderGroup) ReportDemand(_ string, report feed.DemandReport) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
--- /dev/null
+++ b/request/retry/window.go
@@ -0,0 +1,96 @@
+package retry
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// windowBuckets is how finely a Window counts.
+const windowBuckets = 50
+
+// Window bounds retries over every span of a fixed length: they may be a share
+// of the requests of that span plus a reserve. Unlike a Budget it saves nothing
+// up beyond the span, so the bound holds wherever a span is laid.
+//
+// Invariant: in any span of the window's length no more retries were granted
+// than the share of its requests plus the reserve at the time of the last grant.
+// It holds because a span covers at most the buckets that are summed, of which
+// the oldest counts whole for retries and not at all for requests.
+type Window struct {
+	share  float64
+	length time.Duration
+
+	lock    sync.Mutex
+	reserve float64
+	current int64 // number of the bucket now
+	buckets [windowBuckets + 1]windowBucket
+}
+
+type windowBucket struct {
+	number   int64
+	requests int
+	retries  int
+}
+
+// NewWindow returns a window with nothing counted.
+func NewWindow(share, reserve float64, length time.Duration) *Window {
+	return &Window{share: share, reserve: reserve, length: length}
+}
+
+// SetReserve changes the reserve, as when the number of proxies that share it
+// has changed.
+func (w *Window) SetReserve(reserve float64) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.reserve = reserve
+}
+
+// Request counts a request's first send. now never goes back by much.
+func (w *Window) Request(now time.Duration) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.bucket(now).requests++
+}
+
+// Withdraw takes one retry; false when the window has none left.
+func (w *Window) Withdraw(now time.Duration) bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	bucket := w.bucket(now)
+	requests, retries := 0, 0
+	for i := range w.buckets {
+		counted := &w.buckets[i]
+		age := bucket.number - counted.number
+		if age < 0 || age > windowBuckets {
+			continue
+		}
+		retries += counted.retries
+		if age < windowBuckets {
+			requests += counted.requests
+		}
+	}
+	if float64(retries+1) > math.Floor(w.share*float64(requests)+w.reserve) {
+		return false
+	}
+	bucket.retries++
+	return true
+}
+
+// Force counts a send that could not be held back.
+func (w *Window) Force(now time.Duration) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.bucket(now).retries++
+}
+
+// bucket returns the bucket of now; the lock is held.
+func (w *Window) bucket(now time.Duration) *windowBucket {
+	number := max(int64(now/(w.length/windowBuckets)), w.current)
+	w.current = number
+	bucket := &w.buckets[number%int64(len(w.buckets))]
+	if bucket.number != number {
+		*bucket = windowBucket{number: number}
+	}
+	return bucket
+}
--- /dev/null
+++ b/version/api/fleet.go
@@ -0,0 +1,46 @@
+package api
+
+// Replica is one process of a service as the platform's list shows it. Its name
+// is that of the process's incarnation: a restarted replica has another one.
+type Replica struct {
+	Metadata `json:"metadata" yaml:"metadata"`
+	Spec     ReplicaSpec `json:"spec" yaml:"spec"`
+}
+
+// ReplicaSpec is what the list says of a replica.
+type ReplicaSpec struct {
+	Service string `json:"service" yaml:"service"`
+	Address string `json:"address" yaml:"address"` // IP and port
+	Zone    string `json:"zone" yaml:"zone"`
+	// Slots is how many requests it works on at once; 0 if not known.
+	Slots int `json:"slots,omitempty" yaml:"slots,omitempty"`
+	// Leaving replicas get nothing new.
+	Leaving bool `json:"leaving,omitempty" yaml:"leaving,omitempty"`
+	// Role and Models are set for replicas of model services.
+	Role   EngineRole `json:"role,omitempty" yaml:"role,omitempty"`
+	Models []string   `json:"models,omitempty" yaml:"models,omitempty"`
+}
+
+// Proxy is a proxy that takes callers' requests now.
+type Proxy struct {
+	Metadata `json:"metadata" yaml:"metadata"`
+	Spec     ProxySpec `json:"spec" yaml:"spec"`
+}
+
+// ProxySpec says where callers reach a proxy.
+type ProxySpec struct {
+	Address string `json:"address" yaml:"address"` // IP and port
+	Zone    string `json:"zone" yaml:"zone"`
+}
+
+// Member is a member of the control group as daemons that follow it know it.
+type Member struct {
+	Metadata `json:"metadata" yaml:"metadata"`
+	Spec     MemberSpec `json:"spec" yaml:"spec"`
+}
+
+// MemberSpec says where a member is.
+type MemberSpec struct {
+	FeedAddress     string `json:"feedAddress" yaml:"feedAddress"`
+	OperatorAddress string `json:"operatorAddress" yaml:"operatorAddress"`
+}
--- a/version/api/metadata.go
+++ b/version/api/metadata.go
@@ -14,10 +14,24 @@
 	KindService Kind = "Service"
 	KindClass   Kind = "Class"
 	KindTenant  Kind = "Tenant"
+	KindIngress Kind = "Ingress"
+	KindReplica Kind = "Replica"
+	KindProxy   Kind = "Proxy"
+	KindMember  Kind = "Member"
 )
 
 // Kinds lists every kind in the order in which tables print them.
-var Kinds = []Kind{KindIntent, KindEngine, KindService, KindClass, KindTenant}
+var Kinds = []Kind{KindIntent, KindEngine, KindService, KindClass, KindTenant, KindIngress, KindReplica, KindProxy, KindMember}
+
+// IsWritable reports whether transactions write objects of the kind. The others
+// are replaced as a whole or observed by the group itself.
+func IsWritable(kind Kind) bool {
+	switch kind {
+	case KindIntent, KindEngine, KindService, KindClass, KindTenant:
+		return true
+	}
+	return false
+}
 
 // Labels are key-value pairs that selectors match.
 type Labels map[string]string
--- a/version/api/objects.go
+++ b/version/api/objects.go
@@ -227,6 +227,10 @@
 	Service *Service `json:"service,omitempty" yaml:"service,omitempty"`
 	Class   *Class   `json:"class,omitempty" yaml:"class,omitempty"`
 	Tenant  *Tenant  `json:"tenant,omitempty" yaml:"tenant,omitempty"`
+	Ingress *Ingress `json:"ingress,omitempty" yaml:"ingress,omitempty"`
+	Replica *Replica `json:"replica,omitempty" yaml:"replica,omitempty"`
+	Proxy   *Proxy   `json:"proxy,omitempty" yaml:"proxy,omitempty"`
+	Member  *Member  `json:"member,omitempty" yaml:"member,omitempty"`
 }
 
 // Key returns the key of the object that is set, and false if not exactly one is.
@@ -247,6 +251,18 @@
 	if o.Tenant != nil {
 		keys = append(keys, Key{KindTenant, o.Tenant.Name})
 	}
+	if o.Ingress != nil {
+		keys = append(keys, Key{KindIngress, o.Ingress.Name})
+	}
+	if o.Replica != nil {
+		keys = append(keys, Key{KindReplica, o.Replica.Name})
+	}
+	if o.Proxy != nil {
+		keys = append(keys, Key{KindProxy, o.Proxy.Name})
+	}
+	if o.Member != nil {
+		keys = append(keys, Key{KindMember, o.Member.Name})
+	}
 	if len(keys) != 1 {
 		return Key{}, false
 	}
@@ -266,6 +282,14 @@
 		return &o.Class.Metadata
 	case o.Tenant != nil:
 		return &o.Tenant.Metadata
+	case o.Ingress != nil:
+		return &o.Ingress.Metadata
+	case o.Replica != nil:
+		return &o.Replica.Metadata
+	case o.Proxy != nil:
+		return &o.Proxy.Metadata
+	case o.Member != nil:
+		return &o.Member.Metadata
 	}
 	return nil
 }
--- a/version/api/validate.go
+++ b/version/api/validate.go
@@ -30,6 +30,10 @@
 	}
 	var c checker
 	switch {
+	case o.Ingress != nil:
+		c.add("ingress", "is replaced as a whole, not written by a transaction")
+	case o.Replica != nil, o.Proxy != nil, o.Member != nil:
+		c.add("object", "is observed by the group, not written by a transaction")
 	case o.Intent != nil:
 		c.intent(o.Intent)
 	case o.Engine != nil:
--- /dev/null
+++ b/version/api/validate_ingress.go
@@ -0,0 +1,89 @@
+package api
+
+import (
+	"fmt"
+	"strings"
+)
+
+// RouteKinds lists the kinds of routes.
+var RouteKinds = []RouteKind{RouteSafe, RouteUnsafe, RouteStreaming}
+
+// ValidateIngress returns every fault of an Ingress, in the order of its
+// fields; none means that it is valid.
+func ValidateIngress(spec *IngressSpec) []FieldFault {
+	var c checker
+	if spec.Generation == 0 {
+		c.add("generation", "must be above 0")
+	}
+	services := c.routeServices(spec.Services)
+	places := map[string]int{}
+	for i := range spec.Routes {
+		field := fmt.Sprintf("routes[%d]", i)
+		route := &spec.Routes[i]
+		c.route(field, route, services)
+		place := strings.ToLower(route.Host) + route.PathPrefix
+		if earlier, taken := places[place]; taken {
+			c.add(field, "has the host and prefix of routes[%d]", earlier)
+			continue
+		}
+		places[place] = i
+	}
+	return c.faults
+}
+
+func (c *checker) routeServices(services []RouteService) map[string]bool {
+	known := map[string]bool{}
+	for i, service := range services {
+		field := fmt.Sprintf("services[%d].name", i)
+		switch {
+		case service.Name == "":
+			c.add(field, "must not be empty")
+		case known[service.Name]:
+			c.add(field, "names %s twice", service.Name)
+		}
+		known[service.Name] = true
+	}
+	return known
+}
+
+func (c *checker) route(field string, route *Route, services map[string]bool) {
+	if route.Host == "" {
+		c.add(field+".host", "must not be empty")
+	}
+	if !strings.HasPrefix(route.PathPrefix, "/") || !strings.HasSuffix(route.PathPrefix, "/") {
+		c.add(field+".pathPrefix", "%q must begin and end with a slash", route.PathPrefix)
+	}
+	if !isRouteKind(route.Kind) {
+		c.add(field+".kind", "%q must be one of %v", route.Kind, RouteKinds)
+	}
+	if route.TimeoutMilliseconds <= 0 {
+		c.add(field+".timeoutMilliseconds", "must be above 0")
+	}
+	c.routeBackends(field+".backends", route.Backends, services)
+}
+
+func isRouteKind(kind RouteKind) bool {
+	for _, known := range RouteKinds {
+		if kind == known {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *checker) routeBackends(field string, backends []RouteBackend, services map[string]bool) {
+	total := 0
+	for i, backend := range backends {
+		entry := fmt.Sprintf("%s[%d]", field, i)
+		if !services[backend.Service] {
+			c.add(entry+".service", "%q is not among the services", backend.Service)
+		}
+		if backend.Weight < 0 {
+			c.add(entry+".weight", "must not be negative")
+		}
+		total += max(backend.Weight, 0)
+	}
+	if total == 0 {
+		c.add(field, "the weights must not sum to 0")
+	}
+}
--- a/version/binenc/object.go
+++ b/version/binenc/object.go
@@ -14,6 +14,10 @@
 	tagService
 	tagClass
 	tagTenant
+	tagIngress
+	tagReplica
+	tagProxy
+	tagMember
 )
 
 // AppendObject appends the object that is set. It panics if none is, since
@@ -30,6 +34,14 @@
 		return appendClass(append(b, tagClass), o.Class)
 	case o.Tenant != nil:
 		return appendTenant(append(b, tagTenant), o.Tenant)
+	case o.Ingress != nil:
+		return appendIngress(append(b, tagIngress), o.Ingress)
+	case o.Replica != nil:
+		return appendReplica(append(b, tagReplica), o.Replica)
+	case o.Proxy != nil:
+		return appendProxy(append(b, tagProxy), o.Proxy)
+	case o.Member != nil:
+		return appendMember(append(b, tagMember), o.Member)
 	}
 	panic("binenc: object without a kind")
 }
@@ -47,6 +59,14 @@
 		return api.Object{Class: r.class()}
 	case tagTenant:
 		return api.Object{Tenant: r.tenant()}
+	case tagIngress:
+		return api.Object{Ingress: r.ingress()}
+	case tagReplica:
+		return api.Object{Replica: r.replica()}
+	case tagProxy:
+		return api.Object{Proxy: r.proxy()}
+	case tagMember:
+		return api.Object{Member: r.member()}
 	}
 	r.Fail(ErrMalformed)
 	return api.Object{}
--- a/version/state/codec.go
+++ b/version/state/codec.go
@@ -38,6 +38,10 @@
 		return appendRunOutcome(b, command.RunOutcome)
 	case CommandMember:
 		return appendMember(b, command.Member)
+	case CommandReplaceIngress:
+		return binenc.AppendIngressSpec(b, command.ReplaceIngress)
+	case CommandObserve:
+		return appendObserve(b, command.Observe)
 	}
 	panic("state: command of unknown kind")
 }
@@ -78,6 +82,11 @@
 		command.RunOutcome = readRunOutcome(r)
 	case CommandMember:
 		command.Member = readMember(r)
+	case CommandReplaceIngress:
+		spec := r.IngressSpec()
+		command.ReplaceIngress = &spec
+	case CommandObserve:
+		command.Observe = readObserve(r)
 	default:
 		return false
 	}
@@ -148,6 +157,18 @@
 	if o.Tenant != nil {
 		parts = append(parts, api.Object{Tenant: o.Tenant})
 	}
+	if o.Ingress != nil {
+		parts = append(parts, api.Object{Ingress: o.Ingress})
+	}
+	if o.Replica != nil {
+		parts = append(parts, api.Object{Replica: o.Replica})
+	}
+	if o.Proxy != nil {
+		parts = append(parts, api.Object{Proxy: o.Proxy})
+	}
+	if o.Member != nil {
+		parts = append(parts, api.Object{Member: o.Member})
+	}
 	return parts
 }
 
@@ -184,6 +205,18 @@
 	case part.Tenant != nil:
 		o.Tenant = part.Tenant
 		return 5
+	case part.Ingress != nil:
+		o.Ingress = part.Ingress
+		return 6
+	case part.Replica != nil:
+		o.Replica = part.Replica
+		return 7
+	case part.Proxy != nil:
+		o.Proxy = part.Proxy
+		return 8
+	case part.Member != nil:
+		o.Member = part.Member
+		return 9
 	}
 	return 0
 }
--- a/version/state/command.go
+++ b/version/state/command.go
@@ -19,15 +19,17 @@
 
 // Kinds of commands.
 const (
-	CommandTransaction  CommandKind = iota + 1 // *api.Transaction -> api.TransactionResult
-	CommandOpenOrder                           // *OpenOrder -> OpenOrderResult
-	CommandCloseOrder                          // *CloseOrder -> CloseOrderResult
-	CommandReportEngine                        // *EngineReport -> nothing
-	CommandMachines                            // *Machines -> nothing
-	CommandClaim                               // *ClaimRequest -> api.ClaimResult
-	CommandRunOutcome                          // *RunOutcome -> nothing
-	CommandMember                              // *Member -> nothing
-	CommandVoidOrder                           // *VoidOrder -> VoidOrderResult
+	CommandTransaction    CommandKind = iota + 1 // *api.Transaction -> api.TransactionResult
+	CommandOpenOrder                             // *OpenOrder -> OpenOrderResult
+	CommandCloseOrder                            // *CloseOrder -> CloseOrderResult
+	CommandReportEngine                          // *EngineReport -> nothing
+	CommandMachines                              // *Machines -> nothing
+	CommandClaim                                 // *ClaimRequest -> api.ClaimResult
+	CommandRunOutcome                            // *RunOutcome -> nothing
+	CommandMember                                // *Member -> nothing
+	CommandVoidOrder                             // *VoidOrder -> VoidOrderResult
+	CommandReplaceIngress                        // *api.IngressSpec -> api.ReplaceResult
+	CommandObserve                               // *Observe -> nothing
 )
 
 // Command is one entry of the log. Exactly the body of its kind is set.
@@ -36,17 +38,19 @@
 	// Time is the proposing leader's wall clock in milliseconds. The group's
 	// clock is the highest Time applied so far; it never goes back and is used
 	// for retention only, never for fences or leases.
-	Time         int64
-	Transaction  *api.Transaction
-	Limits       TransactionLimits // with Transaction
-	OpenOrder    *OpenOrder
-	CloseOrder   *CloseOrder
-	EngineReport *EngineReport
-	Machines     *Machines
-	Claim        *ClaimRequest
-	RunOutcome   *RunOutcome
-	Member       *Member
-	VoidOrder    *VoidOrder
+	Time           int64
+	Transaction    *api.Transaction
+	Limits         TransactionLimits // with Transaction
+	OpenOrder      *OpenOrder
+	CloseOrder     *CloseOrder
+	EngineReport   *EngineReport
+	Machines       *Machines
+	Claim          *ClaimRequest
+	RunOutcome     *RunOutcome
+	Member         *Member
+	VoidOrder      *VoidOrder
+	ReplaceIngress *api.IngressSpec
+	Observe        *Observe
 }
 
 // TransactionLimits are the proposing leader's settings, carried in the
--- a/version/state/machine.go
+++ b/version/state/machine.go
@@ -24,11 +24,15 @@
 	clock   int64 // highest Command.Time in milliseconds
 	version view.Version
 
-	intents  table[api.Intent]
-	engines  table[api.Engine]
-	services table[api.Service]
-	classes  table[api.Class]
-	tenants  table[api.Tenant]
+	intents       table[api.Intent]
+	engines       table[api.Engine]
+	services      table[api.Service]
+	classes       table[api.Class]
+	tenants       table[api.Tenant]
+	ingresses     table[api.Ingress]
+	replicas      table[api.Replica]
+	proxies       table[api.Proxy]
+	memberObjects table[api.Member]
 
 	changes      []view.Change
 	changesFloor uint64 // highest revision dropped from changes
@@ -45,14 +49,18 @@
 // New returns an empty Machine.
 func New() *Machine {
 	return &Machine{
-		intents:      newTable[api.Intent](),
-		engines:      newTable[api.Engine](),
-		services:     newTable[api.Service](),
-		classes:      newTable[api.Class](),
-		tenants:      newTable[api.Tenant](),
-		selection:    newSelection(),
-		incarnations: newTable[[]uint64](),
-		members:      map[uint64]Member{},
+		intents:       newTable[api.Intent](),
+		engines:       newTable[api.Engine](),
+		services:      newTable[api.Service](),
+		classes:       newTable[api.Class](),
+		tenants:       newTable[api.Tenant](),
+		ingresses:     newTable[api.Ingress](),
+		replicas:      newTable[api.Replica](),
+		proxies:       newTable[api.Proxy](),
+		memberObjects: newTable[api.Member](),
+		selection:     newSelection(),
+		incarnations:  newTable[[]uint64](),
+		members:       map[uint64]Member{},
 	}
 }
 
@@ -92,6 +100,10 @@
 		m.recordOutcome(command.RunOutcome)
 	case CommandMember:
 		m.putMember(*command.Member)
+	case CommandReplaceIngress:
+		return m.replaceIngress(command.ReplaceIngress)
+	case CommandObserve:
+		m.observe(command.Observe)
 	default:
 		panic(fmt.Sprintf("state: command of unknown kind %d", command.Kind))
 	}
@@ -121,6 +133,14 @@
 		m.classes.put(o.Class.Name, o.Class)
 	case o.Tenant != nil:
 		m.tenants.put(o.Tenant.Name, o.Tenant)
+	case o.Ingress != nil:
+		m.ingresses.put(o.Ingress.Name, o.Ingress)
+	case o.Replica != nil:
+		m.replicas.put(o.Replica.Name, o.Replica)
+	case o.Proxy != nil:
+		m.proxies.put(o.Proxy.Name, o.Proxy)
+	case o.Member != nil:
+		m.memberObjects.put(o.Member.Name, o.Member)
 	}
 }
 
@@ -136,6 +156,14 @@
 		m.classes.remove(key.Name)
 	case api.KindTenant:
 		m.tenants.remove(key.Name)
+	case api.KindIngress:
+		m.ingresses.remove(key.Name)
+	case api.KindReplica:
+		m.replicas.remove(key.Name)
+	case api.KindProxy:
+		m.proxies.remove(key.Name)
+	case api.KindMember:
+		m.memberObjects.remove(key.Name)
 	}
 	m.changed(key)
 }
--- a/version/state/plan.go
+++ b/version/state/plan.go
@@ -89,7 +89,7 @@
 
 func writeFaults(write api.Write) []api.FieldFault {
 	key, ok := write.Object.Key()
-	if !write.Delete || !ok {
+	if !write.Delete || !ok || !api.IsWritable(key.Kind) {
 		return api.Validate(write.Object)
 	}
 	faults := api.ValidateKey(key)
--- a/version/state/read.go
+++ b/version/state/read.go
@@ -23,12 +23,16 @@
 func (m *Machine) View() *view.View {
 	if m.current == nil {
 		m.current = &view.View{
-			Version:  m.version,
-			Intents:  m.intents.share(),
-			Engines:  m.engines.share(),
-			Services: m.services.share(),
-			Classes:  m.classes.share(),
-			Tenants:  m.tenants.share(),
+			Version:   m.version,
+			Intents:   m.intents.share(),
+			Engines:   m.engines.share(),
+			Services:  m.services.share(),
+			Classes:   m.classes.share(),
+			Tenants:   m.tenants.share(),
+			Ingresses: m.ingresses.share(),
+			Replicas:  m.replicas.share(),
+			Proxies:   m.proxies.share(),
+			Members:   m.memberObjects.share(),
 		}
 	}
 	return m.current
@@ -59,11 +63,15 @@
 // peek returns a view for use during the call only: its maps are not marked as shared.
 func (m *Machine) peek() *view.View {
 	return &view.View{
-		Intents:  m.intents.items,
-		Engines:  m.engines.items,
-		Services: m.services.items,
-		Classes:  m.classes.items,
-		Tenants:  m.tenants.items,
+		Intents:   m.intents.items,
+		Engines:   m.engines.items,
+		Services:  m.services.items,
+		Classes:   m.classes.items,
+		Tenants:   m.tenants.items,
+		Ingresses: m.ingresses.items,
+		Replicas:  m.replicas.items,
+		Proxies:   m.proxies.items,
+		Members:   m.memberObjects.items,
 	}
 }
 
--- a/version/view/list.go
+++ b/version/view/list.go
@@ -20,6 +20,14 @@
 		return list(v.Classes, func(o *api.Class) api.Object { return api.Object{Class: o} })
 	case api.KindTenant:
 		return list(v.Tenants, func(o *api.Tenant) api.Object { return api.Object{Tenant: o} })
+	case api.KindIngress:
+		return list(v.Ingresses, func(o *api.Ingress) api.Object { return api.Object{Ingress: o} })
+	case api.KindReplica:
+		return list(v.Replicas, func(o *api.Replica) api.Object { return api.Object{Replica: o} })
+	case api.KindProxy:
+		return list(v.Proxies, func(o *api.Proxy) api.Object { return api.Object{Proxy: o} })
+	case api.KindMember:
+		return list(v.Members, func(o *api.Member) api.Object { return api.Object{Member: o} })
 	}
 	return nil
 }
--- a/version/view/types.go
+++ b/version/view/types.go
@@ -28,6 +28,11 @@
 	Services map[string]*api.Service
 	Classes  map[string]*api.Class
 	Tenants  map[string]*api.Tenant
+	// Ingresses holds the one Ingress, once there is one.
+	Ingresses map[string]*api.Ingress
+	Replicas  map[string]*api.Replica
+	Proxies   map[string]*api.Proxy
+	Members   map[string]*api.Member
 }
 
 // Delta leads from one version to a later one. From zero with Full set it is a
--- a/version/view/view.go
+++ b/version/view/view.go
@@ -36,11 +36,15 @@
 // New returns an empty view of version zero.
 func New() *View {
 	return &View{
-		Intents:  map[string]*api.Intent{},
-		Engines:  map[string]*api.Engine{},
-		Services: map[string]*api.Service{},
-		Classes:  map[string]*api.Class{},
-		Tenants:  map[string]*api.Tenant{},
+		Intents:   map[string]*api.Intent{},
+		Engines:   map[string]*api.Engine{},
+		Services:  map[string]*api.Service{},
+		Classes:   map[string]*api.Class{},
+		Tenants:   map[string]*api.Tenant{},
+		Ingresses: map[string]*api.Ingress{},
+		Replicas:  map[string]*api.Replica{},
+		Proxies:   map[string]*api.Proxy{},
+		Members:   map[string]*api.Member{},
 	}
 }
 
@@ -92,6 +96,18 @@
 	case api.KindTenant:
 		o, ok := v.Tenants[key.Name]
 		return api.Object{Tenant: o}, ok
+	case api.KindIngress:
+		o, ok := v.Ingresses[key.Name]
+		return api.Object{Ingress: o}, ok
+	case api.KindReplica:
+		o, ok := v.Replicas[key.Name]
+		return api.Object{Replica: o}, ok
+	case api.KindProxy:
+		o, ok := v.Proxies[key.Name]
+		return api.Object{Proxy: o}, ok
+	case api.KindMember:
+		o, ok := v.Members[key.Name]
+		return api.Object{Member: o}, ok
 	}
 	return api.Object{}, false
 }
@@ -122,6 +138,10 @@
 	v.Services = copyIf(touched[api.KindService], v.Services)
 	v.Classes = copyIf(touched[api.KindClass], v.Classes)
 	v.Tenants = copyIf(touched[api.KindTenant], v.Tenants)
+	v.Ingresses = copyIf(touched[api.KindIngress], v.Ingresses)
+	v.Replicas = copyIf(touched[api.KindReplica], v.Replicas)
+	v.Proxies = copyIf(touched[api.KindProxy], v.Proxies)
+	v.Members = copyIf(touched[api.KindMember], v.Members)
 }
 
 func copyIf[T any](touched bool, items map[string]*T) map[string]*T {
@@ -146,6 +166,14 @@
 		v.Classes[o.Class.Name] = o.Class
 	case o.Tenant != nil:
 		v.Tenants[o.Tenant.Name] = o.Tenant
+	case o.Ingress != nil:
+		v.Ingresses[o.Ingress.Name] = o.Ingress
+	case o.Replica != nil:
+		v.Replicas[o.Replica.Name] = o.Replica
+	case o.Proxy != nil:
+		v.Proxies[o.Proxy.Name] = o.Proxy
+	case o.Member != nil:
+		v.Members[o.Member.Name] = o.Member
 	}
 }
 
@@ -161,5 +189,13 @@
 		delete(v.Classes, key.Name)
 	case api.KindTenant:
 		delete(v.Tenants, key.Name)
+	case api.KindIngress:
+		delete(v.Ingresses, key.Name)
+	case api.KindReplica:
+		delete(v.Replicas, key.Name)
+	case api.KindProxy:
+		delete(v.Proxies, key.Name)
+	case api.KindMember:
+		delete(v.Members, key.Name)
 	}
 }
