Place model requests by one board at the leader, which knows all that is in flight

Change: request/placement, a pure board of queues, running streams and kept parts for each service; proxies ask it over the feed and tell it of progress; without an answer in 30 ms they decide by what they know themselves. Prompts are read apart, at the decode replica, or with a fetch of kept parts, whichever the board expects to cost least.

--- a/connection/feed/group_test.go
+++ b/connection/feed/group_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -126,6 +127,12 @@
 	g.presences = append(g.presences, presence)
 }
 
+func (g *fakeGroup) Place(string, PlaceRequest) (placement.Answer, bool) {
+	return placement.Answer{}, false
+}
+
+func (g *fakeGroup) NotePlaced(string, PlaceNote) {}
+
 func (g *fakeGroup) ReportDemand(_ string, report DemandReport) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
--- a/connection/feed/messages.go
+++ b/connection/feed/messages.go
@@ -26,6 +26,9 @@
 	kindOutcomeReply                       // server: request ID, replyCode
 	kindDemand                             // subscriber: DemandReport
 	kindPresence                           // subscriber: Presence
+	kindPlace                              // subscriber: request ID, PlaceRequest
+	kindPlaceReply                         // server: request ID, placement.Answer
+	kindPlaceNote                          // subscriber: PlaceNote
 )
 
 // Bounds of payloads in bytes. A server takes only small frames from
--- /dev/null
+++ b/connection/feed/placement.go
@@ -0,0 +1,199 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/pkg/errors"
+)
+
+// PlaceRequest asks where a request of a service is to go.
+type PlaceRequest struct {
+	Service string
+	Number  uint64 // the daemon's own; notes name it
+	Ask     placement.Ask
+}
+
+// PlaceNote tells how far a placed request has come.
+type PlaceNote struct {
+	Service string
+	Number  uint64
+	Note    placement.Note
+}
+
+// ErrNotPlaced says that no leader has placed the request: the daemon decides
+// by what it knows itself.
+var ErrNotPlaced = errors.New("feed: no leader places requests now")
+
+// Bounds of a question in a frame.
+const (
+	maxParts    = 256
+	maxExcluded = 64
+	// Least sizes of encoded list elements.
+	partSize     = 4 + 4
+	excludedSize = 4
+)
+
+func encodePlace(requestID uint64, request PlaceRequest) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.Uint64(requestID)
+	encoder.String(request.Service)
+	encoder.Uint64(request.Number)
+	ask := &request.Ask
+	encoder.Uint32(uint32(ask.Prompt))
+	encoder.Uint32(uint32(ask.Output))
+	encoder.Int64(int64(ask.Priority))
+	encoder.String(ask.Zone)
+	encoder.Int64(int64(ask.Deadline))
+	encoder.Bool(ask.Continued)
+	parts := ask.Parts[:min(len(ask.Parts), maxParts)]
+	encoder.Uint32(uint32(len(parts)))
+	for _, part := range parts {
+		encoder.String(part.ID)
+		encoder.Uint32(uint32(part.Tokens))
+	}
+	excluded := ask.Excluded[:min(len(ask.Excluded), maxExcluded)]
+	encoder.Uint32(uint32(len(excluded)))
+	for _, name := range excluded {
+		encoder.String(name)
+	}
+	return encoder.Data()
+}
+
+func decodePlace(data []byte) (uint64, PlaceRequest, error) {
+	decoder := frame.NewDecoder(data)
+	requestID := decoder.Uint64()
+	request := PlaceRequest{Service: decoder.String(), Number: decoder.Uint64()}
+	ask := &request.Ask
+	ask.Prompt = int(decoder.Uint32())
+	ask.Output = int(decoder.Uint32())
+	ask.Priority = int(decoder.Int64())
+	ask.Zone = decoder.String()
+	ask.Deadline = time.Duration(decoder.Int64())
+	ask.Continued = decoder.Bool()
+	parts := decoder.Count(partSize)
+	for i := 0; i < parts && decoder.Err() == nil; i++ {
+		ask.Parts = append(ask.Parts, placement.Part{ID: decoder.String(), Tokens: int(decoder.Uint32())})
+	}
+	excluded := decoder.Count(excludedSize)
+	for i := 0; i < excluded && decoder.Err() == nil; i++ {
+		ask.Excluded = append(ask.Excluded, decoder.String())
+	}
+	if parts > maxParts || excluded > maxExcluded {
+		decoder.Fail(frame.ErrValue)
+	}
+	return requestID, request, decoder.Finish()
+}
+
+// placeReply answers a question; found is false when this member places nothing.
+type placeReply struct {
+	requestID uint64
+	found     bool
+	answer    placement.Answer
+}
+
+func encodePlaceReply(message placeReply) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.Uint64(message.requestID)
+	encoder.Bool(message.found)
+	encoder.String(message.answer.Generator)
+	encoder.String(message.answer.Reader)
+	encoder.String(message.answer.Fetch)
+	encoder.Uint32(uint32(message.answer.Unread))
+	encoder.Int64(int64(message.answer.Estimate))
+	return encoder.Data()
+}
+
+func decodePlaceReply(data []byte) (placeReply, error) {
+	decoder := frame.NewDecoder(data)
+	message := placeReply{requestID: decoder.Uint64(), found: decoder.Bool()}
+	message.answer = placement.Answer{
+		Generator: decoder.String(),
+		Reader:    decoder.String(),
+		Fetch:     decoder.String(),
+		Unread:    int(decoder.Uint32()),
+		Estimate:  time.Duration(decoder.Int64()),
+	}
+	return message, decoder.Finish()
+}
+
+func encodePlaceNote(note PlaceNote) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.String(note.Service)
+	encoder.Uint64(note.Number)
+	encoder.Uint8(uint8(note.Note.Step))
+	encoder.String(note.Note.Replica)
+	return encoder.Data()
+}
+
+func decodePlaceNote(data []byte) (PlaceNote, error) {
+	decoder := frame.NewDecoder(data)
+	note := PlaceNote{Service: decoder.String(), Number: decoder.Uint64()}
+	note.Note = placement.Note{Step: placement.Step(decoder.Uint8()), Replica: decoder.String()}
+	return note, decoder.Finish()
+}
+
+// Place asks the leader where a request is to go; ErrNotPlaced when none answers
+// before ctx ends. Asking changes nothing that lasts.
+func (c *Client) Place(ctx context.Context, request PlaceRequest) (placement.Answer, error) {
+	current := c.session.Load()
+	if current == nil {
+		return placement.Answer{}, ErrNotPlaced
+	}
+	requestID := c.requestID.Add(1)
+	waiting := current.register(requestID)
+	defer current.unregister(requestID)
+	if !current.enqueue(&outgoing{kind: kindPlace, payload: encodePlace(requestID, request)}) {
+		return placement.Answer{}, ErrNotPlaced
+	}
+	select {
+	case reply := <-waiting:
+		if reply.code != replyDone {
+			return placement.Answer{}, ErrNotPlaced
+		}
+		return reply.placed, nil
+	case <-ctx.Done():
+	case <-current.ended:
+	}
+	return placement.Answer{}, ErrNotPlaced
+}
+
+// NotePlaced tells the leader how far a placed request has come; false when the
+// word was dropped.
+func (c *Client) NotePlaced(note PlaceNote) bool {
+	current := c.session.Load()
+	if current == nil {
+		return false
+	}
+	return current.enqueue(&outgoing{kind: kindPlaceNote, payload: encodePlaceNote(note)})
+}
+
+// receivePlace answers a question at once: it waits for nothing.
+func (s *subscriber) receivePlace(payload []byte) error {
+	requestID, request, err := decodePlace(payload)
+	if err != nil {
+		return err
+	}
+	select {
+	case s.slots <- struct{}{}:
+	default:
+		return nil // too much is under way; the daemon decides by itself
+	}
+	reply := placeReply{requestID: requestID}
+	if s.server.config.Group.Leadership().Leads {
+		reply.answer, reply.found = s.server.config.Group.Place(s.key.String(), request)
+	}
+	s.answer(kindPlaceReply, encodePlaceReply(reply))
+	return nil
+}
+
+func (s *subscriber) receivePlaceNote(payload []byte) error {
+	note, err := decodePlaceNote(payload)
+	if err != nil {
+		return err
+	}
+	s.server.config.Group.NotePlaced(s.key.String(), note)
+	return nil
+}
--- a/connection/feed/server.go
+++ b/connection/feed/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -44,6 +45,10 @@
 	ReportDemand(daemon string, report DemandReport)
 	// ReportPresence takes a proxy's word on itself; it comes again with each beat.
 	ReportPresence(presence Presence)
+	// Place decides where a request goes, and false where the group does not
+	// decide; NotePlaced takes in how far it has come. Neither waits.
+	Place(daemon string, request PlaceRequest) (placement.Answer, bool)
+	NotePlaced(daemon string, note PlaceNote)
 }
 
 // ServerConfig holds what a Server is created with. Zero durations and bounds
--- a/connection/feed/session.go
+++ b/connection/feed/session.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/pkg/errors"
 )
@@ -36,6 +37,7 @@
 type reply struct {
 	code   replyCode
 	result api.ClaimResult
+	placed placement.Answer
 }
 
 // queueLength bounds the frames that wait for the connection.
@@ -214,6 +216,17 @@
 		}
 		s.resolve(message.requestID, reply{code: message.code, result: message.result})
 		return nil
+	case kindPlaceReply:
+		message, err := decodePlaceReply(received.Payload)
+		if err != nil {
+			return err
+		}
+		code := replyRefused
+		if message.found {
+			code = replyDone
+		}
+		s.resolve(message.requestID, reply{code: code, placed: message.answer})
+		return nil
 	case kindOutcomeReply:
 		message, err := decodeOutcomeReply(received.Payload)
 		if err != nil {
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -140,6 +140,10 @@
 		}
 		s.server.config.Group.ReportDemand(s.key.daemon, report)
 		return nil
+	case kindPlace:
+		return s.receivePlace(received.Payload)
+	case kindPlaceNote:
+		return s.receivePlaceNote(received.Payload)
 	case kindPresence:
 		presence, err := decodePresence(received.Payload)
 		if err != nil {
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -10,6 +10,7 @@
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/process/replica"
+	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -25,6 +26,7 @@
 	demand  *demandTable
 	// presence is what proxies say of themselves to this member.
 	presence *presenceTable
+	desk     *placementDesk
 	metrics  *metrics
 	logger   log.Logger
 	clock    groupClock
@@ -177,6 +179,16 @@
 // ReportPresence keeps a proxy's word on itself.
 func (g *group) ReportPresence(presence feed.Presence) { g.presence.note(presence, monotonic()) }
 
+// Place decides where a request goes by all requests of all proxies.
+func (g *group) Place(daemon string, request feed.PlaceRequest) (placement.Answer, bool) {
+	return g.desk.place(g.machine.view(), daemon, request, monotonic())
+}
+
+// NotePlaced takes in how far a placed request has come.
+func (g *group) NotePlaced(daemon string, note feed.PlaceNote) {
+	g.desk.note(daemon, note, monotonic())
+}
+
 // leaseReads lets any number of callers share lease reads. A caller gets the
 // answer of a read that was started after its call, so a shared answer is as
 // good as one of its own.
--- /dev/null
+++ b/process/control/placement.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/view"
+)
+
+// placementDesk places the requests of model services: one board a service,
+// which knows of the requests of all proxies. What it knows lasts as long as the
+// process; a new leader begins with an empty board and learns within seconds.
+type placementDesk struct {
+	lock    sync.Mutex
+	version view.Version
+	boards  map[string]*placement.Board
+}
+
+func newPlacementDesk() *placementDesk {
+	return &placementDesk{boards: map[string]*placement.Board{}}
+}
+
+// place answers one question by the view.
+func (d *placementDesk) place(current *view.View, daemon string, request feed.PlaceRequest, now time.Duration) (placement.Answer, bool) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.update(current)
+	board := d.boards[request.Service]
+	if board == nil {
+		return placement.Answer{}, false
+	}
+	key := placement.Key{Daemon: daemon, Number: request.Number}
+	return board.Place(now, key, request.Ask), true
+}
+
+func (d *placementDesk) note(daemon string, note feed.PlaceNote, now time.Duration) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if board := d.boards[note.Service]; board != nil {
+		board.Note(now, placement.Key{Daemon: daemon, Number: note.Number}, note.Note)
+	}
+}
+
+// update takes in a new view; the lock is held.
+func (d *placementDesk) update(current *view.View) {
+	if current.Version == d.version {
+		return
+	}
+	d.version = current.Version
+	held := current.Ingresses[api.IngressName]
+	if held == nil {
+		return
+	}
+	listed := replicasByService(current)
+	for i := range held.Spec.Services {
+		service := &held.Spec.Services[i]
+		if service.Model == nil {
+			continue
+		}
+		board := d.boards[service.Name]
+		if board == nil {
+			board = placement.NewBoard()
+			d.boards[service.Name] = board
+		}
+		board.SetReplicas(sheetOf(&held.Spec, service), listed[service.Name])
+	}
+}
+
+func replicasByService(current *view.View) map[string][]placement.Replica {
+	listed := map[string][]placement.Replica{}
+	for name, entry := range current.Replicas {
+		role := placement.RoleDecode
+		if entry.Spec.Role == api.RolePrefill {
+			role = placement.RolePrefill
+		}
+		listed[entry.Spec.Service] = append(listed[entry.Spec.Service], placement.Replica{
+			Name: name, Zone: entry.Spec.Zone, Role: role, Slots: entry.Spec.Slots, Leaving: entry.Spec.Leaving,
+		})
+	}
+	return listed
+}
+
+// sheetOf gathers what the configuration says of a service's replicas.
+func sheetOf(spec *api.IngressSpec, service *api.RouteService) placement.Sheet {
+	sheet := placement.Sheet{
+		KVTokens:    service.Model.KVTokens,
+		BytesPerTok: service.Model.KVBytesPerTok,
+		LinkMbps:    service.Model.LinkMbps,
+	}
+	for i := range spec.Routes {
+		route := &spec.Routes[i]
+		gap := time.Duration(route.GapMilliseconds) * time.Millisecond
+		if gap > 0 && leadsTo(route, service.Name) && (sheet.GapObjective == 0 || gap < sheet.GapObjective) {
+			sheet.GapObjective = gap
+		}
+	}
+	return sheet
+}
+
+func leadsTo(route *api.Route, service string) bool {
+	for _, backend := range route.Backends {
+		if backend.Service == service {
+			return true
+		}
+	}
+	return false
+}
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -238,6 +238,7 @@
 		config:   m.config,
 		demand:   newDemandTable(time.Now()),
 		presence: newPresenceTable(),
+		desk:     newPlacementDesk(),
 		metrics:  m.metrics,
 		logger:   m.logger,
 	})
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -13,6 +13,7 @@
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/request/attempt"
+	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/pkg/errors"
@@ -35,6 +36,16 @@
 	stopping atomic.Bool
 	inFlight atomic.Int64
 	metrics  *metrics
+	// placer places model requests by all that is in flight; nil leaves it to
+	// what this proxy knows itself.
+	placer  Placer
+	numbers atomic.Uint64
+}
+
+// Placer decides where model requests go; *feed.Client is one.
+type Placer interface {
+	Place(ctx context.Context, request feed.PlaceRequest) (placement.Answer, error)
+	NotePlaced(note feed.PlaceNote) bool
 }
 
 // tableAt is the route table of one version of the view.
--- /dev/null
+++ b/process/ingress/placed.go
@@ -0,0 +1,95 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/request/placement"
+)
+
+// placeTimeout is how long a decision of the control group is waited for before
+// this proxy decides by what it knows itself.
+const placeTimeout = 30 * time.Millisecond
+
+// placed is a decision of the control group that is to be kept informed.
+type placed struct {
+	ingress *Ingress
+	service string
+	number  uint64
+}
+
+// note tells the group how far the request has come; a nil placed tells nobody.
+func (p *placed) note(step placement.Step, replica string) {
+	if p == nil {
+		return
+	}
+	p.ingress.placer.NotePlaced(feed.PlaceNote{
+		Service: p.service,
+		Number:  p.number,
+		Note:    placement.Note{Step: step, Replica: replica},
+	})
+}
+
+// place asks the control group where the request goes; false when it does not
+// answer in time or names replicas that are not known here.
+func (s *session) place(ctx context.Context) (plan, bool) {
+	if s.ingress.placer == nil {
+		return plan{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	number := s.ingress.numbers.Add(1)
+	answer, err := s.ingress.placer.Place(ctx, feed.PlaceRequest{Service: s.lane.service, Number: number, Ask: s.ask()})
+	if err != nil {
+		s.trace.WriteString(" unplaced")
+		return plan{}, false
+	}
+	decided := &placed{ingress: s.ingress, service: s.lane.service, number: number}
+	chosen := plan{
+		target:   s.lane.find(answer.Generator),
+		reader:   s.lane.find(answer.Reader),
+		fetch:    s.lane.find(answer.Fetch),
+		uncached: answer.Unread,
+		placed:   decided,
+	}
+	if answer.Generator != "" && chosen.target == nil || answer.Reader != "" && chosen.reader == nil {
+		decided.note(placement.StepEnded, "")
+		s.trace.WriteString(" unknown_replica")
+		return plan{}, false
+	}
+	fmt.Fprintf(&s.trace, " placed(%d unread, %s)", answer.Unread, answer.Estimate.Round(time.Millisecond))
+	return chosen, true
+}
+
+func (s *session) ask() placement.Ask {
+	ask := placement.Ask{
+		Prompt:    s.call.Work.PromptTokens,
+		Output:    s.call.Work.OutputTokens,
+		Priority:  s.route.Priority,
+		Zone:      s.ingress.config.Zone,
+		Deadline:  s.left(),
+		Excluded:  slices.Sorted(maps.Keys(s.excluded)),
+		Continued: s.call.ResumeAfter != "" || s.lastEvent != "",
+	}
+	for _, part := range s.call.Work.Parts {
+		ask.Parts = append(ask.Parts, placement.Part{ID: part.ID, Tokens: part.Tokens})
+	}
+	return ask
+}
+
+// find returns the listed replica of the name, or nil.
+func (l *lane) find(name string) *replica {
+	if name == "" {
+		return nil
+	}
+	for _, known := range *l.replicas.Load() {
+		if known.name == name {
+			return known
+		}
+	}
+	return nil
+}
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/exchange"
+	"github.com/landingtrail/landingtrail/request/placement"
 )
 
 // maxHandleBytes bounds the answer to a prefill.
@@ -16,22 +17,25 @@
 // prefill has the reader read the prompt and returns where it is kept; empty
 // when that failed, after which the target reads it itself. A prefill is no run
 // of the request: it may fail in any way and harms nothing.
-func (s *session) prefill(ctx context.Context, reader *replica, uncached int) Source {
+func (s *session) prefill(ctx context.Context, chosen plan) Source {
+	reader, uncached := chosen.reader, chosen.uncached
 	began := s.ingress.now()
 	sent := reader.begin(began, uncached)
 	defer reader.end(sent)
-	request := s.request(reader, Source{})
+	request := s.request(reader, Source{}, chosen.fetchAddress())
 	s.ingress.config.Dialect.Attempt(request.Header, Attempt{
 		Replica:  reader.name,
 		Within:   s.replicaTime(),
 		Priority: s.route.Priority,
 		Prefill:  true,
+		Fetch:    chosen.fetchAddress(),
 	})
 	answer, err := s.lane.pool.Do(ctx, reader.listed().Address, request)
 	if err != nil {
 		fmt.Fprintf(&s.trace, " prefill(%s: %v)", reader.name, err)
 		if ctx.Err() == nil {
 			reader.suspect(s.ingress.now())
+			chosen.placed.note(placement.StepFailed, reader.name)
 		}
 		return Source{}
 	}
@@ -54,6 +58,7 @@
 		return Source{}
 	}
 	reader.noteParts(s.call.Work.Parts)
+	chosen.placed.note(placement.StepRead, "")
 	s.lane.speed.learn(uncached, now-began)
 	fmt.Fprintf(&s.trace, " prefill(%s: %d tokens in %s)", reader.name, uncached, (now - began).Round(time.Millisecond))
 	source := Source{Address: reader.listed().Address, Handle: handle}
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -56,6 +56,7 @@
 		return errors.Wrap(err, "ingress: follow the control group")
 	}
 	defer client.Close()
+	made.placer = client
 	return made.serveUntil(ctx, client)
 }
 
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/request/attempt"
+	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/pkg/errors"
 )
 
@@ -15,7 +16,8 @@
 // out with the first event: until then the request can be tried elsewhere
 // without the caller noticing. A run that continues another one's stream goes
 // on under the first one's head.
-func (s *session) stream(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Answer) verdict {
+func (s *session) stream(ctx context.Context, chosen plan, sent *send, number uint32, answer *exchange.Answer) verdict {
+	target := chosen.target
 	events := newEventReader(answer)
 	flusher := http.NewResponseController(s.writer)
 	for {
@@ -29,6 +31,7 @@
 		if s.events == 0 || !sent.begun(target) {
 			target.start(sent, s.ingress.now())
 			target.noteParts(s.call.Work.Parts)
+			chosen.placed.note(placement.StepStarted, "")
 		}
 		s.beginStream(answer)
 		if _, err := s.writer.Write(event); err != nil {
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -10,6 +10,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/request/attempt"
+	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/pkg/errors"
 )
@@ -28,19 +29,42 @@
 type plan struct {
 	target *replica
 	// reader reads the prompt first; nil when the target does it itself.
-	reader   *replica
+	reader *replica
+	// fetch keeps parts of the prompt that whoever reads it takes from there.
+	fetch    *replica
 	uncached int
+	placed   *placed // nil where this proxy decided
+}
+
+// fetchAddress is where parts of the prompt are taken from, empty for nowhere.
+func (p *plan) fetchAddress() string {
+	if p.fetch == nil {
+		return ""
+	}
+	return p.fetch.listed().Address
+}
+
+// fetchOf is where the target takes parts from: nowhere when the prompt was read
+// for it elsewhere.
+func (p *plan) fetchOf(source Source) string {
+	if source.Handle != "" || p.reader != nil {
+		return ""
+	}
+	return p.fetchAddress()
 }
 
 // choose decides where the next send goes; the target is nil if no replica
 // takes the request.
-func (s *session) choose() plan {
+func (s *session) choose(ctx context.Context) plan {
 	now := s.ingress.now()
 	zone := s.ingress.config.Zone
 	if s.call.Work.PromptTokens == 0 {
 		return plan{target: s.lane.pickPlain(zone, s.excluded, now, s.random)}
 	}
-	return s.chooseModel(zone, now)
+	if chosen, decided := s.place(ctx); decided {
+		return chosen
+	}
+	return s.chooseModel(zone, s.ingress.now())
 }
 
 // directPenalty is how much longer a prompt counts that is read between other
@@ -93,18 +117,40 @@
 // try makes one attempt and returns how it ended, and with which replica; nil
 // when none takes the request.
 func (s *session) try(ctx context.Context) (verdict, *replica) {
-	chosen := s.choose()
+	chosen := s.choose(ctx)
 	if chosen.target == nil {
 		return verdictNotRun, nil
 	}
 	source := Source{}
 	if chosen.reader != nil {
-		source = s.prefill(ctx, chosen.reader, chosen.uncached)
+		source = s.prefill(ctx, chosen)
 		if ctx.Err() != nil {
+			chosen.placed.note(placement.StepEnded, "")
 			return verdictCallerEnd, chosen.target
 		}
+		s.replaceTarget(&chosen)
+	}
+	result := s.send(ctx, chosen, source)
+	if result == verdictBroken || result == verdictNotRun {
+		chosen.placed.note(placement.StepFailed, chosen.target.name)
+	} else {
+		chosen.placed.note(placement.StepEnded, "")
+	}
+	return result, chosen.target
+}
+
+// replaceTarget picks another replica to make the tokens if the chosen one has
+// begun to leave, or has failed, while the prompt was read.
+func (s *session) replaceTarget(chosen *plan) {
+	now := s.ingress.now()
+	current := s.lane.find(chosen.target.name)
+	if current != nil && ready(current.listed()) && !current.isSuspect(now) {
+		return
+	}
+	whole := &wanted{roles: []api.EngineRole{api.RoleDecode, api.RoleMixed}, excluded: s.excluded}
+	if other, found := s.lane.pickGenerator(whole, s.ingress.config.Zone, now); found {
+		chosen.target = other.replica
 	}
-	return s.send(ctx, chosen, source), chosen.target
 }
 
 // send lets the target run the request.
@@ -124,7 +170,7 @@
 	defer cancel(nil)
 	stopWatch := s.watchSilence(attempting, target, sent, cancel)
 	defer stopWatch()
-	answer, err := s.lane.pool.Do(attempting, target.listed().Address, s.request(target, source))
+	answer, err := s.lane.pool.Do(attempting, target.listed().Address, s.request(target, source, chosen.fetchOf(source)))
 	if err != nil {
 		return s.unanswered(ctx, target, number, err)
 	}
@@ -132,11 +178,11 @@
 	s.sends++
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	target.hear(reply.Load, s.ingress.now())
-	return s.judge(ctx, target, sent, number, answer, reply)
+	return s.judge(ctx, chosen, sent, number, answer, reply)
 }
 
 // request builds what the target gets.
-func (s *session) request(target *replica, source Source) *exchange.Request {
+func (s *session) request(target *replica, source Source, fetch string) *exchange.Request {
 	header := s.call.Header.Clone()
 	resumeAfter := s.call.ResumeAfter
 	if s.lastEvent != "" {
@@ -148,6 +194,7 @@
 		Priority:    s.route.Priority,
 		ResumeAfter: resumeAfter,
 		Source:      source,
+		Fetch:       fetch,
 	})
 	return &exchange.Request{
 		Method:  s.call.Method,
@@ -183,7 +230,8 @@
 }
 
 // judge decides by the head of the answer what it means, and passes it on.
-func (s *session) judge(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Answer, reply Reply) verdict {
+func (s *session) judge(ctx context.Context, chosen plan, sent *send, number uint32, answer *exchange.Answer, reply Reply) verdict {
+	target := chosen.target
 	if reply.ID != "" && reply.ID != s.call.ID {
 		s.life.Fail(number, attempt.FaultBroken)
 		target.fail()
@@ -204,7 +252,7 @@
 	}
 	s.life.Admit(number, 0)
 	if isSuccess(answer.Status) && s.route.Kind == api.RouteStreaming {
-		return s.stream(ctx, target, sent, number, answer)
+		return s.stream(ctx, chosen, sent, number, answer)
 	}
 	return s.whole(ctx, target, number, answer)
 }
--- a/process/ingress/types.go
+++ b/process/ingress/types.go
@@ -63,6 +63,9 @@
 	Prefill bool
 	// Source names the replica and the handle to take the read prompt from.
 	Source Source
+	// Fetch is where the replica first takes what is kept of the prompt there;
+	// empty for nowhere.
+	Fetch string
 }
 
 // Source is a prompt that a replica has read and keeps.
--- a/process/relay/group.go
+++ b/process/relay/group.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -69,5 +70,13 @@
 	g.demand.add(daemon, report, g.clock())
 }
 
+// Place leaves the decision to the daemon: a relay passes no questions on.
+func (g *group) Place(string, feed.PlaceRequest) (placement.Answer, bool) {
+	return placement.Answer{}, false
+}
+
+// NotePlaced implements feed.Group.
+func (g *group) NotePlaced(string, feed.PlaceNote) {}
+
 // ReportPresence passes the word on; one that is lost comes again with a beat.
 func (g *group) ReportPresence(presence feed.Presence) { g.upstream.ReportPresence(presence) }
--- a/process/relay/group_test.go
+++ b/process/relay/group_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -78,6 +79,12 @@
 
 func (g *leaderGroup) ReportPresence(feed.Presence) {}
 
+func (g *leaderGroup) Place(string, feed.PlaceRequest) (placement.Answer, bool) {
+	return placement.Answer{}, false
+}
+
+func (g *leaderGroup) NotePlaced(string, feed.PlaceNote) {}
+
 func (g *leaderGroup) ReportDemand(_ string, report feed.DemandReport) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
--- /dev/null
+++ b/request/placement/board.go
@@ -0,0 +1,249 @@
+package placement
+
+import (
+	"sort"
+	"time"
+)
+
+// Guesses before anything was measured, and weights of what is.
+const (
+	// firstTokenTime is the time to read one token at a prefill replica.
+	firstTokenTime = 25 * time.Microsecond
+	// decodeSlowdown is how much longer a decode replica takes for it.
+	decodeSlowdown = 2
+	// startTime is what a request takes besides the reading of its prompt.
+	startTime = 35 * time.Millisecond
+	// measureWeight is the weight of the last measure of a pace.
+	measureWeight = 0.1
+	// measuredTokens is how much must have been read for its time to tell the pace.
+	measuredTokens = 1000
+	// defaultKVTokens is a replica's memory where the sheet does not tell it.
+	defaultKVTokens = 400_000
+	// cacheShare is the part of a memory that is believed to keep parts.
+	cacheShare = 0.9
+	// forgetAfter is how long a request counts of which nothing was heard beyond
+	// its deadline.
+	forgetAfter = 2 * time.Second
+)
+
+// Suspicion of replicas that failed.
+const (
+	firstSuspicion = 500 * time.Millisecond
+	maxSuspicion   = 8 * time.Second
+	// failureCost is what a replica that always fails costs.
+	failureCost   = 2 * time.Second
+	failureWeight = 0.2
+)
+
+// Board knows of all requests in flight to the replicas of one service.
+type Board struct {
+	sheet    Sheet
+	replicas map[string]*replica
+	names    []string // sorted
+	placed   map[Key]*placed
+	// tokenTime is the measured time to read one token, by role.
+	tokenTime [2]time.Duration
+}
+
+// placed is one request in flight.
+type placed struct {
+	ask       Ask
+	answer    Answer
+	at        time.Duration
+	expires   time.Duration
+	clear     bool // the reading replica had nothing else to read
+	unreadAt  *replica
+	reading   int // tokens still to be read there
+	runningAt *replica
+	started   bool
+}
+
+// replica is what the board knows of one replica.
+type replica struct {
+	Replica
+	cache cache
+	// queue holds what is to be read, in order; headSince is when the reading
+	// of the first began.
+	queue     []*placed
+	headSince time.Duration
+	running   map[*placed]struct{}
+
+	suspicion   time.Duration
+	suspectTill time.Duration
+	failureRate float64
+}
+
+// NewBoard returns a board without replicas.
+func NewBoard() *Board {
+	return &Board{
+		replicas:  map[string]*replica{},
+		placed:    map[Key]*placed{},
+		tokenTime: [2]time.Duration{RoleDecode: decodeSlowdown * firstTokenTime, RolePrefill: firstTokenTime},
+	}
+}
+
+// SetReplicas replaces the replicas; what is known of those that stay is kept.
+func (b *Board) SetReplicas(sheet Sheet, listed []Replica) {
+	b.sheet = sheet
+	next := make(map[string]*replica, len(listed))
+	b.names = b.names[:0]
+	for _, entry := range listed {
+		known := b.replicas[entry.Name]
+		if known == nil || known.Role != entry.Role {
+			known = &replica{cache: newCache(), running: map[*placed]struct{}{}}
+		}
+		known.Replica = entry
+		next[entry.Name] = known
+		b.names = append(b.names, entry.Name)
+	}
+	sort.Strings(b.names)
+	b.replicas = next
+}
+
+// Place decides where the request goes and counts it there until it ends.
+func (b *Board) Place(now time.Duration, key Key, ask Ask) Answer {
+	b.expire(now)
+	b.end(now, key)
+	chosen, found := b.choose(now, &ask)
+	if !found {
+		return Answer{}
+	}
+	p := &placed{ask: ask, at: now, expires: now + ask.Deadline + forgetAfter}
+	p.answer = chosen.answer()
+	p.runningAt = chosen.generator
+	p.unreadAt = chosen.readsAt()
+	p.reading = chosen.unread
+	p.clear = len(p.unreadAt.queue) == 0
+	if p.clear {
+		p.unreadAt.headSince = now
+	}
+	p.unreadAt.queue = append(p.unreadAt.queue, p)
+	p.runningAt.running[p] = struct{}{}
+	p.unreadAt.cache.use(ask.Parts, b.cacheLimit())
+	if p.runningAt != p.unreadAt {
+		p.runningAt.cache.use(ask.Parts, b.cacheLimit())
+	}
+	b.placed[key] = p
+	return p.answer
+}
+
+func (b *Board) cacheLimit() int64 {
+	if b.sheet.KVTokens > 0 {
+		return int64(cacheShare * float64(b.sheet.KVTokens))
+	}
+	return defaultKVTokens
+}
+
+// Note takes in how far a request has come.
+func (b *Board) Note(now time.Duration, key Key, note Note) {
+	if note.Step == StepFailed {
+		b.fail(now, note.Replica)
+	}
+	p := b.placed[key]
+	if p == nil {
+		return
+	}
+	switch note.Step {
+	case StepRead:
+		b.read(now, p)
+	case StepStarted:
+		b.read(now, p)
+		p.started = true
+		p.runningAt.succeed()
+	case StepEnded, StepFailed:
+		b.end(now, key)
+	}
+}
+
+// read takes the request off the queue of its reader and learns the pace.
+func (b *Board) read(now time.Duration, p *placed) {
+	at := p.unreadAt
+	if at == nil {
+		return
+	}
+	if p.clear && p.reading >= measuredTokens {
+		spent := now - p.at
+		if at == p.runningAt {
+			spent -= startTime
+		}
+		b.learn(at.Role, spent, p.reading)
+	}
+	at.succeed()
+	b.unqueue(now, p)
+}
+
+func (b *Board) learn(role Role, spent time.Duration, tokens int) {
+	measured := spent / time.Duration(tokens)
+	if measured <= 0 {
+		return
+	}
+	b.tokenTime[role] += time.Duration(measureWeight * float64(measured-b.tokenTime[role]))
+}
+
+// unqueue takes the request off the queue of whoever reads it.
+func (b *Board) unqueue(now time.Duration, p *placed) {
+	at := p.unreadAt
+	p.unreadAt = nil
+	for i, queued := range at.queue {
+		if queued != p {
+			continue
+		}
+		at.queue = append(at.queue[:i], at.queue[i+1:]...)
+		if i == 0 {
+			at.headSince = now
+		}
+		return
+	}
+}
+
+// end forgets a request.
+func (b *Board) end(now time.Duration, key Key) {
+	p := b.placed[key]
+	if p == nil {
+		return
+	}
+	if p.unreadAt != nil {
+		b.unqueue(now, p)
+	}
+	delete(p.runningAt.running, p)
+	delete(b.placed, key)
+}
+
+// expire forgets requests of which nothing more was heard: their daemons are
+// gone, or the word was lost.
+func (b *Board) expire(now time.Duration) {
+	for key, p := range b.placed {
+		if now > p.expires {
+			b.end(now, key)
+		}
+	}
+}
+
+// fail notes that a replica gave no answer or broke one off.
+func (b *Board) fail(now time.Duration, name string) {
+	failed := b.replicas[name]
+	if failed == nil {
+		return
+	}
+	failed.failureRate += failureWeight * (1 - failed.failureRate)
+	failed.suspicion = min(max(2*failed.suspicion, firstSuspicion), maxSuspicion)
+	failed.suspectTill = now + failed.suspicion
+}
+
+func (r *replica) succeed() {
+	r.failureRate *= 1 - failureWeight
+	r.suspicion = 0
+}
+
+// backlog is the time that reading all that is queued will take.
+func (r *replica) backlog(now time.Duration, tokenTime time.Duration) time.Duration {
+	if len(r.queue) == 0 {
+		return 0
+	}
+	head := time.Duration(r.queue[0].reading) * tokenTime
+	total := max(head-(now-r.headSince), 0)
+	for _, queued := range r.queue[1:] {
+		total += time.Duration(queued.reading) * tokenTime
+	}
+	return total
+}
--- /dev/null
+++ b/request/placement/cache.go
@@ -0,0 +1,47 @@
+package placement
+
+import "container/list"
+
+// cache is what a replica is believed to keep of prompts: whole parts, the one
+// used last in front, as many as its memory holds.
+type cache struct {
+	order  *list.List
+	parts  map[string]*list.Element
+	tokens int64
+}
+
+type cachedPart struct {
+	id     string
+	tokens int64
+}
+
+func newCache() cache { return cache{order: list.New(), parts: map[string]*list.Element{}} }
+
+// leading returns how many tokens of the leading parts are kept.
+func (c *cache) leading(parts []Part) int {
+	tokens := 0
+	for _, part := range parts {
+		if c.parts[part.ID] == nil {
+			break
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+// use puts the parts in front and drops those used longest ago beyond limit tokens.
+func (c *cache) use(parts []Part, limit int64) {
+	for _, part := range parts {
+		if known := c.parts[part.ID]; known != nil {
+			c.order.MoveToFront(known)
+			continue
+		}
+		c.parts[part.ID] = c.order.PushFront(cachedPart{id: part.ID, tokens: int64(part.Tokens)})
+		c.tokens += int64(part.Tokens)
+	}
+	for c.tokens > limit && c.order.Len() > 0 {
+		oldest := c.order.Remove(c.order.Back()).(cachedPart)
+		delete(c.parts, oldest.id)
+		c.tokens -= oldest.tokens
+	}
+}
--- /dev/null
+++ b/request/placement/choose.go
@@ -0,0 +1,231 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// Costs of options beside the time to the first token, in time.
+const (
+	// runningCost is what each stream that a replica runs adds: tokens of all of
+	// them come slower.
+	runningCost = 1500 * time.Microsecond
+	// moveSetup is what a move of memory takes before its bytes flow.
+	moveSetup = 8 * time.Millisecond
+	// movePrice keeps moves rare that win little: per 1,000 tokens moved.
+	movePrice = 500 * time.Microsecond
+	// otherZoneFactor is how much more a move between zones takes and costs.
+	otherZoneFactor = 2
+	// otherZoneCost is what a request's own way between zones costs.
+	otherZoneCost = time.Millisecond
+	// fullCost keeps requests off replicas without a free place.
+	fullCost = 500 * time.Millisecond
+	// disturbShare is the part of the gap objective by which reading a prompt
+	// may hold up the streams beside it; beyond, each stream counts disturbCost.
+	disturbShare = 0.45
+	disturbCost  = 60 * time.Millisecond
+	// defaultGap is the gap objective where none is known.
+	defaultGap = 300 * time.Millisecond
+	// minimumFetch is how many tokens a fetch must save.
+	minimumFetch = 256
+)
+
+// option is one way to serve a request.
+type option struct {
+	generator *replica
+	reader    *replica // nil when the generator reads
+	fetch     *replica
+	unread    int
+	// first is the expected time to the first token, cost that and all else.
+	first time.Duration
+	cost  time.Duration
+}
+
+func (o *option) readsAt() *replica {
+	if o.reader != nil {
+		return o.reader
+	}
+	return o.generator
+}
+
+func (o *option) answer() Answer {
+	answer := Answer{Generator: o.generator.Name, Unread: o.unread, Estimate: o.first}
+	if o.reader != nil {
+		answer.Reader = o.reader.Name
+	}
+	if o.fetch != nil {
+		answer.Fetch = o.fetch.Name
+	}
+	return answer
+}
+
+// choose compares all ways to serve the request and returns the cheapest.
+func (b *Board) choose(now time.Duration, ask *Ask) (option, bool) {
+	generators := b.usable(now, RoleDecode, ask)
+	readers := b.usable(now, RolePrefill, ask)
+	keepers := b.keepers(now, ask)
+	var best option
+	found := false
+	consider := func(next option) {
+		if !found || next.cost < best.cost {
+			best, found = next, true
+		}
+	}
+	for _, generator := range generators {
+		consider(b.direct(now, ask, generator, keepers))
+	}
+	if ask.Continued {
+		return best, found
+	}
+	for _, reader := range readers {
+		read := b.reading(now, ask, reader, keepers)
+		for _, generator := range generators {
+			consider(b.split(now, ask, read, generator))
+		}
+	}
+	return best, found
+}
+
+// usable returns the replicas of the role that may take the request, without
+// the suspects unless nothing else is left.
+func (b *Board) usable(now time.Duration, role Role, ask *Ask) []*replica {
+	var sound, suspects []*replica
+	for _, name := range b.names {
+		candidate := b.replicas[name]
+		switch {
+		case candidate.Role != role, candidate.Leaving, slices.Contains(ask.Excluded, name):
+		case now < candidate.suspectTill:
+			suspects = append(suspects, candidate)
+		default:
+			sound = append(sound, candidate)
+		}
+	}
+	if len(sound) == 0 {
+		return suspects
+	}
+	return sound
+}
+
+// keeper is a replica that keeps leading parts of a prompt.
+type keeper struct {
+	replica *replica
+	tokens  int
+}
+
+// keepers returns the replica of each zone that keeps most of the prompt.
+func (b *Board) keepers(now time.Duration, ask *Ask) map[string]keeper {
+	best := map[string]keeper{}
+	for _, name := range b.names {
+		candidate := b.replicas[name]
+		if candidate.Leaving || now < candidate.suspectTill {
+			continue
+		}
+		tokens := candidate.cache.leading(ask.Parts)
+		if tokens > best[candidate.Zone].tokens {
+			best[candidate.Zone] = keeper{replica: candidate, tokens: tokens}
+		}
+	}
+	return best
+}
+
+// reading is the reading of the prompt at a replica, with a fetch of what
+// another one keeps where that wins time.
+func (b *Board) reading(now time.Duration, ask *Ask, at *replica, keepers map[string]keeper) option {
+	kept := at.cache.leading(ask.Parts)
+	pace := b.tokenTime[at.Role]
+	best := option{reader: at, unread: max(ask.Prompt-kept, 0)}
+	best.first = time.Duration(best.unread) * pace
+	best.cost = best.first
+	for _, other := range keepers {
+		saved := other.tokens - kept
+		if other.replica == at || saved < minimumFetch {
+			continue
+		}
+		moved, price := b.move(saved, other.replica.Zone, at.Zone)
+		unread := max(ask.Prompt-other.tokens, 0)
+		first := moved + time.Duration(unread)*pace
+		if first+price < best.cost || first+price == best.cost && other.replica.Name < nameOf(best.fetch) {
+			best = option{reader: at, fetch: other.replica, unread: unread, first: first, cost: first + price}
+		}
+	}
+	backlog := at.backlog(now, pace)
+	best.first += backlog
+	best.cost += backlog + at.failureTime()
+	return best
+}
+
+func nameOf(r *replica) string {
+	if r == nil {
+		return ""
+	}
+	return r.Name
+}
+
+func (r *replica) failureTime() time.Duration {
+	return time.Duration(r.failureRate * float64(failureCost))
+}
+
+// move returns how long moving so many tokens takes, and what it is to be worth
+// beside that.
+func (b *Board) move(tokens int, from, to string) (took, price time.Duration) {
+	factor := 1
+	if from != to {
+		factor = otherZoneFactor
+	}
+	took = moveSetup
+	if b.sheet.LinkMbps > 0 {
+		bits := float64(tokens) * float64(b.sheet.BytesPerTok) * 8
+		took += time.Duration(float64(factor) * bits / (b.sheet.LinkMbps * 1e6) * float64(time.Second))
+	}
+	price = time.Duration(factor*tokens/1000) * movePrice
+	return took, price
+}
+
+// direct is the reading of the prompt where the tokens are made.
+func (b *Board) direct(now time.Duration, ask *Ask, generator *replica, keepers map[string]keeper) option {
+	next := b.reading(now, ask, generator, keepers)
+	next.reader = nil
+	next.generator = generator
+	next.first += startTime
+	next.cost += startTime + b.generating(now, ask, generator) + b.disturbance(now, next.unread, generator)
+	return next
+}
+
+// disturbance is what reading a prompt does to the streams of its replica: their
+// tokens come between pieces of it, so that their events come late once the
+// reading goes on for longer than the gap objective leaves room for.
+func (b *Board) disturbance(now time.Duration, unread int, generator *replica) time.Duration {
+	pace := b.tokenTime[RoleDecode]
+	gap := b.sheet.GapObjective
+	if gap <= 0 {
+		gap = defaultGap
+	}
+	held := generator.backlog(now, pace) + time.Duration(unread)*pace
+	if held <= time.Duration(disturbShare*float64(gap)) {
+		return held / 8
+	}
+	return held/4 + time.Duration(len(generator.running))*disturbCost
+}
+
+// generating is what making tokens at a replica costs besides.
+func (b *Board) generating(_ time.Duration, ask *Ask, generator *replica) time.Duration {
+	cost := time.Duration(len(generator.running)) * runningCost
+	if generator.Slots > 0 && len(generator.running) >= generator.Slots {
+		cost += fullCost
+	}
+	if generator.Zone != ask.Zone {
+		cost += otherZoneCost
+	}
+	return cost
+}
+
+// split is the reading of the prompt at one replica and the making of tokens at
+// another.
+func (b *Board) split(now time.Duration, ask *Ask, read option, generator *replica) option {
+	moved, price := b.move(ask.Prompt, read.reader.Zone, generator.Zone)
+	next := read
+	next.generator = generator
+	next.first += moved + startTime
+	next.cost += moved + startTime + price + b.generating(now, ask, generator) + generator.failureTime()
+	return next
+}
--- /dev/null
+++ b/request/placement/types.go
@@ -0,0 +1,97 @@
+// Package placement decides which replicas of a model service read and answer
+// each request, with one board that knows of all requests in flight: what every
+// replica has still to read, what it runs, and which parts of prompts it keeps.
+// It reads no clock and does no input or output; one goroutine uses a board.
+//
+// Guarantees: an answer names only replicas that are listed, admit, have the
+// right role and are not excluded; equal boards give equal answers to equal
+// questions.
+package placement
+
+import "time"
+
+// Role is what a replica does.
+type Role uint8
+
+// Roles of replicas.
+const (
+	RoleDecode  Role = iota // makes tokens; reads prompts at a slower pace between them
+	RolePrefill             // reads prompts and hands them over
+)
+
+// Replica is one replica that may take work.
+type Replica struct {
+	Name    string
+	Zone    string
+	Role    Role
+	Slots   int // requests at once; 0 if not known
+	Leaving bool
+}
+
+// Sheet is what is known of all replicas of a service beforehand.
+type Sheet struct {
+	KVTokens     int64   // memory of one replica, in tokens; 0 if not known
+	BytesPerTok  int64   // of KV memory
+	LinkMbps     float64 // for moves of memory
+	GapObjective time.Duration
+}
+
+// Part is a piece of a prompt. Requests share parts; the last belongs to one
+// request or session.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Ask is a request that wants a place.
+type Ask struct {
+	Prompt   int // tokens
+	Output   int // most tokens that may come out
+	Priority int
+	Zone     string
+	Parts    []Part
+	// Deadline is how long an answer is of any use.
+	Deadline time.Duration
+	Excluded []string
+	// Continued requests take up a broken stream and are read where they run.
+	Continued bool
+}
+
+// Answer says where a request goes.
+type Answer struct {
+	// Generator runs the request; empty if none takes it.
+	Generator string
+	// Reader reads the prompt first; empty when the generator does it.
+	Reader string
+	// Fetch names a replica from which whoever reads takes what that keeps of
+	// the prompt; empty for none.
+	Fetch string
+	// Unread is how many tokens are left to be read.
+	Unread int
+	// Estimate is the expected time to the first token.
+	Estimate time.Duration
+}
+
+// Step is how far a placed request has come.
+type Step uint8
+
+// Steps of a placed request.
+const (
+	StepRead    Step = iota + 1 // the reader has read the prompt
+	StepStarted                 // the first token has come
+	StepEnded                   // it is over
+	StepFailed                  // the replica gave no answer, or broke it off
+)
+
+// Note tells the board how far a request has come. Replica is the one that a
+// StepFailed speaks of.
+type Note struct {
+	Step    Step
+	Replica string
+}
+
+// Key names a placed request: the daemon that asked, and its own number.
+type Key struct {
+	Daemon string
+	Number uint64
+}
