Learn the pace of reading apart from the time to begin; elect faster; give up silent reads

Cause: estimates of reads were 1.4 to 1.8 times too long for large prompts, since the fixed time to begin went into the pace; a lost leader took 1 to 2 s to replace, during which proxies place by what they know themselves; a read at a replica that had gone dark was waited for without end.

--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -239,7 +239,7 @@
 	took := i.now() - s.arrived
 	i.metrics.observe(s.route.Name, outcomeOf(status), took)
 	event.RequestEnded.Log(i.logger, "request", s.call.ID, "route", s.route.Name, "service", service,
-		"generation", s.generation, "status", status, "took_ms", took.Milliseconds(), "sends", s.sends,
+		"generation", s.generation, "status", status, "took_ms", took.Milliseconds(), "first_ms", max(s.firstAt-s.arrived, 0).Milliseconds(), "sends", s.sends,
 		"events", s.events, "tokens", s.call.Work.PromptTokens, "tried", strings.TrimSpace(s.trace.String()))
 }
 
--- a/process/ingress/placed.go
+++ b/process/ingress/placed.go
@@ -54,6 +54,7 @@
 		reader:   s.lane.find(answer.Reader),
 		fetch:    s.lane.find(answer.Fetch),
 		uncached: answer.Unread,
+		estimate: answer.Estimate,
 		placed:   decided,
 	}
 	if answer.Generator != "" && chosen.target == nil || answer.Reader != "" && chosen.reader == nil {
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -30,7 +30,9 @@
 		Prefill:  true,
 		Fetch:    chosen.fetchAddress(),
 	})
-	answer, err := s.lane.pool.Do(ctx, reader.listed().Address, request)
+	reading, cancel := context.WithTimeoutCause(ctx, s.readPatience(chosen), errSilent)
+	defer cancel()
+	answer, err := s.lane.pool.Do(reading, reader.listed().Address, request)
 	if err != nil {
 		fmt.Fprintf(&s.trace, " prefill(%s: %v)", reader.name, err)
 		if ctx.Err() == nil {
@@ -69,6 +71,17 @@
 	return source
 }
 
+// Patience with a replica that reads a prompt: a read harms nothing when it is
+// given up, and the request is then read where it runs.
+const (
+	readPatienceFactor = 4
+	minimumReadTime    = 1500 * time.Millisecond
+)
+
+func (s *session) readPatience(chosen plan) time.Duration {
+	return max(time.Duration(readPatienceFactor*float64(chosen.estimate)), minimumReadTime)
+}
+
 // releaseTimeout bounds the freeing of a handle.
 const releaseTimeout = time.Second
 
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -18,10 +18,10 @@
 // Intervals of the subscription to the control group: a leader that falls
 // silent is left soon enough for a new configuration to be in force in time.
 const (
-	beatInterval   = 400 * time.Millisecond
-	silenceTimeout = 1200 * time.Millisecond
+	beatInterval   = 350 * time.Millisecond
+	silenceTimeout = 1000 * time.Millisecond
 	dialTimeout    = 500 * time.Millisecond
-	maxBackoff     = 500 * time.Millisecond
+	maxBackoff     = 200 * time.Millisecond
 )
 
 // maxHeaderBytes bounds a caller's head where the configuration says nothing.
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -34,6 +34,7 @@
 	headSent  bool
 	lastEvent string
 	events    int
+	firstAt   time.Duration // when the first event came
 	// failed is a failure that a replica answered and that is passed on if
 	// nothing better comes.
 	failed *answerCopy
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -42,7 +42,9 @@
 			s.life.Fail(number, attempt.FaultBroken)
 			return verdictCallerEnd
 		}
-		s.events++
+		if s.events++; s.events == 1 {
+			s.firstAt = s.ingress.now()
+		}
 		if id != "" {
 			s.lastEvent = id
 		}
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -33,7 +33,8 @@
 	// fetch keeps parts of the prompt that whoever reads it takes from there.
 	fetch    *replica
 	uncached int
-	placed   *placed // nil where this proxy decided
+	estimate time.Duration // to the first token
+	placed   *placed       // nil where this proxy decided
 }
 
 // fetchAddress is where parts of the prompt are taken from, empty for nowhere.
@@ -92,7 +93,7 @@
 	generator, _ := s.lane.pickGenerator(whole, zone, now)
 	split := reader.cost + generator.cost + handoverCost
 	if split < direct.cost {
-		return plan{target: generator.replica, reader: reader.replica, uncached: reader.uncached}
+		return plan{target: generator.replica, reader: reader.replica, uncached: reader.uncached, estimate: split}
 	}
 	return plan{target: direct.replica, uncached: direct.uncached}
 }
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -11,12 +11,15 @@
 	firstTokenTime = 25 * time.Microsecond
 	// decodeSlowdown is how much longer a decode replica takes for it.
 	decodeSlowdown = 2
-	// startTime is what a request takes besides the reading of its prompt.
+	// readStart is what a replica takes to begin with a prompt and to answer for
+	// it; several of these overlap, so that it keeps nobody else waiting.
+	readStart = 25 * time.Millisecond
+	// startTime is what a request takes from its read prompt to its first token.
 	startTime = 35 * time.Millisecond
 	// measureWeight is the weight of the last measure of a pace.
 	measureWeight = 0.1
 	// measuredTokens is how much must have been read for its time to tell the pace.
-	measuredTokens = 1000
+	measuredTokens = 1500
 	// defaultKVTokens is a replica's memory where the sheet does not tell it.
 	defaultKVTokens = 400_000
 	// cacheShare is the part of a memory that is believed to keep parts.
@@ -162,7 +165,7 @@
 		return
 	}
 	if p.clear && p.reading >= measuredTokens {
-		spent := now - p.at
+		spent := now - p.at - readStart
 		if at == p.runningAt {
 			spent -= startTime
 		}
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -149,8 +149,8 @@
 		}
 	}
 	backlog := at.backlog(now, pace)
-	best.first += backlog
-	best.cost += backlog + at.failureTime()
+	best.first += backlog + readStart
+	best.cost += backlog + readStart + at.failureTime()
 	return best
 }
 
