Count parts of prompts as kept only once they were read; judge slow replicas more softly

Cause: the board took parts for kept at a decode replica when the request that brings them was placed, so the next one with the same part was sent to read there at once: 25,000 tokens at half the pace.

Change: parts are pending while their request is queued, known to who queues behind it; kept after StepRead and StepStarted; a read that took far too long drops the belief. Proxies tell a new leader what replicas keep. Patience grows with the estimate; failures cost less.

--- a/connection/feed/client.go
+++ b/connection/feed/client.go
@@ -25,6 +25,9 @@
 	// MoreAddresses returns further feed addresses, learned while running; nil
 	// returns none. It is asked before each round of tries.
 	MoreAddresses func() []string
+	// Served is called each time a leader has begun to serve the client; it must
+	// not block. nil: nothing is called.
+	Served func()
 	// Presence returns what the daemon says of itself with each beat; nil says
 	// nothing.
 	Presence func() Presence
--- a/connection/feed/messages.go
+++ b/connection/feed/messages.go
@@ -29,6 +29,7 @@
 	kindPlace                              // subscriber: request ID, PlaceRequest
 	kindPlaceReply                         // server: request ID, placement.Answer
 	kindPlaceNote                          // subscriber: PlaceNote
+	kindKept                               // subscriber: KeptParts
 )
 
 // Bounds of payloads in bytes. A server takes only small frames from
--- a/connection/feed/placement.go
+++ b/connection/feed/placement.go
@@ -197,3 +197,60 @@
 	s.server.config.Group.NotePlaced(s.key.String(), note)
 	return nil
 }
+
+// KeptParts is what a daemon believes a replica to keep of prompts, the part
+// used last at the end. Daemons send it to a leader that has just begun to serve
+// them, so that it need not learn anew what their requests have left where.
+type KeptParts struct {
+	Service string
+	Replica string
+	Parts   []placement.Part
+}
+
+// maxKeptParts bounds the parts told of one replica.
+const maxKeptParts = 512
+
+func encodeKept(kept KeptParts) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.String(kept.Service)
+	encoder.String(kept.Replica)
+	parts := kept.Parts[max(0, len(kept.Parts)-maxKeptParts):]
+	encoder.Uint32(uint32(len(parts)))
+	for _, part := range parts {
+		encoder.String(part.ID)
+		encoder.Uint32(uint32(part.Tokens))
+	}
+	return encoder.Data()
+}
+
+func decodeKept(data []byte) (KeptParts, error) {
+	decoder := frame.NewDecoder(data)
+	kept := KeptParts{Service: decoder.String(), Replica: decoder.String()}
+	parts := decoder.Count(partSize)
+	if parts > maxKeptParts {
+		decoder.Fail(frame.ErrValue)
+	}
+	for i := 0; i < parts && decoder.Err() == nil; i++ {
+		kept.Parts = append(kept.Parts, placement.Part{ID: decoder.String(), Tokens: int(decoder.Uint32())})
+	}
+	return kept, decoder.Finish()
+}
+
+// ReportKept tells the leader what a replica is believed to keep; false when the
+// word was dropped.
+func (c *Client) ReportKept(kept KeptParts) bool {
+	current := c.session.Load()
+	if current == nil {
+		return false
+	}
+	return current.enqueue(&outgoing{kind: kindKept, payload: encodeKept(kept)})
+}
+
+func (s *subscriber) receiveKept(payload []byte) error {
+	kept, err := decodeKept(payload)
+	if err != nil {
+		return err
+	}
+	s.server.config.Group.NoteKept(kept)
+	return nil
+}
--- a/connection/feed/server.go
+++ b/connection/feed/server.go
@@ -49,6 +49,8 @@
 	// decide; NotePlaced takes in how far it has come. Neither waits.
 	Place(daemon string, request PlaceRequest) (placement.Answer, bool)
 	NotePlaced(daemon string, note PlaceNote)
+	// NoteKept takes in what a replica is believed to keep of prompts.
+	NoteKept(kept KeptParts)
 }
 
 // ServerConfig holds what a Server is created with. Zero durations and bounds
--- a/connection/feed/session.go
+++ b/connection/feed/session.go
@@ -300,6 +300,9 @@
 		s.ready = true
 		s.client.session.Store(s)
 		s.client.handover.end()
+		if s.client.config.Served != nil {
+			s.client.config.Served()
+		}
 	}
 }
 
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -142,6 +142,8 @@
 		return nil
 	case kindPlace:
 		return s.receivePlace(received.Payload)
+	case kindKept:
+		return s.receiveKept(received.Payload)
 	case kindPlaceNote:
 		return s.receivePlaceNote(received.Payload)
 	case kindPresence:
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -189,6 +189,9 @@
 	g.desk.note(daemon, note, monotonic())
 }
 
+// NoteKept takes in what a replica is believed to keep of prompts.
+func (g *group) NoteKept(kept feed.KeptParts) { g.desk.kept(g.machine.view(), kept) }
+
 // leaseReads lets any number of callers share lease reads. A caller gets the
 // answer of a read that was started after its call, so a shared answer is as
 // good as one of its own.
--- a/process/control/placement.go
+++ b/process/control/placement.go
@@ -44,6 +44,16 @@
 	}
 }
 
+// kept takes in what a proxy believes that a replica keeps.
+func (d *placementDesk) kept(current *view.View, kept feed.KeptParts) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.update(current)
+	if board := d.boards[kept.Service]; board != nil {
+		board.Kept(kept.Replica, kept.Parts)
+	}
+}
+
 // update takes in a new view; the lock is held.
 func (d *placementDesk) update(current *view.View) {
 	if current.Version == d.version {
--- a/process/ingress/cacheguess.go
+++ b/process/ingress/cacheguess.go
@@ -1,6 +1,11 @@
 package ingress
 
-import "container/list"
+import (
+	"container/list"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/request/placement"
+)
 
 // guessedParts bounds how many prompt parts are remembered for one replica.
 const guessedParts = 512
@@ -11,7 +16,7 @@
 // user holds a lock.
 type cacheGuess struct {
 	order *list.List
-	parts map[string]*list.Element
+	parts map[string]*list.Element // of Part
 }
 
 func newCacheGuess() cacheGuess {
@@ -37,11 +42,11 @@
 			g.order.MoveToFront(known)
 			continue
 		}
-		g.parts[part.ID] = g.order.PushFront(part.ID)
+		g.parts[part.ID] = g.order.PushFront(part)
 	}
 	for g.order.Len() > guessedParts {
 		oldest := g.order.Back()
-		delete(g.parts, oldest.Value.(string))
+		delete(g.parts, oldest.Value.(Part).ID)
 		g.order.Remove(oldest)
 	}
 }
@@ -57,3 +62,32 @@
 	defer r.lock.Unlock()
 	r.cache.note(parts)
 }
+
+// kept returns what the replica is believed to keep, the part used last at the end.
+func (r *replica) kept() []placement.Part {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	parts := make([]placement.Part, 0, r.cache.order.Len())
+	for element := r.cache.order.Back(); element != nil; element = element.Prev() {
+		part := element.Value.(Part)
+		parts = append(parts, placement.Part{ID: part.ID, Tokens: part.Tokens})
+	}
+	return parts
+}
+
+// reportKept tells a leader that has just begun to serve this proxy what the
+// replicas are believed to keep.
+func (i *Ingress) reportKept(to keptReporter) {
+	for _, opened := range i.lanes.all() {
+		for _, known := range *opened.replicas.Load() {
+			if parts := known.kept(); len(parts) > 0 {
+				to.ReportKept(feed.KeptParts{Service: opened.service, Replica: known.name, Parts: parts})
+			}
+		}
+	}
+}
+
+// keptReporter is the control group's connection; *feed.Client is one.
+type keptReporter interface {
+	ReportKept(kept feed.KeptParts) bool
+}
--- a/process/ingress/lane.go
+++ b/process/ingress/lane.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -110,6 +112,13 @@
 	l.replicas.Store(&next)
 }
 
+// all returns the open lanes.
+func (l *lanes) all() []*lane {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return slices.Collect(maps.Values(l.open))
+}
+
 func (l *lanes) close() {
 	l.lock.Lock()
 	defer l.lock.Unlock()
--- a/process/ingress/placed.go
+++ b/process/ingress/placed.go
@@ -63,6 +63,9 @@
 		return plan{}, false
 	}
 	fmt.Fprintf(&s.trace, " placed(%d unread, %s)", answer.Unread, answer.Estimate.Round(time.Millisecond))
+	if answer.Fetch != "" {
+		fmt.Fprintf(&s.trace, " fetch(%s)", answer.Fetch)
+	}
 	return chosen, true
 }
 
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -39,12 +39,14 @@
 	holder := view.NewHolder()
 	made := New(config, holder, clock, logger)
 	defer made.Close()
+	served := make(chan struct{}, 1)
 	client, err := feed.Dial(feed.ClientConfig{
 		Daemon:         config.Name,
 		Zone:           config.Zone,
 		Addresses:      config.FeedAddresses,
 		MoreAddresses:  func() []string { return memberAddresses(holder.Load()) },
 		Presence:       made.presence,
+		Served:         func() { signal(served) },
 		BeatInterval:   beatInterval,
 		SilenceTimeout: silenceTimeout,
 		DialTimeout:    dialTimeout,
@@ -57,9 +59,32 @@
 	}
 	defer client.Close()
 	made.placer = client
+	reporting, stop := context.WithCancel(ctx)
+	defer stop()
+	go made.reportWhenServed(reporting, served, client)
 	return made.serveUntil(ctx, client)
 }
 
+// signal fills the channel's place; signals coalesce.
+func signal(place chan<- struct{}) {
+	select {
+	case place <- struct{}{}:
+	default:
+	}
+}
+
+// reportWhenServed tells each new leader what replicas keep, until ctx ends.
+func (i *Ingress) reportWhenServed(ctx context.Context, served <-chan struct{}, to keptReporter) {
+	for {
+		select {
+		case <-served:
+			i.reportKept(to)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // memberAddresses returns where the members that the view names serve the feed.
 func memberAddresses(current *view.View) []string {
 	addresses := make([]string, 0, len(current.Members))
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -169,7 +169,7 @@
 	defer target.end(sent)
 	attempting, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stopWatch := s.watchSilence(attempting, target, sent, cancel)
+	stopWatch := s.watchSilence(attempting, chosen, sent, cancel)
 	defer stopWatch()
 	answer, err := s.lane.pool.Do(attempting, target.listed().Address, s.request(target, source, chosen.fetchOf(source)))
 	if err != nil {
@@ -323,12 +323,13 @@
 // watchSilence ends an attempt at a replica from which nothing at all has come
 // for a while, where the request may be tried elsewhere: the replica hangs, or
 // its machine is gone. It returns what ends the watch.
-func (s *session) watchSilence(ctx context.Context, target *replica, sent *send, cancel context.CancelCauseFunc) func() bool {
+func (s *session) watchSilence(ctx context.Context, chosen plan, sent *send, cancel context.CancelCauseFunc) func() bool {
 	if !s.route.Idempotent() || s.sends+1 >= s.route.Attempts {
 		return func() bool { return true }
 	}
-	patience := s.patience()
+	patience := s.patience(chosen)
 	timer := time.AfterFunc(patience, func() {
+		target := chosen.target
 		if ctx.Err() == nil && !sent.begun(target) && target.silentSince(sent.at) {
 			cancel(errSilent)
 		}
@@ -338,13 +339,15 @@
 
 // Patience with a silent replica, as multiples of the route's objective.
 const (
-	patienceObjectives = 1.5
+	patienceObjectives = 2
 	minimumPatience    = 300 * time.Millisecond
+	// patienceEstimates is the same as a multiple of the expected time.
+	patienceEstimates = 4
 )
 
-func (s *session) patience() time.Duration {
+func (s *session) patience(chosen plan) time.Duration {
 	objective := time.Duration(s.route.ObjectiveMilliseconds) * time.Millisecond
-	return max(time.Duration(patienceObjectives*float64(objective)), minimumPatience)
+	return max(patienceObjectives*objective, patienceEstimates*chosen.estimate, minimumPatience)
 }
 
 // begun reports whether the answer has begun.
--- a/process/relay/group.go
+++ b/process/relay/group.go
@@ -78,5 +78,8 @@
 // NotePlaced implements feed.Group.
 func (g *group) NotePlaced(string, feed.PlaceNote) {}
 
+// NoteKept implements feed.Group.
+func (g *group) NoteKept(feed.KeptParts) {}
+
 // ReportPresence passes the word on; one that is lost comes again with a beat.
 func (g *group) ReportPresence(presence feed.Presence) { g.upstream.ReportPresence(presence) }
--- a/process/relay/group_test.go
+++ b/process/relay/group_test.go
@@ -85,6 +85,8 @@
 
 func (g *leaderGroup) NotePlaced(string, feed.PlaceNote) {}
 
+func (g *leaderGroup) NoteKept(feed.KeptParts) {}
+
 func (g *leaderGroup) ReportDemand(_ string, report feed.DemandReport) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -34,7 +34,7 @@
 	firstSuspicion = 500 * time.Millisecond
 	maxSuspicion   = 8 * time.Second
 	// failureCost is what a replica that always fails costs.
-	failureCost   = 2 * time.Second
+	failureCost   = 400 * time.Millisecond
 	failureWeight = 0.2
 )
 
@@ -122,10 +122,7 @@
 	}
 	p.unreadAt.queue = append(p.unreadAt.queue, p)
 	p.runningAt.running[p] = struct{}{}
-	p.unreadAt.cache.use(ask.Parts, b.cacheLimit())
-	if p.runningAt != p.unreadAt {
-		p.runningAt.cache.use(ask.Parts, b.cacheLimit())
-	}
+	p.unreadAt.cache.expect(ask.Parts)
 	b.placed[key] = p
 	return p.answer
 }
@@ -137,6 +134,13 @@
 	return defaultKVTokens
 }
 
+// Kept takes in what a replica is believed to keep, the part used last at the end.
+func (b *Board) Kept(name string, parts []Part) {
+	if known := b.replicas[name]; known != nil {
+		known.cache.use(parts, b.cacheLimit())
+	}
+}
+
 // Note takes in how far a request has come.
 func (b *Board) Note(now time.Duration, key Key, note Note) {
 	if note.Step == StepFailed {
@@ -151,19 +155,40 @@
 		b.read(now, p)
 	case StepStarted:
 		b.read(now, p)
-		p.started = true
-		p.runningAt.succeed()
+		b.start(now, p)
 	case StepEnded, StepFailed:
 		b.end(now, key)
 	}
 }
 
-// read takes the request off the queue of its reader and learns the pace.
+// Bounds of a start that shows a wrong belief: the parts that were to be kept
+// had to be read.
+const (
+	wrongFactor = 2
+	wrongSlack  = 150 * time.Millisecond
+)
+
+// start notes that the first token has come: the generator keeps the prompt now.
+func (b *Board) start(now time.Duration, p *placed) {
+	if p.started {
+		return
+	}
+	p.started = true
+	p.runningAt.succeed()
+	p.runningAt.cache.use(p.ask.Parts, b.cacheLimit())
+}
+
+// read takes the request off the queue of its reader and learns the pace. A read
+// that took far longer than it should have shows that who was to keep parts did
+// not; whoever that was is believed to keep none of them any more.
 func (b *Board) read(now time.Duration, p *placed) {
 	at := p.unreadAt
 	if at == nil {
 		return
 	}
+	if keeper := b.replicas[p.answer.Fetch]; keeper != nil && now-p.at > wrongFactor*p.answer.Estimate+wrongSlack {
+		keeper.cache.drop(p.ask.Parts)
+	}
 	if p.clear && p.reading >= measuredTokens {
 		spent := now - p.at - readStart
 		if at == p.runningAt {
@@ -173,6 +198,7 @@
 	}
 	at.succeed()
 	b.unqueue(now, p)
+	at.cache.use(p.ask.Parts, b.cacheLimit())
 }
 
 func (b *Board) learn(role Role, spent time.Duration, tokens int) {
@@ -187,6 +213,7 @@
 func (b *Board) unqueue(now time.Duration, p *placed) {
 	at := p.unreadAt
 	p.unreadAt = nil
+	at.cache.arrived(p.ask.Parts)
 	for i, queued := range at.queue {
 		if queued != p {
 			continue
--- a/request/placement/cache.go
+++ b/request/placement/cache.go
@@ -8,6 +8,9 @@
 	order  *list.List
 	parts  map[string]*list.Element
 	tokens int64
+	// pending counts requests in the replica's queue that bring a part there.
+	// Who is queued behind them finds it; nobody else does.
+	pending map[string]int
 }
 
 type cachedPart struct {
@@ -15,7 +18,9 @@
 	tokens int64
 }
 
-func newCache() cache { return cache{order: list.New(), parts: map[string]*list.Element{}} }
+func newCache() cache {
+	return cache{order: list.New(), parts: map[string]*list.Element{}, pending: map[string]int{}}
+}
 
 // leading returns how many tokens of the leading parts are kept.
 func (c *cache) leading(parts []Part) int {
@@ -29,6 +34,45 @@
 	return tokens
 }
 
+// leadingBehindQueue is leading for a request that is read after all that is queued.
+func (c *cache) leadingBehindQueue(parts []Part) int {
+	tokens := 0
+	for _, part := range parts {
+		if c.parts[part.ID] == nil && c.pending[part.ID] == 0 {
+			break
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+// expect notes that a queued request brings the parts; arrived ends that.
+func (c *cache) expect(parts []Part) {
+	for _, part := range parts {
+		c.pending[part.ID]++
+	}
+}
+
+func (c *cache) arrived(parts []Part) {
+	for _, part := range parts {
+		if c.pending[part.ID]--; c.pending[part.ID] <= 0 {
+			delete(c.pending, part.ID)
+		}
+	}
+}
+
+// drop forgets the parts: the replica has shown that it does not keep them.
+func (c *cache) drop(parts []Part) {
+	for _, part := range parts {
+		known := c.parts[part.ID]
+		if known == nil {
+			continue
+		}
+		c.tokens -= c.order.Remove(known).(cachedPart).tokens
+		delete(c.parts, part.ID)
+	}
+}
+
 // use puts the parts in front and drops those used longest ago beyond limit tokens.
 func (c *cache) use(parts []Part, limit int64) {
 	for _, part := range parts {
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -131,7 +131,7 @@
 // reading is the reading of the prompt at a replica, with a fetch of what
 // another one keeps where that wins time.
 func (b *Board) reading(now time.Duration, ask *Ask, at *replica, keepers map[string]keeper) option {
-	kept := at.cache.leading(ask.Parts)
+	kept := at.cache.leadingBehindQueue(ask.Parts)
 	pace := b.tokenTime[at.Role]
 	best := option{reader: at, unread: max(ask.Prompt-kept, 0)}
 	best.first = time.Duration(best.unread) * pace
