Suspicion costs instead of bans; packed deltas; come back when the group serves again

Cause: under grey failures (40 % errors everywhere) most replicas were banned and the rest drowned; config storms sent 150 KB to every proxy and member; after a stop of everything callers were told to come back after 0.25 s, twice refused.

--- a/connection/feed/delta.go
+++ b/connection/feed/delta.go
@@ -4,17 +4,44 @@
 	"sync"
 	"time"
 
+	"github.com/landingtrail/landingtrail/version/compress"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/pkg/errors"
 )
 
+// packedFrom is the size in bytes from which a delta is packed. The first byte
+// of the payload says whether it is.
+const packedFrom = 1 << 10
+
+const (
+	deltaPlain byte = iota
+	deltaPacked
+)
+
 func encodeDelta(delta view.Delta) ([]byte, error) {
-	data, err := delta.AppendBinary(nil)
-	return data, errors.Wrap(err, "feed: encode delta")
+	data, err := delta.AppendBinary([]byte{deltaPlain})
+	if err != nil {
+		return nil, errors.Wrap(err, "feed: encode delta")
+	}
+	if len(data) < packedFrom {
+		return data, nil
+	}
+	return append([]byte{deltaPacked}, compress.Pack(data[1:])...), nil
 }
 
 func decodeDelta(data []byte) (view.Delta, error) {
-	delta, err := view.DecodeDelta(data)
+	if len(data) == 0 {
+		return view.Delta{}, errors.Wrap(errProtocol, "empty delta")
+	}
+	body := data[1:]
+	if data[0] == deltaPacked {
+		unpacked, err := compress.Unpack(body, maxServerPayload)
+		if err != nil {
+			return view.Delta{}, errors.Wrap(errProtocol, err.Error())
+		}
+		body = unpacked
+	}
+	delta, err := view.DecodeDelta(body)
 	return delta, errors.Wrap(err, "feed: decode delta")
 }
 
--- a/process/control/ingress.go
+++ b/process/control/ingress.go
@@ -13,6 +13,7 @@
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/compress"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/pkg/errors"
 )
@@ -56,7 +57,7 @@
 		if _, valid := current.Lease(ctx); !valid {
 			return nil, errors.Wrap(ErrUnavailable, "the leader lease is not valid")
 		}
-		return current.machine.view().Ingresses[api.IngressName], nil
+		return unpackSource(current.machine.view().Ingresses[api.IngressName])
 	}
 	var list operatorapi.ObjectList
 	if err := a.askLeader(ctx, http.MethodGet, operatorapi.PathObjects+"/"+string(api.KindIngress), nil, &list); err != nil {
@@ -64,12 +65,29 @@
 	}
 	for _, object := range list.Objects {
 		if object.Ingress != nil {
-			return object.Ingress, nil
+			return unpackSource(object.Ingress)
 		}
 	}
 	return nil, nil
 }
 
+// maxSourceBytes bounds an unpacked document.
+const maxSourceBytes = 64 << 20
+
+// unpackSource returns the Ingress with its document as it came.
+func unpackSource(held *api.Ingress) (*api.Ingress, error) {
+	if held == nil {
+		return nil, nil
+	}
+	source, err := compress.Unpack(held.Spec.Source, maxSourceBytes)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	unpacked := *held
+	unpacked.Spec.Source = source
+	return &unpacked, nil
+}
+
 // Proxies returns the proxies that take requests as this member knows them; it
 // asks nobody, and the answer may lag.
 func (a *Access) Proxies() map[string]*api.Proxy { return a.member.machine.view().Proxies }
@@ -133,6 +151,7 @@
 		event.IngressNotTaken.Log(g.logger, "generation", spec.Generation, "voters", len(status.Configuration.Voters), "err", "too few voters")
 		return api.ReplaceResult{}, errors.Wrap(ErrUnavailable, "the group is not complete yet")
 	}
+	spec.Source = compress.Pack(spec.Source)
 	value, err := g.propose(ctx, state.Command{Kind: state.CommandReplaceIngress, ReplaceIngress: &spec})
 	if err != nil {
 		event.IngressNotTaken.Log(g.logger, "generation", spec.Generation, "err", err)
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -136,11 +136,20 @@
 // process knew any route.
 func noRoute(routes *routeTable) *ownRefusal {
 	if routes.generation == 0 {
-		return &ownRefusal{status: http.StatusServiceUnavailable, cause: "no_configuration", retryAfter: defaultRetryAfter}
+		return &ownRefusal{status: http.StatusServiceUnavailable, cause: "no_configuration", retryAfter: startPause()}
 	}
 	return &ownRefusal{status: http.StatusNotFound, cause: "no_route"}
 }
 
+// startPause is when a process that has just started will know the routes: a
+// group that was stopped as a whole takes about a second to serve again. Callers
+// come back spread out.
+func startPause() time.Duration {
+	return minimumStartPause + rand.N(minimumStartPause/2)
+}
+
+const minimumStartPause = time.Second
+
 // read takes the caller's request in whole.
 func (i *Ingress) read(w http.ResponseWriter, r *http.Request, routes *routeTable) (Call, *ownRefusal) {
 	call, err := i.config.Dialect.Call(r.Header)
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -30,6 +30,8 @@
 	sends    int // to replicas, the free first prefill not counted
 	dials    int // connections that were not had
 	excluded map[string]bool
+	// answered is true once the replica of the present attempt has answered.
+	answered bool
 	// headSent is true once the caller has the head of an answer.
 	headSent  bool
 	lastEvent string
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -75,6 +75,7 @@
 	if ctx.Err() != nil {
 		return verdictCallerEnd
 	}
+	s.answered = false
 	target.suspect(s.ingress.now())
 	return verdictBroken
 }
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -118,6 +118,7 @@
 // try makes one attempt and returns how it ended, and with which replica; nil
 // when none takes the request.
 func (s *session) try(ctx context.Context) (verdict, *replica) {
+	s.answered = false
 	chosen := s.choose(ctx)
 	if chosen.target == nil {
 		return verdictNotRun, nil
@@ -132,14 +133,22 @@
 		s.replaceTarget(&chosen)
 	}
 	result := s.send(ctx, chosen, source)
-	if result == verdictBroken || result == verdictNotRun {
-		chosen.placed.note(placement.StepFailed, chosen.target.name)
-	} else {
-		chosen.placed.note(placement.StepEnded, "")
-	}
+	chosen.placed.note(s.stepAfter(result), chosen.target.name)
 	return result, chosen.target
 }
 
+// stepAfter is what the control group is told of an attempt that is over.
+func (s *session) stepAfter(result verdict) placement.Step {
+	switch {
+	case result == verdictBroken && !s.answered:
+		return placement.StepFailed
+	case result == verdictBroken, result == verdictNotRun:
+		return placement.StepErred
+	default:
+		return placement.StepEnded
+	}
+}
+
 // replaceTarget picks another replica to make the tokens if the chosen one has
 // begun to leave, or has failed, while the prompt was read.
 func (s *session) replaceTarget(chosen *plan) {
@@ -177,6 +186,7 @@
 	}
 	defer answer.Close()
 	s.sends++
+	s.answered = true
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	target.hear(reply.Load, s.ingress.now())
 	return s.judge(ctx, chosen, sent, number, answer, reply)
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -33,6 +33,9 @@
 const (
 	firstSuspicion = 500 * time.Millisecond
 	maxSuspicion   = 8 * time.Second
+	// suspectCost is what a replica costs that has just given no answer. It is a
+	// cost and no ban, so that the others are not drowned when many are suspected.
+	suspectCost = 1500 * time.Millisecond
 	// failureCost is what a replica that always fails costs.
 	failureCost   = 400 * time.Millisecond
 	failureWeight = 0.2
@@ -143,8 +146,8 @@
 
 // Note takes in how far a request has come.
 func (b *Board) Note(now time.Duration, key Key, note Note) {
-	if note.Step == StepFailed {
-		b.fail(now, note.Replica)
+	if note.Step == StepFailed || note.Step == StepErred {
+		b.fail(now, note)
 	}
 	p := b.placed[key]
 	if p == nil {
@@ -156,7 +159,7 @@
 	case StepStarted:
 		b.read(now, p)
 		b.start(now, p)
-	case StepEnded, StepFailed:
+	case StepEnded, StepFailed, StepErred:
 		b.end(now, key)
 	}
 }
@@ -249,13 +252,17 @@
 	}
 }
 
-// fail notes that a replica gave no answer or broke one off.
-func (b *Board) fail(now time.Duration, name string) {
-	failed := b.replicas[name]
+// fail notes a replica's failure. One that answers, if only with failures, is
+// not suspected to be gone.
+func (b *Board) fail(now time.Duration, note Note) {
+	failed := b.replicas[note.Replica]
 	if failed == nil {
 		return
 	}
 	failed.failureRate += failureWeight * (1 - failed.failureRate)
+	if note.Step == StepErred {
+		return
+	}
 	failed.suspicion = min(max(2*failed.suspicion, firstSuspicion), maxSuspicion)
 	failed.suspectTill = now + failed.suspicion
 }
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -61,8 +61,8 @@
 
 // choose compares all ways to serve the request and returns the cheapest.
 func (b *Board) choose(now time.Duration, ask *Ask) (option, bool) {
-	generators := b.usable(now, RoleDecode, ask)
-	readers := b.usable(now, RolePrefill, ask)
+	generators := b.usable(RoleDecode, ask)
+	readers := b.usable(RolePrefill, ask)
 	keepers := b.keepers(now, ask)
 	var best option
 	found := false
@@ -86,24 +86,16 @@
 	return best, found
 }
 
-// usable returns the replicas of the role that may take the request, without
-// the suspects unless nothing else is left.
-func (b *Board) usable(now time.Duration, role Role, ask *Ask) []*replica {
-	var sound, suspects []*replica
+// usable returns the replicas of the role that may take the request.
+func (b *Board) usable(role Role, ask *Ask) []*replica {
+	var usable []*replica
 	for _, name := range b.names {
 		candidate := b.replicas[name]
-		switch {
-		case candidate.Role != role, candidate.Leaving, slices.Contains(ask.Excluded, name):
-		case now < candidate.suspectTill:
-			suspects = append(suspects, candidate)
-		default:
-			sound = append(sound, candidate)
+		if candidate.Role == role && !candidate.Leaving && !slices.Contains(ask.Excluded, name) {
+			usable = append(usable, candidate)
 		}
 	}
-	if len(sound) == 0 {
-		return suspects
-	}
-	return sound
+	return usable
 }
 
 // keeper is a replica that keeps leading parts of a prompt.
@@ -150,7 +142,7 @@
 	}
 	backlog := at.backlog(now, pace)
 	best.first += backlog + readStart
-	best.cost += backlog + readStart + at.failureTime()
+	best.cost += backlog + readStart + at.failureTime(now)
 	return best
 }
 
@@ -161,8 +153,13 @@
 	return r.Name
 }
 
-func (r *replica) failureTime() time.Duration {
-	return time.Duration(r.failureRate * float64(failureCost))
+// failureTime is what the replica's failures make it cost.
+func (r *replica) failureTime(now time.Duration) time.Duration {
+	cost := time.Duration(r.failureRate * float64(failureCost))
+	if now < r.suspectTill {
+		cost += suspectCost
+	}
+	return cost
 }
 
 // move returns how long moving so many tokens takes, and what it is to be worth
@@ -226,6 +223,6 @@
 	next := read
 	next.generator = generator
 	next.first += moved + startTime
-	next.cost += moved + startTime + price + b.generating(now, ask, generator) + generator.failureTime()
+	next.cost += moved + startTime + price + b.generating(now, ask, generator) + generator.failureTime(now)
 	return next
 }
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -81,10 +81,11 @@
 	StepStarted                 // the first token has come
 	StepEnded                   // it is over
 	StepFailed                  // the replica gave no answer, or broke it off
+	StepErred                   // the replica answered with a failure of its own
 )
 
 // Note tells the board how far a request has come. Replica is the one that a
-// StepFailed speaks of.
+// StepFailed or StepErred speaks of.
 type Note struct {
 	Step    Step
 	Replica string
--- a/version/api/ingress.go
+++ b/version/api/ingress.go
@@ -18,7 +18,7 @@
 	Services   []RouteService `json:"services" yaml:"services"`
 	Limits     IngressLimits  `json:"limits" yaml:"limits"`
 	// Source is the document from which the operator's automation made the
-	// spec, kept as it came; it may be empty.
+	// spec; it may be empty. The group keeps it packed and hands it out as it came.
 	Source []byte `json:"source,omitempty" yaml:"source,omitempty"`
 }
 
