Take joining members in under any leader; open a member again after a full disk; log roles and peers

Cause 1: a member with an empty disk knows the seeds only. The answer to the request to join now tells where all members are. Ruled out: addresses lost over a restart (the learners never had a log), lazily stored commit index.

--- a/process/control/founding.go
+++ b/process/control/founding.go
@@ -11,6 +11,7 @@
 	"github.com/landingtrail/landingtrail/connection/peer"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/pkg/errors"
 )
 
@@ -146,7 +147,7 @@
 		return err
 	}
 	own := m.config.own(m.id)
-	_, err = client.ChangeMembers(ctx, operatorapi.MemberRequest{
+	reply, err := client.ChangeMembers(ctx, operatorapi.MemberRequest{
 		Action:          operatorapi.MemberAdd,
 		ID:              operatorapi.MemberID(own.ID),
 		Name:            own.Name,
@@ -154,7 +155,29 @@
 		FeedAddress:     own.FeedAddress,
 		OperatorAddress: own.OperatorAddress,
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	m.learnMembers(reply.Members)
+	return nil
+}
+
+// learnMembers keeps where the members are. A member that joins has no state to
+// tell it, and the leader, to whom it must answer before it gets any, need not be
+// one of those that its settings name.
+func (m *member) learnMembers(members []operatorapi.Member) {
+	for _, known := range members {
+		if raft.MemberID(known.ID) == m.id || known.PeerAddress == "" {
+			continue
+		}
+		m.addresses.add(state.Member{
+			ID:              uint64(known.ID),
+			Name:            known.Name,
+			PeerAddress:     known.PeerAddress,
+			FeedAddress:     known.FeedAddress,
+			OperatorAddress: known.OperatorAddress,
+		})
+	}
 }
 
 func (m *member) otherOperators() []string {
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,25 @@
 	return m.run(ctx)
 }
 
+// storagePause is the wait before a member whose storage failed is opened again.
+const storagePause = time.Second
+
+// RunAgain is Run, but opens the member again, after a pause, when its storage
+// has failed: a full disk may have room again, and a process that ends each time
+// only costs starts. Invalid configurations and removals end it as they end Run.
+func RunAgain(ctx context.Context, config Config, logger log.Logger) error {
+	for {
+		err := Run(ctx, config, logger)
+		if err == nil || errors.Is(err, ErrConfig) || errors.Is(err, ErrRemoved) || ctx.Err() != nil {
+			return err
+		}
+		event.ControlReopens.Log(logger, "err", err, "pause", storagePause)
+		if sleep(ctx, storagePause) != nil {
+			return nil
+		}
+	}
+}
+
 // member is this process's member of the group.
 type member struct {
 	config    Config
@@ -52,6 +72,28 @@
 	// initialized is true once the folder holds a group's log.
 	initialized atomic.Bool
 	background  sync.WaitGroup
+	peers       peerStates
+}
+
+// peerStates keeps what last happened to the connections to each member, so that
+// a connection that goes on failing is logged once.
+type peerStates struct {
+	lock sync.Mutex
+	last map[raft.MemberID]peer.EventKind
+}
+
+// changed reports whether something else than last time has happened.
+func (s *peerStates) changed(happened peer.Event) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.last == nil {
+		s.last = map[raft.MemberID]peer.EventKind{}
+	}
+	if s.last[happened.Member] == happened.Kind {
+		return false
+	}
+	s.last[happened.Member] = happened.Kind
+	return true
 }
 
 // listeners are opened before anything else, so that a port in use ends the
@@ -117,6 +159,7 @@
 		ID:          m.id,
 		Listener:    m.listeners.peer,
 		Initialized: m.initialized.Load,
+		OnEvent:     m.logPeer,
 	}, m.receive)
 	if err != nil {
 		m.listeners.close()
@@ -128,6 +171,22 @@
 	return nil
 }
 
+// logPeer logs that a connection to another member came up, ended or was refused.
+func (m *member) logPeer(happened peer.Event) {
+	if !m.peers.changed(happened) {
+		return
+	}
+	known := []any{"id", uint64(happened.Member), "address", happened.Address}
+	switch happened.Kind {
+	case peer.EventConnected:
+		event.PeerConnected.Log(m.logger, known...)
+	case peer.EventDisconnected:
+		event.PeerDisconnected.Log(m.logger, append(known, "err", happened.Err)...)
+	default:
+		event.PeerRefused.Log(m.logger, append(known, "err", happened.Err)...)
+	}
+}
+
 // receive hands a message to the replica; before that has started, messages are
 // lost, which the agreement protocol bears.
 func (m *member) receive(message raft.Message) {
@@ -265,6 +324,9 @@
 			}
 			event.ControlLeads.Log(m.logger, "term", status.Term)
 		}
+		event.ControlRole.Log(m.logger, "role", roleOf(m.id, status), "term", status.Term, "leader", uint64(status.Leader),
+			"commit", status.Commit, "last", status.LastIndex, "voters", fmt.Sprint(status.Configuration.Voters),
+			"learners", fmt.Sprint(status.Configuration.Learners))
 		m.feed.Wake()
 		m.duties.wake()
 		select {
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -24,6 +24,17 @@
 	ControlRemoved = define(1009, "control_removed", Error,
 		"The group has removed this member's identity, for example because another disk joined under its name; the member stops.",
 		"Start it again with an empty data folder if it is still wanted.")
+	ControlReopens = define(1014, "control_reopens", Warn,
+		"The member's storage failed; the member is opened again after a pause.", "Look at the disk if it repeats.")
+	ControlRole = define(1013, "control_role", Info,
+		"This member's part in the group, its leader or the group's configuration has changed.", "")
+	PeerConnected    = define(1020, "peer_connected", Info, "A connection to another member is up.", "")
+	PeerDisconnected = define(1021, "peer_disconnected", Info,
+		"A connection to another member ended or could not be made; it is tried again.",
+		"If it repeats, check that member and the path to it.")
+	PeerRefused = define(1022, "peer_refused", Warn,
+		"A connection between members was refused: another group, another identity, or bytes of another protocol.",
+		"Check the addresses in the settings; a member that came back with another disk is found anew by itself.")
 	MemberAdded    = define(1010, "member_added", Info, "A learner was added to the group.", "")
 	MemberPromoted = define(1011, "member_promoted", Info,
 		"A learner that has caught up became a voter.", "")
