--- a/process/control/config.go
+++ b/process/control/config.go
@@ -56,6 +56,8 @@
 	// Fleet is where the leader reads the replicas of routed services; nil
 	// where there are none.
 	Fleet FleetSource
+	// Kept asks replicas what they keep of prompts; nil where they cannot be asked.
+	Kept KeptSource
 	// Extensions run beside the member from when it takes part in the group;
 	// their context ends after the planned stop.
 	Extensions []Extension
--- a/process/control/duties.go
+++ b/process/control/duties.go
@@ -54,6 +54,11 @@
 	// not active now was first seen so. Only the loop uses them.
 	startedAt time.Duration
 	awaySince map[raft.MemberID]time.Duration
+	// warmed is true once replicas were asked what they keep; hadIngress whether
+	// there was an Ingress when the term began. Only the loop uses them.
+	warmed     bool
+	hadIngress bool
+	background sync.WaitGroup
 
 	lock      sync.Mutex
 	machines  *state.Machines
@@ -134,6 +139,7 @@
 	term := d.beginTerm(number)
 	d.tendMembers(ctx, term)
 	d.tendFleet(ctx, term)
+	d.warmBoards(ctx, term, monotonic())
 	d.reconcile(ctx, term)
 }
 
@@ -167,6 +173,7 @@
 	d.platform.start()
 	d.fleet.start(d.wake)
 	term.startedAt = monotonic()
+	term.hadIngress = d.group.machine.view().Ingresses[api.IngressName] != nil
 	d.termLock.Lock()
 	defer d.termLock.Unlock()
 	d.term = term
@@ -184,6 +191,7 @@
 	d.platform.stop()
 	d.fleet.stop()
 	term.actions.close()
+	term.background.Wait()
 	term.poller.Close()
 }
 
--- /dev/null
+++ b/process/control/warm.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/view"
+)
+
+// KeptSource asks a replica which parts of prompts it keeps. The question holds
+// the replica's work up, so it is asked rarely.
+type KeptSource interface {
+	Kept(ctx context.Context, address string) ([]placement.Part, error)
+}
+
+const (
+	// warmDelay is how long a new leader waits for the proxies' word on what
+	// replicas keep before it asks the replicas that nobody has spoken of.
+	warmDelay = 150 * time.Millisecond
+	// warmTimeout bounds one question, warmAtOnce the questions at once.
+	warmTimeout = time.Second
+	warmAtOnce  = 16
+)
+
+// warmBoards asks, once in a leadership, the replicas of which no proxy has said
+// what they keep: after a stop of everything nobody remembers it, and to read it
+// all again would cost far more than the question. Before the first Ingress was
+// accepted there is nothing to ask for.
+func (d *duties) warmBoards(ctx context.Context, term *termDuties, now time.Duration) {
+	if term.warmed || now-term.startedAt < warmDelay {
+		return
+	}
+	term.warmed = true
+	if d.group.config.Kept == nil || !term.hadIngress {
+		return
+	}
+	current := d.group.machine.view()
+	cold := d.group.desk.cold(current)
+	if len(cold) == 0 {
+		return
+	}
+	term.background.Go(func() { d.askKept(ctx, current, cold) })
+}
+
+// askKept asks the replicas, a few at a time.
+func (d *duties) askKept(ctx context.Context, current *view.View, cold []string) {
+	var asking sync.WaitGroup
+	places := make(chan struct{}, warmAtOnce)
+	for _, name := range cold {
+		places <- struct{}{}
+		asking.Go(func() {
+			defer func() { <-places }()
+			d.askOneKept(ctx, current.Replicas[name])
+		})
+	}
+	asking.Wait()
+}
+
+func (d *duties) askOneKept(ctx context.Context, replica *api.Replica) {
+	ctx, cancel := context.WithTimeout(ctx, warmTimeout)
+	defer cancel()
+	parts, err := d.group.config.Kept.Kept(ctx, replica.Spec.Address)
+	event.KeptAsked.Log(d.logger, "replica", replica.Name, "parts", len(parts), "err", err)
+	if err != nil {
+		return // it is learnt from its requests
+	}
+	kept := feed.KeptParts{Service: replica.Spec.Service, Replica: replica.Name, Parts: parts}
+	d.group.desk.kept(d.group.machine.view(), kept)
+}
+
+// cold returns the replicas of model services of which nothing is known to be kept.
+func (d *placementDesk) cold(current *view.View) []string {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.update(current)
+	var names []string
+	for _, board := range d.boards {
+		names = append(names, board.Cold()...)
+	}
+	return names
+}
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -67,7 +67,9 @@
 	FleetUnusable = define(1213, "fleet_unusable", Warn,
 		"The platform's list of replicas could not be read; the last list stands.",
 		"Check the platform's address, and whether its rate of calls is used up.")
-	FleetReadable   = define(1214, "fleet_readable", Info, "The platform's list of replicas can be read again.", "")
+	FleetReadable = define(1214, "fleet_readable", Info, "The platform's list of replicas can be read again.", "")
+	KeptAsked     = define(1220, "kept_asked", Info,
+		"A new leader has asked a replica which parts of prompts it keeps, since no proxy has told.", "")
 	IngressReplaced = define(1310, "ingress_replaced", Info,
 		"A whole configuration of routes was proposed; the outcome says whether it holds now.", "")
 	IngressRefused = define(1311, "ingress_refused", Info,
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -144,6 +144,21 @@
 	}
 }
 
+// coldParts is how few known parts make a replica a cold one: the first requests
+// after a start bring a few.
+const coldParts = 24
+
+// Cold returns the replicas of which next to nothing is known to be kept, by name.
+func (b *Board) Cold() []string {
+	var names []string
+	for _, name := range b.names {
+		if known := b.replicas[name]; known.cache.order.Len() < coldParts && !known.Leaving {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Note takes in how far a request has come.
 func (b *Board) Note(now time.Duration, key Key, note Note) {
 	if note.Step == StepFailed || note.Step == StepErred {
