Let the board know of requests that proxies place by themselves

Change: chance among equals; notes carry the load that the replica told, and what of it is not on the board counts for a second.

--- a/connection/feed/placement.go
+++ b/connection/feed/placement.go
@@ -125,13 +125,14 @@
 	encoder.Uint64(note.Number)
 	encoder.Uint8(uint8(note.Note.Step))
 	encoder.String(note.Note.Replica)
+	encoder.Uint32(uint32(max(note.Note.Told, 0)))
 	return encoder.Data()
 }
 
 func decodePlaceNote(data []byte) (PlaceNote, error) {
 	decoder := frame.NewDecoder(data)
 	note := PlaceNote{Service: decoder.String(), Number: decoder.Uint64()}
-	note.Note = placement.Note{Step: placement.Step(decoder.Uint8()), Replica: decoder.String()}
+	note.Note = placement.Note{Step: placement.Step(decoder.Uint8()), Replica: decoder.String(), Told: int(decoder.Uint32())}
 	return note, decoder.Finish()
 }
 
--- a/process/ingress/pick.go
+++ b/process/ingress/pick.go
@@ -18,6 +18,9 @@
 	otherZoneCost = 3 * time.Millisecond
 	// failureCost is what a replica that always fails costs.
 	failureCost = 2 * time.Second
+	// spreadCost is the most by which chance moves a cost: proxies that know
+	// nothing of each other would all take the same one of several equal replicas.
+	spreadCost = 20 * time.Millisecond
 	// fullCost keeps requests off replicas without a free place.
 	fullCost = 300 * time.Millisecond
 )
@@ -103,7 +106,7 @@
 
 // pickModel returns the replica of the roles at which the call is expected to
 // wait least, or none. pace is the time to read one token there.
-func (l *lane) pickModel(w *wanted, call *Call, zone string, pace time.Duration, now time.Duration) (choice, bool) {
+func (l *lane) pickModel(w *wanted, call *Call, zone string, pace, now time.Duration, random *rand.Rand) (choice, bool) {
 	candidates := l.candidates(w, now)
 	if len(candidates) == 0 {
 		return choice{}, false
@@ -112,6 +115,7 @@
 	var best choice
 	for i, candidate := range candidates {
 		considered := candidate.modelCost(call, near[candidate.name], zone, pace, now)
+		considered.cost += time.Duration(random.Int64N(int64(spreadCost)))
 		if i == 0 || considered.cost < best.cost {
 			best = considered
 		}
--- a/process/ingress/placed.go
+++ b/process/ingress/placed.go
@@ -23,14 +23,14 @@
 }
 
 // note tells the group how far the request has come; a nil placed tells nobody.
-func (p *placed) note(step placement.Step, replica string) {
+func (p *placed) note(step placement.Step, replica string, told int) {
 	if p == nil {
 		return
 	}
 	p.ingress.placer.NotePlaced(feed.PlaceNote{
 		Service: p.service,
 		Number:  p.number,
-		Note:    placement.Note{Step: step, Replica: replica},
+		Note:    placement.Note{Step: step, Replica: replica, Told: told},
 	})
 }
 
@@ -58,7 +58,7 @@
 		placed:   decided,
 	}
 	if answer.Generator != "" && chosen.target == nil || answer.Reader != "" && chosen.reader == nil {
-		decided.note(placement.StepEnded, "")
+		decided.note(placement.StepEnded, "", 0)
 		s.trace.WriteString(" unknown_replica")
 		return plan{}, false
 	}
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -37,7 +37,7 @@
 		fmt.Fprintf(&s.trace, " prefill(%s: %v)", reader.name, err)
 		if ctx.Err() == nil {
 			reader.suspect(s.ingress.now())
-			chosen.placed.note(placement.StepFailed, reader.name)
+			chosen.placed.note(placement.StepFailed, reader.name, 0)
 		}
 		return Source{}
 	}
@@ -60,7 +60,7 @@
 		return Source{}
 	}
 	reader.noteParts(s.call.Work.Parts)
-	chosen.placed.note(placement.StepRead, "")
+	chosen.placed.note(placement.StepRead, "", reader.told())
 	s.lane.speed.learn(uncached, now-began)
 	fmt.Fprintf(&s.trace, " prefill(%s: %d tokens in %s)", reader.name, uncached, (now - began).Round(time.Millisecond))
 	source := Source{Address: reader.listed().Address, Handle: handle}
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -157,6 +157,13 @@
 	return result
 }
 
+// told is how many requests the replica last said to have, running and waiting.
+func (r *replica) told() int {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.load.Running + r.load.Waiting
+}
+
 // isSuspect reports whether the replica is passed over now.
 func (r *replica) isSuspect(now time.Duration) bool {
 	r.lock.Lock()
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -31,7 +31,7 @@
 		if s.events == 0 || !sent.begun(target) {
 			target.start(sent, s.ingress.now())
 			target.noteParts(s.call.Work.Parts)
-			chosen.placed.note(placement.StepStarted, "")
+			chosen.placed.note(placement.StepStarted, "", target.told())
 		}
 		s.beginStream(answer)
 		if _, err := s.writer.Write(event); err != nil {
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -81,16 +82,16 @@
 	pace := s.lane.speed.tokenTime()
 	slow := time.Duration(float64(pace) * directPenalty)
 	whole := &wanted{roles: []api.EngineRole{api.RoleDecode, api.RoleMixed}, excluded: s.excluded}
-	direct, found := s.lane.pickModel(whole, &s.call, zone, slow, now)
+	direct, found := s.lane.pickModel(whole, &s.call, zone, slow, now, s.random)
 	if !found {
 		return plan{}
 	}
 	readers := &wanted{roles: []api.EngineRole{api.RolePrefill}, excluded: s.excluded}
-	reader, haveReader := s.lane.pickModel(readers, &s.call, zone, pace, now)
+	reader, haveReader := s.lane.pickModel(readers, &s.call, zone, pace, now, s.random)
 	if !haveReader || s.call.ResumeAfter != "" || s.lastEvent != "" {
 		return plan{target: direct.replica, uncached: direct.uncached}
 	}
-	generator, _ := s.lane.pickGenerator(whole, zone, now)
+	generator, _ := s.lane.pickGenerator(whole, zone, now, s.random)
 	split := reader.cost + generator.cost + handoverCost
 	if split < direct.cost {
 		return plan{target: generator.replica, reader: reader.replica, uncached: reader.uncached, estimate: split}
@@ -99,20 +100,8 @@
 }
 
 // pickGenerator returns the replica that makes tokens fastest now.
-func (l *lane) pickGenerator(w *wanted, zone string, now time.Duration) (choice, bool) {
-	candidates := l.candidates(w, now)
-	if len(candidates) == 0 {
-		return choice{}, false
-	}
-	empty := &Call{}
-	var best choice
-	for i, candidate := range candidates {
-		considered := candidate.modelCost(empty, false, zone, 0, now)
-		if i == 0 || considered.cost < best.cost {
-			best = considered
-		}
-	}
-	return best, true
+func (l *lane) pickGenerator(w *wanted, zone string, now time.Duration, random *rand.Rand) (choice, bool) {
+	return l.pickModel(w, &Call{}, zone, 0, now, random)
 }
 
 // try makes one attempt and returns how it ended, and with which replica; nil
@@ -127,13 +116,13 @@
 	if chosen.reader != nil {
 		source = s.prefill(ctx, chosen)
 		if ctx.Err() != nil {
-			chosen.placed.note(placement.StepEnded, "")
+			chosen.placed.note(placement.StepEnded, "", 0)
 			return verdictCallerEnd, chosen.target
 		}
 		s.replaceTarget(&chosen)
 	}
 	result := s.send(ctx, chosen, source)
-	chosen.placed.note(s.stepAfter(result), chosen.target.name)
+	chosen.placed.note(s.stepAfter(result), chosen.target.name, 0)
 	return result, chosen.target
 }
 
@@ -158,7 +147,7 @@
 		return
 	}
 	whole := &wanted{roles: []api.EngineRole{api.RoleDecode, api.RoleMixed}, excluded: s.excluded}
-	if other, found := s.lane.pickGenerator(whole, s.ingress.config.Zone, now); found {
+	if other, found := s.lane.pickGenerator(whole, s.ingress.config.Zone, now, s.random); found {
 		chosen.target = other.replica
 	}
 }
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -74,6 +74,11 @@
 	headSince time.Duration
 	running   map[*placed]struct{}
 
+	// foreign is how many requests the replica had that are not on the board, when
+	// it was last told, at foreignAt: of proxies that place by themselves.
+	foreign   int
+	foreignAt time.Duration
+
 	suspicion   time.Duration
 	suspectTill time.Duration
 	failureRate float64
@@ -170,8 +175,10 @@
 	}
 	switch note.Step {
 	case StepRead:
+		p.unreadAt.told(now, note.Told)
 		b.read(now, p)
 	case StepStarted:
+		p.runningAt.told(now, note.Told)
 		b.read(now, p)
 		b.start(now, p)
 	case StepEnded, StepFailed, StepErred:
@@ -282,6 +289,30 @@
 	failed.suspectTill = now + failed.suspicion
 }
 
+// foreignMemory is how long a told load counts.
+const foreignMemory = time.Second
+
+// told takes in how many requests the replica said to have.
+func (r *replica) told(now time.Duration, requests int) {
+	if r == nil || requests == 0 {
+		return
+	}
+	known := len(r.running)
+	if r.Role == RolePrefill {
+		known = len(r.queue)
+	}
+	r.foreign, r.foreignAt = max(requests-known, 0), now
+}
+
+// strangers is how many requests the replica is believed to have that are not on
+// the board.
+func (r *replica) strangers(now time.Duration) int {
+	if r.foreignAt == 0 || now-r.foreignAt > foreignMemory {
+		return 0
+	}
+	return r.foreign
+}
+
 func (r *replica) succeed() {
 	r.failureRate *= 1 - failureWeight
 	r.suspicion = 0
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -26,6 +26,9 @@
 	disturbCost  = 60 * time.Millisecond
 	// defaultGap is the gap objective where none is known.
 	defaultGap = 300 * time.Millisecond
+	// strangerTokens is what a request that is not on the board is taken to have
+	// still to be read.
+	strangerTokens = 1500
 	// minimumFetch is how many tokens a fetch must save.
 	minimumFetch = 256
 )
@@ -141,6 +144,9 @@
 		}
 	}
 	backlog := at.backlog(now, pace)
+	if at.Role == RolePrefill {
+		backlog += time.Duration(at.strangers(now)*strangerTokens) * pace
+	}
 	best.first += backlog + readStart
 	best.cost += backlog + readStart + at.failureTime(now)
 	return best
@@ -205,9 +211,10 @@
 }
 
 // generating is what making tokens at a replica costs besides.
-func (b *Board) generating(_ time.Duration, ask *Ask, generator *replica) time.Duration {
-	cost := time.Duration(len(generator.running)) * runningCost
-	if generator.Slots > 0 && len(generator.running) >= generator.Slots {
+func (b *Board) generating(now time.Duration, ask *Ask, generator *replica) time.Duration {
+	running := len(generator.running) + generator.strangers(now)
+	cost := time.Duration(running) * runningCost
+	if generator.Slots > 0 && running >= generator.Slots {
 		cost += fullCost
 	}
 	if generator.Zone != ask.Zone {
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -89,6 +89,9 @@
 type Note struct {
 	Step    Step
 	Replica string
+	// Told is how many requests the replica that took the step said to have,
+	// running and waiting, 0 if it did not say.
+	Told int
 }
 
 // Key names a placed request: the daemon that asked, and its own number.
