--- /dev/null
+++ b/connection/exchange/exchange_test.go
@@ -0,0 +1,416 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// replica is a server that answers by scripts, one for each request it reads,
+// and keeps the bytes of the requests.
+type replica struct {
+	t        *testing.T
+	listener net.Listener
+	done     sync.WaitGroup
+
+	lock     sync.Mutex
+	scripts  []func(net.Conn)
+	requests []string
+	conns    []net.Conn
+}
+
+func newReplica(t *testing.T, scripts ...func(net.Conn)) *replica {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	r := &replica{t: t, listener: listener, scripts: scripts}
+	r.done.Go(r.accept)
+	t.Cleanup(r.close)
+	return r
+}
+
+func (r *replica) address() string { return r.listener.Addr().String() }
+
+func (r *replica) accept() {
+	for {
+		conn, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.lock.Lock()
+		r.conns = append(r.conns, conn)
+		r.lock.Unlock()
+		r.done.Go(func() { r.serve(conn) })
+	}
+}
+
+func (r *replica) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	var raw bytes.Buffer
+	reader := bufio.NewReader(io.TeeReader(conn, &raw))
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		script := r.next(raw.String())
+		raw.Reset()
+		if script == nil {
+			return
+		}
+		script(conn)
+	}
+}
+
+func (r *replica) next(request string) func(net.Conn) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.requests = append(r.requests, request)
+	if len(r.scripts) == 0 {
+		return nil
+	}
+	script := r.scripts[0]
+	r.scripts = r.scripts[1:]
+	return script
+}
+
+func (r *replica) received() []string {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return append([]string(nil), r.requests...)
+}
+
+func (r *replica) close() {
+	_ = r.listener.Close()
+	r.lock.Lock()
+	for _, conn := range r.conns {
+		_ = conn.Close()
+	}
+	r.lock.Unlock()
+	r.done.Wait()
+}
+
+// say writes the bytes.
+func say(text string) func(net.Conn) {
+	return func(conn net.Conn) { _, _ = conn.Write([]byte(text)) }
+}
+
+// sayAndClose writes the bytes and ends the connection well.
+func sayAndClose(text string) func(net.Conn) {
+	return func(conn net.Conn) {
+		_, _ = conn.Write([]byte(text))
+		_ = conn.Close()
+	}
+}
+
+// sayAndReset writes the bytes and resets the connection.
+func sayAndReset(text string) func(net.Conn) {
+	return func(conn net.Conn) {
+		_, _ = conn.Write([]byte(text))
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func newPool(t *testing.T) *Pool {
+	pool := NewPool(Config{})
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+func get(target string) *Request {
+	return &Request{Method: http.MethodGet, Target: target, Host: "a.example", Header: http.Header{}}
+}
+
+// whole sends the request and reads the answer to its end.
+func whole(t *testing.T, pool *Pool, address string, request *Request) (string, error) {
+	t.Helper()
+	answer, err := pool.Do(t.Context(), address, request)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	return string(body), err
+}
+
+func TestBytesArriveAsGiven(t *testing.T) {
+	server := newReplica(t, say(ok), say(ok), say(ok))
+	pool := newPool(t)
+	cases := []struct {
+		name    string
+		request *Request
+		want    string
+	}{
+		{"target and fields", &Request{Method: "GET", Target: "/a//b/../%2f?q=%20&&", Host: "a.example", Header: http.Header{"B": {"2", "3"}, "A": {"1"}}},
+			"GET /a//b/../%2f?q=%20&& HTTP/1.1\r\nHost: a.example\r\nA: 1\r\nB: 2\r\nB: 3\r\n\r\n"},
+		{"body with a length", &Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: []byte("abc")},
+			"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"},
+		{"body in chunks", &Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: []byte("abc"), Chunked: true},
+			"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"},
+	}
+	for i, test := range cases {
+		_, err := whole(t, pool, server.address(), test.request)
+		must.NoError(t, err)
+		must.Eq(t, test.want, server.received()[i], must.Sprint(test.name))
+	}
+}
+
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	server := newReplica(t, say(ok), say(ok))
+	pool := newPool(t)
+	for range 2 {
+		body, err := whole(t, pool, server.address(), get("/"))
+		must.NoError(t, err)
+		must.Eq(t, "ok", body)
+	}
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	must.SliceLen(t, 1, server.conns)
+}
+
+// What comes after an answer belongs to no request: the connection must not be
+// used again, whether the bytes are there at once or later.
+func TestSurplusAnswersReachNobody(t *testing.T) {
+	const surplus = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+	arrived := make(chan struct{})
+	late := func(conn net.Conn) {
+		_, _ = conn.Write([]byte(ok))
+		<-arrived
+		_, _ = conn.Write([]byte(surplus))
+	}
+	for name, script := range map[string]func(net.Conn){"at once": say(ok + surplus), "later": late} {
+		t.Run(name, func(t *testing.T) {
+			server := newReplica(t, script, say(ok))
+			pool := newPool(t)
+			body, err := whole(t, pool, server.address(), get("/1"))
+			must.NoError(t, err)
+			must.Eq(t, "ok", body)
+			if name == "later" {
+				close(arrived)
+				waitReadable(t, pool, server.address())
+			}
+			body, err = whole(t, pool, server.address(), get("/2"))
+			must.NoError(t, err)
+			must.Eq(t, "ok", body)
+			server.lock.Lock()
+			defer server.lock.Unlock()
+			must.SliceLen(t, 2, server.conns)
+		})
+	}
+}
+
+// waitReadable waits until something has come on the idle connection.
+func waitReadable(t *testing.T, pool *Pool, address string) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		pool.lock.Lock()
+		idle := pool.idle[address]
+		quiet := len(idle) == 1 && idle[0].quiet()
+		pool.lock.Unlock()
+		if !quiet {
+			return
+		}
+	}
+	t.Fatal("nothing came")
+}
+
+func TestBrokenAnswersAreNotWhole(t *testing.T) {
+	cases := []struct {
+		name   string
+		script func(net.Conn)
+	}{
+		{"short", sayAndClose("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort")},
+		{"chunks cut", sayAndClose("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")},
+		{"no length, reset", sayAndReset("HTTP/1.1 200 OK\r\n\r\nhello")},
+		{"no HTTP", sayAndClose("hello there\r\n\r\n")},
+		{"nothing", sayAndClose("")},
+		{"head cut", sayAndClose("HTTP/1.1 200 OK\r\nContent-Le")},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			server := newReplica(t, test.script)
+			_, err := whole(t, newPool(t), server.address(), get("/"))
+			must.Error(t, err)
+			must.SliceLen(t, 1, server.received(), must.Sprint("a request is written once"))
+		})
+	}
+}
+
+func TestAnswersWithoutALengthEndWithTheirConnection(t *testing.T) {
+	server := newReplica(t, sayAndClose("HTTP/1.1 200 OK\r\n\r\nhello"))
+	body, err := whole(t, newPool(t), server.address(), get("/"))
+	must.NoError(t, err)
+	must.Eq(t, "hello", body)
+}
+
+func TestInformationalAnswersArePassedOver(t *testing.T) {
+	server := newReplica(t, say("HTTP/1.1 103 Early Hints\r\n\r\n"+ok))
+	body, err := whole(t, newPool(t), server.address(), get("/"))
+	must.NoError(t, err)
+	must.Eq(t, "ok", body)
+}
+
+func TestEarlyAnswerToALongBodyIsReadAndItsConnectionNotKept(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	held := make(chan net.Conn, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err == nil {
+			_, _ = conn.Write([]byte("HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n"))
+			held <- conn
+		}
+	}()
+	pool := newPool(t)
+	request := &Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: bytes.Repeat([]byte("x"), 64<<20)}
+	answer, err := pool.Do(t.Context(), listener.Addr().String(), request)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusRequestEntityTooLarge, answer.Status)
+	answer.Close()
+	pool.lock.Lock()
+	must.SliceEmpty(t, pool.idle[listener.Addr().String()])
+	pool.lock.Unlock()
+	_ = (<-held).Close()
+}
+
+func TestFailuresSayWhetherAnythingWasSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	address := listener.Addr().String()
+	must.NoError(t, listener.Close())
+	_, err = whole(t, newPool(t), address, get("/"))
+	var failure *Failure
+	must.True(t, errors.As(err, &failure))
+	must.True(t, failure.Connecting)
+	must.False(t, failure.Sent)
+
+	server := newReplica(t, sayAndClose(""))
+	_, err = whole(t, newPool(t), server.address(), get("/"))
+	must.True(t, errors.As(err, &failure))
+	must.True(t, failure.Sent)
+}
+
+func TestTheEndOfTheContextEndsTheExchange(t *testing.T) {
+	release := make(chan struct{})
+	server := newReplica(t, func(net.Conn) { <-release })
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	pool := newPool(t)
+	go func() {
+		_, err := pool.Do(ctx, server.address(), get("/"))
+		ended <- err
+	}()
+	for len(server.received()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	must.Error(t, <-ended)
+	close(release)
+}
+
+func TestUnreadAnswersCloseTheirConnection(t *testing.T) {
+	server := newReplica(t, say("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nbegun"))
+	pool := newPool(t)
+	answer, err := pool.Do(t.Context(), server.address(), get("/"))
+	must.NoError(t, err)
+	answer.Close()
+	answer.Close()
+	pool.lock.Lock()
+	defer pool.lock.Unlock()
+	must.SliceEmpty(t, pool.idle[server.address()])
+}
+
+func TestConnectionsEndBeforeTheOtherSideEndsThem(t *testing.T) {
+	cases := []struct {
+		fields string
+		kept   int
+	}{
+		{"Keep-Alive: timeout=5\r\n", 1},
+		{"Keep-Alive: max=3, timeout=5\r\n", 1},
+		{"Keep-Alive: timeout=0\r\n", 0},
+		{"Connection: close\r\n", 0},
+		{"", 1},
+	}
+	for _, test := range cases {
+		server := newReplica(t, say("HTTP/1.1 200 OK\r\n"+test.fields+"Content-Length: 2\r\n\r\nok"))
+		pool := newPool(t)
+		_, err := whole(t, pool, server.address(), get("/"))
+		must.NoError(t, err)
+		pool.lock.Lock()
+		must.SliceLen(t, test.kept, pool.idle[server.address()], must.Sprint(test.fields))
+		pool.lock.Unlock()
+	}
+}
+
+func TestIdleConnectionsAreBoundedAndDropped(t *testing.T) {
+	server := newReplica(t, say(ok), say(ok), say(ok))
+	pool := NewPool(Config{MaxIdle: 2})
+	defer pool.Close()
+	var answers []*Answer
+	for range 3 {
+		answer, err := pool.Do(t.Context(), server.address(), get("/"))
+		must.NoError(t, err)
+		_, err = io.ReadAll(answer)
+		must.NoError(t, err)
+		answers = append(answers, answer)
+	}
+	for _, answer := range answers {
+		answer.Close()
+	}
+	pool.lock.Lock()
+	must.SliceLen(t, 2, pool.idle[server.address()])
+	pool.lock.Unlock()
+	pool.Drop(server.address())
+	pool.lock.Lock()
+	must.SliceEmpty(t, pool.idle[server.address()])
+	pool.lock.Unlock()
+}
+
+// FuzzAnswer holds the reading of answers to a simple oracle: an answer that is
+// reported as whole has the length that it names, and never two answers are
+// taken from one request.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte(ok))
+	f.Add([]byte(ok + ok))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = far.Write(data)
+			_ = far.Close()
+		}()
+		defer func() { _ = near.Close() }()
+		used := newConn(near, "a")
+		response, err := readHead(used, http.MethodGet)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(response.Body)
+		if err == nil && response.ContentLength >= 0 && int64(len(body)) != response.ContentLength {
+			t.Fatalf("whole with %d of %d bytes", len(body), response.ContentLength)
+		}
+		if err == nil && !strings.Contains(string(data), "\r\n\r\n") && !strings.Contains(string(data), "\n\n") {
+			t.Fatal("an answer without the end of its head")
+		}
+	})
+}
--- /dev/null
+++ b/process/control/ingress_test.go
@@ -0,0 +1,405 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/connection/operatorapi"
+	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/shoenig/test/must"
+)
+
+// fakeFleet is a list of replicas that tests replace.
+type fakeFleet struct {
+	lock     sync.Mutex
+	replicas []api.Replica
+	err      error
+	kept     map[string][]placement.Part // by address
+	asked    []string
+}
+
+func (f *fakeFleet) Replicas(context.Context) ([]api.Replica, error) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return slices.Clone(f.replicas), f.err
+}
+
+func (f *fakeFleet) set(replicas ...api.Replica) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.replicas = replicas
+}
+
+func (f *fakeFleet) Kept(_ context.Context, address string) ([]placement.Part, error) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.asked = append(f.asked, address)
+	return f.kept[address], nil
+}
+
+func replicaOf(name string, leaving bool) api.Replica {
+	return api.Replica{
+		Metadata: api.Metadata{Name: name},
+		Spec:     api.ReplicaSpec{Service: "tiles", Address: "10.0.0.1:80", Zone: "a", Leaving: leaving},
+	}
+}
+
+// growing is a group that one member founds and the others join, knowing only
+// the first few of them.
+type growing struct {
+	*cluster
+	fleet *fakeFleet
+
+	lock   sync.Mutex
+	access map[string]*Access
+}
+
+func newGrowing(t *testing.T, size, seeds, losses int) *growing {
+	g := &growing{fleet: &fakeFleet{}, access: map[string]*Access{}}
+	g.cluster = newCluster(t, size, func(config *Config) {
+		config.Join = true
+		config.LossesToBear = losses
+		config.Fleet, config.Kept = g.fleet, g.fleet
+		config.Durations.ProxySilence = 300 * time.Millisecond
+		config.Durations.MemberSilence = 600 * time.Millisecond
+		name := config.Name
+		config.Extensions = []Extension{func(ctx context.Context, access *Access) {
+			g.lock.Lock()
+			g.access[name] = access
+			g.lock.Unlock()
+			<-ctx.Done()
+		}}
+	})
+	for i := range g.configs {
+		g.configs[i].Found = i == 0
+		known := slices.Clone(g.configs[i].Members[:seeds])
+		if i >= seeds {
+			known = append(known, g.configs[i].Members[i])
+		}
+		g.configs[i].Members = known
+	}
+	return g
+}
+
+// voters is how many voters a member counts.
+func (g *growing) voters(i int) int {
+	current := g.running[i].member.group.Load()
+	if current == nil {
+		return 0
+	}
+	status := current.replica.Status()
+	if status.ConfigurationPending {
+		return 0
+	}
+	return len(status.Configuration.Voters)
+}
+
+func (g *growing) accessOf(i int) *Access {
+	g.t.Helper()
+	var found *Access
+	eventually(g.t, "the extension", func() bool {
+		g.lock.Lock()
+		defer g.lock.Unlock()
+		found = g.access[g.configs[i].Name]
+		return found != nil
+	})
+	return found
+}
+
+func (g *growing) awaitVoters(count int, members ...int) {
+	g.t.Helper()
+	eventually(g.t, "voters", func() bool {
+		return !slices.ContainsFunc(members, func(i int) bool { return g.voters(i) != count })
+	})
+}
+
+func ingressOf(generation uint64, source string) api.IngressSpec {
+	return api.IngressSpec{
+		Generation: generation,
+		Source:     []byte(source),
+		Services:   []api.RouteService{{Name: "tiles"}},
+		Routes: []api.Route{{Name: "r", Host: "a", PathPrefix: "/", Kind: api.RouteSafe, TimeoutMilliseconds: 1,
+			Backends: []api.RouteBackend{{Service: "tiles", Weight: 1}}}},
+	}
+}
+
+func TestGroupGrowsFromOneFounderInAnyOrder(t *testing.T) {
+	for name, order := range map[string][]int{"founder first": {0, 1, 2, 3, 4}, "founder last": {4, 3, 2, 1, 0}} {
+		t.Run(name, func(t *testing.T) {
+			g := newGrowing(t, 5, 3, 2)
+			g.start(order...)
+			g.awaitVoters(5, 0, 1, 2, 3, 4)
+		})
+	}
+}
+
+// What a group acknowledges must outlive the losses that it is to bear, so a
+// group that is still growing takes nothing.
+func TestNothingIsTakenBeforeTheGroupBearsItsLosses(t *testing.T) {
+	g := newGrowing(t, 5, 3, 2)
+	g.start(0)
+	g.awaitVoters(1, 0)
+	access := g.accessOf(0)
+	eventually(t, "a leader", func() bool { return access.member.group.Load().Leadership().Leads })
+	_, err := access.ReplaceIngress(t.Context(), ingressOf(1, "one"))
+	must.ErrorIs(t, err, ErrUnavailable)
+	g.start(1, 2, 3, 4)
+	g.awaitVoters(5, 0, 1, 2, 3, 4)
+	result, err := access.ReplaceIngress(t.Context(), ingressOf(1, "one"))
+	must.NoError(t, err)
+	must.Eq(t, api.ReplaceApplied, result.Code)
+}
+
+// The leader need not be one of those that a joining member's settings name.
+// When it was not, the member could not answer it and never got a log: the next
+// two lost disks then left one voter of five.
+func TestMemberJoinsUnderALeaderThatItsSettingsDoNotName(t *testing.T) {
+	g := newGrowing(t, 5, 3, 2)
+	g.start(0, 1, 2, 3, 4)
+	g.awaitVoters(5, 0, 1, 2, 3, 4)
+	leader := g.running[3].member
+	eventually(t, "leadership of a member that is no seed", func() bool {
+		for _, running := range g.running {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			_ = running.member.replica.TransferLeadership(ctx, leader.id)
+			cancel()
+		}
+		return leader.group.Load().Leadership().Leads
+	})
+	g.crash(1)
+	g.loseDisk(1)
+	g.start(1)
+	eventually(t, "the emptied member votes again", func() bool {
+		id := g.running[1].member.id
+		status := leader.group.Load().replica.Status()
+		return slices.Contains(status.Configuration.Voters, id) && len(status.Configuration.Voters) == 5
+	})
+}
+
+func TestLostMemberIsDroppedOnceASuccessorHasJoined(t *testing.T) {
+	g := newGrowing(t, 6, 3, 2)
+	g.start(0, 1, 2, 3, 4)
+	g.awaitVoters(5, 0, 1, 2, 3, 4)
+	g.crash(4)
+	g.start(5)
+	g.awaitVoters(5, 0, 1, 2, 3, 5)
+	eventually(t, "the lost member is dropped", func() bool {
+		status := g.running[0].member.group.Load().replica.Status()
+		return slices.Contains(status.Configuration.Voters, g.running[5].member.id) && len(status.Configuration.Voters) == 5
+	})
+}
+
+func TestAnyMemberTakesAndReadsAnIngress(t *testing.T) {
+	g := newGrowing(t, 3, 3, 1)
+	g.start(0, 1, 2)
+	g.awaitVoters(3, 0, 1, 2)
+	for i := range 3 {
+		generation := uint64(10 + i)
+		var result api.ReplaceResult
+		eventually(t, "an acknowledgement", func() bool {
+			var err error
+			result, err = g.accessOf(i).ReplaceIngress(t.Context(), ingressOf(generation, "document"))
+			return err == nil
+		})
+		must.Eq(t, generation, result.Generation)
+		for reader := range 3 {
+			held, err := g.accessOf(reader).Ingress(t.Context())
+			must.NoError(t, err)
+			must.Eq(t, generation, held.Spec.Generation)
+			must.Eq(t, "document", string(held.Spec.Source))
+		}
+	}
+	for i := range 3 {
+		result, err := g.accessOf(i).ReplaceIngress(t.Context(), ingressOf(4, "old"))
+		must.NoError(t, err)
+		must.Eq(t, api.ReplaceResult{Code: api.ReplaceSuperseded, Generation: 12}, result)
+		invalid := ingressOf(99, "")
+		invalid.Routes[0].TimeoutMilliseconds = 0
+		result, err = g.accessOf(i).ReplaceIngress(t.Context(), invalid)
+		must.NoError(t, err)
+		must.Eq(t, api.ReplaceInvalid, result.Code)
+		must.SliceNotEmpty(t, result.Faults)
+	}
+	held, err := g.accessOf(0).Ingress(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, 12, held.Spec.Generation)
+}
+
+func TestOperatorAPIReplacesAnIngress(t *testing.T) {
+	g := newGrowing(t, 1, 1, 0)
+	g.start(0)
+	g.awaitVoters(1, 0)
+	var result api.ReplaceResult
+	eventually(t, "an answer", func() bool {
+		return g.call(0, http.MethodPost, operatorapi.PathIngress, ingressOf(3, ""), &result) == http.StatusOK
+	})
+	must.Eq(t, 3, result.Generation)
+	invalid := ingressOf(4, "")
+	invalid.Routes[0].Backends = nil
+	must.Eq(t, http.StatusUnprocessableEntity, g.call(0, http.MethodPost, operatorapi.PathIngress, invalid, &result))
+	must.Eq(t, http.StatusBadRequest, g.call(0, http.MethodPost, operatorapi.PathIngress, "text", nil))
+}
+
+func TestReplicasOfTheListReachDaemons(t *testing.T) {
+	g := newGrowing(t, 1, 1, 0)
+	g.fleet.set(replicaOf("r-1", false), replicaOf("r-2", false))
+	g.start(0)
+	g.awaitVoters(1, 0)
+	_, holder := g.follow("proxy-1")
+	names := func() int { return len(holder.Load().Replicas) }
+	eventually(t, "both replicas", func() bool { return names() == 2 })
+	g.fleet.set(replicaOf("r-1", true), replicaOf("r-3", false))
+	eventually(t, "one leaves, one is gone, one is new", func() bool {
+		replicas := holder.Load().Replicas
+		return replicas["r-1"] != nil && replicas["r-1"].Spec.Leaving && replicas["r-2"] == nil && replicas["r-3"] != nil
+	})
+	g.fleet.set()
+	eventually(t, "members are listed", func() bool { return len(holder.Load().Members) == 1 })
+	must.Eq(t, 2, names(), must.Sprint("an empty list is a fault"))
+}
+
+func TestOneListWithoutAReplicaTakesNothingAway(t *testing.T) {
+	first := mergeList(nil, []api.Replica{replicaOf("r-1", false), replicaOf("r-2", false)})
+	second := mergeList(first, []api.Replica{replicaOf("r-1", false)})
+	must.MapLen(t, 2, second)
+	third := mergeList(second, []api.Replica{replicaOf("r-1", false)})
+	must.MapLen(t, 1, third)
+	back := mergeList(mergeList(second, []api.Replica{replicaOf("r-1", false), replicaOf("r-2", false)}), []api.Replica{replicaOf("r-1", false)})
+	must.MapLen(t, 2, back)
+}
+
+func TestProxiesAreNamedToCallersWhileTheyAreReady(t *testing.T) {
+	g := newGrowing(t, 1, 1, 0)
+	g.start(0)
+	g.awaitVoters(1, 0)
+	access := g.accessOf(0)
+	var lock sync.Mutex
+	ready := map[string]bool{"p-1": true, "p-2": true, "p-3": true}
+	zones := map[string]string{"p-1": "a", "p-2": "a", "p-3": "b"}
+	clients := map[string]*feed.Client{}
+	for name := range ready {
+		clients[name], _ = g.followBy(feed.ClientConfig{
+			Daemon: name, BeatInterval: 30 * time.Millisecond, BackoffMax: 50 * time.Millisecond,
+			Presence: func() feed.Presence {
+				lock.Lock()
+				defer lock.Unlock()
+				return feed.Presence{Proxy: name, Address: "addr-" + name, Zone: zones[name], Ready: ready[name]}
+			},
+		})
+	}
+	eventually(t, "all proxies", func() bool { return len(access.Proxies()) == 3 })
+	must.Eq(t, []string{"addr-p-1", "addr-p-2"}, access.ProxyAddresses("a", 64))
+	must.Eq(t, []string{"addr-p-1", "addr-p-2", "addr-p-3"}, access.ProxyAddresses("b", 64), must.Sprint("one near proxy is not enough"))
+	must.Eq(t, []string{"addr-p-1"}, access.ProxyAddresses("b", 1))
+	lock.Lock()
+	ready["p-2"] = false
+	lock.Unlock()
+	clients["p-2"].Announce()
+	eventually(t, "a proxy that leaves is not named", func() bool { return len(access.Proxies()) == 2 })
+	clients["p-3"].Close()
+	eventually(t, "a proxy that is gone is not named", func() bool { return len(access.Proxies()) == 1 })
+}
+
+func TestLeaderPlacesRequestsOfAllProxies(t *testing.T) {
+	g := newGrowing(t, 1, 1, 0)
+	model := func(name string, role api.EngineRole) api.Replica {
+		return api.Replica{Metadata: api.Metadata{Name: name}, Spec: api.ReplicaSpec{Service: "narrator", Zone: "a", Address: "addr-" + name, Role: role}}
+	}
+	g.fleet.set(model("read", api.RolePrefill), model("make", api.RoleDecode))
+	g.start(0)
+	g.awaitVoters(1, 0)
+	client, _ := g.follow("proxy-1")
+	request := feed.PlaceRequest{Service: "narrator", Number: 1, Ask: placement.Ask{Prompt: 20_000, Deadline: time.Second, Zone: "a"}}
+	eventually(t, "a subscription", client.Connected)
+	_, err := client.Place(t.Context(), request)
+	must.ErrorIs(t, err, feed.ErrNotPlaced, must.Sprint("nothing is known of the service yet"))
+	spec := ingressOf(1, "")
+	spec.Services = append(spec.Services, api.RouteService{Name: "narrator", Model: &api.ModelSheet{KVTokens: 100_000}})
+	eventually(t, "an acknowledgement", func() bool {
+		_, err := g.accessOf(0).ReplaceIngress(t.Context(), spec)
+		return err == nil
+	})
+	var answer placement.Answer
+	eventually(t, "a place", func() bool {
+		answer, err = client.Place(t.Context(), request)
+		return err == nil && answer.Generator != ""
+	})
+	must.Eq(t, "make", answer.Generator)
+	must.Eq(t, "read", answer.Reader)
+	must.True(t, client.NotePlaced(feed.PlaceNote{Service: "narrator", Number: 1, Note: placement.Note{Step: placement.StepEnded}}))
+	must.True(t, client.ReportKept(feed.KeptParts{Service: "narrator", Replica: "make", Parts: []placement.Part{{ID: "p", Tokens: 19_000}}}))
+	request.Ask.Parts = []placement.Part{{ID: "p", Tokens: 19_000}, {ID: "own", Tokens: 1_000}}
+	eventually(t, "the kept part counts", func() bool {
+		request.Number++
+		answer, err = client.Place(t.Context(), request)
+		return err == nil && answer.Unread == 1_000
+	})
+}
+
+// After a stop of everything nobody remembers what replicas keep: a leader asks
+// those of which no proxy has spoken, and only then.
+func TestLeaderAsksColdReplicasOnceItHasAnIngress(t *testing.T) {
+	g := newGrowing(t, 1, 1, 0)
+	replica := api.Replica{Metadata: api.Metadata{Name: "make"}, Spec: api.ReplicaSpec{Service: "narrator", Zone: "a", Address: "addr", Role: api.RoleDecode}}
+	g.fleet.set(replica)
+	g.fleet.kept = map[string][]placement.Part{"addr": {{ID: "p", Tokens: 5_000}}}
+	g.start(0)
+	g.awaitVoters(1, 0)
+	spec := ingressOf(1, "")
+	spec.Services = append(spec.Services, api.RouteService{Name: "narrator", Model: &api.ModelSheet{KVTokens: 100_000}})
+	eventually(t, "an acknowledgement", func() bool {
+		_, err := g.accessOf(0).ReplaceIngress(t.Context(), spec)
+		return err == nil
+	})
+	_, holder := g.follow("proxy-1")
+	eventually(t, "the replica is committed", func() bool { return len(holder.Load().Replicas) == 1 })
+	must.NoError(t, g.stop(0))
+	g.fleet.lock.Lock()
+	must.SliceEmpty(t, g.fleet.asked, must.Sprint("before there was an Ingress nothing is asked"))
+	g.fleet.lock.Unlock()
+	g.start(0)
+	eventually(t, "the question", func() bool {
+		g.fleet.lock.Lock()
+		defer g.fleet.lock.Unlock()
+		return len(g.fleet.asked) == 1
+	})
+	ask := placement.Ask{Prompt: 6_000, Zone: "a", Deadline: time.Second, Parts: []placement.Part{{ID: "p", Tokens: 5_000}}}
+	eventually(t, "the kept part counts", func() bool {
+		current := g.running[0].member.group.Load()
+		answer, placed := current.Place("proxy-1", feed.PlaceRequest{Service: "narrator", Number: 1, Ask: ask})
+		return placed && answer.Unread == 1_000
+	})
+}
+
+func TestFleetIsLeftAloneWithoutASource(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	c.start(0)
+	c.leader()
+	_, holder := c.follow("proxy-1")
+	eventually(t, "a subscription", func() bool { return c.running[0].member.feed.Subscribers() == 1 })
+	must.Eq(t, view.Version{}, holder.Load().Version)
+}
+
+// A full disk ends the member, not its process: it is opened again.
+func TestMemberIsOpenedAgainAfterItsStorageFailed(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	config := c.configs[0]
+	config.DataFolder = filepath.Join(t.TempDir(), "missing", "\x00")
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	must.NoError(t, RunAgain(ctx, config, nopLogger{}))
+	config.Name = "stranger"
+	must.ErrorIs(t, RunAgain(t.Context(), config, nopLogger{}), ErrConfig)
+}
+
+type nopLogger struct{}
+
+func (nopLogger) Log(...any) error { return nil }
--- /dev/null
+++ b/process/ingress/harness_test.go
@@ -0,0 +1,356 @@
+package ingress
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		// Both run from the start of a process that links go-zero to its end.
+		goleak.IgnoreTopFunction("github.com/zeromicro/go-zero/core/proc.init.1.func1"),
+		goleak.IgnoreTopFunction("github.com/zeromicro/go-zero/core/stat.init.1.func1"),
+	)
+}
+
+// patience bounds every wait; it measures nothing.
+const patience = 20 * time.Second
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Fields of the tests' dialect.
+const (
+	testID      = "Test-Id"
+	testWithin  = "Test-Within"
+	testReplica = "Test-Replica"
+	testGenuine = "Test-Genuine"
+	testNotRun  = "Test-Not-Run"
+	testLoad    = "Test-Load"
+	testTokens  = "Test-Tokens"
+	testResume  = "Test-Resume"
+	testPrefill = "Test-Prefill"
+	testSource  = "Test-Source"
+	testAgain   = "Test-Again"
+)
+
+// testDialect is a protocol of these tests.
+type testDialect struct{}
+
+func (testDialect) Call(header http.Header) (Call, error) {
+	call := Call{ID: header.Get(testID), Header: header, ResumeAfter: header.Get(testResume)}
+	if call.ID == "" {
+		return call, errors.New("no ID")
+	}
+	within, _ := strconv.Atoi(header.Get(testWithin))
+	call.Within = time.Duration(within) * time.Millisecond
+	call.Work.PromptTokens, _ = strconv.Atoi(header.Get(testTokens))
+	return call, nil
+}
+
+func (testDialect) Attempt(header http.Header, attempt Attempt) {
+	header.Set(testReplica, attempt.Replica)
+	header.Set(testWithin, strconv.FormatInt(attempt.Within.Milliseconds(), 10))
+	if attempt.ResumeAfter != "" {
+		header.Set(testResume, attempt.ResumeAfter)
+	}
+	if attempt.Prefill {
+		header.Set(testPrefill, "1")
+	}
+	if attempt.Source.Handle != "" {
+		header.Set(testSource, attempt.Source.Address+"/"+attempt.Source.Handle)
+	}
+}
+
+func (testDialect) Reply(status int, header http.Header) Reply {
+	reply := Reply{
+		ID:          header.Get(testID),
+		Genuine:     header.Get(testGenuine) != "",
+		NotRun:      header.Get(testNotRun) != "",
+		Misdirected: status == http.StatusMisdirectedRequest,
+	}
+	if running, err := strconv.Atoi(header.Get(testLoad)); err == nil {
+		reply.Load = &Load{Running: running, Slots: 8}
+	}
+	return reply
+}
+
+func (testDialect) Handle(body []byte) (string, error) {
+	var handle string
+	return handle, json.Unmarshal(body, &handle)
+}
+
+func (testDialect) Release(handle string) (string, string) {
+	return http.MethodDelete, "/handle/" + handle
+}
+
+func (testDialect) Refusal(header http.Header, call *Call, retryAfter time.Duration) {
+	header.Set(testID, call.ID)
+	if retryAfter > 0 {
+		header.Set(testAgain, retryAfter.String())
+	}
+}
+
+// fakeReplica is a replica whose every request goes to a handler of the test.
+type fakeReplica struct {
+	name   string
+	server *httptest.Server
+
+	lock     sync.Mutex
+	requests []*http.Request
+	bodies   []string
+}
+
+func newFakeReplica(t *testing.T, name string, handle http.HandlerFunc) *fakeReplica {
+	t.Helper()
+	r := &fakeReplica{name: name}
+	r.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		r.lock.Lock()
+		r.requests = append(r.requests, request)
+		r.bodies = append(r.bodies, string(body))
+		r.lock.Unlock()
+		handle(w, request)
+	}))
+	t.Cleanup(r.server.Close)
+	return r
+}
+
+func (r *fakeReplica) address() string { return r.server.Listener.Addr().String() }
+
+func (r *fakeReplica) count() int {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return len(r.requests)
+}
+
+// genuine writes the fields of an answer that the replica made by a run.
+func genuine(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(testID, r.Header.Get(testID))
+	w.Header().Set(testGenuine, "signature")
+}
+
+func answerOK(w http.ResponseWriter, r *http.Request) {
+	genuine(w, r)
+	_, _ = io.WriteString(w, "answer to "+r.Header.Get(testID))
+}
+
+func answerStatus(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		genuine(w, r)
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, "failure")
+	}
+}
+
+// refuseRun says that the request was not run.
+func refuseRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(testNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// hijack hands the connection to the test.
+func hijack(use func(net.Conn)) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		use(conn)
+		_ = conn.Close()
+	}
+}
+
+// breakOff closes the connection without a word.
+var breakOff = hijack(func(net.Conn) {})
+
+// events streams events with rising IDs from one after the caller's last to last,
+// and then ends the stream, or cuts it after an event or inside one.
+func streamEvents(last int, end string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		first, _ := strconv.Atoi(r.Header.Get(testResume))
+		genuine(w, r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for id := first + 1; id <= last; id++ {
+			_, _ = io.WriteString(w, eventText(id))
+			w.(http.Flusher).Flush()
+		}
+		switch end {
+		case "cut":
+			panic(http.ErrAbortHandler)
+		case "inside":
+			_, _ = io.WriteString(w, "id: 99\ndata: half")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func eventText(id int) string {
+	return "id: " + strconv.Itoa(id) + "\ndata: piece " + strconv.Itoa(id) + "\n\n"
+}
+
+func events(first, last int) string {
+	var text strings.Builder
+	for id := first; id <= last; id++ {
+		text.WriteString(eventText(id))
+	}
+	return text.String()
+}
+
+// Routes of the tests: one host, a prefix each.
+func testIngress() *api.Ingress {
+	route := func(name string, kind api.RouteKind, attempts int, resumable bool, service string) api.Route {
+		return api.Route{
+			Name: name, Host: "a.example", PathPrefix: "/" + name + "/", Kind: kind, Attempts: attempts,
+			TimeoutMilliseconds: 5000, ObjectiveMilliseconds: 200, Resumable: resumable,
+			Backends: []api.RouteBackend{{Service: service, Weight: 1}},
+		}
+	}
+	short := route("short", api.RouteUnsafe, 1, false, "plain")
+	short.TimeoutMilliseconds = 100
+	return &api.Ingress{Metadata: api.Metadata{Name: api.IngressName}, Spec: api.IngressSpec{
+		Generation: 3,
+		Routes: []api.Route{
+			route("safe", api.RouteSafe, 2, false, "plain"),
+			route("unsafe", api.RouteUnsafe, 2, false, "plain"),
+			route("stream", api.RouteStreaming, 2, false, "plain"),
+			route("resume", api.RouteStreaming, 3, true, "plain"),
+			route("model", api.RouteStreaming, 2, true, "model"),
+			short,
+		},
+		Services: []api.RouteService{{Name: "plain"}, {Name: "model", Model: &api.ModelSheet{}}},
+		Limits:   api.IngressLimits{MaxBodyBytes: 1000},
+	}}
+}
+
+// holder is a view that tests replace.
+type holder struct {
+	lock    sync.Mutex
+	current *view.View
+}
+
+func (h *holder) Load() *view.View {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	return h.current
+}
+
+// set moves the view on.
+func (h *holder) set(change func(*view.View)) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	next := *h.current
+	next.Version.Revision++
+	change(&next)
+	h.current = &next
+}
+
+// world is an ingress before fake replicas.
+type world struct {
+	t       *testing.T
+	views   *holder
+	ingress *Ingress
+	server  *httptest.Server
+}
+
+func newWorld(t *testing.T, replicas ...*fakeReplica) *world {
+	t.Helper()
+	w := &world{t: t, views: &holder{current: view.New()}}
+	start := time.Now()
+	clock := func() time.Duration { return time.Since(start) }
+	w.ingress = New(Config{Name: "proxy-1", Zone: "zone-a", Dialect: testDialect{}, Retry: RetryBudget{Share: 1, Reserve: 100}}, w.views, clock, log.NewNopLogger())
+	w.views.set(func(v *view.View) { v.Ingresses = map[string]*api.Ingress{api.IngressName: testIngress()} })
+	w.list(replicas...)
+	w.server = httptest.NewServer(w.ingress)
+	t.Cleanup(func() {
+		w.server.Close()
+		w.ingress.Close()
+	})
+	return w
+}
+
+// list replaces the plain replicas.
+func (w *world) list(replicas ...*fakeReplica) {
+	w.views.set(func(v *view.View) {
+		v.Replicas = map[string]*api.Replica{}
+		for _, replica := range replicas {
+			v.Replicas[replica.name] = listed(replica, "plain", api.RoleNone)
+		}
+	})
+}
+
+func listed(replica *fakeReplica, service string, role api.EngineRole) *api.Replica {
+	return &api.Replica{
+		Metadata: api.Metadata{Name: replica.name},
+		Spec:     api.ReplicaSpec{Service: service, Address: replica.address(), Zone: "zone-a", Slots: 8, Role: role},
+	}
+}
+
+// asked is one request of a test.
+type asked struct {
+	method string
+	target string
+	host   string
+	id     string
+	fields map[string]string
+	body   string
+}
+
+// answered is what the caller got; err is set where the answer broke off.
+type answered struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+var testClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+
+func (w *world) ask(given asked) answered {
+	w.t.Helper()
+	request, err := http.NewRequest(given.method, w.server.URL, strings.NewReader(given.body))
+	must.NoError(w.t, err)
+	request.URL.Opaque = given.target
+	request.Host = given.host
+	if given.host == "" {
+		request.Host = "a.example"
+	}
+	if given.id != "-" {
+		request.Header.Set(testID, given.id)
+	}
+	request.Header.Set("User-Agent", "") // net/http then sends none
+	for name, value := range given.fields {
+		request.Header.Set(name, value)
+	}
+	response, err := testClient.Do(request)
+	if err != nil {
+		return answered{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answered{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
--- /dev/null
+++ b/process/ingress/model_test.go
@@ -0,0 +1,173 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/shoenig/test/must"
+)
+
+// fakePlacer answers every question alike and keeps the notes.
+type fakePlacer struct {
+	answer placement.Answer
+	err    error
+
+	lock  sync.Mutex
+	asks  []placement.Ask
+	notes []placement.Note
+}
+
+func (p *fakePlacer) Place(_ context.Context, request feed.PlaceRequest) (placement.Answer, error) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.asks = append(p.asks, request.Ask)
+	return p.answer, p.err
+}
+
+func (p *fakePlacer) NotePlaced(note feed.PlaceNote) bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.notes = append(p.notes, note.Note)
+	return true
+}
+
+func (p *fakePlacer) steps() []placement.Step {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	var steps []placement.Step
+	for _, note := range p.notes {
+		steps = append(steps, note.Step)
+	}
+	return steps
+}
+
+// readPrompt answers a prefill with a handle.
+func readPrompt(w http.ResponseWriter, r *http.Request) {
+	genuine(w, r)
+	_, _ = io.WriteString(w, `"handle-7"`)
+}
+
+// newModelWorld has a reader and two generators of the model service.
+func newModelWorld(t *testing.T, reader, first, second *fakeReplica) *world {
+	w := newWorld(t)
+	w.views.set(func(v *view.View) {
+		v.Replicas = map[string]*api.Replica{
+			reader.name: listed(reader, "model", api.RolePrefill),
+			first.name:  listed(first, "model", api.RoleDecode),
+		}
+		if second != nil {
+			v.Replicas[second.name] = listed(second, "model", api.RoleDecode)
+		}
+	})
+	return w
+}
+
+var modelRequest = asked{method: "POST", target: "/model/", id: "q", fields: map[string]string{testTokens: "9000"}}
+
+func TestPromptIsReadWhereTheGroupSays(t *testing.T) {
+	reader := newFakeReplica(t, "read", readPrompt)
+	generator := newFakeReplica(t, "make", streamEvents(2, ""))
+	w := newModelWorld(t, reader, generator, nil)
+	placer := &fakePlacer{answer: placement.Answer{Generator: "make", Reader: "read", Unread: 9000}}
+	w.ingress.placer = placer
+	got := w.ask(modelRequest)
+	must.NoError(t, got.err)
+	must.Eq(t, events(1, 2), got.body)
+	must.Eq(t, "1", reader.requests[0].Header.Get(testPrefill))
+	must.Eq(t, reader.address()+"/handle-7", generator.requests[0].Header.Get(testSource))
+	must.Eq(t, "", generator.requests[0].Header.Get(testPrefill))
+	must.Eq(t, 9000, placer.asks[0].Prompt)
+	must.Eq(t, []placement.Step{placement.StepRead, placement.StepStarted, placement.StepEnded}, placer.steps())
+}
+
+// A read is no run: when it fails in any way the request is still served.
+func TestFailedReadLeavesTheReadingToTheGenerator(t *testing.T) {
+	for name, handler := range map[string]http.HandlerFunc{
+		"broken off": breakOff, "refused": refuseRun, "failed": answerStatus(500), "no handle": answerOK, "misdirected": misdirected,
+	} {
+		t.Run(name, func(t *testing.T) {
+			reader := newFakeReplica(t, "read", handler)
+			generator := newFakeReplica(t, "make", streamEvents(2, ""))
+			w := newModelWorld(t, reader, generator, nil)
+			w.ingress.placer = &fakePlacer{answer: placement.Answer{Generator: "make", Reader: "read"}}
+			got := w.ask(modelRequest)
+			must.NoError(t, got.err)
+			must.Eq(t, events(1, 2), got.body)
+			must.Eq(t, "", generator.requests[0].Header.Get(testSource))
+		})
+	}
+}
+
+// A replica that began to leave while the prompt was read gets nothing new.
+func TestGeneratorThatLeavesDuringTheReadGetsNothing(t *testing.T) {
+	leaving := newFakeReplica(t, "make-1", streamEvents(2, ""))
+	staying := newFakeReplica(t, "make-2", streamEvents(2, ""))
+	reader := newFakeReplica(t, "read", readPrompt)
+	w := newModelWorld(t, reader, leaving, staying)
+	reader.server.Config.Handler = after(reader.server.Config.Handler, func() {
+		w.views.set(func(v *view.View) {
+			entry := listed(leaving, "model", api.RoleDecode)
+			entry.Spec.Leaving = true
+			v.Replicas = map[string]*api.Replica{"read": v.Replicas["read"], "make-1": entry, "make-2": v.Replicas["make-2"]}
+		})
+	})
+	w.ingress.placer = &fakePlacer{answer: placement.Answer{Generator: "make-1", Reader: "read"}}
+	must.Eq(t, events(1, 2), w.ask(modelRequest).body)
+	must.Eq(t, 0, leaving.count())
+	must.Eq(t, 1, staying.count())
+}
+
+func TestWithoutTheGroupAProxyPlacesByItself(t *testing.T) {
+	for name, placer := range map[string]Placer{
+		"no group":        nil,
+		"no answer":       &fakePlacer{err: feed.ErrNotPlaced},
+		"unknown replica": &fakePlacer{answer: placement.Answer{Generator: "gone"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reader := newFakeReplica(t, "read", readPrompt)
+			generator := newFakeReplica(t, "make", streamEvents(2, ""))
+			w := newModelWorld(t, reader, generator, nil)
+			w.ingress.placer = placer
+			must.Eq(t, events(1, 2), w.ask(modelRequest).body)
+			must.Eq(t, 1, generator.count())
+		})
+	}
+}
+
+func TestTheGroupIsToldOfFailures(t *testing.T) {
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		step    placement.Step
+	}{
+		{"no answer", breakOff, placement.StepFailed},
+		{"a failure", answerStatus(500), placement.StepErred},
+		{"a refusal", refuseRun, placement.StepErred},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			generator := newFakeReplica(t, "make", test.handler)
+			w := newModelWorld(t, newFakeReplica(t, "read", readPrompt), generator, nil)
+			placer := &fakePlacer{answer: placement.Answer{Generator: "make"}}
+			w.ingress.placer = placer
+			w.ask(modelRequest)
+			must.Eq(t, test.step, placer.steps()[0])
+			must.Eq(t, "make", placer.notes[0].Replica)
+		})
+	}
+}
+
+func TestKeptPartsAreReportedOldestFirst(t *testing.T) {
+	known := newReplica("r", api.ReplicaSpec{})
+	known.noteParts([]Part{{ID: "a", Tokens: 1}, {ID: "b", Tokens: 2}})
+	known.noteParts([]Part{{ID: "a", Tokens: 1}})
+	must.Eq(t, []placement.Part{{ID: "b", Tokens: 2}, {ID: "a", Tokens: 1}}, known.kept())
+	must.Eq(t, 3, known.cachedTokens([]Part{{ID: "a", Tokens: 1}, {ID: "b", Tokens: 2}, {ID: "c", Tokens: 9}}))
+}
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/exchange"
@@ -58,6 +59,7 @@
 // choose decides where the next send goes; the target is nil if no replica
 // takes the request.
 func (s *session) choose(ctx context.Context) plan {
+	s.ingress.routes() // takes in what the list says by now
 	now := s.ingress.now()
 	zone := s.ingress.config.Zone
 	if s.call.Work.PromptTokens == 0 {
@@ -141,6 +143,7 @@
 // replaceTarget picks another replica to make the tokens if the chosen one has
 // begun to leave, or has failed, while the prompt was read.
 func (s *session) replaceTarget(chosen *plan) {
+	s.ingress.routes() // takes in what the list says by now
 	now := s.ingress.now()
 	current := s.lane.find(chosen.target.name)
 	if current != nil && ready(current.listed()) && !current.isSuspect(now) {
@@ -365,9 +368,8 @@
 // copyHeader copies what is not of one connection only.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
-		to[name] = values
-	}
-	for _, name := range connectionFields {
-		to.Del(name)
+		if !slices.Contains(connectionFields, name) {
+			to[name] = values
+		}
 	}
 }
--- /dev/null
+++ b/request/placement/board_test.go
@@ -0,0 +1,233 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+var testSheet = Sheet{KVTokens: 400_000, BytesPerTok: 18_432, LinkMbps: 370_000, GapObjective: 300 * ms}
+
+// newTestBoard has two readers and two generators in one zone.
+func newTestBoard() *Board {
+	b := NewBoard()
+	b.SetReplicas(testSheet, []Replica{
+		{Name: "read-1", Zone: "a", Role: RolePrefill, Slots: 64},
+		{Name: "read-2", Zone: "a", Role: RolePrefill, Slots: 64},
+		{Name: "make-1", Zone: "a", Role: RoleDecode, Slots: 64},
+		{Name: "make-2", Zone: "a", Role: RoleDecode, Slots: 64},
+	})
+	return b
+}
+
+func key(number uint64) Key { return Key{Daemon: "proxy", Number: number} }
+
+// owns counts the parts of their own that requests have.
+var owns int
+
+// ask is a request with a shared part and one of its own.
+func ask(shared string, sharedTokens, own int) Ask {
+	owns++
+	return Ask{
+		Prompt: sharedTokens + own, Output: 100, Zone: "a", Deadline: 5 * time.Second,
+		Parts: []Part{{ID: shared, Tokens: sharedTokens}, {ID: fmt.Sprint("own-", owns), Tokens: own}},
+	}
+}
+
+// run carries a placed request to its end.
+func run(b *Board, now time.Duration, number uint64, answer Answer) {
+	if answer.Reader != "" {
+		b.Note(now, key(number), Note{Step: StepRead})
+	}
+	b.Note(now, key(number), Note{Step: StepStarted})
+	b.Note(now, key(number), Note{Step: StepEnded})
+}
+
+func TestLongPromptsAreReadApartAndShortOnesWhereTheyRun(t *testing.T) {
+	b := newTestBoard()
+	long := b.Place(0, key(1), ask("p", 13_000, 4_000))
+	must.NotEq(t, "", long.Reader)
+	must.NotEq(t, "", long.Generator)
+	must.Eq(t, 17_000, long.Unread)
+	short := b.Place(0, key(2), ask("q", 0, 60))
+	must.Eq(t, "", short.Reader)
+}
+
+func TestRequestsSpreadOverQueues(t *testing.T) {
+	b := newTestBoard()
+	first := b.Place(0, key(1), ask("p", 13_000, 4_000))
+	second := b.Place(0, key(2), ask("q", 13_000, 4_000))
+	must.NotEq(t, first.Reader, second.Reader)
+}
+
+func TestKeptPartsAreNotReadAgain(t *testing.T) {
+	b := newTestBoard()
+	first := b.Place(0, key(1), ask("p", 13_000, 100))
+	run(b, 500*ms, 1, first)
+	again := b.Place(time.Second, key(2), ask("p", 13_000, 200))
+	must.Eq(t, 200, again.Unread)
+}
+
+// A request with the same part must not be sent to read it at the replica that
+// only expects it: it would read the whole prompt there, at half the pace.
+func TestPartsOnTheirWayAreKnownOnlyBehindTheirReader(t *testing.T) {
+	b := newTestBoard()
+	first := b.Place(0, key(1), ask("p", 25_000, 600))
+	second := b.Place(100*ms, key(2), ask("p", 25_000, 600))
+	if second.Unread < 25_000 {
+		must.Eq(t, first.Reader, second.Reader, must.Sprint("only who queues behind the reader finds the part"))
+	}
+	must.Eq(t, "", second.Fetch)
+	run(b, time.Second, 1, first)
+	third := b.Place(2*time.Second, key(3), ask("p", 25_000, 600))
+	must.Eq(t, 600, third.Unread)
+}
+
+func TestPartsAreFetchedFromWhoKeepsThem(t *testing.T) {
+	b := newTestBoard()
+	b.Kept("make-1", []Part{{ID: "p", Tokens: 20_000}})
+	// make-1 is busy reading, so that another replica should take the request.
+	for number := range uint64(4) {
+		b.Place(0, key(100+number), Ask{Prompt: 3_000, Zone: "a", Deadline: time.Second})
+	}
+	chosen := b.Place(0, key(1), ask("p", 20_000, 400))
+	must.Eq(t, 400, chosen.Unread)
+	if chosen.Reader != "" || chosen.Generator != "make-1" {
+		must.Eq(t, "make-1", chosen.Fetch)
+	}
+}
+
+// A read that took far too long shows that the keeper did not keep the parts.
+func TestWrongBeliefIsDropped(t *testing.T) {
+	b := newTestBoard()
+	parts := []Part{{ID: "p", Tokens: 20_000}}
+	b.Kept("make-1", parts)
+	question := ask("p", 20_000, 400)
+	question.Excluded = []string{"make-1"}
+	must.Eq(t, "make-1", b.Place(0, key(1), question).Fetch)
+	b.Note(3*time.Second, key(1), Note{Step: StepRead})
+	must.Eq(t, 0, b.replicas["make-1"].cache.leading(parts))
+}
+
+func TestSuspectsAreAvoidedButNotBanned(t *testing.T) {
+	b := newTestBoard()
+	b.Note(0, key(9), Note{Step: StepFailed, Replica: "make-1"})
+	must.Eq(t, "make-2", b.Place(0, key(1), Ask{Prompt: 100, Zone: "a", Deadline: time.Second}).Generator)
+	b.Note(0, key(9), Note{Step: StepFailed, Replica: "make-2"})
+	must.NotEq(t, "", b.Place(0, key(2), Ask{Prompt: 100, Zone: "a", Deadline: time.Second}).Generator)
+	answer := b.Place(time.Minute, key(3), Ask{Prompt: 100, Zone: "a", Deadline: time.Second, Excluded: []string{"make-2"}})
+	must.Eq(t, "make-1", answer.Generator, must.Sprint("suspicion ends"))
+}
+
+func TestAnsweredFailuresRaiseNoSuspicion(t *testing.T) {
+	b := newTestBoard()
+	b.Note(0, key(9), Note{Step: StepErred, Replica: "make-1"})
+	must.Eq(t, 0, b.replicas["make-1"].suspectTill)
+	must.Greater(t, 0.0, b.replicas["make-1"].failureRate)
+}
+
+func TestPaceIsLearntFromReadsThatWaitedForNobody(t *testing.T) {
+	b := newTestBoard()
+	now := time.Duration(0)
+	for number := range uint64(80) {
+		answer := b.Place(now, key(number), Ask{Prompt: 10_000, Zone: "a", Deadline: time.Minute})
+		must.NotEq(t, "", answer.Reader)
+		b.Note(now+readStart+100*ms, key(number), Note{Step: StepRead})
+		b.Note(now+readStart+100*ms, key(number), Note{Step: StepEnded})
+		now += time.Second
+	}
+	must.Between(t, 9*time.Microsecond, b.tokenTime[RolePrefill], 12*time.Microsecond)
+}
+
+func TestLostRequestsAreForgotten(t *testing.T) {
+	b := newTestBoard()
+	answer := b.Place(0, key(1), Ask{Prompt: 10_000, Zone: "a", Deadline: time.Second})
+	must.NotEq(t, "", answer.Reader)
+	b.Place(time.Minute, key(2), Ask{Prompt: 10, Zone: "a", Deadline: time.Second})
+	must.MapLen(t, 1, b.placed)
+	must.SliceEmpty(t, b.replicas[answer.Reader].queue)
+}
+
+func TestStrangersCountForAWhile(t *testing.T) {
+	b := newTestBoard()
+	answer := b.Place(time.Second, key(1), Ask{Prompt: 10, Zone: "a", Deadline: time.Second})
+	b.Note(time.Second, key(1), Note{Step: StepStarted, Told: 41})
+	must.Eq(t, 40, b.replicas[answer.Generator].strangers(1500*ms))
+	must.Eq(t, 0, b.replicas[answer.Generator].strangers(3*time.Second))
+}
+
+func TestColdReplicasAreThoseOfWhichLittleIsKnown(t *testing.T) {
+	b := newTestBoard()
+	var parts []Part
+	for i := range coldParts {
+		parts = append(parts, Part{ID: fmt.Sprint(i), Tokens: 10})
+	}
+	b.Kept("read-1", parts)
+	must.Eq(t, []string{"make-1", "make-2", "read-2"}, b.Cold())
+}
+
+func TestNoReplicaMeansNoAnswer(t *testing.T) {
+	b := NewBoard()
+	must.Eq(t, Answer{}, b.Place(0, key(1), Ask{Prompt: 100}))
+	b.SetReplicas(testSheet, []Replica{{Name: "m", Zone: "a", Leaving: true}})
+	must.Eq(t, Answer{}, b.Place(0, key(1), Ask{Prompt: 100}))
+}
+
+// Whatever happens, an answer names only replicas that may take the request, the
+// queues hold exactly the requests that are not read yet, and a board with the
+// same past gives the same answers.
+func TestAnswersFitTheBoard(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first, second := newTestBoard(), newTestBoard()
+		now := time.Duration(0)
+		roles := map[string]Role{"read-1": RolePrefill, "read-2": RolePrefill, "make-1": RoleDecode, "make-2": RoleDecode}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * ms
+			number := rapid.Uint64Range(1, 6).Draw(t, "number")
+			if rapid.Bool().Draw(t, "note") {
+				note := Note{
+					Step:    Step(rapid.IntRange(1, int(StepErred)).Draw(t, "step")),
+					Replica: rapid.SampledFrom([]string{"", "make-1", "read-2", "gone"}).Draw(t, "replica"),
+					Told:    rapid.IntRange(0, 50).Draw(t, "told"),
+				}
+				first.Note(now, key(number), note)
+				second.Note(now, key(number), note)
+			} else {
+				excluded := rapid.SliceOfN(rapid.SampledFrom([]string{"make-1", "read-1"}), 0, 2).Draw(t, "excluded")
+				next := ask(rapid.SampledFrom([]string{"p", "q", "r"}).Draw(t, "part"), 9_000, rapid.IntRange(0, 9_000).Draw(t, "own"))
+				next.Excluded = excluded
+				answer := first.Place(now, key(number), next)
+				must.Eq(t, answer, second.Place(now, key(number), next))
+				must.Eq(t, RoleDecode, roles[answer.Generator])
+				must.SliceNotContains(t, excluded, answer.Generator)
+				must.SliceNotContains(t, excluded, answer.Reader)
+				if answer.Reader != "" {
+					must.Eq(t, RolePrefill, roles[answer.Reader])
+				}
+			}
+			checkQueues(t, first)
+		}
+	})
+}
+
+func checkQueues(t *rapid.T, b *Board) {
+	queued := map[*placed]bool{}
+	for _, r := range b.replicas {
+		for _, p := range r.queue {
+			must.False(t, queued[p])
+			queued[p] = true
+			must.True(t, p.unreadAt == r)
+		}
+	}
+	for _, p := range b.placed {
+		must.Eq(t, p.unreadAt != nil, queued[p])
+		_, running := p.runningAt.running[p]
+		must.True(t, running)
+	}
+	must.LessEq(t, len(b.placed), len(queued))
+}
--- /dev/null
+++ b/request/placement/cache_test.go
@@ -0,0 +1,36 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func TestCacheDropsThePartsUsedLongestAgo(t *testing.T) {
+	c := newCache()
+	a, b, d := Part{"a", 40}, Part{"b", 40}, Part{"d", 40}
+	c.use([]Part{a, b}, 100)
+	c.use([]Part{a}, 100)
+	c.use([]Part{d}, 100)
+	must.Eq(t, 40, c.leading([]Part{a, b}))
+	must.Eq(t, 0, c.leading([]Part{b, a}))
+	must.Eq(t, 80, c.leading([]Part{a, d}))
+}
+
+func TestCacheCountsWhatItKeeps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCache()
+		for range rapid.IntRange(0, 50).Draw(t, "steps") {
+			part := Part{ID: rapid.StringMatching("[a-e]").Draw(t, "id"), Tokens: 30}
+			if rapid.Bool().Draw(t, "drop") {
+				c.drop([]Part{part})
+			} else {
+				c.use([]Part{part}, 100)
+			}
+			must.Eq(t, len(c.parts), c.order.Len())
+			must.Eq(t, int64(30*len(c.parts)), c.tokens)
+			must.LessEq(t, int64(100), c.tokens)
+		}
+	})
+}
--- /dev/null
+++ b/request/retry/window_test.go
@@ -0,0 +1,74 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func TestWindowGrantsTheReserveAndTheShare(t *testing.T) {
+	window := NewWindow(0.2, 3, 10*time.Second)
+	for range 3 {
+		must.True(t, window.Withdraw(time.Second))
+	}
+	must.False(t, window.Withdraw(time.Second))
+	for range 10 {
+		window.Request(2 * time.Second)
+	}
+	must.True(t, window.Withdraw(2*time.Second))
+	must.True(t, window.Withdraw(2*time.Second))
+	must.False(t, window.Withdraw(2*time.Second))
+	must.True(t, window.Withdraw(20*time.Second), must.Sprint("the span has passed"))
+}
+
+func TestWindowSharesItsReserve(t *testing.T) {
+	window := NewWindow(0, 10, 10*time.Second)
+	window.SetReserve(1)
+	must.True(t, window.Withdraw(0))
+	must.False(t, window.Withdraw(0))
+}
+
+func TestForcedSendsCount(t *testing.T) {
+	window := NewWindow(0, 2, 10*time.Second)
+	window.Force(0)
+	window.Force(0)
+	must.False(t, window.Withdraw(0))
+}
+
+// However a span of the window's length is laid, the retries granted in it are
+// at most the reserve and the share of the requests in it or a span that ends
+// where it does.
+func TestWindowHoldsInEverySpan(t *testing.T) {
+	const share, reserve, length = 0.2, 4.0, 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		window := NewWindow(share, reserve, length)
+		var requests, retries []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond
+			if rapid.Bool().Draw(t, "request") {
+				window.Request(now)
+				requests = append(requests, now)
+			} else if window.Withdraw(now) {
+				retries = append(retries, now)
+			}
+		}
+		for i, last := range retries {
+			count := 0
+			for _, at := range retries[:i+1] {
+				if at > last-length {
+					count++
+				}
+			}
+			offered := 0
+			for _, at := range requests {
+				if at > last-length && at <= last {
+					offered++
+				}
+			}
+			must.LessEq(t, share*float64(offered)+reserve, float64(count))
+		}
+	})
+}
