--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # and make, and nothing else.
 
 GO ?= go
-FOLDERS := cmd connection lab process request version
+FOLDERS := cmd connection lab platform process request version
 DEMO_DEPLOYMENT ?= radarvlak
 DEMO_TIME ?= 25s
 DEMO_RATE ?= 3
