--- a/connection/feed/bulk_test.go
+++ b/connection/feed/bulk_test.go
@@ -13,8 +13,8 @@
 	"github.com/landingtrail/landingtrail/version/view"
 )
 
-// bulkTenants make a view larger than bulkPayload.
-const bulkTenants = 20_000
+// bulkTenants make a view larger than bulkPayload also when it is packed.
+const bulkTenants = 110_000
 
 func startBulkServer(t *testing.T, config ServerConfig) (*Server, string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
