Log to standard output from every daemon, one numbered line per decision

Change: every daemon logs by process/logsink to standard output; the events page says so; one file formatted. Ruled out: keeping standard error for the product's own daemons, which would give two places to look. Conclusion: one place to read, one format.

--- a/cmd/landingtrail/daemon.go
+++ b/cmd/landingtrail/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/process/control"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/logsink"
 	"github.com/landingtrail/landingtrail/process/settings"
 )
 
@@ -50,7 +51,9 @@
 				return fileError("settings", err)
 			}
 			proc.Setup(proc.ShutdownConf{WrapUpTime: never, WaitTime: never})
-			return runLogged(ctx, file, newLogger(to, file.Log.Level), serve)
+			sink := logsink.New(to.Out, event.SinkConfig())
+			defer sink.Close(logPatience)
+			return runLogged(ctx, file, newLogger(sink, file.Log.Level), serve)
 		},
 	}
 }
@@ -66,10 +69,12 @@
 	return err
 }
 
-// newLogger writes logfmt lines with a timestamp.
-func newLogger(to cli.Streams, least string) log.Logger {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(to.Err))
-	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(least, level.InfoValue())))
+// logPatience is how long the last lines may take to be written.
+const logPatience = 500 * time.Millisecond
+
+// newLogger adds a timestamp and drops lines below the least level.
+func newLogger(sink log.Logger, least string) log.Logger {
+	logger := level.NewFilter(sink, level.Allow(level.ParseDefault(least, level.InfoValue())))
 	return log.With(logger, "time", log.DefaultTimestampUTC)
 }
 
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -44,7 +44,7 @@
 	FeedDisconnected = define(1100, "feed_disconnected", Info,
 		"The connection to a control member ended; the client tries the leader it was told of or the next address.",
 		"If it repeats on one daemon, check the path to the control members and whether they have a leader.")
-	FeedServed = define(1103, "feed_served", Info, "A leader serves this daemon: it gets views and places from now on.", "")
+	FeedServed  = define(1103, "feed_served", Info, "A leader serves this daemon: it gets views and places from now on.", "")
 	FeedRefused = define(1101, "feed_refused", Warn,
 		"A connection to the feed was refused.",
 		"Raise the limit on subscribers if the daemons are all wanted.")
--- a/process/event/page.go
+++ b/process/event/page.go
@@ -10,7 +10,7 @@
 
 const pageHead = `# Events
 
-Every line that a daemon logs is a numbered event in logfmt, on standard error:
+Every line that a daemon logs is a numbered event in logfmt, on standard output:
 
     level=info time=… member=control-1 event=1000 name=control_started …
 
