Count decisions of ingress and placement desk; forward the baseline by own code

Cause: the metrics of the data path said only how requests ended; what was tried, who chose a replica, reads and refused retries stood in the log alone. Change: counters and histograms of attempts, choices, prefills, first events, refused retries and placements, no label by replica; the forwarder sends each request once by connection/exchange and flushes each piece. Ruled out: a label for each replica, which come and go without bound.

--- a/lab/forwarder/forwarder.go
+++ b/lab/forwarder/forwarder.go
@@ -4,36 +4,107 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
-	"net/http/httputil"
-	"net/url"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/lab/platform/labhttp"
 )
 
 const (
 	stopTimeout        = 5 * time.Second
 	maxIdleConnections = 256
+	maxBodyBytes       = 16 << 20
+	copyBytes          = 32 << 10
 )
 
-// Run forwards every request to the target until ctx ends. It is the standard
-// library's reverse proxy, which passes each piece of an answer on as it comes.
+// Run forwards every request to the target until ctx ends.
 func Run(ctx context.Context, listen, target string) error {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}
-	defer transport.CloseIdleConnections()
-	to := &url.URL{Scheme: "http", Host: target}
-	forwarder := &httputil.ReverseProxy{
-		Rewrite:       func(request *httputil.ProxyRequest) { request.SetURL(to) },
-		Transport:     transport,
-		FlushInterval: -1,
+	return labhttp.Serve(ctx, listener, newForwarder(target), stopTimeout, nil)
+}
+
+// forwarder sends each request once and passes each piece of the answer on as
+// it comes.
+type forwarder struct {
+	target  string
+	pool    *exchange.Pool
+	buffers sync.Pool
+}
+
+func newForwarder(target string) *forwarder {
+	created := &forwarder{target: target, pool: exchange.NewPool(exchange.Config{MaxIdle: maxIdleConnections})}
+	created.buffers.New = func() any { return new([copyBytes]byte) }
+	return created
+}
+
+// ServeHTTP implements http.Handler.
+func (f *forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	answer, err := f.pool.Do(r.Context(), f.target, &exchange.Request{
+		Method: r.Method,
+		Target: r.RequestURI,
+		Host:   r.Host,
+		Header: endToEnd(r.Header),
+		Body:   body,
+	})
+	if err != nil {
+		http.Error(w, "target: "+err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer answer.Close()
+	for name, values := range endToEnd(answer.Header) {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(answer.Status)
+	if !f.pass(w, answer) {
+		panic(http.ErrAbortHandler) // the answer must not look whole
+	}
+}
+
+// pass copies the body and reports whether all of it was passed on.
+func (f *forwarder) pass(w http.ResponseWriter, from io.Reader) bool {
+	buffer := f.buffers.Get().(*[copyBytes]byte)
+	defer f.buffers.Put(buffer)
+	controller := http.NewResponseController(w)
+	for {
+		count, err := from.Read(buffer[:])
+		if count > 0 {
+			if _, failed := w.Write(buffer[:count]); failed != nil {
+				return false
+			}
+			if controller.Flush() != nil {
+				return false
+			}
+		}
+		if err != nil {
+			return errors.Is(err, io.EOF)
+		}
+	}
+}
+
+// connectionFields belong to one connection and are not passed on (RFC 9110,
+// section 7.6.1).
+var connectionFields = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+func endToEnd(header http.Header) http.Header {
+	passed := header.Clone()
+	for _, name := range connectionFields {
+		passed.Del(name)
 	}
-	return labhttp.Serve(ctx, listener, forwarder, stopTimeout, nil)
+	return passed
 }
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -181,7 +181,10 @@
 
 // Place decides where a request goes by all requests of all proxies.
 func (g *group) Place(daemon string, request feed.PlaceRequest) (placement.Answer, bool) {
-	return g.desk.place(g.machine.view(), daemon, request, monotonic())
+	began := monotonic()
+	answer, known := g.desk.place(g.machine.view(), daemon, request, began)
+	g.metrics.observePlacement(request.Service, answer, known, monotonic()-began)
+	return answer, known
 }
 
 // NotePlaced takes in how far a placed request has come.
--- a/process/control/metrics.go
+++ b/process/control/metrics.go
@@ -3,9 +3,11 @@
 import (
 	"math"
 	"net/http"
+	"time"
 
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -23,6 +25,9 @@
 	transactions  *prometheus.CounterVec
 	claims        *prometheus.CounterVec
 	proposalError *prometheus.CounterVec
+	placements    *prometheus.CounterVec
+	placing       *prometheus.HistogramVec
+	expected      *prometheus.HistogramVec
 }
 
 func newMetrics() *metrics {
@@ -34,6 +39,9 @@
 	m.transactions = m.vector("transactions_total", "Transactions answered by this member as leader.", "code")
 	m.claims = m.vector("claims_total", "At-most-once claims answered by this member as leader.", "code")
 	m.proposalError = m.vector("proposals_failed_total", "Commands that brought no result.", "outcome")
+	m.placements = m.vector("placements_total", "Requests that proxies asked this member to place.", "outcome")
+	m.placing = m.histogram("placing_seconds", "Time of one decision where a request goes.", placingBuckets, "service")
+	m.expected = m.histogram("placed_first_token_seconds", "Expected time to the first token of placed requests.", expectedBuckets, "service")
 	return m
 }
 
@@ -49,6 +57,42 @@
 	return created
 }
 
+func (m *metrics) histogram(name, help string, buckets []float64, label string) *prometheus.HistogramVec {
+	created := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: metricsNamespace, Name: name, Help: help, Buckets: buckets,
+	}, []string{label})
+	m.registry.MustRegister(created)
+	return created
+}
+
+// Buckets: of decisions from 4 µs to 4 ms, of expected times from 10 ms to 10 s.
+var (
+	placingBuckets  = prometheus.ExponentialBuckets(4e-6, 4, 6)
+	expectedBuckets = prometheus.ExponentialBuckets(0.01, 2, 11)
+)
+
+// Outcomes of a question where a request goes.
+const (
+	outcomePlaced    = "placed"
+	outcomeNoReplica = "no_replica"
+	outcomeUnknown   = "unknown_service"
+)
+
+// observePlacement counts one answer of the placement desk.
+func (m *metrics) observePlacement(service string, answer placement.Answer, known bool, took time.Duration) {
+	switch {
+	case !known:
+		m.placements.WithLabelValues(outcomeUnknown).Inc()
+		return
+	case answer.Generator == "":
+		m.placements.WithLabelValues(outcomeNoReplica).Inc()
+	default:
+		m.placements.WithLabelValues(outcomePlaced).Inc()
+		m.expected.WithLabelValues(service).Observe(answer.Estimate.Seconds())
+	}
+	m.placing.WithLabelValues(service).Observe(took.Seconds())
+}
+
 func (m *metrics) gauge(name, help string, read func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help}, read))
 }
--- /dev/null
+++ b/process/control/placement_test.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/shoenig/test/must"
+)
+
+// servedModel is a view with one model service, and a replica unless it is empty.
+func servedModel(revision uint64, replica string) *view.View {
+	shown := view.New()
+	shown.Version.Revision = revision
+	shown.Ingresses = map[string]*api.Ingress{api.IngressName: {Spec: api.IngressSpec{
+		Services: []api.RouteService{{Name: "chat", Model: &api.ModelSheet{}}, {Name: "plain"}},
+	}}}
+	shown.Replicas = map[string]*api.Replica{}
+	if replica != "" {
+		shown.Replicas[replica] = &api.Replica{Spec: api.ReplicaSpec{Service: "chat", Slots: 4, Role: api.RoleDecode}}
+	}
+	return shown
+}
+
+func TestDeskPlacesModelServicesOnly(t *testing.T) {
+	ask := placement.Ask{Prompt: 100, Output: 10, Deadline: time.Second}
+	cases := []struct {
+		name, service, replica, generator string
+		known                             bool
+	}{
+		{"a model service", "chat", "r-1", "r-1", true},
+		{"without a replica", "chat", "", "", true},
+		{"a plain service", "plain", "r-1", "", false},
+		{"a service that is not there", "other", "r-1", "", false},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			desk := newPlacementDesk()
+			answer, known := desk.place(servedModel(1, each.replica), "proxy-1", feed.PlaceRequest{Service: each.service, Number: 1, Ask: ask}, 0)
+			must.Eq(t, each.known, known)
+			must.Eq(t, each.generator, answer.Generator)
+		})
+	}
+}
+
+func TestDeskFollowsTheView(t *testing.T) {
+	desk := newPlacementDesk()
+	request := feed.PlaceRequest{Service: "chat", Number: 1, Ask: placement.Ask{Prompt: 100, Output: 10, Deadline: time.Second}}
+	for revision, replica := range map[uint64]string{1: "r-1", 2: "r-2"} {
+		answer, _ := desk.place(servedModel(revision, replica), "proxy-1", request, 0)
+		must.Eq(t, replica, answer.Generator)
+	}
+}
+
+func TestPlacementsAreCounted(t *testing.T) {
+	m := newMetrics()
+	m.observePlacement("chat", placement.Answer{Generator: "r-1", Estimate: time.Second}, true, time.Microsecond)
+	m.observePlacement("chat", placement.Answer{}, true, time.Microsecond)
+	m.observePlacement("other", placement.Answer{}, false, time.Microsecond)
+	families, err := m.registry.Gather()
+	must.NoError(t, err)
+	counted := map[string]uint64{}
+	for _, family := range families {
+		for _, series := range family.GetMetric() {
+			key := family.GetName()
+			for _, label := range series.GetLabel() {
+				key += " " + label.GetValue()
+			}
+			counted[key] = uint64(series.GetCounter().GetValue()) + series.GetHistogram().GetSampleCount()
+		}
+	}
+	must.Eq(t, 1, counted["landingtrail_control_placements_total placed"])
+	must.Eq(t, 1, counted["landingtrail_control_placements_total no_replica"])
+	must.Eq(t, 1, counted["landingtrail_control_placements_total unknown_service"])
+	must.Eq(t, 1, counted["landingtrail_control_placed_first_token_seconds chat"])
+	must.Eq(t, 2, counted["landingtrail_control_placing_seconds chat"])
+}
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -247,6 +247,9 @@
 func (i *Ingress) finish(s *session, service string, status int) {
 	took := i.now() - s.arrived
 	i.metrics.observe(s.route.Name, outcomeOf(status), took)
+	if s.firstAt > 0 {
+		i.metrics.firstEvent.WithLabelValues(s.route.Name).Observe((s.firstAt - s.arrived).Seconds())
+	}
 	ended := event.RequestFailed
 	if status == http.StatusOK {
 		ended = event.RequestServed
--- a/process/ingress/metrics.go
+++ b/process/ingress/metrics.go
@@ -8,28 +8,60 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// metrics are the ingress's counters and histograms.
+const metricsNamespace = "landingtrail_ingress"
+
+// metrics are the ingress's counters and histograms. No label names a replica:
+// replicas come and go, and the log names them.
 type metrics struct {
-	registry *prometheus.Registry
-	requests *prometheus.CounterVec
-	latency  *prometheus.HistogramVec
+	registry       *prometheus.Registry
+	requests       *prometheus.CounterVec
+	latency        *prometheus.HistogramVec
+	firstEvent     *prometheus.HistogramVec
+	attempts       *prometheus.CounterVec
+	choices        *prometheus.CounterVec
+	prefills       *prometheus.CounterVec
+	prefillSeconds *prometheus.HistogramVec
+	retriesRefused *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
-	m := &metrics{
-		registry: prometheus.NewRegistry(),
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "landingtrail_ingress_requests_total", Help: "Requests that ended, by route and outcome.",
-		}, []string{"route", "outcome"}),
-		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "landingtrail_ingress_request_seconds", Help: "Time from arrival to the end of the answer.",
-			Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
-		}, []string{"route"}),
-	}
-	m.registry.MustRegister(m.requests, m.latency)
+	m := &metrics{registry: prometheus.NewRegistry()}
+	m.requests = m.counter("requests_total", "Requests that ended, by route and outcome.", "route", "outcome")
+	m.latency = m.histogram("request_seconds", "Time from arrival to the end of the answer.", "route")
+	m.firstEvent = m.histogram("first_event_seconds", "Time from arrival to the first event of a stream.", "route")
+	m.attempts = m.counter("attempts_total", "Attempts that ended, by what came of them.", "service", "verdict")
+	m.choices = m.counter("choices_total", "Replicas chosen for prompts, by the group or by this proxy alone.", "service", "by")
+	m.prefills = m.counter("prefills_total", "Prompts read apart from the replica that makes the tokens.", "service", "outcome")
+	m.prefillSeconds = m.histogram("prefill_seconds", "Time of a read that succeeded.", "service")
+	m.retriesRefused = m.counter("retries_refused_total", "Retries that the shared budget did not allow.", "service")
 	return m
 }
 
+func (m *metrics) counter(name, help string, labels ...string) *prometheus.CounterVec {
+	created := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help}, labels)
+	m.registry.MustRegister(created)
+	return created
+}
+
+// histogram has buckets from 10 ms to 10 s.
+func (m *metrics) histogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	created := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: metricsNamespace, Name: name, Help: help,
+		Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
+	}, labels)
+	m.registry.MustRegister(created)
+	return created
+}
+
+// Who chose a replica, and how a read ended.
+const (
+	chosenByGroup = "group"
+	chosenByProxy = "proxy"
+
+	prefillRead   = "read"
+	prefillFailed = "failed"
+)
+
 func (m *metrics) observe(route, outcome string, took time.Duration) {
 	m.requests.WithLabelValues(route, outcome).Inc()
 	if route != "" {
--- /dev/null
+++ b/process/ingress/metrics_test.go
@@ -0,0 +1,70 @@
+package ingress
+
+import (
+	"context"
+	"testing"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/shoenig/test/must"
+)
+
+// values returns the registry's counters, and the counts of its histograms, by
+// name and label values.
+func (m *metrics) values(t *testing.T) map[string]float64 {
+	t.Helper()
+	families, err := m.registry.Gather()
+	must.NoError(t, err)
+	values := map[string]float64{}
+	for _, family := range families {
+		for _, series := range family.GetMetric() {
+			key := family.GetName()
+			for _, label := range series.GetLabel() {
+				key += " " + label.GetValue()
+			}
+			values[key] = series.GetCounter().GetValue() + float64(series.GetHistogram().GetSampleCount())
+		}
+	}
+	return values
+}
+
+// onePlacer answers the first question only.
+type onePlacer struct {
+	answer placement.Answer
+	asked  bool
+}
+
+func (p *onePlacer) Place(context.Context, feed.PlaceRequest) (placement.Answer, error) {
+	if p.asked {
+		return placement.Answer{}, feed.ErrNotPlaced
+	}
+	p.asked = true
+	return p.answer, nil
+}
+
+func (p *onePlacer) NotePlaced(feed.PlaceNote) bool { return true }
+
+func TestEachDecisionIsCounted(t *testing.T) {
+	reader := newFakeReplica(t, "read", readPrompt)
+	refusing := newFakeReplica(t, "make-1", refuseRun)
+	generator := newFakeReplica(t, "make-2", streamEvents(2, ""))
+	w := newModelWorld(t, reader, refusing, generator)
+	w.ingress.placer = &onePlacer{answer: placement.Answer{Generator: "make-1", Reader: "read", Unread: 9000}}
+	must.Eq(t, events(1, 2), w.ask(modelRequest).body)
+	got := w.ingress.metrics.values(t)
+	// The proxy alone may have the prompt read apart as well, by what it measured.
+	must.Positive(t, got["landingtrail_ingress_prefills_total read model"])
+	must.Eq(t, got["landingtrail_ingress_prefills_total read model"], got["landingtrail_ingress_prefill_seconds model"])
+	for name, want := range map[string]float64{
+		"requests_total answered model": 1,
+		"request_seconds model":         1,
+		"first_event_seconds model":     1,
+		"attempts_total model not_run":  1,
+		"attempts_total model done":     1,
+		"choices_total group model":     1,
+		"choices_total proxy model":     1,
+		"retries_refused_total model":   0,
+	} {
+		must.Eq(t, want, got["landingtrail_ingress_"+name], must.Sprint(name))
+	}
+}
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -62,6 +62,7 @@
 	reader.noteParts(s.call.Work.Parts)
 	chosen.placed.note(placement.StepRead, "", reader.told())
 	s.lane.speed.learn(uncached, now-began)
+	s.ingress.metrics.prefillSeconds.WithLabelValues(s.lane.service).Observe((now - began).Seconds())
 	fmt.Fprintf(&s.trace, " prefill(%s: %d tokens in %s)", reader.name, uncached, (now - began).Round(time.Millisecond))
 	source := Source{Address: reader.listed().Address, Handle: handle}
 	if ctx.Err() != nil {
@@ -71,6 +72,14 @@
 	return source
 }
 
+func (s *session) countPrefill(source Source) {
+	outcome := prefillRead
+	if source.Handle == "" {
+		outcome = prefillFailed
+	}
+	s.ingress.metrics.prefills.WithLabelValues(s.lane.service, outcome).Inc()
+}
+
 // Patience with a replica that reads a prompt: a read harms nothing when it is
 // given up, and the request is then read where it runs.
 const (
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -76,6 +76,7 @@
 		result, target := s.try(ctx)
 		if target != nil {
 			fmt.Fprintf(&s.trace, " %s:%s", target.name, result)
+			s.ingress.metrics.attempts.WithLabelValues(s.lane.service, result.String()).Inc()
 		}
 		switch result {
 		case verdictDone:
@@ -112,6 +113,7 @@
 	}
 	if !s.lane.budget.Withdraw(s.ingress.now()) {
 		s.trace.WriteString(" budget")
+		s.ingress.metrics.retriesRefused.WithLabelValues(s.lane.service).Inc()
 		return false
 	}
 	return true
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -66,8 +66,10 @@
 		return plan{target: s.lane.pickPlain(zone, s.excluded, now, s.random)}
 	}
 	if chosen, decided := s.place(ctx); decided {
+		s.ingress.metrics.choices.WithLabelValues(s.lane.service, chosenByGroup).Inc()
 		return chosen
 	}
+	s.ingress.metrics.choices.WithLabelValues(s.lane.service, chosenByProxy).Inc()
 	return s.chooseModel(zone, s.ingress.now())
 }
 
@@ -117,6 +119,7 @@
 	source := Source{}
 	if chosen.reader != nil {
 		source = s.prefill(ctx, chosen)
+		s.countPrefill(source)
 		if ctx.Err() != nil {
 			chosen.placed.note(placement.StepEnded, "", 0)
 			return verdictCallerEnd, chosen.target
