Choose the split by zones: placement costs the sum of its parts

Cause: the board looked at every pair of reader and generator, 46 million at the size of the target, and at all requests in flight for each question. Ruled out: sampling replicas, which would give other answers; it stays for a size where one pass over all replicas is too long. Change: the cheapest reader and generator of each zone are enough, since a split costs their sum and a move between zones; lost requests are looked for ten times a second. A property holds that the answer is that among all pairs.

--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -27,6 +27,8 @@
 	// forgetAfter is how long a request counts of which nothing was heard beyond
 	// its deadline.
 	forgetAfter = 2 * time.Second
+	// expirePause is the time between two looks for such requests.
+	expirePause = 100 * time.Millisecond
 )
 
 // Suspicion of replicas that failed.
@@ -49,6 +51,7 @@
 	placed   map[Key]*placed
 	// tokenTime is the measured time to read one token, by role.
 	tokenTime [2]time.Duration
+	expireAt  time.Duration // when requests are next looked at that may be lost
 }
 
 // placed is one request in flight.
@@ -265,8 +268,13 @@
 }
 
 // expire forgets requests of which nothing more was heard: their daemons are
-// gone, or the word was lost.
+// gone, or the word was lost. It looks at all of them, so it does that a few
+// times a second and not for each question.
 func (b *Board) expire(now time.Duration) {
+	if now < b.expireAt {
+		return
+	}
+	b.expireAt = now + expirePause
 	for key, p := range b.placed {
 		if now > p.expires {
 			b.end(now, key)
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -63,9 +63,11 @@
 }
 
 // choose compares all ways to serve the request and returns the cheapest.
+//
+// What a split costs is the sum of its reader's part, its generator's part and a
+// move that depends on their zones alone. So the best reader and the best
+// generator of each zone hold the best split, and no other pair is looked at.
 func (b *Board) choose(now time.Duration, ask *Ask) (option, bool) {
-	generators := b.usable(RoleDecode, ask)
-	readers := b.usable(RolePrefill, ask)
 	keepers := b.keepers(now, ask)
 	var best option
 	found := false
@@ -74,21 +76,65 @@
 			best, found = next, true
 		}
 	}
-	for _, generator := range generators {
+	generators := newCandidates()
+	for _, generator := range b.usable(RoleDecode, ask) {
 		consider(b.direct(now, ask, generator, keepers))
+		generators.add(candidate{
+			way:  option{generator: generator},
+			cost: b.generating(now, ask, generator) + generator.failureTime(now),
+			zone: generator.Zone,
+		})
 	}
-	if ask.Continued {
+	if ask.Continued || !found {
 		return best, found
 	}
-	for _, reader := range readers {
+	readers := newCandidates()
+	for _, reader := range b.usable(RolePrefill, ask) {
 		read := b.reading(now, ask, reader, keepers)
-		for _, generator := range generators {
-			consider(b.split(now, ask, read, generator))
+		readers.add(candidate{way: read, cost: read.cost, zone: reader.Zone})
+	}
+	for _, read := range readers.inOrder {
+		for _, made := range generators.inOrder {
+			consider(b.split(ask, read.way, made))
 		}
 	}
 	return best, found
 }
 
+// candidate is one replica for one part of a split, and what it adds to the cost.
+type candidate struct {
+	way  option
+	cost time.Duration
+	zone string
+}
+
+// candidates holds the cheapest candidate of each zone.
+type candidates struct {
+	byZone map[string]int // places in inOrder
+	// inOrder is sorted by name; equal costs are decided by it.
+	inOrder []candidate
+}
+
+func newCandidates() *candidates { return &candidates{byZone: map[string]int{}} }
+
+// add takes a candidate in; they come sorted by name.
+func (c *candidates) add(next candidate) {
+	place, known := c.byZone[next.zone]
+	if known && c.inOrder[place].cost <= next.cost {
+		return
+	}
+	if known {
+		c.inOrder = slices.Delete(c.inOrder, place, place+1)
+		for zone, other := range c.byZone {
+			if other > place {
+				c.byZone[zone] = other - 1
+			}
+		}
+	}
+	c.byZone[next.zone] = len(c.inOrder)
+	c.inOrder = append(c.inOrder, next)
+}
+
 // usable returns the replicas of the role that may take the request.
 func (b *Board) usable(role Role, ask *Ask) []*replica {
 	var usable []*replica
@@ -225,11 +271,11 @@
 
 // split is the reading of the prompt at one replica and the making of tokens at
 // another.
-func (b *Board) split(now time.Duration, ask *Ask, read option, generator *replica) option {
-	moved, price := b.move(ask.Prompt, read.reader.Zone, generator.Zone)
+func (b *Board) split(ask *Ask, read option, made candidate) option {
+	moved, price := b.move(ask.Prompt, read.reader.Zone, made.zone)
 	next := read
-	next.generator = generator
+	next.generator = made.way.generator
 	next.first += moved + startTime
-	next.cost += moved + startTime + price + b.generating(now, ask, generator) + generator.failureTime(now)
+	next.cost += moved + startTime + price + made.cost
 	return next
 }
--- /dev/null
+++ b/request/placement/choose_test.go
@@ -0,0 +1,104 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// chooseAmongAll looks at every pair of replicas: the oracle of choose.
+func (b *Board) chooseAmongAll(now time.Duration, ask *Ask) option {
+	keepers := b.keepers(now, ask)
+	generators := b.usable(RoleDecode, ask)
+	var best option
+	consider := func(next option) {
+		if best.generator == nil || next.cost < best.cost {
+			best = next
+		}
+	}
+	for _, generator := range generators {
+		consider(b.direct(now, ask, generator, keepers))
+	}
+	for _, reader := range b.usable(RolePrefill, ask) {
+		read := b.reading(now, ask, reader, keepers)
+		for _, generator := range generators {
+			consider(b.split(ask, read, candidate{
+				way:  option{generator: generator},
+				cost: b.generating(now, ask, generator) + generator.failureTime(now),
+				zone: generator.Zone,
+			}))
+		}
+	}
+	return best
+}
+
+func TestChoiceIsThatAmongAllPairs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBoard()
+		b.SetReplicas(testSheet, drawReplicas(t))
+		for number := range rapid.Uint64Range(0, 40).Draw(t, "requests") {
+			now := time.Duration(number) * 20 * ms
+			next := ask(rapid.SampledFrom([]string{"p", "q"}).Draw(t, "part"), 9_000, rapid.IntRange(0, 9_000).Draw(t, "own"))
+			next.Zone = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone")
+			want := b.chooseAmongAll(now, &next)
+			must.Eq(t, want.answer(), b.Place(now, key(number), next))
+			if rapid.Bool().Draw(t, "fails") {
+				name := rapid.SampledFrom(b.names).Draw(t, "failed")
+				b.Note(now, key(number), Note{Step: StepFailed, Replica: name})
+			}
+		}
+	})
+}
+
+// drawReplicas has a generator at least, so that there is always an answer.
+func drawReplicas(t *rapid.T) []Replica {
+	drawn := []Replica{{Name: "m", Zone: "a", Role: RoleDecode}}
+	for i := range rapid.IntRange(0, 12).Draw(t, "replicas") {
+		drawn = append(drawn, Replica{
+			Name:  fmt.Sprintf("r-%02d", i),
+			Zone:  rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"),
+			Role:  rapid.SampledFrom([]Role{RoleDecode, RolePrefill}).Draw(t, "role"),
+			Slots: rapid.IntRange(0, 3).Draw(t, "slots"),
+		})
+	}
+	return drawn
+}
+
+// BenchmarkPlace places requests on boards of several sizes, a quarter of the
+// replicas reading, three zones, with four requests in flight for each replica.
+func BenchmarkPlace(b *testing.B) {
+	for _, size := range []int{9, 90, 1_000, 10_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			board := NewBoard()
+			board.SetReplicas(testSheet, benchmarkReplicas(size))
+			inFlight := uint64(4 * size)
+			for number := uint64(0); b.Loop(); number++ {
+				next := ask(fmt.Sprint("part-", number%50), 9_000, 2_000)
+				next.Deadline = time.Hour
+				answer := board.Place(0, key(number), next)
+				if answer.Reader != "" {
+					board.Note(0, key(number), Note{Step: StepRead})
+				}
+				board.Note(0, key(number), Note{Step: StepStarted})
+				if number >= inFlight {
+					board.Note(0, key(number-inFlight), Note{Step: StepEnded})
+				}
+			}
+		})
+	}
+}
+
+func benchmarkReplicas(size int) []Replica {
+	replicas := make([]Replica, 0, size)
+	for i := range size {
+		role := RoleDecode
+		if i%4 == 0 {
+			role = RolePrefill
+		}
+		replicas = append(replicas, Replica{Name: fmt.Sprintf("r-%05d", i), Zone: fmt.Sprint("zone-", i%3), Role: role, Slots: 64})
+	}
+	return replicas
+}
