--- a/version/state/machine.go
+++ b/version/state/machine.go
@@ -122,48 +122,15 @@
 
 // load stores an object without recording a change.
 func (m *Machine) load(o api.Object) {
-	switch {
-	case o.Intent != nil:
-		m.intents.put(o.Intent.Name, o.Intent)
-	case o.Engine != nil:
-		m.engines.put(o.Engine.Name, o.Engine)
-	case o.Service != nil:
-		m.services.put(o.Service.Name, o.Service)
-	case o.Class != nil:
-		m.classes.put(o.Class.Name, o.Class)
-	case o.Tenant != nil:
-		m.tenants.put(o.Tenant.Name, o.Tenant)
-	case o.Ingress != nil:
-		m.ingresses.put(o.Ingress.Name, o.Ingress)
-	case o.Replica != nil:
-		m.replicas.put(o.Replica.Name, o.Replica)
-	case o.Proxy != nil:
-		m.proxies.put(o.Proxy.Name, o.Proxy)
-	case o.Member != nil:
-		m.memberObjects.put(o.Member.Name, o.Member)
+	key, _ := o.Key()
+	if held := m.table(key.Kind); held != nil {
+		held.load(key.Name, o)
 	}
 }
 
 func (m *Machine) remove(key api.Key) {
-	switch key.Kind {
-	case api.KindIntent:
-		m.intents.remove(key.Name)
-	case api.KindEngine:
-		m.engines.remove(key.Name)
-	case api.KindService:
-		m.services.remove(key.Name)
-	case api.KindClass:
-		m.classes.remove(key.Name)
-	case api.KindTenant:
-		m.tenants.remove(key.Name)
-	case api.KindIngress:
-		m.ingresses.remove(key.Name)
-	case api.KindReplica:
-		m.replicas.remove(key.Name)
-	case api.KindProxy:
-		m.proxies.remove(key.Name)
-	case api.KindMember:
-		m.memberObjects.remove(key.Name)
+	if held := m.table(key.Kind); held != nil {
+		held.remove(key.Name)
 	}
 	m.changed(key)
 }
--- a/version/state/table.go
+++ b/version/state/table.go
@@ -2,6 +2,8 @@
 
 import (
 	"maps"
+
+	"github.com/landingtrail/landingtrail/version/api"
 )
 
 // table maps names to objects of one kind. Objects are immutable once stored,
@@ -35,3 +37,42 @@
 		t.shared = false
 	}
 }
+
+// anyTable is a table whose kind is known only when it is used.
+type anyTable interface {
+	load(name string, o api.Object)
+	remove(name string)
+}
+
+// kindTable is a table with the way from an Object to its T.
+type kindTable[T any] struct {
+	*table[T]
+	part func(api.Object) *T
+}
+
+func (t kindTable[T]) load(name string, o api.Object) { t.put(name, t.part(o)) }
+
+// table returns the table that holds the kind, nil for an unknown kind.
+func (m *Machine) table(kind api.Kind) anyTable {
+	switch kind {
+	case api.KindIntent:
+		return kindTable[api.Intent]{&m.intents, func(o api.Object) *api.Intent { return o.Intent }}
+	case api.KindEngine:
+		return kindTable[api.Engine]{&m.engines, func(o api.Object) *api.Engine { return o.Engine }}
+	case api.KindService:
+		return kindTable[api.Service]{&m.services, func(o api.Object) *api.Service { return o.Service }}
+	case api.KindClass:
+		return kindTable[api.Class]{&m.classes, func(o api.Object) *api.Class { return o.Class }}
+	case api.KindTenant:
+		return kindTable[api.Tenant]{&m.tenants, func(o api.Object) *api.Tenant { return o.Tenant }}
+	case api.KindIngress:
+		return kindTable[api.Ingress]{&m.ingresses, func(o api.Object) *api.Ingress { return o.Ingress }}
+	case api.KindReplica:
+		return kindTable[api.Replica]{&m.replicas, func(o api.Object) *api.Replica { return o.Replica }}
+	case api.KindProxy:
+		return kindTable[api.Proxy]{&m.proxies, func(o api.Object) *api.Proxy { return o.Proxy }}
+	case api.KindMember:
+		return kindTable[api.Member]{&m.memberObjects, func(o api.Object) *api.Member { return o.Member }}
+	}
+	return nil
+}
--- a/version/view/table.go
+++ b/version/view/table.go
@@ -9,33 +9,83 @@
 
 // List returns the objects of a kind, sorted by name.
 func (v *View) List(kind api.Kind) []api.Object {
+	held := v.table(kind)
+	if held == nil {
+		return nil
+	}
+	return held.list()
+}
+
+// table is the part of a view that holds one kind.
+type table interface {
+	get(name string) (api.Object, bool)
+	put(name string, o api.Object)
+	remove(name string)
+	list() []api.Object
+	// copy replaces the map by a copy that may be written to.
+	copy()
+}
+
+// table returns the part that holds the kind, nil for an unknown kind. It is the
+// only place where a view's kinds are told apart.
+func (v *View) table(kind api.Kind) table {
 	switch kind {
 	case api.KindIntent:
-		return list(v.Intents, func(o *api.Intent) api.Object { return api.Object{Intent: o} })
+		return kindTable[api.Intent]{&v.Intents, func(o *api.Object) **api.Intent { return &o.Intent }}
 	case api.KindEngine:
-		return list(v.Engines, func(o *api.Engine) api.Object { return api.Object{Engine: o} })
+		return kindTable[api.Engine]{&v.Engines, func(o *api.Object) **api.Engine { return &o.Engine }}
 	case api.KindService:
-		return list(v.Services, func(o *api.Service) api.Object { return api.Object{Service: o} })
+		return kindTable[api.Service]{&v.Services, func(o *api.Object) **api.Service { return &o.Service }}
 	case api.KindClass:
-		return list(v.Classes, func(o *api.Class) api.Object { return api.Object{Class: o} })
+		return kindTable[api.Class]{&v.Classes, func(o *api.Object) **api.Class { return &o.Class }}
 	case api.KindTenant:
-		return list(v.Tenants, func(o *api.Tenant) api.Object { return api.Object{Tenant: o} })
+		return kindTable[api.Tenant]{&v.Tenants, func(o *api.Object) **api.Tenant { return &o.Tenant }}
 	case api.KindIngress:
-		return list(v.Ingresses, func(o *api.Ingress) api.Object { return api.Object{Ingress: o} })
+		return kindTable[api.Ingress]{&v.Ingresses, func(o *api.Object) **api.Ingress { return &o.Ingress }}
 	case api.KindReplica:
-		return list(v.Replicas, func(o *api.Replica) api.Object { return api.Object{Replica: o} })
+		return kindTable[api.Replica]{&v.Replicas, func(o *api.Object) **api.Replica { return &o.Replica }}
 	case api.KindProxy:
-		return list(v.Proxies, func(o *api.Proxy) api.Object { return api.Object{Proxy: o} })
+		return kindTable[api.Proxy]{&v.Proxies, func(o *api.Object) **api.Proxy { return &o.Proxy }}
 	case api.KindMember:
-		return list(v.Members, func(o *api.Member) api.Object { return api.Object{Member: o} })
+		return kindTable[api.Member]{&v.Members, func(o *api.Object) **api.Member { return &o.Member }}
 	}
 	return nil
 }
 
-func list[T any](items map[string]*T, wrap func(*T) api.Object) []api.Object {
-	objects := make([]api.Object, 0, len(items))
-	for _, name := range slices.Sorted(maps.Keys(items)) {
-		objects = append(objects, wrap(items[name]))
+// kindTable implements table for objects of type T.
+type kindTable[T any] struct {
+	items *map[string]*T
+	// field is where an Object has its T.
+	field func(*api.Object) **T
+}
+
+func (t kindTable[T]) get(name string) (api.Object, bool) {
+	item, found := (*t.items)[name]
+	return t.wrap(item), found
+}
+
+func (t kindTable[T]) put(name string, o api.Object) { (*t.items)[name] = *t.field(&o) }
+
+func (t kindTable[T]) remove(name string) { delete(*t.items, name) }
+
+func (t kindTable[T]) list() []api.Object {
+	objects := make([]api.Object, 0, len(*t.items))
+	for _, name := range slices.Sorted(maps.Keys(*t.items)) {
+		objects = append(objects, t.wrap((*t.items)[name]))
 	}
 	return objects
 }
+
+func (t kindTable[T]) copy() {
+	if *t.items == nil {
+		*t.items = map[string]*T{}
+		return
+	}
+	*t.items = maps.Clone(*t.items)
+}
+
+func (t kindTable[T]) wrap(item *T) api.Object {
+	var o api.Object
+	*t.field(&o) = item
+	return o
+}
--- a/version/view/view.go
+++ b/version/view/view.go
@@ -1,8 +1,6 @@
 package view
 
 import (
-	"maps"
-
 	"github.com/pkg/errors"
 
 	"github.com/landingtrail/landingtrail/version/api"
@@ -80,36 +78,11 @@
 
 // Object returns the object with the key.
 func (v *View) Object(key api.Key) (api.Object, bool) {
-	switch key.Kind {
-	case api.KindIntent:
-		o, ok := v.Intents[key.Name]
-		return api.Object{Intent: o}, ok
-	case api.KindEngine:
-		o, ok := v.Engines[key.Name]
-		return api.Object{Engine: o}, ok
-	case api.KindService:
-		o, ok := v.Services[key.Name]
-		return api.Object{Service: o}, ok
-	case api.KindClass:
-		o, ok := v.Classes[key.Name]
-		return api.Object{Class: o}, ok
-	case api.KindTenant:
-		o, ok := v.Tenants[key.Name]
-		return api.Object{Tenant: o}, ok
-	case api.KindIngress:
-		o, ok := v.Ingresses[key.Name]
-		return api.Object{Ingress: o}, ok
-	case api.KindReplica:
-		o, ok := v.Replicas[key.Name]
-		return api.Object{Replica: o}, ok
-	case api.KindProxy:
-		o, ok := v.Proxies[key.Name]
-		return api.Object{Proxy: o}, ok
-	case api.KindMember:
-		o, ok := v.Members[key.Name]
-		return api.Object{Member: o}, ok
+	held := v.table(key.Kind)
+	if held == nil {
+		return api.Object{}, false
 	}
-	return api.Object{}, false
+	return held.get(key.Name)
 }
 
 // Full returns the delta that leads from nothing to v, with the objects in
@@ -133,69 +106,22 @@
 	for _, key := range d.Removed {
 		touched[key.Kind] = true
 	}
-	v.Intents = copyIf(touched[api.KindIntent], v.Intents)
-	v.Engines = copyIf(touched[api.KindEngine], v.Engines)
-	v.Services = copyIf(touched[api.KindService], v.Services)
-	v.Classes = copyIf(touched[api.KindClass], v.Classes)
-	v.Tenants = copyIf(touched[api.KindTenant], v.Tenants)
-	v.Ingresses = copyIf(touched[api.KindIngress], v.Ingresses)
-	v.Replicas = copyIf(touched[api.KindReplica], v.Replicas)
-	v.Proxies = copyIf(touched[api.KindProxy], v.Proxies)
-	v.Members = copyIf(touched[api.KindMember], v.Members)
-}
-
-func copyIf[T any](touched bool, items map[string]*T) map[string]*T {
-	switch {
-	case !touched:
-		return items
-	case items == nil:
-		return map[string]*T{}
+	for kind := range touched {
+		if held := v.table(kind); held != nil {
+			held.copy()
+		}
 	}
-	return maps.Clone(items)
 }
 
 func (v *View) put(o api.Object) {
-	switch {
-	case o.Intent != nil:
-		v.Intents[o.Intent.Name] = o.Intent
-	case o.Engine != nil:
-		v.Engines[o.Engine.Name] = o.Engine
-	case o.Service != nil:
-		v.Services[o.Service.Name] = o.Service
-	case o.Class != nil:
-		v.Classes[o.Class.Name] = o.Class
-	case o.Tenant != nil:
-		v.Tenants[o.Tenant.Name] = o.Tenant
-	case o.Ingress != nil:
-		v.Ingresses[o.Ingress.Name] = o.Ingress
-	case o.Replica != nil:
-		v.Replicas[o.Replica.Name] = o.Replica
-	case o.Proxy != nil:
-		v.Proxies[o.Proxy.Name] = o.Proxy
-	case o.Member != nil:
-		v.Members[o.Member.Name] = o.Member
+	key, _ := o.Key()
+	if held := v.table(key.Kind); held != nil {
+		held.put(key.Name, o)
 	}
 }
 
 func (v *View) remove(key api.Key) {
-	switch key.Kind {
-	case api.KindIntent:
-		delete(v.Intents, key.Name)
-	case api.KindEngine:
-		delete(v.Engines, key.Name)
-	case api.KindService:
-		delete(v.Services, key.Name)
-	case api.KindClass:
-		delete(v.Classes, key.Name)
-	case api.KindTenant:
-		delete(v.Tenants, key.Name)
-	case api.KindIngress:
-		delete(v.Ingresses, key.Name)
-	case api.KindReplica:
-		delete(v.Replicas, key.Name)
-	case api.KindProxy:
-		delete(v.Proxies, key.Name)
-	case api.KindMember:
-		delete(v.Members, key.Name)
+	if held := v.table(key.Kind); held != nil {
+		held.remove(key.Name)
 	}
 }
