Log a request before it is sent; lead from its ID to the cause

Ruled out: writing lines synchronously at arrival, which would let a slow reader of the log hold requests up; the new line is routine and bounded.

--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -32,6 +32,7 @@
 	})
 	reading, cancel := context.WithTimeoutCause(ctx, s.readPatience(chosen), errSilent)
 	defer cancel()
+	s.logSent(stageRead, reader, uncached, chosen.estimate)
 	answer, err := s.lane.pool.Do(reading, reader.listed().Address, request)
 	if err != nil {
 		fmt.Fprintf(&s.trace, " prefill(%s: %v)", reader.name, err)
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/exchange"
+	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/api"
@@ -175,6 +176,7 @@
 	defer cancel(nil)
 	stopWatch := s.watchSilence(attempting, chosen, sent, cancel)
 	defer stopWatch()
+	s.logSent(stageRun, target, tokens, chosen.estimate)
 	answer, err := s.lane.pool.Do(attempting, target.listed().Address, s.request(target, source, chosen.fetchOf(source)))
 	if err != nil {
 		return s.unanswered(ctx, target, number, err)
@@ -187,6 +189,19 @@
 	return s.judge(ctx, chosen, sent, number, answer, reply)
 }
 
+// Stages of a request in the log.
+const (
+	stageRead = "read"
+	stageRun  = "run"
+)
+
+// logSent says where the request goes, before it does: should this process end
+// meanwhile, nothing else tells.
+func (s *session) logSent(stage string, to *replica, unread int, estimate time.Duration) {
+	event.RequestSent.Log(s.ingress.logger, "request", s.call.ID, "generation", s.generation,
+		"stage", stage, "replica", to.name, "unread", unread, "expected_ms", estimate.Milliseconds())
+}
+
 // request builds what the target gets.
 func (s *session) request(target *replica, source Source, fetch string) *exchange.Request {
 	header := s.call.Header.Clone()
