Let a member stand by for placements while no leader serves

Change: a placement promises nothing, so any member that has a view may give it: a client without a leader asks the others in one order, the last leader first, for placements alone. A proxy takes no replica from an answer that leaves by what it knows itself.

--- a/connection/feed/client.go
+++ b/connection/feed/client.go
@@ -28,6 +28,9 @@
 	// Served is called each time a leader has begun to serve the client; it must
 	// not block. nil: nothing is called.
 	Served func()
+	// Standby has any other member place requests while no leader serves the
+	// client.
+	Standby bool
 	// Presence returns what the daemon says of itself with each beat; nil says
 	// nothing.
 	Presence func() Presence
@@ -104,6 +107,9 @@
 	views     Views
 	instance  uint64
 	session   atomic.Pointer[session] // nil while no leader serves the client
+	standby   atomic.Pointer[session] // nil while no member stands by for one
+	lost      chan struct{}           // has an item once a leader serves the client no more
+	leader    atomic.Pointer[string]  // the address of the one that served last
 	handover  *handover
 	requestID atomic.Uint64
 	slots     chan struct{} // one for each claim or outcome in flight
@@ -126,7 +132,11 @@
 	client.handover = newHandover(client.config.HandoverWait)
 	client.slots = make(chan struct{}, client.config.MaxInFlight)
 	client.context, client.cancel = context.WithCancel(context.Background())
+	client.lost = make(chan struct{}, 1)
 	client.done.Go(client.follow)
+	if client.config.Standby {
+		client.done.Go(client.standBy)
+	}
 	return client, nil
 }
 
--- a/connection/feed/follow.go
+++ b/connection/feed/follow.go
@@ -66,6 +66,7 @@
 		return false, "", errors.Wrap(err, "feed: dial")
 	}
 	current := newSession(c, conn)
+	current.address = address
 	named, err = current.run(c.context)
 	return current.ready, named, err
 }
--- a/connection/feed/messages.go
+++ b/connection/feed/messages.go
@@ -11,7 +11,7 @@
 )
 
 // Protocol is the preface of every feed connection.
-var Protocol = frame.Protocol{ID: 2, Version: 3}
+var Protocol = frame.Protocol{ID: 2, Version: 4}
 
 // Kinds of frames. A subscriber sends Subscribe first and once.
 const (
@@ -30,6 +30,7 @@
 	kindPlaceReply                         // server: request ID, placement.Answer
 	kindPlaceNote                          // subscriber: PlaceNote
 	kindKept                               // subscriber: KeptParts
+	kindAlive                              // server, to a standby subscription: nothing
 )
 
 // Bounds of payloads in bytes. A server takes only small frames from
@@ -49,6 +50,8 @@
 	instance uint64
 	zone     string
 	version  view.Version
+	// standby asks for placements alone, of any member that has a view.
+	standby bool
 }
 
 // beat asks for the view lease to be renewed and acknowledges a version. A
@@ -143,6 +146,7 @@
 	encoder.Uint64(message.instance)
 	encoder.String(message.zone)
 	encodeVersion(encoder, message.version)
+	encoder.Bool(message.standby)
 	return encoder.Data()
 }
 
@@ -150,6 +154,7 @@
 	decoder := frame.NewDecoder(data)
 	message := subscribe{daemon: decoder.String(), instance: decoder.Uint64(), zone: decoder.String()}
 	message.version = decodeVersion(decoder)
+	message.standby = decoder.Bool()
 	return message, decoder.Finish()
 }
 
--- a/connection/feed/placement.go
+++ b/connection/feed/placement.go
@@ -23,9 +23,9 @@
 	Note    placement.Note
 }
 
-// ErrNotPlaced says that no leader has placed the request: the daemon decides
+// ErrNotPlaced says that no member has placed the request: the daemon decides
 // by what it knows itself.
-var ErrNotPlaced = errors.New("feed: no leader places requests now")
+var ErrNotPlaced = errors.New("feed: no member places requests now")
 
 // Bounds of a question in a frame.
 const (
@@ -136,10 +136,11 @@
 	return note, decoder.Finish()
 }
 
-// Place asks the leader where a request is to go; ErrNotPlaced when none answers
-// before ctx ends. Asking changes nothing that lasts.
+// Place asks the leader where a request is to go, or the member that stands by
+// without one; ErrNotPlaced when none answers before ctx ends. Asking changes
+// nothing that lasts.
 func (c *Client) Place(ctx context.Context, request PlaceRequest) (placement.Answer, error) {
-	current := c.session.Load()
+	current := c.placing()
 	if current == nil {
 		return placement.Answer{}, ErrNotPlaced
 	}
@@ -164,7 +165,7 @@
 // NotePlaced tells the leader how far a placed request has come; false when the
 // word was dropped.
 func (c *Client) NotePlaced(note PlaceNote) bool {
-	current := c.session.Load()
+	current := c.placing()
 	if current == nil {
 		return false
 	}
@@ -183,7 +184,7 @@
 		return nil // too much is under way; the daemon decides by itself
 	}
 	reply := placeReply{requestID: requestID}
-	if s.server.config.Group.Leadership().Leads {
+	if s.standby || s.server.config.Group.Leadership().Leads {
 		reply.answer, reply.found = s.server.config.Group.Place(s.key.String(), request)
 	}
 	s.answer(kindPlaceReply, encodePlaceReply(reply))
@@ -240,7 +241,7 @@
 // ReportKept tells the leader what a replica is believed to keep; false when the
 // word was dropped.
 func (c *Client) ReportKept(kept KeptParts) bool {
-	current := c.session.Load()
+	current := c.placing()
 	if current == nil {
 		return false
 	}
--- a/connection/feed/session.go
+++ b/connection/feed/session.go
@@ -60,6 +60,9 @@
 	ended   chan struct{}
 	pending [pendingShards]pendingShard
 	ready   bool // the leader has served a delta or a grant
+	address string
+	// standby is set for a session that is used for placements alone.
+	standby bool
 	// announced is true when a leader that served the session said that it
 	// leads no more. It is written before ended is closed.
 	announced bool
@@ -97,7 +100,7 @@
 	if s.announced = s.ready && errors.Is(err, errNotLeader); s.announced {
 		s.client.handover.announce()
 	}
-	s.client.session.CompareAndSwap(s, nil)
+	s.client.lose(s)
 	close(s.ended)
 	_ = s.conn.Close()
 	writer.Wait()
@@ -136,7 +139,10 @@
 		daemon:   config.Daemon,
 		instance: s.client.instance,
 		zone:     config.Zone,
-		version:  s.client.views.Load().Version,
+		standby:  s.standby,
+	}
+	if !s.standby {
+		opening.version = s.client.views.Load().Version
 	}
 	if err := writer.WriteFrame(kindSubscribe, encodeSubscribe(opening)); err != nil {
 		return err
@@ -210,6 +216,8 @@
 		return s.receiveDelta(received.Payload)
 	case kindGrant:
 		return s.receiveGrant(received.Payload)
+	case kindAlive:
+		return s.receiveAlive()
 	case kindClaimReply:
 		message, err := decodeClaimReply(received.Payload)
 		if err != nil {
@@ -299,7 +307,9 @@
 func (s *session) markReady() {
 	if !s.ready {
 		s.ready = true
+		s.client.leader.Store(&s.address)
 		s.client.session.Store(s)
+		s.client.endStandby()
 		s.client.handover.end()
 		event.FeedServed.Log(s.client.config.Logger, "address", s.conn.RemoteAddr(), "revision", s.client.views.Load().Version.Revision)
 		if s.client.config.Served != nil {
--- /dev/null
+++ b/connection/feed/standby.go
@@ -0,0 +1,142 @@
+package feed
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/pkg/errors"
+)
+
+// A placement is advice: it promises nothing and needs no quorum. So while no
+// leader serves a client, any member that has a view may place its requests. All
+// clients ask in the same order, the last leader first, so that those that reach
+// the same members share one board. Nothing else is served to them there: no
+// view, no lease, no claim.
+
+const (
+	// standbyDelay is how long a lost leader is waited for before another
+	// member is asked; most changes of the leader are over by then.
+	standbyDelay = 150 * time.Millisecond
+	// standbyDialTimeout bounds the wait for a member that may be gone.
+	standbyDialTimeout = 300 * time.Millisecond
+	// standbyPause is the wait after no member stood by.
+	standbyPause = 300 * time.Millisecond
+)
+
+// placing returns the session that places requests now, or nil.
+func (c *Client) placing() *session {
+	if current := c.session.Load(); current != nil {
+		return current
+	}
+	return c.standby.Load()
+}
+
+// lose forgets a session that has ended.
+func (c *Client) lose(ended *session) {
+	c.standby.CompareAndSwap(ended, nil)
+	if !c.session.CompareAndSwap(ended, nil) {
+		return
+	}
+	select {
+	case c.lost <- struct{}{}:
+	default:
+	}
+}
+
+// endStandby ends the standby session: a leader serves the client again.
+func (c *Client) endStandby() {
+	if current := c.standby.Swap(nil); current != nil {
+		_ = current.conn.Close()
+	}
+}
+
+// standBy keeps a standby session while no leader serves the client.
+func (c *Client) standBy() {
+	for {
+		select {
+		case <-c.lost:
+		case <-c.context.Done():
+			return
+		}
+		c.sleep(standbyDelay)
+		for c.context.Err() == nil && c.session.Load() == nil {
+			if !c.askAround() {
+				c.sleep(jitter(standbyPause))
+			}
+		}
+	}
+}
+
+// askAround asks one member after the other to stand by, and serves the session
+// with the first that does to its end. It returns false when none did.
+func (c *Client) askAround() bool {
+	for _, address := range c.standbyOrder() {
+		if c.context.Err() != nil || c.session.Load() != nil {
+			return true
+		}
+		stood, err := c.connectStandby(address)
+		event.FeedStandbyEnded.Log(c.config.Logger, "address", address, "stood_by", stood, "err", err)
+		if stood {
+			return true
+		}
+	}
+	return false
+}
+
+// standbyOrder is the same for all clients that followed the same leader.
+func (c *Client) standbyOrder() []string {
+	order := slices.Sorted(slices.Values(c.addresses()))
+	last := c.leader.Load()
+	if last == nil {
+		return order
+	}
+	order = slices.DeleteFunc(order, func(address string) bool { return address == *last })
+	return slices.Insert(order, 0, *last)
+}
+
+// connectStandby serves one standby session to its end and reports whether the
+// member stood by.
+func (c *Client) connectStandby(address string) (bool, error) {
+	ctx, cancel := context.WithTimeout(c.context, standbyDialTimeout)
+	defer cancel()
+	conn, err := c.config.Dial(ctx, "tcp", address)
+	if err != nil {
+		return false, errors.Wrap(err, "feed: dial")
+	}
+	current := newSession(c, conn)
+	current.standby = true
+	_, err = current.run(c.context)
+	return current.ready, err
+}
+
+// receiveAlive takes in that the member stands by.
+func (s *session) receiveAlive() error {
+	if !s.standby {
+		return errors.Wrap(errProtocol, "a leader that only stands by")
+	}
+	if s.ready {
+		return nil
+	}
+	s.ready = true
+	s.client.standby.Store(s)
+	if s.client.session.Load() != nil {
+		s.client.endStandby() // a leader came first
+		return nil
+	}
+	event.FeedStandby.Log(s.client.config.Logger, "address", s.conn.RemoteAddr())
+	if s.client.config.Served != nil {
+		s.client.config.Served()
+	}
+	return nil
+}
+
+// writeAlive answers a standby subscription, if the member has a view to place by.
+func (s *subscriber) writeAlive(ctx context.Context, writer *frame.Writer, leader string) error {
+	if s.server.config.Group.Version().Revision == 0 {
+		return s.moveOn(ctx, writer, leader)
+	}
+	return writer.WriteFrame(kindAlive, nil)
+}
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -31,6 +31,10 @@
 	slots   chan struct{}
 	calls   sync.WaitGroup
 
+	// standby is set for a subscription that gets placements alone; it is
+	// written before the subscription is open.
+	standby bool
+
 	lock   sync.Mutex
 	opened bool
 	sent   view.Version // the version that the subscriber has or is being sent
@@ -116,6 +120,7 @@
 	if err := s.checkVersion(opening.version); err != nil {
 		return err
 	}
+	s.standby = opening.standby
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.key = daemonKey{daemon: opening.daemon, instance: opening.instance}
@@ -290,6 +295,9 @@
 		return nil
 	}
 	leadership := s.server.config.Group.Leadership()
+	if s.standby {
+		return s.writeAlive(ctx, writer, leadership.Address)
+	}
 	if !leadership.Leads {
 		return s.moveOn(ctx, writer, leadership.Address)
 	}
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -44,6 +44,10 @@
 	FeedDisconnected = define(1100, "feed_disconnected", Info,
 		"The connection to a control member ended; the client tries the leader it was told of or the next address.",
 		"If it repeats on one daemon, check the path to the control members and whether they have a leader.")
+	FeedStandby = define(1104, "feed_standby", Info,
+		"No leader serves this daemon; another member places its requests until one does. Views and claims wait for the leader.", "")
+	FeedStandbyEnded = define(1105, "feed_standby_ended", Info,
+		"A member stands by no longer, or could not be asked to; while no leader serves this daemon the next one is asked.", "")
 	FeedServed  = define(1103, "feed_served", Info, "A leader serves this daemon: it gets views and places from now on.", "")
 	FeedRefused = define(1101, "feed_refused", Warn,
 		"A connection to the feed was refused.",
--- a/process/ingress/placed.go
+++ b/process/ingress/placed.go
@@ -35,7 +35,7 @@
 }
 
 // place asks the control group where the request goes; false when it does not
-// answer in time or names replicas that are not known here.
+// answer in time or names replicas that do not take requests by what is known here.
 func (s *session) place(ctx context.Context) (plan, bool) {
 	if s.ingress.placer == nil {
 		return plan{}, false
@@ -57,7 +57,7 @@
 		estimate: answer.Estimate,
 		placed:   decided,
 	}
-	if answer.Generator != "" && chosen.target == nil || answer.Reader != "" && chosen.reader == nil {
+	if !known(answer.Generator, chosen.target) || !known(answer.Reader, chosen.reader) {
 		decided.note(placement.StepEnded, "", 0)
 		s.trace.WriteString(" unknown_replica")
 		return plan{}, false
@@ -69,6 +69,12 @@
 	return chosen, true
 }
 
+// known reports whether a named replica takes requests by what this proxy knows,
+// which may be newer than what the member knew that named it.
+func known(name string, found *replica) bool {
+	return name == "" || found != nil && ready(found.listed())
+}
+
 func (s *session) ask() placement.Ask {
 	ask := placement.Ask{
 		Prompt:    s.call.Work.PromptTokens,
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -47,6 +47,7 @@
 		MoreAddresses:  func() []string { return append(memberAddresses(holder.Load()), made.seeds()...) },
 		Presence:       made.presence,
 		Served:         func() { signal(served) },
+		Standby:        true,
 		BeatInterval:   beatInterval,
 		SilenceTimeout: silenceTimeout,
 		DialTimeout:    dialTimeout,
