--- a/connection/feed/feed_test.go
+++ b/connection/feed/feed_test.go
@@ -382,6 +382,7 @@
 // and what was read is encoded to the same bytes again.
 func FuzzMessages(f *testing.F) {
 	f.Add(encodeSubscribe(subscribe{daemon: "proxy", instance: 1, zone: "zone"}))
+	f.Add(encodeSubscribe(subscribe{daemon: "proxy", standby: true}))
 	f.Add(encodeBeat(beat{sequence: 1}))
 	f.Add(encodeGrant(grant{sequence: 1, lease: time.Second, term: 2}))
 	f.Add(encodeClaim(1, state.ClaimRequest{Tenant: "t", Key: "k", Proxy: "p"}))
--- /dev/null
+++ b/connection/feed/standby_test.go
@@ -0,0 +1,123 @@
+package feed
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/shoenig/test/must"
+)
+
+// placingGroup is a member that names itself as the replica.
+type placingGroup struct {
+	*fakeGroup
+	name  string
+	notes atomic.Int64
+	kept  atomic.Int64
+}
+
+func newPlacingGroup(name string, leads bool) *placingGroup {
+	g := &placingGroup{fakeGroup: newFakeGroup(), name: name}
+	g.set(leads, leads, 1, "")
+	return g
+}
+
+func (g *placingGroup) Place(string, PlaceRequest) (placement.Answer, bool) {
+	return placement.Answer{Generator: g.name}, true
+}
+
+func (g *placingGroup) NotePlaced(string, PlaceNote) { g.notes.Add(1) }
+
+func (g *placingGroup) NoteKept(KeptParts) { g.kept.Add(1) }
+
+func startStandbyClient(t *testing.T, views Views, addresses ...string) (*Client, *atomic.Int64) {
+	served := &atomic.Int64{}
+	client, err := Dial(ClientConfig{
+		Daemon:         "proxy-a",
+		Addresses:      addresses,
+		BeatInterval:   20 * time.Millisecond,
+		SilenceTimeout: time.Second,
+		BackoffMin:     time.Millisecond,
+		BackoffMax:     20 * time.Millisecond,
+		Standby:        true,
+		Served:         func() { served.Add(1) },
+	}, views)
+	must.NoError(t, err)
+	t.Cleanup(client.Close)
+	return client, served
+}
+
+// placedBy returns which member places now, empty for none.
+func placedBy(client *Client) string {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	answer, err := client.Place(ctx, PlaceRequest{Service: "chat", Number: 1})
+	if err != nil {
+		return ""
+	}
+	return answer.Generator
+}
+
+// While nobody leads, the last leader goes on with placements, and with nothing
+// else; the next leader takes over.
+func TestMemberStandsByForPlacementsOnly(t *testing.T) {
+	first, second := newPlacingGroup("first", true), newPlacingGroup("second", false)
+	firstServer, firstAddress := startServer(t, first)
+	_, secondAddress := startServer(t, second)
+	first.put("water")
+	second.put("water")
+	holder := view.NewHolder()
+	client, served := startStandbyClient(t, holder, firstAddress, secondAddress)
+	eventually(t, "the leader places", func() bool { return placedBy(client) == "first" })
+	eventually(t, "the view", func() bool { return holder.Load().Version.Revision == 1 })
+
+	first.set(false, false, 1, "")
+	firstServer.Wake()
+	eventually(t, "nobody leads", func() bool { return !client.Connected() })
+	eventually(t, "the last leader stands by", func() bool { return client.standby.Load() != nil && placedBy(client) == "first" })
+	must.False(t, client.Connected())
+	must.True(t, client.NotePlaced(PlaceNote{Service: "chat", Number: 1}))
+	must.True(t, client.ReportKept(KeptParts{Service: "chat", Replica: "r"}))
+	eventually(t, "notes arrive", func() bool { return first.notes.Load() == 1 && first.kept.Load() == 1 })
+	must.Eq(t, 2, served.Load(), must.Sprint("what replicas keep is told to each member that places"))
+	first.put("later")
+	firstServer.Wake()
+	_, err := client.Claim(t.Context(), state.ClaimRequest{Tenant: "water", Key: "k", Nonce: 1})
+	must.ErrorIs(t, err, ErrNoQuorum)
+	must.Eq(t, 1, holder.Load().Version.Revision, must.Sprint("no view comes from a member that does not lead"))
+
+	second.set(true, true, 2, "")
+	eventually(t, "the next leader places", func() bool { return client.Connected() && placedBy(client) == "second" })
+	must.Nil(t, client.standby.Load())
+	eventually(t, "nobody stands by any more", func() bool { return firstServer.Subscribers() == 0 })
+}
+
+// A member that came back with an empty disk knows no replicas.
+func TestMemberWithoutAViewDoesNotStandBy(t *testing.T) {
+	empty, filled := newPlacingGroup("empty", true), newPlacingGroup("filled", false)
+	emptyServer, emptyAddress := startServer(t, empty)
+	_, filledAddress := startServer(t, filled)
+	filled.put("water")
+	client, _ := startStandbyClient(t, view.NewHolder(), emptyAddress, filledAddress)
+	eventually(t, "a leader", client.Connected)
+	empty.set(false, false, 1, "")
+	emptyServer.Wake()
+	eventually(t, "the other member stands by", func() bool { return placedBy(client) == "filled" })
+}
+
+// A member that is gone is passed over for the next one.
+func TestNextMemberStandsByWhenOneIsGone(t *testing.T) {
+	first, second := newPlacingGroup("first", true), newPlacingGroup("second", false)
+	firstServer, firstAddress := startServer(t, first)
+	_, secondAddress := startServer(t, second)
+	first.put("water")
+	second.put("water")
+	client, _ := startStandbyClient(t, view.NewHolder(), firstAddress, secondAddress)
+	eventually(t, "a leader", client.Connected)
+	firstServer.Close()
+	eventually(t, "the other member stands by", func() bool { return placedBy(client) == "second" })
+}
--- a/process/ingress/model_test.go
+++ b/process/ingress/model_test.go
@@ -124,6 +124,37 @@
 	must.Eq(t, 1, staying.count())
 }
 
+// A member that places may know less than the proxy does.
+func TestReplicaThatLeavesIsNotTakenFromAnAnswer(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer placement.Answer
+	}{
+		{"generator", placement.Answer{Generator: "make-1"}},
+		{"reader", placement.Answer{Generator: "make-2", Reader: "read"}},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			leaving := newFakeReplica(t, "make-1", streamEvents(2, ""))
+			staying := newFakeReplica(t, "make-2", streamEvents(2, ""))
+			reader := newFakeReplica(t, "read", readPrompt)
+			w := newModelWorld(t, reader, leaving, staying)
+			w.views.set(func(v *view.View) {
+				left := listed(leaving, "model", api.RoleDecode)
+				left.Spec.Leaving = true
+				alsoLeft := listed(reader, "model", api.RolePrefill)
+				alsoLeft.Spec.Leaving = true
+				v.Replicas = map[string]*api.Replica{"read": alsoLeft, "make-1": left, "make-2": v.Replicas["make-2"]}
+			})
+			w.ingress.placer = &fakePlacer{answer: each.answer}
+			must.Eq(t, events(1, 2), w.ask(modelRequest).body)
+			must.Eq(t, 0, leaving.count())
+			must.Eq(t, 0, reader.count())
+			must.Eq(t, 1, staying.count())
+		})
+	}
+}
+
 func TestWithoutTheGroupAProxyPlacesByItself(t *testing.T) {
 	for name, placer := range map[string]Placer{
 		"no group":        nil,
