--- a/process/story/story.go
+++ b/process/story/story.go
@@ -65,7 +65,7 @@
 var beliefs = []event.Event{
 	event.IngressStarted, event.IngressInForce, event.IngressDraining, event.FeedDisconnected, event.FeedServed,
 	event.ControlLeads, event.ControlRole, event.FleetChanged, event.FleetUnusable, event.FleetReadable, event.IngressReplaced,
-	event.LinesDropped,
+	event.FeedStandby, event.FeedStandbyEnded, event.LinesDropped,
 }
 
 // maxLineBytes bounds a line; longer ones are passed over.
