Keep requests off replicas that refuse them or cannot be reached

Ruled out: bans, which drown the rest when many refuse. Change: a step of its own for refusals, which count 100 ms, doubled by each later one up to 1.6 s; no connection counts as no answer.

--- a/process/ingress/model_test.go
+++ b/process/ingress/model_test.go
@@ -180,12 +180,16 @@
 	}{
 		{"no answer", breakOff, placement.StepFailed},
 		{"a failure", answerStatus(500), placement.StepErred},
-		{"a refusal", refuseRun, placement.StepErred},
+		{"a refusal", refuseRun, placement.StepRefused},
+		{"nobody there", nil, placement.StepFailed},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			generator := newFakeReplica(t, "make", test.handler)
 			w := newModelWorld(t, newFakeReplica(t, "read", readPrompt), generator, nil)
+			if test.handler == nil {
+				generator.server.Close()
+			}
 			placer := &fakePlacer{answer: placement.Answer{Generator: "make"}}
 			w.ingress.placer = placer
 			w.ask(modelRequest)
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -135,9 +135,11 @@
 // stepAfter is what the control group is told of an attempt that is over.
 func (s *session) stepAfter(result verdict) placement.Step {
 	switch {
-	case result == verdictBroken && !s.answered:
+	case (result == verdictBroken || result == verdictNotRun) && !s.answered:
 		return placement.StepFailed
-	case result == verdictBroken, result == verdictNotRun:
+	case result == verdictNotRun:
+		return placement.StepRefused
+	case result == verdictBroken:
 		return placement.StepErred
 	default:
 		return placement.StepEnded
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -35,6 +35,9 @@
 const (
 	firstSuspicion = 500 * time.Millisecond
 	maxSuspicion   = 8 * time.Second
+	// A refusal is an answer, and over sooner.
+	firstRefusal = 100 * time.Millisecond
+	maxRefusal   = 1600 * time.Millisecond
 	// suspectCost is what a replica costs that has just given no answer. It is a
 	// cost and no ban, so that the others are not drowned when many are suspected.
 	suspectCost = 1500 * time.Millisecond
@@ -83,6 +86,7 @@
 	foreignAt time.Duration
 
 	suspicion   time.Duration
+	refusal     time.Duration // how long the last refusal counts
 	suspectTill time.Duration
 	failureRate float64
 }
@@ -169,7 +173,8 @@
 
 // Note takes in how far a request has come.
 func (b *Board) Note(now time.Duration, key Key, note Note) {
-	if note.Step == StepFailed || note.Step == StepErred {
+	switch note.Step {
+	case StepFailed, StepErred, StepRefused:
 		b.fail(now, note)
 	}
 	p := b.placed[key]
@@ -184,7 +189,7 @@
 		p.runningAt.told(now, note.Told)
 		b.read(now, p)
 		b.start(now, p)
-	case StepEnded, StepFailed, StepErred:
+	case StepEnded, StepFailed, StepErred, StepRefused:
 		b.end(now, key)
 	}
 }
@@ -290,13 +295,28 @@
 		return
 	}
 	failed.failureRate += failureWeight * (1 - failed.failureRate)
-	if note.Step == StepErred {
+	switch note.Step {
+	case StepErred:
+		return
+	case StepRefused:
+		failed.refuse(now)
 		return
 	}
 	failed.suspicion = min(max(2*failed.suspicion, firstSuspicion), maxSuspicion)
 	failed.suspectTill = now + failed.suspicion
 }
 
+// refuse keeps requests off a replica that refuses them: as long as it runs
+// nothing it looks idle, and would draw all of them. Each refusal of a request
+// that was sent after the last one had been taken in counts for longer.
+func (r *replica) refuse(now time.Duration) {
+	if now < r.suspectTill {
+		return
+	}
+	r.refusal = min(max(2*r.refusal, firstRefusal), maxRefusal)
+	r.suspectTill = now + r.refusal
+}
+
 // foreignMemory is how long a told load counts.
 const foreignMemory = time.Second
 
@@ -324,6 +344,7 @@
 func (r *replica) succeed() {
 	r.failureRate *= 1 - failureWeight
 	r.suspicion = 0
+	r.refusal = 0
 }
 
 // backlog is the time that reading all that is queued will take.
--- a/request/placement/board_test.go
+++ b/request/placement/board_test.go
@@ -124,6 +124,31 @@
 	must.Eq(t, "make-1", answer.Generator, must.Sprint("suspicion ends"))
 }
 
+// A replica that refuses everything is idle: it must not draw everything to it.
+func TestRefusingReplicaDrawsNothing(t *testing.T) {
+	b := newTestBoard()
+	short := Ask{Prompt: 100, Zone: "a", Deadline: time.Second}
+	refused := func(now time.Duration) time.Duration {
+		b.Note(now, key(9), Note{Step: StepRefused, Replica: "make-1"})
+		return b.replicas["make-1"].suspectTill
+	}
+	till := refused(0)
+	must.Eq(t, firstRefusal, till)
+	must.Eq(t, till, refused(till/2), must.Sprint("refusals of requests that were on their way tell nothing new"))
+	for number := range uint64(8) {
+		must.Eq(t, "make-2", b.Place(till/2, key(number), short).Generator)
+	}
+	must.Eq(t, 3*firstRefusal, refused(till), must.Sprint("the next one that was tried doubles it"))
+	for now := 3 * firstRefusal; now < time.Minute; {
+		now = refused(now)
+	}
+	must.Eq(t, maxRefusal, b.replicas["make-1"].refusal)
+	answer := b.Place(2*time.Minute, key(20), Ask{Prompt: 100, Zone: "a", Deadline: time.Second, Excluded: []string{"make-2"}})
+	must.Eq(t, "make-1", answer.Generator)
+	run(b, 2*time.Minute, 20, answer)
+	must.Eq(t, 2*time.Minute+firstRefusal, refused(2*time.Minute), must.Sprint("a run begins it anew"))
+}
+
 func TestAnsweredFailuresRaiseNoSuspicion(t *testing.T) {
 	b := newTestBoard()
 	b.Note(0, key(9), Note{Step: StepErred, Replica: "make-1"})
@@ -191,7 +216,7 @@
 			number := rapid.Uint64Range(1, 6).Draw(t, "number")
 			if rapid.Bool().Draw(t, "note") {
 				note := Note{
-					Step:    Step(rapid.IntRange(1, int(StepErred)).Draw(t, "step")),
+					Step:    Step(rapid.IntRange(1, int(StepRefused)).Draw(t, "step")),
 					Replica: rapid.SampledFrom([]string{"", "make-1", "read-2", "gone"}).Draw(t, "replica"),
 					Told:    rapid.IntRange(0, 50).Draw(t, "told"),
 				}
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -82,10 +82,11 @@
 	StepEnded                   // it is over
 	StepFailed                  // the replica gave no answer, or broke it off
 	StepErred                   // the replica answered with a failure of its own
+	StepRefused                 // the replica answered that it does not run the request
 )
 
 // Note tells the board how far a request has come. Replica is the one that a
-// StepFailed or StepErred speaks of.
+// StepFailed, StepErred or StepRefused speaks of.
 type Note struct {
 	Step    Step
 	Replica string
