--- a/connection/feed/feed.go
+++ b/connection/feed/feed.go
@@ -2,7 +2,7 @@
 // follow it. One TCP connection carries the deltas of the view, the beats that
 // renew the view lease, at-most-once claims and demand reports. Only a leader
 // with a valid lease serves a subscription; any other member names the leader
-// and ends the connection.
+// and ends the connection, unless it is asked for placements alone (standby.go).
 package feed
 
 import (
