Hold the candidates of a split in one list

Cause: read as a newcomer, the map of places beside the list of candidates was more than a handful of zones needs. Change: a list, searched by zone; the property that the choice is that among all pairs holds.

--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -76,7 +76,7 @@
 			best, found = next, true
 		}
 	}
-	generators := newCandidates()
+	var generators candidates
 	for _, generator := range b.usable(RoleDecode, ask) {
 		consider(b.direct(now, ask, generator, keepers))
 		generators.add(candidate{
@@ -88,13 +88,13 @@
 	if ask.Continued || !found {
 		return best, found
 	}
-	readers := newCandidates()
+	var readers candidates
 	for _, reader := range b.usable(RolePrefill, ask) {
 		read := b.reading(now, ask, reader, keepers)
 		readers.add(candidate{way: read, cost: read.cost, zone: reader.Zone})
 	}
-	for _, read := range readers.inOrder {
-		for _, made := range generators.inOrder {
+	for _, read := range readers {
+		for _, made := range generators {
 			consider(b.split(ask, read.way, made))
 		}
 	}
@@ -108,31 +108,20 @@
 	zone string
 }
 
-// candidates holds the cheapest candidate of each zone.
-type candidates struct {
-	byZone map[string]int // places in inOrder
-	// inOrder is sorted by name; equal costs are decided by it.
-	inOrder []candidate
-}
-
-func newCandidates() *candidates { return &candidates{byZone: map[string]int{}} }
+// candidates holds the cheapest candidate of each zone, sorted by name.
+type candidates []candidate
 
-// add takes a candidate in; they come sorted by name.
+// add takes a candidate in; they come sorted by name, and the first of equal
+// ones stays.
 func (c *candidates) add(next candidate) {
-	place, known := c.byZone[next.zone]
-	if known && c.inOrder[place].cost <= next.cost {
-		return
-	}
-	if known {
-		c.inOrder = slices.Delete(c.inOrder, place, place+1)
-		for zone, other := range c.byZone {
-			if other > place {
-				c.byZone[zone] = other - 1
-			}
+	place := slices.IndexFunc(*c, func(known candidate) bool { return known.zone == next.zone })
+	if place >= 0 {
+		if (*c)[place].cost <= next.cost {
+			return
 		}
+		*c = slices.Delete(*c, place, place+1)
 	}
-	c.byZone[next.zone] = len(c.inOrder)
-	c.inOrder = append(c.inOrder, next)
+	*c = append(*c, next)
 }
 
 // usable returns the replicas of the role that may take the request.
