Soak real processes with faults from outside; tell of a restarted daemon once

The cases of lab/fleet play one fault each; nothing let faults overlap at random around real processes while promises are watched.

Change: "landingtrail-lab soak" brings a whole deployment up, with a Toxiproxy link before every process, and plays a seed's schedule of 16 kinds of faults: signals (kill, stop, stutter, planned stop), storage (a disk lost, a torn tail, writes refused by the process's own file limit), links (silent, one way, reset, held). Meanwhile it checks: at most once, not run means not run, whole and own answers, fences only rise, one leader a term, views never go back, accepted changes never revert; and that everything serves again within 60 s of the last fault. The time of day cannot be moved from outside without moving the machine's; pauses and stutter are the clock faults.

Ruled out: a real lapse (the proxy's log has proxy_view_confirmed and it served). The registry lists runs; it now leaves out those that lapsed before a later run was heard.

--- a/cmd/landingtrail-lab/main.go
+++ b/cmd/landingtrail-lab/main.go
@@ -30,7 +30,7 @@
 		LongHelp:   exitCodesHelp,
 		FlagSet:    cli.NewFlagSet(programName),
 		Subcommands: []*ffcli.Command{
-			fleetCommand(to), experimentCommand(to), campaignCommand(to), engineCommand(to), backendCommand(to), platformCommand(to), pagesCommand(to),
+			fleetCommand(to), soakCommand(to), experimentCommand(to), campaignCommand(to), engineCommand(to), backendCommand(to), platformCommand(to), pagesCommand(to),
 			scaleCommand(to), replicasCommand(to), lanesCommand(to), forwarderCommand(to),
 		},
 	}
--- a/connection/feed/registry.go
+++ b/connection/feed/registry.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -73,7 +74,7 @@
 		}
 		result.Waiting = append(result.Waiting, daemonName(key))
 	}
-	for _, daemon := range r.tracker.Daemons(now) {
+	for _, daemon := range currentRuns(r.tracker.Daemons(now)) {
 		switch {
 		case daemon.Acked.Compare(version) >= 0:
 			result.Acknowledged++
@@ -86,6 +87,19 @@
 	return result
 }
 
+// currentRuns leaves out the runs of a daemon that have lapsed while a later run
+// of it was heard: what they held last says nothing of the daemon any more.
+func currentRuns(runs []view.DaemonStatus) []view.DaemonStatus {
+	latest := make(map[string]time.Duration, len(runs))
+	for _, one := range runs {
+		name := daemonName(one.Name)
+		latest[name] = max(latest[name], one.LapsesAt)
+	}
+	return slices.DeleteFunc(runs, func(one view.DaemonStatus) bool {
+		return one.Lapsed && one.LapsesAt < latest[daemonName(one.Name)]
+	})
+}
+
 // Daemons says how many daemons hold a lease, and which of them are behind a version.
 type Daemons struct {
 	Leased int
--- a/lab/fleet/audit.go
+++ b/lab/fleet/audit.go
@@ -2,13 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/landingtrail/landingtrail/lab/caller"
 	"github.com/landingtrail/landingtrail/lab/engine"
 	"github.com/landingtrail/landingtrail/lab/engine/ledger"
@@ -121,15 +116,7 @@
 
 // readLedger reads a stand-in's whole ledger.
 func readLedger(ctx context.Context, address string) (ledger.Page, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s?after=0", address, engine.PathLedger), nil)
-	if err != nil {
-		return ledger.Page{}, errors.Wrap(err, "fleet: read ledger")
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return ledger.Page{}, errors.Wrap(err, "fleet: read ledger")
-	}
-	defer func() { _ = response.Body.Close() }()
 	var page ledger.Page
-	return page, errors.Wrap(json.NewDecoder(response.Body).Decode(&page), "fleet: read ledger")
+	err := ask(ctx, address, engine.PathLedger+"?after=0", &page)
+	return page, err
 }
--- a/lab/fleet/load_test.go
+++ b/lab/fleet/load.go
@@ -7,11 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/shoenig/test/must"
-
 	"github.com/landingtrail/landingtrail/lab/caller"
 	"github.com/landingtrail/landingtrail/lab/trace"
-	"github.com/landingtrail/landingtrail/version/api"
 )
 
 // loadRound is the length of one of the traces that a load plays one after the other.
@@ -35,6 +32,16 @@
 	extra  int // requests sent alone
 	// failures say what became of the requests that did not complete.
 	failures []string
+	// ended holds every outcome, for the comparison with the ledgers.
+	ended []ended
+}
+
+// ended is how one request ended for its caller.
+type ended struct {
+	class, key string
+	prompt     uint64
+	outcome    caller.Outcome
+	detail     string
 }
 
 func startLoad(fleet *Fleet) *load {
@@ -115,13 +122,14 @@
 	l.done.Wait()
 }
 
-// observe keeps what was said of requests that did not complete.
+// observe keeps the outcome, and what was said of requests that did not complete.
 func (l *load) observe(seen caller.Observation) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.ended = append(l.ended, ended{seen.Item.Class, seen.Item.Key, seen.PromptHash, seen.Outcome, seen.Detail})
 	if seen.Outcome == caller.OutcomeCompleted {
 		return
 	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	l.failures = append(l.failures, fmt.Sprintf("%s %s %s: %s", seen.Item.Class, seen.Item.Key, seen.Outcome, seen.Detail))
 }
 
@@ -151,81 +159,9 @@
 	return l.report, l.items
 }
 
-// automation is an operator that moves a label all the time. An accepted change
-// never reverts.
-type automation struct {
-	scenario *scenario
-	stop     chan struct{}
-	done     sync.WaitGroup
-	tried    int // the highest value sent
-	certain  int // the highest value accepted
-	accepted int
-	failure  string
-}
-
-const (
-	automationLabel = "turn"
-	automationPause = 100 * time.Millisecond
-)
-
-func startAutomation(s *scenario) *automation {
-	a := &automation{scenario: s, stop: make(chan struct{})}
-	a.done.Go(func() {
-		for {
-			a.change()
-			select {
-			case <-a.stop:
-				return
-			case <-time.After(automationPause):
-			}
-		}
-	})
-	return a
-}
-
-// change makes one change.
-func (a *automation) change() {
-	object, ok := a.read()
-	if !ok {
-		return
-	}
-	a.tried++
-	labels := api.Labels{}
-	for name, value := range object.Engine.Labels {
-		labels[name] = value
-	}
-	labels[automationLabel] = strconv.Itoa(a.tried)
-	object.Engine.Labels = labels
-	result, err := a.scenario.client.Transact(context.Background(), api.Transaction{
-		OperationID: fmt.Sprintf("automation-%d", a.tried),
-		Writes:      []api.Write{{Object: *object}},
-	})
-	if err == nil && result.Code == api.OutcomeAccepted {
-		a.certain = a.tried
-		a.accepted++
-	}
-}
-
-// read reads the object and compares it with what was accepted.
-func (a *automation) read() (*api.Object, bool) {
-	key := api.Key{Kind: api.KindEngine, Name: a.scenario.fleet.layout.engines[0].name}
-	object, err := a.scenario.client.Object(context.Background(), key)
-	if err != nil || object == nil {
-		return nil, false
-	}
-	value, _ := strconv.Atoi(object.Engine.Labels[automationLabel])
-	if value < a.certain || value > a.tried {
-		a.failure = fmt.Sprintf("label %d read, %d accepted, %d sent", value, a.certain, a.tried)
-	}
-	return object, true
-}
-
-// finish ends the changes and checks that the last one stands.
-func (a *automation) finish() {
-	a.scenario.Helper()
-	close(a.stop)
-	a.done.Wait()
-	_, ok := a.read()
-	must.True(a.scenario, ok, must.Sprint("the object has to be readable"))
-	must.Eq(a.scenario, "", a.failure, must.Sprint("an accepted change reverted"))
+// outcomes returns what has ended since the first given number.
+func (l *load) outcomes(first int) []ended {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.ended[first:len(l.ended):len(l.ended)]
 }
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -156,6 +156,13 @@
 	return found
 }
 
+// tolerate has the process's end be no death of the run.
+func (p *process) tolerate() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.stopping = true
+}
+
 func (p *process) isStopping() bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -164,18 +171,14 @@
 
 // kill ends the process at once.
 func (p *process) kill() {
-	p.mutex.Lock()
-	p.stopping = true
-	p.mutex.Unlock()
+	p.tolerate()
 	_ = p.command.Process.Kill() // it may have ended by itself
 	<-p.done
 }
 
 // stop returns an error unless the process ends with status 0 in time.
 func (p *process) stop() error {
-	p.mutex.Lock()
-	p.stopping = true
-	p.mutex.Unlock()
+	p.tolerate()
 	select {
 	case <-p.done:
 		return nil // it died before; the run knows
--- a/lab/fleet/scenario_test.go
+++ b/lab/fleet/scenario_test.go
@@ -112,7 +112,7 @@
 	must.NoError(t, err)
 	s.bringUp()
 	s.load = startLoad(s.fleet)
-	s.automation = startAutomation(s)
+	s.automation = startAutomation(s.client, s.fleet.layout.engines[0].name)
 	return s
 }
 
@@ -141,7 +141,7 @@
 // finish ends the load and checks what must always hold.
 func (s *scenario) finish() {
 	s.Helper()
-	s.automation.finish()
+	must.NoError(s, s.automation.finish())
 	report, items := s.load.finish()
 	s.summary.count(report)
 	for _, failure := range s.load.failures {
