Let requests wait for parts of their prompts that are being read for others

A replica finds what it keeps when it takes a request up. The board believed that whoever queues behind the reader finds the part.

Ruled out: slow replicas (those before and after ran at pace), parts that had given way (the same part was found at once after the reader had answered).

Change: the board answers such a request with a wait where that is the sooner way; the proxy asks again after it and is then placed with the part kept, or fetched. Overdue reads and suspects are not waited for.

--- a/connection/feed/placement.go
+++ b/connection/feed/placement.go
@@ -103,6 +103,7 @@
 	encoder.String(message.answer.Fetch)
 	encoder.Uint32(uint32(message.answer.Unread))
 	encoder.Int64(int64(message.answer.Estimate))
+	encoder.Int64(int64(message.answer.Wait))
 	return encoder.Data()
 }
 
@@ -115,6 +116,7 @@
 		Fetch:     decoder.String(),
 		Unread:    int(decoder.Uint32()),
 		Estimate:  time.Duration(decoder.Int64()),
+		Wait:      time.Duration(decoder.Int64()),
 	}
 	return message, decoder.Finish()
 }
--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -15,6 +15,8 @@
 		"A routed request was answered well. tried says what was asked of which replica, in order.")
 	RequestSent = defineRoutine(4603, "request_sent",
 		"A routed request is sent to a replica, to be read there (stage read) or to run. It tells where a request was when its proxy ended without another line.")
+	RequestWaits = defineRoutine(4604, "request_waits",
+		"A routed request is sent nowhere yet: parts of its prompt are being read for another one, and it is placed again after wait_ms.")
 	RequestFailed = define(4602, "request_failed", Info,
 		"A routed request was refused or failed; status 0 means that the connection was cut, 499 that the caller had gone. tried says what was asked of which replica, in order, and what came of it.",
 		"Follow the request by landingtrail story.")
--- a/process/ingress/model_test.go
+++ b/process/ingress/model_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/request/placement"
@@ -172,6 +174,45 @@
 	}
 }
 
+// waitingPlacer tells the first waits questions to wait.
+type waitingPlacer struct {
+	fakePlacer
+	waits int
+}
+
+func (p *waitingPlacer) Place(ctx context.Context, request feed.PlaceRequest) (placement.Answer, error) {
+	answer, err := p.fakePlacer.Place(ctx, request)
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if len(p.asks) <= p.waits {
+		return placement.Answer{Wait: time.Millisecond}, nil
+	}
+	return answer, err
+}
+
+func TestRequestIsPlacedAgainAfterAWait(t *testing.T) {
+	generator := newFakeReplica(t, "make", streamEvents(2, ""))
+	w := newModelWorld(t, newFakeReplica(t, "read", readPrompt), generator, nil)
+	placer := &waitingPlacer{fakePlacer: fakePlacer{answer: placement.Answer{Generator: "make"}}, waits: 3}
+	w.ingress.placer = placer
+	must.Eq(t, events(1, 2), w.ask(modelRequest).body)
+	must.SliceLen(t, 4, placer.asks)
+	must.Eq(t, 1, generator.count())
+}
+
+// A request whose time ends during a wait was sent to nobody, and is told so.
+func TestRequestWhoseTimeEndsDuringAWaitIsRefused(t *testing.T) {
+	generator := newFakeReplica(t, "make", streamEvents(2, ""))
+	w := newModelWorld(t, newFakeReplica(t, "read", readPrompt), generator, nil)
+	w.ingress.placer = &waitingPlacer{waits: math.MaxInt}
+	request := modelRequest
+	request.fields = map[string]string{testTokens: "9000", testWithin: "100"}
+	got := w.ask(request)
+	must.NoError(t, got.err)
+	must.Eq(t, http.StatusServiceUnavailable, got.status)
+	must.Eq(t, 0, generator.count())
+}
+
 func TestTheGroupIsToldOfFailures(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/process/ingress/placed.go
+++ b/process/ingress/placed.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/request/placement"
 )
 
@@ -34,20 +35,57 @@
 	})
 }
 
-// place asks the control group where the request goes; false when it does not
-// answer in time or names replicas that do not take requests by what is known here.
+// place asks the control group where the request goes, again after each wait
+// that it is told to make; false when the group does not answer in time or names
+// replicas that do not take requests by what is known here. It returns early
+// when ctx ends.
 func (s *session) place(ctx context.Context) (plan, bool) {
 	if s.ingress.placer == nil {
 		return plan{}, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
-	defer cancel()
 	number := s.ingress.numbers.Add(1)
-	answer, err := s.ingress.placer.Place(ctx, feed.PlaceRequest{Service: s.lane.service, Number: number, Ask: s.ask()})
-	if err != nil {
-		s.trace.WriteString(" unplaced")
-		return plan{}, false
+	for {
+		answer, err := s.askPlace(ctx, number)
+		if err != nil {
+			s.trace.WriteString(" unplaced")
+			return plan{}, false
+		}
+		if answer.Wait <= 0 {
+			return s.planOf(answer, number)
+		}
+		fmt.Fprintf(&s.trace, " waits(%s)", answer.Wait.Round(time.Millisecond))
+		event.RequestWaits.Log(s.ingress.logger, "request", s.call.ID, "generation", s.generation, "wait_ms", answer.Wait.Milliseconds())
+		if !sleep(ctx, min(answer.Wait, longestWait)) {
+			return plan{}, false
+		}
+		s.ingress.routes() // takes in what the list says by now
+	}
+}
+
+// longestWait is how long a request waits before it is placed again: what it
+// waits for may be over sooner than expected, or not come at all.
+const longestWait = 200 * time.Millisecond
+
+// sleep returns after the pause, or false as soon as ctx ends.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
+}
+
+func (s *session) askPlace(ctx context.Context, number uint64) (placement.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	return s.ingress.placer.Place(ctx, feed.PlaceRequest{Service: s.lane.service, Number: number, Ask: s.ask()})
+}
+
+// planOf finds the replicas that an answer names.
+func (s *session) planOf(answer placement.Answer, number uint64) (plan, bool) {
 	decided := &placed{ingress: s.ingress, service: s.lane.service, number: number}
 	chosen := plan{
 		target:   s.lane.find(answer.Generator),
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -114,6 +114,10 @@
 func (s *session) try(ctx context.Context) (verdict, *replica) {
 	s.answered = false
 	chosen := s.choose(ctx)
+	if ctx.Err() != nil {
+		chosen.placed.note(placement.StepEnded, "", 0)
+		return verdictCallerEnd, nil
+	}
 	if chosen.target == nil {
 		return verdictNotRun, nil
 	}
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -118,7 +118,8 @@
 	b.replicas = next
 }
 
-// Place decides where the request goes and counts it there until it ends.
+// Place decides where the request goes and counts it there until it ends; one
+// that is to wait is counted nowhere.
 func (b *Board) Place(now time.Duration, key Key, ask Ask) Answer {
 	b.expire(now)
 	b.end(now, key)
@@ -126,6 +127,9 @@
 	if !found {
 		return Answer{}
 	}
+	if chosen.wait > 0 {
+		return chosen.answer()
+	}
 	p := &placed{ask: ask, at: now, expires: now + ask.Deadline + forgetAfter}
 	p.answer = chosen.answer()
 	p.runningAt = chosen.generator
--- a/request/placement/cache.go
+++ b/request/placement/cache.go
@@ -8,8 +8,9 @@
 	order  *list.List
 	parts  map[string]*list.Element
 	tokens int64
-	// pending counts requests in the replica's queue that bring a part there.
-	// Who is queued behind them finds it; nobody else does.
+	// pending counts requests in the replica's queue that bring a part there. A
+	// replica matches a prompt when it takes it up, so nobody finds such a part,
+	// not even who is queued behind them: it can only be waited for.
 	pending map[string]int
 }
 
@@ -34,18 +35,6 @@
 	return tokens
 }
 
-// leadingBehindQueue is leading for a request that is read after all that is queued.
-func (c *cache) leadingBehindQueue(parts []Part) int {
-	tokens := 0
-	for _, part := range parts {
-		if c.parts[part.ID] == nil && c.pending[part.ID] == 0 {
-			break
-		}
-		tokens += part.Tokens
-	}
-	return tokens
-}
-
 // expect notes that a queued request brings the parts; arrived ends that.
 func (c *cache) expect(parts []Part) {
 	for _, part := range parts {
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -42,6 +42,8 @@
 	// first is the expected time to the first token, cost that and all else.
 	first time.Duration
 	cost  time.Duration
+	// wait, if not 0, is how long to wait before anything of this is done.
+	wait time.Duration
 }
 
 func (o *option) readsAt() *replica {
@@ -52,6 +54,9 @@
 }
 
 func (o *option) answer() Answer {
+	if o.wait > 0 {
+		return Answer{Wait: o.wait}
+	}
 	answer := Answer{Generator: o.generator.Name, Unread: o.unread, Estimate: o.first}
 	if o.reader != nil {
 		answer.Reader = o.reader.Name
@@ -62,13 +67,26 @@
 	return answer
 }
 
-// choose compares all ways to serve the request and returns the cheapest.
+// choose returns the cheapest way to serve the request: at once, or after a wait
+// for parts that are being read for others.
+func (b *Board) choose(now time.Duration, ask *Ask) (option, bool) {
+	keepers := b.keepers(now, ask)
+	best, found := b.chooseNow(now, ask, keepers)
+	if !found || ask.Continued {
+		return best, found
+	}
+	if later, brought := b.chooseLater(now, ask, keepers); brought && later.cost < best.cost {
+		return later, true
+	}
+	return best, true
+}
+
+// chooseNow compares all ways to serve the request at once and returns the cheapest.
 //
 // What a split costs is the sum of its reader's part, its generator's part and a
 // move that depends on their zones alone. So the best reader and the best
 // generator of each zone hold the best split, and no other pair is looked at.
-func (b *Board) choose(now time.Duration, ask *Ask) (option, bool) {
-	keepers := b.keepers(now, ask)
+func (b *Board) chooseNow(now time.Duration, ask *Ask, keepers map[string]keeper) (option, bool) {
 	var best option
 	found := false
 	consider := func(next option) {
@@ -161,7 +179,10 @@
 // reading is the reading of the prompt at a replica, with a fetch of what
 // another one keeps where that wins time.
 func (b *Board) reading(now time.Duration, ask *Ask, at *replica, keepers map[string]keeper) option {
-	kept := at.cache.leadingBehindQueue(ask.Parts)
+	kept := at.cache.leading(ask.Parts)
+	if own := keepers[at.Zone]; own.replica == at {
+		kept = max(kept, own.tokens)
+	}
 	pace := b.tokenTime[at.Role]
 	best := option{reader: at, unread: max(ask.Prompt-kept, 0)}
 	best.first = time.Duration(best.unread) * pace
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -70,6 +70,10 @@
 	Unread int
 	// Estimate is the expected time to the first token.
 	Estimate time.Duration
+	// Wait, if not 0, says that the request goes nowhere yet: parts that it
+	// shares are being read for another one, and it is to be asked for again
+	// after so long. All else is empty then.
+	Wait time.Duration
 }
 
 // Step is how far a placed request has come.
