Keep a new identity that its silent predecessor seems to have replaced

For one election timeout a new leader counts every voter as active, heard or not: so the dead old identity counted as an active voter of that name, and the new one as replaced by it. It was removed for good, and control-1, which had never joined and so knew no configuration, asked in vain for ever; the group stayed without a further loss to bear.

Change: nobody is removed as replaced before the term has lasted for an election timeout, by a pure function of members and status. A member that joins by itself and is refused as removed before it ever joined (error code "removed") empties its folder and comes back under another identity, in the same process.

Seen to fail first: TestIdentityRemovedBeforeItJoinedIsDrawnAnew (20 s without it); TestReplacedMembers with the guard taken out.

--- a/cmd/landingtrail/exit.go
+++ b/cmd/landingtrail/exit.go
@@ -59,7 +59,7 @@
 	switch refused.Body.Code {
 	case operatorapi.ErrorInvalidBody, operatorapi.ErrorBodyTooLarge:
 		return lines, cli.ExitUsage
-	case operatorapi.ErrorRefused:
+	case operatorapi.ErrorRefused, operatorapi.ErrorRemoved:
 		return lines, exitConflict
 	}
 	return lines, cli.ExitFailed
--- a/connection/operatorapi/operatorapi.go
+++ b/connection/operatorapi/operatorapi.go
@@ -41,6 +41,7 @@
 	ErrorNoQuorum       ErrorCode = "no_quorum"       // 503: surely not accepted; ask again after Retry-After
 	ErrorOutcomeUnknown ErrorCode = "outcome_unknown" // 504: resend with the same operation ID
 	ErrorRefused        ErrorCode = "refused"         // 409: the change cannot be made now
+	ErrorRemoved        ErrorCode = "removed"         // 409: the group has removed the member's identity for good
 	ErrorInternal       ErrorCode = "internal"        // 500
 )
 
--- a/process/control/control_test.go
+++ b/process/control/control_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/landingtrail/landingtrail/connection/operator"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/landingtrail/landingtrail/process/replica"
 	"github.com/landingtrail/landingtrail/process/wal"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
@@ -393,6 +395,38 @@
 	must.NotEq(t, old, c.running[2].member.id)
 }
 
+// An identity that was removed before it ever joined holds nothing: its member
+// comes back under another one, without an operator and without a new process.
+func TestIdentityRemovedBeforeItJoinedIsDrawnAnew(t *testing.T) {
+	c := newCluster(t, 3, func(config *Config) { config.Join = config.Name == "control-2" })
+	founding := c.configs[2]
+	c.configs[2].Join = false
+	c.start(0, 1, 2)
+	c.awaitFurtherLosses(1)
+	c.crash(2)
+	must.NoError(t, replica.DiscardDisk(wal.OS{}, founding.DataFolder))
+	disk, err := replica.OpenDisk(replica.DiskOptions{Dir: founding.DataFolder, Group: founding.GroupID})
+	must.NoError(t, err)
+	drawn := disk.Identity().Member
+	must.NoError(t, disk.Close())
+	lost := founding.own(drawn)
+	lost.Removed = true
+	eventually(t, "the removal is recorded", func() bool {
+		_, err := c.running[c.leader()].member.group.Load().propose(context.Background(), memberCommand(lost))
+		return err == nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- RunAgain(ctx, founding, nopLogger{}) }()
+	eventually(t, "the group is whole, with another identity", func() bool {
+		status, ok := c.status()
+		return ok && status.FurtherLosses == 1 && len(status.Repairing) == 0 && len(status.Members) == 3 &&
+			!slices.ContainsFunc(status.Members, func(member operatorapi.Member) bool { return member.ID == uint64(drawn) })
+	})
+	cancel()
+	must.NoError(t, <-ended)
+}
+
 func TestDamagedFolderIsDiscardedOnlyBesideALeader(t *testing.T) {
 	c := newCluster(t, 3, nil)
 	c.start(0, 1, 2)
--- a/process/control/founding.go
+++ b/process/control/founding.go
@@ -125,15 +125,26 @@
 // join asks the group to take this member in, until it is a member.
 func (m *member) join(ctx context.Context) {
 	for !m.isMember() {
-		if err := m.askToJoin(ctx); err != nil && ctx.Err() == nil {
+		err := m.askToJoin(ctx)
+		if err != nil && ctx.Err() == nil {
 			event.ControlJoinDelayed.Log(m.logger, "err", err)
 		}
+		if isRemoval(err) && len(m.replica.Status().Configuration.Voters) == 0 {
+			m.noteRemoved() // it never joined: its folder holds nothing but the identity
+			return
+		}
 		if sleep(ctx, joinPause) != nil {
 			return
 		}
 	}
 }
 
+// isRemoval reports whether the group has refused an identity that it removed.
+func isRemoval(err error) bool {
+	var refused *operator.RefusedError
+	return errors.As(err, &refused) && refused.Body.Code == operatorapi.ErrorRemoved
+}
+
 // isMember reports whether the member has received a committed configuration
 // with itself in it. One that is not committed may be lost with its leader.
 func (m *member) isMember() bool {
--- a/process/control/handlers.go
+++ b/process/control/handlers.go
@@ -160,6 +160,8 @@
 			Message: err.Error(),
 			Faults:  []api.FieldFault{{Field: "id", Message: "must be the ID of a member"}},
 		})
+	case errors.Is(err, errRemovedMember):
+		writeError(w, http.StatusConflict, operatorapi.Error{Code: operatorapi.ErrorRemoved, Message: err.Error()})
 	case isRefusedChange(err):
 		writeError(w, http.StatusConflict, operatorapi.Error{Code: operatorapi.ErrorRefused, Message: err.Error()})
 	default:
--- a/process/control/membership.go
+++ b/process/control/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/raft"
@@ -37,7 +38,7 @@
 	if d.promoteLearner(ctx, status) {
 		return
 	}
-	if d.removeReplaced(ctx, status) {
+	if d.removeReplaced(ctx, term, status) {
 		return
 	}
 	d.removeLost(ctx, term, status)
@@ -123,32 +124,47 @@
 
 // removeReplaced removes one identity whose name an active voter bears by now;
 // false when there is none.
-func (d *duties) removeReplaced(ctx context.Context, status raft.Status) bool {
-	for _, member := range d.group.machine.members() {
+func (d *duties) removeReplaced(ctx context.Context, term *termDuties, status raft.Status) bool {
+	termAge := monotonic() - term.startedAt
+	member, found := replacedMember(d.group.machine.members(), status, termAge, d.group.config.Durations.Election)
+	if !found {
+		return false
+	}
+	if d.group.removeMember(ctx, member, status) == nil {
+		event.MemberRemoved.Log(d.logger, "id", member.ID, "member", member.Name)
+	}
+	return true
+}
+
+// replacedMember returns a member whose name an active voter bears by now, and
+// false if there is none. Until a term has lasted for an election timeout, every
+// voter counts as active, whether it was heard or not: a member that lost its
+// disk would then pass for one that its own earlier identity has replaced.
+func replacedMember(members []state.Member, status raft.Status, termAge, election time.Duration) (state.Member, bool) {
+	if termAge <= election {
+		return state.Member{}, false
+	}
+	for _, member := range members {
 		id := raft.MemberID(member.ID)
-		if status.RecentlyActive[id] || id == status.ID || !d.isReplaced(member, status) {
-			continue
+		if !isActive(status, id) && isReplaced(member, members, status) {
+			return member, true
 		}
-		if d.group.removeMember(ctx, member, status) == nil {
-			event.MemberRemoved.Log(d.logger, "id", member.ID, "member", member.Name)
-		}
-		return true
 	}
-	return false
+	return state.Member{}, false
 }
 
 // isReplaced reports whether an active voter has the member's name.
-func (d *duties) isReplaced(member state.Member, status raft.Status) bool {
-	for _, other := range d.group.machine.members() {
+func isReplaced(member state.Member, members []state.Member, status raft.Status) bool {
+	return slices.ContainsFunc(members, func(other state.Member) bool {
 		id := raft.MemberID(other.ID)
-		if other.Name != member.Name || other.ID == member.ID || !slices.Contains(status.Configuration.Voters, id) {
-			continue
-		}
-		if status.RecentlyActive[id] || id == status.ID {
-			return true
-		}
-	}
-	return false
+		return other.Name == member.Name && other.ID != member.ID &&
+			slices.Contains(status.Configuration.Voters, id) && isActive(status, id)
+	})
+}
+
+// isActive reports whether the leader itself has the ID or heard of it lately.
+func isActive(status raft.Status, id raft.MemberID) bool {
+	return id == status.ID || status.RecentlyActive[id]
 }
 
 // changeMembership makes one step and waits until it is committed.
@@ -193,7 +209,7 @@
 func (g *group) nameInUse(member state.Member, status raft.Status) bool {
 	for _, other := range g.machine.members() {
 		id := raft.MemberID(other.ID)
-		if other.Name == member.Name && other.ID != member.ID && (id == status.ID || status.RecentlyActive[id]) {
+		if other.Name == member.Name && other.ID != member.ID && isActive(status, id) {
 			return true
 		}
 	}
@@ -290,7 +306,7 @@
 // not fit now and that nothing has changed.
 func isRefusedChange(err error) bool {
 	refusals := []error{
-		errNameInUse, errRemovedMember,
+		errNameInUse,
 		raft.ErrChangePending, raft.ErrNotCaughtUp, raft.ErrUnknownMember, raft.ErrInvalidChange,
 		raft.ErrLastVoter, raft.ErrTermNotCommitted, replica.ErrOverloaded,
 	}
--- a/process/control/membership_test.go
+++ b/process/control/membership_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/shoenig/test/must"
 )
 
@@ -22,3 +24,32 @@
 	status.ConfigurationPending = true
 	must.Eq(t, 0, current.health(status, 10).furtherLosses)
 }
+
+// At the start of a term every voter counts as active, heard or not. A member
+// that lost its disk and comes back as another one must not be taken for one that
+// its silent earlier identity has replaced.
+func TestReplacedMembers(t *testing.T) {
+	const election = time.Second
+	members := []state.Member{{ID: 1, Name: "control-1"}, {ID: 2, Name: "control-2"}, {ID: 12, Name: "control-2"}}
+	voters := func(ids ...raft.MemberID) raft.Configuration { return raft.Configuration{Voters: ids} }
+	cases := []struct {
+		name    string
+		status  raft.Status
+		termAge time.Duration
+		want    uint64 // 0: none
+	}{
+		{"the new one votes and is heard", raft.Status{ID: 1, Configuration: voters(1, 2, 12), RecentlyActive: map[raft.MemberID]bool{12: true}}, 2 * election, 2},
+		{"the new one is recorded and the old one not heard yet", raft.Status{ID: 1, Configuration: voters(1, 2), RecentlyActive: map[raft.MemberID]bool{2: true}}, election, 0},
+		{"the old one is heard, and the new one never joined", raft.Status{ID: 1, Configuration: voters(1, 2), RecentlyActive: map[raft.MemberID]bool{2: true}}, 2 * election, 12},
+		{"neither is heard", raft.Status{ID: 1, Configuration: voters(1, 2)}, 2 * election, 0},
+		{"the new one leads", raft.Status{ID: 12, Configuration: voters(1, 12)}, 2 * election, 2},
+		{"the new one is no voter yet", raft.Status{ID: 1, Configuration: voters(1, 2), RecentlyActive: map[raft.MemberID]bool{12: true}}, 2 * election, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			found, is := replacedMember(members, c.status, c.termAge, election)
+			must.Eq(t, c.want != 0, is)
+			must.Eq(t, c.want, found.ID)
+		})
+	}
+}
--- a/process/control/recovery.go
+++ b/process/control/recovery.go
@@ -69,10 +69,18 @@
 // before it asks whether it was.
 const suspectElections = 5
 
-// watchRemoval sends on removed when the leader of the others does not count
-// this member any more. A removed member hears from no leader from then on and
-// would otherwise wait for ever.
-func (m *member) watchRemoval(ctx context.Context, removed chan<- struct{}) {
+// noteRemoved has the member end as one that was removed.
+func (m *member) noteRemoved() {
+	select {
+	case m.removed <- struct{}{}:
+	default:
+	}
+}
+
+// watchRemoval notes when the leader of the others does not count this member
+// any more. A removed member hears from no leader from then on and would
+// otherwise wait for ever.
+func (m *member) watchRemoval(ctx context.Context) {
 	suspect := 0
 	for sleep(ctx, m.config.Durations.Election) == nil {
 		if !looksRemoved(m.replica.Status()) {
@@ -81,7 +89,7 @@
 		}
 		suspect++
 		if suspect%suspectElections == 0 && m.wasRemoved(ctx) {
-			removed <- struct{}{}
+			m.noteRemoved()
 			return
 		}
 	}
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -37,11 +37,12 @@
 
 // RunAgain is Run, but opens the member again, after a pause, when its storage
 // has failed: a full disk may have room again, and a process that ends each time
-// only costs starts. Invalid configurations and removals end it as they end Run.
+// only costs starts. So does a member that was removed and is to join again, under
+// the next identity. Invalid configurations and other removals end it as they end Run.
 func RunAgain(ctx context.Context, config Config, logger log.Logger) error {
 	for {
 		err := Run(ctx, config, logger)
-		if err == nil || errors.Is(err, ErrConfig) || errors.Is(err, ErrRemoved) || ctx.Err() != nil {
+		if err == nil || errors.Is(err, ErrConfig) || errors.Is(err, ErrRemoved) && !config.Join || ctx.Err() != nil {
 			return err
 		}
 		event.ControlReopens.Log(logger, "err", err, "pause", storagePause)
@@ -71,8 +72,10 @@
 	duties  *duties
 	// initialized is true once the folder holds a group's log.
 	initialized atomic.Bool
-	background  sync.WaitGroup
-	peers       peerStates
+	// removed has an item once the group has removed the member's identity.
+	removed    chan struct{}
+	background sync.WaitGroup
+	peers      peerStates
 }
 
 // peerStates keeps what last happened to the connections to each member, so that
@@ -141,6 +144,7 @@
 		return nil, err
 	}
 	m := &member{
+		removed:   make(chan struct{}, 1),
 		config:    config,
 		logger:    logger,
 		id:        disk.Identity().Member,
@@ -216,14 +220,13 @@
 		return err
 	}
 	event.ControlStarted.Log(m.logger, "id", uint64(m.id), "operator", m.listeners.operator.Addr())
-	removed := make(chan struct{}, 1)
-	m.background.Go(func() { m.watchRemoval(work, removed) })
+	m.background.Go(func() { m.watchRemoval(work) })
 	select {
 	case <-ctx.Done():
 		return m.stop(endWork)
 	case <-m.replica.Done():
 		return m.fail(endWork)
-	case <-removed:
+	case <-m.removed:
 		if err := m.stop(endWork); err != nil {
 			return err
 		}
