Let proxies that are cut off from the members place through other proxies

Members that stand by do not help, since none can be reached.

Change: each proxy passes placements on to the leader for others, under their own names, as long as the leader serves it; nothing is passed on twice. Who has lost its leader asks members and up to three such proxies by turns.

--- a/connection/feed/client.go
+++ b/connection/feed/client.go
@@ -31,6 +31,9 @@
 	// Standby has any other member place requests while no leader serves the
 	// client.
 	Standby bool
+	// StandbyRelays returns the feed addresses of other daemons that pass
+	// placements on; nil returns none. It is asked before each round of tries.
+	StandbyRelays func() []string
 	// Presence returns what the daemon says of itself with each beat; nil says
 	// nothing.
 	Presence func() Presence
--- a/connection/feed/placement.go
+++ b/connection/feed/placement.go
@@ -14,6 +14,8 @@
 	Service string
 	Number  uint64 // the daemon's own; notes name it
 	Ask     placement.Ask
+	// Origin is the daemon for which another one asks; empty: itself.
+	Origin string
 }
 
 // PlaceNote tells how far a placed request has come.
@@ -21,6 +23,7 @@
 	Service string
 	Number  uint64
 	Note    placement.Note
+	Origin  string // as in the PlaceRequest
 }
 
 // ErrNotPlaced says that no member has placed the request: the daemon decides
@@ -59,6 +62,7 @@
 	for _, name := range excluded {
 		encoder.String(name)
 	}
+	encoder.String(request.Origin)
 	return encoder.Data()
 }
 
@@ -81,6 +85,7 @@
 	for i := 0; i < excluded && decoder.Err() == nil; i++ {
 		ask.Excluded = append(ask.Excluded, decoder.String())
 	}
+	request.Origin = decoder.String()
 	if parts > maxParts || excluded > maxExcluded {
 		decoder.Fail(frame.ErrValue)
 	}
@@ -128,6 +133,7 @@
 	encoder.Uint8(uint8(note.Note.Step))
 	encoder.String(note.Note.Replica)
 	encoder.Uint32(uint32(max(note.Note.Told, 0)))
+	encoder.String(note.Origin)
 	return encoder.Data()
 }
 
@@ -135,14 +141,15 @@
 	decoder := frame.NewDecoder(data)
 	note := PlaceNote{Service: decoder.String(), Number: decoder.Uint64()}
 	note.Note = placement.Note{Step: placement.Step(decoder.Uint8()), Replica: decoder.String(), Told: int(decoder.Uint32())}
+	note.Origin = decoder.String()
 	return note, decoder.Finish()
 }
 
 // Place asks the leader where a request is to go, or the member that stands by
 // without one; ErrNotPlaced when none answers before ctx ends. Asking changes
-// nothing that lasts.
+// nothing that lasts. What is asked for another daemon goes to the leader alone.
 func (c *Client) Place(ctx context.Context, request PlaceRequest) (placement.Answer, error) {
-	current := c.placing()
+	current := c.placingFor(request.Origin)
 	if current == nil {
 		return placement.Answer{}, ErrNotPlaced
 	}
@@ -167,14 +174,15 @@
 // NotePlaced tells the leader how far a placed request has come; false when the
 // word was dropped.
 func (c *Client) NotePlaced(note PlaceNote) bool {
-	current := c.placing()
+	current := c.placingFor(note.Origin)
 	if current == nil {
 		return false
 	}
 	return current.enqueue(&outgoing{kind: kindPlaceNote, payload: encodePlaceNote(note)})
 }
 
-// receivePlace answers a question at once: it waits for nothing.
+// receivePlace answers a question: a member at once, and who only passes
+// placements on beside the reader, since that waits for the leader.
 func (s *subscriber) receivePlace(payload []byte) error {
 	requestID, request, err := decodePlace(payload)
 	if err != nil {
@@ -185,12 +193,28 @@
 	default:
 		return nil // too much is under way; the daemon decides by itself
 	}
+	if s.standby {
+		s.calls.Go(func() { s.answerPlace(requestID, request) })
+		return nil
+	}
+	s.answerPlace(requestID, request)
+	return nil
+}
+
+func (s *subscriber) answerPlace(requestID uint64, request PlaceRequest) {
 	reply := placeReply{requestID: requestID}
 	if s.standby || s.server.config.Group.Leadership().Leads {
-		reply.answer, reply.found = s.server.config.Group.Place(s.key.String(), request)
+		reply.answer, reply.found = s.server.config.Group.Place(s.originOf(request.Origin), request)
 	}
 	s.answer(kindPlaceReply, encodePlaceReply(reply))
-	return nil
+}
+
+// originOf returns the daemon for which something is asked or told.
+func (s *subscriber) originOf(origin string) string {
+	if origin != "" {
+		return origin
+	}
+	return s.key.String()
 }
 
 func (s *subscriber) receivePlaceNote(payload []byte) error {
@@ -198,7 +222,7 @@
 	if err != nil {
 		return err
 	}
-	s.server.config.Group.NotePlaced(s.key.String(), note)
+	s.server.config.Group.NotePlaced(s.originOf(note.Origin), note)
 	return nil
 }
 
--- /dev/null
+++ b/connection/feed/placementrelay_test.go
@@ -0,0 +1,162 @@
+package feed
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+)
+
+// askedGroup is a leader that keeps who asked it and told it.
+type askedGroup struct {
+	*fakeGroup
+	lock  sync.Mutex
+	asked map[string]int
+	told  map[string]int
+}
+
+func newAskedGroup() *askedGroup {
+	return &askedGroup{fakeGroup: newFakeGroup(), asked: map[string]int{}, told: map[string]int{}}
+}
+
+func (g *askedGroup) Place(daemon string, _ PlaceRequest) (placement.Answer, bool) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.asked[daemon]++
+	return placement.Answer{Generator: "leader"}, true
+}
+
+func (g *askedGroup) NotePlaced(daemon string, _ PlaceNote) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.told[daemon]++
+}
+
+func (g *askedGroup) count(from map[string]int, daemon string) int {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return from[daemon]
+}
+
+// cuttable dials until it is cut off from an address, and ends its connections then.
+type cuttable struct {
+	lock  sync.Mutex
+	cut   map[string]bool
+	conns map[string][]net.Conn
+}
+
+func newCuttable() *cuttable {
+	return &cuttable{cut: map[string]bool{}, conns: map[string][]net.Conn{}}
+}
+
+func (c *cuttable) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.cut[address] {
+		return nil, errors.New("cut off")
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err == nil {
+		c.conns[address] = append(c.conns[address], conn)
+	}
+	return conn, err
+}
+
+func (c *cuttable) cutOff(address string) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.cut[address] = true
+	for _, conn := range c.conns[address] {
+		_ = conn.Close()
+	}
+}
+
+func (c *cuttable) heal(address string) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	delete(c.cut, address)
+}
+
+func startRelayedClient(t *testing.T, daemon, leader string, dial *cuttable, views Views, relays ...string) *Client {
+	client, err := Dial(ClientConfig{
+		Daemon:         daemon,
+		Addresses:      []string{leader},
+		BeatInterval:   20 * time.Millisecond,
+		SilenceTimeout: time.Second,
+		BackoffMin:     time.Millisecond,
+		BackoffMax:     20 * time.Millisecond,
+		Standby:        true,
+		StandbyRelays:  func() []string { return relays },
+		Dial:           dial.dial,
+	}, views)
+	must.NoError(t, err)
+	t.Cleanup(client.Close)
+	return client
+}
+
+// A daemon that is cut off from the members has its requests placed by the
+// leader through another daemon, under its own name, and nothing else.
+func TestPlacementsPassThroughAnotherDaemon(t *testing.T) {
+	group := newAskedGroup()
+	_, leader := startServer(t, group)
+	group.put("water")
+	between, cutOff := newCuttable(), newCuttable()
+	holder := view.NewHolder()
+	passing := startRelayedClient(t, "proxy-b", leader, between, holder)
+	_, relay := startServer(t, NewPlacementRelay(passing, holder))
+	asking := startRelayedClient(t, "proxy-a", leader, cutOff, view.NewHolder(), relay)
+	eventually(t, "both follow", func() bool {
+		return passing.Connected() && asking.Connected() && holder.Load().Version.Revision == 1
+	})
+	must.Eq(t, "leader", placedBy(asking))
+
+	cutOff.cutOff(leader)
+	eventually(t, "the other daemon passes on", func() bool { return !asking.Connected() && placedBy(asking) == "leader" })
+	name := daemonKey{daemon: "proxy-a", instance: asking.instance}.String()
+	must.GreaterEq(t, 2, group.count(group.asked, name), must.Sprint(group.asked))
+	must.True(t, asking.NotePlaced(PlaceNote{Service: "chat", Number: 1}))
+	eventually(t, "the note arrives", func() bool { return group.count(group.told, name) == 1 })
+	_, err := asking.Claim(t.Context(), state.ClaimRequest{Tenant: "water", Key: "k", Nonce: 1})
+	must.ErrorIs(t, err, ErrNoQuorum)
+
+	between.cutOff(leader)
+	eventually(t, "nobody passes on for one that follows nobody", func() bool { return asking.standby.Load() == nil && placedBy(asking) == "" })
+
+	between.heal(leader)
+	cutOff.heal(leader)
+	eventually(t, "the leader serves again", func() bool { return asking.Connected() && placedBy(asking) == "leader" })
+}
+
+// What was passed on once is not passed on again.
+func TestPlacementsGoInNoCircles(t *testing.T) {
+	relay := NewPlacementRelay(nil, view.NewHolder())
+	_, found := relay.Place("proxy-a", PlaceRequest{Service: "chat", Origin: "proxy-c"})
+	must.False(t, found)
+	relay.NotePlaced("proxy-a", PlaceNote{Service: "chat", Origin: "proxy-c"})
+}
+
+func TestPlacementMessagesKeepEverything(t *testing.T) {
+	request := PlaceRequest{Service: "chat", Number: 7, Origin: "proxy-a#1", Ask: placement.Ask{
+		Prompt: 9, Output: 3, Priority: 2, Zone: "a", Deadline: time.Second, Continued: true,
+		Parts: []placement.Part{{ID: "p", Tokens: 4}}, Excluded: []string{"r"},
+	}}
+	number, decoded, err := decodePlace(encodePlace(5, request))
+	must.NoError(t, err)
+	must.Eq(t, 5, number)
+	must.Eq(t, request, decoded)
+	reply := placeReply{requestID: 5, found: true, answer: placement.Answer{Generator: "g", Reader: "r", Fetch: "f", Unread: 4, Estimate: time.Second, Wait: time.Minute}}
+	gotReply, err := decodePlaceReply(encodePlaceReply(reply))
+	must.NoError(t, err)
+	must.Eq(t, reply, gotReply)
+	note := PlaceNote{Service: "chat", Number: 7, Origin: "proxy-a#1", Note: placement.Note{Step: placement.StepRefused, Replica: "r", Told: 3}}
+	gotNote, err := decodePlaceNote(encodePlaceNote(note))
+	must.NoError(t, err)
+	must.Eq(t, note, gotNote)
+}
--- a/connection/feed/standby.go
+++ b/connection/feed/standby.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -13,8 +14,9 @@
 // A placement is advice: it promises nothing and needs no quorum. So while no
 // leader serves a client, any member that has a view may place its requests. All
 // clients ask in the same order, the last leader first, so that those that reach
-// the same members share one board. Nothing else is served to them there: no
-// view, no lease, no claim.
+// the same members share one board. Another daemon that the leader still serves
+// may pass the questions on to it (placementrelay.go). Nothing else is served to
+// them there: no view, no lease, no claim.
 
 const (
 	// standbyDelay is how long a lost leader is waited for before another
@@ -34,6 +36,15 @@
 	return c.standby.Load()
 }
 
+// placingFor is placing for a question of this client itself, and the leader's
+// session for one of another daemon: what is passed on goes to the leader alone.
+func (c *Client) placingFor(origin string) *session {
+	if origin != "" {
+		return c.session.Load()
+	}
+	return c.placing()
+}
+
 // lose forgets a session that has ended.
 func (c *Client) lose(ended *session) {
 	c.standby.CompareAndSwap(ended, nil)
@@ -86,8 +97,24 @@
 	return false
 }
 
-// standbyOrder is the same for all clients that followed the same leader.
+// standbyOrder alternates between members, in an order that is the same for all
+// clients that followed the same leader, and other daemons that pass placements on:
+// whoever is cut off from one member may be from all.
 func (c *Client) standbyOrder() []string {
+	members, relays := c.memberOrder(), c.standbyRelays()
+	var order []string
+	for i := range max(len(members), len(relays)) {
+		if i < len(members) {
+			order = append(order, members[i])
+		}
+		if i < len(relays) {
+			order = append(order, relays[i])
+		}
+	}
+	return order
+}
+
+func (c *Client) memberOrder() []string {
 	order := slices.Sorted(slices.Values(c.addresses()))
 	last := c.leader.Load()
 	if last == nil {
@@ -97,6 +124,19 @@
 	return slices.Insert(order, 0, *last)
 }
 
+// maxStandbyRelays bounds the daemons that are asked in one round.
+const maxStandbyRelays = 3
+
+// standbyRelays draws daemons that may pass placements on.
+func (c *Client) standbyRelays() []string {
+	if c.config.StandbyRelays == nil {
+		return nil
+	}
+	relays := slices.Clone(c.config.StandbyRelays())
+	rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
+	return relays[:min(len(relays), maxStandbyRelays)]
+}
+
 // connectStandby serves one standby session to its end and reports whether the
 // member stood by.
 func (c *Client) connectStandby(address string) (bool, error) {
--- a/process/ingress/config.go
+++ b/process/ingress/config.go
@@ -25,6 +25,11 @@
 	// where they may be by settings that change, nil for none.
 	FeedAddresses []string
 	Seeds         func() []string
+	// RelayAddress is where this proxy passes placements on for proxies that are
+	// cut off from the members; empty: it does not. RelayOf returns that address of
+	// the proxy that callers reach at an address; nil: none is known.
+	RelayAddress string
+	RelayOf      func(callersAddress string) string
 
 	Retry    RetryBudget
 	Drain    Drain
--- a/process/ingress/model_test.go
+++ b/process/ingress/model_test.go
@@ -213,6 +213,24 @@
 	must.Eq(t, 0, generator.count())
 }
 
+// A proxy knows where the others pass placements on, and not itself.
+func TestRelaysAreTheOtherProxies(t *testing.T) {
+	proxy := func(name, address string) *api.Proxy {
+		return &api.Proxy{Metadata: api.Metadata{Name: name}, Spec: api.ProxySpec{Address: address}}
+	}
+	current := &view.View{Proxies: map[string]*api.Proxy{"self": proxy("self", "a"), "other": proxy("other", "b"), "odd": proxy("odd", "")}}
+	config := Config{Name: "self"}
+	i := &Ingress{config: config}
+	must.SliceEmpty(t, i.relays(current))
+	i.config.RelayOf = func(address string) string {
+		if address == "" {
+			return ""
+		}
+		return "relay-" + address
+	}
+	must.Eq(t, []string{"relay-b"}, i.relays(current))
+}
+
 func TestTheGroupIsToldOfFailures(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -48,6 +48,7 @@
 		Presence:       made.presence,
 		Served:         func() { signal(served) },
 		Standby:        true,
+		StandbyRelays:  func() []string { return made.relays(holder.Load()) },
 		BeatInterval:   beatInterval,
 		SilenceTimeout: silenceTimeout,
 		DialTimeout:    dialTimeout,
@@ -60,6 +61,14 @@
 	}
 	defer client.Close()
 	made.placer = client
+	if config.RelayAddress != "" {
+		listener, err := net.Listen("tcp", config.RelayAddress)
+		if err != nil {
+			return errors.Wrap(err, "ingress: pass placements on")
+		}
+		passing := feed.NewServer(feed.ServerConfig{Group: feed.NewPlacementRelay(client, holder), Clock: clock, Logger: logger}, listener)
+		defer passing.Close()
+	}
 	reporting, stop := context.WithCancel(ctx)
 	defer stop()
 	go made.reportWhenServed(reporting, served, client)
@@ -95,6 +104,23 @@
 	return addresses
 }
 
+// relays returns where the other proxies that the view names pass placements on.
+func (i *Ingress) relays(current *view.View) []string {
+	if i.config.RelayOf == nil {
+		return nil
+	}
+	var addresses []string
+	for name, other := range current.Proxies {
+		if name == i.config.Name {
+			continue
+		}
+		if address := i.config.RelayOf(other.Spec.Address); address != "" {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // seeds returns where members may be by the settings as they are now.
 func (i *Ingress) seeds() []string {
 	if i.config.Seeds == nil {
