Pass by a leader that answers no placement before its silence ends the connection

Change: after two placements in a row without an answer, and no other frame meanwhile, others are asked: proxies first, then members. Any frame of the leader ends that. The leader's connection stays as it is.

Test, seen to fail without the change (nothing passes on while the connection stands): connection/feed TestSilentLeaderIsPassedBy.

--- a/connection/feed/client.go
+++ b/connection/feed/client.go
@@ -111,7 +111,7 @@
 	instance  uint64
 	session   atomic.Pointer[session] // nil while no leader serves the client
 	standby   atomic.Pointer[session] // nil while no member stands by for one
-	lost      chan struct{}           // has an item once a leader serves the client no more
+	lost      chan struct{}           // has an item once a leader serves the client no more, or is silent
 	leader    atomic.Pointer[string]  // the address of the one that served last
 	handover  *handover
 	requestID atomic.Uint64
--- a/connection/feed/placement.go
+++ b/connection/feed/placement.go
@@ -166,6 +166,7 @@
 		}
 		return reply.placed, nil
 	case <-ctx.Done():
+		current.missed()
 	case <-current.ended:
 	}
 	return placement.Answer{}, ErrNotPlaced
--- a/connection/feed/placementrelay_test.go
+++ b/connection/feed/placementrelay_test.go
@@ -20,13 +20,18 @@
 	lock  sync.Mutex
 	asked map[string]int
 	told  map[string]int
+	// mute, if set, holds up questions that come from a daemon itself.
+	mute chan struct{}
 }
 
 func newAskedGroup() *askedGroup {
 	return &askedGroup{fakeGroup: newFakeGroup(), asked: map[string]int{}, told: map[string]int{}}
 }
 
-func (g *askedGroup) Place(daemon string, _ PlaceRequest) (placement.Answer, bool) {
+func (g *askedGroup) Place(daemon string, request PlaceRequest) (placement.Answer, bool) {
+	if request.Origin == "" && g.mute != nil {
+		<-g.mute
+	}
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	g.asked[daemon]++
@@ -89,7 +94,7 @@
 		Daemon:         daemon,
 		Addresses:      []string{leader},
 		BeatInterval:   20 * time.Millisecond,
-		SilenceTimeout: time.Second,
+		SilenceTimeout: patience,
 		BackoffMin:     time.Millisecond,
 		BackoffMax:     20 * time.Millisecond,
 		Standby:        true,
@@ -160,3 +165,35 @@
 	must.NoError(t, err)
 	must.Eq(t, note, gotNote)
 }
+
+// A leader that answers no placement is passed by long before its silence ends
+// the connection, and asked again once it is heard.
+func TestSilentLeaderIsPassedBy(t *testing.T) {
+	group := newAskedGroup()
+	group.mute = make(chan struct{})
+	_, leader := startServer(t, group)
+	group.put("water")
+	holder := view.NewHolder()
+	passing := startRelayedClient(t, "proxy-b", leader, newCuttable(), holder)
+	_, relay := startServer(t, NewPlacementRelay(passing, holder))
+	asking := startRelayedClient(t, "proxy-a", leader, newCuttable(), view.NewHolder(), relay)
+	eventually(t, "both follow", func() bool {
+		return passing.Connected() && asking.Connected() && holder.Load().Version.Revision == 1
+	})
+	first := asking.session.Load()
+	place := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		_, err := asking.Place(ctx, PlaceRequest{Service: "chat", Number: 1})
+		return err
+	}
+	for range unansweredLimit {
+		must.ErrorIs(t, place(), ErrNotPlaced)
+	}
+	eventually(t, "another daemon passes on", func() bool { return place() == nil })
+	must.True(t, asking.session.Load() == first, must.Sprint("the leader's connection stands"))
+	close(group.mute)
+	eventually(t, "the leader is asked again", func() bool {
+		return asking.leaderPlaces() != nil && asking.standby.Load() == nil && place() == nil
+	})
+}
--- a/connection/feed/session.go
+++ b/connection/feed/session.go
@@ -63,6 +63,9 @@
 	address string
 	// standby is set for a session that is used for placements alone.
 	standby bool
+	// unanswered counts the placements that were waited for in vain since the
+	// last frame.
+	unanswered atomic.Int32
 	// announced is true when a leader that served the session said that it
 	// leads no more. It is written before ended is closed.
 	announced bool
@@ -197,6 +200,7 @@
 		if err != nil {
 			return "", err
 		}
+		s.heard()
 		if received.Kind == kindNotLeader {
 			message, err := decodeNotLeader(received.Payload)
 			if err != nil {
--- a/connection/feed/standby.go
+++ b/connection/feed/standby.go
@@ -28,12 +28,46 @@
 	standbyPause = 300 * time.Millisecond
 )
 
+// unansweredLimit is how many placements a leader may leave unanswered in a row,
+// with no other word from it, before others are asked as well. Its silence ends
+// the connection much later.
+const unansweredLimit = 2
+
+// isSilent reports whether the leader has stopped answering placements.
+func (s *session) isSilent() bool { return s.unanswered.Load() >= unansweredLimit }
+
+// missed notes a placement that was waited for in vain.
+func (s *session) missed() {
+	if !s.standby && s.unanswered.Add(1) == unansweredLimit {
+		s.client.noteLost()
+	}
+}
+
+// heard notes a frame of the other side: it is there.
+func (s *session) heard() {
+	if s.unanswered.Swap(0) >= unansweredLimit && !s.standby {
+		s.client.endStandby()
+	}
+}
+
+// leaderPlaces returns the session with a leader that answers, or nil.
+func (c *Client) leaderPlaces() *session {
+	current := c.session.Load()
+	if current == nil || current.isSilent() {
+		return nil
+	}
+	return current
+}
+
 // placing returns the session that places requests now, or nil.
 func (c *Client) placing() *session {
-	if current := c.session.Load(); current != nil {
+	if current := c.leaderPlaces(); current != nil {
+		return current
+	}
+	if current := c.standby.Load(); current != nil {
 		return current
 	}
-	return c.standby.Load()
+	return c.session.Load()
 }
 
 // placingFor is placing for a question of this client itself, and the leader's
@@ -48,9 +82,13 @@
 // lose forgets a session that has ended.
 func (c *Client) lose(ended *session) {
 	c.standby.CompareAndSwap(ended, nil)
-	if !c.session.CompareAndSwap(ended, nil) {
-		return
+	if c.session.CompareAndSwap(ended, nil) {
+		c.noteLost()
 	}
+}
+
+// noteLost has somebody else asked for placements.
+func (c *Client) noteLost() {
 	select {
 	case c.lost <- struct{}{}:
 	default:
@@ -72,8 +110,10 @@
 		case <-c.context.Done():
 			return
 		}
-		c.sleep(standbyDelay)
-		for c.context.Err() == nil && c.session.Load() == nil {
+		if c.session.Load() == nil {
+			c.sleep(standbyDelay)
+		}
+		for c.context.Err() == nil && c.leaderPlaces() == nil {
 			if !c.askAround() {
 				c.sleep(jitter(standbyPause))
 			}
@@ -85,7 +125,7 @@
 // with the first that does to its end. It returns false when none did.
 func (c *Client) askAround() bool {
 	for _, address := range c.standbyOrder() {
-		if c.context.Err() != nil || c.session.Load() != nil {
+		if c.context.Err() != nil || c.leaderPlaces() != nil {
 			return true
 		}
 		stood, err := c.connectStandby(address)
@@ -102,6 +142,11 @@
 // whoever is cut off from one member may be from all.
 func (c *Client) standbyOrder() []string {
 	members, relays := c.memberOrder(), c.standbyRelays()
+	if c.session.Load() != nil {
+		// The leader is silent; others may still be led by it.
+		members = slices.DeleteFunc(members, func(address string) bool { return address == *c.leader.Load() })
+		return append(relays, members...)
+	}
 	var order []string
 	for i := range max(len(members), len(relays)) {
 		if i < len(members) {
@@ -162,7 +207,7 @@
 	}
 	s.ready = true
 	s.client.standby.Store(s)
-	if s.client.session.Load() != nil {
+	if s.client.leaderPlaces() != nil {
 		s.client.endStandby() // a leader came first
 		return nil
 	}
