Let a member join although the first one that it knows is silent

The successor never joined: its first seed was the machine that it replaced, which hangs connections. The attempt ran into its 5 s with "outcome unknown", since a connection that does not stand looked like a lost answer, and a membership change is not sent again after one. Each try began with the same member. Four voters were left, two of them lost their disks at the end: no majority.

Change: a connection has half of an attempt's time to stand, so that its failure surely sent nothing and the next member is asked; the addition of a member, which may be repeated, is sent again after a lost answer; a joining member keeps its client, and with it who answered last.

--- a/connection/operator/calls.go
+++ b/connection/operator/calls.go
@@ -126,14 +126,20 @@
 	return ledger, c.read(ctx, operatorapi.PathLedger+"?"+query.Encode(), &ledger)
 }
 
-// ChangeMembers asks for one step of a membership change. It is not resent
-// after a lost answer: read the status first.
+// ChangeMembers asks for one step of a membership change. Only an addition is
+// resent after a lost answer, since repeating it is harmless; after any other
+// step read the status first.
 func (c *Client) ChangeMembers(ctx context.Context, change operatorapi.MemberRequest) (operatorapi.MemberReply, error) {
 	body, err := json.Marshal(change)
 	if err != nil {
 		return operatorapi.MemberReply{}, errors.Wrap(err, "operator: encode membership change")
 	}
-	received, err := c.do(ctx, request{method: http.MethodPost, path: operatorapi.PathMembers, body: body})
+	received, err := c.do(ctx, request{
+		method: http.MethodPost,
+		path:   operatorapi.PathMembers,
+		body:   body,
+		resend: change.Action == operatorapi.MemberAdd,
+	})
 	if err != nil {
 		return operatorapi.MemberReply{}, err
 	}
--- a/connection/operator/client.go
+++ b/connection/operator/client.go
@@ -90,7 +90,7 @@
 		config:   config,
 		order:    newMemberOrder(config.Members),
 		services: map[string]httpc.Service{},
-		http:     newHTTPClient(),
+		http:     newHTTPClient(config.AttemptTimeout / dialShare),
 	}
 	for _, address := range config.Members {
 		client.services[address] = httpc.NewServiceWithClient(address, client.http)
@@ -98,12 +98,18 @@
 	return client, nil
 }
 
+// dialShare is the part of an attempt's time that its connection may take to
+// stand. It ends before the attempt does: then nothing was sent, for sure, and
+// another member can be asked.
+const dialShare = 2
+
 // newHTTPClient keeps no connection alive and follows no redirect: on a reused
 // connection the transport may resend a request by itself, which a membership
 // change does not survive.
-func newHTTPClient() *http.Client {
+func newHTTPClient(dialTimeout time.Duration) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil},
+		Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil, DialContext: dialer.DialContext},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
@@ -124,8 +130,9 @@
 	method string
 	path   string
 	body   []byte
-	// resend allows another attempt after a lost answer. Reads and writes with
-	// an operation ID may be sent again, a membership change may not.
+	// resend allows another attempt after a lost answer. Reads, writes with an
+	// operation ID and the addition of a member may be sent again, other membership
+	// changes may not.
 	resend bool
 }
 
--- /dev/null
+++ b/connection/operator/silent_test.go
@@ -0,0 +1,73 @@
+package operator_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/landingtrail/landingtrail/connection/operator"
+	"github.com/landingtrail/landingtrail/connection/operatorapi"
+)
+
+// silentAddress returns the address of a machine that takes no connection and
+// refuses none: its queue of new connections is full.
+func silentAddress(t *testing.T) string {
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	must.NoError(t, syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	must.NoError(t, syscall.Listen(socket, 0))
+	name, err := syscall.Getsockname(socket)
+	must.NoError(t, err)
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(name.(*syscall.SockaddrInet4).Port))
+	for {
+		conn, err := net.DialTimeout("tcp", address, 300*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+}
+
+// A step of a membership change passes by a machine that takes no connection:
+// nothing was sent there, so nothing can have happened.
+func TestMembershipChangePassesByASilentMachine(t *testing.T) {
+	serving := newMember(t, answer(http.StatusOK, operatorapi.MemberReply{}))
+	client, err := operator.New(operator.Config{
+		Members:        []string{silentAddress(t), serving.address()},
+		AttemptTimeout: 400 * time.Millisecond,
+	})
+	must.NoError(t, err)
+	_, err = client.ChangeMembers(context.Background(), operatorapi.MemberRequest{Action: operatorapi.MemberRemove, ID: 7})
+	must.NoError(t, err)
+	must.SliceLen(t, 1, serving.received())
+}
+
+// To be added twice is to be added once, so a lost answer is no reason to stop;
+// every other step of a membership change is sent once.
+func TestOnlyAnAdditionIsSentAgain(t *testing.T) {
+	for _, c := range []struct {
+		action operatorapi.MemberAction
+		want   error
+		sends  int
+	}{
+		{operatorapi.MemberAdd, nil, 1},
+		{operatorapi.MemberPromote, operator.ErrOutcomeUnknown, 0},
+		{operatorapi.MemberRemove, operator.ErrOutcomeUnknown, 0},
+	} {
+		t.Run(string(c.action), func(t *testing.T) {
+			losing, serving := newMember(t, loseAnswer), newMember(t, answer(http.StatusOK, operatorapi.MemberReply{}))
+			client, err := operator.New(operator.Config{Members: []string{losing.address(), serving.address()}})
+			must.NoError(t, err)
+			_, err = client.ChangeMembers(context.Background(), operatorapi.MemberRequest{Action: c.action, ID: 7})
+			must.ErrorIs(t, err, c.want)
+			must.SliceLen(t, c.sends, serving.received())
+		})
+	}
+}
--- a/process/control/founding.go
+++ b/process/control/founding.go
@@ -124,8 +124,12 @@
 
 // join asks the group to take this member in, until it is a member.
 func (m *member) join(ctx context.Context) {
+	client, err := operator.New(operator.Config{Members: m.otherOperators(), AttemptTimeout: m.config.Durations.Proposal})
+	if err != nil {
+		return // there is no other member to ask
+	}
 	for !m.isMember() {
-		err := m.askToJoin(ctx)
+		err := m.askToJoin(ctx, client)
 		if err != nil && ctx.Err() == nil {
 			event.ControlJoinDelayed.Log(m.logger, "err", err)
 		}
@@ -152,11 +156,7 @@
 	return !status.ConfigurationPending && slices.Contains(allMembers(status.Configuration), m.id)
 }
 
-func (m *member) askToJoin(ctx context.Context) error {
-	client, err := operator.New(operator.Config{Members: m.otherOperators()})
-	if err != nil {
-		return err
-	}
+func (m *member) askToJoin(ctx context.Context, client *operator.Client) error {
 	own := m.config.own(m.id)
 	reply, err := client.ChangeMembers(ctx, operatorapi.MemberRequest{
 		Action:          operatorapi.MemberAdd,
--- a/process/control/ingress_test.go
+++ b/process/control/ingress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"path/filepath"
 	"slices"
@@ -184,6 +185,20 @@
 	})
 }
 
+// The first of the members that a joining one knows may be gone without a word.
+func TestMemberJoinsThoughItsFirstSeedAnswersNothing(t *testing.T) {
+	g := newGrowing(t, 4, 3, 1)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = silent.Close() }() // accepts, by the kernel, and never answers
+	gone := Member{Name: "gone", PeerAddress: silent.Addr().String(), FeedAddress: silent.Addr().String(), OperatorAddress: silent.Addr().String()}
+	g.configs[3].Members = append([]Member{gone}, g.configs[3].Members...)
+	g.start(0, 1, 2)
+	g.awaitVoters(3, 0, 1, 2)
+	g.start(3)
+	g.awaitVoters(4, 0, 1, 2, 3)
+}
+
 func TestLostMemberIsDroppedOnceASuccessorHasJoined(t *testing.T) {
 	g := newGrowing(t, 6, 3, 2)
 	g.start(0, 1, 2, 3, 4)
