Hold the pause that a context cuts short in one place

It stood four times (process/control, process/proxy, process/ingress, lab/caller) and twice inlined (connection/feed, connection/operator); the lab's commands found their programs four times.

--- a/cmd/landingtrail-lab/fleet.go
+++ b/cmd/landingtrail-lab/fleet.go
@@ -28,6 +28,16 @@
 // Error words the count.
 func (e violationError) Error() string { return strconv.Itoa(e.count) + " violations" }
 
+// findPrograms returns the paths of the product's program and of this one, which
+// stand beside each other.
+func findPrograms() (product, own string, err error) {
+	own, err = os.Executable()
+	if err != nil {
+		return "", "", errors.Wrap(err, "find programs")
+	}
+	return filepath.Join(filepath.Dir(own), productProgram), own, nil
+}
+
 // maxFleetRelays bounds the relays of one fleet.
 const maxFleetRelays = 9
 
@@ -85,14 +95,14 @@
 	if flags.rate <= 0 {
 		return cli.UsageError{Field: "rate", Message: "must be above 0"}
 	}
-	own, err := os.Executable()
+	product, own, err := findPrograms()
 	if err != nil {
-		return errors.Wrap(err, "find programs")
+		return err
 	}
 	summary, err := fleet.Run(ctx, fleet.Config{
 		Deployment:  flags.deployment,
 		Folder:      flags.folder,
-		Product:     filepath.Join(filepath.Dir(own), productProgram),
+		Product:     product,
 		Lab:         own,
 		Duration:    flags.duration,
 		Seed:        flags.seed,
--- a/cmd/landingtrail-lab/lanes.go
+++ b/cmd/landingtrail-lab/lanes.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
-	"github.com/pkg/errors"
 
 	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/lab/fleet"
@@ -66,15 +63,15 @@
 	if flags.blocks == 0 {
 		return cli.UsageError{Field: "blocks", Message: "must be at least 1"}
 	}
-	own, err := os.Executable()
+	product, own, err := findPrograms()
 	if err != nil {
-		return errors.Wrap(err, "find programs")
+		return err
 	}
 	result, err := fleet.MeasureInterference(ctx, fleet.InterferenceConfig{
 		Fleet: fleet.Config{
 			Deployment:  flags.deployment,
 			Folder:      flags.folder,
-			Product:     filepath.Join(filepath.Dir(own), productProgram),
+			Product:     product,
 			Lab:         own,
 			Seed:        flags.seed,
 			Rate:        flags.rate,
--- a/cmd/landingtrail-lab/scale.go
+++ b/cmd/landingtrail-lab/scale.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
-	"github.com/pkg/errors"
 
 	"github.com/landingtrail/landingtrail/cmd/internal/cli"
 	"github.com/landingtrail/landingtrail/lab/scale"
@@ -98,9 +95,9 @@
 	if err := flags.check(); err != nil {
 		return err
 	}
-	own, err := os.Executable()
+	product, own, err := findPrograms()
 	if err != nil {
-		return errors.Wrap(err, "find programs")
+		return err
 	}
 	report, err := scale.Run(ctx, scale.Config{
 		Daemons:         int(flags.daemons),
@@ -115,7 +112,7 @@
 		RestartInterval: flags.restart,
 		EngineSilence:   flags.silence,
 		Planner:         flags.planner,
-		Product:         filepath.Join(filepath.Dir(own), productProgram),
+		Product:         product,
 		Lab:             own,
 		Data:            flags.data,
 		Progress:        to.Err,
--- a/cmd/landingtrail-lab/soak.go
+++ b/cmd/landingtrail-lab/soak.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"path/filepath"
 	"strconv"
 	"time"
@@ -73,14 +72,14 @@
 	if err != nil {
 		return err
 	}
-	own, err := os.Executable()
+	product, own, err := findPrograms()
 	if err != nil {
-		return errors.Wrap(err, "find programs")
+		return err
 	}
 	config := fleet.Config{
 		Deployment:  flags.deployment,
 		Folder:      flags.folder,
-		Product:     filepath.Join(filepath.Dir(own), productProgram),
+		Product:     product,
 		Lab:         own,
 		Duration:    flags.duration,
 		Rate:        flags.rate,
--- a/connection/feed/follow.go
+++ b/connection/feed/follow.go
@@ -8,13 +8,14 @@
 
 	"github.com/landingtrail/landingtrail/connection/frame"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/pkg/errors"
 )
 
 // follow connects to one member after the other, a named leader first, until
 // the client is closed.
 func (c *Client) follow() {
-	next, pause := rand.IntN(len(c.config.Addresses)), c.config.BackoffMin
+	next, backoff := rand.IntN(len(c.config.Addresses)), c.config.BackoffMin
 	hint := ""
 	for c.context.Err() == nil {
 		address := hint
@@ -29,7 +30,7 @@
 		}
 		event.FeedDisconnected.Log(c.config.Logger, "address", address, "err", err)
 		if served {
-			pause = c.config.BackoffMin
+			backoff = c.config.BackoffMin
 		}
 		followed := hint != ""
 		hint = named
@@ -39,8 +40,8 @@
 		if named != "" && !followed || served && errors.Is(err, errNotLeader) {
 			continue
 		}
-		c.sleep(jitter(pause))
-		pause = min(2*pause, c.config.BackoffMax)
+		pause.For(c.context, jitter(backoff))
+		backoff = min(2*backoff, c.config.BackoffMax)
 	}
 }
 
@@ -71,15 +72,6 @@
 	return current.ready, named, err
 }
 
-func (c *Client) sleep(pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.context.Done():
-	}
-}
-
 // jitter draws a duration from the upper half of the range up to limit.
 func jitter(limit time.Duration) time.Duration {
 	return limit/2 + rand.N(limit/2+1)
--- a/connection/feed/standby.go
+++ b/connection/feed/standby.go
@@ -8,6 +8,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/frame"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/pkg/errors"
 )
 
@@ -111,11 +112,11 @@
 			return
 		}
 		if c.session.Load() == nil {
-			c.sleep(standbyDelay)
+			pause.For(c.context, standbyDelay)
 		}
 		for c.context.Err() == nil && c.leaderPlaces() == nil {
 			if !c.askAround() {
-				c.sleep(jitter(standbyPause))
+				pause.For(c.context, jitter(standbyPause))
 			}
 		}
 	}
--- a/connection/operator/order.go
+++ b/connection/operator/order.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/landingtrail/landingtrail/process/pause"
 )
 
 // memberOrder is the order in which members are tried: the one that answered
@@ -63,16 +65,10 @@
 // sleep pauses and reports false when the context ended first.
 func (b *backoff) sleep(ctx context.Context) bool {
 	jittered := b.next/2 + rand.N(b.next/2+1)
-	timer := time.NewTimer(max(jittered, b.asked))
-	defer timer.Stop()
+	due := max(jittered, b.asked)
 	b.next = min(2*b.next, maxBackoff)
 	b.asked = 0
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return pause.For(ctx, due)
 }
 
 func retryAfter(response *http.Response) time.Duration {
--- a/lab/caller/caller.go
+++ b/lab/caller/caller.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/lab/trace"
+	"github.com/landingtrail/landingtrail/process/pause"
 )
 
 // Headers of the product that a caller sends.
@@ -153,7 +154,7 @@
 	sent := time.Now()
 	ended := p.attempt(ctx, call, sent)
 	for p.config.RetryRefused && ended.kind == OutcomeRefused && ended.retryAfter > 0 {
-		if time.Since(sent)+ended.retryAfter >= call.item.Deadline || !sleep(ctx, ended.retryAfter) {
+		if time.Since(sent)+ended.retryAfter >= call.item.Deadline || !pause.For(ctx, ended.retryAfter) {
 			break
 		}
 		p.report.class(call.item).addRetry()
@@ -179,17 +180,6 @@
 	})
 }
 
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // attempt sends a call once and judges the answer.
 func (p *player) attempt(ctx context.Context, call *call, sent time.Time) outcome {
 	left := call.item.Deadline - time.Since(sent)
--- a/process/control/actions.go
+++ b/process/control/actions.go
@@ -9,6 +9,7 @@
 	"github.com/landingtrail/landingtrail/connection/engineapi"
 	"github.com/landingtrail/landingtrail/process/controller"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 )
@@ -182,7 +183,7 @@
 // pause keeps the engine's place for a while, so that what cannot be committed
 // now is not tried in a tight loop.
 func (r *actionRunner) pause() {
-	_ = sleep(r.context, r.duties.group.config.Durations.Reconcile)
+	_ = pause.For(r.context, r.duties.group.config.Durations.Reconcile)
 }
 
 // leads reports whether this leadership holds its lease now. It is asked right
@@ -246,5 +247,5 @@
 
 func (r *actionRunner) query(action controller.Query) {
 	r.term.poller.Poke(action.Engine)
-	_ = sleep(r.context, queryPause)
+	_ = pause.For(r.context, queryPause)
 }
--- a/process/control/duties.go
+++ b/process/control/duties.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/connection/orders"
 	"github.com/landingtrail/landingtrail/process/controller"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/planner"
@@ -108,7 +109,7 @@
 	for {
 		started := monotonic()
 		d.round(ctx)
-		_ = sleep(ctx, d.pauseAfter(monotonic()-started))
+		_ = pause.For(ctx, d.pauseAfter(monotonic()-started))
 		select {
 		case <-ticker.C:
 		case <-d.wakeup:
--- a/process/control/fleet.go
+++ b/process/control/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -85,7 +86,7 @@
 		if f.keep(replicas, err) {
 			changed()
 		}
-		if sleep(ctx, f.config.Durations.PlatformPoll) != nil {
+		if !pause.For(ctx, f.config.Durations.PlatformPoll) {
 			return
 		}
 	}
--- a/process/control/founding.go
+++ b/process/control/founding.go
@@ -10,6 +10,7 @@
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/connection/peer"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/pkg/errors"
@@ -47,8 +48,8 @@
 		if decided {
 			return configuration, nil
 		}
-		if err := sleep(ctx, foundingPause); err != nil {
-			return raft.Configuration{}, err
+		if !pause.For(ctx, foundingPause) {
+			return raft.Configuration{}, ctx.Err()
 		}
 	}
 }
@@ -108,17 +109,6 @@
 	return ids
 }
 
-func sleep(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // joinPause is the wait between two requests to be taken in.
 const joinPause = 250 * time.Millisecond
 
@@ -137,7 +127,7 @@
 			m.noteRemoved() // it never joined: its folder holds nothing but the identity
 			return
 		}
-		if sleep(ctx, joinPause) != nil {
+		if !pause.For(ctx, joinPause) {
 			return
 		}
 	}
--- a/process/control/platform.go
+++ b/process/control/platform.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/connection/orders"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -92,7 +93,7 @@
 	for {
 		list, err := p.read(ctx)
 		p.keep(list, err)
-		if sleep(ctx, p.config.Durations.PlatformPoll) != nil {
+		if !pause.For(ctx, p.config.Durations.PlatformPoll) {
 			return
 		}
 	}
--- a/process/control/recovery.go
+++ b/process/control/recovery.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/process/replica"
 	"github.com/landingtrail/landingtrail/process/snap"
@@ -82,7 +83,7 @@
 // otherwise wait for ever.
 func (m *member) watchRemoval(ctx context.Context) {
 	suspect := 0
-	for sleep(ctx, m.config.Durations.Election) == nil {
+	for pause.For(ctx, m.config.Durations.Election) {
 		if !looksRemoved(m.replica.Status()) {
 			suspect = 0
 			continue
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -12,6 +12,7 @@
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/connection/peer"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/process/replica"
 	"github.com/pkg/errors"
@@ -46,7 +47,7 @@
 			return err
 		}
 		event.ControlReopens.Log(logger, "err", err, "pause", storagePause)
-		if sleep(ctx, storagePause) != nil {
+		if !pause.For(ctx, storagePause) {
 			return nil
 		}
 	}
@@ -320,7 +321,7 @@
 		status := m.replica.Status()
 		if status.Role == raft.Leader && !current.Leadership().Leads {
 			if _, valid := current.Lease(ctx); !valid {
-				if sleep(ctx, m.config.Durations.Heartbeat/leaseAsksPerHeartbeat) != nil {
+				if !pause.For(ctx, m.config.Durations.Heartbeat/leaseAsksPerHeartbeat) {
 					return
 				}
 				continue
@@ -361,7 +362,7 @@
 			// An address that does not answer is asked again in the next round.
 			_, _ = m.addresses.ask(ctx, configured)
 		}
-		if sleep(ctx, m.config.Durations.Election) != nil {
+		if !pause.For(ctx, m.config.Durations.Election) {
 			return
 		}
 	}
@@ -400,7 +401,7 @@
 // waitForSubscribers keeps the streams until the subscribers have moved on.
 func (m *member) waitForSubscribers(ctx context.Context) {
 	for m.feed.Subscribers() > 0 && m.replica.Status().Role != raft.Leader {
-		if sleep(ctx, foundingPause) != nil {
+		if !pause.For(ctx, foundingPause) {
 			return
 		}
 	}
--- a/process/ingress/placed.go
+++ b/process/ingress/placed.go
@@ -9,6 +9,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/request/placement"
 )
 
@@ -55,7 +56,7 @@
 		}
 		fmt.Fprintf(&s.trace, " waits(%s)", answer.Wait.Round(time.Millisecond))
 		event.RequestWaits.Log(s.ingress.logger, "request", s.call.ID, "generation", s.generation, "wait_ms", answer.Wait.Milliseconds())
-		if !sleep(ctx, min(answer.Wait, longestWait)) {
+		if !pause.For(ctx, min(answer.Wait, longestWait)) {
 			return plan{}, false
 		}
 		s.ingress.routes() // takes in what the list says by now
@@ -66,18 +67,6 @@
 // waits for may be over sooner than expected, or not come at all.
 const longestWait = 200 * time.Millisecond
 
-// sleep returns after the pause, or false as soon as ctx ends.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *session) askPlace(ctx context.Context, number uint64) (placement.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -61,20 +61,31 @@
 	}
 	defer client.Close()
 	made.placer = client
-	if config.RelayAddress != "" {
-		listener, err := net.Listen("tcp", config.RelayAddress)
-		if err != nil {
-			return errors.Wrap(err, "ingress: pass placements on")
-		}
-		passing := feed.NewServer(feed.ServerConfig{Group: feed.NewPlacementRelay(client, holder), Clock: clock, Logger: logger}, listener)
-		defer passing.Close()
+	endRelay, err := made.passPlacementsOn(feed.NewPlacementRelay(client, holder))
+	if err != nil {
+		return err
 	}
+	defer endRelay()
 	reporting, stop := context.WithCancel(ctx)
 	defer stop()
 	go made.reportWhenServed(reporting, served, client)
 	return made.serveUntil(ctx, client)
 }
 
+// passPlacementsOn serves proxies that are cut off from the members until the
+// result is called.
+func (i *Ingress) passPlacementsOn(relay *feed.PlacementRelay) (end func(), err error) {
+	if i.config.RelayAddress == "" {
+		return func() {}, nil
+	}
+	listener, err := net.Listen("tcp", i.config.RelayAddress)
+	if err != nil {
+		return nil, errors.Wrap(err, "ingress: pass placements on")
+	}
+	server := feed.NewServer(feed.ServerConfig{Group: relay, Clock: i.clock, Logger: i.logger}, listener)
+	return server.Close, nil
+}
+
 // signal fills the channel's place; signals coalesce.
 func signal(place chan<- struct{}) {
 	select {
--- /dev/null
+++ b/process/pause/pause_test.go
@@ -0,0 +1,16 @@
+package pause
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestPauseEndsWithItsTimeOrItsContext(t *testing.T) {
+	must.True(t, For(t.Context(), time.Nanosecond))
+	ended, end := context.WithCancel(t.Context())
+	end()
+	must.False(t, For(ended, time.Hour))
+}
--- a/process/proxy/call.go
+++ b/process/proxy/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/router"
 )
@@ -129,7 +130,7 @@
 	if last.free {
 		return true
 	}
-	return sleep(ctx, delay)
+	return pause.For(ctx, delay)
 }
 
 // decide asks the router where the request goes now.
--- a/process/proxy/poller.go
+++ b/process/proxy/poller.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/process/pause"
 )
 
 // Errors of polls.
@@ -53,7 +54,7 @@
 			asked = time.Now()
 			p.pollCache(ctx)
 		}
-		if !sleep(ctx, jitter(intervals.Load)) {
+		if !pause.For(ctx, jitter(intervals.Load)) {
 			return
 		}
 	}
@@ -94,18 +95,6 @@
 	return interval*9/10 + time.Duration(rand.Int64N(int64(interval/5)+1))
 }
 
-// sleep returns false when ctx ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (p *poller) pollLoad(ctx context.Context) error {
 	var load engineapi.Load
 	asked := p.proxy.clock()
--- a/process/proxy/poller_test.go
+++ b/process/proxy/poller_test.go
@@ -17,6 +17,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/subset"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -37,7 +38,7 @@
 				for budget.wait(ctx) {
 					counts[i]++
 					budget.charge(pollBytes)
-					sleep(ctx, jitter(250*time.Millisecond))
+					pause.For(ctx, jitter(250*time.Millisecond))
 				}
 			}()
 		}
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -14,6 +14,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/request/limit"
 	"github.com/landingtrail/landingtrail/request/router"
 	"github.com/landingtrail/landingtrail/version/api"
@@ -109,7 +110,7 @@
 func (p *Proxy) followViews() {
 	for {
 		p.standing()
-		if !sleep(p.background, p.config.Intervals.View) {
+		if !pause.For(p.background, p.config.Intervals.View) {
 			return
 		}
 	}
--- a/process/proxy/run_backend.go
+++ b/process/proxy/run_backend.go
@@ -13,6 +13,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/engineapi"
 	"github.com/landingtrail/landingtrail/connection/upstream"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/request/attempt"
 )
 
@@ -52,7 +53,7 @@
 		return false
 	}
 	c.proxy.metrics.retries.Inc()
-	return sleep(ctx, delay)
+	return pause.For(ctx, delay)
 }
 
 func (c *backendCall) giveUp(last *failure) *failure {
--- a/process/proxy/run_engine.go
+++ b/process/proxy/run_engine.go
@@ -14,6 +14,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/engineapi"
 	"github.com/landingtrail/landingtrail/connection/upstream"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/router"
 )
@@ -79,7 +80,7 @@
 	}
 	c.proxy.metrics.resumes.Inc()
 	delay, _ := c.proxy.config.Backoff.Delay(0, time.Until(c.deadline), c.random)
-	if !sleep(ctx, delay) {
+	if !pause.For(ctx, delay) {
 		c.life.Fail(step.Number, attempt.FaultBroken)
 		return upstreamFailed("interrupted")
 	}
