--- a/process/control/membership.go
+++ b/process/control/membership.go
@@ -54,27 +54,41 @@
 		return // an operator tends such a group
 	}
 	now := monotonic()
-	var lost raft.MemberID
-	for _, voter := range status.Configuration.Voters {
-		if voter == status.ID || status.RecentlyActive[voter] {
-			delete(term.awaySince, voter)
-			continue
-		}
-		if _, known := term.awaySince[voter]; !known {
-			term.awaySince[voter] = now
-		}
-		if now-term.awaySince[voter] >= d.group.config.Durations.MemberSilence {
-			lost = voter
-		}
-	}
-	if lost == raft.None || len(status.Configuration.Voters) <= d.group.votersWanted() {
+	term.noteAway(status, now)
+	lost, away := term.longestAway(status, now)
+	if away < d.group.config.Durations.MemberSilence || len(status.Configuration.Voters) <= d.group.votersWanted() {
 		return
 	}
 	member := d.group.address(lost)
 	member.ID = uint64(lost)
 	if d.group.removeMember(ctx, member, status) == nil {
-		event.MemberRemoved.Log(d.logger, "id", member.ID, "member", member.Name, "away", now-term.awaySince[lost])
+		event.MemberRemoved.Log(d.logger, "id", member.ID, "member", member.Name, "away", away)
+	}
+}
+
+// noteAway keeps since when each voter has not been heard.
+func (t *termDuties) noteAway(status raft.Status, now time.Duration) {
+	for _, voter := range status.Configuration.Voters {
+		if isActive(status, voter) {
+			delete(t.awaySince, voter)
+			continue
+		}
+		if _, known := t.awaySince[voter]; !known {
+			t.awaySince[voter] = now
+		}
+	}
+}
+
+// longestAway returns the voter that has been away for longest, and for how long;
+// none, and 0, when all are heard.
+func (t *termDuties) longestAway(status raft.Status, now time.Duration) (lost raft.MemberID, away time.Duration) {
+	for _, voter := range status.Configuration.Voters {
+		since, isAway := t.awaySince[voter]
+		if isAway && now-since > away {
+			lost, away = voter, now-since
+		}
 	}
+	return lost, away
 }
 
 // recordAddresses commits the addresses of a member that the state lacks.
--- a/process/control/membership_test.go
+++ b/process/control/membership_test.go
@@ -53,3 +53,33 @@
 		})
 	}
 }
+
+// Of several voters that are away, the one that has been for longest is dropped
+// first: it is the one whose successor has joined.
+func TestLongestAway(t *testing.T) {
+	term := &termDuties{awaySince: map[raft.MemberID]time.Duration{}}
+	heard := func(ids ...raft.MemberID) raft.Status {
+		status := raft.Status{ID: 1, Configuration: raft.Configuration{Voters: []raft.MemberID{1, 2, 3, 4}}, RecentlyActive: map[raft.MemberID]bool{}}
+		for _, id := range ids {
+			status.RecentlyActive[id] = true
+		}
+		return status
+	}
+	look := func(now time.Duration, status raft.Status) (raft.MemberID, time.Duration) {
+		term.noteAway(status, now)
+		return term.longestAway(status, now)
+	}
+	lost, away := look(time.Second, heard(2, 3, 4))
+	must.Eq(t, raft.None, lost)
+	must.Eq(t, 0, away)
+	look(2*time.Second, heard(3, 4))
+	lost, away = look(5*time.Second, heard(3))
+	must.Eq(t, raft.MemberID(2), lost)
+	must.Eq(t, 3*time.Second, away)
+	lost, away = look(6*time.Second, heard(2, 3))
+	must.Eq(t, raft.MemberID(4), lost)
+	must.Eq(t, time.Second, away)
+	look(7*time.Second, heard(2, 3, 4))
+	lost, _ = look(8*time.Second, heard(2, 3, 4))
+	must.Eq(t, raft.None, lost)
+}
