Let a dropped member learn of it through any member

Change: a member that its log has left out, or that has known no leader for five election timeouts, asks to be taken in. Any member hands that on to the leader; it changes nothing for one that counts, and is refused as removed only once the removal is committed, which the earlier question did not make sure of. A folder may be emptied as soon as any other member leads or follows a leader.

Both tests seen to fail first.

--- a/process/control/founding.go
+++ b/process/control/founding.go
@@ -114,7 +114,7 @@
 
 // join asks the group to take this member in, until it is a member.
 func (m *member) join(ctx context.Context) {
-	client, err := operator.New(operator.Config{Members: m.otherOperators(), AttemptTimeout: m.config.Durations.Proposal})
+	client, err := m.joinClient()
 	if err != nil {
 		return // there is no other member to ask
 	}
@@ -146,6 +146,11 @@
 	return !status.ConfigurationPending && slices.Contains(allMembers(status.Configuration), m.id)
 }
 
+// joinClient asks the other members that the settings name.
+func (m *member) joinClient() (*operator.Client, error) {
+	return operator.New(operator.Config{Members: m.otherOperators(), AttemptTimeout: m.config.Durations.Proposal})
+}
+
 func (m *member) askToJoin(ctx context.Context, client *operator.Client) error {
 	own := m.config.own(m.id)
 	reply, err := client.ChangeMembers(ctx, operatorapi.MemberRequest{
--- a/process/control/ingress_test.go
+++ b/process/control/ingress_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -167,14 +168,7 @@
 	g.start(0, 1, 2, 3, 4)
 	g.awaitVoters(5, 0, 1, 2, 3, 4)
 	leader := g.running[3].member
-	eventually(t, "leadership of a member that is no seed", func() bool {
-		for _, running := range g.running {
-			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-			_ = running.member.replica.TransferLeadership(ctx, leader.id)
-			cancel()
-		}
-		return leader.group.Load().Leadership().Leads
-	})
+	g.leadByNoSeed(3)
 	g.crash(1)
 	g.loseDisk(1)
 	g.start(1)
@@ -199,6 +193,61 @@
 	g.awaitVoters(4, 0, 1, 2, 3)
 }
 
+// leadByNoSeed has a member lead that the settings of the others do not name.
+func (g *growing) leadByNoSeed(i int) {
+	g.t.Helper()
+	leader := g.running[i].member
+	eventually(g.t, "leadership of a member that is no seed", func() bool {
+		for _, running := range g.running {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_ = running.member.replica.TransferLeadership(ctx, leader.id)
+			cancel()
+		}
+		return leader.group.Load().Leadership().Leads
+	})
+}
+
+// A member that was dropped while it was cut off has to learn of it from a leader
+// that its settings do not name.
+func TestDroppedMemberJoinsAnewUnderALeaderThatItsSettingsDoNotName(t *testing.T) {
+	g := newGrowing(t, 5, 3, 2)
+	g.start(0, 1, 2, 3, 4)
+	g.awaitVoters(5, 0, 1, 2, 3, 4)
+	g.leadByNoSeed(3)
+	dropped := g.running[4]
+	eventually(t, "the removal", func() bool {
+		request := operatorapi.MemberRequest{Action: operatorapi.MemberRemove, ID: operatorapi.MemberID(dropped.member.id)}
+		return g.call(3, http.MethodPost, operatorapi.PathMembers, request, nil) == http.StatusOK
+	})
+	delete(g.running, 4)
+	select {
+	case err := <-dropped.done:
+		must.ErrorIs(t, err, ErrRemoved)
+	case <-time.After(patience):
+		t.Fatal("the member does not notice that it was removed")
+	}
+	g.start(4)
+	g.awaitVoters(5, 0, 1, 2, 3, 4)
+	must.NotEq(t, dropped.member.id, g.running[4].member.id)
+}
+
+// Whether a damaged folder may be emptied must not depend on who leads the others.
+func TestDamagedFolderIsDiscardedUnderALeaderThatItsSettingsDoNotName(t *testing.T) {
+	g := newGrowing(t, 5, 3, 2)
+	g.start(0, 1, 2, 3, 4)
+	g.awaitVoters(5, 0, 1, 2, 3, 4)
+	g.leadByNoSeed(3)
+	g.crash(4)
+	segments, err := filepath.Glob(filepath.Join(g.configs[4].DataFolder, "*.wal"))
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, segments)
+	for _, segment := range segments {
+		must.NoError(t, os.Remove(segment))
+	}
+	g.start(4)
+	g.awaitVoters(5, 0, 1, 2, 3, 4)
+}
+
 func TestLostMemberIsDroppedOnceASuccessorHasJoined(t *testing.T) {
 	g := newGrowing(t, 6, 3, 2)
 	g.start(0, 1, 2, 3, 4)
--- a/process/control/recovery.go
+++ b/process/control/recovery.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"github.com/go-kit/log"
-	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/process/raft"
@@ -43,31 +42,23 @@
 	return errors.Is(err, wal.ErrLostLog) || errors.Is(err, wal.ErrCorrupt) || errors.Is(err, snap.ErrDamaged)
 }
 
-// othersHaveLeader reports whether any other configured member leads now.
+// othersHaveLeader reports whether any other configured member leads now, or
+// follows a leader: the one that leads need not be among those configured.
 func othersHaveLeader(ctx context.Context, config Config) bool {
-	return slices.ContainsFunc(askOthers(ctx, config), func(self operatorapi.MemberSelf) bool {
-		return self.Role == operatorapi.MemberLeader
+	return slices.ContainsFunc(config.Members, func(configured Member) bool {
+		return configured.Name != config.Name && knowsLeader(ctx, config, configured)
 	})
 }
 
-// askOthers asks every other configured member for its own status.
-func askOthers(ctx context.Context, config Config) []operatorapi.MemberSelf {
-	var answers []operatorapi.MemberSelf
-	for _, configured := range config.Members {
-		if configured.Name == config.Name {
-			continue
-		}
-		asking, cancel := context.WithTimeout(ctx, config.Durations.Election)
-		if self, err := askMember(asking, configured.OperatorAddress); err == nil {
-			answers = append(answers, self)
-		}
-		cancel()
-	}
-	return answers
+func knowsLeader(ctx context.Context, config Config, configured Member) bool {
+	ctx, cancel := context.WithTimeout(ctx, config.Durations.Election)
+	defer cancel()
+	self, err := askMember(ctx, configured.OperatorAddress)
+	return err == nil && self.Leader != uint64(raft.None)
 }
 
-// suspectElections is for how many election timeouts a member must look removed
-// before it asks whether it was.
+// suspectElections is for how many election timeouts a member that still counts
+// itself must know no leader before it asks whether it was removed.
 const suspectElections = 5
 
 // noteRemoved has the member end as one that was removed.
@@ -78,44 +69,42 @@
 	}
 }
 
-// watchRemoval notes when the leader of the others does not count this member
-// any more. A removed member hears from no leader from then on and would
-// otherwise wait for ever.
+// watchRemoval notes when the group has removed this member. A removed member
+// hears from no leader from then on and would otherwise wait for ever.
+//
+// It asks to be taken in: that reaches the leader through any member, changes
+// nothing for one that still counts, and is refused for good only once the
+// removal is committed. So no disk is given up that a quorum may need.
 func (m *member) watchRemoval(ctx context.Context) {
+	client, err := m.joinClient()
+	if err != nil {
+		return // there is no other member to ask
+	}
 	suspect := 0
 	for pause.For(ctx, m.config.Durations.Election) {
-		if !looksRemoved(m.replica.Status()) {
+		status := m.replica.Status()
+		switch {
+		case len(status.Configuration.Voters) == 0:
+			suspect = 0 // has yet to join
+			continue
+		case !slices.Contains(allMembers(status.Configuration), status.ID):
+			// The log of a member that was there ends with its removal.
+		case status.Leader != raft.None:
 			suspect = 0
 			continue
+		default:
+			// The log of one that was away still counts it.
+			if suspect++; suspect%suspectElections != 0 {
+				continue
+			}
 		}
-		suspect++
-		if suspect%suspectElections == 0 && m.wasRemoved(ctx) {
+		if isRemoval(m.askToJoin(ctx, client)) {
 			m.noteRemoved()
 			return
 		}
 	}
 }
 
-// looksRemoved reports whether the member's own log says that it may have been
-// removed. The log of a member that was away when it was removed still counts
-// it, and the member knows no leader. The log of one that was there ends with
-// the removal, and the leader that it last heard of stays known, since a member
-// outside of the configuration stands for no election.
-func looksRemoved(status raft.Status) bool {
-	if len(status.Configuration.Voters) == 0 {
-		return false // has yet to join
-	}
-	return status.Leader == raft.None || !slices.Contains(allMembers(status.Configuration), status.ID)
-}
-
-func (m *member) wasRemoved(ctx context.Context) bool {
-	return slices.ContainsFunc(askOthers(ctx, m.config), func(self operatorapi.MemberSelf) bool {
-		id := operatorapi.MemberID(m.id)
-		counted := slices.Contains(self.Voters, id) || slices.Contains(self.Learners, id)
-		return self.Role == operatorapi.MemberLeader && self.Term >= m.replica.Status().Term && !counted
-	})
-}
-
 // endRemoved empties the data folder of a member that was removed, if it is to
 // join again; the next start then draws a new identity.
 func (m *member) endRemoved() error {
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -46,8 +46,12 @@
 		if err == nil || errors.Is(err, ErrConfig) || errors.Is(err, ErrRemoved) && !config.Join || ctx.Err() != nil {
 			return err
 		}
-		event.ControlReopens.Log(logger, "err", err, "pause", storagePause)
-		if !pause.For(ctx, storagePause) {
+		before := storagePause
+		if errors.Is(err, ErrRemoved) {
+			before = joinPause
+		}
+		event.ControlReopens.Log(logger, "err", err, "pause", before)
+		if !pause.For(ctx, before) {
 			return nil
 		}
 	}
