Ask the members that the state records to be taken in, not the settings' alone

A member that lives long and is dropped would ask only those that its settings named at its start; where these have all been replaced since, nobody answers. The state records where the members are. Seen to fail first: TestOthersAreThoseOfTheSettingsAndTheState.

--- a/process/control/founding.go
+++ b/process/control/founding.go
@@ -146,7 +146,7 @@
 	return !status.ConfigurationPending && slices.Contains(allMembers(status.Configuration), m.id)
 }
 
-// joinClient asks the other members that the settings name.
+// joinClient asks the other members that are known by now.
 func (m *member) joinClient() (*operator.Client, error) {
 	return operator.New(operator.Config{Members: m.otherOperators(), AttemptTimeout: m.config.Durations.Proposal})
 }
@@ -186,11 +186,23 @@
 	}
 }
 
+// otherOperators returns where the other members take requests, as far as the
+// settings or the group's state tell.
 func (m *member) otherOperators() []string {
 	var addresses []string
+	add := func(address string) {
+		if address != "" && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
 	for _, configured := range m.config.Members {
 		if configured.Name != m.config.Name {
-			addresses = append(addresses, configured.OperatorAddress)
+			add(configured.OperatorAddress)
+		}
+	}
+	for _, recorded := range m.machine.members() {
+		if recorded.Name != m.config.Name {
+			add(recorded.OperatorAddress)
 		}
 	}
 	return addresses
--- a/process/control/membership_test.go
+++ b/process/control/membership_test.go
@@ -83,3 +83,18 @@
 	lost, _ = look(8*time.Second, heard(2, 3, 4))
 	must.Eq(t, raft.None, lost)
 }
+
+// A member asks whoever its settings name and whoever the group's state records:
+// after a long life the settings may name machines that are gone.
+func TestOthersAreThoseOfTheSettingsAndTheState(t *testing.T) {
+	m := &member{
+		id:      4,
+		machine: newMachine(),
+		config:  Config{Name: "self", Members: []Member{{Name: "self", OperatorAddress: "s"}, {Name: "seed", OperatorAddress: "a"}}},
+	}
+	must.Eq(t, []string{"a"}, m.otherOperators())
+	for i, recorded := range []state.Member{{ID: 1, Name: "seed", OperatorAddress: "a"}, {ID: 2, Name: "later", OperatorAddress: "b"}, {ID: 3, Name: "gone", OperatorAddress: "c", Removed: true}, {ID: 4, Name: "self", OperatorAddress: "s"}} {
+		m.machine.apply(raft.Entry{Term: 1, Index: uint64(i) + 1}, memberCommand(recorded))
+	}
+	must.Eq(t, []string{"a", "b"}, m.otherOperators())
+}
--- a/process/control/recovery.go
+++ b/process/control/recovery.go
@@ -76,10 +76,6 @@
 // nothing for one that still counts, and is refused for good only once the
 // removal is committed. So no disk is given up that a quorum may need.
 func (m *member) watchRemoval(ctx context.Context) {
-	client, err := m.joinClient()
-	if err != nil {
-		return // there is no other member to ask
-	}
 	suspect := 0
 	for pause.For(ctx, m.config.Durations.Election) {
 		status := m.replica.Status()
@@ -98,7 +94,7 @@
 				continue
 			}
 		}
-		if isRemoval(m.askToJoin(ctx, client)) {
+		if client, err := m.joinClient(); err == nil && isRemoval(m.askToJoin(ctx, client)) {
 			m.noteRemoved()
 			return
 		}
