Tell a stream that its caller left from one whose time was over

The callers had left; the reason was asked for only before the first byte of an answer. An on-call engineer would have looked for a deadline.

Change: status 499 and caller_gone then, in the log and in the metrics. Nothing changes on the wire: the connection is cut as before. Seen to fail first: TestLogTellsWhoEndedAStream.

--- a/process/ingress/log_test.go
+++ b/process/ingress/log_test.go
@@ -1,7 +1,11 @@
 package ingress
 
 import (
+	"bufio"
 	"bytes"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -47,3 +51,44 @@
 	must.StrContains(t, lines.String(), "request=q generation=3 stage=read replica=read unread=9000")
 	must.StrContains(t, lines.String(), "request=q generation=3 stage=run replica=make unread=0")
 }
+
+// A stream that ends early tells whose doing it was: the caller's, who left, or
+// the time's, which was over.
+func TestLogTellsWhoEndedAStream(t *testing.T) {
+	cases := []struct {
+		name   string
+		within string
+		leaves bool
+		want   []string
+	}{
+		{"the caller left", "20000", true, []string{"status=499", "caller_gone"}},
+		{"the time was over", "150", false, []string{"status=0", "cut:time"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var lines sharedBuffer
+			replica := newFakeReplica(t, "r-1", func(w http.ResponseWriter, r *http.Request) {
+				streamEvents(1, "")(w, r)
+				<-r.Context().Done()
+			})
+			w := newWorld(t, replica)
+			w.ingress.logger = log.NewLogfmtLogger(&lines)
+			conn, err := net.Dial("tcp", w.server.Listener.Addr().String())
+			must.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "POST /stream/ HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n"+testID+": q\r\n"+testWithin+": "+c.within+"\r\n\r\n")
+			must.NoError(t, err)
+			read := bufio.NewScanner(conn)
+			for read.Scan() && !strings.HasPrefix(read.Text(), "data:") {
+				continue
+			}
+			if c.leaves {
+				must.NoError(t, conn.Close())
+			}
+			eventually(t, "a line", func() bool { return strings.Contains(lines.String(), "name=request_failed") })
+			for _, part := range c.want {
+				must.StrContains(t, lines.String(), part)
+			}
+		})
+	}
+}
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -139,14 +139,14 @@
 // has gone.
 func (s *session) interrupted(ctx context.Context) int {
 	ran := s.life.GiveUp()
-	if s.headSent {
-		s.trace.WriteString(" cut:time")
-		return 0
-	}
 	if context.Cause(ctx) != errTimeout {
 		s.trace.WriteString(" caller_gone")
 		return statusCallerGone
 	}
+	if s.headSent {
+		s.trace.WriteString(" cut:time")
+		return 0
+	}
 	if ran == attempt.RanNo {
 		return s.refuse(http.StatusServiceUnavailable, "timeout", s.retryAfter())
 	}
