Let a founder found once in its life, whatever its settings go on saying

When everything lost power at the end, two members of the first group followed the second one and stopped at "message contradicts committed entries".

Ruled out: the agreement itself (the second group's log begins at term 1, index 1, under a new identity with itself as the only voter).

Change: after a removal a member is not told to found; and whoever is told so and has an empty folder first asks the members of its settings: if one of them knows voters, the group exists, and this member joins it. The second alone would do, also for a stale setting after a restart; both are kept.

Seen to fail first: TestRemovedFounderJoinsTheGroupThatItFounded, TestFounderFoundsNoSecondGroup. The courses of losses had taken the founder's flag away, which hid it: they leave it now.

--- a/process/control/course_test.go
+++ b/process/control/course_test.go
@@ -46,7 +46,6 @@
 			}
 			c.start(0, 1, 2, 3, 4)
 			c.awaitWhole()
-			c.configs[0].Found = false // a founder is told so once
 			for range courseSteps {
 				c.step()
 				c.awaitWhole()
--- a/process/control/founding.go
+++ b/process/control/founding.go
@@ -37,7 +37,7 @@
 // configuration returns the configuration to start with; it is empty for a
 // member that has to join. The error is that of ctx.
 func (e *entry) configuration(ctx context.Context) (raft.Configuration, error) {
-	if e.config.Found {
+	if e.config.Found && !e.groupExists(ctx) {
 		return raft.Configuration{Voters: []raft.MemberID{e.self}}, nil
 	}
 	if e.config.Join {
@@ -54,6 +54,21 @@
 	}
 }
 
+// groupExists reports whether another configured member belongs to a group: then
+// this one has founded it before, and was emptied since. One that waits to be
+// taken in knows no voters.
+func (e *entry) groupExists(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, e.config.Durations.Election)
+	defer cancel()
+	return slices.ContainsFunc(e.config.Members, func(configured Member) bool {
+		if configured.Name == e.config.Name {
+			return false
+		}
+		self, err := askMember(ctx, configured.OperatorAddress)
+		return err == nil && len(self.Voters) > 0
+	})
+}
+
 // round asks every other configured member once.
 func (e *entry) round(ctx context.Context) (raft.Configuration, bool) {
 	voters := []raft.MemberID{e.self}
--- a/process/control/ingress_test.go
+++ b/process/control/ingress_test.go
@@ -231,6 +231,49 @@
 	must.NotEq(t, dropped.member.id, g.running[4].member.id)
 }
 
+// A founder is told so at its first start. When it has lost its disk, or was
+// removed, it joins the group that it founded, even if it is still told so.
+func TestFounderFoundsNoSecondGroup(t *testing.T) {
+	g := newGrowing(t, 5, 3, 2)
+	g.start(0, 1, 2, 3, 4)
+	g.awaitVoters(5, 0, 1, 2, 3, 4)
+	must.True(t, g.configs[0].Found)
+	g.crash(0)
+	g.loseDisk(0)
+	g.start(0)
+	g.awaitVoters(5, 0, 1, 2, 3, 4)
+}
+
+func TestRemovedFounderJoinsTheGroupThatItFounded(t *testing.T) {
+	g := newGrowing(t, 5, 3, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- RunAgain(ctx, g.configs[0], nopLogger{}) }()
+	g.start(1, 2, 3, 4)
+	g.awaitVoters(5, 1, 2, 3, 4)
+	idOfFounder := func() uint64 {
+		status, _ := g.status()
+		for _, member := range status.Members {
+			if member.Name == g.configs[0].Name {
+				return member.ID
+			}
+		}
+		return 0
+	}
+	old := idOfFounder()
+	eventually(t, "the removal", func() bool {
+		request := operatorapi.MemberRequest{Action: operatorapi.MemberRemove, ID: operatorapi.MemberID(old)}
+		return g.call(1, http.MethodPost, operatorapi.PathMembers, request, nil) == http.StatusOK
+	})
+	eventually(t, "the founder under another identity", func() bool {
+		var self operatorapi.MemberSelf
+		return g.call(0, http.MethodGet, operatorapi.PathMemberStatus, nil, &self) == http.StatusOK &&
+			self.ID != old && len(self.Voters) == 5 && idOfFounder() == self.ID
+	})
+	cancel()
+	must.NoError(t, <-ended)
+}
+
 // Whether a damaged folder may be emptied must not depend on who leads the others.
 func TestDamagedFolderIsDiscardedUnderALeaderThatItsSettingsDoNotName(t *testing.T) {
 	g := newGrowing(t, 5, 3, 2)
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -49,6 +49,7 @@
 		before := storagePause
 		if errors.Is(err, ErrRemoved) {
 			before = joinPause
+			config.Found = false // what it founded goes on without it
 		}
 		event.ControlReopens.Log(logger, "err", err, "pause", before)
 		if !pause.For(ctx, before) {
