--- a/connection/feed/placementrelay_test.go
+++ b/connection/feed/placementrelay_test.go
@@ -171,7 +171,9 @@
 func TestSilentLeaderIsPassedBy(t *testing.T) {
 	group := newAskedGroup()
 	group.mute = make(chan struct{})
+	unmute := sync.OnceFunc(func() { close(group.mute) })
 	_, leader := startServer(t, group)
+	t.Cleanup(unmute) // a server ends only once its questions do
 	group.put("water")
 	holder := view.NewHolder()
 	passing := startRelayedClient(t, "proxy-b", leader, newCuttable(), holder)
@@ -192,7 +194,7 @@
 	}
 	eventually(t, "another daemon passes on", func() bool { return place() == nil })
 	must.True(t, asking.session.Load() == first, must.Sprint("the leader's connection stands"))
-	close(group.mute)
+	unmute()
 	eventually(t, "the leader is asked again", func() bool {
 		return asking.leaderPlaces() != nil && asking.standby.Load() == nil && place() == nil
 	})
