Let a replica's next answer end the suspicion against it

Three things kept it so: success left the time of the suspicion as it was; all requests that a replica had when it failed doubled it one after the other, to 8 s at once; and once it was over all requests went there together.

Change: any answer ends a suspicion, on the board and in a proxy's own view; only a request that was placed after the last suspicion makes the next one longer; after it a single request shows whether the replica is back.

--- a/process/control/placement.go
+++ b/process/control/placement.go
@@ -54,6 +54,19 @@
 	}
 }
 
+// summaries returns what the boards show, by service; idle ones are left out.
+func (d *placementDesk) summaries(now time.Duration) map[string]placement.Summary {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	shown := map[string]placement.Summary{}
+	for service, board := range d.boards {
+		if made := board.Summarize(now); made.InFlight > 0 || made.Answers != (placement.Answers{}) {
+			shown[service] = made
+		}
+	}
+	return shown
+}
+
 // update takes in a new view; the lock is held.
 func (d *placementDesk) update(current *view.View) {
 	if current.Version == d.version {
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -291,6 +291,7 @@
 	m.background.Go(func() { m.findAddresses(work) })
 	m.background.Go(func() { m.join(work) })
 	m.background.Go(func() { m.duties.run(work) })
+	m.background.Go(func() { m.group.Load().logBoards(work) })
 	for _, extension := range m.config.Extensions {
 		m.background.Go(func() { extension(work, &Access{member: m}) })
 	}
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -42,7 +42,7 @@
 	// failureRate is the recent share of answers that were failures.
 	failureRate float64
 	suspicion   time.Duration
-	suspectTill time.Duration
+	suspectTill time.Duration // 0 once anything has come from the replica since
 	cache       cacheGuess
 }
 
@@ -85,14 +85,14 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	sent.started = true
-	r.heardAt = now
+	r.heardAt, r.suspectTill = now, 0
 }
 
 // hear takes in a load that came with an answer.
 func (r *replica) hear(load *Load, now time.Duration) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.heardAt = now
+	r.heardAt, r.suspectTill = now, 0
 	if load != nil {
 		r.load, r.loadAt = *load, now
 	}
@@ -119,13 +119,17 @@
 	return r.failureRate < reliableRate
 }
 
-// suspect passes the replica over for a while: it gave no answer.
+// suspect passes the replica over for a while: it gave no answer. What else fails while
+// it is passed over tells the same again, and lengthens nothing.
 func (r *replica) suspect(now time.Duration) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	r.failureRate += failureWeight * (1 - r.failureRate)
+	if now < r.suspectTill {
+		return
+	}
 	r.suspicion = min(max(2*r.suspicion, firstSuspicion), maxSuspicion)
 	r.suspectTill = now + r.suspicion
-	r.failureRate += failureWeight * (1 - r.failureRate)
 }
 
 // silentSince reports whether nothing has come from the replica since then.
--- /dev/null
+++ b/process/ingress/replica_test.go
@@ -0,0 +1,31 @@
+package ingress
+
+import (
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/shoenig/test/must"
+)
+
+// A replica that lost one answer and gives the next is not passed over.
+func TestSuspicionEndsWithAnyAnswer(t *testing.T) {
+	r := newReplica("r-1", api.ReplicaSpec{})
+	sent := r.begin(0, 0)
+	r.suspect(time.Millisecond)
+	must.True(t, r.isSuspect(2*time.Millisecond))
+	r.hear(nil, 3*time.Millisecond)
+	must.False(t, r.isSuspect(4*time.Millisecond))
+	r.suspect(5 * time.Millisecond)
+	r.start(sent, 6*time.Millisecond)
+	must.False(t, r.isSuspect(7*time.Millisecond))
+}
+
+// Requests that fail together lengthen a suspicion once.
+func TestFailuresTogetherAreOneSuspicion(t *testing.T) {
+	r := newReplica("r-1", api.ReplicaSpec{})
+	for at := range time.Duration(20) {
+		r.suspect(at * time.Millisecond)
+	}
+	must.False(t, r.isSuspect(firstSuspicion))
+}
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -45,6 +45,7 @@
 	objective objective
 	fairness  map[class]*fairness
 	expireAt  time.Duration // when requests are next looked at that may be lost
+	answers   Answers       // since the last summary
 }
 
 // placed is one request in flight.
@@ -80,9 +81,11 @@
 	foreign   int
 	foreignAt time.Duration
 
-	suspicion   time.Duration
+	suspicion   time.Duration // how long the last one lasts; 0 once the replica has answered
 	refusal     time.Duration // how long the last refusal counts
+	suspectedAt time.Duration
 	suspectTill time.Duration
+	trial       *placed // the request that shows whether a suspect answers again
 	failureRate float64
 }
 
@@ -123,6 +126,12 @@
 // Place decides where the request goes and counts it there until it ends; one
 // that is to wait is counted nowhere.
 func (b *Board) Place(now time.Duration, key Key, ask Ask) Answer {
+	answer := b.place(now, key, ask)
+	b.answers.count(&answer)
+	return answer
+}
+
+func (b *Board) place(now time.Duration, key Key, ask Ask) Answer {
 	b.expire(now)
 	b.end(now, key)
 	chosen, found := b.chooseInOrder(now, &ask)
@@ -143,6 +152,8 @@
 	p.reading = chosen.unread
 	p.unreadAt.enqueue(now, p, b.paces[p.unreadAt.Role].perToken())
 	p.runningAt.running[p] = struct{}{}
+	p.unreadAt.try(p)
+	p.runningAt.try(p)
 	p.unreadAt.cache.expect(ask.Parts)
 	b.placed[key] = p
 	return p.answer
@@ -179,11 +190,11 @@
 
 // Note takes in how far a request has come.
 func (b *Board) Note(now time.Duration, key Key, note Note) {
+	p := b.placed[key]
 	switch note.Step {
 	case StepFailed, StepErred, StepRefused:
-		b.fail(now, note)
+		b.fail(now, note, p)
 	}
-	p := b.placed[key]
 	if p == nil {
 		return
 	}
@@ -267,6 +278,8 @@
 	if p.unreadAt != nil {
 		b.unqueue(now, p)
 	}
+	p.runningAt.endTrial(p)
+	b.replicas[p.answer.Reader].endTrial(p)
 	delete(p.runningAt.running, p)
 	delete(b.placed, key)
 }
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -170,7 +170,7 @@
 	best := map[string]keeper{}
 	for _, name := range b.names {
 		candidate := b.replicas[name]
-		if candidate.Leaving || now < candidate.suspectTill || b.isChanging(now, candidate) {
+		if candidate.Leaving || candidate.isDoubted(now) || b.isChanging(now, candidate) {
 			continue
 		}
 		tokens := candidate.cache.leading(ask.Parts)
@@ -224,7 +224,7 @@
 // failureTime is what the replica's failures make it cost.
 func (r *replica) failureTime(now time.Duration) time.Duration {
 	cost := time.Duration(r.failureRate * float64(failureCost))
-	if now < r.suspectTill {
+	if r.isDoubted(now) {
 		cost += suspectCost
 	}
 	return cost
--- a/request/placement/failure.go
+++ b/request/placement/failure.go
@@ -17,9 +17,10 @@
 	failureWeight = 0.2
 )
 
-// fail notes a replica's failure. One that answers, if only with failures, is
-// not suspected to be gone.
-func (b *Board) fail(now time.Duration, note Note) {
+// fail notes a replica's failure; p is the request that it failed, nil if the board
+// does not know it any more. One that answers, if only with failures, is not suspected
+// to be gone.
+func (b *Board) fail(now time.Duration, note Note, p *placed) {
 	failed := b.replicas[note.Replica]
 	if failed == nil {
 		return
@@ -27,13 +28,44 @@
 	failed.failureRate += failureWeight * (1 - failed.failureRate)
 	switch note.Step {
 	case StepErred:
-		return
+		failed.suspicion, failed.suspectTill = 0, 0
 	case StepRefused:
 		failed.refuse(now)
+	default:
+		failed.suspect(now, p)
+	}
+}
+
+// suspect keeps requests off a replica that gave no answer. All that it had when it
+// fell silent fails one after the other, and tells the same once: only a request that
+// was placed after the last suspicion makes the next one longer.
+func (r *replica) suspect(now time.Duration, p *placed) {
+	if p != nil && r.suspicion > 0 && p.at < r.suspectedAt {
 		return
 	}
-	failed.suspicion = min(max(2*failed.suspicion, firstSuspicion), maxSuspicion)
-	failed.suspectTill = now + failed.suspicion
+	r.suspicion = min(max(2*r.suspicion, firstSuspicion), maxSuspicion)
+	r.suspectedAt, r.suspectTill = now, now+r.suspicion
+}
+
+// isDoubted reports whether requests are kept off the replica: it has lately given no
+// answer, or the one request that is to show whether it answers again is under way.
+func (r *replica) isDoubted(now time.Duration) bool {
+	return now < r.suspectTill || r.suspicion > 0 && r.trial != nil
+}
+
+// try notes a request that is placed on the replica. After a suspicion the first one is
+// a trial, and until it has ended others are kept off.
+func (r *replica) try(p *placed) {
+	if r.suspicion > 0 && r.trial == nil {
+		r.trial = p
+	}
+}
+
+// endTrial notes that a request has ended.
+func (r *replica) endTrial(p *placed) {
+	if r != nil && r.trial == p {
+		r.trial = nil
+	}
 }
 
 // refuse keeps requests off a replica that refuses them: as long as it runs
@@ -47,9 +79,11 @@
 	r.suspectTill = now + r.refusal
 }
 
-// succeed notes that the replica did what it was asked for.
+// succeed notes that the replica did what it was asked for: whatever it has left
+// unanswered, it is there.
 func (r *replica) succeed() {
 	r.failureRate *= 1 - failureWeight
-	r.suspicion = 0
-	r.refusal = 0
+	r.suspicion, r.refusal = 0, 0
+	r.suspectTill = 0
+	r.trial = nil
 }
