Elect a leader at once after a stop of the whole group, and keep its proxies named

Each waits out an election timeout from its start, since it may have promised a lease just before it. Then the leader removed all 295 proxies, for they said that they were not ready yet, and took 0.4 s to name them again.

Ruled out: reading the log back (the state stands when the member says that it started).

Change: where only their start keeps voters from voting, an election may be held that the votes of all voters of the latest and the committed configuration win (invariant at electionByAll: whoever holds a lease has voted as well, and so gives it up). A dial of a member takes 250 ms at most, and so does the pause before the next. A proxy is removed when it says that it stops, no more when it is not ready. Callers of a proxy without routes are told to come back after 0.3 to 0.6 s, no more 1 to 1.5 s.

--- a/connection/feed/messages.go
+++ b/connection/feed/messages.go
@@ -11,7 +11,7 @@
 )
 
 // Protocol is the preface of every feed connection.
-var Protocol = frame.Protocol{ID: 2, Version: 5}
+var Protocol = frame.Protocol{ID: 2, Version: 6}
 
 // Kinds of frames. A subscriber sends Subscribe first and once.
 const (
@@ -80,8 +80,10 @@
 	// Address is where callers reach the proxy, IP and port.
 	Address string
 	Zone    string
-	// Ready is false before the proxy can serve and from its planned stop on.
-	Ready bool
+	// Ready is false before the proxy can serve and from its planned stop on, Stopping
+	// true from that on.
+	Ready    bool
+	Stopping bool
 }
 
 func encodePresence(message Presence) []byte {
@@ -90,12 +92,13 @@
 	encoder.String(message.Address)
 	encoder.String(message.Zone)
 	encoder.Bool(message.Ready)
+	encoder.Bool(message.Stopping)
 	return encoder.Data()
 }
 
 func decodePresence(data []byte) (Presence, error) {
 	decoder := frame.NewDecoder(data)
-	message := Presence{Proxy: decoder.String(), Address: decoder.String(), Zone: decoder.String(), Ready: decoder.Bool()}
+	message := Presence{Proxy: decoder.String(), Address: decoder.String(), Zone: decoder.String(), Ready: decoder.Bool(), Stopping: decoder.Bool()}
 	return message, decoder.Finish()
 }
 
--- a/connection/peer/inbound.go
+++ b/connection/peer/inbound.go
@@ -83,7 +83,7 @@
 func (t *Transport) serveInbound(conn net.Conn) {
 	defer t.unregister(conn)
 	writer := frame.NewWriter(conn, Protocol, t.config.WriteTimeout)
-	reader := frame.NewReader(conn, Protocol, handshakeBytes, t.config.DialTimeout)
+	reader := frame.NewReader(conn, Protocol, handshakeBytes, t.config.HandshakeTimeout)
 	greeting, err := t.welcome(writer, reader)
 	if err != nil {
 		address := conn.RemoteAddr().String()
@@ -208,7 +208,7 @@
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	writer := frame.NewWriter(conn, Protocol, config.WriteTimeout)
-	reader := frame.NewReader(conn, Protocol, handshakeBytes, config.DialTimeout)
+	reader := frame.NewReader(conn, Protocol, handshakeBytes, config.HandshakeTimeout)
 	answer, err := greet(writer, reader, hello{group: group, lane: laneProbe})
 	return Identity{Group: answer.group, Member: answer.member, Initialized: answer.initialized}, err
 }
--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -110,7 +110,7 @@
 	unregister := context.AfterFunc(ctx, func() { conn.Close() })
 	defer unregister()
 	writer := frame.NewWriter(conn, Protocol, config.WriteTimeout)
-	reader := frame.NewReader(conn, Protocol, handshakeBytes, config.DialTimeout)
+	reader := frame.NewReader(conn, Protocol, handshakeBytes, config.HandshakeTimeout)
 	greeting := hello{group: config.Group, sender: config.ID, receiver: s.member, lane: s.lane}
 	if _, err := greet(writer, reader, greeting); err != nil {
 		return 0, err
@@ -131,7 +131,7 @@
 }
 
 func connect(ctx context.Context, config Config, address string) (net.Conn, error) {
-	dialContext, cancel := context.WithTimeout(ctx, config.DialTimeout)
+	dialContext, cancel := context.WithTimeout(ctx, config.ConnectTimeout)
 	defer cancel()
 	conn, err := config.Dial(dialContext, address)
 	return conn, errors.WithStack(err)
--- a/connection/peer/transport.go
+++ b/connection/peer/transport.go
@@ -19,12 +19,13 @@
 	DefaultMaxMessageBytes  = 16 << 20
 	DefaultMaxSnapshotBytes = 256 << 20
 	DefaultMaxConnections   = 64
-	DefaultDialTimeout      = time.Second
+	DefaultConnectTimeout   = 250 * time.Millisecond
+	DefaultHandshakeTimeout = time.Second
 	DefaultWriteTimeout     = 2 * time.Second
 	DefaultPingInterval     = 500 * time.Millisecond
 	DefaultAnswerTimeout    = 2 * time.Second
 	DefaultMinBackoff       = 20 * time.Millisecond
-	DefaultMaxBackoff       = time.Second
+	DefaultMaxBackoff       = 250 * time.Millisecond
 )
 
 // EventKind tells what happened to a connection.
@@ -59,12 +60,16 @@
 	MaxSnapshotBytes int    // larger snapshots are refused by the receiver
 	MaxConnections   int    // incoming connections at a time
 
-	DialTimeout   time.Duration // also for the handshake
-	WriteTimeout  time.Duration
-	PingInterval  time.Duration
-	AnswerTimeout time.Duration // without an answer for so long the connection is closed
-	MinBackoff    time.Duration
-	MaxBackoff    time.Duration
+	// ConnectTimeout bounds one try to connect. A machine without power says nothing, and
+	// the first packet to one that comes up meanwhile is lost: what a member is to answer
+	// to it waits until the next try. It must be longer than a round trip.
+	ConnectTimeout   time.Duration
+	HandshakeTimeout time.Duration
+	WriteTimeout     time.Duration
+	PingInterval     time.Duration
+	AnswerTimeout    time.Duration // without an answer for so long the connection is closed
+	MinBackoff       time.Duration
+	MaxBackoff       time.Duration
 
 	// Initialized tells probes whether this member holds a group's log; nil
 	// stands for no.
@@ -81,7 +86,8 @@
 	c.MaxMessageBytes = cmp.Or(c.MaxMessageBytes, DefaultMaxMessageBytes)
 	c.MaxSnapshotBytes = cmp.Or(c.MaxSnapshotBytes, DefaultMaxSnapshotBytes)
 	c.MaxConnections = cmp.Or(c.MaxConnections, DefaultMaxConnections)
-	c.DialTimeout = cmp.Or(c.DialTimeout, DefaultDialTimeout)
+	c.ConnectTimeout = cmp.Or(c.ConnectTimeout, DefaultConnectTimeout)
+	c.HandshakeTimeout = cmp.Or(c.HandshakeTimeout, DefaultHandshakeTimeout)
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
 	c.PingInterval = cmp.Or(c.PingInterval, DefaultPingInterval)
 	c.AnswerTimeout = cmp.Or(c.AnswerTimeout, DefaultAnswerTimeout)
--- a/process/control/fleet.go
+++ b/process/control/fleet.go
@@ -211,8 +211,10 @@
 	}
 }
 
-// diffProxies adds the proxies that are ready and removes those that say that
-// they are not, and, when settled, those that say nothing.
+// diffProxies adds the proxies that are ready and removes those that say that they
+// stop, and, when settled, those that say nothing. One that is recorded and only starts
+// again is ready before callers would have found another one: to remove it would, after
+// a stop of everything, leave callers with nobody to go to.
 func diffProxies(seen *state.Observe, current *view.View, heard map[string]feed.Presence, settled bool) {
 	for _, name := range slices.Sorted(maps.Keys(heard)) {
 		presence := heard[name]
@@ -225,7 +227,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(current.Proxies)) {
 		presence, spoke := heard[name]
-		if spoke && !presence.Ready || !spoke && settled {
+		if spoke && presence.Stopping || !spoke && settled {
 			seen.Removed = append(seen.Removed, api.Key{Kind: api.KindProxy, Name: name})
 		}
 	}
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -95,7 +95,10 @@
 
 // presence is what the ingress says of itself to the control group.
 func (i *Ingress) presence() feed.Presence {
-	return feed.Presence{Proxy: i.config.Name, Address: i.config.ListenAddress, Zone: i.config.Zone, Ready: i.Ready()}
+	return feed.Presence{
+		Proxy: i.config.Name, Address: i.config.ListenAddress, Zone: i.config.Zone,
+		Ready: i.Ready(), Stopping: i.stopping.Load(),
+	}
 }
 
 // ServeHTTP takes one caller's request.
@@ -141,14 +144,14 @@
 	return &ownRefusal{status: http.StatusNotFound, cause: "no_route"}
 }
 
-// startPause is when a process that has just started will know the routes: a
-// group that was stopped as a whole takes about a second to serve again. Callers
-// come back spread out.
+// startPause is when a process that has just started will know the routes: a group that
+// was stopped as a whole serves again 0.2 to 0.4 s after its start. Callers come back
+// spread out.
 func startPause() time.Duration {
-	return minimumStartPause + rand.N(minimumStartPause/2)
+	return minimumStartPause + rand.N(minimumStartPause)
 }
 
-const minimumStartPause = time.Second
+const minimumStartPause = 300 * time.Millisecond
 
 // read takes the caller's request in whole.
 func (i *Ingress) read(w http.ResponseWriter, r *http.Request, routes *routeTable) (Call, *ownRefusal) {
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -20,7 +20,7 @@
 const (
 	beatInterval   = 350 * time.Millisecond
 	silenceTimeout = 1000 * time.Millisecond
-	dialTimeout    = 500 * time.Millisecond
+	dialTimeout    = 250 * time.Millisecond
 	maxBackoff     = 200 * time.Millisecond
 )
 
--- a/process/raft/codec_test.go
+++ b/process/raft/codec_test.go
@@ -11,6 +11,7 @@
 	return []Message{
 		{Kind: MessagePreVote, From: 1, To: 2, Term: 3, Index: 4, LogTerm: 2},
 		{Kind: MessageVote, From: 1, To: 2, Term: 3, Transfer: true},
+		{Kind: MessagePreVoteReply, From: 1, To: 2, Term: 3, Unled: true},
 		{Kind: MessageAppend, From: 1, To: 2, Term: 3, Index: 1, LogTerm: 1, Commit: 1, Entries: []Entry{
 			{Term: 2, Index: 2, Kind: EntryCommand, Data: []byte("command")},
 			{Term: 3, Index: 3, Kind: EntryEmpty},
--- a/process/raft/election.go
+++ b/process/raft/election.go
@@ -1,6 +1,9 @@
 package raft
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // promotable tells whether the member may campaign: it votes in the latest
 // configuration or in the committed one. The second matters for a member whose
@@ -35,10 +38,27 @@
 	return n.role == Leader || n.now < n.leaderContact+n.config.ElectionTimeout
 }
 
-// resetElectionDeadline waits for between one and two election timeouts from now.
+// isUnled tells whether the member is guarded by its start alone: it may have promised a
+// lease just before, to whom it does not know, and has heard of no leader since.
+func (n *Node) isUnled() bool { return n.leaseGuarded() && n.role != Leader && !n.heardLeader }
+
+// Parts of an election timeout after which a member that is unled asks for votes: at
+// least one in unledLeast, and up to one in unledSpread more: some 200 ms of spread, where
+// an election takes 10, keep two from asking at once four times in five.
+const (
+	unledLeast  = 16
+	unledSpread = 2
+)
+
+// resetElectionDeadline waits for between one and two election timeouts from now, and
+// for much less while the member is unled.
 func (n *Node) resetElectionDeadline() {
 	timeout := n.config.ElectionTimeout
-	n.electionDeadline = n.now + timeout + time.Duration(n.random.Int64N(int64(timeout)))
+	least, spread := timeout, timeout
+	if n.isUnled() {
+		least, spread = timeout/unledLeast, timeout/unledSpread
+	}
+	n.electionDeadline = n.now + least + time.Duration(n.random.Int64N(int64(max(spread, 1))))
 }
 
 // becomeFollower enters term, where it is newer, and follows leader, None when
@@ -65,6 +85,7 @@
 		n.becomeFollower(n.term, leader)
 	}
 	n.leaderContact = n.now
+	n.heardLeader = true
 	n.resetElectionDeadline()
 }
 
@@ -75,17 +96,37 @@
 	n.leaderID = None
 	n.resetElectionDeadline()
 	n.ballots = map[MemberID]bool{n.config.ID: true}
+	n.unledVoters = map[MemberID]bool{}
 	if n.electionWon() {
-		n.startElection(false)
+		n.startElection(electionByQuorum)
 		return
 	}
-	n.requestVotes(MessagePreVote, n.term+1, false)
+	n.requestVotes(MessagePreVote, n.term+1, electionByQuorum)
 }
 
+// electionKind tells what a candidate may count on.
+type electionKind uint8
+
+const (
+	// electionByQuorum is won by a quorum of voters who have promised no lease.
+	electionByQuorum electionKind = iota
+	// electionByTransfer is won by a quorum as well: the leader that holds the lease
+	// asked for it.
+	electionByTransfer
+	// electionByAll is won by the votes of all voters, and is held where only their
+	// start keeps some of them from voting, as after a stop of the whole group.
+	//
+	// Invariant: no lease is broken by it. Whoever holds a lease is a voter of the
+	// latest configuration or of the committed one, so it has voted as well, and a
+	// leader that votes in a later term leads no more.
+	electionByAll
+)
+
 // startElection raises the term and asks for votes in it. The member's own vote
 // is synced with the Ready that lets the requests go.
-func (n *Node) startElection(transfer bool) {
+func (n *Node) startElection(kind electionKind) {
 	n.role = Candidate
+	n.election = kind
 	n.term++
 	n.vote = n.config.ID
 	n.leaderID = None
@@ -95,11 +136,15 @@
 		n.becomeLeader()
 		return
 	}
-	n.requestVotes(MessageVote, n.term, transfer)
+	n.requestVotes(MessageVote, n.term, kind)
 }
 
-func (n *Node) requestVotes(kind MessageKind, term uint64, transfer bool) {
-	for _, voter := range n.configurations.latest().configuration.Voters {
+func (n *Node) requestVotes(kind MessageKind, term uint64, election electionKind) {
+	voters := n.configurations.latest().configuration.Voters
+	if kind == MessagePreVote || election == electionByAll {
+		voters = n.allVoters()
+	}
+	for _, voter := range voters {
 		if voter == n.config.ID {
 			continue
 		}
@@ -109,11 +154,24 @@
 			Term:     term,
 			Index:    n.log.lastIndex(),
 			LogTerm:  n.log.lastTerm(),
-			Transfer: transfer,
+			Transfer: election == electionByTransfer,
+			Unled:    election == electionByAll,
 		})
 	}
 }
 
+// allVoters returns the voters of the latest configuration, and those of the committed
+// one that it lacks.
+func (n *Node) allVoters() []MemberID {
+	voters := slices.Clone(n.configurations.latest().configuration.Voters)
+	for _, voter := range n.configurations.at(n.log.committed).Voters {
+		if !slices.Contains(voters, voter) {
+			voters = append(voters, voter)
+		}
+	}
+	return voters
+}
+
 // countBallots counts the answers of the latest configuration's voters.
 func (n *Node) countBallots() (granted, refused int) {
 	for _, voter := range n.configurations.latest().configuration.Voters {
@@ -133,10 +191,23 @@
 }
 
 func (n *Node) electionWon() bool {
+	if n.role == Candidate && n.election == electionByAll {
+		return n.allGrant(n.ballots)
+	}
 	granted, _ := n.countBallots()
 	return granted >= n.quorum()
 }
 
+// allGrant tells whether each voter has granted its vote, in one of the counts.
+func (n *Node) allGrant(counts ...map[MemberID]bool) bool {
+	for _, voter := range n.allVoters() {
+		if !slices.ContainsFunc(counts, func(count map[MemberID]bool) bool { return count[voter] }) {
+			return false
+		}
+	}
+	return true
+}
+
 // electionLost tells whether the voters that are left can't make a quorum.
 func (n *Node) electionLost() bool {
 	_, refused := n.countBallots()
@@ -155,9 +226,9 @@
 	if !n.mayVote() {
 		return
 	}
-	granted := m.Term > n.term && !n.leaseGuarded() && n.log.upToDate(m.LogTerm, m.Index)
+	granted := m.Term > n.term && (!n.leaseGuarded() || n.isUnled()) && n.log.upToDate(m.LogTerm, m.Index)
 	if granted {
-		n.send(Message{Kind: MessagePreVoteReply, To: m.From, Term: m.Term})
+		n.send(Message{Kind: MessagePreVoteReply, To: m.From, Term: m.Term, Unled: n.isUnled()})
 		return
 	}
 	n.send(Message{Kind: MessagePreVoteReply, To: m.From, Reject: true})
@@ -170,15 +241,29 @@
 	if !m.Reject && m.Term != n.term+1 {
 		return
 	}
-	n.ballots[m.From] = !m.Reject
+	if m.Unled {
+		n.unledVoters[m.From] = true
+	} else {
+		n.ballots[m.From] = !m.Reject
+	}
 	switch {
 	case n.electionWon():
-		n.startElection(false)
+		n.startElection(electionByQuorum)
+	case n.allGrant(n.ballots, n.unledVoters):
+		n.startElection(electionByAll)
 	case n.electionLost():
 		n.becomeFollower(n.term, None)
 	}
 }
 
+// guardedFrom tells whether a vote for the candidate could break a lease.
+func (n *Node) guardedFrom(m Message) bool {
+	if m.Transfer || m.Unled && n.isUnled() {
+		return false
+	}
+	return n.leaseGuarded()
+}
+
 // handleVote grants at most one vote a term. The vote is part of the HardState
 // that is synced before the reply is sent.
 func (n *Node) handleVote(m Message) {
@@ -186,8 +271,7 @@
 		return
 	}
 	free := n.vote == m.From || (n.vote == None && n.leaderID == None)
-	guarded := !m.Transfer && n.leaseGuarded()
-	granted := free && !guarded && n.log.upToDate(m.LogTerm, m.Index)
+	granted := free && !n.guardedFrom(m) && n.log.upToDate(m.LogTerm, m.Index)
 	if granted {
 		n.vote = m.From
 		n.resetElectionDeadline()
@@ -203,7 +287,7 @@
 	switch {
 	case n.electionWon():
 		n.becomeLeader()
-	case n.electionLost():
+	case n.electionLost(), n.election == electionByAll && m.Reject:
 		n.becomeFollower(n.term, None)
 	}
 }
--- a/process/raft/leadership.go
+++ b/process/raft/leadership.go
@@ -28,6 +28,7 @@
 
 func (n *Node) becomeLeader() {
 	n.role = Leader
+	n.heardLeader = true
 	n.leaderID = n.config.ID
 	n.ballots = nil
 	n.leadership = &leadership{
--- a/process/raft/node.go
+++ b/process/raft/node.go
@@ -39,8 +39,11 @@
 	// leaderContact is when the member last heard from a leader; a start counts
 	// as well, since the member may have answered a heartbeat just before it.
 	leaderContact    time.Duration
+	heardLeader      bool // since the start, or was it
 	electionDeadline time.Duration
 	ballots          map[MemberID]bool // answers in the running election or pre-election
+	unledVoters      map[MemberID]bool // who would vote if all others do, in a pre-election
+	election         electionKind      // the running one, of a Candidate
 	leadership       *leadership       // nil unless role is Leader
 
 	messages        []Message
@@ -244,7 +247,7 @@
 			return true // its term is the one asked for
 		}
 	case MessageVote:
-		if !m.Transfer && n.leaseGuarded() {
+		if n.guardedFrom(m) {
 			return false
 		}
 	}
--- a/process/raft/transfer.go
+++ b/process/raft/transfer.go
@@ -88,5 +88,5 @@
 	if n.role != Follower || !n.configurations.latest().configuration.isVoter(n.config.ID) {
 		return
 	}
-	n.startElection(true)
+	n.startElection(electionByTransfer)
 }
