Place by what each replica really takes: hand-overs, order, pace, connections

- Hand-overs.
The board's line shows the time from a read prompt to its first token grow from 25 to 386 ms in an overload, and splits fall from 400 a second to 12 while 56 readers idle (8 ms of backlog): the time behind prompts that are read where it runs was taken for that of the move.
A sample held all that was queued before it by the board's belief; replicas read urgent prompts first, so that the pace of generators fell from 35 to 12 us a token in a burst of short urgent prompts, and drew more of them.
A sample is now what one read took since the read before it: 40 to 47 us throughout.
- Connections.

--- a/connection/exchange/pool.go
+++ b/connection/exchange/pool.go
@@ -122,6 +122,14 @@
 	delete(p.idle, address)
 }
 
+// Idle reports whether a connection to the address is kept that may be used now.
+func (p *Pool) Idle(address string) bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	list := p.idle[address]
+	return len(list) > 0 && time.Now().Before(list[len(list)-1].usableUntil)
+}
+
 // take returns an idle connection that is still good, or nil.
 func (p *Pool) take(address string) *conn {
 	for {
--- a/connection/feed/placement.go
+++ b/connection/feed/placement.go
@@ -33,10 +33,10 @@
 // Bounds of a question in a frame.
 const (
 	maxParts    = 256
-	maxExcluded = 64
+	maxReplicas = 64 // in each list of names
 	// Least sizes of encoded list elements.
-	partSize     = 4 + 4
-	excludedSize = 4
+	partSize = 4 + 4
+	nameSize = 4
 )
 
 func encodePlace(requestID uint64, request PlaceRequest) []byte {
@@ -59,15 +59,33 @@
 		encoder.String(part.ID)
 		encoder.Uint32(uint32(part.Tokens))
 	}
-	excluded := ask.Excluded[:min(len(ask.Excluded), maxExcluded)]
-	encoder.Uint32(uint32(len(excluded)))
-	for _, name := range excluded {
-		encoder.String(name)
-	}
+	encodeNames(encoder, ask.Excluded)
+	encodeNames(encoder, ask.Connected)
 	encoder.String(request.Origin)
 	return encoder.Data()
 }
 
+// encodeNames adds the first of the replicas' names, as many as a list may hold.
+func encodeNames(encoder *frame.Encoder, names []string) {
+	names = names[:min(len(names), maxReplicas)]
+	encoder.Uint32(uint32(len(names)))
+	for _, name := range names {
+		encoder.String(name)
+	}
+}
+
+func decodeNames(decoder *frame.Decoder) []string {
+	var names []string
+	count := decoder.Count(nameSize)
+	if count > maxReplicas {
+		decoder.Fail(frame.ErrValue)
+	}
+	for i := 0; i < count && decoder.Err() == nil; i++ {
+		names = append(names, decoder.String())
+	}
+	return names
+}
+
 func decodePlace(data []byte) (uint64, PlaceRequest, error) {
 	decoder := frame.NewDecoder(data)
 	requestID := decoder.Uint64()
@@ -85,12 +103,10 @@
 	for i := 0; i < parts && decoder.Err() == nil; i++ {
 		ask.Parts = append(ask.Parts, placement.Part{ID: decoder.String(), Tokens: int(decoder.Uint32())})
 	}
-	excluded := decoder.Count(excludedSize)
-	for i := 0; i < excluded && decoder.Err() == nil; i++ {
-		ask.Excluded = append(ask.Excluded, decoder.String())
-	}
+	ask.Excluded = decodeNames(decoder)
+	ask.Connected = decodeNames(decoder)
 	request.Origin = decoder.String()
-	if parts > maxParts || excluded > maxExcluded {
+	if parts > maxParts {
 		decoder.Fail(frame.ErrValue)
 	}
 	return requestID, request, decoder.Finish()
--- a/process/ingress/placed.go
+++ b/process/ingress/placed.go
@@ -134,6 +134,7 @@
 		Age:       s.ingress.now() - s.arrived,
 		Deadline:  s.firstWithin(),
 		Excluded:  slices.Sorted(maps.Keys(s.excluded)),
+		Connected: s.lane.connected(),
 		Continued: s.call.ResumeAfter != "" || s.lastEvent != "",
 	}
 	for _, part := range s.call.Work.Parts {
@@ -142,6 +143,24 @@
 	return ask
 }
 
+// maxConnected bounds the replicas that a question names as connected to: more are
+// hardly used before their connections are closed as idle.
+const maxConnected = 64
+
+// connected returns the replicas to which a connection is kept for the next request.
+func (l *lane) connected() []string {
+	var names []string
+	for _, known := range *l.replicas.Load() {
+		if len(names) == maxConnected {
+			break
+		}
+		if l.pool.Idle(known.listed().Address) {
+			names = append(names, known.name)
+		}
+	}
+	return names
+}
+
 // find returns the listed replica of the name, or nil.
 func (l *lane) find(name string) *replica {
 	if name == "" {
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -56,10 +56,10 @@
 	expires   time.Duration
 	unreadAt  *replica
 	reading   int  // tokens still to be read there
-	ahead     int  // tokens that were to be read there before those, at first
 	alone     bool // nobody else was being read there when it was placed
 	runningAt *replica
 	readAt    time.Duration // when the prompt was read; 0 if it is not
+	behind    time.Duration // what was to be read first where it runs, at readAt
 	started   bool
 }
 
@@ -67,11 +67,9 @@
 type replica struct {
 	Replica
 	cache cache
-	// queue holds what is to be read, in order, and deferred what is read when the
-	// queue is empty. current is the one of them that is believed to be read, since
-	// currentSince.
+	// queue holds what is to be read, in order. current is the one of them that is
+	// believed to be read, since currentSince.
 	queue        []*placed
-	deferred     []*placed
 	current      *placed
 	currentSince time.Duration
 	running      map[*placed]struct{}
@@ -87,6 +85,7 @@
 	suspectTill time.Duration
 	trial       *placed // the request that shows whether a suspect answers again
 	failureRate float64
+	slowness    slowness
 }
 
 // NewBoard returns a board without replicas.
@@ -150,7 +149,7 @@
 	p.runningAt = chosen.generator
 	p.unreadAt = chosen.readsAt()
 	p.reading = chosen.unread
-	p.unreadAt.enqueue(now, p, b.paces[p.unreadAt.Role].perToken())
+	p.unreadAt.enqueue(now, p)
 	p.runningAt.running[p] = struct{}{}
 	p.unreadAt.try(p)
 	p.runningAt.try(p)
@@ -237,7 +236,7 @@
 		return
 	}
 	moved, _ := b.move(p.ask.Prompt, reader.Zone, p.runningAt.Zone)
-	spent := clampOutlier(now-p.readAt-moved, b.startTime)
+	spent := clampOutlier(now-p.readAt-moved-p.behind, b.startTime)
 	b.startTime += time.Duration(float64(spent-b.startTime) / samplesKept(startSamples, len(b.names)))
 }
 
@@ -252,21 +251,33 @@
 	if keeper := b.replicas[p.answer.Fetch]; keeper != nil && now-p.at > wrongFactor*p.answer.Estimate+wrongSlack {
 		keeper.cache.drop(p.ask.Parts)
 	}
-	if !p.ask.deferred {
-		b.paces[at.Role].learn(readSample{tokens: p.ahead + p.reading, took: now - p.at, alone: p.alone}, len(b.names))
-	}
+	b.learnRead(now, p)
 	p.readAt = now
+	p.behind = p.runningAt.backlog(now, b.paceOf(now, p.runningAt), &p.ask)
 	at.succeed()
-	b.unqueue(now, p)
+	b.unqueue(now, p, true)
 	at.cache.use(p.ask.Parts, b.cacheLimit())
 }
 
-// unqueue takes the request off the queue of whoever reads it.
-func (b *Board) unqueue(now time.Duration, p *placed) {
+// learnRead takes in what a read took that has just ended: for the pace of its role, and
+// for how its replica compares with it.
+func (b *Board) learnRead(now time.Duration, p *placed) {
+	at, pace := p.unreadAt, &b.paces[p.unreadAt.Role]
+	sample := readSample{tokens: p.reading, took: now - max(p.at, at.currentSince), alone: p.alone}
+	expected := time.Duration(sample.tokens) * pace.perToken()
+	if sample.alone {
+		expected += pace.start()
+	}
+	at.slowness.learn(now, sample.took, expected)
+	pace.learn(sample, len(b.names))
+}
+
+// unqueue takes the request off the queue of whoever reads it, or has read it.
+func (b *Board) unqueue(now time.Duration, p *placed, read bool) {
 	at := p.unreadAt
 	p.unreadAt = nil
 	at.cache.arrived(p.ask.Parts)
-	at.dequeue(now, p)
+	at.dequeue(now, p, read)
 }
 
 // end forgets a request.
@@ -276,7 +287,7 @@
 		return
 	}
 	if p.unreadAt != nil {
-		b.unqueue(now, p)
+		b.unqueue(now, p, false)
 	}
 	p.runningAt.endTrial(p)
 	b.replicas[p.answer.Reader].endTrial(p)
@@ -309,7 +320,7 @@
 	}
 	known := len(r.running)
 	if r.Role == RolePrefill {
-		known = len(r.queue) + len(r.deferred)
+		known = len(r.queue)
 	}
 	r.foreign, r.foreignAt = max(requests-known, 0), now
 }
--- a/request/placement/change.go
+++ b/request/placement/change.go
@@ -46,7 +46,7 @@
 		if known.Leaving {
 			continue
 		}
-		shown := Occupancy{Replica: known.Replica, Queued: len(known.queue) + len(known.deferred), Changing: b.isChanging(now, known)}
+		shown := Occupancy{Replica: known.Replica, Queued: len(known.queue), Changing: b.isChanging(now, known)}
 		for p := range known.running {
 			if p.started {
 				shown.Running++
@@ -60,7 +60,7 @@
 // Idle reports whether nothing that was placed on the replica is under way.
 func (b *Board) Idle(name string) bool {
 	known := b.replicas[name]
-	return known == nil || len(known.running)+len(known.queue)+len(known.deferred) == 0
+	return known == nil || len(known.running)+len(known.queue) == 0
 }
 
 // objective is the mean objective of the requests placed lately.
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -16,6 +16,11 @@
 	movePrice = 500 * time.Microsecond
 	// otherZoneFactor is how much more a move between zones takes and costs.
 	otherZoneFactor = 2
+	// connectCost is what a new connection costs: a round trip and the replica's time to
+	// take it in, and a place among the connections that the replica bounds. It makes
+	// each daemon use the few replicas that it is connected to as long as others are
+	// hardly better.
+	connectCost = 10 * time.Millisecond
 	// otherZoneCost is what a request's own way between zones costs.
 	otherZoneCost = time.Millisecond
 	// fullCost keeps requests off replicas without a free place.
@@ -102,11 +107,7 @@
 	var generators candidates
 	for _, generator := range b.usable(now, RoleDecode, ask) {
 		consider(b.direct(now, ask, generator, keepers))
-		generators.add(candidate{
-			way:  option{generator: generator},
-			cost: b.generating(now, ask, generator) + generator.failureTime(now),
-			zone: generator.Zone,
-		})
+		generators.add(b.handover(now, ask, generator))
 	}
 	if ask.Continued || !found {
 		return best, found
@@ -124,6 +125,17 @@
 	return best, found
 }
 
+// handover is the making of tokens at a replica from a prompt that was read elsewhere.
+// It waits behind the prompts that are to be read there.
+func (b *Board) handover(now time.Duration, ask *Ask, generator *replica) candidate {
+	first := generator.backlog(now, b.paceOf(now, generator), ask) + b.startTime
+	return candidate{
+		way:  option{generator: generator, first: first},
+		cost: first + b.generating(now, ask, generator) + generator.failureTime(now) + ask.connecting(generator),
+		zone: generator.Zone,
+	}
+}
+
 // candidate is one replica for one part of a split, and what it adds to the cost.
 type candidate struct {
 	way  option
@@ -188,7 +200,7 @@
 	if own := keepers[at.Zone]; own.replica == at {
 		kept = max(kept, own.tokens)
 	}
-	pace := b.paces[at.Role].perToken()
+	pace := b.paceOf(now, at)
 	best := option{reader: at, unread: max(ask.Prompt-kept, 0)}
 	best.first = time.Duration(best.unread) * pace
 	best.cost = best.first
@@ -204,16 +216,24 @@
 			best = option{reader: at, fetch: other.replica, unread: unread, first: first, cost: first + price}
 		}
 	}
-	backlog := at.backlog(now, pace, ask.deferred)
+	backlog := at.backlog(now, pace, ask)
 	if at.Role == RolePrefill {
 		backlog += time.Duration(at.strangers(now)*strangerTokens) * pace
 	}
 	start := b.paces[at.Role].start()
 	best.first += backlog + start
-	best.cost += backlog + start + at.failureTime(now)
+	best.cost += backlog + start + at.failureTime(now) + ask.connecting(at)
 	return best
 }
 
+// connecting is what it costs that the asking daemon has no connection to the replica.
+func (a *Ask) connecting(to *replica) time.Duration {
+	if slices.Contains(a.Connected, to.Name) {
+		return 0
+	}
+	return connectCost
+}
+
 func nameOf(r *replica) string {
 	if r == nil {
 		return ""
@@ -259,12 +279,12 @@
 // tokens come between pieces of it, so that their events come late once the
 // reading goes on for longer than the gap objective leaves room for.
 func (b *Board) disturbance(now time.Duration, ask *Ask, unread int, generator *replica) time.Duration {
-	pace := b.paces[RoleDecode].perToken()
+	pace := b.paceOf(now, generator)
 	gap := b.sheet.GapObjective
 	if gap <= 0 {
 		gap = defaultGap
 	}
-	held := generator.backlog(now, pace, ask.deferred) + time.Duration(unread)*pace
+	held := generator.backlog(now, pace, ask) + time.Duration(unread)*pace
 	if held <= time.Duration(disturbShare*float64(gap)) {
 		return held / 8
 	}
@@ -274,7 +294,7 @@
 // generating is what making tokens at a replica costs besides.
 func (b *Board) generating(now time.Duration, ask *Ask, generator *replica) time.Duration {
 	running := len(generator.running) + generator.strangers(now)
-	cost := time.Duration(running) * runningCost
+	cost := time.Duration(float64(running) * generator.slowness.factor(now) * float64(runningCost))
 	if generator.Slots > 0 && running >= generator.Slots {
 		cost += fullCost
 	}
@@ -290,7 +310,7 @@
 	moved, price := b.move(ask.Prompt, read.reader.Zone, made.zone)
 	next := read
 	next.generator = made.way.generator
-	next.first += moved + b.startTime
-	next.cost += moved + b.startTime + price + made.cost
+	next.first += moved + made.way.first
+	next.cost += moved + price + made.cost
 	return next
 }
--- a/request/placement/choose_test.go
+++ b/request/placement/choose_test.go
@@ -25,11 +25,7 @@
 	for _, reader := range b.usable(now, RolePrefill, ask) {
 		read := b.reading(now, ask, reader, keepers)
 		for _, generator := range generators {
-			consider(b.split(ask, read, candidate{
-				way:  option{generator: generator},
-				cost: b.generating(now, ask, generator) + generator.failureTime(now),
-				zone: generator.Zone,
-			}))
+			consider(b.split(ask, read, b.handover(now, ask, generator)))
 		}
 	}
 	return best
@@ -107,3 +103,59 @@
 	}
 	return replicas
 }
+
+// A moved prompt waits behind those that are read where it is to run: it goes elsewhere,
+// and what it would have waited is not taken for the time of the move.
+func TestHandoverAvoidsReadsWhereItRuns(t *testing.T) {
+	b := newTestBoard()
+	busy := urgent(4_000, 0)
+	busy.Excluded = []string{"read-1", "read-2", "make-2"}
+	must.Eq(t, "make-1", b.Place(0, key(1), busy).Generator)
+	for number := range uint64(6) { // streams that run at the other one
+		running := short()
+		running.Excluded = []string{"make-1"}
+		b.Place(0, key(10+number), running)
+		b.Note(0, key(10+number), Note{Step: StepStarted})
+	}
+	answer := b.Place(0, key(2), urgent(9_000, 0))
+	must.NotEq(t, "", answer.Reader)
+	must.Eq(t, "make-2", answer.Generator)
+}
+
+func TestTimeBehindReadsIsNotThatOfTheMove(t *testing.T) {
+	b := newTestBoard()
+	now := time.Duration(0)
+	for number := range uint64(40) {
+		b.expireAt = time.Hour
+		busy := urgent(6_000, 0)
+		busy.Excluded = []string{"read-1", "read-2", "make-2"}
+		b.Place(now, key(1000+number), busy)
+		moved := urgent(9_000, 0)
+		moved.Excluded = []string{"make-2"}
+		must.NotEq(t, "", b.Place(now, key(number), moved).Reader)
+		now += 250 * ms
+		b.Note(now, key(number), Note{Step: StepRead})
+		now += 90 * ms // until the direct read is over
+		b.Note(now, key(1000+number), Note{Step: StepStarted})
+		b.Note(now, key(number), Note{Step: StepStarted})
+		b.Note(now, key(1000+number), Note{Step: StepEnded})
+		b.Note(now, key(number), Note{Step: StepEnded})
+	}
+	must.LessEq(t, firstStart+10*ms, b.startTime)
+}
+
+// Among replicas that are alike, the ones that the asking daemon is connected to are
+// used; a busy one is not for that.
+func TestConnectedReplicasAreUsedWhileOthersAreHardlyBetter(t *testing.T) {
+	b := newTestBoard()
+	connected := short()
+	connected.Connected = []string{"make-2"}
+	for number := range uint64(2) {
+		must.Eq(t, "make-2", b.Place(0, key(number), connected).Generator)
+	}
+	spread := map[string]int{}
+	for number := range uint64(20) {
+		spread[b.Place(0, key(100+number), connected).Generator]++
+	}
+	must.Greater(t, 4, spread["make-1"])
+}
--- a/request/placement/order_test.go
+++ b/request/placement/order_test.go
@@ -66,10 +66,13 @@
 func TestDeferredRequestsKeepNobodyWaiting(t *testing.T) {
 	b := newTestBoard()
 	fill(b, 12, func() Ask { return urgent(6_000, 600*ms) })
-	before := b.Place(0, key(100), urgent(300, 600*ms))
-	b.Note(0, key(100), Note{Step: StepEnded})
 	late := urgent(6_000, 600*ms)
 	late.Age = time.Second
+	for number := range uint64(2) { // are read at once, where nobody else is
+		must.True(t, b.Place(0, key(300+number), late).Deferred)
+	}
+	before := b.Place(0, key(100), urgent(300, 600*ms))
+	b.Note(0, key(100), Note{Step: StepEnded})
 	for number := range uint64(3) {
 		must.True(t, b.Place(0, key(200+number), late).Deferred)
 	}
@@ -118,20 +121,43 @@
 			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "pause")) * ms
 			if len(known) > 0 && rapid.Bool().Draw(t, "ends") {
 				i := rapid.IntRange(0, len(known)-1).Draw(t, "which")
-				r.dequeue(now, known[i])
+				r.dequeue(now, known[i], rapid.Bool().Draw(t, "read"))
 				known = append(known[:i], known[i+1:]...)
 			} else {
 				next := &placed{reading: rapid.IntRange(0, 9_000).Draw(t, "tokens")}
 				next.ask.deferred = rapid.Bool().Draw(t, "deferred")
-				r.enqueue(now, next, time.Microsecond)
+				r.enqueue(now, next)
 				known = append(known, next)
 			}
-			must.Eq(t, len(known), len(r.queue)+len(r.deferred))
+			must.Eq(t, len(known), len(r.queue))
 			must.Eq(t, len(known) > 0, r.current != nil)
 			if r.current != nil {
 				must.True(t, slices.Contains(known, r.current))
 			}
-			must.LessEq(t, r.backlog(now, time.Microsecond, true), r.backlog(now, time.Microsecond, false))
+			must.LessEq(t, r.backlog(now, time.Microsecond, leastUrgent), r.backlog(now, time.Microsecond, &Ask{}))
 		}
 	})
 }
+
+// A read that has taken longer than it should keeps others away for as long as it is
+// overdue, up to a bound: its replica is slow, or silent.
+func TestOverdueReadsKeepOthersAway(t *testing.T) {
+	r := &replica{}
+	r.enqueue(0, &placed{reading: 100_000})
+	pace := time.Microsecond
+	must.Eq(t, 40*ms, r.remaining(60*ms, pace))
+	must.Eq(t, 0, r.remaining(100*ms+overdueGrace, pace))
+	must.Eq(t, 400*ms, r.remaining(500*ms, pace))
+	must.Eq(t, maxOverdue, r.remaining(time.Minute, pace))
+}
+
+func TestSilentReaderDrawsNothingMore(t *testing.T) {
+	b := newTestBoard()
+	first := b.Place(0, key(1), urgent(9_000, 0))
+	must.NotEq(t, "", first.Reader)
+	for number := range uint64(5) {
+		answer := b.Place(time.Second, key(10+number), urgent(9_000, 0))
+		must.NotEq(t, first.Reader, answer.Reader)
+		b.Note(time.Second, key(10+number), Note{Step: StepEnded})
+	}
+}
--- a/request/placement/pace.go
+++ b/request/placement/pace.go
@@ -46,14 +46,20 @@
 // readSample is one measured read.
 type readSample struct {
 	tokens int
-	took   time.Duration
+	// took is the time since the replica was done with the read before, or, where it
+	// had none, since the request was placed there. So it holds no time that was spent
+	// on others, in whatever order they were read.
+	took time.Duration
 	// alone says that nobody else was being read there when it began.
 	alone bool
 }
 
 // learn takes in a read at one of so many replicas.
 func (p *pace) learn(sample readSample, replicas int) {
-	start := p.start()
+	start := time.Duration(0)
+	if sample.alone {
+		start = p.start()
+	}
 	took := clampOutlier(sample.took, start+time.Duration(sample.tokens)*p.perToken())
 	kept := 1 - 1/samplesKept(paceSamples, replicas)
 	if sample.alone {
--- a/request/placement/queue.go
+++ b/request/placement/queue.go
@@ -7,65 +7,82 @@
 
 // A replica finishes the prompt that it reads, and takes the next one by urgency
 // and then by arrival. So a deferred request keeps others waiting only while it
-// is itself being read.
+// is itself being read. Among the others the board counts by arrival alone: a more
+// urgent one is read sooner than that, but each that it goes before waits for it, and
+// counting both comes to the same.
+
+// rank is the request's place in the order of reading, the lowest first.
+func (a *Ask) rank() int { return oneIf(a.deferred) }
 
 // enqueue adds a request to what the replica has to read.
-func (r *replica) enqueue(now time.Duration, p *placed, pace time.Duration) {
+func (r *replica) enqueue(now time.Duration, p *placed) {
 	p.alone = r.current == nil
-	p.ahead = int(r.backlog(now, pace, p.ask.deferred) / pace)
-	if p.ask.deferred {
-		r.deferred = append(r.deferred, p)
-	} else {
-		r.queue = append(r.queue, p)
-	}
+	place, _ := slices.BinarySearchFunc(r.queue, p.ask.rank(), func(queued *placed, rank int) int {
+		if queued.ask.rank() <= rank {
+			return -1
+		}
+		return 1
+	})
+	r.queue = slices.Insert(r.queue, place, p)
 	if r.current == nil {
 		r.current, r.currentSince = p, now
 	}
 }
 
-// dequeue takes a request out of what the replica has to read.
-func (r *replica) dequeue(now time.Duration, p *placed) {
-	r.queue = without(r.queue, p)
-	r.deferred = without(r.deferred, p)
-	if r.current != p {
+// dequeue takes a request out of what the replica has to read; read says that it was
+// read, after which the next one is.
+func (r *replica) dequeue(now time.Duration, p *placed, read bool) {
+	if i := slices.Index(r.queue, p); i >= 0 {
+		r.queue = slices.Delete(r.queue, i, i+1)
+	}
+	if r.current != p && !read {
 		return
 	}
-	r.current, r.currentSince = nil, now
-	switch {
-	case len(r.queue) > 0:
+	r.currentSince = now
+	if r.current == p {
+		r.current = nil
+	}
+	if r.current == nil && len(r.queue) > 0 {
 		r.current = r.queue[0]
-	case len(r.deferred) > 0:
-		r.current = r.deferred[0]
 	}
 }
 
-func without(queue []*placed, p *placed) []*placed {
-	if i := slices.Index(queue, p); i >= 0 {
-		return slices.Delete(queue, i, i+1)
-	}
-	return queue
-}
+// maxOverdue is the longest for which a read that is overdue is expected to go on: as
+// long as a replica that has given no answer is kept off by its cost.
+const maxOverdue = suspectCost
 
-// backlog is the time that reading all that goes before a new request will take.
-func (r *replica) backlog(now, pace time.Duration, deferred bool) time.Duration {
-	total := time.Duration(0)
-	if r.current != nil {
-		total = max(time.Duration(r.current.reading)*pace-(now-r.currentSince), 0)
+// overdueGrace is what a read may take besides its tokens: its start, 25 to 50 ms as
+// measured, and the way of the word that it has ended.
+const overdueGrace = 80 * time.Millisecond
+
+// remaining is the time that the current read still takes. One that has already taken
+// longer than it should is expected to go on for as long as it is overdue: it is slow, or
+// the replica has fallen silent, which nothing else tells for a second or more.
+func (r *replica) remaining(now, pace time.Duration) time.Duration {
+	if r.current == nil {
+		return 0
 	}
-	total += r.timeFor(r.queue, pace)
-	if deferred {
-		total += r.timeFor(r.deferred, pace)
+	left := time.Duration(r.current.reading)*pace - (now - r.currentSince)
+	if left >= -overdueGrace {
+		return max(left, 0)
 	}
-	return total
+	return min(-left, maxOverdue)
 }
 
-// timeFor is how long reading the queued requests but the current one takes.
-func (r *replica) timeFor(queue []*placed, pace time.Duration) time.Duration {
-	total := time.Duration(0)
-	for _, queued := range queue {
+// backlog is the time that reading all that goes before a new request will take.
+func (r *replica) backlog(now, pace time.Duration, ask *Ask) time.Duration {
+	total := r.remaining(now, pace)
+	rank := ask.rank()
+	for _, queued := range r.queue {
+		if queued.ask.rank() > rank {
+			break
+		}
 		if queued != r.current {
 			total += time.Duration(queued.reading) * pace
 		}
 	}
 	return total
 }
+
+// leastUrgent goes behind everything.
+var leastUrgent = &Ask{deferred: true}
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -57,6 +57,9 @@
 	// Deadline is how long an answer is of any use.
 	Deadline time.Duration
 	Excluded []string
+	// Connected names replicas to which the asking daemon has an open connection that
+	// nothing is under way on.
+	Connected []string
 	// Continued requests take up a broken stream and are read where they run.
 	Continued bool
 
