Tell a new board what is in flight, and log each leadership

Ruled out: elections (0.5 s each), what replicas keep (proxies tell it, one of 160 cold).

Change: each proxy keeps what it has in flight, placed by the group or by itself, and tells it at once to whoever begins to place its requests; the board counts it by its step, forgets what else it knew of that proxy, and learns no pace from it. A read that should be over counts as over where its replica has been heard of since, since who asked for it may be gone. control_leads (1003) is logged in each term; it was left out where something else asked for the lease first. landingtrail timeline tells from logs where the time of an outage went; it shares its reading of lines with story.

Tests: TestNewBoardCountsWhatOthersHavePlaced, TestTakingOverForgetsWhatHasEndedMeanwhile, TestTakenOverRequestsCountByTheirStep, TestNextLeaderIsToldWhatIsInFlight, TestPhasesOfAnOutage.

--- a/cmd/landingtrail/story.go
+++ b/cmd/landingtrail/story.go
@@ -12,6 +12,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/landingtrail/landingtrail/cmd/internal/cli"
+	"github.com/landingtrail/landingtrail/process/logline"
 	"github.com/landingtrail/landingtrail/process/story"
 )
 
@@ -37,15 +38,8 @@
 
 func tellStory(to cli.Streams, request string, paths []string) error {
 	teller := story.New(request)
-	if len(paths) == 0 {
-		if err := teller.Read(os.Stdin, "-"); err != nil {
-			return err
-		}
-	}
-	for _, path := range paths {
-		if err := readLog(teller, path); err != nil {
-			return err
-		}
+	if err := readLogs(teller, paths); err != nil {
+		return err
 	}
 	told := teller.Tell()
 	printStory(to.Out, told)
@@ -55,13 +49,31 @@
 	return nil
 }
 
-func readLog(teller *story.Teller, path string) error {
+// logReader takes logs in.
+type logReader interface {
+	Read(log io.Reader, source string) error
+}
+
+// readLogs reads the files, or standard input without any.
+func readLogs(into logReader, paths []string) error {
+	if len(paths) == 0 {
+		return into.Read(os.Stdin, "-")
+	}
+	for _, path := range paths {
+		if err := readLog(into, path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(into logReader, path string) error {
 	file, err := os.Open(path)
 	if err != nil {
 		return cli.UsageError{Field: "file", Message: err.Error()}
 	}
 	defer func() { _ = file.Close() }()
-	return teller.Read(file, strings.TrimSuffix(filepath.Base(path), filepath.Ext(path)))
+	return into.Read(file, strings.TrimSuffix(filepath.Base(path), filepath.Ext(path)))
 }
 
 func printStory(out io.Writer, told story.Story) {
@@ -76,7 +88,7 @@
 }
 
 // describe writes a line's event with its fields, without those of every line.
-func describe(line *story.Line) string {
+func describe(line *logline.Line) string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%d %s", line.Event, line.Name)
 	for _, field := range line.Fields {
--- a/connection/feed/feed_test.go
+++ b/connection/feed/feed_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -388,7 +389,16 @@
 	f.Add(encodeClaim(1, state.ClaimRequest{Tenant: "t", Key: "k", Proxy: "p"}))
 	f.Add(encodeOutcome(1, state.RunOutcome{Tenant: "t", Key: "k", Outcome: api.RunNotRun}))
 	f.Add(encodeDemand(DemandReport{Window: time.Second, Demands: []Demand{{Intent: "i", Class: "c", Requests: 1}}}))
+	f.Add(encodeInFlight(InFlight{Service: "s", Requests: map[uint64]placement.Placed{7: {
+		Ask:    placement.Ask{Prompt: 9, Parts: []placement.Part{{ID: "p", Tokens: 9}}, Connected: []string{"r"}},
+		Answer: placement.Answer{Generator: "g", Reader: "r", Unread: 9}, Age: time.Second, Step: placement.StepRead,
+	}}}))
 	f.Fuzz(func(t *testing.T, data []byte) {
+		if message, err := decodeInFlight(data); err == nil {
+			again, err := decodeInFlight(encodeInFlight(message))
+			must.NoError(t, err)
+			must.Eq(t, message, again)
+		}
 		if message, err := decodeSubscribe(data); err == nil {
 			must.Eq(t, data, encodeSubscribe(message))
 		}
--- a/connection/feed/group_test.go
+++ b/connection/feed/group_test.go
@@ -135,6 +135,8 @@
 
 func (g *fakeGroup) NoteKept(KeptParts) {}
 
+func (g *fakeGroup) NoteInFlight(string, InFlight) {}
+
 func (g *fakeGroup) ReportDemand(_ string, report DemandReport) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
--- a/connection/feed/messages.go
+++ b/connection/feed/messages.go
@@ -11,7 +11,7 @@
 )
 
 // Protocol is the preface of every feed connection.
-var Protocol = frame.Protocol{ID: 2, Version: 6}
+var Protocol = frame.Protocol{ID: 2, Version: 7}
 
 // Kinds of frames. A subscriber sends Subscribe first and once.
 const (
@@ -31,6 +31,7 @@
 	kindPlaceNote                          // subscriber: PlaceNote
 	kindKept                               // subscriber: KeptParts
 	kindAlive                              // server, to a standby subscription: nothing
+	kindInFlight                           // subscriber: InFlight
 )
 
 // Bounds of payloads in bytes. A server takes only small frames from
--- a/connection/feed/placement.go
+++ b/connection/feed/placement.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/frame"
@@ -44,7 +46,12 @@
 	encoder.Uint64(requestID)
 	encoder.String(request.Service)
 	encoder.Uint64(request.Number)
-	ask := &request.Ask
+	encodeAsk(encoder, &request.Ask)
+	encoder.String(request.Origin)
+	return encoder.Data()
+}
+
+func encodeAsk(encoder *frame.Encoder, ask *placement.Ask) {
 	encoder.Uint32(uint32(ask.Prompt))
 	encoder.Uint32(uint32(ask.Output))
 	encoder.Int64(int64(ask.Priority))
@@ -61,8 +68,6 @@
 	}
 	encodeNames(encoder, ask.Excluded)
 	encodeNames(encoder, ask.Connected)
-	encoder.String(request.Origin)
-	return encoder.Data()
 }
 
 // encodeNames adds the first of the replicas' names, as many as a list may hold.
@@ -89,8 +94,13 @@
 func decodePlace(data []byte) (uint64, PlaceRequest, error) {
 	decoder := frame.NewDecoder(data)
 	requestID := decoder.Uint64()
-	request := PlaceRequest{Service: decoder.String(), Number: decoder.Uint64()}
-	ask := &request.Ask
+	request := PlaceRequest{Service: decoder.String(), Number: decoder.Uint64(), Ask: decodeAsk(decoder)}
+	request.Origin = decoder.String()
+	return requestID, request, decoder.Finish()
+}
+
+func decodeAsk(decoder *frame.Decoder) placement.Ask {
+	var ask placement.Ask
 	ask.Prompt = int(decoder.Uint32())
 	ask.Output = int(decoder.Uint32())
 	ask.Priority = int(decoder.Int64())
@@ -105,11 +115,10 @@
 	}
 	ask.Excluded = decodeNames(decoder)
 	ask.Connected = decodeNames(decoder)
-	request.Origin = decoder.String()
 	if parts > maxParts {
 		decoder.Fail(frame.ErrValue)
 	}
-	return requestID, request, decoder.Finish()
+	return ask
 }
 
 // placeReply answers a question; found is false when this member places nothing.
@@ -123,22 +132,30 @@
 	encoder := frame.NewEncoder(nil)
 	encoder.Uint64(message.requestID)
 	encoder.Bool(message.found)
-	encoder.String(message.answer.Generator)
-	encoder.String(message.answer.Reader)
-	encoder.String(message.answer.Fetch)
-	encoder.Uint32(uint32(message.answer.Unread))
-	encoder.Int64(int64(message.answer.Estimate))
-	encoder.Int64(int64(message.answer.Wait))
-	encoder.Bool(message.answer.Deferred)
-	encoder.Bool(message.answer.Refused)
-	encoder.Int64(int64(message.answer.RetryAfter))
+	encodeAnswer(encoder, &message.answer)
 	return encoder.Data()
 }
 
+func encodeAnswer(encoder *frame.Encoder, answer *placement.Answer) {
+	encoder.String(answer.Generator)
+	encoder.String(answer.Reader)
+	encoder.String(answer.Fetch)
+	encoder.Uint32(uint32(answer.Unread))
+	encoder.Int64(int64(answer.Estimate))
+	encoder.Int64(int64(answer.Wait))
+	encoder.Bool(answer.Deferred)
+	encoder.Bool(answer.Refused)
+	encoder.Int64(int64(answer.RetryAfter))
+}
+
 func decodePlaceReply(data []byte) (placeReply, error) {
 	decoder := frame.NewDecoder(data)
-	message := placeReply{requestID: decoder.Uint64(), found: decoder.Bool()}
-	message.answer = placement.Answer{
+	message := placeReply{requestID: decoder.Uint64(), found: decoder.Bool(), answer: decodeAnswer(decoder)}
+	return message, decoder.Finish()
+}
+
+func decodeAnswer(decoder *frame.Decoder) placement.Answer {
+	return placement.Answer{
 		Generator:  decoder.String(),
 		Reader:     decoder.String(),
 		Fetch:      decoder.String(),
@@ -149,7 +166,6 @@
 		Refused:    decoder.Bool(),
 		RetryAfter: time.Duration(decoder.Int64()),
 	}
-	return message, decoder.Finish()
 }
 
 func encodePlaceNote(note PlaceNote) []byte {
@@ -309,3 +325,71 @@
 	s.server.config.Group.NoteKept(kept)
 	return nil
 }
+
+// InFlight is what a daemon has in flight to the replicas of one service, by its own
+// numbers. Daemons send it to who has just begun to place their requests, so that the new
+// board need not learn from its mistakes what the old one knew.
+type InFlight struct {
+	Service  string
+	Requests map[uint64]placement.Placed
+}
+
+// maxInFlight bounds the requests of one message. A daemon with more leaves the rest out,
+// which then show as load that replicas tell.
+const maxInFlight = 512
+
+// inFlightSize is the least size of an encoded request in flight.
+const inFlightSize = 8 + 8 + 1
+
+func encodeInFlight(message InFlight) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.String(message.Service)
+	numbers := slices.Sorted(maps.Keys(message.Requests))
+	numbers = numbers[max(0, len(numbers)-maxInFlight):]
+	encoder.Uint32(uint32(len(numbers)))
+	for _, number := range numbers {
+		request := message.Requests[number]
+		encoder.Uint64(number)
+		encoder.Int64(int64(request.Age))
+		encoder.Uint8(uint8(request.Step))
+		encodeAsk(encoder, &request.Ask)
+		encodeAnswer(encoder, &request.Answer)
+	}
+	return encoder.Data()
+}
+
+func decodeInFlight(data []byte) (InFlight, error) {
+	decoder := frame.NewDecoder(data)
+	message := InFlight{Service: decoder.String(), Requests: map[uint64]placement.Placed{}}
+	count := decoder.Count(inFlightSize)
+	if count > maxInFlight {
+		decoder.Fail(frame.ErrValue)
+	}
+	for i := 0; i < count && decoder.Err() == nil; i++ {
+		number := decoder.Uint64()
+		request := placement.Placed{Age: time.Duration(decoder.Int64()), Step: placement.Step(decoder.Uint8())}
+		request.Ask = decodeAsk(decoder)
+		request.Answer = decodeAnswer(decoder)
+		message.Requests[number] = request
+	}
+	return message, decoder.Finish()
+}
+
+// ReportInFlight tells who places the daemon's requests now what it has in flight; false
+// when the word was dropped.
+func (c *Client) ReportInFlight(message InFlight) bool {
+	current := c.placing()
+	if current == nil {
+		return false
+	}
+	return current.enqueue(&outgoing{kind: kindInFlight, payload: encodeInFlight(message)})
+}
+
+func (s *subscriber) receiveInFlight(payload []byte) error {
+	message, err := decodeInFlight(payload)
+	if err != nil {
+		return err
+	}
+	s.server.config.Group.NoteInFlight(s.key.String(), message)
+	return nil
+}
--- a/connection/feed/placementrelay.go
+++ b/connection/feed/placementrelay.go
@@ -88,3 +88,6 @@
 
 // NoteKept drops the word.
 func (r *PlacementRelay) NoteKept(KeptParts) {}
+
+// NoteInFlight drops the word: the leader has placed what went through here.
+func (r *PlacementRelay) NoteInFlight(string, InFlight) {}
--- a/connection/feed/server.go
+++ b/connection/feed/server.go
@@ -51,6 +51,8 @@
 	NotePlaced(daemon string, note PlaceNote)
 	// NoteKept takes in what a replica is believed to keep of prompts.
 	NoteKept(kept KeptParts)
+	// NoteInFlight takes in what a daemon has in flight, in place of what was known of it.
+	NoteInFlight(daemon string, told InFlight)
 }
 
 // ServerConfig holds what a Server is created with. Zero durations and bounds
--- a/connection/feed/standby_test.go
+++ b/connection/feed/standby_test.go
@@ -15,9 +15,10 @@
 // placingGroup is a member that names itself as the replica.
 type placingGroup struct {
 	*fakeGroup
-	name  string
-	notes atomic.Int64
-	kept  atomic.Int64
+	name     string
+	notes    atomic.Int64
+	kept     atomic.Int64
+	inFlight atomic.Int64
 }
 
 func newPlacingGroup(name string, leads bool) *placingGroup {
@@ -34,6 +35,8 @@
 
 func (g *placingGroup) NoteKept(KeptParts) { g.kept.Add(1) }
 
+func (g *placingGroup) NoteInFlight(string, InFlight) { g.inFlight.Add(1) }
+
 func startStandbyClient(t *testing.T, views Views, addresses ...string) (*Client, *atomic.Int64) {
 	served := &atomic.Int64{}
 	client, err := Dial(ClientConfig{
@@ -82,7 +85,10 @@
 	must.False(t, client.Connected())
 	must.True(t, client.NotePlaced(PlaceNote{Service: "chat", Number: 1}))
 	must.True(t, client.ReportKept(KeptParts{Service: "chat", Replica: "r"}))
-	eventually(t, "notes arrive", func() bool { return first.notes.Load() == 1 && first.kept.Load() == 1 })
+	must.True(t, client.ReportInFlight(InFlight{Service: "chat"}))
+	eventually(t, "notes arrive", func() bool {
+		return first.notes.Load() == 1 && first.kept.Load() == 1 && first.inFlight.Load() == 1
+	})
 	must.Eq(t, 2, served.Load(), must.Sprint("what replicas keep is told to each member that places"))
 	first.put("later")
 	firstServer.Wake()
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -149,6 +149,8 @@
 		return s.receivePlace(received.Payload)
 	case kindKept:
 		return s.receiveKept(received.Payload)
+	case kindInFlight:
+		return s.receiveInFlight(received.Payload)
 	case kindPlaceNote:
 		return s.receivePlaceNote(received.Payload)
 	case kindPresence:
--- a/process/control/duties.go
+++ b/process/control/duties.go
@@ -145,9 +145,9 @@
 		return // the lease may come back in the same term
 	}
 	term := d.beginTerm(number)
+	d.warmBoards(ctx, term, monotonic())
 	d.tendMembers(ctx, term)
 	d.tendFleet(ctx, term)
-	d.warmBoards(ctx, term, monotonic())
 	d.tendRoles(term, monotonic())
 	d.reconcile(ctx, term)
 }
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -195,6 +195,11 @@
 // NoteKept takes in what a replica is believed to keep of prompts.
 func (g *group) NoteKept(kept feed.KeptParts) { g.desk.kept(g.machine.view(), kept) }
 
+// NoteInFlight takes in what a proxy has in flight that other boards have placed.
+func (g *group) NoteInFlight(daemon string, told feed.InFlight) {
+	g.desk.takeOver(g.machine.view(), daemon, told, monotonic())
+}
+
 // leaseReads lets any number of callers share lease reads. A caller gets the
 // answer of a read that was started after its call, so a shared answer is as
 // good as one of its own.
--- a/process/control/placement.go
+++ b/process/control/placement.go
@@ -54,6 +54,16 @@
 	}
 }
 
+// takeOver counts what a proxy has in flight.
+func (d *placementDesk) takeOver(current *view.View, daemon string, told feed.InFlight, now time.Duration) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.update(current)
+	if board := d.boards[told.Service]; board != nil {
+		board.TakeOver(now, daemon, told.Requests)
+	}
+}
+
 // summaries returns what the boards show, by service; idle ones are left out.
 func (d *placementDesk) summaries(now time.Duration) map[string]placement.Summary {
 	d.lock.Lock()
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -340,16 +340,18 @@
 // tells the feed and the duties of every change.
 func (m *member) watchLeadership(ctx context.Context) {
 	current := m.group.Load()
+	announced := uint64(0) // the last term in which this member was seen to lead
 	for {
 		changed := m.replica.Changed()
 		status := m.replica.Status()
-		if status.Role == raft.Leader && !current.Leadership().Leads {
+		if status.Role == raft.Leader && announced != status.Term {
 			if _, valid := current.Lease(ctx); !valid {
 				if !pause.For(ctx, m.config.Durations.Heartbeat/leaseAsksPerHeartbeat) {
 					return
 				}
 				continue
 			}
+			announced = status.Term
 			event.ControlLeads.Log(m.logger, "term", status.Term)
 		}
 		event.ControlRole.Log(m.logger, "role", roleOf(m.id, status), "term", status.Term, "leader", uint64(status.Leader),
--- a/process/control/warm.go
+++ b/process/control/warm.go
@@ -22,17 +22,31 @@
 	// warmDelay is how long a new leader waits for the proxies' word on what
 	// replicas keep before it asks the replicas that nobody has spoken of.
 	warmDelay = 150 * time.Millisecond
-	// warmTimeout bounds one question, warmAtOnce the questions at once.
+	// warmTimeout bounds one question, warmAtOnce the questions at once: 160 replicas
+	// answer within some 50 ms then, and a question takes one descriptor.
 	warmTimeout = time.Second
-	warmAtOnce  = 16
+	warmAtOnce  = 64
+	// freshProcess is how long after its start a member is taken for one of a group that
+	// was stopped as a whole: then no proxy remembers anything, and none is waited for.
+	// Until the answers are in, prompts would be read again that replicas keep.
+	freshProcess = 3 * time.Second
 )
 
+// warmsAfter is how long after a leadership has begun its leader asks, by when that was in
+// the life of its process.
+func warmsAfter(began time.Duration) time.Duration {
+	if began < freshProcess {
+		return 0
+	}
+	return warmDelay
+}
+
 // warmBoards asks, once in a leadership, the replicas of which no proxy has said
 // what they keep: after a stop of everything nobody remembers it, and to read it
 // all again would cost far more than the question. Before the first Ingress was
 // accepted there is nothing to ask for.
 func (d *duties) warmBoards(ctx context.Context, term *termDuties, now time.Duration) {
-	if term.warmed || now-term.startedAt < warmDelay {
+	if term.warmed || now-term.startedAt < warmsAfter(term.startedAt) {
 		return
 	}
 	term.warmed = true
--- a/process/ingress/cacheguess.go
+++ b/process/ingress/cacheguess.go
@@ -77,7 +77,7 @@
 
 // reportKept tells a leader that has just begun to serve this proxy what the
 // replicas are believed to keep.
-func (i *Ingress) reportKept(to keptReporter) {
+func (i *Ingress) reportKept(to groupReporter) {
 	for _, opened := range i.lanes.all() {
 		for _, known := range *opened.replicas.Load() {
 			if parts := known.kept(); len(parts) > 0 {
@@ -87,7 +87,8 @@
 	}
 }
 
-// keptReporter is the control group's connection; *feed.Client is one.
-type keptReporter interface {
+// groupReporter is the control group's connection; *feed.Client is one.
+type groupReporter interface {
+	ReportInFlight(told feed.InFlight) bool
 	ReportKept(kept feed.KeptParts) bool
 }
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -34,7 +34,8 @@
 	table  atomic.Pointer[tableAt]
 	// stopping is set once answers must ask callers to close connections.
 	stopping atomic.Bool
-	inFlight atomic.Int64
+	serving  atomic.Int64 // requests
+	inFlight inFlightTable
 	metrics  *metrics
 	// placer places model requests by all that is in flight; nil leaves it to
 	// what this proxy knows itself.
@@ -103,8 +104,8 @@
 
 // ServeHTTP takes one caller's request.
 func (i *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	i.inFlight.Add(1)
-	defer i.inFlight.Add(-1)
+	i.serving.Add(1)
+	defer i.serving.Add(-1)
 	arrived := i.now()
 	if i.stopping.Load() {
 		w.Header().Set("Connection", "close")
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -94,11 +94,13 @@
 	}
 }
 
-// reportWhenServed tells each new leader what replicas keep, until ctx ends.
-func (i *Ingress) reportWhenServed(ctx context.Context, served <-chan struct{}, to keptReporter) {
+// reportWhenServed tells each new leader, or member that stands by for one, what is in
+// flight and what replicas keep, until ctx ends.
+func (i *Ingress) reportWhenServed(ctx context.Context, served <-chan struct{}, to groupReporter) {
 	for {
 		select {
 		case <-served:
+			i.reportInFlight(to)
 			i.reportKept(to)
 		case <-ctx.Done():
 			return
@@ -231,12 +233,12 @@
 	began := time.Now()
 	i.stopping.Store(true)
 	group.Announce()
-	event.IngressDraining.Log(i.logger, "in_flight", i.inFlight.Load())
+	event.IngressDraining.Log(i.logger, "in_flight", i.serving.Load())
 	time.Sleep(i.config.Drain.Notice)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(i.config.Drain.Limit))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
-		event.IngressDrainCut.Log(i.logger, "in_flight", i.inFlight.Load())
+		event.IngressDrainCut.Log(i.logger, "in_flight", i.serving.Load())
 		return nil
 	}
 	event.IngressStopped.Log(i.logger)
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -104,7 +104,9 @@
 		return chosen
 	}
 	s.ingress.metrics.choices.WithLabelValues(s.lane.service, chosenByProxy).Inc()
-	return s.chooseModel(zone, s.ingress.now())
+	chosen := s.chooseModel(zone, s.ingress.now())
+	s.trackOwn(&chosen)
+	return chosen
 }
 
 // directPenalty is how much longer a prompt counts that is read between other
--- a/process/relay/group.go
+++ b/process/relay/group.go
@@ -81,5 +81,8 @@
 // NoteKept implements feed.Group.
 func (g *group) NoteKept(feed.KeptParts) {}
 
+// NoteInFlight implements feed.Group.
+func (g *group) NoteInFlight(string, feed.InFlight) {}
+
 // ReportPresence passes the word on; one that is lost comes again with a beat.
 func (g *group) ReportPresence(presence feed.Presence) { g.upstream.ReportPresence(presence) }
--- a/process/relay/group_test.go
+++ b/process/relay/group_test.go
@@ -87,6 +87,8 @@
 
 func (g *leaderGroup) NoteKept(feed.KeptParts) {}
 
+func (g *leaderGroup) NoteInFlight(string, feed.InFlight) {}
+
 func (g *leaderGroup) ReportDemand(_ string, report feed.DemandReport) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
--- /dev/null
+++ b/process/timeline/timeline_test.go
@@ -0,0 +1,70 @@
+package timeline
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/shoenig/test/must"
+)
+
+var noon = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+// at writes a line as a daemon does, so many milliseconds after noon.
+func at(milliseconds int, node string, kind event.Event, rest string) string {
+	when := noon.Add(time.Duration(milliseconds) * time.Millisecond)
+	return fmt.Sprintf("level=info time=%s node=%s event=%d name=%s %s\n", when.Format(time.RFC3339Nano), node, kind.Number, kind.Name, rest)
+}
+
+func TestPhasesOfAnOutage(t *testing.T) {
+	log := at(0, "core-1", event.ControlStarted, "") +
+		at(400, "core-2", event.ControlStarted, "") +
+		at(100, "edge-1", event.IngressStarted, "") +
+		at(500, "core-2", event.ControlLeads, "term=7") +
+		at(700, "edge-2", event.FeedServed, "") +
+		at(600, "edge-1", event.FeedServed, "") +
+		at(900, "edge-1", event.FeedServed, "") +
+		at(800, "core-2", event.KeptAsked, "replica=r-1") +
+		at(850, "core-2", event.KeptAsked, "replica=r-2") +
+		at(1000, "core-2", event.BoardShows, "read_ms=900") +
+		at(2000, "core-2", event.BoardShows, "read_ms=250") +
+		at(3000, "core-2", event.BoardShows, "read_ms=200") +
+		at(4000, "core-2", event.BoardShows, "read_ms=190") +
+		at(4000, "core-1", event.BoardShows, "read_ms=5000") +
+		"torn\n"
+	var reader Reader
+	must.NoError(t, reader.Read(strings.NewReader(log), "log"))
+	told := reader.Tell()
+	must.Eq(t, 1, told.Passed)
+	must.SliceLen(t, 1, told.Leaderships)
+	led := told.Leaderships[0]
+	must.Eq(t, "core-2", led.Leader)
+	must.Eq(t, "7", led.Term)
+	after := func(milliseconds int) time.Time { return noon.Add(time.Duration(milliseconds) * time.Millisecond) }
+	must.Eq(t, []Phase{
+		{"members start", 2, after(0), after(400), after(400)},
+		{"proxies start", 1, after(100), after(100), after(100)},
+		{"leader serves proxies", 2, after(600), after(700), after(700)},
+		{"kept parts are known", 2, after(800), after(850), after(850)},
+	}, led.Phases)
+	must.Eq(t, after(2000), led.Calm)
+	must.Eq(t, 900*time.Millisecond, led.Worst)
+}
+
+// What a leader did belongs to its own time.
+func TestLeadershipsAreToldApart(t *testing.T) {
+	log := at(0, "core-1", event.ControlLeads, "term=1") +
+		at(100, "edge-1", event.FeedServed, "") +
+		at(30_000, "core-2", event.ControlLeads, "term=2") +
+		at(30_200, "edge-1", event.FeedServed, "")
+	var reader Reader
+	must.NoError(t, reader.Read(strings.NewReader(log), "log"))
+	told := reader.Tell()
+	must.SliceLen(t, 2, told.Leaderships)
+	for _, led := range told.Leaderships {
+		must.SliceLen(t, 1, led.Phases)
+		must.Eq(t, 1, led.Phases[0].Count)
+	}
+}
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -61,6 +61,7 @@
 	readAt    time.Duration // when the prompt was read; 0 if it is not
 	behind    time.Duration // what was to be read first where it runs, at readAt
 	started   bool
+	adopted   bool // by TakeOver
 }
 
 // replica is what the board knows of one replica.
@@ -72,6 +73,8 @@
 	queue        []*placed
 	current      *placed
 	currentSince time.Duration
+	readAt       time.Duration // when the last read ended
+	heardAt      time.Duration // when it last did what it was asked for, or answered at all
 	running      map[*placed]struct{}
 
 	// foreign is how many requests the replica had that are not on the board, when
@@ -225,14 +228,14 @@
 	p.started = true
 	b.fairnessOf(now, &p.ask).start(now, p.ask.group)
 	b.learnStart(now, p)
-	p.runningAt.succeed()
+	p.runningAt.succeed(now)
 	p.runningAt.cache.use(p.ask.Parts, b.cacheLimit())
 }
 
 // learnStart takes in how long a request with a moved prompt took to start.
 func (b *Board) learnStart(now time.Duration, p *placed) {
 	reader := b.replicas[p.answer.Reader]
-	if reader == nil || p.readAt == 0 {
+	if reader == nil || p.readAt == 0 || p.adopted {
 		return
 	}
 	moved, _ := b.move(p.ask.Prompt, reader.Zone, p.runningAt.Zone)
@@ -254,16 +257,20 @@
 	b.learnRead(now, p)
 	p.readAt = now
 	p.behind = p.runningAt.backlog(now, b.paceOf(now, p.runningAt), &p.ask)
-	at.succeed()
-	b.unqueue(now, p, true)
+	at.succeed(now)
+	b.unqueue(now, p)
+	at.readAt = now
 	at.cache.use(p.ask.Parts, b.cacheLimit())
 }
 
 // learnRead takes in what a read took that has just ended: for the pace of its role, and
 // for how its replica compares with it.
 func (b *Board) learnRead(now time.Duration, p *placed) {
+	if p.adopted {
+		return
+	}
 	at, pace := p.unreadAt, &b.paces[p.unreadAt.Role]
-	sample := readSample{tokens: p.reading, took: now - max(p.at, at.currentSince), alone: p.alone}
+	sample := readSample{tokens: p.reading, took: now - max(p.at, at.readAt), alone: p.alone}
 	expected := time.Duration(sample.tokens) * pace.perToken()
 	if sample.alone {
 		expected += pace.start()
@@ -272,12 +279,12 @@
 	pace.learn(sample, len(b.names))
 }
 
-// unqueue takes the request off the queue of whoever reads it, or has read it.
-func (b *Board) unqueue(now time.Duration, p *placed, read bool) {
+// unqueue takes the request off the queue of whoever reads it.
+func (b *Board) unqueue(now time.Duration, p *placed) {
 	at := p.unreadAt
 	p.unreadAt = nil
 	at.cache.arrived(p.ask.Parts)
-	at.dequeue(now, p, read)
+	at.dequeue(now, p)
 }
 
 // end forgets a request.
@@ -287,7 +294,7 @@
 		return
 	}
 	if p.unreadAt != nil {
-		b.unqueue(now, p, false)
+		b.unqueue(now, p)
 	}
 	p.runningAt.endTrial(p)
 	b.replicas[p.answer.Reader].endTrial(p)
--- a/request/placement/order_test.go
+++ b/request/placement/order_test.go
@@ -121,7 +121,7 @@
 			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "pause")) * ms
 			if len(known) > 0 && rapid.Bool().Draw(t, "ends") {
 				i := rapid.IntRange(0, len(known)-1).Draw(t, "which")
-				r.dequeue(now, known[i], rapid.Bool().Draw(t, "read"))
+				r.dequeue(now, known[i])
 				known = append(known[:i], known[i+1:]...)
 			} else {
 				next := &placed{reading: rapid.IntRange(0, 9_000).Draw(t, "tokens")}
@@ -149,6 +149,9 @@
 	must.Eq(t, 0, r.remaining(100*ms+overdueGrace, pace))
 	must.Eq(t, 400*ms, r.remaining(500*ms, pace))
 	must.Eq(t, maxOverdue, r.remaining(time.Minute, pace))
+	r.heardAt = time.Minute
+	must.Eq(t, 0, r.remaining(time.Minute, pace), must.Sprint("the replica is there: who asked is gone"))
+	must.Eq(t, 50*ms, r.remaining(time.Minute+150*ms, pace))
 }
 
 func TestSilentReaderDrawsNothingMore(t *testing.T) {
--- a/request/placement/queue.go
+++ b/request/placement/queue.go
@@ -29,20 +29,16 @@
 	}
 }
 
-// dequeue takes a request out of what the replica has to read; read says that it was
-// read, after which the next one is.
-func (r *replica) dequeue(now time.Duration, p *placed, read bool) {
+// dequeue takes a request out of what the replica has to read.
+func (r *replica) dequeue(now time.Duration, p *placed) {
 	if i := slices.Index(r.queue, p); i >= 0 {
 		r.queue = slices.Delete(r.queue, i, i+1)
 	}
-	if r.current != p && !read {
+	if r.current != p {
 		return
 	}
-	r.currentSince = now
-	if r.current == p {
-		r.current = nil
-	}
-	if r.current == nil && len(r.queue) > 0 {
+	r.current, r.currentSince = nil, now
+	if len(r.queue) > 0 {
 		r.current = r.queue[0]
 	}
 }
@@ -55,18 +51,21 @@
 // measured, and the way of the word that it has ended.
 const overdueGrace = 80 * time.Millisecond
 
-// remaining is the time that the current read still takes. One that has already taken
-// longer than it should is expected to go on for as long as it is overdue: it is slow, or
-// the replica has fallen silent, which nothing else tells for a second or more.
+// remaining is the time that the current read still takes. One that should be over is
+// over if the replica has been heard of since: its daemon may be gone. Otherwise it is
+// expected to go on for as long as it is overdue: the replica is slow, or has fallen
+// silent, which nothing else tells for a second or more.
 func (r *replica) remaining(now, pace time.Duration) time.Duration {
 	if r.current == nil {
 		return 0
 	}
-	left := time.Duration(r.current.reading)*pace - (now - r.currentSince)
+	takes := time.Duration(r.current.reading) * pace
+	left := r.currentSince + takes - now
 	if left >= -overdueGrace {
 		return max(left, 0)
 	}
-	return min(-left, maxOverdue)
+	silent := now - max(r.currentSince, r.heardAt)
+	return min(max(silent-takes, 0), maxOverdue)
 }
 
 // backlog is the time that reading all that goes before a new request will take.
--- /dev/null
+++ b/request/placement/takeover_test.go
@@ -0,0 +1,76 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// A new board that is not told what is in flight sends the next prompt behind the others.
+func TestNewBoardCountsWhatOthersHavePlaced(t *testing.T) {
+	old, next := newTestBoard(), newTestBoard()
+	told := map[string]map[uint64]Placed{}
+	var asked []Ask
+	for number := range uint64(5) {
+		prompt := urgent(9_000, 0)
+		asked = append(asked, prompt)
+		daemon := []string{"a", "b"}[number%2]
+		answer := old.Place(0, Key{Daemon: daemon, Number: number}, prompt)
+		if told[daemon] == nil {
+			told[daemon] = map[uint64]Placed{}
+		}
+		told[daemon][number] = Placed{Ask: prompt, Answer: answer}
+	}
+	probe := urgent(9_000, 0)
+	want := old.Place(0, key(100), probe)
+	must.NotEq(t, want.Estimate, next.Place(0, key(100), probe).Estimate)
+	next = newTestBoard()
+	for daemon, requests := range told {
+		next.TakeOver(0, daemon, requests)
+	}
+	got := next.Place(0, key(100), probe)
+	must.Between(t, want.Estimate-ms, got.Estimate, want.Estimate+ms)
+	must.MapLen(t, len(asked)+1, next.placed)
+}
+
+// What a daemon tells takes the place of what was known of it, and of it alone.
+func TestTakingOverForgetsWhatHasEndedMeanwhile(t *testing.T) {
+	b := newTestBoard()
+	for number := range uint64(4) {
+		b.Place(0, Key{Daemon: "a", Number: number}, urgent(9_000, 0))
+	}
+	b.Place(0, Key{Daemon: "b", Number: 1}, urgent(9_000, 0))
+	kept := b.placed[Key{Daemon: "a", Number: 2}]
+	b.TakeOver(0, "a", map[uint64]Placed{
+		2: {Ask: kept.ask, Answer: kept.answer},
+		9: {Ask: urgent(9_000, 0), Answer: Answer{Generator: "gone"}},
+	})
+	must.MapLen(t, 2, b.placed)
+	must.True(t, b.placed[Key{Daemon: "a", Number: 2}] == kept)
+}
+
+// Each step counts where it is: to be read, to be moved, or running.
+func TestTakenOverRequestsCountByTheirStep(t *testing.T) {
+	b := newTestBoard()
+	answer := Answer{Generator: "make-1", Reader: "read-1", Unread: 9_000}
+	prompt := urgent(9_000, 0)
+	prompt.Deadline = time.Minute
+	b.TakeOver(time.Second, "a", map[uint64]Placed{
+		1: {Ask: prompt, Answer: answer, Age: 100 * ms},
+		2: {Ask: prompt, Answer: answer, Age: 300 * ms, Step: StepRead},
+		3: {Ask: prompt, Answer: answer, Age: 900 * ms, Step: StepStarted},
+	})
+	must.SliceLen(t, 1, b.replicas["read-1"].queue)
+	must.MapLen(t, 3, b.replicas["make-1"].running)
+	samples := b.paces[RolePrefill].samples
+	b.Note(2*time.Second, Key{Daemon: "a", Number: 1}, Note{Step: StepRead})
+	must.Eq(t, samples, b.paces[RolePrefill].samples, must.Sprint("nobody knows when it began"))
+	must.SliceEmpty(t, b.replicas["read-1"].queue)
+	for number := range uint64(3) {
+		b.Note(2*time.Second, Key{Daemon: "a", Number: number + 1}, Note{Step: StepStarted})
+		b.Note(2*time.Second, Key{Daemon: "a", Number: number + 1}, Note{Step: StepEnded})
+	}
+	must.MapEmpty(t, b.placed)
+	must.MapEmpty(t, b.replicas["make-1"].running)
+}
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -118,6 +118,16 @@
 	Told int
 }
 
+// Placed is a request in flight as the daemon knows it that asked for its place: enough
+// for a board that has never seen it to count it as if it had placed it.
+type Placed struct {
+	Ask    Ask
+	Answer Answer
+	// Age is how long ago it was placed, Step how far it has come, 0 for not read yet.
+	Age  time.Duration
+	Step Step
+}
+
 // Key names a placed request: the daemon that asked, and its own number.
 type Key struct {
 	Daemon string
