--- /dev/null
+++ b/connection/feed/takeover.go
@@ -0,0 +1,138 @@
+package feed
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/request/placement"
+)
+
+// What a daemon tells whoever has just begun to place its requests: the board of the last
+// one is lost with it, and the daemons know most of what was on it.
+
+// KeptParts is what a daemon believes a replica to keep of prompts, the part
+// used last at the end. Daemons send it to a leader that has just begun to serve
+// them, so that it need not learn anew what their requests have left where.
+type KeptParts struct {
+	Service string
+	Replica string
+	Parts   []placement.Part
+}
+
+// maxKeptParts bounds the parts told of one replica.
+const maxKeptParts = 512
+
+func encodeKept(kept KeptParts) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.String(kept.Service)
+	encoder.String(kept.Replica)
+	parts := kept.Parts[max(0, len(kept.Parts)-maxKeptParts):]
+	encoder.Uint32(uint32(len(parts)))
+	for _, part := range parts {
+		encoder.String(part.ID)
+		encoder.Uint32(uint32(part.Tokens))
+	}
+	return encoder.Data()
+}
+
+func decodeKept(data []byte) (KeptParts, error) {
+	decoder := frame.NewDecoder(data)
+	kept := KeptParts{Service: decoder.String(), Replica: decoder.String()}
+	parts := decoder.Count(partSize)
+	if parts > maxKeptParts {
+		decoder.Fail(frame.ErrValue)
+	}
+	for i := 0; i < parts && decoder.Err() == nil; i++ {
+		kept.Parts = append(kept.Parts, placement.Part{ID: decoder.String(), Tokens: int(decoder.Uint32())})
+	}
+	return kept, decoder.Finish()
+}
+
+// ReportKept tells the leader what a replica is believed to keep; false when the
+// word was dropped.
+func (c *Client) ReportKept(kept KeptParts) bool {
+	current := c.placing()
+	if current == nil {
+		return false
+	}
+	return current.enqueue(&outgoing{kind: kindKept, payload: encodeKept(kept)})
+}
+
+func (s *subscriber) receiveKept(payload []byte) error {
+	kept, err := decodeKept(payload)
+	if err != nil {
+		return err
+	}
+	s.server.config.Group.NoteKept(kept)
+	return nil
+}
+
+// InFlight is what a daemon has in flight to the replicas of one service, by its own
+// numbers. Daemons send it to who has just begun to place their requests, so that the new
+// board need not learn from its mistakes what the old one knew.
+type InFlight struct {
+	Service  string
+	Requests map[uint64]placement.Placed
+}
+
+// maxInFlight bounds the requests of one message. A daemon with more leaves the rest out,
+// which then show as load that replicas tell.
+const maxInFlight = 512
+
+// inFlightSize is the least size of an encoded request in flight.
+const inFlightSize = 8 + 8 + 1
+
+func encodeInFlight(message InFlight) []byte {
+	encoder := frame.NewEncoder(nil)
+	encoder.String(message.Service)
+	numbers := slices.Sorted(maps.Keys(message.Requests))
+	numbers = numbers[max(0, len(numbers)-maxInFlight):]
+	encoder.Uint32(uint32(len(numbers)))
+	for _, number := range numbers {
+		request := message.Requests[number]
+		encoder.Uint64(number)
+		encoder.Int64(int64(request.Age))
+		encoder.Uint8(uint8(request.Step))
+		encodeAsk(encoder, &request.Ask)
+		encodeAnswer(encoder, &request.Answer)
+	}
+	return encoder.Data()
+}
+
+func decodeInFlight(data []byte) (InFlight, error) {
+	decoder := frame.NewDecoder(data)
+	message := InFlight{Service: decoder.String(), Requests: map[uint64]placement.Placed{}}
+	count := decoder.Count(inFlightSize)
+	if count > maxInFlight {
+		decoder.Fail(frame.ErrValue)
+	}
+	for i := 0; i < count && decoder.Err() == nil; i++ {
+		number := decoder.Uint64()
+		request := placement.Placed{Age: time.Duration(decoder.Int64()), Step: placement.Step(decoder.Uint8())}
+		request.Ask = decodeAsk(decoder)
+		request.Answer = decodeAnswer(decoder)
+		message.Requests[number] = request
+	}
+	return message, decoder.Finish()
+}
+
+// ReportInFlight tells who places the daemon's requests now what it has in flight; false
+// when the word was dropped.
+func (c *Client) ReportInFlight(message InFlight) bool {
+	current := c.placing()
+	if current == nil {
+		return false
+	}
+	return current.enqueue(&outgoing{kind: kindInFlight, payload: encodeInFlight(message)})
+}
+
+func (s *subscriber) receiveInFlight(payload []byte) error {
+	message, err := decodeInFlight(payload)
+	if err != nil {
+		return err
+	}
+	s.server.config.Group.NoteInFlight(s.key.String(), message)
+	return nil
+}
--- a/process/control/placement.go
+++ b/process/control/placement.go
@@ -64,13 +64,14 @@
 	}
 }
 
-// summaries returns what the boards show, by service; idle ones are left out.
+// summaries returns what the boards show, by service, of those that were asked for places
+// since the last time.
 func (d *placementDesk) summaries(now time.Duration) map[string]placement.Summary {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	shown := map[string]placement.Summary{}
 	for service, board := range d.boards {
-		if made := board.Summarize(now); made.InFlight > 0 || made.Answers != (placement.Answers{}) {
+		if made := board.Summarize(now); made.Answers != (placement.Answers{}) {
 			shown[service] = made
 		}
 	}
