Count an overdue read as over after 1.5 s

Change: 1.5 s after it should have ended the read counts as over. A daemon that is there has given the replica up by then and said so.

Test: TestOverdueReadsKeepOthersAway, whose last lines fail on the code before.

--- a/request/placement/queue.go
+++ b/request/placement/queue.go
@@ -43,9 +43,10 @@
 	}
 }
 
-// maxOverdue is the longest for which a read that is overdue is expected to go on: as
-// long as a replica that has given no answer is kept off by its cost.
-const maxOverdue = suspectCost
+// maxOverdue is for how long a read may be overdue before it counts as over. By then the
+// daemon that asked for it has given the replica up and said so, unless it is gone itself;
+// and since nobody uses a replica that looks busy, nothing else would be heard of it.
+const maxOverdue = 1500 * time.Millisecond
 
 // overdueGrace is what a read may take besides its tokens: its start, 25 to 50 ms as
 // measured, and the way of the word that it has ended.
@@ -53,8 +54,8 @@
 
 // remaining is the time that the current read still takes. One that should be over is
 // over if the replica has been heard of since: its daemon may be gone. Otherwise it is
-// expected to go on for as long as it is overdue: the replica is slow, or has fallen
-// silent, which nothing else tells for a second or more.
+// expected to go on for as long as it is overdue, up to a bound: the replica is slow, or
+// has fallen silent, which nothing else tells for a second or more.
 func (r *replica) remaining(now, pace time.Duration) time.Duration {
 	if r.current == nil {
 		return 0
@@ -64,8 +65,11 @@
 	if left >= -overdueGrace {
 		return max(left, 0)
 	}
-	silent := now - max(r.currentSince, r.heardAt)
-	return min(max(silent-takes, 0), maxOverdue)
+	overdue := now - max(r.currentSince, r.heardAt) - takes
+	if overdue > maxOverdue {
+		return 0
+	}
+	return max(overdue, 0)
 }
 
 // backlog is the time that reading all that goes before a new request will take.
