Bound the message of what is in flight; keep what is asked while it is told

Found in reading the change: 512 requests with 256 parts each would be 3.6 MB, more than a server takes of a subscriber (1 MB), and the proxy would be cut off each time that it came back; and a request that a proxy asks for while it tells what it has in flight was forgotten by the board. Change: half of the bound at most, the newest first, without the lists of replicas that mattered for the choice alone; a request placed less than 100 ms ago is kept.

--- a/connection/feed/takeover.go
+++ b/connection/feed/takeover.go
@@ -77,28 +77,40 @@
 	Requests map[uint64]placement.Placed
 }
 
-// maxInFlight bounds the requests of one message. A daemon with more leaves the rest out,
-// which then show as load that replicas tell.
-const maxInFlight = 512
+// Bounds of one message. A daemon with more in flight leaves the oldest out, which then
+// show as load that replicas tell.
+const (
+	maxInFlight      = 512
+	maxInFlightBytes = maxSubscriberPayload / 2
+)
 
 // inFlightSize is the least size of an encoded request in flight.
 const inFlightSize = 8 + 8 + 1
 
 func encodeInFlight(message InFlight) []byte {
+	requests := frame.NewEncoder(nil)
+	count := 0
+	for _, number := range slices.Backward(slices.Sorted(maps.Keys(message.Requests))) {
+		if count == maxInFlight || len(requests.Data()) > maxInFlightBytes {
+			break
+		}
+		encodePlaced(requests, number, message.Requests[number])
+		count++
+	}
 	encoder := frame.NewEncoder(nil)
 	encoder.String(message.Service)
-	numbers := slices.Sorted(maps.Keys(message.Requests))
-	numbers = numbers[max(0, len(numbers)-maxInFlight):]
-	encoder.Uint32(uint32(len(numbers)))
-	for _, number := range numbers {
-		request := message.Requests[number]
-		encoder.Uint64(number)
-		encoder.Int64(int64(request.Age))
-		encoder.Uint8(uint8(request.Step))
-		encodeAsk(encoder, &request.Ask)
-		encodeAnswer(encoder, &request.Answer)
-	}
-	return encoder.Data()
+	encoder.Uint32(uint32(count))
+	return append(encoder.Data(), requests.Data()...)
+}
+
+// encodePlaced leaves out the replicas that mattered for the choice alone.
+func encodePlaced(encoder *frame.Encoder, number uint64, request placement.Placed) {
+	request.Ask.Excluded, request.Ask.Connected = nil, nil
+	encoder.Uint64(number)
+	encoder.Int64(int64(request.Age))
+	encoder.Uint8(uint8(request.Step))
+	encodeAsk(encoder, &request.Ask)
+	encodeAnswer(encoder, &request.Answer)
 }
 
 func decodeInFlight(data []byte) (InFlight, error) {
--- a/request/placement/takeover.go
+++ b/request/placement/takeover.go
@@ -7,11 +7,16 @@
 // their waiting for a slow pace. What is in flight is known, though, to the daemons that
 // asked; each tells a new board at once.
 
+// askedMeanwhile is for how long a request may have been placed here that its daemon does
+// not tell of: it asked while it told, and waits for the answer.
+const askedMeanwhile = 100 * time.Millisecond
+
 // TakeOver counts what a daemon has in flight, and forgets what else was known of it. Of
 // requests that were placed by other boards, nothing is learnt of paces.
 func (b *Board) TakeOver(now time.Duration, daemon string, told map[uint64]Placed) {
-	for key := range b.placed {
-		if _, known := told[key.Number]; key.Daemon == daemon && !known {
+	for key, p := range b.placed {
+		_, known := told[key.Number]
+		if key.Daemon == daemon && !known && now-p.at > askedMeanwhile {
 			b.end(now, key)
 		}
 	}
