--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -74,7 +74,6 @@
 	current      *placed
 	currentSince time.Duration
 	readAt       time.Duration // when the last read ended
-	heardAt      time.Duration // when it last did what it was asked for, or answered at all
 	running      map[*placed]struct{}
 
 	// foreign is how many requests the replica had that are not on the board, when
@@ -88,7 +87,6 @@
 	suspectTill time.Duration
 	trial       *placed // the request that shows whether a suspect answers again
 	failureRate float64
-	slowness    slowness
 }
 
 // NewBoard returns a board without replicas.
@@ -228,7 +226,7 @@
 	p.started = true
 	b.fairnessOf(now, &p.ask).start(now, p.ask.group)
 	b.learnStart(now, p)
-	p.runningAt.succeed(now)
+	p.runningAt.succeed()
 	p.runningAt.cache.use(p.ask.Parts, b.cacheLimit())
 }
 
@@ -256,27 +254,20 @@
 	}
 	b.learnRead(now, p)
 	p.readAt = now
-	p.behind = p.runningAt.backlog(now, b.paceOf(now, p.runningAt), &p.ask)
-	at.succeed(now)
+	p.behind = p.runningAt.backlog(now, b.paces[p.runningAt.Role].perToken(), &p.ask)
+	at.succeed()
 	b.unqueue(now, p)
 	at.readAt = now
 	at.cache.use(p.ask.Parts, b.cacheLimit())
 }
 
-// learnRead takes in what a read took that has just ended: for the pace of its role, and
-// for how its replica compares with it.
+// learnRead takes in what a read took that has just ended, for the pace of its role.
 func (b *Board) learnRead(now time.Duration, p *placed) {
 	if p.adopted {
 		return
 	}
 	at, pace := p.unreadAt, &b.paces[p.unreadAt.Role]
-	sample := readSample{tokens: p.reading, took: now - max(p.at, at.readAt), alone: p.alone}
-	expected := time.Duration(sample.tokens) * pace.perToken()
-	if sample.alone {
-		expected += pace.start()
-	}
-	at.slowness.learn(now, sample.took, expected)
-	pace.learn(sample, len(b.names))
+	pace.learn(readSample{tokens: p.reading, took: now - max(p.at, at.readAt), alone: p.alone}, len(b.names))
 }
 
 // unqueue takes the request off the queue of whoever reads it.
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -128,7 +128,7 @@
 // handover is the making of tokens at a replica from a prompt that was read elsewhere.
 // It waits behind the prompts that are to be read there.
 func (b *Board) handover(now time.Duration, ask *Ask, generator *replica) candidate {
-	first := generator.backlog(now, b.paceOf(now, generator), ask) + b.startTime
+	first := generator.backlog(now, b.paces[RoleDecode].perToken(), ask) + b.startTime
 	return candidate{
 		way:  option{generator: generator, first: first},
 		cost: first + b.generating(now, ask, generator) + generator.failureTime(now) + ask.connecting(generator),
@@ -200,7 +200,7 @@
 	if own := keepers[at.Zone]; own.replica == at {
 		kept = max(kept, own.tokens)
 	}
-	pace := b.paceOf(now, at)
+	pace := b.paces[at.Role].perToken()
 	best := option{reader: at, unread: max(ask.Prompt-kept, 0)}
 	best.first = time.Duration(best.unread) * pace
 	best.cost = best.first
@@ -279,7 +279,7 @@
 // tokens come between pieces of it, so that their events come late once the
 // reading goes on for longer than the gap objective leaves room for.
 func (b *Board) disturbance(now time.Duration, ask *Ask, unread int, generator *replica) time.Duration {
-	pace := b.paceOf(now, generator)
+	pace := b.paces[RoleDecode].perToken()
 	gap := b.sheet.GapObjective
 	if gap <= 0 {
 		gap = defaultGap
@@ -294,7 +294,7 @@
 // generating is what making tokens at a replica costs besides.
 func (b *Board) generating(now time.Duration, ask *Ask, generator *replica) time.Duration {
 	running := len(generator.running) + generator.strangers(now)
-	cost := time.Duration(float64(running) * generator.slowness.factor(now) * float64(runningCost))
+	cost := time.Duration(running) * runningCost
 	if generator.Slots > 0 && running >= generator.Slots {
 		cost += fullCost
 	}
--- a/request/placement/failure.go
+++ b/request/placement/failure.go
@@ -28,7 +28,7 @@
 	failed.failureRate += failureWeight * (1 - failed.failureRate)
 	switch note.Step {
 	case StepErred:
-		failed.heardAt, failed.suspicion, failed.suspectTill = now, 0, 0
+		failed.suspicion, failed.suspectTill = 0, 0
 	case StepRefused:
 		failed.refuse(now)
 	default:
@@ -81,8 +81,7 @@
 
 // succeed notes that the replica did what it was asked for: whatever it has left
 // unanswered, it is there.
-func (r *replica) succeed(now time.Duration) {
-	r.heardAt = now
+func (r *replica) succeed() {
 	r.failureRate *= 1 - failureWeight
 	r.suspicion, r.refusal = 0, 0
 	r.suspectTill = 0
--- a/request/placement/queue.go
+++ b/request/placement/queue.go
@@ -43,38 +43,12 @@
 	}
 }
 
-// maxOverdue is for how long a read may be overdue before it counts as over. By then the
-// daemon that asked for it has given the replica up and said so, unless it is gone itself;
-// and since nobody uses a replica that looks busy, nothing else would be heard of it.
-const maxOverdue = 1500 * time.Millisecond
-
-// overdueGrace is what a read may take besides its tokens: its start, 25 to 50 ms as
-// measured, and the way of the word that it has ended.
-const overdueGrace = 80 * time.Millisecond
-
-// remaining is the time that the current read still takes. One that should be over is
-// over if the replica has been heard of since: its daemon may be gone. Otherwise it is
-// expected to go on for as long as it is overdue, up to a bound: the replica is slow, or
-// has fallen silent, which nothing else tells for a second or more.
-func (r *replica) remaining(now, pace time.Duration) time.Duration {
-	if r.current == nil {
-		return 0
-	}
-	takes := time.Duration(r.current.reading) * pace
-	left := r.currentSince + takes - now
-	if left >= -overdueGrace {
-		return max(left, 0)
-	}
-	overdue := now - max(r.currentSince, r.heardAt) - takes
-	if overdue > maxOverdue {
-		return 0
-	}
-	return max(overdue, 0)
-}
-
 // backlog is the time that reading all that goes before a new request will take.
 func (r *replica) backlog(now, pace time.Duration, ask *Ask) time.Duration {
-	total := r.remaining(now, pace)
+	total := time.Duration(0)
+	if r.current != nil {
+		total = max(time.Duration(r.current.reading)*pace-(now-r.currentSince), 0)
+	}
 	rank := ask.rank()
 	for _, queued := range r.queue {
 		if queued.ask.rank() > rank {
--- a/request/placement/summary.go
+++ b/request/placement/summary.go
@@ -86,7 +86,7 @@
 		if known.Role == RolePrefill {
 			load = &made.Readers
 		}
-		load.add(known.backlog(now, b.paceOf(now, known), leastUrgent), len(known.running))
+		load.add(known.backlog(now, b.paces[known.Role].perToken(), leastUrgent), len(known.running))
 	}
 	b.finish(&made.Generators, RoleDecode)
 	b.finish(&made.Readers, RolePrefill)
--- a/request/placement/wait.go
+++ b/request/placement/wait.go
@@ -41,7 +41,7 @@
 	}
 	// What is queued goes on being read during the wait.
 	reader := later.readsAt()
-	delay := awaited.in - min(awaited.in, reader.backlog(now, b.paceOf(now, reader), ask))
+	delay := awaited.in - min(awaited.in, reader.backlog(now, b.paces[reader.Role].perToken(), ask))
 	later.first += delay
 	later.cost += delay
 	later.wait = max(awaited.in, leastWait)
@@ -86,7 +86,7 @@
 
 // bringerAt looks through the queue of one replica.
 func (b *Board) bringerAt(now time.Duration, ask *Ask, at *replica, kept int) (bringer, bool) {
-	pace := b.paceOf(now, at)
+	pace := b.paces[at.Role].perToken()
 	in := b.paces[at.Role].start()
 	for _, queued := range at.queue {
 		if queued.ask.deferred {
