Tell callers of a proxy without routes to come back once it surely has them

Change: the pause counts from the process's start: until 0.9 s after it, at least 0.2 s, and up to 0.3 s of spread. Ruled out: the replicas (0.7 s of backlog).

--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -120,7 +120,7 @@
 	}
 	route := routes.find(call.Host, call.Path)
 	if route == nil {
-		refusal = noRoute(routes)
+		refusal = noRoute(routes, i.now())
 		i.config.Dialect.Refusal(w.Header(), &call, refusal.retryAfter)
 		writeOwn(w, refusal.status, refusal.cause)
 		i.logRefusal(&call, routes, refusal)
@@ -138,21 +138,30 @@
 
 // noRoute tells a request that no route takes from one that came before this
 // process knew any route.
-func noRoute(routes *routeTable) *ownRefusal {
+func noRoute(routes *routeTable, uptime time.Duration) *ownRefusal {
 	if routes.generation == 0 {
-		return &ownRefusal{status: http.StatusServiceUnavailable, cause: "no_configuration", retryAfter: startPause()}
+		return &ownRefusal{status: http.StatusServiceUnavailable, cause: "no_configuration", retryAfter: startPause(uptime)}
 	}
 	return &ownRefusal{status: http.StatusNotFound, cause: "no_route"}
 }
 
-// startPause is when a process that has just started will know the routes: a group that
-// was stopped as a whole serves again 0.2 to 0.4 s after its start. Callers come back
-// spread out.
-func startPause() time.Duration {
-	return minimumStartPause + rand.N(minimumStartPause)
-}
+// Times of the pause that callers of a proxy without routes are told to make.
+const (
+	// expectedStart is how long after its start a proxy has its view where the group was
+	// stopped as a whole and one of its disks is lost, so that an election timeout is
+	// waited out: 0.5 s, and 0.2 to 0.4 s until the last of 295 proxies has its view.
+	expectedStart = 900 * time.Millisecond
+	// leastStartPause is the pause of one that has been up for longer.
+	leastStartPause = 200 * time.Millisecond
+	// startSpread keeps callers from coming back together.
+	startSpread = 300 * time.Millisecond
+)
 
-const minimumStartPause = 300 * time.Millisecond
+// startPause is when a process that started so long ago will know the routes. Most callers
+// come back once: one who is told to come too early is lost.
+func startPause(uptime time.Duration) time.Duration {
+	return max(expectedStart-uptime, leastStartPause) + rand.N(startSpread)
+}
 
 // read takes the caller's request in whole.
 func (i *Ingress) read(w http.ResponseWriter, r *http.Request, routes *routeTable) (Call, *ownRefusal) {
