--- a/connection/feed/placement.go
+++ b/connection/feed/placement.go
@@ -58,14 +58,30 @@
 	encoder.Int64(int64(ask.Age))
 	encoder.Int64(int64(ask.Deadline))
 	encoder.Bool(ask.Continued)
-	parts := ask.Parts[:min(len(ask.Parts), maxParts)]
+	encodeParts(encoder, ask.Parts[:min(len(ask.Parts), maxParts)])
+	encodeNames(encoder, ask.Excluded)
+	encodeNames(encoder, ask.Connected)
+}
+
+func encodeParts(encoder *frame.Encoder, parts []placement.Part) {
 	encoder.Uint32(uint32(len(parts)))
 	for _, part := range parts {
 		encoder.String(part.ID)
 		encoder.Uint32(uint32(part.Tokens))
 	}
-	encodeNames(encoder, ask.Excluded)
-	encodeNames(encoder, ask.Connected)
+}
+
+// decodeParts fails the decoder where there are more than limit.
+func decodeParts(decoder *frame.Decoder, limit int) []placement.Part {
+	var parts []placement.Part
+	count := decoder.Count(partSize)
+	if count > limit {
+		decoder.Fail(frame.ErrValue)
+	}
+	for i := 0; i < count && decoder.Err() == nil; i++ {
+		parts = append(parts, placement.Part{ID: decoder.String(), Tokens: int(decoder.Uint32())})
+	}
+	return parts
 }
 
 // encodeNames adds the first of the replicas' names, as many as a list may hold.
@@ -107,15 +123,9 @@
 	ask.Age = time.Duration(decoder.Int64())
 	ask.Deadline = time.Duration(decoder.Int64())
 	ask.Continued = decoder.Bool()
-	parts := decoder.Count(partSize)
-	for i := 0; i < parts && decoder.Err() == nil; i++ {
-		ask.Parts = append(ask.Parts, placement.Part{ID: decoder.String(), Tokens: int(decoder.Uint32())})
-	}
+	ask.Parts = decodeParts(decoder, maxParts)
 	ask.Excluded = decodeNames(decoder)
 	ask.Connected = decodeNames(decoder)
-	if parts > maxParts {
-		decoder.Fail(frame.ErrValue)
-	}
 	return ask
 }
 
--- a/connection/feed/takeover.go
+++ b/connection/feed/takeover.go
@@ -28,25 +28,13 @@
 	encoder := frame.NewEncoder(nil)
 	encoder.String(kept.Service)
 	encoder.String(kept.Replica)
-	parts := kept.Parts[max(0, len(kept.Parts)-maxKeptParts):]
-	encoder.Uint32(uint32(len(parts)))
-	for _, part := range parts {
-		encoder.String(part.ID)
-		encoder.Uint32(uint32(part.Tokens))
-	}
+	encodeParts(encoder, kept.Parts[max(0, len(kept.Parts)-maxKeptParts):])
 	return encoder.Data()
 }
 
 func decodeKept(data []byte) (KeptParts, error) {
 	decoder := frame.NewDecoder(data)
-	kept := KeptParts{Service: decoder.String(), Replica: decoder.String()}
-	parts := decoder.Count(partSize)
-	if parts > maxKeptParts {
-		decoder.Fail(frame.ErrValue)
-	}
-	for i := 0; i < parts && decoder.Err() == nil; i++ {
-		kept.Parts = append(kept.Parts, placement.Part{ID: decoder.String(), Tokens: int(decoder.Uint32())})
-	}
+	kept := KeptParts{Service: decoder.String(), Replica: decoder.String(), Parts: decodeParts(decoder, maxKeptParts)}
 	return kept, decoder.Finish()
 }
 
--- a/connection/peer/transport.go
+++ b/connection/peer/transport.go
@@ -25,7 +25,9 @@
 	DefaultPingInterval     = 500 * time.Millisecond
 	DefaultAnswerTimeout    = 2 * time.Second
 	DefaultMinBackoff       = 20 * time.Millisecond
-	DefaultMaxBackoff       = 250 * time.Millisecond
+	// DefaultMaxBackoff is how late a member may notice another one that is back: a quarter
+	// of the default election timeout.
+	DefaultMaxBackoff = 250 * time.Millisecond
 )
 
 // EventKind tells what happened to a connection.
--- a/process/control/warm.go
+++ b/process/control/warm.go
@@ -61,7 +61,7 @@
 	term.background.Go(func() { d.askKept(ctx, current, cold) })
 }
 
-// askKept asks the replicas, a few at a time.
+// askKept asks the replicas, warmAtOnce at a time.
 func (d *duties) askKept(ctx context.Context, current *view.View, cold []string) {
 	var asking sync.WaitGroup
 	places := make(chan struct{}, warmAtOnce)
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -75,12 +75,12 @@
 	FleetReadable = define(1214, "fleet_readable", Info, "The platform's list of replicas can be read again.", "")
 	KeptAsked     = define(1220, "kept_asked", Info,
 		"A new leader has asked a replica which parts of prompts it keeps, since no proxy has told.", "")
-	BoardShows = define(1223, "board_shows", Info,
-		"What the board of a service shows of its replicas, and what it has answered since the last such line, each second in which it places requests.", "")
 	RolesPlanned = define(1221, "roles_planned", Info,
 		"Replicas of a routed service are to take another role. late is the share of requests that could not be placed in time, of about as many as requests says; the numbers of readers, generators and changing replicas are those before.", "")
 	RoleOrdered = define(1222, "role_ordered", Info,
 		"A replica was told to take another role, under the fence; the outcome is its answer, or none for lack of one.", "")
+	BoardShows = define(1223, "board_shows", Info,
+		"What the board of a service shows of its replicas, and what it has answered since the last such line, each second in which it places requests.", "")
 	IngressReplaced = define(1310, "ingress_replaced", Info,
 		"A whole configuration of routes was proposed; the outcome says whether it holds now.", "")
 	IngressRefused = define(1311, "ingress_refused", Info,
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -43,7 +43,7 @@
 	fetch    *replica
 	uncached int
 	estimate time.Duration // to the first token
-	placed   *placed       // nil where this proxy decided
+	placed   *placed       // nil without a control group to be told
 	// deferred lets the requests go first that can be in time.
 	deferred bool
 	// refused says that the request goes nowhere: it would not be answered before
--- a/request/placement/queue.go
+++ b/request/placement/queue.go
@@ -11,18 +11,16 @@
 // urgent one is read sooner than that, but each that it goes before waits for it, and
 // counting both comes to the same.
 
-// rank is the request's place in the order of reading, the lowest first.
-func (a *Ask) rank() int { return oneIf(a.deferred) }
+// readsAfter reports whether the request is read after another one that has come before.
+func (a *Ask) readsAfter(earlier *Ask) bool { return a.deferred || !earlier.deferred }
 
 // enqueue adds a request to what the replica has to read.
 func (r *replica) enqueue(now time.Duration, p *placed) {
 	p.alone = r.current == nil
-	place, _ := slices.BinarySearchFunc(r.queue, p.ask.rank(), func(queued *placed, rank int) int {
-		if queued.ask.rank() <= rank {
-			return -1
-		}
-		return 1
-	})
+	place := slices.IndexFunc(r.queue, func(queued *placed) bool { return !p.ask.readsAfter(&queued.ask) })
+	if place < 0 {
+		place = len(r.queue)
+	}
 	r.queue = slices.Insert(r.queue, place, p)
 	if r.current == nil {
 		r.current, r.currentSince = p, now
@@ -49,9 +47,8 @@
 	if r.current != nil {
 		total = max(time.Duration(r.current.reading)*pace-(now-r.currentSince), 0)
 	}
-	rank := ask.rank()
 	for _, queued := range r.queue {
-		if queued.ask.rank() > rank {
+		if !ask.readsAfter(&queued.ask) {
 			break
 		}
 		if queued != r.current {
@@ -61,5 +58,5 @@
 	return total
 }
 
-// leastUrgent goes behind everything.
+// leastUrgent is read after everything that is queued.
 var leastUrgent = &Ask{deferred: true}
