Tell of answers that name another request, and count them

Cause: nothing in logs or metrics told whose answer a proxy had taken: the line of a read that brings a handle holds the replica, tokens and time, not what the answer says of itself. The record of the incident can't tell its hypotheses apart for that.

No logic changed.

It tells hypotheses 1 and 2 (the answer names another request, or none, on a used connection) from 3 and 4 (it names the right one).

--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -89,6 +89,7 @@
 	now := s.ingress.now()
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	reader.hear(reply.Load, now)
+	s.noteMisplaced(stageRead, reader, reply, answer)
 	body, err := io.ReadAll(io.LimitReader(answer, maxHandleBytes))
 	if err != nil || answer.Status != http.StatusOK {
 		fmt.Fprintf(&s.trace, " prefill(%s: status %d)", reader.name, answer.Status)
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -235,6 +235,7 @@
 	s.answered = true
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	target.hear(reply.Load, s.ingress.now())
+	s.noteMisplaced(stageRun, target, reply, answer)
 	return s.judge(ctx, chosen, sent, number, answer, reply)
 }
 
@@ -252,6 +253,16 @@
 		"deferred", chosen.deferred)
 }
 
+// noteMisplaced tells of an answer that does not name the request.
+func (s *session) noteMisplaced(stage string, from *replica, reply Reply, answer *exchange.Answer) {
+	if reply.ID == s.call.ID {
+		return
+	}
+	s.ingress.metrics.misplaced.WithLabelValues(s.lane.service, stage).Inc()
+	event.AnswerMisplaced.Log(s.ingress.logger, "request", s.call.ID, "stage", stage, "replica", from.name,
+		"reused", answer.Reused, "answered", reply.ID, "status", answer.Status)
+}
+
 // request builds what the target gets.
 func (s *session) request(chosen plan, source Source) *exchange.Request {
 	header := s.call.Header.Clone()
