Tests: surplus answers on kept connections are taken for answers to others

Reproduces the incident without chance: a reader sends a copy of its last answer when the next request has arrived on the connection, before its own answer to it.

Seen to fail on the code as it is, by go test ./process/ingress: - TestReadTakesNoHandleOfAnotherRequest: the generator is given first-1 for the second request (the incident); - TestReadTakesNoHandleOfAnEarlierRead: the second read of one request takes the handle of its first, which the refusing generator may have taken; - TestRefusalWithoutANameIsNotBelievedOnAUsedConnection: a request that may run once is sent to a second replica while the first one runs it.

--- a/process/ingress/misplaced_test.go
+++ b/process/ingress/misplaced_test.go
@@ -1,12 +1,160 @@
 package ingress
 
 import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
 	"testing"
 
 	"github.com/go-kit/log"
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/shoenig/test/must"
 )
 
+// The incident. Seen: streams that continued from a prompt read for another request,
+// after a reader had sent one answer too many on a kept connection. How it came about:
+// the surplus answer arrived after the proxy had looked whether the idle connection was
+// quiet and before the answer to its own read; the read took the first head that came.
+// Cause: only the answer to a run was held against the request's ID, at the place that
+// judges runs; every other taker of an answer trusted its place on the connection. Proof:
+// the tests below send the surplus answer when the next request arrives. They need no
+// chance, and failed on that code.
+
+// surplusReplica answers a connection's first request as its handler says. When a
+// further one arrives on the same connection, it sends a surplus answer before its own.
+type surplusReplica struct {
+	answer  func(r *http.Request) string // whole, as it goes over the wire
+	surplus func(earlier *http.Request) string
+
+	lock    sync.Mutex
+	earlier map[string]*http.Request // by the connection's far address
+}
+
+func newSurplusReplica(t *testing.T, name string, answer, surplus func(*http.Request) string) *fakeReplica {
+	s := &surplusReplica{answer: answer, surplus: surplus, earlier: map[string]*http.Request{}}
+	return newFakeReplica(t, name, s.serve)
+}
+
+func (s *surplusReplica) serve(w http.ResponseWriter, r *http.Request) {
+	s.lock.Lock()
+	earlier := s.earlier[r.RemoteAddr]
+	s.earlier[r.RemoteAddr] = r
+	s.lock.Unlock()
+	if earlier == nil {
+		w.Header().Set(testID, r.Header.Get(testID))
+		w.Header().Set(testGenuine, "signature")
+		_, _ = fmt.Fprint(w, s.answer(r))
+		return
+	}
+	hijack(func(conn net.Conn) {
+		_, _ = fmt.Fprint(conn, s.surplus(earlier)+wireAnswer(r, s.answer(r)))
+	})(w, r)
+}
+
+// wireAnswer is an answer to the request with its head.
+func wireAnswer(r *http.Request, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signature\r\nContent-Length: %d\r\n\r\n%s",
+		testID, r.Header.Get(testID), testGenuine, len(body), body)
+}
+
+// handles makes the bodies of answers to reads: each names its request, and which of
+// its reads it was.
+type handles struct {
+	lock  sync.Mutex
+	reads map[string]int
+}
+
+func newHandles() *handles { return &handles{reads: map[string]int{}} }
+
+func (h *handles) next(r *http.Request) string {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	id := r.Header.Get(testID)
+	h.reads[id]++
+	return handleBody(id, h.reads[id])
+}
+
+func handleBody(id string, read int) string { return fmt.Sprintf("%q", fmt.Sprintf("%s-%d", id, read)) }
+
+// firstHandle is the answer to a request's first read, sent again.
+func firstHandle(r *http.Request) string { return wireAnswer(r, handleBody(r.Header.Get(testID), 1)) }
+
+// scriptedPlacer gives its answers in turn.
+type scriptedPlacer struct {
+	lock    sync.Mutex
+	answers []placement.Answer
+}
+
+func (p *scriptedPlacer) Place(context.Context, feed.PlaceRequest) (placement.Answer, error) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if len(p.answers) == 0 {
+		return placement.Answer{}, feed.ErrNotPlaced
+	}
+	next := p.answers[0]
+	p.answers = p.answers[1:]
+	return next, nil
+}
+
+func (p *scriptedPlacer) NotePlaced(feed.PlaceNote) bool { return true }
+
+func modelRequestOf(id string) asked {
+	request := modelRequest
+	request.id = id
+	return request
+}
+
+func TestReadTakesNoHandleOfAnotherRequest(t *testing.T) {
+	reader := newSurplusReplica(t, "read", newHandles().next, firstHandle)
+	generator := newFakeReplica(t, "make", streamEvents(2, ""))
+	w := newModelWorld(t, reader, generator, nil)
+	w.ingress.placer = &fakePlacer{answer: placement.Answer{Generator: "make", Reader: "read"}}
+	for _, id := range []string{"first", "second"} {
+		must.Eq(t, events(1, 2), w.ask(modelRequestOf(id)).body)
+	}
+	must.Eq(t, 2, reader.count())
+	for _, run := range generator.requests {
+		own := reader.address() + "/" + run.Header.Get(testID) + "-1"
+		must.SliceContains(t, []string{own, ""}, run.Header.Get(testSource))
+	}
+}
+
+// The ID of a request does not tell its reads apart: what was read for its first
+// attempt may be gone by the second.
+func TestReadTakesNoHandleOfAnEarlierRead(t *testing.T) {
+	reader := newSurplusReplica(t, "read", newHandles().next, firstHandle)
+	refusing := newFakeReplica(t, "make-1", refuseRun)
+	generator := newFakeReplica(t, "make-2", streamEvents(2, ""))
+	w := newModelWorld(t, reader, refusing, generator)
+	w.ingress.placer = &scriptedPlacer{answers: []placement.Answer{
+		{Generator: "make-1", Reader: "read"}, {Generator: "make-2", Reader: "read"},
+	}}
+	must.Eq(t, events(1, 2), w.ask(modelRequestOf("q")).body)
+	must.Eq(t, 2, reader.count())
+	must.Eq(t, reader.address()+"/q-1", refusing.requests[0].Header.Get(testSource))
+	must.Eq(t, reader.address()+"/q-2", generator.requests[0].Header.Get(testSource))
+}
+
+// A refusal that names no request, behind the answer to another one, does not say that
+// this request has not run: it may run only once.
+func TestRefusalWithoutANameIsNotBelievedOnAUsedConnection(t *testing.T) {
+	refusal := func(*http.Request) string {
+		return "HTTP/1.1 503 Service Unavailable\r\n" + testNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	first := newSurplusReplica(t, "r-1", func(r *http.Request) string { return "answer to " + r.Header.Get(testID) }, refusal)
+	w := newWorld(t, first)
+	must.Eq(t, http.StatusOK, w.ask(asked{method: "POST", target: "/unsafe/", id: "q-1"}).status)
+	second := newFakeReplica(t, "r-2", answerOK)
+	first.server.Config.Handler = after(first.server.Config.Handler, func() { w.list(first, second) })
+	got := w.ask(asked{method: "POST", target: "/unsafe/", id: "q-2"})
+	must.Eq(t, 2, first.count())
+	must.Eq(t, 0, second.count(), must.Sprint("run twice"))
+	must.True(t, got.status != http.StatusServiceUnavailable, must.Sprint("refused and run"))
+}
+
 // An answer that names another request is told, with whose it is.
 func TestMisplacedAnswersAreLoggedAndCounted(t *testing.T) {
 	var lines sharedBuffer
@@ -16,3 +164,4 @@
 	must.StrContains(t, lines.String(), "name=answer_misplaced request=q stage=run replica=r-1 reused=false answered=another status=200")
 	must.Eq(t, 1, w.ingress.metrics.values(t)["landingtrail_ingress_misplaced_answers_total plain run"])
 }
+
