Exchange: an answer is taken only where it names its request

Cause: whose an answer is was looked at by the one place that judges runs. The reading of a prompt and the freeing of a handle took whatever head came next on the connection; a refusal without a name was believed behind another request's answer; and one request that was sent twice over one connection could get the answer to its first send. The class: an answer is tied to its request by its place on a kept connection.

Change: exchange.Request has an Identity, and Pool.Do returns an answer only if it names that ID, or names none on a connection that has carried no other request. A request without an ID has a connection to itself. No connection carries one ID twice. On a used connection an answer to another request is passed over, as the request's own comes behind it, and the connection is closed afterwards. What came instead is told (event 4605). The lab's plain forwarder, which has no IDs, stands on net/http's Transport now.

--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -19,6 +19,7 @@
 	address     string
 	reader      *bufio.Reader
 	usableUntil time.Time
+	carried     carried
 }
 
 func newConn(raw net.Conn, address string) *conn {
--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -22,6 +22,9 @@
 	Body   []byte
 	// Chunked sends the body in chunks instead of with its length.
 	Chunked bool
+	// Identity ties the answer to the request. A request without one goes over a
+	// connection of its own, which serves nothing before or after it.
+	Identity Identity
 }
 
 // Failure is a request that brought no answer.
@@ -33,6 +36,8 @@
 	// Reused is true when the connection had served other requests before.
 	Reused bool
 	Cause  error
+	// Surplus are the answers to other requests that came instead.
+	Surplus []*Misplaced
 }
 
 // Error returns the cause's text.
@@ -48,6 +53,8 @@
 	// Length is that of the body, -1 if it is not known beforehand.
 	Length int64
 	Reused bool
+	// Surplus are answers to other requests that came before it and were passed over.
+	Surplus []*Misplaced
 
 	pool     *Pool
 	conn     *conn
@@ -59,12 +66,13 @@
 	released atomic.Bool
 }
 
-// Do writes the request once and returns the head of the answer. Informational
-// answers are passed over, redirects are answers like any other. A failure is
-// always a *Failure. When ctx ends, the connection is closed. The caller closes
-// the answer.
+// Do writes the request once and returns the head of the answer that its identity
+// proves to be its own. Informational answers are passed over, redirects are answers
+// like any other. A failure is always a *Failure; its cause is a *Misplaced where
+// another request's answer came instead. When ctx ends, the connection is closed. The
+// caller closes the answer.
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Answer, error) {
-	used, reused, err := p.get(ctx, address)
+	used, reused, err := p.get(ctx, address, request.Identity)
 	if err != nil {
 		return nil, &Failure{Connecting: true, Cause: err}
 	}
@@ -75,21 +83,22 @@
 		_ = used.Conn.Close() // nothing was written on it
 		return nil, &Failure{Reused: reused, Cause: errors.WithStack(err)}
 	}
-	response, err := readHead(used, request.Method)
+	response, surplus, err := readOwn(used, request, reused)
 	if err != nil {
 		detach()
 		_ = used.Conn.Close() // the first error says what is wrong
-		return nil, &Failure{Sent: true, Reused: reused, Cause: errors.WithStack(err)}
+		return nil, &Failure{Sent: true, Reused: reused, Cause: errors.WithStack(err), Surplus: surplus}
 	}
 	return &Answer{
 		Status:  response.StatusCode,
 		Header:  response.Header,
 		Length:  response.ContentLength,
 		Reused:  reused,
+		Surplus: surplus,
 		pool:    p,
 		conn:    used,
 		body:    response.Body,
-		lasting: !response.Close,
+		lasting: !response.Close && request.Identity.ID != "" && len(surplus) == 0,
 		written: written,
 		detach:  detach,
 	}, nil
--- a/connection/exchange/exchange_test.go
+++ b/connection/exchange/exchange_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,10 +74,24 @@
 		if script == nil {
 			return
 		}
-		script(conn)
+		script(&echoing{Conn: conn, id: request.Header.Get(idField)})
 	}
 }
 
+// echoing puts the ID of the request in the place of echoed.
+type echoing struct {
+	net.Conn
+	id string
+}
+
+// echoed stands for the ID of the request in the answers of scripts.
+const echoed = "{id}"
+
+func (e *echoing) Write(data []byte) (int, error) {
+	_, err := e.Conn.Write(bytes.ReplaceAll(data, []byte(echoed), []byte(e.id)))
+	return len(data), err
+}
+
 func (r *replica) next(request string) func(net.Conn) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
@@ -121,12 +137,15 @@
 func sayAndReset(text string) func(net.Conn) {
 	return func(conn net.Conn) {
 		_, _ = conn.Write([]byte(text))
-		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.(*echoing).Conn.(*net.TCPConn).SetLinger(0)
 		_ = conn.Close()
 	}
 }
 
-const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+const (
+	idField = "Id"
+	ok      = "HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 2\r\n\r\nok"
+)
 
 func newPool(t *testing.T) *Pool {
 	pool := NewPool(Config{})
@@ -134,8 +153,16 @@
 	return pool
 }
 
+// get is a request of its own ID.
 func get(target string) *Request {
-	return &Request{Method: http.MethodGet, Target: target, Host: "a.example", Header: http.Header{}}
+	return getAs(strconv.FormatUint(lastID.Add(1), 10), target)
+}
+
+var lastID atomic.Uint64
+
+func getAs(id, target string) *Request {
+	return &Request{Method: http.MethodGet, Target: target, Host: "a.example",
+		Header: http.Header{idField: {id}}, Identity: Identity{Field: idField, ID: id}}
 }
 
 // whole sends the request and reads the answer to its end.
@@ -188,7 +215,7 @@
 // What comes after an answer belongs to no request: the connection must not be
 // used again, whether the bytes are there at once or later.
 func TestSurplusAnswersReachNobody(t *testing.T) {
-	const surplus = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+	const surplus = "HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 5\r\n\r\nother"
 	arrived := make(chan struct{})
 	late := func(conn net.Conn) {
 		_, _ = conn.Write([]byte(ok))
--- a/connection/exchange/pool.go
+++ b/connection/exchange/pool.go
@@ -1,6 +1,7 @@
 // Package exchange sends HTTP/1.1 requests whose bytes matter: method, target
 // and body reach the other side exactly as given, each request is written at
-// most once, and an answer counts as whole only if its framing says so.
+// most once, an answer counts as whole only if its framing says so, and one is taken
+// only where it names its request.
 //
 // It stands on net/http's reader of answers but not on its Transport, which
 // sends a request again by itself, adds fields of its own, and may take bytes
@@ -10,6 +11,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -130,10 +132,11 @@
 	return len(list) > 0 && time.Now().Before(list[len(list)-1].usableUntil)
 }
 
-// take returns an idle connection that is still good, or nil.
-func (p *Pool) take(address string) *conn {
+// take returns an idle connection that is still good and has not carried the request
+// before, or nil.
+func (p *Pool) take(address, id string) *conn {
 	for {
-		kept := p.pop(address)
+		kept := p.pop(address, id)
 		if kept == nil {
 			return nil
 		}
@@ -144,16 +147,19 @@
 	}
 }
 
-func (p *Pool) pop(address string) *conn {
+// pop takes the connection used last. One that has carried the request before stays:
+// the ID would not tell a surplus answer to its earlier send from the one to this.
+func (p *Pool) pop(address, id string) *conn {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if kept := list[i]; !kept.carried.has(id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return kept
+		}
 	}
-	last := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return last
+	return nil
 }
 
 // put keeps a connection whose last answer was read to its end.
@@ -168,10 +174,14 @@
 	p.idle[kept.address] = append(list, kept)
 }
 
-// get returns a connection to the address, and whether it was used before.
-func (p *Pool) get(ctx context.Context, address string) (*conn, bool, error) {
-	if kept := p.take(address); kept != nil {
-		return kept, true, nil
+// get returns a connection to the address on which the answer can be told from others,
+// and whether it was used before.
+func (p *Pool) get(ctx context.Context, address string, identity Identity) (*conn, bool, error) {
+	if identity.ID != "" {
+		if kept := p.take(address, identity.ID); kept != nil {
+			kept.carried.note(identity.ID)
+			return kept, true, nil
+		}
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -179,6 +189,7 @@
 	}
 	opened := newConn(raw, address)
 	opened.limitSilence(p.config.Unacknowledged)
+	opened.carried.note(identity.ID)
 	return opened, false, nil
 }
 
--- a/lab/forwarder/forwarder.go
+++ b/lab/forwarder/forwarder.go
@@ -3,16 +3,17 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/lab/platform/labhttp"
 )
 
@@ -35,13 +36,16 @@
 // forwarder sends each request once and passes each piece of the answer on as
 // it comes.
 type forwarder struct {
-	target  string
-	pool    *exchange.Pool
-	buffers sync.Pool
+	target    string
+	transport *http.Transport
+	buffers   sync.Pool
 }
 
 func newForwarder(target string) *forwarder {
-	created := &forwarder{target: target, pool: exchange.NewPool(exchange.Config{MaxIdle: maxIdleConnections})}
+	created := &forwarder{target: target, transport: &http.Transport{
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdleConnections,
+	}}
 	created.buffers.New = func() any { return new([copyBytes]byte) }
 	return created
 }
@@ -53,27 +57,33 @@
 		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	answer, err := f.pool.Do(r.Context(), f.target, &exchange.Request{
-		Method: r.Method,
-		Target: r.RequestURI,
-		Host:   r.Host,
-		Header: endToEnd(r.Header),
-		Body:   body,
-	})
+	answer, err := f.transport.RoundTrip(f.request(r, body))
 	if err != nil {
 		http.Error(w, "target: "+err.Error(), http.StatusBadGateway)
 		return
 	}
-	defer answer.Close()
+	defer func() { _ = answer.Body.Close() }()
 	for name, values := range endToEnd(answer.Header) {
 		w.Header()[name] = values
 	}
-	w.WriteHeader(answer.Status)
-	if !f.pass(w, answer) {
+	w.WriteHeader(answer.StatusCode)
+	if !f.pass(w, answer.Body) {
 		panic(http.ErrAbortHandler) // the answer must not look whole
 	}
 }
 
+func (f *forwarder) request(r *http.Request, body []byte) *http.Request {
+	request := &http.Request{
+		Method:        r.Method,
+		URL:           &url.URL{Scheme: "http", Host: f.target, Opaque: r.RequestURI},
+		Host:          r.Host,
+		Header:        endToEnd(r.Header),
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
+	}
+	return request.WithContext(r.Context())
+}
+
 // pass copies the body and reports whether all of it was passed on.
 func (f *forwarder) pass(w http.ResponseWriter, from io.Reader) bool {
 	buffer := f.buffers.Get().(*[copyBytes]byte)
--- a/process/ingress/harness_test.go
+++ b/process/ingress/harness_test.go
@@ -87,9 +87,11 @@
 	}
 }
 
+func (testDialect) Identity() string { return testID }
+
 func (testDialect) Reply(status int, header http.Header) Reply {
 	reply := Reply{
-		ID:          header.Get(testID),
+		Named:       header.Get(testID) != "",
 		Genuine:     header.Get(testGenuine) != "",
 		NotRun:      header.Get(testNotRun) != "",
 		Misdirected: status == http.StatusMisdirectedRequest,
--- a/process/ingress/misplaced_test.go
+++ b/process/ingress/misplaced_test.go
@@ -164,4 +164,3 @@
 	must.StrContains(t, lines.String(), "name=answer_misplaced request=q stage=run replica=r-1 reused=false answered=another status=200")
 	must.Eq(t, 1, w.ingress.metrics.values(t)["landingtrail_ingress_misplaced_answers_total plain run"])
 }
-
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -75,12 +75,16 @@
 	reading, cancelLate := context.WithTimeoutCause(reading, s.left()-s.ingress.config.Timeouts.Transit-leastRun, errTooLate)
 	defer cancelLate()
 	s.logSent(stageRead, reader, uncached, chosen)
-	answer, err := s.lane.pool.Do(reading, reader.listed().Address, request)
+	answer, err := s.exchange(reading, stageRead, reader, request)
 	if err != nil {
 		fmt.Fprintf(&s.trace, " prefill(%s: %v)", reader.name, err)
 		if ctx.Err() != nil || context.Cause(reading) == errTooLate {
 			return Source{}, false // nothing follows it
 		}
+		if isMisplaced(err) {
+			reader.fail()
+			return Source{}, true
+		}
 		reader.suspect(s.ingress.now())
 		chosen.placed.note(placement.StepFailed, reader.name, 0)
 		return Source{}, !notSent(err)
@@ -89,9 +93,8 @@
 	now := s.ingress.now()
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	reader.hear(reply.Load, now)
-	s.noteMisplaced(stageRead, reader, reply, answer)
 	body, err := io.ReadAll(io.LimitReader(answer, maxHandleBytes))
-	if err != nil || answer.Status != http.StatusOK {
+	if err != nil || answer.Status != http.StatusOK || !reply.Named {
 		fmt.Fprintf(&s.trace, " prefill(%s: status %d)", reader.name, answer.Status)
 		reader.fail()
 		if reply.Misdirected {
@@ -140,7 +143,8 @@
 // releaseTimeout bounds the freeing of a handle.
 const releaseTimeout = time.Second
 
-// release frees a handle that nobody will take.
+// release frees a handle that nobody will take. The call has no ID, so that it takes a
+// connection of its own.
 func (s *session) release(source Source) {
 	method, target := s.ingress.config.Dialect.Release(source.Handle)
 	lane := s.lane
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -226,7 +226,7 @@
 	stopWatch := s.watchSilence(attempting, chosen, sent, cancel)
 	defer stopWatch()
 	s.logSent(stageRun, target, tokens, chosen)
-	answer, err := s.lane.pool.Do(attempting, target.listed().Address, s.request(chosen, source))
+	answer, err := s.exchange(attempting, stageRun, target, s.request(chosen, source))
 	if err != nil {
 		return s.unanswered(ctx, target, number, err)
 	}
@@ -235,7 +235,6 @@
 	s.answered = true
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	target.hear(reply.Load, s.ingress.now())
-	s.noteMisplaced(stageRun, target, reply, answer)
 	return s.judge(ctx, chosen, sent, number, answer, reply)
 }
 
@@ -253,14 +252,28 @@
 		"deferred", chosen.deferred)
 }
 
-// noteMisplaced tells of an answer that does not name the request.
-func (s *session) noteMisplaced(stage string, from *replica, reply Reply, answer *exchange.Answer) {
-	if reply.ID == s.call.ID {
-		return
+// exchange sends the request to a replica. What comes back is the request's own answer:
+// the pool holds each against the request's ID.
+func (s *session) exchange(ctx context.Context, stage string, to *replica, request *exchange.Request) (*exchange.Answer, error) {
+	answer, err := s.lane.pool.Do(ctx, to.listed().Address, request)
+	if err == nil {
+		s.noteMisplaced(stage, to, answer.Reused, answer.Surplus)
+		return answer, nil
+	}
+	var failure *exchange.Failure
+	if errors.As(err, &failure) {
+		s.noteMisplaced(stage, to, failure.Reused, failure.Surplus)
+	}
+	return nil, err
+}
+
+// noteMisplaced tells of answers to other requests that came where this one's was due.
+func (s *session) noteMisplaced(stage string, from *replica, reused bool, found []*exchange.Misplaced) {
+	for _, misplaced := range found {
+		s.ingress.metrics.misplaced.WithLabelValues(s.lane.service, stage).Inc()
+		event.AnswerMisplaced.Log(s.ingress.logger, "request", s.call.ID, "stage", stage, "replica", from.name,
+			"reused", reused, "answered", misplaced.Answered, "status", misplaced.Status)
 	}
-	s.ingress.metrics.misplaced.WithLabelValues(s.lane.service, stage).Inc()
-	event.AnswerMisplaced.Log(s.ingress.logger, "request", s.call.ID, "stage", stage, "replica", from.name,
-		"reused", answer.Reused, "answered", reply.ID, "status", answer.Status)
 }
 
 // request builds what the target gets.
@@ -279,12 +292,13 @@
 		Fetch:       chosen.fetchOf(source),
 	})
 	return &exchange.Request{
-		Method:  s.call.Method,
-		Target:  s.call.Target,
-		Host:    s.call.Host,
-		Header:  header,
-		Body:    s.call.Body,
-		Chunked: s.call.Chunked,
+		Method:   s.call.Method,
+		Target:   s.call.Target,
+		Host:     s.call.Host,
+		Header:   header,
+		Body:     s.call.Body,
+		Chunked:  s.call.Chunked,
+		Identity: exchange.Identity{Field: s.ingress.config.Dialect.Identity(), ID: s.call.ID},
 	}
 }
 
@@ -307,18 +321,29 @@
 	if ctx.Err() != nil {
 		return verdictCallerEnd
 	}
-	target.suspect(now)
+	s.blame(target, err, now)
 	return verdictBroken
 }
 
+// blame notes that a replica brought no answer. One that answered something else is
+// neither silent nor gone.
+func (s *session) blame(target *replica, err error, now time.Duration) {
+	if isMisplaced(err) {
+		s.answered = true
+		target.fail()
+		return
+	}
+	target.suspect(now)
+}
+
+func isMisplaced(err error) bool {
+	var misplaced *exchange.Misplaced
+	return errors.As(err, &misplaced)
+}
+
 // judge decides by the head of the answer what it means, and passes it on.
 func (s *session) judge(ctx context.Context, chosen plan, sent *send, number uint32, answer *exchange.Answer, reply Reply) verdict {
 	target := chosen.target
-	if reply.ID != "" && reply.ID != s.call.ID {
-		s.life.Fail(number, attempt.FaultBroken)
-		target.fail()
-		return s.brokenUnless(ctx)
-	}
 	if reply.NotRun || reply.Misdirected {
 		s.life.Fail(number, attempt.FaultRefused)
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxHeldAnswer)) // lets the connection be kept
@@ -327,7 +352,7 @@
 		}
 		return verdictNotRun
 	}
-	if reply.ID == "" || isSuccess(answer.Status) && !reply.Genuine {
+	if !reply.Named || isSuccess(answer.Status) && !reply.Genuine {
 		s.life.Fail(number, attempt.FaultBroken)
 		target.fail()
 		return s.brokenUnless(ctx)
--- a/process/ingress/types.go
+++ b/process/ingress/types.go
@@ -76,7 +76,8 @@
 
 // Reply is what the head of an answer says.
 type Reply struct {
-	ID string // of the request that it answers; empty if it does not say
+	// Named is true for an answer that names its request.
+	Named bool
 	// Genuine is true for an answer that a replica made by running a request.
 	Genuine bool
 	// NotRun is the replica's word that it has not run the request.
@@ -101,6 +102,8 @@
 	Call(header http.Header) (Call, error)
 	// Attempt sets the fields of one send.
 	Attempt(header http.Header, attempt Attempt)
+	// Identity returns the field in which a replica's answer repeats a request's ID.
+	Identity() string
 	// Reply reads the fields of an answer.
 	Reply(status int, header http.Header) Reply
 	// Handle reads the body of the answer to a prefill.
