Upstream: connections of one request without "Connection: close"

Cause: DisableKeepAlives sends "Connection: close". A server then closes at once, and a request body that it has not read makes that a reset which takes the answer along. Seen in a trial of connection/orders on connection/upstream: TestUnusableAnswersAreErrors/too_long failed in some of 20 runs with a reset.

Change: the connections that carry one request each are closed by this side, once the answer has ended (MaxIdleConnsPerHost below 0).

Measured: connection/orders and connection/upstream, -count=20, all pass. Conclusion: to servers such a connection looks like any other.

--- a/connection/upstream/identity_test.go
+++ b/connection/upstream/identity_test.go
@@ -70,9 +70,6 @@
 			_, _ = io.WriteString(conn, s.wrong)
 		}
 		_, _ = io.WriteString(conn, rawAnswer("200 OK", request.Header, string(body)))
-		if request.Close {
-			return
-		}
 	}
 }
 
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -43,6 +43,7 @@
 	DefaultMaxHeaderBytes = 64 << 10
 	defaultBufferSize     = 4 << 10
 	keepAliveInterval     = 5 * time.Second
+	noIdle                = -1 // Transport closes each connection after its answer
 )
 
 func (c Config) withDefaults() Config {
@@ -79,7 +80,9 @@
 func NewPool(config Config) *Pool {
 	config = config.withDefaults()
 	kept, single := newTransport(config), newTransport(config)
-	single.DisableKeepAlives = true
+	// Not by DisableKeepAlives: its "Connection: close" makes servers close at
+	// once, and a request body that they have not read then resets the answer.
+	single.MaxIdleConnsPerHost = noIdle
 	return &Pool{kept: kept, single: single}
 }
 
