Orders: take a reply only with a proof that it is the order's

Change: the client sends over connection/upstream, under an ID of each call that engines echo. A reply without a proof counts as no answer: the order may have reached the engine, as after any lost answer.

Ruled out: a connection for each call, since every engine is asked again all the time and the client keeps a connection to each for that.

Differs besides: net/http's own resending of a GET on a connection that the engine has closed is gone; the poller asks again after its interval.

--- a/connection/orders/client.go
+++ b/connection/orders/client.go
@@ -7,11 +7,13 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/connection/upstream"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/pkg/errors"
 )
@@ -27,49 +29,39 @@
 
 // Bounds of a Client.
 const (
-	maxAnswerBytes = 1 << 20
-	maxHeaderBytes = 64 << 10
-	// maxIdleConnections keeps a connection to each engine at the largest size:
-	// engines are asked in turn, so with fewer hardly one is still open when its
-	// engine is asked again.
-	maxIdleConnections  = 16_384
+	maxAnswerBytes      = 1 << 20
+	maxHeaderBytes      = 64 << 10
 	idleTimeout         = 30 * time.Second
 	keepAlivePerAddress = 1
 )
 
 // Client asks and orders engines. It is safe for concurrent use.
 //
-// It uses net/http and not go-zero's httpc: the circuit breaker of httpc counts
-// the failures of all engines together, so that some silent engines would keep
-// orders from the others.
+// It uses connection/upstream and not go-zero's httpc: the circuit breaker of
+// httpc counts the failures of all engines together, so that some silent engines
+// would keep orders from the others; and a reply to another order must not be
+// taken for that to this one. Redirects are answers like any other, so that no
+// order is carried to another address.
 type Client struct {
-	http    *http.Client
+	pool    *upstream.Pool
 	timeout time.Duration
 }
 
 // NewClient returns a Client that bounds each request by timeout.
 func NewClient(timeout time.Duration) *Client {
-	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: timeout}).DialContext,
-		MaxIdleConns:           maxIdleConnections,
-		MaxIdleConnsPerHost:    keepAlivePerAddress,
-		IdleConnTimeout:        idleTimeout,
-		ResponseHeaderTimeout:  timeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-		DisableCompression:     true,
-		Proxy:                  nil,
-	}
 	return &Client{
-		http:    &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
+		pool: upstream.NewPool(upstream.Config{
+			DialTimeout:    timeout,
+			IdleTimeout:    idleTimeout,
+			MaxIdlePerHost: keepAlivePerAddress,
+			MaxHeaderBytes: maxHeaderBytes,
+		}),
 		timeout: timeout,
 	}
 }
 
-// refuseRedirect keeps an order from being carried to another address.
-func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // Close drops the idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { c.pool.Close() }
 
 // State asks the engine for its own account of itself.
 func (c *Client) State(ctx context.Context, address string) (engineapi.State, error) {
@@ -113,7 +105,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := c.http.Do(request)
+	response, err := c.pool.Do(request, upstream.Identity{RequestID: newCallID()})
 	if err != nil {
 		return errors.Wrapf(ErrUnreachable, "%v", err)
 	}
@@ -131,6 +123,9 @@
 	return errors.Wrapf(decodeAnswer(data, answer), "status %d", response.StatusCode)
 }
 
+// newCallID names one call so that no other call to the engine has its name.
+func newCallID() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
 // carriesAnswer reports whether a body of the protocol comes with the status:
 // refused orders come as conflicts.
 func carriesAnswer(status int) bool {
--- a/connection/orders/surplus_test.go
+++ b/connection/orders/surplus_test.go
@@ -45,9 +45,6 @@
 			engineapi.EchoCall(header, request.Header)
 			_ = header.Write(lines) // a builder's writes never fail
 			_, _ = io.WriteString(conn, rawReply(lines.String(), "accepted"))
-			if request.Close {
-				return
-			}
 		}
 	}
 	go func() {
