Answers of engines and of the platform's lists: a connection for each call

Cause: on a kept connection net/http takes the next answer that comes for the one to the request written last. The answers of engines (state, load, orders, voids) and the platform's pages and lists do not name what they answer, so one answer too many made a load pass for a state, an accepted order for a refused void, and the last page of a list for the first one.

Ruled out: - holding the answer against what it carries: a state names engine and incarnation, and two states of one incarnation differ in nothing that tells which question came first - a request ID that the engine sends back: the protocol promises that for runs alone; engines of today send none on their control paths, and to accept a missing one is what the incident is about - kept connections for load reports alone: a connection that is out of step stays so, and each report would be a poll older than believed

Change: connection/singleuse makes the one HTTP client whose first answer can only be the call's own; orders, operator, control (forwarding, machine list) and platform (list, kept parts, role orders) use it, five of them in place of their own copy of the same Transport.

--- a/connection/operator/client.go
+++ b/connection/operator/client.go
@@ -19,6 +19,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
+	"github.com/landingtrail/landingtrail/connection/singleuse"
 )
 
 // Errors of a Client.
@@ -72,7 +73,8 @@
 	config   Config
 	order    *memberOrder
 	services map[string]httpc.Service
-	http     *http.Client
+	// http sends nothing again by itself, which a membership change would not survive.
+	http *http.Client
 }
 
 // New returns a client of the members in config.
@@ -90,7 +92,7 @@
 		config:   config,
 		order:    newMemberOrder(config.Members),
 		services: map[string]httpc.Service{},
-		http:     newHTTPClient(config.AttemptTimeout / dialShare),
+		http:     singleuse.NewClient((&net.Dialer{Timeout: config.AttemptTimeout / dialShare}).DialContext),
 	}
 	for _, address := range config.Members {
 		client.services[address] = httpc.NewServiceWithClient(address, client.http)
@@ -103,19 +105,6 @@
 // another member can be asked.
 const dialShare = 2
 
-// newHTTPClient keeps no connection alive and follows no redirect: on a reused
-// connection the transport may resend a request by itself, which a membership
-// change does not survive.
-func newHTTPClient(dialTimeout time.Duration) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil, DialContext: dialer.DialContext},
-		CheckRedirect: func(*http.Request, []*http.Request) error {
-			return http.ErrUseLastResponse
-		},
-	}
-}
-
 // service returns the client of one member. A leader's hint may name an
 // address that is not in the configuration; it gets no breaker of its own.
 func (c *Client) service(address string) httpc.Service {
--- a/connection/orders/client.go
+++ b/connection/orders/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/connection/singleuse"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/pkg/errors"
 )
@@ -25,23 +26,15 @@
 	ErrAnswer = errors.New("orders: unusable answer from the engine")
 )
 
-// Bounds of a Client.
-const (
-	maxAnswerBytes = 1 << 20
-	maxHeaderBytes = 64 << 10
-	// maxIdleConnections keeps a connection to each engine at the largest size:
-	// engines are asked in turn, so with fewer hardly one is still open when its
-	// engine is asked again.
-	maxIdleConnections  = 16_384
-	idleTimeout         = 30 * time.Second
-	keepAlivePerAddress = 1
-)
+// maxAnswerBytes bounds the body of an answer.
+const maxAnswerBytes = 1 << 20
 
 // Client asks and orders engines. It is safe for concurrent use.
 //
 // It uses net/http and not go-zero's httpc: the circuit breaker of httpc counts
 // the failures of all engines together, so that some silent engines would keep
-// orders from the others.
+// orders from the others. Each call has a connection of its own: an engine's answers
+// name the engine, and not the question or order that they answer.
 type Client struct {
 	http    *http.Client
 	timeout time.Duration
@@ -49,28 +42,10 @@
 
 // NewClient returns a Client that bounds each request by timeout.
 func NewClient(timeout time.Duration) *Client {
-	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: timeout}).DialContext,
-		MaxIdleConns:           maxIdleConnections,
-		MaxIdleConnsPerHost:    keepAlivePerAddress,
-		IdleConnTimeout:        idleTimeout,
-		ResponseHeaderTimeout:  timeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-		DisableCompression:     true,
-		Proxy:                  nil,
-	}
-	return &Client{
-		http:    &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
-		timeout: timeout,
-	}
+	dialer := net.Dialer{Timeout: timeout}
+	return &Client{http: singleuse.NewClient(dialer.DialContext), timeout: timeout}
 }
 
-// refuseRedirect keeps an order from being carried to another address.
-func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
-// Close drops the idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
-
 // State asks the engine for its own account of itself.
 func (c *Client) State(ctx context.Context, address string) (engineapi.State, error) {
 	var answer engineapi.State
--- a/connection/orders/surplus_test.go
+++ b/connection/orders/surplus_test.go
@@ -23,12 +23,8 @@
 	t.Helper()
 	server, err := surplus.Start(engine)
 	must.NoError(t, err)
-	client := NewClient(5 * time.Second)
-	t.Cleanup(func() {
-		client.Close()
-		server.Close()
-	})
-	return client, server.Address()
+	t.Cleanup(server.Close)
+	return NewClient(5 * time.Second), server.Address()
 }
 
 // restartingEngine is in another incarnation at each question.
--- /dev/null
+++ b/connection/singleuse/client_test.go
@@ -0,0 +1,53 @@
+package singleuse
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/landingtrail/landingtrail/lab/surplus"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// get returns the status and body of one answer.
+func get(t *testing.T, client *http.Client, address string) (int, string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/", nil)
+	must.NoError(t, err)
+	response, err := client.Do(request)
+	must.NoError(t, err)
+	defer func() { must.NoError(t, response.Body.Close()) }()
+	body, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	return response.StatusCode, string(body)
+}
+
+// Seen: a call returns the answer to another one. It comes about on a kept connection
+// on which the other side sends an answer too many once the next call was written.
+// Proof: each call is answered with its own number, and must return that.
+func TestEachCallGetsItsOwnAnswer(t *testing.T) {
+	var calls atomic.Int32
+	server, err := surplus.Start(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, calls.Add(1))
+	}))
+	must.NoError(t, err)
+	t.Cleanup(server.Close)
+	client := NewClient(nil)
+	for number := range 5 {
+		_, body := get(t, client, server.Address())
+		must.Eq(t, fmt.Sprint(number+1), body)
+	}
+}
+
+func TestRedirectIsAnAnswer(t *testing.T) {
+	server := httptest.NewServer(http.RedirectHandler("/elsewhere", http.StatusTemporaryRedirect))
+	t.Cleanup(server.Close)
+	status, _ := get(t, NewClient(nil), server.Listener.Addr().String())
+	must.Eq(t, http.StatusTemporaryRedirect, status)
+}
--- a/process/control/duties.go
+++ b/process/control/duties.go
@@ -109,7 +109,6 @@
 
 func (d *duties) run(ctx context.Context) {
 	defer close(d.stopped)
-	defer d.client.Close()
 	defer d.endTerm()
 	ticker := time.NewTicker(d.group.config.Durations.Reconcile)
 	defer ticker.Stop()
--- a/process/control/forward.go
+++ b/process/control/forward.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
+	"github.com/landingtrail/landingtrail/connection/singleuse"
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/pkg/errors"
 )
@@ -14,14 +15,10 @@
 // maxForwardedAnswer bounds the answer that is handed back from the leader.
 const maxForwardedAnswer = 256 << 20
 
-// newForwardingClient keeps no idle connections: on a reused one the transport
-// may send a request again by itself.
 func newForwardingClient() *http.Client {
-	return &http.Client{
-		Timeout:       requestTimeout,
-		Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	client := singleuse.NewClient(nil)
+	client.Timeout = requestTimeout
+	return client
 }
 
 // leaderHandler serves a request on the leader. body is the whole body.
--- a/process/control/platform.go
+++ b/process/control/platform.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/connection/orders"
+	"github.com/landingtrail/landingtrail/connection/singleuse"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/version/api"
@@ -54,17 +55,12 @@
 }
 
 func newPlatformReader(config Config, logger log.Logger) *platformReader {
-	return &platformReader{
-		config: config,
-		logger: logger,
-		// The list is read with net/http: a breaker would keep the list out of
-		// reach for a while after the platform has come back.
-		http: &http.Client{
-			Timeout:       config.Durations.EngineTimeout,
-			Transport:     &http.Transport{DisableCompression: true},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
-	}
+	// The list is read with net/http: a breaker would keep the list out of reach
+	// for a while after the platform has come back. A list does not say when it was
+	// asked for, so each has a connection of its own.
+	client := singleuse.NewClient(nil)
+	client.Timeout = config.Durations.EngineTimeout
+	return &platformReader{config: config, logger: logger, http: client}
 }
 
 // start begins to read the list; nothing is known from an earlier leadership.
@@ -86,7 +82,6 @@
 	}
 	p.cancel()
 	p.done.Wait()
-	p.http.CloseIdleConnections()
 }
 
 func (p *platformReader) run(ctx context.Context) {
--- a/process/control/server.go
+++ b/process/control/server.go
@@ -123,13 +123,11 @@
 	if err := s.http.Shutdown(ctx); err != nil {
 		s.close()
 	}
-	s.forwarding.CloseIdleConnections()
 }
 
 // close ends the connections at once.
 func (s *operatorServer) close() {
 	_ = s.http.Close()
-	s.forwarding.CloseIdleConnections()
 }
 
 func (s *operatorServer) health(w http.ResponseWriter, _ *http.Request) {
--- a/process/control/surplus_test.go
+++ b/process/control/surplus_test.go
@@ -25,7 +25,6 @@
 	config := Config{PlatformAddress: server.Address()}
 	config.Durations.EngineTimeout = DefaultEngineTimeout
 	reader := newPlatformReader(config, log.NewNopLogger())
-	t.Cleanup(reader.http.CloseIdleConnections)
 	for number := range 4 {
 		list, err := reader.read(t.Context())
 		must.NoError(t, err)
