Tests: answers of another engine, and of an engine's life before (failing)

The class of the incident has two more forms where an answer comes on its own connection, but from somebody else than the one meant.

Failing on the code as it is: - process/control TestAnswerOfAnotherEngineSaysNothingOfAnOrder: another engine at the address calls an order in our engine's name invalid. The runner takes that for our engine's word: the order is voided, its assignment counts as failed and is held back; the version is not served 20 s later - connection/orders TestLoadIsOfTheIncarnationThatTheStateNames: a load report of the incarnation before is shown beside the new one's state (7 running for none)

--- a/connection/orders/orders_test.go
+++ b/connection/orders/orders_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -174,3 +175,40 @@
 		must.Eq(t, 2, poller.Seen()["silent"].State.Incarnation)
 	})
 }
+
+// restarted is an Asker whose engine has restarted: its load report lags, and is still
+// of the life before.
+type restarted struct{ lagging atomic.Bool }
+
+func (*restarted) State(context.Context, string) (engineapi.State, error) {
+	return engineapi.State{Engine: "engine-1", Incarnation: 2}, nil
+}
+
+func (r *restarted) Load(context.Context, string) (engineapi.Load, error) {
+	if r.lagging.Load() {
+		return engineapi.Load{Engine: "engine-1", Incarnation: 1, Running: 7}, nil
+	}
+	return engineapi.Load{Engine: "engine-1", Incarnation: 2, Running: 1}, nil
+}
+
+// Seen: an engine that has just restarted shows the load of its life before. It comes
+// about because load reports lag and are kept by the engine's name alone.
+// Proof: no load is shown until a report is of the incarnation that the state names, and
+// none is kept for the next incarnation.
+func TestLoadIsOfTheIncarnationThatTheStateNames(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &restarted{}
+		engine.lagging.Store(true)
+		poller := startPoller(engine, nil)
+		defer poller.Close()
+		poller.SetTargets(map[string]string{"engine-1": "engine-1"})
+		time.Sleep(time.Second)
+		must.Eq(t, 0, poller.Seen()["engine-1"].Load.Running)
+		engine.lagging.Store(false)
+		time.Sleep(time.Second)
+		must.Eq(t, 1, poller.Seen()["engine-1"].Load.Running)
+		next := engineapi.State{Engine: "engine-1", Incarnation: 3}
+		poller.Record("engine-1", "engine-1", next, time.Hour)
+		must.Eq(t, 0, poller.Seen()["engine-1"].Load.Running)
+	})
+}
--- a/process/control/engine_test.go
+++ b/process/control/engine_test.go
@@ -28,6 +28,7 @@
 	current atomic.Pointer[engine.Server]
 	handler atomic.Pointer[http.Handler]
 	losing  atomic.Int32 // how many answers to orders and voids are still to be lost
+	foreign atomic.Int32 // how many orders another engine at the address is still to answer
 	lock    sync.Mutex
 	orders  []string // paths of the orders and voids that arrived
 }
@@ -67,6 +68,10 @@
 	e.lock.Lock()
 	e.orders = append(e.orders, r.URL.Path)
 	e.lock.Unlock()
+	if e.foreign.Add(-1) >= 0 {
+		fmt.Fprint(w, `{"code":"invalid","state":{"engine":"another","incarnation":"9"}}`)
+		return
+	}
 	if e.losing.Add(-1) >= 0 {
 		(*e.handler.Load()).ServeHTTP(httptest.NewRecorder(), r)
 		panic(http.ErrAbortHandler) // the order was carried out, its answer is lost
@@ -151,6 +156,22 @@
 	f.awaitVersion("2")
 }
 
+// Seen: an order is voided, and its assignment held back, though its engine never saw
+// it. It comes about where another engine answers at the address, as after a move: it
+// calls an order in another name invalid, and that is taken for the engine's own word.
+// Proof: the order is carried out once the engine itself gets it, and nothing is voided.
+func TestAnswerOfAnotherEngineSaysNothingOfAnOrder(t *testing.T) {
+	f := newFleet(t, 1)
+	f.awaitVersion("1")
+	f.engines[0].foreign.Store(2)
+	must.Eq(t, api.OutcomeAccepted, f.setVersion("second", "2").Code)
+	f.awaitVersion("2")
+	must.Less(t, 0, f.engines[0].foreign.Load(), must.Sprint("another engine has answered"))
+	f.engines[0].lock.Lock()
+	defer f.engines[0].lock.Unlock()
+	must.SliceNotContains(t, f.engines[0].orders, engineapi.PathVoid)
+}
+
 func TestOrdersSurviveLeaderChange(t *testing.T) {
 	f := newFleet(t, 3)
 	f.awaitVersion("1")
