Placement: pass over replicas that are gone from their addresses

The list named two replicas for 11 s that another service's replicas had taken the addresses of. Each refused (421) what was placed there, over 500 each; the board took that for a refusal of a full replica, at most 1.6 s and a cost of 1.5 s, and with readers 2 to 3.3 s behind an idle replica was still the cheapest.

Change: StepMisdirected tells the board that another replica answered at the address. It is passed over altogether for 1 s, doubling to 16 s while that goes on; the board is told of reads that end so as well.

TestReplicaThatIsGoneFromItsAddressDrawsNothing fails without the ban (make-1 drawn); TestTheGroupIsToldOfFailures holds the new step.

--- a/process/ingress/model_test.go
+++ b/process/ingress/model_test.go
@@ -240,6 +240,7 @@
 		{"no answer", breakOff, placement.StepFailed},
 		{"a failure", answerStatus(500), placement.StepErred},
 		{"a refusal", refuseRun, placement.StepRefused},
+		{"another replica there", misdirected, placement.StepMisdirected},
 		{"nobody there", nil, placement.StepFailed},
 	}
 	for _, test := range cases {
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -99,6 +99,7 @@
 		reader.fail()
 		if reply.Misdirected {
 			reader.suspect(now)
+			chosen.placed.note(placement.StepMisdirected, reader.name, 0)
 		}
 		return Source{}, reply.NotRun || reply.Misdirected
 	}
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -33,6 +33,8 @@
 	excluded map[string]bool
 	// answered is true once the replica of the present attempt has answered.
 	answered bool
+	// misdirected is true once another replica has answered at its address.
+	misdirected bool
 	// headSent is true once the caller has the head of an answer.
 	headSent  bool
 	lastEvent string
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -147,7 +147,7 @@
 // try makes one attempt and returns how it ended, and with which replica; nil
 // when none takes the request.
 func (s *session) try(ctx context.Context) (verdict, *replica) {
-	s.answered = false
+	s.answered, s.misdirected = false, false
 	chosen := s.choose(ctx)
 	if ctx.Err() != nil {
 		chosen.placed.note(placement.StepEnded, "", 0)
@@ -184,6 +184,8 @@
 	switch {
 	case (result == verdictBroken || result == verdictNotRun) && !s.answered:
 		return placement.StepFailed
+	case result == verdictNotRun && s.misdirected:
+		return placement.StepMisdirected
 	case result == verdictNotRun:
 		return placement.StepRefused
 	case result == verdictBroken:
@@ -348,6 +350,7 @@
 		s.life.Fail(number, attempt.FaultRefused)
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxHeldAnswer)) // lets the connection be kept
 		if reply.Misdirected {
+			s.misdirected = true
 			target.suspect(s.ingress.now())
 		}
 		return verdictNotRun
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -87,6 +87,10 @@
 	suspectTill time.Duration
 	trial       *placed // the request that shows whether a suspect answers again
 	failureRate float64
+	// absence is how long the replica is passed over since another one answered at its
+	// address, until absentTill.
+	absence    time.Duration
+	absentTill time.Duration
 }
 
 // NewBoard returns a board without replicas.
@@ -192,7 +196,7 @@
 func (b *Board) Note(now time.Duration, key Key, note Note) {
 	p := b.placed[key]
 	switch note.Step {
-	case StepFailed, StepErred, StepRefused:
+	case StepFailed, StepErred, StepRefused, StepMisdirected:
 		b.fail(now, note, p)
 	}
 	if p == nil {
@@ -206,7 +210,7 @@
 		p.runningAt.told(now, note.Told)
 		b.read(now, p)
 		b.start(now, p)
-	case StepEnded, StepFailed, StepErred, StepRefused:
+	case StepEnded, StepFailed, StepErred, StepRefused, StepMisdirected:
 		b.end(now, key)
 	}
 }
--- a/request/placement/board_test.go
+++ b/request/placement/board_test.go
@@ -134,6 +134,29 @@
 	must.Eq(t, 2*time.Minute+firstRefusal, refused(2*time.Minute), must.Sprint("a run begins it anew"))
 }
 
+// Another replica has the address of one that is gone but still listed. Only a ban keeps
+// requests off it: it runs nothing, and with the others far behind it is cheaper than
+// they are whatever it costs.
+func TestReplicaThatIsGoneFromItsAddressDrawsNothing(t *testing.T) {
+	b := newTestBoard()
+	ask := Ask{Prompt: 100, Zone: "a", Deadline: time.Hour}
+	alone := Ask{Prompt: 100, Zone: "a", Deadline: time.Hour, Excluded: []string{"make-2"}}
+	b.Note(0, key(1000), Note{Step: StepMisdirected, Replica: "make-1"})
+	for number := range uint64(1000) {
+		must.Eq(t, "make-2", b.Place(firstAbsence-1, key(number), ask).Generator)
+	}
+	must.Eq(t, "", b.Place(firstAbsence-1, key(1001), alone).Generator)
+	b.Note(firstAbsence-1, key(1000), Note{Step: StepMisdirected, Replica: "make-1"})
+	must.Eq(t, "make-1", b.Place(firstAbsence, key(1002), alone).Generator, must.Sprint("what was on its way tells nothing new"))
+
+	for now := firstAbsence; now < time.Minute; now = b.replicas["make-1"].absentTill {
+		b.Note(now, key(1000), Note{Step: StepMisdirected, Replica: "make-1"})
+	}
+	must.Eq(t, maxAbsence, b.replicas["make-1"].absence)
+	b.replicas["make-1"].succeed()
+	must.False(t, b.replicas["make-1"].isAbsent(time.Minute))
+}
+
 func TestAnsweredFailuresRaiseNoSuspicion(t *testing.T) {
 	b := newTestBoard()
 	b.Note(0, key(9), Note{Step: StepErred, Replica: "make-1"})
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -164,13 +164,16 @@
 	var usable []*replica
 	for _, name := range b.names {
 		candidate := b.replicas[name]
-		if candidate.Role == role && !candidate.Leaving && !slices.Contains(ask.Excluded, name) && !b.isChanging(now, candidate) {
+		if candidate.Role == role && candidate.isThere(now) && !slices.Contains(ask.Excluded, name) && !b.isChanging(now, candidate) {
 			usable = append(usable, candidate)
 		}
 	}
 	return usable
 }
 
+// isThere reports whether the replica is at its address and takes requests.
+func (r *replica) isThere(now time.Duration) bool { return !r.Leaving && !r.isAbsent(now) }
+
 // keeper is a replica that keeps leading parts of a prompt.
 type keeper struct {
 	replica *replica
@@ -182,7 +185,7 @@
 	best := map[string]keeper{}
 	for _, name := range b.names {
 		candidate := b.replicas[name]
-		if candidate.Leaving || candidate.isDoubted(now) || b.isChanging(now, candidate) {
+		if !candidate.isThere(now) || candidate.isDoubted(now) || b.isChanging(now, candidate) {
 			continue
 		}
 		tokens := candidate.cache.leading(ask.Parts)
--- a/request/placement/failure.go
+++ b/request/placement/failure.go
@@ -9,6 +9,11 @@
 	// A refusal is an answer, and over sooner.
 	firstRefusal = 100 * time.Millisecond
 	maxRefusal   = 1600 * time.Millisecond
+	// Another replica has the address of one that is gone. The list names the one that
+	// is gone until its reader has seen it leave, which takes longer while no member
+	// can read the list.
+	firstAbsence = time.Second
+	maxAbsence   = 16 * time.Second
 	// suspectCost is what a replica costs that has just given no answer. It is a
 	// cost and no ban, so that the others are not drowned when many are suspected.
 	suspectCost = 1500 * time.Millisecond
@@ -31,6 +36,8 @@
 		failed.suspicion, failed.suspectTill = 0, 0
 	case StepRefused:
 		failed.refuse(now)
+	case StepMisdirected:
+		failed.miss(now)
 	default:
 		failed.suspect(now, p)
 	}
@@ -79,11 +86,24 @@
 	r.suspectTill = now + r.refusal
 }
 
+// miss passes over a replica at whose address another one has answered. This is a ban
+// and no cost: whatever is sent there is surely refused, and counts as a retry.
+func (r *replica) miss(now time.Duration) {
+	if r.isAbsent(now) {
+		return
+	}
+	r.absence = min(max(2*r.absence, firstAbsence), maxAbsence)
+	r.absentTill = now + r.absence
+}
+
+// isAbsent reports whether the replica is gone from its address, by the last word.
+func (r *replica) isAbsent(now time.Duration) bool { return now < r.absentTill }
+
 // succeed notes that the replica did what it was asked for: whatever it has left
 // unanswered, it is there.
 func (r *replica) succeed() {
 	r.failureRate *= 1 - failureWeight
-	r.suspicion, r.refusal = 0, 0
-	r.suspectTill = 0
+	r.suspicion, r.refusal, r.absence = 0, 0, 0
+	r.suspectTill, r.absentTill = 0, 0
 	r.trial = nil
 }
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -100,16 +100,17 @@
 
 // Steps of a placed request.
 const (
-	StepRead    Step = iota + 1 // the reader has read the prompt
-	StepStarted                 // the first token has come
-	StepEnded                   // it is over
-	StepFailed                  // the replica gave no answer, or broke it off
-	StepErred                   // the replica answered with a failure of its own
-	StepRefused                 // the replica answered that it does not run the request
+	StepRead        Step = iota + 1 // the reader has read the prompt
+	StepStarted                     // the first token has come
+	StepEnded                       // it is over
+	StepFailed                      // the replica gave no answer, or broke it off
+	StepErred                       // the replica answered with a failure of its own
+	StepRefused                     // the replica answered that it does not run the request
+	StepMisdirected                 // another replica answered at its address
 )
 
 // Note tells the board how far a request has come. Replica is the one that a
-// StepFailed, StepErred or StepRefused speaks of.
+// StepFailed, StepErred, StepRefused or StepMisdirected speaks of.
 type Note struct {
 	Step    Step
 	Replica string
