Tell of foreign answers on the product's own data path

Cause: connection/upstream gives such an answer back as a failure, and nothing told an operator which back end sends them.

Change: a pool tells whoever made it of each foreign answer, in the one place that finds them; the proxy counts them (foreign_answers_total) and logs event 2012 with the address.

TestSurplusAnswerTeachesNothing holds that each is counted.

--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -33,6 +33,9 @@
 	MaxHeaderBytes  int64
 	ReadBufferSize  int
 	WriteBufferSize int
+	// Foreign is told of each answer that is not proven to be its request's, with the
+	// address that it came from; nil for nobody.
+	Foreign func(address string, cause error)
 }
 
 // Defaults of a Config.
@@ -65,6 +68,9 @@
 	if c.WriteBufferSize <= 0 {
 		c.WriteBufferSize = defaultBufferSize
 	}
+	if c.Foreign == nil {
+		c.Foreign = func(string, error) {}
+	}
 	return c
 }
 
@@ -74,6 +80,7 @@
 	single *http.Transport // its connections carry one request each
 	// echoing is the hosts that the kept connections are used for.
 	echoing hostSet
+	foreign func(address string, cause error)
 }
 
 // NewPool returns an empty pool.
@@ -83,7 +90,7 @@
 	// Not by DisableKeepAlives: its "Connection: close" makes servers close at
 	// once, and a request body that they have not read then resets the answer.
 	single.MaxIdleConnsPerHost = noIdle
-	return &Pool{kept: kept, single: single}
+	return &Pool{kept: kept, single: single, foreign: config.Foreign}
 }
 
 func newTransport(config Config) *http.Transport {
@@ -220,6 +227,7 @@
 	if err := p.verify(host, keep, &identity, response.Header); err != nil {
 		exchange.abort() // nothing on this connection can be trusted any more
 		_ = response.Body.Close()
+		p.foreign(host, err)
 		return nil, &Failure{Wrote: true, Cause: err}
 	}
 	return response, nil
--- a/process/event/proxy.go
+++ b/process/event/proxy.go
@@ -9,6 +9,7 @@
 	ProxyServerLog     = define(2004, "proxy_server_log", Warn, "The HTTP server library logged a fault.", "Read the message.")
 	ProxyClaimFailed   = define(2010, "proxy_claim_failed", Warn, "A marked request could not be claimed and was refused.", "Check that the control group has a quorum.")
 	ProxyOutcomeLost   = define(2011, "proxy_outcome_lost", Error, "The outcome of a claimed run could not be recorded; its key stays unknown until its retention ends.", "Check that the control group has a quorum.")
+	ProxyForeignAnswer = define(2012, "proxy_answer_foreign", Warn, "An answer of a back end names another request than the one that waited for it, or none. It was not used.", "One now and then is the back end's fault: it sent an answer too many. Many from one address: take it out of service.")
 	ProxyViewLapsed    = define(2020, "proxy_view_lapsed", Warn, "The control group has not confirmed the view for its lease; work goes on or is refused by the settings for control loss.", "Check the path to the control members and whether they have a leader.")
 	ProxyViewConfirmed = define(2021, "proxy_view_confirmed", Info, "The control group confirms the view, for the first time or again.", "")
 )
--- a/process/proxy/lane.go
+++ b/process/proxy/lane.go
@@ -36,12 +36,12 @@
 	pollers map[string]*poller
 }
 
-func newLane(config *Config, service *api.Service) *lane {
+func newLane(config *Config, service *api.Service, foreign func(address string, cause error)) *lane {
 	opened := &lane{
 		service: service.Name,
 		kind:    service.Spec.Type,
-		pool:    upstream.NewPool(upstream.Config{DialTimeout: config.Timeouts.Dial}),
-		polls:   upstream.NewPool(upstream.Config{DialTimeout: config.Timeouts.Dial, MaxIdlePerHost: 2}),
+		pool:    upstream.NewPool(upstream.Config{DialTimeout: config.Timeouts.Dial, Foreign: foreign}),
+		polls:   upstream.NewPool(upstream.Config{DialTimeout: config.Timeouts.Dial, MaxIdlePerHost: 2, Foreign: foreign}),
 		queue: limit.NewQueue(limit.Config{
 			MaxInFlight: laneWidth(config, service),
 			QueueLimit:  config.Limits.QueueLimit,
--- a/process/proxy/lanes.go
+++ b/process/proxy/lanes.go
@@ -63,7 +63,7 @@
 	for name, service := range made.view.Services {
 		kept := old[name]
 		if kept == nil || kept.kind != service.Spec.Type {
-			kept = newLane(&p.config, service)
+			kept = newLane(&p.config, service, p.noteForeign)
 		}
 		kept.queue.Resize(laneWidth(&p.config, service))
 		next[name] = kept
--- a/process/proxy/metrics.go
+++ b/process/proxy/metrics.go
@@ -22,6 +22,7 @@
 	refusals      prometheus.Counter
 	broken        prometheus.Counter
 	splitFailures prometheus.Counter
+	foreign       prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -43,9 +44,10 @@
 		refusals:      counter("engine_refusals_total", "Explicit refusals before admission by back ends."),
 		broken:        counter("broken_streams_total", "Streams that ended without their terminal event."),
 		splitFailures: counter("split_failures_total", "Hand-overs of KV cache that failed."),
+		foreign:       counter("foreign_answers_total", "Answers of back ends that are not proven to be of the request that they came to."),
 	}
 	made.registry.MustRegister(made.requests, made.seconds, made.retries, made.resumes,
-		made.refusals, made.broken, made.splitFailures)
+		made.refusals, made.broken, made.splitFailures, made.foreign)
 	return made
 }
 
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -173,3 +173,9 @@
 
 // newRandom returns a generator for one request.
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// noteForeign tells of an answer that was not its request's.
+func (p *Proxy) noteForeign(address string, cause error) {
+	p.metrics.foreign.Inc()
+	event.ProxyForeignAnswer.Log(p.logger, "address", address, "err", cause)
+}
--- a/process/proxy/surplus_test.go
+++ b/process/proxy/surplus_test.go
@@ -275,6 +275,18 @@
 		engineapi.HeaderIncarnation + ": " + strconv.Itoa(foreignIncarnation) + "\r\n"
 }
 
+// foreignAnswers is the proxy's own count of them.
+func foreignAnswers(t *testing.T, p *Proxy) float64 {
+	families, err := p.metrics.registry.Gather()
+	must.NoError(t, err)
+	for _, family := range families {
+		if family.GetName() == metricsNamespace+"_foreign_answers_total" {
+			return family.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	return 0
+}
+
 // TestSurplusAnswerTeachesNothing: an engine was taken for draining, and for
 // restarted, by an answer to a request that was never sent to it. The header of
 // an answer was taken in before its identity was looked at. Proof: after a wrong
@@ -298,6 +310,7 @@
 			followed.succeed() // the next request may go there at once
 		}
 		must.Positive(t, engine.surplus.sent.Load())
+		must.Eq(t, float64(engine.surplus.sent.Load()), foreignAnswers(t, f.proxy), must.Sprint("each is counted"))
 	})
 }
 
