--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -19,13 +19,39 @@
 	address     string
 	reader      *bufio.Reader
 	usableUntil time.Time
-	carried     carried
+	// maxHead bounds the heads before one answer, in bytes; headLeft is what is left of
+	// it while inHead.
+	maxHead  int64
+	headLeft int64
+	inHead   bool
 }
 
-func newConn(raw net.Conn, address string) *conn {
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+func newConn(raw net.Conn, address string, maxHead int64) *conn {
+	created := &conn{Conn: raw, address: address, maxHead: maxHead}
+	created.reader = bufio.NewReaderSize(created, readBufferBytes)
+	return created
 }
 
+// errHeadTooLong says that the head of an answer is longer than the bound.
+var errHeadTooLong = errors.New("exchange: head of an answer is too long")
+
+// Read reads from the connection, within the bound while a head is read.
+func (c *conn) Read(buffer []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(buffer)
+	}
+	if c.headLeft <= 0 {
+		return 0, errHeadTooLong
+	}
+	count, err := c.Conn.Read(buffer[:min(int64(len(buffer)), c.headLeft)])
+	c.headLeft -= int64(count)
+	return count, err
+}
+
+func (c *conn) beginHead() { c.inHead, c.headLeft = true, c.maxHead }
+
+func (c *conn) endHead() { c.inHead = false }
+
 // errNoDescriptor says that a connection has no descriptor of the system's.
 var errNoDescriptor = errors.New("exchange: connection without a descriptor")
 
--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -22,8 +22,8 @@
 	Body   []byte
 	// Chunked sends the body in chunks instead of with its length.
 	Chunked bool
-	// Identity ties the answer to the request. A request without one goes over a
-	// connection of its own, which serves nothing before or after it.
+	// Identity ties the answer to the request. A request without one, and a HEAD, goes
+	// over a connection of its own, which serves nothing before or after it.
 	Identity Identity
 }
 
@@ -72,7 +72,7 @@
 // another request's answer came instead. When ctx ends, the connection is closed. The
 // caller closes the answer.
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Answer, error) {
-	used, reused, err := p.get(ctx, address, request.Identity)
+	used, reused, err := p.get(ctx, address, request)
 	if err != nil {
 		return nil, &Failure{Connecting: true, Cause: err}
 	}
@@ -98,7 +98,7 @@
 		pool:    p,
 		conn:    used,
 		body:    response.Body,
-		lasting: !response.Close && request.Identity.ID != "" && len(surplus) == 0,
+		lasting: !response.Close && request.sharesConnections() && len(surplus) == 0,
 		written: written,
 		detach:  detach,
 	}, nil
@@ -182,6 +182,8 @@
 
 func readHead(from *conn, method string) (*http.Response, error) {
 	asked := &http.Request{Method: method}
+	from.beginHead()
+	defer from.endHead()
 	for {
 		response, err := http.ReadResponse(from.reader, asked)
 		if err != nil {
--- a/connection/exchange/exchange_test.go
+++ b/connection/exchange/exchange_test.go
@@ -427,7 +427,7 @@
 			_ = far.Close()
 		}()
 		defer func() { _ = near.Close() }()
-		used := newConn(near, "a")
+		used := newConn(near, "a", DefaultMaxHeaderBytes)
 		response, err := readHead(used, http.MethodGet)
 		if err != nil {
 			return
--- a/connection/exchange/identity_test.go
+++ b/connection/exchange/identity_test.go
@@ -1,10 +1,13 @@
 package exchange
 
 import (
+	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
@@ -78,12 +81,14 @@
 }
 
 // A request that is sent again has the ID that it had: an answer to its earlier send
-// must not come where the one to this send is due.
-func TestARequestGoesOverAConnectionOnce(t *testing.T) {
-	server := newReplica(t, say(ok), say(ok), say(ok))
+// must not come where the one to this send is due, however many came between.
+func TestARepeatedRequestGoesOverANewConnection(t *testing.T) {
+	server := newReplica(t, say(ok), say(ok), say(ok), say(ok))
 	pool := newPool(t)
-	for _, id := range []string{"a", "a", "b"} {
-		_, err := whole(t, pool, server.address(), getAs(id, "/"))
+	again := getAs("a", "/")
+	again.Identity.Repeated = true
+	for _, request := range []*Request{getAs("a", "/"), getAs("b", "/"), again, getAs("c", "/")} {
+		_, err := whole(t, pool, server.address(), request)
 		must.NoError(t, err)
 	}
 	server.lock.Lock()
@@ -91,29 +96,96 @@
 	must.SliceLen(t, 2, server.conns)
 }
 
-// Nothing tells the answer to a request without an ID from a surplus one.
-func TestRequestsWithoutAnIDShareNoConnection(t *testing.T) {
-	server := newReplica(t, say(ok), say(ok), say(ok), say(ok))
-	pool := newPool(t)
-	unnamed := func() *Request {
-		return &Request{Method: http.MethodDelete, Target: "/", Host: "h", Header: http.Header{}}
+// Nothing tells the answer to a request without an ID from a surplus one, nor where the
+// body of an answer ends whose request, a HEAD, is not known any more.
+func TestSomeRequestsShareNoConnection(t *testing.T) {
+	unnamed := &Request{Method: http.MethodDelete, Target: "/", Host: "h", Header: http.Header{}}
+	head := getAs("head", "/")
+	head.Method = http.MethodHead
+	for name, alone := range map[string]*Request{"without an ID": unnamed, "HEAD": head} {
+		t.Run(name, func(t *testing.T) {
+			headOnly := say("HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 0\r\n\r\n")
+			server := newReplica(t, headOnly, say(ok), headOnly, say(ok))
+			pool := newPool(t)
+			for i, request := range []*Request{alone, get("/"), alone, get("/")} {
+				answer, err := pool.Do(t.Context(), server.address(), request)
+				must.NoError(t, err)
+				must.Eq(t, i == 3, answer.Reused)
+				_, err = io.Copy(io.Discard, answer)
+				must.NoError(t, err)
+				answer.Close()
+				must.Eq(t, i != 0, pool.Idle(server.address()))
+			}
+		})
 	}
-	for _, request := range []*Request{get("/"), unnamed(), unnamed(), get("/")} {
-		_, err := whole(t, pool, server.address(), request)
-		must.NoError(t, err)
+}
+
+// An own answer that cannot come any more is not waited for.
+func TestNothingIsAwaitedBehindASurplusAnswerThatEndsItsConnection(t *testing.T) {
+	long := strings.Repeat("10000\r\n"+strings.Repeat("x", 1<<16)+"\r\n", maxSurplusBytes>>16+1)
+	for name, head := range map[string]string{
+		"no length":      "\r\nold",
+		"closing":        "Connection: close\r\nContent-Length: 100\r\n\r\nold",
+		"named too long": "Content-Length: 2000000\r\n\r\nold",
+		"too long":       "Transfer-Encoding: chunked\r\n\r\n" + long,
+	} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			second := func(conn net.Conn) {
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nId: first\r\n" + head))
+				<-release
+			}
+			server := newReplica(t, say(ok), second)
+			pool := newPool(t)
+			_, err := whole(t, pool, server.address(), getAs("first", "/"))
+			must.NoError(t, err)
+			_, err = whole(t, pool, server.address(), getAs("second", "/"))
+			close(release)
+			var misplaced *Misplaced
+			must.True(t, errors.As(err, &misplaced))
+		})
 	}
-	server.lock.Lock()
-	defer server.lock.Unlock()
-	must.SliceLen(t, 3, server.conns)
 }
 
-func TestCarriedIDsAreRememberedInTheirOrder(t *testing.T) {
-	var known carried
-	for i := range carriedIDs + 1 {
-		known.note(string(rune('a' + i)))
+// A side that falls silent within a surplus answer is silent: what it named is told, and
+// is not the cause.
+func TestSilenceWithinASurplusAnswerIsSilence(t *testing.T) {
+	release := make(chan struct{})
+	begun := make(chan struct{})
+	server := newReplica(t, say(ok), func(conn net.Conn) {
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nId: first\r\nContent-Length: 100\r\n\r\nold"))
+		close(begun)
+		<-release
+	})
+	defer close(release)
+	pool := newPool(t)
+	_, err := whole(t, pool, server.address(), getAs("first", "/"))
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-begun
+		time.Sleep(50 * time.Millisecond) // lets the surplus head be read; before that the outcome is the same
+		cancel()
+	}()
+	_, err = pool.Do(ctx, server.address(), getAs("second", "/"))
+	var misplaced *Misplaced
+	must.Error(t, err)
+	must.False(t, errors.As(err, &misplaced))
+}
+
+func TestHeadsAreBounded(t *testing.T) {
+	padded := func(size int) string {
+		return "HTTP/1.1 200 OK\r\nId: {id}\r\nPadding: " + strings.Repeat("x", size) + "\r\nContent-Length: 2\r\n\r\nok"
+	}
+	for name, answer := range map[string]string{
+		"one head":      padded(DefaultMaxHeaderBytes + readBufferBytes),
+		"informational": strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", DefaultMaxHeaderBytes/20) + ok,
+		"within bounds": padded(DefaultMaxHeaderBytes / 2),
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newReplica(t, say(answer))
+			_, err := whole(t, newPool(t), server.address(), get("/"))
+			must.Eq(t, name != "within bounds", errors.Is(err, errHeadTooLong))
+		})
 	}
-	must.False(t, known.has("a"))
-	must.True(t, known.has("b"))
-	must.True(t, known.has(string(rune('a'+carriedIDs))))
-	must.False(t, known.has("other"))
 }
--- a/connection/exchange/pool.go
+++ b/connection/exchange/pool.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -30,7 +29,8 @@
 	IdleTimeout time.Duration
 	IdleMargin  time.Duration
 	// MaxIdle bounds the idle connections to one address.
-	MaxIdle        int
+	MaxIdle int
+	// MaxHeaderBytes bounds the head of an answer, informational ones before it included.
 	MaxHeaderBytes int64
 }
 
@@ -132,11 +132,10 @@
 	return len(list) > 0 && time.Now().Before(list[len(list)-1].usableUntil)
 }
 
-// take returns an idle connection that is still good and has not carried the request
-// before, or nil.
-func (p *Pool) take(address, id string) *conn {
+// take returns an idle connection that is still good, or nil.
+func (p *Pool) take(address string) *conn {
 	for {
-		kept := p.pop(address, id)
+		kept := p.pop(address)
 		if kept == nil {
 			return nil
 		}
@@ -147,19 +146,16 @@
 	}
 }
 
-// pop takes the connection used last. One that has carried the request before stays:
-// the ID would not tell a surplus answer to its earlier send from the one to this.
-func (p *Pool) pop(address, id string) *conn {
+func (p *Pool) pop(address string) *conn {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	list := p.idle[address]
-	for i := len(list) - 1; i >= 0; i-- {
-		if kept := list[i]; !kept.carried.has(id) {
-			p.idle[address] = slices.Delete(list, i, i+1)
-			return kept
-		}
+	if len(list) == 0 {
+		return nil
 	}
-	return nil
+	last := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return last
 }
 
 // put keeps a connection whose last answer was read to its end.
@@ -176,10 +172,9 @@
 
 // get returns a connection to the address on which the answer can be told from others,
 // and whether it was used before.
-func (p *Pool) get(ctx context.Context, address string, identity Identity) (*conn, bool, error) {
-	if identity.ID != "" {
-		if kept := p.take(address, identity.ID); kept != nil {
-			kept.carried.note(identity.ID)
+func (p *Pool) get(ctx context.Context, address string, request *Request) (*conn, bool, error) {
+	if request.sharesConnections() && !request.Identity.Repeated {
+		if kept := p.take(address); kept != nil {
 			return kept, true, nil
 		}
 	}
@@ -187,9 +182,8 @@
 	if err != nil {
 		return nil, false, errors.WithStack(err)
 	}
-	opened := newConn(raw, address)
+	opened := newConn(raw, address, p.config.MaxHeaderBytes)
 	opened.limitSilence(p.config.Unacknowledged)
-	opened.carried.note(identity.ID)
 	return opened, false, nil
 }
 
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -232,7 +232,7 @@
 	service := chooseService(route, random)
 	s := &session{
 		ingress: i, writer: w, call: call, route: route, lane: i.lanes.lane(service), random: random,
-		generation: generation, arrived: arrived, excluded: map[string]bool{},
+		generation: generation, arrived: arrived, excluded: map[string]bool{}, sentTo: map[string]bool{},
 		life: attempt.New(attempt.Policy{
 			Once:     !route.Idempotent(),
 			Attempts: max(route.Attempts, 1) + maxDials + 1,
--- a/process/ingress/ingress_test.go
+++ b/process/ingress/ingress_test.go
@@ -104,6 +104,8 @@
 		{"safe, another request's answer", "safe", foreign, 2, http.StatusOK, false},
 		{"safe, success without a run", "safe", unsigned, 2, http.StatusOK, false},
 		{"unsafe, success without a run", "unsafe", unsigned, 1, http.StatusBadGateway, false},
+		{"safe, answer without a name", "safe", unnamed, 2, http.StatusOK, false},
+		{"unsafe, answer without a name", "unsafe", unnamed, 1, http.StatusBadGateway, false},
 		{"safe, short answer", "safe", short, 2, http.StatusOK, false},
 		{"unsafe, short answer", "unsafe", short, 1, http.StatusBadGateway, false},
 		{"safe, misdirected", "safe", misdirected, 2, http.StatusOK, false},
@@ -145,6 +147,11 @@
 	_, _ = io.WriteString(w, "from nobody")
 }
 
+func unnamed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(testGenuine, "signature")
+	_, _ = io.WriteString(w, `"for somebody"`)
+}
+
 func misdirected(w http.ResponseWriter, _ *http.Request) {
 	w.WriteHeader(http.StatusMisdirectedRequest)
 }
--- a/process/ingress/misplaced_test.go
+++ b/process/ingress/misplaced_test.go
@@ -11,6 +11,8 @@
 	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/shoenig/test/must"
 )
 
@@ -28,13 +30,20 @@
 type surplusReplica struct {
 	answer  func(r *http.Request) string // whole, as it goes over the wire
 	surplus func(earlier *http.Request) string
+	// silent holds the own answer back until it is closed, and then there is none; nil
+	// for an own answer at once.
+	silent <-chan struct{}
 
 	lock    sync.Mutex
 	earlier map[string]*http.Request // by the connection's far address
 }
 
 func newSurplusReplica(t *testing.T, name string, answer, surplus func(*http.Request) string) *fakeReplica {
-	s := &surplusReplica{answer: answer, surplus: surplus, earlier: map[string]*http.Request{}}
+	return newSilentReplica(t, name, answer, surplus, nil)
+}
+
+func newSilentReplica(t *testing.T, name string, answer, surplus func(*http.Request) string, silent <-chan struct{}) *fakeReplica {
+	s := &surplusReplica{answer: answer, surplus: surplus, silent: silent, earlier: map[string]*http.Request{}}
 	return newFakeReplica(t, name, s.serve)
 }
 
@@ -50,7 +59,12 @@
 		return
 	}
 	hijack(func(conn net.Conn) {
-		_, _ = fmt.Fprint(conn, s.surplus(earlier)+wireAnswer(r, s.answer(r)))
+		_, _ = fmt.Fprint(conn, s.surplus(earlier))
+		if s.silent != nil {
+			<-s.silent
+			return
+		}
+		_, _ = fmt.Fprint(conn, wireAnswer(r, s.answer(r)))
 	})(w, r)
 }
 
@@ -163,4 +177,58 @@
 	w.ask(asked{method: "GET", target: "/unsafe/", id: "q"})
 	must.StrContains(t, lines.String(), "name=answer_misplaced request=q stage=run replica=r-1 reused=false answered=another status=200")
 	must.Eq(t, 1, w.ingress.metrics.values(t)["landingtrail_ingress_misplaced_answers_total plain run"])
+	must.False(t, w.ingress.lanes.lane("plain").find("r-1").isSuspect(w.ingress.now()), must.Sprint("it is there"))
+}
+
+// A replica that answers something else is there: it is neither passed over nor told of
+// as silent, and what it read may count as an arrival.
+func TestReplicaThatAnswersAnotherRequestIsNotSilent(t *testing.T) {
+	reader := newFakeReplica(t, "read", foreign)
+	generator := newFakeReplica(t, "make", streamEvents(2, ""))
+	w := newModelWorld(t, reader, generator, nil)
+	placer := &fakePlacer{answer: placement.Answer{Generator: "make", Reader: "read"}}
+	w.ingress.placer = placer
+	w.withReserve(2)
+	for range 10 {
+		must.Eq(t, events(1, 2), w.ask(modelRequest).body)
+	}
+	must.Eq(t, 2, reader.count(), must.Sprint("each read may be a second arrival"))
+	lane := w.ingress.lanes.lane("model")
+	must.False(t, lane.find("read").isSuspect(w.ingress.now()))
+	must.SliceNotContains(t, placer.steps(), placement.StepFailed)
+}
+
+// A replica that stops in the middle of a surplus answer is silent.
+func TestReplicaThatFallsSilentWithinASurplusAnswerIsSuspect(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	hang := func(earlier *http.Request) string {
+		return "HTTP/1.1 200 OK\r\n" + testID + ": " + earlier.Header.Get(testID) + "\r\nContent-Length: 100\r\n\r\nold"
+	}
+	first := newSilentReplica(t, "r-1", func(r *http.Request) string { return "answer to " + r.Header.Get(testID) }, hang, release)
+	second := newFakeReplica(t, "r-2", answerOK)
+	w := newWorld(t, first)
+	must.Eq(t, http.StatusOK, w.ask(asked{method: "GET", target: "/safe/", id: "q-1"}).status)
+	known := w.ingress.lanes.lane("plain").find("r-1")
+	first.server.Config.Handler = after(first.server.Config.Handler, func() { w.list(first, second) })
+	got := w.ask(asked{method: "GET", target: "/safe/", id: "q-2"})
+	must.Eq(t, "answer to q-2", got.body)
+	must.Eq(t, 1, second.count())
+	must.True(t, known.isSuspect(w.ingress.now()))
+}
+
+// By the time of the run the address of a reader that has gone may be another replica's.
+func TestHandleOfAReaderThatIsGoneIsNotNamed(t *testing.T) {
+	reader := newFakeReplica(t, "read", readPrompt)
+	generator := newFakeReplica(t, "make", streamEvents(2, ""))
+	w := newModelWorld(t, reader, generator, nil)
+	reader.server.Config.Handler = after(reader.server.Config.Handler, func() {
+		w.views.set(func(v *view.View) {
+			v.Replicas = map[string]*api.Replica{"make": listed(generator, "model", api.RoleDecode)}
+		})
+	})
+	w.ingress.placer = &fakePlacer{answer: placement.Answer{Generator: "make", Reader: "read"}}
+	must.Eq(t, events(1, 2), w.ask(modelRequestOf("q")).body)
+	must.Eq(t, 1, reader.count())
+	must.Eq(t, "", generator.requests[0].Header.Get(testSource))
 }
--- a/process/ingress/model_test.go
+++ b/process/ingress/model_test.go
@@ -93,6 +93,7 @@
 func TestFailedReadLeavesTheReadingToTheGenerator(t *testing.T) {
 	for name, handler := range map[string]http.HandlerFunc{
 		"broken off": breakOff, "refused": refuseRun, "failed": answerStatus(500), "no handle": answerOK, "misdirected": misdirected,
+		"a handle for nobody": unnamed, "another request's": foreign,
 	} {
 		t.Run(name, func(t *testing.T) {
 			reader := newFakeReplica(t, "read", handler)
@@ -241,6 +242,7 @@
 		{"a failure", answerStatus(500), placement.StepErred},
 		{"a refusal", refuseRun, placement.StepRefused},
 		{"another replica there", misdirected, placement.StepMisdirected},
+		{"another request's answer", foreign, placement.StepErred},
 		{"nobody there", nil, placement.StepFailed},
 	}
 	for _, test := range cases {
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -27,9 +27,11 @@
 	deadline   time.Duration // the earlier of the caller's and the route's
 	callerEnds time.Duration // when the caller gives up
 
-	sends    int // to replicas, the free first prefill not counted
-	reads    int // of the prompt apart from its runs
-	dials    int // connections that were not had
+	sends int // to replicas, the free first prefill not counted
+	reads int // of the prompt apart from its runs
+	dials int // connections that were not had
+	// sentTo are the addresses that the request was sent to, to be read or run.
+	sentTo   map[string]bool
 	excluded map[string]bool
 	// answered is true once the replica of the present attempt has answered.
 	answered bool
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -173,6 +173,7 @@
 			return verdictNotRun, chosen.target
 		}
 		s.replaceTarget(&chosen)
+		source = s.heldBy(chosen.reader, source)
 	}
 	result := s.send(ctx, chosen, source)
 	chosen.placed.note(s.stepAfter(result), chosen.target.name, 0)
@@ -195,6 +196,15 @@
 	}
 }
 
+// heldBy returns the source unless its reader has gone meanwhile: another replica may
+// have its address, where the handle names nothing or a prompt of another request.
+func (s *session) heldBy(reader *replica, source Source) Source {
+	if s.lane.find(reader.name) != reader {
+		return Source{}
+	}
+	return source
+}
+
 // replaceTarget picks another replica to make the tokens if the chosen one has
 // begun to leave, or has failed, while the prompt was read.
 func (s *session) replaceTarget(chosen *plan) {
@@ -257,7 +267,10 @@
 // exchange sends the request to a replica. What comes back is the request's own answer:
 // the pool holds each against the request's ID.
 func (s *session) exchange(ctx context.Context, stage string, to *replica, request *exchange.Request) (*exchange.Answer, error) {
-	answer, err := s.lane.pool.Do(ctx, to.listed().Address, request)
+	address := to.listed().Address
+	request.Identity.Repeated = s.sentTo[address]
+	s.sentTo[address] = true
+	answer, err := s.lane.pool.Do(ctx, address, request)
 	if err == nil {
 		s.noteMisplaced(stage, to, answer.Reused, answer.Surplus)
 		return answer, nil
