Ingress: nothing goes on with an answer whose beginning the caller has but a stream

Cause: an answer over 64 KB is passed on before it is whole. When its replica broke off, a route that may repeat was tried again, and the next replica's whole answer went out behind the first one's beginning, under its head, and ended well: the chunks hide it. A resumed stream's replica that answered with a failure below 500 did the same.

Ruled out: holding long answers until they are whole (memory, and callers wait).

Change: a part of an answer that is no stream ends the request when it breaks off, by a cut connection. An answer to a resume that is no stream fails that run.

--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -38,7 +38,10 @@
 	// misdirected is true once another replica has answered at its address.
 	misdirected bool
 	// headSent is true once the caller has the head of an answer.
-	headSent  bool
+	headSent bool
+	// begun is true once the caller has a part of an answer that no other run can
+	// continue: of anything but a stream of events.
+	begun     bool
 	lastEvent string
 	events    int
 	firstAt   time.Duration // when the first event came
@@ -101,7 +104,7 @@
 				return s.giveUp("no_replica")
 			}
 		case verdictBroken:
-			if !s.route.Idempotent() {
+			if !s.route.Idempotent() || s.begun {
 				return s.giveUp("broken")
 			}
 		}
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -377,9 +377,21 @@
 	if isSuccess(answer.Status) && s.route.Kind == api.RouteStreaming {
 		return s.stream(ctx, chosen, sent, number, answer)
 	}
+	if s.headSent {
+		return s.failResume(ctx, target, number, answer)
+	}
 	return s.whole(ctx, target, number, answer)
 }
 
+// failResume ends a run that was to continue a stream and failed: the caller has the
+// stream's beginning, which the answer to a failure is no part of.
+func (s *session) failResume(ctx context.Context, target *replica, number uint32, answer *exchange.Answer) verdict {
+	s.life.Fail(number, attempt.FaultBroken)
+	target.fail()
+	fmt.Fprintf(&s.trace, " (%s: status %d)", target.name, answer.Status)
+	return s.brokenUnless(ctx)
+}
+
 func (s *session) brokenUnless(ctx context.Context) verdict {
 	if ctx.Err() != nil {
 		return verdictCallerEnd
@@ -427,7 +439,7 @@
 // passLong passes on an answer that is too long to hold.
 func (s *session) passLong(ctx context.Context, target *replica, number uint32, answer *exchange.Answer, begun []byte) verdict {
 	copyHeader(s.writer.Header(), answer.Header)
-	s.headSent = true
+	s.headSent, s.begun = true, true
 	s.writer.WriteHeader(answer.Status)
 	_, err := s.writer.Write(begun)
 	if err == nil {
