Stand-in engine: the quiet period before a stop counts from the end of runs as well

Cause: TestPlannedStopCutsNothingShort failed on 2 of 45 runs beside load: connection refused right after the stream's end. A stopping engine goes once no work has come for 500 ms and none runs; where the last run took longer than that, it went with it.

--- a/lab/engine/run.go
+++ b/lab/engine/run.go
@@ -131,6 +131,7 @@
 // endRun makes the run's end known to its readers. The caller holds mu.
 func (s *Server) endRun(r *run, state runState, event ledger.Event, reason string) {
 	delete(s.runs, r.key)
+	s.noteWork() // whoever waited for the end may send more at once
 	entry := r.entry(event)
 	entry.Reason = reason
 	s.ledger.Add(entry)
--- a/lab/engine/server.go
+++ b/lab/engine/server.go
@@ -34,7 +34,7 @@
 
 	peerTimeout   = 30 * time.Second
 	drainInterval = 20 * time.Millisecond
-	// quietPeriod is how long no work may have come before a stopping engine
+	// quietPeriod is how long no work may have come or ended before a stopping engine
 	// goes: until then it refuses each request in so many words. Work that is on
 	// its way when a connection closes has an unknown outcome for its sender.
 	quietPeriod = 500 * time.Millisecond
@@ -180,10 +180,10 @@
 	}
 }
 
-// noteWork keeps the time at which work came.
+// noteWork keeps the time at which work came or ended.
 func (s *Server) noteWork() { s.lastWork.Store(int64(s.now())) }
 
-// quiet reports whether no work has come for a while.
+// quiet reports whether no work has come or ended for a while.
 func (s *Server) quiet() bool { return s.now()-time.Duration(s.lastWork.Load()) > quietPeriod }
 
 func (s *Server) idle() bool {
