upstream: a first answer on a new connection is its request's own

Cause: Do held an answer without an echo against which transport it had chosen (kept or single), not against the connection. A kept transport's first answer on a new connection can be nobody else's; a host that stopped echoing failed it nevertheless, also requests that may run once only. Ruled out: closing the connection by a header or DisableKeepAlives (the request is already written when the echo is seen missing); sealing without looking whether Transport has given the idle connection to a later request already (that one would fail though its own echo would decide). Change: httptrace's Reused goes into Exchange; a missing echo is accepted where the connection was new, another name never; that connection is sealed at the end of the body unless a later exchange has it. Conclusion: a host that stops echoing fails only requests on connections that have carried others.

--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -15,9 +15,10 @@
 // headers, so WroteHeaders can come before or after the first byte.
 type trackedConn struct {
 	net.Conn
-	lock   sync.Mutex
-	wrote  bool
-	sealed bool
+	lock      sync.Mutex
+	exchanges int // that were given the connection
+	wrote     bool
+	sealed    bool
 }
 
 // Write marks the connection as written before it writes, so that a write that
@@ -33,11 +34,28 @@
 	return c.Conn.Write(data)
 }
 
-// mark starts a new request on the connection.
-func (c *trackedConn) mark() {
+// mark starts a new request on the connection and returns its number.
+func (c *trackedConn) mark() int {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.wrote = false
+	c.exchanges++
+	return c.exchanges
+}
+
+// retire seals the connection unless it was given to a later request than the
+// number-th: Transport offers it to others before the caller sees the end of
+// the body, and that request's own answer decides what the connection is worth.
+func (c *trackedConn) retire(number int) {
+	c.lock.Lock()
+	current := c.exchanges == number
+	if current {
+		c.sealed = true
+	}
+	c.lock.Unlock()
+	if current {
+		_ = c.Conn.Close() // the connection is of no use any more
+	}
 }
 
 // seal forbids any further write, closes the connection and reports whether a
--- a/connection/upstream/identity_test.go
+++ b/connection/upstream/identity_test.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -218,3 +221,62 @@
 	set.remove(strconv.Itoa(maxEchoingHosts))
 	must.False(t, set.has(strconv.Itoa(maxEchoingHosts)))
 }
+
+// forgetfulServer echoes the identity of all requests but one. It returns its
+// URL and, for each connection, the numbers of the requests that came on it.
+func forgetfulServer(t *testing.T, forgets int32, status int) (url string, perConn func() map[string][]int32) {
+	t.Helper()
+	var served atomic.Int32
+	var lock sync.Mutex
+	byConn := map[string][]int32{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		number := served.Add(1)
+		lock.Lock()
+		byConn[r.RemoteAddr] = append(byConn[r.RemoteAddr], number)
+		lock.Unlock()
+		if number != forgets {
+			engineapi.EchoCall(w.Header(), r.Header)
+		}
+		w.WriteHeader(status)
+		if status == http.StatusOK {
+			_, _ = io.WriteString(w, "answer")
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server.URL, func() map[string][]int32 {
+		lock.Lock()
+		defer lock.Unlock()
+		return maps.Clone(byConn)
+	}
+}
+
+// TestFirstAnswerOnANewConnectionIsOwn: a host that stopped echoing failed also
+// requests whose connection had carried nothing else, so that no other answer
+// could come on it. Proof: the second request, the first on a kept connection,
+// gets its answer without an echo, and no other request goes over its connection.
+func TestFirstAnswerOnANewConnectionIsOwn(t *testing.T) {
+	const forgotten = 2
+	for _, status := range []int{http.StatusOK, http.StatusNoContent} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			url, perConn := forgetfulServer(t, forgotten, status)
+			pool := NewPool(Config{})
+			defer pool.Close()
+			const requests = 6
+			for number := range requests {
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+				must.NoError(t, err)
+				response, err := pool.Do(request, Identity{RequestID: "r" + strconv.Itoa(number), Attempt: 1})
+				must.NoError(t, err)
+				must.Eq(t, status, response.StatusCode)
+				drain(t, response)
+			}
+			alone, last := false, 0
+			for _, numbers := range perConn() {
+				alone = alone || slices.Equal(numbers, []int32{forgotten})
+				last = max(last, len(numbers))
+			}
+			must.True(t, alone, must.Sprint("the connection without an echo was used again"))
+			must.Eq(t, requests-forgotten-1, last, must.Sprint("the connections with an echo are kept"))
+		})
+	}
+}
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -164,8 +164,15 @@
 
 // Exchange is one request on its way and what is known of it.
 type Exchange struct {
-	lock  sync.Mutex
-	conns []*trackedConn
+	lock   sync.Mutex
+	conns  []heldConn
+	reused bool // the connection has carried another request before
+}
+
+// heldConn is a connection that an exchange was given.
+type heldConn struct {
+	*trackedConn
+	number int // of the exchange on the connection
 }
 
 func (e *Exchange) gotConn(info httptrace.GotConnInfo) {
@@ -173,10 +180,28 @@
 	if !tracked {
 		return
 	}
-	conn.mark()
+	held := heldConn{trackedConn: conn, number: conn.mark()}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.conns = append(e.conns, held)
+	e.reused = e.reused || info.Reused
+}
+
+// onReused reports whether the request went over a connection that has carried
+// another one, whose answer can therefore still come.
+func (e *Exchange) onReused() bool {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	e.conns = append(e.conns, conn)
+	return e.reused
+}
+
+// retire closes the exchange's connections after its answer.
+func (e *Exchange) retire() {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	for _, conn := range e.conns {
+		conn.retire(conn.number)
+	}
 }
 
 // abort seals every connection that the request was given and reports whether
@@ -218,18 +243,23 @@
 	guard(request)
 	identity.put(request.Header)
 	host := request.URL.Host
-	keep := p.echoing.has(host)
-	response, err := p.transport(keep).RoundTrip(request)
+	response, err := p.transport(p.echoing.has(host)).RoundTrip(request)
 	if err != nil {
 		return nil, &Failure{Wrote: exchange.abort(), Cause: errors.WithStack(err)}
 	}
-	response.Body = &answerBody{ReadCloser: response.Body, exchange: exchange}
-	if err := p.verify(host, keep, &identity, response.Header); err != nil {
+	body := &answerBody{ReadCloser: response.Body, exchange: exchange}
+	response.Body = body
+	got := identity.echoed(response.Header)
+	p.noteEcho(host, got)
+	if err := verify(got, exchange.onReused(), &identity, response.Header); err != nil {
 		exchange.abort() // nothing on this connection can be trusted any more
 		_ = response.Body.Close()
 		p.foreign(host, err)
 		return nil, &Failure{Wrote: true, Cause: err}
 	}
+	if got != echoWhole {
+		body.retireAfter(response.ContentLength == 0)
+	}
 	return response, nil
 }
 
@@ -240,21 +270,23 @@
 	return p.single
 }
 
-// verify returns ErrForeign unless the answer provably belongs to the exchange,
-// and notes whether the host's connections can be kept. A host that does not
-// echo pays with a connection for each request; every host pays that once,
+// noteEcho notes whether the host's connections can be kept. A host that does
+// not echo pays with a connection for each request; every host pays that once,
 // since only an answer tells whether it echoes.
-func (p *Pool) verify(host string, kept bool, identity *Identity, header http.Header) error {
-	got := identity.echoed(header)
+func (p *Pool) noteEcho(host string, got echo) {
 	switch got {
 	case echoWhole:
 		p.echoing.add(host)
-		return nil
 	case echoMissing:
 		p.echoing.remove(host)
-		if !kept {
-			return nil
-		}
+	}
+}
+
+// verify returns ErrForeign unless the answer provably belongs to the exchange:
+// an answer without a name does on a connection that has carried nothing else.
+func verify(got echo, reused bool, identity *Identity, header http.Header) error {
+	if got == echoWhole || got == echoMissing && !reused {
+		return nil
 	}
 	return errors.Wrapf(ErrForeign, "got %q/%q, want %q/%d",
 		header.Get(engineapi.HeaderRequestID), header.Get(engineapi.HeaderAttempt), identity.RequestID, identity.Attempt)
@@ -267,6 +299,16 @@
 	io.ReadCloser
 	exchange *Exchange
 	ended    bool
+	retiring bool // the connection carries nothing after this body
+}
+
+// retireAfter keeps the connection from carrying another request; empty says
+// that the body has no bytes to be read first.
+func (b *answerBody) retireAfter(empty bool) {
+	b.retiring = true
+	if empty {
+		b.exchange.retire()
+	}
 }
 
 // Read notes the end of the body.
@@ -274,14 +316,20 @@
 	count, err := b.ReadCloser.Read(buffer)
 	if errors.Is(err, io.EOF) {
 		b.ended = true
+		if b.retiring {
+			b.exchange.retire()
+		}
 	}
 	return count, err
 }
 
 // Close closes the body, and its connection unless the body was read to its end.
 func (b *answerBody) Close() error {
-	if !b.ended {
+	switch {
+	case !b.ended:
 		b.exchange.abort()
+	case b.retiring:
+		b.exchange.retire()
 	}
 	return b.ReadCloser.Close()
 }
