orders: tests out of step send surplus answers again

Cause: the engine of outofstep_test.go did not echo its calls, so no connection was kept, no surplus answer was ever sent and the four tests asserted nothing about them. Ruled out: surplus answers of another make; the server's last answer, sent again, is the case of interest. Change: the engine echoes; 12 calls (24 of orders and voids) keep connections; surplus.Server counts what it sent, which must be more than none; a call may fail with ErrUnreachable only if a surplus answer was sent during it. Replaced as strict: the former "each call succeeds" stays for the engine without echoes, where no surplus answer may be sent.

--- a/connection/orders/outofstep_test.go
+++ b/connection/orders/outofstep_test.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync/atomic"
@@ -16,17 +17,54 @@
 // Seen: the answer to an earlier question or order is taken for that to the present
 // one. It comes about where the engine sends an answer too many on a kept connection
 // after the next request was written on it: then it is the next thing that comes.
-// Proof: the engine gives each request another answer, and each call must return its own.
+// Proof: no call returns the answer to another, and surplus ones were sent; a call that
+// meets one may fail. Without echoes no connection is kept, and each call succeeds.
 
-// startOutOfStep starts an engine that sends its last answer again, and a client of it.
-func startOutOfStep(t *testing.T, engine http.Handler) (*Client, string) {
+// outOfStepCalls is how many calls a test makes: enough that connections are kept.
+const outOfStepCalls = 12
+
+// outOfStep is an engine that sends its last answer again, and a client of it.
+type outOfStep struct {
+	server *surplus.Server
+	client *Client
+	echoes bool
+}
+
+// forOutOfStep runs a test with an engine that echoes its calls and with one that
+// does not. engine makes the handler of each.
+func forOutOfStep(t *testing.T, engine func() http.Handler, test func(t *testing.T, engine *outOfStep)) {
+	for name, echoes := range map[string]bool{"echoes": true, "does not echo": false} {
+		t.Run(name, func(t *testing.T) {
+			server, err := surplus.Start(maybeEchoing(engine(), echoes))
+			must.NoError(t, err)
+			t.Cleanup(server.Close)
+			client := NewClient(5 * time.Second)
+			t.Cleanup(client.Close)
+			test(t, &outOfStep{server: server, client: client, echoes: echoes})
+			must.Eq(t, echoes, server.Sent() > 0, must.Sprint("surplus answers come on kept connections"))
+		})
+	}
+}
+
+func maybeEchoing(handler http.Handler, echoes bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if echoes {
+			engineapi.EchoCall(w.Header(), r.Header)
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// succeeded reports whether a call brought an answer. It may fail only if a surplus
+// answer was sent during it.
+func (o *outOfStep) succeeded(t *testing.T, sentBefore int, err error) bool {
 	t.Helper()
-	server, err := surplus.Start(engine)
-	must.NoError(t, err)
-	t.Cleanup(server.Close)
-	client := NewClient(5 * time.Second)
-	t.Cleanup(client.Close)
-	return client, server.Address()
+	if err == nil {
+		return true
+	}
+	must.ErrorIs(t, err, ErrUnreachable)
+	must.Greater(t, sentBefore, o.server.Sent())
+	return false
 }
 
 // restartingEngine is in another incarnation at each question.
@@ -37,27 +75,36 @@
 	})
 }
 
+// checkIncarnations asks a restarting engine again and again: the engine answers one
+// question at a time, so the number of the question is that of its answer.
+func checkIncarnations(t *testing.T, ask func(ctx context.Context, engine *outOfStep) (uint64, error)) {
+	forOutOfStep(t, restartingEngine, func(t *testing.T, engine *outOfStep) {
+		for number := range uint64(outOfStepCalls) {
+			sent := engine.server.Sent()
+			incarnation, err := ask(t.Context(), engine)
+			if engine.succeeded(t, sent, err) {
+				must.Eq(t, number+1, incarnation)
+			}
+		}
+	})
+}
+
 func TestStateIsTheAnswerToItsOwnQuestion(t *testing.T) {
-	client, address := startOutOfStep(t, restartingEngine())
-	for incarnation := range uint64(4) {
-		state, err := client.State(t.Context(), address)
-		must.NoError(t, err)
-		must.Eq(t, incarnation+1, state.Incarnation)
-	}
+	checkIncarnations(t, func(ctx context.Context, engine *outOfStep) (uint64, error) {
+		state, err := engine.client.State(ctx, engine.server.Address())
+		return state.Incarnation, err
+	})
 }
 
 func TestLoadIsTheAnswerToItsOwnQuestion(t *testing.T) {
-	client, address := startOutOfStep(t, restartingEngine())
-	for incarnation := range uint64(4) {
-		load, err := client.Load(t.Context(), address)
-		must.NoError(t, err)
-		must.Eq(t, incarnation+1, load.Incarnation)
-	}
+	checkIncarnations(t, func(ctx context.Context, engine *outOfStep) (uint64, error) {
+		load, err := engine.client.Load(ctx, engine.server.Address())
+		return load.Incarnation, err
+	})
 }
 
-// A load report has an engine's name, incarnation and phase as a state has, but no
-// fence and no assignment: taken for a state it is an engine that was told nothing.
-func TestLoadIsNotTakenForAState(t *testing.T) {
+// loadAndState answers the two questions.
+func loadAndState() http.Handler {
 	engine := http.NewServeMux()
 	engine.HandleFunc("GET "+engineapi.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprint(w, `{"engine":"narrator-1","incarnation":"1","phase":"serving","running":3}`)
@@ -65,15 +112,30 @@
 	engine.HandleFunc("GET "+engineapi.PathState, func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprint(w, `{"engine":"narrator-1","incarnation":"1","phase":"serving","fence":{"term":4,"index":9}}`)
 	})
-	client, address := startOutOfStep(t, engine)
-	_, err := client.Load(t.Context(), address)
-	must.NoError(t, err)
-	state, err := client.State(t.Context(), address)
-	must.NoError(t, err)
-	must.Eq(t, api.Fence{Term: 4, Index: 9}, state.Fence)
+	return engine
 }
 
-func TestOrderAndVoidGetTheirOwnAnswers(t *testing.T) {
+// A load report has an engine's name, incarnation and phase as a state has, but no
+// fence and no assignment: taken for a state it is an engine that was told nothing.
+func TestLoadIsNotTakenForAState(t *testing.T) {
+	forOutOfStep(t, loadAndState, func(t *testing.T, engine *outOfStep) {
+		for range outOfStepCalls {
+			sent := engine.server.Sent()
+			load, err := engine.client.Load(t.Context(), engine.server.Address())
+			if engine.succeeded(t, sent, err) {
+				must.Eq(t, 3, load.Running)
+			}
+			sent = engine.server.Sent()
+			state, err := engine.client.State(t.Context(), engine.server.Address())
+			if engine.succeeded(t, sent, err) {
+				must.Eq(t, api.Fence{Term: 4, Index: 9}, state.Fence)
+			}
+		}
+	})
+}
+
+// orderAndVoid accepts orders and refuses voids.
+func orderAndVoid() http.Handler {
 	engine := http.NewServeMux()
 	engine.HandleFunc("POST "+engineapi.PathOrders, func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprint(w, `{"code":"accepted","state":{"engine":"narrator-1"}}`)
@@ -82,13 +144,22 @@
 		w.WriteHeader(http.StatusConflict)
 		fmt.Fprint(w, `{"code":"stale_fence","state":{"engine":"narrator-1"}}`)
 	})
-	client, address := startOutOfStep(t, engine)
-	for range 3 {
-		ordered, err := client.Send(t.Context(), address, api.Order{Engine: "narrator-1"})
-		must.NoError(t, err)
-		must.Eq(t, engineapi.OrderAccepted, ordered.Code)
-		voided, err := client.Void(t.Context(), address, engineapi.VoidRequest{})
-		must.NoError(t, err)
-		must.Eq(t, engineapi.OrderStaleFence, voided.Code)
-	}
+	return engine
+}
+
+func TestOrderAndVoidGetTheirOwnAnswers(t *testing.T) {
+	forOutOfStep(t, orderAndVoid, func(t *testing.T, engine *outOfStep) {
+		for range outOfStepCalls {
+			sent := engine.server.Sent()
+			ordered, err := engine.client.Send(t.Context(), engine.server.Address(), api.Order{Engine: "narrator-1"})
+			if engine.succeeded(t, sent, err) {
+				must.Eq(t, engineapi.OrderAccepted, ordered.Code)
+			}
+			sent = engine.server.Sent()
+			voided, err := engine.client.Void(t.Context(), engine.server.Address(), engineapi.VoidRequest{})
+			if engine.succeeded(t, sent, err) {
+				must.Eq(t, engineapi.OrderStaleFence, voided.Code)
+			}
+		}
+	})
 }
--- a/lab/surplus/server.go
+++ b/lab/surplus/server.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -21,6 +22,7 @@
 	listener net.Listener
 	handler  http.Handler
 	done     sync.WaitGroup
+	sent     atomic.Int32
 
 	lock        sync.Mutex
 	closed      bool
@@ -41,6 +43,9 @@
 // Address returns where the server listens.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Sent returns how many surplus answers were sent.
+func (s *Server) Sent() int { return int(s.sent.Load()) }
+
 // Close ends all connections and waits for them.
 func (s *Server) Close() {
 	_ = s.listener.Close()
@@ -99,6 +104,9 @@
 		if err != nil {
 			return
 		}
+		if last != nil {
+			s.sent.Add(1)
+		}
 		if _, err := conn.Write(last); err != nil {
 			return
 		}
