proxy: a resume has an identity of its own

Cause: the head of a resume had its run's ID and attempt, against the rule that an identity names one exchange: a surplus answer to the run, or to a resume before it, was taken for the resume's own. Ruled out: an identity of its own for the events as well (they are the run's, and the engine finds the run by the body); the engine of the lab and the fakes echo the header of the call, so that nothing changes there. Change: the head goes under <id>-resume and a counter of the call; the stream's events are held against the run's identity as before. Conclusion: a surplus answer costs a resume, not the stream. An engine that echoes the run instead of the call in a resume's head is refused as foreign.

--- a/process/proxy/call.go
+++ b/process/proxy/call.go
@@ -31,8 +31,10 @@
 	retries  int
 	// handOvers counts the calls that hand KV cache over.
 	handOvers uint32
-	cached    int // prompt tokens believed to be cached where it ran
-	expected  int // length of the answer, in tokens
+	// resumes counts the times that a stream was taken up again, of all attempts.
+	resumes  uint32
+	cached   int // prompt tokens believed to be cached where it ran
+	expected int // length of the answer, in tokens
 }
 
 // run sees the request through to its end. It returns nil after a whole
--- a/process/proxy/run_engine.go
+++ b/process/proxy/run_engine.go
@@ -58,7 +58,8 @@
 	c.noteCached(decision.Target)
 	end := target.begin(c.proxy.clock(), c.parsed.promptTokens)
 	defer end()
-	return c.exchange(ctx, target, number, decision.Target.Incarnation, func(ctx context.Context) (*http.Request, error) {
+	run := c.runIdentity(number, decision.Target.Incarnation)
+	return c.exchange(ctx, target, run, run, func(ctx context.Context) (*http.Request, error) {
 		return c.runRequest(ctx, target, decision.Target.Incarnation, handle)
 	})
 }
@@ -86,12 +87,25 @@
 	}
 	end := target.begin(c.proxy.clock(), 0)
 	defer end()
-	return c.exchange(ctx, target, step.Number, step.Incarnation, func(ctx context.Context) (*http.Request, error) {
+	run := c.runIdentity(step.Number, step.Incarnation)
+	return c.exchange(ctx, target, c.resumeIdentity(), run, func(ctx context.Context) (*http.Request, error) {
 		body := engineapi.ResumeRequest{RequestID: c.id, Attempt: step.Number, Offset: step.Offset, Incarnation: step.Incarnation}
 		return postJSON(ctx, target.address, engineapi.PathResume, body)
 	})
 }
 
+// runIdentity names a run: its request and the events of its stream.
+func (c *call) runIdentity(number uint32, incarnation uint64) upstream.Identity {
+	return upstream.Identity{RequestID: c.id, Attempt: number, Incarnation: incarnation}
+}
+
+// resumeIdentity names the head of one resume. It is never that of the run or
+// of another resume: an answer to one of those says nothing of this resume.
+func (c *call) resumeIdentity() upstream.Identity {
+	c.resumes++
+	return upstream.Identity{RequestID: c.id + "-resume", Attempt: c.resumes}
+}
+
 func postJSON(ctx context.Context, address, path string, body any) (*http.Request, error) {
 	encoded, err := json.Marshal(body)
 	if err != nil {
@@ -156,8 +170,10 @@
 
 func (w *watchdog) stop() { w.timer.Stop() }
 
-// exchange sends one request of an attempt and passes its stream on.
-func (c *call) exchange(ctx context.Context, target *endpoint, number uint32, incarnation uint64, build func(context.Context) (*http.Request, error)) *failure {
+// exchange sends one request of an attempt, under the identity head, and passes
+// on its stream, whose events are the run's.
+func (c *call) exchange(ctx context.Context, target *endpoint, head, run upstream.Identity, build func(context.Context) (*http.Request, error)) *failure {
+	number := run.Attempt
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	request, err := build(ctx)
@@ -167,9 +183,8 @@
 	}
 	dog := newWatchdog(cancel, c.proxy.config.Timeouts.Head, &errHeadTimeout)
 	defer func() { dog.stop() }()
-	identity := upstream.Identity{RequestID: c.id, Attempt: number, Incarnation: incarnation}
 	asked := c.proxy.clock()
-	response, err := c.lane.pool.Do(request, identity)
+	response, err := c.lane.pool.Do(request, head)
 	if err != nil {
 		return c.unanswered(ctx, target, number, err)
 	}
@@ -180,7 +195,7 @@
 	}
 	c.life.Admit(number, incarnationOf(response.Header))
 	dog.expect(c.proxy.config.Timeouts.FirstToken, &errTokenTimeout)
-	stream := upstream.NewStream(response.Body, identity, c.proxy.config.Limits.EventBytes)
+	stream := upstream.NewStream(response.Body, run, c.proxy.config.Limits.EventBytes)
 	return c.relay(ctx, target, number, stream, dog)
 }
 
--- a/process/proxy/surplus_test.go
+++ b/process/proxy/surplus_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -351,3 +352,93 @@
 		})
 	}
 }
+
+// overlap is so long that runs which start together are on several connections.
+const overlap = 60 * time.Millisecond
+
+// keepConnections has whole runs leave several kept connections to the engine.
+func keepConnections(f *fleet) {
+	f.stream(HeaderClass, "cap") // its echo tells that connections can be kept
+	var runs sync.WaitGroup
+	for range surplusRequests {
+		runs.Go(func() { f.stream(HeaderClass, "cap") })
+	}
+	runs.Wait()
+}
+
+// resumedEngine is an engine that, once cutting is true, cuts each run's stream
+// and the first resume of it; the second resume ends it. Before the answer to the resume numbered
+// late (from 1) it sends a surplus one under the identity that before names.
+func resumedEngine(t *testing.T, cutting *atomic.Bool, late int32, before func(run, resume string) string) *fakeEngine {
+	engine := newFakeEngine(t, "e1", 11)
+	var run, resume atomic.Pointer[string] // the identities of the last ones
+	var resumes atomic.Int32               // of the present run
+	remember := func(to *atomic.Pointer[string], r *http.Request) {
+		id, number := runOf(r)
+		lines := identityLines(id, int(number))
+		to.Store(&lines)
+	}
+	engine.script = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, n int) {
+		resumes.Store(0)
+		remember(&run, r)
+		if !cutting.Load() {
+			time.Sleep(overlap)
+			e.answer(w, r, 0, 4)
+			return
+		}
+		cutAfter(2)(e, w, r, n)
+	}
+	engine.resume = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, request engineapi.ResumeRequest) {
+		remember(&resume, r)
+		if resumes.Add(1) == 1 {
+			e.tokens(w, request.RequestID, request.Attempt, request.Offset, request.Offset+1)
+			drop(w)
+			return
+		}
+		e.tokens(w, request.RequestID, request.Attempt, request.Offset, 4)
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	}
+	engine.surplus.answer = func(r *http.Request) string {
+		if r.URL.Path != engineapi.PathResume || resumes.Load() != late-1 {
+			return ""
+		}
+		last := ""
+		if named := resume.Load(); named != nil {
+			last = *named
+		}
+		return rawAnswer(http.StatusConflict, before(*run.Load(), last), "{}")
+	}
+	return engine
+}
+
+// TestSurplusAnswerBeforeAResume: a stream that could be taken up again ended
+// for its caller. A resume had the identity of its run and of the resumes before
+// it, so that a surplus answer to one of them was taken for its own. Proof: with
+// either before the answer to the resume, the caller gets the whole answer.
+func TestSurplusAnswerBeforeAResume(t *testing.T) {
+	cases := map[string]struct {
+		late   int32
+		before func(run, resume string) string
+	}{
+		"of the run":            {1, func(run, _ string) string { return run }},
+		"of the resume before":  {2, func(_, resume string) string { return resume }},
+		"of the run, no number": {1, func(run, _ string) string { return run[:strings.Index(run, "\r\n")+2] }},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			var cutting atomic.Bool
+			engine := resumedEngine(t, &cutting, test.late, test.before)
+			f := start(t, quick(), []*fakeEngine{engine})
+			eventually(t, func() bool {
+				cutting.Store(false)
+				keepConnections(f)
+				cutting.Store(true)
+				words, whole := f.stream(HeaderClass, "cap").words()
+				must.True(t, whole)
+				must.Eq(t, []string{"e1-0", "e1-1", "e1-2", "e1-3"}, words)
+				f.endpoint("narrator", "e1").succeed() // the next request may go there at once
+				return engine.surplus.sent.Load() > 0
+			})
+		})
+	}
+}
