proxy: a test of the identities of hand-over calls

Cause: no test noticed when the calls of a hand-over had their run's ID, or the same number. Ruled out: surplus answers as the proof; they need chance to meet the call. Change: TestCallsOfAHandOverShareNoIdentity sees the identity of each call at the engines; export, import and run must differ. Conclusion: both halves of the hand-over identity are held by a test.

--- a/process/proxy/surplus_test.go
+++ b/process/proxy/surplus_test.go
@@ -29,7 +29,9 @@
 type surplus struct {
 	// answer returns the bytes of the wrong answer, or "" for none.
 	answer func(r *http.Request) string
-	sent   atomic.Int32
+	// observe sees each request; what it returns is of no meaning. nil for nobody.
+	observe func(r *http.Request) string
+	sent    atomic.Int32
 }
 
 // connKey is the key of a request's connection in its context.
@@ -44,6 +46,9 @@
 // serve starts a server that echoes the identity of each request.
 func (s *surplus) serve(handler http.Handler) *httptest.Server {
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.observe != nil {
+			s.observe(r)
+		}
 		s.precede(r)
 		engineapi.EchoCall(w.Header(), r.Header)
 		handler.ServeHTTP(w, r)
@@ -442,3 +447,32 @@
 		})
 	}
 }
+
+// TestCallsOfAHandOverShareNoIdentity: a surplus answer to one call of a request
+// is told from that to another only by its identity. Proof: the export, the
+// import and the run of each request have one each.
+func TestCallsOfAHandOverShareNoIdentity(t *testing.T) {
+	engines := []*fakeEngine{newFakeEngine(t, "e1", 11), newFakeEngine(t, "e2", 12)}
+	var lock sync.Mutex
+	calls := map[string]string{} // the path of each identity
+	for _, engine := range engines {
+		engine.surplus.observe = onWork(func(r *http.Request) string {
+			id, number := runOf(r)
+			lock.Lock()
+			defer lock.Unlock()
+			identity := identityLines(id, int(number))
+			if earlier, known := calls[identity]; known {
+				t.Errorf("%s has the identity of %s", r.URL.Path, earlier)
+			}
+			calls[identity] = r.URL.Path
+			return ""
+		})
+	}
+	f := start(t, quick(), engines)
+	splitRoles(f)
+	eventually(t, func() bool {
+		_, whole := f.stream(HeaderClass, "cap").words()
+		must.True(t, whole)
+		return engines[1].imports.Load() > 0
+	})
+}
