upstream: a test of answers to POSTs whose body is not read

Cause: no test noticed single-use connections by DisableKeepAlives. Ruled out: nothing else; the fault is that the server closes at once. Change: TestUnreadBodyDoesNotResetTheAnswer; a server refuses 20 POSTs of 128 KiB unread, each must get its answer, none may ask for a close.

--- a/connection/upstream/upstream_test.go
+++ b/connection/upstream/upstream_test.go
@@ -234,3 +234,33 @@
 	must.Eq(t, http.StatusTemporaryRedirect, response.StatusCode)
 	must.Eq(t, 1, requests.Load())
 }
+
+// TestUnreadBodyDoesNotResetTheAnswer: a server that answers without reading the
+// request's body closes a connection at once that is said to be of one use only,
+// and the body still on its way then resets the answer. Proof: the first POST to
+// a host, which goes over a connection of its own, gets its whole answer.
+func TestUnreadBodyDoesNotResetTheAnswer(t *testing.T) {
+	var closing atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Close {
+			closing.Add(1)
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "refused")
+	}))
+	defer server.Close()
+	pool := NewPool(Config{})
+	defer pool.Close()
+	const requests, bodyBytes = 20, 128 << 10
+	for range requests {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, strings.NewReader(strings.Repeat("x", bodyBytes)))
+		must.NoError(t, err)
+		response, err := pool.Do(request, testIdentity)
+		must.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		must.NoError(t, err)
+		must.Eq(t, "refused", string(body))
+		must.NoError(t, response.Body.Close())
+	}
+	must.Eq(t, 0, closing.Load(), must.Sprint("requests that ask for the end of their connection"))
+}
