upstream: a test that a host is forgotten after a missing echo

Cause: no test noticed when the host stayed in the set of those that echo. Ruled out: failures as the only proof: with first answers accepted they are few either way. Change: TestHostIsForgottenAfterAMissingEcho. Measured: fails without the removal (the host is still held as one that echoes); passes 20 of 20. Conclusion: the removal is held by a test.

--- a/connection/upstream/identity_test.go
+++ b/connection/upstream/identity_test.go
@@ -280,3 +280,33 @@
 		})
 	}
 }
+
+// TestHostIsForgottenAfterAMissingEcho: a host that stopped echoing went on being
+// asked over kept connections, where each answer without a name is a failure.
+// Proof: one request fails, and the host is then no longer one that echoes.
+func TestHostIsForgottenAfterAMissingEcho(t *testing.T) {
+	const echoed, requests = 4, 10
+	var served atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if served.Add(1) <= echoed {
+			engineapi.EchoCall(w.Header(), r.Header)
+		}
+	}))
+	defer server.Close()
+	pool := NewPool(Config{})
+	defer pool.Close()
+	failed := 0
+	for range requests {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, nil)
+		must.NoError(t, err)
+		response, err := pool.Do(request, testIdentity)
+		if err != nil {
+			must.ErrorIs(t, err, ErrForeign)
+			failed++
+			continue
+		}
+		drain(t, response)
+	}
+	must.Eq(t, 1, failed, must.Sprint("only the answer on the kept connection"))
+	must.False(t, pool.echoing.has(strings.TrimPrefix(server.URL, "http://")))
+}
