control: the test of another engine's answer reaches the check of names

Cause: the other engine's answer in the test echoed no call, so on a kept connection connection/upstream refused it; replyFrom was never reached, and the test passed without it. Ruled out: timing; a count of unanswered orders alone passed too without replyFrom, for the same reason. Change: the other engine echoes the call; the answers count as unanswered.

--- a/process/control/engine_test.go
+++ b/process/control/engine_test.go
@@ -69,6 +69,7 @@
 	e.orders = append(e.orders, r.URL.Path)
 	e.lock.Unlock()
 	if e.foreign.Add(-1) >= 0 {
+		engineapi.EchoCall(w.Header(), r.Header) // else its connection is at fault, not its name
 		fmt.Fprint(w, `{"code":"invalid","state":{"engine":"another","incarnation":"9"}}`)
 		return
 	}
@@ -163,15 +164,33 @@
 func TestAnswerOfAnotherEngineSaysNothingOfAnOrder(t *testing.T) {
 	f := newFleet(t, 1)
 	f.awaitVersion("1")
-	f.engines[0].foreign.Store(2)
+	const foreignAnswers = 2
+	before := f.unansweredOrders()
+	f.engines[0].foreign.Store(foreignAnswers)
 	must.Eq(t, api.OutcomeAccepted, f.setVersion("second", "2").Code)
 	f.awaitVersion("2")
 	must.Less(t, 0, f.engines[0].foreign.Load(), must.Sprint("another engine has answered"))
+	must.GreaterEq(t, before+foreignAnswers, f.unansweredOrders(), must.Sprint("its answers are none"))
 	f.engines[0].lock.Lock()
 	defer f.engines[0].lock.Unlock()
 	must.SliceNotContains(t, f.engines[0].orders, engineapi.PathVoid)
 }
 
+// unansweredOrders returns how many orders and voids brought the members no answer.
+func (f *fleet) unansweredOrders() float64 {
+	total := 0.0
+	for _, running := range f.running {
+		families, err := running.member.metrics.registry.Gather()
+		must.NoError(f.t, err)
+		for _, family := range families {
+			if family.GetName() == metricsNamespace+"_orders_unanswered_total" {
+				total += family.GetMetric()[0].GetCounter().GetValue()
+			}
+		}
+	}
+	return total
+}
+
 func TestOrdersSurviveLeaderChange(t *testing.T) {
 	f := newFleet(t, 3)
 	f.awaitVersion("1")
