Proxy: tests that a side which answers something else is not taken for silent

The branches of foreign answers to runs, plain requests and hand-overs were noticed by no test. With each taken out, TestSurplusAnswerTeachesNothing, TestSurplusAnswerReachesNoCaller and TestSurplusHandleIsNotUsed fail; that of polls is still noticed by none, since the next poll that is answered ends the silence.

--- a/process/proxy/surplus_test.go
+++ b/process/proxy/surplus_test.go
@@ -142,6 +142,9 @@
 			// A failure is told as one when the budget of retries is used up.
 			must.True(t, answer.status == http.StatusOK || answer.status == http.StatusBadGateway)
 			must.StrNotContains(t, answer.body, foreignText)
+			for _, back := range *f.proxy.lanes.find("tiles").endpoints.Load() {
+				must.False(t, back.suspected(f.proxy.clock()), must.Sprint("it is there"))
+			}
 		}
 		must.Positive(t, first.surplus.sent.Load())
 	})
@@ -256,6 +259,9 @@
 					must.StrNotContains(t, named.Get(engineapi.HeaderKVHandle), foreignText)
 				}
 				must.StrNotContains(t, answer.body, foreignText)
+				for _, name := range []string{"e1", "e2"} {
+					must.False(t, f.endpoint("narrator", name).suspected(f.proxy.clock()), must.Sprint("it is there"))
+				}
 				return first.surplus.sent.Load()+second.surplus.sent.Load() > 0
 			})
 		})
@@ -313,10 +319,11 @@
 			f.stream(HeaderClass, "cap")
 			must.Eq(t, api.PhaseServing, followed.word().phase)
 			must.Eq(t, 11, followed.word().incarnation)
-			followed.succeed() // the next request may go there at once
+			must.False(t, followed.suspected(f.proxy.clock()), must.Sprint("it is there"))
 		}
 		must.Positive(t, engine.surplus.sent.Load())
-		must.Eq(t, float64(engine.surplus.sent.Load()), foreignAnswers(t, f.proxy), must.Sprint("each is counted"))
+		// Each is counted; the server counts after it has sent.
+		eventually(t, func() bool { return float64(engine.surplus.sent.Load()) == foreignAnswers(t, f.proxy) })
 	})
 }
 
@@ -352,6 +359,7 @@
 				word := followed.word()
 				must.NotEq(t, foreignIncarnation, word.incarnation)
 				must.NotEq(t, api.PhaseDraining, word.phase)
+				must.False(t, followed.suspected(f.proxy.clock()), must.Sprint("it is not silent"))
 				return engine.surplus.sent.Load() > 2
 			})
 		})
