Stand-in of surplus answers: a request is handled before the surplus answer is sent

The stand-in sent the surplus answer and handled the request then; the client drops that connection and asks again at once, and the handler met the two requests in the other order. The test numbers requests by their order. Ruled out: an answer to another call: the one returned is the call's own. Change: the request is handled first; the surplus answer still comes after its last byte and before its own answer.

--- a/lab/surplus/server.go
+++ b/lab/surplus/server.go
@@ -104,16 +104,20 @@
 		if err != nil {
 			return
 		}
+		// The client may go on, over another connection, once it has the surplus
+		// answer: by then this request has been handled, so that the handler meets
+		// requests in the order in which they are made.
+		own := s.answer(request)
 		if last != nil {
 			s.sent.Add(1)
 		}
 		if _, err := conn.Write(last); err != nil {
 			return
 		}
-		last = s.answer(request)
-		if _, err := conn.Write(last); err != nil || request.Close {
+		if _, err := conn.Write(own); err != nil || request.Close {
 			return
 		}
+		last = own
 	}
 }
 
