Ingress test: a port where surely nobody listens

Cause: TestReplicaThatIsNotThereCostsNoAttempt closes a server and lists its address; the next server of the test, or another process, may get the port and answers 200.

--- a/process/ingress/harness_test.go
+++ b/process/ingress/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
 )
 
 func TestMain(m *testing.M) {
@@ -145,6 +146,19 @@
 
 func (r *fakeReplica) address() string { return r.server.Listener.Addr().String() }
 
+// refusingAddress returns an address that refuses connections: its port is bound, so that
+// nobody else gets it, and nobody listens there.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(socket) })
+	must.NoError(t, unix.Bind(socket, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := unix.Getsockname(socket)
+	must.NoError(t, err)
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*unix.SockaddrInet4).Port))
+}
+
 func (r *fakeReplica) count() int {
 	r.lock.Lock()
 	defer r.lock.Unlock()
--- a/process/ingress/ingress_test.go
+++ b/process/ingress/ingress_test.go
@@ -164,12 +164,17 @@
 }
 
 func TestReplicaThatIsNotThereCostsNoAttempt(t *testing.T) {
-	gone := newFakeReplica(t, "r-1", answerOK)
-	gone.server.Close()
+	gone := &api.Replica{
+		Metadata: api.Metadata{Name: "r-1"},
+		Spec:     api.ReplicaSpec{Service: "plain", Address: refusingAddress(t), Zone: "zone-a", Slots: 8},
+	}
 	sound := newFakeReplica(t, "r-2", answerOK)
-	w := newWorld(t, gone)
+	w := newWorld(t)
+	w.views.set(func(v *view.View) { v.Replicas = map[string]*api.Replica{"r-1": gone} })
 	must.Eq(t, http.StatusServiceUnavailable, w.ask(asked{method: "GET", target: "/unsafe/", id: "q"}).status)
-	w.list(gone, sound)
+	w.views.set(func(v *view.View) {
+		v.Replicas = map[string]*api.Replica{"r-1": gone, "r-2": listed(sound, "plain", api.RoleNone)}
+	})
 	for range 5 {
 		must.Eq(t, http.StatusOK, w.ask(asked{method: "GET", target: "/unsafe/", id: "q"}).status)
 	}
