--- a/connection/singleuse/client.go
+++ b/connection/singleuse/client.go
@@ -26,6 +26,8 @@
 
 // NewClient returns a client whose connections dial opens; nil uses a net.Dialer.
 // A dial must end by itself: it goes on when its call is given up.
+// Each call says that its connection ends with it. A server that answers before it has
+// read a long body may reset the connection then, so long bodies are not for these clients.
 // The client sends no call again by itself, follows no redirect, since a call is
 // meant for the address that it was given, and uses no proxy.
 func NewClient(dial Dial) *http.Client {
