--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -36,8 +36,8 @@
 	// Reused is true when the connection had served other requests before.
 	Reused bool
 	Cause  error
-	// Surplus are the answers to other requests that came instead.
-	Surplus []*Misplaced
+	// Foreign are the answers to other requests that came instead.
+	Foreign []*ForeignAnswer
 }
 
 // Error returns the cause's text.
@@ -53,8 +53,8 @@
 	// Length is that of the body, -1 if it is not known beforehand.
 	Length int64
 	Reused bool
-	// Surplus are answers to other requests that came before it and were passed over.
-	Surplus []*Misplaced
+	// Foreign are answers to other requests that came before it and were passed over.
+	Foreign []*ForeignAnswer
 
 	pool     *Pool
 	conn     *conn
@@ -68,7 +68,7 @@
 
 // Do writes the request once and returns the head of the answer that its identity
 // proves to be its own. Informational answers are passed over, redirects are answers
-// like any other. A failure is always a *Failure; its cause is a *Misplaced where
+// like any other. A failure is always a *Failure; its cause is a *ForeignAnswer where
 // another request's answer came instead. When ctx ends, the connection is closed. The
 // caller closes the answer.
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Answer, error) {
@@ -83,22 +83,22 @@
 		_ = used.Conn.Close() // nothing was written on it
 		return nil, &Failure{Reused: reused, Cause: errors.WithStack(err)}
 	}
-	response, surplus, err := readOwn(used, request, reused)
+	response, foreign, err := readOwn(used, request, reused)
 	if err != nil {
 		detach()
 		_ = used.Conn.Close() // the first error says what is wrong
-		return nil, &Failure{Sent: true, Reused: reused, Cause: errors.WithStack(err), Surplus: surplus}
+		return nil, &Failure{Sent: true, Reused: reused, Cause: errors.WithStack(err), Foreign: foreign}
 	}
 	return &Answer{
 		Status:  response.StatusCode,
 		Header:  response.Header,
 		Length:  response.ContentLength,
 		Reused:  reused,
-		Surplus: surplus,
+		Foreign: foreign,
 		pool:    p,
 		conn:    used,
 		body:    response.Body,
-		lasting: !response.Close && request.sharesConnections() && len(surplus) == 0,
+		lasting: !response.Close && request.sharesConnections() && len(foreign) == 0,
 		written: written,
 		detach:  detach,
 	}, nil
--- /dev/null
+++ b/connection/exchange/foreign.go
@@ -0,0 +1,75 @@
+package exchange
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// ForeignAnswer is an answer to another request, or to none that it names, which came
+// where a request's own was due.
+type ForeignAnswer struct {
+	Answered string // the ID that it names, empty for none
+	Status   int
+}
+
+// maxNamedBytes bounds what is kept of an ID that the other side names.
+const maxNamedBytes = 64
+
+func newForeignAnswer(response *http.Response, identity Identity) *ForeignAnswer {
+	answered := response.Header.Get(identity.Field)
+	return &ForeignAnswer{Answered: answered[:min(len(answered), maxNamedBytes)], Status: response.StatusCode}
+}
+
+// Error says which request was answered.
+func (f *ForeignAnswer) Error() string {
+	return fmt.Sprintf("exchange: answer of status %d to request %q", f.Status, f.Answered)
+}
+
+// Bounds of the foreign answers that are passed over on one connection.
+const (
+	maxForeign      = 4
+	maxForeignBytes = 1 << 20
+)
+
+// readOwn reads heads until the one of the request's answer. An answer to a request that
+// the connection carried before is one too many, and the request's own comes behind it.
+// The foreign answers are returned in any case; the error is the last of them where no
+// own one follows.
+func readOwn(from *conn, request *Request, reused bool) (own *http.Response, foreign []*ForeignAnswer, err error) {
+	for {
+		response, err := readHead(from, request.Method)
+		if err != nil {
+			return nil, foreign, err
+		}
+		if request.Identity.owns(response.Header, reused) {
+			return response, foreign, nil
+		}
+		last := newForeignAnswer(response, request.Identity)
+		foreign = append(foreign, last)
+		surplus := reused && last.Answered != "" && len(foreign) <= maxForeign
+		if !surplus || !mayBePassedOver(response) {
+			return nil, foreign, last
+		}
+		ended, err := passOver(response)
+		if err != nil {
+			return nil, foreign, err
+		}
+		if !ended {
+			return nil, foreign, last
+		}
+	}
+}
+
+// mayBePassedOver reports whether an answer can come behind this one, by its head.
+func mayBePassedOver(response *http.Response) bool {
+	return !response.Close && response.ContentLength <= maxForeignBytes
+}
+
+// passOver reads a body and reports whether it has ended within the bound.
+func passOver(response *http.Response) (ended bool, err error) {
+	count, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes+1))
+	return count <= maxForeignBytes, errors.WithStack(err)
+}
--- a/connection/exchange/identity_test.go
+++ b/connection/exchange/identity_test.go
@@ -35,8 +35,8 @@
 		{"surplus before its own", say(answerTo("first", "old") + ok), "ok"},
 		{"surplus in chunks", say(long + ok), "ok"},
 		{"surplus without a body", say("HTTP/1.1 503 Busy\r\nId: first\r\nContent-Length: 0\r\n\r\n" + ok), "ok"},
-		{"several", say(strings.Repeat(answerTo("first", "old"), maxSurplus) + ok), "ok"},
-		{"too many", say(strings.Repeat(answerTo("first", "old"), maxSurplus+1) + ok), ""},
+		{"several", say(strings.Repeat(answerTo("first", "old"), maxForeign) + ok), "ok"},
+		{"too many", say(strings.Repeat(answerTo("first", "old"), maxForeign+1) + ok), ""},
 		{"surplus alone", sayAndClose(answerTo("first", "old")), ""},
 		{"surplus that ends its connection", sayAndClose("HTTP/1.1 200 OK\r\nId: first\r\n\r\nold"), ""},
 		{"surplus that names nobody", say(answerTo("", "old") + ok), ""},
@@ -59,14 +59,14 @@
 	}
 }
 
-func TestMisplacedAnswersAreTold(t *testing.T) {
+func TestForeignAnswersAreTold(t *testing.T) {
 	server := newReplica(t, say(ok), say(answerTo("first", "old")+ok), say(answerTo("other", "x")))
 	pool := newPool(t)
 	_, err := whole(t, pool, server.address(), getAs("first", "/1"))
 	must.NoError(t, err)
 	answer, err := pool.Do(t.Context(), server.address(), getAs("second", "/2"))
 	must.NoError(t, err)
-	must.Eq(t, []*Misplaced{{Answered: "first", Status: http.StatusOK}}, answer.Surplus)
+	must.Eq(t, []*ForeignAnswer{{Answered: "first", Status: http.StatusOK}}, answer.Foreign)
 	answer.Close()
 
 	// On a connection that has carried no other request nothing else is to follow.
@@ -74,10 +74,10 @@
 	var failure *Failure
 	must.True(t, errors.As(err, &failure))
 	must.True(t, failure.Sent)
-	must.Eq(t, []*Misplaced{{Answered: "other", Status: http.StatusOK}}, failure.Surplus)
-	var misplaced *Misplaced
-	must.True(t, errors.As(err, &misplaced))
-	must.Eq(t, "other", misplaced.Answered)
+	must.Eq(t, []*ForeignAnswer{{Answered: "other", Status: http.StatusOK}}, failure.Foreign)
+	var foreign *ForeignAnswer
+	must.True(t, errors.As(err, &foreign))
+	must.Eq(t, "other", foreign.Answered)
 }
 
 // A request that is sent again has the ID that it had: an answer to its earlier send
@@ -122,7 +122,7 @@
 
 // An own answer that cannot come any more is not waited for.
 func TestNothingIsAwaitedBehindASurplusAnswerThatEndsItsConnection(t *testing.T) {
-	long := strings.Repeat("10000\r\n"+strings.Repeat("x", 1<<16)+"\r\n", maxSurplusBytes>>16+1)
+	long := strings.Repeat("10000\r\n"+strings.Repeat("x", 1<<16)+"\r\n", maxForeignBytes>>16+1)
 	for name, head := range map[string]string{
 		"no length":      "\r\nold",
 		"closing":        "Connection: close\r\nContent-Length: 100\r\n\r\nold",
@@ -141,8 +141,8 @@
 			must.NoError(t, err)
 			_, err = whole(t, pool, server.address(), getAs("second", "/"))
 			close(release)
-			var misplaced *Misplaced
-			must.True(t, errors.As(err, &misplaced))
+			var foreign *ForeignAnswer
+			must.True(t, errors.As(err, &foreign))
 		})
 	}
 }
@@ -168,9 +168,9 @@
 		cancel()
 	}()
 	_, err = pool.Do(ctx, server.address(), getAs("second", "/"))
-	var misplaced *Misplaced
+	var foreign *ForeignAnswer
 	must.Error(t, err)
-	must.False(t, errors.As(err, &misplaced))
+	must.False(t, errors.As(err, &foreign))
 }
 
 func TestHeadsAreBounded(t *testing.T) {
--- a/connection/orders/outofstep_test.go
+++ b/connection/orders/outofstep_test.go
@@ -35,7 +35,7 @@
 func forOutOfStep(t *testing.T, engine func() http.Handler, test func(t *testing.T, engine *outOfStep)) {
 	for name, echoes := range map[string]bool{"echoes": true, "does not echo": false} {
 		t.Run(name, func(t *testing.T) {
-			server, err := surplus.Start(maybeEchoing(engine(), echoes))
+			server, err := surplus.Start(maybeEchoing(engine(), echoes), surplus.Again)
 			must.NoError(t, err)
 			t.Cleanup(server.Close)
 			client := NewClient(5 * time.Second)
--- a/connection/singleuse/client_test.go
+++ b/connection/singleuse/client_test.go
@@ -35,7 +35,7 @@
 	var calls atomic.Int32
 	server, err := surplus.Start(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprint(w, calls.Add(1))
-	}))
+	}), surplus.Again)
 	must.NoError(t, err)
 	t.Cleanup(server.Close)
 	client := NewClient(nil)
--- a/connection/upstream/identity_test.go
+++ b/connection/upstream/identity_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"io"
 	"maps"
 	"net"
@@ -18,69 +17,30 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/lab/surplus"
 )
 
-// surplusServer is a server on raw TCP that echoes the identity of requests. On
-// a connection that has served another request it first sends wrong, an answer
-// that belongs to no request, and then the real one. So wrong comes when no
-// look at the idle connection can find it any more.
-type surplusServer struct {
-	address string
-	wrong   string
-	sent    atomic.Int32 // wrong answers
-	conns   atomic.Int32
-}
+// surplusServer echoes the identity and the body of requests. On a connection that has
+// served another request it first sends wrong, an answer that belongs to none.
+type surplusServer struct{ *surplus.Server }
 
 func newSurplusServer(t *testing.T, wrong string) *surplusServer {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	server := &surplusServer{address: listener.Addr().String(), wrong: wrong}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		server.accept(listener)
-	}()
-	t.Cleanup(func() {
-		_ = listener.Close()
-		<-done
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		engineapi.EchoCall(w.Header(), r.Header)
+		_, _ = io.Copy(w, r.Body) // a cut request ends its connection
 	})
-	return server
-}
-
-func (s *surplusServer) accept(listener net.Listener) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		s.conns.Add(1)
-		go s.serve(conn)
-	}
-}
-
-func (s *surplusServer) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
-	for served := 0; ; served++ {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		body, _ := io.ReadAll(request.Body)
-		if served > 0 && s.wrong != "" {
-			s.sent.Add(1)
-			_, _ = io.WriteString(conn, s.wrong)
-		}
-		_, _ = io.WriteString(conn, rawAnswer("200 OK", request.Header, string(body)))
-	}
+	server, err := surplus.Start(handler, func([]byte) []byte { return []byte(wrong) })
+	must.NoError(t, err)
+	t.Cleanup(server.Close)
+	return &surplusServer{server}
 }
 
 // ask sends the number-th request and returns the answer's body.
 func (s *surplusServer) ask(t *testing.T, pool *Pool, number int) (string, error) {
 	t.Helper()
 	body := strconv.Itoa(number)
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.address+"/", strings.NewReader(body))
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.Address()+"/", strings.NewReader(body))
 	must.NoError(t, err)
 	response, err := pool.Do(request, Identity{RequestID: "r" + body, Attempt: 2})
 	if err != nil {
@@ -136,7 +96,7 @@
 				must.True(t, failure.Wrote)
 			}
 			must.Positive(t, failed)
-			must.Eq(t, int(server.sent.Load()), failed)
+			must.Eq(t, server.Sent(), failed)
 		})
 	}
 }
@@ -152,7 +112,7 @@
 		must.NoError(t, err)
 		must.Eq(t, strconv.Itoa(number), body)
 	}
-	must.Eq(t, 2, server.conns.Load())
+	must.Eq(t, 2, server.Accepted())
 }
 
 // TestHostWithoutEchoIsServed: a host that names no identity is asked over a
--- a/lab/surplus/server.go
+++ b/lab/surplus/server.go
@@ -1,7 +1,7 @@
 // Package surplus plays an HTTP server that is out of step: on a kept connection
-// it sends its last answer once more, after the next request has arrived and
-// before the answer to it. Bytes that come that late look to a client like the
-// answer to the request that it wrote last.
+// it sends an answer too many, as its last one once more, after the next request
+// has arrived and before the answer to it. Bytes that come that late look to a
+// client like the answer to the request that it wrote last.
 package surplus
 
 import (
@@ -21,21 +21,30 @@
 type Server struct {
 	listener net.Listener
 	handler  http.Handler
+	surplus  Surplus
 	done     sync.WaitGroup
 	sent     atomic.Int32
+	accepted atomic.Int32
 
 	lock        sync.Mutex
 	closed      bool
 	connections map[net.Conn]struct{}
 }
 
+// Surplus returns the answer too many that follows the connection's last answer, as it
+// goes over the connection; empty for none.
+type Surplus func(last []byte) []byte
+
+// Again sends the last answer once more.
+func Again(last []byte) []byte { return last }
+
 // Start starts a Server on a free port of the loopback.
-func Start(handler http.Handler) (*Server, error) {
+func Start(handler http.Handler, surplus Surplus) (*Server, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "surplus: listen")
 	}
-	s := &Server{listener: listener, handler: handler, connections: map[net.Conn]struct{}{}}
+	s := &Server{listener: listener, handler: handler, surplus: surplus, connections: map[net.Conn]struct{}{}}
 	s.done.Go(s.accept)
 	return s, nil
 }
@@ -46,6 +55,9 @@
 // Sent returns how many surplus answers were sent.
 func (s *Server) Sent() int { return int(s.sent.Load()) }
 
+// Accepted returns how many connections were accepted.
+func (s *Server) Accepted() int { return int(s.accepted.Load()) }
+
 // Close ends all connections and waits for them.
 func (s *Server) Close() {
 	_ = s.listener.Close()
@@ -68,6 +80,7 @@
 		if err != nil {
 			return
 		}
+		s.accepted.Add(1)
 		if !s.register(conn) {
 			_ = conn.Close()
 			return
@@ -108,10 +121,7 @@
 		// answer: by then this request has been handled, so that the handler meets
 		// requests in the order in which they are made.
 		own := s.answer(request)
-		if last != nil {
-			s.sent.Add(1)
-		}
-		if _, err := conn.Write(last); err != nil {
+		if last != nil && !s.disturb(conn, last) {
 			return
 		}
 		if _, err := conn.Write(own); err != nil || request.Close {
@@ -121,6 +131,17 @@
 	}
 }
 
+// disturb sends the surplus answer and reports whether the connection still takes bytes.
+func (s *Server) disturb(conn net.Conn, last []byte) bool {
+	surplus := s.surplus(last)
+	if len(surplus) == 0 {
+		return true
+	}
+	s.sent.Add(1)
+	_, err := conn.Write(surplus)
+	return err == nil
+}
+
 // answer returns the handler's answer as it goes over the connection.
 func (s *Server) answer(request *http.Request) []byte {
 	recorder := httptest.NewRecorder()
--- a/process/control/surplus_test.go
+++ b/process/control/surplus_test.go
@@ -19,7 +19,7 @@
 	var asked atomic.Int32
 	server, err := surplus.Start(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprintf(w, `{"machines":[{"name":"machine-%d","state":"live"}]}`, asked.Add(1))
-	}))
+	}), surplus.Again)
 	must.NoError(t, err)
 	t.Cleanup(server.Close)
 	config := Config{PlatformAddress: server.Address()}
--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -20,7 +20,7 @@
 	RequestFailed = define(4602, "request_failed", Info,
 		"A routed request was refused or failed; status 0 means that the connection was cut, 499 that the caller had gone. tried says what was asked of which replica, in order, and what came of it.",
 		"Follow the request by landingtrail story.")
-	AnswerMisplaced = define(4605, "answer_misplaced", Warn,
+	ForeignAnswer = define(4605, "answer_foreign", Warn,
 		"A replica's answer names another request than the one that waited for an answer on that connection, or none. stage says what was asked, reused whether the connection had served other requests, answered which request the answer names.",
 		"One now and then is the replica's fault: it sent an answer too many. Many from one replica: take it out of service.")
 	RequestRefused = define(4601, "request_refused", Info,
--- a/process/ingress/misplaced_test.go
+++ b/process/ingress/foreign_test.go
@@ -170,13 +170,13 @@
 }
 
 // An answer that names another request is told, with whose it is.
-func TestMisplacedAnswersAreLoggedAndCounted(t *testing.T) {
+func TestForeignAnswersAreLoggedAndCounted(t *testing.T) {
 	var lines sharedBuffer
 	w := newWorld(t, newFakeReplica(t, "r-1", foreign))
 	w.ingress.logger = log.NewLogfmtLogger(&lines)
 	w.ask(asked{method: "GET", target: "/unsafe/", id: "q"})
-	must.StrContains(t, lines.String(), "name=answer_misplaced request=q stage=run replica=r-1 reused=false answered=another status=200")
-	must.Eq(t, 1, w.ingress.metrics.values(t)["landingtrail_ingress_misplaced_answers_total plain run"])
+	must.StrContains(t, lines.String(), "name=answer_foreign request=q stage=run replica=r-1 reused=false answered=another status=200")
+	must.Eq(t, 1, w.ingress.metrics.values(t)["landingtrail_ingress_foreign_answers_total plain run"])
 	must.False(t, w.ingress.lanes.lane("plain").find("r-1").isSuspect(w.ingress.now()), must.Sprint("it is there"))
 }
 
--- a/process/ingress/harness_test.go
+++ b/process/ingress/harness_test.go
@@ -88,7 +88,7 @@
 	}
 }
 
-func (testDialect) Identity() string { return testID }
+func (testDialect) IdentityField() string { return testID }
 
 func (testDialect) Reply(status int, header http.Header) Reply {
 	reply := Reply{
--- a/process/ingress/metrics.go
+++ b/process/ingress/metrics.go
@@ -22,7 +22,7 @@
 	prefills       *prometheus.CounterVec
 	prefillSeconds *prometheus.HistogramVec
 	retriesRefused *prometheus.CounterVec
-	misplaced      *prometheus.CounterVec
+	foreign        *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -35,7 +35,7 @@
 	m.prefills = m.counter("prefills_total", "Prompts read apart from the replica that makes the tokens.", "service", "outcome")
 	m.prefillSeconds = m.histogram("prefill_seconds", "Time of a read that succeeded.", "service")
 	m.retriesRefused = m.counter("retries_refused_total", "Retries that the shared budget did not allow.", "service")
-	m.misplaced = m.counter("misplaced_answers_total", "Answers that name another request than the one that was asked, or none.", "service", "stage")
+	m.foreign = m.counter("foreign_answers_total", "Answers that name another request than the one that was asked, or none.", "service", "stage")
 	return m
 }
 
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -81,16 +81,37 @@
 		if ctx.Err() != nil || context.Cause(reading) == errTooLate {
 			return Source{}, false // nothing follows it
 		}
-		if isMisplaced(err) {
-			reader.fail()
-			return Source{}, true
-		}
-		reader.suspect(s.ingress.now())
-		chosen.placed.note(placement.StepFailed, reader.name, 0)
-		return Source{}, !notSent(err)
+		return Source{}, s.readUnanswered(chosen, err)
 	}
 	defer answer.Close()
-	now := s.ingress.now()
+	handle, refused := s.takeHandle(chosen, answer, began)
+	if handle == "" {
+		return Source{}, refused
+	}
+	source = Source{Address: reader.listed().Address, Handle: handle}
+	if ctx.Err() != nil {
+		s.release(source)
+		return Source{}, false
+	}
+	return source, false
+}
+
+// readUnanswered notes a read that brought no answer, and reports whether the reader may
+// not have taken it up.
+func (s *session) readUnanswered(chosen plan, err error) (refused bool) {
+	if isForeign(err) {
+		chosen.reader.fail()
+		return true
+	}
+	chosen.reader.suspect(s.ingress.now())
+	chosen.placed.note(placement.StepFailed, chosen.reader.name, 0)
+	return !notSent(err)
+}
+
+// takeHandle returns the handle that the answer to a read names; empty where it names
+// none, with whether the reader did not take the read up.
+func (s *session) takeHandle(chosen plan, answer *exchange.Answer, began time.Duration) (handle string, refused bool) {
+	reader, now := chosen.reader, s.ingress.now()
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	reader.hear(reply.Load, now)
 	body, err := io.ReadAll(io.LimitReader(answer, maxHandleBytes))
@@ -101,25 +122,26 @@
 			reader.suspect(now)
 			chosen.placed.note(placement.StepMisdirected, reader.name, 0)
 		}
-		return Source{}, reply.NotRun || reply.Misdirected
+		return "", reply.NotRun || reply.Misdirected
 	}
-	handle, err := s.ingress.config.Dialect.Handle(body)
+	handle, err = s.ingress.config.Dialect.Handle(body)
 	if err != nil {
 		fmt.Fprintf(&s.trace, " prefill(%s: %v)", reader.name, err)
-		return Source{}, true
+		return "", true
 	}
+	s.noteRead(chosen, now-began)
+	return handle, false
+}
+
+// noteRead learns from a read that its reader has done.
+func (s *session) noteRead(chosen plan, took time.Duration) {
+	reader, uncached := chosen.reader, chosen.uncached
 	reader.succeed()
 	reader.noteParts(s.call.Work.Parts)
 	chosen.placed.note(placement.StepRead, "", reader.told())
-	s.lane.speed.learn(uncached, now-began)
-	s.ingress.metrics.prefillSeconds.WithLabelValues(s.lane.service).Observe((now - began).Seconds())
-	fmt.Fprintf(&s.trace, " prefill(%s: %d tokens in %s)", reader.name, uncached, (now - began).Round(time.Millisecond))
-	source = Source{Address: reader.listed().Address, Handle: handle}
-	if ctx.Err() != nil {
-		s.release(source)
-		return Source{}, false
-	}
-	return source, false
+	s.lane.speed.learn(uncached, took)
+	s.ingress.metrics.prefillSeconds.WithLabelValues(s.lane.service).Observe(took.Seconds())
+	fmt.Fprintf(&s.trace, " prefill(%s: %d tokens in %s)", reader.name, uncached, took.Round(time.Millisecond))
 }
 
 func (s *session) countPrefill(source Source) {
--- a/process/ingress/types.go
+++ b/process/ingress/types.go
@@ -102,8 +102,8 @@
 	Call(header http.Header) (Call, error)
 	// Attempt sets the fields of one send.
 	Attempt(header http.Header, attempt Attempt)
-	// Identity returns the field in which a replica's answer repeats a request's ID.
-	Identity() string
+	// IdentityField returns the field in which a replica's answer repeats a request's ID.
+	IdentityField() string
 	// Reply reads the fields of an answer.
 	Reply(status int, header http.Header) Reply
 	// Handle reads the body of the answer to a prefill.
