--- a/process/ingress/events.go
+++ b/process/ingress/events.go
@@ -55,6 +55,11 @@
 	}
 }
 
+// hasData reports whether an event carries anything; comments do not.
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, []byte("data:")) || bytes.Contains(event, []byte("\ndata:"))
+}
+
 // readLine appends one line with its end to the event.
 func (r *eventReader) readLine() (ended bool, err error) {
 	for {
--- a/process/ingress/inflight.go
+++ b/process/ingress/inflight.go
@@ -28,9 +28,11 @@
 	if p == nil {
 		return
 	}
-	switch step {
-	case placement.StepRead, placement.StepStarted:
+	switch {
+	case step == placement.StepRead || step == placement.StepStarted:
 		p.step.Store(uint32(step))
+	case replica != "" && replica == p.answer.Reader:
+		p.ingress.inFlight.readElsewhere(p)
 	default:
 		p.ingress.inFlight.remove(p)
 	}
@@ -86,6 +88,13 @@
 	delete(t.requests, p)
 }
 
+// readElsewhere keeps a request that its reader has not read: it goes on at its generator.
+func (t *inFlightTable) readElsewhere(p *placed) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	p.answer.Reader = ""
+}
+
 // byService returns what is in flight now.
 func (t *inFlightTable) byService(now time.Duration) map[string]feed.InFlight {
 	t.lock.Lock()
--- a/process/ingress/lane.go
+++ b/process/ingress/lane.go
@@ -125,7 +125,11 @@
 	next := make([]*replica, 0, len(listed))
 	for _, entry := range listed {
 		followed := known[entry.Name]
-		if followed == nil || followed.listed().Address != entry.Spec.Address {
+		if followed != nil && followed.listed().Address != entry.Spec.Address {
+			l.pool.Drop(followed.listed().Address)
+			followed = nil
+		}
+		if followed == nil {
 			followed = newReplica(entry.Name, entry.Spec)
 		}
 		followed.entry.Store(&entry.Spec)
--- a/process/ingress/long_test.go
+++ b/process/ingress/long_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -42,3 +43,45 @@
 		must.Eq(t, 1, second.count())
 	}
 }
+
+// eventsOf streams the text as it is, and then ends, or cuts the connection.
+func eventsOf(text string, cut bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		genuine(w, r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, text)
+		w.(http.Flusher).Flush()
+		if cut {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// A run is joined to another one's stream only where its events come after those that
+// the caller has, which their IDs alone can tell.
+func TestOnlyARunThatContinuesAStreamIsJoinedToIt(t *testing.T) {
+	const plain = "data: a\n\ndata: b\n\n"
+	cases := []struct {
+		name, first, second, want string
+		sends                     int
+		cut                       bool
+	}{
+		{"goes on", events(1, 3), events(4, 5), events(1, 5), 1, false},
+		{"goes on, with comments", events(1, 3) + ": alive\n\n", ": alive\n\n" + events(4, 5), events(1, 3) + ": alive\n\n: alive\n\n" + events(4, 5), 1, false},
+		{"begins anew", events(1, 3), events(1, 5), events(1, 3), 1, true},
+		{"without IDs", plain, plain + "data: c\n\n", plain, 0, true},
+		{"without IDs behind some with", events(1, 3) + plain, events(4, 5), events(1, 3) + plain, 0, true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			first := newFakeReplica(t, "r-1", eventsOf(test.first, true))
+			second := newFakeReplica(t, "r-2", eventsOf(test.second, false))
+			w := newWorld(t, first)
+			first.server.Config.Handler = after(first.server.Config.Handler, func() { w.list(first, second) })
+			got := w.ask(asked{method: "GET", target: "/resume/", id: "q"})
+			must.Eq(t, test.want, got.body)
+			must.Eq(t, test.cut, got.err != nil)
+			must.Eq(t, test.sends, second.count())
+		})
+	}
+}
--- a/process/ingress/model_test.go
+++ b/process/ingress/model_test.go
@@ -268,3 +268,41 @@
 	must.Eq(t, []placement.Part{{ID: "b", Tokens: 2}, {ID: "a", Tokens: 1}}, known.kept())
 	must.Eq(t, 3, known.cachedTokens([]Part{{ID: "a", Tokens: 1}, {ID: "b", Tokens: 2}, {ID: "c", Tokens: 9}}))
 }
+
+// The board takes the start of a run for the end of its read: it is told of a read that
+// did not come about, whatever became of it, and the request stays in flight.
+func TestTheGroupIsToldOfReadsThatDidNotComeAbout(t *testing.T) {
+	for name, test := range map[string]struct {
+		handler http.HandlerFunc
+		step    placement.Step
+	}{
+		"refused":     {refuseRun, placement.StepUnread},
+		"failed":      {answerStatus(500), placement.StepUnread},
+		"foreign":     {foreign, placement.StepUnread},
+		"no handle":   {answerOK, placement.StepUnread},
+		"no answer":   {breakOff, placement.StepFailed},
+		"misdirected": {misdirected, placement.StepMisdirected},
+		"not sent":    {nil, placement.StepUnread},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reader := newFakeReplica(t, "read", test.handler)
+			generator := newFakeReplica(t, "make", streamEvents(2, ""))
+			w := newModelWorld(t, reader, generator, nil)
+			placer := &fakePlacer{answer: placement.Answer{Generator: "make", Reader: "read", Unread: 9000}}
+			w.ingress.placer = placer
+			if test.handler == nil {
+				w.withReserve(0)
+				w.ingress.lanes.lane("model").budget.Force(w.ingress.now())
+				w.ingress.lanes.lane("model").find("read").failureRate = 1
+			}
+			inFlight := 0
+			generator.server.Config.Handler = after(generator.server.Config.Handler, func() {
+				inFlight = len(w.ingress.inFlight.byService(w.ingress.now())["model"].Requests)
+			})
+			must.NoError(t, w.ask(modelRequest).err)
+			must.Eq(t, []placement.Step{test.step, placement.StepStarted, placement.StepEnded}, placer.steps())
+			must.Eq(t, "read", placer.notes[0].Replica)
+			must.Eq(t, 1, inFlight)
+		})
+	}
+}
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -38,6 +38,7 @@
 // a retry of the budget only if it is refused.
 func (s *session) prefill(ctx context.Context, chosen plan) Source {
 	if !s.grantRead(chosen.reader) {
+		chosen.placed.note(placement.StepUnread, chosen.reader.name, 0)
 		return Source{}
 	}
 	s.reads++
@@ -99,11 +100,11 @@
 // readUnanswered notes a read that brought no answer, and reports whether the reader may
 // not have taken it up.
 func (s *session) readUnanswered(chosen plan, err error) (refused bool) {
+	s.blame(chosen.reader, err, s.ingress.now())
 	if isForeign(err) {
-		chosen.reader.fail()
+		chosen.placed.note(placement.StepUnread, chosen.reader.name, 0)
 		return true
 	}
-	chosen.reader.suspect(s.ingress.now())
 	chosen.placed.note(placement.StepFailed, chosen.reader.name, 0)
 	return !notSent(err)
 }
@@ -118,15 +119,18 @@
 	if err != nil || answer.Status != http.StatusOK || !reply.Named {
 		fmt.Fprintf(&s.trace, " prefill(%s: status %d)", reader.name, answer.Status)
 		reader.fail()
+		step := placement.StepUnread
 		if reply.Misdirected {
 			reader.suspect(now)
-			chosen.placed.note(placement.StepMisdirected, reader.name, 0)
+			step = placement.StepMisdirected
 		}
+		chosen.placed.note(step, reader.name, 0)
 		return "", reply.NotRun || reply.Misdirected
 	}
 	handle, err = s.ingress.config.Dialect.Handle(body)
 	if err != nil {
 		fmt.Fprintf(&s.trace, " prefill(%s: %v)", reader.name, err)
+		chosen.placed.note(placement.StepUnread, reader.name, 0)
 		return "", true
 	}
 	s.noteRead(chosen, now-began)
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -40,7 +40,7 @@
 	// headSent is true once the caller has the head of an answer.
 	headSent bool
 	// begun is true once the caller has a part of an answer that no other run can
-	// continue: of anything but a stream of events.
+	// continue: of anything but a stream of events with IDs.
 	begun     bool
 	lastEvent string
 	events    int
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/request/attempt"
@@ -15,11 +16,13 @@
 // stream passes on the events of a run as each of them is whole. The head goes
 // out with the first event: until then the request can be tried elsewhere
 // without the caller noticing. A run that continues another one's stream goes
-// on under the first one's head.
+// on under the first one's head, as long as its events come after those that the
+// caller has.
 func (s *session) stream(ctx context.Context, chosen plan, sent *send, number uint32, answer *exchange.Answer) verdict {
 	target := chosen.target
 	events := newEventReader(answer)
 	flusher := http.NewResponseController(s.writer)
+	resumed := s.headSent
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -28,6 +31,9 @@
 		if err != nil {
 			return s.breakStream(ctx, target, number, err)
 		}
+		if resumed && hasData(event) && !comesAfter(id, s.lastEvent) {
+			return s.breakStream(ctx, target, number, errNotContinued)
+		}
 		if s.events == 0 || !sent.begun(target) {
 			target.start(sent, s.ingress.now())
 			target.noteParts(s.call.Work.Parts)
@@ -47,10 +53,26 @@
 		}
 		if id != "" {
 			s.lastEvent = id
+		} else if hasData(event) {
+			s.begun = true // no other run can be told to go on behind it
 		}
 	}
 }
 
+// errNotContinued says that a resumed run does not go on behind the last event.
+var errNotContinued = errors.New("ingress: resumed run does not continue the stream")
+
+// comesAfter reports whether an event of a resumed run comes after the last one that the
+// caller has. The IDs of a stream rise; others prove nothing.
+func comesAfter(id, last string) bool {
+	next, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return false
+	}
+	had, err := strconv.ParseUint(last, 10, 64)
+	return err == nil && next > had
+}
+
 // beginStream sends the head of the first run.
 func (s *session) beginStream(answer *exchange.Answer) {
 	if s.headSent {
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -51,6 +51,9 @@
 			return verdictCallerEnd, chosen.target
 		}
 		if s.tooLate() {
+			if source.Handle != "" {
+				s.release(source)
+			}
 			chosen.placed.note(placement.StepEnded, "", 0)
 			return verdictNotRun, chosen.target
 		}
@@ -208,9 +211,10 @@
 	if !sent {
 		s.life.Fail(number, attempt.FaultNotWritten)
 		s.dials++
-		if ctx.Err() == nil {
-			target.suspect(now)
+		if ctx.Err() != nil {
+			return verdictCallerEnd // who left tells nothing of the replica
 		}
+		target.suspect(now)
 		return verdictNotRun
 	}
 	s.sends++
@@ -218,6 +222,7 @@
 	if ctx.Err() != nil {
 		return verdictCallerEnd
 	}
+	s.answered = isForeign(err)
 	s.blame(target, err, now)
 	return verdictBroken
 }
@@ -226,7 +231,6 @@
 // neither silent nor gone.
 func (s *session) blame(target *replica, err error, now time.Duration) {
 	if isForeign(err) {
-		s.answered = true
 		target.fail()
 		return
 	}
--- a/process/proxy/endpoint.go
+++ b/process/proxy/endpoint.go
@@ -35,13 +35,16 @@
 	// phase and incarnation are the endpoint's own last word, heardAt when it came.
 	phase       api.EnginePhase
 	incarnation uint64
-	heardAt     time.Duration
-	heard       bool
-	closedAt    time.Duration // when a phase that takes no new work was last heard
-	load        engineapi.Load
-	loadAt      time.Duration // when the load was measured
-	failures    int
-	suspectTill time.Duration
+	// incarnationSaid is when the incarnation was said, at the earliest: the word of an
+	// earlier one may come late.
+	incarnationSaid time.Duration
+	heardAt         time.Duration
+	heard           bool
+	closedAt        time.Duration // when a phase that takes no new work was last heard
+	load            engineapi.Load
+	loadAt          time.Duration // when the load was measured
+	failures        int
+	suspectTill     time.Duration
 	// silent is set while polls bring no answer; it outlasts suspectTill, so
 	// that no request is spent on finding out that nothing has changed.
 	silent     bool
@@ -95,7 +98,11 @@
 	case news.said >= e.closedAt:
 		e.phase = news.phase
 	}
-	if news.incarnation != 0 && news.incarnation != e.incarnation {
+	if news.incarnation == 0 || news.incarnation != e.incarnation && news.said < e.incarnationSaid {
+		return
+	}
+	e.incarnationSaid = max(e.incarnationSaid, news.said)
+	if news.incarnation != e.incarnation {
 		e.incarnation = news.incarnation
 		e.cache.reset()
 	}
@@ -124,6 +131,9 @@
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	e.hearLocked(spokenWord{said: asked - age, now: now, phase: load.Phase, incarnation: load.Incarnation})
+	if load.Incarnation != 0 && load.Incarnation != e.incarnation {
+		return // of an earlier life
+	}
 	e.load = load
 	e.loadAt = now - age
 }
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -89,8 +89,9 @@
 	failureRate float64
 	// absence is how long the replica is passed over since another one answered at its
 	// address, until absentTill.
-	absence    time.Duration
-	absentTill time.Duration
+	absence     time.Duration
+	absentSince time.Duration
+	absentTill  time.Duration
 }
 
 // NewBoard returns a board without replicas.
@@ -202,6 +203,10 @@
 	if p == nil {
 		return
 	}
+	if note.Replica != "" && note.Replica == p.answer.Reader {
+		b.readElsewhere(now, p)
+		return
+	}
 	switch note.Step {
 	case StepRead:
 		p.unreadAt.told(now, note.Told)
@@ -215,6 +220,23 @@
 	}
 }
 
+// readElsewhere moves a request to its generator whose reader has not read the prompt:
+// its start then tells nothing of the reader.
+func (b *Board) readElsewhere(now time.Duration, p *placed) {
+	reader := b.replicas[p.answer.Reader]
+	p.answer.Reader = ""
+	if p.unreadAt == nil || p.unreadAt == p.runningAt {
+		return
+	}
+	reader.endTrial(p)
+	b.unqueue(now, p)
+	p.at = now
+	p.unreadAt = p.runningAt
+	p.reading = max(p.ask.Prompt-p.runningAt.cache.leading(p.ask.Parts), 0)
+	p.unreadAt.enqueue(now, p)
+	p.unreadAt.cache.expect(p.ask.Parts)
+}
+
 // Bounds of a start that shows a wrong belief: the parts that were to be kept
 // had to be read.
 const (
--- a/request/placement/failure.go
+++ b/request/placement/failure.go
@@ -37,7 +37,7 @@
 	case StepRefused:
 		failed.refuse(now)
 	case StepMisdirected:
-		failed.miss(now)
+		failed.miss(now, p)
 	default:
 		failed.suspect(now, p)
 	}
@@ -88,12 +88,25 @@
 
 // miss passes over a replica at whose address another one has answered. This is a ban
 // and no cost: whatever is sent there is surely refused, and counts as a retry.
-func (r *replica) miss(now time.Duration) {
-	if r.isAbsent(now) {
+// What p tells is old where it was placed before the last word, or on the replica in
+// another role, in which it was asked for something else.
+func (r *replica) miss(now time.Duration, p *placed) {
+	if r.isAbsent(now) || p != nil && (p.isOnAnother(r) || r.absence > 0 && p.at < r.absentSince) {
 		return
 	}
 	r.absence = min(max(2*r.absence, firstAbsence), maxAbsence)
-	r.absentTill = now + r.absence
+	r.absentSince, r.absentTill = now, now+r.absence
+}
+
+// isOnAnother reports whether the request was placed on a replica of the name that was
+// forgotten since, as after a change of its role.
+func (p *placed) isOnAnother(r *replica) bool {
+	for _, on := range []*replica{p.runningAt, p.unreadAt} {
+		if on != nil && on != r && on.Name == r.Name {
+			return true
+		}
+	}
+	return false
 }
 
 // isAbsent reports whether the replica is gone from its address, by the last word.
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -107,10 +107,12 @@
 	StepErred                       // the replica answered with a failure of its own
 	StepRefused                     // the replica answered that it does not run the request
 	StepMisdirected                 // another replica answered at its address
+	StepUnread                      // the reader has not read the prompt: the generator does
 )
 
 // Note tells the board how far a request has come. Replica is the one that a
-// StepFailed, StepErred, StepRefused or StepMisdirected speaks of.
+// StepFailed, StepErred, StepRefused, StepMisdirected or StepUnread speaks of; where that
+// is the reader, the request goes on at its generator.
 type Note struct {
 	Step    Step
 	Replica string
--- a/request/placement/wait.go
+++ b/request/placement/wait.go
@@ -62,7 +62,7 @@
 	var best bringer
 	for _, name := range b.names {
 		at := b.replicas[name]
-		if at.cache.pending[next] == 0 || at.Leaving || at.isDoubted(now) {
+		if at.cache.pending[next] == 0 || !at.isThere(now) || at.isDoubted(now) {
 			continue
 		}
 		if brought, brings := b.bringerAt(now, ask, at, kept); brings && (best.at == nil || brought.in < best.in) {
