Tests of dropped connections and of the pace behind a failed read; no freeing without time

The freeing of a handle that no time is left for is taken out again: a read ends before that by its own limit, so that nothing but a race reaches the place. With the dropping of connections, or the new beginning of the reading, taken out the tests fail.

--- a/process/ingress/model_test.go
+++ b/process/ingress/model_test.go
@@ -306,3 +306,17 @@
 		})
 	}
 }
+
+// A replica that has another address under its name is not asked over connections to the
+// former one.
+func TestConnectionsToAFormerAddressAreDropped(t *testing.T) {
+	before, now := newFakeReplica(t, "r-1", answerOK), newFakeReplica(t, "r-1", answerOK)
+	w := newWorld(t, before)
+	must.Eq(t, http.StatusOK, w.ask(asked{method: "GET", target: "/safe/", id: "q-1"}).status)
+	lane := w.ingress.lanes.lane("plain")
+	must.True(t, lane.pool.Idle(before.address()))
+	w.list(now)
+	must.Eq(t, http.StatusOK, w.ask(asked{method: "GET", target: "/safe/", id: "q-2"}).status)
+	must.False(t, lane.pool.Idle(before.address()))
+	must.Eq(t, 1, now.count())
+}
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -51,9 +51,6 @@
 			return verdictCallerEnd, chosen.target
 		}
 		if s.tooLate() {
-			if source.Handle != "" {
-				s.release(source)
-			}
 			chosen.placed.note(placement.StepEnded, "", 0)
 			return verdictNotRun, chosen.target
 		}
--- a/request/placement/read_test.go
+++ b/request/placement/read_test.go
@@ -32,6 +32,7 @@
 		b.Note(10*ms, key(1), Note{Step: step, Replica: first.Reader})
 		generator := b.replicas[first.Generator]
 		must.SliceLen(t, 1, generator.queue)
+		must.Eq(t, 10*ms, b.placed[key(1)].at, must.Sprint("its reading begins now, for the pace"))
 		must.SliceEmpty(t, b.replicas[first.Reader].queue)
 		b.Note(500*ms, key(1), Note{Step: StepStarted})
 		must.SliceEmpty(t, generator.queue)
