--- a/request/placement/read_test.go
+++ b/request/placement/read_test.go
@@ -27,13 +27,15 @@
 func TestRunAfterAReadThatFailedIsCounted(t *testing.T) {
 	for _, step := range []Step{StepFailed, StepMisdirected, StepUnread} {
 		b := newTestBoard()
+		b.replicas["read-1"].suspicion = firstSuspicion
 		first := b.Place(0, key(1), Ask{Prompt: 20_000, Zone: "a", Deadline: time.Hour})
-		must.NotEq(t, "", first.Reader)
+		must.Eq(t, "read-1", first.Reader)
 		b.Note(10*ms, key(1), Note{Step: step, Replica: first.Reader})
 		generator := b.replicas[first.Generator]
 		must.SliceLen(t, 1, generator.queue)
 		must.Eq(t, 10*ms, b.placed[key(1)].at, must.Sprint("its reading begins now, for the pace"))
 		must.SliceEmpty(t, b.replicas[first.Reader].queue)
+		must.Nil(t, b.replicas[first.Reader].trial, must.Sprint("the trial has ended"))
 		b.Note(500*ms, key(1), Note{Step: StepStarted})
 		must.SliceEmpty(t, generator.queue)
 		must.MapLen(t, 1, generator.running)
