--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -284,6 +284,59 @@
 	must.Eq(t, 5, b.receive(t).Sequence)
 }
 
+// slowGreeter is a listener whose first connection stays in the write of its welcome
+// until it is released; the other side has the welcome by then.
+type slowGreeter struct {
+	net.Listener
+	accepted int
+	released chan struct{}
+}
+
+func (l *slowGreeter) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if l.accepted++; err != nil || l.accepted > 1 {
+		return conn, err
+	}
+	return &slowGreeting{Conn: conn, released: l.released}, nil
+}
+
+type slowGreeting struct {
+	net.Conn
+	released chan struct{}
+}
+
+func (c *slowGreeting) Write(data []byte) (int, error) {
+	count, err := c.Conn.Write(data)
+	<-c.released
+	return count, err
+}
+
+// A sender gave a connection up and opened another. The goroutine of the first came to
+// register it after that of the second, took the second for the one to be replaced and
+// closed it: the order in which goroutines run was taken for that of the connections.
+// TestNewConnectionReplacesTheOld met it by chance; here the first is held up in between.
+func TestOldConnectionThatIsAdmittedLateDoesNotReplaceTheNew(t *testing.T) {
+	released := make(chan struct{})
+	b := newEnd(t, 2, func(c *Config) {
+		c.AnswerTimeout = time.Hour
+		c.Listener = &slowGreeter{Listener: c.Listener, released: released}
+	})
+	greeting := hello{group: testGroup, sender: 1, receiver: 2, lane: laneMessages}
+	_, _, old := connectAs(t, b, greeting)
+	_, writer, _ := connectAs(t, b, greeting)
+	message := heartbeat(1, 2, 5)
+	must.NoError(t, writer.WriteFrame(frameMessage, message.AppendBinary(nil)))
+	must.NoError(t, writer.Flush())
+	must.Eq(t, 5, b.receive(t).Sequence) // the new one is admitted
+	close(released)
+	old.SetTimeout(time.Second)
+	_, err := old.ReadFrame()
+	must.ErrorIs(t, err, io.EOF)
+	must.NoError(t, writer.WriteFrame(frameMessage, message.AppendBinary(nil)))
+	must.NoError(t, writer.Flush())
+	must.Eq(t, 5, b.receive(t).Sequence)
+}
+
 func TestConnectionsAreBounded(t *testing.T) {
 	b := newEnd(t, 2, func(c *Config) { c.MaxConnections = 1; c.AnswerTimeout = time.Hour })
 	connectAs(t, b, hello{group: testGroup, sender: 1, receiver: 2, lane: laneMessages})
