Peer: only a later connection replaces another; exchange: a dial ends with its context

Cause: in both the order in which goroutines and timers run was taken for the order of what they stand for.

Change: incoming connections are numbered as they are accepted, and one that is admitted behind a later one of its sender ends. A dial gets its context without the deadline and is cancelled when that ends, so that it cannot be over earlier. The own data path needs no such change: net/http's Transport detaches its dials from the request's context.

--- a/connection/exchange/pool.go
+++ b/connection/exchange/pool.go
@@ -178,7 +178,7 @@
 			return kept, true, nil
 		}
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, false, errors.WithStack(err)
 	}
@@ -187,6 +187,16 @@
 	return opened, false, nil
 }
 
+// dial opens a connection. The dialer gets ctx without its deadline: it would set that on
+// the socket, and a connect that ends by it may be over before ctx is. Who then asked ctx
+// whose end it was would blame the other side.
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	dialing, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, cancel)()
+	return p.dialer.DialContext(dialing, "tcp", address)
+}
+
 // limitSilence makes the kernel give up a connection on which written bytes
 // stay unacknowledged.
 func (c *conn) limitSilence(limit time.Duration) {
--- a/connection/peer/inbound.go
+++ b/connection/peer/inbound.go
@@ -14,13 +14,20 @@
 // descriptors.
 const acceptPause = 50 * time.Millisecond
 
-// inboundKey names an incoming connection; a second one of the same key replaces
-// the first, whose other end is gone.
+// inboundKey names an incoming connection; a later one of the same key replaces
+// the earlier, whose other end is gone.
 type inboundKey struct {
 	sender raft.MemberID
 	lane   lane
 }
 
+// inbound is what is known of an incoming connection.
+type inbound struct {
+	// number counts the connections in the order in which they were accepted.
+	number uint64
+	key    inboundKey // zero until it is admitted
+}
+
 func (t *Transport) accept() {
 	for {
 		conn, err := t.config.Listener.Accept()
@@ -49,20 +56,30 @@
 	if t.context.Err() != nil || len(t.inbound) >= t.config.MaxConnections {
 		return false
 	}
-	t.inbound[conn] = inboundKey{}
+	t.accepted++
+	t.inbound[conn] = inbound{number: t.accepted}
 	return true
 }
 
-// admit gives the connection its key and closes the one that had it.
-func (t *Transport) admit(conn net.Conn, key inboundKey) {
+// admit gives the connection its key and closes the one that had it. It returns false
+// when that is the later one: goroutines come here in any order, and the sender has
+// given up the earlier of its connections.
+func (t *Transport) admit(conn net.Conn, key inboundKey) bool {
 	t.inboundMutex.Lock()
 	defer t.inboundMutex.Unlock()
-	for other, otherKey := range t.inbound {
-		if otherKey == key {
-			other.Close()
+	admitted := t.inbound[conn]
+	admitted.key = key
+	for other, held := range t.inbound {
+		if held.key != key {
+			continue
+		}
+		if held.number > admitted.number {
+			return false
 		}
+		other.Close()
 	}
-	t.inbound[conn] = key
+	t.inbound[conn] = admitted
+	return true
 }
 
 func (t *Transport) unregister(conn net.Conn) {
@@ -93,7 +110,9 @@
 	if greeting.lane == laneProbe {
 		return
 	}
-	t.admit(conn, inboundKey{sender: greeting.sender, lane: greeting.lane})
+	if !t.admit(conn, inboundKey{sender: greeting.sender, lane: greeting.lane}) {
+		return
+	}
 	// What ends the connection is the sender's to notice and report.
 	_ = t.readMessages(greeting, writer, reader)
 }
--- a/connection/peer/transport.go
+++ b/connection/peer/transport.go
@@ -134,7 +134,8 @@
 	closed    bool
 
 	inboundMutex sync.Mutex
-	inbound      map[net.Conn]inboundKey
+	inbound      map[net.Conn]inbound
+	accepted     uint64 // connections so far
 }
 
 // New starts a Transport that accepts connections on the listener and hands each
@@ -152,7 +153,7 @@
 		context: ctx,
 		cancel:  cancel,
 		links:   make(map[raft.MemberID]*link),
-		inbound: make(map[net.Conn]inboundKey),
+		inbound: make(map[net.Conn]inbound),
 	}
 	t.group.Go(t.accept)
 	return t, nil
