A claim that may have been granted is given back though the second try met no leader

Cause: after a first try with an unknown outcome the proxy claims again with the same nonce. Where this second try was surely not made (no leader connected until the time ended), its error took the place of the first one's. The caller was told "no", rightly, for nothing had been dispatched; but the claim that the first try may have committed was never recorded as not run, so that the key answered key_running to every later try until the claim expired.

Ruled out: that the state grants it again by itself; it does so to the same nonce only, and a request that is sent again draws another.

Change: the outcome stays unknown unless the second try says more.

--- a/process/proxy/claim.go
+++ b/process/proxy/claim.go
@@ -76,11 +76,7 @@
 		Proxy:    p.config.ID,
 		Nonce:    rand.Uint64(),
 	}
-	result, err := p.control.Claim(ctx, request)
-	if errors.Is(err, feed.ErrOutcomeUnknown) && ctx.Err() == nil {
-		// The same nonce gets the same answer, so asking again is safe.
-		result, err = p.control.Claim(ctx, request)
-	}
+	result, err := p.commitClaim(ctx, request)
 	if err != nil {
 		event.ProxyClaimFailed.Log(p.logger, "tenant", read.tenant, "error", err)
 		if errors.Is(err, feed.ErrOutcomeUnknown) {
@@ -102,6 +98,21 @@
 	}
 }
 
+// commitClaim tries twice where the first try may have been committed: the same
+// nonce gets the same answer. A second try that surely was not made says nothing
+// of the first, whose outcome stays unknown.
+func (p *Proxy) commitClaim(ctx context.Context, request state.ClaimRequest) (api.ClaimResult, error) {
+	result, err := p.control.Claim(ctx, request)
+	if !errors.Is(err, feed.ErrOutcomeUnknown) || ctx.Err() != nil {
+		return result, err
+	}
+	result, again := p.control.Claim(ctx, request)
+	if errors.Is(again, feed.ErrNoQuorum) {
+		return result, err
+	}
+	return result, again
+}
+
 func conflict(code, message string, ran attempt.Ran) *failure {
 	return &failure{status: http.StatusConflict, kind: typeInvalid, code: code, message: message, ran: ran}
 }
--- a/process/proxy/claim_test.go
+++ b/process/proxy/claim_test.go
@@ -252,3 +252,40 @@
 	<-ctx.Done()
 	return api.ClaimResult{}, errors.Wrap(feed.ErrOutcomeUnknown, "test")
 }
+
+// TestClaimIsGivenBackThoughTheSecondTryMetNoLeader: the first try was committed
+// and its answer lost, the second surely not made. The caller, told "no", asks
+// again and has to be granted the key.
+func TestClaimIsGivenBackThoughTheSecondTryMetNoLeader(t *testing.T) {
+	control := &leaderlessControl{fakeControl: newFakeControl()}
+	views := &fixedViews{}
+	views.view.Store(newView(nil, nil))
+	made := New(quick(), views, control, func() time.Duration { return 0 }, log.NewNopLogger())
+	read := &envelope{tenant: "default", key: "k1"}
+	answer := made.claimRun(context.Background(), read, 1)
+	must.NotNil(t, answer.failed)
+	must.Eq(t, attempt.RanNo, answer.failed.ran)
+	made.Close() // waits for what is recorded
+	must.Eq(t, api.RunNotRun, control.claims["default/k1"].Outcome)
+	must.NotNil(t, made.claimRun(context.Background(), read, 1).granted)
+}
+
+// leaderlessControl commits the first claim and loses the answer with its
+// leader; the second try meets no leader.
+type leaderlessControl struct {
+	*fakeControl
+	tries int
+}
+
+func (c *leaderlessControl) Claim(ctx context.Context, request state.ClaimRequest) (api.ClaimResult, error) {
+	c.tries++
+	switch c.tries {
+	case 1:
+		_, _ = c.fakeControl.Claim(ctx, request) // the commit is what counts
+		return api.ClaimResult{}, errors.Wrap(feed.ErrOutcomeUnknown, "test")
+	case 2:
+		return api.ClaimResult{}, errors.Wrap(feed.ErrNoQuorum, "test")
+	default:
+		return c.fakeControl.Claim(ctx, request)
+	}
+}
