A new claim waits until the record of the one before it is confirmed

Cause: a marked request that was surely not run is told "no" after one try to record that; where the control group is without a leader the record follows in the background. The caller asks again after a second, and its new claim and the record of the old one both wait for the next leader: if the claim comes first it finds the key taken and is told key_running with "unknown", though nothing has run. Seen in the fleet's scenario of a planned stop on a busy machine: the leader stepped down with the claim in its log (commit 85, last 86), the proxy logged proxy_claim_failed "no leader is connected" twice, a second apart, and the third try was told key_running.

Ruled out: a second run of the key (the ledgers have none), the load's twins (a planned drill sends none), a second sending by the caller's transport (its body can't be had again).

Change: the proxy keeps a record of "not run" until it is confirmed or given up, and records it before it claims the key again; recording twice changes nothing.

Another proxy may still find the key taken until the record is confirmed.

--- a/process/proxy/claim.go
+++ b/process/proxy/claim.go
@@ -30,6 +30,12 @@
 	nonce  uint64
 }
 
+// claimKey is what two claims on the same run have in common.
+type claimKey struct {
+	tenant string
+	key    string
+}
+
 // hash names the claim without its key.
 func (c *claim) hash() string {
 	digest := xxhash.New()
@@ -68,6 +74,9 @@
 func (p *Proxy) claimRun(ctx context.Context, read *envelope, bodyHash uint64) claimed {
 	ctx, cancel := context.WithTimeout(ctx, p.config.Timeouts.Claim)
 	defer cancel()
+	if err := p.recordOwed(ctx, claimKey{read.tenant, read.key}); err != nil {
+		return p.notClaimed(read, err)
+	}
 	request := state.ClaimRequest{
 		Tenant:   read.tenant,
 		Key:      read.key,
@@ -77,18 +86,18 @@
 		Nonce:    rand.Uint64(),
 	}
 	result, err := p.commitClaim(ctx, request)
+	asked := &claim{tenant: read.tenant, key: read.key, nonce: request.Nonce}
+	if errors.Is(err, feed.ErrOutcomeUnknown) {
+		// It may have been granted; nothing will be dispatched under it.
+		record := p.owe(asked, api.RunNotRun, nil)
+		p.tasks.Go(func() { p.record(record) })
+	}
 	if err != nil {
-		event.ProxyClaimFailed.Log(p.logger, "tenant", read.tenant, "error", err)
-		if errors.Is(err, feed.ErrOutcomeUnknown) {
-			// It may have been granted; nothing will be dispatched under it.
-			held := &claim{tenant: read.tenant, key: read.key, nonce: request.Nonce}
-			p.tasks.Go(func() { p.settleClaim(held, api.RunNotRun, nil) })
-		}
-		return claimed{failed: unavailable(codeNoQuorum, "the request could not be claimed, so it was not run", time.Second)}
+		return p.notClaimed(read, err)
 	}
 	switch result.Code {
 	case api.ClaimGranted:
-		return claimed{granted: &claim{tenant: read.tenant, key: read.key, nonce: request.Nonce}}
+		return claimed{granted: asked}
 	case api.ClaimDone:
 		return replay(&result.Claim)
 	case api.ClaimConflict:
@@ -98,6 +107,12 @@
 	}
 }
 
+// notClaimed refuses a request that was not dispatched for want of a claim.
+func (p *Proxy) notClaimed(read *envelope, cause error) claimed {
+	event.ProxyClaimFailed.Log(p.logger, "tenant", read.tenant, "error", cause)
+	return claimed{failed: unavailable(codeNoQuorum, "the request could not be claimed, so it was not run", time.Second)}
+}
+
 // commitClaim tries twice where the first try may have been committed: the same
 // nonce gets the same answer. A second try that surely was not made says nothing
 // of the first, whose outcome stays unknown.
@@ -136,11 +151,40 @@
 	if held == nil {
 		return
 	}
-	record := state.RunOutcome{Tenant: held.tenant, Key: held.key, Nonce: held.nonce, Outcome: outcome}
+	p.record(p.owe(held, outcome, answer))
+}
+
+// owe returns what is to be recorded of a claim. That a request was not run is
+// kept until it is recorded: its caller may ask again before.
+func (p *Proxy) owe(held *claim, outcome api.RunOutcome, answer *recorded) *state.RunOutcome {
+	record := &state.RunOutcome{Tenant: held.tenant, Key: held.key, Nonce: held.nonce, Outcome: outcome}
 	if answer != nil {
 		record.Answer = encodeRecorded(answer)
 	}
-	if p.tryOutcome(record) != nil {
+	if outcome == api.RunNotRun {
+		p.owed.Store(claimKey{held.tenant, held.key}, record)
+	}
+	return record
+}
+
+// settled ends the keeping of a record that is confirmed or given up.
+func (p *Proxy) settled(record *state.RunOutcome) {
+	p.owed.CompareAndDelete(claimKey{record.Tenant, record.Key}, record)
+}
+
+// recordOwed records that this proxy has not run an earlier request with the
+// key, if that is still owed: a new claim must not overtake it.
+func (p *Proxy) recordOwed(ctx context.Context, key claimKey) error {
+	owed, found := p.owed.Load(key)
+	if !found {
+		return nil
+	}
+	return p.tryOutcome(ctx, owed.(*state.RunOutcome))
+}
+
+// record tries once, and leaves further tries to the background.
+func (p *Proxy) record(record *state.RunOutcome) {
+	if p.tryOutcome(context.Background(), record) != nil {
 		p.tasks.Go(func() { p.retryOutcome(record) })
 	}
 }
@@ -160,19 +204,24 @@
 // the same outcome again changes nothing.
 const outcomeRetries = 2
 
-func (p *Proxy) tryOutcome(record state.RunOutcome) error {
-	ctx, cancel := context.WithTimeout(context.Background(), p.config.Timeouts.Claim)
+func (p *Proxy) tryOutcome(ctx context.Context, record *state.RunOutcome) error {
+	ctx, cancel := context.WithTimeout(ctx, p.config.Timeouts.Claim)
 	defer cancel()
-	return p.control.RecordOutcome(ctx, record)
+	if err := p.control.RecordOutcome(ctx, *record); err != nil {
+		return err
+	}
+	p.settled(record)
+	return nil
 }
 
-func (p *Proxy) retryOutcome(record state.RunOutcome) {
+func (p *Proxy) retryOutcome(record *state.RunOutcome) {
+	defer p.settled(record)
 	random := newRandom()
 	var err error
 	for try := range outcomeRetries {
 		delay, _ := p.config.Backoff.Delay(try, time.Hour, random)
 		time.Sleep(delay)
-		if err = p.tryOutcome(record); err == nil {
+		if err = p.tryOutcome(context.Background(), record); err == nil {
 			return
 		}
 	}
--- a/process/proxy/claim_test.go
+++ b/process/proxy/claim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -289,3 +290,43 @@
 		return c.fakeControl.Claim(ctx, request)
 	}
 }
+
+// TestCallerAsksAgainBeforeItsClaimIsGivenBack: the caller was told "no" while
+// the record of that was still on its way. A new claim that overtook the record
+// would find the key taken.
+func TestCallerAsksAgainBeforeItsClaimIsGivenBack(t *testing.T) {
+	control := &slowRecords{
+		leaderlessControl: leaderlessControl{fakeControl: newFakeControl()},
+		begun:             make(chan struct{}),
+		release:           make(chan struct{}),
+	}
+	views := &fixedViews{}
+	views.view.Store(newView(nil, nil))
+	made := New(quick(), views, control, func() time.Duration { return 0 }, log.NewNopLogger())
+	read := &envelope{tenant: "default", key: "k1"}
+	must.Eq(t, attempt.RanNo, made.claimRun(context.Background(), read, 1).failed.ran)
+	<-control.begun
+	again := made.claimRun(context.Background(), read, 1)
+	close(control.release)
+	made.Close()
+	must.NotNil(t, again.granted)
+	must.Eq(t, api.RunUnknown, control.claims["default/k1"].Outcome, must.Sprint("the late record is of the first claim"))
+	_, kept := made.owed.Load(claimKey{"default", "k1"})
+	must.False(t, kept)
+}
+
+// slowRecords holds the first record up until it is released.
+type slowRecords struct {
+	leaderlessControl
+	records atomic.Int32
+	begun   chan struct{}
+	release chan struct{}
+}
+
+func (c *slowRecords) RecordOutcome(ctx context.Context, outcome state.RunOutcome) error {
+	if c.records.Add(1) == 1 {
+		close(c.begun)
+		<-c.release
+	}
+	return c.fakeControl.RecordOutcome(ctx, outcome)
+}
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -53,6 +53,9 @@
 	running *inFlight
 	demand  *demandWindow
 	metrics *metrics
+	// owed has the records that are not confirmed yet, *state.RunOutcome by
+	// claimKey, of requests that were surely not run.
+	owed sync.Map
 	// modelBodies and backendBodies bound the memory of request bodies.
 	modelBodies   bodyBudget
 	backendBodies bodyBudget
