--- a/process/proxy/claim_test.go
+++ b/process/proxy/claim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -252,3 +253,80 @@
 	<-ctx.Done()
 	return api.ClaimResult{}, errors.Wrap(feed.ErrOutcomeUnknown, "test")
 }
+
+// TestClaimIsGivenBackThoughTheSecondTryMetNoLeader: the first try was committed
+// and its answer lost, the second surely not made. The caller, told "no", asks
+// again and has to be granted the key.
+func TestClaimIsGivenBackThoughTheSecondTryMetNoLeader(t *testing.T) {
+	control := &leaderlessControl{fakeControl: newFakeControl()}
+	views := &fixedViews{}
+	views.view.Store(newView(nil, nil))
+	made := New(quick(), views, control, func() time.Duration { return 0 }, log.NewNopLogger())
+	read := &envelope{tenant: "default", key: "k1"}
+	answer := made.claimRun(context.Background(), read, 1)
+	must.NotNil(t, answer.failed)
+	must.Eq(t, attempt.RanNo, answer.failed.ran)
+	made.Close() // waits for what is recorded
+	must.Eq(t, api.RunNotRun, control.claims["default/k1"].Outcome)
+	must.NotNil(t, made.claimRun(context.Background(), read, 1).granted)
+}
+
+// leaderlessControl commits the first claim and loses the answer with its
+// leader; the second try meets no leader.
+type leaderlessControl struct {
+	*fakeControl
+	tries int
+}
+
+func (c *leaderlessControl) Claim(ctx context.Context, request state.ClaimRequest) (api.ClaimResult, error) {
+	c.tries++
+	switch c.tries {
+	case 1:
+		_, _ = c.fakeControl.Claim(ctx, request) // the commit is what counts
+		return api.ClaimResult{}, errors.Wrap(feed.ErrOutcomeUnknown, "test")
+	case 2:
+		return api.ClaimResult{}, errors.Wrap(feed.ErrNoQuorum, "test")
+	default:
+		return c.fakeControl.Claim(ctx, request)
+	}
+}
+
+// TestCallerAsksAgainBeforeItsClaimIsGivenBack: the caller was told "no" while
+// the record of that was still on its way. A new claim that overtook the record
+// would find the key taken.
+func TestCallerAsksAgainBeforeItsClaimIsGivenBack(t *testing.T) {
+	control := &slowRecords{
+		leaderlessControl: leaderlessControl{fakeControl: newFakeControl()},
+		begun:             make(chan struct{}),
+		release:           make(chan struct{}),
+	}
+	views := &fixedViews{}
+	views.view.Store(newView(nil, nil))
+	made := New(quick(), views, control, func() time.Duration { return 0 }, log.NewNopLogger())
+	read := &envelope{tenant: "default", key: "k1"}
+	must.Eq(t, attempt.RanNo, made.claimRun(context.Background(), read, 1).failed.ran)
+	<-control.begun
+	again := made.claimRun(context.Background(), read, 1)
+	close(control.release)
+	made.Close()
+	must.NotNil(t, again.granted)
+	must.Eq(t, api.RunUnknown, control.claims["default/k1"].Outcome, must.Sprint("the late record is of the first claim"))
+	_, kept := made.owed.Load(claimKey{"default", "k1"})
+	must.False(t, kept)
+}
+
+// slowRecords holds the first record up until it is released.
+type slowRecords struct {
+	leaderlessControl
+	records atomic.Int32
+	begun   chan struct{}
+	release chan struct{}
+}
+
+func (c *slowRecords) RecordOutcome(ctx context.Context, outcome state.RunOutcome) error {
+	if c.records.Add(1) == 1 {
+		close(c.begun)
+		<-c.release
+	}
+	return c.fakeControl.RecordOutcome(ctx, outcome)
+}
