Feed: a reply of another kind than its question's counts as none

Cause: a reply was tied to its question by the question's number alone. The reply to an outcome with the number of a claim was taken for the claim's, and the other way round: a run whose outcome nobody had recorded counted as recorded. Beside it, a connection for placements alone took views and grants: a member that only stands by was then taken for the leader, and its lease for one that a leader had granted.

Ruled out: that numbers of different kinds meet in our own server; each answer repeats the number of the frame that it answers, and numbers are unique in a client. So only a faulty member, or a daemon that passes placements on, could send such a frame.

Change: a waiting question holds which kind answers it; a reply of another kind leaves it waiting and ends the connection, upon which the caller gets "outcome unknown" or "not placed". On a standby connection all but "stands by" and placement replies ends it too. Both are logged as the new event 1106.

--- a/connection/feed/follow.go
+++ b/connection/feed/follow.go
@@ -104,7 +104,7 @@
 
 // call sends one request to this session's leader and waits for its reply.
 func (s *session) call(ctx context.Context, requestID uint64, sent *outgoing) (reply, error) {
-	waiting := s.register(requestID)
+	waiting := s.register(requestID, sent.kind)
 	defer s.unregister(requestID)
 	if !s.enqueue(sent) {
 		return reply{}, errQueueFull
--- /dev/null
+++ b/connection/feed/foreignreply_test.go
@@ -0,0 +1,189 @@
+package feed
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/shoenig/test/must"
+)
+
+// scriptedMember is a member that opens each connection with one frame and answers each
+// question with another, whatever it asks.
+type scriptedMember struct {
+	listener net.Listener
+	opening  frame.Frame
+	// reply makes the answer to a question with the request ID.
+	reply func(requestID uint64) frame.Frame
+	done  sync.WaitGroup
+}
+
+func startScriptedMember(t *testing.T, opening frame.Frame, reply func(uint64) frame.Frame) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	member := &scriptedMember{listener: listener, opening: opening, reply: reply}
+	member.done.Go(member.accept)
+	t.Cleanup(func() {
+		_ = listener.Close()
+		member.done.Wait()
+	})
+	return listener.Addr().String()
+}
+
+func (m *scriptedMember) accept() {
+	for {
+		conn, err := m.listener.Accept()
+		if err != nil {
+			return
+		}
+		m.done.Go(func() { m.serve(conn) })
+	}
+}
+
+// serve ends with the connection, which the client closes.
+func (m *scriptedMember) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := frame.NewReader(conn, Protocol, maxSubscriberPayload, patience)
+	writer := frame.NewWriter(conn, Protocol, time.Second)
+	send := func(sent frame.Frame) {
+		_ = writer.WriteFrame(sent.Kind, sent.Payload)
+		_ = writer.Flush()
+	}
+	for {
+		received, err := reader.ReadFrame()
+		if err != nil {
+			return
+		}
+		switch received.Kind {
+		case kindSubscribe:
+			send(m.opening)
+		case kindClaim, kindOutcome, kindPlace:
+			send(m.reply(frame.NewDecoder(received.Payload).Uint64()))
+		}
+	}
+}
+
+// firstDelta is what a leader sends to a client that has no view.
+func firstDelta(t *testing.T) frame.Frame {
+	group := newFakeGroup()
+	group.put("water")
+	delta, found := group.DeltaSince(view.Version{})
+	must.True(t, found)
+	payload, err := encodeDelta(delta)
+	must.NoError(t, err)
+	return frame.Frame{Kind: kindDelta, Payload: payload}
+}
+
+// lockedBuffer is a log that many goroutines write.
+type lockedBuffer struct {
+	lock   sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *lockedBuffer) contains(text string) bool {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return bytes.Contains(b.buffer.Bytes(), []byte(text))
+}
+
+func startLoggedClient(t *testing.T, views Views, address string) (*Client, *lockedBuffer) {
+	lines := &lockedBuffer{}
+	client, err := Dial(ClientConfig{
+		Daemon:         "proxy-a",
+		Addresses:      []string{address},
+		Standby:        true,
+		BeatInterval:   20 * time.Millisecond,
+		SilenceTimeout: patience,
+		BackoffMin:     time.Millisecond,
+		BackoffMax:     20 * time.Millisecond,
+		Logger:         log.NewLogfmtLogger(lines),
+	}, views)
+	must.NoError(t, err)
+	t.Cleanup(client.Close)
+	return client, lines
+}
+
+// A reply with a question's number and of another question's kind says nothing: an
+// outcome that was never recorded would be taken for recorded, and a claim for answered.
+// The caller learns that nothing is known, and the connection ends.
+func TestReplyOfAnotherKindCountsAsNone(t *testing.T) {
+	claimReplied := func(id uint64) frame.Frame {
+		return frame.Frame{Kind: kindClaimReply, Payload: encodeClaimReply(claimReply{requestID: id, code: replyDone})}
+	}
+	outcomeReplied := func(id uint64) frame.Frame {
+		return frame.Frame{Kind: kindOutcomeReply, Payload: encodeOutcomeReply(outcomeReply{requestID: id, code: replyDone})}
+	}
+	placeReplied := func(id uint64) frame.Frame {
+		return frame.Frame{Kind: kindPlaceReply, Payload: encodePlaceReply(placeReply{requestID: id, found: true})}
+	}
+	claim := func(ctx context.Context, client *Client) error {
+		_, err := client.Claim(ctx, state.ClaimRequest{Tenant: "water", Key: "crew", Nonce: 1})
+		return err
+	}
+	record := func(ctx context.Context, client *Client) error {
+		return client.RecordOutcome(ctx, state.RunOutcome{Tenant: "water", Key: "crew", Nonce: 1})
+	}
+	place := func(ctx context.Context, client *Client) error {
+		_, err := client.Place(ctx, PlaceRequest{Service: "chat", Number: 1})
+		return err
+	}
+	for name, test := range map[string]struct {
+		reply func(uint64) frame.Frame
+		ask   func(context.Context, *Client) error
+		want  error
+	}{
+		"a claim, the reply to an outcome":     {outcomeReplied, claim, ErrOutcomeUnknown},
+		"a claim, the reply to a placement":    {placeReplied, claim, ErrOutcomeUnknown},
+		"an outcome, the reply to a claim":     {claimReplied, record, ErrOutcomeUnknown},
+		"an outcome, the reply to a placement": {placeReplied, record, ErrOutcomeUnknown},
+		"a placement, the reply to a claim":    {claimReplied, place, ErrNotPlaced},
+		"a placement, the reply to an outcome": {outcomeReplied, place, ErrNotPlaced},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := startScriptedMember(t, firstDelta(t), test.reply)
+			client, lines := startLoggedClient(t, view.NewHolder(), address)
+			eventually(t, "a leader", client.Connected)
+			first := client.session.Load()
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			defer cancel()
+			must.ErrorIs(t, test.ask(ctx, client), test.want)
+			must.NoError(t, ctx.Err())
+			eventually(t, "the end of the connection", func() bool { return client.session.Load() != first })
+			eventually(t, "a log line", func() bool { return lines.contains("name=" + event.FeedMisplacedFrame.Name) })
+		})
+	}
+}
+
+// Whoever only stands by gives placements, and nothing that a leader alone may say: its
+// view would be taken for the leader's, and a lease believed that no leader granted.
+func TestMemberThatStandsByGivesPlacementsOnly(t *testing.T) {
+	granted := frame.Frame{Kind: kindGrant, Payload: encodeGrant(grant{sequence: 1, lease: time.Hour, term: 9})}
+	for name, opening := range map[string]frame.Frame{"a view": firstDelta(t), "a lease": granted} {
+		t.Run(name, func(t *testing.T) {
+			address := startScriptedMember(t, opening, nil)
+			holder := view.NewHolder()
+			client, lines := startLoggedClient(t, holder, "127.0.0.1:1")
+			stood, err := client.connectStandby(address)
+			must.False(t, stood)
+			must.ErrorIs(t, err, errProtocol)
+			must.False(t, client.Connected())
+			must.False(t, holder.Valid(systemClock()))
+			must.True(t, holder.Load().Version.IsZero())
+			must.True(t, lines.contains("name="+event.FeedMisplacedFrame.Name))
+		})
+	}
+}
--- a/connection/feed/placement.go
+++ b/connection/feed/placement.go
@@ -204,7 +204,7 @@
 		return placement.Answer{}, ErrNotPlaced
 	}
 	requestID := c.requestID.Add(1)
-	waiting := current.register(requestID)
+	waiting := current.register(requestID, kindPlace)
 	defer current.unregister(requestID)
 	if !current.enqueue(&outgoing{kind: kindPlace, payload: encodePlace(requestID, request)}) {
 		return placement.Answer{}, ErrNotPlaced
--- a/connection/feed/session.go
+++ b/connection/feed/session.go
@@ -49,9 +49,25 @@
 
 type pendingShard struct {
 	sync.Mutex
-	calls map[uint64]chan reply
+	calls map[uint64]pendingCall
 }
 
+// pendingCall is a question that waits for its reply.
+type pendingCall struct {
+	kind  frame.Kind // of the reply
+	reply chan reply
+}
+
+// replyKinds holds which kind of frame answers a question.
+var replyKinds = map[frame.Kind]frame.Kind{
+	kindClaim:   kindClaimReply,
+	kindOutcome: kindOutcomeReply,
+	kindPlace:   kindPlaceReply,
+}
+
+// errMisplaced says that the other side sent what it was not asked for.
+var errMisplaced = errors.Wrap(errProtocol, "misplaced frame")
+
 // session is one connection to a leader.
 type session struct {
 	client  *Client
@@ -87,7 +103,7 @@
 		sentAt: map[uint64]time.Duration{},
 	}
 	for i := range s.pending {
-		s.pending[i].calls = map[uint64]chan reply{}
+		s.pending[i].calls = map[uint64]pendingCall{}
 	}
 	return s
 }
@@ -100,6 +116,9 @@
 	var writer sync.WaitGroup
 	writer.Go(s.write)
 	hint, err := s.read()
+	if errors.Is(err, errMisplaced) {
+		event.FeedMisplacedFrame.Log(s.client.config.Logger, "address", s.conn.RemoteAddr(), "err", err)
+	}
 	if s.announced = s.ready && errors.Is(err, errNotLeader); s.announced {
 		s.client.handover.announce()
 	}
@@ -215,6 +234,9 @@
 }
 
 func (s *session) receive(received frame.Frame) error {
+	if s.standby && received.Kind != kindAlive && received.Kind != kindPlaceReply {
+		return errors.Wrapf(errMisplaced, "kind %d from a member that stands by", received.Kind)
+	}
 	switch received.Kind {
 	case kindDelta:
 		return s.receiveDelta(received.Payload)
@@ -222,33 +244,36 @@
 		return s.receiveGrant(received.Payload)
 	case kindAlive:
 		return s.receiveAlive()
+	case kindClaimReply, kindPlaceReply, kindOutcomeReply:
+		return s.receiveReply(received)
+	default:
+		return errors.Wrapf(errProtocol, "kind %d", received.Kind)
+	}
+}
+
+func (s *session) receiveReply(received frame.Frame) error {
+	requestID, answer, err := decodeReply(received)
+	if err != nil {
+		return err
+	}
+	return s.resolve(requestID, received.Kind, answer)
+}
+
+func decodeReply(received frame.Frame) (requestID uint64, answer reply, err error) {
+	switch received.Kind {
 	case kindClaimReply:
 		message, err := decodeClaimReply(received.Payload)
-		if err != nil {
-			return err
-		}
-		s.resolve(message.requestID, reply{code: message.code, result: message.result})
-		return nil
+		return message.requestID, reply{code: message.code, result: message.result}, err
 	case kindPlaceReply:
 		message, err := decodePlaceReply(received.Payload)
-		if err != nil {
-			return err
-		}
 		code := replyRefused
 		if message.found {
 			code = replyDone
 		}
-		s.resolve(message.requestID, reply{code: code, placed: message.answer})
-		return nil
-	case kindOutcomeReply:
-		message, err := decodeOutcomeReply(received.Payload)
-		if err != nil {
-			return err
-		}
-		s.resolve(message.requestID, reply{code: message.code})
-		return nil
+		return message.requestID, reply{code: code, placed: message.answer}, err
 	default:
-		return errors.Wrapf(errProtocol, "kind %d", received.Kind)
+		message, err := decodeOutcomeReply(received.Payload)
+		return message.requestID, reply{code: message.code}, err
 	}
 }
 
@@ -336,12 +361,13 @@
 	return &s.pending[requestID%pendingShards]
 }
 
-func (s *session) register(requestID uint64) chan reply {
+// register lets a question of the kind wait for its reply.
+func (s *session) register(requestID uint64, kind frame.Kind) chan reply {
 	waiting := make(chan reply, 1)
 	shard := s.shard(requestID)
 	shard.Lock()
 	defer shard.Unlock()
-	shard.calls[requestID] = waiting
+	shard.calls[requestID] = pendingCall{kind: replyKinds[kind], reply: waiting}
 	return waiting
 }
 
@@ -353,14 +379,20 @@
 }
 
 // resolve hands the reply to the call that waits; a reply that nobody waits for
-// any more is dropped.
-func (s *session) resolve(requestID uint64, answer reply) {
+// any more is dropped. One of another kind than the call's answers nothing, and is
+// an error: the call goes on to wait, and learns that the connection ended.
+func (s *session) resolve(requestID uint64, kind frame.Kind, answer reply) error {
 	shard := s.shard(requestID)
 	shard.Lock()
+	defer shard.Unlock()
 	waiting, found := shard.calls[requestID]
-	delete(shard.calls, requestID)
-	shard.Unlock()
-	if found {
-		waiting <- answer
+	if !found {
+		return nil
+	}
+	if waiting.kind != kind {
+		return errors.Wrapf(errMisplaced, "reply of kind %d for one of kind %d", kind, waiting.kind)
 	}
+	delete(shard.calls, requestID)
+	waiting.reply <- answer // has room for its only reply
+	return nil
 }
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -52,6 +52,9 @@
 	FeedRefused = define(1101, "feed_refused", Warn,
 		"A connection to the feed was refused.",
 		"Raise the limit on subscribers if the daemons are all wanted.")
+	FeedMisplacedFrame = define(1106, "feed_misplaced_frame", Warn,
+		"A control member or another daemon sent what it was not asked for: the reply to another kind of question, or a leader's word where only placements were asked for. It counts as nothing, and the connection was ended.",
+		"If one address keeps doing so, check its version and stop it.")
 	FeedEnded = define(1102, "feed_ended", Info,
 		"A subscription ended: the daemon went away, was too slow, or sent bytes that are none of the protocol's.",
 		"If one daemon's subscription keeps ending, check the path to it and its version.")
