Ingress: a step and its word are one, and so are what is in flight and its report

Cause: a proxy took what it has in flight, and queued the report afterwards; a step that came about in between queued its word in front. The new board did not know the request when the word came, then took it in from the report: a request that had ended held its place until its deadline and 2 s. The other way round, the failure of a read that the report showed already was told behind it, and ended the request on the board, though its generator ran it. Beside it, a service of which nothing was in flight was not reported, so that a board which had placed before kept what ended while another one was told.

Ruled out: the feed's queue; it is one channel with one writer, and keeps the order in which words are put there.

Change: the lock of the table is held from a step to its word in the queue, and from the look at what is in flight to its report in the queue. Each service with a lane is reported. Putting a word there never blocks, so the lock is held for the encoding alone.

--- a/process/ingress/inflight.go
+++ b/process/ingress/inflight.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/feed"
@@ -11,6 +10,11 @@
 
 // What this proxy has in flight to replicas, wherever it was decided: the control group is
 // told of each step, and a leader that has just begun is told of all of it.
+//
+// Invariant: whoever places takes these words in in the order in which the steps came
+// about. So a step and its word are one under the table's lock, as are what is in flight
+// and the report of it; a step taken in before a report that does not show it would count
+// for nothing.
 
 // placed is a request in flight that the control group is to be kept informed of.
 type placed struct {
@@ -20,7 +24,7 @@
 	ask     placement.Ask
 	answer  placement.Answer
 	at      time.Duration
-	step    atomic.Uint32 // placement.Step, 0 before the prompt is read
+	step    placement.Step // 0 before the prompt is read; the table's lock guards it
 }
 
 // note tells the group how far the request has come; a nil placed tells nobody.
@@ -28,13 +32,16 @@
 	if p == nil {
 		return
 	}
+	table := &p.ingress.inFlight
+	table.lock.Lock()
+	defer table.lock.Unlock()
 	switch {
 	case step == placement.StepRead || step == placement.StepStarted:
-		p.step.Store(uint32(step))
+		p.step = step
 	case replica != "" && replica == p.answer.Reader:
-		p.ingress.inFlight.readElsewhere(p)
+		p.answer.Reader = "" // it goes on at its generator
 	default:
-		p.ingress.inFlight.remove(p)
+		delete(table.requests, p)
 	}
 	p.ingress.placer.NotePlaced(feed.PlaceNote{
 		Service: p.service,
@@ -67,7 +74,7 @@
 }
 
 // inFlightTable holds the placed requests that are in flight. One lock is enough: it is
-// held for a map's change, twice a request.
+// held for a few steps of each request, and for a report when another board begins.
 type inFlightTable struct {
 	lock     sync.Mutex
 	requests map[*placed]struct{}
@@ -82,38 +89,30 @@
 	t.requests[p] = struct{}{}
 }
 
-func (t *inFlightTable) remove(p *placed) {
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	delete(t.requests, p)
-}
-
-// readElsewhere keeps a request that its reader has not read: it goes on at its generator.
-func (t *inFlightTable) readElsewhere(p *placed) {
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	p.answer.Reader = ""
-}
-
-// byService returns what is in flight now.
-func (t *inFlightTable) byService(now time.Duration) map[string]feed.InFlight {
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	all := map[string]feed.InFlight{}
+// byService adds what is in flight now to the services' messages; the lock is held.
+func (t *inFlightTable) byService(all map[string]feed.InFlight, now time.Duration) {
 	for p := range t.requests {
 		if all[p.service].Requests == nil {
 			all[p.service] = feed.InFlight{Service: p.service, Requests: map[uint64]placement.Placed{}}
 		}
 		all[p.service].Requests[p.number] = placement.Placed{
-			Ask: p.ask, Answer: p.answer, Age: now - p.at, Step: placement.Step(p.step.Load()),
+			Ask: p.ask, Answer: p.answer, Age: now - p.at, Step: p.step,
 		}
 	}
-	return all
 }
 
-// reportInFlight tells who has just begun to place requests what is in flight.
+// reportInFlight tells who has just begun to place requests what is in flight, of a
+// service of which nothing is as well: its board may know requests that ended while
+// another one was told.
 func (i *Ingress) reportInFlight(to groupReporter) {
-	for _, told := range i.inFlight.byService(i.now()) {
+	all := map[string]feed.InFlight{}
+	for _, opened := range i.lanes.all() {
+		all[opened.service] = feed.InFlight{Service: opened.service}
+	}
+	i.inFlight.lock.Lock()
+	defer i.inFlight.lock.Unlock()
+	i.inFlight.byService(all, i.now())
+	for _, told := range all {
 		to.ReportInFlight(told)
 	}
 }
