Feed: a leader that was silent is told what ended meanwhile

Cause: while a leader leaves placements unanswered, its clients tell another member how their requests go on. Once the leader is heard again it places again, by a board on which all that ended meanwhile is still in flight, until its deadline and 2 s. A report that would correct it was sent only when a connection begins to serve.

Ruled out: reporting as to a new leader; what replicas keep is the larger part of that, a leader keeps it over a silence, and a short stall of a leader would bring it from all daemons at once.

Change: the feed's client says that a leader was heard again after another one had been asked (Resumed), and the ingress then reports what is in flight.

What is left: where nobody could be asked during the silence, words were still queued for the leader itself; and one who stood by and was lost before the leader was heard is not counted as one that was told.

--- a/connection/feed/client.go
+++ b/connection/feed/client.go
@@ -28,6 +28,9 @@
 	// Served is called each time a leader has begun to serve the client; it must
 	// not block. nil: nothing is called.
 	Served func()
+	// Resumed is called when a leader that was silent is heard again, and others were
+	// told of placements meanwhile; it must not block. nil: nothing is called.
+	Resumed func()
 	// Standby has any other member place requests while no leader serves the
 	// client.
 	Standby bool
--- a/connection/feed/placementrelay_test.go
+++ b/connection/feed/placementrelay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,6 +91,11 @@
 }
 
 func startRelayedClient(t *testing.T, daemon, leader string, dial *cuttable, views Views, relays ...string) *Client {
+	return startResumedClient(t, nil, daemon, leader, dial, views, relays...)
+}
+
+// startResumedClient is startRelayedClient with what is called when a leader is heard again.
+func startResumedClient(t *testing.T, resumed func(), daemon, leader string, dial *cuttable, views Views, relays ...string) *Client {
 	client, err := Dial(ClientConfig{
 		Daemon:         daemon,
 		Addresses:      []string{leader},
@@ -98,6 +104,7 @@
 		BackoffMin:     time.Millisecond,
 		BackoffMax:     20 * time.Millisecond,
 		Standby:        true,
+		Resumed:        resumed,
 		StandbyRelays:  func() []string { return relays },
 		Dial:           dial.dial,
 	}, views)
@@ -178,7 +185,9 @@
 	holder := view.NewHolder()
 	passing := startRelayedClient(t, "proxy-b", leader, newCuttable(), holder)
 	_, relay := startServer(t, NewPlacementRelay(passing, holder))
-	asking := startRelayedClient(t, "proxy-a", leader, newCuttable(), view.NewHolder(), relay)
+	var resumed atomic.Int64
+	count := func() { resumed.Add(1) }
+	asking := startResumedClient(t, count, "proxy-a", leader, newCuttable(), view.NewHolder(), relay)
 	eventually(t, "both follow", func() bool {
 		return passing.Connected() && asking.Connected() && holder.Load().Version.Revision == 1
 	})
@@ -194,8 +203,10 @@
 	}
 	eventually(t, "another daemon passes on", func() bool { return place() == nil })
 	must.True(t, asking.session.Load() == first, must.Sprint("the leader's connection stands"))
+	must.Eq(t, 0, resumed.Load())
 	unmute()
 	eventually(t, "the leader is asked again", func() bool {
 		return asking.leaderPlaces() != nil && asking.standby.Load() == nil && place() == nil
 	})
+	eventually(t, "what the other daemon was told can be told to the leader", func() bool { return resumed.Load() == 1 })
 }
--- a/connection/feed/standby.go
+++ b/connection/feed/standby.go
@@ -46,8 +46,11 @@
 
 // heard notes a frame of the other side: it is there.
 func (s *session) heard() {
-	if s.unanswered.Swap(0) >= unansweredLimit && !s.standby {
-		s.client.endStandby()
+	if s.unanswered.Swap(0) < unansweredLimit || s.standby {
+		return
+	}
+	if s.client.endStandby() && s.client.config.Resumed != nil {
+		s.client.config.Resumed()
 	}
 }
 
@@ -96,11 +99,14 @@
 	}
 }
 
-// endStandby ends the standby session: a leader serves the client again.
-func (c *Client) endStandby() {
-	if current := c.standby.Swap(nil); current != nil {
-		_ = current.conn.Close()
+// endStandby ends the standby session, if there is one: a leader serves the client again.
+func (c *Client) endStandby() (ended bool) {
+	current := c.standby.Swap(nil)
+	if current == nil {
+		return false
 	}
+	_ = current.conn.Close()
+	return true
 }
 
 // standBy keeps a standby session while no leader serves the client.
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -39,7 +39,7 @@
 	holder := view.NewHolder()
 	made := New(config, holder, clock, logger)
 	defer made.Close()
-	served := make(chan struct{}, 1)
+	served, resumed := make(chan struct{}, 1), make(chan struct{}, 1)
 	client, err := feed.Dial(feed.ClientConfig{
 		Daemon:         config.Name,
 		Zone:           config.Zone,
@@ -47,6 +47,7 @@
 		MoreAddresses:  func() []string { return append(memberAddresses(holder.Load()), made.seeds()...) },
 		Presence:       made.presence,
 		Served:         func() { signal(served) },
+		Resumed:        func() { signal(resumed) },
 		Standby:        true,
 		StandbyRelays:  func() []string { return made.relays(holder.Load()) },
 		BeatInterval:   beatInterval,
@@ -68,7 +69,7 @@
 	defer endRelay()
 	reporting, stop := context.WithCancel(ctx)
 	defer stop()
-	go made.reportWhenServed(reporting, served, client)
+	go made.reportWhenServed(reporting, served, resumed, client)
 	return made.serveUntil(ctx, client)
 }
 
@@ -95,13 +96,15 @@
 }
 
 // reportWhenServed tells each new leader, or member that stands by for one, what is in
-// flight and what replicas keep, until ctx ends.
-func (i *Ingress) reportWhenServed(ctx context.Context, served <-chan struct{}, to groupReporter) {
+// flight and what replicas keep, until ctx ends; a leader that was silent knows the latter.
+func (i *Ingress) reportWhenServed(ctx context.Context, served, resumed <-chan struct{}, to groupReporter) {
 	for {
 		select {
 		case <-served:
 			i.reportInFlight(to)
 			i.reportKept(to)
+		case <-resumed:
+			i.reportInFlight(to)
 		case <-ctx.Done():
 			return
 		}
