Ingress: a decision that comes too late holds no place on the board

Cause: a proxy that waits in vain for a decision, for 30 ms, decides by itself, under a new number. The leader may decide all the same, and counted the request at the replicas that it chose until its deadline and 2 s: nobody told it otherwise. A leader that stalls for a moment so takes its replicas for busy, just when it goes on.

Change: the proxy tells that the number has ended, behind the question on the same connection. Of a number that the board does not know this says nothing.

Ruled out: that the board's next question ends it; the proxy's next number is another one.

Test: TestLateDecisionHoldsNoPlaceOnTheBoard, with a board that decides when its answer is waited for no longer; before the change it showed 1 request in flight for 0.

What it does to a fleet was not measured here.

--- a/process/ingress/inflight_order_test.go
+++ b/process/ingress/inflight_order_test.go
@@ -129,3 +129,25 @@
 	ingress.reportInFlight(told)
 	must.Eq(t, 0, told.shown().InFlight)
 }
+
+// lateBoard decides when its answer is waited for no longer.
+type lateBoard struct{ *toldBoard }
+
+func (b lateBoard) Place(ctx context.Context, request feed.PlaceRequest) (placement.Answer, error) {
+	<-ctx.Done()
+	key := placement.Key{Daemon: "proxy", Number: request.Number}
+	b.take(func() { b.board.Place(0, key, request.Ask) })
+	return placement.Answer{}, feed.ErrNotPlaced
+}
+
+// A decision that comes too late is not followed, and holds no place on the board.
+func TestLateDecisionHoldsNoPlaceOnTheBoard(t *testing.T) {
+	reader := newFakeReplica(t, "read", readPrompt)
+	generator := newFakeReplica(t, "make", streamEvents(2, ""))
+	w := newModelWorld(t, reader, generator, nil)
+	told := newToldBoard(t)
+	w.ingress.placer = lateBoard{told}
+	must.Eq(t, events(1, 2), w.ask(modelRequest).body)
+	must.Eq(t, 1, told.shown().Answers.Placed, must.Sprint("the board has decided"))
+	must.Eq(t, 0, told.shown().InFlight)
+}
--- a/process/ingress/placed.go
+++ b/process/ingress/placed.go
@@ -31,6 +31,7 @@
 		answer, err := s.askPlace(ctx, number, ask)
 		if err != nil {
 			s.trace.WriteString(" unplaced")
+			s.forgo(number)
 			return plan{}, false
 		}
 		if answer.Refused {
@@ -48,6 +49,14 @@
 	}
 }
 
+// forgo tells the group that a decision is not followed, should one still be made: it
+// would hold its place on the board until the request's time is over.
+func (s *session) forgo(number uint64) {
+	s.ingress.placer.NotePlaced(feed.PlaceNote{
+		Service: s.lane.service, Number: number, Note: placement.Note{Step: placement.StepEnded},
+	})
+}
+
 // longestWait is how long a request waits before it is placed again: what it
 // waits for may be over sooner than expected, or not come at all.
 const longestWait = 200 * time.Millisecond
