--- /dev/null
+++ b/process/ingress/stop_test.go
@@ -0,0 +1,47 @@
+package ingress
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// noGroup is told that the process stops, and does nothing.
+type noGroup struct{}
+
+func (noGroup) Announce() {}
+
+// Seen: a planned stop cut connections without a word, a few seconds after their requests
+// had been read. It comes about where a request waits for a replica that says nothing, as
+// on a connection that has fallen silent for good, until the stop has to end.
+// Cause: the process ended with such requests in flight, though what became of them was
+// known as well as at any time-out.
+// Proof: each caller gets an answer; one that promises that the request has not run only
+// if it was merely read.
+func TestPlannedStopAnswersWhatItCannotSeeThrough(t *testing.T) {
+	silent := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	stopped := func(w *world, waits *fakeReplica, request asked) answered {
+		w.ingress.config.Drain = Drain{Notice: time.Millisecond, Limit: 200 * time.Millisecond}
+		got := make(chan answered, 1)
+		go func() { got <- w.ask(request) }()
+		eventually(t, "the request arrives", func() bool { return waits.count() == 1 })
+		must.NoError(t, w.ingress.drain(w.server.Config, noGroup{}))
+		must.NoError(t, w.server.Config.Close()) // as the end of the process does
+		return <-got
+	}
+	t.Run("run", func(t *testing.T) {
+		replica := newFakeReplica(t, "r-1", silent)
+		got := stopped(newWorld(t, replica), replica, asked{method: http.MethodPost, target: "/unsafe/", id: "q"})
+		must.NoError(t, got.err)
+		must.Eq(t, http.StatusGatewayTimeout, got.status)
+	})
+	t.Run("read", func(t *testing.T) {
+		reader, generator := newFakeReplica(t, "read", silent), newFakeReplica(t, "make", streamEvents(2, ""))
+		got := stopped(newModelWorld(t, reader, generator, nil), reader, modelRequest)
+		must.NoError(t, got.err)
+		must.Eq(t, http.StatusServiceUnavailable, got.status)
+		must.Eq(t, 0, generator.count())
+	})
+}
