Ingress: a planned stop answers what it cannot see through, instead of closing on it

Cause: at the end of its time a planned stop let the process end with requests in flight, whose connections closed without a word. Their clients could not tell that a request that was only being read had not run, and the connection of a request that had been read seconds before ended without an answer, which planned work must not bring about. Ruled out: an earlier end of the waiting: a replica may still answer until then, and its silence is no reason to end sooner. Change: requests in flight at the limit end like those whose time is over: 503 where they surely have not run, 504 otherwise; a stream whose beginning the caller has is cut as before. Conclusion: what is told of a request at a stop is what is known of it.

--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -7,7 +7,7 @@
 	IngressDraining = define(4502, "ingress_draining", Info,
 		"The planned stop has begun: the ingress says that it is not ready and still serves what comes.", "")
 	IngressDrainCut = define(4503, "ingress_drain_cut", Warn,
-		"Requests were still in flight when the planned stop had to end; they were cut.",
+		"Requests were still in flight when the planned stop had to end; streams were cut, the others given an answer of the ingress.",
 		"Give the process more time to stop, or look for requests that take longer than that.")
 	IngressInForce = define(4510, "ingress_in_force", Info,
 		"A configuration of routes came with the view and is in force here from now on.", "")
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -35,8 +35,11 @@
 	// stopping is set once answers must ask callers to close connections.
 	stopping atomic.Bool
 	serving  atomic.Int64 // requests
-	inFlight inFlightTable
-	metrics  *metrics
+	// patient ends when a planned stop cannot wait for requests any longer.
+	patient    context.Context
+	endPatient context.CancelFunc
+	inFlight   inFlightTable
+	metrics    *metrics
 	// placer places model requests by all that is in flight; nil leaves it to
 	// what this proxy knows itself.
 	placer  Placer
@@ -63,12 +66,16 @@
 		config: config, logger: logger, views: views, clock: clock,
 		lanes: newLanes(config), metrics: newMetrics(),
 	}
+	made.patient, made.endPatient = context.WithCancel(context.Background())
 	made.table.Store(&tableAt{routes: newRouteTable(nil)})
 	return made
 }
 
-// Close closes the idle connections.
-func (i *Ingress) Close() { i.lanes.close() }
+// Close ends what is in flight and closes the idle connections.
+func (i *Ingress) Close() {
+	i.endPatient()
+	i.lanes.close()
+}
 
 func (i *Ingress) now() time.Duration { return i.clock() }
 
@@ -245,7 +252,10 @@
 		s.callerEnds = arrived + call.Within
 		s.deadline = min(s.deadline, s.callerEnds)
 	}
-	ctx, cancel := context.WithTimeoutCause(r.Context(), s.left(), errTimeout)
+	ctx, give := context.WithCancelCause(r.Context())
+	defer give(nil)
+	defer context.AfterFunc(i.patient, func() { give(errStopping) })()
+	ctx, cancel := context.WithTimeoutCause(ctx, s.left(), errTimeout)
 	defer cancel()
 	s.life.Dispatch()
 	s.lane.budget.Request(arrived)
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -228,7 +228,8 @@
 
 // drain is the planned stop: the ingress says at once that it is not ready and
 // asks callers to close their connections, while it still serves all that
-// comes; then it accepts no more and waits for what is in flight.
+// comes; then it accepts no more and waits for what is in flight. What it cannot
+// wait for is answered: its callers would else learn nothing of it.
 func (i *Ingress) drain(callers *http.Server, group announcer) error {
 	began := time.Now()
 	i.stopping.Store(true)
@@ -239,8 +240,22 @@
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		event.IngressDrainCut.Log(i.logger, "in_flight", i.serving.Load())
+		i.answerRest(callers)
 		return nil
 	}
 	event.IngressStopped.Log(i.logger)
 	return nil
 }
+
+// answerShare is the part of a planned stop's time that is left beyond it for answers to
+// what was in flight at its end.
+const answerShare = 0.05
+
+// answerRest ends the waiting of all requests and lets their answers out.
+func (i *Ingress) answerRest(callers *http.Server) {
+	i.endPatient()
+	answering := time.Duration(answerShare * float64(i.config.Drain.Limit))
+	ctx, cancel := context.WithTimeout(context.Background(), answering)
+	defer cancel()
+	_ = callers.Shutdown(ctx) // the process ends in any case
+}
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -160,22 +160,27 @@
 	return s.refuse(http.StatusBadGateway, cause, 0)
 }
 
-// interrupted answers a request whose time is over, or ends one whose caller
-// has gone.
+// interrupted answers a request whose time is over, or that of its process, or ends one
+// whose caller has gone.
 func (s *session) interrupted(ctx context.Context) int {
 	ran := s.life.GiveUp()
-	if context.Cause(ctx) != errTimeout {
+	cause := "timeout"
+	switch context.Cause(ctx) {
+	case errTimeout:
+	case errStopping:
+		cause = "stopping"
+	default:
 		s.trace.WriteString(" caller_gone")
 		return statusCallerGone
 	}
 	if s.headSent {
-		s.trace.WriteString(" cut:time")
+		s.trace.WriteString(" cut:" + cause)
 		return 0
 	}
 	if ran == attempt.RanNo {
-		return s.refuse(http.StatusServiceUnavailable, "timeout", s.retryAfter())
+		return s.refuse(http.StatusServiceUnavailable, cause, s.retryAfter())
 	}
-	return s.refuse(http.StatusGatewayTimeout, "timeout", 0)
+	return s.refuse(http.StatusGatewayTimeout, cause, 0)
 }
 
 // statusCallerGone stands in logs for a request whose caller has gone.
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -13,13 +13,14 @@
 	"github.com/pkg/errors"
 )
 
-// errTimeout is the cause of a context whose request has used up its time;
-// errSilent of an attempt whose replica said nothing; errTooLate of a read after
+// errTimeout is the cause of a context whose request has used up its time; errStopping
+// of one whose process cannot wait any longer; errSilent of an attempt whose replica said nothing; errTooLate of a read after
 // which no time would be left to run.
 var (
-	errTimeout = errors.New("ingress: the request's time is over")
-	errSilent  = errors.New("ingress: the replica is silent")
-	errTooLate = errors.New("ingress: no time is left to run the request")
+	errTimeout  = errors.New("ingress: the request's time is over")
+	errStopping = errors.New("ingress: the planned stop has to end")
+	errSilent   = errors.New("ingress: the replica is silent")
+	errTooLate  = errors.New("ingress: no time is left to run the request")
 )
 
 // leastRun is the time without which a run would only be refused by its replica:
