--- a/process/control/placement_test.go
+++ b/process/control/placement_test.go
@@ -78,3 +78,19 @@
 	must.Eq(t, 1, counted["landingtrail_control_placed_first_token_seconds chat"])
 	must.Eq(t, 2, counted["landingtrail_control_placing_seconds chat"])
 }
+
+// The duties ask the desk by the view that their round began with, and proxies by the one of
+// their question. An older view must not replace a newer one: what was placed on a replica
+// that the older one lacks, or lists in another role, would be forgotten.
+func TestDeskTakesNoOlderViewForANewerOne(t *testing.T) {
+	desk := newPlacementDesk()
+	older, newer := servedModel(1, "r-1"), servedModel(2, "r-2")
+	request := feed.PlaceRequest{Service: "chat", Number: 1, Ask: placement.Ask{Prompt: 100, Output: 10, Deadline: time.Second}}
+	answer, _ := desk.place(newer, "proxy-1", request, 0)
+	must.Eq(t, "r-2", answer.Generator)
+	load := desk.load(older, "chat", 0)
+	must.Len(t, 1, load.Replicas)
+	must.Eq(t, "r-2", load.Replicas[0].Name)
+	desk.load(newer, "chat", 0)
+	must.False(t, desk.idle("chat", "r-2"))
+}
