--- a/connection/exchange/identity_test.go
+++ b/connection/exchange/identity_test.go
@@ -189,3 +189,17 @@
 		})
 	}
 }
+
+// A connection that is in use when its address is given up belongs to the owner that is
+// gone: whoever has the address next is not asked over it.
+func TestConnectionInUseWhenItsAddressIsGivenUpIsNotKept(t *testing.T) {
+	server := newReplica(t, say(ok))
+	pool := newPool(t)
+	answer, err := pool.Do(t.Context(), server.address(), get("/"))
+	must.NoError(t, err)
+	pool.Drop(server.address())
+	_, err = io.ReadAll(answer)
+	must.NoError(t, err)
+	answer.Close()
+	must.False(t, pool.Idle(server.address()))
+}
--- a/process/control/membership_test.go
+++ b/process/control/membership_test.go
@@ -98,3 +98,19 @@
 	}
 	must.Eq(t, []string{"a", "b"}, m.otherOperators())
 }
+
+// A member that is being taken in, while the duties hold it for one that never joined, is
+// removed whole: what the duties saw of the configuration is older than its joining.
+func TestMemberTakenInMeanwhileIsRemovedWhole(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.start(0, 1, 2)
+	c.awaitFurtherLosses(1)
+	current := c.running[c.leader()].member.group.Load()
+	before := current.replica.Status()
+	joining := state.Member{ID: 7, Name: "control-7", PeerAddress: "127.0.0.1:1", FeedAddress: "127.0.0.1:2", OperatorAddress: "127.0.0.1:3"}
+	must.NoError(t, current.addMember(t.Context(), joining))
+	must.SliceContains(t, allMembers(current.replica.Status().Configuration), raft.MemberID(joining.ID))
+	must.NoError(t, current.removeMember(t.Context(), joining, before))
+	must.False(t, current.isRecorded(joining))
+	must.SliceNotContains(t, allMembers(current.replica.Status().Configuration), raft.MemberID(joining.ID))
+}
--- a/process/ingress/long_test.go
+++ b/process/ingress/long_test.go
@@ -85,3 +85,16 @@
 		})
 	}
 }
+
+// A caller may take up a broken stream itself. A run that begins anew then is no more a part
+// of what the caller has than one that this proxy has asked to go on.
+func TestOnlyARunThatContinuesItsCallersStreamIsPassedOn(t *testing.T) {
+	anew := newFakeReplica(t, "r-1", func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Del(testResume)
+		streamEvents(3, "")(w, r)
+	})
+	w := newWorld(t, anew)
+	got := w.ask(asked{method: "GET", target: "/resume/", id: "q", fields: map[string]string{testResume: "2"}})
+	must.StrNotContains(t, got.body, eventText(1))
+	must.StrNotContains(t, got.body, eventText(2))
+}
