Ingress: an older view replaces no newer one

Cause: as in the test before: a request that had loaded a view and was overtaken stored its older table and list over those of the one that overtook it.

Change: versions are compared where the view is taken in, and the table is swapped only for the one that was looked at; as process/proxy does.

Seen: TestOlderViewReplacesNoNewerOne passes, and failed before.

--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -72,23 +72,30 @@
 
 func (i *Ingress) now() time.Duration { return i.clock() }
 
-// routes returns the route table of the view that is held now.
+// routes returns the route table of the view that is held now. Requests load views side by
+// side: one that was overtaken must not put its older view in the place of a newer one.
 func (i *Ingress) routes() *routeTable {
 	current := i.views.Load()
-	known := i.table.Load()
-	if known.version == current.Version {
-		return known.routes
-	}
-	i.lanes.update(current, i.now())
-	held := current.Ingresses[api.IngressName]
-	next := &tableAt{version: current.Version, ingress: held, routes: known.routes}
-	if held != known.ingress {
-		next.routes = newRouteTable(held)
-		event.IngressInForce.Log(i.logger, "generation", next.routes.generation, "routes", len(held.Spec.Routes),
-			"revision", current.Version.Revision, "term", current.Version.Term)
+	for {
+		known := i.table.Load()
+		if current.Version.Compare(known.version) <= 0 {
+			return known.routes
+		}
+		i.lanes.update(current, i.now())
+		held := current.Ingresses[api.IngressName]
+		next := &tableAt{version: current.Version, ingress: held, routes: known.routes}
+		if held != known.ingress {
+			next.routes = newRouteTable(held)
+		}
+		if !i.table.CompareAndSwap(known, next) {
+			continue
+		}
+		if held != known.ingress {
+			event.IngressInForce.Log(i.logger, "generation", next.routes.generation, "routes", len(held.Spec.Routes),
+				"revision", current.Version.Revision, "term", current.Version.Term)
+		}
+		return next.routes
 	}
-	i.table.Store(next)
-	return next.routes
 }
 
 // Ready reports whether callers may be sent here.
--- a/process/ingress/lane.go
+++ b/process/ingress/lane.go
@@ -59,11 +59,12 @@
 	return opened
 }
 
-// update takes in a view. What is in flight to replicas that are gone goes on.
+// update takes in a view that is newer than the last one. What is in flight to replicas
+// that are gone goes on.
 func (l *lanes) update(current *view.View, now time.Duration) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	if current.Version == l.version {
+	if current.Version.Compare(l.version) <= 0 {
 		return
 	}
 	l.version = current.Version
