Control: the desk takes in no older view

TestDeskFollowsTheView went through its revisions in the order of a map and so asked, in half of its runs, that an older view be obeyed; it goes forward now, through one more.

Change: versions are compared.

--- a/process/control/placement.go
+++ b/process/control/placement.go
@@ -78,9 +78,10 @@
 	return shown
 }
 
-// update takes in a new view; the lock is held.
+// update takes in a view that is newer than the last one: callers load theirs before they
+// have the lock, and may be overtaken. The lock is held.
 func (d *placementDesk) update(current *view.View) {
-	if current.Version == d.version {
+	if current.Version.Compare(d.version) <= 0 {
 		return
 	}
 	d.version = current.Version
--- a/process/control/placement_test.go
+++ b/process/control/placement_test.go
@@ -49,8 +49,8 @@
 func TestDeskFollowsTheView(t *testing.T) {
 	desk := newPlacementDesk()
 	request := feed.PlaceRequest{Service: "chat", Number: 1, Ask: placement.Ask{Prompt: 100, Output: 10, Deadline: time.Second}}
-	for revision, replica := range map[uint64]string{1: "r-1", 2: "r-2"} {
-		answer, _ := desk.place(servedModel(revision, replica), "proxy-1", request, 0)
+	for i, replica := range []string{"r-1", "r-2", "r-3"} {
+		answer, _ := desk.place(servedModel(uint64(i)+1, replica), "proxy-1", request, 0)
 		must.Eq(t, replica, answer.Generator)
 	}
 }
