Ingress: the load in a misdirected answer is another replica's

Change: it is not kept for the replica that was asked. That the address answers still ends its silence, as before.

Seen: TestLoadOfAnotherReplicaIsNotBelieved passes, and failed before.

--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -114,7 +114,7 @@
 func (s *session) takeHandle(chosen plan, answer *exchange.Answer, began time.Duration) (handle string, refused bool) {
 	reader, now := chosen.reader, s.ingress.now()
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
-	reader.hear(reply.Load, now)
+	reader.hear(reply.ownLoad(), now)
 	body, err := io.ReadAll(io.LimitReader(answer, maxHandleBytes))
 	if err != nil || answer.Status != http.StatusOK || !reply.Named {
 		fmt.Fprintf(&s.trace, " prefill(%s: status %d)", reader.name, answer.Status)
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -128,7 +128,7 @@
 	s.sends++
 	s.answered = true
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
-	target.hear(reply.Load, s.ingress.now())
+	target.hear(reply.ownLoad(), s.ingress.now())
 	return s.judge(ctx, chosen, sent, number, answer, reply)
 }
 
--- a/process/ingress/types.go
+++ b/process/ingress/types.go
@@ -88,6 +88,15 @@
 	Load *Load
 }
 
+// ownLoad is the load of the replica that was asked: another one that answers at its
+// address speaks of its own.
+func (r *Reply) ownLoad() *Load {
+	if r.Misdirected {
+		return nil
+	}
+	return r.Load
+}
+
 // Load is what a replica says of its load.
 type Load struct {
 	Running int
