Ingress: a stream that its caller takes up goes on behind what the caller has

What held events against those that the caller has looked at this proxy's own resumes alone.

Change: on a resumable route the caller's Last-Event counts as well.

Seen: TestOnlyARunThatContinuesItsCallersStreamIsPassedOn passes, and failed before; the cases of TestOnlyARunThatContinuesAStreamIsJoinedToIt pass as before.

--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -17,12 +18,12 @@
 // out with the first event: until then the request can be tried elsewhere
 // without the caller noticing. A run that continues another one's stream goes
 // on under the first one's head, as long as its events come after those that the
-// caller has.
+// caller has, be it from this proxy or from the stream that it takes up itself.
 func (s *session) stream(ctx context.Context, chosen plan, sent *send, number uint32, answer *exchange.Answer) verdict {
 	target := chosen.target
 	events := newEventReader(answer)
 	flusher := http.NewResponseController(s.writer)
-	resumed := s.headSent
+	continues := s.headSent || s.route.Resumable && s.call.ResumeAfter != ""
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -31,7 +32,7 @@
 		if err != nil {
 			return s.breakStream(ctx, target, number, err)
 		}
-		if resumed && hasData(event) && !comesAfter(id, s.lastEvent) {
+		if continues && hasData(event) && !comesAfter(id, cmp.Or(s.lastEvent, s.call.ResumeAfter)) {
 			return s.breakStream(ctx, target, number, errNotContinued)
 		}
 		if s.events == 0 || !sent.begun(target) {
