--- a/connection/orders/orders_test.go
+++ b/connection/orders/orders_test.go
@@ -214,3 +214,13 @@
 		must.Eq(t, 0, poller.Seen()["engine-1"].Load.Running)
 	})
 }
+
+// Two questions for an engine's load can be under way where its entry was replaced by one
+// with the same address. The answer to the earlier one says less than what is known.
+func TestLateLoadReportReplacesNoLaterOne(t *testing.T) {
+	known := &target{heard: true, seen: Seen{State: engineapi.State{Incarnation: 3}}}
+	known.recordLoad(engineapi.Load{Incarnation: 3, Running: 7}, 2*time.Second)
+	known.recordLoad(engineapi.Load{Incarnation: 3, Running: 1}, time.Second)
+	must.Eq(t, 7, known.seen.Load.Running)
+	must.Eq(t, 2*time.Second, known.seen.LoadAt)
+}
