--- a/connection/orders/poller.go
+++ b/connection/orders/poller.go
@@ -280,9 +280,10 @@
 	}
 }
 
-// recordLoad keeps the report unless it is of an earlier life of the engine: reports lag.
+// recordLoad keeps the report unless it is of an earlier life of the engine, since reports
+// lag, or a later question was answered already.
 func (t *target) recordLoad(load engineapi.Load, askedAt time.Duration) {
-	if load.Incarnation == t.seen.State.Incarnation {
+	if load.Incarnation == t.seen.State.Incarnation && askedAt >= t.seen.LoadAt {
 		t.seen.Load, t.seen.LoadAt = load, askedAt
 	}
 }
