Ingress: a handle is named only where it can stand in a head

Change: a read whose handle has other than visible characters counts as one without a handle.

Seen: TestHandleAddsNothingToARequest passes, and failed before.

--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/exchange"
@@ -128,6 +129,9 @@
 		return "", reply.NotRun || reply.Misdirected
 	}
 	handle, err = s.ingress.config.Dialect.Handle(body)
+	if err == nil && !isPlain(handle) {
+		err = errHandle
+	}
 	if err != nil {
 		fmt.Fprintf(&s.trace, " prefill(%s: %v)", reader.name, err)
 		chosen.placed.note(placement.StepUnread, reader.name, 0)
@@ -137,6 +141,15 @@
 	return handle, false
 }
 
+// errHandle says that a replica named something as a handle that cannot be one.
+var errHandle = errors.New("ingress: handle with other than visible characters")
+
+// isPlain reports whether a replica's word can stand in the head of a request: with a line
+// end in it, it would add to the request what no caller sent.
+func isPlain(word string) bool {
+	return strings.IndexFunc(word, func(r rune) bool { return r <= ' ' || r > '~' }) < 0
+}
+
 // noteRead learns from a read that its reader has done.
 func (s *session) noteRead(chosen plan, took time.Duration) {
 	reader, uncached := chosen.reader, chosen.uncached
