--- a/process/ingress/belief_test.go
+++ b/process/ingress/belief_test.go
@@ -100,7 +100,6 @@
 
 // tellingPlacer keeps which requests the group was asked for and told of.
 type tellingPlacer struct {
-	fakePlacer
 	asked []uint64
 	ended []uint64
 }
