Proxy test: the report of another engine at an address is believed

Cause: process/proxy poller.go pollLoad and endpoint.go report take in a load report whatever engine it names; connection/orders and process/control hold the name against the one asked. The stand-in of largeFleet names one engine for all, so that the package's tests could not show it.

Ruled out: runs and hand-overs, which name the incarnation that they are meant for.

Change: a test only. Engine heads (hearHeader) name no engine, so that a mend has to hear them after the body.

Seen to fail: go test ./process/proxy -run TestReportOfAnotherEngine.

--- a/process/proxy/incarnation_test.go
+++ b/process/proxy/incarnation_test.go
@@ -26,3 +26,13 @@
 	e.hear(spokenWord{said: 9 * time.Second, now: 11 * time.Second, phase: api.PhaseServing, incarnation: 7})
 	must.Eq(t, uint64(8), e.word().incarnation)
 }
+
+// An address may have gone to another engine, whose report says nothing of the one that is
+// looked for there. Until an engine has spoken for itself, nothing else tells the two apart.
+func TestReportOfAnotherEngineSaysNothing(t *testing.T) {
+	e := newEndpoint("e1", "", "", true)
+	e.report(time.Second, time.Second, engineapi.Load{Engine: "e2", Incarnation: 7, Phase: api.PhaseServing, Running: 50})
+	must.Eq(t, uint64(0), e.word().incarnation)
+	must.False(t, e.word().heard)
+	must.Eq(t, 0, e.load.Running)
+}
