Placement test: the late start of an older request ends a ban

Cause: request/placement failure.go succeed ends a ban whatever the request that it comes from was placed by; miss, beside it, holds the placement against the ban. A proxy whose word is late ends the ban of a replica that is gone, and each request that is drawn there costs a retry.

Ruled out: that a start after the ban proves the replica to be there: it was seen at the proxy before it was told, and neither says when.

Change: a test only. A mend would let succeed end the ban only for a request that was placed behind it, as miss does; it is a choice, since a replica in good order whose ban was wrong is then tried a second later.

Seen to fail: go test ./request/placement -run TestStartOfARequestPlaced.

--- a/request/placement/read_test.go
+++ b/request/placement/read_test.go
@@ -82,3 +82,14 @@
 		must.Eq(t, gone, b.Place(400*ms, key(2), ask).Wait == 0)
 	}
 }
+
+// What a request tells that was placed before the ban is as old where it began as where it
+// was misdirected: its word may have been on the way for longer than that of the ban.
+func TestStartOfARequestPlacedBeforeTheBanIsOld(t *testing.T) {
+	b := newTestBoard()
+	alone := Ask{Prompt: 100, Zone: "a", Deadline: time.Hour, Excluded: []string{"make-2"}}
+	must.Eq(t, "make-1", b.Place(0, key(1), alone).Generator)
+	b.Note(1*ms, key(9), Note{Step: StepMisdirected, Replica: "make-1"})
+	b.Note(2*ms, key(1), Note{Step: StepStarted})
+	must.True(t, b.replicas["make-1"].isAbsent(3*ms))
+}
