Feed: a proxy's word counts from its daemon's latest subscription only

Cause: what a proxy said of itself was kept by its name in order of arrival. What an earlier process had said before it ended, and its link delivered late, replaced the word of the one that came after it: the proxy was off the directory until its next beat.

Change: subscriptions are numbered as they are accepted; a word of one that is not its daemon's latest is dropped, under the lock under which a later one would be added. Ending the connection instead was ruled out: two proxies that an operator has given one name would then throw each other off for ever.

The test sent the late word and waited for a third word or for the end of the connection; it waits for what comes behind the late word on the same connection now, as strict.

--- a/connection/feed/incarnation_test.go
+++ b/connection/feed/incarnation_test.go
@@ -16,6 +16,13 @@
 	return g.presences[len(g.presences)-1], len(g.presences)
 }
 
+// reports returns how many reports of demand came.
+func (g *fakeGroup) reports() int {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return len(g.demand)
+}
+
 // say sends a proxy's word; the server may have ended the subscription.
 func (r *rawSubscriber) say(presence Presence) {
 	_ = r.writer.WriteFrame(kindPresence, encodePresence(presence))
@@ -27,7 +34,7 @@
 // word any more: it would take the proxy off the directory.
 func TestLateWordOfAnEarlierProcessSaysNothingOfItsProxy(t *testing.T) {
 	group := newFakeGroup()
-	server, address := startServer(t, group)
+	_, address := startServer(t, group)
 	subscribeAs := func(instance uint64) *rawSubscriber {
 		raw := newRawSubscriber(t, address)
 		raw.send(kindSubscribe, encodeSubscribe(subscribe{daemon: "proxy-a", instance: instance}))
@@ -40,10 +47,8 @@
 	eventually(t, "the word of the later process", func() bool { _, count := group.told(); return count == 2 })
 
 	earlier.say(Presence{Proxy: "proxy-a", Stopping: true})
-	eventually(t, "the late word is taken in, or its connection is at its end", func() bool {
-		_, count := group.told()
-		return count == 3 || server.Subscribers() == 1
-	})
+	earlier.send(kindDemand, encodeDemand(DemandReport{}))
+	eventually(t, "what comes behind the late word is taken in", func() bool { return group.reports() == 1 })
 	last, _ := group.told()
 	must.False(t, last.Stopping)
 }
--- a/connection/feed/server.go
+++ b/connection/feed/server.go
@@ -136,7 +136,8 @@
 	config   ServerConfig
 	listener net.Listener
 	shards   [subscriberShards]subscriberShard
-	next     atomic.Uint64 // spreads subscribers over the shards
+	accepted uint64 // connections so far; only accept counts
+	latest   *latestSubscriptions
 	count    atomic.Int64
 	registry atomic.Pointer[registry]
 	cache    deltaCache
@@ -150,6 +151,7 @@
 // NewServer starts a Server on the listener, which it owns from now on.
 func NewServer(config ServerConfig, listener net.Listener) *Server {
 	s := &Server{config: config.withDefaults(), listener: listener, woken: make(chan struct{}, 1)}
+	s.latest = newLatestSubscriptions()
 	s.bulk = make(chan struct{}, s.config.MaxBulkDeltas)
 	s.context, s.cancel = context.WithCancel(context.Background())
 	for i := range s.shards {
@@ -290,7 +292,9 @@
 			event.FeedRefused.Log(s.config.Logger, "address", conn.RemoteAddr(), "err", "too many subscribers")
 			continue
 		}
-		s.done.Go(func() { s.serve(conn) })
+		s.accepted++
+		number := s.accepted
+		s.done.Go(func() { s.serve(conn, number) })
 	}
 }
 
@@ -306,10 +310,10 @@
 	}
 }
 
-func (s *Server) serve(conn net.Conn) {
+func (s *Server) serve(conn net.Conn, number uint64) {
 	defer s.count.Add(-1)
-	subscribed := newSubscriber(s, conn)
-	shard := &s.shards[s.next.Add(1)%subscriberShards]
+	subscribed := newSubscriber(s, conn, number)
+	shard := &s.shards[number%subscriberShards]
 	shard.add(subscribed)
 	err := subscribed.run(s.context)
 	shard.remove(subscribed)
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -23,6 +23,7 @@
 type subscriber struct {
 	server *Server
 	conn   net.Conn
+	number uint64 // of the connection, in the order in which they were accepted
 	key    daemonKey
 	wake   chan struct{}
 	// answers has room for every claim that may be under way, so that putting
@@ -44,11 +45,12 @@
 	bulk   bulkDelta
 }
 
-func newSubscriber(server *Server, conn net.Conn) *subscriber {
+func newSubscriber(server *Server, conn net.Conn, number uint64) *subscriber {
 	maxClaims := server.config.MaxClaims
 	return &subscriber{
 		server:  server,
 		conn:    conn,
+		number:  number,
 		wake:    make(chan struct{}, 1),
 		answers: make(chan answer, maxClaims),
 		slots:   make(chan struct{}, maxClaims),
@@ -95,6 +97,8 @@
 	if err := s.open(first); err != nil {
 		return err
 	}
+	s.server.latest.add(s.key.daemon, s.number)
+	defer s.server.latest.remove(s.key.daemon)
 	for {
 		received, err := reader.ReadFrame()
 		if err != nil {
@@ -154,17 +158,25 @@
 	case kindPlaceNote:
 		return s.receivePlaceNote(received.Payload)
 	case kindPresence:
-		presence, err := decodePresence(received.Payload)
-		if err != nil {
-			return err
-		}
-		s.server.config.Group.ReportPresence(presence)
-		return nil
+		return s.receivePresence(received.Payload)
 	default:
 		return errors.Wrapf(errProtocol, "kind %d", received.Kind)
 	}
 }
 
+// receivePresence takes in what a daemon says of a proxy, unless a later subscription of
+// the daemon is there: its word came after this one, whenever this one arrives.
+func (s *subscriber) receivePresence(payload []byte) error {
+	presence, err := decodePresence(payload)
+	if err != nil {
+		return err
+	}
+	s.server.latest.ifLatest(s.key.daemon, s.number, func() {
+		s.server.config.Group.ReportPresence(presence)
+	})
+	return nil
+}
+
 func (s *subscriber) receiveBeat(payload []byte) error {
 	message, err := decodeBeat(payload)
 	if err != nil {
