What is believed of a replica's answer is what it proves

Change: - A status by which callers know that a request has not run goes out only with the replica's own word for it; else it is a failure like any other, with 502 where it can't be tried again. - A refusal counts only if it names its request, on a new connection too, as on the own data path; the load in an answer that names nobody counts for nobody.

Tests: the stand-ins refuseRun and misdirected name the request, as PROTOCOL's replicas do; a stand-in for many engines at one address names none. Tried and taken back: not keeping a connection whose answer named nobody; it buys nothing where replicas name their answers.

--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -16,7 +16,7 @@
 // conn is one connection to a replica. One request at a time uses it.
 type conn struct {
 	net.Conn
-	address     string
+	list        *idleList // where it is kept while it is idle
 	reader      *bufio.Reader
 	usableUntil time.Time
 	// maxHead bounds the heads before one answer, in bytes; headLeft is what is left of
@@ -26,8 +26,8 @@
 	inHead   bool
 }
 
-func newConn(raw net.Conn, address string, maxHead int64) *conn {
-	created := &conn{Conn: raw, address: address, maxHead: maxHead}
+func newConn(raw net.Conn, list *idleList, maxHead int64) *conn {
+	created := &conn{Conn: raw, list: list, maxHead: maxHead}
 	created.reader = bufio.NewReaderSize(created, readBufferBytes)
 	return created
 }
--- a/connection/exchange/exchange_test.go
+++ b/connection/exchange/exchange_test.go
@@ -243,12 +243,20 @@
 	}
 }
 
+// idleConns returns what the pool keeps; its lock is held.
+func idleConns(pool *Pool, address string) []*conn {
+	if list := pool.idle[address]; list != nil {
+		return list.conns
+	}
+	return nil
+}
+
 // waitReadable waits until something has come on the idle connection.
 func waitReadable(t *testing.T, pool *Pool, address string) {
 	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 		pool.lock.Lock()
-		idle := pool.idle[address]
+		idle := idleConns(pool, address)
 		quiet := len(idle) == 1 && idle[0].quiet()
 		pool.lock.Unlock()
 		if !quiet {
@@ -313,7 +321,7 @@
 	must.Eq(t, http.StatusRequestEntityTooLarge, answer.Status)
 	answer.Close()
 	pool.lock.Lock()
-	must.SliceEmpty(t, pool.idle[listener.Addr().String()])
+	must.SliceEmpty(t, idleConns(pool, listener.Addr().String()))
 	pool.lock.Unlock()
 	_ = (<-held).Close()
 }
@@ -362,7 +370,7 @@
 	answer.Close()
 	pool.lock.Lock()
 	defer pool.lock.Unlock()
-	must.SliceEmpty(t, pool.idle[server.address()])
+	must.SliceEmpty(t, idleConns(pool, server.address()))
 }
 
 func TestConnectionsEndBeforeTheOtherSideEndsThem(t *testing.T) {
@@ -382,7 +390,7 @@
 		_, err := whole(t, pool, server.address(), get("/"))
 		must.NoError(t, err)
 		pool.lock.Lock()
-		must.SliceLen(t, test.kept, pool.idle[server.address()], must.Sprint(test.fields))
+		must.SliceLen(t, test.kept, idleConns(pool, server.address()), must.Sprint(test.fields))
 		pool.lock.Unlock()
 	}
 }
@@ -403,11 +411,11 @@
 		answer.Close()
 	}
 	pool.lock.Lock()
-	must.SliceLen(t, 2, pool.idle[server.address()])
+	must.SliceLen(t, 2, idleConns(pool, server.address()))
 	pool.lock.Unlock()
 	pool.Drop(server.address())
 	pool.lock.Lock()
-	must.SliceEmpty(t, pool.idle[server.address()])
+	must.SliceEmpty(t, idleConns(pool, server.address()))
 	pool.lock.Unlock()
 }
 
@@ -427,7 +435,7 @@
 			_ = far.Close()
 		}()
 		defer func() { _ = near.Close() }()
-		used := newConn(near, "a", DefaultMaxHeaderBytes)
+		used := newConn(near, &idleList{}, DefaultMaxHeaderBytes)
 		response, err := readHead(used, http.MethodGet)
 		if err != nil {
 			return
--- a/connection/exchange/pool.go
+++ b/connection/exchange/pool.go
@@ -81,7 +81,14 @@
 
 	lock   sync.Mutex
 	closed bool
-	idle   map[string][]*conn // the one used last is the last
+	idle   map[string]*idleList // by address
+}
+
+// idleList is the idle connections to an address for as long as its owner has it. One in
+// use belongs to the list of its time, and never comes to that of the address's next owner.
+type idleList struct {
+	conns   []*conn // the one used last is the last
+	dropped bool
 }
 
 // NewPool returns an empty pool.
@@ -89,7 +96,7 @@
 	config = config.withDefaults()
 	return &Pool{
 		config: config,
-		idle:   map[string][]*conn{},
+		idle:   map[string]*idleList{},
 		dialer: net.Dialer{
 			Timeout: config.DialTimeout,
 			// A machine that has lost its power says nothing: keep-alive probes
@@ -118,24 +125,41 @@
 }
 
 func (p *Pool) dropLocked(address string) {
-	for _, kept := range p.idle[address] {
+	list := p.idle[address]
+	if list == nil {
+		return
+	}
+	for _, kept := range list.conns {
 		_ = kept.Conn.Close() // nothing is under way on it
 	}
+	list.conns, list.dropped = nil, true
 	delete(p.idle, address)
 }
 
+// list returns the idle connections to an address.
+func (p *Pool) list(address string) *idleList {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	list := p.idle[address]
+	if list == nil {
+		list = &idleList{}
+		p.idle[address] = list
+	}
+	return list
+}
+
 // Idle reports whether a connection to the address is kept that may be used now.
 func (p *Pool) Idle(address string) bool {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	list := p.idle[address]
-	return len(list) > 0 && time.Now().Before(list[len(list)-1].usableUntil)
+	return list != nil && len(list.conns) > 0 && time.Now().Before(list.conns[len(list.conns)-1].usableUntil)
 }
 
 // take returns an idle connection that is still good, or nil.
-func (p *Pool) take(address string) *conn {
+func (p *Pool) take(list *idleList) *conn {
 	for {
-		kept := p.pop(address)
+		kept := p.pop(list)
 		if kept == nil {
 			return nil
 		}
@@ -146,15 +170,14 @@
 	}
 }
 
-func (p *Pool) pop(address string) *conn {
+func (p *Pool) pop(list *idleList) *conn {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
+	if len(list.conns) == 0 {
 		return nil
 	}
-	last := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
+	last := list.conns[len(list.conns)-1]
+	list.conns = list.conns[:len(list.conns)-1]
 	return last
 }
 
@@ -162,19 +185,20 @@
 func (p *Pool) put(kept *conn) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	list := p.idle[kept.address]
-	if p.closed || len(list) >= p.config.MaxIdle {
-		_ = kept.Conn.Close() // there are enough
+	list := kept.list
+	if p.closed || list.dropped || len(list.conns) >= p.config.MaxIdle {
+		_ = kept.Conn.Close() // there are enough, or its other side is gone
 		return
 	}
-	p.idle[kept.address] = append(list, kept)
+	list.conns = append(list.conns, kept)
 }
 
 // get returns a connection to the address on which the answer can be told from others,
 // and whether it was used before.
 func (p *Pool) get(ctx context.Context, address string, request *Request) (*conn, bool, error) {
+	list := p.list(address)
 	if request.sharesConnections() && !request.Identity.Repeated {
-		if kept := p.take(address); kept != nil {
+		if kept := p.take(list); kept != nil {
 			return kept, true, nil
 		}
 	}
@@ -182,7 +206,7 @@
 	if err != nil {
 		return nil, false, errors.WithStack(err)
 	}
-	opened := newConn(raw, address, p.config.MaxHeaderBytes)
+	opened := newConn(raw, list, p.config.MaxHeaderBytes)
 	opened.limitSilence(p.config.Unacknowledged)
 	return opened, false, nil
 }
--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -20,7 +20,7 @@
 // judge decides by the head of the answer what it means, and passes it on.
 func (s *session) judge(ctx context.Context, chosen plan, sent *send, number uint32, answer *exchange.Answer, reply Reply) verdict {
 	target := chosen.target
-	if reply.NotRun || reply.Misdirected {
+	if reply.refuses() {
 		s.life.Fail(number, attempt.FaultRefused)
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxHeldAnswer)) // lets the connection be kept
 		if reply.Misdirected {
@@ -29,7 +29,7 @@
 		}
 		return verdictNotRun
 	}
-	if !reply.Named || isSuccess(answer.Status) && !reply.Genuine {
+	if !reply.Named || isSuccess(answer.Status) && !reply.Genuine || promisesNotRun(answer.Status) {
 		s.life.Fail(number, attempt.FaultBroken)
 		target.fail()
 		return s.brokenUnless(ctx)
@@ -60,6 +60,17 @@
 	return verdictBroken
 }
 
+// promisesNotRun reports whether a status tells callers that the request has not run and
+// never will. Of a replica that does not say so itself it is a failure like any other.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
 // whole passes on an answer that is no stream. Up to the bound it is held until
--- a/process/ingress/harness_test.go
+++ b/process/ingress/harness_test.go
@@ -185,7 +185,8 @@
 }
 
 // refuseRun says that the request was not run.
-func refuseRun(w http.ResponseWriter, _ *http.Request) {
+func refuseRun(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(testID, r.Header.Get(testID))
 	w.Header().Set(testNotRun, "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/process/ingress/ingress_test.go
+++ b/process/ingress/ingress_test.go
@@ -152,7 +152,8 @@
 	_, _ = io.WriteString(w, `"for somebody"`)
 }
 
-func misdirected(w http.ResponseWriter, _ *http.Request) {
+func misdirected(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(testID, r.Header.Get(testID))
 	w.WriteHeader(http.StatusMisdirectedRequest)
 }
 
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -126,7 +126,7 @@
 			step = placement.StepMisdirected
 		}
 		chosen.placed.note(step, reader.name, 0)
-		return "", reply.NotRun || reply.Misdirected
+		return "", !reply.Named || reply.refuses()
 	}
 	handle, err = s.ingress.config.Dialect.Handle(body)
 	if err == nil && !isPlain(handle) {
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -52,7 +52,7 @@
 		if s.events++; s.events == 1 {
 			s.firstAt = s.ingress.now()
 		}
-		if id != "" {
+		if id != "" && isPlain(id) {
 			s.lastEvent = id
 		} else if hasData(event) {
 			s.begun = true // no other run can be told to go on behind it
--- a/process/ingress/types.go
+++ b/process/ingress/types.go
@@ -88,10 +88,14 @@
 	Load *Load
 }
 
+// refuses reports whether the answer proves that the request has not run. One that names
+// nobody may have been sent before the request was read, which may then run all the same.
+func (r *Reply) refuses() bool { return r.Named && (r.NotRun || r.Misdirected) }
+
 // ownLoad is the load of the replica that was asked: another one that answers at its
-// address speaks of its own.
+// address speaks of its own, and one that names nobody may be any.
 func (r *Reply) ownLoad() *Load {
-	if r.Misdirected {
+	if r.Misdirected || !r.Named {
 		return nil
 	}
 	return r.Load
--- a/process/proxy/endpoint.go
+++ b/process/proxy/endpoint.go
@@ -125,8 +125,16 @@
 	e.hear(spokenWord{said: asked, now: now, phase: phase, incarnation: incarnationOf(header)})
 }
 
+// speaksForAnother reports whether a report is another engine's, which has the address now.
+func (e *endpoint) speaksForAnother(load engineapi.Load) bool {
+	return load.Engine != "" && load.Engine != e.name
+}
+
 // report takes in a load report, which tells of a time that is past.
 func (e *endpoint) report(asked, now time.Duration, load engineapi.Load) {
+	if e.speaksForAnother(load) {
+		return
+	}
 	age := time.Duration(load.AgeMilliseconds) * time.Millisecond
 	e.lock.Lock()
 	defer e.lock.Unlock()
--- a/process/proxy/poller.go
+++ b/process/proxy/poller.go
@@ -101,6 +101,9 @@
 	asked := p.proxy.clock()
 	header, err := p.get(ctx, p.lane.loadBudget, engineapi.PathLoad, &load)
 	now := p.proxy.clock()
+	if p.endpoint.speaksForAnother(load) {
+		return errors.Wrapf(errNoAnswer, "engine %s answers", load.Engine)
+	}
 	if header != nil {
 		p.endpoint.hearHeader(asked, now, header)
 	}
--- a/process/proxy/poller_test.go
+++ b/process/proxy/poller_test.go
@@ -83,7 +83,8 @@
 	return count, err
 }
 
-// largeFleet is a view of count stand-in engines that share one address.
+// largeFleet is a view of count stand-in engines that share one address, at which
+// nobody is named: a report that names another engine counts for nothing.
 func largeFleet(tb testing.TB, count int) (*view.View, *countingListener) {
 	tb.Helper()
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -91,7 +92,7 @@
 		w.Header().Set(engineapi.HeaderIncarnation, "11")
 		w.Header().Set(engineapi.HeaderPhase, string(api.PhaseServing))
 		if r.URL.Path == engineapi.PathLoad {
-			writeJSON(w, http.StatusOK, engineapi.Load{Engine: "engine-00000", Incarnation: 11, Phase: api.PhaseServing, Running: 12, KVUsed: 0.4567})
+			writeJSON(w, http.StatusOK, engineapi.Load{Incarnation: 11, Phase: api.PhaseServing, Running: 12, KVUsed: 0.4567})
 			return
 		}
 		writeJSON(w, http.StatusOK, engineapi.CacheEvents{Incarnation: 11, Snapshot: true})
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -252,7 +252,7 @@
 	p.started = true
 	b.fairnessOf(now, &p.ask).start(now, p.ask.group)
 	b.learnStart(now, p)
-	p.runningAt.succeed()
+	p.runningAt.succeed(p)
 	p.runningAt.cache.use(p.ask.Parts, b.cacheLimit())
 }
 
@@ -281,7 +281,7 @@
 	b.learnRead(now, p)
 	p.readAt = now
 	p.behind = p.runningAt.backlog(now, b.paces[p.runningAt.Role].perToken(), &p.ask)
-	at.succeed()
+	at.succeed(p)
 	b.unqueue(now, p)
 	at.readAt = now
 	at.cache.use(p.ask.Parts, b.cacheLimit())
--- a/request/placement/board_test.go
+++ b/request/placement/board_test.go
@@ -153,7 +153,7 @@
 		b.Note(now, key(1000), Note{Step: StepMisdirected, Replica: "make-1"})
 	}
 	must.Eq(t, maxAbsence, b.replicas["make-1"].absence)
-	b.replicas["make-1"].succeed()
+	b.replicas["make-1"].succeed(&placed{at: time.Minute})
 	must.False(t, b.replicas["make-1"].isAbsent(time.Minute))
 }
 
--- a/request/placement/failure.go
+++ b/request/placement/failure.go
@@ -112,11 +112,14 @@
 // isAbsent reports whether the replica is gone from its address, by the last word.
 func (r *replica) isAbsent(now time.Duration) bool { return now < r.absentTill }
 
-// succeed notes that the replica did what it was asked for: whatever it has left
-// unanswered, it is there.
-func (r *replica) succeed() {
+// succeed notes that the replica did what p asked it for: whatever it has left
+// unanswered, it is there. That says nothing of a later word by which it is gone.
+func (r *replica) succeed(p *placed) {
 	r.failureRate *= 1 - failureWeight
-	r.suspicion, r.refusal, r.absence = 0, 0, 0
-	r.suspectTill, r.absentTill = 0, 0
+	r.suspicion, r.refusal = 0, 0
+	r.suspectTill = 0
 	r.trial = nil
+	if p.at >= r.absentSince {
+		r.absence, r.absentTill = 0, 0
+	}
 }
