Poller asks those first that have been due for longest

Cause: where a shard has more due engines than workers, because silent ones hold them, those to be asked were drawn in the order of a map, so that chance decided who waited: an engine could be passed over again and again. TestPollerHearsTheOthersBesideSilentEngines, in virtual time, failed where an engine was asked twice only in 30 s.

Ruled out: the machine's load, for the time is virtual; a shard with many more silent engines than the others, which delays all of its engines alike.

Change: due engines are asked in the order in which they became due, then of their last question; a poked engine goes first as before. A shard without a free worker looks for none.

Conclusion: the product was wrong.

--- a/connection/orders/orders_test.go
+++ b/connection/orders/orders_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -141,6 +142,30 @@
 	})
 }
 
+// TestSilentEnginesTakeTurns: there are more engines than workers, and none
+// answers before its question is given up.
+func TestSilentEnginesTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asker := &fleet{asked: map[string]int{}}
+		poller := startPoller(asker, nil)
+		defer poller.Close()
+		targets := map[string]string{}
+		for i := range 4 * pollerShards * shardWorkers {
+			name := fmt.Sprintf("silent-%d", i)
+			targets[name] = name
+		}
+		poller.SetTargets(targets)
+		time.Sleep(time.Minute)
+		for i := range poller.shards {
+			least, most := math.MaxInt, 0
+			for name := range poller.shards[i].targets {
+				least, most = min(least, asker.count(name)), max(most, asker.count(name))
+			}
+			must.Between(t, most-1, least, most)
+		}
+	})
+}
+
 func TestPollerAsksEachEngineOnceAnInterval(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		asker := &fleet{asked: map[string]int{}}
--- a/connection/orders/poller.go
+++ b/connection/orders/poller.go
@@ -1,8 +1,10 @@
 package orders
 
 import (
+	"cmp"
 	"context"
 	"hash/maphash"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,8 +55,10 @@
 
 // target is one observed engine.
 type target struct {
+	name    string
 	address string
 	dueAt   time.Duration
+	turn    uint64 // of its last question; 0 before the first
 	asking  bool
 	seen    Seen
 	heard   bool
@@ -64,6 +68,7 @@
 	sync.Mutex
 	targets map[string]*target
 	workers chan struct{}
+	turn    uint64 // counts the questions
 }
 
 // Poller observes engines until it is closed.
@@ -127,7 +132,7 @@
 	s.Lock()
 	defer s.Unlock()
 	if s.targets[name] == nil {
-		s.targets[name] = &target{address: address}
+		s.targets[name] = &target{name: name, address: address}
 	}
 }
 
@@ -211,31 +216,48 @@
 	}
 }
 
-// startDue starts a question to each engine that is due, as long as workers are free.
+// startDue starts a question to each engine that is due, as long as workers are
+// free: those first that have been due for longest, so that each gets its turn.
 func (p *Poller) startDue(shard *pollerShard, asking *sync.WaitGroup) {
 	now := p.config.Clock()
 	shard.Lock()
 	defer shard.Unlock()
+	if len(shard.workers) == cap(shard.workers) {
+		return
+	}
 	interval := p.interval(len(shard.targets))
-	for name, known := range shard.targets {
-		if known.asking || known.dueAt > now {
-			continue
-		}
+	for _, next := range shard.due(now) {
 		select {
 		case shard.workers <- struct{}{}:
 		default:
 			return
 		}
-		known.asking = true
-		known.dueAt = now + interval
-		address := known.address
+		shard.turn++
+		next.turn, next.asking = shard.turn, true
+		next.dueAt = now + interval
+		address := next.address
 		asking.Go(func() {
 			defer func() { <-shard.workers }()
-			p.ask(shard, name, address)
+			p.ask(shard, next.name, address)
 		})
 	}
 }
 
+// due returns the engines to ask, in the order in which they became due and, of
+// those that did so at once, were last asked.
+func (s *pollerShard) due(now time.Duration) []*target {
+	var due []*target
+	for _, known := range s.targets {
+		if !known.asking && known.dueAt <= now {
+			due = append(due, known)
+		}
+	}
+	slices.SortFunc(due, func(left, right *target) int {
+		return cmp.Or(cmp.Compare(left.dueAt, right.dueAt), cmp.Compare(left.turn, right.turn))
+	})
+	return due
+}
+
 // interval is the configured one, or as long as the shard's part of the
 // allowed rate makes it.
 func (p *Poller) interval(targets int) time.Duration {
