That a request was not run is recorded however long the group is away

Cause: the record was tried three times and then given up, whereupon the key stayed taken until its retention ended. On a busy disk the group committed nothing for some seconds and changed its leader twice in ten; the proxy logged proxy_outcome_lost for a request that was not run, and its caller, who asked again a second later, was told key_running.

Ruled out: the wait for the record before a new claim; it ended when the record was given up.

Change: a record of "not run" is tried until it is confirmed or the proxy ends. There are no more of them at once than claims in flight when a leader is lost. Records of other outcomes, which may hold answers, are given up as before: nobody is asked to send such a request again.

--- a/process/proxy/claim.go
+++ b/process/proxy/claim.go
@@ -214,11 +214,13 @@
 	return nil
 }
 
+// retryOutcome goes on for as long as the proxy runs where the request was surely
+// not run: its caller may ask again, and would find the key taken.
 func (p *Proxy) retryOutcome(record *state.RunOutcome) {
 	defer p.settled(record)
 	random := newRandom()
 	var err error
-	for try := range outcomeRetries {
+	for try := 0; try < outcomeRetries || p.isOwed(record); try++ {
 		delay, _ := p.config.Backoff.Delay(try, time.Hour, random)
 		time.Sleep(delay)
 		if err = p.tryOutcome(context.Background(), record); err == nil {
@@ -228,6 +230,11 @@
 	event.ProxyOutcomeLost.Log(p.logger, "tenant", record.Tenant, "outcome", string(record.Outcome), "error", err)
 }
 
+// isOwed reports whether the record is to be tried until it is confirmed.
+func (p *Proxy) isOwed(record *state.RunOutcome) bool {
+	return record.Outcome == api.RunNotRun && p.background.Err() == nil
+}
+
 // outcomeOf translates what the caller is told into what is recorded.
 func outcomeOf(ran attempt.Ran) api.RunOutcome {
 	if ran == attempt.RanNo {
--- a/process/proxy/claim_test.go
+++ b/process/proxy/claim_test.go
@@ -330,3 +330,33 @@
 	}
 	return c.fakeControl.RecordOutcome(ctx, outcome)
 }
+
+// TestNotRunIsRecordedHoweverLongTheGroupIsAway: nothing but the record frees the
+// key of a request that was not run.
+func TestNotRunIsRecordedHoweverLongTheGroupIsAway(t *testing.T) {
+	control := &awayRecords{leaderlessControl: leaderlessControl{fakeControl: newFakeControl()}}
+	control.away.Store(3 * outcomeRetries)
+	views := &fixedViews{}
+	views.view.Store(newView(nil, nil))
+	made := New(quick(), views, control, func() time.Duration { return 0 }, log.NewNopLogger())
+	t.Cleanup(made.Close)
+	must.Eq(t, attempt.RanNo, made.claimRun(context.Background(), &envelope{tenant: "default", key: "k1"}, 1).failed.ran)
+	eventually(t, func() bool {
+		control.lock.Lock()
+		defer control.lock.Unlock()
+		return control.claims["default/k1"].Outcome == api.RunNotRun
+	})
+}
+
+// awayRecords takes no record for the first tries.
+type awayRecords struct {
+	leaderlessControl
+	away atomic.Int32
+}
+
+func (c *awayRecords) RecordOutcome(ctx context.Context, outcome state.RunOutcome) error {
+	if c.away.Add(-1) >= 0 {
+		return errors.Wrap(feed.ErrNoQuorum, "test")
+	}
+	return c.fakeControl.RecordOutcome(ctx, outcome)
+}
