Control: only what the state holds for removed is told that it was

Cause: addMember said "this identity was removed", on which a member that joins again empties its disk, whenever the record that it found after its proposal differed from the request. The duties record addresses for members that they know without one, beside the lock of additions and removals; both proposals are committed in one step when a sync holds them up. Where a member's settings differ from those of the leader, the record then is the other one, and a voter that asks whether it counts was told that it was removed. A second way: the mark of a removal is proposed after the change of the configuration, and two changes of leader in between let the member be taken in again before it is marked.

Ruled out by reading: a resend (the same record is found), racing joins and removals under one leader (g.membership is held over both steps), a leader that has applied less (the proposal is answered after its Apply in loop.apply, so all before it is applied, and Restore only goes forward), a member that never joined (its folder holds an identity alone and it has no vote).

Change: the state tells whether an identity was removed, and addMember asks that, after whether the identity counts in the configuration. The invariant stands at addMember.

Both bring the order about; neither was seen in a running group.

Conclusion: a disk that counts is no more emptied on a record's difference.

--- a/process/control/machine.go
+++ b/process/control/machine.go
@@ -121,3 +121,9 @@
 	m.read(func(machine *state.Machine) { members = machine.Members() })
 	return members
 }
+
+// isRemovedMember tells whether the identity was a member's that was removed.
+func (m *machine) isRemovedMember(id uint64) (removed bool) {
+	m.read(func(machine *state.Machine) { removed = machine.IsRemovedMember(id) })
+	return removed
+}
--- a/process/control/membership.go
+++ b/process/control/membership.go
@@ -191,6 +191,11 @@
 
 // addMember records the addresses and adds the member as a learner. Repeating
 // it is harmless.
+//
+// Invariant: errRemovedMember, on which a member empties its disk, is said only of an
+// identity that the applied state holds for removed, which is for ever, and that does not
+// count in the configuration: its disk is in no quorum. That its record differs from what
+// it asked for proves nothing: the duties record addresses as well.
 func (g *group) addMember(ctx context.Context, member state.Member) error {
 	if member.ID == 0 || member.Name == "" || member.PeerAddress == "" || member.FeedAddress == "" || member.OperatorAddress == "" {
 		return errInvalidMember
@@ -206,12 +211,12 @@
 			return err
 		}
 	}
-	if !g.isRecorded(member) {
-		return errRemovedMember
-	}
 	if slices.Contains(allMembers(status.Configuration), raft.MemberID(member.ID)) {
 		return nil
 	}
+	if g.machine.isRemovedMember(member.ID) {
+		return errRemovedMember
+	}
 	return g.changeMembership(ctx, raft.ConfigurationChange{Kind: raft.ChangeAddLearner, Member: raft.MemberID(member.ID)})
 }
 
--- a/process/control/membership_test.go
+++ b/process/control/membership_test.go
@@ -1,10 +1,12 @@
 package control
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/landingtrail/landingtrail/process/replica"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/shoenig/test/must"
 )
@@ -113,3 +115,83 @@
 	must.False(t, current.isRecorded(joining))
 	must.SliceNotContains(t, allMembers(current.replica.Status().Configuration), raft.MemberID(joining.ID))
 }
+
+// The duties may record an address of their own for a member that they know without one,
+// in the step in which the member's word is committed. What is recorded then differs from
+// what the member asked for; but it was not removed, and must not be told to empty its disk.
+func TestMemberWhoseRecordIsReplacedMeanwhileIsNotTakenForRemoved(t *testing.T) {
+	joining := state.Member{ID: 7, Name: "control-7", PeerAddress: "127.0.0.1:1", FeedAddress: "127.0.0.1:2", OperatorAddress: "127.0.0.1:3"}
+	otherwise := joining
+	otherwise.FeedAddress = "127.0.0.1:4"
+	current := newLoneGroup(t, func(m *machine) replica.StateMachine {
+		return &interleaved{machine: m, first: memberCommand(joining), second: memberCommand(otherwise)}
+	})
+	must.NoError(t, current.addMember(t.Context(), joining))
+	must.SliceContains(t, allMembers(current.replica.Status().Configuration), raft.MemberID(joining.ID))
+	must.NoError(t, current.removeMember(t.Context(), joining))
+	must.ErrorIs(t, current.addMember(t.Context(), joining), errRemovedMember)
+}
+
+// Two changes of leader between a removal's steps can leave an identity marked as removed
+// that counts again. Its disk may be needed: it is told so only once it counts no more.
+func TestMemberThatCountsIsNotToldThatItWasRemoved(t *testing.T) {
+	counting := state.Member{ID: 7, Name: "control-7", PeerAddress: "127.0.0.1:1", FeedAddress: "127.0.0.1:2", OperatorAddress: "127.0.0.1:3"}
+	current := newLoneGroup(t, func(m *machine) replica.StateMachine { return m })
+	must.NoError(t, current.addMember(t.Context(), counting))
+	marked := counting
+	marked.Removed = true
+	_, err := current.propose(t.Context(), memberCommand(marked))
+	must.NoError(t, err)
+	must.NoError(t, current.addMember(t.Context(), counting))
+	must.NoError(t, current.removeNamed(t.Context(), raft.MemberID(counting.ID)))
+	must.ErrorIs(t, current.addMember(t.Context(), counting), errRemovedMember)
+}
+
+// interleaved has one more command committed right behind the first of its kind, before
+// whoever proposed that can look.
+type interleaved struct {
+	*machine
+	first, second state.Command
+	done          bool
+}
+
+func (s *interleaved) Apply(entry raft.Entry) any {
+	entry.Index *= 2 // leaves a place behind each
+	result := s.machine.Apply(entry)
+	command, err := state.Decode(entry.Data)
+	if err == nil && !s.done && command.Kind == state.CommandMember && *command.Member == *s.first.Member {
+		s.done = true
+		s.machine.Apply(raft.Entry{Term: entry.Term, Index: entry.Index + 1, Data: state.Encode(s.second)})
+	}
+	return result
+}
+
+// newLoneGroup returns a group of one member that leads, on a disk in memory and without
+// its servers.
+func newLoneGroup(t *testing.T, around func(*machine) replica.StateMachine) *group {
+	t.Helper()
+	g := &group{
+		machine: newMachine(),
+		config:  Config{Durations: testDurations}.WithDefaults(),
+		metrics: newMetrics(),
+	}
+	started, err := replica.Start(replica.Config{
+		Raft:         raft.Config{ID: 1},
+		Storage:      replica.NewMemory(),
+		Transport:    noPeers{},
+		StateMachine: around(g.machine),
+		Bootstrap:    raft.Configuration{Voters: []raft.MemberID{1}},
+	})
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, started.Stop(context.Background())) })
+	g.replica = started
+	eventually(t, "a lease", func() bool {
+		_, valid := g.Lease(t.Context())
+		return valid
+	})
+	return g
+}
+
+type noPeers struct{}
+
+func (noPeers) Send([]raft.Message) {}
--- a/version/state/read.go
+++ b/version/state/read.go
@@ -115,6 +115,9 @@
 	return members
 }
 
+// IsRemovedMember tells whether the identity was a member's that was removed.
+func (m *Machine) IsRemovedMember(id uint64) bool { return m.members[id].Removed }
+
 // WantedIntent returns the intent that selects an engine, or nil if none does.
 // Of several, which want the same, it is the first by name.
 func (m *Machine) WantedIntent(engine string) *api.Intent {
