Control: a leadership that a stopping member cannot hand over is no failure

Cause: the end of a planned stop passed on what the handover had failed with, but for one of the errors that it can have; out of time is another. The process ended with exit code 1 and told its operators of a failed daemon. Ruled out: naming that error too. Whatever kept the handover from succeeding, the others elect a leader; what the storage failed with is the member's only failure. Change: the outcome of a planned stop is that of the storage.

--- a/process/control/stop.go
+++ b/process/control/stop.go
@@ -6,7 +6,6 @@
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/process/raft"
-	"github.com/landingtrail/landingtrail/process/replica"
 	"github.com/pkg/errors"
 )
 
@@ -21,13 +20,11 @@
 	m.waitForSubscribers(ctx)
 	m.operator.shutdown(ctx)
 	m.feed.Close()
-	err := m.replica.Stop(ctx)
+	// A leadership that is not handed over is no failure: the others elect a leader.
+	_ = m.replica.Stop(ctx)
 	m.finish(endWork)
 	event.ControlStopped.Log(m.logger)
-	if errors.Is(err, replica.ErrTransferFailed) {
-		return nil // the others elect a leader by themselves
-	}
-	return err
+	return m.replica.Err()
 }
 
 // handOver moves leadership to another voter, if this member leads.
