Platform: every call to a replica's address names the replica

Cause: requests, reports and orders name the replica that they are for, so that another one which has its address by now answers 421. The list of kept parts and the freeing of a handle did not: after an address was used again, the parts of its new owner were learnt as those of the replica that is gone, and a handle of the new owner could be freed.

KeptSource is asked by replica. An answer other than 200 was an error before and teaches nothing; the answer to a freeing is read and forgotten.

--- a/process/control/ingress_test.go
+++ b/process/control/ingress_test.go
@@ -24,7 +24,7 @@
 	lock     sync.Mutex
 	replicas []api.Replica
 	err      error
-	kept     map[string][]placement.Part // by address
+	kept     map[string][]placement.Part // by replica
 	asked    []string
 }
 
@@ -40,11 +40,11 @@
 	f.replicas = replicas
 }
 
-func (f *fakeFleet) Kept(_ context.Context, address string) ([]placement.Part, error) {
+func (f *fakeFleet) Kept(_ context.Context, replica *api.Replica) ([]placement.Part, error) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	f.asked = append(f.asked, address)
-	return f.kept[address], nil
+	f.asked = append(f.asked, replica.Name)
+	return f.kept[replica.Name], nil
 }
 
 func replicaOf(name string, leaving bool) api.Replica {
@@ -461,7 +461,7 @@
 	g := newGrowing(t, 1, 1, 0)
 	replica := api.Replica{Metadata: api.Metadata{Name: "make"}, Spec: api.ReplicaSpec{Service: "narrator", Zone: "a", Address: "addr", Role: api.RoleDecode}}
 	g.fleet.set(replica)
-	g.fleet.kept = map[string][]placement.Part{"addr": {{ID: "p", Tokens: 5_000}}}
+	g.fleet.kept = map[string][]placement.Part{"make": {{ID: "p", Tokens: 5_000}}}
 	g.start(0)
 	g.awaitVoters(1, 0)
 	spec := ingressOf(1, "")
--- a/process/control/warm.go
+++ b/process/control/warm.go
@@ -13,9 +13,10 @@
 )
 
 // KeptSource asks a replica which parts of prompts it keeps. The question holds
-// the replica's work up, so it is asked rarely.
+// the replica's work up, so it is asked rarely. Another replica that has the address
+// by now is an error.
 type KeptSource interface {
-	Kept(ctx context.Context, address string) ([]placement.Part, error)
+	Kept(ctx context.Context, replica *api.Replica) ([]placement.Part, error)
 }
 
 const (
@@ -78,7 +79,7 @@
 func (d *duties) askOneKept(ctx context.Context, replica *api.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, warmTimeout)
 	defer cancel()
-	parts, err := d.group.config.Kept.Kept(ctx, replica.Spec.Address)
+	parts, err := d.group.config.Kept.Kept(ctx, replica)
 	event.KeptAsked.Log(d.logger, "replica", replica.Name, "parts", len(parts), "err", err)
 	if err != nil {
 		return // it is learnt from its requests
--- a/process/ingress/harness_test.go
+++ b/process/ingress/harness_test.go
@@ -108,7 +108,8 @@
 	return handle, json.Unmarshal(body, &handle)
 }
 
-func (testDialect) Release(handle string) (string, string) {
+func (testDialect) Release(header http.Header, replica, handle string) (string, string) {
+	header.Set(testReplica, replica)
 	return http.MethodDelete, "/handle/" + handle
 }
 
--- a/process/ingress/model_test.go
+++ b/process/ingress/model_test.go
@@ -322,3 +322,14 @@
 	must.False(t, lane.pool.Idle(before.address()))
 	must.Eq(t, 1, now.count())
 }
+
+// A handle is freed at its replica by name: another one may have the address by now.
+func TestHandleIsFreedByTheNameOfItsReplica(t *testing.T) {
+	reader := newFakeReplica(t, "read", answerOK)
+	w := newWorld(t)
+	freeing := session{ingress: w.ingress, lane: w.ingress.lanes.lane("model")}
+	freeing.release(Source{Replica: "read", Address: reader.address(), Handle: "h"})
+	eventually(t, "the call", func() bool { return reader.count() == 1 })
+	must.Eq(t, "read", reader.requests[0].Header.Get(testReplica))
+	must.Eq(t, "/handle/h", reader.requests[0].URL.Path)
+}
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -89,7 +89,7 @@
 	if handle == "" {
 		return Source{}, refused
 	}
-	source = Source{Address: reader.listed().Address, Handle: handle}
+	source = Source{Replica: reader.name, Address: reader.listed().Address, Handle: handle}
 	if ctx.Err() != nil {
 		s.release(source)
 		return Source{}, false
@@ -173,13 +173,14 @@
 // release frees a handle that nobody will take. The call has no ID, so that it takes a
 // connection of its own.
 func (s *session) release(source Source) {
-	method, target := s.ingress.config.Dialect.Release(source.Handle)
+	header := http.Header{}
+	method, target := s.ingress.config.Dialect.Release(header, source.Replica, source.Handle)
 	lane := s.lane
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
 		answer, err := lane.pool.Do(ctx, source.Address, &exchange.Request{
-			Method: method, Target: target, Host: source.Address, Header: http.Header{},
+			Method: method, Target: target, Host: source.Address, Header: header,
 		})
 		if err != nil {
 			return // it lapses by itself
--- a/process/ingress/types.go
+++ b/process/ingress/types.go
@@ -70,6 +70,7 @@
 
 // Source is a prompt that a replica has read and keeps.
 type Source struct {
+	Replica string // its name
 	Address string
 	Handle  string
 }
@@ -108,8 +109,9 @@
 	Reply(status int, header http.Header) Reply
 	// Handle reads the body of the answer to a prefill.
 	Handle(body []byte) (handle string, err error)
-	// Release makes the request that frees a handle.
-	Release(handle string) (method, target string)
+	// Release makes the request that frees a handle of the replica and of no other one
+	// at its address, and sets the fields.
+	Release(header http.Header, replica, handle string) (method, target string)
 	// Refusal sets the fields of an answer of the system's own.
 	Refusal(header http.Header, call *Call, retryAfter time.Duration)
 }
