Raft: a pre-vote asked for before a leader was heard does not count after it

Cause: an answer to a pre-vote carries the term that was asked for and nothing else. One that a voter gave before a leader of that term's predecessor was heard again counted in a later pre-election of the same term, though the voter may follow that leader by now. It breaks nothing, since votes are tied to their term; it may raise the term against a leader that is well, once.

Change: a pre-vote names its question, by the time at which the asking member last heard a leader, and every answer repeats it. The field is on the wire of all messages since before and was 0 here. A member of an earlier version sends and repeats 0, which counts as before, and it ignores the field; so both stand beside each other. Nothing but which pre-votes are counted is changed.

Tried first and taken back: to tie an answer to its single round. Where an answer takes longer than a round, answers of rounds in a row add up today, and an election is won by it.

Tests: the first failed before with a candidate where none should be, the second with 0 for the question that was asked; its case of an earlier version passed before and after. process/raft with its simulations passes three times in a row, process/replica and connection/peer twice.

--- a/process/raft/election.go
+++ b/process/raft/election.go
@@ -139,6 +139,12 @@
 	n.requestVotes(MessageVote, n.term, kind)
 }
 
+// preVoteQuestion names what the member's pre-votes ask for: a successor of the leader
+// that it heard last. Answers to further rounds of the same question add up, so that one
+// can be won where an answer takes longer than a round; once a leader was heard, what
+// others said before is out of date.
+func (n *Node) preVoteQuestion() uint64 { return uint64(n.leaderContact) }
+
 func (n *Node) requestVotes(kind MessageKind, term uint64, election electionKind) {
 	voters := n.configurations.latest().configuration.Voters
 	if kind == MessagePreVote || election == electionByAll {
@@ -148,7 +154,7 @@
 		if voter == n.config.ID {
 			continue
 		}
-		n.send(Message{
+		request := Message{
 			Kind:     kind,
 			To:       voter,
 			Term:     term,
@@ -156,7 +162,11 @@
 			LogTerm:  n.log.lastTerm(),
 			Transfer: election == electionByTransfer,
 			Unled:    election == electionByAll,
-		})
+		}
+		if kind == MessagePreVote {
+			request.Sequence = n.preVoteQuestion()
+		}
+		n.send(request)
 	}
 }
 
@@ -228,10 +238,10 @@
 	}
 	granted := m.Term > n.term && (!n.leaseGuarded() || n.isUnled()) && n.log.upToDate(m.LogTerm, m.Index)
 	if granted {
-		n.send(Message{Kind: MessagePreVoteReply, To: m.From, Term: m.Term, Unled: n.isUnled()})
+		n.send(Message{Kind: MessagePreVoteReply, To: m.From, Term: m.Term, Sequence: m.Sequence, Unled: n.isUnled()})
 		return
 	}
-	n.send(Message{Kind: MessagePreVoteReply, To: m.From, Reject: true})
+	n.send(Message{Kind: MessagePreVoteReply, To: m.From, Sequence: m.Sequence, Reject: true})
 }
 
 func (n *Node) handlePreVoteReply(m Message) {
@@ -241,6 +251,10 @@
 	if !m.Reject && m.Term != n.term+1 {
 		return
 	}
+	// Members of an earlier version do not repeat the question.
+	if m.Sequence != 0 && m.Sequence != n.preVoteQuestion() {
+		return
+	}
 	if m.Unled {
 		n.unledVoters[m.From] = true
 	} else {
--- a/process/raft/election_test.go
+++ b/process/raft/election_test.go
@@ -113,6 +113,61 @@
 	must.False(t, replies[0].Unled)
 }
 
+// Asked before a leader was heard, a voter may have said that it would vote. It has heard
+// that leader by now, perhaps, and its answer raises no term against it. Members of an
+// earlier version do not say to which question they answer; theirs count as before.
+func TestPreVoteFromBeforeALeaderWasHeardDoesNotCount(t *testing.T) {
+	for name, test := range map[string]struct {
+		answers func(asked Message) uint64
+		want    Role
+	}{
+		"asked before":                   {func(asked Message) uint64 { return asked.Sequence }, PreCandidate},
+		"a member of an earlier version": {func(Message) uint64 { return 0 }, Candidate},
+	} {
+		t.Run(name, func(t *testing.T) {
+			node, err := New(testConfig(1), InitialState{Configuration: voters(1, 2, 3)})
+			must.NoError(t, err)
+			node.Tick(time.Second)
+			ask := func(after time.Duration) Message {
+				node.Tick(node.now + after)
+				must.Eq(t, PreCandidate, node.role)
+				requests, _ := drain(node)
+				must.SliceNotEmpty(t, requests)
+				return requests[0]
+			}
+			heartbeat := Message{Kind: MessageHeartbeat, From: 3, To: 1, Term: 1, Sequence: 1}
+			must.NoError(t, node.Step(node.now, heartbeat))
+			drain(node)
+			before := ask(2 * simElectionTimeout)
+			must.NoError(t, node.Step(node.now, heartbeat))
+			must.Eq(t, Follower, node.role)
+			drain(node)
+			now := ask(2 * simElectionTimeout)
+			must.Eq(t, before.Term, now.Term)
+			late := Message{Kind: MessagePreVoteReply, From: 2, To: 1, Term: before.Term, Sequence: test.answers(before)}
+			must.NoError(t, node.Step(node.now, late))
+			must.Eq(t, test.want, node.role)
+			late.Sequence = now.Sequence
+			must.NoError(t, node.Step(node.now, late))
+			must.Eq(t, Candidate, node.role)
+		})
+	}
+}
+
+// A voter repeats which question it answers, however it answers.
+func TestPreVoteReplyNamesItsQuestion(t *testing.T) {
+	node, err := New(testConfig(1), InitialState{HardState: HardState{Term: 2}, Configuration: voters(1, 2, 3)})
+	must.NoError(t, err)
+	node.Tick(0)
+	for term, granted := range map[uint64]bool{1: false, 2: false, 3: true} {
+		request := Message{Kind: MessagePreVote, From: 2, To: 1, Term: term, Sequence: 7}
+		must.NoError(t, node.Step(simElectionTimeout, request))
+		replies, _ := drain(node)
+		must.Eq(t, granted, !replies[0].Reject)
+		must.Eq(t, 7, replies[0].Sequence)
+	}
+}
+
 // A member that could not win must not raise the term.
 func TestPreVoteNeedsAnUpToDateLog(t *testing.T) {
 	node, err := New(testConfig(1), InitialState{
--- a/process/raft/node.go
+++ b/process/raft/node.go
@@ -226,7 +226,7 @@
 func (n *Node) answerOldTerm(m Message) {
 	switch m.Kind {
 	case MessagePreVote:
-		n.send(Message{Kind: MessagePreVoteReply, To: m.From, Reject: true})
+		n.send(Message{Kind: MessagePreVoteReply, To: m.From, Sequence: m.Sequence, Reject: true})
 	case MessageVote:
 		n.send(Message{Kind: MessageVoteReply, To: m.From, Reject: true})
 	case MessageAppend, MessageSnapshot:
