Orders: a load report belongs to the target that it was asked for

Cause: the poller kept a load report by the engine's name and address. An engine that left the list and came back while a report was under way was asked anew beside it; the earlier report came last and took the place of the later one, and its end let a second question go while one was under way. States are held against the time of their question, loads were not.

Ruled out: the lists of machines and of replicas, which one loop reads, one call after the other, and which end before the next leadership begins; orders, which name the sequence or the fence that they expect; an order's answer behind a later poll, which the time of its question refuses.

Change: a question holds its target; what comes for one that was replaced reaches nobody.

--- a/connection/orders/orders_test.go
+++ b/connection/orders/orders_test.go
@@ -214,3 +214,46 @@
 		must.Eq(t, 0, poller.Seen()["engine-1"].Load.Running)
 	})
 }
+
+// slowReport is an Asker whose first load report comes when it is let go, and whose
+// reports are numbered as they were asked for.
+type slowReport struct {
+	asked atomic.Int64
+	first chan struct{}
+}
+
+func (*slowReport) State(context.Context, string) (engineapi.State, error) {
+	return engineapi.State{Engine: "engine-1", Incarnation: 1}, nil
+}
+
+func (s *slowReport) Load(context.Context, string) (engineapi.Load, error) {
+	number := s.asked.Add(1)
+	if number == 1 {
+		<-s.first
+	}
+	return engineapi.Load{Engine: "engine-1", Incarnation: 1, Running: int(number)}, nil
+}
+
+// An engine that leaves the list and comes back, while a question to it is under way, is
+// asked anew: the earlier question's answer takes nothing back, and leaves the engine to
+// the questions of now.
+func TestReportOfAnEarlierQuestionTakesNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &slowReport{first: make(chan struct{})}
+		poller := startPoller(engine, nil)
+		defer poller.Close()
+		targets := map[string]string{"engine-1": "engine-1"}
+		poller.SetTargets(targets)
+		time.Sleep(100 * time.Millisecond) // the first report is under way
+		must.Eq(t, 1, engine.asked.Load())
+		poller.SetTargets(nil)
+		poller.SetTargets(targets)
+		time.Sleep(100 * time.Millisecond)
+		must.Eq(t, 2, poller.Seen()["engine-1"].Load.Running)
+		latest := poller.Seen()["engine-1"].LoadAt
+		close(engine.first)
+		synctest.Wait()
+		must.Eq(t, 2, poller.Seen()["engine-1"].Load.Running)
+		must.Eq(t, latest, poller.Seen()["engine-1"].LoadAt)
+	})
+}
--- a/connection/orders/poller.go
+++ b/connection/orders/poller.go
@@ -228,10 +228,9 @@
 		}
 		known.asking = true
 		known.dueAt = now + interval
-		address := known.address
 		asking.Go(func() {
 			defer func() { <-shard.workers }()
-			p.ask(shard, name, address)
+			p.ask(shard, name, known)
 		})
 	}
 }
@@ -253,31 +252,28 @@
 	return stretched(interval, engines, defaultMaxPerSecond)
 }
 
-func (p *Poller) ask(shard *pollerShard, name, address string) {
+// ask asks one engine; its target may have been replaced by the time of the answer.
+func (p *Poller) ask(shard *pollerShard, name string, asked *target) {
 	askedAt := p.config.Clock()
-	state, err := p.config.Asker.State(p.context, address)
+	state, err := p.config.Asker.State(p.context, asked.address)
 	if err == nil {
-		p.Record(name, address, state, askedAt)
-		p.askLoad(shard, name, address)
+		p.Record(name, asked.address, state, askedAt)
+		p.askLoad(shard, name, asked)
 	}
 	shard.Lock()
 	defer shard.Unlock()
-	if known := shard.targets[name]; known != nil && known.address == address {
-		known.asking = false
-	}
+	asked.asking = false
 }
 
-func (p *Poller) askLoad(shard *pollerShard, name, address string) {
+func (p *Poller) askLoad(shard *pollerShard, name string, asked *target) {
 	askedAt := p.config.Clock()
-	load, err := p.config.Asker.Load(p.context, address)
+	load, err := p.config.Asker.Load(p.context, asked.address)
 	if err != nil || load.Engine != name {
 		return
 	}
 	shard.Lock()
 	defer shard.Unlock()
-	if known := shard.targets[name]; known != nil && known.address == address {
-		known.recordLoad(load, askedAt)
-	}
+	asked.recordLoad(load, askedAt)
 }
 
 // recordLoad keeps the report unless it is of an earlier life of the engine: reports lag.
