--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -259,9 +259,9 @@
 		s.callerEnds = arrived + call.Within
 		s.deadline = min(s.deadline, s.callerEnds)
 	}
-	ctx, give := context.WithCancelCause(r.Context())
-	defer give(nil)
-	defer context.AfterFunc(i.patient, func() { give(errStopping) })()
+	ctx, end := context.WithCancelCause(r.Context())
+	defer end(nil)
+	defer context.AfterFunc(i.patient, func() { end(errStopping) })()
 	ctx, cancel := context.WithTimeoutCause(ctx, s.left(), errTimeout)
 	defer cancel()
 	s.life.Dispatch()
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -13,9 +13,9 @@
 	"github.com/pkg/errors"
 )
 
-// errTimeout is the cause of a context whose request has used up its time; errStopping
-// of one whose process cannot wait any longer; errSilent of an attempt whose replica said nothing; errTooLate of a read after
-// which no time would be left to run.
+// errTimeout is the cause of a context whose request has used up its time; errStopping of
+// one whose process cannot wait any longer; errSilent of an attempt whose replica said
+// nothing; errTooLate of a read after which no time would be left to run.
 var (
 	errTimeout  = errors.New("ingress: the request's time is over")
 	errStopping = errors.New("ingress: the planned stop has to end")
