--- a/process/control/config.go
+++ b/process/control/config.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/orders"
+	"github.com/landingtrail/landingtrail/process/wal"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/pkg/errors"
 )
@@ -70,6 +71,9 @@
 	Durations Durations
 	Limits    Limits
 	Planner   Planner
+
+	// fileSystem holds DataFolder; wal.OS{} when nil.
+	fileSystem wal.FileSystem
 }
 
 // Durations are the member's intervals and timeouts.
@@ -172,6 +176,9 @@
 	if c.Planner.Name == "" {
 		c.Planner.Name = DefaultPlanner
 	}
+	if c.fileSystem == nil {
+		c.fileSystem = wal.OS{}
+	}
 	return c
 }
 
--- a/process/control/group_test.go
+++ b/process/control/group_test.go
@@ -19,6 +19,7 @@
 	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
+	"github.com/landingtrail/landingtrail/process/wal"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/shoenig/test/must"
@@ -55,6 +56,30 @@
 // lastingLeader keeps slow writes from ending a leader's term.
 func lastingLeader(config *Config) { config.Durations.Election = 3 * time.Second }
 
+// unsyncedFiles are the operating system's files without waits for the disk, which may
+// hang for longer than the election timeout of these tests. No machine loses its power
+// here, so a synced file can't be told from a written one; what syncs are for is tested
+// in the packages wal and replica.
+type unsyncedFiles struct{ wal.OS }
+
+func (unsyncedFiles) MakeDir(name string) error { return os.MkdirAll(name, 0o700) }
+
+func (unsyncedFiles) SyncDir(string) error { return nil }
+
+func (f unsyncedFiles) Create(name string) (wal.File, error) {
+	file, err := f.OS.Create(name)
+	return unsyncedFile{file}, err
+}
+
+func (f unsyncedFiles) Append(name string) (wal.File, error) {
+	file, err := f.OS.Append(name)
+	return unsyncedFile{file}, err
+}
+
+type unsyncedFile struct{ wal.File }
+
+func (unsyncedFile) Sync() error { return nil }
+
 // cluster is a control group whose members run in this process.
 type cluster struct {
 	t       testing.TB
@@ -92,6 +117,7 @@
 			OperatorAddress: listed.OperatorAddress,
 			Members:         members,
 			Durations:       testDurations,
+			fileSystem:      unsyncedFiles{},
 		}
 		if adjust != nil {
 			adjust(&config)
--- a/process/control/recovery.go
+++ b/process/control/recovery.go
@@ -22,7 +22,7 @@
 // others have a leader: then everything that was committed is held by them.
 // Without Join, or without a leader, the damage is left for an operator.
 func openDisk(ctx context.Context, config Config, logger log.Logger) (*replica.Disk, error) {
-	options := replica.DiskOptions{Dir: config.DataFolder, Group: config.GroupID}
+	options := replica.DiskOptions{FileSystem: config.fileSystem, Dir: config.DataFolder, Group: config.GroupID}
 	disk, err := replica.OpenDisk(options)
 	if err == nil || !config.Join || !isDamage(err) {
 		return disk, errors.Wrap(err, "control: data folder")
@@ -31,7 +31,7 @@
 		return nil, errors.Wrap(err, "control: data folder; not emptied, since the others have no leader")
 	}
 	event.ControlDiskDiscarded.Log(logger, "err", err)
-	if err := replica.DiscardDisk(wal.OS{}, config.DataFolder); err != nil {
+	if err := replica.DiscardDisk(config.fileSystem, config.DataFolder); err != nil {
 		return nil, errors.Wrap(err, "control: discard data folder")
 	}
 	disk, err = replica.OpenDisk(options)
@@ -108,7 +108,7 @@
 	if !m.config.Join {
 		return ErrRemoved
 	}
-	if err := replica.DiscardDisk(wal.OS{}, m.config.DataFolder); err != nil {
+	if err := replica.DiscardDisk(m.config.fileSystem, m.config.DataFolder); err != nil {
 		return errors.Wrap(err, "control: discard data folder")
 	}
 	return ErrRemoved
