Operator tests: each asks dead addresses of its own

Cause: an address's breaker is shared by all clients of a process. Three tests asked the same address at which nobody listens; after the others, the breaker could refuse every attempt of TestEveryMembersFailureIsNamed, which then found "circuit breaker is open" in place of the failed dial.

Ruled out: the naming of failures, which keeps what came before the breaker's refusal; there was nothing before.

Change: the tests were wrong. Each takes addresses that no other one has asked, so that the first attempt is made.

--- a/connection/operator/client_test.go
+++ b/connection/operator/client_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,7 +100,15 @@
 	return client
 }
 
-const deadAddress = "127.0.0.1:1"
+// deadAddress returns an address at which nobody listens and that no other test
+// asks: all clients of a process share an address's breaker, which may then
+// refuse every attempt.
+func deadAddress() string {
+	number := deadAddresses.Add(1)
+	return fmt.Sprintf("127.1.%d.%d:1", number>>8&255, number&255)
+}
+
+var deadAddresses atomic.Uint32
 
 const (
 	patient   = 20 * time.Second
@@ -153,21 +163,22 @@
 }
 
 func TestMembersThatCannotBeReachedAreSurelyNotAccepted(t *testing.T) {
-	client := newClient(t, impatient, deadAddress)
+	client := newClient(t, impatient, deadAddress())
 	_, err := client.Transact(context.Background(), change)
 	must.ErrorIs(t, err, operator.ErrNotAccepted)
 }
 
 func TestEveryMembersFailureIsNamed(t *testing.T) {
 	member := newMember(t, refuse(operatorapi.ErrorNoQuorum, http.StatusServiceUnavailable, ""))
-	_, err := newClient(t, time.Second, member.address(), deadAddress).Status(context.Background())
+	dead := deadAddress()
+	_, err := newClient(t, time.Second, member.address(), dead).Status(context.Background())
 	must.StrContains(t, err.Error(), member.address()+": no_quorum")
-	must.StrContains(t, err.Error(), deadAddress+": dial tcp")
+	must.StrContains(t, err.Error(), dead+": dial tcp")
 }
 
 func TestEveryMemberIsTried(t *testing.T) {
 	up := newMember(t, accepted(3))
-	client := newClient(t, patient, deadAddress, deadAddress, up.address())
+	client := newClient(t, patient, deadAddress(), deadAddress(), up.address())
 	result, err := client.Transact(context.Background(), change)
 	must.NoError(t, err)
 	must.Eq(t, 3, result.Revision)
