connection/feed: show that a later leader waits for whom it has not heard

Whether such an answer may come too early was open: a leader keeps leases in memory, and a later one has never heard of the proxy.

Ruled out: an answer too early. The registry of a term calls nothing in force before a whole lease (and the drift of clocks) has passed since it began, and it begins only once the earlier leader grants no more. The new test moves the proxy's last grant to the very start of the later term, in steps of a thousandth of a lease: the answer comes after the proxy's own lease has ended, and an older view gets no lease after it. The name is missing until the proxy is heard again, as it has to be.

Conclusion: no change of the protocol is needed.

--- a/connection/feed/registry.go
+++ b/connection/feed/registry.go
@@ -58,8 +58,11 @@
 	// Done is true when each daemon has acknowledged the version or holds no lease.
 	Done         bool
 	Acknowledged int
-	Lapsed       []string
-	Waiting      []string
+	// Lapsed names the daemons that this leader has heard of in its term and that
+	// hold an older version without a lease. One that was last heard by an earlier
+	// leader is not among them: its lease has ended while the term was Settling.
+	Lapsed  []string
+	Waiting []string
 	// Settling is true while leases of an earlier leader may still run.
 	Settling bool
 }
--- a/connection/feed/registry_test.go
+++ b/connection/feed/registry_test.go
@@ -38,3 +38,38 @@
 	third := view.Version{Term: 1, Revision: 3}
 	must.Eq(t, InForce{Lapsed: []string{"proxy-a"}, Waiting: []string{"proxy-b"}}, registry.inForce(third, late))
 }
+
+// A daemon that is cut off when the leader changes is unknown to the later leader and
+// may hold a lease that the earlier one granted at its very end: nothing is in force
+// before that lease has lapsed. Until the daemon is heard again it is not named.
+func TestLaterLeaderWaitsOutTheLeaseOfADaemonThatItHasNotHeard(t *testing.T) {
+	const lease, step = time.Second, time.Millisecond
+	first, second := view.Version{Term: 1, Revision: 1}, view.Version{Term: 2, Revision: 2}
+	cut := daemonKey{daemon: "proxy-a", instance: 1}.String()
+	other := daemonKey{daemon: "proxy-b", instance: 9}.String()
+	held := view.NewHolder()
+	must.NoError(t, held.Apply(view.Delta{Full: true, To: first}))
+	earlier := newRegistry(1, view.Version{}, lease, 0)
+	began := 5 * lease
+	must.True(t, earlier.tracker.Observe(cut, first, began))
+	must.True(t, held.Confirm(began, lease, 1))
+
+	later := newRegistry(2, first, lease, began)
+	now := began
+	for ; ; now += step {
+		must.Less(t, began+2*lease, now)
+		must.True(t, later.tracker.Observe(other, second, now))
+		state := later.inForce(second, now)
+		if state.Done {
+			must.Eq(t, InForce{Done: true, Acknowledged: 1}, state)
+			break
+		}
+		must.Eq(t, InForce{Acknowledged: 1, Settling: true}, state)
+	}
+	must.False(t, held.Valid(now), must.Sprint("in force while the older view may be used"))
+
+	must.False(t, later.tracker.Observe(cut, first, now), must.Sprint("no lease for the older view any more"))
+	must.Eq(t, InForce{Done: true, Acknowledged: 1, Lapsed: []string{"proxy-a"}}, later.inForce(second, now))
+	must.True(t, later.tracker.Observe(cut, second, now))
+	must.Eq(t, InForce{Done: true, Acknowledged: 2}, later.inForce(second, now))
+}
--- a/connection/operatorapi/operatorapi.go
+++ b/connection/operatorapi/operatorapi.go
@@ -66,10 +66,13 @@
 	Revision uint64 `json:"revision"`
 	// Done is true when every daemon has acknowledged the revision or its view
 	// lease has lapsed.
-	Done         bool     `json:"done"`
-	Acknowledged int      `json:"acknowledged"`
-	Lapsed       []string `json:"lapsed,omitempty"`
-	Waiting      []string `json:"waiting,omitempty"`
+	Done         bool `json:"done"`
+	Acknowledged int  `json:"acknowledged"`
+	// Lapsed names the daemons without a lease that this leader has heard of. One
+	// that was cut off before it began to lead is missing here, though its lease
+	// was waited for as well.
+	Lapsed  []string `json:"lapsed,omitempty"`
+	Waiting []string `json:"waiting,omitempty"`
 	// Settling is true while a new leader cannot know yet which daemons hold a
 	// lease that an earlier leader granted.
 	Settling bool `json:"settling,omitempty"`
