Operator's client: without a connection a request surely had no effect

Cause: whether a request may have had its effect was read off the error. Where the call's time ended while a connection was opened, the error is that of the attempt and not of the dial, and a change that had reached nobody was told of as one whose outcome is unknown.

Ruled out: a connection that comes up later: a request that has ended is not written on it.

Change: the client notes whether the request got a connection; that alone decides.

--- a/connection/operator/client.go
+++ b/connection/operator/client.go
@@ -12,10 +12,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
@@ -153,9 +154,10 @@
 	if call.body != nil {
 		httpRequest.Header.Set("Content-Type", "application/json")
 	}
-	response, err := c.service(address).DoRequest(httpRequest)
+	var connected atomic.Bool
+	response, err := c.service(address).DoRequest(tellConnected(httpRequest, &connected))
 	if err != nil {
-		return answer{}, fateOfFailure(err), errors.Wrap(err, address)
+		return answer{}, fateOfFailure(connected.Load()), errors.Wrap(err, address)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
@@ -183,18 +185,20 @@
 	return received, unknown, failure
 }
 
-// fateOfFailure tells whether a request that brought no answer can have had an
-// effect. Only a connection that never stood, or the breaker's own refusal, is
-// sure.
-func fateOfFailure(err error) fate {
-	if errors.Is(err, breaker.ErrServiceUnavailable) {
-		return notAccepted
-	}
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		return notAccepted
+// tellConnected returns the request, of which connected is true once it has a connection
+// to be written on.
+func tellConnected(request *http.Request, connected *atomic.Bool) *http.Request {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	return request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+}
+
+// fateOfFailure tells whether a request that brought no answer can have had an effect:
+// only without a connection it surely had none, whatever ended the attempt.
+func fateOfFailure(connected bool) fate {
+	if connected {
+		return unknown
 	}
-	return unknown
+	return notAccepted
 }
 
 // do makes attempts until one settles the request or the time is up. Once an
--- a/connection/operator/client_test.go
+++ b/connection/operator/client_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/operator"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
+	"github.com/landingtrail/landingtrail/lab/backlog"
 	"github.com/landingtrail/landingtrail/version/api"
 )
 
@@ -168,6 +169,17 @@
 	must.ErrorIs(t, err, operator.ErrNotAccepted)
 }
 
+// Seen: a change that had reached nobody was told of as one whose outcome is unknown. It
+// comes about where the call's time ends while a connection is opened: the attempt then
+// fails as a whole, not its dial.
+func TestCallThatEndsWhileItConnectsIsSurelyNotAccepted(t *testing.T) {
+	hanging, err := backlog.NewFull()
+	must.NoError(t, err)
+	defer hanging.Close()
+	_, err = newClient(t, impatient, hanging.Address()).Transact(context.Background(), change)
+	must.ErrorIs(t, err, operator.ErrNotAccepted)
+}
+
 func TestEveryMembersFailureIsNamed(t *testing.T) {
 	member := newMember(t, refuse(operatorapi.ErrorNoQuorum, http.StatusServiceUnavailable, ""))
 	dead := deadAddress()
