connection/feed: guard the version that a later leader starts from

Cause: a trial on a copy took the version that leases need away from the start of a term, and every test of the package passed. Without it a later leader grants a lease for a view older than one that the leader before called in force. The code is right; nothing held it.

Ruled out: that version/view holds it: its tests call Require themselves.

Change: TestLaterLeaderGrantsNoLeaseBehindWhatMayBeInForce, by virtual time.

--- a/connection/feed/registry_test.go
+++ b/connection/feed/registry_test.go
@@ -73,3 +73,19 @@
 	must.True(t, later.tracker.Observe(cut, second, now))
 	must.Eq(t, InForce{Done: true, Acknowledged: 2}, later.inForce(second, now))
 }
+
+// What an earlier leader has called in force stays so: a daemon that was left behind
+// then gets no lease for its older view from the next leader, asked anything or not.
+func TestLaterLeaderGrantsNoLeaseBehindWhatMayBeInForce(t *testing.T) {
+	const lease = time.Second
+	first, second := view.Version{Term: 1, Revision: 1}, view.Version{Term: 1, Revision: 2}
+	behind := daemonKey{daemon: "proxy-a", instance: 1}.String()
+	earlier := newRegistry(1, view.Version{}, lease, 0)
+	must.True(t, earlier.tracker.Observe(behind, first, 0))
+	now := 2 * lease
+	must.Eq(t, InForce{Done: true, Lapsed: []string{"proxy-a"}}, earlier.inForce(second, now))
+
+	later := newRegistry(2, second, lease, now)
+	must.False(t, later.tracker.Observe(behind, first, now))
+	must.True(t, later.tracker.Observe(behind, second, now))
+}
