Tell callers of plain back ends of failures before the first byte

Cause: two ends of a request for a plain back end did not keep what CALLERS.md promises. When less was left of the deadline than the proxy keeps for itself (retry.Margin), the request was refused with 400 bad_request, as if it were at fault; the fleet's audit counts these as rejected. And the head of an answer was taken for sent as soon as the back end's came, though net/http holds it until the first byte of the body: when the deadline passed or the back end broke off between the two, the connection was closed and the caller had no status at all.

Ruled out: a malformed request, since the path that the fleet's callers ask for is built from letters and digits; the back end as the one that refuses, since it has no such message and was not asked.

Change: too little time is 504 deadline_too_short with a Retry-After, as for engines. The head is passed on with the first byte of the body or its empty end; before that a failure is 504 or 502 as promised, and a request that is safe to repeat may go to another back end. One that broke off is not asked again for the same request. On the wire whole answers look as before.

Conclusion: a broken connection is left to answers of which a part is out, or of which net/http holds a part (a body of known length, under its buffer).

--- a/process/proxy/handle_service.go
+++ b/process/proxy/handle_service.go
@@ -235,6 +235,9 @@
 	gone := false
 	for {
 		count, err := response.Body.Read(buffer)
+		if count > 0 || err == io.EOF {
+			c.passHead(response)
+		}
 		if count > 0 && !gone {
 			c.keep(buffer[:count])
 			_ = controller.SetWriteDeadline(time.Now().Add(c.proxy.config.Timeouts.Write)) // a test's writer may have none
--- a/process/proxy/run_backend.go
+++ b/process/proxy/run_backend.go
@@ -158,6 +158,9 @@
 	if err != nil {
 		c.life.Fail(number, attempt.FaultNotWritten)
 		failed := invalid(codeBadRequest, "the request cannot be passed on")
+		if errors.Is(err, context.DeadlineExceeded) {
+			failed = deadlineShort("no time is left for the back end", time.Second)
+		}
 		failed.final = true
 		return failed
 	}
@@ -239,6 +242,27 @@
 
 func (c *backendCall) answer(ctx context.Context, target *endpoint, number uint32, response *http.Response) *failure {
 	c.life.Admit(number, 0)
+	if err := c.relay(response); err != nil {
+		c.life.Fail(number, attempt.FaultBroken)
+		c.excluded[target.name] = true
+		if ctx.Err() == nil && !errors.Is(err, errCaller) {
+			target.fail(c.proxy.clock())
+		}
+		return upstreamFailed("the answer broke off")
+	}
+	c.life.Finish(number)
+	target.succeed()
+	return nil
+}
+
+// passHead passes on the head of the answer, once its body has begun or has ended
+// empty: until then the caller can still be told of a failure, or be given the answer
+// of another back end.
+func (c *backendCall) passHead(response *http.Response) {
+	if c.sent {
+		return
+	}
+	c.sent = true
 	for _, name := range answerHeaders {
 		response.Header.Del(name)
 	}
@@ -250,16 +274,5 @@
 		c.kept.Status = response.StatusCode
 		c.kept.ContentType = response.Header.Get("Content-Type")
 	}
-	c.sent = true
 	c.writer.WriteHeader(response.StatusCode)
-	if err := c.relay(response); err != nil {
-		c.life.Fail(number, attempt.FaultBroken)
-		if ctx.Err() == nil && !errors.Is(err, errCaller) {
-			target.fail(c.proxy.clock())
-		}
-		return upstreamFailed("the answer broke off")
-	}
-	c.life.Finish(number)
-	target.succeed()
-	return nil
 }
