Lab: know a frame that its deadline broke off from one cut in time

Cause: the caller's judge took every broken answer of a plain back end for cut short. Of a stream that its deadline ends, the error event says so, and the judge compares that with the caller's own clock. A plain answer has no such event: once its status is out the proxy can only break the connection, and the judge had no case for it. On a busy machine the deadline (1.25 s for a frame in scenarios) passes between two parts of one answer, which the stand-in writes in two writes.

Change: a break counts as given up only if the caller's own deadline has passed, which is so whenever the proxy's has; one before it stays cut short. What came of a broken answer must now be the beginning of the request's own, else it is wrong; before, nobody looked. A part with a clean end is wrong as before, also when late, and a stream that breaks without its error event is cut short, also when late. Failures in a scenario's log say how long the request took, of which deadline, and how many bytes came.

--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -236,6 +236,17 @@
 	return repeats > 0 && body == strings.Repeat(line, repeats)+bodyEnd(repeats)
 }
 
+// IsOwnPart reports whether a body is the beginning of an answer to the path and the
+// request body; nothing at all is.
+func IsOwnPart(path string, requestBody []byte, part string) bool {
+	line := bodyLine(path, requestBody)
+	repeats, rest := 0, part
+	for strings.HasPrefix(rest, line) {
+		repeats, rest = repeats+1, rest[len(line):]
+	}
+	return strings.HasPrefix(line, rest) || repeats > 0 && strings.HasPrefix(bodyEnd(repeats), rest)
+}
+
 func bodyLine(path string, requestBody []byte) string {
 	hash := xxhash.Sum64String(path) ^ xxhash.Sum64(requestBody)
 	return path + " " + strconv.FormatUint(hash, 16) + "\n"
--- a/lab/backend/backend_test.go
+++ b/lab/backend/backend_test.go
@@ -70,6 +70,20 @@
 	})
 }
 
+func TestPartOfAnAnswerIsOwn(t *testing.T) {
+	whole := ExpectedBody("/frame/7", nil, 100)
+	for length := range len(whole) + 1 {
+		must.True(t, IsOwnPart("/frame/7", nil, whole[:length]), must.Sprint(length))
+	}
+	for _, other := range []string{
+		whole + "e", whole[1:], whole[:60] + "x", bodyEnd(0),
+		strings.Replace(whole, bodyEnd(strings.Count(whole, "frame")), "end 9\n", 1),
+		ExpectedBody("/frame/8", nil, 100)[:60],
+	} {
+		must.False(t, IsOwnPart("/frame/7", nil, other), must.Sprint(other))
+	}
+}
+
 func TestLeavingServesForTheGraceAndThenRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		server := newServer(t, Config{LeaveGrace: 2 * time.Second})
--- a/lab/caller/caller_test.go
+++ b/lab/caller/caller_test.go
@@ -116,6 +116,14 @@
 		w.WriteHeader(504)
 		fmt.Fprint(w, `{"error":{"code":"deadline_exceeded","ran":"unknown"}}`)
 	}
+	cut := func(body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, body)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	wholeFrame, othersFrame := backend.ExpectedBody("/frame/test-0", nil, 100), backend.ExpectedBody("/frame/test-1", nil, 100)
 	cases := map[string]struct {
 		item    trace.Item
 		handler http.HandlerFunc
@@ -144,6 +152,11 @@
 		"whole frame":               {frame, text(backend.ExpectedBody("/frame/test-0", nil, 100)), OutcomeCompleted},
 		"another's frame":           {frame, text(backend.ExpectedBody("/frame/test-1", nil, 100)), OutcomeWrong},
 		"half a frame":              {frame, text(backend.ExpectedBody("/frame/test-0", nil, 100)[:60]), OutcomeWrong},
+		"frame cut in time":         {frame, cut(wholeFrame[:60]), OutcomeCutShort},
+		"frame cut by its deadline": {hurriedFrame, cut(wholeFrame[:60]), OutcomeGaveUp},
+		"late half of a frame":      {hurriedFrame, text(wholeFrame[:60]), OutcomeWrong},
+		"another's frame, cut":      {hurriedFrame, cut(othersFrame[:60]), OutcomeWrong},
+		"stream cut, not told":      {hurried, cut(event(prompt, 0)), OutcomeCutShort},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/lab/caller/judge.go
+++ b/lab/caller/judge.go
@@ -43,7 +43,7 @@
 	firstToken time.Duration // 0 if none came
 	gaps       []time.Duration
 	detail     string // what the answer, or its absence, said of a failure
-	late       bool   // the answer says that the deadline has passed
+	late       bool   // the answer says that the deadline has passed, or can only break for it
 }
 
 // codeDeadline is the code of an answer that the deadline ended.
@@ -91,18 +91,21 @@
 }
 
 // judgeBody checks the answer of a plain back end, which names the path that it
-// was asked for with or without the proxy's prefix.
+// was asked for with or without the proxy's prefix. A part of it followed by a broken
+// connection is all that can tell that the deadline ended it: the status is out, and
+// there are no events as in a stream. What came must be the request's own all the same.
 func judgeBody(body io.Reader, call *call) outcome {
 	content, err := io.ReadAll(io.LimitReader(body, answerLimit))
+	holds := backend.IsWholeAndOwn
+	ended := outcome{kind: OutcomeCompleted}
 	if err != nil {
-		return outcome{kind: OutcomeCutShort}
+		holds = backend.IsOwnPart
+		ended = outcome{kind: OutcomeCutShort, late: true, detail: "broke off after " + strconv.Itoa(len(content)) + " bytes: " + err.Error()}
 	}
-	whole := backend.IsWholeAndOwn(call.path, nil, string(content)) ||
-		backend.IsWholeAndOwn("/services/"+call.item.Service+call.path, nil, string(content))
-	if !whole {
+	if !holds(call.path, nil, string(content)) && !holds("/services/"+call.item.Service+call.path, nil, string(content)) {
 		return outcome{kind: OutcomeWrong}
 	}
-	return outcome{kind: OutcomeCompleted}
+	return ended
 }
 
 // streamEvent is the part of an event that the caller looks at.
--- a/lab/fleet/load.go
+++ b/lab/fleet/load.go
@@ -130,7 +130,8 @@
 	if seen.Outcome == caller.OutcomeCompleted {
 		return
 	}
-	l.failures = append(l.failures, fmt.Sprintf("%s %s %s: %s", seen.Item.Class, seen.Item.Key, seen.Outcome, seen.Detail))
+	l.failures = append(l.failures, fmt.Sprintf("%s %s %s after %v of %v: %s",
+		seen.Item.Class, seen.Item.Key, seen.Outcome, seen.Latency.Round(time.Millisecond), seen.Item.Deadline, seen.Detail))
 }
 
 // alone sends one request more, under a name of its own.
