Feed: a word counts again once the daemon's later subscription has ended

Cause: which subscription is a daemon's latest was kept as the highest number seen while any was open. Where a later one had ended, as one that only stands by, and an earlier one went on, what its proxy said was dropped for as long as that was open: the proxy was not named to callers. Its logs were not kept, so that this was the cause there is inferred.

Change: the numbers of the open subscriptions are kept; those that stand by are none of them, and bring no word.

--- a/connection/feed/incarnation_test.go
+++ b/connection/feed/incarnation_test.go
@@ -52,3 +52,46 @@
 	last, _ := group.told()
 	must.False(t, last.Stopping)
 }
+
+// Seen: a proxy was never named to callers. It comes about where a later subscription of its
+// daemon, as one that only stood by, has ended and the earlier one goes on: what the proxy
+// said was dropped for as long as that stayed open.
+func TestWordCountsAgainOnceTheLaterSubscriptionHasEnded(t *testing.T) {
+	group := newFakeGroup()
+	server, address := startServer(t, group)
+	subscribeAs := func() *rawSubscriber {
+		raw := newRawSubscriber(t, address)
+		raw.send(kindSubscribe, encodeSubscribe(subscribe{daemon: "proxy-a", instance: 1}))
+		return raw
+	}
+	earlier := subscribeAs()
+	earlier.say(Presence{Proxy: "proxy-a"})
+	eventually(t, "the first word", func() bool { _, count := group.told(); return count == 1 })
+	later := subscribeAs()
+	later.say(Presence{Proxy: "proxy-a"})
+	eventually(t, "the word of the later one", func() bool { _, count := group.told(); return count == 2 })
+	must.NoError(t, later.conn.Close())
+	eventually(t, "the end of the later one", func() bool { return server.Subscribers() == 1 })
+	earlier.say(Presence{Proxy: "proxy-a", Ready: true})
+	earlier.send(kindDemand, encodeDemand(DemandReport{}))
+	eventually(t, "what comes behind the word is taken in", func() bool { return group.reports() == 1 })
+	last, _ := group.told()
+	must.True(t, last.Ready)
+}
+
+// A subscription that only stands by is none of the leader's: it makes the one beside it,
+// over which the daemon speaks, no earlier one.
+func TestSubscriptionThatStandsByTakesNobodysWord(t *testing.T) {
+	group := newFakeGroup()
+	_, address := startServer(t, group)
+	speaking, standing := newRawSubscriber(t, address), newRawSubscriber(t, address)
+	speaking.send(kindSubscribe, encodeSubscribe(subscribe{daemon: "proxy-a", instance: 1}))
+	standing.send(kindSubscribe, encodeSubscribe(subscribe{daemon: "proxy-a", instance: 1, standby: true}))
+	standing.send(kindDemand, encodeDemand(DemandReport{}))
+	eventually(t, "the one that stands by is open", func() bool { return group.reports() == 1 })
+	speaking.say(Presence{Proxy: "proxy-a", Ready: true})
+	speaking.send(kindDemand, encodeDemand(DemandReport{}))
+	eventually(t, "what comes behind the word is taken in", func() bool { return group.reports() == 2 })
+	last, _ := group.told()
+	must.True(t, last.Ready)
+}
--- a/connection/feed/latest.go
+++ b/connection/feed/latest.go
@@ -1,51 +1,48 @@
 package feed
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // latestSubscriptions knows which of a daemon's open subscriptions is the latest. An
 // earlier one is that of a process that has ended, or a connection that its process has
-// given up: what it still brings was said before.
+// given up: what it still brings was said before. Subscriptions that only stand by are
+// none of these.
 type latestSubscriptions struct {
-	lock     sync.Mutex
-	byDaemon map[string]openSubscriptions
-}
-
-// openSubscriptions are those of one daemon.
-type openSubscriptions struct {
-	count  int
-	latest uint64 // by the order in which connections were accepted
+	lock sync.Mutex
+	// byDaemon holds the numbers of the open ones, by the order in which their
+	// connections were accepted; no list is empty.
+	byDaemon map[string][]uint64
 }
 
 func newLatestSubscriptions() *latestSubscriptions {
-	return &latestSubscriptions{byDaemon: map[string]openSubscriptions{}}
+	return &latestSubscriptions{byDaemon: map[string][]uint64{}}
 }
 
 func (l *latestSubscriptions) add(daemon string, number uint64) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	known := l.byDaemon[daemon]
-	known.count++
-	known.latest = max(known.latest, number)
-	l.byDaemon[daemon] = known
+	l.byDaemon[daemon] = append(l.byDaemon[daemon], number)
 }
 
-func (l *latestSubscriptions) remove(daemon string) {
+func (l *latestSubscriptions) remove(daemon string, number uint64) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	known := l.byDaemon[daemon]
-	if known.count--; known.count <= 0 {
+	left := slices.DeleteFunc(l.byDaemon[daemon], func(open uint64) bool { return open == number })
+	if len(left) == 0 {
 		delete(l.byDaemon, daemon)
 		return
 	}
-	l.byDaemon[daemon] = known
+	l.byDaemon[daemon] = left
 }
 
-// ifLatest acts if the subscription is the daemon's latest. No later one is added until
-// act, which must not block, has returned.
+// ifLatest acts if the open subscription is its daemon's latest. No later one is added
+// until act, which must not block, has returned.
 func (l *latestSubscriptions) ifLatest(daemon string, number uint64, act func()) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	if number >= l.byDaemon[daemon].latest {
+	if number == slices.Max(l.byDaemon[daemon]) {
 		act()
 	}
 }
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -97,8 +97,10 @@
 	if err := s.open(first); err != nil {
 		return err
 	}
-	s.server.latest.add(s.key.daemon, s.number)
-	defer s.server.latest.remove(s.key.daemon)
+	if !s.standby {
+		s.server.latest.add(s.key.daemon, s.number)
+		defer s.server.latest.remove(s.key.daemon, s.number)
+	}
 	for {
 		received, err := reader.ReadFrame()
 		if err != nil {
@@ -165,12 +167,16 @@
 }
 
 // receivePresence takes in what a daemon says of a proxy, unless a later subscription of
-// the daemon is there: its word came after this one, whenever this one arrives.
+// the daemon is open: its word came after this one, whenever this one arrives. A
+// subscription that stands by is asked for placements alone.
 func (s *subscriber) receivePresence(payload []byte) error {
 	presence, err := decodePresence(payload)
 	if err != nil {
 		return err
 	}
+	if s.standby {
+		return nil
+	}
 	s.server.latest.ifLatest(s.key.daemon, s.number, func() {
 		s.server.config.Group.ReportPresence(presence)
 	})
