Raft: take back that a member's own stall is no silence of the others

Who of two identities of one name is gone is told by who was active within an election timeout, and the try had a leader that was held up itself count its followers as active for longer. The old identity of a member that lost its disk then passes for one that has replaced the new one, which is removed.

What the try bought is given up: syncs of about 150 ms against an election timeout of 200 ms cost leaders their lead again.

--- a/process/raft/leadership.go
+++ b/process/raft/leadership.go
@@ -97,8 +97,8 @@
 	}
 }
 
-// recentlyActive tells whether the member answered within an election timeout, stalls
-// of the leader not counted; all count as having answered when the term began.
+// recentlyActive tells whether the member answered within an election timeout;
+// all count as having answered when the term began.
 func (n *Node) recentlyActive(p *progress) bool {
 	return n.now < p.lastActive+n.config.ElectionTimeout
 }
--- a/process/raft/node.go
+++ b/process/raft/node.go
@@ -27,8 +27,6 @@
 	random  *rand.Rand
 	now     time.Duration
 	started bool // now has been set by a call
-	// lastTick is when Tick was last called.
-	lastTick time.Duration
 
 	term     uint64
 	vote     MemberID
@@ -171,11 +169,9 @@
 }
 
 // Tick lets time pass: elections, heartbeats, check-quorum and retries are due
-// by durations, so it may be called as often as the caller likes. It should be called
-// once each heartbeat interval; a longer gap counts as a stall of this member.
+// by durations, so it may be called as often or as seldom as the caller likes.
 func (n *Node) Tick(now time.Duration) {
 	n.observe(now)
-	n.discountStall()
 	if n.role == Leader {
 		n.tickLeader()
 		return
@@ -185,30 +181,6 @@
 	}
 }
 
-// discountStall takes a stall of this member, whose disk hung or whose process was
-// paused, off the time that others have had to answer it. A leader asked them nothing
-// meanwhile, and what they answered before may still wait to be taken in; a candidate
-// asks for votes only once its own is synced. To count the stall would have a leader
-// step down, or a candidate give its election up, for a silence of its own.
-//
-// Invariant: no promise moves by it. A lease counts from when its heartbeat round was
-// sent, a voter's guard from when it heard the leader, and a vote is for one term.
-func (n *Node) discountStall() {
-	stalled := n.now - n.lastTick - n.config.HeartbeatInterval
-	n.lastTick = n.now
-	if stalled <= 0 {
-		return
-	}
-	switch n.role {
-	case Leader:
-		for _, p := range n.leadership.progress {
-			p.lastActive = min(p.lastActive+stalled, n.now)
-		}
-	case Candidate:
-		n.electionDeadline += stalled
-	}
-}
-
 // Step takes in one message. Errors: ErrWrongMember, ErrInvalidMessage and
 // ErrDiverged; each leaves the node unchanged but for its clock.
 func (n *Node) Step(now time.Duration, m Message) error {
--- a/process/raft/progress.go
+++ b/process/raft/progress.go
@@ -29,7 +29,7 @@
 	snapshotSentAt time.Duration // snapshot: when it was last sent
 
 	commitSent    uint64        // commit index last sent with entries
-	lastActive    time.Duration // last reply in this term, later by the leader's stalls since
+	lastActive    time.Duration // last reply in this term
 	everActive    bool          // has replied in this term at all
 	ackedSequence uint64        // highest heartbeat round answered
 	ackedSentAt   time.Duration // when that round was sent
--- a/process/replica/replica.go
+++ b/process/replica/replica.go
@@ -9,8 +9,7 @@
 // and applied here, once; one that is refused (ErrNotLeader, ErrOverloaded,
 // ErrStopped, ErrWithdrawn) is never applied; any other is answered with
 // ErrOutcomeUnknown and is applied at most once. A leader that is cut off answers
-// all that waits within about an election timeout, also without a deadline; the time
-// in which its own disk hangs comes on top.
+// all that waits within about an election timeout, also without a deadline.
 package replica
 
 import (
