--- a/process/ingress/budget_test.go
+++ b/process/ingress/budget_test.go
@@ -7,9 +7,23 @@
 
 	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/request/retry"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/shoenig/test/must"
 )
 
+// withPatience gives the model route an objective of which no machine is late by so much
+// that a replica passes for silent: giving it up would cost a retry.
+func (w *world) withPatience() {
+	w.views.set(func(v *view.View) {
+		patient := testIngress()
+		for i := range patient.Spec.Routes {
+			patient.Spec.Routes[i].ObjectiveMilliseconds = patience.Milliseconds()
+		}
+		v.Ingresses = map[string]*api.Ingress{api.IngressName: patient}
+	})
+}
+
 // withReserve leaves the model service's lane so many retries, and no share of
 // its requests.
 func (w *world) withReserve(reserve float64) {
@@ -24,6 +38,7 @@
 	generator := newFakeReplica(t, "make", streamEvents(2, ""))
 	w := newModelWorld(t, reader, generator, nil)
 	w.ingress.placer = &fakePlacer{answer: placement.Answer{Generator: "make", Reader: "read"}}
+	w.withPatience()
 	w.withReserve(2)
 	const asked = 10
 	for range asked {
