Routed requests: keys of tenants, known before anything else is done

Cause: the routed path knew no callers. Ruled out: checking at the replica's side only, which takes places and budget first; keys in views, which every proxy and reader of objects would hold; one object for all keys, of which a change of 100 would send 1.6 MB to each proxy. Change: tenants and public routes in the Ingress; the leader makes digests under a secret of the group, a RouteTenant each; the document is kept out of views and objects; a proxy looks a key up before it reads a body, names the tenant on every send, and takes its rank; fail_closed by the time since a leader confirmed the view.

--- a/cmd/landingtrail/get.go
+++ b/cmd/landingtrail/get.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -126,7 +127,8 @@
 	api.KindClass:   {"SERVICE", "PRIORITY", "DEADLINE", "REPEAT-NEVER"},
 	api.KindTenant:  {"WEIGHT", "TOKENS/S", "BURST"},
 
-	api.KindQuarantine: {"STATE", "SERVICE", "ROUTE", "REQUEST", "REPLICAS", "UNTIL"},
+	api.KindQuarantine:  {"STATE", "SERVICE", "ROUTE", "REQUEST", "REPLICAS", "UNTIL"},
+	api.KindRouteTenant: {"PRIORITY", "KEYS"},
 }
 
 func printKind(to cli.Streams, kind api.Kind, objects []api.Object) error {
@@ -157,6 +159,9 @@
 	case object.Quarantine != nil:
 		spec := object.Quarantine.Spec
 		return []any{spec.State, spec.Service, spec.Route, spec.Request, len(spec.Replicas), time.UnixMilli(spec.Until).UTC().Format(time.RFC3339)}
+	case object.RouteTenant != nil:
+		spec := object.RouteTenant.Spec
+		return []any{priorityText(spec.Priority), spec.Keys}
 	case object.Tenant != nil:
 		spec := object.Tenant.Spec
 		return []any{spec.Weight, spec.TokensPerSecond, spec.Burst}
@@ -164,6 +169,14 @@
 	return nil // kinds without columns of their own
 }
 
+// priorityText names a tenant's rank; without one that of the routes holds.
+func priorityText(priority *int) string {
+	if priority == nil {
+		return "of the route"
+	}
+	return strconv.Itoa(*priority)
+}
+
 func rolesText(roles []api.EngineRole) string {
 	var texts []string
 	for _, role := range roles {
--- a/connection/feed/messages.go
+++ b/connection/feed/messages.go
@@ -11,7 +11,7 @@
 )
 
 // Protocol is the preface of every feed connection.
-var Protocol = frame.Protocol{ID: 2, Version: 8}
+var Protocol = frame.Protocol{ID: 2, Version: 9}
 
 // Kinds of frames. A subscriber sends Subscribe first and once.
 const (
--- a/connection/operatorapi/operatorapi.go
+++ b/connection/operatorapi/operatorapi.go
@@ -18,7 +18,7 @@
 	PathStatus       = "/apis/v1/status"         // GET -> Status
 	PathOrders       = "/apis/v1/orders"         // GET -> OrderList
 	PathLedger       = "/apis/v1/ledger"         // GET ?tenant=T&key=K -> Ledger
-	PathIngress      = "/apis/v1/ingress"        // POST api.IngressSpec -> api.ReplaceResult
+	PathIngress      = "/apis/v1/ingress"        // POST api.IngressSpec -> api.ReplaceResult; GET -> ObjectList, with the document
 	PathQuarantine   = "/apis/v1/quarantine"     // DELETE /{fingerprint} -> Released
 	PathMembers      = "/apis/v1/members"        // POST MemberRequest -> MemberReply
 	PathMemberStatus = "/apis/v1/members/status" // GET of one member itself -> MemberSelf
--- a/process/control/ingress.go
+++ b/process/control/ingress.go
@@ -13,6 +13,7 @@
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/apikey"
 	"github.com/landingtrail/landingtrail/version/compress"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/pkg/errors"
@@ -57,15 +58,15 @@
 		if _, valid := current.Lease(ctx); !valid {
 			return nil, errors.Wrap(ErrUnavailable, "the leader lease is not valid")
 		}
-		return unpackSource(current.machine.view().Ingresses[api.IngressName])
+		return current.machine.ingress()
 	}
 	var list operatorapi.ObjectList
-	if err := a.askLeader(ctx, http.MethodGet, operatorapi.PathObjects+"/"+string(api.KindIngress), nil, &list); err != nil {
+	if err := a.askLeader(ctx, http.MethodGet, operatorapi.PathIngress, nil, &list); err != nil {
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
 	for _, object := range list.Objects {
 		if object.Ingress != nil {
-			return unpackSource(object.Ingress)
+			return object.Ingress, nil
 		}
 	}
 	return nil, nil
@@ -74,12 +75,17 @@
 // maxSourceBytes bounds an unpacked document.
 const maxSourceBytes = 64 << 20
 
-// unpackSource returns the Ingress with its document as it came.
-func unpackSource(held *api.Ingress) (*api.Ingress, error) {
+// ingress returns the Ingress with its document as it came, nil if there is none.
+func (m *machine) ingress() (*api.Ingress, error) {
+	var held *api.Ingress
+	var packed []byte
+	m.read(func(machine *state.Machine) {
+		held, packed = machine.View().Ingresses[api.IngressName], machine.IngressSource()
+	})
 	if held == nil {
 		return nil, nil
 	}
-	source, err := compress.Unpack(held.Spec.Source, maxSourceBytes)
+	source, err := compress.Unpack(packed, maxSourceBytes)
 	if err != nil {
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
@@ -151,8 +157,8 @@
 		event.IngressNotTaken.Log(g.logger, "generation", spec.Generation, "voters", len(status.Configuration.Voters), "err", "too few voters")
 		return api.ReplaceResult{}, errors.Wrap(ErrUnavailable, "the group is not complete yet")
 	}
-	spec.Source = compress.Pack(spec.Source)
-	value, err := g.propose(ctx, state.Command{Kind: state.CommandReplaceIngress, ReplaceIngress: &spec})
+	replacement := g.seal(spec)
+	value, err := g.propose(ctx, state.Command{Kind: state.CommandReplaceIngress, ReplaceIngress: &replacement})
 	if err != nil {
 		event.IngressNotTaken.Log(g.logger, "generation", spec.Generation, "err", err)
 		if surelyNotProposed(err) {
@@ -165,6 +171,19 @@
 	return result, nil
 }
 
+// seal returns the spec as it is replicated: its keys are digests, and stand nowhere else
+// but in the packed document, which no proxy gets.
+func (g *group) seal(spec api.IngressSpec) state.ReplaceIngress {
+	secret := apikey.NewSecret()
+	if held := g.machine.view().Ingresses[api.IngressName]; held != nil {
+		secret = held.Spec.KeySecret
+	}
+	tenants := apikey.Seal(secret, spec.Tenants)
+	spec.KeySecret, spec.Tenants = secret, nil
+	spec.Source = compress.Pack(spec.Source)
+	return state.ReplaceIngress{Spec: spec, Tenants: tenants}
+}
+
 // bearsLosses reports whether each quorum of the group outlives the losses that
 // must be borne.
 func (g *group) bearsLosses(status raft.Status) bool {
@@ -176,6 +195,23 @@
 // losses that must be borne.
 func (g *group) votersWanted() int { return 2*g.config.LossesToBear + 1 }
 
+// readIngress serves the operator API's call on the leader. It is the only answer in
+// which the document stands, keys included, since operators read it back as they sent it.
+func (s *operatorServer) readIngress(w http.ResponseWriter, r *http.Request, _ []byte) {
+	s.leased(w, r, func(current *group, term uint64) {
+		held, err := current.machine.ingress()
+		if err != nil {
+			writeNoQuorum(w, err.Error(), "")
+			return
+		}
+		var objects []api.Object
+		if held != nil {
+			objects = append(objects, api.Object{Ingress: held})
+		}
+		writeObjects(w, current.machine.view(), term, objects)
+	})
+}
+
 // replaceIngress serves the operator API's call on the leader.
 func (s *operatorServer) replaceIngress(w http.ResponseWriter, r *http.Request, body []byte) {
 	var spec api.IngressSpec
--- a/process/control/ingress_test.go
+++ b/process/control/ingress_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"encoding/json"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +17,7 @@
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/apikey"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
@@ -330,6 +333,43 @@
 	must.Eq(t, 12, g.heldIngress(0).Spec.Generation)
 }
 
+// Keys stand in the document alone, which no view holds: neither in what proxies get nor in
+// what operators read of objects.
+func TestNoViewHoldsAKey(t *testing.T) {
+	g := newGrowing(t, 3, 3, 1)
+	g.start(0, 1, 2)
+	g.awaitVoters(3, 0, 1, 2)
+	key := "key-of-north-0123456789"
+	spec := ingressOf(5, `{"tenants":[{"api_keys":["`+key+`"]}]}`)
+	spec.KeysRequired = true
+	spec.Tenants = []api.TenantKeys{{Name: "north", Keys: []string{key}}}
+	for i := range 3 {
+		spec.Generation++
+		must.Eq(t, api.ReplaceApplied, g.replaceIngress(i, spec).Code)
+		for reader := range 3 {
+			must.StrContains(t, string(g.heldIngress(reader).Spec.Source), key)
+		}
+	}
+	current := g.running[g.leader()].member.group.Load().machine.view()
+	must.SliceLen(t, 1, current.RouteTenants["north"].Spec.Digests)
+	must.Eq(t, apikey.SecretBytes, len(current.Ingresses[api.IngressName].Spec.KeySecret))
+	delta := current.Full()
+	bytes, err := delta.AppendBinary(nil)
+	must.NoError(t, err)
+	must.StrNotContains(t, string(bytes), key)
+	for _, kind := range api.Kinds {
+		shown, err := json.Marshal(current.List(kind))
+		must.NoError(t, err)
+		must.StrNotContains(t, string(shown), key)
+		must.StrNotContains(t, string(shown), base64.StdEncoding.EncodeToString([]byte(key))[:20])
+	}
+	shared := ingressOf(99, "")
+	shared.Tenants = []api.TenantKeys{{Name: "a", Keys: []string{key}}, {Name: "b", Keys: []string{key}}}
+	result := g.replaceIngress(0, shared)
+	must.Eq(t, api.ReplaceInvalid, result.Code)
+	must.Eq(t, "tenants[1].keys[0]", result.Faults[0].Field)
+}
+
 // replaceIngress hands the member a configuration until it has an answer, as a caller
 // does: one that is told of no outcome, or of no leader, sends it again.
 func (g *growing) replaceIngress(i int, spec api.IngressSpec) api.ReplaceResult {
--- a/process/ingress/config.go
+++ b/process/ingress/config.go
@@ -36,6 +36,16 @@
 	Dialect  Dialect
 	Timeouts Timeouts
 	Silence  Silence
+	Keys     Keys
+}
+
+// Keys says what becomes of API keys while no leader confirms the view.
+type Keys struct {
+	// FailClosed refuses callers with keys once the view was not confirmed for so long
+	// that a key which was taken away might still be taken; else what was held last goes on.
+	FailClosed bool
+	// RevokeWithin is how long after its removal a key may still be taken.
+	RevokeWithin time.Duration
 }
 
 // Silence is how long callers bear with a stream that says nothing: the longest
--- a/process/ingress/harness_test.go
+++ b/process/ingress/harness_test.go
@@ -57,6 +57,8 @@
 	testSource   = "Test-Source"
 	testAgain    = "Test-Again"
 	testPriority = "Test-Priority"
+	testKey      = "Test-Key"
+	testTenant   = "Test-Tenant"
 )
 
 // testDialect is a protocol of these tests.
@@ -64,6 +66,7 @@
 
 func (testDialect) Call(header http.Header) (Call, error) {
 	call := Call{ID: header.Get(testID), Header: header, ResumeAfter: header.Get(testResume)}
+	call.Credential = Credential{Key: header.Get(testKey), Given: len(header[testKey]) > 0}
 	if call.ID == "" {
 		return call, errors.New("no ID")
 	}
@@ -73,6 +76,14 @@
 	return call, nil
 }
 
+func (testDialect) Identify(header http.Header, tenant string) {
+	header.Del(testKey)
+	header.Del(testTenant)
+	if tenant != "" {
+		header.Set(testTenant, tenant)
+	}
+}
+
 func (testDialect) Attempt(header http.Header, attempt Attempt) {
 	header.Set(testReplica, attempt.Replica)
 	header.Set(testPriority, strconv.Itoa(attempt.Priority))
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -47,8 +48,10 @@
 	metrics    *metrics
 	// placer places model requests by all that is in flight; nil leaves it to
 	// what this proxy knows itself.
-	placer  Placer
-	numbers atomic.Uint64
+	placer Placer
+	// confirmer tells how old the view may be; nil without a group.
+	confirmer Confirmer
+	numbers   atomic.Uint64
 }
 
 // Placer decides where model requests go; *feed.Client is one.
@@ -61,6 +64,7 @@
 type tableAt struct {
 	version view.Version
 	ingress *api.Ingress
+	tenants map[string]*api.RouteTenant // those that the keys of routes are of
 	routes  *routeTable
 }
 
@@ -98,9 +102,11 @@
 		i.lanes.update(current, i.now())
 		i.guard.Follow(current, i.now())
 		held := current.Ingresses[api.IngressName]
-		next := &tableAt{version: current.Version, ingress: held, routes: known.routes}
-		if held != known.ingress {
+		next := &tableAt{version: current.Version, ingress: held, tenants: known.tenants, routes: known.routes}
+		if held != known.ingress || !maps.Equal(current.RouteTenants, known.tenants) {
 			next.routes = newRouteTable(held)
+			next.routes.keys = known.routes.keys.Follow(next.routes.keySecret, current.RouteTenants)
+			next.tenants = current.RouteTenants
 		}
 		if !i.table.CompareAndSwap(known, next) {
 			continue
@@ -133,22 +139,48 @@
 		w.Header().Set("Connection", "close")
 	}
 	routes := i.routes()
-	call, refusal := i.read(w, r, routes)
+	call, taken, refusal := i.take(w, r, routes)
 	if refusal != nil {
-		i.config.Dialect.Refusal(w.Header(), &call, refusal.retryAfter)
-		writeOwn(w, refusal.status, refusal.cause)
+		i.refuse(w, &call, refusal)
 		i.logRefusal(&call, routes, refusal)
 		return
 	}
+	i.serve(w, r, call, taken, arrived)
+}
+
+// refuse answers a call of which nothing is done. The answer leaves before the body is in,
+// which net/http would else read first.
+func (i *Ingress) refuse(w http.ResponseWriter, call *Call, refusal *ownRefusal) {
+	_ = http.NewResponseController(w).EnableFullDuplex() // without it the answer comes later
+	i.config.Dialect.Refusal(w.Header(), call, refusal.retryAfter)
+	writeOwn(w, refusal.status, refusal.cause)
+}
+
+// admission is how a call was taken in.
+type admission struct {
+	route      *api.Route
+	priority   int
+	generation uint64 // of the Ingress that the request is handled by
+}
+
+// take finds the route of a request and who asks, and then reads it whole: nothing is kept
+// of the body of one that is refused.
+func (i *Ingress) take(w http.ResponseWriter, r *http.Request, routes *routeTable) (Call, admission, *ownRefusal) {
+	call, refusal := i.readHead(r)
+	if refusal != nil {
+		return call, admission{}, refusal
+	}
 	route := routes.find(call.Host, call.Path)
 	if route == nil {
-		refusal = noRoute(routes, i.now())
-		i.config.Dialect.Refusal(w.Header(), &call, refusal.retryAfter)
-		writeOwn(w, refusal.status, refusal.cause)
-		i.logRefusal(&call, routes, refusal)
-		return
+		return call, admission{}, noRoute(routes, i.now())
+	}
+	tenant, refusal := i.authenticate(routes, route, &call)
+	if refusal != nil {
+		return call, admission{}, refusal
 	}
-	i.serve(w, r, call, route, routes.generation, arrived)
+	taken := admission{route: route, generation: routes.generation}
+	taken.priority = i.identify(routes, route, &call, tenant)
+	return call, taken, i.readWhole(w, r, routes, &call)
 }
 
 // ownRefusal is an answer that is given before any replica was asked.
@@ -185,8 +217,8 @@
 	return max(expectedStart-uptime, leastStartPause) + rand.N(startSpread)
 }
 
-// read takes the caller's request in whole.
-func (i *Ingress) read(w http.ResponseWriter, r *http.Request, routes *routeTable) (Call, *ownRefusal) {
+// readHead reads what stands before the body.
+func (i *Ingress) readHead(r *http.Request) (Call, *ownRefusal) {
 	call, err := i.config.Dialect.Call(r.Header)
 	if err != nil {
 		return call, &ownRefusal{status: http.StatusBadRequest, cause: "invalid_fields"}
@@ -197,19 +229,25 @@
 	call.Host = r.Host
 	call.Chunked = len(r.TransferEncoding) > 0
 	stripConnectionFields(call.Header)
+	return call, nil
+}
+
+// readWhole reads the body of a call that is taken.
+func (i *Ingress) readWhole(w http.ResponseWriter, r *http.Request, routes *routeTable, call *Call) *ownRefusal {
 	limit := routes.maxBodyBytes()
 	if r.ContentLength > limit {
-		return call, &ownRefusal{status: http.StatusRequestEntityTooLarge, cause: "body_too_large"}
+		return &ownRefusal{status: http.StatusRequestEntityTooLarge, cause: "body_too_large"}
 	}
+	var err error
 	call.Body, err = readBody(w, r, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return call, &ownRefusal{status: http.StatusRequestEntityTooLarge, cause: "body_too_large"}
+		return &ownRefusal{status: http.StatusRequestEntityTooLarge, cause: "body_too_large"}
 	case err != nil:
-		return call, &ownRefusal{status: http.StatusBadRequest, cause: "body_cut"}
+		return &ownRefusal{status: http.StatusBadRequest, cause: "body_cut"}
 	}
-	return call, nil
+	return nil
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
@@ -249,12 +287,13 @@
 }
 
 // serve sees a routed request through.
-func (i *Ingress) serve(w http.ResponseWriter, r *http.Request, call Call, route *api.Route, generation uint64, arrived time.Duration) {
+func (i *Ingress) serve(w http.ResponseWriter, r *http.Request, call Call, taken admission, arrived time.Duration) {
+	route := taken.route
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	service := chooseService(route, random)
 	s := &session{
 		ingress: i, writer: w, call: call, route: route, lane: i.lanes.lane(service), random: random,
-		generation: generation, arrived: arrived, excluded: map[string]bool{}, sentTo: map[string]bool{},
+		generation: taken.generation, priority: taken.priority, arrived: arrived, excluded: map[string]bool{}, sentTo: map[string]bool{},
 		life: attempt.New(attempt.Policy{
 			Once:     !route.Idempotent(),
 			Attempts: max(route.Attempts, 1) + maxDials + 1,
--- a/process/ingress/placed.go
+++ b/process/ingress/placed.go
@@ -122,7 +122,7 @@
 	ask := placement.Ask{
 		Prompt:    s.call.Work.PromptTokens,
 		Output:    s.call.Work.OutputTokens,
-		Priority:  s.route.Priority,
+		Priority:  s.priority,
 		Zone:      s.ingress.config.Zone,
 		Objective: s.objective(),
 		Age:       s.ingress.now() - s.arrived,
--- a/process/ingress/plan.go
+++ b/process/ingress/plan.go
@@ -30,21 +30,21 @@
 const deferredPriority = 9
 
 // readPriority is that of a send which has the prompt read.
-func (p *plan) readPriority(route *api.Route) int {
+func (p *plan) readPriority(own int) int {
 	if p.deferred {
 		return deferredPriority
 	}
-	return route.Priority
+	return own
 }
 
 // runPriority is that of a run. One that takes a read prompt over is let in
 // first: there is little left to be done, and until then it keeps the memory of
 // two replicas.
-func (p *plan) runPriority(route *api.Route, source Source) int {
+func (p *plan) runPriority(own int, source Source) int {
 	if source.Handle != "" {
-		return route.Priority
+		return own
 	}
-	return p.readPriority(route)
+	return p.readPriority(own)
 }
 
 // fetchAddress is where parts of the prompt are taken from, empty for nowhere.
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -68,7 +68,7 @@
 	s.ingress.config.Dialect.Attempt(request.Header, Attempt{
 		Replica:  reader.name,
 		Within:   s.replicaTime(),
-		Priority: chosen.readPriority(s.route),
+		Priority: chosen.readPriority(s.priority),
 		Prefill:  true,
 		Fetch:    chosen.fetchAddress(),
 	})
--- a/process/ingress/routes.go
+++ b/process/ingress/routes.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/apikey"
 )
 
 // routeTable finds the route of a request. It is immutable.
@@ -16,16 +17,21 @@
 	// byHost holds each host's routes, the longest prefix first.
 	byHost   map[string][]*api.Route
 	services map[string]*api.RouteService
+	// keys finds the tenant of a key where keysRequired.
+	keysRequired bool
+	keySecret    []byte
+	keys         *apikey.Table
 }
 
 // newRouteTable reads the Ingress, nil where none was accepted yet.
 func newRouteTable(held *api.Ingress) *routeTable {
-	table := &routeTable{byHost: map[string][]*api.Route{}, services: map[string]*api.RouteService{}}
+	table := &routeTable{byHost: map[string][]*api.Route{}, services: map[string]*api.RouteService{}, keys: apikey.NewTable()}
 	if held == nil {
 		return table
 	}
 	table.generation = held.Spec.Generation
 	table.limits = held.Spec.Limits
+	table.keysRequired, table.keySecret = held.Spec.KeysRequired, held.Spec.KeySecret
 	for i := range held.Spec.Services {
 		service := &held.Spec.Services[i]
 		table.services[service.Name] = service
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -61,6 +61,7 @@
 	}
 	defer client.Close()
 	made.placer = client
+	made.confirmer = holder
 	made.guard.SetReporter(client)
 	endRelay, err := made.passPlacementsOn(feed.NewPlacementRelay(client, holder))
 	if err != nil {
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -24,6 +24,7 @@
 	random  *rand.Rand
 
 	generation uint64 // of the Ingress that the request is handled by
+	priority   int    // the tenant's, or the route's
 	arrived    time.Duration
 	deadline   time.Duration // the earlier of the caller's and the route's
 	callerEnds time.Duration // when the caller gives up
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -206,7 +206,7 @@
 	s.ingress.config.Dialect.Attempt(header, Attempt{
 		Replica:     chosen.target.name,
 		Within:      s.replicaTime(),
-		Priority:    chosen.runPriority(s.route, source),
+		Priority:    chosen.runPriority(s.priority, source),
 		ResumeAfter: resumeAfter,
 		Source:      source,
 		Fetch:       chosen.fetchOf(source),
--- a/process/ingress/types.go
+++ b/process/ingress/types.go
@@ -30,8 +30,13 @@
 	Header  http.Header
 	Body    []byte
 	Chunked bool
-	// Caller is who asks, by the fields that name a caller; empty where none does.
+	// Caller is who asks: the tenant of the key where keys are required, and else what
+	// the fields say that name a caller; empty where none does.
 	Caller string
+	// Tenant is the one of the key; empty where keys are not required, or none came.
+	Tenant string
+	// Credential is the API key that came with the call.
+	Credential Credential
 	// Within is how long the caller waits, 0 if it did not say.
 	Within time.Duration
 	Work   Work
@@ -39,6 +44,14 @@
 	ResumeAfter string
 }
 
+// Credential is an API key as it came. It goes no further than the look-up.
+type Credential struct {
+	Key string
+	// Given is true where the call brought a credential, also one of a form in which no
+	// key can be.
+	Given bool
+}
+
 // Work is what a caller says of a generation.
 type Work struct {
 	Model        string
@@ -116,6 +129,9 @@
 	// Call reads what the fields of a caller's request say; fields of the
 	// dialect that belong to the system are taken out of the header.
 	Call(header http.Header) (Call, error)
+	// Identify replaces whatever names a caller, its credentials included, by the tenant;
+	// an empty one leaves nothing in its place.
+	Identify(header http.Header, tenant string)
 	// Attempt sets the fields of one send.
 	Attempt(header http.Header, attempt Attempt)
 	// IdentityField returns the field in which a replica's answer repeats a request's ID.
--- a/version/api/fleet.go
+++ b/version/api/fleet.go
@@ -1,7 +1,8 @@
 package api
 
-// Replica is one process of a service as the platform's list shows it. Its name
-// is that of the process's incarnation: a restarted replica has another one.
+// Replica is one process of a service as the platform's list shows it. Its name may be
+// that of an earlier process, which held what this one does not: the two are told apart
+// by their births.
 type Replica struct {
 	Metadata `json:"metadata" yaml:"metadata"`
 	Spec     ReplicaSpec `json:"spec" yaml:"spec"`
@@ -19,6 +20,9 @@
 	// Role and Models are set for replicas of model services.
 	Role   EngineRole `json:"role,omitempty" yaml:"role,omitempty"`
 	Models []string   `json:"models,omitempty" yaml:"models,omitempty"`
+	// Born is when the process started by its own word, in milliseconds since 1970; 0 if
+	// it has not said. See process/control for what one that never says is taken for.
+	Born int64 `json:"born,omitempty" yaml:"born,omitempty"`
 }
 
 // Proxy is a proxy that takes callers' requests now.
--- a/version/api/ingress.go
+++ b/version/api/ingress.go
@@ -17,8 +17,18 @@
 	Routes     []Route        `json:"routes" yaml:"routes"`
 	Services   []RouteService `json:"services" yaml:"services"`
 	Limits     IngressLimits  `json:"limits" yaml:"limits"`
+	// KeysRequired is true where a request brings the API key of a tenant, unless its
+	// route is public.
+	KeysRequired bool `json:"keysRequired,omitempty" yaml:"keysRequired,omitempty"`
+	// KeySecret is what digests of API keys are made under. The group draws it once and
+	// hands it to proxies alone.
+	KeySecret []byte `json:"-" yaml:"-"`
+	// Tenants, with their keys, stand only in a spec that is sent. The group stores them
+	// as RouteTenants, which hold digests.
+	Tenants []TenantKeys `json:"tenants,omitempty" yaml:"tenants,omitempty"`
 	// Source is the document from which the operator's automation made the
-	// spec; it may be empty. The group keeps it packed and hands it out as it came.
+	// spec; it may be empty. It stands only in a spec that is sent, or that was read
+	// back: the group keeps it packed, out of views, and hands it out as it came.
 	Source []byte `json:"source,omitempty" yaml:"source,omitempty"`
 }
 
@@ -52,8 +62,10 @@
 	// Affinity asks that requests that share a prompt prefix share a replica.
 	Affinity bool `json:"affinity,omitempty" yaml:"affinity,omitempty"`
 	// Resumable streams may be continued on another replica.
-	Resumable bool           `json:"resumable,omitempty" yaml:"resumable,omitempty"`
-	Backends  []RouteBackend `json:"backends" yaml:"backends"`
+	Resumable bool `json:"resumable,omitempty" yaml:"resumable,omitempty"`
+	// Public routes take requests without an API key.
+	Public   bool           `json:"public,omitempty" yaml:"public,omitempty"`
+	Backends []RouteBackend `json:"backends" yaml:"backends"`
 }
 
 // Idempotent reports whether requests of the route may run more than once.
--- a/version/api/metadata.go
+++ b/version/api/metadata.go
@@ -19,11 +19,12 @@
 	KindProxy   Kind = "Proxy"
 	KindMember  Kind = "Member"
 
-	KindQuarantine Kind = "Quarantine"
+	KindQuarantine  Kind = "Quarantine"
+	KindRouteTenant Kind = "RouteTenant"
 )
 
 // Kinds lists every kind in the order in which tables print them.
-var Kinds = []Kind{KindIntent, KindEngine, KindService, KindClass, KindTenant, KindIngress, KindReplica, KindProxy, KindMember, KindQuarantine}
+var Kinds = []Kind{KindIntent, KindEngine, KindService, KindClass, KindTenant, KindIngress, KindReplica, KindProxy, KindMember, KindQuarantine, KindRouteTenant}
 
 // IsWritable reports whether transactions write objects of the kind. The others
 // are replaced as a whole or observed by the group itself.
--- a/version/api/objects.go
+++ b/version/api/objects.go
@@ -232,7 +232,8 @@
 	Proxy   *Proxy   `json:"proxy,omitempty" yaml:"proxy,omitempty"`
 	Member  *Member  `json:"member,omitempty" yaml:"member,omitempty"`
 
-	Quarantine *Quarantine `json:"quarantine,omitempty" yaml:"quarantine,omitempty"`
+	Quarantine  *Quarantine  `json:"quarantine,omitempty" yaml:"quarantine,omitempty"`
+	RouteTenant *RouteTenant `json:"routeTenant,omitempty" yaml:"routeTenant,omitempty"`
 }
 
 // Key returns the key of the object that is set, and false if not exactly one is.
@@ -268,6 +269,9 @@
 	if o.Quarantine != nil {
 		keys = append(keys, Key{KindQuarantine, o.Quarantine.Name})
 	}
+	if o.RouteTenant != nil {
+		keys = append(keys, Key{KindRouteTenant, o.RouteTenant.Name})
+	}
 	if len(keys) != 1 {
 		return Key{}, false
 	}
@@ -297,6 +301,8 @@
 		return &o.Member.Metadata
 	case o.Quarantine != nil:
 		return &o.Quarantine.Metadata
+	case o.RouteTenant != nil:
+		return &o.RouteTenant.Metadata
 	}
 	return nil
 }
--- a/version/api/validate_ingress.go
+++ b/version/api/validate_ingress.go
@@ -28,9 +28,60 @@
 		}
 		places[place] = i
 	}
+	c.tenants(spec.Tenants)
 	return c.faults
 }
 
+// Bounds of tenants: a name stands in the heads of requests, and so does a key.
+const (
+	maxTenantNameBytes = 256
+	maxKeyBytes        = 1024
+)
+
+// tenants checks the tenants of an Ingress as they were sent. No fault shows a key.
+func (c *checker) tenants(tenants []TenantKeys) {
+	named := map[string]int{}
+	owners := map[string]int{}
+	for i := range tenants {
+		tenant := &tenants[i]
+		field := fmt.Sprintf("tenants[%d]", i)
+		c.fieldText(field+".name", tenant.Name, maxTenantNameBytes)
+		if earlier, taken := named[tenant.Name]; taken {
+			c.add(field+".name", "%q is the name of tenants[%d]", tenant.Name, earlier)
+		}
+		named[tenant.Name] = i
+		for k, key := range tenant.Keys {
+			entry := fmt.Sprintf("%s.keys[%d]", field, k)
+			c.keyText(entry, key)
+			if owner, taken := owners[key]; taken && owner != i {
+				c.add(entry, "is a key of tenants[%d]", owner)
+			}
+			owners[key] = i
+		}
+	}
+}
+
+// fieldText checks a text that is to stand in a field of a request's head.
+func (c *checker) fieldText(field, text string, limit int) {
+	switch {
+	case text == "":
+		c.add(field, "must not be empty")
+	case len(text) > limit:
+		c.add(field, "must not be longer than %d bytes", limit)
+	case strings.ContainsFunc(text, func(r rune) bool { return r < ' ' || r > '~' }), strings.TrimSpace(text) != text:
+		c.add(field, "must consist of printable ASCII without spaces at its ends")
+	}
+}
+
+func (c *checker) keyText(field, key string) {
+	switch {
+	case key == "":
+		c.add(field, "must not be empty")
+	case len(key) > maxKeyBytes:
+		c.add(field, "must not be longer than %d bytes", maxKeyBytes)
+	}
+}
+
 func (c *checker) routeServices(services []RouteService) map[string]bool {
 	known := map[string]bool{}
 	for i, service := range services {
--- a/version/api/validate_ingress_test.go
+++ b/version/api/validate_ingress_test.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -64,3 +65,29 @@
 	must.False(t, (&Route{Kind: RouteStreaming}).Idempotent())
 	must.True(t, (&Route{Kind: RouteStreaming, Resumable: true}).Idempotent())
 }
+
+// Each fault of a tenant is named by its field; none shows a key.
+func TestFaultsOfTenants(t *testing.T) {
+	key := "secret-key"
+	cases := []struct {
+		tenants []TenantKeys
+		field   string
+	}{
+		{[]TenantKeys{{Name: "a", Keys: []string{key}}, {Name: "b", Keys: []string{"x", key}}}, "tenants[1].keys[1]"},
+		{[]TenantKeys{{Name: "a"}, {Name: "a"}}, "tenants[1].name"},
+		{[]TenantKeys{{Name: ""}}, "tenants[0].name"},
+		{[]TenantKeys{{Name: "a\r\nPriority: 0"}}, "tenants[0].name"},
+		{[]TenantKeys{{Name: " a"}}, "tenants[0].name"},
+		{[]TenantKeys{{Name: "a", Keys: []string{""}}}, "tenants[0].keys[0]"},
+		{[]TenantKeys{{Name: "a", Keys: []string{strings.Repeat("k", 1025)}}}, "tenants[0].keys[0]"},
+	}
+	for _, each := range cases {
+		spec := IngressSpec{Generation: 1, Tenants: each.tenants}
+		faults := ValidateIngress(&spec)
+		must.SliceLen(t, 1, faults)
+		must.Eq(t, each.field, faults[0].Field)
+		must.StrNotContains(t, faults[0].Message, key)
+	}
+	spec := IngressSpec{Generation: 1, Tenants: []TenantKeys{{Name: "a", Keys: []string{key, key}}, {Name: "b"}}}
+	must.SliceEmpty(t, ValidateIngress(&spec), must.Sprint("a key twice is the same key"))
+}
--- a/version/binenc/ingress.go
+++ b/version/binenc/ingress.go
@@ -9,6 +9,7 @@
 	minimumRouteBytes   = 12
 	minimumServiceBytes = 4
 	minimumBackendBytes = 2
+	minimumTenantBytes  = 3
 )
 
 // AppendIngressSpec appends the spec of an Ingress.
@@ -26,6 +27,12 @@
 	b = AppendInt(b, spec.Limits.MaxBodyBytes)
 	b = AppendInt(b, spec.Limits.HeaderMilliseconds)
 	b = AppendInt(b, spec.Limits.IdleMilliseconds)
+	b = AppendBool(b, spec.KeysRequired)
+	b = AppendBytes(b, spec.KeySecret)
+	b = AppendUint(b, uint64(len(spec.Tenants)))
+	for i := range spec.Tenants {
+		b = appendTenantKeys(b, &spec.Tenants[i])
+	}
 	return AppendBytes(b, spec.Source)
 }
 
@@ -46,6 +53,12 @@
 		HeaderMilliseconds: r.Int(),
 		IdleMilliseconds:   r.Int(),
 	}
+	spec.KeysRequired = r.Bool()
+	spec.KeySecret = r.Bytes()
+	tenants := r.Count(minimumTenantBytes)
+	for i := 0; i < tenants && r.err == nil; i++ {
+		spec.Tenants = append(spec.Tenants, r.tenantKeys())
+	}
 	spec.Source = r.Bytes()
 	return spec
 }
@@ -62,6 +75,7 @@
 	b = AppendInt(b, int64(route.Attempts))
 	b = AppendBool(b, route.Affinity)
 	b = AppendBool(b, route.Resumable)
+	b = AppendBool(b, route.Public)
 	b = AppendUint(b, uint64(len(route.Backends)))
 	for _, backend := range route.Backends {
 		b = AppendString(b, backend.Service)
@@ -83,6 +97,7 @@
 		Attempts:              int(r.Int()),
 		Affinity:              r.Bool(),
 		Resumable:             r.Bool(),
+		Public:                r.Bool(),
 	}
 	backends := r.Count(minimumBackendBytes)
 	for i := 0; i < backends && r.err == nil; i++ {
@@ -141,7 +156,8 @@
 	b = AppendInt(b, int64(o.Spec.Slots))
 	b = AppendBool(b, o.Spec.Leaving)
 	b = AppendString(b, string(o.Spec.Role))
-	return AppendStrings(b, o.Spec.Models)
+	b = AppendStrings(b, o.Spec.Models)
+	return AppendInt(b, o.Spec.Born)
 }
 
 func (r *Reader) replica() *api.Replica {
@@ -153,6 +169,7 @@
 	o.Spec.Leaving = r.Bool()
 	o.Spec.Role = api.EngineRole(r.String())
 	o.Spec.Models = r.Strings()
+	o.Spec.Born = r.Int()
 	return o
 }
 
--- a/version/binenc/object.go
+++ b/version/binenc/object.go
@@ -19,6 +19,7 @@
 	tagProxy
 	tagMember
 	tagQuarantine
+	tagRouteTenant
 )
 
 // AppendObject appends the object that is set. It panics if none is, since
@@ -45,6 +46,8 @@
 		return appendMember(append(b, tagMember), o.Member)
 	case o.Quarantine != nil:
 		return appendQuarantine(append(b, tagQuarantine), o.Quarantine)
+	case o.RouteTenant != nil:
+		return AppendRouteTenant(append(b, tagRouteTenant), o.RouteTenant)
 	}
 	panic("binenc: object without a kind")
 }
@@ -72,6 +75,8 @@
 		return api.Object{Member: r.member()}
 	case tagQuarantine:
 		return api.Object{Quarantine: r.quarantine()}
+	case tagRouteTenant:
+		return api.Object{RouteTenant: r.RouteTenant()}
 	}
 	r.Fail(ErrMalformed)
 	return api.Object{}
--- /dev/null
+++ b/version/binenc/tenant.go
@@ -0,0 +1,53 @@
+package binenc
+
+import "github.com/landingtrail/landingtrail/version/api"
+
+// AppendRouteTenant appends a tenant of the routes.
+func AppendRouteTenant(b []byte, o *api.RouteTenant) []byte {
+	b = appendMetadata(b, o.Metadata)
+	b = appendPriority(b, o.Spec.Priority)
+	b = AppendUint(b, uint64(len(o.Spec.Digests)))
+	for _, digest := range o.Spec.Digests {
+		b = append(b, digest[:]...)
+	}
+	return AppendInt(b, int64(o.Spec.Keys))
+}
+
+// RouteTenant reads a tenant of the routes.
+func (r *Reader) RouteTenant() *api.RouteTenant {
+	o := &api.RouteTenant{Metadata: r.metadata()}
+	o.Spec.Priority = r.priority()
+	for range r.Count(api.KeyDigestBytes) {
+		var digest api.KeyDigest
+		copy(digest[:], r.take(api.KeyDigestBytes))
+		o.Spec.Digests = append(o.Spec.Digests, digest)
+	}
+	o.Spec.Keys = int(r.Int())
+	return o
+}
+
+func appendTenantKeys(b []byte, o *api.TenantKeys) []byte {
+	b = AppendString(b, o.Name)
+	b = appendPriority(b, o.Priority)
+	return AppendStrings(b, o.Keys)
+}
+
+func (r *Reader) tenantKeys() api.TenantKeys {
+	return api.TenantKeys{Name: r.String(), Priority: r.priority(), Keys: r.Strings()}
+}
+
+func appendPriority(b []byte, priority *int) []byte {
+	b = AppendBool(b, priority != nil)
+	if priority == nil {
+		return b
+	}
+	return AppendInt(b, int64(*priority))
+}
+
+func (r *Reader) priority() *int {
+	if !r.Bool() {
+		return nil
+	}
+	priority := int(r.Int())
+	return &priority
+}
--- a/version/state/codec.go
+++ b/version/state/codec.go
@@ -39,7 +39,7 @@
 	case CommandMember:
 		return appendMember(b, command.Member)
 	case CommandReplaceIngress:
-		return binenc.AppendIngressSpec(b, command.ReplaceIngress)
+		return appendReplaceIngress(b, command.ReplaceIngress)
 	case CommandObserve:
 		return appendObserve(b, command.Observe)
 	}
@@ -83,8 +83,7 @@
 	case CommandMember:
 		command.Member = readMember(r)
 	case CommandReplaceIngress:
-		spec := r.IngressSpec()
-		command.ReplaceIngress = &spec
+		command.ReplaceIngress = readReplaceIngress(r)
 	case CommandObserve:
 		command.Observe = readObserve(r)
 	default:
@@ -172,6 +171,9 @@
 	if o.Quarantine != nil {
 		parts = append(parts, api.Object{Quarantine: o.Quarantine})
 	}
+	if o.RouteTenant != nil {
+		parts = append(parts, api.Object{RouteTenant: o.RouteTenant})
+	}
 	return parts
 }
 
@@ -223,6 +225,9 @@
 	case part.Quarantine != nil:
 		o.Quarantine = part.Quarantine
 		return 10
+	case part.RouteTenant != nil:
+		o.RouteTenant = part.RouteTenant
+		return 11
 	}
 	return 0
 }
--- a/version/state/codec_test.go
+++ b/version/state/codec_test.go
@@ -28,6 +28,10 @@
 		v.Set(reflect.MakeSlice(v.Type(), 2, 2))
 		fillValue(v.Index(0), seed)
 		fillValue(v.Index(1), seed)
+	case reflect.Array:
+		for i := range v.Len() {
+			fillValue(v.Index(i), seed)
+		}
 	case reflect.Map:
 		v.Set(reflect.MakeMap(v.Type()))
 		for range 2 {
@@ -54,7 +58,7 @@
 	var commands []Command
 	seed := 0
 	bodies := reflect.TypeFor[Command]()
-	fields := []string{"Transaction", "OpenOrder", "CloseOrder", "EngineReport", "Machines", "Claim", "RunOutcome", "Member", "VoidOrder"}
+	fields := []string{"Transaction", "OpenOrder", "CloseOrder", "EngineReport", "Machines", "Claim", "RunOutcome", "Member", "VoidOrder", "ReplaceIngress"}
 	for i, name := range fields {
 		command := Command{Kind: CommandKind(i + 1), Time: 1_700_000_000_000}
 		field, _ := bodies.FieldByName(name)
--- a/version/state/command.go
+++ b/version/state/command.go
@@ -28,7 +28,7 @@
 	CommandRunOutcome                            // *RunOutcome -> nothing
 	CommandMember                                // *Member -> nothing
 	CommandVoidOrder                             // *VoidOrder -> VoidOrderResult
-	CommandReplaceIngress                        // *api.IngressSpec -> api.ReplaceResult
+	CommandReplaceIngress                        // *ReplaceIngress -> api.ReplaceResult
 	CommandObserve                               // *Observe -> nothing
 )
 
@@ -49,7 +49,7 @@
 	RunOutcome     *RunOutcome
 	Member         *Member
 	VoidOrder      *VoidOrder
-	ReplaceIngress *api.IngressSpec
+	ReplaceIngress *ReplaceIngress
 	Observe        *Observe
 }
 
--- a/version/state/ingress_test.go
+++ b/version/state/ingress_test.go
@@ -10,7 +10,9 @@
 )
 
 func replaceCommand(generation uint64, source string) Command {
-	return Command{Kind: CommandReplaceIngress, ReplaceIngress: &api.IngressSpec{Generation: generation, Source: []byte(source)}}
+	return Command{Kind: CommandReplaceIngress, ReplaceIngress: &ReplaceIngress{
+		Spec: api.IngressSpec{Generation: generation, Source: []byte(source)},
+	}}
 }
 
 func TestHighestGenerationHolds(t *testing.T) {
@@ -30,7 +32,7 @@
 	for i, step := range steps {
 		result := m.Apply(1, uint64(i+1), replaceCommand(step.generation, step.source))
 		must.Eq(t, step.want, result.(api.ReplaceResult))
-		must.Eq(t, step.holds, string(m.View().Ingresses[api.IngressName].Spec.Source))
+		must.Eq(t, step.holds, string(m.IngressSource()))
 	}
 }
 
@@ -56,9 +58,9 @@
 			must.GreaterEq(t, held, spec.Generation)
 			held = spec.Generation
 			if known, found := content[held]; found {
-				must.Eq(t, known, string(spec.Source))
+				must.Eq(t, known, string(m.IngressSource()))
 			}
-			content[held] = string(spec.Source)
+			content[held] = string(m.IngressSource())
 		}
 	})
 }
--- a/version/state/machine.go
+++ b/version/state/machine.go
@@ -34,6 +34,9 @@
 	proxies       table[api.Proxy]
 	memberObjects table[api.Member]
 	quarantines   table[api.Quarantine]
+	routeTenants  table[api.RouteTenant]
+	// ingressSource is the packed document of the Ingress. It holds keys, and so is in no view.
+	ingressSource []byte
 
 	changes      []view.Change
 	changesFloor uint64 // highest revision dropped from changes
@@ -60,6 +63,7 @@
 		proxies:       newTable[api.Proxy](),
 		memberObjects: newTable[api.Member](),
 		quarantines:   newTable[api.Quarantine](),
+		routeTenants:  newTable[api.RouteTenant](),
 		selection:     newSelection(),
 		incarnations:  newTable[[]uint64](),
 		members:       map[uint64]Member{},
--- a/version/state/read.go
+++ b/version/state/read.go
@@ -34,7 +34,8 @@
 			Proxies:   m.proxies.share(),
 			Members:   m.memberObjects.share(),
 
-			Quarantines: m.quarantines.share(),
+			Quarantines:  m.quarantines.share(),
+			RouteTenants: m.routeTenants.share(),
 		}
 	}
 	return m.current
@@ -75,10 +76,15 @@
 		Proxies:   m.proxies.items,
 		Members:   m.memberObjects.items,
 
-		Quarantines: m.quarantines.items,
+		Quarantines:  m.quarantines.items,
+		RouteTenants: m.routeTenants.items,
 	}
 }
 
+// IngressSource returns the packed document of the Ingress that holds. It is replaced
+// and never written to.
+func (m *Machine) IngressSource() []byte { return m.ingressSource }
+
 // Operation returns the answer that is kept under an operation ID.
 func (m *Machine) Operation(id string) (api.TransactionResult, bool) {
 	e := m.operations.get(id, m.clock)
--- a/version/state/snapshot.go
+++ b/version/state/snapshot.go
@@ -22,7 +22,7 @@
 )
 
 // snapshotFormat begins every snapshot; its last byte is the format's version.
-const snapshotFormat = "LTS\x01"
+const snapshotFormat = "LTS\x02"
 
 const checksumBytes = 8
 
@@ -33,6 +33,7 @@
 	index        uint64
 	clock        int64
 	history      view.History
+	source       []byte
 	incarnations map[string]*[]uint64
 	platform     platformList
 	members      map[uint64]Member
@@ -48,6 +49,7 @@
 		index:        m.index,
 		clock:        m.clock,
 		history:      m.History(),
+		source:       m.ingressSource,
 		incarnations: m.incarnations.share(),
 		platform:     m.platform,
 		members:      maps.Clone(m.members),
@@ -70,6 +72,7 @@
 	b = binenc.AppendUint(b, f.index)
 	b = binenc.AppendInt(b, f.clock)
 	b = appendHistory(b, f.history)
+	b = binenc.AppendBytes(b, f.source)
 	b = appendIncarnations(b, f.incarnations)
 	b = binenc.AppendStrings(b, f.platform.leaving)
 	b = binenc.AppendStrings(b, f.platform.gone)
@@ -104,6 +107,7 @@
 	m.index = r.Uint()
 	m.clock = r.Int()
 	m.readHistory(r)
+	m.ingressSource = r.Bytes()
 	m.readIncarnations(r)
 	m.platform = platformList{leaving: readSorted(r), gone: readSorted(r)}
 	m.readMembers(r)
--- a/version/state/table.go
+++ b/version/state/table.go
@@ -75,6 +75,8 @@
 		return kindTable[api.Member]{&m.memberObjects, func(o api.Object) *api.Member { return o.Member }}
 	case api.KindQuarantine:
 		return kindTable[api.Quarantine]{&m.quarantines, func(o api.Object) *api.Quarantine { return o.Quarantine }}
+	case api.KindRouteTenant:
+		return kindTable[api.RouteTenant]{&m.routeTenants, func(o api.Object) *api.RouteTenant { return o.RouteTenant }}
 	}
 	return nil
 }
--- a/version/view/holder.go
+++ b/version/view/holder.go
@@ -19,6 +19,8 @@
 type Holder struct {
 	view       atomic.Pointer[View]
 	validUntil atomic.Int64 // nanoseconds of the monotonic clock
+	// confirmedAt is when the last heartbeat was sent that a leader has answered.
+	confirmedAt atomic.Int64
 
 	mu   sync.Mutex // held by writers
 	term uint64     // highest term seen
@@ -61,9 +63,16 @@
 	}
 	h.term = term
 	h.validUntil.Store(max(h.validUntil.Load(), int64(sentAt+lease)))
+	h.confirmedAt.Store(max(h.confirmedAt.Load(), int64(sentAt)))
 	return true
 }
 
+// SinceConfirmed returns how long ago a leader last confirmed the view, counted from when
+// the daemon asked; before the first time, since the beginning of its clock.
+func (h *Holder) SinceConfirmed(now time.Duration) time.Duration {
+	return now - time.Duration(h.confirmedAt.Load())
+}
+
 // Valid reports whether the lease covers now, a reading of the same monotonic
 // clock as Confirm's sentAt. Callers that act on the view must read the clock
 // after the work that led to the action, since a process may be paused between.
--- a/version/view/table.go
+++ b/version/view/table.go
@@ -50,6 +50,8 @@
 		return kindTable[api.Member]{&v.Members, func(o *api.Object) **api.Member { return &o.Member }}
 	case api.KindQuarantine:
 		return kindTable[api.Quarantine]{&v.Quarantines, func(o *api.Object) **api.Quarantine { return &o.Quarantine }}
+	case api.KindRouteTenant:
+		return kindTable[api.RouteTenant]{&v.RouteTenants, func(o *api.Object) **api.RouteTenant { return &o.RouteTenant }}
 	}
 	return nil
 }
--- a/version/view/table_test.go
+++ b/version/view/table_test.go
@@ -22,7 +22,8 @@
 		api.KindProxy:   {Proxy: &api.Proxy{Metadata: named}},
 		api.KindMember:  {Member: &api.Member{Metadata: named}},
 
-		api.KindQuarantine: {Quarantine: &api.Quarantine{Metadata: named}},
+		api.KindQuarantine:  {Quarantine: &api.Quarantine{Metadata: named}},
+		api.KindRouteTenant: {RouteTenant: &api.RouteTenant{Metadata: named}},
 	}
 	made, known := objects[kind]
 	must.True(t, known, must.Sprint(kind))
--- a/version/view/types.go
+++ b/version/view/types.go
@@ -35,6 +35,8 @@
 	Members   map[string]*api.Member
 	// Quarantines holds the requests under which replicas ended, by fingerprint.
 	Quarantines map[string]*api.Quarantine
+	// RouteTenants holds the tenants of the Ingress, by name.
+	RouteTenants map[string]*api.RouteTenant
 }
 
 // Delta leads from one version to a later one. From zero with Full set it is a
--- a/version/view/view.go
+++ b/version/view/view.go
@@ -44,7 +44,8 @@
 		Proxies:   map[string]*api.Proxy{},
 		Members:   map[string]*api.Member{},
 
-		Quarantines: map[string]*api.Quarantine{},
+		Quarantines:  map[string]*api.Quarantine{},
+		RouteTenants: map[string]*api.RouteTenant{},
 	}
 }
 
