Lists: entries of other writers name no replica; births tell processes apart

Cause: one field of another type made a page of the list fail, and the fleet went stale for one bad entry. Ruled out: taking the word of an answer with the birth of the list, which lags: the answer itself does not say which process it is of. Change: entries are read one by one, foreign ones counted and logged once (1215); a process is its name and birth in ends, on the board and in lanes; an answer refutes an end only on a connection that was open before it, by the record's time of the first end for other proxies.

--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -18,7 +18,8 @@
 	net.Conn
 	list        *idleList // where it is kept while it is idle
 	reader      *bufio.Reader
-	usableUntil time.Duration // by the pool's clock
+	openedAt    time.Duration // by the pool's clock
+	usableUntil time.Duration
 	// maxHead bounds the heads before one answer, in bytes; headLeft is what is left of
 	// it while inHead.
 	maxHead  int64
--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -53,6 +53,9 @@
 	// Length is that of the body, -1 if it is not known beforehand.
 	Length int64
 	Reused bool
+	// Opened is when its connection was opened, by the pool's clock: the process that
+	// answers has lived since then.
+	Opened time.Duration
 	// Foreign are answers to other requests that came before it and were passed over.
 	Foreign []*ForeignAnswer
 
@@ -94,6 +97,7 @@
 		Header:  response.Header,
 		Length:  response.ContentLength,
 		Reused:  reused,
+		Opened:  used.openedAt,
 		Foreign: foreign,
 		pool:    p,
 		conn:    used,
--- a/connection/exchange/pool.go
+++ b/connection/exchange/pool.go
@@ -214,6 +214,7 @@
 		return nil, false, errors.WithStack(err)
 	}
 	opened := newConn(raw, list, p.config.MaxHeaderBytes)
+	opened.openedAt = p.config.Clock()
 	opened.limitSilence(p.config.Unacknowledged)
 	return opened, false, nil
 }
--- a/process/control/duties.go
+++ b/process/control/duties.go
@@ -82,7 +82,7 @@
 		logger:    logger,
 		client:    client,
 		platform:  newPlatformReader(g.config, logger),
-		fleet:     newFleetReader(g.config, logger),
+		fleet:     newFleetReader(g.config, g.metrics.foreign, logger),
 		lease:     g.Lease,
 		wakeup:    make(chan struct{}, 1),
 		stopping:  make(chan struct{}),
--- a/process/control/fleet.go
+++ b/process/control/fleet.go
@@ -16,12 +16,21 @@
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // FleetSource is where the leader learns of the replicas of routed services.
 type FleetSource interface {
 	// Replicas returns all replicas that are listed now. The list may lag.
-	Replicas(ctx context.Context) ([]api.Replica, error)
+	Replicas(ctx context.Context) (FleetList, error)
+}
+
+// FleetList is a list of replicas as it was read.
+type FleetList struct {
+	Replicas []api.Replica
+	// Foreign says of each entry that names no replica what is wrong with it. Others write
+	// to the list as well, and their entries take nothing from the rest.
+	Foreign []string
 }
 
 // missesToRemove is how many lists in a row must lack a replica before it is
@@ -33,12 +42,16 @@
 type fleetReader struct {
 	config Config
 	logger log.Logger
+	// foreignEntries is the metric of entries that name no replica.
+	foreignEntries prometheus.Gauge
 
 	lock sync.Mutex
 	// listed holds the replicas of the last list and those that were missed
 	// fewer times than missesToRemove; nil while no list was read.
 	listed map[string]listedReplica
 	failed bool
+	// foreign counts the entries of the last list that name no replica, by what is wrong.
+	foreign map[string]int
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -49,8 +62,8 @@
 	missed  int
 }
 
-func newFleetReader(config Config, logger log.Logger) *fleetReader {
-	return &fleetReader{config: config, logger: logger}
+func newFleetReader(config Config, foreignEntries prometheus.Gauge, logger log.Logger) *fleetReader {
+	return &fleetReader{config: config, foreignEntries: foreignEntries, logger: logger}
 }
 
 // start begins to read the list; nothing is known from an earlier leadership.
@@ -61,7 +74,7 @@
 	}
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	f.listed, f.failed = nil, false
+	f.listed, f.failed, f.foreign = nil, false, nil
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	f.done.Go(func() { f.run(ctx, changed) })
@@ -78,12 +91,12 @@
 func (f *fleetReader) run(ctx context.Context, changed func()) {
 	for {
 		asking, cancel := context.WithTimeout(ctx, f.config.Durations.EngineTimeout)
-		replicas, err := f.config.Fleet.Replicas(asking)
+		list, err := f.config.Fleet.Replicas(asking)
 		cancel()
 		if ctx.Err() != nil {
 			return
 		}
-		if f.keep(replicas, err) {
+		if f.keep(list, err) {
 			changed()
 		}
 		if !pause.For(ctx, f.config.Durations.PlatformPoll) {
@@ -95,9 +108,10 @@
 // keep takes a list in and reports whether it brought news. An empty list after
 // one with replicas is taken for a fault: to believe it would take the whole
 // fleet away at once.
-func (f *fleetReader) keep(replicas []api.Replica, err error) bool {
+func (f *fleetReader) keep(list FleetList, err error) bool {
 	f.lock.Lock()
 	defer f.lock.Unlock()
+	replicas := list.Replicas
 	if err == nil && len(replicas) == 0 && len(f.listed) > 0 {
 		err = errors.New("control: the list of replicas is empty")
 	}
@@ -112,10 +126,25 @@
 		event.FleetReadable.Log(f.logger, "replicas", len(replicas))
 	}
 	f.failed = false
+	f.noteForeign(list.Foreign)
 	f.listed = mergeList(f.listed, replicas)
 	return true
 }
 
+// noteForeign tells once of entries that name no replica: again only when there are others.
+func (f *fleetReader) noteForeign(faults []string) {
+	counts := map[string]int{}
+	for _, fault := range faults {
+		counts[fault]++
+	}
+	f.foreignEntries.Set(float64(len(faults)))
+	if maps.Equal(counts, f.foreign) {
+		return
+	}
+	f.foreign = counts
+	event.FleetForeign.Log(f.logger, "entries", len(faults), "faults", fmt.Sprint(counts))
+}
+
 // mergeList returns what is listed after another list was read.
 func mergeList(previous map[string]listedReplica, replicas []api.Replica) map[string]listedReplica {
 	next := make(map[string]listedReplica, len(replicas))
@@ -189,7 +218,7 @@
 
 func equalReplica(a, b *api.ReplicaSpec) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots &&
-		a.Leaving == b.Leaving && a.Role == b.Role && slices.Equal(a.Models, b.Models)
+		a.Leaving == b.Leaving && a.Role == b.Role && a.Born == b.Born && slices.Equal(a.Models, b.Models)
 }
 
 // diffMembers keeps the members that daemons may follow equal to those recorded.
--- a/process/control/metrics.go
+++ b/process/control/metrics.go
@@ -28,6 +28,7 @@
 	placements    *prometheus.CounterVec
 	placing       *prometheus.HistogramVec
 	expected      *prometheus.HistogramVec
+	foreign       prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -42,6 +43,10 @@
 	m.placements = m.vector("placements_total", "Requests that proxies asked this member to place.", "outcome")
 	m.placing = m.histogram("placing_seconds", "Time of one decision where a request goes.", placingBuckets, "service")
 	m.expected = m.histogram("placed_first_token_seconds", "Expected time to the first token of placed requests.", expectedBuckets, "service")
+	m.foreign = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: metricsNamespace, Name: "fleet_foreign_entries", Help: "Entries of the list that name no replica, as last read by this member as leader.",
+	})
+	m.registry.MustRegister(m.foreign)
 	return m
 }
 
--- a/process/control/placement.go
+++ b/process/control/placement.go
@@ -113,6 +113,7 @@
 		}
 		listed[entry.Spec.Service] = append(listed[entry.Spec.Service], placement.Replica{
 			Name: name, Zone: entry.Spec.Zone, Role: role, Slots: entry.Spec.Slots, Leaving: entry.Spec.Leaving,
+			Born: entry.Spec.Born,
 		})
 	}
 	return listed
--- a/process/control/quarantine.go
+++ b/process/control/quarantine.go
@@ -119,7 +119,7 @@
 	for _, fingerprint := range d.table.Watched(now) {
 		if current.Quarantines[fingerprint.String()] == nil && recorded < maxQuarantines {
 			recorded++
-			seen.Put = append(seen.Put, d.record(fingerprint, wall))
+			seen.Put = append(seen.Put, d.record(fingerprint, now, wall))
 		}
 	}
 	return seen, refuted
@@ -182,15 +182,24 @@
 // record is the entry of a request that is not on record yet. It is watched first, however
 // many replicas have ended: proxies that know of it tell when it is served, as one is that
 // merely stood beside.
-func (d *quarantineDesk) record(fingerprint quarantine.Fingerprint, wall time.Time) api.Object {
+func (d *quarantineDesk) record(fingerprint quarantine.Fingerprint, now time.Duration, wall time.Time) api.Object {
 	replicas, about := d.table.Ends(fingerprint)
 	spec := api.QuarantineSpec{
 		State: api.QuarantineWatched, Service: about.Service, Route: about.Route, Request: about.Request,
-		Replicas: replicas, Until: wall.Add(watchTime).UnixMilli(),
+		Replicas: replicas, Since: d.since(fingerprint, now, wall), Until: wall.Add(watchTime).UnixMilli(),
 	}
 	return quarantineObject(fingerprint.String(), spec)
 }
 
+// since is when the first replica ended under a request, by the time of day.
+func (d *quarantineDesk) since(fingerprint quarantine.Fingerprint, now time.Duration, wall time.Time) int64 {
+	first, found := d.table.FirstEnd(fingerprint)
+	if !found {
+		return wall.UnixMilli()
+	}
+	return wall.Add(first - now).UnixMilli()
+}
+
 func quarantineObject(name string, spec api.QuarantineSpec) api.Object {
 	return api.Object{Quarantine: &api.Quarantine{Metadata: api.Metadata{Name: name}, Spec: spec}}
 }
--- a/process/control/roles.go
+++ b/process/control/roles.go
@@ -31,6 +31,9 @@
 	Busy bool
 	// Sequence counts the orders that it has taken.
 	Sequence uint64
+	// Born is when its process started by its own word, in milliseconds since 1970; 0 if it
+	// did not say.
+	Born int64
 }
 
 // RoleOrder is one order. The replica carries it out only while it has taken
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -75,6 +75,9 @@
 	FleetUnusable = define(1213, "fleet_unusable", Warn,
 		"The platform's list of replicas could not be read; the last list stands.",
 		"Check the platform's address, and whether its rate of calls is used up.")
+	FleetForeign = define(1215, "fleet_foreign", Warn,
+		"Entries of the platform's list name no replica: another writer left them, or they are of an unknown state. They are passed over; the others hold. faults counts them by what is wrong.",
+		"If an entry of ours is meant, look at it in the list.")
 	FleetReadable = define(1214, "fleet_readable", Info, "The platform's list of replicas can be read again.", "")
 	KeptAsked     = define(1220, "kept_asked", Info,
 		"A new leader has asked a replica which parts of prompts it keeps, since no proxy has told.", "")
--- a/process/guard/guard.go
+++ b/process/guard/guard.go
@@ -41,7 +41,13 @@
 	recorded map[string]*api.Quarantine
 	// doubted are the replicas that are on record as ended, with when this proxy learnt it:
 	// whoever hears of one refutes that.
-	doubted map[string]time.Duration
+	doubted map[string]doubt
+}
+
+// doubt is what makes a replica that is on record as ended doubtful.
+type doubt struct {
+	learntAt time.Duration
+	endedAt  time.Time // the first end on its record, by the leader's time of day
 }
 
 // New returns a guard that tells nobody until it has a Reporter.
@@ -85,14 +91,14 @@
 // doubt keeps which replicas are on record as ended.
 func (g *Guard) doubt(now time.Duration) {
 	before := g.doubted
-	g.doubted = map[string]time.Duration{}
+	g.doubted = map[string]doubt{}
 	for _, known := range g.recorded {
 		for _, replica := range known.Spec.Replicas {
-			since, found := before[replica]
+			next, found := before[replica]
 			if !found {
-				since = now
+				next = doubt{learntAt: now, endedAt: time.UnixMilli(known.Spec.Since)}
 			}
-			g.doubted[replica] = since
+			g.doubted[replica] = next
 		}
 	}
 }
@@ -105,10 +111,27 @@
 	}
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	since, found := g.doubted[replica]
-	return found && sentAt > since
+	known, found := g.doubted[replica]
+	return found && sentAt > known.learntAt
 }
 
+// DoubtsSince is Doubts for a replica that does not say which process answers: another one
+// may have its name by now. It is the same only if it answered on a connection that was
+// open before the end, by clocks of different machines.
+func (g *Guard) DoubtsSince(replica string, sentAt time.Duration, opened time.Time) bool {
+	if !g.Doubts(replica, sentAt) {
+		return false
+	}
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	known, found := g.doubted[replica]
+	return found && opened.Before(known.endedAt.Add(-clockMargin))
+}
+
+// clockMargin is by how much clocks of different machines may disagree, steps of the time
+// of day included.
+const clockMargin = 5 * time.Second
+
 // learn takes in one entry that is new or has changed. One with fewer replicas than before
 // was refuted in part, or has lapsed: what is known here is then replaced by it.
 func (g *Guard) learn(earlier, known *api.Quarantine, now time.Duration) {
--- a/process/guard/guard_test.go
+++ b/process/guard/guard_test.go
@@ -123,6 +123,21 @@
 	must.False(t, made.Doubts("r-0", later))
 }
 
+// A replica that does not say which process answers is the one on record only on a
+// connection that was open before it ended, by clocks that may disagree.
+func TestDoubtsOfReplicasThatDoNotSayWhoTheyAre(t *testing.T) {
+	ended := time.Unix(1_700_000_000, 0)
+	made := New()
+	known := record(1, api.QuarantineHeld, ended.Add(time.Hour), "r-0", "r-1")
+	known.Quarantines[fatal.String()].Spec.Since = ended.UnixMilli()
+	made.Follow(known, time.Second)
+	must.False(t, made.DoubtsSince("r-0", later, ended.Add(time.Minute)), must.Sprint("another process, it may be"))
+	must.False(t, made.DoubtsSince("r-0", later, ended.Add(-time.Second)), must.Sprint("clocks differ"))
+	must.True(t, made.DoubtsSince("r-0", later, ended.Add(-time.Minute)))
+	must.False(t, made.DoubtsSince("r-0", time.Second, ended.Add(-time.Minute)), must.Sprint("sent before it was learnt"))
+	must.False(t, made.DoubtsSince("r-9", later, ended.Add(-time.Minute)))
+}
+
 func TestServedRequestIsToldOnlyWhereItMatters(t *testing.T) {
 	leader := &group{connected: true}
 	made := New()
--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/quarantine"
@@ -46,18 +47,21 @@
 	}
 	target.noteEnd(now)
 	s.ingress.guard.Ended(now, quarantine.Evidence{
-		Fingerprint: s.fingerprint(), Replica: target.name, Began: sent.events > 0, Read: stage == stageRead, Ran: now - sent.at,
+		Fingerprint: s.fingerprint(), Replica: target.incarnation(), Began: sent.events > 0, Read: stage == stageRead, Ran: now - sent.at,
 		About: quarantine.About{Service: s.lane.service, Route: s.route.Name, Request: s.call.ID},
 	})
 }
 
-// noteAnswer notes that a replica has answered what was sent to it then: it lives.
-func (s *session) noteAnswer(from *replica, sentAt time.Duration, reply *Reply) {
+// noteAnswer notes that a replica has answered what was sent to it then. Where that came on
+// a connection that was open before it seemed to end, it lives.
+func (s *session) noteAnswer(from *replica, sentAt time.Duration, answer *exchange.Answer, reply *Reply) {
 	if !reply.Named || reply.Misdirected {
 		return
 	}
-	if from.refutesEnd(sentAt) || s.ingress.guard.Doubts(from.name, sentAt) {
-		s.ingress.guard.Lives(s.ingress.now(), from.name)
+	now, incarnation := s.ingress.now(), from.incarnation()
+	opened := time.Now().Add(answer.Opened - now)
+	if from.refutesEnd(sentAt, answer.Opened) || s.ingress.guard.DoubtsSince(incarnation, sentAt, opened) {
+		s.ingress.guard.Lives(now, incarnation)
 	}
 }
 
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -73,7 +73,7 @@
 	config = config.WithDefaults()
 	made := &Ingress{
 		config: config, logger: logger, views: views, clock: now,
-		lanes: newLanes(config), metrics: newMetrics(), guard: guard.New(),
+		lanes: newLanes(config, now), metrics: newMetrics(), guard: guard.New(),
 	}
 	made.patient, made.endPatient = context.WithCancel(context.Background())
 	made.table.Store(&tableAt{routes: newRouteTable(nil)})
--- a/process/ingress/lane.go
+++ b/process/ingress/lane.go
@@ -28,6 +28,7 @@
 // lanes opens a lane for each service that has replicas, and keeps it.
 type lanes struct {
 	config Config
+	clock  func() time.Duration
 
 	lock    sync.Mutex
 	version view.Version
@@ -35,7 +36,9 @@
 	sharers sharers
 }
 
-func newLanes(config Config) *lanes { return &lanes{config: config, open: map[string]*lane{}} }
+func newLanes(config Config, clock func() time.Duration) *lanes {
+	return &lanes{config: config, clock: clock, open: map[string]*lane{}}
+}
 
 // lane returns the lane of a service.
 func (l *lanes) lane(service string) *lane {
@@ -50,7 +53,7 @@
 	}
 	opened := &lane{
 		service: service,
-		pool:    exchange.NewPool(exchange.Config{}),
+		pool:    exchange.NewPool(exchange.Config{Clock: l.clock}),
 		budget:  retry.NewWindow(shareMargin*l.config.Retry.Share, l.config.Retry.Reserve, l.config.Retry.Window),
 	}
 	opened.budget.HoldReserve(l.config.Retry.Settle)
@@ -126,7 +129,7 @@
 	next := make([]*replica, 0, len(listed))
 	for _, entry := range listed {
 		followed := known[entry.Name]
-		if followed != nil && followed.listed().Address != entry.Spec.Address {
+		if followed != nil && !isSameProcess(followed.listed(), &entry.Spec) {
 			l.pool.Drop(followed.listed().Address)
 			followed = nil
 		}
@@ -144,6 +147,12 @@
 	l.replicas.Store(&next)
 }
 
+// isSameProcess reports whether what is known of a replica holds for its new entry: one that
+// was born anew keeps nothing, and its connections have ended.
+func isSameProcess(before, now *api.ReplicaSpec) bool {
+	return before.Address == now.Address && !now.IsAnotherProcess(before)
+}
+
 // all returns the open lanes.
 func (l *lanes) all() []*lane {
 	l.lock.Lock()
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -117,7 +117,7 @@
 	reader, now := chosen.reader, s.ingress.now()
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	reader.hear(reply.ownLoad(), now)
-	s.noteAnswer(reader, began, &reply)
+	s.noteAnswer(reader, began, answer, &reply)
 	body, err := io.ReadAll(io.LimitReader(answer, maxHandleBytes))
 	if err != nil || answer.Status != http.StatusOK || !reply.Named {
 		fmt.Fprintf(&s.trace, " prefill(%s: status %d)", reader.name, answer.Status)
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -145,16 +145,22 @@
 
 // refutesEnd reports whether an answer to what was sent then shows that the replica, which
 // seemed to have ended, lives; once for each time.
-func (r *replica) refutesEnd(sentAt time.Duration) bool {
+//
+// Only an answer on a connection that was open before does: a process's connections end
+// with it, and another one may have begun under its name.
+func (r *replica) refutesEnd(sentAt, opened time.Duration) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if r.endedAt == 0 || sentAt <= r.endedAt {
+	if r.endedAt == 0 || sentAt <= r.endedAt || opened >= r.endedAt {
 		return false
 	}
 	r.endedAt = 0
 	return true
 }
 
+// incarnation names the process that the list shows under the replica's name.
+func (r *replica) incarnation() string { return api.IncarnationName(r.name, r.listed().Born) }
+
 // silentSince reports whether nothing has come from the replica since then.
 func (r *replica) silentSince(then time.Duration) bool {
 	r.lock.Lock()
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -151,7 +151,7 @@
 	s.answered = true
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	target.hear(reply.ownLoad(), s.ingress.now())
-	s.noteAnswer(target, sent.at, &reply)
+	s.noteAnswer(target, sent.at, answer, &reply)
 	return s.judge(ctx, chosen, sent, number, answer, reply)
 }
 
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -117,7 +117,7 @@
 	b.names = b.names[:0]
 	for _, entry := range listed {
 		known := b.replicas[entry.Name]
-		if known == nil || known.Role != entry.Role {
+		if known == nil || known.Role != entry.Role || known.isAnotherProcess(&entry) {
 			known = &replica{cache: newCache(), running: map[*placed]struct{}{}}
 		}
 		known.Replica = entry
@@ -128,6 +128,12 @@
 	b.replicas = next
 }
 
+// isAnotherProcess reports whether the entry is of a process that was born after this one:
+// it keeps nothing, and what was in flight here has ended.
+func (r *replica) isAnotherProcess(entry *Replica) bool {
+	return r.Born != 0 && entry.Born != 0 && r.Born != entry.Born
+}
+
 // Place decides where the request goes and counts it there until it ends; one
 // that is to wait is counted nowhere.
 func (b *Board) Place(now time.Duration, key Key, ask Ask) Answer {
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -26,6 +26,8 @@
 	Role    Role
 	Slots   int // requests at once; 0 if not known
 	Leaving bool
+	// Born tells processes under one name apart; 0 if it is not known.
+	Born int64
 }
 
 // Sheet is what is known of all replicas of a service beforehand.
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -260,6 +260,15 @@
 	return replicas, known.about
 }
 
+// FirstEnd returns when the first replica ended under a request that is known.
+func (t *Table) FirstEnd(fingerprint Fingerprint) (at time.Duration, found bool) {
+	known := t.requests[fingerprint]
+	if known == nil || len(known.ends) == 0 {
+		return 0, false
+	}
+	return known.ends[0].at, true
+}
+
 // Aged is an Evidence with the time since then.
 type Aged struct {
 	Evidence
--- a/version/api/fleet.go
+++ b/version/api/fleet.go
@@ -1,5 +1,7 @@
 package api
 
+import "strconv"
+
 // Replica is one process of a service as the platform's list shows it. Its name may be
 // that of an earlier process, which held what this one does not: the two are told apart
 // by their births.
@@ -25,6 +27,24 @@
 	Born int64 `json:"born,omitempty" yaml:"born,omitempty"`
 }
 
+// IsAnotherProcess reports whether the two specs speak of different processes under one
+// name: either has told its birth, and they differ. One that has not told is taken for the
+// same process, until its connections show that it has ended.
+func (s *ReplicaSpec) IsAnotherProcess(earlier *ReplicaSpec) bool {
+	return s.Born != 0 && earlier.Born != 0 && s.Born != earlier.Born
+}
+
+// Incarnation names the process: ends of one are not ends of the next one under its name.
+func (r *Replica) Incarnation() string { return IncarnationName(r.Name, r.Spec.Born) }
+
+// IncarnationName is the name of a process that was born then; 0 for not known.
+func IncarnationName(replica string, born int64) string {
+	if born == 0 {
+		return replica
+	}
+	return replica + "@" + strconv.FormatInt(born, 10)
+}
+
 // Proxy is a proxy that takes callers' requests now.
 type Proxy struct {
 	Metadata `json:"metadata" yaml:"metadata"`
--- a/version/api/quarantine.go
+++ b/version/api/quarantine.go
@@ -27,6 +27,8 @@
 	Request string `json:"request" yaml:"request"`
 	// Replicas are those that ended under it, by the names of their incarnations.
 	Replicas []string `json:"replicas" yaml:"replicas"`
+	// Since is when the first of them ended, in milliseconds of the leader's time of day.
+	Since int64 `json:"since,omitempty" yaml:"since,omitempty"`
 	// Until is when the state lapses, in milliseconds of the group's time.
 	Until int64 `json:"until" yaml:"until"`
 	// Times is how often the request was held.
