--- a/process/ingress/placed.go
+++ b/process/ingress/placed.go
@@ -124,6 +124,7 @@
 		Output:    s.call.Work.OutputTokens,
 		Priority:  s.priority,
 		Zone:      s.ingress.config.Zone,
+		Tenant:    s.call.Tenant,
 		Objective: s.objective(),
 		Age:       s.ingress.now() - s.arrived,
 		Deadline:  s.firstWithin(),
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -44,6 +44,7 @@
 	lateness  recentShare // of the requests with an objective
 	objective objective
 	fairness  map[class]*fairness
+	tenants   tenants
 	expireAt  time.Duration // when requests are next looked at that may be lost
 	answers   Answers       // since the last summary
 }
@@ -103,6 +104,7 @@
 		changes:   map[string]change{},
 		lateness:  newRecentShare(latenessMemory),
 		fairness:  map[class]*fairness{},
+		tenants:   tenants{},
 		paces: [2]pace{
 			RoleDecode:  newPace(firstReadStart+firstStart, decodeSlowdown*firstTokenTime),
 			RolePrefill: newPace(firstReadStart, firstTokenTime),
@@ -145,6 +147,7 @@
 func (b *Board) place(now time.Duration, key Key, ask Ask) Answer {
 	b.expire(now)
 	b.end(now, key)
+	ask.surging = b.tenants.ask(now, &ask)
 	chosen, found := b.chooseInOrder(now, &ask)
 	if !found {
 		return Answer{}
--- a/request/placement/order.go
+++ b/request/placement/order.go
@@ -36,7 +36,7 @@
 		b.noteLateness(now, late)
 		b.objective.note(ask.Objective)
 	}
-	if !late || !b.isOverloaded(now) || b.isStarved(now, ask) {
+	if !b.givesWay(now, ask, late) {
 		return chosen, true
 	}
 	ask.deferred = true
@@ -47,6 +47,14 @@
 	return chosen, found
 }
 
+// givesWay reports whether a request lets those go first that can be in time.
+func (b *Board) givesWay(now time.Duration, ask *Ask, late bool) bool {
+	if ask.surging {
+		return true // also where few are late, as they are while it gives way
+	}
+	return late && b.isOverloaded(now) && !b.isStarved(now, ask)
+}
+
 // noteLateness counts a request that could, or could not, be placed in time.
 func (b *Board) noteLateness(now time.Duration, late bool) {
 	b.lateness.events.add(now)
--- a/request/placement/recent.go
+++ b/request/placement/recent.go
@@ -14,8 +14,11 @@
 }
 
 // add counts one event.
-func (c *recentCount) add(now time.Duration) {
-	c.sum = c.value(now) + 1
+func (c *recentCount) add(now time.Duration) { c.addWeight(now, 1) }
+
+// addWeight counts an event that is worth so many.
+func (c *recentCount) addWeight(now time.Duration, weight float64) {
+	c.sum = c.value(now) + weight
 	c.at = max(c.at, now)
 }
 
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -51,7 +51,9 @@
 	Output   int // most tokens that may come out
 	Priority int
 	Zone     string
-	Parts    []Part
+	// Tenant is who asks; empty where nobody is told apart.
+	Tenant string
+	Parts  []Part
 	// Objective is how long after its arrival the first token may come for the
 	// answer to be in time, 0 if nothing is promised; Age is how long ago it arrived.
 	Objective time.Duration
@@ -67,6 +69,8 @@
 
 	// deferred is true while ways are compared that let all others go first.
 	deferred bool
+	// surging is true for what its tenant asks above a few times its usual.
+	surging bool
 	// group is the request's size group once it has a place.
 	group sizeGroup
 }
