Confinement: what may end replicas runs apart from all others

Each request was then tried on four ended replicas, which look idle. Ruled out: fewer ends to condemn, which holds bystanders; holding a class or prefix back, which refuses the rest of it; knowing good bodies, since a body may become fatal later and the name of a body holds its caller. Change: from the second end of a series on, the board tells requests apart, and what stood at an end runs at a ward, where nothing else is, one at a time; at most a third of the generators are wards or were lately lost as such; a second end at which a request was alone condemns it at once. A refused connection takes a replica out until it is seen again; no prompt is read where no generator is left.

--- a/connection/feed/ends.go
+++ b/connection/feed/ends.go
@@ -25,7 +25,7 @@
 const (
 	maxEnded = 512
 	// endedSize is the least size of one encoded end, fingerprintSize of a fingerprint.
-	endedSize       = 4 + 4 + 2 + 8 + 3*4 + 8
+	endedSize       = 4 + 4 + 3 + 8 + 3*4 + 8
 	fingerprintSize = 4
 )
 
@@ -49,6 +49,7 @@
 		encoder.String(seen.Replica)
 		encoder.Bool(seen.Began)
 		encoder.Bool(seen.Read)
+		encoder.Bool(seen.Alone)
 		encoder.Int64(int64(seen.Ran))
 		encoder.String(seen.About.Service)
 		encoder.String(seen.About.Route)
@@ -91,6 +92,7 @@
 		Replica:     decoder.String(),
 		Began:       decoder.Bool(),
 		Read:        decoder.Bool(),
+		Alone:       decoder.Bool(),
 		Ran:         time.Duration(decoder.Int64()),
 		About:       quarantine.About{Service: decoder.String(), Route: decoder.String(), Request: decoder.String()},
 	}}
--- a/connection/feed/feed_test.go
+++ b/connection/feed/feed_test.go
@@ -391,7 +391,7 @@
 	f.Add(encodeOutcome(1, state.RunOutcome{Tenant: "t", Key: "k", Outcome: api.RunNotRun}))
 	f.Add(encodeDemand(DemandReport{Window: time.Second, Demands: []Demand{{Intent: "i", Class: "c", Requests: 1}}}))
 	f.Add(encodeInFlight(InFlight{Service: "s", Requests: map[uint64]placement.Placed{7: {
-		Ask:    placement.Ask{Prompt: 9, Tenant: "north", Parts: []placement.Part{{ID: "p", Tokens: 9}}, Connected: []string{"r"}},
+		Ask:    placement.Ask{Prompt: 9, Tenant: "north", Name: "n", Parts: []placement.Part{{ID: "p", Tokens: 9}}, Connected: []string{"r"}},
 		Answer: placement.Answer{Generator: "g", Reader: "r", Unread: 9}, Age: time.Second, Step: placement.StepRead,
 	}}}))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/connection/feed/placement.go
+++ b/connection/feed/placement.go
@@ -55,6 +55,7 @@
 	encoder.Int64(int64(ask.Priority))
 	encoder.String(ask.Zone)
 	encoder.String(ask.Tenant)
+	encoder.String(ask.Name)
 	encoder.Int64(int64(ask.Objective))
 	encoder.Int64(int64(ask.Age))
 	encoder.Int64(int64(ask.Deadline))
@@ -121,6 +122,7 @@
 	ask.Priority = int(decoder.Int64())
 	ask.Zone = decoder.String()
 	ask.Tenant = decoder.String()
+	ask.Name = decoder.String()
 	ask.Objective = time.Duration(decoder.Int64())
 	ask.Age = time.Duration(decoder.Int64())
 	ask.Deadline = time.Duration(decoder.Int64())
@@ -154,6 +156,8 @@
 	encoder.Int64(int64(answer.Estimate))
 	encoder.Int64(int64(answer.Wait))
 	encoder.Bool(answer.Deferred)
+	encoder.Bool(answer.Name)
+	encoder.Bool(answer.Alone)
 	encoder.Bool(answer.Refused)
 	encoder.Int64(int64(answer.RetryAfter))
 }
@@ -173,6 +177,8 @@
 		Estimate:   time.Duration(decoder.Int64()),
 		Wait:       time.Duration(decoder.Int64()),
 		Deferred:   decoder.Bool(),
+		Name:       decoder.Bool(),
+		Alone:      decoder.Bool(),
 		Refused:    decoder.Bool(),
 		RetryAfter: time.Duration(decoder.Int64()),
 	}
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -184,7 +184,12 @@
 // Place decides where a request goes by all requests of all proxies.
 func (g *group) Place(daemon string, request feed.PlaceRequest) (placement.Answer, bool) {
 	began := monotonic()
-	answer, known := g.desk.place(g.machine.view(), daemon, request, began)
+	alert := g.quarantine.isAlert(request.Service, began)
+	if alert && request.Ask.Name == "" {
+		return placement.Answer{Name: true}, true
+	}
+	request.Ask.Suspect = alert && g.quarantine.isSuspect(request.Ask.Name, began)
+	answer, known := g.desk.place(g.machine.view(), daemon, request, alert, began)
 	g.metrics.observePlacement(request.Service, answer, known, monotonic()-began)
 	return answer, known
 }
--- a/process/control/placement.go
+++ b/process/control/placement.go
@@ -23,8 +23,9 @@
 	return &placementDesk{boards: map[string]*placement.Board{}}
 }
 
-// place answers one question by the view.
-func (d *placementDesk) place(current *view.View, daemon string, request feed.PlaceRequest, now time.Duration) (placement.Answer, bool) {
+// place answers one question by the view; alert says that replicas of the service end one
+// after the other under some request.
+func (d *placementDesk) place(current *view.View, daemon string, request feed.PlaceRequest, alert bool, now time.Duration) (placement.Answer, bool) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	d.update(current)
@@ -32,6 +33,9 @@
 	if board == nil {
 		return placement.Answer{}, false
 	}
+	if alert {
+		board.Alert(now)
+	}
 	key := placement.Key{Daemon: daemon, Number: request.Number}
 	return board.Place(now, key, request.Ask), true
 }
--- a/process/control/placement_test.go
+++ b/process/control/placement_test.go
@@ -39,7 +39,7 @@
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
 			desk := newPlacementDesk()
-			answer, known := desk.place(servedModel(1, each.replica), "proxy-1", feed.PlaceRequest{Service: each.service, Number: 1, Ask: ask}, 0)
+			answer, known := desk.place(servedModel(1, each.replica), "proxy-1", feed.PlaceRequest{Service: each.service, Number: 1, Ask: ask}, false, 0)
 			must.Eq(t, each.known, known)
 			must.Eq(t, each.generator, answer.Generator)
 		})
@@ -50,7 +50,7 @@
 	desk := newPlacementDesk()
 	request := feed.PlaceRequest{Service: "chat", Number: 1, Ask: placement.Ask{Prompt: 100, Output: 10, Deadline: time.Second}}
 	for i, replica := range []string{"r-1", "r-2", "r-3"} {
-		answer, _ := desk.place(servedModel(uint64(i)+1, replica), "proxy-1", request, 0)
+		answer, _ := desk.place(servedModel(uint64(i)+1, replica), "proxy-1", request, false, 0)
 		must.Eq(t, replica, answer.Generator)
 	}
 }
@@ -86,7 +86,7 @@
 	desk := newPlacementDesk()
 	older, newer := servedModel(1, "r-1"), servedModel(2, "r-2")
 	request := feed.PlaceRequest{Service: "chat", Number: 1, Ask: placement.Ask{Prompt: 100, Output: 10, Deadline: time.Second}}
-	answer, _ := desk.place(newer, "proxy-1", request, 0)
+	answer, _ := desk.place(newer, "proxy-1", request, false, 0)
 	must.Eq(t, "r-2", answer.Generator)
 	load := desk.load(older, "chat", 0)
 	must.Len(t, 1, load.Replicas)
--- a/process/control/quarantine.go
+++ b/process/control/quarantine.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -49,6 +50,10 @@
 	// judgeFrom is from when on a new leader holds requests: proxies tell it first what they
 	// saw, also of those that stood beside.
 	judgeFrom time.Duration
+	// alertTill is until when ends are taken to come in series, by service; alerted is the
+	// latest of them, which is read without the lock.
+	alertTill map[string]time.Duration
+	alerted   atomic.Int64
 }
 
 // takeOverTime is how long proxies take to find a new leader and to tell it all.
@@ -69,7 +74,7 @@
 }
 
 func newQuarantineDesk() *quarantineDesk {
-	return &quarantineDesk{table: quarantine.NewTable(), refuted: newRefutations()}
+	return &quarantineDesk{table: quarantine.NewTable(), refuted: newRefutations(), alertTill: map[string]time.Duration{}}
 }
 
 // note takes in what a proxy has seen.
@@ -79,6 +84,10 @@
 	d.reviewUntil = now + reviewTime
 	for _, seen := range report.Ended {
 		d.table.NoteAged(now, seen.Age, seen.Evidence)
+		if d.table.IsSeries(seen.Fingerprint) && !seen.Read {
+			d.alertTill[seen.About.Service] = now + alertTime
+			d.alerted.Store(int64(now + alertTime))
+		}
 	}
 	for _, replica := range report.Alive {
 		d.table.Lives(replica)
@@ -90,6 +99,30 @@
 	}
 }
 
+// alertTime is how long after the last end that fits one a series of ends is taken to go on.
+const alertTime = 10 * time.Second
+
+// isAlert reports whether replicas of the service end one after the other under a request.
+func (d *quarantineDesk) isAlert(service string, now time.Duration) bool {
+	if int64(now) >= d.alerted.Load() {
+		return false
+	}
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return now < d.alertTill[service]
+}
+
+// isSuspect reports whether a replica has lately ended under the request of that name.
+func (d *quarantineDesk) isSuspect(name string, now time.Duration) bool {
+	var fingerprint quarantine.Fingerprint
+	if copy(fingerprint[:], name) != len(fingerprint) {
+		return false
+	}
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.table.IsSuspect(now, fingerprint)
+}
+
 // forget drops what is known of a request that an operator has released.
 func (d *quarantineDesk) forget(fingerprint quarantine.Fingerprint) {
 	d.lock.Lock()
--- a/process/control/quarantine_test.go
+++ b/process/control/quarantine_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
+	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/request/quarantine"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
@@ -78,7 +79,7 @@
 	spec := d.machine.View().Quarantines[fatalRequest.String()].Spec
 	must.Eq(t, api.QuarantineSpec{
 		State: api.QuarantineHeld, Service: "s", Route: "r", Request: "q", Replicas: []string{"r-0", "r-1", "r-2"},
-		Until: d.wall.Add(firstHold).UnixMilli(), Times: 1,
+		Since: d.wall.Add(-3 * time.Second).UnixMilli(), Until: d.wall.Add(firstHold).UnixMilli(), Times: 1,
 	}, spec)
 }
 
@@ -251,3 +252,46 @@
 	must.Eq(t, fatalRequest.String(), released.Fingerprint)
 	eventually(t, "no proxy holds it", func() bool { return len(fresh.Load().Quarantines) == 0 })
 }
+
+// From the second end under a request on, what stood at ends is told apart; one end, or many
+// at once as when a rack fails, make nobody a suspect.
+func TestSeriesOfEndsRaisesAnAlert(t *testing.T) {
+	d := newDeskTest(t)
+	name := string(fatalRequest[:])
+	d.desk.note(endsOf(fatalRequest, "r-0"), d.now)
+	must.False(t, d.desk.isAlert("s", d.now))
+	d.now += time.Second
+	d.desk.note(endsOf(fatalRequest, "r-1"), d.now)
+	must.True(t, d.desk.isAlert("s", d.now))
+	must.False(t, d.desk.isAlert("other", d.now))
+	must.True(t, d.desk.isSuspect(name, d.now))
+	must.False(t, d.desk.isSuspect("", d.now))
+	must.False(t, d.desk.isSuspect("another-request-", d.now))
+	must.False(t, d.desk.isAlert("s", d.now+alertTime))
+
+	d = newDeskTest(t)
+	rack := endsOf(fatalRequest, "r-0", "r-1", "r-2")
+	for i := range rack.Ended {
+		rack.Ended[i].Ran = time.Second
+	}
+	d.desk.note(rack, d.now)
+	must.False(t, d.desk.isAlert("s", d.now))
+}
+
+// A member that places asks what a request is only while ends come in series.
+func TestRequestsAreNamedDuringAnAlert(t *testing.T) {
+	g := newGrowing(t, 1, 1, 0)
+	g.start(0)
+	g.awaitVoters(1, 0)
+	current := g.running[0].member.group.Load()
+	request := feed.PlaceRequest{Service: "s", Ask: placement.Ask{Prompt: 1}}
+	answer, known := current.Place("p", request)
+	must.False(t, known)
+	must.False(t, answer.Name)
+	current.NoteEnds(endsOf(fatalRequest, "r-0"))
+	time.Sleep(20 * time.Millisecond) // at another moment
+	current.NoteEnds(endsOf(fatalRequest, "r-1"))
+	answer, known = current.Place("p", request)
+	must.True(t, known)
+	must.True(t, answer.Name)
+}
--- a/process/control/roles_test.go
+++ b/process/control/roles_test.go
@@ -123,7 +123,7 @@
 	desk := newPlacementDesk()
 	request := feed.PlaceRequest{Service: "chat", Number: 1, Ask: placement.Ask{Prompt: 100, Output: 10, Deadline: time.Second}}
 	place := func(revision uint64, now time.Duration) string {
-		answer, _ := desk.place(servedModel(revision, "r-1"), "proxy-1", request, now)
+		answer, _ := desk.place(servedModel(revision, "r-1"), "proxy-1", request, false, now)
 		return answer.Generator
 	}
 	must.Eq(t, "r-1", place(1, 0))
--- a/process/guard/guard.go
+++ b/process/guard/guard.go
@@ -197,6 +197,15 @@
 	g.report(feed.EndReport{Served: []quarantine.Fingerprint{fingerprint}})
 }
 
+// Cleared notes that a request was served whole that the group took for one that may end
+// replicas, whatever this proxy knows of it.
+func (g *Guard) Cleared(now time.Duration, fingerprint quarantine.Fingerprint) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.table.Served(now, fingerprint)
+	g.report(feed.EndReport{Served: []quarantine.Fingerprint{fingerprint}})
+}
+
 // report tells the group if there is one; a word that is lost comes again when a leader
 // begins to serve.
 func (g *Guard) report(told feed.EndReport) {
--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -47,7 +47,8 @@
 	}
 	target.noteEnd(now)
 	s.ingress.guard.Ended(now, quarantine.Evidence{
-		Fingerprint: s.fingerprint(), Replica: target.incarnation(), Began: sent.events > 0, Read: stage == stageRead, Ran: now - sent.at,
+		Fingerprint: s.fingerprint(), Replica: target.incarnation(), Began: sent.events > 0, Read: stage == stageRead,
+		Alone: stage == stageRun && s.alone, Ran: now - sent.at,
 		About: quarantine.About{Service: s.lane.service, Route: s.route.Name, Request: s.call.ID},
 	})
 }
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -52,6 +52,8 @@
 	// confirmer tells how old the view may be; nil without a group.
 	confirmer Confirmer
 	numbers   atomic.Uint64
+	// namesTill is until when questions bring the requests' fingerprints.
+	namesTill atomic.Int64
 }
 
 // Placer decides where model requests go; *feed.Client is one.
@@ -331,7 +333,10 @@
 	}
 	ended := event.RequestFailed
 	if status == http.StatusOK {
-		if i.guard.Active() {
+		switch {
+		case s.confined:
+			i.guard.Cleared(i.now(), s.fingerprint())
+		case i.guard.Active():
 			i.guard.Served(i.now(), s.fingerprint())
 		}
 		ended = event.RequestServed
--- a/process/ingress/model_test.go
+++ b/process/ingress/model_test.go
@@ -243,7 +243,7 @@
 		{"a refusal", refuseRun, placement.StepRefused},
 		{"another replica there", misdirected, placement.StepMisdirected},
 		{"another request's answer", foreign, placement.StepErred},
-		{"nobody there", nil, placement.StepFailed},
+		{"nobody there", nil, placement.StepGone},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
--- a/process/ingress/placed.go
+++ b/process/ingress/placed.go
@@ -34,6 +34,10 @@
 			s.forgo(number)
 			return plan{}, false
 		}
+		if answer.Name {
+			s.ingress.namesTill.Store(int64(s.ingress.now() + namesTime))
+			continue
+		}
 		if answer.Refused {
 			return plan{refused: true, retryAfter: answer.RetryAfter}, true
 		}
@@ -57,6 +61,10 @@
 	})
 }
 
+// namesTime is for how long after the control group has asked for names all questions
+// bring one: asked for each, it would cost a round trip.
+const namesTime = 5 * time.Second
+
 // longestWait is how long a request waits before it is placed again: what it
 // waits for may be over sooner than expected, or not come at all.
 const longestWait = 200 * time.Millisecond
@@ -81,7 +89,9 @@
 		estimate: answer.Estimate,
 		placed:   decided,
 		deferred: answer.Deferred,
+		alone:    answer.Alone,
 	}
+	s.confined = s.confined || answer.Alone
 	if !known(answer.Generator, chosen.target) || !known(answer.Reader, chosen.reader) {
 		decided.note(placement.StepEnded, "", 0)
 		s.trace.WriteString(" unknown_replica")
@@ -132,6 +142,10 @@
 		Connected: s.lane.connected(),
 		Continued: s.call.ResumeAfter != "" || s.lastEvent != "",
 	}
+	if int64(s.ingress.now()) < s.ingress.namesTill.Load() {
+		fingerprint := s.fingerprint()
+		ask.Name = string(fingerprint[:])
+	}
 	for _, part := range s.call.Work.Parts {
 		ask.Parts = append(ask.Parts, placement.Part{ID: part.ID, Tokens: part.Tokens})
 	}
--- a/process/ingress/plan.go
+++ b/process/ingress/plan.go
@@ -20,6 +20,8 @@
 	placed   *placed       // nil without a control group to be told
 	// deferred lets the requests go first that can be in time.
 	deferred bool
+	// alone says that nothing else is in flight at the target, since the request may end it.
+	alone bool
 	// refused says that the request goes nowhere: it would not be answered before
 	// its deadline, and may come back after so long.
 	refused    bool
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/exchange"
@@ -107,7 +108,11 @@
 		chosen.placed.note(placement.StepUnread, chosen.reader.name, 0)
 		return true
 	}
-	chosen.placed.note(placement.StepFailed, chosen.reader.name, 0)
+	step := placement.StepFailed
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		step = placement.StepGone
+	}
+	chosen.placed.note(step, chosen.reader.name, 0)
 	return !notSent(err)
 }
 
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -39,6 +39,8 @@
 	answered bool
 	// misdirected is true once another replica has answered at its address.
 	misdirected bool
+	// gone is true where nobody listens at its address.
+	gone bool
 	// headSent is true once the caller has the head of an answer.
 	headSent bool
 	// begun is true once the caller has a part of an answer that no other run can
@@ -55,6 +57,9 @@
 	trace  strings.Builder         // what was tried, for the log
 	named  *quarantine.Fingerprint // nil until it is needed
 	ended  int                     // runs of it that broke off with their replica
+	// confined is true once it was sent where nothing else was, alone while it is there.
+	confined bool
+	alone    bool
 }
 
 // answerCopy is a whole answer of a replica.
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"syscall"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/exchange"
@@ -30,7 +31,7 @@
 // try makes one attempt and returns how it ended, and with which replica; nil
 // when none takes the request.
 func (s *session) try(ctx context.Context) (verdict, *replica) {
-	s.answered, s.misdirected = false, false
+	s.answered, s.misdirected, s.gone = false, false, false
 	chosen := s.choose(ctx)
 	if ctx.Err() != nil {
 		chosen.placed.note(placement.StepEnded, "", 0)
@@ -70,6 +71,7 @@
 			return verdictHeld, chosen.target
 		}
 	}
+	s.alone = chosen.alone
 	result := s.send(ctx, chosen, source)
 	chosen.placed.note(s.stepAfter(result), chosen.target.name, 0)
 	return result, chosen.target
@@ -86,6 +88,8 @@
 // stepAfter is what the control group is told of an attempt that is over.
 func (s *session) stepAfter(result verdict) placement.Step {
 	switch {
+	case result == verdictNotRun && s.gone:
+		return placement.StepGone
 	case (result == verdictBroken || result == verdictNotRun) && !s.answered:
 		return placement.StepFailed
 	case result == verdictNotRun && s.misdirected:
@@ -111,6 +115,9 @@
 // replaceTarget picks another replica to make the tokens if the chosen one has
 // begun to leave, or has failed, while the prompt was read.
 func (s *session) replaceTarget(chosen *plan) {
+	if chosen.alone {
+		return // nowhere else is it alone
+	}
 	s.ingress.routes() // takes in what the list says by now
 	now := s.ingress.now()
 	current := s.lane.find(chosen.target.name)
@@ -234,6 +241,7 @@
 		if ctx.Err() != nil {
 			return verdictCallerEnd // who left tells nothing of the replica
 		}
+		s.gone = errors.Is(err, syscall.ECONNREFUSED)
 		target.suspect(now)
 		return verdictNotRun
 	}
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -45,8 +45,10 @@
 	objective objective
 	fairness  map[class]*fairness
 	tenants   tenants
-	expireAt  time.Duration // when requests are next looked at that may be lost
-	answers   Answers       // since the last summary
+	// confinement keeps requests that may end replicas apart from all others.
+	confinement confinement
+	expireAt    time.Duration // when requests are next looked at that may be lost
+	answers     Answers       // since the last summary
 }
 
 // placed is one request in flight.
@@ -62,6 +64,7 @@
 	readAt    time.Duration // when the prompt was read; 0 if it is not
 	behind    time.Duration // what was to be read first where it runs, at readAt
 	started   bool
+	startedAt time.Duration
 	adopted   bool // by TakeOver
 }
 
@@ -148,9 +151,12 @@
 	b.expire(now)
 	b.end(now, key)
 	ask.surging = b.tenants.ask(now, &ask)
+	if wait := b.confinement.admit(b, now, &ask); wait > 0 {
+		return b.waitAlone(&ask, wait)
+	}
 	chosen, found := b.chooseInOrder(now, &ask)
 	if !found {
-		return Answer{}
+		return b.nowhere(now, &ask)
 	}
 	answer := chosen.answer()
 	if chosen.wait == 0 {
@@ -160,6 +166,7 @@
 		return answer
 	}
 	answer.Deferred = ask.deferred
+	answer.Alone = ask.Suspect && len(chosen.generator.running) == 0
 	p := &placed{ask: ask, answer: answer, at: now, expires: now + ask.Deadline + forgetAfter}
 	p.runningAt = chosen.generator
 	p.unreadAt = chosen.readsAt()
@@ -206,7 +213,7 @@
 func (b *Board) Note(now time.Duration, key Key, note Note) {
 	p := b.placed[key]
 	switch note.Step {
-	case StepFailed, StepErred, StepRefused, StepMisdirected:
+	case StepFailed, StepErred, StepRefused, StepMisdirected, StepGone:
 		b.fail(now, note, p)
 	}
 	if p == nil {
@@ -224,7 +231,7 @@
 		p.runningAt.told(now, note.Told)
 		b.read(now, p)
 		b.start(now, p)
-	case StepEnded, StepFailed, StepErred, StepRefused, StepMisdirected:
+	case StepEnded, StepFailed, StepErred, StepRefused, StepMisdirected, StepGone:
 		b.end(now, key)
 	}
 }
@@ -258,7 +265,7 @@
 	if p.started {
 		return
 	}
-	p.started = true
+	p.started, p.startedAt = true, now
 	b.fairnessOf(now, &p.ask).start(now, p.ask.group)
 	b.learnStart(now, p)
 	p.runningAt.succeed(p)
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -164,7 +164,8 @@
 	var usable []*replica
 	for _, name := range b.names {
 		candidate := b.replicas[name]
-		if candidate.Role == role && candidate.isThere(now) && !slices.Contains(ask.Excluded, name) && !b.isChanging(now, candidate) {
+		if candidate.Role == role && candidate.isThere(now) && !slices.Contains(ask.Excluded, name) && !b.isChanging(now, candidate) &&
+			b.confinement.allows(now, candidate, ask) {
 			usable = append(usable, candidate)
 		}
 	}
--- a/request/placement/failure.go
+++ b/request/placement/failure.go
@@ -36,7 +36,7 @@
 		failed.suspicion, failed.suspectTill = 0, 0
 	case StepRefused:
 		failed.refuse(now)
-	case StepMisdirected:
+	case StepMisdirected, StepGone:
 		failed.miss(now, p)
 	default:
 		failed.suspect(now, p)
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -67,6 +67,12 @@
 	// Continued requests take up a broken stream and are read where they run.
 	Continued bool
 
+	// Name tells requests apart by what they are; empty while nobody needs to.
+	Name string
+	// Suspect is true for a request that may have ended a replica: it goes where nothing
+	// else is. Who places sets it.
+	Suspect bool
+
 	// deferred is true while ways are compared that let all others go first.
 	deferred bool
 	// surging is true for what its tenant asks above a few times its usual.
@@ -95,6 +101,12 @@
 	// Deferred says that the request will be late, and is to let those go first
 	// that can be in time.
 	Deferred bool
+	// Name asks for the request's Name: replicas end one after the other under some
+	// request, and it is to be told apart. All else is empty then.
+	Name bool
+	// Alone says that nothing else is in flight at the generator, and that nothing is sent
+	// there until the request has begun to be answered.
+	Alone bool
 	// Refused says that the request would not be answered before its deadline, and
 	// RetryAfter when it might be. All else is empty then.
 	Refused    bool
@@ -114,6 +126,7 @@
 	StepRefused                     // the replica answered that it does not run the request
 	StepMisdirected                 // another replica answered at its address
 	StepUnread                      // the reader has not read the prompt: the generator does
+	StepGone                        // nobody listens at the replica's address
 )
 
 // Note tells the board how far a request has come. Replica is the one that a
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -31,6 +31,9 @@
 	// together is by how much earlier than a first end a run must have been sent to count as
 	// in flight then: what is told of by different proxies arrives some milliseconds apart.
 	together = 5 * time.Millisecond
+	// suspectTime is how long a request that stood at an end is a suspect if it does not
+	// come again: callers try again within their deadlines, of seconds.
+	suspectTime = 30 * time.Second
 	// clearance is how long ends do not count of a request that was served: whatever ends
 	// the replicas, it is not this one.
 	clearance = time.Minute
@@ -46,6 +49,9 @@
 	// Read is true where the replica only read the prompt: one that has no place left resets
 	// connections as well, and readers are few and crowded.
 	Read bool
+	// Alone is true where nothing else was in flight at the replica: no other request can
+	// have ended it.
+	Alone bool
 	// Ran is how long the run had been under way.
 	Ran   time.Duration
 	About About
@@ -97,6 +103,7 @@
 	at      time.Duration
 	began   bool
 	read    bool
+	alone   bool
 }
 
 // NewTable returns an empty table.
@@ -128,7 +135,7 @@
 		return
 	}
 	known.about = seen.About
-	known.insert(end{replica: seen.Replica, sent: at - seen.Ran, at: at, began: seen.Began, read: seen.Read})
+	known.insert(end{replica: seen.Replica, sent: at - seen.Ran, at: at, began: seen.Began, read: seen.Read, alone: seen.Alone})
 	if t.beside[seen.Replica] == nil {
 		t.beside[seen.Replica] = map[Fingerprint]struct{}{}
 	}
@@ -201,12 +208,34 @@
 		return Free
 	case !t.isCondemned(fingerprint, known):
 		return Watched
-	case now-known.lastAt() < settle:
+	case now-known.lastAt() < settle && !known.endedAlone():
 		return Settling
 	}
 	return Condemned
 }
 
+// endedAlone reports whether replicas ended under the request more than once, and one of
+// them with nothing else in flight.
+func (e *entry) endedAlone() bool {
+	return len(e.strikes()) >= WatchedEnds && slices.ContainsFunc(e.ends, func(known end) bool { return known.alone })
+}
+
+// IsSuspect reports whether a replica has lately ended under the request before it brought
+// anything, and nothing has cleared it since: it may have been its doing.
+func (t *Table) IsSuspect(now time.Duration, fingerprint Fingerprint) bool {
+	known := t.requests[fingerprint]
+	if known == nil || len(known.ends) == 0 || now-known.lastAt() > suspectTime {
+		return false
+	}
+	return len(known.ends) > 1 || !known.ends[0].began
+}
+
+// IsSeries reports whether replicas have ended under the request at different moments.
+func (t *Table) IsSeries(fingerprint Fingerprint) bool {
+	known := t.requests[fingerprint]
+	return known != nil && len(known.strikes()) >= WatchedEnds
+}
+
 // IsCertain reports whether a request is condemned by one end more than it takes, of runs
 // alone, none of which any other explains as well: the bar for who sees only a part of what
 // happens.
@@ -281,7 +310,8 @@
 	for fingerprint, known := range t.requests {
 		for _, ended := range known.ends {
 			seen := Evidence{
-				Fingerprint: fingerprint, Replica: ended.replica, Began: ended.began, Read: ended.read, Ran: ended.at - ended.sent, About: known.about,
+				Fingerprint: fingerprint, Replica: ended.replica, Began: ended.began, Read: ended.read, Alone: ended.alone,
+				Ran: ended.at - ended.sent, About: known.about,
 			}
 			all = append(all, Aged{Evidence: seen, Age: now - ended.at})
 		}
@@ -292,7 +322,13 @@
 // isCondemned reports whether enough ends speak against a request that no other explains
 // better. One that stood beside a held request needs fewer of its own: what is taken for a
 // bystander is not brought to as many ends again.
+//
+// A second end at which a request was alone leaves no doubt: one by chance, at that replica
+// and in those moments, is next to impossible.
 func (t *Table) isCondemned(fingerprint Fingerprint, known *entry) bool {
+	if known.endedAlone() {
+		return true
+	}
 	own, besideHeld := t.unexplained(fingerprint, known, func(other *entry) bool { return other.explains(known) })
 	return own >= CondemningEnds || besideHeld && own >= CondemningEnds-1
 }
--- a/request/quarantine/table_test.go
+++ b/request/quarantine/table_test.go
@@ -252,3 +252,30 @@
 	restored.Restore(0, named("fatal"), replicas, about)
 	must.Eq(t, Condemned, restored.Standing(0, named("fatal")))
 }
+
+// A second end at which a request was alone leaves no doubt, whatever stood at the first one;
+// one end does, and a request that is served is no suspect any more.
+func TestEndsAlone(t *testing.T) {
+	table := NewTable()
+	fatal, popular := Of(Identity{Path: "/fatal"}), Of(Identity{Path: "/popular"})
+	for _, request := range []Fingerprint{fatal, popular} {
+		table.Note(0, Evidence{Fingerprint: request, Replica: "r-1"})
+		table.Note(time.Second, Evidence{Fingerprint: request, Replica: "r-2"})
+	}
+	must.Eq(t, Watched, table.Standing(2*time.Second, fatal))
+	must.True(t, table.IsSuspect(2*time.Second, popular))
+	must.True(t, table.IsSeries(popular))
+	table.Note(2*time.Second, Evidence{Fingerprint: fatal, Replica: "r-3", Alone: true})
+	must.Eq(t, Condemned, table.Standing(2*time.Second, fatal), must.Sprint("nobody else is waited for"))
+	must.Eq(t, Watched, table.Standing(2*time.Second, popular))
+	table.Served(2*time.Second, popular)
+	must.False(t, table.IsSuspect(2*time.Second, popular))
+	must.False(t, table.IsSuspect(3*suspectTime, fatal))
+
+	table = NewTable()
+	table.Note(0, Evidence{Fingerprint: fatal, Replica: "r-1", Alone: true})
+	must.Eq(t, Free, table.Standing(time.Second, fatal), must.Sprint("once is by chance"))
+	must.False(t, table.IsSeries(fatal))
+	table.Note(0, Evidence{Fingerprint: popular, Replica: "r-1", Began: true})
+	must.False(t, table.IsSuspect(time.Second, popular), must.Sprint("it had been answered"))
+}
