Usage: counted by proxies, decided in the log, reported by the leader

Ruled out: counting at the leader by placements, which plain services and cut-off proxies pass by; reports made up anew by each leader, of which two of a window could differ; windows by each machine's own clock, which may jump by seconds. Change: a proxy counts for each tenant and window what replicas began, once a request, in counters that only rise and ride on the feed each 200 ms; the leader commits them each second, decides a window in the log once all who are heard of have told it (3.5 s after its end at the latest) and then posts what was decided, in the same bytes, until it is taken. Duties in general: holder is the leader under its lease, fence its term, a wait for the calls of the one before, 409 ends its calls. Windows go by the median of what machines say the time is, told in answer to beats. landingtrail usage, events 1232 and 1233.

--- a/connection/feed/client.go
+++ b/connection/feed/client.go
@@ -41,6 +41,9 @@
 	// Presence returns what the daemon says of itself with each beat; nil says
 	// nothing.
 	Presence func() Presence
+	// Day is called with the group's time of day that came in answer to a beat which was
+	// sent and answered then; it must not block. nil: nothing is called.
+	Day func(sent, answered time.Duration, day int64)
 	// BeatInterval is the time between two beats; the view lease should be
 	// several times as long.
 	BeatInterval time.Duration
--- a/connection/feed/group_test.go
+++ b/connection/feed/group_test.go
@@ -41,6 +41,7 @@
 	leased     bool
 	claim      func(state.ClaimRequest) (api.ClaimResult, error)
 	demand     []DemandReport
+	usage      []UsageReport
 	presences  []Presence
 }
 
@@ -135,6 +136,17 @@
 
 func (g *fakeGroup) NoteEnds(EndReport) {}
 
+func (g *fakeGroup) NoteUsage(report UsageReport) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.usage = append(g.usage, report)
+}
+
+// fakeDay is the time of day of a fake group.
+const fakeDay = 1_700_000_000_000
+
+func (g *fakeGroup) Day() int64 { return fakeDay }
+
 func (g *fakeGroup) NoteKept(KeptParts) {}
 
 func (g *fakeGroup) NoteInFlight(string, InFlight) {}
--- a/connection/feed/messages.go
+++ b/connection/feed/messages.go
@@ -33,6 +33,7 @@
 	kindAlive                              // server, to a standby subscription: nothing
 	kindInFlight                           // subscriber: InFlight
 	kindEnds                               // subscriber: EndReport
+	kindUsage                              // subscriber: UsageReport
 )
 
 // Bounds of payloads in bytes. A server takes only small frames from
@@ -65,11 +66,13 @@
 }
 
 // grant renews the view lease: from the moment at which the beat with the
-// sequence was sent, for the duration.
+// sequence was sent, for the duration. day is the group's time of day when the
+// grant was sent, in milliseconds, 0 where none is known.
 type grant struct {
 	sequence uint64
 	lease    time.Duration
 	term     uint64
+	day      int64
 }
 
 // notLeader sends the subscriber to another member; the address may be empty.
@@ -86,6 +89,8 @@
 	// true from that on.
 	Ready    bool
 	Stopping bool
+	// Day is the time of day of the proxy's machine when it spoke, in milliseconds.
+	Day int64
 }
 
 func encodePresence(message Presence) []byte {
@@ -95,12 +100,14 @@
 	encoder.String(message.Zone)
 	encoder.Bool(message.Ready)
 	encoder.Bool(message.Stopping)
+	encoder.Int64(message.Day)
 	return encoder.Data()
 }
 
 func decodePresence(data []byte) (Presence, error) {
 	decoder := frame.NewDecoder(data)
 	message := Presence{Proxy: decoder.String(), Address: decoder.String(), Zone: decoder.String(), Ready: decoder.Bool(), Stopping: decoder.Bool()}
+	message.Day = decoder.Int64()
 	return message, decoder.Finish()
 }
 
@@ -197,6 +204,7 @@
 	encoder.Uint64(message.sequence)
 	encoder.Int64(message.lease.Milliseconds())
 	encoder.Uint64(message.term)
+	encoder.Int64(message.day)
 	return encoder.Data()
 }
 
@@ -205,6 +213,7 @@
 	message := grant{sequence: decoder.Uint64()}
 	message.lease = time.Duration(decoder.Int64()) * time.Millisecond
 	message.term = decoder.Uint64()
+	message.day = decoder.Int64()
 	return message, decoder.Finish()
 }
 
--- a/connection/feed/placementrelay.go
+++ b/connection/feed/placementrelay.go
@@ -57,6 +57,12 @@
 // nobody else to tell.
 func (r *PlacementRelay) NoteEnds(report EndReport) { reportEnds(r.client.session.Load(), report) }
 
+// NoteUsage passes the word on to the leader.
+func (r *PlacementRelay) NoteUsage(report UsageReport) { r.client.ReportUsage(report) }
+
+// Day says that this daemon tells nobody the time of day.
+func (r *PlacementRelay) Day() int64 { return 0 }
+
 // Version is that of the views while the leader serves the client, and zero
 // otherwise: then this daemon has nobody to pass anything on to.
 func (r *PlacementRelay) Version() view.Version {
--- a/connection/feed/server.go
+++ b/connection/feed/server.go
@@ -56,6 +56,10 @@
 	NoteInFlight(daemon string, told InFlight)
 	// NoteEnds takes in under which requests replicas ended.
 	NoteEnds(report EndReport)
+	// NoteUsage takes in what a process has counted.
+	NoteUsage(report UsageReport)
+	// Day is the group's time of day in milliseconds, 0 where none is known.
+	Day() int64
 }
 
 // ServerConfig holds what a Server is created with. Zero durations and bounds
--- a/connection/feed/session.go
+++ b/connection/feed/session.go
@@ -326,6 +326,9 @@
 		}
 	}
 	s.beatLock.Unlock()
+	if known && message.day > 0 && s.client.config.Day != nil {
+		s.client.config.Day(sentAt, s.client.config.Clock(), message.day)
+	}
 	if known && s.client.views.Confirm(sentAt, message.lease, message.term) {
 		s.markReady()
 	}
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -161,6 +161,8 @@
 		return s.receivePlaceNote(received.Payload)
 	case kindEnds:
 		return s.receiveEnds(received.Payload)
+	case kindUsage:
+		return s.receiveUsage(received.Payload)
 	case kindPresence:
 		return s.receivePresence(received.Payload)
 	default:
@@ -405,6 +407,6 @@
 	if !granted || sequence == 0 || lease <= 0 {
 		return nil
 	}
-	message := grant{sequence: sequence, lease: lease, term: current.term}
+	message := grant{sequence: sequence, lease: lease, term: current.term, day: s.server.config.Group.Day()}
 	return writer.WriteFrame(kindGrant, encodeGrant(message))
 }
--- a/connection/operator/calls.go
+++ b/connection/operator/calls.go
@@ -126,6 +126,12 @@
 	return ledger, c.read(ctx, operatorapi.PathLedger+"?"+query.Encode(), &ledger)
 }
 
+// Usage reads what was counted of each window and tenant.
+func (c *Client) Usage(ctx context.Context) (operatorapi.UsageList, error) {
+	var list operatorapi.UsageList
+	return list, c.read(ctx, operatorapi.PathUsage, &list)
+}
+
 // Release lets a request run again that is held. It is not resent after a lost answer: by
 // then the request may be held anew. Read the record again instead.
 func (c *Client) Release(ctx context.Context, fingerprint string) (operatorapi.Released, error) {
--- a/connection/operatorapi/operatorapi.go
+++ b/connection/operatorapi/operatorapi.go
@@ -19,6 +19,7 @@
 	PathOrders       = "/apis/v1/orders"         // GET -> OrderList
 	PathLedger       = "/apis/v1/ledger"         // GET ?tenant=T&key=K -> Ledger
 	PathIngress      = "/apis/v1/ingress"        // POST api.IngressSpec -> api.ReplaceResult; GET -> ObjectList, with the document
+	PathUsage        = "/apis/v1/usage"          // GET -> UsageList
 	PathQuarantine   = "/apis/v1/quarantine"     // DELETE /{fingerprint} -> Released
 	PathMembers      = "/apis/v1/members"        // POST MemberRequest -> MemberReply
 	PathMemberStatus = "/apis/v1/members/status" // GET of one member itself -> MemberSelf
@@ -62,6 +63,13 @@
 	Objects  []api.Object `json:"objects"`
 }
 
+// UsageList answers a read of usage, the oldest window first.
+type UsageList struct {
+	// WindowMilliseconds is the length of a window.
+	WindowMilliseconds int64             `json:"windowMilliseconds"`
+	Windows            []api.UsageWindow `json:"windows"`
+}
+
 // Released answers the release of a request that was held.
 type Released struct {
 	Fingerprint string `json:"fingerprint"`
--- a/process/control/config.go
+++ b/process/control/config.go
@@ -64,6 +64,8 @@
 	// ChangeRoles has the leader order changes of role. It is off by default: on
 	// some fleets generators were missed; see docs/ACCOUNT.md.
 	ChangeRoles bool
+	// Usage says how the requests of tenants are accounted for.
+	Usage Usage
 	// Extensions run beside the member from when it takes part in the group;
 	// their context ends after the planned stop.
 	Extensions []Extension
--- a/process/control/duties.go
+++ b/process/control/duties.go
@@ -63,6 +63,7 @@
 	hadIngress bool
 	background sync.WaitGroup
 	roles      roleDuty
+	usage      usageDuty
 	// orders ends with the leadership, by endOrders.
 	orders    context.Context
 	endOrders context.CancelFunc
@@ -149,6 +150,7 @@
 	d.tendMembers(ctx, term)
 	d.tendFleet(ctx, term)
 	d.tendQuarantine(ctx, term)
+	d.tendUsage(ctx, term)
 	d.tendRoles(term, monotonic())
 	d.reconcile(ctx, term)
 }
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/process/metering"
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/process/replica"
 	"github.com/landingtrail/landingtrail/request/placement"
@@ -26,7 +27,10 @@
 	demand  *demandTable
 	// presence is what proxies say of themselves to this member.
 	presence *presenceTable
-	desk     *placementDesk
+	// usage is what proxies have counted, day the time of day that their clocks agree on.
+	usage *usageDesk
+	day   *metering.Agreement
+	desk  *placementDesk
 	// quarantine is what proxies say of replicas that ended.
 	quarantine *quarantineDesk
 	metrics    *metrics
@@ -179,7 +183,10 @@
 }
 
 // ReportPresence keeps a proxy's word on itself.
-func (g *group) ReportPresence(presence feed.Presence) { g.presence.note(presence, monotonic()) }
+func (g *group) ReportPresence(presence feed.Presence) {
+	g.presence.note(presence, monotonic())
+	g.day.Note(presence.Proxy, presence.Day)
+}
 
 // Place decides where a request goes by all requests of all proxies.
 func (g *group) Place(daemon string, request feed.PlaceRequest) (placement.Answer, bool) {
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -11,6 +11,7 @@
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/connection/peer"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/metering"
 	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/process/replica"
@@ -203,6 +204,8 @@
 		config:   m.config,
 		demand:   newDemandTable(time.Now()),
 		presence: newPresenceTable(),
+		usage:    newUsageDesk(),
+		day:      metering.NewAgreement(monotonic, time.Now),
 		desk:     newPlacementDesk(),
 
 		quarantine: newQuarantineDesk(),
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -90,6 +90,11 @@
 		"Find the caller by the request's ID in the proxies' logs (4606). Once the request or the replicas are mended: landingtrail release FINGERPRINT.")
 	QuarantineEnded = define(1231, "quarantine_ended", Info,
 		"A request is on record no more: it was served, its replicas live, its time is over, or an operator released it (by).", "")
+	UsageDecided = define(1232, "usage_decided", Info,
+		"What was counted of a window is final. partial says that a process fell silent whose counts of it may lack.",
+		"If partial: the process's own log tells what it served meanwhile.")
+	UsageReported = define(1233, "usage_reported", Info,
+		"A window's usage was handed to the platform under the fence; the outcome is its answer, or none for lack of one: then the same is handed over again.", "")
 	BoardShows = define(1223, "board_shows", Info,
 		"What the board of a service shows of its replicas, and what it has answered since the last such line, each second in which it places requests.", "")
 	IngressReplaced = define(1310, "ingress_replaced", Info,
--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -36,8 +36,10 @@
 	}
 	s.life.Admit(number, 0)
 	if isSuccess(answer.Status) && s.route.Kind == api.RouteStreaming {
+		// It begins with its first token.
 		return s.stream(ctx, chosen, sent, number, answer)
 	}
+	s.countBegun(s.ingress.now() - sent.at)
 	if s.headSent {
 		return s.failResume(ctx, target, number, answer)
 	}
--- a/process/ingress/config.go
+++ b/process/ingress/config.go
@@ -37,6 +37,9 @@
 	Timeouts Timeouts
 	Silence  Silence
 	Keys     Keys
+	// UsageWindow is the length of the windows by which requests that began are counted
+	// for each tenant; 0: they are not.
+	UsageWindow time.Duration
 }
 
 // Keys says what becomes of API keys while no leader confirms the view.
--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -48,11 +49,26 @@
 	target.noteEnd(now)
 	s.ingress.guard.Ended(now, quarantine.Evidence{
 		Fingerprint: s.fingerprint(), Replica: target.incarnation(), Began: sent.events > 0, Read: stage == stageRead,
-		Alone: stage == stageRun && s.alone, Ran: now - sent.at,
+		Alone: stage == stageRun && s.alone && s.hasEnded(target), Ran: now - sent.at,
 		About: quarantine.About{Service: s.lane.service, Route: s.route.Name, Request: s.call.ID},
 	})
 }
 
+// endedTimeout bounds the question whether a replica has ended: one that listens takes a
+// connection within some milliseconds.
+const endedTimeout = 250 * time.Millisecond
+
+// hasEnded reports whether nobody listens any more at the address of a replica whose
+// connection broke. A replica that merely resets connections, as a faulty one does, goes on
+// listening; what stood alone there has not ended it.
+func (s *session) hasEnded(target *replica) bool {
+	conn, err := net.DialTimeout("tcp", target.listed().Address, endedTimeout)
+	if err == nil {
+		_ = conn.Close() // nothing was sent on it
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // noteAnswer notes that a replica has answered what was sent to it then. Where that came on
 // a connection that was open before it seemed to end, it lives.
 func (s *session) noteAnswer(from *replica, sentAt time.Duration, answer *exchange.Answer, reply *Reply) {
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/landingtrail/landingtrail/process/clock"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/guard"
+	"github.com/landingtrail/landingtrail/process/metering"
 	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/api"
@@ -52,6 +53,8 @@
 	// confirmer tells how old the view may be; nil without a group.
 	confirmer Confirmer
 	numbers   atomic.Uint64
+	// usage counts the requests of each tenant that began; nil: nobody asks for it.
+	usage *metering.Counter
 	// namesTill is until when questions bring the requests' fingerprints.
 	namesTill atomic.Int64
 }
@@ -128,7 +131,7 @@
 func (i *Ingress) presence() feed.Presence {
 	return feed.Presence{
 		Proxy: i.config.Name, Address: i.config.ListenAddress, Zone: i.config.Zone,
-		Ready: i.Ready(), Stopping: i.stopping.Load(),
+		Ready: i.Ready(), Stopping: i.stopping.Load(), Day: time.Now().UnixMilli(),
 	}
 }
 
--- a/process/ingress/quarantine_test.go
+++ b/process/ingress/quarantine_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/request/quarantine"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -265,3 +267,53 @@
 	must.Zero(t, testing.AllocsPerRun(100, func() { s.held() }))
 	must.Nil(t, s.named)
 }
+
+// What stood alone where a connection broke has ended the replica only if nobody listens
+// there any more: a faulty one resets connections and goes on.
+func TestEndsAloneAreLookedAt(t *testing.T) {
+	for _, ends := range []bool{true, false} {
+		var generator *fakeReplica
+		generator = newFakeReplica(t, "make", func(_ http.ResponseWriter, _ *http.Request) {
+			if ends {
+				_ = generator.server.Listener.Close()
+			}
+			panic(http.ErrAbortHandler)
+		})
+		w := newModelWorld(t, newFakeReplica(t, "read", readPrompt), generator, nil)
+		group := &endsGroup{}
+		w.ingress.guard.SetReporter(group)
+		w.ingress.placer = &fakePlacer{answer: placement.Answer{Generator: "make", Alone: true}}
+		w.ask(modelRequest)
+		must.SliceNotEmpty(t, group.told)
+		must.Eq(t, ends, group.told[0].Ended[0].Alone)
+	}
+}
+
+// A request that ran where nothing else was, and was served, is cleared, whatever this proxy
+// knows of it; while the group asks for names, questions bring them.
+func TestConfinedRequestsAreCleared(t *testing.T) {
+	w := newModelWorld(t, newFakeReplica(t, "read", readPrompt), newFakeReplica(t, "make", streamEvents(2, "")), nil)
+	group := &endsGroup{}
+	w.ingress.guard.SetReporter(group)
+	placer := &namingPlacer{fakePlacer: fakePlacer{answer: placement.Answer{Generator: "make", Alone: true}}}
+	w.ingress.placer = placer
+	must.Eq(t, events(1, 2), w.ask(modelRequest).body)
+	_, _, served := group.sum()
+	must.Eq(t, 1, served)
+	must.SliceLen(t, 2, placer.asks)
+	must.Eq(t, "", placer.asks[0].Name)
+	must.Eq(t, 16, len(placer.asks[1].Name))
+	w.ask(modelRequest)
+	must.SliceLen(t, 3, placer.asks, must.Sprint("the next one brings its name at once"))
+}
+
+// namingPlacer asks for names.
+type namingPlacer struct{ fakePlacer }
+
+func (p *namingPlacer) Place(ctx context.Context, request feed.PlaceRequest) (placement.Answer, error) {
+	answer, err := p.fakePlacer.Place(ctx, request)
+	if request.Ask.Name == "" {
+		return placement.Answer{Name: true}, err
+	}
+	return answer, err
+}
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -12,6 +12,8 @@
 	"github.com/landingtrail/landingtrail/process/admin"
 	"github.com/landingtrail/landingtrail/process/clock"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/metering"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/pkg/errors"
 )
@@ -38,6 +40,10 @@
 	holder := view.NewHolder()
 	made := New(config, holder, clock.Now, logger)
 	defer made.Close()
+	day := metering.NewDay(clock.Now, time.Now)
+	if config.UsageWindow > 0 {
+		made.usage = metering.NewCounter(config.Name, config.UsageWindow, day.Now)
+	}
 	served, resumed := make(chan struct{}, 1), make(chan struct{}, 1)
 	client, err := feed.Dial(feed.ClientConfig{
 		Daemon:         config.Name,
@@ -45,6 +51,7 @@
 		Addresses:      config.FeedAddresses,
 		MoreAddresses:  func() []string { return append(memberAddresses(holder.Load()), made.seeds()...) },
 		Presence:       made.presence,
+		Day:            day.Learn,
 		Served:         func() { signal(served) },
 		Resumed:        func() { signal(resumed) },
 		Standby:        true,
@@ -71,6 +78,7 @@
 	reporting, stop := context.WithCancel(ctx)
 	defer stop()
 	go made.reportWhenServed(reporting, served, resumed, client)
+	go made.reportUsage(reporting, client)
 	return made.serveUntil(ctx, client)
 }
 
@@ -105,6 +113,7 @@
 			i.reportInFlight(to)
 			i.reportKept(to)
 			i.guard.ReportAll(i.now())
+			i.usage.Again()
 		case <-resumed:
 			i.reportInFlight(to)
 		case <-ctx.Done():
@@ -113,6 +122,32 @@
 	}
 }
 
+// usagePause is between two reports of usage: what a proxy has not told yet is lost with it.
+const usagePause = 200 * time.Millisecond
+
+// usageReporter is told of what was counted; *feed.Client is one.
+type usageReporter interface {
+	ReportUsage(report feed.UsageReport) bool
+}
+
+// reportUsage tells the leader what has been counted, until ctx ends; then the rest.
+func (i *Ingress) reportUsage(ctx context.Context, to usageReporter) {
+	if i.usage == nil {
+		return
+	}
+	for pause.For(ctx, usagePause) {
+		i.tellUsage(to)
+	}
+	i.tellUsage(to)
+}
+
+func (i *Ingress) tellUsage(to usageReporter) {
+	report, due := i.usage.Next()
+	if due && !to.ReportUsage(report) {
+		i.usage.Again() // it is told with the next one
+	}
+}
+
 // memberAddresses returns where the members that the view names serve the feed.
 func memberAddresses(current *view.View) []string {
 	addresses := make([]string, 0, len(current.Members))
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -51,6 +51,8 @@
 	firstAt   time.Duration // when the first event came
 	// comeBack is when the control group expects to have room for the request.
 	comeBack time.Duration
+	// counted is true once a replica has begun the request: it is counted once.
+	counted bool
 	// failed is a failure that a replica answered and that is passed on if
 	// nothing better comes.
 	failed *answerCopy
@@ -260,3 +262,13 @@
 	_, _ = s.writer.Write(s.failed.body) // the caller may have gone
 	return s.failed.status
 }
+
+// countBegun counts for its tenant that a replica began the request so long ago. What is
+// tried after that is the same request: another run of it, or one that goes on with its stream.
+func (s *session) countBegun(ago time.Duration) {
+	if s.counted || s.ingress.usage == nil {
+		return
+	}
+	s.counted = true
+	s.ingress.usage.Begin(s.call.Tenant, ago)
+}
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -36,6 +36,7 @@
 		if continues && hasData(event) && !comesAfter(id, cmp.Or(s.lastEvent, s.call.ResumeAfter)) {
 			return s.breakStream(ctx, target, number, errNotContinued)
 		}
+		s.countBegun(0)
 		if s.events == 0 || !sent.begun(target) {
 			target.start(sent, s.ingress.now())
 			target.noteParts(s.call.Work.Parts)
--- /dev/null
+++ b/process/metering/metering_test.go
@@ -0,0 +1,92 @@
+package metering
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+const window = 5 * time.Second
+
+// start is the beginning of window 358409336.
+var start = time.UnixMilli(358409336 * window.Milliseconds())
+
+func TestRequestsAreCountedByWindow(t *testing.T) {
+	now := start
+	c := NewCounter("p", window, func() time.Time { return now })
+	c.Begin("north", 0)
+	c.Begin("", 0)
+	now = now.Add(window + 10*time.Millisecond)
+	c.Begin("north", 20*time.Millisecond) // began before the window's end
+	c.Begin("south", 0)
+	report, due := c.Next()
+	must.True(t, due)
+	must.Eq(t, now.UnixMilli(), report.Through)
+	must.SliceLen(t, 2, report.Counts)
+	must.Eq(t, 358409336, report.Counts[0].Window)
+	must.Eq(t, 2, report.Counts[0].Count)
+	must.Eq(t, 358409337, report.Counts[1].Window)
+	_, due = c.Next()
+	must.False(t, due, must.Sprint("nothing is new"))
+	now = now.Add(window)
+	report, due = c.Next()
+	must.True(t, due, must.Sprint("a window has ended: it is told that all of it is told"))
+	must.SliceEmpty(t, report.Counts)
+	c.Again()
+	report, _ = c.Next()
+	must.SliceLen(t, 2, report.Counts)
+	must.NotEq(t, report.Life, NewCounter("p", window, time.Now).life)
+}
+
+func TestCounterIsBounded(t *testing.T) {
+	now := start
+	c := NewCounter("p", window, func() time.Time { return now })
+	for range 10 * keptWindows {
+		c.Begin("north", 0)
+		now = now.Add(window)
+	}
+	must.LessEq(t, keptWindows, len(c.windows))
+	must.LessEq(t, keptWindows, len(c.changed))
+}
+
+// The time of day of a minority of machines moves nobody's, whatever they say; what a
+// process learns is off by half of a round trip at most.
+func TestClocksThatJumpMoveNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		monotonic, day := time.Duration(0), start
+		advance := func(by time.Duration) { monotonic += by; day = day.Add(by) }
+		ownJump := time.Duration(0)
+		agreed := NewAgreement(func() time.Duration { return monotonic }, func() time.Time { return day.Add(ownJump) })
+		machines := 2 * rapid.IntRange(2, 10).Draw(t, "half of the machines")
+		jumping := rapid.IntRange(0, machines/2-1).Draw(t, "those that jump")
+		proxyClock := 77 * time.Second
+		known := NewDay(func() time.Duration { return monotonic + proxyClock }, func() time.Time { return day.Add(time.Hour) })
+		for range 20 {
+			ownJump = time.Duration(rapid.IntRange(-5000, 5000).Draw(t, "own jump")) * time.Millisecond
+			for machine := range machines {
+				jump := time.Duration(0)
+				if machine < jumping {
+					jump = time.Duration(rapid.IntRange(-5000, 5000).Draw(t, "jump")) * time.Millisecond
+				}
+				agreed.Note(fmt.Sprint(machine), day.Add(jump).UnixMilli())
+			}
+			advance(medianPause)
+			must.Between(t, -2*time.Millisecond, agreed.Now().Sub(day), 2*time.Millisecond)
+			there, back := 3*time.Millisecond, time.Duration(rapid.IntRange(3, 40).Draw(t, "way back"))*time.Millisecond
+			sent := monotonic + proxyClock
+			advance(there)
+			told := agreed.Now().UnixMilli()
+			advance(back)
+			known.Learn(sent, monotonic+proxyClock, told)
+			must.Between(t, -25*time.Millisecond, known.Now().Sub(day), 25*time.Millisecond)
+		}
+	})
+}
+
+func TestOwnTimeUntilAnythingIsKnown(t *testing.T) {
+	must.Eq(t, start, NewDay(func() time.Duration { return 0 }, func() time.Time { return start }).Now())
+	must.Eq(t, start, NewAgreement(func() time.Duration { return time.Minute }, func() time.Time { return start }).Now())
+}
--- a/process/relay/group.go
+++ b/process/relay/group.go
@@ -18,6 +18,7 @@
 	RecordOutcome(ctx context.Context, outcome state.RunOutcome) error
 	ReportPresence(presence feed.Presence) bool
 	ReportEnds(report feed.EndReport) bool
+	ReportUsage(report feed.UsageReport) bool
 }
 
 // group is what stands for the control group toward the daemons behind the
@@ -88,5 +89,11 @@
 // NoteEnds passes the word on.
 func (g *group) NoteEnds(report feed.EndReport) { g.upstream.ReportEnds(report) }
 
+// NoteUsage passes the word on.
+func (g *group) NoteUsage(report feed.UsageReport) { g.upstream.ReportUsage(report) }
+
+// Day says that a relay knows no time of day of its own.
+func (g *group) Day() int64 { return 0 }
+
 // ReportPresence passes the word on; one that is lost comes again with a beat.
 func (g *group) ReportPresence(presence feed.Presence) { g.upstream.ReportPresence(presence) }
--- a/process/relay/group_test.go
+++ b/process/relay/group_test.go
@@ -87,6 +87,10 @@
 
 func (g *leaderGroup) NoteEnds(feed.EndReport) {}
 
+func (g *leaderGroup) NoteUsage(feed.UsageReport) {}
+
+func (g *leaderGroup) Day() int64 { return 0 }
+
 func (g *leaderGroup) NoteKept(feed.KeptParts) {}
 
 func (g *leaderGroup) NoteInFlight(string, feed.InFlight) {}
--- a/version/state/codec.go
+++ b/version/state/codec.go
@@ -42,6 +42,13 @@
 		return appendReplaceIngress(b, command.ReplaceIngress)
 	case CommandObserve:
 		return appendObserve(b, command.Observe)
+	case CommandCountUsage:
+		return appendUsageCounts(b, command.CountUsage.Counts)
+	case CommandDecideUsage:
+		b = binenc.AppendInt(b, command.DecideUsage.Window)
+		return binenc.AppendBool(b, command.DecideUsage.Partial)
+	case CommandUsageReported:
+		return binenc.AppendInt(b, command.UsageReported.Window)
 	}
 	panic("state: command of unknown kind")
 }
@@ -86,6 +93,12 @@
 		command.ReplaceIngress = readReplaceIngress(r)
 	case CommandObserve:
 		command.Observe = readObserve(r)
+	case CommandCountUsage:
+		command.CountUsage = &CountUsage{Counts: readUsageCounts(r)}
+	case CommandDecideUsage:
+		command.DecideUsage = &DecideUsage{Window: r.Int(), Partial: r.Bool()}
+	case CommandUsageReported:
+		command.UsageReported = &UsageReported{Window: r.Int()}
 	default:
 		return false
 	}
--- a/version/state/codec_test.go
+++ b/version/state/codec_test.go
@@ -58,11 +58,16 @@
 	var commands []Command
 	seed := 0
 	bodies := reflect.TypeFor[Command]()
-	fields := []string{"Transaction", "OpenOrder", "CloseOrder", "EngineReport", "Machines", "Claim", "RunOutcome", "Member", "VoidOrder", "ReplaceIngress"}
+	fields := []string{"Transaction", "OpenOrder", "CloseOrder", "EngineReport", "Machines", "Claim", "RunOutcome", "Member", "VoidOrder", "ReplaceIngress", "Observe", "CountUsage", "DecideUsage", "UsageReported"}
 	for i, name := range fields {
 		command := Command{Kind: CommandKind(i + 1), Time: 1_700_000_000_000}
 		field, _ := bodies.FieldByName(name)
 		fillValue(reflect.ValueOf(&command).Elem().FieldByIndex(field.Index), &seed)
+		if command.Kind == CommandObserve {
+			// An object of a command is of one kind.
+			command.Observe.Put = []api.Object{{Replica: command.Observe.Put[0].Replica}, {Quarantine: command.Observe.Put[1].Quarantine}}
+			command.Observe.Removed = []api.Key{{Kind: api.KindProxy, Name: "p"}}
+		}
 		if command.Kind == CommandTransaction {
 			fillValue(reflect.ValueOf(&command.Limits).Elem(), &seed)
 		}
--- a/version/state/command.go
+++ b/version/state/command.go
@@ -30,6 +30,9 @@
 	CommandVoidOrder                             // *VoidOrder -> VoidOrderResult
 	CommandReplaceIngress                        // *ReplaceIngress -> api.ReplaceResult
 	CommandObserve                               // *Observe -> nothing
+	CommandCountUsage                            // *CountUsage -> nothing
+	CommandDecideUsage                           // *DecideUsage -> api.UsageWindow
+	CommandUsageReported                         // *UsageReported -> nothing
 )
 
 // Command is one entry of the log. Exactly the body of its kind is set.
@@ -51,6 +54,9 @@
 	VoidOrder      *VoidOrder
 	ReplaceIngress *ReplaceIngress
 	Observe        *Observe
+	CountUsage     *CountUsage
+	DecideUsage    *DecideUsage
+	UsageReported  *UsageReported
 }
 
 // TransactionLimits are the proposing leader's settings, carried in the
--- a/version/state/machine.go
+++ b/version/state/machine.go
@@ -37,6 +37,7 @@
 	routeTenants  table[api.RouteTenant]
 	// ingressSource is the packed document of the Ingress. It holds keys, and so is in no view.
 	ingressSource []byte
+	usage         usageLedger
 
 	changes      []view.Change
 	changesFloor uint64 // highest revision dropped from changes
@@ -66,6 +67,7 @@
 		routeTenants:  newTable[api.RouteTenant](),
 		selection:     newSelection(),
 		incarnations:  newTable[[]uint64](),
+		usage:         newUsageLedger(),
 		members:       map[uint64]Member{},
 	}
 }
@@ -110,6 +112,12 @@
 		return m.replaceIngress(command.ReplaceIngress)
 	case CommandObserve:
 		m.observe(command.Observe)
+	case CommandCountUsage:
+		m.countUsage(command.CountUsage)
+	case CommandDecideUsage:
+		return m.decideUsage(command.DecideUsage)
+	case CommandUsageReported:
+		m.usageReported(command.UsageReported)
 	default:
 		panic(fmt.Sprintf("state: command of unknown kind %d", command.Kind))
 	}
--- a/version/state/snapshot.go
+++ b/version/state/snapshot.go
@@ -34,6 +34,7 @@
 	clock        int64
 	history      view.History
 	source       []byte
+	usage        usageLedger
 	incarnations map[string]*[]uint64
 	platform     platformList
 	members      map[uint64]Member
@@ -41,8 +42,8 @@
 	claims       *retained[claimKey, *claimRecord]
 }
 
-// Freeze returns a copy of the state. Its cost does not grow with the state;
-// later commands copy each map that they change once.
+// Freeze returns a copy of the state. Its cost does not grow with the state, but for the
+// counters of windows that are still open; later commands copy each map that they change once.
 func (m *Machine) Freeze() Frozen {
 	return Frozen{
 		term:         m.term,
@@ -50,6 +51,7 @@
 		clock:        m.clock,
 		history:      m.History(),
 		source:       m.ingressSource,
+		usage:        m.usage.clone(),
 		incarnations: m.incarnations.share(),
 		platform:     m.platform,
 		members:      maps.Clone(m.members),
@@ -73,6 +75,7 @@
 	b = binenc.AppendInt(b, f.clock)
 	b = appendHistory(b, f.history)
 	b = binenc.AppendBytes(b, f.source)
+	b = appendUsageLedger(b, &f.usage)
 	b = appendIncarnations(b, f.incarnations)
 	b = binenc.AppendStrings(b, f.platform.leaving)
 	b = binenc.AppendStrings(b, f.platform.gone)
@@ -108,6 +111,7 @@
 	m.clock = r.Int()
 	m.readHistory(r)
 	m.ingressSource = r.Bytes()
+	m.usage = readUsageLedger(r)
 	m.readIncarnations(r)
 	m.platform = platformList{leaving: readSorted(r), gone: readSorted(r)}
 	m.readMembers(r)
--- /dev/null
+++ b/version/state/usage_test.go
@@ -0,0 +1,84 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func countCommand(counts ...UsageCount) Command {
+	return Command{Kind: CommandCountUsage, CountUsage: &CountUsage{Counts: counts}}
+}
+
+func decideCommand(window int64) Command {
+	return Command{Kind: CommandDecideUsage, DecideUsage: &DecideUsage{Window: window}}
+}
+
+// Counters only rise: the highest one heard of each counts, in whatever order they come.
+func TestCountersMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var told []UsageCount
+		want := map[string]uint64{}
+		for life := range 3 {
+			for tenant := range 2 {
+				name := fmt.Sprint("t-", tenant)
+				highest := uint64(rapid.IntRange(1, 5).Draw(t, "count"))
+				want[name] += highest
+				for count := uint64(1); count <= highest; count++ {
+					told = append(told, UsageCount{Life: fmt.Sprint("p-", life), Window: 7, Tenant: name, Count: count})
+				}
+			}
+		}
+		told = append(told, told[:rapid.IntRange(0, len(told)).Draw(t, "again")]...)
+		m := New()
+		for i, counted := range rapid.Permutation(told).Draw(t, "order") {
+			m.Apply(1, uint64(i+1), countCommand(counted))
+			if rapid.IntRange(0, 9).Draw(t, "snapshot") == 0 {
+				m = again(t, m)
+			}
+		}
+		decided := m.Apply(1, 1000, decideCommand(7)).(api.UsageWindow)
+		must.Eq(t, want, decided.Counts)
+	})
+}
+
+// again is a machine that was restored from another one's snapshot.
+func again(t must.T, m *Machine) *Machine {
+	data, err := m.Snapshot()
+	must.NoError(t, err)
+	next := New()
+	must.NoError(t, next.Restore(data))
+	return next
+}
+
+// What was decided of a window never changes: not by what comes later, not by another
+// leader's decision, not across snapshots.
+func TestDecisionsAreFinal(t *testing.T) {
+	m := New()
+	m.Apply(1, 1, countCommand(UsageCount{"p", 7, "a", 3}, UsageCount{"p", 8, "a", 1}))
+	first := m.Apply(1, 2, decideCommand(7)).(api.UsageWindow)
+	must.Eq(t, api.UsageWindow{Window: 7, Counts: map[string]uint64{"a": 3}, Decided: true}, first)
+	m.Apply(2, 3, countCommand(UsageCount{"p", 7, "a", 9}, UsageCount{"p", 6, "a", 9}))
+	m = again(t, m)
+	must.Eq(t, first, m.Apply(2, 4, decideCommand(7)).(api.UsageWindow))
+	must.Eq(t, []api.UsageWindow{first}, m.OutstandingUsage())
+	must.False(t, m.Apply(2, 5, decideCommand(6)).(api.UsageWindow).Decided, must.Sprint("a window that was passed over"))
+	m.Apply(2, 6, Command{Kind: CommandUsageReported, UsageReported: &UsageReported{Window: 7}})
+	m = again(t, m)
+	must.SliceEmpty(t, m.OutstandingUsage())
+	must.Eq(t, 1, m.Apply(2, 7, decideCommand(8)).(api.UsageWindow).Counts["a"])
+	must.Eq(t, 8, m.UsageDecided())
+}
+
+func TestUsageIsBounded(t *testing.T) {
+	m := New()
+	for window := int64(1); window <= 3*keptUsageWindows; window++ {
+		m.Apply(1, uint64(2*window), countCommand(UsageCount{"p", window, "a", 1}))
+		m.Apply(1, uint64(2*window+1), decideCommand(window))
+	}
+	must.SliceLen(t, keptUsageWindows, m.Usage())
+	must.MapEmpty(t, m.usage.open)
+}
