Capacity: most replicas of the kind that may be withdrawn, spread so that any zone's may go

Ways: stand still, as found (the one that stood); a portfolio of both kinds over the zones. Change: a planner of capacity, pure: a base of a tenth lasts in each zone, of the cheaper kind so many that the loss of any one zone's leaves what was found; no lasting replica goes before those are ready; lasting ones stand in where fewer than 0.85 are left. Decisions are committed (kind Capacity), orders are a duty: newest number, said again where it may be overwritten or does not show, growing pauses where none are to be had. Events 1234, 1235.

--- a/cmd/landingtrail/get.go
+++ b/cmd/landingtrail/get.go
@@ -129,6 +129,7 @@
 
 	api.KindQuarantine:  {"STATE", "SERVICE", "ROUTE", "REQUEST", "REPLICAS", "UNTIL"},
 	api.KindRouteTenant: {"PRIORITY", "KEYS"},
+	api.KindCapacity:    {"FOUND", "LASTING", "WITHDRAWABLE", "REASON"},
 }
 
 func printKind(to cli.Streams, kind api.Kind, objects []api.Object) error {
@@ -159,6 +160,9 @@
 	case object.Quarantine != nil:
 		spec := object.Quarantine.Spec
 		return []any{spec.State, spec.Service, spec.Route, spec.Request, len(spec.Replicas), time.UnixMilli(spec.Until).UTC().Format(time.RFC3339)}
+	case object.Capacity != nil:
+		spec := object.Capacity.Spec
+		return []any{spec.Found, spec.Lasting, spec.Withdrawable, spec.Reason}
 	case object.RouteTenant != nil:
 		spec := object.RouteTenant.Spec
 		return []any{priorityText(spec.Priority), spec.Keys}
--- a/process/control/config.go
+++ b/process/control/config.go
@@ -66,6 +66,8 @@
 	ChangeRoles bool
 	// Usage says how the requests of tenants are accounted for.
 	Usage Usage
+	// Capacity orders replicas; nil where their number is not this group's to say.
+	Capacity CapacityOrders
 	// Extensions run beside the member from when it takes part in the group;
 	// their context ends after the planned stop.
 	Extensions []Extension
--- a/process/control/duties.go
+++ b/process/control/duties.go
@@ -64,6 +64,7 @@
 	background sync.WaitGroup
 	roles      roleDuty
 	usage      usageDuty
+	capacity   capacityDuty
 	// orders ends with the leadership, by endOrders.
 	orders    context.Context
 	endOrders context.CancelFunc
@@ -151,6 +152,7 @@
 	d.tendFleet(ctx, term)
 	d.tendQuarantine(ctx, term)
 	d.tendUsage(ctx, term)
+	d.tendCapacity(ctx, term)
 	d.tendRoles(term, monotonic())
 	d.reconcile(ctx, term)
 }
@@ -174,6 +176,7 @@
 		failures:  map[string]controller.Failure{},
 		changedAt: map[string]time.Duration{},
 		awaySince: map[raft.MemberID]time.Duration{},
+		capacity:  newCapacityDuty(),
 	}
 	term.orders, term.endOrders = context.WithCancel(context.Background())
 	term.poller = orders.NewPoller(orders.PollerConfig{
--- a/process/control/duty.go
+++ b/process/control/duty.go
@@ -31,11 +31,12 @@
 	DutyDone
 	DutyRefused // it was not done, and may be asked for again
 	DutyFenced  // a holder with a higher fence has called
+	DutyDry     // what is asked for is not to be had now
 )
 
 // String returns the outcome's name.
 func (o DutyOutcome) String() string {
-	names := [...]string{"unanswered", "done", "refused", "fenced"}
+	names := [...]string{"unanswered", "done", "refused", "fenced", "dry"}
 	return names[o]
 }
 
--- a/process/control/fleet.go
+++ b/process/control/fleet.go
@@ -218,7 +218,7 @@
 
 func equalReplica(a, b *api.ReplicaSpec) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots &&
-		a.Leaving == b.Leaving && a.Role == b.Role && a.Born == b.Born && slices.Equal(a.Models, b.Models)
+		a.Leaving == b.Leaving && a.Role == b.Role && a.Born == b.Born && a.Withdrawable == b.Withdrawable && slices.Equal(a.Models, b.Models)
 }
 
 // diffMembers keeps the members that daemons may follow equal to those recorded.
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -95,6 +95,10 @@
 		"If partial: the process's own log tells what it served meanwhile.")
 	UsageReported = define(1233, "usage_reported", Info,
 		"A window's usage was handed to the platform under the fence; the outcome is its answer, or none for lack of one: then the same is handed over again.", "")
+	CapacityDecided = define(1234, "capacity_decided", Info,
+		"How many replicas a zone of a service is to have, of those that last and of those that the platform may withdraw, and why.", "")
+	CapacityOrdered = define(1235, "capacity_ordered", Info,
+		"The platform was told how many replicas of a kind a zone is to have, under the fence; the outcome is its answer: dry says that none are to be had there now.", "")
 	BoardShows = define(1223, "board_shows", Info,
 		"What the board of a service shows of its replicas, and what it has answered since the last such line, each second in which it places requests.", "")
 	IngressReplaced = define(1310, "ingress_replaced", Info,
--- a/version/api/fleet.go
+++ b/version/api/fleet.go
@@ -19,6 +19,8 @@
 	Slots int `json:"slots,omitempty" yaml:"slots,omitempty"`
 	// Leaving replicas get nothing new.
 	Leaving bool `json:"leaving,omitempty" yaml:"leaving,omitempty"`
+	// Withdrawable replicas may be taken away by the platform, with little notice.
+	Withdrawable bool `json:"withdrawable,omitempty" yaml:"withdrawable,omitempty"`
 	// Role and Models are set for replicas of model services.
 	Role   EngineRole `json:"role,omitempty" yaml:"role,omitempty"`
 	Models []string   `json:"models,omitempty" yaml:"models,omitempty"`
@@ -45,6 +47,27 @@
 	return replica + "@" + strconv.FormatInt(born, 10)
 }
 
+// Capacity is how many replicas of a service a zone is to have. Its name is that of the
+// service and the zone, with a slash between.
+type Capacity struct {
+	Metadata `json:"metadata" yaml:"metadata"`
+	Spec     CapacitySpec `json:"spec" yaml:"spec"`
+}
+
+// CapacitySpec is what was decided last.
+type CapacitySpec struct {
+	// Found is how many replicas there were when the group began to decide: what whoever
+	// set the fleet up took for enough.
+	Found int `json:"found" yaml:"found"`
+	// Lasting and Withdrawable are wanted now.
+	Lasting      int    `json:"lasting" yaml:"lasting"`
+	Withdrawable int    `json:"withdrawable" yaml:"withdrawable"`
+	Reason       string `json:"reason" yaml:"reason"`
+}
+
+// CapacityName is the name of a Capacity.
+func CapacityName(service, zone string) string { return service + "/" + zone }
+
 // Proxy is a proxy that takes callers' requests now.
 type Proxy struct {
 	Metadata `json:"metadata" yaml:"metadata"`
--- a/version/api/ingress.go
+++ b/version/api/ingress.go
@@ -88,6 +88,24 @@
 	MaxConnections int `json:"maxConnections,omitempty" yaml:"maxConnections,omitempty"`
 	// Model describes the replicas of a model service; nil for others.
 	Model *ModelSheet `json:"model,omitempty" yaml:"model,omitempty"`
+	// Scaling says how many replicas may be had, and for what; nil where their number is
+	// not ours to say.
+	Scaling *ScalingSheet `json:"scaling,omitempty" yaml:"scaling,omitempty"`
+}
+
+// ScalingSheet bounds and prices the replicas of a service. Those that may be withdrawn all
+// at once in a zone cost less than those that last.
+type ScalingSheet struct {
+	// Min and Max bound the replicas of one zone, of both kinds together.
+	Min int `json:"min" yaml:"min"`
+	Max int `json:"max" yaml:"max"`
+	// BootMillis is how long a new replica takes to serve.
+	BootMillis int64 `json:"bootMilliseconds" yaml:"bootMilliseconds"`
+	// WithdrawablePrice is what a replica that may be withdrawn costs of one that lasts;
+	// 0 where there are none.
+	WithdrawablePrice float64 `json:"withdrawablePrice,omitempty" yaml:"withdrawablePrice,omitempty"`
+	// ZonePrices are what a lasting replica costs in each zone, in any unit.
+	ZonePrices map[string]float64 `json:"zonePrices,omitempty" yaml:"zonePrices,omitempty"`
 }
 
 // ModelSheet is what is said of the replicas of a model service beforehand.
--- a/version/api/metadata.go
+++ b/version/api/metadata.go
@@ -21,10 +21,11 @@
 
 	KindQuarantine  Kind = "Quarantine"
 	KindRouteTenant Kind = "RouteTenant"
+	KindCapacity    Kind = "Capacity"
 )
 
 // Kinds lists every kind in the order in which tables print them.
-var Kinds = []Kind{KindIntent, KindEngine, KindService, KindClass, KindTenant, KindIngress, KindReplica, KindProxy, KindMember, KindQuarantine, KindRouteTenant}
+var Kinds = []Kind{KindIntent, KindEngine, KindService, KindClass, KindTenant, KindIngress, KindReplica, KindProxy, KindMember, KindQuarantine, KindRouteTenant, KindCapacity}
 
 // IsWritable reports whether transactions write objects of the kind. The others
 // are replaced as a whole or observed by the group itself.
--- a/version/api/objects.go
+++ b/version/api/objects.go
@@ -234,6 +234,7 @@
 
 	Quarantine  *Quarantine  `json:"quarantine,omitempty" yaml:"quarantine,omitempty"`
 	RouteTenant *RouteTenant `json:"routeTenant,omitempty" yaml:"routeTenant,omitempty"`
+	Capacity    *Capacity    `json:"capacity,omitempty" yaml:"capacity,omitempty"`
 }
 
 // Key returns the key of the object that is set, and false if not exactly one is.
@@ -272,6 +273,9 @@
 	if o.RouteTenant != nil {
 		keys = append(keys, Key{KindRouteTenant, o.RouteTenant.Name})
 	}
+	if o.Capacity != nil {
+		keys = append(keys, Key{KindCapacity, o.Capacity.Name})
+	}
 	if len(keys) != 1 {
 		return Key{}, false
 	}
@@ -303,6 +307,8 @@
 		return &o.Quarantine.Metadata
 	case o.RouteTenant != nil:
 		return &o.RouteTenant.Metadata
+	case o.Capacity != nil:
+		return &o.Capacity.Metadata
 	}
 	return nil
 }
--- a/version/binenc/ingress.go
+++ b/version/binenc/ingress.go
@@ -110,6 +110,7 @@
 	b = AppendString(b, service.Name)
 	b = AppendString(b, service.HealthPath)
 	b = AppendInt(b, int64(service.MaxConnections))
+	b = appendScalingSheet(b, service.Scaling)
 	b = AppendBool(b, service.Model != nil)
 	if service.Model == nil {
 		return b
@@ -126,6 +127,7 @@
 
 func (r *Reader) routeService() api.RouteService {
 	service := api.RouteService{Name: r.String(), HealthPath: r.String(), MaxConnections: int(r.Int())}
+	service.Scaling = r.scalingSheet()
 	if r.Bool() {
 		service.Model = &api.ModelSheet{
 			Slots:          int(r.Int()),
@@ -157,6 +159,7 @@
 	b = AppendBool(b, o.Spec.Leaving)
 	b = AppendString(b, string(o.Spec.Role))
 	b = AppendStrings(b, o.Spec.Models)
+	b = AppendBool(b, o.Spec.Withdrawable)
 	return AppendInt(b, o.Spec.Born)
 }
 
@@ -169,6 +172,7 @@
 	o.Spec.Leaving = r.Bool()
 	o.Spec.Role = api.EngineRole(r.String())
 	o.Spec.Models = r.Strings()
+	o.Spec.Withdrawable = r.Bool()
 	o.Spec.Born = r.Int()
 	return o
 }
--- a/version/binenc/object.go
+++ b/version/binenc/object.go
@@ -20,6 +20,7 @@
 	tagMember
 	tagQuarantine
 	tagRouteTenant
+	tagCapacity
 )
 
 // AppendObject appends the object that is set. It panics if none is, since
@@ -48,6 +49,8 @@
 		return appendQuarantine(append(b, tagQuarantine), o.Quarantine)
 	case o.RouteTenant != nil:
 		return AppendRouteTenant(append(b, tagRouteTenant), o.RouteTenant)
+	case o.Capacity != nil:
+		return appendCapacity(append(b, tagCapacity), o.Capacity)
 	}
 	panic("binenc: object without a kind")
 }
@@ -77,6 +80,8 @@
 		return api.Object{Quarantine: r.quarantine()}
 	case tagRouteTenant:
 		return api.Object{RouteTenant: r.RouteTenant()}
+	case tagCapacity:
+		return api.Object{Capacity: r.capacity()}
 	}
 	r.Fail(ErrMalformed)
 	return api.Object{}
--- a/version/state/codec.go
+++ b/version/state/codec.go
@@ -187,6 +187,9 @@
 	if o.RouteTenant != nil {
 		parts = append(parts, api.Object{RouteTenant: o.RouteTenant})
 	}
+	if o.Capacity != nil {
+		parts = append(parts, api.Object{Capacity: o.Capacity})
+	}
 	return parts
 }
 
@@ -241,6 +244,9 @@
 	case part.RouteTenant != nil:
 		o.RouteTenant = part.RouteTenant
 		return 11
+	case part.Capacity != nil:
+		o.Capacity = part.Capacity
+		return 12
 	}
 	return 0
 }
--- a/version/state/ingress.go
+++ b/version/state/ingress.go
@@ -10,7 +10,8 @@
 
 // Observe commits what the leader has seen of the fleet around the group: the
 // replicas on the platform's list, the proxies that take requests, the members
-// that daemons may follow, and the requests under which replicas ended. Put holds objects of these kinds only,
+// that daemons may follow, the requests under which replicas ended, and how many replicas it
+// wants. Put holds objects of these kinds only,
 // Removed their keys.
 type Observe struct {
 	Put     []api.Object
@@ -113,7 +114,7 @@
 
 func isObserved(kind api.Kind) bool {
 	switch kind {
-	case api.KindReplica, api.KindProxy, api.KindMember, api.KindQuarantine:
+	case api.KindReplica, api.KindProxy, api.KindMember, api.KindQuarantine, api.KindCapacity:
 		return true
 	}
 	return false
--- a/version/state/machine.go
+++ b/version/state/machine.go
@@ -35,6 +35,7 @@
 	memberObjects table[api.Member]
 	quarantines   table[api.Quarantine]
 	routeTenants  table[api.RouteTenant]
+	capacities    table[api.Capacity]
 	// ingressSource is the packed document of the Ingress. It holds keys, and so is in no view.
 	ingressSource []byte
 	usage         usageLedger
@@ -65,6 +66,7 @@
 		memberObjects: newTable[api.Member](),
 		quarantines:   newTable[api.Quarantine](),
 		routeTenants:  newTable[api.RouteTenant](),
+		capacities:    newTable[api.Capacity](),
 		selection:     newSelection(),
 		incarnations:  newTable[[]uint64](),
 		usage:         newUsageLedger(),
--- a/version/state/read.go
+++ b/version/state/read.go
@@ -36,6 +36,7 @@
 
 			Quarantines:  m.quarantines.share(),
 			RouteTenants: m.routeTenants.share(),
+			Capacities:   m.capacities.share(),
 		}
 	}
 	return m.current
@@ -78,6 +79,7 @@
 
 		Quarantines:  m.quarantines.items,
 		RouteTenants: m.routeTenants.items,
+		Capacities:   m.capacities.items,
 	}
 }
 
--- a/version/state/table.go
+++ b/version/state/table.go
@@ -77,6 +77,8 @@
 		return kindTable[api.Quarantine]{&m.quarantines, func(o api.Object) *api.Quarantine { return o.Quarantine }}
 	case api.KindRouteTenant:
 		return kindTable[api.RouteTenant]{&m.routeTenants, func(o api.Object) *api.RouteTenant { return o.RouteTenant }}
+	case api.KindCapacity:
+		return kindTable[api.Capacity]{&m.capacities, func(o api.Object) *api.Capacity { return o.Capacity }}
 	}
 	return nil
 }
--- a/version/view/table.go
+++ b/version/view/table.go
@@ -52,6 +52,8 @@
 		return kindTable[api.Quarantine]{&v.Quarantines, func(o *api.Object) **api.Quarantine { return &o.Quarantine }}
 	case api.KindRouteTenant:
 		return kindTable[api.RouteTenant]{&v.RouteTenants, func(o *api.Object) **api.RouteTenant { return &o.RouteTenant }}
+	case api.KindCapacity:
+		return kindTable[api.Capacity]{&v.Capacities, func(o *api.Object) **api.Capacity { return &o.Capacity }}
 	}
 	return nil
 }
--- a/version/view/types.go
+++ b/version/view/types.go
@@ -37,6 +37,8 @@
 	Quarantines map[string]*api.Quarantine
 	// RouteTenants holds the tenants of the Ingress, by name.
 	RouteTenants map[string]*api.RouteTenant
+	// Capacities holds how many replicas are wanted, by service and zone.
+	Capacities map[string]*api.Capacity
 }
 
 // Delta leads from one version to a later one. From zero with Full set it is a
--- a/version/view/view.go
+++ b/version/view/view.go
@@ -46,6 +46,7 @@
 
 		Quarantines:  map[string]*api.Quarantine{},
 		RouteTenants: map[string]*api.RouteTenant{},
+		Capacities:   map[string]*api.Capacity{},
 	}
 }
 
