--- /dev/null
+++ b/process/control/scaling_test.go
@@ -0,0 +1,184 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/shoenig/test/must"
+)
+
+// fakeMarket is the platform as it has replicas. Orders are carried out at once.
+type fakeMarket struct {
+	fleet *fakeFleet
+
+	lock    sync.Mutex
+	dry     map[string]bool // zones that have none of the cheaper kind
+	outcome DutyOutcome     // of calls; DutyDone carries them out
+	orders  []CapacityOrder
+	fences  []uint64
+	counts  map[CapacityOrder]int // Wanted is 0 in the key
+}
+
+func newFakeMarket(fleet *fakeFleet, found int, zones ...string) *fakeMarket {
+	m := &fakeMarket{fleet: fleet, dry: map[string]bool{}, outcome: DutyDone, counts: map[CapacityOrder]int{}}
+	for _, zone := range zones {
+		m.counts[CapacityOrder{Service: "llm", Zone: zone}] = found
+	}
+	m.list()
+	return m
+}
+
+// list shows what there is; the lock is held, or nobody else knows of the market.
+func (m *fakeMarket) list() {
+	var all []api.Replica
+	for kind, count := range m.counts {
+		for i := range count {
+			all = append(all, api.Replica{
+				Metadata: api.Metadata{Name: fmt.Sprintf("%s-%t-%d", kind.Zone, kind.Withdrawable, i)},
+				Spec:     api.ReplicaSpec{Service: "llm", Address: "10.0.0.1:80", Zone: kind.Zone, Withdrawable: kind.Withdrawable},
+			})
+		}
+	}
+	m.fleet.set(all...)
+}
+
+func (m *fakeMarket) Scale(_ context.Context, holder DutyHolder, order CapacityOrder) (DutyOutcome, error) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.orders = append(m.orders, order)
+	m.fences = append(m.fences, holder.Fence)
+	if order.Withdrawable && m.dry[order.Zone] {
+		return DutyDry, nil
+	}
+	if m.outcome == DutyDone {
+		m.counts[CapacityOrder{Service: order.Service, Zone: order.Zone, Withdrawable: order.Withdrawable}] = order.Wanted
+		m.list()
+	}
+	return m.outcome, nil
+}
+
+func (m *fakeMarket) count(zone string, withdrawable bool) int {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return m.counts[CapacityOrder{Service: "llm", Zone: zone, Withdrawable: withdrawable}]
+}
+
+func (m *fakeMarket) withdraw(zone string) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.dry[zone] = true
+	m.counts[CapacityOrder{Service: "llm", Zone: zone, Withdrawable: true}] = 0
+	m.list()
+}
+
+func (m *fakeMarket) fill(zone string) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.dry[zone] = false
+}
+
+// newScaled is a group before a market of 20 lasting replicas a zone.
+func newScaled(t *testing.T) (*growing, *fakeMarket) {
+	g := newGrowing(t, 3, 3, 1)
+	market := newFakeMarket(g.fleet, 20, "a", "b", "c")
+	for i := range g.configs {
+		g.configs[i].Capacity = market
+		g.configs[i].Durations.OrderSettle = time.Millisecond
+	}
+	g.start(0, 1, 2)
+	g.awaitVoters(3, 0, 1, 2)
+	spec := ingressOf(1, "")
+	spec.Services = append(spec.Services, api.RouteService{Name: "llm", Scaling: &api.ScalingSheet{Min: 1, Max: 60, WithdrawablePrice: 0.2}})
+	must.Eq(t, api.ReplaceApplied, g.replaceIngress(0, spec).Code)
+	return g, market
+}
+
+// The cheaper kind is ordered first, and what lasts goes down to its base once that is
+// there; a withdrawn zone is asked for again until it has them; a new leader goes on from
+// what was decided, and takes what it finds for nothing else.
+func TestCapacityIsOrdered(t *testing.T) {
+	g, market := newScaled(t)
+	settled := func() bool {
+		for _, zone := range []string{"a", "b", "c"} {
+			if market.count(zone, false) != 2 || market.count(zone, true) != 27 {
+				return false
+			}
+		}
+		return true
+	}
+	eventually(t, "the portfolio", settled)
+	market.lock.Lock()
+	for _, order := range market.orders[:3] {
+		must.True(t, order.Withdrawable, must.Sprint("nothing is given up first"))
+	}
+	market.lock.Unlock()
+	market.withdraw("b")
+	time.Sleep(300 * time.Millisecond)
+	must.Eq(t, 2, market.count("a", false))
+	market.fill("b")
+	eventually(t, "the zone's are back", settled)
+
+	g.crash(g.leader())
+	eventually(t, "another leader's orders, where any are needed", func() bool { return g.leader() >= 0 && settled() })
+	time.Sleep(time.Second)
+	must.True(t, settled())
+	current := g.running[g.leader()].member.machine.view().Capacities
+	must.MapLen(t, 3, current)
+	must.Eq(t, 20, current["llm/a"].Spec.Found, must.Sprint("what was found at first, not what is there now"))
+}
+
+// Two zones at once: lasting replicas stand in, and go again.
+func TestLastingReplicasAreOrderedForWithdrawnOnes(t *testing.T) {
+	_, market := newScaled(t)
+	eventually(t, "the portfolio", func() bool {
+		return market.count("a", false) == 2 && market.count("c", false) == 2 && market.count("a", true) == 27
+	})
+	market.withdraw("a")
+	market.withdraw("b")
+	eventually(t, "lasting ones", func() bool { return market.count("a", false)+market.count("b", false)+market.count("c", false) >= 33 })
+	market.fill("a")
+	market.fill("b")
+	eventually(t, "the portfolio again", func() bool { return market.count("a", false) == 2 && market.count("b", true) == 27 })
+}
+
+// What is due: a new number, one that was not taken, one that an older order may overwrite,
+// one that does not show.
+func TestWhenOrdersAreSaidAgain(t *testing.T) {
+	key := orderKey{service: "s", zone: "a", withdrawable: true}
+	const boot = 4 * time.Second
+	cases := []struct {
+		name          string
+		known         *orderState
+		wanted, ready int
+		now           time.Duration
+		due           bool
+	}{
+		{"never said, nothing wanted", nil, 0, 0, 0, false},
+		{"never said", nil, 5, 0, 0, true},
+		{"as said", &orderState{said: 5, outcome: DutyDone}, 5, 5, time.Hour, false},
+		{"another number", &orderState{said: 5, outcome: DutyDone}, 6, 5, 0, true},
+		{"refused, at once", &orderState{said: 5, outcome: DutyRefused}, 5, 0, time.Millisecond, false},
+		{"refused, later", &orderState{said: 5, outcome: DutyRefused}, 5, 0, dutyPause, true},
+		{"none to be had, at once", &orderState{said: 5, outcome: DutyDry, dry: time.Second}, 5, 0, 900 * time.Millisecond, false},
+		{"none to be had, later", &orderState{said: 5, outcome: DutyDry, dry: time.Second}, 5, 0, time.Second, true},
+		{"an older one may come yet", &orderState{said: 5, outcome: DutyDone, unsure: orderLate}, 5, 5, orderAgain, true},
+		{"starting", &orderState{said: 5, outcome: DutyDone}, 5, 0, boot, false},
+		{"does not show", &orderState{said: 5, outcome: DutyDone}, 5, 0, boot + orderRead, true},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			duty := newCapacityDuty()
+			if each.known != nil {
+				duty.orders[key] = each.known
+			}
+			must.Eq(t, each.due, duty.isDue(key, each.wanted, each.ready, 0, boot, each.now))
+		})
+	}
+	lasting := newCapacityDuty()
+	must.False(t, lasting.isDue(orderKey{service: "s", zone: "a"}, 47, 47, 47, boot, 0), must.Sprint("as found"))
+	must.True(t, lasting.isDue(orderKey{service: "s", zone: "a"}, 47, 40, 47, boot, 0))
+}
--- a/version/planner/capacity.go
+++ b/version/planner/capacity.go
@@ -55,6 +55,24 @@
 	for i := range zones {
 		plans[i] = planZone(sheet, &zones[i], base[i], cheap, partOf(needed, zones[i].Wanted.Found, found))
 	}
+	return keepEnough(sheet, zones, plans, needed)
+}
+
+// keepEnough gives no lasting replica up where that would leave fewer than are needed: zones
+// may hold other parts of them than of what was found.
+func keepEnough(sheet *api.ScalingSheet, zones []ZoneCapacity, plans []api.CapacitySpec, needed int) []api.CapacitySpec {
+	before, after := 0, 0
+	for i := range plans {
+		before += zones[i].Wanted.Lasting
+		after += plans[i].Lasting
+	}
+	if after >= min(needed, before) {
+		return plans
+	}
+	for i := range plans {
+		plans[i].Lasting = max(plans[i].Lasting, zones[i].Wanted.Lasting)
+		plans[i].Withdrawable = min(plans[i].Withdrawable, max(sheet.Max-plans[i].Lasting, 0))
+	}
 	return plans
 }
 
