Quarantine: a hold by an end alone stands

Ruled out: the soak's own fault: the log shows the record going back and forth. Change: the record says that an end was alone, two ends then hold, also for the next leader. Test: TestHoldByAnEndAloneStands (on the code before the first look lets it go). The proxy's word on its time of day has a file of its own, which the list of clocks names.

--- a/process/clock/usage_test.go
+++ b/process/clock/usage_test.go
@@ -23,6 +23,7 @@
 	"process/control/run.go":          "the age of demand",
 	"process/control/quarantine.go":   "holds last hours of the time of day",
 	"process/ingress/ended.go":        "the rest of a hold, by the time of day",
+	"process/ingress/presence.go":     "the machine's time of day, of which the group takes the median",
 	"process/ingress/run.go":          "how long a planned stop has gone on, by which its timers run",
 	"process/proxy/admin.go":          "shown to people",
 	"process/proxy/admit.go":          "buckets of tokens fill while the machine runs",
--- a/process/control/quarantine.go
+++ b/process/control/quarantine.go
@@ -192,7 +192,7 @@
 		}
 		heard, _ := d.table.Ends(fingerprint)
 		replicas := mergeNames(known.Spec.Replicas, heard)
-		d.table.Restore(now, fingerprint, replicas, aboutOf(&known.Spec))
+		d.table.Restore(now, fingerprint, replicas, known.Spec.Alone, aboutOf(&known.Spec))
 		d.table.SetHeld(fingerprint, known.Spec.State == api.QuarantineHeld)
 	}
 }
@@ -258,6 +258,7 @@
 	if about.Request != "" {
 		spec.Request = about.Request
 	}
+	spec.Alone = spec.Alone || d.table.EndedAlone(fingerprint)
 	lapsed := wall.UnixMilli() >= spec.Until
 	standing := d.table.Standing(now, fingerprint)
 	isExplained := len(heard) >= quarantine.CondemningEnds && standing == quarantine.Watched
@@ -270,10 +271,10 @@
 		return
 	case lapsed:
 		// One more end shows whether it is still what it was.
-		spec.State, spec.Until = api.QuarantineWatched, wall.Add(watchTime).UnixMilli()
+		spec.State, spec.Until, spec.Alone = api.QuarantineWatched, wall.Add(watchTime).UnixMilli(), false
 		spec.Replicas = spec.Replicas[len(spec.Replicas)-quarantine.WatchedEnds:]
-		d.table.Restore(now, fingerprint, spec.Replicas, aboutOf(&spec))
-	case spec.State == api.QuarantineHeld && (isExplained || len(spec.Replicas) < quarantine.CondemningEnds):
+		d.table.Restore(now, fingerprint, spec.Replicas, false, aboutOf(&spec))
+	case spec.State == api.QuarantineHeld && (isExplained || len(spec.Replicas) < endsToHold(&spec)):
 		// It was another request's doing, or its replicas live.
 		spec.State, spec.Until = api.QuarantineWatched, wall.Add(watchTime).UnixMilli()
 	case spec.State == api.QuarantineWatched && standing == quarantine.Condemned && now >= d.judgeFrom:
@@ -285,6 +286,14 @@
 	}
 }
 
+// endsToHold is how many replicas must have ended under a request that stays held.
+func endsToHold(spec *api.QuarantineSpec) int {
+	if spec.Alone {
+		return quarantine.WatchedEnds
+	}
+	return quarantine.CondemningEnds
+}
+
 // NoteEnds takes in under which requests replicas ended.
 func (g *group) NoteEnds(report feed.EndReport) { g.quarantine.note(report, monotonic()) }
 
--- a/process/control/quarantine_test.go
+++ b/process/control/quarantine_test.go
@@ -295,3 +295,31 @@
 	must.True(t, known)
 	must.True(t, answer.Name)
 }
+
+// A request under which a replica ended alone is held from its second end on, and stays so:
+// with the next looks, and with the next leader. (It was let go and held anew with each look,
+// and a commit for each: soak seed 3037.)
+func TestHoldByAnEndAloneStands(t *testing.T) {
+	d := newDeskTest(t)
+	d.desk.note(endsOf(fatalRequest, "r-0"), d.now)
+	d.pass(1, time.Second)
+	alone := endsOf(fatalRequest, "r-1")
+	alone.Ended[0].Alone = true
+	d.desk.note(alone, d.now)
+	d.settle(1)
+	must.Eq(t, api.QuarantineHeld, d.state())
+	for range 20 {
+		seen, _ := d.desk.review(1, d.machine.View(), d.now, d.wall)
+		must.SliceEmpty(t, seen.Put, must.Sprint("nothing has changed"))
+		d.pass(1, 10*time.Millisecond)
+	}
+	d.desk = newQuarantineDesk()
+	for range 20 {
+		d.pass(2, takeOverTime/4)
+		must.Eq(t, api.QuarantineHeld, d.state())
+	}
+	must.Eq(t, 1, d.machine.View().Quarantines[fatalRequest.String()].Spec.Times)
+	d.desk.note(feed.EndReport{Alive: []string{"r-1"}}, d.now)
+	d.pass(2, time.Second)
+	must.NotEq(t, api.QuarantineHeld, d.state(), must.Sprint("its replica lives"))
+}
--- a/process/guard/guard.go
+++ b/process/guard/guard.go
@@ -142,7 +142,7 @@
 	spec := &known.Spec
 	about := quarantine.About{Service: spec.Service, Route: spec.Route, Request: spec.Request}
 	if earlier != nil && len(spec.Replicas) < len(earlier.Spec.Replicas) {
-		g.table.Restore(now, fingerprint, spec.Replicas, about)
+		g.table.Restore(now, fingerprint, spec.Replicas, spec.Alone, about)
 	}
 	for _, replica := range spec.Replicas {
 		g.table.Note(now, quarantine.Evidence{Fingerprint: fingerprint, Replica: replica, About: about})
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -127,14 +127,6 @@
 // Ready reports whether callers may be sent here.
 func (i *Ingress) Ready() bool { return !i.stopping.Load() && i.routes().generation > 0 }
 
-// presence is what the ingress says of itself to the control group.
-func (i *Ingress) presence() feed.Presence {
-	return feed.Presence{
-		Proxy: i.config.Name, Address: i.config.ListenAddress, Zone: i.config.Zone,
-		Ready: i.Ready(), Stopping: i.stopping.Load(), Day: time.Now().UnixMilli(),
-	}
-}
-
 // ServeHTTP takes one caller's request.
 func (i *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	i.serving.Add(1)
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -145,11 +145,12 @@
 	}
 }
 
-// Restore puts what is recorded of a request in the place of what is known of it.
-func (t *Table) Restore(now time.Duration, fingerprint Fingerprint, replicas []string, about About) {
+// Restore puts what is recorded of a request in the place of what is known of it; alone says
+// that one of the replicas ended with nothing else in flight.
+func (t *Table) Restore(now time.Duration, fingerprint Fingerprint, replicas []string, alone bool, about About) {
 	t.Forget(fingerprint)
 	for _, replica := range replicas {
-		t.noteAt(now, now-settle, Evidence{Fingerprint: fingerprint, Replica: replica, About: about})
+		t.noteAt(now, now-settle, Evidence{Fingerprint: fingerprint, Replica: replica, Alone: alone, About: about})
 	}
 }
 
@@ -220,6 +221,13 @@
 	return len(e.strikes()) >= WatchedEnds && slices.ContainsFunc(e.ends, func(known end) bool { return known.alone })
 }
 
+// EndedAlone reports whether replicas ended under the request more than once, and one of
+// them with nothing else in flight.
+func (t *Table) EndedAlone(fingerprint Fingerprint) bool {
+	known := t.requests[fingerprint]
+	return known != nil && known.endedAlone()
+}
+
 // IsSuspect reports whether a replica has lately ended under the request before it brought
 // anything, and nothing has cleared it since: it may have been its doing.
 func (t *Table) IsSuspect(now time.Duration, fingerprint Fingerprint) bool {
--- a/version/api/quarantine.go
+++ b/version/api/quarantine.go
@@ -27,6 +27,9 @@
 	Request string `json:"request" yaml:"request"`
 	// Replicas are those that ended under it, by the names of their incarnations.
 	Replicas []string `json:"replicas" yaml:"replicas"`
+	// Alone is true where a replica ended with nothing else in flight there: fewer ends say
+	// what the request is.
+	Alone bool `json:"alone,omitempty" yaml:"alone,omitempty"`
 	// Since is when the first of them ended, in milliseconds of the leader's time of day.
 	Since int64 `json:"since,omitempty" yaml:"since,omitempty"`
 	// Until is when the state lapses, in milliseconds of the group's time.
--- a/version/binenc/quarantine.go
+++ b/version/binenc/quarantine.go
@@ -9,6 +9,7 @@
 	b = AppendString(b, o.Spec.Route)
 	b = AppendString(b, o.Spec.Request)
 	b = AppendStrings(b, o.Spec.Replicas)
+	b = AppendBool(b, o.Spec.Alone)
 	b = AppendInt(b, o.Spec.Since)
 	b = AppendInt(b, o.Spec.Until)
 	return AppendInt(b, int64(o.Spec.Times))
@@ -21,6 +22,7 @@
 		Route:    r.String(),
 		Request:  r.String(),
 		Replicas: r.Strings(),
+		Alone:    r.Bool(),
 		Since:    r.Int(),
 		Until:    r.Int(),
 		Times:    int(r.Int()),
