Usage: a new leader hears before it decides

Cause: found by reading: a leader that had just begun knew of no process, so a window could be decided 0.7 s after its end by what its forerunner had committed, up to a second short. Change: nothing is decided in the first 1.5 s of a term; proxies tell all within a second. Test first: it fails where the term's age is not asked for.

--- a/process/control/usage.go
+++ b/process/control/usage.go
@@ -40,6 +40,9 @@
 	// falls due ten seconds after its window on the strictest platform known; a leader that
 	// is replaced after the decision takes up to five.
 	usageLatest = 3500 * time.Millisecond
+	// usageTakeOver is how long a new leader hears before it decides: proxies find it and
+	// tell it all that they have counted within a second.
+	usageTakeOver = 1500 * time.Millisecond
 	// usageSilence is how long a proxy that says nothing is waited for.
 	usageSilence = 2 * time.Second
 	// usageRound bounds the windows that are decided in one round.
@@ -202,12 +205,12 @@
 		duty.committedAt = now
 		d.commitUsage(ctx, decided)
 	}
-	next := max(decided+1, duty.first)
-	if decided > 0 {
-		next = decided + 1
+	next := decided + 1
+	if decided == 0 {
+		next = duty.first
 	}
 	for range usageRound {
-		if !d.isOver(next, length, day, now) || !d.commitUsage(ctx, decided) || !d.decideUsage(ctx, next, (next+1)*length, now) {
+		if !d.isOver(next, length, day, now, now-term.startedAt) || !d.commitUsage(ctx, decided) || !d.decideUsage(ctx, next, (next+1)*length, now) {
 			break
 		}
 		decided, next = next, next+1
@@ -226,9 +229,13 @@
 	return decided
 }
 
-// isOver reports whether a window is to be decided now.
-func (d *duties) isOver(window, length, day int64, now time.Duration) bool {
+// isOver reports whether a window is to be decided now, in a term that has lasted so long:
+// a new leader has yet to be told what proxies have counted.
+func (d *duties) isOver(window, length, day int64, now, lasted time.Duration) bool {
 	end := (window + 1) * length
+	if lasted < usageTakeOver {
+		return false
+	}
 	switch since := time.Duration(day-end) * time.Millisecond; {
 	case since < usageSettle:
 		return false
--- a/process/control/usage_test.go
+++ b/process/control/usage_test.go
@@ -204,6 +204,20 @@
 	must.MapEmpty(t, desk.through)
 }
 
+// A new leader knows nothing of what proxies have counted: it decides nothing before they
+// had the time to tell it, however late the window is.
+func TestNewLeaderHearsBeforeItDecides(t *testing.T) {
+	d := &duties{group: &group{usage: newUsageDesk()}}
+	const window, length = 7, 5000
+	end := int64((window + 1) * length)
+	must.False(t, d.isOver(window, length, end+usageLatest.Milliseconds(), 0, usageTakeOver-1))
+	must.True(t, d.isOver(window, length, end+usageLatest.Milliseconds(), 0, usageTakeOver))
+	must.False(t, d.isOver(window, length, end+usageSettle.Milliseconds()-1, 0, time.Hour))
+	must.True(t, d.isOver(window, length, end+usageSettle.Milliseconds(), 0, time.Hour))
+	d.group.usage.note(feed.UsageReport{Life: "a", Through: end - 1}, 0)
+	must.False(t, d.isOver(window, length, end+usageSettle.Milliseconds(), 0, time.Hour), must.Sprint("one has not told all"))
+}
+
 // Commits are bounded, oldest windows first, and what was not committed comes again.
 func TestUsageCommitsAreBounded(t *testing.T) {
 	desk := newUsageDesk()
