--- a/request/placement/confine_test.go
+++ b/request/placement/confine_test.go
@@ -77,6 +77,18 @@
 	must.False(t, third.Alone, must.Sprint("the one before still runs there"))
 }
 
+// A ward that is free is kept for the next suspect: what else would run there would be at risk.
+func TestFreeWardsAreKept(t *testing.T) {
+	b := fleet(3)
+	b.Alert(0)
+	ward := b.Place(0, key(1), suspect("x")).Generator
+	b.Note(ms, key(1), Note{Step: StepStarted})
+	b.Note(2*ms, key(1), Note{Step: StepEnded})
+	for number := range uint64(30) {
+		must.NotEq(t, ward, b.Place(3*ms, key(100+number), ask("", 0, 500)).Generator)
+	}
+}
+
 // What runs at a new ward is waited for, but not for long.
 func TestNewWardsAreEmptiedFirst(t *testing.T) {
 	b := fleet(2)
--- a/version/state/usage_test.go
+++ b/version/state/usage_test.go
@@ -62,6 +62,7 @@
 	first := m.Apply(1, 2, decideCommand(7)).(api.UsageWindow)
 	must.Eq(t, api.UsageWindow{Window: 7, Counts: map[string]uint64{"a": 3}, Decided: true}, first)
 	m.Apply(2, 3, countCommand(UsageCount{"p", 7, "a", 9}, UsageCount{"p", 6, "a", 9}))
+	must.MapLen(t, 1, m.usage.open, must.Sprint("what comes too late is dropped"))
 	m = again(t, m)
 	must.Eq(t, first, m.Apply(2, 4, decideCommand(7)).(api.UsageWindow))
 	must.Eq(t, []api.UsageWindow{first}, m.OutstandingUsage())
