Known red: what many callers send at once ends replicas again

Ends at one moment count once, since a lost rack looks the same; so the request is free when the first replica is back, and four of its copies reach that at once. Held after the third moment, 1.4 s later.

Tried, not kept: to condemn at the second moment where four replicas or more ended, two more than under anything that stood beside. What would mend it is to let a watched request run one at a time over all proxies.

--- /dev/null
+++ b/request/quarantine/wide_test.go
@@ -0,0 +1,68 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// wideAt notes an end of each replica under a request, all at once.
+func wideAt(table *Table, at time.Duration, request Fingerprint, replicas ...string) {
+	for i, replica := range replicas {
+		table.Note(at+time.Duration(i)*7*time.Millisecond, Evidence{
+			Fingerprint: request, Replica: replica, Ran: 60 * time.Millisecond, About: About{Service: "s"},
+		})
+	}
+}
+
+// Many callers send the same at once, and it ends three replicas within 25 ms, as a lost rack
+// would. The first that is back ends under it too, with others beside: it is held from then
+// on, and stays so.
+func TestWhatManySendIsHeldAtItsSecondMoment(t *testing.T) {
+	table := NewTable()
+	wideAt(table, 0, named("fatal"), "a", "b", "c")
+	wideAt(table, 0, named("beside"), "a")
+	must.Eq(t, Free, table.Standing(time.Second, named("fatal")), must.Sprint("a rack may be lost"))
+	wideAt(table, 4*time.Second, named("fatal"), "a-again")
+	wideAt(table, 4*time.Second, named("beside"), "a-again")
+	must.Eq(t, Settling, table.Standing(4*time.Second+settle/2, named("fatal")))
+	must.Eq(t, Condemned, table.Standing(5*time.Second, named("fatal")))
+	must.NotEq(t, Condemned, table.Standing(5*time.Second, named("beside")))
+	replicas, _ := table.Ends(named("fatal"))
+	must.Eq(t, []string{"a", "b", "c", "a-again"}, replicas, must.Sprint("enough for the record to stand"))
+}
+
+// What stood on a lost rack and was served since is not held for a later end.
+func TestServedBetweenIsNotHeld(t *testing.T) {
+	table := NewTable()
+	wideAt(table, 0, named("fatal"), "a", "b", "c")
+	table.Served(time.Second, named("fatal"))
+	wideAt(table, 4*time.Second, named("fatal"), "d")
+	must.Eq(t, Free, table.Standing(5*time.Second, named("fatal")))
+}
+
+// Two that stood on the same rack and at the same later end are not told apart by it.
+func TestTwoOnOneRackAreNotHeld(t *testing.T) {
+	table := NewTable()
+	for _, request := range []Fingerprint{named("fatal"), named("beside")} {
+		wideAt(table, 0, request, "a", "b", "c")
+		wideAt(table, 4*time.Second, request, "d")
+	}
+	must.Eq(t, Watched, table.Standing(5*time.Second, named("fatal")))
+	must.Eq(t, Watched, table.Standing(5*time.Second, named("beside")))
+}
+
+// Ends at one moment alone condemn nothing, however many they are; nor do runs that had
+// brought something.
+func TestOneMomentCondemnsNothing(t *testing.T) {
+	table := NewTable()
+	wideAt(table, 0, named("fatal"), "a", "b", "c", "d", "e")
+	must.Eq(t, Free, table.Standing(time.Second, named("fatal")))
+	began := NewTable()
+	for i, replica := range []string{"a", "b", "c", "d"} {
+		at := time.Duration(i/3) * 4 * time.Second
+		began.Note(at, Evidence{Fingerprint: named("fatal"), Replica: replica, Began: true, Ran: 60 * time.Millisecond})
+	}
+	must.Eq(t, Watched, began.Standing(5*time.Second, named("fatal")))
+}
