Sight: what a replica's answer asks of further requests is read and told

Cause: replicas that asked for three seconds of rest got three to six requests from a machine in that time; the log had nothing of what their answers named. The test of foreign answers expects their heads as well: it is stricter than before. No decision changes.

--- a/connection/exchange/foreign.go
+++ b/connection/exchange/foreign.go
@@ -13,6 +13,7 @@
 type ForeignAnswer struct {
 	Answered string // the ID that it names, empty for none
 	Status   int
+	Header   http.Header
 }
 
 // maxNamedBytes bounds what is kept of an ID that the other side names.
@@ -20,7 +21,7 @@
 
 func newForeignAnswer(response *http.Response, identity Identity) *ForeignAnswer {
 	answered := response.Header.Get(identity.Field)
-	return &ForeignAnswer{Answered: answered[:min(len(answered), maxNamedBytes)], Status: response.StatusCode}
+	return &ForeignAnswer{Answered: answered[:min(len(answered), maxNamedBytes)], Status: response.StatusCode, Header: response.Header}
 }
 
 // Error says which request was answered.
--- a/connection/exchange/identity_test.go
+++ b/connection/exchange/identity_test.go
@@ -66,7 +66,8 @@
 	must.NoError(t, err)
 	answer, err := pool.Do(t.Context(), server.address(), getAs("second", "/2"))
 	must.NoError(t, err)
-	must.Eq(t, []*ForeignAnswer{{Answered: "first", Status: http.StatusOK}}, answer.Foreign)
+	head := http.Header{"Content-Length": {"3"}, "Id": {"first"}}
+	must.Eq(t, []*ForeignAnswer{{Answered: "first", Status: http.StatusOK, Header: head}}, answer.Foreign)
 	answer.Close()
 
 	// On a connection that has carried no other request nothing else is to follow.
--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -29,6 +29,9 @@
 	RequestHeld = define(4607, "request_held", Info,
 		"A request went to no replica, or to no further one, since replicas end under it. rest_ms is for how long yet.",
 		"Look the fingerprint up: landingtrail get quarantine FINGERPRINT. Release it once the request or the replicas are mended.")
+	ReplicaAsks = define(4608, "replica_asks", Info,
+		"A replica's answer asks this process to send it nothing for retry_after_ms, or nothing new any more since it leaves. stage says what was asked, status how it was answered.",
+		"Many from replicas that are not replaced: they have too much to do, or are faulty.")
 	RequestRefused = define(4601, "request_refused", Info,
 		"A request was answered before any replica was asked: no route, no configuration, or a faulty request.", "")
 )
--- a/process/ingress/harness_test.go
+++ b/process/ingress/harness_test.go
@@ -59,6 +59,8 @@
 	testPriority = "Test-Priority"
 	testKey      = "Test-Key"
 	testTenant   = "Test-Tenant"
+	testPause    = "Test-Pause"
+	testLeaving  = "Test-Leaving"
 )
 
 // testDialect is a protocol of these tests.
@@ -108,6 +110,8 @@
 		NotRun:      header.Get(testNotRun) != "",
 		Misdirected: status == http.StatusMisdirectedRequest,
 	}
+	reply.Asks.RetryAfter, _ = time.ParseDuration(header.Get(testPause))
+	reply.Asks.Leaving = header.Get(testLeaving) != ""
 	if running, err := strconv.Atoi(header.Get(testLoad)); err == nil {
 		reply.Load = &Load{Running: running, Slots: 8}
 	}
--- a/process/ingress/metrics.go
+++ b/process/ingress/metrics.go
@@ -25,6 +25,7 @@
 	foreign        *prometheus.CounterVec
 	broken         *prometheus.CounterVec
 	held           *prometheus.CounterVec
+	asks           *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -40,6 +41,7 @@
 	m.foreign = m.counter("foreign_answers_total", "Answers that name another request than the one that was asked, or none.", "service", "stage")
 	m.broken = m.counter("broken_total", "Attempts whose replica closed or reset the connection while it was at work, as one that ends does.", "service", "stage")
 	m.held = m.counter("held_total", "Requests that went to no replica, since replicas end under them.", "service")
+	m.asks = m.counter("replica_asks_total", "Answers that ask for a pause, or say that their replica leaves.", "service", "stage")
 	return m
 }
 
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -185,6 +185,7 @@
 	answer, err := s.lane.pool.Do(ctx, address, request)
 	if err == nil {
 		s.noteForeign(stage, to, answer.Reused, answer.Foreign)
+		s.hearAsks(stage, to, answer.Status, answer.Header)
 		return answer, nil
 	}
 	var failure *exchange.Failure
@@ -200,6 +201,7 @@
 		s.ingress.metrics.foreign.WithLabelValues(s.lane.service, stage).Inc()
 		event.ForeignAnswer.Log(s.ingress.logger, "request", s.call.ID, "stage", stage, "replica", from.name,
 			"reused", reused, "answered", foreign.Answered, "status", foreign.Status)
+		s.hearAsks(stage, from, foreign.Status, foreign.Header)
 	}
 }
 
--- a/process/ingress/types.go
+++ b/process/ingress/types.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"time"
 
+	"github.com/landingtrail/landingtrail/request/holdoff"
 	"github.com/landingtrail/landingtrail/version/api"
 )
 
@@ -102,6 +103,8 @@
 	Misdirected bool
 	// Load is the replica's load if it told it.
 	Load *Load
+	// Asks is what the replica wants of further requests.
+	Asks holdoff.Word
 }
 
 // refuses reports whether the answer proves that the request has not run. One that names
