--- a/connection/exchange/identity_test.go
+++ b/connection/exchange/identity_test.go
@@ -75,7 +75,8 @@
 	var failure *Failure
 	must.True(t, errors.As(err, &failure))
 	must.True(t, failure.Sent)
-	must.Eq(t, []*ForeignAnswer{{Answered: "other", Status: http.StatusOK}}, failure.Foreign)
+	head = http.Header{"Content-Length": {"1"}, "Id": {"other"}}
+	must.Eq(t, []*ForeignAnswer{{Answered: "other", Status: http.StatusOK, Header: head}}, failure.Foreign)
 	var foreign *ForeignAnswer
 	must.True(t, errors.As(err, &foreign))
 	must.Eq(t, "other", foreign.Answered)
