--- a/process/ingress/asks.go
+++ b/process/ingress/asks.go
@@ -46,7 +46,7 @@
 	if reply.Misdirected {
 		return
 	}
-	leaves := from.Hear(s.ingress.now(), time.Now(), reply.Asks)
+	leaves := from.Hear(s.ingress.now(), s.ingress.day(), reply.Asks)
 	if reply.Asks.IsZero() {
 		return
 	}
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -34,8 +34,10 @@
 	logger log.Logger
 	views  Views
 	clock  func() time.Duration
-	lanes  *lanes
-	table  atomic.Pointer[tableAt]
+	// day is the time of day that replicas' births are told by.
+	day   func() time.Time
+	lanes *lanes
+	table atomic.Pointer[tableAt]
 	// stopping is set once answers must ask callers to close connections.
 	stopping atomic.Bool
 	serving  atomic.Int64 // requests
@@ -77,7 +79,7 @@
 func New(config Config, views Views, now func() time.Duration, logger log.Logger) *Ingress {
 	config = config.WithDefaults()
 	made := &Ingress{
-		config: config, logger: logger, views: views, clock: now,
+		config: config, logger: logger, views: views, clock: now, day: time.Now,
 		lanes: newLanes(config, now), metrics: newMetrics(), guard: guard.New(),
 	}
 	made.patient, made.endPatient = context.WithCancel(context.Background())
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -41,6 +41,7 @@
 	made := New(config, holder, clock.Now, logger)
 	defer made.Close()
 	day := metering.NewDay(clock.Now, time.Now)
+	made.day = day.Now // a machine's own may jump by seconds
 	if config.UsageWindow > 0 {
 		made.usage = metering.NewCounter(config.Name, config.UsageWindow, day.Now)
 	}
--- a/request/holdoff/holdoff.go
+++ b/request/holdoff/holdoff.go
@@ -19,8 +19,9 @@
 	// has no answer the replica may still be full, and each further request would cost a
 	// retry; one that is answered later than this tells nothing of that.
 	trialTime = time.Second
-	// birthSlack is by how much the times of day of machines may differ, steps included: a
-	// word that was heard longer before a birth is surely another process's.
+	// birthSlack is by how much the times of day of machines may differ: a wish for a pause
+	// that was heard longer before a birth is surely another process's. Too much of it costs
+	// the rest of one pause.
 	birthSlack = 5 * time.Second
 	// forgetAfter is how long a replica that no list names any more is remembered. Lists
 	// lag by seconds, and one may lack a replica for a moment.
@@ -144,12 +145,14 @@
 	heardAt   time.Time     // the last word, by the time of day
 	leaving   bool
 	leavingAt time.Duration
+	leavesDay time.Time // the same by the time of day
 }
 
 // Name returns the replica's name.
 func (r *Replica) Name() string { return r.name }
 
-// Hear takes in the word of an answer that came now; day is the time of day. It reports
+// Hear takes in the word of an answer that came now; day is the time of day, which is to be
+// the one that births are told by. It reports
 // whether the replica has said for the first time that it leaves.
 func (r *Replica) Hear(now time.Duration, day time.Time, word Word) (leaves bool) {
 	if word.IsZero() && !r.asks.Load() {
@@ -166,7 +169,7 @@
 		r.trialDue = false // it answers
 	}
 	if word.Leaving && !r.leaving {
-		r.leaving, r.leavingAt, leaves = true, now, true
+		r.leaving, r.leavingAt, r.leavesDay, leaves = true, now, day, true
 	}
 	r.settleLocked(now)
 	return leaves
@@ -256,25 +259,23 @@
 	}
 	r.process = process
 	if process.isOther(before) && r.asks.Load() {
-		r.renewLocked(now, process.Address != before.Address)
+		r.renewLocked(process.Address != before.Address)
+		r.settleLocked(now)
 	}
 }
 
 // renewLocked drops what an earlier process has asked for. The new one may have spoken
-// before a list showed it, unless it stands at another address: so what was said shortly
-// before its birth, or after it, keeps its pause, and a word of leaving, which would never
-// end, becomes one.
-func (r *Replica) renewLocked(now time.Duration, moved bool) {
-	wasLeaving := r.leaving
-	r.leaving = false
+// before a list showed it, unless it stands at another address: what was said after its
+// birth is its own. A pause is kept also where that is in doubt; a word of leaving is not,
+// since it would never end, and a process that has just begun has none to say.
+func (r *Replica) renewLocked(moved bool) {
 	born := time.UnixMilli(r.process.Born)
-	switch {
-	case moved, r.heardAt.Before(born.Add(-birthSlack)):
+	if moved || r.leavesDay.Before(born) {
+		r.leaving = false
+	}
+	if moved || r.heardAt.Before(born.Add(-birthSlack)) {
 		r.pauseEnd, r.trialDue = 0, false
-	case wasLeaving:
-		r.pauseEnd = max(r.pauseEnd, now+birthSlack)
 	}
-	r.settleLocked(now)
 }
 
 func (r *Replica) isForgotten(now time.Duration) bool {
