--- a/connection/feed/placement.go
+++ b/connection/feed/placement.go
@@ -33,7 +33,7 @@
 // Bounds of a question in a frame.
 const (
 	maxParts    = 256
-	maxReplicas = 64 // in each list of names
+	maxReplicas = 512 // in each list of names: more than any service that pauses as a half
 	// Least sizes of encoded list elements.
 	partSize = 4 + 4
 	nameSize = 4
--- a/process/ingress/asks.go
+++ b/process/ingress/asks.go
@@ -127,15 +127,15 @@
 // allPause reports whether every replica that could run the request has asked this process
 // for a pause, and when the first of them is over. To wait for that here would hold the
 // request for nothing, and to send it all the same would only be refused.
-func (l *lane) allPause(now time.Duration, tried map[string]bool) (wait time.Duration, all bool) {
+func (l *lane) allPause(now time.Duration) (wait time.Duration, all bool) {
 	first := time.Duration(0)
 	for _, known := range *l.replicas.Load() {
 		if known.listed().Leaving || !runRoles.hasRole(known) {
 			continue
 		}
 		pause := known.asks.Pause(now)
-		if pause == 0 && known.takes(now) && !tried[known.name] {
-			return 0, false
+		if pause == 0 && known.takes(now) {
+			return 0, false // be it one that has just refused this request: it may have room sooner
 		}
 		if pause > 0 && !known.asks.IsLeaving() && (first == 0 || pause < first) {
 			first = pause
--- a/process/ingress/plan.go
+++ b/process/ingress/plan.go
@@ -74,7 +74,7 @@
 	s.ingress.routes() // takes in what the list says by now
 	now := s.ingress.now()
 	zone := s.ingress.config.Zone
-	if wait, pausing := s.lane.allPause(now, s.excluded); pausing {
+	if wait, pausing := s.lane.allPause(now); pausing {
 		return plan{refused: true, retryAfter: wait, pausing: true}
 	}
 	if s.call.Work.PromptTokens == 0 {
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -173,7 +173,7 @@
 }
 
 // isThere reports whether the replica is at its address and takes requests.
-func (r *replica) isThere(now time.Duration) bool { return !r.isLeaving() && !r.isAbsent(now) }
+func (r *replica) isThere(now time.Duration) bool { return !r.Leaving && !r.isAbsent(now) }
 
 // keeper is a replica that keeps leading parts of a prompt.
 type keeper struct {
@@ -248,7 +248,7 @@
 // failureTime is what the replica's failures make it cost.
 func (r *replica) failureTime(now time.Duration) time.Duration {
 	cost := time.Duration(r.failureRate * float64(failureCost))
-	if r.isDoubted(now) {
+	if r.isDoubted(now) || r.saysLeaving {
 		cost += suspectCost
 	}
 	return cost
--- a/request/placement/failure.go
+++ b/request/placement/failure.go
@@ -110,7 +110,9 @@
 }
 
 // leave notes that a replica has said that it leaves. That holds for as long as the board
-// knows its process: it is listed as leaving later, and then no more.
+// knows its process: it is listed as leaving later, and then no more. Until then this is a
+// cost and no ban: where nothing else is left, it serves for a while yet. Each daemon names
+// it as excluded once its own time to send there is over.
 func (b *Board) leave(name string) {
 	if known := b.replicas[name]; known != nil {
 		known.saysLeaving = true
