A request under which many replicas of a plain service end at once is tried by one proxy at a time

Cause: ends of one moment count once, since a lost rack looks the same; the copies that many callers send reach the first replica that is back together, before any judge can know. Change: after a moment with three ends such a request is on record as tried. Each proxy's turn is drawn alike at all of them and lasts a second; there one copy at a time goes to a replica, all others are refused at once with 0.3 s to come back. An answer clears it, another end holds it, a minute without either frees it. Model services are left out: their board keeps suspects apart. A record of one moment stays one moment for a new leader and for a proxy that is cut off.

--- a/process/control/quarantine.go
+++ b/process/control/quarantine.go
@@ -27,6 +27,11 @@
 	// doubles it, up to longestHold. After that it is watched, and one end more holds it.
 	firstHold   = time.Hour
 	longestHold = 24 * time.Hour
+	// tryTurn is how long one proxy has to try a request alone until it is another one's turn:
+	// callers come to each of them every now and then. tryTime is after which time without an
+	// end or an answer the request is taken for harmless.
+	tryTurn = time.Second
+	tryTime = time.Minute
 	// watchTime is how long a request is watched under which no more replicas end.
 	watchTime = time.Hour
 	// maxQuarantines bounds the requests on record, a kilobyte each at most.
@@ -155,9 +160,35 @@
 			seen.Put = append(seen.Put, d.record(fingerprint, now, wall))
 		}
 	}
+	for _, fingerprint := range d.table.Tried(now) {
+		if current.Quarantines[fingerprint.String()] == nil && recorded < maxQuarantines {
+			if object := d.record(fingerprint, now, wall); isTriable(current, object.Quarantine.Spec.Service) {
+				recorded++
+				try(&object.Quarantine.Spec, wall)
+				seen.Put = append(seen.Put, object)
+			}
+		}
+	}
 	return seen, refuted
 }
 
+// isTriable reports whether the requests of a service are tried at one proxy: those of routed
+// services that nobody places. Where requests are placed, the board keeps suspects apart.
+func isTriable(current *view.View, service string) bool {
+	held := current.Ingresses[api.IngressName]
+	if held == nil {
+		return false
+	}
+	at := slices.IndexFunc(held.Spec.Services, func(known api.RouteService) bool { return known.Name == service })
+	return at >= 0 && held.Spec.Services[at].Model == nil
+}
+
+// try gives the next proxy its turn.
+func try(spec *api.QuarantineSpec, wall time.Time) {
+	spec.State = api.QuarantineTried
+	spec.Until = wall.Add(tryTurn).UnixMilli()
+}
+
 // anyLapsed reports whether the time of anything on record is over.
 func anyLapsed(current *view.View, wall time.Time) bool {
 	for _, known := range current.Quarantines {
@@ -192,7 +223,9 @@
 		}
 		heard, _ := d.table.Ends(fingerprint)
 		replicas := mergeNames(known.Spec.Replicas, heard)
-		d.table.Restore(now, fingerprint, replicas, known.Spec.Alone, aboutOf(&known.Spec))
+		d.table.Restore(now, fingerprint, quarantine.Record{
+			Replicas: replicas, Alone: known.Spec.Alone, AtOnce: known.Spec.State == api.QuarantineTried, About: aboutOf(&known.Spec),
+		})
 		d.table.SetHeld(fingerprint, known.Spec.State == api.QuarantineHeld)
 	}
 }
@@ -263,17 +296,24 @@
 	standing := d.table.Standing(now, fingerprint)
 	isExplained := len(heard) >= quarantine.CondemningEnds && standing == quarantine.Watched
 	switch {
-	case !ok || refuted.served[fingerprint] || len(spec.Replicas) < quarantine.WatchedEnds || lapsed && spec.State == api.QuarantineWatched:
+	case !ok || refuted.served[fingerprint] || len(spec.Replicas) < quarantine.WatchedEnds || lapsed && spec.State == api.QuarantineWatched,
+		spec.State == api.QuarantineTried && wall.Sub(time.UnixMilli(spec.Since)) >= tryTime:
 		seen.Removed = append(seen.Removed, api.Key{Kind: api.KindQuarantine, Name: known.Name})
 		if !refuted.served[fingerprint] { // else its clearance has to outlast the record
 			d.table.Forget(fingerprint)
 		}
 		return
+	case spec.State == api.QuarantineTried && standing == quarantine.Condemned && now >= d.judgeFrom:
+		hold(&spec, wall)
+	case spec.State == api.QuarantineTried:
+		if lapsed {
+			try(&spec, wall)
+		}
 	case lapsed:
 		// One more end shows whether it is still what it was.
 		spec.State, spec.Until, spec.Alone = api.QuarantineWatched, wall.Add(watchTime).UnixMilli(), false
 		spec.Replicas = spec.Replicas[len(spec.Replicas)-quarantine.WatchedEnds:]
-		d.table.Restore(now, fingerprint, spec.Replicas, false, aboutOf(&spec))
+		d.table.Restore(now, fingerprint, quarantine.Record{Replicas: spec.Replicas, About: aboutOf(&spec)})
 	case spec.State == api.QuarantineHeld && (isExplained || len(spec.Replicas) < endsToHold(&spec)):
 		// It was another request's doing, or its replicas live.
 		spec.State, spec.Until = api.QuarantineWatched, wall.Add(watchTime).UnixMilli()
@@ -281,7 +321,7 @@
 		hold(&spec, wall)
 	}
 	d.table.SetHeld(fingerprint, spec.State == api.QuarantineHeld)
-	if spec.State != known.Spec.State || !slices.Equal(spec.Replicas, known.Spec.Replicas) {
+	if spec.State != known.Spec.State || spec.Until != known.Spec.Until || !slices.Equal(spec.Replicas, known.Spec.Replicas) {
 		seen.Put = append(seen.Put, quarantineObject(known.Name, spec))
 	}
 }
--- a/process/control/quarantine_test.go
+++ b/process/control/quarantine_test.go
@@ -323,3 +323,71 @@
 	d.pass(2, time.Second)
 	must.NotEq(t, api.QuarantineHeld, d.state(), must.Sprint("its replica lives"))
 }
+
+// atOnce reports that replicas ended in one moment under a request that had brought nothing.
+func atOnce(fingerprint quarantine.Fingerprint, replicas ...string) feed.EndReport {
+	report := endsOf(fingerprint, replicas...)
+	for i := range report.Ended {
+		report.Ended[i].Ran = 60 * time.Millisecond
+	}
+	return report
+}
+
+// route has a plain service, whose requests nobody places.
+func (d *deskTest) route(model *api.ModelSheet) {
+	spec := api.IngressSpec{
+		Generation: 1, Services: []api.RouteService{{Name: "s", Model: model}},
+	}
+	d.index++
+	d.machine.Apply(1, d.index, state.Command{Kind: state.CommandReplaceIngress, ReplaceIngress: &state.ReplaceIngress{Spec: spec}})
+}
+
+// A request under which many replicas of a plain service end at once is tried at one proxy
+// after the other until it is answered, ends another one, or was tried for long enough.
+func TestManyEndsAtOnceAreTried(t *testing.T) {
+	begin := func(model *api.ModelSheet) *deskTest {
+		d := newDeskTest(t)
+		d.route(model)
+		d.desk.note(atOnce(fatalRequest, "a", "b", "c"), d.now)
+		d.pass(1, 50*time.Millisecond)
+		return d
+	}
+	until := func(d *deskTest) int64 { return d.machine.View().Quarantines[fatalRequest.String()].Spec.Until }
+	t.Run("answered", func(t *testing.T) {
+		d := begin(nil)
+		must.Eq(t, api.QuarantineTried, d.state())
+		first := until(d)
+		d.pass(1, tryTurn)
+		must.Eq(t, first+tryTurn.Milliseconds(), until(d))
+		d.desk.note(feed.EndReport{Served: []quarantine.Fingerprint{fatalRequest}}, d.now)
+		d.pass(1, 50*time.Millisecond)
+		must.Eq(t, "", d.state())
+	})
+	t.Run("ends another", func(t *testing.T) {
+		d := begin(nil)
+		d.pass(1, 3*time.Second)
+		d.desk.note(endsOf(fatalRequest, "a-again"), d.now)
+		d.pass(1, time.Second)
+		must.Eq(t, api.QuarantineHeld, d.state())
+		d.pass(1, time.Second)
+		must.Eq(t, api.QuarantineHeld, d.state(), must.Sprint("the record stands"))
+	})
+	t.Run("under a new leader", func(t *testing.T) {
+		d := begin(nil)
+		next := newQuarantineDesk()
+		d.desk = next
+		d.pass(2, 2*time.Second)
+		d.pass(2, 2*time.Second)
+		must.Eq(t, api.QuarantineTried, d.state(), must.Sprint("one moment is no more in its record"))
+	})
+	t.Run("for long enough", func(t *testing.T) {
+		d := begin(nil)
+		d.pass(1, tryTime)
+		must.Eq(t, "", d.state())
+		d.pass(1, time.Second)
+		must.Eq(t, "", d.state())
+	})
+	t.Run("placed by the group", func(t *testing.T) {
+		must.Eq(t, "", begin(&api.ModelSheet{}).state())
+	})
+}
--- a/process/guard/guard.go
+++ b/process/guard/guard.go
@@ -6,10 +6,14 @@
 package guard
 
 import (
+	"encoding/binary"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/request/quarantine"
 	"github.com/landingtrail/landingtrail/version/api"
@@ -39,6 +43,11 @@
 	table    *quarantine.Table
 	version  view.Version
 	recorded map[string]*api.Quarantine
+	// name is this proxy's, proxies are those that may be given turns, in order.
+	name    string
+	proxies []string
+	// trials are the requests that this proxy is trying, by fingerprint, each with its owner.
+	trials map[quarantine.Fingerprint]any
 	// doubted are the replicas that are on record as ended, with when this proxy learnt it:
 	// whoever hears of one refutes that.
 	doubted map[string]doubt
@@ -50,8 +59,11 @@
 	endedAt  time.Time // the first end on its record, by the leader's time of day
 }
 
-// New returns a guard that tells nobody until it has a Reporter.
-func New() *Guard { return &Guard{table: quarantine.NewTable()} }
+// New returns a guard that tells nobody until it has a Reporter. name is its proxy's, empty
+// where no request is tried.
+func New(name string) *Guard {
+	return &Guard{name: name, table: quarantine.NewTable(), trials: map[quarantine.Fingerprint]any{}}
+}
 
 // SetReporter sets who is told, and whose record decides.
 func (g *Guard) SetReporter(reporter Reporter) {
@@ -84,6 +96,7 @@
 			g.forget(name)
 		}
 	}
+	g.proxies = slices.Sorted(maps.Keys(current.Proxies))
 	g.doubt(now)
 	g.rest(now)
 }
@@ -141,11 +154,16 @@
 	}
 	spec := &known.Spec
 	about := quarantine.About{Service: spec.Service, Route: spec.Route, Request: spec.Request}
+	recorded := quarantine.Record{
+		Replicas: spec.Replicas, Alone: spec.Alone, AtOnce: spec.State == api.QuarantineTried, About: about,
+	}
 	if earlier != nil && len(spec.Replicas) < len(earlier.Spec.Replicas) {
-		g.table.Restore(now, fingerprint, spec.Replicas, spec.Alone, about)
+		g.table.Restore(now, fingerprint, recorded)
 	}
 	for _, replica := range spec.Replicas {
-		g.table.Note(now, quarantine.Evidence{Fingerprint: fingerprint, Replica: replica, About: about})
+		seen := recorded.Evidence(fingerprint, replica)
+		seen.Alone = false // that was seen elsewhere
+		g.table.Note(now, seen)
 	}
 	g.table.SetHeld(fingerprint, spec.State == api.QuarantineHeld)
 }
@@ -223,12 +241,18 @@
 	}
 }
 
-// Holds reports whether a request is to go to no replica, and for how long.
-func (g *Guard) Holds(now time.Duration, wall time.Time, fingerprint quarantine.Fingerprint) (rest time.Duration, held bool) {
+// Holds reports whether a request is to go to no replica, and for how long. Of the owners of
+// a request that is tried, one at a time is told that it is not held, until it calls EndTrial.
+func (g *Guard) Holds(now time.Duration, wall time.Time, fingerprint quarantine.Fingerprint, owner any) (rest time.Duration, held bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	if known := g.recorded[fingerprint.String()]; known != nil && known.Spec.State == api.QuarantineHeld {
+	known := g.recorded[fingerprint.String()]
+	switch {
+	case known == nil:
+	case known.Spec.State == api.QuarantineHeld:
 		return max(time.UnixMilli(known.Spec.Until).Sub(wall), LeastHold), true
+	case known.Spec.State == api.QuarantineTried:
+		return tryPause, !g.tries(fingerprint, known.Spec.Until, owner)
 	}
 	if !g.isCutOff(now) || !g.table.IsCertain(fingerprint) {
 		return 0, false
@@ -236,6 +260,35 @@
 	return max(g.table.Rest(now, fingerprint), LeastHold), true
 }
 
+// tryPause is told of a request that is tried by another owner: an answer to it takes less.
+const tryPause = 300 * time.Millisecond
+
+// tries reports whether the owner may try the request: it is this proxy's turn, which the
+// turn's end and the request's name draw alike at all proxies, and nobody else tries it here.
+// Two proxies that see different views may both try for a moment. The lock is held.
+func (g *Guard) tries(fingerprint quarantine.Fingerprint, turn int64, owner any) bool {
+	if trying, found := g.trials[fingerprint]; found {
+		return trying == owner
+	}
+	if len(g.proxies) > 0 {
+		drawn := xxhash.Sum64(binary.BigEndian.AppendUint64(fingerprint[:], uint64(turn)))
+		if g.proxies[drawn%uint64(len(g.proxies))] != g.name {
+			return false
+		}
+	}
+	g.trials[fingerprint] = owner
+	return true
+}
+
+// EndTrial notes that the owner's request is over.
+func (g *Guard) EndTrial(fingerprint quarantine.Fingerprint, owner any) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if g.trials[fingerprint] == owner {
+		delete(g.trials, fingerprint)
+	}
+}
+
 // cutOffTime is for how long no leader must have served a proxy until it judges by itself:
 // longer than leaders take to change, or to come back after all members were stopped. What
 // it sees is a part of what the group sees, and what stood beside looks worse in it.
--- a/process/guard/guard_test.go
+++ b/process/guard/guard_test.go
@@ -41,7 +41,7 @@
 }
 
 func (g *Guard) holdsFatal(now time.Duration, wall time.Time) bool {
-	_, held := g.Holds(now, wall, fatal)
+	_, held := g.Holds(now, wall, fatal, nil)
 	return held
 }
 
@@ -49,14 +49,14 @@
 
 // What the group has on record decides while a leader serves; older views change nothing.
 func TestRecordDecides(t *testing.T) {
-	made, wall := New(), time.Unix(1_700_000_000, 0)
+	made, wall := New("p"), time.Unix(1_700_000_000, 0)
 	made.SetReporter(&group{connected: true})
 	for i := range 5 {
 		made.Ended(0, quarantine.Evidence{Fingerprint: fatal, Replica: fmt.Sprint("r-", i)})
 	}
 	must.False(t, made.holdsFatal(later, wall), must.Sprint("the group may know better"))
 	made.Follow(record(2, api.QuarantineHeld, wall.Add(time.Hour), "r-0", "r-1", "r-2"), later)
-	rest, held := made.Holds(later, wall, fatal)
+	rest, held := made.Holds(later, wall, fatal, nil)
 	must.True(t, held)
 	must.Eq(t, time.Hour, rest)
 	made.Follow(record(1, "", wall), later)
@@ -71,7 +71,7 @@
 func TestCutOffGoesByRecordAndOwnSight(t *testing.T) {
 	wall := time.Unix(1_700_000_000, 0)
 	leader := &group{connected: true}
-	made := New()
+	made := New("p")
 	made.SetReporter(leader)
 	made.Follow(record(1, api.QuarantineHeld, wall, "r-0", "r-1", "r-2"), 0)
 	made.Follow(record(2, api.QuarantineWatched, wall, "r-1", "r-2"), 0)
@@ -98,7 +98,7 @@
 // A word that found nobody comes again when a leader begins to serve.
 func TestNewLeaderIsToldAll(t *testing.T) {
 	leader := &group{}
-	made := New()
+	made := New("p")
 	made.SetReporter(leader)
 	made.Ended(0, quarantine.Evidence{Fingerprint: fatal, Replica: "r-0"})
 	made.Ended(0, quarantine.Evidence{Fingerprint: fatal, Replica: "r-1"})
@@ -111,7 +111,7 @@
 
 // What is on record as ended is doubted by every proxy: whoever hears of it says so.
 func TestReplicasOnRecordAreDoubted(t *testing.T) {
-	made := New()
+	made := New("p")
 	must.False(t, made.Doubts("r-0", later))
 	made.Follow(record(1, api.QuarantineWatched, time.Now(), "r-0", "r-1"), time.Second)
 	made.Follow(record(2, api.QuarantineHeld, time.Now(), "r-0", "r-1", "r-2"), 2*time.Second)
@@ -127,7 +127,7 @@
 // connection that was open before it ended, by clocks that may disagree.
 func TestDoubtsOfReplicasThatDoNotSayWhoTheyAre(t *testing.T) {
 	ended := time.Unix(1_700_000_000, 0)
-	made := New()
+	made := New("p")
 	known := record(1, api.QuarantineHeld, ended.Add(time.Hour), "r-0", "r-1")
 	known.Quarantines[fatal.String()].Spec.Since = ended.UnixMilli()
 	made.Follow(known, time.Second)
@@ -140,7 +140,7 @@
 
 func TestServedRequestIsToldOnlyWhereItMatters(t *testing.T) {
 	leader := &group{connected: true}
-	made := New()
+	made := New("p")
 	made.SetReporter(leader)
 	made.Served(0, fatal)
 	must.SliceEmpty(t, leader.told)
@@ -149,3 +149,48 @@
 	must.SliceLen(t, 1, leader.told)
 	must.Eq(t, []quarantine.Fingerprint{fatal}, leader.told[0].Served)
 }
+
+// A request that is tried goes to a replica at one of the proxies, one copy at a time, and at
+// another one once its turn is over.
+func TestTriedRequestIsTriedByOne(t *testing.T) {
+	wall := time.Unix(1_700_000_000, 0)
+	guards := map[string]*Guard{}
+	for _, name := range []string{"p-1", "p-2", "p-3", "p-4"} {
+		guards[name] = New(name)
+		guards[name].SetReporter(&group{connected: true})
+	}
+	turns := map[string]bool{}
+	for turn := range 30 {
+		current := record(uint64(turn+2), api.QuarantineTried, wall.Add(time.Duration(turn)*time.Second), "a", "b", "c")
+		current.Proxies = map[string]*api.Proxy{"p-1": {}, "p-2": {}, "p-3": {}, "p-4": {}}
+		trying := ""
+		for name, each := range guards {
+			each.Follow(current, 0)
+			if _, held := each.Holds(0, wall, fatal, "first"); held {
+				continue
+			}
+			must.Eq(t, "", trying, must.Sprint("one proxy tries"))
+			trying = name
+			_, held := each.Holds(0, wall, fatal, "first")
+			must.False(t, held, must.Sprint("it is looked at before each send"))
+			_, held = each.Holds(0, wall, fatal, "second")
+			must.True(t, held)
+			each.EndTrial(fatal, "second")
+			each.EndTrial(fatal, "first")
+			_, held = each.Holds(0, wall, fatal, "second")
+			must.False(t, held)
+			each.EndTrial(fatal, "second")
+		}
+		must.NotEq(t, "", trying)
+		turns[trying] = true
+	}
+	must.Eq(t, len(guards), len(turns))
+}
+
+// One moment on record is not taken for several by a proxy that has to judge by itself.
+func TestTriedRequestIsNotHeldByWhatIsOnRecord(t *testing.T) {
+	made, wall := New("p-1"), time.Unix(1_700_000_000, 0)
+	made.Follow(record(2, api.QuarantineTried, wall, "a", "b", "c", "d"), 0)
+	made.Follow(record(3, "", wall), later)
+	must.False(t, made.holdsFatal(later, wall))
+}
--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -88,7 +88,14 @@
 	if !s.ingress.guard.Active() {
 		return 0, false
 	}
-	return s.ingress.guard.Holds(s.ingress.now(), time.Now(), s.fingerprint())
+	return s.ingress.guard.Holds(s.ingress.now(), time.Now(), s.fingerprint(), s)
+}
+
+// endTrial lets the next one try the request, if this one did.
+func (s *session) endTrial() {
+	if s.named != nil { // else it was not looked at
+		s.ingress.guard.EndTrial(*s.named, s)
+	}
 }
 
 // refuseHeld answers a request under which replicas end, at once. It may come back when
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -80,7 +80,7 @@
 	config = config.WithDefaults()
 	made := &Ingress{
 		config: config, logger: logger, views: views, clock: now, day: time.Now,
-		lanes: newLanes(config, now), metrics: newMetrics(), guard: guard.New(),
+		lanes: newLanes(config, now), metrics: newMetrics(), guard: guard.New(config.Name),
 	}
 	made.patient, made.endPatient = context.WithCancel(context.Background())
 	made.table.Store(&tableAt{routes: newRouteTable(nil)})
@@ -315,6 +315,7 @@
 	s.life.Dispatch()
 	s.lane.budget.Request(arrived)
 	status := s.run(ctx)
+	s.endTrial()
 	i.finish(s, service, status)
 	if status == 0 || status == statusCallerGone {
 		panic(http.ErrAbortHandler) // cuts the connection: what was sent must not look whole
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -86,7 +86,7 @@
 		views:    views,
 		control:  control,
 		clock:    clock,
-		guard:    guard.New(),
+		guard:    guard.New(""),
 		lanes:    newLanes(),
 		buckets:  limit.NewBuckets(),
 		answers:  router.NewAnswerLengths(),
--- a/process/proxy/quarantine.go
+++ b/process/proxy/quarantine.go
@@ -100,7 +100,7 @@
 	if !c.proxy.guard.Active() {
 		return 0, false
 	}
-	return c.proxy.guard.Holds(c.proxy.clock(), time.Now(), c.fingerprint())
+	return c.proxy.guard.Holds(c.proxy.clock(), time.Now(), c.fingerprint(), nil)
 }
 
 // refuseHeld returns the refusal of a request under which engines end, nil for any other.
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -23,6 +23,9 @@
 	// maxEnds bounds the ends kept of one request, maxRequests the requests.
 	maxEnds     = 8
 	maxRequests = 4096
+	// wideEnds is how many replicas must end under a request in one moment for it to be tried
+	// alone: as many as condemn one, had they ended one after the other.
+	wideEnds = CondemningEnds
 	// memory is how long an end counts.
 	memory = time.Hour
 	// settle is how long after its last end a request is judged: what stood beside is
@@ -145,12 +148,30 @@
 	}
 }
 
-// Restore puts what is recorded of a request in the place of what is known of it; alone says
-// that one of the replicas ended with nothing else in flight.
-func (t *Table) Restore(now time.Duration, fingerprint Fingerprint, replicas []string, alone bool, about About) {
+// Record is what is on record of a request.
+type Record struct {
+	Replicas []string
+	// Alone says that one of them ended with nothing else in flight, AtOnce that all ended
+	// in one moment.
+	Alone  bool
+	AtOnce bool
+	About  About
+}
+
+// Evidence returns what the record says of one of its replicas.
+func (r *Record) Evidence(fingerprint Fingerprint, replica string) Evidence {
+	seen := Evidence{Fingerprint: fingerprint, Replica: replica, Alone: r.Alone, About: r.About}
+	if r.AtOnce {
+		seen.Ran = settle // each was at work when the others ended
+	}
+	return seen
+}
+
+// Restore puts what is recorded of a request in the place of what is known of it.
+func (t *Table) Restore(now time.Duration, fingerprint Fingerprint, known Record) {
 	t.Forget(fingerprint)
-	for _, replica := range replicas {
-		t.noteAt(now, now-settle, Evidence{Fingerprint: fingerprint, Replica: replica, Alone: alone, About: about})
+	for _, replica := range known.Replicas {
+		t.noteAt(now, now-settle, known.Evidence(fingerprint, replica))
 	}
 }
 
@@ -221,6 +242,44 @@
 	return len(e.strikes()) >= WatchedEnds && slices.ContainsFunc(e.ends, func(known end) bool { return known.alone })
 }
 
+// IsTried reports whether as many replicas ended under a request in one moment as would
+// condemn it, had they ended one after the other. A lost rack looks the same: whether it was
+// the request shows when one copy of it is sent again, and many at once may not be, since each
+// would end a replica before the first has told.
+func (t *Table) IsTried(fingerprint Fingerprint) bool {
+	known := t.requests[fingerprint]
+	return known != nil && known.isWide()
+}
+
+// Tried returns the requests that are to be tried alone and that nothing else speaks against,
+// in the order of their fingerprints.
+func (t *Table) Tried(now time.Duration) []Fingerprint {
+	var tried []Fingerprint
+	for fingerprint, known := range t.requests {
+		if known.isWide() && t.Standing(now, fingerprint) == Free {
+			tried = append(tried, fingerprint)
+		}
+	}
+	slices.SortFunc(tried, func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) })
+	return tried
+}
+
+// isWide reports whether enough replicas ended in one moment before their runs had brought
+// anything.
+func (e *entry) isWide() bool {
+	return slices.ContainsFunc(e.strikes(), func(strike []end) bool { return muteRuns(strike) >= wideEnds })
+}
+
+func muteRuns(ends []end) int {
+	count := 0
+	for _, ended := range ends {
+		if !ended.began && !ended.read {
+			count++
+		}
+	}
+	return count
+}
+
 // EndedAlone reports whether replicas ended under the request more than once, and one of
 // them with nothing else in flight.
 func (t *Table) EndedAlone(fingerprint Fingerprint) bool {
@@ -283,16 +342,22 @@
 	return watched
 }
 
-// Ends returns the replicas that ended under a request, the oldest first, one of each that
-// ended together, and which request it was.
+// Ends returns the replicas that ended under a request, the oldest first, and which request it
+// was: one of each that ended together, and all of many as long as little else is known.
 func (t *Table) Ends(fingerprint Fingerprint) ([]string, About) {
 	known := t.requests[fingerprint]
 	if known == nil {
 		return nil, About{}
 	}
 	var replicas []string
-	for _, strike := range known.strikes() {
-		replicas = append(replicas, strike[0].replica)
+	strikes := known.strikes()
+	for _, strike := range strikes {
+		if muteRuns(strike) < wideEnds || len(strikes) >= CondemningEnds {
+			strike = strike[:1]
+		}
+		for _, ended := range strike {
+			replicas = append(replicas, ended.replica)
+		}
 	}
 	return replicas, known.about
 }
@@ -334,13 +399,30 @@
 // A second end at which a request was alone leaves no doubt: one by chance, at that replica
 // and in those moments, is next to impossible.
 func (t *Table) isCondemned(fingerprint Fingerprint, known *entry) bool {
-	if known.endedAlone() {
+	if known.endedAlone() || t.endedAgainAfterMany(fingerprint, known) {
 		return true
 	}
 	own, besideHeld := t.unexplained(fingerprint, known, func(other *entry) bool { return other.explains(known) })
 	return own >= CondemningEnds || besideHeld && own >= CondemningEnds-1
 }
 
+// endedAgainAfterMany reports whether replicas ended again under a request under which many
+// ended in one moment, and all that stood at any of them stood at fewer by the lead.
+func (t *Table) endedAgainAfterMany(fingerprint Fingerprint, known *entry) bool {
+	if !known.isWide() || len(known.strikes()) < WatchedEnds {
+		return false
+	}
+	own := muteRuns(known.ends)
+	for _, ended := range known.ends {
+		for other := range t.beside[ended.replica] {
+			if other != fingerprint && muteRuns(t.requests[other].ends) > own-lead {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // unexplained counts the ends of a request that no other explains, and tells whether one
 // that is held explains any.
 func (t *Table) unexplained(fingerprint Fingerprint, known *entry, explains func(other *entry) bool) (own int, besideHeld bool) {
--- a/request/quarantine/table_test.go
+++ b/request/quarantine/table_test.go
@@ -249,7 +249,7 @@
 
 	restored := NewTable()
 	replicas, about := table.Ends(named("fatal"))
-	restored.Restore(0, named("fatal"), replicas, false, about)
+	restored.Restore(0, named("fatal"), Record{Replicas: replicas, About: about})
 	must.Eq(t, Condemned, restored.Standing(0, named("fatal")))
 }
 
--- a/version/api/quarantine.go
+++ b/version/api/quarantine.go
@@ -14,6 +14,10 @@
 const (
 	// QuarantineWatched requests are run; one more end may show what they are.
 	QuarantineWatched QuarantineState = "watched"
+	// QuarantineTried requests go to a replica one at a time, at one proxy: several replicas
+	// ended under them in one moment, which may have been their doing or that of a lost rack.
+	// Until is when another proxy's turn begins.
+	QuarantineTried QuarantineState = "tried"
 	// QuarantineHeld requests go to no replica.
 	QuarantineHeld QuarantineState = "held"
 )
