What comes behind a foreign answer is overheard; a request is placed again instead of chosen alone

Change: for 50 ms the heads behind a foreign answer are read, and what they ask is kept; the request is placed again, up to three times, where the answer names a replica that is to be sent nothing.

--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -26,6 +26,10 @@
 	// connection: opening one can take longer than the reason to send lasts. An error ends
 	// the exchange, and no byte is sent.
 	Permit func() error
+	// Overheard, if not nil, is told of the heads that come behind an answer to another
+	// request, after which the exchange has failed: none can be told to be the request's own,
+	// but all are the other side's word. It may be called once the exchange is over.
+	Overheard func(status int, header http.Header)
 	// Identity ties the answer to the request. A request without one, and a HEAD, goes
 	// over a connection of its own, which serves nothing before or after it.
 	Identity Identity
@@ -97,7 +101,7 @@
 	response, foreign, err := readOwn(used, request, reused)
 	if err != nil {
 		detach()
-		_ = used.Conn.Close() // the first error says what is wrong
+		used.endAfter(request, response)
 		return nil, &Failure{Sent: true, Reused: reused, Cause: errors.WithStack(err), Foreign: foreign}
 	}
 	return &Answer{
--- a/connection/exchange/foreign.go
+++ b/connection/exchange/foreign.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -38,7 +39,7 @@
 // readOwn reads heads until the one of the request's answer. An answer to a request that
 // the connection carried before is one too many, and the request's own comes behind it.
 // The foreign answers are returned in any case; the error is the last of them where no
-// own one follows.
+// own one follows, and the response is then that one, with what is unread of it.
 func readOwn(from *conn, request *Request, reused bool) (own *http.Response, foreign []*ForeignAnswer, err error) {
 	for {
 		response, err := readHead(from, request.Method)
@@ -52,7 +53,7 @@
 		foreign = append(foreign, last)
 		surplus := reused && last.Answered != "" && len(foreign) <= maxForeign
 		if !surplus || !mayBePassedOver(response) {
-			return nil, foreign, last
+			return response, foreign, last
 		}
 		ended, err := passOver(response)
 		if err != nil {
@@ -74,3 +75,34 @@
 	count, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes+1))
 	return count <= maxForeignBytes, errors.WithStack(err)
 }
+
+// overhearTime bounds for how long what comes behind a foreign answer is listened to: a
+// replica that refuses a request answers within some milliseconds. It is also how much later
+// a replica hears that it may stop working.
+const overhearTime = 50 * time.Millisecond
+
+// endAfter closes a connection on which an exchange has failed. Behind an answer to another
+// request, the one to this request may come at once; who asked is told of it.
+func (c *conn) endAfter(request *Request, last *http.Response) {
+	if last == nil || request.Overheard == nil || !mayBePassedOver(last) {
+		_ = c.Conn.Close() // the first error says what is wrong
+		return
+	}
+	go func() {
+		defer func() { _ = c.Conn.Close() }() // nothing more is expected of it
+		_ = c.Conn.SetReadDeadline(time.Now().Add(overhearTime))
+		for range maxForeign {
+			if ended, err := passOver(last); err != nil || !ended {
+				return
+			}
+			next, err := readHead(c, request.Method)
+			if err != nil {
+				return
+			}
+			request.Overheard(next.StatusCode, next.Header)
+			if last = next; !mayBePassedOver(last) {
+				return
+			}
+		}
+	}()
+}
--- a/connection/exchange/identity_test.go
+++ b/connection/exchange/identity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -205,3 +206,23 @@
 	answer.Close()
 	must.False(t, pool.Idle(server.address()))
 }
+
+// What comes behind an answer that ends an exchange is nobody's answer, but its heads are the
+// other side's word, which is passed on.
+func TestHeadsBehindAForeignAnswerAreOverheard(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: second\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
+	server := newReplica(t, say(ok), say("HTTP/1.1 400 Bad Request\r\nContent-Length: 4\r\n\r\nnone"+refusal))
+	pool := newPool(t)
+	_, err := whole(t, pool, server.address(), getAs("first", "/1"))
+	must.NoError(t, err)
+	heard := make(chan string, 1)
+	asking := getAs("second", "/2")
+	asking.Overheard = func(status int, header http.Header) {
+		heard <- fmt.Sprintf("%d %s", status, header.Get("Retry-After"))
+	}
+	_, err = pool.Do(t.Context(), server.address(), asking)
+	var foreign *ForeignAnswer
+	must.True(t, errors.As(err, &foreign))
+	must.Eq(t, "503 3", <-heard)
+	must.False(t, pool.Idle(server.address()))
+}
--- a/process/ingress/placed.go
+++ b/process/ingress/placed.go
@@ -8,6 +8,7 @@
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/pause"
+	"github.com/landingtrail/landingtrail/request/holdoff"
 	"github.com/landingtrail/landingtrail/request/placement"
 )
 
@@ -24,6 +25,7 @@
 		return plan{}, false
 	}
 	number := s.ingress.numbers.Add(1)
+	placedAgain := 0
 	for {
 		ask := s.ask()
 		answer, err := s.askPlace(ctx, number, ask)
@@ -40,7 +42,12 @@
 			return plan{refused: true, retryAfter: answer.RetryAfter}, true
 		}
 		if answer.Wait <= 0 {
-			return s.planOf(ask, answer, number)
+			chosen, found := s.planOf(ask, answer, number)
+			if !found && placedAgain < mostPlacedAgain && s.namesClosed(answer) {
+				placedAgain++
+				continue // the next question names it as excluded
+			}
+			return chosen, found
 		}
 		fmt.Fprintf(&s.trace, " waits(%s)", answer.Wait.Round(time.Millisecond))
 		event.RequestWaits.Log(s.ingress.logger, "request", s.call.ID, "generation", s.generation, "wait_ms", answer.Wait.Milliseconds())
@@ -51,6 +58,21 @@
 	}
 }
 
+// mostPlacedAgain bounds how often a request is placed again whose replica has asked this
+// proxy for a pause while the answer was on its way. Asked again, the group keeps requests
+// apart that may end replicas, which a proxy that chooses by itself does not.
+const mostPlacedAgain = 3
+
+// namesClosed reports whether an answer names a replica that is to be sent nothing.
+func (s *session) namesClosed(answer placement.Answer) bool {
+	for _, name := range []string{answer.Generator, answer.Reader} {
+		if found := s.lane.find(name); found != nil && found.asks.State(s.ingress.now()) == holdoff.Closed {
+			return true
+		}
+	}
+	return false
+}
+
 // forgo tells the group that a decision is not followed, should one still be made: it
 // would hold its place on the board until the request's time is over.
 func (s *session) forgo(number uint64) {
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -193,6 +194,7 @@
 	request.Identity.Repeated = s.sentTo[address]
 	s.sentTo[address] = true
 	request.Permit = s.ingress.permit(to.asks)
+	request.Overheard = func(status int, header http.Header) { s.hearAsks(stage, to.asks, status, header) }
 	answer, err := s.lane.pool.Do(ctx, address, request)
 	if err == nil {
 		s.noteForeign(stage, to, answer.Reused, answer.Foreign)
