Many ends are tried however close together, and also where the request is watched already

Change: three ends in all have a request tried; only an end at a later moment than three others condemns it by the lead of two.

--- a/process/control/quarantine.go
+++ b/process/control/quarantine.go
@@ -151,25 +151,33 @@
 	var seen state.Observe
 	recorded := len(current.Quarantines)
 	for _, name := range slices.Sorted(maps.Keys(current.Quarantines)) {
-		d.reviewRecorded(&seen, current.Quarantines[name], &refuted, now, wall)
+		d.reviewRecorded(&seen, current, current.Quarantines[name], &refuted, now, wall)
 	}
 	recorded -= len(seen.Removed)
-	for _, fingerprint := range d.table.Watched(now) {
+	for _, fingerprint := range d.notable(current, now) {
 		if current.Quarantines[fingerprint.String()] == nil && recorded < maxQuarantines {
 			recorded++
-			seen.Put = append(seen.Put, d.record(fingerprint, now, wall))
+			seen.Put = append(seen.Put, d.record(current, fingerprint, now, wall))
 		}
 	}
-	for _, fingerprint := range d.table.Tried(now) {
-		if current.Quarantines[fingerprint.String()] == nil && recorded < maxQuarantines {
-			if object := d.record(fingerprint, now, wall); isTriable(current, object.Quarantine.Spec.Service) {
-				recorded++
-				try(&object.Quarantine.Spec, wall)
-				seen.Put = append(seen.Put, object)
-			}
+	return seen, refuted
+}
+
+// notable returns the requests that are to be on record, each once.
+func (d *quarantineDesk) notable(current *view.View, now time.Duration) []quarantine.Fingerprint {
+	found := d.table.Watched(now)
+	for _, fingerprint := range d.table.Tried() {
+		if !slices.Contains(found, fingerprint) && d.isToTry(current, fingerprint) {
+			found = append(found, fingerprint)
 		}
 	}
-	return seen, refuted
+	return found
+}
+
+// isToTry reports whether a request is to be tried by one proxy at a time.
+func (d *quarantineDesk) isToTry(current *view.View, fingerprint quarantine.Fingerprint) bool {
+	_, about := d.table.Ends(fingerprint)
+	return d.table.IsTried(fingerprint) && isTriable(current, about.Service)
 }
 
 // isTriable reports whether the requests of a service are tried at one proxy: those of routed
@@ -248,12 +256,15 @@
 // record is the entry of a request that is not on record yet. It is watched first, however
 // many replicas have ended: proxies that know of it tell when it is served, as one is that
 // merely stood beside.
-func (d *quarantineDesk) record(fingerprint quarantine.Fingerprint, now time.Duration, wall time.Time) api.Object {
+func (d *quarantineDesk) record(current *view.View, fingerprint quarantine.Fingerprint, now time.Duration, wall time.Time) api.Object {
 	replicas, about := d.table.Ends(fingerprint)
 	spec := api.QuarantineSpec{
 		State: api.QuarantineWatched, Service: about.Service, Route: about.Route, Request: about.Request,
 		Replicas: replicas, Since: d.since(fingerprint, now, wall), Until: wall.Add(watchTime).UnixMilli(),
 	}
+	if d.isToTry(current, fingerprint) {
+		try(&spec, wall)
+	}
 	return quarantineObject(fingerprint.String(), spec)
 }
 
@@ -282,7 +293,7 @@
 }
 
 // reviewRecorded brings one entry of the record up to date.
-func (d *quarantineDesk) reviewRecorded(seen *state.Observe, known *api.Quarantine, refuted *refutations, now time.Duration, wall time.Time) {
+func (d *quarantineDesk) reviewRecorded(seen *state.Observe, current *view.View, known *api.Quarantine, refuted *refutations, now time.Duration, wall time.Time) {
 	fingerprint, ok := quarantine.Parse(known.Name)
 	spec := known.Spec
 	spec.Replicas = slices.DeleteFunc(slices.Clone(spec.Replicas), func(name string) bool { return refuted.alive[name] })
@@ -309,6 +320,8 @@
 		if lapsed {
 			try(&spec, wall)
 		}
+	case spec.State == api.QuarantineWatched && standing != quarantine.Condemned && d.isToTry(current, fingerprint):
+		try(&spec, wall)
 	case lapsed:
 		// One more end shows whether it is still what it was.
 		spec.State, spec.Until, spec.Alone = api.QuarantineWatched, wall.Add(watchTime).UnixMilli(), false
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -23,9 +23,9 @@
 	// maxEnds bounds the ends kept of one request, maxRequests the requests.
 	maxEnds     = 8
 	maxRequests = 4096
-	// wideEnds is how many replicas must end under a request in one moment for it to be tried
-	// alone: as many as condemn one, had they ended one after the other.
-	wideEnds = CondemningEnds
+	// manyEnds is how many replicas must end under a request for it to be tried alone, however
+	// close together: as many as condemn one, had they ended one after the other.
+	manyEnds = CondemningEnds
 	// memory is how long an end counts.
 	memory = time.Hour
 	// settle is how long after its last end a request is judged: what stood beside is
@@ -242,21 +242,20 @@
 	return len(e.strikes()) >= WatchedEnds && slices.ContainsFunc(e.ends, func(known end) bool { return known.alone })
 }
 
-// IsTried reports whether as many replicas ended under a request in one moment as would
-// condemn it, had they ended one after the other. A lost rack looks the same: whether it was
-// the request shows when one copy of it is sent again, and many at once may not be, since each
-// would end a replica before the first has told.
+// IsTried reports whether as many replicas ended under a request as would condemn it, had they
+// ended one after the other. A lost rack looks the same: whether it was the request shows when
+// one copy of it is sent again, and many at once may not be, since each would end a replica
+// before the first has told.
 func (t *Table) IsTried(fingerprint Fingerprint) bool {
 	known := t.requests[fingerprint]
-	return known != nil && known.isWide()
+	return known != nil && known.hasMany()
 }
 
-// Tried returns the requests that are to be tried alone and that nothing else speaks against,
-// in the order of their fingerprints.
-func (t *Table) Tried(now time.Duration) []Fingerprint {
+// Tried returns the requests that are to be tried alone, in the order of their fingerprints.
+func (t *Table) Tried() []Fingerprint {
 	var tried []Fingerprint
 	for fingerprint, known := range t.requests {
-		if known.isWide() && t.Standing(now, fingerprint) == Free {
+		if known.hasMany() {
 			tried = append(tried, fingerprint)
 		}
 	}
@@ -264,12 +263,10 @@
 	return tried
 }
 
-// isWide reports whether enough replicas ended in one moment before their runs had brought
-// anything.
-func (e *entry) isWide() bool {
-	return slices.ContainsFunc(e.strikes(), func(strike []end) bool { return muteRuns(strike) >= wideEnds })
-}
+// hasMany reports whether many replicas ended before their runs had brought anything.
+func (e *entry) hasMany() bool { return muteRuns(e.ends) >= manyEnds }
 
+// muteRuns counts the runs that had brought nothing when their replicas ended.
 func muteRuns(ends []end) int {
 	count := 0
 	for _, ended := range ends {
@@ -352,7 +349,7 @@
 	var replicas []string
 	strikes := known.strikes()
 	for _, strike := range strikes {
-		if muteRuns(strike) < wideEnds || len(strikes) >= CondemningEnds {
+		if !known.hasMany() || len(strikes) >= CondemningEnds {
 			strike = strike[:1]
 		}
 		for _, ended := range strike {
@@ -406,13 +403,14 @@
 	return own >= CondemningEnds || besideHeld && own >= CondemningEnds-1
 }
 
-// endedAgainAfterMany reports whether replicas ended again under a request under which many
-// ended in one moment, and all that stood at any of them stood at fewer by the lead.
+// endedAgainAfterMany reports whether a replica ended at another moment under a request under
+// which many had ended before, and all that stood at any of them stood at fewer by the lead.
 func (t *Table) endedAgainAfterMany(fingerprint Fingerprint, known *entry) bool {
-	if !known.isWide() || len(known.strikes()) < WatchedEnds {
+	strikes := known.strikes()
+	own := muteRuns(known.ends)
+	if len(strikes) < WatchedEnds || own-muteRuns(strikes[len(strikes)-1]) < manyEnds {
 		return false
 	}
-	own := muteRuns(known.ends)
 	for _, ended := range known.ends {
 		for other := range t.beside[ended.replica] {
 			if other != fingerprint && muteRuns(t.requests[other].ends) > own-lead {
