Quotas of tenants, kept over all proxies together

Change: tenants have a quota (validated; stored and distributed with them). Each request is charged before anything is kept or done for it, at an account that the leader keeps; over it, 429 at once with the time at which it will pass. What surely did not run is given back. `landingtrail quota` and /apis/v1/quotas show how tenants stand, 4611 tells each refusal.

Without a leader another member grants by half of what quotas may be overrun by, and a proxy that reaches nobody spends its part of the rate: ahead by a request for a tenant that was far from its limit, else by lot.

Weighed: (a) one account at the leader, charged for each request; (b) equal parts of the quota at each proxy, which is what a proxy alone does: at 1,000 proxies its part is a fraction of one request, and most of what is asked for inside the quota is refused, so it is kept for proxies alone only; (c) parts that are lent for a time: not built, since a tenant's request is a large part of its rate, and (a) costs one message a request whatever tenants and proxies there are. Tried and taken out: a new leader that takes in what proxies were told of the last one's balance; where half of the proxies are not heard a window was overrun (1,199 of 1,180 allowed, found by the property).

--- a/cmd/landingtrail/main.go
+++ b/cmd/landingtrail/main.go
@@ -32,7 +32,7 @@
 		Subcommands: []*ffcli.Command{
 			controlCommand(to), proxyCommand(to), relayCommand(to), checkCommand(to),
 			applyCommand(to), getCommand(to), diffCommand(to), labelCommand(to), drainCommand(to),
-			statusCommand(to), ordersCommand(to), ledgerCommand(to), usageCommand(to), releaseCommand(to), membersCommand(to), storyCommand(to), timelineCommand(to), versionCommand(to),
+			statusCommand(to), ordersCommand(to), ledgerCommand(to), usageCommand(to), quotaCommand(to), releaseCommand(to), membersCommand(to), storyCommand(to), timelineCommand(to), versionCommand(to),
 		},
 	}
 }
--- /dev/null
+++ b/connection/feed/charge_test.go
@@ -0,0 +1,52 @@
+package feed
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/request/quota"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/shoenig/test/must"
+)
+
+func TestChargesAreCoded(t *testing.T) {
+	request := ChargeRequest{Tenant: "north", Cost: 17020, Passed: true}
+	decoder := frame.NewDecoder(encodeCharge(7, request))
+	must.Eq(t, 7, decoder.Uint64())
+	got, err := decodeChargeRequest(decoder)
+	must.NoError(t, err)
+	must.Eq(t, request, got)
+	reply := chargeReply{requestID: 8, found: true, grant: quota.Grant{Granted: true, Wait: time.Second, Left: 1.5}}
+	decoded, err := decodeChargeReply(encodeChargeReply(reply))
+	must.NoError(t, err)
+	must.Eq(t, reply, decoded)
+	_, err = decodeChargeReply(nil)
+	must.Error(t, err)
+}
+
+// Charges go to the leader, and to nobody who passes on what was passed on to it.
+func TestChargesReachTheLeader(t *testing.T) {
+	group := newFakeGroup()
+	group.grant = quota.Grant{Granted: true, Left: 5}
+	_, address := startServer(t, group)
+	group.put("water")
+	holder := view.NewHolder()
+	client, _ := startStandbyClient(t, holder, address)
+	eventually(t, "a subscription", client.Connected)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	grant, err := client.Charge(ctx, ChargeRequest{Tenant: "north", Cost: 3})
+	must.NoError(t, err)
+	must.Eq(t, group.grant, grant)
+	relay := NewPlacementRelay(client, holder)
+	relay.ReturnCharge(ChargeRequest{Tenant: "north", Cost: 3})
+	_, passed := relay.Charge(ChargeRequest{Tenant: "north", Cost: 1, Passed: true})
+	must.False(t, passed)
+	eventually(t, "the charge that came back", func() bool {
+		group.lock.Lock()
+		defer group.lock.Unlock()
+		return len(group.charged) == 2 && group.charged[1] == ChargeRequest{Tenant: "north", Cost: -3, Passed: true}
+	})
+}
--- a/connection/feed/group_test.go
+++ b/connection/feed/group_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -43,6 +44,9 @@
 	demand     []DemandReport
 	usage      []UsageReport
 	presences  []Presence
+	// grant answers charges; charged holds them, with what came back as a negative cost.
+	grant   quota.Grant
+	charged []ChargeRequest
 }
 
 func newFakeGroup() *fakeGroup {
@@ -136,6 +140,20 @@
 
 func (g *fakeGroup) NoteEnds(EndReport) {}
 
+func (g *fakeGroup) Charge(request ChargeRequest) (quota.Grant, bool) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.charged = append(g.charged, request)
+	return g.grant, true
+}
+
+func (g *fakeGroup) ReturnCharge(request ChargeRequest) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	request.Cost = -request.Cost
+	g.charged = append(g.charged, request)
+}
+
 func (g *fakeGroup) NoteUsage(report UsageReport) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
--- a/connection/feed/messages.go
+++ b/connection/feed/messages.go
@@ -11,7 +11,7 @@
 )
 
 // Protocol is the preface of every feed connection.
-var Protocol = frame.Protocol{ID: 2, Version: 9}
+var Protocol = frame.Protocol{ID: 2, Version: 10}
 
 // Kinds of frames. A subscriber sends Subscribe first and once.
 const (
@@ -34,6 +34,9 @@
 	kindInFlight                           // subscriber: InFlight
 	kindEnds                               // subscriber: EndReport
 	kindUsage                              // subscriber: UsageReport
+	kindCharge                             // subscriber: request ID, ChargeRequest
+	kindChargeReply                        // server: request ID, quota.Grant
+	kindReturn                             // subscriber: ChargeRequest
 )
 
 // Bounds of payloads in bytes. A server takes only small frames from
--- a/connection/feed/placementrelay.go
+++ b/connection/feed/placementrelay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -60,6 +61,27 @@
 // NoteUsage passes the word on to the leader.
 func (r *PlacementRelay) NoteUsage(report UsageReport) { r.client.ReportUsage(report) }
 
+// Charge passes the charge on to the leader.
+func (r *PlacementRelay) Charge(request ChargeRequest) (quota.Grant, bool) {
+	if request.Passed {
+		return quota.Grant{}, false
+	}
+	request.Passed = true
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	grant, err := r.client.Charge(ctx, request)
+	return grant, err == nil
+}
+
+// ReturnCharge passes the word on to the leader.
+func (r *PlacementRelay) ReturnCharge(request ChargeRequest) {
+	if request.Passed {
+		return
+	}
+	request.Passed = true
+	r.client.ReturnCharge(request)
+}
+
 // Day says that this daemon tells nobody the time of day.
 func (r *PlacementRelay) Day() int64 { return 0 }
 
--- a/connection/feed/server.go
+++ b/connection/feed/server.go
@@ -12,6 +12,7 @@
 	"github.com/landingtrail/landingtrail/process/clock"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -58,6 +59,10 @@
 	NoteEnds(report EndReport)
 	// NoteUsage takes in what a process has counted.
 	NoteUsage(report UsageReport)
+	// Charge takes the cost of a tenant's request off its quota, and false where this member
+	// keeps no quotas; ReturnCharge gives back what was charged for one that did not run.
+	Charge(request ChargeRequest) (quota.Grant, bool)
+	ReturnCharge(request ChargeRequest)
 	// Day is the group's time of day in milliseconds, 0 where none is known.
 	Day() int64
 }
--- a/connection/feed/session.go
+++ b/connection/feed/session.go
@@ -10,6 +10,7 @@
 	"github.com/landingtrail/landingtrail/connection/frame"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/pkg/errors"
 )
@@ -39,6 +40,7 @@
 	code   replyCode
 	result api.ClaimResult
 	placed placement.Answer
+	grant  quota.Grant
 }
 
 // queueLength bounds the frames that wait for the connection.
@@ -63,6 +65,7 @@
 	kindClaim:   kindClaimReply,
 	kindOutcome: kindOutcomeReply,
 	kindPlace:   kindPlaceReply,
+	kindCharge:  kindChargeReply,
 }
 
 // errMisplaced says that the other side sent what it was not asked for.
@@ -234,7 +237,7 @@
 }
 
 func (s *session) receive(received frame.Frame) error {
-	if s.standby && received.Kind != kindAlive && received.Kind != kindPlaceReply {
+	if s.standby && received.Kind != kindAlive && received.Kind != kindPlaceReply && received.Kind != kindChargeReply {
 		return errors.Wrapf(errMisplaced, "kind %d from a member that stands by", received.Kind)
 	}
 	switch received.Kind {
@@ -244,7 +247,7 @@
 		return s.receiveGrant(received.Payload)
 	case kindAlive:
 		return s.receiveAlive()
-	case kindClaimReply, kindPlaceReply, kindOutcomeReply:
+	case kindClaimReply, kindPlaceReply, kindOutcomeReply, kindChargeReply:
 		return s.receiveReply(received)
 	default:
 		return errors.Wrapf(errProtocol, "kind %d", received.Kind)
@@ -271,6 +274,13 @@
 			code = replyDone
 		}
 		return message.requestID, reply{code: code, placed: message.answer}, err
+	case kindChargeReply:
+		message, err := decodeChargeReply(received.Payload)
+		code := replyRefused
+		if message.found {
+			code = replyDone
+		}
+		return message.requestID, reply{code: code, grant: message.grant}, err
 	default:
 		message, err := decodeOutcomeReply(received.Payload)
 		return message.requestID, reply{code: message.code}, err
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -163,6 +163,10 @@
 		return s.receiveEnds(received.Payload)
 	case kindUsage:
 		return s.receiveUsage(received.Payload)
+	case kindCharge:
+		return s.receiveCharge(received.Payload)
+	case kindReturn:
+		return s.receiveReturn(received.Payload)
 	case kindPresence:
 		return s.receivePresence(received.Payload)
 	default:
--- a/connection/operator/calls.go
+++ b/connection/operator/calls.go
@@ -126,6 +126,12 @@
 	return ledger, c.read(ctx, operatorapi.PathLedger+"?"+query.Encode(), &ledger)
 }
 
+// Quotas reads how the tenants stand with their quotas.
+func (c *Client) Quotas(ctx context.Context) (operatorapi.QuotaList, error) {
+	var list operatorapi.QuotaList
+	return list, c.read(ctx, operatorapi.PathQuotas, &list)
+}
+
 // Usage reads what was counted of each window and tenant.
 func (c *Client) Usage(ctx context.Context) (operatorapi.UsageList, error) {
 	var list operatorapi.UsageList
--- a/connection/operatorapi/operatorapi.go
+++ b/connection/operatorapi/operatorapi.go
@@ -20,6 +20,7 @@
 	PathLedger       = "/apis/v1/ledger"         // GET ?tenant=T&key=K -> Ledger
 	PathIngress      = "/apis/v1/ingress"        // POST api.IngressSpec -> api.ReplaceResult; GET -> ObjectList, with the document
 	PathUsage        = "/apis/v1/usage"          // GET -> UsageList
+	PathQuotas       = "/apis/v1/quotas"         // GET -> QuotaList
 	PathQuarantine   = "/apis/v1/quarantine"     // DELETE /{fingerprint} -> Released
 	PathMembers      = "/apis/v1/members"        // POST MemberRequest -> MemberReply
 	PathMemberStatus = "/apis/v1/members/status" // GET of one member itself -> MemberSelf
@@ -70,6 +71,21 @@
 	Windows            []api.UsageWindow `json:"windows"`
 }
 
+// QuotaList answers a read of how the tenants stand with their quotas.
+type QuotaList struct {
+	Tenants []TenantQuota `json:"tenants"`
+}
+
+// TenantQuota is how one tenant stands: what it may spend at once, and what was granted and
+// refused since the present leader began. Left and Granted are in the quota's unit.
+type TenantQuota struct {
+	Tenant  string    `json:"tenant"`
+	Quota   api.Quota `json:"quota"`
+	Left    float64   `json:"left"`
+	Granted float64   `json:"granted"`
+	Refused int64     `json:"refused"`
+}
+
 // Released answers the release of a request that was held.
 type Released struct {
 	Fingerprint string `json:"fingerprint"`
--- a/process/control/config.go
+++ b/process/control/config.go
@@ -10,6 +10,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/orders"
 	"github.com/landingtrail/landingtrail/process/wal"
+	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/pkg/errors"
 )
@@ -66,6 +67,8 @@
 	ChangeRoles bool
 	// Usage says how the requests of tenants are accounted for.
 	Usage Usage
+	// Quotas says by which windows the quotas of tenants are kept; the zero Rule: not at all.
+	Quotas quota.Rule
 	// Capacity orders replicas; nil where their number is not this group's to say.
 	Capacity CapacityOrders
 	// Extensions run beside the member from when it takes part in the group;
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -31,6 +31,8 @@
 	usage *usageDesk
 	day   *metering.Agreement
 	desk  *placementDesk
+	// quotas charges requests to their tenants.
+	quotas *quotaDesk
 	// quarantine is what proxies say of replicas that ended.
 	quarantine *quarantineDesk
 	metrics    *metrics
@@ -84,7 +86,9 @@
 	if before.Role != raft.Leader || before.Term != after.Term {
 		return 0, replica.ErrLeaseExpired
 	}
-	g.ledTerm.Store(after.Term)
+	if g.ledTerm.Swap(after.Term) != after.Term {
+		g.quotas.begin(monotonic()) // reads of the lease are one at a time
+	}
 	return after.Term, nil
 }
 
--- a/process/control/metrics.go
+++ b/process/control/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -26,6 +27,7 @@
 	claims        *prometheus.CounterVec
 	proposalError *prometheus.CounterVec
 	placements    *prometheus.CounterVec
+	charges       *prometheus.CounterVec
 	placing       *prometheus.HistogramVec
 	expected      *prometheus.HistogramVec
 	foreign       prometheus.Gauge
@@ -40,6 +42,7 @@
 	m.transactions = m.vector("transactions_total", "Transactions answered by this member as leader.", "code")
 	m.claims = m.vector("claims_total", "At-most-once claims answered by this member as leader.", "code")
 	m.proposalError = m.vector("proposals_failed_total", "Commands that brought no result.", "outcome")
+	m.charges = m.vector("quota_charges_total", "Requests charged to the quotas of tenants.", "outcome")
 	m.placements = m.vector("placements_total", "Requests that proxies asked this member to place.", "outcome")
 	m.placing = m.histogram("placing_seconds", "Time of one decision where a request goes.", placingBuckets, "service")
 	m.expected = m.histogram("placed_first_token_seconds", "Expected time to the first token of placed requests.", expectedBuckets, "service")
@@ -86,6 +89,18 @@
 	outcomeUnknown   = "unknown_service"
 )
 
+// observeCharge counts one charge to a tenant's quota.
+func (m *metrics) observeCharge(grant quota.Grant) {
+	outcome := outcomeRefused
+	if grant.Granted {
+		outcome = outcomeGranted
+	}
+	m.charges.WithLabelValues(outcome).Inc()
+}
+
+// outcomeGranted is that of a charge that a quota covers.
+const outcomeGranted = "granted"
+
 // observePlacement counts one answer of the placement desk.
 func (m *metrics) observePlacement(service string, answer placement.Answer, known bool, took time.Duration) {
 	switch {
--- /dev/null
+++ b/process/control/quota.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/connection/operatorapi"
+	"github.com/landingtrail/landingtrail/request/quota"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/view"
+)
+
+// quotaDesk charges requests to the quotas of tenants: to an account while this member
+// leads, and else to what members keep for proxies that reach no leader.
+type quotaDesk struct {
+	lock    sync.Mutex
+	account *quota.Account // of the term that this member leads, or led last
+	standby *quota.Standby
+}
+
+func newQuotaDesk(rule quota.Rule) *quotaDesk {
+	return &quotaDesk{standby: quota.NewStandby(rule)}
+}
+
+// begin opens the account of a term.
+func (d *quotaDesk) begin(now time.Duration) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.account = quota.NewAccount(now)
+}
+
+// opened returns the account, nil before this member has led.
+func (d *quotaDesk) opened() *quota.Account {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.account
+}
+
+// quotaOf returns the quota of a tenant by the view; false where it is unbounded or unknown.
+func quotaOf(current *view.View, tenant string) (api.Quota, bool) {
+	known := current.RouteTenants[tenant]
+	if known == nil {
+		return api.Quota{}, false
+	}
+	return known.Spec.Quota, known.Spec.Quota.IsBounded()
+}
+
+// Charge takes the cost of a tenant's request off its quota.
+func (g *group) Charge(request feed.ChargeRequest) (quota.Grant, bool) {
+	limit, bounded := quotaOf(g.machine.view(), request.Tenant)
+	if !bounded || !(request.Cost >= 0) || g.config.Quotas.Window <= 0 {
+		return quota.Grant{}, false
+	}
+	var grant quota.Grant
+	if g.Leadership().Leads {
+		grant = g.quotas.opened().Charge(monotonic(), request.Tenant, limit, request.Cost)
+	} else {
+		grant = g.quotas.standby.Charge(monotonic(), request.Tenant, limit, request.Cost)
+	}
+	g.metrics.observeCharge(grant)
+	return grant, true
+}
+
+// ReturnCharge gives back what was charged for a request that no replica has run. What a
+// member that does not lead has granted stays spent.
+func (g *group) ReturnCharge(request feed.ChargeRequest) {
+	limit, bounded := quotaOf(g.machine.view(), request.Tenant)
+	if bounded && request.Cost >= 0 && g.Leadership().Leads {
+		g.quotas.opened().Return(monotonic(), request.Tenant, limit, request.Cost)
+	}
+}
+
+// quotas shows how the tenants with a quota stand at this leader, in order of their names.
+func (s *operatorServer) quotas(w http.ResponseWriter, r *http.Request, _ []byte) {
+	s.leased(w, r, func(current *group, _ uint64) {
+		list := operatorapi.QuotaList{Tenants: []operatorapi.TenantQuota{}}
+		now, account := monotonic(), current.quotas.opened()
+		for name, tenant := range current.machine.view().RouteTenants {
+			if !tenant.Spec.Quota.IsBounded() {
+				continue
+			}
+			standing := account.Standing(now, name, tenant.Spec.Quota)
+			list.Tenants = append(list.Tenants, operatorapi.TenantQuota{
+				Tenant: name, Quota: tenant.Spec.Quota, Left: standing.Left, Granted: standing.Granted, Refused: standing.Refused,
+			})
+		}
+		slices.SortFunc(list.Tenants, func(a, b operatorapi.TenantQuota) int { return strings.Compare(a.Tenant, b.Tenant) })
+		writeJSON(w, http.StatusOK, list)
+	})
+}
--- /dev/null
+++ b/process/control/quota_test.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/connection/operatorapi"
+	"github.com/landingtrail/landingtrail/request/quota"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/shoenig/test/must"
+)
+
+// newBounded is a group of three with a tenant that has a quota.
+func newBounded(t *testing.T, limit api.Quota) *growing {
+	g := newGrowing(t, 3, 3, 1)
+	for i := range g.configs {
+		g.configs[i].Quotas = quota.Rule{Window: 8 * time.Second, Overshoot: 0.1}
+	}
+	g.start(0, 1, 2)
+	g.awaitVoters(3, 0, 1, 2)
+	spec := ingressOf(1, "")
+	spec.KeysRequired = true
+	spec.Tenants = []api.TenantKeys{{Name: "north", Keys: []string{"k"}, Quota: limit}, {Name: "south", Keys: []string{"s"}}}
+	must.Eq(t, api.ReplaceApplied, g.replaceIngress(0, spec).Code)
+	return g
+}
+
+// charge asks for a charge until somebody answers it.
+func (g *growing) charge(client *feed.Client, tenant string, cost float64) quota.Grant {
+	g.t.Helper()
+	var grant quota.Grant
+	eventually(g.t, "an answer to a charge", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		answered, err := client.Charge(ctx, feed.ChargeRequest{Tenant: tenant, Cost: cost})
+		grant = answered
+		return err == nil
+	})
+	return grant
+}
+
+// All proxies spend one quota, and operators see how it stands.
+func TestProxiesShareOneQuota(t *testing.T) {
+	g := newBounded(t, api.Quota{Unit: api.QuotaTokens, PerSecond: 0.001, Burst: 1000})
+	first, _ := g.follow("proxy-1")
+	second, _ := g.follow("proxy-2")
+	must.False(t, g.charge(first, "north", 100).Granted, must.Sprint("a leader begins with nothing"))
+	raised := ingressOf(2, "")
+	raised.KeysRequired = true
+	raised.Tenants = []api.TenantKeys{{Name: "north", Keys: []string{"k"}, Quota: api.Quota{Unit: api.QuotaTokens, PerSecond: 1e9, Burst: 1000}}}
+	must.Eq(t, api.ReplaceApplied, g.replaceIngress(0, raised).Code)
+	eventually(t, "the raised quota", func() bool { return g.charge(first, "north", 1000).Granted })
+	lowered := ingressOf(3, "")
+	lowered.KeysRequired = true
+	lowered.Tenants = []api.TenantKeys{{Name: "north", Keys: []string{"k"}, Quota: api.Quota{Unit: api.QuotaTokens, PerSecond: 0.001, Burst: 500}}}
+	must.Eq(t, api.ReplaceApplied, g.replaceIngress(0, lowered).Code)
+	eventually(t, "the lowered quota", func() bool {
+		g.charge(first, "north", 400)
+		return !g.charge(second, "north", 400).Granted
+	})
+	var list operatorapi.QuotaList
+	must.Eq(t, http.StatusOK, g.call(0, http.MethodGet, operatorapi.PathQuotas, "", &list))
+	must.SliceLen(t, 1, list.Tenants)
+	must.Eq(t, "north", list.Tenants[0].Tenant)
+	must.Eq(t, 500, list.Tenants[0].Quota.Burst)
+	must.Positive(t, list.Tenants[0].Refused)
+	must.Less(t, 500, list.Tenants[0].Left)
+}
+
+// The next leader grants nothing that the last one has granted already.
+func TestNextLeaderBeginsWithNothing(t *testing.T) {
+	g := newBounded(t, api.Quota{Unit: api.QuotaTokens, PerSecond: 20, Burst: 200})
+	client, _ := g.follow("proxy-1")
+	eventually(t, "the whole burst", func() bool { return g.charge(client, "north", 200).Granted })
+	g.crash(g.leader())
+	eventually(t, "another leader", client.Connected)
+	must.False(t, g.charge(client, "north", 200).Granted)
+}
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -207,6 +207,7 @@
 		usage:    newUsageDesk(),
 		day:      metering.NewAgreement(monotonic, time.Now),
 		desk:     newPlacementDesk(),
+		quotas:   newQuotaDesk(m.config.Quotas),
 
 		quarantine: newQuarantineDesk(),
 		metrics:    m.metrics,
--- a/process/control/server.go
+++ b/process/control/server.go
@@ -105,6 +105,7 @@
 		{Method: http.MethodPost, Path: operatorapi.PathIngress, Handler: s.onLeader(s.replaceIngress)},
 		{Method: http.MethodGet, Path: operatorapi.PathIngress, Handler: s.onLeader(s.readIngress)},
 		{Method: http.MethodGet, Path: operatorapi.PathUsage, Handler: s.onLeader(s.usage)},
+		{Method: http.MethodGet, Path: operatorapi.PathQuotas, Handler: s.onLeader(s.quotas)},
 		{Method: http.MethodDelete, Path: operatorapi.PathQuarantine + "/:name", Handler: s.onLeader(s.release)},
 		{Method: http.MethodPost, Path: operatorapi.PathMembers, Handler: s.onLeader(s.changeMembers)},
 		{Method: http.MethodGet, Path: operatorapi.PathMemberStatus, Handler: s.memberStatus},
--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -38,4 +38,7 @@
 		"A replica that seemed to have ended has answered, on a connection that has been open for open_ms: the ends since then that were told of it are taken back.", "")
 	RequestRefused = define(4601, "request_refused", Info,
 		"A request was answered before any replica was asked: no route, no configuration, or a faulty request.", "")
+	QuotaRefused = define(4611, "quota_refused", Info,
+		"A request was refused since its tenant has spent its quota. cost is what it would have cost, left what the tenant may spend at once, in the quota's unit; wait_ms is when one of that cost may pass. alone says that no member answered, and this proxy decided by its own part.",
+		"landingtrail quota shows how the tenant stands. Raise its quota in the configuration if that is too low.")
 )
--- /dev/null
+++ b/process/ingress/charge_test.go
@@ -0,0 +1,95 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/request/quota"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/shoenig/test/must"
+)
+
+// fakeCharger answers charges as it is told, and keeps what was charged and given back.
+type fakeCharger struct {
+	lock     sync.Mutex
+	grant    quota.Grant
+	err      error
+	charged  []feed.ChargeRequest
+	returned []feed.ChargeRequest
+}
+
+func (c *fakeCharger) Charge(_ context.Context, request feed.ChargeRequest) (quota.Grant, error) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.charged = append(c.charged, request)
+	return c.grant, c.err
+}
+
+func (c *fakeCharger) ReturnCharge(request feed.ChargeRequest) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.returned = append(c.returned, request)
+	return true
+}
+
+// newQuotaWorld has a tenant with a quota of so many tokens a second, and a charger.
+func newQuotaWorld(t *testing.T, perSecond float64, replicas ...*fakeReplica) (*world, *fakeCharger) {
+	w := newWorld(t, replicas...)
+	bounded := tenant("north", 0, "key-n")
+	bounded.Quota = api.Quota{Unit: api.QuotaTokens, PerSecond: perSecond, Burst: perSecond, PlainTokens: 20}
+	w.requireKeys(bounded, tenant("south", 0, "key-s"))
+	w.ingress.config.Quotas = quota.Rule{Window: 8 * time.Second, Overshoot: 0.1}
+	w.ingress.alone = quota.NewAlone(w.ingress.config.Quotas)
+	charger := &fakeCharger{grant: quota.Grant{Granted: true}}
+	w.ingress.charger = charger
+	return w, charger
+}
+
+func TestRequestsAreChargedToTheirTenant(t *testing.T) {
+	replica := newFakeReplica(t, "r-1", answerOK)
+	w, charger := newQuotaWorld(t, 100, replica)
+	must.Eq(t, http.StatusOK, w.ask(withKey("a", "/safe/x", "key-n")).status)
+	must.Eq(t, []feed.ChargeRequest{{Tenant: "north", Cost: 20}}, charger.charged)
+	must.Eq(t, http.StatusOK, w.ask(withKey("b", "/safe/x", "key-s")).status)
+	must.Eq(t, http.StatusUnauthorized, w.ask(withKey("c", "/safe/x", "key-x")).status)
+	must.SliceLen(t, 1, charger.charged, must.Sprint("who has no quota is not charged, nor who is unknown"))
+	must.SliceEmpty(t, charger.returned)
+}
+
+// What is over the quota is refused at once, with the time at which it will pass.
+func TestRequestsOverTheQuotaAreRefused(t *testing.T) {
+	replica := newFakeReplica(t, "r-1", answerOK)
+	w, charger := newQuotaWorld(t, 100, replica)
+	charger.grant = quota.Grant{Wait: 1500 * time.Millisecond}
+	refused := w.ask(withKey("a", "/safe/x", "key-n"))
+	must.Eq(t, http.StatusTooManyRequests, refused.status)
+	must.Eq(t, "1.5s", refused.header.Get(testAgain))
+	must.Eq(t, 0, replica.count())
+	must.SliceEmpty(t, charger.returned)
+}
+
+// A request that surely did not run costs its tenant nothing.
+func TestWhatDidNotRunIsNotCharged(t *testing.T) {
+	w, charger := newQuotaWorld(t, 100, newFakeReplica(t, "r-1", refuseRun))
+	must.Eq(t, http.StatusServiceUnavailable, w.ask(withKey("a", "/safe/x", "key-n")).status)
+	must.Eq(t, charger.charged, charger.returned)
+}
+
+// While nobody answers its charges, a proxy spends its own part of the quota, and no more.
+func TestProxyAloneSpendsItsPart(t *testing.T) {
+	w, charger := newQuotaWorld(t, 20, newFakeReplica(t, "r-1", answerOK))
+	charger.err = feed.ErrNotCharged
+	w.ingress.lanes.proxies.Store(1000)
+	for range 5 {
+		must.Eq(t, http.StatusTooManyRequests, w.ask(withKey("a", "/safe/x", "key-n")).status)
+	}
+	charger.err, charger.grant = nil, quota.Grant{Granted: true, Left: 20}
+	must.Eq(t, http.StatusOK, w.ask(withKey("a", "/safe/x", "key-n")).status)
+	charger.err = feed.ErrNotCharged
+	must.Eq(t, http.StatusOK, w.ask(withKey("a", "/safe/x", "key-n")).status, must.Sprint("it was far from its limit"))
+	must.Eq(t, http.StatusTooManyRequests, w.ask(withKey("a", "/safe/x", "key-n")).status)
+}
--- a/process/ingress/config.go
+++ b/process/ingress/config.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/pkg/errors"
 )
@@ -40,6 +41,8 @@
 	Timeouts    Timeouts
 	Silence     Silence
 	Keys        Keys
+	// Quotas says by which windows the quotas of tenants are kept; the zero Rule: not at all.
+	Quotas quota.Rule
 	// UsageWindow is the length of the windows by which requests that began are counted
 	// for each tenant; 0: they are not.
 	UsageWindow time.Duration
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"github.com/landingtrail/landingtrail/process/metering"
 	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/pkg/errors"
@@ -56,6 +57,10 @@
 	// confirmer tells how old the view may be; nil without a group.
 	confirmer Confirmer
 	numbers   atomic.Uint64
+	// charger charges requests to their tenants' quotas; nil without a group. alone does so
+	// while nobody answers it.
+	charger charger
+	alone   *quota.Alone
 	// usage counts the requests of each tenant that began; nil: nobody asks for it.
 	usage *metering.Counter
 	// namesTill is until when questions bring the requests' fingerprints.
@@ -82,6 +87,7 @@
 	made := &Ingress{
 		config: config, logger: logger, views: views, clock: now, day: time.Now,
 		lanes: newLanes(config, now), metrics: newMetrics(), guard: guard.New(config.Name),
+		alone: quota.NewAlone(config.Quotas),
 	}
 	made.patient, made.endPatient = context.WithCancel(context.Background())
 	made.table.Store(&tableAt{routes: newRouteTable(nil)})
@@ -161,6 +167,7 @@
 	route      *api.Route
 	priority   int
 	generation uint64 // of the Ingress that the request is handled by
+	charge     charge
 }
 
 // take finds the route of a request and who asks, and then reads it whole: nothing is kept
@@ -180,7 +187,13 @@
 	}
 	taken := admission{route: route, generation: routes.generation}
 	taken.priority = i.identify(routes, route, &call, tenant)
-	return call, taken, i.readWhole(w, r, routes, &call)
+	if taken.charge, refusal = i.charge(r.Context(), &call, tenant); refusal != nil {
+		return call, admission{}, refusal
+	}
+	if refusal = i.readWhole(w, r, routes, &call); refusal != nil {
+		i.returnCharge(taken.charge)
+	}
+	return call, taken, refusal
 }
 
 // ownRefusal is an answer that is given before any replica was asked.
@@ -307,6 +320,7 @@
 		s.deadline = min(s.deadline, s.callerEnds)
 	}
 	if i.isTooLate(arrived, s.deadline) {
+		i.returnCharge(taken.charge)
 		i.finish(s, service, s.refuse(http.StatusServiceUnavailable, causeStopping, minimumRetryAfter))
 		return
 	}
@@ -321,6 +335,9 @@
 	s.lane.budget.Request(arrived)
 	status := s.run(ctx)
 	s.endTrial()
+	if s.life.Ran() == attempt.RanNo {
+		i.returnCharge(taken.charge)
+	}
 	i.finish(s, service, status)
 	if status == 0 || status == statusCallerGone {
 		panic(http.ErrAbortHandler) // cuts the connection: what was sent must not look whole
--- a/process/ingress/lane.go
+++ b/process/ingress/lane.go
@@ -31,6 +31,8 @@
 	config Config
 	clock  func() time.Duration
 	asks   *holdoff.Table
+	// proxies is among how many what all proxies share is divided.
+	proxies atomic.Int64
 
 	lock    sync.Mutex
 	version view.Version
@@ -81,7 +83,9 @@
 	for service := range listed {
 		l.laneLocked(service)
 	}
-	share := reserveShare(l.config.Retry.Reserve, l.sharers.among(len(current.Proxies), now, l.config.Retry.Window))
+	proxies := l.sharers.among(len(current.Proxies), now, l.config.Retry.Window)
+	l.proxies.Store(int64(proxies))
+	share := reserveShare(l.config.Retry.Reserve, proxies)
 	for service, opened := range l.open {
 		opened.follow(listed[service], l.asks, now)
 		opened.budget.SetReserve(share)
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -69,6 +69,7 @@
 	}
 	defer client.Close()
 	made.placer = client
+	made.charger = client
 	made.confirmer = holder
 	made.guard.SetReporter(client)
 	endRelay, err := made.passPlacementsOn(feed.NewPlacementRelay(client, holder))
--- a/process/relay/group.go
+++ b/process/relay/group.go
@@ -7,6 +7,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -19,6 +20,8 @@
 	ReportPresence(presence feed.Presence) bool
 	ReportEnds(report feed.EndReport) bool
 	ReportUsage(report feed.UsageReport) bool
+	Charge(ctx context.Context, request feed.ChargeRequest) (quota.Grant, error)
+	ReturnCharge(request feed.ChargeRequest) bool
 }
 
 // group is what stands for the control group toward the daemons behind the
@@ -92,6 +95,20 @@
 // NoteUsage passes the word on.
 func (g *group) NoteUsage(report feed.UsageReport) { g.upstream.ReportUsage(report) }
 
+// Charge passes the charge on: a relay keeps no quotas.
+func (g *group) Charge(request feed.ChargeRequest) (quota.Grant, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), chargeTimeout)
+	defer cancel()
+	grant, err := g.upstream.Charge(ctx, request)
+	return grant, err == nil
+}
+
+// chargeTimeout is little less than a daemon waits for the answer to a charge.
+const chargeTimeout = 25 * time.Millisecond
+
+// ReturnCharge passes the word on.
+func (g *group) ReturnCharge(request feed.ChargeRequest) { g.upstream.ReturnCharge(request) }
+
 // Day says that a relay knows no time of day of its own.
 func (g *group) Day() int64 { return 0 }
 
--- a/process/relay/group_test.go
+++ b/process/relay/group_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -87,6 +88,10 @@
 
 func (g *leaderGroup) NoteEnds(feed.EndReport) {}
 
+func (g *leaderGroup) Charge(feed.ChargeRequest) (quota.Grant, bool) { return quota.Grant{}, false }
+
+func (g *leaderGroup) ReturnCharge(feed.ChargeRequest) {}
+
 func (g *leaderGroup) NoteUsage(feed.UsageReport) {}
 
 func (g *leaderGroup) Day() int64 { return 0 }
--- /dev/null
+++ b/request/quota/alone_test.go
@@ -0,0 +1,96 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// aloneTogether has each of some proxies ask at its own pace while none of them reaches
+// anybody, and returns what was asked for and granted.
+func aloneTogether(proxies []*Alone, random *rand.Rand, demand, cost float64, lasts time.Duration) (asked float64, granted ledger) {
+	pause := time.Duration(cost / demand * float64(time.Second))
+	for now := time.Duration(0); now < lasts; now += pause {
+		asked += cost
+		proxy := proxies[random.IntN(len(proxies))]
+		if proxy.Charge(now, "north", testLimit, cost, Sharing{Proxies: len(proxies), Alone: now}).Granted {
+			granted = append(granted, spent{now, cost})
+		}
+	}
+	return asked, granted
+}
+
+func newProxies(count int, random *rand.Rand) []*Alone {
+	var proxies []*Alone
+	for range count {
+		proxy := NewAlone(testRule)
+		proxy.draw = random.Float64
+		proxies = append(proxies, proxy)
+	}
+	return proxies
+}
+
+// A request costs many times what one proxy may spend in a second; drawn by lot, the sum of
+// all proxies is near the quota nevertheless, and within the rule. Of a thousand most see no
+// request in a window, and their parts lie idle.
+func TestProxiesAloneKeepNearTheQuota(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	for _, count := range []int{10, 100, 1000} {
+		asked, granted := aloneTogether(newProxies(count, random), random, 4*testLimit.PerSecond, 20, 8*time.Second)
+		must.Greater(t, allowed(testRule, testLimit), asked)
+		must.LessEq(t, allowed(testRule, testLimit), granted.most(testRule.Window), must.Sprint(count))
+		if count <= 100 {
+			must.GreaterEq(t, 0.5*testLimit.PerSecond*8, granted.most(testRule.Window), must.Sprint(count))
+		}
+	}
+}
+
+// A tenant that was far from its limit when the last leader spoke is served while nobody
+// answers: each proxy goes ahead by a request.
+func TestAmpleTenantIsServedWithoutALeader(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 6))
+	proxies := newProxies(100, random)
+	for _, proxy := range proxies {
+		proxy.Heard("north", testLimit, Grant{Granted: true, Left: 90})
+	}
+	asked, granted := aloneTogether(proxies, random, 0.4*testLimit.PerSecond, 20, 5*time.Second)
+	must.GreaterEq(t, 0.9*asked, granted.most(testRule.Window))
+}
+
+func TestReturnedChargesCanBeSpentAgain(t *testing.T) {
+	proxy := NewAlone(testRule)
+	proxy.Charge(0, "north", testLimit, 1, Sharing{})
+	must.True(t, proxy.Charge(time.Second, "north", testLimit, 20, Sharing{Alone: time.Second}).Granted)
+	proxy.Return("north", 20)
+	must.True(t, proxy.Charge(time.Second, "north", testLimit, 20, Sharing{Alone: time.Second}).Granted)
+	proxy.Return("nobody", 20)
+}
+
+// While a leader grants the rate, a proxy saves up no more than its part of the overrun.
+func TestNothingOfTheRateIsSavedUpBesideALeader(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 8))
+	proxies := newProxies(10, random)
+	for _, proxy := range proxies {
+		proxy.Charge(0, "north", testLimit, 1000, Sharing{Proxies: 10})
+	}
+	granted := 0.0
+	for _, proxy := range proxies {
+		for range 100 {
+			if proxy.Charge(time.Minute, "north", testLimit, 1, Sharing{Proxies: 10, Alone: 100 * time.Millisecond}).Granted {
+				granted++
+			}
+		}
+	}
+	must.LessEq(t, aloneShare*testRule.Overrun(testLimit)+0.1*testLimit.PerSecond+10, granted)
+}
+
+func TestSpendingCoversAnyWindow(t *testing.T) {
+	var known spending
+	known.add(time.Second, 8*time.Second, 5)
+	must.Eq(t, 5, known.within(9*time.Second-1, 8*time.Second))
+	known.add(9*time.Second, 8*time.Second, 7)
+	must.Eq(t, 7, known.within(10*time.Second, 8*time.Second))
+	must.Eq(t, 0, known.within(time.Minute, 8*time.Second))
+}
--- a/version/api/tenant.go
+++ b/version/api/tenant.go
@@ -14,6 +14,8 @@
 	// Priority replaces that of the routes for the tenant's requests; nil leaves it.
 	Priority *int     `json:"priority,omitempty" yaml:"priority,omitempty"`
 	Keys     []string `json:"keys" yaml:"keys"`
+	// Quota bounds what the tenant may have run.
+	Quota Quota `json:"quota,omitzero" yaml:"quota,omitempty"`
 }
 
 // RouteTenant is a tenant of the routes as it is stored and distributed. It is replaced
@@ -31,11 +33,13 @@
 	Digests []KeyDigest `json:"-" yaml:"-"`
 	// Keys is how many keys the tenant has.
 	Keys int `json:"keys" yaml:"keys"`
+	// Quota bounds what the tenant may have run.
+	Quota Quota `json:"quota,omitzero" yaml:"quota,omitempty"`
 }
 
 // Equal reports whether both say the same.
 func (s *RouteTenantSpec) Equal(other *RouteTenantSpec) bool {
-	return equalPriority(s.Priority, other.Priority) && s.Keys == other.Keys && equalDigests(s.Digests, other.Digests)
+	return equalPriority(s.Priority, other.Priority) && s.Keys == other.Keys && s.Quota == other.Quota && equalDigests(s.Digests, other.Digests)
 }
 
 func equalPriority(a, b *int) bool {
--- a/version/api/validate_ingress.go
+++ b/version/api/validate_ingress.go
@@ -50,6 +50,9 @@
 			c.add(field+".name", "%q is the name of tenants[%d]", tenant.Name, earlier)
 		}
 		named[tenant.Name] = i
+		for _, fault := range tenant.Quota.faults() {
+			c.add(field+".quota."+fault.Field, "%s", fault.Message)
+		}
 		for k, key := range tenant.Keys {
 			entry := fmt.Sprintf("%s.keys[%d]", field, k)
 			c.keyText(entry, key)
--- a/version/apikey/apikey.go
+++ b/version/apikey/apikey.go
@@ -62,7 +62,7 @@
 		digests = slices.Compact(digests)
 		sealed = append(sealed, api.RouteTenant{
 			Metadata: api.Metadata{Name: tenants[i].Name},
-			Spec:     api.RouteTenantSpec{Priority: tenants[i].Priority, Digests: digests, Keys: len(digests)},
+			Spec:     api.RouteTenantSpec{Priority: tenants[i].Priority, Digests: digests, Keys: len(digests), Quota: tenants[i].Quota},
 		})
 	}
 	slices.SortFunc(sealed, func(a, b api.RouteTenant) int {
--- a/version/binenc/tenant.go
+++ b/version/binenc/tenant.go
@@ -10,7 +10,8 @@
 	for _, digest := range o.Spec.Digests {
 		b = append(b, digest[:]...)
 	}
-	return AppendInt(b, int64(o.Spec.Keys))
+	b = AppendInt(b, int64(o.Spec.Keys))
+	return appendQuota(b, o.Spec.Quota)
 }
 
 // RouteTenant reads a tenant of the routes.
@@ -23,17 +24,30 @@
 		o.Spec.Digests = append(o.Spec.Digests, digest)
 	}
 	o.Spec.Keys = int(r.Int())
+	o.Spec.Quota = r.quota()
 	return o
 }
 
 func appendTenantKeys(b []byte, o *api.TenantKeys) []byte {
 	b = AppendString(b, o.Name)
 	b = appendPriority(b, o.Priority)
-	return AppendStrings(b, o.Keys)
+	b = AppendStrings(b, o.Keys)
+	return appendQuota(b, o.Quota)
 }
 
 func (r *Reader) tenantKeys() api.TenantKeys {
-	return api.TenantKeys{Name: r.String(), Priority: r.priority(), Keys: r.Strings()}
+	return api.TenantKeys{Name: r.String(), Priority: r.priority(), Keys: r.Strings(), Quota: r.quota()}
+}
+
+func appendQuota(b []byte, quota api.Quota) []byte {
+	b = AppendString(b, string(quota.Unit))
+	b = AppendFloat(b, quota.PerSecond)
+	b = AppendFloat(b, quota.Burst)
+	return AppendFloat(b, quota.PlainTokens)
+}
+
+func (r *Reader) quota() api.Quota {
+	return api.Quota{Unit: api.QuotaUnit(r.String()), PerSecond: r.Float(), Burst: r.Float(), PlainTokens: r.Float()}
 }
 
 func appendPriority(b []byte, priority *int) []byte {
