Proxies keep and walk only the replicas that they use

Cause: a proxy held what it knows of every listed replica, walked all of them several times for each request (whom it is connected to, who asked for a pause, who is named in an answer), and took all of them in again, sorted, with each version of the view.

--- a/process/ingress/asks.go
+++ b/process/ingress/asks.go
@@ -72,7 +72,7 @@
 // reportLeaving tells a member that has just begun to place requests which replicas leave.
 func (i *Ingress) reportLeaving() {
 	for _, opened := range i.lanes.all() {
-		for _, known := range *opened.replicas.Load() {
+		for _, known := range opened.fleet.used() {
 			if known.asks.IsLeaving() {
 				i.tellLeaving(opened.service, known.name)
 			}
@@ -95,20 +95,17 @@
 	now := s.ingress.now()
 	avoided := maps.Clone(s.excluded)
 	doubtful := map[api.EngineRole][]string{}
-	open := map[api.EngineRole]bool{}
-	for _, known := range *s.lane.replicas.Load() {
+	for _, known := range s.lane.fleet.used() {
 		role := known.listed().Role
-		switch state := known.asks.State(now); {
-		case state == holdoff.Closed:
+		switch known.asks.State(now) {
+		case holdoff.Closed:
 			avoided[known.name] = true
-		case state == holdoff.Doubtful:
+		case holdoff.Doubtful:
 			doubtful[role] = append(doubtful[role], known.name)
-		case !s.excluded[known.name] && !known.listed().Leaving:
-			open[role] = true
 		}
 	}
 	for role, names := range doubtful {
-		if !open[role] {
+		if !s.hasOpen(role, now) {
 			continue
 		}
 		for _, name := range names {
@@ -118,6 +115,17 @@
 	return slices.Sorted(maps.Keys(avoided))
 }
 
+// hasOpen reports whether a replica of the role may be sent the request without a doubt.
+func (s *session) hasOpen(role api.EngineRole, now time.Duration) bool {
+	found := false
+	s.lane.fleet.all(func(entry *api.Replica, known *replica) bool {
+		found = entry.Spec.Role == role && !entry.Spec.Leaving && !s.excluded[entry.Name] &&
+			(known == nil || known.asks.State(now) == holdoff.Open)
+		return !found
+	})
+	return found
+}
+
 // runRoles are the roles of replicas that can run a request, whoever reads its prompt.
 var runRoles = wanted{roles: []api.EngineRole{api.RoleDecode, api.RoleMixed}}
 
@@ -128,18 +136,25 @@
 // for a pause, and when the first of them is over. To wait for that here would hold the
 // request for nothing, and to send it all the same would only be refused.
 func (l *lane) allPause(now time.Duration) (wait time.Duration, all bool) {
-	first := time.Duration(0)
-	for _, known := range *l.replicas.Load() {
-		if known.listed().Leaving || !runRoles.hasRole(known) {
-			continue
+	first, isOpen := time.Duration(0), false
+	l.fleet.all(func(entry *api.Replica, known *replica) bool {
+		if entry.Spec.Leaving || !runRoles.includes(entry.Spec.Role) {
+			return true
 		}
-		pause := known.asks.Pause(now)
-		if pause == 0 && known.takes(now) {
-			return 0, false // be it one that has just refused this request: it may have room sooner
+		if known == nil {
+			isOpen = true
+			return false
 		}
+		pause := known.asks.Pause(now)
+		// Be it one that has just refused this request: it may have room sooner.
+		isOpen = pause == 0 && known.takes(now)
 		if pause > 0 && !known.asks.IsLeaving() && (first == 0 || pause < first) {
 			first = pause
 		}
+		return !isOpen
+	})
+	if isOpen {
+		return 0, false
 	}
 	return first + rand.N(pauseSpread), first > 0
 }
--- a/process/ingress/cacheguess.go
+++ b/process/ingress/cacheguess.go
@@ -79,7 +79,7 @@
 // replicas are believed to keep.
 func (i *Ingress) reportKept(to groupReporter) {
 	for _, opened := range i.lanes.all() {
-		for _, known := range *opened.replicas.Load() {
+		for _, known := range opened.fleet.used() {
 			if parts := known.kept(); len(parts) > 0 {
 				to.ReportKept(feed.KeptParts{Service: opened.service, Replica: known.name, Parts: parts})
 			}
--- a/process/ingress/lane.go
+++ b/process/ingress/lane.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,7 +10,6 @@
 	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/request/holdoff"
 	"github.com/landingtrail/landingtrail/request/retry"
-	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/view"
 )
 
@@ -21,12 +19,12 @@
 	service string
 	pool    *exchange.Pool
 	budget  *retry.Window
-	// replicas is replaced whole when the listed set changes; sorted by name.
-	replicas atomic.Pointer[[]*replica]
-	speed    speed
+	fleet   *fleet
+	clock   func() time.Duration
+	speed   speed
 }
 
-// lanes opens a lane for each service that has replicas, and keeps it.
+// lanes opens a lane for each service that is asked for, and keeps it.
 type lanes struct {
 	config Config
 	clock  func() time.Duration
@@ -36,6 +34,7 @@
 
 	lock    sync.Mutex
 	version view.Version
+	listed  listing // of the version
 	open    map[string]*lane
 	sharers sharers
 }
@@ -56,13 +55,17 @@
 	if opened := l.open[service]; opened != nil {
 		return opened
 	}
+	pool := exchange.NewPool(exchange.Config{Clock: l.clock})
 	opened := &lane{
 		service: service,
-		pool:    exchange.NewPool(exchange.Config{Clock: l.clock}),
+		pool:    pool,
+		clock:   l.clock,
+		fleet:   newFleet(service, l.config.Name, pool, l.asks),
 		budget:  retry.NewWindow(shareMargin*l.config.Retry.Share, l.config.Retry.Reserve, l.config.Retry.Window),
 	}
 	opened.budget.HoldReserve(l.config.Retry.Settle)
-	opened.replicas.Store(&[]*replica{})
+	opened.budget.SetReserve(reserveShare(l.config.Retry.Reserve, int(l.proxies.Load())))
+	opened.fleet.follow(l.listed, l.clock())
 	l.open[service] = opened
 	return opened
 }
@@ -76,18 +79,12 @@
 		return
 	}
 	l.version = current.Version
-	listed := map[string][]*api.Replica{}
-	for _, known := range current.Replicas {
-		listed[known.Spec.Service] = append(listed[known.Spec.Service], known)
-	}
-	for service := range listed {
-		l.laneLocked(service)
-	}
+	l.listed = current.Replicas
 	proxies := l.sharers.among(len(current.Proxies), now, l.config.Retry.Window)
 	l.proxies.Store(int64(proxies))
 	share := reserveShare(l.config.Retry.Reserve, proxies)
-	for service, opened := range l.open {
-		opened.follow(listed[service], l.asks, now)
+	for _, opened := range l.open {
+		opened.fleet.follow(l.listed, now)
 		opened.budget.SetReserve(share)
 	}
 	l.asks.Forget(now)
@@ -127,41 +124,6 @@
 	return reserve * reserveMargin / float64(max(proxies, 1))
 }
 
-// follow replaces the replicas by those listed; one whose entry has changed
-// keeps what is known of it.
-func (l *lane) follow(listed []*api.Replica, table *holdoff.Table, now time.Duration) {
-	known := map[string]*replica{}
-	for _, current := range *l.replicas.Load() {
-		known[current.name] = current
-	}
-	next := make([]*replica, 0, len(listed))
-	for _, entry := range listed {
-		followed := known[entry.Name]
-		if followed != nil && !isSameProcess(followed.listed(), &entry.Spec) {
-			l.pool.Drop(followed.listed().Address)
-			followed = nil
-		}
-		asks := table.Follow(entry.Name, holdoff.Process{Address: entry.Spec.Address, Born: entry.Spec.Born}, now)
-		if followed == nil {
-			followed = newReplica(entry.Name, entry.Spec, asks)
-		}
-		followed.entry.Store(&entry.Spec)
-		next = append(next, followed)
-		delete(known, entry.Name)
-	}
-	for _, gone := range known {
-		l.pool.Drop(gone.listed().Address)
-	}
-	sort.Slice(next, func(i, j int) bool { return next[i].name < next[j].name })
-	l.replicas.Store(&next)
-}
-
-// isSameProcess reports whether what is known of a replica holds for its new entry: one that
-// was born anew keeps nothing, and its connections have ended.
-func isSameProcess(before, now *api.ReplicaSpec) bool {
-	return before.Address == now.Address && !now.IsAnotherProcess(before)
-}
-
 // all returns the open lanes.
 func (l *lanes) all() []*lane {
 	l.lock.Lock()
--- a/process/ingress/pick.go
+++ b/process/ingress/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,16 +44,10 @@
 }
 
 // hasRole reports whether the replica has one of the roles.
-func (w *wanted) hasRole(candidate *replica) bool {
-	if candidate.listed().Role == api.RoleNone {
-		return true
-	}
-	for _, role := range w.roles {
-		if candidate.listed().Role == role {
-			return true
-		}
-	}
-	return false
+func (w *wanted) hasRole(candidate *replica) bool { return w.includes(candidate.listed().Role) }
+
+func (w *wanted) includes(role api.EngineRole) bool {
+	return role == api.RoleNone || slices.Contains(w.roles, role)
 }
 
 // pickPlain returns the cheapest of two replicas drawn at random, or nil.
@@ -87,7 +82,7 @@
 // else is left.
 func (l *lane) candidates(w *wanted, now time.Duration) []*replica {
 	var sound, suspects []*replica
-	for _, candidate := range *l.replicas.Load() {
+	for _, candidate := range l.fleet.choices(now) {
 		switch {
 		case !w.fits(candidate, now):
 		case candidate.isSuspect(now):
--- a/process/ingress/placed.go
+++ b/process/ingress/placed.go
@@ -183,7 +183,7 @@
 // connected returns the replicas to which a connection is kept for the next request.
 func (l *lane) connected() []string {
 	var names []string
-	for _, known := range *l.replicas.Load() {
+	for _, known := range l.fleet.used() {
 		if len(names) == maxConnected {
 			break
 		}
@@ -195,14 +195,4 @@
 }
 
 // find returns the listed replica of the name, or nil.
-func (l *lane) find(name string) *replica {
-	if name == "" {
-		return nil
-	}
-	for _, known := range *l.replicas.Load() {
-		if known.name == name {
-			return known
-		}
-	}
-	return nil
-}
+func (l *lane) find(name string) *replica { return l.fleet.find(name, l.clock()) }
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -47,6 +47,7 @@
 	suspicion   time.Duration
 	suspectTill time.Duration // 0 once anything has come from the replica since
 	cache       cacheGuess
+	usedAt      time.Duration // when a request was sent last, or it was first known
 	// endedAt is when the replica seemed to end, 0 once it has answered since.
 	endedAt time.Duration
 }
@@ -77,9 +78,20 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.sends[sent] = struct{}{}
+	r.usedAt = now
 	return sent
 }
 
+// isUnused reports whether nothing was sent for long, and nothing that was asked for holds.
+func (r *replica) isUnused(now time.Duration) bool {
+	if r.asks.State(now) != holdoff.Open || r.asks.IsLeaving() {
+		return false
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return len(r.sends) == 0 && now-r.usedAt > unusedFor
+}
+
 // end notes that a request is not in flight any more.
 func (r *replica) end(sent *send) {
 	r.lock.Lock()
