Proxies follow their own subset of a large service's replicas

Cause: every proxy held the whole view and received each change of it.

Change: a proxy subscribes for a part of the view: all but the replicas, and of these its own subset, which each side can tell by a hash of the two names (one in two to the power of a share; services of up to 255 replicas are followed whole). Replicas that an answer names beyond that come with it. A whole view without replicas is encoded once for all.

Measured: a new subscription's bytes at 10,000 replicas are under twice those at 200 (TestPartialViewsDoNotGrowWithTheReplicas), and a daemon is told of the changes of its own replicas alone (TestPartialViewsFollowTheirReplicas).

Weighed: the best of each service by rank (version/subset.Choose), for which the leader would rank ten thousand names for each of a thousand proxies at each change.

--- a/connection/feed/client.go
+++ b/connection/feed/client.go
@@ -35,6 +35,9 @@
 	// Standby has any other member place requests while no leader serves the
 	// client.
 	Standby bool
+	// Partial has the views hold the daemon's own subset of the replicas of large services;
+	// Listed returns others that answers have named.
+	Partial bool
 	// StandbyRelays returns the feed addresses of other daemons that pass
 	// placements on; nil returns none. It is asked before each round of tries.
 	StandbyRelays func() []string
@@ -121,6 +124,8 @@
 	lost      chan struct{}           // has an item once a leader serves the client no more, or is silent
 	leader    atomic.Pointer[string]  // the address of the one that served last
 	handover  *handover
+	shares    atomic.Pointer[shares] // of the replicas that views holds
+	named     named
 	requestID atomic.Uint64
 	slots     chan struct{} // one for each claim or outcome in flight
 	context   context.Context
--- a/connection/feed/group_test.go
+++ b/connection/feed/group_test.go
@@ -111,6 +111,12 @@
 	return g.machine.Version()
 }
 
+func (g *fakeGroup) View() *view.View {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.machine.History().View
+}
+
 func (g *fakeGroup) DeltaSince(from view.Version) (view.Delta, bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
--- a/connection/feed/messages.go
+++ b/connection/feed/messages.go
@@ -37,6 +37,7 @@
 	kindCharge                             // subscriber: request ID, ChargeRequest
 	kindChargeReply                        // server: request ID, quota.Grant
 	kindReturn                             // subscriber: ChargeRequest
+	kindOwnReplicas                        // server, to a partial subscription: ownReplicas
 )
 
 // Bounds of payloads in bytes. A server takes only small frames from
@@ -58,6 +59,10 @@
 	version  view.Version
 	// standby asks for placements alone, of any member that has a view.
 	standby bool
+	// partial asks for the daemon's own subset of the replicas; shares is which part of them
+	// the version holds.
+	partial bool
+	shares  shares
 }
 
 // beat asks for the view lease to be renewed and acknowledges a version. A
@@ -162,6 +167,8 @@
 	encoder.String(message.zone)
 	encodeVersion(encoder, message.version)
 	encoder.Bool(message.standby)
+	encoder.Bool(message.partial)
+	encodeShares(encoder, message.shares)
 	return encoder.Data()
 }
 
@@ -170,6 +177,8 @@
 	message := subscribe{daemon: decoder.String(), instance: decoder.Uint64(), zone: decoder.String()}
 	message.version = decodeVersion(decoder)
 	message.standby = decoder.Bool()
+	message.partial = decoder.Bool()
+	message.shares = decodeShares(decoder)
 	return message, decoder.Finish()
 }
 
--- /dev/null
+++ b/connection/feed/partial_test.go
@@ -0,0 +1,197 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+	"github.com/landingtrail/landingtrail/version/subset"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/shoenig/test/must"
+)
+
+func listedReplica(number int, leaving bool) api.Object {
+	return api.Object{Replica: &api.Replica{
+		Metadata: api.Metadata{Name: fmt.Sprintf("r-%05d", number)},
+		Spec:     api.ReplicaSpec{Service: "chat", Address: fmt.Sprintf("10.0.0.1:%d", number), Zone: "a", Slots: 8, Leaving: leaving},
+	}}
+}
+
+// list has the group list replicas with the numbers.
+func (g *fakeGroup) list(from, to int, leaving bool) {
+	seen := state.Observe{}
+	for number := from; number < to; number++ {
+		seen.Put = append(seen.Put, listedReplica(number, leaving))
+	}
+	g.apply(state.Command{Kind: state.CommandObserve, Observe: &seen})
+}
+
+// unlist has it list them no more.
+func (g *fakeGroup) unlist(from, to int) {
+	seen := state.Observe{}
+	for number := from; number < to; number++ {
+		seen.Removed = append(seen.Removed, api.Key{Kind: api.KindReplica, Name: fmt.Sprintf("r-%05d", number)})
+	}
+	g.apply(state.Command{Kind: state.CommandObserve, Observe: &seen})
+}
+
+// countingConn counts the bytes that come in.
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c countingConn) Read(into []byte) (int, error) {
+	n, err := c.Conn.Read(into)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// startPartial starts a client with a partial subscription, and returns the bytes it reads.
+func startPartial(t *testing.T, daemon string, holder *view.Holder, address string) (*Client, *atomic.Int64) {
+	read := &atomic.Int64{}
+	client, err := Dial(ClientConfig{
+		Daemon: daemon, Addresses: []string{address}, Partial: true,
+		BeatInterval: 20 * time.Millisecond, SilenceTimeout: patience, BackoffMin: time.Millisecond, BackoffMax: 20 * time.Millisecond,
+		Dial: countingDial(read),
+	}, holder)
+	must.NoError(t, err)
+	t.Cleanup(client.Close)
+	return client, read
+}
+
+// What a partial subscription brings of a large service does not grow with it: a whole view of
+// ten thousand replicas took a proxy's link more than a second, and the leader's the time of
+// all of them together.
+func TestPartialViewsDoNotGrowWithTheReplicas(t *testing.T) {
+	bytes := map[int]int64{}
+	for _, size := range []int{200, 10_000} {
+		group := newFakeGroup()
+		_, address := startServer(t, group)
+		group.put("water")
+		group.list(0, size, false)
+		holder := view.NewHolder()
+		_, read := startPartial(t, "proxy-1", holder, address)
+		eventually(t, "the view", func() bool { return holder.Load().Version.Revision == 2 })
+		must.MapContainsKey(t, holder.Load().Tenants, "water")
+		must.Between(t, 90, len(holder.Load().Replicas), 255, must.Sprint(size))
+		bytes[size] = read.Load()
+	}
+	must.Less(t, 2*bytes[200], bytes[10_000])
+}
+
+// A daemon is told of each change of its own replicas, and of no other's.
+func TestPartialViewsFollowTheirReplicas(t *testing.T) {
+	group := newFakeGroup()
+	server, address := startServer(t, group)
+	group.list(0, 1000, false)
+	holder := view.NewHolder()
+	startPartial(t, "proxy-1", holder, address)
+	share := subset.ShareOf(1000, 0)
+	check := func(revision uint64, lists func(number int) bool) {
+		t.Helper()
+		server.Wake()
+		eventually(t, "the version", func() bool { return holder.Load().Version.Revision == revision })
+		for number := range 1200 {
+			name := fmt.Sprintf("r-%05d", number)
+			_, listed := holder.Load().Replicas[name]
+			must.Eq(t, lists(number) && share.Includes("proxy-1", name), listed, must.Sprint(name))
+		}
+	}
+	check(1, func(number int) bool { return number < 1000 })
+	group.unlist(0, 100)
+	check(2, func(number int) bool { return number >= 100 && number < 1000 })
+	group.list(1000, 1100, false)
+	check(3, func(number int) bool { return number >= 100 && number < 1100 })
+	group.list(100, 1100, true)
+	check(4, func(number int) bool { return number >= 100 && number < 1100 })
+	for _, replica := range holder.Load().Replicas {
+		must.True(t, replica.Spec.Leaving)
+	}
+	share = 0
+	group.unlist(200, 1100)
+	check(5, func(number int) bool { return number >= 100 && number < 200 })
+}
+
+// A daemon that comes back with the version and the subset that it holds is sent what has
+// changed since.
+func TestPartialViewsGoOnWithWhatIsHeld(t *testing.T) {
+	group := newFakeGroup()
+	server, address := startServer(t, group)
+	group.list(0, 1000, false)
+	holder := view.NewHolder()
+	client, _ := startPartial(t, "proxy-1", holder, address)
+	eventually(t, "the view", func() bool { return holder.Load().Version.Revision == 1 })
+	held := client.shares.Load()
+	client.Close()
+	group.put("water")
+	again, read := startPartial(t, "proxy-1", holder, address)
+	again.shares.Store(held) // a client of the same process would still have it
+	server.Wake()
+	eventually(t, "what was missed", func() bool { return holder.Load().Version.Revision == 2 })
+	must.Greater(t, 0, len(holder.Load().Replicas))
+	_ = read
+}
+
+func TestOwnReplicasAreCoded(t *testing.T) {
+	message := ownReplicas{to: view.Version{Term: 2, Revision: 9}, shares: shares{"chat": 6}, replicas: []*api.Replica{listedReplica(3, true).Replica}}
+	got, err := decodeOwnReplicas(encodeOwnReplicas(message))
+	must.NoError(t, err)
+	must.Eq(t, message, got)
+	encoder := frame.NewEncoder(nil)
+	encodeShares(encoder, shares{"chat": 64})
+	decodeShares(frame.NewDecoder(encoder.Data()))
+	_, err = decodeOwnReplicas(append(encodeOwnReplicas(message), 0))
+	must.Error(t, err)
+}
+
+// What an answer names beyond the daemon's own replicas comes with it.
+func TestAnswersBringTheReplicasThatTheyName(t *testing.T) {
+	reply := placeReply{requestID: 4, found: true, named: []*api.Replica{listedReplica(3, false).Replica}}
+	got, err := decodePlaceReply(encodePlaceReply(reply))
+	must.NoError(t, err)
+	must.Eq(t, reply, got)
+
+	group := newFakeGroup()
+	server, _ := startServer(t, group)
+	group.list(0, 1000, false)
+	s := &subscriber{server: server, partial: true, key: daemonKey{daemon: "proxy-1"}}
+	named := 0
+	for number := range 1000 {
+		name := fmt.Sprintf("r-%05d", number)
+		beyond := s.namedBeyond("", name, "", "unknown")
+		must.Eq(t, !subset.ShareOf(1000, 0).Includes("proxy-1", name), len(beyond) == 1, must.Sprint(name))
+		named += len(beyond)
+	}
+	must.Between(t, 500, named, 950)
+	must.SliceEmpty(t, (&subscriber{server: server}).namedBeyond("", "r-00001"))
+}
+
+func TestNamedReplicasAreKeptForAWhile(t *testing.T) {
+	var kept named
+	for number := range 2 * maxNamed {
+		kept.add([]*api.Replica{listedReplica(number, false).Replica})
+	}
+	must.NotNil(t, kept.find(fmt.Sprintf("r-%05d", maxNamed)))
+	must.NotNil(t, kept.find(fmt.Sprintf("r-%05d", 2*maxNamed-1)))
+	for number := 2 * maxNamed; number < 3*maxNamed; number++ {
+		kept.add([]*api.Replica{listedReplica(number, false).Replica})
+	}
+	must.Nil(t, kept.find("r-00000"))
+}
+
+func countingDial(read *atomic.Int64) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return countingConn{conn, read}, nil
+	}
+}
--- a/connection/feed/placement.go
+++ b/connection/feed/placement.go
@@ -6,6 +6,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/frame"
 	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/pkg/errors"
 )
 
@@ -138,6 +139,8 @@
 	requestID uint64
 	found     bool
 	answer    placement.Answer
+	// named are the replicas of the answer that a partial subscription does not bring.
+	named []*api.Replica
 }
 
 func encodePlaceReply(message placeReply) []byte {
@@ -145,6 +148,10 @@
 	encoder.Uint64(message.requestID)
 	encoder.Bool(message.found)
 	encodeAnswer(encoder, &message.answer)
+	encoder.Uint32(uint32(len(message.named)))
+	for _, replica := range message.named {
+		encodeReplica(encoder, replica)
+	}
 	return encoder.Data()
 }
 
@@ -165,6 +172,10 @@
 func decodePlaceReply(data []byte) (placeReply, error) {
 	decoder := frame.NewDecoder(data)
 	message := placeReply{requestID: decoder.Uint64(), found: decoder.Bool(), answer: decodeAnswer(decoder)}
+	count := decoder.Count(replicaSize)
+	for i := 0; i < count && decoder.Err() == nil; i++ {
+		message.named = append(message.named, decodeReplica(decoder))
+	}
 	return message, decoder.Finish()
 }
 
@@ -222,6 +233,7 @@
 		if reply.code != replyDone {
 			return placement.Answer{}, ErrNotPlaced
 		}
+		c.named.add(reply.named)
 		return reply.placed, nil
 	case <-ctx.Done():
 		current.missed()
@@ -264,6 +276,7 @@
 	reply := placeReply{requestID: requestID}
 	if s.standby || s.server.config.Group.Leadership().Leads {
 		reply.answer, reply.found = s.server.config.Group.Place(s.originOf(request.Origin), request)
+		reply.named = s.namedBeyond(request.Origin, reply.answer.Generator, reply.answer.Reader, reply.answer.Fetch)
 	}
 	s.answer(kindPlaceReply, encodePlaceReply(reply))
 }
--- a/connection/feed/placementrelay.go
+++ b/connection/feed/placementrelay.go
@@ -94,6 +94,17 @@
 	return r.views.Load().Version
 }
 
+// View returns this daemon's own view.
+func (r *PlacementRelay) View() *view.View { return r.views.Load() }
+
+// Listed returns the replica of the name, where this daemon follows it or was told of it.
+func (r *PlacementRelay) Listed(name string) *api.Replica {
+	if listed := r.views.Load().Replicas[name]; listed != nil {
+		return listed
+	}
+	return r.client.Listed(name)
+}
+
 // Leadership says that this daemon does not lead.
 func (r *PlacementRelay) Leadership() Leadership { return Leadership{} }
 
--- a/connection/feed/server.go
+++ b/connection/feed/server.go
@@ -36,8 +36,9 @@
 	// Lease returns the term that the member leads, and false unless it leads
 	// and its leader lease is valid by a clock read after the call began.
 	Lease(ctx context.Context) (term uint64, valid bool)
-	// Version returns the version last applied, DeltaSince what leads to it;
+	// View returns the view last applied, and Version its version; DeltaSince what leads to it;
 	// false when there is nothing to send.
+	View() *view.View
 	Version() view.Version
 	DeltaSince(from view.Version) (view.Delta, bool)
 	// Claim and RecordOutcome commit. ErrNoQuorum says that nothing was
@@ -153,6 +154,7 @@
 	count    atomic.Int64
 	registry atomic.Pointer[registry]
 	cache    deltaCache
+	partial  partialViews
 	bulk     chan struct{} // one for each large delta on its way
 	woken    chan struct{}
 	context  context.Context
--- a/connection/feed/session.go
+++ b/connection/feed/session.go
@@ -41,6 +41,7 @@
 	result api.ClaimResult
 	placed placement.Answer
 	grant  quota.Grant
+	named  []*api.Replica
 }
 
 // queueLength bounds the frames that wait for the connection.
@@ -82,6 +83,8 @@
 	address string
 	// standby is set for a session that is used for placements alone.
 	standby bool
+	// own are the replicas of the whole view that comes next, on a partial subscription.
+	own *ownReplicas
 	// unanswered counts the placements that were waited for in vain since the
 	// last frame.
 	unanswered atomic.Int32
@@ -165,6 +168,10 @@
 		instance: s.client.instance,
 		zone:     config.Zone,
 		standby:  s.standby,
+		partial:  config.Partial,
+	}
+	if held := s.client.shares.Load(); held != nil {
+		opening.shares = *held
 	}
 	if !s.standby {
 		opening.version = s.client.views.Load().Version
@@ -243,6 +250,8 @@
 	switch received.Kind {
 	case kindDelta:
 		return s.receiveDelta(received.Payload)
+	case kindOwnReplicas:
+		return s.receiveOwnReplicas(received.Payload)
 	case kindGrant:
 		return s.receiveGrant(received.Payload)
 	case kindAlive:
@@ -273,7 +282,7 @@
 		if message.found {
 			code = replyDone
 		}
-		return message.requestID, reply{code: code, placed: message.answer}, err
+		return message.requestID, reply{code: code, placed: message.answer, named: message.named}, err
 	case kindChargeReply:
 		message, err := decodeChargeReply(received.Payload)
 		code := replyRefused
@@ -292,6 +301,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.addOwn(&delta); err != nil {
+		return err
+	}
 	if err := s.client.views.Apply(delta); err != nil {
 		return err
 	}
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -35,6 +35,11 @@
 	// standby is set for a subscription that gets placements alone; it is
 	// written before the subscription is open.
 	standby bool
+	// partial is set for a subscription that brings the daemon's own subset of the replicas;
+	// shares is which part of them it has been sent. Written before the subscription is open,
+	// then by the writer alone.
+	partial bool
+	shares  shares
 
 	lock   sync.Mutex
 	opened bool
@@ -127,6 +132,7 @@
 		return err
 	}
 	s.standby = opening.standby
+	s.partial, s.shares = opening.partial, opening.shares
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.key = daemonKey{daemon: opening.daemon, instance: opening.instance}
@@ -365,6 +371,9 @@
 }
 
 func (s *subscriber) writeDelta(ctx context.Context, writer *frame.Writer, sent view.Version) error {
+	if s.partial {
+		return s.writePartial(ctx, writer, sent)
+	}
 	payload, to, err := s.deltaSince(sent)
 	if err != nil || payload == nil {
 		return err
@@ -379,6 +388,11 @@
 		}
 		s.sendBulk(to)
 	}
+	return s.writeVersion(writer, payload, to)
+}
+
+// writeVersion writes a delta and notes to which version it leads.
+func (s *subscriber) writeVersion(writer *frame.Writer, payload []byte, to view.Version) error {
 	if err := writer.WriteFrame(kindDelta, payload); err != nil {
 		return err
 	}
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -95,6 +95,9 @@
 // Version returns the version last applied.
 func (g *group) Version() view.Version { return g.machine.view().Version }
 
+// View returns the view last applied.
+func (g *group) View() *view.View { return g.machine.view() }
+
 // DeltaSince returns what leads from a version to the one last applied.
 func (g *group) DeltaSince(from view.Version) (view.Delta, bool) {
 	return g.machine.history.Load().DeltaSince(from)
--- a/process/ingress/fleet.go
+++ b/process/ingress/fleet.go
@@ -2,80 +2,75 @@
 
 import (
 	"cmp"
-	"reflect"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/request/holdoff"
 	"github.com/landingtrail/landingtrail/version/api"
 )
 
-const (
-	// subsetSize bounds the replicas of a service among which a proxy chooses by itself. Each
-	// proxy has other ones, so that all are chosen as often, and keeps connections to those.
-	subsetSize = 128
-	// subsetAge is how long a subset is used while the list changes; what leaves, leaves the
-	// subset at once.
-	subsetAge = time.Second
-	// unusedFor is how long what is known of a replica is kept after its last request.
-	unusedFor = 5 * time.Minute
-)
+// unusedFor is how long what is known of a replica is kept after its last request.
+const unusedFor = 5 * time.Minute
 
-// listing is what the view lists: the replicas of all services by name.
+// listing is what the view lists of all services, by name: all replicas of a small service,
+// and this proxy's subset of a large one's.
 type listing map[string]*api.Replica
 
-// isSame reports whether both are the same map: views share those that no change has touched.
-func (l listing) isSame(other listing) bool {
-	return reflect.ValueOf(l).Pointer() == reflect.ValueOf(other).Pointer()
-}
-
 // fleet is the replicas of one service as this proxy knows them. Of a listed replica nothing
 // is kept before it is first used: what a proxy holds, and what a change of the list costs it,
 // grows with what it uses and not with the service.
 type fleet struct {
 	service string
-	proxy   string
 	pool    *exchange.Pool
 	asks    *holdoff.Table
+	// named returns replicas beyond those listed that answers have named.
+	named func(name string) *api.Replica
 
 	lock   sync.Mutex
 	listed listing
 	known  map[string]*replica // those in use
-	// subset is what this proxy chooses from by itself, by name, of the listing at subsetOf.
-	subset   []*replica
-	subsetOf listing
-	subsetAt time.Duration
+	// choosable are all that are listed of the service, by name; nil until they are asked for.
+	choosable []*replica
+}
+
+func newFleet(service string, pool *exchange.Pool, asks *holdoff.Table, named func(name string) *api.Replica) *fleet {
+	if named == nil {
+		named = func(string) *api.Replica { return nil }
+	}
+	return &fleet{service: service, pool: pool, asks: asks, named: named, known: map[string]*replica{}}
 }
 
-func newFleet(service, proxy string, pool *exchange.Pool, asks *holdoff.Table) *fleet {
-	return &fleet{service: service, proxy: proxy, pool: pool, asks: asks, known: map[string]*replica{}}
+// entry returns what is listed of a replica, or was named; nil where neither is. The lock is
+// held.
+func (f *fleet) entry(name string) *api.Replica {
+	entry := f.listed[name]
+	if entry == nil {
+		entry = f.named(name)
+	}
+	if entry == nil || entry.Spec.Service != f.service {
+		return nil
+	}
+	return entry
 }
 
 // follow takes in a newer listing; a replica whose entry has changed keeps what is known of it.
 func (f *fleet) follow(listed listing, now time.Duration) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	f.listed = listed
+	f.listed, f.choosable = listed, nil
 	for name, known := range f.known {
-		entry := listed[name]
+		entry := f.entry(name)
 		switch {
-		case entry == nil || entry.Spec.Service != f.service:
+		case entry == nil:
 			f.drop(known)
-		case !isSameProcess(known.listed(), &entry.Spec):
-			f.drop(known)
-			f.use(entry, now)
 		case known.isUnused(now) && !f.pool.Idle(entry.Spec.Address):
 			delete(f.known, name)
 		default:
-			f.asks.Follow(name, processOf(entry), now)
-			known.entry.Store(&entry.Spec)
+			f.use(entry, now)
 		}
 	}
-	// Those who choose now hold the subset as it was.
-	f.subset = slices.DeleteFunc(slices.Clone(f.subset), func(r *replica) bool { return f.known[r.name] != r })
 }
 
 // drop forgets a replica that is gone; the lock is held.
@@ -84,15 +79,22 @@
 	delete(f.known, gone.name)
 }
 
-// use begins to keep what is known of a listed replica; the lock is held.
+// use takes in the entry of a replica, and keeps what is known of it unless it is another
+// process. The lock is held.
 func (f *fleet) use(entry *api.Replica, now time.Duration) *replica {
-	if known := f.known[entry.Name]; known != nil {
-		return known
+	known := f.known[entry.Name]
+	if known != nil && !isSameProcess(known.listed(), &entry.Spec) {
+		f.drop(known)
+		known = nil
 	}
-	made := newReplica(entry.Name, entry.Spec, f.asks.Follow(entry.Name, processOf(entry), now))
-	made.usedAt = now
-	f.known[entry.Name] = made
-	return made
+	asks := f.asks.Follow(entry.Name, processOf(entry), now)
+	if known == nil {
+		known = newReplica(entry.Name, entry.Spec, asks)
+		known.usedAt = now
+		f.known[entry.Name] = known
+	}
+	known.entry.Store(&entry.Spec)
+	return known
 }
 
 func processOf(entry *api.Replica) holdoff.Process {
@@ -105,15 +107,15 @@
 	return before.Address == now.Address && !now.IsAnotherProcess(before)
 }
 
-// find returns the listed replica of the name, or nil.
+// find returns the replica of the name, if it is listed or was named, or nil.
 func (f *fleet) find(name string, now time.Duration) *replica {
 	if name == "" {
 		return nil
 	}
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	entry := f.listed[name]
-	if entry == nil || entry.Spec.Service != f.service {
+	entry := f.entry(name)
+	if entry == nil {
 		return nil
 	}
 	return f.use(entry, now)
@@ -143,40 +145,18 @@
 	}
 }
 
-// choices returns the replicas that this proxy chooses from by itself, by name: all of a
-// small service, and of a large one a part that is drawn for it.
+// choices returns the replicas that this proxy chooses from by itself, by name.
 func (f *fleet) choices(now time.Duration) []*replica {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	isOld := now-f.subsetAt >= subsetAge || len(f.subset) < subsetSize
-	if f.subsetOf == nil || isOld && !f.subsetOf.isSame(f.listed) {
-		f.subset, f.subsetOf, f.subsetAt = f.draw(now), f.listed, now
+	if f.choosable != nil {
+		return f.choosable
 	}
-	return f.subset
-}
-
-// draw returns those replicas of the service that rank highest for this proxy. The rank is a
-// hash of both names, so that few change when replicas come and go, and each replica is in as
-// many subsets as any other. The lock is held.
-func (f *fleet) draw(now time.Duration) []*replica {
-	type ranked struct {
-		entry *api.Replica
-		rank  uint64
-	}
-	var entries []ranked
 	for _, entry := range f.listed {
 		if entry.Spec.Service == f.service {
-			entries = append(entries, ranked{entry, xxhash.Sum64String(f.proxy + "/" + entry.Name)})
+			f.choosable = append(f.choosable, f.use(entry, now))
 		}
 	}
-	if len(entries) > subsetSize {
-		slices.SortFunc(entries, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
-		entries = entries[:subsetSize]
-	}
-	subset := make([]*replica, 0, len(entries))
-	for _, drawn := range entries {
-		subset = append(subset, f.use(drawn.entry, now))
-	}
-	slices.SortFunc(subset, func(a, b *replica) int { return cmp.Compare(a.name, b.name) })
-	return subset
+	slices.SortFunc(f.choosable, func(a, b *replica) int { return cmp.Compare(a.name, b.name) })
+	return f.choosable
 }
--- a/process/ingress/lane.go
+++ b/process/ingress/lane.go
@@ -10,6 +10,7 @@
 	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/request/holdoff"
 	"github.com/landingtrail/landingtrail/request/retry"
+	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/view"
 )
 
@@ -29,6 +30,9 @@
 	config Config
 	clock  func() time.Duration
 	asks   *holdoff.Table
+	// named returns replicas that the group has named beyond those that the view lists; nil
+	// where there are none.
+	named func(name string) *api.Replica
 	// proxies is among how many what all proxies share is divided.
 	proxies atomic.Int64
 
@@ -60,7 +64,7 @@
 		service: service,
 		pool:    pool,
 		clock:   l.clock,
-		fleet:   newFleet(service, l.config.Name, pool, l.asks),
+		fleet:   newFleet(service, pool, l.asks, l.named),
 		budget:  retry.NewWindow(shareMargin*l.config.Retry.Share, l.config.Retry.Reserve, l.config.Retry.Window),
 	}
 	opened.budget.HoldReserve(l.config.Retry.Settle)
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -56,6 +56,7 @@
 		Served:         func() { signal(served) },
 		Resumed:        func() { signal(resumed) },
 		Standby:        true,
+		Partial:        true,
 		StandbyRelays:  func() []string { return made.relays(holder.Load()) },
 		BeatInterval:   beatInterval,
 		SilenceTimeout: silenceTimeout,
@@ -68,6 +69,7 @@
 		return errors.Wrap(err, "ingress: follow the control group")
 	}
 	defer client.Close()
+	made.lanes.named = client.Listed
 	made.placer = client
 	made.charger = client
 	made.confirmer = holder
--- a/process/relay/group.go
+++ b/process/relay/group.go
@@ -51,6 +51,9 @@
 // Version returns the version held.
 func (g *group) Version() view.Version { return g.relay.History().View.Version }
 
+// View returns the view held.
+func (g *group) View() *view.View { return g.relay.History().View }
+
 // DeltaSince returns what leads from a version to the one held.
 func (g *group) DeltaSince(from view.Version) (view.Delta, bool) {
 	return g.relay.History().DeltaSince(from)
--- a/process/relay/group_test.go
+++ b/process/relay/group_test.go
@@ -63,6 +63,12 @@
 	return g.machine.Version()
 }
 
+func (g *leaderGroup) View() *view.View {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.machine.History().View
+}
+
 func (g *leaderGroup) DeltaSince(from view.Version) (view.Delta, bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
--- /dev/null
+++ b/version/subset/share_test.go
@@ -0,0 +1,45 @@
+package subset_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/landingtrail/landingtrail/version/subset"
+	"github.com/shoenig/test/must"
+)
+
+// What a daemon follows does not grow with the group, and all of it is followed.
+func TestSharesOfAnySize(t *testing.T) {
+	for _, size := range []int{0, 1, 166, 255, 256, 1_000, 9_695, 50_000} {
+		share := subset.ShareOf(size, 0)
+		must.LessEq(t, 255, size>>share, must.Sprint(size))
+		must.True(t, share == 0 || size>>share >= 128, must.Sprint(size))
+		if size < 256 {
+			must.Eq(t, 0, share, must.Sprint("all of a small group"))
+		}
+	}
+	share := subset.ShareOf(9_695, 0)
+	followed := map[string]int{}
+	for d := range 400 {
+		own := 0
+		for e := range 9_695 {
+			if name := fmt.Sprint("replica-", e); share.Includes(fmt.Sprint("proxy-", d), name) {
+				own++
+				followed[name]++
+			}
+		}
+		must.Between(t, 90, own, 220)
+	}
+	must.Greater(t, 9_600, len(followed))
+}
+
+// A size that moves around a border changes nothing.
+func TestSharesAreKept(t *testing.T) {
+	share := subset.ShareOf(300, 0)
+	must.Eq(t, 1, share)
+	for _, size := range []int{250, 300, 200, 600} {
+		must.Eq(t, share, subset.ShareOf(size, share), must.Sprint(size))
+	}
+	must.Eq(t, 0, subset.ShareOf(100, share))
+	must.Eq(t, 2, subset.ShareOf(700, share))
+}
