--- a/process/control/duties.go
+++ b/process/control/duties.go
@@ -62,9 +62,11 @@
 	warmed     bool
 	hadIngress bool
 	background sync.WaitGroup
-	roles      roleDuty
-	usage      usageDuty
-	capacity   capacityDuty
+	// comparedList is what tendFleet last found equal. Only the loop uses it.
+	comparedList comparedList
+	roles        roleDuty
+	usage        usageDuty
+	capacity     capacityDuty
 	// orders ends with the leadership, by endOrders.
 	orders    context.Context
 	endOrders context.CancelFunc
--- a/process/control/fleet.go
+++ b/process/control/fleet.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/go-kit/log"
@@ -49,6 +51,7 @@
 	// listed holds the replicas of the last list and those that were missed
 	// fewer times than missesToRemove; nil while no list was read.
 	listed map[string]listedReplica
+	reads  uint64 // lists that were read in this leadership
 	failed bool
 	// foreign counts the entries of the last list that name no replica, by what is wrong.
 	foreign map[string]int
@@ -74,7 +77,7 @@
 	}
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	f.listed, f.failed, f.foreign = nil, false, nil
+	f.listed, f.reads, f.failed, f.foreign = nil, 0, false, nil
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	f.done.Go(func() { f.run(ctx, changed) })
@@ -128,6 +131,7 @@
 	f.failed = false
 	f.noteForeign(list.Foreign)
 	f.listed = mergeList(f.listed, replicas)
+	f.reads++
 	return true
 }
 
@@ -160,11 +164,11 @@
 	return next
 }
 
-// replicas returns what is listed, and false while no list was read.
-func (f *fleetReader) replicas() (map[string]listedReplica, bool) {
+// replicas returns what is listed, and how many lists were read so far.
+func (f *fleetReader) replicas() (listed map[string]listedReplica, reads uint64) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	return f.listed, f.listed != nil
+	return f.listed, f.reads
 }
 
 // tendFleet commits what differs between the fleet as it is seen and as it is
@@ -175,8 +179,13 @@
 	}
 	current := d.group.machine.view()
 	var seen state.Observe
-	if listed, read := d.fleet.replicas(); read {
+	listed, reads := d.fleet.replicas()
+	compared := comparedWith(reads, current)
+	if reads > 0 && compared != term.comparedList {
 		diffReplicas(&seen, current, listed)
+		if len(seen.Put)+len(seen.Removed) == 0 {
+			term.comparedList = compared
+		}
 	}
 	now := monotonic()
 	silence := d.group.config.Durations.ProxySilence
@@ -188,7 +197,18 @@
 		return
 	}
 	_, err := d.group.propose(ctx, state.Command{Kind: state.CommandObserve, Observe: &seen})
-	event.FleetChanged.Log(d.logger, "put", fmt.Sprint(keysOf(seen.Put)), "removed", fmt.Sprint(seen.Removed), "err", err)
+	event.FleetChanged.Log(d.logger, "put", keysText(keysOf(seen.Put)), "removed", keysText(seen.Removed), "err", err)
+}
+
+// maxLoggedKeys bounds the objects that one log line names.
+const maxLoggedKeys = 32
+
+// keysText names the first of the keys, and how many more there are.
+func keysText(keys []api.Key) string {
+	if len(keys) <= maxLoggedKeys {
+		return fmt.Sprint(keys)
+	}
+	return fmt.Sprintf("%v and %d more", keys[:maxLoggedKeys], len(keys)-maxLoggedKeys)
 }
 
 func keysOf(objects []api.Object) []api.Key {
@@ -200,20 +220,40 @@
 	return keys
 }
 
+// diffReplicas adds what differs between the list and the view, by name.
 func diffReplicas(seen *state.Observe, current *view.View, listed map[string]listedReplica) {
-	for _, name := range slices.Sorted(maps.Keys(listed)) {
-		replica := listed[name].replica
+	var put []api.Object
+	for name, entry := range listed {
+		replica := entry.replica
 		if recorded := current.Replicas[name]; recorded != nil && equalReplica(&recorded.Spec, &replica.Spec) {
 			continue
 		}
 		replica.Metadata = api.Metadata{Name: name}
-		seen.Put = append(seen.Put, api.Object{Replica: &replica})
+		put = append(put, api.Object{Replica: &replica})
 	}
-	for _, name := range slices.Sorted(maps.Keys(current.Replicas)) {
+	slices.SortFunc(put, func(a, b api.Object) int { return strings.Compare(a.Replica.Name, b.Replica.Name) })
+	var removed []api.Key
+	for name := range current.Replicas {
 		if _, found := listed[name]; !found {
-			seen.Removed = append(seen.Removed, api.Key{Kind: api.KindReplica, Name: name})
+			removed = append(removed, api.Key{Kind: api.KindReplica, Name: name})
 		}
 	}
+	slices.SortFunc(removed, func(a, b api.Key) int { return strings.Compare(a.Name, b.Name) })
+	seen.Put = append(seen.Put, put...)
+	seen.Removed = append(seen.Removed, removed...)
+}
+
+// comparedList remembers which list and which replicas of the view were found to be equal, so
+// that rounds in which neither has changed cost nothing, however many replicas there are.
+type comparedList struct {
+	reads    uint64
+	replicas uintptr
+}
+
+// comparedWith names the list that was read so many times and the view's replicas. Views
+// share the map of replicas until one changes.
+func comparedWith(reads uint64, current *view.View) comparedList {
+	return comparedList{reads: reads, replicas: reflect.ValueOf(current.Replicas).Pointer()}
 }
 
 func equalReplica(a, b *api.ReplicaSpec) bool {
--- a/process/control/history_test.go
+++ b/process/control/history_test.go
@@ -13,6 +13,7 @@
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/process/replica"
 	"github.com/landingtrail/landingtrail/process/wal/faultfs"
+	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/shoenig/test/must"
@@ -114,6 +115,7 @@
 		machine: machine,
 		config:  Config{Durations: Durations{Proposal: 700 * time.Millisecond}}.WithDefaults(),
 		demand:  newDemandTable(time.Now()),
+		quotas:  newQuotaDesk(quota.Rule{}),
 		metrics: newMetrics(),
 	})
 }
--- a/process/control/membership_test.go
+++ b/process/control/membership_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/process/replica"
+	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/shoenig/test/must"
 )
@@ -176,6 +177,7 @@
 	g := &group{
 		machine: newMachine(),
 		config:  Config{Durations: testDurations}.WithDefaults(),
+		quotas:  newQuotaDesk(quota.Rule{}),
 		metrics: newMetrics(),
 	}
 	started, err := replica.Start(replica.Config{
--- a/process/control/scaling.go
+++ b/process/control/scaling.go
@@ -95,9 +95,9 @@
 	}
 	term.capacity.next = now + capacityPause
 	term.capacity.collect(now)
-	listed, read := d.fleet.replicas()
+	listed, reads := d.fleet.replicas()
 	held := d.group.machine.view().Ingresses[api.IngressName]
-	if !read || held == nil {
+	if reads == 0 || held == nil {
 		return
 	}
 	var seen state.Observe
--- a/process/control/warm.go
+++ b/process/control/warm.go
@@ -7,6 +7,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -27,6 +28,12 @@
 	// answer within some 50 ms then, and a question takes one descriptor.
 	warmTimeout = time.Second
 	warmAtOnce  = 64
+	// warmBurst is how many replicas are asked as fast as they answer; of more the rest is
+	// asked one each warmPace, since a leader that has just begun has no time for thousands
+	// of questions beside its proxies'. What a replica keeps that nobody has asked is learnt
+	// from its requests.
+	warmBurst = 256
+	warmPace  = 20 * time.Millisecond
 	// freshProcess is how long after its start a member is taken for one of a group that
 	// was stopped as a whole: then no proxy remembers anything, and none is waited for.
 	// Until the answers are in, prompts would be read again that replicas keep.
@@ -59,14 +66,17 @@
 	if len(cold) == 0 {
 		return
 	}
-	term.background.Go(func() { d.askKept(ctx, current, cold) })
+	term.background.Go(func() { d.askKept(term.orders, current, cold) })
 }
 
 // askKept asks the replicas, warmAtOnce at a time.
 func (d *duties) askKept(ctx context.Context, current *view.View, cold []string) {
 	var asking sync.WaitGroup
 	places := make(chan struct{}, warmAtOnce)
-	for _, name := range cold {
+	for i, name := range cold {
+		if i >= warmBurst && !pause.For(ctx, warmPace) {
+			break
+		}
 		places <- struct{}{}
 		asking.Go(func() {
 			defer func() { <-places }()
