Loads of four figures are read, and slow machines chosen last

Cause: some services' replicas tell a fourth figure in their load, how long work takes there now; a load of other than three figures was taken for none, so that nothing that these replicas told was heard.

Change: it is read, 1 standing for as usual; plain replicas, and model replicas where a proxy chooses by itself, are compared by it.

--- a/process/ingress/pick.go
+++ b/process/ingress/pick.go
@@ -68,7 +68,8 @@
 
 func (r *replica) plainCost(zone string, now time.Duration) time.Duration {
 	seen := r.occupancy(now)
-	cost := time.Duration(seen.requests)*plainCost + time.Duration(seen.failureRate*float64(failureCost))
+	work := time.Duration(seen.requests+1) * plainCost // with the one that is to be placed
+	cost := time.Duration(seen.slowdown*float64(work)) + time.Duration(seen.failureRate*float64(failureCost))
 	if seen.slots > 0 && seen.requests >= seen.slots {
 		cost += fullCost
 	}
@@ -129,7 +130,7 @@
 	}
 	uncached := max(call.Work.PromptTokens-cached, 0)
 	cost := time.Duration(seen.requests) * requestCost
-	cost += time.Duration(seen.waitingTokens+uncached) * pace
+	cost += time.Duration(seen.slowdown * float64(time.Duration(seen.waitingTokens+uncached)*pace))
 	cost += time.Duration(seen.failureRate * float64(failureCost))
 	if seen.slots > 0 && seen.requests >= seen.slots {
 		cost += fullCost
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -188,6 +188,7 @@
 	requests      int // running and waiting there, own and others'
 	waitingTokens int // own prompt tokens that are not read yet
 	slots         int
+	slowdown      float64 // how many times as long as usual work takes
 	failureRate   float64
 	suspect       bool
 }
@@ -197,9 +198,12 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	told := now-r.loadAt < loadMemory && r.loadAt > 0
-	result := occupancy{slots: r.listed().Slots, failureRate: r.failureRate, suspect: now < r.suspectTill}
+	result := occupancy{slots: r.listed().Slots, slowdown: 1, failureRate: r.failureRate, suspect: now < r.suspectTill}
 	if told {
 		result.requests = r.load.Running + r.load.Waiting
+		if r.load.Slowdown > 0 {
+			result.slowdown = r.load.Slowdown
+		}
 		if r.load.Slots > 0 {
 			result.slots = r.load.Slots
 		}
--- a/process/ingress/replica_test.go
+++ b/process/ingress/replica_test.go
@@ -30,3 +30,15 @@
 	}
 	must.False(t, r.isSuspect(firstSuspicion))
 }
+
+// Where the machine of a replica is slow for the time being, its work is worth more elsewhere.
+func TestSlowReplicasAreChosenLast(t *testing.T) {
+	slow, busy := newReplica("slow", api.ReplicaSpec{}, &holdoff.Replica{}), newReplica("busy", api.ReplicaSpec{}, &holdoff.Replica{})
+	now := time.Minute
+	slow.hear(&Load{Slowdown: 3}, now)
+	busy.hear(&Load{Running: 1, Slowdown: 1}, now)
+	must.Greater(t, busy.plainCost("", now), slow.plainCost("", now))
+	slow.hear(&Load{Slowdown: 1}, now)
+	must.Less(t, busy.plainCost("", now), slow.plainCost("", now))
+	must.Eq(t, 1, newReplica("mute", api.ReplicaSpec{}, &holdoff.Replica{}).occupancy(now).slowdown)
+}
--- a/process/ingress/types.go
+++ b/process/ingress/types.go
@@ -124,6 +124,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown is how many times as long as usual work takes there now, since others use the
+	// same machine; 1 is as usual, and 0 says nothing.
+	Slowdown float64
 }
 
 // Dialect reads and writes the header fields of one protocol.
