Feed: a thousand daemons that come at once

It listed and sorted all objects for each daemon that came, only to learn that a whole view was due; it told each daemon of the coming of each other one (230 changes of the view in the first seconds, each sent to all); and all of them at once kept it from its heartbeats.

Change: that a whole view is due is known without making one; names are hashed once for all daemons; a delta without replicas is encoded once; which other daemons there are waits for a daemon's next beat; proxies are looked at every 100 ms at most, so that those that come together are one change; 16 subscriptions begin at once.

--- a/connection/feed/partial.go
+++ b/connection/feed/partial.go
@@ -52,10 +52,20 @@
 	shares  shares
 	// full is a whole view without its replicas, which are listed beside it.
 	full   encodedDelta
-	listed []*api.Replica
+	listed []hashedReplica
 	fullAt time.Duration
-	// latest is the last delta that anybody was sent.
-	latest view.Delta
+	// wholeFrom is the highest revision of which it was seen that no delta leads on from it.
+	wholeFrom uint64
+	// latest is the last delta that anybody was sent, and payload its encoding, nil before it is
+	// needed.
+	latest  view.Delta
+	payload []byte
+}
+
+// hashedReplica is a replica with the hash of its name, which is compared with each daemon's.
+type hashedReplica struct {
+	replica *api.Replica
+	hash    uint64
 }
 
 // sharesNow returns the shares of the group's view. They are looked at again only where
@@ -67,36 +77,63 @@
 	if p.shares != nil && current.Version.Compare(p.version) <= 0 {
 		return p.shares
 	}
-	delta, found := group.DeltaSince(p.version)
-	if p.shares == nil || !found || delta.Full || touchesReplicas(delta) {
+	if p.shares == nil || p.mayTouchReplicas(group) {
 		p.shares = sharesOf(current.Replicas, p.shares)
 	}
 	p.version = current.Version
 	return p.shares
 }
 
+// mayTouchReplicas reports whether replicas may have changed since shares were looked at.
+func (p *partialViews) mayTouchReplicas(group Group) bool {
+	delta, found := group.DeltaSince(p.version)
+	return !found || delta.Full || touchesReplicas(delta)
+}
+
 func touchesReplicas(delta view.Delta) bool {
 	return slices.ContainsFunc(delta.Objects, func(o api.Object) bool { return o.Replica != nil }) ||
 		slices.ContainsFunc(delta.Removed, func(key api.Key) bool { return key.Kind == api.KindReplica })
 }
 
-// since returns the delta from a version, the same for all who ask from there.
+// since returns the delta from a version, the same for all who ask from there. To make a full
+// one takes the time of all objects, so it is only said to be one.
 func (p *partialViews) since(group Group, from view.Version) (view.Delta, bool) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
+	if from.IsZero() || from.Revision <= p.wholeFrom {
+		return view.Delta{Full: true}, from.Compare(group.Version()) < 0
+	}
 	if !p.latest.To.IsZero() && p.latest.From == from && p.latest.To == group.Version() {
 		return p.latest, true
 	}
 	delta, found := group.DeltaSince(from)
-	if found && !delta.Full {
-		p.latest = delta
+	if found && delta.Full {
+		p.wholeFrom = from.Revision
+	} else if found {
+		p.latest, p.payload = delta, nil
 	}
 	return delta, found
 }
 
+// encode returns the encoding of a delta. Of the latest one it is made once, since most daemons
+// stand at the same version.
+func (p *partialViews) encode(delta view.Delta) ([]byte, error) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	isLatest := delta.From == p.latest.From && delta.To == p.latest.To
+	if isLatest && p.payload != nil {
+		return p.payload, nil
+	}
+	payload, err := encodeDelta(delta)
+	if isLatest && err == nil {
+		p.payload = payload
+	}
+	return payload, err
+}
+
 // whole returns a whole view without its replicas, and these; one that was encoded lately
 // where that is later than from.
-func (p *partialViews) whole(group Group, from view.Version, now time.Duration) (encodedDelta, []*api.Replica, error) {
+func (p *partialViews) whole(group Group, from view.Version, now time.Duration) (encodedDelta, []hashedReplica, error) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	if p.full.payload != nil && now-p.fullAt < fullReuse && p.full.to.Compare(from) > 0 {
@@ -110,7 +147,10 @@
 		return encodedDelta{}, nil, err
 	}
 	p.full, p.fullAt = encodedDelta{to: current.Version, payload: payload}, now
-	p.listed = slices.Collect(maps.Values(current.Replicas))
+	p.listed = make([]hashedReplica, 0, len(current.Replicas))
+	for name, replica := range current.Replicas {
+		p.listed = append(p.listed, hashedReplica{replica, subset.Hash(name)})
+	}
 	return p.full, p.listed, nil
 }
 
@@ -185,9 +225,10 @@
 	return read
 }
 
-// writePartial writes what leads from the version sent last to the one applied now, or
-// nothing where there is no news.
-func (s *subscriber) writePartial(ctx context.Context, writer *frame.Writer, sent view.Version) error {
+// writePartial writes what leads from the version sent last to the one applied now. News that
+// change nothing of how the daemon serves wait for its next beat, with all that comes until
+// then: at a start of a thousand daemons each one's coming would else be told to all others.
+func (s *subscriber) writePartial(ctx context.Context, writer *frame.Writer, sent view.Version, asked bool) error {
 	group := s.server.config.Group
 	now := s.server.partial.sharesNow(group)
 	delta, found := s.server.partial.since(group, sent)
@@ -197,18 +238,30 @@
 	if delta.Full || !maps.Equal(now, s.shares) {
 		return s.writeOwnView(ctx, writer, sent, now)
 	}
-	payload, err := encodeDelta(s.ownPart(delta))
+	isCommon := !touchesReplicas(delta)
+	if !isCommon {
+		delta = s.ownPart(delta)
+	}
+	if !asked && !isUrgent(delta) {
+		return nil
+	}
+	payload, err := s.encodePart(delta, isCommon)
 	if err != nil {
 		return err
 	}
 	return s.writeVersion(writer, payload, delta.To)
 }
 
-// ownPart is what a delta brings to the daemon.
-func (s *subscriber) ownPart(delta view.Delta) view.Delta {
-	if !touchesReplicas(delta) {
-		return delta
+// encodePart encodes a delta, which is the same for all daemons where it is common.
+func (s *subscriber) encodePart(delta view.Delta, isCommon bool) ([]byte, error) {
+	if isCommon {
+		return s.server.partial.encode(delta)
 	}
+	return encodeDelta(delta)
+}
+
+// ownPart is what a delta with replicas brings to the daemon.
+func (s *subscriber) ownPart(delta view.Delta) view.Delta {
 	own := delta
 	own.Objects = slices.DeleteFunc(slices.Clone(delta.Objects), func(o api.Object) bool {
 		return o.Replica != nil && !s.shares.includes(s.key.daemon, o.Replica)
@@ -216,6 +269,12 @@
 	return own
 }
 
+// isUrgent reports whether a delta holds anything but which other daemons there are.
+func isUrgent(delta view.Delta) bool {
+	return slices.ContainsFunc(delta.Objects, func(o api.Object) bool { return o.Proxy == nil }) ||
+		slices.ContainsFunc(delta.Removed, func(key api.Key) bool { return key.Kind != api.KindProxy })
+}
+
 // writeOwnView writes a whole view, later than the version sent, with the daemon's own
 // replicas.
 func (s *subscriber) writeOwnView(ctx context.Context, writer *frame.Writer, sent view.Version, now shares) error {
@@ -224,9 +283,10 @@
 		return err
 	}
 	own := ownReplicas{to: common.to, shares: now}
-	for _, replica := range listed {
-		if now.includes(s.key.daemon, replica) {
-			own.replicas = append(own.replicas, replica)
+	daemon := subset.Hash(s.key.daemon)
+	for _, entry := range listed {
+		if now[entry.replica.Spec.Service].IncludesHash(daemon, entry.hash) {
+			own.replicas = append(own.replicas, entry.replica)
 		}
 	}
 	if len(common.payload) >= bulkPayload {
--- a/connection/feed/server.go
+++ b/connection/feed/server.go
@@ -156,6 +156,7 @@
 	cache    deltaCache
 	partial  partialViews
 	bulk     chan struct{} // one for each large delta on its way
+	entering chan struct{} // one for each subscription that begins
 	woken    chan struct{}
 	context  context.Context
 	cancel   context.CancelFunc
@@ -167,6 +168,7 @@
 	s := &Server{config: config.withDefaults(), listener: listener, woken: make(chan struct{}, 1)}
 	s.latest = newLatestSubscriptions()
 	s.bulk = make(chan struct{}, s.config.MaxBulkDeltas)
+	s.entering = make(chan struct{}, maxEntering)
 	s.context, s.cancel = context.WithCancel(context.Background())
 	for i := range s.shards {
 		s.shards[i].subscribers = map[*subscriber]struct{}{}
@@ -327,6 +329,8 @@
 func (s *Server) serve(conn net.Conn, number uint64) {
 	defer s.count.Add(-1)
 	subscribed := newSubscriber(s, conn, number)
+	subscribed.entered = s.enter()
+	defer subscribed.entered()
 	shard := &s.shards[number%subscriberShards]
 	shard.add(subscribed)
 	err := subscribed.run(s.context)
@@ -336,6 +340,27 @@
 	}
 }
 
+const (
+	// maxEntering is how many subscriptions begin at once. When a leader is elected all daemons
+	// come to it in one moment; what they ask for first, all at once, would keep it from the
+	// heartbeats of its group until it is leader no more.
+	maxEntering = 16
+	// enterTime is how long one that says nothing holds its place.
+	enterTime = 100 * time.Millisecond
+)
+
+// enter waits for a place among the subscriptions that begin, and returns what gives it back.
+func (s *Server) enter() (leave func()) {
+	select {
+	case s.entering <- struct{}{}:
+	case <-s.context.Done():
+		return func() {}
+	}
+	leave = sync.OnceFunc(func() { <-s.entering })
+	time.AfterFunc(enterTime, leave)
+	return leave
+}
+
 func (s *subscriberShard) add(subscribed *subscriber) {
 	s.Lock()
 	defer s.Unlock()
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -32,6 +32,9 @@
 	slots   chan struct{}
 	calls   sync.WaitGroup
 
+	// entered gives back the place among the subscriptions that begin.
+	entered func()
+
 	// standby is set for a subscription that gets placements alone; it is
 	// written before the subscription is open.
 	standby bool
@@ -57,6 +60,7 @@
 		conn:    conn,
 		number:  number,
 		wake:    make(chan struct{}, 1),
+		entered: func() {},
 		answers: make(chan answer, maxClaims),
 		slots:   make(chan struct{}, maxClaims),
 	}
@@ -328,6 +332,7 @@
 	if !opened {
 		return nil
 	}
+	defer s.entered()
 	leadership := s.server.config.Group.Leadership()
 	if s.standby {
 		return s.writeAlive(ctx, writer, leadership.Address)
@@ -335,7 +340,7 @@
 	if !leadership.Leads {
 		return s.moveOn(ctx, writer, leadership.Address)
 	}
-	if err := s.writeDelta(ctx, writer, sent); err != nil {
+	if err := s.writeDelta(ctx, writer, sent, heard); err != nil {
 		return err
 	}
 	if !heard {
@@ -370,9 +375,11 @@
 	return errNotLeader
 }
 
-func (s *subscriber) writeDelta(ctx context.Context, writer *frame.Writer, sent view.Version) error {
+// writeDelta writes what leads to the version applied now; asked says that the daemon waits
+// for a grant.
+func (s *subscriber) writeDelta(ctx context.Context, writer *frame.Writer, sent view.Version, asked bool) error {
 	if s.partial {
-		return s.writePartial(ctx, writer, sent)
+		return s.writePartial(ctx, writer, sent, asked)
 	}
 	payload, to, err := s.deltaSince(sent)
 	if err != nil || payload == nil {
--- a/process/control/duties.go
+++ b/process/control/duties.go
@@ -64,9 +64,11 @@
 	background sync.WaitGroup
 	// comparedList is what tendFleet last found equal. Only the loop uses it.
 	comparedList comparedList
-	roles        roleDuty
-	usage        usageDuty
-	capacity     capacityDuty
+	// nextProxies is when tendFleet next looks at the proxies. Only the loop uses it.
+	nextProxies time.Duration
+	roles       roleDuty
+	usage       usageDuty
+	capacity    capacityDuty
 	// orders ends with the leadership, by endOrders.
 	orders    context.Context
 	endOrders context.CancelFunc
--- a/process/control/fleet.go
+++ b/process/control/fleet.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/connection/feed"
@@ -171,6 +172,10 @@
 	return f.listed, f.reads
 }
 
+// proxyPause is the least time between two looks at which proxies there are. Proxies that come
+// together are one change then: each of a thousand would else be told to all others.
+const proxyPause = 100 * time.Millisecond
+
 // tendFleet commits what differs between the fleet as it is seen and as it is
 // recorded: the replicas on the list, and the proxies that take requests.
 func (d *duties) tendFleet(ctx context.Context, term *termDuties) {
@@ -187,11 +192,13 @@
 			term.comparedList = compared
 		}
 	}
-	now := monotonic()
-	silence := d.group.config.Durations.ProxySilence
-	heard := d.group.presence.heardSince(now - silence)
-	// Proxies of an earlier leadership get time to find this member.
-	diffProxies(&seen, current, heard, now-term.startedAt >= silence)
+	if now := monotonic(); now >= term.nextProxies {
+		term.nextProxies = now + proxyPause
+		silence := d.group.config.Durations.ProxySilence
+		heard := d.group.presence.heardSince(now - silence)
+		// Proxies of an earlier leadership get time to find this member.
+		diffProxies(&seen, current, heard, now-term.startedAt >= silence)
+	}
 	diffMembers(&seen, current, d.group.machine.members())
 	if len(seen.Put) == 0 && len(seen.Removed) == 0 {
 		return
