Quotas: accounts grant a part of what may be overrun

Cause: requests do not come as evenly as a quota is reckoned, so an account that grants the rate and the burst alone refuses some that were inside.

Change: two fifths of what a window may be overrun by stand in the burst that an account grants; members that stand by have three tenths each.

--- a/process/control/quota.go
+++ b/process/control/quota.go
@@ -17,20 +17,21 @@
 // quotaDesk charges requests to the quotas of tenants: to an account while this member
 // leads, and else to what members keep for proxies that reach no leader.
 type quotaDesk struct {
+	rule    quota.Rule
 	lock    sync.Mutex
 	account *quota.Account // of the term that this member leads, or led last
 	standby *quota.Standby
 }
 
 func newQuotaDesk(rule quota.Rule) *quotaDesk {
-	return &quotaDesk{standby: quota.NewStandby(rule)}
+	return &quotaDesk{rule: rule, standby: quota.NewStandby(rule)}
 }
 
 // begin opens the account of a term.
 func (d *quotaDesk) begin(now time.Duration) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	d.account = quota.NewAccount(now)
+	d.account = quota.NewAccount(d.rule, now)
 }
 
 // opened returns the account, nil before this member has led.
--- a/request/quota/account.go
+++ b/request/quota/account.go
@@ -11,6 +11,7 @@
 // nothing for anybody, whatever an earlier account has granted: so the sum that one account
 // after the other grants in a window stays within the quota. It is safe for concurrent use.
 type Account struct {
+	rule    Rule
 	lock    sync.Mutex
 	since   time.Duration // when it began
 	tenants map[string]*balance
@@ -25,8 +26,8 @@
 }
 
 // NewAccount returns the account of a leader that begins now.
-func NewAccount(now time.Duration) *Account {
-	return &Account{since: now, tenants: map[string]*balance{}}
+func NewAccount(rule Rule, now time.Duration) *Account {
+	return &Account{rule: rule, since: now, tenants: map[string]*balance{}}
 }
 
 // Charge takes the cost of a request off the tenant's balance, or says when it will be
@@ -35,6 +36,7 @@
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	known := a.balance(tenant)
+	limit = a.rule.stretched(limit)
 	known.fill(now, limit)
 	needed := min(cost, limit.Burst)
 	if known.left < needed {
@@ -50,6 +52,7 @@
 func (a *Account) Return(now time.Duration, tenant string, limit api.Quota, cost float64) {
 	a.lock.Lock()
 	defer a.lock.Unlock()
+	limit = a.rule.stretched(limit)
 	known := a.balance(tenant)
 	known.fill(now, limit)
 	known.left = min(known.left+cost, limit.Burst)
@@ -67,6 +70,7 @@
 func (a *Account) Standing(now time.Duration, tenant string, limit api.Quota) Standing {
 	a.lock.Lock()
 	defer a.lock.Unlock()
+	limit = a.rule.stretched(limit)
 	known := a.balance(tenant)
 	known.fill(now, limit)
 	return Standing{Left: known.left, Granted: known.granted, Refused: known.refused}
--- a/request/quota/quota.go
+++ b/request/quota/quota.go
@@ -6,9 +6,10 @@
 // part of what may be run beyond the quota, and of the quota's rate.
 //
 // Invariant: in any window accounts, one after the other, grant no more than the rate brings
-// in it and the burst, and one request more where the burst is smaller than that; and each
-// Standby no more than half of Rule.Overrun. Everything here is in virtual time and does no
-// input or output.
+// in it, the burst and stretchShare of Rule.Overrun, and one request more where that is smaller
+// than the request; and each Standby no more than standbyShare of it. So no window holds more
+// than the rule allows while no more than two members stand by at once. Everything here is in
+// virtual time and does no input or output.
 package quota
 
 import (
@@ -32,6 +33,17 @@
 	return r.Overshoot*(limit.PerSecond*r.Window.Seconds()+limit.Burst) + r.Slack
 }
 
+// stretched is the quota as an account grants it: with a part of the overrun in its burst.
+// Requests do not come as evenly as a quota is reckoned; what is refused for that alone was
+// inside the quota.
+func (r Rule) stretched(limit api.Quota) api.Quota {
+	limit.Burst += stretchShare * r.Overrun(limit)
+	return limit
+}
+
+// stretchShare is the part of the overrun that accounts may grant.
+const stretchShare = 0.4
+
 // Grant answers a charge.
 type Grant struct {
 	// Granted is true where the request may run.
--- a/request/quota/standby.go
+++ b/request/quota/standby.go
@@ -8,8 +8,9 @@
 )
 
 // standbyShare is a member's part of the overrun: proxies that lost their leader ask the same
-// member, so that more than two grant at once only where the members are cut in three.
-const standbyShare = 0.5
+// member, so that more than two grant at once only where the members are cut in three. What
+// accounts leave of the overrun is enough for two.
+const standbyShare = 0.3
 
 // Standby grants charges at a member that does not lead, for proxies that reach no leader. A
 // leader may grant the whole quota meanwhile, so it has a part of the overrun alone. It is
