Placement: generators read where readers are full

Change: it counts 10 ms; what holds streams up beyond their objective still costs a quarter of its time besides.

--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -28,7 +28,7 @@
 	// disturbShare is the part of the gap objective by which reading a prompt
 	// may hold up the streams beside it; beyond, each stream counts disturbCost.
 	disturbShare = 0.45
-	disturbCost  = 60 * time.Millisecond
+	disturbCost  = 10 * time.Millisecond
 	// defaultGap is the gap objective where none is known.
 	defaultGap = 300 * time.Millisecond
 	// strangerTokens is what a request that is not on the board is taken to have
--- a/request/placement/choose_test.go
+++ b/request/placement/choose_test.go
@@ -170,3 +170,22 @@
 	}
 	return usable
 }
+
+// When the mix turns to long prompts, the replicas that read are full while those that make
+// tokens have time: prompts waited a second for a reader beside generators that ran a few
+// short streams each. Where reading at a generator, at half the pace, is sooner, it reads.
+func TestGeneratorsReadWhereReadersAreFull(t *testing.T) {
+	b := NewBoard()
+	b.SetReplicas(testSheet, benchmarkReplicas(12)) // three of them readers
+	for number := range uint64(36) {
+		b.Place(0, key(number), ask("", 0, 100))
+		b.Note(0, key(number), Note{Step: StepStarted})
+	}
+	slowest := time.Duration(0)
+	for number := range uint64(30) {
+		answer := b.Place(0, key(100+number), ask("", 0, 6_000))
+		slowest = max(slowest, answer.Estimate)
+	}
+	const objective = 800 * time.Millisecond // of such prompts
+	must.Less(t, objective, slowest)
+}
