--- a/request/placement/confine.go
+++ b/request/placement/confine.go
@@ -23,6 +23,9 @@
 	alertTime = 10 * time.Second
 	// wardShare is the inverse of the share of generators that may be at risk.
 	wardShare = 3
+	// mostWards bounds them in a large service, where each request that comes during an alert
+	// looks through them.
+	mostWards = 64
 	// wardReturn is how long a lost ward counts as at risk: a replica takes some seconds to
 	// start again.
 	wardReturn = 4 * time.Second
@@ -86,7 +89,7 @@
 	}
 	c.lost = slices.DeleteFunc(c.lost, func(at time.Duration) bool { return now-at >= wardReturn })
 	listed, sound := b.generators(now)
-	most := max(listed/wardShare, 1)
+	most := min(max(listed/wardShare, 1), mostWards)
 	for len(c.wards) > 0 && len(c.wards) >= len(sound) {
 		c.closeOne() // all others have to run somewhere
 	}
