--- a/lab/scale/bench_test.go
+++ b/lab/scale/bench_test.go
@@ -18,8 +18,7 @@
 	"github.com/landingtrail/landingtrail/version/view"
 )
 
-// The benchmarks give the slopes over the number of engines that
-// docs/CAPACITY.md uses beside those of the scale run.
+// The benchmarks give slopes over the number of engines.
 var benchSizes = []int{2_500, 5_000, 10_000}
 
 // benchPort stands in the addresses; nothing listens.
