--- a/process/control/quota_test.go
+++ b/process/control/quota_test.go
@@ -1,13 +1,18 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"net/http"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/shoenig/test/must"
@@ -79,3 +84,75 @@
 	eventually(t, "another leader", client.Connected)
 	must.False(t, g.charge(client, "north", 200).Granted)
 }
+
+// grants keeps what was granted, by when its answer came.
+type grants struct {
+	lock sync.Mutex
+	all  []grantAt
+}
+
+type grantAt struct {
+	at   time.Duration
+	cost float64
+}
+
+func (g *grants) add(cost float64) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.all = append(g.all, grantAt{monotonic(), cost})
+}
+
+// most returns the largest sum of any window.
+func (g *grants) most(window time.Duration) float64 {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	slices.SortFunc(g.all, func(a, b grantAt) int { return cmp.Compare(a.at, b.at) })
+	most, sum, first := 0.0, 0.0, 0
+	for _, granted := range g.all {
+		sum += granted.cost
+		for granted.at-g.all[first].at >= window {
+			sum -= g.all[first].cost
+			first++
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// A tenant that asks four times its quota through several proxies runs no more than the rule
+// allows in any window, through the death of one leader after the other.
+func TestQuotaHoldsThroughTheDeathOfLeaders(t *testing.T) {
+	limit := api.Quota{Unit: api.QuotaTokens, PerSecond: 400, Burst: 200}
+	g := newBounded(t, limit)
+	rule := g.configs[0].Quotas
+	var granted grants
+	var asking sync.WaitGroup
+	ctx, stop := context.WithCancel(t.Context())
+	const cost, proxies = 10.0, 4
+	for i := range proxies {
+		client, _ := g.follow(fmt.Sprint("proxy-", i))
+		asking.Go(func() {
+			for pause.For(ctx, time.Duration(proxies*cost/(4*limit.PerSecond)*float64(time.Second))) {
+				asked, cancel := context.WithTimeout(ctx, 30*time.Millisecond)
+				grant, err := client.Charge(asked, feed.ChargeRequest{Tenant: "north", Cost: cost})
+				cancel()
+				if err == nil && grant.Granted {
+					granted.add(cost)
+				}
+			}
+		})
+	}
+	for range 2 {
+		time.Sleep(2 * time.Second)
+		killed := g.leader()
+		g.crash(killed)
+		eventually(t, "another leader", func() bool { return g.leader() != killed })
+		g.start(killed)
+	}
+	time.Sleep(time.Second)
+	stop()
+	asking.Wait()
+	allowed := limit.PerSecond*rule.Window.Seconds() + limit.Burst + rule.Overrun(limit)
+	must.LessEq(t, allowed, granted.most(rule.Window))
+	must.Positive(t, granted.most(rule.Window))
+}
