--- a/connection/feed/charge.go
+++ b/connection/feed/charge.go
@@ -79,23 +79,11 @@
 	if current == nil {
 		return quota.Grant{}, ErrNotCharged
 	}
-	requestID := c.requestID.Add(1)
-	waiting := current.register(requestID, kindCharge)
-	defer current.unregister(requestID)
-	if !current.enqueue(&outgoing{kind: kindCharge, payload: encodeCharge(requestID, request)}) {
+	answered, ok := current.ask(ctx, kindCharge, func(id uint64) []byte { return encodeCharge(id, request) })
+	if !ok {
 		return quota.Grant{}, ErrNotCharged
 	}
-	select {
-	case reply := <-waiting:
-		if reply.code != replyDone {
-			return quota.Grant{}, ErrNotCharged
-		}
-		return reply.grant, nil
-	case <-ctx.Done():
-		current.missed()
-	case <-current.ended:
-	}
-	return quota.Grant{}, ErrNotCharged
+	return answered.grant, nil
 }
 
 // ReturnCharge gives back what was charged for a request that no replica has run; false when
--- a/connection/feed/placement.go
+++ b/connection/feed/placement.go
@@ -222,24 +222,31 @@
 	if current == nil {
 		return placement.Answer{}, ErrNotPlaced
 	}
-	requestID := c.requestID.Add(1)
-	waiting := current.register(requestID, kindPlace)
-	defer current.unregister(requestID)
-	if !current.enqueue(&outgoing{kind: kindPlace, payload: encodePlace(requestID, request)}) {
+	answered, ok := current.ask(ctx, kindPlace, func(id uint64) []byte { return encodePlace(id, request) })
+	if !ok {
 		return placement.Answer{}, ErrNotPlaced
 	}
+	c.named.add(answered.named)
+	return answered.placed, nil
+}
+
+// ask sends a question that changes nothing that lasts, and returns its answer; false where
+// none comes before ctx ends, or the other side does not decide.
+func (s *session) ask(ctx context.Context, kind frame.Kind, encode func(id uint64) []byte) (reply, bool) {
+	requestID := s.client.requestID.Add(1)
+	waiting := s.register(requestID, kind)
+	defer s.unregister(requestID)
+	if !s.enqueue(&outgoing{kind: kind, payload: encode(requestID)}) {
+		return reply{}, false
+	}
 	select {
-	case reply := <-waiting:
-		if reply.code != replyDone {
-			return placement.Answer{}, ErrNotPlaced
-		}
-		c.named.add(reply.named)
-		return reply.placed, nil
+	case answered := <-waiting:
+		return answered, answered.code == replyDone
 	case <-ctx.Done():
-		current.missed()
-	case <-current.ended:
+		s.missed()
+	case <-s.ended:
 	}
-	return placement.Answer{}, ErrNotPlaced
+	return reply{}, false
 }
 
 // NotePlaced tells the leader how far a placed request has come; false when the
