Placement: generators read beside streams where a request would else be late

Change: each stream counts 60 ms again, and 30 ms for a request that would else be late, if it is in time then.

--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -26,9 +26,11 @@
 	// fullCost keeps requests off replicas without a free place.
 	fullCost = 500 * time.Millisecond
 	// disturbShare is the part of the gap objective by which reading a prompt
-	// may hold up the streams beside it; beyond, each stream counts disturbCost.
+	// may hold up the streams beside it; beyond, each stream counts disturbCost, and
+	// pressedCost for a request that would else be late.
 	disturbShare = 0.45
-	disturbCost  = 10 * time.Millisecond
+	disturbCost  = 60 * time.Millisecond
+	pressedCost  = 30 * time.Millisecond
 	// defaultGap is the gap objective where none is known.
 	defaultGap = 300 * time.Millisecond
 	// strangerTokens is what a request that is not on the board is taken to have
@@ -318,7 +320,11 @@
 	if held <= time.Duration(disturbShare*float64(gap)) {
 		return held / 8
 	}
-	return held/4 + time.Duration(len(generator.running))*disturbCost
+	each := disturbCost
+	if ask.pressed {
+		each = pressedCost
+	}
+	return held/4 + time.Duration(len(generator.running))*each
 }
 
 // generating is what making tokens at a replica costs besides.
--- a/request/placement/order.go
+++ b/request/placement/order.go
@@ -27,7 +27,7 @@
 // chooseInOrder returns the cheapest way to serve the request, and defers or
 // refuses one that would be late.
 func (b *Board) chooseInOrder(now time.Duration, ask *Ask) (option, bool) {
-	chosen, found := b.choose(now, ask)
+	chosen, found := b.choosePressed(now, ask)
 	if !found {
 		return chosen, false
 	}
@@ -47,6 +47,22 @@
 	return chosen, found
 }
 
+// choosePressed returns the cheapest way to serve the request. One that would be late behind
+// full readers is read at a generator with streams where it is in time there.
+func (b *Board) choosePressed(now time.Duration, ask *Ask) (option, bool) {
+	chosen, found := b.choose(now, ask)
+	if !found || !ask.late(chosen.first) {
+		return chosen, found
+	}
+	ask.pressed = true
+	pressed, _ := b.choose(now, ask)
+	ask.pressed = false
+	if ask.late(pressed.first) {
+		return chosen, true
+	}
+	return pressed, true
+}
+
 // givesWay reports whether a request lets those go first that can be in time.
 func (b *Board) givesWay(now time.Duration, ask *Ask, late bool) bool {
 	if ask.surging {
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -78,6 +78,9 @@
 
 	// deferred is true while ways are compared that let all others go first.
 	deferred bool
+	// pressed is true while ways are compared for a request that would be late: streams beside
+	// it count less then.
+	pressed bool
 	// surging is true for what its tenant asks above a few times its usual.
 	surging bool
 	// group is the request's size group once it has a place.
