Quarantine: a new leader tries no request before it has heard of good answers

Cause: a new leader waits for a second, in which proxies tell it ends and good answers in any order, before it holds a request, and did not wait before it began a trial.

Change: one question, hasHeard, is asked before a hold, a settling and a trial. A trial that an earlier leader began goes on.

--- a/process/control/quarantine.go
+++ b/process/control/quarantine.go
@@ -50,8 +50,8 @@
 	// reviewUntil is how long what was heard is still to be looked through: until it has
 	// settled, was watched, and was committed.
 	reviewUntil time.Duration
-	// judgeFrom is from when on a new leader holds requests: proxies tell it first what they
-	// saw, also of those that stood beside.
+	// judgeFrom is from when on a new leader holds or tries requests: proxies tell it first what
+	// they saw, also of those that stood beside and of those that were served.
 	judgeFrom time.Duration
 	// alertTill is until when ends are taken to come in series, by service; alerted is the
 	// latest of them, which is read without the lock.
--- a/process/control/quarantine_review.go
+++ b/process/control/quarantine_review.go
@@ -234,7 +234,7 @@
 		State: api.QuarantineWatched, Service: about.Service, Route: about.Route, Request: about.Request,
 		Replicas: replicas, Weak: weakOf(replicas, d.table.Weak(fingerprint)), Since: d.since(fingerprint, now, wall), Until: wall.Add(watchTime).UnixMilli(),
 	}
-	if d.isToTry(current, fingerprint) {
+	if d.hasHeard(now) && d.isToTry(current, fingerprint) {
 		d.tryOrSettle(&spec, fingerprint, now, wall)
 	}
 	return quarantineObject(fingerprint.String(), spec)
--- a/process/control/quarantine_states.go
+++ b/process/control/quarantine_states.go
@@ -12,7 +12,7 @@
 // advance takes an entry to the state that is due by what is known.
 func (d *quarantineDesk) advance(spec *api.QuarantineSpec, fingerprint quarantine.Fingerprint, current *view.View, now time.Duration, wall time.Time) {
 	standing := d.table.Standing(now, fingerprint)
-	isHarmful := standing == quarantine.Condemned && now >= d.judgeFrom
+	isHarmful := standing == quarantine.Condemned && d.hasHeard(now)
 	switch spec.State {
 	case api.QuarantineTried:
 		switch {
@@ -29,7 +29,7 @@
 		switch {
 		case isHarmful:
 			hold(spec, wall)
-		case d.isAboutToBeHeld(fingerprint, now), now < d.judgeFrom:
+		case d.isAboutToBeHeld(fingerprint, now), !d.hasHeard(now):
 		case d.isToTry(current, fingerprint):
 			try(spec, wall)
 		default:
@@ -37,7 +37,7 @@
 		}
 	case api.QuarantineWatched:
 		switch {
-		case standing != quarantine.Condemned && d.isToTry(current, fingerprint):
+		case standing != quarantine.Condemned && d.hasHeard(now) && d.isToTry(current, fingerprint):
 			d.tryOrSettle(spec, fingerprint, now, wall)
 		case isHarmful:
 			hold(spec, wall)
@@ -113,11 +113,15 @@
 }
 
 // isAboutToBeHeld reports whether a request is held as soon as the words of bystanders are there.
-// A new leader first hears what there is to say for it.
 func (d *quarantineDesk) isAboutToBeHeld(fingerprint quarantine.Fingerprint, now time.Duration) bool {
-	return now >= d.judgeFrom && d.table.IsConvicted(fingerprint)
+	return d.hasHeard(now) && d.table.IsConvicted(fingerprint)
 }
 
+// hasHeard reports whether proxies have had the time to tell this leader what they know. Until then
+// it neither holds a request nor begins to try one: it hears of ends and of the good answers that
+// refute them in any order, and a trial refuses all copies but one.
+func (d *quarantineDesk) hasHeard(now time.Duration) bool { return now >= d.judgeFrom }
+
 // settle keeps a request from all replicas until the verdict, which comes within a turn.
 func settle(spec *api.QuarantineSpec, wall time.Time) {
 	if spec.State != api.QuarantineSettling {
