Quarantine: an end that is told again counts once, whatever name its process has by now

What callers could see: a harmless request tried or watched for ends that it did not stand at, where replicas come back under their names.

Cause: once a replica has come back and ended again, its first process is kept under another name, for all requests at that end; a second word of the end, as each new leader is told, was looked for under the replica's name alone and counted as a new end.

Change: a word is matched to the process whose end fits its time, and a late one makes an earlier process. The test failed before: 2 ends where 1 is due.

--- a/request/quarantine/process.go
+++ b/request/quarantine/process.go
@@ -36,6 +36,50 @@
 	return e.isTelling() && max(e.at, e.notedAt)+toldWithin < told.sent
 }
 
+// processAt returns the name of the process that a word of an end is of: of one at whose end the
+// request is known to have stood, of a later one, or, where the word comes late, of one before it.
+func (t *Table) processAt(known *entry, told end) string {
+	if known.has(told.replica) && known.endOf(told.replica).isOneWith(told) {
+		return told.replica
+	}
+	for _, ended := range known.ends {
+		if !told.recalled && !ended.recalled && ReplicaOf(ended.replica) == told.replica && ended.isOneWith(told) {
+			return ended.replica
+		}
+	}
+	if !known.has(told.replica) {
+		return told.replica
+	}
+	if known.endOf(told.replica).isBefore(told) {
+		t.renew(told)
+		return told.replica
+	}
+	return t.earlierProcess(known, told)
+}
+
+// isOneWith reports whether two words of a replica's end may be of one process. What the record tells
+// has no time of its own: a word that seems to come before it is of the same.
+func (e end) isOneWith(told end) bool {
+	return !e.isBefore(told) && (e.recalled || told.recalled || !told.isBefore(e))
+}
+
+// earlierProcess returns the name of the earlier process of a replica whose end it was, a new one if
+// none is known that ended then.
+func (t *Table) earlierProcess(known *entry, told end) string {
+	for _, name := range t.processesOf(told.replica) {
+		if known.has(name) {
+			continue // that is another end of the request
+		}
+		for fingerprint := range t.beside[name] {
+			ended := t.requests[fingerprint].endOf(name)
+			if ended.isOneWith(told) {
+				return name
+			}
+		}
+	}
+	return t.earlierName(told.replica)
+}
+
 // renew keeps the ends of an earlier process apart from one that another process has met under its
 // replica's name.
 func (t *Table) renew(told end) {
--- a/request/quarantine/process_test.go
+++ b/request/quarantine/process_test.go
@@ -70,3 +70,32 @@
 	endedAfter(restored, time.Hour+time.Minute, "r-0", "fatal")
 	must.Eq(t, 3, restored.CountEnds(named("fatal")), must.Sprint("it came back since"))
 }
+
+// Found by the union of sights, a property of random courses: an end that was told a second time, as each
+// new leader is told, counted as one more.
+// How: the replica had come back under its name and ended again under another request, so that its first
+// process had a name of its own by then; the second word came under the replica's name, where the request
+// stood at no end.
+// Cause: a word of an end was looked for under the name it came with, and not among the replica's
+// processes.
+func TestEndToldAgainAfterItsProcessHasAnotherNameIsOne(t *testing.T) {
+	table := NewTable()
+	endedAfter(table, 0, "r", "fatal", "beside")
+	endedAfter(table, time.Second, "r", "fatal")
+	endedAfter(table, 0, "r", "beside")
+	must.Eq(t, 1, table.CountEnds(named("beside")))
+	endedAfter(table, 0, "r", "fatal")
+	must.Eq(t, 2, table.CountEnds(named("fatal")))
+
+	late := NewTable()
+	endedAfter(late, time.Second, "r", "fatal")
+	endedAfter(late, 0, "r", "fatal")
+	must.Eq(t, 2, late.CountEnds(named("fatal")), must.Sprint("the later end was told first"))
+
+	recorded := NewTable()
+	known := Record{Replicas: []string{"r#earlier-1", "r"}}
+	for range 2 {
+		recorded.Recall(time.Hour, named("fatal"), known)
+		must.Eq(t, 2, recorded.CountEnds(named("fatal")))
+	}
+}
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -117,17 +117,15 @@
 	if seen.recalled {
 		told.notedAt = now
 	}
-	if known.has(seen.Replica) && known.endOf(seen.Replica).isBefore(told) {
-		t.renew(told)
-	}
-	if known.has(seen.Replica) {
+	told.replica = t.processAt(known, told)
+	if known.has(told.replica) {
 		known.hearAgain(told)
 		return
 	}
 	known.about = seen.About
 	known.insert(told)
 	t.sequence++
-	t.rememberBeside(seen.Fingerprint, seen.Replica)
+	t.rememberBeside(seen.Fingerprint, told.replica)
 	for len(known.ends) > maxEnds {
 		t.drop(seen.Fingerprint, known.surplus())
 	}
