--- a/connection/feed/client.go
+++ b/connection/feed/client.go
@@ -32,6 +32,9 @@
 	// Resumed is called when a leader that was silent is heard again, and others were
 	// told of placements meanwhile; it must not block. nil: nothing is called.
 	Resumed func()
+	// Unrecorded is called with what a member tells of replicas that ended while the record can't
+	// tell it; it must not block. nil: nothing is called.
+	Unrecorded func(report EndReport)
 	// Standby has any other member place requests while no leader serves the
 	// client.
 	Standby bool
--- a/connection/feed/ends.go
+++ b/connection/feed/ends.go
@@ -43,7 +43,8 @@
 	return parts
 }
 
-func encodeEnds(report EndReport) []byte {
+// EncodeEnds encodes a report for a file or another member; it holds no more than maxEnded of each.
+func EncodeEnds(report EndReport) []byte {
 	encoder := frame.NewEncoder(nil)
 	encoder.Uint32(uint32(len(report.Ended)))
 	for _, seen := range report.Ended {
@@ -71,7 +72,8 @@
 	return encoder.Data()
 }
 
-func decodeEnds(data []byte) (EndReport, error) {
+// DecodeEnds reads what EncodeEnds has written.
+func DecodeEnds(data []byte) (EndReport, error) {
 	decoder := frame.NewDecoder(data)
 	var report EndReport
 	for i, count := 0, decodeCount(decoder, endedSize); i < count && decoder.Err() == nil; i++ {
@@ -130,16 +132,49 @@
 	}
 	all := true
 	for _, part := range report.split() {
-		all = to.enqueue(&outgoing{kind: kindEnds, payload: encodeEnds(part)}) && all
+		all = to.enqueue(&outgoing{kind: kindEnds, payload: EncodeEnds(part)}) && all
 	}
 	return all
 }
 
 func (s *subscriber) receiveEnds(payload []byte) error {
-	report, err := decodeEnds(payload)
+	report, err := DecodeEnds(payload)
 	if err != nil {
 		return err
 	}
 	s.server.config.Group.NoteEnds(report)
 	return nil
 }
+
+// UnrecordedPause is after which time a daemon is told again of ends that the record can't tell: as
+// long as it is told, it knows that nobody else judges by them.
+const UnrecordedPause = time.Second
+
+// writeUnrecorded tells the daemon of ends that are not on record, if there are any that it does not
+// know or was told of a while ago.
+func (s *subscriber) writeUnrecorded(writer *frame.Writer) error {
+	report, news := s.server.config.Group.Unrecorded()
+	now := s.server.config.Clock()
+	if report.IsEmpty() || news == s.toldNews && now-s.toldAt < UnrecordedPause {
+		return nil
+	}
+	s.toldNews, s.toldAt = news, now
+	for _, part := range report.split() {
+		if err := writer.WriteFrame(kindEnds, EncodeEnds(part)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// receiveEnds takes in what a member tells of ends that are not on record.
+func (s *session) receiveEnds(payload []byte) error {
+	report, err := DecodeEnds(payload)
+	if err != nil {
+		return err
+	}
+	if s.client.config.Unrecorded != nil {
+		s.client.config.Unrecorded(report)
+	}
+	return nil
+}
--- a/connection/feed/ends_test.go
+++ b/connection/feed/ends_test.go
@@ -22,12 +22,12 @@
 
 func TestEndReportsKeepEveryField(t *testing.T) {
 	report := endReport(3)
-	data := encodeEnds(report)
-	decoded, err := decodeEnds(data)
+	data := EncodeEnds(report)
+	decoded, err := DecodeEnds(data)
 	must.NoError(t, err)
 	must.Eq(t, report, decoded)
 	for i := range data {
-		_, err := decodeEnds(data[:i])
+		_, err := DecodeEnds(data[:i])
 		must.Error(t, err, must.Sprint(i))
 	}
 }
@@ -35,9 +35,9 @@
 func TestEndReportsAreSplitIntoMessages(t *testing.T) {
 	var together EndReport
 	for _, part := range endReport(2*maxEnded + 1).split() {
-		decoded, err := decodeEnds(encodeEnds(part))
+		decoded, err := DecodeEnds(EncodeEnds(part))
 		must.NoError(t, err)
-		must.LessEq(t, maxSubscriberPayload, len(encodeEnds(part)))
+		must.LessEq(t, maxSubscriberPayload, len(EncodeEnds(part)))
 		together.Ended = append(together.Ended, decoded.Ended...)
 		together.Alive = append(together.Alive, decoded.Alive...)
 		together.Served = append(together.Served, decoded.Served...)
--- a/connection/feed/group_test.go
+++ b/connection/feed/group_test.go
@@ -146,6 +146,8 @@
 
 func (g *fakeGroup) NoteEnds(EndReport) {}
 
+func (g *fakeGroup) Unrecorded() (EndReport, uint64) { return EndReport{}, 0 }
+
 func (g *fakeGroup) Charge(request ChargeRequest) (quota.Grant, bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
--- a/connection/feed/messages.go
+++ b/connection/feed/messages.go
@@ -11,7 +11,7 @@
 )
 
 // Protocol is the preface of every feed connection.
-var Protocol = frame.Protocol{ID: 2, Version: 10}
+var Protocol = frame.Protocol{ID: 2, Version: 11}
 
 // Kinds of frames. A subscriber sends Subscribe first and once.
 const (
@@ -32,7 +32,7 @@
 	kindKept                               // subscriber: KeptParts
 	kindAlive                              // server, to a standby subscription: nothing
 	kindInFlight                           // subscriber: InFlight
-	kindEnds                               // subscriber: EndReport
+	kindEnds                               // either side: EndReport
 	kindUsage                              // subscriber: UsageReport
 	kindCharge                             // subscriber: request ID, ChargeRequest
 	kindChargeReply                        // server: request ID, quota.Grant
--- a/connection/feed/placementrelay.go
+++ b/connection/feed/placementrelay.go
@@ -58,6 +58,9 @@
 // nobody else to tell.
 func (r *PlacementRelay) NoteEnds(report EndReport) { reportEnds(r.client.session.Load(), report) }
 
+// Unrecorded tells nothing: this daemon keeps no evidence for others.
+func (r *PlacementRelay) Unrecorded() (EndReport, uint64) { return EndReport{}, 0 }
+
 // NoteUsage passes the word on to the leader.
 func (r *PlacementRelay) NoteUsage(report UsageReport) { r.client.ReportUsage(report) }
 
--- a/connection/feed/server.go
+++ b/connection/feed/server.go
@@ -56,8 +56,10 @@
 	NoteKept(kept KeptParts)
 	// NoteInFlight takes in what a daemon has in flight, in place of what was known of it.
 	NoteInFlight(daemon string, told InFlight)
-	// NoteEnds takes in under which requests replicas ended.
+	// NoteEnds takes in under which requests replicas ended. Unrecorded returns what daemons are to
+	// know of that while the record can't tell it, empty for nothing; news changes with it.
 	NoteEnds(report EndReport)
+	Unrecorded() (report EndReport, news uint64)
 	// NoteUsage takes in what a process has counted.
 	NoteUsage(report UsageReport)
 	// Charge takes the cost of a tenant's request off its quota, and false where this member
--- a/connection/feed/session.go
+++ b/connection/feed/session.go
@@ -244,7 +244,7 @@
 }
 
 func (s *session) receive(received frame.Frame) error {
-	if s.standby && received.Kind != kindAlive && received.Kind != kindPlaceReply && received.Kind != kindChargeReply {
+	if s.standby && !isForStandby(received.Kind) {
 		return errors.Wrapf(errMisplaced, "kind %d from a member that stands by", received.Kind)
 	}
 	switch received.Kind {
@@ -256,6 +256,8 @@
 		return s.receiveGrant(received.Payload)
 	case kindAlive:
 		return s.receiveAlive()
+	case kindEnds:
+		return s.receiveEnds(received.Payload)
 	case kindClaimReply, kindPlaceReply, kindOutcomeReply, kindChargeReply:
 		return s.receiveReply(received)
 	default:
@@ -263,6 +265,15 @@
 	}
 }
 
+// isForStandby reports whether a member that stands by may send a frame of the kind.
+func isForStandby(kind frame.Kind) bool {
+	switch kind {
+	case kindAlive, kindPlaceReply, kindChargeReply, kindEnds:
+		return true
+	}
+	return false
+}
+
 func (s *session) receiveReply(received frame.Frame) error {
 	requestID, answer, err := decodeReply(received)
 	if err != nil {
--- a/connection/feed/standby.go
+++ b/connection/feed/standby.go
@@ -16,8 +16,9 @@
 // leader serves a client, any member that has a view may place its requests. All
 // clients ask in the same order, the last leader first, so that those that reach
 // the same members share one board. Another daemon that the leader still serves
-// may pass the questions on to it (placementrelay.go). Nothing else is served to
-// them there: no view, no lease, no claim.
+// may pass the questions on to it (placementrelay.go). Besides, it takes in and
+// tells under which requests replicas ended, which are facts. Nothing else is served
+// to them there: no view, no lease, no claim.
 
 const (
 	// standbyDelay is how long a lost leader is waited for before another
--- a/connection/feed/subscriber.go
+++ b/connection/feed/subscriber.go
@@ -51,6 +51,11 @@
 	heard  bool   // a beat arrived that writeNews has not seen
 	beat   uint64 // sequence of the latest beat without a grant, 0 if none
 	bulk   bulkDelta
+
+	// toldNews is which of the ends that are not on record were told last, at toldAt. Only the
+	// writer uses them.
+	toldNews uint64
+	toldAt   time.Duration
 }
 
 func newSubscriber(server *Server, conn net.Conn, number uint64) *subscriber {
@@ -335,11 +340,17 @@
 	defer s.entered()
 	leadership := s.server.config.Group.Leadership()
 	if s.standby {
-		return s.writeAlive(ctx, writer, leadership.Address)
+		if err := s.writeAlive(ctx, writer, leadership.Address); err != nil {
+			return err
+		}
+		return s.writeUnrecorded(writer)
 	}
 	if !leadership.Leads {
 		return s.moveOn(ctx, writer, leadership.Address)
 	}
+	if err := s.writeUnrecorded(writer); err != nil {
+		return err
+	}
 	if err := s.writeDelta(ctx, writer, sent, heard); err != nil {
 		return err
 	}
--- /dev/null
+++ b/connection/feed/unrecorded_test.go
@@ -0,0 +1,69 @@
+package feed
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/shoenig/test/must"
+)
+
+// tellingGroup is a member that has something to tell that is not on record.
+type tellingGroup struct {
+	*fakeGroup
+	lock sync.Mutex
+	told EndReport
+	news uint64
+}
+
+func (g *tellingGroup) Unrecorded() (EndReport, uint64) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.told, g.news
+}
+
+func (g *tellingGroup) learn(replica string) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.news++
+	g.told.Ended = append(g.told.Ended, quarantine.Aged{Evidence: quarantine.Evidence{Replica: replica}, Age: time.Second})
+}
+
+// Daemons are told what is not on record by the leader that serves them and by a member that stands
+// by, when there are news and every now and then as long as they last.
+func TestDaemonsAreToldOfUnrecordedEnds(t *testing.T) {
+	for name, leads := range map[string]bool{"by the leader": true, "by a member that stands by": false} {
+		t.Run(name, func(t *testing.T) {
+			group := &tellingGroup{fakeGroup: newFakeGroup()}
+			server, address := startServer(t, group)
+			group.put("water")
+			told := make(chan EndReport, 1000)
+			client, err := Dial(ClientConfig{
+				Daemon: "proxy-a", Addresses: []string{address}, BeatInterval: 20 * time.Millisecond, SilenceTimeout: time.Second,
+				BackoffMin: time.Millisecond, BackoffMax: 20 * time.Millisecond, Standby: true,
+				Unrecorded: func(report EndReport) { told <- report },
+			}, view.NewHolder())
+			must.NoError(t, err)
+			t.Cleanup(client.Close)
+			eventually(t, "the leader serves", client.Connected)
+			if !leads {
+				group.set(false, false, 1, "")
+				server.Wake()
+				eventually(t, "it stands by", func() bool { return client.standby.Load() != nil })
+			}
+			must.Eq(t, 0, len(told))
+			for i, replica := range []string{"r-0", "r-1"} {
+				group.learn(replica)
+				report := <-told
+				must.SliceLen(t, i+1, report.Ended)
+				must.Eq(t, replica, report.Ended[i].Replica)
+				must.Eq(t, time.Second, report.Ended[i].Age)
+			}
+			began := time.Now()
+			must.SliceLen(t, 2, (<-told).Ended)
+			must.GreaterEq(t, UnrecordedPause/2, time.Since(began), must.Sprint("nothing was new"))
+		})
+	}
+}
--- a/connection/peer/inbound.go
+++ b/connection/peer/inbound.go
@@ -160,6 +160,9 @@
 			err = answerPing(writer)
 		case frameMessage:
 			err = t.deliver(greeting, next.Payload)
+		case frameNotice:
+			t.count.received.Add(1)
+			t.config.OnNotice(greeting.sender, next.Payload)
 		case frameChunk:
 			pieces = append(pieces, next.Payload...)
 			err = t.acknowledgeChunk(writer, len(pieces))
--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -60,6 +60,12 @@
 	return &sender{transport: t, member: member, address: address, lane: l, queue: newQueue(maxMessages, maxBytes)}
 }
 
+func (s *sender) notify(payload []byte) {
+	if dropped := s.queue.notify(payload); dropped > 0 {
+		s.transport.count.dropped.Add(uint64(dropped))
+	}
+}
+
 func (s *sender) put(message raft.Message) {
 	if dropped := s.queue.put(message); dropped > 0 {
 		s.transport.count.dropped.Add(uint64(dropped))
@@ -200,20 +206,25 @@
 }
 
 func (s *sender) sendQueued(writer *frame.Writer) error {
-	messages := s.queue.takeAll()
+	messages, notices := s.queue.takeAll(), s.queue.takeNotices()
 	for i, message := range messages {
 		if err := s.write(writer, message); err != nil {
 			s.transport.count.dropped.Add(uint64(len(messages) - i))
 			return err
 		}
 	}
-	if len(messages) == 0 {
+	for _, payload := range notices {
+		if err := writer.WriteFrame(frameNotice, payload); err != nil {
+			return err
+		}
+	}
+	if len(messages)+len(notices) == 0 {
 		return nil
 	}
 	if err := writer.Flush(); err != nil {
 		return err
 	}
-	s.transport.count.sent.Add(uint64(len(messages)))
+	s.transport.count.sent.Add(uint64(len(messages) + len(notices)))
 	return nil
 }
 
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -393,3 +393,34 @@
 	_, err := reader.ReadFrame()
 	must.ErrorIs(t, err, io.EOF)
 }
+
+// Notices reach the peers that they are meant for, beside the messages and in order; of too many the
+// oldest are dropped.
+func TestNoticesReachThePeers(t *testing.T) {
+	type notice struct {
+		from raft.MemberID
+		text string
+	}
+	heard := make(chan notice, 1000)
+	listening := func(config *Config) {
+		config.OnNotice = func(from raft.MemberID, payload []byte) { heard <- notice{from, string(payload)} }
+	}
+	a, b, c := newEnd(t, 1, nil), newEnd(t, 2, listening), newEnd(t, 3, listening)
+	a.SetPeers(map[raft.MemberID]string{2: b.Address().String(), 3: c.Address().String()})
+	a.Notify([]byte("to two"), 3)
+	must.Eq(t, notice{1, "to two"}, <-heard)
+	a.NotifyOne([]byte("to three"), 3)
+	must.Eq(t, notice{1, "to three"}, <-heard)
+	a.Send([]raft.Message{heartbeat(1, 2, 7)})
+	a.Notify([]byte("to both"), raft.None)
+	must.Eq(t, []notice{{1, "to both"}, {1, "to both"}}, []notice{<-heard, <-heard})
+	must.Eq(t, 7, b.receive(t).Sequence)
+	a.NotifyOne([]byte("to nobody"), 9)
+
+	q := newQueue(1, 1)
+	for i := range maxNotices + 1 {
+		must.Eq(t, i/maxNotices, q.notify([]byte{byte(i)}))
+	}
+	must.Eq(t, byte(1), q.takeNotices()[0][0])
+	must.SliceEmpty(t, q.takeNotices())
+}
--- a/connection/peer/protocol.go
+++ b/connection/peer/protocol.go
@@ -2,7 +2,9 @@
 // group over TCP. Each member keeps one outgoing connection to each peer for
 // messages and a second one for snapshots, so that heartbeats never wait behind
 // a snapshot. Delivery is best effort: queues are bounded and drop their oldest
-// messages, since the agreement protocol sends again what was lost.
+// messages, since the agreement protocol sends again what was lost. Notices, which
+// need no agreement, go the way of the messages; who sends them tells all anew
+// when a connection comes up.
 package peer
 
 import (
@@ -12,7 +14,7 @@
 )
 
 // Protocol is the preface of the connections between members.
-var Protocol = frame.Protocol{ID: 1, Version: 1}
+var Protocol = frame.Protocol{ID: 1, Version: 2}
 
 // Errors of a handshake.
 var (
@@ -34,6 +36,7 @@
 	frameFinalChunk                       // the last piece of a message
 	framePing
 	framePong
+	frameNotice // what members tell each other beside the agreement
 )
 
 // lane tells what a connection is for.
--- a/connection/peer/queue.go
+++ b/connection/peer/queue.go
@@ -6,10 +6,13 @@
 	"github.com/landingtrail/landingtrail/process/raft"
 )
 
+// maxNotices bounds the notices that wait for one connection.
+const maxNotices = 64
+
 // messageOverhead is about what a message takes besides its entries, in bytes.
 const messageOverhead = 128
 
-// queue holds messages for one connection, bounded by number and bytes. When it
+// queue holds what waits for one connection: messages, bounded by number and bytes. When it
 // is full the oldest make room: the newest say most about the sender's state.
 type queue struct {
 	maxMessages int
@@ -19,6 +22,7 @@
 	mutex    sync.Mutex
 	messages []raft.Message
 	bytes    int
+	notices  [][]byte
 }
 
 func newQueue(maxMessages, maxBytes int) *queue {
@@ -38,11 +42,38 @@
 		dropped++
 	}
 	q.mutex.Unlock()
+	q.rouse()
+	return dropped
+}
+
+// notify adds a notice; the oldest makes room.
+func (q *queue) notify(payload []byte) (dropped int) {
+	q.mutex.Lock()
+	q.notices = append(q.notices, payload)
+	if len(q.notices) > maxNotices {
+		q.notices = q.notices[1:]
+		dropped = 1
+	}
+	q.mutex.Unlock()
+	q.rouse()
+	return dropped
+}
+
+// takeNotices returns and removes all notices, oldest first.
+func (q *queue) takeNotices() [][]byte {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	notices := q.notices
+	q.notices = nil
+	return notices
+}
+
+// rouse wakes the sender; calls coalesce.
+func (q *queue) rouse() {
 	select {
 	case q.wake <- struct{}{}:
 	default:
 	}
-	return dropped
 }
 
 // takeAll returns and removes all messages, oldest first.
@@ -65,16 +96,12 @@
 	return size
 }
 
-// signal wakes the sender if messages are waiting.
+// signal wakes the sender if anything is waiting.
 func (q *queue) signal() {
 	q.mutex.Lock()
-	waiting := len(q.messages) > 0
+	waiting := len(q.messages) > 0 || len(q.notices) > 0
 	q.mutex.Unlock()
-	if !waiting {
-		return
-	}
-	select {
-	case q.wake <- struct{}{}:
-	default:
+	if waiting {
+		q.rouse()
 	}
 }
--- a/connection/peer/transport.go
+++ b/connection/peer/transport.go
@@ -78,6 +78,8 @@
 	Initialized func() bool
 	// OnEvent is called with connection events; it must not block. May be nil.
 	OnEvent func(Event)
+	// OnNotice is called with each notice of another member; it must not block. May be nil.
+	OnNotice func(from raft.MemberID, payload []byte)
 	// Dial opens a connection; a plain TCP dial when nil.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -101,6 +103,9 @@
 	if c.OnEvent == nil {
 		c.OnEvent = func(Event) {}
 	}
+	if c.OnNotice == nil {
+		c.OnNotice = func(raft.MemberID, []byte) {}
+	}
 	if c.Initialized == nil {
 		c.Initialized = func() bool { return false }
 	}
@@ -208,6 +213,27 @@
 	}
 }
 
+// Notify queues a notice for each peer but one, raft.None for all, and returns at once. The
+// payload must not be written to afterwards.
+func (t *Transport) Notify(payload []byte, except raft.MemberID) {
+	t.linkMutex.RLock()
+	defer t.linkMutex.RUnlock()
+	for member, current := range t.links {
+		if member != except {
+			current.messages.notify(payload)
+		}
+	}
+}
+
+// NotifyOne is Notify for one peer alone.
+func (t *Transport) NotifyOne(payload []byte, member raft.MemberID) {
+	t.linkMutex.RLock()
+	defer t.linkMutex.RUnlock()
+	if current := t.links[member]; current != nil {
+		current.messages.notify(payload)
+	}
+}
+
 // Close ends all connections and waits for the Transport's goroutines. Receive is
 // not called after Close has returned.
 func (t *Transport) Close() error {
--- a/process/clock/usage_test.go
+++ b/process/clock/usage_test.go
@@ -47,6 +47,8 @@
 	"process/ingress/ingress.go":     1, // births of replicas, until the group's time of day is known
 	"platform/replica.go":            1, // births of replicas
 	"connection/exchange/foreign.go": 3, // a connection's own time-out
+	"process/control/evidence.go":    1, // the age of what was written, in the process's next life
+	"process/control/open.go":        1, // the same, as it is read
 }
 
 func TestBeliefsRestOnThisClock(t *testing.T) {
--- /dev/null
+++ b/process/control/evidence_test.go
@@ -0,0 +1,169 @@
+package control
+
+import (
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/connection/operatorapi"
+	"github.com/landingtrail/landingtrail/process/wal"
+	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/shoenig/test/must"
+)
+
+// stallingFiles are files whose syncs wait while the disk stalls.
+type stallingFiles struct {
+	unsyncedFiles
+	disk *stallingDisk
+}
+
+// stallingDisk is one member's disk.
+type stallingDisk struct {
+	lock    sync.Mutex
+	resumed *sync.Cond
+	stalls  bool
+}
+
+func newStallingDisk() *stallingDisk {
+	disk := &stallingDisk{}
+	disk.resumed = sync.NewCond(&disk.lock)
+	return disk
+}
+
+func (d *stallingDisk) stall(stalls bool) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.stalls = stalls
+	d.resumed.Broadcast()
+}
+
+func (d *stallingDisk) wait() {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	for d.stalls {
+		d.resumed.Wait()
+	}
+}
+
+func (f stallingFiles) Create(name string) (wal.File, error) {
+	file, err := f.unsyncedFiles.Create(name)
+	return stallingFile{file, f.disk}, err
+}
+
+func (f stallingFiles) Append(name string) (wal.File, error) {
+	file, err := f.unsyncedFiles.Append(name)
+	return stallingFile{file, f.disk}, err
+}
+
+type stallingFile struct {
+	wal.File
+	disk *stallingDisk
+}
+
+func (f stallingFile) Sync() error {
+	f.disk.wait()
+	return nil
+}
+
+// stallingCluster is a group whose disks can stall.
+type stallingCluster struct {
+	*cluster
+	disks []*stallingDisk
+}
+
+func newStallingCluster(t *testing.T, size int) *stallingCluster {
+	made := &stallingCluster{}
+	made.cluster = newCluster(t, size, func(config *Config) {
+		disk := newStallingDisk()
+		made.disks = append(made.disks, disk)
+		config.fileSystem = stallingFiles{disk: disk}
+	})
+	t.Cleanup(made.resumeAll) // before the members are stopped
+	for i := range size {
+		made.start(i)
+	}
+	return made
+}
+
+// stallMajority has all disks stall but the first, so that nothing is committed and nobody elected.
+func (c *stallingCluster) stallMajority() {
+	leader := c.leader()
+	for _, disk := range c.disks[1:] {
+		disk.stall(true)
+	}
+	// Whatever is proposed now has the leader wait for its disk, or for a follower that does.
+	go c.call(leader, http.MethodPost, operatorapi.PathTransactions, api.Transaction{OperationID: "stalls", Writes: []api.Write{{Object: engineObject("stalls", freeAddress(c.t))}}}, nil)
+}
+
+func (c *stallingCluster) resumeAll() {
+	for _, disk := range c.disks {
+		disk.stall(false)
+	}
+}
+
+// proxy starts a proxy's client, which tells whoever serves it or stands by.
+func (c *stallingCluster) proxy(name string) *feed.Client {
+	client, _ := c.followBy(feed.ClientConfig{
+		Daemon: name, BeatInterval: 30 * time.Millisecond, SilenceTimeout: time.Second,
+		BackoffMax: 50 * time.Millisecond, Standby: true,
+	})
+	return client
+}
+
+// keptByFirst returns how many ends the first member has on its disk.
+func (c *stallingCluster) keptByFirst() int {
+	data, err := wal.OS{}.ReadFile(filepath.Join(c.configs[0].DataFolder, evidenceFile))
+	if err != nil {
+		return 0
+	}
+	report, err := decodeEvidence(data, time.Now())
+	must.NoError(c.t, err)
+	return len(report.Ended)
+}
+
+// Seen: a request that ends each replica ended three, and then three more (the soak's seeds 9112, 9231 and
+// 3024, "fatal").
+// How: no leader could commit for many seconds. Each end was seen by another proxy, which was killed; then
+// everything was killed, and nobody knew of any.
+// Cause: what is seen while nobody leads was kept by its proxy alone, since only a leader put it on record.
+// Proof: without the evidence that members keep, no leader after the kill ever holds the request: this test
+// waits in vain each time.
+func TestEndsSeenWithoutALeaderOutlastAllProcesses(t *testing.T) {
+	c := newStallingCluster(t, 3)
+	c.leader()
+	must.Eq(t, api.OutcomeAccepted, c.transact(api.Transaction{OperationID: "first", Writes: narratorObjects()}).Code)
+	var proxies []*feed.Client
+	for i := range quarantine.CondemningEnds {
+		proxies = append(proxies, c.proxy(fmt.Sprint("proxy-", i)))
+	}
+	for _, proxy := range proxies {
+		eventually(t, "a leader serves the proxy", proxy.Connected)
+	}
+	c.stallMajority()
+	for i, proxy := range proxies {
+		seen, ended := endsOf(fatalRequest, fmt.Sprint("r-", i)), time.Now()
+		eventually(t, "a member whose disk works has kept it", func() bool {
+			seen.Ended[0].Age = time.Since(ended)
+			_ = proxy.ReportEnds(seen) // told again to whoever serves it next
+			return c.keptByFirst() == i+1
+		})
+		proxy.Close() // killed: what it saw is lost with it
+	}
+	c.resumeAll()
+	for i := range c.configs {
+		c.crash(i)
+	}
+	c.start(0, 1, 2)
+	_, holder := c.follow("fresh")
+	eventually(t, "the request is held", func() bool {
+		known := holder.Load().Quarantines[fatalRequest.String()]
+		return known != nil && known.Spec.State == api.QuarantineHeld
+	})
+	must.Eq(t, []string{"r-0", "r-1", "r-2"}, slices.Sorted(slices.Values(holder.Load().Quarantines[fatalRequest.String()].Spec.Replicas)))
+}
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -33,11 +33,11 @@
 	desk  *placementDesk
 	// quotas charges requests to their tenants.
 	quotas *quotaDesk
-	// quarantine is what proxies say of replicas that ended.
-	quarantine *quarantineDesk
-	metrics    *metrics
-	logger     log.Logger
-	clock      groupClock
+	// evidence is what proxies say of replicas that ended.
+	evidence *evidence
+	metrics  *metrics
+	logger   log.Logger
+	clock    groupClock
 	// ledTerm is the last term for which this member has held a valid lease,
 	// and therefore has applied everything that earlier leaders committed.
 	ledTerm atomic.Uint64
@@ -198,12 +198,13 @@
 // Place decides where a request goes by all requests of all proxies.
 func (g *group) Place(daemon string, request feed.PlaceRequest) (placement.Answer, bool) {
 	began := monotonic()
-	alert := g.quarantine.isAlert(request.Service, began)
+	desk := g.evidence.desk
+	alert := desk.isAlert(request.Service, began)
 	if alert && request.Ask.Name == "" {
 		return placement.Answer{Name: true}, true
 	}
-	request.Ask.Suspect = alert && g.quarantine.isSuspect(request.Ask.Name, began)
-	request.Ask.Judged = request.Ask.Suspect && g.quarantine.isJudged(request.Ask.Name, began)
+	request.Ask.Suspect = alert && desk.isSuspect(request.Ask.Name, began)
+	request.Ask.Judged = request.Ask.Suspect && desk.isJudged(request.Ask.Name, began)
 	answer, known := g.desk.place(g.machine.history.Load(), daemon, request, alert, began)
 	g.metrics.observePlacement(request.Service, answer, known, monotonic()-began)
 	return answer, known
--- a/process/control/open.go
+++ b/process/control/open.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/connection/peer"
@@ -71,12 +72,15 @@
 }
 
 func (m *member) openTransport() error {
+	m.evidence = newEvidence(m.config, m.logger)
+	m.evidence.load(monotonic(), time.Now())
 	transport, err := peer.New(peer.Config{
 		Group:       m.config.GroupID,
 		ID:          m.id,
 		Listener:    m.listeners.peer,
 		Initialized: m.initialized.Load,
-		OnEvent:     m.logPeer,
+		OnEvent:     m.notePeer,
+		OnNotice:    m.evidence.receive,
 	}, m.receive)
 	if err != nil {
 		m.listeners.close()
@@ -84,10 +88,19 @@
 		return errors.Wrap(err, "control: transport")
 	}
 	m.transport = transport
+	m.evidence.tellOthers(transport)
 	m.addresses = newAddressBook(m.config, m.id, transport)
 	return nil
 }
 
+// notePeer takes in that a connection to another member came up, ended or was refused.
+func (m *member) notePeer(happened peer.Event) {
+	m.logPeer(happened)
+	if happened.Kind == peer.EventConnected {
+		m.evidence.greet(happened.Member)
+	}
+}
+
 // logPeer logs that a connection to another member came up, ended or was refused.
 func (m *member) logPeer(happened peer.Event) {
 	if !m.peers.changed(happened) {
--- a/process/control/quarantine.go
+++ b/process/control/quarantine.go
@@ -57,6 +57,8 @@
 	// latest of them, which is read without the lock.
 	alertTill map[string]time.Duration
 	alerted   atomic.Int64
+	// unrecorded is what daemons are told while the record can't tell it.
+	unrecorded unrecorded
 }
 
 // takeOverTime is how long proxies take to find a new leader and to tell it all.
@@ -81,10 +83,37 @@
 	return &quarantineDesk{table: quarantine.NewTable(), refuted: newRefutations(), alertTill: map[string]time.Duration{}}
 }
 
-// note takes in what a proxy has seen.
-func (d *quarantineDesk) note(report feed.EndReport, now time.Duration) {
+// note takes in what a proxy has seen, and reports whether that is new.
+func (d *quarantineDesk) note(report feed.EndReport, now time.Duration) (isNew bool) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
+	for _, alive := range report.Alive {
+		d.refuted.alive[alive.Replica], d.refuted.heard[alive.Replica] = alive, now
+	}
+	for _, fingerprint := range report.Served {
+		d.refuted.served[fingerprint] = true
+	}
+	return d.learn(report, now)
+}
+
+// hear takes in what another member was told, or has kept, and reports whether that is new. It takes
+// nothing off the record: proxies tell that to the leader themselves.
+func (d *quarantineDesk) hear(report feed.EndReport, now time.Duration) (isNew bool) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.learn(report, now)
+}
+
+// sights returns what is known of ends, for those that have to learn it.
+func (d *quarantineDesk) sights(now time.Duration) []quarantine.Aged {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.table.Sights(now, maxEvidence)
+}
+
+// learn puts a report into the table; the lock is held.
+func (d *quarantineDesk) learn(report feed.EndReport, now time.Duration) (isNew bool) {
+	before := d.table.News()
 	d.reviewUntil = now + reviewTime
 	for _, seen := range report.Ended {
 		d.table.NoteAged(now, seen.Age, seen.Evidence)
@@ -94,12 +123,15 @@
 	}
 	for _, alive := range report.Alive {
 		d.table.Lives(now, alive)
-		d.refuted.alive[alive.Replica], d.refuted.heard[alive.Replica] = alive, now
 	}
 	for _, fingerprint := range report.Served {
 		d.table.Served(now, fingerprint)
-		d.refuted.served[fingerprint] = true
 	}
+	isNew = d.table.News() != before
+	if isNew && before == d.unrecorded.recordedNews {
+		d.unrecorded.heardAt = now
+	}
+	return isNew
 }
 
 // alertTime is how long after the last end that fits one, or the last word of a request at two
@@ -179,7 +211,7 @@
 }
 
 // NoteEnds takes in under which requests replicas ended.
-func (g *group) NoteEnds(report feed.EndReport) { g.quarantine.note(report, monotonic()) }
+func (g *group) NoteEnds(report feed.EndReport) { g.evidence.note(report, monotonic()) }
 
 // release takes a request off the record, as an operator asks.
 func (s *operatorServer) release(w http.ResponseWriter, r *http.Request, _ []byte) {
@@ -198,7 +230,7 @@
 		return
 	}
 	if fingerprint, ok := quarantine.Parse(name); ok {
-		current.quarantine.forget(fingerprint)
+		current.evidence.desk.forget(fingerprint)
 	}
 	event.QuarantineEnded.Log(s.member.logger, "fingerprint", name, "by", "operator", "err", nil)
 	writeJSON(w, http.StatusOK, operatorapi.Released{Fingerprint: name})
--- a/process/control/quarantine_review.go
+++ b/process/control/quarantine_review.go
@@ -18,13 +18,18 @@
 // tendQuarantine commits what differs between the record of requests under which replicas
 // end and what was seen of them.
 func (d *duties) tendQuarantine(ctx context.Context, term *termDuties) {
-	seen, refuted := d.group.quarantine.review(term.number, d.group.machine.view(), monotonic(), time.Now())
+	desk := d.group.evidence.desk
+	seen, refuted := desk.review(term.number, d.group.machine.view(), monotonic(), time.Now())
+	news := desk.news()
 	if len(seen.Put) == 0 && len(seen.Removed) == 0 {
+		desk.markRecorded(news, monotonic())
 		return
 	}
 	_, err := d.group.propose(ctx, state.Command{Kind: state.CommandObserve, Observe: &seen})
 	if err != nil {
-		d.group.quarantine.takeBack(refuted, monotonic())
+		desk.takeBack(refuted, monotonic())
+	} else {
+		desk.markRecorded(news, monotonic())
 	}
 	logQuarantine(d.logger, &seen, err)
 }
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -82,6 +82,7 @@
 	logger    log.Logger
 	id        raft.MemberID
 	disk      *replica.Disk
+	evidence  *evidence
 	machine   *machine
 	transport *peer.Transport
 	addresses *addressBook
@@ -163,6 +164,7 @@
 		MaxSubscribers: m.config.Limits.MaxDaemons,
 		Logger:         m.logger,
 	}, m.listeners.feed)
+	m.evidence.tellDaemons(m.wakeUnled)
 	m.duties = newDuties(m.group.Load(), m.addresses, m.logger)
 	m.metrics.watch(m)
 	m.background.Go(func() { m.watchLeadership(work) })
@@ -171,12 +173,20 @@
 	m.background.Go(func() { m.join(work) })
 	m.background.Go(func() { m.duties.run(work) })
 	m.background.Go(func() { m.group.Load().logBoards(work) })
+	m.background.Go(func() { m.evidence.run(work) })
 	for _, extension := range m.config.Extensions {
 		m.background.Go(func() { extension(work, &Access{member: m}) })
 	}
 	return nil
 }
 
+// wakeUnled has daemons look again that this member stands by for.
+func (m *member) wakeUnled() {
+	if !m.group.Load().Leadership().Leads {
+		m.feed.Wake()
+	}
+}
+
 func (m *member) startReplica(configuration raft.Configuration) error {
 	m.machine.membersChanged = func() { m.addresses.setCommitted(m.machine.members()) }
 	started, err := replica.Start(replica.Config{
@@ -209,9 +219,9 @@
 		desk:     newPlacementDesk(),
 		quotas:   newQuotaDesk(m.config.Quotas),
 
-		quarantine: newQuarantineDesk(),
-		metrics:    m.metrics,
-		logger:     m.logger,
+		evidence: m.evidence,
+		metrics:  m.metrics,
+		logger:   m.logger,
 	})
 	return nil
 }
--- /dev/null
+++ b/process/control/unrecorded_test.go
@@ -0,0 +1,162 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/process/raft"
+	"github.com/landingtrail/landingtrail/process/wal"
+	"github.com/landingtrail/landingtrail/process/wal/faultfs"
+	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/shoenig/test/must"
+)
+
+// A leader tells daemons of ends only while its record lags behind what it heard, one that stands by
+// whenever there is anything; what tells nothing, one end of a request, is told nobody.
+func TestWhatIsNotOnRecordIsTold(t *testing.T) {
+	d := newDeskTest(t)
+	told := func(leads bool) int {
+		report, _ := d.desk.tell(leads, d.now)
+		return len(report.Ended)
+	}
+	d.desk.markRecorded(d.desk.news(), d.now)
+	d.desk.note(endsOf(fatalRequest, "r-0"), d.now)
+	must.Zero(t, told(false))
+	d.now += time.Second
+	d.desk.note(endsOf(fatalRequest, "r-1"), d.now)
+	must.Eq(t, 2, told(false))
+	d.now += recordTime
+	must.Eq(t, 2, told(true), must.Sprint("it was heard a while ago and is not on record"))
+	report, news := d.desk.tell(true, d.now)
+	must.Eq(t, []time.Duration{time.Second + recordTime, recordTime}, []time.Duration{report.Ended[0].Age, report.Ended[1].Age})
+	d.desk.markRecorded(news, d.now)
+	must.Zero(t, told(true))
+	d.desk.note(endsOf(fatalRequest, "r-2"), d.now)
+	must.Zero(t, told(true), must.Sprint("a commit takes a moment"))
+	must.Eq(t, 3, told(false))
+	d.now += recordTime
+	must.Eq(t, 3, told(true))
+}
+
+// tellingMembers are members that hand on what they hear, over links that a test opens.
+type tellingMembers struct {
+	members []*evidence
+	links   map[[2]int]bool
+}
+
+// link is how one of them sends to the others.
+type link struct {
+	group *tellingMembers
+	from  int
+}
+
+func (l link) Notify(payload []byte, except raft.MemberID) {
+	for to := range l.group.members {
+		if to != l.from && raft.MemberID(to+1) != except {
+			l.NotifyOne(payload, raft.MemberID(to+1))
+		}
+	}
+}
+
+func (l link) NotifyOne(payload []byte, member raft.MemberID) {
+	if to := int(member) - 1; l.group.links[[2]int{l.from, to}] {
+		l.group.members[to].receive(raft.MemberID(l.from+1), payload)
+	}
+}
+
+func newTellingMembers(t *testing.T, size int) *tellingMembers {
+	group := &tellingMembers{links: map[[2]int]bool{}}
+	for i := range size {
+		member := newEvidence(Config{DataFolder: t.TempDir()}, log.NewNopLogger())
+		group.members = append(group.members, member)
+		member.tellOthers(link{group: group, from: i})
+	}
+	return group
+}
+
+func (g *tellingMembers) counts() (counts []int) {
+	for _, member := range g.members {
+		counts = append(counts, len(member.desk.sights(monotonic())))
+	}
+	return counts
+}
+
+// What one member is told reaches those that it does not reach itself, over one that it does, and
+// those that were cut off once a connection comes up.
+func TestMembersHandEvidenceOn(t *testing.T) {
+	g := newTellingMembers(t, 3)
+	g.links = map[[2]int]bool{{0, 1}: true, {1, 2}: true} // one way each
+	g.members[0].note(endsOf(fatalRequest, "r-0"), monotonic())
+	must.Eq(t, []int{1, 1, 1}, g.counts())
+	g.members[2].note(endsOf(fatalRequest, "r-1"), monotonic())
+	must.Eq(t, []int{1, 1, 2}, g.counts())
+	g.links[[2]int{2, 0}] = true
+	g.members[2].greet(1)
+	must.Eq(t, []int{2, 2, 2}, g.counts())
+	g.members[1].note(feed.EndReport{Served: []quarantine.Fingerprint{fatalRequest}}, monotonic())
+	must.Eq(t, []int{0, 0, 0}, g.counts(), must.Sprint("a good answer refutes them everywhere"))
+	g.members[0].receive(2, []byte("what is this"))
+	must.Eq(t, []int{0, 0, 0}, g.counts())
+}
+
+// What a member was told is there after its next start, as old as it is by then. A file that can't be
+// read is passed over, and one that can't be written is written again.
+func TestEvidenceIsKept(t *testing.T) {
+	files := faultfs.New(1)
+	must.NoError(t, files.MakeDir("data"))
+	open := func() *evidence {
+		return newEvidence(Config{DataFolder: "data", fileSystem: files}, log.NewNopLogger())
+	}
+	ages := func(at time.Time) (ages []time.Duration) {
+		member := open()
+		member.load(time.Hour, at)
+		for _, seen := range member.desk.sights(time.Hour) {
+			ages = append(ages, seen.Age.Round(time.Second))
+		}
+		return ages
+	}
+	must.SliceEmpty(t, ages(time.Now()))
+	member := open()
+	member.desk.hear(endsOf(fatalRequest, "r-0"), time.Second)
+	member.desk.hear(endsOf(fatalRequest, "r-1"), 3*time.Second)
+	kept, err := member.save(4 * time.Second)
+	must.NoError(t, err)
+	must.Eq(t, 2, kept)
+	must.Eq(t, []time.Duration{3 * time.Second, time.Second}, ages(time.Now()))
+	must.Eq(t, []time.Duration{13 * time.Second, 11 * time.Second}, ages(time.Now().Add(10*time.Second)))
+	must.Eq(t, []time.Duration{3 * time.Second, time.Second}, ages(time.Now().Add(-time.Minute)), must.Sprint("a clock that was put back"))
+
+	data, err := files.ReadFile("data/" + evidenceFile)
+	must.NoError(t, err)
+	for i := range data {
+		damaged := append([]byte(nil), data...)
+		damaged[i] ^= 1
+		must.NoError(t, wal.WriteFile(files, "data/"+evidenceFile, damaged[:len(data)-i%2]))
+		must.SliceEmpty(t, ages(time.Now()), must.Sprint("byte ", i))
+	}
+}
+
+// The least that a member that runs has to do: what changes is written soon.
+func TestEvidenceIsWrittenSoon(t *testing.T) {
+	member := newEvidence(Config{DataFolder: t.TempDir()}, log.NewNopLogger())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		member.run(ctx)
+	}()
+	for i := range 3 {
+		member.note(endsOf(fatalRequest, fmt.Sprint("r-", i)), monotonic())
+		eventually(t, "it is written", func() bool {
+			next := newEvidence(Config{DataFolder: member.folder}, log.NewNopLogger())
+			next.load(monotonic(), time.Now())
+			return len(next.desk.sights(monotonic())) == i+1
+		})
+	}
+	cancel()
+	<-done
+}
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -101,6 +101,16 @@
 		"The platform was told how many replicas of a kind a zone is to have, under the fence; the outcome is its answer: dry says that none are to be had there now.", "")
 	SuspectRecorded = define(1236, "suspect_recorded", Info,
 		"A replica ended under a request, which tells nothing yet. It is on record for a minute, so that a second end counts as one whoever leads then. fingerprint names the request whatever its ID.", "")
+	EvidenceKept = define(1237, "evidence_kept", Info,
+		"What this member was told of replicas that ended under requests is on its disk, synced: ends is how many, the latest of those that say most.", "")
+	EvidenceNotKept = define(1238, "evidence_not_kept", Warn,
+		"What this member was told of replicas that ended could not be written; it is tried again. The other members were told as well.",
+		"Look at the disk if it repeats.")
+	EvidenceRecalled = define(1239, "evidence_recalled", Info,
+		"This member has read what an earlier life of it was told of replicas that ended.", "")
+	EvidenceUnreadable = define(1240, "evidence_unreadable", Warn,
+		"What another member has told of replicas that ended (from its ID), or the file of it, can't be read; it is passed over.",
+		"Check the versions of the members; a damaged file is replaced with the next word.")
 	BoardShows = define(1223, "board_shows", Info,
 		"What the board of a service shows of its replicas, and what it has answered since the last such line, each second in which it places requests.", "")
 	IngressReplaced = define(1310, "ingress_replaced", Info,
--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -36,6 +36,9 @@
 		"A request was not sent to the replica that had been chosen for it, to be read there or to run: it has asked for a pause meanwhile (pause_ms is left), or leaves. The request goes elsewhere.", "")
 	ReplicaLives = define(4610, "replica_lives", Info,
 		"A replica that seemed to have ended has answered, on a connection that has been open for open_ms: the ends since then that were told of it are taken back.", "")
+	EndsUnrecorded = define(4612, "ends_unrecorded", Info,
+		"A member has told of replicas that ended under requests (ends) since no leader can put them on record. This proxy judges by them until one can.",
+		"If it goes on, look why no leader commits: landingtrail status, and the members' disks.")
 	RequestRefused = define(4601, "request_refused", Info,
 		"A request was answered before any replica was asked: no route, no configuration, or a faulty request.", "")
 	QuotaRefused = define(4611, "quota_refused", Info,
--- a/process/guard/guard.go
+++ b/process/guard/guard.go
@@ -2,7 +2,8 @@
 //
 // The group's record, which comes with the view, decides while a leader serves the proxy:
 // it knows what all proxies saw, also of what stood beside. A proxy that is cut off goes on
-// by that record and by what it sees itself.
+// by that record and by what it sees itself. Where members reach it that can't write to the
+// record, it goes by what they tell it as well.
 package guard
 
 import (
@@ -37,9 +38,12 @@
 	reporter Reporter // nil without a group
 	// served is true once a leader was seen to serve this proxy, lost since lostAt that none
 	// does any more.
-	served   bool
-	lost     bool
-	lostAt   time.Duration
+	served bool
+	lost   bool
+	lostAt time.Duration
+	// toldTill is until when this proxy judges by what a member has told it of ends that are not
+	// on record.
+	toldTill time.Duration
 	table    *quarantine.Table
 	version  view.Version
 	recorded map[string]*api.Quarantine
@@ -193,6 +197,23 @@
 	g.report(feed.EndReport{Ended: []quarantine.Aged{{Evidence: seen}}})
 }
 
+// toldTime is for how long a member's word on ends that are not on record holds; it comes again as long
+// as they aren't.
+const toldTime = 3 * feed.UnrecordedPause
+
+// Unrecorded takes in what a member tells of ends that are not on record: there is no leader, or it
+// can't commit. Nobody else judges by them then, so this proxy does.
+func (g *Guard) Unrecorded(now time.Duration, report feed.EndReport) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	for _, seen := range report.Ended {
+		seen.Told = true
+		g.table.NoteAged(now, seen.Age, seen.Evidence)
+	}
+	g.toldTill = now + toldTime
+	g.rest(now)
+}
+
 // EndsMany reports whether as many replicas ended under a request as would condemn it, by the
 // record and by what this proxy has seen, whatever stood beside. Who is cut off sees only a
 // part, and asks for one more.
@@ -272,7 +293,7 @@
 	case known.Spec.State == api.QuarantineTried:
 		return tryPause, !g.tries(fingerprint, known.Spec.Until, owner)
 	}
-	if !g.isCutOff(now) || !g.table.IsCertain(fingerprint) {
+	if !g.isCutOff(now) && now >= g.toldTill || !g.table.IsCertain(fingerprint) {
 		return 0, false
 	}
 	return max(g.table.Rest(now, fingerprint), LeastHold), true
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -54,6 +54,7 @@
 		Presence:       made.presence,
 		Day:            day.Learn,
 		Served:         func() { signal(served) },
+		Unrecorded:     made.noteUnrecorded,
 		Resumed:        func() { signal(resumed) },
 		Standby:        true,
 		Partial:        true,
@@ -127,6 +128,12 @@
 	}
 }
 
+// noteUnrecorded takes in what a member tells of replicas that ended while the record can't tell it.
+func (i *Ingress) noteUnrecorded(report feed.EndReport) {
+	event.EndsUnrecorded.Log(i.logger, "ends", len(report.Ended))
+	i.guard.Unrecorded(i.now(), report)
+}
+
 // usagePause is between two reports of usage: what a proxy has not told yet is lost with it.
 const usagePause = 200 * time.Millisecond
 
--- a/process/proxy/run.go
+++ b/process/proxy/run.go
@@ -29,13 +29,15 @@
 		return err
 	}
 	holder := view.NewHolder()
-	served := make(chan struct{}, 1)
+	served, told := make(chan struct{}, 1), make(chan feed.EndReport, maxToldWaiting)
 	client, err := feed.Dial(feed.ClientConfig{
 		Daemon:       config.ID,
 		Zone:         config.Zone,
 		Addresses:    config.FeedAddresses,
 		BeatInterval: config.Intervals.Beat,
 		Served:       func() { signal(served) },
+		Unrecorded:   func(report feed.EndReport) { offer(told, report) },
+		Standby:      true, // for the ends of engines alone: no request of this path is placed
 		Clock:        clock.Now,
 		Logger:       logger,
 	}, holder)
@@ -45,7 +47,7 @@
 	defer client.Close()
 	made := New(config, holder, client, clock.Now, logger)
 	defer made.Close()
-	made.tasks.Go(func() { made.reportEndsTo(served) })
+	made.tasks.Go(func() { made.exchangeEnds(served, told) })
 	return made.Serve(ctx)
 }
 
@@ -57,13 +59,26 @@
 	}
 }
 
-// reportEndsTo tells each leader that begins to serve this proxy under which requests it
-// has seen engines end.
-func (p *Proxy) reportEndsTo(served <-chan struct{}) {
+// maxToldWaiting bounds the words of members that wait to be taken in.
+const maxToldWaiting = 16
+
+// offer puts a member's word into the channel, unless that is full: it comes again.
+func offer(to chan<- feed.EndReport, report feed.EndReport) {
+	select {
+	case to <- report:
+	default:
+	}
+}
+
+// exchangeEnds tells each member that begins to serve this proxy under which requests it has seen
+// engines end, and takes in what members tell while the record can't.
+func (p *Proxy) exchangeEnds(served <-chan struct{}, told <-chan feed.EndReport) {
 	for {
 		select {
 		case <-served:
 			p.guard.ReportAll(p.clock())
+		case report := <-told:
+			p.guard.Unrecorded(p.clock(), report)
 		case <-p.background.Done():
 			return
 		}
--- a/process/relay/group.go
+++ b/process/relay/group.go
@@ -95,6 +95,9 @@
 // NoteEnds passes the word on.
 func (g *group) NoteEnds(report feed.EndReport) { g.upstream.ReportEnds(report) }
 
+// Unrecorded tells nothing: a relay follows leaders alone, and has the record.
+func (g *group) Unrecorded() (feed.EndReport, uint64) { return feed.EndReport{}, 0 }
+
 // NoteUsage passes the word on.
 func (g *group) NoteUsage(report feed.UsageReport) { g.upstream.ReportUsage(report) }
 
--- a/process/relay/group_test.go
+++ b/process/relay/group_test.go
@@ -94,6 +94,8 @@
 
 func (g *leaderGroup) NoteEnds(feed.EndReport) {}
 
+func (g *leaderGroup) Unrecorded() (feed.EndReport, uint64) { return feed.EndReport{}, 0 }
+
 func (g *leaderGroup) Charge(feed.ChargeRequest) (quota.Grant, bool) { return quota.Grant{}, false }
 
 func (g *leaderGroup) ReturnCharge(feed.ChargeRequest) {}
--- a/request/quarantine/clearance.go
+++ b/request/quarantine/clearance.go
@@ -47,6 +47,9 @@
 // Served clears a request that was served whole, whether or not anything is known of it.
 func (t *Table) Served(now time.Duration, fingerprint Fingerprint) {
 	t.Forget(fingerprint)
+	if !t.cleared.has(now, fingerprint) {
+		t.news++
+	}
 	t.cleared.clear(now, fingerprint)
 }
 
--- a/request/quarantine/evidence.go
+++ b/request/quarantine/evidence.go
@@ -22,6 +22,10 @@
 	Ran   time.Duration
 	About About
 
+	// Told is true for what a member of the group has passed on: whoever keeps evidence has it
+	// already, and is not told again.
+	Told bool
+
 	// recalled is true for what the record says, which leaves most of it out.
 	recalled bool
 }
--- a/request/quarantine/record.go
+++ b/request/quarantine/record.go
@@ -61,14 +61,14 @@
 	Age time.Duration
 }
 
-// All returns what was seen, for whoever has to learn it anew. What the record told is left out:
-// whoever has the record knows it, and would take it for seen. So are ends of earlier processes,
-// which each table numbers by itself.
+// All returns what was seen here, for whoever has to learn it anew. What the record told is left out:
+// whoever has the record knows it, and would take it for seen. So is what members have told, and so
+// are ends of earlier processes, which each table numbers by itself.
 func (t *Table) All(now time.Duration) []Aged {
 	var all []Aged
 	for fingerprint, known := range t.requests {
 		for _, ended := range known.ends {
-			if !ended.recalled && ReplicaOf(ended.replica) == ended.replica {
+			if !ended.recalled && !ended.told && ReplicaOf(ended.replica) == ended.replica {
 				all = append(all, Aged{Evidence: ended.evidence(fingerprint, known.about), Age: now - ended.at})
 			}
 		}
@@ -80,13 +80,13 @@
 func (e end) evidence(fingerprint Fingerprint, about About) Evidence {
 	return Evidence{
 		Fingerprint: fingerprint, Replica: e.replica, Began: e.began, Read: e.read, Alone: e.alone, Listens: e.listens,
-		Ran: e.at - e.sent, About: about, recalled: e.recalled,
+		Ran: e.at - e.sent, About: about, Told: e.told, recalled: e.recalled,
 	}
 }
 
 // hearAgain takes in another word on an end that is known. What the record says of it gives way to
-// what was seen, but for its place in the order of ends.
-func (e *entry) hearAgain(told end) {
+// what was seen, but for its place in the order of ends. It reports whether it did.
+func (e *entry) hearAgain(told end) (replaced bool) {
 	at := e.indexOf(told.replica)
 	known := e.ends[at]
 	switch {
@@ -95,7 +95,10 @@
 		told.alone = told.alone || known.alone
 		e.ends = slices.Delete(e.ends, at, at+1)
 		e.insert(told)
+		return true
 	case known.recalled == told.recalled:
 		e.ends[at].listens = known.listens && told.listens
+		e.ends[at].told = known.told && told.told
 	}
+	return false
 }
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -59,6 +59,8 @@
 	cleared clearances
 	// sequence is the next end's.
 	sequence uint64
+	// news counts what the table did not know before.
+	news uint64
 }
 
 type entry struct {
@@ -75,6 +77,8 @@
 	read    bool
 	alone   bool
 	listens bool
+	// told is true for what a member has passed on and was not seen here.
+	told bool
 	// recalled is true until whoever saw the end has told of it; it was read at notedAt then.
 	recalled bool
 	notedAt  time.Duration
@@ -87,6 +91,10 @@
 	return &Table{requests: map[Fingerprint]*entry{}, beside: map[string]map[Fingerprint]struct{}{}, cleared: clearances{}}
 }
 
+// News counts what the table has learnt or dropped: as long as it is the same, so is the table.
+// Words that say nothing new do not count, so that they need not be passed on.
+func (t *Table) News() uint64 { return t.news }
+
 // Empty reports whether no end is kept.
 func (t *Table) Empty() bool { return len(t.requests) == 0 }
 
@@ -112,19 +120,22 @@
 	}
 	told := end{
 		replica: seen.Replica, sent: at - seen.Ran, at: at, began: seen.Began, read: seen.Read, alone: seen.Alone,
-		listens: seen.Listens, recalled: seen.recalled, sequence: t.sequence,
+		listens: seen.Listens, told: seen.Told, recalled: seen.recalled, sequence: t.sequence,
 	}
 	if seen.recalled {
 		told.notedAt = now
 	}
 	told.replica = t.processAt(known, told)
 	if known.has(told.replica) {
-		known.hearAgain(told)
+		if known.hearAgain(told) {
+			t.news++
+		}
 		return
 	}
 	known.about = seen.About
 	known.insert(told)
 	t.sequence++
+	t.news++
 	t.rememberBeside(seen.Fingerprint, told.replica)
 	for len(known.ends) > maxEnds {
 		t.drop(seen.Fingerprint, known.surplus())
@@ -174,6 +185,7 @@
 		t.forgetBeside(fingerprint, ended.replica)
 	}
 	delete(t.requests, fingerprint)
+	t.news++
 }
 
 // Expire drops ends and clearances that are over.
@@ -405,6 +417,7 @@
 	known := t.requests[fingerprint]
 	known.ends = slices.DeleteFunc(known.ends, func(ended end) bool { return ended.replica == replica })
 	t.forgetBeside(fingerprint, replica)
+	t.news++
 	if len(known.ends) == 0 {
 		delete(t.requests, fingerprint)
 	}
