Pauses: no older list, and no forgotten name, ends what a replica has asked for

What callers could see: refusals by a replica that had asked to be left alone, and its rule broken.

Cause: a list that lags, or a leader's word, which shows an earlier process of a name at another address was taken for the next process; and a replica that was unlisted for a minute was forgotten while a request under way still held it, so that its word was told to nobody.

Change: a process that surely began earlier takes nothing back; one name is one object as long as anybody holds it.

--- a/request/holdoff/holdoff.go
+++ b/request/holdoff/holdoff.go
@@ -1,10 +1,12 @@
 package holdoff
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
+	"weak"
 )
 
 // Times of pauses and of what follows them.
@@ -55,6 +57,9 @@
 	return p.Address != earlier.Address || p.Born != 0 && earlier.Born != 0 && p.Born != earlier.Born
 }
 
+// isBefore reports whether the process surely began before the other.
+func (p Process) isBefore(other Process) bool { return p.Born != 0 && p.Born < other.Born }
+
 // Config holds what a Table is created with.
 type Config struct {
 	// Notice is how long a replica that says it leaves may still be asked where no other
@@ -72,21 +77,21 @@
 
 	lock     sync.Mutex
 	replicas map[string]*Replica
+	// held are replicas that no list names and that requests under way may still hold: what is
+	// told to one of them is told to all that find it.
+	held map[string]weak.Pointer[Replica]
 }
 
 // NewTable returns an empty table.
 func NewTable(config Config) *Table {
-	return &Table{config: config, replicas: map[string]*Replica{}}
+	return &Table{config: config, replicas: map[string]*Replica{}, held: map[string]weak.Pointer[Replica]{}}
 }
 
 // Follow returns the replica of the name, which a list shows as this process now.
 func (t *Table) Follow(name string, process Process, now time.Duration) *Replica {
 	t.lock.Lock()
-	known := t.replicas[name]
-	if known == nil {
-		known = &Replica{name: name, notice: t.config.Notice, process: process}
-		t.replicas[name] = known
-	}
+	known := t.findLocked(name)
+	t.keepLocked(known)
 	t.lock.Unlock()
 	known.follow(process, now)
 	return known
@@ -96,10 +101,33 @@
 func (t *Table) Find(name string) *Replica {
 	t.lock.Lock()
 	defer t.lock.Unlock()
+	return t.findLocked(name)
+}
+
+// findLocked returns the replica of the name, the same one as long as anybody has it.
+func (t *Table) findLocked(name string) *Replica {
 	if known := t.replicas[name]; known != nil {
 		return known
 	}
-	return &Replica{name: name}
+	if known := t.held[name].Value(); known != nil {
+		return known
+	}
+	made := &Replica{name: name, table: t, notice: t.config.Notice}
+	t.held[name] = weak.Make(made)
+	return made
+}
+
+// keepLocked has the table keep a replica until it is forgotten.
+func (t *Table) keepLocked(known *Replica) {
+	t.replicas[known.name] = known
+	delete(t.held, known.name)
+}
+
+// keep is keepLocked for a replica that has asked for something, listed or not.
+func (t *Table) keep(known *Replica) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.keepLocked(known)
 }
 
 // Forget drops the replicas that have not been followed for long and ask for nothing.
@@ -109,8 +137,10 @@
 	for name, known := range t.replicas {
 		if known.isForgotten(now) {
 			delete(t.replicas, name)
+			t.held[name] = weak.Make(known)
 		}
 	}
+	maps.DeleteFunc(t.held, func(_ string, known weak.Pointer[Replica]) bool { return known.Value() == nil })
 }
 
 // Leaving returns the names of the replicas that have said that they leave.
@@ -129,6 +159,7 @@
 // Replica is what one replica has asked of this process.
 type Replica struct {
 	name   string
+	table  *Table
 	notice time.Duration
 	// asks is false as long as nothing holds, so that most questions take no lock.
 	asks atomic.Bool
@@ -158,6 +189,9 @@
 	if word.IsZero() && !r.asks.Load() {
 		return false
 	}
+	if !word.IsZero() {
+		r.table.keep(r)
+	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	if !word.IsZero() {
@@ -254,11 +288,14 @@
 	defer r.lock.Unlock()
 	before := r.process
 	r.followedAt = now
-	if process.Born < before.Born && process.Address == before.Address {
-		process.Born = before.Born // a list that does not tell, or is old, takes back nothing
+	if process.isBefore(before) {
+		return // a list that lags, or the word of a leader that knows an older one, takes back nothing
+	}
+	if process.Born == 0 && process.Address == before.Address {
+		process.Born = before.Born // nor does a list that does not tell
 	}
 	r.process = process
-	if process.isOther(before) && r.asks.Load() {
+	if before != (Process{}) && process.isOther(before) && r.asks.Load() {
 		r.renewLocked(process.Address != before.Address)
 		r.settleLocked(now)
 	}
