Own data path: what a bounded planned stop may cut is refused at once

What callers could see: an answer cut at the end of a planned stop of a proxy whose wait is bounded (drainLimit), though it was asked for after the stop had begun. By default nothing is bounded and nothing cut.

Cause: whatever came within the notice was taken, however long it might last.

Change: what may last longer than the stop waits is refused as not run, with code stopping.

TestWhatAPlannedStopWouldCutIsRefusedAtOnce is new; without refuseLate the request runs.

--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -37,6 +37,7 @@
 	codeNoEngine         = "no_engine"           // 503: none admits now
 	codeQuarantined      = "quarantined"         // 503: engines ended under it
 	codeControlLost      = "control_lost"        // 503: the view lease has lapsed
+	codeStopping         = "stopping"            // 503: a planned stop leaves it no time
 	codeNoQuorum         = "no_quorum"           // 503: a marked request could not be claimed
 	codeDeadlineShort    = "deadline_too_short"  // 504: it cannot be met
 	codeDeadlineExceeded = "deadline_exceeded"   // 504
--- a/process/proxy/handle_model.go
+++ b/process/proxy/handle_model.go
@@ -65,6 +65,9 @@
 	if failed := p.settle(&read, class); failed != nil {
 		return nil, failed
 	}
+	if failed := p.refuseLate(read.left); failed != nil {
+		return nil, failed
+	}
 	found := p.lanes.find(class.Spec.Service)
 	if found == nil || found.kind != api.ServiceModel {
 		return nil, invalid(codeUnknownClass, "the class is not one of a model service")
--- a/process/proxy/handle_service.go
+++ b/process/proxy/handle_service.go
@@ -97,6 +97,10 @@
 	if failed != nil {
 		return nil, failed
 	}
+	if failed := p.refuseLate(read.left); failed != nil {
+		body.release()
+		return nil, failed
+	}
 	if r.URL.RawQuery != "" {
 		rest += "?" + r.URL.RawQuery
 	}
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -67,6 +67,8 @@
 	lapsed atomic.Int64
 	// stopping is set once answers must ask callers to close connections.
 	stopping atomic.Bool
+	// cutAt is when a planned stop ends what is still in flight, 0 where nothing is cut.
+	cutAt atomic.Int64
 
 	instance uint64 // drawn anew at each start
 	sequence atomic.Uint64
--- a/process/proxy/rules_test.go
+++ b/process/proxy/rules_test.go
@@ -271,3 +271,24 @@
 	http.DefaultClient.CloseIdleConnections()
 	caller.CloseIdleConnections()
 }
+
+// Seen by reading, of the same class as a stream that a routed proxy's stop has cut: what was taken while a
+// stopping proxy still accepts, and lasts longer than it waits for, was cut at the end.
+// Proof: a request that may last longer is to reach no engine and be told so at once; it ran before.
+func TestWhatAPlannedStopWouldCutIsRefusedAtOnce(t *testing.T) {
+	engine := newFakeEngine(t, "e1", 11)
+	engine.script = func(e *fakeEngine, w http.ResponseWriter, r *http.Request, _ int) { e.answer(w, r, 0, 3) }
+	config := quick()
+	config.DrainNotice, config.DrainLimit = 400*time.Millisecond, 400*time.Millisecond
+	f := start(t, config, []*fakeEngine{engine})
+	must.Eq(t, http.StatusOK, f.stream(HeaderClass, "cap", HeaderDeadline, "60000").status)
+	f.stop()
+	eventually(t, f.proxy.stopping.Load)
+	late := f.stream(HeaderClass, "cap", HeaderDeadline, "60000")
+	must.Eq(t, http.StatusServiceUnavailable, late.status)
+	must.Eq(t, codeStopping, late.code())
+	must.Eq(t, 1, engine.runs.Load())
+	must.Eq(t, http.StatusOK, f.stream(HeaderClass, "cap", HeaderDeadline, "200").status, must.Sprint("over in time, however long it takes"))
+	must.NoError(t, <-f.done)
+	http.DefaultClient.CloseIdleConnections()
+}
--- a/process/proxy/run.go
+++ b/process/proxy/run.go
@@ -85,6 +85,16 @@
 	}
 }
 
+// refuseLate returns the refusal of a request that a planned stop may cut before its time is over, nil
+// for any other: no engine has read it, and its caller can ask another proxy at once.
+func (p *Proxy) refuseLate(left time.Duration) *failure {
+	cutAt := time.Duration(p.cutAt.Load())
+	if cutAt == 0 || p.clock()+left <= cutAt {
+		return nil
+	}
+	return unavailable(codeStopping, "the proxy stops before the request's time is over", 0)
+}
+
 // Serve listens for callers and for the admin until ctx ends and every request
 // in flight has ended.
 func (p *Proxy) Serve(ctx context.Context) error {
@@ -108,6 +118,9 @@
 // an answer, not with a lost request. Then it accepts no more and waits for
 // what is in flight, for as long as that takes.
 func (p *Proxy) drain(callers *server) error {
+	if p.config.DrainLimit > 0 {
+		p.cutAt.Store(int64(p.clock() + p.config.DrainNotice + p.config.DrainLimit))
+	}
 	p.stopping.Store(true)
 	event.ProxyDraining.Log(p.logger, "in_flight", p.running.count())
 	time.Sleep(p.config.DrainNotice)
