Evidence: members tell each other at once only what tells something, and ask for all when they begin to lead

Change: what replicas ended under at several moments is told to all, and handed on; a single end that tells something to all but not on; of the rest each member keeps its own, and whoever begins to lead asks for it. Words of 20 ms go together.

--- a/connection/feed/ends.go
+++ b/connection/feed/ends.go
@@ -31,8 +31,8 @@
 	fingerprintSize = 4
 )
 
-// split divides a report into such as one message holds.
-func (r EndReport) split() []EndReport {
+// Split divides a report into such as one message holds.
+func (r EndReport) Split() []EndReport {
 	parts := []EndReport{{Alive: r.Alive[:min(len(r.Alive), maxEnded)], Served: r.Served[:min(len(r.Served), maxEnded)]}}
 	for first := 0; first < len(r.Ended); first += maxEnded {
 		parts = append(parts, EndReport{Ended: r.Ended[first:min(first+maxEnded, len(r.Ended))]})
@@ -131,7 +131,7 @@
 		return false
 	}
 	all := true
-	for _, part := range report.split() {
+	for _, part := range report.Split() {
 		all = to.enqueue(&outgoing{kind: kindEnds, payload: EncodeEnds(part)}) && all
 	}
 	return all
@@ -159,7 +159,7 @@
 		return nil
 	}
 	s.toldNews, s.toldAt = news, now
-	for _, part := range report.split() {
+	for _, part := range report.Split() {
 		if err := writer.WriteFrame(kindEnds, EncodeEnds(part)); err != nil {
 			return err
 		}
--- a/connection/peer/transport.go
+++ b/connection/peer/transport.go
@@ -213,15 +213,13 @@
 	}
 }
 
-// Notify queues a notice for each peer but one, raft.None for all, and returns at once. The
-// payload must not be written to afterwards.
-func (t *Transport) Notify(payload []byte, except raft.MemberID) {
+// Notify queues a notice for each peer and returns at once. The payload must not be written to
+// afterwards.
+func (t *Transport) Notify(payload []byte) {
 	t.linkMutex.RLock()
 	defer t.linkMutex.RUnlock()
-	for member, current := range t.links {
-		if member != except {
-			current.messages.notify(payload)
-		}
+	for _, current := range t.links {
+		current.messages.notify(payload)
 	}
 }
 
--- a/process/control/duties.go
+++ b/process/control/duties.go
@@ -192,6 +192,7 @@
 	term.actions = newActionRunner(d, term)
 	d.platform.start()
 	d.fleet.start(d.wake)
+	d.group.evidence.ask()
 	term.startedAt = monotonic()
 	term.hadIngress = d.group.machine.view().Ingresses[api.IngressName] != nil
 	d.termLock.Lock()
--- a/process/control/evidence.go
+++ b/process/control/evidence.go
@@ -4,7 +4,10 @@
 	"context"
 	"hash/crc32"
 	"io/fs"
+	"maps"
 	"path/filepath"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,13 +18,14 @@
 	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/process/wal"
+	"github.com/landingtrail/landingtrail/request/quarantine"
 	"github.com/pkg/errors"
 )
 
 // That a replica ended under a request is a fact: it needs neither an order nor an agreement, and
 // nothing is lost if it is kept twice. So each member keeps what it is told on its own disk and hands
-// it to the others, whether or not there is a leader. The record, which needs one, is what verdicts
-// are written to; a new leader begins with what all members that reach it were told.
+// it to the others, whether or not there is a leader: at once where it is worth telling, and whoever
+// begins to lead asks for all. The record, which needs a leader, is what verdicts are written to.
 
 // Bounds of what is kept.
 const (
@@ -32,6 +36,8 @@
 	maxToldEvidence = 64
 	// evidencePause is the least time between two writes; what comes meanwhile is written together.
 	evidencePause = 50 * time.Millisecond
+	// tellPause is how long what came up waits for what comes with it before others are told.
+	tellPause = 20 * time.Millisecond
 )
 
 // errEvidence says that a file of evidence is damaged.
@@ -39,7 +45,7 @@
 
 // noticeSender tells the other members; *peer.Transport is one.
 type noticeSender interface {
-	Notify(payload []byte, except raft.MemberID)
+	Notify(payload []byte)
 	NotifyOne(payload []byte, member raft.MemberID)
 }
 
@@ -53,8 +59,12 @@
 	wake atomic.Pointer[func()]
 	// others is set once the transport is open, which hands on what comes before that as well.
 	others  atomic.Pointer[noticeSender]
-	changed chan struct{}
+	changed chan struct{} // has an item once something has to be written
+	telling chan struct{} // has an item once something is untold
 	logger  log.Logger
+
+	lock   sync.Mutex
+	untold untold
 }
 
 func newEvidence(config Config, logger log.Logger) *evidence {
@@ -64,7 +74,8 @@
 	}
 	return &evidence{
 		desk: newQuarantineDesk(), files: files, folder: config.DataFolder,
-		changed: make(chan struct{}, 1), logger: logger,
+		changed: make(chan struct{}, 1), telling: make(chan struct{}, 1), logger: logger,
+		untold: untold{ended: map[quarantine.Fingerprint]struct{}{}},
 	}
 }
 
@@ -74,49 +85,110 @@
 // tellDaemons sets what has daemons be told of news.
 func (e *evidence) tellDaemons(wake func()) { e.wake.Store(&wake) }
 
-// note takes in what a daemon has told, keeps it and hands it on.
+// note takes in what a daemon has told, keeps it and hands on what others are to know.
 func (e *evidence) note(report feed.EndReport, now time.Duration) {
-	if e.desk.note(report, now) {
-		e.handOn(report, raft.None)
-	}
+	e.handOn(e.desk.note(report, now))
 }
 
-// receive takes in what another member has told. What is new here is handed on: the member that
-// knew it first may not reach all others.
+// receive takes in what another member has told, or its question for all that is known here. What is
+// new is handed on: the member that knew it first may not reach all others.
 func (e *evidence) receive(from raft.MemberID, payload []byte) {
+	if len(payload) == 0 {
+		e.answer(from)
+		return
+	}
 	report, err := feed.DecodeEnds(payload)
 	if err != nil {
 		event.EvidenceUnreadable.Log(e.logger, "from", uint64(from), "err", err)
 		return
 	}
-	if e.desk.hear(report, monotonic()) {
-		e.handOn(report, from)
-	}
+	e.handOn(e.desk.hear(report, monotonic()))
 }
 
-func (e *evidence) handOn(report feed.EndReport, except raft.MemberID) {
+// ask has the other members tell all that they know, as a new leader does: a member that it reaches may
+// have been told what never came to it.
+func (e *evidence) ask() {
 	if others := e.others.Load(); others != nil {
-		(*others).Notify(feed.EncodeEnds(report), except)
+		(*others).Notify(nil)
+	}
+}
+
+func (e *evidence) answer(member raft.MemberID) {
+	e.tellOne(member, e.desk.sights(monotonic()))
+}
+
+// greet tells a member with which a connection has come up what is worth watching for.
+func (e *evidence) greet(member raft.MemberID) {
+	e.tellOne(member, e.desk.notableSights(monotonic()))
+}
+
+func (e *evidence) tellOne(member raft.MemberID, sights []quarantine.Aged) {
+	if others := e.others.Load(); others != nil && len(sights) > 0 {
+		(*others).NotifyOne(feed.EncodeEnds(feed.EndReport{Ended: sights}), member)
+	}
+}
+
+// handOn has what was learnt written soon, and told to the others and to daemons.
+func (e *evidence) handOn(found learnt) {
+	if !found.isNew {
+		return
+	}
+	e.lock.Lock()
+	for _, fingerprint := range found.ended {
+		e.untold.ended[fingerprint] = struct{}{}
 	}
+	e.untold.alive = append(e.untold.alive, found.alive...)
+	e.untold.served = append(e.untold.served, found.served...)
+	e.lock.Unlock()
+	signal(e.changed)
+	signal(e.telling)
 	if wake := e.wake.Load(); wake != nil {
 		(*wake)()
 	}
-	e.markChanged()
 }
 
-// markChanged has what is known written soon; calls coalesce.
-func (e *evidence) markChanged() {
+// signal fills the channel's place; signals coalesce.
+func signal(place chan<- struct{}) {
 	select {
-	case e.changed <- struct{}{}:
+	case place <- struct{}{}:
 	default:
 	}
 }
 
-// greet tells a member with which a connection has come up all that is known here.
-func (e *evidence) greet(member raft.MemberID) {
-	report := feed.EndReport{Ended: e.desk.sights(monotonic())}
+// untold is what the other members have not been told yet. Ends are told as they are by then.
+type untold struct {
+	ended  map[quarantine.Fingerprint]struct{}
+	alive  []quarantine.Alive
+	served []quarantine.Fingerprint
+}
+
+// tell tells the other members what has come up, until ctx ends. Many words come with the end of one
+// replica, and go out together.
+func (e *evidence) tell(ctx context.Context) {
+	for {
+		select {
+		case <-e.telling:
+		case <-ctx.Done():
+			return
+		}
+		if !pause.For(ctx, tellPause) {
+			return
+		}
+		e.tellUntold()
+	}
+}
+
+func (e *evidence) tellUntold() {
+	e.lock.Lock()
+	next := e.untold
+	e.untold = untold{ended: map[quarantine.Fingerprint]struct{}{}}
+	e.lock.Unlock()
+	fingerprints := slices.Collect(maps.Keys(next.ended))
+	report := feed.EndReport{Ended: e.desk.sightsOf(fingerprints, monotonic()), Alive: next.alive, Served: next.served}
 	if others := e.others.Load(); others != nil && !report.IsEmpty() {
-		(*others).NotifyOne(feed.EncodeEnds(report), member)
+		for _, part := range report.Split() {
+			(*others).Notify(feed.EncodeEnds(part))
+		}
 	}
 }
 
@@ -132,7 +204,7 @@
 		kept, err := e.save(began)
 		if err != nil {
 			event.EvidenceNotKept.Log(e.logger, "ends", kept, "err", err)
-			e.markChanged()
+			signal(e.changed)
 		} else {
 			event.EvidenceKept.Log(e.logger, "ends", kept, "took_ms", (monotonic() - began).Milliseconds())
 		}
--- a/process/control/quarantine.go
+++ b/process/control/quarantine.go
@@ -89,8 +89,8 @@
 	}
 }
 
-// note takes in what a proxy has seen, and reports whether that is new.
-func (d *quarantineDesk) note(report feed.EndReport, now time.Duration) (isNew bool) {
+// note takes in what a proxy has seen.
+func (d *quarantineDesk) note(report feed.EndReport, now time.Duration) learnt {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	for _, alive := range report.Alive {
@@ -102,9 +102,9 @@
 	return d.learn(report, now)
 }
 
-// hear takes in what another member was told, or has kept, and reports whether that is new. It takes
-// nothing off the record: proxies tell that to the leader themselves.
-func (d *quarantineDesk) hear(report feed.EndReport, now time.Duration) (isNew bool) {
+// hear takes in what another member was told, or has kept. It takes nothing off the record: proxies tell
+// that to the leader themselves.
+func (d *quarantineDesk) hear(report feed.EndReport, now time.Duration) learnt {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	return d.learn(report, now)
@@ -117,27 +117,59 @@
 	return d.table.Sights(now, maxEvidence)
 }
 
+// sightsOf returns what is known of the ends of these requests.
+func (d *quarantineDesk) sightsOf(fingerprints []quarantine.Fingerprint, now time.Duration) []quarantine.Aged {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.table.SightsOf(fingerprints, now, maxEvidence)
+}
+
+// notableSights returns what is known of the ends of requests that are worth watching for.
+func (d *quarantineDesk) notableSights(now time.Duration) []quarantine.Aged {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.table.NotableSights(now, maxEvidence)
+}
+
+// learnt is what of a report was new, and what of that others are to know: ends by their requests.
+type learnt struct {
+	isNew  bool
+	ended  []quarantine.Fingerprint
+	alive  []quarantine.Alive
+	served []quarantine.Fingerprint
+}
+
 // learn puts a report into the table; the lock is held.
-func (d *quarantineDesk) learn(report feed.EndReport, now time.Duration) (isNew bool) {
+func (d *quarantineDesk) learn(report feed.EndReport, now time.Duration) (found learnt) {
 	before := d.table.News()
 	d.reviewUntil = now + reviewTime
 	for _, seen := range report.Ended {
+		known := d.table.News()
 		d.table.NoteAged(now, seen.Age, seen.Evidence)
+		if d.table.News() != known && d.table.IsWorthTelling(now, seen.Fingerprint) {
+			found.ended = append(found.ended, seen.Fingerprint)
+		}
 		if d.table.IsSeries(seen.Fingerprint) && !seen.Read {
 			d.alert(seen.About.Service, now)
 		}
 	}
 	for _, alive := range report.Alive {
+		if d.table.StoodInSeries(alive.Replica) {
+			found.alive = append(found.alive, alive)
+		}
 		d.table.Lives(now, alive)
 	}
 	for _, fingerprint := range report.Served {
+		if d.table.IsSeries(fingerprint) {
+			found.served = append(found.served, fingerprint)
+		}
 		d.table.Served(now, fingerprint)
 	}
-	isNew = d.table.News() != before
-	if isNew && before == d.unrecorded.recordedNews {
+	found.isNew = d.table.News() != before
+	if found.isNew && before == d.unrecorded.recordedNews {
 		d.unrecorded.heardAt = now
 	}
-	return isNew
+	return found
 }
 
 // alertTime is how long after the last end that fits one, or the last word of a request at two
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -174,6 +174,7 @@
 	m.background.Go(func() { m.duties.run(work) })
 	m.background.Go(func() { m.group.Load().logBoards(work) })
 	m.background.Go(func() { m.evidence.run(work) })
+	m.background.Go(func() { m.evidence.tell(work) })
 	for _, extension := range m.config.Extensions {
 		m.background.Go(func() { extension(work, &Access{member: m}) })
 	}
--- a/request/quarantine/sight_test.go
+++ b/request/quarantine/sight_test.go
@@ -83,6 +83,8 @@
 	must.Eq(t, []time.Duration{161 * time.Second, 2 * time.Minute, time.Minute}, []time.Duration{kept[0].Age, kept[1].Age, kept[2].Age})
 	must.Eq(t, []string{"a", "b"}, replicasOf(table.NotableSights(3*time.Minute, 3)))
 	must.False(t, slices.Contains(replicasOf(table.Sights(3*time.Minute, 99)), "c"))
+	table.Note(2*time.Minute, Evidence{Fingerprint: named("served in part"), Replica: "e", Began: true})
+	must.False(t, slices.Contains(replicasOf(table.Sights(3*time.Minute, 99)), "e"), must.Sprint("it tells nothing"))
 }
 
 func replicasOf(sights []Aged) (replicas []string) {
