--- a/process/control/evidence.go
+++ b/process/control/evidence.go
@@ -140,21 +140,13 @@
 	e.untold.alive = append(e.untold.alive, found.alive...)
 	e.untold.served = append(e.untold.served, found.served...)
 	e.lock.Unlock()
-	signal(e.changed)
-	signal(e.telling)
+	pause.Signal(e.changed)
+	pause.Signal(e.telling)
 	if wake := e.wake.Load(); wake != nil {
 		(*wake)()
 	}
 }
 
-// signal fills the channel's place; signals coalesce.
-func signal(place chan<- struct{}) {
-	select {
-	case place <- struct{}{}:
-	default:
-	}
-}
-
 // untold is what the other members have not been told yet. Ends are told as they are by then.
 type untold struct {
 	ended  map[quarantine.Fingerprint]struct{}
@@ -204,7 +196,7 @@
 		kept, err := e.save(began)
 		if err != nil {
 			event.EvidenceNotKept.Log(e.logger, "ends", kept, "err", err)
-			signal(e.changed)
+			pause.Signal(e.changed)
 		} else {
 			event.EvidenceKept.Log(e.logger, "ends", kept, "took_ms", (monotonic() - began).Milliseconds())
 		}
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -53,9 +53,9 @@
 		MoreAddresses:  func() []string { return append(memberAddresses(holder.Load()), made.seeds()...) },
 		Presence:       made.presence,
 		Day:            day.Learn,
-		Served:         func() { signal(served) },
+		Served:         func() { pause.Signal(served) },
 		Unrecorded:     made.noteUnrecorded,
-		Resumed:        func() { signal(resumed) },
+		Resumed:        func() { pause.Signal(resumed) },
 		Standby:        true,
 		Partial:        true,
 		StandbyRelays:  func() []string { return made.relays(holder.Load()) },
@@ -101,14 +101,6 @@
 	return server.Close, nil
 }
 
-// signal fills the channel's place; signals coalesce.
-func signal(place chan<- struct{}) {
-	select {
-	case place <- struct{}{}:
-	default:
-	}
-}
-
 // reportWhenServed tells each new leader, or member that stands by for one, what is in
 // flight and what replicas keep, until ctx ends; a leader that was silent knows the latter.
 func (i *Ingress) reportWhenServed(ctx context.Context, served, resumed <-chan struct{}, to groupReporter) {
--- a/process/pause/pause.go
+++ b/process/pause/pause.go
@@ -1,4 +1,4 @@
-// Package pause waits for a time that a context may cut short.
+// Package pause waits for a time that a context may cut short, and tells who waits that there is news.
 package pause
 
 import (
@@ -17,3 +17,11 @@
 		return false
 	}
 }
+
+// Signal fills the channel's one place and never blocks: signals coalesce until they are taken.
+func Signal(place chan<- struct{}) {
+	select {
+	case place <- struct{}{}:
+	default:
+	}
+}
--- a/process/proxy/run.go
+++ b/process/proxy/run.go
@@ -11,6 +11,7 @@
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/process/clock"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/version/view"
 )
 
@@ -35,7 +36,7 @@
 		Zone:         config.Zone,
 		Addresses:    config.FeedAddresses,
 		BeatInterval: config.Intervals.Beat,
-		Served:       func() { signal(served) },
+		Served:       func() { pause.Signal(served) },
 		Unrecorded:   func(report feed.EndReport) { offer(told, report) },
 		Standby:      true, // for the ends of engines alone: no request of this path is placed
 		Clock:        clock.Now,
@@ -51,14 +52,6 @@
 	return made.Serve(ctx)
 }
 
-// signal fills the channel's place; signals coalesce.
-func signal(place chan<- struct{}) {
-	select {
-	case place <- struct{}{}:
-	default:
-	}
-}
-
 // maxToldWaiting bounds the words of members that wait to be taken in.
 const maxToldWaiting = 16
 
