Evidence: what leaves the record, or is let go in part, leaves the members' evidence as well

What callers would have seen: a request that an operator released, or whose hold was over, held again with the next leader, without a further end; found by reading the whole change.

Cause: members keep what they were told whatever the record says; the leader forgets what it takes off the record, and proxies follow it, the other members did not.

Change: a member that does not lead follows the record as proxies do.

--- a/process/control/evidence.go
+++ b/process/control/evidence.go
@@ -19,6 +19,7 @@
 	"github.com/landingtrail/landingtrail/process/raft"
 	"github.com/landingtrail/landingtrail/process/wal"
 	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/pkg/errors"
 )
 
@@ -128,6 +129,13 @@
 	}
 }
 
+// follow takes in how the record has changed.
+func (e *evidence) follow(before, current map[string]*api.Quarantine) {
+	if e.desk.follow(before, current, monotonic()) {
+		pause.Signal(e.changed)
+	}
+}
+
 // handOn has what was learnt written soon, and told to the others and to daemons.
 func (e *evidence) handOn(found learnt) {
 	if !found.isNew {
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -262,11 +262,17 @@
 	}
 }
 
-// watchVersion tells the feed and the duties of every new version.
+// watchVersion tells the evidence, the feed and the duties of every new version.
 func (m *member) watchVersion(ctx context.Context) {
+	recorded := m.machine.view().Quarantines
 	for {
 		select {
 		case <-m.machine.moved:
+			before := recorded
+			recorded = m.machine.view().Quarantines
+			if !m.group.Load().Leadership().Leads {
+				m.evidence.follow(before, recorded)
+			}
 			m.feed.Wake()
 			m.duties.wake()
 		case <-ctx.Done():
--- a/process/control/unrecorded.go
+++ b/process/control/unrecorded.go
@@ -6,6 +6,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/landingtrail/landingtrail/version/api"
 )
 
 // The record reaches each daemon with its view. Where a leader can't commit, or there is none, daemons
@@ -64,3 +65,28 @@
 func (g *group) Unrecorded() (feed.EndReport, uint64) {
 	return g.evidence.desk.tell(g.Leadership().Leads, monotonic())
 }
+
+// follow takes in how the record has changed, at a member that does not lead: the evidence for what the
+// leader has taken off it, or let go in part, is not to bring it back under the next one.
+func (d *quarantineDesk) follow(before, current map[string]*api.Quarantine, now time.Duration) (changed bool) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	news := d.table.News()
+	for name, earlier := range before {
+		fingerprint, ok := quarantine.Parse(name)
+		if !ok {
+			continue
+		}
+		known := current[name]
+		switch {
+		case known == nil:
+			d.table.Forget(fingerprint)
+		case len(known.Spec.Replicas) < len(earlier.Spec.Replicas):
+			d.table.Restore(now, fingerprint, quarantine.Record{
+				Replicas: known.Spec.Replicas, Weak: known.Spec.Weak, Alone: known.Spec.Alone,
+				AtOnce: known.Spec.EndedAtOnce(), About: aboutOf(&known.Spec),
+			})
+		}
+	}
+	return d.table.News() != news
+}
--- a/process/control/unrecorded_test.go
+++ b/process/control/unrecorded_test.go
@@ -12,6 +12,7 @@
 	"github.com/landingtrail/landingtrail/process/wal"
 	"github.com/landingtrail/landingtrail/process/wal/faultfs"
 	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/shoenig/test/must"
 )
 
@@ -206,3 +207,27 @@
 	cancel()
 	<-done
 }
+
+// What the leader has let go, or an operator has released, is let go by all that keep evidence of it: the
+// next leader would else hold it again without a further end.
+func TestWhatLeavesTheRecordLeavesTheEvidence(t *testing.T) {
+	recorded := func(replicas ...string) map[string]*api.Quarantine {
+		return map[string]*api.Quarantine{fatalRequest.String(): {
+			Metadata: api.Metadata{Name: fatalRequest.String()}, Spec: api.QuarantineSpec{Replicas: replicas},
+		}}
+	}
+	begin := func() *quarantineDesk {
+		desk := newQuarantineDesk()
+		desk.hear(endsOf(fatalRequest, "r-0", "r-1", "r-2"), time.Second)
+		must.False(t, desk.follow(nil, recorded("r-0", "r-1", "r-2"), time.Second))
+		must.Eq(t, 3, desk.table.CountEnds(fatalRequest))
+		return desk
+	}
+	desk := begin()
+	must.True(t, desk.follow(recorded("r-0", "r-1", "r-2"), recorded("r-1", "r-2"), time.Second))
+	must.Eq(t, 2, desk.table.CountEnds(fatalRequest), must.Sprint("a hold that is over leaves two"))
+	must.SliceEmpty(t, desk.sights(time.Second), must.Sprint("those are on record"))
+	desk = begin()
+	must.True(t, desk.follow(recorded("r-0", "r-1", "r-2"), map[string]*api.Quarantine{}, time.Second))
+	must.Eq(t, 0, desk.table.CountEnds(fatalRequest), must.Sprint("it was released"))
+}
