Test: reports of ends are held to keep the fields that came last as well

TestEndReportsKeepEveryField made its report without Once and Sight, which added, and without Alone, so that it no longer covered every field.

--- a/connection/feed/ends_test.go
+++ b/connection/feed/ends_test.go
@@ -14,6 +14,7 @@
 	for i := range ends {
 		report.Ended = append(report.Ended, quarantine.Aged{Age: time.Duration(i) * time.Second, Evidence: quarantine.Evidence{
 			Fingerprint: quarantine.Of(quarantine.Identity{Path: fmt.Sprint(i)}), Replica: fmt.Sprint("r-", i), Began: i%2 == 0, Read: i%3 == 0, Listens: i%4 == 0, Ran: time.Duration(i),
+			Alone: i%2 == 1, Once: i%3 == 1, Sight: uint64(i) << 40,
 			About: quarantine.About{Service: "s", Route: "r", Request: "q"},
 		}})
 	}
