--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -39,6 +39,9 @@
 	EndsUnrecorded = define(4612, "ends_unrecorded", Info,
 		"A member has told of replicas that ended under requests (ends) since no leader can put them on record. This proxy judges by them until one can.",
 		"If it goes on, look why no leader commits: landingtrail status, and the members' disks.")
+	FieldUnknown = define(4613, "field_unknown", Warn,
+		"A replica's answer has a field that this program does not know. Each name is logged once; unknown_fields_total counts the answers.",
+		"Look the field up on the platform's pages: replicas may ask for something that nothing here keeps to.")
 	RequestRefused = define(4601, "request_refused", Info,
 		"A request was answered before any replica was asked: no route, no configuration, or a faulty request.", "")
 	QuotaRefused = define(4611, "quota_refused", Info,
--- a/process/ingress/asks.go
+++ b/process/ingress/asks.go
@@ -51,6 +51,7 @@
 	if reply.Misdirected {
 		return
 	}
+	s.ingress.unknownFields.note(s.ingress, from.Name(), s.call.ID, reply.UnknownFields)
 	leaves := from.Apply(s.ingress.now(), s.ingress.wallClock(), reply.Holdoff)
 	if reply.Holdoff.IsZero() {
 		return
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -51,6 +51,7 @@
 	sessions            sessionTable
 	stopSuspensionWatch func()
 	metrics             *metrics
+	unknownFields       unknownFields
 	// placer places model requests and takes those of all proxies into account; if nil, this proxy
 	// uses only its own knowledge.
 	placer Placer
--- a/process/ingress/metrics.go
+++ b/process/ingress/metrics.go
@@ -27,6 +27,7 @@
 	quarantinedRequests *prometheus.CounterVec
 	announcements       *prometheus.CounterVec
 	withheldSends       *prometheus.CounterVec
+	unknownFields       *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -44,6 +45,7 @@
 	m.quarantinedRequests = m.counter("held_total", "Requests that went to no replica, since replicas end under them.", "service")
 	m.announcements = m.counter("replica_asks_total", "Answers that ask for a pause, or say that their replica leaves.", "service", "stage")
 	m.withheldSends = m.counter("withheld_total", "Sends to a chosen replica that had asked for a pause, or said that it leaves, meanwhile.", "service", "stage")
+	m.unknownFields = m.counter("unknown_fields_total", "Answers of replicas with a field that this program does not know, by its name.", "field")
 	return m
 }
 
--- a/process/ingress/types.go
+++ b/process/ingress/types.go
@@ -114,6 +114,8 @@
 	Load *Load
 	// Holdoff is the pause or departure that the replica announces.
 	Holdoff holdoff.Restrictions
+	// UnknownFields names the fields that the dialect does not know, in any order.
+	UnknownFields []string
 }
 
 // refuses reports whether the answer proves that the request was not run. An answer without a
