Limits: order rates by the request they answer, and carry ages with their end

Found by a campaign in virtual time (lab/campaign TestLimitsHoldThroughNewLeadersAndLostMembers: 3, 40 and 300 proxies with the product's tables and books; late answers, new leaders, all members out of reach, restarts): - an answer up to 2 s late brought an older rate back, and the leader granted by it (limit 6, the rate before 150: 92 requests granted in one window of 4 s, allowed 41). Of several rates the one stated to the latest request holds now; a word between processes carries that age as well. - a leader's word that a limit has ended had no age, and ended one that the proxy had heard since (limit 0: 6 requests by proxies that knew of no limit, allowed 5). - a proxy that reaches no member kept what it had saved up of a larger rate (limit 0.3: 26 requests in 4 s, allowed 6.8). Its share is capped by the rate that holds now; for a quota that does not change the cap changes nothing. What it owes survives the end of a limit.

LocalShare takes its source of random numbers, so that a course repeats.

Also: tests of each way to a limited replica (process/ingress), of what is read as a limit.

--- a/connection/feed/limit.go
+++ b/connection/feed/limit.go
@@ -53,22 +53,21 @@
 	s.signal() // limits may have been announced before
 }
 
-// limitGrant and limitReply convert a reply to and from the form in which it is sent: Left is the rate
-// in requests per second, infinite if there is no limit.
+// limitGrant and limitReply convert a reply to and from the form in which it is sent. Left is the rate
+// in requests per second. It is infinite if there is no limit, and Wait is then the age of that word.
 func limitGrant(reply ratelimit.Reply) quota.Grant {
-	grant := quota.Grant{Granted: reply.Granted, Wait: reply.Wait, Left: math.Inf(1)}
-	if reply.Statement.Kind == ratelimit.Limited {
-		grant.Left = reply.Statement.PerSecond
+	if reply.Word.Kind != ratelimit.Limited {
+		return quota.Grant{Granted: reply.Granted, Wait: reply.Word.Age, Left: math.Inf(1)}
 	}
-	return grant
+	return quota.Grant{Granted: reply.Granted, Wait: reply.Wait, Left: reply.Word.PerSecond}
 }
 
 func limitReply(grant quota.Grant) ratelimit.Reply {
-	reply := ratelimit.Reply{Granted: grant.Granted, Wait: grant.Wait}
-	if !math.IsInf(grant.Left, 1) {
-		reply.Statement = ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: grant.Left}
+	if math.IsInf(grant.Left, 1) {
+		return ratelimit.Reply{Granted: grant.Granted, Word: ratelimit.Word{Age: grant.Wait}}
 	}
-	return reply
+	word := ratelimit.Word{Statement: ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: grant.Left}}
+	return ratelimit.Reply{Granted: grant.Granted, Wait: grant.Wait, Word: word}
 }
 
 // encodeLimitTenant encodes a request in place of a tenant's name.
@@ -96,10 +95,11 @@
 	encoder.Uint8(uint8(word.Kind))
 	encoder.Float64(word.PerSecond)
 	encoder.Int64(int64(word.Age))
+	encoder.Int64(int64(word.SentAge))
 }
 
 func decodeWord(decoder *frame.Decoder) ratelimit.Word {
-	word := ratelimit.Word{Statement: ratelimit.Statement{Kind: ratelimit.Kind(decoder.Uint8()), PerSecond: decoder.Float64()}, Age: time.Duration(decoder.Int64())}
+	word := ratelimit.Word{Statement: ratelimit.Statement{Kind: ratelimit.Kind(decoder.Uint8()), PerSecond: decoder.Float64()}, Age: time.Duration(decoder.Int64()), SentAge: time.Duration(decoder.Int64())}
 	if word.Kind > ratelimit.Unclear || !(word.PerSecond >= 0) || word.Age < 0 {
 		decoder.Fail(frame.ErrValue)
 	}
@@ -109,7 +109,7 @@
 // maxAnnouncedLimits limits the entries of one kindLimits frame, wordSize is the smallest size of one.
 const (
 	maxAnnouncedLimits = 512
-	wordSize           = 4 + 1 + 8 + 8
+	wordSize           = 4 + 1 + 8 + 8 + 8
 )
 
 func encodeLimits(words []ratelimit.NamedWord) []byte {
--- a/process/ingress/harness_test.go
+++ b/process/ingress/harness_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/landingtrail/landingtrail/request/ratelimit"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/pkg/errors"
@@ -63,6 +64,7 @@
 	testTenant   = "Test-Tenant"
 	testPause    = "Test-Pause"
 	testLeaving  = "Test-Leaving"
+	testLimit    = "Test-Limit"
 )
 
 // testDialect is the protocol used in these tests.
@@ -113,6 +115,9 @@
 		Misdirected:  status == http.StatusMisdirectedRequest,
 	}
 	reply.Holdoff.RetryAfter, _ = time.ParseDuration(header.Get(testPause))
+	if perSecond, err := strconv.ParseFloat(header.Get(testLimit), 64); err == nil {
+		reply.Limit = ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: perSecond}
+	}
 	reply.Holdoff.Leaving = header.Get(testLeaving) != ""
 	if running, err := strconv.Atoi(header.Get(testLoad)); err == nil {
 		reply.Load = &Load{Running: running, Slots: 8}
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -98,7 +98,7 @@
 	ingress := &Ingress{
 		config: config, logger: logger, views: views, clock: now, wallClock: time.Now,
 		upstreams: newUpstreams(config, now), metrics: newMetrics(), guard: guard.New(config.Name),
-		standaloneQuota: quota.NewLocalShare(config.Quotas), standaloneLimits: quota.NewLocalShare(ratelimit.DefaultRule),
+		standaloneQuota: quota.NewLocalShare(config.Quotas, rand.Float64), standaloneLimits: quota.NewLocalShare(ratelimit.DefaultRule, rand.Float64),
 	}
 	ingress.requestContext, ingress.cancelRequests = context.WithCancel(context.Background())
 	ingress.table.Store(&versionedTable{routes: newRouteTable(nil)})
--- a/process/ingress/limits.go
+++ b/process/ingress/limits.go
@@ -82,7 +82,7 @@
 	}
 	s.limitRefused = true
 	to.holdoff.Exhaust(s.ingress.now() + max(reply.Wait, minExhausted))
-	event.LimitRefused.Log(s.ingress.logger, "request", s.call.ID, "replica", to.name, "per_second", reply.Statement.PerSecond,
+	event.LimitRefused.Log(s.ingress.logger, "request", s.call.ID, "replica", to.name, "per_second", reply.Word.PerSecond,
 		"age_ms", word.Age.Milliseconds(), "wait_ms", reply.Wait.Milliseconds(), "alone", by == chosenByProxy)
 	return false
 }
@@ -98,14 +98,14 @@
 		ctx, cancel := context.WithTimeout(ctx, chargeTimeout)
 		defer cancel()
 		if reply, err := s.ingress.limitCharger.ChargeLimit(ctx, request); err == nil {
-			if reply.Statement.Kind != ratelimit.Limited { // another proxy has heard the end of the limit
-				s.ingress.applyLimitWord(to.holdoff, ratelimit.Word{Statement: reply.Statement})
+			if reply.Word.Kind != ratelimit.Limited { // another proxy has heard the end of the limit
+				s.ingress.applyLimitWord(to.holdoff, reply.Word)
 			}
 			return reply, chosenByGroup
 		}
 	}
 	grant := s.ingress.standaloneLimits.Charge(s.ingress.now(), to.name, standaloneQuotaOf(request.Word.PerSecond), 1, s.ingress.sharing())
-	return ratelimit.Reply{Statement: request.Word.Statement, Granted: grant.Granted, Wait: grant.Wait}, chosenByProxy
+	return ratelimit.Reply{Word: request.Word, Granted: grant.Granted, Wait: grant.Wait}, chosenByProxy
 }
 
 // standaloneShare is the part of a limit that all proxies together use while no member answers. The
@@ -149,8 +149,6 @@
 	limited := word.Kind == ratelimit.Limited
 	if limited {
 		i.standaloneLimits.Open(i.now(), replica.Name())
-	} else {
-		i.standaloneLimits.Forget(replica.Name())
 	}
 	event.ReplicaLimited.Log(i.logger, "replica", replica.Name(), "request", request, "told", request == "",
 		"limited", limited, "per_second", word.PerSecond, "age_ms", word.Age.Milliseconds())
--- a/request/quota/alone.go
+++ b/request/quota/alone.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -26,9 +25,10 @@
 	ample bool
 }
 
-// NewLocalShare returns a LocalShare without any tenants.
-func NewLocalShare(rule Rule) *LocalShare {
-	return &LocalShare{rule: rule, random: rand.Float64, tenants: map[string]*localShare{}}
+// NewLocalShare returns a LocalShare without any tenants. random returns numbers in [0, 1), such as
+// rand.Float64.
+func NewLocalShare(rule Rule, random func() float64) *LocalShare {
+	return &LocalShare{rule: rule, random: random, tenants: map[string]*localShare{}}
 }
 
 // RecordAnswer records the control group's answer to a charge of the tenant.
@@ -74,18 +74,11 @@
 	}
 }
 
-// Open empties the share of a tenant, whose quota begins now.
+// Open empties the share of a tenant, whose quota begins now. What it owes of an earlier quota remains.
 func (a *LocalShare) Open(now time.Duration, tenant string) {
 	a.lock.Lock()
 	defer a.lock.Unlock()
-	a.tenants[tenant] = &localShare{updatedAt: now}
-}
-
-// Forget drops the share of a tenant.
-func (a *LocalShare) Forget(tenant string) {
-	a.lock.Lock()
-	defer a.lock.Unlock()
-	delete(a.tenants, tenant)
+	a.tenants[tenant] = &localShare{left: min(a.share(tenant).left, 0), updatedAt: now}
 }
 
 // aloneOverrunShare is the part of the overrun that all proxies together may spend at once when
@@ -103,6 +96,7 @@
 		elapsed = withoutLeader
 	}
 	s.left += rate * elapsed.Seconds()
+	s.left = min(s.left, maxSaved+rate*withoutLeader.Seconds()) // the quota may have become smaller
 	s.updatedAt = max(s.updatedAt, now)
 }
 
--- a/request/quota/alone_test.go
+++ b/request/quota/alone_test.go
@@ -25,9 +25,7 @@
 func newProxies(count int, random *rand.Rand) []*LocalShare {
 	var proxies []*LocalShare
 	for range count {
-		proxy := NewLocalShare(testRule)
-		proxy.random = random.Float64
-		proxies = append(proxies, proxy)
+		proxies = append(proxies, NewLocalShare(testRule, random.Float64))
 	}
 	return proxies
 }
@@ -61,7 +59,7 @@
 }
 
 func TestReturnedChargesCanBeSpentAgain(t *testing.T) {
-	proxy := NewLocalShare(testRule)
+	proxy := NewLocalShare(testRule, rand.Float64)
 	proxy.Charge(0, "north", testLimit, 1, Sharing{})
 	must.True(t, proxy.Charge(time.Second, "north", testLimit, 20, Sharing{Alone: time.Second}).Granted)
 	proxy.Refund("north", 20)
--- a/request/ratelimit/book.go
+++ b/request/ratelimit/book.go
@@ -32,8 +32,8 @@
 
 // Reply is the answer to a Request.
 type Reply struct {
-	// Statement is the latest one that is known. If it is not Limited, no permission is needed.
-	Statement Statement
+	// Word is the latest one that is known. If it is not Limited, no permission is needed.
+	Word Word
 	// Granted is true if the request may be sent; otherwise Wait is the time until another one is
 	// granted.
 	Granted bool
@@ -108,12 +108,11 @@
 	if known == nil {
 		return Reply{Granted: true}, false
 	}
-	perSecond, limited := known.tracker.Limit()
-	if !limited {
-		return Reply{Granted: true}, b.generation != before
+	reply = Reply{Word: known.tracker.Word(now), Granted: true}
+	if perSecond, limited := known.tracker.Limit(); limited {
+		grant := b.grant(now, known, perSecond, request.Priority, leads)
+		reply.Granted, reply.Wait = grant.Granted, grant.Wait
 	}
-	grant := b.grant(now, known, perSecond, request.Priority, leads)
-	reply = Reply{Statement: Statement{Kind: Limited, PerSecond: perSecond}, Granted: grant.Granted, Wait: grant.Wait}
 	return reply, b.generation != before
 }
 
--- a/request/ratelimit/statement.go
+++ b/request/ratelimit/statement.go
@@ -38,11 +38,13 @@
 	PerSecond float64
 }
 
-// Word is a Statement that another process has heard, Age ago. For Unlimited the age is that of the
-// request whose answer made the statement.
+// Word is a Statement that another process has heard.
 type Word struct {
 	Statement
+	// Age is the time since a limit was last heard, or since the request was sent whose answer ended it.
 	Age time.Duration
+	// SentAge is the time since the request was sent whose answer stated the rate; at least Age.
+	SentAge time.Duration
 }
 
 // DefaultRule allows a replica in any 4 s half more than its rate plus 5 requests. Only accounts use
--- a/request/ratelimit/tracker.go
+++ b/request/ratelimit/tracker.go
@@ -4,12 +4,14 @@
 
 // Tracker holds the latest statement about one replica. The zero value states no limit.
 //
-// Answers arrive out of order, so statements are ordered by when their requests were sent. A limit is
-// ended only by the answer to a request that was sent after the limit was last heard, and is not
-// restored by the answer to a request that was sent before the one that ended it.
+// Answers arrive out of order, so statements are ordered by when their requests were sent: of several
+// rates the one stated to the latest request holds. A limit is ended only by the answer to a request
+// that was sent after the limit was last heard, and is not restored by the answer to a request that was
+// sent before the one that ended it.
 type Tracker struct {
 	limited   bool
 	perSecond float64
+	sentAt    time.Duration // when the request was sent whose answer stated perSecond
 	heardAt   time.Duration // when the limit was last heard
 	ended     bool          // a limit has ended
 	endedAt   time.Duration // when the request was sent whose answer ended it
@@ -29,17 +31,21 @@
 
 // ObserveWord applies a statement that another process has heard.
 func (t *Tracker) ObserveWord(now time.Duration, word Word) (changed bool) {
-	at := now - word.Age
-	return t.Observe(at, at, word.Statement)
+	return t.Observe(now-max(word.SentAge, word.Age), now-word.Age, word.Statement)
 }
 
 func (t *Tracker) limit(sentAt, now time.Duration, perSecond float64) (changed bool) {
 	if t.ended && sentAt <= t.endedAt {
 		return false
 	}
-	if changed = !t.limited; changed || now >= t.heardAt {
-		t.limited, t.perSecond, t.heardAt = true, perSecond, now
+	changed = !t.limited
+	if changed || sentAt >= t.sentAt {
+		t.perSecond, t.sentAt = perSecond, sentAt
 	}
+	if changed || now > t.heardAt {
+		t.heardAt = now
+	}
+	t.limited = true
 	return changed
 }
 
@@ -57,7 +63,7 @@
 // Word returns the latest statement for another process.
 func (t *Tracker) Word(now time.Duration) Word {
 	if t.limited {
-		return Word{Statement: Statement{Kind: Limited, PerSecond: t.perSecond}, Age: now - t.heardAt}
+		return Word{Statement: Statement{Kind: Limited, PerSecond: t.perSecond}, Age: now - t.heardAt, SentAge: now - t.sentAt}
 	}
-	return Word{Age: now - t.endedAt}
+	return Word{Age: now - t.endedAt, SentAge: now - t.endedAt}
 }
