--- a/process/control/roles.go
+++ b/process/control/roles.go
@@ -148,6 +148,10 @@
 // the meantime sends nothing.
 func (d *leaderTasks) changeRole(ctx context.Context, term *termState, service string, replica *api.Replica, role api.EngineRole) {
 	d.awaitIdle(ctx, service, replica.Name)
+	if d.group.rates.IsLimited(replica.Name) {
+		event.RoleOrdered.Log(d.logger, "replica", replica.Name, "role", role, "fence", term.number, "outcome", "not_sent", "busy", false, "err", "limited")
+		return
+	}
 	queryCtx, cancel := context.WithTimeout(ctx, roleTimeout)
 	defer cancel()
 	reported, err := d.group.config.Roles.State(queryCtx, replica)
--- a/process/control/roles_test.go
+++ b/process/control/roles_test.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/request/ratelimit"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
@@ -55,7 +56,7 @@
 	boards := newPlacementBoards()
 	boards.update(modelView(1, "r-1"))
 	d := &leaderTasks{
-		group:  &group{boards: boards, config: Config{Name: "member-1", Roles: roles, ChangeRoles: true}.WithDefaults()},
+		group:  &group{boards: boards, rates: ratelimit.NewBook(ratelimit.DefaultRule, 0), config: Config{Name: "member-1", Roles: roles, ChangeRoles: true}.WithDefaults()},
 		logger: log.NewNopLogger(),
 		lease:  func(context.Context) (uint64, bool) { return lease() },
 	}
