--- a/lab/emulator/config.go
+++ b/lab/emulator/config.go
@@ -44,6 +44,7 @@
 	// Intent is the only intent; its selector is not evaluated.
 	Intent api.IntentSpec
 	Losses []Loss
+	Limits []Limit
 
 	PlanInterval time.Duration
 	DemandWindow time.Duration
--- a/lab/emulator/emulator_test.go
+++ b/lab/emulator/emulator_test.go
@@ -36,15 +36,22 @@
 const testDuration = 40 * time.Second
 
 func runTest(t *testing.T, config Config) *Result {
+	t.Helper()
+	result, _ := runWithLimits(t, config)
+	return result
+}
+
+// runWithLimits also returns what engines stated and what they got.
+func runWithLimits(t *testing.T, config Config) (*Result, *limits) {
 	t.Helper()
 	config.Duration = testDuration
 	if config.Deployment == "" {
 		config.Deployment = trace.DeploymentRadarvlak
 	}
 	config.Items = trace.Generate(config.Deployment, config.Seed, testDuration)
-	result, err := Run(config)
+	r, err := play(config)
 	must.NoError(t, err)
-	return result
+	return r.result, r.limits
 }
 
 func checkInvariants(t *testing.T, result *Result) {
--- a/lab/emulator/flow.go
+++ b/lab/emulator/flow.go
@@ -148,8 +148,17 @@
 
 func (f *flow) dispatch(decision router.Decision) {
 	generator := f.proxy.target(decision.Target)
+	if !f.run.limits.permit(generator.host) {
+		f.splitAgain(generator.host.name)
+		return
+	}
 	if decision.Prefill != nil {
-		f.open(&stage{flow: f, target: f.proxy.target(decision.Prefill), next: generator})
+		reader := f.proxy.target(decision.Prefill)
+		if !f.run.limits.permit(reader.host) {
+			f.splitAgain(reader.host.name)
+			return
+		}
+		f.open(&stage{flow: f, target: reader, next: generator})
 		return
 	}
 	f.open(&stage{flow: f, target: generator})
--- /dev/null
+++ b/lab/emulator/limits.go
@@ -0,0 +1,73 @@
+package emulator
+
+import (
+	"time"
+
+	"github.com/landingtrail/landingtrail/request/ratelimit"
+)
+
+// Limit is a time in which one engine states how many requests a second it takes from all proxies.
+type Limit struct {
+	At, Until time.Duration
+	Engine    int // index
+	PerSecond float64
+}
+
+// limits holds the limits that engines state, and the group's account of them. Grants take no time.
+type limits struct {
+	run      *run
+	book     *ratelimit.Book
+	arrivals map[*host][]time.Duration
+}
+
+func newLimits(r *run) *limits {
+	return &limits{run: r, book: ratelimit.NewBook(ratelimit.DefaultRule, 0), arrivals: map[*host][]time.Duration{}}
+}
+
+// stated returns what the engine's answers state now.
+func (l *limits) stated(h *host) ratelimit.Statement {
+	for _, limit := range l.run.config.Limits {
+		if l.run.hosts[limit.Engine] == h && l.run.now >= limit.At && l.run.now < limit.Until {
+			return ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: limit.PerSecond}
+		}
+	}
+	return ratelimit.Statement{}
+}
+
+// request is a request to the account for one request to the engine.
+func (l *limits) request(h *host, word ratelimit.Word) ratelimit.Request {
+	return ratelimit.Request{Service: l.run.config.Deployment, Replica: h.name, Word: word}
+}
+
+// arrive notes a request that was sent at sentAt. The answer tells the account what the engine states.
+func (l *limits) arrive(h *host, sentAt, latency time.Duration) {
+	if len(l.run.config.Limits) == 0 {
+		return
+	}
+	l.arrivals[h] = append(l.arrivals[h], l.run.now)
+	said := l.stated(h)
+	l.run.after(latency, func() {
+		age := time.Duration(0)
+		if said.Kind == ratelimit.Unlimited {
+			age = l.run.now - sentAt
+		}
+		l.book.Record(l.run.now, l.request(h, ratelimit.Word{Statement: said, Age: age, SentAge: l.run.now - sentAt}))
+	})
+}
+
+// permit reports whether the account grants a request to the engine.
+func (l *limits) permit(h *host) bool {
+	reply, _ := l.book.Charge(l.run.now, l.request(h, ratelimit.Word{Statement: ratelimit.Statement{Kind: ratelimit.Unclear}}), true)
+	return reply.Granted
+}
+
+// hasRoom reports whether the account would grant a request to the engine.
+func (l *limits) hasRoom(h *host) bool {
+	exhausted, _ := l.book.Exhausted(l.run.now, l.run.config.Deployment, 0)
+	for _, name := range exhausted {
+		if name == h.name {
+			return false
+		}
+	}
+	return true
+}
--- a/lab/emulator/proxy.go
+++ b/lab/emulator/proxy.go
@@ -136,7 +136,7 @@
 		Model:        known.assignment.Model,
 		Version:      known.assignment.Version,
 		Adapters:     known.assignment.Adapters,
-		Admits:       known.admits && now >= t.refused,
+		Admits:       known.admits && now >= t.refused && h.run.limits.hasRoom(h),
 		Suspect:      known.suspect,
 		CachedBlocks: h.cache.leading,
 		Load: router.Load{
--- a/lab/emulator/run.go
+++ b/lab/emulator/run.go
@@ -26,6 +26,7 @@
 	control *control
 	store   *weightStore
 	demand  *demandMeter
+	limits  *limits
 	result  *Result
 	// inFlight counts requests that have arrived and not ended.
 	inFlight int
@@ -37,6 +38,15 @@
 // Run emulates a deployment under a trace. It returns trace.ErrUnknownDeployment
 // or ErrNoModelWork for a config that can't be run.
 func Run(config Config) (*Result, error) {
+	r, err := play(config)
+	if err != nil {
+		return nil, err
+	}
+	return r.result, nil
+}
+
+// play is Run with all that is left of the run.
+func play(config Config) (*run, error) {
 	config = config.withDefaults()
 	zones, err := trace.Zones(config.Deployment)
 	if err != nil {
@@ -49,7 +59,7 @@
 	r.start()
 	r.runUntil(config.Duration + settleTime)
 	r.finish()
-	return r.result, nil
+	return r, nil
 }
 
 func newRun(config Config, zones []string) *run {
@@ -62,6 +72,7 @@
 	r.control = newControl(r)
 	r.store = &weightStore{run: r}
 	r.demand = newDemandMeter(r)
+	r.limits = newLimits(r)
 	var names []string
 	for i := range config.Engines {
 		names = append(names, fmt.Sprintf("engine-%02d", i+1))
--- a/lab/emulator/stage.go
+++ b/lab/emulator/stage.go
@@ -58,6 +58,7 @@
 		return // its cancel, sent later, would take it out at once
 	}
 	host := s.target.host
+	s.flow.run.limits.arrive(host, s.sent.at, s.latency())
 	if host.down {
 		s.refused(true)
 		return
