--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -33,7 +33,7 @@
 		"A replica's answer asks this process to send it nothing for retry_after_ms, or nothing new any more since it leaves. stage says what was asked, status how it was answered.",
 		"Many from replicas that are not replaced: they have too much to do, or are faulty.")
 	SendWithheld = define(4609, "send_withheld", Info,
-		"A request was not sent to the replica that had been chosen for it, to be read there or to run: it has asked for a pause meanwhile (pause_ms is left), or leaves. The request goes elsewhere.", "")
+		"A request was not sent to the replica that had been chosen for it, to be read there or to run: it has asked for a pause meanwhile (pause_ms is left), leaves, or has a limit that leaves no room. The request goes elsewhere.", "")
 	ReplicaLives = define(4610, "replica_lives", Info,
 		"A replica that seemed to have ended has answered, on a connection that has been open for open_ms: the ends since then that were told of it are taken back.", "")
 	EndsUnrecorded = define(4612, "ends_unrecorded", Info,
--- a/process/ingress/asks.go
+++ b/process/ingress/asks.go
@@ -49,6 +49,11 @@
 // it ends the time after a pause in which the replica is avoided.
 func (s *session) recordHoldoff(stage string, from *holdoff.Replica, status int, header http.Header) {
 	reply := s.ingress.config.Dialect.Reply(status, header)
+	s.applyHoldoff(stage, from, status, &reply)
+}
+
+// applyHoldoff is recordHoldoff for an answer that was parsed.
+func (s *session) applyHoldoff(stage string, from *holdoff.Replica, status int, reply *Reply) {
 	if reply.Misdirected {
 		return
 	}
@@ -89,13 +94,14 @@
 	}
 }
 
-// noteWithheld records that nothing is sent to a chosen replica because it pauses or is leaving.
+// noteWithheld records that nothing is sent to a chosen replica because it pauses, is leaving or has a
+// limit that leaves no room.
 func (s *session) noteWithheld(stage string, from *replica) {
 	s.withheld = stage == stageRun
 	s.trace.WriteString(" withheld(" + from.name + ")")
 	s.ingress.metrics.withheldSends.WithLabelValues(s.upstream.service, stage).Inc()
 	event.SendWithheld.Log(s.ingress.logger, "request", s.call.ID, "stage", stage, "replica", from.name,
-		"pause_ms", from.holdoff.PauseLeft(s.ingress.now()).Milliseconds(), "leaving", from.holdoff.IsLeaving())
+		"pause_ms", from.holdoff.PauseLeft(s.ingress.now()).Milliseconds(), "leaving", from.holdoff.IsLeaving(), "limited", from.holdoff.IsLimited())
 }
 
 // avoidedReplicas returns the replicas that the control group must not choose: those already
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -324,7 +324,6 @@
 	s := &session{
 		ingress: i, writer: w, call: call, route: route, upstream: i.upstreams.get(service), random: random,
 		generation: admitted.generation, priority: admitted.priority, arrivedAt: arrivedAt, excluded: map[string]bool{}, contacted: map[string]bool{},
-		permits: map[string]time.Duration{},
 		lifecycle: attempt.New(attempt.Policy{
 			AtMostOnce:  !route.Idempotent(),
 			MaxAttempts: max(route.Attempts, 1) + maxDialFailures + 1,
--- a/process/ingress/limits.go
+++ b/process/ingress/limits.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/request/holdoff"
 	"github.com/landingtrail/landingtrail/request/ratelimit"
@@ -47,24 +46,26 @@
 
 // takePermit returns the permit for a replica, which may be used once.
 func (s *session) takePermit(replica string) permit {
-	grantedAt, granted := s.permits[replica]
+	taken := s.permits[replica]
 	delete(s.permits, replica)
-	return permit{granted: granted, grantedAt: grantedAt}
+	return taken
 }
 
-// hasPermit reports whether the request has a valid permit for the replica.
-func (s *session) hasPermit(replica string) bool {
-	grantedAt, granted := s.permits[replica]
-	return permit{granted: granted, grantedAt: grantedAt}.isValid(s.ingress.now())
+// keepPermit keeps a permit that was granted now.
+func (s *session) keepPermit(replica string) {
+	if s.permits == nil {
+		s.permits = map[string]permit{}
+	}
+	s.permits[replica] = permit{granted: true, grantedAt: s.ingress.now()}
 }
 
 // obtainPermit reports whether the request may be sent to the replica: it has no limit, or a permit
 // was granted.
 func (s *session) obtainPermit(ctx context.Context, to *replica) bool {
-	if !to.holdoff.IsLimited() || s.hasPermit(to.name) {
+	now := s.ingress.now()
+	if !to.holdoff.IsLimited() || s.permits[to.name].isValid(now) {
 		return true
 	}
-	now := s.ingress.now()
 	if to.holdoff.ExhaustedFor(now) > 0 {
 		s.limitRefused = true
 		return false
@@ -77,7 +78,7 @@
 	}
 	s.ingress.metrics.limitGrants.WithLabelValues(s.upstream.service, outcome, by).Inc()
 	if reply.Granted {
-		s.permits[to.name] = s.ingress.now()
+		s.keepPermit(to.name)
 		return true
 	}
 	s.limitRefused = true
@@ -116,10 +117,9 @@
 	return ratelimit.QuotaOf(standaloneShare * perSecond)
 }
 
-// recordLimit applies what an answer to this request states about its replica's rate. Answers that
-// name no request, or come from another replica, state nothing.
-func (s *session) recordLimit(from *holdoff.Replica, sentAt time.Duration, answer *exchange.Response) {
-	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
+// applyLimit applies what the answer to a request of this session states about its replica's rate.
+// Answers that name no request, or come from another replica, state nothing.
+func (s *session) applyLimit(from *holdoff.Replica, sentAt time.Duration, reply *Reply) {
 	if reply.Misdirected || !reply.HasRequestID {
 		return
 	}
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -36,9 +36,8 @@
 	// contacted holds the addresses to which the request was sent, to prefill or to run it.
 	contacted map[string]bool
 	excluded  map[string]bool // names of replicas that were tried, which are not chosen again
-	// permits holds when the request was granted for replicas with a limit, by name; a permit is
-	// used up by one send.
-	permits map[string]time.Duration
+	// permits holds the unused permits for limited replicas, by name; nil until there is one.
+	permits map[string]permit
 	// limitRefused is true once the request was not granted for a replica.
 	limitRefused bool
 	// answered is true once the replica of the current attempt has answered.
@@ -47,8 +46,8 @@
 	misdirected bool
 	// connectionRefused is true if nothing listens at the address in the current attempt.
 	connectionRefused bool
-	// withheld is true if nothing was sent because the chosen replica asked for a pause or is
-	// leaving.
+	// withheld is true if nothing was sent because the chosen replica asked for a pause, is leaving
+	// or has a limit that leaves no room.
 	withheld bool
 	// headSent is true once the head of an answer was sent to the caller.
 	headSent bool
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -205,8 +205,9 @@
 	answer, err := s.upstream.pool.Do(ctx, address, request)
 	if err == nil {
 		s.recordUnmatched(stage, to, answer.Reused, answer.Unmatched)
-		s.recordHoldoff(stage, to.holdoff, answer.Status, answer.Header)
-		s.recordLimit(to.holdoff, sentAt, answer)
+		reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
+		s.applyHoldoff(stage, to.holdoff, answer.Status, &reply)
+		s.applyLimit(to.holdoff, sentAt, &reply)
 		return answer, nil
 	}
 	var failure *exchange.Failure
