--- a/process/ingress/limits_test.go
+++ b/process/ingress/limits_test.go
@@ -301,3 +301,12 @@
 	must.False(t, permit{granted: true, grantedAt: time.Second}.isValid(time.Second+permitLifetime+1))
 	must.False(t, noPermit.isValid(0))
 }
+
+// A permit allows one send, whatever follows in the same request.
+func TestPermitIsTakenOnce(t *testing.T) {
+	env := newTestEnv(t)
+	s := &session{ingress: env.ingress}
+	s.keepPermit("a")
+	must.True(t, s.takePermit("a").isValid(env.ingress.now()))
+	must.False(t, s.takePermit("a").isValid(env.ingress.now()))
+}
--- a/request/ratelimit/ratelimit_test.go
+++ b/request/ratelimit/ratelimit_test.go
@@ -190,3 +190,14 @@
 	must.LessEq(t, maxReturnWait+time.Second, returns.Next(0, time.Second, 2))
 	must.LessEq(t, maxReturnWait+2*time.Second, returns.Next(0, 0, 0))
 }
+
+// A leader that begins another term starts empty, because another leader may have granted meanwhile.
+func TestEachTermStartsEmpty(t *testing.T) {
+	book := NewBook(DefaultRule, 0)
+	request := Request{Service: "s", Replica: "r", Word: Word{Statement: limited(2)}}
+	book.Record(0, request)
+	book.BeginTerm(10 * time.Second)
+	reply, _ := book.Charge(10*time.Second, request, true)
+	must.False(t, reply.Granted)
+	must.Eq(t, 500*time.Millisecond, reply.Wait)
+}
