--- a/connection/feed/client.go
+++ b/connection/feed/client.go
@@ -36,7 +36,7 @@
 	// either because it has no leader or because its leader can't commit. It must not block.
 	OnUnrecordedCrashes func(report CrashReport)
 	// OnLimits, if set, is called with limits of replicas that a member announces. It must not block.
-	OnLimits func(words []ratelimit.NamedWord)
+	OnLimits func(reports []ratelimit.NamedReport)
 	// Standby sends placement requests and charges to any member, the last leader first, or to a
 	// relaying daemon while no leader serves the client or the leader is unresponsive.
 	Standby bool
--- a/connection/feed/group_test.go
+++ b/connection/feed/group_test.go
@@ -36,7 +36,7 @@
 
 // fakeGroup is a control group with a single state machine.
 type fakeGroup struct {
-	limits     *ratelimit.Book
+	limits     *ratelimit.Limiter
 	lock       sync.Mutex
 	machine    *state.Machine
 	index      uint64
@@ -53,7 +53,7 @@
 }
 
 func newFakeGroup() *fakeGroup {
-	g := &fakeGroup{limits: ratelimit.NewBook(ratelimit.DefaultRule, 0), machine: state.New(), leadership: Leadership{Leads: true, Term: 1}, leased: true}
+	g := &fakeGroup{limits: ratelimit.NewLimiter(ratelimit.DefaultRule, 0), machine: state.New(), leadership: Leadership{Leads: true, Term: 1}, leased: true}
 	g.claim = func(request state.ClaimRequest) (api.ClaimResult, error) {
 		return g.apply(state.Command{Kind: state.CommandClaim, Claim: &request}).(api.ClaimResult), nil
 	}
@@ -179,7 +179,7 @@
 	g.limits.Record(time.Hour, request)
 }
 
-func (g *fakeGroup) Limits(since uint64) ([]ratelimit.NamedWord, uint64) {
+func (g *fakeGroup) Limits(since uint64) ([]ratelimit.NamedReport, uint64) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	return g.limits.Announcements(time.Hour, since)
--- a/connection/feed/limit.go
+++ b/connection/feed/limit.go
@@ -54,20 +54,20 @@
 }
 
 // limitGrant and limitReply convert a reply to and from the form in which it is sent. Left is the rate
-// in requests per second. It is infinite if there is no limit, and Wait is then the age of that word.
+// in requests per second. It is infinite if there is no limit, and Wait is then the age of that report.
 func limitGrant(reply ratelimit.Reply) quota.Grant {
-	if reply.Word.Kind != ratelimit.Limited {
-		return quota.Grant{Granted: reply.Granted, Wait: reply.Word.Age, Left: math.Inf(1)}
+	if reply.Report.Kind != ratelimit.Limited {
+		return quota.Grant{Granted: reply.Granted, Wait: reply.Report.Age, Left: math.Inf(1)}
 	}
-	return quota.Grant{Granted: reply.Granted, Wait: reply.Wait, Left: reply.Word.PerSecond}
+	return quota.Grant{Granted: reply.Granted, Wait: reply.Wait, Left: reply.Report.PerSecond}
 }
 
 func limitReply(grant quota.Grant) ratelimit.Reply {
 	if math.IsInf(grant.Left, 1) {
-		return ratelimit.Reply{Granted: grant.Granted, Word: ratelimit.Word{Age: grant.Wait}}
+		return ratelimit.Reply{Granted: grant.Granted, Report: ratelimit.Report{Age: grant.Wait}}
 	}
-	word := ratelimit.Word{Statement: ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: grant.Left}}
-	return ratelimit.Reply{Granted: grant.Granted, Wait: grant.Wait, Word: word}
+	report := ratelimit.Report{Statement: ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: grant.Left}}
+	return ratelimit.Reply{Granted: grant.Granted, Wait: grant.Wait, Report: report}
 }
 
 // encodeLimitTenant encodes a request in place of a tenant's name.
@@ -75,7 +75,7 @@
 	encoder := frame.NewEncoder(nil)
 	encoder.String(request.Service)
 	encoder.String(request.Replica)
-	encodeWord(encoder, request.Word)
+	encodeLimitReport(encoder, request.Report)
 	encoder.Int64(int64(request.Priority))
 	return limitPrefix + string(encoder.Data())
 }
@@ -87,52 +87,52 @@
 		return nil, nil
 	}
 	decoder := frame.NewDecoder([]byte(encoded))
-	request := &ratelimit.Request{Service: decoder.String(), Replica: decoder.String(), Word: decodeWord(decoder), Priority: int(decoder.Int64())}
+	request := &ratelimit.Request{Service: decoder.String(), Replica: decoder.String(), Report: decodeLimitReport(decoder), Priority: int(decoder.Int64())}
 	return request, decoder.Finish()
 }
 
-func encodeWord(encoder *frame.Encoder, word ratelimit.Word) {
-	encoder.Uint8(uint8(word.Kind))
-	encoder.Float64(word.PerSecond)
-	encoder.Int64(int64(word.Age))
-	encoder.Int64(int64(word.SentAge))
+func encodeLimitReport(encoder *frame.Encoder, report ratelimit.Report) {
+	encoder.Uint8(uint8(report.Kind))
+	encoder.Float64(report.PerSecond)
+	encoder.Int64(int64(report.Age))
+	encoder.Int64(int64(report.SentAge))
 }
 
-func decodeWord(decoder *frame.Decoder) ratelimit.Word {
-	word := ratelimit.Word{Statement: ratelimit.Statement{Kind: ratelimit.Kind(decoder.Uint8()), PerSecond: decoder.Float64()}, Age: time.Duration(decoder.Int64()), SentAge: time.Duration(decoder.Int64())}
-	if word.Kind > ratelimit.Unclear || !(word.PerSecond >= 0) || word.Age < 0 {
+func decodeLimitReport(decoder *frame.Decoder) ratelimit.Report {
+	report := ratelimit.Report{Statement: ratelimit.Statement{Kind: ratelimit.Kind(decoder.Uint8()), PerSecond: decoder.Float64()}, Age: time.Duration(decoder.Int64()), SentAge: time.Duration(decoder.Int64())}
+	if report.Kind > ratelimit.Unclear || !(report.PerSecond >= 0) || report.Age < 0 {
 		decoder.Fail(frame.ErrValue)
 	}
-	return word
+	return report
 }
 
-// maxAnnouncedLimits limits the entries of one kindLimits frame, wordSize is the smallest size of one.
+// maxAnnouncedLimits limits the entries of one kindLimits frame, limitReportSize is the smallest size of one.
 const (
 	maxAnnouncedLimits = 512
-	wordSize           = 4 + 1 + 8 + 8 + 8
+	limitReportSize    = 4 + 1 + 8 + 8 + 8
 )
 
-func encodeLimits(words []ratelimit.NamedWord) []byte {
+func encodeLimits(reports []ratelimit.NamedReport) []byte {
 	encoder := frame.NewEncoder(nil)
-	encoder.Uint32(uint32(len(words)))
-	for _, named := range words {
+	encoder.Uint32(uint32(len(reports)))
+	for _, named := range reports {
 		encoder.String(named.Replica)
-		encodeWord(encoder, named.Word)
+		encodeLimitReport(encoder, named.Report)
 	}
 	return encoder.Data()
 }
 
-func decodeLimits(data []byte) ([]ratelimit.NamedWord, error) {
+func decodeLimits(data []byte) ([]ratelimit.NamedReport, error) {
 	decoder := frame.NewDecoder(data)
-	count := decoder.Count(wordSize)
+	count := decoder.Count(limitReportSize)
 	if count > maxAnnouncedLimits {
 		decoder.Fail(frame.ErrValue)
 	}
-	var words []ratelimit.NamedWord
+	var reports []ratelimit.NamedReport
 	for i := 0; i < count && decoder.Err() == nil; i++ {
-		words = append(words, ratelimit.NamedWord{Replica: decoder.String(), Word: decodeWord(decoder)})
+		reports = append(reports, ratelimit.NamedReport{Replica: decoder.String(), Report: decodeLimitReport(decoder)})
 	}
-	return words, decoder.Finish()
+	return reports, decoder.Finish()
 }
 
 // writeLimits announces the limits that have begun, ended or changed much since the last call, if the
@@ -141,10 +141,10 @@
 	if !s.readsLimits.Load() {
 		return nil
 	}
-	words, generation := s.server.config.Group.Limits(s.limitsGeneration)
+	reports, generation := s.server.config.Group.Limits(s.limitsGeneration)
 	s.limitsGeneration = generation
-	for first := 0; first < len(words); first += maxAnnouncedLimits {
-		part := words[first:min(first+maxAnnouncedLimits, len(words))]
+	for first := 0; first < len(reports); first += maxAnnouncedLimits {
+		part := reports[first:min(first+maxAnnouncedLimits, len(reports))]
 		if err := writer.WriteFrame(kindLimits, encodeLimits(part)); err != nil {
 			return err
 		}
@@ -154,12 +154,12 @@
 
 // receiveLimits handles a member's announcement of limits.
 func (s *session) receiveLimits(payload []byte) error {
-	words, err := decodeLimits(payload)
+	reports, err := decodeLimits(payload)
 	if err != nil {
 		return err
 	}
 	if s.client.config.OnLimits != nil {
-		s.client.config.OnLimits(words)
+		s.client.config.OnLimits(reports)
 	}
 	return nil
 }
--- a/connection/feed/limit_test.go
+++ b/connection/feed/limit_test.go
@@ -11,15 +11,15 @@
 	"github.com/shoenig/test/must"
 )
 
-func limitedWord(perSecond float64) ratelimit.Word {
-	return ratelimit.Word{Statement: ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: perSecond}}
+func limitedReport(perSecond float64) ratelimit.Report {
+	return ratelimit.Report{Statement: ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: perSecond}}
 }
 
 // A request for a limited replica travels in the frame of a quota charge; the name of a tenant is
 // never taken for one.
 func TestLimitRequestsTravelInCharges(t *testing.T) {
-	request := &ratelimit.Request{Service: "s", Replica: "r", Word: limitedWord(1.4), Priority: 2}
-	request.Word.Age, request.Word.SentAge = 3, 4
+	request := &ratelimit.Request{Service: "s", Replica: "r", Report: limitedReport(1.4), Priority: 2}
+	request.Report.Age, request.Report.SentAge = 3, 4
 	data := encodeChargeRequest(frame.NewEncoder(nil), ChargeRequest{Limit: request, Cost: 1})
 	decoded, err := decodeChargeRequest(frame.NewDecoder(data))
 	must.NoError(t, err)
@@ -27,7 +27,7 @@
 	_, err = decodeChargeRequest(frame.NewDecoder(encodeChargeRequest(frame.NewEncoder(nil), ChargeRequest{Tenant: limitPrefix + "x"})))
 	must.Error(t, err)
 	for _, reply := range []ratelimit.Reply{
-		{Word: limitedWord(2), Granted: true}, {Word: limitedWord(0), Wait: time.Second}, {Word: ratelimit.Word{Age: time.Second}, Granted: true},
+		{Report: limitedReport(2), Granted: true}, {Report: limitedReport(0), Wait: time.Second}, {Report: ratelimit.Report{Age: time.Second}, Granted: true},
 	} {
 		must.Eq(t, reply, limitReply(limitGrant(reply)))
 	}
@@ -35,24 +35,24 @@
 
 // announced collects the limits that a client is told.
 type announced struct {
-	lock  sync.Mutex
-	words []ratelimit.NamedWord
+	lock    sync.Mutex
+	reports []ratelimit.NamedReport
 }
 
-func (a *announced) add(words []ratelimit.NamedWord) {
+func (a *announced) add(reports []ratelimit.NamedReport) {
 	a.lock.Lock()
 	defer a.lock.Unlock()
-	a.words = append(a.words, words...)
+	a.reports = append(a.reports, reports...)
 }
 
 func (a *announced) count() int {
 	a.lock.Lock()
 	defer a.lock.Unlock()
-	return len(a.words)
+	return len(a.reports)
 }
 
 // startLimitClient starts a client with the daemon's name; onLimits may be nil.
-func startLimitClient(t *testing.T, address, daemon string, onLimits func([]ratelimit.NamedWord)) *Client {
+func startLimitClient(t *testing.T, address, daemon string, onLimits func([]ratelimit.NamedReport)) *Client {
 	client, err := Dial(ClientConfig{
 		Daemon: daemon, Addresses: []string{address}, OnLimits: onLimits,
 		HeartbeatInterval: 20 * time.Millisecond, SilenceTimeout: testTimeout, BackoffMin: time.Millisecond, BackoffMax: 20 * time.Millisecond,
@@ -71,12 +71,12 @@
 	group.put("water")
 	silent := startLimitClient(t, address, "silent", nil)
 	reading := startLimitClient(t, address, "reading", told.add)
-	reply, err := silent.ChargeLimit(t.Context(), ratelimit.Request{Service: "s", Replica: "r", Word: limitedWord(2)})
+	reply, err := silent.ChargeLimit(t.Context(), ratelimit.Request{Service: "s", Replica: "r", Report: limitedReport(2)})
 	must.NoError(t, err)
 	must.False(t, reply.Granted, must.Sprint("the account starts empty"))
-	must.Eq(t, 2, reply.Word.PerSecond)
+	must.Eq(t, 2, reply.Report.PerSecond)
 	eventually(t, "the first announcement", func() bool { return told.count() == 1 })
-	must.True(t, reading.ReportLimit(ratelimit.Request{Service: "s", Replica: "other", Word: limitedWord(3)}))
+	must.True(t, reading.ReportLimit(ratelimit.Request{Service: "s", Replica: "other", Report: limitedReport(3)}))
 	eventually(t, "the second announcement", func() bool { return told.count() == 2 })
 	must.True(t, silent.Connected())
 	must.Eq(t, 0, silent.session.Load().unanswered.Load())
@@ -91,7 +91,7 @@
 	relay := startLimitClient(t, address, "relay", nil)
 	relay.config.OnLimits = told.add // which an older relay would not know
 	must.True(t, relay.ReportLimit(ratelimit.Request{Service: "another daemon"}))
-	_, err := relay.ChargeLimit(t.Context(), ratelimit.Request{Service: "s", Replica: "r", Word: limitedWord(2)})
+	_, err := relay.ChargeLimit(t.Context(), ratelimit.Request{Service: "s", Replica: "r", Report: limitedReport(2)})
 	must.NoError(t, err)
 	time.Sleep(100 * time.Millisecond) // several heartbeats, each of which would bring the announcement
 	must.Eq(t, 0, told.count())
--- a/connection/feed/server.go
+++ b/connection/feed/server.go
@@ -76,7 +76,7 @@
 	// generation.
 	ChargeLimit(request ratelimit.Request, forwarded bool) (ratelimit.Reply, bool)
 	RecordLimit(request ratelimit.Request, forwarded bool)
-	Limits(since uint64) (words []ratelimit.NamedWord, generation uint64)
+	Limits(since uint64) (reports []ratelimit.NamedReport, generation uint64)
 	// WallClock returns the group's wall-clock time in Unix milliseconds, 0 if unknown.
 	WallClock() int64
 }
--- a/lab/campaign/limit_test.go
+++ b/lab/campaign/limit_test.go
@@ -14,7 +14,7 @@
 )
 
 // The limits that replicas name, in virtual time: proxies with the product's own tables ask the product's own
-// books for permits, over links that delay and lose; leaders change, nobody leads for a while, all members are
+// limiters for permits, over links that delay and lose; leaders change, nobody leads for a while, all members are
 // out of reach, proxies restart, replicas are born again; answers arrive late. The oracle knows which proxies
 // were told, and what arrived.
 
@@ -46,8 +46,8 @@
 	random   *rand.Rand
 	proxies  []*limitProxy
 	replicas []*limitReplica
-	leader   *ratelimit.Book // nil while nobody leads
-	standby  *ratelimit.Book // nil while no member is in reach
+	leader   *ratelimit.Limiter // nil while nobody leads
+	standby  *ratelimit.Limiter // nil while no member is in reach
 	counts   map[string]int
 	broken   []string
 }
@@ -80,8 +80,8 @@
 }
 
 func newLimitWorld(seed uint64, proxies int) *limitWorld {
-	w := &limitWorld{random: rand.New(rand.NewPCG(seed, 21)), counts: map[string]int{}, standby: ratelimit.NewBook(ratelimit.DefaultRule, 0)}
-	w.leader = ratelimit.NewBook(ratelimit.DefaultRule, 0)
+	w := &limitWorld{random: rand.New(rand.NewPCG(seed, 21)), counts: map[string]int{}, standby: ratelimit.NewLimiter(ratelimit.DefaultRule, 0)}
+	w.leader = ratelimit.NewLimiter(ratelimit.DefaultRule, 0)
 	for i := range limitReplicas {
 		w.replicas = append(w.replicas, &limitReplica{name: fmt.Sprintf("r%d", i), told: map[string]time.Duration{}})
 	}
@@ -119,38 +119,38 @@
 		w.dial(proxy, target, -1, "nobody: no limit known")
 		return
 	}
-	request := ratelimit.Request{Service: "s", Replica: target.name, Word: known.LimitWord(w.now), Priority: w.random.IntN(3)}
+	request := ratelimit.Request{Service: "s", Replica: target.name, Report: known.LimitReport(w.now), Priority: w.random.IntN(3)}
 	life := proxy.life
 	w.after(w.draw(limitMember), func() {
-		book, leads, by := w.leader, true, "the leader"
-		if book == nil {
-			book, leads, by = w.standby, false, "a standby member"
+		limiter, leads, by := w.leader, true, "the leader"
+		if limiter == nil {
+			limiter, leads, by = w.standby, false, "a standby member"
 		}
-		if book == nil || w.random.IntN(limitLostOnceIn) == 0 {
+		if limiter == nil || w.random.IntN(limitLostOnceIn) == 0 {
 			w.after(limitMember, func() { w.decideAlone(proxy, life, target, request) })
 			return
 		}
-		reply, announce := book.Charge(w.now, request, leads)
+		reply, announce := limiter.Charge(w.now, request, leads)
 		if announce {
-			w.announce(book)
+			w.announce(limiter)
 		}
 		w.after(w.draw(limitMember), func() { w.decided(proxy, life, target, reply, by) })
 	})
 }
 
 // announce tells all proxies what has changed.
-func (w *limitWorld) announce(book *ratelimit.Book) {
-	words, _ := book.Announcements(w.now, 0)
+func (w *limitWorld) announce(limiter *ratelimit.Limiter) {
+	reports, _ := limiter.Announcements(w.now, 0)
 	for _, proxy := range w.proxies {
 		life, told := proxy.life, w.now
 		w.after(w.draw(limitMember), func() {
 			if proxy.life != life {
 				return
 			}
-			for _, named := range words {
-				word := named.Word
-				word.Age += w.now - told
-				w.observe(proxy, proxy.table.Find(named.Replica).ObserveLimitWord(w.now, w.wall(), word), named.Replica)
+			for _, named := range reports {
+				report := named.Report
+				report.Age += w.now - told
+				w.observe(proxy, proxy.table.Find(named.Replica).ObserveLimitReport(w.now, w.wall(), report), named.Replica)
 			}
 		})
 	}
@@ -172,8 +172,8 @@
 	if w.standby != nil {
 		sharing.Alone = 0
 	}
-	grant := proxy.share.Charge(w.now, target.name, ratelimit.QuotaOf(request.Word.PerSecond/2), 1, sharing)
-	w.decided(proxy, life, target, ratelimit.Reply{Word: request.Word, Granted: grant.Granted, Wait: grant.Wait}, "the proxy alone")
+	grant := proxy.share.Charge(w.now, target.name, ratelimit.QuotaOf(request.Report.PerSecond/2), 1, sharing)
+	w.decided(proxy, life, target, ratelimit.Reply{Report: request.Report, Granted: grant.Granted, Wait: grant.Wait}, "the proxy alone")
 }
 
 func (w *limitWorld) decided(proxy *limitProxy, life int, target *limitReplica, reply ratelimit.Reply, by string) {
@@ -181,8 +181,8 @@
 		return
 	}
 	known := proxy.table.Find(target.name)
-	if reply.Word.Kind != ratelimit.Limited {
-		known.ObserveLimitWord(w.now, w.wall(), reply.Word)
+	if reply.Report.Kind != ratelimit.Limited {
+		known.ObserveLimitReport(w.now, w.wall(), reply.Report)
 	}
 	if !reply.Granted {
 		w.counts["refused"]++
@@ -190,7 +190,7 @@
 		return
 	}
 	w.counts["granted"]++
-	if reply.Word.Kind != ratelimit.Limited {
+	if reply.Report.Kind != ratelimit.Limited {
 		by += ": no limit known"
 	}
 	w.dial(proxy, target, w.now, by)
@@ -240,7 +240,7 @@
 		if !changed {
 			return
 		}
-		request := ratelimit.Request{Service: "s", Replica: target.name, Word: replica.LimitWord(w.now)}
+		request := ratelimit.Request{Service: "s", Replica: target.name, Report: replica.LimitReport(w.now)}
 		w.after(w.draw(limitMember), func() {
 			if w.leader != nil && w.leader.Record(w.now, request) {
 				w.announce(w.leader)
@@ -315,13 +315,13 @@
 		return
 	}
 	if w.standby == nil {
-		w.standby = ratelimit.NewBook(ratelimit.DefaultRule, w.now)
+		w.standby = ratelimit.NewLimiter(ratelimit.DefaultRule, w.now)
 	}
-	w.leader = ratelimit.NewBook(ratelimit.DefaultRule, w.now)
+	w.leader = ratelimit.NewLimiter(ratelimit.DefaultRule, w.now)
 	for _, proxy := range w.proxies {
 		for _, replica := range w.replicas {
 			if known := proxy.table.Find(replica.name); known.IsLimited() {
-				w.leader.Record(w.now, ratelimit.Request{Service: "s", Replica: replica.name, Word: known.LimitWord(w.now)})
+				w.leader.Record(w.now, ratelimit.Request{Service: "s", Replica: replica.name, Report: known.LimitReport(w.now)})
 			}
 		}
 	}
--- a/lab/emulator/limits.go
+++ b/lab/emulator/limits.go
@@ -16,12 +16,12 @@
 // limits holds the limits that engines state, and the group's account of them. Grants take no time.
 type limits struct {
 	run      *run
-	book     *ratelimit.Book
+	limiter  *ratelimit.Limiter
 	arrivals map[*host][]time.Duration
 }
 
 func newLimits(r *run) *limits {
-	return &limits{run: r, book: ratelimit.NewBook(ratelimit.DefaultRule, 0), arrivals: map[*host][]time.Duration{}}
+	return &limits{run: r, limiter: ratelimit.NewLimiter(ratelimit.DefaultRule, 0), arrivals: map[*host][]time.Duration{}}
 }
 
 // stated returns what the engine's answers state now.
@@ -35,8 +35,8 @@
 }
 
 // request is a request to the account for one request to the engine.
-func (l *limits) request(h *host, word ratelimit.Word) ratelimit.Request {
-	return ratelimit.Request{Service: l.run.config.Deployment, Replica: h.name, Word: word}
+func (l *limits) request(h *host, report ratelimit.Report) ratelimit.Request {
+	return ratelimit.Request{Service: l.run.config.Deployment, Replica: h.name, Report: report}
 }
 
 // arrive notes a request that was sent at sentAt. The answer tells the account what the engine states.
@@ -51,19 +51,19 @@
 		if said.Kind == ratelimit.Unlimited {
 			age = l.run.now - sentAt
 		}
-		l.book.Record(l.run.now, l.request(h, ratelimit.Word{Statement: said, Age: age, SentAge: l.run.now - sentAt}))
+		l.limiter.Record(l.run.now, l.request(h, ratelimit.Report{Statement: said, Age: age, SentAge: l.run.now - sentAt}))
 	})
 }
 
 // permit reports whether the account grants a request to the engine.
 func (l *limits) permit(h *host) bool {
-	reply, _ := l.book.Charge(l.run.now, l.request(h, ratelimit.Word{Statement: ratelimit.Statement{Kind: ratelimit.Unclear}}), true)
+	reply, _ := l.limiter.Charge(l.run.now, l.request(h, ratelimit.Report{Statement: ratelimit.Statement{Kind: ratelimit.Unclear}}), true)
 	return reply.Granted
 }
 
 // hasRoom reports whether the account would grant a request to the engine.
 func (l *limits) hasRoom(h *host) bool {
-	exhausted, _ := l.book.Exhausted(l.run.now, l.run.config.Deployment, 0)
+	exhausted, _ := l.limiter.Exhausted(l.run.now, l.run.config.Deployment, 0)
 	for _, name := range exhausted {
 		if name == h.name {
 			return false
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -37,7 +37,7 @@
 	// quotas charges requests to the quotas of their tenants.
 	quotas *quotaCharger
 	// rates holds the replicas that state a limit on their requests.
-	rates *ratelimit.Book
+	rates *ratelimit.Limiter
 	// wakeFeed lets the feed send what has changed.
 	wakeFeed func()
 	// evidence holds the proxies' reports of crashed replicas.
--- a/process/control/membership_test.go
+++ b/process/control/membership_test.go
@@ -179,7 +179,7 @@
 	g := &group{
 		machine: newMachine(),
 		config:  Config{Durations: testDurations}.WithDefaults(),
-		quotas:  newQuotaCharger(quota.Rule{}), rates: ratelimit.NewBook(ratelimit.DefaultRule, 0),
+		quotas:  newQuotaCharger(quota.Rule{}), rates: ratelimit.NewLimiter(ratelimit.DefaultRule, 0),
 		metrics: newMetrics(),
 	}
 	started, err := replica.Start(replica.Config{
--- a/process/control/rates.go
+++ b/process/control/rates.go
@@ -29,12 +29,12 @@
 // announceLimit lets the feed tell all proxies of a limit that has begun, ended or changed.
 func (g *group) announceLimit(request ratelimit.Request) {
 	event.LimitAnnounced.Log(g.logger, "replica", request.Replica, "service", request.Service,
-		"limited", request.Word.Kind == ratelimit.Limited, "per_second", request.Word.PerSecond, "age_ms", request.Word.Age.Milliseconds())
+		"limited", request.Report.Kind == ratelimit.Limited, "per_second", request.Report.PerSecond, "age_ms", request.Report.Age.Milliseconds())
 	g.wakeFeed()
 }
 
 // Limits returns the limits announced after a generation.
-func (g *group) Limits(since uint64) ([]ratelimit.NamedWord, uint64) {
+func (g *group) Limits(since uint64) ([]ratelimit.NamedReport, uint64) {
 	return g.rates.Announcements(monotonic(), since)
 }
 
--- a/process/control/rates_test.go
+++ b/process/control/rates_test.go
@@ -22,14 +22,14 @@
 }
 
 func newRatesGroup() *group {
-	g := &group{boards: newPlacementBoards(), rates: ratelimit.NewBook(ratelimit.DefaultRule, 0)}
+	g := &group{boards: newPlacementBoards(), rates: ratelimit.NewLimiter(ratelimit.DefaultRule, 0)}
 	g.boards.update(ratesView())
 	return g
 }
 
 func (g *group) limit(replica string, perSecond float64) {
-	word := ratelimit.Word{Statement: ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: perSecond}}
-	g.rates.Record(0, ratelimit.Request{Service: "chat", Replica: replica, Word: word})
+	report := ratelimit.Report{Statement: ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: perSecond}}
+	g.rates.Record(0, ratelimit.Request{Service: "chat", Replica: replica, Report: report})
 }
 
 // Guards against placements on replicas whose limit leaves no room, and against requests that wait for
--- a/process/control/roles_test.go
+++ b/process/control/roles_test.go
@@ -56,7 +56,7 @@
 	boards := newPlacementBoards()
 	boards.update(modelView(1, "r-1"))
 	d := &leaderTasks{
-		group:  &group{boards: boards, rates: ratelimit.NewBook(ratelimit.DefaultRule, 0), config: Config{Name: "member-1", Roles: roles, ChangeRoles: true}.WithDefaults()},
+		group:  &group{boards: boards, rates: ratelimit.NewLimiter(ratelimit.DefaultRule, 0), config: Config{Name: "member-1", Roles: roles, ChangeRoles: true}.WithDefaults()},
 		logger: log.NewNopLogger(),
 		lease:  func(context.Context) (uint64, bool) { return lease() },
 	}
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -221,7 +221,7 @@
 		agreedTime: metering.NewMedianClock(monotonic, time.Now),
 		boards:     newPlacementBoards(),
 		quotas:     newQuotaCharger(m.config.Quotas),
-		rates:      ratelimit.NewBook(ratelimit.DefaultRule, monotonic()),
+		rates:      ratelimit.NewLimiter(ratelimit.DefaultRule, monotonic()),
 		wakeFeed:   func() { m.feed.Wake() },
 
 		evidence: m.evidence,
--- a/process/ingress/lane.go
+++ b/process/ingress/lane.go
@@ -25,8 +25,8 @@
 	fleet   *fleet
 	clock   func() time.Duration
 	speed   prefillSpeed
-	// returns spaces out the callers that are refused because all replicas have used up their limits.
-	returns ratelimit.Returns
+	// retryPacer spaces out the callers that are refused because all replicas have used up their limits.
+	retryPacer ratelimit.RetryPacer
 }
 
 // upstreams holds an upstream for each service that has been requested.
--- a/process/ingress/limits.go
+++ b/process/ingress/limits.go
@@ -70,8 +70,8 @@
 		s.limitRefused = true
 		return false
 	}
-	word := to.holdoff.LimitWord(now)
-	reply, by := s.askPermit(ctx, to, ratelimit.Request{Service: s.upstream.service, Replica: to.name, Word: word, Priority: s.priority})
+	report := to.holdoff.LimitReport(now)
+	reply, by := s.askPermit(ctx, to, ratelimit.Request{Service: s.upstream.service, Replica: to.name, Report: report, Priority: s.priority})
 	outcome := limitGranted
 	if !reply.Granted {
 		outcome = limitRefused
@@ -83,8 +83,8 @@
 	}
 	s.limitRefused = true
 	to.holdoff.Exhaust(s.ingress.now() + max(reply.Wait, minExhausted))
-	event.LimitRefused.Log(s.ingress.logger, "request", s.call.ID, "replica", to.name, "per_second", reply.Word.PerSecond,
-		"age_ms", word.Age.Milliseconds(), "wait_ms", reply.Wait.Milliseconds(), "alone", by == chosenByProxy)
+	event.LimitRefused.Log(s.ingress.logger, "request", s.call.ID, "replica", to.name, "per_second", reply.Report.PerSecond,
+		"age_ms", report.Age.Milliseconds(), "wait_ms", reply.Wait.Milliseconds(), "alone", by == chosenByProxy)
 	return false
 }
 
@@ -99,14 +99,14 @@
 		ctx, cancel := context.WithTimeout(ctx, chargeTimeout)
 		defer cancel()
 		if reply, err := s.ingress.limitCharger.ChargeLimit(ctx, request); err == nil {
-			if reply.Word.Kind != ratelimit.Limited { // another proxy has heard the end of the limit
-				s.ingress.applyLimitWord(to.holdoff, reply.Word)
+			if reply.Report.Kind != ratelimit.Limited { // another proxy has heard the end of the limit
+				s.ingress.applyLimitReport(to.holdoff, reply.Report)
 			}
 			return reply, chosenByGroup
 		}
 	}
-	grant := s.ingress.standaloneLimits.Charge(s.ingress.now(), to.name, standaloneQuotaOf(request.Word.PerSecond), 1, s.ingress.sharing())
-	return ratelimit.Reply{Word: request.Word, Granted: grant.Granted, Wait: grant.Wait}, chosenByProxy
+	grant := s.ingress.standaloneLimits.Charge(s.ingress.now(), to.name, standaloneQuotaOf(request.Report.PerSecond), 1, s.ingress.sharing())
+	return ratelimit.Reply{Report: request.Report, Granted: grant.Granted, Wait: grant.Wait}, chosenByProxy
 }
 
 // standaloneShare is the part of a limit that all proxies together use while no member answers. The
@@ -129,29 +129,29 @@
 	}
 }
 
-// applyLimitWord applies what a member of the control group has heard of a replica's rate.
-func (i *Ingress) applyLimitWord(replica *holdoff.Replica, word ratelimit.Word) {
-	if replica.ObserveLimitWord(i.now(), i.wallClock(), word) {
+// applyLimitReport applies what a member of the control group has heard of a replica's rate.
+func (i *Ingress) applyLimitReport(replica *holdoff.Replica, report ratelimit.Report) {
+	if replica.ObserveLimitReport(i.now(), i.wallClock(), report) {
 		i.noteLimitChange(replica, "")
 	}
 }
 
 // applyAnnouncedLimits applies limits that a member of the control group announces to all proxies.
-func (i *Ingress) applyAnnouncedLimits(words []ratelimit.NamedWord) {
-	for _, named := range words {
-		i.applyLimitWord(i.upstreams.holdoffs.Find(named.Replica), named.Word)
+func (i *Ingress) applyAnnouncedLimits(reports []ratelimit.NamedReport) {
+	for _, named := range reports {
+		i.applyLimitReport(i.upstreams.holdoffs.Find(named.Replica), named.Report)
 	}
 }
 
 // noteLimitChange records the begin or the end of a limit; request is empty if a member announced it.
 func (i *Ingress) noteLimitChange(replica *holdoff.Replica, request string) {
-	word := replica.LimitWord(i.now())
-	limited := word.Kind == ratelimit.Limited
+	report := replica.LimitReport(i.now())
+	limited := report.Kind == ratelimit.Limited
 	if limited {
 		i.standaloneLimits.Open(i.now(), replica.Name())
 	}
 	event.ReplicaLimited.Log(i.logger, "replica", replica.Name(), "request", request, "told", request == "",
-		"limited", limited, "per_second", word.PerSecond, "age_ms", word.Age.Milliseconds())
+		"limited", limited, "per_second", report.PerSecond, "age_ms", report.Age.Milliseconds())
 }
 
 // reportLimit tells the member that grants permits what this proxy has heard of a replica's rate.
@@ -159,7 +159,7 @@
 	if i.limitCharger == nil {
 		return
 	}
-	i.limitCharger.ReportLimit(ratelimit.Request{Service: service, Replica: replica.Name(), Word: replica.LimitWord(i.now())})
+	i.limitCharger.ReportLimit(ratelimit.Request{Service: service, Replica: replica.Name(), Report: replica.LimitReport(i.now())})
 }
 
 // reportAllLimits tells a member that has just started to grant permits which replicas have a limit.
@@ -202,7 +202,7 @@
 // callers that were refused before.
 func (s *session) refuseByLimit(now, first time.Duration) plan {
 	share := s.upstream.limitSum(now) / float64(max(s.ingress.upstreams.proxies.Load(), 1))
-	return plan{refused: true, retryAfter: s.upstream.returns.Next(now, first, share), closedCause: causeLimit}
+	return plan{refused: true, retryAfter: s.upstream.retryPacer.Next(now, first, share), closedCause: causeLimit}
 }
 
 // limitSum returns the sum of the limits, in requests per second, of the replicas that could run a
@@ -211,7 +211,7 @@
 	sum := 0.0
 	u.fleet.forEach(func(entry *api.Replica, current *replica) bool {
 		if current != nil && runRoles.includesRole(entry.Spec.Role) {
-			sum += current.holdoff.LimitWord(now).PerSecond
+			sum += current.holdoff.LimitReport(now).PerSecond
 		}
 		return true
 	})
--- a/process/ingress/limits_test.go
+++ b/process/ingress/limits_test.go
@@ -43,10 +43,10 @@
 		return ratelimit.Reply{Granted: true}, nil
 	}
 	if l.permits == 0 {
-		return ratelimit.Reply{Word: request.Word, Wait: l.wait}, nil
+		return ratelimit.Reply{Report: request.Report, Wait: l.wait}, nil
 	}
 	l.permits--
-	return ratelimit.Reply{Word: request.Word, Granted: true}, nil
+	return ratelimit.Reply{Report: request.Report, Granted: true}, nil
 }
 
 func (l *fakeLimits) ReportLimit(request ratelimit.Request) bool {
@@ -90,7 +90,7 @@
 		limits := &fakeLimits{wait: time.Minute}
 		env := newTestEnv(t, limited).withLimits(limits)
 		must.Eq(t, http.StatusOK, env.do(plainRequest("safe", 0)).status)
-		must.Eq(t, 1.4, limits.reported()[0].Word.PerSecond)
+		must.Eq(t, 1.4, limits.reported()[0].Report.PerSecond)
 		env.setReplicas(limited, other)
 		for i := range laterRequests {
 			must.Eq(t, http.StatusOK, env.do(plainRequest("unsafe", i+1)).status)
@@ -184,8 +184,8 @@
 	t.Run("announced by a member", func(t *testing.T) {
 		limited, other := newFakeReplica(t, "a", answerOK), newFakeReplica(t, "b", answerOK)
 		env := newTestEnv(t, limited, other).withLimits(&fakeLimits{wait: time.Minute})
-		word := ratelimit.Word{Statement: ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: 2}}
-		env.ingress.applyAnnouncedLimits([]ratelimit.NamedWord{{Replica: "a", Word: word}})
+		report := ratelimit.Report{Statement: ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: 2}}
+		env.ingress.applyAnnouncedLimits([]ratelimit.NamedReport{{Replica: "a", Report: report}})
 		for i := range laterRequests {
 			must.Eq(t, http.StatusOK, env.do(plainRequest("unsafe", i)).status)
 		}
@@ -228,7 +228,7 @@
 	must.Eq(t, 2, first.count()+second.count())
 }
 
-// The end of a limit is noticed by the first answer without one, or by the word of a member.
+// The end of a limit is noticed by the first answer without one, or by the report of a member.
 func TestEndedLimitsAreForgotten(t *testing.T) {
 	t.Run("by an answer", func(t *testing.T) {
 		handler, stated := stateLimit("1.4", answerOK)
@@ -242,7 +242,7 @@
 		}
 		reports := limits.reported()
 		must.SliceLen(t, 2, reports)
-		must.Eq(t, ratelimit.Unlimited, reports[1].Word.Kind)
+		must.Eq(t, ratelimit.Unlimited, reports[1].Report.Kind)
 	})
 	t.Run("by a member", func(t *testing.T) {
 		handler, stated := stateLimit("1.4", answerOK)
--- a/request/holdoff/limit.go
+++ b/request/holdoff/limit.go
@@ -34,10 +34,10 @@
 	})
 }
 
-// ObserveLimitWord applies what a member of the control group has heard of the replica's rate.
-func (r *Replica) ObserveLimitWord(now time.Duration, wallTime time.Time, word ratelimit.Word) (changed bool) {
-	return r.applyLimit(now, wallTime.Add(-word.Age), word.Kind == ratelimit.Limited, func(tracker *ratelimit.Tracker) bool {
-		return tracker.ObserveWord(now, word)
+// ObserveLimitReport applies what a member of the control group has heard of the replica's rate.
+func (r *Replica) ObserveLimitReport(now time.Duration, wallTime time.Time, report ratelimit.Report) (changed bool) {
+	return r.applyLimit(now, wallTime.Add(-report.Age), report.Kind == ratelimit.Limited, func(tracker *ratelimit.Tracker) bool {
+		return tracker.ObserveReport(now, report)
 	})
 }
 
@@ -58,11 +58,11 @@
 	return changed
 }
 
-// LimitWord returns what is known of the replica's rate.
-func (r *Replica) LimitWord(now time.Duration) ratelimit.Word {
+// LimitReport returns what is known of the replica's rate.
+func (r *Replica) LimitReport(now time.Duration) ratelimit.Report {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	return r.limit.tracker.Word(now)
+	return r.limit.tracker.Report(now)
 }
 
 // IsLimited reports whether the replica has a limit. A request may then be sent there only if it was
--- a/request/holdoff/limit_test.go
+++ b/request/holdoff/limit_test.go
@@ -48,7 +48,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			table := NewTable(Config{})
 			replica := table.ObserveListed("r", firstProcess, 0)
-			replica.ObserveLimitWord(0, testStart, ratelimit.Word{Statement: twoPerSecond})
+			replica.ObserveLimitReport(0, testStart, ratelimit.Report{Statement: twoPerSecond})
 			table.ObserveListed("r", test.process, 1)
 			must.Eq(t, test.limited, replica.IsLimited())
 		})
--- a/request/ratelimit/book.go
+++ b/request/ratelimit/limiter.go
@@ -26,26 +26,26 @@
 type Request struct {
 	Service  string
 	Replica  string
-	Word     Word
+	Report   Report
 	Priority int // of the request; smaller is more urgent
 }
 
 // Reply is the answer to a Request.
 type Reply struct {
-	// Word is the latest one that is known. If it is not Limited, no permission is needed.
-	Word Word
+	// Report is the latest one that is known. If it is not Limited, no permission is needed.
+	Report Report
 	// Granted is true if the request may be sent; otherwise Wait is the time until another one is
 	// granted.
 	Granted bool
 	Wait    time.Duration
 }
 
-// Book holds the limited replicas at a member of the control group. It is safe for concurrent use.
+// Limiter holds the limited replicas at a member of the control group. It is safe for concurrent use.
 //
 // Invariant: the requests that successive leaders grant for a replica in any window, and those that at
 // most two other members grant meanwhile, exceed neither the rate nor the rule's overrun; see package
 // quota.
-type Book struct {
+type Limiter struct {
 	rule quota.Rule
 
 	lock       sync.Mutex
@@ -57,7 +57,7 @@
 	prunedAt   time.Duration
 }
 
-// entry is what a Book holds for one replica.
+// entry is what a Limiter holds for one replica.
 type entry struct {
 	name        string
 	service     string
@@ -72,9 +72,9 @@
 	urgentUntil    time.Duration
 }
 
-// NewBook returns a book without replicas.
-func NewBook(rule quota.Rule, now time.Duration) *Book {
-	return &Book{
+// NewLimiter returns a limiter without replicas.
+func NewLimiter(rule quota.Rule, now time.Duration) *Limiter {
+	return &Limiter{
 		rule: rule, account: quota.NewAccount(rule, now), standby: quota.NewStandby(rule),
 		replicas: map[string]*entry{}, limited: map[string]map[string]*entry{},
 	}
@@ -82,45 +82,45 @@
 
 // BeginTerm starts an empty account, because the previous leader may have granted everything within
 // the same window.
-func (b *Book) BeginTerm(now time.Duration) {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	b.account = quota.NewAccount(b.rule, now)
+func (l *Limiter) BeginTerm(now time.Duration) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.account = quota.NewAccount(l.rule, now)
 }
 
 // Record records what a proxy has heard, without a request to be sent. It reports whether there is
 // something new to announce.
-func (b *Book) Record(now time.Duration, request Request) (announce bool) {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	before := b.generation
-	b.observe(now, request)
-	return b.generation != before
+func (l *Limiter) Record(now time.Duration, request Request) (announce bool) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	before := l.generation
+	l.observe(now, request)
+	return l.generation != before
 }
 
 // Charge grants or refuses a request. leads is false at a member that does not lead, which grants only
 // a part of the overrun. announce is as in Record.
-func (b *Book) Charge(now time.Duration, request Request, leads bool) (reply Reply, announce bool) {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	before := b.generation
-	known := b.observe(now, request)
+func (l *Limiter) Charge(now time.Duration, request Request, leads bool) (reply Reply, announce bool) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	before := l.generation
+	known := l.observe(now, request)
 	if known == nil {
 		return Reply{Granted: true}, false
 	}
-	reply = Reply{Word: known.tracker.Word(now), Granted: true}
+	reply = Reply{Report: known.tracker.Report(now), Granted: true}
 	if perSecond, limited := known.tracker.Limit(); limited {
-		grant := b.grant(now, known, perSecond, request.Priority, leads)
+		grant := l.grant(now, known, perSecond, request.Priority, leads)
 		reply.Granted, reply.Wait = grant.Granted, grant.Wait
 	}
-	return reply, b.generation != before
+	return reply, l.generation != before
 }
 
-func (b *Book) grant(now time.Duration, known *entry, perSecond float64, priority int, leads bool) quota.Grant {
+func (l *Limiter) grant(now time.Duration, known *entry, perSecond float64, priority int, leads bool) quota.Grant {
 	if !leads {
-		return b.standby.Charge(now, known.name, QuotaOf(perSecond), 1)
+		return l.standby.Charge(now, known.name, QuotaOf(perSecond), 1)
 	}
-	grant := b.account.ChargeAbove(now, known.name, QuotaOf(perSecond), 1, known.reserve(now, priority))
+	grant := l.account.ChargeAbove(now, known.name, QuotaOf(perSecond), 1, known.reserve(now, priority))
 	if !grant.Granted && (now >= known.urgentUntil || priority <= known.urgentPriority) {
 		known.urgentPriority, known.urgentUntil = priority, now+urgentHold
 	}
@@ -136,47 +136,47 @@
 }
 
 // observe applies what a proxy knows and returns the replica's entry; nil if neither the proxy nor
-// the book knows of a limit.
-func (b *Book) observe(now time.Duration, request Request) *entry {
-	known := b.replicas[request.Replica]
+// the limiter knows of a limit.
+func (l *Limiter) observe(now time.Duration, request Request) *entry {
+	known := l.replicas[request.Replica]
 	if known == nil {
-		if request.Word.Kind != Limited {
+		if request.Report.Kind != Limited {
 			return nil
 		}
-		b.prune(now)
+		l.prune(now)
 		known = &entry{name: request.Replica, service: request.Service}
-		b.replicas[request.Replica] = known
+		l.replicas[request.Replica] = known
 	}
 	known.mentionedAt = now
-	if known.tracker.ObserveWord(now, request.Word) {
-		b.change(now, known)
+	if known.tracker.ObserveReport(now, request.Report) {
+		l.change(now, known)
 	}
-	b.announce(now, known)
+	l.announce(now, known)
 	return known
 }
 
 // change applies the begin or the end of a limit.
-func (b *Book) change(now time.Duration, known *entry) {
+func (l *Limiter) change(now time.Duration, known *entry) {
 	if _, limited := known.tracker.Limit(); !limited {
-		delete(b.limited[known.service], known.name)
+		delete(l.limited[known.service], known.name)
 		return
 	}
-	b.account.Open(now, known.name)
-	if b.limited[known.service] == nil {
-		b.limited[known.service] = map[string]*entry{}
+	l.account.Open(now, known.name)
+	if l.limited[known.service] == nil {
+		l.limited[known.service] = map[string]*entry{}
 	}
-	b.limited[known.service][known.name] = known
+	l.limited[known.service][known.name] = known
 }
 
 // announce makes the replica part of the next announcement if its statement differs from the last one
 // that was announced.
-func (b *Book) announce(now time.Duration, known *entry) {
-	current := known.tracker.Word(now).Statement
+func (l *Limiter) announce(now time.Duration, known *entry) {
+	current := known.tracker.Report(now).Statement
 	if !known.announced.differsFrom(current) || known.generation > 0 && now-known.announcedAt < announceInterval {
 		return
 	}
-	b.generation++
-	known.announced, known.announcedAt, known.generation = current, now, b.generation
+	l.generation++
+	known.announced, known.announcedAt, known.generation = current, now, l.generation
 }
 
 // differsFrom reports whether another statement is worth announcing.
@@ -188,27 +188,27 @@
 }
 
 // prune drops the replicas that no proxy has mentioned for a long time.
-func (b *Book) prune(now time.Duration) {
-	if now-b.prunedAt < forgetAfter {
+func (l *Limiter) prune(now time.Duration) {
+	if now-l.prunedAt < forgetAfter {
 		return
 	}
-	b.prunedAt = now
-	for name, known := range b.replicas {
+	l.prunedAt = now
+	for name, known := range l.replicas {
 		if now-known.mentionedAt <= forgetAfter {
 			continue
 		}
-		delete(b.replicas, name)
-		delete(b.limited[known.service], name)
-		b.account.Forget(name)
-		b.standby.Forget(name)
+		delete(l.replicas, name)
+		delete(l.limited[known.service], name)
+		l.account.Forget(name)
+		l.standby.Forget(name)
 	}
 }
 
 // IsLimited reports whether the replica has a limit.
-func (b *Book) IsLimited(replica string) bool {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	known := b.replicas[replica]
+func (l *Limiter) IsLimited(replica string) bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	known := l.replicas[replica]
 	if known == nil {
 		return false
 	}
@@ -218,12 +218,12 @@
 
 // Exhausted returns the replicas of a service for which a request of the priority would not be granted
 // now, and the time until the first of them grants one.
-func (b *Book) Exhausted(now time.Duration, service string, priority int) (names []string, first time.Duration) {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	for name, known := range b.limited[service] {
+func (l *Limiter) Exhausted(now time.Duration, service string, priority int) (names []string, first time.Duration) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	for name, known := range l.limited[service] {
 		perSecond, _ := known.tracker.Limit()
-		wait := b.account.WaitFor(now, name, QuotaOf(perSecond), 1, known.reserve(now, priority))
+		wait := l.account.WaitFor(now, name, QuotaOf(perSecond), 1, known.reserve(now, priority))
 		if wait <= 0 {
 			continue
 		}
@@ -235,24 +235,24 @@
 	return names, first
 }
 
-// NamedWord is a Word about one replica.
-type NamedWord struct {
+// NamedReport is a Report about one replica.
+type NamedReport struct {
 	Replica string
-	Word    Word
+	Report  Report
 }
 
 // Announcements returns the statements announced after the given generation, in any order, and the
 // generation of the latest one.
-func (b *Book) Announcements(now time.Duration, since uint64) (words []NamedWord, generation uint64) {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	if since == b.generation {
+func (l *Limiter) Announcements(now time.Duration, since uint64) (reports []NamedReport, generation uint64) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if since == l.generation {
 		return nil, since
 	}
-	for name, known := range b.replicas {
+	for name, known := range l.replicas {
 		if known.generation > since {
-			words = append(words, NamedWord{Replica: name, Word: known.tracker.Word(now)})
+			reports = append(reports, NamedReport{Replica: name, Report: known.tracker.Report(now)})
 		}
 	}
-	return words, b.generation
+	return reports, l.generation
 }
--- a/request/ratelimit/ratelimit_test.go
+++ b/request/ratelimit/ratelimit_test.go
@@ -26,9 +26,9 @@
 	must.True(t, tracker.Observe(15, 20, Statement{}))
 	must.False(t, tracker.Observe(13, 21, limited(3)), must.Sprint("the answer to an older request"))
 	must.True(t, tracker.Observe(16, 22, limited(4)))
-	must.Eq(t, Word{Statement: limited(4), Age: 3, SentAge: 9}, tracker.Word(25))
-	must.True(t, tracker.ObserveWord(30, Word{Age: 2}))
-	must.False(t, tracker.ObserveWord(31, Word{Statement: limited(4), Age: 9}))
+	must.Eq(t, Report{Statement: limited(4), Age: 3, SentAge: 9}, tracker.Report(25))
+	must.True(t, tracker.ObserveReport(30, Report{Age: 2}))
+	must.False(t, tracker.ObserveReport(31, Report{Statement: limited(4), Age: 9}))
 }
 
 // A rapid.Check of all orders of answers: the latest statement holds once an answer to a request that
@@ -62,17 +62,17 @@
 func (c course) play(random *rand.Rand) (worst, total int) {
 	const step = 10 * time.Millisecond
 	var granted []time.Duration
-	book := NewBook(DefaultRule, 0)
+	limiter := NewLimiter(DefaultRule, 0)
 	for now := time.Duration(0); now < c.duration; now += step {
 		if c.newTerm > 0 && now%c.newTerm == 0 && now > 0 {
-			book = NewBook(DefaultRule, now)
+			limiter = NewLimiter(DefaultRule, now)
 		}
 		for proxy := range c.proxies {
 			if random.Float64() > c.demand*step.Seconds() {
 				continue
 			}
-			request := Request{Service: "s", Replica: "r", Word: Word{Statement: limited(c.perSecond)}, Priority: proxy % 3}
-			if reply, _ := book.Charge(now, request, true); reply.Granted {
+			request := Request{Service: "s", Replica: "r", Report: Report{Statement: limited(c.perSecond)}, Priority: proxy % 3}
+			if reply, _ := limiter.Charge(now, request, true); reply.Granted {
 				granted = append(granted, now)
 			}
 		}
@@ -110,10 +110,10 @@
 
 // More urgent requests come first while they are refused, and the others get what they leave.
 func TestUrgentRequestsComeFirst(t *testing.T) {
-	book := NewBook(DefaultRule, 0)
-	word := Word{Statement: limited(1)}
+	limiter := NewLimiter(DefaultRule, 0)
+	report := Report{Statement: limited(1)}
 	charge := func(now time.Duration, priority int) bool {
-		reply, _ := book.Charge(now, Request{Service: "s", Replica: "r", Word: word, Priority: priority}, true)
+		reply, _ := limiter.Charge(now, Request{Service: "s", Replica: "r", Report: report, Priority: priority}, true)
 		return reply.Granted
 	}
 	must.False(t, charge(0, 1), must.Sprint("the balance starts empty"))
@@ -124,53 +124,53 @@
 }
 
 func TestLimitsAreAnnouncedRarely(t *testing.T) {
-	book := NewBook(DefaultRule, 0)
+	limiter := NewLimiter(DefaultRule, 0)
 	record := func(now time.Duration, said Statement) bool {
-		return book.Record(now, Request{Service: "s", Replica: "r", Word: Word{Statement: said}})
+		return limiter.Record(now, Request{Service: "s", Replica: "r", Report: Report{Statement: said}})
 	}
 	must.False(t, record(0, Statement{}))
 	must.True(t, record(time.Second, limited(2)))
-	words, generation := book.Announcements(time.Second, 0)
-	must.Eq(t, []NamedWord{{"r", Word{Statement: limited(2)}}}, words)
+	reports, generation := limiter.Announcements(time.Second, 0)
+	must.Eq(t, []NamedReport{{"r", Report{Statement: limited(2)}}}, reports)
 	must.False(t, record(3*time.Second, limited(2.2)), must.Sprint("hardly another rate"))
 	must.True(t, record(4*time.Second, limited(6)))
 	must.False(t, record(4*time.Second+1, Statement{}), must.Sprint("too soon"))
-	must.False(t, book.IsLimited("r"))
+	must.False(t, limiter.IsLimited("r"))
 	must.True(t, record(6*time.Second, Statement{}))
-	words, _ = book.Announcements(6*time.Second, generation)
-	must.SliceLen(t, 1, words)
-	must.Eq(t, Unlimited, words[0].Word.Kind)
+	reports, _ = limiter.Announcements(6*time.Second, generation)
+	must.SliceLen(t, 1, reports)
+	must.Eq(t, Unlimited, reports[0].Report.Kind)
 }
 
 func TestExhaustedReplicasAreNamed(t *testing.T) {
-	book := NewBook(DefaultRule, 0)
-	book.Record(0, Request{Service: "s", Replica: "r", Word: Word{Statement: limited(2)}})
-	names, wait := book.Exhausted(0, "s", 1)
+	limiter := NewLimiter(DefaultRule, 0)
+	limiter.Record(0, Request{Service: "s", Replica: "r", Report: Report{Statement: limited(2)}})
+	names, wait := limiter.Exhausted(0, "s", 1)
 	must.Eq(t, []string{"r"}, names)
 	must.Eq(t, 500*time.Millisecond, wait)
-	names, _ = book.Exhausted(wait, "s", 1)
+	names, _ = limiter.Exhausted(wait, "s", 1)
 	must.SliceEmpty(t, names)
-	names, _ = book.Exhausted(0, "other", 1)
+	names, _ = limiter.Exhausted(0, "other", 1)
 	must.SliceEmpty(t, names)
 }
 
 // Replicas that nobody mentions any more take no memory.
 func TestReplicasAreForgotten(t *testing.T) {
-	book := NewBook(DefaultRule, 0)
+	limiter := NewLimiter(DefaultRule, 0)
 	for i := range 100 {
 		now := time.Duration(i) * time.Minute
-		book.Record(now, Request{Service: "s", Replica: fmt.Sprint(i), Word: Word{Statement: limited(2)}})
+		limiter.Record(now, Request{Service: "s", Replica: fmt.Sprint(i), Report: Report{Statement: limited(2)}})
 	}
-	must.LessEq(t, 3, len(book.replicas))
-	must.LessEq(t, 3, len(book.limited["s"]))
+	must.LessEq(t, 3, len(limiter.replicas))
+	must.LessEq(t, 3, len(limiter.limited["s"]))
 }
 
 // A member that does not lead grants a part of the overrun only.
 func TestStandbyGrantsAPartOfTheOverrun(t *testing.T) {
-	book := NewBook(DefaultRule, 0)
+	limiter := NewLimiter(DefaultRule, 0)
 	granted := 0
 	for i := range 400 {
-		reply, _ := book.Charge(time.Duration(i)*10*time.Millisecond, Request{Service: "s", Replica: "r", Word: Word{Statement: limited(1.4)}}, false)
+		reply, _ := limiter.Charge(time.Duration(i)*10*time.Millisecond, Request{Service: "s", Replica: "r", Report: Report{Statement: limited(1.4)}}, false)
 		if reply.Granted {
 			granted++
 		}
@@ -180,24 +180,24 @@
 
 // Refused callers return one after the other, not all at once.
 func TestRefusedCallersAreSpacedOut(t *testing.T) {
-	var returns Returns
+	var returns RetryPacer
 	first, second := returns.Next(0, time.Second, 2), returns.Next(0, time.Second, 2)
 	must.Between(t, time.Second, first, 1200*time.Millisecond)
 	must.Between(t, 1500*time.Millisecond, second, 1700*time.Millisecond)
 	for range 100 {
 		returns.Next(0, time.Second, 2)
 	}
-	must.LessEq(t, maxReturnWait+time.Second, returns.Next(0, time.Second, 2))
-	must.LessEq(t, maxReturnWait+2*time.Second, returns.Next(0, 0, 0))
+	must.LessEq(t, maxRetryDelay+time.Second, returns.Next(0, time.Second, 2))
+	must.LessEq(t, maxRetryDelay+2*time.Second, returns.Next(0, 0, 0))
 }
 
 // A leader that begins another term starts empty, because another leader may have granted meanwhile.
 func TestEachTermStartsEmpty(t *testing.T) {
-	book := NewBook(DefaultRule, 0)
-	request := Request{Service: "s", Replica: "r", Word: Word{Statement: limited(2)}}
-	book.Record(0, request)
-	book.BeginTerm(10 * time.Second)
-	reply, _ := book.Charge(10*time.Second, request, true)
+	limiter := NewLimiter(DefaultRule, 0)
+	request := Request{Service: "s", Replica: "r", Report: Report{Statement: limited(2)}}
+	limiter.Record(0, request)
+	limiter.BeginTerm(10 * time.Second)
+	reply, _ := limiter.Charge(10*time.Second, request, true)
 	must.False(t, reply.Granted)
 	must.Eq(t, 500*time.Millisecond, reply.Wait)
 }
--- a/request/ratelimit/statement.go
+++ b/request/ratelimit/statement.go
@@ -1,14 +1,14 @@
 // Package ratelimit keeps the rates that replicas state in their answers: how many requests per second
 // a replica accepts from all proxies together, for as long as its answers say so.
 //
-// A Tracker holds what one process knows of one replica. A Book is the account of all limited replicas
+// A Tracker holds what one process knows of one replica. A Limiter is the account of all limited replicas
 // at a member of the control group: proxies charge each request for such a replica to it before they
 // send the request, so that the sum over all proxies stays within the rate, however many proxies there
 // are and wherever the demand is. Proxies that reach no member use shares of the rate
 // (quota.LocalShare).
 //
 // Times are durations since an origin that the caller chooses, the same for all calls on one Tracker
-// or Book. Members and proxies exchange ages, never times. The package does no I/O.
+// or Limiter. Members and proxies exchange ages, never times. The package does no I/O.
 package ratelimit
 
 import (
@@ -38,8 +38,8 @@
 	PerSecond float64
 }
 
-// Word is a Statement that another process has heard.
-type Word struct {
+// Report is a Statement that another process has heard.
+type Report struct {
 	Statement
 	// Age is the time since a limit was last heard, or since the request was sent whose answer ended it.
 	Age time.Duration
--- a/request/ratelimit/tracker.go
+++ b/request/ratelimit/tracker.go
@@ -29,9 +29,9 @@
 	return false
 }
 
-// ObserveWord applies a statement that another process has heard.
-func (t *Tracker) ObserveWord(now time.Duration, word Word) (changed bool) {
-	return t.Observe(now-max(word.SentAge, word.Age), now-word.Age, word.Statement)
+// ObserveReport applies a statement that another process has heard.
+func (t *Tracker) ObserveReport(now time.Duration, report Report) (changed bool) {
+	return t.Observe(now-max(report.SentAge, report.Age), now-report.Age, report.Statement)
 }
 
 func (t *Tracker) limit(sentAt, now time.Duration, perSecond float64) (changed bool) {
@@ -60,10 +60,10 @@
 // Limit returns the rate in requests per second; false if there is no limit.
 func (t *Tracker) Limit() (perSecond float64, limited bool) { return t.perSecond, t.limited }
 
-// Word returns the latest statement for another process.
-func (t *Tracker) Word(now time.Duration) Word {
+// Report returns the latest statement for another process.
+func (t *Tracker) Report(now time.Duration) Report {
 	if t.limited {
-		return Word{Statement: Statement{Kind: Limited, PerSecond: t.perSecond}, Age: now - t.heardAt, SentAge: now - t.sentAt}
+		return Report{Statement: Statement{Kind: Limited, PerSecond: t.perSecond}, Age: now - t.heardAt, SentAge: now - t.sentAt}
 	}
-	return Word{Age: now - t.endedAt, SentAge: now - t.endedAt}
+	return Report{Age: now - t.endedAt, SentAge: now - t.endedAt}
 }
