--- a/connection/feed/group_test.go
+++ b/connection/feed/group_test.go
@@ -179,7 +179,7 @@
 	g.limits.Record(time.Hour, request)
 }
 
-func (g *fakeGroup) Limits(since uint64) ([]ratelimit.NamedReport, uint64) {
+func (g *fakeGroup) AnnouncedLimits(since uint64) ([]ratelimit.NamedReport, uint64) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	return g.limits.Announcements(time.Hour, since)
--- a/connection/feed/limit.go
+++ b/connection/feed/limit.go
@@ -141,7 +141,7 @@
 	if !s.readsLimits.Load() {
 		return nil
 	}
-	reports, generation := s.server.config.Group.Limits(s.limitsGeneration)
+	reports, generation := s.server.config.Group.AnnouncedLimits(s.limitsGeneration)
 	s.limitsGeneration = generation
 	for first := 0; first < len(reports); first += maxAnnouncedLimits {
 		part := reports[first:min(first+maxAnnouncedLimits, len(reports))]
--- a/connection/feed/placementrelay.go
+++ b/connection/feed/placementrelay.go
@@ -102,8 +102,8 @@
 	r.RefundCharge(ChargeRequest{Limit: &request, Forwarded: forwarded})
 }
 
-// Limits returns nothing: daemons learn limits here only from the answers to their charges.
-func (r *PlacementRelay) Limits(uint64) ([]ratelimit.NamedReport, uint64) { return nil, 0 }
+// AnnouncedLimits returns nothing: daemons learn limits here only from the answers to their charges.
+func (r *PlacementRelay) AnnouncedLimits(uint64) ([]ratelimit.NamedReport, uint64) { return nil, 0 }
 
 // WallClock returns 0, since a relay does not distribute the group's wall-clock time.
 func (r *PlacementRelay) WallClock() int64 { return 0 }
--- a/connection/feed/server.go
+++ b/connection/feed/server.go
@@ -72,11 +72,11 @@
 	RefundCharge(request ChargeRequest)
 	// ChargeLimit grants or refuses a request for a limited replica, and returns false if this member
 	// keeps no limits. RecordLimit records what a daemon has heard of a limit. forwarded is as in
-	// ChargeRequest. Limits returns the limits announced after the given generation, and the latest
+	// ChargeRequest. AnnouncedLimits returns the limits announced after the given generation, and the latest
 	// generation.
 	ChargeLimit(request ratelimit.Request, forwarded bool) (ratelimit.Reply, bool)
 	RecordLimit(request ratelimit.Request, forwarded bool)
-	Limits(since uint64) (reports []ratelimit.NamedReport, generation uint64)
+	AnnouncedLimits(since uint64) (reports []ratelimit.NamedReport, generation uint64)
 	// WallClock returns the group's wall-clock time in Unix milliseconds, 0 if unknown.
 	WallClock() int64
 }
--- a/process/control/rates.go
+++ b/process/control/rates.go
@@ -33,8 +33,8 @@
 	g.wakeFeed()
 }
 
-// Limits returns the limits announced after a generation.
-func (g *group) Limits(since uint64) ([]ratelimit.NamedReport, uint64) {
+// AnnouncedLimits returns the limits announced after a generation.
+func (g *group) AnnouncedLimits(since uint64) ([]ratelimit.NamedReport, uint64) {
 	return g.rates.Announcements(monotonic(), since)
 }
 
--- a/process/relay/group.go
+++ b/process/relay/group.go
@@ -139,8 +139,8 @@
 // RecordLimit forwards the report to the control group.
 func (g *group) RecordLimit(request ratelimit.Request, _ bool) { g.upstream.ReportLimit(request) }
 
-// Limits returns nothing: daemons behind a relay learn limits from the replies to their requests.
-func (g *group) Limits(uint64) ([]ratelimit.NamedReport, uint64) { return nil, 0 }
+// AnnouncedLimits returns nothing: daemons behind a relay learn limits from the replies to their requests.
+func (g *group) AnnouncedLimits(uint64) ([]ratelimit.NamedReport, uint64) { return nil, 0 }
 
 // WallClock returns 0 instead of the group's wall-clock time in milliseconds since the Unix
 // epoch: a relay does not know it.
--- a/process/relay/group_test.go
+++ b/process/relay/group_test.go
@@ -108,7 +108,7 @@
 
 func (g *leaderGroup) RecordLimit(ratelimit.Request, bool) {}
 
-func (g *leaderGroup) Limits(uint64) ([]ratelimit.NamedReport, uint64) { return nil, 0 }
+func (g *leaderGroup) AnnouncedLimits(uint64) ([]ratelimit.NamedReport, uint64) { return nil, 0 }
 
 func (g *leaderGroup) RecordUsage(feed.UsageReport) {}
 
