--- a/connection/feed/limit.go
+++ b/connection/feed/limit.go
@@ -28,7 +28,7 @@
 	return limitReply(grant), nil
 }
 
-// ReportLimit reports what this daemon has heard of a replica's limit. It returns false if the message
+// ReportLimit sends this daemon's report of a replica's limit. It returns false if the message
 // was dropped.
 func (c *Client) ReportLimit(request ratelimit.Request) bool {
 	return c.RefundCharge(ChargeRequest{Limit: &request})
--- a/connection/feed/server.go
+++ b/connection/feed/server.go
@@ -71,7 +71,7 @@
 	Charge(request ChargeRequest) (quota.Grant, bool)
 	RefundCharge(request ChargeRequest)
 	// ChargeLimit grants or refuses a request for a limited replica, and returns false if this member
-	// keeps no limits. RecordLimit records what a daemon has heard of a limit. forwarded is as in
+	// keeps no limits. RecordLimit records a daemon's report of a limit. forwarded is as in
 	// ChargeRequest. AnnouncedLimits returns the limits announced after the given generation, and the latest
 	// generation.
 	ChargeLimit(request ratelimit.Request, forwarded bool) (ratelimit.Reply, bool)
--- a/process/control/rates.go
+++ b/process/control/rates.go
@@ -19,14 +19,14 @@
 	return reply, true
 }
 
-// RecordLimit records what a proxy has heard of a replica's limit.
+// RecordLimit records a proxy's report of a replica's limit.
 func (g *group) RecordLimit(request ratelimit.Request, _ bool) {
 	if g.rates.Record(monotonic(), request) {
 		g.announceLimit(request)
 	}
 }
 
-// announceLimit lets the feed tell all proxies of a limit that has begun, ended or changed.
+// announceLimit lets the feed announce to all proxies a limit that has begun, ended or changed.
 func (g *group) announceLimit(request ratelimit.Request) {
 	event.LimitAnnounced.Log(g.logger, "replica", request.Replica, "service", request.Service,
 		"limited", request.Report.Kind == ratelimit.Limited, "per_second", request.Report.PerSecond, "age_ms", request.Report.Age.Milliseconds())
--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -43,7 +43,7 @@
 		"A replica's answer has a field that this program does not know. Each name is logged once; unknown_fields_total counts the answers.",
 		"Look the field up on the platform's pages: replicas may ask for something that nothing here keeps to.")
 	ReplicaLimited = define(4614, "replica_limited", Info,
-		"A replica has begun to state a limit on the requests a second of all proxies together (limited, per_second), or has ended it. told says that a member of the control group told so, request whose answer said it otherwise. Between begin and end each request for it needs a grant.",
+		"A replica has begun to state a limit on the requests a second of all proxies together (limited, per_second), or has ended it. request is the one whose answer stated it; announced says that a member of the control group announced it. Between begin and end each request for the replica needs a grant.",
 		"landingtrail_ingress_limit_grants_total counts the requests that were granted and refused.")
 	LimitRefused = define(4615, "limit_refused", Info,
 		"A request was not granted for a replica with a limit (per_second), which is asked for no other one for wait_ms. alone says that no member answered, and this proxy decided by its own part. The request goes elsewhere.", "")
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -64,9 +64,9 @@
 	charger         charger
 	standaloneQuota *quota.LocalShare
 	// limitCharger asks for permission to send requests to limited replicas; nil without a control
-	// group. standaloneLimits is used while the control group does not answer.
-	limitCharger     limitCharger
-	standaloneLimits *quota.LocalShare
+	// group. limitShares is used while the control group does not answer.
+	limitCharger limitCharger
+	limitShares  *ratelimit.Shares
 	// usage counts started requests per tenant; nil if usage is not reported.
 	usage *metering.Counter
 	// fingerprintsUntil is the time until which placement requests include the fingerprint, as a
@@ -98,7 +98,7 @@
 	ingress := &Ingress{
 		config: config, logger: logger, views: views, clock: now, wallClock: time.Now,
 		upstreams: newUpstreams(config, now), metrics: newMetrics(), guard: guard.New(config.Name),
-		standaloneQuota: quota.NewLocalShare(config.Quotas, rand.Float64), standaloneLimits: quota.NewLocalShare(ratelimit.DefaultRule, rand.Float64),
+		standaloneQuota: quota.NewLocalShare(config.Quotas), limitShares: ratelimit.NewShares(rand.Float64),
 	}
 	ingress.requestContext, ingress.cancelRequests = context.WithCancel(context.Background())
 	ingress.table.Store(&versionedTable{routes: newRouteTable(nil)})
--- a/process/ingress/limits.go
+++ b/process/ingress/limits.go
@@ -20,7 +20,7 @@
 //   - Before a prefill or a run is sent, whichever way its replica was chosen.
 //   - Once the connection is open and before anything is written, since opening it takes time.
 
-// limitCharger grants permits for limited replicas, and passes on what this proxy has heard;
+// limitCharger grants permits for limited replicas and receives this proxy's reports of limits;
 // implemented by *feed.Client.
 type limitCharger interface {
 	ChargeLimit(ctx context.Context, request ratelimit.Request) (ratelimit.Reply, error)
@@ -99,22 +99,15 @@
 		ctx, cancel := context.WithTimeout(ctx, chargeTimeout)
 		defer cancel()
 		if reply, err := s.ingress.limitCharger.ChargeLimit(ctx, request); err == nil {
-			if reply.Report.Kind != ratelimit.Limited { // another proxy has heard the end of the limit
+			if reply.Report.Kind != ratelimit.Limited { // another proxy has reported the end of the limit
 				s.ingress.applyLimitReport(to.holdoff, reply.Report)
 			}
 			return reply, chosenByGroup
 		}
 	}
-	grant := s.ingress.standaloneLimits.Charge(s.ingress.now(), to.name, standaloneQuotaOf(request.Report.PerSecond), 1, s.ingress.sharing())
-	return ratelimit.Reply{Report: request.Report, Granted: grant.Granted, Wait: grant.Wait}, chosenByProxy
-}
-
-// standaloneShare is the part of a limit that all proxies together use while no member answers. The
-// rest is for what members granted shortly before.
-const standaloneShare = 0.5
-
-func standaloneQuotaOf(perSecond float64) api.Quota {
-	return ratelimit.QuotaOf(standaloneShare * perSecond)
+	proxies := int(s.ingress.upstreams.proxies.Load())
+	granted, wait := s.ingress.limitShares.Draw(s.ingress.now(), to.name, request.Report.PerSecond, proxies)
+	return ratelimit.Reply{Report: request.Report, Granted: granted, Wait: wait}, chosenByProxy
 }
 
 // applyLimit applies what the answer to a request of this session states about its replica's rate.
@@ -124,15 +117,15 @@
 		return
 	}
 	if from.ObserveLimit(sentAt, s.ingress.now(), s.ingress.wallClock(), reply.Limit) {
-		s.ingress.noteLimitChange(from, s.call.ID)
+		s.ingress.logLimitChange(from, s.call.ID)
 		s.ingress.reportLimit(s.upstream.service, from)
 	}
 }
 
-// applyLimitReport applies what a member of the control group has heard of a replica's rate.
+// applyLimitReport applies the report of a member of the control group on a replica's rate.
 func (i *Ingress) applyLimitReport(replica *holdoff.Replica, report ratelimit.Report) {
 	if replica.ObserveLimitReport(i.now(), i.wallClock(), report) {
-		i.noteLimitChange(replica, "")
+		i.logLimitChange(replica, "")
 	}
 }
 
@@ -143,18 +136,15 @@
 	}
 }
 
-// noteLimitChange records the begin or the end of a limit; request is empty if a member announced it.
-func (i *Ingress) noteLimitChange(replica *holdoff.Replica, request string) {
+// logLimitChange logs the begin or the end of a limit. request is the one whose answer stated it; empty
+// if a member announced it.
+func (i *Ingress) logLimitChange(replica *holdoff.Replica, request string) {
 	report := replica.LimitReport(i.now())
-	limited := report.Kind == ratelimit.Limited
-	if limited {
-		i.standaloneLimits.Open(i.now(), replica.Name())
-	}
-	event.ReplicaLimited.Log(i.logger, "replica", replica.Name(), "request", request, "told", request == "",
-		"limited", limited, "per_second", report.PerSecond, "age_ms", report.Age.Milliseconds())
+	event.ReplicaLimited.Log(i.logger, "replica", replica.Name(), "request", request, "announced", request == "",
+		"limited", report.Kind == ratelimit.Limited, "per_second", report.PerSecond, "age_ms", report.Age.Milliseconds())
 }
 
-// reportLimit tells the member that grants permits what this proxy has heard of a replica's rate.
+// reportLimit reports a replica's rate to the member that grants permits.
 func (i *Ingress) reportLimit(service string, replica *holdoff.Replica) {
 	if i.limitCharger == nil {
 		return
@@ -162,11 +152,12 @@
 	i.limitCharger.ReportLimit(ratelimit.Request{Service: service, Replica: replica.Name(), Report: replica.LimitReport(i.now())})
 }
 
-// reportAllLimits tells a member that has just started to grant permits which replicas have a limit.
+// reportAllLimits reports the limits, and those that ended not long ago, to a member that has just started to
+// grant permits. Without the ends it would learn them only from the next requests to these replicas.
 func (i *Ingress) reportAllLimits() {
 	for _, upstream := range i.upstreams.all() {
 		for _, current := range upstream.fleet.inUse() {
-			if current.holdoff.IsLimited() {
+			if current.holdoff.HasRecentLimit(i.now()) {
 				i.reportLimit(upstream.service, current.holdoff)
 			}
 		}
--- a/process/ingress/limits_test.go
+++ b/process/ingress/limits_test.go
@@ -205,8 +205,8 @@
 	must.Eq(t, 1+3, limited.count())
 }
 
-// If no replica of a service has room, callers are refused at once and told when to return, one after
-// the other.
+// If no replica of a service has room, callers are refused at once, with times to return one after the
+// other.
 func TestRequestsAreRefusedWhileAllLimitsAreUsedUp(t *testing.T) {
 	first, second := newFakeReplica(t, "a", alwaysLimited("2", answerOK)), newFakeReplica(t, "b", alwaysLimited("2", answerOK))
 	env := newTestEnv(t, first).withLimits(&fakeLimits{wait: 2 * time.Second})
--- a/request/holdoff/holdoff.go
+++ b/request/holdoff/holdoff.go
@@ -345,7 +345,7 @@
 	if moved || r.restrictedTime.Before(born.Add(-maxClockSkew)) {
 		r.pauseEnd, r.probePending = 0, false
 	}
-	if moved || r.limit.heardTime.Before(born.Add(-maxClockSkew)) {
+	if moved || r.limit.receivedTime.Before(born.Add(-maxClockSkew)) {
 		r.limit = limit{}
 	}
 }
--- a/request/holdoff/limit.go
+++ b/request/holdoff/limit.go
@@ -10,8 +10,8 @@
 // it is kept by a member of the control group, which grants single requests; this process remembers
 // only until when it need not ask again.
 type limit struct {
-	tracker   ratelimit.Tracker
-	heardTime time.Time // the wall clock time at which the limit was last heard
+	tracker      ratelimit.Tracker
+	receivedTime time.Time // the wall clock time at which the limit was last received
 	// exhaustedUntil is until when no request will be granted.
 	exhaustedUntil time.Duration
 }
@@ -25,31 +25,31 @@
 
 // ObserveLimit applies what an answer that arrives now, to a request sent at sentAt, states about the
 // replica's rate. It reports whether a limit has begun or ended.
-func (r *Replica) ObserveLimit(sentAt, now time.Duration, wallTime time.Time, said ratelimit.Statement) (changed bool) {
-	if said.Kind != ratelimit.Limited && !r.restricted.Load() {
+func (r *Replica) ObserveLimit(sentAt, now time.Duration, wallTime time.Time, statement ratelimit.Statement) (changed bool) {
+	if statement.Kind != ratelimit.Limited && !r.restricted.Load() {
 		return false
 	}
-	return r.applyLimit(now, wallTime, said.Kind == ratelimit.Limited, func(tracker *ratelimit.Tracker) bool {
-		return tracker.Observe(sentAt, now, said)
+	return r.applyLimit(now, wallTime, statement.Kind == ratelimit.Limited, func(tracker *ratelimit.Tracker) bool {
+		return tracker.Observe(sentAt, now, statement)
 	})
 }
 
-// ObserveLimitReport applies what a member of the control group has heard of the replica's rate.
+// ObserveLimitReport applies the report of a member of the control group on the replica's rate.
 func (r *Replica) ObserveLimitReport(now time.Duration, wallTime time.Time, report ratelimit.Report) (changed bool) {
 	return r.applyLimit(now, wallTime.Add(-report.Age), report.Kind == ratelimit.Limited, func(tracker *ratelimit.Tracker) bool {
 		return tracker.ObserveReport(now, report)
 	})
 }
 
-func (r *Replica) applyLimit(now time.Duration, heardTime time.Time, states bool, observe func(*ratelimit.Tracker) bool) (changed bool) {
+func (r *Replica) applyLimit(now time.Duration, receivedTime time.Time, states bool, observe func(*ratelimit.Tracker) bool) (changed bool) {
 	if states {
 		r.table.keep(r)
 	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	changed = observe(&r.limit.tracker)
-	if states && heardTime.After(r.limit.heardTime) {
-		r.limit.heardTime = heardTime
+	if states && receivedTime.After(r.limit.receivedTime) {
+		r.limit.receivedTime = receivedTime
 	}
 	if changed {
 		r.limit.exhaustedUntil = 0
@@ -65,6 +65,13 @@
 	return r.limit.tracker.Report(now)
 }
 
+// HasRecentLimit reports whether the replica has a limit, or one ended not long ago.
+func (r *Replica) HasRecentLimit(now time.Duration) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.limit.tracker.IsRecent(now)
+}
+
 // IsLimited reports whether the replica has a limit. A request may then be sent there only if it was
 // granted.
 func (r *Replica) IsLimited() bool {
--- a/request/holdoff/limit_test.go
+++ b/request/holdoff/limit_test.go
@@ -31,7 +31,7 @@
 	must.False(t, replica.MaySend(5))
 }
 
-// Another process under the name has stated nothing; a list that is older or tells no start changes
+// Another process under the name has stated nothing; a list that is older or has no start times changes
 // nothing.
 func TestOnlyANewProcessEndsALimit(t *testing.T) {
 	cases := []struct {
--- a/request/quota/account.go
+++ b/request/quota/account.go
@@ -34,11 +34,11 @@
 // balance will cover it. A request that costs more than the burst is granted when the balance is
 // full.
 func (a *Account) Charge(now time.Duration, tenant string, limit api.Quota, cost float64) Grant {
-	return a.ChargeAbove(now, tenant, limit, cost, 0)
+	return a.ChargeWithReserve(now, tenant, limit, cost, 0)
 }
 
-// ChargeAbove is like Charge, but grants only if at least the reserve is left afterwards.
-func (a *Account) ChargeAbove(now time.Duration, tenant string, limit api.Quota, cost, reserve float64) Grant {
+// ChargeWithReserve is like Charge, but grants only if at least the reserve is left afterwards.
+func (a *Account) ChargeWithReserve(now time.Duration, tenant string, limit api.Quota, cost, reserve float64) Grant {
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	current := a.balance(tenant)
@@ -53,7 +53,7 @@
 	return Grant{Granted: true, Left: current.left}
 }
 
-// WaitFor returns how long until ChargeAbove would grant the cost, 0 if it would now.
+// WaitFor returns how long until ChargeWithReserve would grant the cost, 0 if it would now.
 func (a *Account) WaitFor(now time.Duration, tenant string, limit api.Quota, cost, reserve float64) time.Duration {
 	a.lock.Lock()
 	defer a.lock.Unlock()
@@ -67,8 +67,8 @@
 	return refillTime(needed-current.left, limit.PerSecond)
 }
 
-// Open empties the balance of a tenant, whose quota begins now.
-func (a *Account) Open(now time.Duration, tenant string) {
+// Reset empties the balance of a tenant, whose quota begins now.
+func (a *Account) Reset(now time.Duration, tenant string) {
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	a.tenants[tenant] = &balance{updatedAt: now}
--- a/request/quota/alone.go
+++ b/request/quota/alone.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -25,10 +26,9 @@
 	ample bool
 }
 
-// NewLocalShare returns a LocalShare without any tenants. random returns numbers in [0, 1), such as
-// rand.Float64.
-func NewLocalShare(rule Rule, random func() float64) *LocalShare {
-	return &LocalShare{rule: rule, random: random, tenants: map[string]*localShare{}}
+// NewLocalShare returns a LocalShare without any tenants.
+func NewLocalShare(rule Rule) *LocalShare {
+	return &LocalShare{rule: rule, random: rand.Float64, tenants: map[string]*localShare{}}
 }
 
 // RecordAnswer records the control group's answer to a charge of the tenant.
@@ -74,13 +74,6 @@
 	}
 }
 
-// Open empties the share of a tenant, whose quota begins now. What it owes of an earlier quota remains.
-func (a *LocalShare) Open(now time.Duration, tenant string) {
-	a.lock.Lock()
-	defer a.lock.Unlock()
-	a.tenants[tenant] = &localShare{left: min(a.share(tenant).left, 0), updatedAt: now}
-}
-
 // aloneOverrunShare is the part of the overrun that all proxies together may spend at once when
 // they are cut off. It is not part of the sum in the package's invariant: cut-off proxies keep
 // close to the quota, but do not guarantee it.
@@ -96,7 +89,6 @@
 		elapsed = withoutLeader
 	}
 	s.left += rate * elapsed.Seconds()
-	s.left = min(s.left, maxSaved+rate*withoutLeader.Seconds()) // the quota may have become smaller
 	s.updatedAt = max(s.updatedAt, now)
 }
 
--- a/request/ratelimit/limiter.go
+++ b/request/ratelimit/limiter.go
@@ -34,8 +34,8 @@
 type Reply struct {
 	// Report is the latest one that is known. If it is not Limited, no permission is needed.
 	Report Report
-	// Granted is true if the request may be sent; otherwise Wait is the time until another one is
-	// granted.
+	// Granted is true if the request may be sent; otherwise Wait is the time until another one may be
+	// granted, 0 if only a more urgent one would be now.
 	Granted bool
 	Wait    time.Duration
 }
@@ -48,12 +48,14 @@
 type Limiter struct {
 	rule quota.Rule
 
-	lock       sync.Mutex
-	account    *quota.Account
-	standby    *quota.Standby
-	replicas   map[string]*entry
-	limited    map[string]map[string]*entry // by service and replica
-	generation uint64                       // of the latest announcement
+	lock     sync.Mutex
+	account  *quota.Account
+	standby  *quota.Standby
+	replicas map[string]*entry
+	limited  map[string]map[string]*entry // by service and replica
+	// delayed holds the replicas whose change was not announced yet because of announceInterval.
+	delayed    map[string]*entry
+	generation uint64 // of the latest announcement
 	prunedAt   time.Duration
 }
 
@@ -76,7 +78,7 @@
 func NewLimiter(rule quota.Rule, now time.Duration) *Limiter {
 	return &Limiter{
 		rule: rule, account: quota.NewAccount(rule, now), standby: quota.NewStandby(rule),
-		replicas: map[string]*entry{}, limited: map[string]map[string]*entry{},
+		replicas: map[string]*entry{}, limited: map[string]map[string]*entry{}, delayed: map[string]*entry{},
 	}
 }
 
@@ -88,7 +90,7 @@
 	l.account = quota.NewAccount(l.rule, now)
 }
 
-// Record records what a proxy has heard, without a request to be sent. It reports whether there is
+// Record records what a proxy has received, without a request to be sent. It reports whether there is
 // something new to announce.
 func (l *Limiter) Record(now time.Duration, request Request) (announce bool) {
 	l.lock.Lock()
@@ -120,10 +122,14 @@
 	if !leads {
 		return l.standby.Charge(now, known.name, QuotaOf(perSecond), 1)
 	}
-	grant := l.account.ChargeAbove(now, known.name, QuotaOf(perSecond), 1, known.reserve(now, priority))
-	if !grant.Granted && (now >= known.urgentUntil || priority <= known.urgentPriority) {
+	grant := l.account.ChargeWithReserve(now, known.name, QuotaOf(perSecond), 1, known.reserve(now, priority))
+	if grant.Granted {
+		return grant
+	}
+	if now >= known.urgentUntil || priority <= known.urgentPriority {
 		known.urgentPriority, known.urgentUntil = priority, now+urgentHold
 	}
+	grant.Wait = l.account.WaitFor(now, known.name, QuotaOf(perSecond), 1, 0)
 	return grant
 }
 
@@ -136,11 +142,11 @@
 }
 
 // observe applies what a proxy knows and returns the replica's entry; nil if neither the proxy nor
-// the limiter knows of a limit.
+// the limiter knows anything.
 func (l *Limiter) observe(now time.Duration, request Request) *entry {
 	known := l.replicas[request.Replica]
 	if known == nil {
-		if request.Report.Kind != Limited {
+		if request.Report.Kind == Unclear {
 			return nil
 		}
 		l.prune(now)
@@ -161,7 +167,7 @@
 		delete(l.limited[known.service], known.name)
 		return
 	}
-	l.account.Open(now, known.name)
+	l.account.Reset(now, known.name)
 	if l.limited[known.service] == nil {
 		l.limited[known.service] = map[string]*entry{}
 	}
@@ -169,10 +175,16 @@
 }
 
 // announce makes the replica part of the next announcement if its statement differs from the last one
-// that was announced.
+// that was announced. The first statement is always announced, even the end of a limit: after a change of
+// leader, proxies may not know of it.
 func (l *Limiter) announce(now time.Duration, known *entry) {
+	delete(l.delayed, known.name)
 	current := known.tracker.Report(now).Statement
-	if !known.announced.differsFrom(current) || known.generation > 0 && now-known.announcedAt < announceInterval {
+	if known.generation > 0 && !known.announced.differsFrom(current) {
+		return
+	}
+	if known.generation > 0 && now-known.announcedAt < announceInterval {
+		l.delayed[known.name] = known
 		return
 	}
 	l.generation++
@@ -199,6 +211,7 @@
 		}
 		delete(l.replicas, name)
 		delete(l.limited[known.service], name)
+		delete(l.delayed, name)
 		l.account.Forget(name)
 		l.standby.Forget(name)
 	}
@@ -217,16 +230,16 @@
 }
 
 // Exhausted returns the replicas of a service for which a request of the priority would not be granted
-// now, and the time until the first of them grants one.
+// now, and the time until the first of them may grant one.
 func (l *Limiter) Exhausted(now time.Duration, service string, priority int) (names []string, first time.Duration) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	for name, known := range l.limited[service] {
 		perSecond, _ := known.tracker.Limit()
-		wait := l.account.WaitFor(now, name, QuotaOf(perSecond), 1, known.reserve(now, priority))
-		if wait <= 0 {
+		if l.account.WaitFor(now, name, QuotaOf(perSecond), 1, known.reserve(now, priority)) == 0 {
 			continue
 		}
+		wait := l.account.WaitFor(now, name, QuotaOf(perSecond), 1, 0)
 		if len(names) == 0 || wait < first {
 			first = wait
 		}
@@ -242,10 +255,13 @@
 }
 
 // Announcements returns the statements announced after the given generation, in any order, and the
-// generation of the latest one.
+// generation of the latest one. It has to be called regularly, so that delayed announcements become due.
 func (l *Limiter) Announcements(now time.Duration, since uint64) (reports []NamedReport, generation uint64) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
+	for _, known := range l.delayed {
+		l.announce(now, known)
+	}
 	if since == l.generation {
 		return nil, since
 	}
--- a/request/ratelimit/statement.go
+++ b/request/ratelimit/statement.go
@@ -38,10 +38,10 @@
 	PerSecond float64
 }
 
-// Report is a Statement that another process has heard.
+// Report is a Statement that another process has received.
 type Report struct {
 	Statement
-	// Age is the time since a limit was last heard, or since the request was sent whose answer ended it.
+	// Age is the time since a limit was last received, or since the request was sent whose answer ended it.
 	Age time.Duration
 	// SentAge is the time since the request was sent whose answer stated the rate; at least Age.
 	SentAge time.Duration
