Limits: a test for each line that keeps a request back, and for 300 daemons

A permit for a prefill is asked for where its replica is chosen and looked at when its connection is open; it was asked for once more in between, where nothing can have changed. Runs keep that second question: their limit may begin, or their permit expire, during the prefill.

--- a/connection/feed/group_test.go
+++ b/connection/feed/group_test.go
@@ -37,6 +37,7 @@
 // fakeGroup is a control group with a single state machine.
 type fakeGroup struct {
 	limits     *ratelimit.Limiter
+	limitsNow  time.Duration // the time for limits
 	lock       sync.Mutex
 	machine    *state.Machine
 	index      uint64
@@ -53,7 +54,7 @@
 }
 
 func newFakeGroup() *fakeGroup {
-	g := &fakeGroup{limits: ratelimit.NewLimiter(ratelimit.DefaultRule, 0), machine: state.New(), leadership: Leadership{Leads: true, Term: 1}, leased: true}
+	g := &fakeGroup{limits: ratelimit.NewLimiter(ratelimit.DefaultRule, 0), limitsNow: time.Hour, machine: state.New(), leadership: Leadership{Leads: true, Term: 1}, leased: true}
 	g.claim = func(request state.ClaimRequest) (api.ClaimResult, error) {
 		return g.apply(state.Command{Kind: state.CommandClaim, Claim: &request}).(api.ClaimResult), nil
 	}
@@ -166,23 +167,30 @@
 	g.charged = append(g.charged, request)
 }
 
+// passTime advances the time for limits.
+func (g *fakeGroup) passTime(by time.Duration) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.limitsNow += by
+}
+
 func (g *fakeGroup) ChargeLimit(request ratelimit.Request, _ bool) (ratelimit.Reply, bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	reply, _ := g.limits.Charge(time.Hour, request, true)
+	reply, _ := g.limits.Charge(g.limitsNow, request, true)
 	return reply, true
 }
 
 func (g *fakeGroup) RecordLimit(request ratelimit.Request, _ bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	g.limits.Record(time.Hour, request)
+	g.limits.Record(g.limitsNow, request)
 }
 
 func (g *fakeGroup) AnnouncedLimits(since uint64) ([]ratelimit.NamedReport, uint64) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	return g.limits.Announcements(time.Hour, since)
+	return g.limits.Announcements(g.limitsNow, since)
 }
 
 func (g *fakeGroup) RecordUsage(report UsageReport) {
--- a/connection/feed/limit_test.go
+++ b/connection/feed/limit_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -96,3 +97,32 @@
 	time.Sleep(100 * time.Millisecond) // several heartbeats, each of which would bring the announcement
 	must.Eq(t, 0, received.count())
 }
+
+// Guards against limits that begin or end for some daemons only, or late: with 300 daemons, each learns of both
+// within a second of the report.
+func TestLimitsReachAllDaemons(t *testing.T) {
+	const daemons, soon = 300, time.Second
+	group := newFakeGroup()
+	_, address := startServer(t, group)
+	group.put("water")
+	var received [daemons]announced
+	var clients [daemons]*Client
+	for i := range clients {
+		clients[i] = startLimitClient(t, address, fmt.Sprint("proxy-", i), received[i].add)
+	}
+	for round, report := range []ratelimit.Report{limitedReport(2), {}} {
+		group.passTime(2 * time.Second)
+		began := time.Now()
+		must.True(t, clients[0].ReportLimit(ratelimit.Request{Service: "s", Replica: "r", Report: report}))
+		eventually(t, "all have received it", func() bool {
+			for i := range received {
+				if received[i].count() <= round {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("%d daemons received it after %v", daemons, time.Since(began).Round(time.Millisecond))
+		must.Less(t, soon, time.Since(began))
+	}
+}
--- a/process/control/rates_test.go
+++ b/process/control/rates_test.go
@@ -9,6 +9,7 @@
 	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/request/ratelimit"
 	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/planner"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/shoenig/test/must"
 )
@@ -61,6 +62,8 @@
 	d.group.limit("r-1", 2)
 	d.changeRole(t.Context(), term, "chat", modelView(1, "r-1").View.Replicas["r-1"], api.RolePrefill)
 	must.SliceEmpty(t, roles.orders())
+	changes := []planner.RoleChange{{Replica: "r-1"}, {Replica: "r-2"}}
+	must.Eq(t, []planner.RoleChange{{Replica: "r-2"}}, d.withoutLimited(changes))
 	source := &countingCache{}
 	d.group.config.PromptCache = source
 	d.queryReplica(t.Context(), modelView(1, "r-1").View.Replicas["r-1"])
--- a/process/control/roles.go
+++ b/process/control/roles.go
@@ -106,7 +106,7 @@
 	now := monotonic()
 	load := d.group.boards.serviceLoad(d.group.machine.history.Load(), service, now)
 	load.ReversalAllowed = now-max(term.roles.lastPrefillAt, term.startedAt) >= planner.ReversalPause
-	changes := planner.Balance(load)
+	changes := d.withoutLimited(planner.Balance(load))
 	if len(changes) == 0 {
 		return
 	}
@@ -114,8 +114,8 @@
 		"replicas", len(load.Replicas), "readers", load.PrefillReplicas(), "changing", load.Changing())
 	for _, wanted := range changes {
 		replica := current.Replicas[wanted.Replica]
-		if replica == nil || d.group.rates.IsLimited(replica.Name) {
-			continue // its limit is for requests, and a role change would take it away from them
+		if replica == nil {
+			continue
 		}
 		role := api.RoleDecode
 		if wanted.ToPrefill {
@@ -128,6 +128,12 @@
 	}
 }
 
+// withoutLimited returns the changes of replicas that state no limit. A role change would take what a limited
+// replica accepts away from the requests.
+func (d *leaderTasks) withoutLimited(changes []planner.RoleChange) []planner.RoleChange {
+	return slices.DeleteFunc(changes, func(change planner.RoleChange) bool { return d.group.rates.IsLimited(change.Replica) })
+}
+
 // switchTime returns the duration of a role change in a service.
 func switchTime(current *view.View, service string) time.Duration {
 	ingress := current.Ingresses[api.IngressName]
--- a/process/ingress/limits.go
+++ b/process/ingress/limits.go
@@ -17,7 +17,7 @@
 //
 //   - Placing a request: the control group names no replica whose account is empty.
 //   - Choosing a replica: one that has refused a permit is no candidate until it has room again.
-//   - Before a prefill or a run is sent, whichever way its replica was chosen.
+//   - Before a run is sent, because its limit may have begun, or its permit expired, during the prefill.
 //   - Once the connection is open and before anything is written, since opening it takes time.
 
 // limitCharger grants permits for limited replicas and receives this proxy's reports of limits;
--- a/process/ingress/limits_test.go
+++ b/process/ingress/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/request/ratelimit"
+	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/shoenig/test/must"
 )
 
@@ -84,6 +86,27 @@
 	return env
 }
 
+// announceLimit has a member announce that the replica states a limit.
+func (env *testEnv) announceLimit(replica string) {
+	report := ratelimit.Report{Statement: ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: 2}}
+	env.ingress.applyAnnouncedLimits([]ratelimit.NamedReport{{Replica: replica, Report: report}})
+}
+
+// delayingPlacer answers the first placement request with a wait, and calls during before it does.
+type delayingPlacer struct {
+	fakePlacer
+	during func()
+	waited atomic.Bool
+}
+
+func (p *delayingPlacer) Place(ctx context.Context, request feed.PlaceRequest) (placement.Answer, error) {
+	if !p.waited.Swap(true) {
+		p.during()
+		return placement.Answer{Wait: time.Millisecond}, nil
+	}
+	return p.fakePlacer.Place(ctx, request)
+}
+
 func TestNothingIsSentToALimitedReplicaWithoutAPermit(t *testing.T) {
 	t.Run("plain", func(t *testing.T) {
 		limited, other := newFakeReplica(t, "a", alwaysLimited("1.4", answerOK)), newFakeReplica(t, "b", answerOK)
@@ -143,17 +166,55 @@
 		env.do(plainRequest("resume", 1))
 		must.Eq(t, 1, limited.count())
 	})
-	t.Run("release of a handle", func(t *testing.T) {
-		prefiller := newFakeReplica(t, "read", alwaysLimited("1.4", answerPrefill))
-		decoder := newFakeReplica(t, "make", streamEvents(2, ""))
-		env := newModelEnv(t, prefiller, decoder, nil).withLimits(&fakeLimits{wait: time.Minute})
+	t.Run("retry", func(t *testing.T) {
+		broken, limited := newFakeReplica(t, "a", closeConnection), newFakeReplica(t, "b", alwaysLimited("1.4", answerOK))
+		env := newTestEnv(t, limited).withLimits(&fakeLimits{wait: time.Minute})
+		env.do(plainRequest("safe", 0))
+		env.setReplicas(broken, limited)
+		must.NotEq(t, http.StatusOK, env.do(plainRequest("safe", 1)).status)
+		must.Eq(t, 1, broken.count())
+		must.Eq(t, 1, limited.count())
+	})
+	t.Run("single copy of a request that may crash replicas", func(t *testing.T) {
+		limited := newFakeReplica(t, "a", alwaysLimited("1.4", answerOK))
+		env := newTestEnv(t, limited).withLimits(&fakeLimits{wait: time.Minute})
+		env.do(plainRequest("safe", 0))
+		env.setQuarantine(api.QuarantineWatched, time.Hour, "x", "y")
+		must.Eq(t, causeLimit+"\n", env.do(testRequest{method: "GET", target: "/safe/x?q=1", id: "one"}).body)
+		must.Eq(t, 1, limited.count())
+	})
+	t.Run("placed after a wait in which the limit began", func(t *testing.T) {
+		limited := newFakeReplica(t, "make", streamEvents(2, ""))
+		env := newModelEnv(t, newFakeReplica(t, "read", answerPrefill), limited, nil).withLimits(&fakeLimits{wait: time.Minute})
 		env.withLongObjective()
-		env.ingress.placer = &fakePlacer{answer: placement.Answer{Generator: "make", Reader: "read"}}
-		env.do(numberedModelRequest(0))
+		env.ingress.placer = &delayingPlacer{fakePlacer: fakePlacer{answer: placement.Answer{Generator: "make"}}, during: func() { env.announceLimit("make") }}
+		must.Eq(t, http.StatusServiceUnavailable, env.do(numberedModelRequest(0)).status)
+		must.Eq(t, 0, limited.count())
+	})
+	t.Run("release of a handle", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		var opened atomic.Int32
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				opened.Add(1)
+				_ = conn.Close()
+			}
+		}()
+		defer func() { _ = listener.Close() }()
+		env := newTestEnv(t)
+		source := Source{Replica: "read", Address: listener.Addr().String(), Handle: "handle-7"}
 		s := &session{ingress: env.ingress, upstream: env.ingress.upstreams.get("model")}
-		s.release(Source{Replica: "read", Address: prefiller.address(), Handle: "handle-7"})
-		time.Sleep(50 * time.Millisecond) // much longer than a call on the loopback interface
-		must.Eq(t, 1, prefiller.count())
+		env.announceLimit("read")
+		s.release(source)
+		time.Sleep(50 * time.Millisecond) // much longer than a connection on the loopback interface takes
+		must.Eq(t, 0, opened.Load())
+		s.release(Source{Replica: "another", Address: source.Address, Handle: source.Handle})
+		eventually(t, "a connection without a limit", func() bool { return opened.Load() == 1 })
 	})
 	t.Run("while a connection is opened", func(t *testing.T) {
 		limited := newFakeReplica(t, "a", answerOK)
@@ -184,8 +245,7 @@
 	t.Run("announced by a member", func(t *testing.T) {
 		limited, other := newFakeReplica(t, "a", answerOK), newFakeReplica(t, "b", answerOK)
 		env := newTestEnv(t, limited, other).withLimits(&fakeLimits{wait: time.Minute})
-		report := ratelimit.Report{Statement: ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: 2}}
-		env.ingress.applyAnnouncedLimits([]ratelimit.NamedReport{{Replica: "a", Report: report}})
+		env.announceLimit("a")
 		for i := range laterRequests {
 			must.Eq(t, http.StatusOK, env.do(plainRequest("unsafe", i)).status)
 		}
@@ -310,3 +370,81 @@
 	must.True(t, s.takePermit("a").isValid(env.ingress.now()))
 	must.False(t, s.takePermit("a").isValid(env.ingress.now()))
 }
+
+// A limit that begins while the prompt is prefilled elsewhere: the run gets a permit if there is one, and goes to
+// another replica if there is none.
+func TestLimitThatBeginsDuringThePrefillNeedsAPermit(t *testing.T) {
+	for _, permits := range []int{0, 1} {
+		var env *testEnv
+		prefiller := newFakeReplica(t, "read", func(w http.ResponseWriter, r *http.Request) {
+			env.announceLimit("make")
+			answerPrefill(w, r)
+		})
+		limited, other := newFakeReplica(t, "make", streamEvents(2, "")), newFakeReplica(t, "also", streamEvents(2, ""))
+		limits := &fakeLimits{permits: permits, wait: time.Minute}
+		env = newModelEnv(t, prefiller, limited, other).withLimits(limits)
+		env.withLongObjective()
+		env.ingress.placer = &fakePlacer{answer: placement.Answer{Generator: "make", Reader: "read"}}
+		must.Eq(t, eventTexts(1, 2), env.do(numberedModelRequest(0)).body)
+		must.Eq(t, permits, limited.count())
+		must.Eq(t, 1-permits, other.count())
+		must.SliceLen(t, 1, limits.requests)
+		if permits == 1 {
+			must.NotEq(t, "", limited.requests[0].Header.Get(testSource), must.Sprint("the prefilled prompt is used"))
+		}
+	}
+}
+
+// A request asks for its permits when its replicas are chosen, so that no prompt is prefilled for a run that has
+// no permit.
+func TestNoPromptIsPrefilledForARunWithoutAPermit(t *testing.T) {
+	for _, placed := range []bool{true, false} {
+		prefiller := newFakeReplica(t, "read", answerPrefill)
+		env := newModelEnv(t, prefiller, newFakeReplica(t, "make", streamEvents(2, "")), nil).withLimits(&fakeLimits{wait: time.Minute})
+		env.withLongObjective()
+		if placed {
+			env.ingress.placer = &fakePlacer{answer: placement.Answer{Generator: "make", Reader: "read"}}
+		}
+		env.announceLimit("make")
+		must.Eq(t, http.StatusServiceUnavailable, env.do(numberedModelRequest(0)).status)
+		must.Eq(t, 0, prefiller.count())
+	}
+}
+
+// After a refused permit a request prefers replicas without a limit, however many others there are.
+func TestRequestFindsTheReplicaWithoutALimit(t *testing.T) {
+	free := newFakeReplica(t, "z", answerOK)
+	replicas := []*fakeReplica{free}
+	for i := range 4 * maxPermitRefusals {
+		replicas = append(replicas, newFakeReplica(t, "limited-"+strconv.Itoa(i), answerOK))
+	}
+	env := newTestEnv(t, replicas...).withLimits(&fakeLimits{wait: time.Minute})
+	for _, replica := range replicas[1:] {
+		env.announceLimit(replica.name)
+	}
+	for i := range laterRequests {
+		must.Eq(t, http.StatusOK, env.do(plainRequest("unsafe", i)).status)
+	}
+	must.Eq(t, laterRequests, free.count())
+}
+
+// A new member learns the limits, and the ends of limits that another member may not have passed on.
+func TestLimitsAndTheirEndsAreReportedToANewMember(t *testing.T) {
+	handler, stated := stateLimit("1.4", answerOK)
+	replica, never := newFakeReplica(t, "a", handler), newFakeReplica(t, "b", answerOK)
+	limits := &fakeLimits{permits: 1, wait: time.Minute}
+	env := newTestEnv(t, replica).withLimits(limits)
+	env.do(plainRequest("safe", 0))
+	env.ingress.reportAllLimits()
+	stated.Store(false)
+	env.do(plainRequest("safe", 1))
+	env.setReplicas(replica, never)
+	env.do(plainRequest("safe", 2))
+	env.ingress.reportAllLimits()
+	var kinds []ratelimit.Kind
+	for _, report := range limits.reported() {
+		must.Eq(t, "a", report.Replica)
+		kinds = append(kinds, report.Report.Kind)
+	}
+	must.Eq(t, []ratelimit.Kind{ratelimit.Limited, ratelimit.Limited, ratelimit.Unlimited, ratelimit.Unlimited}, kinds)
+}
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -40,7 +40,7 @@
 // failure, in which case the target prefills it itself. A prefill is not a run of the request, so
 // any failure is harmless. The first one is charged a retry only if it is refused.
 func (s *session) prefill(ctx context.Context, chosen plan) Source {
-	if !chosen.prefiller.maySend(s.ingress.now()) || !s.obtainPermit(ctx, chosen.prefiller) {
+	if !chosen.prefiller.maySend(s.ingress.now()) {
 		s.noteWithheld(stagePrefill, chosen.prefiller)
 		chosen.tracked.report(placement.StepReadSkipped, chosen.prefiller.name, 0)
 		return Source{}
