Limits: ages are never negative, and callers that the leader refuses return one after the other

And a leader that refuses for want of limits gave all callers the same moment to return; a proxy that refuses by itself did not.

--- a/process/control/rates.go
+++ b/process/control/rates.go
@@ -39,7 +39,7 @@
 }
 
 // excludeExhausted excludes from a placement the replicas whose limits leave no room for the request.
-// If that leaves no generator, it refuses the request with the time at which the first has room.
+// If that leaves no generator, it refuses the request with a time at which the limits have room for it.
 func (g *group) excludeExhausted(request *feed.PlaceRequest, now time.Duration) (answer placement.Answer, refused bool) {
 	exhausted, first := g.rates.Exhausted(now, request.Service, request.Ask.Priority)
 	if len(exhausted) == 0 {
@@ -50,7 +50,7 @@
 	if g.boards.canGenerate(request.Service, request.Ask.Excluded, now) || !g.boards.canGenerate(request.Service, before, now) {
 		return placement.Answer{}, false
 	}
-	return placement.Answer{Refused: true, RetryAfter: first}, true
+	return placement.Answer{Refused: true, RetryAfter: g.rates.RetryDelay(now, request.Service, first)}, true
 }
 
 // canGenerate reports whether a replica of the service that is not excluded could run a request.
--- a/request/ratelimit/limiter.go
+++ b/request/ratelimit/limiter.go
@@ -55,7 +55,8 @@
 	limited  map[string]map[string]*entry // by service and replica
 	// delayed holds the replicas whose change was not announced yet because of announceInterval.
 	delayed    map[string]*entry
-	generation uint64 // of the latest announcement
+	pacers     map[string]*RetryPacer // by service
+	generation uint64                 // of the latest announcement
 	prunedAt   time.Duration
 }
 
@@ -78,7 +79,7 @@
 func NewLimiter(rule quota.Rule, now time.Duration) *Limiter {
 	return &Limiter{
 		rule: rule, account: quota.NewAccount(rule, now), standby: quota.NewStandby(rule),
-		replicas: map[string]*entry{}, limited: map[string]map[string]*entry{}, delayed: map[string]*entry{},
+		replicas: map[string]*entry{}, limited: map[string]map[string]*entry{}, delayed: map[string]*entry{}, pacers: map[string]*RetryPacer{},
 	}
 }
 
@@ -155,14 +156,14 @@
 	}
 	known.mentionedAt = now
 	if known.tracker.ObserveReport(now, request.Report) {
-		l.change(now, known)
+		l.applyChange(now, known)
 	}
 	l.announce(now, known)
 	return known
 }
 
-// change applies the begin or the end of a limit.
-func (l *Limiter) change(now time.Duration, known *entry) {
+// applyChange applies the begin or the end of a limit.
+func (l *Limiter) applyChange(now time.Duration, known *entry) {
 	if _, limited := known.tracker.Limit(); !limited {
 		delete(l.limited[known.service], known.name)
 		return
@@ -248,6 +249,24 @@
 	return names, first
 }
 
+// RetryDelay returns the delay for a caller that is refused because the limits of a service leave no room
+// before first. Callers are spaced out by the sum of the limits.
+func (l *Limiter) RetryDelay(now time.Duration, service string, first time.Duration) time.Duration {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	pacer := l.pacers[service]
+	if pacer == nil {
+		pacer = &RetryPacer{}
+		l.pacers[service] = pacer
+	}
+	sum := 0.0
+	for _, known := range l.limited[service] {
+		perSecond, _ := known.tracker.Limit()
+		sum += perSecond
+	}
+	return pacer.Next(now, first, sum)
+}
+
 // NamedReport is a Report about one replica.
 type NamedReport struct {
 	Replica string
--- a/request/ratelimit/ratelimit_test.go
+++ b/request/ratelimit/ratelimit_test.go
@@ -304,3 +304,13 @@
 	must.False(t, limiter.Record(at(101), Request{Service: "s", Replica: "r", Report: Report{Statement: limited(2), Age: at(5), SentAge: at(20)}}), must.Sprint("stated to an older request"))
 	must.False(t, limiter.IsLimited("r"))
 }
+
+// Guards against a negative age, which the receiver of a report rejects together with its connection: concurrent
+// callers read the clock before they call.
+func TestAgesAreNeverNegative(t *testing.T) {
+	var tracker Tracker
+	tracker.Observe(at(5), at(10), limited(2))
+	must.Eq(t, Report{Statement: limited(2)}, tracker.Report(at(4)))
+	tracker.Observe(at(20), at(21), Statement{})
+	must.Eq(t, Report{}, tracker.Report(at(19)))
+}
--- a/request/ratelimit/tracker.go
+++ b/request/ratelimit/tracker.go
@@ -84,10 +84,13 @@
 // Limit returns the rate in requests per second; false if there is no limit.
 func (t *Tracker) Limit() (perSecond float64, limited bool) { return t.perSecond, t.limited }
 
-// Report returns the latest statement for another process.
+// Report returns the latest statement for another process. now may be slightly earlier than the times of
+// previous calls, as it is for concurrent callers; ages are never negative.
 func (t *Tracker) Report(now time.Duration) Report {
 	if t.limited {
-		return Report{Statement: Statement{Kind: Limited, PerSecond: t.perSecond}, Age: now - t.receivedAt, SentAge: now - t.sentAt}
+		statement := Statement{Kind: Limited, PerSecond: t.perSecond}
+		return Report{Statement: statement, Age: max(now-t.receivedAt, 0), SentAge: max(now-t.sentAt, 0)}
 	}
-	return Report{Age: now - t.endedAt, SentAge: now - t.endedAt}
+	age := max(now-t.endedAt, 0)
+	return Report{Age: age, SentAge: age}
 }
