--- a/lab/emulator/emulator_test.go
+++ b/lab/emulator/emulator_test.go
@@ -49,7 +49,7 @@
 		config.Deployment = trace.DeploymentRadarvlak
 	}
 	config.Items = trace.Generate(config.Deployment, config.Seed, testDuration)
-	r, err := play(config)
+	r, err := simulate(config)
 	must.NoError(t, err)
 	return r.result, r.limits
 }
--- a/lab/emulator/limits.go
+++ b/lab/emulator/limits.go
@@ -6,7 +6,7 @@
 	"github.com/landingtrail/landingtrail/request/ratelimit"
 )
 
-// Limit is a time in which one engine states how many requests a second it takes from all proxies.
+// Limit is a period in which one engine states how many requests per second it accepts from all proxies.
 type Limit struct {
 	At, Until time.Duration
 	Engine    int // index
@@ -39,7 +39,7 @@
 	return ratelimit.Request{Service: l.run.config.Deployment, Replica: h.name, Report: report}
 }
 
-// arrive notes a request that was sent at sentAt. The answer reports to the account what the engine states.
+// arrive records a request that was sent at sentAt. Its answer reports to the account what the engine states.
 func (l *limits) arrive(h *host, sentAt, latency time.Duration) {
 	if len(l.run.config.Limits) == 0 {
 		return
--- a/lab/emulator/run.go
+++ b/lab/emulator/run.go
@@ -38,15 +38,15 @@
 // Run emulates a deployment under a trace. It returns trace.ErrUnknownDeployment
 // or ErrNoModelWork for a config that can't be run.
 func Run(config Config) (*Result, error) {
-	r, err := play(config)
+	r, err := simulate(config)
 	if err != nil {
 		return nil, err
 	}
 	return r.result, nil
 }
 
-// play is Run with all that is left of the run.
-func play(config Config) (*run, error) {
+// simulate is like Run, but returns the whole state at the end of the run.
+func simulate(config Config) (*run, error) {
 	config = config.withDefaults()
 	zones, err := trace.Zones(config.Deployment)
 	if err != nil {
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -113,7 +113,7 @@
 		"Check the versions of the members; a damaged file is replaced with the next word.")
 	LimitAnnounced = define(1241, "limit_announced", Info,
 		"This member announces to all proxies that a replica states a limit on the requests a second of all proxies together (limited, per_second), states another one, or none any more. age_ms is the age of the proxy's report.",
-		"Limits now and then are the replica's own affair. Many replicas of one service: it is too small for what is asked of it.")
+		"A limit now and then needs nothing. Many replicas of one service: it is too small for what is asked of it.")
 	BoardShows = define(1223, "board_shows", Info,
 		"What the board of a service shows of its replicas, and what it has answered since the last such line, each second in which it places requests.", "")
 	IngressReplaced = define(1310, "ingress_replaced", Info,
--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -46,7 +46,7 @@
 		"A replica has begun to state a limit on the requests a second of all proxies together (limited, per_second), or has ended it. request is the one whose answer stated it; announced says that a member of the control group announced it. Between begin and end each request for the replica needs a grant.",
 		"landingtrail_ingress_limit_grants_total counts the requests that were granted and refused.")
 	LimitRefused = define(4615, "limit_refused", Info,
-		"A request was not granted for a replica with a limit (per_second), which is asked for no other one for wait_ms. alone says that no member answered, and this proxy decided by its own part. The request goes elsewhere.", "")
+		"A request was not granted for a replica with a limit (per_second), which is asked for no other one for wait_ms. alone says that no member answered, and this proxy decided by its own share. The request goes elsewhere.", "")
 	RequestRefused = define(4601, "request_refused", Info,
 		"A request was answered before any replica was asked: no route, no configuration, or a faulty request.", "")
 	QuotaRefused = define(4611, "quota_refused", Info,
--- a/process/ingress/pick.go
+++ b/process/ingress/pick.go
@@ -89,20 +89,20 @@
 // candidates returns the matching replicas that are neither suspect nor to be avoided, or the other
 // matching ones if there are none.
 func (u *upstream) candidates(filter *replicaFilter, now time.Duration) []*replica {
-	var healthy, suspects []*replica
+	var preferred, others []*replica
 	for _, candidate := range u.fleet.choices(now) {
 		switch {
 		case !filter.matches(candidate, now):
 		case candidate.isSuspect(now), filter.avoidLimited && candidate.holdoff.IsLimited():
-			suspects = append(suspects, candidate)
+			others = append(others, candidate)
 		default:
-			healthy = append(healthy, candidate)
+			preferred = append(preferred, candidate)
 		}
 	}
-	if len(healthy) == 0 {
-		return suspects
+	if len(preferred) == 0 {
+		return others
 	}
-	return healthy
+	return preferred
 }
 
 // affinityReplicas is the number of replicas to which hashing assigns a shared part of a prompt,
--- a/request/holdoff/holdoff.go
+++ b/request/holdoff/holdoff.go
@@ -275,8 +275,8 @@
 }
 
 // TryBegin reports whether a request may be sent now, which includes LastResort replicas, and
-// starts the probe if one is pending. A limit is the caller's to check, see IsLimited. TryBegin is called immediately before the request is written,
-// because an answer may have arrived since the replica was chosen.
+// starts the probe if one is pending. It is called immediately before the request is written, because
+// an answer may have arrived since the replica was chosen. It does not check for a limit, see IsLimited.
 func (r *Replica) TryBegin(now time.Duration) bool {
 	if !r.restricted.Load() {
 		return true
--- a/request/holdoff/restrictions.go
+++ b/request/holdoff/restrictions.go
@@ -1,7 +1,8 @@
 // Package holdoff keeps the restrictions that replicas request from this process: to send them no
 // requests for a time (a pause), to stop sending requests because the replica is about to shut down
-// (leaving), or to send no more than a rate that all processes share (a limit). Times are durations since an origin that the caller chooses, the same for all
-// calls on one Table, unless they are called wall clock times.
+// (leaving), or to send no more than a rate that all processes share (a limit). Times are durations
+// since an origin that the caller chooses, the same for all calls on one Table, unless they are called
+// wall clock times.
 package holdoff
 
 import "time"
--- a/request/ratelimit/limiter.go
+++ b/request/ratelimit/limiter.go
@@ -79,7 +79,8 @@
 func NewLimiter(rule quota.Rule, now time.Duration) *Limiter {
 	return &Limiter{
 		rule: rule, account: quota.NewAccount(rule, now), standby: quota.NewStandby(rule),
-		replicas: map[string]*entry{}, limited: map[string]map[string]*entry{}, delayed: map[string]*entry{}, pacers: map[string]*RetryPacer{},
+		replicas: map[string]*entry{}, limited: map[string]map[string]*entry{},
+		delayed: map[string]*entry{}, pacers: map[string]*RetryPacer{},
 	}
 }
 
--- a/request/ratelimit/statement.go
+++ b/request/ratelimit/statement.go
@@ -4,8 +4,7 @@
 // A Tracker holds what one process knows of one replica. A Limiter is the account of all limited replicas
 // at a member of the control group: proxies charge each request for such a replica to it before they
 // send the request, so that the sum over all proxies stays within the rate, however many proxies there
-// are and wherever the demand is. Proxies that reach no member use shares of the rate
-// (quota.LocalShare).
+// are and wherever the demand is. Shares grants requests at a proxy that reaches no member.
 //
 // Times are durations since an origin that the caller chooses, the same for all calls on one Tracker
 // or Limiter. Members and proxies exchange ages, never times. The package does no I/O.
