Limits: one that begins right after another's end is kept

A limit that the replica stated to a request sent within 200 ms after the one whose answer had ended another limit was ignored, by every proxy that got it in that time. Each of them sent on as if there were none until its next answer.

The two test lines "sent at about the same time" asserted the fault; they now assert that a limit stated to a later request holds and that one stated to a request sent at the same time does not, which is as strict, at the moment itself.

Why this works: of two answers the one to the later request holds, without a margin. Where two requests overtook each other on their way, the limit is restored wrongly for one more answer, which ends it again; nothing is sent above a rate meanwhile.

--- a/request/ratelimit/ratelimit_test.go
+++ b/request/ratelimit/ratelimit_test.go
@@ -28,13 +28,14 @@
 	must.Eq(t, 3, perSecond)
 	must.True(t, tracker.Observe(at(15), at(20), Statement{}))
 	must.False(t, tracker.Observe(at(13), at(21), limited(3)), must.Sprint("the answer to an older request"))
-	must.False(t, tracker.Observe(at(17), at(21), limited(3)), must.Sprint("sent at about the same time"))
-	must.True(t, tracker.Observe(at(18), at(22), limited(4)))
+	must.False(t, tracker.Observe(at(15), at(21), limited(3)), must.Sprint("sent at the same time"))
+	must.True(t, tracker.Observe(at(16), at(21), limited(3)), must.Sprint("a limit that begins right after the end of another"))
+	must.False(t, tracker.Observe(at(18), at(22), limited(4)))
 	must.Eq(t, Report{Statement: limited(4), Age: at(3), SentAge: at(7)}, tracker.Report(at(25)))
 }
 
-// A reported end is ordered like the statements: it ends a limit that was stated to a request sent before or at
-// about the same time, even if that was received later, and none that was stated to a later request.
+// A reported end is ordered like the statements: it ends a limit that was stated to an earlier request, even if
+// that was received later, and none that was stated to a later request.
 func TestReportedEndsAreOrderedByTheirRequests(t *testing.T) {
 	var tracker Tracker
 	must.True(t, tracker.Observe(at(10), at(30), limited(2)))
@@ -42,7 +43,8 @@
 	must.True(t, tracker.ObserveReport(at(31), Report{Age: at(16)}))
 	must.False(t, tracker.ObserveReport(at(32), Report{Statement: limited(2), Age: at(2), SentAge: at(22)}), must.Sprint("stated to an older request"))
 	must.True(t, tracker.ObserveReport(at(33), Report{Statement: limited(2), Age: at(2), SentAge: at(10)}))
-	must.True(t, tracker.ObserveReport(at(34), Report{Age: at(12)}), must.Sprint("sent at about the same time"))
+	must.False(t, tracker.ObserveReport(at(34), Report{Age: at(12)}), must.Sprint("sent before a limit that has begun since"))
+	must.True(t, tracker.ObserveReport(at(34), Report{Age: at(11)}), must.Sprint("sent at the same time"))
 	must.False(t, tracker.ObserveReport(at(34), Report{Statement: Statement{Kind: Unclear}}))
 }
 
@@ -58,7 +60,7 @@
 			tracker.Observe(sentAt, now, Statement{Kind: Kind(rapid.IntRange(0, 2).Draw(t, "kind")), PerSecond: 1})
 		}
 		last := Kind(rapid.IntRange(0, 1).Draw(t, "last"))
-		sentAt := now + reorderMargin + 1
+		sentAt := now + 1
 		tracker.Observe(sentAt, sentAt+1, Statement{Kind: last, PerSecond: 1})
 		_, isLimited := tracker.Limit()
 		must.Eq(t, last == Limited, isLimited)
--- a/request/ratelimit/tracker.go
+++ b/request/ratelimit/tracker.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// reorderMargin is how far apart two requests must have been sent for their answers to be in order.
-// Requests that are closer together may reach the replica in either order.
-const reorderMargin = 200 * time.Millisecond
-
 // Tracker holds the latest statement about one replica. The zero value states no limit.
 //
 // Answers arrive out of order, so statements are ordered by when their requests were sent: of several
@@ -13,8 +9,6 @@
 // answer to an earlier request. An answer ends a limit only if its request was sent after the limit was
 // last received, because an earlier request may have been answered before the limit began. The report of
 // such an end is already that strong, so it is only compared with the request that stated the rate.
-// Requests within reorderMargin of each other count as sent at the same time, and the end of a limit
-// then holds: the next answer restores the limit if it goes on.
 type Tracker struct {
 	limited    bool
 	perSecond  float64
@@ -48,7 +42,7 @@
 }
 
 func (t *Tracker) limit(sentAt, now time.Duration, perSecond float64) (changed bool) {
-	if t.ended && sentAt <= t.endedAt+reorderMargin {
+	if t.ended && sentAt <= t.endedAt {
 		return false
 	}
 	changed = !t.limited
@@ -65,7 +59,7 @@
 // end ends the limit. Without a limit it only records the time, so that reports of the limit that arrive
 // later do not restore it.
 func (t *Tracker) end(sentAt time.Duration) (changed bool) {
-	if t.limited && sentAt <= t.sentAt-reorderMargin {
+	if t.limited && sentAt < t.sentAt {
 		return false
 	}
 	if !t.ended || sentAt > t.endedAt {
