Limits: a test that a run asks for its permit before it is sent

Taken out, that line went unnoticed: the look at the permit, when the connection is open, keeps the run back as well. What it saves is the second prefill, which the test counts now: 2 without the line, 1 with it.

--- a/process/ingress/limits_test.go
+++ b/process/ingress/limits_test.go
@@ -390,6 +390,7 @@
 		must.Eq(t, 1-permits, other.count())
 		must.SliceLen(t, 1, limits.requests)
 		if permits == 1 {
+			must.Eq(t, 1, prefiller.count(), must.Sprint("the run is not withheld and prefilled again"))
 			must.NotEq(t, "", limited.requests[0].Header.Get(testSource), must.Sprint("the prefilled prompt is used"))
 		}
 	}
