Limits: a test that a placement is refused at once while all limits are used up

Taken out, the leader's refusal went unnoticed: the test before looked at the function that decides, not at the placement. Without it a request waits for a replica that has no room.

--- a/process/control/rates_test.go
+++ b/process/control/rates_test.go
@@ -58,6 +58,24 @@
 	must.Eq(t, []string{"r-1"}, request.Ask.Excluded)
 }
 
+// Guards against callers that are not told at once that every limit is used up, although a time is known at
+// which one has room.
+func TestPlacementIsRefusedAtOnceWhileAllLimitsAreUsedUp(t *testing.T) {
+	g := newRatesGroup()
+	g.machine, g.metrics = newMachine(), newMetrics()
+	g.machine.history.Store(ratesView())
+	g.evidence = &evidence{tracker: newQuarantineTracker()}
+	request := feed.PlaceRequest{Service: "chat", Number: 1, Ask: placement.Request{PromptTokens: 10, Deadline: time.Minute}}
+	for _, replica := range []string{"r-1", "r-2"} {
+		report := ratelimit.Report{Statement: ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: 1}}
+		g.rates.Record(monotonic(), ratelimit.Request{Service: "chat", Replica: replica, Report: report})
+	}
+	answer, known := g.Place("proxy-1", request)
+	must.True(t, known)
+	must.True(t, answer.Refused)
+	must.Positive(t, answer.RetryAfter)
+}
+
 // A leader's own calls reach no replica that has a limit: its requests are to use it.
 func TestLeaderCallsPassOverLimitedReplicas(t *testing.T) {
 	roles := &fakeRoles{state: RoleState{Role: api.RoleDecode}}
