--- a/process/ingress/limits_test.go
+++ b/process/ingress/limits_test.go
@@ -305,14 +305,19 @@
 		must.Eq(t, ratelimit.Unlimited, reports[1].Report.Kind)
 	})
 	t.Run("by a member", func(t *testing.T) {
-		handler, stated := stateLimit("1.4", answerOK)
-		replica := newFakeReplica(t, "a", handler)
+		var env *testEnv
+		var limitedWhenSent atomic.Bool
+		handler, stated := stateLimit("1.4", func(w http.ResponseWriter, r *http.Request) {
+			limitedWhenSent.Store(env.ingress.upstreams.holdoffs.Find("a").IsLimited())
+			answerOK(w, r)
+		})
 		limits := &fakeLimits{ended: true}
-		env := newTestEnv(t, replica).withLimits(limits)
+		env = newTestEnv(t, newFakeReplica(t, "a", handler)).withLimits(limits)
 		env.do(plainRequest("safe", 0))
 		stated.Store(false)
 		for i := range laterRequests {
 			must.Eq(t, http.StatusOK, env.do(plainRequest("safe", i+1)).status)
+			must.False(t, limitedWhenSent.Load(), must.Sprint("the end is applied before the next request is sent"))
 		}
 		must.LessEq(t, 1, len(limits.requests))
 	})
