--- a/request/ratelimit/ratelimit_test.go
+++ b/request/ratelimit/ratelimit_test.go
@@ -134,6 +134,21 @@
 	must.True(t, charge(4*time.Second, 2), must.Sprint("no urgent one has asked for a while"))
 }
 
+// A proxy asks again for any of its requests when one has accrued: the reserve for urgent requests, which ends
+// soon, does not delay the next question, nor the answer that shows the end of the limit.
+func TestReserveDoesNotDelayTheNextRequest(t *testing.T) {
+	limiter := NewLimiter(DefaultRule, 0)
+	charge := func(now time.Duration, priority int) Reply {
+		reply, _ := limiter.Charge(now, Request{Service: "s", Replica: "r", Report: Report{Statement: limited(0.5)}, Priority: priority}, true)
+		return reply
+	}
+	must.Eq(t, 2*time.Second, charge(0, 1).Wait)
+	must.Eq(t, Reply{Report: Report{Statement: limited(0.5)}, Wait: 1500 * time.Millisecond}, charge(500*time.Millisecond, 2))
+	must.Eq(t, 100*time.Millisecond, charge(1900*time.Millisecond, 1).Wait)
+	must.Eq(t, Reply{Report: Report{Statement: limited(0.5)}}, charge(2*time.Second, 2), must.Sprint("only a more urgent request would be granted now"))
+	must.True(t, charge(2*time.Second, 1).Granted)
+}
+
 func TestLimitsAreAnnouncedRarely(t *testing.T) {
 	limiter := NewLimiter(DefaultRule, 0)
 	record := func(now time.Duration, statement Statement) bool {
