--- a/request/ratelimit/ratelimit_test.go
+++ b/request/ratelimit/ratelimit_test.go
@@ -227,6 +227,22 @@
 	must.Eq(t, 500*time.Millisecond, reply.Wait)
 }
 
+// Guards against a limit that begins again with what the account saved meanwhile: the requests that were sent
+// without a limit may still be on their way.
+func TestLimitThatBeginsAgainStartsEmpty(t *testing.T) {
+	limiter := NewLimiter(DefaultRule, 0)
+	charge := func(now time.Duration, statement Statement) Reply {
+		reply, _ := limiter.Charge(now, Request{Service: "s", Replica: "r", Report: Report{Statement: statement}}, true)
+		return reply
+	}
+	must.False(t, charge(0, limited(2)).Granted)
+	must.True(t, charge(time.Second, limited(2)).Granted)
+	must.True(t, charge(2*time.Second, Statement{}).Granted)
+	again := charge(10*time.Second, limited(2))
+	must.False(t, again.Granted)
+	must.Eq(t, 500*time.Millisecond, again.Wait)
+}
+
 // Guards against an announcement that is delayed, since the previous one was recent, until some proxy asks
 // again: all of them may have been refused for seconds.
 func TestDelayedAnnouncementBecomesDue(t *testing.T) {
