--- a/lab/campaign/limit_test.go
+++ b/lab/campaign/limit_test.go
@@ -27,7 +27,8 @@
 	limitLateOnceIn = 20
 	limitHeartbeat  = 350 * time.Millisecond
 	limitMember     = 12 * time.Millisecond // at most, to a member and back
-	limitLostOnceIn = 50                    // questions to a member
+	limitLostOnceIn = 50                    // questions to a member, of which one is lost
+	lossyOnceIn     = 2                     // the same on bad links
 	limitPermit     = time.Second           // for which a permit may be used
 	limitDial       = 1200 * time.Millisecond
 	limitOutage     = 2500 * time.Millisecond // at most, without a leader
@@ -55,6 +56,8 @@
 	generation uint64
 	// punctual answers are never late.
 	punctual bool
+	// lostOnceIn is how many questions to a member there are for one that is lost.
+	lostOnceIn int
 }
 
 type limitProxy struct {
@@ -82,7 +85,7 @@
 }
 
 func newLimitWorld(seed uint64, proxies int) *limitWorld {
-	w := &limitWorld{random: rand.New(rand.NewPCG(seed, 21)), counts: map[string]int{}, standby: ratelimit.NewLimiter(ratelimit.DefaultRule, 0)}
+	w := &limitWorld{random: rand.New(rand.NewPCG(seed, 21)), counts: map[string]int{}, standby: ratelimit.NewLimiter(ratelimit.DefaultRule, 0), lostOnceIn: limitLostOnceIn}
 	w.leader = ratelimit.NewLimiter(ratelimit.DefaultRule, 0)
 	for i := range limitReplicas {
 		w.replicas = append(w.replicas, &limitReplica{name: fmt.Sprintf("r%d", i), notified: map[string]time.Duration{}})
@@ -128,7 +131,7 @@
 		if limiter == nil {
 			limiter, leads, by = w.standby, false, "a standby member"
 		}
-		if limiter == nil || w.random.IntN(limitLostOnceIn) == 0 {
+		if limiter == nil || w.random.IntN(w.lostOnceIn) == 0 {
 			w.after(limitMember, func() { w.decideAlone(proxy, life, target, request) })
 			return
 		}
@@ -324,8 +327,9 @@
 	w.after(limitHeartbeat, w.heartbeat)
 }
 
-func playLimits(seed uint64, proxies int) *limitWorld {
+func playLimits(seed uint64, proxies, lostOnceIn int) *limitWorld {
 	w := newLimitWorld(seed, proxies)
+	w.lostOnceIn = lostOnceIn
 	w.request()
 	w.heartbeat()
 	w.fault()
@@ -334,12 +338,18 @@
 }
 
 // Guards against limits that hold for each proxy or each leader, and not over all of them.
-func TestLimitsHoldThroughNewLeadersAndLostMembers(t *testing.T) {
+func TestLimitsHoldThroughNewLeadersAndLostMembers(t *testing.T) { testLimits(t, limitLostOnceIn) }
+
+// Guards against proxies that lose some of their questions and grant what the leader grants to others.
+func TestLimitsHoldOverBadLinks(t *testing.T) { testLimits(t, lossyOnceIn) }
+
+// testLimits plays the limits with few proxies and many.
+func testLimits(t *testing.T, lostOnceIn int) {
 	for _, proxies := range []int{3, 40, 300} {
 		t.Run(fmt.Sprintf("%d proxies", proxies), func(t *testing.T) {
 			counts := map[string]int{}
 			for seed := range uint64(testSeeds) {
-				w := playLimits(seed, proxies)
+				w := playLimits(seed, proxies, lostOnceIn)
 				for what, count := range w.counts {
 					counts[what] += count
 				}
