Limits: a proxy grants by itself only while no member has answered it for a second

What callers saw: nothing yet; over links that lose half of the requests for permits, replicas got up to 14 requests in 4 s at a limit of 1.4 (allowed 13.4) and 247 at 40 (allowed 245) in a campaign in virtual time, in 2 of 120 courses.

Cause: each request for a permit that was not answered within 30 ms was granted from the proxy's own share, and shares accrued all the time, also while the leader answered other requests of the same proxy. The sum that package quota divides, 0.4 of the overrun for the leader and 0.3 for each of two members, has no part left for that.

Losses of 1 of 10 and 1 of 3 did not break the rule.

Why this works: a share accrues only once no request of the proxy has been answered for a second, and starts from nothing then. While members are in reach, one of them grants everything; a request for a permit that is lost is refused, its replica is asked again after 50 ms, and the caller is served elsewhere meanwhile. Where no member is in reach, nothing changes but the first second.

--- a/lab/campaign/limit_test.go
+++ b/lab/campaign/limit_test.go
@@ -27,7 +27,7 @@
 	limitLateOnceIn = 20
 	limitHeartbeat  = 350 * time.Millisecond
 	limitMember     = 12 * time.Millisecond // at most, to a member and back
-	limitLostOnceIn = 50                    // questions to a member, of which one is lost
+	limitLostOnceIn = 50                    // requests to a member, of which one is lost
 	lossyOnceIn     = 2                     // the same on bad links
 	limitPermit     = time.Second           // for which a permit may be used
 	limitDial       = 1200 * time.Millisecond
@@ -56,7 +56,7 @@
 	generation uint64
 	// punctual answers are never late.
 	punctual bool
-	// lostOnceIn is how many questions to a member there are for one that is lost.
+	// lostOnceIn is how many requests to a member there are for one that is lost.
 	lostOnceIn int
 }
 
@@ -139,7 +139,12 @@
 		if announce && leads {
 			w.announce()
 		}
-		w.after(w.draw(limitMember), func() { w.decided(proxy, life, target, reply, by) })
+		w.after(w.draw(limitMember), func() {
+			if proxy.life == life {
+				proxy.shares.RecordAnswer()
+			}
+			w.decided(proxy, life, target, reply, by)
+		})
 	})
 }
 
@@ -340,7 +345,7 @@
 // Guards against limits that hold for each proxy or each leader, and not over all of them.
 func TestLimitsHoldThroughNewLeadersAndLostMembers(t *testing.T) { testLimits(t, limitLostOnceIn) }
 
-// Guards against proxies that lose some of their questions and grant what the leader grants to others.
+// Guards against proxies that lose some of their requests for permits and grant what the leader grants to others.
 func TestLimitsHoldOverBadLinks(t *testing.T) { testLimits(t, lossyOnceIn) }
 
 // testLimits plays the limits with few proxies and many.
--- a/process/ingress/limits.go
+++ b/process/ingress/limits.go
@@ -12,7 +12,7 @@
 
 // Replicas state in their answers how many requests per second they accept from all proxies together.
 // While one does, each request for it needs a permit. A member of the control group grants permits
-// from one account for all proxies; without an answer this proxy grants from its own share. Limits are
+// from one account for all proxies; while none answers, this proxy grants from its own share. Limits are
 // applied at four points:
 //
 //   - Placing a request: the control group names no replica whose account is empty.
@@ -92,13 +92,14 @@
 // It bounds the messages for a replica whose rate is large and still too small.
 const minExhausted = 50 * time.Millisecond
 
-// askPermit asks the control group for a permit and waits up to chargeTimeout, then decides by this
-// proxy's own share. by is who decided.
+// askPermit asks the control group for a permit and waits up to chargeTimeout. If no member has answered
+// for a while, it decides by this proxy's own share. by is who decided.
 func (s *session) askPermit(ctx context.Context, to *replica, request ratelimit.Request) (reply ratelimit.Reply, by string) {
 	if s.ingress.limitCharger != nil {
 		ctx, cancel := context.WithTimeout(ctx, chargeTimeout)
 		defer cancel()
 		if reply, err := s.ingress.limitCharger.ChargeLimit(ctx, request); err == nil {
+			s.ingress.limitShares.RecordAnswer()
 			if reply.Report.Kind != ratelimit.Limited { // another proxy has reported the end of the limit
 				s.ingress.applyLimitReport(to.holdoff, reply.Report)
 			}
--- a/process/ingress/limits_test.go
+++ b/process/ingress/limits_test.go
@@ -360,6 +360,21 @@
 	must.LessEq(t, 10, limited.count())
 }
 
+// A member's answer ends the outage in which a proxy grants from its own shares.
+func TestAnswersEndTheOutage(t *testing.T) {
+	limits := &fakeLimits{err: feed.ErrNotCharged, wait: time.Minute}
+	env := newTestEnv(t, newFakeReplica(t, "a", answerOK), newFakeReplica(t, "b", answerOK)).withLimits(limits)
+	env.announceLimit("a")
+	env.announceLimit("b")
+	env.do(plainRequest("unsafe", 0))
+	limits.err = nil
+	env.ingress.upstreams.holdoffs.Find("a").Exhaust(0)
+	env.do(plainRequest("unsafe", 1))
+	must.GreaterEq(t, 2, len(limits.requests))
+	_, wait := env.ingress.limitShares.Draw(env.ingress.now()+time.Hour, "a", 2, 1)
+	must.Zero(t, wait, must.Sprint("a new outage begins"))
+}
+
 // A permit that is older than permitLifetime is not used, since many old ones could be used at once.
 func TestOldPermitsAreNotUsed(t *testing.T) {
 	must.True(t, permit{granted: true, grantedAt: time.Second}.isValid(time.Second+permitLifetime))
--- a/request/ratelimit/ratelimit_test.go
+++ b/request/ratelimit/ratelimit_test.go
@@ -319,6 +319,28 @@
 	}
 }
 
+// Guards against a proxy that loses some of its requests for permits and grants what the leader grants to others.
+func TestSharesGrantOnlyDuringAnOutage(t *testing.T) {
+	shares := NewShares(func() float64 { return 0 }) // grants as soon as anything has accrued
+	draw := func(now time.Duration) bool {
+		granted, _ := shares.Draw(now, "r", 100, 1)
+		return granted
+	}
+	for i := range 20 {
+		now := time.Duration(i) * minOutage
+		must.False(t, draw(now))
+		must.False(t, draw(now+minOutage-1))
+		shares.RecordAnswer()
+	}
+	must.False(t, draw(time.Hour))
+	must.False(t, draw(time.Hour+minOutage), must.Sprint("nothing has accrued"))
+	must.True(t, draw(time.Hour+minOutage+1))
+	shares.RecordAnswer()
+	must.False(t, draw(2*time.Hour))
+	must.False(t, draw(2*time.Hour+minOutage), must.Sprint("nothing is left of the previous outage"))
+	must.True(t, draw(2*time.Hour+minOutage+1))
+}
+
 // Shares that are not drawn from any more take no memory.
 func TestSharesAreDropped(t *testing.T) {
 	shares := NewShares(rand.Float64)
