Limits: a test for the release of a handle, each way with its test, and plainer words

The line by which the release of a handle has no permit went unnoticed when taken out, since such a release is not begun at a limited replica. Where the limit begins while it connects that line alone keeps it back: without it the new case fails with one request.

Tests and pages of the change no longer say told, heard, wish or words where a newcomer has to guess.

--- a/process/control/rates_test.go
+++ b/process/control/rates_test.go
@@ -58,8 +58,7 @@
 	must.Eq(t, []string{"r-1"}, request.Ask.Excluded)
 }
 
-// Guards against callers that are not told at once that every limit is used up, although a time is known at
-// which one has room.
+// Guards against callers that wait although every limit is used up and it is known when one will have room.
 func TestPlacementIsRefusedAtOnceWhileAllLimitsAreUsedUp(t *testing.T) {
 	g := newRatesGroup()
 	g.machine, g.metrics = newMachine(), newMetrics()
--- a/process/ingress/limits_test.go
+++ b/process/ingress/limits_test.go
@@ -107,6 +107,18 @@
 	return p.fakePlacer.Place(ctx, request)
 }
 
+// limitingDialect calls during when the request that releases a handle is written, which is before it connects.
+type limitingDialect struct {
+	testDialect
+	during func()
+}
+
+func (d limitingDialect) Release(header http.Header, replica, handle string) (method, target string) {
+	d.during()
+	return d.testDialect.Release(header, replica, handle)
+}
+
+// Guards against a way to a replica on which its limit is not looked at.
 func TestNothingIsSentToALimitedReplicaWithoutAPermit(t *testing.T) {
 	t.Run("plain", func(t *testing.T) {
 		limited, other := newFakeReplica(t, "a", alwaysLimited("1.4", answerOK)), newFakeReplica(t, "b", answerOK)
@@ -216,6 +228,16 @@
 		s.release(Source{Replica: "another", Address: source.Address, Handle: source.Handle})
 		eventually(t, "a connection without a limit", func() bool { return opened.Load() == 1 })
 	})
+	t.Run("release of a handle while its connection is opened", func(t *testing.T) {
+		replica := newFakeReplica(t, "read", answerOK)
+		env := newTestEnv(t, replica)
+		env.ingress.config.Dialect = limitingDialect{during: func() { env.announceLimit("read") }}
+		s := &session{ingress: env.ingress, upstream: env.ingress.upstreams.get("model")}
+		s.release(Source{Replica: "read", Address: replica.address(), Handle: "handle-7"})
+		must.True(t, env.ingress.upstreams.holdoffs.Find("read").IsLimited())
+		time.Sleep(50 * time.Millisecond) // much longer than a request on the loopback interface takes
+		must.Eq(t, 0, replica.count())
+	})
 	t.Run("while a connection is opened", func(t *testing.T) {
 		limited := newFakeReplica(t, "a", answerOK)
 		env := newTestEnv(t, limited)
