--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -47,6 +47,9 @@
 		"landingtrail_ingress_limit_grants_total counts the requests that were granted and refused.")
 	LimitRefused = define(4615, "limit_refused", Info,
 		"A request was not granted for a replica with a limit (per_second), which is asked for no other one for wait_ms. alone says that no member answered, and this proxy decided by its own share. The request goes elsewhere.", "")
+	RetryCharged = define(4616, "retry_charged", Info,
+		"A send of a request beyond its first was charged to the retry budget, or was not allowed by it (granted). charge says for what: run, prefill, or refused_prefill, which is charged after it was sent. left is how many retries the budget still allows, requests the number of requests of the service within the budget's window, uptime_ms the age of this process, which knows neither requests nor retries of an earlier one.",
+		"Many that are not granted: replicas fail more often than the budget allows retries. Look why they fail.")
 	RequestRefused = define(4601, "request_refused", Info,
 		"A request was answered before any replica was asked: no route, no configuration, or a faulty request.", "")
 	QuotaRefused = define(4611, "quota_refused", Info,
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -24,16 +24,14 @@
 // once the budget is overdrawn, first prefills are sent only to reliable replicas. Every later
 // prefill is charged one retry in advance, whatever its result.
 func (s *session) allowPrefill(prefiller *replica) bool {
-	now := s.ingress.now()
-	granted := prefiller.isReliable() || !s.upstream.budget.Overdrawn(now)
 	if s.prefillCount > 0 {
-		granted = s.upstream.budget.Withdraw(now)
+		return s.withdrawRetry(chargePrefill, "read_budget")
 	}
-	if !granted {
-		s.trace.WriteString(" read_budget")
-		s.ingress.metrics.retriesRefused.WithLabelValues(s.upstream.service).Inc()
+	if prefiller.isReliable() || !s.upstream.budget.Overdrawn(s.ingress.now()) {
+		return true
 	}
-	return granted
+	s.noteRetryRefused(chargePrefill, "read_budget")
+	return false
 }
 
 // prefill sends the prompt to the prefill replica and returns where the result is kept; empty on
@@ -52,7 +50,7 @@
 	s.prefillCount++
 	source, refused := s.sendPrefill(ctx, chosen)
 	if refused && s.prefillCount == 1 {
-		s.upstream.budget.CountRetry(s.ingress.now())
+		s.countRefusedPrefill()
 	}
 	return source
 }
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -181,12 +181,7 @@
 	if s.sendCount == 0 {
 		return true
 	}
-	if !s.upstream.budget.Withdraw(s.ingress.now()) {
-		s.trace.WriteString(" budget")
-		s.ingress.metrics.retriesRefused.WithLabelValues(s.upstream.service).Inc()
-		return false
-	}
-	return true
+	return s.withdrawRetry(chargeRun, "budget")
 }
 
 // giveUp sends the final answer if no further attempt is made, which may be before the first one.
--- a/request/retry/window.go
+++ b/request/retry/window.go
@@ -104,6 +104,21 @@
 	return float64(retries) > overdrawnShare*float64(allowed)
 }
 
+// WindowState is what a window allows at a time.
+type WindowState struct {
+	Left     float64 // retries that are still allowed; negative if too many were counted
+	Requests int     // requests in the span
+}
+
+// State returns what the window allows now.
+func (w *Window) State(now time.Duration) WindowState {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	number := w.bucket(now).number
+	retries, allowed := w.sum(now, number)
+	return WindowState{Left: float64(allowed - retries), Requests: w.requests(number)}
+}
+
 // reserveAt returns the part of the reserve available at now. The lock must be held.
 func (w *Window) reserveAt(now time.Duration) float64 {
 	if now < w.reserveWithheldUntil {
@@ -115,19 +130,26 @@
 // sum returns the number of retries in the span that ends with the bucket of that number, and how
 // many are allowed. The lock must be held.
 func (w *Window) sum(now time.Duration, lastNumber int64) (retries, allowed int) {
-	requests := 0
 	for i := range w.buckets {
 		counted := &w.buckets[i]
-		age := lastNumber - counted.number
-		if age < 0 || age > windowBuckets {
-			continue
+		if age := lastNumber - counted.number; age >= 0 && age <= windowBuckets {
+			retries += counted.retries
 		}
-		retries += counted.retries
-		if age < windowBuckets {
+	}
+	return retries, int(math.Floor(w.share*float64(w.requests(lastNumber)) + w.reserveAt(now)))
+}
+
+// requests returns the number of requests in the span that ends with the bucket of that number. The
+// lock must be held.
+func (w *Window) requests(lastNumber int64) int {
+	requests := 0
+	for i := range w.buckets {
+		counted := &w.buckets[i]
+		if age := lastNumber - counted.number; age >= 0 && age < windowBuckets {
 			requests += counted.requests
 		}
 	}
-	return retries, int(math.Floor(w.share*float64(requests) + w.reserveAt(now)))
+	return requests
 }
 
 // bucket returns the bucket for now. The lock must be held.
