Retries: what a process may spend at once is bounded, so that the sum holds through restarts

Cause: each process kept the rule for itself. What a killed one had spent was forgotten while it stood in the window, and a process could spend at once what a whole window of requests pays for.

The reserve is withheld until the retries of the process before are out of the window.

Weighed and not built, by reasoning alone: a balance that may go below zero after a lucky draw, since kills forget the debt.

--- a/process/ingress/budget_test.go
+++ b/process/ingress/budget_test.go
@@ -29,7 +29,7 @@
 // the number of requests.
 func (env *testEnv) withReserve(reserve float64) {
 	env.ingress.routes()
-	env.ingress.upstreams.get("model").budget = retry.NewWindow(0, reserve, time.Hour)
+	env.ingress.upstreams.get("model").budget = retry.NewProxyBudget(0, reserve, time.Hour, 0)
 }
 
 // Each refused prefill counts as a retry. Once they have overdrawn the budget, the decode
--- a/process/ingress/config.go
+++ b/process/ingress/config.go
@@ -88,8 +88,7 @@
 	Share   float64 // retries per request
 	Reserve float64 // retries
 	Window  time.Duration
-	// Settle is how long a process that has just started leaves most of its part of the reserve
-	// unused, since its predecessor may have spent it in the same window. 0 means Window, and a
+	// Settle is how long a process that has just started leaves its part of the reserve unused, since its predecessor may have spent it in the same window. 0 means Window, and a
 	// negative value disables this.
 	Settle time.Duration
 }
--- a/process/ingress/lane.go
+++ b/process/ingress/lane.go
@@ -21,7 +21,7 @@
 type upstream struct {
 	service string
 	pool    *exchange.Pool
-	budget  *retry.Window
+	budget  *retry.ProxyBudget
 	fleet   *fleet
 	clock   func() time.Duration
 	speed   prefillSpeed
@@ -69,15 +69,20 @@
 		pool:    pool,
 		clock:   u.clock,
 		fleet:   newFleet(service, pool, u.holdoffs, u.lookupUnlisted),
-		budget:  retry.NewWindow(usableShare*u.config.Retry.Share, u.config.Retry.Reserve, u.config.Retry.Window),
+		budget:  u.newBudget(),
 	}
-	result.budget.HoldReserve(u.config.Retry.Settle)
-	result.budget.SetReserve(reserveShare(u.config.Retry.Reserve, int(u.proxies.Load())))
 	result.fleet.update(u.listed, u.clock())
 	u.byService[service] = result
 	return result
 }
 
+// newBudget returns this proxy's part of a service's retry budget.
+func (u *upstreams) newBudget() *retry.ProxyBudget {
+	config := u.config.Retry
+	reserve := reserveShare(config.Reserve, int(u.proxies.Load()))
+	return retry.NewProxyBudget(usableShare*config.Share, reserve, config.Window, config.Settle)
+}
+
 // update applies a view that is newer than the last one. Requests in flight to replicas that are
 // gone continue.
 func (u *upstreams) update(current *view.View, now time.Duration) {
@@ -119,8 +124,8 @@
 	return c.max
 }
 
-// usableReserve is the share of the reserve that is used. The rest covers proxies that have just
-// started, which do not know what was sent before.
+// usableReserve is the share of the reserve that is used. The rest covers proxies that are missing from
+// the list and still serve, and refused prefills of processes that were killed.
 const usableReserve = 0.8
 
 // usableShare is the share of RetryBudget.Share that is used. The rest covers prefills that are in
--- a/request/retry/window.go
+++ b/request/retry/window.go
@@ -25,7 +25,7 @@
 
 	lock                 sync.Mutex
 	reserve              float64
-	reserveWithheldUntil time.Duration // most of the reserve is withheld before this time
+	reserveWithheldUntil time.Duration // the reserve is withheld before this time
 	current              int64         // number of the current bucket
 	buckets              [windowBuckets + 1]windowBucket
 }
@@ -42,12 +42,8 @@
 	return &Window{share: share, reserve: reserve, length: length}
 }
 
-// availableReserveShare is the fraction of the reserve that is available while the rest is
-// withheld.
-const availableReserveShare = 0.25
-
-// HoldReserve withholds most of the reserve until the given time, because the process that used it
-// before may have spent it within the same span.
+// HoldReserve withholds the reserve until the given time, because the process that used it before may
+// have spent it within the same span.
 func (w *Window) HoldReserve(until time.Duration) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
@@ -104,25 +100,17 @@
 	return float64(retries) > overdrawnShare*float64(allowed)
 }
 
-// WindowState is what a window allows at a time.
-type WindowState struct {
-	Left     float64 // retries that are still allowed; negative if too many were counted
-	Requests int     // requests in the span
-}
-
-// State returns what the window allows now.
-func (w *Window) State(now time.Duration) WindowState {
+// usage returns the number of retries in the span that ends now, and how many are allowed in it.
+func (w *Window) usage(now time.Duration) (retries, allowed int) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	number := w.bucket(now).number
-	retries, allowed := w.sum(now, number)
-	return WindowState{Left: float64(allowed - retries), Requests: w.requests(number)}
+	return w.sum(now, w.bucket(now).number)
 }
 
 // reserveAt returns the part of the reserve available at now. The lock must be held.
 func (w *Window) reserveAt(now time.Duration) float64 {
 	if now < w.reserveWithheldUntil {
-		return availableReserveShare * w.reserve
+		return 0
 	}
 	return w.reserve
 }
@@ -130,26 +118,19 @@
 // sum returns the number of retries in the span that ends with the bucket of that number, and how
 // many are allowed. The lock must be held.
 func (w *Window) sum(now time.Duration, lastNumber int64) (retries, allowed int) {
-	for i := range w.buckets {
-		counted := &w.buckets[i]
-		if age := lastNumber - counted.number; age >= 0 && age <= windowBuckets {
-			retries += counted.retries
-		}
-	}
-	return retries, int(math.Floor(w.share*float64(w.requests(lastNumber)) + w.reserveAt(now)))
-}
-
-// requests returns the number of requests in the span that ends with the bucket of that number. The
-// lock must be held.
-func (w *Window) requests(lastNumber int64) int {
 	requests := 0
 	for i := range w.buckets {
 		counted := &w.buckets[i]
-		if age := lastNumber - counted.number; age >= 0 && age < windowBuckets {
+		age := lastNumber - counted.number
+		if age < 0 || age > windowBuckets {
+			continue
+		}
+		retries += counted.retries
+		if age < windowBuckets {
 			requests += counted.requests
 		}
 	}
-	return requests
+	return retries, int(math.Floor(w.share*float64(requests) + w.reserveAt(now)))
 }
 
 // bucket returns the bucket for now. The lock must be held.
