--- a/process/control/summary.go
+++ b/process/control/summary.go
@@ -31,7 +31,7 @@
 func placementSummaryFields(service string, summary placement.Summary) []any {
 	return []any{
 		"service", service, "in_flight", summary.InFlight, "late_percent", int(100 * summary.Late),
-		"cold", summary.Cold, "suspect", summary.Suspect, "handover_ms", summary.Handover.Milliseconds(),
+		"cold", summary.Cold, "suspect", summary.Suspect, "banned", summary.Banned, "isolated", summary.Isolated, "handover_ms", summary.Handover.Milliseconds(),
 		"readers", summary.Readers.Replicas, "read_ms", summary.Readers.MeanBacklog.Milliseconds(), "read_most_ms", summary.Readers.MaxBacklog.Milliseconds(),
 		"read_start_ms", summary.Readers.ReadOverhead.Milliseconds(), "read_ns_token", summary.Readers.PerToken.Nanoseconds(),
 		"generators", summary.Generators.Replicas, "running", summary.Generators.Running,
--- a/request/placement/summary.go
+++ b/request/placement/summary.go
@@ -13,8 +13,12 @@
 	Generators RoleLoad
 	// Cold counts the replicas that have fewer than minWarmParts parts cached, Suspect those
 	// that are avoided while others are left, since they gave no response or refused a request.
-	Cold    int
-	Suspect int
+	// Banned counts those that get no requests, since they are no longer at their listed address, and
+	// Isolated those that are set aside for requests that may crash replicas.
+	Cold     int
+	Suspect  int
+	Banned   int
+	Isolated int
 	// Handover is the time from the end of the transfer of a prompt's KV cache to the first
 	// token. It does not include the transfer, unlike the handover of router.Speed.
 	Handover time.Duration
@@ -75,6 +79,7 @@
 		InFlight: len(b.inFlight),
 		Late:     b.lateness.value(now),
 		Cold:     len(b.ColdReplicas()),
+		Isolated: len(b.isolation.isolated),
 		Handover: b.decodeStartTime,
 		Answers:  b.answers,
 	}
@@ -82,6 +87,7 @@
 	for _, name := range b.names {
 		known := b.replicas[name]
 		summary.Suspect += boolToInt(known.isSuspected(now))
+		summary.Banned += boolToInt(known.isBanned(now))
 		if known.isLeaving() || b.isChanging(now, known) {
 			continue
 		}
