--- a/connection/exchange/pool.go
+++ b/connection/exchange/pool.go
@@ -23,6 +23,9 @@
 type Config struct {
 	// DialTimeout limits opening a connection.
 	DialTimeout time.Duration
+	// Dial opens a connection to an address, an IP and port, in place of the system's dialer;
+	// DialTimeout and keep-alive probes are then up to it. nil selects the system's dialer.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// UserTimeout is how long sent data may remain unacknowledged by the remote
 	// host before the connection is closed (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
@@ -65,6 +68,7 @@
 	if c.DialTimeout > 0 {
 		defaults.DialTimeout = c.DialTimeout
 	}
+	defaults.Dial = c.Dial
 	if c.UserTimeout > 0 {
 		defaults.UserTimeout = c.UserTimeout
 	}
@@ -235,6 +239,9 @@
 	dialing, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	defer context.AfterFunc(ctx, cancel)()
+	if p.config.Dial != nil {
+		return p.config.Dial(dialing, address)
+	}
 	return p.dialer.DialContext(dialing, "tcp", address)
 }
 
--- a/process/ingress/config.go
+++ b/process/ingress/config.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"net"
 	"time"
 
 	"github.com/landingtrail/landingtrail/request/quota"
@@ -33,6 +35,9 @@
 	RelayAddress   string
 	RelayAddressOf func(callersAddress string) string
 
+	// Dial opens connections to replicas; nil selects the system's dialer.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
 	Retry RetryBudget
 	Drain Drain
 	// LeaveNotice is how long a replica that announced its departure may still be sent requests if
--- a/process/ingress/lane.go
+++ b/process/ingress/lane.go
@@ -63,7 +63,7 @@
 	if result := u.byService[service]; result != nil {
 		return result
 	}
-	pool := exchange.NewPool(exchange.Config{Clock: u.clock})
+	pool := exchange.NewPool(exchange.Config{Clock: u.clock, Dial: u.config.Dial})
 	result := &upstream{
 		service: service,
 		pool:    pool,
