A proxy that reaches no replica says so, and blames none

Three of six proxies were partitioned from all replicas; they served 0 of 142 first tries, and the others 66 of 207.

Cause: a proxy took each failure for that of the replica. The leader banned replicas for everybody by what partitioned proxies reported, and members took their broken runs for evidence of harmful requests. The proxies stayed listed and ready.

Why this works: after a failure a proxy waits until a replica answers or takes a connection, or until new connections to several have failed (request/reach). Only then does it report the failure, or that it reaches none: it is not ready, says so with its presence (an empty address, which members of earlier versions take for a proxy that is starting), is taken out of the directory while others are ready, closes callers' connections after the answer, refuses at once, and ends what hangs and may be sent again elsewhere. It goes on opening connections and is back with the first one.

Failed try: every proxy that is not ready was taken out of the directory. A restarting one was, too (TestReadyProxiesAreAdvertised).

--- a/connection/feed/messages.go
+++ b/connection/feed/messages.go
@@ -97,7 +97,8 @@
 	// Proxy is the proxy's name. A relay with a feed of its own forwards the report to the leader;
 	// a PlacementRelay does not.
 	Proxy string
-	// Address is where callers reach the proxy, as IP and port.
+	// Address is where callers reach the proxy, as IP and port. It is empty while the proxy reaches no
+	// replica; members of an earlier version take such a report for that of a proxy that is not ready yet.
 	Address string
 	Zone    string
 	// Ready is false until the proxy can serve, and again after its planned shutdown has started.
@@ -109,6 +110,9 @@
 	WallClock int64
 }
 
+// IsPartitioned reports whether the proxy reaches no replica.
+func (p Presence) IsPartitioned() bool { return p.Address == "" && !p.Ready && !p.Stopping }
+
 func encodePresence(message Presence) []byte {
 	encoder := frame.NewEncoder(nil)
 	encoder.String(message.Proxy)
--- a/process/control/fleet.go
+++ b/process/control/fleet.go
@@ -293,7 +293,9 @@
 // Removed are those that report that they are stopping and, if settled is true because proxies have
 // had time to report to this leader, those that report nothing. A recorded proxy that is only
 // restarting stays: it is ready again before its callers have found another one, and removing it
-// after a restart of the whole system would leave callers without any proxy.
+// after a restart of the whole system would leave callers without any proxy. One that reaches no
+// replica is removed as long as others are ready. If none is, the replicas have failed rather than the
+// links of all proxies, and no proxy is removed for it.
 func diffProxies(changes *state.Observe, current *view.View, heard map[string]feed.Presence, settled bool) {
 	for _, name := range slices.Sorted(maps.Keys(heard)) {
 		presence := heard[name]
@@ -304,9 +306,13 @@
 		}
 		changes.Put = append(changes.Put, api.Object{Proxy: &api.Proxy{Metadata: api.Metadata{Name: name}, Spec: wanted}})
 	}
+	othersReady := false
+	for _, presence := range heard {
+		othersReady = othersReady || presence.Ready
+	}
 	for _, name := range slices.Sorted(maps.Keys(current.Proxies)) {
 		presence, reported := heard[name]
-		if reported && presence.Stopping || !reported && settled {
+		if reported && (presence.Stopping || presence.IsPartitioned() && othersReady) || !reported && settled {
 			changes.Removed = append(changes.Removed, api.Key{Kind: api.KindProxy, Name: name})
 		}
 	}
--- a/process/control/ingress_test.go
+++ b/process/control/ingress_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -18,6 +19,7 @@
 	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/apikey"
+	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
@@ -485,6 +487,39 @@
 	eventually(t, "a closed proxy is not advertised", func() bool { return len(access.Proxies()) == 1 })
 }
 
+// Guards against callers that are directed to proxies which reach no replica, and against a directory that names no
+// proxy at all because none of them reaches one.
+func TestPartitionedProxiesAreAdvertisedOnlyIfAllAre(t *testing.T) {
+	recorded := map[string]*api.Proxy{}
+	heard := map[string]feed.Presence{}
+	removed := func() []string {
+		var changes state.Observe
+		diffProxies(&changes, &view.View{Proxies: recorded}, heard, true)
+		must.SliceEmpty(t, changes.Put)
+		var names []string
+		for _, key := range changes.Removed {
+			names = append(names, key.Name)
+		}
+		return names
+	}
+	for i := range 300 {
+		name := fmt.Sprintf("p-%03d", i)
+		recorded[name] = &api.Proxy{Metadata: api.Metadata{Name: name}, Spec: api.ProxySpec{Address: "addr-" + name, Zone: "a"}}
+		heard[name] = feed.Presence{Proxy: name, Address: "addr-" + name, Zone: "a", Ready: true}
+	}
+	must.SliceEmpty(t, removed())
+	heard["p-007"] = feed.Presence{Proxy: "p-007", Address: "addr-p-007", Zone: "a"}
+	must.SliceEmpty(t, removed(), must.Sprint("it is restarting"))
+	for name := range heard {
+		if name != "p-299" {
+			heard[name] = feed.Presence{Proxy: name, Zone: "a"}
+		}
+	}
+	must.SliceLen(t, 299, removed())
+	heard["p-299"] = feed.Presence{Proxy: "p-299", Zone: "a"}
+	must.SliceEmpty(t, removed(), must.Sprint("none of them reaches a replica"))
+}
+
 func TestLeaderPlacesRequestsOfAllProxies(t *testing.T) {
 	g := newGrowingGroup(t, 1, 1, 0)
 	model := func(name string, role api.EngineRole) api.Replica {
--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -50,6 +50,11 @@
 	RetryCharged = define(4616, "retry_charged", Info,
 		"A send of a request beyond its first was charged to the retry budget, or was not allowed by it (granted). charge says for what: run, prefill, or refused_prefill, which is charged after it was sent. left is how many retries the budget still allows, requests the number of requests of the service within the budget's window, uptime_ms the age of this process, which knows neither requests nor retries of an earlier one.",
 		"Many that are not granted: replicas fail more often than the budget allows retries. Look why they fail.")
+	ReplicasUnreachable = define(4617, "replicas_unreachable", Warn,
+		"This proxy reaches no replica: after a failure no connection to any of the replicas that it tried could be opened (tried), for uncertain_ms; silent_ms is how long nothing was received from any. It is not ready, refuses requests at once, and blames no replica.",
+		"If other proxies serve, look at this machine's links to the replicas; if none does, at the replicas.")
+	ReplicasReachable = define(4618, "replicas_reachable", Info,
+		"This proxy reaches a replica again, after_ms after it had lost all of them, and is ready again.", "")
 	RequestRefused = define(4601, "request_refused", Info,
 		"A request was answered before any replica was asked: no route, no configuration, or a faulty request.", "")
 	QuotaRefused = define(4611, "quota_refused", Info,
--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -13,6 +12,7 @@
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/landingtrail/landingtrail/request/reach"
 	"github.com/pkg/errors"
 )
 
@@ -45,7 +45,7 @@
 
 // noteBrokenConnection records that a replica's connection broke while it processed the request,
 // which may be due to a crash of the replica. It does nothing for other errors, or if ctx has
-// ended. It marks the replica as crashed and reports the evidence. If a run was isolated or had
+// ended, or if this proxy reaches no replica. It marks the replica as crashed and reports the evidence. If a run was isolated or had
 // produced no event, when the evidence weighs most, it first probes the replica's address, which
 // takes up to probeTimeout.
 func (s *session) noteBrokenConnection(ctx context.Context, stage string, target *replica, sent *send, err error) {
@@ -56,7 +56,10 @@
 	now := s.ingress.now()
 	state := addressUnknown
 	if stage == stageRun && (s.isolated || sent.events == 0) {
-		state = probeAddress(target)
+		state = s.ingress.probeAddress(ctx, target)
+	}
+	if !s.isReplicaFault(ctx, reach.NoResponse) {
+		return
 	}
 	isolated := s.isolated && state == addressRefuses
 	event.RunBroken.Log(s.ingress.logger, "request", s.call.ID, "fingerprint", s.fingerprint(), "route", s.route.Name,
@@ -89,8 +92,10 @@
 // probeAddress checks whether anything listens at the address of a replica whose connection broke.
 // A replica that merely resets connections, as a faulty one does, continues to listen. Any error
 // but a refused connection, such as an unreachable host, proves nothing.
-func probeAddress(target *replica) addressState {
-	conn, err := net.DialTimeout("tcp", target.spec().Address, probeTimeout)
+func (i *Ingress) probeAddress(ctx context.Context, target *replica) addressState {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := i.dial(ctx, target.spec().Address)
 	switch {
 	case err == nil:
 		_ = conn.Close() // nothing was sent on it
--- a/process/ingress/fleet.go
+++ b/process/ingress/fleet.go
@@ -166,3 +166,11 @@
 	slices.SortFunc(f.listedReplicas, func(a, b *replica) int { return cmp.Compare(a.name, b.name) })
 	return f.listedReplicas
 }
+
+// isSuspect reports whether a replica in use gave no response lately.
+func (f *fleet) isSuspect(name string, now time.Duration) bool {
+	f.lock.Lock()
+	current := f.tracked[name]
+	f.lock.Unlock()
+	return current != nil && current.isSuspect(now)
+}
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -68,7 +68,8 @@
 	limitCharger limitCharger
 	limitShares  *ratelimit.Shares
 	// usage counts started requests per tenant; nil if usage is not reported.
-	usage *metering.Counter
+	usage        *metering.Counter
+	reachability *reachability
 	// fingerprintsUntil is the time until which placement requests include the fingerprint, as a
 	// time.Duration of clock.
 	fingerprintsUntil atomic.Int64
@@ -100,6 +101,7 @@
 		upstreams: newUpstreams(config, now), metrics: newMetrics(), guard: guard.New(config.Name),
 		standaloneQuota: quota.NewLocalShare(config.Quotas), limitShares: ratelimit.NewShares(rand.Float64),
 	}
+	ingress.reachability = newReachability(ingress)
 	ingress.requestContext, ingress.cancelRequests = context.WithCancel(context.Background())
 	ingress.table.Store(&versionedTable{routes: newRouteTable(nil)})
 	ingress.stopSuspensionWatch = clock.Watch(ingress.sessions.cancelOverdue)
@@ -147,9 +149,11 @@
 	}
 }
 
-// Ready reports whether callers may be sent here: routes have been received and no planned stop
-// has begun.
-func (i *Ingress) Ready() bool { return !i.stopping.Load() && i.routes().generation > 0 }
+// Ready reports whether callers may be sent here: routes have been received, no planned stop has
+// begun, and replicas are reached.
+func (i *Ingress) Ready() bool {
+	return !i.stopping.Load() && i.routes().generation > 0 && !i.reachability.isPartitioned()
+}
 
 // ServeHTTP handles one caller's request. It panics with http.ErrAbortHandler to close the
 // connection without a complete answer.
@@ -157,7 +161,7 @@
 	i.serving.Add(1)
 	defer i.serving.Add(-1)
 	arrivedAt := i.now()
-	if i.stopping.Load() {
+	if i.stopping.Load() || i.reachability.isPartitioned() {
 		w.Header().Set("Connection", "close")
 	}
 	routes := i.routes()
--- a/process/ingress/plan.go
+++ b/process/ingress/plan.go
@@ -81,6 +81,9 @@
 // if the plan is not to send it.
 func (s *session) choose(ctx context.Context) plan {
 	s.ingress.routes() // applies the latest list of replicas
+	if refused, partitioned := s.refuseIfPartitioned(); partitioned {
+		return refused
+	}
 	now := s.ingress.now()
 	zone := s.ingress.config.Zone
 	if closed, all := s.refuseIfAllClosed(now); all {
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -12,6 +12,7 @@
 	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/request/holdoff"
 	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/request/reach"
 	"github.com/pkg/errors"
 )
 
@@ -61,6 +62,14 @@
 	return errors.As(err, &failure) && !failure.Sent
 }
 
+// failureOf returns in which way the replica of a failed send has failed.
+func failureOf(err error) reach.Failure {
+	if notSent(err) {
+		return reach.NoConnection
+	}
+	return reach.NoResponse
+}
+
 // sendPrefill sends the prompt to the prefill replica. refused is true if the replica did not
 // accept it, or if it was sent and that is unknown: the run that follows may then count as a
 // second send of the request. A replica that answered with an error of its own has accepted it.
@@ -81,6 +90,9 @@
 	defer cancel()
 	prefillContext, cancelLate := context.WithTimeoutCause(prefillContext, s.remaining()-s.ingress.config.Timeouts.Transit-minRunTime, errTooLate)
 	defer cancelLate()
+	prefillContext, cancelUnreached := context.WithCancelCause(prefillContext)
+	defer cancelUnreached(nil)
+	defer s.watchReach(startedAt, cancelUnreached)()
 	s.logSent(stagePrefill, prefiller, uncachedTokens, chosen)
 	answer, err := s.exchange(prefillContext, stagePrefill, prefiller, request)
 	if err != nil {
@@ -89,7 +101,7 @@
 		if ctx.Err() != nil || context.Cause(prefillContext) == errTooLate {
 			return Source{}, false // no run follows
 		}
-		return Source{}, s.handlePrefillError(chosen, err)
+		return Source{}, s.handlePrefillError(ctx, chosen, err)
 	}
 	defer answer.Close()
 	handle, refused := s.readHandle(chosen, answer, startedAt)
@@ -106,12 +118,16 @@
 
 // handlePrefillError records a prefill that received no answer. refused is true if the prefill was
 // sent, so that it is unknown whether the replica accepted it.
-func (s *session) handlePrefillError(chosen plan, err error) (refused bool) {
+func (s *session) handlePrefillError(ctx context.Context, chosen plan, err error) (refused bool) {
 	if errors.Is(err, errWithheld) {
 		s.noteWithheld(stagePrefill, chosen.prefiller)
 		chosen.tracked.report(placement.StepReadSkipped, chosen.prefiller.name, 0)
 		return false
 	}
+	if !isUnmatched(err) && !s.isReplicaFault(ctx, failureOf(err)) {
+		chosen.tracked.report(placement.StepReadSkipped, chosen.prefiller.name, 0)
+		return !notSent(err)
+	}
 	s.noteUnanswered(chosen.prefiller, err, s.ingress.now())
 	if isUnmatched(err) {
 		chosen.tracked.report(placement.StepReadSkipped, chosen.prefiller.name, 0)
--- /dev/null
+++ b/process/ingress/reachability.go
@@ -0,0 +1,335 @@
+package ingress
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/landingtrail/landingtrail/connection/exchange"
+	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/pause"
+	"github.com/landingtrail/landingtrail/request/reach"
+	"github.com/landingtrail/landingtrail/version/api"
+)
+
+// A proxy can lose its links to all replicas while its callers, the control group and the other
+// proxies still reach it. It then fails at every replica, and must neither blame the replicas nor keep
+// its callers waiting:
+//
+//   - After each failure it waits until a replica has been reached, or until new connections to several
+//     replicas have failed. Only in the first case is the failure reported to the control group.
+//   - While partitioned it is not ready, so that callers are directed to other proxies, and refuses
+//     requests at once.
+//   - It goes on opening connections, without any caller, and is ready again with the first one.
+
+const (
+	// verifyGrace is how long data from a replica is awaited before a connection is opened to verify
+	// that one is reached.
+	verifyGrace = 10 * time.Millisecond
+	// roundSize is the number of replicas to which one round opens connections.
+	roundSize = 4
+	// minRoundSize is the least number of replicas that can show a partition: a single one that fails
+	// cannot be told from a partition, and no other one could serve.
+	minRoundSize = 2
+	// firstConnectTime is how long the first connection of a round is awaited before the others are
+	// opened as well, connectTimeout limits each of them.
+	firstConnectTime = 100 * time.Millisecond
+	connectTimeout   = 400 * time.Millisecond
+	// reconnectInterval is the pause between two rounds while partitioned.
+	reconnectInterval = 200 * time.Millisecond
+	// stallTime is how long a request goes unanswered, while nothing is received from any replica,
+	// until a connection is opened to verify that one is reached. minStallInterval is the least time
+	// between two such connections.
+	stallTime        = 400 * time.Millisecond
+	minStallInterval = time.Second
+	// maxVerifyTime limits the wait for the result; a round takes less.
+	maxVerifyTime = time.Second
+	// liveTime is how long open connections are assumed to work after data was received on one.
+	liveTime = 500 * time.Millisecond
+)
+
+// reachability tracks whether this proxy reaches any replica.
+type reachability struct {
+	ingress *Ingress
+	tracker *reach.Tracker
+	// announce reports the readiness to the control group; nil without one.
+	announce func()
+	stalled  atomic.Int64 // when a stall was last verified, as a time.Duration
+
+	lock      sync.Mutex
+	verifying bool // verify runs
+	// partitioned ends when the proxy is partitioned; it is replaced once it is connected again.
+	partitioned context.Context
+	partition   context.CancelFunc
+}
+
+func newReachability(ingress *Ingress) *reachability {
+	created := &reachability{ingress: ingress, tracker: reach.NewTracker(), announce: func() {}}
+	created.partitioned, created.partition = context.WithCancel(context.Background())
+	return created
+}
+
+// isPartitioned reports whether this proxy reaches no replica.
+func (r *reachability) isPartitioned() bool { return r.tracker.State() == reach.Partitioned }
+
+// hasLiveConnections reports whether a replica has answered recently, as it may on a connection that
+// was opened before the partition.
+func (r *reachability) hasLiveConnections() bool {
+	return r.ingress.now()-r.tracker.ReceivedAt() < liveTime
+}
+
+// onPartition calls the function when the proxy becomes partitioned, at once if it is, unless the
+// returned function is called before.
+func (r *reachability) onPartition(call func()) (stop func() bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.partitioned.Err() != nil && !r.isPartitioned() {
+		r.partitioned, r.partition = context.WithCancel(context.Background())
+	}
+	return context.AfterFunc(r.partitioned, call)
+}
+
+// recordFailure records a failure of a replica and has it verified.
+func (r *reachability) recordFailure(failure reach.Failure) {
+	if r.tracker.RecordFailure(r.ingress.now(), failure) && r.beginVerifying() {
+		go r.verify()
+	}
+}
+
+// beginVerifying returns false if it is being verified already.
+func (r *reachability) beginVerifying() bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	begins := !r.verifying
+	r.verifying = true
+	return begins
+}
+
+// endVerifying returns true, and lets the next failure be verified anew, if a replica is reached.
+func (r *reachability) endVerifying() bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.verifying = r.tracker.State() != reach.Connected
+	return !r.verifying
+}
+
+// recordStall has it verified that a replica is reached if nothing was received since the given time.
+func (r *reachability) recordStall(since time.Duration) {
+	now, last := r.ingress.now(), r.stalled.Load()
+	if r.tracker.ReceivedAt() >= since || last > 0 && now-time.Duration(last) < minStallInterval {
+		return
+	}
+	if r.stalled.CompareAndSwap(last, int64(now)) {
+		r.recordFailure(reach.NoResponse)
+	}
+}
+
+// confirm waits until it is known whether a replica is reached, and returns false if none is. It does
+// not wait for longer than ctx.
+func (r *reachability) confirm(ctx context.Context) bool {
+	timeout := time.NewTimer(maxVerifyTime)
+	defer timeout.Stop()
+	for {
+		current, _, changed := r.tracker.Observe()
+		if current != reach.Uncertain {
+			return current == reach.Connected
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return true
+		case <-ctx.Done():
+			return true
+		}
+	}
+}
+
+// verify opens connections to replicas until one is reached or the proxy is closed.
+func (r *reachability) verify() {
+	ctx := r.ingress.requestContext
+	_, _, changed := r.tracker.Observe()
+	select {
+	case <-changed:
+	case <-time.After(verifyGrace):
+	case <-ctx.Done():
+		return
+	}
+	for !r.endVerifying() && ctx.Err() == nil {
+		r.playRound(ctx)
+		if r.isPartitioned() {
+			r.awaitConnection(ctx)
+		}
+	}
+}
+
+// awaitConnection opens connections until one succeeds.
+func (r *reachability) awaitConnection(ctx context.Context) {
+	_, since, changed := r.tracker.Observe()
+	for pause.Sleep(ctx, reconnectInterval) {
+		r.playRound(ctx)
+		select {
+		case <-changed:
+			event.ReplicasReachable.Log(r.ingress.logger, "after_ms", (r.ingress.now() - since).Milliseconds())
+			r.announce()
+			return
+		default:
+		}
+	}
+}
+
+// playRound opens connections to some replicas and records the result.
+func (r *reachability) playRound(ctx context.Context) {
+	beganAt := r.ingress.now()
+	addresses := r.ingress.upstreams.sampleAddresses(roundSize)
+	_, since, _ := r.tracker.Observe()
+	if len(addresses) < minRoundSize || r.connectAny(ctx, addresses) {
+		now := r.ingress.now()
+		r.tracker.RecordConnection(now, now)
+		return
+	}
+	now := r.ingress.now()
+	if ctx.Err() == nil && r.tracker.RecordFailedRound(now, beganAt) {
+		r.beginPartition(len(addresses), now-since)
+	}
+}
+
+// beginPartition cancels what may be sent again elsewhere, and has callers directed to other proxies.
+func (r *reachability) beginPartition(tried int, uncertain time.Duration) {
+	now := r.ingress.now()
+	event.ReplicasUnreachable.Log(r.ingress.logger, "tried", tried, "uncertain_ms", uncertain.Milliseconds(),
+		"silent_ms", (now - r.tracker.ReceivedAt()).Milliseconds(), "in_flight", r.ingress.serving.Load())
+	r.lock.Lock()
+	r.partition()
+	r.lock.Unlock()
+	r.announce()
+}
+
+// connectAny reports whether a connection to any of the addresses could be opened. The first one is
+// tried alone for a short time.
+func (r *reachability) connectAny(ctx context.Context, addresses []string) bool {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	results := make(chan bool, len(addresses))
+	connect := func(address string) { results <- r.ingress.connects(ctx, address) }
+	go connect(addresses[0])
+	pending, rest := 1, addresses[1:]
+	alone := time.NewTimer(firstConnectTime)
+	defer alone.Stop()
+	for pending > 0 || len(rest) > 0 {
+		select {
+		case connected := <-results:
+			if connected {
+				return true
+			}
+			pending--
+		case <-alone.C:
+		}
+		for _, address := range rest {
+			go connect(address)
+		}
+		pending += len(rest)
+		rest = nil
+	}
+	return false
+}
+
+// connects reports whether a connection to the address can be opened. Nothing is sent on it.
+func (i *Ingress) connects(ctx context.Context, address string) bool {
+	conn, err := i.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// dial opens a connection to a replica outside of the pools.
+func (i *Ingress) dial(ctx context.Context, address string) (net.Conn, error) {
+	if i.config.Dial != nil {
+		return i.config.Dial(ctx, address)
+	}
+	return new(net.Dialer).DialContext(ctx, "tcp", address)
+}
+
+// sampleAddresses returns the addresses of at most the given number of listed replicas, drawn at random
+// of all services. Those that gave no response lately come last.
+func (u *upstreams) sampleAddresses(most int) []string {
+	now := u.clock()
+	u.lock.Lock()
+	defer u.lock.Unlock()
+	var healthy, suspect []string
+	for _, entry := range u.listed {
+		switch {
+		case entry.Spec.Address == "":
+		case u.isSuspectLocked(entry, now):
+			suspect = append(suspect, entry.Spec.Address)
+		default:
+			healthy = append(healthy, entry.Spec.Address)
+		}
+	}
+	shuffle := func(addresses []string) {
+		rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
+	}
+	shuffle(healthy)
+	shuffle(suspect)
+	all := append(healthy, suspect...)
+	return all[:min(most, len(all))]
+}
+
+// isSuspectLocked reports whether a listed replica gave no response lately. The caller holds the lock.
+func (u *upstreams) isSuspectLocked(entry *api.Replica, now time.Duration) bool {
+	used := u.byService[entry.Spec.Service]
+	return used != nil && used.fleet.isSuspect(entry.Name, now)
+}
+
+// causeUnreachable is returned to callers of a proxy that reaches no replica.
+const causeUnreachable = "unreachable"
+
+// refuseIfPartitioned returns a plan to refuse the request at once if this proxy reaches no replica.
+// Other proxies may: where there are any, the caller may return to one of them right away.
+func (s *session) refuseIfPartitioned() (plan, bool) {
+	reachable := s.ingress.reachability
+	if !reachable.isPartitioned() || reachable.hasLiveConnections() {
+		return plan{}, false
+	}
+	retryAfter := defaultRetryAfter
+	if s.ingress.upstreams.proxies.Load() > 1 {
+		retryAfter = minimumRetryAfter
+	}
+	return plan{refused: true, retryAfter: retryAfter, closedCause: causeUnreachable}, true
+}
+
+// isReplicaFault records a failure of a replica, and reports whether it is the replica's: false if this
+// proxy turns out to reach no replica at all.
+func (s *session) isReplicaFault(ctx context.Context, failure reach.Failure) bool {
+	s.ingress.reachability.recordFailure(failure)
+	return s.ingress.reachability.confirm(ctx)
+}
+
+// recordReached records that a replica has answered.
+func (s *session) recordReached(answer *exchange.Response) {
+	now := s.ingress.now()
+	s.ingress.reachability.tracker.RecordData(now)
+	if !answer.Reused {
+		s.ingress.reachability.tracker.RecordConnection(now, answer.ConnOpenedAt)
+	}
+}
+
+// watchReach has it verified that a replica is reached if an attempt that began at sentAt goes
+// unanswered, and cancels the attempt if none is and the request may be sent again elsewhere. The
+// returned function ends the watch.
+func (s *session) watchReach(sentAt time.Duration, cancel context.CancelCauseFunc) (stop func()) {
+	reachable := s.ingress.reachability
+	timer := time.AfterFunc(stallTime, func() { reachable.recordStall(sentAt) })
+	stopCancel := func() bool { return true }
+	if s.route.Idempotent() {
+		stopCancel = reachable.onPartition(func() { cancel(errPartitioned) })
+	}
+	return func() {
+		timer.Stop()
+		stopCancel()
+	}
+}
--- /dev/null
+++ b/process/ingress/reachability_test.go
@@ -0,0 +1,226 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/request/reach"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/shoenig/test/must"
+)
+
+// replicaLinks are the links of a proxy under test to its replicas, which can be cut.
+type replicaLinks struct {
+	lock   sync.Mutex
+	refuse bool // new connections are refused
+	hang   bool // new connections hang
+	opened []net.Conn
+}
+
+func (l *replicaLinks) dial(ctx context.Context, address string) (net.Conn, error) {
+	l.lock.Lock()
+	refuse, hang := l.refuse, l.hang
+	l.lock.Unlock()
+	if refuse {
+		return nil, syscall.ECONNREFUSED
+	}
+	if hang {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err == nil {
+		l.lock.Lock()
+		l.opened = append(l.opened, conn)
+		l.lock.Unlock()
+	}
+	return conn, err
+}
+
+// set changes what becomes of new connections; reset ends the open ones.
+func (l *replicaLinks) set(refuse, hang, reset bool) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.refuse, l.hang = refuse, hang
+	if reset {
+		for _, conn := range l.opened {
+			_ = conn.Close()
+		}
+		l.opened = nil
+	}
+}
+
+// newLinkedEnv returns an environment whose links to the replicas can be cut. announced counts the reports of
+// its readiness.
+func newLinkedEnv(t *testing.T, replicas ...*fakeReplica) (env *testEnv, links *replicaLinks, announced *atomic.Int32) {
+	env = newTestEnv(t, replicas...)
+	links, announced = &replicaLinks{}, &atomic.Int32{}
+	env.ingress.config.ListenAddress = "address"
+	env.ingress.config.Dial = links.dial
+	env.ingress.upstreams.config.Dial = links.dial
+	env.ingress.reachability.announce = func() { announced.Add(1) }
+	env.ingress.routes()
+	return env, links, announced
+}
+
+func plainReplicas(t *testing.T, count int, handle http.HandlerFunc) []*fakeReplica {
+	var replicas []*fakeReplica
+	for i := range count {
+		replicas = append(replicas, newFakeReplica(t, fmt.Sprint("plain-", i), handle))
+	}
+	return replicas
+}
+
+var safeRequest = testRequest{method: http.MethodGet, target: "/safe/", id: "q"}
+
+// Guards against a proxy that has lost all replicas and goes on taking callers, which wait and fail there.
+func TestPartitionedProxyRefusesAtOnceAndReturns(t *testing.T) {
+	env, links, announced := newLinkedEnv(t, plainReplicas(t, 3, answerOK)...)
+	must.Eq(t, http.StatusOK, env.do(safeRequest).status)
+	links.set(true, false, true)
+	_ = env.do(safeRequest) // finds out
+	eventually(t, "it is not ready", func() bool { return !env.ingress.Ready() })
+	must.Eq(t, "", env.ingress.presence().Address)
+	must.True(t, env.ingress.presence().IsPartitioned())
+	time.Sleep(liveTime)
+	began := time.Now()
+	refused := env.do(safeRequest)
+	must.Less(t, 200*time.Millisecond, time.Since(began))
+	must.Eq(t, http.StatusServiceUnavailable, refused.status)
+	must.NotEq(t, "", refused.header.Get(testAgain))
+	must.Eq(t, "unreachable\n", refused.body)
+	must.Eq(t, int32(1), announced.Load())
+	links.set(false, false, false)
+	eventually(t, "it is ready again without any caller", env.ingress.Ready)
+	eventually(t, "it reports that", func() bool { return announced.Load() == 2 })
+	must.NotEq(t, "", env.ingress.presence().Address)
+	must.Eq(t, http.StatusOK, env.do(safeRequest).status)
+}
+
+// Guards against callers that keep their connection to a proxy that has lost all replicas.
+func TestPartitionedProxyAsksCallersToCloseTheirConnections(t *testing.T) {
+	env, links, _ := newLinkedEnv(t, plainReplicas(t, 3, answerOK)...)
+	keeping := &http.Client{}
+	defer keeping.CloseIdleConnections()
+	ask := func() *http.Response {
+		request, err := http.NewRequest(http.MethodGet, env.server.URL+"/safe/", http.NoBody)
+		must.NoError(t, err)
+		request.Host = "a.example"
+		request.Header.Set(testID, "q")
+		response, err := keeping.Do(request)
+		must.NoError(t, err)
+		_ = response.Body.Close()
+		return response
+	}
+	must.False(t, ask().Close)
+	links.set(true, false, true)
+	_ = ask()
+	eventually(t, "it is not ready", func() bool { return !env.ingress.Ready() })
+	must.True(t, ask().Close)
+}
+
+// Guards against a partitioned proxy whose reports make the control group keep everybody off sound replicas, or
+// take the requests that broke for harmful ones.
+func TestPartitionedProxyBlamesNoReplica(t *testing.T) {
+	var replicas []*fakeReplica
+	env, links, _ := newLinkedEnv(t)
+	env.views.set(func(v *view.View) {
+		v.Replicas = map[string]*api.Replica{}
+		for i := range 4 {
+			replica := newFakeReplica(t, fmt.Sprint("make-", i), func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) })
+			replicas = append(replicas, replica)
+			v.Replicas[replica.name] = replicaObject(replica, "model", api.RoleDecode)
+		}
+	})
+	placer := &fakePlacer{answer: placement.Answer{Generator: "make-0"}}
+	env.ingress.placer = placer
+	reporter := &recordingReporter{}
+	reporter.connected.Store(true)
+	env.ingress.guard.SetReporter(reporter)
+	var asking sync.WaitGroup
+	for i := range 6 {
+		request := modelRequest
+		request.id = fmt.Sprint("q-", i)
+		asking.Go(func() { _ = env.do(request) })
+	}
+	eventually(t, "the requests run", func() bool { return replicas[0].count() == 6 })
+	links.set(true, false, true)
+	asking.Wait()
+	must.False(t, env.ingress.Ready())
+	for _, step := range placer.steps() {
+		must.Eq(t, placement.StepEnded, step)
+	}
+	ended, _, _ := reporter.counts()
+	must.Eq(t, 0, ended)
+	must.False(t, env.ingress.upstreams.get("model").find("make-0").isSuspect(env.ingress.now()))
+}
+
+// Guards against a proxy that takes the failure of one replica for that of its links.
+func TestFailureOfOneReplicaIsBlamedOnIt(t *testing.T) {
+	for name, handle := range map[string]http.HandlerFunc{"closes": closeConnection, "silent": func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) }} {
+		t.Run(name, func(t *testing.T) {
+			bad := newFakeReplica(t, "bad", handle)
+			good := newFakeReplica(t, "good", answerOK)
+			env, _, announced := newLinkedEnv(t, bad, good)
+			for range 4 {
+				must.Eq(t, http.StatusOK, env.do(safeRequest).status)
+				must.True(t, env.ingress.Ready())
+			}
+			must.Eq(t, int32(0), announced.Load())
+		})
+	}
+}
+
+// Guards against a proxy that loses a connection, or its readiness, to a replica that falls silent for a second.
+func TestReplicaThatFallsSilentForASecondIsNoPartition(t *testing.T) {
+	replicas := plainReplicas(t, 2, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(1200 * time.Millisecond)
+		answerOK(w, r)
+	})
+	env, _, announced := newLinkedEnv(t, replicas...)
+	got := env.do(testRequest{method: http.MethodPost, target: "/unsafe/", id: "q"})
+	must.Eq(t, http.StatusOK, got.status)
+	must.Eq(t, int32(0), announced.Load())
+	must.True(t, env.ingress.Ready())
+}
+
+// Guards against requests that wait on hanging links until their deadline although they may be sent again elsewhere.
+func TestHangingLinksEndRequestsThatMayBeSentAgain(t *testing.T) {
+	hold := make(chan struct{})
+	replicas := plainReplicas(t, 3, func(http.ResponseWriter, *http.Request) { <-hold })
+	defer close(hold)
+	env, links, _ := newLinkedEnv(t, replicas...)
+	links.set(false, true, false)
+	began := time.Now()
+	got := env.do(safeRequest)
+	must.NotEq(t, http.StatusOK, got.status)
+	must.Less(t, 2*time.Second, time.Since(began))
+	must.False(t, env.ingress.Ready())
+}
+
+// Guards against a single replica, which cannot be told from a partition, taking its proxies away with it.
+func TestOnlyReplicaIsNoPartition(t *testing.T) {
+	env, links, announced := newLinkedEnv(t, plainReplicas(t, 1, answerOK)...)
+	links.set(true, false, true)
+	_ = env.do(safeRequest)
+	must.True(t, env.ingress.Ready())
+	must.Eq(t, int32(0), announced.Load())
+}
+
+// Guards against open connections that outlast a partition and hide that no new ones can be opened.
+func TestDataOnOpenConnectionsDoesNotHideRefusedOnes(t *testing.T) {
+	env, links, _ := newLinkedEnv(t, plainReplicas(t, 3, answerOK)...)
+	links.set(true, false, false)
+	env.ingress.reachability.recordFailure(reach.NoConnection)
+	env.ingress.reachability.tracker.RecordData(env.ingress.now())
+	eventually(t, "it is not ready", func() bool { return !env.ingress.Ready() })
+}
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -46,8 +46,8 @@
 	misdirected bool
 	// connectionRefused is true if nothing listens at the address in the current attempt.
 	connectionRefused bool
-	// withheld is true if nothing was sent because the chosen replica asked for a pause, is leaving
-	// or has a limit that leaves no room.
+	// withheld is true if the replica is not to blame: nothing was sent because it asked for a pause,
+	// is leaving or has a limit that leaves no room, or this proxy reaches no replica at all.
 	withheld bool
 	// headSent is true once the head of an answer was sent to the caller.
 	headSent bool
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -11,6 +11,7 @@
 	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/request/reach"
 	"github.com/pkg/errors"
 )
 
@@ -37,6 +38,7 @@
 			return s.breakStream(ctx, target, number, errNotContinued)
 		}
 		s.countUsage(0)
+		s.ingress.reachability.tracker.RecordData(s.ingress.now())
 		if s.events == 0 || !sent.hasStarted(target) {
 			target.noteStarted(sent, s.ingress.now())
 			target.noteCachedParts(s.call.Work.Parts)
@@ -105,6 +107,10 @@
 	}
 	// Reported to the control group like an attempt without an answer.
 	s.answered = false
-	target.suspect(s.ingress.now())
+	if errors.Is(err, errNotContinued) || s.isReplicaFault(ctx, reach.NoResponse) {
+		target.suspect(s.ingress.now())
+	} else {
+		s.withheld = true
+	}
 	return verdictBroken
 }
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -11,6 +11,7 @@
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/request/reach"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/pkg/errors"
 )
@@ -23,6 +24,8 @@
 	errStopping = errors.New("ingress: planned stop has reached its time limit")
 	// errSilent cancels an attempt whose replica has sent nothing.
 	errSilent = errors.New("ingress: replica sent no data")
+	// errPartitioned cancels an attempt because this proxy reaches no replica.
+	errPartitioned = errors.New("ingress: no replica is reached")
 	// errTooLate cancels a prefill that would leave no time to run the request.
 	errTooLate = errors.New("ingress: not enough time left to run the request")
 )
@@ -141,6 +144,10 @@
 // send sends the request to the target and passes on its answer.
 func (s *session) send(ctx context.Context, chosen plan, source Source) verdict {
 	target := chosen.target
+	if _, partitioned := s.refuseIfPartitioned(); partitioned {
+		s.withheld = true
+		return verdictNotRun
+	}
 	if !target.maySend(s.ingress.now()) || !s.obtainPermit(ctx, target) {
 		s.noteWithheld(stageRun, target)
 		if source.Handle != "" {
@@ -162,6 +169,7 @@
 	defer cancel(nil)
 	stopWatch := s.watchSilence(attemptContext, chosen, sent, cancel)
 	defer stopWatch()
+	defer s.watchReach(sent.at, cancel)()
 	s.logSent(stageRun, target, tokens, chosen)
 	answer, err := s.exchange(attemptContext, stageRun, target, s.request(chosen, source))
 	if err != nil {
@@ -204,6 +212,7 @@
 	sentAt := s.ingress.now()
 	answer, err := s.upstream.pool.Do(ctx, address, request)
 	if err == nil {
+		s.recordReached(answer)
 		s.recordUnmatched(stage, to, answer.Reused, answer.Unmatched)
 		reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 		s.applyHoldoff(stage, to.holdoff, answer.Status, &reply)
@@ -270,6 +279,10 @@
 		if ctx.Err() != nil {
 			return verdictCallerEnd // a disconnected caller says nothing about the replica
 		}
+		if !s.isReplicaFault(ctx, reach.NoConnection) {
+			s.withheld = true
+			return verdictNotRun
+		}
 		s.connectionRefused = errors.Is(err, syscall.ECONNREFUSED)
 		target.suspect(now)
 		return verdictNotRun
@@ -280,6 +293,10 @@
 		return verdictCallerEnd
 	}
 	s.answered = isUnmatched(err)
+	if !s.answered && !s.isReplicaFault(ctx, reach.NoResponse) {
+		s.withheld = true
+		return verdictBroken
+	}
 	s.noteUnanswered(target, err, now)
 	return verdictBroken
 }
