Reachability: each failure is confirmed once

A broken run was confirmed twice, once as evidence of a crash and once as the end of its attempt: a second wait of up to 10 ms and a second connection for the same failure. The result is now kept with the failure. Found by reading.

--- a/connection/exchange/pool.go
+++ b/connection/exchange/pool.go
@@ -27,7 +27,9 @@
 	// DialTimeout and keep-alive probes are then up to it. nil selects the system's dialer.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// UserTimeout is how long sent data may remain unacknowledged by the remote
-	// host before the connection is closed (TCP_USER_TIMEOUT).
+	// host before the connection is closed (TCP_USER_TIMEOUT). It also decides, in place of
+	// their count, when unanswered keep-alive probes close the connection. Probes are sent
+	// each second, so a silence of two seconds costs no connection if this is above three.
 	UserTimeout time.Duration
 	// IdleTimeout limits how long an idle connection is kept. If the server announces
 	// a keep-alive timeout, that timeout less IdleMargin is a limit as well; the smaller
@@ -48,7 +50,7 @@
 // Default values of Config.
 const (
 	DefaultDialTimeout    = 500 * time.Millisecond
-	DefaultUserTimeout    = 1500 * time.Millisecond
+	DefaultUserTimeout    = 3200 * time.Millisecond
 	DefaultIdleTimeout    = 10 * time.Second
 	DefaultIdleMargin     = 700 * time.Millisecond
 	DefaultMaxIdle        = 16
@@ -117,7 +119,7 @@
 		dialer: net.Dialer{
 			Timeout: config.DialTimeout,
 			// A host that has lost power sends nothing; keep-alive probes detect
-			// that after about 3 s while a response is pending.
+			// that after about 4 s while a response is pending.
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 			Control:         nil,
 		},
--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -12,7 +12,6 @@
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/quarantine"
-	"github.com/landingtrail/landingtrail/request/reach"
 	"github.com/pkg/errors"
 )
 
@@ -58,7 +57,7 @@
 	if stage == stageRun && (s.isolated || sent.events == 0) {
 		state = s.ingress.probeAddress(ctx, target)
 	}
-	if !s.isReplicaFault(ctx, reach.NoResponse) {
+	if !s.isReplicaFault(ctx, err) {
 		return
 	}
 	isolated := s.isolated && state == addressRefuses
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -12,7 +12,6 @@
 	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/request/holdoff"
 	"github.com/landingtrail/landingtrail/request/placement"
-	"github.com/landingtrail/landingtrail/request/reach"
 	"github.com/pkg/errors"
 )
 
@@ -62,14 +61,6 @@
 	return errors.As(err, &failure) && !failure.Sent
 }
 
-// failureOf returns in which way the replica of a failed send has failed.
-func failureOf(err error) reach.Failure {
-	if notSent(err) {
-		return reach.NoConnection
-	}
-	return reach.NoResponse
-}
-
 // sendPrefill sends the prompt to the prefill replica. refused is true if the replica did not
 // accept it, or if it was sent and that is unknown: the run that follows may then count as a
 // second send of the request. A replica that answered with an error of its own has accepted it.
@@ -124,7 +115,7 @@
 		chosen.tracked.report(placement.StepReadSkipped, chosen.prefiller.name, 0)
 		return false
 	}
-	if !isUnmatched(err) && !s.isReplicaFault(ctx, failureOf(err)) {
+	if !isUnmatched(err) && !s.isReplicaFault(ctx, err) {
 		chosen.tracked.report(placement.StepReadSkipped, chosen.prefiller.name, 0)
 		return !notSent(err)
 	}
--- a/process/ingress/reachability.go
+++ b/process/ingress/reachability.go
@@ -302,11 +302,29 @@
 	return plan{refused: true, retryAfter: retryAfter, closedCause: causeUnreachable}, true
 }
 
-// isReplicaFault records a failure of a replica, and reports whether it is the replica's: false if this
-// proxy turns out to reach no replica at all.
-func (s *session) isReplicaFault(ctx context.Context, failure reach.Failure) bool {
-	s.ingress.reachability.recordFailure(failure)
-	return s.ingress.reachability.confirm(ctx)
+// confirmedFailure is a failed send and whether it was the replica's fault.
+type confirmedFailure struct {
+	err          error
+	replicaFault bool
+}
+
+// isReplicaFault records a failed send, and reports whether that is the replica's fault: false if this
+// proxy turns out to reach no replica at all. It waits until that is known, once for each failure.
+func (s *session) isReplicaFault(ctx context.Context, err error) bool {
+	if s.confirmed.err == err {
+		return s.confirmed.replicaFault
+	}
+	s.ingress.reachability.recordFailure(failureOf(err))
+	s.confirmed = confirmedFailure{err: err, replicaFault: s.ingress.reachability.confirm(ctx)}
+	return s.confirmed.replicaFault
+}
+
+// failureOf returns in which way the replica of a failed send has failed.
+func failureOf(err error) reach.Failure {
+	if notSent(err) {
+		return reach.NoConnection
+	}
+	return reach.NoResponse
 }
 
 // recordReached records that a replica has answered.
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -51,6 +51,8 @@
 	suspectUntil  time.Duration // 0 once anything was received from the replica again
 	cacheEstimate cacheEstimate // of the prompt parts that the replica has cached
 	usedAt        time.Duration // when a request was last sent, or when the state was created
+	// verifiedAt is when a connection was last opened to verify that the silent replica is there.
+	verifiedAt time.Duration
 	// crashedAt is when the replica seems to have crashed; 0 once it has proved to be alive.
 	crashedAt time.Duration
 }
@@ -120,6 +122,33 @@
 	}
 }
 
+// noteHeard records that something was received from the replica.
+func (r *replica) noteHeard(now time.Duration) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.heardAt, r.suspectUntil = now, 0
+}
+
+// silentFor returns how long nothing was received from the replica, nor a connection to it verified,
+// since the given time.
+func (r *replica) silentFor(now, since time.Duration) time.Duration {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return now - max(r.heardAt, r.verifiedAt, since)
+}
+
+// beginVerifying returns false if the replica has been heard of or verified for less than the given
+// time. Otherwise it counts as verified from now on, so that one request does it for all.
+func (r *replica) beginVerifying(now, since, atLeast time.Duration) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if now-max(r.heardAt, r.verifiedAt, since) < atLeast {
+		return false
+	}
+	r.verifiedAt = now
+	return true
+}
+
 // noteSuccess records a request that was answered successfully.
 func (r *replica) noteSuccess() {
 	r.lock.Lock()
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -49,6 +49,8 @@
 	// withheld is true if the replica is not to blame: nothing was sent because it asked for a pause,
 	// is leaving or has a limit that leaves no room, or this proxy reaches no replica at all.
 	withheld bool
+	// confirmed is the last failed send of which it was confirmed whose fault it was.
+	confirmed confirmedFailure
 	// headSent is true once the head of an answer was sent to the caller.
 	headSent bool
 	// unresumable is true once the caller has received data that no other run can continue:
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -11,7 +11,6 @@
 	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/placement"
-	"github.com/landingtrail/landingtrail/request/reach"
 	"github.com/pkg/errors"
 )
 
@@ -107,7 +106,7 @@
 	}
 	// Reported to the control group like an attempt without an answer.
 	s.answered = false
-	if errors.Is(err, errNotContinued) || s.isReplicaFault(ctx, reach.NoResponse) {
+	if errors.Is(err, errNotContinued) || s.isReplicaFault(ctx, err) {
 		target.suspect(s.ingress.now())
 	} else {
 		s.withheld = true
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -11,7 +11,6 @@
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/placement"
-	"github.com/landingtrail/landingtrail/request/reach"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/pkg/errors"
 )
@@ -38,6 +37,7 @@
 // The request may turn out to be quarantined after the choice.
 func (s *session) try(ctx context.Context) (verdict, *replica) {
 	s.answered, s.misdirected, s.connectionRefused, s.withheld = false, false, false, false
+	s.confirmed = confirmedFailure{}
 	chosen := s.choose(ctx)
 	if ctx.Err() != nil {
 		chosen.tracked.report(placement.StepEnded, "", 0)
@@ -279,7 +279,7 @@
 		if ctx.Err() != nil {
 			return verdictCallerEnd // a disconnected caller says nothing about the replica
 		}
-		if !s.isReplicaFault(ctx, reach.NoConnection) {
+		if !s.isReplicaFault(ctx, err) {
 			s.withheld = true
 			return verdictNotRun
 		}
@@ -293,7 +293,7 @@
 		return verdictCallerEnd
 	}
 	s.answered = isUnmatched(err)
-	if !s.answered && !s.isReplicaFault(ctx, reach.NoResponse) {
+	if !s.answered && !s.isReplicaFault(ctx, err) {
 		s.withheld = true
 		return verdictBroken
 	}
