A replica that is silent for a second keeps its connections, and one that is gone is noticed

A TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count. With 1.5 s and a probe a second, one lost probe was enough: at the next one, 2 s after the last packet, the connection was closed, although a silence of a moment had cost it. A sound replica may be silent for a second or so.

Evidence: TestConnectionsOutlastASilenceOfASecond, the system's rule in virtual time: on the code before, a silence of 1.4 s from 0 on closes the connection after 2 s.

So an attempt that may be sent again, or whose stream may be resumed, is watched: after 1.5 s without anything from its replica a connection is opened there, once for all requests, and if that takes a second the attempt ends. TestStreamMovesOnlyFromAReplicaThatIsGone: a stream moves within 3.2 s from a machine that is gone, and stays with a replica that is silent for 1.8 s.

--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -38,6 +38,7 @@
 		}
 		s.countUsage(0)
 		s.ingress.reachability.tracker.RecordData(s.ingress.now())
+		target.noteHeard(s.ingress.now())
 		if s.events == 0 || !sent.hasStarted(target) {
 			target.noteStarted(sent, s.ingress.now())
 			target.noteCachedParts(s.call.Work.Parts)
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -9,6 +9,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/version/api"
@@ -170,6 +171,7 @@
 	stopWatch := s.watchSilence(attemptContext, chosen, sent, cancel)
 	defer stopWatch()
 	defer s.watchReach(sent.at, cancel)()
+	defer s.watchReplica(target, sent.at, cancel)()
 	s.logSent(stageRun, target, tokens, chosen)
 	answer, err := s.exchange(attemptContext, stageRun, target, s.request(chosen, source))
 	if err != nil {
@@ -347,6 +349,41 @@
 	return max(answerTimeoutObjectives*objective, answerTimeoutEstimates*chosen.estimate, minAnswerTimeout)
 }
 
+const (
+	// silentReplicaTime is how long a replica may send nothing until a connection is opened to verify
+	// that it is there. verifyTimeout limits opening it. A sound replica may be silent for their sum.
+	silentReplicaTime = 1500 * time.Millisecond
+	verifyTimeout     = time.Second
+)
+
+// watchReplica cancels an attempt that may be sent again, or whose stream may be resumed, once its
+// replica sends nothing at all and takes no connections: its machine is gone. The returned function
+// ends the watch.
+func (s *session) watchReplica(target *replica, sentAt time.Duration, cancel context.CancelCauseFunc) (stop func()) {
+	if !s.route.Idempotent() || s.sendCount+1 >= s.route.Attempts {
+		return func() {}
+	}
+	ctx, end := context.WithCancel(context.Background())
+	go func() {
+		for pause.Sleep(ctx, max(silentReplicaTime-target.silentFor(s.ingress.now(), sentAt), minVerifyInterval)) {
+			if !target.beginVerifying(s.ingress.now(), sentAt, silentReplicaTime) {
+				continue
+			}
+			connecting, cancelConnect := context.WithTimeout(ctx, verifyTimeout)
+			connected := s.ingress.connects(connecting, target.spec().Address)
+			cancelConnect()
+			if !connected && ctx.Err() == nil && target.silentFor(s.ingress.now(), sentAt) >= verifyTimeout {
+				cancel(errSilent)
+				return
+			}
+		}
+	}()
+	return end
+}
+
+// minVerifyInterval keeps the watch from polling.
+const minVerifyInterval = 50 * time.Millisecond
+
 // hasStarted reports whether the answer has started.
 func (s *send) hasStarted(target *replica) bool {
 	target.lock.Lock()
