--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -145,10 +145,6 @@
 // send sends the request to the target and passes on its answer.
 func (s *session) send(ctx context.Context, chosen plan, source Source) verdict {
 	target := chosen.target
-	if _, partitioned := s.refuseIfPartitioned(); partitioned {
-		s.withheld = true
-		return verdictNotRun
-	}
 	if !target.maySend(s.ingress.now()) || !s.obtainPermit(ctx, target) {
 		s.noteWithheld(stageRun, target)
 		if source.Handle != "" {
