--- a/lab/campaign/partition_test.go
+++ b/lab/campaign/partition_test.go
@@ -158,7 +158,7 @@
 	m.after(partitionRetried, func() {
 		if !proxy.cut {
 			proxy.tracker.RecordConnection(m.now, m.now)
-				return
+			return
 		}
 		m.retry(proxy)
 	})
