Broken runs are reported with the time since then

Failures at one moment are one incident only if the reports are less than 5 ms apart, and a replica that answers refutes those at most 250 ms before its start: harmless requests that were in flight at several replicas could count as sent again after each failure, as the fatal ones are.

The verification begins before the replica's address is probed, not after it, so that both take as long as the longer one.

The test failed before: 0 s where 50 ms had passed.

--- a/process/guard/guard.go
+++ b/process/guard/guard.go
@@ -207,18 +207,19 @@
 }
 
 // NoteCrash records that a replica seems to have crashed while processing a request, and reports
-// it to the control group. The random ObservationID identifies the observation if it is reported
-// again.
-func (g *Guard) NoteCrash(now time.Duration, evidence quarantine.Evidence) {
+// it to the control group. The age is the time since the crash; it must not be left out, because
+// crashes at the same moment count as one. The random ObservationID identifies the observation if it
+// is reported again.
+func (g *Guard) NoteCrash(now time.Duration, crash quarantine.AgedEvidence) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	g.updateCutOff(now)
-	evidence.ObservationID = rand.Uint64()
-	g.table.RecordFailure(now, evidence)
-	if g.table.Verdict(now, evidence.Fingerprint) != quarantine.Free {
+	crash.ObservationID = rand.Uint64()
+	g.table.NoteAged(now, crash.Age, crash.Evidence)
+	if g.table.Verdict(now, crash.Fingerprint) != quarantine.Free {
 		g.active.Store(true)
 	}
-	g.report(feed.CrashReport{Crashes: []quarantine.AgedEvidence{{Evidence: evidence}}})
+	g.report(feed.CrashReport{Crashes: []quarantine.AgedEvidence{crash}})
 }
 
 // reportMaxAge is how long a member's report of unrecorded crashes is valid. While they remain
--- a/process/guard/guard_test.go
+++ b/process/guard/guard_test.go
@@ -53,7 +53,7 @@
 	guard, wall := New("p"), time.Unix(1_700_000_000, 0)
 	guard.SetReporter(&fakeGroup{connected: true})
 	for i := range 5 {
-		guard.NoteCrash(0, quarantine.Evidence{Fingerprint: crashingRequest, Replica: fmt.Sprint("r-", i)})
+		guard.NoteCrash(0, quarantine.AgedEvidence{Evidence: quarantine.Evidence{Fingerprint: crashingRequest, Replica: fmt.Sprint("r-", i)}})
 	}
 	must.False(t, guard.holdsCrashing(later, wall), must.Sprint("this proxy's observations do not count while it has a leader"))
 	guard.Follow(recordView(2, api.QuarantineHeld, wall.Add(time.Hour), "r-0", "r-1", "r-2"), later)
@@ -78,17 +78,17 @@
 	guard.Follow(recordView(2, api.QuarantineWatched, wall, "r-1", "r-2"), 0)
 	leader.connected = false
 	must.False(t, guard.holdsCrashing(later, wall), must.Sprint("the hold expired"))
-	guard.NoteCrash(later, quarantine.Evidence{Fingerprint: crashingRequest, Replica: "r-9"})
+	guard.NoteCrash(later, quarantine.AgedEvidence{Evidence: quarantine.Evidence{Fingerprint: crashingRequest, Replica: "r-9"}})
 	must.False(t, guard.holdsCrashing(later+cutOffDelay-1, wall), must.Sprint("a change of leader takes up to cutOffDelay"))
 	guard.NoteAlive(later, quarantine.LiveReplica{Replica: "r-9", RunningFor: quarantine.AnyAge})
-	guard.NoteCrash(later, quarantine.Evidence{Fingerprint: crashingRequest, Replica: "r-3"})
+	guard.NoteCrash(later, quarantine.AgedEvidence{Evidence: quarantine.Evidence{Fingerprint: crashingRequest, Replica: "r-3"}})
 	must.False(t, guard.holdsCrashing(2*later, wall), must.Sprint("a cut-off proxy sees only a part of the evidence"))
-	guard.NoteCrash(later, quarantine.Evidence{Fingerprint: crashingRequest, Replica: "r-5"})
+	guard.NoteCrash(later, quarantine.AgedEvidence{Evidence: quarantine.Evidence{Fingerprint: crashingRequest, Replica: "r-5"}})
 	must.True(t, guard.holdsCrashing(2*later, wall))
 	guard.NoteAlive(2*later, quarantine.LiveReplica{Replica: "r-3", RunningFor: quarantine.AnyAge})
 	must.False(t, guard.holdsCrashing(2*later, wall))
 
-	guard.NoteCrash(3*later, quarantine.Evidence{Fingerprint: crashingRequest, Replica: "r-4"})
+	guard.NoteCrash(3*later, quarantine.AgedEvidence{Evidence: quarantine.Evidence{Fingerprint: crashingRequest, Replica: "r-4"}})
 	leader.connected = true
 	guard.Follow(recordView(3, "", wall), 3*later)
 	leader.connected = false
@@ -101,8 +101,8 @@
 	leader := &fakeGroup{}
 	guard := New("p")
 	guard.SetReporter(leader)
-	guard.NoteCrash(0, quarantine.Evidence{Fingerprint: crashingRequest, Replica: "r-0"})
-	guard.NoteCrash(0, quarantine.Evidence{Fingerprint: crashingRequest, Replica: "r-1"})
+	guard.NoteCrash(0, quarantine.AgedEvidence{Evidence: quarantine.Evidence{Fingerprint: crashingRequest, Replica: "r-0"}})
+	guard.NoteCrash(0, quarantine.AgedEvidence{Evidence: quarantine.Evidence{Fingerprint: crashingRequest, Replica: "r-1"}})
 	leader.connected, leader.reports = true, nil
 	guard.ReportAll(later)
 	must.SliceLen(t, 1, leader.reports)
--- a/process/guard/unrecorded_test.go
+++ b/process/guard/unrecorded_test.go
@@ -34,7 +34,7 @@
 			guard.SetReporter(members)
 			guard.Follow(recordView(1, "", wall), 0)
 			members.connected = connected
-			guard.NoteCrash(later, quarantine.Evidence{Fingerprint: crashingRequest, Replica: "r-3"})
+			guard.NoteCrash(later, quarantine.AgedEvidence{Evidence: quarantine.Evidence{Fingerprint: crashingRequest, Replica: "r-3"}})
 			must.False(t, guard.holdsCrashing(later, wall), must.Sprint("a single crash is not enough evidence"))
 			guard.ApplyUnrecorded(later, crashReport(3))
 			must.True(t, guard.Active())
@@ -75,7 +75,7 @@
 	wall := time.Unix(1_700_000_000, 0)
 	guard := New("p")
 	guard.SetReporter(&fakeGroup{connected: true})
-	guard.NoteCrash(later, quarantine.Evidence{Fingerprint: crashingRequest, Replica: "seen"})
+	guard.NoteCrash(later, quarantine.AgedEvidence{Evidence: quarantine.Evidence{Fingerprint: crashingRequest, Replica: "seen"}})
 	guard.ApplyUnrecorded(later, crashReport(4))
 	must.True(t, guard.holdsCrashing(later, wall))
 	guard.Follow(recordView(1, "", wall), later)
--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -44,15 +44,17 @@
 
 // noteBrokenConnection records that a replica's connection broke while it processed the request,
 // which may be due to a crash of the replica. It does nothing for other errors, or if ctx has
-// ended, or if this proxy reaches no replica. It marks the replica as crashed and reports the evidence. If a run was isolated or had
-// produced no event, when the evidence weighs most, it first probes the replica's address, which
-// takes up to probeTimeout.
+// ended, or if this proxy reaches no replica. It marks the replica as crashed and reports the
+// evidence, with the time that has passed: until it is known whether a replica is reached, and, if a
+// run was isolated or had produced no event, when the evidence weighs most, until the replica's
+// address was probed, which takes up to probeTimeout.
 func (s *session) noteBrokenConnection(ctx context.Context, stage string, target *replica, sent *send, err error) {
 	if ctx.Err() != nil || !isConnectionClosed(err) {
 		return
 	}
 	s.ingress.metrics.brokenConnections.WithLabelValues(s.upstream.service, stage).Inc()
-	now := s.ingress.now()
+	brokenAt := s.ingress.now()
+	s.recordFailure(err)
 	state := addressUnknown
 	if stage == stageRun && (s.isolated || sent.events == 0) {
 		state = s.ingress.probeAddress(ctx, target)
@@ -62,17 +64,19 @@
 	}
 	isolated := s.isolated && state == addressRefuses
 	event.RunBroken.Log(s.ingress.logger, "request", s.call.ID, "fingerprint", s.fingerprint(), "route", s.route.Name,
-		"stage", stage, "replica", target.incarnation(), "after_ms", (now - sent.at).Milliseconds(),
+		"stage", stage, "replica", target.incarnation(), "after_ms", (brokenAt - sent.at).Milliseconds(),
 		"events", sent.events, "alone", isolated, "listens", state == addressListens, "leaving", target.isLeaving(), "err", err)
 	if stage == stageRun {
 		s.crashes++
 	}
-	target.noteCrash(now)
-	s.ingress.guard.NoteCrash(now, quarantine.Evidence{
+	target.noteCrash(brokenAt)
+	evidence := quarantine.Evidence{
 		Fingerprint: s.fingerprint(), Replica: target.incarnation(), HadOutput: sent.events > 0, Read: stage == stagePrefill,
-		OnlyInFlight: isolated, StillListening: state == addressListens, RunTime: now - sent.at, UniqueName: target.spec().Born != 0,
+		OnlyInFlight: isolated, StillListening: state == addressListens, RunTime: brokenAt - sent.at, UniqueName: target.spec().Born != 0,
 		RequestInfo: quarantine.RequestInfo{Service: s.upstream.service, Route: s.route.Name, Request: s.call.ID},
-	})
+	}
+	now := s.ingress.now()
+	s.ingress.guard.NoteCrash(now, quarantine.AgedEvidence{Evidence: evidence, Age: now - brokenAt})
 }
 
 // probeTimeout limits the check whether a replica still listens. One that does so normally accepts
--- a/process/ingress/reachability.go
+++ b/process/ingress/reachability.go
@@ -302,20 +302,30 @@
 	return plan{refused: true, retryAfter: retryAfter, closedCause: causeUnreachable}, true
 }
 
-// confirmedFailure is a failed send and whether it was the replica's fault.
+// confirmedFailure is a failed send and, once it is known, whether it was the replica's fault.
 type confirmedFailure struct {
 	err          error
+	known        bool
 	replicaFault bool
 }
 
-// isReplicaFault records a failed send, and reports whether that is the replica's fault: false if this
-// proxy turns out to reach no replica at all. It waits until that is known, once for each failure.
-func (s *session) isReplicaFault(ctx context.Context, err error) bool {
+// recordFailure records a failed send, once for each failure, and has it verified whether this proxy
+// reaches any replica.
+func (s *session) recordFailure(err error) {
 	if s.confirmed.err == err {
-		return s.confirmed.replicaFault
+		return
 	}
 	s.ingress.reachability.recordFailure(failureOf(err))
-	s.confirmed = confirmedFailure{err: err, replicaFault: s.ingress.reachability.confirm(ctx)}
+	s.confirmed = confirmedFailure{err: err}
+}
+
+// isReplicaFault records a failed send, and reports whether that is the replica's fault: false if this
+// proxy turns out to reach no replica at all. It waits until that is known.
+func (s *session) isReplicaFault(ctx context.Context, err error) bool {
+	s.recordFailure(err)
+	if !s.confirmed.known {
+		s.confirmed.known, s.confirmed.replicaFault = true, s.ingress.reachability.confirm(ctx)
+	}
 	return s.confirmed.replicaFault
 }
 
--- a/process/ingress/reachability_test.go
+++ b/process/ingress/reachability_test.go
@@ -192,6 +192,28 @@
 	}
 }
 
+// Guards against a broken run that is reported late, while it is verified whether replicas are reached, as if its
+// replica had failed only then: failures at one moment would look like failures one after the other, which make a
+// harmless request harmful.
+func TestBrokenRunsAreReportedWithTheTimeSinceThen(t *testing.T) {
+	broken := make(chan struct{})
+	replicas := plainReplicas(t, 3, breakAfter(broken, false))
+	env, links, _ := newLinkedEnv(t, replicas...)
+	reporter := &recordingReporter{}
+	reporter.connected.Store(true)
+	env.ingress.guard.SetReporter(reporter)
+	go func() { _ = env.do(safeRequest) }()
+	eventually(t, "it runs", func() bool { return totalRequests(replicas) == 1 })
+	const verifying = firstConnectTime / 2
+	links.set(false, true, false) // the first connection that verifies it hangs
+	time.AfterFunc(verifying, func() { links.set(false, false, false) })
+	close(broken)
+	eventually(t, "it is reported", func() bool { ended, _, _ := reporter.counts(); return ended > 0 })
+	reporter.lock.Lock()
+	defer reporter.lock.Unlock()
+	must.GreaterEq(t, verifying, reporter.reports[0].Crashes[0].Age)
+}
+
 // Guards against a proxy that takes the failure of one replica for that of its links.
 func TestFailureOfOneReplicaIsBlamedOnIt(t *testing.T) {
 	for name, handle := range map[string]http.HandlerFunc{"closes": closeConnection, "silent": func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) }} {
--- a/process/proxy/quarantine.go
+++ b/process/proxy/quarantine.go
@@ -63,10 +63,10 @@
 		"engine", replica, "after_ms", (now - last.sentAt).Milliseconds(), "events", last.events, "err", err)
 	last.target.recordSuspectedCrash(now, last.incarnation)
 	// Once: the replica is one incarnation, which can crash only once.
-	c.proxy.guard.NoteCrash(now, quarantine.Evidence{
+	c.proxy.guard.NoteCrash(now, quarantine.AgedEvidence{Evidence: quarantine.Evidence{
 		Fingerprint: c.fingerprint(), Replica: replica, HadOutput: last.events > 0, RunTime: now - last.sentAt, UniqueName: true,
 		RequestInfo: quarantine.RequestInfo{Service: c.lane.service, Route: c.headers.class, Request: c.id},
-	})
+	}})
 }
 
 // isConnectionBroken reports whether the error means that the peer closed or reset the connection.
