Reachability: a few replicas that are gone are no partition

What callers saw: a proxy that had just been started took the connection failure of one replica for a partition, although a replica was sending it a stream. It refused callers for 200 ms, cut the stream (LOST), and reported nothing of the replicas that had failed. Five of the twelve listed replicas had ended under fatal requests in the 700 ms before.

Cause: the round that decides tried four listed replicas at random. Where a part d of the replicas is gone and still listed, all four are gone in d^4 of the rounds: 1 in 80 with a third lost, for example with their zone, and each failure at each proxy begins a round.

A round goes on until it has tried 21 replicas, in stages of 1, 4 and 16 (the next begins when one has failed, or after 100 ms), and begins with the ones that were heard of last. A partition of hanging links is found 200 ms later than before (about 1.05 s).

TestLostReplicasAreNoPartition failed before in both cases, and fails with the order or the size taken out; that suspects come last is noticed by TestReplicasAreOrderedByTheirLastContact.

--- a/process/ingress/fleet.go
+++ b/process/ingress/fleet.go
@@ -167,10 +167,30 @@
 	return f.listedReplicas
 }
 
-// isSuspect reports whether a replica in use gave no response lately.
-func (f *fleet) isSuspect(name string, now time.Duration) bool {
+// contact is how a replica was last reached. The zero value is that of one that was not used.
+type contact struct {
+	suspect bool          // it gave no response lately
+	heardAt time.Duration // when anything was last received from it; 0 for never
+}
+
+// compare orders replicas by how likely they can be reached, the most likely first.
+func (c contact) compare(other contact) int {
+	if c.suspect != other.suspect {
+		if c.suspect {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(other.heardAt, c.heardAt)
+}
+
+// contact returns how a replica was last reached.
+func (f *fleet) contact(name string, now time.Duration) contact {
 	f.lock.Lock()
 	current := f.tracked[name]
 	f.lock.Unlock()
-	return current != nil && current.isSuspect(now)
+	if current == nil {
+		return contact{}
+	}
+	return current.contact(now)
 }
--- a/process/ingress/reachability.go
+++ b/process/ingress/reachability.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,15 +30,20 @@
 	// verifyGrace is how long data from a replica is awaited before a connection is opened to verify
 	// that one is reached.
 	verifyGrace = 10 * time.Millisecond
-	// roundSize is the number of replicas to which one round opens connections.
-	roundSize = 4
+	// roundSize is the number of replicas to which one round opens connections, in stages: to one, then
+	// to stageGrowth times as many as in the stage before. There are many, since a few replicas that are
+	// gone and still listed do not show a partition.
+	roundSize   = 1 + stageGrowth + stageGrowth*stageGrowth
+	stageGrowth = 4
 	// minRoundSize is the least number of replicas that can show a partition: a single one that fails
 	// cannot be told from a partition, and no other one could serve.
 	minRoundSize = 2
-	// firstConnectTime is how long the first connection of a round is awaited before the others are
-	// opened as well, connectTimeout limits each of them.
-	firstConnectTime = 100 * time.Millisecond
-	connectTimeout   = 400 * time.Millisecond
+	// stageInterval is how long the connections of one stage are awaited before the next stage begins as
+	// well; connectTimeout limits each connection.
+	stageInterval  = 100 * time.Millisecond
+	connectTimeout = 400 * time.Millisecond
+	// reconnectSize is the number of replicas to which a round opens connections while partitioned.
+	reconnectSize = 1 + stageGrowth
 	// reconnectInterval is the pause between two rounds while partitioned.
 	reconnectInterval = 200 * time.Millisecond
 	// stallTime is how long a request goes unanswered, while nothing is received from any replica,
@@ -158,7 +164,7 @@
 		return
 	}
 	for !r.endVerifying() && ctx.Err() == nil {
-		r.playRound(ctx)
+		r.connectRound(ctx, roundSize)
 		if r.isPartitioned() {
 			r.awaitConnection(ctx)
 		}
@@ -169,7 +175,7 @@
 func (r *reachability) awaitConnection(ctx context.Context) {
 	_, since, changed := r.tracker.Observe()
 	for pause.Sleep(ctx, reconnectInterval) {
-		r.playRound(ctx)
+		r.connectRound(ctx, reconnectSize)
 		select {
 		case <-changed:
 			event.ReplicasReachable.Log(r.ingress.logger, "after_ms", (r.ingress.now() - since).Milliseconds())
@@ -180,10 +186,10 @@
 	}
 }
 
-// playRound opens connections to some replicas and records the result.
-func (r *reachability) playRound(ctx context.Context) {
+// connectRound opens connections to replicas, at most to the given number, and records the result.
+func (r *reachability) connectRound(ctx context.Context, size int) {
 	beganAt := r.ingress.now()
-	addresses := r.ingress.upstreams.sampleAddresses(roundSize)
+	addresses := r.ingress.upstreams.sampleAddresses(size)
 	_, since, _ := r.tracker.Observe()
 	if len(addresses) < minRoundSize || r.connectAny(ctx, addresses) {
 		now := r.ingress.now()
@@ -207,37 +213,43 @@
 	r.announce()
 }
 
-// connectAny reports whether a connection to any of the addresses could be opened. The first one is
-// tried alone for a short time.
+// connectAny reports whether a connection to any of the addresses could be opened. It tries them in
+// stages of growing size.
 func (r *reachability) connectAny(ctx context.Context, addresses []string) bool {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan bool, len(addresses))
-	connect := func(address string) { results <- r.ingress.connects(ctx, address) }
-	go connect(addresses[0])
-	pending, rest := 1, addresses[1:]
-	alone := time.NewTimer(firstConnectTime)
-	defer alone.Stop()
+	stageTimer := time.NewTicker(stageInterval)
+	defer stageTimer.Stop()
+	rest, stageSize, pending := addresses, 1, 0
 	for pending > 0 || len(rest) > 0 {
-		select {
-		case connected := <-results:
-			if connected {
-				return true
-			}
-			pending--
-		case <-alone.C:
+		stage := rest[:min(stageSize, len(rest))]
+		rest = rest[len(stage):]
+		stageSize *= stageGrowth
+		pending += len(stage)
+		for _, address := range stage {
+			go func() { results <- r.ingress.connects(ctx, address, connectTimeout) }()
 		}
-		for _, address := range rest {
-			go connect(address)
+		for endStage := false; pending > 0 && !endStage; {
+			select {
+			case connected := <-results:
+				if connected {
+					return true
+				}
+				pending--
+			case <-stageTimer.C:
+				endStage = len(rest) > 0
+			}
 		}
-		pending += len(rest)
-		rest = nil
 	}
 	return false
 }
 
-// connects reports whether a connection to the address can be opened. Nothing is sent on it.
-func (i *Ingress) connects(ctx context.Context, address string) bool {
+// connects reports whether a connection to the address can be opened within the timeout. Nothing is
+// sent on it.
+func (i *Ingress) connects(ctx context.Context, address string, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	conn, err := i.dial(ctx, address)
 	if err != nil {
 		return false
@@ -254,35 +266,39 @@
 	return new(net.Dialer).DialContext(ctx, "tcp", address)
 }
 
-// sampleAddresses returns the addresses of at most the given number of listed replicas, drawn at random
-// of all services. Those that gave no response lately come last.
+// sampleAddresses returns the addresses of at most the given number of listed replicas of all
+// services, those that most likely accept connections first: the ones heard of last, those that were
+// not used, in random order, and those that gave no response lately.
 func (u *upstreams) sampleAddresses(most int) []string {
+	type candidate struct {
+		address string
+		contact contact
+	}
 	now := u.clock()
 	u.lock.Lock()
 	defer u.lock.Unlock()
-	var healthy, suspect []string
+	var candidates []candidate
 	for _, entry := range u.listed {
-		switch {
-		case entry.Spec.Address == "":
-		case u.isSuspectLocked(entry, now):
-			suspect = append(suspect, entry.Spec.Address)
-		default:
-			healthy = append(healthy, entry.Spec.Address)
+		if entry.Spec.Address != "" {
+			candidates = append(candidates, candidate{entry.Spec.Address, u.contactLocked(entry, now)})
 		}
 	}
-	shuffle := func(addresses []string) {
-		rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
+	rand.Shuffle(len(candidates), func(a, b int) { candidates[a], candidates[b] = candidates[b], candidates[a] })
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return a.contact.compare(b.contact) })
+	addresses := make([]string, 0, most)
+	for _, chosen := range candidates[:min(most, len(candidates))] {
+		addresses = append(addresses, chosen.address)
 	}
-	shuffle(healthy)
-	shuffle(suspect)
-	all := append(healthy, suspect...)
-	return all[:min(most, len(all))]
+	return addresses
 }
 
-// isSuspectLocked reports whether a listed replica gave no response lately. The caller holds the lock.
-func (u *upstreams) isSuspectLocked(entry *api.Replica, now time.Duration) bool {
+// contactLocked returns how a listed replica was last reached. The caller holds the lock.
+func (u *upstreams) contactLocked(entry *api.Replica, now time.Duration) contact {
 	used := u.byService[entry.Spec.Service]
-	return used != nil && used.fleet.isSuspect(entry.Name, now)
+	if used == nil {
+		return contact{}
+	}
+	return used.fleet.contact(entry.Name, now)
 }
 
 // causeUnreachable is returned to callers of a proxy that reaches no replica.
--- a/process/ingress/reachability_test.go
+++ b/process/ingress/reachability_test.go
@@ -204,7 +204,7 @@
 	env.ingress.guard.SetReporter(reporter)
 	go func() { _ = env.do(safeRequest) }()
 	eventually(t, "it runs", func() bool { return totalRequests(replicas) == 1 })
-	const verifying = firstConnectTime / 2
+	const verifying = stageInterval / 2
 	links.set(false, true, false) // the first connection that verifies it hangs
 	time.AfterFunc(verifying, func() { links.set(false, false, false) })
 	close(broken)
@@ -230,6 +230,37 @@
 	}
 }
 
+// Guards against a proxy that takes many replicas which are gone, and are still listed, for a partition, and turns its
+// callers away although others serve.
+func TestLostReplicasAreNoPartition(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		lost   int
+		serves bool // the last one has answered before
+	}{{"the last one has served", 60, true}, {"nothing was sent yet", 12, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			last := newFakeReplica(t, "last", answerOK)
+			env, _, announced := newLinkedEnv(t, last)
+			if test.serves {
+				must.Eq(t, http.StatusOK, env.do(safeRequest).status)
+			}
+			env.views.set(func(v *view.View) {
+				for i := range test.lost {
+					lost := replicaObject(last, "plain", api.RoleNone)
+					lost.Name, lost.Spec.Address = fmt.Sprint("lost-", i), refusingAddress(t)
+					v.Replicas[lost.Name] = lost
+				}
+			})
+			env.ingress.routes()
+			for range 10 {
+				env.ingress.reachability.recordFailure(reach.NoConnection)
+				must.True(t, env.ingress.reachability.confirm(context.Background()))
+			}
+			must.Eq(t, int32(0), announced.Load())
+		})
+	}
+}
+
 // Guards against a proxy that loses a connection, or its readiness, to a replica that falls silent for a second.
 func TestReplicaThatFallsSilentForASecondIsNoPartition(t *testing.T) {
 	replicas := plainReplicas(t, 2, func(w http.ResponseWriter, r *http.Request) {
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -149,6 +149,14 @@
 	return true
 }
 
+// contact returns how the replica was last reached.
+func (r *replica) contact(now time.Duration) contact {
+	suspect := r.isSuspect(now)
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return contact{suspect: suspect, heardAt: r.heardAt}
+}
+
 // noteSuccess records a request that was answered successfully.
 func (r *replica) noteSuccess() {
 	r.lock.Lock()
--- a/process/ingress/replica_test.go
+++ b/process/ingress/replica_test.go
@@ -42,3 +42,17 @@
 	must.Less(t, busy.plainCost("", now), slow.plainCost("", now))
 	must.Eq(t, 1, newReplica("mute", api.ReplicaSpec{}, &holdoff.Replica{}).occupancy(now).slowdown)
 }
+
+// Guards against a reachability check that begins with the replicas that are the least likely to accept connections.
+func TestReplicasAreOrderedByTheirLastContact(t *testing.T) {
+	order := []contact{
+		{heardAt: 2 * time.Second}, {heardAt: time.Second}, {},
+		{suspect: true, heardAt: 3 * time.Second}, {suspect: true},
+	}
+	for i, first := range order {
+		for _, second := range order[i+1:] {
+			must.Negative(t, first.compare(second))
+			must.Positive(t, second.compare(first))
+		}
+	}
+}
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -365,9 +365,7 @@
 			if !target.beginVerifying(s.ingress.now(), sentAt, silentReplicaTime) {
 				continue
 			}
-			connecting, cancelConnect := context.WithTimeout(ctx, verifyTimeout)
-			connected := s.ingress.connects(connecting, target.spec().Address)
-			cancelConnect()
+			connected := s.ingress.connects(ctx, target.spec().Address, verifyTimeout)
 			if !connected && ctx.Err() == nil && target.silentFor(s.ingress.now(), sentAt) >= verifyTimeout {
 				cancel(errSilent)
 				return
