Reachability: a partition cancels no attempt while replicas still send

Cause: every attempt that may be sent again was cancelled at once, although a partition that refuses new connections lets the open ones live on.

Links that are reset break their attempts by themselves; on links that hang nothing is received.

TestStreamsOnOpenConnectionsOutlastAPartition failed before (unexpected EOF), and fails where the silence is not awaited.

--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -83,7 +83,7 @@
 	defer cancelLate()
 	prefillContext, cancelUnreached := context.WithCancelCause(prefillContext)
 	defer cancelUnreached(nil)
-	defer s.watchReach(startedAt, cancelUnreached)()
+	defer s.watchReach(prefillContext, startedAt, cancelUnreached)()
 	s.logSent(stagePrefill, prefiller, uncachedTokens, chosen)
 	answer, err := s.exchange(prefillContext, stagePrefill, prefiller, request)
 	if err != nil {
--- a/process/ingress/reachability.go
+++ b/process/ingress/reachability.go
@@ -365,15 +365,35 @@
 // watchReach has it verified that a replica is reached if an attempt that began at sentAt goes
 // unanswered, and cancels the attempt if none is and the request may be sent again elsewhere. The
 // returned function ends the watch.
-func (s *session) watchReach(sentAt time.Duration, cancel context.CancelCauseFunc) (stop func()) {
+func (s *session) watchReach(ctx context.Context, sentAt time.Duration, cancel context.CancelCauseFunc) (stop func()) {
 	reachable := s.ingress.reachability
 	timer := time.AfterFunc(stallTime, func() { reachable.recordStall(sentAt) })
 	stopCancel := func() bool { return true }
 	if s.route.Idempotent() {
-		stopCancel = reachable.onPartition(func() { cancel(errPartitioned) })
+		stopCancel = reachable.onPartition(func() {
+			if reachable.awaitSilence(ctx, sentAt) {
+				cancel(errPartitioned)
+			}
+		})
 	}
 	return func() {
 		timer.Stop()
 		stopCancel()
 	}
 }
+
+// awaitSilence returns true once nothing was received from any replica for stallTime, counted from
+// the given time at the earliest: the open connections do not outlast the partition. It returns false
+// if the partition or ctx ends first.
+func (r *reachability) awaitSilence(ctx context.Context, since time.Duration) bool {
+	for r.isPartitioned() {
+		silent := r.ingress.now() - max(r.tracker.ReceivedAt(), since)
+		if silent >= stallTime {
+			return true
+		}
+		if !pause.Sleep(ctx, stallTime-silent) {
+			return false
+		}
+	}
+	return false
+}
--- a/process/ingress/reachability_test.go
+++ b/process/ingress/reachability_test.go
@@ -261,6 +261,32 @@
 	}
 }
 
+// Guards against streams that are cut, or taken to another replica, by a partition that they outlast: new connections
+// are refused, and open ones go on.
+func TestStreamsOnOpenConnectionsOutlastAPartition(t *testing.T) {
+	const events = 15
+	streaming := func(w http.ResponseWriter, r *http.Request) {
+		streamEvents(1, "")(w, r)
+		for id := 2; id <= events; id++ {
+			time.Sleep(100 * time.Millisecond)
+			_, _ = io.WriteString(w, eventText(id))
+			w.(http.Flusher).Flush()
+		}
+	}
+	replicas := plainReplicas(t, 3, streaming)
+	env, links, _ := newLinkedEnv(t, replicas...)
+	results := make(chan testResponse, 1)
+	go func() { results <- env.do(testRequest{method: http.MethodPost, target: "/resume/", id: "q"}) }()
+	eventually(t, "it runs", func() bool { return totalRequests(replicas) == 1 })
+	links.set(true, false, false)
+	env.ingress.reachability.recordFailure(reach.NoConnection)
+	eventually(t, "it is not ready", func() bool { return !env.ingress.Ready() })
+	got := <-results
+	must.NoError(t, got.err)
+	must.Eq(t, eventTexts(1, events), got.body)
+	must.False(t, env.ingress.Ready())
+}
+
 // Guards against a proxy that loses a connection, or its readiness, to a replica that falls silent for a second.
 func TestReplicaThatFallsSilentForASecondIsNoPartition(t *testing.T) {
 	replicas := plainReplicas(t, 2, func(w http.ResponseWriter, r *http.Request) {
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -166,7 +166,7 @@
 	defer cancel(nil)
 	stopWatch := s.watchSilence(attemptContext, chosen, sent, cancel)
 	defer stopWatch()
-	defer s.watchReach(sent.at, cancel)()
+	defer s.watchReach(attemptContext, sent.at, cancel)()
 	defer s.watchReplica(target, sent.at, cancel)()
 	s.logSent(stageRun, target, tokens, chosen)
 	answer, err := s.exchange(attemptContext, stageRun, target, s.request(chosen, source))
