Emulator: proxies that are partitioned from all engines

A partitioned proxy's connections are reset and new ones refused; request/reach decides, as in the ingress, and callers go to another proxy two seconds later, by the directory's answers that they have. Checked by the rule's share (one in fifty may fail) from 5 s after the beginning, and after the end: one of three proxies, two, one after the other, all. Without the directory, and without the return, the test fails.

--- a/lab/emulator/config.go
+++ b/lab/emulator/config.go
@@ -1,8 +1,8 @@
 // Package emulator runs one deployment in virtual time: engine models behind
 // lagging load reports and late cache events, a weight store with limited
 // rate, a proxy in each zone and callers that follow a trace. Routing, attempts,
-// retries and planning are the product's own code; a run depends on its
-// configuration only.
+// retries, planning and what shows a partition are the product's own code; a run
+// depends on its configuration only.
 //
 // Left out, since it changes no figure taken here: proxies share one view of
 // the engines' caches, bytes on the wire take no time beside a fixed latency,
@@ -42,9 +42,10 @@
 	// Planner decides on the roles. It must be a new one for each run.
 	Planner planner.Planner
 	// Intent is the only intent; its selector is not evaluated.
-	Intent api.IntentSpec
-	Losses []Loss
-	Limits []Limit
+	Intent     api.IntentSpec
+	Losses     []Loss
+	Limits     []Limit
+	Partitions []Partition
 
 	PlanInterval time.Duration
 	DemandWindow time.Duration
--- a/lab/emulator/proxy.go
+++ b/lab/emulator/proxy.go
@@ -22,6 +22,7 @@
 	waiting []*flow // in the queue, by arrival
 	targets []*target
 	answers *router.AnswerLengths
+	links   *links
 }
 
 // target is one engine as a proxy sees it.
@@ -60,6 +61,7 @@
 		queue:   limit.NewQueue(limit.Config{Now: func() time.Time { return wallClock(r.now) }}),
 		answers: router.NewAnswerLengths(),
 	}
+	p.links = newLinks(p)
 	for _, h := range r.hosts {
 		p.targets = append(p.targets, &target{host: h})
 	}
--- a/lab/emulator/run.go
+++ b/lab/emulator/run.go
@@ -101,6 +101,10 @@
 	for _, loss := range r.config.Losses {
 		r.at(loss.At, func() { r.hosts[loss.Engine].crash(loss.Back) })
 	}
+	for _, partition := range r.config.Partitions {
+		r.at(partition.At, r.proxies[partition.Proxy].links.begin)
+		r.at(partition.Until, r.proxies[partition.Proxy].links.end)
+	}
 }
 
 // scheduleArrival schedules the next model request of the trace.
@@ -172,13 +176,24 @@
 	r.result.FrameP99 = lanePercentile(r.config.Items, r.config.Seed, 0.99)
 }
 
+// proxyOf returns the proxy that a caller in the zone goes to: the one there, or any other if that one
+// is known to be partitioned and another is not.
 func (r *run) proxyOf(zone string) *proxy {
+	nearest := r.proxies[0]
 	for _, p := range r.proxies {
 		if p.zone == zone {
+			nearest = p
+		}
+	}
+	if nearest.links.isNamed() {
+		return nearest
+	}
+	for _, p := range r.proxies {
+		if p.links.isNamed() {
 			return p
 		}
 	}
-	return r.proxies[0]
+	return nearest
 }
 
 func (r *run) latency(from, to string) time.Duration {
--- a/lab/emulator/stage.go
+++ b/lab/emulator/stage.go
@@ -39,6 +39,10 @@
 		tokens = 0
 	}
 	s.sent = s.target.send(s.flow.run.now, tokens)
+	if s.flow.proxy.links.isPartitioned() {
+		s.flow.giveUp(reasonUnreachable)
+		return
+	}
 	if !s.prefillOnly() {
 		number, err := s.flow.lifecycle.Begin(s.target.host.name, s.target.host.model.Incarnation())
 		if err != nil {
@@ -47,7 +51,13 @@
 		}
 		s.attempt = number
 		s.flow.received = 0
-		s.flow.lifecycle.Wrote(number)
+	}
+	if s.flow.proxy.links.cut {
+		s.unreached()
+		return
+	}
+	if !s.prefillOnly() {
+		s.flow.lifecycle.Wrote(s.attempt)
 	}
 	s.flow.run.after(s.latency(), s.reach)
 }
@@ -57,6 +67,10 @@
 	if s.closed {
 		return // its cancel, sent later, would take it out at once
 	}
+	if s.flow.proxy.links.cut {
+		s.flow.proxy.links.breakOff(s)
+		return
+	}
 	host := s.target.host
 	s.flow.run.limits.arrive(host, s.sent.at, s.latency())
 	if host.down {
@@ -197,6 +211,11 @@
 		return
 	}
 	s.closed = true
+	s.repeatElsewhere()
+}
+
+// repeatElsewhere goes on after a stage that broke off.
+func (s *stage) repeatElsewhere() {
 	if s.prefillOnly() {
 		s.flow.splitAgain(s.target.host.name)
 		return
