Retries: a proxy that is no longer listed leaves the reserve to the others

What callers would see: more repeats than the budget allows (BUDGET) when proxies return from a partition while replicas fail.

Cause: the reserve is divided by the proxies of the view. Since the mend of the partitions, a partitioned proxy is taken out of the view, and after a window the others divide the whole reserve among them. It sees the same view, and counted itself as one of the fewer. As they return, each has the larger part until the view lists all again, and what the others have spent still stands in the window. A process that starts while it is not listed does the same.

A proxy withholds its part while it is not listed, and for a window and a second after it is listed again. At the first start of all the reserve is free before the first listing, as before.

What remains: proxies that are cut off from the control group keep their part by the last view, while the others divide the whole after a window: a quarter of the proxies is covered by the fifth of the reserve that is not used, more are not.

--- a/process/ingress/lane.go
+++ b/process/ingress/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,10 @@
 	listed       listing // of that version
 	byService    map[string]*upstream
 	proxyCounter proxyCounter
+	// isListed is true if the last view lists this proxy. reserveHeldUntil is until when its part of the
+	// reserves is withheld for that.
+	isListed         bool
+	reserveHeldUntil time.Duration
 }
 
 func newUpstreams(config Config, clock func() time.Duration) *upstreams {
@@ -80,7 +85,8 @@
 func (u *upstreams) newBudget() *retry.ProxyBudget {
 	config := u.config.Retry
 	reserve := reserveShare(config.Reserve, int(u.proxies.Load()))
-	return retry.NewProxyBudget(usableShare*config.Share, reserve, config.Window, config.Settle)
+	settle := max(config.Settle, u.reserveHeldUntil)
+	return retry.NewProxyBudget(usableShare*config.Share, reserve, config.Window, settle)
 }
 
 // update applies a view that is newer than the last one. Requests in flight to replicas that are
@@ -100,9 +106,39 @@
 		upstream.fleet.update(u.listed, now)
 		upstream.budget.SetReserve(share)
 	}
+	_, listed := current.Proxies[u.config.Name]
+	u.observeOwnListing(listed, now)
 	u.holdoffs.Forget(now)
 }
 
+const (
+	// unlisted is the end of the time in which the reserve is withheld while this proxy is not listed.
+	unlisted = time.Duration(math.MaxInt64)
+	// listingDelay is how much later than this proxy others may receive the view that lists it again.
+	listingDelay = time.Second
+)
+
+// observeOwnListing withholds this proxy's part of the reserves while it is not listed, because the others
+// then divide them without it, and afterwards until what they have spent has left the window. At the first
+// start of all proxies nothing has been spent, and it need not wait until it is listed.
+func (u *upstreams) observeOwnListing(listed bool, now time.Duration) {
+	firstStart := u.config.Retry.Settle < 0
+	switch {
+	case !listed && (u.isListed || !firstStart):
+		u.holdReserves(unlisted)
+	case listed && u.reserveHeldUntil == unlisted:
+		u.holdReserves(now + u.config.Retry.Window + listingDelay)
+	}
+	u.isListed = listed
+}
+
+func (u *upstreams) holdReserves(until time.Duration) {
+	u.reserveHeldUntil = until
+	for _, upstream := range u.byService {
+		upstream.budget.HoldReserve(max(u.config.Retry.Settle, until))
+	}
+}
+
 // proxyCounter counts the proxies that share a reserve: the maximum number listed within the last
 // window. One that is no longer listed may still serve, or may have used its share within the
 // current window.
--- a/process/ingress/retries_test.go
+++ b/process/ingress/retries_test.go
@@ -22,11 +22,16 @@
 	requests  []time.Duration // when clients sent them, in order
 	retries   []time.Duration // when they were granted, in order
 	wanted    int             // retries that were asked for
+	// partitioned proxies get no requests. listed are those that the view lists, of the given revision.
+	partitioned map[int]bool
+	listed      map[string]*api.Proxy
+	revision    uint64
 }
 
 // retryProcess is one process of a proxy. Its clock starts at zero with it.
 type retryProcess struct {
 	startedAt time.Duration
+	upstreams *upstreams
 	upstream  *upstream
 }
 
@@ -47,19 +52,52 @@
 	for i := range fleet.processes {
 		fleet.start(i)
 	}
+	fleet.relist()
 	return fleet
 }
 
+// relist sends all processes a view that lists the proxies that are not partitioned.
+func (f *retryFleet) relist() {
+	f.revision++
+	f.listed = map[string]*api.Proxy{}
+	for i := range f.processes {
+		if !f.partitioned[i] {
+			f.listed[retryProxyName(i)] = &api.Proxy{}
+		}
+	}
+	for _, process := range f.processes {
+		f.update(process)
+	}
+}
+
+// update sends a process the present view.
+func (f *retryFleet) update(process *retryProcess) {
+	current := &view.View{Version: view.Version{Term: 1, Revision: f.revision}, Proxies: f.listed}
+	process.upstreams.update(current, f.now-process.startedAt)
+}
+
+func retryProxyName(number int) string { return fmt.Sprint("proxy-", number) }
+
+// partition partitions all but the given share of the proxies, or none if it is 1. The view lists them again, or no
+// longer, after the delay, in which requests fail with the probability.
+func (f *retryFleet) partition(connected float64, delay time.Duration, requestsPerSecond int, failing float64) {
+	f.partitioned = map[int]bool{}
+	for _, proxy := range f.random.Perm(len(f.processes))[max(1, int(connected*float64(len(f.processes)))):] {
+		f.partitioned[proxy] = true
+	}
+	f.play(requestsPerSecond, delay, failing)
+	f.relist()
+}
+
 // start replaces the process of a proxy.
 func (f *retryFleet) start(proxy int) {
 	process := &retryProcess{startedAt: f.now}
-	upstreams := newUpstreams(Config{Retry: f.budget}.WithDefaults(), func() time.Duration { return f.now - process.startedAt })
-	listed := map[string]*api.Proxy{}
-	for i := range f.processes {
-		listed[fmt.Sprint("proxy-", i)] = &api.Proxy{}
+	config := Config{Name: retryProxyName(proxy), Retry: f.budget}.WithDefaults()
+	process.upstreams = newUpstreams(config, func() time.Duration { return f.now - process.startedAt })
+	if f.revision > 0 {
+		f.update(process)
 	}
-	upstreams.update(&view.View{Version: view.Version{Term: 1, Revision: 1}, Proxies: listed}, 0)
-	process.upstream = upstreams.get("model")
+	process.upstream = process.upstreams.get("model")
 	f.processes[proxy] = process
 }
 
@@ -79,7 +117,11 @@
 func (f *retryFleet) play(requestsPerSecond int, duration time.Duration, failing float64) {
 	interval := time.Second / time.Duration(requestsPerSecond)
 	for end := f.now + duration; f.now < end; f.now += interval {
-		process := f.processes[f.random.IntN(len(f.processes))]
+		proxy := f.random.IntN(len(f.processes))
+		for f.partitioned[proxy] {
+			proxy = f.random.IntN(len(f.processes))
+		}
+		process := f.processes[proxy]
 		f.requests = append(f.requests, f.now)
 		process.upstream.budget.CountRequest(f.now - process.startedAt)
 		if f.random.Float64() >= failing {
@@ -158,6 +200,27 @@
 	})
 }
 
+// Guards against proxies that return from a partition and use their parts of the reserve, although the others have
+// divided it among themselves meanwhile; through kills of single proxies, of many and of all meanwhile.
+func TestProxiesThatReturnStayWithinTheRetryBudget(t *testing.T) {
+	eachRetryFleet(t, func(t *testing.T, size retryFleetSize, fleet *retryFleet) {
+		for _, rate := range []int{size.requestsPerSecond, max(1, size.requestsPerSecond/10)} {
+			fleet.play(rate, 12*time.Second, 0)
+			fleet.partition([]float64{0.05, 0.17, 0.34, 0.67}[fleet.random.IntN(4)], 200*time.Millisecond, rate, 0.8)
+			for range 8 + fleet.random.IntN(24) {
+				fleet.play(rate, time.Second, []float64{0, 0.8, 1}[fleet.random.IntN(3)])
+				fleet.relist()
+				if fleet.random.IntN(8) == 0 {
+					fleet.kill([]float64{0.01, 0.34, 1}[fleet.random.IntN(3)], false)
+				}
+			}
+			fleet.partition(1, time.Duration(200+fleet.random.IntN(4000))*time.Millisecond, rate, 1)
+			fleet.play(rate, 22*time.Second, 1)
+		}
+		fleet.checkEveryWindow(t)
+	})
+}
+
 // Guards against a budget that is kept by granting nothing: a tenth of the requests fails for half a minute, of
 // which the budget allows all, whether the processes are old or all of them have just started.
 func TestRetriesWithinTheBudgetAreGranted(t *testing.T) {
@@ -175,3 +238,39 @@
 		}
 	})
 }
+
+// Guards against a reserve that is used while the others divide it without this proxy, or while what they spent then
+// still counts; and against one that is withheld at the first start of all, when nobody has spent anything.
+func TestReserveIsWithheldWhileTheProxyIsNotListed(t *testing.T) {
+	const window = 10 * time.Second
+	for _, test := range []struct {
+		name   string
+		settle time.Duration
+		first  bool // at the first start, it may be used before the proxy is listed
+	}{{"first start", -1, true}, {"later start", window, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			upstreams := newUpstreams(Config{Name: "own", Retry: RetryBudget{Reserve: 100, Window: window, Settle: test.settle}}, nil)
+			upstreams.clock = func() time.Duration { return 0 }
+			revision := uint64(0)
+			list := func(now time.Duration, names ...string) {
+				revision++
+				listed := map[string]*api.Proxy{"other": {}}
+				for _, name := range names {
+					listed[name] = &api.Proxy{}
+				}
+				upstreams.update(&view.View{Version: view.Version{Term: 1, Revision: revision}, Proxies: listed}, now)
+			}
+			grants := func(now time.Duration) bool { return upstreams.get("used").budget.Withdraw(now) }
+			list(0)
+			must.Eq(t, test.first, grants(2*window), must.Sprint("not listed yet"))
+			list(2*window, "own")
+			must.True(t, grants(3*window+listingDelay))
+			list(4 * window)
+			must.False(t, grants(9*window))
+			must.False(t, upstreams.get("not used before").budget.Withdraw(9*window))
+			list(9*window, "own")
+			must.False(t, grants(10*window))
+			must.True(t, grants(10*window+listingDelay))
+		})
+	}
+}
--- a/request/retry/proxybudget.go
+++ b/request/retry/proxybudget.go
@@ -52,6 +52,9 @@
 	b.credit.fraction = fraction
 }
 
+// HoldReserve withholds the reserve until the given time.
+func (b *ProxyBudget) HoldReserve(until time.Duration) { b.reserve.HoldReserve(until) }
+
 // CountRequest counts the first send of a request.
 func (b *ProxyBudget) CountRequest(now time.Duration) {
 	b.lock.Lock()
