--- a/lab/campaign/partition_test.go
+++ b/lab/campaign/partition_test.go
@@ -22,7 +22,7 @@
 	partitionPlayed  = 30 * time.Second
 )
 
-// partitionModel plays proxies, the leader's board and replicas in virtual time. Proxies tell by a reach.Tracker
+// partitionModel plays proxies, the leader's board and replicas in virtual time. Proxies decide by a reach.Tracker
 // whether a failure is the replica's, and report only such failures.
 type partitionModel struct {
 	random  *rand.Rand
--- a/process/ingress/config.go
+++ b/process/ingress/config.go
@@ -93,9 +93,8 @@
 	Share   float64 // retries per request
 	Reserve float64 // retries
 	Window  time.Duration
-	// Settle is how long a process that has just started leaves its part of the reserve unused, since
-	// its predecessor may have spent it in the same window. 0 means Window. A negative value disables
-	// this: no process has spent anything yet.
+	// Settle is how long a process that has just started leaves its part of the reserve unused, since its predecessor may have spent it in the same window. 0 means Window, and a
+	// negative value disables this.
 	Settle time.Duration
 }
 
--- a/process/ingress/reachability_test.go
+++ b/process/ingress/reachability_test.go
@@ -402,7 +402,7 @@
 	must.Less(t, 1400*time.Millisecond, time.Since(began))
 }
 
-// Guards against a single replica, which cannot be told from a partition, taking its proxies away with it.
+// Guards against a single replica, which looks like a partition, taking its proxies away with it.
 func TestOnlyReplicaIsNoPartition(t *testing.T) {
 	env, links, announced := newLinkedEnv(t, plainReplicas(t, 1, answerOK)...)
 	links.set(true, false, true)
