Guard: a refused request's log line says what its hold rests on

The printed lines end before the refusal, and the refusal itself says only for how long it holds: not whether the record, a trial, a member's report or the proxy's own view was the reason. These are the hypotheses to tell apart, so the reason is logged. No decision changes.

--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -27,7 +27,7 @@
 		"A replica closed or reset its connection while it was at work on a request, as one that ends does. fingerprint is the same for each request with that method, host, path, caller and body; events is how many had come of this run; alone says that nothing else was in flight there and that nobody listens there any more, listens that somebody does, leaving that the replica was to end anyway.",
 		"Count the replicas by fingerprint: one that stands for several of them and is served nowhere ends them.")
 	RequestHeld = define(4607, "request_held", Info,
-		"A request went to no replica, or to no further one, since replicas end under it. rest_ms is for how long yet.",
+		"A request went to no replica, or to no further one, since replicas end under it. rest_ms is for how long yet. by says what this rests on: the record (held, settling or a trial elsewhere), a member's report while no leader commits (member_report), or what this process knows while it has no leader (cut_off).",
 		"Look the fingerprint up: landingtrail get quarantine FINGERPRINT. Release it once the request or the replicas are mended.")
 	ReplicaAsks = define(4608, "replica_asks", Info,
 		"A replica's answer asks this process to send it nothing for retry_after_ms, or nothing new any more since it leaves. stage says what was asked, status how it was answered.",
--- a/process/guard/guard.go
+++ b/process/guard/guard.go
@@ -308,29 +308,62 @@
 	}
 }
 
-// CheckHold reports whether a request must not be sent to any replica, and for how long; remaining
-// is 0 if it may be sent. A request on record as held or settling (about to be held) is sent
+// Hold says why a request must not be sent to any replica.
+type Hold struct {
+	Basis     HoldBasis
+	Remaining time.Duration // how long it lasts, by what is known now
+}
+
+// HoldBasis is what a hold rests on.
+type HoldBasis uint8
+
+// Bases of a hold.
+const (
+	BasisRecord       HoldBasis = iota + 1 // the record says that the request is held
+	BasisSettling                          // the record says that it is about to be held
+	BasisTrial                             // it is on trial, and another owner has the trial
+	BasisCutOff                            // this proxy is cut off and judges by what it knows itself
+	BasisMemberReport                      // a member without a leader reported crashes
+	BasisOwnCrashes                        // enough replicas crashed while the proxy processed the request
+)
+
+func (b HoldBasis) String() string {
+	names := [...]string{"none", "record", "settling", "trial", "cut_off", "member_report", "own_crashes"}
+	return names[b]
+}
+
+// CheckHold reports whether a request must not be sent to any replica, and why and for how long; the
+// hold is zero if it may be sent. A request on record as held or settling (about to be held) is sent
 // nowhere. One on trial may be sent by one owner at a time: CheckHold claims the trial for the
 // owner, who must call EndTrial. If no such state is on record, the observations of a proxy that
 // is cut off, or that acts on a member's report, decide.
-func (g *Guard) CheckHold(now time.Duration, wall time.Time, fingerprint quarantine.Fingerprint, owner any) (remaining time.Duration, held bool) {
+func (g *Guard) CheckHold(now time.Duration, wall time.Time, fingerprint quarantine.Fingerprint, owner any) (hold Hold, held bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	entry := g.recorded[fingerprint.String()]
 	switch {
 	case entry == nil:
 	case entry.Spec.State == api.QuarantineHeld:
-		return max(time.UnixMilli(entry.Spec.Until).Sub(wall), MinHold), true
+		return Hold{BasisRecord, max(time.UnixMilli(entry.Spec.Until).Sub(wall), MinHold)}, true
 	case entry.Spec.State == api.QuarantineSettling:
-		return trialRetryAfter, true
+		return Hold{BasisSettling, trialRetryAfter}, true
 	case entry.Spec.State == api.QuarantineTried:
-		return trialRetryAfter, !g.claimTrial(fingerprint, entry.Spec.Until, owner)
+		if g.claimTrial(fingerprint, entry.Spec.Until, owner) {
+			return Hold{}, false
+		}
+		return Hold{BasisTrial, trialRetryAfter}, true
 	}
 	// The record alone decides, or the evidence known here does not suffice.
-	if !g.updateCutOff(now) && now >= g.reportedUntil || !g.table.IsHarmfulOnPartialView(fingerprint) {
-		return 0, false
+	basis := BasisMemberReport
+	if g.updateCutOff(now) {
+		basis = BasisCutOff
+	} else if now >= g.reportedUntil {
+		return Hold{}, false
+	}
+	if !g.table.IsHarmfulOnPartialView(fingerprint) {
+		return Hold{}, false
 	}
-	return max(g.table.HarmfulFor(now, fingerprint), MinHold), true
+	return Hold{basis, max(g.table.HarmfulFor(now, fingerprint), MinHold)}, true
 }
 
 // RequiresLeader reports whether only the control group may place a request: enough replicas have
--- a/process/guard/guard_test.go
+++ b/process/guard/guard_test.go
@@ -57,9 +57,9 @@
 	}
 	must.False(t, guard.holdsCrashing(later, wall), must.Sprint("this proxy's observations do not count while it has a leader"))
 	guard.Follow(recordView(2, api.QuarantineHeld, wall.Add(time.Hour), "r-0", "r-1", "r-2"), later)
-	remaining, held := guard.CheckHold(later, wall, crashingRequest, nil)
+	hold, held := guard.CheckHold(later, wall, crashingRequest, nil)
 	must.True(t, held)
-	must.Eq(t, time.Hour, remaining)
+	must.Eq(t, Hold{BasisRecord, time.Hour}, hold)
 	guard.Follow(recordView(1, "", wall), later)
 	must.True(t, guard.holdsCrashing(later, wall))
 	guard.Follow(recordView(3, "", wall), later)
@@ -194,9 +194,9 @@
 	guard, wall := New("p-1"), time.Unix(1_700_000_000, 0)
 	guard.SetReporter(&fakeGroup{connected: true})
 	guard.Follow(recordView(2, api.QuarantineSettling, wall.Add(time.Second), "a", "b", "c"), 0)
-	remaining, held := guard.CheckHold(0, wall, crashingRequest, "first")
+	hold, held := guard.CheckHold(0, wall, crashingRequest, "first")
 	must.True(t, held)
-	must.Eq(t, trialRetryAfter, remaining)
+	must.Eq(t, Hold{BasisSettling, trialRetryAfter}, hold)
 }
 
 // A proxy that judges by itself counts recorded crashes that happened at one moment as one
--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -10,6 +10,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/process/event"
+	"github.com/landingtrail/landingtrail/process/guard"
 	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/quarantine"
 	"github.com/pkg/errors"
@@ -125,11 +126,11 @@
 }
 
 // quarantineHold reports whether the request must not be sent to any replica because it crashes
-// them, and for how long. If the request is on trial, it claims the trial for this session if it
+// them, and why. If the request is on trial, it claims the trial for this session if it
 // can; see guard.Guard.CheckHold.
-func (s *session) quarantineHold() (remaining time.Duration, quarantined bool) {
+func (s *session) quarantineHold() (hold guard.Hold, quarantined bool) {
 	if !s.ingress.guard.Active() {
-		return 0, false
+		return guard.Hold{}, false
 	}
 	return s.ingress.guard.CheckHold(s.ingress.now(), time.Now(), s.fingerprint(), s)
 }
@@ -144,17 +145,17 @@
 // refuseQuarantined immediately answers a request that crashes replicas, and returns the status as
 // run does. If the request has certainly not run, the answer tells the caller to retry when the
 // hold ends.
-func (s *session) refuseQuarantined(remaining time.Duration) int {
+func (s *session) refuseQuarantined(hold guard.Hold) int {
 	s.ingress.metrics.quarantinedRequests.WithLabelValues(s.upstream.service).Inc()
 	event.RequestHeld.Log(s.ingress.logger, "request", s.call.ID, "fingerprint", s.fingerprint(), "route", s.route.Name,
-		"sends", s.sendCount, "rest_ms", remaining.Milliseconds())
+		"sends", s.sendCount, "by", hold.Basis, "rest_ms", hold.Remaining.Milliseconds())
 	ran := s.lifecycle.GiveUp()
 	if s.headSent {
 		s.trace.WriteString(" cut:" + causeQuarantined)
 		return 0
 	}
 	if ran == attempt.RanNo {
-		return s.answerError(http.StatusServiceUnavailable, causeQuarantined, remaining)
+		return s.answerError(http.StatusServiceUnavailable, causeQuarantined, hold.Remaining)
 	}
 	return s.answerError(http.StatusBadGateway, causeQuarantined, 0)
 }
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -115,8 +115,8 @@
 		}
 		// Checked before each send: a crash that became known in the meantime may have quarantined
 		// the request.
-		if remaining, quarantined := s.quarantineHold(); quarantined {
-			return s.refuseQuarantined(remaining)
+		if hold, quarantined := s.quarantineHold(); quarantined {
+			return s.refuseQuarantined(hold)
 		}
 		if !s.mayAttempt() {
 			return s.giveUp("attempts")
--- a/process/proxy/quarantine.go
+++ b/process/proxy/quarantine.go
@@ -96,15 +96,15 @@
 }
 
 // quarantined reports whether the request is quarantined, that is must not be sent to any engine, and
-// for how long. It is so before the control group decides if HarmfulIncidents engines crashed
+// why. It is so before the control group decides if HarmfulIncidents engines crashed
 // during this call, or if at least one did and HasManyCrashes finds enough crashes for the
 // fingerprint.
-func (c *modelCall) quarantined() (remaining time.Duration, isQuarantined bool) {
+func (c *modelCall) quarantined() (hold guard.Hold, isQuarantined bool) {
 	if c.crashedEngines >= quarantine.HarmfulIncidents || c.crashedEngines > 0 && c.proxy.guard.HasManyCrashes(c.proxy.clock(), c.fingerprint()) {
-		return guard.MinHold, true
+		return guard.Hold{Basis: guard.BasisOwnCrashes, Remaining: guard.MinHold}, true
 	}
 	if !c.proxy.guard.Active() {
-		return 0, false
+		return guard.Hold{}, false
 	}
 	return c.proxy.guard.CheckHold(c.proxy.clock(), time.Now(), c.fingerprint(), nil) // no owner: no request is tried
 }
@@ -112,14 +112,14 @@
 // refuseQuarantined returns the failure of a request that is quarantined because engines crashed
 // while processing it, or nil for any other.
 func (c *modelCall) refuseQuarantined() *failure {
-	remaining, isQuarantined := c.quarantined()
+	hold, isQuarantined := c.quarantined()
 	if !isQuarantined {
 		return nil
 	}
 	c.proxy.metrics.held.Inc()
 	event.ProxyRequestHeld.Log(c.proxy.logger, "request", c.id, "fingerprint", c.fingerprint(), "class", c.headers.class,
-		"rest_ms", remaining.Milliseconds())
-	failed := unavailableFailure(codeQuarantined, "engines ended under this request; it is held", remaining)
+		"by", hold.Basis, "rest_ms", hold.Remaining.Milliseconds())
+	failed := unavailableFailure(codeQuarantined, "engines ended under this request; it is held", hold.Remaining)
 	failed.final = true
 	return failed
 }
