Quarantine: the rule for a partial view is never looser than the full one

Cause: IsHarmfulOnPartialView asked for four incidents, but took another request for the likelier cause only if it had as many. A request that was in flight at the three ends of a harmful one and met one unrelated end had four, so none was explained, while the leader asks for a lead of two. Ends that are weak evidence counted in full as well.

Evidence: both tests fail on the code before (the verdict of the leader is Watched in both). Mend: what the full view requires holds first, then the stricter conditions.

--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -314,18 +314,22 @@
 	return known != nil && len(known.incidents()) >= WatchedIncidents
 }
 
-// IsHarmfulOnPartialView reports whether a request is harmful by a stricter rule, for a process
-// with a partial view. The rule requires one more incident, counts no prefill runs and ignores
-// incidents in which another request of the same or a higher rank was in flight, without regard to
-// holds.
+// IsHarmfulOnPartialView reports whether a request is harmful by a rule for a process with a partial
+// view. Beyond what Verdict requires, it requires one more incident, counts no prefill runs, and
+// ignores incidents in which another request of the same or a higher rank was in flight, without
+// regard to holds.
 func (t *Table) IsHarmfulOnPartialView(fingerprint Fingerprint) bool {
 	known := t.requests[fingerprint]
 	if known == nil {
 		return false
 	}
-	return len(t.unexplained(fingerprint, known.withoutPrefill(), func(other *entry) bool {
-		return other.rank().compare(known.rank()) >= 0
-	})) >= certainFailures
+	if harmful, _ := t.isHarmful(fingerprint, known); !harmful {
+		return false
+	}
+	own := t.unexplained(fingerprint, known.withoutPrefill(), func(other *entry) bool {
+		return t.explains(other, known) || other.rank().compare(known.rank()) >= 0
+	})
+	return len(own) >= certainFailures
 }
 
 // HarmfulFor returns how long a harmful request still has HarmfulIncidents incidents if no more
--- a/request/quarantine/table_test.go
+++ b/request/quarantine/table_test.go
@@ -49,6 +49,32 @@
 	must.False(t, table.IsHarmfulOnPartialView(fingerprintOf("other")))
 }
 
+// Guards against refusing a harmless request at a proxy without a leader: one that was in flight at
+// all failures of a harmful request and then at an unrelated one has more failures than that.
+func TestBystanderWithOneFailureMoreIsNotHarmfulOnAPartialView(t *testing.T) {
+	for _, held := range []bool{false, true} {
+		table := NewTable()
+		for i := range 3 {
+			noteFailure(table, 0, fmt.Sprint("r", i), "fatal", "popular")
+		}
+		table.SetHeld(fingerprintOf("fatal"), held)
+		noteFailure(table, time.Minute, "unrelated", "popular")
+		must.Eq(t, Watched, table.Verdict(time.Minute+pastSettling, fingerprintOf("popular")))
+		must.False(t, table.IsHarmfulOnPartialView(fingerprintOf("popular")), must.Sprint("fatal is held: ", held))
+	}
+}
+
+// Guards against refusing a harmless request at a proxy without a leader: failures after which the
+// replicas kept listening are as weak there as for the leader.
+func TestWeakFailuresAreNotHarmfulOnAPartialView(t *testing.T) {
+	table := NewTable()
+	for i := range certainFailures {
+		table.RecordFailure(0, Evidence{Fingerprint: fingerprintOf("popular"), Replica: fmt.Sprint("r", i), StillListening: true})
+	}
+	must.Eq(t, Watched, table.Verdict(pastSettling, fingerprintOf("popular")))
+	must.False(t, table.IsHarmfulOnPartialView(fingerprintOf("popular")))
+}
+
 func TestOneReplicaCountsOnce(t *testing.T) {
 	table := NewTable()
 	for range 5 {
