Guard: a proxy that learns the whole record at once compares with held requests first

What callers saw: a harmless request refused at a proxy that started without a leader, or not, by chance: the record is a map, and what ended while the harmful request was held counted against the bystander only if the bystander's entry was applied first. A new leader already loads held requests first; both use the same order now (api.HeldFirst).

--- a/process/control/quarantine_review.go
+++ b/process/control/quarantine_review.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -173,10 +172,7 @@
 	clear(d.sentEarly)
 	d.reviewUntil = max(d.reviewUntil, d.decideFrom+reviewPeriod)
 	// Held requests are loaded first, since a request cannot have caused crashes while it was held.
-	names := slices.SortedFunc(maps.Keys(current.Quarantines), func(a, b string) int {
-		return cmp.Or(-compareHeld(current.Quarantines[a], current.Quarantines[b]), cmp.Compare(a, b))
-	})
-	for _, name := range names {
+	for _, name := range api.HeldFirst(current.Quarantines) {
 		known := current.Quarantines[name]
 		fingerprint, ok := quarantine.ParseFingerprint(name)
 		if !ok {
@@ -195,18 +191,6 @@
 	return true
 }
 
-// compareHeld compares two entries by whether they are held; a held entry is the greater one.
-func compareHeld(a, b *api.Quarantine) int {
-	switch isHeld := b.Spec.State == api.QuarantineHeld; {
-	case isHeld == (a.Spec.State == api.QuarantineHeld):
-		return 0
-	case isHeld:
-		return -1
-	default:
-		return 1
-	}
-}
-
 func aboutOf(spec *api.QuarantineSpec) quarantine.RequestInfo {
 	return quarantine.RequestInfo{Service: spec.Service, Route: spec.Route, Request: spec.Request}
 }
--- a/process/guard/guard.go
+++ b/process/guard/guard.go
@@ -108,7 +108,9 @@
 	}
 	before := g.recorded
 	g.recorded = current.Quarantines
-	for name, entry := range g.recorded {
+	// Held requests are loaded first, since a request cannot have caused crashes while it was held.
+	for _, name := range api.HeldFirst(g.recorded) {
+		entry := g.recorded[name]
 		if earlier := before[name]; earlier == nil || earlier.Revision != entry.Revision {
 			g.applyRecord(earlier, entry, now)
 		}
--- a/process/guard/guard_test.go
+++ b/process/guard/guard_test.go
@@ -225,3 +225,23 @@
 	must.SliceLen(t, 1, leader.reports)
 	must.Eq(t, []quarantine.Fingerprint{crashingRequest}, leader.reports[0].Served)
 }
+
+// Guards against refusing a harmless request at a proxy that starts without a leader and learns the
+// whole record at once. What crashed while the harmful request was held, and therefore ran nowhere,
+// says nothing about which of the two crashed the replicas that they have in common.
+func TestRestartedProxyComparesWithTheHeldRequest(t *testing.T) {
+	bystander := quarantine.FingerprintOf(quarantine.RequestIdentity{Path: "/popular"})
+	wall := time.Unix(1_700_000_000, 0)
+	recorded := recordView(2, api.QuarantineHeld, wall.Add(time.Hour), "r-0", "r-1", "r-2")
+	recorded.Quarantines[bystander.String()] = &api.Quarantine{
+		Metadata: api.Metadata{Name: bystander.String(), Revision: 2},
+		Spec:     api.QuarantineSpec{State: api.QuarantineWatched, Replicas: []string{"r-0", "r-1", "r-2", "other-1", "other-2"}},
+	}
+	for range 20 { // the record is a map
+		guard := New("p")
+		guard.Follow(recorded, 0)
+		must.True(t, guard.holdsCrashing(0, wall))
+		_, held := guard.CheckHold(later, wall, bystander, nil)
+		must.False(t, held)
+	}
+}
--- a/version/api/quarantine.go
+++ b/version/api/quarantine.go
@@ -1,5 +1,11 @@
 package api
 
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
 // Quarantine records a request that was running when replicas crashed and may be the cause. Its
 // name is the request's fingerprint in hex: a hash of its method, host, path, query, caller and
 // body, but not of the request ID. The body is not stored.
@@ -32,6 +38,20 @@
 // A request that is tried after a hold (Times > 0) crashed its replicas one after the other.
 func (s *QuarantineSpec) EndedAtOnce() bool { return s.State == QuarantineTried && s.Times == 0 }
 
+// HeldFirst returns the names of quarantines with the held ones before all others, otherwise ordered
+// by name.
+func HeldFirst(recorded map[string]*Quarantine) []string {
+	rank := func(name string) int {
+		if recorded[name].Spec.State == QuarantineHeld {
+			return 0
+		}
+		return 1
+	}
+	return slices.SortedFunc(maps.Keys(recorded), func(a, b string) int {
+		return cmp.Or(rank(a)-rank(b), cmp.Compare(a, b))
+	})
+}
+
 // QuarantineSpec is what the control group knows about the request.
 type QuarantineSpec struct {
 	State   QuarantineState `json:"state" yaml:"state"`
