Tests: replicas of a proxy without a leader end as crashed ones do

TestCutOffProxyUsesItsOwnObservations failed since the rule for a partial view takes weak evidence as the leader does: its replicas reset the connections of the harmful request and went on listening, which a crashed process does not. They close their listener now; the bound (four ends, then none) is the same.

--- a/process/ingress/quarantine_test.go
+++ b/process/ingress/quarantine_test.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// newCrashingReplica returns a replica that requests of one kind crash: it closes their connections and
+// listens no longer.
+func newCrashingReplica(t *testing.T, name, kind string) *fakeReplica {
+	var crashing *fakeReplica
+	crashing = newFakeReplica(t, name, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Test-Sort") == kind {
+			_ = crashing.server.Listener.Close()
+		}
+		crashOn(kind)(w, r)
+	})
+	return crashing
+}
+
 // crashRequest is a request that crashes every replica of these tests.
 func crashRequest(id string) testRequest {
 	return testRequest{method: "GET", target: "/safe/x?q=1", id: id, fields: map[string]string{"Test-Sort": "fatal"}}
@@ -113,7 +126,12 @@
 
 // A proxy without a leader uses its own observations.
 func TestCutOffProxyUsesItsOwnObservations(t *testing.T) {
-	env, reporter, replicas := newQuarantineEnv(t, 8)
+	var replicas []*fakeReplica
+	for i := range 8 {
+		replicas = append(replicas, newCrashingReplica(t, fmt.Sprint("r-", i), "fatal"))
+	}
+	env, reporter := newTestEnv(t, replicas...), &recordingReporter{}
+	env.ingress.guard.SetReporter(reporter)
 	for i := range 2 {
 		env.do(crashRequest(fmt.Sprint("q-", i)))
 	}
@@ -131,6 +149,16 @@
 	must.Greater(t, 4, totalRequests(replicas))
 }
 
+// Guards against refusing a harmless request at a proxy without a leader for connections that faulty
+// replicas reset, which go on listening.
+func TestCutOffProxyHoldsNothingForReplicasThatListen(t *testing.T) {
+	env, _, replicas := newQuarantineEnv(t, 8)
+	for i := range 3 {
+		must.Eq(t, http.StatusBadGateway, env.do(crashRequest(fmt.Sprint("q-", i))).status)
+	}
+	must.Greater(t, 4, totalRequests(replicas))
+}
+
 // The record from before the loss of the leader is combined with later observations.
 func TestRecordIsCombinedWithOwnObservations(t *testing.T) {
 	env, _, replicas := newQuarantineEnv(t, 3)
