--- a/process/ingress/config.go
+++ b/process/ingress/config.go
@@ -93,8 +93,9 @@
 	Share   float64 // retries per request
 	Reserve float64 // retries
 	Window  time.Duration
-	// Settle is how long a process that has just started leaves its part of the reserve unused, since its predecessor may have spent it in the same window. 0 means Window, and a
-	// negative value disables this.
+	// Settle is how long a process that has just started leaves its part of the reserve unused, since
+	// the process before it may have spent it in the same window. 0 means Window; a negative value
+	// means no time at all.
 	Settle time.Duration
 }
 
--- a/process/ingress/lane.go
+++ b/process/ingress/lane.go
@@ -112,8 +112,8 @@
 }
 
 const (
-	// unlisted is the end of the time in which the reserve is withheld while this proxy is not listed.
-	unlisted = time.Duration(math.MaxInt64)
+	// untilListed is the end of a time that ends once this proxy is listed.
+	untilListed = time.Duration(math.MaxInt64)
 	// listingDelay is how much later than this proxy others may receive the view that lists it again.
 	listingDelay = time.Second
 )
@@ -125,13 +125,15 @@
 	firstStart := u.config.Retry.Settle < 0
 	switch {
 	case !listed && (u.isListed || !firstStart):
-		u.holdReserves(unlisted)
-	case listed && u.reserveHeldUntil == unlisted:
+		u.holdReserves(untilListed)
+	case listed && u.reserveHeldUntil == untilListed:
 		u.holdReserves(now + u.config.Retry.Window + listingDelay)
 	}
 	u.isListed = listed
 }
 
+// holdReserves withholds this proxy's part of the reserves of all services until the given time, and
+// for RetryBudget.Settle after its start in any case.
 func (u *upstreams) holdReserves(until time.Duration) {
 	u.reserveHeldUntil = until
 	for _, upstream := range u.byService {
--- a/process/ingress/reachability.go
+++ b/process/ingress/reachability.go
@@ -2,18 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/request/reach"
-	"github.com/landingtrail/landingtrail/version/api"
 )
 
 // A proxy can lose its links to all replicas while its callers, the control group and the other
@@ -30,18 +25,13 @@
 	// verifyGrace is how long data from a replica is awaited before a connection is opened to verify
 	// that one is reached.
 	verifyGrace = 10 * time.Millisecond
-	// roundSize is the number of replicas to which one round opens connections, in stages: to one, then
-	// to stageGrowth times as many as in the stage before. There are many, since a few replicas that are
+	// roundSize is the number of replicas to which one round opens connections, in stages (see
+	// connectAny). There are many, since a few replicas that are
 	// gone and still listed do not show a partition.
-	roundSize   = 1 + stageGrowth + stageGrowth*stageGrowth
-	stageGrowth = 4
-	// minRoundSize is the least number of replicas that can show a partition: a single one that fails
-	// cannot be told from a partition, and no other one could serve.
+	roundSize = 1 + stageGrowth + stageGrowth*stageGrowth
+	// minRoundSize is the least number of replicas that can show a partition: if there is a single one,
+	// its failure cannot be distinguished from a partition, and no other one could serve.
 	minRoundSize = 2
-	// stageInterval is how long the connections of one stage are awaited before the next stage begins as
-	// well; connectTimeout limits each connection.
-	stageInterval  = 100 * time.Millisecond
-	connectTimeout = 400 * time.Millisecond
 	// reconnectSize is the number of replicas to which a round opens connections while partitioned.
 	reconnectSize = 1 + stageGrowth
 	// reconnectInterval is the pause between two rounds while partitioned.
@@ -213,175 +203,6 @@
 	r.announce()
 }
 
-// connectAny reports whether a connection to any of the addresses could be opened. It tries them in
-// stages of growing size.
-func (r *reachability) connectAny(ctx context.Context, addresses []string) bool {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan bool, len(addresses))
-	stageTimer := time.NewTicker(stageInterval)
-	defer stageTimer.Stop()
-	rest, stageSize, pending := addresses, 1, 0
-	for pending > 0 || len(rest) > 0 {
-		stage := rest[:min(stageSize, len(rest))]
-		rest = rest[len(stage):]
-		stageSize *= stageGrowth
-		pending += len(stage)
-		for _, address := range stage {
-			go func() { results <- r.ingress.connects(ctx, address, connectTimeout) }()
-		}
-		for endStage := false; pending > 0 && !endStage; {
-			select {
-			case connected := <-results:
-				if connected {
-					return true
-				}
-				pending--
-			case <-stageTimer.C:
-				endStage = len(rest) > 0
-			}
-		}
-	}
-	return false
-}
-
-// connects reports whether a connection to the address can be opened within the timeout. Nothing is
-// sent on it.
-func (i *Ingress) connects(ctx context.Context, address string, timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	conn, err := i.dial(ctx, address)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
-}
-
-// dial opens a connection to a replica outside of the pools.
-func (i *Ingress) dial(ctx context.Context, address string) (net.Conn, error) {
-	if i.config.Dial != nil {
-		return i.config.Dial(ctx, address)
-	}
-	return new(net.Dialer).DialContext(ctx, "tcp", address)
-}
-
-// sampleAddresses returns the addresses of at most the given number of listed replicas of all
-// services, those that most likely accept connections first: the ones heard of last, those that were
-// not used, in random order, and those that gave no response lately.
-func (u *upstreams) sampleAddresses(most int) []string {
-	type candidate struct {
-		address string
-		contact contact
-	}
-	now := u.clock()
-	u.lock.Lock()
-	defer u.lock.Unlock()
-	var candidates []candidate
-	for _, entry := range u.listed {
-		if entry.Spec.Address != "" {
-			candidates = append(candidates, candidate{entry.Spec.Address, u.contactLocked(entry, now)})
-		}
-	}
-	rand.Shuffle(len(candidates), func(a, b int) { candidates[a], candidates[b] = candidates[b], candidates[a] })
-	slices.SortStableFunc(candidates, func(a, b candidate) int { return a.contact.compare(b.contact) })
-	addresses := make([]string, 0, most)
-	for _, chosen := range candidates[:min(most, len(candidates))] {
-		addresses = append(addresses, chosen.address)
-	}
-	return addresses
-}
-
-// contactLocked returns how a listed replica was last reached. The caller holds the lock.
-func (u *upstreams) contactLocked(entry *api.Replica, now time.Duration) contact {
-	used := u.byService[entry.Spec.Service]
-	if used == nil {
-		return contact{}
-	}
-	return used.fleet.contact(entry.Name, now)
-}
-
-// causeUnreachable is returned to callers of a proxy that reaches no replica.
-const causeUnreachable = "unreachable"
-
-// refuseIfPartitioned returns a plan to refuse the request at once if this proxy reaches no replica.
-// Other proxies may: where there are any, the caller may return to one of them right away.
-func (s *session) refuseIfPartitioned() (plan, bool) {
-	reachable := s.ingress.reachability
-	if !reachable.isPartitioned() || reachable.hasLiveConnections() {
-		return plan{}, false
-	}
-	retryAfter := defaultRetryAfter
-	if s.ingress.upstreams.proxies.Load() > 1 {
-		retryAfter = minimumRetryAfter
-	}
-	return plan{refused: true, retryAfter: retryAfter, closedCause: causeUnreachable}, true
-}
-
-// confirmedFailure is a failed send and, once it is known, whether it was the replica's fault.
-type confirmedFailure struct {
-	err          error
-	known        bool
-	replicaFault bool
-}
-
-// recordFailure records a failed send, once for each failure, and has it verified whether this proxy
-// reaches any replica.
-func (s *session) recordFailure(err error) {
-	if s.confirmed.err == err {
-		return
-	}
-	s.ingress.reachability.recordFailure(failureOf(err))
-	s.confirmed = confirmedFailure{err: err}
-}
-
-// isReplicaFault records a failed send, and reports whether that is the replica's fault: false if this
-// proxy turns out to reach no replica at all. It waits until that is known.
-func (s *session) isReplicaFault(ctx context.Context, err error) bool {
-	s.recordFailure(err)
-	if !s.confirmed.known {
-		s.confirmed.known, s.confirmed.replicaFault = true, s.ingress.reachability.confirm(ctx)
-	}
-	return s.confirmed.replicaFault
-}
-
-// failureOf returns in which way the replica of a failed send has failed.
-func failureOf(err error) reach.Failure {
-	if notSent(err) {
-		return reach.NoConnection
-	}
-	return reach.NoResponse
-}
-
-// recordReached records that a replica has answered.
-func (s *session) recordReached(answer *exchange.Response) {
-	now := s.ingress.now()
-	s.ingress.reachability.tracker.RecordData(now)
-	if !answer.Reused {
-		s.ingress.reachability.tracker.RecordConnection(now, answer.ConnOpenedAt)
-	}
-}
-
-// watchReach has it verified that a replica is reached if an attempt that began at sentAt goes
-// unanswered, and cancels the attempt if none is and the request may be sent again elsewhere. The
-// returned function ends the watch.
-func (s *session) watchReach(ctx context.Context, sentAt time.Duration, cancel context.CancelCauseFunc) (stop func()) {
-	reachable := s.ingress.reachability
-	timer := time.AfterFunc(stallTime, func() { reachable.recordStall(sentAt) })
-	stopCancel := func() bool { return true }
-	if s.route.Idempotent() {
-		stopCancel = reachable.onPartition(func() {
-			if reachable.awaitSilence(ctx, sentAt) {
-				cancel(errPartitioned)
-			}
-		})
-	}
-	return func() {
-		timer.Stop()
-		stopCancel()
-	}
-}
-
 // awaitSilence returns true once nothing was received from any replica for stallTime, counted from
 // the given time at the earliest: the open connections do not outlast the partition. It returns false
 // if the partition or ctx ends first.
--- a/request/reach/reach.go
+++ b/request/reach/reach.go
@@ -2,7 +2,7 @@
 // that has failed. A process that has lost them fails at every replica, and what it sees says nothing
 // about any of them.
 //
-// A Tracker is told of failures, of received data and of connections. After a failure it is uncertain
+// A Tracker records failures, received data and connections. After a failure it is uncertain
 // until something shows that a replica is reached, or until a round of new connections to several
 // replicas has failed. The caller makes these connections. All times are durations since a fixed
 // start. The package does no I/O.
