Quarantine: a failure that the record repeats is counted once

Cause: a proxy takes over all replicas of an entry with each revision of the record. An entry has no times, so each counted as having failed just then, and a failure that was known for over 250 ms was taken for one of an earlier process with the same name: it was renamed, and the record's counted again, up to the bound of eight, even where names identify processes. Four ends, from which such a proxy holds a request, came of two.

The new test counts 5 where 1 is right.

What the record names is taken for a failure that is known, if there is one. A replica that fails again under its name is still counted by the report of it, and by the name that the record gives its earlier process.

--- a/request/quarantine/process.go
+++ b/request/quarantine/process.go
@@ -76,10 +76,13 @@
 }
 
 // mayShareProcess reports whether two reported failures of a replica may belong to the same
-// process. Failures from the record have no exact time, so a report that seems to precede one of
-// them is taken as one of the same process.
+// process. Failures from the record have no exact time: each revision of the record repeats those that
+// are known, and a report that seems to precede one of them is taken as one of the same process.
 func (f failure) mayShareProcess(incoming failure) bool {
-	return !f.isBefore(incoming) && (f.fromRecord || incoming.fromRecord || !incoming.isBefore(f))
+	if incoming.fromRecord {
+		return true
+	}
+	return !f.isBefore(incoming) && (f.fromRecord || !incoming.isBefore(f))
 }
 
 // earlierProcessName returns the name of the replica's earlier process that the failure belongs
--- a/request/quarantine/process_test.go
+++ b/request/quarantine/process_test.go
@@ -122,3 +122,22 @@
 	}
 	must.Eq(t, 1, others.CountFailures(fingerprintOf("popular")))
 }
+
+// Guards against counting one failure several times, by which a harmless request had four where two
+// replicas had failed: a proxy learns a failure that it has observed, or already read from the record,
+// from each later revision of the record.
+func TestRecordedFailureIsCountedOnce(t *testing.T) {
+	for _, observed := range []bool{false, true} {
+		for _, unique := range []bool{false, true} {
+			table := NewTable()
+			if observed {
+				table.RecordFailure(0, Evidence{Fingerprint: fingerprintOf("fatal"), Replica: "r", UniqueName: unique, ObservationID: 1})
+			}
+			record := Record{Replicas: []string{"r"}}
+			for revision := range 5 {
+				table.RecordFailure(time.Duration(1+revision)*time.Second, record.Evidence(fingerprintOf("fatal"), "r"))
+			}
+			must.Eq(t, 1, table.CountFailures(fingerprintOf("fatal")), must.Sprintf("observed %v, unique name %v", observed, unique))
+		}
+	}
+}
