Guard: a member without a leader reports which requests were served

The report carries both now, as many of each; the format had the field, and older proxies pass over it.

--- a/process/control/unrecorded.go
+++ b/process/control/unrecorded.go
@@ -24,7 +24,9 @@
 	// heardAt is when the first change after that review was reported.
 	heardAt time.Duration
 	// observations are the notable observations at cachedChangeCount, with their ages at cachedAt.
-	observations      []quarantine.AgedEvidence
+	observations []quarantine.AgedEvidence
+	// served are the requests that were served last, as of cachedAt.
+	served            []quarantine.Fingerprint
 	cachedChangeCount uint64
 	cachedAt          time.Duration
 }
@@ -54,12 +56,14 @@
 	}
 	if cached.cachedChangeCount != changeCount {
 		cached.observations, cached.cachedChangeCount, cached.cachedAt = d.table.NotableReports(now, maxReportedEvidence), changeCount, now
+		cached.served = d.table.Cleared(now)
+		cached.served = cached.served[:min(len(cached.served), maxReportedEvidence)]
 	}
 	observations := slices.Clone(cached.observations)
 	for i := range observations {
 		observations[i].Age += now - cached.cachedAt
 	}
-	return feed.CrashReport{Crashes: observations}, changeCount
+	return feed.CrashReport{Crashes: observations, Served: cached.served}, changeCount
 }
 
 // UnrecordedCrashes returns the evidence that is missing from the record, with its change count.
--- a/process/control/unrecorded_test.go
+++ b/process/control/unrecorded_test.go
@@ -43,6 +43,21 @@
 	must.Eq(t, 3, reported(true))
 }
 
+// A member without a leader reports to the proxies which requests were served, the latest first and no more
+// of them than crashes.
+func TestServedRequestsAreReportedWithoutLeader(t *testing.T) {
+	d := newTrackerTest(t)
+	var latest quarantine.Fingerprint
+	for i := range maxReportedEvidence + 10 {
+		d.now += time.Millisecond
+		latest = quarantine.FingerprintOf(quarantine.RequestIdentity{Path: fmt.Sprint("/popular/", i)})
+		d.tracker.addProxyReport(feed.CrashReport{Served: []quarantine.Fingerprint{latest}}, d.now)
+	}
+	report, _ := d.tracker.unrecordedReport(false, d.now)
+	must.SliceLen(t, maxReportedEvidence, report.Served)
+	must.Eq(t, latest, report.Served[0])
+}
+
 // gossipGroup is a group of members that forward evidence over links controlled by the test.
 type gossipGroup struct {
 	members []*evidence
--- a/process/guard/guard.go
+++ b/process/guard/guard.go
@@ -228,16 +228,23 @@
 // unrecorded, members repeat it every feed.UnrecordedInterval.
 const reportMaxAge = 3 * feed.UnrecordedInterval
 
-// ApplyUnrecorded applies a member's report of crashes that are not on record, because there is no
+// ApplyUnrecorded applies a member's report of requests that were served, and of crashes that are not on record, because there is no
 // leader or it cannot commit. Until they are recorded, only the proxies can act on them.
 func (g *Guard) ApplyUnrecorded(now time.Duration, report feed.CrashReport) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
+	for _, fingerprint := range report.Served {
+		if !g.table.IsCleared(now, fingerprint) { // a repeated report must not extend the time
+			g.table.RecordServed(now, fingerprint)
+		}
+	}
 	for _, evidence := range report.Crashes {
 		evidence.ReportedByOther = true
 		g.table.NoteAged(now, evidence.Age, evidence.Evidence)
 	}
-	g.reportedUntil = now + reportMaxAge
+	if len(report.Crashes) > 0 {
+		g.reportedUntil = now + reportMaxAge
+	}
 	g.updateActive(now)
 }
 
--- a/process/guard/guard_test.go
+++ b/process/guard/guard_test.go
@@ -245,3 +245,16 @@
 		must.False(t, held)
 	}
 }
+
+// Guards against refusing a harmless request at a proxy without a leader that has not learned of its
+// success at another one: a member without a leader reports it like the crashes.
+func TestReportOfAMemberClearsServedRequests(t *testing.T) {
+	guard, wall := New("p"), time.Unix(1_700_000_000, 0)
+	guard.SetReporter(&fakeGroup{})
+	for i := range 4 {
+		guard.NoteCrash(0, quarantine.AgedEvidence{Evidence: quarantine.Evidence{Fingerprint: crashingRequest, Replica: fmt.Sprint("r-", i)}})
+	}
+	must.True(t, guard.holdsCrashing(later, wall))
+	guard.ApplyUnrecorded(later, feed.CrashReport{Served: []quarantine.Fingerprint{crashingRequest}})
+	must.False(t, guard.holdsCrashing(later, wall))
+}
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -129,9 +129,11 @@
 }
 
 // recordUnrecordedCrashes processes a member's report of replica crashes that cannot be recorded at
-// present.
+// present, and of requests that were served.
 func (i *Ingress) recordUnrecordedCrashes(report feed.CrashReport) {
-	event.EndsUnrecorded.Log(i.logger, "ends", len(report.Crashes))
+	if len(report.Crashes) > 0 {
+		event.EndsUnrecorded.Log(i.logger, "ends", len(report.Crashes))
+	}
 	i.guard.ApplyUnrecorded(i.now(), report)
 }
 
--- a/request/quarantine/clearance.go
+++ b/request/quarantine/clearance.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // clearances maps requests that were answered successfully to the time until which their failures
 // are ignored. It is separate from the failures and also covers requests without any, so that the
@@ -55,8 +59,14 @@
 	t.cleared.add(now, fingerprint)
 }
 
+// IsCleared reports whether failures of the request are currently ignored because it was served
+// recently.
+func (t *Table) IsCleared(now time.Duration, fingerprint Fingerprint) bool {
+	return t.cleared.ignores(now, fingerprint)
+}
+
 // Cleared returns the requests whose failures are currently ignored because they were served
-// recently, in no particular order.
+// recently, the latest first.
 func (t *Table) Cleared(now time.Duration) []Fingerprint {
 	var found []Fingerprint
 	for fingerprint := range t.cleared {
@@ -64,5 +74,8 @@
 			found = append(found, fingerprint)
 		}
 	}
+	slices.SortFunc(found, func(a, b Fingerprint) int {
+		return cmp.Or(cmp.Compare(t.cleared[b], t.cleared[a]), slices.Compare(a[:], b[:]))
+	})
 	return found
 }
