--- a/process/guard/guard_test.go
+++ b/process/guard/guard_test.go
@@ -258,3 +258,21 @@
 	guard.ApplyUnrecorded(later, feed.CrashReport{Served: []quarantine.Fingerprint{crashingRequest}})
 	must.False(t, guard.holdsCrashing(later, wall))
 }
+
+// A success counts for as long as it does where it was seen, however often members report it, and a report of
+// successes alone says nothing of the record.
+func TestRepeatedReportsOfServedRequestsChangeNothing(t *testing.T) {
+	guard, wall := New("p"), time.Unix(1_700_000_000, 0)
+	group := &fakeGroup{}
+	guard.SetReporter(group)
+	now := time.Duration(0)
+	for ; now < time.Minute; now += time.Second {
+		guard.ApplyUnrecorded(now, feed.CrashReport{Served: []quarantine.Fingerprint{crashingRequest}})
+	}
+	for i := range 4 {
+		guard.NoteCrash(now, quarantine.AgedEvidence{Evidence: quarantine.Evidence{Fingerprint: crashingRequest, Replica: fmt.Sprint("r-", i)}})
+	}
+	must.True(t, guard.holdsCrashing(now, wall), must.Sprint("the success is more than a minute old"))
+	group.connected = true
+	must.False(t, guard.holdsCrashing(now, wall), must.Sprint("with a leader the record decides"))
+}
--- a/request/quarantine/table_test.go
+++ b/request/quarantine/table_test.go
@@ -155,6 +155,20 @@
 	must.Eq(t, Harmful, table.Verdict(pastSettling, fingerprintOf("fatal")))
 }
 
+// Guards against never holding a harmful request whose runs produce output: a bystander with far fewer
+// failures does not explain its failures.
+func TestHarmfulRequestWithOutputIsHeldFromManyFailuresOn(t *testing.T) {
+	table := NewTable()
+	for i := range maxFailures {
+		replica := fmt.Sprint("r", i)
+		table.RecordFailure(0, Evidence{Fingerprint: fingerprintOf("fatal"), Replica: replica, HadOutput: true})
+		if i < 3 {
+			noteFailure(table, 0, replica, "popular")
+		}
+	}
+	must.Eq(t, Harmful, table.Verdict(pastSettling, fingerprintOf("fatal")))
+}
+
 // A held request has no further failures, but remains the likelier cause of its earlier ones when a
 // bystander meets an unrelated failure later.
 func TestHeldRequestRemainsTheCauseOfItsFailures(t *testing.T) {
