--- a/process/control/quarantine_course_test.go
+++ b/process/control/quarantine_course_test.go
@@ -83,7 +83,7 @@
 	guard     *guard.Guard
 	connected bool
 	downUntil time.Duration
-	toldAt    time.Duration // when a member last reported unrecorded crashes
+	reportedAt    time.Duration // when a member last reported unrecorded crashes
 }
 
 // courseRun is a run of a request at a replica.
@@ -157,7 +157,7 @@
 func (p *courseProxy) start() {
 	p.guard = guard.New(p.name)
 	p.guard.SetReporter(p)
-	p.connected, p.toldAt = false, 0
+	p.connected, p.reportedAt = false, 0
 }
 
 // Connected reports whether a leader serves the proxy.
@@ -306,8 +306,8 @@
 				break
 			}
 		}
-		if !c.leads && c.now-proxy.toldAt >= feed.UnrecordedInterval {
-			proxy.toldAt = c.now
+		if !c.leads && c.now-proxy.reportedAt >= feed.UnrecordedInterval {
+			proxy.reportedAt = c.now
 			if report, _ := c.leader.unrecordedReport(false, c.now); !report.IsEmpty() {
 				proxy.guard.ApplyUnrecorded(c.now, report)
 			}
