--- a/process/control/quarantine_course_test.go
+++ b/process/control/quarantine_course_test.go
@@ -78,12 +78,12 @@
 const courseInseparable = 5
 
 type courseProxy struct {
-	course    *quarantineCourse
-	name      string
-	guard     *guard.Guard
-	connected bool
-	downUntil time.Duration
-	reportedAt    time.Duration // when a member last reported unrecorded crashes
+	course     *quarantineCourse
+	name       string
+	guard      *guard.Guard
+	connected  bool
+	downUntil  time.Duration
+	reportedAt time.Duration // when a member last reported unrecorded crashes
 }
 
 // courseRun is a run of a request at a replica.
@@ -99,7 +99,7 @@
 type courseReport struct {
 	at       time.Duration
 	proxy    *courseProxy
-	guard    *guard.Guard // of the life of the proxy that saw it
+	guard    *guard.Guard // of the process that saw it
 	evidence quarantine.AgedEvidence
 }
 
@@ -153,7 +153,7 @@
 	c.replicas[fmt.Sprint("r-", c.number)] = nil
 }
 
-// start begins a new life of a proxy, which learns the record at once.
+// start starts a new process of a proxy, which learns the record at once.
 func (p *courseProxy) start() {
 	p.guard = guard.New(p.name)
 	p.guard.SetReporter(p)
