--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -63,6 +63,9 @@
 	Header http.Header
 	// Length is the length of the body, -1 if unknown.
 	Length int64
+	// EndsWithConnection is true if neither a length nor chunks mark the end of the body. Its end is
+	// then that of the connection, which also ends when the server's process does.
+	EndsWithConnection bool
 	// Reused is true if the connection had carried other requests before.
 	Reused bool
 	// ConnOpenedAt is when the connection was opened, by the pool's clock: the process at the
@@ -114,18 +117,20 @@
 	}
 	used.headerRead.Store(true)
 	return &Response{
-		Status:         response.StatusCode,
-		Header:         response.Header,
-		Length:         response.ContentLength,
-		Reused:         reused,
-		ConnOpenedAt:   used.openedAt,
-		Unmatched:      unmatched,
-		pool:           p,
-		conn:           used,
-		body:           response.Body,
-		reusable:       !response.Close && request.sharesConnections() && len(unmatched) == 0,
-		requestWritten: written,
-		stopCancel:     stopCancel,
+		Status: response.StatusCode,
+		Header: response.Header,
+		Length: response.ContentLength,
+
+		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		Reused:             reused,
+		ConnOpenedAt:       used.openedAt,
+		Unmatched:          unmatched,
+		pool:               p,
+		conn:               used,
+		body:               response.Body,
+		reusable:           !response.Close && request.sharesConnections() && len(unmatched) == 0,
+		requestWritten:     written,
+		stopCancel:         stopCancel,
 	}, nil
 }
 
--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -24,8 +24,8 @@
 		"A replica's answer names another request than the one that waited for an answer on that connection, or none. stage says what was asked, reused whether the connection had served other requests, answered which request the answer names.",
 		"One now and then is the replica's fault: it sent an answer too many. Many from one replica: take it out of service.")
 	RunBroken = define(4606, "run_broken", Warn,
-		"A replica closed or reset its connection while it was at work on a request, as one that ends does. fingerprint is the same for each request with that method, host, path, caller and body; events is how many had come of this run; alone says that nothing else was in flight there and that nobody listens there any more, listens that somebody does, leaving that the replica was to end anyway.",
-		"Count the replicas by fingerprint: one that stands for several of them and is served nowhere ends them.")
+		"A replica closed or reset its connection while it was at work on a request, as one that ends does. fingerprint is the same for each request with that method, host, path, caller and body; events is how many had come of this run; alone says that nothing else was in flight there and that nobody listens there any more, listens that somebody does, leaving that the replica was to end anyway. parts names the parts of its prompt but the last, model and tokens its model and the size of its prompt, software the replica's version, length how its answer's end is marked: known, chunked, or close, where the connection's end is that of the answer.",
+		"Count the replicas by fingerprint and by part: one that stands for several of them and is served nowhere ends them.")
 	RequestHeld = define(4607, "request_held", Info,
 		"A request went to no replica, or to no further one, since replicas end under it. rest_ms is for how long yet. by says what this rests on: the record (held, settling or a trial elsewhere), a member's report while no leader commits (member_report), or what this process knows while it has no leader (cut_off).",
 		"Look the fingerprint up: landingtrail get quarantine FINGERPRINT. Release it once the request or the replicas are mended.")
--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -66,7 +66,9 @@
 	isolated := s.isolated && state == addressRefuses
 	event.RunBroken.Log(s.ingress.logger, "request", s.call.ID, "fingerprint", s.fingerprint(), "route", s.route.Name,
 		"stage", stage, "replica", target.incarnation(), "after_ms", (brokenAt - sent.at).Milliseconds(),
-		"events", sent.events, "alone", isolated, "listens", state == addressListens, "leaving", target.isLeaving(), "err", err)
+		"events", sent.events, "alone", isolated, "listens", state == addressListens, "leaving", target.isLeaving(),
+		"parts", strings.Join(s.sharedParts(maxLoggedParts), ","), "model", s.call.Work.Model, "tokens", s.call.Work.PromptTokens,
+		"software", target.spec().SoftwareVersion, "length", sent.bodyEnd, "err", err)
 	if stage == stageRun {
 		s.crashes++
 	}
@@ -80,6 +82,21 @@
 	s.ingress.guard.NoteCrash(now, quarantine.AgedEvidence{Evidence: evidence, Age: now - brokenAt})
 }
 
+// maxLoggedParts limits the prompt parts that a log line names.
+const maxLoggedParts = 16
+
+// sharedParts returns the IDs of the first parts of the prompt, at most limit. It leaves out the last
+// part of the prompt, which belongs to this request or its session alone.
+func (s *session) sharedParts(limit int) []string {
+	parts := s.call.Work.Parts
+	shared := parts[:min(max(len(parts)-1, 0), limit)]
+	ids := make([]string, 0, len(shared))
+	for _, part := range shared {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // probeTimeout limits the check whether a replica still listens. One that does so normally accepts
 // a connection within a few milliseconds.
 const probeTimeout = 250 * time.Millisecond
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -179,6 +179,7 @@
 	defer answer.Close()
 	s.sendCount++
 	s.answered = true
+	sent.bodyEnd = bodyEndOf(answer)
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	target.noteAnswer(reply.ownLoad(), s.ingress.now())
 	s.noteAlive(target, sent.at, answer, &reply)
