Quarantine: prompt parts that crash replicas are found and held

What callers saw: three kinds of requests hardly served at all while requests with one part in common crashed the replicas of their service one after the other, without an end.

Cause: the unit of blame was a whole request. Each fatal one is new, has one end, and is never suspected. Class: one identity, chosen for the last incident, is taken for the only one.

Now each crash makes suspects of the shared parts of all requests that its replica had not begun to answer. A run that produces output later, anywhere, clears its parts of earlier crashes, as does one that had done so in the same process. What stands in the most crashes and is never cleared is held by the record, at every proxy.

--- a/connection/feed/charge.go
+++ b/connection/feed/charge.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/request/quarantine/parts"
 	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/request/ratelimit"
 	"github.com/landingtrail/landingtrail/request/resume"
@@ -21,7 +22,9 @@
 	Loan *retry.LoanRequest
 	// Streams reports streams, or asks for the version of one, instead; Tenant is empty then.
 	Streams *resume.Report
-	Cost    float64 // in the unit of the tenant's quota
+	// Parts reports observations of prompt parts instead; Tenant is empty then.
+	Parts *parts.Report
+	Cost  float64 // in the unit of the tenant's quota
 	// Forwarded marks a request that a daemon forwards for another one; it is forwarded at most
 	// once.
 	Forwarded bool
@@ -40,6 +43,8 @@
 		tenant = encodeLoanTenant(request.Loan)
 	case request.Streams != nil:
 		tenant = encodeStreamsTenant(request.Streams)
+	case request.Parts != nil:
+		tenant = encodePartsTenant(request.Parts)
 	}
 	encoder.String(tenant)
 	encoder.Float64(request.Cost)
@@ -61,8 +66,12 @@
 		return request, err
 	}
 	streams, err := decodeStreamsTenant(request.Tenant)
-	if limit != nil || loan != nil || streams != nil {
-		request.Tenant, request.Limit, request.Loan, request.Streams = "", limit, loan, streams
+	if err != nil {
+		return request, err
+	}
+	observed, err := decodePartsTenant(request.Tenant)
+	if limit != nil || loan != nil || streams != nil || observed != nil {
+		request.Tenant, request.Limit, request.Loan, request.Streams, request.Parts = "", limit, loan, streams, observed
 	}
 	return request, err
 }
--- a/process/control/quarantine.go
+++ b/process/control/quarantine.go
@@ -11,6 +11,7 @@
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/landingtrail/landingtrail/request/quarantine/parts"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/zeromicro/go-zero/rest/pathvar"
@@ -58,6 +59,7 @@
 type quarantineTracker struct {
 	lock  sync.Mutex
 	table *quarantine.Table
+	parts *parts.Table
 	// term is the term for which the table was last loaded from the record.
 	term    uint64
 	refuted refutations
@@ -100,7 +102,7 @@
 
 func newQuarantineTracker() *quarantineTracker {
 	return &quarantineTracker{
-		table: quarantine.NewTable(), refuted: newRefutations(), alertUntil: map[string]time.Duration{},
+		table: quarantine.NewTable(), parts: parts.NewTable(), refuted: newRefutations(), alertUntil: map[string]time.Duration{},
 		sentEarly: map[quarantine.Fingerprint]bool{},
 	}
 }
@@ -265,6 +267,7 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	d.table.Forget(fingerprint)
+	d.parts.Forget(fingerprint)
 }
 
 // restoreRefutations returns refutations that were not committed, so that the next review applies
--- a/process/control/quarantine_course_test.go
+++ b/process/control/quarantine_course_test.go
@@ -14,6 +14,7 @@
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/process/guard"
 	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/landingtrail/landingtrail/request/quarantine/parts"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -163,6 +164,12 @@
 // Connected reports whether a leader serves the proxy.
 func (p *courseProxy) Connected() bool { return p.connected }
 
+// ReportParts delivers a report of prompt parts to the leader.
+func (p *courseProxy) ReportParts(report parts.Report) bool {
+	p.course.leader.addPartReport(report, p.course.now)
+	return p.connected
+}
+
 // ReportCrashes delivers a report to the leader or, without one, to a member that stores it.
 func (p *courseProxy) ReportCrashes(report feed.CrashReport) bool {
 	for i := range report.Crashes {
--- /dev/null
+++ b/process/control/quarantine_parts.go
@@ -0,0 +1,220 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/landingtrail/landingtrail/request/quarantine/parts"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/state"
+)
+
+// Prompt parts that crash replicas are recorded as Quarantine objects of their own (api.Quarantine.IsPart),
+// in these states:
+//   - watched: requests with the part are sent as usual, and further crashes are awaited;
+//   - tried: few proxies at a time may send one request with the part;
+//   - held: no request with the part is sent until the hold expires, which a trial follows, or until an
+//     operator releases the part.
+//
+// A part that a request begins to be answered with is harmless, and its entry is removed.
+
+// Durations and limits of the quarantines of parts.
+const (
+	// partTrialTurn is the length of a trial's turn while the cause is in doubt.
+	partTrialTurn = time.Second
+	// holdTrialTurn is the length of a turn after a hold, in which one proxy sends one request. It
+	// exceeds the deadlines of callers, so that the outcome of one trial is known before the next.
+	holdTrialTurn = 10 * time.Second
+	// maxPartQuarantines limits the parts in the record.
+	maxPartQuarantines = 64
+)
+
+// partHoldDurations are the lengths of a part's holds, the last one of all later ones. A mistaken hold
+// ends with the first trial, a correct one costs a replica for each trial.
+var partHoldDurations = []time.Duration{30 * time.Second, 10 * time.Minute, 24 * time.Hour}
+
+// addPartReport adds a proxy's observations of prompt parts.
+func (d *quarantineTracker) addPartReport(report parts.Report, now time.Duration) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.parts.Apply(now, report)
+	d.reviewUntil = max(d.reviewUntil, now+reviewPeriod)
+}
+
+// reviewParts adds to the changes what the record needs of prompt parts.
+func (d *quarantineTracker) reviewParts(changes *state.Observe, recorded map[string]*api.Quarantine, now time.Duration, wall time.Time) {
+	d.parts.Expire(now)
+	findings := map[string]parts.Finding{}
+	var unrecorded []parts.Finding
+	for _, found := range d.parts.Findings(now) {
+		findings[found.Part.String()] = found
+		if recorded[found.Part.String()] == nil {
+			unrecorded = append(unrecorded, found)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(recorded)) {
+		found, isFound := findings[name]
+		d.reviewPart(changes, recorded[name], found, isFound, now, wall)
+	}
+	for _, found := range unrecorded[:min(len(unrecorded), max(maxPartQuarantines-len(recorded), 0))] {
+		entry := &api.Quarantine{Metadata: api.Metadata{Name: found.Part.String()}, Spec: api.QuarantineSpec{
+			Service: found.Service, Since: wall.Add(found.FirstAt - now).UnixMilli(),
+		}}
+		entry.Labels = api.PartLabels(callerNames(found.Callers))
+		startPartWatch(&entry.Spec, wall)
+		d.advancePart(&entry.Spec, found.Part, found, now, wall)
+		changes.Put = append(changes.Put, api.Object{Quarantine: entry})
+	}
+}
+
+// reviewPart updates the entry of a part, or removes it if the part is cleared or its crashes are too old.
+func (d *quarantineTracker) reviewPart(changes *state.Observe, known *api.Quarantine, found parts.Finding, isFound bool, now time.Duration, wall time.Time) {
+	part, ok := quarantine.ParseFingerprint(known.Name)
+	_, isStarted := d.parts.LastStart(part)
+	isUndecided := known.Spec.Times == 0 && d.hasInitialReports(now)
+	if !ok || !isFound && (isStarted || isUndecided) {
+		changes.Removed = append(changes.Removed, api.Key{Kind: api.KindQuarantine, Name: known.Name})
+		d.parts.Forget(part)
+		return
+	}
+	next := &api.Quarantine{Metadata: known.Metadata, Spec: known.Spec}
+	if isFound {
+		next.Labels = api.PartLabels(mergeCallers(known.PartCallers(), callerNames(found.Callers)))
+	}
+	d.advancePart(&next.Spec, part, found, now, wall)
+	if next.Spec.State != known.Spec.State || next.Spec.Until != known.Spec.Until || !maps.Equal(next.Labels, known.Labels) || !slices.Equal(next.Spec.Replicas, known.Spec.Replicas) {
+		changes.Put = append(changes.Put, api.Object{Quarantine: next})
+	}
+}
+
+// advancePart moves the entry of a part to the state that follows from the finding, which is empty if
+// nothing counts against the part any more, and the time. A new leader that has not heard from the
+// proxies yet keeps the state, but for trials, whose turns go on.
+func (d *quarantineTracker) advancePart(spec *api.QuarantineSpec, part parts.Key, found parts.Finding, now time.Duration, wall time.Time) {
+	spec.Replicas = mergeNames(spec.Replicas, found.Replicas)
+	verdict := found.Verdict
+	if !d.hasInitialReports(now) {
+		verdict, found.Overtaken = parts.Watched, false
+	}
+	switch spec.State {
+	case api.QuarantinePartWatched:
+		switch verdict {
+		case parts.Harmful:
+			d.holdPart(spec, found, now, wall)
+		case parts.Doubtful:
+			startPartTurn(spec, wall)
+		}
+	case api.QuarantinePartTried:
+		crashedAgain := spec.Times > 0 && found.LastAt > 0 && wall.Add(found.LastAt-now).After(time.UnixMilli(spec.TriedSince))
+		switch {
+		case crashedAgain, spec.Times == 0 && verdict == parts.Harmful:
+			d.holdPart(spec, found, now, wall)
+		case spec.Times == 0 && verdict == parts.Watched && d.hasInitialReports(now):
+			startPartWatch(spec, wall)
+		case isExpired(spec, wall):
+			startPartTurn(spec, wall)
+		}
+	case api.QuarantinePartHeld:
+		switch {
+		case found.Overtaken:
+			spec.Times = 0
+			startPartTurn(spec, wall)
+		case isExpired(spec, wall) && d.hasInitialReports(now):
+			startPartTurn(spec, wall)
+		}
+	}
+	d.parts.SetHeld(part, spec.State == api.QuarantinePartHeld)
+}
+
+// startPartWatch lets requests with a part be sent as usual.
+func startPartWatch(spec *api.QuarantineSpec, wall time.Time) {
+	spec.State, spec.TriedSince = api.QuarantinePartWatched, 0
+	spec.Until = wall.Add(watchDuration).UnixMilli()
+}
+
+// startPartTurn lets the next proxies try a part.
+func startPartTurn(spec *api.QuarantineSpec, wall time.Time) {
+	if spec.State != api.QuarantinePartTried {
+		spec.State, spec.TriedSince = api.QuarantinePartTried, wall.UnixMilli()
+	}
+	turn := partTrialTurn
+	if spec.Times > 0 {
+		turn = holdTrialTurn
+	}
+	spec.Until = wall.Add(turn).UnixMilli()
+}
+
+// holdPart holds a part from now on. Its crashes count against no request that was in flight there.
+func (d *quarantineTracker) holdPart(spec *api.QuarantineSpec, found parts.Finding, now time.Duration, wall time.Time) {
+	length := partHoldDurations[min(spec.Times, len(partHoldDurations)-1)]
+	spec.State, spec.TriedSince = api.QuarantinePartHeld, 0
+	spec.Times++
+	spec.Until = wall.Add(length).UnixMilli()
+	for _, replica := range found.Crashed {
+		explained := quarantine.LiveReplica{Replica: replica, RunningFor: quarantine.AnyAge}
+		d.table.RefuteFailures(now, explained)
+		d.refuted.alive[replica], d.refuted.reportedAt[replica] = explained, now
+	}
+}
+
+// loadParts loads the recorded parts into the table.
+func (d *quarantineTracker) loadParts(recorded map[string]*api.Quarantine, now time.Duration, wall time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(recorded)) {
+		part, ok := quarantine.ParseFingerprint(name)
+		if !ok {
+			continue
+		}
+		known := recorded[name]
+		d.parts.Restore(now, part, parts.Record{
+			Service: known.Spec.Service, Replicas: known.Spec.Replicas, Callers: callerKeys(known.PartCallers()),
+			Age: wall.Sub(time.UnixMilli(known.Spec.Since)),
+		})
+		d.parts.SetHeld(part, known.Spec.State == api.QuarantinePartHeld)
+	}
+}
+
+// applyPartRecordChange drops the evidence for parts that the leader removed from the record, at a
+// member that does not lead.
+func (d *quarantineTracker) applyPartRecordChange(before, current map[string]*api.Quarantine) {
+	for name := range before {
+		if part, ok := quarantine.ParseFingerprint(name); ok && current[name] == nil {
+			d.parts.Forget(part)
+		}
+	}
+}
+
+// callerNames returns the names of callers in a record, nil for all.
+func callerNames(callers []parts.Key) []string {
+	if callers == nil {
+		return nil
+	}
+	names := make([]string, 0, len(callers))
+	for _, caller := range callers {
+		names = append(names, caller.String())
+	}
+	return names
+}
+
+// callerKeys is the reverse of callerNames.
+func callerKeys(names []string) []parts.Key {
+	var keys []parts.Key
+	for _, name := range names {
+		if key, ok := quarantine.ParseFingerprint(name); ok {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// mergeCallers returns the callers of two records of a part; nil, for all, if one of them concerns all.
+func mergeCallers(known, more []string) []string {
+	if known == nil || more == nil {
+		return nil
+	}
+	merged := slices.Concat(known, more)
+	slices.Sort(merged)
+	merged = slices.Compact(merged)
+	return slices.DeleteFunc(merged, func(name string) bool { return name == "" })
+}
--- a/process/control/quarantine_review.go
+++ b/process/control/quarantine_review.go
@@ -42,7 +42,7 @@
 		spec := &object.Quarantine.Spec
 		event.QuarantineChanged.Log(logger, "fingerprint", object.Quarantine.Name, "state", spec.State, "service", spec.Service,
 			"route", spec.Route, "request", spec.Request, "replicas", len(spec.Replicas),
-			"until", time.UnixMilli(spec.Until).UTC().Format(time.RFC3339), "times", spec.Times, "err", err)
+			"until", time.UnixMilli(spec.Until).UTC().Format(time.RFC3339), "times", spec.Times, "callers", object.Quarantine.CallersText(), "err", err)
 	}
 	for _, key := range changes.Removed {
 		if key.Kind == api.KindSuspect {
@@ -71,9 +71,10 @@
 		}
 	}
 	var changes state.Observe
-	recorded := len(current.Quarantines)
-	for _, name := range slices.Sorted(maps.Keys(current.Quarantines)) {
-		d.reviewRecorded(&changes, current, current.Quarantines[name], &refuted, now, wall)
+	requests, recordedParts := api.SplitQuarantines(current.Quarantines)
+	recorded := len(requests)
+	for _, name := range slices.Sorted(maps.Keys(requests)) {
+		d.reviewRecorded(&changes, current, requests[name], &refuted, now, wall)
 	}
 	recorded -= len(changes.Removed)
 	for _, fingerprint := range d.requestsToRecord(current, now) {
@@ -84,6 +85,7 @@
 	}
 	d.reviewSuspects(&changes, current, &refuted, now, wall)
 	d.recordSuspects(&changes, current, now, wall)
+	d.reviewParts(&changes, recordedParts, now, wall)
 	return changes, refuted
 }
 
@@ -172,8 +174,10 @@
 	clear(d.sentEarly)
 	d.reviewUntil = max(d.reviewUntil, d.decideFrom+reviewPeriod)
 	// Held requests are loaded first, since a request cannot have caused crashes while it was held.
-	for _, name := range api.HeldFirst(current.Quarantines) {
-		known := current.Quarantines[name]
+	requests, recordedParts := api.SplitQuarantines(current.Quarantines)
+	d.loadParts(recordedParts, now, wall)
+	for _, name := range api.HeldFirst(requests) {
+		known := requests[name]
 		fingerprint, ok := quarantine.ParseFingerprint(name)
 		if !ok {
 			continue
--- a/process/control/quota.go
+++ b/process/control/quota.go
@@ -87,6 +87,10 @@
 		g.streams.Apply(monotonic(), *request.Streams)
 		return
 	}
+	if request.Parts != nil {
+		g.evidence.tracker.addPartReport(*request.Parts, monotonic())
+		return
+	}
 	limit, bounded := quotaOf(g.machine.view(), request.Tenant)
 	if bounded && request.Cost >= 0 && g.Leadership().Leads {
 		g.quotas.currentAccount().Refund(monotonic(), request.Tenant, limit, request.Cost)
--- a/process/control/unrecorded.go
+++ b/process/control/unrecorded.go
@@ -78,6 +78,9 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	changeCount := d.table.Changes()
+	before, partsBefore := api.SplitQuarantines(before)
+	current, currentParts := api.SplitQuarantines(current)
+	d.applyPartRecordChange(partsBefore, currentParts)
 	for name, earlier := range before {
 		fingerprint, ok := quarantine.ParseFingerprint(name)
 		if !ok {
--- a/process/guard/guard.go
+++ b/process/guard/guard.go
@@ -24,6 +24,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/landingtrail/landingtrail/request/quarantine/parts"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/view"
 )
@@ -36,6 +37,8 @@
 	ReportCrashes(report feed.CrashReport) bool
 	// Connected reports whether a leader currently serves this proxy.
 	Connected() bool
+	// ReportParts reports observations of prompt parts. It returns whether the report was sent.
+	ReportParts(report parts.Report) bool
 }
 
 // Guard decides which requests must not be sent to replicas. It is safe for concurrent use.
@@ -67,6 +70,7 @@
 	// suspected holds the replicas that are recorded as crashed. An answer from one of them
 	// refutes that.
 	suspected map[string]suspectedCrash
+	parts     partGuard
 }
 
 // suspectedCrash is a recorded crash of a replica.
@@ -78,7 +82,7 @@
 // New returns a guard that reports nothing until SetReporter is called. name is the proxy's name,
 // empty if the proxy does not run trials.
 func New(name string) *Guard {
-	return &Guard{name: name, table: quarantine.NewTable(), trials: map[quarantine.Fingerprint]any{}}
+	return &Guard{name: name, table: quarantine.NewTable(), trials: map[quarantine.Fingerprint]any{}, parts: newPartGuard()}
 }
 
 // SetReporter sets the connection to the control group, which receives reports and tells whether a
@@ -107,7 +111,9 @@
 		g.table.DropReportedByOthers()
 	}
 	before := g.recorded
-	g.recorded = current.Quarantines
+	var recordedParts map[string]*api.Quarantine
+	g.recorded, recordedParts = api.SplitQuarantines(current.Quarantines)
+	g.followParts(recordedParts, now)
 	// Held requests are loaded first, since a request cannot have caused crashes while it was held.
 	for _, name := range api.HeldFirst(g.recorded) {
 		entry := g.recorded[name]
@@ -315,6 +321,9 @@
 	if !all.IsEmpty() {
 		g.report(all)
 	}
+	if observed := g.parts.table.Observed(now); !observed.IsEmpty() {
+		g.reportParts(observed)
+	}
 }
 
 // Hold says why a request must not be sent to any replica.
@@ -334,10 +343,13 @@
 	BasisCutOff                            // this proxy is cut off and judges by what it knows itself
 	BasisMemberReport                      // a member without a leader reported crashes
 	BasisOwnCrashes                        // enough replicas crashed while the proxy processed the request
+	BasisPart                              // the record says that a part of the prompt is held
+	BasisPartTrial                         // parts of the prompt are on trial, and this is not the request to try them
+	BasisPartCutOff                        // this proxy is cut off and judges a part of the prompt by what it knows itself
 )
 
 func (b HoldBasis) String() string {
-	names := [...]string{"none", "record", "settling", "trial", "cut_off", "member_report", "own_crashes"}
+	names := [...]string{"none", "record", "settling", "trial", "cut_off", "member_report", "own_crashes", "part", "part_trial", "part_cut_off"}
 	return names[b]
 }
 
--- a/process/guard/guard_test.go
+++ b/process/guard/guard_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/landingtrail/landingtrail/request/quarantine/parts"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/shoenig/test/must"
@@ -18,6 +19,8 @@
 type fakeGroup struct {
 	connected bool
 	reports   []feed.CrashReport
+
+	partReports []parts.Report
 }
 
 func (g *fakeGroup) Connected() bool { return g.connected }
@@ -27,6 +30,11 @@
 	return g.connected
 }
 
+func (g *fakeGroup) ReportParts(report parts.Report) bool {
+	g.partReports = append(g.partReports, report)
+	return g.connected
+}
+
 // recordView returns a view with the crashing request on record, or with an empty record if state
 // is empty.
 func recordView(revision uint64, state api.QuarantineState, until time.Time, replicas ...string) *view.View {
--- /dev/null
+++ b/process/guard/parts.go
@@ -0,0 +1,272 @@
+package guard
+
+import (
+	"encoding/binary"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/landingtrail/landingtrail/request/quarantine/parts"
+	"github.com/landingtrail/landingtrail/version/api"
+)
+
+// partGuard is what a Guard knows of prompt parts that crash replicas.
+type partGuard struct {
+	// active is true while a part is on record or a suspect here. Otherwise parts cost a request one
+	// atomic load.
+	active *atomic.Bool
+	// table holds this proxy's observations and the recorded crashes.
+	table    *parts.Table
+	recorded map[parts.Key]*api.Quarantine
+	// trials holds the last request that this proxy sent, or is about to send, to try a part.
+	trials map[parts.Key]partTrial
+	// reportedAt is when a start with a part, or of a service, was last reported.
+	partReportedAt    map[parts.Key]time.Duration
+	serviceReportedAt map[string]time.Duration
+	// local holds the parts that this proxy's table finds harmful, as of localChanges and localAt.
+	local        map[parts.Key]parts.Finding
+	localChanges uint64
+	localAt      time.Duration
+}
+
+// partTrial is the trial of a part at this proxy in one turn.
+type partTrial struct {
+	turnEnd int64 // Unix milliseconds
+	owner   any
+}
+
+func newPartGuard() partGuard {
+	return partGuard{
+		active: &atomic.Bool{}, table: parts.NewTable(), trials: map[parts.Key]partTrial{},
+		partReportedAt: map[parts.Key]time.Duration{}, serviceReportedAt: map[string]time.Duration{},
+	}
+}
+
+// PartsActive reports whether any prompt part is suspected of crashing replicas.
+func (g *Guard) PartsActive() bool { return g.parts.active.Load() }
+
+// updatePartsActive updates the result of PartsActive. The caller must hold the lock.
+func (g *Guard) updatePartsActive() {
+	g.parts.active.Store(len(g.parts.recorded) > 0 || !g.parts.table.IsEmpty())
+}
+
+// followParts applies the record's prompt parts. The caller must hold the lock.
+func (g *Guard) followParts(recorded map[string]*api.Quarantine, now time.Duration) {
+	before := g.parts.recorded
+	if len(recorded) == 0 && len(before) == 0 {
+		return
+	}
+	g.parts.recorded = map[parts.Key]*api.Quarantine{}
+	for name, entry := range recorded {
+		part, ok := quarantine.ParseFingerprint(name)
+		if !ok {
+			continue
+		}
+		g.parts.recorded[part] = entry
+		if earlier := before[part]; earlier == nil || earlier.Revision != entry.Revision {
+			g.applyPartRecord(part, entry, now)
+		}
+	}
+	for part := range before {
+		if g.parts.recorded[part] == nil {
+			g.parts.table.Forget(part)
+			delete(g.parts.trials, part)
+		}
+	}
+	g.parts.table.Expire(now)
+	g.updatePartsActive()
+}
+
+// applyPartRecord applies a recorded part that is new or has changed. The crashes of a part that is
+// held count against no request that was in flight there.
+func (g *Guard) applyPartRecord(part parts.Key, entry *api.Quarantine, now time.Duration) {
+	held := entry.Spec.State == api.QuarantinePartHeld
+	g.parts.table.Restore(now, part, parts.Record{Service: entry.Spec.Service, Replicas: entry.Spec.Replicas, Callers: callerKeys(entry)})
+	g.parts.table.SetHeld(part, held)
+	if !held {
+		return
+	}
+	for _, replica := range entry.Spec.Replicas {
+		g.table.RefuteFailures(now, quarantine.LiveReplica{Replica: replica, RunningFor: quarantine.AnyAge})
+	}
+}
+
+// callerKeys returns the keys of the callers that a recorded part concerns, nil for all.
+func callerKeys(entry *api.Quarantine) []parts.Key {
+	var keys []parts.Key
+	for _, caller := range entry.PartCallers() {
+		if key, ok := quarantine.ParseFingerprint(caller); ok {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// NotePartCrash records a run that was in progress when its replica seems to have crashed, and reports
+// it to the control group.
+func (g *Guard) NotePartCrash(now time.Duration, crash parts.Crash) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	report := parts.Report{Crashes: []parts.Crash{crash}}
+	g.parts.table.Apply(now, report)
+	g.updatePartsActive()
+	g.reportParts(report)
+}
+
+// startReportInterval is the minimum time between two reports that requests with a part, or of a
+// service, are answered.
+const startReportInterval = 200 * time.Millisecond
+
+// NotePartStart records a run that produces output without crashing its replica. It reports the run to
+// the control group if that may clear a part or shows that the service answers other requests.
+func (g *Guard) NotePartStart(now time.Duration, start parts.Start) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	isReported := g.isStartReported(now, start.Run)
+	report := parts.Report{Starts: []parts.Start{start}}
+	g.parts.table.Apply(now, report)
+	g.updatePartsActive()
+	if isReported {
+		g.reportParts(report)
+	}
+}
+
+// isStartReported reports whether a start is to be reported, and notes that it is. The caller must
+// hold the lock.
+func (g *Guard) isStartReported(now time.Duration, run parts.Run) bool {
+	isReported := false
+	for _, part := range run.Parts {
+		if g.parts.recorded[part] == nil && !g.parts.table.IsSuspect(part) {
+			continue
+		}
+		if last, found := g.parts.partReportedAt[part]; !found || now-last >= startReportInterval {
+			g.parts.partReportedAt[part] = now
+			isReported = true
+		}
+	}
+	last, found := g.parts.serviceReportedAt[run.Service]
+	if g.isUndecided(run.Service) && (!found || now-last >= startReportInterval) {
+		g.parts.serviceReportedAt[run.Service] = now
+		isReported = true
+	}
+	for part, last := range g.parts.partReportedAt {
+		if now-last >= startReportInterval {
+			delete(g.parts.partReportedAt, part)
+		}
+	}
+	return isReported
+}
+
+// isUndecided reports whether a part of a service's prompts is on record and not held. The caller must
+// hold the lock.
+func (g *Guard) isUndecided(service string) bool {
+	for _, entry := range g.parts.recorded {
+		if entry.Spec.Service == service && entry.Spec.State != api.QuarantinePartHeld {
+			return true
+		}
+	}
+	return false
+}
+
+// reportParts sends a report to the control group, if any.
+func (g *Guard) reportParts(report parts.Report) {
+	if g.reporter != nil {
+		g.reporter.ReportParts(report)
+	}
+}
+
+// CheckParts reports whether a request must not be sent to any replica because of the parts of its
+// prompt, and why and for how long. sent is true if the request was sent before. A request with a held
+// part is sent nowhere. While parts are on trial, a request with one of them is sent once by one owner
+// in each turn of its proxy, and a request with several of them is not: it would not show which of
+// them is harmful.
+func (g *Guard) CheckParts(now time.Duration, wall time.Time, run parts.Run, owner any, sent bool) (hold Hold, held bool) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	caller := run.Caller.String()
+	var tried []parts.Key
+	for _, part := range run.Parts {
+		entry := g.parts.recorded[part]
+		if entry == nil || !entry.Concerns(caller) {
+			continue
+		}
+		switch entry.Spec.State {
+		case api.QuarantinePartHeld:
+			return Hold{BasisPart, max(time.UnixMilli(entry.Spec.Until).Sub(wall), MinHold)}, true
+		case api.QuarantinePartTried:
+			if !slices.Contains(tried, part) {
+				tried = append(tried, part)
+			}
+		}
+	}
+	switch {
+	case len(tried) == 1 && !sent && g.claimPartTrial(tried[0], owner):
+		return Hold{}, false
+	case len(tried) > 0:
+		return Hold{BasisPartTrial, trialRetryAfter}, true
+	}
+	if g.updateCutOff(now) {
+		return g.checkPartsAlone(now, run)
+	}
+	return Hold{}, false
+}
+
+// IsPartTrial reports whether the owner has the trial of any part of a run.
+func (g *Guard) IsPartTrial(run parts.Run, owner any) bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return slices.ContainsFunc(run.Parts, func(part parts.Key) bool {
+		trial, found := g.parts.trials[part]
+		return found && trial.owner == owner
+	})
+}
+
+// proxiesPerTurn is the number of proxies for one that has the turn while the cause is still in doubt:
+// where there are many, each has a request with the part only now and then.
+const proxiesPerTurn = 16
+
+// claimPartTrial claims the trial of a part in its current turn and reports whether the owner has it.
+// A hold is tried by one proxy at a time. The caller must hold the lock.
+func (g *Guard) claimPartTrial(part parts.Key, owner any) bool {
+	entry := g.parts.recorded[part]
+	if trial, found := g.parts.trials[part]; found && trial.turnEnd == entry.Spec.Until {
+		return trial.owner == owner
+	}
+	if count := len(g.proxies); count > 0 {
+		turns := 1
+		if entry.Spec.Times == 0 {
+			turns += count / proxiesPerTurn
+		}
+		first := xxhash.Sum64(binary.BigEndian.AppendUint64(part[:], uint64(entry.Spec.Until))) % uint64(count)
+		own := slices.Index(g.proxies, g.name)
+		if own < 0 || (own-int(first)+count)%count >= turns {
+			return false
+		}
+	}
+	g.parts.trials[part] = partTrial{turnEnd: entry.Spec.Until, owner: owner}
+	return true
+}
+
+// localFindingsAge is how long this proxy's own findings are used without a change of its table.
+const localFindingsAge = 250 * time.Millisecond
+
+// checkPartsAlone is CheckParts by the table of a proxy that is cut off. The caller must hold the lock.
+func (g *Guard) checkPartsAlone(now time.Duration, run parts.Run) (hold Hold, held bool) {
+	known := &g.parts
+	if known.local == nil || known.localChanges != known.table.Changes() || now-known.localAt >= localFindingsAge {
+		known.local, known.localChanges, known.localAt = map[parts.Key]parts.Finding{}, known.table.Changes(), now
+		for _, found := range known.table.PartialFindings(now) {
+			if found.Verdict == parts.Harmful {
+				known.local[found.Part] = found
+			}
+		}
+	}
+	for _, part := range run.Parts {
+		if found, harmful := known.local[part]; harmful && (found.Callers == nil || slices.Contains(found.Callers, run.Caller)) {
+			return Hold{BasisPartCutOff, MinHold}, true
+		}
+	}
+	return Hold{}, false
+}
--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -102,6 +102,7 @@
 		return s.saveFailure(target, number, answer, buffer.Bytes())
 	}
 	target.noteSuccess()
+	s.noteWholeAnswer(sent)
 	s.lifecycle.Finish(number)
 	copyHeader(s.writer.Header(), answer.Header)
 	s.headSent = true
@@ -137,6 +138,7 @@
 		return s.verdictAfterBreak(ctx)
 	}
 	target.noteSuccess()
+	s.noteWholeAnswer(sent)
 	s.lifecycle.Finish(number)
 	return verdictDone
 }
--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -47,7 +47,7 @@
 // which may be due to a crash of the replica. It does nothing for other errors, or if ctx has
 // ended, or if this proxy reaches no replica. It marks the replica as crashed and reports the
 // evidence, with the time that has passed: until it is known whether a replica is reached, and, if a
-// run was isolated or had produced no event, when the evidence weighs most, until the replica's
+// run was isolated or had hardly produced output, when the evidence weighs most, until the replica's
 // address was probed, which takes up to probeTimeout.
 func (s *session) noteBrokenConnection(ctx context.Context, stage string, target *replica, sent *send, err error) {
 	if ctx.Err() != nil || !isConnectionClosed(err) {
@@ -57,7 +57,7 @@
 	brokenAt := s.ingress.now()
 	s.recordFailure(err)
 	state := addressUnknown
-	if stage == stageRun && (s.isolated || sent.events == 0) {
+	if stage == stageRun && (s.isolated || sent.events < minOutputEvents) {
 		state = s.ingress.probeAddress(ctx, target)
 	}
 	if !s.isReplicaFault(ctx, err) {
@@ -80,6 +80,9 @@
 	}
 	now := s.ingress.now()
 	s.ingress.guard.NoteCrash(now, quarantine.AgedEvidence{Evidence: evidence, Age: now - brokenAt})
+	if stage == stageRun {
+		s.notePartCrash(target, sent, brokenAt, state)
+	}
 }
 
 // maxLoggedParts limits the prompt parts that a log line names.
@@ -142,14 +145,17 @@
 	}
 }
 
-// quarantineHold reports whether the request must not be sent to any replica because it crashes
-// them, and why. If the request is on trial, it claims the trial for this session if it
-// can; see guard.Guard.CheckHold.
+// quarantineHold reports whether the request must not be sent to any replica because it, or a part of
+// its prompt, crashes them, and why. If it is on trial, quarantineHold claims the trial for this
+// session if it can; see guard.Guard.CheckHold and CheckParts.
 func (s *session) quarantineHold() (hold guard.Hold, quarantined bool) {
-	if !s.ingress.guard.Active() {
-		return guard.Hold{}, false
+	if s.ingress.guard.Active() {
+		hold, quarantined = s.ingress.guard.CheckHold(s.ingress.now(), time.Now(), s.fingerprint(), s)
+	}
+	if quarantined {
+		return hold, true
 	}
-	return s.ingress.guard.CheckHold(s.ingress.now(), time.Now(), s.fingerprint(), s)
+	return s.partHold()
 }
 
 // endTrial allows another copy of the request to be tried if this one was on trial.
@@ -165,6 +171,7 @@
 func (s *session) refuseQuarantined(hold guard.Hold) int {
 	s.ingress.metrics.quarantinedRequests.WithLabelValues(s.upstream.service).Inc()
 	event.RequestHeld.Log(s.ingress.logger, "request", s.call.ID, "fingerprint", s.fingerprint(), "route", s.route.Name,
+		"parts", strings.Join(s.sharedParts(maxLoggedParts), ","),
 		"sends", s.sendCount, "by", hold.Basis, "rest_ms", hold.Remaining.Milliseconds())
 	ran := s.lifecycle.GiveUp()
 	if s.headSent {
--- a/process/ingress/quarantine_test.go
+++ b/process/ingress/quarantine_test.go
@@ -12,6 +12,7 @@
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/landingtrail/landingtrail/request/quarantine/parts"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/shoenig/test/must"
@@ -26,6 +27,8 @@
 
 func (r *recordingReporter) Connected() bool { return r.connected.Load() }
 
+func (r *recordingReporter) ReportParts(parts.Report) bool { return true }
+
 func (r *recordingReporter) ReportCrashes(report feed.CrashReport) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -62,8 +62,10 @@
 	tokens int
 	// started is true once the first event was received.
 	started bool
-	// events counts the received events; used by the session only.
-	events int
+	// events counts the received events, firstEventAt is when the first one was received; used by the
+	// session only.
+	events       int
+	firstEventAt time.Duration
 	// bodyEnd says what marks the end of the answer's body; used by the session only.
 	bodyEnd bodyEnd
 }
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -11,6 +11,7 @@
 
 	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/landingtrail/landingtrail/request/quarantine/parts"
 	"github.com/landingtrail/landingtrail/request/resume"
 	"github.com/landingtrail/landingtrail/version/api"
 )
@@ -77,6 +78,7 @@
 	trace             strings.Builder         // attempts, their results and this proxy's decisions, for the log
 	cachedFingerprint *quarantine.Fingerprint // nil until it is computed
 	crashes           int                     // runs during which the replica seems to have crashed
+	cachedPartRun     *parts.Run              // nil until it is computed
 	// wasIsolated is true once the request was assigned to a replica with no other request in
 	// flight. isolated is true if the current attempt is such a one.
 	wasIsolated bool
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -27,7 +27,7 @@
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return s.endStream(target, number, answer)
+			return s.endStream(target, sent, number, answer)
 		}
 		if err != nil {
 			s.noteBrokenConnection(ctx, stageRun, target, sent, err)
@@ -54,10 +54,7 @@
 			s.lifecycle.Fail(number, attempt.FaultBroken)
 			return verdictCallerEnd
 		}
-		sent.events++
-		if s.events++; s.events == 1 {
-			s.firstEventAt = s.ingress.now()
-		}
+		s.countEvent(sent)
 		if id != "" && isVisibleASCII(id) {
 			s.lastEventID = id
 		} else if hasData(event) {
@@ -66,6 +63,20 @@
 	}
 }
 
+// countEvent counts an event that was passed on.
+func (s *session) countEvent(sent *send) {
+	now := s.ingress.now()
+	if sent.events++; sent.events == 1 {
+		sent.firstEventAt = now
+	}
+	if s.events++; s.events == 1 {
+		s.firstEventAt = now
+	}
+	if sent.events == minOutputEvents {
+		s.notePartStart(sent)
+	}
+}
+
 // errNotContinued is returned when a resumed run does not continue after the last event.
 var errNotContinued = errors.New("ingress: resumed run does not continue the stream")
 
@@ -92,8 +103,9 @@
 
 // endStream records a stream that ended normally. One without any event counts as well; its head
 // is sent here.
-func (s *session) endStream(target *replica, number uint32, answer *exchange.Response) verdict {
+func (s *session) endStream(target *replica, sent *send, number uint32, answer *exchange.Response) verdict {
 	s.beginStream(answer)
+	s.noteWholeAnswer(sent)
 	target.noteSuccess()
 	s.lifecycle.Finish(number)
 	return verdictDone
--- a/process/proxy/harness_test.go
+++ b/process/proxy/harness_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/landingtrail/landingtrail/connection/engineapi"
 	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/request/quarantine/parts"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -104,6 +105,8 @@
 // Connected implements guard.Reporter. There is no leader, so the proxy decides by itself.
 func (c *fakeControl) Connected() bool { return false }
 
+func (c *fakeControl) ReportParts(parts.Report) bool { return true }
+
 func (c *fakeControl) ReportCrashes(report feed.CrashReport) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
--- /dev/null
+++ b/request/quarantine/parts/table.go
@@ -0,0 +1,300 @@
+package parts
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Limits of a Table.
+const (
+	// retention is how long a crash counts.
+	retention = time.Hour
+	// maxCrashes limits the crashes kept. The oldest are dropped.
+	maxCrashes = 64
+	// maxSuspects limits the suspects and the cleared parts of one crash, each.
+	maxSuspects = 4096
+	// maxCallers limits the callers kept for a suspect of one crash.
+	maxCallers = 8
+	// startRetention is how long a start clears parts of earlier crashes that are reported later.
+	startRetention = time.Minute
+	// maxStarts limits the parts whose last start is kept.
+	maxStarts = 8192
+	// maxReportDelay is the longest delay that is assumed between a crash and its observation. A run
+	// that was sent later than that ran in another process.
+	maxReportDelay = 250 * time.Millisecond
+)
+
+// Table holds the crashes of replicas with their suspects. It is not safe for concurrent use.
+type Table struct {
+	crashes []*crash // in order of time
+	// startedAt is the time of the last known start with a part, serviceStartedAt that of the last
+	// known start of any run of a service.
+	startedAt        map[Key]time.Duration
+	serviceStartedAt map[string]time.Duration
+	held             map[Key]struct{}
+	// changes counts the changes of the table's content.
+	changes uint64
+}
+
+// crash is the crash of one process.
+type crash struct {
+	process    string
+	service    string
+	uniqueName bool
+	at         time.Duration
+	// confirmed is true once nothing listened at the replica's address, or if the crash is on record.
+	confirmed bool
+	// observed is true if this table was told of the crash by an observer and not by a record.
+	observed bool
+	suspects map[Key]*suspect
+	// begun holds the parts with which the process had produced output.
+	begun map[Key]struct{}
+}
+
+// suspect is a part with which the process of a crash had a request but had produced no output.
+type suspect struct {
+	sentAt  time.Duration // when the last such request was sent to the replica
+	callers []Key
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{startedAt: map[Key]time.Duration{}, serviceStartedAt: map[string]time.Duration{}, held: map[Key]struct{}{}}
+}
+
+// Changes returns a counter that changes whenever the table's content does.
+func (t *Table) Changes() uint64 { return t.changes }
+
+// IsEmpty reports whether the table holds no crash with a suspect.
+func (t *Table) IsEmpty() bool {
+	return !slices.ContainsFunc(t.crashes, func(known *crash) bool { return len(known.suspects) > 0 })
+}
+
+// Apply adds the observations of a report.
+func (t *Table) Apply(now time.Duration, report Report) {
+	for _, observed := range report.Crashes {
+		t.addCrash(now, observed)
+	}
+	for _, observed := range report.Starts {
+		t.addStart(now, observed)
+	}
+}
+
+func (t *Table) addCrash(now time.Duration, observed Crash) {
+	if observed.Age < 0 || observed.Age >= retention || len(observed.Parts) == 0 {
+		return
+	}
+	at := now - observed.Age
+	sentAt := at - observed.RunTime
+	known := t.crashOf(observed.Replica, observed.UniqueName, sentAt, at)
+	if known == nil {
+		known = t.insert(&crash{process: observed.Replica, service: observed.Service, uniqueName: observed.UniqueName, at: at})
+	}
+	known.observed = true
+	if known.at > at {
+		known.at = at
+	}
+	if !observed.MayBeAlive && !known.confirmed {
+		known.confirmed = true
+		t.changes++
+	}
+	for _, part := range observed.Parts[:min(len(observed.Parts), MaxPartsPerRun)] {
+		if observed.Begun {
+			t.clear(known, part)
+		} else {
+			t.suspect(known, part, observed.Caller, sentAt)
+		}
+	}
+}
+
+// crashOf returns the known crash of the process that a run was sent to at sentAt and that crashed
+// at about the time at, or nil. Processes may share a name unless it is unique: a run that was sent
+// after a crash was sent to a later process.
+func (t *Table) crashOf(process string, uniqueName bool, sentAt, at time.Duration) *crash {
+	for _, known := range t.crashes {
+		isSame := known.process == process && (uniqueName || sentAt <= known.at+maxReportDelay && known.at-at <= maxReportDelay)
+		if isSame {
+			return known
+		}
+	}
+	return nil
+}
+
+// insert adds a crash in order of time and drops the oldest if there are too many.
+func (t *Table) insert(added *crash) *crash {
+	added.suspects, added.begun = map[Key]*suspect{}, map[Key]struct{}{}
+	index, _ := slices.BinarySearchFunc(t.crashes, added.at, func(known *crash, at time.Duration) int { return cmp.Compare(known.at, at) })
+	t.crashes = slices.Insert(t.crashes, index, added)
+	if len(t.crashes) > maxCrashes {
+		t.crashes = slices.Delete(t.crashes, 0, 1)
+	}
+	t.changes++
+	return added
+}
+
+// suspect makes a part a suspect of a crash, unless it is cleared of it.
+func (t *Table) suspect(of *crash, part, caller Key, sentAt time.Duration) {
+	if _, begun := of.begun[part]; begun || t.startedAt[part] > of.at {
+		return
+	}
+	known := of.suspects[part]
+	if known == nil {
+		if len(of.suspects) >= maxSuspects {
+			return
+		}
+		known = &suspect{sentAt: sentAt}
+		of.suspects[part] = known
+		t.changes++
+	}
+	known.sentAt = max(known.sentAt, sentAt)
+	if !slices.Contains(known.callers, caller) && len(known.callers) < maxCallers {
+		known.callers = append(known.callers, caller)
+		t.changes++
+	}
+}
+
+// clear clears a part of a crash.
+func (t *Table) clear(of *crash, part Key) {
+	if len(of.begun) < maxSuspects {
+		of.begun[part] = struct{}{}
+	}
+	if of.suspects[part] != nil {
+		delete(of.suspects, part)
+		t.changes++
+	}
+}
+
+// addStart clears the parts of a run of all crashes before its first output.
+func (t *Table) addStart(now time.Duration, observed Start) {
+	if observed.Age < 0 || observed.Age >= startRetention {
+		return
+	}
+	at := now - observed.Age
+	t.serviceStartedAt[observed.Service] = max(t.serviceStartedAt[observed.Service], at)
+	for _, part := range observed.Parts[:min(len(observed.Parts), MaxPartsPerRun)] {
+		if _, known := t.startedAt[part]; !known && len(t.startedAt) >= maxStarts {
+			continue
+		}
+		t.startedAt[part] = max(t.startedAt[part], at)
+		for _, earlier := range t.crashes {
+			if earlier.at < at && earlier.suspects[part] != nil {
+				delete(earlier.suspects, part)
+				t.changes++
+			}
+		}
+	}
+}
+
+// IsSuspect reports whether the part is a suspect of any crash.
+func (t *Table) IsSuspect(part Key) bool {
+	return slices.ContainsFunc(t.crashes, func(known *crash) bool { return known.suspects[part] != nil })
+}
+
+// LastStart returns the time of the last known start with a part; found is false if none is known.
+func (t *Table) LastStart(part Key) (at time.Duration, found bool) {
+	at, found = t.startedAt[part]
+	return at, found
+}
+
+// SetHeld notes whether requests with a part are kept from all replicas. A held part explains the
+// crashes of which it is a suspect, so that they count against no other part.
+func (t *Table) SetHeld(part Key, held bool) {
+	if _, known := t.held[part]; known == held {
+		return
+	}
+	t.changes++
+	if held {
+		t.held[part] = struct{}{}
+		return
+	}
+	delete(t.held, part)
+}
+
+// Forget removes a part from all crashes.
+func (t *Table) Forget(part Key) {
+	t.SetHeld(part, false)
+	for _, known := range t.crashes {
+		if known.suspects[part] != nil {
+			delete(known.suspects, part)
+			t.changes++
+		}
+	}
+}
+
+// Expire drops crashes and starts that no longer count.
+func (t *Table) Expire(now time.Duration) {
+	kept := slices.DeleteFunc(t.crashes, func(known *crash) bool { return now-known.at >= retention })
+	if len(kept) != len(t.crashes) {
+		t.changes++
+	}
+	t.crashes = kept
+	for part, at := range t.startedAt {
+		if now-at >= startRetention {
+			delete(t.startedAt, part)
+		}
+	}
+}
+
+// Record is what is persisted of a part that is suspected.
+type Record struct {
+	Service  string
+	Replicas []string // process names, one for each incident, in order of time
+	Age      time.Duration
+	Callers  []Key
+}
+
+// Restore adds the crashes of a record. When each of them happened is not on record: they are assumed
+// to be separate incidents that began at the recorded age.
+func (t *Table) Restore(now time.Duration, part Key, record Record) {
+	since := now - min(max(record.Age, settleDelay), retention/2)
+	for i, replica := range record.Replicas {
+		at := since + time.Duration(i)*time.Millisecond
+		known := t.recordedCrash(replica)
+		if known == nil {
+			known = t.insert(&crash{process: replica, service: record.Service, at: at, confirmed: true})
+		}
+		callers := record.Callers
+		if len(callers) == 0 {
+			callers = []Key{{}}
+		}
+		for _, caller := range callers {
+			t.suspect(known, part, caller, known.at)
+		}
+	}
+}
+
+// recordedCrash returns the first crash of a process with the name, or nil.
+func (t *Table) recordedCrash(process string) *crash {
+	index := slices.IndexFunc(t.crashes, func(known *crash) bool { return known.process == process })
+	if index < 0 {
+		return nil
+	}
+	return t.crashes[index]
+}
+
+// Observed returns the crashes that were reported to this table, for a receiver that has to rebuild
+// its table.
+func (t *Table) Observed(now time.Duration) Report {
+	var report Report
+	for _, known := range t.crashes {
+		if known.observed {
+			report.Crashes = append(report.Crashes, known.observations(now)...)
+		}
+	}
+	return report
+}
+
+// observations returns the suspects of a crash as observations, one for each part and caller.
+func (c *crash) observations(now time.Duration) []Crash {
+	var all []Crash
+	for part, known := range c.suspects {
+		for _, caller := range known.callers {
+			all = append(all, Crash{
+				Run: Run{Service: c.service, Caller: caller, Parts: []Key{part}}, Replica: c.process, UniqueName: c.uniqueName,
+				MayBeAlive: !c.confirmed, RunTime: c.at - known.sentAt, Age: now - c.at,
+			})
+		}
+	}
+	return all
+}
--- a/version/api/quarantine.go
+++ b/version/api/quarantine.go
@@ -4,11 +4,14 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 )
 
 // Quarantine records a request that was running when replicas crashed and may be the cause. Its
 // name is the request's fingerprint in hex: a hash of its method, host, path, query, caller and
-// body, but not of the request ID. The body is not stored.
+// body, but not of the request ID. The body is not stored. The Quarantine of a prompt part (IsPart)
+// records a part that requests had in common which were running when replicas crashed; its name is
+// the hex key of the part.
 type Quarantine struct {
 	Metadata `json:"metadata" yaml:"metadata"`
 	Spec     QuarantineSpec `json:"spec" yaml:"spec"`
@@ -34,6 +37,71 @@
 	QuarantineHeld QuarantineState = "held"
 )
 
+// States of the Quarantine of a prompt part, which concern all requests with the part.
+const (
+	// QuarantinePartWatched: the requests run normally.
+	QuarantinePartWatched QuarantineState = "part_watched"
+	// QuarantinePartTried: few proxies at a time may send one request each, and only one in which this
+	// is the only part on trial. At Until other proxies take over.
+	QuarantinePartTried QuarantineState = "part_tried"
+	// QuarantinePartHeld: the requests are sent to no replica.
+	QuarantinePartHeld QuarantineState = "part_held"
+)
+
+// The label partCallers marks the Quarantine of a prompt part. Its value lists the callers whose
+// requests it concerns, as hex keys with commas between, or is allCallers.
+const (
+	partCallers = "part-callers"
+	allCallers  = "*"
+)
+
+// PartLabels returns the labels of the Quarantine of a prompt part that concerns the requests of the
+// given callers, or of all if callers is nil.
+func PartLabels(callers []string) Labels {
+	if callers == nil {
+		return Labels{partCallers: allCallers}
+	}
+	return Labels{partCallers: strings.Join(callers, ",")}
+}
+
+// IsPart reports whether this is the Quarantine of a prompt part and not of a request.
+func (q *Quarantine) IsPart() bool {
+	_, found := q.Labels[partCallers]
+	return found
+}
+
+// PartCallers returns the callers whose requests the Quarantine of a prompt part concerns, nil for all.
+func (q *Quarantine) PartCallers() []string {
+	listed := q.Labels[partCallers]
+	if listed == allCallers {
+		return nil
+	}
+	return strings.Split(listed, ",")
+}
+
+// CallersText returns the callers for a log line: all of them as allCallers, empty for the Quarantine of
+// a request.
+func (q *Quarantine) CallersText() string { return q.Labels[partCallers] }
+
+// Concerns reports whether the Quarantine of a prompt part concerns the requests of a caller.
+func (q *Quarantine) Concerns(caller string) bool {
+	callers := q.PartCallers()
+	return callers == nil || slices.Contains(callers, caller)
+}
+
+// SplitQuarantines returns the quarantines of requests and those of prompt parts.
+func SplitQuarantines(all map[string]*Quarantine) (requests, parts map[string]*Quarantine) {
+	requests, parts = map[string]*Quarantine{}, map[string]*Quarantine{}
+	for name, known := range all {
+		if known.IsPart() {
+			parts[name] = known
+		} else {
+			requests[name] = known
+		}
+	}
+	return requests, parts
+}
+
 // EndedAtOnce reports whether the request is on trial because several replicas crashed at once.
 // A request that is tried after a hold (Times > 0) crashed its replicas one after the other.
 func (s *QuarantineSpec) EndedAtOnce() bool { return s.State == QuarantineTried && s.Times == 0 }
