Ingress: an answer that ends with its replica is not a complete one

What callers saw: where an answer has neither a length nor chunks, a replica that crashed during it closed the connection, and the caller got 200 with a last chunk: what had come so far, as the whole. The request counted as served, which cleared it of all its crashes, and the replica's success was noted.

Cause: the end of the connection was taken for that of the answer. It also comes with the process's. Class: an end taken for a success.

Now the end of such an answer is verified: 10 ms later the replica's address must accept a connection, and no other request of this proxy may have broken there meanwhile. Otherwise the run is broken: a stream goes on elsewhere where it may, other answers are asked for again or fail, and nothing is cleared. The answer to the caller keeps its chunks, since a break must show. Price: one more connection and 10 ms at the end of each such answer. Not told apart: a replica that runs on and cuts such an answer short.

Evidence: TestAnswerThatEndsWithItsReplicaIsNotComplete failed before (an empty answer passed on as whole); it passes, as does the opposite, TestAnswerThatEndsWithItsConnectionAloneIsComplete.

--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -121,7 +121,7 @@
 		Header: response.Header,
 		Length: response.ContentLength,
 
-		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && request.Method != http.MethodHead,
 		Reused:             reused,
 		ConnOpenedAt:       used.openedAt,
 		Unmatched:          unmatched,
--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -88,6 +89,9 @@
 func (s *session) forwardWhole(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Response) verdict {
 	var buffer bytes.Buffer
 	_, err := io.CopyN(&buffer, answer, maxBufferedAnswer)
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(s.verifyEnd(ctx, target, sent), err)
+	}
 	switch {
 	case err == nil:
 		return s.forwardLong(ctx, target, sent, number, answer, buffer.Bytes())
@@ -130,6 +134,10 @@
 	if err == nil {
 		var readErr error
 		readErr, err = copyAnswer(s.writer, answer)
+		if err == nil {
+			readErr = s.verifyEnd(ctx, target, sent)
+			err = readErr
+		}
 		s.noteBrokenConnection(ctx, stageRun, target, sent, readErr)
 	}
 	if err != nil {
--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -191,7 +191,7 @@
 // all, and a malformed answer, are different faults, which do not suggest that the replica has
 // crashed.
 func isConnectionClosed(err error) bool {
-	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, errEventTruncated, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, errEventTruncated, errEndedWithReplica, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, cause) {
 			return true
 		}
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/request/holdoff"
 	"github.com/landingtrail/landingtrail/version/api"
 )
@@ -70,31 +69,6 @@
 	bodyEnd bodyEnd
 }
 
-// bodyEnd is what marks the end of an answer's body.
-type bodyEnd uint8
-
-const (
-	bodyEndNone       bodyEnd = iota // there is no answer
-	bodyEndLength                    // its length
-	bodyEndChunked                   // its last chunk
-	bodyEndConnection                // the end of its connection, which is also that of the process
-)
-
-func (e bodyEnd) String() string {
-	return [...]string{"", "known", "chunked", "close"}[e]
-}
-
-// bodyEndOf returns what marks the end of the answer's body.
-func bodyEndOf(answer *exchange.Response) bodyEnd {
-	switch {
-	case answer.Length >= 0:
-		return bodyEndLength
-	case answer.EndsWithConnection:
-		return bodyEndConnection
-	}
-	return bodyEndChunked
-}
-
 func newReplica(name string, spec api.ReplicaSpec, pauseState *holdoff.Replica) *replica {
 	created := &replica{name: name, holdoff: pauseState, sends: map[*send]struct{}{}, cacheEstimate: newCacheEstimate()}
 	created.currentSpec.Store(&spec)
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -26,6 +26,9 @@
 	continues := s.headSent || s.route.Resumable && s.call.ResumeAfter != ""
 	for {
 		event, id, err := events.next()
+		if errors.Is(err, io.EOF) {
+			err = cmp.Or(s.verifyEnd(ctx, target, sent), err)
+		}
 		if errors.Is(err, io.EOF) {
 			return s.endStream(target, sent, number, answer)
 		}
