Quarantine: verdicts on prompt parts hold through kills, new leaders and crashes of other causes

A lead of one is in doubt: such parts are tried, one request at a time, and no request with two of them is sent. - starts seen while there was no leader were lost, and sound parts stood uncleared. Proxies report their latest starts to a new leader. - the record's list of replicas rotated at each review, as did its order at a new leader.

--- a/process/control/quarantine_parts.go
+++ b/process/control/quarantine_parts.go
@@ -22,13 +22,16 @@
 
 // Durations and limits of the quarantines of parts.
 const (
-	// partTrialTurn is the length of a trial's turn while the cause is in doubt.
-	partTrialTurn = time.Second
+	// partTrialTurn is the length of a trial's turn while the cause is in doubt, and longPartTrialTurn
+	// that of the turns after partTrialTurns of them: a harmless part is cleared in one of the first.
+	partTrialTurn     = time.Second
+	partTrialTurns    = 2
+	longPartTrialTurn = 3 * time.Second
 	// holdTrialTurn is the length of a turn after a hold, in which one proxy sends one request. It
 	// exceeds the deadlines of callers, so that the outcome of one trial is known before the next.
 	holdTrialTurn = 10 * time.Second
 	// maxPartQuarantines limits the parts in the record.
-	maxPartQuarantines = 64
+	maxPartQuarantines = 32
 )
 
 // partHoldDurations are the lengths of a part's holds, the last one of all later ones. A mistaken hold
@@ -93,7 +96,10 @@
 // nothing counts against the part any more, and the time. A new leader that has not heard from the
 // proxies yet keeps the state, but for trials, whose turns go on.
 func (d *quarantineTracker) advancePart(spec *api.QuarantineSpec, part parts.Key, found parts.Finding, now time.Duration, wall time.Time) {
-	spec.Replicas = mergeNames(spec.Replicas, found.Replicas)
+	if len(found.Replicas) > 0 {
+		spec.Replicas = found.Replicas[max(0, len(found.Replicas)-maxRecordedReplicas):]
+		spec.Weak = filterWeak(spec.Replicas, found.Together)
+	}
 	verdict := found.Verdict
 	if !d.hasInitialReports(now) {
 		verdict, found.Overtaken = parts.Watched, false
@@ -107,7 +113,8 @@
 			startPartTurn(spec, wall)
 		}
 	case api.QuarantinePartTried:
-		crashedAgain := spec.Times > 0 && found.LastAt > 0 && wall.Add(found.LastAt-now).After(time.UnixMilli(spec.TriedSince))
+		// A crash of which no other part on trial is a suspect decides, since requests with several are not sent.
+		crashedAgain := found.LastAloneAt > 0 && wall.Add(found.LastAloneAt-now).After(time.UnixMilli(spec.TriedSince))
 		switch {
 		case crashedAgain, spec.Times == 0 && verdict == parts.Harmful:
 			d.holdPart(spec, found, now, wall)
@@ -125,7 +132,18 @@
 			startPartTurn(spec, wall)
 		}
 	}
-	d.parts.SetHeld(part, spec.State == api.QuarantinePartHeld)
+	d.parts.SetHandling(part, handlingOf(spec))
+}
+
+// handlingOf returns what proxies do with requests that contain a part on record.
+func handlingOf(spec *api.QuarantineSpec) parts.Handling {
+	switch spec.State {
+	case api.QuarantinePartHeld:
+		return parts.Held
+	case api.QuarantinePartTried:
+		return parts.Tried
+	}
+	return parts.Sent
 }
 
 // startPartWatch lets requests with a part be sent as usual.
@@ -140,8 +158,11 @@
 		spec.State, spec.TriedSince = api.QuarantinePartTried, wall.UnixMilli()
 	}
 	turn := partTrialTurn
-	if spec.Times > 0 {
+	switch tried := wall.Sub(time.UnixMilli(spec.TriedSince)); {
+	case spec.Times > 0:
 		turn = holdTrialTurn
+	case tried >= partTrialTurns*partTrialTurn:
+		turn = longPartTrialTurn
 	}
 	spec.Until = wall.Add(turn).UnixMilli()
 }
@@ -152,7 +173,7 @@
 	spec.State, spec.TriedSince = api.QuarantinePartHeld, 0
 	spec.Times++
 	spec.Until = wall.Add(length).UnixMilli()
-	for _, replica := range found.Crashed {
+	for _, replica := range found.Replicas {
 		explained := quarantine.LiveReplica{Replica: replica, RunningFor: quarantine.AnyAge}
 		d.table.RefuteFailures(now, explained)
 		d.refuted.alive[replica], d.refuted.reportedAt[replica] = explained, now
@@ -168,10 +189,10 @@
 		}
 		known := recorded[name]
 		d.parts.Restore(now, part, parts.Record{
-			Service: known.Spec.Service, Replicas: known.Spec.Replicas, Callers: callerKeys(known.PartCallers()),
+			Service: known.Spec.Service, Replicas: known.Spec.Replicas, Together: known.Spec.Weak, Callers: callerKeys(known.PartCallers()),
 			Age: wall.Sub(time.UnixMilli(known.Spec.Since)),
 		})
-		d.parts.SetHeld(part, known.Spec.State == api.QuarantinePartHeld)
+		d.parts.SetHandling(part, handlingOf(&known.Spec))
 	}
 }
 
--- a/process/guard/parts.go
+++ b/process/guard/parts.go
@@ -83,11 +83,14 @@
 // held count against no request that was in flight there.
 func (g *Guard) applyPartRecord(part parts.Key, entry *api.Quarantine, now time.Duration) {
 	held := entry.Spec.State == api.QuarantinePartHeld
-	g.parts.table.Restore(now, part, parts.Record{Service: entry.Spec.Service, Replicas: entry.Spec.Replicas, Callers: callerKeys(entry)})
-	g.parts.table.SetHeld(part, held)
+	g.parts.table.Restore(now, part, parts.Record{
+		Service: entry.Spec.Service, Replicas: entry.Spec.Replicas, Together: entry.Spec.Weak, Callers: callerKeys(entry),
+	})
 	if !held {
+		g.parts.table.SetHandling(part, parts.Sent)
 		return
 	}
+	g.parts.table.SetHandling(part, parts.Held)
 	for _, replica := range entry.Spec.Replicas {
 		g.table.RefuteFailures(now, quarantine.LiveReplica{Replica: replica, RunningFor: quarantine.AnyAge})
 	}
--- a/request/quarantine/parts/parts.go
+++ b/request/quarantine/parts/parts.go
@@ -61,6 +61,7 @@
 
 // Run identifies what a run contains.
 type Run struct {
+	// Service is empty in a Start that sums up several runs.
 	Service string
 	// Caller is the caller of the request, as returned by CallerKey.
 	Caller Key
--- a/request/quarantine/parts/table.go
+++ b/request/quarantine/parts/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -32,7 +33,8 @@
 	// known start of any run of a service.
 	startedAt        map[Key]time.Duration
 	serviceStartedAt map[string]time.Duration
-	held             map[Key]struct{}
+	// held and tried are the parts that the caller holds or tries.
+	held, tried map[Key]struct{}
 	// changes counts the changes of the table's content.
 	changes uint64
 }
@@ -56,11 +58,22 @@
 type suspect struct {
 	sentAt  time.Duration // when the last such request was sent to the replica
 	callers []Key
+	// recorded says what the record says of the crash, whose exact time it does not contain.
+	recorded recordedIncident
 }
 
+// recordedIncident says whether a crash is on record for a part, and as what.
+type recordedIncident uint8
+
+const (
+	notRecorded      recordedIncident = iota
+	recordedFirst                     // the first crash of an incident
+	recordedTogether                  // in one incident with an earlier crash
+)
+
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{startedAt: map[Key]time.Duration{}, serviceStartedAt: map[string]time.Duration{}, held: map[Key]struct{}{}}
+	return &Table{startedAt: map[Key]time.Duration{}, serviceStartedAt: map[string]time.Duration{}, held: map[Key]struct{}{}, tried: map[Key]struct{}{}}
 }
 
 // Changes returns a counter that changes whenever the table's content does.
@@ -171,7 +184,9 @@
 		return
 	}
 	at := now - observed.Age
-	t.serviceStartedAt[observed.Service] = max(t.serviceStartedAt[observed.Service], at)
+	if observed.Service != "" {
+		t.serviceStartedAt[observed.Service] = max(t.serviceStartedAt[observed.Service], at)
+	}
 	for _, part := range observed.Parts[:min(len(observed.Parts), MaxPartsPerRun)] {
 		if _, known := t.startedAt[part]; !known && len(t.startedAt) >= maxStarts {
 			continue
@@ -197,23 +212,38 @@
 	return at, found
 }
 
-// SetHeld notes whether requests with a part are kept from all replicas. A held part explains the
-// crashes of which it is a suspect, so that they count against no other part.
-func (t *Table) SetHeld(part Key, held bool) {
-	if _, known := t.held[part]; known == held {
+// Handling says what a caller does with requests that contain a part.
+type Handling uint8
+
+// Kinds of handling.
+const (
+	Sent  Handling = iota
+	Tried          // only requests that try the part are sent
+	Held           // none is sent
+)
+
+// SetHandling notes what is done with requests that contain a part. A held part explains the crashes of
+// which it is a suspect, so that they count against no other part.
+func (t *Table) SetHandling(part Key, handling Handling) {
+	t.setMember(t.held, part, handling == Held)
+	t.setMember(t.tried, part, handling == Tried)
+}
+
+func (t *Table) setMember(set map[Key]struct{}, part Key, member bool) {
+	if _, known := set[part]; known == member {
 		return
 	}
 	t.changes++
-	if held {
-		t.held[part] = struct{}{}
+	if member {
+		set[part] = struct{}{}
 		return
 	}
-	delete(t.held, part)
+	delete(set, part)
 }
 
 // Forget removes a part from all crashes.
 func (t *Table) Forget(part Key) {
-	t.SetHeld(part, false)
+	t.SetHandling(part, Sent)
 	for _, known := range t.crashes {
 		if known.suspects[part] != nil {
 			delete(known.suspects, part)
@@ -238,29 +268,37 @@
 
 // Record is what is persisted of a part that is suspected.
 type Record struct {
-	Service  string
-	Replicas []string // process names, one for each incident, in order of time
-	Age      time.Duration
-	Callers  []Key
+	Service string
+	// Replicas are process names in order of time, Together those of them that crashed in one incident
+	// with an earlier one.
+	Replicas, Together []string
+	Age                time.Duration
+	Callers            []Key
 }
 
-// Restore adds the crashes of a record. When each of them happened is not on record: they are assumed
-// to be separate incidents that began at the recorded age.
+// Restore adds the crashes of a record. Those that are not known are assumed to have happened at the
+// recorded age, in their order.
 func (t *Table) Restore(now time.Duration, part Key, record Record) {
 	since := now - min(max(record.Age, settleDelay), retention/2)
+	callers := record.Callers
+	if len(callers) == 0 {
+		callers = []Key{{}}
+	}
 	for i, replica := range record.Replicas {
-		at := since + time.Duration(i)*time.Millisecond
 		known := t.recordedCrash(replica)
 		if known == nil {
+			at := since + time.Duration(i)*time.Millisecond
 			known = t.insert(&crash{process: replica, service: record.Service, at: at, confirmed: true})
 		}
-		callers := record.Callers
-		if len(callers) == 0 {
-			callers = []Key{{}}
-		}
 		for _, caller := range callers {
 			t.suspect(known, part, caller, known.at)
 		}
+		if restored := known.suspects[part]; restored != nil && !known.observed {
+			restored.recorded = recordedFirst
+			if slices.Contains(record.Together, replica) {
+				restored.recorded = recordedTogether
+			}
+		}
 	}
 }
 
@@ -273,10 +311,10 @@
 	return t.crashes[index]
 }
 
-// Observed returns the crashes that were reported to this table, for a receiver that has to rebuild
-// its table.
+// Observed returns the crashes that were reported to this table and the latest starts, for a receiver
+// that has to rebuild its table.
 func (t *Table) Observed(now time.Duration) Report {
-	var report Report
+	report := Report{Starts: t.latestStarts(now)}
 	for _, known := range t.crashes {
 		if known.observed {
 			report.Crashes = append(report.Crashes, known.observations(now)...)
@@ -285,6 +323,21 @@
 	return report
 }
 
+// maxObservedStarts limits the starts that Observed returns.
+const maxObservedStarts = 256
+
+// latestStarts returns the latest starts, one for each part.
+func (t *Table) latestStarts(now time.Duration) []Start {
+	started := slices.SortedFunc(maps.Keys(t.startedAt), func(a, b Key) int {
+		return cmp.Or(cmp.Compare(t.startedAt[b], t.startedAt[a]), slices.Compare(a[:], b[:]))
+	})
+	var starts []Start
+	for _, part := range started[:min(len(started), maxObservedStarts)] {
+		starts = append(starts, Start{Run: Run{Parts: []Key{part}}, Age: now - t.startedAt[part]})
+	}
+	return starts
+}
+
 // observations returns the suspects of a crash as observations, one for each part and caller.
 func (c *crash) observations(now time.Duration) []Crash {
 	var all []Crash
--- a/request/quarantine/parts/verdict.go
+++ b/request/quarantine/parts/verdict.go
@@ -8,17 +8,19 @@
 
 // Thresholds of a verdict.
 const (
-	// watchedIncidents is the number of incidents from which a part is watched.
-	watchedIncidents = 2
-	// harmfulIncidents is the number of incidents from which a part is found harmful if no other
-	// suspect is within clearLead crashes.
+	// watchedCrashes is the number of crashes from which a part is watched.
+	watchedCrashes = 2
+	// harmfulIncidents is the number of incidents from which a part is found harmful, if it stands in
+	// clearLead more crashes than any other suspect. A lead of one may be a crash of another cause.
 	harmfulIncidents = 3
 	clearLead        = 2
-	// decisiveCrashes is the number of crashes from which a lead of one is enough.
+	// decisiveCrashes is the number of crashes from which a part without a clear lead is in doubt, and
+	// doubtfulCrashes is that number if what observed some of them is gone.
 	decisiveCrashes = 5
-	// manyCrashes is the number of crashes from which watchedIncidents incidents are enough: where
-	// many replicas run requests with a part, many crash before the first crash is known.
-	manyCrashes = 8
+	doubtfulCrashes = 3
+	// fewIncidents incidents are enough from decisiveCrashes crashes on: where many replicas run
+	// requests with a part, many crash before the first crash is known.
+	fewIncidents = 2
 	// partialViewIncidents replaces harmfulIncidents for an observer of a part of all crashes.
 	partialViewIncidents = 4
 	// settleDelay is how long a crash is known before it counts, in which time others report which
@@ -27,6 +29,9 @@
 	// simultaneityMargin is how long before the first crash of an incident a request must have been
 	// sent to count as in flight then.
 	simultaneityMargin = 5 * time.Millisecond
+	// maxIncidentTime is how long after the first crash of an incident a further one may belong to it.
+	// Replicas that fail together, as with their rack, do so within less.
+	maxIncidentTime = 500 * time.Millisecond
 	// callersForAll is the number of callers with a crash each from which a verdict binds all callers.
 	callersForAll = 3
 	// repeatedCrashes is the number of crashes with which one caller's requests are bound by a
@@ -44,27 +49,31 @@
 	Harmful                     // it is the cause
 )
 
-// Finding is what a table says about a part with at least watchedIncidents incidents.
+// Finding is what a table says about a part with at least watchedCrashes crashes.
 type Finding struct {
 	Part    Key
 	Service string
 	Verdict Verdict
-	// Overtaken is true if another part is a suspect of more crashes.
+	// Overtaken is true if another held part explains these crashes better.
 	Overtaken bool
-	// Replicas are the processes of the first crash of each incident, in order of time.
-	Replicas []string
-	Crashed  []string // all processes of which the part is the likeliest cause
-	// FirstAt and LastAt are the times of the first and the last of these crashes.
-	FirstAt, LastAt time.Duration
+	// Replicas are the processes of these crashes, those that do not count yet included, in order of time. Together are those of them that
+	// crashed in one incident with an earlier one.
+	Replicas, Together []string
+	// FirstAt is the time of the first of these crashes, LastAloneAt that of the last one of which no other
+	// part that is held or on trial is a suspect; 0 if there is none.
+	FirstAt, LastAloneAt time.Duration
 	// Callers are the callers that the finding binds; nil if it binds all of them.
 	Callers []Key
 }
 
 // evidence is the crashes that count against one part.
 type evidence struct {
-	part      Key
-	crashes   []*crash
+	part    Key
+	crashes []*crash
+	// recent are further crashes after those, which do not count yet.
+	recent    []*crash
 	incidents []*crash // the first crash of each
+	together  []string // the processes of the other crashes
 }
 
 // Findings returns the findings at now, those with the most crashes first.
@@ -81,22 +90,22 @@
 	all := t.collectEvidence(now)
 	var found []Finding
 	for _, own := range all {
-		if len(own.incidents) >= watchedIncidents {
+		if len(own.crashes)+len(own.recent) >= watchedCrashes {
 			found = append(found, t.judge(own, all, required))
 		}
 	}
 	slices.SortFunc(found, func(a, b Finding) int {
-		return cmp.Or(cmp.Compare(len(b.Crashed), len(a.Crashed)), slices.Compare(a.Part[:], b.Part[:]))
+		return cmp.Or(cmp.Compare(len(b.Replicas), len(a.Replicas)), slices.Compare(a.Part[:], b.Part[:]))
 	})
 	return found
 }
 
-// collectEvidence returns the settled crashes that count against each part, except those that a held
-// part explains.
+// collectEvidence returns the crashes that count against each part, except those that a held part
+// explains. Crashes within settleDelay are kept apart.
 func (t *Table) collectEvidence(now time.Duration) map[Key]*evidence {
 	all := map[Key]*evidence{}
 	for _, known := range t.crashes {
-		if !known.confirmed || now-known.at < settleDelay {
+		if !known.confirmed {
 			continue
 		}
 		explainedBy := t.heldSuspect(known)
@@ -109,7 +118,11 @@
 				own = &evidence{part: part}
 				all[part] = own
 			}
-			own.add(known)
+			if now-known.at < settleDelay {
+				own.recent = append(own.recent, known)
+			} else {
+				own.add(known)
+			}
 		}
 	}
 	return all
@@ -125,53 +138,69 @@
 	return false
 }
 
-// add adds the next crash in order of time. It belongs to the last incident if the part's requests
-// were all sent to the replica before the first crash of that incident: replicas that crash together,
-// as with their rack, count once, as do those that a part reaches before anything is known.
+// add adds the next crash in order of time. It belongs to the last incident if it came soon after the
+// first crash of that incident and the part's requests were all sent to the replica before: replicas
+// that crash together, as with their rack, count once, as do those that a part reaches before anything
+// is known.
 func (e *evidence) add(next *crash) {
 	e.crashes = append(e.crashes, next)
-	last := len(e.incidents) - 1
-	if last < 0 || next.suspects[e.part].sentAt > e.incidents[last].at-simultaneityMargin {
-		e.incidents = append(e.incidents, next)
+	if e.isTogether(next) {
+		e.together = append(e.together, next.process)
+		return
+	}
+	e.incidents = append(e.incidents, next)
+}
+
+// isTogether reports whether the next crash belongs to the last incident.
+func (e *evidence) isTogether(next *crash) bool {
+	known := next.suspects[e.part]
+	if known.recorded != notRecorded {
+		return known.recorded == recordedTogether
+	}
+	if len(e.incidents) == 0 {
+		return false
 	}
+	first := e.incidents[len(e.incidents)-1].at
+	return known.sentAt <= first-simultaneityMargin && next.at-first <= maxIncidentTime
 }
 
 // judge returns the finding for a part.
 func (t *Table) judge(own *evidence, all map[Key]*evidence, required int) Finding {
+	crashes := slices.Concat(own.crashes, own.recent)
 	found := Finding{
-		Part: own.part, Service: own.crashes[0].service, Verdict: Watched, Callers: own.callers(),
-		FirstAt: own.crashes[0].at, LastAt: own.crashes[len(own.crashes)-1].at,
+		Part: own.part, Service: crashes[0].service, Verdict: Watched, Callers: own.callers(), Together: own.together,
+		FirstAt: crashes[0].at, LastAloneAt: t.lastAloneAt(own),
 	}
-	for _, known := range own.incidents {
+	for _, known := range crashes {
 		found.Replicas = append(found.Replicas, known.process)
 	}
-	for _, known := range own.crashes {
-		found.Crashed = append(found.Crashed, known.process)
-	}
-	isOften := len(own.incidents) >= required || len(own.crashes) >= manyCrashes
+	isOften := len(own.incidents) >= required || len(own.incidents) >= fewIncidents && len(own.crashes) >= decisiveCrashes
 	lead := own.lead(all)
-	found.Overtaken = lead < 0
+	found.Overtaken = t.isOvertaken(own, all)
+	isDoubtful := len(own.crashes) >= decisiveCrashes || len(own.crashes) >= doubtfulCrashes && own.isPartlyLost()
 	switch {
-	case !isOften || lead < 0:
-	case lead >= clearLead || lead > 0 && len(own.crashes) >= decisiveCrashes:
+	case isOften && lead >= clearLead && t.serviceStartedAt[found.Service] > found.FirstAt:
 		found.Verdict = Harmful
-		if t.serviceStartedAt[found.Service] <= found.FirstAt {
-			// Nothing without the part was answered either, as when all replicas fail.
-			found.Verdict = Doubtful
-		}
-	case len(own.crashes) >= decisiveCrashes:
-		found.Verdict = Doubtful
+	case (isOften || isDoubtful) && lead > -clearLead && (lead >= clearLead || isDoubtful):
+		found.Verdict = Doubtful // others are as likely, or nothing without the part is answered either
 	}
 	return found
 }
 
 // lead returns by how many crashes the part is ahead of every other suspect of its crashes; negative
-// if another one is ahead. A part that is the only suspect leads by all its crashes.
+// if another one is ahead. Suspects that leave harmfulIncidents of its crashes unexplained do not
+// matter, so that two harmful parts are both found. A part that is the only suspect leads by all its
+// crashes.
 func (e *evidence) lead(all map[Key]*evidence) int {
 	lead := len(e.crashes)
+	seen := map[Key]struct{}{}
 	for _, known := range e.crashes {
 		for part := range known.suspects {
-			if other := all[part]; part != e.part && other != nil {
+			if _, isSeen := seen[part]; isSeen || part == e.part {
+				continue
+			}
+			seen[part] = struct{}{}
+			if other := all[part]; other != nil && e.countWithout(part) < harmfulIncidents {
 				lead = min(lead, len(e.crashes)-len(other.crashes))
 			}
 		}
@@ -179,12 +208,68 @@
 	return lead
 }
 
+// lastAloneAt returns the time of the last crash of which no other part that is held or on trial is a
+// suspect, 0 if there is none.
+func (t *Table) lastAloneAt(own *evidence) time.Duration {
+	for _, known := range slices.Backward(own.crashes) {
+		if !known.hasOther(own.part, t.held) && !known.hasOther(own.part, t.tried) {
+			return known.at
+		}
+	}
+	return 0
+}
+
+// hasOther reports whether any part of a set but the given one is a suspect of the crash.
+func (c *crash) hasOther(part Key, set map[Key]struct{}) bool {
+	for other := range set {
+		if other != part && c.suspects[other] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// isOvertaken reports whether both this part and another one are held, and too few crashes show that
+// this one is harmful too.
+func (t *Table) isOvertaken(own *evidence, all map[Key]*evidence) bool {
+	if _, held := t.held[own.part]; !held {
+		return false
+	}
+	for part := range t.held {
+		other := all[part]
+		if part == own.part || other == nil {
+			continue
+		}
+		if alone := own.countWithout(part); alone < harmfulIncidents && alone < other.countWithout(own.part) {
+			return true
+		}
+	}
+	return false
+}
+
+// countWithout returns how many crashes the other part is no suspect of.
+func (e *evidence) countWithout(other Key) int {
+	count := 0
+	for _, known := range e.crashes {
+		if known.suspects[other] == nil {
+			count++
+		}
+	}
+	return count
+}
+
+// isPartlyLost reports whether some of the crashes are known from a record alone: what observed them is
+// gone, and may have known of more.
+func (e *evidence) isPartlyLost() bool {
+	return slices.ContainsFunc(e.crashes, func(known *crash) bool { return !known.observed })
+}
+
 // callers returns the callers that a verdict binds, nil for all of them. A caller is bound by
 // repeated crashes of its own requests. Crashes of several callers show that the part is the cause
 // whoever sends it; those of one caller may be due to what else its requests contain.
 func (e *evidence) callers() []Key {
 	crashes := map[Key]int{}
-	for _, known := range e.crashes {
+	for _, known := range slices.Concat(e.crashes, e.recent) {
 		for _, caller := range known.suspects[e.part].callers {
 			crashes[caller]++
 		}
--- a/version/api/quarantine.go
+++ b/version/api/quarantine.go
@@ -131,7 +131,8 @@
 	Replicas []string `json:"replicas" yaml:"replicas"`
 	// Weak is the subset of Replicas whose crashes are weak evidence: the run had already
 	// produced events, the replica only processed the prompt (prefill), or something accepted
-	// connections at its address right after.
+	// connections at its address right after. In the Quarantine of a prompt part it is the subset that
+	// crashed in one incident with an earlier one.
 	Weak []string `json:"weak,omitempty" yaml:"weak,omitempty"`
 	// Alone is set if a replica crashed with no other request in flight, so fewer crashes are
 	// needed to identify the request as the cause.
