Ingress: a reset connection of a replica that runs on does not make others' answers incomplete

Only a run after which nothing listens at the address counts now.

Soak: fatal prompt parts, from two clients, with the rule's bound; fatal requests may begin an answer without a length, with no event or one; half of the replicas close their connections as they crash instead of resetting them.

--- a/process/ingress/bodyend.go
+++ b/process/ingress/bodyend.go
@@ -56,9 +56,17 @@
 	return nil
 }
 
-// crashedSince reports whether the replica seems to have crashed at that time or later.
+// crashedSince reports whether a run broke at the replica at that time or later and nothing listened at
+// its address afterwards.
 func (r *replica) crashedSince(then time.Duration) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	return r.crashedAt > 0 && r.crashedAt >= then
+	return r.refusedAt > 0 && r.refusedAt >= then
+}
+
+// noteRefused records that a run broke at the replica and nothing listens at its address any more.
+func (r *replica) noteRefused(brokenAt time.Duration) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.refusedAt = max(brokenAt, 1) // 0 stands for never
 }
--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -73,6 +73,9 @@
 		s.crashes++
 	}
 	target.noteCrash(brokenAt)
+	if state == addressRefuses {
+		target.noteRefused(brokenAt)
+	}
 	evidence := quarantine.Evidence{
 		Fingerprint: s.fingerprint(), Replica: target.incarnation(), HadOutput: sent.events > 0, Read: stage == stagePrefill,
 		OnlyInFlight: isolated, StillListening: state == addressListens, RunTime: brokenAt - sent.at, UniqueName: target.spec().Born != 0,
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -52,6 +52,8 @@
 	verifiedAt time.Duration
 	// crashedAt is when the replica seems to have crashed; 0 once it has proved to be alive.
 	crashedAt time.Duration
+	// refusedAt is when a run last broke and nothing listened at the address afterwards; 0 for never.
+	refusedAt time.Duration
 }
 
 // send is one request in flight to a replica.
