Quarantine: recorded crashes of prompt parts outlast a restart of everything

Found by TestRecordKeepsCrashesAndIncidents, written now: a process's clock starts with it, so the crashes of a record happened at negative times; a part of which no start was known counted as started at zero, later than they, and was cleared of all of them. A new leader then dropped what was on record of a part that was not held yet. Held ones stayed (TestPromptPartUnderWhichReplicasCrashIsHeld kills everything and saw nothing).

--- a/process/control/quarantine_parts.go
+++ b/process/control/quarantine_parts.go
@@ -114,7 +114,7 @@
 		}
 	case api.QuarantinePartTried:
 		// A crash of which no other part on trial is a suspect decides, since requests with several are not sent.
-		crashedAgain := found.LastAloneAt > 0 && wall.Add(found.LastAloneAt-now).After(time.UnixMilli(spec.TriedSince))
+		crashedAgain := found.IsAlone && wall.Add(found.LastAloneAt-now).After(time.UnixMilli(spec.TriedSince))
 		switch {
 		case crashedAgain, spec.Times == 0 && verdict == parts.Harmful:
 			d.holdPart(spec, found, now, wall)
--- a/request/quarantine/parts/table.go
+++ b/request/quarantine/parts/table.go
@@ -148,7 +148,8 @@
 
 // suspect makes a part a suspect of a crash, unless it is cleared of it.
 func (t *Table) suspect(of *crash, part, caller Key, sentAt time.Duration) {
-	if _, begun := of.begun[part]; begun || t.startedAt[part] > of.at {
+	startedAt, started := t.startedAt[part]
+	if _, begun := of.begun[part]; begun || started && startedAt > of.at {
 		return
 	}
 	known := of.suspects[part]
@@ -184,14 +185,17 @@
 		return
 	}
 	at := now - observed.Age
-	if observed.Service != "" {
-		t.serviceStartedAt[observed.Service] = max(t.serviceStartedAt[observed.Service], at)
+	if known, found := t.serviceStartedAt[observed.Service]; observed.Service != "" && (!found || known < at) {
+		t.serviceStartedAt[observed.Service] = at
 	}
 	for _, part := range observed.Parts[:min(len(observed.Parts), MaxPartsPerRun)] {
-		if _, known := t.startedAt[part]; !known && len(t.startedAt) >= maxStarts {
+		known, found := t.startedAt[part]
+		if !found && len(t.startedAt) >= maxStarts {
 			continue
 		}
-		t.startedAt[part] = max(t.startedAt[part], at)
+		if !found || known < at {
+			t.startedAt[part] = at
+		}
 		for _, earlier := range t.crashes {
 			if earlier.at < at && earlier.suspects[part] != nil {
 				delete(earlier.suspects, part)
--- a/request/quarantine/parts/verdict.go
+++ b/request/quarantine/parts/verdict.go
@@ -59,9 +59,12 @@
 	// Replicas are the processes of these crashes, those that do not count yet included, in order of time. Together are those of them that
 	// crashed in one incident with an earlier one.
 	Replicas, Together []string
-	// FirstAt is the time of the first of these crashes, LastAloneAt that of the last one of which no other
-	// part that is held or on trial is a suspect; 0 if there is none.
-	FirstAt, LastAloneAt time.Duration
+	// FirstAt is the time of the first of these crashes.
+	FirstAt time.Duration
+	// LastAloneAt is the time of the last one of which no other part that is held or on trial is a suspect;
+	// IsAlone is false if there is none.
+	LastAloneAt time.Duration
+	IsAlone     bool
 	// Callers are the callers that the finding binds; nil if it binds all of them.
 	Callers []Key
 }
@@ -169,17 +172,20 @@
 	crashes := slices.Concat(own.crashes, own.recent)
 	found := Finding{
 		Part: own.part, Service: crashes[0].service, Verdict: Watched, Callers: own.callers(), Together: own.together,
-		FirstAt: crashes[0].at, LastAloneAt: t.lastAloneAt(own),
+		FirstAt: crashes[0].at,
 	}
+	found.LastAloneAt, found.IsAlone = t.lastAloneAt(own)
 	for _, known := range crashes {
 		found.Replicas = append(found.Replicas, known.process)
 	}
 	isOften := len(own.incidents) >= required || len(own.incidents) >= fewIncidents && len(own.crashes) >= decisiveCrashes
 	lead := own.lead(all)
 	found.Overtaken = t.isOvertaken(own, all)
+	serviceStartedAt, isAnswered := t.serviceStartedAt[found.Service]
+	isAnswered = isAnswered && serviceStartedAt > found.FirstAt
 	isDoubtful := len(own.crashes) >= decisiveCrashes || len(own.crashes) >= doubtfulCrashes && own.isPartlyLost()
 	switch {
-	case isOften && lead >= clearLead && t.serviceStartedAt[found.Service] > found.FirstAt:
+	case isOften && lead >= clearLead && isAnswered:
 		found.Verdict = Harmful
 	case (isOften || isDoubtful) && lead > -clearLead && (lead >= clearLead || isDoubtful):
 		found.Verdict = Doubtful // others are as likely, or nothing without the part is answered either
@@ -209,14 +215,14 @@
 }
 
 // lastAloneAt returns the time of the last crash of which no other part that is held or on trial is a
-// suspect, 0 if there is none.
-func (t *Table) lastAloneAt(own *evidence) time.Duration {
+// suspect; found is false if there is none.
+func (t *Table) lastAloneAt(own *evidence) (at time.Duration, found bool) {
 	for _, known := range slices.Backward(own.crashes) {
 		if !known.hasOther(own.part, t.held) && !known.hasOther(own.part, t.tried) {
-			return known.at
+			return known.at, true
 		}
 	}
-	return 0
+	return 0, false
 }
 
 // hasOther reports whether any part of a set but the given one is a suspect of the crash.
