--- a/process/ingress/harness_test.go
+++ b/process/ingress/harness_test.go
@@ -66,6 +66,7 @@
 	testPause    = "Test-Pause"
 	testLeaving  = "Test-Leaving"
 	testLimit    = "Test-Limit"
+	testParts    = "Test-Parts"
 )
 
 // testDialect is the protocol used in these tests.
@@ -80,6 +81,9 @@
 	within, _ := strconv.Atoi(header.Get(testWithin))
 	call.MaxWait = time.Duration(within) * time.Millisecond
 	call.Work.PromptTokens, _ = strconv.Atoi(header.Get(testTokens))
+	for id := range strings.FieldsSeq(header.Get(testParts)) {
+		call.Work.Parts = append(call.Work.Parts, Part{ID: id, Tokens: 10})
+	}
 	return call, nil
 }
 
--- a/process/ingress/quarantine_test.go
+++ b/process/ingress/quarantine_test.go
@@ -23,11 +23,18 @@
 	connected atomic.Bool
 	lock      sync.Mutex
 	reports   []feed.CrashReport
+	// partReports are the reports of prompt parts.
+	partReports []parts.Report
 }
 
 func (r *recordingReporter) Connected() bool { return r.connected.Load() }
 
-func (r *recordingReporter) ReportParts(parts.Report) bool { return true }
+func (r *recordingReporter) ReportParts(report parts.Report) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.partReports = append(r.partReports, report)
+	return true
+}
 
 func (r *recordingReporter) ReportCrashes(report feed.CrashReport) bool {
 	r.lock.Lock()
