--- a/process/ingress/bodyend_test.go
+++ b/process/ingress/bodyend_test.go
@@ -73,3 +73,31 @@
 		must.Eq(t, length, len(got.body))
 	}
 }
+
+// Guards against a whole answer that is taken for a broken one because the replica, which runs on, has reset the
+// connection of another request meanwhile.
+func TestResetOfAnotherRequestLeavesAnswerComplete(t *testing.T) {
+	begun, reset := make(chan struct{}), make(chan struct{})
+	replica := newFakeReplica(t, "resets", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Test-Sort") == "reset" {
+			panic(http.ErrAbortHandler)
+		}
+		conn, buffered, err := w.(http.Hijacker).Hijack()
+		must.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signature\r\nConnection: close\r\n\r\nwhole", testID, r.Header.Get(testID), testGenuine)
+		_ = buffered.Flush()
+		close(begun)
+		<-reset
+	})
+	env := newTestEnv(t, replica)
+	answers := make(chan testResponse, 1)
+	go func() { answers <- env.do(testRequest{method: "GET", target: "/unsafe/x", id: "q"}) }()
+	<-begun
+	env.do(testRequest{method: "GET", target: "/unsafe/y", id: "other", fields: map[string]string{"Test-Sort": "reset"}})
+	close(reset)
+	got := <-answers
+	must.NoError(t, got.err)
+	must.Eq(t, http.StatusOK, got.status)
+	must.Eq(t, "whole", got.body)
+}
--- a/request/quarantine/parts/table_test.go
+++ b/request/quarantine/parts/table_test.go
@@ -246,3 +246,14 @@
 	}
 	must.Eq(t, Key{}, CallerKey(" "))
 }
+
+// Guards against sound parts that are blamed for crashes of requests that were on their way when the harmful part was
+// held.
+func TestHeldPartExplainsItsCrashes(t *testing.T) {
+	table := NewTable()
+	now := crashSeries(table, 6, alice, []Key{fatal}, []Key{common})
+	must.NotEq(t, 0, verdictOf(table, now, common))
+	table.SetHandling(fatal, Held)
+	must.Eq(t, 0, verdictOf(table, now, common))
+	must.NotEq(t, 0, verdictOf(table, now, fatal))
+}
