--- a/process/ingress/bodyend.go
+++ b/process/ingress/bodyend.go
@@ -50,12 +50,29 @@
 		return nil
 	}
 	pause.Sleep(ctx, exitTime)
-	if target.crashedSince(sent.at) || s.ingress.probeAddress(ctx, target) != addressListens {
+	if target.crashedSince(sent.at) || !s.replicaListens(ctx, target) {
 		return errEndedWithReplica
 	}
 	return nil
 }
 
+// endProbes limits the probes of a replica's address at the end of an answer. A machine under load may
+// miss one.
+const endProbes = 4
+
+// replicaListens reports whether the replica's address accepts connections.
+func (s *session) replicaListens(ctx context.Context, target *replica) bool {
+	for range endProbes {
+		switch s.ingress.probeAddress(ctx, target) {
+		case addressListens:
+			return true
+		case addressRefuses:
+			return false
+		}
+	}
+	return false
+}
+
 // crashedSince reports whether a run broke at the replica at that time or later and nothing listened at
 // its address afterwards.
 func (r *replica) crashedSince(then time.Duration) bool {
