Quarantine: parts are judged in the order of their crashes, at most 128 of them

Reading: each part with two crashes was compared with every suspect of each of its crashes, which at 128 slots a replica and 64 crashes is some 800 million look-ups a review. Only parts that stand in as many crashes, or one less, can decide; those come first now, and the rest is not looked at.

--- a/process/control/quarantine_parts_course_test.go
+++ b/process/control/quarantine_parts_course_test.go
@@ -61,6 +61,8 @@
 	heldAt       time.Duration
 	held         map[string]bool // parts that were held
 	history      []string        // what happened
+	// reports counts the reports to the leader, reportedParts the parts in them.
+	reports, reportedParts int
 }
 
 // partScenario is what a course plays.
@@ -124,11 +126,22 @@
 	if p.course.leadsAt > 0 {
 		return false
 	}
+	p.course.countReport(report)
 	delay := time.Duration(1+p.course.random.IntN(4)) * courseStep
 	p.course.after(delay, func() { p.course.leader.addPartReport(report, p.course.now) })
 	return true
 }
 
+func (c *partCourse) countReport(report parts.Report) {
+	c.reports++
+	for _, crash := range report.Crashes {
+		c.reportedParts += len(crash.Parts)
+	}
+	for _, start := range report.Starts {
+		c.reportedParts += len(start.Parts)
+	}
+}
+
 func newPartCourse(seed uint64, scenario partScenario) *partCourse {
 	c := &partCourse{
 		partScenario: scenario, random: rand.New(rand.NewPCG(seed, 11)), machine: state.New(), term: 1, leader: newQuarantineTracker(),
@@ -503,7 +516,7 @@
 			if scenario.proxyCount > 3 {
 				count = max(1, *partCourses/6)
 			}
-			worst, refused, begun, later, heldSound, anyLate := 0, 0, 0, 0, 0, 0
+			worst, refused, begun, later, heldSound, anyLate, reports, reportedParts := 0, 0, 0, 0, 0, 0, 0, 0
 			var longest time.Duration
 			for seed := range uint64(count) {
 				c := newPartCourse(seed, scenario)
@@ -517,6 +530,7 @@
 					test.GreaterEq(t, c.soundLater/2, c.soundBegun, test.Sprintf("seed %d: sound requests begun of %d", seed, c.soundLater))
 				}
 				anyLate, refused, begun, later = anyLate+c.anyLate, refused+c.soundRefused, begun+c.soundBegun, later+c.soundLater
+				reports, reportedParts = max(reports, c.reports), max(reportedParts, c.reportedParts)
 				if len(c.held) > len(scenario.fatal) {
 					heldSound++
 				}
@@ -528,8 +542,8 @@
 					longest = max(longest, c.heldAt-fifthAt)
 				}
 			}
-			t.Logf("%d courses: at most %d late sends (%d by proxies in touch or not); held at most %v after the fifth; sound: %d refused, %d of %d begun later; %d courses held a sound part",
-				count, worst, anyLate, longest, refused, begun, later, heldSound)
+			t.Logf("%d courses: at most %d late sends (%d by proxies in touch or not); held at most %v after the fifth; sound: %d refused, %d of %d begun later; %d courses held a sound part; at most %d reports with %d parts",
+				count, worst, anyLate, longest, refused, begun, later, heldSound, reports, reportedParts)
 		})
 	}
 }
--- a/request/quarantine/parts/verdict.go
+++ b/request/quarantine/parts/verdict.go
@@ -79,7 +79,7 @@
 	together  []string // the processes of the other crashes
 }
 
-// Findings returns the findings at now, those with the most crashes first.
+// Findings returns the findings at now, those with the most crashes first, at most maxFindings.
 func (t *Table) Findings(now time.Duration) []Finding {
 	return t.findings(now, harmfulIncidents)
 }
@@ -91,16 +91,29 @@
 
 func (t *Table) findings(now time.Duration, required int) []Finding {
 	all := t.collectEvidence(now)
+	ranked := rank(all)
 	var found []Finding
+	for _, own := range ranked {
+		found = append(found, t.judge(own, all, ranked, required))
+	}
+	return found
+}
+
+// maxFindings limits the parts that are judged.
+const maxFindings = 128
+
+// rank returns the evidence that makes up at least watchedCrashes crashes, that of the most crashes first.
+func rank(all map[Key]*evidence) []*evidence {
+	var ranked []*evidence
 	for _, own := range all {
 		if len(own.crashes)+len(own.recent) >= watchedCrashes {
-			found = append(found, t.judge(own, all, required))
+			ranked = append(ranked, own)
 		}
 	}
-	slices.SortFunc(found, func(a, b Finding) int {
-		return cmp.Or(cmp.Compare(len(b.Replicas), len(a.Replicas)), slices.Compare(a.Part[:], b.Part[:]))
+	slices.SortFunc(ranked, func(a, b *evidence) int {
+		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(len(b.recent), len(a.recent)), slices.Compare(a.part[:], b.part[:]))
 	})
-	return found
+	return ranked[:min(len(ranked), maxFindings)]
 }
 
 // collectEvidence returns the crashes that count against each part, except those that a held part
@@ -168,7 +181,7 @@
 }
 
 // judge returns the finding for a part.
-func (t *Table) judge(own *evidence, all map[Key]*evidence, required int) Finding {
+func (t *Table) judge(own *evidence, all map[Key]*evidence, ranked []*evidence, required int) Finding {
 	crashes := slices.Concat(own.crashes, own.recent)
 	found := Finding{
 		Part: own.part, Service: crashes[0].service, Verdict: Watched, Callers: own.callers(), Together: own.together,
@@ -179,7 +192,7 @@
 		found.Replicas = append(found.Replicas, known.process)
 	}
 	isOften := len(own.incidents) >= required || len(own.incidents) >= fewIncidents && len(own.crashes) >= decisiveCrashes
-	lead := own.lead(all)
+	lead := own.lead(ranked)
 	found.Overtaken = t.isOvertaken(own, all)
 	serviceStartedAt, isAnswered := t.serviceStartedAt[found.Service]
 	isAnswered = isAnswered && serviceStartedAt > found.FirstAt
@@ -194,21 +207,18 @@
 }
 
 // lead returns by how many crashes the part is ahead of every other suspect of its crashes; negative
-// if another one is ahead. Suspects that leave harmfulIncidents of its crashes unexplained do not
-// matter, so that two harmful parts are both found. A part that is the only suspect leads by all its
-// crashes.
-func (e *evidence) lead(all map[Key]*evidence) int {
-	lead := len(e.crashes)
-	seen := map[Key]struct{}{}
-	for _, known := range e.crashes {
-		for part := range known.suspects {
-			if _, isSeen := seen[part]; isSeen || part == e.part {
-				continue
-			}
-			seen[part] = struct{}{}
-			if other := all[part]; other != nil && e.countWithout(part) < harmfulIncidents {
-				lead = min(lead, len(e.crashes)-len(other.crashes))
-			}
+// if another one is ahead, and clearLead or more if none is close. Suspects that leave harmfulIncidents of
+// its crashes unexplained do not matter, so that two harmful parts are both found.
+func (e *evidence) lead(ranked []*evidence) int {
+	lead := max(len(e.crashes), clearLead)
+	for _, other := range ranked {
+		difference := len(e.crashes) - len(other.crashes)
+		if difference >= clearLead {
+			break // all later ones are further behind
+		}
+		without := e.countWithout(other.part)
+		if other != e && without < len(e.crashes) && without < harmfulIncidents {
+			lead = min(lead, difference)
 		}
 	}
 	return lead
