--- a/request/quarantine/parts/verdict.go
+++ b/request/quarantine/parts/verdict.go
@@ -61,8 +61,8 @@
 	Replicas, Together []string
 	// FirstAt is the time of the first of these crashes.
 	FirstAt time.Duration
-	// LastAloneAt is the time of the last one of which no other part that is held or on trial is a suspect;
-	// IsAlone is false if there is none.
+	// LastAloneAt is the time of the last one of which no other part is a suspect that is held, on trial, or
+	// stands in about as many crashes; IsAlone is false if there is none.
 	LastAloneAt time.Duration
 	IsAlone     bool
 	// Callers are the callers that the finding binds; nil if it binds all of them.
@@ -187,7 +187,7 @@
 		Part: own.part, Service: crashes[0].service, Verdict: Watched, Callers: own.callers(), Together: own.together,
 		FirstAt: crashes[0].at,
 	}
-	found.LastAloneAt, found.IsAlone = t.lastAloneAt(own)
+	found.LastAloneAt, found.IsAlone = t.lastAloneAt(own, ranked)
 	for _, known := range crashes {
 		found.Replicas = append(found.Replicas, known.process)
 	}
@@ -224,11 +224,14 @@
 	return lead
 }
 
-// lastAloneAt returns the time of the last crash of which no other part that is held or on trial is a
-// suspect; found is false if there is none.
-func (t *Table) lastAloneAt(own *evidence) (at time.Duration, found bool) {
+// lastAloneAt returns the time of the last crash of which no other part is a suspect that is held, on
+// trial, or close (see clearLead); found is false if there is none.
+func (t *Table) lastAloneAt(own *evidence, ranked []*evidence) (at time.Duration, found bool) {
 	for _, known := range slices.Backward(own.crashes) {
-		if !known.hasOther(own.part, t.held) && !known.hasOther(own.part, t.tried) {
+		isShared := slices.ContainsFunc(ranked, func(other *evidence) bool {
+			return other != own && len(own.crashes)-len(other.crashes) < clearLead && known.suspects[other.part] != nil
+		})
+		if !isShared && !known.hasOther(own.part, t.held) && !known.hasOther(own.part, t.tried) {
 			return known.at, true
 		}
 	}
