Quarantine: a held part leaves what is known of requests

By reading: holding a part dropped the failures of all requests at its crashes, to spare bystanders. A harmful request has parts too; where one of them is held and then cleared by a sound request, the harmful one begins anew. TestHeldPartLeavesEvidenceAgainstRequests fails before (no record of the request is left).

--- a/process/control/quarantine_parts.go
+++ b/process/control/quarantine_parts.go
@@ -108,7 +108,7 @@
 	case api.QuarantinePartWatched:
 		switch verdict {
 		case parts.Harmful:
-			d.holdPart(spec, found, now, wall)
+			holdPart(spec, wall)
 		case parts.Doubtful:
 			startPartTurn(spec, wall)
 		}
@@ -117,7 +117,7 @@
 		crashedAgain := found.IsAlone && wall.Add(found.LastAloneAt-now).After(time.UnixMilli(spec.TriedSince))
 		switch {
 		case crashedAgain, spec.Times == 0 && verdict == parts.Harmful:
-			d.holdPart(spec, found, now, wall)
+			holdPart(spec, wall)
 		case spec.Times == 0 && verdict == parts.Watched && d.hasInitialReports(now):
 			startPartWatch(spec, wall)
 		case isExpired(spec, wall):
@@ -167,17 +167,12 @@
 	spec.Until = wall.Add(turn).UnixMilli()
 }
 
-// holdPart holds a part from now on. Its crashes count against no request that was in flight there.
-func (d *quarantineTracker) holdPart(spec *api.QuarantineSpec, found parts.Finding, now time.Duration, wall time.Time) {
+// holdPart holds a part from now on.
+func holdPart(spec *api.QuarantineSpec, wall time.Time) {
 	length := partHoldDurations[min(spec.Times, len(partHoldDurations)-1)]
 	spec.State, spec.TriedSince = api.QuarantinePartHeld, 0
 	spec.Times++
 	spec.Until = wall.Add(length).UnixMilli()
-	for _, replica := range found.Replicas {
-		explained := quarantine.LiveReplica{Replica: replica, RunningFor: quarantine.AnyAge}
-		d.table.RefuteFailures(now, explained)
-		d.refuted.alive[replica], d.refuted.reportedAt[replica] = explained, now
-	}
 }
 
 // loadParts loads the recorded parts into the table.
--- a/process/guard/parts.go
+++ b/process/guard/parts.go
@@ -79,21 +79,16 @@
 	g.updatePartsActive()
 }
 
-// applyPartRecord applies a recorded part that is new or has changed. The crashes of a part that is
-// held count against no request that was in flight there.
+// applyPartRecord applies a recorded part that is new or has changed.
 func (g *Guard) applyPartRecord(part parts.Key, entry *api.Quarantine, now time.Duration) {
-	held := entry.Spec.State == api.QuarantinePartHeld
 	g.parts.table.Restore(now, part, parts.Record{
 		Service: entry.Spec.Service, Replicas: entry.Spec.Replicas, Together: entry.Spec.Weak, Callers: callerKeys(entry),
 	})
-	if !held {
-		g.parts.table.SetHandling(part, parts.Sent)
-		return
-	}
-	g.parts.table.SetHandling(part, parts.Held)
-	for _, replica := range entry.Spec.Replicas {
-		g.table.RefuteFailures(now, quarantine.LiveReplica{Replica: replica, RunningFor: quarantine.AnyAge})
+	handling := parts.Sent
+	if entry.Spec.State == api.QuarantinePartHeld {
+		handling = parts.Held
 	}
+	g.parts.table.SetHandling(part, handling)
 }
 
 // callerKeys returns the keys of the callers that a recorded part concerns, nil for all.
