--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -158,7 +158,7 @@
 	if quarantined {
 		return hold, true
 	}
-	return s.partHold()
+	return s.partHold(time.Now())
 }
 
 // endTrial allows another copy of the request to be tried if this one was on trial.
--- a/process/ingress/parts.go
+++ b/process/ingress/parts.go
@@ -26,12 +26,12 @@
 }
 
 // partHold reports whether the request must not be sent to any replica because of a part of its
-// prompt, and why.
-func (s *session) partHold() (hold guard.Hold, held bool) {
+// prompt, and why. wall is the wall-clock time.
+func (s *session) partHold(wall time.Time) (hold guard.Hold, held bool) {
 	if !s.ingress.guard.PartsActive() || len(s.call.Work.Parts) < 2 {
 		return guard.Hold{}, false
 	}
-	return s.ingress.guard.CheckParts(s.ingress.now(), time.Now(), s.partRun(), s, s.sendCount > 0)
+	return s.ingress.guard.CheckParts(s.ingress.now(), wall, s.partRun(), s, s.sendCount > 0)
 }
 
 // triesPart reports whether the request is sent to find out whether a part of its prompt is harmful.
