Ingress: a crash after the first event speaks against a request

Cause: one event made a run one with output, which is weak evidence against a whole request (eight such incidents are needed where three without are). For a prompt part two events were required already, since a replica may write one before it crashes. Class: a beginning taken for a success, in one of two places that judge the same run.

Evidence: TestCrashAfterFirstEventSpeaksAgainstRequest failed at one event before, HadOutput true.

Why it works: both judgements ask for the same number of events.

--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -77,7 +77,7 @@
 		target.noteRefused(brokenAt)
 	}
 	evidence := quarantine.Evidence{
-		Fingerprint: s.fingerprint(), Replica: target.incarnation(), HadOutput: sent.events > 0, Read: stage == stagePrefill,
+		Fingerprint: s.fingerprint(), Replica: target.incarnation(), HadOutput: sent.events >= minOutputEvents, Read: stage == stagePrefill,
 		OnlyInFlight: isolated, StillListening: state == addressListens, RunTime: brokenAt - sent.at, UniqueName: target.spec().Born != 0,
 		RequestInfo: quarantine.RequestInfo{Service: s.upstream.service, Route: s.route.Name, Request: s.call.ID},
 	}
--- a/process/ingress/parts.go
+++ b/process/ingress/parts.go
@@ -7,7 +7,7 @@
 	"github.com/landingtrail/landingtrail/request/quarantine/parts"
 )
 
-// minOutputEvents is the number of events from which a run has shown that its prompt does not crash
+// minOutputEvents is the number of events from which a run has shown that its request does not crash
 // the replica. A run that does may produce one event before.
 const minOutputEvents = 2
 
--- a/process/ingress/parts_test.go
+++ b/process/ingress/parts_test.go
@@ -59,6 +59,17 @@
 	}
 }
 
+// Guards against a request that crashes each replica after its first event and is sent on, because a single event
+// counts as output, which speaks for the request.
+func TestCrashAfterFirstEventSpeaksAgainstRequest(t *testing.T) {
+	for events, hadOutput := range []bool{false, false, true} {
+		env, reporter := newPartEnv(t, crashAfter(t, events))
+		env.do(partRequest("first own"))
+		must.Positive(t, len(reporter.reports), must.Sprintf("%d events", events))
+		must.Eq(t, hadOutput, reporter.reports[0].Crashes[0].HadOutput, must.Sprintf("%d events", events))
+	}
+}
+
 // Guards against a held part that is sent, or read elsewhere, and against requests without it, or with it in the
 // last place, that are held.
 func TestRequestWithHeldPartIsRefusedAtOnce(t *testing.T) {
--- a/request/quarantine/evidence.go
+++ b/request/quarantine/evidence.go
@@ -7,7 +7,8 @@
 type Evidence struct {
 	Fingerprint Fingerprint
 	Replica     string
-	// HadOutput is true if the run had produced output before the failure.
+	// HadOutput is true if the run had produced more output before the failure than one that makes its
+	// replica fail.
 	HadOutput bool
 	// Read is true if the replica only ran the prefill phase. Its failure is weak evidence, because
 	// prefill replicas are few and heavily loaded, and also reset connections when they have no
