Quarantine: crashes caused by a harmful prompt part do not count against requests beside it

Cause, by reading and by the test: requests with the part are all different, so each stands in one crash; a sound request that stands in three leads over every one of them by two, and is found harmful. The table of whole requests knew nothing of parts. Class: one identity taken for the only one, here by the older of the two tables.

Why it works: once a part is found harmful, crashes of which it is a suspect do not count against requests that do not contain it, for as long as it stands so; they are kept, and count again if it is cleared. A request that contains the part counts as before. The leader reviews parts first; a proxy without a leader does the same with what it finds itself. Reports of parts name the request.

Evidence: TestCrashesOfHarmfulPartLeaveRequestsBesideItServed failed before (held after the third crash), and passes with new leaders that have the record alone.

Open: if everything is killed after a part's first crash, which is not on record, a sound request beside it may be held until the part is found.

--- a/connection/feed/parts.go
+++ b/connection/feed/parts.go
@@ -47,6 +47,7 @@
 	encoder.Uint32(uint32(len(report.Crashes)))
 	for _, crash := range report.Crashes {
 		encodeRun(encoder, crash.Run)
+		encoder.String(string(crash.Request[:]))
 		encoder.String(crash.Replica)
 		encoder.Bool(crash.UniqueName)
 		encoder.Bool(crash.Begun)
@@ -72,7 +73,7 @@
 	report := &parts.Report{}
 	for i, count := 0, decodeObservationCount(decoder); i < count && decoder.Err() == nil; i++ {
 		report.Crashes = append(report.Crashes, parts.Crash{
-			Run: decodeRun(decoder), Replica: decoder.String(), UniqueName: decoder.Bool(), Begun: decoder.Bool(), MayBeAlive: decoder.Bool(),
+			Run: decodeRun(decoder), Request: decodeFingerprint(decoder), Replica: decoder.String(), UniqueName: decoder.Bool(), Begun: decoder.Bool(), MayBeAlive: decoder.Bool(),
 			RunTime: time.Duration(decoder.Int64()), Age: time.Duration(decoder.Int64()),
 		})
 	}
--- a/connection/feed/parts_test.go
+++ b/connection/feed/parts_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/frame"
+	"github.com/landingtrail/landingtrail/request/quarantine"
 	"github.com/landingtrail/landingtrail/request/quarantine/parts"
 	"github.com/shoenig/test/must"
 )
@@ -14,7 +15,7 @@
 	var report parts.Report
 	for range crashes {
 		report.Crashes = append(report.Crashes, parts.Crash{
-			Run: run, Replica: "r", UniqueName: true, Begun: true, MayBeAlive: true, RunTime: time.Second, Age: time.Millisecond,
+			Run: run, Request: quarantine.Fingerprint{7}, Replica: "r", UniqueName: true, Begun: true, MayBeAlive: true, RunTime: time.Second, Age: time.Millisecond,
 		})
 	}
 	for range starts {
--- a/process/control/quarantine.go
+++ b/process/control/quarantine.go
@@ -101,10 +101,12 @@
 }
 
 func newQuarantineTracker() *quarantineTracker {
-	return &quarantineTracker{
+	tracker := &quarantineTracker{
 		table: quarantine.NewTable(), parts: parts.NewTable(), refuted: newRefutations(), alertUntil: map[string]time.Duration{},
 		sentEarly: map[quarantine.Fingerprint]bool{},
 	}
+	tracker.table.SetOtherCause(tracker.parts.HasHarmfulPart)
+	return tracker
 }
 
 // addProxyReport adds a proxy's report.
--- a/process/control/quarantine_parts.go
+++ b/process/control/quarantine_parts.go
@@ -133,6 +133,7 @@
 		}
 	}
 	d.parts.SetHandling(part, handlingOf(spec))
+	d.parts.SetFound(part, spec.Times > 0)
 }
 
 // handlingOf returns what proxies do with requests that contain a part on record.
--- a/process/control/quarantine_parts_test.go
+++ b/process/control/quarantine_parts_test.go
@@ -31,7 +31,7 @@
 		tracker.table.RecordFailure(now, quarantine.Evidence{Fingerprint: request, Replica: replica, RunTime: 10 * time.Millisecond, UniqueName: true})
 		run := parts.Run{Service: "s", Parts: []parts.Key{part}}
 		tracker.addPartReport(parts.Report{
-			Crashes: []parts.Crash{{Run: run, Replica: replica, UniqueName: true, RunTime: 10 * time.Millisecond}},
+			Crashes: []parts.Crash{{Run: run, Request: request, Replica: replica, UniqueName: true, RunTime: 10 * time.Millisecond}},
 			Starts:  []parts.Start{{Run: parts.Run{Service: "s"}}},
 		}, now)
 		review(now)
@@ -41,3 +41,61 @@
 	must.Eq(t, api.QuarantineHeld, machine.View().Quarantines[request.String()].Spec.State)
 	must.Eq(t, 5, tracker.table.CountFailures(request))
 }
+
+// crashedWith is the crash of a replica, some seconds into a test, with a request that has a harmful part and is
+// like no other.
+type crashedWith struct {
+	tracker *quarantineTracker
+	part    parts.Key
+}
+
+// at crashes a replica at now.
+func (c crashedWith) at(now time.Duration, replica string) {
+	request := courseFingerprint("with the part at " + replica)
+	c.tracker.table.RecordFailure(now, quarantine.Evidence{Fingerprint: request, Replica: replica, RunTime: 10 * time.Millisecond, UniqueName: true})
+	c.tracker.addPartReport(parts.Report{
+		Crashes: []parts.Crash{{
+			Run: parts.Run{Service: "s", Parts: []parts.Key{c.part}}, Request: request, Replica: replica, UniqueName: true, RunTime: 10 * time.Millisecond,
+		}},
+		Starts: []parts.Start{{Run: parts.Run{Service: "s"}}},
+	}, now)
+}
+
+// Guards against a sound request that is held, because it was in flight at some of the crashes that a part of other
+// requests caused, of which no two are alike, so that none of them stands in more crashes than it does.
+func TestCrashesOfHarmfulPartLeaveRequestsBesideItServed(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		// Before this crash a new leader takes over, which has the record alone. It holds no part with a single crash.
+		for _, restart := range []int{0, 2, 3, 4, 5, 6, 7} {
+			machine, tracker := state.New(), newQuarantineTracker()
+			sound, part := courseFingerprint("sound"), parts.KeyOf("s", "m", "p")
+			var index, term uint64 = 0, 1
+			review := func(now time.Duration) {
+				index++
+				changes, _ := tracker.review(term, machine.View(), now, time.Unix(1_700_000_000, 0).Add(now))
+				machine.Apply(term, index, state.Command{Kind: state.CommandObserve, Observe: &changes})
+			}
+			now := time.Minute
+			review(now)
+			for i := range 7 {
+				now += 3 * time.Second
+				if i == restart {
+					tracker, term = newQuarantineTracker(), 2
+				}
+				review(now - 2*time.Second)
+				replica := fmt.Sprint("r-", i)
+				tracker.table.RecordFailure(now, quarantine.Evidence{
+					Fingerprint: sound, Replica: replica, RunTime: 10 * time.Millisecond, UniqueName: true, OnlyInFlight: alone && i == 6,
+				})
+				review(now)
+				crashedWith{tracker, part}.at(now+5*time.Millisecond, replica)
+				review(now + 10*time.Millisecond)
+				review(now + 500*time.Millisecond)
+				if entry := machine.View().Quarantines[sound.String()]; entry != nil {
+					must.Eq(t, api.QuarantineWatched, entry.Spec.State, must.Sprintf("after crash %d, a new leader before crash %d, alone %v", i, restart, alone))
+				}
+			}
+			must.Eq(t, api.QuarantinePartHeld, machine.View().Quarantines[part.String()].Spec.State)
+		}
+	}
+}
--- a/process/control/quarantine_review.go
+++ b/process/control/quarantine_review.go
@@ -72,11 +72,13 @@
 	}
 	var changes state.Observe
 	requests, recordedParts := api.SplitQuarantines(current.Quarantines)
+	d.reviewParts(&changes, recordedParts, now, wall) // first, since harmful parts explain crashes of requests
+	removedParts := len(changes.Removed)
 	recorded := len(requests)
 	for _, name := range slices.Sorted(maps.Keys(requests)) {
 		d.reviewRecorded(&changes, current, requests[name], &refuted, now, wall)
 	}
-	recorded -= len(changes.Removed)
+	recorded -= len(changes.Removed) - removedParts
 	for _, fingerprint := range d.requestsToRecord(current, now) {
 		if current.Quarantines[fingerprint.String()] == nil && recorded < maxQuarantines {
 			recorded++
@@ -85,7 +87,6 @@
 	}
 	d.reviewSuspects(&changes, current, &refuted, now, wall)
 	d.recordSuspects(&changes, current, now, wall)
-	d.reviewParts(&changes, recordedParts, now, wall)
 	return changes, refuted
 }
 
--- a/process/guard/guard.go
+++ b/process/guard/guard.go
@@ -82,7 +82,9 @@
 // New returns a guard that reports nothing until SetReporter is called. name is the proxy's name,
 // empty if the proxy does not run trials.
 func New(name string) *Guard {
-	return &Guard{name: name, table: quarantine.NewTable(), trials: map[quarantine.Fingerprint]any{}, parts: newPartGuard()}
+	guard := &Guard{name: name, table: quarantine.NewTable(), trials: map[quarantine.Fingerprint]any{}, parts: newPartGuard()}
+	guard.table.SetOtherCause(guard.parts.table.HasHarmfulPart)
+	return guard
 }
 
 // SetReporter sets the connection to the control group, which receives reports and tells whether a
@@ -381,6 +383,7 @@
 	} else if now >= g.reportedUntil {
 		return Hold{}, false
 	}
+	g.judgePartsAlone(now) // harmful parts explain crashes of requests
 	if !g.table.IsHarmfulOnPartialView(fingerprint) {
 		return Hold{}, false
 	}
--- a/process/guard/parts.go
+++ b/process/guard/parts.go
@@ -89,6 +89,7 @@
 		handling = parts.Held
 	}
 	g.parts.table.SetHandling(part, handling)
+	g.parts.table.SetFound(part, entry.Spec.Times > 0)
 }
 
 // callerKeys returns the keys of the callers that a recorded part concerns, nil for all.
@@ -252,19 +253,38 @@
 
 // checkPartsAlone is CheckParts by the table of a proxy that is cut off. The caller must hold the lock.
 func (g *Guard) checkPartsAlone(now time.Duration, run parts.Run) (hold Hold, held bool) {
-	known := &g.parts
-	if known.local == nil || known.localChanges != known.table.Changes() || now-known.localAt >= localFindingsAge {
-		known.local, known.localChanges, known.localAt = map[parts.Key]parts.Finding{}, known.table.Changes(), now
-		for _, found := range known.table.PartialFindings(now) {
-			if found.Verdict == parts.Harmful {
-				known.local[found.Part] = found
-			}
-		}
-	}
+	g.judgePartsAlone(now)
 	for _, part := range run.Parts {
-		if found, harmful := known.local[part]; harmful && (found.Callers == nil || slices.Contains(found.Callers, run.Caller)) {
+		if found, harmful := g.parts.local[part]; harmful && (found.Callers == nil || slices.Contains(found.Callers, run.Caller)) {
 			return Hold{BasisPartCutOff, MinHold}, true
 		}
 	}
 	return Hold{}, false
 }
+
+// judgePartsAlone brings the parts that this proxy's table finds harmful up to date. The caller must hold
+// the lock.
+func (g *Guard) judgePartsAlone(now time.Duration) {
+	known := &g.parts
+	if known.local != nil && known.localChanges == known.table.Changes() && now-known.localAt < localFindingsAge {
+		return
+	}
+	known.dropLocal()
+	known.local, known.localAt = map[parts.Key]parts.Finding{}, now
+	for _, found := range known.table.PartialFindings(now) {
+		if found.Verdict == parts.Harmful {
+			known.local[found.Part] = found
+			known.table.SetFound(found.Part, true)
+		}
+	}
+	known.localChanges = known.table.Changes()
+}
+
+// dropLocal drops what this proxy's table finds by itself.
+func (g *partGuard) dropLocal() {
+	for part := range g.local {
+		entry := g.recorded[part]
+		g.table.SetFound(part, entry != nil && entry.Spec.Times > 0)
+	}
+	g.local = nil
+}
--- a/process/guard/parts_test.go
+++ b/process/guard/parts_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/landingtrail/landingtrail/request/quarantine"
 	"github.com/landingtrail/landingtrail/request/quarantine/parts"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -135,3 +136,39 @@
 	}
 	must.False(t, guard.holdsRun(runOf("a", otherPart), nil, false))
 }
+
+// Guards against a proxy without a leader that holds a sound request, because it was in flight at the crashes that
+// a part of other requests caused.
+func TestCutOffProxySparesRequestsBesideHarmfulPart(t *testing.T) {
+	guard := New("p-0") // it never had a leader
+	sound := quarantine.Fingerprint{1}
+	for i := range 6 {
+		now := time.Duration(i) * time.Second
+		replica := fmt.Sprint("r-", i)
+		guard.NoteCrash(now, quarantine.AgedEvidence{Evidence: quarantine.Evidence{Fingerprint: sound, Replica: replica, UniqueName: true, RunTime: time.Millisecond}})
+		guard.NotePartCrash(now, parts.Crash{
+			Run: runOf("a", heldPart, otherPart), Request: quarantine.Fingerprint{2, byte(i)}, Replica: replica, UniqueName: true, RunTime: time.Millisecond,
+		})
+		guard.NotePartStart(now+time.Millisecond, parts.Start{Run: runOf("a", otherPart)})
+		_, held := guard.CheckHold(now+500*time.Millisecond, partWall, sound, nil)
+		must.False(t, held, must.Sprintf("after %d crashes", i+1))
+	}
+}
+
+// Guards against the same where the part is on record, and what crashed before was seen by others.
+func TestCutOffProxyKnowsRecordedCauseOfCrashes(t *testing.T) {
+	for _, times := range []int{0, 1} {
+		recorded := partView(1, api.QuarantinePartTried, nil, 1, heldPart)
+		recorded.Quarantines[heldPart.String()].Spec.Times = times
+		guard := New("p-0")
+		guard.Follow(recorded, 0)
+		sound := quarantine.Fingerprint{1}
+		for i := range 5 {
+			guard.NoteCrash(time.Duration(i+1)*time.Second, quarantine.AgedEvidence{Evidence: quarantine.Evidence{
+				Fingerprint: sound, Replica: fmt.Sprint("r-", i), UniqueName: true, RunTime: time.Millisecond,
+			}})
+		}
+		_, held := guard.CheckHold(6*time.Second, partWall, sound, nil)
+		must.Eq(t, times == 0, held)
+	}
+}
--- a/process/ingress/parts.go
+++ b/process/ingress/parts.go
@@ -68,7 +68,7 @@
 	now := s.ingress.now()
 	hasOutput := sent.events >= minOutputEvents
 	s.ingress.guard.NotePartCrash(now, parts.Crash{
-		Run: run, Replica: target.incarnation(), UniqueName: target.spec().Born != 0, Begun: hasOutput,
+		Run: run, Request: s.fingerprint(), Replica: target.incarnation(), UniqueName: target.spec().Born != 0, Begun: hasOutput,
 		MayBeAlive: hasOutput || state == addressListens, RunTime: brokenAt - sent.at, Age: now - brokenAt,
 	})
 }
--- a/process/ingress/parts_test.go
+++ b/process/ingress/parts_test.go
@@ -53,6 +53,7 @@
 		must.Positive(t, len(reporter.partReports), must.Sprintf("%d events", events))
 		crash := reporter.partReports[0].Crashes[0]
 		must.Eq(t, []parts.Key{parts.KeyOf("model", "", "first"), parts.KeyOf("model", "", "second")}, crash.Parts)
+		must.Eq(t, reporter.reports[0].Crashes[0].Fingerprint, crash.Request)
 		must.Eq(t, begun, crash.Begun, must.Sprintf("%d events", events))
 		must.Eq(t, begun, crash.MayBeAlive, must.Sprintf("%d events", events))
 		must.SliceEmpty(t, reporter.partReports[0].Starts)
--- a/request/quarantine/parts/parts.go
+++ b/request/quarantine/parts/parts.go
@@ -72,6 +72,8 @@
 // Crash is the observation of a run that was in progress when its replica crashed.
 type Crash struct {
 	Run
+	// Request is the fingerprint of the request.
+	Request quarantine.Fingerprint
 	Replica string // the process name
 	// UniqueName is true if the process name identifies a single process, which crashes only once.
 	UniqueName bool
--- a/request/quarantine/parts/table.go
+++ b/request/quarantine/parts/table.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/landingtrail/landingtrail/request/quarantine"
 )
 
 // Limits of a Table.
@@ -15,8 +17,9 @@
 	maxCrashes = 64
 	// maxSuspects limits the suspects and the cleared parts of one crash, each.
 	maxSuspects = 4096
-	// maxCallers limits the callers kept for a suspect of one crash.
-	maxCallers = 8
+	// maxCallers limits the callers kept for a suspect of one crash, and maxRequests the requests.
+	maxCallers  = 8
+	maxRequests = 8
 	// startRetention is how long a start clears parts of earlier crashes that are reported later.
 	startRetention = time.Minute
 	// maxStarts limits the parts whose last start is kept.
@@ -35,6 +38,8 @@
 	serviceStartedAt map[string]time.Duration
 	// held and tried are the parts that the caller holds or tries.
 	held, tried map[Key]struct{}
+	// found are the parts that the caller has found harmful.
+	found map[Key]struct{}
 	// changes counts the changes of the table's content.
 	changes uint64
 }
@@ -56,8 +61,9 @@
 
 // suspect is a part with which the process of a crash had a request but had produced no output.
 type suspect struct {
-	sentAt  time.Duration // when the last such request was sent to the replica
-	callers []Key
+	sentAt   time.Duration // when the last such request was sent to the replica
+	callers  []Key
+	requests []quarantine.Fingerprint
 	// recorded says what the record says of the crash, whose exact time it does not contain.
 	recorded recordedIncident
 }
@@ -73,7 +79,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{startedAt: map[Key]time.Duration{}, serviceStartedAt: map[string]time.Duration{}, held: map[Key]struct{}{}, tried: map[Key]struct{}{}}
+	return &Table{startedAt: map[Key]time.Duration{}, serviceStartedAt: map[string]time.Duration{}, held: map[Key]struct{}{}, tried: map[Key]struct{}{}, found: map[Key]struct{}{}}
 }
 
 // Changes returns a counter that changes whenever the table's content does.
@@ -117,6 +123,7 @@
 			t.clear(known, part)
 		} else {
 			t.suspect(known, part, observed.Caller, sentAt)
+			t.addRequest(known, part, observed.Request)
 		}
 	}
 }
@@ -168,6 +175,15 @@
 	}
 }
 
+// addRequest notes which request had a suspect of a crash.
+func (t *Table) addRequest(of *crash, part Key, request quarantine.Fingerprint) {
+	known := of.suspects[part]
+	if known != nil && !slices.Contains(known.requests, request) && len(known.requests) < maxRequests {
+		known.requests = append(known.requests, request)
+		t.changes++
+	}
+}
+
 // clear clears a part of a crash.
 func (t *Table) clear(of *crash, part Key) {
 	if len(of.begun) < maxSuspects {
@@ -245,9 +261,41 @@
 	delete(set, part)
 }
 
+// SetFound notes whether a part has been found harmful and not been cleared since, whatever is done with
+// requests that contain it.
+func (t *Table) SetFound(part Key, found bool) { t.setMember(t.found, part, found) }
+
+// HasHarmfulPart reports whether another request, with a part that was found harmful, was in flight at a
+// failure. Requests that contain that part themselves do not have another cause than their own.
+func (t *Table) HasHarmfulPart(failed quarantine.Failure) bool {
+	for part := range t.found {
+		if t.isSuspectOf(part, failed) && !t.isInRequest(part, failed.Fingerprint) {
+			return true
+		}
+	}
+	return false
+}
+
+// isSuspectOf reports whether a part is a suspect of the crash that a failure belongs to. Processes may
+// share a name, so the times must agree where both are known.
+func (t *Table) isSuspectOf(part Key, failed quarantine.Failure) bool {
+	return slices.ContainsFunc(t.crashes, func(known *crash) bool {
+		isSameTime := !failed.IsTimeKnown || !known.observed || known.uniqueName || (known.at-failed.At).Abs() <= maxReportDelay
+		return known.process == failed.Replica && known.suspects[part] != nil && isSameTime
+	})
+}
+
+// isInRequest reports whether a request is known to contain a part.
+func (t *Table) isInRequest(part Key, request quarantine.Fingerprint) bool {
+	return slices.ContainsFunc(t.crashes, func(known *crash) bool {
+		return known.suspects[part] != nil && slices.Contains(known.suspects[part].requests, request)
+	})
+}
+
 // Forget removes a part from all crashes.
 func (t *Table) Forget(part Key) {
 	t.SetHandling(part, Sent)
+	t.SetFound(part, false)
 	for _, known := range t.crashes {
 		if known.suspects[part] != nil {
 			delete(known.suspects, part)
@@ -342,15 +390,20 @@
 	return starts
 }
 
-// observations returns the suspects of a crash as observations, one for each part and caller.
+// observations returns the suspects of a crash as observations, in which each caller and each request of a
+// part stands.
 func (c *crash) observations(now time.Duration) []Crash {
 	var all []Crash
 	for part, known := range c.suspects {
-		for _, caller := range known.callers {
-			all = append(all, Crash{
-				Run: Run{Service: c.service, Caller: caller, Parts: []Key{part}}, Replica: c.process, UniqueName: c.uniqueName,
-				MayBeAlive: !c.confirmed, RunTime: c.at - known.sentAt, Age: now - c.at,
-			})
+		for i := range max(len(known.callers), len(known.requests)) {
+			observed := Crash{
+				Run: Run{Service: c.service, Caller: known.callers[min(i, len(known.callers)-1)], Parts: []Key{part}}, Replica: c.process,
+				UniqueName: c.uniqueName, MayBeAlive: !c.confirmed, RunTime: c.at - known.sentAt, Age: now - c.at,
+			}
+			if len(known.requests) > 0 {
+				observed.Request = known.requests[min(i, len(known.requests)-1)]
+			}
+			all = append(all, observed)
 		}
 	}
 	return all
--- a/request/quarantine/parts/table_test.go
+++ b/request/quarantine/parts/table_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/landingtrail/landingtrail/request/quarantine"
 	"github.com/shoenig/test/must"
 )
 
@@ -257,3 +258,54 @@
 	must.Eq(t, 0, verdictOf(table, now, common))
 	must.NotEq(t, 0, verdictOf(table, now, fatal))
 }
+
+// Guards against a sound request that is blamed for the crashes of a harmful part, and against a harmful one that
+// goes free because it contains the part itself, stood at other crashes, or ran in another process of that name.
+func TestHarmfulPartIsTheCauseForOtherRequests(t *testing.T) {
+	sound, own := quarantine.Fingerprint{1}, quarantine.Fingerprint{2}
+	for _, unique := range []bool{true, false} {
+		table := NewTable()
+		for i := range 3 {
+			crash := crashAt(fmt.Sprint("r-", i), alice, common, fatal)
+			crash.UniqueName = unique
+			crash.Request = quarantine.Fingerprint{3, byte(i)}
+			table.Apply(time.Duration(i)*time.Minute, Report{Crashes: []Crash{crash}})
+		}
+		with := crashAt("r-3", alice, fatal)
+		with.Request = own
+		table.Apply(3*time.Minute, Report{Crashes: []Crash{with}})
+		failure := quarantine.Failure{Fingerprint: sound, Replica: "r-1", At: time.Minute, IsTimeKnown: true}
+		must.False(t, table.HasHarmfulPart(failure), must.Sprint("not found yet"))
+		table.SetFound(fatal, true)
+		must.True(t, table.HasHarmfulPart(failure))
+		failure.Fingerprint = own
+		must.False(t, table.HasHarmfulPart(failure), must.Sprint("it contains the part"))
+		failure.Fingerprint, failure.Replica = sound, "r-9"
+		must.False(t, table.HasHarmfulPart(failure), must.Sprint("another crash"))
+		failure.Replica, failure.At = "r-1", 2*time.Minute
+		must.Eq(t, unique, table.HasHarmfulPart(failure), must.Sprint("another process, unless the name is unique"))
+		failure.IsTimeKnown = false
+		must.True(t, table.HasHarmfulPart(failure))
+		table.Forget(fatal)
+		table.Apply(4*time.Minute, Report{Crashes: []Crash{crashAt("r-1", alice, fatal)}})
+		must.False(t, table.HasHarmfulPart(failure), must.Sprint("cleared"))
+	}
+}
+
+// Guards against a receiver that blames the requests with a harmful part on each other, because it is not told which
+// of them contain it.
+func TestObservedCrashesNameTheirRequests(t *testing.T) {
+	table, receiver := NewTable(), NewTable()
+	for number := range 3 {
+		crash := crashAt("r-0", []Key{alice, bob, bob}[number], fatal)
+		crash.Request = quarantine.Fingerprint{byte(number + 1)}
+		table.Apply(0, Report{Crashes: []Crash{crash}})
+	}
+	receiver.Apply(time.Second, table.Observed(time.Second))
+	receiver.SetFound(fatal, true)
+	for number := range 4 {
+		failure := quarantine.Failure{Fingerprint: quarantine.Fingerprint{byte(number + 1)}, Replica: "r-0", IsTimeKnown: true}
+		must.Eq(t, number == 3, receiver.HasHarmfulPart(failure))
+	}
+	must.Eq(t, table.crashes[0].suspects[fatal].callers, receiver.crashes[0].suspects[fatal].callers)
+}
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -63,6 +63,8 @@
 	inFlightAt map[string]map[Fingerprint]struct{}
 	// cleared holds the requests that were served recently.
 	cleared clearances
+	// hasOtherCause reports which failures do not count against a request; nil if all do.
+	hasOtherCause func(Failure) bool
 	// sequence is the number of the next failure.
 	sequence uint64
 	// changes counts the changes of the table's content.
@@ -210,7 +212,7 @@
 	if known == nil || !known.hasManyFailures() {
 		return false
 	}
-	own := slices.DeleteFunc(slices.Clone(known.failures), func(failed failure) bool {
+	own := slices.DeleteFunc(slices.Clone(t.counted(fingerprint, known).failures), func(failed failure) bool {
 		return t.sharedWithHeldRequest(fingerprint, failed.replica)
 	})
 	return countStrong(own) >= manyFailures
@@ -243,7 +245,7 @@
 // happened with nothing else in flight.
 func (t *Table) FailedAlone(fingerprint Fingerprint) bool {
 	known := t.requests[fingerprint]
-	return known != nil && known.failedAlone()
+	return known != nil && t.counted(fingerprint, known).failedAlone()
 }
 
 // IsSuspect reports whether the request may have caused a replica failure in the last
@@ -290,6 +292,7 @@
 	if harmful, _ := t.isHarmful(fingerprint, known); !harmful {
 		return false
 	}
+	known = t.counted(fingerprint, known)
 	own := t.unexplained(fingerprint, known.withoutPrefill(), func(other *entry) bool {
 		return t.explains(other, known) || other.rank().compare(known.rank()) >= 0
 	})
--- a/request/quarantine/verdict.go
+++ b/request/quarantine/verdict.go
@@ -44,8 +44,9 @@
 // Verdict returns the verdict on a request at now.
 //
 // The verdict is a function of the evidence and the time only: which replicas failed while they ran
-// which requests, in what order, and which failures came while a request was held and therefore not
-// running anywhere. It does not depend on earlier verdicts.
+// which requests, in what order, which failures came while a request was held and therefore not
+// running anywhere, and which have another cause (see SetOtherCause). It does not depend on earlier
+// verdicts.
 //
 // Invariant: holding or releasing a request changes no verdict until another replica fails or a
 // failure is refuted, because a hold only affects how failures after its start are compared (see
@@ -80,6 +81,7 @@
 // isHarmful reports whether a request has enough failures that no other request explains, and how
 // long after the last failure the verdict takes effect.
 func (t *Table) isHarmful(fingerprint Fingerprint, known *entry) (harmful bool, delay time.Duration) {
+	known = t.counted(fingerprint, known)
 	own := t.unexplained(fingerprint, known, func(other *entry) bool { return t.explains(other, known) })
 	switch {
 	case weightOf(own) >= harmfulWeight && known.failedAlone():
@@ -103,7 +105,7 @@
 	}
 	for _, failed := range known.failures {
 		for other := range t.inFlightAt[failed.replica] {
-			if other != fingerprint && countStrong(t.requests[other].failures) > own-requiredLead {
+			if other != fingerprint && countStrong(t.counted(other, t.requests[other]).failures) > own-requiredLead {
 				return false
 			}
 		}
@@ -117,7 +119,7 @@
 	for _, incident := range known.incidents() {
 		explained := slices.ContainsFunc(incident, func(failed failure) bool {
 			for other := range t.inFlightAt[failed.replica] {
-				if other != fingerprint && explains(t.requests[other]) {
+				if other != fingerprint && explains(t.counted(other, t.requests[other])) {
 					return true
 				}
 			}
