Quarantine: a recorded crash that a proxy observes itself stays one crash

Cause: a proxy had a crash from the record first, at a time guessed from the record's age and without the knowledge that the process' name is unique. Class: the identity of a process lost on the way through the record.

TestRecordedCrashThatIsObservedIsReportedAsTheSame: 6 crashes before, 1 now.

Why it works: an observation tells the exact time and whether the name is unique, and replaces the guess; a name that is known to be unique once is taken as such.

--- a/request/quarantine/parts/table.go
+++ b/request/quarantine/parts/table.go
@@ -110,10 +110,12 @@
 	if known == nil {
 		known = t.insert(&crash{process: observed.Replica, service: observed.Service, uniqueName: observed.UniqueName, at: at})
 	}
-	known.observed = true
-	if known.at > at {
+	if known.at > at || !known.observed && known.at < at { // the record tells no exact time
 		known.at = at
+		t.sort()
 	}
+	known.observed = true
+	known.uniqueName = known.uniqueName || observed.UniqueName
 	if !observed.MayBeAlive && !known.confirmed {
 		known.confirmed = true
 		t.changes++
@@ -133,7 +135,7 @@
 // after a crash was sent to a later process.
 func (t *Table) crashOf(process string, uniqueName bool, sentAt, at time.Duration) *crash {
 	for _, known := range t.crashes {
-		isSame := known.process == process && (uniqueName || sentAt <= known.at+maxReportDelay && known.at-at <= maxReportDelay)
+		isSame := known.process == process && (uniqueName || known.uniqueName || sentAt <= known.at+maxReportDelay && known.at-at <= maxReportDelay)
 		if isSame {
 			return known
 		}
@@ -153,6 +155,11 @@
 	return added
 }
 
+// sort brings the crashes into the order of time.
+func (t *Table) sort() {
+	slices.SortStableFunc(t.crashes, func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
+}
+
 // suspect makes a part a suspect of a crash, unless it is cleared of it.
 func (t *Table) suspect(of *crash, part, caller Key, sentAt time.Duration) {
 	startedAt, started := t.startedAt[part]
--- a/request/quarantine/parts/table_test.go
+++ b/request/quarantine/parts/table_test.go
@@ -309,3 +309,20 @@
 	}
 	must.Eq(t, table.crashes[0].suspects[fatal].callers, receiver.crashes[0].suspects[fatal].callers)
 }
+
+// Guards against a crash that is counted several times, because a process that had it from the record first and then
+// observed it itself reports it as one of another process, at the time that the record suggests.
+func TestRecordedCrashThatIsObservedIsReportedAsTheSame(t *testing.T) {
+	leader := NewTable()
+	leader.Apply(10*time.Second, Report{Crashes: []Crash{crashAt("r-0", alice, fatal)}})
+	for number := range 5 {
+		proxy := NewTable()
+		proxy.Restore(time.Minute, fatal, Record{Service: "s", Replicas: []string{"r-0"}, Age: time.Duration(number*5+1) * time.Second})
+		late := crashAt("r-0", bob, rare)
+		late.Age = 50 * time.Second
+		proxy.Apply(time.Minute, Report{Crashes: []Crash{late}})
+		leader.Apply(time.Minute, proxy.Observed(time.Minute))
+	}
+	must.Len(t, 1, leader.crashes)
+	must.Eq(t, 10*time.Second, leader.crashes[0].at)
+}
