--- a/process/control/quarantine_review.go
+++ b/process/control/quarantine_review.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log"
@@ -41,7 +42,7 @@
 		}
 		spec := &object.Quarantine.Spec
 		event.QuarantineChanged.Log(logger, "fingerprint", object.Quarantine.Name, "state", spec.State, "service", spec.Service,
-			"route", spec.Route, "request", spec.Request, "replicas", len(spec.Replicas),
+			"route", spec.Route, "request", spec.Request, "replicas", strings.Join(spec.Replicas, ","),
 			"until", time.UnixMilli(spec.Until).UTC().Format(time.RFC3339), "times", spec.Times, "callers", object.Quarantine.CallersText(), "err", err)
 	}
 	for _, key := range changes.Removed {
