Quarantine: a part with two crashes is in doubt if what observed one of them is gone

Cause: the kill came 0.2 s after the third crash, and two were on record. The part was in doubt from three on, which took one more crash and its settling time, in which six requests reached the only replica.

Why it works: whoever was killed may have known of more crashes, so two on record are taken as a doubt: one request a turn is sent.

--- a/request/quarantine/parts/table_test.go
+++ b/request/quarantine/parts/table_test.go
@@ -1,8 +1,10 @@
 package parts
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -315,14 +317,43 @@
 func TestRecordedCrashThatIsObservedIsReportedAsTheSame(t *testing.T) {
 	leader := NewTable()
 	leader.Apply(10*time.Second, Report{Crashes: []Crash{crashAt("r-0", alice, fatal)}})
-	for number := range 5 {
+	for _, age := range []time.Duration{time.Second, 20 * time.Second, 55 * time.Second} {
 		proxy := NewTable()
-		proxy.Restore(time.Minute, fatal, Record{Service: "s", Replicas: []string{"r-0"}, Age: time.Duration(number*5+1) * time.Second})
+		proxy.Restore(time.Minute, fatal, Record{Service: "s", Replicas: []string{"r-0", "r-1"}, Age: age})
 		late := crashAt("r-0", bob, rare)
 		late.Age = 50 * time.Second
 		proxy.Apply(time.Minute, Report{Crashes: []Crash{late}})
-		leader.Apply(time.Minute, proxy.Observed(time.Minute))
+		must.True(t, slices.IsSortedFunc(proxy.crashes, func(a, b *crash) int { return cmp.Compare(a.at, b.at) }), must.Sprint(age))
+		observed := proxy.Observed(time.Minute)
+		for _, crash := range observed.Crashes {
+			must.Eq(t, "r-0", crash.Replica)
+			must.Eq(t, late.Age, crash.Age)
+			must.True(t, crash.UniqueName)
+		}
+		leader.Apply(time.Minute, observed)
 	}
+	ambiguous := crashAt("r-0", bob, rare)
+	ambiguous.UniqueName = false
+	leader.Apply(time.Minute, Report{Crashes: []Crash{ambiguous}})
 	must.Len(t, 1, leader.crashes)
 	must.Eq(t, 10*time.Second, leader.crashes[0].at)
 }
+
+// Guards against a part that crashes further replicas before it is found, because what observed its first crashes is
+// gone, and against sound parts that are in doubt after two crashes that are all known.
+func TestPartOfFewCrashesIsInDoubtIfItsObserversAreLost(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		table := NewTable()
+		now := crashSeries(table, 1, alice, []Key{common, fatal})
+		if lost {
+			table = NewTable()
+			table.Restore(now, fatal, Record{Service: "s", Replicas: []string{"r-0"}})
+		}
+		table.Apply(now, Report{Crashes: []Crash{crashAt("r-1", alice, common, fatal)}, Starts: []Start{startOf()}})
+		want := Watched
+		if lost {
+			want = Doubtful
+		}
+		must.Eq(t, want, verdictOf(table, now, fatal))
+	}
+}
