Control: a part stays on trial for a while after another one explains its crashes

Class: an explanation taken for a clearance.

Why it works: for doubtTime after that, and after each further crash of which the part is a suspect, one request a turn is sent as before. A sound part is cleared by the first answer; a harmful one crashes once more and is held.

--- a/process/control/quarantine.go
+++ b/process/control/quarantine.go
@@ -77,6 +77,8 @@
 	// latestAlert is the maximum of these times, readable without the lock.
 	alertUntil  map[string]time.Duration
 	latestAlert atomic.Int64
+	// unsuspectedSince is when parts on trial ceased to be in doubt.
+	unsuspectedSince map[parts.Key]time.Duration
 	// unrecorded is what daemons are told while the record lags behind.
 	unrecorded unrecorded
 }
@@ -103,7 +105,7 @@
 func newQuarantineTracker() *quarantineTracker {
 	tracker := &quarantineTracker{
 		table: quarantine.NewTable(), parts: parts.NewTable(), refuted: newRefutations(), alertUntil: map[string]time.Duration{},
-		sentEarly: map[quarantine.Fingerprint]bool{},
+		sentEarly: map[quarantine.Fingerprint]bool{}, unsuspectedSince: map[parts.Key]time.Duration{},
 	}
 	tracker.table.SetOtherCause(tracker.parts.HasHarmfulPart)
 	return tracker
--- a/process/control/quarantine_parts.go
+++ b/process/control/quarantine_parts.go
@@ -30,6 +30,10 @@
 	// holdTrialTurn is the length of a turn after a hold, in which one proxy sends one request. It
 	// exceeds the deadlines of callers, so that the outcome of one trial is known before the next.
 	holdTrialTurn = 10 * time.Second
+	// doubtTime is how long a part stays on trial after another part was found to explain its crashes, or
+	// since the last of these crashes. It exceeds a turn: if that was a mistake, or both parts are harmful,
+	// a crash in the next turn shows it.
+	doubtTime = 4 * time.Second
 	// maxPartQuarantines limits the parts in the record.
 	maxPartQuarantines = 32
 )
@@ -76,10 +80,11 @@
 func (d *quarantineTracker) reviewPart(changes *state.Observe, known *api.Quarantine, found parts.Finding, isFound bool, now time.Duration, wall time.Time) {
 	part, ok := quarantine.ParseFingerprint(known.Name)
 	_, isStarted := d.parts.LastStart(part)
-	isUndecided := known.Spec.Times == 0 && d.hasInitialReports(now)
+	isUndecided := known.Spec.Times == 0 && d.hasInitialReports(now) && d.isDoubtOver(&known.Spec, part, found.Verdict, now)
 	if !ok || !isFound && (isStarted || isUndecided) {
 		changes.Removed = append(changes.Removed, api.Key{Kind: api.KindQuarantine, Name: known.Name})
 		d.parts.Forget(part)
+		delete(d.unsuspectedSince, part)
 		return
 	}
 	next := &api.Quarantine{Metadata: known.Metadata, Spec: known.Spec}
@@ -118,7 +123,7 @@
 		switch {
 		case crashedAgain, spec.Times == 0 && verdict == parts.Harmful:
 			holdPart(spec, wall)
-		case spec.Times == 0 && verdict == parts.Watched && d.hasInitialReports(now):
+		case spec.Times == 0 && verdict == parts.Watched && d.hasInitialReports(now) && d.isDoubtOver(spec, part, verdict, now):
 			startPartWatch(spec, wall)
 		case isExpired(spec, wall):
 			startPartTurn(spec, wall)
@@ -136,6 +141,21 @@
 	d.parts.SetFound(part, spec.Times > 0)
 }
 
+// isDoubtOver reports whether a part is not on trial, or has not been in doubt for doubtTime. It notes when
+// the doubt ceased.
+func (d *quarantineTracker) isDoubtOver(spec *api.QuarantineSpec, part parts.Key, verdict parts.Verdict, now time.Duration) bool {
+	if spec.State != api.QuarantinePartTried || verdict >= parts.Doubtful {
+		delete(d.unsuspectedSince, part)
+		return true
+	}
+	since, found := d.unsuspectedSince[part]
+	if !found {
+		since = now
+		d.unsuspectedSince[part] = now
+	}
+	return now-max(since, d.parts.LastCrashAt(part)) >= doubtTime
+}
+
 // handlingOf returns what proxies do with requests that contain a part on record.
 func handlingOf(spec *api.QuarantineSpec) parts.Handling {
 	switch spec.State {
--- a/process/control/quarantine_parts_test.go
+++ b/process/control/quarantine_parts_test.go
@@ -99,3 +99,50 @@
 		}
 	}
 }
+
+// Guards against a harmful part that is sent as usual again, because another part, found harmful by mistake or harmful
+// as well, stands in the same crashes and explains them.
+func TestPartStaysOnTrialForAWhileAfterAnotherExplainsItsCrashes(t *testing.T) {
+	machine, tracker := state.New(), newQuarantineTracker()
+	first, second := parts.KeyOf("s", "m", "first"), parts.KeyOf("s", "m", "second")
+	var index uint64
+	now, replicas := time.Minute, 0
+	reviewFor := func(duration time.Duration) {
+		for until := now + duration; now < until; now += 100 * time.Millisecond {
+			index++
+			changes, _ := tracker.review(1, machine.View(), now, time.Unix(1_700_000_000, 0).Add(now))
+			machine.Apply(1, index, state.Command{Kind: state.CommandObserve, Observe: &changes})
+		}
+	}
+	crash := func(with ...parts.Key) {
+		replicas++
+		for _, part := range with {
+			tracker.addPartReport(parts.Report{Crashes: []parts.Crash{{
+				Run: parts.Run{Service: "s", Parts: []parts.Key{part}}, Replica: fmt.Sprint("r-", replicas), UniqueName: true, RunTime: 10 * time.Millisecond,
+			}}}, now)
+		}
+		reviewFor(500 * time.Millisecond)
+	}
+	stateOf := func(part parts.Key) api.QuarantineState {
+		if entry := machine.View().Quarantines[part.String()]; entry != nil {
+			return entry.Spec.State
+		}
+		return ""
+	}
+	reviewFor(2 * time.Second)
+	for range 5 {
+		crash(first, second)
+	}
+	must.Eq(t, api.QuarantinePartTried, stateOf(first))
+	must.Eq(t, api.QuarantinePartTried, stateOf(second))
+	crash(first)
+	must.Eq(t, api.QuarantinePartHeld, stateOf(first))
+	must.Eq(t, api.QuarantinePartTried, stateOf(second))
+	reviewFor(doubtTime - time.Second)
+	crash(first, second) // sent before the first one was held
+	reviewFor(doubtTime - time.Second)
+	must.Eq(t, api.QuarantinePartTried, stateOf(second))
+	reviewFor(time.Second)
+	must.Eq(t, "", stateOf(second))
+	must.Eq(t, api.QuarantinePartHeld, stateOf(first))
+}
--- a/request/quarantine/parts/table.go
+++ b/request/quarantine/parts/table.go
@@ -233,6 +233,17 @@
 	return slices.ContainsFunc(t.crashes, func(known *crash) bool { return known.suspects[part] != nil })
 }
 
+// LastCrashAt returns the time of the last crash of which the part is a suspect, whether or not another
+// part explains it; 0 if there is none.
+func (t *Table) LastCrashAt(part Key) time.Duration {
+	for _, known := range slices.Backward(t.crashes) {
+		if known.suspects[part] != nil {
+			return known.at
+		}
+	}
+	return 0
+}
+
 // LastStart returns the time of the last known start with a part; found is false if none is known.
 func (t *Table) LastStart(part Key) (at time.Duration, found bool) {
 	at, found = t.startedAt[part]
