--- a/process/event/control.go
+++ b/process/event/control.go
@@ -86,7 +86,7 @@
 	RoleOrdered = define(1222, "role_ordered", Info,
 		"A replica was told to take another role, under the fence; the outcome is its answer, or none for lack of one.", "")
 	QuarantineChanged = define(1230, "quarantine_changed", Warn,
-		"Replicas ended under a request, which is watched, or held: then it goes to no replica until the time, or until an operator releases it. fingerprint names the request whatever its ID, request is the ID under which it came last, replicas how many ended. With a state that begins with part_ the fingerprint stands for a part of prompts, in requests of which no two need be alike; callers says whose requests are concerned, * for those of all.",
+		"Replicas ended under a request, which is watched, or held: then it goes to no replica until the time, or until an operator releases it. fingerprint names the request whatever its ID, request is the ID under which it came last, replicas the processes that ended, at most eight. With a state that begins with part_ the fingerprint stands for a part of prompts, in requests of which no two need be alike; callers says whose requests are concerned, * for those of all.",
 		"Find the caller by the request's ID in the proxies' logs (4606). Once the request or the replicas are mended: landingtrail release FINGERPRINT. Of a part, 4606 and 4607 name the parts of the requests.")
 	QuarantineEnded = define(1231, "quarantine_ended", Info,
 		"A request is on record no more: it was served, its replicas live, its time is over, or an operator released it (by).", "")
