Quarantine: a part whose observers are lost is in doubt from three crashes on again

Cause, from the kept logs: everything, or half of the proxies, had been killed after a crash at which rare sound parts stood twice (be at 25.41 s, tried from 30.18 s to 40.58 s; 86 at 5.56 s, tried from 14.77 s to 18.83 s); such a part is cleared only when a request with it comes to the proxy whose turn it is.

--- a/request/quarantine/parts/verdict.go
+++ b/request/quarantine/parts/verdict.go
@@ -17,7 +17,7 @@
 	// decisiveCrashes is the number of crashes from which a part without a clear lead is in doubt, and
 	// doubtfulCrashes is that number if what observed some of them is gone.
 	decisiveCrashes = 5
-	doubtfulCrashes = 2
+	doubtfulCrashes = 3
 	// fewIncidents incidents are enough from decisiveCrashes crashes on: where many replicas run
 	// requests with a part, many crash before the first crash is known.
 	fewIncidents = 2
