--- a/process/control/quarantine_parts_test.go
+++ b/process/control/quarantine_parts_test.go
@@ -65,37 +65,38 @@
 // requests caused, of which no two are alike, so that none of them stands in more crashes than it does.
 func TestCrashesOfHarmfulPartLeaveRequestsBesideItServed(t *testing.T) {
 	for _, alone := range []bool{false, true} {
-		// Before this crash a new leader takes over, which has the record alone. It holds no part with a single crash.
-		for _, restart := range []int{0, 2, 3, 4, 5, 6, 7} {
-			machine, tracker := state.New(), newQuarantineTracker()
-			sound, part := courseFingerprint("sound"), parts.KeyOf("s", "m", "p")
-			var index, term uint64 = 0, 1
-			review := func(now time.Duration) {
-				index++
-				changes, _ := tracker.review(term, machine.View(), now, time.Unix(1_700_000_000, 0).Add(now))
-				machine.Apply(term, index, state.Command{Kind: state.CommandObserve, Observe: &changes})
-			}
-			now := time.Minute
-			review(now)
-			for i := range 7 {
-				now += 3 * time.Second
-				if i == restart {
-					tracker, term = newQuarantineTracker(), 2
+		for restart := range 8 { // before this crash a new leader, which has the record alone, takes over
+			t.Run(fmt.Sprintf("restart %d alone %v", restart, alone), func(t *testing.T) {
+				machine, tracker := state.New(), newQuarantineTracker()
+				sound, part := courseFingerprint("sound"), parts.KeyOf("s", "m", "p")
+				var index, term uint64 = 0, 1
+				review := func(now time.Duration) {
+					index++
+					changes, _ := tracker.review(term, machine.View(), now, time.Unix(1_700_000_000, 0).Add(now))
+					machine.Apply(term, index, state.Command{Kind: state.CommandObserve, Observe: &changes})
 				}
-				review(now - 2*time.Second)
-				replica := fmt.Sprint("r-", i)
-				tracker.table.RecordFailure(now, quarantine.Evidence{
-					Fingerprint: sound, Replica: replica, RunTime: 10 * time.Millisecond, UniqueName: true, OnlyInFlight: alone && i == 6,
-				})
+				now := time.Minute
 				review(now)
-				crashedWith{tracker, part}.at(now+5*time.Millisecond, replica)
-				review(now + 10*time.Millisecond)
-				review(now + 500*time.Millisecond)
-				if entry := machine.View().Quarantines[sound.String()]; entry != nil {
-					must.Eq(t, api.QuarantineWatched, entry.Spec.State, must.Sprintf("after crash %d, a new leader before crash %d, alone %v", i, restart, alone))
+				for i := range 7 {
+					now += 3 * time.Second
+					if i == restart {
+						tracker, term = newQuarantineTracker(), 2
+					}
+					review(now - 2*time.Second)
+					replica := fmt.Sprint("r-", i)
+					tracker.table.RecordFailure(now, quarantine.Evidence{
+						Fingerprint: sound, Replica: replica, RunTime: 10 * time.Millisecond, UniqueName: true, OnlyInFlight: alone && i == 6,
+					})
+					review(now)
+					crashedWith{tracker, part}.at(now+5*time.Millisecond, replica)
+					review(now + 10*time.Millisecond)
+					review(now + 500*time.Millisecond)
+					if entry := machine.View().Quarantines[sound.String()]; entry != nil {
+						must.Eq(t, api.QuarantineWatched, entry.Spec.State, must.Sprintf("after crash %d, a new leader before crash %d, alone %v", i, restart, alone))
+					}
 				}
-			}
-			must.Eq(t, api.QuarantinePartHeld, machine.View().Quarantines[part.String()].Spec.State)
+				must.Eq(t, api.QuarantinePartHeld, machine.View().Quarantines[part.String()].Spec.State)
+			})
 		}
 	}
 }
