Placement: the board knows whether replicas report their slowness

Cause: the fourth figure of a replica's load, how long work takes there at this moment, does not reach the board.

--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -55,7 +55,9 @@
 	// isolation keeps requests that may crash replicas apart from all others.
 	isolation isolation
 	expireAt  time.Duration // time of the next search for expired requests
-	answers   Answers       // since the last summary
+	// paced is true once a replica has reported its slowness; see isPaced.
+	paced   bool
+	answers Answers // since the last summary
 }
 
 // placedRequest is a request in flight.
@@ -271,6 +273,7 @@
 		b.recordLeaving(report.Replica)
 		return
 	}
+	b.recordSlowness(report)
 	p := b.inFlight[key]
 	switch report.Step {
 	case StepFailed, StepAnsweredError, StepRefused, StepMisdirected, StepUnreachable:
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -174,6 +174,9 @@
 	// ReportedRequests is the number of running and waiting requests that the replica reported when
 	// it completed the step; 0 if it reported that it has none, or reported nothing.
 	ReportedRequests int
+	// ReportedSlowness is how long work takes on the replica at this moment, as it reported with this step: 1 is usual,
+	// 0 if it reported nothing.
+	ReportedSlowness float64
 }
 
 // InFlightRequest is a request in flight as known to the daemon that requested its placement. It
