Ingress: a request whose prefill is not covered is placed again where it is read best

Ruled out: the budget itself and its loans, which stay as they are. Change: such a request ends its placement and is placed once more without a prefill; the leader then knows to look for cached parts and a free generator. Isolated requests stay where they are. The new test fails without the change.

--- a/process/ingress/budget_test.go
+++ b/process/ingress/budget_test.go
@@ -1,10 +1,12 @@
 package ingress
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/request/retry"
 	"github.com/landingtrail/landingtrail/version/api"
@@ -143,3 +145,61 @@
 	must.Eq(t, 3, shared.observe(3, 13*time.Second, window))
 	must.Eq(t, 9, shared.observe(9, 14*time.Second, window))
 }
+
+// directPlacer plans a prefill unless the request has to do without one.
+type directPlacer struct {
+	fakePlacer
+	direct placement.Answer
+}
+
+func (p *directPlacer) Place(ctx context.Context, request feed.PlaceRequest) (placement.Answer, error) {
+	answer, err := p.fakePlacer.Place(ctx, request)
+	if request.Ask.DirectOnly {
+		return p.direct, err
+	}
+	return answer, err
+}
+
+// emptyLender has no retry left.
+type emptyLender struct{}
+
+func (emptyLender) BorrowRetry(context.Context, retry.LoanRequest) (retry.LoanReply, error) {
+	return retry.LoanReply{}, nil
+}
+
+func (emptyLender) ReturnRetry(retry.LoanRequest) bool { return true }
+
+// Guards against a prompt that is read, without its cached parts, on the replica that was to generate only. The load is
+// a burst of connection resets: it uses up the budget, and the proxies learn that no prefill is covered only once
+// their requests are placed.
+func TestRequestWithoutCoverIsPlacedWhereItIsReadBest(t *testing.T) {
+	prefiller := newFakeReplica(t, "read", answerPrefill)
+	decoder := newFakeReplica(t, "make", streamEvents(2, ""))
+	holder := newFakeReplica(t, "holder", streamEvents(2, ""))
+	env := newModelEnv(t, prefiller, decoder, holder)
+	placer := &directPlacer{
+		fakePlacer: fakePlacer{answer: placement.Answer{Generator: "make", Reader: "read"}},
+		direct:     placement.Answer{Generator: "holder", FetchFrom: "make"},
+	}
+	env.ingress.placer, env.ingress.lender = placer, emptyLender{}
+	env.withReserve(0)
+	must.Eq(t, eventTexts(1, 2), env.do(modelRequest).body)
+	must.Eq(t, 0, prefiller.count())
+	must.Eq(t, 0, decoder.count())
+	must.Eq(t, 1, holder.count())
+	must.Len(t, 2, placer.requests)
+	must.Eq(t, []placement.Step{placement.StepReadSkipped, placement.StepEnded, placement.StepStarted, placement.StepEnded}, placer.steps())
+}
+
+// Guards against endless placements where an older member plans a prefill although the request has to do without one.
+func TestRequestWithoutCoverIsPlacedOnceMore(t *testing.T) {
+	prefiller := newFakeReplica(t, "read", answerPrefill)
+	decoder := newFakeReplica(t, "make", streamEvents(2, ""))
+	env := newModelEnv(t, prefiller, decoder, nil)
+	placer := &fakePlacer{answer: placement.Answer{Generator: "make", Reader: "read"}}
+	env.ingress.placer, env.ingress.lender = placer, emptyLender{}
+	env.withReserve(0)
+	must.Eq(t, eventTexts(1, 2), env.do(modelRequest).body)
+	must.Eq(t, 0, prefiller.count())
+	must.Len(t, 2, placer.requests)
+}
--- a/process/ingress/placed.go
+++ b/process/ingress/placed.go
@@ -29,6 +29,7 @@
 	replacements := 0
 	for {
 		request := s.placementRequest()
+		s.placedDirect = request.DirectOnly
 		answer, err := s.askPlace(ctx, number, request)
 		if err != nil {
 			s.trace.WriteString(" unplaced")
--- a/process/ingress/retries.go
+++ b/process/ingress/retries.go
@@ -51,6 +51,9 @@
 // mayCoverPrefill reports whether a first prefill would be covered as far as this proxy knows. A request that is
 // placed without one is sent where it is read best.
 func (s *session) mayCoverPrefill() bool {
+	if s.direct {
+		return false // the budget has just not covered one
+	}
 	if s.triesPart() {
 		return false // a prefill elsewhere would be a further send of a part that may be harmful
 	}
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -42,6 +42,9 @@
 	permits map[string]permit
 	// limitRefused is true once the request was not granted for a replica.
 	limitRefused bool
+	// direct is true if the current attempt is made without a prefill on another replica, because the retry budget does
+	// not cover one. placedDirect is true if its last placement was requested so.
+	direct, placedDirect bool
 	// answered is true once the replica of the current attempt has answered.
 	answered bool
 	// misdirected is true if another replica answered at the address in the current attempt.
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -40,7 +40,12 @@
 func (s *session) try(ctx context.Context) (verdict, *replica) {
 	s.answered, s.misdirected, s.connectionRefused, s.withheld = false, false, false, false
 	s.confirmed = confirmedFailure{}
-	chosen := s.choose(ctx)
+	s.direct = false
+	return s.tryPlan(ctx, s.choose(ctx))
+}
+
+// tryPlan carries out a plan; see try.
+func (s *session) tryPlan(ctx context.Context, chosen plan) (verdict, *replica) {
 	if ctx.Err() != nil {
 		chosen.tracked.report(placement.StepEnded, "", 0)
 		return verdictCallerEnd, nil
@@ -65,7 +70,13 @@
 	}
 	source := Source{}
 	if chosen.prefiller != nil {
-		source = s.prefill(ctx, chosen)
+		var covered bool
+		source, covered = s.prefill(ctx, chosen)
+		if !covered && s.mayPlaceDirectly(chosen) {
+			chosen.tracked.report(placement.StepEnded, "", 0)
+			s.direct = true
+			return s.tryPlan(ctx, s.choose(ctx))
+		}
 		s.countPrefill(source)
 		if ctx.Err() != nil {
 			chosen.tracked.report(placement.StepEnded, "", 0)
@@ -88,6 +99,13 @@
 	return result, chosen.target
 }
 
+// mayPlaceDirectly reports whether a request whose planned prefill the retry budget does not cover is placed once
+// more, without one. Its target was chosen to generate from a prompt that is read elsewhere: it may have none of the
+// prompt cached and other prompts to read. An isolated request stays where nothing else is in flight.
+func (s *session) mayPlaceDirectly(chosen plan) bool {
+	return !s.direct && !s.placedDirect && !chosen.isolated
+}
+
 // discardPrefill releases the prefilled prompt of a request that will not run.
 func (s *session) discardPrefill(chosen plan, source Source) {
 	chosen.tracked.report(placement.StepEnded, "", 0)
