Ingress: a request whose prefill has failed is placed again, too

Change: whatever keeps a prefill from taking place, the request is placed once more without one. An older member that plans one all the same is not followed. TestTheGroupIsToldOfFailedPrefills expects the second placement's steps now; it is as strict as before.

--- a/process/ingress/model_test.go
+++ b/process/ingress/model_test.go
@@ -274,7 +274,8 @@
 }
 
 // The placement board assumes that a separate prefill is done when the run starts. So it is told
-// if a prefill failed or was not sent, for any reason, while the request stays in flight.
+// if a prefill failed or was not sent, for any reason. The request is then placed again without one, and
+// stays in flight.
 func TestTheGroupIsToldOfFailedPrefills(t *testing.T) {
 	for name, test := range map[string]struct {
 		handler http.HandlerFunc
@@ -304,7 +305,11 @@
 				inFlight = len(group.lastReportFor("model"))
 			})
 			must.NoError(t, env.do(modelRequest).err)
-			must.Eq(t, []placement.Step{test.step, placement.StepStarted, placement.StepEnded}, placer.steps())
+			expected := []placement.Step{test.step, placement.StepEnded, placement.StepReadSkipped, placement.StepStarted, placement.StepEnded}
+			if test.handler == nil { // it was placed without a prefill at once
+				expected = []placement.Step{test.step, placement.StepStarted, placement.StepEnded}
+			}
+			must.Eq(t, expected, placer.steps())
 			must.Eq(t, "read", placer.reports[0].Replica)
 			must.Eq(t, 1, inFlight)
 		})
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -21,22 +21,22 @@
 
 // prefill sends the prompt to the prefill replica and returns where the result is kept; empty on
 // failure, in which case the target prefills it itself. A prefill is not a run of the request, so
-// any failure is harmless. It is sent only if the retry budget covers its refusal; covered is false otherwise.
-func (s *session) prefill(ctx context.Context, chosen plan) (source Source, covered bool) {
+// any failure is harmless. It is sent only if the retry budget covers its refusal.
+func (s *session) prefill(ctx context.Context, chosen plan) Source {
 	if !chosen.prefiller.maySend(s.ingress.now()) {
 		s.noteWithheld(stagePrefill, chosen.prefiller)
 		chosen.tracked.report(placement.StepReadSkipped, chosen.prefiller.name, 0)
-		return Source{}, true
+		return Source{}
 	}
 	charge, covered := s.coverPrefill(ctx, chosen.prefiller, chosen.uncachedTokens)
 	if !covered {
 		chosen.tracked.report(placement.StepReadSkipped, chosen.prefiller.name, 0)
-		return Source{}, false
+		return Source{}
 	}
 	s.prefillCount++
 	source, refused := s.sendPrefill(ctx, chosen)
 	s.settlePrefill(charge, refused)
-	return source, true
+	return source
 }
 
 // notSent reports whether a failed send never reached its replica.
--- a/process/ingress/retries.go
+++ b/process/ingress/retries.go
@@ -52,7 +52,7 @@
 // placed without one is sent where it is read best.
 func (s *session) mayCoverPrefill() bool {
 	if s.direct {
-		return false // the budget has just not covered one
+		return false // one was not covered, or has failed
 	}
 	if s.triesPart() {
 		return false // a prefill elsewhere would be a further send of a part that may be harmful
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -43,7 +43,7 @@
 	// limitRefused is true once the request was not granted for a replica.
 	limitRefused bool
 	// direct is true if the current attempt is made without a prefill on another replica, because the retry budget does
-	// not cover one. placedDirect is true if its last placement was requested so.
+	// not cover one or it has failed. placedDirect is true if its last placement was requested so.
 	direct, placedDirect bool
 	// answered is true once the replica of the current attempt has answered.
 	answered bool
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -70,14 +70,11 @@
 	}
 	source := Source{}
 	if chosen.prefiller != nil {
-		var covered bool
-		source, covered = s.prefill(ctx, chosen)
-		if !covered && s.mayPlaceDirectly(chosen) {
-			chosen.tracked.report(placement.StepEnded, "", 0)
-			s.direct = true
-			return s.tryPlan(ctx, s.choose(ctx))
-		}
+		source = s.prefill(ctx, chosen)
 		s.countPrefill(source)
+		if source.Handle == "" && s.mayPlaceDirectly(ctx, chosen) {
+			return s.tryDirectly(ctx, chosen)
+		}
 		if ctx.Err() != nil {
 			chosen.tracked.report(placement.StepEnded, "", 0)
 			return verdictCallerEnd, chosen.target
@@ -99,11 +96,23 @@
 	return result, chosen.target
 }
 
-// mayPlaceDirectly reports whether a request whose planned prefill the retry budget does not cover is placed once
-// more, without one. Its target was chosen to generate from a prompt that is read elsewhere: it may have none of the
-// prompt cached and other prompts to read. An isolated request stays where nothing else is in flight.
-func (s *session) mayPlaceDirectly(chosen plan) bool {
-	return !s.direct && !s.placedDirect && !chosen.isolated
+// mayPlaceDirectly reports whether a request whose planned prefill was not covered by the retry budget, or has failed,
+// is placed once more without one. Its target was chosen to generate from a prompt that is read elsewhere: it may have
+// none of the prompt cached and other prompts to read. An isolated request stays where nothing else is in flight.
+func (s *session) mayPlaceDirectly(ctx context.Context, chosen plan) bool {
+	return !s.direct && !s.placedDirect && !chosen.isolated && ctx.Err() == nil && !s.outOfTime()
+}
+
+// tryDirectly ends a placement whose prefill did not take place, and makes the attempt without one.
+func (s *session) tryDirectly(ctx context.Context, failed plan) (verdict, *replica) {
+	failed.tracked.report(placement.StepEnded, "", 0)
+	s.direct = true
+	chosen := s.choose(ctx)
+	if chosen.prefiller != nil { // planned by a member that does not know of such requests
+		chosen.tracked.report(placement.StepReadSkipped, chosen.prefiller.name, 0)
+		chosen.prefiller = nil
+	}
+	return s.tryPlan(ctx, chosen)
 }
 
 // discardPrefill releases the prefilled prompt of a request that will not run.
