Retry pool: what new leaders lend accrues from nothing

Cause: a new leader lent a quarter of the lent part of the reserve (0.075 of the reserve) at once. Proxies, pool and four new leaders in a window add up to the whole reserve; with more leaders in a window the sum exceeds it.

Change: the part of a new leader accrues at the rate of one lent part per window, up to the same quarter as before. All new leaders of a window together lend at most one lent part more, however many they are: 0.4 (divided) + 0.3 + 0.3 of the reserve. A leader lends nothing in its first moment and the same as before from a quarter of a window on.

--- a/process/ingress/lane.go
+++ b/process/ingress/lane.go
@@ -164,8 +164,8 @@
 }
 
 // usableReserve is the share of the reserve that the proxies divide. The leader lends pooledReserve; the rest
-// covers new leaders, which lend a part before they know what the one before has lent, and proxies
-// that are missing from the list and still serve.
+// covers new leaders, which together lend at most pooledReserve again in a window before they know what the ones
+// before have lent, and proxies that are missing from the list and still serve.
 const usableReserve = 0.4
 
 // usableShare is the share of RetryBudget.Share that is used. The rest covers the time between the
--- a/request/retry/pool.go
+++ b/request/retry/pool.go
@@ -11,10 +11,12 @@
 // smaller than the number of proxies. It is safe for concurrent use.
 //
 // A new leader does not know what the one before it has lent. Until that is no longer in the same span, it
-// lends firstWindowShare of the reserve alone, so that processes that have all just started can use some.
+// lends at most firstWindowShare of the reserve, so that processes that have all just started can use some. This
+// part accrues from nothing, at the rate of one reserve per window, because leaders that follow each other
+// quickly would otherwise each lend the whole part.
 //
-// Invariant: in any window, the loans that were not returned are at most the reserve, and firstWindowShare of
-// it for each leader that began in the window or less than a window before.
+// Invariant: in any window, the loans that were not returned are at most twice the reserve, however many leaders
+// lend in it: the reserve itself from a leader that is no longer new, and what accrues in a window from new ones.
 type Pool struct {
 	lock       sync.Mutex
 	beganAt    time.Duration // of this leader's term
@@ -31,7 +33,7 @@
 	Loan    uint64        // the loan to return; 0 asks for one
 }
 
-// firstWindowShare is the share of the reserve that a new leader lends at once.
+// firstWindowShare is the largest share of the reserve that a new leader lends.
 const firstWindowShare = 1.0 / 4
 
 const (
@@ -95,7 +97,8 @@
 // available returns how much of the reserve may be lent at now. The lock must be held.
 func (p *Pool) available(now time.Duration, request LoanRequest) float64 {
 	if now-p.beganAt < request.Window+handoverMargin {
-		return request.Reserve * firstWindowShare
+		accrued := float64(now-p.beganAt) / float64(request.Window)
+		return request.Reserve * min(accrued, firstWindowShare)
 	}
 	return request.Reserve
 }
