Quarantine: the first crash of a prompt part is on record with its request

Cause: a part is recorded from its second crash on, a request from its first (Suspect). A new leader that has the record alone knew one crash less of a harmful part than of a sound request in flight beside it, and held the request after the third crash (TestCrashesOfHarmfulPartLeaveRequestsBesideItServed/restart_1).

Change: labels of a Suspect name up to 8 of the request's parts that are suspects of this one crash, with their callers; parts without a known start come first. They are updated when parts are reported later, answered or recorded by themselves, and loaded by the next leader. The crash counts as one with others at that moment, as that of a request does. The record may lack the service, so a finding takes it from the first crash that has it.

--- a/process/control/quarantine_suspects.go
+++ b/process/control/quarantine_suspects.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/request/quarantine"
+	"github.com/landingtrail/landingtrail/request/quarantine/parts"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/landingtrail/landingtrail/version/view"
@@ -26,6 +27,8 @@
 	// maxSuspects limits the suspects, since each is sent to every daemon: a replica that crashes
 	// by itself makes suspects of all requests that were in flight.
 	maxSuspects = 32
+	// maxSuspectParts limits the parts recorded of one suspect, for the same reason.
+	maxSuspectParts = 8
 )
 
 // recordSuspects adds the single crashes that are not recorded yet, the latest first.
@@ -41,13 +44,25 @@
 		}
 		left--
 		replicas, requestInfo := d.table.FailedReplicas(fingerprint)
-		changes.Put = append(changes.Put, api.Object{Suspect: &api.Suspect{Metadata: api.Metadata{Name: name}, Spec: api.SuspectSpec{
+		labels := d.suspectLabels(fingerprint, replicas[0])
+		changes.Put = append(changes.Put, api.Object{Suspect: &api.Suspect{Metadata: api.Metadata{Name: name, Labels: labels}, Spec: api.SuspectSpec{
 			Service: requestInfo.Service, Route: requestInfo.Route, Request: requestInfo.Request, Replica: replicas[0],
 			EndedAt: d.firstCrashAt(fingerprint, now, wall), Until: wall.Add(suspectRecordDuration).UnixMilli(),
 		}}})
 	}
 }
 
+// suspectLabels returns the labels that record which parts of a request may have caused the crash of a replica. Parts
+// with further crashes are on record by themselves.
+func (d *quarantineTracker) suspectLabels(fingerprint quarantine.Fingerprint, replica string) api.Labels {
+	found := d.parts.SinglesIn(fingerprint, quarantine.ReplicaOf(replica))
+	callersOf := map[string][]string{}
+	for _, suspected := range found[:min(len(found), maxSuspectParts)] {
+		callersOf[suspected.Part.String()] = callerNames(suspected.Callers)
+	}
+	return api.SuspectLabels(callersOf)
+}
+
 // reviewSuspects removes the suspects that are expired, refuted or recorded as quarantines from
 // the record. This leader keeps what it knows of them: the record only holds what would be lost
 // between leaders.
@@ -58,6 +73,12 @@
 		isRecordedElsewhere := d.table.Verdict(now, fingerprint) != quarantine.Free || current.Quarantines[name] != nil
 		if !ok || isOver || isRecordedElsewhere || refuted.served[fingerprint] || d.table.CountFailures(fingerprint) == 0 {
 			changes.Removed = append(changes.Removed, api.Key{Kind: api.KindSuspect, Name: name})
+			continue
+		}
+		// Parts are reported after their request, and cleared by later answers.
+		known := current.Suspects[name]
+		if labels := d.suspectLabels(fingerprint, known.Spec.Replica); !maps.Equal(labels, known.Labels) {
+			changes.Put = append(changes.Put, api.Object{Suspect: &api.Suspect{Metadata: api.Metadata{Name: name, Labels: labels}, Spec: known.Spec}})
 		}
 	}
 }
@@ -77,6 +98,16 @@
 		}
 		age := max(wall.Sub(time.UnixMilli(spec.EndedAt)), 0)
 		d.table.NoteAged(now, age, recorded.Evidence(fingerprint, spec.Replica))
+		for _, part := range known.Parts() {
+			key, ok := quarantine.ParseFingerprint(part)
+			if !ok || current.Quarantines[part] != nil {
+				continue
+			}
+			d.parts.Restore(now, key, parts.Record{
+				Service: spec.Service, Replicas: []string{quarantine.ReplicaOf(spec.Replica)}, Callers: callerKeys(known.PartCallers(part)), Age: age,
+				Requests: []quarantine.Fingerprint{fingerprint}, IsSingle: true,
+			})
+		}
 	}
 }
 
--- a/request/quarantine/parts/table.go
+++ b/request/quarantine/parts/table.go
@@ -344,12 +344,62 @@
 	Replicas, Together []string
 	Age                time.Duration
 	Callers            []Key
+	Requests           []quarantine.Fingerprint // that are known to contain the part
+	// IsSingle is true for the record of a part's only crash. How long the run had lasted is not recorded: it is assumed
+	// that the crash counts as one with others at that moment.
+	IsSingle bool
+}
+
+// RequestSuspect is a part of a request that is a suspect of a crash.
+type RequestSuspect struct {
+	Part    Key
+	Callers []Key
+}
+
+// SinglesIn returns the parts of a request that are suspects of a confirmed crash of the process, and of no other crash.
+// Those with which no start is known, which are the likelier causes, come first.
+func (t *Table) SinglesIn(request quarantine.Fingerprint, process string) []RequestSuspect {
+	var found []RequestSuspect
+	for _, known := range t.crashes {
+		if known.process != process || !known.confirmed {
+			continue
+		}
+		for part, suspected := range known.suspects {
+			if slices.Contains(suspected.requests, request) && t.countCrashes(part) == 1 {
+				found = append(found, RequestSuspect{Part: part, Callers: slices.Clone(suspected.callers)})
+			}
+		}
+	}
+	hasStarted := func(part Key) int {
+		if _, started := t.startedAt[part]; started {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(found, func(a, b RequestSuspect) int {
+		return cmp.Or(hasStarted(a.Part)-hasStarted(b.Part), slices.Compare(a.Part[:], b.Part[:]))
+	})
+	return found
+}
+
+// countCrashes returns of how many crashes the part is a suspect.
+func (t *Table) countCrashes(part Key) int {
+	count := 0
+	for _, known := range t.crashes {
+		if known.suspects[part] != nil {
+			count++
+		}
+	}
+	return count
 }
 
 // Restore adds the crashes of a record. Those that are not known are assumed to have happened at the
 // recorded age, in their order.
 func (t *Table) Restore(now time.Duration, part Key, record Record) {
 	since := now - min(max(record.Age, settleDelay), retention/2)
+	if record.IsSingle {
+		since = now - min(record.Age, retention/2) // its time decides which other crashes it counts as one with
+	}
 	callers := record.Callers
 	if len(callers) == 0 {
 		callers = []Key{{}}
@@ -360,10 +410,17 @@
 			at := since + time.Duration(i)*time.Millisecond
 			known = t.insert(&crash{process: replica, service: record.Service, at: at, confirmed: true})
 		}
+		sentAt := known.at
+		if record.IsSingle {
+			sentAt -= maxIncidentTime
+		}
 		for _, caller := range callers {
-			t.suspect(known, part, caller, known.at)
+			t.suspect(known, part, caller, sentAt)
+		}
+		for _, request := range record.Requests {
+			t.addRequest(known, part, request)
 		}
-		if restored := known.suspects[part]; restored != nil && !known.observed {
+		if restored := known.suspects[part]; restored != nil && !known.observed && !record.IsSingle {
 			restored.recorded = recordedFirst
 			if slices.Contains(record.Together, replica) {
 				restored.recorded = recordedTogether
--- a/request/quarantine/parts/verdict.go
+++ b/request/quarantine/parts/verdict.go
@@ -184,7 +184,7 @@
 func (t *Table) judge(own *evidence, all map[Key]*evidence, ranked []*evidence, required int) Finding {
 	crashes := slices.Concat(own.crashes, own.recent)
 	found := Finding{
-		Part: own.part, Service: crashes[0].service, Verdict: Watched, Callers: own.callers(), Together: own.together,
+		Part: own.part, Service: serviceOf(crashes), Verdict: Watched, Callers: own.callers(), Together: own.together,
 		FirstAt: crashes[0].at,
 	}
 	found.LastAloneAt, found.IsAlone = t.lastAloneAt(own, ranked)
@@ -206,6 +206,16 @@
 	return found
 }
 
+// serviceOf returns the service of crashes with the same part. The record of a single crash may lack it.
+func serviceOf(crashes []*crash) string {
+	for _, known := range crashes {
+		if known.service != "" {
+			return known.service
+		}
+	}
+	return ""
+}
+
 // lead returns by how many crashes the part is ahead of every other suspect of its crashes; negative
 // if another one is ahead, and clearLead or more if none is close. Suspects that leave harmfulIncidents of
 // its crashes unexplained do not matter, so that two harmful parts are both found.
