--- a/connection/feed/placement.go
+++ b/connection/feed/placement.go
@@ -207,8 +207,9 @@
 	encoder.String(progress.Service)
 	encoder.Uint64(progress.Number)
 	encoder.Uint8(uint8(progress.Note.Step))
-	encoder.String(progress.Note.Replica)
-	encoder.Uint32(uint32(max(progress.Note.ReportedRequests, 0)))
+	replica, requests := noteFields(&progress.Note)
+	encoder.String(replica)
+	encoder.Uint32(requests)
 	encoder.String(progress.Origin)
 	return encoder.Data()
 }
@@ -216,7 +217,9 @@
 func decodePlacementProgress(data []byte) (PlacementProgress, error) {
 	decoder := frame.NewDecoder(data)
 	progress := PlacementProgress{Service: decoder.String(), Number: decoder.Uint64()}
-	progress.Note = placement.ProgressReport{Step: placement.Step(decoder.Uint8()), Replica: decoder.String(), ReportedRequests: int(decoder.Uint32())}
+	progress.Note.Step = placement.Step(decoder.Uint8())
+	replica, requests := decoder.String(), decoder.Uint32()
+	setNoteFields(&progress.Note, replica, requests)
 	progress.Origin = decoder.String()
 	return progress, decoder.Finish()
 }
--- a/process/ingress/inflight.go
+++ b/process/ingress/inflight.go
@@ -32,25 +32,42 @@
 // if it has ended. reportedRequests is the number of requests that the replica last reported. It
 // does nothing for a nil trackedRequest.
 func (p *trackedRequest) report(step placement.Step, replica string, reportedRequests int) {
+	if p != nil {
+		p.send(placement.ProgressReport{Step: step, Replica: replica, ReportedRequests: reportedRequests})
+	}
+}
+
+// reportAnswer is like report for a step that ends with an answer of a replica, and includes what
+// the replica reported of itself. replicaName is empty if the step names no replica.
+func (p *trackedRequest) reportAnswer(step placement.Step, replicaName string, from *replica) {
 	if p == nil {
 		return
 	}
+	note := placement.ProgressReport{Step: step, Replica: replicaName}
+	if step == placement.StepRead || step == placement.StepStarted {
+		note.ReportedRequests = from.reportedRequests()
+	}
+	// Without a name in the report, the control group takes the replica that it chose as its origin.
+	if replicaName == from.name || from.name == p.answer.Reader && step == placement.StepRead || from.name == p.answer.Generator && step == placement.StepStarted {
+		note.ReportedSlowness = from.reportedSlowdown(p.ingress.now())
+	}
+	p.send(note)
+}
+
+// send sends a report, and updates the table with it.
+func (p *trackedRequest) send(note placement.ProgressReport) {
 	table := &p.ingress.inFlight
 	table.lock.Lock()
 	defer table.lock.Unlock()
 	switch {
-	case step == placement.StepRead || step == placement.StepStarted:
-		p.step = step
-	case replica != "" && replica == p.answer.Reader:
+	case note.Step == placement.StepRead || note.Step == placement.StepStarted:
+		p.step = note.Step
+	case note.Replica != "" && note.Replica == p.answer.Reader:
 		p.answer.Reader = "" // only the prefill has failed; the request continues on the decode replica
 	default:
 		delete(table.requests, p)
 	}
-	p.ingress.placer.RecordProgress(feed.PlacementProgress{
-		Service: p.service,
-		Number:  p.number,
-		Note:    placement.ProgressReport{Step: step, Replica: replica, ReportedRequests: reportedRequests},
-	})
+	p.ingress.placer.RecordProgress(feed.PlacementProgress{Service: p.service, Number: p.number, Note: note})
 }
 
 // track adds a request to those in flight until its end is noted.
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -122,6 +122,7 @@
 	prefiller, now := chosen.prefiller, s.ingress.now()
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	prefiller.noteAnswer(reply.ownLoad(), now)
+	prefiller.noteSlowdown(reply.ownSlowdown(), now)
 	s.noteAlive(prefiller, startedAt, answer, &reply)
 	body, err := io.ReadAll(io.LimitReader(answer, maxHandleBytes))
 	if err != nil || answer.Status != http.StatusOK || !reply.HasRequestID {
@@ -135,7 +136,7 @@
 		if reply.Holdoff.RetryAfter > 0 {
 			step = placement.StepRefused // so that other requests' prefills are not sent to it either
 		}
-		chosen.tracked.report(step, prefiller.name, 0)
+		chosen.tracked.reportAnswer(step, prefiller.name, prefiller)
 		return "", !reply.HasRequestID || reply.refuses()
 	}
 	handle, err = s.ingress.config.Dialect.Handle(body)
@@ -165,7 +166,7 @@
 	prefiller, uncachedTokens := chosen.prefiller, chosen.uncachedTokens
 	prefiller.noteSuccess()
 	prefiller.noteCachedParts(s.call.Work.Parts)
-	chosen.tracked.report(placement.StepRead, "", prefiller.reportedRequests())
+	chosen.tracked.reportAnswer(placement.StepRead, "", prefiller)
 	s.upstream.speed.observe(uncachedTokens, took)
 	s.ingress.metrics.prefillSeconds.WithLabelValues(s.upstream.service).Observe(took.Seconds())
 	fmt.Fprintf(&s.trace, " prefill(%s: %d tokens in %s)", prefiller.name, uncachedTokens, took.Round(time.Millisecond))
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -22,6 +22,8 @@
 	// loadMargin is the assumed maximum time between the measurement of a reported load and its
 	// arrival.
 	loadMargin = 5 * time.Millisecond
+	// slowdownMaxAge is how long a reported slowdown is passed on to the control group.
+	slowdownMaxAge = 100 * time.Millisecond
 )
 
 // replica is the state of one replica at this proxy: its entry in the list, its reported load, and
@@ -38,6 +40,9 @@
 	// load is the last reported load, received at loadAt.
 	load   Load
 	loadAt time.Duration
+	// slowdown is the last reported slowdown, received at slowdownAt; 0 if none was reported.
+	slowdown   float64
+	slowdownAt time.Duration
 	// sends are this proxy's requests in flight to the replica.
 	sends map[*send]struct{}
 	// heardAt is when anything was last received from the replica.
@@ -125,6 +130,26 @@
 	}
 }
 
+// noteSlowdown records a reported slowdown; 0 for none.
+func (r *replica) noteSlowdown(slowdown float64, now time.Duration) {
+	if slowdown <= 0 {
+		return
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.slowdown, r.slowdownAt = slowdown, now
+}
+
+// reportedSlowdown returns the slowdown that the replica has just reported, or 0.
+func (r *replica) reportedSlowdown(now time.Duration) float64 {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if now-r.slowdownAt >= slowdownMaxAge {
+		return 0
+	}
+	return r.slowdown
+}
+
 // noteHeard records that something was received from the replica.
 func (r *replica) noteHeard(now time.Duration) {
 	r.lock.Lock()
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -45,7 +45,7 @@
 		if s.events == 0 || !sent.hasStarted(target) {
 			target.noteStarted(sent, s.ingress.now())
 			target.noteCachedParts(s.call.Work.Parts)
-			chosen.tracked.report(placement.StepStarted, "", target.reportedRequests())
+			chosen.tracked.reportAnswer(placement.StepStarted, "", target)
 		}
 		s.noteOrigin(target)
 		s.beginStream(answer)
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -84,7 +84,7 @@
 	}
 	s.isolated = chosen.isolated
 	result := s.send(ctx, chosen, source)
-	chosen.tracked.report(s.placementStep(result), chosen.target.name, 0)
+	chosen.tracked.reportAnswer(s.placementStep(result), chosen.target.name, chosen.target)
 	return result, chosen.target
 }
 
@@ -182,6 +182,7 @@
 	sent.bodyEnd = bodyEndOf(answer)
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	target.noteAnswer(reply.ownLoad(), s.ingress.now())
+	target.noteSlowdown(reply.ownSlowdown(), s.ingress.now())
 	s.noteAlive(target, sent.at, answer, &reply)
 	return s.handleAnswer(ctx, chosen, sent, number, answer, reply)
 }
--- a/process/ingress/types.go
+++ b/process/ingress/types.go
@@ -115,6 +115,8 @@
 	Misdirected bool
 	// Load is the replica's load, nil if not reported.
 	Load *Load
+	// ReportsSlowdown is true if the replica reported Load.Slowdown, false if it is assumed.
+	ReportsSlowdown bool
 	// Holdoff is the pause or departure that the replica announces.
 	Holdoff holdoff.Restrictions
 	// Limit is what the answer states about the rate that the replica accepts.
@@ -137,6 +139,14 @@
 	return r.Load
 }
 
+// ownSlowdown returns the slowdown of the replica that was addressed; 0 if it did not report one.
+func (r *Reply) ownSlowdown() float64 {
+	if load := r.ownLoad(); load != nil && r.ReportsSlowdown {
+		return load.Slowdown
+	}
+	return 0
+}
+
 // Load is the load that a replica reports, in requests.
 type Load struct {
 	Running int
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -55,9 +55,8 @@
 	// isolation keeps requests that may crash replicas apart from all others.
 	isolation isolation
 	expireAt  time.Duration // time of the next search for expired requests
-	// paced is true once a replica has reported its slowness; see isPaced.
-	paced   bool
-	answers Answers // since the last summary
+	pacing    pacing
+	answers   Answers // since the last summary
 }
 
 // placedRequest is a request in flight.
@@ -75,6 +74,8 @@
 	started       bool
 	startedAt     time.Duration
 	adopted       bool // placed by another board; added by TakeOver
+	// slownessAtPlacement is the known slowness of queuedOn when the request was queued there; 0 if it was not known.
+	slownessAtPlacement float64
 }
 
 // replica is the state that the board tracks for one replica.
@@ -90,11 +91,16 @@
 	// queue holds the prompts to be read, in order. current is the one that is assumed to
 	// be read, since currentSince.
 	queue           []*placedRequest
+	queuedTokens    int // unread tokens of the prompts in the queue
 	current         *placedRequest
 	currentSince    time.Duration
 	lastReadEndedAt time.Duration
 	running         map[*placedRequest]struct{}
 
+	pace replicaPace
+	// rankedFactor is the factor by which the index orders the replica.
+	rankedFactor float64
+
 	// untrackedRequests is the number of requests on the replica that the board does not
 	// track, sent by daemons that place requests on their own, as reported at untrackedAt.
 	untrackedRequests int
@@ -131,6 +137,7 @@
 		lateness:        newRecentShare(latenessTimeConstant),
 		fairness:        map[class]*fairness{},
 		tenants:         tenants{},
+		pacing:          newPacing(),
 		readTimes: [2]readTime{
 			RoleDecode:  newReadTime(initialReadOverhead+initialDecodeStartTime, decodeSlowdown*initialPrefillTokenTime),
 			RolePrefill: newReadTime(initialReadOverhead, initialPrefillTokenTime),
@@ -154,13 +161,16 @@
 
 // Put adds or updates one replica and keeps its state if it is still the same process.
 func (b *Board) Put(entry Replica) {
-	known := b.replicas[entry.Name]
+	known, pace := b.replicas[entry.Name], newReplicaPace()
 	if known != nil && (known.Role != entry.Role || known.Zone != entry.Zone || known.isAnotherProcess(&entry)) {
 		b.Remove(entry.Name)
+		if !known.isAnotherProcess(&entry) {
+			pace = known.pace
+		}
 		known = nil
 	}
 	if known == nil {
-		known = &replica{running: map[*placedRequest]struct{}{}}
+		known = &replica{running: map[*placedRequest]struct{}{}, pace: pace, rankedFactor: pace.lasting}
 		known.cache = newCache(known, b.index)
 		b.replicas[entry.Name] = known
 		pos, _ := slices.BinarySearch(b.names, entry.Name)
@@ -201,6 +211,7 @@
 // place implements Place, without counting the reply for the summary.
 func (b *Board) place(now time.Duration, key Key, request Request) Answer {
 	b.expireRequests(now)
+	b.expireSlowness(now)
 	b.endRequest(now, key)
 	request.surging = b.tenants.recordRequest(now, &request)
 	if wait := b.isolation.admit(b, now, &request); wait > 0 {
@@ -273,8 +284,8 @@
 		b.recordLeaving(report.Replica)
 		return
 	}
-	b.recordSlowness(report)
 	p := b.inFlight[key]
+	b.recordSlowness(now, report, p)
 	switch report.Step {
 	case StepFailed, StepAnsweredError, StepRefused, StepMisdirected, StepUnreachable:
 		b.recordFailure(now, report, p)
@@ -347,7 +358,8 @@
 		return
 	}
 	transferTime, _ := b.estimateTransfer(p.request.PromptTokens, reader.Zone, p.runningOn.Zone)
-	spent := clampOutlier(now-p.readAt-transferTime-p.backlogAtRead, b.decodeStartTime)
+	spent := b.usualDecodeStart(now, p.runningOn, now-p.readAt-transferTime-p.backlogAtRead)
+	spent = clampOutlier(spent, b.decodeStartTime)
 	b.decodeStartTime += time.Duration(float64(spent-b.decodeStartTime) / sampleWindow(decodeStartSamples, len(b.names)))
 }
 
@@ -364,10 +376,10 @@
 	}
 	b.learnRead(now, p)
 	p.readAt = now
-	p.backlogAtRead = p.runningOn.backlog(now, b.readTimes[p.runningOn.Role].perToken(), &p.request)
+	p.backlogAtRead = p.runningOn.backlog(now, b.tokenTime(now, p.runningOn), &p.request)
 	at.recordSuccess(p)
 	b.removeFromQueue(now, p)
-	at.lastReadEndedAt = now
+	at.lastReadEndedAt, at.pace.slownessAtReadEnd = now, at.pace.knownSlowness(now)
 	at.cache.use(p.request.Parts, b.cacheLimit())
 }
 
@@ -377,7 +389,11 @@
 		return
 	}
 	at, readTime := p.queuedOn, &b.readTimes[p.queuedOn.Role]
-	readTime.learn(readSample{tokens: p.unreadTokens, took: now - max(p.placedAt, at.lastReadEndedAt), alone: p.readAlone}, len(b.names))
+	sample := readSample{tokens: p.unreadTokens, took: now - max(p.placedAt, at.lastReadEndedAt), alone: p.readAlone}
+	if b.isPaced() {
+		sample.took = b.learnPace(now, p, sample)
+	}
+	readTime.learn(sample, len(b.names))
 }
 
 // removeFromQueue removes the request from the read queue that it is in and from the pending
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -156,7 +156,7 @@
 // generationHalf returns the half of a split that generates from a prompt read elsewhere. The
 // first token has to wait for the prompts that the generator still has to read.
 func (b *Board) generationHalf(now time.Duration, request *Request, generator *replica) splitHalf {
-	timeToFirstToken := generator.backlog(now, b.readTimes[RoleDecode].perToken(), request) + b.decodeStartTime
+	timeToFirstToken := generator.backlog(now, b.tokenTime(now, generator), request) + b.decodeStart(now, generator)
 	return splitHalf{
 		option: option{generator: generator, timeToFirstToken: timeToFirstToken},
 		cost:   timeToFirstToken + b.generationCost(now, request, generator) + generator.failureCost(now) + request.connectionCost(generator),
@@ -242,7 +242,7 @@
 	if own := prefixHolders[at.Zone]; own.replica == at {
 		cachedTokens = max(cachedTokens, own.tokens)
 	}
-	perToken := b.readTimes[at.Role].perToken()
+	perToken := b.tokenTime(now, at)
 	best := option{reader: at, unread: max(request.PromptTokens-cachedTokens, 0)}
 	best.timeToFirstToken = time.Duration(best.unread) * perToken
 	best.cost = best.timeToFirstToken
@@ -262,7 +262,7 @@
 	if at.Role == RolePrefill {
 		backlog += time.Duration(at.untrackedCount(now)*untrackedRequestTokens) * perToken
 	}
-	fixed := b.readTimes[at.Role].fixed()
+	fixed := b.readOverhead(now, at)
 	best.timeToFirstToken += backlog + fixed
 	best.cost += backlog + fixed + at.failureCost(now) + request.connectionCost(at)
 	return best
@@ -322,7 +322,7 @@
 // same replica. The replica generates their tokens between chunks of the prompt, so tokens are
 // late if the reading, with the prompts ahead of it, lasts longer than the gap objective allows.
 func (b *Board) disturbanceCost(now time.Duration, request *Request, unread int, generator *replica) time.Duration {
-	perToken := b.readTimes[RoleDecode].perToken()
+	perToken := b.tokenTime(now, generator)
 	gap := b.parameters.GapObjective
 	if gap <= 0 {
 		gap = defaultGapObjective
--- a/request/placement/index.go
+++ b/request/placement/index.go
@@ -27,6 +27,8 @@
 	maxAllHolders      = 16
 	maxHoldersSearched = 48
 	maxIdleHolders     = 4
+	// maxIdlePaced is the number of idle replicas of a large group compared in a paced service.
+	maxIdlePaced = 4
 )
 
 // workLevels is the number of distinct work levels; the last one includes all above it.
@@ -45,6 +47,8 @@
 	// choiceNumber is the number of the current choice of a shortlist. The choice records it in
 	// the replicas that it examines.
 	choiceNumber uint64
+	// levelOf returns the work level of a replica.
+	levelOf func(r *replica) int
 }
 
 type groupKey struct {
@@ -55,6 +59,7 @@
 // group holds the replicas of one zone and role.
 type group struct {
 	zone string
+	size int // number of replicas
 	// Impaired replicas have recently failed a request, or announced that they will shut down;
 	// see isImpaired.
 	healthy, impaired ranking
@@ -72,7 +77,7 @@
 
 // newIndex returns an index without replicas.
 func newIndex() *index {
-	return &index{groups: map[groupKey]*group{}, holders: map[string][]*replica{}, pending: map[string][]*replica{}}
+	return &index{groups: map[groupKey]*group{}, holders: map[string][]*replica{}, pending: map[string][]*replica{}, levelOf: countLevel}
 }
 
 // byName compares replicas by name.
@@ -116,8 +121,7 @@
 	return known
 }
 
-// work returns the number by which the index ranks a replica: the requests queued on a prefill
-// replica, or in flight on a decode replica.
+// work returns the number of requests queued on a prefill replica, or in flight on a decode replica.
 func (r *replica) work() int {
 	if r.Role == RolePrefill {
 		return len(r.queue)
@@ -125,6 +129,9 @@
 	return len(r.running)
 }
 
+// countLevel returns the work level of a replica of a service whose replicas do not report their slowness.
+func countLevel(r *replica) int { return min(r.work(), workLevels-1) }
+
 // isImpaired reports whether the replica has failed and not succeeded often enough since, or has
 // announced that it will shut down.
 func (r *replica) isImpaired() bool {
@@ -140,7 +147,7 @@
 	if r == nil || r.isRemoved {
 		return
 	}
-	level := min(r.work(), workLevels-1)
+	level := x.levelOf(r)
 	target := x.ensureGroup(groupKey{r.Zone, r.Role})
 	order := &target.healthy
 	if r.isImpaired() {
@@ -151,6 +158,7 @@
 	}
 	x.unrank(r)
 	order[level] = insertSorted(order[level], r, byName)
+	target.size++
 	r.position = position{target, order, level}
 }
 
@@ -158,6 +166,7 @@
 func (x *index) unrank(r *replica) {
 	if from := r.position.ranking; from != nil {
 		from[r.position.level] = removeSorted(from[r.position.level], r, byName)
+		r.position.group.size--
 	}
 	r.position = position{}
 }
@@ -308,8 +317,14 @@
 
 // addGroup adds the replicas with the least work of one zone and role, healthy ones first. An
 // idle healthy replica costs no more than any other of the zone that is neither connected to the
-// daemon nor has a part of the prompt cached, so the search ends with it.
+// daemon nor has a part of the prompt cached, so the search ends with it. In a paced service, a faster
+// replica may cost less than an idle one, so that the search of a group of more than maxPerGroup ends with
+// maxIdlePaced idle ones, and that of a smaller group includes all.
 func (l *shortlistBuilder) addGroup(zoneGroup *group) {
+	if l.board.isPaced() {
+		l.addPacedGroup(zoneGroup)
+		return
+	}
 	considered := 0
 	isIdle := false // whether the last replica added is idle
 	zoneGroup.healthy.each(func(level int, r *replica) bool {
@@ -331,6 +346,23 @@
 	})
 }
 
+// addPacedGroup implements addGroup for a paced service.
+func (l *shortlistBuilder) addPacedGroup(zoneGroup *group) {
+	considered, idle := 0, 0
+	visit := func(_ int, r *replica) bool {
+		if l.add(r) {
+			considered++
+			idle += boolToInt(r.work() == 0 && r.untrackedCount(l.now) == 0 && !r.isSuspected(l.now))
+		}
+		return zoneGroup.size <= maxPerGroup || idle < maxIdlePaced && considered < maxPerGroup
+	}
+	zoneGroup.healthy.each(visit)
+	if zoneGroup.size <= maxPerGroup || idle == 0 {
+		considered = 0
+		zoneGroup.impaired.each(visit)
+	}
+}
+
 // acceptsVersion reports whether the request may run at a software version.
 func (a *Request) acceptsVersion(version string) bool {
 	return a.SoftwareVersion == "" || a.SoftwareVersion == version
--- a/request/placement/queue.go
+++ b/request/placement/queue.go
@@ -17,6 +17,8 @@
 // enqueue adds a request to the read queue of the replica.
 func (r *replica) enqueue(now time.Duration, p *placedRequest) {
 	p.readAlone = r.current == nil
+	p.slownessAtPlacement = r.pace.knownSlowness(now)
+	r.queuedTokens += p.unreadTokens
 	pos := slices.IndexFunc(r.queue, func(queued *placedRequest) bool { return !p.request.isReadAfter(&queued.request) })
 	if pos < 0 {
 		pos = len(r.queue)
@@ -31,6 +33,7 @@
 func (r *replica) dequeue(now time.Duration, p *placedRequest) {
 	if i := slices.Index(r.queue, p); i >= 0 {
 		r.queue = slices.Delete(r.queue, i, i+1)
+		r.queuedTokens -= p.unreadTokens
 	}
 	if r.current != p {
 		return
--- a/request/placement/replicapace.go
+++ b/request/placement/replicapace.go
@@ -1,12 +1,262 @@
 package placement
 
+import (
+	"math"
+	"time"
+)
+
+// Replicas of one service differ in speed, and each may be slowed down for some hundred milliseconds by other users of
+// its machine. The board therefore keeps a factor on the estimated times of the role for each replica, the product of
+// two components:
+//
+//   - The lasting one is learned from the measured reads of the replica.
+//   - The momentary one is the slowness that the replica reported last, as long as the report is recent.
+//
+// A read is divided by the slowness in force before it changes the lasting factor, so that the same delay is not counted
+// twice, and by the whole factor before it changes the estimate of the role, so that the estimate does not depend on
+// which replicas are used most. The estimate is the time of a replica whose lasting factor is the mean of recent reads:
+// otherwise factors and estimate could drift apart, since only their product is measured.
+
+// Parameters of the factor of a replica.
+const (
+	// minLasting and maxLasting limit the lasting factor, and each sample of it.
+	minLasting = 0.4
+	maxLasting = 2.5
+	// lastingDecay is the factor by which the weight of older reads decays with each read.
+	lastingDecay = 0.85
+	// lastingPrior is the number of reads at 1 with which a replica starts.
+	lastingPrior = 2
+	// A read that is expected to take less than fullWeightRead counts in proportion, since the time to the
+	// next step of the replica and the transfer of the answer are a large part of it.
+	fullWeightRead = 20 * time.Millisecond
+	// minSlowness and maxSlowness limit the momentary factor. Below 1, a replica could attract requests by a
+	// false report; a replica that is faster than usual for long has a lower lasting factor.
+	minSlowness = 1
+	maxSlowness = 4
+	// slownessMaxAge is the age at which a reported slowness is no longer used.
+	slownessMaxAge = 200 * time.Millisecond
+	// minFactor and maxFactor limit the product of both components.
+	minFactor = 0.4
+	maxFactor = 5
+	// meanUnreadWeight is the weight of the latest request in the mean number of unread tokens.
+	meanUnreadWeight = 0.02
+	// initialMeanUnread is that mean before the first read.
+	initialMeanUnread = 2_000
+)
+
+// replicaPace is the speed of one replica as known to the board. It remains when the replica changes its role.
+type replicaPace struct {
+	// weight and weighted are decaying sums over the reads: of their weights, and of their samples of the
+	// lasting factor times their weights.
+	weight, weighted float64
+	// lasting is the lasting factor.
+	lasting float64
+	// slowness is the last reported slowness, received at slownessAt; 0 before the first report.
+	slowness   float64
+	slownessAt time.Duration
+	// slownessAtReadEnd is the known slowness when the last read ended; 0 if it was not known.
+	slownessAtReadEnd float64
+}
+
+func newReplicaPace() replicaPace {
+	return replicaPace{weight: lastingPrior, weighted: lastingPrior, lasting: 1}
+}
+
+// learn adds a sample of the lasting factor; weight is at most 1.
+func (p *replicaPace) learn(sample, weight float64) {
+	decay := 1 - (1-lastingDecay)*weight
+	p.weight = p.weight*decay + weight
+	p.weighted = p.weighted*decay + weight*min(max(sample, minLasting), maxLasting)
+	p.lasting = min(max(p.weighted/p.weight, minLasting), maxLasting)
+}
+
+// knownSlowness returns the reported slowness, or 0 if there is none that is recent enough.
+func (p *replicaPace) knownSlowness(now time.Duration) float64 {
+	if p.slowness == 0 || now-p.slownessAt >= slownessMaxAge {
+		return 0
+	}
+	return p.slowness
+}
+
+// momentary returns the momentary factor.
+func (p *replicaPace) momentary(now time.Duration) float64 {
+	return max(p.knownSlowness(now), minSlowness)
+}
+
+// factor returns the factor on the times of the role.
+func (p *replicaPace) factor(now time.Duration) float64 {
+	return min(max(p.lasting*p.momentary(now), minFactor), maxFactor)
+}
+
+// pacing is what a board knows of the speed of all its replicas.
+type pacing struct {
+	// paced is true once a replica has reported its slowness.
+	paced bool
+	// meanLasting is the mean lasting factor of recent reads, by role.
+	meanLasting [2]float64
+	// meanUnread is the mean number of unread tokens of recent reads, by role.
+	meanUnread [2]float64
+	// slowed holds the replicas that reported a slowness above 1, with the time of the report, oldest first. Their
+	// order in the index is updated once the report is no longer used.
+	slowed []slowedReplica
+}
+
+type slowedReplica struct {
+	replica    *replica
+	reportedAt time.Duration
+}
+
+func newPacing() pacing {
+	return pacing{meanLasting: [2]float64{1, 1}, meanUnread: [2]float64{initialMeanUnread, initialMeanUnread}}
+}
+
 // isPaced reports whether a replica of the service has reported its slowness. Services whose replicas do not are
 // placed by the read times of the roles alone.
-func (b *Board) isPaced() bool { return b.paced }
+func (b *Board) isPaced() bool { return b.pacing.paced }
+
+// scaled returns the time that something takes on the replica which takes the given time on a usual one.
+func (b *Board) scaled(now time.Duration, at *replica, usual time.Duration) time.Duration {
+	if !b.isPaced() {
+		return usual
+	}
+	return time.Duration(float64(usual) * at.pace.factor(now))
+}
+
+// tokenTime returns the time in which the replica reads one token.
+func (b *Board) tokenTime(now time.Duration, at *replica) time.Duration {
+	return b.scaled(now, at, b.readTimes[at.Role].perToken())
+}
+
+// readOverhead returns the fixed time of a read on the replica.
+func (b *Board) readOverhead(now time.Duration, at *replica) time.Duration {
+	return b.scaled(now, at, b.readTimes[at.Role].fixed())
+}
+
+// decodeStart returns the time from the end of the transfer of a prompt's KV cache to the replica to the first token.
+func (b *Board) decodeStart(now time.Duration, at *replica) time.Duration {
+	return b.scaled(now, at, b.decodeStartTime)
+}
+
+// recordSlowness records the slowness that a replica reported with a step of p, which is nil if the request is not
+// tracked.
+func (b *Board) recordSlowness(now time.Duration, report ProgressReport, p *placedRequest) {
+	if !(report.ReportedSlowness > 0) {
+		return
+	}
+	if !b.pacing.paced {
+		b.pacing.paced = true
+		b.index.levelOf = b.timeLevel
+		for _, name := range b.names {
+			b.index.move(b.replicas[name])
+		}
+	}
+	reporter := b.replicas[report.Replica]
+	switch {
+	case p == nil:
+	case report.Step == StepRead:
+		reporter = p.queuedOn
+	case report.Step == StepStarted:
+		reporter = p.runningOn
+	}
+	if reporter == nil {
+		return
+	}
+	reporter.pace.slowness = min(max(report.ReportedSlowness, minSlowness), maxSlowness)
+	reporter.pace.slownessAt = now
+	if reporter.pace.slowness > minSlowness {
+		b.pacing.slowed = append(b.pacing.slowed, slowedReplica{reporter, now})
+	}
+	b.rank(now, reporter)
+}
+
+// expireSlowness updates the order of the replicas whose reported slowness is no longer used.
+func (b *Board) expireSlowness(now time.Duration) {
+	expired := 0
+	for _, slowed := range b.pacing.slowed {
+		if now-slowed.reportedAt < slownessMaxAge {
+			break
+		}
+		expired++
+		if slowed.replica.pace.slownessAt == slowed.reportedAt {
+			b.rank(now, slowed.replica)
+		}
+	}
+	b.pacing.slowed = b.pacing.slowed[expired:]
+}
+
+// rank updates the factor by which the index orders the replica.
+func (b *Board) rank(now time.Duration, r *replica) {
+	r.rankedFactor = r.pace.factor(now)
+	b.index.move(r)
+}
+
+// learnPace updates the lasting factor of the replica with a read that has just ended, and returns the time that the
+// read would have taken on a usual replica.
+func (b *Board) learnPace(now time.Duration, p *placedRequest, sample readSample) time.Duration {
+	at, readTime, mean := p.queuedOn, &b.readTimes[p.queuedOn.Role], &b.pacing.meanLasting[p.queuedOn.Role]
+	startedWith := p.slownessAtPlacement
+	if at.lastReadEndedAt > p.placedAt {
+		startedWith = at.pace.slownessAtReadEnd
+	}
+	slowness := slownessBetween(startedWith, at.pace.knownSlowness(now))
+	usual := time.Duration(float64(sample.took) / (slowness * at.pace.lasting / *mean))
+	expected := time.Duration(sample.tokens) * readTime.perToken()
+	if sample.alone {
+		expected += readTime.fixed()
+	}
+	if expected > 0 {
+		at.pace.learn(float64(sample.took)/(float64(expected)*slowness), min(float64(expected)/float64(fullWeightRead), 1))
+	}
+	*mean += (at.pace.lasting - *mean) / sampleWindow(readTimeSamples, len(b.names))
+	b.pacing.meanUnread[at.Role] += meanUnreadWeight * (float64(sample.tokens) - b.pacing.meanUnread[at.Role])
+	return usual
+}
+
+// slownessBetween returns the slowness of a read from that at its start and at its end, either of which is 0 if it is
+// not known. The mean is the harmonic one: of a time during half of which a replica is slowed down by a factor of 2, it
+// works for three quarters.
+func slownessBetween(start, end float64) float64 {
+	switch {
+	case start == 0 && end == 0:
+		return minSlowness
+	case start == 0:
+		return end
+	case end == 0:
+		return start
+	default:
+		return 2 / (1/start + 1/end)
+	}
+}
 
-// recordSlowness records that a replica reported its slowness.
-func (b *Board) recordSlowness(report ProgressReport) {
-	if report.ReportedSlowness > 0 {
-		b.paced = true
+// usualDecodeStart returns the time to the first token that would have been measured on a usual replica.
+func (b *Board) usualDecodeStart(now time.Duration, at *replica, took time.Duration) time.Duration {
+	if !b.isPaced() {
+		return took
+	}
+	return time.Duration(float64(took) * b.pacing.meanLasting[at.Role] / at.pace.factor(now))
+}
+
+// levelsPerOctave is the number of work levels between a time and twice that time, and minLevelTime the upper bound of
+// the lowest level. With 64 levels, the highest begins at 3 s.
+const (
+	levelsPerOctave = 6
+	minLevelTime    = 2 * time.Millisecond
+)
+
+// timeLevel returns the work level of a replica by the time in which it would begin a request of mean length and
+// complete its first step, with the costs of the requests that it already runs.
+func (b *Board) timeLevel(r *replica) int {
+	readTime := &b.readTimes[r.Role]
+	took := readTime.fixed() + time.Duration(r.queuedTokens+int(b.pacing.meanUnread[r.Role]))*readTime.perToken()
+	took = time.Duration(float64(took) * r.rankedFactor)
+	if r.Role == RoleDecode {
+		took += time.Duration(len(r.running)) * perStreamCost
+		if r.Slots > 0 && len(r.running) >= r.Slots {
+			took += noFreeSlotCost
+		}
+	}
+	if took <= minLevelTime {
+		return 0
 	}
+	return min(int(levelsPerOctave*math.Log2(float64(took)/float64(minLevelTime))), workLevels-1)
 }
--- a/request/placement/summary.go
+++ b/request/placement/summary.go
@@ -95,7 +95,7 @@
 		if known.Role == RolePrefill {
 			load = &summary.Readers
 		}
-		load.add(known.backlog(now, b.readTimes[known.Role].perToken(), lastInQueue), len(known.running))
+		load.add(known.backlog(now, b.tokenTime(now, known), lastInQueue), len(known.running))
 	}
 	b.completeLoad(&summary.Generators, RoleDecode)
 	b.completeLoad(&summary.Readers, RolePrefill)
--- a/request/placement/wait.go
+++ b/request/placement/wait.go
@@ -45,7 +45,7 @@
 	}
 	// The queue of the reader shrinks during the wait.
 	reader := later.readingReplica()
-	delay := awaited.readyIn - min(awaited.readyIn, reader.backlog(now, b.readTimes[reader.Role].perToken(), request))
+	delay := awaited.readyIn - min(awaited.readyIn, reader.backlog(now, b.tokenTime(now, reader), request))
 	later.timeToFirstToken += delay
 	later.cost += delay
 	later.wait = max(awaited.readyIn, minWait)
@@ -92,8 +92,8 @@
 // minFetchTokens more than cachedTokens of the prompt; false if there is none or if the current
 // read is overdue.
 func (b *Board) pendingReadOn(now time.Duration, request *Request, at *replica, cachedTokens int) (pendingRead, bool) {
-	perToken := b.readTimes[at.Role].perToken()
-	readyIn := b.readTimes[at.Role].fixed()
+	perToken := b.tokenTime(now, at)
+	readyIn := b.readOverhead(now, at)
 	for _, queued := range at.queue {
 		if queued.request.deferred {
 			break // requests placed later will still be read before it
