--- a/process/control/metrics.go
+++ b/process/control/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/request/ratelimit"
+	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -33,6 +34,7 @@
 	loans              *prometheus.CounterVec
 	placementTime      *prometheus.HistogramVec
 	expectedFirstToken *prometheus.HistogramVec
+	replicaFactor      *prometheus.HistogramVec
 	foreignEntries     prometheus.Gauge
 }
 
@@ -51,6 +53,7 @@
 	m.placements = m.counterVec("placements_total", "Requests that proxies asked this member to place.", "outcome")
 	m.placementTime = m.histogram("placing_seconds", "Time of one decision where a request goes.", placementTimeBuckets, "service")
 	m.expectedFirstToken = m.histogram("placed_first_token_seconds", "Expected time to the first token of placed requests.", expectedFirstTokenBuckets, "service")
+	m.replicaFactor = m.histogram("replica_time_factor", "Factors on the estimated times at each replica, observed every second, by its role.", replicaFactorBuckets, "role")
 	m.foreignEntries = prometheus.NewGauge(prometheus.GaugeOpts{
 		Namespace: metricsNamespace, Name: "fleet_foreign_entries", Help: "Entries of the list that name no replica, as last read by this member as leader.",
 	})
@@ -78,11 +81,12 @@
 	return created
 }
 
-// Histogram buckets: from 4 µs to 4 ms for placement decisions, and from 10 ms to 10 s for
-// expected times to the first token.
+// Histogram buckets: from 4 µs to 4 ms for placement decisions, from 10 ms to 10 s for expected
+// times to the first token, and from 0.4 to 5 for the factors of replicas.
 var (
 	placementTimeBuckets      = prometheus.ExponentialBuckets(4e-6, 4, 6)
 	expectedFirstTokenBuckets = prometheus.ExponentialBuckets(0.01, 2, 11)
+	replicaFactorBuckets      = []float64{0.4, 0.5, 0.6, 0.8, 1, 1.25, 1.6, 2, 2.5, 3.5, 5}
 )
 
 // Outcomes of placement requests.
@@ -95,6 +99,15 @@
 	outcomeUnknown   = "unknown_service"
 )
 
+// observeFactors records the factors of the replicas of one service.
+func (m *metrics) observeFactors(summary *placement.Summary) {
+	for role, load := range map[api.EngineRole]*placement.RoleLoad{api.RolePrefill: &summary.Readers, api.RoleDecode: &summary.Generators} {
+		for _, factor := range load.Factors {
+			m.replicaFactor.WithLabelValues(string(role)).Observe(factor)
+		}
+	}
+}
+
 // observeCharge counts one charge to a tenant's quota.
 func (m *metrics) observeCharge(grant quota.Grant) {
 	outcome := outcomeRefused
--- a/process/control/roles.go
+++ b/process/control/roles.go
@@ -214,6 +214,7 @@
 			Slots:    shown.Slots,
 			Queued:   shown.Queued,
 			Changing: shown.Changing,
+			Speed:    shown.Speed,
 		})
 	}
 	return load
--- a/process/control/summary.go
+++ b/process/control/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/landingtrail/landingtrail/process/event"
@@ -18,6 +19,7 @@
 func (g *group) logPlacementSummaries(ctx context.Context) {
 	for pause.Sleep(ctx, summaryInterval) {
 		for service, summary := range g.boards.summaries(monotonic()) {
+			g.metrics.observeFactors(&summary)
 			event.BoardShows.Log(g.logger, placementSummaryFields(service, summary)...)
 		}
 	}
@@ -28,7 +30,11 @@
 // time to prefill what is queued, the time to begin with a prompt, and the time per token. Of the
 // placed requests, split ones are prefilled on another replica than they run on, and fetched ones
 // fetch cached prompt parts; unread is the number of their tokens still to be prefilled.
+// The read_factor and direct_factor keys are the factors on these times at the replicas of the role, in percent, and stale_slowness is the
+// number of replicas whose slowness is not known.
 func placementSummaryFields(service string, summary placement.Summary) []any {
+	readLeast, readMean, readMost := summary.Readers.FactorRange()
+	directLeast, directMean, directMost := summary.Generators.FactorRange()
 	return []any{
 		"service", service, "in_flight", summary.InFlight, "late_percent", int(100 * summary.Late),
 		"cold", summary.Cold, "suspect", summary.Suspect, "banned", summary.Banned, "isolated", summary.Isolated, "handover_ms", summary.Handover.Milliseconds(),
@@ -40,5 +46,11 @@
 		"placed", summary.Answers.Placed, "split", summary.Answers.Split, "fetched", summary.Answers.Fetched,
 		"deferred", summary.Answers.Deferred, "waits", summary.Answers.Waits, "refused", summary.Answers.Refused,
 		"unread", summary.Answers.Unread,
+		"read_factor_least", percent(readLeast), "read_factor", percent(readMean), "read_factor_most", percent(readMost),
+		"direct_factor_least", percent(directLeast), "direct_factor", percent(directMean), "direct_factor_most", percent(directMost),
+		"stale_slowness", summary.StaleSlowness,
 	}
 }
+
+// percent returns a share or factor in percent.
+func percent(value float64) int { return int(math.Round(100 * value)) }
--- a/request/placement/change.go
+++ b/request/placement/change.go
@@ -37,6 +37,7 @@
 	Running  int // requests that have had their first token, unlike Load.Running
 	Queued   int // prompts in the read queue
 	Changing bool
+	Speed    float64 // relative to the mean of the service, without slowdowns of less than a few reads
 }
 
 // Occupancies returns the work of all replicas that are not leaving, sorted by name.
@@ -47,7 +48,10 @@
 		if known.isLeaving() {
 			continue
 		}
-		occupancy := Occupancy{Replica: known.Replica, Queued: len(known.queue), Changing: b.isChanging(now, known)}
+		occupancy := Occupancy{Replica: known.Replica, Queued: len(known.queue), Changing: b.isChanging(now, known), Speed: 1}
+		if b.isPaced() {
+			occupancy.Speed = 1 / known.pace.lasting
+		}
 		for p := range known.running {
 			if p.started {
 				occupancy.Running++
--- a/request/placement/replicapace.go
+++ b/request/placement/replicapace.go
@@ -38,6 +38,9 @@
 	// minFactor and maxFactor limit the product of both components.
 	minFactor = 0.4
 	maxFactor = 5
+	// meanLastingSamples is the number of samples over which the mean lasting factor of a role is averaged in a small
+	// service. With a quarter of the samples of the read times, their mutual correction does not oscillate.
+	meanLastingSamples = readTimeSamples / 4
 	// meanUnreadWeight is the weight of the latest request in the mean number of unread tokens.
 	meanUnreadWeight = 0.02
 	// initialMeanUnread is that mean before the first read.
@@ -207,7 +210,7 @@
 	if expected > 0 {
 		at.pace.learn(float64(sample.took)/(float64(expected)*slowness), min(float64(expected)/float64(fullWeightRead), 1))
 	}
-	*mean += (at.pace.lasting - *mean) / sampleWindow(readTimeSamples, len(b.names))
+	*mean += (at.pace.lasting - *mean) / sampleWindow(meanLastingSamples, len(b.names))
 	b.pacing.meanUnread[at.Role] += meanUnreadWeight * (float64(sample.tokens) - b.pacing.meanUnread[at.Role])
 	return usual
 }
--- a/request/placement/replicapace_test.go
+++ b/request/placement/replicapace_test.go
@@ -64,14 +64,13 @@
 func TestLastingFactorExcludesReportedSlowness(t *testing.T) {
 	b := newTestBoard()
 	now, number := time.Duration(0), uint64(0)
-	for range 2_000 {
+	for round := range 2_000 {
 		now += time.Second
-		slowness := 1 + 1.5*float64(number%2)
-		for reader, factor := range map[string]float64{"prefill-1": 0.75, "prefill-2": 1.25} {
-			number++
-			usual := initialReadOverhead + 4_000*initialPrefillTokenTime
-			readOn(b, now, number, reader, 4_000, fraction(usual, factor*slowness), slowness)
-		}
+		slowness := 1 + 1.5*float64(round%2)
+		usual := initialReadOverhead + 4_000*initialPrefillTokenTime
+		readOn(b, now, number, "prefill-1", 4_000, fraction(usual, 0.75*slowness), slowness)
+		readOn(b, now, number+1, "prefill-2", 4_000, fraction(usual, 1.25*slowness), slowness)
+		number += 2
 	}
 	fast, slow := b.replicas["prefill-1"].pace.lasting, b.replicas["prefill-2"].pace.lasting
 	must.Between(t, 0.7, fast, 0.8)
--- a/request/placement/summary.go
+++ b/request/placement/summary.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Summary is a snapshot of a service's board, with the replies to Place since the previous
 // summary.
@@ -22,7 +25,10 @@
 	// Handover is the time from the end of the transfer of a prompt's KV cache to the first
 	// token. It does not include the transfer, unlike the handover of router.Speed.
 	Handover time.Duration
-	Answers  Answers
+	// StaleSlowness counts the replicas in Readers and Generators whose slowness is not known, since they have reported
+	// none or not recently; 0 if the service is not paced.
+	StaleSlowness int
+	Answers       Answers
 }
 
 // RoleLoad is the work of the replicas of one role.
@@ -33,6 +39,9 @@
 	MaxBacklog   time.Duration // longest time to read the queued prompts
 	ReadOverhead time.Duration // fixed time of a read
 	PerToken     time.Duration // time per token of a read
+	// Factors holds the factor on these times for each replica, in no particular order; empty if the service is
+	// not paced.
+	Factors []float64
 }
 
 // Answers counts the replies of a board to Place.
@@ -96,6 +105,10 @@
 			load = &summary.Readers
 		}
 		load.add(known.backlog(now, b.tokenTime(now, known), lastInQueue), len(known.running))
+		if b.isPaced() {
+			load.Factors = append(load.Factors, known.pace.factor(now))
+			summary.StaleSlowness += boolToInt(known.pace.knownSlowness(now) == 0)
+		}
 	}
 	b.completeLoad(&summary.Generators, RoleDecode)
 	b.completeLoad(&summary.Readers, RolePrefill)
@@ -110,6 +123,17 @@
 	l.MaxBacklog = max(l.MaxBacklog, backlog)
 }
 
+// FactorRange returns the lowest, the mean and the highest factor of the replicas, or 1 if there are none.
+func (l *RoleLoad) FactorRange() (lowest, mean, highest float64) {
+	if len(l.Factors) == 0 {
+		return 1, 1, 1
+	}
+	for _, factor := range l.Factors {
+		mean += factor / float64(len(l.Factors))
+	}
+	return slices.Min(l.Factors), mean, slices.Max(l.Factors)
+}
+
 // completeLoad turns the sum of backlogs into a mean and adds the read times.
 func (b *Board) completeLoad(l *RoleLoad, role Role) {
 	if l.Replicas > 0 {
--- a/request/placement/summary_test.go
+++ b/request/placement/summary_test.go
@@ -22,3 +22,19 @@
 	must.Greater(t, 100*time.Millisecond, summary.Readers.MaxBacklog)
 	must.Eq(t, Answers{}, b.Summarize(0).Answers)
 }
+
+// Guards against factors in the summary of a service whose replicas do not report their slowness, and against missing
+// ones in that of another.
+func TestSummaryShowsFactorsOfPacedServices(t *testing.T) {
+	b := newTestBoard()
+	summary := b.Summarize(0)
+	must.SliceEmpty(t, summary.Readers.Factors)
+	must.Eq(t, 0, summary.StaleSlowness)
+	b.RecordProgress(0, key(1), ProgressReport{Step: StepRefused, Replica: "prefill-1", ReportedSlowness: 2.5})
+	summary = b.Summarize(0)
+	lowest, mean, highest := summary.Readers.FactorRange()
+	must.Eq(t, []float64{1, 1.75, 2.5}, []float64{lowest, mean, highest})
+	must.SliceLen(t, 2, summary.Generators.Factors)
+	must.Eq(t, 3, summary.StaleSlowness)
+	must.Eq(t, 4, b.Summarize(slownessMaxAge).StaleSlowness)
+}
--- a/version/planner/balance.go
+++ b/version/planner/balance.go
@@ -23,6 +23,26 @@
 	Queued  int
 	// Changing is true for a replica that is changing its role.
 	Changing bool
+	// Speed is how fast the replica works in the long run, relative to the mean of its service; 0 if unknown, which
+	// counts as 1. The capacity of replicas is the sum of their speeds.
+	Speed float64
+}
+
+// speed returns the speed by which the replica counts.
+func (r *ReplicaLoad) speed() float64 {
+	if r.Speed > 0 {
+		return min(max(r.Speed, minSpeed), maxSpeed)
+	}
+	return 1
+}
+
+// capacity returns the sum of the speeds of the replicas.
+func capacity(replicas []ReplicaLoad) float64 {
+	total := 0.0
+	for i := range replicas {
+		total += replicas[i].speed()
+	}
+	return total
 }
 
 // ServiceLoad is the recent load of one service, as measured where its requests are
@@ -99,6 +119,9 @@
 	maxDecodeOccupancyAfterChange = 0.5
 	// maxChangingShare is the share of the replicas that may change their role at once.
 	maxChangingShare = 1.0 / 4
+	// minSpeed and maxSpeed limit the speeds that count, whatever was measured.
+	minSpeed = 0.4
+	maxSpeed = 2.5
 )
 
 // Balance decides which replicas change their role. A change makes a replica
@@ -107,8 +130,9 @@
 // slow decode starts or occupied decode slots show that decode is.
 //
 // Invariants: no change removes the last replica of a role from a zone or leaves fewer
-// than a third of all replicas in the decode role. At most a quarter of the replicas,
-// or one if that is more, change their role at once.
+// than a third of all replicas, or of their capacity, in the decode role. At most a
+// quarter of the replicas and of their capacity, or one replica if that is more, change
+// their role at once.
 func Balance(load ServiceLoad) []RoleChange {
 	if load.Requests < minRequests {
 		return nil
@@ -119,7 +143,7 @@
 		return byRole.changeToDecode()
 	case load.LateShare >= morePrefillLateShare && load.DecodeStartShare <= slowDecodeStart/2:
 		return byRole.changesToPrefill()
-	case load.ReversalAllowed && load.LateShare <= sparePrefillLateShare && byRole.decodeOccupancy(0) > moreDecodeOccupancy:
+	case load.ReversalAllowed && load.LateShare <= sparePrefillLateShare && byRole.decodeOccupancy(byRole.decode) > moreDecodeOccupancy:
 		return byRole.changeToDecode()
 	default:
 		return nil
@@ -129,17 +153,18 @@
 // replicasByRole holds the replicas of one service by their roles.
 type replicasByRole struct {
 	total    int
-	changing int
+	capacity float64 // of all
+	changing []ReplicaLoad
 	prefill  []ReplicaLoad
 	decode   []ReplicaLoad
 }
 
 func groupByRole(replicas []ReplicaLoad) *replicasByRole {
-	p := &replicasByRole{total: len(replicas)}
+	p := &replicasByRole{total: len(replicas), capacity: capacity(replicas)}
 	for _, replica := range replicas {
 		switch {
 		case replica.Changing:
-			p.changing++
+			p.changing = append(p.changing, replica)
 		case replica.Prefill:
 			p.prefill = append(p.prefill, replica)
 		default:
@@ -152,23 +177,38 @@
 // changeAllowance returns how many more replicas may change their role now; negative if
 // more are changing than allowed.
 func (p *replicasByRole) changeAllowance() int {
-	return max(int(float64(p.total)*maxChangingShare), 1) - p.changing
+	return max(int(float64(p.total)*maxChangingShare), 1) - len(p.changing)
 }
 
-// decodeOccupancy returns the share of the decode slots that would be occupied if the
-// given number of decode replicas were removed; 0 if no slots are known or no decode
-// replica would remain.
-func (p *replicasByRole) decodeOccupancy(removed int) float64 {
+// allowsDecode reports whether only the given replicas may remain in the decode role: they
+// have enough of the capacity and of free slots, and the capacity that changes its role is
+// not too large. One replica may change in any case.
+func (p *replicasByRole) allowsDecode(remaining []ReplicaLoad) bool {
+	left := capacity(remaining)
+	unavailable := capacity(p.changing) + capacity(p.decode) - left
+	if len(p.changing)+len(p.decode)-len(remaining) > 1 && unavailable > p.capacity*maxChangingShare+speedTolerance {
+		return false
+	}
+	return left >= p.capacity*minDecodeShare-speedTolerance && p.decodeOccupancy(remaining) <= maxDecodeOccupancyAfterChange
+}
+
+// speedTolerance allows for rounding in sums of speeds.
+const speedTolerance = 1e-6
+
+// decodeOccupancy returns the share of the decode slots that would be occupied if only the
+// given decode replicas remained and took over the work in proportion to their speed; 0 if
+// no slots are known or none remains.
+func (p *replicasByRole) decodeOccupancy(remaining []ReplicaLoad) float64 {
 	running, slots := 0, 0
 	for _, replica := range p.decode {
 		running += replica.Running
 		slots += replica.Slots
 	}
-	remaining := len(p.decode) - removed
-	if slots == 0 || remaining <= 0 {
+	left := capacity(remaining)
+	if slots == 0 || left == 0 {
 		return 0
 	}
-	return float64(running) * float64(len(p.decode)) / (float64(slots) * float64(remaining))
+	return float64(running) * capacity(p.decode) / (float64(slots) * left)
 }
 
 // changesToPrefill returns as many moves to prefill as the limits allow, unlike
@@ -176,9 +216,11 @@
 func (p *replicasByRole) changesToPrefill() []RoleChange {
 	minDecode := int(math.Ceil(float64(p.total) * minDecodeShare))
 	var changes []RoleChange
-	for len(changes) < p.changeAllowance() && len(p.decode)-len(changes) > minDecode && p.decodeOccupancy(len(changes)+1) <= maxDecodeOccupancyAfterChange {
-		chosen := leastLoadedInLargestZone(p.decode, changes, func(r ReplicaLoad) int { return r.Running })
-		if chosen == "" {
+	remaining := slices.Clone(p.decode)
+	for len(changes) < p.changeAllowance() && len(remaining) > minDecode {
+		chosen := leastLoadedInLargestZone(remaining, func(r ReplicaLoad) int { return r.Running })
+		remaining = slices.DeleteFunc(remaining, func(r ReplicaLoad) bool { return r.Name == chosen })
+		if chosen == "" || !p.allowsDecode(remaining) {
 			break
 		}
 		changes = append(changes, RoleChange{Replica: chosen, ToPrefill: true})
@@ -191,32 +233,28 @@
 	if p.changeAllowance() < 1 {
 		return nil
 	}
-	chosen := leastLoadedInLargestZone(p.prefill, nil, func(r ReplicaLoad) int { return r.Queued })
+	chosen := leastLoadedInLargestZone(p.prefill, func(r ReplicaLoad) int { return r.Queued })
 	if chosen == "" {
 		return nil
 	}
 	return []RoleChange{{Replica: chosen, ToPrefill: false}}
 }
 
-// leastLoadedInLargestZone returns the name of the replica with the least work in the
-// zone with the largest number of the replicas, not counting those with a change. It
-// returns "" if no zone has more than one left.
-func leastLoadedInLargestZone(replicas []ReplicaLoad, changes []RoleChange, workOf func(ReplicaLoad) int) string {
-	remaining := slices.DeleteFunc(slices.Clone(replicas), func(r ReplicaLoad) bool {
-		return slices.ContainsFunc(changes, func(change RoleChange) bool { return change.Replica == r.Name })
-	})
-	inZone := map[string]int{}
-	for _, replica := range remaining {
+// leastLoadedInLargestZone returns the name of the replica with the least work, relative to
+// its speed, in the zone with the largest capacity of those zones that have more than one
+// replica. It returns "" if there is no such zone.
+func leastLoadedInLargestZone(replicas []ReplicaLoad, workOf func(ReplicaLoad) int) string {
+	inZone, capacityOf := map[string]int{}, map[string]float64{}
+	for _, replica := range replicas {
 		inZone[replica.Zone]++
+		capacityOf[replica.Zone] += replica.speed()
 	}
-	if len(remaining) == 0 {
-		return ""
-	}
-	best := slices.MinFunc(remaining, func(a, b ReplicaLoad) int {
-		return cmp.Or(cmp.Compare(inZone[b.Zone], inZone[a.Zone]), cmp.Compare(workOf(a), workOf(b)), cmp.Compare(a.Name, b.Name))
-	})
-	if inZone[best.Zone] < 2 {
+	movable := slices.DeleteFunc(slices.Clone(replicas), func(r ReplicaLoad) bool { return inZone[r.Zone] < 2 })
+	if len(movable) == 0 {
 		return ""
 	}
-	return best.Name
+	timeOf := func(r ReplicaLoad) float64 { return float64(workOf(r)) / r.speed() }
+	return slices.MinFunc(movable, func(a, b ReplicaLoad) int {
+		return cmp.Or(cmp.Compare(capacityOf[b.Zone], capacityOf[a.Zone]), cmp.Compare(timeOf(a), timeOf(b)), cmp.Compare(a.Name, b.Name))
+	}).Name
 }
--- a/version/planner/balance_test.go
+++ b/version/planner/balance_test.go
@@ -113,3 +113,54 @@
 		}
 	})
 }
+
+// withSpeeds gives the replicas the speeds in turn.
+func withSpeeds(replicas []ReplicaLoad, speeds ...float64) []ReplicaLoad {
+	for i := range replicas {
+		replicas[i].Speed = speeds[i%len(speeds)]
+	}
+	return replicas
+}
+
+// Guards against a plan that takes slow decode replicas for as much capacity as fast ones: the remaining ones would have
+// more than half of their slots occupied, or less than a third of the capacity.
+func TestBalanceCountsCapacityBySpeed(t *testing.T) {
+	equal := ServiceLoad{Replicas: testReplicas(3, 9, 3), Requests: 200, LateShare: 0.4}
+	must.SliceLen(t, 2, Balance(equal))
+	uneven := ServiceLoad{Replicas: testReplicas(3, 9, 3), Requests: 200, LateShare: 0.4}
+	for i := range uneven.Replicas {
+		uneven.Replicas[i].Speed = 0.6
+	}
+	for _, i := range []int{3, 4, 5} { // idle and fast, so that they are chosen first
+		uneven.Replicas[i].Running, uneven.Replicas[i].Speed = 0, 2
+	}
+	must.SliceLen(t, 1, Balance(uneven))
+
+	third := ServiceLoad{Replicas: withSpeeds(testReplicas(6, 7, 0), 2.5), Requests: 200, LateShare: 0.4}
+	must.SliceLen(t, 2, Balance(third))
+	for i := range third.Replicas {
+		if !third.Replicas[i].Prefill {
+			third.Replicas[i].Speed = 1
+		}
+	}
+	must.SliceEmpty(t, Balance(third), must.Sprint("the slow replicas have less than a third of the capacity"))
+}
+
+// Guards against moving a replica out of a zone whose many replicas are slow.
+func TestBalanceTakesFromTheZoneWithTheLargestCapacity(t *testing.T) {
+	replicas := []ReplicaLoad{
+		{Name: "a-1", Zone: "a", Speed: 0.6}, {Name: "a-2", Zone: "a", Speed: 0.6}, {Name: "a-3", Zone: "a", Speed: 0.6},
+		{Name: "b-1", Zone: "b", Speed: 1.6}, {Name: "b-2", Zone: "b", Speed: 1.6}, {Name: "p-1", Zone: "a", Prefill: true},
+	}
+	changes := Balance(ServiceLoad{Replicas: replicas, Requests: 200, LateShare: 0.4})
+	must.SliceLen(t, 1, changes)
+	must.Eq(t, "b-1", changes[0].Replica)
+}
+
+// Guards against incorrect speeds that give a replica more weight than any real one has.
+func TestBalanceBoundsSpeeds(t *testing.T) {
+	for _, speed := range []float64{-1, 0, 1e-9, 1e9} {
+		counted := (&ReplicaLoad{Speed: speed}).speed()
+		must.Between(t, minSpeed, counted, maxSpeed)
+	}
+}
