Placement: ramps limit replicas that have started or recovered (usable)

The board of a paced service limits the requests in flight on such a replica by request/rampup, in place of the probe. Services whose replicas report no slowness are placed as before.

--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/landingtrail/landingtrail/request/rampup"
 )
 
 // Initial estimates, parameters of the measurements that replace them, and other parameters of
@@ -57,6 +59,7 @@
 	expireAt  time.Duration // time of the next search for expired requests
 	// paced is true once a replica has reported its slowness; see isPaced.
 	paced   bool
+	ramps   ramps
 	answers Answers // since the last summary
 }
 
@@ -75,6 +78,8 @@
 	started       bool
 	startedAt     time.Duration
 	adopted       bool // placed by another board; added by TakeOver
+	// expectedRead is the time from placedAt to the end of the read as expected then; 0 if it is not known.
+	expectedRead time.Duration
 }
 
 // replica is the state that the board tracks for one replica.
@@ -118,6 +123,7 @@
 	banPeriod   time.Duration
 	bannedSince time.Duration
 	bannedUntil time.Duration
+	ramp        rampup.Ramp // in progress only in a paced service
 }
 
 // NewBoard returns a board without replicas.
@@ -150,11 +156,13 @@
 	for name := range gone {
 		b.Remove(name)
 	}
+	b.ramps.hasList = true
 }
 
 // Put adds or updates one replica and keeps its state if it is still the same process.
 func (b *Board) Put(entry Replica) {
 	known := b.replicas[entry.Name]
+	previous := known
 	if known != nil && (known.Role != entry.Role || known.Zone != entry.Zone || known.isAnotherProcess(&entry)) {
 		b.Remove(entry.Name)
 		known = nil
@@ -165,8 +173,11 @@
 		b.replicas[entry.Name] = known
 		pos, _ := slices.BinarySearch(b.names, entry.Name)
 		b.names = slices.Insert(b.names, pos, entry.Name)
+		known.Replica = entry
+		b.rampListed(known, previous)
 	}
 	known.Replica = entry
+	known.ramp.Slots = entry.Slots
 	b.index.move(known)
 }
 
@@ -178,6 +189,7 @@
 		return
 	}
 	b.index.forget(known)
+	b.ramps.drop(known)
 	delete(b.replicas, name)
 	if pos, found := slices.BinarySearch(b.names, name); found {
 		b.names = slices.Delete(b.names, pos, pos+1)
@@ -200,6 +212,7 @@
 
 // place implements Place, without counting the reply for the summary.
 func (b *Board) place(now time.Duration, key Key, request Request) Answer {
+	b.ramps.now = now
 	b.expireRequests(now)
 	b.endRequest(now, key)
 	request.surging = b.tenants.recordRequest(now, &request)
@@ -225,8 +238,8 @@
 	p.unreadTokens = chosen.unread
 	p.queuedOn.enqueue(now, p)
 	p.runningOn.running[p] = struct{}{}
-	p.queuedOn.startProbe(p)
-	p.runningOn.startProbe(p)
+	b.startProbes(p)
+	b.rampBegun(now, p)
 	b.index.move(p.queuedOn)
 	b.index.move(p.runningOn)
 	p.queuedOn.cache.addPending(request.Parts)
@@ -274,6 +287,7 @@
 		return
 	}
 	b.recordSlowness(report)
+	b.ramps.now = now
 	p := b.inFlight[key]
 	switch report.Step {
 	case StepFailed, StepAnsweredError, StepRefused, StepMisdirected, StepUnreachable:
@@ -314,6 +328,7 @@
 	p.queuedOn = p.runningOn
 	p.unreadTokens = max(p.request.PromptTokens-p.runningOn.cache.leadingTokens(p.request.Parts), 0)
 	p.queuedOn.enqueue(now, p)
+	b.rampBegun(now, p)
 	p.queuedOn.cache.addPending(p.request.Parts)
 	b.index.move(p.queuedOn)
 }
@@ -336,6 +351,7 @@
 	b.fairnessOf(now, &p.request).recordStart(now, p.request.group)
 	b.learnDecodeStart(now, p)
 	p.runningOn.recordSuccess(p)
+	b.rampStarted(now, p)
 	b.index.move(p.runningOn)
 	p.runningOn.cache.use(p.request.Parts, b.cacheLimit())
 }
@@ -366,6 +382,7 @@
 	p.readAt = now
 	p.backlogAtRead = p.runningOn.backlog(now, b.readTimes[p.runningOn.Role].perToken(), &p.request)
 	at.recordSuccess(p)
+	b.rampRead(now, p)
 	b.removeFromQueue(now, p)
 	at.lastReadEndedAt = now
 	at.cache.use(p.request.Parts, b.cacheLimit())
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -265,6 +265,9 @@
 	fixed := b.readTimes[at.Role].fixed()
 	best.timeToFirstToken += backlog + fixed
 	best.cost += backlog + fixed + at.failureCost(now) + request.connectionCost(at)
+	if at.Role == RolePrefill {
+		best.cost += at.rampCost(now, request)
+	}
 	return best
 }
 
@@ -286,6 +289,9 @@
 
 // failureCost returns the cost of the replica's recent failures and of its announced shutdown.
 func (r *replica) failureCost(now time.Duration) time.Duration {
+	if r.isDueForTrial(now) {
+		return 0
+	}
 	cost := time.Duration(r.failureRate * float64(fullFailureCost))
 	if r.isSuspected(now) || r.announcedLeaving {
 		cost += suspectCost
@@ -345,6 +351,7 @@
 	if generator.Slots > 0 && running >= generator.Slots {
 		cost += noFreeSlotCost
 	}
+	cost += generator.rampCost(now, request)
 	if generator.Zone != request.Zone {
 		cost += crossZoneCost
 	}
--- a/request/placement/failure.go
+++ b/request/placement/failure.go
@@ -44,19 +44,20 @@
 	case StepMisdirected, StepUnreachable:
 		failed.ban(now, p)
 	default:
-		failed.suspect(now, p)
+		failed.suspect(now, p, b.maxSuspicion())
 	}
+	b.rampFailed(now, failed, report.Step, p)
 	b.index.move(failed)
 }
 
 // suspect starts or extends the suspicion of a replica that gave no response. All requests that
 // it had when it went silent fail one after the other but are evidence of one failure, so only
-// a request placed after the last suspicion began extends it.
-func (r *replica) suspect(now time.Duration, p *placedRequest) {
+// a request placed after the last suspicion began extends it, up to longest.
+func (r *replica) suspect(now time.Duration, p *placedRequest, longest time.Duration) {
 	if p != nil && r.suspicionPeriod > 0 && p.placedAt < r.suspectedAt {
 		return
 	}
-	r.suspicionPeriod = min(max(2*r.suspicionPeriod, minSuspicion), maxSuspicion)
+	r.suspicionPeriod = min(max(2*r.suspicionPeriod, minSuspicion), longest)
 	r.suspectedAt, r.avoidedUntil = now, now+r.suspicionPeriod
 }
 
--- a/request/placement/index.go
+++ b/request/placement/index.go
@@ -125,10 +125,10 @@
 	return len(r.running)
 }
 
-// isImpaired reports whether the replica has failed and not succeeded often enough since, or has
-// announced that it will shut down.
+// isImpaired reports whether the replica has failed and not succeeded often enough since, has
+// announced that it will shut down, or has reached the limit of its ramp.
 func (r *replica) isImpaired() bool {
-	return r.announcedLeaving || r.failureRate >= impairedRate
+	return r.announcedLeaving || r.failureRate >= impairedRate || r.isAtRampLimit(0)
 }
 
 // impairedRate is the failure rate from which a replica is impaired: it is then considered for a
@@ -264,6 +264,7 @@
 			list.addHolders(holders)
 		}
 	}
+	list.addTrials()
 	for _, zoneGroup := range b.index.groupsByZone[role] {
 		list.addGroup(zoneGroup)
 	}
--- a/request/placement/order.go
+++ b/request/placement/order.go
@@ -45,6 +45,9 @@
 	request.deferred = true
 	chosen, found = b.choose(now, request)
 	if found && chosen.wait == 0 && b.readTimes[chosen.readingReplica().Role].isTrusted() && chosen.timeToFirstToken > fraction(request.Deadline, deadlineShare) {
+		if alternative, inTime := b.chooseDespiteRamps(now, request); inTime {
+			return alternative, true
+		}
 		return option{refused: true, timeToFirstToken: chosen.timeToFirstToken}, true
 	}
 	return chosen, found
--- a/request/placement/summary.go
+++ b/request/placement/summary.go
@@ -19,6 +19,8 @@
 	Suspect  int
 	Banned   int
 	Isolated int
+	// Ramping counts the replicas whose requests in flight are limited by a ramp; see package rampup.
+	Ramping int
 	// Handover is the time from the end of the transfer of a prompt's KV cache to the first
 	// token. It does not include the transfer, unlike the handover of router.Speed.
 	Handover time.Duration
@@ -80,6 +82,7 @@
 		Late:     b.lateness.value(now),
 		Cold:     len(b.ColdReplicas()),
 		Isolated: len(b.isolation.isolated),
+		Ramping:  len(b.ramps.active),
 		Handover: b.decodeStartTime,
 		Answers:  b.answers,
 	}
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -107,6 +107,9 @@
 	// wouldBeLate is set while options are compared for a request that would miss its
 	// objective; delays to streams on the same replica then cost less.
 	wouldBeLate bool
+	// ignoresRamps is set while options are compared for a request that would otherwise be refused;
+	// the limits of ramps then do not apply to replicas with a free slot.
+	ignoresRamps bool
 	// surging marks a request by which the demand of its tenant exceeds surgeFactor times the
 	// tenant's baseline.
 	surging bool
