--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -58,6 +58,11 @@
 	StreamTakenUp = define(4619, "stream_taken_up", Info,
 		"A caller takes up a stream after an event that it has (after), which it says the call resumes began. software is the version that began it, known_by who knew it: this proxy, a member, or nobody, in which case the caller is refused at once (unknown_stream).",
 		"Many that nobody knows: look whether the proxies that began them and the leader ended together.")
+	ReplicaRampBegan = define(4620, "replica_ramp_began", Info,
+		"This proxy limits its requests in flight to a replica that has started or recovered (reason), until its answers show how many it handles. It has limit of them now, as an equal share of a limit for all proxies. Of all begins and ends, at most ten are logged a second; omitted is the number of those before that were not.", "")
+	ReplicaRampEnded = define(4621, "replica_ramp_ended", Info,
+		"This proxy no longer limits its requests in flight to a replica, after lasted_ms. dropped says that the replica is gone, or was not used for long.",
+		"Many ramps, or long ones, of replicas that were not restarted: they fail again and again. Look why.")
 	RequestRefused = define(4601, "request_refused", Info,
 		"A request was answered before any replica was asked: no route, no configuration, or a faulty request.", "")
 	QuotaRefused = define(4611, "quota_refused", Info,
--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -28,6 +28,8 @@
 		if reply.Misdirected {
 			s.misdirected = true
 			target.suspect(s.ingress.now())
+		} else {
+			target.noteRefusal(s.ingress.now())
 		}
 		return verdictNotRun
 	}
@@ -35,7 +37,7 @@
 	// for the statuses.
 	if !reply.HasRequestID || isSuccess(answer.Status) && !reply.Genuine || promisesNotRun(answer.Status) {
 		s.lifecycle.Fail(number, attempt.FaultBroken)
-		target.noteFailure()
+		target.noteErrorAnswer(s.ingress.now())
 		return s.verdictAfterBreak(ctx)
 	}
 	s.lifecycle.Admit(number, 0) // the incarnation is not tracked here
@@ -55,7 +57,7 @@
 // answer cannot be appended.
 func (s *session) failResume(ctx context.Context, target *replica, number uint32, answer *exchange.Response) verdict {
 	s.lifecycle.Fail(number, attempt.FaultBroken)
-	target.noteFailure()
+	target.noteErrorAnswer(s.ingress.now())
 	fmt.Fprintf(&s.trace, " (%s: status %d)", target.name, answer.Status)
 	return s.verdictAfterBreak(ctx)
 }
@@ -98,7 +100,7 @@
 	case !errors.Is(err, io.EOF):
 		s.noteBrokenConnection(ctx, stageRun, target, sent, err)
 		s.lifecycle.Fail(number, attempt.FaultBroken)
-		target.noteFailure()
+		target.noteErrorAnswer(s.ingress.now())
 		fmt.Fprintf(&s.trace, " (%s: %v)", target.name, err)
 		return s.verdictAfterBreak(ctx)
 	}
@@ -106,6 +108,7 @@
 		return s.saveFailure(target, number, answer, buffer.Bytes())
 	}
 	target.noteSuccess()
+	target.noteServed(s.ingress.now(), s.ingress.now()-sent.at, sent.expected)
 	s.noteWholeAnswer(sent)
 	s.lifecycle.Finish(number)
 	copyHeader(s.writer.Header(), answer.Header)
@@ -118,7 +121,7 @@
 // saveFailure records a failed attempt and keeps its answer, an error that the replica produced by
 // running the request.
 func (s *session) saveFailure(target *replica, number uint32, answer *exchange.Response, body []byte) verdict {
-	target.noteFailure()
+	target.noteErrorAnswer(s.ingress.now())
 	s.lifecycle.Fail(number, attempt.FaultBroken)
 	s.failure = &savedAnswer{status: answer.Status, header: answer.Header, body: body}
 	fmt.Fprintf(&s.trace, " (%s: status %d)", target.name, answer.Status)
@@ -146,6 +149,7 @@
 		return s.verdictAfterBreak(ctx)
 	}
 	target.noteSuccess()
+	target.noteServed(s.ingress.now(), 0, 0) // how long it takes depends on its length
 	s.noteWholeAnswer(sent)
 	s.lifecycle.Finish(number)
 	return verdictDone
--- a/process/ingress/fleet.go
+++ b/process/ingress/fleet.go
@@ -38,6 +38,9 @@
 	listedReplicas []*replica
 	// softwareVersions holds the versions of the listed replicas, by their hashes.
 	softwareVersions map[uint64]string
+	ramps            *rampGate // nil for no ramps
+	// newlyListed holds the replicas that were listed lately, until they are used.
+	newlyListed map[string]newListing
 }
 
 func newFleet(service string, pool *exchange.Pool, holdoffs *holdoff.Table, lookupUnlisted func(name string) *api.Replica) *fleet {
@@ -66,14 +69,16 @@
 func (f *fleet) update(listed listing, now time.Duration) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
+	f.recordNewListings(listed, now)
 	f.listed, f.listedReplicas = listed, nil
 	f.softwareVersions = softwareVersionsOf(f.service, listed)
 	for name, current := range f.tracked {
 		entry := f.entry(name)
 		switch {
 		case entry == nil:
-			f.drop(current)
+			f.drop(current, now)
 		case current.isIdle(now) && !f.pool.HasIdle(entry.Spec.Address):
+			current.dropRamp(now)
 			delete(f.tracked, name)
 		default:
 			f.track(entry, now)
@@ -82,7 +87,8 @@
 }
 
 // drop removes a replica that is gone. The caller must hold the lock.
-func (f *fleet) drop(gone *replica) {
+func (f *fleet) drop(gone *replica, now time.Duration) {
+	gone.dropRamp(now)
 	f.pool.Drop(gone.spec().Address)
 	delete(f.tracked, gone.name)
 }
@@ -92,14 +98,15 @@
 func (f *fleet) track(entry *api.Replica, now time.Duration) *replica {
 	current := f.tracked[entry.Name]
 	if current != nil && !isSameProcess(current.spec(), &entry.Spec) {
-		f.drop(current)
+		f.drop(current, now)
 		current = nil
 	}
 	pauseState := f.holdoffs.ObserveListed(entry.Name, processOf(entry), now)
 	if current == nil {
 		current = newReplica(entry.Name, entry.Spec, pauseState)
-		current.usedAt = now
+		current.usedAt, current.ramps = now, f.ramps
 		f.tracked[entry.Name] = current
+		f.beginRampOf(current, now)
 	}
 	current.currentSpec.Store(&entry.Spec)
 	return current
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -53,6 +53,7 @@
 	sessions            sessionTable
 	stopSuspensionWatch func()
 	metrics             *metrics
+	rampLog             rampLog
 	unknownFields       unknownFields
 	// placer places model requests and takes those of all proxies into account; if nil, this proxy
 	// uses only its own knowledge.
@@ -110,6 +111,7 @@
 		standaloneQuota: quota.NewLocalShare(config.Quotas), limitShares: ratelimit.NewShares(rand.Float64),
 	}
 	ingress.reachability = newReachability(ingress)
+	ingress.upstreams.rampChanged = ingress.noteRampChange
 	ingress.requestContext, ingress.cancelRequests = context.WithCancel(context.Background())
 	ingress.table.Store(&versionedTable{routes: newRouteTable(nil)})
 	ingress.stopSuspensionWatch = clock.Watch(ingress.sessions.cancelOverdue)
--- a/process/ingress/lane.go
+++ b/process/ingress/lane.go
@@ -41,6 +41,10 @@
 	lookupUnlisted func(name string) *api.Replica
 	// proxies is the number of proxies that share the budgets.
 	proxies atomic.Int64
+	// proxyNames are those of the last view, nil before.
+	proxyNames atomic.Pointer[proxyNames]
+	// rampChanged is called with each begin and end of a ramp; nil for no call.
+	rampChanged func(change rampChange)
 
 	lock         sync.Mutex
 	version      view.Version
@@ -77,6 +81,7 @@
 		fleet:   newFleet(service, pool, u.holdoffs, u.lookupUnlisted),
 		budget:  u.newBudget(),
 	}
+	result.fleet.ramps = u.newRampGate(service)
 	result.fleet.update(u.listed, u.clock())
 	u.byService[service] = result
 	return result
@@ -102,6 +107,7 @@
 	u.listed = current.Replicas
 	proxies := u.proxyCounter.observe(len(current.Proxies), now, u.config.Retry.Window)
 	u.proxies.Store(int64(proxies))
+	u.proxyNames.Store(&current.Proxies)
 	share := reserveShare(u.config.Retry.Reserve, proxies)
 	for _, upstream := range u.byService {
 		upstream.fleet.update(u.listed, now)
--- a/process/ingress/metrics.go
+++ b/process/ingress/metrics.go
@@ -29,6 +29,8 @@
 	withheldSends       *prometheus.CounterVec
 	unknownFields       *prometheus.CounterVec
 	limitGrants         *prometheus.CounterVec
+	ramps               *prometheus.CounterVec
+	ramping             *prometheus.GaugeVec
 }
 
 func newMetrics() *metrics {
@@ -48,6 +50,11 @@
 	m.withheldSends = m.counter("withheld_total", "Sends to a chosen replica that had asked for a pause, or said that it leaves, meanwhile.", "service", "stage")
 	m.limitGrants = m.counter("limit_grants_total", "Requests for replicas with a limit, by outcome and who decided.", "service", "outcome", "by")
 	m.unknownFields = m.counter("unknown_fields_total", "Answers of replicas with a field that this program does not know, by its name.", "field")
+	m.ramps = m.counter("ramps_total", "Ramps of replicas that have started or recovered, by why they began.", "service", "reason")
+	m.ramping = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: metricsNamespace, Name: "replicas_ramping", Help: "Replicas whose requests in flight from this proxy a ramp limits.",
+	}, []string{"service"})
+	m.registry.MustRegister(m.ramping)
 	return m
 }
 
--- a/process/ingress/pick.go
+++ b/process/ingress/pick.go
@@ -91,6 +91,7 @@
 	if occupied.slots > 0 && occupied.requests >= occupied.slots {
 		cost += fullCost
 	}
+	cost += time.Duration(occupied.beyondRamp) * fullCost
 	if r.spec().Zone != zone {
 		cost += otherZoneCost
 	}
@@ -156,6 +157,7 @@
 	if occupied.slots > 0 && occupied.requests >= occupied.slots {
 		cost += fullCost
 	}
+	cost += time.Duration(occupied.beyondRamp) * fullCost
 	if r.spec().Zone != zone {
 		cost += otherZoneCost
 	}
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -126,7 +126,7 @@
 	body, err := io.ReadAll(io.LimitReader(answer, maxHandleBytes))
 	if err != nil || answer.Status != http.StatusOK || !reply.HasRequestID {
 		fmt.Fprintf(&s.trace, " prefill(%s: status %d)", prefiller.name, answer.Status)
-		prefiller.noteFailure()
+		prefiller.noteErrorAnswer(now)
 		step := placement.StepReadSkipped
 		if reply.Misdirected {
 			prefiller.suspect(now)
@@ -164,6 +164,7 @@
 func (s *session) notePrefilled(chosen plan, took time.Duration) {
 	prefiller, uncachedTokens := chosen.prefiller, chosen.uncachedTokens
 	prefiller.noteSuccess()
+	prefiller.noteServed(s.ingress.now(), took, chosen.estimate)
 	prefiller.noteCachedParts(s.call.Work.Parts)
 	chosen.tracked.report(placement.StepRead, "", prefiller.reportedRequests())
 	s.upstream.speed.observe(uncachedTokens, took)
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/request/holdoff"
+	"github.com/landingtrail/landingtrail/request/rampup"
 	"github.com/landingtrail/landingtrail/version/api"
 )
 
@@ -54,6 +55,8 @@
 	crashedAt time.Duration
 	// refusedAt is when a run last broke and nothing listened at the address afterwards; 0 for never.
 	refusedAt time.Duration
+	ramps     *rampGate // nil for no ramps
+	ramp      rampup.Share
 }
 
 // send is one request in flight to a replica.
@@ -67,6 +70,8 @@
 	// session only.
 	events       int
 	firstEventAt time.Duration
+	// expected is how long the first answer was expected to take; 0 if it is not known.
+	expected time.Duration
 	// bodyEnd says what marks the end of the answer's body; used by the session only.
 	bodyEnd bodyEnd
 }
@@ -87,6 +92,7 @@
 	defer r.lock.Unlock()
 	r.sends[sent] = struct{}{}
 	r.usedAt = now
+	r.updateRamp(now, func(ramp *rampup.Share) { ramp.Begun(now, len(r.sends)) })
 	return sent
 }
 
@@ -111,8 +117,11 @@
 func (r *replica) noteStarted(sent *send, now time.Duration) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	sent.started = true
 	r.heardAt, r.suspectUntil = now, 0
+	if !sent.started {
+		r.updateRamp(now, func(ramp *rampup.Share) { ramp.Answered(now, now-sent.at, sent.expected) })
+	}
+	sent.started = true
 }
 
 // noteAnswer records an answer and its reported load, if any.
@@ -122,6 +131,9 @@
 	r.heardAt, r.suspectUntil = now, 0
 	if load != nil {
 		r.load, r.loadAt = *load, now
+		if load.Slowdown > 0 && r.ramps != nil {
+			r.ramps.paced.Store(true)
+		}
 	}
 }
 
@@ -184,8 +196,9 @@
 	if now < r.suspectUntil {
 		return
 	}
-	r.suspectTime = min(max(2*r.suspectTime, initialSuspectTime), maxSuspectTime)
+	r.suspectTime = min(max(2*r.suspectTime, initialSuspectTime), r.maxSuspect())
 	r.suspectUntil = now + r.suspectTime
+	r.rampFailed(now)
 }
 
 // noteCrash records that the replica seems to have crashed.
@@ -229,6 +242,7 @@
 	slowdown      float64 // current duration of work relative to the usual one
 	failureRate   float64
 	suspect       bool
+	beyondRamp    int // by how many requests one more exceeds the limit of the ramp
 }
 
 // occupancy adds to the reported load those sends of this proxy that it does not include yet.
@@ -236,7 +250,7 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	hasReport := now-r.loadAt < loadMaxAge && r.loadAt > 0
-	result := occupancy{slots: r.spec().Slots, slowdown: 1, failureRate: r.failureRate, suspect: now < r.suspectUntil}
+	result := occupancy{slots: r.spec().Slots, slowdown: 1, failureRate: r.failureRate, suspect: now < r.suspectUntil, beyondRamp: r.beyondRamp(now)}
 	if hasReport {
 		result.requests = r.load.Running + r.load.Waiting
 		if r.load.Slowdown > 0 {
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -162,6 +162,7 @@
 		tokens = 0
 	}
 	sent := target.beginSend(s.ingress.now(), tokens)
+	sent.expected = s.expectedStep(chosen)
 	defer target.endSend(sent)
 	attemptContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -306,7 +307,7 @@
 // request instead counts as failed but not as suspect, since it is reachable.
 func (s *session) noteUnanswered(target *replica, err error, now time.Duration) {
 	if isUnmatched(err) {
-		target.noteFailure()
+		target.noteErrorAnswer(now)
 		return
 	}
 	target.suspect(now)
--- a/request/rampup/rampup.go
+++ b/request/rampup/rampup.go
@@ -29,11 +29,12 @@
 
 // Parameters of the ramp.
 const (
-	// An answer is good up to goodFactor times the expected time plus slack, and late from lateFactor
+	// An answer is good up to goodFactor times the expected time plus slack, and late from LateFactor
 	// times that time plus slack. In between, the limit stays: replicas of one service differ in speed
 	// and are slowed down for moments by others on their machine.
 	goodFactor = 2
-	lateFactor = 4
+	// LateFactor is the factor on the expected time from which an answer is late.
+	LateFactor = 4
 	slack      = 20 * time.Millisecond
 	// lowerInterval is the minimum time between two reductions, since requests that were in flight
 	// together are late or refused for the same cause.
@@ -103,7 +104,7 @@
 // the given times. If no time was expected, which 0 stands for, the answer is good.
 func (r *Ramp) Answered(now, took, expected time.Duration) {
 	switch {
-	case expected > 0 && took > lateFactor*expected+slack:
+	case expected > 0 && took > LateFactor*expected+slack:
 		r.late(now, took)
 	case expected > 0 && took > goodFactor*expected+slack:
 		r.proven = true
--- a/request/rampup/rampup_test.go
+++ b/request/rampup/rampup_test.go
@@ -283,7 +283,7 @@
 			default:
 				p.answered(now, now-r.begun, usual)
 				result.served++
-				if now-r.begun > lateFactor*usual {
+				if now-r.begun > LateFactor*usual {
 					result.late++
 				}
 				if firstGood < 0 {
