--- a/process/control/metrics.go
+++ b/process/control/metrics.go
@@ -34,6 +34,8 @@
 	placementTime      *prometheus.HistogramVec
 	expectedFirstToken *prometheus.HistogramVec
 	foreignEntries     prometheus.Gauge
+	ramps              *prometheus.CounterVec
+	ramping            prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -54,7 +56,11 @@
 	m.foreignEntries = prometheus.NewGauge(prometheus.GaugeOpts{
 		Namespace: metricsNamespace, Name: "fleet_foreign_entries", Help: "Entries of the list that name no replica, as last read by this member as leader.",
 	})
-	m.registry.MustRegister(m.foreignEntries)
+	m.ramps = m.counterVec("ramps_total", "Ramps of replicas that have started or recovered, by why they began.", "reason")
+	m.ramping = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: metricsNamespace, Name: "replicas_ramping", Help: "Replicas whose requests in flight a ramp limits, as far as this member places requests.",
+	})
+	m.registry.MustRegister(m.foreignEntries, m.ramping)
 	return m
 }
 
--- a/process/control/placement.go
+++ b/process/control/placement.go
@@ -84,6 +84,25 @@
 	return summaries
 }
 
+// rampChanges returns the begins and ends of ramps since the previous call, by service, and the number of ramps in
+// progress.
+func (d *placementBoards) rampChanges() (changes map[string]placement.RampChanges, ramping int) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	for service, board := range d.boards {
+		latest, active := board.TakeRampChanges()
+		ramping += active
+		if len(latest.Changes) == 0 {
+			continue
+		}
+		if changes == nil {
+			changes = map[string]placement.RampChanges{}
+		}
+		changes[service] = latest
+	}
+	return changes, ramping
+}
+
 // update applies a view if it is newer than the last one applied; callers load their view before
 // acquiring the lock, so views can arrive out of order. If the changes since the last view are
 // known, only these are applied, so that the cost of a replica change does not depend on the
--- a/process/control/summary.go
+++ b/process/control/summary.go
@@ -7,6 +7,7 @@
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/request/placement"
+	"github.com/landingtrail/landingtrail/version/api"
 )
 
 // summaryInterval is the time between two log lines on the placements of a service. It is short
@@ -20,9 +21,41 @@
 		for service, summary := range g.boards.summaries(monotonic()) {
 			event.BoardShows.Log(g.logger, placementSummaryFields(service, summary)...)
 		}
+		g.logRamps(monotonic())
 	}
 }
 
+// logRamps logs and counts the begins and ends of ramps since the last call.
+func (g *group) logRamps(now time.Duration) {
+	changes, ramping := g.boards.rampChanges()
+	g.metrics.ramping.Set(float64(ramping))
+	for service, latest := range changes {
+		for reason, count := range latest.Begun {
+			g.metrics.ramps.WithLabelValues(string(reason)).Add(float64(count))
+		}
+		for i, change := range latest.Changes {
+			omitted := 0
+			if i == len(latest.Changes)-1 {
+				omitted = latest.Omitted
+			}
+			logged, outcome := event.RampBegan, []any{"limit", change.Limit}
+			if change.Ended {
+				logged, outcome = event.RampEnded, []any{"lasted_ms", change.Lasted.Milliseconds()}
+			}
+			fields := []any{"service", service, "replica", change.Replica, "role", roleName(change.Role), "reason", string(change.Reason), "age_ms", (now - change.At).Milliseconds()}
+			logged.Log(g.logger, append(append(fields, outcome...), "omitted", omitted)...)
+		}
+	}
+}
+
+// roleName returns the name of a replica's role in logs.
+func roleName(role placement.Role) string {
+	if role == placement.RolePrefill {
+		return string(api.RolePrefill)
+	}
+	return string(api.RoleDecode)
+}
+
 // placementSummaryFields returns the key-value pairs of a summary's log line. The read_ keys are
 // times of prefill replicas and the direct_ keys times of decode replicas: the mean and the longest
 // time to prefill what is queued, the time to begin with a prompt, and the time per token. Of the
@@ -31,7 +64,7 @@
 func placementSummaryFields(service string, summary placement.Summary) []any {
 	return []any{
 		"service", service, "in_flight", summary.InFlight, "late_percent", int(100 * summary.Late),
-		"cold", summary.Cold, "suspect", summary.Suspect, "banned", summary.Banned, "isolated", summary.Isolated, "handover_ms", summary.Handover.Milliseconds(),
+		"cold", summary.Cold, "suspect", summary.Suspect, "banned", summary.Banned, "isolated", summary.Isolated, "ramping", summary.Ramping, "handover_ms", summary.Handover.Milliseconds(),
 		"readers", summary.Readers.Replicas, "read_ms", summary.Readers.MeanBacklog.Milliseconds(), "read_most_ms", summary.Readers.MaxBacklog.Milliseconds(),
 		"read_start_ms", summary.Readers.ReadOverhead.Milliseconds(), "read_ns_token", summary.Readers.PerToken.Nanoseconds(),
 		"generators", summary.Generators.Replicas, "running", summary.Generators.Running,
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -114,6 +114,11 @@
 	LimitAnnounced = define(1241, "limit_announced", Info,
 		"This member announces to all proxies that a replica states a limit on the requests a second of all proxies together (limited, per_second), states another one, or none any more. age_ms is the age of the proxy's report.",
 		"A limit now and then needs nothing. Many replicas of one service: it is too small for what is asked of it.")
+	RampBegan = define(1242, "ramp_began", Info,
+		"The leader limits the requests in flight on a replica of a model service, or queued to be read there, since it has started or recovered (reason): to limit at first, and further as its answers show how many it handles. age_ms is how long ago that was; omitted, in the last line of a second, is how many such begins and ends were not logged.",
+		"Many ramps of replicas that were not restarted: look why they fail.")
+	RampEnded = define(1243, "ramp_ended", Info,
+		"The leader no longer limits the requests in flight on a replica, after lasted_ms: it handles as many as it has slots, or as are asked of it.", "")
 	BoardShows = define(1223, "board_shows", Info,
 		"What the board of a service shows of its replicas, and what it has answered since the last such line, each second in which it places requests.", "")
 	IngressReplaced = define(1310, "ingress_replaced", Info,
--- a/process/ingress/harness_test.go
+++ b/process/ingress/harness_test.go
@@ -54,6 +54,7 @@
 	testGenuine  = "Test-Genuine"
 	testNotRun   = "Test-Not-Run"
 	testLoad     = "Test-Load"
+	testSlowness = "Test-Slowness"
 	testTokens   = "Test-Tokens"
 	testResume   = "Test-Resume"
 	testResumes  = "Test-Resumes"
@@ -126,6 +127,7 @@
 	reply.Holdoff.Leaving = header.Get(testLeaving) != ""
 	if running, err := strconv.Atoi(header.Get(testLoad)); err == nil {
 		reply.Load = &Load{Running: running, Slots: 8}
+		reply.Load.Slowdown, _ = strconv.ParseFloat(header.Get(testSlowness), 64)
 	}
 	return reply
 }
--- a/process/ingress/pick.go
+++ b/process/ingress/pick.go
@@ -24,6 +24,9 @@
 	spreadCost = 20 * time.Millisecond
 	// fullCost is the cost of a replica without a free slot.
 	fullCost = 300 * time.Millisecond
+	// rampCost is the cost of each request beyond the limit of a replica's ramp. It exceeds fullCost: where the
+	// others have no free slot, each of many proxies would otherwise send a request beyond the limit.
+	rampCost = time.Second
 )
 
 // choice is a replica and the cost of sending a request there: the expected wait plus penalties.
@@ -91,7 +94,7 @@
 	if occupied.slots > 0 && occupied.requests >= occupied.slots {
 		cost += fullCost
 	}
-	cost += time.Duration(occupied.beyondRamp) * fullCost
+	cost += time.Duration(occupied.beyondRamp) * rampCost
 	if r.spec().Zone != zone {
 		cost += otherZoneCost
 	}
@@ -157,7 +160,7 @@
 	if occupied.slots > 0 && occupied.requests >= occupied.slots {
 		cost += fullCost
 	}
-	cost += time.Duration(occupied.beyondRamp) * fullCost
+	cost += time.Duration(occupied.beyondRamp) * rampCost
 	if r.spec().Zone != zone {
 		cost += otherZoneCost
 	}
