--- a/process/ingress/ramp_test.go
+++ b/process/ingress/ramp_test.go
@@ -38,12 +38,11 @@
 }
 
 type rampSend struct {
-	at      *replica
-	state   *rampReplica
-	sent    *send
-	endsAt  time.Duration
-	silent  bool
-	counted bool
+	at     *replica
+	state  *rampReplica
+	sent   *send
+	endsAt time.Duration
+	silent bool
 }
 
 const (
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -212,7 +212,7 @@
 
 // place implements Place, without counting the reply for the summary.
 func (b *Board) place(now time.Duration, key Key, request Request) Answer {
-	b.ramps.now = now
+	b.resumeRamps(now)
 	b.expireRequests(now)
 	b.endRequest(now, key)
 	request.surging = b.tenants.recordRequest(now, &request)
@@ -287,7 +287,7 @@
 		return
 	}
 	b.recordSlowness(report)
-	b.ramps.now = now
+	b.resumeRamps(now)
 	p := b.inFlight[key]
 	switch report.Step {
 	case StepFailed, StepAnsweredError, StepRefused, StepMisdirected, StepUnreachable:
--- a/request/placement/ramp.go
+++ b/request/placement/ramp.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/landingtrail/landingtrail/request/rampup"
@@ -15,13 +16,14 @@
 	// maxPacedSuspicion is the longest suspicion in a paced service. The ramp limits what is lost on a replica
 	// that has not recovered, so it is tried more often than without one.
 	maxPacedSuspicion = 2 * time.Second
-	// provenFailureRate is the maximum failure rate of a replica after the first good answer in its ramp. Its
-	// failures before that would otherwise keep requests off it after it has recovered.
-	provenFailureRate = 0.005
 	// maxTrials is the number of replicas due for a trial that are added to a shortlist, and maxTrialsSearched
 	// that of the ramping replicas searched for them.
 	maxTrials         = 4
 	maxTrialsSearched = 48
+	// maxRampPause is the time without any request or report after which the board ends all ramps. The board of a
+	// member that did not lead for a while knows neither what happened to its replicas meanwhile, nor since when
+	// those that are new to it have been serving.
+	maxRampPause = time.Second
 	// maxRampChanges is the number of changes kept for RampChanges.
 	maxRampChanges = 64
 )
@@ -95,6 +97,19 @@
 	}
 }
 
+// resumeRamps ends all ramps if the board was not used for maxRampPause.
+func (b *Board) resumeRamps(now time.Duration) {
+	paused := now-b.ramps.now > maxRampPause
+	b.ramps.now = now
+	if !paused {
+		return
+	}
+	for _, r := range slices.Clone(b.ramps.active) {
+		b.updateRamp(now, r, (*rampup.Ramp).Stop)
+		b.index.move(r)
+	}
+}
+
 // drop removes a replica from those with a ramp in progress.
 func (s *ramps) drop(r *replica) { s.active = removeSorted(s.active, r, byName) }
 
@@ -239,13 +254,7 @@
 
 // rampAnswered records that a replica completed a step in the given time.
 func (b *Board) rampAnswered(now time.Duration, r *replica, took, expected time.Duration) {
-	b.updateRamp(now, r, func(ramp *rampup.Ramp) {
-		wasProven := ramp.IsProven() || !ramp.IsActive()
-		ramp.Answered(now, took, expected)
-		if !wasProven && ramp.IsProven() {
-			r.failureRate = min(r.failureRate, provenFailureRate)
-		}
-	})
+	b.updateRamp(now, r, func(ramp *rampup.Ramp) { ramp.Answered(now, took, expected) })
 }
 
 // rampFailed records the failure of a request at a replica. An error with which a replica answers begins no ramp.
--- a/request/placement/ramp_test.go
+++ b/request/placement/ramp_test.go
@@ -24,6 +24,7 @@
 	failed    int
 	proxyZone string
 	deadline  time.Duration
+	fixed     time.Duration // of a read
 }
 
 // rampServer is a replica of a rampFleet.
@@ -78,7 +79,7 @@
 }
 
 func newRampFleet(replicas int) *rampFleet {
-	f := &rampFleet{board: NewBoard(), servers: map[string]*rampServer{}, proxyZone: "a", deadline: 6 * time.Second}
+	f := &rampFleet{board: NewBoard(), servers: map[string]*rampServer{}, proxyZone: "a", deadline: 6 * time.Second, fixed: rampFixed}
 	var entries []Replica
 	for i := range replicas {
 		name := fmt.Sprintf("replica-%03d", i)
@@ -146,7 +147,7 @@
 			report(step)
 		}
 	}
-	read, fixed := rampRead, rampFixed
+	read, fixed := rampRead, f.fixed
 	switch server.behavior {
 	case rampSilent:
 		f.at(f.now+rampTimeout, end(StepFailed))
@@ -244,6 +245,9 @@
 		}
 		t.Logf("behavior %d: at most %d in flight on a returned replica, %d requests failed, %d refused", behavior, most, f.failed-failedBefore, f.refused)
 		must.LessEq(t, rampSlots, most)
+		if behavior != rampHealthy {
+			must.LessEq(t, 2, most, must.Sprint("the others have free slots"))
+		}
 	}
 }
 
@@ -272,6 +276,10 @@
 	changes, ramping := f.board.TakeRampChanges()
 	must.Eq(t, 1, ramping)
 	must.Eq(t, map[rampup.Reason]int{rampup.Started: 1}, changes.Begun)
+	first := NewBoard()
+	first.paced = true
+	first.SetReplicas(testParameters, []Replica{f.entry("replica-first", 1)})
+	must.Eq(t, 0, first.Summarize(0).Ramping)
 }
 
 // Guards against ramps in services whose replicas do not report their slowness.
@@ -283,3 +291,113 @@
 	must.Eq(t, 0, b.Summarize(20*ms).Ramping)
 	must.Eq(t, maxSuspicion, b.maxSuspicion())
 }
+
+// Guards against a member that leads again after a while and limits all replicas that have started meanwhile.
+func TestReplicasListedDuringAPauseHaveNoRamp(t *testing.T) {
+	f := newRampFleet(4)
+	f.run(time.Second, 0.5, 0)
+	f.board.Put(f.entry(f.names[0], 7))
+	must.Eq(t, 1, f.board.Summarize(f.now).Ramping)
+	f.board.Place(f.now+maxRampPause+1, key(1_000_000), Request{PromptTokens: 10, Zone: "a", Deadline: time.Second})
+	must.Eq(t, 0, f.board.Summarize(f.now).Ramping)
+}
+
+// Guards against a replica that has recovered from a crash under many requests, and is left idle since it has failed all
+// of them, or since it is tried too rarely.
+func TestReplicaRecoversFromASuspicion(t *testing.T) {
+	for _, load := range []float64{0.1, 0.3, 0.5} { // at 0.5, 15 of 16 slots are in use
+		for _, replicas := range []int{3, 8, 30} {
+			f := newRampFleet(replicas)
+			f.fixed = 200 * ms
+			f.run(3*time.Second, load, 1)
+			server := f.servers[f.names[0]]
+			server.behavior = rampSilent
+			f.run(21*time.Second, load, 1)
+			must.Greater(t, 0.5, f.board.replicas[server.name].failureRate)
+			f.board.replicas[server.name].failureRate = 0.99
+			tried := server.placedIn(16*time.Second, 21*time.Second)
+			must.LessEq(t, 5, tried, must.Sprint("requests lost in 5 s"))
+			server.behavior, server.firstGood = rampHealthy, 0
+			f.run(27*time.Second, load, 1)
+			must.Positive(t, server.firstGood)
+			window := 200 * ms
+			from := server.firstGood + time.Second - window
+			share := float64(server.placedIn(from, from+window)) / f.meanPlacedIn(from, from+window, 1)
+			t.Logf("%d replicas, load %.2f: %d lost in 5 s, first good answer after %v, share %.2f", replicas, load, tried, server.firstGood-21*time.Second, share)
+			must.Less(t, maxPacedSuspicion+rampTimeout+time.Second, server.firstGood-21*time.Second)
+			must.Greater(t, 0.5, share)
+		}
+	}
+}
+
+// Guards against a replica that loses one of many requests being left with one.
+func TestReplicaThatLosesOneRequestKeepsItsWork(t *testing.T) {
+	f := newRampFleet(8)
+	f.run(3*time.Second, 0.6, 0)
+	name := f.names[0]
+	for p := range f.board.replicas[name].running {
+		for key, other := range f.board.inFlight {
+			if other == p {
+				f.board.RecordProgress(f.now, key, ProgressReport{Step: StepFailed, Replica: name})
+				break
+			}
+		}
+		break
+	}
+	must.Eq(t, 1, f.board.Summarize(f.now).Ramping)
+	before := f.now
+	f.run(before+500*ms, 0.6, 0)
+	share := float64(f.servers[name].placedIn(before, f.now)) / f.meanPlacedIn(before, f.now, 1)
+	must.Greater(t, 0.8, share)
+}
+
+// Guards against a request that is refused since it is late on all replicas but one, whose ramp has reached its limit.
+func TestNoRequestIsRefusedBecauseOfARamp(t *testing.T) {
+	b := newTestBoard()
+	b.paced = true
+	b.readTimes[RoleDecode].samples, b.readTimes[RolePrefill].samples = trustedSamples, trustedSamples
+	for _, name := range []string{"prefill-1", "prefill-2", "decode-1"} {
+		busy := b.replicas[name]
+		p := &placedRequest{request: newRequest("p", 0, 40_000), unreadTokens: 40_000, runningOn: busy}
+		busy.enqueue(0, p)
+		if busy.Role == RoleDecode {
+			p.unreadTokens = 20_000
+			busy.running[p] = struct{}{}
+		}
+		b.index.move(busy)
+	}
+	b.Remove("decode-2")
+	b.Put(Replica{Name: "decode-2", Zone: "a", Role: RoleDecode, Slots: 8, Born: 3})
+	must.True(t, b.replicas["decode-2"].ramp.IsActive())
+	b.recordLateness(0, true) // an overload, in which late requests are deferred or refused
+	for number := range uint64(6) {
+		request := Request{PromptTokens: 200, Zone: "a", Objective: 20 * ms, Deadline: 700 * ms}
+		answer := b.Place(0, key(number), request)
+		must.False(t, answer.Refused)
+		must.Eq(t, "decode-2", answer.Generator)
+	}
+}
+
+// Guards against readers that have restarted getting all prompts while they look idle, and against a role that is
+// needed staying unused.
+func TestRestartedReaderGetsPromptsByItsRamp(t *testing.T) {
+	b := newTestBoard()
+	b.paced = true
+	b.Put(Replica{Name: "prefill-1", Zone: "a", Role: RolePrefill, Slots: 64, Born: 1})
+	b.Put(Replica{Name: "prefill-1", Zone: "a", Role: RolePrefill, Slots: 64, Born: 2})
+	must.True(t, b.replicas["prefill-1"].ramp.IsActive())
+	count := map[string]int{}
+	for number := range uint64(6) {
+		count[b.Place(0, key(number), newRequest(fmt.Sprint(number), 0, 12_000)).Reader]++
+	}
+	must.Eq(t, 1, count["prefill-1"])
+	for number := range uint64(6) {
+		if p := b.inFlight[key(number)]; p.answer.Reader == "prefill-1" {
+			b.RecordProgress(400*ms, key(number), ProgressReport{Step: StepRead})
+		}
+	}
+	must.Eq(t, 2, b.replicas["prefill-1"].ramp.Allowed(0))
+	b.Remove("prefill-2")
+	answer := b.Place(500*ms, key(10), newRequest("q", 0, 12_000))
+	must.Eq(t, "prefill-1", answer.Reader)
+}
