--- a/process/ingress/ramp.go
+++ b/process/ingress/ramp.go
@@ -94,7 +94,7 @@
 func (r *replica) beginRamp(now time.Duration, listed newListing) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.updateRamp(now, func(ramp *rampup.Share) { ramp.Begin(listed.at, listed.reason, r.drawShare()) })
+	r.updateRamp(now, func(ramp *rampup.Share) { ramp.Begin(listed.at, listed.reason, r.drawShare) })
 }
 
 // dropRamp ends the ramp of a replica whose state is dropped.
@@ -112,7 +112,7 @@
 
 // rampFailed records a request without an answer. The caller must hold the lock.
 func (r *replica) rampFailed(now time.Duration) {
-	r.updateRamp(now, func(ramp *rampup.Share) { ramp.Failed(now, 0, len(r.sends), r.suspectUntil, r.drawShare()) })
+	r.updateRamp(now, func(ramp *rampup.Share) { ramp.Failed(now, 0, len(r.sends), r.suspectUntil, r.drawShare) })
 }
 
 // noteErrorAnswer records a request that failed at the replica, which has answered. It begins no ramp.
@@ -121,7 +121,7 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	if r.ramp.IsActive() {
-		r.updateRamp(now, func(ramp *rampup.Share) { ramp.Failed(now, 0, len(r.sends), now, r.drawShare()) })
+		r.updateRamp(now, func(ramp *rampup.Share) { ramp.Failed(now, 0, len(r.sends), now, r.drawShare) })
 	}
 }
 
@@ -129,7 +129,7 @@
 func (r *replica) noteRefusal(now time.Duration) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.updateRamp(now, func(ramp *rampup.Share) { ramp.Refused(now, len(r.sends), r.drawShare()) })
+	r.updateRamp(now, func(ramp *rampup.Share) { ramp.Refused(now, len(r.sends), r.drawShare) })
 }
 
 // noteServed records that a request was answered, or prefilled, after the given time. expected is how long this was
@@ -214,20 +214,25 @@
 	if names == nil {
 		return rand.Float64()
 	}
-	own, rank, listed := xxhash.Sum64String(u.config.Name+"/"+incarnation), 0, false
+	if _, listed := (*names)[u.config.Name]; !listed {
+		return rand.Float64()
+	}
+	salt := xxhash.Sum64String(incarnation)
+	own, rank := rankingHash(u.config.Name, salt), 0
 	for name := range *names {
-		if name == u.config.Name {
-			listed = true
-		} else if xxhash.Sum64String(name+"/"+incarnation) < own {
+		if rankingHash(name, salt) < own {
 			rank++
 		}
 	}
-	if !listed {
-		return rand.Float64()
-	}
 	return rampup.Draw(rank, len(*names))
 }
 
+// rankingHash returns the number by which proxies are ranked in the order of the salt. Multiplying by an odd constant
+// carries the salt's effect to all higher bits.
+func rankingHash(proxy string, salt uint64) uint64 {
+	return (xxhash.Sum64String(proxy) ^ salt) * 0x9e3779b97f4a7c15
+}
+
 // newRampGate returns the gate of a service.
 func (u *upstreams) newRampGate(service string) *rampGate {
 	return &rampGate{service: service, proxies: func() int { return int(u.proxies.Load()) }, draw: u.drawShare, changed: u.rampChanged}
--- a/request/rampup/share.go
+++ b/request/rampup/share.go
@@ -23,30 +23,30 @@
 }
 
 // Begin starts a ramp whose common limit grows from the given time, which may be in the past or in the future.
-// draw is a random number in [0, 1).
-func (s *Share) Begin(from time.Duration, reason Reason, draw float64) {
+// draw returns a random number in [0, 1).
+func (s *Share) Begin(from time.Duration, reason Reason, draw func() float64) {
 	s.Ramp.Begin(from, reason)
-	s.openFrom, s.draw = from, draw
+	s.openFrom, s.draw = from, draw()
 }
 
 // Failed is Ramp.Failed. If nothing shows that the replica still answers, the common limit grows from the given
 // time, when the replica is no longer avoided.
-func (s *Share) Failed(now, ago time.Duration, inFlight int, from time.Duration, draw float64) {
+func (s *Share) Failed(now, ago time.Duration, inFlight int, from time.Duration, draw func() float64) {
 	s.Ramp.Failed(now, ago, inFlight)
 	if s.IsActive() && !s.IsProven() {
-		s.openFrom, s.draw = from, draw
+		s.openFrom, s.draw = from, draw()
 	}
 }
 
 // Refused is Ramp.Refused. A proxy that is refused at a limit of one has a share of the common limit again.
-func (s *Share) Refused(now time.Duration, inFlight int, draw float64) {
+func (s *Share) Refused(now time.Duration, inFlight int, draw func() float64) {
 	atMinimum := s.active && s.limit == 1
 	s.Ramp.Refused(now, inFlight)
 	if atMinimum {
 		s.reset(now)
 	}
 	if !s.proven {
-		s.openFrom, s.draw = now, draw
+		s.openFrom, s.draw = now, draw()
 	}
 }
 
