--- a/process/control/summary.go
+++ b/process/control/summary.go
@@ -40,7 +40,7 @@
 			}
 			logged, outcome := event.RampBegan, []any{"limit", change.Limit}
 			if change.Ended {
-				logged, outcome = event.RampEnded, []any{"lasted_ms", change.Lasted.Milliseconds()}
+				logged, outcome = event.RampEnded, []any{"lasted_ms", change.Lasted.Milliseconds(), "dropped", change.Dropped}
 			}
 			fields := []any{"service", service, "replica", change.Replica, "role", roleName(change.Role), "reason", string(change.Reason), "age_ms", (now - change.At).Milliseconds()}
 			logged.Log(g.logger, append(append(fields, outcome...), "omitted", omitted)...)
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -118,7 +118,7 @@
 		"The leader limits the requests in flight on a replica of a model service, or queued to be read there, since it has started or recovered (reason): to limit at first, and further as its answers show how many it handles. age_ms is how long ago that was; omitted, in the last line of a second, is how many such begins and ends were not logged.",
 		"Many ramps of replicas that were not restarted: look why they fail.")
 	RampEnded = define(1243, "ramp_ended", Info,
-		"The leader no longer limits the requests in flight on a replica, after lasted_ms: it handles as many as it has slots, or as are asked of it.", "")
+		"The leader no longer limits the requests in flight on a replica, after lasted_ms: it handles as many as it has slots, or as are asked of it. dropped says that it is no longer listed, or has changed its role; a ramp goes on in the new one.", "")
 	BoardShows = define(1223, "board_shows", Info,
 		"What the board of a service shows of its replicas, and what it has answered since the last such line, each second in which it places requests.", "")
 	IngressReplaced = define(1310, "ingress_replaced", Info,
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -189,7 +189,7 @@
 		return
 	}
 	b.index.forget(known)
-	b.ramps.drop(known)
+	b.ramps.end(b.ramps.now, known, true)
 	delete(b.replicas, name)
 	if pos, found := slices.BinarySearch(b.names, name); found {
 		b.names = slices.Delete(b.names, pos, pos+1)
--- a/request/placement/ramp.go
+++ b/request/placement/ramp.go
@@ -43,6 +43,7 @@
 	Reason  rampup.Reason // why the ramp began
 	At      time.Duration
 	Ended   bool
+	Dropped bool          // ended since the replica is no longer listed in this role
 	Limit   int           // requests in flight allowed at the begin
 	Lasted  time.Duration // at the end
 }
@@ -86,15 +87,28 @@
 	}
 	before := r.ramp.IsActive()
 	step(&r.ramp)
-	if after := r.ramp.IsActive(); after == before {
+	switch after := r.ramp.IsActive(); {
+	case after && !before:
+		b.ramps.begin(now, r)
+	case before && !after:
+		b.ramps.end(now, r, false)
+	}
+}
+
+// begin records the begin of a replica's ramp.
+func (s *ramps) begin(now time.Duration, r *replica) {
+	s.active = insertSorted(s.active, r, byName)
+	s.changes.add(RampChange{Replica: r.Name, Role: r.Role, Reason: r.ramp.Reason(), At: now, Limit: r.ramp.Allowed(now)})
+}
+
+// end records the end of a replica's ramp, if it has one. dropped says that the replica is removed.
+func (s *ramps) end(now time.Duration, r *replica, dropped bool) {
+	left := removeSorted(s.active, r, byName)
+	if len(left) == len(s.active) {
 		return
-	} else if after {
-		b.ramps.active = insertSorted(b.ramps.active, r, byName)
-		b.ramps.changes.add(RampChange{Replica: r.Name, Role: r.Role, Reason: r.ramp.Reason(), At: now, Limit: r.ramp.Allowed(now)})
-	} else {
-		b.ramps.drop(r)
-		b.ramps.changes.add(RampChange{Replica: r.Name, Role: r.Role, Reason: r.ramp.Reason(), At: now, Ended: true, Lasted: r.ramp.Age(now)})
 	}
+	s.active = left
+	s.changes.add(RampChange{Replica: r.Name, Role: r.Role, Reason: r.ramp.Reason(), At: now, Ended: true, Dropped: dropped, Lasted: r.ramp.Age(now)})
 }
 
 // resumeRamps ends all ramps if the board was not used for maxRampPause.
@@ -110,9 +124,6 @@
 	}
 }
 
-// drop removes a replica from those with a ramp in progress.
-func (s *ramps) drop(r *replica) { s.active = removeSorted(s.active, r, byName) }
-
 // rampListed begins the ramp of a replica that is added to the list. previous is the one that was listed with
 // its name until now, or nil. One that has only changed its role or zone keeps its ramp.
 func (b *Board) rampListed(r, previous *replica) {
@@ -128,7 +139,7 @@
 	default:
 		r.ramp = previous.ramp
 		if r.ramp.IsActive() {
-			b.ramps.active = insertSorted(b.ramps.active, r, byName)
+			b.ramps.begin(b.ramps.now, r)
 		}
 	}
 }
