--- a/request/rampup/rampup.go
+++ b/request/rampup/rampup.go
@@ -1,6 +1,6 @@
 // Package rampup limits the requests in flight to a replica that has started or recovered until its
 // answers show how many it handles. A limit begins at one request. Each good answer raises it by one,
-// so that it doubles with each round of answers; each late or refused one halves it. The ramp ends when
+// so that it doubles with each round of answers; a late or refused one halves it. The ramp ends when
 // the limit exceeds the replica's slots, or when the demand has not reached the limit for a while.
 //
 // A Ramp reads no clock, generates no randomness and performs no I/O. It is not safe for concurrent
@@ -30,9 +30,11 @@
 // Parameters of the ramp.
 const (
 	// An answer is good up to goodFactor times the expected time plus slack, and late from LateFactor
-	// times that time plus slack. In between, the limit stays: replicas of one service differ in speed
-	// and are slowed down for moments by others on their machine.
-	goodFactor = 2
+	// times that time plus slack. In between it is slow, since replicas of one service differ in speed and are
+	// slowed down for moments by others on their machine, and slowAnswers of these raise the limit like a
+	// good one. They would otherwise keep a replica that is always slow at its limit for good.
+	goodFactor  = 2
+	slowAnswers = 4
 	// LateFactor is the factor on the expected time from which an answer is late.
 	LateFactor = 4
 	slack      = 20 * time.Millisecond
@@ -63,7 +65,8 @@
 	reachedAt time.Duration // when the limit was last reached or lowered
 	hasGood   bool
 	goodAt    time.Duration // when the last good answer came, if hasGood
-	proven    bool          // a good answer has come since the limit was last reset
+	slow      int           // slow answers since the last one that raised the limit
+	proven    bool          // an answer that was not late has come since the limit was last reset
 }
 
 // Begin starts a ramp at a limit of one request. If one is in progress, its limit is reset.
@@ -82,7 +85,7 @@
 
 // reset sets the limit to one request.
 func (r *Ramp) reset(now time.Duration) {
-	r.limit, r.peak, r.proven, r.reachedAt = 1, 1, false, now
+	r.limit, r.peak, r.slow, r.proven, r.reachedAt = 1, 1, 0, false, now
 	r.lowered, r.loweredAt = true, now
 }
 
@@ -108,6 +111,9 @@
 		r.late(now, took)
 	case expected > 0 && took > goodFactor*expected+slack:
 		r.proven = true
+		if r.slow++; r.slow == slowAnswers {
+			r.good(now)
+		}
 	default:
 		r.good(now)
 	}
@@ -115,7 +121,7 @@
 
 // good raises the limit by one, to at most twice the number of requests that were in flight at once.
 func (r *Ramp) good(now time.Duration) {
-	r.hasGood, r.goodAt, r.proven = true, now, true
+	r.hasGood, r.goodAt, r.proven, r.slow = true, now, true, 0
 	if !r.active {
 		return
 	}
@@ -160,7 +166,7 @@
 		return
 	}
 	r.limit = max(min(r.limit, handled)/2, 1)
-	r.peak, r.reachedAt = r.limit, now
+	r.peak, r.slow, r.reachedAt = r.limit, 0, now
 	r.lowered, r.loweredAt = true, now
 }
 
--- a/request/rampup/rampup_test.go
+++ b/request/rampup/rampup_test.go
@@ -60,17 +60,26 @@
 }
 
 // Guards against a slow replica, of 0.6 of the usual speed and slowed down by 2.5, being taken for an unhealthy one.
-func TestSlowAnswersKeepTheLimitAndLateOnesHalveIt(t *testing.T) {
+func TestSlowAnswersRaiseTheLimitSlowlyAndLateOnesHalveIt(t *testing.T) {
 	r := Ramp{Slots: 16}
 	r.Begin(0, Started)
 	answerAll(&r, 0)
 	answerAll(&r, 100*ms)
+	r.Begun(300*ms, 4)
 	r.Answered(400*ms, 180*ms, 100*ms)
-	must.Eq(t, 4, r.Allowed(0))
+	must.Eq(t, 5, r.Allowed(0), must.Sprint("1.8 times the usual time is good"))
+	r.Begin(400*ms, Started)
+	answerAll(&r, 400*ms)
+	answerAll(&r, 500*ms)
+	r.Begun(600*ms, 4)
+	for range slowAnswers - 1 {
+		r.Answered(800*ms, 410*ms, 100*ms)
+		must.Eq(t, 4, r.Allowed(0))
+	}
 	r.Answered(800*ms, 410*ms, 100*ms)
-	must.Eq(t, 4, r.Allowed(0))
+	must.Eq(t, 5, r.Allowed(0))
 	for range 4 {
-		r.Answered(900*ms, 500*ms, 100*ms)
+		r.Answered(1000*ms, 500*ms, 100*ms)
 	}
 	must.Eq(t, 2, r.Allowed(0), must.Sprint("requests that were late together halve the limit once"))
 	r.Answered(1500*ms, 500*ms, 100*ms)
