--- a/request/placement/ramp_test.go
+++ b/request/placement/ramp_test.go
@@ -3,11 +3,13 @@
 import (
 	"container/heap"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/landingtrail/landingtrail/request/rampup"
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 )
 
 // rampFleet is a service in virtual time whose generators read the prompts themselves, one at a time, and then
@@ -401,3 +403,61 @@
 	answer := b.Place(500*ms, key(10), newRequest("q", 0, 12_000))
 	must.Eq(t, "prefill-1", answer.Reader)
 }
+
+// Guards the invariant of the index in a service with ramps: a choice from the shortlist costs no more than one among all
+// replicas, and the index ranks each replica by its present state.
+func TestChoiceWithRampsEqualsChoiceAmongAllReplicas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBoard()
+		var entries []Replica
+		for i := range 8 {
+			entries = append(entries, Replica{Name: fmt.Sprint("r-", i), Zone: "a", Role: Role(i % 2), Slots: 4, Born: 1})
+		}
+		b.SetReplicas(testParameters, entries)
+		b.paced = true
+		now := time.Duration(0)
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * ms
+			name := fmt.Sprint("r-", rapid.IntRange(0, 7).Draw(t, "replica"))
+			number := uint64(rapid.IntRange(0, step).Draw(t, "number"))
+			switch rapid.IntRange(0, 5).Draw(t, "operation") {
+			case 0, 1:
+				request := newRequest("p", 0, rapid.IntRange(100, 12_000).Draw(t, "tokens"))
+				candidates := b.candidates(now, &request)
+				best, found := b.chooseNow(now, &request, candidates)
+				all := candidateReplicas{prefixHolders: candidates.prefixHolders}
+				for _, name := range b.names {
+					switch r := b.replicas[name]; {
+					case !b.isUsable(now, r, &request):
+					case r.Role == RoleDecode:
+						all.generators = append(all.generators, r)
+					default:
+						all.readers = append(all.readers, r)
+					}
+				}
+				bestOfAll, foundOfAll := b.chooseNow(now, &request, all)
+				must.Eq(t, foundOfAll, found)
+				must.Eq(t, bestOfAll.cost, best.cost)
+				b.Place(now, key(uint64(step)), request)
+			case 2:
+				b.RecordProgress(now, key(number), ProgressReport{Step: StepRead, ReportedSlowness: 1})
+			case 3:
+				b.RecordProgress(now, key(number), ProgressReport{Step: rapid.SampledFrom([]Step{StepStarted, StepEnded}).Draw(t, "step"), ReportedSlowness: 1})
+			case 4:
+				b.RecordProgress(now, key(number), ProgressReport{Step: rapid.SampledFrom([]Step{StepFailed, StepRefused, StepUnreachable, StepAnsweredError, StepMisdirected}).Draw(t, "failure"), Replica: name})
+			case 5:
+				entry := b.replicas[name].Replica
+				entry.Born = int64(step + 2)
+				b.Put(entry)
+			}
+			for _, r := range b.replicas {
+				expected := &r.position.group.healthy
+				if r.isImpaired() {
+					expected = &r.position.group.impaired
+				}
+				must.True(t, r.position.ranking == expected)
+				must.Eq(t, r.ramp.IsActive(), slices.Contains(b.ramps.active, r))
+			}
+		}
+	})
+}
