--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/landingtrail/landingtrail/request/rampup"
 )
 
 // Initial estimates, parameters of the measurements that replace them, and other parameters of
@@ -56,6 +58,7 @@
 	isolation isolation
 	expireAt  time.Duration // time of the next search for expired requests
 	pacing    pacing
+	ramps     ramps
 	answers   Answers // since the last summary
 }
 
@@ -76,6 +79,8 @@
 	adopted       bool // placed by another board; added by TakeOver
 	// slownessAtPlacement is the known slowness of queuedOn when the request was queued there; 0 if it was not known.
 	slownessAtPlacement float64
+	// expectedRead is the time from placedAt to the end of the read as expected then; 0 if it is not known.
+	expectedRead time.Duration
 }
 
 // replica is the state that the board tracks for one replica.
@@ -124,6 +129,7 @@
 	banPeriod   time.Duration
 	bannedSince time.Duration
 	bannedUntil time.Duration
+	ramp        rampup.Ramp // in progress only in a paced service
 }
 
 // NewBoard returns a board without replicas.
@@ -157,11 +163,13 @@
 	for name := range gone {
 		b.Remove(name)
 	}
+	b.ramps.hasList = true
 }
 
 // Put adds or updates one replica and keeps its state if it is still the same process.
 func (b *Board) Put(entry Replica) {
 	known, pace := b.replicas[entry.Name], newReplicaPace()
+	previous := known
 	if known != nil && (known.Role != entry.Role || known.Zone != entry.Zone || known.isAnotherProcess(&entry)) {
 		b.Remove(entry.Name)
 		if !known.isAnotherProcess(&entry) {
@@ -175,8 +183,11 @@
 		b.replicas[entry.Name] = known
 		pos, _ := slices.BinarySearch(b.names, entry.Name)
 		b.names = slices.Insert(b.names, pos, entry.Name)
+		known.Replica = entry
+		b.rampListed(known, previous)
 	}
 	known.Replica = entry
+	known.ramp.Slots = entry.Slots
 	b.index.move(known)
 }
 
@@ -188,6 +199,7 @@
 		return
 	}
 	b.index.forget(known)
+	b.ramps.end(b.ramps.now, known, true)
 	delete(b.replicas, name)
 	if pos, found := slices.BinarySearch(b.names, name); found {
 		b.names = slices.Delete(b.names, pos, pos+1)
@@ -210,6 +222,7 @@
 
 // place implements Place, without counting the reply for the summary.
 func (b *Board) place(now time.Duration, key Key, request Request) Answer {
+	b.resumeRamps(now)
 	b.expireRequests(now)
 	b.expireSlowness(now)
 	b.endRequest(now, key)
@@ -236,8 +249,8 @@
 	p.unreadTokens = chosen.unread
 	p.queuedOn.enqueue(now, p)
 	p.runningOn.running[p] = struct{}{}
-	p.queuedOn.startProbe(p)
-	p.runningOn.startProbe(p)
+	b.startProbes(p)
+	b.rampBegun(now, p)
 	b.index.move(p.queuedOn)
 	b.index.move(p.runningOn)
 	p.queuedOn.cache.addPending(request.Parts)
@@ -284,6 +297,7 @@
 		b.recordLeaving(report.Replica)
 		return
 	}
+	b.resumeRamps(now)
 	p := b.inFlight[key]
 	b.recordSlowness(now, report, p)
 	switch report.Step {
@@ -325,6 +339,7 @@
 	p.queuedOn = p.runningOn
 	p.unreadTokens = max(p.request.PromptTokens-p.runningOn.cache.leadingTokens(p.request.Parts), 0)
 	p.queuedOn.enqueue(now, p)
+	b.rampBegun(now, p)
 	p.queuedOn.cache.addPending(p.request.Parts)
 	b.index.move(p.queuedOn)
 }
@@ -347,6 +362,7 @@
 	b.fairnessOf(now, &p.request).recordStart(now, p.request.group)
 	b.learnDecodeStart(now, p)
 	p.runningOn.recordSuccess(p)
+	b.rampStarted(now, p)
 	b.index.move(p.runningOn)
 	p.runningOn.cache.use(p.request.Parts, b.cacheLimit())
 }
@@ -378,6 +394,7 @@
 	p.readAt = now
 	p.backlogAtRead = p.runningOn.backlog(now, b.tokenTime(now, p.runningOn), &p.request)
 	at.recordSuccess(p)
+	b.rampRead(now, p)
 	b.removeFromQueue(now, p)
 	at.lastReadEndedAt, at.pace.slownessAtReadEnd = now, at.pace.knownSlowness(now)
 	at.cache.use(p.request.Parts, b.cacheLimit())
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -265,6 +265,9 @@
 	fixed := b.readOverhead(now, at)
 	best.timeToFirstToken += backlog + fixed
 	best.cost += backlog + fixed + at.failureCost(now) + request.connectionCost(at)
+	if at.Role == RolePrefill {
+		best.cost += at.rampCost(now, request)
+	}
 	return best
 }
 
@@ -284,8 +287,12 @@
 	return r.Name
 }
 
-// failureCost returns the cost of the replica's recent failures and of its announced shutdown.
+// failureCost returns the cost of the replica's recent failures and of its announced shutdown. It is negative for a
+// replica that is due for a trial.
 func (r *replica) failureCost(now time.Duration) time.Duration {
+	if r.isDueForTrial(now) {
+		return -r.trialCredit(now)
+	}
 	cost := time.Duration(r.failureRate * float64(fullFailureCost))
 	if r.isSuspected(now) || r.announcedLeaving {
 		cost += suspectCost
@@ -345,6 +352,7 @@
 	if generator.Slots > 0 && running >= generator.Slots {
 		cost += noFreeSlotCost
 	}
+	cost += generator.rampCost(now, request)
 	if generator.Zone != request.Zone {
 		cost += crossZoneCost
 	}
--- a/request/placement/index.go
+++ b/request/placement/index.go
@@ -132,10 +132,10 @@
 // countLevel returns the work level of a replica of a service whose replicas do not report their slowness.
 func countLevel(r *replica) int { return min(r.work(), workLevels-1) }
 
-// isImpaired reports whether the replica has failed and not succeeded often enough since, or has
-// announced that it will shut down.
+// isImpaired reports whether the replica has failed and not succeeded often enough since, has
+// announced that it will shut down, or has reached the limit of its ramp.
 func (r *replica) isImpaired() bool {
-	return r.announcedLeaving || r.failureRate >= impairedRate
+	return r.announcedLeaving || r.failureRate >= impairedRate || r.isAtRampLimit(0)
 }
 
 // impairedRate is the failure rate from which a replica is impaired: it is then considered for a
@@ -273,6 +273,7 @@
 			list.addHolders(holders)
 		}
 	}
+	list.addTrials()
 	for _, zoneGroup := range b.index.groupsByZone[role] {
 		list.addGroup(zoneGroup)
 	}
--- a/request/placement/replicapace.go
+++ b/request/placement/replicapace.go
@@ -140,19 +140,25 @@
 	return b.scaled(now, at, b.decodeStartTime)
 }
 
+// startPacing makes the service a paced one; see isPaced.
+func (b *Board) startPacing() {
+	if b.pacing.paced {
+		return
+	}
+	b.pacing.paced = true
+	b.index.levelOf = b.timeLevel
+	for _, name := range b.names {
+		b.index.move(b.replicas[name])
+	}
+}
+
 // recordSlowness records the slowness that a replica reported with a step of p, which is nil if the request is not
 // tracked.
 func (b *Board) recordSlowness(now time.Duration, report ProgressReport, p *placedRequest) {
 	if !(report.ReportedSlowness > 0) {
 		return
 	}
-	if !b.pacing.paced {
-		b.pacing.paced = true
-		b.index.levelOf = b.timeLevel
-		for _, name := range b.names {
-			b.index.move(b.replicas[name])
-		}
-	}
+	b.startPacing()
 	reporter := b.replicas[report.Replica]
 	switch {
 	case p == nil:
