Roles: paced services change roles by late prompt tokens

Change: in services whose replicas report their slowness the leader changes roles, and the late share is taken of prompt tokens. Thresholds and bounds of Balance stay; other services keep their roles.

--- a/process/control/roles.go
+++ b/process/control/roles.go
@@ -87,7 +87,8 @@
 
 // manageRoles changes the roles of replicas where this benefits the requests of their service.
 func (d *leaderTasks) manageRoles(term *termState, now time.Duration) {
-	if d.group.config.Roles == nil || !d.group.config.ChangeRoles || term.roles.fenced.Load() || now < term.roles.nextCheck {
+	config := &d.group.config
+	if config.Roles == nil || !config.ChangeRoles && !config.ChangePacedRoles || term.roles.fenced.Load() || now < term.roles.nextCheck {
 		return
 	}
 	if now-term.startedAt < d.group.config.Durations.OrderSettle {
@@ -105,6 +106,9 @@
 func (d *leaderTasks) balanceRoles(term *termState, current *view.View, service string) {
 	now := monotonic()
 	load := d.group.boards.serviceLoad(d.group.machine.history.Load(), service, now)
+	if !d.group.config.ChangeRoles && !load.Paced {
+		return
+	}
 	load.ReversalAllowed = now-max(term.roles.lastPrefillAt, term.startedAt) >= planner.ReversalPause
 	changes := d.withoutLimited(planner.Balance(load))
 	if len(changes) == 0 {
@@ -202,7 +206,7 @@
 	defer d.lock.Unlock()
 	d.update(current)
 	board := d.boards[service]
-	var load planner.ServiceLoad
+	load := planner.ServiceLoad{Paced: board.IsPaced()}
 	load.LateShare, load.Requests = board.LateShare(now)
 	load.DecodeStartShare = board.DecodeStartShare()
 	for _, shown := range board.Occupancies(now) {
--- a/process/control/roles_test.go
+++ b/process/control/roles_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/request/ratelimit"
 	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 )
@@ -222,3 +224,41 @@
 	must.MapLen(t, 2, holders)
 	must.GreaterEq(t, settle, roles.orders()[len(first)].at.Sub(crashed))
 }
+
+// Guards against role changes in services whose replicas do not report their slowness, where only those services are to
+// have them, and against none in the others.
+func TestRolesOfPacedServicesChangeAlone(t *testing.T) {
+	for _, paced := range []bool{false, true} {
+		board := placement.NewBoard()
+		var listed []placement.Replica
+		current := &view.View{Replicas: map[string]*api.Replica{}}
+		for i := range 12 {
+			role := placement.RoleDecode
+			if i < 3 {
+				role = placement.RolePrefill
+			}
+			name := fmt.Sprintf("r-%d", i)
+			listed = append(listed, placement.Replica{Name: name, Zone: "a", Role: role, Slots: 8})
+			current.Replicas[name] = &api.Replica{Metadata: api.Metadata{Name: name}}
+		}
+		board.SetReplicas(placement.ServiceParameters{}, listed)
+		if paced {
+			board.RecordProgress(0, placement.Key{}, placement.ProgressReport{Step: placement.StepRefused, Replica: "r-0", ReportedSlowness: 1})
+		}
+		d, term := newRoleTasks(&fakeRoles{}, func() (uint64, bool) { return 7, true })
+		d.group.config.ChangeRoles, d.group.config.ChangePacedRoles = false, true
+		d.group.machine = newMachine()
+		term.orders = t.Context()
+		d.group.boards.boards["chat"] = board
+		for number := range uint64(200) {
+			request := placement.Request{PromptTokens: 100_000, Objective: time.Millisecond, Deadline: time.Minute}
+			board.Place(monotonic(), placement.Key{Daemon: "proxy", Number: number}, request)
+		}
+		load := d.group.boards.serviceLoad(d.group.machine.history.Load(), "chat", monotonic())
+		must.Eq(t, paced, load.Paced)
+		must.Greater(t, 0.9, load.LateShare)
+		d.balanceRoles(term, current, "chat")
+		term.background.Wait()
+		must.Eq(t, paced, slices.ContainsFunc(board.Occupancies(monotonic()), func(o placement.Occupancy) bool { return o.Changing }))
+	}
+}
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -51,6 +51,7 @@
 	decodeStartTime time.Duration
 	changes         map[string]roleChange
 	lateness        recentShare // share of late requests among those with an objective
+	lateWork        recentShare // the same, weighted by prompt tokens
 	objective       meanObjective
 	fairness        map[class]*fairness
 	tenants         tenants
@@ -141,6 +142,7 @@
 		decodeStartTime: initialDecodeStartTime,
 		changes:         map[string]roleChange{},
 		lateness:        newRecentShare(latenessTimeConstant),
+		lateWork:        newRecentShare(latenessTimeConstant),
 		fairness:        map[class]*fairness{},
 		tenants:         tenants{},
 		pacing:          newPacing(),
--- a/request/placement/order.go
+++ b/request/placement/order.go
@@ -36,7 +36,7 @@
 	}
 	late := request.isLate(chosen.timeToFirstToken)
 	if request.Objective > 0 && !request.Continued && chosen.wait == 0 {
-		b.recordLateness(now, late)
+		b.recordLateness(now, request, late)
 		b.objective.add(request.Objective)
 	}
 	if !b.shouldDefer(now, request, late) {
@@ -79,16 +79,23 @@
 }
 
 // recordLateness counts a request that could, or could not, be placed in time.
-func (b *Board) recordLateness(now time.Duration, late bool) {
+func (b *Board) recordLateness(now time.Duration, request *Request, late bool) {
 	b.lateness.events.add(now)
+	b.lateWork.events.addWeight(now, float64(request.PromptTokens))
 	if late {
 		b.lateness.hits.add(now)
+		b.lateWork.hits.addWeight(now, float64(request.PromptTokens))
 	}
 }
 
 // LateShare returns the recent share of requests with an objective that could not be placed in
-// time, and the decayed number of requests that the share is taken of.
+// time, and the decayed number of requests that the share is taken of. In a paced service, the share is that of the
+// prompt tokens of such requests: long prompts are few but most of the work, and a share of the requests hides that
+// they are late.
 func (b *Board) LateShare(now time.Duration) (share, requests float64) {
+	if b.isPaced() {
+		return b.lateWork.value(now), b.lateness.events.value(now)
+	}
 	return b.lateness.value(now), b.lateness.events.value(now)
 }
 
--- a/request/placement/ramp_test.go
+++ b/request/placement/ramp_test.go
@@ -371,7 +371,7 @@
 	b.Remove("decode-2")
 	b.Put(Replica{Name: "decode-2", Zone: "a", Role: RoleDecode, Slots: 8, Born: 3})
 	must.True(t, b.replicas["decode-2"].ramp.IsActive())
-	b.recordLateness(0, true) // an overload, in which late requests are deferred or refused
+	b.recordLateness(0, &Request{PromptTokens: 200}, true) // an overload, in which late requests are deferred or refused
 	for number := range uint64(6) {
 		request := Request{PromptTokens: 200, Zone: "a", Objective: 20 * ms, Deadline: 700 * ms}
 		answer := b.Place(0, key(number), request)
--- a/request/placement/replicapace.go
+++ b/request/placement/replicapace.go
@@ -117,6 +117,9 @@
 // placed by the read times of the roles alone.
 func (b *Board) isPaced() bool { return b.pacing.paced }
 
+// IsPaced reports whether the service is a paced one: a replica has reported its slowness.
+func (b *Board) IsPaced() bool { return b.isPaced() }
+
 // scaled returns the time that something takes on the replica which takes the given time on a usual one.
 func (b *Board) scaled(now time.Duration, at *replica, usual time.Duration) time.Duration {
 	if !b.isPaced() {
--- a/request/placement/replicapace_test.go
+++ b/request/placement/replicapace_test.go
@@ -149,3 +149,27 @@
 		})
 	}
 }
+
+// Guards against late long prompts that do not show in the late share, by which replicas change their roles, because
+// they are few. The load is one prompt of 17,000 tokens beside each five of 400.
+func TestLateShareOfAPacedServiceGoesByPromptTokens(t *testing.T) {
+	for _, paced := range []bool{false, true} {
+		board := NewBoard()
+		if paced {
+			board.startPacing()
+		}
+		for range 30 {
+			board.recordLateness(0, &Request{PromptTokens: 17_000}, true)
+			for range 5 {
+				board.recordLateness(0, &Request{PromptTokens: 400}, false)
+			}
+		}
+		share, requests := board.LateShare(0)
+		must.InDelta(t, 180, requests, 1e-6)
+		if paced {
+			must.InDelta(t, 17_000.0/19_000, share, 1e-6)
+		} else {
+			must.InDelta(t, 1.0/6, share, 1e-6)
+		}
+	}
+}
--- a/version/planner/balance.go
+++ b/version/planner/balance.go
@@ -49,6 +49,8 @@
 // placed on replicas.
 type ServiceLoad struct {
 	Replicas []ReplicaLoad
+	// Paced is true if the replicas report how long work takes on them. LateShare is then weighted by prompt tokens.
+	Paced bool
 	// Requests is the number of recent requests with a first-token objective, as a
 	// count that decays with time. LateShare is the share of them, from 0 to 1, that could
 	// not be placed so that the first token was predicted to meet the objective.
