--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -358,7 +358,10 @@
 		return
 	}
 	transferTime, _ := b.estimateTransfer(p.request.PromptTokens, reader.Zone, p.runningOn.Zone)
-	spent := b.usualDecodeStart(now, p.runningOn, now-p.readAt-transferTime-p.backlogAtRead)
+	spent := now - p.readAt - transferTime - p.backlogAtRead
+	if b.isPaced() {
+		spent = b.learnPaceOfStart(now, p.runningOn, spent)
+	}
 	spent = clampOutlier(spent, b.decodeStartTime)
 	b.decodeStartTime += time.Duration(float64(spent-b.decodeStartTime) / sampleWindow(decodeStartSamples, len(b.names)))
 }
--- a/request/placement/replicapace.go
+++ b/request/placement/replicapace.go
@@ -231,12 +231,16 @@
 	}
 }
 
-// usualDecodeStart returns the time to the first token that would have been measured on a usual replica.
-func (b *Board) usualDecodeStart(now time.Duration, at *replica, took time.Duration) time.Duration {
-	if !b.isPaced() {
-		return took
+// learnPaceOfStart updates the lasting factor of a generator with the time from the end of the transfer of a prompt to
+// the first token, and returns the time that this would have taken on a usual replica.
+func (b *Board) learnPaceOfStart(now time.Duration, at *replica, took time.Duration) time.Duration {
+	slowness, lasting, mean := at.pace.momentary(now), at.pace.lasting, &b.pacing.meanLasting[at.Role]
+	if b.decodeStartTime > 0 && took > 0 {
+		at.pace.learn(float64(took)/(float64(b.decodeStartTime)*slowness), min(float64(b.decodeStartTime)/float64(fullWeightRead), 1))
 	}
-	return time.Duration(float64(took) * b.pacing.meanLasting[at.Role] / at.pace.factor(now))
+	usual := time.Duration(float64(took) * *mean / (lasting * slowness))
+	*mean += (at.pace.lasting - *mean) / sampleWindow(meanLastingSamples, len(b.names))
+	return usual
 }
 
 // levelsPerOctave is the number of work levels between a time and twice that time, and minLevelTime the upper bound of
