Exchange: parts of a response that do not end are limited in time and number

A header, an informational response, a chunk header, a trailer or a skipped response that arrives a few bytes at a time kept its request until the deadline if no other attempt was left.

--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/landingtrail/landingtrail/process/clock"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
@@ -27,30 +28,47 @@
 	headerBytesLeft int64
 	readingHeader   bool
 	headerRead      atomic.Bool // the header of the current response was read
+	// clock is monotonic; pace measures the part of a response that is being read: a header, or what
+	// arrives of the body's framing until the next bytes of the body.
+	clock func() time.Duration
+	pace  Pace
+	// failed is the error of a part that was too slow. It is returned by all further reads, since the
+	// readers of net/textproto ignore an error while they look for a continued line.
+	failed error
 }
 
 func newConn(raw net.Conn, list *idleList, maxHeaderBytes int64) *conn {
-	created := &conn{Conn: raw, list: list, maxHeaderBytes: maxHeaderBytes}
+	created := &conn{Conn: raw, list: list, maxHeaderBytes: maxHeaderBytes, clock: clock.Now}
 	created.reader = bufio.NewReaderSize(created, readBufferBytes)
 	return created
 }
 
-// errHeaderTooLarge reports a response header larger than the limit.
-var errHeaderTooLarge = errors.New("exchange: response header too large")
-
-// Read reads from the connection. While a header is read it enforces the size limit.
+// Read reads from the connection. It enforces the pace of the current part, and the size limit while a
+// header is read.
 func (c *conn) Read(buffer []byte) (int, error) {
-	if !c.readingHeader {
-		return c.Conn.Read(buffer)
+	if c.failed != nil {
+		return 0, c.failed
+	}
+	if c.readingHeader {
+		if c.headerBytesLeft <= 0 {
+			return 0, errHeaderTooLarge
+		}
+		buffer = buffer[:min(int64(len(buffer)), c.headerBytesLeft)]
 	}
-	if c.headerBytesLeft <= 0 {
-		return 0, errHeaderTooLarge
+	count, err := c.Conn.Read(buffer)
+	if c.readingHeader {
+		c.headerBytesLeft -= int64(count)
+	}
+	if err == nil {
+		c.failed = c.pace.Note(c.clock(), count)
+		err = c.failed
 	}
-	count, err := c.Conn.Read(buffer[:min(int64(len(buffer)), c.headerBytesLeft)])
-	c.headerBytesLeft -= int64(count)
 	return count, err
 }
 
+// beginPart begins a part of a response whose pace is measured.
+func (c *conn) beginPart() { c.pace = Pace{} }
+
 func (c *conn) beginHeader() { c.readingHeader, c.headerBytesLeft = true, c.maxHeaderBytes }
 
 func (c *conn) endHeader() { c.readingHeader = false }
--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -227,7 +227,11 @@
 	request := &http.Request{Method: method}
 	from.beginHeader()
 	defer from.endHeader()
-	for {
+	for interim := 0; ; interim++ {
+		if interim > maxInterim {
+			return nil, errTooManyInterim
+		}
+		from.beginPart()
 		response, err := http.ReadResponse(from.reader, request)
 		if err != nil {
 			return nil, err
@@ -239,8 +243,10 @@
 }
 
 // Read reads the body. It returns io.EOF only after a complete body; a body that is
-// delimited by the end of its connection is complete unless the connection was reset.
+// delimited by the end of its connection is complete unless the connection was reset. The framing between
+// two parts of the body is limited like a header; see ErrEndless.
 func (a *Response) Read(buffer []byte) (int, error) {
+	a.conn.beginPart()
 	count, err := a.body.Read(buffer)
 	if err == io.EOF {
 		a.bodyRead = true
--- a/connection/exchange/foreign.go
+++ b/connection/exchange/foreign.go
@@ -57,6 +57,7 @@
 		if !surplus || !canHaveSuccessor(response) {
 			return response, unmatched, last
 		}
+		from.beginPart()
 		complete, err := discardBody(response)
 		if err != nil {
 			return nil, unmatched, err
--- a/connection/exchange/pool.go
+++ b/connection/exchange/pool.go
@@ -229,6 +229,7 @@
 		return nil, false, errors.WithStack(err)
 	}
 	opened := newConn(raw, list, p.config.MaxHeaderBytes)
+	opened.clock = p.config.Clock
 	opened.openedAt = p.config.Clock()
 	opened.setUserTimeout(p.config.UserTimeout)
 	return opened, false, nil
