Ingress: answers that do not end are cut off and count as failures of the replica

A body without a length is judged by the complete answers of its route, and by the answer of a second replica where the request may be sent again. Events, comments, prefill answers and the rest of refusals are limited in time. The replica is avoided for a time that doubles and that no other answer ends.

--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -58,6 +58,9 @@
 	StreamTakenUp = define(4619, "stream_taken_up", Info,
 		"A caller takes up a stream after an event that it has (after), which it says the call resumes began. software is the version that began it, known_by who knew it: this proxy, a member, or nobody, in which case the caller is refused at once (unknown_stream).",
 		"Many that nobody knows: look whether the proxies that began them and the leader ended together.")
+	AnswerEndless = define(4630, "answer_endless", Warn,
+		"A replica sent bytes without end in place of an answer, at once or a few at a time: a head, an event, comments, or a body without a length that is far larger or slower than the answers of its route. The connection was closed after after_ms, and the replica is avoided for avoided_ms while there are others. stage says what was asked, err what did not end.",
+		"Several from one replica: take it out of service. Bodies of several replicas on one route: its answers have become larger; have the service declare their length.")
 	RequestRefused = define(4601, "request_refused", Info,
 		"A request was answered before any replica was asked: no route, no configuration, or a faulty request.", "")
 	QuotaRefused = define(4611, "quota_refused", Info,
--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/request/attempt"
@@ -18,13 +19,20 @@
 // maxBufferedAnswer is how many bytes of an answer are buffered before any of it is passed on.
 const maxBufferedAnswer = 64 << 10
 
+// discardTime limits the time for reading the rest of an answer that is not passed on. Without it, a request
+// that can go elsewhere would wait for a refusal that does not end.
+const discardTime = 100 * time.Millisecond
+
 // handleAnswer evaluates the head of an answer and passes the answer on. number is the attempt's
 // number in the session's lifecycle, as in the functions below.
 func (s *session) handleAnswer(ctx context.Context, chosen plan, sent *send, number uint32, answer *exchange.Response, reply Reply) verdict {
 	target := chosen.target
 	if reply.refuses() {
 		s.lifecycle.Fail(number, attempt.FaultRefused)
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxBufferedAnswer)) // allows the connection to be reused
+		// Allows the connection to be reused.
+		if err := answer.Discard(maxBufferedAnswer, discardTime); err != nil {
+			s.noteEndless(stageRun, target, sent, err)
+		}
 		if reply.Misdirected {
 			s.misdirected = true
 			target.suspect(s.ingress.now())
@@ -88,13 +96,29 @@
 // truncated.
 func (s *session) forwardWhole(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Response) verdict {
 	var buffer bytes.Buffer
-	_, err := io.CopyN(&buffer, answer, maxBufferedAnswer)
+	usual := s.ingress.envelopes.find(s.route.Name, isSuccess(answer.Status))
+	again := s.mayDoubt(target)
+	body := &bodyReader{source: answer, now: s.ingress.now, unsized: answer.Length < 0, limits: usual.limits(again)}
+	if s.doubted {
+		body.limits.time = 0 // the answers of two replicas are alike
+	}
+	_, err := io.CopyN(&buffer, body, maxBufferedAnswer)
+	if body.endless && again && !s.prepayRetry(ctx) {
+		// No other answer can decide.
+		again, body.endless, body.limits = false, false, usual.limits(false)
+		_, err = io.CopyN(&buffer, body, int64(maxBufferedAnswer-buffer.Len()))
+	}
+	if body.endless {
+		err = errBodyEndless // CopyN returns no error with the last byte
+	}
 	if errors.Is(err, io.EOF) {
 		err = cmp.Or(s.verifyEnd(ctx, target, sent), err)
 	}
 	switch {
 	case err == nil:
-		return s.forwardLong(ctx, target, sent, number, answer, buffer.Bytes())
+		return s.forwardLong(ctx, target, sent, number, answer, body, usual, buffer.Bytes())
+	case errors.Is(err, errBodyEndless):
+		return s.abandonBody(ctx, target, sent, number, body, usual, again)
 	case !errors.Is(err, io.EOF):
 		s.noteBrokenConnection(ctx, stageRun, target, sent, err)
 		s.lifecycle.Fail(number, attempt.FaultBroken)
@@ -106,6 +130,7 @@
 		return s.saveFailure(target, number, answer, buffer.Bytes())
 	}
 	target.noteSuccess()
+	usual.observe(body.size, body.took)
 	s.noteWholeAnswer(sent)
 	s.lifecycle.Finish(number)
 	copyHeader(s.writer.Header(), answer.Header)
@@ -115,6 +140,27 @@
 	return verdictDone
 }
 
+// abandonBody ends an attempt whose body does not seem to end, before any of it was passed on. again is true if
+// the request may be sent to another replica. While the route is not known, that alone counts against the
+// replica as a failure.
+func (s *session) abandonBody(ctx context.Context, target *replica, sent *send, number uint32, body *bodyReader, usual *envelope, again bool) verdict {
+	s.lifecycle.Fail(number, attempt.FaultBroken)
+	fmt.Fprintf(&s.trace, " (%s: %v)", target.name, errBodyEndless)
+	if ctx.Err() != nil {
+		return verdictCallerEnd
+	}
+	s.doubted = true
+	if again && !usual.isKnown() {
+		target.noteFailure()
+		return verdictBroken
+	}
+	if !again {
+		usual.observeCut(s.ingress.now(), target.name, body.size, body.took)
+	}
+	s.noteEndless(stageRun, target, sent, errBodyEndless)
+	return verdictBroken
+}
+
 // saveFailure records a failed attempt and keeps its answer, an error that the replica produced by
 // running the request.
 func (s *session) saveFailure(target *replica, number uint32, answer *exchange.Response, body []byte) verdict {
@@ -126,19 +172,26 @@
 }
 
 // forwardLong passes on an answer that is too long to buffer.
-func (s *session) forwardLong(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Response, buffered []byte) verdict {
+func (s *session) forwardLong(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Response, body *bodyReader, usual *envelope, buffered []byte) verdict {
 	copyHeader(s.writer.Header(), answer.Header)
 	s.headSent, s.unresumable = true, true
 	s.writer.WriteHeader(answer.Status)
+	body.limits = usual.limits(false)
+	if s.doubted {
+		body.limits.time = 0
+	}
 	_, err := s.writer.Write(buffered)
 	if err == nil {
 		var readErr error
-		readErr, err = copyAnswer(s.writer, answer)
+		readErr, err = copyAnswer(s.writer, body)
 		if err == nil {
 			readErr = s.verifyEnd(ctx, target, sent)
 			err = readErr
 		}
 		s.noteBrokenConnection(ctx, stageRun, target, sent, readErr)
+		if readErr != nil && ctx.Err() == nil {
+			s.noteCutBody(target, sent, body, usual, readErr)
+		}
 	}
 	if err != nil {
 		// Not sent again in any case: s.unresumable is set.
@@ -146,11 +199,24 @@
 		return s.verdictAfterBreak(ctx)
 	}
 	target.noteSuccess()
+	usual.observe(body.size, body.took)
 	s.noteWholeAnswer(sent)
 	s.lifecycle.Finish(number)
 	return verdictDone
 }
 
+// noteCutBody counts an answer that broke off, or does not seem to end, as a failure of its replica.
+func (s *session) noteCutBody(target *replica, sent *send, body *bodyReader, usual *envelope, err error) {
+	if !isEndless(err) {
+		target.noteFailure()
+		return
+	}
+	if errors.Is(err, errBodyEndless) {
+		usual.observeCut(s.ingress.now(), target.name, body.size, body.took)
+	}
+	s.noteEndless(stageRun, target, sent, err)
+}
+
 // copyAnswer copies the rest of an answer. err is the error of either side, readErr that of the
 // replica's side alone.
 func copyAnswer(to io.Writer, from io.Reader) (readErr, err error) {
--- a/process/ingress/events.go
+++ b/process/ingress/events.go
@@ -4,21 +4,21 @@
 	"bufio"
 	"bytes"
 	"io"
+	"time"
 
+	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/pkg/errors"
 )
 
 // maxEventBytes limits the size of one stream event.
 const maxEventBytes = 1 << 20
 
-// errEventTooLarge is returned for an event that exceeds maxEventBytes.
-var errEventTooLarge = errors.New("ingress: stream event too large")
-
 // errEventTruncated is returned when a stream ends inside an event.
 var errEventTruncated = errors.New("ingress: stream ended inside an event")
 
 // eventReader reads complete server-sent events and keeps their bytes unchanged.
 type eventReader struct {
+	source *pacedReader
 	reader *bufio.Reader
 	event  []byte
 	id     string
@@ -27,14 +27,17 @@
 // eventBufferBytes is the size of the read buffer, enough for several events of usual size.
 const eventBufferBytes = 4 << 10
 
-func newEventReader(source io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(source, eventBufferBytes)}
+func newEventReader(source io.Reader, now func() time.Duration) *eventReader {
+	paced := &pacedReader{source: source, now: now}
+	return &eventReader{source: paced, reader: bufio.NewReaderSize(paced, eventBufferBytes)}
 }
 
 // next reads one event including the blank line that ends it. The bytes are valid until the next
-// call. io.EOF is returned only between events and only if the source ended normally.
+// call. io.EOF is returned only between events and only if the source ended normally. The error wraps
+// exchange.ErrEndless if the event does not end.
 func (r *eventReader) next() (event []byte, id string, err error) {
 	r.event, r.id = r.event[:0], ""
+	r.source.pace = exchange.Pace{}
 	for {
 		start := len(r.event)
 		ended, err := r.readLine()
--- a/process/ingress/fleet.go
+++ b/process/ingress/fleet.go
@@ -129,6 +129,16 @@
 	return f.track(entry, now)
 }
 
+// noteEndless records that a replica, if it still has state, sends without end.
+func (f *fleet) noteEndless(name string, now time.Duration) {
+	f.lock.Lock()
+	current := f.tracked[name]
+	f.lock.Unlock()
+	if current != nil {
+		current.noteEndless(now)
+	}
+}
+
 // inUse returns the replicas with state, sorted by name.
 func (f *fleet) inUse() []*replica {
 	f.lock.Lock()
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -76,10 +76,13 @@
 		if ctx.Err() != nil || context.Cause(prefillContext) == errTooLate {
 			return Source{}, false // no run follows
 		}
+		if isEndless(err) {
+			s.noteEndless(stagePrefill, prefiller, sent, err)
+		}
 		return Source{}, s.handlePrefillError(ctx, chosen, err)
 	}
 	defer answer.Close()
-	handle, refused := s.readHandle(chosen, answer, startedAt)
+	handle, refused := s.readHandle(chosen, sent, answer, startedAt)
 	if handle == "" {
 		return Source{}, refused
 	}
@@ -118,12 +121,18 @@
 
 // readHandle returns the handle in the answer to a prefill. If there is no valid handle, it is
 // empty, and refused is true unless the replica is known to have accepted the prefill.
-func (s *session) readHandle(chosen plan, answer *exchange.Response, startedAt time.Duration) (handle string, refused bool) {
+func (s *session) readHandle(chosen plan, sent *send, answer *exchange.Response, startedAt time.Duration) (handle string, refused bool) {
 	prefiller, now := chosen.prefiller, s.ingress.now()
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	prefiller.noteAnswer(reply.ownLoad(), now)
 	s.noteAlive(prefiller, startedAt, answer, &reply)
-	body, err := io.ReadAll(io.LimitReader(answer, maxHandleBytes))
+	body, err := readWhole(&pacedReader{source: answer, now: s.ingress.now}, maxHandleBytes)
+	if isEndless(err) {
+		fmt.Fprintf(&s.trace, " prefill(%s: %v)", prefiller.name, err)
+		s.noteEndless(stagePrefill, prefiller, sent, err)
+		chosen.tracked.report(placement.StepFailed, prefiller.name, 0)
+		return "", true
+	}
 	if err != nil || answer.Status != http.StatusOK || !reply.HasRequestID {
 		fmt.Fprintf(&s.trace, " prefill(%s: status %d)", prefiller.name, answer.Status)
 		prefiller.noteFailure()
@@ -151,6 +160,15 @@
 	return handle, false
 }
 
+// readWhole reads a body of at most limit bytes. It returns errHandleTooLarge for a larger one.
+func readWhole(from io.Reader, limit int) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(from, int64(limit)+1))
+	if err == nil && len(body) > limit {
+		return nil, errHandleTooLarge
+	}
+	return body, err
+}
+
 // errHandle is returned for a handle that contains invalid characters.
 var errHandle = errors.New("ingress: prefill handle contains a character other than visible ASCII")
 
@@ -217,7 +235,9 @@
 			return // the handle expires by itself
 		}
 		s.recordHoldoff(stageRelease, pauseState, answer.Status, answer.Header)
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxHandleBytes))
+		if err := answer.Discard(maxBufferedAnswer, discardTime); err != nil {
+			upstream.fleet.noteEndless(source.Replica, s.ingress.now())
+		}
 		answer.Close()
 	}()
 }
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -43,9 +43,13 @@
 	// heardAt is when anything was last received from the replica.
 	heardAt time.Duration
 	// failureRate is the recent share of failures among the answers.
-	failureRate   float64
-	suspectTime   time.Duration
-	suspectUntil  time.Duration // 0 once anything was received from the replica again
+	failureRate  float64
+	suspectTime  time.Duration
+	suspectUntil time.Duration // 0 once anything was received from the replica again
+	// endlessUntil is until when the replica is avoided because it sent without end, endlessTime how long
+	// that is in all.
+	endlessUntil  time.Duration
+	endlessTime   time.Duration
 	cacheEstimate cacheEstimate // of the prompt parts that the replica has cached
 	usedAt        time.Duration // when a request was last sent, or when the state was created
 	// verifiedAt is when a connection was last opened to verify that the silent replica is there.
@@ -236,7 +240,7 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	hasReport := now-r.loadAt < loadMaxAge && r.loadAt > 0
-	result := occupancy{slots: r.spec().Slots, slowdown: 1, failureRate: r.failureRate, suspect: now < r.suspectUntil}
+	result := occupancy{slots: r.spec().Slots, slowdown: 1, failureRate: r.failureRate, suspect: now < max(r.suspectUntil, r.endlessUntil)}
 	if hasReport {
 		result.requests = r.load.Running + r.load.Waiting
 		if r.load.Slowdown > 0 {
@@ -288,5 +292,5 @@
 	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	return now < r.suspectUntil
+	return now < max(r.suspectUntil, r.endlessUntil)
 }
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -53,6 +53,11 @@
 	withheld bool
 	// confirmed is the last failed send of which it was confirmed whose fault it was.
 	confirmed confirmedFailure
+	// doubted is true once a body was abandoned because it did not seem to end. If that of another replica
+	// is as large or slow, it is passed on.
+	doubted bool
+	// retryPrepaid is true if the next send was already taken from the retry budget.
+	retryPrepaid bool
 	// headSent is true once the head of an answer was sent to the caller.
 	headSent bool
 	// unresumable is true once the caller has received data that no other run can continue:
@@ -193,6 +198,10 @@
 	if s.sendCount == 0 {
 		return true
 	}
+	if s.retryPrepaid {
+		s.retryPrepaid = false
+		return true
+	}
 	return s.withdrawRetry(ctx, chargeRun, "budget")
 }
 
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -21,8 +21,9 @@
 // that resumes a stream. Otherwise the run counts as broken.
 func (s *session) forwardStream(ctx context.Context, chosen plan, sent *send, number uint32, answer *exchange.Response) verdict {
 	target := chosen.target
-	events := newEventReader(answer)
+	events := newEventReader(answer, s.ingress.now)
 	flusher := http.NewResponseController(s.writer)
+	comments := commentMeter{since: s.ingress.now()}
 	continues := s.headSent || s.route.Resumable && s.call.ResumeAfter != ""
 	for {
 		event, id, err := events.next()
@@ -32,12 +33,15 @@
 		if errors.Is(err, io.EOF) {
 			return s.endStream(target, sent, number, answer)
 		}
+		if err == nil {
+			err = comments.note(s.ingress.now(), event)
+		}
 		if err != nil {
 			s.noteBrokenConnection(ctx, stageRun, target, sent, err)
-			return s.breakStream(ctx, target, number, err)
+			return s.breakStream(ctx, target, sent, number, err)
 		}
 		if continues && hasData(event) && !isLaterEventID(id, cmp.Or(s.lastEventID, s.call.ResumeAfter)) {
-			return s.breakStream(ctx, target, number, errNotContinued)
+			return s.breakStream(ctx, target, sent, number, errNotContinued)
 		}
 		s.countUsage(0)
 		s.ingress.reachability.tracker.RecordData(s.ingress.now())
@@ -115,7 +119,7 @@
 }
 
 // breakStream ends a run whose stream was interrupted.
-func (s *session) breakStream(ctx context.Context, target *replica, number uint32, err error) verdict {
+func (s *session) breakStream(ctx context.Context, target *replica, sent *send, number uint32, err error) verdict {
 	s.lifecycle.Fail(number, attempt.FaultBroken)
 	fmt.Fprintf(&s.trace, " (%s after %d events: %v)", target.name, s.events, err)
 	if ctx.Err() != nil {
@@ -123,9 +127,12 @@
 	}
 	// Reported to the control group like an attempt without an answer.
 	s.answered = false
-	if errors.Is(err, errNotContinued) || s.isReplicaFault(ctx, err) {
+	switch {
+	case isEndless(err):
+		s.noteEndless(stageRun, target, sent, err)
+	case errors.Is(err, errNotContinued) || s.isReplicaFault(ctx, err):
 		target.suspect(s.ingress.now())
-	} else {
+	default:
 		s.withheld = true
 	}
 	return verdictBroken
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -174,7 +174,7 @@
 	answer, err := s.exchange(attemptContext, stageRun, target, s.request(chosen, source))
 	if err != nil {
 		s.noteBrokenConnection(attemptContext, stageRun, target, sent, err)
-		return s.handleNoAnswer(ctx, target, number, err)
+		return s.handleNoAnswer(ctx, target, sent, number, err)
 	}
 	defer answer.Close()
 	s.sendCount++
@@ -265,7 +265,7 @@
 }
 
 // handleNoAnswer records an attempt that received no answer and returns its verdict.
-func (s *session) handleNoAnswer(ctx context.Context, target *replica, number uint32, err error) verdict {
+func (s *session) handleNoAnswer(ctx context.Context, target *replica, run *send, number uint32, err error) verdict {
 	now := s.ingress.now()
 	var failure *exchange.Failure
 	sent := !errors.As(err, &failure) || failure.Sent
@@ -299,6 +299,9 @@
 		return verdictBroken
 	}
 	s.noteUnanswered(target, err, now)
+	if isEndless(err) {
+		s.noteEndless(stageRun, target, run, err)
+	}
 	return verdictBroken
 }
 
