--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -248,8 +248,11 @@
 func (a *Response) Read(buffer []byte) (int, error) {
 	a.conn.beginPart()
 	count, err := a.body.Read(buffer)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		a.bodyRead = true
+	case errors.Is(err, http.ErrLineTooLong):
+		err = errFramingTooLarge
 	}
 	return count, err
 }
--- a/connection/exchange/pace.go
+++ b/connection/exchange/pace.go
@@ -17,6 +17,8 @@
 	errHeaderTooLarge = errors.WithMessage(ErrEndless, "exchange: response header too large")
 	// errTooManyInterim reports more informational responses than the limit.
 	errTooManyInterim = errors.WithMessage(errHeaderTooLarge, "exchange: too many informational responses")
+	// errFramingTooLarge reports a chunk header without end.
+	errFramingTooLarge = errors.WithMessage(ErrEndless, "exchange: chunk header too large")
 	// errTooSlow reports a part of a response that arrives in small pieces for too long.
 	errTooSlow = errors.WithMessage(ErrEndless, "exchange: part of a response arrives too slowly")
 )
--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -96,6 +96,7 @@
 // truncated.
 func (s *session) forwardWhole(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Response) verdict {
 	var buffer bytes.Buffer
+	s.ingress.routes() // applies the latest list of replicas
 	usual := s.ingress.envelopes.find(s.route.Name, isSuccess(answer.Status))
 	again := s.mayDoubt(target)
 	body := &bodyReader{source: answer, now: s.ingress.now, unsized: answer.Length < 0, limits: usual.limits(again)}
@@ -122,7 +123,11 @@
 	case !errors.Is(err, io.EOF):
 		s.noteBrokenConnection(ctx, stageRun, target, sent, err)
 		s.lifecycle.Fail(number, attempt.FaultBroken)
-		target.noteFailure()
+		if isEndless(err) && ctx.Err() == nil {
+			s.noteEndless(stageRun, target, sent, err)
+		} else {
+			target.noteFailure()
+		}
 		fmt.Fprintf(&s.trace, " (%s: %v)", target.name, err)
 		return s.verdictAfterBreak(ctx)
 	}
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -40,7 +40,7 @@
 			s.noteBrokenConnection(ctx, stageRun, target, sent, err)
 			return s.breakStream(ctx, target, sent, number, err)
 		}
-		if continues && hasData(event) && !isLaterEventID(id, cmp.Or(s.lastEventID, s.call.ResumeAfter)) {
+		if continues && hasData(event) && !s.continuesAfter(id) {
 			return s.breakStream(ctx, target, sent, number, errNotContinued)
 		}
 		s.countUsage(0)
@@ -98,6 +98,13 @@
 	return err == nil && next > had
 }
 
+// continuesAfter reports whether an event of a later run comes after what the caller has. That is comments
+// alone if there is no event ID on a resumable route, since no run continues after data without an ID.
+func (s *session) continuesAfter(id string) bool {
+	last := cmp.Or(s.lastEventID, s.call.ResumeAfter)
+	return last == "" && s.route.Resumable || isLaterEventID(id, last)
+}
+
 // beginStream sends the head of the answer to the caller unless one was already sent.
 func (s *session) beginStream(answer *exchange.Response) {
 	if s.headSent {
