--- a/process/ingress/endless_test.go
+++ b/process/ingress/endless_test.go
@@ -168,6 +168,26 @@
 	}
 }
 
+// Guards against a replica that is asked again and again because the control group, which is told of each stream
+// that it starts, goes on choosing it.
+func TestEndlessReplicaIsAvoidedWhereTheGroupChoosesIt(t *testing.T) {
+	prefiller := newFakeReplica(t, "read", answerPrefill)
+	bad := newFakeReplica(t, "bad", sendWithoutEnd(func(r *http.Request) string { return beginClose(r) + eventText(1) }, "data: x", false))
+	good := newFakeReplica(t, "good", streamEvents(2, ""))
+	env := newModelEnv(t, prefiller, bad, good)
+	env.ingress.placer = &fakePlacer{answer: placement.Answer{Generator: "bad"}}
+	env.do(numberedModelRequest(0)) // breaks off: this placer chooses the same replica again
+	asked := bad.count()
+	must.Positive(t, asked)
+	for i := range 5 {
+		got := env.do(numberedModelRequest(i + 1))
+		must.NoError(t, got.err)
+		must.Eq(t, eventTexts(1, 2), got.body)
+	}
+	must.Eq(t, asked, bad.count())
+	requireEndless(t, env, "model", "bad")
+}
+
 // Guards against a prefill that keeps its request from running, and against an answer without end that is
 // taken for a handle.
 func TestPrefillAnswersWithoutEndAreCutOff(t *testing.T) {
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -63,6 +63,10 @@
 		chosen.tracked.report(placement.StepEnded, "", 0)
 		return verdictQuarantined, chosen.target
 	}
+	if chosen.target.endlessRest(s.ingress.now()) > 0 && !s.headSent && s.call.ResumeAfter == "" {
+		// The group's suspicion of a replica ends with any stream that it starts.
+		s.replaceTarget(&chosen)
+	}
 	source := Source{}
 	if chosen.prefiller != nil {
 		source = s.prefill(ctx, chosen)
