--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -96,9 +96,8 @@
 // truncated.
 func (s *session) forwardWhole(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Response) verdict {
 	var buffer bytes.Buffer
-	s.ingress.routes() // applies the latest list of replicas
 	usual := s.ingress.envelopes.find(s.route.Name, isSuccess(answer.Status))
-	again := s.mayDoubt(target)
+	again := answer.Length < 0 && s.mayDoubt(target)
 	body := &bodyReader{source: answer, now: s.ingress.now, unsized: answer.Length < 0, limits: usual.limits(again)}
 	if s.doubted {
 		body.limits.time = 0 // the answers of two replicas are alike
--- a/process/ingress/endless.go
+++ b/process/ingress/endless.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -179,6 +178,7 @@
 	if s.doubted || !s.route.Idempotent() || s.sendCount >= s.route.Attempts {
 		return false
 	}
+	s.ingress.routes() // applies the latest list of replicas
 	now, other := s.ingress.now(), false
 	s.upstream.fleet.forEach(func(entry *api.Replica, current *replica) bool {
 		other = entry.Name != target.name && !s.excluded[entry.Name] && (current == nil || current.acceptsRequests(now))
@@ -200,18 +200,23 @@
 // envelopes holds the envelopes by route, apart for successes and errors.
 type envelopes struct {
 	lock    sync.Mutex
-	byRoute map[string]*envelope
+	byRoute map[envelopeKey]*envelope
+}
+
+type envelopeKey struct {
+	route   string
+	success bool
 }
 
 func (e *envelopes) find(route string, success bool) *envelope {
-	key := fmt.Sprintf("%s %t", route, success)
+	key := envelopeKey{route, success}
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	if found := e.byRoute[key]; found != nil {
 		return found
 	}
 	if e.byRoute == nil || len(e.byRoute) >= maxEnvelopes {
-		e.byRoute = map[string]*envelope{}
+		e.byRoute = map[envelopeKey]*envelope{}
 	}
 	created := &envelope{}
 	e.byRoute[key] = created
