--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -96,16 +96,16 @@
 // truncated.
 func (s *session) forwardWhole(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Response) verdict {
 	var buffer bytes.Buffer
-	usual := s.ingress.envelopes.find(s.route.Name, isSuccess(answer.Status))
-	again := answer.Length < 0 && s.mayDoubt(target)
-	body := &bodyReader{source: answer, now: s.ingress.now, unsized: answer.Length < 0, limits: usual.limits(again)}
-	if s.doubted {
+	profile := s.ingress.profiles.find(s.route.Name, isSuccess(answer.Status))
+	again := answer.Length < 0 && s.canRetryBody(target)
+	body := &bodyReader{source: answer, now: s.ingress.now, unsized: answer.Length < 0, limits: profile.limits(again)}
+	if s.bodyAbandoned {
 		body.limits.time = 0 // the answers of two replicas are alike
 	}
 	_, err := io.CopyN(&buffer, body, maxBufferedAnswer)
 	if body.endless && again && !s.prepayRetry(ctx) {
 		// No other answer can decide.
-		again, body.endless, body.limits = false, false, usual.limits(false)
+		again, body.endless, body.limits = false, false, profile.limits(false)
 		_, err = io.CopyN(&buffer, body, int64(maxBufferedAnswer-buffer.Len()))
 	}
 	if body.endless {
@@ -116,9 +116,9 @@
 	}
 	switch {
 	case err == nil:
-		return s.forwardLong(ctx, target, sent, number, answer, body, usual, buffer.Bytes())
+		return s.forwardLong(ctx, target, sent, number, answer, body, profile, buffer.Bytes())
 	case errors.Is(err, errBodyEndless):
-		return s.abandonBody(ctx, target, sent, number, body, usual, again)
+		return s.abandonBody(ctx, target, sent, number, body, profile, again)
 	case !errors.Is(err, io.EOF):
 		s.noteBrokenConnection(ctx, stageRun, target, sent, err)
 		s.lifecycle.Fail(number, attempt.FaultBroken)
@@ -134,7 +134,7 @@
 		return s.saveFailure(target, number, answer, buffer.Bytes())
 	}
 	target.noteSuccess()
-	usual.observe(body.size, body.took)
+	profile.observe(body.size, body.took)
 	s.noteWholeAnswer(sent)
 	s.lifecycle.Finish(number)
 	copyHeader(s.writer.Header(), answer.Header)
@@ -147,19 +147,19 @@
 // abandonBody ends an attempt whose body does not seem to end, before any of it was passed on. again is true if
 // the request may be sent to another replica. While the route is not known, that alone counts against the
 // replica as a failure.
-func (s *session) abandonBody(ctx context.Context, target *replica, sent *send, number uint32, body *bodyReader, usual *envelope, again bool) verdict {
+func (s *session) abandonBody(ctx context.Context, target *replica, sent *send, number uint32, body *bodyReader, profile *routeProfile, again bool) verdict {
 	s.lifecycle.Fail(number, attempt.FaultBroken)
 	fmt.Fprintf(&s.trace, " (%s: %v)", target.name, errBodyEndless)
 	if ctx.Err() != nil {
 		return verdictCallerEnd
 	}
-	s.doubted = true
-	if again && !usual.isKnown() {
+	s.bodyAbandoned = true
+	if again && !profile.isKnown() {
 		target.noteFailure()
 		return verdictBroken
 	}
 	if !again {
-		usual.observeCut(s.ingress.now(), target.name, body.size, body.took)
+		profile.observeCut(s.ingress.now(), target.name, body.size, body.took)
 	}
 	s.noteEndless(stageRun, target, sent, errBodyEndless)
 	return verdictBroken
@@ -176,12 +176,12 @@
 }
 
 // forwardLong passes on an answer that is too long to buffer.
-func (s *session) forwardLong(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Response, body *bodyReader, usual *envelope, buffered []byte) verdict {
+func (s *session) forwardLong(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Response, body *bodyReader, profile *routeProfile, buffered []byte) verdict {
 	copyHeader(s.writer.Header(), answer.Header)
 	s.headSent, s.unresumable = true, true
 	s.writer.WriteHeader(answer.Status)
-	body.limits = usual.limits(false)
-	if s.doubted {
+	body.limits = profile.limits(false)
+	if s.bodyAbandoned {
 		body.limits.time = 0
 	}
 	_, err := s.writer.Write(buffered)
@@ -194,7 +194,7 @@
 		}
 		s.noteBrokenConnection(ctx, stageRun, target, sent, readErr)
 		if readErr != nil && ctx.Err() == nil {
-			s.noteCutBody(target, sent, body, usual, readErr)
+			s.noteCutBody(target, sent, body, profile, readErr)
 		}
 	}
 	if err != nil {
@@ -203,20 +203,20 @@
 		return s.verdictAfterBreak(ctx)
 	}
 	target.noteSuccess()
-	usual.observe(body.size, body.took)
+	profile.observe(body.size, body.took)
 	s.noteWholeAnswer(sent)
 	s.lifecycle.Finish(number)
 	return verdictDone
 }
 
 // noteCutBody counts an answer that broke off, or does not seem to end, as a failure of its replica.
-func (s *session) noteCutBody(target *replica, sent *send, body *bodyReader, usual *envelope, err error) {
+func (s *session) noteCutBody(target *replica, sent *send, body *bodyReader, profile *routeProfile, err error) {
 	if !isEndless(err) {
 		target.noteFailure()
 		return
 	}
 	if errors.Is(err, errBodyEndless) {
-		usual.observeCut(s.ingress.now(), target.name, body.size, body.took)
+		profile.observeCut(s.ingress.now(), target.name, body.size, body.took)
 	}
 	s.noteEndless(stageRun, target, sent, err)
 }
--- a/process/ingress/endless.go
+++ b/process/ingress/endless.go
@@ -14,10 +14,10 @@
 
 // Errors about bytes that a replica sends without end in place of an answer. All wrap exchange.ErrEndless.
 var (
-	errBodyEndless    = errors.WithMessage(exchange.ErrEndless, "ingress: body does not end")
-	errEventTooLarge  = errors.WithMessage(exchange.ErrEndless, "ingress: stream event too large")
-	errCommentsFlood  = errors.WithMessage(exchange.ErrEndless, "ingress: stream of comments")
-	errHandleTooLarge = errors.WithMessage(exchange.ErrEndless, "ingress: answer to a prefill too large")
+	errBodyEndless     = errors.WithMessage(exchange.ErrEndless, "ingress: body does not end")
+	errEventTooLarge   = errors.WithMessage(exchange.ErrEndless, "ingress: stream event too large")
+	errTooManyComments = errors.WithMessage(exchange.ErrEndless, "ingress: stream of comments")
+	errHandleTooLarge  = errors.WithMessage(exchange.ErrEndless, "ingress: answer to a prefill too large")
 )
 
 // isEndless reports whether an attempt failed because its replica sends without end.
@@ -67,11 +67,11 @@
 	// them, for requests that may be sent again and for others.
 	minKnownAnswers = 16
 	minKnownOnce    = 64
-	// usualSizeFactor and usualTimeFactor are how much larger than the largest complete answer, and how
+	// sizeFactor and timeFactor are how much larger than the largest complete answer, and how
 	// much longer than the longest, a body may be; onceTimeFactor is the latter where the request cannot
 	// be sent again.
-	usualSizeFactor = 8
-	usualTimeFactor = 8
+	sizeFactor      = 8
+	timeFactor      = 8
 	onceTimeFactor  = 16
 	minBodyTime     = 400 * time.Millisecond
 	minBodyTimeOnce = 500 * time.Millisecond
@@ -85,11 +85,11 @@
 	// a second.
 	minBodyReads = 8
 	minBodyRate  = 128 << 10
-	// envelopeAnswers is how many answers an envelope holds before the oldest ones are dropped.
-	envelopeAnswers = 4096
-	// doubtTime is how long a body that was cut off counts as evidence that bodies of a route have become
+	// profileAnswers is how many answers a profile holds before the oldest ones are dropped.
+	profileAnswers = 4096
+	// changeWindow is how long a body that was cut off counts as evidence that bodies of a route have become
 	// larger or slower, if that of another replica is cut off as well.
-	doubtTime = time.Minute
+	changeWindow = time.Minute
 )
 
 // bodyLimits limits a body without a declared length.
@@ -98,50 +98,50 @@
 	time time.Duration // spent in reading it, 0 for no limit
 }
 
-// envelope holds what the complete answers of a route have been like at this proxy.
-type envelope struct {
+// routeProfile holds what the complete answers of a route have been like at this proxy.
+type routeProfile struct {
 	lock          sync.Mutex
-	current, past envelopeSpan
+	current, past profileSpan
 	// cutReplica is the replica of the last body that was cut off after a part of it was passed on.
 	cutReplica string
 	cutAt      time.Duration
 }
 
-// envelopeSpan describes a number of consecutive answers.
-type envelopeSpan struct {
+// profileSpan describes a number of consecutive answers.
+type profileSpan struct {
 	count   int
 	largest int64
 	longest time.Duration
 }
 
 // observe records a complete answer.
-func (e *envelope) observe(size int64, took time.Duration) {
+func (e *routeProfile) observe(size int64, took time.Duration) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	if e.current.count == envelopeAnswers {
-		e.past, e.current = e.current, envelopeSpan{}
+	if e.current.count == profileAnswers {
+		e.past, e.current = e.current, profileSpan{}
 	}
 	e.current.count++
 	e.current.include(size, took)
 }
 
-func (p *envelopeSpan) include(size int64, took time.Duration) {
+func (p *profileSpan) include(size int64, took time.Duration) {
 	p.largest, p.longest = max(p.largest, size), max(p.longest, took)
 }
 
 // observeCut records a body that was cut off although the request could not be sent again. If two
 // different replicas send such bodies, the route's answers seem to have changed, and more is allowed.
-func (e *envelope) observeCut(now time.Duration, replica string, size int64, took time.Duration) {
+func (e *routeProfile) observeCut(now time.Duration, replica string, size int64, took time.Duration) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	if e.cutReplica != "" && e.cutReplica != replica && now-e.cutAt < doubtTime {
+	if e.cutReplica != "" && e.cutReplica != replica && now-e.cutAt < changeWindow {
 		e.current.include(size, took)
 	}
 	e.cutReplica, e.cutAt = replica, now
 }
 
 // isKnown reports whether requests that may be sent again can be judged by the route's answers.
-func (e *envelope) isKnown() bool {
+func (e *routeProfile) isKnown() bool {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	return e.current.count+e.past.count >= minKnownAnswers
@@ -149,21 +149,21 @@
 
 // limits returns the limits of a body. again is true if nothing of it has been passed on and the request
 // can be sent to another replica, whose answer then decides.
-func (e *envelope) limits(again bool) bodyLimits {
+func (e *routeProfile) limits(again bool) bodyLimits {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	count := e.current.count + e.past.count
 	size, took := max(e.current.largest, e.past.largest), max(e.current.longest, e.past.longest)
 	limits := bodyLimits{size: unknownBodyLimit}
 	switch {
-	case again && usualSizeFactor*size <= maxBufferedAnswer:
+	case again && sizeFactor*size <= maxBufferedAnswer:
 		limits.size = maxBufferedAnswer - 1 // found while all of it is buffered
 	case count >= minKnownAnswers:
-		limits.size = max(usualSizeFactor*size, minBodyLimit)
+		limits.size = max(sizeFactor*size, minBodyLimit)
 	}
 	switch {
 	case again && count >= minKnownAnswers:
-		limits.time = max(usualTimeFactor*took, minBodyTime)
+		limits.time = max(timeFactor*took, minBodyTime)
 	case again:
 		limits.time = unknownBodyTime
 	case count >= minKnownOnce:
@@ -172,10 +172,10 @@
 	return limits
 }
 
-// mayDoubt reports whether the request could be sent to another replica if the answer's body does not seem to
+// canRetryBody reports whether the request could be sent to another replica if the answer's body does not seem to
 // end.
-func (s *session) mayDoubt(target *replica) bool {
-	if s.doubted || !s.route.Idempotent() || s.sendCount >= s.route.Attempts {
+func (s *session) canRetryBody(target *replica) bool {
+	if s.bodyAbandoned || !s.route.Idempotent() || s.sendCount >= s.route.Attempts {
 		return false
 	}
 	s.ingress.routes() // applies the latest list of replicas
@@ -187,38 +187,38 @@
 	return other
 }
 
-// prepayRetry takes the retry of a request whose answer is doubted from the budget. Without one, the answer
+// prepayRetry takes the retry of a request whose body was abandoned from the budget. Without one, the answer
 // would be lost although it may be whole.
 func (s *session) prepayRetry(ctx context.Context) bool {
 	s.retryPrepaid = s.withdrawRetry(ctx, chargeRun, "budget")
 	return s.retryPrepaid
 }
 
-// maxEnvelopes limits the routes of which the answers are remembered.
-const maxEnvelopes = 4096
+// maxRouteProfiles limits the routes of which the answers are remembered.
+const maxRouteProfiles = 4096
 
-// envelopes holds the envelopes by route, apart for successes and errors.
-type envelopes struct {
+// profiles holds the profiles of the routes, apart for successes and errors.
+type profiles struct {
 	lock    sync.Mutex
-	byRoute map[envelopeKey]*envelope
+	byRoute map[profileKey]*routeProfile
 }
 
-type envelopeKey struct {
+type profileKey struct {
 	route   string
 	success bool
 }
 
-func (e *envelopes) find(route string, success bool) *envelope {
-	key := envelopeKey{route, success}
+func (e *profiles) find(route string, success bool) *routeProfile {
+	key := profileKey{route, success}
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	if found := e.byRoute[key]; found != nil {
 		return found
 	}
-	if e.byRoute == nil || len(e.byRoute) >= maxEnvelopes {
-		e.byRoute = map[envelopeKey]*envelope{}
+	if e.byRoute == nil || len(e.byRoute) >= maxRouteProfiles {
+		e.byRoute = map[profileKey]*routeProfile{}
 	}
-	created := &envelope{}
+	created := &routeProfile{}
 	e.byRoute[key] = created
 	return created
 }
@@ -291,7 +291,7 @@
 	bytes int
 }
 
-// note records an event and returns errCommentsFlood if there are too many without data.
+// note records an event and returns errTooManyComments if there are too many without data.
 func (m *commentMeter) note(now time.Duration, event []byte) error {
 	if hasData(event) {
 		*m = commentMeter{since: now}
@@ -300,7 +300,7 @@
 	m.count++
 	m.bytes += len(event)
 	if float64(m.count) > maxComments+commentsPerSec*(now-m.since).Seconds() || m.bytes > maxCommentBytes {
-		return errCommentsFlood
+		return errTooManyComments
 	}
 	return nil
 }
--- a/process/ingress/endless_test.go
+++ b/process/ingress/endless_test.go
@@ -260,7 +260,7 @@
 }
 
 // Guards against a stream that is cut off for the comments that keep it open.
-func TestCommentsNowAndThenAreNoFlood(t *testing.T) {
+func TestOccasionalCommentsAreAllowed(t *testing.T) {
 	var meter commentMeter
 	now := time.Duration(0)
 	for range 1000 {
@@ -297,21 +297,21 @@
 // Guards against cutting off every answer of a route that has become larger, where requests cannot be sent
 // again. A single replica does not change the limit.
 func TestLimitsFollowTheRoute(t *testing.T) {
-	var usual envelope
-	must.Eq(t, bodyLimits{size: unknownBodyLimit}, usual.limits(false))
+	var profile routeProfile
+	must.Eq(t, bodyLimits{size: unknownBodyLimit}, profile.limits(false))
 	for range minKnownOnce {
-		usual.observe(100, time.Millisecond)
+		profile.observe(100, time.Millisecond)
 	}
-	must.Eq(t, bodyLimits{size: minBodyLimit, time: minBodyTimeOnce}, usual.limits(false))
-	must.Eq(t, bodyLimits{size: maxBufferedAnswer - 1, time: minBodyTime}, usual.limits(true))
+	must.Eq(t, bodyLimits{size: minBodyLimit, time: minBodyTimeOnce}, profile.limits(false))
+	must.Eq(t, bodyLimits{size: maxBufferedAnswer - 1, time: minBodyTime}, profile.limits(true))
 	for range 5 {
-		usual.observeCut(0, "a", minBodyLimit, time.Second)
+		profile.observeCut(0, "a", minBodyLimit, time.Second)
 	}
-	must.Eq(t, minBodyLimit, usual.limits(false).size)
-	usual.observeCut(0, "b", minBodyLimit, time.Second)
-	must.Eq(t, bodyLimits{size: usualSizeFactor * minBodyLimit, time: onceTimeFactor * time.Second}, usual.limits(false))
-	for range 2*envelopeAnswers + 1 {
-		usual.observe(100, time.Millisecond)
+	must.Eq(t, minBodyLimit, profile.limits(false).size)
+	profile.observeCut(0, "b", minBodyLimit, time.Second)
+	must.Eq(t, bodyLimits{size: sizeFactor * minBodyLimit, time: onceTimeFactor * time.Second}, profile.limits(false))
+	for range 2*profileAnswers + 1 {
+		profile.observe(100, time.Millisecond)
 	}
-	must.Eq(t, minBodyLimit, usual.limits(false).size, must.Sprint("old answers are forgotten"))
+	must.Eq(t, minBodyLimit, profile.limits(false).size, must.Sprint("old answers are forgotten"))
 }
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -77,7 +77,7 @@
 	// usage counts started requests per tenant; nil if usage is not reported.
 	usage        *metering.Counter
 	reachability *reachability
-	envelopes    envelopes
+	profiles     profiles
 	// fingerprintsUntil is the time until which placement requests include the fingerprint, as a
 	// time.Duration of clock.
 	fingerprintsUntil atomic.Int64
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -53,9 +53,9 @@
 	withheld bool
 	// confirmed is the last failed send of which it was confirmed whose fault it was.
 	confirmed confirmedFailure
-	// doubted is true once a body was abandoned because it did not seem to end. If that of another replica
+	// bodyAbandoned is true once a body was abandoned because it did not seem to end. If that of another replica
 	// is as large or slow, it is passed on.
-	doubted bool
+	bodyAbandoned bool
 	// retryPrepaid is true if the next send was already taken from the retry budget.
 	retryPrepaid bool
 	// headSent is true once the head of an answer was sent to the caller.
