--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -63,6 +63,9 @@
 	ReplicaRampEnded = define(4621, "replica_ramp_ended", Info,
 		"This proxy no longer limits its requests in flight to a replica, after lasted_ms. dropped says that the replica is gone, or was not used for long.",
 		"Many ramps, or long ones, of replicas that were not restarted: they fail again and again. Look why.")
+	AnswerEndless = define(4630, "answer_endless", Warn,
+		"A replica sent bytes without end in place of an answer, at once or a few at a time: a head, an event, comments, or a body without a length that is far larger or slower than the answers of its route. The connection was closed after after_ms, and the replica is avoided for avoided_ms while there are others. stage says what was asked, err what did not end.",
+		"Several from one replica: take it out of service. Bodies of several replicas on one route: its answers have become larger; have the service declare their length.")
 	RequestRefused = define(4601, "request_refused", Info,
 		"A request was answered before any replica was asked: no route, no configuration, or a faulty request.", "")
 	QuotaRefused = define(4611, "quota_refused", Info,
--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/landingtrail/landingtrail/connection/exchange"
 	"github.com/landingtrail/landingtrail/request/attempt"
@@ -18,13 +19,20 @@
 // maxBufferedAnswer is how many bytes of an answer are buffered before any of it is passed on.
 const maxBufferedAnswer = 64 << 10
 
+// discardTime limits the time for reading the rest of an answer that is not passed on. Without it, a request
+// that can go elsewhere would wait for a refusal that does not end.
+const discardTime = 100 * time.Millisecond
+
 // handleAnswer evaluates the head of an answer and passes the answer on. number is the attempt's
 // number in the session's lifecycle, as in the functions below.
 func (s *session) handleAnswer(ctx context.Context, chosen plan, sent *send, number uint32, answer *exchange.Response, reply Reply) verdict {
 	target := chosen.target
 	if reply.refuses() {
 		s.lifecycle.Fail(number, attempt.FaultRefused)
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxBufferedAnswer)) // allows the connection to be reused
+		// Allows the connection to be reused.
+		if err := answer.Discard(maxBufferedAnswer, discardTime); err != nil {
+			s.noteEndless(stageRun, target, sent, err)
+		}
 		if reply.Misdirected {
 			s.misdirected = true
 			target.suspect(s.ingress.now())
@@ -90,17 +98,37 @@
 // truncated.
 func (s *session) forwardWhole(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Response) verdict {
 	var buffer bytes.Buffer
-	_, err := io.CopyN(&buffer, answer, maxBufferedAnswer)
+	profile := s.ingress.profiles.find(s.route.Name, isSuccess(answer.Status))
+	again := answer.Length < 0 && s.canRetryBody(target)
+	body := &bodyReader{source: answer, now: s.ingress.now, unsized: answer.Length < 0, limits: profile.limits(again)}
+	if s.bodyAbandoned {
+		body.limits.time = 0 // the answers of two replicas are alike
+	}
+	_, err := io.CopyN(&buffer, body, maxBufferedAnswer)
+	if body.endless && again && !s.prepayRetry(ctx) {
+		// No other answer can decide.
+		again, body.endless, body.limits = false, false, profile.limits(false)
+		_, err = io.CopyN(&buffer, body, int64(maxBufferedAnswer-buffer.Len()))
+	}
+	if body.endless {
+		err = errBodyEndless // CopyN returns no error with the last byte
+	}
 	if errors.Is(err, io.EOF) {
 		err = cmp.Or(s.verifyEnd(ctx, target, sent), err)
 	}
 	switch {
 	case err == nil:
-		return s.forwardLong(ctx, target, sent, number, answer, buffer.Bytes())
+		return s.forwardLong(ctx, target, sent, number, answer, body, profile, buffer.Bytes())
+	case errors.Is(err, errBodyEndless):
+		return s.abandonBody(ctx, target, sent, number, body, profile, again)
 	case !errors.Is(err, io.EOF):
 		s.noteBrokenConnection(ctx, stageRun, target, sent, err)
 		s.lifecycle.Fail(number, attempt.FaultBroken)
-		target.noteErrorAnswer(s.ingress.now())
+		if isEndless(err) && ctx.Err() == nil {
+			s.noteEndless(stageRun, target, sent, err)
+		} else {
+			target.noteErrorAnswer(s.ingress.now())
+		}
 		fmt.Fprintf(&s.trace, " (%s: %v)", target.name, err)
 		return s.verdictAfterBreak(ctx)
 	}
@@ -109,6 +137,7 @@
 	}
 	target.noteSuccess()
 	target.noteServed(s.ingress.now(), s.ingress.now()-sent.at, sent.expected)
+	profile.observe(body.size, body.took)
 	s.noteWholeAnswer(sent)
 	s.lifecycle.Finish(number)
 	copyHeader(s.writer.Header(), answer.Header)
@@ -118,6 +147,27 @@
 	return verdictDone
 }
 
+// abandonBody ends an attempt whose body does not seem to end, before any of it was passed on. again is true if
+// the request may be sent to another replica. While the route is not known, that alone counts against the
+// replica as a failure.
+func (s *session) abandonBody(ctx context.Context, target *replica, sent *send, number uint32, body *bodyReader, profile *routeProfile, again bool) verdict {
+	s.lifecycle.Fail(number, attempt.FaultBroken)
+	fmt.Fprintf(&s.trace, " (%s: %v)", target.name, errBodyEndless)
+	if ctx.Err() != nil {
+		return verdictCallerEnd
+	}
+	s.bodyAbandoned = true
+	if again && !profile.isKnown() {
+		target.noteFailure()
+		return verdictBroken
+	}
+	if !again {
+		profile.observeCut(s.ingress.now(), target.name, body.size, body.took)
+	}
+	s.noteEndless(stageRun, target, sent, errBodyEndless)
+	return verdictBroken
+}
+
 // saveFailure records a failed attempt and keeps its answer, an error that the replica produced by
 // running the request.
 func (s *session) saveFailure(target *replica, number uint32, answer *exchange.Response, body []byte) verdict {
@@ -129,19 +179,26 @@
 }
 
 // forwardLong passes on an answer that is too long to buffer.
-func (s *session) forwardLong(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Response, buffered []byte) verdict {
+func (s *session) forwardLong(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Response, body *bodyReader, profile *routeProfile, buffered []byte) verdict {
 	copyHeader(s.writer.Header(), answer.Header)
 	s.headSent, s.unresumable = true, true
 	s.writer.WriteHeader(answer.Status)
+	body.limits = profile.limits(false)
+	if s.bodyAbandoned {
+		body.limits.time = 0
+	}
 	_, err := s.writer.Write(buffered)
 	if err == nil {
 		var readErr error
-		readErr, err = copyAnswer(s.writer, answer)
+		readErr, err = copyAnswer(s.writer, body)
 		if err == nil {
 			readErr = s.verifyEnd(ctx, target, sent)
 			err = readErr
 		}
 		s.noteBrokenConnection(ctx, stageRun, target, sent, readErr)
+		if readErr != nil && ctx.Err() == nil {
+			s.noteCutBody(target, sent, body, profile, readErr)
+		}
 	}
 	if err != nil {
 		// Not sent again in any case: s.unresumable is set.
@@ -150,11 +207,24 @@
 	}
 	target.noteSuccess()
 	target.noteServed(s.ingress.now(), 0, 0) // how long it takes depends on its length
+	profile.observe(body.size, body.took)
 	s.noteWholeAnswer(sent)
 	s.lifecycle.Finish(number)
 	return verdictDone
 }
 
+// noteCutBody counts an answer that broke off, or does not seem to end, as a failure of its replica.
+func (s *session) noteCutBody(target *replica, sent *send, body *bodyReader, profile *routeProfile, err error) {
+	if !isEndless(err) {
+		target.noteFailure()
+		return
+	}
+	if errors.Is(err, errBodyEndless) {
+		profile.observeCut(s.ingress.now(), target.name, body.size, body.took)
+	}
+	s.noteEndless(stageRun, target, sent, err)
+}
+
 // copyAnswer copies the rest of an answer. err is the error of either side, readErr that of the
 // replica's side alone.
 func copyAnswer(to io.Writer, from io.Reader) (readErr, err error) {
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -68,6 +68,10 @@
 		chosen.tracked.report(placement.StepEnded, "", 0)
 		return verdictQuarantined, chosen.target
 	}
+	if chosen.target.endlessRest(s.ingress.now()) > 0 && !s.headSent && s.call.ResumeAfter == "" {
+		// The group's suspicion of a replica ends with any stream that it starts.
+		s.replaceTarget(&chosen)
+	}
 	source := Source{}
 	if chosen.prefiller != nil {
 		source = s.prefill(ctx, chosen)
@@ -202,7 +206,7 @@
 	answer, err := s.exchange(attemptContext, stageRun, target, s.request(chosen, source))
 	if err != nil {
 		s.noteBrokenConnection(attemptContext, stageRun, target, sent, err)
-		return s.handleNoAnswer(ctx, target, number, err)
+		return s.handleNoAnswer(ctx, target, sent, number, err)
 	}
 	defer answer.Close()
 	s.sendCount++
@@ -294,7 +298,7 @@
 }
 
 // handleNoAnswer records an attempt that received no answer and returns its verdict.
-func (s *session) handleNoAnswer(ctx context.Context, target *replica, number uint32, err error) verdict {
+func (s *session) handleNoAnswer(ctx context.Context, target *replica, run *send, number uint32, err error) verdict {
 	now := s.ingress.now()
 	var failure *exchange.Failure
 	sent := !errors.As(err, &failure) || failure.Sent
@@ -328,6 +332,9 @@
 		return verdictBroken
 	}
 	s.noteUnanswered(target, err, now)
+	if isEndless(err) {
+		s.noteEndless(stageRun, target, run, err)
+	}
 	return verdictBroken
 }
 
