Placement: requests are bounded by the KV memory of a replica

Each request in flight is counted on its generator with its prompt and expected output, and on its reader until its prompt has been handed over, in blocks of 16 tokens. Where the replicas report their slowness and the memory is configured, a replica without enough memory left is not chosen; if none has it, the request waits or is refused with a time to come back.

--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -75,6 +75,7 @@
 	started       bool
 	startedAt     time.Duration
 	adopted       bool // placed by another board; added by TakeOver
+	memory        heldMemory
 }
 
 // replica is the state that the board tracks for one replica.
@@ -94,6 +95,7 @@
 	currentSince    time.Duration
 	lastReadEndedAt time.Duration
 	running         map[*placedRequest]struct{}
+	heldBlocks      int64 // blocks of KV memory that the requests in flight hold; see heldMemory
 
 	// untrackedRequests is the number of requests on the replica that the board does not
 	// track, sent by daemons that place requests on their own, as reported at untrackedAt.
@@ -208,6 +210,9 @@
 	}
 	chosen, found := b.chooseOrDefer(now, &request)
 	if !found {
+		if answer, short := b.answerWithoutMemory(now, &request); short {
+			return answer
+		}
 		return b.answerWithoutGenerator(now, &request)
 	}
 	answer := chosen.answer()
@@ -225,6 +230,7 @@
 	p.unreadTokens = chosen.unread
 	p.queuedOn.enqueue(now, p)
 	p.runningOn.running[p] = struct{}{}
+	p.holdMemory(chosen.reader)
 	p.queuedOn.startProbe(p)
 	p.runningOn.startProbe(p)
 	b.index.move(p.queuedOn)
@@ -305,6 +311,7 @@
 func (b *Board) moveReadToGenerator(now time.Duration, p *placedRequest) {
 	reader := b.replicas[p.answer.Reader]
 	p.answer.Reader = ""
+	p.releaseReaderMemory()
 	if p.queuedOn == nil || p.queuedOn == p.runningOn {
 		return
 	}
@@ -333,6 +340,7 @@
 		return
 	}
 	p.started, p.startedAt = true, now
+	p.releaseReaderMemory()
 	b.fairnessOf(now, &p.request).recordStart(now, p.request.group)
 	b.learnDecodeStart(now, p)
 	p.runningOn.recordSuccess(p)
@@ -402,6 +410,7 @@
 	p.runningOn.endProbe(p)
 	b.replicas[p.answer.Reader].endProbe(p)
 	delete(p.runningOn.running, p)
+	p.releaseMemory()
 	b.index.move(p.runningOn)
 	delete(b.inFlight, key)
 }
--- a/request/placement/index.go
+++ b/request/placement/index.go
@@ -338,5 +338,10 @@
 
 // isUsable reports whether the request may go to the replica.
 func (b *Board) isUsable(now time.Duration, r *replica, request *Request) bool {
+	return b.isUsableWithMemory(now, r, request) && b.hasMemoryFor(r, request)
+}
+
+// isUsableWithMemory reports whether the request may go to the replica if it has memory for it.
+func (b *Board) isUsableWithMemory(now time.Duration, r *replica, request *Request) bool {
 	return r.acceptsRequests(now) && !slices.Contains(request.Excluded, r.Name) && request.acceptsVersion(r.SoftwareVersion) && !b.isChanging(now, r) && b.isolation.allows(now, r, request)
 }
--- a/request/placement/takeover.go
+++ b/request/placement/takeover.go
@@ -44,8 +44,9 @@
 	generator.running[p] = struct{}{}
 	b.inFlight[key] = p
 	b.index.move(generator)
+	p.started = reported.Step == StepStarted
+	p.holdMemory(b.replicas[reported.Answer.Reader])
 	if reported.Step != 0 { // the prompt has been read
-		p.started = reported.Step == StepStarted
 		return
 	}
 	p.queuedOn = generator
