Ingress: answers whose callers do not read them are ended

A thousand callers that read 100 bytes a second held a replica's slots until the deadline and up to 92 KB of the proxy's memory each, without end. A write to a caller that takes nothing for 2 s now fails and resets the connection; the replica's request is cancelled, and neither the replica nor the retry budget pays for it. An answer that a replica ends because its caller left it unread is treated alike.

--- a/process/control/summary.go
+++ b/process/control/summary.go
@@ -27,7 +27,8 @@
 // times of prefill replicas and the direct_ keys times of decode replicas: the mean and the longest
 // time to prefill what is queued, the time to begin with a prompt, and the time per token. Of the
 // placed requests, split ones are prefilled on another replica than they run on, and fetched ones
-// fetch cached prompt parts; unread is the number of their tokens still to be prefilled.
+// fetch cached prompt parts; unread is the number of their tokens still to be prefilled. memory_short
+// is the number of waits and refusals for want of KV memory.
 func placementSummaryFields(service string, summary placement.Summary) []any {
 	return []any{
 		"service", service, "in_flight", summary.InFlight, "late_percent", int(100 * summary.Late),
@@ -39,6 +40,6 @@
 		"direct_start_ms", summary.Generators.ReadOverhead.Milliseconds(), "direct_ns_token", summary.Generators.PerToken.Nanoseconds(),
 		"placed", summary.Answers.Placed, "split", summary.Answers.Split, "fetched", summary.Answers.Fetched,
 		"deferred", summary.Answers.Deferred, "waits", summary.Answers.Waits, "refused", summary.Answers.Refused,
-		"unread", summary.Answers.Unread,
+		"unread", summary.Answers.Unread, "memory_short", summary.Answers.MemoryShort,
 	}
 }
--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -16,7 +16,7 @@
 	RequestSent = defineRoutine(4603, "request_sent",
 		"A routed request is sent to a replica, to be read there (stage read) or to run. It shows where a request was when its proxy ended without another line. software is the version that the replica runs, after the last event that the caller has of the stream that goes on, and resumes the call that the caller says began it.")
 	RequestWaits = defineRoutine(4604, "request_waits",
-		"A routed request is sent nowhere yet: parts of its prompt are being read for another one, and it is placed again after wait_ms.")
+		"A routed request is sent nowhere yet: parts of its prompt are being read for another one, or no replica has KV memory for it, and it is placed again after wait_ms.")
 	RequestFailed = define(4602, "request_failed", Info,
 		"A routed request was refused or failed; status 0 means that the connection was cut, 499 that the caller had gone. tried says what was asked of which replica, in order, and what came of it.",
 		"Follow the request by landingtrail story.")
@@ -58,6 +58,12 @@
 	StreamTakenUp = define(4619, "stream_taken_up", Info,
 		"A caller takes up a stream after an event that it has (after), which it says the call resumes began. software is the version that began it, known_by who knew it: this proxy, a member, or nobody, in which case the caller is refused at once (unknown_stream).",
 		"Many that nobody knows: look whether the proxies that began them and the leader ended together.")
+	CallerStalled = define(4620, "caller_stalled", Info,
+		"An answer was ended, and its caller's connection reset, since the caller took nothing of it for stalled_ms. blocked_ms is how long the answer had to wait for its caller in all, unsent how many bytes of it the kernel still held. The request at the replica is cancelled; the replica is not to blame, and nothing is sent again.",
+		"Many of one route: its callers read too slowly for the size of its answers, or hang.")
+	CallerHeldUp = define(4621, "caller_held_up", Info,
+		"A replica ended an answer that its caller had left unread for blocked_ms in all, as replicas do after some seconds. The answer is cut off; the replica is not to blame, and nothing is sent again.",
+		"Many of one route: its callers read too slowly for the size of its answers, or hang.")
 	RequestRefused = define(4601, "request_refused", Info,
 		"A request was answered before any replica was asked: no route, no configuration, or a faulty request.", "")
 	QuotaRefused = define(4611, "quota_refused", Info,
--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -112,6 +112,9 @@
 	s.headSent = true
 	s.writer.WriteHeader(answer.Status)
 	_, _ = s.writer.Write(buffer.Bytes()) // the caller may have gone
+	if s.callerStalled() {
+		return verdictCallerEnd
+	}
 	return verdictDone
 }
 
@@ -132,12 +135,17 @@
 	s.writer.WriteHeader(answer.Status)
 	_, err := s.writer.Write(buffered)
 	if err == nil {
+		buffered = nil // not kept while the caller reads
 		var readErr error
 		readErr, err = copyAnswer(s.writer, answer)
 		if err == nil {
 			readErr = s.verifyEnd(ctx, target, sent)
 			err = readErr
 		}
+		if readErr != nil && ctx.Err() == nil && s.callerHeldUp() {
+			s.lifecycle.Fail(number, attempt.FaultBroken)
+			return s.noteHeldUp(readErr)
+		}
 		s.noteBrokenConnection(ctx, stageRun, target, sent, readErr)
 	}
 	if err != nil {
@@ -151,14 +159,21 @@
 	return verdictDone
 }
 
+// copyBufferBytes is the size of the buffer for the rest of a long answer, one for each caller that reads
+// one. With the 32 KB that net/http would use, a thousand slow callers hold 92 KB each.
+const copyBufferBytes = 8 << 10
+
 // copyAnswer copies the rest of an answer. err is the error of either side, readErr that of the
 // replica's side alone.
 func copyAnswer(to io.Writer, from io.Reader) (readErr, err error) {
 	source := &errorRecordingReader{source: from}
-	_, err = io.Copy(to, source)
+	_, err = io.CopyBuffer(writerOnly{to}, source, make([]byte, copyBufferBytes))
 	return source.err, err
 }
 
+// writerOnly hides the ReadFrom method of a writer, which allocates a buffer of its own.
+type writerOnly struct{ io.Writer }
+
 // errorRecordingReader records the error of its source.
 type errorRecordingReader struct {
 	source io.Reader
--- a/process/ingress/config.go
+++ b/process/ingress/config.go
@@ -117,6 +117,9 @@
 type Timeouts struct {
 	Header time.Duration // for the head of a caller's request
 	Idle   time.Duration // of a caller's connection between two requests
+	// CallerStall is how long a caller may take nothing of its answer until the answer is ended. It is
+	// shorter than the time after which replicas end an answer that is left unread.
+	CallerStall time.Duration
 	// Transit is subtracted from a request's remaining time to allow for the way of the answer
 	// back to the caller.
 	Transit time.Duration
@@ -127,6 +130,7 @@
 const (
 	DefaultHeaderTimeout = 10 * time.Second
 	DefaultIdleTimeout   = 60 * time.Second
+	DefaultCallerStall   = 2 * time.Second
 	DefaultTransit       = 10 * time.Millisecond
 	DefaultNotice        = 4500 * time.Millisecond
 	DefaultRefuseAfter   = 2500 * time.Millisecond
@@ -150,6 +154,7 @@
 	c.Drain.Limit = cmp.Or(c.Drain.Limit, DefaultDrainLimit)
 	c.Timeouts.Header = cmp.Or(c.Timeouts.Header, DefaultHeaderTimeout)
 	c.Timeouts.Idle = cmp.Or(c.Timeouts.Idle, DefaultIdleTimeout)
+	c.Timeouts.CallerStall = cmp.Or(c.Timeouts.CallerStall, DefaultCallerStall)
 	c.Timeouts.Transit = cmp.Or(c.Timeouts.Transit, DefaultTransit)
 	return c
 }
--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -341,6 +341,7 @@
 			MaxAttempts: max(route.Attempts, 1) + maxDialFailures + 1,
 		}),
 	}
+	s.callerConn = beginAnswer(r.Context(), call.ID, route.Name)
 	timeout := time.Duration(route.TimeoutMilliseconds) * time.Millisecond
 	s.deadline = arrivedAt + timeout
 	s.callerDeadline = s.deadline
--- a/process/ingress/metrics.go
+++ b/process/ingress/metrics.go
@@ -29,6 +29,7 @@
 	withheldSends       *prometheus.CounterVec
 	unknownFields       *prometheus.CounterVec
 	limitGrants         *prometheus.CounterVec
+	stalledAnswers      *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -47,6 +48,7 @@
 	m.announcements = m.counter("replica_asks_total", "Answers that ask for a pause, or say that their replica leaves.", "service", "stage")
 	m.withheldSends = m.counter("withheld_total", "Sends to a chosen replica that had asked for a pause, or said that it leaves, meanwhile.", "service", "stage")
 	m.limitGrants = m.counter("limit_grants_total", "Requests for replicas with a limit, by outcome and who decided.", "service", "outcome", "by")
+	m.stalledAnswers = m.counter("stalled_answers_total", "Answers that were ended because their callers did not read them.", "route")
 	m.unknownFields = m.counter("unknown_fields_total", "Answers of replicas with a field that this program does not know, by its name.", "field")
 	return m
 }
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -205,10 +205,11 @@
 type announcer interface{ Announce() }
 
 func (i *Ingress) serveUntil(ctx context.Context, group announcer) error {
-	callerServer, err := i.listen(i.config.ListenAddress, i)
+	listener, err := net.Listen("tcp", i.config.ListenAddress)
 	if err != nil {
-		return err
+		return errors.Wrap(err, "ingress: listen")
 	}
+	callerServer := i.serveCallers(listener)
 	defer func() { _ = callerServer.Close() }()
 	if i.config.ReadyAddress != "" {
 		readyServer, err := i.listen(i.config.ReadyAddress, http.HandlerFunc(i.serveReady))
@@ -274,15 +275,27 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "ingress: listen")
 	}
-	server := &http.Server{
+	server := i.newServer(handler)
+	go func() { _ = server.Serve(listener) }() // returns when the server is closed
+	return server, nil
+}
+
+// serveCallers serves callers at a listener until the returned server is closed.
+func (i *Ingress) serveCallers(listener net.Listener) *http.Server {
+	server := i.newServer(i)
+	server.ConnContext = withCallerConn
+	go func() { _ = server.Serve(callerListener{Listener: listener, ingress: i}) }() // returns when the server is closed
+	return server
+}
+
+func (i *Ingress) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: i.config.Timeouts.Header,
 		IdleTimeout:       i.config.Timeouts.Idle,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          stdlog.New(log.NewStdlibAdapter(log.NewNopLogger()), "", 0),
 	}
-	go func() { _ = server.Serve(listener) }() // returns when the server is closed
-	return server, nil
 }
 
 // drain performs the planned stop. It first reports not ready and asks callers to close their
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -52,7 +52,10 @@
 	// is leaving or has a limit that leaves no room, or this proxy reaches no replica at all.
 	withheld bool
 	// confirmed is the last failed send of which it was confirmed whose fault it was.
-	confirmed confirmedFailure
+	confirmed  confirmedFailure
+	callerConn *callerConn // nil in some tests
+	// heldUp is true once a replica has ended an answer that the caller left unread.
+	heldUp bool
 	// headSent is true once the head of an answer was sent to the caller.
 	headSent bool
 	// unresumable is true once the caller has received data that no other run can continue:
@@ -216,6 +219,10 @@
 // sends nothing if the caller has gone.
 func (s *session) answerInterrupted(ctx context.Context) int {
 	ran := s.lifecycle.GiveUp()
+	if s.callerStalled() || s.heldUp {
+		s.trace.WriteString(" cut:" + causeCallerStalled)
+		return 0
+	}
 	cause := "timeout"
 	switch context.Cause(ctx) {
 	case errTimeout:
--- /dev/null
+++ b/process/ingress/slowreaders_test.go
@@ -0,0 +1,215 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/view"
+	"github.com/shoenig/test/must"
+)
+
+// serveSlowCallers serves callers as serveUntil does, with one replica, and returns the address. stall is
+// Timeouts.CallerStall. Routes have a deadline of a minute, so that nothing here ends by it.
+func (env *testEnv) serveSlowCallers(replicaAddress string, stall time.Duration) string {
+	env.t.Helper()
+	env.ingress.config.Timeouts.CallerStall = stall
+	env.views.set(func(v *view.View) {
+		routes := testIngress()
+		routes.Spec.Generation++
+		for at := range routes.Spec.Routes {
+			routes.Spec.Routes[at].TimeoutMilliseconds = time.Minute.Milliseconds()
+		}
+		v.Ingresses = map[string]*api.Ingress{api.IngressName: routes}
+		v.Replicas = map[string]*api.Replica{"r-1": {
+			Metadata: api.Metadata{Name: "r-1"},
+			Spec:     api.ReplicaSpec{Service: "plain", Address: replicaAddress, Zone: "zone-a", Slots: 4000},
+		}}
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(env.t, err)
+	server := env.ingress.serveCallers(listener)
+	env.t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// usedMemory returns the memory of this process in use for objects and stacks.
+func usedMemory() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc + stats.StackInuse)
+}
+
+// maxSlowCallerMemory is the most memory of a proxy that a slow caller may use beside the kernel's buffers.
+const maxSlowCallerMemory = 64 << 10
+
+// Guards against slow callers that use up the memory of a proxy or the slots of a replica. Without a bound
+// a thousand callers that read 100 bytes a second held 50 KB each with streams and 92 KB each with long
+// answers, the replica's slots until the deadline, and the proxy's memory without end.
+func TestThousandSlowCallers(t *testing.T) {
+	const callers = 1000
+	for _, target := range []string{"/stream/endless", "/safe/long"} {
+		t.Run(target, func(t *testing.T) {
+			env := newTestEnv(t)
+			peer := startSlowPeer(t)
+			address := env.serveSlowCallers(peer.address, DefaultCallerStall)
+			quick := func() time.Duration {
+				began := time.Now()
+				must.Eq(t, "quick", env.do(testRequest{method: "GET", target: "/safe/quick", id: "quick"}).body)
+				return time.Since(began)
+			}
+			quick()
+			before, most := usedMemory(), int64(0)
+			began := time.Now()
+			peer.open(callers, address, target, 100)
+			var times []time.Duration
+			eventually(t, "the answers are ended", func() bool {
+				times = append(times, quick())
+				if env.ingress.serving.Load() > callers/2 {
+					most = max(most, usedMemory()-before)
+				}
+				time.Sleep(20 * time.Millisecond)
+				return peer.state().begun > callers && peer.state().running == 0 && env.ingress.serving.Load() == 0
+			})
+			slices.Sort(times)
+			t.Logf("%d bytes of memory for each caller, ended after %v; other callers: median %v, longest %v", most/callers, time.Since(began), times[len(times)/2], times[len(times)-1])
+			must.Between(t, 1, most/callers, maxSlowCallerMemory)
+			must.Less(t, 200*time.Millisecond, times[len(times)/2])
+			must.Eq(t, callers+1+len(times), peer.state().begun, must.Sprint("nothing is sent again"))
+		})
+	}
+}
+
+// endlessAnswer streams, or sends an answer without a known length, until it cannot. It stops writing, as a
+// replica does, after a write has been blocked for patience, if that is not 0.
+func endlessAnswer(patience time.Duration, ended chan<- struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		defer func() { ended <- struct{}{} }()
+		writeGenuine(w, r)
+		controller := http.NewResponseController(w)
+		for id := 1; ; id++ {
+			if patience > 0 {
+				_ = controller.SetWriteDeadline(time.Now().Add(patience))
+			}
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, strings.Repeat("y", 1000)); err != nil {
+				return
+			}
+			if controller.Flush() != nil {
+				return
+			}
+		}
+	}
+}
+
+// checkNoBlame checks that neither the replica nor the retry budget pays for a caller that does not read.
+func checkNoBlame(t *testing.T, env *testEnv, replica *fakeReplica, route, logged string) {
+	t.Helper()
+	must.Eq(t, 1, replica.count(), must.Sprint("nothing is sent again"))
+	known := env.ingress.upstreams.get("plain").find("r-1")
+	must.False(t, known.isSuspect(env.ingress.now()))
+	must.Eq(t, 0, known.occupancy(env.ingress.now()).failureRate)
+	values := env.ingress.metrics.values(t)
+	must.Eq(t, 0, values["landingtrail_ingress_broken_total plain run"])
+	must.Eq(t, 1, values["landingtrail_ingress_attempts_total plain caller_end"])
+	must.Eq(t, 1, values["landingtrail_ingress_stalled_answers_total "+route])
+	must.StrNotContains(t, logged, "name=run_broken")
+	must.StrContains(t, logged, "cut:"+causeCallerStalled)
+}
+
+// Guards against a stalled caller that holds a replica's slot, and against an end of its answer that looks
+// like a complete one or is blamed on the replica.
+func TestAnswerOfStalledCallerIsEnded(t *testing.T) {
+	for _, route := range []string{"stream", "resume", "safe", "unsafe"} {
+		t.Run(route, func(t *testing.T) {
+			ended := make(chan struct{}, 4)
+			replica := newFakeReplica(t, "r-1", endlessAnswer(0, ended))
+			env := newTestEnv(t)
+			logged := &bytes.Buffer{}
+			env.ingress.logger = log.NewLogfmtLogger(log.NewSyncWriter(logged))
+			address := env.serveSlowCallers(replica.address(), 300*time.Millisecond)
+			conn := dialSlowly(t, address, "/"+route+"/endless", "slow")
+			defer func() { _ = conn.Close() }()
+			began := time.Now()
+			select {
+			case <-ended:
+			case <-time.After(testTimeout):
+				t.Fatal("the replica still sends")
+			}
+			t.Logf("the replica's slot was free after %v", time.Since(began))
+			eventually(t, "the request ends", func() bool { return env.ingress.serving.Load() == 0 })
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			must.NoError(t, err)
+			_, err = io.Copy(io.Discard, response.Body)
+			must.Error(t, err, must.Sprint("the answer is cut off"))
+			checkNoBlame(t, env, replica, route, logged.String())
+			must.StrContains(t, logged.String(), "name=caller_stalled request=slow route="+route)
+		})
+	}
+}
+
+// Guards against callers that lose their answers because they are slow. This one reads steadily, for many
+// times the time after which one that takes nothing is given up.
+func TestSteadySlowCallerKeepsItsAnswer(t *testing.T) {
+	const length = 500 << 10
+	replica := newFakeReplica(t, "r-1", func(w http.ResponseWriter, r *http.Request) {
+		writeGenuine(w, r)
+		_, _ = w.Write(make([]byte, length))
+	})
+	env := newTestEnv(t)
+	address := env.serveSlowCallers(replica.address(), 500*time.Millisecond)
+	conn := dialSlowly(t, address, "/safe/long", "slow")
+	defer func() { _ = conn.Close() }()
+	began := time.Now()
+	response, err := http.ReadResponse(bufio.NewReaderSize(conn, 1<<10), nil)
+	must.NoError(t, err)
+	count, err := io.CopyBuffer(writerOnly{io.Discard}, slowReader{response.Body}, make([]byte, 4<<10))
+	must.NoError(t, err)
+	must.Eq(t, length, count)
+	must.Greater(t, time.Second, time.Since(began))
+	must.Eq(t, 0, env.ingress.metrics.values(t)["landingtrail_ingress_stalled_answers_total safe"])
+}
+
+// slowReader reads at most 100 KB a second.
+type slowReader struct{ source io.Reader }
+
+func (r slowReader) Read(buffer []byte) (int, error) {
+	time.Sleep(20 * time.Millisecond)
+	return r.source.Read(buffer[:min(len(buffer), 2<<10)])
+}
+
+// Guards against a replica that is blamed, and a retry that is spent, because a replica ended an answer that
+// the caller left unread. The caller reads on afterwards, and must see that the answer is cut off.
+func TestReplicaThatEndsAnUnreadAnswerIsNotBlamed(t *testing.T) {
+	for _, route := range []string{"resume", "safe"} {
+		t.Run(route, func(t *testing.T) {
+			ended := make(chan struct{}, 4)
+			replica := newFakeReplica(t, "r-1", endlessAnswer(300*time.Millisecond, ended))
+			env := newTestEnv(t)
+			logged := &bytes.Buffer{}
+			env.ingress.logger = log.NewLogfmtLogger(log.NewSyncWriter(logged))
+			address := env.serveSlowCallers(replica.address(), testTimeout)
+			conn := dialSlowly(t, address, "/"+route+"/endless", "slow")
+			defer func() { _ = conn.Close() }()
+			<-ended
+			time.Sleep(minHeldUp)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			must.NoError(t, err)
+			_, err = io.Copy(io.Discard, response.Body)
+			must.Error(t, err, must.Sprint("the answer is cut off"))
+			eventually(t, "the request ends", func() bool { return env.ingress.serving.Load() == 0 })
+			checkNoBlame(t, env, replica, route, logged.String())
+			must.StrContains(t, logged.String(), "name=caller_held_up request=slow route="+route)
+		})
+	}
+}
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -32,6 +32,10 @@
 		if errors.Is(err, io.EOF) {
 			return s.endStream(target, sent, number, answer)
 		}
+		if err != nil && ctx.Err() == nil && s.callerHeldUp() {
+			s.lifecycle.Fail(number, attempt.FaultBroken)
+			return s.noteHeldUp(err)
+		}
 		if err != nil {
 			s.noteBrokenConnection(ctx, stageRun, target, sent, err)
 			return s.breakStream(ctx, target, number, err)
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -211,6 +211,7 @@
 	chosen, found := b.chooseOrDefer(now, &request)
 	if !found {
 		if answer, short := b.answerWithoutMemory(now, &request); short {
+			b.answers.MemoryShort++
 			return answer
 		}
 		return b.answerWithoutGenerator(now, &request)
--- a/request/placement/memory.go
+++ b/request/placement/memory.go
@@ -21,9 +21,10 @@
 // limitsMemory reports whether requests are placed by the KV memory of the replicas.
 func (b *Board) limitsMemory() bool { return b.parameters.KVTokens >= kvBlockTokens && b.isPaced() }
 
-// kvBlocks returns the number of blocks that hold the tokens.
+// kvBlocks returns the number of blocks that hold the tokens, at least one: a request whose size is
+// unknown holds something too.
 func kvBlocks(tokens int) int64 {
-	return (int64(max(tokens, 0)) + kvBlockTokens - 1) / kvBlockTokens
+	return (int64(max(tokens, 1)) + kvBlockTokens - 1) / kvBlockTokens
 }
 
 // blocksOn returns the number of blocks that a request holds on a replica of the role.
--- a/request/placement/memory_test.go
+++ b/request/placement/memory_test.go
@@ -46,6 +46,7 @@
 	must.Eq(t, Answer{Wait: memoryRetryInterval}, b.Place(ms, key(2), request))
 	request.Age = 250 * ms
 	must.Eq(t, Answer{Refused: true, RetryAfter: memoryRetryAfter}, b.Place(2*ms, key(2), request))
+	must.Eq(t, Answers{Placed: 2, Split: 2, Unread: 1_600, Waits: 1, Refused: 1, MemoryShort: 2}, b.Summarize(2*ms).Answers)
 	must.NotEq(t, "", b.Place(3*ms, key(3), memoryRequest(480, 160)).Generator, must.Sprint("40 blocks fit exactly"))
 	finishRequest(b, 4*ms, 0, b.inFlight[key(0)].answer)
 	finishRequest(b, 4*ms, 1, b.inFlight[key(1)].answer)
--- a/request/placement/summary.go
+++ b/request/placement/summary.go
@@ -44,6 +44,8 @@
 	Waits    int
 	Refused  int
 	Unread   int // tokens of the placed requests that had to be read
+	// MemoryShort counts the waits and refusals because no generator had KV memory for the request.
+	MemoryShort int
 }
 
 // add counts one reply.
