--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -88,6 +88,9 @@
 // truncated.
 func (s *session) forwardWhole(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Response) verdict {
 	var buffer bytes.Buffer
+	if answer.Length > 0 {
+		buffer.Grow(int(min(answer.Length, maxBufferedAnswer)) + bytes.MinRead) // growing by doubling ends at 128 KB
+	}
 	_, err := io.CopyN(&buffer, answer, maxBufferedAnswer)
 	if errors.Is(err, io.EOF) {
 		err = cmp.Or(s.verifyEnd(ctx, target, sent), err)
--- a/process/ingress/slowcaller.go
+++ b/process/ingress/slowcaller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"os"
 	"sync/atomic"
@@ -18,7 +19,8 @@
 // and the request at the replica is cancelled, without blame on the replica and without a retry.
 
 const (
-	// stallChecks is the number of checks for progress within Timeouts.CallerStall. The kernel
+	// stallChecks is the number of checks for progress within Timeouts.CallerStall, so that an answer
+	// is ended after up to 1.5 times that. The kernel
 	// reports a connection as writable only once a third of its buffer is free, so progress has to be
 	// looked for in the buffer itself.
 	stallChecks = 4
@@ -98,7 +100,7 @@
 func (c *callerConn) Write(data []byte) (int, error) {
 	limit := c.ingress.config.Timeouts.CallerStall
 	began := time.Now()
-	progressAt, queued := began, c.queuedBytes()
+	progressAt, queued := began, math.MaxInt // unknown until the first check, which counts as progress
 	written := 0
 	for {
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(limit / stallChecks)) // fails on a closed connection, and so does Write
