--- a/process/ingress/ingress.go
+++ b/process/ingress/ingress.go
@@ -369,6 +369,9 @@
 		i.returnCharge(admitted.charge)
 	}
 	i.finish(s, service, status)
+	if status == 0 && s.callerConn != nil && !r.ProtoAtLeast(1, 1) {
+		s.callerConn.resetAtEnd()
+	}
 	if status == 0 || status == statusCallerGone {
 		panic(http.ErrAbortHandler) // closes the connection, so that a truncated answer does not look complete
 	}
