--- a/process/ingress/slowcaller.go
+++ b/process/ingress/slowcaller.go
@@ -20,9 +20,9 @@
 
 const (
 	// stallChecks is the number of checks for progress within Timeouts.CallerStall, so that an answer
-	// is ended after up to 1.5 times that. The kernel
-	// reports a connection as writable only once a third of its buffer is free, so progress has to be
-	// looked for in the buffer itself.
+	// is ended after up to 1.5 times that. The kernel reports a connection as writable only once a
+	// good part of its buffer is free. So each check tries to write again, and looks at how much the
+	// caller's side has acknowledged.
 	stallChecks = 4
 	// callerUnsentBytes limits the data in the kernel that was not sent to a caller because its
 	// receive window is full. Without it the send buffer of each such connection grows up to the
--- a/process/ingress/slowreaders_test.go
+++ b/process/ingress/slowreaders_test.go
@@ -168,26 +168,33 @@
 }
 
 // Guards against callers that lose their answers because they are slow. This one reads steadily, for many
-// times the time after which one that takes nothing is given up. The kernel lets the proxy write on only once
-// 64 KB have been taken, which lasts longer than that time.
+// times the time after which one that takes nothing is given up. The kernel reports that the proxy may write on
+// only once 64 KB have been taken, which lasts longer than that time.
 func TestSteadySlowCallerKeepsItsAnswer(t *testing.T) {
-	const length = 300 << 10
-	replica := newFakeReplica(t, "r-1", func(w http.ResponseWriter, r *http.Request) {
-		writeGenuine(w, r)
-		_, _ = w.Write(make([]byte, length))
-	})
-	env := newTestEnv(t)
-	address := env.serveSlowCallers(replica.address(), 400*time.Millisecond)
-	conn := dialSlowly(t, address, "/safe/long", "HTTP/1.1", "slow")
-	defer func() { _ = conn.Close() }()
-	began := time.Now()
-	response, err := http.ReadResponse(bufio.NewReaderSize(conn, 1<<10), nil)
-	must.NoError(t, err)
-	count, err := io.CopyBuffer(writerOnly{io.Discard}, slowReader{response.Body}, make([]byte, 4<<10))
-	must.NoError(t, err)
-	must.Eq(t, length, count)
-	must.Greater(t, time.Second, time.Since(began))
-	must.Eq(t, 0, env.ingress.metrics.values(t)["landingtrail_ingress_stalled_answers_total safe"])
+	for _, route := range []string{"safe", "stream"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			const length, pieces = 300 << 10, 3
+			replica := newFakeReplica(t, "r-1", func(w http.ResponseWriter, r *http.Request) {
+				writeGenuine(w, r)
+				for range pieces {
+					_, _ = io.WriteString(w, "data: "+strings.Repeat("y", length/pieces-8)+"\n\n")
+				}
+			})
+			env := newTestEnv(t)
+			address := env.serveSlowCallers(replica.address(), 400*time.Millisecond)
+			conn := dialSlowly(t, address, "/"+route+"/long", "HTTP/1.1", "slow")
+			defer func() { _ = conn.Close() }()
+			began := time.Now()
+			response, err := http.ReadResponse(bufio.NewReaderSize(conn, 1<<10), nil)
+			must.NoError(t, err)
+			count, err := io.CopyBuffer(writerOnly{io.Discard}, slowReader{response.Body}, make([]byte, 4<<10))
+			must.NoError(t, err)
+			must.Eq(t, length, count)
+			must.Greater(t, time.Second, time.Since(began))
+			must.Eq(t, 0, env.ingress.metrics.values(t)["landingtrail_ingress_stalled_answers_total "+route])
+		})
+	}
 }
 
 // slowReader reads at most 50 KB a second.
