--- a/process/control/summary.go
+++ b/process/control/summary.go
@@ -62,7 +62,8 @@
 // times of prefill replicas and the direct_ keys times of decode replicas: the mean and the longest
 // time to prefill what is queued, the time to begin with a prompt, and the time per token. Of the
 // placed requests, split ones are prefilled on another replica than they run on, and fetched ones
-// fetch cached prompt parts; unread is the number of their tokens still to be prefilled.
+// fetch cached prompt parts; unread is the number of their tokens still to be prefilled. memory_short
+// is the number of waits and refusals for want of KV memory.
 // The read_factor and direct_factor keys are the factors on these times at the replicas of the role, in percent, and stale_slowness is the
 // number of replicas whose slowness is not known.
 func placementSummaryFields(service string, summary placement.Summary) []any {
@@ -78,7 +79,7 @@
 		"direct_start_ms", summary.Generators.ReadOverhead.Milliseconds(), "direct_ns_token", summary.Generators.PerToken.Nanoseconds(),
 		"placed", summary.Answers.Placed, "split", summary.Answers.Split, "fetched", summary.Answers.Fetched,
 		"deferred", summary.Answers.Deferred, "waits", summary.Answers.Waits, "refused", summary.Answers.Refused,
-		"unread", summary.Answers.Unread,
+		"unread", summary.Answers.Unread, "memory_short", summary.Answers.MemoryShort,
 		"read_factor_least", percent(readLeast), "read_factor", percent(readMean), "read_factor_most", percent(readMost),
 		"direct_factor_least", percent(directLeast), "direct_factor", percent(directMean), "direct_factor_most", percent(directMost),
 		"stale_slowness", summary.StaleSlowness,
--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -98,6 +98,9 @@
 // truncated.
 func (s *session) forwardWhole(ctx context.Context, target *replica, sent *send, number uint32, answer *exchange.Response) verdict {
 	var buffer bytes.Buffer
+	if answer.Length > 0 {
+		buffer.Grow(int(min(answer.Length, maxBufferedAnswer)) + bytes.MinRead) // growing by doubling ends at 128 KB
+	}
 	profile := s.ingress.profiles.find(s.route.Name, isSuccess(answer.Status))
 	again := answer.Length < 0 && s.canRetryBody(target)
 	body := &bodyReader{source: answer, now: s.ingress.now, unsized: answer.Length < 0, limits: profile.limits(again)}
@@ -144,6 +147,9 @@
 	s.headSent = true
 	s.writer.WriteHeader(answer.Status)
 	_, _ = s.writer.Write(buffer.Bytes()) // the caller may have gone
+	if s.callerStalled() {
+		return verdictCallerEnd
+	}
 	return verdictDone
 }
 
@@ -189,12 +195,17 @@
 	}
 	_, err := s.writer.Write(buffered)
 	if err == nil {
+		buffered = nil // not kept while the caller reads
 		var readErr error
 		readErr, err = copyAnswer(s.writer, body)
 		if err == nil {
 			readErr = s.verifyEnd(ctx, target, sent)
 			err = readErr
 		}
+		if readErr != nil && !isEndless(readErr) && ctx.Err() == nil && s.callerHeldUp() {
+			s.lifecycle.Fail(number, attempt.FaultBroken)
+			return s.noteHeldUp(readErr)
+		}
 		s.noteBrokenConnection(ctx, stageRun, target, sent, readErr)
 		if readErr != nil && ctx.Err() == nil {
 			s.noteCutBody(target, sent, body, profile, readErr)
@@ -225,14 +236,21 @@
 	s.noteEndless(stageRun, target, sent, err)
 }
 
+// copyBufferBytes is the size of the buffer for the rest of a long answer, one for each caller that reads
+// one. With the 32 KB that net/http would use, a thousand slow callers hold 92 KB each.
+const copyBufferBytes = 8 << 10
+
 // copyAnswer copies the rest of an answer. err is the error of either side, readErr that of the
 // replica's side alone.
 func copyAnswer(to io.Writer, from io.Reader) (readErr, err error) {
 	source := &errorRecordingReader{source: from}
-	_, err = io.Copy(to, source)
+	_, err = io.CopyBuffer(writerOnly{to}, source, make([]byte, copyBufferBytes))
 	return source.err, err
 }
 
+// writerOnly hides the ReadFrom method of a writer, which allocates a buffer of its own.
+type writerOnly struct{ io.Writer }
+
 // errorRecordingReader records the error of its source.
 type errorRecordingReader struct {
 	source io.Reader
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -33,6 +33,10 @@
 		if errors.Is(err, io.EOF) {
 			return s.endStream(target, sent, number, answer)
 		}
+		if err != nil && ctx.Err() == nil && s.callerHeldUp() && !isEndless(err) {
+			s.lifecycle.Fail(number, attempt.FaultBroken)
+			return s.noteHeldUp(err)
+		}
 		if err == nil {
 			err = comments.note(s.ingress.now(), event)
 		}
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -82,6 +82,7 @@
 	slownessAtPlacement float64
 	// expectedRead is the time from placedAt to the end of the read as expected then; 0 if it is not known.
 	expectedRead time.Duration
+	memory       heldMemory
 }
 
 // replica is the state that the board tracks for one replica.
@@ -102,6 +103,7 @@
 	currentSince    time.Duration
 	lastReadEndedAt time.Duration
 	running         map[*placedRequest]struct{}
+	heldBlocks      int64 // blocks of KV memory that the requests in flight hold; see heldMemory
 
 	pace replicaPace
 	// rankedFactor is the factor by which the index orders the replica.
@@ -234,6 +236,10 @@
 	}
 	chosen, found := b.chooseOrDefer(now, &request)
 	if !found {
+		if answer, short := b.answerWithoutMemory(now, &request); short {
+			b.answers.MemoryShort++
+			return answer
+		}
 		return b.answerWithoutGenerator(now, &request)
 	}
 	answer := chosen.answer()
@@ -251,6 +257,7 @@
 	p.unreadTokens = chosen.unread
 	p.queuedOn.enqueue(now, p)
 	p.runningOn.running[p] = struct{}{}
+	p.holdMemory(chosen.reader)
 	b.startProbes(p)
 	b.rampBegun(now, p)
 	b.index.move(p.queuedOn)
@@ -332,6 +339,7 @@
 func (b *Board) moveReadToGenerator(now time.Duration, p *placedRequest) {
 	reader := b.replicas[p.answer.Reader]
 	p.answer.Reader = ""
+	p.releaseReaderMemory()
 	if p.queuedOn == nil || p.queuedOn == p.runningOn {
 		return
 	}
@@ -361,6 +369,7 @@
 		return
 	}
 	p.started, p.startedAt = true, now
+	p.releaseReaderMemory()
 	b.fairnessOf(now, &p.request).recordStart(now, p.request.group)
 	b.learnDecodeStart(now, p)
 	p.runningOn.recordSuccess(p)
@@ -440,6 +449,7 @@
 	p.runningOn.endProbe(p)
 	b.replicas[p.answer.Reader].endProbe(p)
 	delete(p.runningOn.running, p)
+	p.releaseMemory()
 	b.index.move(p.runningOn)
 	delete(b.inFlight, key)
 }
