--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -264,7 +264,7 @@
 	}
 	fixed := b.readOverhead(now, at)
 	best.timeToFirstToken += backlog + fixed
-	best.cost += backlog + fixed + at.failureCost(now) + request.connectionCost(at)
+	best.cost = b.readCost(at, best.cost+backlog+fixed) + at.failureCost(now) + request.connectionCost(at)
 	return best
 }
 
--- a/request/placement/replicapace.go
+++ b/request/placement/replicapace.go
@@ -54,6 +54,8 @@
 	weight, weighted float64
 	// lasting is the lasting factor.
 	lasting float64
+	// perRootOfLasting is 1 divided by the square root of the lasting factor.
+	perRootOfLasting float64
 	// slowness is the last reported slowness, received at slownessAt; 0 before the first report.
 	slowness   float64
 	slownessAt time.Duration
@@ -62,7 +64,7 @@
 }
 
 func newReplicaPace() replicaPace {
-	return replicaPace{weight: lastingPrior, weighted: lastingPrior, lasting: 1}
+	return replicaPace{weight: lastingPrior, weighted: lastingPrior, lasting: 1, perRootOfLasting: 1}
 }
 
 // learn adds a sample of the lasting factor; weight is at most 1.
@@ -71,6 +73,7 @@
 	p.weight = p.weight*decay + weight
 	p.weighted = p.weighted*decay + weight*min(max(sample, minLasting), maxLasting)
 	p.lasting = min(max(p.weighted/p.weight, minLasting), maxLasting)
+	p.perRootOfLasting = 1 / math.Sqrt(p.lasting)
 }
 
 // knownSlowness returns the reported slowness, or 0 if there is none that is recent enough.
@@ -140,6 +143,16 @@
 	return b.scaled(now, at, b.decodeStartTime)
 }
 
+// readCost returns the cost of a read that takes the given time on the replica. Of the lasting factor of a reader, only
+// the square root counts: if each request took the reader that is fastest for itself alone, the fast ones would always
+// have the longest queues, and later requests would wait longer than they save.
+func (b *Board) readCost(at *replica, took time.Duration) time.Duration {
+	if !b.isPaced() || at.Role != RolePrefill {
+		return took
+	}
+	return time.Duration(float64(took) * at.pace.perRootOfLasting)
+}
+
 // recordSlowness records the slowness that a replica reported with a step of p, which is nil if the request is not
 // tracked.
 func (b *Board) recordSlowness(now time.Duration, report ProgressReport, p *placedRequest) {
@@ -190,6 +203,9 @@
 // rank updates the factor by which the index orders the replica.
 func (b *Board) rank(now time.Duration, r *replica) {
 	r.rankedFactor = r.pace.factor(now)
+	if r.Role == RolePrefill {
+		r.rankedFactor *= r.pace.perRootOfLasting
+	}
 	b.index.move(r)
 }
 
