--- a/request/placement/replicapace.go
+++ b/request/placement/replicapace.go
@@ -67,8 +67,11 @@
 	return replicaPace{weight: lastingPrior, weighted: lastingPrior, lasting: 1, perRootOfLasting: 1}
 }
 
-// learn adds a sample of the lasting factor; weight is at most 1.
-func (p *replicaPace) learn(sample, weight float64) {
+// learn adds a read that took ratio times its expected time while the replica reported the slowness; weight is at most 1.
+// The slowness explains no more than what exceeds the known factor: otherwise a replica that reports too much would be
+// taken for a fast one once its report is too old.
+func (p *replicaPace) learn(ratio, slowness, weight float64) {
+	sample := max(ratio/slowness, min(ratio, p.lasting))
 	decay := 1 - (1-lastingDecay)*weight
 	p.weight = p.weight*decay + weight
 	p.weighted = p.weighted*decay + weight*min(max(sample, minLasting), maxLasting)
@@ -224,7 +227,7 @@
 		expected += readTime.fixed()
 	}
 	if expected > 0 {
-		at.pace.learn(float64(sample.took)/(float64(expected)*slowness), min(float64(expected)/float64(fullWeightRead), 1))
+		at.pace.learn(float64(sample.took)/float64(expected), slowness, min(float64(expected)/float64(fullWeightRead), 1))
 	}
 	*mean += (at.pace.lasting - *mean) / sampleWindow(meanLastingSamples, len(b.names))
 	b.pacing.meanUnread[at.Role] += meanUnreadWeight * (float64(sample.tokens) - b.pacing.meanUnread[at.Role])
@@ -252,7 +255,7 @@
 func (b *Board) learnPaceOfStart(now time.Duration, at *replica, took time.Duration) time.Duration {
 	slowness, lasting, mean := at.pace.momentary(now), at.pace.lasting, &b.pacing.meanLasting[at.Role]
 	if b.decodeStartTime > 0 && took > 0 {
-		at.pace.learn(float64(took)/(float64(b.decodeStartTime)*slowness), min(float64(b.decodeStartTime)/float64(fullWeightRead), 1))
+		at.pace.learn(float64(took)/float64(b.decodeStartTime), slowness, min(float64(b.decodeStartTime)/float64(fullWeightRead), 1))
 	}
 	usual := time.Duration(float64(took) * *mean / (lasting * slowness))
 	*mean += (at.pace.lasting - *mean) / sampleWindow(meanLastingSamples, len(b.names))
