--- a/request/placement/replicapace.go
+++ b/request/placement/replicapace.go
@@ -54,6 +54,8 @@
 	weight, weighted float64
 	// lasting is the lasting factor.
 	lasting float64
+	// perRootOfLasting is 1 divided by the square root of the lasting factor.
+	perRootOfLasting float64
 	// slowness is the last reported slowness, received at slownessAt; 0 before the first report.
 	slowness   float64
 	slownessAt time.Duration
@@ -62,15 +64,19 @@
 }
 
 func newReplicaPace() replicaPace {
-	return replicaPace{weight: lastingPrior, weighted: lastingPrior, lasting: 1}
+	return replicaPace{weight: lastingPrior, weighted: lastingPrior, lasting: 1, perRootOfLasting: 1}
 }
 
-// learn adds a sample of the lasting factor; weight is at most 1.
-func (p *replicaPace) learn(sample, weight float64) {
+// learn adds a read that took ratio times its expected time while the replica reported the slowness; weight is at most 1.
+// The slowness explains no more than what exceeds the known factor: otherwise a replica that reports too much would be
+// taken for a fast one once its report is too old.
+func (p *replicaPace) learn(ratio, slowness, weight float64) {
+	sample := max(ratio/slowness, min(ratio, p.lasting))
 	decay := 1 - (1-lastingDecay)*weight
 	p.weight = p.weight*decay + weight
 	p.weighted = p.weighted*decay + weight*min(max(sample, minLasting), maxLasting)
 	p.lasting = min(max(p.weighted/p.weight, minLasting), maxLasting)
+	p.perRootOfLasting = 1 / math.Sqrt(p.lasting)
 }
 
 // knownSlowness returns the reported slowness, or 0 if there is none that is recent enough.
@@ -155,6 +161,16 @@
 	}
 }
 
+// readCost returns the cost of a read that takes the given time on the replica. Of the lasting factor of a reader, only
+// the square root counts: if each request took the reader that is fastest for itself alone, the fast ones would always
+// have the longest queues, and later requests would wait longer than they save.
+func (b *Board) readCost(at *replica, took time.Duration) time.Duration {
+	if !b.isPaced() || at.Role != RolePrefill {
+		return took
+	}
+	return time.Duration(float64(took) * at.pace.perRootOfLasting)
+}
+
 // recordSlowness records the slowness that a replica reported with a step of p, which is nil if the request is not
 // tracked.
 func (b *Board) recordSlowness(now time.Duration, report ProgressReport, p *placedRequest) {
@@ -199,6 +215,9 @@
 // rank updates the factor by which the index orders the replica.
 func (b *Board) rank(now time.Duration, r *replica) {
 	r.rankedFactor = r.pace.factor(now)
+	if r.Role == RolePrefill {
+		r.rankedFactor *= r.pace.perRootOfLasting
+	}
 	b.index.move(r)
 }
 
@@ -217,7 +236,7 @@
 		expected += readTime.fixed()
 	}
 	if expected > 0 {
-		at.pace.learn(float64(sample.took)/(float64(expected)*slowness), min(float64(expected)/float64(fullWeightRead), 1))
+		at.pace.learn(float64(sample.took)/float64(expected), slowness, min(float64(expected)/float64(fullWeightRead), 1))
 	}
 	*mean += (at.pace.lasting - *mean) / sampleWindow(meanLastingSamples, len(b.names))
 	b.pacing.meanUnread[at.Role] += meanUnreadWeight * (float64(sample.tokens) - b.pacing.meanUnread[at.Role])
@@ -245,7 +264,7 @@
 func (b *Board) learnPaceOfStart(now time.Duration, at *replica, took time.Duration) time.Duration {
 	slowness, lasting, mean := at.pace.momentary(now), at.pace.lasting, &b.pacing.meanLasting[at.Role]
 	if b.decodeStartTime > 0 && took > 0 {
-		at.pace.learn(float64(took)/(float64(b.decodeStartTime)*slowness), min(float64(b.decodeStartTime)/float64(fullWeightRead), 1))
+		at.pace.learn(float64(took)/float64(b.decodeStartTime), slowness, min(float64(b.decodeStartTime)/float64(fullWeightRead), 1))
 	}
 	usual := time.Duration(float64(took) * *mean / (lasting * slowness))
 	*mean += (at.pace.lasting - *mean) / sampleWindow(meanLastingSamples, len(b.names))
