--- a/cmd/landingtrail/diff.go
+++ b/cmd/landingtrail/diff.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/landingtrail/landingtrail/cmd/internal/cli"
+	"github.com/landingtrail/landingtrail/connection/operator"
 	"github.com/landingtrail/landingtrail/process/settings"
 	"github.com/landingtrail/landingtrail/version/api"
 )
@@ -55,29 +56,42 @@
 	if err != nil {
 		return err
 	}
+	changes, err := changesOf(ctx, client, objects)
+	if err != nil {
+		return err
+	}
+	if flags.output == cli.OutputJSON {
+		return cli.PrintJSON(to.Out, changes)
+	}
+	printChanges(to, changes)
+	return nil
+}
+
+// changesOf lists the fields of the objects that differ from those in force.
+func changesOf(ctx context.Context, client *operator.Client, objects []api.Object) ([]fieldChange, error) {
 	changes := []fieldChange{}
 	for _, wanted := range objects {
 		key, _ := wanted.Key()
 		current, err := client.Object(ctx, key)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		found, err := compare(key, current, wanted)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		changes = append(changes, found...)
 	}
-	if flags.output == cli.OutputJSON {
-		return cli.PrintJSON(to.Out, changes)
-	}
+	return changes, nil
+}
+
+func printChanges(to cli.Streams, changes []fieldChange) {
 	if len(changes) == 0 {
 		cli.Printf(to.Out, "no difference\n")
 	}
 	for _, change := range changes {
 		cli.Printf(to.Out, "%s %s: %s -> %s\n", change.Object, change.Field, orNone(change.Now), orNone(change.Wanted))
 	}
-	return nil
 }
 
 func orNone(value string) string {
--- a/cmd/landingtrail/main_test.go
+++ b/cmd/landingtrail/main_test.go
@@ -310,6 +310,46 @@
 	must.SliceLen(t, 2, report.Faults)
 }
 
+// Guards against a finding for a file that is in use.
+func TestFilesOfDeploymentsHaveNoFinding(t *testing.T) {
+	paths, err := filepath.Glob("../../deployments/*/*.yaml")
+	must.NoError(t, err)
+	changes, err := filepath.Glob("../../deployments/*/changes/*.yaml")
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, paths)
+	for _, path := range append(paths, changes...) {
+		var out, messages bytes.Buffer
+		code := run(context.Background(), []string{"check", "--settings", path}, cli.Streams{Out: &out, Err: &messages})
+		must.Eq(t, cli.ExitOK, code, must.Sprint(messages.String()))
+		must.Eq(t, path+": no fault\n", out.String())
+	}
+}
+
+// Guards against a finding that is not shown or that does not reach the exit code.
+func TestCheckExitsWithEveryFinding(t *testing.T) {
+	path := writeFile(t, "objects:\n  - service: {metadata: {name: s}, spec: {type: backend}}\n  - class: {metadata: {name: c}, spec: {service: s, deadlineMilliseconds: 5}}\n")
+	var out, messages bytes.Buffer
+	code := run(context.Background(), []string{"check", "--settings", path, "--output", "json"}, cli.Streams{Out: &out, Err: &messages})
+	must.Eq(t, cli.ExitUsage, code)
+	must.StrContains(t, messages.String(), "objects[1].class.spec.service: no request of the class can be served")
+	var report checkReport
+	must.NoError(t, json.Unmarshal(out.Bytes(), &report))
+	must.SliceEmpty(t, report.Faults)
+	must.SliceLen(t, 1, report.Findings)
+	must.Nil(t, report.Changes)
+}
+
+// Guards against a comparison that is omitted, or that makes a file without a fault fail.
+func TestCheckComparesWithObjectsInForce(t *testing.T) {
+	fake := newGroup(t)
+	_, text, _ := fake.call("get", "engine", "e-1", "--output", "yaml")
+	path := writeFile(t, strings.Replace(text, "zone: z", "zone: y", 1))
+	code, out, messages := fake.call("check", "--settings", path)
+	must.Eq(t, cli.ExitOK, code, must.Sprint(messages))
+	must.Eq(t, "Engine/e-1 spec.zone: z -> y\n"+path+": no fault\n", out)
+	must.SliceEmpty(t, fake.writes)
+}
+
 func TestEveryCommandHasHelpWithAnExample(t *testing.T) {
 	for _, command := range rootCommand(cli.Streams{}).Subcommands {
 		var out, messages bytes.Buffer
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -68,16 +68,22 @@
 // Check returns every fault of the settings or object file at path. A file
 // that cannot be read is the error.
 func Check(path string) ([]api.FieldFault, error) {
+	_, faults, err := CheckObjects(path)
+	return faults, err
+}
+
+// CheckObjects is like Check and returns the objects of the file as well, if it has no fault.
+func CheckObjects(path string) ([]api.Object, []api.FieldFault, error) {
 	data, err := readFile(path)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	_, err = parse(data, true, "", nil)
+	file, err := parse(data, true, "", nil)
 	var faults Faults
 	if errors.As(err, &faults) {
-		return faults, nil
+		return nil, faults, nil
 	}
-	return nil, err
+	return file.Objects, nil, err
 }
 
 // LoadObjects reads the objects of the file at path; "-" reads standard input.
