--- a/version/lint/compare.go
+++ b/version/lint/compare.go
@@ -49,6 +49,15 @@
 	return append(changes, changedKeys(now, wanted)...), nil
 }
 
+// Superseded returns a finding if a replacement of now by wanted would be acknowledged without
+// effect although the two differ.
+func Superseded(now, wanted *api.IngressSpec, changes []Change) []api.FieldFault {
+	if len(changes) == 0 || wanted.Generation > now.Generation {
+		return nil
+	}
+	return []api.FieldFault{{Field: "generation", Message: fmt.Sprintf("%d is not above the generation in force (%d): nothing would change", wanted.Generation, now.Generation)}}
+}
+
 func changedFields(entry string, was, is map[string]string) []Change {
 	var changes []Change
 	for _, field := range sortedUnion(was, is) {
@@ -90,7 +99,12 @@
 		"limits":  spec.Limits,
 	}
 	for _, route := range spec.Routes {
-		values[entryName("routes", route.Name)] = route
+		entry := entryName("routes", route.Name)
+		// Names of routes need not be unique; the host and prefix together are.
+		if _, taken := values[entry]; taken {
+			entry = entryName("routes", route.Name+" "+route.Host+route.PathPrefix)
+		}
+		values[entry] = route
 	}
 	for _, service := range spec.Services {
 		values[entryName("services", service.Name)] = service
