--- a/version/lint/lint.go
+++ b/version/lint/lint.go
@@ -46,6 +46,9 @@
 	}
 	for i := range spec.Tenants {
 		tenant, field := &spec.Tenants[i], fmt.Sprintf("tenants[%d]", i)
+		if !spec.KeysRequired {
+			l.add(field, "no request can be of this tenant: keysRequired is not set, so that keys are not read")
+		}
 		if spec.KeysRequired && !anyPublic && len(tenant.Keys) == 0 {
 			l.add(field+".keys", "no request can be of this tenant: it has no key and no route is public")
 		}
--- a/version/lint/lint_test.go
+++ b/version/lint/lint_test.go
@@ -47,6 +47,7 @@
 		{"host with a port", func(s *api.IngressSpec) { s.Routes[0].Host = "f.example:80" }, []string{"routes[0].host"}},
 		{"no key at all", func(s *api.IngressSpec) { s.Tenants = nil }, []string{"routes[0]"}},
 		{"tenant without keys", func(s *api.IngressSpec) { s.Tenants = append(s.Tenants, api.TenantKeys{Name: "b"}) }, []string{"tenants[1].keys"}},
+		{"tenant whose keys are not read", func(s *api.IngressSpec) { s.KeysRequired = false }, []string{"tenants[0]"}},
 		{"objective above timeout", func(s *api.IngressSpec) { s.Routes[0].Attempts, s.Routes[0].TimeoutMilliseconds = 1, 599 }, []string{"routes[0].objectiveMilliseconds"}},
 		{"gap above timeout", func(s *api.IngressSpec) { s.Routes[0].GapMilliseconds = 6001 }, []string{"routes[0].gapMilliseconds"}},
 		{"no time for a second attempt", func(s *api.IngressSpec) { s.Routes[0].TimeoutMilliseconds = 1200 }, []string{"routes[0].timeoutMilliseconds"}},
