--- a/connection/exchange/pace.go
+++ b/connection/exchange/pace.go
@@ -7,8 +7,8 @@
 	"github.com/pkg/errors"
 )
 
-// ErrEndless is the cause of all errors about bytes that do not end as a response's part does: a header,
-// a chunk header or a body that a server sends without end.
+// ErrEndless is wrapped by all errors about a header, chunk header or body that exceeds its size limit or
+// arrives too slowly, so that it is assumed never to end.
 var ErrEndless = errors.New("exchange: response does not end")
 
 // Errors that wrap ErrEndless.
@@ -59,8 +59,8 @@
 }
 
 // Discard reads the rest of the body, at most limit bytes and for at most the given time, so that the
-// connection can be reused. It returns an error that wraps ErrEndless if the body does not end within
-// these limits, and nil if it was read or broke off.
+// connection can be reused. It returns an error that wraps ErrEndless if bytes arrive and do not end within
+// these limits, and nil if the body was read, broke off, or if nothing of it arrives.
 func (a *Response) Discard(limit int64, within time.Duration) error {
 	expired := make(chan struct{})
 	timer := time.AfterFunc(within, func() {
@@ -74,6 +74,9 @@
 			_ = a.conn.SetReadDeadline(time.Time{})
 			return nil
 		}
+		if count == 0 {
+			return nil // a lost packet or a suspended process looks like this
+		}
 		return errTooSlow
 	}
 	if count > limit {
--- a/connection/feed/slowness.go
+++ b/connection/feed/slowness.go
@@ -18,7 +18,7 @@
 const slownessName = "\x00slowness\x00"
 
 const (
-	// slownessSize is the encoded size of a slowness in bytes, in which 1 is slownessScale.
+	// A slowness is encoded as an unsigned integer of slownessSize bytes, in units of 1/slownessScale.
 	slownessSize  = 2
 	slownessScale = 100
 	// slownessFlag marks a slowness in place of a number of requests.
--- a/process/clock/usage_test.go
+++ b/process/clock/usage_test.go
@@ -50,6 +50,7 @@
 	"connection/exchange/foreign.go": 3, // a connection's own timeout
 	"process/control/evidence.go":    1, // the age of stored evidence after a restart
 	"process/control/open.go":        1, // the age of stored evidence when it is loaded
+	"process/ingress/slowcaller.go":  1, // the deadline of a connection's write
 }
 
 func TestSystemClockIsReadOnlyWhereAllowed(t *testing.T) {
--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -109,7 +109,7 @@
 	}
 	_, err := io.CopyN(&buffer, body, maxBufferedAnswer)
 	if body.endless && again && !s.prepayRetry(ctx) {
-		// No other answer can decide.
+		// The retry budget allows no second answer, so this one is read on under the wider limits.
 		again, body.endless, body.limits = false, false, profile.limits(false)
 		_, err = io.CopyN(&buffer, body, int64(maxBufferedAnswer-buffer.Len()))
 	}
@@ -154,8 +154,8 @@
 }
 
 // abandonBody ends an attempt whose body does not seem to end, before any of it was passed on. again is true if
-// the request may be sent to another replica. While the route is not known, that alone counts against the
-// replica as a failure.
+// the request may be sent to another replica. If the route has too few complete answers to judge by, the replica is
+// then charged with one failure but is not avoided.
 func (s *session) abandonBody(ctx context.Context, target *replica, sent *send, number uint32, body *bodyReader, profile *routeProfile, again bool) verdict {
 	s.lifecycle.Fail(number, attempt.FaultBroken)
 	fmt.Fprintf(&s.trace, " (%s: %v)", target.name, errBodyEndless)
--- a/process/ingress/endless.go
+++ b/process/ingress/endless.go
@@ -102,7 +102,8 @@
 type routeProfile struct {
 	lock          sync.Mutex
 	current, past profileSpan
-	// cutReplica is the replica of the last body that was cut off after a part of it was passed on.
+	// cutReplica is the replica of the last body that was cut off although the request could not be sent again, and
+	// cutAt is when that was.
 	cutReplica string
 	cutAt      time.Duration
 }
@@ -282,6 +283,8 @@
 	maxComments     = 16
 	commentsPerSec  = 2
 	maxCommentBytes = 64 << 10
+	// commentBytesPerSec allows for a long wait for the next event with data.
+	commentBytesPerSec = 256
 )
 
 // commentMeter counts the events without data since the last event with data.
@@ -299,7 +302,7 @@
 	}
 	m.count++
 	m.bytes += len(event)
-	if float64(m.count) > maxComments+commentsPerSec*(now-m.since).Seconds() || m.bytes > maxCommentBytes {
+	if float64(m.count) > maxComments+commentsPerSec*(now-m.since).Seconds() || float64(m.bytes) > maxCommentBytes+commentBytesPerSec*(now-m.since).Seconds() {
 		return errTooManyComments
 	}
 	return nil
--- a/process/ingress/fleet.go
+++ b/process/ingress/fleet.go
@@ -38,7 +38,7 @@
 	listedReplicas []*replica
 	// softwareVersions holds the versions of the listed replicas, by their hashes.
 	softwareVersions map[uint64]string
-	ramps            *rampGate // nil for no ramps
+	ramps            *rampContext // nil for no ramps
 	// newlyListed holds the replicas that were listed lately, until they are used.
 	newlyListed map[string]newListing
 }
--- a/process/ingress/lane.go
+++ b/process/ingress/lane.go
@@ -81,7 +81,7 @@
 		fleet:   newFleet(service, pool, u.holdoffs, u.lookupUnlisted),
 		budget:  u.newBudget(),
 	}
-	result.fleet.ramps = u.newRampGate(service)
+	result.fleet.ramps = u.newRampContext(service)
 	result.fleet.update(u.listed, u.clock())
 	u.byService[service] = result
 	return result
--- a/process/ingress/ramp.go
+++ b/process/ingress/ramp.go
@@ -17,7 +17,7 @@
 // for model services while no member answers. Each proxy has an equal share of the limit. A replica whose limit is
 // reached is charged with a cost, so that it is still used if all others are at their limits too.
 //
-// Gate: a replica of the service has reported a slowness. Until then no ramp begins.
+// No ramp begins until a replica of the service has reported its slowness.
 
 // Parameters of ramps.
 const (
@@ -32,8 +32,8 @@
 	rampLogInterval = time.Second
 )
 
-// rampGate is what the ramps of one service's replicas share.
-type rampGate struct {
+// rampContext is what the ramps of one service's replicas share.
+type rampContext struct {
 	service string
 	// paced is set once a replica of the service has reported a slowness.
 	paced atomic.Bool
@@ -62,7 +62,7 @@
 
 // updateRamp applies a step to the ramp of the replica. The caller must hold the lock.
 func (r *replica) updateRamp(now time.Duration, step func(ramp *rampup.Share)) {
-	if r.ramps == nil || !r.ramps.paced.Load() {
+	if r.ramps == nil || r.isDropped || !r.ramps.paced.Load() {
 		return
 	}
 	r.ramp.Slots = r.spec().Slots
@@ -101,6 +101,7 @@
 func (r *replica) dropRamp(now time.Duration) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	r.isDropped = true
 	if r.ramps != nil && r.ramp.IsActive() {
 		r.ramp.Stop()
 		r.noteRampChange(now, true)
@@ -233,9 +234,9 @@
 	return (xxhash.Sum64String(proxy) ^ salt) * 0x9e3779b97f4a7c15
 }
 
-// newRampGate returns the gate of a service.
-func (u *upstreams) newRampGate(service string) *rampGate {
-	return &rampGate{service: service, proxies: func() int { return int(u.proxies.Load()) }, draw: u.drawShare, changed: u.rampChanged}
+// newRampContext returns what the ramps of a service's replicas share.
+func (u *upstreams) newRampContext(service string) *rampContext {
+	return &rampContext{service: service, proxies: func() int { return int(u.proxies.Load()) }, draw: u.drawShare, changed: u.rampChanged}
 }
 
 // proxyNames are the proxies that a view lists.
--- a/process/ingress/ramp_test.go
+++ b/process/ingress/ramp_test.go
@@ -70,6 +70,7 @@
 	for _, proxy := range f.proxies {
 		for _, r := range proxy.get("service").fleet.choices(0) {
 			r.noteAnswer(&Load{Slots: rampTestSlots, Slowdown: 1}, 0)
+			r.noteSlowdown(1, 0)
 		}
 	}
 	return f
@@ -116,6 +117,7 @@
 				continue
 			}
 			s.at.noteAnswer(&Load{Running: s.state.inFlight, Slots: rampTestSlots, Slowdown: 1}, f.now)
+			s.at.noteSlowdown(1, f.now)
 			s.at.noteSuccess()
 			s.at.noteServed(f.now, f.now-s.sent.at, rampTestTakes)
 			if s.state.firstGood == 0 {
@@ -222,7 +224,7 @@
 func TestRampsNeedAReportedSlownessAndANewListing(t *testing.T) {
 	f := newTestFleet(nil)
 	changes := 0
-	f.ramps = &rampGate{proxies: func() int { return 1 }, draw: func(string) float64 { return 0 }, changed: func(rampChange) { changes++ }}
+	f.ramps = &rampContext{proxies: func() int { return 1 }, draw: func(string) float64 { return 0 }, changed: func(rampChange) { changes++ }}
 	f.update(listingOf(3), 0)
 	f.update(listingOf(4), 0)
 	f.find("model-00003", 0).suspect(0)
@@ -230,6 +232,8 @@
 	f.find("model-00000", 0).noteAnswer(&Load{Running: 1}, 0)
 	must.Eq(t, 0, changes)
 	f.find("model-00000", 0).noteAnswer(&Load{Slowdown: 1}, 0)
+	must.False(t, f.ramps.paced.Load(), must.Sprint("a slowness that is assumed"))
+	f.find("model-00000", 0).noteSlowdown(1, 0)
 	f.find("model-00001", 0)
 	must.Eq(t, 0, changes)
 	f.update(listingOf(6), 0)
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -64,7 +64,10 @@
 	crashedAt time.Duration
 	// refusedAt is when a run last broke and nothing listened at the address afterwards; 0 for never.
 	refusedAt time.Duration
-	ramps     *rampGate // nil for no ramps
+	ramps     *rampContext // nil for no ramps
+	// isDropped is set once this state is no longer used for new requests. Requests in flight still report their
+	// failures, which must not begin a ramp that nothing would end.
+	isDropped bool
 	ramp      rampup.Share
 }
 
@@ -140,13 +143,11 @@
 	r.heardAt, r.suspectUntil = now, 0
 	if load != nil {
 		r.load, r.loadAt = *load, now
-		if load.Slowdown > 0 && r.ramps != nil {
-			r.ramps.paced.Store(true)
-		}
 	}
 }
 
-// noteSlowdown records a reported slowdown; 0 for none.
+// noteSlowdown records a reported slowdown; 0 for none. Unlike Load.Slowdown, which may be assumed, it shows that the
+// replicas of the service report theirs.
 func (r *replica) noteSlowdown(slowdown float64, now time.Duration) {
 	if slowdown <= 0 {
 		return
@@ -154,6 +155,9 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.slowdown, r.slowdownAt = slowdown, now
+	if r.ramps != nil {
+		r.ramps.paced.Store(true)
+	}
 }
 
 // reportedSlowdown returns the slowdown that the replica has just reported, or 0.
--- a/process/ingress/slowcaller.go
+++ b/process/ingress/slowcaller.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/landingtrail/landingtrail/process/clock"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -71,7 +72,7 @@
 	// blocked is the total time for which writes of the current request's answer were blocked,
 	// blockedUntil the end of the last such write, zero if there was none.
 	blocked      time.Duration
-	blockedUntil time.Time
+	blockedUntil time.Duration
 }
 
 // callerConnKey is the key of the *callerConn in a request's context.
@@ -90,7 +91,7 @@
 func beginAnswer(ctx context.Context, request, route string) *callerConn {
 	conn, _ := ctx.Value(callerConnKey{}).(*callerConn)
 	if conn != nil {
-		conn.request, conn.route, conn.blocked, conn.blockedUntil = request, route, 0, time.Time{}
+		conn.request, conn.route, conn.blocked, conn.blockedUntil = request, route, 0, 0
 	}
 	return conn
 }
@@ -99,16 +100,16 @@
 // takes nothing for Timeouts.CallerStall; a caller that takes something is waited for.
 func (c *callerConn) Write(data []byte) (int, error) {
 	limit := c.ingress.config.Timeouts.CallerStall
-	began := time.Now()
+	began := clock.Now()
 	progressAt, queued := began, math.MaxInt // unknown until the first check, which counts as progress
 	written := 0
 	for {
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(limit / stallChecks)) // fails on a closed connection, and so does Write
 		count, err := c.Conn.Write(data[written:])
 		written += count
-		now := time.Now()
+		now := clock.Now()
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.noteWritten(now, now.Sub(began))
+			c.noteWritten(now, now-began)
 			return written, err
 		}
 		left := c.queuedBytes()
@@ -116,15 +117,15 @@
 			progressAt = now
 		}
 		queued = left
-		if now.Sub(progressAt) >= limit {
-			c.noteWritten(now, now.Sub(began))
-			c.endStalled(now.Sub(progressAt))
+		if now-progressAt >= limit {
+			c.noteWritten(now, now-began)
+			c.endStalled(now - progressAt)
 			return written, errCallerStalled
 		}
 	}
 }
 
-func (c *callerConn) noteWritten(now time.Time, took time.Duration) {
+func (c *callerConn) noteWritten(now, took time.Duration) {
 	if took >= noticeableBlock {
 		c.blocked, c.blockedUntil = c.blocked+took, now
 	}
@@ -174,7 +175,7 @@
 // a replica ends an answer that is left unread for some seconds.
 func (s *session) callerHeldUp() bool {
 	c := s.callerConn
-	return c != nil && c.blocked >= minHeldUp && time.Since(c.blockedUntil) <= heldUpMemory
+	return c != nil && c.blocked >= minHeldUp && clock.Now()-c.blockedUntil <= heldUpMemory
 }
 
 // noteHeldUp returns the verdict on an answer that its replica ended while the caller held it up. Nobody
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -102,8 +102,9 @@
 	return err == nil && next > had
 }
 
-// continuesAfter reports whether an event of a later run comes after what the caller has. That is comments
-// alone if there is no event ID on a resumable route, since no run continues after data without an ID.
+// continuesAfter reports whether an event of a later run comes after what the caller has. If no event ID is known on a
+// resumable route, the caller has received only comments, so any event continues the stream: after data without an ID
+// no other run is started.
 func (s *session) continuesAfter(id string) bool {
 	last := cmp.Or(s.lastEventID, s.call.ResumeAfter)
 	return last == "" && s.route.Resumable || isLaterEventID(id, last)
--- a/request/placement/change.go
+++ b/request/placement/change.go
@@ -37,7 +37,7 @@
 	Running  int // requests that have had their first token, unlike Load.Running
 	Queued   int // prompts in the read queue
 	Changing bool
-	Speed    float64 // relative to the mean of the service, without slowdowns of less than a few reads
+	Speed    float64 // in the long run, relative to the mean of its role; 1 if the service is not paced
 }
 
 // Occupancies returns the work of all replicas that are not leaving, sorted by name.
--- a/request/placement/replicapace.go
+++ b/request/placement/replicapace.go
@@ -54,8 +54,8 @@
 	weight, weighted float64
 	// lasting is the lasting factor.
 	lasting float64
-	// perRootOfLasting is 1 divided by the square root of the lasting factor.
-	perRootOfLasting float64
+	// inverseRootLasting is 1/√lasting, kept because readCost needs it for each candidate.
+	inverseRootLasting float64
 	// slowness is the last reported slowness, received at slownessAt; 0 before the first report.
 	slowness   float64
 	slownessAt time.Duration
@@ -64,7 +64,7 @@
 }
 
 func newReplicaPace() replicaPace {
-	return replicaPace{weight: lastingPrior, weighted: lastingPrior, lasting: 1, perRootOfLasting: 1}
+	return replicaPace{weight: lastingPrior, weighted: lastingPrior, lasting: 1, inverseRootLasting: 1}
 }
 
 // learn adds a read that took ratio times its expected time while the replica reported the slowness; weight is at most 1.
@@ -76,7 +76,7 @@
 	p.weight = p.weight*decay + weight
 	p.weighted = p.weighted*decay + weight*min(max(sample, minLasting), maxLasting)
 	p.lasting = min(max(p.weighted/p.weight, minLasting), maxLasting)
-	p.perRootOfLasting = 1 / math.Sqrt(p.lasting)
+	p.inverseRootLasting = 1 / math.Sqrt(p.lasting)
 }
 
 // knownSlowness returns the reported slowness, or 0 if there is none that is recent enough.
@@ -168,13 +168,13 @@
 	if !b.isPaced() || at.Role != RolePrefill {
 		return took
 	}
-	return time.Duration(float64(took) * at.pace.perRootOfLasting)
+	return time.Duration(float64(took) * at.pace.inverseRootLasting)
 }
 
 // recordSlowness records the slowness that a replica reported with a step of p, which is nil if the request is not
 // tracked.
 func (b *Board) recordSlowness(now time.Duration, report ProgressReport, p *placedRequest) {
-	if !(report.ReportedSlowness > 0) {
+	if !(report.ReportedSlowness > 0) { // also for NaN
 		return
 	}
 	b.startPacing()
@@ -216,7 +216,7 @@
 func (b *Board) rank(now time.Duration, r *replica) {
 	r.rankedFactor = r.pace.factor(now)
 	if r.Role == RolePrefill {
-		r.rankedFactor *= r.pace.perRootOfLasting
+		r.rankedFactor *= r.pace.inverseRootLasting
 	}
 	b.index.move(r)
 }
@@ -271,11 +271,11 @@
 	return usual
 }
 
-// levelsPerOctave is the number of work levels between a time and twice that time, and minLevelTime the upper bound of
+// levelsPerDoubling is the number of work levels between a time and twice that time, and minLevelTime the upper bound of
 // the lowest level. With 64 levels, the highest begins at 3 s.
 const (
-	levelsPerOctave = 6
-	minLevelTime    = 2 * time.Millisecond
+	levelsPerDoubling = 6
+	minLevelTime      = 2 * time.Millisecond
 )
 
 // timeLevel returns the work level of a replica by the time in which it would begin a request of mean length and
@@ -293,5 +293,5 @@
 	if took <= minLevelTime {
 		return 0
 	}
-	return min(int(levelsPerOctave*math.Log2(float64(took)/float64(minLevelTime))), workLevels-1)
+	return min(int(levelsPerDoubling*math.Log2(float64(took)/float64(minLevelTime))), workLevels-1)
 }
--- a/version/lint/compare.go
+++ b/version/lint/compare.go
@@ -22,8 +22,9 @@
 // presentEntry is the value of a Change for a whole entry.
 const presentEntry = "present"
 
-// Compare returns what replacing now by wanted would change, in the order of entries and fields. It
-// shows no API key: of keys it says how many there are.
+// Compare returns what replacing now by wanted would change: first the fields, sorted by entry
+// and field, then the tenants whose keys differ. It shows no API key: of keys it says how many
+// there are.
 func Compare(now, wanted *api.IngressSpec) ([]Change, error) {
 	before, err := entriesOf(now)
 	if err != nil {
--- a/version/planner/balance.go
+++ b/version/planner/balance.go
@@ -23,7 +23,7 @@
 	Queued  int
 	// Changing is true for a replica that is changing its role.
 	Changing bool
-	// Speed is how fast the replica works in the long run, relative to the mean of its service; 0 if unknown, which
+	// Speed is how fast the replica works in the long run, relative to the mean of its role; 0 if unknown, which
 	// counts as 1. The capacity of replicas is the sum of their speeds.
 	Speed float64
 }
@@ -184,7 +184,7 @@
 
 // allowsDecode reports whether only the given replicas may remain in the decode role: they
 // have enough of the capacity and of free slots, and the capacity that changes its role is
-// not too large. One replica may change in any case.
+// not too large. That limit does not apply if only one replica changes.
 func (p *replicasByRole) allowsDecode(remaining []ReplicaLoad) bool {
 	left := capacity(remaining)
 	unavailable := capacity(p.changing) + capacity(p.decode) - left
