Balance: in paced services more replicas read only while prompts queue at the readers

Change: half a prompt at each reader on the mean, the one being read included, before more replicas read.

--- a/version/planner/balance.go
+++ b/version/planner/balance.go
@@ -111,6 +111,10 @@
 	// requests wait too long for decode and a replica moves to decode. Replicas move to
 	// prefill only while the value is at most half of it.
 	slowDecodeStart = 0.6
+	// busyPrefillQueue is the minimum mean number of prompts at a prefill replica, the one being
+	// read included, at which more of them help. With fewer, requests are late because a single
+	// read takes too long, for instance while nothing is cached.
+	busyPrefillQueue = 0.5
 	// minDecodeShare is the share of all replicas below which moves to prefill must not
 	// reduce the decode replicas.
 	minDecodeShare = 1.0 / 3
@@ -143,7 +147,7 @@
 	switch {
 	case load.DecodeStartShare >= slowDecodeStart:
 		return byRole.changeToDecode()
-	case load.LateShare >= morePrefillLateShare && load.DecodeStartShare <= slowDecodeStart/2:
+	case load.LateShare >= morePrefillLateShare && load.DecodeStartShare <= slowDecodeStart/2 && (!load.Paced || byRole.isPrefillBusy()):
 		return byRole.changesToPrefill()
 	case load.ReversalAllowed && load.LateShare <= sparePrefillLateShare && byRole.decodeOccupancy(byRole.decode) > moreDecodeOccupancy:
 		return byRole.changeToDecode()
@@ -176,6 +180,15 @@
 	return p
 }
 
+// isPrefillBusy reports whether prompts queue at the prefill replicas.
+func (p *replicasByRole) isPrefillBusy() bool {
+	queued := 0
+	for _, replica := range p.prefill {
+		queued += replica.Queued
+	}
+	return float64(queued) >= busyPrefillQueue*float64(len(p.prefill))
+}
+
 // changeAllowance returns how many more replicas may change their role now; negative if
 // more are changing than allowed.
 func (p *replicasByRole) changeAllowance() int {
--- a/version/planner/balance_test.go
+++ b/version/planner/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -164,3 +165,21 @@
 		must.Between(t, minSpeed, counted, maxSpeed)
 	}
 }
+
+// Guards against replicas that change their role although no prompt waits: in a large service with little load and
+// nothing cached, long prompts are late since a single read takes too long, and more readers would not help.
+func TestBalanceOfPacedServiceNeedsQueuedPrompts(t *testing.T) {
+	for _, test := range []struct {
+		paced   bool
+		queued  int // at the first prefill replica
+		changes bool
+	}{{false, 0, true}, {true, 0, false}, {true, 1, false}, {true, 2, true}} {
+		load := ServiceLoad{Replicas: testReplicas(3, 9, 3), Requests: 200, LateShare: 0.4, Paced: test.paced}
+		for i := range load.Replicas {
+			load.Replicas[i].Queued = 0
+		}
+		first := slices.IndexFunc(load.Replicas, func(r ReplicaLoad) bool { return r.Prefill })
+		load.Replicas[first].Queued = test.queued
+		must.Eq(t, test.changes, len(Balance(load)) > 0, must.Sprint(test))
+	}
+}
