Ingress: the slow peer of the tests runs by TestMain, so that no test is skipped; wording

TestSlowPeer was the other process of a test and skipped itself where it was run as a test. Words that a newcomer has to guess (tell, told) in new lines are replaced.

--- a/process/control/ramps_test.go
+++ b/process/control/ramps_test.go
@@ -12,7 +12,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// Guards against ramps of which neither the log nor the metrics tell.
+// Guards against ramps that neither the log nor the metrics show.
 func TestRampsAreLoggedAndCounted(t *testing.T) {
 	var written bytes.Buffer
 	g := &group{
--- a/process/ingress/endless_test.go
+++ b/process/ingress/endless_test.go
@@ -168,7 +168,7 @@
 	}
 }
 
-// Guards against a replica that is asked again and again because the control group, which is told of each stream
+// Guards against a replica that is asked again and again because the control group, which gets a report of each stream
 // that it starts, goes on choosing it.
 func TestEndlessReplicaIsAvoidedWhereTheGroupChoosesIt(t *testing.T) {
 	prefiller := newFakeReplica(t, "read", answerPrefill)
--- a/process/ingress/harness_test.go
+++ b/process/ingress/harness_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,6 +25,13 @@
 )
 
 func TestMain(m *testing.M) {
+	if os.Getenv(slowPeerVariable) != "" {
+		if err := runSlowPeer(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	goleak.VerifyTestMain(m,
 		// Both are started by the init functions of go-zero and never end.
 		goleak.IgnoreTopFunction("github.com/zeromicro/go-zero/core/proc.init.1.func1"),
--- a/process/ingress/slowpeer_test.go
+++ b/process/ingress/slowpeer_test.go
@@ -19,7 +19,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// slowPeerVariable makes TestSlowPeer serve as the other side of a proxy under test: a replica and slow
+// slowPeerVariable makes the test program serve as the other side of a proxy under test: a replica and slow
 // callers in a process of their own, so that the memory of the test's process is the proxy's.
 const slowPeerVariable = "INGRESS_TEST_SLOW_PEER"
 
@@ -27,12 +27,9 @@
 // stays with the proxy.
 const slowCallerBuffer = 4 << 10
 
-// TestSlowPeer is the process that startSlowPeer starts. Each line of its input is a command, each
-// line of its output the reply.
-func TestSlowPeer(t *testing.T) {
-	if os.Getenv(slowPeerVariable) == "" {
-		t.Skip("runs in the process of startSlowPeer only")
-	}
+// runSlowPeer is the main function of the process that startSlowPeer starts. Each line of its input is a
+// command, each line of its output the reply. It returns once its input has ended.
+func runSlowPeer() error {
 	peer := &slowPeer{}
 	server := httptest.NewServer(peer)
 	fmt.Println("address", server.Listener.Addr())
@@ -43,17 +40,20 @@
 		var perSecond int
 		switch command, _, _ := strings.Cut(lines.Text(), " "); command {
 		case "open":
-			_, err := fmt.Sscanf(lines.Text(), "open %d %s %s %d", &count, &address, &target, &perSecond)
-			must.NoError(t, err)
+			if _, err := fmt.Sscanf(lines.Text(), "open %d %s %s %d", &count, &address, &target, &perSecond); err != nil {
+				return err
+			}
 			for number := range count {
-				peer.open(t, address, target, number, perSecond)
+				if err := peer.open(address, target, number, perSecond); err != nil {
+					return err
+				}
 			}
 			fmt.Println("opened", count)
 		case "state":
 			fmt.Println("state", peer.running.Load(), peer.begun.Load())
 		}
 	}
-	os.Exit(0) // the process that started this one has ended its input
+	return lines.Err()
 }
 
 // slowPeer is a replica, and the callers of a proxy that read slowly.
@@ -96,24 +96,27 @@
 
 // dialSlowly sends a request on a connection of its own with a small receive buffer. protocol is HTTP/1.1 or
 // HTTP/1.0.
-func dialSlowly(t *testing.T, address, target, protocol, id string) net.Conn {
-	t.Helper()
+func dialSlowly(address, target, protocol, id string) (net.Conn, error) {
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(descriptor uintptr) {
 			_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowCallerBuffer)
 		})
 	}}
 	conn, err := dialer.DialContext(context.Background(), "tcp", address)
-	must.NoError(t, err)
+	if err != nil {
+		return nil, err
+	}
 	_, err = fmt.Fprintf(conn, "GET %s %s\r\nHost: a.example\r\n%s: %s\r\n\r\n", target, protocol, testID, id)
-	must.NoError(t, err)
-	return conn
+	return conn, err
 }
 
 // open sends a request on a connection of its own and reads the answer at the given rate; at 0 it is
 // not read.
-func (p *slowPeer) open(t *testing.T, address, target string, number, perSecond int) {
-	conn := dialSlowly(t, address, target, "HTTP/1.1", fmt.Sprint("slow-", number))
+func (p *slowPeer) open(address, target string, number, perSecond int) error {
+	conn, err := dialSlowly(address, target, "HTTP/1.1", fmt.Sprint("slow-", number))
+	if err != nil {
+		return err
+	}
 	go func() {
 		const interval = 200 * time.Millisecond
 		piece := make([]byte, max(perSecond/int(time.Second/interval), 1))
@@ -128,9 +131,10 @@
 			}
 		}
 	}()
+	return nil
 }
 
-// slowPeerProcess is a running TestSlowPeer.
+// slowPeerProcess is a running runSlowPeer.
 type slowPeerProcess struct {
 	t       *testing.T
 	address string // of its replica
@@ -148,7 +152,7 @@
 // startSlowPeer starts a process with a replica and slow callers, which ends with the test.
 func startSlowPeer(t *testing.T) *slowPeerProcess {
 	t.Helper()
-	command := exec.Command(os.Args[0], "-test.run=^TestSlowPeer$")
+	command := exec.Command(os.Args[0])
 	command.Env = append(os.Environ(), slowPeerVariable+"=1")
 	input, err := command.StdinPipe()
 	must.NoError(t, err)
--- a/process/ingress/slowreaders_test.go
+++ b/process/ingress/slowreaders_test.go
@@ -157,7 +157,8 @@
 			logged := &bytes.Buffer{}
 			env.ingress.logger = log.NewLogfmtLogger(log.NewSyncWriter(logged))
 			address := env.serveSlowCallers(replica.address(), 300*time.Millisecond)
-			conn := dialSlowly(t, address, "/"+route+"/endless", test.protocol, "slow")
+			conn, err := dialSlowly(address, "/"+route+"/endless", test.protocol, "slow")
+			must.NoError(t, err)
 			defer func() { _ = conn.Close() }()
 			began := time.Now()
 			select {
@@ -193,7 +194,8 @@
 			})
 			env := newTestEnv(t)
 			address := env.serveSlowCallers(replica.address(), 400*time.Millisecond)
-			conn := dialSlowly(t, address, "/"+route+"/long", "HTTP/1.1", "slow")
+			conn, err := dialSlowly(address, "/"+route+"/long", "HTTP/1.1", "slow")
+			must.NoError(t, err)
 			defer func() { _ = conn.Close() }()
 			began := time.Now()
 			response, err := http.ReadResponse(bufio.NewReaderSize(conn, 1<<10), nil)
@@ -228,7 +230,8 @@
 			logged := &bytes.Buffer{}
 			env.ingress.logger = log.NewLogfmtLogger(log.NewSyncWriter(logged))
 			address := env.serveSlowCallers(replica.address(), testTimeout)
-			conn := dialSlowly(t, address, "/"+route+"/endless", test.protocol, "slow")
+			conn, err := dialSlowly(address, "/"+route+"/endless", test.protocol, "slow")
+			must.NoError(t, err)
 			defer func() { _ = conn.Close() }()
 			<-ended
 			time.Sleep(minHeldUp)
@@ -248,8 +251,9 @@
 func TestTruncatedAnswerLooksBrokenToHTTP10(t *testing.T) {
 	replica := newFakeReplica(t, "r-1", streamEvents(3, "inside"))
 	env := newTestEnv(t)
-	conn := dialSlowly(t, env.serveSlowCallers(replica.address(), testTimeout), "/stream/x", "HTTP/1.0", "q")
+	conn, err := dialSlowly(env.serveSlowCallers(replica.address(), testTimeout), "/stream/x", "HTTP/1.0", "q")
+	must.NoError(t, err)
 	defer func() { _ = conn.Close() }()
-	_, err := io.Copy(io.Discard, conn)
+	_, err = io.Copy(io.Discard, conn)
 	must.Error(t, err)
 }
--- a/request/placement/memory.go
+++ b/request/placement/memory.go
@@ -70,7 +70,7 @@
 
 // hasMemoryFor reports whether the requests on the replica leave memory for one more. A request that
 // needs more than all of the memory goes to a replica that holds nothing: its output may be shorter than
-// it may become, and if its prompt alone is too long the replica's answer tells its caller so.
+// it may become, and if its prompt alone is too long the replica's answer says so to its caller.
 func (b *Board) hasMemoryFor(r *replica, request *Request) bool {
 	if !b.limitsMemory() {
 		return true
--- a/request/rampup/rampup.go
+++ b/request/rampup/rampup.go
@@ -147,7 +147,7 @@
 
 // Failed records that the replica gave no answer to a request that was begun the given time ago, or broke it
 // off. inFlight is the number of requests that it had in flight, the failed one included. A ramp begins if none
-// is in progress. The failure of a request begun before the limit of a ramp was last lowered tells nothing more.
+// is in progress. The failure of a request begun before the limit of a ramp was last lowered shows nothing more.
 func (r *Ramp) Failed(now, ago time.Duration, inFlight int) {
 	if r.active && r.lowered && now-ago < r.loweredAt {
 		return
