--- a/connection/exchange/pace.go
+++ b/connection/exchange/arrivalrate.go
@@ -35,9 +35,9 @@
 	minPartRate  = 128 << 10
 )
 
-// Pace measures how a part of a response arrives. The zero value is that of a part of which nothing has
+// ArrivalRate measures how a part of a response arrives. The zero value is that of a part of which nothing has
 // arrived.
-type Pace struct {
+type ArrivalRate struct {
 	reads   int
 	bytes   int64
 	firstAt time.Duration // when the first bytes arrived
@@ -45,7 +45,7 @@
 
 // Note records bytes that arrived at the time now, and returns an error that wraps ErrEndless if the part
 // arrives in small pieces for too long. It returns none for a part that has not begun.
-func (p *Pace) Note(now time.Duration, count int) error {
+func (p *ArrivalRate) Note(now time.Duration, count int) error {
 	if p.reads == 0 {
 		p.firstAt = now
 	}
--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -28,10 +28,10 @@
 	headerBytesLeft int64
 	readingHeader   bool
 	headerRead      atomic.Bool // the header of the current response was read
-	// clock is monotonic; pace measures the part of a response that is being read: a header, or what
+	// clock is monotonic; arrival measures the part of a response that is being read: a header, or what
 	// arrives of the body's framing until the next bytes of the body.
-	clock func() time.Duration
-	pace  Pace
+	clock   func() time.Duration
+	arrival ArrivalRate
 	// failed is the error of a part that was too slow. It is returned by all further reads, since the
 	// readers of net/textproto ignore an error while they look for a continued line.
 	failed error
@@ -43,7 +43,7 @@
 	return created
 }
 
-// Read reads from the connection. It enforces the pace of the current part, and the size limit while a
+// Read reads from the connection. It enforces the arrival rate of the current part, and the size limit while a
 // header is read.
 func (c *conn) Read(buffer []byte) (int, error) {
 	if c.failed != nil {
@@ -60,14 +60,14 @@
 		c.headerBytesLeft -= int64(count)
 	}
 	if err == nil {
-		c.failed = c.pace.Note(c.clock(), count)
+		c.failed = c.arrival.Note(c.clock(), count)
 		err = c.failed
 	}
 	return count, err
 }
 
-// beginPart begins a part of a response whose pace is measured.
-func (c *conn) beginPart() { c.pace = Pace{} }
+// beginPart begins a part of a response whose arrival rate is measured.
+func (c *conn) beginPart() { c.arrival = ArrivalRate{} }
 
 func (c *conn) beginHeader() { c.readingHeader, c.headerBytesLeft = true, c.maxHeaderBytes }
 
--- a/connection/exchange/endless_test.go
+++ b/connection/exchange/endless_test.go
@@ -150,13 +150,13 @@
 
 // A piece arrives at the end of a suspension: many reads of data that has arrived must not count as slow.
 func TestPaceAfterASuspension(t *testing.T) {
-	var pace Pace
-	must.NoError(t, pace.Note(time.Second, 10))
+	var rate ArrivalRate
+	must.NoError(t, rate.Note(time.Second, 10))
 	for range 3 {
-		must.NoError(t, pace.Note(time.Hour, readBufferBytes))
+		must.NoError(t, rate.Note(time.Hour, readBufferBytes))
 	}
 	for i := range minPartReads {
-		err := pace.Note(time.Hour+time.Duration(i)*time.Second, 10)
-		must.Eq(t, pace.reads >= minPartReads, errors.Is(err, ErrEndless))
+		err := rate.Note(time.Hour+time.Duration(i)*time.Second, 10)
+		must.Eq(t, rate.reads >= minPartReads, errors.Is(err, ErrEndless))
 	}
 }
--- a/process/control/config.go
+++ b/process/control/config.go
@@ -82,9 +82,9 @@
 	// ChangeRoles makes the leader order role changes. It is off by default because on some fleets
 	// the changes left too few decode replicas; see docs/ACCOUNT.md.
 	ChangeRoles bool
-	// ChangePacedRoles makes the leader order role changes in services whose replicas report their slowness, even
+	// ChangeRolesIfSlownessReported makes the leader order role changes in services whose replicas report their slowness, even
 	// without ChangeRoles.
-	ChangePacedRoles bool
+	ChangeRolesIfSlownessReported bool
 	// Usage configures the accounting of tenants' requests.
 	Usage Usage
 	// Quotas defines the windows in which tenants' quotas are granted; the zero Rule disables
--- a/process/control/placement.go
+++ b/process/control/placement.go
@@ -86,11 +86,11 @@
 
 // rampChanges returns the begins and ends of ramps since the previous call, by service, and the number of ramps in
 // progress.
-func (d *placementBoards) rampChanges() (changes map[string]placement.RampChanges, ramping int) {
+func (d *placementBoards) rampChanges(now time.Duration) (changes map[string]placement.RampChanges, ramping int) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	for service, board := range d.boards {
-		latest, active := board.TakeRampChanges()
+		latest, active := board.TakeRampChanges(now)
 		ramping += active
 		if len(latest.Changes) == 0 {
 			continue
--- a/process/control/roles.go
+++ b/process/control/roles.go
@@ -88,7 +88,7 @@
 // manageRoles changes the roles of replicas where this benefits the requests of their service.
 func (d *leaderTasks) manageRoles(term *termState, now time.Duration) {
 	config := &d.group.config
-	if config.Roles == nil || !config.ChangeRoles && !config.ChangePacedRoles || term.roles.fenced.Load() || now < term.roles.nextCheck {
+	if config.Roles == nil || !config.ChangeRoles && !config.ChangeRolesIfSlownessReported || term.roles.fenced.Load() || now < term.roles.nextCheck {
 		return
 	}
 	if now-term.startedAt < d.group.config.Durations.OrderSettle {
@@ -106,7 +106,7 @@
 func (d *leaderTasks) balanceRoles(term *termState, current *view.View, service string) {
 	now := monotonic()
 	load := d.group.boards.serviceLoad(d.group.machine.history.Load(), service, now)
-	if !d.group.config.ChangeRoles && !load.Paced {
+	if !d.group.config.ChangeRoles && !load.SlownessReported {
 		return
 	}
 	load.ReversalAllowed = now-max(term.roles.lastPrefillAt, term.startedAt) >= planner.ReversalPause
@@ -206,7 +206,7 @@
 	defer d.lock.Unlock()
 	d.update(current)
 	board := d.boards[service]
-	load := planner.ServiceLoad{Paced: board.IsPaced()}
+	load := planner.ServiceLoad{SlownessReported: board.ReportsSlowness()}
 	load.LateShare, load.Requests = board.LateShare(now)
 	load.DecodeStartShare = board.DecodeStartShare()
 	for _, shown := range board.Occupancies(now) {
--- a/process/control/roles_test.go
+++ b/process/control/roles_test.go
@@ -227,8 +227,8 @@
 
 // Guards against role changes in services whose replicas do not report their slowness, where only those services are to
 // have them, and against none in the others.
-func TestRolesOfPacedServicesChangeAlone(t *testing.T) {
-	for _, paced := range []bool{false, true} {
+func TestOnlyRolesOfServicesThatReportSlownessChange(t *testing.T) {
+	for _, reportsSlowness := range []bool{false, true} {
 		board := placement.NewBoard()
 		var listed []placement.Replica
 		current := &view.View{Replicas: map[string]*api.Replica{}}
@@ -242,11 +242,11 @@
 			current.Replicas[name] = &api.Replica{Metadata: api.Metadata{Name: name}}
 		}
 		board.SetReplicas(placement.ServiceParameters{}, listed)
-		if paced {
+		if reportsSlowness {
 			board.RecordProgress(0, placement.Key{}, placement.ProgressReport{Step: placement.StepRefused, Replica: "r-0", ReportedSlowness: 1})
 		}
 		d, term := newRoleTasks(&fakeRoles{}, func() (uint64, bool) { return 7, true })
-		d.group.config.ChangeRoles, d.group.config.ChangePacedRoles = false, true
+		d.group.config.ChangeRoles, d.group.config.ChangeRolesIfSlownessReported = false, true
 		d.group.machine = newMachine()
 		term.orders = t.Context()
 		d.group.boards.boards["chat"] = board
@@ -255,10 +255,10 @@
 			board.Place(monotonic(), placement.Key{Daemon: "proxy", Number: number}, request)
 		}
 		load := d.group.boards.serviceLoad(d.group.machine.history.Load(), "chat", monotonic())
-		must.Eq(t, paced, load.Paced)
+		must.Eq(t, reportsSlowness, load.SlownessReported)
 		must.Greater(t, 0.9, load.LateShare)
 		d.balanceRoles(term, current, "chat")
 		term.background.Wait()
-		must.Eq(t, paced, slices.ContainsFunc(board.Occupancies(monotonic()), func(o placement.Occupancy) bool { return o.Changing }))
+		must.Eq(t, reportsSlowness, slices.ContainsFunc(board.Occupancies(monotonic()), func(o placement.Occupancy) bool { return o.Changing }))
 	}
 }
--- a/process/control/summary.go
+++ b/process/control/summary.go
@@ -29,7 +29,7 @@
 
 // logRamps logs and counts the begins and ends of ramps since the last call.
 func (g *group) logRamps(now time.Duration) {
-	changes, ramping := g.boards.rampChanges()
+	changes, ramping := g.boards.rampChanges(now)
 	g.metrics.ramping.Set(float64(ramping))
 	for service, latest := range changes {
 		for reason, count := range latest.Begun {
--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -102,15 +102,15 @@
 		buffer.Grow(int(min(answer.Length, maxBufferedAnswer)) + bytes.MinRead) // growing by doubling ends at 128 KB
 	}
 	profile := s.ingress.profiles.find(s.route.Name, isSuccess(answer.Status))
-	again := answer.Length < 0 && s.canRetryBody(target)
-	body := &bodyReader{source: answer, now: s.ingress.now, unsized: answer.Length < 0, limits: profile.limits(again)}
+	canRetry := answer.Length < 0 && s.canRetryBody(target)
+	body := &bodyReader{source: answer, now: s.ingress.now, unsized: answer.Length < 0, limits: profile.limits(canRetry)}
 	if s.bodyAbandoned {
 		body.limits.time = 0 // the answers of two replicas are alike
 	}
 	_, err := io.CopyN(&buffer, body, maxBufferedAnswer)
-	if body.endless && again && !s.prepayRetry(ctx) {
+	if body.endless && canRetry && !s.prepayRetry(ctx) {
 		// The retry budget allows no second answer, so this one is read on under the wider limits.
-		again, body.endless, body.limits = false, false, profile.limits(false)
+		canRetry, body.endless, body.limits = false, false, profile.limits(false)
 		_, err = io.CopyN(&buffer, body, int64(maxBufferedAnswer-buffer.Len()))
 	}
 	if body.endless {
@@ -123,7 +123,7 @@
 	case err == nil:
 		return s.forwardLong(ctx, target, sent, number, answer, body, profile, buffer.Bytes())
 	case errors.Is(err, errBodyEndless):
-		return s.abandonBody(ctx, target, sent, number, body, profile, again)
+		return s.abandonBody(ctx, target, sent, number, body, profile, canRetry)
 	case !errors.Is(err, io.EOF):
 		s.noteBrokenConnection(ctx, stageRun, target, sent, err)
 		s.lifecycle.Fail(number, attempt.FaultBroken)
@@ -153,21 +153,21 @@
 	return verdictDone
 }
 
-// abandonBody ends an attempt whose body does not seem to end, before any of it was passed on. again is true if
+// abandonBody ends an attempt whose body does not seem to end, before any of it was passed on. canRetry is true if
 // the request may be sent to another replica. If the route has too few complete answers to judge by, the replica is
 // then charged with one failure but is not avoided.
-func (s *session) abandonBody(ctx context.Context, target *replica, sent *send, number uint32, body *bodyReader, profile *routeProfile, again bool) verdict {
+func (s *session) abandonBody(ctx context.Context, target *replica, sent *send, number uint32, body *bodyReader, profile *routeProfile, canRetry bool) verdict {
 	s.lifecycle.Fail(number, attempt.FaultBroken)
 	fmt.Fprintf(&s.trace, " (%s: %v)", target.name, errBodyEndless)
 	if ctx.Err() != nil {
 		return verdictCallerEnd
 	}
 	s.bodyAbandoned = true
-	if again && !profile.isKnown() {
+	if canRetry && !profile.isKnown() {
 		target.noteFailure()
 		return verdictBroken
 	}
-	if !again {
+	if !canRetry {
 		profile.observeCut(s.ingress.now(), target.name, body.size, body.took)
 	}
 	s.noteEndless(stageRun, target, sent, errBodyEndless)
--- a/process/ingress/endless.go
+++ b/process/ingress/endless.go
@@ -148,24 +148,24 @@
 	return e.current.count+e.past.count >= minKnownAnswers
 }
 
-// limits returns the limits of a body. again is true if nothing of it has been passed on and the request
+// limits returns the limits of a body. canRetry is true if nothing of it has been passed on and the request
 // can be sent to another replica, whose answer then decides.
-func (e *routeProfile) limits(again bool) bodyLimits {
+func (e *routeProfile) limits(canRetry bool) bodyLimits {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	count := e.current.count + e.past.count
 	size, took := max(e.current.largest, e.past.largest), max(e.current.longest, e.past.longest)
 	limits := bodyLimits{size: unknownBodyLimit}
 	switch {
-	case again && sizeFactor*size <= maxBufferedAnswer:
+	case canRetry && sizeFactor*size <= maxBufferedAnswer:
 		limits.size = maxBufferedAnswer - 1 // found while all of it is buffered
 	case count >= minKnownAnswers:
 		limits.size = max(sizeFactor*size, minBodyLimit)
 	}
 	switch {
-	case again && count >= minKnownAnswers:
+	case canRetry && count >= minKnownAnswers:
 		limits.time = max(timeFactor*took, minBodyTime)
-	case again:
+	case canRetry:
 		limits.time = unknownBodyTime
 	case count >= minKnownOnce:
 		limits.time = max(onceTimeFactor*took, minBodyTimeOnce)
@@ -261,18 +261,18 @@
 	return b.limits.time > 0 && b.took > b.limits.time && b.reads >= minBodyReads && float64(b.size) < minBodyRate*b.took.Seconds()
 }
 
-// pacedReader limits how slowly a part of an answer may arrive that its replica writes at once.
-type pacedReader struct {
-	source io.Reader
-	now    func() time.Duration
-	pace   exchange.Pace
+// rateCheckedReader limits how slowly a part of an answer may arrive that its replica writes at once.
+type rateCheckedReader struct {
+	source  io.Reader
+	now     func() time.Duration
+	arrival exchange.ArrivalRate
 }
 
 // Read returns an error that wraps exchange.ErrEndless if the part arrives too slowly.
-func (p *pacedReader) Read(buffer []byte) (int, error) {
+func (p *rateCheckedReader) Read(buffer []byte) (int, error) {
 	count, err := p.source.Read(buffer)
 	if err == nil {
-		err = p.pace.Note(p.now(), count)
+		err = p.arrival.Note(p.now(), count)
 	}
 	return count, err
 }
--- a/process/ingress/endless_test.go
+++ b/process/ingress/endless_test.go
@@ -127,7 +127,7 @@
 					must.Eq(t, status, got.status)
 				}
 				if test.path == "safe" && strings.HasSuffix(name, "head, slowly") {
-					return // found by the timeout for silent replicas, or by the pace of the head
+					return // found by the timeout for silent replicas, or by the arrival rate of the head
 				}
 				requireEndless(t, env, "plain", "bad")
 			})
--- a/process/ingress/events.go
+++ b/process/ingress/events.go
@@ -18,7 +18,7 @@
 
 // eventReader reads complete server-sent events and keeps their bytes unchanged.
 type eventReader struct {
-	source *pacedReader
+	source *rateCheckedReader
 	reader *bufio.Reader
 	event  []byte
 	id     string
@@ -28,8 +28,8 @@
 const eventBufferBytes = 4 << 10
 
 func newEventReader(source io.Reader, now func() time.Duration) *eventReader {
-	paced := &pacedReader{source: source, now: now}
-	return &eventReader{source: paced, reader: bufio.NewReaderSize(paced, eventBufferBytes)}
+	checked := &rateCheckedReader{source: source, now: now}
+	return &eventReader{source: checked, reader: bufio.NewReaderSize(checked, eventBufferBytes)}
 }
 
 // next reads one event including the blank line that ends it. The bytes are valid until the next
@@ -37,7 +37,7 @@
 // exchange.ErrEndless if the event does not end.
 func (r *eventReader) next() (event []byte, id string, err error) {
 	r.event, r.id = r.event[:0], ""
-	r.source.pace = exchange.Pace{}
+	r.source.arrival = exchange.ArrivalRate{}
 	for {
 		start := len(r.event)
 		ended, err := r.readLine()
--- a/process/ingress/harness_test.go
+++ b/process/ingress/harness_test.go
@@ -136,7 +136,7 @@
 	reply.Holdoff.Leaving = header.Get(testLeaving) != ""
 	if running, err := strconv.Atoi(header.Get(testLoad)); err == nil {
 		reply.Load = &Load{Running: running, Slots: 8}
-		reply.Load.Slowdown, _ = strconv.ParseFloat(header.Get(testSlowness), 64)
+		reply.Load.Slowness, _ = strconv.ParseFloat(header.Get(testSlowness), 64)
 	}
 	return reply
 }
--- a/process/ingress/inflight.go
+++ b/process/ingress/inflight.go
@@ -49,7 +49,7 @@
 	}
 	// Without a name in the report, the control group takes the replica that it chose as its origin.
 	if replicaName == from.name || from.name == p.answer.Reader && step == placement.StepRead || from.name == p.answer.Generator && step == placement.StepStarted {
-		note.ReportedSlowness = from.reportedSlowdown(p.ingress.now())
+		note.ReportedSlowness = from.reportedSlowness(p.ingress.now())
 	}
 	p.send(note)
 }
--- a/process/ingress/pick.go
+++ b/process/ingress/pick.go
@@ -90,7 +90,7 @@
 func (r *replica) plainCost(zone string, now time.Duration) time.Duration {
 	occupied := r.occupancy(now)
 	work := time.Duration(occupied.requests+1) * plainCost // including the request to be placed
-	cost := time.Duration(occupied.slowdown*float64(work)) + time.Duration(occupied.failureRate*float64(failureCost))
+	cost := time.Duration(occupied.slowness*float64(work)) + time.Duration(occupied.failureRate*float64(failureCost))
 	if occupied.slots > 0 && occupied.requests >= occupied.slots {
 		cost += fullCost
 	}
@@ -155,7 +155,7 @@
 	}
 	uncached := max(call.Work.PromptTokens-cached, 0)
 	cost := time.Duration(occupied.requests) * requestCost
-	cost += time.Duration(occupied.slowdown * float64(time.Duration(occupied.waitingTokens+uncached)*timePerToken))
+	cost += time.Duration(occupied.slowness * float64(time.Duration(occupied.waitingTokens+uncached)*timePerToken))
 	cost += time.Duration(occupied.failureRate * float64(failureCost))
 	if occupied.slots > 0 && occupied.requests >= occupied.slots {
 		cost += fullCost
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -125,9 +125,9 @@
 	prefiller, now := chosen.prefiller, s.ingress.now()
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	prefiller.noteAnswer(reply.ownLoad(), now)
-	prefiller.noteSlowdown(reply.ownSlowdown(), now)
+	prefiller.noteSlowness(reply.ownSlowness(), now)
 	s.noteAlive(prefiller, startedAt, answer, &reply)
-	body, err := readWhole(&pacedReader{source: answer, now: s.ingress.now}, maxHandleBytes)
+	body, err := readWhole(&rateCheckedReader{source: answer, now: s.ingress.now}, maxHandleBytes)
 	if isEndless(err) {
 		fmt.Fprintf(&s.trace, " prefill(%s: %v)", prefiller.name, err)
 		s.noteEndless(stagePrefill, prefiller, sent, err)
--- a/process/ingress/ramp.go
+++ b/process/ingress/ramp.go
@@ -21,9 +21,9 @@
 
 // Parameters of ramps.
 const (
-	// maxPacedSuspectTime is the longest time for which a replica is avoided in a service with ramps. A shorter one
+	// maxRampSuspectTime is the longest time for which a replica is avoided in a service with ramps. A shorter one
 	// would have the proxies send more requests to a replica that has not recovered.
-	maxPacedSuspectTime = 4 * time.Second
+	maxRampSuspectTime = 4 * time.Second
 	// newListingMaxAge is how long after its listing the first use of a replica begins a ramp.
 	newListingMaxAge = 5 * time.Second
 	// maxRampLines is the number of begins and ends of ramps that are logged in each rampLogInterval. A release
@@ -35,8 +35,8 @@
 // rampContext is what the ramps of one service's replicas share.
 type rampContext struct {
 	service string
-	// paced is set once a replica of the service has reported a slowness.
-	paced atomic.Bool
+	// slownessReported is set once a replica of the service has reported a slowness.
+	slownessReported atomic.Bool
 	// proxies returns the number of proxies that share the limits, draw this proxy's draw for a replica.
 	proxies func() int
 	draw    func(incarnation string) float64
@@ -62,7 +62,7 @@
 
 // updateRamp applies a step to the ramp of the replica. The caller must hold the lock.
 func (r *replica) updateRamp(now time.Duration, step func(ramp *rampup.Share)) {
-	if r.ramps == nil || r.isDropped || !r.ramps.paced.Load() {
+	if r.ramps == nil || r.isDropped || !r.ramps.slownessReported.Load() {
 		return
 	}
 	r.ramp.Slots = r.spec().Slots
@@ -152,8 +152,8 @@
 
 // maxSuspect returns the longest time for which the replica is avoided.
 func (r *replica) maxSuspect() time.Duration {
-	if r.ramps != nil && r.ramps.paced.Load() {
-		return maxPacedSuspectTime
+	if r.ramps != nil && r.ramps.slownessReported.Load() {
+		return maxRampSuspectTime
 	}
 	return maxSuspectTime
 }
@@ -170,7 +170,7 @@
 // recordNewListings remembers the replicas of the service that the next listing has and the current one does not. The
 // first listing of a process has no new ones. The caller must hold the lock.
 func (f *fleet) recordNewListings(next listing, now time.Duration) {
-	if f.ramps == nil || !f.ramps.paced.Load() || f.listed == nil {
+	if f.ramps == nil || !f.ramps.slownessReported.Load() || f.listed == nil {
 		return
 	}
 	for name, known := range f.newlyListed {
--- a/process/ingress/ramp_test.go
+++ b/process/ingress/ramp_test.go
@@ -69,8 +69,8 @@
 	f.relist()
 	for _, proxy := range f.proxies {
 		for _, r := range proxy.get("service").fleet.choices(0) {
-			r.noteAnswer(&Load{Slots: rampTestSlots, Slowdown: 1}, 0)
-			r.noteSlowdown(1, 0)
+			r.noteAnswer(&Load{Slots: rampTestSlots, Slowness: 1}, 0)
+			r.noteSlowness(1, 0)
 		}
 	}
 	return f
@@ -116,8 +116,8 @@
 				s.at.suspect(f.now)
 				continue
 			}
-			s.at.noteAnswer(&Load{Running: s.state.inFlight, Slots: rampTestSlots, Slowdown: 1}, f.now)
-			s.at.noteSlowdown(1, f.now)
+			s.at.noteAnswer(&Load{Running: s.state.inFlight, Slots: rampTestSlots, Slowness: 1}, f.now)
+			s.at.noteSlowness(1, f.now)
 			s.at.noteSuccess()
 			s.at.noteServed(f.now, f.now-s.sent.at, rampTestTakes)
 			if s.state.firstGood == 0 {
@@ -231,9 +231,9 @@
 	must.Eq(t, maxSuspectTime, f.find("model-00003", 0).maxSuspect())
 	f.find("model-00000", 0).noteAnswer(&Load{Running: 1}, 0)
 	must.Eq(t, 0, changes)
-	f.find("model-00000", 0).noteAnswer(&Load{Slowdown: 1}, 0)
-	must.False(t, f.ramps.paced.Load(), must.Sprint("a slowness that is assumed"))
-	f.find("model-00000", 0).noteSlowdown(1, 0)
+	f.find("model-00000", 0).noteAnswer(&Load{Slowness: 1}, 0)
+	must.False(t, f.ramps.slownessReported.Load(), must.Sprint("a slowness that is assumed"))
+	f.find("model-00000", 0).noteSlowness(1, 0)
 	f.find("model-00001", 0)
 	must.Eq(t, 0, changes)
 	f.update(listingOf(6), 0)
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -23,8 +23,8 @@
 	// loadMargin is the assumed maximum time between the measurement of a reported load and its
 	// arrival.
 	loadMargin = 5 * time.Millisecond
-	// slowdownMaxAge is how long a reported slowdown is passed on to the control group.
-	slowdownMaxAge = 100 * time.Millisecond
+	// slownessMaxAge is how long a reported slowness is passed on to the control group.
+	slownessMaxAge = 100 * time.Millisecond
 )
 
 // replica is the state of one replica at this proxy: its entry in the list, its reported load, and
@@ -41,9 +41,9 @@
 	// load is the last reported load, received at loadAt.
 	load   Load
 	loadAt time.Duration
-	// slowdown is the last reported slowdown, received at slowdownAt; 0 if none was reported.
-	slowdown   float64
-	slowdownAt time.Duration
+	// slowness is the last reported slowness, received at slownessAt; 0 if none was reported.
+	slowness   float64
+	slownessAt time.Duration
 	// sends are this proxy's requests in flight to the replica.
 	sends map[*send]struct{}
 	// heardAt is when anything was last received from the replica.
@@ -146,28 +146,28 @@
 	}
 }
 
-// noteSlowdown records a reported slowdown; 0 for none. Unlike Load.Slowdown, which may be assumed, it shows that the
+// noteSlowness records a reported slowness; 0 for none. Unlike Load.Slowness, which may be assumed, it shows that the
 // replicas of the service report theirs.
-func (r *replica) noteSlowdown(slowdown float64, now time.Duration) {
-	if slowdown <= 0 {
+func (r *replica) noteSlowness(slowness float64, now time.Duration) {
+	if slowness <= 0 {
 		return
 	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.slowdown, r.slowdownAt = slowdown, now
+	r.slowness, r.slownessAt = slowness, now
 	if r.ramps != nil {
-		r.ramps.paced.Store(true)
+		r.ramps.slownessReported.Store(true)
 	}
 }
 
-// reportedSlowdown returns the slowdown that the replica has just reported, or 0.
-func (r *replica) reportedSlowdown(now time.Duration) float64 {
+// reportedSlowness returns the slowness that the replica has just reported, or 0.
+func (r *replica) reportedSlowness(now time.Duration) float64 {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if now-r.slowdownAt >= slowdownMaxAge {
+	if now-r.slownessAt >= slownessMaxAge {
 		return 0
 	}
-	return r.slowdown
+	return r.slowness
 }
 
 // noteHeard records that something was received from the replica.
@@ -272,7 +272,7 @@
 	requests      int // running and waiting there, from all proxies
 	waitingTokens int // prompt tokens of this proxy's requests that are not yet prefilled
 	slots         int
-	slowdown      float64 // current duration of work relative to the usual one
+	slowness      float64 // current duration of work relative to the usual one
 	failureRate   float64
 	suspect       bool
 	beyondRamp    int // by how many requests one more exceeds the limit of the ramp
@@ -284,13 +284,13 @@
 	defer r.lock.Unlock()
 	hasReport := now-r.loadAt < loadMaxAge && r.loadAt > 0
 	result := occupancy{
-		slots: r.spec().Slots, slowdown: 1, failureRate: r.failureRate,
+		slots: r.spec().Slots, slowness: 1, failureRate: r.failureRate,
 		suspect: now < max(r.suspectUntil, r.endlessUntil), beyondRamp: r.beyondRamp(now),
 	}
 	if hasReport {
 		result.requests = r.load.Running + r.load.Waiting
-		if r.load.Slowdown > 0 {
-			result.slowdown = r.load.Slowdown
+		if r.load.Slowness > 0 {
+			result.slowness = r.load.Slowness
 		}
 		if r.load.Slots > 0 {
 			result.slots = r.load.Slots
--- a/process/ingress/replica_test.go
+++ b/process/ingress/replica_test.go
@@ -35,12 +35,12 @@
 func TestSlowReplicasAreChosenLast(t *testing.T) {
 	slow, busy := newReplica("slow", api.ReplicaSpec{}, &holdoff.Replica{}), newReplica("busy", api.ReplicaSpec{}, &holdoff.Replica{})
 	now := time.Minute
-	slow.noteAnswer(&Load{Slowdown: 3}, now)
-	busy.noteAnswer(&Load{Running: 1, Slowdown: 1}, now)
+	slow.noteAnswer(&Load{Slowness: 3}, now)
+	busy.noteAnswer(&Load{Running: 1, Slowness: 1}, now)
 	must.Greater(t, busy.plainCost("", now), slow.plainCost("", now))
-	slow.noteAnswer(&Load{Slowdown: 1}, now)
+	slow.noteAnswer(&Load{Slowness: 1}, now)
 	must.Less(t, busy.plainCost("", now), slow.plainCost("", now))
-	must.Eq(t, 1, newReplica("mute", api.ReplicaSpec{}, &holdoff.Replica{}).occupancy(now).slowdown)
+	must.Eq(t, 1, newReplica("mute", api.ReplicaSpec{}, &holdoff.Replica{}).occupancy(now).slowness)
 }
 
 // Guards against a reachability check that begins with the replicas that are the least likely to accept connections.
--- a/process/ingress/slowreaders_test.go
+++ b/process/ingress/slowreaders_test.go
@@ -186,6 +186,7 @@
 		t.Run(route, func(t *testing.T) {
 			t.Parallel()
 			const length, pieces = 300 << 10, 3
+			const stall = 1500 * time.Millisecond // a busy machine must not use up all of it between two reads
 			replica := newFakeReplica(t, "r-1", func(w http.ResponseWriter, r *http.Request) {
 				writeGenuine(w, r)
 				for range pieces {
@@ -193,7 +194,7 @@
 				}
 			})
 			env := newTestEnv(t)
-			address := env.serveSlowCallers(replica.address(), 400*time.Millisecond)
+			address := env.serveSlowCallers(replica.address(), stall)
 			conn, err := dialSlowly(address, "/"+route+"/long", "HTTP/1.1", "slow")
 			must.NoError(t, err)
 			defer func() { _ = conn.Close() }()
@@ -203,17 +204,17 @@
 			count, err := io.CopyBuffer(writerOnly{io.Discard}, slowReader{response.Body}, make([]byte, 4<<10))
 			must.NoError(t, err)
 			must.Eq(t, length, count)
-			must.Greater(t, time.Second, time.Since(began))
+			must.Greater(t, 2*stall, time.Since(began), must.Sprint("the caller reads for longer than one may take nothing"))
 			must.Eq(t, 0, env.ingress.metrics.values(t)["landingtrail_ingress_stalled_answers_total "+route])
 		})
 	}
 }
 
-// slowReader reads at most 50 KB a second.
+// slowReader reads at most 20 KB a second.
 type slowReader struct{ source io.Reader }
 
 func (r slowReader) Read(buffer []byte) (int, error) {
-	time.Sleep(20 * time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
 	return r.source.Read(buffer[:min(len(buffer), 1<<10)])
 }
 
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -214,7 +214,7 @@
 	sent.bodyEnd = bodyEndOf(answer)
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	target.noteAnswer(reply.ownLoad(), s.ingress.now())
-	target.noteSlowdown(reply.ownSlowdown(), s.ingress.now())
+	target.noteSlowness(reply.ownSlowness(), s.ingress.now())
 	s.noteAlive(target, sent.at, answer, &reply)
 	return s.handleAnswer(ctx, chosen, sent, number, answer, reply)
 }
--- a/process/ingress/types.go
+++ b/process/ingress/types.go
@@ -115,8 +115,8 @@
 	Misdirected bool
 	// Load is the replica's load, nil if not reported.
 	Load *Load
-	// ReportsSlowdown is true if the replica reported Load.Slowdown, false if it is assumed.
-	ReportsSlowdown bool
+	// ReportsSlowness is true if the replica reported Load.Slowness, false if it is assumed.
+	ReportsSlowness bool
 	// Holdoff is the pause or departure that the replica announces.
 	Holdoff holdoff.Restrictions
 	// Limit is what the answer states about the rate that the replica accepts.
@@ -139,10 +139,10 @@
 	return r.Load
 }
 
-// ownSlowdown returns the slowdown of the replica that was addressed; 0 if it did not report one.
-func (r *Reply) ownSlowdown() float64 {
-	if load := r.ownLoad(); load != nil && r.ReportsSlowdown {
-		return load.Slowdown
+// ownSlowness returns the slowness of the replica that was addressed; 0 if it did not report one.
+func (r *Reply) ownSlowness() float64 {
+	if load := r.ownLoad(); load != nil && r.ReportsSlowness {
+		return load.Slowness
 	}
 	return 0
 }
@@ -152,9 +152,9 @@
 	Running int
 	Waiting int
 	Slots   int
-	// Slowdown is the current duration of work relative to the usual one, caused by other users
+	// Slowness is the current duration of work relative to the usual one, caused by other users
 	// of the same machine; 1 is normal, 0 means not reported.
-	Slowdown float64
+	Slowness float64
 }
 
 // Dialect reads and writes the header fields of one protocol. It must be safe for concurrent use.
--- a/request/placement/board.go
+++ b/request/placement/board.go
@@ -56,11 +56,11 @@
 	fairness        map[class]*fairness
 	tenants         tenants
 	// isolation keeps requests that may crash replicas apart from all others.
-	isolation isolation
-	expireAt  time.Duration // time of the next search for expired requests
-	pacing    pacing
-	ramps     ramps
-	answers   Answers // since the last summary
+	isolation    isolation
+	expireAt     time.Duration // time of the next search for expired requests
+	speedFactors speedFactors
+	ramps        ramps
+	answers      Answers // since the last summary
 }
 
 // placedRequest is a request in flight.
@@ -105,7 +105,7 @@
 	running         map[*placedRequest]struct{}
 	heldBlocks      int64 // blocks of KV memory that the requests in flight hold; see heldMemory
 
-	pace replicaPace
+	speed speedFactor
 	// rankedFactor is the factor by which the index orders the replica.
 	rankedFactor float64
 
@@ -132,7 +132,7 @@
 	banPeriod   time.Duration
 	bannedSince time.Duration
 	bannedUntil time.Duration
-	ramp        rampup.Ramp // in progress only in a paced service
+	ramp        rampup.Ramp // in progress only in a service that reports slowness
 }
 
 // NewBoard returns a board without replicas.
@@ -147,7 +147,7 @@
 		lateWork:        newRecentShare(latenessTimeConstant),
 		fairness:        map[class]*fairness{},
 		tenants:         tenants{},
-		pacing:          newPacing(),
+		speedFactors:    newSpeedFactors(),
 		readTimes: [2]readTime{
 			RoleDecode:  newReadTime(initialReadOverhead+initialDecodeStartTime, decodeSlowdown*initialPrefillTokenTime),
 			RolePrefill: newReadTime(initialReadOverhead, initialPrefillTokenTime),
@@ -172,22 +172,23 @@
 
 // Put adds or updates one replica and keeps its state if it is still the same process.
 func (b *Board) Put(entry Replica) {
-	known, pace := b.replicas[entry.Name], newReplicaPace()
+	known, speed := b.replicas[entry.Name], newSpeedFactor()
 	previous := known
 	if known != nil && (known.Role != entry.Role || known.Zone != entry.Zone || known.isAnotherProcess(&entry)) {
 		b.Remove(entry.Name)
 		if !known.isAnotherProcess(&entry) {
-			pace = known.pace
+			speed = known.speed
 		}
 		known = nil
 	}
 	if known == nil {
-		known = &replica{running: map[*placedRequest]struct{}{}, pace: pace, rankedFactor: pace.lasting}
+		known = &replica{running: map[*placedRequest]struct{}{}, speed: speed}
 		known.cache = newCache(known, b.index)
 		b.replicas[entry.Name] = known
 		pos, _ := slices.BinarySearch(b.names, entry.Name)
 		b.names = slices.Insert(b.names, pos, entry.Name)
 		known.Replica = entry
+		known.rankedFactor = known.rankingFactor(speed.lasting)
 		b.rampListed(known, previous)
 	}
 	known.Replica = entry
@@ -386,8 +387,8 @@
 	}
 	transferTime, _ := b.estimateTransfer(p.request.PromptTokens, reader.Zone, p.runningOn.Zone)
 	spent := now - p.readAt - transferTime - p.backlogAtRead
-	if b.isPaced() {
-		spent = b.learnPaceOfStart(now, p.runningOn, spent)
+	if b.ReportsSlowness() {
+		spent = b.learnStartSpeed(now, p.runningOn, spent)
 	}
 	spent = clampOutlier(spent, b.decodeStartTime)
 	b.decodeStartTime += time.Duration(float64(spent-b.decodeStartTime) / sampleWindow(decodeStartSamples, len(b.names)))
@@ -410,7 +411,7 @@
 	at.recordSuccess(p)
 	b.rampRead(now, p)
 	b.removeFromQueue(now, p)
-	at.lastReadEndedAt, at.pace.slownessAtReadEnd = now, at.pace.knownSlowness(now)
+	at.lastReadEndedAt, at.speed.slownessAtReadEnd = now, at.speed.knownSlowness(now)
 	at.cache.use(p.request.Parts, b.cacheLimit())
 }
 
@@ -421,8 +422,8 @@
 	}
 	at, readTime := p.queuedOn, &b.readTimes[p.queuedOn.Role]
 	sample := readSample{tokens: p.unreadTokens, took: now - max(p.placedAt, at.lastReadEndedAt), alone: p.readAlone}
-	if b.isPaced() {
-		sample.took = b.learnPace(now, p, sample)
+	if b.ReportsSlowness() {
+		sample.took = b.learnReadSpeed(now, p, sample)
 	}
 	readTime.learn(sample, len(b.names))
 }
--- a/request/placement/change.go
+++ b/request/placement/change.go
@@ -37,7 +37,7 @@
 	Running  int // requests that have had their first token, unlike Load.Running
 	Queued   int // prompts in the read queue
 	Changing bool
-	Speed    float64 // in the long run, relative to the mean of its role; 1 if the service is not paced
+	Speed    float64 // in the long run, relative to the mean of its role; 1 if the service reports no slowness
 }
 
 // Occupancies returns the work of all replicas that are not leaving, sorted by name.
@@ -49,8 +49,8 @@
 			continue
 		}
 		occupancy := Occupancy{Replica: known.Replica, Queued: len(known.queue), Changing: b.isChanging(now, known), Speed: 1}
-		if b.isPaced() {
-			occupancy.Speed = 1 / known.pace.lasting
+		if b.ReportsSlowness() {
+			occupancy.Speed = 1 / known.speed.lasting
 		}
 		for p := range known.running {
 			if p.started {
--- a/request/placement/index.go
+++ b/request/placement/index.go
@@ -27,8 +27,8 @@
 	maxAllHolders      = 16
 	maxHoldersSearched = 48
 	maxIdleHolders     = 4
-	// maxIdlePaced is the number of idle replicas of a large group compared in a paced service.
-	maxIdlePaced = 4
+	// maxIdleBySpeed is the number of idle replicas of a large group compared in a service that reports slowness.
+	maxIdleBySpeed = 4
 )
 
 // workLevels is the number of distinct work levels; the last one includes all above it.
@@ -318,12 +318,12 @@
 
 // addGroup adds the replicas with the least work of one zone and role, healthy ones first. An
 // idle healthy replica costs no more than any other of the zone that is neither connected to the
-// daemon nor has a part of the prompt cached, so the search ends with it. In a paced service, a faster
+// daemon nor has a part of the prompt cached, so the search ends with it. In a service that reports slowness, a faster
 // replica may cost less than an idle one, so that the search of a group of more than maxPerGroup ends with
-// maxIdlePaced idle ones, and that of a smaller group includes all.
+// maxIdleBySpeed idle ones, and that of a smaller group includes all.
 func (l *shortlistBuilder) addGroup(zoneGroup *group) {
-	if l.board.isPaced() {
-		l.addPacedGroup(zoneGroup)
+	if l.board.ReportsSlowness() {
+		l.addGroupBySpeed(zoneGroup)
 		return
 	}
 	considered := 0
@@ -347,15 +347,15 @@
 	})
 }
 
-// addPacedGroup implements addGroup for a paced service.
-func (l *shortlistBuilder) addPacedGroup(zoneGroup *group) {
+// addGroupBySpeed implements addGroup for a service that reports slowness.
+func (l *shortlistBuilder) addGroupBySpeed(zoneGroup *group) {
 	considered, idle := 0, 0
 	visit := func(_ int, r *replica) bool {
 		if l.add(r) {
 			considered++
 			idle += boolToInt(r.work() == 0 && r.untrackedCount(l.now) == 0 && !r.isSuspected(l.now))
 		}
-		return zoneGroup.size <= maxPerGroup || idle < maxIdlePaced && considered < maxPerGroup
+		return zoneGroup.size <= maxPerGroup || idle < maxIdleBySpeed && considered < maxPerGroup
 	}
 	zoneGroup.healthy.each(visit)
 	if zoneGroup.size <= maxPerGroup || idle == 0 {
--- a/request/placement/memory.go
+++ b/request/placement/memory.go
@@ -19,7 +19,9 @@
 )
 
 // limitsMemory reports whether requests are placed by the KV memory of the replicas.
-func (b *Board) limitsMemory() bool { return b.parameters.KVTokens >= kvBlockTokens && b.isPaced() }
+func (b *Board) limitsMemory() bool {
+	return b.parameters.KVTokens >= kvBlockTokens && b.ReportsSlowness()
+}
 
 // kvBlocks returns the number of blocks that hold the tokens, at least one: a request whose size is
 // unknown holds something too.
--- a/request/placement/memory_test.go
+++ b/request/placement/memory_test.go
@@ -10,8 +10,8 @@
 )
 
 // newMemoryBoard returns a board with two readers and the given number of generators, each with memory for
-// 100 blocks. A replica has reported its slowness if paced.
-func newMemoryBoard(generators int, paced bool) *Board {
+// 100 blocks. A replica has reported its slowness if reportsSlowness.
+func newMemoryBoard(generators int, reportsSlowness bool) *Board {
 	b := NewBoard()
 	entries := []Replica{{Name: "prefill-1", Zone: "a", Role: RolePrefill}, {Name: "prefill-2", Zone: "a", Role: RolePrefill}}
 	for i := range generators {
@@ -20,7 +20,7 @@
 	parameters := testParameters
 	parameters.KVTokens = 100*kvBlockTokens + 3
 	b.SetReplicas(parameters, entries)
-	if paced {
+	if reportsSlowness {
 		b.RecordProgress(0, Key{}, ProgressReport{Step: StepStarted, ReportedSlowness: 1})
 	}
 	return b
@@ -64,9 +64,9 @@
 // Guards against a change for deployments that the bound is not for: those whose replicas report no
 // slowness, and those whose memory is unknown.
 func TestMemoryIsNotLimitedWithoutSlownessOrKVTokens(t *testing.T) {
-	for _, paced := range []bool{false, true} {
-		b := newMemoryBoard(1, paced)
-		if paced {
+	for _, reportsSlowness := range []bool{false, true} {
+		b := newMemoryBoard(1, reportsSlowness)
+		if reportsSlowness {
 			b.parameters.KVTokens = 0
 		}
 		for number := range uint64(10) {
--- a/request/placement/order.go
+++ b/request/placement/order.go
@@ -89,11 +89,11 @@
 }
 
 // LateShare returns the recent share of requests with an objective that could not be placed in
-// time, and the decayed number of requests that the share is taken of. In a paced service, the share is that of the
+// time, and the decayed number of requests that the share is taken of. In a service that reports slowness, the share is that of the
 // prompt tokens of such requests: long prompts are few but most of the work, and a share of the requests hides that
 // they are late.
 func (b *Board) LateShare(now time.Duration) (share, requests float64) {
-	if b.isPaced() {
+	if b.ReportsSlowness() {
 		return b.lateWork.value(now), b.lateness.events.value(now)
 	}
 	return b.lateness.value(now), b.lateness.events.value(now)
--- a/request/placement/queue.go
+++ b/request/placement/queue.go
@@ -17,7 +17,7 @@
 // enqueue adds a request to the read queue of the replica.
 func (r *replica) enqueue(now time.Duration, p *placedRequest) {
 	p.readAlone = r.current == nil
-	p.slownessAtPlacement = r.pace.knownSlowness(now)
+	p.slownessAtPlacement = r.speed.knownSlowness(now)
 	r.queuedTokens += p.unreadTokens
 	pos := slices.IndexFunc(r.queue, func(queued *placedRequest) bool { return !p.request.isReadAfter(&queued.request) })
 	if pos < 0 {
--- a/request/placement/ramp.go
+++ b/request/placement/ramp.go
@@ -7,15 +7,15 @@
 	"github.com/landingtrail/landingtrail/request/rampup"
 )
 
-// In a paced service (see isPaced), the requests in flight on a replica that has started or recovered are
+// In a service that reports slowness (see ReportsSlowness), the requests in flight on a replica that has started or recovered are
 // limited by a ramp instead of by one probe: the requests that run on a generator, and the prompts queued on a
 // reader. A replica whose limit is reached is charged with a cost like one without a free slot, so that it is
-// still used if all others are at their limits too. A replica that was listed before the service was paced is
+// still used if all others are at their limits too. A replica that was listed before its service reported slowness is
 // known, and so are all replicas after a change of leader: limiting them would limit the whole service.
 const (
-	// maxPacedSuspicion is the longest suspicion in a paced service. The ramp limits what is lost on a replica
+	// maxRampSuspicion is the longest suspicion in a service that reports slowness. The ramp limits what is lost on a replica
 	// that has not recovered, so it is tried more often than without one.
-	maxPacedSuspicion = 2 * time.Second
+	maxRampSuspicion = 2 * time.Second
 	// maxTrials is the number of replicas due for a trial that are added to a shortlist, and maxTrialsSearched
 	// that of the ramping replicas searched for them.
 	maxTrials         = 4
@@ -60,8 +60,12 @@
 	Ended   int
 }
 
-// TakeRampChanges returns the changes since the last call, and the number of ramps in progress.
-func (b *Board) TakeRampChanges() (changes RampChanges, ramping int) {
+// TakeRampChanges returns the changes since the last call, and the number of ramps in progress. A board that is not
+// used any more, such as that of a former leader, has none.
+func (b *Board) TakeRampChanges(now time.Duration) (changes RampChanges, ramping int) {
+	if now-b.ramps.now > maxRampPause {
+		b.endRamps(now)
+	}
 	changes, b.ramps.changes = b.ramps.changes, RampChanges{}
 	return changes, len(b.ramps.active)
 }
@@ -86,7 +90,7 @@
 
 // updateRamp applies a step to the ramp of a replica and records the begin or the end of the ramp.
 func (b *Board) updateRamp(now time.Duration, r *replica, step func(ramp *rampup.Ramp)) {
-	if !b.isPaced() || r == nil || r.isRemoved {
+	if !b.ReportsSlowness() || r == nil || r.isRemoved {
 		return
 	}
 	before := r.ramp.IsActive()
@@ -102,7 +106,7 @@
 // begin records the begin of a replica's ramp.
 func (s *ramps) begin(now time.Duration, r *replica) {
 	s.active = insertSorted(s.active, r, byName)
-	s.changes.add(RampChange{Replica: r.Name, Role: r.Role, Reason: r.ramp.Reason(), At: now, Limit: r.ramp.Allowed(now)})
+	s.changes.add(RampChange{Replica: r.Name, Role: r.Role, Reason: r.ramp.Reason(), At: now, Limit: r.ramp.Allowed()})
 }
 
 // end records the end of a replica's ramp, if it has one. dropped says that the replica is removed.
@@ -122,6 +126,11 @@
 	if !paused {
 		return
 	}
+	b.endRamps(now)
+}
+
+// endRamps ends all ramps.
+func (b *Board) endRamps(now time.Duration) {
 	for _, r := range slices.Clone(b.ramps.active) {
 		b.updateRamp(now, r, (*rampup.Ramp).Stop)
 		b.index.move(r)
@@ -159,7 +168,7 @@
 // isAtRampLimit reports whether a further request would exceed the limit of the replica's ramp. untracked is
 // the number of requests on the replica that the board does not track.
 func (r *replica) isAtRampLimit(untracked int) bool {
-	return r.ramp.IsActive() && r.rampLoad()+untracked >= r.ramp.Allowed(0)
+	return r.ramp.IsActive() && r.rampLoad()+untracked >= r.ramp.Allowed()
 }
 
 // rampCost returns the cost of placing a request on a replica whose ramp limit is reached. It grows with each
@@ -170,7 +179,7 @@
 	if !r.isAtRampLimit(untracked) || request.ignoresRamps && r.hasFreeSlot(untracked) {
 		return 0
 	}
-	beyond := r.rampLoad() + untracked + 1 - r.ramp.Allowed(now)
+	beyond := r.rampLoad() + untracked + 1 - r.ramp.Allowed()
 	return time.Duration(beyond) * noFreeSlotCost
 }
 
@@ -223,16 +232,16 @@
 
 // maxSuspicion returns the longest suspicion of a replica.
 func (b *Board) maxSuspicion() time.Duration {
-	if b.isPaced() {
-		return maxPacedSuspicion
+	if b.ReportsSlowness() {
+		return maxRampSuspicion
 	}
 	return maxSuspicion
 }
 
 // startProbes makes the request the probe of the replicas that it is placed on, if they were suspected. In a
-// paced service, the limit of the ramp takes the place of the probe.
+// service that reports slowness, the limit of the ramp takes the place of the probe.
 func (b *Board) startProbes(p *placedRequest) {
-	if b.isPaced() {
+	if b.ReportsSlowness() {
 		return
 	}
 	p.queuedOn.startProbe(p)
@@ -241,7 +250,7 @@
 
 // rampBegun records that a request was placed, and how long its read is expected to take.
 func (b *Board) rampBegun(now time.Duration, p *placedRequest) {
-	if !b.isPaced() {
+	if !b.ReportsSlowness() {
 		return
 	}
 	reading := p.queuedOn
--- a/request/placement/ramp_test.go
+++ b/request/placement/ramp_test.go
@@ -271,15 +271,15 @@
 func TestReplicasOfTheFirstListHaveNoRamp(t *testing.T) {
 	f := newRampFleet(4)
 	f.run(time.Second, 0.5, 0)
-	must.True(t, f.board.isPaced())
+	must.True(t, f.board.ReportsSlowness())
 	must.Eq(t, 0, f.board.Summarize(f.now).Ramping)
 	f.board.Put(f.entry("replica-new", 1))
 	must.Eq(t, 1, f.board.Summarize(f.now).Ramping)
-	changes, ramping := f.board.TakeRampChanges()
+	changes, ramping := f.board.TakeRampChanges(f.now)
 	must.Eq(t, 1, ramping)
 	must.Eq(t, map[rampup.Reason]int{rampup.Started: 1}, changes.Begun)
 	first := NewBoard()
-	first.startPacing()
+	first.enableSpeedFactors()
 	first.SetReplicas(testParameters, []Replica{f.entry("replica-first", 1)})
 	must.Eq(t, 0, first.Summarize(0).Ramping)
 }
@@ -300,6 +300,10 @@
 	f.run(time.Second, 0.5, 0)
 	f.board.Put(f.entry(f.names[0], 7))
 	must.Eq(t, 1, f.board.Summarize(f.now).Ramping)
+	_, ramping := f.board.TakeRampChanges(f.now)
+	must.Eq(t, 1, ramping)
+	_, ramping = f.board.TakeRampChanges(f.now + maxRampPause + 1)
+	must.Eq(t, 0, ramping, must.Sprint("another member places requests"))
 	f.board.Place(f.now+maxRampPause+1, key(1_000_000), Request{PromptTokens: 10, Zone: "a", Deadline: time.Second})
 	must.Eq(t, 0, f.board.Summarize(f.now).Ramping)
 }
@@ -326,7 +330,7 @@
 			from := server.firstGood + time.Second - window
 			share := float64(server.placedIn(from, from+window)) / f.meanPlacedIn(from, from+window, 1)
 			t.Logf("%d replicas, load %.2f: %d lost in 5 s, first good answer after %v, share %.2f", replicas, load, tried, server.firstGood-21*time.Second, share)
-			must.Less(t, maxPacedSuspicion+rampTimeout+time.Second, server.firstGood-21*time.Second)
+			must.Less(t, maxRampSuspicion+rampTimeout+time.Second, server.firstGood-21*time.Second)
 			must.Greater(t, 0.5, share)
 		}
 	}
@@ -356,7 +360,7 @@
 // Guards against a request that is refused since it is late on all replicas but one, whose ramp has reached its limit.
 func TestNoRequestIsRefusedBecauseOfARamp(t *testing.T) {
 	b := newTestBoard()
-	b.startPacing()
+	b.enableSpeedFactors()
 	b.readTimes[RoleDecode].samples, b.readTimes[RolePrefill].samples = trustedSamples, trustedSamples
 	for _, name := range []string{"prefill-1", "prefill-2", "decode-1"} {
 		busy := b.replicas[name]
@@ -384,7 +388,7 @@
 // needed staying unused.
 func TestRestartedReaderGetsPromptsByItsRamp(t *testing.T) {
 	b := newTestBoard()
-	b.startPacing()
+	b.enableSpeedFactors()
 	b.Put(Replica{Name: "prefill-1", Zone: "a", Role: RolePrefill, Slots: 64, Born: 1})
 	b.Put(Replica{Name: "prefill-1", Zone: "a", Role: RolePrefill, Slots: 64, Born: 2})
 	must.True(t, b.replicas["prefill-1"].ramp.IsActive())
@@ -398,7 +402,7 @@
 			b.RecordProgress(400*ms, key(number), ProgressReport{Step: StepRead})
 		}
 	}
-	must.Eq(t, 2, b.replicas["prefill-1"].ramp.Allowed(0))
+	must.Eq(t, 2, b.replicas["prefill-1"].ramp.Allowed())
 	b.Remove("prefill-2")
 	answer := b.Place(500*ms, key(10), newRequest("q", 0, 12_000))
 	must.Eq(t, "prefill-1", answer.Reader)
@@ -414,7 +418,7 @@
 			entries = append(entries, Replica{Name: fmt.Sprint("r-", i), Zone: "a", Role: Role(i % 2), Slots: 4, Born: 1})
 		}
 		b.SetReplicas(testParameters, entries)
-		b.startPacing()
+		b.enableSpeedFactors()
 		now := time.Duration(0)
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * ms
--- a/request/placement/replicapace.go
+++ b/request/placement/speedfactor.go
@@ -47,8 +47,8 @@
 	initialMeanUnread = 2_000
 )
 
-// replicaPace is the speed of one replica as known to the board. It remains when the replica changes its role.
-type replicaPace struct {
+// speedFactor is the speed of one replica as known to the board. It remains when the replica changes its role.
+type speedFactor struct {
 	// weight and weighted are decaying sums over the reads: of their weights, and of their samples of the
 	// lasting factor times their weights.
 	weight, weighted float64
@@ -63,14 +63,14 @@
 	slownessAtReadEnd float64
 }
 
-func newReplicaPace() replicaPace {
-	return replicaPace{weight: lastingPrior, weighted: lastingPrior, lasting: 1, inverseRootLasting: 1}
+func newSpeedFactor() speedFactor {
+	return speedFactor{weight: lastingPrior, weighted: lastingPrior, lasting: 1, inverseRootLasting: 1}
 }
 
 // learn adds a read that took ratio times its expected time while the replica reported the slowness; weight is at most 1.
 // The slowness explains no more than what exceeds the known factor: otherwise a replica that reports too much would be
 // taken for a fast one once its report is too old.
-func (p *replicaPace) learn(ratio, slowness, weight float64) {
+func (p *speedFactor) learn(ratio, slowness, weight float64) {
 	sample := max(ratio/slowness, min(ratio, p.lasting))
 	decay := 1 - (1-lastingDecay)*weight
 	p.weight = p.weight*decay + weight
@@ -80,7 +80,7 @@
 }
 
 // knownSlowness returns the reported slowness, or 0 if there is none that is recent enough.
-func (p *replicaPace) knownSlowness(now time.Duration) float64 {
+func (p *speedFactor) knownSlowness(now time.Duration) float64 {
 	if p.slowness == 0 || now-p.slownessAt >= slownessMaxAge {
 		return 0
 	}
@@ -88,19 +88,19 @@
 }
 
 // momentary returns the momentary factor.
-func (p *replicaPace) momentary(now time.Duration) float64 {
+func (p *speedFactor) momentary(now time.Duration) float64 {
 	return max(p.knownSlowness(now), minSlowness)
 }
 
 // factor returns the factor on the times of the role.
-func (p *replicaPace) factor(now time.Duration) float64 {
+func (p *speedFactor) factor(now time.Duration) float64 {
 	return min(max(p.lasting*p.momentary(now), minFactor), maxFactor)
 }
 
-// pacing is what a board knows of the speed of all its replicas.
-type pacing struct {
-	// paced is true once a replica has reported its slowness.
-	paced bool
+// speedFactors is what a board knows of the speed of all its replicas.
+type speedFactors struct {
+	// slownessReported is true once a replica has reported its slowness.
+	slownessReported bool
 	// meanLasting is the mean lasting factor of recent reads, by role.
 	meanLasting [2]float64
 	// meanUnread is the mean number of unread tokens of recent reads, by role.
@@ -115,23 +115,20 @@
 	reportedAt time.Duration
 }
 
-func newPacing() pacing {
-	return pacing{meanLasting: [2]float64{1, 1}, meanUnread: [2]float64{initialMeanUnread, initialMeanUnread}}
+func newSpeedFactors() speedFactors {
+	return speedFactors{meanLasting: [2]float64{1, 1}, meanUnread: [2]float64{initialMeanUnread, initialMeanUnread}}
 }
 
-// isPaced reports whether a replica of the service has reported its slowness. Services whose replicas do not are
+// ReportsSlowness reports whether a replica of the service has reported its slowness. Services whose replicas do not are
 // placed by the read times of the roles alone.
-func (b *Board) isPaced() bool { return b.pacing.paced }
-
-// IsPaced reports whether the service is a paced one: a replica has reported its slowness.
-func (b *Board) IsPaced() bool { return b.isPaced() }
+func (b *Board) ReportsSlowness() bool { return b.speedFactors.slownessReported }
 
 // scaled returns the time that something takes on the replica which takes the given time on a usual one.
 func (b *Board) scaled(now time.Duration, at *replica, usual time.Duration) time.Duration {
-	if !b.isPaced() {
+	if !b.ReportsSlowness() {
 		return usual
 	}
-	return time.Duration(float64(usual) * at.pace.factor(now))
+	return time.Duration(float64(usual) * at.speed.factor(now))
 }
 
 // tokenTime returns the time in which the replica reads one token.
@@ -149,12 +146,12 @@
 	return b.scaled(now, at, b.decodeStartTime)
 }
 
-// startPacing makes the service a paced one; see isPaced.
-func (b *Board) startPacing() {
-	if b.pacing.paced {
+// enableSpeedFactors makes the service one that reports slowness; see ReportsSlowness.
+func (b *Board) enableSpeedFactors() {
+	if b.speedFactors.slownessReported {
 		return
 	}
-	b.pacing.paced = true
+	b.speedFactors.slownessReported = true
 	b.index.levelOf = b.timeLevel
 	for _, name := range b.names {
 		b.index.move(b.replicas[name])
@@ -165,10 +162,10 @@
 // the square root counts: if each request took the reader that is fastest for itself alone, the fast ones would always
 // have the longest queues, and later requests would wait longer than they save.
 func (b *Board) readCost(at *replica, took time.Duration) time.Duration {
-	if !b.isPaced() || at.Role != RolePrefill {
+	if !b.ReportsSlowness() || at.Role != RolePrefill {
 		return took
 	}
-	return time.Duration(float64(took) * at.pace.inverseRootLasting)
+	return time.Duration(float64(took) * at.speed.inverseRootLasting)
 }
 
 // recordSlowness records the slowness that a replica reported with a step of p, which is nil if the request is not
@@ -177,7 +174,7 @@
 	if !(report.ReportedSlowness > 0) { // also for NaN
 		return
 	}
-	b.startPacing()
+	b.enableSpeedFactors()
 	reporter := b.replicas[report.Replica]
 	switch {
 	case p == nil:
@@ -189,10 +186,10 @@
 	if reporter == nil {
 		return
 	}
-	reporter.pace.slowness = min(max(report.ReportedSlowness, minSlowness), maxSlowness)
-	reporter.pace.slownessAt = now
-	if reporter.pace.slowness > minSlowness {
-		b.pacing.slowed = append(b.pacing.slowed, slowedReplica{reporter, now})
+	reporter.speed.slowness = min(max(report.ReportedSlowness, minSlowness), maxSlowness)
+	reporter.speed.slownessAt = now
+	if reporter.speed.slowness > minSlowness {
+		b.speedFactors.slowed = append(b.speedFactors.slowed, slowedReplica{reporter, now})
 	}
 	b.rank(now, reporter)
 }
@@ -200,46 +197,53 @@
 // expireSlowness updates the order of the replicas whose reported slowness is no longer used.
 func (b *Board) expireSlowness(now time.Duration) {
 	expired := 0
-	for _, slowed := range b.pacing.slowed {
+	for _, slowed := range b.speedFactors.slowed {
 		if now-slowed.reportedAt < slownessMaxAge {
 			break
 		}
 		expired++
-		if slowed.replica.pace.slownessAt == slowed.reportedAt {
+		if slowed.replica.speed.slownessAt == slowed.reportedAt {
 			b.rank(now, slowed.replica)
 		}
 	}
-	b.pacing.slowed = b.pacing.slowed[expired:]
+	b.speedFactors.slowed = b.speedFactors.slowed[expired:]
 }
 
-// rank updates the factor by which the index orders the replica.
+// rank updates the factor by which the index orders the replica. It is called with each reported slowness, so that the
+// order may be one read behind the lasting factor.
 func (b *Board) rank(now time.Duration, r *replica) {
-	r.rankedFactor = r.pace.factor(now)
+	r.rankedFactor = r.rankingFactor(r.speed.factor(now))
+	b.index.move(r)
+}
+
+// rankingFactor returns the factor by which the index orders the replica if its times have the given factor; see
+// readCost.
+func (r *replica) rankingFactor(factor float64) float64 {
 	if r.Role == RolePrefill {
-		r.rankedFactor *= r.pace.inverseRootLasting
+		return factor * r.speed.inverseRootLasting
 	}
-	b.index.move(r)
+	return factor
 }
 
-// learnPace updates the lasting factor of the replica with a read that has just ended, and returns the time that the
+// learnReadSpeed updates the lasting factor of the replica with a read that has just ended, and returns the time that the
 // read would have taken on a usual replica.
-func (b *Board) learnPace(now time.Duration, p *placedRequest, sample readSample) time.Duration {
-	at, readTime, mean := p.queuedOn, &b.readTimes[p.queuedOn.Role], &b.pacing.meanLasting[p.queuedOn.Role]
+func (b *Board) learnReadSpeed(now time.Duration, p *placedRequest, sample readSample) time.Duration {
+	at, readTime, mean := p.queuedOn, &b.readTimes[p.queuedOn.Role], &b.speedFactors.meanLasting[p.queuedOn.Role]
 	startedWith := p.slownessAtPlacement
 	if at.lastReadEndedAt > p.placedAt {
-		startedWith = at.pace.slownessAtReadEnd
+		startedWith = at.speed.slownessAtReadEnd
 	}
-	slowness := slownessBetween(startedWith, at.pace.knownSlowness(now))
-	usual := time.Duration(float64(sample.took) / (slowness * at.pace.lasting / *mean))
+	slowness := slownessBetween(startedWith, at.speed.knownSlowness(now))
+	usual := time.Duration(float64(sample.took) / (slowness * at.speed.lasting / *mean))
 	expected := time.Duration(sample.tokens) * readTime.perToken()
 	if sample.alone {
 		expected += readTime.fixed()
 	}
 	if expected > 0 {
-		at.pace.learn(float64(sample.took)/float64(expected), slowness, min(float64(expected)/float64(fullWeightRead), 1))
+		at.speed.learn(float64(sample.took)/float64(expected), slowness, min(float64(expected)/float64(fullWeightRead), 1))
 	}
-	*mean += (at.pace.lasting - *mean) / sampleWindow(meanLastingSamples, len(b.names))
-	b.pacing.meanUnread[at.Role] += meanUnreadWeight * (float64(sample.tokens) - b.pacing.meanUnread[at.Role])
+	*mean += (at.speed.lasting - *mean) / sampleWindow(meanLastingSamples, len(b.names))
+	b.speedFactors.meanUnread[at.Role] += meanUnreadWeight * (float64(sample.tokens) - b.speedFactors.meanUnread[at.Role])
 	return usual
 }
 
@@ -259,15 +263,15 @@
 	}
 }
 
-// learnPaceOfStart updates the lasting factor of a generator with the time from the end of the transfer of a prompt to
+// learnStartSpeed updates the lasting factor of a generator with the time from the end of the transfer of a prompt to
 // the first token, and returns the time that this would have taken on a usual replica.
-func (b *Board) learnPaceOfStart(now time.Duration, at *replica, took time.Duration) time.Duration {
-	slowness, lasting, mean := at.pace.momentary(now), at.pace.lasting, &b.pacing.meanLasting[at.Role]
+func (b *Board) learnStartSpeed(now time.Duration, at *replica, took time.Duration) time.Duration {
+	slowness, lasting, mean := at.speed.momentary(now), at.speed.lasting, &b.speedFactors.meanLasting[at.Role]
 	if b.decodeStartTime > 0 && took > 0 {
-		at.pace.learn(float64(took)/float64(b.decodeStartTime), slowness, min(float64(b.decodeStartTime)/float64(fullWeightRead), 1))
+		at.speed.learn(float64(took)/float64(b.decodeStartTime), slowness, min(float64(b.decodeStartTime)/float64(fullWeightRead), 1))
 	}
 	usual := time.Duration(float64(took) * *mean / (lasting * slowness))
-	*mean += (at.pace.lasting - *mean) / sampleWindow(meanLastingSamples, len(b.names))
+	*mean += (at.speed.lasting - *mean) / sampleWindow(meanLastingSamples, len(b.names))
 	return usual
 }
 
@@ -282,7 +286,7 @@
 // complete its first step, with the costs of the requests that it already runs.
 func (b *Board) timeLevel(r *replica) int {
 	readTime := &b.readTimes[r.Role]
-	took := readTime.fixed() + time.Duration(r.queuedTokens+int(b.pacing.meanUnread[r.Role]))*readTime.perToken()
+	took := readTime.fixed() + time.Duration(r.queuedTokens+int(b.speedFactors.meanUnread[r.Role]))*readTime.perToken()
 	took = time.Duration(float64(took) * r.rankedFactor)
 	if r.Role == RoleDecode {
 		took += time.Duration(len(r.running)) * perStreamCost
--- a/request/placement/replicapace_test.go
+++ b/request/placement/speedfactor_test.go
@@ -10,24 +10,24 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against services being placed by the pace of their replicas although none reports it.
-func TestServiceIsPacedOnceAReplicaReportsItsSlowness(t *testing.T) {
+// Guards against services being placed by the speed of their replicas although none reports it.
+func TestServiceReportsSlownessOnceAReplicaDoes(t *testing.T) {
 	board := NewBoard()
-	must.False(t, board.isPaced())
+	must.False(t, board.ReportsSlowness())
 	board.RecordProgress(0, Key{Daemon: "proxy", Number: 1}, ProgressReport{Step: StepStarted, ReportedRequests: 3})
-	must.False(t, board.isPaced())
+	must.False(t, board.ReportsSlowness())
 	board.RecordProgress(0, Key{Daemon: "proxy", Number: 1}, ProgressReport{Step: StepStarted, ReportedSlowness: 1})
-	must.True(t, board.isPaced())
+	must.True(t, board.ReportsSlowness())
 }
 
-// Guards against a choice that overlooks a replica in a small paced service, where it must equal that among all: neither
+// Guards against a choice that overlooks a replica in a small service that reports slowness, where it must equal that among all: neither
 // an idle replica nor the one with the fewest requests is always the cheapest there.
-func TestPacedChoiceEqualsExhaustiveSearch(t *testing.T) {
+func TestChoiceBySpeedEqualsExhaustiveSearch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := NewBoard()
 		b.SetReplicas(testParameters, drawReplicas(t))
 		for _, name := range b.names {
-			b.replicas[name].pace.learn(rapid.Float64Range(0.4, 2.5).Draw(t, "lasting"), 1, 1)
+			b.replicas[name].speed.learn(rapid.Float64Range(0.4, 2.5).Draw(t, "lasting"), 1, 1)
 		}
 		for number := range rapid.Uint64Range(0, 40).Draw(t, "requests") {
 			now := time.Duration(number) * 20 * ms
@@ -76,7 +76,7 @@
 		readOn(b, now, number+1, "prefill-2", 4_000, fraction(usual, 1.25*slowness), slowness)
 		number += 2
 	}
-	fast, slow := b.replicas["prefill-1"].pace.lasting, b.replicas["prefill-2"].pace.lasting
+	fast, slow := b.replicas["prefill-1"].speed.lasting, b.replicas["prefill-2"].speed.lasting
 	must.Between(t, 0.7, fast, 0.8)
 	must.Between(t, 1.2, slow, 1.3)
 	read := b.readTimes[RolePrefill].fixed() + 4_000*b.readTimes[RolePrefill].perToken()
@@ -91,14 +91,14 @@
 	for number := range uint64(20) {
 		readOn(b, time.Duration(number)*time.Second, number, "prefill-1", 4_000, 300*ms, 1)
 	}
-	learned := b.replicas["prefill-1"].pace.lasting
+	learned := b.replicas["prefill-1"].speed.lasting
 	must.Greater(t, 1.2, learned)
 	entry.Role = RoleDecode
 	b.Put(entry)
-	must.Eq(t, learned, b.replicas["prefill-1"].pace.lasting)
+	must.Eq(t, learned, b.replicas["prefill-1"].speed.lasting)
 	entry.Born = 2
 	b.Put(entry)
-	must.Eq(t, 1, b.replicas["prefill-1"].pace.lasting)
+	must.Eq(t, 1, b.replicas["prefill-1"].speed.lasting)
 }
 
 // The slowness counts while it is recent. Guards against a replica that is avoided for long after it was slowed down.
@@ -106,12 +106,12 @@
 	b := newTestBoard()
 	at := b.replicas["prefill-1"]
 	b.RecordProgress(0, key(1), ProgressReport{Step: StepRefused, Replica: "prefill-1", ReportedSlowness: 2.5})
-	must.Eq(t, 2.5, at.pace.factor(slownessMaxAge-1))
-	must.Eq(t, 1, at.pace.factor(slownessMaxAge))
+	must.Eq(t, 2.5, at.speed.factor(slownessMaxAge-1))
+	must.Eq(t, 1, at.speed.factor(slownessMaxAge))
 	ranked := at.position.level
 	b.expireSlowness(slownessMaxAge)
 	must.Less(t, ranked, at.position.level, must.Sprint("its place in the index follows"))
-	must.SliceEmpty(t, b.pacing.slowed)
+	must.SliceEmpty(t, b.speedFactors.slowed)
 }
 
 // Guards against incorrect reports that change the factor without bound.
@@ -121,16 +121,16 @@
 		for number := range uint64(20) {
 			now := time.Duration(number) * 10 * ms
 			readOn(b, now, number, "prefill-1", 4_000, time.Duration(number%3)*100*ms, reported)
-			factor := b.replicas["prefill-1"].pace.factor(now)
+			factor := b.replicas["prefill-1"].speed.factor(now)
 			must.Between(t, minFactor, factor, maxFactor, must.Sprint(reported))
-			must.Between(t, minLasting, b.replicas["prefill-1"].pace.lasting, maxLasting)
+			must.Between(t, minLasting, b.replicas["prefill-1"].speed.lasting, maxLasting)
 		}
 	}
 }
 
-// Guards against a choice in a paced service that examines far more replicas, or takes far longer, than one in a
-// service that is not paced.
-func BenchmarkPlacePaced(b *testing.B) {
+// Guards against a choice in a service that reports slowness that examines far more replicas, or takes far longer, than one in a
+// service that reports no slowness.
+func BenchmarkPlaceBySpeed(b *testing.B) {
 	for _, size := range []int{9, 90, 1_000, 10_000} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			board := NewBoard()
@@ -156,11 +156,11 @@
 
 // Guards against late long prompts that do not show in the late share, by which replicas change their roles, because
 // they are few. The load is one prompt of 17,000 tokens beside each five of 400.
-func TestLateShareOfAPacedServiceGoesByPromptTokens(t *testing.T) {
-	for _, paced := range []bool{false, true} {
+func TestLateShareIsWeightedByPromptTokens(t *testing.T) {
+	for _, reportsSlowness := range []bool{false, true} {
 		board := NewBoard()
-		if paced {
-			board.startPacing()
+		if reportsSlowness {
+			board.enableSpeedFactors()
 		}
 		for range 30 {
 			board.recordLateness(0, &Request{PromptTokens: 17_000}, true)
@@ -170,7 +170,7 @@
 		}
 		share, requests := board.LateShare(0)
 		must.InDelta(t, 180, requests, 1e-6)
-		if paced {
+		if reportsSlowness {
 			must.InDelta(t, 17_000.0/19_000, share, 1e-6)
 		} else {
 			must.InDelta(t, 1.0/6, share, 1e-6)
--- a/request/placement/summary.go
+++ b/request/placement/summary.go
@@ -28,7 +28,7 @@
 	// token. It does not include the transfer, unlike the handover of router.Speed.
 	Handover time.Duration
 	// StaleSlowness counts the replicas in Readers and Generators whose slowness is not known, since they have reported
-	// none or not recently; 0 if the service is not paced.
+	// none or not recently; 0 if the service reports no slowness.
 	StaleSlowness int
 	Answers       Answers
 }
@@ -41,8 +41,8 @@
 	MaxBacklog   time.Duration // longest time to read the queued prompts
 	ReadOverhead time.Duration // fixed time of a read
 	PerToken     time.Duration // time per token of a read
-	// Factors holds the factor on these times for each replica, in no particular order; empty if the service is
-	// not paced.
+	// Factors holds the factor on these times for each replica, in no particular order; empty if the
+	// service reports no slowness.
 	Factors []float64
 }
 
@@ -110,9 +110,9 @@
 			load = &summary.Readers
 		}
 		load.add(known.backlog(now, b.tokenTime(now, known), lastInQueue), len(known.running))
-		if b.isPaced() {
-			load.Factors = append(load.Factors, known.pace.factor(now))
-			summary.StaleSlowness += boolToInt(known.pace.knownSlowness(now) == 0)
+		if b.ReportsSlowness() {
+			load.Factors = append(load.Factors, known.speed.factor(now))
+			summary.StaleSlowness += boolToInt(known.speed.knownSlowness(now) == 0)
 		}
 	}
 	b.completeLoad(&summary.Generators, RoleDecode)
--- a/request/placement/summary_test.go
+++ b/request/placement/summary_test.go
@@ -25,7 +25,7 @@
 
 // Guards against factors in the summary of a service whose replicas do not report their slowness, and against missing
 // ones in that of another.
-func TestSummaryShowsFactorsOfPacedServices(t *testing.T) {
+func TestSummaryShowsSpeedFactors(t *testing.T) {
 	b := newTestBoard()
 	summary := b.Summarize(0)
 	must.SliceEmpty(t, summary.Readers.Factors)
--- a/request/placement/uneven_test.go
+++ b/request/placement/uneven_test.go
@@ -238,13 +238,13 @@
 			fleet := newUnevenFleet(1, size, load)
 			best, bestTail := meanAndTail(fleet.firstTokensWithHindsight(fleet.board(), duration))
 			mean, tail := measure(reportedCorrectly)
-			_, unpacedTail := measure(func(*unevenReplica, float64) float64 { return 0 })
-			shown := must.Sprintf("%d replicas, load %.2f: mean %v of %v, 99th percentile %v of %v, %v if not paced",
-				size, load, mean.Round(ms), best.Round(ms), tail.Round(ms), bestTail.Round(ms), unpacedTail.Round(ms))
-			t.Logf("%d replicas, load %.2f: mean %.3f, 99th percentile %.3f times that with hindsight, %.3f if not paced",
-				size, load, float64(mean)/float64(best), float64(tail)/float64(bestTail), float64(unpacedTail)/float64(bestTail))
+			_, tailWithoutFactors := measure(func(*unevenReplica, float64) float64 { return 0 })
+			shown := must.Sprintf("%d replicas, load %.2f: mean %v of %v, 99th percentile %v of %v, %v without factors",
+				size, load, mean.Round(ms), best.Round(ms), tail.Round(ms), bestTail.Round(ms), tailWithoutFactors.Round(ms))
+			t.Logf("%d replicas, load %.2f: mean %.3f, 99th percentile %.3f times that with hindsight, %.3f without factors",
+				size, load, float64(mean)/float64(best), float64(tail)/float64(bestTail), float64(tailWithoutFactors)/float64(bestTail))
 			must.LessEq(t, fraction(best, limit), mean, shown)
-			must.LessEq(t, unpacedTail, tail, shown)
+			must.LessEq(t, tailWithoutFactors, tail, shown)
 		}
 	}
 }
--- a/request/rampup/rampup.go
+++ b/request/rampup/rampup.go
@@ -179,7 +179,7 @@
 }
 
 // Allowed returns how many requests may be in flight.
-func (r *Ramp) Allowed(time.Duration) int {
+func (r *Ramp) Allowed() int {
 	if !r.active {
 		return math.MaxInt
 	}
--- a/request/rampup/rampup_test.go
+++ b/request/rampup/rampup_test.go
@@ -14,7 +14,7 @@
 
 // answerAll has as many requests answered as the limit allows at once, and returns how many those were.
 func answerAll(r *Ramp, now time.Duration) int {
-	allowed := r.Allowed(now)
+	allowed := r.Allowed()
 	for i := range allowed {
 		r.Begun(now, i+1)
 	}
@@ -27,7 +27,7 @@
 // Guards against a ramp that takes too many rounds of answers, or none.
 func TestLimitDoublesWithEachRoundOfGoodAnswers(t *testing.T) {
 	r := Ramp{Slots: 16}
-	must.Eq(t, math.MaxInt, r.Allowed(0), must.Sprint("a replica without a ramp has no limit"))
+	must.Eq(t, math.MaxInt, r.Allowed(), must.Sprint("a replica without a ramp has no limit"))
 	r.Begin(0, Started)
 	for round, allowed := range []int{1, 2, 4, 8, 16} {
 		must.Eq(t, allowed, answerAll(&r, time.Duration(round)*100*ms))
@@ -45,7 +45,7 @@
 		r.Begun(now, 1)
 		r.Answered(now+ms, ms, ms)
 	}
-	must.Eq(t, 2, r.Allowed(0))
+	must.Eq(t, 2, r.Allowed())
 }
 
 // Guards against a ramp that never ends where the demand does not reach the limit.
@@ -67,25 +67,25 @@
 	answerAll(&r, 100*ms)
 	r.Begun(300*ms, 4)
 	r.Answered(400*ms, 180*ms, 100*ms)
-	must.Eq(t, 5, r.Allowed(0), must.Sprint("1.8 times the usual time is good"))
+	must.Eq(t, 5, r.Allowed(), must.Sprint("1.8 times the usual time is good"))
 	r.Begin(400*ms, Started)
 	answerAll(&r, 400*ms)
 	answerAll(&r, 500*ms)
 	r.Begun(600*ms, 4)
 	for range slowAnswers - 1 {
 		r.Answered(800*ms, 410*ms, 100*ms)
-		must.Eq(t, 4, r.Allowed(0))
+		must.Eq(t, 4, r.Allowed())
 	}
 	r.Answered(800*ms, 410*ms, 100*ms)
-	must.Eq(t, 5, r.Allowed(0))
+	must.Eq(t, 5, r.Allowed())
 	for range 4 {
 		r.Answered(1000*ms, 500*ms, 100*ms)
 	}
-	must.Eq(t, 2, r.Allowed(0), must.Sprint("requests that were late together halve the limit once"))
+	must.Eq(t, 2, r.Allowed(), must.Sprint("requests that were late together halve the limit once"))
 	r.Answered(1500*ms, 500*ms, 100*ms)
-	must.Eq(t, 1, r.Allowed(0))
+	must.Eq(t, 1, r.Allowed())
 	r.Answered(3*time.Second, time.Second, 100*ms)
-	must.Eq(t, 1, r.Allowed(0), must.Sprint("no replica is cut off"))
+	must.Eq(t, 1, r.Allowed(), must.Sprint("no replica is cut off"))
 }
 
 // Guards against a crash, under which all requests fail at once, and against requests begun before it lowering the
@@ -96,13 +96,13 @@
 	for i := range 10 {
 		r.Failed(2*time.Second, time.Second, 10-i)
 	}
-	must.Eq(t, 1, r.Allowed(0))
+	must.Eq(t, 1, r.Allowed())
 	must.Eq(t, Suspected, r.Reason())
 	must.False(t, r.IsProven())
 	answerAll(&r, 3*time.Second)
 	answerAll(&r, 3100*ms)
 	r.Failed(3300*ms, 2*time.Second, 4)
-	must.Eq(t, 4, r.Allowed(0), must.Sprint("the request was sent before the crash"))
+	must.Eq(t, 4, r.Allowed(), must.Sprint("the request was sent before the crash"))
 }
 
 // Guards against a replica that loses some requests and answers others being cut back to one request.
@@ -110,18 +110,18 @@
 	r := Ramp{Slots: 16}
 	r.Answered(0, ms, ms)
 	r.Failed(100*ms, 90*ms, 12)
-	must.Eq(t, 6, r.Allowed(0))
+	must.Eq(t, 6, r.Allowed())
 	must.True(t, r.IsActive())
 }
 
 func TestRefusalHalvesWhatWasInFlight(t *testing.T) {
 	r := Ramp{Slots: 16}
 	r.Refused(0, 16)
-	must.Eq(t, 8, r.Allowed(0))
+	must.Eq(t, 8, r.Allowed())
 	r.Refused(ms, 15)
-	must.Eq(t, 8, r.Allowed(0), must.Sprint("refused for the same cause"))
+	must.Eq(t, 8, r.Allowed(), must.Sprint("refused for the same cause"))
 	r.Refused(lowerInterval, 1)
-	must.Eq(t, 1, r.Allowed(0))
+	must.Eq(t, 1, r.Allowed())
 	must.Eq(t, Refusing, r.Reason())
 }
 
@@ -155,7 +155,7 @@
 				r.Begin(now, Restarted)
 				good = 0
 			}
-			must.Between(t, 1, r.Allowed(now), min(slots, 1+good))
+			must.Between(t, 1, r.Allowed(), min(slots, 1+good))
 		}
 	})
 }
@@ -173,7 +173,7 @@
 func (p *additive) begun(now time.Duration, inFlight int)       { p.Begun(now, inFlight) }
 func (p *additive) answered(now, took, expected time.Duration)  { p.Answered(now, took, expected) }
 func (p *additive) failed(now, ago time.Duration, inFlight int) { p.Failed(now, ago, inFlight) }
-func (p *additive) allowed(now time.Duration) int               { return p.Allowed(now) }
+func (p *additive) allowed(now time.Duration) int               { return p.Allowed() }
 
 // fixed raises the limit in proportion to the time since the start, whatever the answers, and begins again after a
 // failure.
--- a/request/rampup/share.go
+++ b/request/rampup/share.go
@@ -54,7 +54,7 @@
 // now. The given number of proxies share the common limit.
 func (s *Share) Allowed(now time.Duration, proxies int) int {
 	if !s.active || s.proven {
-		return s.Ramp.Allowed(now)
+		return s.Ramp.Allowed()
 	}
 	if s.draw*float64(max(proxies, 1)) < s.commonLimit(now) {
 		return 1
--- a/version/planner/balance.go
+++ b/version/planner/balance.go
@@ -49,8 +49,8 @@
 // placed on replicas.
 type ServiceLoad struct {
 	Replicas []ReplicaLoad
-	// Paced is true if the replicas report how long work takes on them. LateShare is then weighted by prompt tokens.
-	Paced bool
+	// SlownessReported is true if the replicas report how long work takes on them. LateShare is then weighted by prompt tokens.
+	SlownessReported bool
 	// Requests is the number of recent requests with a first-token objective, as a
 	// count that decays with time. LateShare is the share of them, from 0 to 1, that could
 	// not be placed so that the first token was predicted to meet the objective.
@@ -147,7 +147,7 @@
 	switch {
 	case load.DecodeStartShare >= slowDecodeStart:
 		return byRole.changeToDecode()
-	case load.LateShare >= morePrefillLateShare && load.DecodeStartShare <= slowDecodeStart/2 && (!load.Paced || byRole.isPrefillBusy()):
+	case load.LateShare >= morePrefillLateShare && load.DecodeStartShare <= slowDecodeStart/2 && (!load.SlownessReported || byRole.isPrefillBusy()):
 		return byRole.changesToPrefill()
 	case load.ReversalAllowed && load.LateShare <= sparePrefillLateShare && byRole.decodeOccupancy(byRole.decode) > moreDecodeOccupancy:
 		return byRole.changeToDecode()
--- a/version/planner/balance_test.go
+++ b/version/planner/balance_test.go
@@ -168,13 +168,13 @@
 
 // Guards against replicas that change their role although no prompt waits: in a large service with little load and
 // nothing cached, long prompts are late since a single read takes too long, and more readers would not help.
-func TestBalanceOfPacedServiceNeedsQueuedPrompts(t *testing.T) {
+func TestMovesToPrefillNeedQueuedPrompts(t *testing.T) {
 	for _, test := range []struct {
-		paced   bool
-		queued  int // at the first prefill replica
-		changes bool
+		reported bool
+		queued   int // at the first prefill replica
+		changes  bool
 	}{{false, 0, true}, {true, 0, false}, {true, 1, false}, {true, 2, true}} {
-		load := ServiceLoad{Replicas: testReplicas(3, 9, 3), Requests: 200, LateShare: 0.4, Paced: test.paced}
+		load := ServiceLoad{Replicas: testReplicas(3, 9, 3), Requests: 200, LateShare: 0.4, SlownessReported: test.reported}
 		for i := range load.Replicas {
 			load.Replicas[i].Queued = 0
 		}
