--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# One of the five core machines is lost for good half a second after the first start of the system.
-# Exit 1: no request is served within 90 s; 0: requests are served; 2: the case could not run.
+# A core machine is replaced, the process that leads then is killed, and once the replaced machine has
+# stopped counting two machines lose their disks. Exit 1: the acknowledged configuration does not come
+# any more; 0: it does; 2: the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-RECORD=review/1/record.txt exec target/review-harness founder
+RECORD=review/1/record.txt exec target/review-harness departed
--- a/review/_harness/founder.go
+++ b/review/_harness/founder.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,13 +24,19 @@
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 }
 
-// founder: one of five core machines is lost for good soon after the first start of the system.
-func founder(w *world) (int, error) {
+// founder: the core machine of the first seed is lost for good soon after the first start of the
+// system, and an empty one stands in for it.
+func founder(w *world) (int, error) { return firstStart(w, []int{0}, true) }
+
+// absent: two other core machines are lost soon after the first start of the system.
+func absent(w *world) (int, error) { return firstStart(w, []int{3, 4}, false) }
+
+// firstStart starts the system for the first time and loses core machines half a second later.
+func firstStart(w *world, lost []int, standIn bool) (int, error) {
 	after := 500 * time.Millisecond
 	if ms, err := strconv.Atoi(os.Getenv("AFTER_MS")); err == nil {
 		after = time.Duration(ms) * time.Millisecond
 	}
-	const which = 0 // the first of the seeds
 	limit := 90 * time.Second
 	if s, err := strconv.Atoi(os.Getenv("LIMIT_S")); err == nil {
 		limit = time.Duration(s) * time.Second
@@ -89,20 +96,32 @@
 	}()
 	if w.trouble {
 		time.Sleep(time.Until(began.Add(after)))
-		core[which].kill()
+		for _, which := range lost {
+			core[which].kill()
+		}
 		lock.Lock()
-		live = append(append([]*machine{}, core[:which]...), core[which+1:]...)
+		live = nil
+		for i, m := range core {
+			if !slices.Contains(lost, i) {
+				live = append(live, m)
+			}
+		}
 		lock.Unlock()
+	}
+	if w.trouble && standIn {
 		time.Sleep(2 * time.Second) // an empty one comes at another address
 		spare := w.add("core", 5)
-		w.seeds[which] = spare.address(portControl)
+		w.seeds[lost[0]] = spare.address(portControl)
 		if err := spare.start(); err != nil {
 			return failed, err
 		}
 		lock.Lock()
 		live = append(live, spare)
 		lock.Unlock()
-		for _, m := range append(append([]*machine{}, core[1:]...), edges...) {
+		for i, m := range append(append([]*machine{}, core...), edges...) {
+			if i == lost[0] {
+				continue
+			}
 			if err := m.writeSettings(); err != nil { // the files name the machines that are there now
 				return failed, err
 			}
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -13,9 +13,11 @@
 )
 
 var cases = map[string]func(w *world) (int, error){
-	"founder": founder,
-	"memory":  memory,
-	"fuzz":    fuzz,
+	"founder":  founder,
+	"absent":   absent,
+	"departed": departed,
+	"memory":   memory,
+	"fuzz":     fuzz,
 }
 
 func main() {
