--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -16,6 +16,7 @@
 	"founder":  founder,
 	"absent":   absent,
 	"departed": departed,
+	"planned":  planned,
 	"memory":   memory,
 	"fuzz":     fuzz,
 }
