--- a/review/_harness/founder.go
+++ b/review/_harness/founder.go
@@ -31,6 +31,17 @@
 // absent: two other core machines are lost soon after the first start of the system.
 func absent(w *world) (int, error) { return firstStart(w, []int{3, 4}, false) }
 
+// foreign: the list holds an entry of another writer that ends in the middle.
+func foreign(w *world) (int, error) {
+	if w.trouble {
+		w.foreign = `{"id":"i-7f3a91c2","service":"other`
+		if text := os.Getenv("FOREIGN"); text != "" {
+			w.foreign = text
+		}
+	}
+	return firstStart(w, nil, false)
+}
+
 // firstStart starts the system for the first time and loses core machines half a second later.
 func firstStart(w *world, lost []int, standIn bool) (int, error) {
 	after := 500 * time.Millisecond
@@ -94,7 +105,7 @@
 			acknowledged.Store(time.Since(began).Milliseconds())
 		}
 	}()
-	if w.trouble {
+	if w.trouble && len(lost) > 0 {
 		time.Sleep(time.Until(began.Add(after)))
 		for _, which := range lost {
 			core[which].kill()
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -16,9 +16,9 @@
 	"founder":  founder,
 	"absent":   absent,
 	"departed": departed,
+	"foreign":  foreign,
 	"planned":  planned,
 	"memory":   memory,
-	"fuzz":     fuzz,
 }
 
 func main() {
--- a/review/_harness/world.go
+++ b/review/_harness/world.go
@@ -37,6 +37,7 @@
 	octet    int
 	base     int // first port of the day
 	cloud    string
+	foreign  string         // the bytes of an entry of another writer, which cannot be read
 	runs     map[string]int // how often a request id was run
 }
 
@@ -318,8 +319,12 @@
 	if last < len(entries) {
 		answer["next_token"] = "p-" + strconv.Itoa(last)
 	}
+	body, _ := json.Marshal(answer)
+	if w.foreign != "" { // stands behind the first entry
+		body = bytes.Replace(body, []byte("},"), []byte("},"+w.foreign+","), 1)
+	}
 	writer.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(writer).Encode(answer)
+	_, _ = writer.Write(body)
 }
 
 // operator sends a configuration until it has a clear answer or the context ends. It chooses from
