--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -19,6 +19,7 @@
 	"foreign":  foreign,
 	"reborn":   reborn,
 	"planned":  planned,
+	"takeup":   takeup,
 	"memory":   memory,
 }
 
