--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -19,11 +19,16 @@
 	"foreign":  foreign,
 	"reborn":   reborn,
 	"planned":  planned,
+	"unframed": unframed,
 	"takeup":   takeup,
 	"memory":   memory,
 }
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "replica" {
+		fmt.Fprintln(os.Stderr, serveUnframed(os.Args[2], os.Args[3]))
+		os.Exit(failed)
+	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: RECORD=FILE [TROUBLE=0] harness CASE")
 		os.Exit(failed)
