--- a/review/_harness/world.go
+++ b/review/_harness/world.go
@@ -80,7 +80,7 @@
 
 func (w *world) free() bool {
 	for port := w.base; port < w.base+24; port++ {
-		listener, err := net.Listen("tcp", ":"+strconv.Itoa(port))
+		listener, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
 		if err != nil {
 			return false
 		}
