--- a/review/_harness/reborn.go
+++ b/review/_harness/reborn.go
@@ -38,7 +38,8 @@
 
 // Figures of the case of versions.
 const (
-	streamCount  = 8
+	streamCount  = 120
+	replicaCount = 6 // that have streams
 	streamEvents = 55
 	streamPause  = 100 * time.Millisecond
 )
@@ -46,11 +47,17 @@
 // reborn: a replica starts again under its id at another version of its software, and before the list
 // shows it the replica whose streams are under way crashes.
 func reborn(w *world) (int, error) {
-	first, err := w.engine(0, "decode")
-	if err != nil {
-		return failed, err
+	var first *engine
+	for i := range replicaCount {
+		e, err := w.engine(i, "decode")
+		if err != nil {
+			return failed, err
+		}
+		e.events, e.pause, e.born = streamEvents, streamPause, time.Now().Add(-time.Hour).UnixMilli()
+		if i == 0 {
+			first = e
+		}
 	}
-	first.events, first.pause, first.born = streamEvents, streamPause, time.Now().Add(-time.Hour).UnixMilli()
 	w.publish()
 	if _, err := w.addReplica(10, "tilegate", 15*time.Millisecond); err != nil {
 		return failed, err
@@ -106,7 +113,7 @@
 	began := time.Now()
 	at := func(ms int) { time.Sleep(time.Until(began.Add(time.Duration(ms) * time.Millisecond))) }
 	at(200)
-	second, err := w.engine(1, "decode") // another one is added
+	second, err := w.engine(replicaCount, "decode") // another one is added
 	if err != nil {
 		return failed, err
 	}
--- a/review/_harness/takeup.go
+++ b/review/_harness/takeup.go
@@ -41,7 +41,7 @@
 	for i := range 5 {
 		core = append(core, w.add("core", i))
 	}
-	for i := range 4 {
+	for i := range 7 {
 		edges = append(edges, w.add("edge", i))
 	}
 	for i := range 3 {
--- a/review/_harness/unframed.go
+++ b/review/_harness/unframed.go
@@ -17,9 +17,10 @@
 
 // Figures of the case of streams without a length.
 const (
-	unframedStreams = 8
-	unframedEvents  = 40
-	unframedPause   = 100 * time.Millisecond
+	unframedStreams  = 24
+	unframedReplicas = 6
+	unframedEvents   = 40
+	unframedPause    = 100 * time.Millisecond
 )
 
 // serveUnframed is the process of a replica whose streams have neither a length nor chunks and end with
@@ -73,19 +74,26 @@
 
 // unframed: an edge machine freezes; meanwhile the replica of its streams crashes and starts again.
 func unframed(w *world) (int, error) {
-	e, err := w.engine(0, "decode")
-	if err != nil {
-		return failed, err
-	}
-	_ = e.server.Close() // a process of its own takes its place
-	process, err := e.process()
-	if err != nil {
-		return failed, err
-	}
+	var replicas []*engine
+	var processes []*exec.Cmd
 	defer func() {
-		_ = process.Process.Kill()
-		_ = process.Wait()
+		for _, process := range processes {
+			_ = process.Process.Kill()
+			_ = process.Wait()
+		}
 	}()
+	for i := range unframedReplicas {
+		e, err := w.engine(i, "decode")
+		if err != nil {
+			return failed, err
+		}
+		_ = e.server.Close() // a process of its own takes its place
+		process, err := e.process()
+		if err != nil {
+			return failed, err
+		}
+		replicas, processes = append(replicas, e), append(processes, process)
+	}
 	if _, err := w.addReplica(10, "tilegate", 15*time.Millisecond); err != nil {
 		return failed, err
 	}
@@ -93,8 +101,10 @@
 	for i := range 5 {
 		core = append(core, w.add("core", i))
 	}
-	for i := range 3 {
+	for i := range 7 {
 		edges = append(edges, w.add("edge", i))
+	}
+	for i := range 3 {
 		w.seeds = append(w.seeds, core[i].address(portControl))
 	}
 	for _, m := range append(append([]*machine{}, core...), edges...) {
@@ -144,16 +154,19 @@
 			edges[0].signal(syscall.SIGSTOP)
 		}
 		at(1300)
-		_ = process.Process.Kill()
-		_ = process.Wait()
+		e := replicas[0]
+		_ = processes[0].Process.Kill()
+		_ = processes[0].Wait()
 		w.say("replica %s is killed", e.id)
 		at(3000)
 		w.lock.Lock()
 		e.id = strings.Replace(e.id, "i-", "i-again-", 1)
 		w.lock.Unlock()
-		if process, err = e.process(); err != nil {
+		process, err := e.process()
+		if err != nil {
 			return failed, err
 		}
+		processes[0] = process
 		w.publish()
 		at(3800)
 		edges[0].signal(syscall.SIGCONT)
