TestRampFollowsRequests: a ramp begins in it, and a failure ends it

Cause: Reply of the test's dialect (process/ingress/harness_test.go) did not set ReportsSlowness, so that no ramp began in this test and its result was chance; and where it failed, it waited for an answer that no replica would give, and its cleanup for handlers that wait for the test. A failing run stood still until the limit of the package. A fault of the test: platform/dialect.go sets the field.

Change: the dialect sets ReportsSlowness where the header is there. The test first asks that a ramp can begin, waits for each answer for testTimeout at most, and releases the held replica before the servers close. All that it asked for is asked for as before (one request at the replica that hangs, all answered, the ramp ends), and one thing more.

--- a/process/ingress/harness_test.go
+++ b/process/ingress/harness_test.go
@@ -137,6 +137,7 @@
 	if running, err := strconv.Atoi(header.Get(testLoad)); err == nil {
 		reply.Load = &Load{Running: running, Slots: 8}
 		reply.Load.Slowness, _ = strconv.ParseFloat(header.Get(testSlowness), 64)
+		reply.ReportsSlowness = header.Get(testSlowness) != ""
 	}
 	return reply
 }
--- a/process/ingress/ramp_test.go
+++ b/process/ingress/ramp_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -249,7 +250,8 @@
 // Guards against steps of real requests that a ramp does not learn of: a restarted replica that hangs gets one request,
 // and one that answers gets all that it can serve.
 func TestRampFollowsRequests(t *testing.T) {
-	release := make(chan struct{})
+	held := make(chan struct{})
+	release := sync.OnceFunc(func() { close(held) })
 	report := func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(testLoad, "0")
 		w.Header().Set(testSlowness, "1")
@@ -257,13 +259,24 @@
 	}
 	steady := newFakeReplica(t, "r-1", report)
 	restarted := newFakeReplica(t, "r-2", func(w http.ResponseWriter, r *http.Request) {
-		<-release
+		<-held
 		report(w, r)
 	})
 	env := newTestEnv(t, steady)
+	t.Cleanup(release) // before the servers close, which wait for their handlers
 	must.Eq(t, http.StatusOK, env.do(testRequest{method: "GET", target: "/safe/", id: "first"}).status)
+	must.True(t, env.ingress.upstreams.get("plain").fleet.ramps.slownessReported.Load(), must.Sprint("no ramp can begin"))
 	env.setReplicas(steady, restarted)
-	results := make(chan int)
+	results := make(chan int, 20)
+	expectOK := func() {
+		t.Helper()
+		select {
+		case status := <-results:
+			must.Eq(t, http.StatusOK, status)
+		case <-time.After(testTimeout):
+			t.Fatalf("no answer; %d requests are at the restarted replica", restarted.count())
+		}
+	}
 	for i := range 20 {
 		go func() {
 			results <- env.do(testRequest{method: "POST", target: "/unsafe/", id: fmt.Sprint("q-", i)}).status
@@ -271,11 +284,11 @@
 		time.Sleep(2 * time.Millisecond)
 	}
 	for range 19 {
-		must.Eq(t, http.StatusOK, <-results)
+		expectOK()
 	}
 	must.Eq(t, 1, restarted.count())
-	close(release)
-	must.Eq(t, http.StatusOK, <-results)
+	release()
+	expectOK()
 	target := env.ingress.upstreams.get("plain").find("r-2")
 	eventually(t, "the ramp ends", func() bool {
 		must.Eq(t, http.StatusOK, env.do(testRequest{method: "POST", target: "/unsafe/", id: fmt.Sprint("after-", restarted.count(), "-", steady.count())}).status)
