Members that stop leave a group that does not need them; lost ones are dropped in time

By the members' logs (event 1013) the successor votes 0.27 s after its start, so that six vote; the old machine stops without a word and is counted until a leader has missed it for MemberSilence (2.2 s) beyond 450 ms. Six need four, one is gone, two are emptied, three are left.

Change: a member that stops as planned asks the leader to be removed, after it has handed leadership over, where the voters are more than the tolerated losses require; it then discards its data (leave.go; action "leave", an older leader refuses it and the member stays). A voter that says nothing is removed after one election timeout instead of MemberSilence where the tolerated losses on top of the unreachable voters would leave no quorum (unreachable.go). Both count the voters under the membership lock, which the removal of unreachable ones did not. No quorum became smaller.

Ruled out: a shorter MemberSilence alone (a group of seven would drop members that it has no need to drop, and 0.2 s after SIGTERM would still fail); keeping the successor as a learner until a voter is lost (five voters, one gone, two emptied: two of five).

--- a/connection/operator/client.go
+++ b/connection/operator/client.go
@@ -120,8 +120,8 @@
 	path   string
 	body   []byte
 	// resendable allows another attempt after a lost response. Reads, transactions with
-	// an operation ID, dry runs and the addition of a member may be resent; other
-	// membership changes may not.
+	// an operation ID, dry runs, the addition of a member and its departure may be resent;
+	// other membership changes may not.
 	resendable bool
 }
 
--- a/connection/operatorapi/operatorapi.go
+++ b/connection/operatorapi/operatorapi.go
@@ -45,6 +45,7 @@
 	ErrorOutcomeUnknown ErrorCode = "outcome_unknown" // 504: resend with the same operation ID
 	ErrorRefused        ErrorCode = "refused"         // 409: the change cannot be made now
 	ErrorRemoved        ErrorCode = "removed"         // 409: the member's ID was removed from the group permanently
+	ErrorNeeded         ErrorCode = "member_needed"   // 409: the group needs the member to tolerate the configured losses
 	ErrorInternal       ErrorCode = "internal"        // 500
 )
 
@@ -234,6 +235,9 @@
 	// MemberPromote makes a learner a voter.
 	MemberPromote MemberAction = "promote"
 	MemberRemove  MemberAction = "remove"
+	// MemberLeave removes a member at its own request, unless the group needs it to
+	// tolerate the configured losses.
+	MemberLeave MemberAction = "leave"
 )
 
 // MemberRequest requests one step of a membership change.
--- a/process/control/group_test.go
+++ b/process/control/group_test.go
@@ -191,8 +191,10 @@
 	return <-r.done
 }
 
-// crash disconnects the member before it can hand over anything, and then stops it.
+// crash disconnects the member before it can hand over anything, and then stops it. A member that
+// cannot rejoin does not ask to leave the group when it stops, and neither does one that is killed.
 func (r *runningMember) crash() error {
+	r.member.config.Join = false
 	if err := r.member.transport.Close(); err != nil {
 		return err
 	}
--- a/process/control/handlers.go
+++ b/process/control/handlers.go
@@ -151,7 +151,7 @@
 	err, known := s.changeMember(r, request)
 	switch {
 	case !known:
-		writeInvalidRequest(w, api.FieldFault{Field: "action", Message: "must be add, promote or remove"})
+		writeInvalidRequest(w, api.FieldFault{Field: "action", Message: "must be add, promote, remove or leave"})
 	case err == nil:
 		current := s.member.group.Load()
 		writeJSON(w, http.StatusOK, operatorapi.MemberReply{Members: memberList(current, current.replica.Status())})
@@ -165,6 +165,8 @@
 		})
 	case errors.Is(err, errRemovedMember):
 		writeError(w, http.StatusConflict, operatorapi.Error{Code: operatorapi.ErrorRemoved, Message: err.Error()})
+	case errors.Is(err, errMemberNeeded):
+		writeError(w, http.StatusConflict, operatorapi.Error{Code: operatorapi.ErrorNeeded, Message: err.Error()})
 	case isRefusedChange(err):
 		writeError(w, http.StatusConflict, operatorapi.Error{Code: operatorapi.ErrorRefused, Message: err.Error()})
 	default:
@@ -190,6 +192,8 @@
 		return current.changeMembership(r.Context(), change), true
 	case operatorapi.MemberRemove:
 		return current.removeByID(r.Context(), raft.MemberID(request.ID)), true
+	case operatorapi.MemberLeave:
+		return current.leave(r.Context(), raft.MemberID(request.ID)), true
 	default:
 		return nil, false
 	}
--- a/process/control/membership.go
+++ b/process/control/membership.go
@@ -20,6 +20,8 @@
 	errRemovedMember = errors.New("control: this identity was removed from the group; empty the data folder to join anew")
 	// errUnknownMember refuses the removal of an ID that is not a member.
 	errUnknownMember = errors.New("control: no member has this ID")
+	// errMemberNeeded refuses a removal that would leave fewer voters than the tolerated losses require.
+	errMemberNeeded = errors.New("control: the group needs this member to tolerate the configured losses")
 	// errInvalidMember refuses a member that lacks its ID, its name or one of its addresses.
 	errInvalidMember = errors.New("control: a member needs an ID, a name and its addresses")
 )
@@ -45,52 +47,6 @@
 	d.removeUnreachable(ctx, term, status)
 }
 
-// removeUnreachable removes a voter that has been unreachable for MemberSilence while the group has
-// more voters than the configured losses require. Then a replacement has joined, and the lost voter
-// only makes quorums harder to reach. The quorums of the configurations before and after share a
-// member, as in every change of a single voter.
-func (d *leaderTasks) removeUnreachable(ctx context.Context, term *termState, status raft.Status) {
-	if d.group.config.ToleratedLosses == 0 {
-		return // an operator manages the members of such a group
-	}
-	now := monotonic()
-	term.updateUnreachable(status, now)
-	lost, away := term.longestUnreachable(status, now)
-	if away < d.group.config.Durations.MemberSilence || len(status.Configuration.Voters) <= d.group.requiredVoters() {
-		return
-	}
-	member := d.group.memberByID(lost)
-	member.ID = uint64(lost)
-	if d.group.removeMember(ctx, member) == nil {
-		event.MemberRemoved.Log(d.logger, "id", member.ID, "member", member.Name, "away", away)
-	}
-}
-
-// updateUnreachable records since when each voter has been unreachable.
-func (t *termState) updateUnreachable(status raft.Status, now time.Duration) {
-	for _, voter := range status.Configuration.Voters {
-		if isActive(status, voter) {
-			delete(t.unreachableSince, voter)
-			continue
-		}
-		if _, known := t.unreachableSince[voter]; !known {
-			t.unreachableSince[voter] = now
-		}
-	}
-}
-
-// longestUnreachable returns the voter that has been unreachable for the longest time, and for how
-// long. It returns none and 0 if all voters are active.
-func (t *termState) longestUnreachable(status raft.Status, now time.Duration) (lost raft.MemberID, away time.Duration) {
-	for _, voter := range status.Configuration.Voters {
-		since, isAway := t.unreachableSince[voter]
-		if isAway && now-since > away {
-			lost, away = voter, now-since
-		}
-	}
-	return lost, away
-}
-
 // recordAddresses commits the addresses of one member that the state lacks, and reports whether it
 // did.
 func (d *leaderTasks) recordAddresses(ctx context.Context, status raft.Status) bool {
@@ -247,12 +203,35 @@
 }
 
 // removeMember removes the member from the configuration and then marks its identity as removed.
-// Both steps hold the membership lock, since the removed member itself may ask to join between
-// them. Whether it is in the configuration is decided by the replica under that lock: it may have
-// been added since the caller looked.
 func (g *group) removeMember(ctx context.Context, member state.Member) error {
 	g.membership.Lock()
 	defer g.membership.Unlock()
+	return g.removeLocked(ctx, member)
+}
+
+// removeSurplus is removeMember for a voter that the group does not need. It fails with
+// errMemberNeeded if fewer voters than required would be left. They are counted under the membership
+// lock, since two concurrent removals could otherwise each rely on the voter that the other removes.
+func (g *group) removeSurplus(ctx context.Context, member state.Member) error {
+	g.membership.Lock()
+	defer g.membership.Unlock()
+	voters := g.replica.Status().Configuration.Voters
+	if slices.Contains(voters, raft.MemberID(member.ID)) && !g.hasSurplus(voters) {
+		return errMemberNeeded
+	}
+	return g.removeLocked(ctx, member)
+}
+
+// hasSurplus reports whether the group may lose one of the voters for good. A group whose operator
+// manages its members has none to spare.
+func (g *group) hasSurplus(voters []raft.MemberID) bool {
+	return g.config.ToleratedLosses > 0 && len(voters) > g.requiredVoters()
+}
+
+// removeLocked performs both steps of a removal. They hold the membership lock, since the removed
+// member itself may ask to join between them. Whether it is in the configuration is decided by the
+// replica under that lock: it may have been added since the caller looked.
+func (g *group) removeLocked(ctx context.Context, member state.Member) error {
 	err := g.changeMembership(ctx, raft.ConfigurationChange{Kind: raft.ChangeRemove, Member: raft.MemberID(member.ID)})
 	if err != nil && !errors.Is(err, raft.ErrUnknownMember) {
 		return err
--- a/process/control/recovery.go
+++ b/process/control/recovery.go
@@ -107,8 +107,8 @@
 	if !m.config.Join {
 		return ErrRemoved
 	}
-	if err := replica.DiscardDisk(m.config.fileSystem, m.config.DataFolder); err != nil {
-		return errors.Wrap(err, "control: discard data directory")
+	if err := m.discardData(); err != nil {
+		return err
 	}
 	return ErrRemoved
 }
--- a/process/control/stop.go
+++ b/process/control/stop.go
@@ -10,7 +10,8 @@
 )
 
 // stop performs a planned stop. It transfers leadership first; then subscribers switch to the new
-// leader's address, and operator requests in flight are completed.
+// leader's address, the member leaves the group if it is not needed, and operator requests in flight
+// are completed.
 func (m *member) stop(cancelBackground context.CancelFunc) error {
 	ctx, cancel := context.WithTimeout(context.Background(), m.config.Durations.Shutdown)
 	defer cancel()
@@ -18,13 +19,17 @@
 	m.transferLeadership(ctx)
 	m.feed.Wake()
 	m.waitForSubscribers(ctx)
+	left := m.leaveGroup()
 	m.operator.shutdown(ctx)
 	m.feed.Close()
 	// Failing to transfer leadership is not an error: the others elect a leader.
 	_ = m.replica.Stop(ctx)
 	m.closeBackground(cancelBackground)
 	event.ControlStopped.Log(m.logger)
-	return m.replica.Err()
+	if err := m.replica.Err(); err != nil || !left {
+		return err
+	}
+	return m.discardData()
 }
 
 // transferLeadership transfers leadership to another voter if this member leads.
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -28,6 +28,11 @@
 		"The member's storage failed; the member is opened again after a pause.", "Look at the disk if it repeats.")
 	ControlRole = define(1013, "control_role", Info,
 		"This member's part in the group, its leader or the group's configuration has changed.", "")
+	ControlLeft = define(1015, "control_left", Info,
+		"The group has removed this member as it stopped, since enough others are left; when it is started again it joins as a new one.", "")
+	ControlStays = define(1016, "control_stays", Info,
+		"This member has stopped and is still counted as a voter: the group needs it, or could not remove it in time.",
+		"If it is gone for good, replace it.")
 	PeerConnected    = define(1020, "peer_connected", Info, "A connection to another member is up.", "")
 	PeerDisconnected = define(1021, "peer_disconnected", Info,
 		"A connection to another member ended or could not be made; it is tried again.",
