Members remember across restarts which software versions were listed

Cause: versionWatch.only answers with the only version listed if no other was listed for a stream's lifetime, and knew of no time before its own process. By reading, two more ways: members that do not lead observed no list before their first question, and a mix that ended was dated by the last change of the list during it, not by its end.

Change: every member observes each committed list, and stores what it knows of the versions in a file, with each change (versionrecord.go). A process goes on from the file; without one it answers "not known" for a stream's lifetime. The end of a mix is noted when it ends.

Why it works: the answer needs to know of the last 20 s. The file says what was listed until the last process ended, its `mixed` covers a change that was not yet written, and the first list after the start shows what has changed since.

--- a/process/control/group.go
+++ b/process/control/group.go
@@ -44,7 +44,7 @@
 	retries *retry.Pool
 	// streams holds the software versions that began streams.
 	streams  *resume.Registry
-	versions *versionWatch
+	versions *versionRecord
 	restarts *restartDoubts
 	// wakeFeed lets the feed send what has changed.
 	wakeFeed func()
--- a/process/control/open.go
+++ b/process/control/open.go
@@ -71,11 +71,13 @@
 	return m, m.openTransport()
 }
 
-// openTransport loads the crash evidence stored on disk, opens the peer transport and creates the
+// openTransport loads the crash evidence and the version record stored on disk, opens the peer transport and creates the
 // address book. If it fails, it closes the listeners and the disk.
 func (m *member) openTransport() error {
 	m.evidence = newEvidence(m.config, m.logger)
 	m.evidence.load(monotonic(), time.Now())
+	m.versions = newVersionRecord(m.config, m.logger)
+	m.versions.load(monotonic(), time.Now())
 	transport, err := peer.New(peer.Config{
 		Group:       m.config.GroupID,
 		ID:          m.id,
--- a/process/control/restarts_test.go
+++ b/process/control/restarts_test.go
@@ -39,7 +39,7 @@
 			}
 			g := &group{
 				boards: newPlacementBoards(), rates: ratelimit.NewLimiter(ratelimit.DefaultRule, 0), machine: newMachine(), metrics: newMetrics(),
-				evidence: &evidence{tracker: newQuarantineTracker()}, streams: newStreamRegistry(), versions: newVersionWatch(), restarts: newRestartDoubts(),
+				evidence: &evidence{tracker: newQuarantineTracker()}, streams: newStreamRegistry(), versions: newVersionRecord(Config{}, nopLogger{}), restarts: newRestartDoubts(),
 			}
 			g.machine.history.Store(history)
 			g.boards.update(history)
--- a/process/control/versionwatch.go
+++ b/process/control/versionwatch.go
@@ -11,12 +11,16 @@
 
 // versionWatch knows of each service whether replicas of a single software version alone have been listed for as
 // long as callers take streams up, so that a stream of which nothing is recorded can only have begun at that one. A
-// process that has just started goes by the list that it recovered. It is safe for concurrent use.
+// process that has just started goes on from what an earlier one stored (versionrecord.go), or by the list that it
+// recovered. It is safe for concurrent use.
 type versionWatch struct {
 	lock     sync.Mutex
 	version  view.Version // of the view that was observed last
 	replicas map[string]watchedReplica
 	services map[string]*watchedVersions
+	// blind is true if nothing is known of the time before knownSince.
+	blind      bool
+	knownSince time.Duration
 }
 
 // watchedReplica is what the watch keeps of a replica.
@@ -27,7 +31,9 @@
 	counts map[string]int
 	// single is the version that was listed alone last.
 	single string
-	// changed is true once another version has been listed, at changedAt for the last time.
+	// mixed is true while replicas of several versions are listed.
+	mixed bool
+	// changed is true once another version than the current ones has been listed, until changedAt for the last time.
 	changed   bool
 	changedAt time.Duration
 }
@@ -36,13 +42,13 @@
 	return &versionWatch{replicas: map[string]watchedReplica{}, services: map[string]*watchedVersions{}}
 }
 
-// observe applies a view.
-func (w *versionWatch) observe(now time.Duration, current *view.History) {
+// observe applies a view, and reports whether what is to be stored has changed.
+func (w *versionWatch) observe(now time.Duration, current *view.History) (isNews bool) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	delta, newer := current.DeltaSince(w.version)
 	if !newer {
-		return
+		return false
 	}
 	w.version = current.View.Version
 	if delta.Full {
@@ -51,8 +57,11 @@
 		w.apply(delta)
 	}
 	for _, versions := range w.services {
-		versions.note(now)
+		if versions.note(now) {
+			isNews = true
+		}
 	}
+	return isNews
 }
 
 // replace applies a complete list.
@@ -103,15 +112,18 @@
 	}
 }
 
-// note records whether another version than the single one is listed.
-func (v *watchedVersions) note(now time.Duration) {
-	single := v.singleVersion()
-	if len(v.counts) > 1 || single != "" && v.single != "" && single != v.single {
-		v.changed, v.changedAt = true, now
-	}
+// note records when several versions, or another single one, were listed last. It reports whether that is news.
+func (v *watchedVersions) note(now time.Duration) (isNews bool) {
+	single, wasSingle, wasMixed := v.singleVersion(), v.single, v.mixed
+	v.mixed = len(v.counts) > 1
 	if single != "" {
 		v.single = single
 	}
+	replaced := single != "" && wasSingle != "" && single != wasSingle
+	if replaced || wasMixed && !v.mixed {
+		v.changed, v.changedAt = true, now
+	}
+	return v.mixed != wasMixed || v.single != wasSingle
 }
 
 // singleVersion returns the version that all listed replicas have; empty if there is none.
@@ -130,8 +142,25 @@
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	versions := w.services[service]
-	if versions == nil || versions.changed && now-versions.changedAt < resume.Lifetime {
+	if versions == nil || versions.hasSeveral(now) || w.blind && now-w.knownSince < resume.Lifetime {
 		return ""
 	}
 	return versions.singleVersion()
 }
+
+// hasSeveral reports whether any service has streams of several versions that callers may take up.
+func (w *versionWatch) hasSeveral(now time.Duration) bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	for _, versions := range w.services {
+		if versions.hasSeveral(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasSeveral reports whether callers may take up streams of several versions of the service.
+func (v *watchedVersions) hasSeveral(now time.Duration) bool {
+	return v.mixed || v.changed && now-v.changedAt < resume.Lifetime
+}
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -122,6 +122,12 @@
 	RampBegan = define(1242, "ramp_began", Info,
 		"The leader limits the requests in flight on a replica of a model service, or queued to be read there, since it has started or recovered (reason): to limit at first, and further as its answers show how many it handles. age_ms is how long ago that was; omitted, in the last line of a second, is how many such begins and ends were not logged.",
 		"Many ramps of replicas that were not restarted: look why they fail.")
+	StreamsNotKept = define(1247, "streams_not_kept", Warn,
+		"What is known of the software versions that began streams could not be written; it is tried again.",
+		"Look at the disk if it repeats.")
+	StreamsUnreadable = define(1248, "streams_unreadable", Warn,
+		"A file of what is known of the software versions that began streams can't be read; it is passed over, and streams of which nothing else is known are refused for a while.",
+		"Look at the disk if it repeats.")
 	RampEnded = define(1243, "ramp_ended", Info,
 		"The leader no longer limits the requests in flight on a replica, after lasted_ms: it handles as many as it has slots, or as are asked of it. dropped says that it is no longer listed, or has changed its role; a ramp goes on in the new one.", "")
 	BoardShows = define(1223, "board_shows", Info,
