Members keep on their disks, and tell each other, which versions began streams

Cause: which version began a stream stood in the memory of the proxy that sent it and of the member that placed it, and nowhere else.

Change: while streams of several versions may be taken up, a member writes what it records to a file, and sends it to the others, which write it as well; first of all what it remembered before the second version was listed (streamarchive.go, streamfile.go). What two members say differently of a stream is not known (Registry.Merge). Nothing is written or sent with one version.

Weighed (in the postmortem): the log, streams at other proxies, anything that callers carry.

Seen to fail first: with the archive never opened TestStreamsOutliveAllMembers and TestAllMembersKnowTheVersionsOfStreams fail.

--- a/connection/feed/streams.go
+++ b/connection/feed/streams.go
@@ -50,6 +50,14 @@
 	return quota.Grant{Granted: known, Left: float64(resume.HashVersion(version))}
 }
 
+// EncodeStreamReport encodes a report of at most MaxReportedStreams streams.
+func EncodeStreamReport(report resume.Report) []byte { return []byte(encodeStreamsTenant(&report)) }
+
+// DecodeStreamReport is the reverse of EncodeStreamReport. It returns nil for data of another kind.
+func DecodeStreamReport(data []byte) (*resume.Report, error) {
+	return decodeStreamsTenant(string(data))
+}
+
 // encodeStreamsTenant encodes a report, or a question, in place of a tenant's name.
 func encodeStreamsTenant(report *resume.Report) string {
 	encoder := frame.NewEncoder(nil)
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -13,7 +13,6 @@
 	"github.com/landingtrail/landingtrail/process/replica"
 	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/request/ratelimit"
-	"github.com/landingtrail/landingtrail/request/resume"
 	"github.com/landingtrail/landingtrail/request/retry"
 	"github.com/landingtrail/landingtrail/version/api"
 	"github.com/landingtrail/landingtrail/version/state"
@@ -43,8 +42,7 @@
 	// retries is lent to proxies whose own retry budgets are used up.
 	retries *retry.Pool
 	// streams holds the software versions that began streams.
-	streams  *resume.Registry
-	versions *versionRecord
+	streams  *streamArchive
 	restarts *restartDoubts
 	// wakeFeed lets the feed send what has changed.
 	wakeFeed func()
--- a/process/control/history_test.go
+++ b/process/control/history_test.go
@@ -117,7 +117,7 @@
 		machine: machine,
 		config:  Config{Durations: Durations{Proposal: 700 * time.Millisecond}}.WithDefaults(),
 		demand:  newDemandTable(time.Now()),
-		quotas:  newQuotaCharger(quota.Rule{}), rates: ratelimit.NewLimiter(ratelimit.DefaultRule, 0), retries: retry.NewPool(rand.Uint64), streams: newStreamRegistry(), versions: newVersionRecord(Config{}, nopLogger{}), restarts: newRestartDoubts(),
+		quotas:  newQuotaCharger(quota.Rule{}), rates: ratelimit.NewLimiter(ratelimit.DefaultRule, 0), retries: retry.NewPool(rand.Uint64), streams: newStreamArchive(Config{}, nopLogger{}), restarts: newRestartDoubts(),
 		metrics: newMetrics(),
 	})
 }
--- a/process/control/membership_test.go
+++ b/process/control/membership_test.go
@@ -181,7 +181,7 @@
 	g := &group{
 		machine: newMachine(),
 		config:  Config{Durations: testDurations}.WithDefaults(),
-		quotas:  newQuotaCharger(quota.Rule{}), rates: ratelimit.NewLimiter(ratelimit.DefaultRule, 0), retries: retry.NewPool(rand.Uint64), streams: newStreamRegistry(), versions: newVersionRecord(Config{}, nopLogger{}), restarts: newRestartDoubts(),
+		quotas:  newQuotaCharger(quota.Rule{}), rates: ratelimit.NewLimiter(ratelimit.DefaultRule, 0), retries: retry.NewPool(rand.Uint64), streams: newStreamArchive(Config{}, nopLogger{}), restarts: newRestartDoubts(),
 		metrics: newMetrics(),
 	}
 	started, err := replica.Start(replica.Config{
--- a/process/control/open.go
+++ b/process/control/open.go
@@ -71,20 +71,20 @@
 	return m, m.openTransport()
 }
 
-// openTransport loads the crash evidence and the version record stored on disk, opens the peer transport and creates the
+// openTransport loads the crash evidence and the streams stored on disk, opens the peer transport and creates the
 // address book. If it fails, it closes the listeners and the disk.
 func (m *member) openTransport() error {
 	m.evidence = newEvidence(m.config, m.logger)
 	m.evidence.load(monotonic(), time.Now())
-	m.versions = newVersionRecord(m.config, m.logger)
-	m.versions.load(monotonic(), time.Now())
+	m.streams = newStreamArchive(m.config, m.logger)
+	m.streams.load(monotonic(), time.Now())
 	transport, err := peer.New(peer.Config{
 		Group:       m.config.GroupID,
 		ID:          m.id,
 		Listener:    m.listeners.peer,
 		Initialized: m.initialized.Load,
 		OnEvent:     m.handlePeerEvent,
-		OnNotice:    m.evidence.receive,
+		OnNotice:    m.receiveNotice,
 	}, m.receive)
 	if err != nil {
 		m.listeners.close()
@@ -93,10 +93,18 @@
 	}
 	m.transport = transport
 	m.evidence.setSender(transport)
+	m.streams.setSender(transport)
 	m.addresses = newAddressBook(m.config, m.id, transport)
 	return nil
 }
 
+// receiveNotice passes on a notice of another member.
+func (m *member) receiveNotice(from raft.MemberID, payload []byte) {
+	if !m.streams.receive(from, payload) {
+		m.evidence.receive(from, payload)
+	}
+}
+
 // handlePeerEvent handles a connection to another member that was established, closed or refused.
 func (m *member) handlePeerEvent(peerEvent peer.Event) {
 	m.logPeerEvent(peerEvent)
--- a/process/control/quota.go
+++ b/process/control/quota.go
@@ -84,7 +84,7 @@
 		return
 	}
 	if request.Streams != nil {
-		g.streams.Apply(monotonic(), *request.Streams)
+		g.streams.record(monotonic(), *request.Streams)
 		return
 	}
 	if request.Parts != nil {
--- a/process/control/rates_test.go
+++ b/process/control/rates_test.go
@@ -64,7 +64,7 @@
 	g.machine, g.metrics = newMachine(), newMetrics()
 	g.machine.history.Store(ratesView())
 	g.evidence = &evidence{tracker: newQuarantineTracker()}
-	g.streams, g.versions, g.restarts = newStreamRegistry(), newVersionRecord(Config{}, nopLogger{}), newRestartDoubts()
+	g.streams, g.restarts = newStreamArchive(Config{}, nopLogger{}), newRestartDoubts()
 	request := feed.PlaceRequest{Service: "chat", Number: 1, Ask: placement.Request{PromptTokens: 10, Deadline: time.Minute}}
 	for _, replica := range []string{"r-1", "r-2"} {
 		report := ratelimit.Report{Statement: ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: 1}}
--- a/process/control/restarts_test.go
+++ b/process/control/restarts_test.go
@@ -39,7 +39,7 @@
 			}
 			g := &group{
 				boards: newPlacementBoards(), rates: ratelimit.NewLimiter(ratelimit.DefaultRule, 0), machine: newMachine(), metrics: newMetrics(),
-				evidence: &evidence{tracker: newQuarantineTracker()}, streams: newStreamRegistry(), versions: newVersionRecord(Config{}, nopLogger{}), restarts: newRestartDoubts(),
+				evidence: &evidence{tracker: newQuarantineTracker()}, streams: newStreamArchive(Config{}, nopLogger{}), restarts: newRestartDoubts(),
 			}
 			g.machine.history.Store(history)
 			g.boards.update(history)
@@ -49,7 +49,7 @@
 			answer, known := g.Place("proxy-1", feed.PlaceRequest{Service: "chat", Number: 1, Ask: ask})
 			must.True(t, known)
 			must.Eq(t, test.placed, answer.Generator)
-			recorded, _ := g.streams.Find(monotonic(), 8)
+			recorded, _ := g.streams.registry.Find(monotonic(), 8)
 			must.Eq(t, test.recorded, recorded)
 		})
 	}
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -87,7 +87,7 @@
 	id        raft.MemberID
 	disk      *replica.Disk
 	evidence  *evidence
-	versions  *versionRecord
+	streams   *streamArchive
 	machine   *machine
 	transport *peer.Transport
 	addresses *addressBook
@@ -180,7 +180,9 @@
 	m.background.Go(func() { m.group.Load().logPlacementSummaries(backgroundCtx) })
 	m.background.Go(func() { m.evidence.runWriter(backgroundCtx) })
 	m.background.Go(func() { m.evidence.runSender(backgroundCtx) })
-	m.background.Go(func() { m.versions.run(backgroundCtx) })
+	m.background.Go(func() { m.streams.versions.run(backgroundCtx) })
+	m.background.Go(func() { m.streams.runWriter(backgroundCtx) })
+	m.background.Go(func() { m.streams.runSender(backgroundCtx) })
 	for _, extension := range m.config.Extensions {
 		m.background.Go(func() { extension(backgroundCtx, &Access{member: m}) })
 	}
@@ -227,8 +229,7 @@
 		quotas:     newQuotaCharger(m.config.Quotas),
 		rates:      ratelimit.NewLimiter(ratelimit.DefaultRule, monotonic()),
 		retries:    retry.NewPool(rand.Uint64),
-		streams:    newStreamRegistry(),
-		versions:   m.versions,
+		streams:    m.streams,
 		restarts:   newRestartDoubts(),
 		wakeFeed:   func() { m.feed.Wake() },
 
@@ -274,7 +275,7 @@
 	}
 }
 
-// watchVersion notifies the evidence, the version record, the feed and the leader's tasks of every new version.
+// watchVersion notifies the evidence, the stream archive, the feed and the leader's tasks of every new version.
 func (m *member) watchVersion(ctx context.Context) {
 	recorded := m.machine.view().Quarantines
 	for {
@@ -282,7 +283,7 @@
 		case <-m.machine.versionChanged:
 			before := recorded
 			recorded = m.machine.view().Quarantines
-			m.versions.observe(monotonic(), m.machine.history.Load())
+			m.streams.observe(monotonic(), m.machine.history.Load())
 			if !m.group.Load().Leadership().Leads {
 				m.evidence.applyRecordChange(before, recorded)
 			}
--- a/process/control/streams.go
+++ b/process/control/streams.go
@@ -15,11 +15,12 @@
 // recordPlacedStreams records at which software version a stream begins, or continues, before the request is
 // sent there. doubtful are the replicas whose versions are in doubt.
 func (g *group) recordPlacedStreams(streams []resume.Stream, answer placement.Answer, doubtful []string) {
-	g.versions.observe(monotonic(), g.machine.history.Load())
+	now := monotonic()
+	g.streams.observe(now, g.machine.history.Load())
 	if len(streams) == 0 || answer.Generator == "" {
 		return
 	}
-	g.streams.Apply(monotonic(), resume.Report{Version: g.placedVersion(answer, doubtful), Streams: streams})
+	g.streams.record(now, resume.Report{Version: g.placedVersion(answer, doubtful), Streams: streams})
 }
 
 // findStream answers which version began a stream; the grant is refused if this member does not know. It returns
@@ -29,10 +30,10 @@
 		return quota.Grant{}, false
 	}
 	now := monotonic()
-	version, known := g.streams.Find(now, question.Streams[0])
+	version, known := g.streams.registry.Find(now, question.Streams[0])
 	if !known {
-		g.versions.observe(now, g.machine.history.Load())
-		version = g.versions.only(now, question.Service)
+		g.streams.observe(now, g.machine.history.Load())
+		version = g.streams.versions.only(now, question.Service)
 	}
 	return feed.StreamGrant(version, version != ""), true
 }
--- a/process/control/streams_test.go
+++ b/process/control/streams_test.go
@@ -19,7 +19,7 @@
 	history.View.Replicas["r-2"].Spec.SoftwareVersion = "v1.1"
 	g := &group{
 		boards: newPlacementBoards(), rates: ratelimit.NewLimiter(ratelimit.DefaultRule, 0), machine: newMachine(), metrics: newMetrics(),
-		evidence: &evidence{tracker: newQuarantineTracker()}, streams: newStreamRegistry(), versions: newVersionRecord(Config{}, nopLogger{}), restarts: newRestartDoubts(),
+		evidence: &evidence{tracker: newQuarantineTracker()}, streams: newStreamArchive(Config{}, nopLogger{}), restarts: newRestartDoubts(),
 	}
 	g.machine.history.Store(history)
 	find := func(stream resume.Stream) (uint64, bool) {
--- a/process/control/versionrecord_test.go
+++ b/process/control/versionrecord_test.go
@@ -44,7 +44,7 @@
 			if !slices.Equal(slices.Sorted(maps.Keys(countVersions(listed))), slices.Compact(slices.Sorted(slices.Values(versions)))) {
 				return false
 			}
-			current.versions.observe(monotonic(), current.machine.history.Load())
+			current.streams.observe(monotonic(), current.machine.history.Load())
 		}
 		return len(g.running) > 0
 	})
@@ -122,7 +122,7 @@
 	g := newStreamGroup(t)
 	g.list("v1", "v1")
 	for i := range g.running {
-		record := g.running[i].member.versions
+		record := g.running[i].member.streams.versions
 		record.lock.Lock()
 		record.knownSince -= resume.Lifetime // as if the group had run for that long
 		record.lock.Unlock()
@@ -132,7 +132,7 @@
 	members := g.restartAll()
 	g.awaitListed([]string{"v1"})
 	for _, i := range members {
-		must.Eq(t, "v1", g.running[i].member.versions.only(monotonic()+maxClockStep, "tiles"))
+		must.Eq(t, "v1", g.running[i].member.streams.versions.only(monotonic()+maxClockStep, "tiles"))
 	}
 }
 
@@ -140,7 +140,7 @@
 func (g *growingGroup) awaitRecord(i int, condition func(*versionWatch) bool) {
 	g.t.Helper()
 	eventually(g.t, "the versions are stored", func() bool {
-		data, err := os.ReadFile(g.running[i].member.versions.path)
+		data, err := os.ReadFile(g.running[i].member.streams.versions.path)
 		watch := newVersionWatch()
 		return err == nil && watch.restore(data, monotonic(), time.Now()) == nil && watch.services["tiles"] != nil && condition(watch)
 	})
--- a/process/control/versionwatch.go
+++ b/process/control/versionwatch.go
@@ -148,8 +148,8 @@
 	return versions.singleVersion()
 }
 
-// hasSeveral reports whether any service has streams of several versions that callers may take up.
-func (w *versionWatch) hasSeveral(now time.Duration) bool {
+// anyHasSeveral reports whether callers may take up streams of several versions of any service.
+func (w *versionWatch) anyHasSeveral(now time.Duration) bool {
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	for _, versions := range w.services {
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -122,12 +122,16 @@
 	RampBegan = define(1242, "ramp_began", Info,
 		"The leader limits the requests in flight on a replica of a model service, or queued to be read there, since it has started or recovered (reason): to limit at first, and further as its answers show how many it handles. age_ms is how long ago that was; omitted, in the last line of a second, is how many such begins and ends were not logged.",
 		"Many ramps of replicas that were not restarted: look why they fail.")
+	StreamsArchived = define(1245, "streams_archived", Info,
+		"Replicas of several software versions of a service are listed: which version began a stream is written to this member's disk and sent to the other members from now on, beginning with what is remembered.", "")
+	StreamsRecalled = define(1246, "streams_recalled", Info,
+		"This member has read which software versions began the streams that an earlier life of it knew.", "")
 	StreamsNotKept = define(1247, "streams_not_kept", Warn,
 		"What is known of the software versions that began streams could not be written; it is tried again.",
 		"Look at the disk if it repeats.")
 	StreamsUnreadable = define(1248, "streams_unreadable", Warn,
-		"A file of what is known of the software versions that began streams can't be read; it is passed over, and streams of which nothing else is known are refused for a while.",
-		"Look at the disk if it repeats.")
+		"A file of what is known of the software versions that began streams, or what another member has told of them (from its ID), can't be read further; the rest is passed over, and streams of which nothing else is known are refused.",
+		"Check the versions of the members; a file that ends in the middle is what a kill leaves.")
 	RampEnded = define(1243, "ramp_ended", Info,
 		"The leader no longer limits the requests in flight on a replica, after lasted_ms: it handles as many as it has slots, or as are asked of it. dropped says that it is no longer listed, or has changed its role; a ramp goes on in the new one.", "")
 	BoardShows = define(1223, "board_shows", Info,
--- a/request/resume/registry.go
+++ b/request/resume/registry.go
@@ -4,6 +4,7 @@
 package resume
 
 import (
+	"cmp"
 	"encoding/binary"
 	"maps"
 	"sync"
@@ -72,8 +73,8 @@
 
 // Registry remembers the versions of streams. It is safe for concurrent use.
 //
-// Invariant: what Find returns was recorded last for that stream; for a content, it is the only version that was
-// recorded. A stream is remembered for at least the lifetime, unless there are more than the registry may hold,
+// Invariant: what Find returns was recorded last for that stream and differs from nothing that was merged; for a
+// content, it is the only version that was recorded. A stream is remembered for at least the lifetime, unless there are more than the registry may hold,
 // and for at most twice that.
 type Registry struct {
 	lifetime time.Duration
@@ -92,29 +93,57 @@
 	return &Registry{lifetime: lifetime, limit: limit, current: map[Stream]string{}, versions: map[string]string{}}
 }
 
-// ambiguous is recorded for a content with streams of several versions.
+// ambiguous is recorded for a content with streams of several versions, and for a stream of which registries differ.
 const ambiguous = "\x00"
 
-// Record remembers the version of a stream. A version or a stream that is not known is not remembered, and
-// what was recorded before is forgotten.
-func (r *Registry) Record(now time.Duration, stream Stream, version string) {
+// Record remembers the version of a stream, and reports whether that is news. A version or a stream that is not
+// known is not remembered, and what was recorded before is forgotten.
+func (r *Registry) Record(now time.Duration, stream Stream, version string) (isNews bool) {
 	if stream == 0 {
-		return
+		return false
 	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.rotate(now)
+	before, known := r.find(stream)
 	if version == "" && !stream.isContent() {
 		delete(r.current, stream)
 		delete(r.previous, stream)
-		return
+		return known
 	}
 	if version == "" {
 		version = ambiguous
 	}
-	if before, known := r.find(stream); known && stream.isContent() && before != version {
+	if known && stream.isContent() && before != version {
 		version = ambiguous
 	}
+	r.store(stream, version)
+	return !known || before != version
+}
+
+// Merge remembers what another registry held, and returns the streams of which that is news. Nobody can tell
+// which of two registries recorded a stream last: if they differ, the version of the stream is not known.
+func (r *Registry) Merge(now time.Duration, report Report) (news []Stream) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.rotate(now)
+	for _, stream := range report.Streams {
+		version := cmp.Or(report.Version, ambiguous)
+		before, known := r.find(stream)
+		if known && before != version {
+			version = ambiguous
+		}
+		if stream == 0 || known && before == version {
+			continue
+		}
+		r.store(stream, version)
+		news = append(news, stream)
+	}
+	return news
+}
+
+// store sets the version of a stream. The lock must be held.
+func (r *Registry) store(stream Stream, version string) {
 	shared, known := r.versions[version]
 	if !known {
 		shared = version
@@ -123,11 +152,14 @@
 	r.current[stream] = shared
 }
 
-// Apply records each stream of a report.
-func (r *Registry) Apply(now time.Duration, report Report) {
+// Apply records each stream of a report, and returns those of which it is news.
+func (r *Registry) Apply(now time.Duration, report Report) (news []Stream) {
 	for _, stream := range report.Streams {
-		r.Record(now, stream, report.Version)
+		if r.Record(now, stream, report.Version) {
+			news = append(news, stream)
+		}
 	}
+	return news
 }
 
 // Find returns the version that began a stream, and false if it is not known.
--- a/request/resume/registry_test.go
+++ b/request/resume/registry_test.go
@@ -119,3 +119,31 @@
 		must.Eq(t, want, got)
 	}
 }
+
+// Guards against a version that one of two registries recorded and that is taken for the last one, though the other
+// recorded another one; and against what is merged that outlasts what is recorded afterwards.
+func TestMergedVersionsMustAgree(t *testing.T) {
+	const plain, content = Stream(2), Stream(3)
+	for _, stream := range []Stream{plain, content} {
+		r := NewRegistry(Lifetime, 100)
+		must.Eq(t, []Stream{stream}, r.Merge(0, Report{Version: "v1", Streams: []Stream{0, stream}}))
+		must.SliceEmpty(t, r.Merge(0, Report{Version: "v1", Streams: []Stream{stream}}))
+		version, known := r.Find(0, stream)
+		must.True(t, known)
+		must.Eq(t, "v1", version)
+		for _, other := range []string{"v2", "v1", "v2"} {
+			r.Merge(0, Report{Version: other, Streams: []Stream{stream}})
+		}
+		_, known = r.Find(0, stream)
+		must.False(t, known)
+		must.Eq(t, stream == plain, r.Record(0, stream, "v3"), must.Sprint("a content stays ambiguous"))
+		version, known = r.Find(0, stream)
+		must.Eq(t, stream == plain, known)
+		must.Eq(t, stream == plain, version == "v3")
+	}
+	r := NewRegistry(Lifetime, 100)
+	r.Merge(0, Report{Version: "", Streams: []Stream{plain}})
+	r.Merge(0, Report{Version: "v1", Streams: []Stream{plain}})
+	_, known := r.Find(0, plain)
+	must.False(t, known, must.Sprint("another registry did not know the version"))
+}
