A proxy without a list takes no stream up at any version

Cause: a proxy compares no versions where no listed replica has one, as with a control group of an earlier release. Without a list that holds as well, and a member may name a replica that the proxy does not list.

Change: versions are compared unless replicas of the service are listed and none has a version.

Seen to fail first: TestStreamIsNotTakenUpBeforeReplicasAreListed runs the stream at v2 without the change. Tests of streams and versions of process/ingress pass.

--- a/process/ingress/fleet.go
+++ b/process/ingress/fleet.go
@@ -38,7 +38,9 @@
 	listedReplicas []*replica
 	// softwareVersions holds the versions of the listed replicas, by their hashes.
 	softwareVersions map[uint64]string
-	ramps            *rampContext // nil for no ramps
+	// listsReplicas is true if any replica of the service is listed.
+	listsReplicas bool
+	ramps         *rampContext // nil for no ramps
 	// newlyListed holds the replicas that were listed lately, until they are used.
 	newlyListed map[string]newListing
 }
@@ -72,6 +74,7 @@
 	f.recordNewListings(listed, now)
 	f.listed, f.listedReplicas = listed, nil
 	f.softwareVersions = softwareVersionsOf(f.service, listed)
+	f.listsReplicas = listsReplicas(f.service, listed)
 	for name, current := range f.tracked {
 		entry := f.entry(name)
 		switch {
--- a/process/ingress/version.go
+++ b/process/ingress/version.go
@@ -42,7 +42,7 @@
 
 // mayBeTakenUp reports whether callers may take up the stream of this request, so that its version is recorded.
 func (s *session) mayBeTakenUp() bool {
-	return s.route.Kind == api.RouteStreaming && s.route.Resumable && s.upstream.fleet.hasVersions()
+	return s.route.Kind == api.RouteStreaming && s.route.Resumable && s.upstream.fleet.comparesVersions()
 }
 
 // streams returns the identifiers of the stream that the request begins or continues, none if it is not one that may
@@ -133,7 +133,7 @@
 
 // requiredVersion returns the only version at which the request may run; bound is false if it may run at any.
 func (s *session) requiredVersion() (version string, bound bool) {
-	if !s.origin.begun || !s.upstream.fleet.hasVersions() {
+	if !s.origin.begun || !s.upstream.fleet.comparesVersions() {
 		return "", false
 	}
 	return s.origin.version, true
@@ -195,11 +195,23 @@
 	return spec.SoftwareVersion
 }
 
-// hasVersions reports whether any listed replica of the service has a software version.
-func (f *fleet) hasVersions() bool {
+// comparesVersions reports whether streams of the service go on only at the version that began them. They go on
+// anywhere if replicas are listed and none has a version. As long as none is listed, nothing is known of versions, and
+// members may name replicas for single requests.
+func (f *fleet) comparesVersions() bool {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	return len(f.softwareVersions) > 0
+	return len(f.softwareVersions) > 0 || !f.listsReplicas
+}
+
+// listsReplicas reports whether the listing contains a replica of the service.
+func listsReplicas(service string, listed listing) bool {
+	for _, entry := range listed {
+		if entry.Spec.Service == service {
+			return true
+		}
+	}
+	return false
 }
 
 // versionOf returns the listed software version with the hash, empty for none.
--- a/process/ingress/version_test.go
+++ b/process/ingress/version_test.go
@@ -305,6 +305,22 @@
 	must.Eq(t, 0, left.count())
 }
 
+// Guards against a stream that goes on at any version at a proxy that has just started: it has no list yet, and a member
+// names a replica for the request.
+func TestStreamIsNotTakenUpBeforeReplicasAreListed(t *testing.T) {
+	env := newTestEnv(t)
+	env.withLongObjective()
+	env.ingress.directory = newMemberDirectory()
+	other := newFakeReplica(t, "other", streamOfVersion("v2", 6, true))
+	named := replicaObject(other, "model", api.RoleDecode)
+	named.Spec.SoftwareVersion = "v2"
+	env.ingress.upstreams.lookupUnlisted = func(string) *api.Replica { return named }
+	env.ingress.placer = &fakePlacer{answer: placement.Answer{Generator: "other"}}
+	must.Eq(t, http.StatusServiceUnavailable, env.do(resuming("elsewhere", 3)).status)
+	must.Eq(t, 0, other.count())
+	must.Eq(t, http.StatusOK, env.do(modelRequest).status)
+}
+
 // Guards against streams that are refused, or reported, in a service whose replicas have no versions.
 func TestStreamsGoOnWhereNoReplicaHasAVersion(t *testing.T) {
 	env := newTestEnv(t)
