A new group has no unknown past; waiting streams of one version go together

And where streams of two versions begin by turns, each had a notice of its own, of which 640 a second are sent.

Change: control.Config.FirstStart, true at the first start of the whole system, leaves the past known. A report joins the latest waiting one of its version.

Measured: TestOnlyTheFirstStartOfTheGroupHasNoUnknownPast and TestStreamsOfOneVersionGoTogether pass; they were written with the change and not run without it.

--- a/process/control/config.go
+++ b/process/control/config.go
@@ -65,10 +65,12 @@
 	// only voter; the other members join it. It must be set on at most one member, and only for the
 	// first start of the whole system.
 	Bootstrap bool
+	// FirstStart is true if all members of the group start for the first time, with empty disks.
+	FirstStart bool
 	// ToleratedLosses is the number of members that may fail at the same time, including their disks,
 	// without losing acknowledged data. The group accepts no Ingress while its quorum is smaller
-	// than ToleratedLosses+1. It removes a member that stays unreachable while it has more than
-	// 2*ToleratedLosses+1 voters.
+	// than ToleratedLosses+1. It removes a member that stays unreachable, or that stops as planned,
+	// while it has more than 2*ToleratedLosses+1 voters.
 	ToleratedLosses int
 	// Fleet is the leader's source of the replicas of routed services; nil if there are no routed
 	// services.
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -53,7 +53,7 @@
 		delay := storageRetryDelay
 		if errors.Is(err, ErrRemoved) {
 			delay = joinRetryInterval
-			config.Bootstrap = false // applies to the first start only: its group continues without it
+			config.Bootstrap, config.FirstStart = false, false // its group continues without it
 		}
 		event.ControlReopens.Log(logger, "err", err, "pause", delay)
 		if !pause.Sleep(ctx, delay) {
--- a/process/control/streamarchive.go
+++ b/process/control/streamarchive.go
@@ -137,12 +137,11 @@
 	return true
 }
 
-// enqueue adds a report to what waits. Reports of one version go together. The lock must be held.
+// enqueue adds a report to what waits, if possible to the latest report of its version. The lock must be held.
 func (a *streamArchive) enqueue(waiting *[]resume.Report, signal chan struct{}, report resume.Report) {
 	pause.Signal(signal)
-	last := len(*waiting) - 1
-	if last >= 0 && (*waiting)[last].Version == report.Version && len((*waiting)[last].Streams)+len(report.Streams) <= feed.MaxReportedStreams {
-		(*waiting)[last].Streams = append((*waiting)[last].Streams, report.Streams...)
+	if latest := latestOfVersion(*waiting, report.Version); latest != nil && len(latest.Streams)+len(report.Streams) <= feed.MaxReportedStreams {
+		latest.Streams = append(latest.Streams, report.Streams...)
 		return
 	}
 	report.Streams = slices.Clone(report.Streams)
@@ -152,6 +151,16 @@
 	}
 }
 
+// latestOfVersion returns the last report of a version, nil if there is none.
+func latestOfVersion(reports []resume.Report, version string) *resume.Report {
+	for i := len(reports) - 1; i >= 0; i-- {
+		if reports[i].Version == version {
+			return &reports[i]
+		}
+	}
+	return nil
+}
+
 // take removes at most the given number of reports from what waits.
 func (a *streamArchive) take(waiting *[]resume.Report, most int) []resume.Report {
 	a.lock.Lock()
--- a/process/control/streamarchive_test.go
+++ b/process/control/streamarchive_test.go
@@ -89,3 +89,18 @@
 	must.ErrorIs(t, err, errDamagedStreams)
 	must.Eq(t, reports[:1], decoded)
 }
+
+// Guards against a notice for each stream where streams of several versions begin by turns.
+func TestStreamsOfOneVersionGoTogether(t *testing.T) {
+	const pairs = 3 * feed.MaxReportedStreams
+	archive := newStreamArchive(Config{}, nopLogger{})
+	archive.isOpen = true
+	for i := range pairs {
+		archive.record(0, resume.Report{Version: "v1", Streams: []resume.Stream{resume.Stream(4*i + 2)}})
+		archive.record(0, resume.Report{Version: "v2", Streams: []resume.Stream{resume.Stream(4*i + 4)}})
+	}
+	must.SliceLen(t, 2*pairs/feed.MaxReportedStreams, archive.unsent)
+	must.SliceLen(t, 2*pairs/feed.MaxReportedStreams, archive.unwritten)
+	must.SliceLen(t, 2, archive.take(&archive.unsent, 2))
+	must.SliceLen(t, 2*pairs/feed.MaxReportedStreams-2, archive.unsent)
+}
--- a/process/control/versionrecord.go
+++ b/process/control/versionrecord.go
@@ -33,28 +33,32 @@
 	files   wal.FileSystem
 	path    string
 	changed chan struct{} // holds an item while the file is out of date
-	logger  log.Logger
+	// firstStart is true if no earlier process of any member can have listed versions.
+	firstStart bool
+	logger     log.Logger
 }
 
 func newVersionRecord(config Config, logger log.Logger) *versionRecord {
 	return &versionRecord{
 		versionWatch: newVersionWatch(), files: config.fileSystem, path: filepath.Join(config.DataFolder, versionRecordName),
-		changed: make(chan struct{}, 1), logger: logger,
+		changed: make(chan struct{}, 1), firstStart: config.FirstStart, logger: logger,
 	}
 }
 
-// load restores what an earlier process stored. If it stored nothing that can be read, nothing is known of the past.
+// load restores what an earlier process stored. If it stored nothing that can be read, nothing is known of the past,
+// unless there is none.
 func (r *versionRecord) load(now time.Duration, wall time.Time) {
 	defer pause.Signal(r.changed)
 	stored, err := r.files.ReadFile(r.path)
 	if err == nil {
 		err = r.restore(stored, now, wall)
 	}
-	if err == nil {
+	isMissing := errors.Is(err, fs.ErrNotExist)
+	if err == nil || isMissing && r.firstStart {
 		return
 	}
 	r.forgetPast(now)
-	if !errors.Is(err, fs.ErrNotExist) {
+	if !isMissing {
 		event.StreamsUnreadable.Log(r.logger, "from", versionRecordName, "err", err)
 	}
 }
--- a/process/control/versionrecord_test.go
+++ b/process/control/versionrecord_test.go
@@ -177,6 +177,16 @@
 	must.Eq(t, "v2", watch.only(resume.Lifetime, "chat"))
 }
 
+// Guards against streams that are refused for the first seconds of a new group, which has no past that could be unknown;
+// and against a member that joins later and takes its own start for that of the group.
+func TestOnlyTheFirstStartOfTheGroupHasNoUnknownPast(t *testing.T) {
+	for _, firstStart := range []bool{true, false} {
+		record := newVersionRecord(Config{DataFolder: t.TempDir(), FirstStart: firstStart}.WithDefaults(), nopLogger{})
+		record.load(time.Second, time.Now())
+		must.Eq(t, !firstStart, record.blind)
+	}
+}
+
 // Guards against a clock that was stepped while the member was down: no change may seem to lie in the future, nor
 // longer ago than the largest step allows.
 func TestVersionRecordBearsClockSteps(t *testing.T) {
