--- a/process/control/open.go
+++ b/process/control/open.go
@@ -71,8 +71,8 @@
 	return m, m.openTransport()
 }
 
-// openTransport loads the crash evidence and the streams stored on disk, opens the peer transport and creates the
-// address book. If it fails, it closes the listeners and the disk.
+// openTransport loads the crash evidence and the streams stored on disk, opens the peer transport and
+// creates the address book. If it fails, it closes the listeners and the disk.
 func (m *member) openTransport() error {
 	m.evidence = newEvidence(m.config, m.logger)
 	m.evidence.load(monotonic(), time.Now())
--- a/process/control/streamarchive.go
+++ b/process/control/streamarchive.go
@@ -16,8 +16,8 @@
 	"github.com/landingtrail/landingtrail/version/view"
 )
 
-// The version that began a stream is known to the proxy that sent it and to the member that placed it. Both may be
-// killed at once, and the stream must still go on at that version or be refused. While streams of several versions of
+// Which version began a stream is known to the proxy that sent it and to the member that placed it. Both may be killed
+// at once, and the stream must still go on at that version or be refused. While streams of several versions of
 // a service may be taken up, a member therefore stores what it records on its disk and sends it to the other members,
 // which do the same. Neither needs a leader or makes a request wait; what was not yet stored or sent when a process
 // is killed is not known afterwards. While there is one version only, nothing is stored or sent: then a stream of
@@ -106,13 +106,13 @@
 
 // record records what a proxy reports, or where this member places streams.
 func (a *streamArchive) record(now time.Duration, report resume.Report) {
-	news := a.registry.Apply(now, report)
+	updated := a.registry.Apply(now, report)
 	a.lock.Lock()
 	defer a.lock.Unlock()
-	if !a.isOpen || len(news) == 0 {
+	if !a.isOpen || len(updated) == 0 {
 		return
 	}
-	report.Streams = news
+	report.Streams = updated
 	a.enqueue(&a.unwritten, a.writes, report)
 	a.enqueue(&a.unsent, a.sends, report)
 }
@@ -127,9 +127,9 @@
 	if report == nil {
 		return false
 	}
-	news := a.registry.Merge(monotonic(), *report)
-	if len(news) > 0 {
-		report.Streams = news
+	updated := a.registry.Merge(monotonic(), *report)
+	if len(updated) > 0 {
+		report.Streams = updated
 		a.lock.Lock()
 		defer a.lock.Unlock()
 		a.enqueue(&a.unwritten, a.writes, *report)
--- a/process/control/unreachable.go
+++ b/process/control/unreachable.go
@@ -31,8 +31,7 @@
 
 // removalDelay returns how long a voter must have been unreachable to be removed. Usually that is
 // MemberSilence. It is an election timeout if the tolerated losses, on top of the voters that are
-// unreachable, would leave no quorum: a group that can no longer change its members does not recover
-// from them.
+// unreachable, would leave no quorum: without one, the group cannot even replace its members.
 func (g *group) removalDelay(voters, unreachable int) time.Duration {
 	quorum := voters/2 + 1
 	if voters-unreachable-g.config.ToleratedLosses < quorum {
--- a/process/control/versionrecord.go
+++ b/process/control/versionrecord.go
@@ -97,7 +97,7 @@
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	encoder := frame.NewEncoder(nil)
-	encoder.Bool(w.blind)
+	encoder.Bool(w.pastUnknown)
 	encoder.Int64(wallMilliseconds(w.knownSince, now, wall))
 	encoder.Uint32(uint32(len(w.services)))
 	for _, service := range slices.Sorted(maps.Keys(w.services)) {
@@ -119,7 +119,7 @@
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	decoder := frame.NewDecoder(record)
-	blind, knownSince := decoder.Bool(), recalledTime(decoder.Int64(), now, wall)
+	pastUnknown, knownSince := decoder.Bool(), recalledTime(decoder.Int64(), now, wall)
 	services := map[string]*watchedVersions{}
 	for range decoder.Count(minRecordBytes) {
 		service := decoder.String()
@@ -132,7 +132,7 @@
 	if err := decoder.Finish(); err != nil {
 		return err
 	}
-	w.blind, w.knownSince, w.services = blind, knownSince, services
+	w.pastUnknown, w.knownSince, w.services = pastUnknown, knownSince, services
 	return nil
 }
 
@@ -140,7 +140,7 @@
 func (w *versionWatch) forgetPast(now time.Duration) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.blind, w.knownSince = true, now
+	w.pastUnknown, w.knownSince = true, now
 }
 
 // wallMilliseconds converts a reading of the monotonic clock to Unix milliseconds.
--- a/process/control/versionrecord_test.go
+++ b/process/control/versionrecord_test.go
@@ -183,7 +183,7 @@
 	for _, firstStart := range []bool{true, false} {
 		record := newVersionRecord(Config{DataFolder: t.TempDir(), FirstStart: firstStart}.WithDefaults(), nopLogger{})
 		record.load(time.Second, time.Now())
-		must.Eq(t, !firstStart, record.blind)
+		must.Eq(t, !firstStart, record.pastUnknown)
 	}
 }
 
--- a/process/control/versionwatch.go
+++ b/process/control/versionwatch.go
@@ -18,9 +18,9 @@
 	version  view.Version // of the view that was observed last
 	replicas map[string]watchedReplica
 	services map[string]*watchedVersions
-	// blind is true if nothing is known of the time before knownSince.
-	blind      bool
-	knownSince time.Duration
+	// pastUnknown is true if nothing is known of the time before knownSince.
+	pastUnknown bool
+	knownSince  time.Duration
 }
 
 // watchedReplica is what the watch keeps of a replica.
@@ -33,7 +33,7 @@
 	single string
 	// mixed is true while replicas of several versions are listed.
 	mixed bool
-	// changed is true once another version than the current ones has been listed, until changedAt for the last time.
+	// changed is true once another version than the listed ones has been listed; changedAt is when that ended.
 	changed   bool
 	changedAt time.Duration
 }
@@ -43,7 +43,7 @@
 }
 
 // observe applies a view, and reports whether what is to be stored has changed.
-func (w *versionWatch) observe(now time.Duration, current *view.History) (isNews bool) {
+func (w *versionWatch) observe(now time.Duration, current *view.History) (updated bool) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	delta, newer := current.DeltaSince(w.version)
@@ -58,10 +58,10 @@
 	}
 	for _, versions := range w.services {
 		if versions.note(now) {
-			isNews = true
+			updated = true
 		}
 	}
-	return isNews
+	return updated
 }
 
 // replace applies a complete list.
@@ -112,8 +112,9 @@
 	}
 }
 
-// note records when several versions, or another single one, were listed last. It reports whether that is news.
-func (v *watchedVersions) note(now time.Duration) (isNews bool) {
+// note records when several versions, or another single one, were listed last. It reports whether what is to be stored
+// has changed.
+func (v *watchedVersions) note(now time.Duration) (updated bool) {
 	single, wasSingle, wasMixed := v.singleVersion(), v.single, v.mixed
 	v.mixed = len(v.counts) > 1
 	if single != "" {
@@ -142,7 +143,7 @@
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	versions := w.services[service]
-	if versions == nil || versions.hasSeveral(now) || w.blind && now-w.knownSince < resume.Lifetime {
+	if versions == nil || versions.hasSeveral(now) || w.pastUnknown && now-w.knownSince < resume.Lifetime {
 		return ""
 	}
 	return versions.singleVersion()
--- a/request/resume/registry.go
+++ b/request/resume/registry.go
@@ -96,9 +96,9 @@
 // ambiguous is recorded for a content with streams of several versions, and for a stream of which registries differ.
 const ambiguous = "\x00"
 
-// Record remembers the version of a stream, and reports whether that is news. A version or a stream that is not
-// known is not remembered, and what was recorded before is forgotten.
-func (r *Registry) Record(now time.Duration, stream Stream, version string) (isNews bool) {
+// Record remembers the version of a stream, and reports whether that changes what is remembered. A version or a
+// stream that is not known is not remembered, and what was recorded before is forgotten.
+func (r *Registry) Record(now time.Duration, stream Stream, version string) (updated bool) {
 	if stream == 0 {
 		return false
 	}
@@ -121,9 +121,9 @@
 	return !known || before != version
 }
 
-// Merge remembers what another registry held, and returns the streams of which that is news. Nobody can tell
-// which of two registries recorded a stream last: if they differ, the version of the stream is not known.
-func (r *Registry) Merge(now time.Duration, report Report) (news []Stream) {
+// Merge adds what another registry held, and returns the streams of which that changes what is remembered. Which of two
+// registries recorded a stream last cannot be determined: if they differ, the version of the stream is not known.
+func (r *Registry) Merge(now time.Duration, report Report) (updated []Stream) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.rotate(now)
@@ -137,9 +137,9 @@
 			continue
 		}
 		r.store(stream, version)
-		news = append(news, stream)
+		updated = append(updated, stream)
 	}
-	return news
+	return updated
 }
 
 // store sets the version of a stream. The lock must be held.
@@ -152,14 +152,14 @@
 	r.current[stream] = shared
 }
 
-// Apply records each stream of a report, and returns those of which it is news.
-func (r *Registry) Apply(now time.Duration, report Report) (news []Stream) {
+// Apply records each stream of a report, and returns those of which that changes what is remembered.
+func (r *Registry) Apply(now time.Duration, report Report) (updated []Stream) {
 	for _, stream := range report.Streams {
 		if r.Record(now, stream, report.Version) {
-			news = append(news, stream)
+			updated = append(updated, stream)
 		}
 	}
-	return news
+	return updated
 }
 
 // Find returns the version that began a stream, and false if it is not known.
