--- a/process/control/open.go
+++ b/process/control/open.go
@@ -74,10 +74,11 @@
 // openTransport loads the crash evidence and the streams stored on disk, opens the peer transport and
 // creates the address book. If it fails, it closes the listeners and the disk.
 func (m *member) openTransport() error {
+	now, wall := monotonic(), time.Now()
 	m.evidence = newEvidence(m.config, m.logger)
-	m.evidence.load(monotonic(), time.Now())
+	m.evidence.load(now, wall)
 	m.streams = newStreamArchive(m.config, m.logger)
-	m.streams.load(monotonic(), time.Now())
+	m.streams.load(now, wall)
 	transport, err := peer.New(peer.Config{
 		Group:       m.config.GroupID,
 		ID:          m.id,
