--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -19,6 +19,7 @@
 var scenarios = map[string]func(w *world, options options) (broken string, err error){
 	"founder": founder,
 	"four":    four,
+	"twice":   twice,
 }
 
 // errNotAcknowledged: the scenario needs an acknowledged configuration.
