--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -20,6 +20,7 @@
 	"founder": founder,
 	"four":    four,
 	"twice":   twice,
+	"stale":   stale,
 }
 
 // errNotAcknowledged: the scenario needs an acknowledged configuration.
