--- a/review/_rig2/stale.go
+++ b/review/_rig2/stale.go
@@ -54,14 +54,15 @@
 		if err := w.succeed(core, 2); err != nil {
 			return "", err
 		}
+		time.Sleep(3 * time.Second) // the successor joins
 		still.signal(syscall.SIGSTOP)
-		time.Sleep(time.Second)
+		time.Sleep(2 * time.Second)
 		leaving.signal(syscall.SIGTERM)
 		go func() {
 			time.Sleep(8 * time.Second) // grace_s
 			leaving.signal(syscall.SIGKILL)
 		}()
-		time.Sleep(3 * time.Second)
+		time.Sleep(2 * time.Second)
 		still.signal(syscall.SIGCONT)
 	}
 	time.Sleep(10 * time.Second)
