--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -21,6 +21,7 @@
 	"four":    four,
 	"twice":   twice,
 	"stale":   stale,
+	"foreign": foreign,
 }
 
 // errNotAcknowledged: the scenario needs an acknowledged configuration.
--- a/review/_rig2/world.go
+++ b/review/_rig2/world.go
@@ -46,6 +46,7 @@
 	record   *os.File
 	machines []*machine
 	replicas []*replica
+	foreign  string // the entry that another writer has left in the list
 	seeds    []string
 	running  sync.WaitGroup
 }
