--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -17,11 +17,11 @@
 
 // scenarios returns what the scripts play. Each returns whether the rule was broken and why.
 var scenarios = map[string]func(w *world, options options) (broken string, err error){
-	"founder": founder,
 	"four":    four,
 	"twice":   twice,
 	"stale":   stale,
 	"foreign": foreign,
+	"absent":  absent,
 }
 
 // errNotAcknowledged: the scenario needs an acknowledged configuration.
