Answers: resets during uploads, and heads that are none, count as no answer

Callers saw the part of an answer without a length as a whole one where its replica reset the connection while the upload was being written, and answers whose status was 000 or whose head had a field name with a blank or a control byte (MIXED). The system reports a reset once, to whoever of reader and writer comes first; net/http's parser accepts such heads. connection/responsecheck decides both for all three ways to replicas and members. The two faults share these files, hence one commit.

--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -4,9 +4,9 @@
 	"bufio"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"github.com/landingtrail/landingtrail/connection/responsecheck"
 	"github.com/landingtrail/landingtrail/process/clock"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -17,7 +17,7 @@
 
 // conn is one connection to a server. It carries one request at a time.
 type conn struct {
-	net.Conn
+	*responsecheck.Conn
 	list        *idleList // holds the connection while it is idle
 	reader      *bufio.Reader
 	openedAt    time.Duration // by the pool's clock
@@ -38,7 +38,7 @@
 }
 
 func newConn(raw net.Conn, list *idleList, maxHeaderBytes int64) *conn {
-	created := &conn{Conn: raw, list: list, maxHeaderBytes: maxHeaderBytes, clock: clock.Now}
+	created := &conn{Conn: responsecheck.NewConn(raw), list: list, maxHeaderBytes: maxHeaderBytes, clock: clock.Now}
 	created.reader = bufio.NewReaderSize(created, readBufferBytes)
 	return created
 }
@@ -73,17 +73,6 @@
 
 func (c *conn) endHeader() { c.readingHeader = false }
 
-// errNoFileDescriptor reports a connection that has no file descriptor.
-var errNoFileDescriptor = errors.New("exchange: connection has no file descriptor")
-
-func (c *conn) rawConn() (syscall.RawConn, error) {
-	system, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, errNoFileDescriptor
-	}
-	return system.SyscallConn()
-}
-
 // isOpenAndQuiet reports whether the idle connection is still open and no data has arrived
 // on it. Unsolicited bytes belong to no request, so a connection that has them
 // must not be reused. It peeks at the socket without blocking.
@@ -91,7 +80,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.rawConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return true // the socket cannot be inspected
 	}
--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/landingtrail/landingtrail/connection/responsecheck"
 	"github.com/pkg/errors"
 )
 
@@ -88,7 +89,8 @@
 // after reading the response header. Informational responses are skipped and
 // redirects are not followed. The error is always a *Failure. Its cause is a
 // *UnmatchedResponse if a response to another request arrived instead; otherwise it is the
-// error of BeforeSend, of the connection, or of reading the header. When ctx ends, the
+// error of BeforeSend, of the connection, or of reading the header, which wraps
+// responsecheck.ErrInvalid if the header is not that of a valid response. When ctx ends, the
 // connection is closed. The caller must close the returned Response.
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Response, error) {
 	used, reused, err := p.acquire(ctx, address, request)
@@ -149,7 +151,7 @@
 
 // write sends the request. The returned flag becomes true once the request is
 // completely written. An error means that no byte was written; any other write
-// failure surfaces when the response is read.
+// failure surfaces when the response is read, since the connection is a responsecheck.Conn.
 func (p *Pool) write(to *conn, request *Request) (*atomic.Bool, error) {
 	data := appendRequest(nil, request)
 	written := &atomic.Bool{}
@@ -221,10 +223,10 @@
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
 
-// readHeader reads the next response header. Informational ones are skipped, except for
-// 101 (Switching Protocols).
-func readHeader(from *conn, method string) (*http.Response, error) {
-	request := &http.Request{Method: method}
+// readHeader reads the header of the next response to the request and checks it with
+// responsecheck.Head. Informational ones are skipped.
+func readHeader(from *conn, sent *Request) (*http.Response, error) {
+	request := &http.Request{Method: sent.Method}
 	from.beginHeader()
 	defer from.endHeader()
 	for interim := 0; ; interim++ {
@@ -236,15 +238,15 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, nil
+		if !responsecheck.IsInterim(response.StatusCode) {
+			return response, responsecheck.Head(response, sent.Header)
 		}
 	}
 }
 
 // Read reads the body. It returns io.EOF only after a complete body; a body that is
-// delimited by the end of its connection is complete unless the connection was reset. The framing between
-// two parts of the body is limited like a header; see ErrEndless.
+// delimited by the end of its connection is complete unless the connection was reset or may have been; see
+// responsecheck.Conn. The framing between two parts of the body is limited like a header; see ErrEndless.
 func (a *Response) Read(buffer []byte) (int, error) {
 	a.conn.beginPart()
 	count, err := a.body.Read(buffer)
--- a/connection/exchange/exchange_test.go
+++ b/connection/exchange/exchange_test.go
@@ -435,7 +435,7 @@
 		}()
 		defer func() { _ = client.Close() }()
 		used := newConn(client, &idleList{}, DefaultMaxHeaderBytes)
-		response, err := readHeader(used, http.MethodGet)
+		response, err := readHeader(used, &Request{Method: http.MethodGet})
 		if err != nil {
 			return
 		}
--- a/connection/exchange/foreign.go
+++ b/connection/exchange/foreign.go
@@ -44,7 +44,7 @@
 // not been read, otherwise nil.
 func readMatching(from *conn, request *Request, reused bool) (matched *http.Response, unmatched []*UnmatchedResponse, err error) {
 	for {
-		response, err := readHeader(from, request.Method)
+		response, err := readHeader(from, request)
 		if err != nil {
 			return nil, unmatched, err
 		}
@@ -106,7 +106,7 @@
 	go func() {
 		defer func() { _ = c.Conn.Close() }() // the connection is not reused
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lateResponseTimeout))
-		if next, err := readHeader(c, request.Method); err == nil {
+		if next, err := readHeader(c, request); err == nil {
 			request.OnLateResponse(next.StatusCode, next.Header)
 		}
 	}()
@@ -127,7 +127,7 @@
 			if complete, err := discardBody(last); err != nil || !complete {
 				return
 			}
-			next, err := readHeader(c, request.Method)
+			next, err := readHeader(c, request)
 			if err != nil {
 				return
 			}
--- a/connection/exchange/pool.go
+++ b/connection/exchange/pool.go
@@ -251,7 +251,7 @@
 // setUserTimeout makes the kernel close a connection on which written bytes stay
 // unacknowledged for the given time.
 func (c *conn) setUserTimeout(limit time.Duration) {
-	raw, err := c.rawConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return
 	}
--- a/connection/singleuse/client.go
+++ b/connection/singleuse/client.go
@@ -13,6 +13,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/landingtrail/landingtrail/connection/responsecheck"
 )
 
 const (
@@ -30,21 +32,28 @@
 //
 // Each request carries "Connection: close". A server that responds before it has read
 // a long body may then reset the connection, so these clients are unsuitable for long
-// bodies. The client never retries a request, uses no proxy, and follows no redirects,
-// since a request is meant only for the address it was sent to. It sets no total timeout;
-// the request's context must limit it.
+// bodies. The client returns valid responses only; see responsecheck. It never retries a
+// request, uses no proxy, and follows no redirects, since a request is meant only for the
+// address it was sent to. It sets no total timeout; the request's context must limit it.
 func NewClient(dial Dial) *http.Client {
 	if dial == nil {
 		dialer := net.Dialer{Timeout: dialTimeout}
 		dial = dialer.DialContext
 	}
+	dialChecked := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return responsecheck.NewConn(conn), nil
+	}
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:            dial,
+		Transport: responsecheck.Transport{Transport: &http.Transport{
+			DialContext:            dialChecked,
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		}},
 		CheckRedirect: doNotFollow,
 	}
 }
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -23,6 +23,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/connection/responsecheck"
 )
 
 // Config configures a Pool. Zero values select the defaults.
@@ -76,8 +77,8 @@
 
 // Pool is the connection pool for the endpoints of one service. Pools share no state.
 type Pool struct {
-	persistent *http.Transport // reuses its connections
-	singleUse  *http.Transport // uses each connection for one request only
+	persistent responsecheck.Transport // reuses its connections
+	singleUse  responsecheck.Transport // uses each connection for one request only
 	// echoingHosts holds the hosts for which persistent is used.
 	echoingHosts hostSet
 	onUnmatched  func(address string, cause error)
@@ -94,25 +95,25 @@
 	return &Pool{persistent: persistent, singleUse: singleUse, onUnmatched: config.OnUnmatchedResponse}
 }
 
-func newTransport(config Config) *http.Transport {
+func newTransport(config Config) responsecheck.Transport {
 	dialer := &net.Dialer{Timeout: config.DialTimeout, KeepAlive: keepAliveInterval}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn}, nil
+		return &trackedConn{Conn: responsecheck.NewConn(conn)}, nil
 	}
-	return &http.Transport{
+	return responsecheck.Transport{Transport: &http.Transport{
 		DialContext:            dial,
 		MaxIdleConnsPerHost:    config.MaxIdlePerHost,
 		IdleConnTimeout:        config.IdleTimeout,
 		MaxResponseHeaderBytes: config.MaxHeaderBytes,
 		ReadBufferSize:         config.ReadBufferSize,
 		WriteBufferSize:        config.WriteBufferSize,
-		// Responses are passed on with the content encoding chosen by the backend.
+		// Bodies are passed on in the encoding that the caller asked for.
 		DisableCompression: true,
-	}
+	}}
 }
 
 // Close closes the idle connections.
@@ -235,7 +236,8 @@
 
 // Do sends the request once with the identity and returns the response after reading its
 // header. Redirects are not followed. The error is always a *Failure; its cause is
-// ErrUnmatchedResponse if the response does not provably belong to the request. The caller must
+// ErrUnmatchedResponse if the response does not provably belong to the request, and wraps
+// responsecheck.ErrInvalid if it is not a valid one. The caller must
 // close the response body. If it is closed before its end, the connection is closed. Do
 // modifies the request's header; see StripHeaders.
 func (p *Pool) Do(request *http.Request, identity Identity) (*http.Response, error) {
@@ -265,7 +267,7 @@
 	return response, nil
 }
 
-func (p *Pool) transportFor(reuse bool) *http.Transport {
+func (p *Pool) transportFor(reuse bool) responsecheck.Transport {
 	if reuse {
 		return p.persistent
 	}
--- a/process/event/ingress.go
+++ b/process/event/ingress.go
@@ -24,7 +24,7 @@
 		"A replica's answer names another request than the one that waited for an answer on that connection, or none. stage says what was asked, reused whether the connection had served other requests, answered which request the answer names.",
 		"One now and then is the replica's fault: it sent an answer too many. Many from one replica: take it out of service.")
 	RunBroken = define(4606, "run_broken", Warn,
-		"A replica closed or reset its connection while it was at work on a request, as one that ends does. fingerprint is the same for each request with that method, host, path, caller and body; events is how many had come of this run; alone says that nothing else was in flight there and that nobody listens there any more, listens that somebody does, leaving that the replica was to end anyway. parts names the parts of its prompt but the last, model and tokens its model and the size of its prompt, software the replica's version, length how its answer's end is marked: known, chunked, or close, where the connection's end is that of the answer.",
+		"A replica closed or reset its connection while it was at work on a request, as one that ends does. fingerprint is the same for each request with that method, host, path, caller and body; events is how many had come of this run; alone says that nothing else was in flight there and that nobody listens there any more, listens that somebody does, leaving that the replica was to end anyway. parts names the parts of its prompt but the last, model and tokens its model and the size of its prompt, software the replica's version, length how its answer's end is marked: known, chunked, or close, where the connection's end is that of the answer. A replica's name that ends in #successor stands for processes that were started at its address after the listed one had ended, and which the list did not show yet.",
 		"Count the replicas by fingerprint and by part: one that stands for several of them and is served nowhere ends them.")
 	RequestHeld = define(4607, "request_held", Info,
 		"A request went to no replica, or to no further one, since replicas end under it. rest_ms is for how long yet. by says what this rests on: the record (held, settling or a trial elsewhere), a member's report while no leader commits (member_report), or what this process knows while it has no leader (cut_off); part, part_trial and part_cut_off say the same of a part of the prompt (parts).",
@@ -66,6 +66,9 @@
 	AnswerEndless = define(4630, "answer_endless", Warn,
 		"A replica sent bytes without end in place of an answer, at once or a few at a time: a head, an event, comments, or a body without a length that is far larger or slower than the answers of its route. The connection was closed after after_ms, and the replica is avoided for avoided_ms while there are others. stage says what was asked, err what did not end.",
 		"Several from one replica: take it out of service. Bodies of several replicas on one route: its answers have become larger; have the service declare their length.")
+	AnswerInvalid = define(4631, "answer_invalid", Warn,
+		"A replica's answer has a status outside 200 to 599, a field name that is no token, a content encoding that the caller did not ask for, or is not of HTTP/1. It counts as no answer: whether the request has run is unknown, and the connection is closed. stage says what was asked, err what is wrong.",
+		"Several from one replica: take it out of service.")
 	CallerStalled = define(4622, "caller_stalled", Info,
 		"An answer was ended, and its caller's connection reset, since the caller took nothing of it for stalled_ms. blocked_ms is how long the answer had to wait for its caller in all, unsent how many bytes of it the kernel still held. The request at the replica is cancelled; the replica is not to blame, and nothing is sent again.",
 		"Many of one route: its callers read too slowly for the size of its answers, or hang.")
@@ -77,4 +80,6 @@
 	QuotaRefused = define(4611, "quota_refused", Info,
 		"A request was refused since its tenant has spent its quota. cost is what it would have cost, left what the tenant may spend at once, in the quota's unit; wait_ms is when one of that cost may pass. alone says that no member answered, and this proxy decided by its own part.",
 		"landingtrail quota shows how the tenant stands. Raise its quota in the configuration if that is too low.")
+	PartTrialBegan = define(4632, "part_trial_began", Info,
+		"A request may be sent although a part of its prompt (parts) is on trial: it shows whether the part ends replicas. waited_ms is how long it waited for that.", "")
 )
--- a/process/ingress/metrics.go
+++ b/process/ingress/metrics.go
@@ -32,6 +32,7 @@
 	ramps               *prometheus.CounterVec
 	ramping             *prometheus.GaugeVec
 	endlessAnswers      *prometheus.CounterVec
+	invalidAnswers      *prometheus.CounterVec
 	stalledAnswers      *prometheus.CounterVec
 }
 
@@ -52,6 +53,7 @@
 	m.withheldSends = m.counter("withheld_total", "Sends to a chosen replica that had asked for a pause, or said that it leaves, meanwhile.", "service", "stage")
 	m.limitGrants = m.counter("limit_grants_total", "Requests for replicas with a limit, by outcome and who decided.", "service", "outcome", "by")
 	m.endlessAnswers = m.counter("endless_answers_total", "Answers that were cut off because their replica sends bytes without end.", "service", "stage")
+	m.invalidAnswers = m.counter("invalid_answers_total", "Answers with a status, a field name or a content encoding that HTTP or the caller does not allow.", "service", "stage")
 	m.stalledAnswers = m.counter("stalled_answers_total", "Answers that were ended because their callers did not read them.", "route")
 	m.unknownFields = m.counter("unknown_fields_total", "Answers of replicas with a field that this program does not know, by its name.", "field")
 	m.ramps = m.counter("ramps_total", "Ramps of replicas that have started or recovered, by why they began.", "service", "reason")
--- a/process/ingress/prefill.go
+++ b/process/ingress/prefill.go
@@ -102,12 +102,12 @@
 		chosen.tracked.report(placement.StepReadSkipped, chosen.prefiller.name, 0)
 		return false
 	}
-	if !isUnmatched(err) && !s.isReplicaFault(ctx, err) {
+	if !isUnusable(err) && !s.isReplicaFault(ctx, err) {
 		chosen.tracked.report(placement.StepReadSkipped, chosen.prefiller.name, 0)
 		return !notSent(err)
 	}
 	s.noteUnanswered(chosen.prefiller, err, s.ingress.now())
-	if isUnmatched(err) {
+	if isUnusable(err) {
 		chosen.tracked.report(placement.StepReadSkipped, chosen.prefiller.name, 0)
 		return true
 	}
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/exchange"
+	"github.com/landingtrail/landingtrail/connection/responsecheck"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/request/attempt"
@@ -224,6 +225,7 @@
 	stagePrefill = "read"
 	stageRun     = "run"
 	stageRelease = "free" // of a handle
+	stageStatus  = "status"
 )
 
 // logSent logs the destination before the request is sent, so that the log shows it even if this
@@ -257,6 +259,11 @@
 	if errors.As(err, &failure) {
 		s.recordUnmatched(stage, to, failure.Reused, failure.Unmatched)
 	}
+	if errors.Is(err, responsecheck.ErrInvalid) {
+		s.ingress.metrics.invalidAnswers.WithLabelValues(s.upstream.service, stage).Inc()
+		event.AnswerInvalid.Log(s.ingress.logger, "request", s.call.ID, "route", s.route.Name, "stage", stage, "replica", to.incarnation(),
+			"after_ms", (s.ingress.now() - sentAt).Milliseconds(), "err", err)
+	}
 	return nil, err
 }
 
@@ -326,7 +333,7 @@
 	if ctx.Err() != nil {
 		return verdictCallerEnd
 	}
-	s.answered = isUnmatched(err)
+	s.answered = isUnusable(err)
 	if !s.answered && !s.isReplicaFault(ctx, err) {
 		s.withheld = true
 		return verdictBroken
@@ -338,19 +345,21 @@
 	return verdictBroken
 }
 
-// noteUnanswered records that a replica did not answer the request. One that answered another
-// request instead counts as failed but not as suspect, since it is reachable.
+// noteUnanswered records that a replica did not answer the request. One that sent an unusable response
+// instead counts as failed but not as suspect, since it is reachable.
 func (s *session) noteUnanswered(target *replica, err error, now time.Duration) {
-	if isUnmatched(err) {
+	if isUnusable(err) {
 		target.noteErrorAnswer(now)
 		return
 	}
 	target.suspect(now)
 }
 
-func isUnmatched(err error) bool {
+// isUnusable reports whether a replica responded to a request, but with the answer to another one or with an
+// invalid response. Whether it has run the request is unknown.
+func isUnusable(err error) bool {
 	var unmatched *exchange.UnmatchedResponse
-	return errors.As(err, &unmatched)
+	return errors.As(err, &unmatched) || errors.Is(err, responsecheck.ErrInvalid)
 }
 
 // watchSilence cancels an attempt if its replica has sent nothing at all for some time and the
--- a/process/proxy/poller.go
+++ b/process/proxy/poller.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/landingtrail/landingtrail/connection/engineapi"
+	"github.com/landingtrail/landingtrail/connection/responsecheck"
 	"github.com/landingtrail/landingtrail/connection/upstream"
 	"github.com/landingtrail/landingtrail/process/pause"
 )
@@ -149,7 +150,7 @@
 	}
 	request.Header.Set("User-Agent", "") // omitted to save bytes on every poll
 	response, err := p.lane.pollPool.Do(request, newPollIdentity())
-	if errors.Is(err, upstream.ErrUnmatchedResponse) {
+	if errors.Is(err, upstream.ErrUnmatchedResponse) || errors.Is(err, responsecheck.ErrInvalid) {
 		return nil, errors.Wrap(errUnusableResponse, err.Error())
 	}
 	if err != nil {
