Members ask the contacts that they have now to take them in

Contacts come from the settings as they are, the replicated state and the state of an earlier identity.

--- a/connection/operator/client.go
+++ b/connection/operator/client.go
@@ -66,6 +66,8 @@
 	// including its resends. Zero selects the default; negative values are not supported.
 	AttemptTimeout time.Duration
 	Timeout        time.Duration
+	// MaxRounds limits how often each member is tried in one call; 0 leaves it to Timeout.
+	MaxRounds int
 }
 
 // Client sends requests to the control group. It is safe for concurrent use.
@@ -210,7 +212,7 @@
 	overall := outcomeNotAccepted
 	var failed failures
 	delay := newBackoff()
-	for {
+	for round := 1; ; round++ {
 		for _, address := range c.order.ordered() {
 			received, outcome, err := c.roundTrip(ctx, address, call)
 			if outcome == outcomeFinal {
@@ -229,7 +231,7 @@
 				return memberResponse{}, callError(overall, &failed)
 			}
 		}
-		if !delay.sleep(ctx) {
+		if round == c.config.MaxRounds || !delay.sleep(ctx) {
 			return memberResponse{}, callError(overall, &failed)
 		}
 	}
--- a/process/control/addresses.go
+++ b/process/control/addresses.go
@@ -83,8 +83,8 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	var unprobed []Member
-	for _, configured := range b.config.Members {
-		if configured.Name != b.config.Name && !b.knowsAddress(configured.PeerAddress) {
+	for _, configured := range b.config.contacts.configured() {
+		if !b.knowsAddress(configured.PeerAddress) {
 			unprobed = append(unprobed, configured)
 		}
 	}
--- a/process/control/config.go
+++ b/process/control/config.go
@@ -55,6 +55,9 @@
 	OperatorAddress string
 	// Members lists the members of the initial group, including this one.
 	Members []Member
+	// CurrentMembers returns the other members that the settings list now, for a process whose settings may
+	// change while it runs. It is called often, and concurrently. nil means that Members stays valid.
+	CurrentMembers func() []Member
 	// Join makes a member with an empty data directory ask the listed members to add it as a new
 	// learner instead of bootstrapping the group.
 	Join bool
@@ -104,6 +107,8 @@
 
 	// fileSystem holds DataFolder; nil means wal.OS{}.
 	fileSystem wal.FileSystem
+	// contacts lives as long as the process; see contactList.
+	contacts *contactList
 }
 
 // Durations are the member's intervals and timeouts.
--- a/process/control/founding.go
+++ b/process/control/founding.go
@@ -6,13 +6,11 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/landingtrail/landingtrail/connection/operator"
 	"github.com/landingtrail/landingtrail/connection/operatorapi"
 	"github.com/landingtrail/landingtrail/connection/peer"
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/process/raft"
-	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/pkg/errors"
 )
 
@@ -59,10 +57,7 @@
 func (b *bootstrapper) groupExists(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, b.config.Durations.Election)
 	defer cancel()
-	return slices.ContainsFunc(b.config.Members, func(configured Member) bool {
-		if configured.Name == b.config.Name {
-			return false
-		}
+	return slices.ContainsFunc(b.config.contacts.configured(), func(configured Member) bool {
 		self, err := fetchMemberStatus(ctx, configured.OperatorAddress)
 		return err == nil && len(self.Voters) > 0
 	})
@@ -125,103 +120,3 @@
 	}
 	return ids
 }
-
-// joinRetryInterval is the pause between two requests to join.
-const joinRetryInterval = 250 * time.Millisecond
-
-// join asks the group to add this member until it is a member. It returns at once if no other
-// members are known.
-func (m *member) join(ctx context.Context) {
-	client, err := m.joinClient()
-	if err != nil {
-		return // there are no other members
-	}
-	for !m.isMember() {
-		err := m.requestJoin(ctx, client)
-		if err != nil && ctx.Err() == nil {
-			event.ControlJoinDelayed.Log(m.logger, "err", err)
-		}
-		if isRemovedError(err) && len(m.replica.Status().Configuration.Voters) == 0 {
-			m.signalRemoved() // it never joined: its data directory holds only the identity
-			return
-		}
-		if !pause.Sleep(ctx, joinRetryInterval) {
-			return
-		}
-	}
-}
-
-// isRemovedError reports whether the group refused the request because the identity was removed.
-func isRemovedError(err error) bool {
-	var refused *operator.RefusedError
-	return errors.As(err, &refused) && refused.Body.Code == operatorapi.ErrorRemoved
-}
-
-// isMember reports whether the member has received a committed configuration that contains it. An
-// uncommitted one may be lost together with its leader.
-func (m *member) isMember() bool {
-	status := m.replica.Status()
-	return !status.ConfigurationPending && slices.Contains(allMembers(status.Configuration), m.id)
-}
-
-// joinClient returns a client for the other members that are known so far.
-func (m *member) joinClient() (*operator.Client, error) {
-	return operator.New(operator.Config{Members: m.otherOperatorAddresses(), AttemptTimeout: m.config.Durations.Proposal})
-}
-
-func (m *member) requestJoin(ctx context.Context, client *operator.Client) error {
-	own := m.config.selfMember(m.id)
-	reply, err := client.ChangeMembers(ctx, operatorapi.MemberRequest{
-		Action:          operatorapi.MemberAdd,
-		ID:              operatorapi.MemberID(own.ID),
-		Name:            own.Name,
-		PeerAddress:     own.PeerAddress,
-		FeedAddress:     own.FeedAddress,
-		OperatorAddress: own.OperatorAddress,
-	})
-	if err != nil {
-		return err
-	}
-	m.addAddresses(reply.Members)
-	return nil
-}
-
-// addAddresses records the addresses of the members. The leader may not be among the configured
-// members, and a joining member must know its address to reply to it: the replicated state, which
-// contains the address, arrives only after that reply.
-func (m *member) addAddresses(members []operatorapi.Member) {
-	for _, known := range members {
-		if raft.MemberID(known.ID) == m.id || known.PeerAddress == "" {
-			continue
-		}
-		m.addresses.add(state.Member{
-			ID:              uint64(known.ID),
-			Name:            known.Name,
-			PeerAddress:     known.PeerAddress,
-			FeedAddress:     known.FeedAddress,
-			OperatorAddress: known.OperatorAddress,
-		})
-	}
-}
-
-// otherOperatorAddresses returns the operator addresses of the other members, as far as they are
-// known from the configuration or the replicated state.
-func (m *member) otherOperatorAddresses() []string {
-	var addresses []string
-	add := func(address string) {
-		if address != "" && !slices.Contains(addresses, address) {
-			addresses = append(addresses, address)
-		}
-	}
-	for _, configured := range m.config.Members {
-		if configured.Name != m.config.Name {
-			add(configured.OperatorAddress)
-		}
-	}
-	for _, recorded := range m.machine.members() {
-		if recorded.Name != m.config.Name {
-			add(recorded.OperatorAddress)
-		}
-	}
-	return addresses
-}
--- a/process/control/leave.go
+++ b/process/control/leave.go
@@ -32,25 +32,50 @@
 	if !m.config.Join || !slices.Contains(voters, m.id) || !m.group.Load().hasSurplus(voters) {
 		return false
 	}
-	client, err := m.joinClient()
-	if err != nil {
-		return false // there are no other members
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	for {
-		_, err := client.ChangeMembers(ctx, operatorapi.MemberRequest{Action: operatorapi.MemberLeave, ID: operatorapi.MemberID(m.id)})
+		err := m.requestLeave(ctx, voters)
 		if err == nil {
 			event.ControlLeft.Log(m.logger, "id", uint64(m.id))
 			return true
 		}
-		if !isRetryableChange(err) || !pause.Sleep(ctx, leaveRetryInterval) {
+		if errors.Is(err, errNoContacts) {
+			return false
+		}
+		isFinal := isMembershipRefusal(err) && !isRetryableChange(err)
+		if isFinal || !pause.Sleep(ctx, leaveRetryInterval) {
 			event.ControlStays.Log(m.logger, "id", uint64(m.id), "err", err)
 			return false
 		}
 	}
 }
 
+// requestLeave asks the contacts in turn to remove this member, one of the given voters, until one of them replies
+// as a member of the group.
+func (m *member) requestLeave(ctx context.Context, voters []raft.MemberID) error {
+	_, err := m.askContacts(ctx, func(asked contact) (operatorapi.MemberReply, error) {
+		return m.requestLeaveAt(ctx, asked, voters)
+	})
+	return err
+}
+
+// requestLeaveAt sends one request to leave to a member, which passes it on to the leader. Another server, or a
+// member of another group, may use the address by now: only a reply that lists another voter of this group, and
+// not this member, shows that the group has removed it.
+func (m *member) requestLeaveAt(ctx context.Context, asked contact, voters []raft.MemberID) (operatorapi.MemberReply, error) {
+	reply, err := m.changeMembersAt(ctx, asked, operatorapi.MemberRequest{Action: operatorapi.MemberLeave, ID: operatorapi.MemberID(m.id)})
+	if err != nil {
+		return reply, err
+	}
+	isOtherVoter := func(listed operatorapi.Member) bool { return slices.Contains(voters, raft.MemberID(listed.ID)) }
+	isOwn := func(listed operatorapi.Member) bool { return raft.MemberID(listed.ID) == m.id }
+	if slices.ContainsFunc(reply.Members, isOwn) || !slices.ContainsFunc(reply.Members, isOtherVoter) {
+		return reply, errUnknownGroup
+	}
+	return reply, nil
+}
+
 // isRetryableChange reports whether the group refused a change for now only, such as during another
 // change.
 func isRetryableChange(err error) bool {
--- a/process/control/leave_test.go
+++ b/process/control/leave_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -164,3 +166,35 @@
 	g.config.ToleratedLosses = 0
 	must.False(t, g.hasSurplus(make([]raft.MemberID, 6)), must.Sprint("an operator manages the members"))
 }
+
+// Guards against a member that discards its data as it stops, although its group counts it on as a voter, since
+// another server, or a member of another group, that uses the address of a seed accepted its request to leave.
+func TestStoppedMemberLeavesThroughItsOwnGroupOnly(t *testing.T) {
+	answers := map[string]func(http.ResponseWriter){
+		"an empty answer":   func(w http.ResponseWriter) { _, _ = w.Write([]byte(`{}`)) },
+		"no such path":      func(w http.ResponseWriter) { http.Error(w, `{"error":"no such path"}`, http.StatusNotFound) },
+		"no answer of ours": func(w http.ResponseWriter) { _, _ = w.Write([]byte("tile")) },
+		"another group":     nil,
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			g := newReplacedGroup(t, 2)
+			stopping := g.followers()[0]
+			seed := Member{Name: "replaced", OperatorAddress: freeAddress(t)}
+			if answer == nil {
+				other := newGrowingGroup(t, 1, 1, 0)
+				other.start(0)
+				other.awaitVoters(1, 0)
+				seed.OperatorAddress = other.configs[0].OperatorAddress
+			} else {
+				var current atomic.Pointer[func(http.ResponseWriter)]
+				current.Store(&answer)
+				g.serveAt(seed.OperatorAddress, &current)
+			}
+			member, leader := g.running[stopping].member, g.running[g.leader()].member
+			member.config.contacts.current = func() []Member { return []Member{seed} }
+			must.NoError(t, g.stop(stopping))
+			must.SliceNotContains(t, leader.replica.Status().Configuration.Voters, member.id)
+		})
+	}
+}
--- a/process/control/membership_test.go
+++ b/process/control/membership_test.go
@@ -93,19 +93,25 @@
 	must.Eq(t, raft.None, lost)
 }
 
+// contactAddresses returns the operator addresses of a member's contacts.
+func contactAddresses(m *member) (addresses []string) {
+	for _, known := range m.contacts() {
+		addresses = append(addresses, known.address)
+	}
+	return addresses
+}
+
 // A member must contact the members in its configuration as well as those recorded in the state:
 // over time the machines in the configuration may all be gone.
 func TestOtherOperatorAddressesMergeConfigAndState(t *testing.T) {
-	m := &member{
-		id:      4,
-		machine: newMachine(),
-		config:  Config{Name: "self", Members: []Member{{Name: "self", OperatorAddress: "s"}, {Name: "seed", OperatorAddress: "a"}}},
-	}
-	must.Eq(t, []string{"a"}, m.otherOperatorAddresses())
+	config := Config{Name: "self", Members: []Member{{Name: "self", OperatorAddress: "s"}, {Name: "seed", OperatorAddress: "a"}}}
+	config.contacts = newContactList(config)
+	m := &member{id: 4, machine: newMachine(), config: config}
+	must.Eq(t, []string{"a"}, contactAddresses(m))
 	for i, recorded := range []state.Member{{ID: 1, Name: "seed", OperatorAddress: "a"}, {ID: 2, Name: "later", OperatorAddress: "b"}, {ID: 3, Name: "gone", OperatorAddress: "c", Removed: true}, {ID: 4, Name: "self", OperatorAddress: "s"}} {
 		m.machine.applyAndPublish(raft.Entry{Term: 1, Index: uint64(i) + 1}, memberCommand(recorded))
 	}
-	must.Eq(t, []string{"a", "b"}, m.otherOperatorAddresses())
+	must.Eq(t, []string{"a", "b"}, contactAddresses(m))
 }
 
 // A member that is added while its removal is under way must be removed from the configuration as
--- a/process/control/open.go
+++ b/process/control/open.go
@@ -48,6 +48,9 @@
 
 // open opens the listening sockets, the data directory and the peer transport.
 func open(ctx context.Context, config Config, logger log.Logger) (*member, error) {
+	if config.contacts == nil {
+		config.contacts = newContactList(config)
+	}
 	opened, err := listen(config)
 	if err != nil {
 		return nil, err
--- a/process/control/recovery.go
+++ b/process/control/recovery.go
@@ -11,6 +11,7 @@
 	"github.com/landingtrail/landingtrail/process/replica"
 	"github.com/landingtrail/landingtrail/process/snap"
 	"github.com/landingtrail/landingtrail/process/wal"
+	"github.com/landingtrail/landingtrail/version/state"
 	"github.com/pkg/errors"
 )
 
@@ -41,18 +42,21 @@
 	return errors.Is(err, wal.ErrLostLog) || errors.Is(err, wal.ErrCorrupt) || errors.Is(err, snap.ErrCorrupt)
 }
 
-// othersHaveLeader reports whether any other configured member leads or follows a leader. The
-// leader itself may not be among the configured members.
+// othersHaveLeader reports whether any other member that the settings list, or that an earlier identity of
+// this process knew, leads or follows a leader. The leader itself may not be among them.
 func othersHaveLeader(ctx context.Context, config Config) bool {
-	return slices.ContainsFunc(config.Members, func(configured Member) bool {
-		return configured.Name != config.Name && knowsLeader(ctx, config, configured)
+	earlier, _ := config.contacts.earlier()
+	return slices.ContainsFunc(config.contacts.configured(), func(configured Member) bool {
+		return knowsLeader(ctx, config, configured.OperatorAddress)
+	}) || slices.ContainsFunc(earlier, func(recorded state.Member) bool {
+		return recorded.Name != config.Name && knowsLeader(ctx, config, recorded.OperatorAddress)
 	})
 }
 
-func knowsLeader(ctx context.Context, config Config, configured Member) bool {
+func knowsLeader(ctx context.Context, config Config, operatorAddress string) bool {
 	ctx, cancel := context.WithTimeout(ctx, config.Durations.Election)
 	defer cancel()
-	self, err := fetchMemberStatus(ctx, configured.OperatorAddress)
+	self, err := fetchMemberStatus(ctx, operatorAddress)
 	return err == nil && self.Leader != uint64(raft.None)
 }
 
@@ -93,7 +97,7 @@
 				continue
 			}
 		}
-		if client, err := m.joinClient(); err == nil && isRemovedError(m.requestJoin(ctx, client)) {
+		if isRemovedError(m.requestJoin(ctx)) {
 			m.signalRemoved()
 			return
 		}
--- a/process/control/run.go
+++ b/process/control/run.go
@@ -34,6 +34,7 @@
 	if err != nil {
 		return err
 	}
+	defer func() { m.config.contacts.remember(m.machine.members()) }()
 	return m.run(ctx)
 }
 
@@ -45,6 +46,7 @@
 // time. It also opens the member again, under a new identity, when the member was removed and Join
 // is set. For an invalid configuration or any other removal it returns what Run returns.
 func RunWithRestart(ctx context.Context, config Config, logger log.Logger) error {
+	config.contacts = newContactList(config) // outlasts each identity of the member
 	for {
 		err := Run(ctx, config, logger)
 		if isFinal(ctx, config.Join, err) {
--- a/process/event/control.go
+++ b/process/event/control.go
@@ -11,7 +11,7 @@
 	ControlJoins = define(1004, "control_joins", Info,
 		"The data folder is empty but the group exists: the member joins it as a new learner.", "")
 	ControlJoinDelayed = define(1005, "control_join_delayed", Warn,
-		"The group has not taken this member in yet; it asks again.",
+		"The group has not taken this member in yet; it asks again. err names each address that was asked and where it is known from: the settings as they are now, the replicated state, or the state of an identity that this process had earlier, earlier_state_age_ms ago.",
 		"If it repeats, check that the group has a leader and that the operator addresses are right.")
 	ControlOtherGroup = define(1006, "control_other_group", Error,
 		"A member of another group answers at a configured address.",
