--- a/process/control/platform.go
+++ b/process/control/platform.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/landingtrail/landingtrail/connection/jsonlist"
 	"github.com/landingtrail/landingtrail/connection/orders"
 	"github.com/landingtrail/landingtrail/connection/singleuse"
 	"github.com/landingtrail/landingtrail/process/event"
@@ -23,8 +24,11 @@
 // pathMachines is the path of the platform's machine list.
 const pathMachines = "/machines"
 
-// maxListBytes bounds the platform's response.
-const maxListBytes = 16 << 20
+// Bounds of the platform's response.
+const (
+	maxListBytes = 16 << 20
+	maxMachines  = 50_000
+)
 
 // machineState is the state of a machine as reported by the platform.
 type machineState string
@@ -36,10 +40,22 @@
 // machineList is the platform's response: the live and the leaving machines, as of some time ago. A
 // machine that is gone is missing from it.
 type machineList struct {
-	Machines []struct {
-		Name  string       `json:"name"`
-		State machineState `json:"state"`
-	} `json:"machines"`
+	Machines machineEntries `json:"machines"`
+}
+
+// machineEntry is one machine in the list.
+type machineEntry struct {
+	Name  string       `json:"name"`
+	State machineState `json:"state"`
+}
+
+// machineEntries are the machines of a list, at most maxMachines.
+type machineEntries []machineEntry
+
+// UnmarshalJSON decodes the list.
+func (m *machineEntries) UnmarshalJSON(list []byte) (err error) {
+	*m, err = jsonlist.Decode[machineEntry](list, maxMachines)
+	return err
 }
 
 // platformReader reads the platform's machine list periodically while this member leads.
--- a/process/control/surplus_test.go
+++ b/process/control/surplus_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"github.com/go-kit/log"
+	"github.com/landingtrail/landingtrail/connection/jsonlist"
 	"github.com/landingtrail/landingtrail/lab/surplus"
 	"github.com/shoenig/test/must"
 )
@@ -32,3 +35,14 @@
 		must.Eq(t, fmt.Sprintf("machine-%d", number+1), list.Machines[0].Name)
 	}
 }
+
+// Guards against a machine list of many entries without a name, which takes far more memory than its bytes.
+func TestMachineListIsLimitedByItsEntries(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"machines":[` + strings.Repeat("{},", maxMachines) + `{}]}`))
+	}))
+	t.Cleanup(server.Close)
+	reader := newPlatformReader(Config{PlatformAddress: server.Listener.Addr().String(), Durations: testDurations}, log.NewNopLogger())
+	_, err := reader.read(t.Context())
+	must.ErrorIs(t, err, jsonlist.ErrTooLong)
+}
