--- a/process/ingress/version.go
+++ b/process/ingress/version.go
@@ -100,10 +100,13 @@
 }
 
 const (
-	// maxQuestions limits the questions about one stream, of which none is answered. A process that has just
-	// started finds a member within that time.
-	maxQuestions = 5
-	// questionPause is the time between two of them.
+	// maxQuestionTime limits the time spent on questions about one stream. A process that has just started finds
+	// a member within that time.
+	maxQuestionTime = time.Second
+	// questionTimeout is how long to wait for the answer to one question. A network that carries the traffic of
+	// lost machines delays answers for longer than a charge can be waited for.
+	questionTimeout = 300 * time.Millisecond
+	// questionPause is the time between two questions.
 	questionPause = 50 * time.Millisecond
 )
 
@@ -112,21 +115,22 @@
 	if s.ingress.directory == nil {
 		return "", knownByNobody
 	}
-	for range maxQuestions {
+	ctx, cancel := context.WithTimeout(ctx, maxQuestionTime)
+	defer cancel()
+	for {
 		hash, known, err := s.findStream(ctx, stream)
 		if err == nil && known {
 			return s.upstream.fleet.versionOf(hash), knownByMember
 		}
 		if err == nil || !pause.Sleep(ctx, questionPause) {
-			break
+			return "", knownByNobody
 		}
 	}
-	return "", knownByNobody
 }
 
 // findStream asks a member once.
 func (s *session) findStream(ctx context.Context, stream resume.Stream) (version uint64, known bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, chargeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
 	defer cancel()
 	return s.ingress.directory.FindStream(ctx, s.upstream.service, stream)
 }
--- a/process/ingress/version_test.go
+++ b/process/ingress/version_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/feed"
+	"github.com/landingtrail/landingtrail/process/pause"
 	"github.com/landingtrail/landingtrail/request/placement"
 	"github.com/landingtrail/landingtrail/request/resume"
 	"github.com/landingtrail/landingtrail/version/api"
@@ -129,13 +130,18 @@
 	err     error
 	// failures is the number of questions that are not answered first.
 	failures int
+	// delay is how long an answer takes.
+	delay time.Duration
 }
 
 func newMemberDirectory() *memberDirectory {
 	return &memberDirectory{streams: resume.NewRegistry(resume.Lifetime, maxOwnStreams)}
 }
 
-func (d *memberDirectory) FindStream(_ context.Context, _ string, stream resume.Stream) (uint64, bool, error) {
+func (d *memberDirectory) FindStream(ctx context.Context, _ string, stream resume.Stream) (uint64, bool, error) {
+	if d.delay > 0 && !pause.Sleep(ctx, d.delay) {
+		return 0, false, ctx.Err()
+	}
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	if d.failures > 0 {
@@ -207,6 +213,23 @@
 	}
 }
 
+// Guards against a stream that is refused although a member knows which version began it, since the answer takes
+// longer than a charge may: the proxies that are left after a loss of power share a network that is full (a hunt of
+// radarvlak-tiles-grown). Without any answer it is refused soon.
+func TestStreamIsTakenUpThoughTheMemberAnswersLate(t *testing.T) {
+	proxies := newVersionedProxies(t)
+	proxies.begin("q")
+	proxies.member.delay = 100 * time.Millisecond
+	got := proxies.second.do(resuming("q", 3))
+	must.Eq(t, http.StatusOK, got.status)
+	must.Eq(t, map[string]bool{"v1": true}, versionsIn(got.body))
+
+	proxies.member.delay = time.Hour
+	began := time.Now()
+	must.Eq(t, http.StatusServiceUnavailable, proxies.third.do(resuming("q", 3)).status)
+	must.Between(t, maxQuestionTime, time.Since(began), 3*maxQuestionTime)
+}
+
 // Guards against callers that name no call, as those of an earlier release: they are known by what they send, and refused
 // where that stands for streams of several versions.
 func TestStreamIsTakenUpByItsContent(t *testing.T) {
@@ -284,6 +307,32 @@
 	must.Eq(t, http.StatusServiceUnavailable, proxies.second.do(resuming("q", 3)).status)
 }
 
+// Guards against a proxy that is out of step while replicas of a new version join, and continues the streams that
+// began there at a version of its old list: while it is cut off from the members, and also once one answers and the
+// list is still old.
+func TestStreamOfAVersionThatIsNotListedYetIsRefused(t *testing.T) {
+	old, joined := newFakeReplica(t, "old", streamOfVersion("v1", 6, true)), newFakeReplica(t, "joined", streamOfVersion("v2", 6, true))
+	proxies := &versionedProxies{member: newMemberDirectory()}
+	elsewhere := proxies.add(t, map[*fakeReplica]string{newFakeReplica(t, "breaking", streamOfVersion("v2", 3, false)): "v2"})
+	request := modelRequest
+	request.id = "q"
+	must.Eq(t, map[string]bool{"v2": true}, versionsIn(elsewhere.do(request).body))
+	outOfStep := proxies.add(t, map[*fakeReplica]string{old: "v1"})
+	outOfStep.ingress.placer = &fakePlacer{answer: placement.Answer{Generator: "old"}} // of a member that is out of step too
+	for _, err := range []error{feed.ErrNotCharged, nil} {
+		proxies.member.err = err
+		for _, again := range []testRequest{resuming("q", 3), resuming("", 3)} {
+			must.Eq(t, http.StatusServiceUnavailable, outOfStep.do(again).status, must.Sprint(err))
+		}
+	}
+	must.Eq(t, 0, old.count())
+	outOfStep.ingress.placer = nil
+	outOfStep.setVersionedReplicas(map[*fakeReplica]string{old: "v1", joined: "v2"})
+	got := outOfStep.do(resuming("q", 3))
+	must.Eq(t, map[string]bool{"v2": true}, versionsIn(got.body))
+	must.Eq(t, 0, old.count())
+}
+
 // Guards against a placement at another version, by a member that does not know versions, that is followed; and against a
 // request that goes on elsewhere because its version has no replica left.
 func TestPlacementAtAnotherVersionIsNotFollowed(t *testing.T) {
