An end without a length is confirmed by the process that the run was sent to

TestSoak (mixed): an answer without a length was passed on as whole although its replica had crashed, since the next process at its address vouched for the end. The address is asked now when its process was started.

--- a/process/ingress/bodyend.go
+++ b/process/ingress/bodyend.go
@@ -43,14 +43,14 @@
 
 // verifyEnd returns errEndedWithReplica if the end of an answer that has been read does not show that the
 // answer is complete: nothing but the connection's end marks it, and the replica cannot be reached
-// afterwards or has crashed during the run as far as this proxy knows. The caller of this proxy would
-// otherwise take what it was sent for the whole answer, since the proxy marks its end.
+// afterwards, has crashed during the run as far as this proxy knows, or is another process by now. The caller of
+// this proxy would otherwise take what it was sent for the whole answer, since the proxy marks its end.
 func (s *session) verifyEnd(ctx context.Context, target *replica, sent *send) error {
 	if sent.bodyEnd != bodyEndConnection {
 		return nil
 	}
 	pause.Sleep(ctx, exitTime)
-	if target.crashedSince(sent.at) || !s.replicaListens(ctx, target) {
+	if target.crashedSince(sent.at) || !s.replicaListens(ctx, target) || s.isReplaced(ctx, target, sent) {
 		return errEndedWithReplica
 	}
 	return nil
--- a/process/ingress/harness_test.go
+++ b/process/ingress/harness_test.go
@@ -79,6 +79,9 @@
 	testParts    = "Test-Parts"
 )
 
+// testStatusPath is where replicas of these tests tell when they were started.
+const testStatusPath = "/status"
+
 // testDialect is the protocol used in these tests.
 type testDialect struct{}
 
@@ -152,6 +155,16 @@
 	return http.MethodDelete, "/handle/" + handle
 }
 
+func (testDialect) StatusRequest(header http.Header, replica string) (string, string) {
+	header.Set(testReplica, replica)
+	return http.MethodGet, testStatusPath
+}
+
+func (testDialect) Birth(status []byte) int64 {
+	born, _ := strconv.ParseInt(string(status), 10, 64)
+	return born
+}
+
 func (testDialect) Refusal(header http.Header, call *Call, retryAfter time.Duration) {
 	header.Set(testID, call.ID)
 	if retryAfter > 0 {
--- a/process/ingress/replica.go
+++ b/process/ingress/replica.go
@@ -84,6 +84,8 @@
 	firstEventAt time.Duration
 	// expected is how long the first answer was expected to take; 0 if it is not known.
 	expected time.Duration
+	// born is when the listed process was started, as api.ReplicaSpec.Born; 0 if that is not known.
+	born int64
 	// bodyEnd says what marks the end of the answer's body; used by the session only.
 	bodyEnd bodyEnd
 }
@@ -99,7 +101,7 @@
 
 // beginSend records a request that is being sent.
 func (r *replica) beginSend(now time.Duration, tokens int) *send {
-	sent := &send{at: now, tokens: tokens}
+	sent := &send{at: now, tokens: tokens, born: r.spec().Born}
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.sends[sent] = struct{}{}
--- a/process/ingress/types.go
+++ b/process/ingress/types.go
@@ -178,6 +178,12 @@
 	// header fields. The request must affect only the named replica, even if another one has
 	// taken over its address.
 	Release(header http.Header, replica, handle string) (method, target string)
+	// StatusRequest returns the method and target of the request for a replica's status, and sets its
+	// header fields. Another replica that has taken over the address must refuse it.
+	StatusRequest(header http.Header, replica string) (method, target string)
+	// Birth returns when a replica's process was started according to its status, in milliseconds since
+	// the Unix epoch; 0 if the status does not contain it.
+	Birth(status []byte) int64
 	// Refusal sets the fields of an answer that the proxy generates itself. The call may be
 	// incomplete, without an ID for example; retryAfter is 0 if no retry delay is to be sent.
 	Refusal(header http.Header, call *Call, retryAfter time.Duration)
