Quarantine: successors' crashes, trials where requests are, and sound holds ended

Soaks showed crashes of processes that the list does not show yet counted once (fatal) and sound requests held (shut out, held).

--- a/connection/feed/charge.go
+++ b/connection/feed/charge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/frame"
@@ -24,6 +25,8 @@
 	Streams *resume.Report
 	// Parts reports observations of prompt parts instead; Tenant is empty then.
 	Parts *parts.Report
+	// Trial asks for the trial of a prompt part, or returns it, instead; Tenant is empty then.
+	Trial *parts.TrialClaim
 	Cost  float64 // in the unit of the tenant's quota
 	// Forwarded marks a request that a daemon forwards for another one; it is forwarded at most
 	// once.
@@ -45,6 +48,8 @@
 		tenant = encodeStreamsTenant(request.Streams)
 	case request.Parts != nil:
 		tenant = encodePartsTenant(request.Parts)
+	case request.Trial != nil:
+		tenant = encodeTrialTenant(request.Trial)
 	}
 	encoder.String(tenant)
 	encoder.Float64(request.Cost)
@@ -57,23 +62,28 @@
 	if err := decoder.Finish(); err != nil {
 		return request, err
 	}
-	limit, err := decodeLimitTenant(request.Tenant)
-	if err != nil {
-		return request, err
-	}
-	loan, err := decodeLoanTenant(request.Tenant)
-	if err != nil {
-		return request, err
-	}
-	streams, err := decodeStreamsTenant(request.Tenant)
-	if err != nil {
-		return request, err
-	}
-	observed, err := decodePartsTenant(request.Tenant)
-	if limit != nil || loan != nil || streams != nil || observed != nil {
-		request.Tenant, request.Limit, request.Loan, request.Streams, request.Parts = "", limit, loan, streams, observed
+	return request, request.decodeMessage()
+}
+
+// decodeMessage decodes what travels in place of a tenant's name, if anything does.
+func (r *ChargeRequest) decodeMessage() (err error) {
+	name := r.Tenant
+	switch {
+	case strings.HasPrefix(name, limitPrefix):
+		r.Limit, err = decodeLimitTenant(name)
+	case strings.HasPrefix(name, loanPrefix):
+		r.Loan, err = decodeLoanTenant(name)
+	case strings.HasPrefix(name, streamPrefix):
+		r.Streams, err = decodeStreamsTenant(name)
+	case strings.HasPrefix(name, partsPrefix):
+		r.Parts, err = decodePartsTenant(name)
+	case strings.HasPrefix(name, trialPrefix):
+		r.Trial, err = decodeTrialTenant(name)
+	default:
+		return nil
 	}
-	return request, err
+	r.Tenant = ""
+	return err
 }
 
 func encodeCharge(requestID uint64, request ChargeRequest) []byte {
--- a/process/control/group.go
+++ b/process/control/group.go
@@ -230,6 +230,9 @@
 	}
 	doubtful := g.excludeDoubtful(&request, began)
 	answer, known := g.boards.place(g.machine.history.Load(), daemon, request, alert, began)
+	if request.Ask.Suspect {
+		tracker.noteCopy(request.Ask.Fingerprint, answer.Generator != "", began)
+	}
 	g.recordPlacedStreams(request.Ask.Streams, answer, doubtful)
 	g.metrics.observePlacement(request.Service, answer, known, monotonic()-began)
 	return answer, known
--- a/process/control/quarantine.go
+++ b/process/control/quarantine.go
@@ -79,6 +79,8 @@
 	latestAlert atomic.Int64
 	// unsuspectedSince is when parts on trial ceased to be in doubt.
 	unsuspectedSince map[parts.Key]time.Duration
+	partTrials       partTrials
+	copies           suspectCopies
 	// unrecorded is what daemons are told while the record lags behind.
 	unrecorded unrecorded
 }
@@ -105,7 +107,7 @@
 func newQuarantineTracker() *quarantineTracker {
 	tracker := &quarantineTracker{
 		table: quarantine.NewTable(), parts: parts.NewTable(), refuted: newRefutations(), alertUntil: map[string]time.Duration{},
-		sentEarly: map[quarantine.Fingerprint]bool{}, unsuspectedSince: map[parts.Key]time.Duration{},
+		sentEarly: map[quarantine.Fingerprint]bool{}, unsuspectedSince: map[parts.Key]time.Duration{}, partTrials: partTrials{}, copies: suspectCopies{},
 	}
 	tracker.table.SetOtherCause(tracker.parts.HasHarmfulPart)
 	return tracker
--- a/process/control/quarantine_parts.go
+++ b/process/control/quarantine_parts.go
@@ -14,7 +14,7 @@
 // Prompt parts that crash replicas are recorded as Quarantine objects of their own (api.Quarantine.IsPart),
 // in these states:
 //   - watched: requests with the part are sent as usual, and further crashes are awaited;
-//   - tried: few proxies at a time may send one request with the part;
+//   - tried: one request with the part may be sent in each turn, see partTrials;
 //   - held: no request with the part is sent until the hold expires, which a trial follows, or until an
 //     operator releases the part.
 //
@@ -53,6 +53,7 @@
 // reviewParts adds to the changes what the record needs of prompt parts.
 func (d *quarantineTracker) reviewParts(changes *state.Observe, recorded map[string]*api.Quarantine, now time.Duration, wall time.Time) {
 	d.parts.Expire(now)
+	d.partTrials.retain(recorded)
 	findings := map[string]parts.Finding{}
 	var unrecorded []parts.Finding
 	for _, found := range d.parts.Findings(now) {
--- a/process/control/quarantine_parts_test.go
+++ b/process/control/quarantine_parts_test.go
@@ -25,6 +25,8 @@
 	}
 	var now time.Duration
 	review(now)
+	now += time.Second
+	crashedWith{tracker, part}.at(now, "r-other") // by another request: those of a single one are not counted against its parts
 	for i := range 5 {
 		now += time.Second
 		replica := fmt.Sprint("r-", i)
--- a/process/control/quarantine_review.go
+++ b/process/control/quarantine_review.go
@@ -66,6 +66,7 @@
 	}
 	d.refuted = newRefutations()
 	d.table.Expire(now)
+	d.copies.expire(now)
 	if d.loadRecord(term, current, now, wall) {
 		for _, alive := range refuted.alive { // the entries just loaded are refuted as well
 			d.table.RefuteFailures(refuted.reportedAt[alive.Replica], alive)
--- a/process/control/quarantine_states.go
+++ b/process/control/quarantine_states.go
@@ -41,7 +41,7 @@
 		switch {
 		case verdict != quarantine.Harmful && d.hasInitialReports(now) && d.needsTrial(current, fingerprint):
 			d.startTrialOrSettle(spec, fingerprint, now, wall)
-		case isHarmful:
+		case isHarmful && !d.awaitsCopy(fingerprint, now):
 			startHold(spec, wall)
 		}
 	case api.QuarantineHeld:
--- a/process/control/quota.go
+++ b/process/control/quota.go
@@ -62,6 +62,9 @@
 	if request.Streams != nil {
 		return g.findStream(*request.Streams)
 	}
+	if request.Trial != nil {
+		return g.claimPartTrial(*request.Trial)
+	}
 	limit, bounded := quotaOf(g.machine.view(), request.Tenant)
 	if !bounded || !(request.Cost >= 0) || g.config.Quotas.Window <= 0 {
 		return quota.Grant{}, false
@@ -91,6 +94,10 @@
 		g.evidence.tracker.addPartReport(*request.Parts, monotonic())
 		return
 	}
+	if request.Trial != nil {
+		g.evidence.tracker.returnPartTrial(*request.Trial)
+		return
+	}
 	limit, bounded := quotaOf(g.machine.view(), request.Tenant)
 	if bounded && request.Cost >= 0 && g.Leadership().Leads {
 		g.quotas.currentAccount().Refund(monotonic(), request.Tenant, limit, request.Cost)
--- a/process/guard/guard.go
+++ b/process/guard/guard.go
@@ -13,7 +13,6 @@
 package guard
 
 import (
-	"encoding/binary"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -21,7 +20,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/request/quarantine"
 	"github.com/landingtrail/landingtrail/request/quarantine/parts"
@@ -49,8 +47,8 @@
 
 	lock     sync.Mutex
 	reporter Reporter // nil without a control group
-	// wasServed is true once a leader has served this proxy. lost is true while no leader does so
-	// any more, and lostAt is when that was first seen.
+	// wasServed is true once a leader has served this proxy. lost is true while no leader does so,
+	// and lostAt is when that was first seen.
 	wasServed bool
 	lost      bool
 	lostAt    time.Duration
@@ -70,6 +68,7 @@
 	// suspected holds the replicas that are recorded as crashed. An answer from one of them
 	// refutes that.
 	suspected map[string]suspectedCrash
+	crashed   crashedProcesses
 	parts     partGuard
 }
 
@@ -82,7 +81,7 @@
 // New returns a guard that reports nothing until SetReporter is called. name is the proxy's name,
 // empty if the proxy does not run trials.
 func New(name string) *Guard {
-	guard := &Guard{name: name, table: quarantine.NewTable(), trials: map[quarantine.Fingerprint]any{}, parts: newPartGuard()}
+	guard := &Guard{name: name, table: quarantine.NewTable(), trials: map[quarantine.Fingerprint]any{}, crashed: crashedProcesses{}, parts: newPartGuard()}
 	guard.table.SetOtherCause(guard.parts.table.HasHarmfulPart)
 	return guard
 }
@@ -115,6 +114,7 @@
 	before := g.recorded
 	var recordedParts map[string]*api.Quarantine
 	g.recorded, recordedParts = api.SplitQuarantines(current.Quarantines)
+	g.crashed.learnRecorded(current.Quarantines, now)
 	g.followParts(recordedParts, now)
 	// Held requests are loaded first, since a request cannot have caused crashes while it was held.
 	for _, name := range api.HeldFirst(g.recorded) {
@@ -226,12 +226,21 @@
 	g.updateCutOff(now)
 	crash.ObservationID = rand.Uint64()
 	g.table.NoteAged(now, crash.Age, crash.Evidence)
+	g.crashed.learnEvidence(crash.Evidence, now-crash.Age)
 	if g.table.Verdict(now, crash.Fingerprint) != quarantine.Free {
 		g.active.Store(true)
 	}
 	g.report(feed.CrashReport{Crashes: []quarantine.AgedEvidence{crash}})
 }
 
+// HasCrashedBefore reports whether a process is known to have crashed before a run was sent to its address
+// at sentAt.
+func (g *Guard) HasCrashedBefore(process string, sentAt time.Duration) bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.crashed.hasCrashedBefore(process, sentAt)
+}
+
 // reportMaxAge is how long a member's report of unrecorded crashes is valid. While they remain
 // unrecorded, members repeat it every feed.UnrecordedInterval.
 const reportMaxAge = 3 * feed.UnrecordedInterval
@@ -249,6 +258,7 @@
 	for _, evidence := range report.Crashes {
 		evidence.ReportedByOther = true
 		g.table.NoteAged(now, evidence.Age, evidence.Evidence)
+		g.crashed.learnEvidence(evidence.Evidence, now)
 	}
 	if len(report.Crashes) > 0 {
 		g.reportedUntil = now + reportMaxAge
@@ -277,6 +287,7 @@
 	defer g.lock.Unlock()
 	g.table.RefuteFailures(now, alive)
 	delete(g.suspected, alive.Replica)
+	delete(g.crashed, alive.Replica)
 	g.updateActive(now)
 	g.report(feed.CrashReport{Alive: []quarantine.LiveReplica{alive}})
 }
@@ -328,83 +339,6 @@
 	}
 }
 
-// Hold says why a request must not be sent to any replica.
-type Hold struct {
-	Basis     HoldBasis
-	Remaining time.Duration // how long it lasts, by what is known now
-}
-
-// HoldBasis is what a hold rests on.
-type HoldBasis uint8
-
-// Bases of a hold.
-const (
-	BasisRecord       HoldBasis = iota + 1 // the record says that the request is held
-	BasisSettling                          // the record says that it is about to be held
-	BasisTrial                             // it is on trial, and another owner has the trial
-	BasisCutOff                            // this proxy is cut off and judges by what it knows itself
-	BasisMemberReport                      // a member without a leader reported crashes
-	BasisOwnCrashes                        // enough replicas crashed while the proxy processed the request
-	BasisPart                              // the record says that a part of the prompt is held
-	BasisPartTrial                         // parts of the prompt are on trial, and this is not the request to try them
-	BasisPartCutOff                        // this proxy is cut off and judges a part of the prompt by what it knows itself
-)
-
-func (b HoldBasis) String() string {
-	names := [...]string{"none", "record", "settling", "trial", "cut_off", "member_report", "own_crashes", "part", "part_trial", "part_cut_off"}
-	return names[b]
-}
-
-// CheckHold reports whether a request must not be sent to any replica, and why and for how long; the
-// hold is zero if it may be sent. A request on record as held or settling (about to be held) is sent
-// nowhere. One on trial may be sent by one owner at a time: CheckHold claims the trial for the
-// owner, who must call EndTrial. If no such state is on record, the observations of a proxy that
-// is cut off, or that acts on a member's report, decide.
-func (g *Guard) CheckHold(now time.Duration, wall time.Time, fingerprint quarantine.Fingerprint, owner any) (hold Hold, held bool) {
-	g.lock.Lock()
-	defer g.lock.Unlock()
-	entry := g.recorded[fingerprint.String()]
-	switch {
-	case entry == nil:
-	case entry.Spec.State == api.QuarantineHeld:
-		return Hold{BasisRecord, max(time.UnixMilli(entry.Spec.Until).Sub(wall), MinHold)}, true
-	case entry.Spec.State == api.QuarantineSettling:
-		return Hold{BasisSettling, trialRetryAfter}, true
-	case entry.Spec.State == api.QuarantineTried:
-		if g.claimTrial(fingerprint, entry.Spec.Until, owner) {
-			return Hold{}, false
-		}
-		return Hold{BasisTrial, trialRetryAfter}, true
-	}
-	// The record alone decides, or the evidence known here does not suffice.
-	basis := BasisMemberReport
-	if g.updateCutOff(now) {
-		basis = BasisCutOff
-	} else if now >= g.reportedUntil {
-		return Hold{}, false
-	}
-	g.judgePartsAlone(now) // harmful parts explain crashes of requests
-	if !g.table.IsHarmfulOnPartialView(fingerprint) {
-		return Hold{}, false
-	}
-	return Hold{basis, max(g.table.HarmfulFor(now, fingerprint), MinHold)}, true
-}
-
-// RequiresLeader reports whether only the control group may place a request: enough replicas have
-// crashed while processing it to make it a suspect, and this proxy is not cut off. Crashes that
-// tell little (Spec.Weak) do not count. The control group has one copy at a time sent to a replica
-// without other requests, or lets none be sent; a proxy does not know of the copies at other
-// proxies.
-func (g *Guard) RequiresLeader(now time.Duration, fingerprint quarantine.Fingerprint) bool {
-	g.lock.Lock()
-	defer g.lock.Unlock()
-	entry := g.recorded[fingerprint.String()]
-	if entry == nil || entry.Spec.State != api.QuarantineWatched {
-		return false
-	}
-	return len(entry.Spec.Replicas)-len(entry.Spec.Weak) >= quarantine.WatchedIncidents && !g.updateCutOff(now)
-}
-
 // HasLeader reports whether a leader currently serves this proxy.
 func (g *Guard) HasLeader() bool {
 	g.lock.Lock()
@@ -412,59 +346,30 @@
 	return g.reporter != nil && g.reporter.Connected()
 }
 
-// trialRetryAfter is the retry delay for a request on trial by another owner, whose trial is
-// expected to end within that time.
-const trialRetryAfter = 300 * time.Millisecond
-
-// claimTrial claims the trial of the request for the owner and reports whether the owner has it:
-// it is this proxy's turn, and no other owner here has it. All proxies derive whose turn it is
-// from a hash of the fingerprint and turnEnd, the end of the turn in Unix milliseconds. Two
-// proxies with different views may both run a trial for a moment. The caller must hold the lock.
-func (g *Guard) claimTrial(fingerprint quarantine.Fingerprint, turnEnd int64, owner any) bool {
-	if current, found := g.trials[fingerprint]; found {
-		return current == owner
-	}
-	if len(g.proxies) > 0 {
-		hash := xxhash.Sum64(binary.BigEndian.AppendUint64(fingerprint[:], uint64(turnEnd)))
-		if g.proxies[hash%uint64(len(g.proxies))] != g.name {
-			return false
-		}
-	}
-	g.trials[fingerprint] = owner
-	return true
-}
-
-// EndTrial lets another owner claim the trial, if this owner has it.
-func (g *Guard) EndTrial(fingerprint quarantine.Fingerprint, owner any) {
-	g.lock.Lock()
-	defer g.lock.Unlock()
-	if g.trials[fingerprint] == owner {
-		delete(g.trials, fingerprint)
-	}
-}
-
 // cutOffDelay is how long a proxy must be without a leader before it judges by itself. It is
 // longer than a change of leader or a restart of all members takes, because the proxy sees only a
 // part of the evidence, in which requests that merely ran at the time of a crash look more
 // suspicious.
 const cutOffDelay = 3 * time.Second
 
-// updateCutOff reports whether this proxy has to judge by itself. It also records when its leader
-// was lost, and is called for that where the result is not needed. The caller must hold the lock.
+// updateCutOff reports whether this proxy has to judge by itself. It also records since when it has no
+// leader, and is called for that where the result is not needed. The caller must hold the lock.
 func (g *Guard) updateCutOff(now time.Duration) bool {
-	switch {
-	case g.reporter == nil:
+	if g.reporter == nil {
 		return true
-	case g.reporter.Connected():
+	}
+	if g.reporter.Connected() {
 		g.wasServed, g.lost = true, false
 		return false
-	case !g.wasServed:
-		return true
-	case !g.lost:
+	}
+	if !g.lost {
 		g.lost, g.lostAt = true, now
 	}
-	return now-g.lostAt >= cutOffDelay
+	return !g.wasServed || now-g.lostAt >= cutOffDelay
 }
 
-// MinHold is the minimum time that CheckHold returns for a held request.
-const MinHold = time.Second
+// isLongCutOff reports whether this proxy has been without a leader for cutOffDelay, also if it never had one. The
+// caller must hold the lock.
+func (g *Guard) isLongCutOff(now time.Duration) bool {
+	return g.updateCutOff(now) && (g.reporter == nil || now-g.lostAt >= cutOffDelay)
+}
--- a/process/guard/parts.go
+++ b/process/guard/parts.go
@@ -1,12 +1,10 @@
 package guard
 
 import (
-	"encoding/binary"
 	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/landingtrail/landingtrail/request/quarantine"
 	"github.com/landingtrail/landingtrail/request/quarantine/parts"
 	"github.com/landingtrail/landingtrail/version/api"
@@ -20,8 +18,12 @@
 	// table holds this proxy's observations and the recorded crashes.
 	table    *parts.Table
 	recorded map[parts.Key]*api.Quarantine
-	// trials holds the last request that this proxy sent, or is about to send, to try a part.
-	trials map[parts.Key]partTrial
+	// granter grants trials; nil if proxies take turns.
+	granter TrialGranter
+	// trials holds the trials of parts that this proxy has or asks for. refusedAt is when the last claim of a
+	// trial was refused.
+	trials    map[parts.Key]partTrial
+	refusedAt map[parts.Key]time.Duration
 	// reportedAt is when a start with a part, or of a service, was last reported.
 	partReportedAt    map[parts.Key]time.Duration
 	serviceReportedAt map[string]time.Duration
@@ -31,15 +33,9 @@
 	localAt      time.Duration
 }
 
-// partTrial is the trial of a part at this proxy in one turn.
-type partTrial struct {
-	turnEnd int64 // Unix milliseconds
-	owner   any
-}
-
 func newPartGuard() partGuard {
 	return partGuard{
-		active: &atomic.Bool{}, table: parts.NewTable(), trials: map[parts.Key]partTrial{},
+		active: &atomic.Bool{}, table: parts.NewTable(), trials: map[parts.Key]partTrial{}, refusedAt: map[parts.Key]time.Duration{},
 		partReportedAt: map[parts.Key]time.Duration{}, serviceReportedAt: map[string]time.Duration{},
 	}
 }
@@ -73,6 +69,7 @@
 		if g.parts.recorded[part] == nil {
 			g.parts.table.Forget(part)
 			delete(g.parts.trials, part)
+			delete(g.parts.refusedAt, part)
 		}
 	}
 	g.parts.table.Expire(now)
@@ -89,7 +86,7 @@
 		handling = parts.Held
 	}
 	g.parts.table.SetHandling(part, handling)
-	g.parts.table.SetFound(part, entry.Spec.Times > 0)
+	g.parts.table.SetFound(part, isFoundHarmful(entry))
 }
 
 // callerKeys returns the keys of the callers that a recorded part concerns, nil for all.
@@ -177,33 +174,17 @@
 }
 
 // CheckParts reports whether a request must not be sent to any replica because of the parts of its
-// prompt, and why and for how long. sent is true if the request was sent before. A request with a held
-// part is sent nowhere. While parts are on trial, a request with one of them is sent once by one owner
-// in each turn of its proxy, and a request with several of them is not: it would not show which of
-// them is harmful.
-func (g *Guard) CheckParts(now time.Duration, wall time.Time, run parts.Run, owner any, sent bool) (hold Hold, held bool) {
+// prompt, and why and for how long. mayHaveRun is true if a replica may have run the request before. A request
+// with a held part is sent nowhere. While a part is on trial, one request with it is sent in each turn, by the
+// owner that has claimed the trial (ClaimPartTrial).
+func (g *Guard) CheckParts(now time.Duration, wall time.Time, run parts.Run, owner any, mayHaveRun bool) (hold Hold, held bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	caller := run.Caller.String()
-	var tried []parts.Key
-	for _, part := range run.Parts {
-		entry := g.parts.recorded[part]
-		if entry == nil || !entry.Concerns(caller) {
-			continue
-		}
-		switch entry.Spec.State {
-		case api.QuarantinePartHeld:
-			return Hold{BasisPart, max(time.UnixMilli(entry.Spec.Until).Sub(wall), MinHold)}, true
-		case api.QuarantinePartTried:
-			if !slices.Contains(tried, part) {
-				tried = append(tried, part)
-			}
-		}
+	if until, found := g.heldPart(run); found {
+		return Hold{BasisPart, max(until.Sub(wall), MinHold)}, true
 	}
-	switch {
-	case len(tried) == 1 && !sent && g.claimPartTrial(tried[0], owner):
-		return Hold{}, false
-	case len(tried) > 0:
+	tried := g.partsOnTrial(now, run)
+	if len(tried) > 0 && (mayHaveRun || !g.hasPartTrial(tried, owner)) {
 		return Hold{BasisPartTrial, trialRetryAfter}, true
 	}
 	if g.updateCutOff(now) {
@@ -212,40 +193,17 @@
 	return Hold{}, false
 }
 
-// IsPartTrial reports whether the owner has the trial of any part of a run.
-func (g *Guard) IsPartTrial(run parts.Run, owner any) bool {
-	g.lock.Lock()
-	defer g.lock.Unlock()
-	return slices.ContainsFunc(run.Parts, func(part parts.Key) bool {
-		trial, found := g.parts.trials[part]
-		return found && trial.owner == owner
-	})
-}
-
-// proxiesPerTurn is the number of proxies for one that has the turn while the cause is still in doubt:
-// where there are many, each has a request with the part only now and then.
-const proxiesPerTurn = 16
-
-// claimPartTrial claims the trial of a part in its current turn and reports whether the owner has it.
-// A hold is tried by one proxy at a time. The caller must hold the lock.
-func (g *Guard) claimPartTrial(part parts.Key, owner any) bool {
-	entry := g.parts.recorded[part]
-	if trial, found := g.parts.trials[part]; found && trial.turnEnd == entry.Spec.Until {
-		return trial.owner == owner
-	}
-	if count := len(g.proxies); count > 0 {
-		turns := 1
-		if entry.Spec.Times == 0 {
-			turns += count / proxiesPerTurn
-		}
-		first := xxhash.Sum64(binary.BigEndian.AppendUint64(part[:], uint64(entry.Spec.Until))) % uint64(count)
-		own := slices.Index(g.proxies, g.name)
-		if own < 0 || (own-int(first)+count)%count >= turns {
-			return false
+// heldPart returns until when a part of a run is held by the record; found is false if none is. The caller must
+// hold the lock.
+func (g *Guard) heldPart(run parts.Run) (until time.Time, found bool) {
+	caller := run.Caller.String()
+	for _, part := range run.Parts {
+		entry := g.parts.recorded[part]
+		if entry != nil && entry.Spec.State == api.QuarantinePartHeld && entry.Concerns(caller) {
+			return time.UnixMilli(entry.Spec.Until), true
 		}
 	}
-	g.parts.trials[part] = partTrial{turnEnd: entry.Spec.Until, owner: owner}
-	return true
+	return time.Time{}, false
 }
 
 // localFindingsAge is how long this proxy's own findings are used without a change of its table.
@@ -284,7 +242,7 @@
 func (g *partGuard) dropLocal() {
 	for part := range g.local {
 		entry := g.recorded[part]
-		g.table.SetFound(part, entry != nil && entry.Spec.Times > 0)
+		g.table.SetFound(part, entry != nil && isFoundHarmful(entry))
 	}
 	g.local = nil
 }
--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -64,8 +64,9 @@
 		return
 	}
 	isolated := s.isolated && state == addressRefuses
+	process := s.crashedProcessOf(target, sent, state)
 	event.RunBroken.Log(s.ingress.logger, "request", s.call.ID, "fingerprint", s.fingerprint(), "route", s.route.Name,
-		"stage", stage, "replica", target.incarnation(), "after_ms", (brokenAt - sent.at).Milliseconds(),
+		"stage", stage, "replica", process.name, "after_ms", (brokenAt - sent.at).Milliseconds(),
 		"events", sent.events, "alone", isolated, "listens", state == addressListens, "leaving", target.isLeaving(),
 		"parts", strings.Join(s.sharedParts(maxLoggedParts), ","), "model", s.call.Work.Model, "tokens", s.call.Work.PromptTokens,
 		"software", target.spec().SoftwareVersion, "length", sent.bodyEnd, "err", err)
@@ -77,17 +78,34 @@
 		target.noteRefused(brokenAt)
 	}
 	evidence := quarantine.Evidence{
-		Fingerprint: s.fingerprint(), Replica: target.incarnation(), HadOutput: sent.events >= minOutputEvents, Read: stage == stagePrefill,
-		OnlyInFlight: isolated, StillListening: state == addressListens, RunTime: brokenAt - sent.at, UniqueName: target.spec().Born != 0,
+		Fingerprint: s.fingerprint(), Replica: process.name, HadOutput: sent.events >= minOutputEvents, Read: stage == stagePrefill,
+		OnlyInFlight: isolated, StillListening: state == addressListens, RunTime: brokenAt - sent.at, UniqueName: process.isUnique,
 		RequestInfo: quarantine.RequestInfo{Service: s.upstream.service, Route: s.route.Name, Request: s.call.ID},
 	}
 	now := s.ingress.now()
 	s.ingress.guard.NoteCrash(now, quarantine.AgedEvidence{Evidence: evidence, Age: now - brokenAt})
 	if stage == stageRun {
-		s.notePartCrash(target, sent, brokenAt, state)
+		s.notePartCrash(process, sent, brokenAt, state)
 	}
 }
 
+// crashedProcess is the process of a replica that seems to have crashed.
+type crashedProcess struct {
+	name     string
+	isUnique bool // no other process has the name
+}
+
+// crashedProcessOf returns the process that a broken run was sent to. The list of replicas may not show yet that
+// the listed process has crashed and another one listens at its address, least of all while there is no leader:
+// the second crash is then the other one's.
+func (s *session) crashedProcessOf(target *replica, sent *send, state addressState) crashedProcess {
+	listed, isUnique := target.incarnation(), target.spec().Born != 0
+	if isUnique && state == addressRefuses && s.ingress.guard.HasCrashedBefore(listed, sent.at) {
+		return crashedProcess{name: quarantine.SuccessorName(listed)}
+	}
+	return crashedProcess{name: listed, isUnique: isUnique}
+}
+
 // maxLoggedParts limits the prompt parts that a log line names.
 const maxLoggedParts = 16
 
@@ -149,7 +167,7 @@
 }
 
 // quarantineHold reports whether the request must not be sent to any replica because it, or a part of
-// its prompt, crashes them, and why. If it is on trial, quarantineHold claims the trial for this
+// its prompt, crashes them, and why. If the request is on trial, quarantineHold claims the trial for this
 // session if it can; see guard.Guard.CheckHold and CheckParts.
 func (s *session) quarantineHold() (hold guard.Hold, quarantined bool) {
 	if s.ingress.guard.Active() {
@@ -161,11 +179,15 @@
 	return s.partHold(time.Now())
 }
 
-// endTrial allows another copy of the request to be tried if this one was on trial.
+// endTrial allows another copy of the request, or another request with a part of its prompt, to be tried if
+// this one was on trial.
 func (s *session) endTrial() {
 	if s.cachedFingerprint != nil { // otherwise it was never on trial
 		s.ingress.guard.EndTrial(*s.cachedFingerprint, s)
 	}
+	if s.cachedPartRun != nil {
+		s.ingress.guard.EndPartTrial(*s.cachedPartRun, s, s.crashes > 0)
+	}
 }
 
 // refuseQuarantined immediately answers a request that crashes replicas, and returns the status as
--- a/process/ingress/parts.go
+++ b/process/ingress/parts.go
@@ -1,9 +1,15 @@
 package ingress
 
 import (
+	"context"
+	"fmt"
+	"strings"
 	"time"
 
+	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/guard"
+	"github.com/landingtrail/landingtrail/process/pause"
+	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/quarantine/parts"
 )
 
@@ -28,10 +34,58 @@
 // partHold reports whether the request must not be sent to any replica because of a part of its
 // prompt, and why. wall is the wall-clock time.
 func (s *session) partHold(wall time.Time) (hold guard.Hold, held bool) {
-	if !s.ingress.guard.PartsActive() || len(s.call.Work.Parts) < 2 {
+	if !s.hasSuspectParts() {
 		return guard.Hold{}, false
 	}
-	return s.ingress.guard.CheckParts(s.ingress.now(), wall, s.partRun(), s, s.sendCount > 0)
+	return s.ingress.guard.CheckParts(s.ingress.now(), wall, s.partRun(), s, s.lifecycle.Ran() != attempt.RanNo)
+}
+
+// hasSuspectParts reports whether a part of the prompt may be suspected of crashing replicas.
+func (s *session) hasSuspectParts() bool {
+	return s.ingress.guard.PartsActive() && len(s.call.Work.Parts) >= 2
+}
+
+const (
+	// maxTrialWait limits each wait for the trial of a part. A harmless part is cleared once the request that
+	// tries it is answered.
+	maxTrialWait = time.Second
+	// trialPollInterval is the time between two checks during that wait.
+	trialPollInterval = 20 * time.Millisecond
+	// claimTimeout is how long to wait for the control group's answer to a claim.
+	claimTimeout = 200 * time.Millisecond
+)
+
+// awaitPartTrial waits while a part of the prompt is on trial: until this request gets the trial or the part is
+// cleared. It returns the last hold, and false if the request may be sent. Any other hold is returned at once.
+func (s *session) awaitPartTrial(ctx context.Context, hold guard.Hold) (_ guard.Hold, held bool) {
+	began := s.ingress.now()
+	for held = true; held && hold.Basis == guard.BasisPartTrial; hold, held = s.quarantineHold() {
+		if s.claimPartTrial(ctx) {
+			event.PartTrialBegan.Log(s.ingress.logger, "request", s.call.ID, "parts", strings.Join(s.sharedParts(maxLoggedParts), ","),
+				"waited_ms", (s.ingress.now() - began).Milliseconds())
+			continue
+		}
+		isOver := s.ingress.now()-began >= maxTrialWait || s.remaining() <= 2*trialPollInterval
+		if isOver || !pause.Sleep(ctx, trialPollInterval) {
+			return hold, true
+		}
+		s.ingress.routes() // applies the latest quarantine record
+	}
+	if waited := s.ingress.now() - began; waited >= trialPollInterval {
+		fmt.Fprintf(&s.trace, " awaited_part(%s)", waited.Round(time.Millisecond))
+	}
+	return hold, held
+}
+
+// claimPartTrial claims the trial of the part that is on trial. A request that may have run is no trial: it could
+// cost a second replica.
+func (s *session) claimPartTrial(ctx context.Context) bool {
+	if s.lifecycle.Ran() != attempt.RanNo {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	return s.ingress.guard.ClaimPartTrial(ctx, s.ingress.now(), s.partRun(), s)
 }
 
 // triesPart reports whether the request is sent to find out whether a part of its prompt is harmful.
@@ -59,8 +113,8 @@
 	s.notePartStart(sent)
 }
 
-// notePartCrash notes that a replica seems to have crashed during a run of the request.
-func (s *session) notePartCrash(target *replica, sent *send, brokenAt time.Duration, state addressState) {
+// notePartCrash notes that a replica's process seems to have crashed during a run of the request.
+func (s *session) notePartCrash(process crashedProcess, sent *send, brokenAt time.Duration, state addressState) {
 	run := s.partRun()
 	if len(run.Parts) == 0 {
 		return
@@ -68,7 +122,7 @@
 	now := s.ingress.now()
 	hasOutput := sent.events >= minOutputEvents
 	s.ingress.guard.NotePartCrash(now, parts.Crash{
-		Run: run, Request: s.fingerprint(), Replica: target.incarnation(), UniqueName: target.spec().Born != 0, Begun: hasOutput,
+		Run: run, Request: s.fingerprint(), Replica: process.name, UniqueName: process.isUnique, Begun: hasOutput,
 		MayBeAlive: hasOutput || state == addressListens, RunTime: brokenAt - sent.at, Age: now - brokenAt,
 	})
 }
--- a/process/ingress/quarantine_test.go
+++ b/process/ingress/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -36,6 +37,13 @@
 	return true
 }
 
+// hasPartStart reports whether a start with a prompt part was reported.
+func (r *recordingReporter) hasPartStart() bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return slices.ContainsFunc(r.partReports, func(report parts.Report) bool { return len(report.Starts) > 0 })
+}
+
 func (r *recordingReporter) ReportCrashes(report feed.CrashReport) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
--- a/process/ingress/run.go
+++ b/process/ingress/run.go
@@ -82,6 +82,7 @@
 	ingress.limitCharger = client
 	ingress.confirmer = views
 	ingress.guard.SetReporter(client)
+	ingress.guard.SetTrialGranter(client)
 	ingress.reachability.announce = client.Announce
 	endRelay, err := ingress.serveRelay(feed.NewPlacementRelay(client, views))
 	if err != nil {
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -136,7 +136,14 @@
 		}
 		// Checked before each send: a crash that became known in the meantime may have quarantined
 		// the request.
-		if hold, quarantined := s.quarantineHold(); quarantined {
+		hold, quarantined := s.quarantineHold()
+		if quarantined {
+			hold, quarantined = s.awaitPartTrial(ctx, hold)
+		}
+		if ctx.Err() != nil {
+			continue // answered at the top of the loop
+		}
+		if quarantined {
 			return s.refuseQuarantined(hold)
 		}
 		if !s.mayAttempt(ctx) {
--- a/request/quarantine/parts/parts.go
+++ b/request/quarantine/parts/parts.go
@@ -101,3 +101,12 @@
 
 // IsEmpty reports whether the report contains no observation.
 func (r *Report) IsEmpty() bool { return len(r.Crashes)+len(r.Starts) == 0 }
+
+// TrialClaim asks for the trial of a part in one turn, or returns it.
+type TrialClaim struct {
+	Part Key
+	// TurnEnd is the end of the turn in Unix milliseconds, as on record.
+	TurnEnd int64
+	// Proxy is the name of the proxy that has a request to try the part.
+	Proxy string
+}
--- a/request/quarantine/parts/table.go
+++ b/request/quarantine/parts/table.go
@@ -54,6 +54,8 @@
 	confirmed bool
 	// observed is true if this table was told of the crash by an observer and not by a record.
 	observed bool
+	// notedAt is when the crash was read from a record; 0 if it was observed first.
+	notedAt  time.Duration
 	suspects map[Key]*suspect
 	// begun holds the parts with which the process had produced output.
 	begun map[Key]struct{}
@@ -106,7 +108,7 @@
 	}
 	at := now - observed.Age
 	sentAt := at - observed.RunTime
-	known := t.crashOf(observed.Replica, observed.UniqueName, sentAt, at)
+	known := t.crashOf(observed, sentAt, at)
 	if known == nil {
 		known = t.insert(&crash{process: observed.Replica, service: observed.Service, uniqueName: observed.UniqueName, at: at})
 	}
@@ -133,16 +135,35 @@
 // crashOf returns the known crash of the process that a run was sent to at sentAt and that crashed
 // at about the time at, or nil. Processes may share a name unless it is unique: a run that was sent
 // after a crash was sent to a later process.
-func (t *Table) crashOf(process string, uniqueName bool, sentAt, at time.Duration) *crash {
+func (t *Table) crashOf(observed Crash, sentAt, at time.Duration) *crash {
 	for _, known := range t.crashes {
-		isSame := known.process == process && (uniqueName || known.uniqueName || sentAt <= known.at+maxReportDelay && known.at-at <= maxReportDelay)
-		if isSame {
+		if known.process != observed.Replica {
+			continue
+		}
+		isUnique := observed.UniqueName || known.uniqueName
+		if isUnique || sentAt <= known.at+maxReportDelay && known.at-at <= maxReportDelay {
+			return known
+		}
+	}
+	return t.restoredCrashOf(observed, sentAt)
+}
+
+// restoredCrashOf returns a crash that is known from a record alone, and that the observed one may be, or nil. The record
+// tells no exact time, so a run that was sent before the record was read may have been one of that crash.
+func (t *Table) restoredCrashOf(observed Crash, sentAt time.Duration) *crash {
+	for _, known := range t.crashes {
+		if !known.observed && known.process == observed.Replica && sentAt <= known.notedAt+maxReportDelay && known.hasSuspect(observed.Parts) {
 			return known
 		}
 	}
 	return nil
 }
 
+// hasSuspect reports whether any of the parts is a suspect of the crash.
+func (c *crash) hasSuspect(listed []Key) bool {
+	return slices.ContainsFunc(listed, func(part Key) bool { return c.suspects[part] != nil })
+}
+
 // insert adds a crash in order of time and drops the oldest if there are too many.
 func (t *Table) insert(added *crash) *crash {
 	added.suspects, added.begun = map[Key]*suspect{}, map[Key]struct{}{}
@@ -336,20 +357,6 @@
 	}
 }
 
-// Record is what is persisted of a part that is suspected.
-type Record struct {
-	Service string
-	// Replicas are process names in order of time, Together those of them that crashed in one incident
-	// with an earlier one.
-	Replicas, Together []string
-	Age                time.Duration
-	Callers            []Key
-	Requests           []quarantine.Fingerprint // that are known to contain the part
-	// IsSingle is true for the record of a part's only crash. How long the run had lasted is not recorded: it is assumed
-	// that the crash counts as one with others at that moment.
-	IsSingle bool
-}
-
 // RequestSuspect is a part of a request that is a suspect of a crash.
 type RequestSuspect struct {
 	Part    Key
@@ -393,51 +400,6 @@
 	return count
 }
 
-// Restore adds the crashes of a record. Those that are not known are assumed to have happened at the
-// recorded age, in their order.
-func (t *Table) Restore(now time.Duration, part Key, record Record) {
-	since := now - min(max(record.Age, settleDelay), retention/2)
-	if record.IsSingle {
-		since = now - min(record.Age, retention/2) // its time decides which other crashes it counts as one with
-	}
-	callers := record.Callers
-	if len(callers) == 0 {
-		callers = []Key{{}}
-	}
-	for i, replica := range record.Replicas {
-		known := t.recordedCrash(replica)
-		if known == nil {
-			at := since + time.Duration(i)*time.Millisecond
-			known = t.insert(&crash{process: replica, service: record.Service, at: at, confirmed: true})
-		}
-		sentAt := known.at
-		if record.IsSingle {
-			sentAt -= maxIncidentTime
-		}
-		for _, caller := range callers {
-			t.suspect(known, part, caller, sentAt)
-		}
-		for _, request := range record.Requests {
-			t.addRequest(known, part, request)
-		}
-		if restored := known.suspects[part]; restored != nil && !known.observed && !record.IsSingle {
-			restored.recorded = recordedFirst
-			if slices.Contains(record.Together, replica) {
-				restored.recorded = recordedTogether
-			}
-		}
-	}
-}
-
-// recordedCrash returns the first crash of a process with the name, or nil.
-func (t *Table) recordedCrash(process string) *crash {
-	index := slices.IndexFunc(t.crashes, func(known *crash) bool { return known.process == process })
-	if index < 0 {
-		return nil
-	}
-	return t.crashes[index]
-}
-
 // Observed returns the crashes that were reported to this table and the latest starts, for a receiver
 // that has to rebuild its table.
 func (t *Table) Observed(now time.Duration) Report {
--- a/request/quarantine/parts/table_test.go
+++ b/request/quarantine/parts/table_test.go
@@ -338,3 +338,62 @@
 	must.Len(t, 1, leader.crashes)
 	must.Eq(t, 10*time.Second, leader.crashes[0].at)
 }
+
+// Guards against records of several crashes under one name that are restored as a single one. The successors of a
+// listed process share a name until the list shows them.
+func TestRecordedCrashesOfOneNameAllCount(t *testing.T) {
+	successor := quarantine.SuccessorName("r@1000")
+	record := Record{Service: "s", Replicas: []string{"r@1000", successor, successor, "q@1000"}, Age: time.Minute}
+	table := NewTable()
+	table.Apply(time.Minute, Report{Crashes: []Crash{{Run: Run{Service: "s", Parts: []Key{fatal}}, Replica: successor, RunTime: time.Millisecond}}})
+	for range 3 { // each revision of the record is restored
+		table.Restore(2*time.Minute, fatal, record)
+		must.Eq(t, len(record.Replicas), table.countCrashes(fatal))
+	}
+}
+
+// Guards against a recorded crash that counts once more when its observer reports it to the next leader: where births are
+// not listed, the name alone does not show that both are the same.
+func TestRecordedCrashThatIsReportedCountsOnce(t *testing.T) {
+	crashOf := func(part Key, age time.Duration) Report {
+		crash := crashAt("r-0", alice, part)
+		crash.UniqueName, crash.Age = false, age
+		return Report{Crashes: []Crash{crash}}
+	}
+	leader := NewTable()
+	for _, part := range []Key{fatal, rare} {
+		leader.Restore(time.Minute, part, Record{Service: "s", Replicas: []string{"q-0", "r-0"}, Age: 20 * time.Second})
+	}
+	for range 2 { // two observers
+		leader.Apply(time.Minute+time.Second, crashOf(fatal, 15*time.Second))
+	}
+	must.Eq(t, 2, leader.countCrashes(fatal))
+	leader.Apply(time.Minute+time.Second, crashOf(common, 14*time.Second))
+	must.Eq(t, 1, leader.countCrashes(common))
+	must.Eq(t, 2, leader.countCrashes(rare))
+
+	leader.Apply(time.Minute+2*time.Second, crashOf(fatal, 0))
+	must.Eq(t, 3, leader.countCrashes(fatal), must.Sprint("of a run that was sent after the record was read"))
+}
+
+// Guards against a sound part that is held because one request with it, sent again and again, crashes replicas: that
+// request is held as a whole. Requests of which no two are alike show that the part is the cause.
+func TestPartOfASingleRequestIsNotHarmful(t *testing.T) {
+	play := func(requests ...byte) Verdict {
+		table := NewTable()
+		now := crashSeries(table, 2, alice, []Key{common})
+		for i, number := range requests {
+			now += time.Second
+			crash := crashAt(fmt.Sprint("q-", i), alice, fatal)
+			crash.Request = quarantine.Fingerprint{number}
+			table.Apply(now, Report{Crashes: []Crash{crash}})
+			table.Apply(now+time.Millisecond, Report{Starts: []Start{startOf(common)}})
+		}
+		return verdictOf(table, now, fatal)
+	}
+	must.Eq(t, Watched, play(1, 1, 1))
+	must.Eq(t, Watched, play(1, 1, 1, 1, 1, 1))
+	must.Eq(t, Harmful, play(1, 2, 3))
+	must.Eq(t, Harmful, play(1, 1, 2))
+	must.Eq(t, Harmful, play(1, 1, 1, 2))
+}
--- a/request/quarantine/parts/verdict.go
+++ b/request/quarantine/parts/verdict.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/landingtrail/landingtrail/request/quarantine"
 )
 
 // Thresholds of a verdict.
@@ -198,6 +200,8 @@
 	isAnswered = isAnswered && serviceStartedAt > found.FirstAt
 	isDoubtful := len(own.crashes) >= decisiveCrashes || len(own.crashes) >= doubtfulCrashes && own.isPartlyLost()
 	switch {
+	case own.isOfOneRequest():
+		// Whatever else the request contains is as likely; it is judged as a whole.
 	case isOften && lead >= clearLead && isAnswered:
 		found.Verdict = Harmful
 	case (isOften || isDoubtful) && lead > -clearLead && (lead >= clearLead || isDoubtful):
@@ -287,6 +291,18 @@
 	return count
 }
 
+// isOfOneRequest reports whether one and the same request was in flight with the part at all crashes.
+func (e *evidence) isOfOneRequest() bool {
+	if len(e.crashes) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(e.crashes[0].suspects[e.part].requests, func(request quarantine.Fingerprint) bool {
+		return request != quarantine.Fingerprint{} && !slices.ContainsFunc(e.crashes, func(known *crash) bool {
+			return !slices.Contains(known.suspects[e.part].requests, request)
+		})
+	})
+}
+
 // isPartlyLost reports whether some of the crashes are known from a record alone: what observed them is
 // gone, and may have known of more.
 func (e *evidence) isPartlyLost() bool {
--- a/request/quarantine/process.go
+++ b/request/quarantine/process.go
@@ -24,6 +24,14 @@
 	return replica
 }
 
+// successorMark follows the name of a listed process in the name of the processes that have replaced it.
+const successorMark = "#successor"
+
+// SuccessorName returns the replica name for the processes that run at the address of a listed process
+// after its failure, and which are not listed themselves yet. Unlike the name of the listed process it does not
+// identify a single one.
+func SuccessorName(process string) string { return process + successorMark }
+
 // processNames returns the process names of a replica that failures are stored under, in no
 // particular order.
 func (t *Table) processNames(replica string) []string {
--- a/request/quarantine/process_test.go
+++ b/request/quarantine/process_test.go
@@ -141,3 +141,20 @@
 		}
 	}
 }
+
+// Guards against counting the crashes of all processes that follow a listed one as a single crash.
+func TestFailuresOfSuccessorsCountSeparately(t *testing.T) {
+	const listed = "r@1000"
+	run := 5 * time.Millisecond
+	table := NewTable()
+	table.RecordFailure(time.Second, Evidence{Fingerprint: fingerprintOf("fatal"), Replica: listed, UniqueName: true, RunTime: run})
+	for i := range 3 {
+		at := time.Duration(2+i) * time.Second
+		seen := Evidence{Fingerprint: fingerprintOf("fatal"), Replica: SuccessorName(listed), RunTime: run, ObservationID: uint64(1 + i)}
+		for range 2 { // the second report is a repeated one
+			table.RecordFailure(at, seen)
+		}
+	}
+	must.Eq(t, 4, table.CountFailures(fingerprintOf("fatal")))
+	must.True(t, table.IsHarmfulOnPartialView(fingerprintOf("fatal")))
+}
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -383,6 +383,15 @@
 	return known.failures[0].at, true
 }
 
+// LastFailureAt returns the time of the latest known failure of a request.
+func (t *Table) LastFailureAt(fingerprint Fingerprint) (at time.Duration, found bool) {
+	known := t.requests[fingerprint]
+	if known == nil || len(known.failures) == 0 {
+		return 0, false
+	}
+	return known.lastAt(), true
+}
+
 // drop removes one failure of a request, and the request if no failure is left.
 func (t *Table) drop(fingerprint Fingerprint, replica string) {
 	known := t.requests[fingerprint]
