Answers without a length show whether their process ended with them

Beside such an answer the proxy now holds an idle connection to the replica, where no birth is listed or the replica must not be asked. A process that ends closes it too.

--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -83,6 +83,7 @@
 	requestWritten *atomic.Bool
 	stopCancel     func() bool
 	closed         atomic.Bool
+	companion      *companion // nil without OpenCompanion
 }
 
 // Do writes the request once and returns the response that matches its identity,
@@ -268,6 +269,9 @@
 	}
 	notCanceled := a.stopCancel()
 	used := a.conn
+	if a.companion != nil {
+		a.companion.close()
+	}
 	if !a.bodyRead {
 		a.markEmptyBodyRead()
 	}
--- a/process/ingress/answer.go
+++ b/process/ingress/answer.go
@@ -117,7 +117,7 @@
 		err = errBodyEndless // CopyN returns no error with the last byte
 	}
 	if errors.Is(err, io.EOF) {
-		err = cmp.Or(s.verifyEnd(ctx, target, sent), err)
+		err = cmp.Or(s.verifyEnd(ctx, target, sent, answer), err)
 	}
 	switch {
 	case err == nil:
@@ -199,7 +199,7 @@
 		var readErr error
 		readErr, err = copyAnswer(s.writer, body)
 		if err == nil {
-			readErr = s.verifyEnd(ctx, target, sent)
+			readErr = s.verifyEnd(ctx, target, sent, answer)
 			err = readErr
 		}
 		if readErr != nil && !isEndless(readErr) && ctx.Err() == nil && s.callerHeldUp() {
--- a/process/ingress/bodyend.go
+++ b/process/ingress/bodyend.go
@@ -45,12 +45,12 @@
 // answer is complete: nothing but the connection's end marks it, and the replica cannot be reached
 // afterwards, has crashed during the run as far as this proxy knows, or is another process by now. The caller of
 // this proxy would otherwise take what it was sent for the whole answer, since the proxy marks its end.
-func (s *session) verifyEnd(ctx context.Context, target *replica, sent *send) error {
+func (s *session) verifyEnd(ctx context.Context, target *replica, sent *send, answer *exchange.Response) error {
 	if sent.bodyEnd != bodyEndConnection {
 		return nil
 	}
 	pause.Sleep(ctx, exitTime)
-	if target.crashedSince(sent.at) || !s.replicaListens(ctx, target) || s.isReplaced(ctx, target, sent) {
+	if target.crashedSince(sent.at) || !s.replicaListens(ctx, target) || answer.ServerEnded() || s.isReplaced(ctx, target, sent) {
 		return errEndedWithReplica
 	}
 	return nil
--- a/process/ingress/bodyend_test.go
+++ b/process/ingress/bodyend_test.go
@@ -82,6 +82,10 @@
 		if r.Header.Get("Test-Sort") == "reset" {
 			panic(http.ErrAbortHandler)
 		}
+		if r.URL.Path == testStatusPath {
+			http.NotFound(w, r)
+			return
+		}
 		conn, buffered, err := w.(http.Hijacker).Hijack()
 		must.NoError(t, err)
 		defer func() { _ = conn.Close() }()
--- a/process/ingress/replaced.go
+++ b/process/ingress/replaced.go
@@ -26,7 +26,7 @@
 // asks whether the process belongs to the replica and when it was started. The result is false if there is no answer
 // in time, if the answer does not say so, or if the replica must be sent nothing now.
 func (s *session) isReplaced(ctx context.Context, target *replica, sent *send) bool {
-	if target.holdoff.State(s.ingress.now()) == holdoff.Closed || target.holdoff.IsLimited() {
+	if !s.mayAskStatus(target) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
@@ -44,6 +44,20 @@
 	return born != sent.born && born > s.wallClockAt(sent.at).UnixMilli()
 }
 
+// mayAskStatus reports whether the replica may be asked for its status. One that rests, or that limits its requests,
+// is not.
+func (s *session) mayAskStatus(target *replica) bool {
+	return target.holdoff.State(s.ingress.now()) != holdoff.Closed && !target.holdoff.IsLimited()
+}
+
+// openCompanion lets the answer show whether its process ended with it, where the process cannot be asked then or may
+// not know when it was started.
+func (s *session) openCompanion(target *replica, sent *send, answer *exchange.Response) {
+	if sent.bodyEnd == bodyEndConnection && (sent.born == 0 || !s.mayAskStatus(target)) {
+		answer.OpenCompanion(target.spec().Address)
+	}
+}
+
 // wallClockAt returns the wall-clock time of a reading of the monotonic clock.
 func (s *session) wallClockAt(at time.Duration) time.Time {
 	return s.ingress.wallClock().Add(at - s.ingress.now())
--- a/process/ingress/replaced_test.go
+++ b/process/ingress/replaced_test.go
@@ -113,3 +113,37 @@
 	must.Eq(t, 200, env.do(testRequest{method: "GET", target: "/unsafe/x", id: "q"}).status)
 	must.Eq(t, 0, asked.Load())
 }
+
+// newRestartedReplica returns a replica whose answers have neither a length nor chunks and end a while after they have
+// begun. With restarts, all its connections end then, as those of a process that ends do, and the address goes on
+// listening. Its status names no birth.
+func newRestartedReplica(t *testing.T, restarts bool) *fakeReplica {
+	var replica *fakeReplica
+	replica = newFakeReplica(t, "r-0", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == testStatusPath {
+			_, _ = io.WriteString(w, "{}")
+			return
+		}
+		conn, buffered, err := w.(http.Hijacker).Hijack()
+		must.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signature\r\nConnection: close\r\n\r\npart", testID, r.Header.Get(testID), testGenuine)
+		_ = buffered.Flush()
+		time.Sleep(200 * time.Millisecond)
+		if restarts {
+			replica.server.CloseClientConnections()
+		}
+	})
+	return replica
+}
+
+// Guards against an answer that the end of its replica's process cuts short and that is passed on as a whole one, where
+// nobody says when the process at the address was started (soak seeds 84003, 2051).
+func TestEndOfAnAnswerIsVerifiedWhereNoBirthIsKnown(t *testing.T) {
+	for _, restarts := range []bool{false, true} {
+		env := newTestEnv(t, newRestartedReplica(t, restarts))
+		got := env.do(testRequest{method: "GET", target: "/unsafe/x", id: "q"})
+		isWhole := got.status == http.StatusOK && got.err == nil && got.body == "part"
+		must.Eq(t, !restarts, isWhole, must.Sprint(got.status, got.err, got.body))
+	}
+}
--- a/process/ingress/stream.go
+++ b/process/ingress/stream.go
@@ -28,7 +28,7 @@
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
-			err = cmp.Or(s.verifyEnd(ctx, target, sent), err)
+			err = cmp.Or(s.verifyEnd(ctx, target, sent, answer), err)
 		}
 		if errors.Is(err, io.EOF) {
 			return s.endStream(target, sent, number, answer)
--- a/process/ingress/try.go
+++ b/process/ingress/try.go
@@ -213,6 +213,7 @@
 	s.sendCount++
 	s.answered = true
 	sent.bodyEnd = bodyEndOf(answer)
+	s.openCompanion(target, sent, answer)
 	reply := s.ingress.config.Dialect.Reply(answer.Status, answer.Header)
 	target.noteAnswer(reply.ownLoad(), s.ingress.now())
 	target.noteSlowness(reply.ownSlowness(), s.ingress.now())
