TestStandaloneProxySpendsItsPartOfTheQuota lists the proxies that it counts

Traced: the test stored 1000 as the number of proxies, and the first request applied the view, which listed none (printed in a trial: 1000 before the first request, 0 before each later one). The part was then the whole quota, of which some is left after milliseconds, so that a request was granted at random, the more likely the slower the machine. The view lists 1000 proxies now; what the test asks is unchanged.

--- a/process/ingress/charge_test.go
+++ b/process/ingress/charge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/landingtrail/landingtrail/connection/feed"
 	"github.com/landingtrail/landingtrail/request/quota"
 	"github.com/landingtrail/landingtrail/version/api"
+	"github.com/landingtrail/landingtrail/version/view"
 	"github.com/shoenig/test/must"
 )
 
@@ -87,7 +89,13 @@
 func TestStandaloneProxySpendsItsPartOfTheQuota(t *testing.T) {
 	env, charger := newQuotaEnv(t, 20, newFakeReplica(t, "r-1", answerOK))
 	charger.err = feed.ErrNotCharged
-	env.ingress.upstreams.proxies.Store(1000)
+	env.views.set(func(v *view.View) {
+		v.Proxies = map[string]*api.Proxy{}
+		for number := range 1000 {
+			name := fmt.Sprint("proxy-", number)
+			v.Proxies[name] = &api.Proxy{Metadata: api.Metadata{Name: name}}
+		}
+	})
 	for range 5 {
 		must.Eq(t, http.StatusTooManyRequests, env.do(withKey("a", "/safe/x", "key-n")).status)
 	}
