--- a/process/guard/hold.go
+++ b/process/guard/hold.go
@@ -73,7 +73,7 @@
 
 // RequiresLeader reports whether only the control group may place a request: enough replicas have
 // crashed while processing it to make it a suspect, and this proxy is not cut off. Crashes that
-// tell little (Spec.Weak) do not count. The control group has one copy at a time sent to a replica
+// prove little (Spec.Weak) do not count. The control group has one copy at a time sent to a replica
 // without other requests, or lets none be sent; a proxy does not know of the copies at other
 // proxies.
 func (g *Guard) RequiresLeader(now time.Duration, fingerprint quarantine.Fingerprint) bool {
--- a/process/ingress/harness_test.go
+++ b/process/ingress/harness_test.go
@@ -79,7 +79,7 @@
 	testParts    = "Test-Parts"
 )
 
-// testStatusPath is where replicas of these tests tell when they were started.
+// testStatusPath is where replicas of these tests say when they were started.
 const testStatusPath = "/status"
 
 // testDialect is the protocol used in these tests.
--- a/request/quarantine/othercause.go
+++ b/request/quarantine/othercause.go
@@ -10,7 +10,7 @@
 	Fingerprint Fingerprint
 	Replica     string
 	At          time.Duration
-	// IsTimeKnown is false if the failure is known from a Record alone, which tells no exact time.
+	// IsTimeKnown is false if the failure is known from a Record alone, which has no exact time.
 	IsTimeKnown bool
 }
 
--- a/request/quarantine/parts/table.go
+++ b/request/quarantine/parts/table.go
@@ -112,7 +112,7 @@
 	if known == nil {
 		known = t.insert(&crash{process: observed.Replica, service: observed.Service, uniqueName: observed.UniqueName, at: at})
 	}
-	if known.at > at || !known.observed && known.at < at { // the record tells no exact time
+	if known.at > at || !known.observed && known.at < at { // the record has no exact time
 		known.at = at
 		t.sort()
 	}
@@ -149,7 +149,7 @@
 }
 
 // restoredCrashOf returns a crash that is known from a record alone, and that the observed one may be, or nil. The record
-// tells no exact time, so a run that was sent before the record was read may have been one of that crash.
+// has no exact time, so a run that was sent before the record was read may have been one of that crash.
 func (t *Table) restoredCrashOf(observed Crash, sentAt time.Duration) *crash {
 	for _, known := range t.crashes {
 		if !known.observed && known.process == observed.Replica && sentAt <= known.notedAt+maxReportDelay && known.hasSuspect(observed.Parts) {
