--- a/connection/feed/charge.go
+++ b/connection/feed/charge.go
@@ -86,6 +86,13 @@
 	return err
 }
 
+// messageDecoder returns a decoder of the message that travels in place of a tenant's name. found is false if it is a
+// message of another kind, or a name.
+func messageDecoder(tenant, prefix string) (decoder *frame.Decoder, found bool) {
+	encoded, found := strings.CutPrefix(tenant, prefix)
+	return frame.NewDecoder([]byte(encoded)), found
+}
+
 func encodeCharge(requestID uint64, request ChargeRequest) []byte {
 	encoder := frame.NewEncoder(nil)
 	encoder.Uint64(requestID)
--- a/connection/feed/limit.go
+++ b/connection/feed/limit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"strings"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/frame"
@@ -82,11 +81,10 @@
 
 // decodeLimitTenant is the reverse of encodeLimitTenant. It returns nil for the name of a tenant.
 func decodeLimitTenant(tenant string) (*ratelimit.Request, error) {
-	encoded, found := strings.CutPrefix(tenant, limitPrefix)
+	decoder, found := messageDecoder(tenant, limitPrefix)
 	if !found {
 		return nil, nil
 	}
-	decoder := frame.NewDecoder([]byte(encoded))
 	request := &ratelimit.Request{Service: decoder.String(), Replica: decoder.String(), Report: decodeLimitReport(decoder), Priority: int(decoder.Int64())}
 	return request, decoder.Finish()
 }
--- a/connection/feed/parts.go
+++ b/connection/feed/parts.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"strings"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/frame"
@@ -65,11 +64,10 @@
 
 // decodePartsTenant is the reverse of encodePartsTenant. It returns nil for the name of a tenant.
 func decodePartsTenant(tenant string) (*parts.Report, error) {
-	encoded, found := strings.CutPrefix(tenant, partsPrefix)
+	decoder, found := messageDecoder(tenant, partsPrefix)
 	if !found {
 		return nil, nil
 	}
-	decoder := frame.NewDecoder([]byte(encoded))
 	report := &parts.Report{}
 	for i, count := 0, decodeObservationCount(decoder); i < count && decoder.Err() == nil; i++ {
 		report.Crashes = append(report.Crashes, parts.Crash{
--- a/connection/feed/parttrial.go
+++ b/connection/feed/parttrial.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 
 	"github.com/landingtrail/landingtrail/connection/frame"
 	"github.com/landingtrail/landingtrail/request/quarantine/parts"
@@ -37,11 +36,10 @@
 
 // decodeTrialTenant is the reverse of encodeTrialTenant. It returns nil for the name of a tenant.
 func decodeTrialTenant(tenant string) (*parts.TrialClaim, error) {
-	encoded, found := strings.CutPrefix(tenant, trialPrefix)
+	decoder, found := messageDecoder(tenant, trialPrefix)
 	if !found {
 		return nil, nil
 	}
-	decoder := frame.NewDecoder([]byte(encoded))
 	claim := &parts.TrialClaim{Part: decodeFingerprint(decoder), TurnEnd: decoder.Int64(), Proxy: decoder.String()}
 	return claim, decoder.Finish()
 }
--- a/connection/feed/retryloan.go
+++ b/connection/feed/retryloan.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/landingtrail/landingtrail/connection/frame"
@@ -49,11 +48,10 @@
 
 // decodeLoanTenant is the reverse of encodeLoanTenant. It returns nil for the name of a tenant.
 func decodeLoanTenant(tenant string) (*retry.LoanRequest, error) {
-	encoded, found := strings.CutPrefix(tenant, loanPrefix)
+	decoder, found := messageDecoder(tenant, loanPrefix)
 	if !found {
 		return nil, nil
 	}
-	decoder := frame.NewDecoder([]byte(encoded))
 	request := &retry.LoanRequest{Service: decoder.String(), Reserve: decoder.Float64(), Window: time.Duration(decoder.Int64()), Loan: decoder.Uint64()}
 	return request, decoder.Finish()
 }
--- a/connection/feed/streams.go
+++ b/connection/feed/streams.go
@@ -73,11 +73,10 @@
 
 // decodeStreamsTenant is the reverse of encodeStreamsTenant. It returns nil for the name of a tenant.
 func decodeStreamsTenant(tenant string) (*resume.Report, error) {
-	encoded, found := strings.CutPrefix(tenant, streamPrefix)
+	decoder, found := messageDecoder(tenant, streamPrefix)
 	if !found {
 		return nil, nil
 	}
-	decoder := frame.NewDecoder([]byte(encoded))
 	report := &resume.Report{Version: decoder.String(), Service: decoder.String()}
 	count := decoder.Count(streamSize)
 	if count > MaxReportedStreams {
