A request on trial for its part is sent again unless a replica crashed

An attempt that may have run was taken for one that may have crashed a replica. Only the latter speaks against a second try; what is not known (no replica reached at all) counts as one. A trial of a turn that has passed is returned before the next is claimed, else the leader awaits its outcome for 3 s.

TestTrialIsSentAgainUnlessAReplicaCrashed: 502 without the change. TestTrialOfAnEarlierTurnIsReturned: held without the return. process/guard, process/control TestPartsThatCrash and the part and trial tests of process/ingress pass.

--- a/process/guard/parts.go
+++ b/process/guard/parts.go
@@ -174,17 +174,17 @@
 }
 
 // CheckParts reports whether a request must not be sent to any replica because of the parts of its
-// prompt, and why and for how long. mayHaveRun is true if a replica may have run the request before. A request
-// with a held part is sent nowhere. While a part is on trial, one request with it is sent in each turn, by the
+// prompt, and why and for how long. mayHaveCrashed is true if a replica may have crashed under the request before. A
+// request with a held part is sent nowhere. While a part is on trial, one request with it is sent in each turn, by the
 // owner that has claimed the trial (ClaimPartTrial).
-func (g *Guard) CheckParts(now time.Duration, wall time.Time, run parts.Run, owner any, mayHaveRun bool) (hold Hold, held bool) {
+func (g *Guard) CheckParts(now time.Duration, wall time.Time, run parts.Run, owner any, mayHaveCrashed bool) (hold Hold, held bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	if until, found := g.heldPart(run); found {
 		return Hold{BasisPart, max(until.Sub(wall), MinHold)}, true
 	}
 	tried := g.partsOnTrial(now, run)
-	if len(tried) > 0 && (mayHaveRun || !g.hasPartTrial(tried, owner)) {
+	if len(tried) > 0 && (mayHaveCrashed || !g.hasPartTrial(tried, owner)) {
 		return Hold{BasisPartTrial, trialRetryAfter}, true
 	}
 	if g.updateCutOff(now) {
--- a/process/guard/parts_test.go
+++ b/process/guard/parts_test.go
@@ -41,10 +41,10 @@
 }
 
 // holdsRun reports whether a request is held that claims the trial of its part where it can.
-func (g *Guard) holdsRun(run parts.Run, owner any, mayHaveRun bool) bool {
-	_, held := g.CheckParts(later, partWall, run, owner, mayHaveRun)
-	if held && !mayHaveRun && g.ClaimPartTrial(context.Background(), later, run, owner) {
-		_, held = g.CheckParts(later, partWall, run, owner, mayHaveRun)
+func (g *Guard) holdsRun(run parts.Run, owner any, mayHaveCrashed bool) bool {
+	_, held := g.CheckParts(later, partWall, run, owner, mayHaveCrashed)
+	if held && !mayHaveCrashed && g.ClaimPartTrial(context.Background(), later, run, owner) {
+		_, held = g.CheckParts(later, partWall, run, owner, mayHaveCrashed)
 	}
 	return held
 }
--- a/process/guard/parttrials.go
+++ b/process/guard/parttrials.go
@@ -44,8 +44,10 @@
 // ClaimPartTrial claims the trial of the only part of a run that is on trial, for the owner of the request, and
 // reports whether the owner has it. It asks the control group, which grants one trial in each turn. If nobody answers
 // that grants trials, proxies take turns. A proxy that has been cut off for long tries parts by itself, with one request
-// at a time. The owner must call EndPartTrial.
+// at a time. The owner must call EndPartTrial, and must not claim again once a replica may have crashed under it: a
+// trial that it has from an earlier turn is returned first.
 func (g *Guard) ClaimPartTrial(ctx context.Context, now time.Duration, run parts.Run, owner any) bool {
+	g.returnTrials(g.endPartTrials(run, owner, g.isTurnOver))
 	claim, begun := g.beginClaim(now, run, owner)
 	switch begun {
 	case claimGranted:
@@ -177,7 +179,11 @@
 	if hasCrashed {
 		return
 	}
-	ended := g.endPartTrials(run, owner)
+	g.returnTrials(g.endPartTrials(run, owner, func(parts.Key, partTrial) bool { return true }))
+}
+
+// returnTrials returns trials that have shown nothing to who grants them.
+func (g *Guard) returnTrials(ended []parts.TrialClaim) {
 	granter := g.trialGranter()
 	if granter == nil {
 		return
@@ -187,13 +193,19 @@
 	}
 }
 
-// endPartTrials removes the owner's trials and returns them as they were claimed.
-func (g *Guard) endPartTrials(run parts.Run, owner any) (ended []parts.TrialClaim) {
+// isTurnOver reports whether the turn of a trial has passed. The caller must hold the lock.
+func (g *Guard) isTurnOver(part parts.Key, trial partTrial) bool {
+	entry := g.parts.recorded[part]
+	return entry != nil && entry.Spec.Until != trial.turnEnd
+}
+
+// endPartTrials removes those of the owner's trials that are to end and returns them as they were claimed.
+func (g *Guard) endPartTrials(run parts.Run, owner any, isToEnd func(parts.Key, partTrial) bool) (ended []parts.TrialClaim) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	for _, part := range run.Parts {
 		trial, found := g.parts.trials[part]
-		if !found || trial.owner != owner {
+		if !found || trial.owner != owner || !isToEnd(part, trial) {
 			continue
 		}
 		delete(g.parts.trials, part)
--- a/process/guard/parttrials_test.go
+++ b/process/guard/parttrials_test.go
@@ -83,6 +83,19 @@
 	must.True(t, first.holdsRun(run, "after the crash", false))
 }
 
+// Guards against a request that waits for the outcome of its own trial: its attempt lasted longer than the turn, and
+// ended without a crash.
+func TestTrialOfAnEarlierTurnIsReturned(t *testing.T) {
+	recorded := partView(1, api.QuarantinePartTried, nil, 8, heldPart)
+	guard := newTrialGuard("p-0", &fakeGroup{connected: true}, &fakeGranter{}, recorded)
+	must.False(t, guard.holdsRun(runOf("a", heldPart), "first", false))
+	recorded = partView(2, api.QuarantinePartTried, nil, 8, heldPart)
+	recorded.Quarantines[heldPart.String()].Spec.Until += time.Second.Milliseconds()
+	guard.Follow(recorded, later)
+	must.False(t, guard.holdsRun(runOf("a", heldPart), "first", false))
+	must.True(t, guard.holdsRun(runOf("a", heldPart), "second", false))
+}
+
 // Guards against parts that nobody tries while members do not grant trials: proxies take turns then.
 func TestProxiesTakeTurnsIfNobodyGrantsTrials(t *testing.T) {
 	sends := 0
--- a/process/ingress/ended.go
+++ b/process/ingress/ended.go
@@ -61,6 +61,7 @@
 		state = s.ingress.probeAddress(ctx, target)
 	}
 	if !s.isReplicaFault(ctx, err) {
+		s.crashUnknown = s.crashUnknown || stage == stageRun
 		return
 	}
 	isolated := s.isolated && state == addressRefuses
@@ -89,6 +90,9 @@
 	}
 }
 
+// mayHaveCrashed reports whether a replica may have crashed under the request.
+func (s *session) mayHaveCrashed() bool { return s.crashes > 0 || s.crashUnknown }
+
 // crashedProcess is the process of a replica that seems to have crashed.
 type crashedProcess struct {
 	name     string
@@ -186,7 +190,7 @@
 		s.ingress.guard.EndTrial(*s.cachedFingerprint, s)
 	}
 	if s.cachedPartRun != nil {
-		s.ingress.guard.EndPartTrial(*s.cachedPartRun, s, s.crashes > 0)
+		s.ingress.guard.EndPartTrial(*s.cachedPartRun, s, s.mayHaveCrashed())
 	}
 }
 
--- a/process/ingress/parts.go
+++ b/process/ingress/parts.go
@@ -9,7 +9,6 @@
 	"github.com/landingtrail/landingtrail/process/event"
 	"github.com/landingtrail/landingtrail/process/guard"
 	"github.com/landingtrail/landingtrail/process/pause"
-	"github.com/landingtrail/landingtrail/request/attempt"
 	"github.com/landingtrail/landingtrail/request/quarantine/parts"
 )
 
@@ -37,7 +36,7 @@
 	if !s.hasSuspectParts() {
 		return guard.Hold{}, false
 	}
-	return s.ingress.guard.CheckParts(s.ingress.now(), wall, s.partRun(), s, s.lifecycle.Ran() != attempt.RanNo)
+	return s.ingress.guard.CheckParts(s.ingress.now(), wall, s.partRun(), s, s.mayHaveCrashed())
 }
 
 // hasSuspectParts reports whether a part of the prompt may be suspected of crashing replicas.
@@ -77,10 +76,10 @@
 	return hold, held
 }
 
-// claimPartTrial claims the trial of the part that is on trial. A request that may have run is no trial: it could
-// cost a second replica.
+// claimPartTrial claims the trial of the part that is on trial. A request under which a replica may have crashed is no
+// trial: it could cost a second one.
 func (s *session) claimPartTrial(ctx context.Context) bool {
-	if s.lifecycle.Ran() != attempt.RanNo {
+	if s.mayHaveCrashed() {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
--- a/process/ingress/parts_test.go
+++ b/process/ingress/parts_test.go
@@ -190,6 +190,29 @@
 	must.Eq(t, 0, replica.count())
 }
 
+// Guards against a harmless request that waits for the trial that it has itself, and is then refused: its first attempt
+// ended without a crash and without an answer (soak seed 84003).
+func TestTrialIsSentAgainUnlessAReplicaCrashed(t *testing.T) {
+	var sends atomic.Int32
+	replica := newFakeReplica(t, "make", func(w http.ResponseWriter, r *http.Request) {
+		if sends.Add(1) > 1 {
+			streamEvents(2, "")(w, r)
+			return
+		}
+		writeGenuine(w, r)
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	env, _ := newPartEnv(t, replica)
+	second := newFakeReplica(t, "second", replica.server.Config.Handler.ServeHTTP)
+	env.setVersionedReplicas(map[*fakeReplica]string{replica: "v1", second: "v1"})
+	trial := &oneTrial{}
+	env.ingress.guard.SetTrialGranter(trial)
+	env.setRecordedPart(parts.KeyOf("model", "", "first"), api.QuarantinePartTried)
+	must.Eq(t, http.StatusOK, env.do(partRequest("first own")).status)
+	must.Eq(t, 2, sends.Load())
+	must.Eq(t, 1, trial.claims.Load())
+}
+
 // Guards against a request that tries a part again after a replica has crashed under it.
 func TestRequestTriesAPartOnce(t *testing.T) {
 	replica := crashAfter(t, 0)
--- a/process/ingress/session.go
+++ b/process/ingress/session.go
@@ -89,6 +89,7 @@
 	trace             strings.Builder         // attempts, their results and this proxy's decisions, for the log
 	cachedFingerprint *quarantine.Fingerprint // nil until it is computed
 	crashes           int                     // runs during which the replica seems to have crashed
+	crashUnknown      bool                    // a run broke, and this proxy reached no replica that could show why
 	cachedPartRun     *parts.Run              // nil until it is computed
 	// wasIsolated is true once the request was assigned to a replica with no other request in
 	// flight. isolated is true if the current attempt is such a one.
