--- a/process/clock/usage_test.go
+++ b/process/clock/usage_test.go
@@ -47,6 +47,7 @@
 var allowedCounts = map[string]int{
 	"process/ingress/ingress.go":       1, // replica creation times, until the group's time is known
 	"platform/replica.go":              1, // replica creation times
+	"connection/exchange/companion.go": 1, // a connection's own timeout
 	"connection/exchange/foreign.go":   3, // a connection's own timeout
 	"process/control/evidence.go":      1, // the age of stored evidence after a restart
 	"process/control/open.go":          1, // the age of stored evidence and versions when they are loaded
